--- /dev/null
+++ b/hazelhold/__init__.py
@@ -0,0 +1,1 @@
+"""hazelhold: places long-lived guests on a cluster's machines."""
--- /dev/null
+++ b/hazelhold/brain.py
@@ -0,0 +1,618 @@
+"""All decisions of one planner.
+
+How it is called: a host makes one Brain per planner with its seed and Deployment, tells it what happens through
+the input methods (machines_listed ... memory_pressed), which only update what is known, then pulls decide(now)
+until it answers None and carries each Decision out; next_look(now) says when to call again if nothing happens.
+The types that go in and out stand in interface.py.
+"""
+
+from collections import deque
+from math import sqrt
+from random import Random
+
+from hazelhold.interface import (
+    Ask,
+    Decision,
+    Deployment,
+    Effect,
+    Ending,
+    Kind,
+    Listed,
+    Load,
+    Mode,
+    Place,
+    Product,
+    Remark,
+    Step,
+)
+
+SECOND = 1_000_000
+NEVER_RAN = (Ending.TURNED_BACK, Ending.NO_CONNECTION, Ending.NOT_SENT)
+ROUNDS = 100  # Monte Carlo rounds for a machine: the design page's own figure
+
+
+class Service:
+    """Recent use of one service's guests; dropped once it has had no guest for a while."""
+
+    def __init__(self) -> None:
+        # The design's 50 samples of (cores, memory) in use.
+        self.samples: deque[tuple[float, float]] = deque(maxlen=50)
+        self.guests = 0
+        self.seen = 0
+
+    def weight(self, ask: Ask) -> tuple[float, float]:
+        """What a new guest counts as: the 90th percentile of recent use, the ask if there is none."""
+        if not self.samples:
+            return ask.cores, ask.memory
+        at = int(0.9 * (len(self.samples) - 1) + 0.5)
+        return sorted(s[0] for s in self.samples)[at], sorted(s[1] for s in self.samples)[at]
+
+
+class Guest:
+    """A guest in this planner's hands, from its arrival to its end."""
+
+    def __init__(self, ask: Ask, product: Product, service: Service, now: int) -> None:
+        self.ask, self.product, self.service = ask, product, service
+        self.goal_at = now + product.goal_time
+        self.patience_at = now + ask.patience
+        self.machine: Machine | None = None  # where a dispatch is out, or where it runs
+        self.placed = False
+        self.runs = False
+        self.over = False  # answered, with its last dispatch still out
+        self.dispatches = 0
+        self.sent_at = 0
+        self.ahead = 0  # own starts before it in the machine's line when it was sent
+        self.warm = False
+        self.may_run = False
+        self.bound: tuple[Place, int] | None = None  # the group that a ticket holds it to
+        self.window_ends = 0
+        self.look_at = now
+        self.use: tuple[float, float] | None = None
+        self.cores_noted = 0.0
+
+    def may_turn_back(self) -> bool:
+        """A turn-back promises that another try is harmless."""
+        effect = self.product.effect
+        return (not self.may_run or effect is Effect.RERUNNABLE
+                or effect is Effect.TICKETED and self.product.group is Place.ALL)
+
+
+class Machine:
+    """What is known of one machine; dropped when it has left the list and holds no guest of ours."""
+
+    def __init__(self, listed: Listed, size: Kind, now: int) -> None:
+        self.listed, self.size, self.listed_at = listed, size, now
+        self.ready = listed.mode is Mode.READY
+        self.cold_at = listed.started if listed.started else -10**15
+        self.used: tuple[float, float] | None = None
+        self.others = (0.0, 0.0)  # last reported use less our guests' share
+        self.reported_at = -10**15
+        self.probed_at = -10**15
+        self.guests: dict[str, Guest] = {}
+        self.kept: dict[str, None] = {}  # services that ended here lately; the oldest falls out
+        self.sums: list[tuple[float, float]] | None = None  # our guests' drawn use, round by round
+        self.drawn_at = 0
+        self.means = (0.0, 0.0)
+        self.full_until = 0
+        self.full_for = (0.0, 0.0)
+        self.answers: deque[int] = deque(maxlen=12)  # answer times, failures as FAILED
+        self.strikes = 0
+        self.avoid_until = 0
+        self.mute = False
+        self.offers: deque[int] = deque()  # while cold; emptied by age
+
+    def starting(self) -> int:
+        return sum(not g.runs for g in self.guests.values())
+
+    def place(self, reach: Place) -> tuple[Place, str]:
+        """The group of machines that a ticket or a spread speaks of."""
+        name = {Place.CELL: str(self.listed.cell), Place.ZONE: str(self.listed.zone),
+                Place.MACHINE: self.listed.machine}
+        return reach, name.get(reach, "")
+
+    def draw(self, random: Random, now: int) -> None:
+        """Draws our guests' use afresh; a drawn table is good until a guest comes or goes, or for a second,
+        by which time the services' samples have moved on."""
+        if self.sums is not None and now - self.drawn_at < SECOND:
+            return
+        cores, memory = [0.0] * ROUNDS, [0.0] * ROUNDS
+        for guest in self.guests.values():
+            for at, (c, m) in enumerate(drawn(random, guest)):
+                cores[at] += c
+                memory[at] += m
+        self.sums, self.drawn_at = list(zip(cores, memory, strict=True)), now
+        self.means = sum(cores) / ROUNDS, sum(memory) / ROUNDS
+
+
+def drawn(random: Random, guest: Guest) -> list[tuple[float, float]]:
+    samples = guest.service.samples
+    return random.choices(samples, k=ROUNDS) if samples else [(guest.ask.cores, guest.ask.memory)] * ROUNDS
+
+
+class Brain:
+    """One planner's knowledge and decisions."""
+
+    def __init__(self, seed: int, deployment: Deployment) -> None:
+        self.random = Random(seed)
+        self.deployment = deployment
+        self.machines: dict[str, Machine] = {}  # emptied with the list
+        self.guests: dict[str, Guest] = {}  # emptied by each guest's last outcome
+        self.waiting: dict[str, Guest] = {}  # held guests, no dispatch out; emptied by dispatch or answer
+        self.services: dict[str, Service] = {}  # swept of idle ones
+        self.spread: dict[tuple[str, Place, str], int] = {}  # emptied as guests end
+        self.starts = {True: deque(maxlen=50), False: deque(maxlen=50)}  # start times: warm, cold
+        self.answers: deque[int] = deque(maxlen=100)  # answer times of all machines
+        self.ask_list_at = 0
+        self.probe_credit = 2.0
+        self.sweep_at = 0
+
+    # Inputs: they only update what is known.
+
+    def machines_listed(self, now: int, entries: list[Listed], whole: bool) -> None:
+        for entry in entries:
+            machine = self.machines.get(entry.machine)
+            if machine is None:
+                size = self.deployment.kinds[entry.kind]
+                self.machines[entry.machine] = Machine(entry, size, now)
+                continue
+            if entry.started > machine.listed.started:
+                self._restarted(machine, entry.started)
+            machine.listed, machine.listed_at = entry, now
+            machine.ready = entry.mode is Mode.READY
+        if whole:
+            named = {entry.machine for entry in entries}
+            for name, machine in self.machines.items():
+                machine.ready = machine.ready and name in named
+        for name in [n for n, m in self.machines.items() if not m.ready and not m.guests]:
+            if self.machines[name].listed.mode is Mode.GONE:
+                del self.machines[name]
+        # News within two fifths of the time allowed shows that the list is still heard.
+        self.ask_list_at = now + int(self.deployment.ask_within * 0.4 * self.random.uniform(0.8, 1.2))
+        self._changed(now)
+
+    def list_failed(self, now: int) -> None:
+        # One to three seconds, drawn, so that planners do not come back in step; several calls fit in ask-within.
+        self.ask_list_at = now + int(self.random.uniform(1, 3) * SECOND)
+
+    def guest_arrived(self, now: int, ask: Ask) -> None:
+        guest = self._known(now, ask)
+        self.guests[ask.guest] = self.waiting[ask.guest] = guest
+        # A probe a guest at most keeps the price of probing in step with what there is to decide.
+        self.probe_credit = min(self.probe_credit + 1.0, 2.0 + len(self.machines))
+
+    def guest_found(self, now: int, machine: str, ask: Ask) -> None:
+        if ask.guest in self.guests:
+            self._drop(self.guests[ask.guest])
+        guest = self._known(now, ask)
+        guest.placed = guest.runs = True
+        self.guests[ask.guest] = guest
+        if machine not in self.machines:
+            listed = Listed(machine, Mode.GONE, 0, 0, 0, 0, 0.0, 0.0)
+            self.machines[machine] = Machine(listed, self.deployment.kinds[0], now)
+        self._seat(guest, self.machines[machine], now)
+
+    def guest_left(self, now: int, name: str) -> None:
+        guest = self.guests.get(name)
+        if guest is None:
+            return
+        self.waiting.pop(name, None)
+        if guest.machine is None:
+            self._drop(guest)
+        else:
+            guest.over = True
+
+    def dispatch_taken(self, now: int, name: str, machine: str, took: int) -> None:
+        guest = self.guests.get(name)
+        if guest is None or guest.machine is None:
+            return
+        guest.placed = True
+        self._answered(guest.machine, took, now)
+        if self.deployment.confirms_running:
+            self._started(guest, now)
+
+    def guest_runs(self, now: int, name: str) -> None:
+        guest = self.guests.get(name)
+        if guest is not None and guest.machine is not None and not guest.runs:
+            self._started(guest, now)
+
+    def dispatch_ended(self, now: int, name: str, number: int, machine: str, ending: Ending, took: int,
+                       closed: bool, remark: Remark) -> None:
+        guest = self.guests.get(name)
+        if guest is None or guest.machine is None or guest.machine.listed.machine != machine:
+            return
+        host, was_placed = guest.machine, guest.placed
+        self._unseat(guest, now)
+        self._judge(host, guest, ending, remark, took, was_placed, now)
+        self._changed(now)
+        if guest.over or closed or was_placed:
+            self._drop(guest)
+            return
+        if ending not in NEVER_RAN:
+            if not guest.may_run:
+                guest.window_ends = guest.sent_at + guest.product.window
+                guest.bound = host.place(guest.product.group)
+            guest.may_run = True
+        guest.look_at = now
+        self.waiting[name] = guest
+
+    def machine_reported(self, now: int, name: str, load: Load | None) -> None:
+        machine = self.machines.get(name)
+        if machine is None or load is None:
+            return
+        size = machine.size
+        cores = None if load.cores_free is None else size.cores - load.cores_free
+        if load.busy is not None:
+            cores = load.busy * size.cores
+        memory = None if load.memory_free is None else size.memory - load.memory_free
+        self._reported(machine, cores, memory, now)
+
+    def probe_answered(self, now: int, name: str, well: bool, took: int) -> None:
+        machine = self.machines.get(name)
+        if machine is None:
+            return
+        if well:
+            machine.mute, machine.strikes = False, machine.strikes if not machine.mute else 0
+            self._changed(now)
+        else:
+            self._strike(machine, now, mute=True)
+
+    def cores_used(self, now: int, name: str, cores: float) -> None:
+        if name in self.guests:
+            self.guests[name].cores_noted = cores
+
+    def memory_used(self, now: int, name: str, memory: float) -> None:
+        guest = self.guests.get(name)
+        if guest is not None:
+            guest.use = (guest.cores_noted, memory)
+            guest.service.samples.append(guest.use)
+            guest.service.seen = now
+
+    def guest_served(self, now: int, name: str, share: float) -> None:
+        guest = self.guests.get(name)
+        if guest is None or guest.machine is None or share >= 0.95:
+            return
+        # A poorly served guest tells how far the cores are past what its product bears.
+        busy = guest.product.easy_until + (1 - share) * guest.product.lost_after
+        machine = guest.machine
+        known = machine.used[0] if machine.used else 0.0
+        self._reported(machine, max(known, busy * machine.size.cores), None, now)
+
+    def memory_pressed(self, now: int, name: str, share: float) -> None:
+        machine = self.machines.get(name)
+        if machine is not None:
+            self._reported(machine, None, share * machine.size.memory, now)
+
+    # Bookkeeping behind the inputs.
+
+    def _known(self, now: int, ask: Ask) -> Guest:
+        service = self.services.setdefault(ask.service, Service())
+        service.guests, service.seen = service.guests + 1, now
+        return Guest(ask, self.deployment.products[ask.product], service, now)
+
+    def _drop(self, guest: Guest) -> None:
+        name = guest.ask.guest
+        if guest.machine is not None:
+            self._unseat(guest, guest.sent_at)
+        self.waiting.pop(name, None)
+        if self.guests.pop(name, None) is not None:
+            guest.service.guests -= 1
+
+    def _seat(self, guest: Guest, machine: Machine, now: int) -> None:
+        guest.machine = machine
+        machine.guests[guest.ask.guest] = guest
+        machine.sums = None
+        key = self._spread_key(guest, machine)
+        self.spread[key] = self.spread.get(key, 0) + 1
+
+    def _unseat(self, guest: Guest, now: int) -> None:
+        machine = guest.machine
+        key = self._spread_key(guest, machine)
+        self.spread[key] -= 1
+        if not self.spread[key]:
+            del self.spread[key]
+        del machine.guests[guest.ask.guest]
+        machine.sums = None
+        guest.machine = None
+        if guest.runs:
+            machine.kept.pop(guest.ask.service, None)
+            machine.kept[guest.ask.service] = None
+            if len(machine.kept) > 4:  # few, so that a program counted as kept seldom is gone
+                del machine.kept[next(iter(machine.kept))]
+
+    def _spread_key(self, guest: Guest, machine: Machine) -> tuple[str, Place, str]:
+        return guest.ask.service, *machine.place(guest.product.spread)
+
+    def _started(self, guest: Guest, now: int) -> None:
+        guest.runs = True
+        self.starts[guest.warm].append(int((now - guest.sent_at) / (1 + guest.ahead / 2)))
+
+    def _restarted(self, machine: Machine, at: int) -> None:
+        machine.cold_at = max(machine.cold_at, at)
+        machine.kept.clear()
+        machine.used = None
+
+    def _reported(self, machine: Machine, cores: float | None, memory: float | None, now: int) -> None:
+        """Takes a machine's own word on its use and sets our running guests' share aside."""
+        old = machine.used or (0.0, 0.0)
+        machine.used = (old[0] if cores is None else cores, old[1] if memory is None else memory)
+        ours = [0.0, 0.0]
+        for guest in machine.guests.values():
+            if guest.runs:
+                use = guest.use or self._mean_use(guest)
+                ours[0] += use[0]
+                ours[1] += use[1]
+        machine.others = max(0.0, machine.used[0] - ours[0]), max(0.0, machine.used[1] - ours[1])
+        machine.reported_at = now
+
+    def _mean_use(self, guest: Guest) -> tuple[float, float]:
+        samples = guest.service.samples
+        if not samples:
+            return guest.ask.cores, guest.ask.memory
+        return sum(s[0] for s in samples) / len(samples), sum(s[1] for s in samples) / len(samples)
+
+    def _changed(self, now: int) -> None:
+        """Something may have made room: held guests are looked at again, at most every 50 ms each."""
+        for guest in self.waiting.values():
+            guest.look_at = min(guest.look_at, max(now, guest.look_at - SECOND // 5))
+
+    # Health.
+
+    def _answered(self, machine: Machine, took: int, now: int) -> None:
+        machine.answers.append(took)
+        self.answers.append(took)
+        machine.strikes, machine.mute = 0, False
+
+    def _judge(self, machine: Machine, guest: Guest, ending: Ending, remark: Remark, took: int, placed: bool,
+               now: int) -> None:
+        """What an ended dispatch says of its machine."""
+        if ending is Ending.TURNED_BACK:
+            if remark in (Remark.NO_CORES, Remark.NO_MEMORY, Remark.LINE_FULL):
+                machine.full_until = now + SECOND  # about the time a report needs to come round
+                machine.full_for = (guest.ask.cores, guest.ask.memory)
+            elif remark is Remark.NOT_HERE and not guest.may_run:
+                machine.avoid_until = now + SECOND
+        elif ending is Ending.CUT_OFF and placed:
+            if remark is Remark.NONE and now - machine.cold_at > SECOND:
+                self._restarted(machine, now)
+                self._strike(machine, now, mute=True)
+        elif ending in (Ending.NO_CONNECTION, Ending.OVERDUE):
+            self._strike(machine, now, mute=True)
+            if ending is Ending.NO_CONNECTION and now - machine.cold_at > self.deployment.cold_for:
+                self._restarted(machine, now)
+        elif not placed and ending in (Ending.ERROR, Ending.CUT_OFF):
+            machine.answers.append(60 * SECOND)
+            self._strike(machine, now, mute=False)
+
+    def _strike(self, machine: Machine, now: int, mute: bool) -> None:
+        """A failure keeps guests away, twice as long each time in a row, from a third of a second to 8 s."""
+        machine.strikes = min(machine.strikes + 1, 6)
+        machine.mute = machine.mute or mute and self.deployment.probing
+        span = min(8 * SECOND, SECOND // 6 * 2 ** machine.strikes)
+        machine.avoid_until = max(machine.avoid_until, now + int(span * self.random.uniform(0.8, 1.2)))
+
+    def _avoided(self, machine: Machine, typical: float, now: int) -> bool:
+        if machine.mute or now < machine.avoid_until:
+            return True
+        if machine.strikes and machine.starting():
+            return True  # on trial: one guest at a time
+        ordered = sorted(machine.answers)
+        if len(ordered) >= 4 and ordered[int(0.8 * len(ordered))] > 4 * typical + SECOND // 2:
+            machine.answers.clear()
+            self._strike(machine, now, mute=False)
+            return True
+        return False
+
+    # Decisions.
+
+    def decide(self, now: int) -> Decision | None:
+        """The next thing to do at this moment, or None."""
+        return self._keep_list(now) or self._answer_due(now) or self._place_next(now) or self._probe(now)
+
+    def next_look(self, now: int) -> int | None:
+        times = [min(g.look_at, self._answer_by(g)) for g in self.waiting.values()]
+        if self.deployment.list_is_asked:
+            times.append(self.ask_list_at)
+        times += [m.avoid_until for m in self.machines.values() if m.mute and m.ready]
+        times += [g.patience_at for g in self.guests.values() if g.machine and not g.placed and not g.over]
+        return max(now, min(times)) if times else None
+
+    def _keep_list(self, now: int) -> Decision | None:
+        if not self.deployment.list_is_asked or now < self.ask_list_at:
+            return None
+        self.ask_list_at = now + int(self.random.uniform(2, 3) * SECOND)  # an answer is due before
+        return Decision(Step.FOLLOW_LIST)
+
+    def _answer_by(self, guest: Guest) -> int:
+        """The last safe moment for a final answer: a few ticks before the patience ends."""
+        return guest.patience_at - SECOND // 50
+
+    def _answer_due(self, now: int) -> Decision | None:
+        for guest in self.waiting.values():
+            product = guest.product
+            spent = guest.dispatches >= self.deployment.max_dispatches
+            stuck = guest.may_run and (
+                product.effect is Effect.EXCLUSIVE
+                or product.effect is Effect.TICKETED and now >= guest.window_ends - SECOND // 20)
+            if spent or stuck or now >= self._answer_by(guest):
+                step = Step.TURN_BACK if guest.may_turn_back() else Step.BREAK_OFF
+                self._drop(guest)
+                return Decision(step, guest.ask.guest)
+        for guest in self.guests.values():
+            if guest.machine and not guest.placed and not guest.over and now >= guest.patience_at:
+                guest.over = True
+                return Decision(Step.BREAK_OFF, guest.ask.guest)
+        return None
+
+    def _place_next(self, now: int) -> Decision | None:
+        due = [g for g in self.waiting.values() if g.look_at <= now]
+        if not due:
+            return None
+        for guest in sorted(due, key=lambda g: (-g.product.payoff, g.patience_at)):
+            machine = self._pick(guest, now)
+            if machine is None:
+                guest.look_at = now + SECOND // 5
+                continue
+            span = self._span(guest, now)
+            guest.ahead = machine.starting()
+            guest.warm = self._warm(guest, machine)
+            del self.waiting[guest.ask.guest]
+            guest.dispatches += 1
+            guest.sent_at = now
+            self._seat(guest, machine, now)
+            machine.offers.append(now)
+            return Decision(Step.DISPATCH, guest.ask.guest, machine.listed.machine, span)
+        return None
+
+    def _span(self, guest: Guest, now: int) -> int:
+        """How long to wait for an answer: well past what machines take, never past the patience."""
+        left = self._answer_by(guest) - now
+        if guest.dispatches + 1 >= self.deployment.max_dispatches or not self.answers:
+            return left
+        # Three times the 95th percentile: what is later than that is seldom still coming.
+        usual = sorted(self.answers)[int(0.95 * len(self.answers))]
+        return min(left, max(3 * usual, SECOND // 2))
+
+    def _warm(self, guest: Guest, machine: Machine) -> bool:
+        name = guest.ask.service
+        return name in machine.kept or any(g.ask.service == name for g in machine.guests.values())
+
+    def _allowed(self, guest: Guest, machine: Machine, now: int) -> bool:
+        """The rules: what no ranking may go round."""
+        product = guest.product
+        if not machine.ready or product.kind not in (-1, machine.listed.kind):
+            return False
+        if guest.may_run and product.effect is Effect.TICKETED:
+            if machine.place(product.group) != guest.bound:
+                return False
+        if product.spread is not Place.NOWHERE:
+            if self.spread.get(self._spread_key(guest, machine), 0) >= product.spread_most:
+                return False
+        if now - machine.cold_at < self.deployment.cold_for:
+            while machine.offers and machine.offers[0] < now - 2 * self.deployment.cold_window:
+                machine.offers.popleft()
+            if len(machine.offers) + 1 > self.deployment.cold_offers * 0.8 / self.deployment.planners:
+                return False
+        else:
+            machine.offers.clear()
+        return True
+
+    def _has_room(self, guest: Guest, machine: Machine, now: int) -> bool:
+        ask, full = guest.ask, machine.full_for
+        if now < machine.full_until and ask.cores >= full[0] and ask.memory >= full[1]:
+            return False
+        facts, size = self.deployment, machine.size
+        if facts.list_has_room:
+            # Entries are about a second old: what we sent since is not in them.
+            recent = [g.ask for g in machine.guests.values() if g.sent_at > machine.listed_at - SECOND]
+            cores = machine.listed.cores_room - sum(a.cores for a in recent)
+            memory = machine.listed.memory_room - sum(a.memory for a in recent)
+        else:
+            cores = size.cores - sum(g.ask.cores for g in machine.guests.values())
+            memory = size.memory - sum(g.ask.memory for g in machine.guests.values())
+        return (ask.cores <= cores + (facts.cores_multiple - 1) * size.cores
+                and ask.memory <= memory + (facts.memory_multiple - 1) * size.memory)
+
+    def _empty(self, machine: Machine) -> bool:
+        return not machine.guests and machine.listed.cores_room >= machine.size.cores
+
+    def _pick(self, guest: Guest, now: int) -> Machine | None:
+        ready = [m for m in self.machines.values() if m.ready]
+        fit = [m for m in ready if self._allowed(guest, m, now) and self._has_room(guest, m, now)]
+        if not fit:
+            return None
+        answers = sorted(self.answers)
+        typical = answers[int(0.8 * len(answers))] if answers else SECOND
+        healthy = [m for m in fit if not self._avoided(m, typical, now)]
+        # With most machines looking bad at once the fault is likelier ours or the network's.
+        bad = sum(m.mute or now < m.avoid_until for m in ready)
+        if not healthy and 2 * bad > len(ready):
+            healthy = fit
+        if not healthy:
+            return None
+        if self.deployment.fleet_price > 0:
+            used = [m for m in healthy if not self._empty(m)]
+            picked = self._best(guest, used, [m for m in ready if not self._empty(m)], now)
+            if picked is not None and picked[0] < 0.3:
+                return picked[1]
+            empty = [m for m in healthy if self._empty(m)]
+            if picked is None or empty:
+                healthy = used + sorted(empty, key=lambda m: m.listed.machine)[:1]
+        picked = self._best(guest, healthy, ready, now)
+        return picked[1] if picked else None
+
+    def _best(self, guest: Guest, healthy: list[Machine], ready: list[Machine],
+              now: int) -> tuple[float, Machine] | None:
+        """The design's pick: lowest load spread times one plus expected violations, near-ties by chance."""
+        if not healthy:
+            return None
+        loads: dict[Machine, tuple[float, float]] = {}
+        for machine in ready:
+            machine.draw(self.random, now)
+            if machine.used is not None:
+                loads[machine] = ((machine.others[0] + machine.means[0]) / machine.size.cores,
+                                  (machine.others[1] + machine.means[1]) / machine.size.memory)
+        known = list(loads.values()) or [(0.5, 0.5)]
+        average = sum(l[0] for l in known) / len(known), sum(l[1] for l in known) / len(known)
+        for machine in healthy + ready:
+            machine.draw(self.random, now)
+            loads.setdefault(machine, average)
+        count = len(loads)
+        totals = [sum(l[axis] for l in loads.values()) for axis in (0, 1)]
+        squares = [sum(l[axis] ** 2 for l in loads.values()) for axis in (0, 1)]
+        weight = guest.service.weight(guest.ask)
+        rounds = drawn(self.random, guest)
+        scored = []
+        for machine in healthy:
+            spread = 0.0
+            for axis, size in ((0, machine.size.cores), (1, machine.size.memory)):
+                before = loads[machine][axis]
+                after = before + weight[axis] / size
+                mean = (totals[axis] - before + after) / count
+                spread += sqrt(max(0.0, (squares[axis] - before ** 2 + after ** 2) / count - mean ** 2))
+            overflow = self._overflow(machine, rounds, loads[machine])
+            expected = overflow + self._late(guest, machine, now)
+            scored.append((max(spread, 0.02) * (1 + expected), expected, machine))
+        best = min(s[0] for s in scored)
+        near = [s for s in scored if s[0] <= best * 1.05]
+        chosen = near[self.random.randrange(len(near))]
+        return chosen[1], chosen[2]
+
+    def _overflow(self, machine: Machine, rounds: list[tuple[float, float]],
+                  load: tuple[float, float]) -> float:
+        """The share of drawn rounds in which the machine passes 90% of its cores or memory."""
+        size = machine.size
+        others = machine.others
+        if machine.used is None:
+            others = load[0] * size.cores - machine.means[0], load[1] * size.memory - machine.means[1]
+        cores, memory = 0.9 * size.cores - max(0.0, others[0]), 0.9 * size.memory - max(0.0, others[1])
+        return sum(sc + c > cores or sm + m > memory
+                   for (sc, sm), (c, m) in zip(machine.sums, rounds, strict=True)) / ROUNDS
+
+    def _late(self, guest: Guest, machine: Machine, now: int) -> float:
+        """The share of recent starts of the kind at hand, warm or cold, that would miss the goal time here."""
+        seen = self.starts[self._warm(guest, machine)]
+        if not seen:
+            return 0.0
+        left = guest.goal_at - now
+        if left <= 0:
+            left = self._answer_by(guest) - now
+        age = (now - machine.cold_at) / self.deployment.cold_for
+        pace = 1.0 if age >= 1 else self.deployment.cold_from + (1 - self.deployment.cold_from) * max(0.0, age)
+        limit = left * pace / (1 + machine.starting() / 2)
+        return sum(took > limit for took in seen) / len(seen)
+
+    def _probe(self, now: int) -> Decision | None:
+        if not self.deployment.probing:
+            return None
+        for machine in self.machines.values():
+            if machine.mute and machine.ready and now >= machine.avoid_until:
+                machine.avoid_until = now + SECOND
+                return Decision(Step.PROBE, machine=machine.listed.machine)
+        stale = [m for m in self.machines.values() if m.ready and not m.mute
+                 and now - max(m.reported_at, m.probed_at) > SECOND]
+        if not stale or self.probe_credit < 1:
+            return None
+        machine = min(stale, key=lambda m: max(m.reported_at, m.probed_at))
+        machine.probed_at = now
+        self.probe_credit -= 1
+        return Decision(Step.PROBE, machine=machine.listed.machine)
--- /dev/null
+++ b/hazelhold/interface.py
@@ -0,0 +1,161 @@
+"""The types that pass between the decision module (brain.py) and whatever hosts it.
+
+Times and spans are whole microseconds. Ids are strings and come back as they were given.
+"""
+
+from enum import Enum
+from typing import NamedTuple
+
+
+class Effect(Enum):
+    """What a second run of a guest would do."""
+
+    RERUNNABLE = "does no harm"
+    TICKETED = "is known by its mark within a group of machines"
+    EXCLUSIVE = "must never happen"
+
+
+class Place(Enum):
+    """How far a ticket or a spread reaches."""
+
+    NOWHERE = "nowhere"
+    MACHINE = "machine"
+    CELL = "cell"
+    ZONE = "zone"
+    ALL = "all"
+
+
+class Ending(Enum):
+    """How a dispatch ended."""
+
+    DONE = "the guest ran to its end"
+    ERROR = "the machine reported an error"
+    TURNED_BACK = "the machine refused it, or handed it back before it ran"
+    OVERDUE = "no answer in time"
+    NO_CONNECTION = "the machine could not be reached"
+    CUT_OFF = "lost, evicted, pushed out or sent away; before it was taken: the answer broke off"
+    CALLED_OFF = "called off, moved or stopped by its owner"
+    NOT_SENT = "never left the planner"
+
+
+class Remark(Enum):
+    """The reason that came with an ending."""
+
+    NONE = 0
+    NO_CORES = 1
+    NO_MEMORY = 2
+    LINE_FULL = 3
+    NOT_HERE = 4
+    EVICTED = 5
+    PUSHED_OUT = 6
+    SENT_AWAY = 7
+
+
+class Mode(Enum):
+    """What the list says of a machine."""
+
+    READY = "takes guests"
+    CORDONED = "finishes what it has"
+    GONE = "was removed"
+
+
+class Product(NamedTuple):
+    """What the operators promise and ask for one product."""
+
+    effect: Effect
+    group: Place
+    window: int
+    goal_time: int
+    late_worth: float
+    payoff: float
+    start_bonus: float
+    priority: int
+    easy_until: float
+    lost_after: float
+    kind: int
+    spread: Place
+    spread_most: int
+
+
+class Kind(NamedTuple):
+    """Size of a machine of one kind."""
+
+    cores: float
+    memory: float
+
+
+class Deployment(NamedTuple):
+    """What an instance is told when it starts."""
+
+    planners: int
+    products: tuple[Product, ...]
+    kinds: tuple[Kind, ...]
+    customer_cores: tuple[float, ...]
+    over_share_worth: float
+    list_is_asked: bool
+    ask_within: int
+    list_has_room: bool
+    cores_multiple: float
+    memory_multiple: float
+    confirms_running: bool
+    probing: bool
+    reports_only_probed: bool
+    reports_count_asked: bool
+    max_dispatches: int
+    cold_for: int
+    cold_from: float
+    cold_window: int
+    cold_offers: float
+    fleet_price: float
+
+
+class Listed(NamedTuple):
+    """One machine as the list has it; rooms are cores and memory that nobody asked for."""
+
+    machine: str
+    mode: Mode
+    started: int
+    zone: int
+    cell: int
+    kind: int
+    cores_room: float
+    memory_room: float
+
+
+class Load(NamedTuple):
+    """A machine's own report; None where it does not say."""
+
+    cores_free: float | None
+    memory_free: float | None
+    busy: float | None
+
+
+class Ask(NamedTuple):
+    """A guest as its owner describes it."""
+
+    guest: str
+    product: int
+    customer: int
+    service: str
+    cores: float
+    memory: float
+    patience: int
+
+
+class Step(Enum):
+    """What a decision asks of the host."""
+
+    DISPATCH = "offer the guest to the machine, for at most the span"
+    TURN_BACK = "final answer: no, and trying again is harmless"
+    BREAK_OFF = "final answer: failed, with no promise"
+    PROBE = "ask the machine for its report"
+    FOLLOW_LIST = "subscribe to changes of the list"
+
+
+class Decision(NamedTuple):
+    """One thing to do now; what a step does not need stays empty."""
+
+    step: Step
+    guest: str = ""
+    machine: str = ""
+    span: int = 0
--- /dev/null
+++ b/hazelhold/simhost.py
@@ -0,0 +1,352 @@
+"""Hosts many instances of the decision module on the simulator's wire: decodes lines into calls on each
+instance's Brain and encodes what it decides. Nothing is decided here and instances share nothing.
+
+Run as `python -m hazelhold.simhost`; wire on standard input and output, plain messages on standard error.
+"""
+
+import sys
+from collections.abc import Callable, Iterator
+from typing import TextIO
+
+from hazelhold.brain import Brain
+from hazelhold.interface import (
+    Ask,
+    Decision,
+    Deployment,
+    Effect,
+    Ending,
+    Kind,
+    Listed,
+    Load,
+    Mode,
+    Place,
+    Product,
+    Remark,
+    Step,
+)
+
+ENDINGS = {
+    "completed": Ending.DONE,
+    "errored": Ending.ERROR,
+    "saturated": Ending.TURNED_BACK,
+    "overdue": Ending.OVERDUE,
+    "refused_conn": Ending.NO_CONNECTION,
+    "severed": Ending.CUT_OFF,
+    "recalled": Ending.CALLED_OFF,
+    "superseded": Ending.NOT_SENT,
+}
+MODES = {"healthy": Mode.READY, "cordoned": Mode.CORDONED, "deregistered": Mode.GONE}
+EFFECTS = {"retryable": Effect.RERUNNABLE, "dedup": Effect.TICKETED, "fragile": Effect.EXCLUSIVE}
+PLACES = {"off": Place.NOWHERE, "machine": Place.MACHINE, "cell": Place.CELL, "zone": Place.ZONE,
+          "all": Place.ALL}
+
+
+class WireError(Exception):
+    """A line that cannot be read; its text names what was wrong."""
+
+
+def micros(text: str) -> int:
+    """Milliseconds as the wire writes them, as whole microseconds."""
+    return round(float(text) * 1000) if text != "-" else 0
+
+
+def millis(span: int) -> str:
+    return f"{span // 1000}.{span % 1000:03d}"
+
+
+def number(text: str) -> float:
+    return float(text) if text != "-" else 0.0
+
+
+def whole(text: str) -> int:
+    return int(text) if text != "-" else 0
+
+
+def truth(text: str) -> bool:
+    return text in ("1", "true")
+
+
+class Pairs:
+    """The settings of the first message, by path."""
+
+    def __init__(self, parts: list[str]) -> None:
+        self.values = dict(part.split("=", 1) for part in parts if "=" in part)
+
+    def text(self, path: str) -> str:
+        if path not in self.values:
+            raise WireError(f"setting {path} is missing")
+        return self.values[path]
+
+    def read(self, path: str, read: Callable[[str], float]) -> float:
+        text = self.text(path)
+        try:
+            return read(text)
+        except ValueError:
+            raise WireError(f"setting {path} has the value {text!r}") from None
+
+    def number(self, path: str) -> float:
+        return self.read(path, float)
+
+    def span(self, path: str) -> int:
+        return int(self.read(path, micros))
+
+    def items(self, path: str) -> list[str]:
+        text = self.text(path)
+        return text.split(",") if text else []
+
+    def word(self, path: str, words: dict) -> object:
+        text = self.text(path)
+        if text not in words:
+            raise WireError(f"setting {path} has the value {text!r}")
+        return words[text]
+
+    def nth(self, path: str, index: int, read: Callable[[str], object]) -> object:
+        items = self.items(path)
+        try:
+            return read(items[index])
+        except (ValueError, IndexError, KeyError):
+            raise WireError(f"setting {path} has no usable value number {index}") from None
+
+
+def read_product(pairs: Pairs, index: int) -> Product:
+    own = f"classes.{index}."
+    family = "family-info."
+    return Product(
+        effect=pairs.word(own + "idempotency", EFFECTS),
+        group=pairs.word(own + "group", PLACES),
+        window=pairs.span(own + "dedup-window"),
+        goal_time=pairs.span(own + "on-time"),
+        late_worth=pairs.number(own + "late-worth"),
+        payoff=pairs.number(own + "points"),
+        start_bonus=pairs.nth(family + "start-bonus-s", index, float),
+        priority=pairs.nth(family + "class-priority", index, int),
+        easy_until=pairs.nth(family + "easy-until", index, float),
+        lost_after=pairs.nth(family + "lost-after", index, float),
+        kind=pairs.nth(family + "class-kind", index, int),
+        spread=pairs.nth(family + "spread-over", index, PLACES.__getitem__),
+        spread_most=pairs.nth(family + "class-most", index, int),
+    )
+
+
+def read_deployment(pairs: Pairs) -> Deployment:
+    family = "family-info."
+    sizes = zip(pairs.items(family + "size-cores"), pairs.items(family + "mem-of-kind"), strict=True)
+    asked = pairs.text("discovery") == "ask"
+    tenants = "tenants.count" in pairs.values and int(pairs.number("tenants.count"))
+    how = pairs.text("load-report.how")
+    return Deployment(
+        planners=int(pairs.number("balancers")),
+        products=tuple(read_product(pairs, i) for i in range(int(pairs.number("classes.count")))),
+        kinds=tuple(Kind(float(cores), float(memory)) for cores, memory in sizes),
+        customer_cores=tuple(float(x) for x in pairs.items(family + "share-cores")) if tenants else (),
+        over_share_worth=pairs.number("over-share-worth") if tenants else 1.0,
+        list_is_asked=asked,
+        ask_within=pairs.span("rules.ask-within") if asked else 0,
+        list_has_room=truth(pairs.text(family + "lists-free")),
+        cores_multiple=pairs.number(family + "cores-multiple"),
+        memory_multiple=pairs.number(family + "accepts-memory"),
+        confirms_running=pairs.text(family + "confirms") == "running",
+        probing=truth(pairs.text("limits.probing")),
+        reports_only_probed=how == "on_probe",
+        reports_count_asked=pairs.text(family + "report-counts") == "asked",
+        max_dispatches=int(pairs.number("limits.max-attempts")),
+        cold_for=pairs.span("rules.cold"),
+        cold_from=pairs.number("rules.cold-from"),
+        cold_window=pairs.span("rules.tip-after"),
+        cold_offers=pairs.number(family + "fresh-offers"),
+        fleet_price=pairs.number("penalties.fleet") if "penalties.fleet" in pairs.values else 0.0,
+    )
+
+
+def read_load(text: str) -> Load | None:
+    """A report of name:value pairs; names not known here are passed over."""
+    if text == "-":
+        return None
+    values = dict(part.split(":", 1) for part in text.split(",") if ":" in part)
+    read = {name: float(value) for name, value in values.items() if name in ("x0", "x1", "busy")}
+    return Load(read.get("x0"), read.get("x1"), read.get("busy"))
+
+
+def read_remark(text: str) -> Remark:
+    code = whole(text)
+    return Remark(code) if 0 <= code <= 7 else Remark.NONE
+
+
+def read_row(parts: list[str]) -> Listed:
+    mode, started, machine, zone, cell, memory, _weight, cores, kind = parts[1:10]
+    if mode not in MODES:
+        raise WireError(f"mode {mode!r} is not known")
+    return Listed(machine, MODES[mode], micros(started), whole(zone), whole(cell), whole(kind),
+                  number(cores), number(memory))
+
+
+class Instance:
+    """One planner: its Brain and the timer that is set for it."""
+
+    def __init__(self, name: str, brain: Brain) -> None:
+        self.name = name
+        self.brain = brain
+        self.alarm = 0
+        self.token = 0
+
+
+class Host:
+    """All planners of this process, and the numbered lists that the wire defines for them together."""
+
+    def __init__(self) -> None:
+        self.instances: dict[str, Instance] = {}
+        self.lists: dict[int, list[Listed]] = {}
+        self.touched: dict[str, None] = {}
+        self.faults: dict[str, str] = {}
+        self.events: dict[str, Callable[[int, Brain, list[str]], None]] = {
+            "DISCOVERY": self.discovery, "SUBMIT": self.submit, "OUTCOME": self.outcome,
+            "TAKEN": self.taken, "DROPPED": self.dropped, "PEER": self.nothing,
+            "PROBE_RESULT": self.probed, "WAKE": self.nothing, "NOTE": self.note, "FOUND": self.found,
+        }
+
+    def event(self, now: int, parts: list[str]) -> None:
+        """Takes one event line, already split, into the instance that it names."""
+        name, who = parts[0], parts[1] if len(parts) > 1 else ""
+        if name == "ENLIST":
+            self.touched[who] = None
+            self.faults.pop(who, None)
+            try:
+                self.instances[who] = Instance(who, Brain(whole(parts[2]), read_deployment(Pairs(parts[3:]))))
+            except (WireError, ValueError) as wrong:
+                self.instances.pop(who, None)
+                self.faults[who] = str(wrong)
+        elif name == "KILL":
+            self.instances.pop(who, None)
+            self.touched.pop(who, None)
+            self.faults.pop(who, None)
+        elif name not in self.events:
+            raise WireError(f"event {name} is not known")
+        elif who in self.instances:
+            self.touched[who] = None
+            self.events[name](now, self.instances[who].brain, parts)
+
+    def nothing(self, now: int, brain: Brain, parts: list[str]) -> None:
+        """An event that only gives the instance its turn."""
+
+    def discovery(self, now: int, brain: Brain, parts: list[str]) -> None:
+        how = parts[2]
+        if how == "broken":
+            brain.list_failed(now)
+        elif how in ("patch", "whole", "stale_copy"):
+            if whole(parts[3]) not in self.lists:
+                raise WireError(f"list {parts[3]} was never registered")
+            brain.machines_listed(now, self.lists[whole(parts[3])], how != "patch")
+        else:
+            raise WireError(f"discovery of kind {how!r} is not known")
+
+    def submit(self, now: int, brain: Brain, parts: list[str]) -> None:
+        call, product, customer, _unit, left, _life, service, cores, memory, _marks = parts[2:12]
+        brain.guest_arrived(now, Ask(call, int(product), whole(customer), service, number(cores),
+                                     number(memory), micros(left)))
+
+    def found(self, now: int, brain: Brain, parts: list[str]) -> None:
+        call, machine, memory, _life, service, _unit, _marks, left, product, customer, cores = parts[2:13]
+        brain.guest_found(now, machine, Ask(call, int(product), whole(customer), service, number(cores),
+                                            number(memory), micros(left)))
+
+    def outcome(self, now: int, brain: Brain, parts: list[str]) -> None:
+        call, attempt, machine, reason, took, final, remark, metrics = parts[2:10]
+        if reason not in ENDINGS:
+            raise WireError(f"outcome {reason!r} is not known")
+        brain.machine_reported(now, machine, read_load(metrics))
+        brain.dispatch_ended(now, call, whole(attempt), machine, ENDINGS[reason], micros(took), truth(final),
+                             read_remark(remark))
+
+    def taken(self, now: int, brain: Brain, parts: list[str]) -> None:
+        brain.dispatch_taken(now, parts[2], parts[4], micros(parts[5]))
+
+    def dropped(self, now: int, brain: Brain, parts: list[str]) -> None:
+        brain.guest_left(now, parts[2])
+
+    def probed(self, now: int, brain: Brain, parts: list[str]) -> None:
+        machine, reason, took, metrics = parts[2:6]
+        brain.machine_reported(now, machine, read_load(metrics))
+        brain.probe_answered(now, machine, reason == "completed", micros(took))
+
+    def note(self, now: int, brain: Brain, parts: list[str]) -> None:
+        call, machine, sort, _attempt, value = parts[2:7]
+        if sort == "1":
+            brain.guest_runs(now, call)
+        elif sort == "2":
+            brain.cores_used(now, call, number(value))
+        elif sort == "3":
+            brain.memory_used(now, call, number(value))
+        elif sort == "4":
+            brain.guest_served(now, call, number(value))
+        elif sort == "5":
+            brain.memory_pressed(now, machine, number(value))
+
+    def replies(self, now: int) -> Iterator[str]:
+        """What the instances that had an event want done, in the order in which they were first named."""
+        for who in self.touched:
+            if who in self.faults:
+                yield f"DIE {who} {self.faults.pop(who)}"
+                continue
+            if who not in self.instances:
+                continue
+            instance = self.instances[who]
+            while (decision := instance.brain.decide(now)) is not None:
+                yield encode(who, decision)
+            wake = instance.brain.next_look(now)
+            if wake is not None and (instance.alarm <= now or wake < instance.alarm):
+                instance.alarm = max(wake, now + 1)
+                instance.token += 1
+                yield f"NOTIFY_ME {who} {millis(instance.alarm - now)} {instance.token}"
+        self.touched.clear()
+
+
+def encode(who: str, decision: Decision) -> str:
+    step, guest, machine, span = decision
+    if step is Step.DISPATCH:
+        return f"BIND {who} {guest} {machine} {millis(span)}"
+    if step is Step.TURN_BACK:
+        return f"SAY_NO {who} {guest} {millis(span)}"
+    if step is Step.BREAK_OFF:
+        return f"SURRENDER {who} {guest}"
+    if step is Step.PROBE:
+        return f"INSPECT {who} {machine}"
+    return f"WATCH {who} 1"
+
+
+def serve(source: TextIO, sink: TextIO) -> int:
+    """Answers batches until the input ends; returns the exit code."""
+    host = Host()
+    now = 0
+    rows: list[Listed] = []
+    rows_left = 0
+    for count, line in enumerate(source, 1):
+        parts = line.rstrip("\r\n").split(" ")
+        name = parts[0]
+        try:
+            if rows_left and name != "ROW":
+                raise WireError(f"{rows_left} rows of a list are missing")
+            if name == "ROW":
+                if not rows_left:
+                    raise WireError("a row outside a list")
+                rows.append(read_row(parts))
+                rows_left -= 1
+            elif name == "REGISTER":
+                rows, rows_left = [], whole(parts[2])
+                host.lists[int(parts[1])] = rows
+            elif name == "TICK":
+                now = micros(parts[1])
+            elif name == "COMMIT":
+                for reply in host.replies(now):
+                    sink.write(reply + "\n")
+                sink.write("EOR\n")
+                sink.flush()
+            elif name:
+                host.event(now, parts)
+        except (WireError, ValueError, IndexError) as wrong:
+            print(f"simhost: line {count} ({name}): {wrong}", file=sys.stderr)
+            return 2
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(serve(sys.stdin, sys.stdout))
