--- a/hazelhold/brain.py
+++ b/hazelhold/brain.py
@@ -1,9 +1,9 @@
 """All decisions of one planner.
 
-How it is called: a host makes one Brain per planner with its seed and Deployment, tells it what happens through
-the input methods (machines_listed ... memory_pressed), which only update what is known, then pulls decide(now)
-until it answers None and carries each Decision out; next_look(now) says when to call again if nothing happens.
-The types that go in and out stand in interface.py.
+How it is called: a host makes one Brain a planner from its seed and Deployment, tells it what happens
+through the input methods (machines_listed to memory_pressed), which only update what is known, then pulls
+decide(now) until it answers None, carrying each Decision out; next_look(now) says when to call again if
+nothing happens. The types that go in and out stand in interface.py.
 """
 
 from collections import deque
@@ -171,7 +171,7 @@
         self._changed(now)
 
     def list_failed(self, now: int) -> None:
-        # One to three seconds, drawn, so that planners do not come back in step; several calls fit in ask-within.
+        # One to three seconds, drawn, so that planners do not come back in step.
         self.ask_list_at = now + int(self.random.uniform(1, 3) * SECOND)
 
     def guest_arrived(self, now: int, ask: Ask) -> None:
@@ -589,15 +589,15 @@
                    for (sc, sm), (c, m) in zip(machine.sums, rounds, strict=True)) / ROUNDS
 
     def _late(self, guest: Guest, machine: Machine, now: int) -> float:
-        """The share of recent starts of the kind at hand, warm or cold, that would miss the goal time here."""
+        """The share of recent starts, warm or cold as this one, that would miss the goal time here."""
         seen = self.starts[self._warm(guest, machine)]
         if not seen:
             return 0.0
         left = guest.goal_at - now
         if left <= 0:
             left = self._answer_by(guest) - now
-        age = (now - machine.cold_at) / self.deployment.cold_for
-        pace = 1.0 if age >= 1 else self.deployment.cold_from + (1 - self.deployment.cold_from) * max(0.0, age)
+        age = max(0.0, min(1.0, (now - machine.cold_at) / self.deployment.cold_for))
+        pace = self.deployment.cold_from + (1 - self.deployment.cold_from) * age
         limit = left * pace / (1 + machine.starting() / 2)
         return sum(took > limit for took in seen) / len(seen)
 
