--- a/hazelhold/brain.py
+++ b/hazelhold/brain.py
@@ -93,14 +93,17 @@
         self.sums: list[tuple[float, float]] | None = None  # our guests' drawn use, round by round
         self.drawn_at = 0
         self.means = (0.0, 0.0)
-        self.full_until = 0
-        self.full_for = (0.0, 0.0)
+        self.full = [(0, 0.0), (0, 0.0)]  # until when it takes no ask of so many cores, so much memory
+        self.line = 8.0  # offers of ours that may wait at once; learned from refusals, the start is a guess
         self.answers: deque[int] = deque(maxlen=12)  # answer times, failures as FAILED
         self.strikes = 0
         self.avoid_until = 0
         self.mute = False
         self.offers: deque[int] = deque()  # while cold; emptied by age
 
+    def waiting(self) -> int:
+        return sum(not g.placed for g in self.guests.values())
+
     def starting(self) -> int:
         return sum(not g.runs for g in self.guests.values())
 
@@ -361,14 +364,19 @@
         machine.answers.append(took)
         self.answers.append(took)
         machine.strikes, machine.mute = 0, False
+        machine.line = min(64.0, machine.line + 0.25)  # a quarter: some ten answers win back one refusal
 
     def _judge(self, machine: Machine, guest: Guest, ending: Ending, remark: Remark, took: int, placed: bool,
                now: int) -> None:
         """What an ended dispatch says of its machine."""
         if ending is Ending.TURNED_BACK:
-            if remark in (Remark.NO_CORES, Remark.NO_MEMORY, Remark.LINE_FULL):
-                machine.full_until = now + SECOND  # about the time a report needs to come round
-                machine.full_for = (guest.ask.cores, guest.ask.memory)
+            if remark is Remark.LINE_FULL:
+                # Guards against any crowd of offers: a burst, a rejoining service, other planners' offers. It
+                # could hold guests back needlessly after a short crowd, so the line grows again by answers.
+                machine.line = max(1.0, 0.7 * min(machine.line, 1 + machine.waiting()))
+            elif remark in (Remark.NO_CORES, Remark.NO_MEMORY):
+                axis, much = (0, guest.ask.cores) if remark is Remark.NO_CORES else (1, guest.ask.memory)
+                machine.full[axis] = now + SECOND, much  # about a list period
             elif remark is Remark.NOT_HERE and not guest.may_run:
                 machine.avoid_until = now + SECOND
         elif ending is Ending.CUT_OFF and placed:
@@ -497,8 +505,11 @@
         return True
 
     def _has_room(self, guest: Guest, machine: Machine, now: int) -> bool:
-        ask, full = guest.ask, machine.full_for
-        if now < machine.full_until and ask.cores >= full[0] and ask.memory >= full[1]:
+        ask = guest.ask
+        if any(now < until and want >= much
+               for (until, much), want in zip(machine.full, (ask.cores, ask.memory), strict=True)):
+            return False
+        if machine.waiting() + 1 > machine.line:
             return False
         facts, size = self.deployment, machine.size
         if facts.list_has_room:
@@ -589,17 +600,17 @@
                    for (sc, sm), (c, m) in zip(machine.sums, rounds, strict=True)) / ROUNDS
 
     def _late(self, guest: Guest, machine: Machine, now: int) -> float:
-        """The share of recent starts, warm or cold as this one, that would miss the goal time here."""
+        """What waiting for the start costs, in parts of a start in time: the share of recent starts, warm or
+        cold as this one, that would miss the goal time here, and the seconds not served until then."""
         seen = self.starts[self._warm(guest, machine)]
         if not seen:
             return 0.0
-        left = guest.goal_at - now
-        if left <= 0:
-            left = self._answer_by(guest) - now
         age = max(0.0, min(1.0, (now - machine.cold_at) / self.deployment.cold_for))
         pace = self.deployment.cold_from + (1 - self.deployment.cold_from) * age
-        limit = left * pace / (1 + machine.starting() / 2)
-        return sum(took > limit for took in seen) / len(seen)
+        slower = (1 + machine.starting() / 2) / pace
+        limit = (guest.goal_at - now) / slower
+        wait = sum(seen) / len(seen) * slower / SECOND
+        return sum(took > limit for took in seen) / len(seen) + wait / max(1.0, guest.product.start_bonus)
 
     def _probe(self, now: int) -> Decision | None:
         if not self.deployment.probing:
