--- a/hazelhold/brain.py
+++ b/hazelhold/brain.py
@@ -31,6 +31,9 @@
 ROUNDS = 100  # Monte Carlo rounds for a machine: the design page's own figure
 
 
+TIE = 1.001  # one guest moves the spread by a hundredth at most: a band of 5% would make the pick a lottery
+
+
 class Service:
     """Recent use of one service's guests; dropped once it has had no guest for a while."""
 
@@ -53,6 +56,8 @@
 
     def __init__(self, ask: Ask, product: Product, service: Service, now: int) -> None:
         self.ask, self.product, self.service = ask, product, service
+        self.payoff = product.payoff
+        self.over_share = False
         self.goal_at = now + product.goal_time
         self.patience_at = now + ask.patience
         self.machine: Machine | None = None  # where a dispatch is out, or where it runs
@@ -145,6 +150,7 @@
         self.spread: dict[tuple[str, Place, str], int] = {}  # emptied as guests end
         self.starts = {True: deque(maxlen=50), False: deque(maxlen=50)}  # start times: warm, cold
         self.answers: deque[int] = deque(maxlen=100)  # answer times of all machines
+        self.customers: dict[int, float] = {}  # cores asked for here, by customer
         self.ask_list_at = 0
         self.probe_credit = 2.0
         self.sweep_at = 0
@@ -290,7 +296,14 @@
     def _known(self, now: int, ask: Ask) -> Guest:
         service = self.services.setdefault(ask.service, Service())
         service.guests, service.seen = service.guests + 1, now
-        return Guest(ask, self.deployment.products[ask.product], service, now)
+        guest = Guest(ask, self.deployment.products[ask.product], service, now)
+        facts = self.deployment
+        asked = self.customers[ask.customer] = self.customers.get(ask.customer, 0.0) + ask.cores
+        if ask.customer < len(facts.customer_cores):
+            # Every planner sees about its part of a customer's guests.
+            guest.over_share = asked * facts.planners > facts.customer_cores[ask.customer]
+            guest.payoff *= facts.over_share_worth if guest.over_share else 1.0
+        return guest
 
     def _drop(self, guest: Guest) -> None:
         name = guest.ask.guest
@@ -299,6 +312,7 @@
         self.waiting.pop(name, None)
         if self.guests.pop(name, None) is not None:
             guest.service.guests -= 1
+            self.customers[guest.ask.customer] -= guest.ask.cores
 
     def _seat(self, guest: Guest, machine: Machine, now: int) -> None:
         guest.machine = machine
@@ -455,7 +469,7 @@
         due = [g for g in self.waiting.values() if g.look_at <= now]
         if not due:
             return None
-        for guest in sorted(due, key=lambda g: (-g.product.payoff, g.patience_at)):
+        for guest in sorted(due, key=lambda g: (-g.payoff, g.patience_at)):
             machine = self._pick(guest, now)
             if machine is None:
                 guest.look_at = now + SECOND // 5
@@ -504,7 +518,7 @@
             machine.offers.clear()
         return True
 
-    def _has_room(self, guest: Guest, machine: Machine, now: int) -> bool:
+    def _has_room(self, guest: Guest, machine: Machine, now: int, push: bool = False) -> bool:
         ask = guest.ask
         if any(now < until and want >= much
                for (until, much), want in zip(machine.full, (ask.cores, ask.memory), strict=True)):
@@ -520,15 +534,24 @@
         else:
             cores = size.cores - sum(g.ask.cores for g in machine.guests.values())
             memory = size.memory - sum(g.ask.memory for g in machine.guests.values())
-        return (ask.cores <= cores + (facts.cores_multiple - 1) * size.cores
-                and ask.memory <= memory + (facts.memory_multiple - 1) * size.memory)
+        if push:
+            lower = [g.ask for g in machine.guests.values() if g.product.priority < guest.product.priority]
+            cores += sum(a.cores for a in lower)
+            memory += sum(a.memory for a in lower)
+        # Guests beyond their customer's share leave a tenth of the machine for others: they earn little.
+        spare = 0.1 if guest.over_share else 0.0
+        return (ask.cores <= cores + (facts.cores_multiple - 1 - spare) * size.cores
+                and ask.memory <= memory + (facts.memory_multiple - 1 - spare) * size.memory)
 
     def _empty(self, machine: Machine) -> bool:
         return not machine.guests and machine.listed.cores_room >= machine.size.cores
 
     def _pick(self, guest: Guest, now: int) -> Machine | None:
         ready = [m for m in self.machines.values() if m.ready]
-        fit = [m for m in ready if self._allowed(guest, m, now) and self._has_room(guest, m, now)]
+        allowed = [m for m in ready if self._allowed(guest, m, now)]
+        fit = [m for m in allowed if self._has_room(guest, m, now)]
+        if not fit and self.deployment.makes_room and guest.product.priority and not guest.over_share:
+            fit = [m for m in allowed if self._has_room(guest, m, now, push=True)]
         if not fit:
             return None
         answers = sorted(self.answers)
@@ -580,22 +603,24 @@
                 after = before + weight[axis] / size
                 mean = (totals[axis] - before + after) / count
                 spread += sqrt(max(0.0, (squares[axis] - before ** 2 + after ** 2) / count - mean ** 2))
-            overflow = self._overflow(machine, rounds, loads[machine])
+            overflow = self._overflow(guest, machine, rounds, loads[machine])
             expected = overflow + self._late(guest, machine, now)
             scored.append((max(spread, 0.02) * (1 + expected), expected, machine))
         best = min(s[0] for s in scored)
-        near = [s for s in scored if s[0] <= best * 1.05]
+        near = [s for s in scored if s[0] <= best * TIE]
         chosen = near[self.random.randrange(len(near))]
         return chosen[1], chosen[2]
 
-    def _overflow(self, machine: Machine, rounds: list[tuple[float, float]],
+    def _overflow(self, guest: Guest, machine: Machine, rounds: list[tuple[float, float]],
                   load: tuple[float, float]) -> float:
         """The share of drawn rounds in which the machine passes 90% of its cores or memory."""
         size = machine.size
         others = machine.others
         if machine.used is None:
             others = load[0] * size.cores - machine.means[0], load[1] * size.memory - machine.means[1]
-        cores, memory = 0.9 * size.cores - max(0.0, others[0]), 0.9 * size.memory - max(0.0, others[1])
+        # The design's 90%, or the load up to which the touchiest product here is fully served.
+        bears = min([0.9, guest.product.easy_until, *(g.product.easy_until for g in machine.guests.values())])
+        cores, memory = bears * size.cores - max(0.0, others[0]), 0.9 * size.memory - max(0.0, others[1])
         return sum(sc + c > cores or sm + m > memory
                    for (sc, sm), (c, m) in zip(machine.sums, rounds, strict=True)) / ROUNDS
 
--- a/hazelhold/interface.py
+++ b/hazelhold/interface.py
@@ -97,6 +97,7 @@
     list_has_room: bool
     cores_multiple: float
     memory_multiple: float
+    makes_room: bool
     confirms_running: bool
     probing: bool
     reports_only_probed: bool
--- a/hazelhold/simhost.py
+++ b/hazelhold/simhost.py
@@ -145,6 +145,7 @@
         list_has_room=truth(pairs.text(family + "lists-free")),
         cores_multiple=pairs.number(family + "cores-multiple"),
         memory_multiple=pairs.number(family + "accepts-memory"),
+        makes_room=truth(pairs.text(family + "makes-room")),
         confirms_running=pairs.text(family + "confirms") == "running",
         probing=truth(pairs.text("limits.probing")),
         reports_only_probed=how == "on_probe",
