--- a/hazelhold/brain.py
+++ b/hazelhold/brain.py
@@ -71,7 +71,7 @@
         self.may_run = False
         self.bound: tuple[Place, int] | None = None  # the group that a ticket holds it to
         self.window_ends = 0
-        self.look_at = now
+        self.look_at, self.looked_at = now, 0
         self.use: tuple[float, float] | None = None
         self.cores_noted = 0.0
 
@@ -95,6 +95,7 @@
         self.probed_at = -10**15
         self.guests: dict[str, Guest] = {}
         self.kept: dict[str, None] = {}  # services that ended here lately; the oldest falls out
+        self.left: tuple[float, float, float] | None = None  # see room
         self.sums: list[tuple[float, float]] | None = None  # our guests' drawn use, round by round
         self.drawn_at = 0
         self.means = (0.0, 0.0)
@@ -106,8 +107,19 @@
         self.mute = False
         self.offers: deque[int] = deque()  # while cold; emptied by age
 
-    def waiting(self) -> int:
-        return sum(not g.placed for g in self.guests.values())
+    def room(self, facts: Deployment) -> tuple[float, float, float]:
+        """Cores and memory that may still be asked for, and our offers waiting; kept until a change."""
+        if self.left is None:
+            recent = list(self.guests.values())
+            cores, memory = self.size
+            if facts.list_has_room:
+                # Entries are about a second old: what we sent since is not in them.
+                recent = [g for g in recent if g.sent_at > self.listed_at - SECOND]
+                cores, memory = self.listed.cores_room, self.listed.memory_room
+            cores += (facts.cores_multiple - 1) * self.size.cores - sum(g.ask.cores for g in recent)
+            memory += (facts.memory_multiple - 1) * self.size.memory - sum(g.ask.memory for g in recent)
+            self.left = cores, memory, sum(not g.placed for g in self.guests.values())
+        return self.left
 
     def starting(self) -> int:
         return sum(not g.runs for g in self.guests.values())
@@ -151,6 +163,8 @@
         self.starts = {True: deque(maxlen=50), False: deque(maxlen=50)}  # start times: warm, cold
         self.answers: deque[int] = deque(maxlen=100)  # answer times of all machines
         self.customers: dict[int, float] = {}  # cores asked for here, by customer
+        self.no_room: set[tuple] = set()  # shapes that found no machine; emptied as the clock moves
+        self.looked_at = 0
         self.ask_list_at = 0
         self.probe_credit = 2.0
         self.sweep_at = 0
@@ -166,7 +180,7 @@
                 continue
             if entry.started > machine.listed.started:
                 self._restarted(machine, entry.started)
-            machine.listed, machine.listed_at = entry, now
+            machine.listed, machine.listed_at, machine.left = entry, now, None
             machine.ready = entry.mode is Mode.READY
         if whole:
             named = {entry.machine for entry in entries}
@@ -214,7 +228,7 @@
         guest = self.guests.get(name)
         if guest is None or guest.machine is None:
             return
-        guest.placed = True
+        guest.placed, guest.machine.left = True, None
         self._answered(guest.machine, took, now)
         if self.deployment.confirms_running:
             self._started(guest, now)
@@ -317,7 +331,7 @@
     def _seat(self, guest: Guest, machine: Machine, now: int) -> None:
         guest.machine = machine
         machine.guests[guest.ask.guest] = guest
-        machine.sums = None
+        machine.sums = machine.left = None
         key = self._spread_key(guest, machine)
         self.spread[key] = self.spread.get(key, 0) + 1
 
@@ -328,7 +342,7 @@
         if not self.spread[key]:
             del self.spread[key]
         del machine.guests[guest.ask.guest]
-        machine.sums = None
+        machine.sums = machine.left = None
         guest.machine = None
         if guest.runs:
             machine.kept.pop(guest.ask.service, None)
@@ -370,7 +384,7 @@
     def _changed(self, now: int) -> None:
         """Something may have made room: held guests are looked at again, at most every 50 ms each."""
         for guest in self.waiting.values():
-            guest.look_at = min(guest.look_at, max(now, guest.look_at - SECOND // 5))
+            guest.look_at = min(guest.look_at, max(now, guest.looked_at + SECOND // 20))
 
     # Health.
 
@@ -387,7 +401,7 @@
             if remark is Remark.LINE_FULL:
                 # Guards against any crowd of offers: a burst, a rejoining service, other planners' offers. It
                 # could hold guests back needlessly after a short crowd, so the line grows again by answers.
-                machine.line = max(1.0, 0.7 * min(machine.line, 1 + machine.waiting()))
+                machine.line = max(1.0, 0.7 * min(machine.line, 1 + machine.room(self.deployment)[2]))
             elif remark in (Remark.NO_CORES, Remark.NO_MEMORY):
                 axis, much = (0, guest.ask.cores) if remark is Remark.NO_CORES else (1, guest.ask.memory)
                 machine.full[axis] = now + SECOND, much  # about a list period
@@ -466,13 +480,18 @@
         return None
 
     def _place_next(self, now: int) -> Decision | None:
+        if now != self.looked_at:
+            self.looked_at = now
+            self.no_room.clear()
         due = [g for g in self.waiting.values() if g.look_at <= now]
         if not due:
             return None
         for guest in sorted(due, key=lambda g: (-g.payoff, g.patience_at)):
-            machine = self._pick(guest, now)
+            shape = guest.ask._replace(guest="", patience=0), guest.bound
+            machine = None if shape in self.no_room else self._pick(guest, now)
             if machine is None:
-                guest.look_at = now + SECOND // 5
+                self.no_room.add(shape)
+                guest.looked_at, guest.look_at = now, now + SECOND // 5
                 continue
             span = self._span(guest, now)
             guest.ahead = machine.starting()
@@ -523,25 +542,14 @@
         if any(now < until and want >= much
                for (until, much), want in zip(machine.full, (ask.cores, ask.memory), strict=True)):
             return False
-        if machine.waiting() + 1 > machine.line:
+        cores, memory, waiting = machine.room(self.deployment)
+        if waiting + 1 > machine.line:
             return False
-        facts, size = self.deployment, machine.size
-        if facts.list_has_room:
-            # Entries are about a second old: what we sent since is not in them.
-            recent = [g.ask for g in machine.guests.values() if g.sent_at > machine.listed_at - SECOND]
-            cores = machine.listed.cores_room - sum(a.cores for a in recent)
-            memory = machine.listed.memory_room - sum(a.memory for a in recent)
-        else:
-            cores = size.cores - sum(g.ask.cores for g in machine.guests.values())
-            memory = size.memory - sum(g.ask.memory for g in machine.guests.values())
         if push:
             lower = [g.ask for g in machine.guests.values() if g.product.priority < guest.product.priority]
             cores += sum(a.cores for a in lower)
             memory += sum(a.memory for a in lower)
-        # Guests beyond their customer's share leave a tenth of the machine for others: they earn little.
-        spare = 0.1 if guest.over_share else 0.0
-        return (ask.cores <= cores + (facts.cores_multiple - 1 - spare) * size.cores
-                and ask.memory <= memory + (facts.memory_multiple - 1 - spare) * size.memory)
+        return ask.cores <= cores and ask.memory <= memory
 
     def _empty(self, machine: Machine) -> bool:
         return not machine.guests and machine.listed.cores_room >= machine.size.cores
