--- a/hazelhold/brain.py
+++ b/hazelhold/brain.py
@@ -60,15 +60,14 @@
         self.over_share = False
         self.goal_at = now + product.goal_time
         self.patience_at = now + ask.patience
+        self.answer_by = self.patience_at - SECOND // 50  # a few ticks early: the last safe moment
         self.machine: Machine | None = None  # where a dispatch is out, or where it runs
-        self.placed = False
-        self.runs = False
+        self.placed = self.runs = False
         self.over = False  # answered, with its last dispatch still out
-        self.dispatches = 0
-        self.sent_at = 0
+        self.dispatches = self.sent_at = 0
+        self.spread_key: tuple[str, Place, str] | None = None
         self.ahead = 0  # own starts before it in the machine's line when it was sent
-        self.warm = False
-        self.may_run = False
+        self.warm = self.may_run = False
         self.bound: tuple[Place, int] | None = None  # the group that a ticket holds it to
         self.window_ends = 0
         self.look_at, self.looked_at = now, 0
@@ -91,8 +90,7 @@
         self.cold_at = listed.started if listed.started else -10**15
         self.used: tuple[float, float] | None = None
         self.others = (0.0, 0.0)  # last reported use less our guests' share
-        self.reported_at = -10**15
-        self.probed_at = -10**15
+        self.reported_at = self.probed_at = -10**15
         self.guests: dict[str, Guest] = {}
         self.kept: dict[str, None] = {}  # services that ended here lately; the oldest falls out
         self.left: tuple[float, float, float] | None = None  # see room
@@ -101,10 +99,9 @@
         self.means = (0.0, 0.0)
         self.full = [(0, 0.0), (0, 0.0)]  # until when it takes no ask of so many cores, so much memory
         self.line = 8.0  # offers of ours that may wait at once; learned from refusals, the start is a guess
-        self.answers: deque[int] = deque(maxlen=12)  # answer times, failures as FAILED
-        self.strikes = 0
-        self.avoid_until = 0
-        self.mute = False
+        self.answers: deque[int] = deque(maxlen=12)  # answer times; the oldest falls out
+        self.strikes = self.avoid_until = 0
+        self.mute = False  # gave no answer at all: a probe must answer before guests go there
         self.offers: deque[int] = deque()  # while cold; emptied by age
 
     def room(self, facts: Deployment) -> tuple[float, float, float]:
@@ -121,6 +118,10 @@
             self.left = cores, memory, sum(not g.placed for g in self.guests.values())
         return self.left
 
+    def slowness(self) -> int:
+        """A high quantile of its answer times, failures counted as a minute."""
+        return sorted(self.answers)[int(0.8 * len(self.answers))]
+
     def starting(self) -> int:
         return sum(not g.runs for g in self.guests.values())
 
@@ -164,10 +165,8 @@
         self.answers: deque[int] = deque(maxlen=100)  # answer times of all machines
         self.customers: dict[int, float] = {}  # cores asked for here, by customer
         self.no_room: set[tuple] = set()  # shapes that found no machine; emptied as the clock moves
-        self.looked_at = 0
-        self.ask_list_at = 0
+        self.looked_at = self.ask_list_at = self.sweep_at = 0
         self.probe_credit = 2.0
-        self.sweep_at = 0
 
     # Inputs: they only update what is known.
 
@@ -175,20 +174,18 @@
         for entry in entries:
             machine = self.machines.get(entry.machine)
             if machine is None:
-                size = self.deployment.kinds[entry.kind]
-                self.machines[entry.machine] = Machine(entry, size, now)
+                self.machines[entry.machine] = Machine(entry, self.deployment.kinds[entry.kind], now)
                 continue
             if entry.started > machine.listed.started:
                 self._restarted(machine, entry.started)
             machine.listed, machine.listed_at, machine.left = entry, now, None
+            machine.size = self.deployment.kinds[entry.kind]
             machine.ready = entry.mode is Mode.READY
         if whole:
-            named = {entry.machine for entry in entries}
-            for name, machine in self.machines.items():
-                machine.ready = machine.ready and name in named
-        for name in [n for n, m in self.machines.items() if not m.ready and not m.guests]:
-            if self.machines[name].listed.mode is Mode.GONE:
-                del self.machines[name]
+            for name in self.machines.keys() - {entry.machine for entry in entries}:
+                self.machines[name].ready = False
+                self.machines[name].listed = self.machines[name].listed._replace(mode=Mode.GONE)
+        self.machines = {n: m for n, m in self.machines.items() if m.guests or m.listed.mode is not Mode.GONE}
         # News within two fifths of the time allowed shows that the list is still heard.
         self.ask_list_at = now + int(self.deployment.ask_within * 0.4 * self.random.uniform(0.8, 1.2))
         self._changed(now)
@@ -212,19 +209,16 @@
         if machine not in self.machines:
             listed = Listed(machine, Mode.GONE, 0, 0, 0, 0, 0.0, 0.0)
             self.machines[machine] = Machine(listed, self.deployment.kinds[0], now)
-        self._seat(guest, self.machines[machine], now)
+        self._seat(guest, self.machines[machine])
 
     def guest_left(self, now: int, name: str) -> None:
         guest = self.guests.get(name)
-        if guest is None:
-            return
-        self.waiting.pop(name, None)
-        if guest.machine is None:
+        if guest is not None and guest.machine is None:
             self._drop(guest)
-        else:
+        elif guest is not None:
             guest.over = True
 
-    def dispatch_taken(self, now: int, name: str, machine: str, took: int) -> None:
+    def dispatch_taken(self, now: int, name: str, took: int) -> None:
         guest = self.guests.get(name)
         if guest is None or guest.machine is None:
             return
@@ -238,46 +232,41 @@
         if guest is not None and guest.machine is not None and not guest.runs:
             self._started(guest, now)
 
-    def dispatch_ended(self, now: int, name: str, number: int, machine: str, ending: Ending, took: int,
-                       closed: bool, remark: Remark) -> None:
+    def dispatch_ended(self, now: int, name: str, ending: Ending, closed: bool, remark: Remark) -> None:
         guest = self.guests.get(name)
-        if guest is None or guest.machine is None or guest.machine.listed.machine != machine:
+        if guest is None or guest.machine is None:
             return
-        host, was_placed = guest.machine, guest.placed
-        self._unseat(guest, now)
-        self._judge(host, guest, ending, remark, took, was_placed, now)
+        host = guest.machine
+        self._unseat(guest)
+        self._judge(host, guest, ending, remark, now)
         self._changed(now)
-        if guest.over or closed or was_placed:
+        if guest.over or closed or guest.placed:
             self._drop(guest)
             return
         if ending not in NEVER_RAN:
             if not guest.may_run:
                 guest.window_ends = guest.sent_at + guest.product.window
-                guest.bound = host.place(guest.product.group)
-            guest.may_run = True
-        guest.look_at = now
-        self.waiting[name] = guest
+            guest.may_run, guest.bound = True, host.place(guest.product.group)
+        guest.look_at, self.waiting[name] = now, guest
 
     def machine_reported(self, now: int, name: str, load: Load | None) -> None:
         machine = self.machines.get(name)
         if machine is None or load is None:
             return
-        size = machine.size
-        cores = None if load.cores_free is None else size.cores - load.cores_free
+        size, used = machine.size, not self.deployment.reports_count_asked
+        cores = size.cores - load.cores_free if used and load.cores_free is not None else None
         if load.busy is not None:
             cores = load.busy * size.cores
-        memory = None if load.memory_free is None else size.memory - load.memory_free
+        memory = size.memory - load.memory_free if used and load.memory_free is not None else None
         self._reported(machine, cores, memory, now)
 
-    def probe_answered(self, now: int, name: str, well: bool, took: int) -> None:
+    def probe_answered(self, now: int, name: str, well: bool) -> None:
         machine = self.machines.get(name)
-        if machine is None:
-            return
-        if well:
-            machine.mute, machine.strikes = False, machine.strikes if not machine.mute else 0
-            self._changed(now)
-        else:
+        if machine is not None and not well:
             self._strike(machine, now, mute=True)
+        elif machine is not None and machine.mute:
+            machine.mute, machine.strikes = False, 0
+            self._changed(now)
 
     def cores_used(self, now: int, name: str, cores: float) -> None:
         if name in self.guests:
@@ -297,17 +286,20 @@
         # A poorly served guest tells how far the cores are past what its product bears.
         busy = guest.product.easy_until + (1 - share) * guest.product.lost_after
         machine = guest.machine
-        known = machine.used[0] if machine.used else 0.0
-        self._reported(machine, max(known, busy * machine.size.cores), None, now)
+        self._reported(machine, max((machine.used or (0.0,))[0], busy * machine.size.cores), None, now)
 
     def memory_pressed(self, now: int, name: str, share: float) -> None:
-        machine = self.machines.get(name)
-        if machine is not None:
-            self._reported(machine, None, share * machine.size.memory, now)
+        if name in self.machines:
+            self._reported(self.machines[name], None, share * self.machines[name].size.memory, now)
 
     # Bookkeeping behind the inputs.
 
     def _known(self, now: int, ask: Ask) -> Guest:
+        if now >= self.sweep_at:  # a minute's rest: longer than a service's guests stay away between tries
+            self.sweep_at = now + 60 * SECOND
+            idle = [n for n, s in self.services.items() if not s.guests and s.seen < now - 60 * SECOND]
+            for name in idle:
+                del self.services[name]
         service = self.services.setdefault(ask.service, Service())
         service.guests, service.seen = service.guests + 1, now
         guest = Guest(ask, self.deployment.products[ask.product], service, now)
@@ -322,22 +314,21 @@
     def _drop(self, guest: Guest) -> None:
         name = guest.ask.guest
         if guest.machine is not None:
-            self._unseat(guest, guest.sent_at)
+            self._unseat(guest)
         self.waiting.pop(name, None)
         if self.guests.pop(name, None) is not None:
             guest.service.guests -= 1
             self.customers[guest.ask.customer] -= guest.ask.cores
 
-    def _seat(self, guest: Guest, machine: Machine, now: int) -> None:
+    def _seat(self, guest: Guest, machine: Machine) -> None:
         guest.machine = machine
         machine.guests[guest.ask.guest] = guest
         machine.sums = machine.left = None
-        key = self._spread_key(guest, machine)
+        guest.spread_key = key = self._spread_key(guest, machine)
         self.spread[key] = self.spread.get(key, 0) + 1
 
-    def _unseat(self, guest: Guest, now: int) -> None:
-        machine = guest.machine
-        key = self._spread_key(guest, machine)
+    def _unseat(self, guest: Guest) -> None:
+        machine, key = guest.machine, guest.spread_key
         self.spread[key] -= 1
         if not self.spread[key]:
             del self.spread[key]
@@ -369,18 +360,12 @@
         ours = [0.0, 0.0]
         for guest in machine.guests.values():
             if guest.runs:
-                use = guest.use or self._mean_use(guest)
+                use = guest.use or guest.service.weight(guest.ask)
                 ours[0] += use[0]
                 ours[1] += use[1]
         machine.others = max(0.0, machine.used[0] - ours[0]), max(0.0, machine.used[1] - ours[1])
         machine.reported_at = now
 
-    def _mean_use(self, guest: Guest) -> tuple[float, float]:
-        samples = guest.service.samples
-        if not samples:
-            return guest.ask.cores, guest.ask.memory
-        return sum(s[0] for s in samples) / len(samples), sum(s[1] for s in samples) / len(samples)
-
     def _changed(self, now: int) -> None:
         """Something may have made room: held guests are looked at again, at most every 50 ms each."""
         for guest in self.waiting.values():
@@ -394,8 +379,7 @@
         machine.strikes, machine.mute = 0, False
         machine.line = min(64.0, machine.line + 0.25)  # a quarter: some ten answers win back one refusal
 
-    def _judge(self, machine: Machine, guest: Guest, ending: Ending, remark: Remark, took: int, placed: bool,
-               now: int) -> None:
+    def _judge(self, machine: Machine, guest: Guest, ending: Ending, remark: Remark, now: int) -> None:
         """What an ended dispatch says of its machine."""
         if ending is Ending.TURNED_BACK:
             if remark is Remark.LINE_FULL:
@@ -407,7 +391,7 @@
                 machine.full[axis] = now + SECOND, much  # about a list period
             elif remark is Remark.NOT_HERE and not guest.may_run:
                 machine.avoid_until = now + SECOND
-        elif ending is Ending.CUT_OFF and placed:
+        elif ending is Ending.CUT_OFF and guest.placed:
             if remark is Remark.NONE and now - machine.cold_at > SECOND:
                 self._restarted(machine, now)
                 self._strike(machine, now, mute=True)
@@ -415,7 +399,7 @@
             self._strike(machine, now, mute=True)
             if ending is Ending.NO_CONNECTION and now - machine.cold_at > self.deployment.cold_for:
                 self._restarted(machine, now)
-        elif not placed and ending in (Ending.ERROR, Ending.CUT_OFF):
+        elif not guest.placed and ending in (Ending.ERROR, Ending.CUT_OFF):
             machine.answers.append(60 * SECOND)
             self._strike(machine, now, mute=False)
 
@@ -431,8 +415,8 @@
             return True
         if machine.strikes and machine.starting():
             return True  # on trial: one guest at a time
-        ordered = sorted(machine.answers)
-        if len(ordered) >= 4 and ordered[int(0.8 * len(ordered))] > 4 * typical + SECOND // 2:
+        # Four times its fellows' median and two seconds more: half a second also caught dear cold starts.
+        if len(machine.answers) >= 4 and machine.slowness() > 4 * typical + 2 * SECOND:
             machine.answers.clear()
             self._strike(machine, now, mute=False)
             return True
@@ -445,7 +429,7 @@
         return self._keep_list(now) or self._answer_due(now) or self._place_next(now) or self._probe(now)
 
     def next_look(self, now: int) -> int | None:
-        times = [min(g.look_at, self._answer_by(g)) for g in self.waiting.values()]
+        times = [min(g.look_at, g.answer_by) for g in self.waiting.values()]
         if self.deployment.list_is_asked:
             times.append(self.ask_list_at)
         times += [m.avoid_until for m in self.machines.values() if m.mute and m.ready]
@@ -458,10 +442,6 @@
         self.ask_list_at = now + int(self.random.uniform(2, 3) * SECOND)  # an answer is due before
         return Decision(Step.FOLLOW_LIST)
 
-    def _answer_by(self, guest: Guest) -> int:
-        """The last safe moment for a final answer: a few ticks before the patience ends."""
-        return guest.patience_at - SECOND // 50
-
     def _answer_due(self, now: int) -> Decision | None:
         for guest in self.waiting.values():
             product = guest.product
@@ -469,7 +449,7 @@
             stuck = guest.may_run and (
                 product.effect is Effect.EXCLUSIVE
                 or product.effect is Effect.TICKETED and now >= guest.window_ends - SECOND // 20)
-            if spent or stuck or now >= self._answer_by(guest):
+            if spent or stuck or now >= guest.answer_by:
                 step = Step.TURN_BACK if guest.may_turn_back() else Step.BREAK_OFF
                 self._drop(guest)
                 return Decision(step, guest.ask.guest)
@@ -481,8 +461,7 @@
 
     def _place_next(self, now: int) -> Decision | None:
         if now != self.looked_at:
-            self.looked_at = now
-            self.no_room.clear()
+            self.looked_at, self.no_room = now, set()
         due = [g for g in self.waiting.values() if g.look_at <= now]
         if not due:
             return None
@@ -494,19 +473,17 @@
                 guest.looked_at, guest.look_at = now, now + SECOND // 5
                 continue
             span = self._span(guest, now)
-            guest.ahead = machine.starting()
-            guest.warm = self._warm(guest, machine)
+            guest.ahead, guest.warm = machine.starting(), self._warm(guest, machine)
+            guest.dispatches, guest.sent_at = guest.dispatches + 1, now
             del self.waiting[guest.ask.guest]
-            guest.dispatches += 1
-            guest.sent_at = now
-            self._seat(guest, machine, now)
+            self._seat(guest, machine)
             machine.offers.append(now)
             return Decision(Step.DISPATCH, guest.ask.guest, machine.listed.machine, span)
         return None
 
     def _span(self, guest: Guest, now: int) -> int:
         """How long to wait for an answer: well past what machines take, never past the patience."""
-        left = self._answer_by(guest) - now
+        left = guest.answer_by - now
         if guest.dispatches + 1 >= self.deployment.max_dispatches or not self.answers:
             return left
         # Three times the 95th percentile: what is later than that is seldom still coming.
@@ -514,20 +491,19 @@
         return min(left, max(3 * usual, SECOND // 2))
 
     def _warm(self, guest: Guest, machine: Machine) -> bool:
-        name = guest.ask.service
-        return name in machine.kept or any(g.ask.service == name for g in machine.guests.values())
+        return guest.ask.service in machine.kept or any(g.service is guest.service
+                                                        for g in machine.guests.values())
 
     def _allowed(self, guest: Guest, machine: Machine, now: int) -> bool:
         """The rules: what no ranking may go round."""
         product = guest.product
         if not machine.ready or product.kind not in (-1, machine.listed.kind):
             return False
-        if guest.may_run and product.effect is Effect.TICKETED:
-            if machine.place(product.group) != guest.bound:
-                return False
-        if product.spread is not Place.NOWHERE:
-            if self.spread.get(self._spread_key(guest, machine), 0) >= product.spread_most:
-                return False
+        if guest.bound and product.effect is Effect.TICKETED and machine.place(product.group) != guest.bound:
+            return False
+        if (product.spread is not Place.NOWHERE
+                and self.spread.get(self._spread_key(guest, machine), 0) >= product.spread_most):
+            return False
         if now - machine.cold_at < self.deployment.cold_for:
             while machine.offers and machine.offers[0] < now - 2 * self.deployment.cold_window:
                 machine.offers.popleft()
@@ -551,34 +527,29 @@
             memory += sum(a.memory for a in lower)
         return ask.cores <= cores and ask.memory <= memory
 
-    def _empty(self, machine: Machine) -> bool:
-        return not machine.guests and machine.listed.cores_room >= machine.size.cores
-
     def _pick(self, guest: Guest, now: int) -> Machine | None:
         ready = [m for m in self.machines.values() if m.ready]
         allowed = [m for m in ready if self._allowed(guest, m, now)]
         fit = [m for m in allowed if self._has_room(guest, m, now)]
         if not fit and self.deployment.makes_room and guest.product.priority and not guest.over_share:
             fit = [m for m in allowed if self._has_room(guest, m, now, push=True)]
-        if not fit:
-            return None
-        answers = sorted(self.answers)
-        typical = answers[int(0.8 * len(answers))] if answers else SECOND
+        usual = sorted(m.slowness() for m in ready if m.answers)
+        typical = usual[(len(usual) - 1) // 2] if usual else SECOND
         healthy = [m for m in fit if not self._avoided(m, typical, now)]
-        # With most machines looking bad at once the fault is likelier ours or the network's.
+        # With most machines looking bad at once, distrust the judgement and go on placing.
         bad = sum(m.mute or now < m.avoid_until for m in ready)
         if not healthy and 2 * bad > len(ready):
             healthy = fit
-        if not healthy:
-            return None
         if self.deployment.fleet_price > 0:
-            used = [m for m in healthy if not self._empty(m)]
-            picked = self._best(guest, used, [m for m in ready if not self._empty(m)], now)
+            # Each machine in use costs: an empty one is opened only when the best of the rest bears a likely
+            # loss (three tenths: a first guess), and all planners open the same one first.
+            empty = [m for m in ready if not m.guests and m.listed.cores_room >= m.size.cores]
+            picked = self._best(guest, [m for m in healthy if m not in empty],
+                                [m for m in ready if m not in empty], now)
             if picked is not None and picked[0] < 0.3:
                 return picked[1]
-            empty = [m for m in healthy if self._empty(m)]
-            if picked is None or empty:
-                healthy = used + sorted(empty, key=lambda m: m.listed.machine)[:1]
+            first = min((m.listed.machine for m in healthy if m in empty), default="")
+            healthy = [m for m in healthy if m not in empty or m.listed.machine == first]
         picked = self._best(guest, healthy, ready, now)
         return picked[1] if picked else None
 
@@ -594,7 +565,7 @@
                 loads[machine] = ((machine.others[0] + machine.means[0]) / machine.size.cores,
                                   (machine.others[1] + machine.means[1]) / machine.size.memory)
         known = list(loads.values()) or [(0.5, 0.5)]
-        average = sum(l[0] for l in known) / len(known), sum(l[1] for l in known) / len(known)
+        average = tuple(sum(axis) / len(known) for axis in zip(*known, strict=True))
         for machine in healthy + ready:
             machine.draw(self.random, now)
             loads.setdefault(machine, average)
@@ -652,11 +623,10 @@
             if machine.mute and machine.ready and now >= machine.avoid_until:
                 machine.avoid_until = now + SECOND
                 return Decision(Step.PROBE, machine=machine.listed.machine)
-        stale = [m for m in self.machines.values() if m.ready and not m.mute
-                 and now - max(m.reported_at, m.probed_at) > SECOND]
-        if not stale or self.probe_credit < 1:
+        heard = [(max(m.reported_at, m.probed_at), n)
+                 for n, m in self.machines.items() if m.ready and not m.mute]
+        if not heard or self.probe_credit < 1 or now - min(heard)[0] <= SECOND:
             return None
-        machine = min(stale, key=lambda m: max(m.reported_at, m.probed_at))
-        machine.probed_at = now
-        self.probe_credit -= 1
+        machine = self.machines[min(heard)[1]]
+        machine.probed_at, self.probe_credit = now, self.probe_credit - 1
         return Decision(Step.PROBE, machine=machine.listed.machine)
--- a/hazelhold/interface.py
+++ b/hazelhold/interface.py
@@ -66,7 +66,6 @@
     group: Place
     window: int
     goal_time: int
-    late_worth: float
     payoff: float
     start_bonus: float
     priority: int
@@ -100,7 +99,6 @@
     makes_room: bool
     confirms_running: bool
     probing: bool
-    reports_only_probed: bool
     reports_count_asked: bool
     max_dispatches: int
     cold_for: int
--- a/hazelhold/simhost.py
+++ b/hazelhold/simhost.py
@@ -116,7 +116,6 @@
         group=pairs.word(own + "group", PLACES),
         window=pairs.span(own + "dedup-window"),
         goal_time=pairs.span(own + "on-time"),
-        late_worth=pairs.number(own + "late-worth"),
         payoff=pairs.number(own + "points"),
         start_bonus=pairs.nth(family + "start-bonus-s", index, float),
         priority=pairs.nth(family + "class-priority", index, int),
@@ -133,7 +132,6 @@
     sizes = zip(pairs.items(family + "size-cores"), pairs.items(family + "mem-of-kind"), strict=True)
     asked = pairs.text("discovery") == "ask"
     tenants = "tenants.count" in pairs.values and int(pairs.number("tenants.count"))
-    how = pairs.text("load-report.how")
     return Deployment(
         planners=int(pairs.number("balancers")),
         products=tuple(read_product(pairs, i) for i in range(int(pairs.number("classes.count")))),
@@ -148,7 +146,6 @@
         makes_room=truth(pairs.text(family + "makes-room")),
         confirms_running=pairs.text(family + "confirms") == "running",
         probing=truth(pairs.text("limits.probing")),
-        reports_only_probed=how == "on_probe",
         reports_count_asked=pairs.text(family + "report-counts") == "asked",
         max_dispatches=int(pairs.number("limits.max-attempts")),
         cold_for=pairs.span("rules.cold"),
@@ -251,23 +248,22 @@
                                             number(memory), micros(left)))
 
     def outcome(self, now: int, brain: Brain, parts: list[str]) -> None:
-        call, attempt, machine, reason, took, final, remark, metrics = parts[2:10]
+        call, _attempt, machine, reason, _took, final, remark, metrics = parts[2:10]
         if reason not in ENDINGS:
             raise WireError(f"outcome {reason!r} is not known")
         brain.machine_reported(now, machine, read_load(metrics))
-        brain.dispatch_ended(now, call, whole(attempt), machine, ENDINGS[reason], micros(took), truth(final),
-                             read_remark(remark))
+        brain.dispatch_ended(now, call, ENDINGS[reason], truth(final), read_remark(remark))
 
     def taken(self, now: int, brain: Brain, parts: list[str]) -> None:
-        brain.dispatch_taken(now, parts[2], parts[4], micros(parts[5]))
+        brain.dispatch_taken(now, parts[2], micros(parts[5]))
 
     def dropped(self, now: int, brain: Brain, parts: list[str]) -> None:
         brain.guest_left(now, parts[2])
 
     def probed(self, now: int, brain: Brain, parts: list[str]) -> None:
-        machine, reason, took, metrics = parts[2:6]
+        machine, reason, _took, metrics = parts[2:6]
         brain.machine_reported(now, machine, read_load(metrics))
-        brain.probe_answered(now, machine, reason == "completed", micros(took))
+        brain.probe_answered(now, machine, reason == "completed")
 
     def note(self, now: int, brain: Brain, parts: list[str]) -> None:
         call, machine, sort, _attempt, value = parts[2:7]
--- /dev/null
+++ b/tests/test_decisions.py
@@ -0,0 +1,145 @@
+"""Small cases, one for each guard and each failure found."""
+
+from hazelhold.interface import Ending, Load, Mode, Remark, Step
+from tests.helpers import MS, ask, brain, decisions, entry
+
+
+def place(made: object, now: int, name: str, product: int = 0, **more: object) -> object:
+    made.guest_arrived(now, ask(name, product, **more))
+    return decisions(made, now)[0]
+
+
+def end(made: object, now: int, sent: object, ending: Ending, remark: Remark = Remark.NONE) -> list:
+    made.dispatch_ended(now, sent.guest, ending, False, remark)
+    return decisions(made, now)
+
+
+def test_exclusive_guest_that_may_have_run_is_broken_off_at_once() -> None:
+    made = brain()
+    sent = place(made, 0, "g", 1)
+    assert [d.step for d in end(made, 9 * MS, sent, Ending.OVERDUE)] == [Step.BREAK_OFF]
+
+
+def test_exclusive_guest_that_never_ran_goes_again() -> None:
+    made = brain()
+    sent = place(made, 0, "g", 1)
+    again = end(made, 9 * MS, sent, Ending.NO_CONNECTION)
+    assert [(d.step, d.machine != sent.machine) for d in again] == [(Step.DISPATCH, True)]
+
+
+def test_ticketed_guest_stays_in_its_cell() -> None:
+    made = brain("abcdef")
+    sent = place(made, 0, "g", 2)
+    again = end(made, 9 * MS, sent, Ending.ERROR)
+    assert {sent.machine, again[0].machine} in ({"a", "b"}, {"c", "d"}, {"e", "f"})
+
+
+def test_held_guest_is_answered_before_its_patience_ends() -> None:
+    made = brain("a")
+    made.machines_listed(0, [entry("a", Mode.CORDONED)], False)
+    made.guest_arrived(0, ask("g"))
+    assert decisions(made, 0) == []
+    assert [d.step for d in decisions(made, 4990 * MS)] == [Step.TURN_BACK]
+    assert decisions(made, 5100 * MS) == []
+
+
+def test_no_machines_and_unknown_ids_are_quiet() -> None:
+    made = brain("")
+    made.guest_left(0, "nobody")
+    made.dispatch_ended(0, "nobody", Ending.DONE, True, Remark.NONE)
+    made.dispatch_taken(0, "nobody", 0)
+    made.memory_pressed(0, "a", 0.9)
+    made.machine_reported(0, "a", Load(None, None, None))
+    made.guest_arrived(0, ask("g", patience=0))
+    assert [d.step for d in decisions(made, 0)] == [Step.TURN_BACK]
+
+
+def test_machine_missing_from_a_whole_list_gets_nothing() -> None:
+    made = brain()
+    made.machines_listed(0, [entry("b")], True)
+    assert place(made, 0, "g").machine == "b"
+
+
+def test_list_is_asked_again_after_a_failed_call_and_after_silence() -> None:
+    made = brain()
+    made.list_failed(0)
+    asked = [t for t in range(0, 12_000, 50) if (d := made.decide(t * MS)) and d.step is Step.FOLLOW_LIST]
+    assert asked and asked[0] <= 3000 and max(b - a for a, b in zip(asked, asked[1:], strict=False)) <= 3100
+
+
+def test_silent_machine_is_probed_before_it_gets_guests_again() -> None:
+    made = brain()
+    sent = place(made, 0, "g")
+    assert end(made, 600 * MS, sent, Ending.OVERDUE)[0].machine != sent.machine
+    probes = [d for t in range(600, 3000, 50) if (d := made.decide(t * MS)) and d.machine == sent.machine]
+    assert probes and all(d.step is Step.PROBE for d in probes)
+    made.probe_answered(3000 * MS, sent.machine, True)
+    made.machines_listed(3000 * MS, [entry("ab".replace(sent.machine, ""), Mode.CORDONED)], False)
+    assert place(made, 3001 * MS, "h").machine == sent.machine
+
+
+def test_machine_whose_answers_are_slow_against_its_fellows_is_left_out() -> None:
+    made = brain("abc")
+    for turn in range(40):
+        now = turn * 100 * MS
+        sent = place(made, now, f"g{turn}")
+        made.dispatch_taken(now, sent.guest, 4000 * MS if sent.machine == "a" else 10 * MS)
+        end(made, now, sent, Ending.DONE)
+    assert made.machines["a"].strikes or len(made.machines["a"].answers) < 4
+    assert not made.machines["b"].strikes and not made.machines["c"].strikes
+
+
+def test_when_most_machines_look_bad_placing_goes_on() -> None:
+    made = brain("abc")
+    for name in "abc":
+        made.probe_answered(0, name, False)
+    assert place(made, MS, "g").step is Step.DISPATCH
+
+
+def test_full_line_of_offers_shortens_our_own() -> None:
+    made = brain("a")
+    sent = [place(made, 0, f"g{n}", cores=0.1) for n in range(3)]
+    made.dispatch_ended(MS, sent[0].guest, Ending.TURNED_BACK, False, Remark.LINE_FULL)
+    assert decisions(made, MS) == [] and made.machines["a"].line < 3
+
+
+def test_refusal_for_memory_marks_the_machine_full_for_as_much() -> None:
+    made = brain("a")
+    sent = place(made, 0, "g")
+    assert end(made, MS, sent, Ending.TURNED_BACK, Remark.NO_MEMORY) == []
+    assert place(made, 2 * MS, "small", cores=0.2).step is Step.DISPATCH
+
+
+def test_restart_is_suspected_from_a_lost_guest() -> None:
+    made = brain("ab")
+    sent = place(made, 20_000 * MS, "g")
+    made.dispatch_taken(20_010 * MS, "g", 10 * MS)
+    made.dispatch_ended(30_000 * MS, "g", Ending.CUT_OFF, True, Remark.NONE)
+    assert made.machines[sent.machine].cold_at == 30_000 * MS and not made.guests
+
+
+def test_guest_weighs_the_90th_percentile_of_its_service() -> None:
+    made = brain("a")
+    place(made, 0, "g")
+    for use in range(1, 11):
+        made.cores_used(use, "g", use / 10)
+        made.memory_used(use, "g", use / 5)
+    assert made.services["service-0"].weight(ask("x")) == (0.9, 1.8)
+    assert brain("a").services == {}
+
+
+def test_with_a_fleet_price_an_empty_machine_stays_empty_while_others_have_room() -> None:
+    made = brain("abc", fleet_price=0.2)
+    first = place(made, 0, "g0").machine
+    assert {place(made, n * MS, f"g{n}", cores=0.5).machine for n in range(1, 6)} == {first}
+
+
+def test_idle_tables_empty() -> None:
+    made = brain("ab")
+    for n in range(30):
+        sent = place(made, n * MS, f"g{n}")
+        made.dispatch_taken(n * MS, sent.guest, MS)
+        made.dispatch_ended(n * MS, sent.guest, Ending.DONE, True, Remark.NONE)
+    made.guest_arrived(200_000 * MS, ask("late", 4))
+    decisions(made, 200_000 * MS)
+    assert list(made.services) == ["service-4"] and list(made.guests) == ["late"] and not made.waiting
--- /dev/null
+++ b/tests/test_rules.py
@@ -0,0 +1,129 @@
+"""A slow, plain model of the five rules runs beside the module on generated days and judges each decision."""
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from hazelhold.brain import Brain
+from hazelhold.interface import Effect, Ending, Load, Mode, Place, Remark, Step
+from tests.helpers import DEPLOYMENT, MS, PRODUCTS, ask, entry
+
+PROOF = (Ending.TURNED_BACK, Ending.NO_CONNECTION, Ending.NOT_SENT)
+CELLS = {name: at // 2 for at, name in enumerate("abcdef")}
+
+
+class Model:
+    """Keeps the whole history in plain lists and judges each decision by it."""
+
+    def __init__(self, planners: int) -> None:
+        self.planners = planners
+        self.modes = {}
+        self.started = {}
+        self.history = {}  # guest: [product, patience end, answered, placed, [[machine, at, ending]]]
+        self.offers = []
+
+    def out(self, guest: str) -> bool:
+        return any(d[2] is None for d in self.history[guest][4])
+
+    def may_have_run(self, guest: str) -> list:
+        return [d for d in self.history[guest][4] if d[2] is not None and d[2] not in PROOF]
+
+    def dispatch(self, now: int, guest: str, machine: str, span: int) -> None:
+        product, ends, answered, placed, sent = self.history[guest]
+        effect = PRODUCTS[product].effect
+        assert not answered and not placed and not self.out(guest) and now + span <= ends
+        assert len(sent) < DEPLOYMENT.max_dispatches
+        assert self.modes.get(machine) is Mode.READY
+        ran = self.may_have_run(guest)
+        assert not (ran and effect is Effect.EXCLUSIVE)
+        if ran and effect is Effect.TICKETED:
+            assert now <= min(d[1] for d in ran) + PRODUCTS[product].window
+            assert PRODUCTS[product].group is Place.ALL or CELLS[machine] == CELLS[ran[0][0]]
+        if PRODUCTS[product].spread is Place.MACHINE:
+            there = sum(d[0] == machine and d[2] is None for h in self.history.values()
+                        for d in h[4] if h[0] == product)
+            assert there < PRODUCTS[product].spread_most
+        self.offers.append((now, machine))
+        if now - self.started.get(machine, -10**12) < DEPLOYMENT.cold_for:
+            recent = sum(m == machine and at > now - DEPLOYMENT.cold_window for at, m in self.offers)
+            assert recent * self.planners <= DEPLOYMENT.cold_offers
+        sent.append([machine, now, None])
+
+    def answer(self, now: int, guest: str, step: Step) -> None:
+        product, ends, answered, placed, _ = self.history[guest]
+        assert not answered and not placed and now <= ends + 8 * MS
+        if step is Step.TURN_BACK:
+            effect, ran = PRODUCTS[product].effect, self.may_have_run(guest) or self.out(guest)
+            assert not (ran and (effect is Effect.EXCLUSIVE
+                                 or effect is Effect.TICKETED and PRODUCTS[product].group is not Place.ALL))
+        self.history[guest][2] = True
+
+    def nobody_lost(self, now: int) -> None:
+        for _, ends, answered, placed, _ in self.history.values():
+            assert answered or placed or now < ends + 8 * MS
+
+
+events = st.lists(st.tuples(
+    st.sampled_from(["arrive"] * 3 + ["found", "end", "end", "taken", "list", "report", "leave"]),
+    st.integers(0, 40), st.integers(0, 9), st.integers(1, 400)), min_size=5, max_size=120)
+
+
+@settings(derandomize=True, max_examples=150, deadline=None)
+@given(events, st.integers(1, 3), st.booleans())
+def test_module_and_model_agree(steps: list, planners: int, running: bool) -> None:
+    brain = Brain(3, DEPLOYMENT._replace(planners=planners, confirms_running=running))
+    model, now = Model(planners), 10**9
+    brain.machines_listed(now, [entry(n, cell=CELLS[n]) for n in "abcdef"], True)
+    model.modes = dict.fromkeys("abcdef", Mode.READY)
+    for at, (what, pick, kind, wait) in enumerate([*steps, *[("wait", 0, 0, 400)] * 16]):
+        name, machine = f"g{at}", "abcdef"[kind % 6]
+        open_now = [(g, h) for g, h in model.history.items() if model.out(g)]
+        if what == "arrive":
+            patience = (5000 if pick else 10) * MS
+            model.history[name] = [kind % 5, now + patience, False, False, []]
+            brain.guest_arrived(now, ask(name, kind % 5, 0.5 + pick / 8, patience))
+        elif what == "found" and PRODUCTS[kind % 5].spread is Place.NOWHERE:
+            model.history[name] = [kind % 5, now, False, True, [[machine, now, None]]]
+            brain.guest_found(now, machine, ask(name, kind % 5))
+        elif what == "end" and open_now:
+            guest, held = open_now[pick % len(open_now)]
+            ending = list(Ending)[kind % 8]
+            closed = held[2] or held[3]
+            held[4][-1][2] = ending
+            remark = Remark(pick % 5)
+            brain.dispatch_ended(now, guest, ending, closed, remark)
+        elif what == "taken" and open_now:
+            guest, held = open_now[pick % len(open_now)]
+            if not held[2] and not held[3]:
+                held[3] = True
+                brain.dispatch_taken(now, guest, 5 * MS)
+        elif what == "list":
+            mode = list(Mode)[pick % 3]
+            started = now if pick % 2 else 0
+            model.modes[machine] = mode
+            model.started[machine] = max(started, model.started.get(machine, -10**12))
+            brain.machines_listed(now, [entry(machine, mode, started, CELLS[machine], pick - 12.0)], False)
+        elif what == "report":
+            brain.machine_reported(now, machine, Load(pick / 2, float(pick), None))
+        elif what == "leave" and model.history:
+            guest = list(model.history)[pick % len(model.history)]
+            if not model.history[guest][3]:
+                model.history[guest][2] = True
+                brain.guest_left(now, guest)
+        last = now + wait * MS
+        while True:  # the host calls again whenever the module asked for it
+            for _ in range(10_000):
+                decision = brain.decide(now)
+                if decision is None:
+                    break
+                if decision.step is Step.DISPATCH:
+                    model.dispatch(now, decision.guest, decision.machine, decision.span)
+                elif decision.step in (Step.TURN_BACK, Step.BREAK_OFF):
+                    model.answer(now, decision.guest, decision.step)
+            else:
+                raise AssertionError("decide does not come to an end")
+            model.nobody_lost(now)
+            ask_again = brain.next_look(now)
+            if ask_again is None or max(ask_again, now + MS) > last:
+                break
+            now = max(ask_again, now + MS)
+        now = last
