--- a/hazelhold/brain.py
+++ b/hazelhold/brain.py
@@ -69,10 +69,9 @@
         self.ahead = 0  # own starts before it in the machine's line when it was sent
         self.warm = self.may_run = False
         self.bound: tuple[Place, int] | None = None  # the group that a ticket holds it to
-        self.window_ends = 0
+        self.window_ends, self.cores_noted = 0, 0.0
         self.look_at, self.looked_at = now, 0
         self.use: tuple[float, float] | None = None
-        self.cores_noted = 0.0
 
     def may_turn_back(self) -> bool:
         """A turn-back promises that another try is harmless."""
@@ -191,8 +190,7 @@
         self._changed(now)
 
     def list_failed(self, now: int) -> None:
-        # One to three seconds, drawn, so that planners do not come back in step.
-        self.ask_list_at = now + int(self.random.uniform(1, 3) * SECOND)
+        self.ask_list_at = now + int(self.random.uniform(1, 3) * SECOND)  # drawn, so as not to march in step
 
     def guest_arrived(self, now: int, ask: Ask) -> None:
         guest = self._known(now, ask)
@@ -228,8 +226,7 @@
             self._started(guest, now)
 
     def guest_runs(self, now: int, name: str) -> None:
-        guest = self.guests.get(name)
-        if guest is not None and guest.machine is not None and not guest.runs:
+        if (guest := self.guests.get(name)) and guest.machine and not guest.runs:
             self._started(guest, now)
 
     def dispatch_ended(self, now: int, name: str, ending: Ending, closed: bool, remark: Remark) -> None:
@@ -273,20 +270,15 @@
             self.guests[name].cores_noted = cores
 
     def memory_used(self, now: int, name: str, memory: float) -> None:
-        guest = self.guests.get(name)
-        if guest is not None:
+        if guest := self.guests.get(name):
             guest.use = (guest.cores_noted, memory)
             guest.service.samples.append(guest.use)
-            guest.service.seen = now
 
     def guest_served(self, now: int, name: str, share: float) -> None:
-        guest = self.guests.get(name)
-        if guest is None or guest.machine is None or share >= 0.95:
-            return
-        # A poorly served guest tells how far the cores are past what its product bears.
-        busy = guest.product.easy_until + (1 - share) * guest.product.lost_after
-        machine = guest.machine
-        self._reported(machine, max((machine.used or (0.0,))[0], busy * machine.size.cores), None, now)
+        if (guest := self.guests.get(name)) and (machine := guest.machine) and share < 0.95:
+            # A poorly served guest tells how far the cores are past what its product bears.
+            busy = guest.product.easy_until + (1 - share) * guest.product.lost_after
+            self._reported(machine, max((machine.used or (0.0,))[0], busy * machine.size.cores), None, now)
 
     def memory_pressed(self, now: int, name: str, share: float) -> None:
         if name in self.machines:
@@ -463,9 +455,7 @@
         if now != self.looked_at:
             self.looked_at, self.no_room = now, set()
         due = [g for g in self.waiting.values() if g.look_at <= now]
-        if not due:
-            return None
-        for guest in sorted(due, key=lambda g: (-g.payoff, g.patience_at)):
+        for guest in sorted(due, key=lambda g: (-g.payoff * g.ask.memory, g.patience_at)):
             shape = guest.ask._replace(guest="", patience=0), guest.bound
             machine = None if shape in self.no_room else self._pick(guest, now)
             if machine is None:
@@ -504,14 +494,12 @@
         if (product.spread is not Place.NOWHERE
                 and self.spread.get(self._spread_key(guest, machine), 0) >= product.spread_most):
             return False
-        if now - machine.cold_at < self.deployment.cold_for:
-            while machine.offers and machine.offers[0] < now - 2 * self.deployment.cold_window:
-                machine.offers.popleft()
-            if len(machine.offers) + 1 > self.deployment.cold_offers * 0.8 / self.deployment.planners:
-                return False
-        else:
-            machine.offers.clear()
-        return True
+        facts = self.deployment
+        while machine.offers and machine.offers[0] < now - 2 * facts.cold_window:
+            machine.offers.popleft()
+        # Twice the window and four fifths of our part: offers travel, and chance is counted against us too.
+        return (now - machine.cold_at >= facts.cold_for
+                or len(machine.offers) + 1 <= facts.cold_offers * 0.8 / facts.planners)
 
     def _has_room(self, guest: Guest, machine: Machine, now: int, push: bool = False) -> bool:
         ask = guest.ask
@@ -529,7 +517,10 @@
 
     def _pick(self, guest: Guest, now: int) -> Machine | None:
         ready = [m for m in self.machines.values() if m.ready]
-        allowed = [m for m in ready if self._allowed(guest, m, now)]
+        # A large guest that waits keeps the roomiest machine to itself, else small ones fill each gap first.
+        large = [g for g in self.waiting.values() if g.ask.memory >= 4 * guest.ask.memory and g.looked_at]
+        roomy = max(ready, key=lambda m: m.room(self.deployment)[1]) if large and len(ready) > 3 else None
+        allowed = [m for m in ready if m is not roomy and self._allowed(guest, m, now)]
         fit = [m for m in allowed if self._has_room(guest, m, now)]
         if not fit and self.deployment.makes_room and guest.product.priority and not guest.over_share:
             fit = [m for m in allowed if self._has_room(guest, m, now, push=True)]
@@ -556,8 +547,6 @@
     def _best(self, guest: Guest, healthy: list[Machine], ready: list[Machine],
               now: int) -> tuple[float, Machine] | None:
         """The design's pick: lowest load spread times one plus expected violations, near-ties by chance."""
-        if not healthy:
-            return None
         loads: dict[Machine, tuple[float, float]] = {}
         for machine in ready:
             machine.draw(self.random, now)
@@ -585,6 +574,8 @@
             overflow = self._overflow(guest, machine, rounds, loads[machine])
             expected = overflow + self._late(guest, machine, now)
             scored.append((max(spread, 0.02) * (1 + expected), expected, machine))
+        if not scored:
+            return None
         best = min(s[0] for s in scored)
         near = [s for s in scored if s[0] <= best * TIE]
         chosen = near[self.random.randrange(len(near))]
