--- a/hazelhold/brain.py
+++ b/hazelhold/brain.py
@@ -518,7 +518,8 @@
     def _pick(self, guest: Guest, now: int) -> Machine | None:
         ready = [m for m in self.machines.values() if m.ready]
         # A large guest that waits keeps the roomiest machine to itself, else small ones fill each gap first.
-        large = [g for g in self.waiting.values() if g.ask.memory >= 4 * guest.ask.memory and g.looked_at]
+        large = [g for g in self.waiting.values() if g.looked_at and not g.over_share
+                 and g.ask.memory >= 4 * guest.ask.memory]
         roomy = max(ready, key=lambda m: m.room(self.deployment)[1]) if large and len(ready) > 3 else None
         allowed = [m for m in ready if m is not roomy and self._allowed(guest, m, now)]
         fit = [m for m in allowed if self._has_room(guest, m, now)]
