--- a/hazelhold/brain.py
+++ b/hazelhold/brain.py
@@ -536,10 +536,12 @@
             # Each machine in use costs: an empty one is opened only when the best of the rest bears a likely
             # loss (three tenths: a first guess), and all planners open the same one first.
             empty = [m for m in ready if not m.guests and m.listed.cores_room >= m.size.cores]
-            picked = self._best(guest, [m for m in healthy if m not in empty],
-                                [m for m in ready if m not in empty], now)
-            if picked is not None and picked[0] < 0.3:
-                return picked[1]
+            used = sorted((m for m in ready if m not in empty),
+                          key=lambda m: (m.listed.cores_room / m.size.cores, m.listed.machine))
+            for keep, bears in ((used[:-1], 0.1), (used, 0.3)):
+                picked = self._best(guest, [m for m in healthy if m in keep], keep, now)
+                if picked is not None and picked[0] < bears:
+                    return picked[1]
             first = min((m.listed.machine for m in healthy if m in empty), default="")
             healthy = [m for m in healthy if m not in empty or m.listed.machine == first]
         picked = self._best(guest, healthy, ready, now)
