--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -79,8 +79,9 @@
         open_now = [(g, h) for g, h in model.history.items() if model.out(g)]
         if what == "arrive":
             patience = (5000 if pick else 10) * MS
-            model.history[name] = [kind % 5, now + patience, False, False, []]
-            brain.guest_arrived(now, ask(name, kind % 5, 0.5 + pick / 8, patience))
+            for more in range(15 if wait > 250 else 1):  # a crowd at times
+                model.history[f"{name}.{more}"] = [kind % 5, now + patience, False, False, []]
+                brain.guest_arrived(now, ask(f"{name}.{more}", kind % 5, 0.2 + pick / 8, patience))
         elif what == "found" and PRODUCTS[kind % 5].spread is Place.NOWHERE:
             model.history[name] = [kind % 5, now, False, True, [[machine, now, None]]]
             brain.guest_found(now, machine, ask(name, kind % 5))
@@ -97,11 +98,12 @@
                 held[3] = True
                 brain.dispatch_taken(now, guest, 5 * MS)
         elif what == "list":
-            mode = list(Mode)[pick % 3]
-            started = now if pick % 2 else 0
-            model.modes[machine] = mode
-            model.started[machine] = max(started, model.started.get(machine, -10**12))
-            brain.machines_listed(now, [entry(machine, mode, started, CELLS[machine], pick - 12.0)], False)
+            mode, started = list(Mode)[pick % 3], now if pick % 2 else 0
+            named = machine if kind < 6 else "abcdef"[: kind - 3]  # one machine, or most or all of them
+            for machine in named:
+                model.modes[machine] = mode
+                model.started[machine] = max(started, model.started.get(machine, -10**12))
+            brain.machines_listed(now, [entry(m, mode, started, CELLS[m], 24.0) for m in named], False)
         elif what == "report":
             brain.machine_reported(now, machine, Load(pick / 2, float(pick), None))
         elif what == "leave" and model.history:
