--- a/hazelhold/brain.py
+++ b/hazelhold/brain.py
@@ -558,8 +558,7 @@
                                   (machine.others[1] + machine.means[1]) / machine.size.memory)
         known = list(loads.values()) or [(0.5, 0.5)]
         average = tuple(sum(axis) / len(known) for axis in zip(*known, strict=True))
-        for machine in healthy + ready:
-            machine.draw(self.random, now)
+        for machine in ready:
             loads.setdefault(machine, average)
         count = len(loads)
         totals = [sum(l[axis] for l in loads.values()) for axis in (0, 1)]
