Guests weigh the first machines in an order of their service; probe looks spaced

Cause: all planners ranked all machines by the same late view, and each guest cost machines x rounds. Change: at most 12 machines are weighed, in an order fixed by service and machine ids; overflow is counted only where it can happen; the fleet passes take the emptiest out for draining and open the service's first empty machine.

--- a/hazelhold/brain.py
+++ b/hazelhold/brain.py
@@ -7,6 +7,7 @@
 """
 
 from collections import deque
+from hashlib import blake2b
 from math import sqrt
 from random import Random
 
@@ -29,8 +30,7 @@
 SECOND = 1_000_000
 NEVER_RAN = (Ending.TURNED_BACK, Ending.NO_CONNECTION, Ending.NOT_SENT)
 ROUNDS = 100  # Monte Carlo rounds for a machine: the design page's own figure
-
-
+LOOK = 12  # machines weighed for a guest; see _order
 TIE = 1.001  # one guest moves the spread by a hundredth at most: a band of 5% would make the pick a lottery
 
 
@@ -40,8 +40,9 @@
     def __init__(self) -> None:
         # The design's 50 samples of (cores, memory) in use.
         self.samples: deque[tuple[float, float]] = deque(maxlen=50)
-        self.guests = 0
-        self.seen = 0
+        self.guests = self.seen = 0
+        self.order: list[Machine] = []  # see _order; made anew when the list changes
+        self.order_of = -1
 
     def weight(self, ask: Ask) -> tuple[float, float]:
         """What a new guest counts as: the 90th percentile of recent use, the ask if there is none."""
@@ -94,6 +95,7 @@
         self.kept: dict[str, None] = {}  # services that ended here lately; the oldest falls out
         self.left: tuple[float, float, float] | None = None  # see room
         self.sums: list[tuple[float, float]] | None = None  # our guests' drawn use, round by round
+        self.most = (0.0, 0.0)  # the highest of the sums
         self.drawn_at = 0
         self.means = (0.0, 0.0)
         self.full = [(0, 0.0), (0, 0.0)]  # until when it takes no ask of so many cores, so much memory
@@ -102,6 +104,7 @@
         self.strikes = self.avoid_until = 0
         self.mute = False  # gave no answer at all: a probe must answer before guests go there
         self.offers: deque[int] = deque()  # while cold; emptied by age
+        self.mark = int.from_bytes(blake2b(listed.machine.encode(), digest_size=8).digest())
 
     def room(self, facts: Deployment) -> tuple[float, float, float]:
         """Cores and memory that may still be asked for, and our offers waiting; kept until a change."""
@@ -141,7 +144,7 @@
                 cores[at] += c
                 memory[at] += m
         self.sums, self.drawn_at = list(zip(cores, memory, strict=True)), now
-        self.means = sum(cores) / ROUNDS, sum(memory) / ROUNDS
+        self.means, self.most = (sum(cores) / ROUNDS, sum(memory) / ROUNDS), (max(cores), max(memory))
 
 
 def drawn(random: Random, guest: Guest) -> list[tuple[float, float]]:
@@ -164,7 +167,7 @@
         self.answers: deque[int] = deque(maxlen=100)  # answer times of all machines
         self.customers: dict[int, float] = {}  # cores asked for here, by customer
         self.no_room: set[tuple] = set()  # shapes that found no machine; emptied as the clock moves
-        self.looked_at = self.ask_list_at = self.sweep_at = 0
+        self.looked_at = self.ask_list_at = self.sweep_at = self.probe_at = self.list_version = 0
         self.probe_credit = 2.0
 
     # Inputs: they only update what is known.
@@ -174,7 +177,9 @@
             machine = self.machines.get(entry.machine)
             if machine is None:
                 self.machines[entry.machine] = Machine(entry, self.deployment.kinds[entry.kind], now)
+                self.list_version += 1
                 continue
+            self.list_version += entry.mode is not machine.listed.mode
             if entry.started > machine.listed.started:
                 self._restarted(machine, entry.started)
             machine.listed, machine.listed_at, machine.left = entry, now, None
@@ -182,6 +187,7 @@
             machine.ready = entry.mode is Mode.READY
         if whole:
             for name in self.machines.keys() - {entry.machine for entry in entries}:
+                self.list_version += 1
                 self.machines[name].ready = False
                 self.machines[name].listed = self.machines[name].listed._replace(mode=Mode.GONE)
         self.machines = {n: m for n, m in self.machines.items() if m.guests or m.listed.mode is not Mode.GONE}
@@ -377,7 +383,11 @@
             if remark is Remark.LINE_FULL:
                 # Guards against any crowd of offers: a burst, a rejoining service, other planners' offers. It
                 # could hold guests back needlessly after a short crowd, so the line grows again by answers.
-                machine.line = max(1.0, 0.7 * min(machine.line, 1 + machine.room(self.deployment)[2]))
+                # With nothing else of ours in it the line is others' work: a quarter second's rest instead.
+                ours = machine.room(self.deployment)[2]
+                machine.line = max(1.0, 0.7 * min(machine.line, 1 + ours))
+                if not ours:
+                    machine.full[0] = now + SECOND // 4, 0.0
             elif remark in (Remark.NO_CORES, Remark.NO_MEMORY):
                 axis, much = (0, guest.ask.cores) if remark is Remark.NO_CORES else (1, guest.ask.memory)
                 machine.full[axis] = now + SECOND, much  # about a list period
@@ -497,9 +507,13 @@
         facts = self.deployment
         while machine.offers and machine.offers[0] < now - 2 * facts.cold_window:
             machine.offers.popleft()
-        # Twice the window and four fifths of our part: offers travel, and chance is counted against us too.
-        return (now - machine.cold_at >= facts.cold_for
-                or len(machine.offers) + 1 <= facts.cold_offers * 0.8 / facts.planners)
+        if now - machine.cold_at >= facts.cold_for:
+            return True
+        # Twice the window and four fifths of the budget: offers travel, and chance is counted against us too.
+        # The planners take turns at its single offers from a start that each machine's id fixes alike for all:
+        # the parts sum to the budget, and with more planners than offers some have one and the others none.
+        turn = (facts.slot + machine.mark) % facts.planners
+        return len(machine.offers) <= (int(facts.cold_offers * 0.8) - 1 - turn) // facts.planners
 
     def _has_room(self, guest: Guest, machine: Machine, now: int, push: bool = False) -> bool:
         ask = guest.ask
@@ -516,36 +530,59 @@
         return ask.cores <= cores and ask.memory <= memory
 
     def _pick(self, guest: Guest, now: int) -> Machine | None:
-        ready = [m for m in self.machines.values() if m.ready]
+        ready = self._order(guest)
         # A large guest that waits keeps the roomiest machine to itself, else small ones fill each gap first.
-        large = [g for g in self.waiting.values() if g.looked_at and not g.over_share
-                 and g.ask.memory >= 4 * guest.ask.memory]
+        large = any(g.looked_at and not g.over_share and g.ask.memory >= 4 * guest.ask.memory
+                    for g in self.waiting.values())
         roomy = max(ready, key=lambda m: m.room(self.deployment)[1]) if large and len(ready) > 3 else None
-        allowed = [m for m in ready if m is not roomy and self._allowed(guest, m, now)]
-        fit = [m for m in allowed if self._has_room(guest, m, now)]
-        if not fit and self.deployment.makes_room and guest.product.priority and not guest.over_share:
-            fit = [m for m in allowed if self._has_room(guest, m, now, push=True)]
         usual = sorted(m.slowness() for m in ready if m.answers)
         typical = usual[(len(usual) - 1) // 2] if usual else SECOND
-        healthy = [m for m in fit if not self._avoided(m, typical, now)]
-        # With most machines looking bad at once, distrust the judgement and go on placing.
-        bad = sum(m.mute or now < m.avoid_until for m in ready)
-        if not healthy and 2 * bad > len(ready):
-            healthy = fit
+        steps = [(ready, 9.9)]
         if self.deployment.fleet_price > 0:
-            # Each machine in use costs: an empty one is opened only when the best of the rest bears a likely
-            # loss (three tenths: a first guess), and all planners open the same one first.
+            # Each machine in use costs: the emptiest of them is left to drain, and an empty one is opened,
+            # only when the best of the rest bears a likely loss (three tenths: a first guess).
             empty = [m for m in ready if not m.guests and m.listed.cores_room >= m.size.cores]
-            used = sorted((m for m in ready if m not in empty),
-                          key=lambda m: (m.listed.cores_room / m.size.cores, m.listed.machine))
-            for keep, bears in ((used[:-1], 0.1), (used, 0.3)):
-                picked = self._best(guest, [m for m in healthy if m in keep], keep, now)
+            used = [m for m in ready if m not in empty]
+            drain = max(used, default=None,
+                        key=lambda m: (m.listed.cores_room / m.size.cores, m.listed.machine))
+            steps = [([m for m in used if m is not drain], 0.1), (used, 0.3), (empty[:1] + used, 9.9), *steps]
+        for push in (False, True):
+            if push and not (self.deployment.makes_room and guest.product.priority and not guest.over_share):
+                break
+            for field, bears in steps:
+                field = [m for m in field if m is not roomy]
+                healthy = self._first(guest, field, typical, now, push)
+                picked = self._best(guest, healthy, ready if len(ready) <= LOOK else healthy, now)
                 if picked is not None and picked[0] < bears:
                     return picked[1]
-            first = min((m.listed.machine for m in healthy if m in empty), default="")
-            healthy = [m for m in healthy if m not in empty or m.listed.machine == first]
-        picked = self._best(guest, healthy, ready, now)
-        return picked[1] if picked else None
+        return None
+
+    def _first(self, guest: Guest, field: list[Machine], typical: float, now: int,
+               push: bool) -> list[Machine]:
+        """The first few machines of an order that may take the guest."""
+        fit, healthy = [], []
+        for machine in field:
+            if self._allowed(guest, machine, now) and self._has_room(guest, machine, now, push):
+                fit.append(machine)
+                if not self._avoided(machine, typical, now):
+                    healthy.append(machine)
+                    if len(healthy) == LOOK:
+                        break
+        # With most machines looking bad at once, distrust the judgement and go on placing.
+        distrust = not healthy and 2 * sum(m.mute or now < m.avoid_until for m in field) > len(field)
+        return fit[:LOOK] if distrust else healthy
+
+    def _order(self, guest: Guest) -> list[Machine]:
+        """The ready machines in an order of the guest's service, the same at all planners: where there are
+        many, only the first that may take the guest are weighed. So planners that know nothing of each other
+        bring a service together where its program runs, and guests of different services do not all meet on
+        the one machine that the late list shows as best."""
+        service = guest.service
+        if service.order_of != self.list_version:
+            service.order_of = self.list_version
+            service.order = sorted((m for m in self.machines.values() if m.ready), key=lambda m: blake2b(
+                f"{guest.ask.service} {m.listed.machine}".encode(), digest_size=8).digest())
+        return service.order
 
     def _best(self, guest: Guest, healthy: list[Machine], ready: list[Machine],
               now: int) -> tuple[float, Machine] | None:
@@ -565,6 +602,7 @@
         squares = [sum(l[axis] ** 2 for l in loads.values()) for axis in (0, 1)]
         weight = guest.service.weight(guest.ask)
         rounds = drawn(self.random, guest)
+        most = max(r[0] for r in rounds), max(r[1] for r in rounds)
         scored = []
         for machine in healthy:
             spread = 0.0
@@ -573,7 +611,7 @@
                 after = before + weight[axis] / size
                 mean = (totals[axis] - before + after) / count
                 spread += sqrt(max(0.0, (squares[axis] - before ** 2 + after ** 2) / count - mean ** 2))
-            overflow = self._overflow(guest, machine, rounds, loads[machine])
+            overflow = self._overflow(guest, machine, rounds, most, loads[machine])
             expected = overflow + self._late(guest, machine, now)
             scored.append((max(spread, 0.02) * (1 + expected), expected, machine))
         if not scored:
@@ -584,7 +622,7 @@
         return chosen[1], chosen[2]
 
     def _overflow(self, guest: Guest, machine: Machine, rounds: list[tuple[float, float]],
-                  load: tuple[float, float]) -> float:
+                  most: tuple[float, float], load: tuple[float, float]) -> float:
         """The share of drawn rounds in which the machine passes 90% of its cores or memory."""
         size = machine.size
         others = machine.others
@@ -593,6 +631,8 @@
         # The design's 90%, or the load up to which the touchiest product here is fully served.
         bears = min([0.9, guest.product.easy_until, *(g.product.easy_until for g in machine.guests.values())])
         cores, memory = bears * size.cores - max(0.0, others[0]), 0.9 * size.memory - max(0.0, others[1])
+        if machine.most[0] + most[0] <= cores and machine.most[1] + most[1] <= memory:
+            return 0.0
         return sum(sc + c > cores or sm + m > memory
                    for (sc, sm), (c, m) in zip(machine.sums, rounds, strict=True)) / ROUNDS
 
@@ -610,7 +650,7 @@
         return sum(took > limit for took in seen) / len(seen) + wait / max(1.0, guest.product.start_bonus)
 
     def _probe(self, now: int) -> Decision | None:
-        if not self.deployment.probing:
+        if not self.deployment.probing or now < self.probe_at:
             return None
         for machine in self.machines.values():
             if machine.mute and machine.ready and now >= machine.avoid_until:
@@ -619,6 +659,7 @@
         heard = [(max(m.reported_at, m.probed_at), n)
                  for n, m in self.machines.items() if m.ready and not m.mute]
         if not heard or self.probe_credit < 1 or now - min(heard)[0] <= SECOND:
+            self.probe_at = now + SECOND // 20  # a look through all machines costs: at most 20 a second
             return None
         machine = self.machines[min(heard)[1]]
         machine.probed_at, self.probe_credit = now, self.probe_credit - 1
--- a/hazelhold/interface.py
+++ b/hazelhold/interface.py
@@ -87,6 +87,7 @@
     """What an instance is told when it starts."""
 
     planners: int
+    slot: int  # this planner's number among them, from 0
     products: tuple[Product, ...]
     kinds: tuple[Kind, ...]
     customer_cores: tuple[float, ...]
--- a/hazelhold/simhost.py
+++ b/hazelhold/simhost.py
@@ -134,6 +134,7 @@
     tenants = "tenants.count" in pairs.values and int(pairs.number("tenants.count"))
     return Deployment(
         planners=int(pairs.number("balancers")),
+        slot=int(pairs.number("slot-no")),
         products=tuple(read_product(pairs, i) for i in range(int(pairs.number("classes.count")))),
         kinds=tuple(Kind(float(cores), float(memory)) for cores, memory in sizes),
         customer_cores=tuple(float(x) for x in pairs.items(family + "share-cores")) if tenants else (),
