--- a/hazelhold/brain.py
+++ b/hazelhold/brain.py
@@ -510,8 +510,8 @@
         if now - machine.cold_at >= facts.cold_for:
             return True
         # Twice the window and four fifths of the budget: offers travel, and chance is counted against us too.
-        # The planners take turns at its single offers from a start that each machine's id fixes alike for all:
-        # the parts sum to the budget, and with more planners than offers some have one and the others none.
+        # The planners take turns at its single offers, from a start that the machine's id fixes alike for all:
+        # the parts sum to the budget; with more planners than offers some have one and the others none.
         turn = (facts.slot + machine.mark) % facts.planners
         return len(machine.offers) <= (int(facts.cold_offers * 0.8) - 1 - turn) // facts.planners
 
