Fresh reports give way to the list's asked room when old; 6 machines weighed, not 12

Cause: a planner with 75 machines hears of each once in tens of seconds, so loads were guesses; with loads from the shared list and 12 machines, planners met on the same ones.

--- a/hazelhold/brain.py
+++ b/hazelhold/brain.py
@@ -30,7 +30,7 @@
 SECOND = 1_000_000
 NEVER_RAN = (Ending.TURNED_BACK, Ending.NO_CONNECTION, Ending.NOT_SENT)
 ROUNDS = 100  # Monte Carlo rounds for a machine: the design page's own figure
-LOOK = 12  # machines weighed for a guest; see _order
+LOOK = 6  # machines weighed for a guest; see _order
 TIE = 1.001  # one guest moves the spread by a hundredth at most: a band of 5% would make the pick a lottery
 
 
@@ -166,6 +166,7 @@
         self.starts = {True: deque(maxlen=50), False: deque(maxlen=50)}  # start times: warm, cold
         self.answers: deque[int] = deque(maxlen=100)  # answer times of all machines
         self.customers: dict[int, float] = {}  # cores asked for here, by customer
+        self.seen = [1.0, 1.0, 1.0, 1.0]  # cores and memory reported, and asked for there: fading sums
         self.no_room: set[tuple] = set()  # shapes that found no machine; emptied as the clock moves
         self.looked_at = self.ask_list_at = self.sweep_at = self.probe_at = self.list_version = 0
         self.probe_credit = 2.0
@@ -353,17 +354,34 @@
 
     def _reported(self, machine: Machine, cores: float | None, memory: float | None, now: int) -> None:
         """Takes a machine's own word on its use and sets our running guests' share aside."""
-        old = machine.used or (0.0, 0.0)
-        machine.used = (old[0] if cores is None else cores, old[1] if memory is None else memory)
         ours = [0.0, 0.0]
         for guest in machine.guests.values():
             if guest.runs:
                 use = guest.use or guest.service.weight(guest.ask)
                 ours[0] += use[0]
                 ours[1] += use[1]
+        old = self._others(machine, now) or (0.0, 0.0)
+        machine.used = (old[0] + ours[0] if cores is None else cores,
+                        old[1] + ours[1] if memory is None else memory)
+        if cores is not None and memory is not None:
+            room = machine.listed.cores_room, machine.listed.memory_room
+            news = *machine.used, machine.size.cores - room[0], machine.size.memory - room[1]
+            self.seen = [0.95 * s + max(0.0, n) for s, n in zip(self.seen, news, strict=True)]
         machine.others = max(0.0, machine.used[0] - ours[0]), max(0.0, machine.used[1] - ours[1])
         machine.reported_at = now
 
+    def _others(self, machine: Machine, now: int) -> tuple[float, float] | None:
+        """What others use of a machine. Where the list shows room, a report older than two seconds gives way
+        to what others ask there by the list, in the proportion of use to asks that reports show of late. Acts
+        where a planner hears seldom of a machine; guards against any cause of late or missing reports."""
+        if now - machine.reported_at <= 2 * SECOND or not self.deployment.list_has_room:
+            return machine.others if machine.used is not None else None
+        listed, size, (cores, memory, cores_asked, memory_asked) = machine.listed, machine.size, self.seen
+        ours = [g.ask for g in machine.guests.values() if g.sent_at <= machine.listed_at - SECOND // 4]
+        asked = (size.cores - listed.cores_room - sum(a.cores for a in ours),
+                 size.memory - listed.memory_room - sum(a.memory for a in ours))
+        return max(0.0, asked[0]) * cores / cores_asked, max(0.0, asked[1]) * memory / memory_asked
+
     def _changed(self, now: int) -> None:
         """Something may have made room: held guests are looked at again, at most every 50 ms each."""
         for guest in self.waiting.values():
@@ -510,7 +528,7 @@
         if now - machine.cold_at >= facts.cold_for:
             return True
         # Twice the window and four fifths of the budget: offers travel, and chance is counted against us too.
-        # The planners take turns at its single offers, from a start that the machine's id fixes alike for all:
+        # The planners take turns at single offers, from a start that the machine's id fixes alike for all:
         # the parts sum to the budget; with more planners than offers some have one and the others none.
         turn = (facts.slot + machine.mark) % facts.planners
         return len(machine.offers) <= (int(facts.cold_offers * 0.8) - 1 - turn) // facts.planners
@@ -590,9 +608,9 @@
         loads: dict[Machine, tuple[float, float]] = {}
         for machine in ready:
             machine.draw(self.random, now)
-            if machine.used is not None:
-                loads[machine] = ((machine.others[0] + machine.means[0]) / machine.size.cores,
-                                  (machine.others[1] + machine.means[1]) / machine.size.memory)
+            if others := self._others(machine, now):
+                loads[machine] = ((others[0] + machine.means[0]) / machine.size.cores,
+                                  (others[1] + machine.means[1]) / machine.size.memory)
         known = list(loads.values()) or [(0.5, 0.5)]
         average = tuple(sum(axis) / len(known) for axis in zip(*known, strict=True))
         for machine in ready:
@@ -625,9 +643,7 @@
                   most: tuple[float, float], load: tuple[float, float]) -> float:
         """The share of drawn rounds in which the machine passes 90% of its cores or memory."""
         size = machine.size
-        others = machine.others
-        if machine.used is None:
-            others = load[0] * size.cores - machine.means[0], load[1] * size.memory - machine.means[1]
+        others = load[0] * size.cores - machine.means[0], load[1] * size.memory - machine.means[1]
         # The design's 90%, or the load up to which the touchiest product here is fully served.
         bears = min([0.9, guest.product.easy_until, *(g.product.easy_until for g in machine.guests.values())])
         cores, memory = bears * size.cores - max(0.0, others[0]), 0.9 * size.memory - max(0.0, others[1])
