--- a/hazelhold/brain.py
+++ b/hazelhold/brain.py
@@ -8,6 +8,7 @@
 
 from collections import deque
 from hashlib import blake2b
+from itertools import islice
 from math import sqrt
 from random import Random
 
@@ -70,7 +71,7 @@
         self.warm = self.may_run = False
         self.bound: tuple[Place, int] | None = None  # the group that a ticket holds it to
         self.window_ends, self.cores_noted = 0, 0.0
-        self.look_at, self.looked_at = now, 0
+        self.look_at, self.looked_at, self.rests_until = now, 0, now
         self.use: tuple[float, float] | None = None
 
     def may_turn_back(self) -> bool:
@@ -165,7 +166,7 @@
         self.starts = {True: deque(maxlen=50), False: deque(maxlen=50)}  # start times: warm, cold
         self.answers: deque[int] = deque(maxlen=100)  # answer times of all machines
         self.customers: dict[int, float] = {}  # cores asked for here, by customer
-        self.seen = [1.0, 1.0, 1.0, 1.0]  # cores and memory reported, and asked for there: fading sums
+        self.seen = [1.0, 1.0, 1.0, 1.0]  # cores and memory that guests use, and their asks: fading sums
         self.no_room: set[tuple] = set()  # shapes that found no machine; emptied as the clock moves
         self.looked_at = self.ask_list_at = self.sweep_at = self.probe_at = self.list_version = 0
         self.probe_credit = 2.0
@@ -201,8 +202,10 @@
     def guest_arrived(self, now: int, ask: Ask) -> None:
         guest = self._known(now, ask)
         self.guests[ask.guest] = self.waiting[ask.guest] = guest
-        # A probe a guest at most keeps the price of probing in step with what there is to decide.
-        self.probe_credit = min(self.probe_credit + 1.0, 2.0 + len(self.machines))
+        # A probe a guest at most keeps the price in step with what there is to decide. Many planners
+        # that each see few guests could not keep up with the fleet: their reports would be old when used.
+        self.probe_credit = min(self.probe_credit + min(1.0, 8 / self.deployment.planners),
+                                2.0 + len(self.machines))
 
     def guest_found(self, now: int, machine: str, ask: Ask) -> None:
         if ask.guest in self.guests:
@@ -250,7 +253,11 @@
             if not guest.may_run:
                 guest.window_ends = guest.sent_at + guest.product.window
             guest.may_run, guest.bound = True, host.place(guest.product.group)
-        guest.look_at, self.waiting[name] = now, guest
+        if ending is Ending.TURNED_BACK and guest.dispatches > 1:
+            # Twice refused: everybody is after the same room. The rest of its dispatches are spread over its
+            # patience, drawn so that crowds thin out, from a quarter second and twice as long each time.
+            guest.rests_until = now + int(SECOND // 8 * 2 ** guest.dispatches * self.random.uniform(0.5, 1.5))
+        guest.look_at, self.waiting[name] = max(now, guest.rests_until), guest
 
     def machine_reported(self, now: int, name: str, load: Load | None) -> None:
         machine = self.machines.get(name)
@@ -278,6 +285,8 @@
     def memory_used(self, now: int, name: str, memory: float) -> None:
         if guest := self.guests.get(name):
             guest.use = (guest.cores_noted, memory)
+            news = *guest.use, guest.ask.cores, guest.ask.memory
+            self.seen = [0.98 * s + n for s, n in zip(self.seen, news, strict=True)]  # some fifty notes
             guest.service.samples.append(guest.use)
 
     def guest_served(self, now: int, name: str, share: float) -> None:
@@ -362,16 +371,12 @@
         old = self._others(machine, now) or (0.0, 0.0)
         machine.used = (old[0] + ours[0] if cores is None else cores,
                         old[1] + ours[1] if memory is None else memory)
-        if cores is not None and memory is not None:
-            room = machine.listed.cores_room, machine.listed.memory_room
-            news = *machine.used, machine.size.cores - room[0], machine.size.memory - room[1]
-            self.seen = [0.95 * s + max(0.0, n) for s, n in zip(self.seen, news, strict=True)]
         machine.others = max(0.0, machine.used[0] - ours[0]), max(0.0, machine.used[1] - ours[1])
         machine.reported_at = now
 
     def _others(self, machine: Machine, now: int) -> tuple[float, float] | None:
         """What others use of a machine. Where the list shows room, a report older than two seconds gives way
-        to what others ask there by the list, in the proportion of use to asks that reports show of late. Acts
+        to what others ask there by the list, in the proportion of use to asks of our own guests. Acts
         where a planner hears seldom of a machine; guards against any cause of late or missing reports."""
         if now - machine.reported_at <= 2 * SECOND or not self.deployment.list_has_room:
             return machine.others if machine.used is not None else None
@@ -384,7 +389,7 @@
     def _changed(self, now: int) -> None:
         """Something may have made room: held guests are looked at again, at most every 50 ms each."""
         for guest in self.waiting.values():
-            guest.look_at = min(guest.look_at, max(now, guest.looked_at + SECOND // 20))
+            guest.look_at = min(guest.look_at, max(now, guest.looked_at + SECOND // 20, guest.rests_until))
 
     # Health.
 
@@ -554,9 +559,9 @@
         roomy = max(ready, key=lambda m: m.room(self.deployment)[1]) if large and len(ready) > 3 else None
         usual = sorted(m.slowness() for m in ready if m.answers)
         typical = usual[(len(usual) - 1) // 2] if usual else SECOND
-        # Weighing 12, 6, 3 and 2 of 60 to 88 machines at 93 and more planners, 3 was best. A planner that makes a
-        # large part of all dispatches itself may weigh as large a part of the machines.
-        look = 3 + 8 * len(ready) // self.deployment.planners
+        # Weighing 12, 6, 3 and 2 of 60 to 88 machines at 93 and more planners, 3 was best. Few know all
+        # dispatches: up to 8 planners weigh all (3 more than the fleet's part cost 0.05 to 0.1 at 2 to 6).
+        look = 3 + 64 * len(ready) // self.deployment.planners ** 2
         steps = [(ready, 9.9)]
         if self.deployment.fleet_price > 0:
             # Each machine in use costs: the emptiest of them is left to drain, and an empty one is opened,
@@ -566,32 +571,22 @@
             drain = max(used, default=None,
                         key=lambda m: (m.listed.cores_room / m.size.cores, m.listed.machine))
             steps = [([m for m in used if m is not drain], 0.1), (used, 0.3), (empty[:1] + used, 9.9), *steps]
-        for push in (False, True):
-            if push and not (self.deployment.makes_room and guest.product.priority and not guest.over_share):
-                break
+        pushes = self.deployment.makes_room and guest.product.priority and not guest.over_share
+        # With most machines looking bad at once, distrust the judgement and go on placing.
+        distrust = 2 * sum(m.mute or now < m.avoid_until for m in ready) > len(ready)
+        for push, judged in ((False, True), (True, True), (False, False)):
+            if push and not pushes or not judged and not distrust:
+                continue
             for field, bears in steps:
-                field = [m for m in field if m is not roomy]
-                healthy = self._first(look, guest, field, typical, now, push)
-                picked = self._best(guest, healthy, ready if len(ready) <= look else healthy, now)
+                fit = (m for m in field if m is not roomy and self._allowed(guest, m, now)
+                       and self._has_room(guest, m, now, push)
+                       and not (judged and self._avoided(m, typical, now)))
+                first = list(islice(fit, look))
+                picked = self._best(guest, first, ready if len(ready) <= look else first, now)
                 if picked is not None and picked[0] < bears:
                     return picked[1]
         return None
 
-    def _first(self, look: int, guest: Guest, field: list[Machine], typical: float, now: int,
-               push: bool) -> list[Machine]:
-        """The first few machines of an order that may take the guest."""
-        fit, healthy = [], []
-        for machine in field:
-            if self._allowed(guest, machine, now) and self._has_room(guest, machine, now, push):
-                fit.append(machine)
-                if not self._avoided(machine, typical, now):
-                    healthy.append(machine)
-                    if len(healthy) == look:
-                        break
-        # With most machines looking bad at once, distrust the judgement and go on placing.
-        distrust = not healthy and 2 * sum(m.mute or now < m.avoid_until for m in field) > len(field)
-        return fit[:look] if distrust else healthy
-
     def _order(self, guest: Guest) -> list[Machine]:
         """The ready machines in an order of the guest's service, the same at all planners: where there are
         many, only the first that may take the guest are weighed. So planners that know nothing of each other
