--- a/hazelhold/brain.py
+++ b/hazelhold/brain.py
@@ -72,6 +72,7 @@
         self.bound: tuple[Place, int] | None = None  # the group that a ticket holds it to
         self.window_ends, self.cores_noted = 0, 0.0
         self.look_at, self.looked_at, self.rests_until = now, 0, now
+        self.probed_for = False
         self.use: tuple[float, float] | None = None
 
     def may_turn_back(self) -> bool:
@@ -170,6 +171,7 @@
         self.no_room: set[tuple] = set()  # shapes that found no machine; emptied as the clock moves
         self.looked_at = self.ask_list_at = self.sweep_at = self.probe_at = self.list_version = 0
         self.probe_credit = 2.0
+        self.to_probe: list[Machine] = []  # emptied at once by the decisions that follow
 
     # Inputs: they only update what is known.
 
@@ -490,6 +492,9 @@
         for guest in sorted(due, key=lambda g: (-g.payoff * g.ask.memory, g.patience_at)):
             shape = guest.ask._replace(guest="", patience=0), guest.bound
             machine = None if shape in self.no_room else self._pick(guest, now)
+            if machine is None and guest.rests_until > now:
+                guest.look_at = guest.rests_until
+                continue
             if machine is None:
                 self.no_room.add(shape)
                 guest.looked_at, guest.look_at = now, now + SECOND // 5
@@ -582,6 +587,15 @@
                        and self._has_room(guest, m, now, push)
                        and not (judged and self._avoided(m, typical, now)))
                 first = list(islice(fit, look))
+                if self.deployment.probing and look < len(ready) and not guest.probed_for:
+                    # Weighing few machines of many, a planner hears too seldom of each: it asks those it is
+                    # about to weigh, once a guest, and gives them a twentieth of a second to answer.
+                    guest.probed_for = True
+                    unheard = [m for m in first if max(m.reported_at, m.probed_at) < now - SECOND // 2]
+                    if unheard:
+                        self.to_probe += unheard
+                        guest.rests_until = now + SECOND // 20
+                        return None
                 picked = self._best(guest, first, ready if len(ready) <= look else first, now)
                 if picked is not None and picked[0] < bears:
                     return picked[1]
@@ -663,6 +677,10 @@
         return sum(took > limit for took in seen) / len(seen) + wait / max(1.0, guest.product.start_bonus)
 
     def _probe(self, now: int) -> Decision | None:
+        if self.to_probe:
+            machine = self.to_probe.pop()
+            machine.probed_at = now
+            return Decision(Step.PROBE, machine=machine.listed.machine)
         if not self.deployment.probing or now < self.probe_at:
             return None
         for machine in self.machines.values():
