--- a/hazelhold/brain.py
+++ b/hazelhold/brain.py
@@ -7,6 +7,7 @@
 """
 
 from collections import deque
+from enum import Enum
 from hashlib import blake2b
 from itertools import islice
 from math import sqrt
@@ -34,6 +35,14 @@
 TIE = 1.001  # one guest moves the spread by a hundredth at most: a band of 5% would make the pick a lottery
 
 
+class Room(Enum):
+    """Which room counts when a guest looks for a machine."""
+
+    SHOWN = "unasked by the list"
+    PUSHED = "and what guests of lower priority ask"
+    UNKNOWN = "any: the list is too old to tell"
+
+
 class Service:
     """Recent use of one service's guests; dropped once it has had no guest for a while."""
 
@@ -170,12 +179,14 @@
         self.seen = [1.0, 1.0, 1.0, 1.0]  # cores and memory that guests use, and their asks: fading sums
         self.no_room: set[tuple] = set()  # shapes that found no machine; emptied as the clock moves
         self.looked_at = self.ask_list_at = self.sweep_at = self.probe_at = self.list_version = 0
+        self.list_heard_at = -10**15
         self.probe_credit = 2.0
         self.to_probe: list[Machine] = []  # emptied at once by the decisions that follow
 
     # Inputs: they only update what is known.
 
     def machines_listed(self, now: int, entries: list[Listed], whole: bool) -> None:
+        self.list_heard_at = now if self.machines else now - 2 * SECOND  # the first may be an old copy
         for entry in entries:
             machine = self.machines.get(entry.machine)
             if machine is None:
@@ -380,7 +391,8 @@
         """What others use of a machine. Where the list shows room, a report older than two seconds gives way
         to what others ask there by the list, in the proportion of use to asks of our own guests. Acts
         where a planner hears seldom of a machine; guards against any cause of late or missing reports."""
-        if now - machine.reported_at <= 2 * SECOND or not self.deployment.list_has_room:
+        if (now - machine.reported_at <= 2 * SECOND or machine.reported_at > self.list_heard_at
+                or not self.deployment.list_has_room):
             return machine.others if machine.used is not None else None
         listed, size, (cores, memory, cores_asked, memory_asked) = machine.listed, machine.size, self.seen
         ours = [g.ask for g in machine.guests.values() if g.sent_at <= machine.listed_at - SECOND // 4]
@@ -542,7 +554,7 @@
         turn = (facts.slot + machine.mark) % facts.planners
         return len(machine.offers) <= (int(facts.cold_offers * 0.8) - 1 - turn) // facts.planners
 
-    def _has_room(self, guest: Guest, machine: Machine, now: int, push: bool = False) -> bool:
+    def _has_room(self, guest: Guest, machine: Machine, now: int, counted: Room) -> bool:
         ask = guest.ask
         if any(now < until and want >= much
                for (until, much), want in zip(machine.full, (ask.cores, ask.memory), strict=True)):
@@ -550,11 +562,18 @@
         cores, memory, waiting = machine.room(self.deployment)
         if waiting + 1 > machine.line:
             return False
-        if push:
-            lower = [g.ask for g in machine.guests.values() if g.product.priority < guest.product.priority]
-            cores += sum(a.cores for a in lower)
-            memory += sum(a.memory for a in lower)
-        return ask.cores <= cores and ask.memory <= memory
+        if counted is Room.PUSHED:
+            # Our own lower guests there, and of others' asks the part that is lower among all of ours.
+            rank, listed, size = guest.product.priority, machine.listed, machine.size
+            here = [g for g in machine.guests.values()]
+            lower = [g.ask for g in here if g.product.priority < rank]
+            ours = [g for g in self.guests.values() if g.machine]
+            part = sum(g.product.priority < rank for g in ours) / max(1, len(ours))
+            cores += sum(a.cores for a in lower) + part * max(
+                0.0, size.cores - listed.cores_room - sum(g.ask.cores for g in here))
+            memory += sum(a.memory for a in lower) + part * max(
+                0.0, size.memory - listed.memory_room - sum(g.ask.memory for g in here))
+        return counted is Room.UNKNOWN or ask.cores <= cores and ask.memory <= memory
 
     def _pick(self, guest: Guest, now: int) -> Machine | None:
         ready = self._order(guest)
@@ -577,14 +596,19 @@
                         key=lambda m: (m.listed.cores_room / m.size.cores, m.listed.machine))
             steps = [([m for m in used if m is not drain], 0.1), (used, 0.3), (empty[:1] + used, 9.9), *steps]
         pushes = self.deployment.makes_room and guest.product.priority and not guest.over_share
+        # With the list silent for longer than it usually is, what it says of room is worth little: guests that
+        # find none by it are offered all the same, at the pace that refusals leave them (full marks and rests).
+        # Guards against a list that is down, slow or old at a start; costs refusals where the fleet is full.
+        silent = now - self.list_heard_at >= 2 * SECOND and not guest.over_share
         # With most machines looking bad at once, distrust the judgement and go on placing.
         distrust = 2 * sum(m.mute or now < m.avoid_until for m in ready) > len(ready)
-        for push, judged in ((False, True), (True, True), (False, False)):
-            if push and not pushes or not judged and not distrust:
+        passes = [(Room.SHOWN, True), (Room.PUSHED, True), (Room.UNKNOWN, True), (Room.SHOWN, False)]
+        for (room, judged), use in zip(passes, (True, pushes, silent, distrust), strict=True):
+            if not use:
                 continue
             for field, bears in steps:
                 fit = (m for m in field if m is not roomy and self._allowed(guest, m, now)
-                       and self._has_room(guest, m, now, push)
+                       and self._has_room(guest, m, now, room)
                        and not (judged and self._avoided(m, typical, now)))
                 first = list(islice(fit, look))
                 if self.deployment.probing and look < len(ready) and not guest.probed_for:
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -143,3 +143,54 @@
     made.guest_arrived(200_000 * MS, ask("late", 4))
     decisions(made, 200_000 * MS)
     assert list(made.services) == ["service-4"] and list(made.guests) == ["late"] and not made.waiting
+
+
+def test_parts_of_a_cold_machines_budget_sum_to_it_for_any_number_of_planners() -> None:
+    for planners in (1, 3, 7, 16, 50, 330):
+        offers = 0
+        for slot in range(planners):
+            made = brain("a", planners=planners, slot=slot, probing=False)
+            made.machines_listed(MS, [entry("a", started=MS)], False)
+            for n in range(20):
+                made.guest_arrived(MS, ask(f"g{n}", cores=0.1))
+            offers += len(decisions(made, MS))
+        assert offers == 16 or planners == 1 and offers == 8  # the line of a planner alone is shorter
+
+
+def test_many_planners_weigh_the_same_few_machines_for_a_service() -> None:
+    found = set()
+    for slot in range(30):
+        made = brain("abcdefghijkl", planners=30, slot=slot, probing=False)
+        made.random.seed(slot)
+        found |= {place(made, n * MS, f"g{n}").machine for n in range(3)}
+    assert len(found) <= 3
+
+
+def test_old_report_gives_way_to_the_room_that_the_list_shows() -> None:
+    made = brain("ab", at=0)
+    for name in "ab":
+        made.machine_reported(0, name, Load(12.0, 20.0, None))
+    made.machines_listed(9000 * MS, [entry("a", room=0.0), entry("b", room=22.0)], True)
+    assert made._others(made.machines["a"], 9000 * MS)[0] > made._others(made.machines["b"], 9000 * MS)[0]
+    assert place(made, 9000 * MS, "g").machine == "b"
+
+
+def test_guest_refused_twice_rests_before_it_is_offered_again() -> None:
+    made = brain("abcd")
+    sent = place(made, 0, "g")
+    again = end(made, MS, sent, Ending.TURNED_BACK, Remark.NO_MEMORY)[0]
+    assert end(made, 2 * MS, again, Ending.TURNED_BACK, Remark.NO_MEMORY) == []
+    made.machines_listed(3 * MS, [entry("d", room=20.0)], False)
+    assert decisions(made, 60 * MS) == []
+    assert decisions(made, 2000 * MS)
+
+
+def test_machines_to_be_weighed_by_one_of_many_planners_are_probed_first() -> None:
+    made = brain("abcdefghijkl", planners=60)
+    made.guest_arrived(0, ask("g"))
+    asked = []
+    while (decision := made.decide(0)) is not None:
+        asked.append(decision)
+    probed = {d.machine for d in asked if d.step is Step.PROBE}
+    assert len(probed) >= 3 and not [d for d in asked if d.step is Step.DISPATCH]
+    assert decisions(made, 50 * MS)[0].machine in probed
