--- a/hazelhold/brain.py
+++ b/hazelhold/brain.py
@@ -596,8 +596,8 @@
                         key=lambda m: (m.listed.cores_room / m.size.cores, m.listed.machine))
             steps = [([m for m in used if m is not drain], 0.1), (used, 0.3), (empty[:1] + used, 9.9), *steps]
         pushes = self.deployment.makes_room and guest.product.priority and not guest.over_share
-        # With the list silent for longer than it usually is, what it says of room is worth little: guests that
-        # find none by it are offered all the same, at the pace that refusals leave them (full marks and rests).
+        # With the list silent for longer than usual, what it says of room is worth little: guests that
+        # find none by it are offered all the same, at the pace of refusals (full marks and rests).
         # Guards against a list that is down, slow or old at a start; costs refusals where the fleet is full.
         silent = now - self.list_heard_at >= 2 * SECOND and not guest.over_share
         # With most machines looking bad at once, distrust the judgement and go on placing.
