--- a/hazelhold/brain.py
+++ b/hazelhold/brain.py
@@ -7,27 +7,13 @@
 """
 
 from collections import deque
-from enum import Enum
 from hashlib import blake2b
 from itertools import islice
 from math import sqrt
 from random import Random
 
-from hazelhold.interface import (
-    Ask,
-    Decision,
-    Deployment,
-    Effect,
-    Ending,
-    Kind,
-    Listed,
-    Load,
-    Mode,
-    Place,
-    Product,
-    Remark,
-    Step,
-)
+from hazelhold import interface
+from hazelhold.interface import Decision, Effect, Ending, Listed, Mode, Place, Remark, Step
 
 SECOND = 1_000_000
 NEVER_RAN = (Ending.TURNED_BACK, Ending.NO_CONNECTION, Ending.NOT_SENT)
@@ -35,14 +21,6 @@
 TIE = 1.001  # one guest moves the spread by a hundredth at most: a band of 5% would make the pick a lottery
 
 
-class Room(Enum):
-    """Which room counts when a guest looks for a machine."""
-
-    SHOWN = "unasked by the list"
-    PUSHED = "and what guests of lower priority ask"
-    UNKNOWN = "any: the list is too old to tell"
-
-
 class Service:
     """Recent use of one service's guests; dropped once it has had no guest for a while."""
 
@@ -53,7 +31,7 @@
         self.order: list[Machine] = []  # see _order; made anew when the list changes
         self.order_of = -1
 
-    def weight(self, ask: Ask) -> tuple[float, float]:
+    def weight(self, ask: interface.Ask) -> tuple[float, float]:
         """What a new guest counts as: the 90th percentile of recent use, the ask if there is none."""
         if not self.samples:
             return ask.cores, ask.memory
@@ -64,10 +42,9 @@
 class Guest:
     """A guest in this planner's hands, from its arrival to its end."""
 
-    def __init__(self, ask: Ask, product: Product, service: Service, now: int) -> None:
+    def __init__(self, ask: interface.Ask, product: interface.Product, service: Service, now: int) -> None:
         self.ask, self.product, self.service = ask, product, service
         self.payoff = product.payoff
-        self.over_share = False
         self.goal_at = now + product.goal_time
         self.patience_at = now + ask.patience
         self.answer_by = self.patience_at - SECOND // 50  # a few ticks early: the last safe moment
@@ -94,7 +71,7 @@
 class Machine:
     """What is known of one machine; dropped when it has left the list and holds no guest of ours."""
 
-    def __init__(self, listed: Listed, size: Kind, now: int) -> None:
+    def __init__(self, listed: Listed, size: interface.Kind, now: int) -> None:
         self.listed, self.size, self.listed_at = listed, size, now
         self.ready = listed.mode is Mode.READY
         self.cold_at = listed.started if listed.started else -10**15
@@ -116,7 +93,7 @@
         self.offers: deque[int] = deque()  # while cold; emptied by age
         self.mark = int.from_bytes(blake2b(listed.machine.encode(), digest_size=8).digest())
 
-    def room(self, facts: Deployment) -> tuple[float, float, float]:
+    def room(self, facts: interface.Deployment) -> tuple[float, float, float]:
         """Cores and memory that may still be asked for, and our offers waiting; kept until a change."""
         if self.left is None:
             recent = list(self.guests.values())
@@ -165,7 +142,7 @@
 class Brain:
     """One planner's knowledge and decisions."""
 
-    def __init__(self, seed: int, deployment: Deployment) -> None:
+    def __init__(self, seed: int, deployment: interface.Deployment) -> None:
         self.random = Random(seed)
         self.deployment = deployment
         self.machines: dict[str, Machine] = {}  # emptied with the list
@@ -175,7 +152,6 @@
         self.spread: dict[tuple[str, Place, str], int] = {}  # emptied as guests end
         self.starts = {True: deque(maxlen=50), False: deque(maxlen=50)}  # start times: warm, cold
         self.answers: deque[int] = deque(maxlen=100)  # answer times of all machines
-        self.customers: dict[int, float] = {}  # cores asked for here, by customer
         self.seen = [1.0, 1.0, 1.0, 1.0]  # cores and memory that guests use, and their asks: fading sums
         self.no_room: set[tuple] = set()  # shapes that found no machine; emptied as the clock moves
         self.looked_at = self.ask_list_at = self.sweep_at = self.probe_at = self.list_version = 0
@@ -212,7 +188,7 @@
     def list_failed(self, now: int) -> None:
         self.ask_list_at = now + int(self.random.uniform(1, 3) * SECOND)  # drawn, so as not to march in step
 
-    def guest_arrived(self, now: int, ask: Ask) -> None:
+    def guest_arrived(self, now: int, ask: interface.Ask) -> None:
         guest = self._known(now, ask)
         self.guests[ask.guest] = self.waiting[ask.guest] = guest
         # A probe a guest at most keeps the price in step with what there is to decide. Many planners
@@ -220,7 +196,7 @@
         self.probe_credit = min(self.probe_credit + min(1.0, 8 / self.deployment.planners),
                                 2.0 + len(self.machines))
 
-    def guest_found(self, now: int, machine: str, ask: Ask) -> None:
+    def guest_found(self, now: int, machine: str, ask: interface.Ask) -> None:
         if ask.guest in self.guests:
             self._drop(self.guests[ask.guest])
         guest = self._known(now, ask)
@@ -272,7 +248,7 @@
             guest.rests_until = now + int(SECOND // 8 * 2 ** guest.dispatches * self.random.uniform(0.5, 1.5))
         guest.look_at, self.waiting[name] = max(now, guest.rests_until), guest
 
-    def machine_reported(self, now: int, name: str, load: Load | None) -> None:
+    def machine_reported(self, now: int, name: str, load: interface.Load | None) -> None:
         machine = self.machines.get(name)
         if machine is None or load is None:
             return
@@ -314,7 +290,7 @@
 
     # Bookkeeping behind the inputs.
 
-    def _known(self, now: int, ask: Ask) -> Guest:
+    def _known(self, now: int, ask: interface.Ask) -> Guest:
         if now >= self.sweep_at:  # a minute's rest: longer than a service's guests stay away between tries
             self.sweep_at = now + 60 * SECOND
             idle = [n for n, s in self.services.items() if not s.guests and s.seen < now - 60 * SECOND]
@@ -322,14 +298,7 @@
                 del self.services[name]
         service = self.services.setdefault(ask.service, Service())
         service.guests, service.seen = service.guests + 1, now
-        guest = Guest(ask, self.deployment.products[ask.product], service, now)
-        facts = self.deployment
-        asked = self.customers[ask.customer] = self.customers.get(ask.customer, 0.0) + ask.cores
-        if ask.customer < len(facts.customer_cores):
-            # Every planner sees about its part of a customer's guests.
-            guest.over_share = asked * facts.planners > facts.customer_cores[ask.customer]
-            guest.payoff *= facts.over_share_worth if guest.over_share else 1.0
-        return guest
+        return Guest(ask, self.deployment.products[ask.product], service, now)
 
     def _drop(self, guest: Guest) -> None:
         name = guest.ask.guest
@@ -338,7 +307,6 @@
         self.waiting.pop(name, None)
         if self.guests.pop(name, None) is not None:
             guest.service.guests -= 1
-            self.customers[guest.ask.customer] -= guest.ask.cores
 
     def _seat(self, guest: Guest, machine: Machine) -> None:
         guest.machine = machine
@@ -554,7 +522,7 @@
         turn = (facts.slot + machine.mark) % facts.planners
         return len(machine.offers) <= (int(facts.cold_offers * 0.8) - 1 - turn) // facts.planners
 
-    def _has_room(self, guest: Guest, machine: Machine, now: int, counted: Room) -> bool:
+    def _has_room(self, guest: Guest, machine: Machine, now: int, way: str) -> bool:
         ask = guest.ask
         if any(now < until and want >= much
                for (until, much), want in zip(machine.full, (ask.cores, ask.memory), strict=True)):
@@ -562,25 +530,16 @@
         cores, memory, waiting = machine.room(self.deployment)
         if waiting + 1 > machine.line:
             return False
-        if counted is Room.PUSHED:
-            # Our own lower guests there, and of others' asks the part that is lower among all of ours.
-            rank, listed, size = guest.product.priority, machine.listed, machine.size
-            here = [g for g in machine.guests.values()]
-            lower = [g.ask for g in here if g.product.priority < rank]
-            ours = [g for g in self.guests.values() if g.machine]
-            part = sum(g.product.priority < rank for g in ours) / max(1, len(ours))
-            cores += sum(a.cores for a in lower) + part * max(
-                0.0, size.cores - listed.cores_room - sum(g.ask.cores for g in here))
-            memory += sum(a.memory for a in lower) + part * max(
-                0.0, size.memory - listed.memory_room - sum(g.ask.memory for g in here))
-        return counted is Room.UNKNOWN or ask.cores <= cores and ask.memory <= memory
+        if way == "pushed":
+            # Of all that is asked there, the part that is lower among our own guests anywhere.
+            ours = [g.product.priority < guest.product.priority for g in self.guests.values() if g.machine]
+            part = sum(ours) / max(1, len(ours))
+            cores += part * max(0.0, machine.size.cores - machine.listed.cores_room)
+            memory += part * max(0.0, machine.size.memory - machine.listed.memory_room)
+        return way == "unknown" or ask.cores <= cores and ask.memory <= memory
 
     def _pick(self, guest: Guest, now: int) -> Machine | None:
         ready = self._order(guest)
-        # A large guest that waits keeps the roomiest machine to itself, else small ones fill each gap first.
-        large = any(g.looked_at and not g.over_share and g.ask.memory >= 4 * guest.ask.memory
-                    for g in self.waiting.values())
-        roomy = max(ready, key=lambda m: m.room(self.deployment)[1]) if large and len(ready) > 3 else None
         usual = sorted(m.slowness() for m in ready if m.answers)
         typical = usual[(len(usual) - 1) // 2] if usual else SECOND
         # Weighing 12, 6, 3 and 2 of 60 to 88 machines at 93 and more planners, 3 was best. Few know all
@@ -595,21 +554,20 @@
             drain = max(used, default=None,
                         key=lambda m: (m.listed.cores_room / m.size.cores, m.listed.machine))
             steps = [([m for m in used if m is not drain], 0.1), (used, 0.3), (empty[:1] + used, 9.9), *steps]
-        pushes = self.deployment.makes_room and guest.product.priority and not guest.over_share
+        pushes = self.deployment.makes_room and guest.product.priority
         # With the list silent for longer than usual, what it says of room is worth little: guests that
         # find none by it are offered all the same, at the pace of refusals (full marks and rests).
         # Guards against a list that is down, slow or old at a start; costs refusals where the fleet is full.
-        silent = now - self.list_heard_at >= 2 * SECOND and not guest.over_share
+        silent = now - self.list_heard_at >= 2 * SECOND
         # With most machines looking bad at once, distrust the judgement and go on placing.
         distrust = 2 * sum(m.mute or now < m.avoid_until for m in ready) > len(ready)
-        passes = [(Room.SHOWN, True), (Room.PUSHED, True), (Room.UNKNOWN, True), (Room.SHOWN, False)]
-        for (room, judged), use in zip(passes, (True, pushes, silent, distrust), strict=True):
+        for way, use in (("shown", True), ("pushed", pushes), ("unknown", silent), ("distrust", distrust)):
             if not use:
                 continue
             for field, bears in steps:
-                fit = (m for m in field if m is not roomy and self._allowed(guest, m, now)
-                       and self._has_room(guest, m, now, room)
-                       and not (judged and self._avoided(m, typical, now)))
+                fit = (m for m in field if self._allowed(guest, m, now)
+                       and self._has_room(guest, m, now, way)
+                       and (way == "distrust" or not self._avoided(m, typical, now)))
                 first = list(islice(fit, look))
                 if self.deployment.probing and look < len(ready) and not guest.probed_for:
                     # Weighing few machines of many, a planner hears too seldom of each: it asks those it is
