--- a/hazelhold/brain.py
+++ b/hazelhold/brain.py
@@ -80,21 +80,20 @@
         self.reported_at = self.probed_at = -10**15
         self.guests: dict[str, Guest] = {}
         self.kept: dict[str, None] = {}  # services that ended here lately; the oldest falls out
-        self.left: tuple[float, float, float] | None = None  # see room
+        self.left: tuple[float, float] | None = None  # see room
         self.sums: list[tuple[float, float]] | None = None  # our guests' drawn use, round by round
         self.most = (0.0, 0.0)  # the highest of the sums
         self.drawn_at = 0
         self.means = (0.0, 0.0)
         self.full = [(0, 0.0), (0, 0.0)]  # until when it takes no ask of so many cores, so much memory
-        self.line = 8.0  # offers of ours that may wait at once; learned from refusals, the start is a guess
         self.answers: deque[int] = deque(maxlen=12)  # answer times; the oldest falls out
         self.strikes = self.avoid_until = 0
         self.mute = False  # gave no answer at all: a probe must answer before guests go there
         self.offers: deque[int] = deque()  # while cold; emptied by age
         self.mark = int.from_bytes(blake2b(listed.machine.encode(), digest_size=8).digest())
 
-    def room(self, facts: interface.Deployment) -> tuple[float, float, float]:
-        """Cores and memory that may still be asked for, and our offers waiting; kept until a change."""
+    def room(self, facts: interface.Deployment) -> tuple[float, float]:
+        """Cores and memory that may still be asked for; kept until a change."""
         if self.left is None:
             recent = list(self.guests.values())
             cores, memory = self.size
@@ -104,7 +103,7 @@
                 cores, memory = self.listed.cores_room, self.listed.memory_room
             cores += (facts.cores_multiple - 1) * self.size.cores - sum(g.ask.cores for g in recent)
             memory += (facts.memory_multiple - 1) * self.size.memory - sum(g.ask.memory for g in recent)
-            self.left = cores, memory, sum(not g.placed for g in self.guests.values())
+            self.left = cores, memory
         return self.left
 
     def slowness(self) -> int:
@@ -379,19 +378,14 @@
         machine.answers.append(took)
         self.answers.append(took)
         machine.strikes, machine.mute = 0, False
-        machine.line = min(64.0, machine.line + 0.25)  # a quarter: some ten answers win back one refusal
 
     def _judge(self, machine: Machine, guest: Guest, ending: Ending, remark: Remark, now: int) -> None:
         """What an ended dispatch says of its machine."""
         if ending is Ending.TURNED_BACK:
             if remark is Remark.LINE_FULL:
-                # Guards against any crowd of offers: a burst, a rejoining service, other planners' offers. It
-                # could hold guests back needlessly after a short crowd, so the line grows again by answers.
-                # With nothing else of ours in it the line is others' work: a quarter second's rest instead.
-                ours = machine.room(self.deployment)[2]
-                machine.line = max(1.0, 0.7 * min(machine.line, 1 + ours))
-                if not ours:
-                    machine.full[0] = now + SECOND // 4, 0.0
+                # Guards against any crowd of offers, ours or others': a quarter second's rest, about the time in
+                # which a line is worked off. Could hold guests back needlessly after a short crowd.
+                machine.full[0] = now + SECOND // 4, 0.0
             elif remark in (Remark.NO_CORES, Remark.NO_MEMORY):
                 axis, much = (0, guest.ask.cores) if remark is Remark.NO_CORES else (1, guest.ask.memory)
                 machine.full[axis] = now + SECOND, much  # about a list period
@@ -527,9 +521,7 @@
         if any(now < until and want >= much
                for (until, much), want in zip(machine.full, (ask.cores, ask.memory), strict=True)):
             return False
-        cores, memory, waiting = machine.room(self.deployment)
-        if waiting + 1 > machine.line:
-            return False
+        cores, memory = machine.room(self.deployment)
         if way == "pushed":
             # Of all that is asked there, the part that is lower among our own guests anywhere.
             ours = [g.product.priority < guest.product.priority for g in self.guests.values() if g.machine]
