--- a/hazelhold/brain.py
+++ b/hazelhold/brain.py
@@ -383,8 +383,8 @@
         """What an ended dispatch says of its machine."""
         if ending is Ending.TURNED_BACK:
             if remark is Remark.LINE_FULL:
-                # Guards against any crowd of offers, ours or others': a quarter second's rest, in which a line is
-                # about worked off. Could hold guests back needlessly after a short crowd.
+                # Guards against any crowd of offers, ours or others': a quarter second's rest, in which lines
+                # are about worked off. Could hold guests back needlessly after a short crowd.
                 machine.full[0] = now + SECOND // 4, 0.0
             elif remark in (Remark.NO_CORES, Remark.NO_MEMORY):
                 axis, much = (0, guest.ask.cores) if remark is Remark.NO_CORES else (1, guest.ask.memory)
