--- a/hazelhold/brain.py
+++ b/hazelhold/brain.py
@@ -44,21 +44,16 @@
 
     def __init__(self, ask: interface.Ask, product: interface.Product, service: Service, now: int) -> None:
         self.ask, self.product, self.service = ask, product, service
-        self.payoff = product.payoff
-        self.goal_at = now + product.goal_time
-        self.patience_at = now + ask.patience
+        self.goal_at, self.patience_at = now + product.goal_time, now + ask.patience
         self.answer_by = self.patience_at - SECOND // 50  # a few ticks early: the last safe moment
         self.machine: Machine | None = None  # where a dispatch is out, or where it runs
-        self.placed = self.runs = False
-        self.over = False  # answered, with its last dispatch still out
-        self.dispatches = self.sent_at = 0
+        self.placed = self.runs = self.warm = self.may_run = False
+        self.over = self.probed_for = False  # over: answered, with its last dispatch still out
+        self.dispatches = self.sent_at = self.ahead = 0  # ahead: own starts before it on the machine
         self.spread_key: tuple[str, Place, str] | None = None
-        self.ahead = 0  # own starts before it in the machine's line when it was sent
-        self.warm = self.may_run = False
         self.bound: tuple[Place, int] | None = None  # the group that a ticket holds it to
         self.window_ends, self.cores_noted = 0, 0.0
         self.look_at, self.looked_at, self.rests_until = now, 0, now
-        self.probed_for = False
         self.use: tuple[float, float] | None = None
 
     def may_turn_back(self) -> bool:
@@ -82,14 +77,12 @@
         self.kept: dict[str, None] = {}  # services that ended here lately; the oldest falls out
         self.left: tuple[float, float] | None = None  # see room
         self.sums: list[tuple[float, float]] | None = None  # our guests' drawn use, round by round
-        self.most = (0.0, 0.0)  # the highest of the sums
-        self.drawn_at = 0
-        self.means = (0.0, 0.0)
+        self.means = self.most = (0.0, 0.0)  # the mean and the highest of the sums
         self.full = [(0, 0.0), (0, 0.0)]  # until when it takes no ask of so many cores, so much memory
         self.answers: deque[int] = deque(maxlen=12)  # answer times; the oldest falls out
-        self.strikes = self.avoid_until = 0
+        self.drawn_at = self.strikes = self.avoid_until = 0
         self.mute = False  # gave no answer at all: a probe must answer before guests go there
-        self.offers: deque[int] = deque()  # while cold; emptied by age
+        self.offers: deque[int] = deque()  # the last sent; emptied by age
         self.mark = int.from_bytes(blake2b(listed.machine.encode(), digest_size=8).digest())
 
     def room(self, facts: interface.Deployment) -> tuple[float, float]:
@@ -153,9 +146,8 @@
         self.answers: deque[int] = deque(maxlen=100)  # answer times of all machines
         self.seen = [1.0, 1.0, 1.0, 1.0]  # cores and memory that guests use, and their asks: fading sums
         self.no_room: set[tuple] = set()  # shapes that found no machine; emptied as the clock moves
-        self.looked_at = self.ask_list_at = self.sweep_at = self.probe_at = self.list_version = 0
-        self.list_heard_at = -10**15
-        self.probe_credit = 2.0
+        self.looked_at = self.ask_list_at = self.sweep_at = self.probe_at = self.list_heard_at = 0
+        self.list_version = 0  # counts changes in who is ready
         self.to_probe: list[Machine] = []  # emptied at once by the decisions that follow
 
     # Inputs: they only update what is known.
@@ -190,10 +182,6 @@
     def guest_arrived(self, now: int, ask: interface.Ask) -> None:
         guest = self._known(now, ask)
         self.guests[ask.guest] = self.waiting[ask.guest] = guest
-        # A probe a guest at most keeps the price in step with what there is to decide. Many planners
-        # that each see few guests could not keep up with the fleet: their reports would be old when used.
-        self.probe_credit = min(self.probe_credit + min(1.0, 8 / self.deployment.planners),
-                                2.0 + len(self.machines))
 
     def guest_found(self, now: int, machine: str, ask: interface.Ask) -> None:
         if ask.guest in self.guests:
@@ -202,23 +190,23 @@
         guest.placed = guest.runs = True
         self.guests[ask.guest] = guest
         if machine not in self.machines:
-            listed = Listed(machine, Mode.GONE, 0, 0, 0, 0, 0.0, 0.0)
-            self.machines[machine] = Machine(listed, self.deployment.kinds[0], now)
+            gone = Listed(machine, Mode.GONE, 0, 0, 0, 0, 0.0, 0.0)
+            self.machines[machine] = Machine(gone, self.deployment.kinds[0], now)
         self._seat(guest, self.machines[machine])
 
     def guest_left(self, now: int, name: str) -> None:
-        guest = self.guests.get(name)
-        if guest is not None and guest.machine is None:
-            self._drop(guest)
-        elif guest is not None:
+        if guest := self.guests.get(name):
             guest.over = True
+            if guest.machine is None:
+                self._drop(guest)
 
     def dispatch_taken(self, now: int, name: str, took: int) -> None:
-        guest = self.guests.get(name)
-        if guest is None or guest.machine is None:
+        if not (guest := self.guests.get(name)) or not guest.machine:
             return
         guest.placed, guest.machine.left = True, None
-        self._answered(guest.machine, took, now)
+        guest.machine.answers.append(took)
+        self.answers.append(took)
+        guest.machine.strikes, guest.machine.mute = 0, False
         if self.deployment.confirms_running:
             self._started(guest, now)
 
@@ -227,10 +215,8 @@
             self._started(guest, now)
 
     def dispatch_ended(self, now: int, name: str, ending: Ending, closed: bool, remark: Remark) -> None:
-        guest = self.guests.get(name)
-        if guest is None or guest.machine is None:
+        if not (guest := self.guests.get(name)) or not (host := guest.machine):
             return
-        host = guest.machine
         self._unseat(guest)
         self._judge(host, guest, ending, remark, now)
         self._changed(now)
@@ -248,13 +234,12 @@
         guest.look_at, self.waiting[name] = max(now, guest.rests_until), guest
 
     def machine_reported(self, now: int, name: str, load: interface.Load | None) -> None:
-        machine = self.machines.get(name)
-        if machine is None or load is None:
+        if not (machine := self.machines.get(name)) or load is None:
             return
         size, used = machine.size, not self.deployment.reports_count_asked
-        cores = size.cores - load.cores_free if used and load.cores_free is not None else None
-        if load.busy is not None:
-            cores = load.busy * size.cores
+        cores = None if load.busy is None else load.busy * size.cores
+        if cores is None and used and load.cores_free is not None:
+            cores = size.cores - load.cores_free
         memory = size.memory - load.memory_free if used and load.memory_free is not None else None
         self._reported(machine, cores, memory, now)
 
@@ -292,9 +277,8 @@
     def _known(self, now: int, ask: interface.Ask) -> Guest:
         if now >= self.sweep_at:  # a minute's rest: longer than a service's guests stay away between tries
             self.sweep_at = now + 60 * SECOND
-            idle = [n for n, s in self.services.items() if not s.guests and s.seen < now - 60 * SECOND]
-            for name in idle:
-                del self.services[name]
+            past = now - 60 * SECOND
+            self.services = {n: s for n, s in self.services.items() if s.guests or s.seen >= past}
         service = self.services.setdefault(ask.service, Service())
         service.guests, service.seen = service.guests + 1, now
         return Guest(ask, self.deployment.products[ask.product], service, now)
@@ -342,12 +326,8 @@
 
     def _reported(self, machine: Machine, cores: float | None, memory: float | None, now: int) -> None:
         """Takes a machine's own word on its use and sets our running guests' share aside."""
-        ours = [0.0, 0.0]
-        for guest in machine.guests.values():
-            if guest.runs:
-                use = guest.use or guest.service.weight(guest.ask)
-                ours[0] += use[0]
-                ours[1] += use[1]
+        uses = [g.use or g.service.weight(g.ask) for g in machine.guests.values() if g.runs]
+        ours = sum(u[0] for u in uses), sum(u[1] for u in uses)
         old = self._others(machine, now) or (0.0, 0.0)
         machine.used = (old[0] + ours[0] if cores is None else cores,
                         old[1] + ours[1] if memory is None else memory)
@@ -372,13 +352,6 @@
         for guest in self.waiting.values():
             guest.look_at = min(guest.look_at, max(now, guest.looked_at + SECOND // 20, guest.rests_until))
 
-    # Health.
-
-    def _answered(self, machine: Machine, took: int, now: int) -> None:
-        machine.answers.append(took)
-        self.answers.append(took)
-        machine.strikes, machine.mute = 0, False
-
     def _judge(self, machine: Machine, guest: Guest, ending: Ending, remark: Remark, now: int) -> None:
         """What an ended dispatch says of its machine."""
         if ending is Ending.TURNED_BACK:
@@ -411,10 +384,8 @@
         machine.avoid_until = max(machine.avoid_until, now + int(span * self.random.uniform(0.8, 1.2)))
 
     def _avoided(self, machine: Machine, typical: float, now: int) -> bool:
-        if machine.mute or now < machine.avoid_until:
-            return True
-        if machine.strikes and machine.starting():
-            return True  # on trial: one guest at a time
+        if machine.mute or now < machine.avoid_until or machine.strikes and machine.starting():
+            return True  # the last: on trial, one guest at a time
         # Four times its fellows' median and two seconds more: half a second also caught dear cold starts.
         if len(machine.answers) >= 4 and machine.slowness() > 4 * typical + 2 * SECOND:
             machine.answers.clear()
@@ -422,8 +393,6 @@
             return True
         return False
 
-    # Decisions.
-
     def decide(self, now: int) -> Decision | None:
         """The next thing to do at this moment, or None."""
         return self._keep_list(now) or self._answer_due(now) or self._place_next(now) or self._probe(now)
@@ -432,7 +401,7 @@
         times = [min(g.look_at, g.answer_by) for g in self.waiting.values()]
         if self.deployment.list_is_asked:
             times.append(self.ask_list_at)
-        times += [m.avoid_until for m in self.machines.values() if m.mute and m.ready]
+        times += [max(m.avoid_until, self.probe_at) for m in self.machines.values() if m.mute and m.ready]
         times += [g.patience_at for g in self.guests.values() if g.machine and not g.placed and not g.over]
         return max(now, min(times)) if times else None
 
@@ -463,15 +432,14 @@
         if now != self.looked_at:
             self.looked_at, self.no_room = now, set()
         due = [g for g in self.waiting.values() if g.look_at <= now]
-        for guest in sorted(due, key=lambda g: (-g.payoff * g.ask.memory, g.patience_at)):
+        for guest in sorted(due, key=lambda g: (-g.product.payoff * g.ask.memory, g.patience_at)):
             shape = guest.ask._replace(guest="", patience=0), guest.bound
             machine = None if shape in self.no_room else self._pick(guest, now)
-            if machine is None and guest.rests_until > now:
-                guest.look_at = guest.rests_until
-                continue
             if machine is None:
-                self.no_room.add(shape)
-                guest.looked_at, guest.look_at = now, now + SECOND // 5
+                if guest.rests_until <= now:
+                    self.no_room.add(shape)
+                guest.looked_at = now
+                guest.look_at = guest.rests_until if guest.rests_until > now else now + SECOND // 5
                 continue
             span = self._span(guest, now)
             guest.ahead, guest.warm = machine.starting(), self._warm(guest, machine)
@@ -488,12 +456,11 @@
         if guest.dispatches + 1 >= self.deployment.max_dispatches or not self.answers:
             return left
         # Three times the 95th percentile: what is later than that is seldom still coming.
-        usual = sorted(self.answers)[int(0.95 * len(self.answers))]
-        return min(left, max(3 * usual, SECOND // 2))
+        return min(left, max(3 * sorted(self.answers)[int(0.95 * len(self.answers))], SECOND // 2))
 
     def _warm(self, guest: Guest, machine: Machine) -> bool:
-        return guest.ask.service in machine.kept or any(g.service is guest.service
-                                                        for g in machine.guests.values())
+        service = guest.ask.service
+        return service in machine.kept or any(g.ask.service == service for g in machine.guests.values())
 
     def _allowed(self, guest: Guest, machine: Machine, now: int) -> bool:
         """The rules: what no ranking may go round."""
@@ -543,22 +510,18 @@
             # only when the best of the rest bears a likely loss (three tenths: a first guess).
             empty = [m for m in ready if not m.guests and m.listed.cores_room >= m.size.cores]
             used = [m for m in ready if m not in empty]
-            drain = max(used, default=None,
-                        key=lambda m: (m.listed.cores_room / m.size.cores, m.listed.machine))
+            drain = max(used, key=lambda m: m.listed.cores_room / m.size.cores, default=None)
             steps = [([m for m in used if m is not drain], 0.1), (used, 0.3), (empty[:1] + used, 9.9), *steps]
         pushes = self.deployment.makes_room and guest.product.priority
-        # With the list silent for longer than usual, what it says of room is worth little: guests that
-        # find none by it are offered all the same, at the pace of refusals (full marks and rests).
-        # Guards against a list that is down, slow or old at a start; costs refusals where the fleet is full.
+        # A silent list's room is worth little: guests that find none by it are offered all the same. Guards
+        # against a list that is down, slow or old at a start; costs refusals where the fleet is full.
         silent = now - self.list_heard_at >= 2 * SECOND
         # With most machines looking bad at once, distrust the judgement and go on placing.
         distrust = 2 * sum(m.mute or now < m.avoid_until for m in ready) > len(ready)
-        for way, use in (("shown", True), ("pushed", pushes), ("unknown", silent), ("distrust", distrust)):
-            if not use:
-                continue
+        ways = (("shown", True), ("pushed", pushes), ("unknown", silent), ("distrust", distrust))
+        for way in [way for way, use in ways if use]:
             for field, bears in steps:
-                fit = (m for m in field if self._allowed(guest, m, now)
-                       and self._has_room(guest, m, now, way)
+                fit = (m for m in field if self._allowed(guest, m, now) and self._has_room(guest, m, now, way)
                        and (way == "distrust" or not self._avoided(m, typical, now)))
                 first = list(islice(fit, look))
                 if self.deployment.probing and look < len(ready) and not guest.probed_for:
@@ -576,10 +539,9 @@
         return None
 
     def _order(self, guest: Guest) -> list[Machine]:
-        """The ready machines in an order of the guest's service, the same at all planners: where there are
-        many, only the first that may take the guest are weighed. So planners that know nothing of each other
-        bring a service together where its program runs, and guests of different services do not all meet on
-        the one machine that the late list shows as best."""
+        """The ready machines in an order of the service's own, the same at all planners. Many planners weigh
+        only the first that may take the guest: a service comes together where its program runs, and guests of
+        other services do not all meet on the one machine that the late list shows as best."""
         service = guest.service
         if service.order_of != self.list_version:
             service.order_of = self.list_version
@@ -598,9 +560,7 @@
                                   (others[1] + machine.means[1]) / machine.size.memory)
         known = list(loads.values()) or [(0.5, 0.5)]
         average = tuple(sum(axis) / len(known) for axis in zip(*known, strict=True))
-        for machine in ready:
-            loads.setdefault(machine, average)
-        count = len(loads)
+        loads = {machine: loads.get(machine, average) for machine in ready}
         totals = [sum(l[axis] for l in loads.values()) for axis in (0, 1)]
         squares = [sum(l[axis] ** 2 for l in loads.values()) for axis in (0, 1)]
         weight = guest.service.weight(guest.ask)
@@ -612,17 +572,15 @@
             for axis, size in ((0, machine.size.cores), (1, machine.size.memory)):
                 before = loads[machine][axis]
                 after = before + weight[axis] / size
-                mean = (totals[axis] - before + after) / count
-                spread += sqrt(max(0.0, (squares[axis] - before ** 2 + after ** 2) / count - mean ** 2))
+                mean = (totals[axis] - before + after) / len(loads)
+                spread += sqrt(max(0.0, (squares[axis] - before ** 2 + after ** 2) / len(loads) - mean ** 2))
             overflow = self._overflow(guest, machine, rounds, most, loads[machine])
             expected = overflow + self._late(guest, machine, now)
             scored.append((max(spread, 0.02) * (1 + expected), expected, machine))
         if not scored:
             return None
-        best = min(s[0] for s in scored)
-        near = [s for s in scored if s[0] <= best * TIE]
-        chosen = near[self.random.randrange(len(near))]
-        return chosen[1], chosen[2]
+        near = [s for s in scored if s[0] <= TIE * min(s[0] for s in scored)]
+        return near[self.random.randrange(len(near))][1:]
 
     def _overflow(self, guest: Guest, machine: Machine, rounds: list[tuple[float, float]],
                   most: tuple[float, float], load: tuple[float, float]) -> float:
@@ -652,20 +610,21 @@
 
     def _probe(self, now: int) -> Decision | None:
         if self.to_probe:
-            machine = self.to_probe.pop()
-            machine.probed_at = now
-            return Decision(Step.PROBE, machine=machine.listed.machine)
+            return self._asked(self.to_probe.pop(), now)
         if not self.deployment.probing or now < self.probe_at:
             return None
         for machine in self.machines.values():
             if machine.mute and machine.ready and now >= machine.avoid_until:
                 machine.avoid_until = now + SECOND
-                return Decision(Step.PROBE, machine=machine.listed.machine)
-        heard = [(max(m.reported_at, m.probed_at), n)
-                 for n, m in self.machines.items() if m.ready and not m.mute]
-        if not heard or self.probe_credit < 1 or now - min(heard)[0] <= SECOND:
+                return self._asked(machine, now)
+        # Few planners hear of each machine once a second. Many could not keep up with the fleet.
+        heard = [(max(m.reported_at, m.probed_at), n) for n, m in self.machines.items()
+                 if m.ready and not m.mute and self.deployment.planners <= 8]
+        if not heard or now - min(heard)[0] <= SECOND:
             self.probe_at = now + SECOND // 20  # a look through all machines costs: at most 20 a second
             return None
-        machine = self.machines[min(heard)[1]]
-        machine.probed_at, self.probe_credit = now, self.probe_credit - 1
+        return self._asked(self.machines[min(heard)[1]], now)
+
+    def _asked(self, machine: Machine, now: int) -> Decision:
+        machine.probed_at = now
         return Decision(Step.PROBE, machine=machine.listed.machine)
