Time-outs and start times are learned by product

Guards also against any mix of quick and slow products; a product with no answers yet waits out its patience.

--- a/hazelhold/brain.py
+++ b/hazelhold/brain.py
@@ -6,7 +6,7 @@
 nothing happens. The types that go in and out stand in interface.py.
 """
 
-from collections import deque
+from collections import defaultdict, deque
 from hashlib import blake2b
 from itertools import islice
 from math import sqrt
@@ -142,8 +142,9 @@
         self.waiting: dict[str, Guest] = {}  # held guests, no dispatch out; emptied by dispatch or answer
         self.services: dict[str, Service] = {}  # swept of idle ones
         self.spread: dict[tuple[str, Place, str], int] = {}  # emptied as guests end
-        self.starts = {True: deque(maxlen=50), False: deque(maxlen=50)}  # start times: warm, cold
-        self.answers: deque[int] = deque(maxlen=100)  # answer times of all machines
+        # Start times, warm or cold, and answer times, by product: large guests take many times as long.
+        self.starts: dict[tuple[int, bool], deque[int]] = defaultdict(lambda: deque(maxlen=50))
+        self.answers: dict[int, deque[int]] = defaultdict(lambda: deque(maxlen=100))
         self.seen = [1.0, 1.0, 1.0, 1.0]  # cores and memory that guests use, and their asks: fading sums
         self.no_room: set[tuple] = set()  # shapes that found no machine; emptied as the clock moves
         self.looked_at = self.ask_list_at = self.sweep_at = self.probe_at = self.list_heard_at = 0
@@ -205,7 +206,7 @@
             return
         guest.placed, guest.machine.left = True, None
         guest.machine.answers.append(took)
-        self.answers.append(took)
+        self.answers[guest.ask.product].append(took)
         guest.machine.strikes, guest.machine.mute = 0, False
         if self.deployment.confirms_running:
             self._started(guest, now)
@@ -272,8 +273,6 @@
         if name in self.machines:
             self._reported(self.machines[name], None, share * self.machines[name].size.memory, now)
 
-    # Bookkeeping behind the inputs.
-
     def _known(self, now: int, ask: interface.Ask) -> Guest:
         if now >= self.sweep_at:  # a minute's rest: longer than a service's guests stay away between tries
             self.sweep_at = now + 60 * SECOND
@@ -317,7 +316,7 @@
 
     def _started(self, guest: Guest, now: int) -> None:
         guest.runs = True
-        self.starts[guest.warm].append(int((now - guest.sent_at) / (1 + guest.ahead / 2)))
+        self.starts[guest.ask.product, guest.warm].append(int((now - guest.sent_at) / (1 + guest.ahead / 2)))
 
     def _restarted(self, machine: Machine, at: int) -> None:
         machine.cold_at = max(machine.cold_at, at)
@@ -452,11 +451,11 @@
 
     def _span(self, guest: Guest, now: int) -> int:
         """How long to wait for an answer: well past what machines take, never past the patience."""
-        left = guest.answer_by - now
-        if guest.dispatches + 1 >= self.deployment.max_dispatches or not self.answers:
+        left, seen = guest.answer_by - now, self.answers[guest.ask.product]
+        if guest.dispatches + 1 >= self.deployment.max_dispatches or not seen:
             return left
         # Three times the 95th percentile: what is later than that is seldom still coming.
-        return min(left, max(3 * sorted(self.answers)[int(0.95 * len(self.answers))], SECOND // 2))
+        return min(left, max(3 * sorted(seen)[int(0.95 * len(seen))], SECOND // 2))
 
     def _warm(self, guest: Guest, machine: Machine) -> bool:
         service = guest.ask.service
@@ -598,7 +597,7 @@
     def _late(self, guest: Guest, machine: Machine, now: int) -> float:
         """What waiting for the start costs, in parts of a start in time: the share of recent starts, warm or
         cold as this one, that would miss the goal time here, and the seconds not served until then."""
-        seen = self.starts[self._warm(guest, machine)]
+        seen = self.starts[guest.ask.product, self._warm(guest, machine)]
         if not seen:
             return 0.0
         age = max(0.0, min(1.0, (now - machine.cold_at) / self.deployment.cold_for))
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -194,3 +194,12 @@
     probed = {d.machine for d in asked if d.step is Step.PROBE}
     assert len(probed) >= 3 and not [d for d in asked if d.step is Step.DISPATCH]
     assert decisions(made, 50 * MS)[0].machine in probed
+
+
+def test_large_guests_are_not_timed_out_by_the_answers_of_small_ones() -> None:
+    made = brain("ab")
+    for n in range(20):
+        sent = place(made, n * MS, f"g{n}", cores=0.1)
+        made.dispatch_taken(n * MS, sent.guest, 100 * MS)
+    assert place(made, 30 * MS, "small").span == 500 * MS
+    assert place(made, 30 * MS, "large", 3, cores=8.0).span > 4000 * MS
