--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -1,7 +1,7 @@
 """Small cases, one for each guard and each failure found."""
 
 from hazelhold.interface import Ending, Load, Mode, Remark, Step
-from tests.helpers import MS, ask, brain, decisions, entry
+from tests.helpers import MS, PRODUCTS, ask, brain, decisions, entry
 
 
 def place(made: object, now: int, name: str, product: int = 0, **more: object) -> object:
@@ -203,3 +203,21 @@
         made.dispatch_taken(n * MS, sent.guest, 100 * MS)
     assert place(made, 30 * MS, "small").span == 500 * MS
     assert place(made, 30 * MS, "large", 3, cores=8.0).span > 4000 * MS
+
+
+def test_silent_list_does_not_hold_guests_back() -> None:
+    made = brain("ab")
+    made.machines_listed(0, [entry(name, room=-60.0) for name in "ab"], True)
+    made.guest_arrived(0, ask("g"))
+    assert decisions(made, 1900 * MS) == []
+    assert [d.step for d in decisions(made, 2200 * MS)] == [Step.DISPATCH]
+
+
+def test_higher_priority_counts_lower_guests_as_room_where_machines_push_out() -> None:
+    for makes_room in (True, False):
+        made = brain("a", makes_room=makes_room, products=(PRODUCTS[0], PRODUCTS[0]._replace(priority=1)))
+        place(made, 0, "low")
+        made.dispatch_taken(MS, "low", MS)
+        made.machines_listed(MS, [entry("a", room=-36.0)], False)
+        made.guest_arrived(2 * MS, ask("high", 1))
+        assert bool(decisions(made, 2 * MS)) is makes_room
