--- a/hazelhold/interface.py
+++ b/hazelhold/interface.py
@@ -90,8 +90,6 @@
     slot: int  # this planner's number among them, from 0
     products: tuple[Product, ...]
     kinds: tuple[Kind, ...]
-    customer_cores: tuple[float, ...]
-    over_share_worth: float
     list_is_asked: bool
     ask_within: int
     list_has_room: bool
--- a/hazelhold/simhost.py
+++ b/hazelhold/simhost.py
@@ -131,14 +131,11 @@
     family = "family-info."
     sizes = zip(pairs.items(family + "size-cores"), pairs.items(family + "mem-of-kind"), strict=True)
     asked = pairs.text("discovery") == "ask"
-    tenants = "tenants.count" in pairs.values and int(pairs.number("tenants.count"))
     return Deployment(
         planners=int(pairs.number("balancers")),
         slot=int(pairs.number("slot-no")),
         products=tuple(read_product(pairs, i) for i in range(int(pairs.number("classes.count")))),
         kinds=tuple(Kind(float(cores), float(memory)) for cores, memory in sizes),
-        customer_cores=tuple(float(x) for x in pairs.items(family + "share-cores")) if tenants else (),
-        over_share_worth=pairs.number("over-share-worth") if tenants else 1.0,
         list_is_asked=asked,
         ask_within=pairs.span("rules.ask-within") if asked else 0,
         list_has_room=truth(pairs.text(family + "lists-free")),
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -14,8 +14,8 @@
     PRODUCT._replace(spread=Place.MACHINE),
 )
 DEPLOYMENT = Deployment(
-    planners=1, slot=0, products=PRODUCTS, kinds=(Kind(24.0, 40.0),), customer_cores=(200.0,),
-    over_share_worth=0.1, list_is_asked=True, ask_within=10_000 * MS, list_has_room=True, cores_multiple=2.5,
+    planners=1, slot=0, products=PRODUCTS, kinds=(Kind(24.0, 40.0),),
+    list_is_asked=True, ask_within=10_000 * MS, list_has_room=True, cores_multiple=2.5,
     memory_multiple=1.5, makes_room=False, confirms_running=False, probing=True, reports_count_asked=False,
     max_dispatches=4,
     cold_for=15_000 * MS, cold_from=0.2, cold_window=2000 * MS,
