--- a/hazelhold/brain.py
+++ b/hazelhold/brain.py
@@ -49,6 +49,7 @@
         self.machine: Machine | None = None  # where a dispatch is out, or where it runs
         self.placed = self.runs = self.warm = self.may_run = False
         self.over = self.probed_for = False  # over: answered, with its last dispatch still out
+        self.unwanted = False  # its owner cancelled it
         self.dispatches = self.sent_at = self.ahead = 0  # ahead: own starts before it on the machine
         self.spread_key: tuple[str, Place, str] | None = None
         self.bound: tuple[Place, int] | None = None  # the group that a ticket holds it to
@@ -150,6 +151,7 @@
         self.looked_at = self.ask_list_at = self.sweep_at = self.probe_at = self.list_heard_at = 0
         self.list_version = 0  # counts changes in who is ready
         self.to_probe: list[Machine] = []  # emptied at once by the decisions that follow
+        self.to_call_off: deque[tuple[str, str]] = deque()  # guest and machine; emptied as to_probe
 
     # Inputs: they only update what is known.
 
@@ -182,6 +184,10 @@
 
     def guest_arrived(self, now: int, ask: interface.Ask) -> None:
         guest = self._known(now, ask)
+        if ask.earlier:  # guards against a second run by way of a second ask while the first is unsettled
+            host, group = self.machines.get(ask.earlier.machine), guest.product.group
+            guest.may_run, guest.bound = True, host.place(group) if host else (group, "")
+            guest.window_ends = ask.earlier.sent_at + guest.product.window
         self.guests[ask.guest] = self.waiting[ask.guest] = guest
 
     def guest_found(self, now: int, machine: str, ask: interface.Ask) -> None:
@@ -201,6 +207,23 @@
             if guest.machine is None:
                 self._drop(guest)
 
+    def guest_cancelled(self, now: int, name: str) -> None:
+        """Its owner no longer wants it, held, out or running."""
+        if guest := self.guests.get(name):
+            guest.unwanted = True
+            if guest.machine:
+                self.to_call_off.append((name, guest.machine.listed.machine))
+
+    def copy_stands(self, now: int, machine: str, ask: interface.Ask) -> None:
+        """A machine accepted a dispatch that was given up. Guards against a guest that runs in nobody's
+        hands, and against two copies; a rerunnable copy goes even if the other dispatch is then refused."""
+        held = self.guests.get(ask.guest)
+        rerunnable = self.deployment.products[ask.product].effect is Effect.RERUNNABLE
+        if ask.guest in self.waiting or not held and not rerunnable:
+            self.guest_found(now, machine, ask)
+        elif rerunnable:
+            self.to_call_off.append((ask.guest, machine))
+
     def dispatch_taken(self, now: int, name: str, took: int) -> None:
         if not (guest := self.guests.get(name)) or not guest.machine:
             return
@@ -208,6 +231,8 @@
         guest.machine.answers.append(took)
         self.answers[guest.ask.product].append(took)
         guest.machine.strikes, guest.machine.mute = 0, False
+        if guest.unwanted:  # the call-off crossed with this answer: now it stops what runs
+            self.to_call_off.append((name, guest.machine.listed.machine))
         if self.deployment.confirms_running:
             self._started(guest, now)
 
@@ -394,6 +419,8 @@
 
     def decide(self, now: int) -> Decision | None:
         """The next thing to do at this moment, or None."""
+        if self.to_call_off:
+            return Decision(Step.CALL_OFF, *self.to_call_off.popleft())
         return self._keep_list(now) or self._answer_due(now) or self._place_next(now) or self._probe(now)
 
     def next_look(self, now: int) -> int | None:
@@ -417,7 +444,7 @@
             stuck = guest.may_run and (
                 product.effect is Effect.EXCLUSIVE
                 or product.effect is Effect.TICKETED and now >= guest.window_ends - SECOND // 20)
-            if spent or stuck or now >= guest.answer_by:
+            if spent or stuck or guest.unwanted or now >= guest.answer_by:
                 step = Step.TURN_BACK if guest.may_turn_back() else Step.BREAK_OFF
                 self._drop(guest)
                 return Decision(step, guest.ask.guest)
--- /dev/null
+++ b/hazelhold/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The hazelhold command."""
--- /dev/null
+++ b/hazelhold/config/__init__.py
@@ -0,0 +1,1 @@
+"""Configuration and day files: JSON5, checked whole at load."""
--- /dev/null
+++ b/hazelhold/config/day.py
@@ -0,0 +1,132 @@
+"""A rehearsal's day: fleet, demand, owners and troubles, as a JSON5 file."""
+
+from pathlib import Path
+from typing import Annotated, Literal
+
+from msgspec import Meta, Struct
+
+from hazelhold.config.load import ConfigError, build, parse, read_text
+from hazelhold.config.planner import Estate, Name, Positive, check_estate
+
+Seconds = Annotated[float, Meta(ge=0, le=86_400)]
+Part = Annotated[float, Meta(ge=0, le=1)]
+Few = Annotated[int, Meta(ge=1, le=2000)]
+Range = Annotated[list[Annotated[float, Meta(ge=0, le=1e6)]], Meta(min_length=2, max_length=2)]
+TROUBLES = ("burst", "deploy", "list_down", "flush", "heavy_tail", "hot_service", "mass_restart", "preempt",
+            "vanish", "report_late", "fast_errors", "answer_lost", "ageing", "crash", "zone_cut",
+            "planner_kill",
+            "planner_stop", "reconnect")
+
+
+class Wares(Struct):
+    """How guests of one product come and behave, by the name of the product in the estate."""
+
+    product: Name
+    share: Positive
+    shapes: Annotated[list[Range], Meta(min_length=1)]  # cores and memory that a service's guests ask
+    life_s: Range = [5.0, 20.0]
+    cores_use: Range = [0.4, 0.65]
+    memory_use: Range = [0.55, 0.8]
+    work_ms: Positive = 60.0
+
+
+class Stock(Struct):
+    """Machines of one kind; each range is drawn for each machine."""
+
+    kind: Name
+    count: Few
+    look_ms: Range = [10.0, 40.0]
+    line: Range = [6.0, 32.0]
+    starts: Range = [3.0, 5.0]
+    setup: Range = [7.0, 12.0]
+    kept: Range = [5.0, 12.0]
+    report_ms: Range = [260.0, 690.0]
+
+
+class Roster(Struct):
+    """The list service: how late it is, and how."""
+
+    notice_s: Range = [0.5, 3.0]
+    period_ms: Positive = 500.0
+    answer_ms: Range = [20.0, 300.0]
+
+
+class Demand(Struct):
+    """What owners want."""
+
+    owners: Few = 3
+    rate: Positive = 8.0  # new guests a second, all owners together
+    services: Few = 24
+    cancel_share: Part = 0.02
+    again_ms: Range = [1000.0, 2500.0]
+    until_s: Seconds = 0.0  # no new guests from then on; 0: until the day's length
+
+
+class Trouble(Struct):
+    """Something that goes wrong. `part` is of the machines, `size` depends on the kind."""
+
+    kind: Literal[TROUBLES]
+    at_s: Seconds
+    for_s: Seconds = 5.0
+    part: Part = 0.25
+    size: Annotated[float, Meta(ge=0, le=1000)] = 0.5
+    extra: Seconds = 3.0
+    by: Literal["any", "kind", "cell", "zone"] = "any"
+    which: Annotated[int, Meta(ge=0, le=10_000)] = 0
+
+
+class Day(Struct):
+    """A whole day."""
+
+    name: Name
+    length_s: Annotated[float, Meta(gt=0, le=86_400)]
+    estate: Estate
+    wares: Annotated[list[Wares], Meta(min_length=1)]
+    stock: Annotated[list[Stock], Meta(min_length=1)]
+    planners: Few = 2
+    roster: Roster = Roster()
+    demand: Demand = Demand()
+    troubles: list[Trouble] = []
+    zones: Few = 1
+    cell_size: Few = 4
+    drains: Literal["none", "paced", "at_once"] = "paced"
+    list_asked: bool = True
+    list_has_room: bool = True
+
+
+def check_day(day: Day) -> list[tuple[str, str]]:
+    faults = check_estate(day.estate)
+    products = {p.name for p in day.estate.products}
+    kinds = {k.name for k in day.estate.kinds}
+    for at, wares in enumerate(day.wares):
+        if wares.product not in products:
+            faults.append((f"wares[{at}].product", f"no product is called {wares.product!r}"))
+        for each, shape in enumerate(wares.shapes):
+            if min(shape) <= 0:
+                faults.append((f"wares[{at}].shapes[{each}]", "cores and memory are more than 0"))
+    for at, stock in enumerate(day.stock):
+        if stock.kind not in kinds:
+            faults.append((f"stock[{at}].kind", f"no kind of machine is called {stock.kind!r}"))
+    for at, trouble in enumerate(day.troubles):
+        if trouble.at_s >= day.length_s:
+            faults.append((f"troubles[{at}].at_s", "lies past the end of the day"))
+        if trouble.kind in ("planner_kill", "planner_stop") and trouble.which >= day.planners:
+            faults.append((f"troubles[{at}].which", f"planners are numbered 0 to {day.planners - 1}"))
+        if trouble.kind == "zone_cut" and day.zones < 2:
+            faults.append((f"troubles[{at}].kind", "a cut needs two zones or more"))
+    for where, pair in [(f"{name}[{at}].{key}", getattr(item, key))
+                        for name, items in (("wares", day.wares), ("stock", day.stock))
+                        for at, item in enumerate(items)
+                        for key in item.__struct_fields__ if key != "shapes"
+                        and isinstance(getattr(item, key), list)]:
+        if pair[0] > pair[1]:
+            faults.append((where, f"the range runs backwards: {pair}"))
+    return faults
+
+
+def read_day(path: Path) -> Day:
+    """The checked day in a file; ConfigError names all that is wrong with it."""
+    day = build(Day, parse(read_text(path), str(path)), str(path))
+    if faults := check_day(day):
+        raise ConfigError(str(path), faults)
+    return day
--- /dev/null
+++ b/hazelhold/config/planner.py
@@ -0,0 +1,180 @@
+"""What one planner is told at its start, and what is shared by all planners of a deployment."""
+
+from pathlib import Path
+from typing import Annotated, Literal
+
+from msgspec import Meta, Struct
+
+from hazelhold import interface
+from hazelhold.config.load import ConfigError, build, parse, read_text, split_address
+
+Name = Annotated[str, Meta(min_length=1, max_length=100)]
+Positive = Annotated[float, Meta(gt=0, le=1e9)]
+NotNegative = Annotated[float, Meta(ge=0, le=1e9)]
+Millis = Annotated[float, Meta(gt=0, le=86_400_000)]
+Whole = Annotated[int, Meta(ge=0, le=1 << 31)]
+EFFECTS = {"rerunnable": interface.Effect.RERUNNABLE, "ticketed": interface.Effect.TICKETED,
+           "exclusive": interface.Effect.EXCLUSIVE}
+PLACES = {"nowhere": interface.Place.NOWHERE, "machine": interface.Place.MACHINE,
+          "cell": interface.Place.CELL, "zone": interface.Place.ZONE, "all": interface.Place.ALL}
+
+
+class ProductSheet(Struct, forbid_unknown_fields=True):
+    """One product: what a second run does, what is promised, how it bears crowded cores."""
+
+    name: Name
+    effect: Literal["rerunnable", "ticketed", "exclusive"]
+    goal_ms: Millis
+    patience_ms: Millis
+    payoff: Positive = 1.0
+    start_bonus_s: NotNegative = 8.0
+    late_worth: NotNegative = 0.0
+    priority: Annotated[int, Meta(ge=0, le=3)] = 0
+    easy_until: Positive = 0.8
+    lost_after: Positive = 0.2
+    group: Literal["machine", "cell", "zone", "all"] = "all"
+    window_ms: Millis = 5000.0
+    kind: str = ""
+    spread: Literal["nowhere", "machine", "cell", "zone"] = "nowhere"
+    spread_most: Annotated[int, Meta(ge=1, le=1000)] = 2
+
+
+class KindSheet(Struct):
+    """One kind of machine."""
+
+    name: Name
+    cores: Positive
+    memory: Positive
+
+
+class FleetSheet(Struct):
+    """How the machines of this deployment take guests and what they tell."""
+
+    cores_multiple: Annotated[float, Meta(ge=1, le=100)] = 1.0
+    memory_multiple: Annotated[float, Meta(ge=1, le=100)] = 1.0
+    makes_room: bool = False
+    confirms: Literal["accepted", "running"] = "accepted"
+    reports_count: Literal["used", "asked"] = "used"
+    probing: bool = True
+    max_dispatches: Annotated[int, Meta(ge=1, le=100)] = 4
+    drain_grace_ms: Millis = 250.0
+    cold_for_ms: Millis = 15000.0
+    cold_from: Annotated[float, Meta(gt=0, le=1)] = 0.25
+    cold_window_ms: Millis = 2000.0
+    cold_offers: Positive = 40.0
+    tip_multiple: Positive = 2.5
+    settle_ms: Millis = 3000.0
+    price: NotNegative = 0.0
+
+
+class ListSheet(Struct):
+    """Where the list of machines comes from."""
+
+    address: str
+    asked: bool = True
+    ask_within_ms: Millis = 10000.0
+    has_room: bool = True
+
+
+class LimitSheet(Struct):
+    """Bounds on peers and on time."""
+
+    frame_bytes: Annotated[int, Meta(ge=1024, le=1 << 28)] = 1 << 20
+    hello_ms: Millis = 2000.0
+    connect_ms: Millis = 250.0
+    reconnect_ms: Millis = 2000.0
+    probe_ms: Millis = 250.0
+    idle_close_ms: Millis = 60000.0
+    send_bytes: Annotated[int, Meta(ge=4096, le=1 << 30)] = 1 << 20
+    connections: Annotated[int, Meta(ge=1, le=100_000)] = 4096
+    open_guests: Annotated[int, Meta(ge=1, le=10_000_000)] = 100_000
+    patience_ms: Millis = 600_000.0
+    keep_answers_ms: Millis = 30_000.0
+    stop_ms: Millis = 3000.0
+    batch_ms: Annotated[float, Meta(ge=0, le=1000)] = 2.0
+
+
+class Estate(Struct):
+    """What all planners and stand-ins of a deployment agree on."""
+
+    products: Annotated[list[ProductSheet], Meta(min_length=1)]
+    kinds: Annotated[list[KindSheet], Meta(min_length=1)]
+    fleet: FleetSheet
+    customers: list[Name] = []
+
+
+class PlannerSheet(Struct):
+    """The configuration file of one planner."""
+
+    name: Name
+    listen: str
+    list: ListSheet
+    estate: Estate
+    slot: Whole = 0
+    planners: Annotated[int, Meta(ge=1, le=100_000)] = 1
+    seed: Whole = 0
+    limits: LimitSheet = LimitSheet()
+
+
+def micros(millis: float) -> int:
+    return round(millis * 1000)
+
+
+def check_estate(estate: Estate, place: str = "estate") -> list[tuple[str, str]]:
+    """What is wrong with an estate as a whole: names twice, times that contradict one another."""
+    faults = []
+    for field, names in (("products", [p.name for p in estate.products]),
+                         ("kinds", [k.name for k in estate.kinds]), ("customers", estate.customers)):
+        faults += [(f"{place}.{field}[{at}]", f"the name {name!r} is there twice")
+                   for at, name in enumerate(names) if name in names[:at]]
+    kinds = {k.name for k in estate.kinds}
+    for at, product in enumerate(estate.products):
+        here = f"{place}.products[{at}]"
+        if product.goal_ms > product.patience_ms:
+            faults.append((f"{here}.goal_ms", "the goal time lies past the patience"))
+        if product.kind and product.kind not in kinds:
+            faults.append((f"{here}.kind", f"no kind of machine is called {product.kind!r}"))
+    return faults
+
+
+def check_planner(sheet: PlannerSheet) -> list[tuple[str, str]]:
+    faults = check_estate(sheet.estate)
+    for place, text in (("listen", sheet.listen), ("list.address", sheet.list.address)):
+        try:
+            split_address(text)
+        except ValueError as wrong:
+            faults.append((place, str(wrong)))
+    if sheet.slot >= sheet.planners:
+        faults.append(("slot", f"planner {sheet.slot} of {sheet.planners}: slots count from 0"))
+    if sheet.limits.stop_ms > 60_000:
+        faults.append(("limits.stop_ms", "a stop takes a minute at most"))
+    return faults
+
+
+def read_planner(path: Path) -> PlannerSheet:
+    """The checked configuration in a file; ConfigError names all that is wrong with it."""
+    sheet = build(PlannerSheet, parse(read_text(path), str(path)), str(path))
+    if faults := check_planner(sheet):
+        raise ConfigError(str(path), faults)
+    return sheet
+
+
+def deployment(sheet: PlannerSheet) -> interface.Deployment:
+    """The start facts for the module."""
+    estate, fleet = sheet.estate, sheet.estate.fleet
+    kinds = [k.name for k in estate.kinds]
+    products = tuple(interface.Product(
+        effect=EFFECTS[p.effect], group=PLACES[p.group], window=micros(p.window_ms),
+        goal_time=micros(p.goal_ms), payoff=p.payoff, start_bonus=p.start_bonus_s, priority=p.priority,
+        easy_until=p.easy_until, lost_after=p.lost_after, kind=kinds.index(p.kind) if p.kind else -1,
+        spread=PLACES[p.spread], spread_most=p.spread_most) for p in estate.products)
+    return interface.Deployment(
+        planners=sheet.planners, slot=sheet.slot, products=products,
+        kinds=tuple(interface.Kind(k.cores, k.memory) for k in estate.kinds),
+        list_is_asked=sheet.list.asked, ask_within=micros(sheet.list.ask_within_ms),
+        list_has_room=sheet.list.has_room, cores_multiple=fleet.cores_multiple,
+        memory_multiple=fleet.memory_multiple, makes_room=fleet.makes_room,
+        confirms_running=fleet.confirms == "running", probing=fleet.probing,
+        reports_count_asked=fleet.reports_count == "asked", max_dispatches=fleet.max_dispatches,
+        cold_for=micros(fleet.cold_for_ms), cold_from=fleet.cold_from,
+        cold_window=micros(fleet.cold_window_ms), cold_offers=fleet.cold_offers, fleet_price=fleet.price)
--- a/hazelhold/interface.py
+++ b/hazelhold/interface.py
@@ -128,6 +128,13 @@
     busy: float | None
 
 
+class Earlier(NamedTuple):
+    """A dispatch of an earlier ask of a guest whose fate is not known."""
+
+    machine: str
+    sent_at: int
+
+
 class Ask(NamedTuple):
     """A guest as its owner describes it."""
 
@@ -138,6 +145,7 @@
     cores: float
     memory: float
     patience: int
+    earlier: Earlier | None = None
 
 
 class Step(Enum):
@@ -146,6 +154,7 @@
     DISPATCH = "offer the guest to the machine, for at most the span"
     TURN_BACK = "final answer: no, and trying again is harmless"
     BREAK_OFF = "final answer: failed, with no promise"
+    CALL_OFF = "take the dispatch back, or stop the guest, on the machine"
     PROBE = "ask the machine for its report"
     FOLLOW_LIST = "subscribe to changes of the list"
 
--- /dev/null
+++ b/hazelhold/protocol/__init__.py
@@ -0,0 +1,1 @@
+"""The messages between owners, planners, machines and the list service, and their frames."""
--- /dev/null
+++ b/hazelhold/protocol/messages.py
@@ -0,0 +1,340 @@
+"""Every message of the protocol as a typed structure, and the codec for each direction.
+
+Times are spans in whole microseconds, never moments: no two clocks need to agree. Cores and memory are in the
+units of the configuration. Fields that are not known are passed over; types that are not known are refused by
+name. docs/protocol.md tells who sends what, and when.
+"""
+
+from typing import Annotated, Any, Literal
+
+import msgspec
+from msgspec import Meta, Struct
+
+from hazelhold.protocol.frames import FrameError, frame
+
+VERSION = 1
+Id = Annotated[str, Meta(min_length=1, max_length=200)]
+Span = Annotated[int, Meta(ge=0, le=1 << 53)]
+Count = Annotated[int, Meta(ge=0, le=1 << 31)]
+Amount = Annotated[float, Meta(gt=0, le=1e9)]
+Room = Annotated[float, Meta(ge=-1e9, le=1e9)]
+Share = Annotated[float, Meta(ge=0, le=1e3)]
+
+
+class Message(Struct, tag_field="t", omit_defaults=True, kw_only=True):
+    """What all messages have in common: their type stands in the field `t`."""
+
+
+class Named(Message, kw_only=True):
+    """A message about one ask of one guest: `ask` counts the times that its owner has asked, from 0."""
+
+    guest: Id
+    ask: Count = 0
+
+
+class Offered(Named, kw_only=True):
+    """A message about one dispatch of a guest; `attempt` counts the dispatches of this ask, from 0."""
+
+    attempt: Count = 0
+
+
+class Load(Struct, omit_defaults=True):
+    """A machine's report; None where it does not say."""
+
+    cores_free: Room | None = None
+    memory_free: Room | None = None
+    busy: Share | None = None
+
+
+# First words, last words.
+
+
+class Hello(Message, tag="hello", kw_only=True):
+    """First on every connection, from the side that dials."""
+
+    role: Literal["owner", "planner"]
+    name: Id
+    version: int = VERSION
+
+
+class Welcome(Message, tag="welcome", kw_only=True):
+    """Answers a Hello. A machine adds which of its lives this is and how long it has been up."""
+
+    name: Id
+    version: int = VERSION
+    incarnation: Count = 0
+    up_for: Span = 0
+
+
+class Fault(Message, tag="fault", kw_only=True):
+    """The last message before the sender closes a connection that broke the protocol or a limit."""
+
+    code: str
+    text: str = ""
+
+
+class Bye(Message, tag="bye", kw_only=True):
+    """The sender stops in good order."""
+
+    reason: str = ""
+
+
+# Owners and planners.
+
+
+class Submit(Named, tag="submit", kw_only=True):
+    """Asks for a guest to be placed within `patience`; `life` is how long it will still run."""
+
+    product: Id
+    service: Id
+    cores: Amount
+    memory: Amount
+    patience: Span
+    customer: str = ""
+    life: Span = 0
+    reason: str = ""  # of a repeat: turned_back, broken_off, lost, unanswered
+
+
+class Cancel(Named, tag="cancel", kw_only=True):
+    """The owner no longer wants the guest, wherever it is."""
+
+
+class Query(Named, tag="query", kw_only=True):
+    """Asks how things stand with a guest."""
+
+
+class Held(Named, tag="held", kw_only=True):
+    """The planner has taken the ask."""
+
+
+class Rejected(Named, tag="rejected", kw_only=True):
+    """The planner has not taken the ask: it is malformed, or the planner is full or stopping."""
+
+    code: str
+    text: str = ""
+
+
+class Placed(Named, tag="placed", kw_only=True):
+    """Final answer: the guest was accepted by a machine, or runs there."""
+
+    machine: Id
+
+
+class TurnedBack(Named, tag="turned_back", kw_only=True):
+    """Final answer: no, and trying again is harmless."""
+
+    reason: str = ""
+    again_after: Span = 0
+
+
+class BrokenOff(Named, tag="broken_off", kw_only=True):
+    """Final answer: failed, with no promise."""
+
+    reason: str = ""
+
+
+class GuestEnded(Named, tag="guest_ended", kw_only=True):
+    """A placed guest's end: done, error, evicted, pushed_out, sent_away, stopped or lost."""
+
+    how: str
+    machine: str = ""
+
+
+class State(Named, tag="state", kw_only=True):
+    """Answers a Query: held, out, running, turned_back, broken_off, ended or unknown."""
+
+    state: str
+    machine: str = ""
+
+
+# Planners and machines.
+
+
+class Offer(Offered, tag="offer", kw_only=True):
+    """Offers a guest to a machine, which answers Taken or Refused."""
+
+    product: Id
+    service: Id
+    cores: Amount
+    memory: Amount
+    customer: str = ""
+    owner: str = ""
+    life: Span = 0
+
+
+class Withdraw(Offered, tag="withdraw", kw_only=True):
+    """Takes an offer back. Not yet accepted: handed back as Ended withdrawn. Accepted: it stands."""
+
+
+class Stop(Offered, tag="stop", kw_only=True):
+    """Stops an accepted guest."""
+
+
+class Probe(Message, tag="probe", kw_only=True):
+    """Asks for a Report with the same number."""
+
+    number: Count
+
+
+class Roll(Message, tag="roll", kw_only=True):
+    """Asks for all that the machine has of this planner; answered by Running."""
+
+
+class Taken(Offered, tag="taken", kw_only=True):
+    """The machine accepted the guest, or it runs, as the deployment confirms."""
+
+    load: Load | None = None
+
+
+class Refused(Offered, tag="refused", kw_only=True):
+    """The machine does not take the guest; it never ran."""
+
+    remark: str  # no_cores, no_memory, line_full, not_here
+    load: Load | None = None
+
+
+class Started(Offered, tag="started", kw_only=True):
+    """The guest runs."""
+
+
+class Use(Offered, tag="use", kw_only=True):
+    """What a running guest uses now."""
+
+    cores: Room
+    memory: Room
+
+
+class Served(Offered, tag="served", kw_only=True):
+    """The share of full service that a guest gets."""
+
+    share: Share
+
+
+class Pressed(Message, tag="pressed", kw_only=True):
+    """The share of the machine's memory in use."""
+
+    share: Share
+
+
+class Ended(Offered, tag="ended", kw_only=True):
+    """The end of a guest: done, error, evicted, pushed_out, sent_away, stopped; or withdrawn: it never ran.
+
+    `ran` and `served` are how long it ran, and how much full service that was worth.
+    """
+
+    how: str
+    load: Load | None = None
+    ran: Span = 0
+    served: Span = 0
+
+
+class Report(Message, tag="report", kw_only=True):
+    """Answers a Probe."""
+
+    number: Count
+    load: Load | None = None
+
+
+class Stand(Struct, omit_defaults=True):
+    """One guest in a Running: line, accepted, runs, or ended with how."""
+
+    guest: Id
+    ask: Count
+    attempt: Count
+    state: Literal["line", "accepted", "runs", "ended"]
+    product: Id
+    service: Id
+    cores: Amount
+    memory: Amount
+    customer: str = ""
+    owner: str = ""
+    how: str = ""
+
+
+class Running(Message, tag="running", kw_only=True):
+    """All that a machine has of a planner, with the ends that it may have missed. `complete` is false if some
+    ends are forgotten; only a complete one proves that an offer never arrived."""
+
+    guests: list[Stand]
+    complete: bool = True
+
+
+# Planners and the list service.
+
+
+class Watch(Message, tag="watch", kw_only=True):
+    """Asks for the list from a version on, and for its changes."""
+
+    since: Count = 0
+
+
+class Entry(Struct, omit_defaults=True):
+    """One machine as the list has it."""
+
+    machine: Id
+    address: str
+    mode: Literal["ready", "cordoned", "gone"]
+    kind: Id
+    incarnation: Count = 0
+    up_for: Span | None = None
+    zone: Count = 0
+    cell: Count = 0
+    cores_room: Room = 0.0
+    memory_room: Room = 0.0
+
+
+class Listing(Message, tag="listing", kw_only=True):
+    """The whole list, or the entries that changed."""
+
+    version: Count
+    whole: bool
+    entries: list[Entry]
+
+
+class ListRefused(Message, tag="list_refused", kw_only=True):
+    """The list service cannot answer now."""
+
+    reason: str = ""
+
+
+FROM_OWNER = Hello | Submit | Cancel | Query | Bye
+TO_OWNER = Welcome | Held | Rejected | Placed | TurnedBack | BrokenOff | GuestEnded | State | Fault | Bye
+TO_MACHINE = Hello | Offer | Withdraw | Stop | Probe | Roll | Bye
+FROM_MACHINE = (Welcome | Taken | Refused | Started | Use | Served | Pressed | Ended | Report | Running
+                | Fault | Bye)
+TO_LIST = Hello | Watch | Bye
+FROM_LIST = Welcome | Listing | ListRefused | Fault | Bye
+
+ENCODER = msgspec.msgpack.Encoder()
+
+
+def encode(message: Message) -> bytes:
+    """The message as a frame, ready to send."""
+    return frame(ENCODER.encode(message))
+
+
+class Codec:
+    """Reads the bodies of frames of one direction."""
+
+    def __init__(self, union: Any) -> None:  # noqa: ANN401 - a union of Message types
+        self.decoder = msgspec.msgpack.Decoder(union)
+        self.tags = {kind.__struct_config__.tag for kind in union.__args__}
+
+    def decode(self, body: bytes) -> Message:
+        """The message in a frame's body; FrameError names what is wrong with it."""
+        try:
+            return self.decoder.decode(body)
+        except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as wrong:
+            raise self._named(body, wrong) from None
+
+    def _named(self, body: bytes, wrong: Exception) -> FrameError:
+        try:
+            raw = msgspec.msgpack.decode(body)
+        except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError):
+            return FrameError("not_msgpack", str(wrong))
+        tag = raw.get("t") if isinstance(raw, dict) else None
+        if not isinstance(tag, str):
+            return FrameError("no_type", "the message has no type")
+        if tag not in self.tags:
+            return FrameError("unknown_type", f"messages of type {tag[:60]!r} are not known here")
+        return FrameError("bad_message", f"{tag}: {wrong}")
--- /dev/null
+++ b/hazelhold/service/__init__.py
@@ -0,0 +1,1 @@
+"""The planner as a process: trio, connections, timers, logs."""
