--- /dev/null
+++ b/hazelhold/__main__.py
@@ -0,0 +1,3 @@
+from hazelhold.cli.main import main
+
+main()
--- /dev/null
+++ b/hazelhold/cli/main.py
@@ -0,0 +1,201 @@
+"""The hazelhold command: every part of the program is started from here."""
+
+import json
+import sys
+import tempfile
+import traceback
+from collections.abc import Callable
+from functools import wraps
+from pathlib import Path
+from typing import Any
+
+import click
+
+from hazelhold.cli import logs
+from hazelhold.config.day import read_day
+from hazelhold.config.load import ConfigError
+from hazelhold.config.planner import read_planner
+from hazelhold.protocol.record import RecordError
+
+FILE = click.Path(dir_okay=False, path_type=Path)
+
+
+def honest(command: Callable[..., None]) -> Callable[..., None]:
+    """What is wrong with a file or an address is said in a line and ends with 2, never with a traceback."""
+    @wraps(command)
+    def run(*args: Any, **kwargs: Any) -> None:  # noqa: ANN401 - as click calls it
+        try:
+            command(*args, **kwargs)
+        except (ConfigError, RecordError) as wrong:
+            click.echo(str(wrong), err=True)
+            sys.exit(2)
+        except OSError as wrong:
+            click.echo(f"{wrong.filename or 'network'}: {wrong.strerror or wrong}", err=True)
+            sys.exit(2)
+        except BaseExceptionGroup as group:
+            faults = list(leaves(group))
+            if any(isinstance(f, KeyboardInterrupt) for f in faults):
+                sys.exit(130)
+            if not all(isinstance(f, OSError | ConfigError) for f in faults):
+                traceback.print_exc()
+            for fault in faults:
+                click.echo(f"{type(fault).__name__}: {fault}", err=True)
+            sys.exit(2)
+    return run
+
+
+def leaves(group: BaseException) -> list[BaseException]:
+    if not isinstance(group, BaseExceptionGroup):
+        return [group]
+    return [leaf for each in group.exceptions for leaf in leaves(each)]
+
+
+def log_options(command: Callable[..., None]) -> Callable[..., None]:
+    command = click.option("--log", type=click.Choice(["human", "json"]), default="human")(command)
+    return click.option("--level", type=click.Choice(["debug", "info", "warning", "error"]),
+                        default="info")(command)
+
+
+@click.group(context_settings={"help_option_names": ["-h", "--help"]})
+@click.version_option(package_name="hazelhold", message="%(version)s")
+def main() -> None:
+    """Places long-lived guests on a cluster's machines."""
+
+
+@main.command("planner")
+@click.option("--config", type=FILE, required=True, help="The planner's configuration, JSON5.")
+@click.option("--seed", type=int, default=None, help="In place of the configuration's.")
+@click.option("--record", type=FILE, default=None, help="Append every frame to this file.")
+@click.option("--ready", is_flag=True, help="Print the address to standard output once up.")
+@log_options
+@honest
+def planner(config: Path, seed: int | None, record: Path | None, ready: bool, log: str, level: str) -> None:
+    """Run one planner until SIGTERM or SIGINT."""
+    import signal
+
+    import trio
+
+    from hazelhold.protocol.record import Recorder
+    from hazelhold.service.net import TcpNet
+    from hazelhold.service.planner import Planner
+
+    sheet = read_planner(config)
+    logs.set_up(log, level)
+    if record:
+        record.parent.mkdir(parents=True, exist_ok=True)
+    recorder = Recorder(record, sheet.name, "planner")
+
+    async def run() -> None:
+        made = Planner(sheet, sheet.seed if seed is None else seed, TcpNet(), recorder)
+        with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+            async with trio.open_nursery() as nursery:
+                async def listen() -> None:
+                    async for _ in signals:
+                        made.stop()
+
+                nursery.start_soon(listen)
+
+                async def serve(task_status: trio.TaskStatus = trio.TASK_STATUS_IGNORED) -> None:
+                    await made.run(task_status=task_status)
+                    nursery.cancel_scope.cancel()
+
+                address = await nursery.start(serve)
+                if ready:
+                    print(address, flush=True)
+
+    trio.run(run)
+    recorder.close()
+
+
+@main.command("check-config")
+@click.argument("files", type=FILE, nargs=-1, required=True)
+@honest
+def check_config(files: tuple[Path, ...]) -> None:
+    """Check planner configurations and day files; says all that is wrong with them."""
+    from hazelhold.config.load import parse, read_text
+
+    wrong = []
+    for file in files:
+        try:
+            value = parse(read_text(file), str(file))
+            if isinstance(value, dict) and "length_s" in value:
+                read_day(file)
+                click.echo(f"{file}: a sound day")
+            else:
+                read_planner(file)
+                click.echo(f"{file}: a sound planner configuration")
+        except ConfigError as fault:
+            wrong.append(str(fault))
+    if wrong:
+        click.echo("\n".join(wrong), err=True)
+        sys.exit(2)
+
+
+@main.command("rehearse")
+@click.argument("day", type=FILE)
+@click.option("--seed", type=int, default=1, show_default=True)
+@click.option("--report", "to", type=FILE, default=None, help="Write the report there, as JSON.")
+@click.option("--records", type=click.Path(file_okay=False, path_type=Path), default=None,
+              help="Keep all frames and logs in this new folder.")
+@click.option("--virtual", is_flag=True, help="In memory and virtual time: no sockets, no processes.")
+@log_options
+@honest
+def rehearse(day: Path, seed: int, to: Path | None, records: Path | None, virtual: bool, log: str,
+             level: str) -> None:
+    """Play a day with planners, stand-ins and troubles, then audit it.
+
+    Exits with 0 only if no rule was broken and every guest is accounted for.
+    """
+    import trio
+
+    from hazelhold.rehearse import run
+
+    sheet = read_day(day)
+    logs.set_up(log, "warning" if level == "info" else level)
+    with tempfile.TemporaryDirectory(prefix="hazelhold-") as spare:
+        folder = records or Path(spare)
+        folder.mkdir(parents=True, exist_ok=True)
+        if any(folder.iterdir()):
+            raise ConfigError(str(folder), [("records", "the folder is not empty")])
+        if virtual:
+            said = run.play_virtual(sheet, seed, folder)
+        else:
+            said = trio.run(run.play, sheet, seed, folder, False)
+    if to:
+        to.write_text(json.dumps(said, indent=1) + "\n")
+    show(said)
+    sys.exit(1 if said["rules_broken"] or said["unaccounted"] else 0)
+
+
+@main.command("audit")
+@click.argument("record", type=click.Path(path_type=Path))
+@click.option("--report", "to", type=FILE, default=None, help="Write the report there, as JSON.")
+@honest
+def audit(record: Path, to: Path | None) -> None:
+    """Judge a stored record of frames, a file or a folder of them."""
+    from hazelhold.rehearse.run import report
+
+    said = report(record, record.name, 0, 0.0, {})
+    if to:
+        to.write_text(json.dumps(said, indent=1) + "\n")
+    show(said)
+    sys.exit(1 if said["rules_broken"] or said["unaccounted"] else 0)
+
+
+def show(said: dict[str, Any]) -> None:
+    """A report for people."""
+    counts, service = said["counts"], said["service"]
+    click.echo(f"{said['day']}, seed {said['seed']}, {said['seconds']} s")
+    click.echo(f"  guests {service['guests']}, asks taken {counts.get('taken', 0)}: placed "
+               f"{counts.get('placed', 0)}, turned back {counts.get('turned_back', 0)}, broken off "
+               f"{counts.get('broken_off', 0)}, unanswered {counts.get('unanswered', 0)}, died with their "
+               f"planner {counts.get('died_with_planner', 0)}")
+    click.echo(f"  dispatches {counts.get('dispatches', 0)}, starts {counts.get('starts', 0)}")
+    click.echo("  service " + ", ".join(f"{key} {value}" for key, value in service.items() if key !=
+    "guests"))
+    click.echo(f"  rules broken: {len(said['rules_broken'])}")
+    for breach in said["rules_broken"][:20]:
+        click.echo(f"    rule {breach['rule']}: {breach['what']} (guest {breach['guest'] or '-'}, planner "
+                   f"{breach['planner'] or '-'}, machine {breach['machine'] or '-'}, at {breach['at']})")
+    if said["unaccounted"]:
+        click.echo(f"  unaccounted: {', '.join(said['unaccounted'][:20])}")
--- a/hazelhold/config/day.py
+++ b/hazelhold/config/day.py
@@ -11,58 +11,59 @@
 Seconds = Annotated[float, Meta(ge=0, le=86_400)]
 Part = Annotated[float, Meta(ge=0, le=1)]
 Few = Annotated[int, Meta(ge=1, le=2000)]
-Range = Annotated[list[Annotated[float, Meta(ge=0, le=1e6)]], Meta(min_length=2, max_length=2)]
+Bound = Annotated[float, Meta(ge=0, le=1e6)]
+Range = tuple[Bound, Bound]
 TROUBLES = ("burst", "deploy", "list_down", "flush", "heavy_tail", "hot_service", "mass_restart", "preempt",
             "vanish", "report_late", "fast_errors", "answer_lost", "ageing", "crash", "zone_cut",
             "planner_kill",
             "planner_stop", "reconnect")
 
 
-class Wares(Struct):
+class Wares(Struct, frozen=True):
     """How guests of one product come and behave, by the name of the product in the estate."""
 
     product: Name
     share: Positive
     shapes: Annotated[list[Range], Meta(min_length=1)]  # cores and memory that a service's guests ask
-    life_s: Range = [5.0, 20.0]
-    cores_use: Range = [0.4, 0.65]
-    memory_use: Range = [0.55, 0.8]
+    life_s: Range = (5.0, 20.0)
+    cores_use: Range = (0.4, 0.65)
+    memory_use: Range = (0.55, 0.8)
     work_ms: Positive = 60.0
 
 
-class Stock(Struct):
+class Stock(Struct, frozen=True):
     """Machines of one kind; each range is drawn for each machine."""
 
     kind: Name
     count: Few
-    look_ms: Range = [10.0, 40.0]
-    line: Range = [6.0, 32.0]
-    starts: Range = [3.0, 5.0]
-    setup: Range = [7.0, 12.0]
-    kept: Range = [5.0, 12.0]
-    report_ms: Range = [260.0, 690.0]
+    look_ms: Range = (10.0, 40.0)
+    line: Range = (6.0, 32.0)
+    starts: Range = (3.0, 5.0)
+    setup: Range = (7.0, 12.0)
+    kept: Range = (5.0, 12.0)
+    report_ms: Range = (260.0, 690.0)
 
 
-class Roster(Struct):
+class Roster(Struct, frozen=True):
     """The list service: how late it is, and how."""
 
-    notice_s: Range = [0.5, 3.0]
+    notice_s: Range = (0.5, 3.0)
     period_ms: Positive = 500.0
-    answer_ms: Range = [20.0, 300.0]
+    answer_ms: Range = (20.0, 300.0)
 
 
-class Demand(Struct):
+class Demand(Struct, frozen=True):
     """What owners want."""
 
     owners: Few = 3
     rate: Positive = 8.0  # new guests a second, all owners together
     services: Few = 24
     cancel_share: Part = 0.02
-    again_ms: Range = [1000.0, 2500.0]
+    again_ms: Range = (1000.0, 2500.0)
     until_s: Seconds = 0.0  # no new guests from then on; 0: until the day's length
 
 
-class Trouble(Struct):
+class Trouble(Struct, frozen=True):
     """Something that goes wrong. `part` is of the machines, `size` depends on the kind."""
 
     kind: Literal[TROUBLES]
@@ -75,7 +76,7 @@
     which: Annotated[int, Meta(ge=0, le=10_000)] = 0
 
 
-class Day(Struct):
+class Day(Struct, frozen=True):
     """A whole day."""
 
     name: Name
@@ -92,6 +93,7 @@
     drains: Literal["none", "paced", "at_once"] = "paced"
     list_asked: bool = True
     list_has_room: bool = True
+    weights: tuple[Part, Part, Part, Part] = (0.3, 0.4, 0.2, 0.1)
 
 
 def check_day(day: Day) -> list[tuple[str, str]]:
@@ -118,7 +120,7 @@
                         for name, items in (("wares", day.wares), ("stock", day.stock))
                         for at, item in enumerate(items)
                         for key in item.__struct_fields__ if key != "shapes"
-                        and isinstance(getattr(item, key), list)]:
+                        and isinstance(getattr(item, key), tuple)]:
         if pair[0] > pair[1]:
             faults.append((where, f"the range runs backwards: {pair}"))
     return faults
--- a/hazelhold/config/planner.py
+++ b/hazelhold/config/planner.py
@@ -19,7 +19,7 @@
           "cell": interface.Place.CELL, "zone": interface.Place.ZONE, "all": interface.Place.ALL}
 
 
-class ProductSheet(Struct, forbid_unknown_fields=True):
+class ProductSheet(Struct, frozen=True):
     """One product: what a second run does, what is promised, how it bears crowded cores."""
 
     name: Name
@@ -39,7 +39,7 @@
     spread_most: Annotated[int, Meta(ge=1, le=1000)] = 2
 
 
-class KindSheet(Struct):
+class KindSheet(Struct, frozen=True):
     """One kind of machine."""
 
     name: Name
@@ -47,7 +47,7 @@
     memory: Positive
 
 
-class FleetSheet(Struct):
+class FleetSheet(Struct, frozen=True):
     """How the machines of this deployment take guests and what they tell."""
 
     cores_multiple: Annotated[float, Meta(ge=1, le=100)] = 1.0
@@ -67,7 +67,7 @@
     price: NotNegative = 0.0
 
 
-class ListSheet(Struct):
+class ListSheet(Struct, frozen=True):
     """Where the list of machines comes from."""
 
     address: str
@@ -76,7 +76,7 @@
     has_room: bool = True
 
 
-class LimitSheet(Struct):
+class LimitSheet(Struct, frozen=True):
     """Bounds on peers and on time."""
 
     frame_bytes: Annotated[int, Meta(ge=1024, le=1 << 28)] = 1 << 20
@@ -94,7 +94,7 @@
     batch_ms: Annotated[float, Meta(ge=0, le=1000)] = 2.0
 
 
-class Estate(Struct):
+class Estate(Struct, frozen=True):
     """What all planners and stand-ins of a deployment agree on."""
 
     products: Annotated[list[ProductSheet], Meta(min_length=1)]
@@ -103,7 +103,7 @@
     customers: list[Name] = []
 
 
-class PlannerSheet(Struct):
+class PlannerSheet(Struct, frozen=True):
     """The configuration file of one planner."""
 
     name: Name
--- /dev/null
+++ b/hazelhold/engine/machines.py
@@ -0,0 +1,96 @@
+"""What the engine keeps of machines: the list as it was told, and the state of each connection."""
+
+from dataclasses import dataclass, field
+
+from hazelhold.interface import Listed, Mode
+from hazelhold.protocol.messages import Entry, Listing
+
+MODES = {"ready": Mode.READY, "cordoned": Mode.CORDONED, "gone": Mode.GONE}
+
+
+@dataclass
+class Fellow:
+    """One machine of the list. `started` is on the planner's clock, fixed once for each life of the
+    machine, so
+    that neither a machine's clock nor a late list makes a life look new."""
+
+    name: str
+    address: str
+    mode: Mode
+    incarnation: int
+    started: int
+
+
+@dataclass
+class Link:
+    """The connection to one machine."""
+
+    machine: str
+    state: str = "down"  # down, dialling, up
+    rolled: bool = False  # the machine has told what it holds; nothing is offered before
+    incarnation: int = 0
+    before: int = 0  # the life it was in when it last spoke
+    queue: dict[str, None] = field(default_factory=dict)  # cases whose offer waits for the link
+    holds: dict[str, None] = field(default_factory=dict)  # cases out or placed there
+    lost_at: int = 0  # when it broke with something on it; 0: it did not
+    dial_at: int = 0
+    dial_due: int = 0
+    roll_due: int = 0
+    used_at: int = 0
+
+
+@dataclass
+class News:
+    """What a listing changed."""
+
+    listed: list[Listed] = field(default_factory=list)
+    fresh: list[str] = field(default_factory=list)  # machines not known before, or in a new life
+    moved: list[str] = field(default_factory=list)  # with another address
+    closed: list[str] = field(default_factory=list)  # that take nothing new any more
+    gone: list[str] = field(default_factory=list)
+    faults: list[str] = field(default_factory=list)  # entries that cannot be used, and why
+
+
+class Roster:
+    """The machines as the list has them; emptied as machines leave it."""
+
+    def __init__(self, kinds: dict[str, int]) -> None:
+        self.kinds = kinds
+        self.fellows: dict[str, Fellow] = {}
+
+    def learn(self, now: int, listing: Listing) -> News:
+        news = News()
+        for entry in listing.entries:
+            if entry.kind not in self.kinds:
+                news.faults.append(f"{entry.machine}: no kind is called {entry.kind!r}")
+                continue
+            self._entry(now, entry, news)
+        if listing.whole:
+            named = {entry.machine for entry in listing.entries}
+            for name in [n for n in self.fellows if n not in named]:
+                news.closed.append(name)
+                news.gone.append(name)
+                del self.fellows[name]
+        return news
+
+    def _entry(self, now: int, entry: Entry, news: News) -> None:
+        old = self.fellows.get(entry.machine)
+        mode = MODES[entry.mode]
+        started = 0
+        if old and old.incarnation == entry.incarnation:
+            started = old.started
+        elif entry.up_for is not None:
+            started = max(1, now - entry.up_for)
+        news.listed.append(Listed(entry.machine, mode, started, entry.zone, entry.cell,
+                                  self.kinds[entry.kind], entry.cores_room, entry.memory_room))
+        if mode is not Mode.READY and (not old or old.mode is Mode.READY):
+            news.closed.append(entry.machine)
+        if mode is Mode.GONE:
+            news.gone.append(entry.machine)
+            self.fellows.pop(entry.machine, None)
+            return
+        if not old or old.incarnation != entry.incarnation:
+            news.fresh.append(entry.machine)
+        elif old.address != entry.address:
+            news.moved.append(entry.machine)
+        self.fellows[entry.machine] = Fellow(entry.machine, entry.address, mode, entry.incarnation, started)
--- a/hazelhold/model/machine.py
+++ b/hazelhold/model/machine.py
@@ -107,6 +107,7 @@
     report_delay: int = 0
     use_factor: float = 1.0
     heavy: dict[str, tuple[float, float]] = field(default_factory=dict)  # product: share of guests, factor
+    hot: set[str] = field(default_factory=set)  # services whose guests use all the cores that they may
 
 
 class Machine:
@@ -462,6 +463,8 @@
         share, factor = ills.heavy.get(offer.product, (0.0, 1.0))
         if Random(offer.guest).random() < share:
             guest.swing *= factor
+        if offer.service in ills.hot:
+            guest.swing *= 4
         level = guest.level * guest.swing * ills.use_factor
         guest.cores = offer.cores * min(trade.cap, trade.cores_use * level)
         guest.memory = offer.memory * min(1.6, trade.memory_use * level ** 0.5)
--- /dev/null
+++ b/hazelhold/rehearse/crew.py
@@ -0,0 +1,114 @@
+"""Starts, kills and stops the planners of a rehearsal: as processes of their own, or inside this one."""
+
+import signal
+import subprocess
+import sys
+from pathlib import Path
+from typing import Protocol
+
+import msgspec
+import trio
+
+from hazelhold.config.planner import PlannerSheet
+from hazelhold.protocol.record import Recorder
+from hazelhold.service.net import Net
+from hazelhold.service.planner import Planner
+
+
+class Crew(Protocol):
+    """What a rehearsal asks of whoever runs its planners; planners are numbered from 0."""
+
+    async def start(self, number: int) -> None: ...
+
+    async def kill(self, number: int) -> None: ...
+
+    async def stop(self, number: int) -> None: ...
+
+
+class Inside:
+    """Planners in this process: for memory networks and virtual time. A kill cancels everything of a
+    planner at
+    once, so that no farewell leaves it."""
+
+    def __init__(self, sheets: list[PlannerSheet], net: Net, records: Path, nursery: trio.Nursery) -> None:
+        self.sheets, self.net, self.records, self.nursery = sheets, net, records, nursery
+        self.running: dict[int, tuple[Planner, trio.CancelScope, trio.Event]] = {}
+        self.lives = [0] * len(sheets)
+
+    async def start(self, number: int) -> None:
+        if number in self.running:
+            return
+        sheet = self.sheets[number]
+        self.lives[number] += 1
+        recorder = Recorder(self.records / f"planner-{sheet.name}-{self.lives[number]}.jsonl", sheet.name,
+                            "planner")
+        planner = Planner(sheet, sheet.seed + self.lives[number], self.net, recorder)
+        scope, done = trio.CancelScope(), trio.Event()
+        self.running[number] = planner, scope, done
+
+        async def live(task_status: trio.TaskStatus = trio.TASK_STATUS_IGNORED) -> None:
+            with scope:
+                await planner.run(task_status=task_status)
+            recorder.close()
+            done.set()
+
+        await self.nursery.start(live)
+
+    async def kill(self, number: int) -> None:
+        if number in self.running:
+            _, scope, done = self.running.pop(number)
+            scope.cancel()
+            await done.wait()
+
+    async def stop(self, number: int) -> None:
+        if number in self.running:
+            planner, _, done = self.running.pop(number)
+            planner.stop()
+            await done.wait()
+
+
+class Processes:
+    """Planners as `hazelhold planner` processes. A kill is SIGKILL, a stop SIGTERM."""
+
+    def __init__(self, sheets: list[PlannerSheet], folder: Path, nursery: trio.Nursery) -> None:
+        self.sheets, self.folder, self.nursery = sheets, folder, nursery
+        self.running: dict[int, trio.Process] = {}
+        self.lives = [0] * len(sheets)
+        for number, sheet in enumerate(sheets):
+            (folder / f"planner{number}.json5").write_bytes(msgspec.json.encode(sheet))
+
+    async def start(self, number: int) -> None:
+        if number in self.running:
+            return
+        sheet = self.sheets[number]
+        self.lives[number] += 1
+        life = f"{sheet.name}-{self.lives[number]}"
+        log = (self.folder / f"{life}.log").open("ab")
+        command = [sys.executable, "-m", "hazelhold", "planner",
+                   "--config", str(self.folder / f"planner{number}.json5"),
+                   "--record", str(self.folder / "records" / f"planner-{life}.jsonl"),
+                   "--seed", str(sheet.seed + self.lives[number]), "--log", "json", "--ready"]
+        process = await trio.lowlevel.open_process(command, stdout=subprocess.PIPE, stderr=log)
+        log.close()
+        self.running[number] = process
+        with trio.fail_after(20):
+            line = b""
+            while b"\n" not in line:
+                more = await process.stdout.receive_some(100)
+                if not more:
+                    raise RuntimeError(f"planner {sheet.name} did not start; see {life}.log")
+                line += more
+
+    async def kill(self, number: int) -> None:
+        if process := self.running.pop(number, None):
+            process.kill()
+            await process.wait()
+
+    async def stop(self, number: int) -> None:
+        if process := self.running.pop(number, None):
+            process.send_signal(signal.SIGTERM)
+            with trio.move_on_after(30):
+                await process.wait()
+                return
+            process.kill()
+            await process.wait()
--- /dev/null
+++ b/hazelhold/rehearse/run.py
@@ -0,0 +1,124 @@
+"""Plays a day from its first guest to its audit."""
+
+import socket
+import time
+from pathlib import Path
+from typing import Any
+
+import msgspec
+import trio
+
+from hazelhold.audit.rules import Audit, RuleSheet
+from hazelhold.audit.score import score
+from hazelhold.config.day import Day
+from hazelhold.config.planner import LimitSheet, ListSheet, PlannerSheet, micros
+from hazelhold.protocol.record import Recorder
+from hazelhold.rehearse.crew import Crew, Inside, Processes
+from hazelhold.rehearse.stage import Stage
+from hazelhold.rehearse.troubles import plan
+from hazelhold.service.net import MemoryNet, Net, TcpNet
+
+
+def planner_sheets(day: Day, seed: int, list_address: str, doors: list[str]) -> list[PlannerSheet]:
+    """One configuration for each planner of the day; they share nothing but the estate."""
+    return [PlannerSheet(
+        name=f"planner-{number}", listen=door, estate=day.estate, slot=number, planners=day.planners,
+        seed=seed * 1000 + 100 * number,
+        list=ListSheet(address=list_address, asked=day.list_asked, has_room=day.list_has_room),
+        limits=LimitSheet(connect_ms=500.0, probe_ms=500.0)) for number, door in enumerate(doors)]
+
+
+def free_ports(count: int) -> list[int]:
+    """Ports that were free a moment ago; planners must find theirs again after a restart."""
+    held = [socket.create_server(("127.0.0.1", 0)) for _ in range(count)]
+    ports = [each.getsockname()[1] for each in held]
+    for each in held:
+        each.close()
+    return ports
+
+
+def rule_sheet(day: Day) -> RuleSheet:
+    fleet = day.estate.fleet
+    return RuleSheet(
+        products={p.name: {"effect": p.effect, "group": p.group, "window": micros(p.window_ms),
+                           "goal": micros(p.goal_ms), "patience": micros(p.patience_ms), "payoff": p.payoff,
+                           "start_bonus": p.start_bonus_s, "late_worth": p.late_worth,
+                           "spread": p.spread, "spread_most": p.spread_most} for p in day.estate.products},
+        max_dispatches=fleet.max_dispatches, drain_grace=micros(fleet.drain_grace_ms),
+        confirms_running=fleet.confirms == "running", weights=day.weights)
+
+
+async def play(day: Day, seed: int, folder: Path, inside: bool, net: Net | None = None) -> dict[str, Any]:
+    """Plays the day and returns the report. `inside` keeps the planners in this process; a MemoryNet needs
+    it.
+
+    Records go to `folder`/records, one file for each end, and logs of planner processes beside them.
+    """
+    net = net or TcpNet()
+    records = folder / "records"
+    records.mkdir(parents=True, exist_ok=True)
+    chief = Recorder(records / "rehearsal.jsonl", "rehearsal", "rehearsal")
+    host = "127.0.0.1" if isinstance(net, TcpNet) else "memory"
+    began = time.monotonic()
+    stage = Stage(day, seed, net, records, host)
+    async with trio.open_nursery() as nursery:
+        list_address = await stage.open(nursery)
+        doors = ([f"{host}:{port}" for port in free_ports(day.planners)] if isinstance(net, TcpNet)
+                 else [f"door-{number}" for number in range(day.planners)])
+        sheets = planner_sheets(day, seed, list_address, doors)
+        crew: Crew = Inside(sheets, net, records, nursery) if inside else Processes(sheets, folder, nursery)
+        for number in range(day.planners):
+            await crew.start(number)
+        chief.note(net.now(), "", "rules", rule_sheet(day))
+        start = net.now()
+        stage.bring_owners({s.name: s.listen for s in sheets}, nursery)
+        await _troubles(day, seed, stage, crew, chief, nursery, start)
+        await _until(net, start + round(day.length_s * 1e6))
+        chief.note(net.now(), "", "day_over")
+        longest = max(p.patience_ms for p in day.estate.products) / 1000
+        await trio.sleep(longest + 1.0)  # whoever was taken is answered by then
+        for number in range(day.planners):
+            await crew.stop(number)
+        stage.close()
+        chief.close()
+        nursery.cancel_scope.cancel()
+    return report(records, day.name, seed, time.monotonic() - began,
+                  {s.model.name: dict(s.model.counts) for s in stage.senders})
+
+
+async def _troubles(day: Day, seed: int, stage: Stage, crew: Crew, chief: Recorder, nursery: trio.Nursery,
+                    start: int) -> None:
+    services = [w.service for w in stage.wants]
+    for step in plan(day, seed, stage.spots, services):
+        await _until(stage.net, start + step.at)
+        if step.what.startswith("planner_"):
+            name = f"planner-{step.value}"
+            act = {"planner_kill": crew.kill, "planner_stop": crew.stop, "planner_start":
+            crew.start}[step.what]
+            if step.what == "planner_start":
+                await act(step.value)
+                chief.note(stage.net.now(), name, "planner_start")
+            else:
+                chief.note(stage.net.now(), name, step.what)
+                await act(step.value)
+        else:
+            stage.do(step)
+
+
+async def _until(net: Net, at: int) -> None:
+    await trio.sleep(max(0.0, (at - net.now()) / 1e6))
+
+
+def report(records: Path, name: str, seed: int, seconds: float, owners: dict) -> dict[str, Any]:
+    """Audit and score of a folder of records, as plain values."""
+    audit = Audit.of_folder(records)
+    breaches = audit.breaches()
+    return {"day": name, "seed": seed, "seconds": round(seconds, 1), "counts": audit.counts(),
+            "service": score(audit.crossings, audit.rules), "owners": owners,
+            "rules_broken": [msgspec.to_builtins(b) for b in breaches], "unaccounted": audit.unaccounted()}
+
+
+def play_virtual(day: Day, seed: int, folder: Path) -> dict[str, Any]:
+    """The whole day in memory and virtual time: minutes of trouble in seconds, without a socket."""
+    from trio.testing import MockClock
+    return trio.run(play, day, seed, folder, True, MemoryNet(), clock=MockClock(autojump_threshold=0))
--- /dev/null
+++ b/hazelhold/rehearse/stage.py
@@ -0,0 +1,246 @@
+"""Everything that a day needs but its planners: machines, list service and owners, and what troubles do to
+them."""
+
+from pathlib import Path
+from random import Random
+
+import trio
+
+from hazelhold.config.day import Day
+from hazelhold.config.planner import micros
+from hazelhold.model.listing import ListService
+from hazelhold.model.machine import Build, Machine, Trade
+from hazelhold.model.owners import OwnerModel, Want
+from hazelhold.protocol.messages import Entry
+from hazelhold.protocol.record import Recorder
+from hazelhold.rehearse.troubles import Spot, Step
+from hazelhold.service.net import Net
+from hazelhold.standin.lister import ListHost
+from hazelhold.standin.machines import MachineHost
+from hazelhold.standin.senders import SenderHost
+
+SECOND = 1_000_000
+
+
+class Stage:
+    """The stand-ins of one day. `planner_names` and their addresses come from whoever starts the planners."""
+
+    def __init__(self, day: Day, seed: int, net: Net, records: Path, host: str) -> None:
+        self.day, self.seed, self.net, self.records, self.host = day, seed, net, records, host
+        self.random = Random(f"stage/{seed}")
+        self.hosts: dict[str, MachineHost] = {}
+        self.spots: list[Spot] = []
+        self.wants = self._wants()
+        self.recorders: list[Recorder] = []
+        self._make_machines()
+        r = day.roster
+        self.service = ListService(seed, net.now(), (round(r.notice_s[0] * 1e6), round(r.notice_s[1] * 1e6)),
+                                   micros(r.period_ms), (micros(r.answer_ms[0]), micros(r.answer_ms[1])))
+        self.list_host = ListHost(net, self.service, self.recorder("list", "list"))
+        self.senders: list[SenderHost] = []
+        self.zones: dict[str, int] = {}  # of planners
+
+    def recorder(self, by: str, role: str) -> Recorder:
+        made = Recorder(self.records / f"{role}-{by}.jsonl", by, role)
+        self.recorders.append(made)
+        return made
+
+    def _wants(self) -> list[Want]:
+        """The services of the day: each has one product, one shape, one customer and one usual life."""
+        day, random, found = self.day, self.random, []
+        sheets = {p.name: p for p in day.estate.products}
+        total = sum(w.share for w in day.wares)
+        for wares in day.wares:
+            sheet = sheets[wares.product]
+            count = max(1, round(day.demand.services * wares.share / total))
+            for number in range(count):
+                cores, memory = random.choice(wares.shapes)
+                found.append(Want(
+                    product=wares.product, service=f"{wares.product}-{number}",
+                    customer=random.choice(day.estate.customers) if day.estate.customers else "",
+                    cores=cores, memory=memory, patience=micros(sheet.patience_ms),
+                    life=round(random.uniform(*wares.life_s) * 1e6),
+                    harmless=sheet.effect == "rerunnable",
+                    weight=wares.share / count * random.uniform(0.5, 1.5)))
+        return found
+
+    def _make_machines(self) -> None:
+        day, random, fleet = self.day, self.random, self.day.estate.fleet
+        sheets = {p.name: p for p in day.estate.products}
+        kinds = {k.name: k for k in day.estate.kinds}
+        trades = {w.product: Trade(
+            priority=sheets[w.product].priority, ticketed=sheets[w.product].effect == "ticketed",
+            easy_until=sheets[w.product].easy_until, lost_after=sheets[w.product].lost_after,
+            work=micros(w.work_ms), life=round(sum(w.life_s) / 2 * 1e6),
+            cores_use=sum(w.cores_use) / 2, memory_use=sum(w.memory_use) / 2) for w in day.wares}
+        number = 0
+        for stock in day.stock:
+            kind = kinds[stock.kind]
+            for _ in range(stock.count):
+                build = Build(
+                    kind=kind.name, cores=kind.cores, memory=kind.memory, trades=trades,
+                    cores_multiple=fleet.cores_multiple, memory_multiple=fleet.memory_multiple,
+                    makes_room=fleet.makes_room, confirms_running=fleet.confirms == "running",
+                    counts_asked=fleet.reports_count == "asked",
+                    look=micros(random.uniform(*stock.look_ms)), line=round(random.uniform(*stock.line)),
+                    starts=round(random.uniform(*stock.starts)), setup=random.uniform(*stock.setup),
+                    kept=round(random.uniform(*stock.kept)), cold_from=fleet.cold_from,
+                    cold_for=micros(fleet.cold_for_ms), tip_multiple=fleet.tip_multiple,
+                    tip_window=micros(fleet.cold_window_ms), cold_offers=fleet.cold_offers,
+                    report_period=micros(random.uniform(*stock.report_ms)), drains=day.drains)
+                name = f"m{number:03d}"
+                machine = Machine(name, build, self.seed * 1000 + number, self.net.now())
+                spot = Spot(name, kind.name, number % day.zones, number // day.cell_size)
+                self.spots.append(spot)
+                self.hosts[name] = MachineHost(self.net, machine, self.recorder(name, "machine"), spot.zone,
+                                               spot.cell)
+                number += 1
+
+    async def open(self, nursery: trio.Nursery) -> str:
+        """Starts list service and machines; returns the list's address."""
+        address = await self.list_host.run(f"{self.host}:0", nursery)
+        for name in self.hosts:
+            await self.hosts[name].run(f"{self.host}:0", nursery)
+            self._list(name, "ready", at_once=True)
+        self._rooms()
+        self.service.advance(self.net.now())
+        nursery.start_soon(self._keep_rooms)
+        return address
+
+    def bring_owners(self, planners: dict[str, str], nursery: trio.Nursery) -> None:
+        """Starts the senders; from here on guests come. `planners` are addresses by name."""
+        demand, now = self.day.demand, self.net.now()
+        self.zones = {name: at % self.day.zones for at, name in enumerate(planners)}
+        until = now + round((demand.until_s or self.day.length_s) * 1e6)
+        for number in range(demand.owners):
+            model = OwnerModel(f"owner{number}", self.seed, list(planners), self.wants,
+                               demand.rate / demand.owners,
+                               (micros(demand.again_ms[0]), micros(demand.again_ms[1])),
+                               micros(self.day.estate.fleet.settle_ms), demand.cancel_share, now, until)
+            sender = SenderHost(self.net, model, planners, self.recorder(model.name, "owner"))
+            self.senders.append(sender)
+            nursery.start_soon(sender.run)
+
+    async def _keep_rooms(self) -> None:
+        while True:
+            await trio.sleep(0.5)
+            self._rooms()
+
+    def _rooms(self) -> None:
+        if not self.day.list_has_room or self.service.down:
+            return
+        rooms = {}
+        for name, host in self.hosts.items():
+            machine = host.machine
+            if machine.up and not machine.ills.silent:
+                cores, memory = machine.asked()
+                rooms[name] = round(machine.build.cores - cores, 3), round(machine.build.memory - memory, 3)
+        self.service.rooms(rooms)
+
+    def _list(self, name: str, mode: str, at_once: bool = False) -> None:
+        host = self.hosts[name]
+        machine = host.machine
+        self.service.set(self.net.now(), Entry(
+            machine=name, address=host.door.address, mode=mode, kind=machine.build.kind,
+            incarnation=machine.incarnation, zone=host.zone, cell=host.cell), machine.up_at, at_once)
+        self.list_host.ticker.stir()
+
+    # What troubles do.
+
+    def do(self, step: Step) -> None:
+        """Carries out one step; those on planners are for whoever runs them."""
+        getattr(self, "_do_" + step.what)(step.machine, step.value)
+
+    def _machines(self) -> list[Machine]:
+        return [host.machine for host in self.hosts.values()]
+
+    def _do_burst(self, name: str, value: float | None) -> None:
+        for sender in self.senders:
+            sender.model.factor = value or 1.0
+        for machine in self._machines():
+            machine.ills.use_factor = 1.0 if value is None else 1 + (value - 1) / 4
+            machine.unsettle(self.net.now())
+        self._stir()
+
+    def _do_list_down(self, name: str, value: float | None) -> None:
+        self.list_host.set_down(value is not None)
+
+    def _do_drain(self, name: str, value: object) -> None:
+        self.hosts[name].machine.drain(self.net.now())
+        self.hosts[name].ticker.stir()
+        self._list(name, "cordoned")
+
+    def _do_notice(self, name: str, value: object) -> None:
+        """Listed as draining at once: the machine's keeper tells before it takes it away."""
+        self.hosts[name].machine.drain(self.net.now())
+        self.hosts[name].ticker.stir()
+        self._list(name, "cordoned", at_once=True)
+
+    def _do_crash(self, name: str, value: object) -> None:
+        self.hosts[name].crash()
+        self._list(name, "gone")
+
+    def _do_up(self, name: str, value: object) -> None:
+        machine = self.hosts[name].machine
+        if not machine.up and not machine.fell_over:
+            self.hosts[name].come_up()
+            self._list(name, "ready")
+
+    def _do_silent(self, name: str, value: object) -> None:
+        self.hosts[name].machine.ills.silent = True
+
+    def _do_flush(self, name: str, value: float) -> None:
+        self.hosts[name].machine.flush(value)
+
+    def _do_errors(self, name: str, value: float | None) -> None:
+        self.hosts[name].machine.ills.error_share = value or 0.0
+
+    def _do_lost(self, name: str, value: float | None) -> None:
+        self.hosts[name].machine.ills.lost_answers = value or 0.0
+
+    def _do_slow(self, name: str, value: float | None) -> None:
+        self.hosts[name].machine.ills.slow = value or 1.0
+
+    def _do_report_late(self, name: str, value: float | None) -> None:
+        self.hosts[name].machine.ills.report_delay = round((value or 0.0) * 1e6)
+
+    def _do_heavy(self, name: str, value: tuple[str, float, float] | None) -> None:
+        for machine in self._machines():
+            machine.ills.heavy = {value[0]: value[1:]} if value else {}
+            machine.unsettle(self.net.now())
+        self._stir()
+
+    def _do_hot(self, name: str, value: list[str] | None) -> None:
+        for machine in self._machines():
+            machine.ills.hot = set(value or ())
+            machine.unsettle(self.net.now())
+        self._stir()
+
+    def _do_cut(self, name: str, value: int) -> None:
+        """Nothing passes between this zone's machines and planners of other zones, and the other way
+        round."""
+        zone = value % self.day.zones
+        for host in self.hosts.values():
+            host.cut_from = {p for p, z in self.zones.items() if (z == zone) != (host.zone == zone)}
+
+    def _do_heal(self, name: str, value: int) -> None:
+        for host in self.hosts.values():
+            for planner in host.cut_from:
+                if wire := host.door.wires.pop(planner, None):
+                    wire.cut()
+            host.cut_from = set()
+
+    def _do_rejoin(self, name: str, value: tuple[float, int]) -> None:
+        for sender in self.senders:
+            sender.model.rejoin(self.net.now(), *value)
+            sender.ticker.stir()
+
+    def _stir(self) -> None:
+        for each in [*self.hosts.values(), *self.senders]:
+            each.ticker.stir()
+
+    def close(self) -> None:
+        for host in self.hosts.values():
+            host.tally()
+        for recorder in self.recorders:
+            recorder.close()
--- /dev/null
+++ b/hazelhold/rehearse/troubles.py
@@ -0,0 +1,153 @@
+"""Turns a day's troubles into timed steps. The same day and seed give the same steps on any stage."""
+
+from random import Random
+from typing import NamedTuple
+
+from hazelhold.config.day import Day, Trouble
+
+
+class Spot(NamedTuple):
+    """A machine as troubles see it."""
+
+    name: str
+    kind: str
+    zone: int
+    cell: int
+
+
+class Step(NamedTuple):
+    """Something done to the stage `at` microseconds after the day's start."""
+
+    at: int
+    what: str
+    machine: str = ""
+    value: object = None
+
+
+def plan(day: Day, seed: int, spots: list[Spot], services: list[str]) -> list[Step]:
+    """All steps of a day, in the order of their times."""
+    random = Random(f"troubles/{seed}")
+    steps: list[Step] = []
+    for trouble in day.troubles:
+        steps += [Step(round(at * 1e6), what, machine, value)
+                  for at, what, machine, value in SHAPES[trouble.kind](trouble, random, spots, services, day)]
+    return sorted(steps, key=lambda s: s.at)
+
+
+def struck(trouble: Trouble, random: Random, spots: list[Spot]) -> list[str]:
+    """The machines that a trouble strikes: a drawn part of the fleet, or of one kind, cell or zone first."""
+    most = max(1, round(trouble.part * len(spots)))
+    chosen = list(spots)
+    random.shuffle(chosen)
+    if trouble.by != "any":
+        group = getattr(random.choice(spots), trouble.by)
+        chosen = [s for s in chosen if getattr(s, trouble.by) == group]
+    return [s.name for s in chosen[:most]]
+
+
+def _span(what: str, field: str) -> object:
+    """A trouble that changes one thing for a while, everywhere."""
+    def shape(t: Trouble, *_: object) -> list[tuple]:
+        return [(t.at_s, what, "", getattr(t, field)), (t.at_s + t.for_s, what, "", None)]
+    return shape
+
+
+def _ill(what: str) -> object:
+    """A trouble that makes some machines ill for a while."""
+    def shape(t: Trouble, random: Random, spots: list[Spot], *_: object) -> list[tuple]:
+        names = struck(t, random, spots)
+        return [(at, what, n, value) for n in names
+                for at, value in ((t.at_s, t.size), (t.at_s + t.for_s, None))]
+    return shape
+
+
+def _crash(t: Trouble, random: Random, spots: list[Spot], *_: object) -> list[tuple]:
+    return [(at, what, n, None) for n in struck(t, random, spots)
+            for at, what in ((t.at_s, "crash"), (t.at_s + t.for_s, "up"))]
+
+
+def _vanish(t: Trouble, random: Random, spots: list[Spot], *_: object) -> list[tuple]:
+    return [(at, what, n, None) for n in struck(t, random, spots)
+            for at, what in ((t.at_s, "silent"), (t.at_s + t.for_s, "crash"), (t.at_s + t.for_s + 0.2, "up"))]
+
+
+def _mass_restart(t: Trouble, random: Random, spots: list[Spot], *_: object) -> list[tuple]:
+    found = []
+    for name in struck(t, random, spots):
+        at = t.at_s + random.uniform(0, min(t.size, 0.5))
+        found += [(at, "crash", name, None), (at + t.for_s, "up", name, None)]
+    return found
+
+
+def _deploy(t: Trouble, random: Random, spots: list[Spot], *_: object) -> list[tuple]:
+    """Batches of `size` of the fleet drain for `extra` seconds, stop, and come back cold, one after
+    another."""
+    names = struck(t, random, spots)
+    batch = max(1, round(min(1.0, t.size) * len(spots)))
+    batches = [names[i:i + batch] for i in range(0, len(names), batch)]
+    found = []
+    for number, each in enumerate(batches):
+        at = t.at_s + number * t.for_s / len(batches)
+        for name in each:
+            found += [(at, "drain", name, None), (at + t.extra, "crash", name, None),
+                      (at + t.extra + 1.0, "up", name, None)]
+    return found
+
+
+def _preempt(t: Trouble, random: Random, spots: list[Spot], *_: object) -> list[tuple]:
+    """In up to four waves: listed as draining, dead `size` seconds later, replaced `extra` seconds after
+    that."""
+    names = struck(t, random, spots)
+    waves = min(4, len(names))
+    found = []
+    for at, name in enumerate(names):
+        start = t.at_s + (at % waves) * t.for_s / waves
+        found += [(start, "notice", name, None), (start + t.size, "crash", name, None),
+                  (start + t.size + t.extra, "up", name, None)]
+    return found
+
+
+def _ageing(t: Trouble, random: Random, spots: list[Spot], *_: object) -> list[tuple]:
+    found = []
+    for name in struck(t, random, spots):
+        for part in range(1, 9):
+            found.append((t.at_s + t.for_s * part / 9, "slow", name, 1 + (t.size - 1) * part / 8))
+        found += [(t.at_s + t.for_s, "crash", name, None), (t.at_s + t.for_s, "slow", name, None),
+                  (t.at_s + t.for_s + t.extra, "up", name, None)]
+    return found
+
+
+def _heavy(t: Trouble, random: Random, spots: list[Spot], services: list[str], day: Day) -> list[tuple]:
+    product = day.wares[t.which % len(day.wares)].product
+    return [(t.at_s, "heavy", "", (product, t.part, t.size)), (t.at_s + t.for_s, "heavy", "", None)]
+
+
+def _hot(t: Trouble, random: Random, spots: list[Spot], services: list[str], day: Day) -> list[tuple]:
+    hot = random.sample(services, max(1, round(t.part * len(services))))
+    return [(t.at_s, "hot", "", hot), (t.at_s + t.for_s, "hot", "", None)]
+
+
+def _flush(t: Trouble, random: Random, spots: list[Spot], *_: object) -> list[tuple]:
+    return [(t.at_s, "flush", s.name, t.size) for s in spots]
+
+
+def _cut(t: Trouble, *_: object) -> list[tuple]:
+    return [(t.at_s, "cut", "", t.which), (t.at_s + t.for_s, "heal", "", t.which)]
+
+
+def _planner(first: str) -> object:
+    def shape(t: Trouble, *_: object) -> list[tuple]:
+        return [(t.at_s, first, "", t.which), (t.at_s + t.for_s, "planner_start", "", t.which)]
+    return shape
+
+
+def _reconnect(t: Trouble, *_: object) -> list[tuple]:
+    return [(t.at_s, "rejoin", "", (t.part, round(t.for_s * 1e6)))]
+
+
+SHAPES = {"burst": _span("burst", "size"), "list_down": _span("list_down", "part"), "deploy": _deploy,
+          "flush": _flush, "heavy_tail": _heavy, "hot_service": _hot, "mass_restart": _mass_restart,
+          "preempt": _preempt, "vanish": _vanish, "report_late": _ill("report_late"),
+          "fast_errors": _ill("errors"), "answer_lost": _ill("lost"), "ageing": _ageing, "crash": _crash,
+          "zone_cut": _cut, "planner_kill": _planner("planner_kill"),
+          "planner_stop": _planner("planner_stop"), "reconnect": _reconnect}
--- /dev/null
+++ b/hazelhold/service/planner.py
@@ -0,0 +1,299 @@
+"""The planner on the network: doors for owners, links to machines, the list follower, one engine.
+
+Everything lives in one nursery. Whatever can hang has a cancel scope of its own: a dial, a first message, a
+peer's writer, the stop. What arrives goes straight into the engine; the ticker then pumps it and carries its
+actions out, so that what arrived together is decided on together.
+"""
+
+from collections import Counter
+
+import structlog
+import trio
+
+from hazelhold.config.planner import PlannerSheet
+from hazelhold.engine.engine import Action, AskList, Dial, Engine, HangUp, Lost, Send
+from hazelhold.protocol import messages as m
+from hazelhold.protocol.frames import FrameError
+from hazelhold.protocol.record import Recorder
+from hazelhold.service.net import Net
+from hazelhold.service.ticker import Ticker
+from hazelhold.service.wire import Wire
+
+
+class Planner:
+    """One planner from its start to its stop. `run` ends once a stop that was asked for is done."""
+
+    def __init__(self, sheet: PlannerSheet, seed: int, net: Net, recorder: Recorder | None = None) -> None:
+        self.sheet, self.net, self.limits = sheet, net, sheet.limits
+        self.engine = Engine(sheet, seed, net.now())
+        self.recorder = recorder
+        self.log = structlog.get_logger().bind(planner=sheet.name)
+        self.ticker = Ticker(net.now, self.engine.next_at, self._work, sheet.limits.batch_ms / 1000)
+        self.owners: dict[str, Wire] = {}
+        self.machines: dict[str, tuple[trio.CancelScope, Wire | None]] = {}
+        self.lister: Wire | None = None
+        self.list_wanted: int | None = None
+        self.list_stir = trio.Event()
+        self.counts: Counter[str] = Counter()
+        self.connections = 0
+        self.address = ""
+        self.stop_asked = trio.Event()
+
+    async def run(self, task_status: trio.TaskStatus = trio.TASK_STATUS_IGNORED) -> None:
+        async with trio.open_nursery() as nursery:
+            self.nursery = nursery
+            self.address = await self.net.listen(self.sheet.listen, self._door, nursery)
+            nursery.start_soon(self.ticker.run)
+            nursery.start_soon(self._follow_list)
+            self.log.info("up", address=self.address, planners=self.sheet.planners, slot=self.sheet.slot)
+            task_status.started(self.address)
+            await self.stop_asked.wait()
+            await self._stop()
+            nursery.cancel_scope.cancel()
+
+    def stop(self) -> None:
+        """Asks for a clean stop."""
+        self.stop_asked.set()
+
+    async def _stop(self) -> None:
+        """Takes nothing more, answers what it holds, and waits for what is out, for as long as is stated."""
+        self.engine.stop(self.net.now())
+        self.log.info("stopping", unanswered=self.engine.unanswered())
+        self._carry_out()
+        self.ticker.stir()
+        with trio.move_on_after(self.limits.stop_ms / 1000):
+            while self.engine.unanswered():
+                await trio.sleep(0.01)
+        self.engine.stop_now(self.net.now())
+        self._carry_out()
+        for wire in [*self.owners.values(), *(w for _, w in self.machines.values() if w)]:
+            wire.finish(m.Bye(reason="stopping"))
+        with trio.move_on_after(0.5):
+            while any(w.queue for w in self.owners.values()):
+                await trio.sleep(0.01)
+        await trio.sleep(0.02)
+        self.log.info("stopped", unanswered=self.engine.unanswered(), **self.engine.counts)
+
+    def _work(self, now: int) -> None:
+        self.engine.pump(now)
+        self._carry_out()
+
+    def _carry_out(self) -> None:
+        """Does what the engine wants done; what a failed send causes goes in as an input and is done too."""
+        while self.engine.actions:
+            actions, self.engine.actions = self.engine.actions, []
+            for action in actions:
+                self._do(action)
+
+    def _do(self, action: Action) -> None:
+        if isinstance(action, Send):
+            if action.role == "owner":
+                wire = self.owners.get(action.peer)
+            else:
+                wire = self.machines.get(action.peer, (None, None))[1]
+            if wire is None or not wire.send(action.message):
+                self.counts["unsent"] += 1
+                if action.role == "owner" and self.recorder is not None:  # kept for an owner that asks again
+                    self.recorder.note(self.net.now(), action.peer, "kept", action.message)
+            self._log_send(action)
+        elif isinstance(action, Dial):
+            self._hang_up(action.machine)
+            scope = trio.CancelScope()
+            self.machines[action.machine] = scope, None
+            self.nursery.start_soon(self._link, action, scope)
+        elif isinstance(action, HangUp):
+            self._hang_up(action.machine)
+        elif isinstance(action, AskList):
+            self.list_wanted = action.since
+            self.list_stir.set()
+        elif isinstance(action, Lost):
+            self.counts["peers_lost"] += 1
+            self.log.warning("peer_lost", role=action.role, machine=action.peer, code=action.code,
+                             reason=action.text)
+            self._hang_up(action.peer)
+
+    def _log_send(self, action: Send) -> None:
+        said = action.message
+        if isinstance(said, m.Offer | m.Withdraw | m.Stop):
+            self.log.debug(said.__struct_config__.tag, guest=said.guest, ask=said.ask, attempt=said.attempt,
+                           machine=action.peer)
+        elif isinstance(said, m.Placed | m.TurnedBack | m.BrokenOff | m.GuestEnded | m.Rejected):
+            more = {key: value for key in ("machine", "reason", "how", "code")
+                    if (value := getattr(said, key, ""))}
+            self.log.debug(said.__struct_config__.tag, guest=said.guest, ask=said.ask, owner=action.peer,
+                           **more)
+
+    def _hang_up(self, machine: str) -> None:
+        scope, wire = self.machines.pop(machine, (None, None))
+        if wire is not None:
+            wire.cut()
+        if scope is not None:
+            scope.cancel()
+
+    def _wire(self, stream: trio.abc.Stream, codec: m.Codec, peer: str = "") -> Wire:
+        return Wire(stream, codec, self.net.now, self.recorder, peer, self.limits.frame_bytes,
+                    self.limits.send_bytes)
+
+    # Owners.
+
+    async def _door(self, stream: trio.abc.Stream) -> None:
+        """One owner's connection, from its Hello to its end. Whatever is wrong with it ends it alone."""
+        wire = self._wire(stream, OWNERS)
+        self.connections += 1
+        try:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(wire.write)
+                if self.connections > self.limits.connections:
+                    limit = self.limits.connections
+                    self._refuse(wire, FrameError("too_many", f"{limit} connections are open"))
+                else:
+                    with wire.scope:
+                        await self._serve_owner(wire)
+                wire.finish()
+        finally:
+            self.connections -= 1
+
+    async def _serve_owner(self, wire: Wire) -> None:
+        name = ""
+        try:
+            hello = await wire.first(m.Hello, self.limits.hello_ms / 1000)
+            if hello.role != "owner":
+                raise FrameError("wrong_role", f"this door is for owners, not for a {hello.role}")
+            name = wire.peer = hello.name
+            if old := self.owners.get(name):
+                old.finish(m.Bye(reason="replaced"))
+                old.scope.cancel()
+            self.owners[name] = wire
+            wire.note("open", None)
+            wire.send(m.Welcome(name=self.sheet.name))
+            self.log.debug("owner_here", owner=name)
+            for message in wire.rest():
+                self._owner_said(name, message)
+            async for message in wire.messages():
+                if isinstance(message, m.Bye):
+                    break
+                self._owner_said(name, message)
+        except FrameError as wrong:
+            self._refuse(wire, wrong)
+        finally:
+            if name and self.owners.get(name) is wire:
+                del self.owners[name]
+            wire.note("shut", None)
+
+    def _owner_said(self, name: str, message: m.Message) -> None:
+        if isinstance(message, m.Hello):
+            raise FrameError("second_hello", "a connection has one Hello")
+        self.engine.owner_said(self.net.now(), name, message)
+        self.ticker.stir()
+
+    def _refuse(self, wire: Wire, wrong: FrameError) -> None:
+        self.counts["refused_" + wrong.code] += 1
+        self.log.warning("connection_refused", code=wrong.code, reason=wrong.text, peer=wire.peer)
+        wire.finish(m.Fault(code=wrong.code, text=wrong.text))
+
+    # Machines.
+
+    async def _link(self, dial: Dial, scope: trio.CancelScope) -> None:
+        """One connection to a machine: dials within its span, then listens until either side ends."""
+        name, up = dial.machine, False
+        with scope:
+            try:
+                with trio.fail_after(dial.span / 1e6):
+                    stream = await self.net.dial(dial.address)
+                wire = self._wire(stream, MACHINES, name)
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(wire.write)
+                    with wire.scope:
+                        try:
+                            wire.send(m.Hello(role="planner", name=self.sheet.name))
+                            welcome = await wire.first(m.Welcome, dial.span / 1e6)
+                            up = True
+                            self.machines[name] = scope, wire
+                            self.engine.link_up(self.net.now(), name, welcome)
+                            self.ticker.stir()
+                            await self._hear_machine(name, wire)
+                        except FrameError as wrong:
+                            self.counts["machine_" + wrong.code] += 1
+                            self.log.info("machine_left", machine=name, code=wrong.code, reason=wrong.text)
+                    wire.finish()
+            except (OSError, trio.TooSlowError) as wrong:
+                self.counts["dials_failed"] += 1
+                self.log.debug("dial_failed", machine=name, address=dial.address, reason=str(wrong))
+        if scope.cancelled_caught or self.machines.get(name, (None,))[0] is not scope:
+            return
+        del self.machines[name]
+        if up:
+            self.engine.link_down(self.net.now(), name)
+        else:
+            self.engine.link_failed(self.net.now(), name)
+        self.ticker.stir()
+
+    async def _hear_machine(self, name: str, wire: Wire) -> None:
+        for message in wire.rest():
+            self._machine_said(name, message)
+        async for message in wire.messages():
+            if isinstance(message, m.Bye):
+                return
+            self._machine_said(name, message)
+
+    def _machine_said(self, name: str, message: m.Message) -> None:
+        if isinstance(message, m.Fault):
+            raise FrameError(message.code, message.text)
+        self.engine.machine_said(self.net.now(), name, message)
+        self.ticker.stir()
+
+    # The list.
+
+    async def _follow_list(self) -> None:
+        """Keeps a connection to the list service while it can, and asks what the engine wants asked."""
+        if not self.sheet.list.asked:
+            self.list_wanted = 0
+        while True:
+            try:
+                with trio.fail_after(self.limits.hello_ms / 1000):
+                    stream = await self.net.dial(self.sheet.list.address)
+                wire = self._wire(stream, LIST, "list")
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(wire.write)
+                    with wire.scope:
+                        await self._hear_list(wire, nursery)
+                    wire.finish()
+                    nursery.cancel_scope.cancel()
+            except (OSError, trio.TooSlowError) as wrong:
+                self.log.debug("list_unreachable", reason=str(wrong))
+            self.engine.list_failed(self.net.now())
+            self.list_wanted = self.engine.list_version if not self.sheet.list.asked else None
+            self.ticker.stir()
+            await trio.sleep(0.5)
+
+    async def _hear_list(self, wire: Wire, nursery: trio.Nursery) -> None:
+        try:
+            wire.send(m.Hello(role="planner", name=self.sheet.name))
+            await wire.first(m.Welcome, self.limits.hello_ms / 1000)
+            nursery.start_soon(self._ask_list, wire)
+            for message in wire.rest():
+                self._list_said(message)
+            async for message in wire.messages():
+                self._list_said(message)
+        except FrameError as wrong:
+            self.counts["list_" + wrong.code] += 1
+            self.log.info("list_left", code=wrong.code, reason=wrong.text)
+
+    async def _ask_list(self, wire: Wire) -> None:
+        while True:
+            if self.list_wanted is not None:
+                wire.send(m.Watch(since=self.list_wanted))
+                self.list_wanted = None
+            await self.list_stir.wait()
+            self.list_stir = trio.Event()
+
+    def _list_said(self, message: m.Message) -> None:
+        if isinstance(message, m.Fault | m.Bye):
+            raise FrameError("list_left", "the list service ended the connection")
+        self.engine.list_said(self.net.now(), message)
+        self.ticker.stir()
+
+
+OWNERS = m.Codec(m.FROM_OWNER)
+MACHINES = m.Codec(m.FROM_MACHINE)
+LIST = m.Codec(m.FROM_LIST)
--- /dev/null
+++ b/hazelhold/service/wire.py
@@ -0,0 +1,131 @@
+"""A connection that carries frames: reads messages, writes from a bounded queue, notes what crossed."""
+
+from collections.abc import AsyncIterator
+
+import trio
+
+from hazelhold.protocol.frames import FrameError, FrameReader
+from hazelhold.protocol.messages import VERSION, Codec, Fault, Hello, Message, Welcome, encode
+from hazelhold.protocol.record import Recorder
+
+READ = 1 << 16
+
+
+class Wire:
+    """One side of a connection. `send` never waits: a peer that reads nothing fills its own queue, and is cut
+    off when that is full, while everybody else goes on."""
+
+    def __init__(self, stream: trio.abc.Stream, codec: Codec, now: callable, recorder: Recorder | None = None,
+                 peer: str = "", frame_bytes: int = 1 << 20, send_bytes: int = 1 << 20) -> None:
+        self.stream, self.codec, self.now = stream, codec, now
+        self.recorder, self.peer = recorder, peer
+        self.reader = FrameReader(frame_bytes)
+        self.send_bytes = send_bytes
+        self.queue = bytearray()
+        self.more = trio.Event()
+        self.full = self.closing = False
+        self.scope = trio.CancelScope()  # the reading side; cancelled when the wire is to end
+
+    def send(self, message: Message) -> bool:
+        """Queues a message; False if the wire is ending, or just ended because its queue is full."""
+        if self.closing:
+            return False
+        body = encode(message)
+        if len(self.queue) + len(body) > self.send_bytes:
+            self.full = True
+            self.cut()
+            return False
+        self.queue += body
+        self.note("out", message)
+        self.more.set()
+        return True
+
+    def cut(self) -> None:
+        """Ends the wire without ceremony."""
+        self.closing = True
+        self.more.set()
+        self.scope.cancel()
+
+    def finish(self, message: Message | None = None) -> None:
+        """Ends the wire after what is queued, and a last message, have gone."""
+        if message is not None:
+            self.send(message)
+        self.closing = True
+        self.more.set()
+
+    def note(self, way: str, message: Message | None) -> None:
+        if self.recorder is not None and self.peer:
+            self.recorder.note(self.now(), self.peer, way, message)
+
+    async def write(self) -> None:
+        """Writes what is queued until the wire ends; then closes the stream."""
+        try:
+            while True:
+                await self.more.wait()
+                self.more = trio.Event()
+                if self.scope.cancel_called:
+                    return
+                while self.queue:
+                    data = bytes(self.queue)
+                    self.queue.clear()
+                    await self.stream.send_all(data)
+                if self.closing:
+                    return
+        except (trio.BrokenResourceError, trio.ClosedResourceError, trio.BusyResourceError):
+            pass
+        finally:
+            self.closing = True
+            self.scope.cancel()
+            with trio.CancelScope(shield=True, deadline=trio.current_time() + 0.2):
+                await self.stream.aclose()
+
+    async def messages(self) -> AsyncIterator[Message]:
+        """What the peer says, until either side ends. FrameError if the peer breaks the protocol."""
+        while True:
+            for body in await self.frames():
+                message = self.codec.decode(body)
+                self.note("in", message)
+                yield message
+            if self.ended:
+                return
+
+    ended = False
+
+    async def frames(self) -> list[bytes]:
+        try:
+            data = await self.stream.receive_some(READ)
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            data = b""
+        if not data:
+            self.ended = True
+            self.reader.close()
+            return []
+        return self.reader.feed(data)
+
+    async def first(self, kind: type[Message], seconds: float) -> Message:
+        """The peer's first message, of this kind and within this time, else FrameError."""
+        with trio.move_on_after(seconds):
+            while not self.ended:
+                bodies = await self.frames()
+                if bodies:
+                    message = self.codec.decode(bodies[0])
+                    self.held_back = bodies[1:]
+                    if isinstance(message, Fault):
+                        raise FrameError(message.code, message.text)
+                    if not isinstance(message, kind):
+                        raise FrameError("wrong_first", f"the first message was no {kind.__name__}")
+                    if isinstance(message, Hello | Welcome) and message.version != VERSION:
+                        raise FrameError("version", f"version {message.version}; spoken here: {VERSION}")
+                    return message
+            raise FrameError("ended", "the peer left before its first message")
+        raise FrameError("no_hello", f"no first message within {seconds:g} s")
+
+    def rest(self) -> list[Message]:
+        """What came in one read with the first message."""
+        bodies, self.held_back = self.held_back, []
+        found = [self.codec.decode(body) for body in bodies]
+        for message in found:
+            self.note("in", message)
+        return found
+
+    held_back: list[bytes] = []
--- /dev/null
+++ b/hazelhold/standin/lister.py
@@ -0,0 +1,44 @@
+"""The stand-in list service: the model behind a door."""
+
+import trio
+
+from hazelhold.model.listing import ListService
+from hazelhold.protocol import messages as m
+from hazelhold.protocol.record import Recorder
+from hazelhold.service.net import Net
+from hazelhold.service.ticker import Ticker
+from hazelhold.standin.shell import Door
+
+CODEC = m.Codec(m.TO_LIST)
+
+
+class ListHost:
+    """Serves the list; `set_down` takes it out of reach."""
+
+    def __init__(self, net: Net, service: ListService, recorder: Recorder) -> None:
+        self.net, self.service = net, service
+        self.door = Door(net, "list", "list", CODEC, recorder, lambda: m.Welcome(name="list"), self._said,
+                         service.left)
+        self.ticker = Ticker(net.now, lambda now: service.next_at(), self._work)
+
+    async def run(self, address: str, nursery: trio.Nursery) -> str:
+        nursery.start_soon(self.ticker.run)
+        return await self.door.serve(address, nursery)
+
+    def set_down(self, down: bool) -> None:
+        self.service.down = down
+        self.door.open = not down
+        if down:
+            self.service.watchers.clear()
+            self.door.shut()
+
+    def _said(self, planner: str, message: m.Message) -> None:
+        if isinstance(message, m.Watch):
+            self.service.watched(self.net.now(), planner, message.since)
+        self.ticker.stir()
+
+    def _work(self, now: int) -> None:
+        self.service.advance(now)
+        out, self.service.out = self.service.out, []
+        for planner, message in out:
+            self.door.send(planner, message)
--- /dev/null
+++ b/hazelhold/standin/machines.py
@@ -0,0 +1,101 @@
+"""Stand-in machines: each a model behind a door of its own."""
+
+import trio
+
+from hazelhold.model.machine import Machine
+from hazelhold.protocol import messages as m
+from hazelhold.protocol.record import Recorder
+from hazelhold.service.net import Net
+from hazelhold.service.ticker import Ticker
+from hazelhold.standin.shell import Door
+
+CODEC = m.Codec(m.TO_MACHINE)
+
+
+class Fact(m.Message, tag="fact", kw_only=True):
+    """What a stand-in puts into its record beside frames: up, down, fell_over."""
+
+    what: str
+    incarnation: int = 0
+    cold_until: int = 0
+    guests: list[tuple[str, int]] = []
+
+
+class MachineHost:
+    """One machine: takes what its door hears to the model and back."""
+
+    def __init__(self, net: Net, machine: Machine, recorder: Recorder, zone: int = 0, cell: int = 0,
+                 clock_off: int = 0) -> None:
+        self.net, self.machine, self.zone, self.cell = net, machine, zone, cell
+        self.recorder = recorder
+        self.door = Door(net, machine.name, "machine", CODEC, recorder, self._welcome, self._said)
+        self.door.muted = lambda planner: self.machine.ills.silent or planner in self.cut_from
+        self.cut_from: set[str] = set()
+        self.ticker = Ticker(net.now, lambda now: machine.next_at(), self._work)
+        self.note("up")
+
+    async def run(self, address: str, nursery: trio.Nursery) -> str:
+        nursery.start_soon(self.ticker.run)
+        return await self.door.serve(address, nursery)
+
+    def note(self, what: str, guests: list[tuple[str, int]] | None = None) -> None:
+        fact = Fact(what=what, incarnation=self.machine.incarnation, cold_until=self.machine.warm_at,
+                    guests=guests or [])
+        self.recorder.note(self.net.now(), "", "fact", fact)
+
+    def crash(self, what: str = "down") -> None:
+        """The machine dies with all that it holds."""
+        if not self.machine.up:
+            return
+        lost = self.machine.went_down()
+        self.note(what, [(g.offer.guest, int(g.served)) for g in lost])
+        self.door.open = False
+        self.door.shut()
+
+    def come_up(self) -> None:
+        """It is back, cold and empty."""
+        if self.machine.fell_over:
+            return  # pushed over, it stays down
+        self.machine.ills.silent = False
+        self.machine.came_up(self.net.now())
+        self.door.open = True
+        self.door.shut()
+        self.note("up")
+        self.ticker.stir()
+
+    def tally(self) -> None:
+        """At the end of a day: what runs here and how well it was served."""
+        self.machine._accrue(self.net.now())
+        self.note("tally", [(g.offer.guest, int(g.served)) for g in self.machine.lodgers.values() if g.runs])
+
+    def _welcome(self) -> m.Welcome:
+        machine = self.machine
+        return m.Welcome(name=machine.name, incarnation=machine.incarnation,
+                         up_for=max(0, self.net.now() - machine.up_at))
+
+    def _said(self, planner: str, message: m.Message) -> None:
+        now, machine = self.net.now(), self.machine
+        machine.advance(now)
+        if isinstance(message, m.Offer):
+            machine.offered(now, planner, message)
+        elif isinstance(message, m.Withdraw):
+            machine.withdrawn(now, planner, message)
+        elif isinstance(message, m.Stop):
+            machine.stopped(now, planner, message)
+        elif isinstance(message, m.Probe):
+            machine.probed(now, planner, message)
+        elif isinstance(message, m.Roll):
+            machine.rolled(now, planner)
+        self._deliver()
+        self.ticker.stir()
+
+    def _work(self, now: int) -> None:
+        self.machine.advance(now)
+        self._deliver()
+
+    def _deliver(self) -> None:
+        out, self.machine.out = self.machine.out, []
+        for planner, message in out:
+            self.door.send(planner, message)
+        if self.machine.fell_over and self.machine.up:
+            self.crash("fell_over")
--- /dev/null
+++ b/hazelhold/standin/senders.py
@@ -0,0 +1,81 @@
+"""Stand-in senders: owners' models, each with a connection to every planner that it keeps renewing."""
+
+import trio
+
+from hazelhold.model.owners import OwnerModel
+from hazelhold.protocol import messages as m
+from hazelhold.protocol.frames import FrameError
+from hazelhold.protocol.record import Recorder
+from hazelhold.service.net import Net
+from hazelhold.service.ticker import Ticker
+from hazelhold.service.wire import Wire
+
+CODEC = m.Codec(m.TO_OWNER)
+
+
+class SenderHost:
+    """One sender."""
+
+    def __init__(self, net: Net, model: OwnerModel, addresses: dict[str, str], recorder: Recorder) -> None:
+        self.net, self.model, self.addresses, self.recorder = net, model, addresses, recorder
+        self.wires: dict[str, Wire] = {}
+        self.ticker = Ticker(net.now, lambda now: model.next_at(), self._work)
+
+    async def run(self) -> None:
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self.ticker.run)
+            for planner in self.addresses:
+                nursery.start_soon(self._keep, planner)
+
+    async def _keep(self, planner: str) -> None:
+        """Connects, listens, and connects again after a drawn wait."""
+        wait = 0.05
+        while True:
+            try:
+                stream = await self.net.dial(self.addresses[planner])
+                wire = Wire(stream, CODEC, self.net.now, self.recorder, planner, send_bytes=1 << 24)
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(wire.write)
+                    with wire.scope:
+                        wait = await self._listen(planner, wire, wait)
+                    wire.finish()
+            except OSError:
+                pass
+            await trio.sleep(wait * self.model.random.uniform(0.5, 1.5))
+            wait = min(1.0, wait * 2)
+
+    async def _listen(self, planner: str, wire: Wire, wait: float) -> float:
+        try:
+            wire.send(m.Hello(role="owner", name=self.model.name))
+            await wire.first(m.Welcome, 5.0)
+            wait = 0.05
+            self.wires[planner] = wire
+            wire.note("open", None)
+            self.model.connected(self.net.now(), planner)
+            self.ticker.stir()
+            for message in wire.rest():
+                self._said(planner, message)
+            async for message in wire.messages():
+                self._said(planner, message)
+        except FrameError:
+            pass
+        finally:
+            if self.wires.get(planner) is wire:
+                del self.wires[planner]
+                wire.note("shut", None)
+                self.model.disconnected(self.net.now(), planner)
+                self.ticker.stir()
+        return wait
+
+    def _said(self, planner: str, message: m.Message) -> None:
+        now = self.net.now()
+        self.model.advance(now)
+        self.model.said(now, planner, message)
+        self.ticker.stir()
+
+    def _work(self, now: int) -> None:
+        self.model.advance(now)
+        out, self.model.out = self.model.out, []
+        for planner, message in out:
+            if wire := self.wires.get(planner):
+                wire.send(message)
