Unsettled until the first list and every machine have spoken; audit mends

The audit kept found guests seated after their end and took offers on broken links as still out. Change: Query says unsettled, and repeats count as possibly run, until the list has come and all machines on it have told what they hold.

--- a/hazelhold/audit/rules.py
+++ b/hazelhold/audit/rules.py
@@ -59,7 +59,7 @@
         self.attempt = crossing.message.get("attempt", 0)
         self.out = True  # neither answered nor given up
         self.never_ran = False
-        self.taken = False
+        self.taken = self.ended = False
 
 
 class Audit:
@@ -149,6 +149,10 @@
                     if send.out and not send.taken:
                         send.out = False
                         seated.pop(key, None)
+            elif c.way == "shut":  # what was out there has no answer to come; whether it ran is open
+                for ask in asks.values():
+                    for send in ask.sends:
+                        send.out = send.out and send.machine != c.peer
             elif c.way == "in" and kind in ("taken", "refused", "ended", "running"):
                 self._machine_said(c, kind, key, asks, seated, incarnation)
         self._unanswered(planner, asks, killed)
@@ -263,11 +267,11 @@
                 send.out = False
                 seated[key] = machine, asks[key].submit.get("service", "")
             else:
-                send.out = False
+                send.out, send.ended = False, True
                 if kind == "refused" or body.get("how") == "withdrawn":
                     send.never_ran = True
-                if seated.get(key, ("",))[0] == machine:
-                    del seated[key]
+        if kind != "taken" and seated.get(key, ("",))[0] == machine:
+            del seated[key]
 
     def _running(self, c: Crossing, asks: dict, seated: dict) -> None:
         """A machine's whole word on a planner's guests, after a new connection: what is missing never
@@ -279,7 +283,7 @@
                 seated[key] = c.peer, stand["service"]
         for key, ask in asks.items():
             for send in ask.sends:
-                if send.machine != c.peer or not send.out:
+                if send.machine != c.peer or send.never_ran or send.ended:
                     continue
                 stand = there.get(key)
                 if stand is None:
@@ -287,7 +291,7 @@
                     send.never_ran = bool(c.message.get("complete", True)) and not send.taken and (
                         self._life_at(c.peer, send.at) == self._life_at(c.peer, c.at))
                 elif stand["state"] == "ended":
-                    send.out, send.never_ran = False, stand.get("how") == "withdrawn"
+                    send.out, send.ended, send.never_ran = False, True, stand.get("how") == "withdrawn"
         for key in [k for k, (m, _) in seated.items() if m == c.peer and k not in there]:
             del seated[key]
 
--- a/hazelhold/engine/engine.py
+++ b/hazelhold/engine/engine.py
@@ -132,7 +132,7 @@
         self.probes: dict[str, tuple[int, int]] = {}  # machine: number and time-out of the probe that is out
         self.probe_number = 0
         self.unheard: set[str] = set()  # machines listed at the start that have not told what they hold
-        self.stopping = False
+        self.list_heard = self.stopping = False
 
     # Owners.
 
@@ -183,7 +183,7 @@
         unsettled = [Earlier(l.machine, l.sent_at) for l in self.loose.get(submit.guest, {}).values()]
         if old and old.sent:
             unsettled.append(Earlier(old.machine, old.sent_at))
-        if self.unheard and (submit.ask or submit.reason):
+        if (submit.ask or submit.reason) and self._blind():
             unsettled.append(Earlier("", now))
         return min(unsettled, key=lambda e: e.sent_at, default=None)
 
@@ -216,7 +216,7 @@
             state, machine = "running", case.machine
         elif case:
             state, machine = "out" if case.machine else "held", case.machine
-        elif any(self.loose.get(guest, ())) or self.unheard:
+        elif self.loose.get(guest) or self._blind():
             state, machine = "unsettled", ""
         elif past := self.ends.get(guest):
             state, machine = past[0], ""
@@ -226,6 +226,11 @@
             machine = ""
         return m.State(guest=guest, ask=ask, state=state, machine=machine)
 
+    def _blind(self) -> bool:
+        """Whether guests may run that this planner has not heard of: it has just started, and has no list yet or
+        waits for machines on it. What it does not know it must not call unknown."""
+        return not self.list_heard or bool(self.unheard)
+
     # The list.
 
     def list_said(self, now: int, message: m.Message) -> None:
@@ -234,7 +239,7 @@
         if not isinstance(message, m.Listing):
             self.list_failed(now)
             return
-        first = not self.roster.fellows
+        first, self.list_heard = not self.list_heard, True
         self.list_version = message.version
         news = self.roster.learn(now, message)
         self.counts["list_entries"] += len(message.entries)
@@ -558,7 +563,7 @@
                 if fellow := self.roster.fellows.get(link.machine):
                     self._dial(now, fellow)
         for by in list(self.loose.values()):
-            for loose in by.values():
+            for loose in list(by.values()):
                 if loose.roll_at <= now:
                     self._ask_loose(now, loose)
         if self.list_due and now >= self.list_due:
--- a/hazelhold/rehearse/run.py
+++ b/hazelhold/rehearse/run.py
@@ -120,5 +120,9 @@
 
 def play_virtual(day: Day, seed: int, folder: Path) -> dict[str, Any]:
     """The whole day in memory and virtual time: minutes of trouble in seconds, without a socket."""
+    from trio._core import _run  # the same knobs as trio's own plug-ins for tests use
     from trio.testing import MockClock
+
+    _run._ALLOW_DETERMINISTIC_SCHEDULING = True
+    _run._r.seed(seed)
     return trio.run(play, day, seed, folder, True, MemoryNet(), clock=MockClock(autojump_threshold=0))
--- a/hazelhold/service/planner.py
+++ b/hazelhold/service/planner.py
@@ -209,6 +209,7 @@
                             welcome = await wire.first(m.Welcome, dial.span / 1e6)
                             up = True
                             self.machines[name] = scope, wire
+                            wire.note("open", None)
                             self.engine.link_up(self.net.now(), name, welcome)
                             self.ticker.stir()
                             await self._hear_machine(name, wire)
@@ -216,6 +217,7 @@
                             self.counts["machine_" + wrong.code] += 1
                             self.log.info("machine_left", machine=name, code=wrong.code, reason=wrong.text)
                     wire.finish()
+                    wire.note("shut", None)
             except (OSError, trio.TooSlowError) as wrong:
                 self.counts["dials_failed"] += 1
                 self.log.debug("dial_failed", machine=name, address=dial.address, reason=str(wrong))
