--- a/hazelhold/audit/rules.py
+++ b/hazelhold/audit/rules.py
@@ -292,7 +292,8 @@
                         self._life_at(c.peer, send.at) == self._life_at(c.peer, c.at))
                 elif stand["state"] == "ended":
                     send.out, send.ended, send.never_ran = False, True, stand.get("how") == "withdrawn"
-        for key in [k for k, (m, _) in seated.items() if m == c.peer and k not in there]:
+        here = {k for k, s in there.items() if s["state"] != "ended"}
+        for key in [k for k, (m, _) in seated.items() if m == c.peer and k not in here]:
             del seated[key]
 
     def _life_at(self, machine: str, at: int) -> int:
