--- /dev/null
+++ b/bench/throughput.py
@@ -0,0 +1,284 @@
+"""What one planner carries: guests a second, where its time goes, latency added, memory a guest.
+
+Run as `python -m bench.throughput`. One planner on loopback sockets in this process beside scripted
+machines and
+one scripted owner, all on one core, so the figures are of planner plus peers; `share` tells what is whose.
+The
+plain structure that it is compared with is the module alone in the same run: the same asks and answers as
+direct
+calls. Times are process CPU unless they say otherwise.
+"""
+
+import argparse
+import gc
+import json
+import time
+import tracemalloc
+from collections.abc import Callable
+from random import Random
+
+import msgspec
+import trio
+from hdrh.histogram import HdrHistogram
+
+from hazelhold.brain import Brain
+from hazelhold.config.planner import (
+    Estate,
+    FleetSheet,
+    KindSheet,
+    LimitSheet,
+    ListSheet,
+    PlannerSheet,
+    ProductSheet,
+    deployment,
+)
+from hazelhold.engine.engine import Engine
+from hazelhold.interface import Ask, Ending, Listed, Mode, Remark, Step
+from hazelhold.protocol import messages as m
+from hazelhold.service.net import Net, TcpNet
+from hazelhold.service.planner import Planner
+from hazelhold.service.wire import Wire
+
+SHAPES = [(0.25, 0.5), (0.5, 1.5), (1.0, 2.0), (2.0, 3.0)]
+SERVICES = 60
+
+
+def sheet(listen: str = "127.0.0.1:0", lister: str = "") -> PlannerSheet:
+    """One planner with room for whatever comes, so that room is never what limits it."""
+    estate = Estate([ProductSheet("plain", "rerunnable", 800, 60_000, easy_until=1.0, lost_after=1.0)],
+                    [KindSheet("box", 2000, 4000)], FleetSheet(cores_multiple=4, memory_multiple=2,
+                    probing=False))
+    return PlannerSheet("p", listen, ListSheet(lister, asked=False), estate, planners=1,
+                        limits=LimitSheet(connect_ms=5000.0, send_bytes=1 << 26))
+
+
+def shape(number: int) -> tuple[str, float, float]:
+    service = number % SERVICES
+    return f"s{service}", *SHAPES[service % len(SHAPES)]
+
+
+class Timed:
+    """Wraps a Brain's decide and inputs, and sums the CPU time spent inside."""
+
+    def __init__(self, brain: Brain) -> None:
+        self.spent = 0.0
+        for name in ("decide", "next_look", "guest_arrived", "dispatch_taken", "dispatch_ended",
+                     "machine_reported", "guest_runs", "machines_listed", "cores_used", "memory_used"):
+            setattr(brain, name, self.wrap(getattr(brain, name)))
+
+    def wrap(self, call: Callable) -> Callable:
+        def timed(*args: object) -> object:
+            start = time.process_time()
+            try:
+                return call(*args)
+            finally:
+                self.spent += time.process_time() - start
+        return timed
+
+
+def alone(machines: int, running: int, guests: int) -> dict[str, float]:
+    """The module with nothing round it: asks come one by one, are taken at once, and the oldest ends."""
+    brain, random = Brain(1, deployment(sheet())), Random(1)
+    brain.machines_listed(0, [Listed(f"m{n}", Mode.READY, 0, 0, n // 4, 0, 2000.0, 4000.0)
+                              for n in range(machines)], True)
+    held: list[str] = []
+    waits = HdrHistogram(1, 10**8, 3)
+    now, start = 10**6, 0.0
+    for number in range(running + guests):
+        if number == running:
+            start = time.process_time()
+        now += 3000
+        service, cores, memory = shape(number)
+        began = time.perf_counter()
+        brain.guest_arrived(now, Ask(f"g{number}", 0, 0, service, cores, memory, 60 * 10**6))
+        while (decision := brain.decide(now)) is not None:
+            if decision.step is Step.DISPATCH:
+                brain.dispatch_taken(now, decision.guest, 1000)
+                brain.guest_runs(now, decision.guest)
+                brain.cores_used(now, decision.guest, cores * random.uniform(0.3, 1))
+                brain.memory_used(now, decision.guest, memory * random.uniform(0.3, 1))
+                held.append(decision.guest)
+        brain.next_look(now)
+        if number >= running:
+            waits.record_value(max(1, round((time.perf_counter() - began) * 1e6)))
+        if len(held) > running:
+            brain.dispatch_ended(now, held.pop(0), Ending.DONE, True, Remark.NONE)
+    return {"guests_a_second": guests / (time.process_time() - start),
+            "median_us": waits.get_value_at_percentile(50), "p99_us": waits.get_value_at_percentile(99)}
+
+
+class Peers:
+    """Scripted machines that take everything at once, and the list that names them."""
+
+    def __init__(self, net: Net, machines: int) -> None:
+        self.net, self.machines, self.entries = net, machines, []
+        self.wires: dict[str, Wire] = {}
+        self.random = Random(1)
+
+    async def open(self, nursery: trio.Nursery, host: str) -> str:
+        for number in range(self.machines):
+            name = f"m{number}"
+
+            async def serve(stream: trio.abc.Stream, name: str = name) -> None:
+                wire = Wire(stream, m.Codec(m.TO_MACHINE), self.net.now, send_bytes=1 << 26)
+                async with trio.open_nursery() as here:
+                    here.start_soon(wire.write)
+                    await wire.first(m.Hello, 60)
+                    wire.send(m.Welcome(name=name, incarnation=1))
+                    self.wires[name] = wire
+                    async for said in wire.messages():
+                        self._said(wire, said)
+
+            address = await self.net.listen(f"{host}:0", serve, nursery)
+            self.entries.append(m.Entry(machine=name, address=address, mode="ready", kind="box",
+            incarnation=1,
+                                        cell=number // 4, cores_room=2000.0, memory_room=4000.0))
+
+        async def listing(stream: trio.abc.Stream) -> None:
+            wire = Wire(stream, m.Codec(m.TO_LIST), self.net.now, send_bytes=1 << 26)
+            async with trio.open_nursery() as here:
+                here.start_soon(wire.write)
+                await wire.first(m.Hello, 60)
+                wire.send(m.Welcome(name="list"))
+                wire.send(m.Listing(version=1, whole=True, entries=self.entries))
+                async for _ in wire.messages():
+                    pass
+
+        return await self.net.listen(f"{host}:0", listing, nursery)
+
+    def _said(self, wire: Wire, said: m.Message) -> None:
+        if isinstance(said, m.Roll):
+            wire.send(m.Running(guests=[]))
+        elif isinstance(said, m.Offer):
+            about = {"guest": said.guest, "ask": said.ask, "attempt": said.attempt}
+            wire.send(m.Taken(**about))
+            wire.send(m.Started(**about))
+            wire.send(m.Use(**about, cores=said.cores * self.random.uniform(0.3, 1),
+                            memory=said.memory * self.random.uniform(0.3, 1)))
+
+    def end(self, guest: str, machine: str) -> None:
+        self.wires[machine].send(m.Ended(guest=guest, how="done"))
+
+
+async def sockets(machines: int, running: int, guests: int, window: int) -> dict[str, float]:
+    """A planner on loopback; `window` asks are out at a time, and each placed guest past `running` ends the
+    oldest. Latency is from the ask's writing to the answer's reading, with one ask out at a time."""
+    net = TcpNet()
+    waits = HdrHistogram(1, 10**8, 3)
+    async with trio.open_nursery() as nursery:
+        peers = Peers(net, machines)
+        lister = await peers.open(nursery, "127.0.0.1")
+        planner = Planner(sheet(lister=lister), 1, net)
+        timed = Timed(planner.engine.brain)
+        await nursery.start(planner.run)
+        while len(peers.wires) < machines:
+            await trio.sleep(0.05)
+        wire = Wire(await net.dial(planner.address), m.Codec(m.TO_OWNER), net.now, send_bytes=1 << 26)
+        nursery.start_soon(wire.write)
+        wire.send(m.Hello(role="owner", name="o"))
+        await wire.first(m.Welcome, 60)
+        held: list[tuple[str, str]] = []
+        sent_at: dict[str, float] = {}
+        asked = placed = 0
+
+        def ask() -> None:
+            nonlocal asked
+            service, cores, memory = shape(asked)
+            sent_at[f"g{asked}"] = time.perf_counter()
+            wire.send(m.Submit(guest=f"g{asked}", product="plain", service=service, cores=cores,
+            memory=memory,
+                               patience=60_000_000, life=600_000_000))
+            asked += 1
+
+        async def phase(until: int, wide: int, note: bool) -> None:
+            nonlocal placed
+            for _ in range(wide):
+                ask()
+            async for said in wire.messages():
+                if not isinstance(said, m.Placed):
+                    assert isinstance(said, m.Held | m.GuestEnded), said
+                    continue
+                placed += 1
+                if note:
+                    waits.record_value(max(1, round((time.perf_counter() - sent_at[said.guest]) * 1e6)))
+                del sent_at[said.guest]
+                held.append((said.guest, said.machine))
+                if len(held) > running:
+                    peers.end(*held.pop(0))
+                if asked < until:
+                    ask()
+                if placed >= until:
+                    return
+
+        await phase(running, min(window, running), False)
+        spent, start = timed.spent, time.process_time()
+        await phase(running + guests, window, False)
+        total = time.process_time() - start
+        module = timed.spent - spent
+        await phase(running + guests + guests // 4, 1, True)
+        nursery.cancel_scope.cancel()
+    return {"guests_a_second": guests / total, "module_share": module / total,
+            "median_us": waits.get_value_at_percentile(50), "p99_us": waits.get_value_at_percentile(99)}
+
+
+def memory(count: int, run: bool) -> float:
+    """Bytes that an engine keeps for each guest: running ones, or held ones that no machine takes."""
+    tracemalloc.start()
+    engine = Engine(sheet(), 1, 0)
+    entries = [m.Entry(machine=f"m{n}", address="x", mode="ready" if run else "cordoned", kind="box",
+                       incarnation=1, cores_room=2000.0, memory_room=4000.0) for n in range(60)]
+    engine.list_said(0, m.Listing(version=1, whole=True, entries=entries))
+    gc.collect()
+    before = tracemalloc.get_traced_memory()[0]
+    stands: dict[int, list[m.Stand]] = {}
+    for number in range(count):
+        service, cores, mem = shape(number)
+        if run:
+            stands.setdefault(number % 60, []).append(m.Stand(
+                guest=f"g{number}", ask=0, attempt=0, state="runs", product="plain", service=service,
+                cores=cores, memory=mem, owner="o"))
+            continue
+        ask = m.Submit(guest=f"g{number}", product="plain", service=service, cores=cores, memory=mem,
+                       patience=60_000_000)
+        engine.owner_said(number, "o", msgspec.convert(msgspec.to_builtins(ask), m.Submit))
+        engine.actions.clear()
+    for number, found in stands.items():
+        engine.link_up(0, f"m{number}", m.Welcome(name=f"m{number}", incarnation=1))
+        engine.machine_said(0, f"m{number}", m.Running(guests=found))
+    engine.actions.clear()
+    gc.collect()
+    kept = tracemalloc.get_traced_memory()[0] - before
+    tracemalloc.stop()
+    assert len(engine.cases) == count and engine.unanswered() == (0 if run else count)
+    return kept / count
+
+
+def main() -> None:
+    parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
+    parser.add_argument("--guests", type=int, default=1500)
+    parser.add_argument("--sizes", default="14:450,85:2600", help="machines:running, …")
+    parser.add_argument("--memory", default="1000,20000")
+    options = parser.parse_args()
+    import structlog
+
+    structlog.configure(wrapper_class=structlog.make_filtering_bound_logger(40))
+    found: dict[str, object] = {}
+    for size in options.sizes.split(","):
+        machines, running = (int(part) for part in size.split(":"))
+        plain = alone(machines, running, options.guests)
+        whole = trio.run(sockets, machines, running, options.guests, 32)
+        found[f"{machines} machines, {running} running"] = {
+            "module_alone": {k: round(v, 1) for k, v in plain.items()},
+            "planner_on_loopback": {k: round(v, 3) for k, v in whole.items()},
+            "throughput_ratio": round(whole["guests_a_second"] / plain["guests_a_second"], 3),
+            "added_median_us": whole["median_us"] - plain["median_us"],
+            "added_p99_us": whole["p99_us"] - plain["p99_us"]}
+    for count in (int(part) for part in options.memory.split(",") if part):
+        found[f"bytes a guest at {count}"] = {"held": round(memory(count, False)),
+                                              "running": round(memory(count, True))}
+    print(json.dumps(found, indent=1))
+
+
+if __name__ == "__main__":
+    main()
+
--- a/hazelhold/config/load.py
+++ b/hazelhold/config/load.py
@@ -2,7 +2,7 @@
 
 import difflib
 from pathlib import Path
-from typing import Any, TypeVar, get_args, get_origin
+from typing import Annotated, Any, TypeVar, get_args, get_origin
 
 import msgspec
 import pyjson5
@@ -61,6 +61,8 @@
             elif field.required:
                 faults.append((f"{place}.{name}".lstrip("."), "is missing"))
         return kind(**given) if not faults else None
+    if get_origin(kind) is Annotated and get_origin(get_args(kind)[0]) is list and value:
+        kind = get_args(kind)[0]  # of what such a list may be, only its being empty is checked here
     if get_origin(kind) is list and isinstance(value, list):
         return [_walk(get_args(kind)[0], item, f"{place}[{at}]", faults) for at, item in enumerate(value)]
     try:
--- a/hazelhold/engine/engine.py
+++ b/hazelhold/engine/engine.py
@@ -216,18 +216,23 @@
             state, machine = "running", case.machine
         elif case:
             state, machine = "out" if case.machine else "held", case.machine
-        elif self.loose.get(guest) or self._blind():
-            state, machine = "unsettled", ""
-        elif past := self.ends.get(guest):
-            state, machine = past[0], ""
         else:
-            answer = self.answers.get((guest, ask))
-            state = answer[0].__struct_config__.tag if answer else "unknown"
-            machine = ""
+            state, machine = self._past(guest, ask), ""
         return m.State(guest=guest, ask=ask, state=state, machine=machine)
 
+    def _past(self, guest: str, ask: int) -> str:
+        """What is known of a guest that is not in hand."""
+        if self.loose.get(guest):
+            return "unsettled"
+        if past := self.ends.get(guest):
+            return past[0]
+        answer = self.answers.get((guest, ask))
+        tag = answer[0].__struct_config__.tag if answer else "unknown"
+        return "unsettled" if tag in ("unknown", "broken_off") and self._blind() else tag
+
     def _blind(self) -> bool:
-        """Whether guests may run that this planner has not heard of: it has just started, and has no list yet or
+        """Whether guests may run that this planner has not heard of: it has just started, and has no list
+        yet or
         waits for machines on it. What it does not know it must not call unknown."""
         return not self.list_heard or bool(self.unheard)
 
@@ -324,7 +329,10 @@
         link.lost_at = link.dial_at = 0
         link.incarnation = link.incarnation if link.state == "up" else 0
         for name in list(link.holds):
-            self._gone(now, self.cases[name], "lost")
+            case = self.cases[name]
+            if case.placed:  # it may run on, cut off from here: its machine is asked when it can be
+                self._loosen(now, case, link)
+            self._gone(now, case, "lost")
         if link.machine not in self.roster.fellows:
             for guest in [g for g, by in self.loose.items() if link.machine in by]:
                 self._settled(guest, link.machine)
@@ -682,12 +690,15 @@
         if not case.sent:
             return
         link = self.links.get(case.machine)
-        loose = Loose(case, case.attempt, case.machine, link.incarnation if link else 0, case.sent_at,
-                      roll_at=now + 1_000_000)
-        self.loose.setdefault(case.guest, {})[case.machine] = loose
+        self._loosen(now, case, link)
         if link and link.state == "up":
             self._send_machine(case.machine, m.Withdraw(guest=case.guest, ask=case.ask, attempt=case.attempt))
 
+    def _loosen(self, now: int, case: Case, link: Link | None) -> None:
+        self.loose.setdefault(case.guest, {})[case.machine] = Loose(
+            case, case.attempt, case.machine, link.incarnation if link else 0, case.sent_at,
+            roll_at=now + 1_000_000)
+
     def _call_off(self, now: int, name: str, machine: str) -> None:
         case = self.cases.get(name)
         link = self.links.get(machine)
--- a/hazelhold/model/machine.py
+++ b/hazelhold/model/machine.py
@@ -335,6 +335,10 @@
             self._send_away(next(iter(self.lodgers.values())), now)
             self._at(now + SECOND // 5, "send_away")
 
+    def settle(self, now: int) -> None:
+        """Counts service up to now."""
+        self._accrue(now)
+
     # How it works inside.
 
     def _hears(self) -> bool:
--- a/hazelhold/rehearse/stage.py
+++ b/hazelhold/rehearse/stage.py
@@ -89,11 +89,12 @@
                     tip_window=micros(fleet.cold_window_ms), cold_offers=fleet.cold_offers,
                     report_period=micros(random.uniform(*stock.report_ms)), drains=day.drains)
                 name = f"m{number:03d}"
-                machine = Machine(name, build, self.seed * 1000 + number, self.net.now())
+                off = (3600, -3600, 0)[min(number, 2)] * SECOND  # two machines whose clocks are an hour off
+                machine = Machine(name, build, self.seed * 1000 + number, self.net.now() + off)
                 spot = Spot(name, kind.name, number % day.zones, number // day.cell_size)
                 self.spots.append(spot)
                 self.hosts[name] = MachineHost(self.net, machine, self.recorder(name, "machine"), spot.zone,
-                                               spot.cell)
+                                               spot.cell, off)
                 number += 1
 
     async def open(self, nursery: trio.Nursery) -> str:
@@ -142,7 +143,8 @@
         machine = host.machine
         self.service.set(self.net.now(), Entry(
             machine=name, address=host.door.address, mode=mode, kind=machine.build.kind,
-            incarnation=machine.incarnation, zone=host.zone, cell=host.cell), machine.up_at, at_once)
+            incarnation=machine.incarnation, zone=host.zone, cell=host.cell), machine.up_at - host.clock_off,
+            at_once)
         self.list_host.ticker.stir()
 
     # What troubles do.
@@ -151,28 +153,26 @@
         """Carries out one step; those on planners are for whoever runs them."""
         getattr(self, "_do_" + step.what)(step.machine, step.value)
 
-    def _machines(self) -> list[Machine]:
-        return [host.machine for host in self.hosts.values()]
-
     def _do_burst(self, name: str, value: float | None) -> None:
         for sender in self.senders:
             sender.model.factor = value or 1.0
-        for machine in self._machines():
+        for host in self.hosts.values():
+            machine = host.machine
             machine.ills.use_factor = 1.0 if value is None else 1 + (value - 1) / 4
-            machine.unsettle(self.net.now())
+            machine.unsettle(host.now())
         self._stir()
 
     def _do_list_down(self, name: str, value: float | None) -> None:
         self.list_host.set_down(value is not None)
 
     def _do_drain(self, name: str, value: object) -> None:
-        self.hosts[name].machine.drain(self.net.now())
+        self.hosts[name].machine.drain(self.hosts[name].now())
         self.hosts[name].ticker.stir()
         self._list(name, "cordoned")
 
     def _do_notice(self, name: str, value: object) -> None:
         """Listed as draining at once: the machine's keeper tells before it takes it away."""
-        self.hosts[name].machine.drain(self.net.now())
+        self.hosts[name].machine.drain(self.hosts[name].now())
         self.hosts[name].ticker.stir()
         self._list(name, "cordoned", at_once=True)
 
@@ -205,15 +205,17 @@
         self.hosts[name].machine.ills.report_delay = round((value or 0.0) * 1e6)
 
     def _do_heavy(self, name: str, value: tuple[str, float, float] | None) -> None:
-        for machine in self._machines():
+        for host in self.hosts.values():
+            machine = host.machine
             machine.ills.heavy = {value[0]: value[1:]} if value else {}
-            machine.unsettle(self.net.now())
+            machine.unsettle(host.now())
         self._stir()
 
     def _do_hot(self, name: str, value: list[str] | None) -> None:
-        for machine in self._machines():
+        for host in self.hosts.values():
+            machine = host.machine
             machine.ills.hot = set(value or ())
-            machine.unsettle(self.net.now())
+            machine.unsettle(host.now())
         self._stir()
 
     def _do_cut(self, name: str, value: int) -> None:
--- a/hazelhold/service/planner.py
+++ b/hazelhold/service/planner.py
@@ -184,6 +184,7 @@
         if isinstance(message, m.Hello):
             raise FrameError("second_hello", "a connection has one Hello")
         self.engine.owner_said(self.net.now(), name, message)
+        self._carry_out()  # answers that need no decision do not wait for one
         self.ticker.stir()
 
     def _refuse(self, wire: Wire, wrong: FrameError) -> None:
@@ -242,6 +243,7 @@
         if isinstance(message, m.Fault):
             raise FrameError(message.code, message.text)
         self.engine.machine_said(self.net.now(), name, message)
+        self._carry_out()
         self.ticker.stir()
 
     # The list.
--- a/hazelhold/service/wire.py
+++ b/hazelhold/service/wire.py
@@ -25,6 +25,7 @@
         self.more = trio.Event()
         self.full = self.closing = False
         self.scope = trio.CancelScope()  # the reading side; cancelled when the wire is to end
+        self.writing = trio.CancelScope()  # the writing side; bounds a peer that reads nothing
 
     def send(self, message: Message) -> bool:
         """Queues a message; False if the wire is ending, or just ended because its queue is full."""
@@ -43,14 +44,15 @@
     def cut(self) -> None:
         """Ends the wire without ceremony."""
         self.closing = True
-        self.more.set()
         self.scope.cancel()
+        self.writing.cancel()
 
     def finish(self, message: Message | None = None) -> None:
-        """Ends the wire after what is queued, and a last message, have gone."""
+        """Ends the wire after what is queued, and a last message, have gone; a second at most."""
         if message is not None:
             self.send(message)
         self.closing = True
+        self.writing.deadline = min(self.writing.deadline, trio.current_time() + 1.0)
         self.more.set()
 
     def note(self, way: str, message: Message | None) -> None:
@@ -60,17 +62,16 @@
     async def write(self) -> None:
         """Writes what is queued until the wire ends; then closes the stream."""
         try:
-            while True:
-                await self.more.wait()
-                self.more = trio.Event()
-                if self.scope.cancel_called:
-                    return
-                while self.queue:
-                    data = bytes(self.queue)
-                    self.queue.clear()
-                    await self.stream.send_all(data)
-                if self.closing:
-                    return
+            with self.writing:
+                while not self.closing or self.queue:
+                    await self.more.wait()
+                    self.more = trio.Event()
+                    while self.queue:
+                        data = bytes(self.queue)
+                        self.queue.clear()
+                        await self.stream.send_all(data)
+                    if self.closing:
+                        break
         except (trio.BrokenResourceError, trio.ClosedResourceError, trio.BusyResourceError):
             pass
         finally:
--- a/hazelhold/standin/machines.py
+++ b/hazelhold/standin/machines.py
@@ -27,19 +27,24 @@
     def __init__(self, net: Net, machine: Machine, recorder: Recorder, zone: int = 0, cell: int = 0,
                  clock_off: int = 0) -> None:
         self.net, self.machine, self.zone, self.cell = net, machine, zone, cell
+        self.clock_off = clock_off  # this machine's clock against everybody else's, in microseconds
         self.recorder = recorder
         self.door = Door(net, machine.name, "machine", CODEC, recorder, self._welcome, self._said)
         self.door.muted = lambda planner: self.machine.ills.silent or planner in self.cut_from
         self.cut_from: set[str] = set()
-        self.ticker = Ticker(net.now, lambda now: machine.next_at(), self._work)
+        self.ticker = Ticker(self.now, lambda now: machine.next_at(), self._work)
         self.note("up")
 
+    def now(self) -> int:
+        return self.net.now() + self.clock_off
+
     async def run(self, address: str, nursery: trio.Nursery) -> str:
         nursery.start_soon(self.ticker.run)
         return await self.door.serve(address, nursery)
 
     def note(self, what: str, guests: list[tuple[str, int]] | None = None) -> None:
-        fact = Fact(what=what, incarnation=self.machine.incarnation, cold_until=self.machine.warm_at,
+        fact = Fact(what=what, incarnation=self.machine.incarnation, cold_until=self.machine.warm_at -
+        self.clock_off,
                     guests=guests or [])
         self.recorder.note(self.net.now(), "", "fact", fact)
 
@@ -57,7 +62,7 @@
         if self.machine.fell_over:
             return  # pushed over, it stays down
         self.machine.ills.silent = False
-        self.machine.came_up(self.net.now())
+        self.machine.came_up(self.now())
         self.door.open = True
         self.door.shut()
         self.note("up")
@@ -65,16 +70,16 @@
 
     def tally(self) -> None:
         """At the end of a day: what runs here and how well it was served."""
-        self.machine._accrue(self.net.now())
+        self.machine.settle(self.now())
         self.note("tally", [(g.offer.guest, int(g.served)) for g in self.machine.lodgers.values() if g.runs])
 
     def _welcome(self) -> m.Welcome:
         machine = self.machine
         return m.Welcome(name=machine.name, incarnation=machine.incarnation,
-                         up_for=max(0, self.net.now() - machine.up_at))
+                         up_for=max(0, self.now() - machine.up_at))
 
     def _said(self, planner: str, message: m.Message) -> None:
-        now, machine = self.net.now(), self.machine
+        now, machine = self.now(), self.machine
         machine.advance(now)
         if isinstance(message, m.Offer):
             machine.offered(now, planner, message)
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -1,7 +1,18 @@
 """What the tests share: a small deployment, machines, and a Brain that is driven by hand."""
 
 from hazelhold.brain import Brain
+from hazelhold.config.planner import (
+    Estate,
+    FleetSheet,
+    KindSheet,
+    LimitSheet,
+    ListSheet,
+    PlannerSheet,
+    ProductSheet,
+)
+from hazelhold.engine.engine import Dial, Engine, Send
 from hazelhold.interface import Ask, Decision, Deployment, Effect, Kind, Listed, Mode, Place, Product, Step
+from hazelhold.protocol import messages as m
 
 MS = 1000
 PRODUCT = Product(Effect.RERUNNABLE, Place.ALL, 5000 * MS, 800 * MS, 1.0, 10.0, 0, 0.8, 0.2, -1,
@@ -45,3 +56,91 @@
         if decision.step not in (Step.PROBE, Step.FOLLOW_LIST):
             found.append(decision)
     return found
+
+
+def sheet(**limits: object) -> PlannerSheet:
+    """A planner's configuration with one product of each effect."""
+    products = [ProductSheet("plain", "rerunnable", 800, 5000), ProductSheet("once", "exclusive", 800, 5000),
+                ProductSheet("ticket", "ticketed", 800, 5000, group="cell", window_ms=4000)]
+    estate = Estate(products, [KindSheet("box", 24, 40)], FleetSheet(cores_multiple=2.5, probing=False))
+    return PlannerSheet("p0", "door", ListSheet("list"), estate, limits=LimitSheet(**limits))
+
+
+class Desk:
+    """An engine driven by hand. Machines that are dialled come up at once unless they are in `dead`."""
+
+    def __init__(self, machines: str = "ab", **limits: object) -> None:
+        self.engine = Engine(sheet(**limits), 1, 0)
+        self.dead: set[str] = set()
+        self.dialled: list[str] = []
+        self.stands: dict[str, list[m.Stand]] = {}
+        self.lives: dict[str, int] = {}
+        self.said: list[tuple[str, m.Message]] = []  # all that was sent, to whom
+        self.lists(0, [self.entry(name) for name in machines])
+
+    def entry(self, name: str, mode: str = "ready", **more: object) -> m.Entry:
+        return m.Entry(machine=name, address="at-" + name, mode=mode, kind="box", cores_room=24.0,
+                       memory_room=40.0, incarnation=self.lives.get(name, 1), **more)
+
+    def lists(self, now: int, entries: list[m.Entry], whole: bool = False) -> list[m.Message]:
+        self.engine.list_said(now, m.Listing(version=1, whole=whole, entries=entries))
+        return self.run(now)
+
+    def run(self, now: int) -> list[m.Message]:
+        """Pumps and carries out; returns what was sent."""
+        start = len(self.said)
+        for _ in range(50):
+            self.engine.pump(now)
+            actions, self.engine.actions = self.engine.actions, []
+            if not actions:
+                break
+            for action in actions:
+                if isinstance(action, Send):
+                    self.said.append((action.peer, action.message))
+                elif isinstance(action, Dial):
+                    self.dialled.append(action.address)
+                    if action.machine not in self.dead:
+                        self.comes_up(now, action.machine)
+        return [message for _, message in self.said[start:]]
+
+    def comes_up(self, now: int, name: str, complete: bool = True) -> None:
+        self.engine.link_up(now, name, m.Welcome(name=name, incarnation=self.lives.get(name, 1)))
+        self.engine.machine_said(now, name, m.Running(guests=self.stands.get(name, []), complete=complete))
+
+    def submits(self, now: int, guest: str, product: str = "plain", ask: int = 0, patience: int = 5000 * MS,
+                reason: str = "") -> list[m.Message]:
+        self.engine.owner_said(now, "o", m.Submit(guest=guest, ask=ask, product=product, service="s" +
+        product,
+                                                  cores=1.0, memory=2.0, patience=patience, reason=reason))
+        return self.run(now)
+
+    def says(self, now: int, machine: str, message: m.Message) -> list[m.Message]:
+        self.engine.machine_said(now, machine, message)
+        return self.run(now)
+
+    def owner(self, now: int, message: m.Message) -> list[m.Message]:
+        self.engine.owner_said(now, "o", message)
+        return self.run(now)
+
+    def offer(self, now: int, guest: str, product: str = "plain", **more: object) -> tuple[m.Offer, str]:
+        """Submits a guest; returns its offer and the machine that got it."""
+        self.submits(now, guest, product, **more)
+        offers = [(message, peer) for peer, message in self.said
+                  if isinstance(message, m.Offer) and message.guest == guest]
+        return offers[-1]
+
+    def sent(self, kind: type, guest: str = "") -> list[m.Message]:
+        return [message for _, message in self.said
+                if isinstance(message, kind) and (not guest or message.guest == guest)]
+
+
+def stand(offer: m.Offer, state: str = "runs", how: str = "") -> m.Stand:
+    """How a machine tells of a guest that it was offered."""
+    return m.Stand(guest=offer.guest, ask=offer.ask, attempt=offer.attempt, state=state,
+    product=offer.product,
+                   service=offer.service, cores=offer.cores, memory=offer.memory, owner=offer.owner, how=how)
+
+
+def of(kind: type, offer: m.Offer, **more: object) -> m.Message:
+    """A machine's message about an offer."""
+    return kind(guest=offer.guest, ask=offer.ask, attempt=offer.attempt, **more)
--- /dev/null
+++ b/tests/test_day.py
@@ -0,0 +1,70 @@
+"""Whole days: every kind of trouble, judged from what crossed the connections. Virtual time, and once on
+sockets."""
+
+import json
+from pathlib import Path
+
+import msgspec
+import pytest
+import trio
+from click.testing import CliRunner
+
+from hazelhold.cli.main import main
+from hazelhold.config.day import Day, Trouble, read_day
+from hazelhold.rehearse.run import play, play_virtual
+
+EXAMPLES = Path(__file__).parent.parent / "examples"
+
+
+def bad_day(**changes: object) -> Day:
+    return msgspec.structs.replace(read_day(EXAMPLES / "bad-day.json5"), **changes)
+
+
+@pytest.mark.parametrize("seed", [1, 2])
+def test_the_bad_day_keeps_the_rules_and_accounts_for_everyone(tmp_path: Path, seed: int) -> None:
+    said = play_virtual(bad_day(), seed, tmp_path)
+    counts = said["counts"]
+    assert said["rules_broken"] == [] and said["unaccounted"] == []
+    assert counts["placed"] > 600 and said["service"]["service"] > 0.6
+    finals = counts["placed"] + counts["turned_back"] + counts["broken_off"]
+    assert finals + counts.get("died_with_planner", 0) == counts["taken"]
+
+
+def test_the_same_seed_plays_the_same_day(tmp_path: Path) -> None:
+    day = bad_day(length_s=12.0, troubles=[t for t in bad_day().troubles if t.at_s < 11])
+    reports = []
+    for name in "ab":
+        reports.append(play_virtual(day, 3, tmp_path / name))
+        del reports[-1]["seconds"]
+    assert reports[0] == reports[1] and reports[0]["counts"]["taken"] > 50
+
+
+def test_a_planner_that_breaks_rules_is_caught(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    from hazelhold.brain import Brain, Guest
+    from hazelhold.engine import machines
+
+    deaf = {mode: machines.Mode.READY for mode in ("ready", "cordoned", "gone")}
+    monkeypatch.setattr(machines, "MODES", deaf)
+    monkeypatch.setattr(Guest, "may_turn_back", lambda self: True)
+    monkeypatch.setattr(Brain, "_allowed", lambda self, guest, machine, now: True)
+    day = bad_day(length_s=25.0, troubles=[Trouble("answer_lost", 2, 20, 1.0, 0.4), Trouble("deploy", 5, 12,
+    1.0, 0.2)])
+    rules = {b["rule"] for b in play_virtual(day, 1, tmp_path)["rules_broken"]}
+    assert rules >= {2, 3}
+
+
+def test_planner_processes_killed_and_stopped_on_sockets(tmp_path: Path) -> None:
+    troubles = [Trouble("planner_kill", 2, 1.5, which=0), Trouble("planner_stop", 4, 1, which=1),
+                Trouble("crash", 3, 3, 0.2), Trouble("answer_lost", 1, 4, 0.3, 0.3)]
+    day = bad_day(length_s=8.0, planners=2, troubles=troubles)
+    said = trio.run(play, day, 1, tmp_path, False)
+    assert said["rules_broken"] == [] and said["unaccounted"] == [] and said["counts"]["placed"] > 20
+    ran = CliRunner().invoke(main, ["audit", str(tmp_path / "records"), "--report", str(tmp_path / "r.json")])
+    assert ran.exit_code == 0 and json.loads((tmp_path / "r.json").read_text())["counts"] == said["counts"]
+
+
+def test_a_faulty_day_starts_nothing(tmp_path: Path) -> None:
+    (tmp_path / "day.json5").write_text("{ name: 'x', length_s: -1 }")
+    ran = CliRunner().invoke(main, ["rehearse", str(tmp_path / "day.json5"), "--records", str(tmp_path /
+    "r")])
+    assert ran.exit_code == 2 and "length_s" in ran.output and not (tmp_path / "r").exists()
--- /dev/null
+++ b/tests/test_service.py
@@ -0,0 +1,287 @@
+"""The planner on connections: bad peers end alone, everybody else goes on. Virtual time, but for a few on
+TCP."""
+
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+
+import msgspec
+import pytest
+import trio
+from trio.testing import MockClock
+
+from hazelhold.protocol import messages as m
+from hazelhold.protocol.frames import FrameReader, frame
+from hazelhold.service.net import MemoryNet, Net, TcpNet
+from hazelhold.service.planner import Planner
+from tests.helpers import sheet
+
+TO_OWNER = m.Codec(m.TO_OWNER)
+HELLO = m.encode(m.Hello(role="owner", name="o"))
+
+
+class Peer:
+    """One end of a connection that says what it likes."""
+
+    def __init__(self, stream: trio.abc.Stream) -> None:
+        self.stream, self.reader, self.codec = stream, FrameReader(), TO_OWNER
+
+    async def hear(self, count: int = 1) -> list[m.Message]:
+        """The next messages, or fewer if the planner closes."""
+        found: list[m.Message] = []
+        while len(found) < count:
+            data = await self.stream.receive_some()
+            if not data:
+                break
+            found += [self.codec.decode(body) for body in self.reader.feed(data)]
+        return found
+
+
+def with_planner(test: Callable[[Planner, Net], Awaitable[None]], net: Net | None = None,
+                 **limits: object) -> Planner:
+    """Runs the test beside a planner, in virtual time unless the net is real."""
+    kept = []
+
+    async def run() -> None:
+        used = net or MemoryNet()
+        door = "127.0.0.1:0" if isinstance(used, TcpNet) else "door"
+        made = msgspec.structs.replace(sheet(**limits), listen=door)
+        if isinstance(used, TcpNet):  # nobody lists machines there
+            made = msgspec.structs.replace(made, list=msgspec.structs.replace(made.list,
+            address="127.0.0.1:1"))
+        planner = Planner(made, 1, used)
+        kept.append(planner)
+        with trio.fail_after(60):
+            async with trio.open_nursery() as nursery:
+                await nursery.start(planner.run)
+                await test(planner, used)
+                planner.stop()
+
+    trio.run(run, clock=None if isinstance(net, TcpNet) else MockClock(autojump_threshold=0))
+    return kept[0]
+
+
+async def owner(planner: Planner, net: Net, name: str = "o") -> Peer:
+    peer = Peer(await net.dial(planner.address))
+    await peer.stream.send_all(m.encode(m.Hello(role="owner", name=name)))
+    assert isinstance((await peer.hear())[0], m.Welcome)
+    return peer
+
+
+@pytest.mark.parametrize(("data", "code"), [
+    ((2 << 30).to_bytes(4), "frame_too_long"), (HELLO + b"\0\0\0\0", "frame_empty"),
+    (frame(b"\xc1"), "not_msgpack"), (m.encode(m.Query(guest="g")), "wrong_first"),
+    (HELLO + HELLO, "second_hello"), (HELLO + frame(msgspec.msgpack.encode({"t": "offer"})), "unknown_type"),
+    (m.encode(m.Hello(role="planner", name="x")), "wrong_role"),
+    (m.encode(m.Hello(role="owner", name="x", version=99)), "version"),
+    (HELLO + frame(msgspec.msgpack.encode({"t": "cancel"})), "bad_message")])
+def test_a_peer_that_breaks_the_protocol_is_told_why_and_ends_alone(data: bytes, code: str) -> None:
+    async def test(planner: Planner, net: Net) -> None:
+        innocent = await owner(planner, net, "innocent")
+        peer = Peer(await net.dial(planner.address))
+        await peer.stream.send_all(data)
+        said = await peer.hear(9)
+        assert isinstance(said[-1], m.Fault) and said[-1].code == code
+        await innocent.stream.send_all(m.encode(m.Query(guest="g")))
+        assert isinstance((await innocent.hear())[0], m.State)
+
+    assert with_planner(test).counts["refused_" + code] == 1
+
+
+def test_half_a_frame_and_then_silence_is_ended_by_time_before_the_hello_only() -> None:
+    async def test(planner: Planner, net: Net) -> None:
+        late, slow = Peer(await net.dial(planner.address)), await owner(planner, net, "slow")
+        await late.stream.send_all(HELLO[:5])
+        query = m.encode(m.Query(guest="g"))
+        await slow.stream.send_all(query[:7])
+        start = trio.current_time()
+        assert (await late.hear())[0].code == "no_hello" and trio.current_time() - start <= 2.1
+        await trio.sleep(30)
+        await slow.stream.send_all(query[7:])
+        assert isinstance((await slow.hear())[0], m.State)
+
+    with_planner(test)
+
+
+def test_the_newest_connection_of_an_owner_counts() -> None:
+    async def test(planner: Planner, net: Net) -> None:
+        first = await owner(planner, net)
+        second = await owner(planner, net)
+        assert [type(said) for said in await first.hear(2)] == [m.Bye]
+        await second.stream.send_all(m.encode(m.Query(guest="g")))
+        assert isinstance((await second.hear())[0], m.State)
+        assert len(planner.owners) == 1
+
+    with_planner(test)
+
+
+def test_an_owner_that_comes_back_hears_what_became_of_its_guest() -> None:
+    async def test(planner: Planner, net: Net) -> None:
+        peer = await owner(planner, net)
+        await peer.stream.send_all(m.encode(m.Submit(guest="g", product="once", service="s", cores=1.0,
+        memory=1.0,
+                                                     patience=1_000_000)))
+        assert isinstance((await peer.hear())[0], m.Held)
+        await peer.stream.aclose()
+        await trio.sleep(2)
+        peer = await owner(planner, net)
+        await peer.stream.send_all(m.encode(m.Query(guest="g")))
+        assert (await peer.hear())[0].state == "turned_back"
+
+    with_planner(test)
+
+
+def test_a_thousand_connections_at_once_and_one_more_than_allowed() -> None:
+    async def test(planner: Planner, net: Net) -> None:
+        done = []
+
+        async def ask(number: int) -> None:
+            peer = await owner(planner, net, f"o{number}")
+            await peer.stream.send_all(m.encode(m.Query(guest="g")))
+            done.extend(await peer.hear())
+            await trio.sleep(1)
+
+        async with trio.open_nursery() as nursery:
+            for number in range(1000):
+                nursery.start_soon(ask, number)
+            await trio.sleep(0.5)
+            peer = Peer(await net.dial(planner.address))
+            assert [said.code for said in await peer.hear()] == ["too_many"]
+        assert len(done) == 1000
+
+    with_planner(test, connections=1000)
+
+
+def test_a_peer_that_reads_nothing_is_cut_off_and_others_are_unharmed() -> None:
+    async def test(planner: Planner, net: Net) -> None:
+        deaf = await owner(planner, net, "deaf")
+        innocent = await owner(planner, net, "innocent")
+        query = m.encode(m.Query(guest="g" * 200)) * 200
+        with trio.move_on_after(20):
+            while "deaf" in planner.owners:
+                await deaf.stream.send_all(query)
+                await innocent.stream.send_all(m.encode(m.Query(guest="g")))
+                assert isinstance((await innocent.hear())[0], m.State)
+        assert "deaf" not in planner.owners and "innocent" in planner.owners
+
+    with_planner(test, TcpNet(), send_bytes=20_000)
+
+
+def test_a_stop_tells_owners_and_ends_in_time() -> None:
+    async def test(planner: Planner, net: Net) -> None:
+        peer = await owner(planner, net)
+        await peer.stream.send_all(m.encode(m.Submit(guest="g", product="once", service="s", cores=1.0,
+        memory=1.0,
+                                                     patience=500_000_000)))
+        assert isinstance((await peer.hear())[0], m.Held)
+        start = trio.current_time()
+        planner.stop()
+        said = await peer.hear(3)
+        assert [type(s) for s in said] == [m.TurnedBack, m.Bye] and said[0].reason == "stopping"
+        assert trio.current_time() - start < 4
+
+    with_planner(test)
+
+
+class Machines:
+    """Two scripted machines and a list, for one planner on a memory net."""
+
+    def __init__(self, net: Net, names: str = "a") -> None:
+        self.net, self.names = net, names
+        self.peers: dict[str, list[Peer]] = {name: [] for name in names}
+
+    async def open(self, nursery: trio.Nursery) -> None:
+        await self.net.listen("list", self._list, nursery)
+        for name in self.names:
+            async def serve(stream: trio.abc.Stream, name: str = name) -> None:
+                peer = Peer(stream)
+                peer.codec = m.Codec(m.TO_MACHINE)
+                await peer.hear()
+                await stream.send_all(m.encode(m.Welcome(name=name, incarnation=1)))
+                self.peers[name].append(peer)
+                await trio.sleep_forever()
+
+            await self.net.listen("at-" + name, serve, nursery)
+
+    async def _list(self, stream: trio.abc.Stream) -> None:
+        peer = Peer(stream)
+        peer.codec = m.Codec(m.TO_LIST)
+        await peer.hear()
+        entries = [m.Entry(machine=n, address="at-" + n, mode="ready", kind="box", cores_room=24.0,
+                           memory_room=40.0, incarnation=1) for n in self.names]
+        await stream.send_all(m.encode(m.Welcome(name="list")))
+        await stream.send_all(m.encode(m.Listing(version=1, whole=True, entries=entries)))
+        await trio.sleep_forever()
+
+
+def test_a_link_that_breaks_is_made_anew_within_its_bound_and_asked() -> None:
+    async def test(planner: Planner, net: Net) -> None:
+        async with trio.open_nursery() as nursery:
+            machines = Machines(net)
+            await machines.open(nursery)
+            await trio.sleep(1)
+            peer = await owner(planner, net)
+            first = machines.peers["a"][0]
+            assert isinstance((await first.hear())[0], m.Roll)
+            await first.stream.send_all(m.encode(m.Running(guests=[])))
+            await peer.stream.send_all(m.encode(m.Submit(
+                guest="g", product="once", service="s", cores=1.0, memory=1.0, patience=5_000_000)))
+            offer = (await first.hear())[0]
+            assert isinstance(offer, m.Offer)
+            broke = trio.current_time()
+            await first.stream.aclose()
+            while len(machines.peers["a"]) < 2:
+                await trio.sleep(0.01)
+            assert trio.current_time() - broke < 0.1
+            second = machines.peers["a"][1]
+            assert isinstance((await second.hear())[0], m.Roll)
+            await second.stream.send_all(m.encode(m.Running(guests=[])))
+            assert (await second.hear())[0] == msgspec.structs.replace(offer, attempt=1)
+            nursery.cancel_scope.cancel()
+
+    with_planner(test)
+
+
+def test_a_machine_that_talks_nonsense_is_left_and_the_planner_goes_on() -> None:
+    async def test(planner: Planner, net: Net) -> None:
+        async with trio.open_nursery() as nursery:
+            machines = Machines(net, "ab")
+            await machines.open(nursery)
+            await trio.sleep(1)
+            await machines.peers["a"][0].stream.send_all(frame(msgspec.msgpack.encode({"t": "watch"})))
+            await machines.peers["b"][0].stream.send_all((1 << 31).to_bytes(4))
+            await trio.sleep(0.1)
+            assert planner.counts["machine_unknown_type"] == planner.counts["machine_frame_too_long"] == 1
+            assert isinstance((await (await owner(planner,
+            net)).stream.send_all(m.encode(m.Query(guest="g")))),
+                              type(None))
+            nursery.cancel_scope.cancel()
+
+    with_planner(test)
+
+
+def test_the_command_runs_stops_on_sigterm_and_records(tmp_path: Path) -> None:
+    import signal
+    import subprocess
+    import sys
+
+    config = msgspec.structs.replace(sheet(), listen="127.0.0.1:0",
+                                     list=msgspec.structs.replace(sheet().list, address="127.0.0.1:1"))
+    (tmp_path / "p.json5").write_bytes(msgspec.json.encode(config))
+    process = subprocess.Popen(
+        [sys.executable, "-m", "hazelhold", "planner", "--config", str(tmp_path / "p.json5"), "--ready",
+        "--log",
+         "json", "--record", str(tmp_path / "r.jsonl")], stdout=subprocess.PIPE, stderr=subprocess.PIPE)
+    host, port = process.stdout.readline().decode().strip().split(":")
+
+    async def talk() -> m.Message:
+        stream = await trio.open_tcp_stream(host, int(port))
+        await stream.send_all(HELLO + m.encode(m.Query(guest="g")))
+        return (await Peer(stream).hear(2))[1]
+
+    assert trio.run(talk).state == "unsettled"
+    process.send_signal(signal.SIGTERM)
+    _, errors = process.communicate(timeout=20)
+    assert process.returncode == 0
+    lines = [msgspec.json.decode(line) for line in errors.splitlines()]
+    assert lines[-1]["event"] == "stopped" and all("planner" in line for line in lines)
+    assert (tmp_path / "r.jsonl").read_text().count("\n") >= 3
