--- a/hazelhold/protocol/messages.py
+++ b/hazelhold/protocol/messages.py
@@ -52,7 +52,7 @@
 class Hello(Message, tag="hello", kw_only=True):
     """First on every connection, from the side that dials."""
 
-    role: Literal["owner", "planner"]
+    role: Literal["owner", "planner", "machine"]
     name: Id
     version: int = VERSION
 
@@ -291,6 +291,13 @@
     entries: list[Entry]
 
 
+class Enlist(Message, tag="enlist", kw_only=True):
+    """What machines, or whoever keeps them, tell the list service; with `rooms` only the rooms are news."""
+
+    entries: list[Entry]
+    rooms: bool = False
+
+
 class ListRefused(Message, tag="list_refused", kw_only=True):
     """The list service cannot answer now."""
 
@@ -302,7 +309,7 @@
 TO_MACHINE = Hello | Offer | Withdraw | Stop | Probe | Roll | Bye
 FROM_MACHINE = (Welcome | Taken | Refused | Started | Use | Served | Pressed | Ended | Report | Running
                 | Fault | Bye)
-TO_LIST = Hello | Watch | Bye
+TO_LIST = Hello | Watch | Enlist | Bye
 FROM_LIST = Welcome | Listing | ListRefused | Fault | Bye
 
 ENCODER = msgspec.msgpack.Encoder()
--- a/hazelhold/rehearse/stage.py
+++ b/hazelhold/rehearse/stage.py
@@ -11,10 +11,11 @@
 from hazelhold.model.listing import ListService
 from hazelhold.model.machine import Build, Machine, Trade
 from hazelhold.model.owners import OwnerModel, Want
-from hazelhold.protocol.messages import Entry
+from hazelhold.protocol.messages import Enlist, Entry
 from hazelhold.protocol.record import Recorder
 from hazelhold.rehearse.troubles import Spot, Step
 from hazelhold.service.net import Net
+from hazelhold.service.wire import Wire
 from hazelhold.standin.lister import ListHost
 from hazelhold.standin.machines import MachineHost
 from hazelhold.standin.senders import SenderHost
@@ -25,7 +26,7 @@
 class Stage:
     """The stand-ins of one day. `planner_names` and their addresses come from whoever starts the planners."""
 
-    def __init__(self, day: Day, seed: int, net: Net, records: Path, host: str) -> None:
+    def __init__(self, day: Day, seed: int, net: Net, records: Path | None, host: str) -> None:
         self.day, self.seed, self.net, self.records, self.host = day, seed, net, records, host
         self.random = Random(f"stage/{seed}")
         self.hosts: dict[str, MachineHost] = {}
@@ -34,6 +35,7 @@
         self.recorders: list[Recorder] = []
         self._make_machines()
         r = day.roster
+        self.remote: Wire | None = None  # a list service elsewhere, for machines that stand alone
         self.service = ListService(seed, net.now(), (round(r.notice_s[0] * 1e6), round(r.notice_s[1] * 1e6)),
                                    micros(r.period_ms), (micros(r.answer_ms[0]), micros(r.answer_ms[1])))
         self.list_host = ListHost(net, self.service, self.recorder("list", "list"))
@@ -41,7 +43,7 @@
         self.zones: dict[str, int] = {}  # of planners
 
     def recorder(self, by: str, role: str) -> Recorder:
-        made = Recorder(self.records / f"{role}-{by}.jsonl", by, role)
+        made = Recorder(self.records / f"{role}-{by}.jsonl" if self.records else None, by, role)
         self.recorders.append(made)
         return made
 
@@ -100,13 +102,16 @@
     async def open(self, nursery: trio.Nursery) -> str:
         """Starts list service and machines; returns the list's address."""
         address = await self.list_host.run(f"{self.host}:0", nursery)
+        await self.open_machines(nursery)
+        self.service.advance(self.net.now())
+        return address
+
+    async def open_machines(self, nursery: trio.Nursery) -> None:
         for name in self.hosts:
             await self.hosts[name].run(f"{self.host}:0", nursery)
             self._list(name, "ready", at_once=True)
         self._rooms()
-        self.service.advance(self.net.now())
         nursery.start_soon(self._keep_rooms)
-        return address
 
     def bring_owners(self, planners: dict[str, str], nursery: trio.Nursery) -> None:
         """Starts the senders; from here on guests come. `planners` are addresses by name."""
@@ -136,15 +141,23 @@
             if machine.up and not machine.ills.silent:
                 cores, memory = machine.asked()
                 rooms[name] = round(machine.build.cores - cores, 3), round(machine.build.memory - memory, 3)
-        self.service.rooms(rooms)
+        if self.remote is None:
+            self.service.rooms(rooms)
+        else:
+            self.remote.send(Enlist(rooms=True, entries=[
+                Entry(machine=name, address="", mode="ready", kind="-", cores_room=cores, memory_room=memory)
+                for name, (cores, memory) in rooms.items()]))
 
     def _list(self, name: str, mode: str, at_once: bool = False) -> None:
         host = self.hosts[name]
         machine = host.machine
-        self.service.set(self.net.now(), Entry(
-            machine=name, address=host.door.address, mode=mode, kind=machine.build.kind,
-            incarnation=machine.incarnation, zone=host.zone, cell=host.cell), machine.up_at - host.clock_off,
-            at_once)
+        entry = Entry(machine=name, address=host.door.address, mode=mode, kind=machine.build.kind,
+                      incarnation=machine.incarnation, zone=host.zone, cell=host.cell,
+                      up_for=max(0, host.now() - machine.up_at))
+        if self.remote is not None:
+            self.remote.send(Enlist(entries=[entry]))
+            return
+        self.service.set(self.net.now(), entry, machine.up_at - host.clock_off, at_once)
         self.list_host.ticker.stir()
 
     # What troubles do.
--- a/hazelhold/standin/lister.py
+++ b/hazelhold/standin/lister.py
@@ -17,6 +17,7 @@
 
     def __init__(self, net: Net, service: ListService, recorder: Recorder) -> None:
         self.net, self.service = net, service
+        self.known: set[str] = set()  # machines that have enlisted; as many as there are machines
         self.door = Door(net, "list", "list", CODEC, recorder, lambda: m.Welcome(name="list"), self._said,
                          service.left)
         self.ticker = Ticker(net.now, lambda now: service.next_at(), self._work)
@@ -33,8 +34,15 @@
             self.door.shut()
 
     def _said(self, planner: str, message: m.Message) -> None:
+        now = self.net.now()
         if isinstance(message, m.Watch):
-            self.service.watched(self.net.now(), planner, message.since)
+            self.service.watched(now, planner, message.since)
+        elif isinstance(message, m.Enlist) and message.rooms:
+            self.service.rooms({e.machine: (e.cores_room, e.memory_room) for e in message.entries})
+        elif isinstance(message, m.Enlist):
+            for entry in message.entries:
+                self.service.set(now, entry, now - (entry.up_for or 0), entry.machine not in self.known)
+                self.known.add(entry.machine)
         self.ticker.stir()
 
     def _work(self, now: int) -> None:
--- a/hazelhold/standin/shell.py
+++ b/hazelhold/standin/shell.py
@@ -54,6 +54,8 @@
         name = ""
         try:
             hello = await wire.first(m.Hello, 5.0)
+            if hello.role == "owner":
+                raise FrameError("wrong_role", f"{self.name!r} is not for owners")
             if self.muted(hello.name):
                 await trio.sleep_forever()
             name = wire.peer = hello.name
