--- a/hazelhold/audit/rules.py
+++ b/hazelhold/audit/rules.py
@@ -340,7 +340,7 @@
             elif kind == "offer" and c.way == "in":
                 product[guest] = body["product"]
             elif kind == "started" or kind == "taken" and self.rules.confirms_running:
-                if c.way != "out" or c.by in running[guest]:
+                if c.way == "in" or c.by in running[guest]:
                     continue
                 self.tally["starts"] += 1
                 if effects.get(product.get(guest, "")) == "exclusive":
@@ -351,7 +351,7 @@
                         self._breach(2, "an exclusive guest ran again after it was done", c.peer,
                                      [done[guest], c], guest, c.by)
                 running[guest][c.by] = c
-            elif kind == "ended" and c.way == "out":
+            elif kind == "ended" and c.way != "in":
                 self.tally["ended_" + body["how"]] += 1
                 running[guest].pop(c.by, None)
                 if body["how"] == "done":
--- a/hazelhold/audit/score.py
+++ b/hazelhold/audit/score.py
@@ -29,12 +29,12 @@
             wanted.setdefault(guest, c)
         elif c.role == "owner" and kind == "cancel" and c.way == "out":
             cancelled.setdefault(guest, c.at)
-        elif c.role == "machine" and c.way == "out" and kind == "ended":
+        elif c.role == "machine" and c.way in ("out", "unheard") and kind == "ended":
             served[guest] += body.get("served", 0)
         elif c.role == "machine" and c.way == "fact":
             for name, microseconds in body.get("guests", []):
                 served[name] += microseconds
-        elif c.role == "machine" and c.way == "out" and (
+        elif c.role == "machine" and c.way in ("out", "unheard") and (
                 kind == "started" or kind == "taken" and rules.confirms_running):
             starts.setdefault(guest, c.at)
     if not wanted:
--- a/hazelhold/brain.py
+++ b/hazelhold/brain.py
@@ -218,10 +218,10 @@
         """A machine accepted a dispatch that was given up. Guards against a guest that runs in nobody's
         hands, and against two copies; a rerunnable copy goes even if the other dispatch is then refused."""
         held = self.guests.get(ask.guest)
-        rerunnable = self.deployment.products[ask.product].effect is Effect.RERUNNABLE
-        if ask.guest in self.waiting or not held and not rerunnable:
+        effect = self.deployment.products[ask.product].effect
+        if ask.guest in self.waiting or not held and effect is not Effect.RERUNNABLE:
             self.guest_found(now, machine, ask)
-        elif rerunnable:
+        elif effect is Effect.RERUNNABLE or effect is Effect.TICKETED and held.placed:
             self.to_call_off.append((ask.guest, machine))
 
     def dispatch_taken(self, now: int, name: str, took: int) -> None:
--- a/hazelhold/cli/main.py
+++ b/hazelhold/cli/main.py
@@ -167,6 +167,38 @@
     sys.exit(1 if said["rules_broken"] or said["unaccounted"] else 0)
 
 
+@main.command("hunt")
+@click.argument("day", type=FILE)
+@click.option("--seed", type=int, default=1, show_default=True, help="Of the first day; each is one more.")
+@click.option("--runs", type=click.IntRange(1, 100_000), default=20, show_default=True)
+@click.option("--length", type=click.FloatRange(5, 3600), default=25.0, show_default=True,
+              help="Of a day, in s.")
+@click.option("--jobs", type=click.IntRange(1, 256), default=4, show_default=True)
+@click.option("--found", type=click.Path(file_okay=False, path_type=Path), default=None,
+              help="Write days that broke a rule there.")
+@honest
+def hunt(day: Path, seed: int, runs: int, length: float, jobs: int, found: Path | None) -> None:
+    """Draw days with this one's products and kinds, and look for one on which a rule breaks.
+
+    Exits with 0 only if none was found.
+    """
+    from hazelhold.rehearse import hunt as hunting
+
+    base = read_day(day)
+    logs.set_up("human", "error")
+    results = hunting.hunt(base, seed, runs, length, jobs)
+    bad = [r for r in results if r["broken"]]
+    for result in bad:
+        click.echo(f"seed {result['seed']}: {'; '.join(sorted(set(result['broken'])))} ({result['what']})")
+        if found:
+            found.mkdir(parents=True, exist_ok=True)
+            file = found / f"hunt-{result['seed']}.json"
+            hunting.write_day(hunting.draw(base, result["seed"], length), file)
+    taken = sum(r.get("counts", {}).get("taken", 0) for r in results)
+    click.echo(f"{runs} days, {taken} asks taken: {len(bad)} days with a broken rule")
+    sys.exit(1 if bad else 0)
+
+
 @main.group("stand-in")
 def stand_in() -> None:
     """Run a part of a day's stand-ins alone, beside planners of your own."""
--- a/hazelhold/engine/engine.py
+++ b/hazelhold/engine/engine.py
@@ -492,8 +492,18 @@
         for stand in there.values():
             if stand.state in ("runs", "accepted"):
                 self._found(now, link, stand)
+            elif stand.state == "ended" and stand.how != "withdrawn" and stand.guest not in self.newest:
+                # It ended while no planner listened: its owner will ask, and must not hear that it is
+                # unknown.
+                self._keep_end(now, stand.guest, stand.how)
+        # What was to go there was decided without the guests that were found: their services are decided
+        # anew.
+        found = {s.service for s in there.values() if s.state in ("runs", "accepted")}
         for name in list(link.queue):
-            self._offer(now, self.cases[name])
+            if self.cases[name].submit.service in found:
+                self._not_sent(now, self.cases[name], Ending.NOT_SENT)
+            else:
+                self._offer(now, self.cases[name])
         if link.machine in self.probes:
             self._send_machine(link.machine, m.Probe(number=self.probes[link.machine][0]))
 
@@ -680,11 +690,14 @@
         self._unhold(case)
         self.brain.dispatch_ended(now, case.name, ending, True, remark)
         self._forget(case)
-        self.ends[case.guest] = how, now + micros(self.limits.keep_answers_ms)
-        self.ends.move_to_end(case.guest)
+        self._keep_end(now, case.guest, how)
         self._send_owner(case.owner, m.GuestEnded(guest=case.guest, ask=case.ask, how=how,
                                                   machine=case.machine))
 
+    def _keep_end(self, now: int, guest: str, how: str) -> None:
+        self.ends[guest] = how, now + micros(self.limits.keep_answers_ms)
+        self.ends.move_to_end(guest)
+
     def _give_up(self, now: int, case: Case) -> None:
         """Takes back a dispatch that is waited for no longer; until its machine speaks, its fate is open."""
         if not case.sent:
--- a/hazelhold/model/listing.py
+++ b/hazelhold/model/listing.py
@@ -28,6 +28,7 @@
         self.started: dict[str, int] = {}  # by machine, in this service's time
         self.log: list[tuple[int, str]] = []  # version and machine of each change; bounded by LOG
         self.version, self.cut_at = 0, 0
+        self.noticed: dict[str, int] = {}  # machine: when its last news becomes known
         self.watchers: dict[str, int] = {}  # planner: the version that it has
         self.down = False
         self.agenda: list[tuple[int, int, str, object]] = []
@@ -37,7 +38,9 @@
     def set(self, now: int, entry: Entry, started: int, at_once: bool = False) -> None:
         """The truth about a machine changed; its entry follows when the service has noticed."""
         wait = 0 if at_once else int(self.random.uniform(*self.notice))
-        self._at(now + wait, "change", (entry, started))
+        # News of one machine keeps its order: a return is never heard before the loss that it ends.
+        self.noticed[entry.machine] = max(now + wait, self.noticed.get(entry.machine, 0))
+        self._at(self.noticed[entry.machine], "change", (entry, started))
 
     def rooms(self, rooms: dict[str, tuple[float, float]]) -> None:
         """Cores and memory that nobody asks for, by machine; each difference is a change."""
--- a/hazelhold/model/machine.py
+++ b/hazelhold/model/machine.py
@@ -120,6 +120,8 @@
         self.out: list[tuple[str, Message]] = []  # emptied by the caller
         self.counts: Counter[str] = Counter()
         self.incarnation = 0
+        # By product: the ticketed guests that stand in this machine's group, and where; shared by the group.
+        self.tickets: dict[str, dict[str, str]] = {p: {} for p, t in build.trades.items() if t.ticketed}
         self.fell_over = False
         self.draining = False
         self.came_up(now, warm)
@@ -150,6 +152,8 @@
     def went_down(self) -> list[Lodger]:
         """Dies with all that it holds; returns those that ran."""
         lost = [g for g in self.lodgers.values() if g.runs]
+        for guest in self.lodgers.values():
+            self._give_ticket_back(guest.offer)
         self.up, self.agenda, self.lodgers = False, [], {}
         self.line.clear()
         self.waiting.clear()
@@ -394,7 +398,7 @@
 
     def _judge(self, now: int, planner: str, offer: Offer) -> None:
         build, trade = self.build, self.build.trades[offer.product]
-        if self.draining or trade.ticketed and any(k[1] == offer.guest for k in self.lodgers):
+        if self.draining or trade.ticketed and offer.guest in self.tickets[offer.product]:
             self._refuse(planner, offer, "not_here")  # a copy stands
             return
         remark = self._short(offer)
@@ -410,6 +414,8 @@
         guest = Lodger(key, offer, trade, now + (offer.life or trade.life), 2.718281828 ** (own + service))
         guest.fails = self.random.random() < self.ills.error_share
         self.lodgers[key] = guest
+        if trade.ticketed:
+            self.tickets[offer.product][offer.guest] = self.name
         if not build.confirms_running and not guest.fails:
             guest.taken = True
             self._say(planner, Taken(guest=offer.guest, ask=offer.ask, attempt=offer.attempt,
@@ -531,6 +537,7 @@
     def _remove(self, guest: Lodger, now: int) -> None:
         self._accrue(now)
         del self.lodgers[guest.key]
+        self._give_ticket_back(guest.offer)
         if self.starting.pop(guest.key, None):
             self._start_next(now)
         if guest.runs:
@@ -540,6 +547,11 @@
                 del self.kept[next(iter(self.kept))]
         self._accrue(now)
 
+    def _give_ticket_back(self, offer: Offer) -> None:
+        standing = self.tickets.get(offer.product, {})
+        if standing.get(offer.guest) == self.name:
+            del standing[offer.guest]
+
     def _end(self, key: Key, offer: Offer, how: str, guest: Lodger | None) -> None:
         self._remember(key, offer, how)
         ran = self.accrued_at - guest.started_at if guest and guest.runs else 0
--- a/hazelhold/rehearse/stage.py
+++ b/hazelhold/rehearse/stage.py
@@ -76,6 +76,7 @@
             work=micros(w.work_ms), life=round(sum(w.life_s) / 2 * 1e6),
             cores_use=sum(w.cores_use) / 2, memory_use=sum(w.memory_use) / 2) for w in day.wares}
         number = 0
+        shared: dict[tuple[str, object], dict[str, str]] = {}  # tickets that stand, by product and group
         for stock in day.stock:
             kind = kinds[stock.kind]
             for _ in range(stock.count):
@@ -94,6 +95,10 @@
                 off = (3600, -3600, 0)[min(number, 2)] * SECOND  # two machines whose clocks are an hour off
                 machine = Machine(name, build, self.seed * 1000 + number, self.net.now() + off)
                 spot = Spot(name, kind.name, number % day.zones, number // day.cell_size)
+                for product in machine.tickets:
+                    reach = sheets[product].group
+                    group = {"all": 0, "zone": spot.zone, "cell": spot.cell}.get(reach, name)
+                    machine.tickets[product] = shared.setdefault((product, group), {})
                 self.spots.append(spot)
                 self.hosts[name] = MachineHost(self.net, machine, self.recorder(name, "machine"), spot.zone,
                                                spot.cell, off)
--- a/hazelhold/standin/machines.py
+++ b/hazelhold/standin/machines.py
@@ -101,6 +101,9 @@
     def _deliver(self) -> None:
         out, self.machine.out = self.machine.out, []
         for planner, message in out:
-            self.door.send(planner, message)
+            if planner in self.door.wires:
+                self.door.send(planner, message)
+            else:  # nobody listens; what happened, happened
+                self.recorder.note(self.net.now(), planner, "unheard", message)
         if self.machine.fell_over and self.machine.up:
             self.crash("fell_over")
--- a/tests/test_day.py
+++ b/tests/test_day.py
@@ -85,7 +85,8 @@
             await stage.list_host.run(address, nursery)
             nursery.start_soon(run_part, day, 1, 2.0, "machines", {"lister": address})
             with trio.fail_after(10):
-                while not all(e.cores_room for e in stage.service.entries.values()) or not stage.service.entries:
+                while not stage.service.entries or not all(
+                        e.cores_room for e in stage.service.entries.values()):
                     await trio.sleep(0.05)
             assert len(stage.service.entries) == 11
             nursery.cancel_scope.cancel()
@@ -94,3 +95,22 @@
     ran = CliRunner().invoke(main, ["stand-in", "senders", str(EXAMPLES / "quiet-day.json5"), "--planner",
     "x"])
     assert ran.exit_code == 2 and "NAME=HOST:PORT" in ran.output
+
+
+def test_news_of_a_machine_keeps_its_order_in_the_list() -> None:
+    from hazelhold.model.listing import ListService
+    from hazelhold.protocol.messages import Entry
+
+    for seed in range(20):
+        service = ListService(seed, 0, (0, 10**7), 500_000, (0, 1))
+        for at, mode in enumerate(["ready", "gone", "ready"]):
+            service.set(at, Entry(machine="a", address="x", mode=mode, kind="k", incarnation=at), at)
+        service.advance(10**8)
+        assert service.entries["a"].incarnation == 2
+
+
+def test_a_few_drawn_days_keep_the_rules() -> None:
+    from hazelhold.rehearse.hunt import hunt
+
+    found = hunt(bad_day(), 1000, 4, 12.0, 2)
+    assert [r["broken"] for r in found] == [[]] * 4 and sum(r["counts"]["taken"] for r in found) > 300
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -1,6 +1,6 @@
 """Small cases, one for each guard and each failure found."""
 
-from hazelhold.interface import Ending, Load, Mode, Remark, Step
+from hazelhold.interface import Decision, Earlier, Ending, Load, Mode, Remark, Step
 from tests.helpers import MS, PRODUCTS, ask, brain, decisions, entry
 
 
@@ -221,3 +221,45 @@
         made.machines_listed(MS, [entry("a", room=-36.0)], False)
         made.guest_arrived(2 * MS, ask("high", 1))
         assert bool(decisions(made, 2 * MS)) is makes_room
+
+
+def test_a_cancel_of_a_held_guest_is_answered_and_of_one_out_called_off_once() -> None:
+    made = brain()
+    sent = place(made, 0, "g", 1)
+    made.guest_cancelled(1 * MS, "g")
+    assert decisions(made, 1 * MS) == [Decision(Step.CALL_OFF, "g", sent.machine)]
+    assert [d.step for d in end(made, 2 * MS, sent, Ending.TURNED_BACK)] == [Step.TURN_BACK]
+    made.machines_listed(3 * MS, [entry(n, Mode.CORDONED) for n in "ab"], False)
+    made.guest_arrived(3 * MS, ask("h", 1))
+    made.guest_cancelled(4 * MS, "h")
+    assert [d.step for d in decisions(made, 4 * MS)] == [Step.TURN_BACK]
+
+
+def test_a_cancel_that_crosses_the_answer_stops_what_runs() -> None:
+    made = brain()
+    sent = place(made, 0, "g", 1)
+    made.guest_cancelled(1 * MS, "g")
+    decisions(made, 1 * MS)
+    made.dispatch_taken(2 * MS, "g", 2 * MS)
+    assert decisions(made, 2 * MS) == [Decision(Step.CALL_OFF, "g", sent.machine)]
+
+
+def test_an_unsettled_earlier_dispatch_breaks_an_exclusive_guest_off_and_binds_a_ticketed_one() -> None:
+    made = brain("abcdef")
+    made.guest_arrived(0, ask("g", 1)._replace(earlier=Earlier("a", 0)))
+    assert [d.step for d in decisions(made, 0)] == [Step.BREAK_OFF]
+    made.guest_arrived(0, ask("h", 2)._replace(earlier=Earlier("c", 0)))
+    assert decisions(made, 0)[0].machine in ("c", "d")
+    made.guest_arrived(0, ask("i")._replace(earlier=Earlier("nobody", 0)))
+    assert [d.step for d in decisions(made, 0)] == [Step.DISPATCH]
+
+
+def test_a_late_copy_is_taken_for_the_guest_only_where_nothing_else_is_out() -> None:
+    made = brain("ab")
+    for product, name in ((0, "g"), (3, "h"), (1, "i")):
+        sent = place(made, 0, name, product)
+        made.dispatch_ended(1 * MS, name, Ending.OVERDUE, product == 1, Remark.NONE)
+        made.copy_stands(2 * MS, sent.machine, ask(name, product))
+        assert made.guests[name].placed and decisions(made, 2 * MS) == []
+    made.copy_stands(3 * MS, "a", ask("g"))
+    assert decisions(made, 3 * MS) == [Decision(Step.CALL_OFF, "g", "a")]
--- a/tests/test_engine.py
+++ b/tests/test_engine.py
@@ -297,3 +297,38 @@
                     remark="odd")):
         desk.says(MS, "a", message)
     assert not desk.sent(m.Placed) and desk.engine.cases
+
+
+def test_found_guests_count_before_offers_that_waited_for_the_same_link() -> None:
+    desk = Desk("")
+    desk.dead.add("a")
+    desk.lists(0, [desk.entry("a")])
+    desk.submits(0, "g")
+    desk.submits(0, "h", "once")
+    desk.stands["a"] = [stand(m.Offer(guest="old", product="plain", service="splain", cores=1.0, memory=1.0))]
+    back(desk, 10 * MS, "a")
+    first = [offer.guest for offer in desk.sent(m.Offer)]
+    desk.run(500 * MS)
+    assert first[0] == "h" and desk.engine.cases["g/0"].attempt == 1  # g was decided anew, knowing of old
+
+
+def test_what_ended_while_no_planner_listened_is_not_called_unknown() -> None:
+    desk = Desk("")
+    desk.dead.add("a")
+    desk.lists(0, [desk.entry("a")])
+    desk.stands["a"] = [stand(m.Offer(guest="g", product="once", service="s", cores=1.0, memory=1.0), "ended",
+                              "done")]
+    back(desk, 10 * MS, "a")
+    assert desk.owner(20 * MS, m.Query(guest="g"))[-1].state == "done"
+
+
+def test_a_ticketed_copy_too_many_is_called_off() -> None:
+    desk = Desk("ab")
+    offer, machine = desk.offer(0, "g", "ticket")
+    desk.says(MS, machine, of(m.Taken, offer))
+    other = {"a": "b", "b": "a"}[machine]
+    desk.engine.link_down(2 * MS, other)
+    desk.stands[other] = [stand(offer)]
+    desk.engine._dial(3 * MS, desk.engine.roster.fellows[other])
+    back(desk, 3 * MS, other)
+    assert [(peer, said.guest) for peer, said in desk.said if isinstance(said, m.Stop)] == [(other, "g")]
--- a/tests/test_machine.py
+++ b/tests/test_machine.py
@@ -154,3 +154,15 @@
     machine.unsettle(10 * S)
     served = [s.share for s in told(machine, 15 * S) if isinstance(s, m.Served)]
     assert served and max(served) < 0.95
+
+
+def test_one_copy_stands_in_a_group_of_machines() -> None:
+    one, two = Machine("a", build(), 1, 0), Machine("b", build(), 2, 0)
+    two.tickets = one.tickets
+    one.offered(0, "p", offer("g", "ticket"))
+    assert "taken" in kinds(one, S)
+    two.offered(S, "p", offer("g", "ticket"))
+    assert [s.remark for s in told(two, 2 * S) if isinstance(s, m.Refused)] == ["not_here"]
+    one.went_down()
+    two.offered(2 * S, "p", offer("g", "ticket"))
+    assert "taken" in kinds(two, 3 * S)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -20,6 +20,7 @@
         self.started = {}
         self.history = {}  # guest: [product, patience end, answered, placed, [[machine, at, ending]]]
         self.offers = []
+        self.cancelled = set()
 
     def out(self, guest: str) -> bool:
         return any(d[2] is None for d in self.history[guest][4])
@@ -31,6 +32,7 @@
         product, ends, answered, placed, sent = self.history[guest]
         effect = PRODUCTS[product].effect
         assert not answered and not placed and not self.out(guest) and now + span <= ends
+        assert guest not in self.cancelled
         assert len(sent) < DEPLOYMENT.max_dispatches
         assert self.modes.get(machine) is Mode.READY
         ran = self.may_have_run(guest)
@@ -63,7 +65,8 @@
 
 
 events = st.lists(st.tuples(
-    st.sampled_from(["arrive"] * 3 + ["found", "end", "end", "taken", "list", "report", "leave"]),
+    st.sampled_from(["arrive"] * 3 + ["found", "end", "end", "taken", "list", "report", "leave", "cancel",
+    "late"]),
     st.integers(0, 40), st.integers(0, 9), st.integers(1, 400)), min_size=5, max_size=120)
 
 
@@ -106,6 +109,23 @@
             brain.machines_listed(now, [entry(m, mode, started, CELLS[m], 24.0) for m in named], False)
         elif what == "report":
             brain.machine_reported(now, machine, Load(pick / 2, float(pick), None))
+        elif what == "cancel" and model.history:
+            guest = list(model.history)[pick % len(model.history)]
+            if not model.history[guest][2]:
+                model.cancelled.add(guest)
+                brain.guest_cancelled(now, guest)
+        elif what == "late" and model.history:
+            guest = list(model.history)[pick % len(model.history)]
+            asked, ends, answered, placed, sent = model.history[guest]
+            given_up = [d for d in sent if d[2] is Ending.OVERDUE]
+            if given_up and PRODUCTS[asked].spread is Place.NOWHERE:
+                held = not answered and not placed and not model.out(guest)
+                unknown = guest not in brain.guests and PRODUCTS[asked].effect is not Effect.RERUNNABLE
+                brain.copy_stands(now, given_up[0][0], ask(guest, asked))
+                if held or unknown:  # it is the guest's place from here on; no final answer may follow
+                    assert brain.guests[guest].placed
+                    model.history[guest][2:4] = [True, True]
+                    sent.append([given_up[0][0], now, None])
         elif what == "leave" and model.history:
             guest = list(model.history)[pick % len(model.history)]
             if not model.history[guest][3]:
@@ -119,6 +139,9 @@
                     break
                 if decision.step is Step.DISPATCH:
                     model.dispatch(now, decision.guest, decision.machine, decision.span)
+                elif decision.step is Step.CALL_OFF:
+                    copy = any(d[2] is Ending.OVERDUE for d in model.history[decision.guest][4])
+                    assert decision.guest in model.cancelled or copy
                 elif decision.step in (Step.TURN_BACK, Step.BREAK_OFF):
                     model.answer(now, decision.guest, decision.step)
             else:
