--- /dev/null
+++ b/hazelhold/capture/read.py
@@ -0,0 +1,77 @@
+"""Several capture files as one stream of frames and of our own notes, in the order of their times."""
+
+import heapq
+from collections.abc import Callable, Iterator
+from pathlib import Path
+from typing import Any, NamedTuple
+
+import msgspec
+
+from hazelhold.capture.files import Packet, read_packets
+from hazelhold.capture.packets import Segment, parse
+from hazelhold.capture.skips import Skips
+from hazelhold.capture.streams import Frame, Streams
+
+MAGIC = b"hazelhold capture 1\n"
+
+
+class Note(NamedTuple):
+    """A datagram of our own: what no frame tells. `data["n"]` names its kind (docs/capture.md)."""
+
+    at: int
+    data: dict[str, Any]
+    packet: int
+    file: str
+
+
+def packets(files: list[Path], skips: Skips,
+            progress: Callable[[Packet], None] | None = None) -> Iterator[Packet]:
+    """Packets of all files merged by time; within a file the order stays the file's, also where time goes
+    back."""
+    def keyed(number: int, path: Path) -> Iterator[tuple[int, int, int, Packet]]:
+        latest = 0
+        for packet in read_packets(path, skips):
+            if packet.at < latest:
+                skips.note(packet.file, "time goes back (kept in file order)", 0, packet.offset,
+                packet.number,
+                           packet.at)
+            latest = max(latest, packet.at)
+            yield latest, number, packet.number, packet
+
+    sources = [keyed(number, path) for number, path in enumerate(files)]
+    for _, _, _, packet in heapq.merge(*sources, key=lambda item: item[:3]):
+        if progress:
+            progress(packet)
+        yield packet
+
+
+def read(files: list[Path], skips: Skips, progress: Callable[[Packet], None] | None = None,
+         ) -> Iterator[Frame | Note]:
+    """Everything that can be read; what cannot is in `skips` when this ends."""
+    streams = Streams(skips)
+    for packet in packets(files, skips, progress):
+        segment = parse(packet.link, packet.data)
+        if isinstance(segment, str):
+            skips.note(packet.file, segment, len(packet.data), packet.offset, packet.number, packet.at)
+        elif segment.seq >= 0:
+            yield from streams.feed(packet, segment)
+        else:
+            note = own_note(packet, segment)
+            if note is None:
+                skips.note(packet.file, "other protocol, UDP", len(packet.data), packet.offset, packet.number,
+                           packet.at)
+            else:
+                yield note
+    yield from streams.finish()
+
+
+def own_note(packet: Packet, segment: Segment) -> Note | None:
+    if not segment.payload.startswith(MAGIC) or segment.missing:
+        return None
+    try:
+        data = msgspec.msgpack.decode(segment.payload[len(MAGIC):])
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError):
+        return None
+    if not isinstance(data, dict) or not isinstance(data.get("n"), str):
+        return None
+    return Note(packet.at, data, packet.number, packet.file)
--- a/hazelhold/cli/main.py
+++ b/hazelhold/cli/main.py
@@ -3,53 +3,23 @@
 import json
 import sys
 import tempfile
-import traceback
 from collections.abc import Callable
-from functools import wraps
 from pathlib import Path
 from typing import Any
 
 import click
+from msgspec.structs import replace
 
 from hazelhold.cli import logs
+from hazelhold.cli.capture import capture
+from hazelhold.cli.honest import honest
 from hazelhold.config.day import read_day
 from hazelhold.config.load import ConfigError
 from hazelhold.config.planner import read_planner
-from hazelhold.protocol.record import RecordError
 
 FILE = click.Path(dir_okay=False, path_type=Path)
 
 
-def honest(command: Callable[..., None]) -> Callable[..., None]:
-    """What is wrong with a file or an address is said in a line and ends with 2, never with a traceback."""
-    @wraps(command)
-    def run(*args: Any, **kwargs: Any) -> None:  # noqa: ANN401 - as click calls it
-        try:
-            command(*args, **kwargs)
-        except (ConfigError, RecordError) as wrong:
-            click.echo(str(wrong), err=True)
-            sys.exit(2)
-        except OSError as wrong:
-            click.echo(f"{wrong.filename or 'network'}: {wrong.strerror or wrong}", err=True)
-            sys.exit(2)
-        except BaseExceptionGroup as group:
-            faults = list(leaves(group))
-            if any(isinstance(f, KeyboardInterrupt) for f in faults):
-                sys.exit(130)
-            if not all(isinstance(f, OSError | ConfigError) for f in faults):
-                traceback.print_exc()
-            for fault in faults:
-                click.echo(f"{type(fault).__name__}: {fault}", err=True)
-            sys.exit(2)
-    return run
-
-
-def leaves(group: BaseException) -> list[BaseException]:
-    if not isinstance(group, BaseExceptionGroup):
-        return [group]
-    return [leaf for each in group.exceptions for leaf in leaves(each)]
-
-
 def log_options(command: Callable[..., None]) -> Callable[..., None]:
     command = click.option("--log", type=click.Choice(["human", "json"]), default="human")(command)
     return click.option("--level", type=click.Choice(["debug", "info", "warning", "error"]),
@@ -62,14 +32,19 @@
     """Places long-lived guests on a cluster's machines."""
 
 
+main.add_command(capture)
+
+
 @main.command("planner")
 @click.option("--config", type=FILE, required=True, help="The planner's configuration, JSON5.")
 @click.option("--seed", type=int, default=None, help="In place of the configuration's.")
 @click.option("--record", type=FILE, default=None, help="Append every frame to this file.")
+@click.option("--capture", "to", type=FILE, default=None, help="Write all exchanges there, as pcap(ng).")
 @click.option("--ready", is_flag=True, help="Print the address to standard output once up.")
 @log_options
 @honest
-def planner(config: Path, seed: int | None, record: Path | None, ready: bool, log: str, level: str) -> None:
+def planner(config: Path, seed: int | None, record: Path | None, to: Path | None, ready: bool, log: str,
+            level: str) -> None:
     """Run one planner until SIGTERM or SIGINT."""
     import signal
 
@@ -80,6 +55,8 @@
     from hazelhold.service.planner import Planner
 
     sheet = read_planner(config)
+    if to:
+        sheet = replace(sheet, capture=replace(sheet.capture, file=str(to)))
     logs.set_up(log, level)
     if record:
         record.parent.mkdir(parents=True, exist_ok=True)
@@ -137,11 +114,13 @@
 @click.option("--report", "to", type=FILE, default=None, help="Write the report there, as JSON.")
 @click.option("--records", type=click.Path(file_okay=False, path_type=Path), default=None,
               help="Keep all frames and logs in this new folder.")
+@click.option("--capture", type=click.Path(file_okay=False, path_type=Path), default=None,
+              help="Keep a capture of each planner's life in this folder.")
 @click.option("--virtual", is_flag=True, help="In memory and virtual time: no sockets, no processes.")
 @log_options
 @honest
-def rehearse(day: Path, seed: int, to: Path | None, records: Path | None, virtual: bool, log: str,
-             level: str) -> None:
+def rehearse(day: Path, seed: int, to: Path | None, records: Path | None, capture: Path | None, virtual: bool,
+             log: str, level: str) -> None:
     """Play a day with planners, stand-ins and troubles, then audit it.
 
     Exits with 0 only if no rule was broken and every guest is accounted for.
@@ -158,9 +137,9 @@
         if any(folder.iterdir()):
             raise ConfigError(str(folder), [("records", "the folder is not empty")])
         if virtual:
-            said = run.play_virtual(sheet, seed, folder)
+            said = run.play_virtual(sheet, seed, folder, capture)
         else:
-            said = trio.run(run.play, sheet, seed, folder, False)
+            said = trio.run(run.play, sheet, seed, folder, False, None, capture)
     if to:
         to.write_text(json.dumps(said, indent=1) + "\n")
     show(said)
--- a/hazelhold/config/planner.py
+++ b/hazelhold/config/planner.py
@@ -94,6 +94,16 @@
     batch_ms: Annotated[float, Meta(ge=0, le=1000)] = 2.0
 
 
+class CaptureSheet(Struct, frozen=True):
+    """Where the planner's exchanges are captured, and how much disk that may take."""
+
+    file: str = ""  # empty: no capture; .pcapng for that format, else classic pcap
+    rotate_mb: Annotated[float, Meta(ge=0, le=1e6)] = 0.0  # 0: one file that grows
+    rotate_s: Annotated[float, Meta(ge=0, le=1e7)] = 0.0
+    total_mb: Annotated[float, Meta(ge=0, le=1e7)] = 0.0  # 0: no bound; the oldest files go
+    queue_mb: Annotated[float, Meta(gt=0, le=1024)] = 16.0
+
+
 class Estate(Struct, frozen=True):
     """What all planners and stand-ins of a deployment agree on."""
 
@@ -114,6 +124,7 @@
     planners: Annotated[int, Meta(ge=1, le=100_000)] = 1
     seed: Whole = 0
     limits: LimitSheet = LimitSheet()
+    capture: CaptureSheet = CaptureSheet()
 
 
 def micros(millis: float) -> int:
@@ -146,6 +157,8 @@
             faults.append((place, str(wrong)))
     if sheet.slot >= sheet.planners:
         faults.append(("slot", f"planner {sheet.slot} of {sheet.planners}: slots count from 0"))
+    if sheet.capture.total_mb and not 0 < sheet.capture.rotate_mb <= sheet.capture.total_mb / 2:
+        faults.append(("capture.rotate_mb", "a bound on the total needs files of at most half of it"))
     if sheet.limits.stop_ms > 60_000:
         faults.append(("limits.stop_ms", "a stop takes a minute at most"))
     return faults
--- a/hazelhold/rehearse/crew.py
+++ b/hazelhold/rehearse/crew.py
@@ -8,6 +8,7 @@
 
 import msgspec
 import trio
+from msgspec.structs import replace
 
 from hazelhold.config.planner import PlannerSheet
 from hazelhold.protocol.record import Recorder
@@ -25,13 +26,22 @@
     async def stop(self, number: int) -> None: ...
 
 
+def captured(sheet: PlannerSheet, folder: Path | None, life: int) -> PlannerSheet:
+    """The sheet of one life of a planner, with a capture of its own if there is a folder for it."""
+    if folder is None:
+        return sheet
+    return replace(sheet, capture=replace(sheet.capture, file=str(folder / f"{sheet.name}-{life}.pcap")))
+
+
 class Inside:
     """Planners in this process: for memory networks and virtual time. A kill cancels everything of a
     planner at
     once, so that no farewell leaves it."""
 
-    def __init__(self, sheets: list[PlannerSheet], net: Net, records: Path, nursery: trio.Nursery) -> None:
+    def __init__(self, sheets: list[PlannerSheet], net: Net, records: Path, nursery: trio.Nursery,
+                 capture: Path | None) -> None:
         self.sheets, self.net, self.records, self.nursery = sheets, net, records, nursery
+        self.capture = capture
         self.running: dict[int, tuple[Planner, trio.CancelScope, trio.Event]] = {}
         self.lives = [0] * len(sheets)
 
@@ -42,6 +52,7 @@
         self.lives[number] += 1
         recorder = Recorder(self.records / f"planner-{sheet.name}-{self.lives[number]}.jsonl", sheet.name,
                             "planner")
+        sheet = captured(sheet, self.capture, self.lives[number])
         planner = Planner(sheet, sheet.seed + self.lives[number], self.net, recorder)
         scope, done = trio.CancelScope(), trio.Event()
         self.running[number] = planner, scope, done
@@ -50,6 +61,8 @@
             with scope:
                 await planner.run(task_status=task_status)
             recorder.close()
+            if planner.tap is not None:
+                planner.tap.writer.close()
             done.set()
 
         await self.nursery.start(live)
@@ -70,8 +83,9 @@
 class Processes:
     """Planners as `hazelhold planner` processes. A kill is SIGKILL, a stop SIGTERM."""
 
-    def __init__(self, sheets: list[PlannerSheet], folder: Path, nursery: trio.Nursery) -> None:
-        self.sheets, self.folder, self.nursery = sheets, folder, nursery
+    def __init__(self, sheets: list[PlannerSheet], folder: Path, nursery: trio.Nursery,
+                 capture: Path | None) -> None:
+        self.sheets, self.folder, self.nursery, self.capture = sheets, folder, nursery, capture
         self.running: dict[int, trio.Process] = {}
         self.lives = [0] * len(sheets)
         for number, sheet in enumerate(sheets):
@@ -88,6 +102,8 @@
                    "--config", str(self.folder / f"planner{number}.json5"),
                    "--record", str(self.folder / "records" / f"planner-{life}.jsonl"),
                    "--seed", str(sheet.seed + self.lives[number]), "--log", "json", "--ready"]
+        if self.capture:
+            command += ["--capture", captured(sheet, self.capture, self.lives[number]).capture.file]
         process = await trio.lowlevel.open_process(command, stdout=subprocess.PIPE, stderr=log)
         log.close()
         self.running[number] = process
--- a/hazelhold/rehearse/run.py
+++ b/hazelhold/rehearse/run.py
@@ -48,7 +48,8 @@
         confirms_running=fleet.confirms == "running", weights=day.weights)
 
 
-async def play(day: Day, seed: int, folder: Path, inside: bool, net: Net | None = None) -> dict[str, Any]:
+async def play(day: Day, seed: int, folder: Path, inside: bool, net: Net | None = None,
+               capture: Path | None = None) -> dict[str, Any]:
     """Plays the day and returns the report. `inside` keeps the planners in this process; a MemoryNet needs
     it.
 
@@ -66,7 +67,8 @@
         doors = ([f"{host}:{port}" for port in free_ports(day.planners)] if isinstance(net, TcpNet)
                  else [f"door-{number}" for number in range(day.planners)])
         sheets = planner_sheets(day, seed, list_address, doors)
-        crew: Crew = Inside(sheets, net, records, nursery) if inside else Processes(sheets, folder, nursery)
+        crew: Crew = (Inside(sheets, net, records, nursery, capture) if inside
+                      else Processes(sheets, folder, nursery, capture))
         for number in range(day.planners):
             await crew.start(number)
         chief.note(net.now(), "", "rules", rule_sheet(day))
@@ -118,11 +120,12 @@
             "rules_broken": [msgspec.to_builtins(b) for b in breaches], "unaccounted": audit.unaccounted()}
 
 
-def play_virtual(day: Day, seed: int, folder: Path) -> dict[str, Any]:
+def play_virtual(day: Day, seed: int, folder: Path, capture: Path | None = None) -> dict[str, Any]:
     """The whole day in memory and virtual time: minutes of trouble in seconds, without a socket."""
     from trio._core import _run  # the same knobs as trio's own plug-ins for tests use
     from trio.testing import MockClock
 
     _run._ALLOW_DETERMINISTIC_SCHEDULING = True
     _run._r.seed(seed)
-    return trio.run(play, day, seed, folder, True, MemoryNet(), clock=MockClock(autojump_threshold=0))
+    return trio.run(play, day, seed, folder, True, MemoryNet(), capture,
+    clock=MockClock(autojump_threshold=0))
--- a/hazelhold/service/planner.py
+++ b/hazelhold/service/planner.py
@@ -6,14 +6,17 @@
 """
 
 from collections import Counter
+from pathlib import Path
 
+import msgspec
 import structlog
 import trio
 
+from hazelhold.capture.tap import Tap
 from hazelhold.config.planner import PlannerSheet
 from hazelhold.engine.engine import Action, AskList, Dial, Engine, HangUp, Lost, Send
 from hazelhold.protocol import messages as m
-from hazelhold.protocol.frames import FrameError
+from hazelhold.protocol.frames import FrameError, frame
 from hazelhold.protocol.record import Recorder
 from hazelhold.service.net import Net
 from hazelhold.service.ticker import Ticker
@@ -26,6 +29,8 @@
     def __init__(self, sheet: PlannerSheet, seed: int, net: Net, recorder: Recorder | None = None) -> None:
         self.sheet, self.net, self.limits = sheet, net, sheet.limits
         self.engine = Engine(sheet, seed, net.now())
+        self.tap = Tap(Path(sheet.capture.file), sheet.capture, sheet, seed, net.now()) if (
+            sheet.capture.file) else None
         self.recorder = recorder
         self.log = structlog.get_logger().bind(planner=sheet.name)
         self.ticker = Ticker(net.now, self.engine.next_at, self._work, sheet.limits.batch_ms / 1000)
@@ -57,26 +62,49 @@
 
     async def _stop(self) -> None:
         """Takes nothing more, answers what it holds, and waits for what is out, for as long as is stated."""
-        self.engine.stop(self.net.now())
+        self._feed("stop")
         self.log.info("stopping", unanswered=self.engine.unanswered())
-        self._carry_out()
         self.ticker.stir()
         with trio.move_on_after(self.limits.stop_ms / 1000):
             while self.engine.unanswered():
                 await trio.sleep(0.01)
-        self.engine.stop_now(self.net.now())
-        self._carry_out()
+        self._feed("stop_now")
         for wire in [*self.owners.values(), *(w for _, w in self.machines.values() if w)]:
             wire.finish(m.Bye(reason="stopping"))
         with trio.move_on_after(0.5):
             while any(w.queue for w in self.owners.values()):
                 await trio.sleep(0.01)
         await trio.sleep(0.02)
+        if self.tap is not None:
+            await trio.to_thread.run_sync(self.tap.writer.close)
+            self.counts["capture_lost"] = self.tap.writer.lost_in_all
         self.log.info("stopped", unanswered=self.engine.unanswered(), **self.engine.counts)
 
     def _work(self, now: int) -> None:
-        self.engine.pump(now)
+        self._feed("pump", now)
+
+    def _feed(self, what: str, now: int | None = None, *, who: str = "",
+              welcome: m.Welcome | None = None) -> None:
+        """Tells the engine of something that is no message, by one of its input methods; notes it in the
+        capture."""
+        now = self.net.now() if now is None else now
+        if self.tap is not None:
+            more = {"who": who} if who else {}
+            if welcome is not None:
+                more["welcome"] = msgspec.to_builtins(welcome)
+            self.tap.note(now, what, **more)
+        given = [each for each in (who, welcome) if each]
+        getattr(self.engine, what)(now, *given)
+        self._carry_out()
+
+    def _hear(self, what: str, wire: Wire, *given: object) -> None:
+        """Takes a message of a peer to the engine; what needs no decision goes out before one is made."""
+        now = self.net.now()
+        if wire.trunk is not None:
+            wire.trunk.data(False, frame(wire.body), now)
+        getattr(self.engine, what)(now, *given)
         self._carry_out()
+        self.ticker.stir()
 
     def _carry_out(self) -> None:
         """Does what the engine wants done; what a failed send causes goes in as an input and is done too."""
@@ -93,6 +121,9 @@
                 wire = self.machines.get(action.peer, (None, None))[1]
             if wire is None or not wire.send(action.message):
                 self.counts["unsent"] += 1
+                if self.tap is not None:
+                    self.tap.note(self.net.now(), "unsent", role=action.role, who=action.peer,
+                                  message=msgspec.to_builtins(action.message))
                 if action.role == "owner" and self.recorder is not None:  # kept for an owner that asks again
                     self.recorder.note(self.net.now(), action.peer, "kept", action.message)
             self._log_send(action)
@@ -165,27 +196,36 @@
                 old.scope.cancel()
             self.owners[name] = wire
             wire.note("open", None)
+            self._tapped("owner", name, wire, False)
+            wire.captured()
             wire.send(m.Welcome(name=self.sheet.name))
             self.log.debug("owner_here", owner=name)
             for message in wire.rest():
-                self._owner_said(name, message)
+                self._owner_said(name, wire, message)
             async for message in wire.messages():
                 if isinstance(message, m.Bye):
                     break
-                self._owner_said(name, message)
+                self._owner_said(name, wire, message)
         except FrameError as wrong:
             self._refuse(wire, wrong)
         finally:
             if name and self.owners.get(name) is wire:
                 del self.owners[name]
             wire.note("shut", None)
+            self._untapped(wire)
+
+    def _tapped(self, role: str, who: str, wire: Wire, dialled: bool) -> None:
+        if self.tap is not None:
+            wire.trunk = self.tap.trunk(role, who, wire.stream, dialled, self.net.now())
 
-    def _owner_said(self, name: str, message: m.Message) -> None:
+    def _untapped(self, wire: Wire) -> None:
+        if wire.trunk is not None:
+            wire.trunk.close(self.net.now())
+
+    def _owner_said(self, name: str, wire: Wire, message: m.Message) -> None:
         if isinstance(message, m.Hello):
             raise FrameError("second_hello", "a connection has one Hello")
-        self.engine.owner_said(self.net.now(), name, message)
-        self._carry_out()  # answers that need no decision do not wait for one
-        self.ticker.stir()
+        self._hear("owner_said", wire, name, message)
 
     def _refuse(self, wire: Wire, wrong: FrameError) -> None:
         self.counts["refused_" + wrong.code] += 1
@@ -202,6 +242,7 @@
                 with trio.fail_after(dial.span / 1e6):
                     stream = await self.net.dial(dial.address)
                 wire = self._wire(stream, MACHINES, name)
+                self._tapped("machine", name, wire, True)
                 async with trio.open_nursery() as nursery:
                     nursery.start_soon(wire.write)
                     with wire.scope:
@@ -211,7 +252,8 @@
                             up = True
                             self.machines[name] = scope, wire
                             wire.note("open", None)
-                            self.engine.link_up(self.net.now(), name, welcome)
+                            wire.captured()
+                            self._feed("link_up", who=name, welcome=welcome)
                             self.ticker.stir()
                             await self._hear_machine(name, wire)
                         except FrameError as wrong:
@@ -219,32 +261,28 @@
                             self.log.info("machine_left", machine=name, code=wrong.code, reason=wrong.text)
                     wire.finish()
                     wire.note("shut", None)
+                    self._untapped(wire)
             except (OSError, trio.TooSlowError) as wrong:
                 self.counts["dials_failed"] += 1
                 self.log.debug("dial_failed", machine=name, address=dial.address, reason=str(wrong))
         if scope.cancelled_caught or self.machines.get(name, (None,))[0] is not scope:
             return
         del self.machines[name]
-        if up:
-            self.engine.link_down(self.net.now(), name)
-        else:
-            self.engine.link_failed(self.net.now(), name)
+        self._feed("link_down" if up else "link_failed", who=name)
         self.ticker.stir()
 
     async def _hear_machine(self, name: str, wire: Wire) -> None:
         for message in wire.rest():
-            self._machine_said(name, message)
+            self._machine_said(name, wire, message)
         async for message in wire.messages():
             if isinstance(message, m.Bye):
                 return
-            self._machine_said(name, message)
+            self._machine_said(name, wire, message)
 
-    def _machine_said(self, name: str, message: m.Message) -> None:
+    def _machine_said(self, name: str, wire: Wire, message: m.Message) -> None:
         if isinstance(message, m.Fault):
             raise FrameError(message.code, message.text)
-        self.engine.machine_said(self.net.now(), name, message)
-        self._carry_out()
-        self.ticker.stir()
+        self._hear("machine_said", wire, name, message)
 
     # The list.
 
@@ -257,15 +295,17 @@
                 with trio.fail_after(self.limits.hello_ms / 1000):
                     stream = await self.net.dial(self.sheet.list.address)
                 wire = self._wire(stream, LIST, "list")
+                self._tapped("list", "list", wire, True)
                 async with trio.open_nursery() as nursery:
                     nursery.start_soon(wire.write)
                     with wire.scope:
                         await self._hear_list(wire, nursery)
                     wire.finish()
+                    self._untapped(wire)
                     nursery.cancel_scope.cancel()
             except (OSError, trio.TooSlowError) as wrong:
                 self.log.debug("list_unreachable", reason=str(wrong))
-            self.engine.list_failed(self.net.now())
+            self._feed("list_failed")
             self.list_wanted = self.engine.list_version if not self.sheet.list.asked else None
             self.ticker.stir()
             await trio.sleep(0.5)
@@ -274,11 +314,12 @@
         try:
             wire.send(m.Hello(role="planner", name=self.sheet.name))
             await wire.first(m.Welcome, self.limits.hello_ms / 1000)
+            wire.captured()
             nursery.start_soon(self._ask_list, wire)
             for message in wire.rest():
-                self._list_said(message)
+                self._list_said(wire, message)
             async for message in wire.messages():
-                self._list_said(message)
+                self._list_said(wire, message)
         except FrameError as wrong:
             self.counts["list_" + wrong.code] += 1
             self.log.info("list_left", code=wrong.code, reason=wrong.text)
@@ -291,11 +332,10 @@
             await self.list_stir.wait()
             self.list_stir = trio.Event()
 
-    def _list_said(self, message: m.Message) -> None:
+    def _list_said(self, wire: Wire, message: m.Message) -> None:
         if isinstance(message, m.Fault | m.Bye):
             raise FrameError("list_left", "the list service ended the connection")
-        self.engine.list_said(self.net.now(), message)
-        self.ticker.stir()
+        self._hear("list_said", wire, message)
 
 
 OWNERS = m.Codec(m.FROM_OWNER)
--- a/hazelhold/service/wire.py
+++ b/hazelhold/service/wire.py
@@ -1,10 +1,11 @@
 """A connection that carries frames: reads messages, writes from a bounded queue, notes what crossed."""
 
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Iterator
 
 import trio
 
-from hazelhold.protocol.frames import FrameError, FrameReader
+from hazelhold.capture.write import Trunk
+from hazelhold.protocol.frames import FrameError, FrameReader, frame
 from hazelhold.protocol.messages import VERSION, Codec, Fault, Hello, Message, Welcome, encode
 from hazelhold.protocol.record import Recorder
 
@@ -22,6 +23,8 @@
         self.reader = FrameReader(frame_bytes)
         self.send_bytes = send_bytes
         self.queue = bytearray()
+        self.trunk: Trunk | None = None  # this connection in the capture
+        self.body = b""  # of the message that was read last
         self.more = trio.Event()
         self.full = self.closing = False
         self.scope = trio.CancelScope()  # the reading side; cancelled when the wire is to end
@@ -37,6 +40,8 @@
             self.cut()
             return False
         self.queue += body
+        if self.trunk is not None:
+            self.trunk.data(True, body, self.now())
         self.note("out", message)
         self.more.set()
         return True
@@ -84,6 +89,7 @@
         """What the peer says, until either side ends. FrameError if the peer breaks the protocol."""
         while True:
             for body in await self.frames():
+                self.body = body
                 message = self.codec.decode(body)
                 self.note("in", message)
                 yield message
@@ -109,7 +115,8 @@
             while not self.ended:
                 bodies = await self.frames()
                 if bodies:
-                    message = self.codec.decode(bodies[0])
+                    self.body = bodies[0]
+                    message = self.codec.decode(self.body)
                     self.held_back = bodies[1:]
                     if isinstance(message, Fault):
                         raise FrameError(message.code, message.text)
@@ -121,12 +128,18 @@
             raise FrameError("ended", "the peer left before its first message")
         raise FrameError("no_hello", f"no first message within {seconds:g} s")
 
-    def rest(self) -> list[Message]:
+    def rest(self) -> Iterator[Message]:
         """What came in one read with the first message."""
         bodies, self.held_back = self.held_back, []
-        found = [self.codec.decode(body) for body in bodies]
-        for message in found:
+        for body in bodies:
+            self.body = body
+            message = self.codec.decode(body)
             self.note("in", message)
-        return found
+            yield message
+
+    def captured(self) -> None:
+        """Puts the message that was read last into the capture."""
+        if self.trunk is not None:
+            self.trunk.data(False, frame(self.body), self.now())
 
     held_back: list[bytes] = []
