--- a/hazelhold/capture/packets.py
+++ b/hazelhold/capture/packets.py
@@ -113,33 +113,53 @@
     return ip_address(host.strip("[]")).packed, int(port)
 
 
-def _checksum(data: bytes) -> int:
-    if len(data) % 2:
-        data += b"\0"
-    return 0xFFFF - (int.from_bytes(data) % 0xFFFF or (0xFFFF if any(data) else 0))
+def _folded(total: int) -> int:
+    """A sum of 16-bit words as a checksum. Sums are taken modulo 65535, which folds as the checksum does."""
+    return 0xFFFF - (total % 0xFFFF or (0xFFFF if total else 0))
+
+
+def _sum(data: bytes) -> int:
+    return int.from_bytes(data if len(data) % 2 == 0 else data + b"\0") % 0xFFFF
+
+
+class Way:
+    """From one end to another: what all Ethernet frames on this way have in common is made once."""
+
+    def __init__(self, source: tuple[bytes, int], target: tuple[bytes, int]) -> None:
+        self.four = len(source[0]) == 4
+        self.ports = struct.pack(">HH", source[1], target[1])
+        self.hosts = source[0] + target[0]
+        self.ends_sum = _sum(self.hosts) + source[1] + target[1]
+        self.ether = b"\2\0\0\0\0\1\2\0\0\0\0\2" + (b"\x08\x00" if self.four else b"\x86\xdd")
+        self.ip_sum = _sum(self.hosts) + 0x4500 + 0x4000 + (64 << 8)
+
+    def tcp(self, payload: bytes, seq: int, ack: int, flags: int) -> bytes:
+        """A frame with a TCP segment."""
+        seq, ack, size = seq & 0xFFFFFFFF, ack & 0xFFFFFFFF, 20 + len(payload)
+        total = (self.ends_sum + 6 + size + (seq >> 16) + (seq & 0xFFFF) + (ack >> 16) + (ack & 0xFFFF)
+                 + (0x5000 | flags) + 65535 + (_sum(payload) if payload else 0))
+        return b"".join((self._ip(6, size), self.ports, TCP.pack(seq, ack, 0x50, flags, 65535,
+        _folded(total), 0),
+                         payload))
+
+    def udp(self, payload: bytes) -> bytes:
+        """A frame with a UDP datagram."""
+        size = 8 + len(payload)
+        total = _folded(self.ends_sum + 17 + 2 * size + _sum(payload)) or 0xFFFF
+        return b"".join((self._ip(17, size), self.ports, struct.pack(">HH", size, total), payload))
+
+    def _ip(self, kind: int, size: int) -> bytes:
+        if not self.four:
+            return self.ether + struct.pack(">IHBB", 6 << 28, size, kind, 64) + self.hosts
+        return self.ether + IP.pack(0x45, 0, 20 + size, 0, 0x4000, 64, kind,
+                                    _folded(self.ip_sum + 20 + size + kind)) + self.hosts
+
+
+TCP, IP = struct.Struct(">IIBBHHH"), struct.Struct(">BBHHHBBH")
 
 
 def build(source: tuple[bytes, int], target: tuple[bytes, int], payload: bytes, seq: int = -1, ack: int = 0,
           flags: int = 0) -> bytes:
     """An Ethernet frame with a TCP segment, or a UDP datagram if there is no `seq`, with sound checksums."""
-    kind = 17 if seq < 0 else 6
-    ports = struct.pack(">HH", source[1], target[1])
-    if kind == 17:
-        head = ports + struct.pack(">HH", 8 + len(payload), 0)
-        where = 6
-    else:
-        head = ports + struct.pack(">IIBBHHH", seq & 0xFFFFFFFF, ack & 0xFFFFFFFF, 5 << 4, flags, 65535, 0, 0)
-        where = 16
-    size = len(head) + len(payload)
-    pseudo = source[0] + target[0] + (struct.pack(">BBH", 0, kind, size) if len(source[0]) == 4
-                                      else struct.pack(">IHBB", size, 0, 0, kind))
-    total = _checksum(pseudo + head + payload)
-    head = head[:where] + struct.pack(">H", total) + head[where + 2:]
-    if len(source[0]) == 4:
-        ip = struct.pack(">BBHHHBBH", 0x45, 0, 20 + size, 0, 0x4000, 64, kind, 0) + source[0] + target[0]
-        ip = ip[:10] + struct.pack(">H", _checksum(ip)) + ip[12:]
-        ether = b"\2\0\0\0\0\1\2\0\0\0\0\2\x08\x00"
-    else:
-        ip = struct.pack(">IHBB", 6 << 28, size, kind, 64) + source[0] + target[0]
-        ether = b"\2\0\0\0\0\1\2\0\0\0\0\2\x86\xdd"
-    return ether + ip + head + payload
+    way = Way(source, target)
+    return way.udp(payload) if seq < 0 else way.tcp(payload, seq, ack, flags)
--- a/hazelhold/capture/read.py
+++ b/hazelhold/capture/read.py
@@ -13,6 +13,12 @@
 from hazelhold.capture.streams import Frame, Streams
 
 MAGIC = b"hazelhold capture 1\n"
+# What a note of each kind must have; one that has not is no note of ours.
+NEEDS: dict[str, dict[str, type]] = {
+    "start": {"planner": str, "seed": int, "sheet": dict, "module": str, "offset": int, "file": int},
+    "stream": {"near": str, "far": str, "role": str, "who": str}, "lost": {"packets": int},
+    "unsent": {"role": str, "who": str, "message": dict}, "link_up": {"who": str, "welcome": dict},
+    "link_failed": {"who": str}, "link_down": {"who": str}}
 
 
 class Note(NamedTuple):
@@ -74,4 +80,7 @@
         return None
     if not isinstance(data, dict) or not isinstance(data.get("n"), str):
         return None
+    needs = NEEDS.get(data["n"], {}) | {"p": str}
+    if not all(isinstance(data.get(key), kind) for key, kind in needs.items()):
+        return None
     return Note(packet.at, data, packet.number, packet.file)
--- a/hazelhold/capture/replay.py
+++ b/hazelhold/capture/replay.py
@@ -15,10 +15,11 @@
 from hazelhold.capture.read import Note
 from hazelhold.capture.streams import Frame
 from hazelhold.capture.tap import module_digest
-from hazelhold.config.load import build
+from hazelhold.config.load import ConfigError, build
 from hazelhold.config.planner import PlannerSheet
 from hazelhold.engine.engine import Engine, Send
 from hazelhold.protocol import messages as m
+from hazelhold.protocol.frames import FrameError
 
 CODECS = {"owner": m.Codec(m.FROM_OWNER), "machine": m.Codec(m.FROM_MACHINE), "list": m.Codec(m.FROM_LIST)}
 TO_MACHINE = m.Codec(m.TO_MACHINE | m.TO_OWNER)
@@ -63,7 +64,7 @@
         self.seen: deque[tuple[str, str, Any, int, int, str]] = deque()  # in the capture, not yet said here
         self.compared = self.differing = self.inputs = 0
         self.first: Difference | None = None
-        self.lost = 0
+        self.lost = self.damaged = 0
         self.fates: tuple[dict[str, Fate], dict[str, Fate]] = {}, {}  # captured, replayed
 
     def note(self, note: Note) -> None:
@@ -78,7 +79,11 @@
         elif kind in INPUTS:
             given = [note.data["who"]] if "who" in note.data else []
             if "welcome" in note.data:
-                given.append(msgspec.convert(note.data["welcome"], m.Welcome))
+                try:
+                    given.append(msgspec.convert(note.data["welcome"], m.Welcome))
+                except msgspec.ValidationError:
+                    self.damaged += 1
+                    return
             self._input(now, note, kind, *given)
 
     def frame(self, frame: Frame) -> bool:
@@ -87,7 +92,11 @@
         if stream := self.streams.get((target, source)):
             role, who = stream
             if frame.message["t"] not in SERVICE:
-                message = CODECS[role].decode(frame.body)
+                try:
+                    message = CODECS[role].decode(frame.body)
+                except (FrameError, KeyError):  # damaged since: it was sound when it was captured
+                    self.damaged += 1
+                    return True
                 given = [message] if role == "list" else [who, message]
                 self._input(frame.at - self.offset, frame, role + "_said", *given)
             return True
@@ -121,13 +130,19 @@
             was_role, was_who, was, at, packet, file = self.seen.popleft()
             self.compared += 1
             here = role, who, msgspec.to_builtins(message)
-            there = was_role, was_who, msgspec.to_builtins(msgspec.convert(was, type(message))) if (
-                was.get("t") == here[2]["t"]) else was
+            there = was_role, was_who, self._plain(was, type(message))
             if here != there:
                 self.differing += 1
                 if self.first is None:
                     self.first = Difference(at, packet, file, there, here, self._state(here[2]))
 
+    def _plain(self, was: dict[str, Any], kind: type) -> dict[str, Any]:
+        """A captured message without fields that say what leaving them out says."""
+        try:
+            return msgspec.to_builtins(msgspec.convert(was, kind))
+        except msgspec.ValidationError:
+            return was
+
     def _state(self, message: dict[str, Any]) -> dict[str, Any]:
         """What the decision was made on, as far as it fits a page."""
         brain = self.engine.brain
@@ -142,7 +157,7 @@
         guest, kind = message.get("guest", ""), message.get("t", "")
         if kind == "offer":
             fate = fates.setdefault(guest, Fate())
-            fate.product, fate.machine = message["product"], fate.machine or who
+            fate.product, fate.machine = message.get("product", ""), fate.machine or who
         elif kind in ("placed", "turned_back", "broken_off"):
             fate = fates.setdefault(guest, Fate())
             fate.answer, fate.reason = kind, message.get("reason", "")
@@ -163,7 +178,8 @@
                 fates[f"{product}: the same"] += 1
         return {"planner": self.planner, "module": self.module, "module_here": module_digest(),
                 "inputs": self.inputs, "compared": self.compared, "differing": self.differing,
-                "unmatched": unmatched, "packets_lost_while_captured": self.lost, "changed": self.changed,
+                "unmatched": unmatched, "packets_lost_while_captured": self.lost,
+                "damaged_messages": self.damaged, "changed": self.changed,
                 "first_difference": msgspec.to_builtins(self.first) if self.first else None,
                 "guests": dict(sorted(fates.items()))}
 
@@ -184,7 +200,10 @@
             continue
         name = item.data.get("p", "")
         if item.data["n"] == "start" and item.data["file"] == 1 and name not in lives:
-            lives[name] = Life(item.data, other)
+            try:
+                lives[name] = Life(item.data, other)
+            except ConfigError as wrong:
+                late[f"{name.partition('@')[0]}: start that cannot be used: {wrong}"] += 1
         elif name in lives:
             lives[name].note(item)
         elif item.data["n"] != "start":
--- a/hazelhold/capture/tap.py
+++ b/hazelhold/capture/tap.py
@@ -17,7 +17,8 @@
 
 from hazelhold import brain, interface
 from hazelhold.capture.packets import name
-from hazelhold.capture.write import CaptureWriter, Trunk
+from hazelhold.capture.read import MAGIC
+from hazelhold.capture.write import NOTE_WAY, CaptureWriter, Trunk
 from hazelhold.config.planner import CaptureSheet, PlannerSheet
 
 
@@ -40,6 +41,7 @@
                                     limits.rotate_s, round(limits.total_mb * 1e6),
                                     round(limits.queue_mb * 1e6))
         self.made = 0
+        self.pumped = NOTE_WAY.udp(MAGIC + msgspec.msgpack.encode({"n": "pump", "p": self.life}))
         self.house = hashlib.sha256(self.life.encode()).digest()[:3]
 
     def trunk(self, role: str, who: str, stream: trio.abc.Stream, dialled: bool, now: int) -> Trunk:
@@ -49,6 +51,10 @@
         self.note(now, "stream", near=name(near), far=name(far), role=role, who=who)
         return trunk
 
+    def pump(self, now: int) -> None:
+        """The note that is made most often: every decision follows one."""
+        self.writer.put(now, self.pumped)
+
     def note(self, now: int, kind: str, **data: Any) -> None:  # noqa: ANN401 - plain values
         self.writer.note(now, {"n": kind, "p": self.life, **data})
 
--- a/hazelhold/capture/write.py
+++ b/hazelhold/capture/write.py
@@ -15,19 +15,21 @@
 import msgspec
 
 from hazelhold.capture.files import file_head, record
-from hazelhold.capture.packets import ACK, FIN, PSH, SYN, build
+from hazelhold.capture.packets import ACK, FIN, PSH, SYN, Way
 from hazelhold.capture.read import MAGIC
 
 End = tuple[bytes, int]
 SEGMENT = 60_000
-NOTES = (b"\x7f\0\0\1", 9)  # where our own notes seem to go: the discard port
+PAUSE = 0.05  # seconds between writes
+NOTE_WAY = Way((b"\x7f\0\0\1", 9), (b"\x7f\0\0\1", 9))  # our own notes seem to go to the discard port
 
 
 class Trunk:
     """One connection: keeps both directions' sequence numbers."""
 
     def __init__(self, writer: "CaptureWriter", near: End, far: End, dialled: bool, at: int) -> None:
-        self.writer, self.near, self.far = writer, near, far
+        self.writer = writer
+        self.ways = {True: Way(near, far), False: Way(far, near)}
         self.seq = {True: 1000, False: 5000}  # of what leaves here, of what comes
         self.open = True
         self._packet(dialled, b"", SYN, at)
@@ -47,9 +49,8 @@
             self._packet(True, b"", ACK, at)
 
     def _packet(self, leaves: bool, payload: bytes, flags: int, at: int) -> None:
-        ends = (self.near, self.far) if leaves else (self.far, self.near)
         ack = self.seq[not leaves] if flags & ACK else 0
-        self.writer.put(at, build(*ends, payload, self.seq[leaves], ack, flags))
+        self.writer.put(at, self.ways[leaves].tcp(payload, self.seq[leaves], ack, flags))
         self.seq[leaves] = (self.seq[leaves] + len(payload) + bool(flags & (SYN | FIN))) & 0xFFFFFFFF
 
 
@@ -78,7 +79,7 @@
         self.kept: deque[tuple[Path, int]] = deque()
         self.file = None
         self.fault = ""
-        self.more, self.ending = threading.Event(), False
+        self.ended, self.ending = threading.Event(), False
         self._begin(now + offset, first=True)
         self.thread = threading.Thread(target=self._run, name="capture", daemon=True)
         self.thread.start()
@@ -97,16 +98,15 @@
             self.lost_bytes = 0
         self.queued += len(data)
         self.queue.append((at + self.offset, data))
-        self.more.set()
 
     def note(self, at: int, data: dict[str, Any]) -> None:
         """A note of our own, in a datagram."""
-        self.put(at, build(NOTES, NOTES, MAGIC + msgspec.msgpack.encode(data)))
+        self.put(at, NOTE_WAY.udp(MAGIC + msgspec.msgpack.encode(data)))
 
     def close(self) -> None:
         """Waits until what is queued is written, two seconds at most."""
         self.ending = True
-        self.more.set()
+        self.ended.set()
         self.thread.join(2.0)
 
     # In the thread.
@@ -122,24 +122,21 @@
         if first:
             path.parent.mkdir(parents=True, exist_ok=True)
         self.file = path.open("wb", buffering=0)
-        head = file_head(self.ng) + record(self.ng, at, build(
-            NOTES, NOTES, MAGIC + msgspec.msgpack.encode(self.start | {"file": self.number})))
+        head = file_head(self.ng) + record(self.ng, at, NOTE_WAY.udp(
+            MAGIC + msgspec.msgpack.encode(self.start | {"file": self.number})))
         self.file.write(head)
         self.size, self.began = len(head), time.monotonic()
         self.kept.append((path, len(head)))
 
     def _run(self) -> None:
         while not self.ending or self.queue:
-            if not self.queue:
-                self.more.wait(0.5)
-                self.more.clear()
-            batch: list[bytes] = []
-            at = self.queue[0][0] if self.queue else 0
-            size = 0
-            while self.queue and size < 1 << 18:
-                batch.append(self.queue.popleft()[1])
-                size += len(batch[-1])
-            if batch:
+            self.ended.wait(PAUSE)  # waking for each packet would cost the planner more than writing does
+            while self.queue:
+                batch: list[bytes] = []
+                at, size = self.queue[0][0], 0
+                while self.queue and size < 1 << 16:
+                    batch.append(self.queue.popleft()[1])
+                    size += len(batch[-1])
                 self._write(at, batch, size)
         if self.file is not None:
             with contextlib.suppress(OSError):
--- a/hazelhold/cli/capture.py
+++ b/hazelhold/cli/capture.py
@@ -195,6 +195,8 @@
             click.echo(f"  captured with module {life['module']}, replayed with {life['module_here']}")
         if life["packets_lost_while_captured"]:
             click.echo(f"  {life['packets_lost_while_captured']} packets were lost while it was captured")
+        if life["damaged_messages"]:
+            click.echo(f"  {life['damaged_messages']} messages are damaged")
         if first := life["first_difference"]:
             where = f"packet {first['packet']} of {first['file']}"
             click.echo(f"  first difference at {moment(first['at'])}, {where}:")
--- a/hazelhold/service/planner.py
+++ b/hazelhold/service/planner.py
@@ -81,7 +81,10 @@
         self.log.info("stopped", unanswered=self.engine.unanswered(), **self.engine.counts)
 
     def _work(self, now: int) -> None:
-        self._feed("pump", now)
+        if self.tap is not None:
+            self.tap.pump(now)
+        self.engine.pump(now)
+        self._carry_out()
 
     def _feed(self, what: str, now: int | None = None, *, who: str = "",
               welcome: m.Welcome | None = None) -> None:
--- a/tests/test_capture.py
+++ b/tests/test_capture.py
@@ -2,6 +2,7 @@
 
 import json
 import struct
+import time
 import tracemalloc
 from pathlib import Path
 from random import Random
@@ -277,11 +278,11 @@
 
 def test_rotation_keeps_to_its_bound_and_a_full_disk_is_counted_and_noted(tmp_path: Path) -> None:
     writer = CaptureWriter(tmp_path / "c.pcap", {"n": "start", "p": "p"}, T, 0, rotate_bytes=20_000,
-                           total_bytes=60_000)
+                           total_bytes=60_000, queue_bytes=10_000)
     for n in range(2000):
+        while writer.queued > 9000:
+            time.sleep(0.001)
         writer.note(n, {"n": "pump", "p": "p", "fill": "x" * 50})
-        while writer.queued > 5000:
-            pass
     writer.close()
     files = sorted(tmp_path.glob("c-*.pcap"))
     assert sum(f.stat().st_size for f in files) <= 60_000 and len(files) >= 2 and writer.number > 5
@@ -303,7 +304,7 @@
     broken, writer.file = writer.file, open("/dev/full", "wb", buffering=0)  # noqa: SIM115
     writer.note(1, {"n": "pump", "p": "p"})
     while not writer.fault:
-        pass
+        time.sleep(0.001)
     writer.file = broken
     writer.note(2, {"n": "pump", "p": "p"})
     writer.close()
