Captures keep what was refused; tests hold notes to their shape

Change: a refused connection and its bytes are captured under the role refused; info shows progress.

--- a/hazelhold/capture/cut.py
+++ b/hazelhold/capture/cut.py
@@ -1,12 +1,13 @@
 """Cuts and filters captures: what is kept is a valid capture in which each kept stream is whole."""
 
 from collections import Counter
+from collections.abc import Callable
 from pathlib import Path
 from typing import Any
 
 from msgspec import Struct
 
-from hazelhold.capture.files import file_head, record
+from hazelhold.capture.files import Packet, file_head, record
 from hazelhold.capture.packets import Segment, name, parse
 from hazelhold.capture.read import own_note, packets, read
 from hazelhold.capture.skips import Skips
@@ -68,13 +69,14 @@
     return dict(counts)
 
 
-def survey(files: list[Path], skips: Skips) -> dict[str, Any]:
+def survey(files: list[Path], skips: Skips,
+           progress: Callable[[Packet], None] | None = None) -> dict[str, Any]:
     """What a capture holds: streams, planners, messages by type, first and last moment."""
     types: Counter[str] = Counter()
     streams: Counter[str] = Counter()
     planners: dict[str, dict[str, Any]] = {}
     first, last = 0, 0
-    for item in read(files, skips):
+    for item in read(files, skips, progress):
         first = first or item.at
         last = max(last, item.at)
         if isinstance(item, Frame):
--- a/hazelhold/capture/replay.py
+++ b/hazelhold/capture/replay.py
@@ -91,10 +91,12 @@
         source, target = end_name(frame.source), end_name(frame.target)
         if stream := self.streams.get((target, source)):
             role, who = stream
+            if role not in CODECS:  # refused by the service; the engine never heard of it
+                return True
             if frame.message["t"] not in SERVICE:
                 try:
                     message = CODECS[role].decode(frame.body)
-                except (FrameError, KeyError):  # damaged since: it was sound when it was captured
+                except FrameError:  # damaged since: it was sound when it was captured
                     self.damaged += 1
                     return True
                 given = [message] if role == "list" else [who, message]
--- a/hazelhold/cli/capture.py
+++ b/hazelhold/cli/capture.py
@@ -66,7 +66,7 @@
     from hazelhold.capture.cut import survey
 
     skips = Skips()
-    said = survey(list(files), skips)
+    said = survey(list(files), skips, meter())
     if as_json:
         click.echo(json.dumps(said | {"skipped": skipped(skips)}))
         return
--- a/hazelhold/service/planner.py
+++ b/hazelhold/service/planner.py
@@ -231,6 +231,11 @@
         self._hear("owner_said", wire, name, message)
 
     def _refuse(self, wire: Wire, wrong: FrameError) -> None:
+        if self.tap is not None:  # what was wrong is worth keeping, too
+            if wire.trunk is None:
+                self._tapped("refused", wire.peer or "unknown", wire, False)
+            told = wire.raw if wrong.code.startswith("frame") else frame(wire.body) if wire.body else b""
+            wire.trunk.data(False, told, self.net.now())
         self.counts["refused_" + wrong.code] += 1
         self.log.warning("connection_refused", code=wrong.code, reason=wrong.text, peer=wire.peer)
         wire.finish(m.Fault(code=wrong.code, text=wrong.text))
--- a/hazelhold/service/wire.py
+++ b/hazelhold/service/wire.py
@@ -25,6 +25,7 @@
         self.queue = bytearray()
         self.trunk: Trunk | None = None  # this connection in the capture
         self.body = b""  # of the message that was read last
+        self.raw = b""  # what was read last, whatever it is
         self.more = trio.Event()
         self.full = self.closing = False
         self.scope = trio.CancelScope()  # the reading side; cancelled when the wire is to end
@@ -107,6 +108,7 @@
             self.ended = True
             self.reader.close()
             return []
+        self.raw = data
         return self.reader.feed(data)
 
     async def first(self, kind: type[Message], seconds: float) -> Message:
--- a/tests/test_capture.py
+++ b/tests/test_capture.py
@@ -32,6 +32,7 @@
 A, B = end_of("10.0.0.1:1000"), end_of("10.0.0.2:2000")
 EXAMPLES = Path(__file__).parent.parent / "examples"
 T = 1_790_000_000_000_000
+START = {"n": "start", "p": "p@1", "planner": "p", "seed": 1, "sheet": {}, "module": "m", "offset": 0}
 
 
 def submits(count: int, size: int = 0) -> list[bytes]:
@@ -251,7 +252,7 @@
 
 def test_a_library_finds_what_is_written_sound(tmp_path: Path) -> None:
     for suffix, reader in (("pcap", dpkt.pcap.Reader), ("pcapng", dpkt.pcapng.Reader)):
-        writer = CaptureWriter(tmp_path / f"c.{suffix}", {"n": "start", "p": "p"}, T)
+        writer = CaptureWriter(tmp_path / f"c.{suffix}", START, T)
         from hazelhold.capture.write import Trunk
 
         for a, b in ((A, B), (end_of("[::1]:9"), end_of("[::2]:8"))):
@@ -277,7 +278,7 @@
 
 
 def test_rotation_keeps_to_its_bound_and_a_full_disk_is_counted_and_noted(tmp_path: Path) -> None:
-    writer = CaptureWriter(tmp_path / "c.pcap", {"n": "start", "p": "p"}, T, 0, rotate_bytes=20_000,
+    writer = CaptureWriter(tmp_path / "c.pcap", START, T, 0, rotate_bytes=20_000,
                            total_bytes=60_000, queue_bytes=10_000)
     for n in range(2000):
         while writer.queued > 9000:
@@ -288,7 +289,7 @@
     assert sum(f.stat().st_size for f in files) <= 60_000 and len(files) >= 2 and writer.number > 5
     skips = Skips()
     assert all(isinstance(item, Note) for item in read(files, skips)) and not skips.table()
-    small = CaptureWriter(tmp_path / "s.pcap", {"n": "start", "p": "p"}, T, queue_bytes=2000)
+    small = CaptureWriter(tmp_path / "s.pcap", START, T, queue_bytes=2000)
     small.queued = 10**9  # a disk that takes nothing
     for n in range(5):
         small.note(n, {"n": "pump", "p": "p"})
@@ -300,7 +301,7 @@
 
 
 def test_a_disk_that_fails_loses_packets_and_nothing_else(tmp_path: Path) -> None:
-    writer = CaptureWriter(tmp_path / "c.pcap", {"n": "start", "p": "p"}, T)
+    writer = CaptureWriter(tmp_path / "c.pcap", START, T)
     broken, writer.file = writer.file, open("/dev/full", "wb", buffering=0)  # noqa: SIM115
     writer.note(1, {"n": "pump", "p": "p"})
     while not writer.fault:
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -87,6 +87,36 @@
     assert with_planner(test).counts["refused_" + code] == 1
 
 
+def test_what_was_refused_stands_in_the_capture(tmp_path: Path) -> None:
+    from hazelhold.capture.read import read
+    from hazelhold.capture.replay import replay
+    from hazelhold.capture.skips import Skips
+    from hazelhold.capture.streams import Frame
+
+    async def run() -> None:
+        net = MemoryNet()
+        made = sheet()
+        made = msgspec.structs.replace(made, capture=msgspec.structs.replace(
+            made.capture, file=str(tmp_path / "c.pcap")))
+        planner = Planner(made, 1, net)
+        async with trio.open_nursery() as nursery:
+            await nursery.start(planner.run)
+            for data in (HELLO + frame(msgspec.msgpack.encode({"t": "offer"})), (2 << 30).to_bytes(4)):
+                peer = Peer(await net.dial("door"))
+                await peer.stream.send_all(data)
+                await peer.hear(9)
+            planner.stop()
+
+    trio.run(run, clock=MockClock(autojump_threshold=0))
+    skips = Skips()
+    items = list(read([tmp_path / "c.pcap"], skips))
+    types = [item.message["t"] for item in items if isinstance(item, Frame)]
+    assert "offer" in types and types.count("fault") == 2
+    assert skips.reasons() == {"other protocol in the stream": 1}
+    said = replay(items)
+    assert said["planners"][0]["damaged_messages"] == 1 and said["planners"][0]["differing"] == 0
+
+
 def test_half_a_frame_and_then_silence_is_ended_by_time_before_the_hello_only() -> None:
     async def test(planner: Planner, net: Net) -> None:
         late, slow = Peer(await net.dial(planner.address)), await owner(planner, net, "slow")
