A client library that behaves, with advised waits and a door that spreads returns

Need: senders keep deadlines, repeat by what is known and do not all return at once; a planner under return admits what it bears and says when to come back. Change: hazelhold.client (core without I/O, clock or chance; trio and blocking hosts), engine/advice.py (pace, advised wait, refusal of what cannot be reached in time, the door's places), Welcome.spread, Bye.spread, again_after.

--- a/hazelhold/brain.py
+++ b/hazelhold/brain.py
@@ -174,7 +174,11 @@
                 self.list_version += 1
                 self.machines[name].ready = False
                 self.machines[name].listed = self.machines[name].listed._replace(mode=Mode.GONE)
-        self.machines = {n: m for n, m in self.machines.items() if m.guests or m.listed.mode is not Mode.GONE}
+        # A machine that is gone while cold is kept until it would be warm: guards against a list that names
+        # it
+        # again without its start.
+        self.machines = {n: m for n, m in self.machines.items() if m.guests or m.listed.mode is not Mode.GONE
+                         or now - m.cold_at < self.deployment.cold_for}
         # News within two fifths of the time allowed shows that the list is still heard.
         self.ask_list_at = now + int(self.deployment.ask_within * 0.4 * self.random.uniform(0.8, 1.2))
         self._changed(now)
--- /dev/null
+++ b/hazelhold/client/blocking.py
@@ -0,0 +1,53 @@
+"""The same client for programs without trio: calls that block, from any thread."""
+
+import threading
+from collections.abc import Iterable
+
+import trio
+
+from hazelhold.client.client import Client, open_client
+from hazelhold.client.core import Manners, Outcome, Want
+
+
+class BlockingClient:
+    """Runs a client in a thread of its own. Use it in a `with` block, or call `close`."""
+
+    def __init__(self, name: str, planners: dict[str, str], manners: Manners | None = None) -> None:
+        self.ready = threading.Event()
+        self.client: Client | None = None
+        self.thread = threading.Thread(target=trio.run, args=(self._main, name, planners, manners),
+        daemon=True,
+                                       name="hazelhold-client")
+        self.thread.start()
+        self.ready.wait()
+
+    async def _main(self, name: str, planners: dict[str, str], manners: Manners | None) -> None:
+        self.stop = trio.Event()
+        async with open_client(name, planners, manners) as client:
+            self.client, self.token = client, trio.lowlevel.current_trio_token()
+            self.ready.set()
+            await self.stop.wait()
+
+    def place(self, want: Want) -> Outcome:
+        """Blocks until the guest is placed or finally answered; never longer than its patience."""
+        return trio.from_thread.run(self.client.place, want, trio_token=self.token)
+
+    def place_all(self, wants: Iterable[Want]) -> list[Outcome]:
+        return trio.from_thread.run(self.client.place_all, list(wants), trio_token=self.token)
+
+    def ended(self, guest: str) -> Outcome:
+        """Blocks until a placed guest ends."""
+        return trio.from_thread.run(self.client.ended, guest, trio_token=self.token)
+
+    def cancel(self, guest: str) -> None:
+        trio.from_thread.run_sync(self.client.cancel, guest, trio_token=self.token)
+
+    def close(self) -> None:
+        trio.from_thread.run_sync(self.stop.set, trio_token=self.token)
+        self.thread.join(5.0)
+
+    def __enter__(self) -> "BlockingClient":
+        return self
+
+    def __exit__(self, *wrong: object) -> None:
+        self.close()
--- /dev/null
+++ b/hazelhold/engine/advice.py
@@ -0,0 +1,102 @@
+"""What a planner tells those that it cannot serve now: when to come back, and whether waiting is of use at
+all.
+
+Decisions free of I/O and clock. Pace is what was placed in the last five seconds; the line is what is held
+without
+a machine. An advised wait is the time in which the line and one more would be placed at that pace, bounded
+and
+drawn a fifth up or down, so that those turned back together do not return together.
+"""
+
+from collections import Counter, OrderedDict
+from random import Random
+
+SECOND = 1_000_000
+BINS, BIN = 10, SECOND // 2
+KNOWN = 10_000  # advised guests that are remembered, to see whether the advice was good
+SHORT = 50  # a line up to this long is no overload, whatever the pace: the first seconds know no pace
+
+
+class Advice:
+    """The line at one planner's door. `least` and `most` bound advised waits, in microseconds."""
+
+    def __init__(self, least: int, most: int, random: Random) -> None:
+        self.least, self.most, self.random = least, most, random
+        self.bins = [0] * BINS
+        self.at = 0
+        self.advised: OrderedDict[str, int] = OrderedDict()  # guest: when it may return; bounded by KNOWN
+        self.back: OrderedDict[str, None] = OrderedDict()  # returned as advised; emptied by its next answer
+        self.counts: Counter[str] = Counter()
+
+    def placed(self, now: int, guest: str) -> None:
+        self._turn(now)
+        self.bins[self.at % BINS] += 1
+        if guest in self.back:
+            del self.back[guest]
+            self.counts["advised_served"] += 1
+
+    def pace(self, now: int) -> float:
+        """Guests placed a second, lately."""
+        self._turn(now)
+        return sum(self.bins) / (BINS * BIN / SECOND)
+
+    def wait(self, now: int, guest: str, line: int) -> int:
+        """The advised wait for a guest that is turned back now, behind so many in line."""
+        pace = self.pace(now)
+        span = (line + 1) / pace * SECOND if pace else self.most / 2
+        wait = int(max(self.least, min(self.most, span)) * self.random.uniform(0.8, 1.2))
+        if self.back.pop(guest, self) is not self:
+            self.counts["advised_turned_back"] += 1
+        self.advised[guest] = now + wait
+        self.advised.move_to_end(guest)
+        if len(self.advised) > KNOWN:
+            self.advised.popitem(last=False)
+        return wait
+
+    def came(self, now: int, guest: str) -> None:
+        """A guest comes; one that was advised counts if it kept to it."""
+        due = self.advised.pop(guest, None)
+        if due is None:
+            return
+        if now < due:
+            self.counts["advised_came_early"] += 1
+            return
+        self.counts["advised_came"] += 1
+        self.back[guest] = None
+        if len(self.back) > KNOWN:
+            self.back.popitem(last=False)
+
+    def hopeless(self, now: int, line: int, patience: int) -> bool:
+        """Whether a guest that joins the line now cannot be answered within its patience at the present
+        pace."""
+        return line > SHORT and line * SECOND > self.pace(now) * patience
+
+    def _turn(self, now: int) -> None:
+        at = now // BIN
+        for each in range(self.at + 1, min(at, self.at + BINS) + 1):
+            self.bins[each % BINS] = 0
+        self.at = max(self.at, at)
+
+
+class Doorman:
+    """Admits connections at a bounded rate, and tells the rest when to come back: each gets a place of its
+    own in
+    the time ahead, so that those sent away together return at the rate that the door takes."""
+
+    def __init__(self, rate: float, burst: int, most: int, random: Random) -> None:
+        self.gap = SECOND / rate
+        self.burst, self.most, self.random = burst, most, random
+        self.full_at = 0.0  # when all that was admitted will have been paid for
+        self.given_until = 0.0  # up to when places ahead are given away
+
+    def admits(self, now: int) -> int:
+        """0 if the connection may go on, else in how many microseconds to come back."""
+        start = max(self.full_at, now)
+        if start - now <= (self.burst - 1) * self.gap:
+            self.full_at = start + self.gap
+            return 0
+        self.given_until = max(self.given_until, now + self.gap * self.burst) + self.gap
+        if self.given_until - now > self.most:  # more are away than places: anywhere in the time ahead
+            self.given_until = now + self.most
+            return max(1, int(self.random.uniform(self.gap, self.most)))
+        return max(1, int(self.given_until - now))
--- a/hazelhold/engine/engine.py
+++ b/hazelhold/engine/engine.py
@@ -16,10 +16,12 @@
 from collections import Counter, OrderedDict
 from dataclasses import dataclass, field
 from heapq import heappop, heappush
+from random import Random
 from typing import NamedTuple
 
 from hazelhold.brain import Brain
 from hazelhold.config.planner import PlannerSheet, deployment, micros
+from hazelhold.engine.advice import Advice
 from hazelhold.engine.machines import Fellow, Link, Roster
 from hazelhold.interface import Ask, Decision, Earlier, Ending, Load, Remark, Step
 from hazelhold.protocol import messages as m
@@ -28,6 +30,7 @@
            "evicted": (Ending.CUT_OFF, Remark.EVICTED), "pushed_out": (Ending.CUT_OFF, Remark.PUSHED_OUT),
            "sent_away": (Ending.CUT_OFF, Remark.SENT_AWAY), "stopped": (Ending.CALLED_OFF, Remark.NONE),
            "withdrawn": (Ending.TURNED_BACK, Remark.NONE)}
+LATER = ("full", "overloaded", "stopping")  # rejections after which coming back makes sense
 REMARKS = {"no_cores": Remark.NO_CORES, "no_memory": Remark.NO_MEMORY, "line_full": Remark.LINE_FULL,
            "not_here": Remark.NOT_HERE}
 
@@ -133,6 +136,8 @@
         self.probe_number = 0
         self.unheard: set[str] = set()  # machines listed at the start that have not told what they hold
         self.list_heard = self.stopping = False
+        self.advice = Advice(micros(self.limits.again_least_ms), micros(self.limits.again_most_ms),
+                             Random(f"advice/{seed}"))
 
     # Owners.
 
@@ -162,9 +167,12 @@
             self.counts["answers_repeated"] += 1
             self._send_owner(owner, past[0])
             return
-        if fault := self._fault(submit):
+        self.advice.came(now, guest)
+        if fault := self._fault(now, submit):
             self.counts["rejected_" + fault[0]] += 1
-            self._send_owner(owner, m.Rejected(guest=guest, ask=ask, code=fault[0], text=fault[1]))
+            later = self.advice.wait(now, guest, len(self.brain.waiting)) if fault[0] in LATER else 0
+            self._send_owner(owner, m.Rejected(guest=guest, ask=ask, code=fault[0], text=fault[1],
+                                               again_after=later))
             return
         case = Case(f"{guest}/{ask}", guest, ask, owner, self.products[submit.product], submit, {ask: None})
         if case.name in self.cases:  # cancelled, with its call-off under way
@@ -187,7 +195,7 @@
             unsettled.append(Earlier("", now))
         return min(unsettled, key=lambda e: e.sent_at, default=None)
 
-    def _fault(self, submit: m.Submit) -> tuple[str, str] | None:
+    def _fault(self, now: int, submit: m.Submit) -> tuple[str, str] | None:
         if self.stopping:
             return "stopping", "this planner takes nothing more"
         if submit.product not in self.products:
@@ -198,6 +206,8 @@
             return "patience", f"patience is {self.limits.patience_ms:g} ms at most"
         if len(self.cases) >= self.limits.open_guests:
             return "full", f"{self.limits.open_guests} guests are in hand"
+        if self.advice.hopeless(now, len(self.brain.waiting), submit.patience):
+            return "overloaded", "the line is longer than this patience"
         return None
 
     def _cancelled(self, now: int, owner: str, message: m.Cancel) -> None:
@@ -386,6 +396,7 @@
         if isinstance(message, m.Taken) and not case.placed:
             case.placed = True
             self.brain.dispatch_taken(now, case.name, now - case.sent_at)
+            self.advice.placed(now, case.guest)
             self._answer(now, case, m.Placed(guest=case.guest, ask=case.ask, machine=case.machine), case.asks)
         elif isinstance(message, m.Refused) and not case.placed:
             self.counts["refused_" + message.remark[:20]] += 1
@@ -625,7 +636,9 @@
         elif step is Step.TURN_BACK:
             case = self.cases[name]
             why = "cancelled" if case.cancelled else "stopping" if self.stopping else "no_machine"
-            self._final(now, case, m.TurnedBack(guest=case.guest, ask=case.ask, reason=why, again_after=span))
+            later = 0 if case.cancelled else self.advice.wait(now, case.guest, len(self.brain.waiting))
+            self._final(now, case, m.TurnedBack(guest=case.guest, ask=case.ask, reason=why,
+            again_after=later))
         elif step is Step.BREAK_OFF:
             case = self.cases[name]
             why = "cancelled" if case.cancelled else "may_have_run" if case.attempt >= 0 else "no_machine"
--- a/hazelhold/protocol/frames.py
+++ b/hazelhold/protocol/frames.py
@@ -6,9 +6,9 @@
 class FrameError(Exception):
     """A peer broke the protocol. `code` is one word for counters, the text is for people."""
 
-    def __init__(self, code: str, text: str) -> None:
+    def __init__(self, code: str, text: str, again_after: int = 0) -> None:
         super().__init__(f"{code}: {text}")
-        self.code, self.text = code, text
+        self.code, self.text, self.again_after = code, text, again_after
 
 
 class FrameReader:
--- a/hazelhold/protocol/messages.py
+++ b/hazelhold/protocol/messages.py
@@ -58,12 +58,15 @@
 
 
 class Welcome(Message, tag="welcome", kw_only=True):
-    """Answers a Hello. A machine adds which of its lives this is and how long it has been up."""
+    """Answers a Hello. A machine adds which of its lives this is and how long it has been up; a planner,
+    over how
+    long its owners should spread their return if it goes without last words."""
 
     name: Id
     version: int = VERSION
     incarnation: Count = 0
     up_for: Span = 0
+    spread: Span = 0
 
 
 class Fault(Message, tag="fault", kw_only=True):
@@ -71,12 +74,14 @@
 
     code: str
     text: str = ""
+    again_after: Span = 0  # of code busy: in how long to come back
 
 
 class Bye(Message, tag="bye", kw_only=True):
-    """The sender stops in good order."""
+    """The sender stops in good order; `spread` is over how long its peers should spread their return."""
 
     reason: str = ""
+    spread: Span = 0
 
 
 # Owners and planners.
@@ -112,6 +117,7 @@
 
     code: str
     text: str = ""
+    again_after: Span = 0
 
 
 class Placed(Named, tag="placed", kw_only=True):
--- a/hazelhold/service/planner.py
+++ b/hazelhold/service/planner.py
@@ -7,6 +7,7 @@
 
 from collections import Counter
 from pathlib import Path
+from random import Random
 
 import msgspec
 import structlog
@@ -14,6 +15,7 @@
 
 from hazelhold.capture.tap import Tap
 from hazelhold.config.planner import PlannerSheet
+from hazelhold.engine.advice import Doorman
 from hazelhold.engine.engine import Action, AskList, Dial, Engine, HangUp, Lost, Send
 from hazelhold.protocol import messages as m
 from hazelhold.protocol.frames import FrameError, frame
@@ -40,7 +42,9 @@
         self.list_wanted: int | None = None
         self.list_stir = trio.Event()
         self.counts: Counter[str] = Counter()
-        self.connections = 0
+        self.connections = self.greeting = 0  # open ones, and those before their Hello
+        self.doorman = Doorman(sheet.limits.handshakes_a_second, sheet.limits.handshake_burst,
+                               round(sheet.limits.return_most_ms * 1000), Random(f"door/{seed}"))
         self.address = ""
         self.stop_asked = trio.Event()
 
@@ -70,7 +74,7 @@
                 await trio.sleep(0.01)
         self._feed("stop_now")
         for wire in [*self.owners.values(), *(w for _, w in self.machines.values() if w)]:
-            wire.finish(m.Bye(reason="stopping"))
+            wire.finish(m.Bye(reason="stopping", spread=round(self.limits.return_spread_ms * 1000)))
         with trio.move_on_after(0.5):
             while any(w.queue for w in self.owners.values()):
                 await trio.sleep(0.01)
@@ -174,18 +178,32 @@
         """One owner's connection, from its Hello to its end. Whatever is wrong with it ends it alone."""
         wire = self._wire(stream, OWNERS)
         self.connections += 1
+        self.greeting += 1
+        later = self.doorman.admits(self.net.now())
+        if not later and self.greeting > self.limits.handshakes_at_once:
+            later = round(self.limits.hello_ms * 1000)
         try:
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(wire.write)
                 if self.connections > self.limits.connections:
                     limit = self.limits.connections
                     self._refuse(wire, FrameError("too_many", f"{limit} connections are open"))
+                elif later:
+                    self.counts["connections_put_off"] += 1
+                    wire.finish(m.Fault(code="busy", text="come back later", again_after=later))
                 else:
                     with wire.scope:
                         await self._serve_owner(wire)
                 wire.finish()
         finally:
             self.connections -= 1
+            self._greeted(wire)
+
+    def _greeted(self, wire: Wire) -> None:
+        """A handshake is over, one way or the other."""
+        if not wire.greeted:
+            wire.greeted = True
+            self.greeting -= 1
 
     async def _serve_owner(self, wire: Wire) -> None:
         name = ""
@@ -193,6 +211,7 @@
             hello = await wire.first(m.Hello, self.limits.hello_ms / 1000)
             if hello.role != "owner":
                 raise FrameError("wrong_role", f"this door is for owners, not for a {hello.role}")
+            self._greeted(wire)
             name = wire.peer = hello.name
             if old := self.owners.get(name):
                 old.finish(m.Bye(reason="replaced"))
@@ -201,7 +220,7 @@
             wire.note("open", None)
             self._tapped("owner", name, wire, False)
             wire.captured()
-            wire.send(m.Welcome(name=self.sheet.name))
+            wire.send(m.Welcome(name=self.sheet.name, spread=round(self.limits.return_spread_ms * 1000)))
             self.log.debug("owner_here", owner=name)
             for message in wire.rest():
                 self._owner_said(name, wire, message)
--- a/hazelhold/service/wire.py
+++ b/hazelhold/service/wire.py
@@ -97,7 +97,7 @@
             if self.ended:
                 return
 
-    ended = False
+    ended = greeted = False
 
     async def frames(self) -> list[bytes]:
         try:
@@ -121,7 +121,7 @@
                     message = self.codec.decode(self.body)
                     self.held_back = bodies[1:]
                     if isinstance(message, Fault):
-                        raise FrameError(message.code, message.text)
+                        raise FrameError(message.code, message.text, message.again_after)
                     if not isinstance(message, kind):
                         raise FrameError("wrong_first", f"the first message was no {kind.__name__}")
                     if isinstance(message, Hello | Welcome) and message.version != VERSION:
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -263,3 +263,15 @@
         assert made.guests[name].placed and decisions(made, 2 * MS) == []
     made.copy_stands(3 * MS, "a", ask("g"))
     assert decisions(made, 3 * MS) == [Decision(Step.CALL_OFF, "g", "a")]
+
+
+def test_a_cold_machine_that_leaves_the_list_and_returns_without_its_start_is_still_cold() -> None:
+    now = 10**9
+    made = brain("a", at=now, planners=40)
+    made.machines_listed(now, [entry("a", started=now)], False)
+    made.machines_listed(now + 1, [entry("a", Mode.GONE)], False)
+    made.machines_listed(now + 2, [entry("a")], False)
+    assert now - made.machines["a"].cold_at < 15_000 * MS
+    made.machines_listed(now + 3, [entry("a", Mode.GONE)], False)
+    made.machines_listed(now + 20_000 * MS, [entry("b")], False)
+    assert "a" not in made.machines
