--- a/hazelhold/cli/main.py
+++ b/hazelhold/cli/main.py
@@ -258,7 +258,8 @@
                f"{counts.get('placed', 0)}, turned back {counts.get('turned_back', 0)}, broken off "
                f"{counts.get('broken_off', 0)}, unanswered {counts.get('unanswered', 0)}, died with their "
                f"planner {counts.get('died_with_planner', 0)}")
-    click.echo(f"  dispatches {counts.get('dispatches', 0)}, starts {counts.get('starts', 0)}")
+    click.echo(f"  dispatches {counts.get('dispatches', 0)}, starts {counts.get('starts', 0)}, "
+               f"served to their end {counts.get('ended_done', 0)}")
     click.echo("  service " + ", ".join(f"{key} {value}" for key, value in service.items() if key !=
     "guests"))
     click.echo(f"  rules broken: {len(said['rules_broken'])}")
--- a/tests/test_capture.py
+++ b/tests/test_capture.py
@@ -423,3 +423,17 @@
     ran = CliRunner().invoke(main, ["capture", "extract", str(tmp_path / "odd"), "-o", str(tmp_path / "o"),
                                     "--from", "yesterday"])
     assert ran.exit_code == 2 and "yesterday" in ran.output
+
+
+def test_rotation_by_age(tmp_path: Path) -> None:
+    writer = CaptureWriter(tmp_path / "c.pcapng", START, T, 0, rotate_s=0.02)
+    for n in range(4):
+        written = writer.number
+        writer.note(n, {"n": "pump", "p": "p@1"})
+        while n and writer.number == written:
+            time.sleep(0.005)
+            writer.note(n, {"n": "pump", "p": "p@1"})
+    writer.close()
+    files = sorted(tmp_path.glob("c-*.pcapng"))
+    said = [item.data["n"] for item in read(files, Skips())]
+    assert len(files) >= 4 and said.count("start") == len(files) and said.count("pump") >= 4
--- a/tests/test_engine.py
+++ b/tests/test_engine.py
@@ -332,3 +332,15 @@
     desk.engine._dial(3 * MS, desk.engine.roster.fellows[other])
     back(desk, 3 * MS, other)
     assert [(peer, said.guest) for peer, said in desk.said if isinstance(said, m.Stop)] == [(other, "g")]
+
+
+def test_news_of_a_machines_new_life_leaves_an_offer_to_its_answer_or_its_links_end() -> None:
+    desk = Desk("ab")
+    offer, machine = desk.offer(0, "g", "once")
+    desk.lives[machine] = 2
+    desk.lists(10 * MS, [desk.entry(machine, up_for=5 * MS)])
+    assert not desk.sent(m.BrokenOff) and len(desk.sent(m.Offer)) == 1
+    assert desk.engine.brain.machines[machine].cold_at == 5 * MS
+    lose(desk, 20 * MS, machine)
+    back(desk, 40 * MS, machine)  # in the life that the list told of: whether it ran cannot be known
+    assert len(desk.sent(m.BrokenOff)) == 1 and len(desk.sent(m.Offer)) == 1
