The door decides for crowds before their Hello too; state that nothing read goes

Cause: with too many connections before their Hello, the service itself named one return moment for all of them: a decision in connection code, and all would have come back together. Change: the Doorman decides it and gives each a place of its own, with a test; fields that nothing read leave engine, wire, record, owners and client core.

--- a/hazelhold/client/core.py
+++ b/hazelhold/client/core.py
@@ -18,7 +18,7 @@
 """
 
 from collections import Counter
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from heapq import heappop, heappush
 from random import Random
 from typing import NamedTuple
@@ -115,9 +115,7 @@
     due: int = 0
     reason: str = ""
     cancelled: bool = False
-    waits_for: str = ""  # what a planner is asked again for
     sent_at: int = 0
-    reasons: list[str] = field(default_factory=list)
 
 
 class ClientCore:
--- a/hazelhold/engine/advice.py
+++ b/hazelhold/engine/advice.py
@@ -83,16 +83,18 @@
     own in
     the time ahead, so that those sent away together return at the rate that the door takes."""
 
-    def __init__(self, rate: float, burst: int, most: int, random: Random) -> None:
+    def __init__(self, rate: float, burst: int, at_once: int, most: int, random: Random) -> None:
         self.gap = SECOND / rate
-        self.burst, self.most, self.random = burst, most, random
+        self.burst, self.at_once, self.most, self.random = burst, at_once, most, random
         self.full_at = 0.0  # when all that was admitted will have been paid for
         self.given_until = 0.0  # up to when places ahead are given away
 
-    def admits(self, now: int) -> int:
-        """0 if the connection may go on, else in how many microseconds to come back."""
+    def admits(self, now: int, greeting: int = 0) -> int:
+        """0 if the connection may go on, else in how many microseconds to come back; `greeting` is how many
+        others
+        have not said Hello yet."""
         start = max(self.full_at, now)
-        if start - now <= (self.burst - 1) * self.gap:
+        if greeting < self.at_once and start - now <= (self.burst - 1) * self.gap:
             self.full_at = start + self.gap
             return 0
         self.given_until = max(self.given_until, now + self.gap * self.burst) + self.gap
--- a/hazelhold/engine/engine.py
+++ b/hazelhold/engine/engine.py
@@ -91,7 +91,6 @@
     machine: str = ""  # where a dispatch is out, or where it runs
     sent: bool = False  # the offer has left
     sent_at: int = 0
-    overdue_at: int = 0
     placed: bool = False
     cancelled: bool = False
 
@@ -103,7 +102,6 @@
     case: Case
     attempt: int
     machine: str
-    incarnation: int
     sent_at: int
     stands: bool = False  # the machine has said that it accepted it
     roll_at: int = 0  # when its machine is asked again
@@ -341,7 +339,7 @@
         for name in list(link.holds):
             case = self.cases[name]
             if case.placed:  # it may run on, cut off from here: its machine is asked when it can be
-                self._loosen(now, case, link)
+                self._loosen(now, case)
             self._gone(now, case, "lost")
         if link.machine not in self.roster.fellows:
             for guest in [g for g, by in self.loose.items() if link.machine in by]:
@@ -529,7 +527,7 @@
         case.attempt, case.sent_at = stand.attempt, now
         held = self.newest.get(stand.guest)
         if held and held.machine or name in self.cases:  # out or placed elsewhere: one copy too many
-            loose = Loose(case, stand.attempt, link.machine, link.incarnation, now, roll_at=now + 1_000_000)
+            loose = Loose(case, stand.attempt, link.machine, now, roll_at=now + 1_000_000)
             self.loose.setdefault(stand.guest, {})[link.machine] = loose
             self._stands(now, loose)
             return
@@ -653,8 +651,8 @@
 
     def _dispatch(self, now: int, case: Case, machine: str, span: int) -> None:
         case.attempt, case.machine, case.sent = case.attempt + 1, machine, False
-        case.sent_at, case.overdue_at = now, now + span
-        heappush(self.overdue, (case.overdue_at, case.name, case.attempt))
+        case.sent_at = now
+        heappush(self.overdue, (now + span, case.name, case.attempt))
         self._hold(case)
         fellow = self.roster.fellows.get(machine)
         if fellow is None:
@@ -716,13 +714,13 @@
         if not case.sent:
             return
         link = self.links.get(case.machine)
-        self._loosen(now, case, link)
+        self._loosen(now, case)
         if link and link.state == "up":
             self._send_machine(case.machine, m.Withdraw(guest=case.guest, ask=case.ask, attempt=case.attempt))
 
-    def _loosen(self, now: int, case: Case, link: Link | None) -> None:
+    def _loosen(self, now: int, case: Case) -> None:
         self.loose.setdefault(case.guest, {})[case.machine] = Loose(
-            case, case.attempt, case.machine, link.incarnation if link else 0, case.sent_at,
+            case, case.attempt, case.machine, case.sent_at,
             roll_at=now + 1_000_000)
 
     def _call_off(self, now: int, name: str, machine: str) -> None:
--- a/hazelhold/model/owners.py
+++ b/hazelhold/model/owners.py
@@ -8,7 +8,7 @@
 asks the planner that had the guest; it goes elsewhere only when that planner says that it knows nothing more.
 """
 
-from collections import Counter, deque
+from collections import Counter
 from dataclasses import dataclass
 from heapq import heappop, heappush
 from random import Random
@@ -68,7 +68,6 @@
         self.counts: Counter[str] = Counter()
         self.agenda: list[tuple[int, int, str, str, int]] = []
         self.turn = self.made = 0
-        self.last_goodbye: deque[str] = deque(maxlen=16)
         self._at(now + int(self.random.expovariate(max(rate, 1e-9)) * SECOND), "want", "")
 
     # What happens.
--- a/hazelhold/protocol/record.py
+++ b/hazelhold/protocol/record.py
@@ -32,17 +32,13 @@
         self.by, self.role = by, role
         self.file = path.open("ab", buffering=0) if path else None
         self.encoder = msgspec.json.Encoder()
-        self.kept: list[Crossing] | None = None
 
     def note(self, at: int, peer: str, way: str, message: Struct | None = None) -> None:
-        if self.file is None and self.kept is None:
+        if self.file is None:
             return
         body = msgspec.to_builtins(message) if message is not None else None
         crossing = Crossing(at, self.by, self.role, peer, way, body)
-        if self.kept is not None:
-            self.kept.append(crossing)
-        if self.file is not None:
-            self.file.write(self.encoder.encode(crossing) + b"\n")
+        self.file.write(self.encoder.encode(crossing) + b"\n")
 
     def close(self) -> None:
         if self.file is not None:
--- a/hazelhold/service/planner.py
+++ b/hazelhold/service/planner.py
@@ -38,13 +38,13 @@
         self.ticker = Ticker(net.now, self.engine.next_at, self._work, sheet.limits.batch_ms / 1000)
         self.owners: dict[str, Wire] = {}
         self.machines: dict[str, tuple[trio.CancelScope, Wire | None]] = {}
-        self.lister: Wire | None = None
         self.list_wanted: int | None = None
         self.list_stir = trio.Event()
         self.counts: Counter[str] = Counter()
         self.connections = self.greeting = 0  # open ones, and those before their Hello
         self.doorman = Doorman(sheet.limits.handshakes_a_second, sheet.limits.handshake_burst,
-                               round(sheet.limits.return_most_ms * 1000), Random(f"door/{seed}"))
+                               sheet.limits.handshakes_at_once, round(sheet.limits.return_most_ms * 1000),
+                               Random(f"door/{seed}"))
         self.address = ""
         self.stop_asked = trio.Event()
 
@@ -178,10 +178,8 @@
         """One owner's connection, from its Hello to its end. Whatever is wrong with it ends it alone."""
         wire = self._wire(stream, OWNERS)
         self.connections += 1
+        later = self.doorman.admits(self.net.now(), self.greeting)
         self.greeting += 1
-        later = self.doorman.admits(self.net.now())
-        if not later and self.greeting > self.limits.handshakes_at_once:
-            later = round(self.limits.hello_ms * 1000)
         try:
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(wire.write)
--- a/hazelhold/service/wire.py
+++ b/hazelhold/service/wire.py
@@ -27,7 +27,7 @@
         self.body = b""  # of the message that was read last
         self.raw = b""  # what was read last, whatever it is
         self.more = trio.Event()
-        self.full = self.closing = False
+        self.closing = False
         self.scope = trio.CancelScope()  # the reading side; cancelled when the wire is to end
         self.writing = trio.CancelScope()  # the writing side; bounds a peer that reads nothing
 
@@ -37,7 +37,6 @@
             return False
         body = encode(message)
         if len(self.queue) + len(body) > self.send_bytes:
-            self.full = True
             self.cut()
             return False
         self.queue += body
--- a/tests/test_client.py
+++ b/tests/test_client.py
@@ -262,17 +262,23 @@
 
 @pytest.mark.parametrize("count", [1_000, 10_000])
 def test_a_door_spreads_those_that_it_sends_away(count: int) -> None:
-    door = Doorman(500, 100, 10 * S, Random(1))
+    door = Doorman(500, 100, 1000, 10 * S, Random(1))
     back = sorted(filter(None, (door.admits(0) for _ in range(count))))
     assert len(back) == count - 100
     bins = Counter(at // (100 * MS) for at in back)
     assert max(bins.values()) <= 3 * max(50, len(back) * 100 * MS / (10 * S))
 
 
+def test_a_door_with_many_before_their_hello_spreads_the_rest_too() -> None:
+    door = Doorman(500, 100, 20, 10 * S, Random(1))
+    assert door.admits(0, 19) == 0
+    assert len({door.admits(0, 20) for _ in range(50)} - {0}) == 50
+
+
 def returning(count: int, spread: bool) -> tuple[int, float, int]:
     """Clients that lose their planner at once and find it back after 2 s, with the core's own returns and a
     planner's own door in virtual time: peak dials in 100 ms, seconds until all are back, dials in all."""
-    door, random = Doorman(500, 200, 10 * S, Random(2)), Random(3)
+    door, random = Doorman(500, 200, 1000, 10 * S, Random(2)), Random(3)
     manners = Manners()
     clients = [Returns(manners.return_base, manners.return_most, Random(n)) for n in range(count)]
     import heapq
