Client: watched planner lists, dead connections left, asks held back under overload

Need: planners' addresses change, connections die half-open, and refusing became what an overloaded planner does. A planner that answers nothing for 5 s is left and dialled anew. A throttle holds asks back while most are refused. An engine's pump ends after 32 decisions so that peers are read.

--- a/bench/capture.py
+++ b/bench/capture.py
@@ -1,10 +1,8 @@
 """What reading and writing captures costs.
 
 Run as `python -m bench.capture`. Reading: our files, packets and frames beside dpkt's bare iteration and
-dpkt's
-parsing of the same file in the same run. Memory: the peak of reading a large file, against its size.
-Writing: one
-planner on loopback with and without a capture, in turns, in the same run.
+dpkt's parsing of the same file in the same run. Memory: the peak of reading a large file, against its size.
+Writing: one planner on loopback with and without a capture, in turns, in the same run.
 """
 
 import argparse
--- a/bench/fuzz_capture.py
+++ b/bench/fuzz_capture.py
@@ -1,8 +1,7 @@
 """Damages captures at random for as long as it is given, and holds the reader to what it promises.
 
 Run as `python -m bench.fuzz_capture --seconds 60 --seed 1`. Promises: no exception but OSError; bytes of
-memory
-within a bound; frames that come out are messages; a capture whose bytes are all sound skips nothing.
+memory within a bound; frames that come out are messages; a capture whose bytes are all sound skips nothing.
 """
 
 import argparse
--- a/bench/throughput.py
+++ b/bench/throughput.py
@@ -1,12 +1,9 @@
 """What one planner carries: guests a second, where its time goes, latency added, memory a guest.
 
-Run as `python -m bench.throughput`. One planner on loopback sockets in this process beside scripted
-machines and
-one scripted owner, all on one core, so the figures are of planner plus peers; `share` tells what is whose.
-The
-plain structure that it is compared with is the module alone in the same run: the same asks and answers as
-direct
-calls. Times are process CPU unless they say otherwise.
+Run as `python -m bench.throughput`. One planner on loopback sockets in this process beside scripted machines
+and one scripted owner, all on one core, so the figures are of planner plus peers; `share` tells what is
+whose. The plain structure that it is compared with is the module alone in the same run: the same asks and
+answers as direct calls. Times are process CPU unless they say otherwise.
 """
 
 import argparse
--- a/hazelhold/audit/rules.py
+++ b/hazelhold/audit/rules.py
@@ -275,8 +275,7 @@
 
     def _running(self, c: Crossing, asks: dict, seated: dict) -> None:
         """A machine's whole word on a planner's guests, after a new connection: what is missing never
-        arrived,
-        if the machine remembers all and lives the life in which it was offered."""
+        arrived, if the machine remembers all and lives the life in which it was offered."""
         there = {(s["guest"], s["ask"]): s for s in c.message["guests"]}
         for key, stand in there.items():
             if stand["state"] in ("runs", "accepted") and key not in asks:
--- a/hazelhold/audit/score.py
+++ b/hazelhold/audit/score.py
@@ -2,8 +2,7 @@
 
 Payoff is counted for the seconds in which a wanted guest was served, and for a first start in time, over the
 payoff asked for; a guest counts in the ten seconds in which it was first asked for. Not modelled: worth
-beyond a
-customer's share, and the penalties.
+beyond a customer's share, and the penalties.
 """
 
 from collections import defaultdict
--- a/hazelhold/capture/files.py
+++ b/hazelhold/capture/files.py
@@ -1,9 +1,8 @@
 """Capture files as streams of packets: classic pcap of both byte orders and resolutions, and pcapng.
 
 Reads in bounded memory and past damage: after a record that cannot be right, the next place where two
-records in a
-row make sense is looked for, and what lies between is named. Formats: the published descriptions of pcap
-(draft-ietf-opsawg-pcap) and pcapng (draft-ietf-opsawg-pcapng).
+records in a row make sense is looked for, and what lies between is named. Formats: the published
+descriptions of pcap (draft-ietf-opsawg-pcap) and pcapng (draft-ietf-opsawg-pcapng).
 """
 
 import struct
--- a/hazelhold/capture/streams.py
+++ b/hazelhold/capture/streams.py
@@ -1,9 +1,8 @@
 """TCP streams put together again, and the frames of our protocol in them.
 
 Copes with reordering, retransmission, overlaps (the first copy counts; a contradicting one is named), loss,
-wrap of
-sequence numbers, streams that began before the file and those of which one direction was captured. Memory is
-bounded whatever comes: streams by number, each direction's early segments by bytes.
+wrap of sequence numbers, streams that began before the file and those of which one direction was captured.
+Memory is bounded whatever comes: streams by number, each direction's early segments by bytes.
 """
 
 from collections import OrderedDict
@@ -219,8 +218,7 @@
 
     def _sync(self, key: tuple[End, End], flow: Flow) -> bool:
         """After a hole, or where the file begins mid-stream, a frame is looked for: a length, and a map
-        whose first
-        key is `t`, as every message begins, that decodes whole."""
+        whose first key is `t`, as every message begins, that decodes whole."""
         buffer, found, open_at = flow.buffer, flow.looked, -1
         while (found := buffer.find(START, found)) >= 0:
             at = found - 5
--- a/hazelhold/capture/tap.py
+++ b/hazelhold/capture/tap.py
@@ -1,8 +1,7 @@
 """What a planner puts into its capture: its connections, and notes of what its engine was told beside frames.
 
 An engine that is given the same inputs in the same order with the same moments decides the same; the frames
-and
-these notes together are those inputs.
+and these notes together are those inputs.
 """
 
 import hashlib
--- a/hazelhold/capture/write.py
+++ b/hazelhold/capture/write.py
@@ -1,8 +1,7 @@
 """Writes a planner's exchanges as captures. The planner only queues bytes; a thread of its own writes them.
 
 A disk that is full or slow never holds a decision up: what finds the queue full is counted, and the next
-packet that
-does find room is preceded by a note that says how much is missing.
+packet that does find room is preceded by a note that says how much is missing.
 """
 
 import contextlib
@@ -58,10 +57,9 @@
     """A capture of bounded size on disk.
 
     `path` with the suffix .pcapng makes that format, any other classic pcap. With `rotate_bytes` or
-    `rotate_s` the
-    files are path-000001 and so on, and the oldest go so that all stay under `total_bytes`. `start` is the
-    note
-    that every file begins with. Moments are those of the planner's clock, put on the wall clock by `offset`.
+    `rotate_s` the files are path-000001 and so on, and the oldest go so that all stay under `total_bytes`.
+    `start` is the note that every file begins with. Moments are those of the planner's clock, put on the
+    wall clock by `offset`.
     """
 
     def __init__(self, path: Path, start: dict[str, Any], offset: int, now: int = 0, rotate_bytes: int = 0,
--- a/hazelhold/client/__init__.py
+++ b/hazelhold/client/__init__.py
@@ -1,7 +1,17 @@
 """A client that behaves: keeps deadlines, marks retries, honours advice, spreads its returns."""
 
 from hazelhold.client.blocking import BlockingClient
-from hazelhold.client.client import Client, open_client
-from hazelhold.client.core import Manners, Outcome, Want
+from hazelhold.client.client import Client, Standing, open_client
+from hazelhold.client.core import (
+    CancelledError,
+    Manners,
+    MayHaveRunError,
+    NotPlacedError,
+    Outcome,
+    RejectedError,
+    TurnedBackError,
+    Want,
+)
 
-__all__ = ["BlockingClient", "Client", "Manners", "Outcome", "Want", "open_client"]
+__all__ = ["BlockingClient", "CancelledError", "Client", "Manners", "MayHaveRunError", "NotPlacedError",
+           "Outcome", "RejectedError", "Standing", "TurnedBackError", "Want", "open_client"]
--- a/hazelhold/client/blocking.py
+++ b/hazelhold/client/blocking.py
@@ -2,26 +2,29 @@
 
 import threading
 from collections.abc import Iterable
+from pathlib import Path
 
 import trio
 
-from hazelhold.client.client import Client, open_client
+from hazelhold.client.client import Client, Standing, open_client
 from hazelhold.client.core import Manners, Outcome, Want
+from hazelhold.client.places import read_places
 
 
 class BlockingClient:
     """Runs a client in a thread of its own. Use it in a `with` block, or call `close`."""
 
-    def __init__(self, name: str, planners: dict[str, str], manners: Manners | None = None) -> None:
+    def __init__(self, name: str, planners: dict[str, str] | Path, manners: Manners | None = None) -> None:
         self.ready = threading.Event()
         self.client: Client | None = None
+        if isinstance(planners, Path):
+            read_places(planners)  # what is wrong with it is told here, not in the thread
         self.thread = threading.Thread(target=trio.run, args=(self._main, name, planners, manners),
-        daemon=True,
-                                       name="hazelhold-client")
+                                       daemon=True, name="hazelhold-client")
         self.thread.start()
         self.ready.wait()
 
-    async def _main(self, name: str, planners: dict[str, str], manners: Manners | None) -> None:
+    async def _main(self, name: str, planners: dict[str, str] | Path, manners: Manners | None) -> None:
         self.stop = trio.Event()
         async with open_client(name, planners, manners) as client:
             self.client, self.token = client, trio.lowlevel.current_trio_token()
@@ -35,6 +38,10 @@
     def place_all(self, wants: Iterable[Want]) -> list[Outcome]:
         return trio.from_thread.run(self.client.place_all, list(wants), trio_token=self.token)
 
+    def query(self, guest: str, seconds: float = 1.0) -> Standing:
+        """How a guest stands by its planner's word; KeyError if this client has none of this name."""
+        return trio.from_thread.run(self.client.query, guest, seconds, trio_token=self.token)
+
     def ended(self, guest: str) -> Outcome:
         """Blocks until a placed guest ends."""
         return trio.from_thread.run(self.client.ended, guest, trio_token=self.token)
--- a/hazelhold/client/choice.py
+++ b/hazelhold/client/choice.py
@@ -22,6 +22,9 @@
         self.known = {p: Known() for p in planners}
         self.random = random
 
+    def learn(self, planner: str) -> None:
+        self.known[planner] = Known()
+
     def pick(self, up: list[str], now: int) -> str | None:
         """A planner out of those that are connected; one at rest only if all are."""
         fit = [p for p in up if self.known[p].rests_until <= now] or up
@@ -42,8 +45,7 @@
 
     def failed(self, planner: str, now: int) -> None:
         """No answer, a lost connection, or a planner that is full. From the third in a row on it rests,
-        twice as
-        long each time, 30 s at most; its first answer ends that."""
+        twice as long each time, 30 s at most; its first answer ends that."""
         known = self.known[planner]
         known.bad += 0.2 * (1 - known.bad)
         known.in_a_row += 1
--- a/hazelhold/client/client.py
+++ b/hazelhold/client/client.py
@@ -2,11 +2,15 @@
 
 from collections.abc import AsyncIterator, Iterable
 from contextlib import asynccontextmanager
+from pathlib import Path
 from random import Random
+from typing import NamedTuple
 
+import structlog
 import trio
 
-from hazelhold.client.core import ClientCore, Connect, Manners, Outcome, Send, Tell, Want
+from hazelhold.client.core import ClientCore, Connect, Leave, Manners, Outcome, Send, Tell, Want
+from hazelhold.client.places import Watch
 from hazelhold.protocol import messages as m
 from hazelhold.protocol.frames import FrameError
 from hazelhold.service.net import Net, TcpNet
@@ -14,7 +18,18 @@
 from hazelhold.service.wire import Wire
 
 CODEC = m.Codec(m.TO_OWNER)
-FINALS = ("turned_back", "broken_off", "unknown", "rejected", "cancelled")
+WATCH_S = 1.0  # how often a file of planners is looked at
+
+
+class Standing(NamedTuple):
+    """How a guest stands: `state` is the planner's word (held, out, running, unsettled, unknown, an end), or
+    silent if it gave none in time, idle if no planner has the guest now."""
+
+    guest: str
+    state: str
+    machine: str = ""
+    planner: str = ""
+    asks: int = 0
 
 
 class Slot:
@@ -29,10 +44,13 @@
 class Client:
     """One client process. Use `open_client`; every method belongs to the task that runs trio."""
 
-    def __init__(self, name: str, planners: dict[str, str], manners: Manners | None = None, net: Net | None
-    = None,
-                 seed: int | None = None, connect_s: float = 2.0) -> None:
+    def __init__(self, name: str, planners: dict[str, str] | Path, manners: Manners | None = None,
+                 net: Net | None = None, seed: int | None = None, connect_s: float = 2.0) -> None:
+        self.watch = Watch(planners) if isinstance(planners, Path) else None
+        planners = dict(self.watch.planners if self.watch else planners)
         self.net, self.planners, self.connect_s = net or TcpNet(), planners, connect_s
+        self.log = structlog.get_logger().bind(client=name)
+        self.queries: dict[str, list[tuple[trio.Event, list]]] = {}  # emptied by the answers, or in time
         self.core = ClientCore(name, list(planners), manners or Manners(), Random(seed))
         self.slots: dict[str, Slot] = {}  # emptied as guests end
         self.wires: dict[str, Wire] = {}
@@ -43,13 +61,14 @@
             self.nursery = nursery
             self.core.start(self.net.now())
             nursery.start_soon(self.ticker.run)
+            if self.watch is not None:
+                nursery.start_soon(self._watch)
             task_status.started()
             await trio.sleep_forever()
 
     async def place(self, want: Want) -> Outcome:
         """Asks for a guest and waits until it is placed, or for the final answer that says why not; never
-        longer
-        than its patience. ValueError if this guest is on its way already."""
+        longer than its patience. ValueError if this guest is on its way already."""
         self.core.submit(self.net.now(), want)
         slot = self.slots[want.guest] = Slot()
         self._act()
@@ -80,6 +99,46 @@
         self.core.cancel(self.net.now(), guest)
         self._act()
 
+    async def query(self, guest: str, seconds: float = 1.0) -> Standing:
+        """Asks the guest's planner how it stands, and waits so long at most. KeyError if no guest of this
+        client has this name."""
+        trip = self.core.trips[guest]
+        known = Standing(guest, "idle" if trip.state == "idle" else "silent", "", trip.planner, trip.ask + 1)
+        waiter: tuple[trio.Event, list] = trio.Event(), []
+        if not self.core.query(self.net.now(), guest):
+            return known
+        waiters = self.queries.setdefault(guest, [])
+        waiters.append(waiter)
+        self._act()
+        with trio.move_on_after(seconds):
+            await waiter[0].wait()
+        waiters.remove(waiter)
+        if not waiters and self.queries.get(guest) is waiters:
+            del self.queries[guest]
+        if not waiter[1]:
+            return known
+        return known._replace(state=waiter[1][0].state, machine=waiter[1][0].machine)
+
+    async def _watch(self) -> None:
+        """Follows the file of planners."""
+        while True:
+            await trio.sleep(WATCH_S)
+            if wrong := self.watch.changed():
+                self.log.warning("planners_refused", reason=str(wrong))
+            elif self.watch.planners != self.planners:
+                self._planners_are(dict(self.watch.planners))
+
+    def _planners_are(self, planners: dict[str, str]) -> None:
+        moved = [p for p, at in planners.items() if self.planners.get(p, at) != at]
+        kept = {p: self.planners[p] for p in self.core.up if p not in planners and p in self.planners}
+        self.planners = kept | planners
+        self.log.info("planners", named=sorted(planners), moved=moved)
+        for planner in moved:
+            if wire := self.wires.get(planner):
+                wire.cut()
+        self.core.planners_are(self.net.now(), list(planners))
+        self._act()
+
     def _work(self, now: int) -> None:
         self.core.advance(now)
         self._carry_out()
@@ -97,6 +156,9 @@
                     wire.send(action.message)
             elif isinstance(action, Connect):
                 self.nursery.start_soon(self._connect, action.planner)
+            elif isinstance(action, Leave):
+                if wire := self.wires.pop(action.planner, None):
+                    wire.cut()
             elif isinstance(action, Tell):
                 self._told(action)
 
@@ -145,23 +207,26 @@
             core.refused(self.net.now(), planner)
             self._act()
             return
+        if was_up and self.wires.get(planner) is not wire:
+            return  # it was left
         self.wires.pop(planner, None)
-        if was_up:
-            core.disconnected(self.net.now(), planner, spread)
-        else:
-            core.disconnected(self.net.now(), planner)
+        core.disconnected(self.net.now(), planner, spread)
         self._act()
 
     def _heard(self, planner: str, message: m.Message) -> None:
         self.core.said(self.net.now(), planner, message)
+        if isinstance(message, m.State):
+            for event, found in self.queries.get(message.guest, ()):
+                found.append(message)
+                event.set()
         self._act()
 
 
 @asynccontextmanager
-async def open_client(name: str, planners: dict[str, str], manners: Manners | None = None, net: Net | None =
-None,
-                      seed: int | None = None) -> AsyncIterator[Client]:
-    """A running client; leaving the block leaves its guests to their planners."""
+async def open_client(name: str, planners: dict[str, str] | Path, manners: Manners | None = None,
+                      net: Net | None = None, seed: int | None = None) -> AsyncIterator[Client]:
+    """A running client; leaving the block leaves its guests to their planners. `planners` are addresses by
+    name, or a file of them that is followed as it changes (ConfigError if it cannot be used at the start)."""
     client = Client(name, planners, manners, net, seed)
     async with trio.open_nursery() as nursery:
         await nursery.start(client.run)
--- a/hazelhold/client/core.py
+++ b/hazelhold/client/core.py
@@ -2,18 +2,14 @@
 its own.
 
 Moments in whole microseconds go in with every call; `actions` come out and are emptied by the host. A guest
-keeps
-its id over all repeats; each repeat carries its number and its reason. What a repeat may do follows from
-what is
-known of the ask before it:
+keeps its id over all repeats; each repeat carries its number and its reason. What a repeat may do follows
+from what is known of the ask before it:
 
 - turned back or rejected: nothing ran; again after the advised wait.
 - broken off, or its planner is gone: by effect. Rerunnable goes again. Ticketed goes again with its id, by
-which a
-  repeat is known, within the ticket's window. Exclusive waits the settle time and asks its planner whether
-  it runs;
-  only "unknown" or an end from that planner lets it go again, and no other planner is asked while it has
-  not spoken.
+  which a repeat is known, within the ticket's window. Exclusive waits the settle time and asks its planner
+  whether it runs; only "unknown" or an end from that planner lets it go again, and no other planner is asked
+  while it has not spoken.
 - no answer and the planner may still act: nothing is done but asking it, until its patience is over.
 """
 
@@ -24,7 +20,7 @@
 from typing import NamedTuple
 
 from hazelhold.client.choice import Choice
-from hazelhold.client.patience import Budget, Returns
+from hazelhold.client.patience import Budget, Returns, Throttle
 from hazelhold.protocol import messages as m
 
 SECOND = 1_000_000
@@ -35,8 +31,7 @@
     """How a client behaves. Spans in microseconds.
 
     `try_share` of the time left is the patience of one ask, so that another planner can still be asked when
-    one
-    dies; asks shorter than `least` are not sent, since no answer could arrive in time.
+    one dies; asks shorter than `least` are not sent, since no answer could arrive in time.
     """
 
     settle: int = 3 * SECOND
@@ -47,7 +42,9 @@
     retry_share: float = 0.2  # retries for each fresh ask, in the long run
     retry_burst: float = 10.0
     return_base: int = SECOND // 10
+    silent: int = 5 * SECOND  # a planner that answers nothing for so long has a dead connection
     return_most: int = 30 * SECOND
+    return_soon: int = 5 * SECOND  # the same for a client that has something to ask
 
 
 class Want(NamedTuple):
@@ -69,8 +66,7 @@
 
 class Outcome(NamedTuple):
     """What became of a guest. `state` is placed, turned_back, broken_off, unknown (its fate could not be
-    learnt in
-    time), rejected, cancelled, or, after placed, an end."""
+    learnt in time), rejected, cancelled, or, after placed, an end."""
 
     guest: str
     state: str
@@ -78,6 +74,41 @@
     reason: str = ""
     asks: int = 0
 
+    def or_raise(self) -> "Outcome":
+        """Itself if the guest was placed or has run; else NotPlacedError or the kind of it that tells why."""
+        if kind := WHY.get(self.state):
+            raise kind(self)
+        return self
+
+
+class NotPlacedError(Exception):
+    """A guest did not find its place; `outcome` has all that is known."""
+
+    def __init__(self, outcome: Outcome) -> None:
+        why = f", {outcome.reason}" if outcome.reason else ""
+        super().__init__(f"{outcome.guest}: {outcome.state}{why}")
+        self.outcome = outcome
+
+
+class TurnedBackError(NotPlacedError):
+    """It did not run, or a second run does no harm: trying again is harmless."""
+
+
+class MayHaveRunError(NotPlacedError):
+    """Broken off, or its fate is unknown."""
+
+
+class RejectedError(NotPlacedError):
+    """The ask makes no sense to the planner."""
+
+
+class CancelledError(NotPlacedError):
+    """It was cancelled before it was placed."""
+
+
+WHY = {"turned_back": TurnedBackError, "broken_off": MayHaveRunError, "unknown": MayHaveRunError,
+       "rejected": RejectedError, "cancelled": CancelledError}
+
 
 class Send(NamedTuple):
     planner: str
@@ -90,6 +121,12 @@
     planner: str
 
 
+class Leave(NamedTuple):
+    """Close the connection to the planner; no disconnected need follow."""
+
+    planner: str
+
+
 class Tell(NamedTuple):
     """Tell the caller; `final` is set when nothing more comes for this guest."""
 
@@ -97,7 +134,7 @@
     final: bool
 
 
-Action = Send | Connect | Tell
+Action = Send | Connect | Leave | Tell
 
 
 @dataclass
@@ -125,8 +162,12 @@
         self.name, self.manners, self.random = name, manners, random
         self.choice = Choice(planners, random)
         self.budget = Budget(manners.retry_share, manners.retry_burst)
-        self.returns = {p: Returns(manners.return_base, manners.return_most, random) for p in planners}
-        self.up: dict[str, bool] = dict.fromkeys(planners, False)
+        self.returns = {p: self._returns() for p in planners}
+        self.throttles = {p: Throttle(random) for p in planners}
+        self.return_at: dict[str, int] = {}  # planner: when it is dialled next
+        self.listed = dict.fromkeys(planners)  # those that may be asked for new guests
+        self.up: dict[str, bool] = dict.fromkeys(planners, False)  # emptied of unlisted ones
+        self.mute_since: dict[str, int] = {}  # planner: the first word to it that it has not answered
         self.dead: dict[str, bool] = dict.fromkeys(planners, False)  # a dial was refused: nobody acts there
         self.trips: dict[str, Trip] = {}
         self.actions: list[Action] = []
@@ -139,12 +180,39 @@
         for planner in self.up:
             self.actions.append(Connect(planner))
 
+    def planners_are(self, now: int, planners: list[str]) -> None:
+        """The planners that may be asked from here on. New ones are dialled at a drawn moment; one that is no
+        longer named gets nothing new, and keeps its connection while it has guests of ours."""
+        self.listed = dict.fromkeys(planners)
+        for planner in planners:
+            if planner not in self.up:
+                self.up[planner] = self.dead[planner] = False
+                self.choice.learn(planner)
+                self.returns[planner], self.throttles[planner] = self._returns(), Throttle(self.random)
+                self._return(now, planner, 0)
+        self._at(now, "unlisted", "", 0)
+
+    def _returns(self) -> Returns:
+        manners = self.manners
+        return Returns(manners.return_base, manners.return_most, self.random, manners.return_soon)
+
+    def _unlisted(self, now: int) -> None:
+        """Leaves planners that are no longer named and have nothing of ours; looks again while some have."""
+        busy = {t.planner for t in self.trips.values() if t.state != "idle"}
+        for planner in [p for p in self.up if p not in self.listed]:
+            if planner in busy:
+                self._at(now + SECOND, "unlisted", "", 0)
+                continue
+            for table in (self.up, self.dead, self.returns, self.return_at, self.mute_since,
+                          self.throttles, self.choice.known):
+                table.pop(planner, None)
+            self.actions.append(Leave(planner))
+
     # What the caller wants.
 
     def submit(self, now: int, want: Want) -> None:
         """Asks for a guest; exactly one of placed, turned_back, broken_off, unknown, rejected comes back
-        before
-        its patience ends, and an end after placed."""
+        before its patience ends, and an end after placed."""
         if want.guest in self.trips:
             raise ValueError(f"{want.guest!r} is on its way")
         trip = Trip(want, now + want.patience, now + want.life)
@@ -161,24 +229,35 @@
         if trip.state == "idle":
             self._over(trip, "cancelled")
         elif self.up.get(trip.planner):
-            self.actions.append(Send(trip.planner, m.Cancel(guest=guest, ask=trip.ask)))
+            self._send(now, trip.planner, m.Cancel(guest=guest, ask=trip.ask))
+
+    def query(self, now: int, guest: str) -> bool:
+        """Asks the planner of a guest how it stands; False if none has it or it is out of reach."""
+        trip = self.trips.get(guest)
+        if trip is None or trip.state == "idle" or not self.up.get(trip.planner):
+            return False
+        self._query(now, trip)
+        return True
 
     # What happens to connections.
 
     def connected(self, now: int, planner: str, spread: int = 0) -> None:
         """Every guest that this planner had, or may have, is asked after at once. `spread` is over how long
-        the
-        planner wants returns to be spread, should it go without last words."""
+        the planner wants returns to be spread, should it go without last words."""
+        if planner not in self.up:
+            return
         self.up[planner], self.dead[planner] = True, False
         self.returns[planner].succeeded(spread)
         for trip in list(self.trips.values()):
             if trip.planner == planner and trip.state in ("asked", "doubt", "placed"):
-                self._query(trip)
+                self._query(now, trip)
             elif trip.state == "idle" and trip.due <= now:
                 self._go(now, trip)
 
     def refused(self, now: int, planner: str, after: int = 0) -> None:
         """A dial found nobody, or a planner that asks to come back later."""
+        if planner not in self.up:
+            return
         was_dead, self.dead[planner] = self.dead[planner], not after
         self._return(now, planner, after)
         if not after and not was_dead:
@@ -186,13 +265,26 @@
 
     def disconnected(self, now: int, planner: str, window: int = 0) -> None:
         """A connection ended; `window` is over how long the planner's last words ask clients to spread."""
+        if planner not in self.up:
+            return
         self.up[planner] = False
+        self.mute_since.pop(planner, None)
         self.choice.failed(planner, now)
         self.returns[planner].lost(window)
         self._return(now, planner, 0)
 
     def _return(self, now: int, planner: str, after: int) -> None:
-        self._at(now + self.returns[planner].wait(after), "return", planner, 0)
+        urgent = any(t.state != "placed" for t in self.trips.values())
+        self.return_at[planner] = when = now + self.returns[planner].wait(after, urgent)
+        self._at(when, "return", planner, when)
+
+    def _hurry(self, now: int) -> None:
+        """Something is to be asked and nobody is there: dials that are far ahead come nearer."""
+        for planner in self.listed:
+            cap = self.returns[planner].cap(True)
+            if not self.up[planner] and self.return_at.get(planner, 0) > now + cap:
+                self.return_at[planner] = when = now + int(self.random.uniform(0, cap))
+                self._at(when, "return", planner, when)
 
     def _mourn(self, now: int, planner: str) -> None:
         """Nobody is there any more: what it held it can no longer act on."""
@@ -203,6 +295,7 @@
     # What planners say.
 
     def said(self, now: int, planner: str, message: m.Message) -> None:
+        self.mute_since.pop(planner, None)
         trip = self.trips.get(message.guest) if isinstance(message, m.Named) else None
         if trip is None or trip.planner != planner:
             return
@@ -212,6 +305,8 @@
             self._over(trip, message.how, message.machine)
         elif message.ask != trip.ask:
             self.counts["late_answers"] += 1
+        elif isinstance(message, m.Held):
+            self.throttles[planner].told(now, True)
         elif isinstance(message, m.Placed):
             self._placed(now, trip, message.machine)
         elif trip.state not in ("asked", "doubt"):
@@ -221,6 +316,7 @@
             self._again(now, trip, "turned_back", message.again_after)
         elif isinstance(message, m.Rejected):
             if message.code in ("full", "stopping", "overloaded"):
+                self.throttles[planner].told(now, False)
                 self.choice.failed(planner, now)
                 self._again(now, trip, "rejected", message.again_after)
             else:
@@ -279,11 +375,17 @@
         left = trip.deadline - now
         if left < self.manners.least:
             return  # the deadline follows
-        planner = self.choice.pick([p for p, up in self.up.items() if up], now)
+        planner = self.choice.pick([p for p in self.listed if self.up[p]], now)
         if planner is None:
             trip.state, trip.due = "idle", now
+            self._hurry(now)
             self._when(trip, now + SECOND // 10, "go")
             return
+        if not self.throttles[planner].allows(now):
+            self.counts["held_back"] += 1
+            trip.state = "idle"
+            self._when(trip, now + int(self.random.uniform(0.5, 1.5) * self.manners.again_least * 2), "go")
+            return
         trip.ask, trip.planner, trip.state, trip.sent_at = trip.ask + 1, planner, "asked", now
         share = 1.0 if trip.want.effect == "exclusive" else self.manners.try_share
         patience = max(min(left, self.manners.least), int(left * share))
@@ -291,10 +393,10 @@
         want = trip.want
         self.counts["sent"] += 1
         self.counts["retries"] += trip.ask > 0
-        self.actions.append(Send(planner, m.Submit(
+        self._send(now, planner, m.Submit(
             guest=want.guest, ask=trip.ask, product=want.product, service=want.service, cores=want.cores,
             memory=want.memory, patience=patience, customer=want.customer, reason=trip.reason,
-            life=max(0, trip.life_ends - now))))
+            life=max(0, trip.life_ends - now)))
         self._when(trip, trip.until + SECOND // 20, "unanswered")
 
     def _again(self, now: int, trip: Trip, reason: str, advised: int) -> None:
@@ -305,8 +407,9 @@
             return
         manners = self.manners
         grown = min(manners.again_most, manners.again_least << min(trip.ask, 10))
-        wait = max(advised, int(grown * self.random.uniform(0.5, 1.0)))
-        if now + wait + manners.least > trip.deadline:
+        latest = trip.deadline - manners.least - now
+        wait = max(advised, min(latest, int(grown * self.random.uniform(0.5, 1.0))))
+        if latest < 0 or wait > latest:
             self._over(trip, self._final(trip), reason="no_time")
         elif not self.budget.retry():
             self.counts["budget_spent"] += 1
@@ -319,8 +422,15 @@
         """What is true of a guest that is given up between asks."""
         return "broken_off" if trip.first_unsure and trip.want.effect != "rerunnable" else "turned_back"
 
-    def _query(self, trip: Trip) -> None:
-        self.actions.append(Send(trip.planner, m.Query(guest=trip.want.guest, ask=trip.ask)))
+    def _query(self, now: int, trip: Trip) -> None:
+        self._send(now, trip.planner, m.Query(guest=trip.want.guest, ask=trip.ask))
+
+    def _send(self, now: int, planner: str, message: m.Message) -> None:
+        """All that a client says is answered at once by a planner that hears it."""
+        self.actions.append(Send(planner, message))
+        if planner not in self.mute_since:
+            self.mute_since[planner] = now
+            self._at(now + self.manners.silent, "mute", planner, now)
 
     def _over(self, trip: Trip, state: str, machine: str = "", reason: str = "") -> None:
         self._tell(trip, state, True, machine, reason or trip.reason)
@@ -339,9 +449,18 @@
         while self.agenda and self.agenda[0][0] <= now:
             _, _, what, key, due = heappop(self.agenda)
             if what == "return":
-                if not self.up[key]:
+                if not self.up.get(key, True) and self.return_at.get(key) == due:
                     self.actions.append(Connect(key))
                 continue
+            if what == "unlisted":
+                self._unlisted(now)
+                continue
+            if what == "mute":
+                if self.up.get(key) and self.mute_since.get(key) == due:
+                    self.counts["silent"] += 1
+                    self.actions.append(Leave(key))
+                    self.disconnected(now, key)
+                continue
             trip = self.trips.get(key)
             if trip is None or what != "deadline" and trip.due != due:
                 continue
@@ -351,7 +470,7 @@
                 self._go(now, trip)
             elif what == "settle" and trip.state == "doubt":
                 if self.up.get(trip.planner):
-                    self._query(trip)
+                    self._query(now, trip)
                 self._when(trip, now + SECOND // 2, "settle")
             elif what == "unanswered" and trip.state == "asked":
                 self.choice.failed(trip.planner, now)
--- a/hazelhold/config/planner.py
+++ b/hazelhold/config/planner.py
@@ -94,11 +94,12 @@
     handshakes_a_second: Annotated[float, Meta(gt=0, le=1e6)] = 500.0
     handshake_burst: Annotated[int, Meta(ge=1, le=100_000)] = 200
     handshakes_at_once: Annotated[int, Meta(ge=1, le=100_000)] = 512
-    return_most_ms: Millis = 10_000.0  # the longest advised return of a connection
+    return_most_ms: Millis = 60_000.0  # the longest advised return of a connection
     return_spread_ms: Millis = 2000.0  # over how long owners are asked to spread after a stop
     again_least_ms: Millis = 100.0  # bounds of a turn-back's advised wait
     again_most_ms: Millis = 5000.0
     batch_ms: Annotated[float, Meta(ge=0, le=1000)] = 2.0
+    decisions_at_once: Annotated[int, Meta(ge=1, le=1_000_000)] = 32  # before peers are read again
 
 
 class CaptureSheet(Struct, frozen=True):
--- a/hazelhold/engine/advice.py
+++ b/hazelhold/engine/advice.py
@@ -2,10 +2,8 @@
 all.
 
 Decisions free of I/O and clock. Pace is what was placed in the last five seconds; the line is what is held
-without
-a machine. An advised wait is the time in which the line and one more would be placed at that pace, bounded
-and
-drawn a fifth up or down, so that those turned back together do not return together.
+without a machine. An advised wait is the time in which the line and one more would be placed at that pace,
+bounded and drawn a fifth up or down, so that those turned back together do not return together.
 """
 
 from collections import Counter, OrderedDict
@@ -80,8 +78,7 @@
 
 class Doorman:
     """Admits connections at a bounded rate, and tells the rest when to come back: each gets a place of its
-    own in
-    the time ahead, so that those sent away together return at the rate that the door takes."""
+    own in the time ahead, so that those sent away together return at the rate that the door takes."""
 
     def __init__(self, rate: float, burst: int, at_once: int, most: int, random: Random) -> None:
         self.gap = SECOND / rate
@@ -89,10 +86,14 @@
         self.full_at = 0.0  # when all that was admitted will have been paid for
         self.given_until = 0.0  # up to when places ahead are given away
 
+    def window(self, least: int, owners: int) -> int:
+        """Over how long so many owners should spread their return, so that the door can take them as they
+        come: twice what the rate needs, since some find the planner only at their second try."""
+        return max(least, int(2 * owners * self.gap))
+
     def admits(self, now: int, greeting: int = 0) -> int:
         """0 if the connection may go on, else in how many microseconds to come back; `greeting` is how many
-        others
-        have not said Hello yet."""
+        others have not said Hello yet."""
         start = max(self.full_at, now)
         if greeting < self.at_once and start - now <= (self.burst - 1) * self.gap:
             self.full_at = start + self.gap
--- a/hazelhold/engine/engine.py
+++ b/hazelhold/engine/engine.py
@@ -3,14 +3,11 @@
 How it is called: the host reports what happened through the input methods, each with the moment in whole
 microseconds, then calls `pump(now)`, which lets the Brain decide until it has nothing more, and carries out
 `actions` in their order. `next_at(now)` says when to pump again if nothing happens. The same calls with the
-same
-seed give the same actions.
+same seed give the same actions.
 
 What the engine itself keeps is bookkeeping that no ranking may touch: attempt numbers, time-outs of
-dispatches,
-one dispatch out at a time, which offers were surely never sent, and what a machine may still hold of
-dispatches
-that were given up. Every choice, time-out and final answer is the Brain's.
+dispatches, one dispatch out at a time, which offers were surely never sent, and what a machine may still
+hold of dispatches that were given up. Every choice, time-out and final answer is the Brain's.
 """
 
 from collections import Counter, OrderedDict
@@ -134,6 +131,7 @@
         self.probe_number = 0
         self.unheard: set[str] = set()  # machines listed at the start that have not told what they hold
         self.list_heard = self.stopping = False
+        self.more = False  # the last pump ended at its limit
         self.advice = Advice(micros(self.limits.again_least_ms), micros(self.limits.again_most_ms),
                              Random(f"advice/{seed}"))
 
@@ -184,8 +182,7 @@
 
     def _earlier(self, now: int, submit: m.Submit, old: Case | None) -> Earlier | None:
         """An earlier dispatch of this guest that may have run or may still: given up, being called off, or
-        made
-        before this planner started by a machine that has not spoken yet."""
+        made before this planner started by a machine that has not spoken yet."""
         unsettled = [Earlier(l.machine, l.sent_at) for l in self.loose.get(submit.guest, {}).values()]
         if old and old.sent:
             unsettled.append(Earlier(old.machine, old.sent_at))
@@ -240,8 +237,7 @@
 
     def _blind(self) -> bool:
         """Whether guests may run that this planner has not heard of: it has just started, and has no list
-        yet or
-        waits for machines on it. What it does not know it must not call unknown."""
+        yet or waits for machines on it. What it does not know it must not call unknown."""
         return not self.list_heard or bool(self.unheard)
 
     # The list.
@@ -432,8 +428,8 @@
 
     def _adopt(self, now: int, guest: str) -> None:
         """Tells the Brain of copies of a guest that stand though their dispatch was given up; one that it
-        takes
-        for the guest itself is the guest's place from here on, any other is called off by a decision."""
+        takes for the guest itself is the guest's place from here on, any other is called off by a
+        decision."""
         for loose in list(self.loose.get(guest, {}).values()):
             if not loose.stands:
                 continue
@@ -543,13 +539,20 @@
     # The passing of time.
 
     def pump(self, now: int) -> None:
-        """Time-outs that are due, then decisions until there is none."""
+        """Time-outs that are due, then decisions until there is none or so many are made that peers have
+        waited long enough to be read; `next_at` says then to pump again at once."""
         self._time_outs(now)
-        while (decision := self.brain.decide(now)) is not None:
+        for _ in range(self.limits.decisions_at_once):
+            decision = self.brain.decide(now)
+            self.more = decision is not None
+            if decision is None:
+                return
             self._carry_out(now, decision)
 
     def next_at(self, now: int) -> int | None:
         """When to pump again if nothing happens; None if nothing is due."""
+        if self.more:
+            return now
         times = [t for t in (self.brain.next_look(now), self.list_due) if t]
         if self.overdue:
             times.append(self.overdue[0][0])
@@ -785,7 +788,7 @@
         for case in list(self.cases.values()):
             if not case.placed:
                 self.brain.guest_cancelled(now, case.name)
-        self.pump(now)
+        self._pump_all(now)
 
     def stop_now(self, now: int) -> None:
         """The time for a stop is over: what is still out goes to the Brain as unknown, and is answered so."""
@@ -793,7 +796,12 @@
             if case.machine and not case.placed:
                 self._give_up(now, case)
                 self._ended(now, case, Ending.OVERDUE, Remark.NONE)
+        self._pump_all(now)
+
+    def _pump_all(self, now: int) -> None:
         self.pump(now)
+        while self.more:
+            self.pump(now)
 
     def unanswered(self) -> int:
         """Guests taken and not yet answered."""
--- a/hazelhold/engine/machines.py
+++ b/hazelhold/engine/machines.py
@@ -10,9 +10,8 @@
 
 @dataclass
 class Fellow:
-    """One machine of the list. `started` is on the planner's clock, fixed once for each life of the
-    machine, so
-    that neither a machine's clock nor a late list makes a life look new."""
+    """One machine of the list. `started` is on the planner's clock, fixed once for each life of the machine,
+    so that neither a machine's clock nor a late list makes a life look new."""
 
     name: str
     address: str
--- a/hazelhold/model/listing.py
+++ b/hazelhold/model/listing.py
@@ -1,8 +1,7 @@
 """The list service: keeps the machines as they are, and tells planners late.
 
 A change becomes part of the list `notice` after it happened, drawn for each; a watching planner gets it in
-the next
-round. Room is copied into the list once a period. Down, the service hears nothing and says nothing.
+the next round. Room is copied into the list once a period. Down, the service hears nothing and says nothing.
 """
 
 from heapq import heappop, heappush
--- a/hazelhold/model/owners.py
+++ b/hazelhold/model/owners.py
@@ -1,11 +1,10 @@
 """Owners: want guests, ask planners for them, and ask again as the brief's owners do.
 
 One OwnerModel is one sender process with a connection to each planner. A guest is wanted for its life,
-counted
-from its first ask. After a turn-back, a break-off or an end before its time the owner asks again, later after
-many failures. Where a dispatch may have run and a second run could do harm, it first waits the settle time
-and
-asks the planner that had the guest; it goes elsewhere only when that planner says that it knows nothing more.
+counted from its first ask. After a turn-back, a break-off or an end before its time the owner asks again,
+later after many failures. Where a dispatch may have run and a second run could do harm, it first waits the
+settle time and asks the planner that had the guest; it goes elsewhere only when that planner says that it
+knows nothing more.
 """
 
 from collections import Counter
--- a/hazelhold/protocol/messages.py
+++ b/hazelhold/protocol/messages.py
@@ -59,8 +59,7 @@
 
 class Welcome(Message, tag="welcome", kw_only=True):
     """Answers a Hello. A machine adds which of its lives this is and how long it has been up; a planner,
-    over how
-    long its owners should spread their return if it goes without last words."""
+    over how long its owners should spread their return if it goes without last words."""
 
     name: Id
     version: int = VERSION
--- a/hazelhold/rehearse/alone.py
+++ b/hazelhold/rehearse/alone.py
@@ -20,8 +20,7 @@
 
 async def run_part(day: Day, seed: int, seconds: float, part: str, more: dict[str, Any]) -> dict[str, int]:
     """Runs `part` (list, machines or senders) for so long, with the day's troubles that strike it; returns
-    what
-    it counted. Troubles of planners are for whoever runs the planners."""
+    what it counted. Troubles of planners are for whoever runs the planners."""
     net = TcpNet()
     stage = Stage(day, seed, net, None, "127.0.0.1")
     log = structlog.get_logger().bind(part=part)
--- a/hazelhold/rehearse/crew.py
+++ b/hazelhold/rehearse/crew.py
@@ -34,9 +34,8 @@
 
 
 class Inside:
-    """Planners in this process: for memory networks and virtual time. A kill cancels everything of a
-    planner at
-    once, so that no farewell leaves it."""
+    """Planners in this process: for memory networks and virtual time. A kill cancels everything of a planner
+    at once, so that no farewell leaves it."""
 
     def __init__(self, sheets: list[PlannerSheet], net: Net, records: Path, nursery: trio.Nursery,
                  capture: Path | None) -> None:
--- a/hazelhold/service/planner.py
+++ b/hazelhold/service/planner.py
@@ -73,8 +73,9 @@
             while self.engine.unanswered():
                 await trio.sleep(0.01)
         self._feed("stop_now")
+        spread = self._spread()
         for wire in [*self.owners.values(), *(w for _, w in self.machines.values() if w)]:
-            wire.finish(m.Bye(reason="stopping", spread=round(self.limits.return_spread_ms * 1000)))
+            wire.finish(m.Bye(reason="stopping", spread=spread))
         with trio.move_on_after(0.5):
             while any(w.queue for w in self.owners.values()):
                 await trio.sleep(0.01)
@@ -218,7 +219,7 @@
             wire.note("open", None)
             self._tapped("owner", name, wire, False)
             wire.captured()
-            wire.send(m.Welcome(name=self.sheet.name, spread=round(self.limits.return_spread_ms * 1000)))
+            wire.send(m.Welcome(name=self.sheet.name, spread=self._spread()))
             self.log.debug("owner_here", owner=name)
             for message in wire.rest():
                 self._owner_said(name, wire, message)
@@ -234,6 +235,9 @@
             wire.note("shut", None)
             self._untapped(wire)
 
+    def _spread(self) -> int:
+        return self.doorman.window(round(self.limits.return_spread_ms * 1000), len(self.owners))
+
     def _tapped(self, role: str, who: str, wire: Wire, dialled: bool) -> None:
         if self.tap is not None:
             wire.trunk = self.tap.trunk(role, who, wire.stream, dialled, self.net.now())
--- a/hazelhold/service/ticker.py
+++ b/hazelhold/service/ticker.py
@@ -7,8 +7,7 @@
 
 class Ticker:
     """Calls `work(now)` whenever `due(now)` has come or somebody stirred it, at most once in `pause`
-    seconds, so
-    that what arrives together is dealt with together."""
+    seconds, so that what arrives together is dealt with together."""
 
     def __init__(self, now: Callable[[], int], due: Callable[[int], int | None], work: Callable[[int], None],
                  pause: float = 0.0) -> None:
--- a/tests/test_client.py
+++ b/tests/test_client.py
@@ -195,6 +195,7 @@
     caller = Caller(retry_burst=50.0)
     caller.core.random.seed(seed)
     first = caller.asks(0, effect, patience=10 * S)
+    advised = 0
     now, seen, may_act, final = 0, 1, {first: caller.submits()[0][1].patience}, False
     up = {"p": True, "q": True}
     for what, wait in [*steps, ("quiet", 12_000)]:
@@ -204,6 +205,7 @@
             caller.run(now)
             for planner, submit in caller.submits()[seen:]:
                 assert now + submit.patience <= 10 * S + MS and not final
+                advised = 0
                 if effect != "rerunnable":
                     others = [p for p, until in may_act.items() if until > now and p != planner]
                     assert effect == "ticketed" or not others
@@ -211,6 +213,10 @@
             seen = len(caller.submits())
             finals = [t for t in caller.told if t[2]]
             assert len(finals) <= 1
+            never = not any(t[1] == "placed" for t in caller.told)
+            if finals and not final and effect == "rerunnable" and never and now < 10 * S:
+                assert now + advised + 50 * MS > 10 * S - 50 * MS, "given up though it could be helped"
+            assert not (finals and finals[0][1] == "unknown" and now < 10 * S)
             final = bool(finals)
             if now >= end:
                 break
@@ -223,6 +229,7 @@
             said = {"turn": m.TurnedBack(**about, again_after=wait * MS), "break": m.BrokenOff(**about),
                     "place": m.Placed(**about, machine="a")}[what]
             may_act[planner] = 0 if what == "turn" else may_act[planner]
+            advised = wait * MS if what == "turn" else 0
             caller.says(now, planner, said)
         elif what == "state" and up[planner]:
             state = "out" if may_act.get(planner, 0) > now else "unknown"
