Advice gives places in the time ahead; first part of the state that outlives a planner

Cause: advised waits sent all that were turned back to the same moment: of 7,283 that came as advised, 420 were served. Now each gets a place of its own at the pace seen, kept for it, and one past its patience gives up at once. Not tested by crashes yet.

--- a/hazelhold/brain.py
+++ b/hazelhold/brain.py
@@ -149,6 +149,7 @@
         self.seen = [1.0, 1.0, 1.0, 1.0]  # cores and memory that guests use, and their asks: fading sums
         self.no_room: set[tuple] = set()  # shapes that found no machine; emptied as the clock moves
         self.looked_at = self.ask_list_at = self.sweep_at = self.probe_at = self.list_heard_at = 0
+        self.kept_well = True  # see state_kept
         self.list_version = 0  # counts changes in who is ready
         self.to_probe: list[Machine] = []  # emptied at once by the decisions that follow
         self.to_call_off: deque[tuple[str, str]] = deque()  # guest and machine; emptied as to_probe
@@ -192,18 +193,67 @@
             host, group = self.machines.get(ask.earlier.machine), guest.product.group
             guest.may_run, guest.bound = True, host.place(group) if host else (group, "")
             guest.window_ends = ask.earlier.sent_at + guest.product.window
+        guest.dispatches = ask.spent
         self.guests[ask.guest] = self.waiting[ask.guest] = guest
 
+    def dispatch_stands(self, now: int, machine: str, name: str, sent_at: int) -> None:
+        """A dispatch of a held guest from before this life of the planner: out until its machine speaks."""
+        guest = self.waiting.pop(name)
+        guest.sent_at = sent_at
+        self._seat(guest, self._host(machine, now))
+
+    def state_kept(self, now: int, well: bool) -> None:
+        """Whether what is sent is sure to be known after a crash. Guards against a second run of a guest
+        whose dispatch was forgotten; costs those guests their place while the disk fails."""
+        self.kept_well = well
+        self._changed(now)
+
+    def learned(self) -> interface.Learned:
+        """What a later life of this planner may use."""
+        return interface.Learned(
+            {n: (s.seen, tuple(s.samples)) for n, s in self.services.items() if s.samples},
+            tuple((*k, tuple(v)) for k, v in self.starts.items()),
+            tuple((k, tuple(v)) for k, v in self.answers.items()), tuple(self.seen),
+            {n: interface.Health(m.listed.started, m.cold_at, tuple(m.answers), tuple(m.kept), m.strikes,
+                                 m.avoid_until, m.mute) for n, m in self.machines.items() if m.ready})
+
+    def remembered(self, now: int, past: interface.Learned) -> None:
+        """Takes what an earlier life learned, for machines that are still in the same life. Samples of
+        services that were not seen for a minute are let go, as they would have been; strikes and rests go on
+        by their own times."""
+        for name, (seen, samples) in past.services.items():
+            if seen >= now - 60 * SECOND:
+                service = self.services.setdefault(name, Service())
+                service.samples.extendleft(reversed(samples))
+                service.seen = max(service.seen, seen)
+        for product, warm, times in past.starts:
+            self.starts[product, warm].extendleft(reversed(times))
+        for product, times in past.answers:
+            self.answers[product].extendleft(reversed(times))
+        self.seen = [max(1.0, seen) for seen in past.seen]
+        for name, health in past.machines.items():
+            machine = self.machines.get(name)
+            if machine and abs(machine.listed.started - health.started) < SECOND:
+                machine.answers.extend(health.answers)
+                machine.kept = dict.fromkeys(health.kept)
+                machine.cold_at = max(machine.cold_at, health.cold_at)
+                machine.strikes, machine.mute = max(machine.strikes, health.strikes), health.mute
+                machine.avoid_until = max(machine.avoid_until, health.avoid_until)
+
     def guest_found(self, now: int, machine: str, ask: interface.Ask) -> None:
         if ask.guest in self.guests:
             self._drop(self.guests[ask.guest])
         guest = self._known(now, ask)
         guest.placed = guest.runs = True
         self.guests[ask.guest] = guest
-        if machine not in self.machines:
-            gone = Listed(machine, Mode.GONE, 0, 0, 0, 0, 0.0, 0.0)
-            self.machines[machine] = Machine(gone, self.deployment.kinds[0], now)
-        self._seat(guest, self.machines[machine])
+        self._seat(guest, self._host(machine, now))
+
+    def _host(self, name: str, now: int) -> Machine:
+        """The machine of this name; one that the list does not have is counted as gone."""
+        if name not in self.machines:
+            gone = Listed(name, Mode.GONE, 0, 0, 0, 0, 0.0, 0.0)
+            self.machines[name] = Machine(gone, self.deployment.kinds[0], now)
+        return self.machines[name]
 
     def guest_left(self, now: int, name: str) -> None:
         if guest := self.guests.get(name):
@@ -462,6 +512,10 @@
         if now != self.looked_at:
             self.looked_at, self.no_room = now, set()
         due = [g for g in self.waiting.values() if g.look_at <= now]
+        if not self.kept_well:
+            for guest in [g for g in due if g.product.effect is not Effect.RERUNNABLE]:
+                due.remove(guest)
+                guest.look_at = now + SECOND // 5
         for guest in sorted(due, key=lambda g: (-g.product.payoff * g.ask.memory, g.patience_at)):
             shape = guest.ask._replace(guest="", patience=0), guest.bound
             machine = None if shape in self.no_room else self._pick(guest, now)
--- a/hazelhold/capture/replay.py
+++ b/hazelhold/capture/replay.py
@@ -20,11 +20,14 @@
 from hazelhold.engine.engine import Engine, Send
 from hazelhold.protocol import messages as m
 from hazelhold.protocol.frames import FrameError
+from hazelhold.state.images import BATCH
+from hazelhold.state.ledger import Ledger
 
 CODECS = {"owner": m.Codec(m.FROM_OWNER), "machine": m.Codec(m.FROM_MACHINE), "list": m.Codec(m.FROM_LIST)}
 TO_MACHINE = m.Codec(m.TO_MACHINE | m.TO_OWNER)
 # What the service says or hears by itself, without the engine.
 SERVICE = ("hello", "welcome", "fault", "bye", "watch")
+STATE = ("keep", "state_kept", "offer_held_back")
 INPUTS = ("pump", "link_up", "link_failed", "link_down", "list_failed", "stop", "stop_now")
 
 
@@ -76,6 +79,8 @@
         elif kind == "unsent":
             self._captured(note.data["role"], note.data["who"], note.data["message"], note.at, note.packet,
             note.file)
+        elif kind in STATE:
+            self._state_note(now, note, kind)
         elif kind in INPUTS:
             given = [note.data["who"]] if "who" in note.data else []
             if "welcome" in note.data:
@@ -117,6 +122,8 @@
                 self.said.append((action.role, action.peer, action.message))
                 self._fate(self.fates[1], msgspec.to_builtins(action.message), action.peer)
         self.engine.actions = []
+        if self.engine.keeping is not None:
+            self.engine.keeping.marks.clear()  # nothing is kept here
         self._match()
 
     def _captured(self, role: str, who: str, message: dict[str, Any], at: int, packet: int,
@@ -155,6 +162,18 @@
         return {"at": self.engine_now, "held": len(brain.waiting), "guests": len(brain.guests),
                 "guest": repr(case) if case else "", "machines": machines}
 
+    def _state_note(self, now: int, note: Note, kind: str) -> None:
+        """What the keeper told the engine: the recovered images, the disk's health, a held-back offer."""
+        data = note.data
+        if kind == "state_kept":
+            self._input(now, note, kind, data["news"])
+        elif kind == "offer_held_back":
+            self._input(now, note, kind, msgspec.convert(data["news"], m.Offer))
+        else:
+            ledger = Ledger()
+            ledger.apply(BATCH.decode(data["changes"]))
+            self._input(now, note, kind, data["epoch"], ledger, data["complete"])
+
     def _fate(self, fates: dict[str, Fate], message: dict[str, Any], who: str) -> None:
         guest, kind = message.get("guest", ""), message.get("t", "")
         if kind == "offer":
--- a/hazelhold/config/planner.py
+++ b/hazelhold/config/planner.py
@@ -112,6 +112,15 @@
     queue_mb: Annotated[float, Meta(gt=0, le=1024)] = 16.0
 
 
+class StateSheet(Struct, frozen=True):
+    """Where the planner keeps what must outlive its process."""
+
+    folder: str = ""  # empty: nothing is kept
+    slow_ms: Millis = 2000.0  # a commit that takes longer counts as a failed disk
+    learned_s: Annotated[float, Meta(gt=0, le=86_400)] = 5.0  # how often what was learned is kept
+    retry_ms: Millis = 1000.0  # how often a failed disk is tried again
+
+
 class Estate(Struct, frozen=True):
     """What all planners and stand-ins of a deployment agree on."""
 
@@ -133,6 +142,7 @@
     seed: Whole = 0
     limits: LimitSheet = LimitSheet()
     capture: CaptureSheet = CaptureSheet()
+    state: StateSheet = StateSheet()
 
 
 def micros(millis: float) -> int:
--- a/hazelhold/engine/advice.py
+++ b/hazelhold/engine/advice.py
@@ -2,8 +2,10 @@
 all.
 
 Decisions free of I/O and clock. Pace is what was placed in the last five seconds; the line is what is held
-without a machine. An advised wait is the time in which the line and one more would be placed at that pace,
-bounded and drawn a fifth up or down, so that those turned back together do not return together.
+without a machine. Who is turned back gets a place in the time ahead, one place for each guest that the pace
+will place, behind the line and behind all places that were given before: those turned back together do not
+return together, and who returns at its time finds its place kept. Fresh asks are taken while the line and the
+places that will be claimed before their patience ends leave them time.
 """
 
 from collections import Counter, OrderedDict
@@ -11,8 +13,11 @@
 
 SECOND = 1_000_000
 BINS, BIN = 10, SECOND // 2
-KNOWN = 10_000  # advised guests that are remembered, to see whether the advice was good
+KNOWN = 10_000  # advised guests that are remembered, to keep their places and see whether the advice was good
 SHORT = 50  # a line up to this long is no overload, whatever the pace: the first seconds know no pace
+FIRST = 5 * SECOND // 2  # the advised wait while no pace is known: half of the time that a pace is taken over
+LATE = SECOND  # after its time so much longer a place is kept
+SAFE = 0.8  # the part of a patience that the line may fill: of lines filled up to 1 a fiftieth came too late
 
 
 class Advice:
@@ -22,8 +27,10 @@
         self.least, self.most, self.random = least, most, random
         self.bins = [0] * BINS
         self.at = 0
-        self.advised: OrderedDict[str, int] = OrderedDict()  # guest: when it may return; bounded by KNOWN
+        self.advised: OrderedDict[str, int] = OrderedDict()  # guest: when it may return; emptied by age
         self.back: OrderedDict[str, None] = OrderedDict()  # returned as advised; emptied by its next answer
+        self.given_until = 0.0  # up to when places are given away
+        self.shows = 1.0  # the fading share of places that are claimed
         self.counts: Counter[str] = Counter()
 
     def placed(self, now: int, guest: str) -> None:
@@ -41,33 +48,56 @@
     def wait(self, now: int, guest: str, line: int) -> int:
         """The advised wait for a guest that is turned back now, behind so many in line."""
         pace = self.pace(now)
-        span = (line + 1) / pace * SECOND if pace else self.most / 2
-        wait = int(max(self.least, min(self.most, span)) * self.random.uniform(0.8, 1.2))
         if self.back.pop(guest, self) is not self:
             self.counts["advised_turned_back"] += 1
+        if pace:
+            # Places that nobody will claim are given twice.
+            self.given_until = max(self.given_until, now + line / pace * SECOND) + SECOND / pace * self.shows
+            span = self.given_until - now
+        else:
+            span = FIRST * self.random.uniform(0.8, 1.2)
+        if span > self.most:  # more are away than places: anywhere in the later half of the time ahead
+            self.given_until = min(self.given_until, now + self.most)
+            span = self.most * self.random.uniform(0.5, 1.0)
+        wait = int(max(self.least * self.random.uniform(1.0, 1.2), span))
         self.advised[guest] = now + wait
         self.advised.move_to_end(guest)
         if len(self.advised) > KNOWN:
             self.advised.popitem(last=False)
         return wait
 
-    def came(self, now: int, guest: str) -> None:
-        """A guest comes; one that was advised counts if it kept to it."""
+    def came(self, now: int, guest: str) -> bool:
+        """A guest comes; one that was advised counts if it kept to it, and True says that its place is
+        kept."""
+        self._missed(now)
         due = self.advised.pop(guest, None)
         if due is None:
-            return
+            return False
         if now < due:
             self.counts["advised_came_early"] += 1
-            return
+            return False
         self.counts["advised_came"] += 1
+        self.shows += 0.02 * (1 - self.shows)
         self.back[guest] = None
         if len(self.back) > KNOWN:
             self.back.popitem(last=False)
+        return True
 
-    def hopeless(self, now: int, line: int, patience: int) -> bool:
-        """Whether a guest that joins the line now cannot be answered within its patience at the present
-        pace."""
-        return line > SHORT and line * SECOND > self.pace(now) * patience
+    def _missed(self, now: int) -> None:
+        """Forgets places whose guests have not come in time."""
+        while self.advised and next(iter(self.advised.values())) + LATE < now:
+            self.advised.popitem(last=False)
+            self.shows += 0.02 * (0.1 - self.shows)
+
+    def hopeless(self, now: int, line: int, patience: int, kept: bool = False) -> bool:
+        """Whether a guest that joins the line now cannot be answered within its patience at the present pace.
+        One whose place was kept is taken unless the line alone is too long for it."""
+        if line <= SHORT:
+            return False
+        room = self.pace(now) * patience / SECOND  # guests that are placed before it must be
+        if kept:
+            return line > room
+        return line + min(len(self.advised) * self.shows, room) > room * SAFE
 
     def _turn(self, now: int) -> None:
         at = now // BIN
--- a/hazelhold/engine/engine.py
+++ b/hazelhold/engine/engine.py
@@ -16,18 +16,21 @@
 from random import Random
 from typing import NamedTuple
 
-from hazelhold.brain import Brain
+from hazelhold.brain import NEVER_RAN, Brain
 from hazelhold.config.planner import PlannerSheet, deployment, micros
 from hazelhold.engine.advice import Advice
+from hazelhold.engine.keep import Keeping, recover
 from hazelhold.engine.machines import Fellow, Link, Roster
-from hazelhold.interface import Ask, Decision, Earlier, Ending, Load, Remark, Step
+from hazelhold.interface import Ask, Decision, Earlier, Effect, Ending, Load, Remark, Step
 from hazelhold.protocol import messages as m
+from hazelhold.state.images import Change
+from hazelhold.state.ledger import Ledger
 
 ENDINGS = {"done": (Ending.DONE, Remark.NONE), "error": (Ending.ERROR, Remark.NONE),
            "evicted": (Ending.CUT_OFF, Remark.EVICTED), "pushed_out": (Ending.CUT_OFF, Remark.PUSHED_OUT),
            "sent_away": (Ending.CUT_OFF, Remark.SENT_AWAY), "stopped": (Ending.CALLED_OFF, Remark.NONE),
            "withdrawn": (Ending.TURNED_BACK, Remark.NONE)}
-LATER = ("full", "overloaded", "stopping")  # rejections after which coming back makes sense
+LATER = ("full", "overloaded", "stopping", "not_kept")  # rejections after which coming back makes sense
 REMARKS = {"no_cores": Remark.NO_CORES, "no_memory": Remark.NO_MEMORY, "line_full": Remark.LINE_FULL,
            "not_here": Remark.NOT_HERE}
 
@@ -90,6 +93,9 @@
     sent_at: int = 0
     placed: bool = False
     cancelled: bool = False
+    incarnation: int = 0  # of the machine, when the offer left
+    due_at: int = 0  # when the dispatch that is out is given up
+    unsure: str = ""  # the machine of the last dispatch that may have run
 
 
 @dataclass
@@ -131,10 +137,43 @@
         self.probe_number = 0
         self.unheard: set[str] = set()  # machines listed at the start that have not told what they hold
         self.list_heard = self.stopping = False
+        self.keeping: Keeping | None = None  # set if what changes here is to outlive the process
+        self.sure = False  # all that this planner took in earlier lives is known
+        self.kept_well = True  # what is sent is sure to be known after a crash
         self.more = False  # the last pump ended at its limit
         self.advice = Advice(micros(self.limits.again_least_ms), micros(self.limits.again_most_ms),
                              Random(f"advice/{seed}"))
 
+    # What outlives the process.
+
+    def keep(self, now: int, epoch: int, ledger: Ledger, complete: bool) -> dict[str, int]:
+        """From now on `flush` tells what is to be kept; begins where the images in the ledger left off.
+        Before any other input. Returns counts of what was recovered; ValueError if an image cannot be
+        read."""
+        self.keeping = Keeping(epoch)
+        return recover(self, now, ledger, complete)
+
+    def flush(self, now: int) -> list[Change]:
+        """What must be safe before the actions of this moment are carried out."""
+        return self.keeping.flush(self, now)
+
+    def state_kept(self, now: int, well: bool) -> None:
+        """The disk fails, or works again. While it fails no guest is taken or sent whose second run could do
+        harm."""
+        self.kept_well = well
+        self.counts["state_failures"] += not well
+        self.brain.state_kept(now, well)
+
+    def offer_held_back(self, now: int, offer: m.Offer) -> None:
+        """An offer did not leave, since what it rests on could not be made safe."""
+        case = self.cases.get(f"{offer.guest}/{offer.ask}") or self.newest.get(offer.guest)
+        if case and case.sent and not case.placed and (case.ask, case.attempt) == (offer.ask, offer.attempt):
+            self._not_sent(now, case, Ending.NOT_SENT)
+
+    def _mark(self, kind: str, *key: object) -> None:
+        if self.keeping is not None:
+            self.keeping.marks[kind, "\0".join(str(part) for part in key)] = None
+
     # Owners.
 
     def owner_said(self, now: int, owner: str, message: m.Message) -> None:
@@ -153,6 +192,7 @@
             # it joins what is in hand: one guest, one dispatch, one answer for each
             self.counts["repeats"] += 1
             case.owner = owner
+            self._mark("guest", case.name)
             if case.placed:
                 self._answer(now, case, m.Placed(guest=guest, ask=ask, machine=case.machine), [ask])
             else:
@@ -163,8 +203,8 @@
             self.counts["answers_repeated"] += 1
             self._send_owner(owner, past[0])
             return
-        self.advice.came(now, guest)
-        if fault := self._fault(now, submit):
+        kept = self.advice.came(now, guest)
+        if fault := self._fault(now, submit, kept):
             self.counts["rejected_" + fault[0]] += 1
             later = self.advice.wait(now, guest, len(self.brain.waiting)) if fault[0] in LATER else 0
             self._send_owner(owner, m.Rejected(guest=guest, ask=ask, code=fault[0], text=fault[1],
@@ -176,8 +216,11 @@
             return
         self.cases[case.name] = self.newest[guest] = case
         self.counts["taken"] += 1
+        self._mark("guest", case.name)
         self._send_owner(owner, m.Held(guest=guest, ask=ask))
-        self.brain.guest_arrived(now, self._ask(case, submit.patience, self._earlier(now, submit, old)))
+        earlier = self._earlier(now, submit, old)
+        case.unsure = earlier.machine if earlier else ""
+        self.brain.guest_arrived(now, self._ask(case, submit.patience, earlier))
         self._adopt(now, guest)
 
     def _earlier(self, now: int, submit: m.Submit, old: Case | None) -> Earlier | None:
@@ -190,7 +233,7 @@
             unsettled.append(Earlier("", now))
         return min(unsettled, key=lambda e: e.sent_at, default=None)
 
-    def _fault(self, now: int, submit: m.Submit) -> tuple[str, str] | None:
+    def _fault(self, now: int, submit: m.Submit, kept: bool) -> tuple[str, str] | None:
         if self.stopping:
             return "stopping", "this planner takes nothing more"
         if submit.product not in self.products:
@@ -199,9 +242,12 @@
             return "unknown_customer", f"no customer is called {submit.customer!r}"
         if submit.patience > micros(self.limits.patience_ms):
             return "patience", f"patience is {self.limits.patience_ms:g} ms at most"
+        if not self.kept_well and self.facts.products[self.products[submit.product]].effect is not (
+                Effect.RERUNNABLE):
+            return "not_kept", "the planner's disk fails: nothing is taken that must not run twice"
         if len(self.cases) >= self.limits.open_guests:
             return "full", f"{self.limits.open_guests} guests are in hand"
-        if self.advice.hopeless(now, len(self.brain.waiting), submit.patience):
+        if self.advice.hopeless(now, len(self.brain.waiting), submit.patience, kept):
             return "overloaded", "the line is longer than this patience"
         return None
 
@@ -212,6 +258,7 @@
             return
         self.counts["cancels"] += 1
         case.owner, case.cancelled = owner, True
+        self._mark("guest", case.name)
         self.brain.guest_cancelled(now, case.name)
 
     def _state(self, message: m.Named) -> m.State:
@@ -238,7 +285,7 @@
     def _blind(self) -> bool:
         """Whether guests may run that this planner has not heard of: it has just started, and has no list
         yet or waits for machines on it. What it does not know it must not call unknown."""
-        return not self.list_heard or bool(self.unheard)
+        return not self.sure and (not self.list_heard or bool(self.unheard))
 
     # The list.
 
@@ -251,6 +298,8 @@
         first, self.list_heard = not self.list_heard, True
         self.list_version = message.version
         news = self.roster.learn(now, message)
+        if self.keeping is not None:
+            self.keeping.told(message)
         self.counts["list_entries"] += len(message.entries)
         self.counts["list_faults"] += len(news.faults)
         self.brain.machines_listed(now, news.listed, message.whole)
@@ -389,6 +438,7 @@
         """News of the dispatch that is out, or of the placed guest."""
         if isinstance(message, m.Taken) and not case.placed:
             case.placed = True
+            self._mark("guest", case.name)
             self.brain.dispatch_taken(now, case.name, now - case.sent_at)
             self.advice.placed(now, case.guest)
             self._answer(now, case, m.Placed(guest=case.guest, ask=case.ask, machine=case.machine), case.asks)
@@ -423,6 +473,7 @@
     def _stands(self, now: int, loose: Loose) -> None:
         """A dispatch that was given up was accepted: the Brain says whose it is, or that it goes."""
         loose.stands = True
+        self._mark("loose", loose.case.guest, loose.machine)
         self.counts["late_copies"] += 1
         self._adopt(now, loose.case.guest)
 
@@ -444,6 +495,7 @@
             case.sent, case.placed, case.sent_at = True, True, loose.sent_at
             self.cases[case.name] = self.newest[guest] = case
             self._hold(case)
+            self._mark("guest", case.name)
             if case.asks:
                 self._answer(now, case, m.Placed(guest=guest, ask=case.ask, machine=case.machine), case.asks)
             if case.cancelled:
@@ -452,6 +504,7 @@
     def _settled(self, guest: str, machine: str) -> None:
         if by := self.loose.get(guest):
             by.pop(machine, None)
+            self._mark("loose", guest, machine)
             if not by:
                 del self.loose[guest]
 
@@ -524,6 +577,7 @@
         held = self.newest.get(stand.guest)
         if held and held.machine or name in self.cases:  # out or placed elsewhere: one copy too many
             loose = Loose(case, stand.attempt, link.machine, now, roll_at=now + 1_000_000)
+            self._mark("loose", stand.guest, link.machine)
             self.loose.setdefault(stand.guest, {})[link.machine] = loose
             self._stands(now, loose)
             return
@@ -532,8 +586,11 @@
             self.brain.guest_left(now, held.name)
             self._answer(now, held, m.Placed(guest=held.guest, ask=held.ask, machine=link.machine), held.asks)
             del self.cases[held.name]
+            self._mark("guest", held.name)
         self.cases[name] = self.newest[stand.guest] = case
+        case.incarnation = link.incarnation
         self._hold(case)
+        self._mark("guest", name)
         self.brain.guest_found(now, link.machine, self._ask(case, 0))
 
     # The passing of time.
@@ -655,7 +712,7 @@
     def _dispatch(self, now: int, case: Case, machine: str, span: int) -> None:
         case.attempt, case.machine, case.sent = case.attempt + 1, machine, False
         case.sent_at = now
-        heappush(self.overdue, (now + span, case.name, case.attempt))
+        self._overdue(now + span, case)
         self._hold(case)
         fellow = self.roster.fellows.get(machine)
         if fellow is None:
@@ -667,13 +724,18 @@
         else:
             link.queue[case.name] = None
 
+    def _overdue(self, due: int, case: Case) -> None:
+        case.due_at = due
+        heappush(self.overdue, (due, case.name, case.attempt))
+
     def _offer(self, now: int, case: Case) -> None:
         link, submit = self.links[case.machine], case.submit
         if (loose := self.loose.get(case.guest, {}).get(case.machine)) and loose.case.ask == case.ask:
             self._settled(case.guest, case.machine)  # the machine takes a new dispatch of it for the old one
         link.queue.pop(case.name, None)
         link.used_at = now
-        case.sent, case.sent_at = True, now
+        case.sent, case.sent_at, case.incarnation = True, now, link.incarnation
+        self._mark("guest", case.name)
         self.counts["dispatches"] += 1
         self._send_machine(case.machine, m.Offer(
             guest=case.guest, ask=case.ask, attempt=case.attempt, product=submit.product,
@@ -689,7 +751,10 @@
     def _ended(self, now: int, case: Case, ending: Ending, remark: Remark) -> None:
         """The dispatch that was out is over and the guest is held again, or answered by what follows."""
         self._unhold(case)
+        if ending not in NEVER_RAN:
+            case.unsure = case.machine
         case.machine = ""
+        self._mark("guest", case.name)
         self.brain.dispatch_ended(now, case.name, ending, False, remark)
         self._adopt(now, case.guest)
 
@@ -711,6 +776,7 @@
     def _keep_end(self, now: int, guest: str, how: str) -> None:
         self.ends[guest] = how, now + micros(self.limits.keep_answers_ms)
         self.ends.move_to_end(guest)
+        self._mark("end", guest)
 
     def _give_up(self, now: int, case: Case) -> None:
         """Takes back a dispatch that is waited for no longer; until its machine speaks, its fate is open."""
@@ -725,6 +791,7 @@
         self.loose.setdefault(case.guest, {})[case.machine] = Loose(
             case, case.attempt, case.machine, case.sent_at,
             roll_at=now + 1_000_000)
+        self._mark("loose", case.guest, case.machine)
 
     def _call_off(self, now: int, name: str, machine: str) -> None:
         case = self.cases.get(name)
@@ -759,8 +826,10 @@
             told = type(message)(**{f: getattr(message, f) for f in message.__struct_fields__} | {"ask": ask})
             self.answers[case.guest, ask] = told, keep
             self.answers.move_to_end((case.guest, ask))
+            self._mark("answer", case.guest, ask)
             self._send_owner(case.owner, told)
         case.asks = {}
+        self._mark("guest", case.name)
 
     # Probes and stopping.
 
@@ -826,6 +895,7 @@
 
     def _forget(self, case: Case) -> None:
         self.cases.pop(case.name, None)
+        self._mark("guest", case.name)
         if self.newest.get(case.guest) is case:
             del self.newest[case.guest]
 
--- a/hazelhold/interface.py
+++ b/hazelhold/interface.py
@@ -146,6 +146,31 @@
     memory: float
     patience: int
     earlier: Earlier | None = None
+    spent: int = 0  # dispatches that were made before this life of the planner
+
+
+class Health(NamedTuple):
+    """What was learned of a machine; `started` tells of which of its lives."""
+
+    started: int
+    cold_at: int
+    answers: tuple[int, ...]
+    kept: tuple[str, ...]
+    strikes: int
+    avoid_until: int
+    mute: bool
+
+
+class Learned(NamedTuple):
+    """What a planner learns and a later life of it may use: samples by service with when a guest of it was
+    last seen, times by product (starts: product, warm, times), the sums of use and asks, health by
+    machine."""
+
+    services: dict[str, tuple[int, tuple[tuple[float, float], ...]]]
+    starts: tuple[tuple[int, bool, tuple[int, ...]], ...]
+    answers: tuple[tuple[int, tuple[int, ...]], ...]
+    seen: tuple[float, ...]
+    machines: dict[str, Health]
 
 
 class Step(Enum):
--- a/hazelhold/service/net.py
+++ b/hazelhold/service/net.py
@@ -20,6 +20,8 @@
 
     def now(self) -> int: ...
 
+    def wall(self) -> int: ...
+
     async def dial(self, address: str) -> trio.abc.Stream: ...
 
     async def listen(self, address: str, handler: Handler, nursery: trio.Nursery) -> str: ...
@@ -31,6 +33,10 @@
     def now(self) -> int:
         return time.monotonic_ns() // 1000
 
+    def wall(self) -> int:
+        """Microseconds of the wall clock, for what outlives the process."""
+        return time.time_ns() // 1000
+
     async def dial(self, address: str) -> trio.abc.Stream:
         host, port = split_address(address)
         stream = await trio.open_tcp_stream(host, port)
@@ -56,6 +62,9 @@
     def now(self) -> int:
         return round(trio.current_time() * 1e6)
 
+    def wall(self) -> int:
+        return self.now()
+
     async def dial(self, address: str) -> trio.abc.Stream:
         await trio.lowlevel.checkpoint()
         if address not in self.doors:
--- a/hazelhold/service/planner.py
+++ b/hazelhold/service/planner.py
@@ -5,6 +5,7 @@
 actions out, so that what arrived together is decided on together.
 """
 
+import os
 from collections import Counter
 from pathlib import Path
 from random import Random
@@ -20,15 +21,20 @@
 from hazelhold.protocol import messages as m
 from hazelhold.protocol.frames import FrameError, frame
 from hazelhold.protocol.record import Recorder
+from hazelhold.service.keeper import Keeper
 from hazelhold.service.net import Net
 from hazelhold.service.ticker import Ticker
 from hazelhold.service.wire import Wire
+from hazelhold.state.disk import Disk, RealDisk
+from hazelhold.state.images import ENCODER
+from hazelhold.state.store import Store
 
 
 class Planner:
     """One planner from its start to its stop. `run` ends once a stop that was asked for is done."""
 
-    def __init__(self, sheet: PlannerSheet, seed: int, net: Net, recorder: Recorder | None = None) -> None:
+    def __init__(self, sheet: PlannerSheet, seed: int, net: Net, recorder: Recorder | None = None,
+                 disk: Disk | None = None) -> None:
         self.sheet, self.net, self.limits = sheet, net, sheet.limits
         self.engine = Engine(sheet, seed, net.now())
         self.tap = Tap(Path(sheet.capture.file), sheet.capture, sheet, seed, net.now()) if (
@@ -47,19 +53,68 @@
                                Random(f"door/{seed}"))
         self.address = ""
         self.stop_asked = trio.Event()
+        self.handing_over = False
+        self.keeper: Keeper | None = None
+        if disk is None and sheet.state.folder:
+            disk = RealDisk(Path(sheet.state.folder))
+        if disk is not None:
+            self.keeper = Keeper(Store(disk, sheet.name), sheet.state, self.engine, net.now, self._do,
+                                 self._state_news)
 
     async def run(self, task_status: trio.TaskStatus = trio.TASK_STATUS_IGNORED) -> None:
         async with trio.open_nursery() as nursery:
             self.nursery = nursery
+            if self.keeper is not None:
+                self._recover()
+                nursery.start_soon(self.keeper.run)
+                nursery.start_soon(self.keeper.tend)
             self.address = await self.net.listen(self.sheet.listen, self._door, nursery)
             nursery.start_soon(self.ticker.run)
             nursery.start_soon(self._follow_list)
             self.log.info("up", address=self.address, planners=self.sheet.planners, slot=self.sheet.slot)
             task_status.started(self.address)
             await self.stop_asked.wait()
-            await self._stop()
+            try:
+                await (self._leave() if self.handing_over else self._stop())
+            finally:
+                if self.keeper is not None:
+                    self.keeper.store.close()
             nursery.cancel_scope.cancel()
 
+    def _recover(self) -> None:
+        """Begins where an earlier life left off. StateError if the folder is not to be used."""
+        now, wall = self.net.now(), self.net.wall()
+        found = self.keeper.open(wall, f"{self.sheet.name} {os.getpid()}")
+        counts = self.engine.keep(now, wall - now, found.ledger, found.complete and not found.fresh)
+        if self.tap is not None:
+            kept = [[*change] for change in found.ledger.changes()]
+            self.tap.note(now, "keep", epoch=wall - now, complete=found.complete and not found.fresh,
+                          changes=ENCODER.encode(kept))
+        self.keeper.begin()
+        self.log.info("recovered", complete=found.complete, fresh=found.fresh, batches=found.batches,
+                      generation=found.generation, **counts)
+        self._carry_out()
+
+    def hand_over(self) -> None:
+        """Asks for an end that leaves all that is held to the next process, by way of the kept state."""
+        self.handing_over = True
+        self.stop_asked.set()
+
+    async def _leave(self) -> None:
+        """Reads nothing more, makes all safe, and goes."""
+        self.handed_over = True
+        self.keeper.take([], [self.engine.keeping.learned(self.engine)])
+        with trio.move_on_after(self.limits.stop_ms / 1000):
+            await self.keeper.drained()
+        for wire in [*self.owners.values(), *(w for _, w in self.machines.values() if w)]:
+            wire.finish(m.Bye(reason="hand_over", spread=self.doorman.window(0, len(self.owners))))
+        await trio.sleep(0.02)
+        if self.tap is not None:
+            await trio.to_thread.run_sync(self.tap.writer.close)
+        self.log.info("handed_over", unanswered=self.engine.unanswered(), **self.engine.counts)
+
+    handed_over = False
+
     def stop(self) -> None:
         """Asks for a clean stop."""
         self.stop_asked.set()
@@ -74,6 +129,9 @@
                 await trio.sleep(0.01)
         self._feed("stop_now")
         spread = self._spread()
+        if self.keeper is not None:
+            with trio.move_on_after(1.0):
+                await self.keeper.drained()
         for wire in [*self.owners.values(), *(w for _, w in self.machines.values() if w)]:
             wire.finish(m.Bye(reason="stopping", spread=spread))
         with trio.move_on_after(0.5):
@@ -86,6 +144,8 @@
         self.log.info("stopped", unanswered=self.engine.unanswered(), **self.engine.counts)
 
     def _work(self, now: int) -> None:
+        if self.handed_over:
+            return
         if self.tap is not None:
             self.tap.pump(now)
         self.engine.pump(now)
@@ -105,8 +165,19 @@
         getattr(self.engine, what)(now, *given)
         self._carry_out()
 
+    def _state_news(self, what: str, news: object) -> None:
+        """What the keeper has to tell the engine: the disk's health, an offer that did not leave."""
+        now = self.net.now()
+        if self.tap is not None:
+            self.tap.note(now, what, news=msgspec.to_builtins(news))
+        getattr(self.engine, what)(now, news)
+        self._carry_out()
+        self.ticker.stir()
+
     def _hear(self, what: str, wire: Wire, *given: object) -> None:
         """Takes a message of a peer to the engine; what needs no decision goes out before one is made."""
+        if self.handed_over:
+            return  # the next process hears it: what is not acknowledged is asked again
         now = self.net.now()
         if wire.trunk is not None:
             wire.trunk.data(False, frame(wire.body), now)
@@ -116,6 +187,11 @@
 
     def _carry_out(self) -> None:
         """Does what the engine wants done; what a failed send causes goes in as an input and is done too."""
+        if self.keeper is not None:
+            while self.engine.actions or self.engine.keeping.marks:
+                actions, self.engine.actions = self.engine.actions, []
+                self.keeper.take(actions, self.engine.flush(self.net.now()))
+            return
         while self.engine.actions:
             actions, self.engine.actions = self.engine.actions, []
             for action in actions:
--- /dev/null
+++ b/hazelhold/state/snapshot.py
@@ -0,0 +1,129 @@
+"""A whole Brain as plain values, and back: the copy decides as the one that never stopped.
+
+Times in it are on the engine's clock; `shift` moves them to another. Tables that are drawn anew as the clock
+moves on (shapes without room, orders of machines) are left out. Fields are named one by one: a field that the
+module gains must be given its place here, and a test sees to that.
+"""
+
+from collections import deque
+from random import Random
+from typing import Any
+
+from hazelhold.brain import Brain, Guest, Machine, Service
+from hazelhold.interface import Ask, Deployment, Earlier, Listed, Mode, Place
+
+LONG_AGO = -10**15  # of moments that never were; not shifted
+MACHINE_TIMES = ("listed_at", "cold_at", "reported_at", "probed_at", "drawn_at", "avoid_until")
+MACHINE_PLAIN = ("ready", "used", "others", "left", "sums", "means", "most", "strikes", "mute")
+GUEST_TIMES = ("goal_at", "patience_at", "answer_by", "sent_at", "window_ends", "look_at", "looked_at",
+               "rests_until")
+GUEST_PLAIN = ("placed", "runs", "warm", "may_run", "over", "probed_for", "unwanted", "dispatches", "ahead",
+               "cores_noted", "use")
+BRAIN_TIMES = ("looked_at", "ask_list_at", "sweep_at", "probe_at", "list_heard_at")
+BRAIN_PLAIN = ("seen", "list_version", "kept_well")
+
+
+def dump(brain: Brain) -> dict[str, Any]:
+    """Plain values that msgpack can carry."""
+    version, state, gauss = brain.random.getstate()
+    return {
+        "random": [version, list(state), gauss],
+        "services": [[name, [list(s) for s in service.samples], service.seen]
+                     for name, service in brain.services.items()],
+        "machines": [_machine(m) for m in brain.machines.values()],
+        "guests": [_guest(g) for g in brain.guests.values()],
+        "waiting": list(brain.waiting),
+        "starts": [[*key, list(times)] for key, times in brain.starts.items()],
+        "answers": [[key, list(times)] for key, times in brain.answers.items()],
+        "to_probe": [m.listed.machine for m in brain.to_probe],
+        "to_call_off": [list(pair) for pair in brain.to_call_off],
+        **{name: getattr(brain, name) for name in (*BRAIN_TIMES, *BRAIN_PLAIN)}}
+
+
+def _machine(machine: Machine) -> dict[str, Any]:
+    listed = machine.listed._replace(mode=machine.listed.mode.name)
+    return {"listed": list(listed), "kept": list(machine.kept), "guests": list(machine.guests),
+            "full": [list(f) for f in machine.full], "answers": list(machine.answers),
+            "offers": list(machine.offers), "size": list(machine.size),
+            **{name: getattr(machine, name) for name in (*MACHINE_TIMES, *MACHINE_PLAIN)}}
+
+
+def _guest(guest: Guest) -> dict[str, Any]:
+    bound = [guest.bound[0].name, guest.bound[1]] if guest.bound else None
+    return {"ask": list(guest.ask), "service": guest.ask.service, "bound": bound,
+            "machine": guest.machine.listed.machine if guest.machine else "",
+            **{name: getattr(guest, name) for name in (*GUEST_TIMES, *GUEST_PLAIN)}}
+
+
+def restore(data: dict[str, Any], deployment: Deployment, shift: int = 0) -> Brain:
+    """A Brain from plain values."""
+    def moved(at: int) -> int:
+        return at + shift if at and at != LONG_AGO else at
+
+    brain = Brain(0, deployment)
+    version, state, gauss = data["random"]
+    brain.random = Random()
+    brain.random.setstate((version, tuple(state), gauss))
+    for name in BRAIN_TIMES:
+        setattr(brain, name, moved(data[name]))
+    brain.seen, brain.list_version = list(data["seen"]), data["list_version"]
+    brain.kept_well = data["kept_well"]
+    for name, samples, seen in data["services"]:
+        service = brain.services[name] = Service()
+        service.samples.extend(tuple(s) for s in samples)
+        service.seen = moved(seen)
+    for plain in data["machines"]:
+        _restore_machine(brain, plain, moved)
+    for plain in data["guests"]:
+        _restore_guest(brain, plain, moved)
+    for plain in data["machines"]:  # in the order in which their guests came
+        machine = brain.machines[plain["listed"][0]]
+        machine.guests = {name: brain.guests[name] for name in plain["guests"]}
+    brain.waiting = {name: brain.guests[name] for name in data["waiting"]}
+    for product, warm, times in data["starts"]:
+        brain.starts[product, warm].extend(times)
+    for product, times in data["answers"]:
+        brain.answers[product].extend(times)
+    brain.to_probe = [brain.machines[name] for name in data["to_probe"]]
+    brain.to_call_off = deque((guest, machine) for guest, machine in data["to_call_off"])
+    return brain
+
+
+def _restore_machine(brain: Brain, plain: dict[str, Any], moved: Any) -> None:  # noqa: ANN401 - a function
+    fields = list(plain["listed"])
+    fields[1], fields[2] = Mode[fields[1]], moved(fields[2])
+    listed = Listed(*fields)
+    kind = brain.deployment.kinds[listed.kind]
+    machine = brain.machines[listed.machine] = Machine(listed, kind._make(plain["size"]), 0)
+    for name in MACHINE_TIMES:
+        setattr(machine, name, moved(plain[name]))
+    for name in MACHINE_PLAIN:
+        value = plain[name]
+        setattr(machine, name, tuple(value) if isinstance(value, list) and name != "sums" else value)
+    if machine.sums is not None:
+        machine.sums = [tuple(pair) for pair in machine.sums]
+    machine.kept = dict.fromkeys(plain["kept"])
+    machine.full = [(moved(until), much) for until, much in plain["full"]]
+    machine.answers.extend(plain["answers"])
+    machine.offers = deque(moved(at) for at in plain["offers"])
+
+
+def _restore_guest(brain: Brain, plain: dict[str, Any], moved: Any) -> None:  # noqa: ANN401 - a function
+    fields = list(plain["ask"])
+    if fields[7] is not None:
+        fields[7] = Earlier(fields[7][0], moved(fields[7][1]))
+    ask = Ask(*fields)
+    service = brain.services.setdefault(ask.service, Service())
+    service.guests += 1
+    guest = Guest(ask, brain.deployment.products[ask.product], service, 0)
+    for name in GUEST_TIMES:
+        setattr(guest, name, moved(plain[name]))
+    for name in GUEST_PLAIN:
+        setattr(guest, name, plain[name])
+    guest.use = tuple(guest.use) if guest.use else None
+    guest.bound = (Place[plain["bound"][0]], plain["bound"][1]) if plain["bound"] else None
+    brain.guests[ask.guest] = guest
+    if plain["machine"]:
+        guest.machine = machine = brain.machines[plain["machine"]]
+        guest.spread_key = key = brain._spread_key(guest, machine)
+        brain.spread[key] = brain.spread.get(key, 0) + 1
--- /dev/null
+++ b/hazelhold/state/store.py
@@ -0,0 +1,182 @@
+"""The files of one planner's state: snapshots with logs. Free of trio and of the engine; called from one
+place.
+
+Files are numbered by generation: `snapshot-N` and `log-N`, the log with what changed since that snapshot. A
+new generation is a new log, then a snapshot that is written beside, made safe and renamed; only then the
+older files go. Recovery reads the newest snapshot that is whole and all logs from its number on. Nothing is
+ever appended to a file of an earlier run or after a failure: after a failed sync nobody knows what of a file
+is safe, so the next try is a new generation, whole.
+"""
+
+from collections.abc import Callable
+from typing import NamedTuple
+
+from hazelhold.state import frames
+from hazelhold.state.disk import Disk
+from hazelhold.state.frames import Header, Scan
+from hazelhold.state.images import FORMAT, Change, GuestImage
+from hazelhold.state.ledger import Ledger
+
+LEAST = 4 << 20  # bytes of log before a new generation is worth its snapshot
+# How files of older formats become changes of this one: number of the format, and what to do with a batch.
+UPGRADES: dict[int, Callable[[list[Change]], list[Change]]] = {}
+
+
+class StateError(Exception):
+    """The state cannot be used, and was not touched; the text says which file and why."""
+
+
+class Found(NamedTuple):
+    """What recovery found. `complete` is False if something that a peer may have seen can be missing."""
+
+    ledger: Ledger
+    complete: bool
+    fresh: bool  # there was no state
+    generation: int
+    notes: list[str]  # what was wrong, one line for each file
+    batches: int = 0
+
+
+def numbered(names: list[str], kind: str) -> list[int]:
+    return sorted(int(n[len(kind) + 1:]) for n in names
+                  if n.startswith(kind + "-") and n[len(kind) + 1:].isdigit())
+
+
+def _scan(disk: Disk, name: str, planner: str) -> Scan:
+    try:
+        found = frames.scan(disk.read(name))
+    except OSError as wrong:
+        raise StateError(f"{name}: {wrong.strerror or wrong}") from None
+    head = found.header
+    if head is not None:
+        if head.format > FORMAT or head.format < FORMAT and head.format not in UPGRADES:
+            raise StateError(f"{name}: format {head.format}; this program reads format {FORMAT}"
+                             + "".join(f" and {old}" for old in sorted(UPGRADES)))
+        if planner and head.planner != planner:
+            raise StateError(f"{name}: is of planner {head.planner!r}, not of {planner!r}")
+        if head.format != FORMAT:
+            found = found._replace(batches=[UPGRADES[head.format](each) for each in found.batches])
+    return found
+
+
+def read(disk: Disk, planner: str = "") -> Found:
+    """What a folder holds; harmless beside a running planner. StateError if it is of another planner or of a
+    newer program."""
+    names, notes, ledger = disk.names(), [], Ledger()
+    snapshots, logs = numbered(names, "snapshot"), numbered(names, "log")
+    if not snapshots and not logs:
+        return Found(ledger, not any(n.startswith(("snapshot", "log")) for n in names), True, 0, notes)
+    base, complete, batches = 0, True, 0
+    for number in reversed(snapshots):
+        scan = _scan(disk, f"snapshot-{number}", planner)
+        if scan.header is None or scan.trouble:
+            notes.append(f"snapshot-{number}: {scan.trouble or 'empty'} {scan.why}")
+            continue
+        base = number
+        for changes in scan.batches:
+            ledger.apply(changes)
+        break
+    else:
+        complete = not snapshots and logs[0] == 1
+        if not complete:
+            notes.append("no snapshot can be read")
+    if base and base != snapshots[-1]:
+        complete = set(range(base, snapshots[-1])) <= set(logs)  # the logs between lead on from the older one
+    wanted = [n for n in logs if n >= base]
+    if base and base not in logs:
+        complete = False
+        notes.append(f"log-{base}: is missing")
+    for number in wanted:
+        scan = _scan(disk, f"log-{number}", planner)
+        for changes in scan.batches:
+            ledger.apply(changes)
+        batches += len(scan.batches)
+        if scan.trouble:
+            notes.append(f"log-{number}: {scan.trouble} {scan.why}")
+            complete = complete and scan.trouble == "torn"
+    top = max([*snapshots, *logs])
+    return Found(ledger, complete, False, top, notes, batches)
+
+
+class Store:
+    """One planner's state on its disk."""
+
+    def __init__(self, disk: Disk, planner: str) -> None:
+        self.disk, self.planner = disk, planner
+        self.ledger = Ledger()
+        self.generation = 0
+        self.healthy = False
+        self.before: dict[str, GuestImage] = {}  # guests that the disk may still have; emptied by `begin`
+        self.written = self.snapshot_bytes = 0  # in this generation's log, in its snapshot
+        self.syncs = self.bytes = self.generations = 0  # in all
+
+    def open(self, now: int, text: str) -> Found:
+        """Takes the folder, reads what is there and begins a new generation. StateError if another process
+        has it or it is not this planner's; OSError if nothing can be written (`begin` may be tried
+        again)."""
+        if not self.disk.lock(text):
+            raise StateError(f"the state is in use by {self.disk.owner().strip() or 'another process'}")
+        try:
+            found = read(self.disk, self.planner)
+        except StateError:
+            self.disk.unlock()
+            raise
+        self.ledger, self.generation = found.ledger, found.generation
+        self.ledger.expire(now)
+        return found
+
+    def commit(self, changes: list[Change]) -> None:
+        """Safe when it returns. OSError: nothing of it may be relied on, and the store is unhealthy."""
+        old = {c.key: i for c in changes if c.kind == "guest" and c.key not in self.before
+               and (i := self.ledger.image("guest", c.key))}
+        self.ledger.apply(changes)
+        if not self.healthy:
+            self.before |= old
+            raise OSError("the store has failed and was not begun anew")
+        try:
+            name = f"log-{self.generation}"
+            data = frames.batch(changes)
+            self.disk.write(name, data)
+            self.disk.sync(name)
+        except OSError:
+            self.healthy = False
+            self.before |= old
+            raise
+        self.syncs += 1
+        self.written += len(data)
+        self.bytes += len(data)
+
+    def due(self) -> bool:
+        """Whether the log has outgrown its snapshot."""
+        return self.healthy and self.written > max(LEAST, 2 * self.snapshot_bytes)
+
+    def begin(self, now: int) -> None:
+        """A new generation with all that is kept. OSError leaves the older files as they are."""
+        self.healthy = False
+        self.ledger.expire(now)
+        number = self.generation + 1
+        self.generation = number  # a number is never used twice, also if this fails
+        log, snapshot = f"log-{number}", f"snapshot-{number}"
+        self.disk.write(log, frames.header(Header(FORMAT, self.planner, number, "log", now)))
+        self.disk.sync(log)
+        kept = list(self.ledger.changes())
+        data = frames.header(Header(FORMAT, self.planner, number, "snapshot", now)) + b"".join(
+            frames.batch(kept[at:at + 1000]) for at in range(0, len(kept), 1000))
+        self.disk.write(snapshot + ".new", data)
+        self.disk.sync(snapshot + ".new")
+        self.disk.rename(snapshot + ".new", snapshot)
+        self.before.clear()
+        self.healthy, self.written, self.snapshot_bytes = True, 0, len(data)
+        self.generations += 1
+        self.bytes += len(data)
+        for name in self.disk.names():
+            kind, _, rest = name.partition("-")
+            if kind in ("snapshot", "log") and rest.removesuffix(".new").isdigit() and (
+                    int(rest.removesuffix(".new")) < number):
+                try:
+                    self.disk.remove(name)
+                except OSError:
+                    return  # it goes with the next generation
+
+    def close(self) -> None:
+        self.disk.unlock()
