State that outlives the planner: recovery after a crash at any write, sync or send

Need: a killed planner forgot what it held and had learned. It found, and mended: guests done while nobody listened were placed again; a list that was never safe let offers go to gone machines; cold budgets were used twice by a restart; answers held back came late.

--- a/hazelhold/brain.py
+++ b/hazelhold/brain.py
@@ -150,6 +150,7 @@
         self.no_room: set[tuple] = set()  # shapes that found no machine; emptied as the clock moves
         self.looked_at = self.ask_list_at = self.sweep_at = self.probe_at = self.list_heard_at = 0
         self.kept_well = True  # see state_kept
+        self.no_cold_until = 0  # see remembered
         self.list_version = 0  # counts changes in who is ready
         self.to_probe: list[Machine] = []  # emptied at once by the decisions that follow
         self.to_call_off: deque[tuple[str, str]] = deque()  # guest and machine; emptied as to_probe
@@ -217,10 +218,16 @@
             {n: interface.Health(m.listed.started, m.cold_at, tuple(m.answers), tuple(m.kept), m.strikes,
                                  m.avoid_until, m.mute) for n, m in self.machines.items() if m.ready})
 
-    def remembered(self, now: int, past: interface.Learned) -> None:
+    def offers_kept(self, now: int, name: str, times: tuple[int, ...]) -> None:
+        """Offers to a cold machine from before this life of the planner count against its budget."""
+        self._host(name, now).offers.extend(times)
+
+    def remembered(self, now: int, past: interface.Learned, complete: bool) -> None:
         """Takes what an earlier life learned, for machines that are still in the same life. Samples of
         services that were not seen for a minute are let go, as they would have been; strikes and rests go on
-        by their own times."""
+        by their own times. Where offers to cold machines may be forgotten, these get nothing until they would
+        not count any more. Guards against a budget that is used twice by a restart."""
+        self.no_cold_until = 0 if complete else now + 2 * self.deployment.cold_window
         for name, (seen, samples) in past.services.items():
             if seen >= now - 60 * SECOND:
                 service = self.services.setdefault(name, Service())
@@ -561,6 +568,8 @@
             machine.offers.popleft()
         if now - machine.cold_at >= facts.cold_for:
             return True
+        if now < self.no_cold_until:
+            return False
         # Twice the window and four fifths of the budget: offers travel, and chance is counted against us too.
         # The planners take turns at single offers, from a start that the machine's id fixes alike for all:
         # the parts sum to the budget; with more planners than offers some have one and the others none.
--- a/hazelhold/cli/honest.py
+++ b/hazelhold/cli/honest.py
@@ -10,6 +10,7 @@
 
 from hazelhold.config.load import ConfigError
 from hazelhold.protocol.record import RecordError
+from hazelhold.state.store import StateError
 
 
 def honest(command: Callable[..., None]) -> Callable[..., None]:
@@ -18,7 +19,7 @@
     def run(*args: Any, **kwargs: Any) -> None:  # noqa: ANN401 - as click calls it
         try:
             command(*args, **kwargs)
-        except (ConfigError, RecordError) as wrong:
+        except (ConfigError, RecordError, StateError) as wrong:
             click.echo(str(wrong), err=True)
             sys.exit(2)
         except OSError as wrong:
@@ -28,7 +29,7 @@
             faults = list(leaves(group))
             if any(isinstance(f, KeyboardInterrupt) for f in faults):
                 sys.exit(130)
-            if not all(isinstance(f, OSError | ConfigError) for f in faults):
+            if not all(isinstance(f, OSError | ConfigError | StateError) for f in faults):
                 traceback.print_exc()
             for fault in faults:
                 click.echo(f"{type(fault).__name__}: {fault}", err=True)
--- a/hazelhold/cli/main.py
+++ b/hazelhold/cli/main.py
@@ -13,6 +13,7 @@
 from hazelhold.cli import logs
 from hazelhold.cli.capture import capture
 from hazelhold.cli.honest import honest
+from hazelhold.cli.state import state
 from hazelhold.config.day import read_day
 from hazelhold.config.load import ConfigError
 from hazelhold.config.planner import read_planner
@@ -33,6 +34,7 @@
 
 
 main.add_command(capture)
+main.add_command(state)
 
 
 @main.command("planner")
@@ -41,11 +43,14 @@
 @click.option("--record", type=FILE, default=None, help="Append every frame to this file.")
 @click.option("--capture", "to", type=FILE, default=None, help="Write all exchanges there, as pcap(ng).")
 @click.option("--ready", is_flag=True, help="Print the address to standard output once up.")
+@click.option("--state", "folder", type=click.Path(file_okay=False, path_type=Path), default=None,
+              help="Keep what must outlive the process in this folder.")
+@click.option("--take-over", is_flag=True, help="Have the process that uses the state hand over to this one.")
 @log_options
 @honest
-def planner(config: Path, seed: int | None, record: Path | None, to: Path | None, ready: bool, log: str,
-            level: str) -> None:
-    """Run one planner until SIGTERM or SIGINT."""
+def planner(config: Path, seed: int | None, record: Path | None, to: Path | None, ready: bool,
+            folder: Path | None, take_over: bool, log: str, level: str) -> None:
+    """Run one planner until SIGTERM or SIGINT; SIGUSR2 hands over to a process that waits for its state."""
     import signal
 
     import trio
@@ -57,18 +62,22 @@
     sheet = read_planner(config)
     if to:
         sheet = replace(sheet, capture=replace(sheet.capture, file=str(to)))
+    if folder:
+        sheet = replace(sheet, state=replace(sheet.state, folder=str(folder)))
+    if take_over and not sheet.state.folder:
+        raise ConfigError(str(config), [("state.folder", "is empty: there is nothing to take over")])
     logs.set_up(log, level)
     if record:
         record.parent.mkdir(parents=True, exist_ok=True)
     recorder = Recorder(record, sheet.name, "planner")
 
     async def run() -> None:
-        made = Planner(sheet, sheet.seed if seed is None else seed, TcpNet(), recorder)
-        with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+        made = Planner(sheet, sheet.seed if seed is None else seed, TcpNet(), recorder, take_over=take_over)
+        with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGUSR2) as signals:
             async with trio.open_nursery() as nursery:
                 async def listen() -> None:
-                    async for _ in signals:
-                        made.stop()
+                    async for each in signals:
+                        (made.hand_over if each == signal.SIGUSR2 else made.stop)()
 
                 nursery.start_soon(listen)
 
@@ -117,10 +126,11 @@
 @click.option("--capture", type=click.Path(file_okay=False, path_type=Path), default=None,
               help="Keep a capture of each planner's life in this folder.")
 @click.option("--virtual", is_flag=True, help="In memory and virtual time: no sockets, no processes.")
+@click.option("--keep-state", is_flag=True, help="Planners keep their state, and owe what they had taken.")
 @log_options
 @honest
 def rehearse(day: Path, seed: int, to: Path | None, records: Path | None, capture: Path | None, virtual: bool,
-             log: str, level: str) -> None:
+             keep_state: bool, log: str, level: str) -> None:
     """Play a day with planners, stand-ins and troubles, then audit it.
 
     Exits with 0 only if no rule was broken and every guest is accounted for.
@@ -136,10 +146,14 @@
         folder.mkdir(parents=True, exist_ok=True)
         if any(folder.iterdir()):
             raise ConfigError(str(folder), [("records", "the folder is not empty")])
-        if virtual:
+        if virtual and keep_state:
+            from hazelhold.rehearse.crashes import play_crashes
+
+            said = play_crashes(sheet, seed, folder, set())
+        elif virtual:
             said = run.play_virtual(sheet, seed, folder, capture)
         else:
-            said = trio.run(run.play, sheet, seed, folder, False, None, capture)
+            said = trio.run(run.play, sheet, seed, folder, False, None, capture, None, (), keep_state)
     if to:
         to.write_text(json.dumps(said, indent=1) + "\n")
     show(said)
@@ -155,8 +169,10 @@
 @click.option("--jobs", type=click.IntRange(1, 256), default=4, show_default=True)
 @click.option("--found", type=click.Path(file_okay=False, path_type=Path), default=None,
               help="Write days that broke a rule there.")
+@click.option("--crashes", is_flag=True, help="Planners keep state, die at drawn points, have bad disks.")
 @honest
-def hunt(day: Path, seed: int, runs: int, length: float, jobs: int, found: Path | None) -> None:
+def hunt(day: Path, seed: int, runs: int, length: float, jobs: int, found: Path | None,
+         crashes: bool) -> None:
     """Draw days with this one's products and kinds, and look for one on which a rule breaks.
 
     Exits with 0 only if none was found.
@@ -165,7 +181,7 @@
 
     base = read_day(day)
     logs.set_up("human", "error")
-    results = hunting.hunt(base, seed, runs, length, jobs)
+    results = hunting.hunt(base, seed, runs, length, jobs, crashes)
     bad = [r for r in results if r["broken"]]
     for result in bad:
         click.echo(f"seed {result['seed']}: {'; '.join(sorted(set(result['broken'])))} ({result['what']})")
@@ -174,7 +190,9 @@
             file = found / f"hunt-{result['seed']}.json"
             hunting.write_day(hunting.draw(base, result["seed"], length), file)
     taken = sum(r.get("counts", {}).get("taken", 0) for r in results)
-    click.echo(f"{runs} days, {taken} asks taken: {len(bad)} days with a broken rule")
+    struck = sum(r.get("struck", 0) for r in results)
+    click.echo(f"{runs} days, {taken} asks taken, {struck} crashes at drawn points: {len(bad)} days with a "
+               "broken rule")
     sys.exit(1 if bad else 0)
 
 
--- a/hazelhold/engine/engine.py
+++ b/hazelhold/engine/engine.py
@@ -525,6 +525,8 @@
             if stand and stand.state == "line" and case.cancelled:
                 self._call_off(now, name, link.machine)
             if stand and stand.state == "ended":
+                if not case.placed and stand.how != "withdrawn":  # accepted while nobody listened
+                    self._heard(now, case, m.Taken(guest=case.guest, ask=case.ask))
                 self._heard(now, case, m.Ended(guest=case.guest, ask=case.ask, how=stand.how))
             elif stand and stand.state != "line" and not case.placed and not (
                     stand.state == "accepted" and self.facts.confirms_running):
@@ -736,6 +738,9 @@
         link.used_at = now
         case.sent, case.sent_at, case.incarnation = True, now, link.incarnation
         self._mark("guest", case.name)
+        host = self.brain.machines.get(case.machine)
+        if host and now - host.cold_at < self.facts.cold_for:
+            self._mark("cold", case.machine)
         self.counts["dispatches"] += 1
         self._send_machine(case.machine, m.Offer(
             guest=case.guest, ask=case.ask, attempt=case.attempt, product=submit.product,
--- a/hazelhold/engine/keep.py
+++ b/hazelhold/engine/keep.py
@@ -14,11 +14,12 @@
 from msgspec.structs import replace
 
 from hazelhold.config.planner import micros
-from hazelhold.interface import Earlier, Effect, Learned
+from hazelhold.interface import Earlier, Effect, Learned, Mode
 from hazelhold.protocol import messages as m
 from hazelhold.state.images import (
     AnswerImage,
     Change,
+    ColdImage,
     EndImage,
     GuestImage,
     LearnedImage,
@@ -102,6 +103,13 @@
         kept = engine.ends.get(guest)
         return put("end", guest, EndImage(guest, kept[0]), self.wall(kept[1])) if kept else drop("end", guest)
 
+    def _cold(self, engine: Engine, now: int, machine: str) -> Change | None:
+        host, window = engine.brain.machines.get(machine), 2 * engine.facts.cold_window
+        if host is None:
+            return None
+        times = tuple(self.wall(at) for at in host.offers if at > now - window)
+        return put("cold", machine, ColdImage(machine, times), self.wall(now + window))
+
     def _list(self, engine: Engine, now: int, key: str) -> Change | None:
         """Rooms change all the time: they alone are worth no image."""
         alike = tuple((e.machine, e.address, e.mode, e.incarnation) for e in self.entries.values())
@@ -134,10 +142,17 @@
         heard = min(now, image.heard_at - epoch)
         listing = m.Listing(version=0, whole=True, entries=image.entries)
         keeping.told(listing)
-        engine.brain.machines_listed(heard, engine.roster.learn(heard, listing).listed, True)
+        # What the list said last may never have become safe: nothing goes anywhere before it speaks again.
+        listed = [each._replace(mode=Mode.CORDONED) for each in engine.roster.learn(heard, listing).listed]
+        engine.brain.machines_listed(heard, listed, True)
         engine.unheard = {f.name for f in engine.roster.fellows.values()}
+    past = Learned({}, (), (), (1.0, 1.0, 1.0, 1.0), {})
     for image in ledger.images("learned"):
-        engine.brain.remembered(now, moved(image.data, image.epoch - epoch))
+        past = moved(image.data, image.epoch - epoch)
+    if any(counts.values()):
+        engine.brain.remembered(now, past, complete)
+    for image in ledger.images("cold"):
+        engine.brain.offers_kept(now, image.machine, tuple(at - epoch for at in image.times))
     cases = [image for image in ledger.images("guest") if image.product in engine.products]
     counts["of_unknown_products"] = ledger.sizes()["guest"] - len(cases)
     for image in sorted(cases, key=lambda i: (i.placed, i.ask, i.name)):
--- a/hazelhold/protocol/record.py
+++ b/hazelhold/protocol/record.py
@@ -38,7 +38,8 @@
             return
         body = msgspec.to_builtins(message) if message is not None else None
         crossing = Crossing(at, self.by, self.role, peer, way, body)
-        self.file.write(self.encoder.encode(crossing) + b"\n")
+        if not self.file.closed:  # a day is over while connections still end
+            self.file.write(self.encoder.encode(crossing) + b"\n")
 
     def close(self) -> None:
         if self.file is not None:
--- /dev/null
+++ b/hazelhold/rehearse/crashes.py
@@ -0,0 +1,154 @@
+"""Days on which planners die at numbered points: at a write, a sync or a send, and come back with their
+state."""
+
+import contextlib
+import errno
+from pathlib import Path
+from random import Random
+from typing import Any, NamedTuple
+
+import msgspec
+import trio
+
+from hazelhold.config.day import Day
+from hazelhold.config.planner import PlannerSheet
+from hazelhold.engine.engine import Action, Send
+from hazelhold.protocol.record import Recorder
+from hazelhold.rehearse.crew import Inside, captured
+from hazelhold.service.net import Net
+from hazelhold.service.planner import Planner
+from hazelhold.standin.disk import FaultyDisk, Killed, Points
+
+FAULTS = {"full": ("write",), "read_only": ("write", "rename", "remove"), "no_sync": ("sync",),
+          "no_rename": ("rename",)}
+
+
+class DiskFault(NamedTuple):
+    """What a planner's disk does from when, for how long: one of FAULTS."""
+
+    what: str
+    planner: int
+    at_s: float
+    for_s: float
+
+
+class Fate(msgspec.Struct):
+    """Stands in the record beside a crash: whether the planner's disk had failed by then."""
+
+    unkept: bool = False
+
+
+class Crashing(Inside):
+    """Planners in this process, each with a disk of its own that outlives it. One that dies at a point is
+    started again after a drawn while."""
+
+    def __init__(self, sheets: list[PlannerSheet], net: Net, records: Path, nursery: trio.Nursery,
+                 capture: Path | None, points: Points, chief: Recorder,
+                 faults: tuple[DiskFault, ...] = (), down_s: tuple[float, float] = (0.05, 0.6)) -> None:
+        super().__init__(sheets, net, records, nursery, capture)
+        self.points, self.chief, self.down_s = points, chief, down_s
+        self.disks = [FaultyDisk(points) for _ in sheets]
+        self.random = Random(points.random.random())
+        self.crashes = 0
+        for fault in faults:
+            if fault.planner < len(self.disks):
+                nursery.start_soon(self._fault, fault)
+
+    async def _fault(self, fault: DiskFault) -> None:
+        """The disk fails for its time, whatever lives its planner has meanwhile."""
+        disk = self.disks[fault.planner]
+        await trio.sleep(fault.at_s)
+        if fault.what == "full":
+            disk.room = 300
+        else:
+            disk.fails |= dict.fromkeys(FAULTS[fault.what], errno.EROFS if fault.what == "read_only"
+                                        else errno.EIO)
+        await trio.sleep(fault.for_s)
+        disk.room = None
+        disk.fails.clear()
+
+    async def start(self, number: int) -> None:
+        if number in self.running:
+            return
+        sheet, disk = self.sheets[number], self.disks[number]
+        self.lives[number] += 1
+        recorder = Recorder(self.records / f"planner-{sheet.name}-{self.lives[number]}.jsonl", sheet.name,
+                            "planner")
+        sheet = captured(sheet, self.capture, self.lives[number])
+        planner = Planner(sheet, sheet.seed + self.lives[number], self.net, recorder, disk)
+        do = planner._do
+        planner.keeper.do = lambda action: self._do(do, disk, action)
+        scope, done = trio.CancelScope(), trio.Event()
+        self.running[number] = planner, scope, done
+
+        async def live(task_status: trio.TaskStatus = trio.TASK_STATUS_IGNORED) -> None:
+            dead = False
+            try:
+                with scope:
+                    await planner.run(task_status=task_status)
+            except* Killed:
+                dead = True
+            recorder.close()
+            if planner.tap is not None:
+                planner.tap.writer.close()
+            disk.crash()
+            done.set()
+            if dead:
+                self.crashes += 1
+                self.chief.note(self.net.now(), sheet.name, "planner_kill",
+                                Fate(unkept=not planner.engine.kept_well))
+                if self.running.pop(number, None) is not None:
+                    self.nursery.start_soon(self._again, number)
+                with contextlib.suppress(RuntimeError):  # it died before it was up
+                    task_status.started()
+
+        await self.nursery.start(live)
+
+    async def kill(self, number: int) -> None:
+        """A trouble of the day kills it: as at a point."""
+        if number in self.running:
+            planner, scope, done = self.running.pop(number)
+            self.chief.note(self.net.now(), self.sheets[number].name, "planner_kill",
+                            Fate(unkept=not planner.engine.kept_well))
+            self.disks[number].dead = True
+            scope.cancel()
+            await done.wait()
+
+    async def stop(self, number: int) -> None:
+        """A clean stop whose last state could not be kept is as good as a crash with a failed disk."""
+        planner = self.running[number][0] if number in self.running else None
+        await super().stop(number)
+        if planner is not None and not planner.keeper.store.healthy:
+            self.chief.note(self.net.now(), self.sheets[number].name, "planner_kill", Fate(unkept=True))
+
+    async def _again(self, number: int) -> None:
+        await trio.sleep(self.random.uniform(*self.down_s))
+        self.chief.note(self.net.now(), self.sheets[number].name, "planner_start")
+        await self.start(number)
+
+    def _do(self, do: object, disk: FaultyDisk, action: Action) -> None:
+        """A send is a point, too."""
+        if disk.dead:
+            return
+        if isinstance(action, Send) and self.points.reached(f"send {type(action.message).__name__}"):
+            disk.dead = True
+            raise Killed("send")
+        do(action)
+
+
+def play_crashes(day: Day, seed: int, folder: Path, strike: set[int],
+                 faults: tuple[DiskFault, ...] = ()) -> dict[str, Any]:
+    """The day in virtual time, its planners dying at the points of these numbers and their disks failing so;
+    the report has how many points there were and which were struck."""
+    from trio._core import _run  # as run.play_virtual does
+    from trio.testing import MockClock
+
+    from hazelhold.rehearse.run import play
+    from hazelhold.service.net import MemoryNet
+
+    _run._ALLOW_DETERMINISTIC_SCHEDULING = True
+    _run._r.seed(seed)
+    points = Points(strike, seed)
+    said = trio.run(play, day, seed, folder, True, MemoryNet(), None, points, faults,
+                    clock=MockClock(autojump_threshold=0))
+    return {**said, "points": points.count, "struck": points.struck}
--- a/hazelhold/rehearse/run.py
+++ b/hazelhold/rehearse/run.py
@@ -7,16 +7,19 @@
 
 import msgspec
 import trio
+from msgspec.structs import replace
 
 from hazelhold.audit.rules import Audit, RuleSheet
 from hazelhold.audit.score import score
 from hazelhold.config.day import Day
-from hazelhold.config.planner import LimitSheet, ListSheet, PlannerSheet, micros
+from hazelhold.config.planner import LimitSheet, ListSheet, PlannerSheet, StateSheet, micros
 from hazelhold.protocol.record import Recorder
+from hazelhold.rehearse.crashes import Crashing, DiskFault
 from hazelhold.rehearse.crew import Crew, Inside, Processes
 from hazelhold.rehearse.stage import Stage
 from hazelhold.rehearse.troubles import plan
 from hazelhold.service.net import MemoryNet, Net, TcpNet
+from hazelhold.standin.disk import Points
 
 
 def planner_sheets(day: Day, seed: int, list_address: str, doors: list[str]) -> list[PlannerSheet]:
@@ -49,9 +52,11 @@
 
 
 async def play(day: Day, seed: int, folder: Path, inside: bool, net: Net | None = None,
-               capture: Path | None = None) -> dict[str, Any]:
+               capture: Path | None = None, points: Points | None = None,
+               faults: tuple[DiskFault, ...] = (), keep: bool = False) -> dict[str, Any]:
     """Plays the day and returns the report. `inside` keeps the planners in this process; a MemoryNet needs
-    it.
+    it. With `points` their state is kept on stand-in disks, and they die at those points; with `keep`
+    planners' processes keep it in `folder`/state.
 
     Records go to `folder`/records, one file for each end, and logs of planner processes beside them.
     """
@@ -67,11 +72,18 @@
         doors = ([f"{host}:{port}" for port in free_ports(day.planners)] if isinstance(net, TcpNet)
                  else [f"door-{number}" for number in range(day.planners)])
         sheets = planner_sheets(day, seed, list_address, doors)
-        crew: Crew = (Inside(sheets, net, records, nursery, capture) if inside
-                      else Processes(sheets, folder, nursery, capture))
+        if keep:
+            sheets = [replace(s, state=StateSheet(folder=str(folder / "state" / s.name))) for s in sheets]
+        if points is not None:
+            crew: Crew = Crashing(sheets, net, records, nursery, capture, points, chief, faults)
+        elif inside:
+            crew = Inside(sheets, net, records, nursery, capture)
+        else:
+            crew = Processes(sheets, folder, nursery, capture)
         for number in range(day.planners):
             await crew.start(number)
-        chief.note(net.now(), "", "rules", rule_sheet(day))
+        kept = points is not None or any(s.state.folder for s in sheets)
+        chief.note(net.now(), "", "rules", replace(rule_sheet(day), durable=kept))
         start = net.now()
         stage.bring_owners({s.name: s.listen for s in sheets}, nursery)
         await _troubles(day, seed, stage, crew, chief, nursery, start)
@@ -101,7 +113,8 @@
                 await act(step.value)
                 chief.note(stage.net.now(), name, "planner_start")
             else:
-                chief.note(stage.net.now(), name, step.what)
+                if step.what == "planner_stop" or not isinstance(crew, Crashing):  # that notes it by itself
+                    chief.note(stage.net.now(), name, step.what)
                 await act(step.value)
         else:
             stage.do(step)
--- a/hazelhold/service/keeper.py
+++ b/hazelhold/service/keeper.py
@@ -145,7 +145,8 @@
             message = action.message if isinstance(action, Send) else None
             if isinstance(message, m.Offer) and self._harmful(message.product):
                 self.feed("offer_held_back", message)
-            elif isinstance(message, m.TurnedBack | m.BrokenOff) and (until := self._until(message)):
+            elif isinstance(message, m.TurnedBack | m.BrokenOff) and (
+                    until := self._until(message)) > self.wall():
                 self.held_back.append((until, action))
             else:
                 found.append(action)
@@ -161,27 +162,36 @@
         kept = self.store.before.get(f"{message.guest}/{message.ask}")
         if kept is None or not self._harmful(kept.product) or kept.placed:
             return 0
-        return kept.deadline - 20_000
+        return kept.deadline - 50_000
 
     def _do(self, actions: list[Action]) -> None:
         for action in actions:
             self.do(action)
 
     async def tend(self) -> None:
-        """Keeps what was learned, tries a failed disk again, lets go of what was held back."""
+        """Keeps what was learned, and tries a failed disk again."""
         learn_at = 0
         while True:
-            await trio.sleep(micros(self.sheet.retry_ms) / 1e6 / 10)
+            await trio.sleep(micros(self.sheet.retry_ms) / 1e6)
             now = self.now()
             if self.engine.kept_well and now >= learn_at:
                 learn_at = now + round(self.sheet.learned_s * 1e6)
                 self.take([], [self.engine.keeping.learned(self.engine)])
             if not self.engine.kept_well:
                 await self._renew()
+
+    async def let_go(self) -> None:
+        """Sends answers that were held back, in time."""
+        while True:
+            await trio.sleep(0.02 if self.held_back else 0.1)
             self.release(self.wall())
 
+    async def last_try(self) -> None:
+        """Before the process ends: a disk that failed may take all now."""
+        if not self.store.healthy:
+            await self._renew()
+
     async def _renew(self) -> None:
-        await trio.sleep(self.sheet.retry_ms / 1000)
         try:
             if self.store.disk.threaded:
                 while self.busy:
--- a/hazelhold/service/planner.py
+++ b/hazelhold/service/planner.py
@@ -6,6 +6,7 @@
 """
 
 import os
+import signal
 from collections import Counter
 from pathlib import Path
 from random import Random
@@ -27,14 +28,14 @@
 from hazelhold.service.wire import Wire
 from hazelhold.state.disk import Disk, RealDisk
 from hazelhold.state.images import ENCODER
-from hazelhold.state.store import Store
+from hazelhold.state.store import Found, InUseError, StateError, Store
 
 
 class Planner:
     """One planner from its start to its stop. `run` ends once a stop that was asked for is done."""
 
     def __init__(self, sheet: PlannerSheet, seed: int, net: Net, recorder: Recorder | None = None,
-                 disk: Disk | None = None) -> None:
+                 disk: Disk | None = None, take_over: bool = False) -> None:
         self.sheet, self.net, self.limits = sheet, net, sheet.limits
         self.engine = Engine(sheet, seed, net.now())
         self.tap = Tap(Path(sheet.capture.file), sheet.capture, sheet, seed, net.now()) if (
@@ -53,7 +54,7 @@
                                Random(f"door/{seed}"))
         self.address = ""
         self.stop_asked = trio.Event()
-        self.handing_over = False
+        self.handing_over, self.take_over = False, take_over
         self.keeper: Keeper | None = None
         if disk is None and sheet.state.folder:
             disk = RealDisk(Path(sheet.state.folder))
@@ -65,9 +66,10 @@
         async with trio.open_nursery() as nursery:
             self.nursery = nursery
             if self.keeper is not None:
-                self._recover()
+                await self._recover()
                 nursery.start_soon(self.keeper.run)
                 nursery.start_soon(self.keeper.tend)
+                nursery.start_soon(self.keeper.let_go)
             self.address = await self.net.listen(self.sheet.listen, self._door, nursery)
             nursery.start_soon(self.ticker.run)
             nursery.start_soon(self._follow_list)
@@ -81,10 +83,16 @@
                     self.keeper.store.close()
             nursery.cancel_scope.cancel()
 
-    def _recover(self) -> None:
+    async def _recover(self) -> None:
         """Begins where an earlier life left off. StateError if the folder is not to be used."""
+        text = f"{self.sheet.name} {os.getpid()}"
+        try:
+            found = self.keeper.open(self.net.wall(), text)
+        except InUseError as wrong:
+            if not self.take_over or not wrong.pid:
+                raise
+            found = await self._take_over(wrong.pid, text)
         now, wall = self.net.now(), self.net.wall()
-        found = self.keeper.open(wall, f"{self.sheet.name} {os.getpid()}")
         counts = self.engine.keep(now, wall - now, found.ledger, found.complete and not found.fresh)
         if self.tap is not None:
             kept = [[*change] for change in found.ledger.changes()]
@@ -95,8 +103,25 @@
                       generation=found.generation, **counts)
         self._carry_out()
 
+    async def _take_over(self, pid: int, text: str) -> Found:
+        """Asks the process that has the state to hand over, and waits for it, ten seconds at most."""
+        os.kill(pid, signal.SIGUSR2)
+        self.log.info("taking_over", pid=pid)
+        with trio.move_on_after(10):
+            while True:
+                await trio.sleep(0.002)
+                try:
+                    return self.keeper.open(self.net.wall(), text)
+                except InUseError:
+                    continue
+        raise StateError(f"process {pid} did not hand over within 10 s")
+
     def hand_over(self) -> None:
-        """Asks for an end that leaves all that is held to the next process, by way of the kept state."""
+        """Asks for an end that leaves all that is held to the next process, by way of the kept state. Without
+        kept state nothing happens."""
+        if self.keeper is None:
+            self.log.warning("nothing_to_hand_over")
+            return
         self.handing_over = True
         self.stop_asked.set()
 
@@ -132,6 +157,7 @@
         if self.keeper is not None:
             with trio.move_on_after(1.0):
                 await self.keeper.drained()
+                await self.keeper.last_try()
         for wire in [*self.owners.values(), *(w for _, w in self.machines.values() if w)]:
             wire.finish(m.Bye(reason="stopping", spread=spread))
         with trio.move_on_after(0.5):
--- a/hazelhold/state/frames.py
+++ b/hazelhold/state/frames.py
@@ -82,6 +82,8 @@
     size = int.from_bytes(left[4:8])
     body = data[at + HEAD:at + HEAD + size]
     if size > MOST or len(body) < size:
+        if crc32(data[at + HEAD:]) == int.from_bytes(left[8:12]):
+            return "damaged", "a length that is wrong", b"", at
         return "torn", f"a frame of {size} bytes, {len(body)} are there", b"", at
     if crc32(body) != int.from_bytes(left[8:12]):
         return "damaged", "a checksum that is wrong", b"", at
--- a/hazelhold/state/images.py
+++ b/hazelhold/state/images.py
@@ -17,7 +17,7 @@
 
 
 class Change(NamedTuple):
-    """One key's new image. Kinds: guest, loose, answer, end, list, learned. `until` is when it may be
+    """One key's new image. Kinds: guest, loose, answer, end, list, learned, cold. `until` is when it may be
     forgotten, 0 for never."""
 
     kind: str
@@ -96,8 +96,16 @@
     data: Learned
 
 
+class ColdImage(Struct, array_like=True, frozen=True):
+    """When offers were sent to a cold machine, as far as they still count against its budget."""
+
+    machine: str
+    times: tuple[int, ...]
+
+
 KINDS: dict[str, type[Struct]] = {"guest": GuestImage, "loose": LooseImage, "answer": AnswerImage,
-                                  "end": EndImage, "list": ListImage, "learned": LearnedImage}
+                                  "end": EndImage, "list": ListImage, "learned": LearnedImage,
+                                  "cold": ColdImage}
 ENCODER = msgspec.msgpack.Encoder()
 DECODERS = {kind: msgspec.msgpack.Decoder(image) for kind, image in KINDS.items()}
 BATCH = msgspec.msgpack.Decoder(list[Change])
--- a/hazelhold/state/snapshot.py
+++ b/hazelhold/state/snapshot.py
@@ -19,7 +19,7 @@
                "rests_until")
 GUEST_PLAIN = ("placed", "runs", "warm", "may_run", "over", "probed_for", "unwanted", "dispatches", "ahead",
                "cores_noted", "use")
-BRAIN_TIMES = ("looked_at", "ask_list_at", "sweep_at", "probe_at", "list_heard_at")
+BRAIN_TIMES = ("no_cold_until", "looked_at", "ask_list_at", "sweep_at", "probe_at", "list_heard_at")
 BRAIN_PLAIN = ("seen", "list_version", "kept_well")
 
 
--- a/hazelhold/state/store.py
+++ b/hazelhold/state/store.py
@@ -26,6 +26,14 @@
     """The state cannot be used, and was not touched; the text says which file and why."""
 
 
+class InUseError(StateError):
+    """Another process has the folder; `pid` is its number, 0 if it is not known."""
+
+    def __init__(self, text: str, pid: int) -> None:
+        super().__init__(text)
+        self.pid = pid
+
+
 class Found(NamedTuple):
     """What recovery found. `complete` is False if something that a peer may have seen can be missing."""
 
@@ -111,11 +119,13 @@
         self.syncs = self.bytes = self.generations = 0  # in all
 
     def open(self, now: int, text: str) -> Found:
-        """Takes the folder, reads what is there and begins a new generation. StateError if another process
-        has it or it is not this planner's; OSError if nothing can be written (`begin` may be tried
-        again)."""
+        """Takes the folder and reads what is there. InUseError if another process has it, StateError if it is
+        not this planner's or of a newer program. Nothing is written; `begin` does that."""
         if not self.disk.lock(text):
-            raise StateError(f"the state is in use by {self.disk.owner().strip() or 'another process'}")
+            owner = self.disk.owner().strip()
+            pid = owner.rpartition(" ")[2]
+            raise InUseError(f"the state is in use by {owner or 'another process'}",
+                             int(pid) if pid.isdigit() else 0)
         try:
             found = read(self.disk, self.planner)
         except StateError:
