--- a/bench/overload.py
+++ b/bench/overload.py
@@ -139,6 +139,8 @@
     parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
     parser.add_argument("--times", default="1,2,5,10")
     parser.add_argument("--limits", default="processor,machines")
+    parser.add_argument("--bare", type=float, default=2.0,
+                        help="run without protections up to this multiple; past it a run takes hours")
     parser.add_argument("--plot", type=Path)
     options = parser.parse_args()
     structlog.configure(wrapper_class=structlog.make_filtering_bound_logger(40))
@@ -148,8 +150,8 @@
     with ProcessPoolExecutor(8) as pool:
         futures = []
         if "processor" in options.limits:
-            futures += [pool.submit(processor, each, protected)
-                        for each in times for protected in (True, False)]
+            futures += [pool.submit(processor, each, protected) for each in times
+                        for protected in (True, False) if protected or each <= options.bare]
         if "machines" in options.limits:
             futures += [pool.submit(machines, each) for each in times]
         for future in futures:
--- a/hazelhold/brain.py
+++ b/hazelhold/brain.py
@@ -256,9 +256,10 @@
         self._seat(guest, self._host(machine, now))
 
     def _host(self, name: str, now: int) -> Machine:
-        """The machine of this name; one that the list does not have is counted as gone."""
+        """The machine of this name; one that the list does not have is counted as gone, in no known place:
+        guards against a ticket that is bound to the wrong group."""
         if name not in self.machines:
-            gone = Listed(name, Mode.GONE, 0, 0, 0, 0, 0.0, 0.0)
+            gone = Listed(name, Mode.GONE, 0, -1, -1, 0, 0.0, 0.0)
             self.machines[name] = Machine(gone, self.deployment.kinds[0], now)
         return self.machines[name]
 
--- a/hazelhold/rehearse/crashes.py
+++ b/hazelhold/rehearse/crashes.py
@@ -96,7 +96,7 @@
             if dead:
                 self.crashes += 1
                 self.chief.note(self.net.now(), sheet.name, "planner_kill",
-                                Fate(unkept=not planner.engine.kept_well))
+                                Fate(unkept=planner.keeper.failed))
                 if self.running.pop(number, None) is not None:
                     self.nursery.start_soon(self._again, number)
                 with contextlib.suppress(RuntimeError):  # it died before it was up
@@ -109,7 +109,7 @@
         if number in self.running:
             planner, scope, done = self.running.pop(number)
             self.chief.note(self.net.now(), self.sheets[number].name, "planner_kill",
-                            Fate(unkept=not planner.engine.kept_well))
+                            Fate(unkept=planner.keeper.failed))
             self.disks[number].dead = True
             scope.cancel()
             await done.wait()
@@ -118,7 +118,7 @@
         """A clean stop whose last state could not be kept is as good as a crash with a failed disk."""
         planner = self.running[number][0] if number in self.running else None
         await super().stop(number)
-        if planner is not None and not planner.keeper.store.healthy:
+        if planner is not None and planner.keeper.failed:
             self.chief.note(self.net.now(), self.sheets[number].name, "planner_kill", Fate(unkept=True))
 
     async def _again(self, number: int) -> None:
--- a/hazelhold/service/keeper.py
+++ b/hazelhold/service/keeper.py
@@ -11,7 +11,6 @@
 
 from collections import deque
 from collections.abc import Callable
-from random import Random
 
 import structlog
 import trio
@@ -19,10 +18,11 @@
 from hazelhold.config.planner import StateSheet, micros
 from hazelhold.engine.engine import Action, Engine, Send
 from hazelhold.protocol import messages as m
+from hazelhold.state import frames
 from hazelhold.state.images import Change
 from hazelhold.state.store import Found, Store
 
-FINALS = m.Placed | m.TurnedBack | m.BrokenOff
+LOST = OSError("the disk has failed")
 
 
 class Keeper:
@@ -34,10 +34,10 @@
         self.now, self.do, self.feed = now, do, feed
         self.queue: deque[tuple[list[Action], list[Change]]] = deque()  # emptied by every commit
         self.held_back: list[tuple[int, Action]] = []  # answers, with when to send them all the same
-        self.busy = False
+        self.busy = self.failed = False
+        self.late: list[Change] = []  # since a new generation was prepared; emptied by its success
         self.stirred = trio.Event()
         self.log = structlog.get_logger().bind(planner=store.planner)
-        self.random = Random(store.planner)
         self.commits = self.failures = 0
 
     def open(self, wall: int, text: str) -> Found:
@@ -84,10 +84,14 @@
         return actions, list(changes.values())
 
     def _write(self, changes: list[Change]) -> OSError | None:
-        """One commit, and a new generation if the log has grown long."""
+        """One commit on a disk that needs no thread."""
+        if self.failed:
+            self.store.apply(changes)
+            return LOST
         try:
             if changes:
                 self.store.commit(changes)
+                self.store.before.clear()
                 if self.store.due():
                     self.store.begin(self.wall())
         except OSError as wrong:
@@ -109,21 +113,31 @@
                 self.busy = bool(self.queue)
 
     async def _commit(self, changes: list[Change]) -> OSError | None:
+        """One commit in a thread, and a new generation if the log has grown long; never longer than
+        stated."""
         if not changes:
             return None
-        if not self.store.healthy:
-            return self._write(changes)  # only into the ledger
-        wrong: list[OSError | None] = []
-
-        def write() -> None:
-            wrong.append(self._write(changes))
-
-        with trio.move_on_after(self.sheet.slow_ms / 1000) as scope:
-            await trio.to_thread.run_sync(write, abandon_on_cancel=False)
-        if scope.cancelled_caught:
-            self.store.healthy = False
-        late = OSError(f"a commit took longer than {self.sheet.slow_ms:g} ms")
-        return (wrong[0] if wrong else late) or (late if scope.cancelled_caught else None)
+        self.store.apply(changes)
+        if self.failed:
+            self.late += changes
+            return LOST
+        wrong = await self._slowly(self.store.log, frames.batch(changes))
+        if wrong is None:
+            self.store.before.clear()
+            if self.store.due():
+                wrong = await self._slowly(self.store.finish, *self.store.prepare(self.wall()))
+        return wrong
+
+    async def _slowly(self, call: Callable[..., None], *given: object) -> OSError | None:
+        """Calls in a thread. One that takes too long is left to itself: its disk counts as failed."""
+        with trio.move_on_after(self.sheet.slow_ms / 1000):
+            try:
+                await trio.to_thread.run_sync(call, *given, abandon_on_cancel=True)
+                return None
+            except OSError as wrong:
+                return wrong
+        self.store.healthy = False
+        return OSError(f"the disk took longer than {self.sheet.slow_ms:g} ms")
 
     def _after(self, actions: list[Action], changes: list[Change], wrong: OSError | None) -> None:
         self.commits += bool(changes)
@@ -133,7 +147,9 @@
         self._do(actions)
 
     def _failed(self, wrong: OSError) -> None:
-        if self.engine.kept_well:
+        if not self.failed:
+            self.failed = True
+            self.late = []
             self.failures += 1
             self.log.error("state_failed", reason=str(wrong))
             self.feed("state_kept", False)
@@ -174,10 +190,10 @@
         while True:
             await trio.sleep(micros(self.sheet.retry_ms) / 1e6)
             now = self.now()
-            if self.engine.kept_well and now >= learn_at:
+            if not self.failed and now >= learn_at:
                 learn_at = now + round(self.sheet.learned_s * 1e6)
                 self.take([], [self.engine.keeping.learned(self.engine)])
-            if not self.engine.kept_well:
+            if self.failed:
                 await self._renew()
 
     async def let_go(self) -> None:
@@ -188,32 +204,34 @@
 
     async def last_try(self) -> None:
         """Before the process ends: a disk that failed may take all now."""
-        if not self.store.healthy:
+        if self.failed:
             await self._renew()
 
     async def _renew(self) -> None:
-        try:
-            if self.store.disk.threaded:
-                while self.busy:
-                    await trio.sleep(0.001)
-                self.busy = True
-                try:
-                    await trio.to_thread.run_sync(self.store.begin, self.wall())
-                finally:
-                    self.busy = False
-                    self.stirred.set()
-            else:
-                self.store.begin(self.wall())
-        except OSError as wrong:
+        """All that is kept as a new generation; what changes meanwhile follows before it counts as safe."""
+        store, self.late = self.store, []
+        if store.disk.threaded:
+            wrong = await self._slowly(store.finish, *store.prepare(self.wall()))
+            while wrong is None and self.late:
+                changes, self.late = self.late, []
+                wrong = await self._slowly(store.log, frames.batch(changes))
+        else:
+            try:
+                store.begin(self.wall())
+                wrong = None
+            except OSError as fault:
+                wrong = fault
+        if wrong is not None:
             self.log.info("state_still_fails", reason=str(wrong))
             return
+        self.failed = False
         self.log.warning("state_works_again")
         self.feed("state_kept", True)
 
     def release(self, wall: int) -> None:
         """Sends answers that were held back, once they are safe or their guest's patience ends."""
-        due = [a for until, a in self.held_back if self.engine.kept_well or until <= wall]
-        self.held_back = [] if self.engine.kept_well else [p for p in self.held_back if p[0] > wall]
+        due = [a for until, a in self.held_back if not self.failed or until <= wall]
+        self.held_back = [] if not self.failed else [p for p in self.held_back if p[0] > wall]
         self._do(due)
 
     async def drained(self) -> None:
--- a/hazelhold/state/store.py
+++ b/hazelhold/state/store.py
@@ -114,7 +114,8 @@
         self.ledger = Ledger()
         self.generation = 0
         self.healthy = False
-        self.before: dict[str, GuestImage] = {}  # guests that the disk may still have; emptied by `begin`
+        # What the disk may still have of guests that have changed since; emptied by each batch that is safe.
+        self.before: dict[str, GuestImage] = {}
         self.written = self.snapshot_bytes = 0  # in this generation's log, in its snapshot
         self.syncs = self.bytes = self.generations = 0  # in all
 
@@ -137,20 +138,27 @@
 
     def commit(self, changes: list[Change]) -> None:
         """Safe when it returns. OSError: nothing of it may be relied on, and the store is unhealthy."""
-        old = {c.key: i for c in changes if c.kind == "guest" and c.key not in self.before
-               and (i := self.ledger.image("guest", c.key))}
+        self.apply(changes)
+        self.log(frames.batch(changes))
+
+    def apply(self, changes: list[Change]) -> None:
+        """Into the ledger alone; remembers what the disk may still have of guests that it is behind on."""
+        for change in changes:
+            if change.kind == "guest" and change.key not in self.before and (
+                    old := self.ledger.image("guest", change.key)):
+                self.before[change.key] = old
         self.ledger.apply(changes)
+
+    def log(self, data: bytes) -> None:
+        """Writes and syncs a batch that `apply` has seen; may run in a thread of its own."""
         if not self.healthy:
-            self.before |= old
             raise OSError("the store has failed and was not begun anew")
         try:
             name = f"log-{self.generation}"
-            data = frames.batch(changes)
             self.disk.write(name, data)
             self.disk.sync(name)
         except OSError:
             self.healthy = False
-            self.before |= old
             raise
         self.syncs += 1
         self.written += len(data)
@@ -162,20 +170,29 @@
 
     def begin(self, now: int) -> None:
         """A new generation with all that is kept. OSError leaves the older files as they are."""
+        self.finish(*self.prepare(now))
+
+    def prepare(self, now: int) -> tuple[int, bytes, bytes]:
+        """The number, the log's head and the snapshot of a new generation, as the ledger is now."""
         self.healthy = False
         self.ledger.expire(now)
-        number = self.generation + 1
-        self.generation = number  # a number is never used twice, also if this fails
-        log, snapshot = f"log-{number}", f"snapshot-{number}"
-        self.disk.write(log, frames.header(Header(FORMAT, self.planner, number, "log", now)))
-        self.disk.sync(log)
+        self.before.clear()
+        number = self.generation = self.generation + 1  # a number is never used twice, also if this fails
         kept = list(self.ledger.changes())
-        data = frames.header(Header(FORMAT, self.planner, number, "snapshot", now)) + b"".join(
+        return number, frames.header(Header(FORMAT, self.planner, number, "log", now)), frames.header(
+            Header(FORMAT, self.planner, number, "snapshot", now)) + b"".join(
             frames.batch(kept[at:at + 1000]) for at in range(0, len(kept), 1000))
+
+    def finish(self, number: int, log: bytes, data: bytes) -> None:
+        """Writes what `prepare` made; may run in a thread of its own."""
+        self.disk.write(f"log-{number}", log)
+        self.disk.sync(f"log-{number}")
+        snapshot = f"snapshot-{number}"
         self.disk.write(snapshot + ".new", data)
         self.disk.sync(snapshot + ".new")
         self.disk.rename(snapshot + ".new", snapshot)
-        self.before.clear()
+        if number != self.generation:
+            return  # it took so long that another was begun
         self.healthy, self.written, self.snapshot_bytes = True, 0, len(data)
         self.generations += 1
         self.bytes += len(data)
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -275,3 +275,12 @@
     made.machines_listed(now + 3, [entry("a", Mode.GONE)], False)
     made.machines_listed(now + 20_000 * MS, [entry("b")], False)
     assert "a" not in made.machines
+
+
+def test_a_ticket_of_a_machine_that_the_list_does_not_have_is_bound_to_no_known_group() -> None:
+    made = brain("ab")
+    made.guest_arrived(0, ask("g", 2))
+    made.dispatch_stands(0, "elsewhere", "g", 0)
+    made.dispatch_ended(MS, "g", Ending.OVERDUE, False, Remark.NONE)
+    made_at = [d for now in range(MS, 4000 * MS, 100 * MS) for d in decisions(made, now)]
+    assert all(d.step is not Step.DISPATCH for d in made_at)
--- a/tests/test_state.py
+++ b/tests/test_state.py
@@ -460,3 +460,94 @@
     bad = run(main, ["state", "check", str(tmp_path)])
     assert bad.exit_code == 1 and "log-2: damaged" in bad.output and "incomplete" in bad.output
     assert run(main, ["state", "compact", str(tmp_path)]).exit_code == 2
+
+
+class SlowDisk(RealDisk):
+    """A real disk whose syncs can be made to hang."""
+
+    hang = 0.0
+
+    def sync(self, name: str) -> None:
+        import time
+
+        time.sleep(self.hang)
+        super().sync(name)
+
+
+def test_a_disk_that_hangs_counts_as_failed_and_is_taken_again_when_it_works(tmp_path: Path) -> None:
+    on = SlowDisk(tmp_path)
+
+    async def run() -> None:
+        net = MemoryNet()
+        made = replace(sheet(), state=replace(sheet().state, retry_ms=50.0, slow_ms=60.0))
+        planner = Planner(made, 1, net, disk=on)
+        with trio.fail_after(20):
+            async with trio.open_nursery() as nursery:
+                await nursery.start(planner.run)
+                engine = planner.engine
+
+                async def take(guest: str) -> None:
+                    engine.owner_said(net.now(), "o", m.Submit(guest=guest, product="plain", service="s",
+                                                               cores=1.0, memory=1.0, patience=60 * S))
+                    planner._carry_out()
+                    await planner.keeper.drained()
+
+                await take("g1")
+                on.hang = 0.5
+                await take("g2")
+                assert planner.keeper.failed and not engine.kept_well
+                await take("g3")  # nothing waits for the disk any more
+                on.hang = 0.0
+                while planner.keeper.failed:
+                    await trio.sleep(0.02)
+                await take("g4")
+                nursery.cancel_scope.cancel()
+
+    trio.run(run)
+    on.unlock()
+    assert [i.guest for i in store.read(on, "p0").ledger.images("guest")] == ["g1", "g2", "g3", "g4"]
+
+
+def test_a_process_takes_over_from_another_and_no_owner_sees_an_error(tmp_path: Path) -> None:
+    import subprocess
+    import sys
+
+    from hazelhold.client import Want, open_client
+    from hazelhold.rehearse.run import free_ports
+
+    door = f"127.0.0.1:{free_ports(1)[0]}"
+    made = sheet()
+    made = replace(made, listen=door, list=replace(made.list, address="127.0.0.1:1"))
+    file = tmp_path / "planner.json5"
+    made = replace(made, state=replace(made.state, folder=str(tmp_path / "s")))
+    file.write_bytes(msgspec.json.encode(made))
+
+    def start(*more: str) -> subprocess.Popen:
+        command = [sys.executable, "-m", "hazelhold", "planner", "--config", str(file), "--ready", *more]
+        process = subprocess.Popen(command, stdout=subprocess.PIPE, stderr=subprocess.DEVNULL)
+        assert process.stdout.readline()
+        return process
+
+    async def run(first: subprocess.Popen) -> subprocess.Popen:
+        async with open_client("c", {"p0": door}, seed=1) as client:
+            async with trio.open_nursery() as nursery:
+                wanted = Want("g", "once", "s", 1.0, 1.0, 4_900_000, "exclusive")
+                nursery.start_soon(client.place, wanted)
+                await trio.sleep(0.5)
+                second = await trio.to_thread.run_sync(start, "--take-over")
+                assert first.wait(5) == 0
+                while not client.core.up["p0"]:
+                    await trio.sleep(0.01)
+                assert (await client.query("g")).state == "held"
+                nursery.cancel_scope.cancel()
+        return second
+
+    first = start()
+    second = None
+    try:
+        second = trio.run(run, first)
+    finally:
+        for process in (first, second):
+            if process is not None and process.poll() is None:
+                process.terminate()
+                process.wait(10)
--- a/tests/test_town.py
+++ b/tests/test_town.py
@@ -193,6 +193,30 @@
     beside({"p": lossy("p"), "q": lossy("q")}, test)
 
 
+def test_clocks_that_are_minutes_apart_change_nothing() -> None:
+    class Off(MemoryNet):
+        """The client's network: the same streams, another clock."""
+
+        def now(self) -> int:
+            return super().now() + 600 * SECOND
+
+    from hazelhold.service.planner import Planner
+
+    async def run() -> None:
+        net, off = MemoryNet(), Off()
+        off.doors = net.doors
+        async with trio.open_nursery() as nursery:
+            await nursery.start(Planner(sheet(), 1, net).run)
+            async with open_client("c", {"p": "door"}, net=off, seed=1) as client:
+                await trio.sleep(1)
+                began = trio.current_time()
+                outcome = await client.place(want("g", "exclusive", 3 * SECOND))
+                assert outcome.state == "turned_back" and 2.9 < trio.current_time() - began <= 3
+            nursery.cancel_scope.cancel()
+
+    trio.run(run, clock=MockClock(autojump_threshold=0))
+
+
 def test_outcomes_raise_by_what_they_are() -> None:
     assert Outcome("g", "placed").or_raise().state == "placed"
     with pytest.raises(TurnedBackError, match="g: turned_back, no_time"):
