--- a/hazelhold/brain.py
+++ b/hazelhold/brain.py
@@ -6,6 +6,7 @@
 nothing happens. The types that go in and out stand in interface.py.
 """
 
+from bisect import bisect_right
 from collections import defaultdict, deque
 from hashlib import blake2b
 from itertools import islice
@@ -56,6 +57,7 @@
         self.window_ends, self.cores_noted = 0, 0.0
         self.look_at, self.looked_at, self.rests_until = now, 0, now
         self.use: tuple[float, float] | None = None
+        self.rounds: list[tuple[float, float]] | None = None  # its draws, while its machine's sums hold them
 
     def may_turn_back(self) -> bool:
         """A turn-back promises that another try is harmless."""
@@ -75,12 +77,15 @@
         self.others = (0.0, 0.0)  # last reported use less our guests' share
         self.reported_at = self.probed_at = -10**15
         self.guests: dict[str, Guest] = {}
+        self.bears, self.starting = 1.0, 0  # of our guests: the least easy_until, and how many do not run yet
+        self.services: dict[str, int] = {}  # our guests here by service; emptied as they go
         self.kept: dict[str, None] = {}  # services that ended here lately; the oldest falls out
         self.left: tuple[float, float] | None = None  # see room
-        self.sums: list[tuple[float, float]] | None = None  # our guests' drawn use, round by round
+        self.sums: tuple[list[float], list[float]] | None = None  # our guests' drawn use, round by round
         self.means = self.most = (0.0, 0.0)  # the mean and the highest of the sums
         self.full = [(0, 0.0), (0, 0.0)]  # until when it takes no ask of so many cores, so much memory
         self.answers: deque[int] = deque(maxlen=12)  # answer times; the oldest falls out
+        self.slow: int | None = None  # see slowness; kept until an answer comes
         self.drawn_at = self.strikes = self.avoid_until = 0
         self.mute = False  # gave no answer at all: a probe must answer before guests go there
         self.offers: deque[int] = deque()  # the last sent; emptied by age
@@ -102,10 +107,13 @@
 
     def slowness(self) -> int:
         """A high quantile of its answer times, failures counted as a minute."""
-        return sorted(self.answers)[int(0.8 * len(self.answers))]
+        if self.slow is None:
+            self.slow = sorted(self.answers)[int(0.8 * len(self.answers))]
+        return self.slow
 
-    def starting(self) -> int:
-        return sum(not g.runs for g in self.guests.values())
+    def answered(self, took: int) -> None:
+        self.answers.append(took)
+        self.slow = None
 
     def place(self, reach: Place) -> tuple[Place, str]:
         """The group of machines that a ticket or a spread speaks of."""
@@ -114,18 +122,38 @@
         return reach, name.get(reach, "")
 
     def draw(self, random: Random, now: int) -> None:
-        """Draws our guests' use afresh; a drawn table is good until a guest comes or goes, or for a second,
-        by which time the services' samples have moved on."""
+        """Draws our guests' use afresh; a drawn table is good for a second, by which time the services'
+        samples have moved on. Who comes or goes meanwhile brings or takes its own draws."""
         if self.sums is not None and now - self.drawn_at < SECOND:
             return
         cores, memory = [0.0] * ROUNDS, [0.0] * ROUNDS
         for guest in self.guests.values():
-            for at, (c, m) in enumerate(drawn(random, guest)):
+            guest.rounds = drawn(random, guest)
+            for at, (c, m) in enumerate(guest.rounds):
                 cores[at] += c
                 memory[at] += m
-        self.sums, self.drawn_at = list(zip(cores, memory, strict=True)), now
+        self.drawn_at = now
+        self._sum(cores, memory)
+
+    def _sum(self, cores: list[float], memory: list[float]) -> None:
+        self.sums = cores, memory
         self.means, self.most = (sum(cores) / ROUNDS, sum(memory) / ROUNDS), (max(cores), max(memory))
 
+    def changed(self, guest: Guest, sign: int) -> None:
+        """A guest comes or goes: the sums follow if its draws are known, else they are drawn anew."""
+        self.left = None
+        self.bears = min([g.product.easy_until for g in self.guests.values()], default=1.0)
+        self.starting += sign * (not guest.runs)
+        here = self.services[guest.ask.service] = self.services.get(guest.ask.service, 0) + sign
+        if not here:
+            del self.services[guest.ask.service]
+        if self.sums is None or guest.rounds is None:
+            self.sums = None
+            return
+        cores, memory = self.sums
+        self._sum([s + sign * c for s, (c, _) in zip(cores, guest.rounds, strict=True)],
+                  [s + sign * m for s, (_, m) in zip(memory, guest.rounds, strict=True)])
+
 
 def drawn(random: Random, guest: Guest) -> list[tuple[float, float]]:
     samples = guest.service.samples
@@ -141,6 +169,9 @@
         self.machines: dict[str, Machine] = {}  # emptied with the list
         self.guests: dict[str, Guest] = {}  # emptied by each guest's last outcome
         self.waiting: dict[str, Guest] = {}  # held guests, no dispatch out; emptied by dispatch or answer
+        self.out: dict[str, Guest] = {}  # with a dispatch out, not yet taken; emptied by its outcome
+        self.answer_at = 0  # no final answer is due before; 0: look, something may have changed that
+        self.due: list[Guest] | None = None  # those to place at this moment; None: look anew
         self.services: dict[str, Service] = {}  # swept of idle ones
         self.spread: dict[tuple[str, Place, str], int] = {}  # emptied as guests end
         # Start times, warm or cold, and answer times, by product: large guests take many times as long.
@@ -196,11 +227,13 @@
             guest.window_ends = ask.earlier.sent_at + guest.product.window
         guest.dispatches = ask.spent
         self.guests[ask.guest] = self.waiting[ask.guest] = guest
+        self.answer_at = 0 if ask.earlier or ask.spent else min(self.answer_at, guest.answer_by)
+        self.due = None
 
     def dispatch_stands(self, now: int, machine: str, name: str, sent_at: int) -> None:
         """A dispatch of a held guest from before this life of the planner: out until its machine speaks."""
         guest = self.waiting.pop(name)
-        guest.sent_at = sent_at
+        guest.sent_at, self.due = sent_at, None
         self._seat(guest, self._host(machine, now))
 
     def state_kept(self, now: int, well: bool) -> None:
@@ -209,6 +242,7 @@
         self.kept_well = well
         self._changed(now)
 
+
     def learned(self) -> interface.Learned:
         """What a later life of this planner may use."""
         return interface.Learned(
@@ -242,6 +276,7 @@
             machine = self.machines.get(name)
             if machine and abs(machine.listed.started - health.started) < SECOND:
                 machine.answers.extend(health.answers)
+                machine.slow = None
                 machine.kept = dict.fromkeys(health.kept)
                 machine.cold_at = max(machine.cold_at, health.cold_at)
                 machine.strikes, machine.mute = max(machine.strikes, health.strikes), health.mute
@@ -272,7 +307,7 @@
     def guest_cancelled(self, now: int, name: str) -> None:
         """Its owner no longer wants it, held, out or running."""
         if guest := self.guests.get(name):
-            guest.unwanted = True
+            guest.unwanted, self.answer_at = True, 0
             if guest.machine:
                 self.to_call_off.append((name, guest.machine.listed.machine))
 
@@ -290,7 +325,8 @@
         if not (guest := self.guests.get(name)) or not guest.machine:
             return
         guest.placed, guest.machine.left = True, None
-        guest.machine.answers.append(took)
+        self.out.pop(name, None)
+        guest.machine.answered(took)
         self.answers[guest.ask.product].append(took)
         guest.machine.strikes, guest.machine.mute = 0, False
         if guest.unwanted:  # the call-off crossed with this answer: now it stops what runs
@@ -320,6 +356,7 @@
             # patience, drawn so that crowds thin out, from a quarter second and twice as long each time.
             guest.rests_until = now + int(SECOND // 8 * 2 ** guest.dispatches * self.random.uniform(0.5, 1.5))
         guest.look_at, self.waiting[name] = max(now, guest.rests_until), guest
+        self.answer_at, self.due = 0, None  # it may be at the end of what it may try
 
     def machine_reported(self, now: int, name: str, load: interface.Load | None) -> None:
         if not (machine := self.machines.get(name)) or load is None:
@@ -373,14 +410,17 @@
         name = guest.ask.guest
         if guest.machine is not None:
             self._unseat(guest)
-        self.waiting.pop(name, None)
+        if self.waiting.pop(name, None):
+            self.due = None
         if self.guests.pop(name, None) is not None:
             guest.service.guests -= 1
 
     def _seat(self, guest: Guest, machine: Machine) -> None:
         guest.machine = machine
         machine.guests[guest.ask.guest] = guest
-        machine.sums = machine.left = None
+        if not guest.placed:
+            self.out[guest.ask.guest] = guest
+        machine.changed(guest, 1)
         guest.spread_key = key = self._spread_key(guest, machine)
         self.spread[key] = self.spread.get(key, 0) + 1
 
@@ -390,7 +430,8 @@
         if not self.spread[key]:
             del self.spread[key]
         del machine.guests[guest.ask.guest]
-        machine.sums = machine.left = None
+        self.out.pop(guest.ask.guest, None)
+        machine.changed(guest, -1)
         guest.machine = None
         if guest.runs:
             machine.kept.pop(guest.ask.service, None)
@@ -402,6 +443,7 @@
         return guest.ask.service, *machine.place(guest.product.spread)
 
     def _started(self, guest: Guest, now: int) -> None:
+        guest.machine.starting -= not guest.runs
         guest.runs = True
         self.starts[guest.ask.product, guest.warm].append(int((now - guest.sent_at) / (1 + guest.ahead / 2)))
 
@@ -435,6 +477,7 @@
 
     def _changed(self, now: int) -> None:
         """Something may have made room: held guests are looked at again, at most every 50 ms each."""
+        self.due = None
         for guest in self.waiting.values():
             guest.look_at = min(guest.look_at, max(now, guest.looked_at + SECOND // 20, guest.rests_until))
 
@@ -459,7 +502,7 @@
             if ending is Ending.NO_CONNECTION and now - machine.cold_at > self.deployment.cold_for:
                 self._restarted(machine, now)
         elif not guest.placed and ending in (Ending.ERROR, Ending.CUT_OFF):
-            machine.answers.append(60 * SECOND)
+            machine.answered(60 * SECOND)
             self._strike(machine, now, mute=False)
 
     def _strike(self, machine: Machine, now: int, mute: bool) -> None:
@@ -470,11 +513,12 @@
         machine.avoid_until = max(machine.avoid_until, now + int(span * self.random.uniform(0.8, 1.2)))
 
     def _avoided(self, machine: Machine, typical: float, now: int) -> bool:
-        if machine.mute or now < machine.avoid_until or machine.strikes and machine.starting():
+        if machine.mute or now < machine.avoid_until or machine.strikes and machine.starting:
             return True  # the last: on trial, one guest at a time
         # Four times its fellows' median and two seconds more: half a second also caught dear cold starts.
         if len(machine.answers) >= 4 and machine.slowness() > 4 * typical + 2 * SECOND:
             machine.answers.clear()
+            machine.slow = None
             self._strike(machine, now, mute=False)
             return True
         return False
@@ -490,7 +534,7 @@
         if self.deployment.list_is_asked:
             times.append(self.ask_list_at)
         times += [max(m.avoid_until, self.probe_at) for m in self.machines.values() if m.mute and m.ready]
-        times += [g.patience_at for g in self.guests.values() if g.machine and not g.placed and not g.over]
+        times += [g.patience_at for g in self.out.values() if not g.over]
         return max(now, min(times)) if times else None
 
     def _keep_list(self, now: int) -> Decision | None:
@@ -500,6 +544,9 @@
         return Decision(Step.FOLLOW_LIST)
 
     def _answer_due(self, now: int) -> Decision | None:
+        """The next final answer; all guests are looked through only when one may be due."""
+        if now < self.answer_at:
+            return None
         for guest in self.waiting.values():
             product = guest.product
             spent = guest.dispatches >= self.deployment.max_dispatches
@@ -514,17 +561,26 @@
             if guest.machine and not guest.placed and not guest.over and now >= guest.patience_at:
                 guest.over = True
                 return Decision(Step.BREAK_OFF, guest.ask.guest)
+        # A dispatch that ends clears this; until then only time makes an answer due.
+        self.answer_at = min([g.patience_at for g in self.out.values() if not g.over] + [
+            min(g.answer_by, g.window_ends - SECOND // 20) if g.may_run and (
+                g.product.effect is Effect.TICKETED) else g.answer_by
+            for g in self.waiting.values()], default=now + 60 * SECOND)
         return None
 
     def _place_next(self, now: int) -> Decision | None:
         if now != self.looked_at:
-            self.looked_at, self.no_room = now, set()
-        due = [g for g in self.waiting.values() if g.look_at <= now]
-        if not self.kept_well:
-            for guest in [g for g in due if g.product.effect is not Effect.RERUNNABLE]:
-                due.remove(guest)
-                guest.look_at = now + SECOND // 5
-        for guest in sorted(due, key=lambda g: (-g.product.payoff * g.ask.memory, g.patience_at)):
+            self.looked_at, self.no_room, self.due = now, set(), None
+        if self.due is None:  # sorted once a moment; who was looked at falls out at the end
+            due = [g for g in self.waiting.values() if g.look_at <= now]
+            if not self.kept_well:
+                for guest in [g for g in due if g.product.effect is not Effect.RERUNNABLE]:
+                    due.remove(guest)
+                    guest.look_at = now + SECOND // 5
+            self.due = sorted(due, key=lambda g: (-g.product.payoff * g.ask.memory, g.patience_at))
+            self.due.reverse()
+        while self.due:
+            guest = self.due.pop()
             shape = guest.ask._replace(guest="", patience=0), guest.bound
             machine = None if shape in self.no_room else self._pick(guest, now)
             if machine is None:
@@ -534,7 +590,7 @@
                 guest.look_at = guest.rests_until if guest.rests_until > now else now + SECOND // 5
                 continue
             span = self._span(guest, now)
-            guest.ahead, guest.warm = machine.starting(), self._warm(guest, machine)
+            guest.ahead, guest.warm = machine.starting, self._warm(guest, machine)
             guest.dispatches, guest.sent_at = guest.dispatches + 1, now
             del self.waiting[guest.ask.guest]
             self._seat(guest, machine)
@@ -552,7 +608,7 @@
 
     def _warm(self, guest: Guest, machine: Machine) -> bool:
         service = guest.ask.service
-        return service in machine.kept or any(g.ask.service == service for g in machine.guests.values())
+        return service in machine.kept or service in machine.services
 
     def _allowed(self, guest: Guest, machine: Machine, now: int) -> bool:
         """The rules: what no ranking may go round."""
@@ -658,8 +714,11 @@
         totals = [sum(l[axis] for l in loads.values()) for axis in (0, 1)]
         squares = [sum(l[axis] ** 2 for l in loads.values()) for axis in (0, 1)]
         weight = guest.service.weight(guest.ask)
-        rounds = drawn(self.random, guest)
+        rounds = guest.rounds = drawn(self.random, guest)
         most = max(r[0] for r in rounds), max(r[1] for r in rounds)
+        # Start times, warm or cold as this guest would be: sorted, and their sum.
+        times = {w: self.starts.get((guest.ask.product, w)) for w in (False, True)}
+        starts = {w: (sorted(seen), sum(seen)) for w, seen in times.items() if seen}
         scored = []
         for machine in healthy:
             spread = 0.0
@@ -669,7 +728,7 @@
                 mean = (totals[axis] - before + after) / len(loads)
                 spread += sqrt(max(0.0, (squares[axis] - before ** 2 + after ** 2) / len(loads) - mean ** 2))
             overflow = self._overflow(guest, machine, rounds, most, loads[machine])
-            expected = overflow + self._late(guest, machine, now)
+            expected = overflow + self._late(guest, machine, now, starts)
             scored.append((max(spread, 0.02) * (1 + expected), expected, machine))
         if not scored:
             return None
@@ -682,25 +741,27 @@
         size = machine.size
         others = load[0] * size.cores - machine.means[0], load[1] * size.memory - machine.means[1]
         # The design's 90%, or the load up to which the touchiest product here is fully served.
-        bears = min([0.9, guest.product.easy_until, *(g.product.easy_until for g in machine.guests.values())])
+        bears = min(0.9, guest.product.easy_until, machine.bears)
         cores, memory = bears * size.cores - max(0.0, others[0]), 0.9 * size.memory - max(0.0, others[1])
         if machine.most[0] + most[0] <= cores and machine.most[1] + most[1] <= memory:
             return 0.0
         return sum(sc + c > cores or sm + m > memory
-                   for (sc, sm), (c, m) in zip(machine.sums, rounds, strict=True)) / ROUNDS
+                   for sc, sm, (c, m) in zip(*machine.sums, rounds, strict=True)) / ROUNDS
 
-    def _late(self, guest: Guest, machine: Machine, now: int) -> float:
+    def _late(self, guest: Guest, machine: Machine, now: int,
+              starts: dict[bool, tuple[list[int], int]]) -> float:
         """What waiting for the start costs, in parts of a start in time: the share of recent starts, warm or
         cold as this one, that would miss the goal time here, and the seconds not served until then."""
-        seen = self.starts[guest.ask.product, self._warm(guest, machine)]
+        seen, total = starts.get(self._warm(guest, machine), ((), 0))
         if not seen:
             return 0.0
         age = max(0.0, min(1.0, (now - machine.cold_at) / self.deployment.cold_for))
         pace = self.deployment.cold_from + (1 - self.deployment.cold_from) * age
-        slower = (1 + machine.starting() / 2) / pace
+        slower = (1 + machine.starting / 2) / pace
         limit = (guest.goal_at - now) / slower
-        wait = sum(seen) / len(seen) * slower / SECOND
-        return sum(took > limit for took in seen) / len(seen) + wait / max(1.0, guest.product.start_bonus)
+        wait = total / len(seen) * slower / SECOND
+        late = (len(seen) - bisect_right(seen, limit)) / len(seen)
+        return late + wait / max(1.0, guest.product.start_bonus)
 
     def _probe(self, now: int) -> Decision | None:
         if self.to_probe:
--- a/hazelhold/state/snapshot.py
+++ b/hazelhold/state/snapshot.py
@@ -5,7 +5,7 @@
 module gains must be given its place here, and a test sees to that.
 """
 
-from collections import deque
+from collections import Counter, deque
 from random import Random
 from typing import Any
 
@@ -14,12 +14,13 @@
 
 LONG_AGO = -10**15  # of moments that never were; not shifted
 MACHINE_TIMES = ("listed_at", "cold_at", "reported_at", "probed_at", "drawn_at", "avoid_until")
-MACHINE_PLAIN = ("ready", "used", "others", "left", "sums", "means", "most", "strikes", "mute")
+MACHINE_PLAIN = ("slow", "ready", "used", "others", "left", "sums", "means", "most", "strikes", "mute")
 GUEST_TIMES = ("goal_at", "patience_at", "answer_by", "sent_at", "window_ends", "look_at", "looked_at",
                "rests_until")
 GUEST_PLAIN = ("placed", "runs", "warm", "may_run", "over", "probed_for", "unwanted", "dispatches", "ahead",
-               "cores_noted", "use")
-BRAIN_TIMES = ("no_cold_until", "looked_at", "ask_list_at", "sweep_at", "probe_at", "list_heard_at")
+               "cores_noted", "use", "rounds")
+BRAIN_TIMES = ("no_cold_until", "answer_at", "looked_at", "ask_list_at", "sweep_at", "probe_at",
+               "list_heard_at")
 BRAIN_PLAIN = ("seen", "list_version", "kept_well")
 
 
@@ -79,6 +80,10 @@
     for plain in data["machines"]:  # in the order in which their guests came
         machine = brain.machines[plain["listed"][0]]
         machine.guests = {name: brain.guests[name] for name in plain["guests"]}
+        guests = machine.guests.values()
+        machine.bears = min((g.product.easy_until for g in guests), default=1.0)
+        machine.starting = sum(not g.runs for g in guests)
+        machine.services = dict(Counter(g.ask.service for g in guests))
     brain.waiting = {name: brain.guests[name] for name in data["waiting"]}
     for product, warm, times in data["starts"]:
         brain.starts[product, warm].extend(times)
@@ -101,7 +106,7 @@
         value = plain[name]
         setattr(machine, name, tuple(value) if isinstance(value, list) and name != "sums" else value)
     if machine.sums is not None:
-        machine.sums = [tuple(pair) for pair in machine.sums]
+        machine.sums = tuple(list(axis) for axis in machine.sums)
     machine.kept = dict.fromkeys(plain["kept"])
     machine.full = [(moved(until), much) for until, much in plain["full"]]
     machine.answers.extend(plain["answers"])
@@ -121,9 +126,12 @@
     for name in GUEST_PLAIN:
         setattr(guest, name, plain[name])
     guest.use = tuple(guest.use) if guest.use else None
+    guest.rounds = [tuple(pair) for pair in guest.rounds] if guest.rounds else None
     guest.bound = (Place[plain["bound"][0]], plain["bound"][1]) if plain["bound"] else None
     brain.guests[ask.guest] = guest
     if plain["machine"]:
+        if not guest.placed:
+            brain.out[ask.guest] = guest
         guest.machine = machine = brain.machines[plain["machine"]]
         guest.spread_key = key = brain._spread_key(guest, machine)
         brain.spread[key] = brain.spread.get(key, 0) + 1
--- a/tests/test_state.py
+++ b/tests/test_state.py
@@ -146,11 +146,12 @@
     made = brain("ab")
     made.guest_arrived(0, ask("g"))
     own = {"deployment", "spread", "no_room", "machines", "guests", "waiting", "services", "starts",
-           "answers", "random", "to_probe", "to_call_off"}
+           "answers", "random", "to_probe", "to_call_off", "out", "due"}
     assert vars(made).keys() - own == {*snapshot.BRAIN_TIMES, *snapshot.BRAIN_PLAIN}
     own = {"ask", "product", "service", "machine", "spread_key", "bound"}
     assert vars(made.guests["g"]).keys() - own == {*snapshot.GUEST_TIMES, *snapshot.GUEST_PLAIN}
-    own = {"listed", "size", "guests", "kept", "full", "answers", "offers", "mark"}
+    own = {"listed", "size", "guests", "kept", "full", "answers", "offers", "mark",
+           "bears", "starting", "services"}
     assert vars(made.machines["a"]).keys() - own == {*snapshot.MACHINE_TIMES, *snapshot.MACHINE_PLAIN}
     assert vars(Service()).keys() == {"samples", "guests", "seen", "order", "order_of"}
     assert Guest and Machine
