--- a/hazelhold/brain.py
+++ b/hazelhold/brain.py
@@ -81,6 +81,7 @@
         self.services: dict[str, int] = {}  # our guests here by service; emptied as they go
         self.kept: dict[str, None] = {}  # services that ended here lately; the oldest falls out
         self.left: tuple[float, float] | None = None  # see room
+        self.asked: tuple[float, float] | None = None  # by others, see _others; kept as long as `left`
         self.sums: tuple[list[float], list[float]] | None = None  # our guests' drawn use, round by round
         self.means = self.most = (0.0, 0.0)  # the mean and the highest of the sums
         self.full = [(0, 0.0), (0, 0.0)]  # until when it takes no ask of so many cores, so much memory
@@ -141,7 +142,7 @@
 
     def changed(self, guest: Guest, sign: int) -> None:
         """A guest comes or goes: the sums follow if its draws are known, else they are drawn anew."""
-        self.left = None
+        self.left = self.asked = None
         self.bears = min([g.product.easy_until for g in self.guests.values()], default=1.0)
         self.starting += sign * (not guest.runs)
         here = self.services[guest.ask.service] = self.services.get(guest.ask.service, 0) + sign
@@ -199,7 +200,7 @@
             self.list_version += entry.mode is not machine.listed.mode
             if entry.started > machine.listed.started:
                 self._restarted(machine, entry.started)
-            machine.listed, machine.listed_at, machine.left = entry, now, None
+            machine.listed, machine.listed_at, machine.left, machine.asked = entry, now, None, None
             machine.size = self.deployment.kinds[entry.kind]
             machine.ready = entry.mode is Mode.READY
         if whole:
@@ -324,7 +325,7 @@
     def dispatch_taken(self, now: int, name: str, took: int) -> None:
         if not (guest := self.guests.get(name)) or not guest.machine:
             return
-        guest.placed, guest.machine.left = True, None
+        guest.placed, guest.machine.left, guest.machine.asked = True, None, None
         self.out.pop(name, None)
         guest.machine.answered(took)
         self.answers[guest.ask.product].append(took)
@@ -469,11 +470,13 @@
         if (now - machine.reported_at <= 2 * SECOND or machine.reported_at > self.list_heard_at
                 or not self.deployment.list_has_room):
             return machine.others if machine.used is not None else None
-        listed, size, (cores, memory, cores_asked, memory_asked) = machine.listed, machine.size, self.seen
-        ours = [g.ask for g in machine.guests.values() if g.sent_at <= machine.listed_at - SECOND // 4]
-        asked = (size.cores - listed.cores_room - sum(a.cores for a in ours),
-                 size.memory - listed.memory_room - sum(a.memory for a in ours))
-        return max(0.0, asked[0]) * cores / cores_asked, max(0.0, asked[1]) * memory / memory_asked
+        if machine.asked is None:
+            listed, size = machine.listed, machine.size
+            ours = [g.ask for g in machine.guests.values() if g.sent_at <= machine.listed_at - SECOND // 4]
+            machine.asked = (max(0.0, size.cores - listed.cores_room - sum(a.cores for a in ours)),
+                             max(0.0, size.memory - listed.memory_room - sum(a.memory for a in ours)))
+        cores, memory, cores_asked, memory_asked = self.seen
+        return machine.asked[0] * cores / cores_asked, machine.asked[1] * memory / memory_asked
 
     def _changed(self, now: int) -> None:
         """Something may have made room: held guests are looked at again, at most every 50 ms each."""
@@ -732,7 +735,8 @@
             scored.append((max(spread, 0.02) * (1 + expected), expected, machine))
         if not scored:
             return None
-        near = [s for s in scored if s[0] <= TIE * min(s[0] for s in scored)]
+        limit = TIE * min(s[0] for s in scored)
+        near = [s for s in scored if s[0] <= limit]
         return near[self.random.randrange(len(near))][1:]
 
     def _overflow(self, guest: Guest, machine: Machine, rounds: list[tuple[float, float]],
--- a/hazelhold/state/snapshot.py
+++ b/hazelhold/state/snapshot.py
@@ -14,7 +14,8 @@
 
 LONG_AGO = -10**15  # of moments that never were; not shifted
 MACHINE_TIMES = ("listed_at", "cold_at", "reported_at", "probed_at", "drawn_at", "avoid_until")
-MACHINE_PLAIN = ("slow", "ready", "used", "others", "left", "sums", "means", "most", "strikes", "mute")
+MACHINE_PLAIN = ("slow", "ready", "used", "others", "left", "asked", "sums", "means", "most", "strikes",
+                 "mute")
 GUEST_TIMES = ("goal_at", "patience_at", "answer_by", "sent_at", "window_ends", "look_at", "looked_at",
                "rests_until")
 GUEST_PLAIN = ("placed", "runs", "warm", "may_run", "over", "probed_for", "unwanted", "dispatches", "ahead",
