--- /dev/null
+++ b/bench/paired.py
@@ -0,0 +1,80 @@
+"""Two versions of the decision module on the same emulated days: paired differences, not lone averages.
+
+Run as `python -m bench.paired --against REVISION --days 60`. Days are drawn as the hunt draws them (fleets,
+habits, troubles; hazelhold/rehearse/hunt.py) and played by the fleet emulator with today's module and with
+the earlier one. Told are the mean difference of the service score with its 95 per cent interval (normal,
+over days), how many days got better and worse, and broken rules of both. `--file` takes a module from a file
+in place of a revision.
+"""
+
+import argparse
+import importlib.util
+import json
+import sys
+from concurrent.futures import ProcessPoolExecutor
+from math import sqrt
+from pathlib import Path
+from statistics import mean, stdev
+from types import ModuleType
+from typing import Any
+
+import structlog
+
+from bench.module import earlier
+from hazelhold.config.day import read_day
+from hazelhold.emulate.fleet import play_fleet
+from hazelhold.engine import engine
+from hazelhold.rehearse.hunt import draw
+
+EXAMPLE = Path(__file__).parent.parent / "examples" / "bad-day.json5"
+
+
+def load(path: str) -> ModuleType:
+    spec = importlib.util.spec_from_file_location("other_brain", path)
+    module = importlib.util.module_from_spec(spec)
+    sys.modules["other_brain"] = module
+    spec.loader.exec_module(module)
+    return module
+
+
+def one(seed: int, length: float, revision: str, file: str) -> dict[str, Any]:
+    structlog.configure(wrapper_class=structlog.make_filtering_bound_logger(50))
+    today = engine.Brain
+    found = {}
+    for name, brain in (("today", today), ("other", (load(file) if file else earlier(revision)).Brain)):
+        engine.Brain = brain
+        said = play_fleet(draw(read_day(EXAMPLE), seed, length), seed)
+        found[name] = {"service": said["service"]["service"], "broken": len(said["rules_broken"]),
+                       "dispatches": said["counts"].get("dispatches", 0),
+                       "starts": said["counts"].get("starts", 0)}
+    engine.Brain = today
+    return {"seed": seed, **found}
+
+
+def main() -> None:
+    parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
+    parser.add_argument("--against", default="HEAD")
+    parser.add_argument("--file", default="")
+    parser.add_argument("--days", type=int, default=60)
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--length", type=float, default=20.0)
+    parser.add_argument("--jobs", type=int, default=8)
+    options = parser.parse_args()
+    with ProcessPoolExecutor(options.jobs) as pool:
+        seeds, days = range(options.seed, options.seed + options.days), options.days
+        rows = list(pool.map(one, seeds, [options.length] * days, [options.against] * days,
+                             [options.file] * days))
+    gaps = [r["today"]["service"] - r["other"]["service"] for r in rows]
+    half = 1.96 * stdev(gaps) / sqrt(len(gaps))
+    print(json.dumps({
+        "days": len(rows), "today": round(mean(r["today"]["service"] for r in rows), 4),
+        "other": round(mean(r["other"]["service"] for r in rows), 4), "difference": round(mean(gaps), 4),
+        "interval": [round(mean(gaps) - half, 4), round(mean(gaps) + half, 4)],
+        "better": sum(g > 0 for g in gaps), "worse": sum(g < 0 for g in gaps),
+        "dispatches_a_start": {n: round(sum(r[n]["dispatches"] for r in rows)
+                                        / sum(r[n]["starts"] for r in rows), 3) for n in ("today", "other")},
+        "broken": {n: sum(r[n]["broken"] for r in rows) for n in ("today", "other")}}))
+
+
+if __name__ == "__main__":
+    main()
--- a/hazelhold/engine/engine.py
+++ b/hazelhold/engine/engine.py
@@ -130,6 +130,9 @@
         # By guest, then machine; emptied by the machine's word, its new life or its leaving the list.
         self.loose: dict[str, dict[str, Loose]] = {}
         self.links: dict[str, Link] = {}  # emptied as machines go
+        # Links with something to wait for; settled ones are passed over, so that a pump does not look at all.
+        self.restless: dict[str, None] = {}  # emptied as they settle
+        self.idle_at = 0  # when links that nobody uses are looked for next
         self.overdue: list[tuple[int, str, int]] = []  # a heap of time-outs: moment, case, attempt
         self.list_version = 0
         self.list_due = 0  # by when the list service must have answered; 0: nothing is asked
@@ -341,6 +344,7 @@
             self.link_failed(now, machine)
             return
         link.state, link.rolled = "up", False
+        self.restless[machine] = None
         link.roll_due = now + micros(self.limits.reconnect_ms)
         link.before, link.incarnation = link.incarnation, welcome.incarnation
         link.used_at = now
@@ -352,6 +356,7 @@
         if link is None:
             return
         self.counts["dials_failed"] += 1
+        self.restless[machine] = None
         link.state = "down"
         self._drop_queue(now, link)
         if link.lost_at and now - link.lost_at >= micros(self.limits.reconnect_ms):
@@ -369,6 +374,7 @@
     def _link_lost(self, now: int, link: Link) -> None:
         self.counts["links_lost"] += link.state == "up"
         link.state, link.rolled = "down", False
+        self.restless[link.machine] = None
         self._drop_queue(now, link)
         self._probe_over(now, link.machine, False)
         if link.holds or any(link.machine in by for by in self.loose.values()):
@@ -399,6 +405,7 @@
         link = self.links.get(fellow.name)
         if link is None:
             link = self.links[fellow.name] = Link(fellow.name)
+        self.restless[fellow.name] = None
         if link.state == "down":
             link.state, link.dial_at = "dialling", 0
             link.dial_due = now + micros(self.limits.connect_ms)
@@ -616,7 +623,7 @@
         if self.overdue:
             times.append(self.overdue[0][0])
         times += [due for _, due in self.probes.values()]
-        for link in self.links.values():
+        for link in self._restless():
             times += [t for t in (link.dial_at, link.dial_due if link.state == "dialling" else 0,
                                   link.roll_due if link.state == "up" and not link.rolled else 0) if t]
         times += [l.roll_at for by in self.loose.values() for l in by.values()]
@@ -635,7 +642,10 @@
         for machine, (_, due) in list(self.probes.items()):
             if due <= now:
                 self._probe_over(now, machine, False)
-        for link in list(self.links.values()):
+        for link in self._restless():
+            if link.settled():
+                self.restless.pop(link.machine, None)
+                continue
             if link.state == "up" and not link.rolled and link.roll_due <= now:
                 self.counts["rolls_unanswered"] += 1  # it is mute: as good as a broken link
                 self.actions.append(HangUp(link.machine))
@@ -660,12 +670,20 @@
         for table in (self.answers, self.ends):
             while table and next(iter(table.values()))[1] <= now:
                 table.popitem(last=False)
+        if now < self.idle_at:
+            return
+        self.idle_at = now + 1_000_000
         idle = micros(self.limits.idle_close_ms)
         for link in [l for l in self.links.values() if l.state == "up" and now - l.used_at > idle]:
             if not link.holds and not link.queue and link.machine not in self.probes:
                 self.actions.append(HangUp(link.machine))
                 link.state = "down"
 
+    def _restless(self) -> list[Link]:
+        for name in [n for n in self.restless if n not in self.links]:
+            del self.restless[name]
+        return [self.links[name] for name in self.restless]
+
     def _ask_loose(self, now: int, loose: Loose) -> None:
         """Asks again what became of a dispatch that was given up, ten times in its keeping time, then forgets
         it: its machine is out of reach for good, or has lost its memory."""
--- a/hazelhold/engine/keep.py
+++ b/hazelhold/engine/keep.py
@@ -218,6 +218,7 @@
         engine._hold(case)
         link = engine.links[case.machine]
         link.incarnation, link.lost_at = image.incarnation, now
+        engine.restless[case.machine] = None
         if image.placed:
             engine.brain.guest_found(now, case.machine, ask)
         else:
--- a/hazelhold/engine/machines.py
+++ b/hazelhold/engine/machines.py
@@ -37,6 +37,11 @@
     roll_due: int = 0
     used_at: int = 0
 
+    def settled(self) -> bool:
+        """Nothing about this connection is waited for."""
+        still = self.state == "down" or self.state == "up" and self.rolled
+        return still and not (self.dial_at or self.lost_at)
+
 
 @dataclass
 class News:
