--- a/hazelhold/engine/keep.py
+++ b/hazelhold/engine/keep.py
@@ -159,7 +159,8 @@
         _recover_case(engine, now, image, epoch, complete)
     for image in ledger.images("loose"):
         if image.case.product in engine.products:
-            case = case_of(engine, image.case)
+            # Whoever is no longer in hand has its answer; the image may be older than that.
+            case = engine.cases.get(image.case.name) or case_of(engine, replace(image.case, asks=()))
             loose = Loose(case, image.attempt, image.machine, image.sent_at - epoch, image.stands,
                           roll_at=now)
             engine.loose.setdefault(case.guest, {})[image.machine] = loose
--- a/tests/test_state.py
+++ b/tests/test_state.py
@@ -26,7 +26,7 @@
 from hazelhold.standin.disk import FaultyDisk, Points
 from hazelhold.state import frames, snapshot, store
 from hazelhold.state.disk import RealDisk
-from hazelhold.state.images import Change, EndImage, put
+from hazelhold.state.images import Change, EndImage, LooseImage, drop, put
 from hazelhold.state.ledger import Ledger
 from tests.helpers import DEPLOYMENT, MS, Desk, ask, brain, of, sheet, stand
 
@@ -313,6 +313,21 @@
     assert all(o.attempt >= 1 for o in again.sent(m.Offer))
 
 
+def test_a_given_up_dispatch_that_runs_after_all_brings_no_second_answer_in_the_next_life() -> None:
+    life, desk = started()
+    offer, machine = desk.offer(S, "g", "ticket")
+    life.dies(desk, S)
+    image = life.ledger.image("guest", "g/0")
+    assert image.asks == (0,)  # as it was when the dispatch was given up, before its answer
+    life.ledger.apply([drop("guest", "g/0"),
+                       put("loose", f"g\0{machine}", LooseImage(image, machine, 0, S, False))])
+    again = Desk("")
+    again.stands = {machine: [stand(offer, "runs")]}
+    again.engine.keep(2 * S, 0, life.ledger, True)
+    again.run(2 * S)
+    assert again.owner(2 * S, m.Query(guest="g"))[0].state == "running" and not again.sent(m.Placed)
+
+
 def test_what_was_learned_comes_back_for_machines_in_the_same_life() -> None:
     made = brain("ab", at=S)
     for n in range(4):
