--- a/hazelhold/emulate/fleet.py
+++ b/hazelhold/emulate/fleet.py
@@ -91,6 +91,7 @@
 
     def __init__(self, far: "FarDoor", planner: "PlannerHost", number: int) -> None:
         self.far, self.planner, self.number = far, planner, number
+        self.up = False  # the far end has welcomed it
 
     def cut(self) -> None:
         """Broken by the far end, or by what happens to it."""
@@ -199,7 +200,6 @@
         far = self.fleet.hosts[machine].door
         self.fleet.numbers += 1
         line = self.lines[machine] = Line(far, self, self.fleet.numbers)
-        line.up = False
         self.fleet.later(far, self, self._arrives, line, machine)
 
     def _arrives(self, line: Line, machine: str) -> None:
@@ -264,7 +264,6 @@
         far = self.fleet.list_host.door
         self.fleet.numbers += 1
         line = self.list_line = Line(far, self, self.fleet.numbers)
-        line.up = False
         if not far.reached(line):
             self.clock.at(self.clock.now + self.fleet.delay, self.shut, line)
 
--- a/hazelhold/engine/keep.py
+++ b/hazelhold/engine/keep.py
@@ -223,7 +223,7 @@
         if image.placed:
             engine.brain.guest_found(now, case.machine, ask)
         else:
-            engine.brain.guest_arrived(now, ask._replace(spent=image.spent))
+            engine.brain.guest_arrived(now, ask)
             engine.brain.dispatch_stands(now, case.machine, case.name, case.sent_at)
             due = max(image.due_at - epoch, now + micros(engine.limits.reconnect_ms))
             engine._overdue(due, case)
