Captures of planners with kept state: a test replays a recovered life to the same decisions

The images that a start recovers are in the capture as an input; nothing had played them. Replay amid a failing disk is still without a test.

--- a/tests/test_state.py
+++ b/tests/test_state.py
@@ -450,6 +450,16 @@
     assert not said["counts"].get("died_with_planner") and said["counts"]["placed"] > 20
 
 
+def test_a_captured_life_that_began_with_kept_state_replays_to_the_same_decisions(tmp_path: Path) -> None:
+    from hazelhold.rehearse.run import play
+
+    (tmp_path / "kept").mkdir()
+    trio.run(play, DAY, 1, tmp_path / "day", True, MemoryNet(), tmp_path / "kept", Points({150}, 1), (),
+             clock=MockClock(autojump_threshold=0))
+    second = CliRunner().invoke(main, ["capture", "replay", str(tmp_path / "kept" / "planner-0-2.pcap")])
+    assert second.exit_code == 0 and "0 differ, 0 without a fellow" in second.output
+
+
 # Commands.
 
 
