--- a/hazelhold/cli/main.py
+++ b/hazelhold/cli/main.py
@@ -38,7 +38,10 @@
 
 
 @main.command("planner")
-@click.option("--config", type=FILE, required=True, help="The planner's configuration, JSON5.")
+@click.option("--config", type=FILE, default=None, help="The planner's configuration, JSON5.")
+@click.option("--platform", is_flag=True, help="Speak the operators' platform's protocol; the configuration "
+              "is $BALANCER_CONFIG unless --config names it.")
+@click.option("--frames", is_flag=True, help="With --platform and --level debug: log every message.")
 @click.option("--seed", type=int, default=None, help="In place of the configuration's.")
 @click.option("--record", type=FILE, default=None, help="Append every frame to this file.")
 @click.option("--capture", "to", type=FILE, default=None, help="Write all exchanges there, as pcap(ng).")
@@ -48,13 +51,26 @@
 @click.option("--take-over", is_flag=True, help="Have the process that uses the state hand over to this one.")
 @log_options
 @honest
-def planner(config: Path, seed: int | None, record: Path | None, to: Path | None, ready: bool,
-            folder: Path | None, take_over: bool, log: str, level: str) -> None:
+def planner(config: Path | None, platform: bool, frames: bool, seed: int | None, record: Path | None,
+            to: Path | None, ready: bool, folder: Path | None, take_over: bool, log: str, level: str) -> None:
     """Run one planner until SIGTERM or SIGINT; SIGUSR2 hands over to a process that waits for its state."""
+    if platform:
+        if to or folder or take_over or record or seed is not None:
+            raise click.UsageError("with --platform there is no --capture, --state, --take-over, --record, "
+                                   "--seed")
+        from hazelhold.platform.serve import serve
+
+        logs.set_up(log, level)
+        serve(config, frames)
+        return
+    if config is None:
+        raise click.UsageError("--config is needed")
+
     import signal
 
     import trio
 
+    from hazelhold.config.planner import read_planner
     from hazelhold.protocol.record import Recorder
     from hazelhold.service.net import TcpNet
     from hazelhold.service.planner import Planner
--- a/hazelhold/engine/engine.py
+++ b/hazelhold/engine/engine.py
@@ -17,11 +17,12 @@
 from typing import NamedTuple
 
 from hazelhold.brain import NEVER_RAN, Brain
-from hazelhold.config.planner import PlannerSheet, deployment, micros
+from hazelhold.config.planner import PlannerSheet, micros
 from hazelhold.engine.advice import Advice
 from hazelhold.engine.keep import Keeping, recover
 from hazelhold.engine.machines import Fellow, Link, Roster
-from hazelhold.interface import Ask, Decision, Earlier, Effect, Ending, Load, Remark, Step
+from hazelhold.engine.terms import Terms, terms_of
+from hazelhold.interface import Ask, Decision, Earlier, Effect, Ending, Load, Mode, Remark, Step
 from hazelhold.protocol import messages as m
 from hazelhold.state.images import Change
 from hazelhold.state.ledger import Ledger
@@ -29,7 +30,7 @@
 ENDINGS = {"done": (Ending.DONE, Remark.NONE), "error": (Ending.ERROR, Remark.NONE),
            "evicted": (Ending.CUT_OFF, Remark.EVICTED), "pushed_out": (Ending.CUT_OFF, Remark.PUSHED_OUT),
            "sent_away": (Ending.CUT_OFF, Remark.SENT_AWAY), "stopped": (Ending.CALLED_OFF, Remark.NONE),
-           "withdrawn": (Ending.TURNED_BACK, Remark.NONE)}
+           "withdrawn": (Ending.TURNED_BACK, Remark.NONE), "not_sent": (Ending.NOT_SENT, Remark.NONE)}
 LATER = ("full", "overloaded", "stopping", "not_kept")  # rejections after which coming back makes sense
 REMARKS = {"no_cores": Remark.NO_CORES, "no_memory": Remark.NO_MEMORY, "line_full": Remark.LINE_FULL,
            "not_here": Remark.NOT_HERE}
@@ -113,15 +114,15 @@
 class Engine:
     """All that one planner does."""
 
-    def __init__(self, sheet: PlannerSheet, seed: int, now: int) -> None:
-        self.sheet, self.limits = sheet, sheet.limits
-        self.facts = deployment(sheet)
+    def __init__(self, sheet: PlannerSheet | Terms, seed: int, now: int) -> None:
+        terms = sheet if isinstance(sheet, Terms) else terms_of(sheet)
+        self.limits, self.peers, self.facts = terms.limits, terms.peers, terms.facts
         self.brain = Brain(seed, self.facts)
         self.actions: list[Action] = []  # emptied by the host
         self.counts: Counter[str] = Counter()
-        self.products = {p.name: at for at, p in enumerate(sheet.estate.products)}
-        self.customers = {name: at for at, name in enumerate(sheet.estate.customers)}
-        self.roster = Roster({k.name: at for at, k in enumerate(sheet.estate.kinds)})
+        self.products = {name: at for at, name in enumerate(terms.products)}
+        self.customers = {name: at for at, name in enumerate(terms.customers)}
+        self.roster = Roster({name: at for at, name in enumerate(terms.kinds)})
         self.cases: dict[str, Case] = {}  # by the Brain's name; emptied by the last word on a guest
         self.newest: dict[str, Case] = {}  # by guest; emptied with cases
         # Final answers that owners may still ask for; emptied by age.
@@ -191,6 +192,11 @@
     def _submitted(self, now: int, owner: str, submit: m.Submit) -> None:
         guest, ask = submit.guest, submit.ask
         old = case = self.newest.get(guest)
+        if case and not self.peers.asks_again:
+            self.counts["rejected_open_already"] += 1
+            self._send_owner(owner, m.Rejected(guest=guest, ask=ask, code="open_already",
+                                               text="this name is in hand"))
+            return
         if case and not case.cancelled:
             # it joins what is in hand: one guest, one dispatch, one answer for each
             self.counts["repeats"] += 1
@@ -206,10 +212,10 @@
             self.counts["answers_repeated"] += 1
             self._send_owner(owner, past[0])
             return
-        kept = self.advice.came(now, guest)
+        kept = self.peers.advised and self.advice.came(now, guest)
         if fault := self._fault(now, submit, kept):
             self.counts["rejected_" + fault[0]] += 1
-            later = self.advice.wait(now, guest, len(self.brain.waiting)) if fault[0] in LATER else 0
+            later = self._later(now, guest) if fault[0] in LATER else 0
             self._send_owner(owner, m.Rejected(guest=guest, ask=ask, code=fault[0], text=fault[1],
                                                again_after=later))
             return
@@ -220,7 +226,8 @@
         self.cases[case.name] = self.newest[guest] = case
         self.counts["taken"] += 1
         self._mark("guest", case.name)
-        self._send_owner(owner, m.Held(guest=guest, ask=ask))
+        if self.peers.hears_held:
+            self._send_owner(owner, m.Held(guest=guest, ask=ask))
         earlier = self._earlier(now, submit, old)
         case.unsure = earlier.machine if earlier else ""
         self.brain.guest_arrived(now, self._ask(case, submit.patience, earlier))
@@ -250,7 +257,7 @@
             return "not_kept", "the planner's disk fails: nothing is taken that must not run twice"
         if len(self.cases) >= self.limits.open_guests:
             return "full", f"{self.limits.open_guests} guests are in hand"
-        if self.advice.hopeless(now, len(self.brain.waiting), submit.patience, kept):
+        if self.peers.advised and self.advice.hopeless(now, len(self.brain.waiting), submit.patience, kept):
             return "overloaded", "the line is longer than this patience"
         return None
 
@@ -264,6 +271,70 @@
         self._mark("guest", case.name)
         self.brain.guest_cancelled(now, case.name)
 
+    def _later(self, now: int, guest: str, span: int = 0) -> int:
+        """The wait that goes with a turn-back: the door's advice, or the decision's own span."""
+        return self.advice.wait(now, guest, len(self.brain.waiting)) if self.peers.advised else span
+
+    def owner_left(self, now: int, guest: str) -> bool:
+        """Its owner waits no longer, or ends what stands: no answer and no word of an end is owed. What is
+        out or runs is taken back from its machine. False if the guest is not in hand."""
+        case = self.newest.get(guest)
+        if case is None:
+            self.counts["left_unknown"] += 1
+            return False
+        self.counts["left_placed" if case.placed else "left_open"] += 1
+        if case.placed:
+            self._tell(now, case.machine, m.Stop(guest=guest, ask=case.ask, attempt=case.attempt))
+        elif case.machine:
+            self._give_up(now, case)
+        self.brain.guest_left(now, case.name)
+        if case.machine:
+            self._unhold(case)
+            self.brain.dispatch_ended(now, case.name, Ending.CALLED_OFF, True, Remark.NONE)
+        self._forget(case)
+        return True
+
+    def guest_stands(self, now: int, owner: str, machine: str, submit: m.Submit) -> str:
+        """An owner hands over a guest that runs on a machine already; returns what is wrong, or nothing. One
+        that is in hand stays as it is."""
+        if submit.guest in self.newest:
+            self.counts["found_known"] += 1
+            return ""
+        if submit.product not in self.products:
+            return "unknown_product"
+        fellow = self.roster.fellows.get(machine)
+        if fellow is None:
+            return "unknown_machine"
+        if len(self.cases) >= self.limits.open_guests:
+            return "full"
+        self.counts["found"] += 1
+        case = Case(f"{submit.guest}/{submit.ask}", submit.guest, submit.ask, owner,
+                    self.products[submit.product], submit, attempt=0, machine=machine, sent=True, sent_at=now,
+                    placed=True)
+        self.cases[case.name] = self.newest[case.guest] = case
+        self._hold(case)
+        self.brain.guest_found(now, machine, self._ask(case, submit.patience))
+        self._dial(now, fellow)
+        return ""
+
+    def stands(self, guest: str) -> bool:
+        case = self.newest.get(guest)
+        return case is not None and case.placed
+
+    def time_left(self, now: int, offer: m.Offer) -> int:
+        """How long the answer to an offer whose bytes have not left yet is waited for; 0 if it is not wanted
+        any more, or its machine takes nothing any more."""
+        case = self.newest.get(offer.guest)
+        if case is None or case.placed or not case.sent or (case.ask, case.attempt) != (
+                offer.ask, offer.attempt):
+            return 0
+        fellow = self.roster.fellows.get(case.machine)
+        return max(0, case.due_at - now) if fellow is not None and fellow.mode is Mode.READY else 0
+
+    def ready(self) -> bool:
+        """Whether guests can be placed: some machine of the list takes them."""
+        return not self.stopping and any(f.mode is Mode.READY for f in self.roster.fellows.values())
+
     def _state(self, message: m.Named) -> m.State:
         guest, ask = message.guest, message.ask
         case = self.newest.get(guest)
@@ -316,13 +387,29 @@
                 self._link_lost(now, self.links[name])
         for name in news.gone:
             self.unheard.discard(name)
-            if (link := self.links.get(name)) and not link.state == "up":
+            if (link := self.links.get(name)) and (not link.state == "up" or not self.peers.rolls
+                                                   and not link.holds):
+                if link.state == "up":
+                    self.actions.append(HangUp(name))
+                    link.state = "down"
                 self._forget_machine(now, link)
+        if not self.peers.rolls:
+            for name in news.fresh:
+                if link := self.links.get(name):
+                    self._new_life(now, link, self.roster.fellows[name].started)
+            return
         if first:
             self.unheard = {f.name for f in self.roster.fellows.values()}
         for name in news.fresh:  # each is asked once what it holds of ours
             self._dial(now, self.roster.fellows[name])
 
+    def _new_life(self, now: int, link: Link, started: int) -> None:
+        """The list tells of a machine's new life: what came to it in the old one is over."""
+        for name in list(link.holds):
+            case = self.cases[name]
+            if case.sent and case.sent_at < started:
+                self._gone(now, case, "lost")
+
     def list_failed(self, now: int) -> None:
         """The list service refused, was silent for too long, or its connection broke."""
         self.list_due = 0
@@ -331,12 +418,16 @@
 
     # Links to machines.
 
-    def link_up(self, now: int, machine: str, welcome: m.Welcome) -> None:
-        """A dialled machine has answered. What it holds is asked before anything is offered."""
+    def link_up(self, now: int, machine: str, welcome: m.Welcome | None = None) -> None:
+        """A dialled machine has answered. What it holds is asked before anything is offered, where machines
+        tell that; else what waits for the connection leaves at once."""
         link = self.links.get(machine)
         if link is None or link.state != "dialling":
             self.actions.append(HangUp(machine))
             return
+        if not self.peers.rolls:
+            self._opened(now, link)
+            return
         if welcome.name != machine:
             self.counts["wrong_machine"] += 1
             self.actions.append(Lost("machine", machine, "wrong_machine",
@@ -350,11 +441,29 @@
         link.used_at = now
         self._send_machine(machine, m.Roll())
 
-    def link_failed(self, now: int, machine: str) -> None:
-        """A dial failed or took too long: offers that waited for it surely never ran."""
+    def _opened(self, now: int, link: Link) -> None:
+        """A connection stands to a machine that tells nothing of what it holds."""
+        link.state, link.rolled, link.dial_at = "up", True, 0
+        link.used_at = link.heard_at = now
+        if not link.unanswered:
+            link.lost_at = 0
+        self.restless[link.machine] = None
+        words, link.words = link.words, []
+        for message in words:
+            self._send_machine(link.machine, message)
+        for name in list(link.queue):
+            self._offer(now, self.cases[name])
+        if link.machine in self.probes:
+            self._send_machine(link.machine, m.Probe(number=self.probes[link.machine][0]))
+
+    def link_failed(self, now: int, machine: str, refused: bool = False) -> None:
+        """A dial failed or took too long: offers that waited for it surely never ran. `refused`: nobody
+        listens there, so the machine's process is gone."""
         link = self.links.get(machine)
         if link is None:
             return
+        if refused and not self.peers.rolls and link.lost_at:
+            link.lost_at = now - micros(self.limits.reconnect_ms)
         self.counts["dials_failed"] += 1
         self.restless[machine] = None
         link.state = "down"
@@ -377,6 +486,11 @@
         self.restless[link.machine] = None
         self._drop_queue(now, link)
         self._probe_over(now, link.machine, False)
+        if not self.peers.rolls:  # a set-up ends with its connection, what stands does not
+            for name in list(link.holds):
+                case = self.cases[name]
+                if case.sent and not case.placed:
+                    self._ended(now, case, Ending.CUT_OFF, Remark.NONE)
         if link.holds or any(link.machine in by for by in self.loose.values()):
             link.lost_at = link.lost_at or now
             link.dial_at = now
@@ -385,11 +499,12 @@
 
     def _forget_machine(self, now: int, link: Link) -> None:
         """The machine did not come back in time: what is unknown goes to the Brain as unknown."""
-        link.lost_at = link.dial_at = 0
+        link.lost_at = link.dial_at = link.unanswered = 0
+        link.words.clear()
         link.incarnation = link.incarnation if link.state == "up" else 0
         for name in list(link.holds):
             case = self.cases[name]
-            if case.placed:  # it may run on, cut off from here: its machine is asked when it can be
+            if case.placed and self.peers.rolls:  # it may run on, cut off: its machine is asked later
                 self._loosen(now, case)
             self._gone(now, case, "lost")
         if link.machine not in self.roster.fellows:
@@ -419,13 +534,16 @@
         link = self.links.get(machine)
         if link is None or link.state != "up":
             return
+        link.heard_at, link.unanswered = now, 0
+        if not self.peers.rolls:
+            link.lost_at = 0
         if isinstance(message, m.Running):
             self._rolled(now, link, message)
             return
         if isinstance(message, m.Report):
             self.brain.machine_reported(now, machine, load(message.load))
             if machine in self.probes and self.probes[machine][0] == message.number:
-                self._probe_over(now, machine, True)
+                self._probe_over(now, machine, message.well)
             return
         if isinstance(message, m.Pressed):
             self.brain.memory_pressed(now, machine, message.share)
@@ -436,7 +554,8 @@
             self.brain.machine_reported(now, machine, load(report))
         for case in (self.newest.get(message.guest), self.cases.get(f"{message.guest}/{message.ask}")):
             if case and case.machine == machine and case.sent and (
-                    case.ask, case.attempt) == (message.ask, message.attempt):
+                    not self.peers.names_attempts
+                    or (case.ask, case.attempt) == (message.ask, message.attempt)):
                 self._heard(now, case, message)
                 return
         self._heard_loose(now, machine, message)
@@ -447,16 +566,20 @@
             case.placed = True
             self._mark("guest", case.name)
             self.brain.dispatch_taken(now, case.name, now - case.sent_at)
-            self.advice.placed(now, case.guest)
-            self._answer(now, case, m.Placed(guest=case.guest, ask=case.ask, machine=case.machine), case.asks)
+            if self.peers.advised:
+                self.advice.placed(now, case.guest)
+            self._answer(now, case, m.Placed(guest=case.guest, ask=case.ask, machine=case.machine,
+                                             description=getattr(message, "description", b"")), case.asks)
         elif isinstance(message, m.Refused) and not case.placed:
             self.counts["refused_" + message.remark[:20]] += 1
             self._ended(now, case, Ending.TURNED_BACK, REMARKS.get(message.remark, Remark.NONE))
         elif isinstance(message, m.Started):
             self.brain.guest_runs(now, case.name)
         elif isinstance(message, m.Use):
-            self.brain.cores_used(now, case.name, message.cores)
-            self.brain.memory_used(now, case.name, message.memory)
+            if message.cores is not None:
+                self.brain.cores_used(now, case.name, message.cores)
+            if message.memory is not None:
+                self.brain.memory_used(now, case.name, message.memory)
         elif isinstance(message, m.Served):
             self.brain.guest_served(now, case.name, message.share)
         elif isinstance(message, m.Ended):
@@ -641,6 +764,7 @@
                     self._not_sent(now, case, Ending.NO_CONNECTION)
         for machine, (_, due) in list(self.probes.items()):
             if due <= now:
+                self._unheard(now, machine, due - micros(self.limits.probe_ms))
                 self._probe_over(now, machine, False)
         for link in self._restless():
             if link.settled():
@@ -673,17 +797,48 @@
         if now < self.idle_at:
             return
         self.idle_at = now + 1_000_000
+        if not self.peers.rolls:
+            for link in list(self.links.values()):
+                self._watch_silence(now, link)
         idle = micros(self.limits.idle_close_ms)
         for link in [l for l in self.links.values() if l.state == "up" and now - l.used_at > idle]:
             if not link.holds and not link.queue and link.machine not in self.probes:
                 self.actions.append(HangUp(link.machine))
                 link.state = "down"
 
+    def _unheard(self, now: int, machine: str, since: int) -> None:
+        """A probe was not answered. Where no roll call tells of a dead connection, two in a row with not a
+        word between them are taken for one: it is closed and opened anew."""
+        link = self.links.get(machine)
+        if self.peers.rolls or link is None or link.state != "up" or link.heard_at >= since:
+            return
+        link.unanswered += 1
+        if link.unanswered >= 2:
+            self._abandon(now, link)
+
+    def _abandon(self, now: int, link: Link) -> None:
+        self.counts["links_silent"] += 1
+        self.actions.append(HangUp(link.machine))
+        self._link_lost(now, link)
+
     def _restless(self) -> list[Link]:
         for name in [n for n in self.restless if n not in self.links]:
             del self.restless[name]
         return [self.links[name] for name in self.restless]
 
+    def _watch_silence(self, now: int, link: Link) -> None:
+        """Guests stand on a machine that has said nothing for a while, and none is being sent there: a new
+        connection shows whether it is still there, as the module asks no machine that takes nothing."""
+        if link.state == "up" and link.holds and now - link.heard_at > micros(self.limits.silent_ms):
+            if all(self.cases[name].placed for name in link.holds):
+                self._abandon(now, link)
+        elif link.state == "down" and not link.lost_at and link.holds:
+            link.lost_at = link.dial_at = now
+            self.restless[link.machine] = None
+        elif link.state == "up" and link.lost_at and link.unanswered and (
+                now - link.lost_at >= micros(self.limits.reconnect_ms)):
+            self._forget_machine(now, link)
+
     def _ask_loose(self, now: int, loose: Loose) -> None:
         """Asks again what became of a dispatch that was given up, ten times in its keeping time, then forgets
         it: its machine is out of reach for good, or has lost its memory."""
@@ -714,7 +869,7 @@
         elif step is Step.TURN_BACK:
             case = self.cases[name]
             why = "cancelled" if case.cancelled else "stopping" if self.stopping else "no_machine"
-            later = 0 if case.cancelled else self.advice.wait(now, case.guest, len(self.brain.waiting))
+            later = 0 if case.cancelled else self._later(now, case.guest, span)
             self._final(now, case, m.TurnedBack(guest=case.guest, ask=case.ask, reason=why,
             again_after=later))
         elif step is Step.BREAK_OFF:
@@ -763,7 +918,8 @@
         self._send_machine(case.machine, m.Offer(
             guest=case.guest, ask=case.ask, attempt=case.attempt, product=submit.product,
             service=submit.service, cores=submit.cores, memory=submit.memory, customer=submit.customer,
-            owner=case.owner, life=getattr(submit, "life", 0)))
+            owner=case.owner, life=getattr(submit, "life", 0), key=getattr(submit, "key", ""),
+            description=getattr(submit, "description", b"")))
 
     def _not_sent(self, now: int, case: Case, ending: Ending) -> None:
         """An offer that never left: this proves that it did not run."""
@@ -792,7 +948,8 @@
         self._unhold(case)
         self.brain.dispatch_ended(now, case.name, ending, True, remark)
         self._forget(case)
-        self._keep_end(now, case.guest, how)
+        if self.peers.asks_again:
+            self._keep_end(now, case.guest, how)
         self._send_owner(case.owner, m.GuestEnded(guest=case.guest, ask=case.ask, how=how,
                                                   machine=case.machine))
 
@@ -806,7 +963,8 @@
         if not case.sent:
             return
         link = self.links.get(case.machine)
-        self._loosen(now, case)
+        if self.peers.rolls:
+            self._loosen(now, case)
         if link and link.state == "up":
             self._send_machine(case.machine, m.Withdraw(guest=case.guest, ask=case.ask, attempt=case.attempt))
 
@@ -847,9 +1005,10 @@
         keep = now + micros(self.limits.keep_answers_ms)
         for ask in list(asks):
             told = type(message)(**{f: getattr(message, f) for f in message.__struct_fields__} | {"ask": ask})
-            self.answers[case.guest, ask] = told, keep
-            self.answers.move_to_end((case.guest, ask))
-            self._mark("answer", case.guest, ask)
+            if self.peers.asks_again:
+                self.answers[case.guest, ask] = told, keep
+                self.answers.move_to_end((case.guest, ask))
+                self._mark("answer", case.guest, ask)
             self._send_owner(case.owner, told)
         case.asks = {}
         self._mark("guest", case.name)
@@ -925,6 +1084,15 @@
     def _send_owner(self, owner: str, message: m.Message) -> None:
         self.actions.append(Send("owner", owner, message))
 
+    def _tell(self, now: int, machine: str, message: m.Message) -> None:
+        """Sends a word on what stands at a machine; without a connection, with the next."""
+        link = self.links.get(machine)
+        if link is None or link.state == "up":
+            self._send_machine(machine, message)
+        elif fellow := self.roster.fellows.get(machine):
+            link.words.append(message)
+            self._dial(now, fellow)
+
     def _send_machine(self, machine: str, message: m.Message) -> None:
         self.actions.append(Send("machine", machine, message))
 
--- a/hazelhold/engine/machines.py
+++ b/hazelhold/engine/machines.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass, field
 
 from hazelhold.interface import Listed, Mode
-from hazelhold.protocol.messages import Entry, Listing
+from hazelhold.protocol.messages import Entry, Listing, Message
 
 MODES = {"ready": Mode.READY, "cordoned": Mode.CORDONED, "gone": Mode.GONE}
 
@@ -36,6 +36,9 @@
     dial_due: int = 0
     roll_due: int = 0
     used_at: int = 0
+    heard_at: int = 0
+    unanswered: int = 0  # probes in a row with nothing heard since they were sent
+    words: list[Message] = field(default_factory=list)  # on what stands there, for the next connection
 
     def settled(self) -> bool:
         """Nothing about this connection is waited for."""
--- /dev/null
+++ b/hazelhold/engine/terms.py
@@ -0,0 +1,34 @@
+"""What an engine is told at its start: the module's facts, names, bounds, and what its peers do."""
+
+from typing import NamedTuple
+
+from hazelhold.config.planner import LimitSheet, PlannerSheet, deployment
+from hazelhold.interface import Deployment
+
+
+class Peers(NamedTuple):
+    """How the far side behaves. The defaults are this project's own protocol."""
+
+    rolls: bool = True  # machines tell on each connection what they hold. If not: a lost connection ends its
+    # open dispatches, as maybe run, and what stands there stands until the machine is known to be gone
+    names_attempts: bool = True  # machines say which attempt they speak of
+    asks_again: bool = True  # owners repeat an ask under its name: repeats join it, answers are kept for them
+    hears_held: bool = True  # owners hear that an ask was taken
+    advised: bool = True  # the door advises waits and turns away what cannot be reached in time
+
+
+class Terms(NamedTuple):
+    """All that an engine needs of a configuration. Names stand in the order of the facts."""
+
+    facts: Deployment
+    products: tuple[str, ...]
+    customers: tuple[str, ...]
+    kinds: tuple[str, ...]
+    limits: LimitSheet
+    peers: Peers = Peers()
+
+
+def terms_of(sheet: PlannerSheet) -> Terms:
+    estate = sheet.estate
+    return Terms(deployment(sheet), tuple(p.name for p in estate.products), tuple(estate.customers),
+                 tuple(k.name for k in estate.kinds), sheet.limits)
--- /dev/null
+++ b/hazelhold/platform/bulletin.py
@@ -0,0 +1,146 @@
+"""Follows the bulletin: long polls over HTTP/1.1, one after another, for as long as the module wishes.
+
+The module's wish to follow stands until it is told that the list failed; the next call is made at once all
+the same, since what the bulletin tells counts as told whether or not this planner hears it.
+"""
+
+from collections.abc import Callable
+from typing import Any
+
+import h11
+import msgspec
+import structlog
+import trio
+
+from hazelhold.platform.sheet import Known
+from hazelhold.service.net import Net
+
+PATIENCE = 1.0  # seconds that a call asks the bulletin to wait for news; short, so that silence shows soon
+GRACE = 0.6  # seconds past that after which a call is given up
+MOST = 1 << 20  # bytes of an answer
+PAUSES = (0.05, 0.1, 0.2, 0.4)  # seconds between calls that fail one after another
+
+
+class BulletinError(Exception):
+    """A call that brought nothing that can be used."""
+
+
+class Answer(msgspec.Struct):
+    no: int
+    items: list[dict[str, Any]]
+
+
+class Follower:
+    """Keeps to one address; `hear(items)` gets new events in order, `fail()` hears of each failed call."""
+
+    def __init__(self, net: Net, address: str, known: Known, hear: Callable[[list[dict]], None],
+                 fail: Callable[[], None]) -> None:
+        self.net, self.address, self.hear, self.fail = net, address, hear, fail
+        self.last = known.no
+        self.wished = trio.Event()
+        self.scope = trio.CancelScope()
+        self.failures = 0  # in a row
+        self.calls = 0
+        self.stream: trio.abc.Stream | None = None
+        self.wire: h11.Connection | None = None
+        self.log = structlog.get_logger()
+
+    def wish(self) -> None:
+        self.wished.set()
+
+    def move(self, address: str) -> None:
+        """Asks a new address from now on, at once."""
+        self.address = address
+        self.failures = 0
+        self.scope.cancel()
+
+    async def run(self) -> None:
+        await self.wished.wait()
+        while True:
+            with trio.CancelScope() as self.scope:
+                await self._turn()
+            if self.scope.cancelled_caught:
+                await self._close()
+
+    async def _turn(self) -> None:
+        """One call, and a pause if it failed."""
+        self.calls += 1
+        try:
+            with trio.fail_after(PATIENCE + GRACE):
+                body = await self._call()
+            items = self._news(body)
+        except (BulletinError, OSError, trio.TooSlowError, trio.BrokenResourceError, trio.ClosedResourceError,
+                h11.ProtocolError) as wrong:
+            await self._close()
+            if not self.failures:
+                self.log.info("bulletin_failed", address=self.address, reason=repr(wrong)[:200])
+            self.fail()
+            pause = PAUSES[min(self.failures, len(PAUSES) - 1)]
+            self.failures += 1
+            await trio.sleep(pause)
+            return
+        self.failures = 0
+        self.hear(items)
+
+    def _news(self, body: bytes) -> list[dict]:
+        """The events that are new, checked and in order."""
+        try:
+            answer = msgspec.json.decode(body, type=Answer)
+        except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as wrong:
+            raise BulletinError(f"not an answer: {wrong}") from None
+        return self.fresh(answer.items)
+
+    def fresh(self, items: list[dict]) -> list[dict]:
+        """Those of the events that come after the last one; marks them as heard. BulletinError if one is
+        missing or out of order."""
+        new, last = [], self.last
+        for item in items:
+            no = item.get("no")
+            if not isinstance(no, int):
+                raise BulletinError("an event without a number")
+            if no <= last:
+                continue
+            if no != last + 1:
+                raise BulletinError(f"event {no} follows {last}")
+            new.append(item)
+            last = no
+        self.last = last
+        return new
+
+    async def _call(self) -> bytes:
+        """The body of the answer to one call."""
+        if self.stream is None:
+            self.stream = await self.net.dial(self.address)
+            self.wire = h11.Connection(h11.CLIENT)
+        target = f"/bulletins?after={self.last}&patience={round(PATIENCE * 1000)}"
+        request = h11.Request(method="GET", target=target, headers=[("Host", self.address)])
+        await self.stream.send_all(self.wire.send(request) + self.wire.send(h11.EndOfMessage()))
+        body = bytearray()
+        status = 0
+        while True:
+            event = self.wire.next_event()
+            if event is h11.NEED_DATA:
+                self.wire.receive_data(await self.stream.receive_some(1 << 16))
+            elif isinstance(event, h11.Response):
+                status = event.status_code
+            elif isinstance(event, h11.Data):
+                body += event.data
+                if len(body) > MOST:
+                    raise BulletinError("a body without end")
+            elif isinstance(event, h11.EndOfMessage):
+                break
+            elif isinstance(event, h11.ConnectionClosed):
+                raise BulletinError("the connection was closed")
+        if status != 200:
+            raise BulletinError(f"status {status}")
+        if self.wire.our_state is h11.DONE and self.wire.their_state is h11.DONE:
+            self.wire.start_next_cycle()
+        else:
+            await self._close()
+        return bytes(body)
+
+    async def _close(self) -> None:
+        stream, self.stream, self.wire = self.stream, None, None
+        if stream is not None:
+            with trio.CancelScope(shield=True, deadline=trio.current_time() + 0.2):
+                await trio.aclose_forcefully(stream)
--- /dev/null
+++ b/hazelhold/platform/peer.py
@@ -0,0 +1,112 @@
+"""One connection on the platform: reads whole messages, writes from a bounded queue."""
+
+from collections import deque
+from collections.abc import AsyncIterator, Callable
+
+import trio
+
+from hazelhold.platform.codec import LineReader, Parcel, ParcelReader, encode_line, encode_parcel
+from hazelhold.platform.words import to_machine
+from hazelhold.protocol import messages as m
+from hazelhold.service.wire import SendQueue
+
+READ = 1 << 14
+
+
+class Reading(SendQueue):
+    """A connection whose peer's bytes go through a reader."""
+
+    reader: ParcelReader | LineReader
+
+    async def batches(self) -> AsyncIterator[list]:
+        """What each read brought, until either side ends. CodecError if the peer's bytes cannot be read."""
+        while True:
+            try:
+                data = await self.stream.receive_some(READ)
+            except (trio.BrokenResourceError, trio.ClosedResourceError):
+                return
+            if not data:
+                return
+            yield self.reader.feed(data)
+            if self.reader.fault is not None:
+                raise self.reader.fault
+
+
+class OwnerPeer(Reading):
+    """An owner's connection. `open` holds the set-ups that came on it and await their answer."""
+
+    def __init__(self, name: str, stream: trio.abc.Stream, send_bytes: int, at: float) -> None:
+        super().__init__(stream, send_bytes)
+        self.reader = ParcelReader()
+        self.name, self.came_at, self.used_at = name, at, at
+        self.open: dict[str, None] = {}  # emptied by answers, give-ups and the connection's end
+        self.good = False  # it sent something that can be used
+        self.told = False  # it was sent something
+        self.proven = False  # a guest of it was placed
+        self.half_at: float | None = None  # when the part of a message that is held began
+
+    def send(self, parcel: Parcel) -> bool:
+        try:
+            sent = self.put(encode_parcel(parcel))
+        except ValueError:
+            return False
+        self.told = self.told or sent
+        return sent
+
+
+class MachinePeer(Reading):
+    """A connection to a machine. Messages take their form when they leave: an offer tells the time that is
+    left then, and one that is not wanted any more stays here."""
+
+    def __init__(self, stream: trio.abc.Stream, send_bytes: int, time_left: Callable[[m.Offer], int]) -> None:
+        super().__init__(stream, send_bytes)
+        self.reader = LineReader()
+        self.time_left = time_left  # in microseconds; 0: it is not to leave
+        self.messages: deque[m.Message] = deque()
+        self.size = 0  # bytes of what waits, about
+
+    def send(self, message: m.Message) -> bool:
+        if self.closing:
+            return False
+        if isinstance(message, m.Withdraw) and self._unsent(message):
+            return True
+        self.size += 200 + len(getattr(message, "description", b""))
+        if self.size > self.send_bytes:
+            self.cut()
+            return False
+        self.messages.append(message)
+        self.more.set()
+        return True
+
+    def _unsent(self, message: m.Withdraw) -> bool:
+        """An offer of which no byte has left is taken out instead of taken back."""
+        for each in self.messages:
+            if isinstance(each, m.Offer) and each.guest == message.guest:
+                self.messages.remove(each)
+                return True
+        return False
+
+    def waits(self) -> bool:
+        return bool(self.messages)
+
+    def leaving(self) -> bytes:
+        out = bytearray()
+        while self.messages:
+            message, left = self.messages.popleft(), 0
+            if isinstance(message, m.Offer) and not (left := self.time_left(message)):
+                continue
+            line = to_machine(message, left)
+            if line is None:
+                continue
+            try:
+                out += encode_line(line)
+            except ValueError:
+                continue
+        self.size = 0
+        return bytes(out)
+
+    def unsent(self) -> list[m.Offer]:
+        """Offers of which no byte has left."""
+        return [message for message in self.messages if isinstance(message, m.Offer)]
+
+
--- /dev/null
+++ b/hazelhold/platform/planner.py
@@ -0,0 +1,439 @@
+"""The planner on the operators' platform: owners' door, machine links, bulletin follower, one engine.
+
+A thin shell: bytes become messages, messages go to the engine, its actions are carried out. Bounds here are
+the protocol's own: bytes, descriptors, the time to a first message. What to do with a guest is the module's.
+"""
+
+import time
+from collections import Counter, deque
+from pathlib import Path
+
+import structlog
+import trio
+
+from hazelhold.config.load import ConfigError
+from hazelhold.engine.engine import Action, AskList, Dial, Engine, HangUp, Lost, Send
+from hazelhold.platform import words
+from hazelhold.platform.bulletin import BulletinError, Follower
+from hazelhold.platform.codec import END, HEARD, SET_UP, TEST, CodecError, Line, Parcel
+from hazelhold.platform.peer import MachinePeer, OwnerPeer
+from hazelhold.platform.sheet import Start, read_start
+from hazelhold.protocol import messages as m
+from hazelhold.service.net import Net
+from hazelhold.service.ticker import Ticker
+
+FIRST = 2.0  # seconds to a first message that can be used, and to the rest of one that has begun
+HOLD = 8.0  # seconds that a release waits for a connection of owners
+COMING = 0.8  # seconds after SIGTERM in which set-ups still come
+LAST = 2.8  # seconds after SIGTERM at which all that is held is answered
+OUT = 3.3  # and all that is out
+
+
+class PlatformPlanner:
+    """One planner from its start to the end that was asked for."""
+
+    def __init__(self, start: Start, net: Net, config: Path | None = None) -> None:
+        self.start, self.net, self.config = start, net, config
+        self.log = structlog.get_logger().bind(planner=start.name)
+        self.engine = Engine(start.terms, start.seed, net.now())
+        self.limits = start.terms.limits
+        self.bounds = words.Bounds(start.most, dict(zip(start.terms.products, start.patience, strict=True)),
+                                   frozenset(start.terms.customers))
+        self.ticker = Ticker(net.now, self.engine.next_at, self._work, self.limits.batch_ms / 1000)
+        self.owners: dict[str, OwnerPeer] = {}  # emptied as connections end
+        self.numbers = 0  # of owners' connections
+        self.machines: dict[str, tuple[trio.CancelScope, MachinePeer | None]] = {}  # emptied as links end
+        self.held: deque[tuple[float, Parcel]] = deque()  # releases without a connection; emptied by age
+        self.counts: Counter[str] = Counter()
+        self.follower = Follower(net, start.bulletin, start.known, self._hear_bulletin, self._bulletin_failed)
+        self.stop_asked, self.ended = trio.Event(), trio.Event()
+        self.address = ""
+
+    async def run(self, task_status: trio.TaskStatus = trio.TASK_STATUS_IGNORED) -> None:
+        async with trio.open_nursery() as nursery:
+            self.nursery = nursery
+            self._hear_bulletin(self.start.known.items)
+            self.address = await self.net.listen(self.start.listen, self._door, nursery)
+            nursery.start_soon(self.ticker.run)
+            nursery.start_soon(self.follower.run)
+            nursery.start_soon(self._tend)
+            self.log.info("up", address=self.address, machines=len(self.engine.roster.fellows),
+                          sockets=self.start.bounds.sockets, memory_mb=self.start.bounds.memory_mb,
+                          cores=self.start.bounds.cores)
+            task_status.started(self.address)
+            await self.stop_asked.wait()
+            await self._stop()
+            nursery.cancel_scope.cancel()
+        self.ended.set()
+
+    def stop(self) -> None:
+        """Asks for an end: everything that comes meanwhile is still served."""
+        self.stop_asked.set()
+
+    def reload(self) -> None:
+        """Reads the configuration file again; a bad one leaves all as it is."""
+        if self.config is None:
+            return
+        try:
+            fresh = read_start(self.config)
+        except ConfigError as wrong:
+            self.counts["reloads_refused"] += 1
+            self.log.warning("configuration_refused", reason=str(wrong))
+            return
+        self.counts["reloads"] += 1
+        self.log.info("configuration_read", bulletin=fresh.bulletin, settings_same=fresh.terms.facts
+                      == self.start.terms.facts)
+        try:
+            self._hear_bulletin(self.follower.fresh(fresh.known.items))
+        except BulletinError:
+            pass  # what is missing comes from the bulletin itself
+        self.follower.move(fresh.bulletin)
+
+    async def _stop(self) -> None:
+        """Serves on while set-ups come, answers all that was taken, and ends."""
+        began = trio.current_time()
+        self.log.info("stopping", unanswered=self.engine.unanswered())
+        self.leaving = True
+        await trio.sleep(COMING)
+        with trio.move_on_at(began + LAST):
+            while self.engine.unanswered():
+                await trio.sleep(0.02)
+        self.engine.stop(self.net.now())
+        self._carry_out()
+        self.ticker.stir()
+        with trio.move_on_at(began + OUT):
+            while self.engine.unanswered():
+                await trio.sleep(0.02)
+        self.engine.stop_now(self.net.now())
+        self._carry_out()
+        for peer in self.owners.values():
+            peer.end()
+        with trio.move_on_after(0.2):
+            while any(peer.waits() for peer in self.owners.values()):
+                await trio.sleep(0.01)
+        await trio.sleep(0.02)
+        self.log.info("stopped", unanswered=self.engine.unanswered(), **self.counts, **self.engine.counts)
+
+    leaving = False
+
+    def _work(self, now: int) -> None:
+        self.engine.pump(now)
+        self._carry_out()
+
+    def _carry_out(self) -> None:
+        while self.engine.actions:
+            actions, self.engine.actions = self.engine.actions, []
+            for action in actions:
+                self._do(action)
+
+    def _do(self, action: Action) -> None:
+        if isinstance(action, Send):
+            if action.role == "owner":
+                self._tell_owner(action.peer, action.message)
+            else:
+                peer = self.machines.get(action.peer, (None, None))[1]
+                if peer is None or not peer.send(action.message):
+                    self.counts["unsent"] += 1
+                elif self.log_frames:
+                    self.log.debug("to_machine", machine=action.peer, message=repr(action.message))
+        elif isinstance(action, Dial):
+            self._hang_up(action.machine)
+            scope = trio.CancelScope()
+            self.machines[action.machine] = scope, None
+            self.nursery.start_soon(self._link, action, scope)
+        elif isinstance(action, HangUp | Lost):
+            self._hang_up(action.machine if isinstance(action, HangUp) else action.peer)
+        elif isinstance(action, AskList):
+            self.follower.wish()
+
+    log_frames = False
+
+    def _hang_up(self, machine: str) -> None:
+        scope, peer = self.machines.pop(machine, (None, None))
+        if peer is not None:
+            peer.cut()
+        if scope is not None:
+            scope.cancel()
+
+    # Owners.
+
+    def _tell_owner(self, name: str, message: m.Message) -> None:
+        parcel = words.to_owner(message)
+        if parcel is None:
+            return
+        peer = self.owners.get(name)
+        if isinstance(message, m.GuestEnded):
+            if message.how != "stopped":
+                self._release(peer, parcel)
+            return
+        if peer is None:
+            self.counts["answers_without_owner"] += 1
+            return
+        if isinstance(message, m.Rejected) and message.code == "open_already":
+            self._fault(peer, CodecError(message.code, message.text))
+            return
+        peer.open.pop(parcel.id, None)
+        peer.proven = peer.proven or isinstance(message, m.Placed)
+        if not peer.send(parcel):
+            self.counts["answers_unsent"] += 1
+        self._set_deadline(peer)
+
+    def _release(self, peer: OwnerPeer | None, parcel: Parcel) -> None:
+        """Tells the end of what stood: on its own connection, else on any that has shown itself an owner's,
+        else on the next."""
+        if peer is not None and peer.send(parcel):
+            return
+        for other in sorted(self.owners.values(), key=lambda p: (p.proven, p.used_at), reverse=True):
+            if other.good and other.send(parcel):
+                self.counts["releases_elsewhere"] += 1
+                return
+        self.counts["releases_held"] += 1
+        self.held.append((trio.current_time() + HOLD, parcel))
+
+    def _release_held(self, peer: OwnerPeer) -> None:
+        while self.held and peer.send(self.held[0][1]):
+            self.held.popleft()
+
+    async def _door(self, stream: trio.abc.Stream) -> None:
+        """One owner's connection, from its start to its end. Whatever is wrong with it ends it alone."""
+        if len(self.owners) >= self.limits.connections and not self._make_room():
+            self.counts["connections_refused"] += 1
+            await trio.aclose_forcefully(stream)
+            return
+        self.numbers += 1
+        self.counts["connections"] += 1
+        peer = OwnerPeer(f"c{self.numbers}", stream, self.limits.send_bytes, trio.current_time())
+        self.owners[peer.name] = peer
+        self._set_deadline(peer)
+        try:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(peer.write)
+                with peer.scope:
+                    try:
+                        async for batch in peer.batches():
+                            for parcel in batch:
+                                self._owner_said(peer, parcel)
+                            self._set_deadline(peer)
+                    except CodecError as wrong:
+                        self._fault(peer, wrong)
+                if peer.scope.cancelled_caught and not peer.closing:
+                    self.counts["connections_timed_out"] += 1
+                peer.end()
+        finally:
+            self.owners.pop(peer.name, None)
+            now = self.net.now()
+            for guest in list(peer.open):
+                self.engine.owner_left(now, guest)
+            self._carry_out()
+            self.ticker.stir()
+
+    def _make_room(self) -> bool:
+        """Closes a connection with nothing open on it: those that never said anything of use first, then the
+        longest idle. False if there is none."""
+        idle = [peer for peer in self.owners.values() if not peer.open and not peer.closing]
+        if not idle:
+            return False
+        victim = min(idle, key=lambda p: (p.good, p.used_at))
+        self.counts["connections_closed_for_others"] += 1
+        del self.owners[victim.name]
+        victim.end()
+        victim.scope.cancel()
+        return True
+
+    def _set_deadline(self, peer: OwnerPeer) -> None:
+        """When a connection ends if nothing comes: one that has sent nothing of use and was told nothing,
+        and one that has sent only part of a message."""
+        now = trio.current_time()
+        if not peer.reader.half:
+            peer.half_at = None
+        elif peer.half_at is None:
+            peer.half_at = now
+        due = float("inf")
+        if peer.half_at is not None:
+            due = peer.half_at + FIRST
+        if not peer.open and not peer.told and not peer.proven:
+            due = min(due, max(peer.came_at + FIRST, now + 0.2))
+        peer.scope.deadline = due
+
+    def _fault(self, peer: OwnerPeer, wrong: CodecError) -> None:
+        """A peer whose bytes cannot be used: its connection ends, and what is open on it with it."""
+        self.counts["owner_" + wrong.code] += 1
+        self.log.debug("owner_closed", owner=peer.name, code=wrong.code, reason=wrong.text[:200])
+        peer.end()
+        peer.scope.cancel()
+
+    def _owner_said(self, peer: OwnerPeer, parcel: Parcel) -> None:
+        now = self.net.now()
+        peer.used_at = trio.current_time()
+        if self.log_frames:
+            self.log.debug("owner_said", owner=peer.name, parcel=repr(parcel))
+        if parcel.type == SET_UP:
+            self._set_up(now, peer, parcel)
+        elif parcel.type == END:
+            peer.open.pop(parcel.id, None)
+            peer.good = self.engine.owner_left(now, parcel.id) or peer.good
+        elif parcel.type == TEST:
+            peer.good = True
+            peer.send(words.tested(parcel.id, self.engine.ready() and not self.leaving))
+        elif parcel.type != HEARD:
+            self.counts["owner_passed_over"] += 1
+        if peer.good and self.held:
+            self._release_held(peer)
+        self._carry_out()
+        self.ticker.stir()
+
+    def _set_up(self, now: int, peer: OwnerPeer, parcel: Parcel) -> None:
+        try:
+            submit, at = words.wanted(parcel, self.bounds)
+        except (words.BadAskError, CodecError) as wrong:
+            self.counts["ask_" + wrong.code] += 1
+            self.log.debug("ask_refused", owner=peer.name, reason=str(wrong)[:200])
+            if parcel.id not in peer.open:
+                peer.send(words.released(parcel.id, words.ERROR))
+            else:
+                self._fault(peer, CodecError("open_already", "a second set-up under an open name"))
+            return
+        if not at:
+            if parcel.id not in self.engine.newest:
+                peer.open[parcel.id] = None
+            peer.good = True
+            self.engine.owner_said(now, peer.name, submit)
+            return
+        if wrong := self.engine.guest_stands(now, peer.name, at, submit):
+            self.counts["found_" + wrong] += 1
+            peer.send(words.released(parcel.id, words.RESET))
+        else:
+            peer.good = peer.told = True
+
+    # Machines.
+
+    async def _link(self, dial: Dial, scope: trio.CancelScope) -> None:
+        """One connection to a machine: dials within its span, then listens until either side ends."""
+        name, up, refused = dial.machine, False, False
+        with scope:
+            try:
+                with trio.fail_after(dial.span / 1e6):
+                    stream = await self.net.dial(dial.address)
+                peer = MachinePeer(stream, self.limits.send_bytes, self._time_left)
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(peer.write)
+                    with peer.scope:
+                        up = True
+                        self.machines[name] = scope, peer
+                        self.engine.link_up(self.net.now(), name)
+                        self._carry_out()
+                        self.ticker.stir()
+                        await self._hear_machine(name, peer)
+                    peer.end()
+                    peer.writing.cancel()
+            except (OSError, trio.TooSlowError) as wrong:
+                refused = is_refused(wrong)
+                self.counts["dials_refused" if refused else "dials_failed"] += 1
+                self.log.debug("dial_failed", machine=name, address=dial.address, reason=repr(wrong)[:200])
+        if scope.cancelled_caught or self.machines.get(name, (None,))[0] is not scope:
+            return
+        del self.machines[name]
+        now = self.net.now()
+        if up:
+            for offer in peer.unsent():
+                self.engine.offer_held_back(now, offer)
+            self.engine.link_down(now, name)
+        else:
+            self.engine.link_failed(now, name, refused)
+        self._carry_out()
+        self.ticker.stir()
+
+    def _time_left(self, offer: m.Offer) -> int:
+        now = self.net.now()
+        left = self.engine.time_left(now, offer)
+        if not left:
+            self.counts["offers_held_back"] += 1
+            self.engine.offer_held_back(now, offer)
+            self.ticker.stir()
+        return left
+
+    async def _hear_machine(self, name: str, peer: MachinePeer) -> None:
+        try:
+            async for batch in peer.batches():
+                for line in batch:
+                    self._machine_said(name, line)
+        except CodecError as wrong:
+            self.counts["machine_" + wrong.code] += 1
+            self.log.info("machine_unreadable", machine=name, code=wrong.code, reason=wrong.text[:200])
+
+    def _machine_said(self, name: str, line: Line) -> None:
+        if self.log_frames:
+            self.log.debug("machine_said", machine=name, line=repr(line))
+        message = words.from_machine(line, self.engine.stands(line.call))
+        if message is None:
+            return
+        self.engine.machine_said(self.net.now(), name, message)
+        self._carry_out()
+        self.ticker.stir()
+
+    # The bulletin.
+
+    def _hear_bulletin(self, items: list[dict]) -> None:
+        now, wall = self.net.now(), self.net.wall()
+        for item in items:
+            roster = item.get("roster")
+            if not isinstance(roster, dict):
+                self.counts["bulletin_passed_over"] += 1
+                continue
+            try:
+                listing = words.listing(roster, self.start.zones, wall)
+            except (ValueError, TypeError, KeyError, AttributeError) as wrong:
+                self.counts["bulletin_unreadable"] += 1
+                self.log.warning("event_unreadable", no=item.get("no"), reason=repr(wrong)[:200])
+                continue
+            self.engine.list_said(now, listing)
+        if not items:
+            self.engine.list_said(now, m.Listing(version=self.engine.list_version, whole=False, entries=[]))
+        self._carry_out()
+        self.ticker.stir()
+
+    def _bulletin_failed(self) -> None:
+        self.counts["bulletin_failures"] += 1
+        self.engine.list_failed(self.net.now())
+        self.ticker.stir()
+
+    # Each second.
+
+    async def _tend(self) -> None:
+        while True:
+            await trio.sleep(1.0)
+            while self.held and self.held[0][0] <= trio.current_time():
+                self.held.popleft()
+                self.counts["releases_lost"] += 1
+            if self.log.is_enabled_for(10):
+                self._beliefs()
+
+    def _beliefs(self) -> None:
+        """What this planner believes, beside what it has sent and heard."""
+        engine, brain, now = self.engine, self.engine.brain, self.net.now()
+        fleet = {}
+        for name, fellow in engine.roster.fellows.items():
+            known, link = brain.machines.get(name), engine.links.get(name)
+            if known is None:
+                continue
+            cores, memory = known.room(engine.facts)
+            fleet[name] = (f"{fellow.mode.name} room={cores:.1f}/{memory:.1f} used={known.used} "
+                           f"guests={len(known.guests)} strikes={known.strikes} mute={known.mute} "
+                           f"rests={max(0, known.avoid_until - now) // 1000} "
+                           f"link={link.state if link else '-'} "
+                           f"heard={(now - link.heard_at) // 1000 if link else '-'}")
+        self.log.debug("beliefs", waiting=len(brain.waiting), out=len(brain.out), cases=len(engine.cases),
+                       owners=len(self.owners), links=len(self.machines), held=len(self.held), fleet=fleet,
+                       cpu=round(time.process_time(), 2), counts=dict(self.counts),
+                       engine=dict(engine.counts))
+
+
+def is_refused(wrong: BaseException | None) -> bool:
+    """Whether a dial failed because nobody listens there."""
+    while wrong is not None:
+        if isinstance(wrong, ConnectionRefusedError):
+            return True
+        if isinstance(wrong, BaseExceptionGroup):
+            return all(is_refused(each) for each in wrong.exceptions)
+        wrong = wrong.__cause__
+    return False
--- /dev/null
+++ b/hazelhold/platform/serve.py
@@ -0,0 +1,59 @@
+"""Runs one planner on the platform as a process: its environment, its signals, its end."""
+
+import os
+import signal
+from pathlib import Path
+
+import trio
+
+from hazelhold.config.load import ConfigError
+from hazelhold.platform.planner import PlatformPlanner
+from hazelhold.platform.sheet import read_start
+from hazelhold.service.net import TcpNet
+
+
+def serve(config: Path | None = None, frames: bool = False) -> None:
+    """Runs until SIGTERM or SIGINT; SIGHUP reads the configuration again. ConfigError if it is wrong."""
+    path = config or Path(os.environ.get("BALANCER_CONFIG", ""))
+    if not path.name:
+        raise ConfigError("environment", [("BALANCER_CONFIG", "is not set, and no --config is given")])
+    with trio_signals() as early:
+        start = read_start(path)
+        trio.run(run, start, path, frames, early)
+
+
+class trio_signals:  # noqa: N801 - a context manager
+    """Signals that come before trio listens: noted, so that none of them ends the process early."""
+
+    KINDS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+
+    def __enter__(self) -> list[int]:
+        self.seen: list[int] = []
+        self.old = {kind: signal.signal(kind, lambda number, _: self.seen.append(number))
+                    for kind in self.KINDS}
+        return self.seen
+
+    def __exit__(self, *_: object) -> None:
+        for kind, old in self.old.items():
+            signal.signal(kind, old)
+
+
+async def run(start: object, path: Path, frames: bool, early: list[int]) -> None:
+    planner = PlatformPlanner(start, TcpNet(), path)
+    planner.log_frames = frames
+    with trio.open_signal_receiver(*trio_signals.KINDS) as signals:
+        async with trio.open_nursery() as nursery:
+            def take(number: int) -> None:
+                planner.reload() if number == signal.SIGHUP else planner.stop()
+
+            async def listen() -> None:
+                async for number in signals:
+                    take(number)
+
+            await nursery.start(planner.run)
+            for number in early:
+                take(number)
+            nursery.start_soon(listen)
+            await planner.stop_asked.wait()
+            await planner.ended.wait()
+            nursery.cancel_scope.cancel()
--- /dev/null
+++ b/hazelhold/platform/sheet.py
@@ -0,0 +1,176 @@
+"""The platform's configuration file, checked whole.
+
+The settings are nested; they are flattened to the paths that the simulator's wire uses, and one reader turns
+both forms into the facts of the module.
+"""
+
+import math
+from pathlib import Path
+from typing import Any, NamedTuple
+
+import msgspec
+from msgspec import Struct
+
+from hazelhold.config.load import ConfigError, read_text, split_address
+from hazelhold.config.planner import LimitSheet
+from hazelhold.engine.terms import Peers, Terms
+from hazelhold.simhost import Pairs, WireError, read_deployment
+
+PLATFORM = Peers(rolls=False, names_attempts=False, asks_again=False, hears_held=False, advised=False)
+LOST_AFTER_MS = 3500.0  # a machine out of reach so long has lost what stood there; owners must hear in 8 s
+
+
+class Bounds(Struct, frozen=True):
+    """What the planner's processes may use."""
+
+    cores: float = 1.0
+    memory_mb: float = 192.0
+    sockets: int = 256
+
+
+class Known(Struct, frozen=True):
+    """The events of the bulletin up to number `no`."""
+
+    no: int
+    items: list[dict[str, Any]]
+
+
+class File(Struct, frozen=True):
+    """The file as it stands; keys that are not known are passed over."""
+
+    name: str
+    listen: str
+    seed: str
+    bulletin: str
+    known: Known
+    settings: dict[str, Any]
+    limits: Bounds = Bounds()
+
+
+class Start(NamedTuple):
+    """A checked configuration."""
+
+    name: str
+    listen: str
+    seed: int
+    bounds: Bounds
+    bulletin: str
+    known: Known
+    terms: Terms
+    zones: dict[str, int]
+    most: tuple[float, float]  # cores and memory that the largest machine may be asked for in all
+    patience: tuple[int, ...]  # by product: the longest, in microseconds
+
+
+def flat(settings: dict[str, Any]) -> dict[str, str]:
+    """Path and text of each setting, as the simulator's first message has them: lists of plain values joined
+    by commas, lists of objects by number with a count, spaces and commas inside values as underlines."""
+    found: dict[str, str] = {}
+
+    def plain(value: object) -> str:
+        if isinstance(value, bool):
+            return "true" if value else "false"
+        return str(value).replace(" ", "_").replace(",", "_")
+
+    def walk(path: str, value: object) -> None:
+        if isinstance(value, dict):
+            for key, each in value.items():
+                walk(f"{path}.{key}" if path else str(key), each)
+        elif isinstance(value, list) and any(isinstance(each, dict) for each in value):
+            found[f"{path}.count"] = str(len(value))
+            for at, each in enumerate(value):
+                walk(f"{path}.{at}", each)
+        elif isinstance(value, list):
+            found[path] = ",".join(plain(each) for each in value)
+        elif value is not None:
+            found[path] = plain(value)
+
+    walk("", settings)
+    return found
+
+
+def names(settings: dict[str, Any], key: str) -> tuple[str, ...]:
+    """The names in a list of objects, or of plain names; as they come, for they are compared with
+    messages."""
+    listed = settings.get(key) or []
+    if not isinstance(listed, list):
+        return ()
+    return tuple(str(each.get("name", "")) if isinstance(each, dict) else str(each) for each in listed)
+
+
+def read_start(path: Path) -> Start:
+    """ConfigError names all that is wrong with the file."""
+    return check_start(read_text(path), str(path))
+
+
+def check_start(text: str, file: str) -> Start:
+    try:
+        raw = msgspec.json.decode(text)
+    except msgspec.MsgspecError as wrong:
+        raise ConfigError(file, [("syntax", str(wrong))]) from None
+    if not isinstance(raw, dict):
+        raise ConfigError(file, [("top", "expected an object")])
+    faults: list[tuple[str, str]] = []
+    given: dict[str, Any] = {}
+    for each in msgspec.structs.fields(File):
+        if each.name not in raw:
+            if each.required:
+                faults.append((each.name, "is missing"))
+            continue
+        try:
+            given[each.name] = msgspec.convert(raw[each.name], each.type)
+        except msgspec.ValidationError as wrong:
+            faults.append((each.name, str(wrong)))
+    for key in ("listen", "bulletin"):
+        if key in given:
+            try:
+                split_address(given[key])
+            except ValueError as wrong:
+                faults.append((key, str(wrong)))
+    seed = 0
+    if "seed" in given:
+        try:
+            seed = int(given["seed"], 16)
+        except ValueError:
+            faults.append(("seed", f"{given['seed']!r} are no hex digits"))
+    bounds = given.get("limits", Bounds())
+    if bounds.sockets < 32:
+        faults.append(("limits.sockets", f"{bounds.sockets}: at least 32 are needed"))
+    facts = None
+    settings = given.get("settings", {})
+    pairs = Pairs([])
+    pairs.values = flat(settings)
+    if settings:
+        try:
+            facts = read_deployment(pairs)
+        except (WireError, ValueError) as wrong:
+            faults.append(("settings", str(wrong)))
+    limits = _limits(pairs, bounds, faults)
+    if faults or facts is None:
+        raise ConfigError(file, faults or [("settings", "are empty")])
+    terms = Terms(facts, names(settings, "classes"), names(settings, "tenants"), names(settings, "kinds"),
+                  limits, PLATFORM)
+    most = (max(k.cores for k in facts.kinds) * facts.cores_multiple,
+            max(k.memory for k in facts.kinds) * facts.memory_multiple)
+    patience = tuple(pairs.span(f"classes.{at}.deadline") for at in range(len(facts.products)))
+    return Start(given["name"], given["listen"], seed, bounds, given["bulletin"], given["known"], terms,
+                 {name: at for at, name in enumerate(names(settings, "zones"))}, most, patience)
+
+
+def _limits(pairs: Pairs, bounds: Bounds, faults: list[tuple[str, str]]) -> LimitSheet:
+    """Bounds on peers from the settings: how long a connection may take to come up, and to stay idle."""
+    spans = {"connect": 250.0, "idle": 15_000.0}
+    for key, path in (("connect", "limits.connect-timeout"), ("idle", "limits.idle-close")):
+        text = pairs.values.get(path, "")
+        try:
+            value = float(text) if text else spans[key]
+        except ValueError:
+            value = math.nan
+        if not 0 < value <= 86_400_000:
+            faults.append((f"settings.{path}", f"{text!r} is no span"))
+        else:
+            spans[key] = value
+    # Ours closes first: four fifths of the time after which a machine closes.
+    return LimitSheet(connect_ms=spans["connect"], idle_close_ms=0.8 * spans["idle"],
+                      reconnect_ms=LOST_AFTER_MS, open_guests=20_000, send_bytes=1 << 18,
+                      connections=max(8, bounds.sockets // 2))
--- a/hazelhold/protocol/messages.py
+++ b/hazelhold/protocol/messages.py
@@ -97,6 +97,8 @@
     customer: str = ""
     life: Span = 0
     reason: str = ""  # of a repeat: turned_back, broken_off, lost, unanswered
+    key: str = ""  # the owner's name for the guest, the same each time it is asked for
+    description: bytes = b""  # opaque; goes to the machine as it is
 
 
 class Cancel(Named, tag="cancel", kw_only=True):
@@ -123,6 +125,7 @@
     """Final answer: the guest was accepted by a machine, or runs there."""
 
     machine: Id
+    description: bytes = b""  # the machine's, as it is
 
 
 class TurnedBack(Named, tag="turned_back", kw_only=True):
@@ -165,6 +168,8 @@
     customer: str = ""
     owner: str = ""
     life: Span = 0
+    key: str = ""
+    description: bytes = b""
 
 
 class Withdraw(Offered, tag="withdraw", kw_only=True):
@@ -189,6 +194,7 @@
     """The machine accepted the guest, or it runs, as the deployment confirms."""
 
     load: Load | None = None
+    description: bytes = b""
 
 
 class Refused(Offered, tag="refused", kw_only=True):
@@ -203,10 +209,10 @@
 
 
 class Use(Offered, tag="use", kw_only=True):
-    """What a running guest uses now."""
+    """What a running guest uses now; None where that is not told."""
 
-    cores: Room
-    memory: Room
+    cores: Room | None = None
+    memory: Room | None = None
 
 
 class Served(Offered, tag="served", kw_only=True):
@@ -238,6 +244,7 @@
 
     number: Count
     load: Load | None = None
+    well: bool = True
 
 
 class Stand(Struct, omit_defaults=True):
--- a/hazelhold/service/wire.py
+++ b/hazelhold/service/wire.py
@@ -12,68 +12,58 @@
 READ = 1 << 16
 
 
-class Wire:
-    """One side of a connection. `send` never waits: a peer that reads nothing fills its own queue, and is cut
-    off when that is full, while everybody else goes on."""
+class SendQueue:
+    """What leaves by one connection. Putting something in never waits: a peer that reads nothing fills its
+    own queue, and is cut off when that is full, while everybody else goes on."""
 
-    def __init__(self, stream: trio.abc.Stream, codec: Codec, now: callable, recorder: Recorder | None = None,
-                 peer: str = "", frame_bytes: int = 1 << 20, send_bytes: int = 1 << 20) -> None:
-        self.stream, self.codec, self.now = stream, codec, now
-        self.recorder, self.peer = recorder, peer
-        self.reader = FrameReader(frame_bytes)
-        self.send_bytes = send_bytes
+    def __init__(self, stream: trio.abc.Stream, send_bytes: int = 1 << 20) -> None:
+        self.stream, self.send_bytes = stream, send_bytes
         self.queue = bytearray()
-        self.trunk: Trunk | None = None  # this connection in the capture
-        self.body = b""  # of the message that was read last
-        self.raw = b""  # what was read last, whatever it is
         self.more = trio.Event()
         self.closing = False
-        self.scope = trio.CancelScope()  # the reading side; cancelled when the wire is to end
+        self.scope = trio.CancelScope()  # the reading side; cancelled when the connection is to end
         self.writing = trio.CancelScope()  # the writing side; bounds a peer that reads nothing
 
-    def send(self, message: Message) -> bool:
-        """Queues a message; False if the wire is ending, or just ended because its queue is full."""
+    def put(self, data: bytes) -> bool:
+        """Queues bytes; False if the connection is ending, or just ended because its queue is full."""
         if self.closing:
             return False
-        body = encode(message)
-        if len(self.queue) + len(body) > self.send_bytes:
+        if len(self.queue) + len(data) > self.send_bytes:
             self.cut()
             return False
-        self.queue += body
-        if self.trunk is not None:
-            self.trunk.data(True, body, self.now())
-        self.note("out", message)
+        self.queue += data
         self.more.set()
         return True
 
+    def leaving(self) -> bytes:
+        """What is to be written next, taken out of the queue; empty if there is nothing."""
+        data = bytes(self.queue)
+        self.queue.clear()
+        return data
+
+    def waits(self) -> bool:
+        return bool(self.queue)
+
     def cut(self) -> None:
-        """Ends the wire without ceremony."""
+        """Ends the connection without ceremony."""
         self.closing = True
         self.scope.cancel()
         self.writing.cancel()
 
-    def finish(self, message: Message | None = None) -> None:
-        """Ends the wire after what is queued, and a last message, have gone; a second at most."""
-        if message is not None:
-            self.send(message)
+    def end(self) -> None:
+        """Ends the connection after what is queued has gone; a second at most."""
         self.closing = True
         self.writing.deadline = min(self.writing.deadline, trio.current_time() + 1.0)
         self.more.set()
 
-    def note(self, way: str, message: Message | None) -> None:
-        if self.recorder is not None and self.peer:
-            self.recorder.note(self.now(), self.peer, way, message)
-
     async def write(self) -> None:
-        """Writes what is queued until the wire ends; then closes the stream."""
+        """Writes what is queued until the connection ends; then closes the stream."""
         try:
             with self.writing:
-                while not self.closing or self.queue:
+                while not self.closing or self.waits():
                     await self.more.wait()
                     self.more = trio.Event()
-                    while self.queue:
-                        data = bytes(self.queue)
-                        self.queue.clear()
+                    while data := self.leaving():
                         await self.stream.send_all(data)
                     if self.closing:
                         break
@@ -85,6 +75,40 @@
             with trio.CancelScope(shield=True, deadline=trio.current_time() + 0.2):
                 await self.stream.aclose()
 
+
+class Wire(SendQueue):
+    """One side of a connection that carries frames."""
+
+    def __init__(self, stream: trio.abc.Stream, codec: Codec, now: callable, recorder: Recorder | None = None,
+                 peer: str = "", frame_bytes: int = 1 << 20, send_bytes: int = 1 << 20) -> None:
+        super().__init__(stream, send_bytes)
+        self.codec, self.now = codec, now
+        self.recorder, self.peer = recorder, peer
+        self.reader = FrameReader(frame_bytes)
+        self.trunk: Trunk | None = None  # this connection in the capture
+        self.body = b""  # of the message that was read last
+        self.raw = b""  # what was read last, whatever it is
+
+    def send(self, message: Message) -> bool:
+        """Queues a message; False if the wire is ending, or just ended because its queue is full."""
+        body = encode(message)
+        if not self.put(body):
+            return False
+        if self.trunk is not None:
+            self.trunk.data(True, body, self.now())
+        self.note("out", message)
+        return True
+
+    def finish(self, message: Message | None = None) -> None:
+        """Ends the wire after what is queued, and a last message, have gone; a second at most."""
+        if message is not None:
+            self.send(message)
+        self.end()
+
+    def note(self, way: str, message: Message | None) -> None:
+        if self.recorder is not None and self.peer:
+            self.recorder.note(self.now(), self.peer, way, message)
+
     async def messages(self) -> AsyncIterator[Message]:
         """What the peer says, until either side ends. FrameError if the peer breaks the protocol."""
         while True:
