--- a/hazelhold/platform/planner.py
+++ b/hazelhold/platform/planner.py
@@ -55,6 +55,8 @@
             self._hear_bulletin(self.start.known.items)
             self.address = await self.net.listen(self.start.listen, self._door, nursery)
             nursery.start_soon(self.ticker.run)
+            if not self.engine.facts.list_is_asked:
+                self.follower.wish()  # the list comes by itself: the module does not ask for it
             nursery.start_soon(self.follower.run)
             nursery.start_soon(self._tend)
             self.log.info("up", address=self.address, machines=len(self.engine.roster.fellows),
