Platform: a set-up without a number ends its connection instead of reaching machines

Excluded: descriptions (all 912 offers well formed). At fault: decode_parcel took eight zero bytes for a task, and the door went on with a batch after a fault.

--- a/hazelhold/platform/codec.py
+++ b/hazelhold/platform/codec.py
@@ -58,6 +58,8 @@
     """The message in `body`, which follows the length."""
     if len(body) < 9:
         raise CodecError("no_id", f"a message of {len(body)} bytes has no task")
+    if not any(body[1:9]):
+        raise CodecError("no_id", "a task without a number")
     if body[0] not in TYPES:
         raise CodecError("unknown_type", f"type {body[0]}")
     parameters: dict[int, bytes] = {}
--- a/hazelhold/platform/planner.py
+++ b/hazelhold/platform/planner.py
@@ -214,6 +214,8 @@
                     try:
                         async for batch in peer.batches():
                             for parcel in batch:
+                                if peer.closing:
+                                    break
                                 self._owner_said(peer, parcel)
                             self._set_deadline(peer)
                     except CodecError as wrong:
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -60,3 +60,17 @@
         assert not rig.planner.engine.cases
 
     play(test)
+
+
+def test_a_set_up_without_a_number_ends_its_connection_and_reaches_no_machine() -> None:
+    """Seen on sockets: machines close on it, and whatever else was open there went with it."""
+    async def test(rig: Rig) -> None:
+        usual, bad = await rig.owner(), await rig.owner()
+        await bad.say(set_up(0), set_up(7))
+        await usual.say(set_up(1))
+        await trio.sleep(1)
+        assert bad.closed_at is not None and bad.heard == []
+        assert usual.of(1) == PLACED and usual.closed_at is None
+        assert rig.offers(0) == rig.offers(7) == []
+
+    play(test)
