--- a/hazelhold/engine/engine.py
+++ b/hazelhold/engine/engine.py
@@ -314,7 +314,8 @@
         self.cases[case.name] = self.newest[case.guest] = case
         self._hold(case)
         self.brain.guest_found(now, machine, self._ask(case, submit.patience))
-        self._dial(now, fellow)
+        link = self._dial(now, fellow)
+        link.heard_at = link.heard_at or now
         return ""
 
     def stands(self, guest: str) -> bool:
@@ -444,9 +445,11 @@
     def _opened(self, now: int, link: Link) -> None:
         """A connection stands to a machine that tells nothing of what it holds."""
         link.state, link.rolled, link.dial_at = "up", True, 0
-        link.used_at = link.heard_at = now
-        if not link.unanswered:
-            link.lost_at = 0
+        link.used_at = link.opened_at = now
+        link.heard_at = link.heard_at or now
+        if link.lost_at:  # whether the machine that had those guests is still there, its answer shows
+            self.probe_number += 1
+            self._send_machine(link.machine, m.Probe(number=self.probe_number))
         self.restless[link.machine] = None
         words, link.words = link.words, []
         for message in words:
@@ -491,7 +494,9 @@
                 case = self.cases[name]
                 if case.sent and not case.placed:
                     self._ended(now, case, Ending.CUT_OFF, Remark.NONE)
-        if link.holds or any(link.machine in by for by in self.loose.values()):
+        if not self.peers.rolls and link.machine not in self.roster.fellows:
+            self._forget_machine(now, link)  # it has left the list, and its connection with it
+        elif link.holds or any(link.machine in by for by in self.loose.values()):
             link.lost_at = link.lost_at or now
             link.dial_at = now
         else:
@@ -499,7 +504,7 @@
 
     def _forget_machine(self, now: int, link: Link) -> None:
         """The machine did not come back in time: what is unknown goes to the Brain as unknown."""
-        link.lost_at = link.dial_at = link.unanswered = 0
+        link.lost_at = link.dial_at = link.unanswered = link.heard_at = 0
         link.words.clear()
         link.incarnation = link.incarnation if link.state == "up" else 0
         for name in list(link.holds):
@@ -827,17 +832,29 @@
         return [self.links[name] for name in self.restless]
 
     def _watch_silence(self, now: int, link: Link) -> None:
-        """Guests stand on a machine that has said nothing for a while, and none is being sent there: a new
-        connection shows whether it is still there, as the module asks no machine that takes nothing."""
-        if link.state == "up" and link.holds and now - link.heard_at > micros(self.limits.silent_ms):
-            if all(self.cases[name].placed for name in link.holds):
+        """What stands on a machine outlives its connections, so silence has to be looked into: a machine
+        that has said nothing for a while is asked on a new connection, since the module asks none that takes
+        nothing. One that stays silent, or has left the list a second ago, has lost what stood there."""
+        silent, lost = micros(self.limits.silent_ms), micros(self.limits.silent_ms + self.limits.reconnect_ms)
+        if not link.holds:
+            return
+        if link.machine not in self.roster.fellows:
+            link.gone_at = link.gone_at or now
+            if now - link.gone_at < 1_000_000:
+                return
+        elif not link.lost_at or now - link.heard_at < lost:
+            if link.state == "down" and not link.lost_at:
+                link.lost_at = link.dial_at = now
+                self.restless[link.machine] = None
+            elif link.state == "up" and now - max(link.heard_at, link.opened_at) > silent and all(
+                    self.cases[name].placed for name in link.holds):
                 self._abandon(now, link)
-        elif link.state == "down" and not link.lost_at and link.holds:
-            link.lost_at = link.dial_at = now
-            self.restless[link.machine] = None
-        elif link.state == "up" and link.lost_at and link.unanswered and (
-                now - link.lost_at >= micros(self.limits.reconnect_ms)):
-            self._forget_machine(now, link)
+            return
+        if link.state != "down":
+            self.actions.append(HangUp(link.machine))
+            link.state = "down"
+        self._drop_queue(now, link)
+        self._forget_machine(now, link)
 
     def _ask_loose(self, now: int, loose: Loose) -> None:
         """Asks again what became of a dispatch that was given up, ten times in its keeping time, then forgets
--- a/hazelhold/engine/machines.py
+++ b/hazelhold/engine/machines.py
@@ -36,7 +36,9 @@
     dial_due: int = 0
     roll_due: int = 0
     used_at: int = 0
-    heard_at: int = 0
+    heard_at: int = 0  # its last word, on whatever connection
+    opened_at: int = 0
+    gone_at: int = 0  # when it was seen to have left the list with guests of ours; 0: it has not
     unanswered: int = 0  # probes in a row with nothing heard since they were sent
     words: list[Message] = field(default_factory=list)  # on what stands there, for the next connection
 
--- a/tests/platform_rig.py
+++ b/tests/platform_rig.py
@@ -81,6 +81,7 @@
         self.heard: list[dict] = []  # all lines
         self.streams: list[trio.abc.Stream] = []
         self.accepts, self.silent = True, False
+        self.turn = trio.Lock()  # it looks at one line at a time
 
     async def door(self, stream: trio.abc.Stream) -> None:
         self.streams.append(stream)
@@ -91,8 +92,15 @@
                 while b"\n" in held:
                     line, _, rest = bytes(held).partition(b"\n")
                     held = bytearray(rest)
-                    self.heard.append(json.loads(line))
-                    await self.answer(stream, self.heard[-1])
+                    self.heard.append(json.loads(line) | {"at": trio.current_time()})
+                    self.nursery.start_soon(self._answered, stream, self.heard[-1])
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            pass
+
+    async def _answered(self, stream: trio.abc.Stream, line: dict) -> None:
+        try:
+            async with self.turn:
+                await self.answer(stream, line)
         except (trio.BrokenResourceError, trio.ClosedResourceError):
             pass
 
@@ -201,6 +209,7 @@
         self.nursery = nursery
         await self.net.listen("news:1", self.bulletin.door, nursery)
         for name, machine in self.machines.items():
+            machine.nursery = nursery
             await self.net.listen(f"{name}:1", machine.door, nursery)
         await nursery.start(self.planner.run)
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -1,7 +1,12 @@
 """The planner on the platform, from what crosses the streams."""
 
+from functools import partial
+from pathlib import Path
+from random import Random
+
+import pytest
 import trio
-from platform_rig import Rig, end, event, host, play, set_up
+from platform_rig import Bulletin, Machine, Owner, Rig, end, event, file, host, play, set_up
 
 from hazelhold.platform.codec import ANSWER, DESCRIPTION, END, TEST, TESTED, Parcel
 
@@ -74,3 +79,463 @@
         assert rig.offers(0) == rig.offers(7) == []
 
     play(test)
+
+
+# Machines: endings, silence, lives.
+
+
+def test_a_silent_machine_does_not_hold_back_others_and_what_stood_there_is_told_in_time() -> None:
+    async def test(rig: Rig) -> None:
+        owner = await rig.owner()
+        await owner.say(*(set_up(guest) for guest in range(1, 9)))
+        await trio.sleep(0.5)
+        there = [guest for guest in range(1, 9) if rig.offers(guest) == ["a"]]
+        assert there
+        rig.machines["a"].silent = True  # its connection stays open and silent, new ones never come up
+        rig.net.doors["a:1"] = (never, rig.nursery)
+        silent_at = trio.current_time()
+        await owner.say(*(set_up(guest) for guest in range(11, 31)))
+        await trio.sleep(7.9 - (trio.current_time() - silent_at))
+        for guest in there:
+            assert owner.of(guest) == [*PLACED, (END, 41)], guest
+        for guest in range(11, 31):
+            assert len(owner.of(guest)) == 1, guest
+        late = set_up(40)
+        await owner.say(late)
+        await trio.sleep(0.3)
+        assert owner.of(40) == PLACED and rig.offers(40) == ["b"]
+
+    play(test)
+
+
+async def never(stream: trio.abc.Stream) -> None:
+    await trio.sleep_forever()
+
+
+def test_a_machine_whose_process_died_has_lost_what_stood_there() -> None:
+    async def test(rig: Rig) -> None:
+        owner = await rig.owner()
+        await owner.say(*(set_up(guest) for guest in range(1, 9)))
+        await trio.sleep(0.5)
+        there = [guest for guest in range(1, 9) if rig.offers(guest) == ["a"]]
+
+        async def refuse(address: str) -> trio.abc.Stream:
+            if address == "a:1":
+                raise ConnectionRefusedError
+            return await dial(address)
+
+        dial, rig.planner.net.dial = rig.planner.net.dial, refuse
+        await rig.machines["a"].streams[-1].aclose()
+        await trio.sleep(0.9)
+        assert there and all(owner.of(guest) == [*PLACED, (END, 41)] for guest in there)
+
+    play(test)
+
+
+def test_a_connection_that_breaks_ends_its_open_set_ups_and_not_what_stands() -> None:
+    async def test(rig: Rig) -> None:
+        machine = rig.machines["a"]
+        owner = await rig.owner()
+        await owner.say(set_up(1))
+        await trio.sleep(0.3)
+        machine.accepts = False
+        await owner.say(set_up(2, "once"), set_up(3))
+        await trio.sleep(0.1)
+        await machine.streams[-1].aclose()
+        await trio.sleep(0.2)
+        # The exclusive one may have run: failed, no other dispatch. The rerunnable one is offered again.
+        assert owner.of(1) == PLACED and owner.of(2) == [(END, 41)]
+        assert rig.offers(2) == ["a"] and rig.offers(3) == ["a", "a"] or owner.of(3) == []
+        assert len(machine.streams) == 2
+        await machine.end(f"{1:016x}", 16)  # on the new connection
+        await trio.sleep(0.1)
+        assert owner.of(1) == [*PLACED, (END, 16)]
+
+    play(test, machines="a")
+
+
+def test_spoilt_answers_are_never_passed_on_as_placed() -> None:
+    spoilt = [b"\x00\x01noise\n", b'{"op":"accept","call":"%s"}\n', b'{"op":"accept","call":"%s","desc":7}\n',
+              b"{" + b"x" * 20_000, b'{"op":"accept","call":"%s","desc":"ha']
+
+    async def test(rig: Rig) -> None:
+        machine = rig.machines["a"]
+        machine.accepts = False
+        owner = await rig.owner()
+        for guest, answer in enumerate(spoilt, 1):
+            await owner.say(set_up(guest, "once"))
+            await trio.sleep(0.2)
+            assert rig.offers(guest) == ["a"], guest
+            call = f"{guest:016x}".encode()
+            await machine.streams[-1].send_all(answer % call if b"%s" in answer else answer)
+            if answer.endswith(b"ha"):
+                await machine.streams[-1].aclose()
+            await trio.sleep(9)  # the machine rests after a failure
+            assert owner.of(guest) == [(END, 41)], guest
+        assert rig.planner.counts["machine_unreadable"] + rig.planner.counts["machine_too_long"] + (
+            rig.planner.counts["machine_no_description"]) == 4
+
+    play(test, machines="a")
+
+
+def test_second_copies_and_unknown_answers_are_dropped_and_counted() -> None:
+    async def test(rig: Rig) -> None:
+        owner = await rig.owner()
+        await owner.say(set_up(1))
+        await trio.sleep(0.3)
+        machine = rig.machines["a"]
+        await machine.accept(machine.streams[-1], f"{1:016x}")
+        await machine.accept(machine.streams[-1], f"{99:016x}")
+        await owner.say(set_up(2))
+        await trio.sleep(0.3)
+        assert owner.of(1) == owner.of(2) == PLACED and owner.of(99) == []
+        assert rig.planner.engine.counts["stray_messages"] == 1
+
+    play(test, machines="a")
+
+
+def test_an_offer_that_waits_for_its_connection_does_not_leave_once_its_machine_drains() -> None:
+    async def test(rig: Rig) -> None:
+        await trio.sleep(0.1)
+        gate = trio.Event()
+        dial = rig.planner.net.dial
+
+        async def slow(address: str) -> trio.abc.Stream:
+            if address == "c:1":
+                await gate.wait()
+            return await dial(address)
+
+        rig.planner.net.dial = slow
+        rig.bulletin.events += [event(2, host("c"), host("a", "terminating"))]
+        owner = await rig.owner()
+        await trio.sleep(0.1)
+        await owner.say(set_up(1))
+        await trio.sleep(0.05)
+        rig.bulletin.events += [event(3, host("c", "terminating"))]
+        await trio.sleep(0.05)
+        gate.set()
+        await trio.sleep(3)
+        assert rig.offers(1) == [] and owner.of(1) == [(END, 34)]
+
+    play(test, machines="a")
+
+
+def test_a_new_machine_at_the_address_of_one_that_has_gone_inherits_nothing() -> None:
+    async def test(rig: Rig) -> None:
+        owner = await rig.owner()
+        await owner.say(*(set_up(guest) for guest in (1, 2)))
+        await trio.sleep(0.3)
+        old = rig.machines["a"].streams[-1]
+        rig.bulletin.events += [event(2, host("a", "terminated"), host("c", dial="a:1"))]
+        await old.aclose()
+        await trio.sleep(2.5)
+        assert [owner.of(guest) for guest in (1, 2)] == [[*PLACED, (END, 41)]] * 2
+        await owner.say(set_up(3))
+        await trio.sleep(0.3)
+        assert owner.of(3) == PLACED
+        assert set(rig.planner.engine.links) == {"c"}
+
+    play(test, machines="a")
+
+
+def test_a_machine_s_new_life_ends_what_came_to_the_old_one() -> None:
+    async def test(rig: Rig) -> None:
+        owner = await rig.owner()
+        await owner.say(set_up(1))
+        await trio.sleep(1)
+        born = (rig.net.wall() - 300_000) / 1000
+        rig.bulletin.events += [event(2, host("a", born=born))]
+        await trio.sleep(0.2)
+        assert owner.of(1) == [*PLACED, (END, 41)]
+        started = rig.planner.engine.roster.fellows["a"].started
+        rig.bulletin.events += [event(3, host("a", born=born))]
+        await trio.sleep(2)
+        assert rig.planner.engine.roster.fellows["a"].started == started
+
+    play(test, machines="a")
+
+
+# Owners.
+
+
+def test_found_guests_stand_and_their_end_is_told_over_any_connection_or_the_next() -> None:
+    async def test(rig: Rig) -> None:
+        first = await rig.owner()
+        figures = "cores:1;memory:2;service:s;at:a"
+        await first.say(*(set_up(guest, left="4294967", figures=figures) for guest in (1, 2)))
+        await trio.sleep(0.2)
+        await first.say(set_up(1, left="4294967", figures=figures))  # handed over once more
+        await trio.sleep(0.2)
+        assert first.heard == [] and rig.planner.engine.stands(f"{1:016x}")
+        await first.stream.aclose()
+        second = await rig.owner()
+        await second.say(Parcel(TEST, "00000000000000aa", {17: b"\0"}))
+        await trio.sleep(0.1)
+        await rig.machines["a"].end(f"{1:016x}", 16)
+        await trio.sleep(0.1)
+        assert second.of(1) == [(END, 16)]
+        await second.stream.aclose()
+        await trio.sleep(0.1)
+        await rig.machines["a"].end(f"{2:016x}", 41, "oom")
+        await trio.sleep(1)
+        silent, third = await rig.owner(), await rig.owner()
+        await third.say(set_up(5))
+        await trio.sleep(0.1)
+        assert third.of(2) == [(END, 41)] and silent.heard == []
+
+    play(test)
+
+
+def test_an_owner_ends_what_stands_over_another_connection() -> None:
+    async def test(rig: Rig) -> None:
+        first, second = await rig.owner(), await rig.owner()
+        await first.say(set_up(1))
+        await trio.sleep(0.2)
+        await second.say(end(1))
+        await trio.sleep(0.2)
+        words = [line["op"] for line in rig.machines["a"].heard if line["call"] == f"{1:016x}"
+                 and line["op"] != "test"]
+        assert words == ["offer", "end"] and not rig.planner.engine.cases
+        await rig.machines["a"].end(f"{1:016x}", 31)
+        await trio.sleep(0.2)
+        assert first.of(1) == PLACED and second.of(1) == []
+
+    play(test, machines="a")
+
+
+def test_set_ups_end_with_their_owner_s_connection() -> None:
+    async def test(rig: Rig) -> None:
+        rig.machines["a"].accepts = False
+        owner = await rig.owner()
+        await owner.say(set_up(1), set_up(2, "once"))
+        await trio.sleep(0.2)
+        await owner.stream.aclose()
+        await trio.sleep(0.2)
+        assert not rig.planner.engine.cases
+        assert {line["call"] for line in rig.machines["a"].heard if line["op"] == "end"} == {
+            f"{1:016x}", f"{2:016x}"}
+
+    play(test, machines="a")
+
+
+def test_bad_owners_are_answered_or_closed_within_three_seconds_and_disturb_nobody() -> None:
+    half = bytes.fromhex("00ff0101")
+    given = [b"", half, b"\xff\xff" + b"x" * 100_000, b"\x00\x00", b"GET / HTTP/1.1\r\n\r\n",
+             b"\x80\x00" * 40]
+
+    async def test(rig: Rig) -> None:
+        usual = await rig.owner()
+        await usual.say(set_up(1))
+        await trio.sleep(0.2)
+        bad = []
+        for data in given:
+            owner = await rig.owner()
+            rig.nursery.start_soon(pour, owner, data)
+            bad.append(owner)
+        refused = [set_up(50, "nobody's"), set_up(51, tenant="nobody"), set_up(52, left="-1"),
+                   set_up(53, figures="cores:x;memory:1;service:s"),
+                   set_up(54, figures="cores:1;memory:1;service:s;at:unheard-of")]
+        wrong = await rig.owner()
+        await wrong.say(*refused)
+        twice = await rig.owner()
+        await twice.say(set_up(60), set_up(60))
+        other = await rig.owner()
+        rig.machines["a"].accepts = rig.machines["b"].accepts = False
+        await usual.say(set_up(2))
+        await trio.sleep(0.1)
+        await other.say(set_up(2, figures="cores:2;memory:2;service:other"))
+        await trio.sleep(0.1)
+        unknown = await rig.owner()
+        await unknown.say(*(end(guest) for guest in range(1000, 1300)))
+        await trio.sleep(2.7)
+        assert all(owner.closed_at is not None and owner.heard == [] for owner in bad)
+        assert all([kind for kind, _ in wrong.of(guest)] == [END] for guest in range(50, 55))
+        assert twice.closed_at is not None and PLACED[0] not in twice.of(60)
+        assert other.closed_at is not None and other.heard == []
+        assert unknown.closed_at is not None
+        assert usual.of(1) == PLACED and usual.of(2) in ([], [(END, 34)], [(END, 41)])
+        assert usual.closed_at is None
+
+    play(test)
+
+
+async def pour(owner: object, data: bytes) -> None:
+    try:
+        await owner.stream.send_all(data)
+    except (trio.BrokenResourceError, trio.ClosedResourceError):
+        pass
+
+
+def test_hundreds_of_silent_connections_leave_room_for_owners() -> None:
+    async def test(rig: Rig) -> None:
+        usual = await rig.owner()
+        await usual.say(set_up(1))
+        await trio.sleep(0.2)
+        silent = [await rig.owner() for _ in range(300)]
+        await trio.sleep(0.1)
+        late = await rig.owner()
+        await late.say(set_up(2))
+        await trio.sleep(0.5)
+        assert late.of(2) == PLACED and usual.closed_at is None
+        assert len(rig.planner.owners) <= rig.planner.limits.connections == 32
+        await trio.sleep(2.5)
+        assert all(owner.closed_at is not None for owner in silent) and usual.closed_at is None
+        await trio.sleep(60)  # usual owners that are merely quiet stay
+        assert usual.closed_at is None
+
+    play(test)
+
+
+# The bulletin.
+
+
+def test_breaks_silence_and_junk_end_a_call_and_lose_no_event() -> None:
+    async def test(rig: Rig) -> None:
+        bulletin = rig.bulletin
+        await trio.sleep(0.2)
+        bodies = [b'{"no":2,"items":[{"no":2,"ros', b"noise", b'{"no":9,"items":[{"no":9}]}', b"[]",
+                  b'{"no":2,"items":[{"no":"2"}]}']
+        answers = [b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body) for body in bodies]
+        answers += [b"HTTP/1.1 200 OK\r\nContent-Length: 500\r\n\r\n{", b"junk\r\n\r\n", b"",
+                    b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n",
+                    b"HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\n" + b" " * 2_000_000]
+        for answer in answers:
+            bulletin.broken = answer
+            failures = rig.planner.counts["bulletin_failures"]
+            await trio.sleep(2)
+            assert rig.planner.counts["bulletin_failures"] > failures, answer[:60]
+            assert rig.planner.follower.last == 1
+        bulletin.broken, bulletin.silent = None, True
+        await trio.sleep(4)
+        bulletin.events += [event(2, host("a", "terminating")), event(3, host("a", "terminated"))]
+        bulletin.silent = False
+        await trio.sleep(2)
+        assert rig.planner.follower.last == 3 and set(rig.planner.engine.roster.fellows) == {"b"}
+
+    play(test)
+
+
+def test_after_a_reload_the_new_address_is_asked_at_once_a_bad_file_changes_nothing(tmp_path: Path) -> None:
+    async def test(rig: Rig) -> None:
+        planner = rig.planner
+        planner.config = tmp_path / "config.json"
+        await trio.sleep(0.2)
+        new = Bulletin()
+        new.events = [event(2, host("a", "terminating"))]
+        await rig.net.listen("news:2", new.door, rig.nursery)
+        planner.config.write_text("{")
+        planner.reload()
+        await trio.sleep(0.1)
+        assert planner.follower.address == "news:1" and planner.counts["reloads_refused"] == 1
+        planner.config.write_text(file(bulletin="news:2"))
+        planner.reload()
+        await trio.sleep(0.1)
+        assert new.asked[0][0] == 1 and planner.follower.last == 2
+        assert planner.counts["bulletin_failures"] == 0
+
+    play(test)
+
+
+# The end.
+
+
+def test_a_stop_serves_what_still_comes_answers_all_and_ends() -> None:
+    async def test(rig: Rig) -> None:
+        rig.machines["b"].accepts = False
+        owner = await rig.owner()
+        await owner.say(set_up(1), set_up(2, "once"), set_up(3))
+        await trio.sleep(0.1)
+        began = trio.current_time()
+        rig.planner.stop()
+        await trio.sleep(0.3)
+        late = await rig.owner()
+        await late.say(set_up(4))
+        await trio.sleep(0.4)
+        await late.say(set_up(5, "once"))
+        await rig.planner.ended.wait()
+        assert trio.current_time() - began < 3.6
+        for guest in (1, 2, 3):
+            assert len(owner.of(guest)) == 1
+        assert len(late.of(4)) == len(late.of(5)) == 1
+
+    play(test)
+
+
+@pytest.mark.parametrize("seed", range(12))
+def test_rules_hold_over_random_interleavings(seed: int) -> None:
+    """Answers, refusals, resets, give-ups, drains, reloads and a stop at any message; what crossed the
+    streams is then judged."""
+    random = Random(seed)
+    drained: dict[str, float] = {}
+
+    async def test(rig: Rig) -> None:
+        offered: list[tuple[float, str, str]] = []
+        proven: set[tuple[str, str]] = set()  # dispatches whose machine said that they never ran
+
+        async def answer(machine: Machine, stream: trio.abc.Stream, line: dict) -> None:
+            if line["op"] == "test":
+                await machine.say(stream, {"op": "tested", "call": line["call"], "why": 1,
+                                           "with": {"load": "x0:20;x1:30"}})
+                return
+            if line["op"] != "offer":
+                return
+            offered.append((line["at"], machine.name, line["call"]))
+            await trio.sleep(random.choice((0, 0, 0.01, 0.3)))
+            what = random.random()
+            if what < 0.6:
+                await machine.accept(stream, line["call"])
+            elif what < 0.75:
+                proven.add((line["call"], machine.name))
+                await machine.say(stream, {"op": "end", "call": line["call"], "why": random.choice((34, 102)),
+                                           "with": {"note": random.choice(("busy", "mem_full", "cpu_full"))}})
+            elif what < 0.85:
+                await machine.say(stream, {"op": "end", "call": line["call"], "why": random.choice((47, 41))})
+            elif what < 0.92:
+                await stream.aclose()
+            if random.random() < 0.1:
+                await machine.accept(stream, line["call"])
+
+        for machine in rig.machines.values():
+            machine.answer = partial(answer, machine)
+        owners = [await rig.owner() for _ in range(3)]
+        asked: dict[int, tuple[Owner, str, float]] = {}
+        given_up: dict[int, float] = {}
+        number = 1
+        for step in range(60):
+            what = random.random()
+            if what < 0.8:
+                owner, product = random.choice(owners), random.choice(("plain", "once"))
+                asked[number] = owner, product, trio.current_time()
+                await owner.say(set_up(number, product, "1500"))
+                number += 1
+            elif what < 0.88 and asked:
+                guest = random.choice(list(asked))
+                if not asked[guest][0].of(guest):
+                    given_up.setdefault(guest, trio.current_time())
+                    await asked[guest][0].say(end(guest))
+            elif what < 0.93 and len(drained) < 2 and step > 20:
+                name = random.choice([n for n in rig.machines if n not in drained])
+                rig.bulletin.events.append(event(2 + len(drained), host(name, "terminating")))
+                drained[name] = trio.current_time()
+            else:
+                rig.planner.follower.move("news:1")
+            await trio.sleep(random.choice((0, 0.001, 0.02, 0.1)))
+        rig.planner.stop()
+        await trio.sleep(4)
+        for guest, (owner, product, _) in asked.items():
+            told = owner.of(guest)
+            offers = [(when, name) for when, name, call in offered if call == f"{guest:016x}"]
+            never_ran = [(f"{guest:016x}", name) in proven for _, name in offers]
+            if guest not in given_up:
+                assert told, guest
+            assert len(told) <= (2 if told[:1] == PLACED else 1), (guest, told)
+            assert len(offers) <= 4
+            assert all(when <= given_up.get(guest, 1e9) + 0.05 for when, _ in offers), guest
+            for when, name in offers:
+                assert when <= drained.get(name, 1e9) + 0.25, (guest, name)
+            if product == "once":
+                assert all(never_ran[:-1]), (guest, offers)  # nothing after one that may have run
+                if told[:1] == [(END, 34)]:
+                    assert all(never_ran), (guest, offers)
+
+    play(test, machines="abcd")
--- /dev/null
+++ b/tests/test_platform_codec.py
@@ -0,0 +1,255 @@
+"""The platform's messages, configuration and meanings: no peers needed."""
+
+from random import Random
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+from platform_rig import DEPLOYMENT, event, file, host, set_up
+
+from hazelhold.config.load import ConfigError
+from hazelhold.engine.engine import ENDINGS
+from hazelhold.interface import Ending, Remark
+from hazelhold.platform import words
+from hazelhold.platform.codec import (
+    CAUSE,
+    DESCRIPTION,
+    END,
+    FIGURES,
+    LEFT,
+    MOST,
+    SET_UP,
+    WAIT,
+    CodecError,
+    Line,
+    LineReader,
+    Parcel,
+    ParcelReader,
+    Sent,
+    decode_line,
+    encode_line,
+    encode_parcel,
+)
+from hazelhold.platform.sheet import check_start, flat
+from hazelhold.protocol import messages as m
+from hazelhold.simhost import Pairs, read_deployment
+
+IDS = st.integers(1, 2**64 - 1).map(lambda n: f"{n:016x}")
+VALUES = st.dictionaries(st.integers(1, 16), st.binary(max_size=60), max_size=5)
+BOUNDS = words.Bounds((104.0, 60.0), {"plain": 3_000_000, "once": 2_500_000}, frozenset({"acme", "beta"}))
+
+
+@given(st.lists(st.tuples(st.sampled_from((1, 6, 9, 12, 16, 44, 51, 52, 53)), IDS, VALUES), max_size=5),
+       st.data())
+def test_binary_messages_come_back_from_every_split(given_: list[tuple], data: st.DataObject) -> None:
+    parcels = [Parcel(*each) for each in given_]
+    raw = b"".join(encode_parcel(parcel) for parcel in parcels)
+    at = sorted(data.draw(st.lists(st.integers(0, len(raw)), max_size=6)))
+    reader, found = ParcelReader(), []
+    for start, stop in zip([0, *at], [*at, len(raw)], strict=True):
+        found += reader.feed(raw[start:stop])
+    assert found == parcels and not reader.half
+
+
+def test_every_split_in_two_of_lines_gives_the_same_lines() -> None:
+    raw = encode_line(Sent("offer", "9b1f03aa5c7e2d41", {"class": "plain"}, desc="x\r\n\u00fc\n"))
+    raw += b'{"op":"end","call":"9b1f03aa5c7e2d41","with":{},"why":34}\n'
+    whole = LineReader().feed(raw)
+    assert [line.op for line in whole] == ["offer", "end"] and whole[0].desc == "x\r\n\u00fc\n"
+    for cut in range(len(raw) + 1):
+        reader = LineReader()
+        assert reader.feed(raw[:cut]) + reader.feed(raw[cut:]) == whole
+
+
+@given(st.binary(max_size=400))
+def test_junk_is_read_or_refused_and_never_held_without_bound(junk: bytes) -> None:
+    for reader in (ParcelReader(), LineReader()):
+        try:
+            reader.feed(junk)
+        except CodecError as wrong:
+            assert wrong.code
+        assert len(reader.held) <= MOST
+
+
+@pytest.mark.parametrize(("raw", "code"), [
+    (b"\xff\xff" + bytes(20), "too_long"), (b"\x00\x00", "no_id"), (b"\x00\x05hello", "no_id"),
+    (b"\x00\x09\x01" + bytes(8), "no_id"), (b"\x00\x09\x7b" + b"\x01" * 8, "unknown_type"),
+    (b"\x00\x0c\x01" + b"\x01" * 8 + b"\x03\xff\xff", "bad_length"),
+    (b"\x00\x0b\x01" + b"\x01" * 8 + b"\x03\x00", "bad_length"),
+    (b"\x00\x0c\x0c" + b"\x01" * 8 + b"\x11\x00\x00", "bad_length"),
+])
+def test_what_cannot_be_read_is_refused_by_name(raw: bytes, code: str) -> None:
+    with pytest.raises(CodecError) as wrong:
+        ParcelReader().feed(raw)
+    assert wrong.value.code == code
+
+
+def test_what_came_whole_before_a_fault_is_given_first() -> None:
+    reader = ParcelReader()
+    assert reader.feed(encode_parcel(set_up(1)) + b"\x00\x00") == [set_up(1)]
+    assert reader.fault is not None and reader.fault.code == "no_id"
+
+
+@pytest.mark.parametrize("raw", [b"\x00\n", b"[1]\n", b"7\n", b'{"op":"accept"}\n',
+                                 b'{"op":"x","call":"1"}\n',
+                                 b'{"op":"accept","call":"1","with":[],"desc":"d"}\n', b"\xff\xfe\n",
+                                 b"[" * 5000 + b"\n"])
+def test_unreadable_lines_are_refused(raw: bytes) -> None:
+    with pytest.raises(CodecError):
+        LineReader().feed(raw)
+
+
+def test_a_line_without_an_end_is_refused_once_it_is_too_long() -> None:
+    reader = LineReader()
+    assert reader.feed(b"{" + b" " * (MOST - 10)) == []
+    with pytest.raises(CodecError, match="too_long"):
+        reader.feed(b" " * 20)
+
+
+# Configuration.
+
+
+def test_both_forms_of_one_set_of_settings_give_the_same_deployment() -> None:
+    """Nested in the file, and as path=value pairs on the simulator's wire, written out by hand."""
+    wire = (
+        "balancers=1 slot-no=0 discovery=push classes.count=2 classes.0.dedup-window=5000.0 "
+        "classes.0.group=all classes.0.idempotency=retryable classes.0.on-time=400.0 classes.0.points=1.0 "
+        "classes.1.dedup-window=5000.0 classes.1.group=all classes.1.idempotency=fragile "
+        "classes.1.on-time=500.0 classes.1.points=3.0 family-info.accepts-memory=1.5 "
+        "family-info.class-kind=-1,-1 family-info.class-most=2,2 family-info.class-priority=0,1 "
+        "family-info.confirms=accepted family-info.cores-multiple=4.0 family-info.easy-until=1.0,0.8 "
+        "family-info.fresh-offers=113.0 family-info.lists-free=true family-info.lost-after=1.0,0.2 "
+        "family-info.makes-room=true family-info.mem-of-kind=41.0,80.0 family-info.report-counts=used "
+        "family-info.size-cores=26,47 family-info.spread-over=off,off family-info.start-bonus-s=10.0,8.0 "
+        "limits.max-attempts=4 limits.probing=true rules.cold=15000.0 rules.cold-from=0.24 "
+        "rules.tip-after=2000.0")
+    start = check_start(file(), "test")
+    assert start.terms.facts == read_deployment(Pairs(wire.split(" ")))
+    assert flat(DEPLOYMENT)["kinds"] == "small_box,large-box" and start.terms.kinds[0] == "small box"
+
+
+@pytest.mark.parametrize(("changes", "places"), [
+    ({"listen": "nowhere"}, ["listen"]), ({"bulletin": 7}, ["bulletin"]), ({"seed": "xyz"}, ["seed"]),
+    ({"settings": DEPLOYMENT | {"rules": {}}}, ["settings"]),
+    ({"known": {"no": "x", "items": []}}, ["known"]),
+    ({"limits": {"sockets": 4}, "listen": "x", "seed": "-"}, ["listen", "seed", "limits.sockets"]),
+])
+def test_all_that_is_wrong_with_a_file_is_named(changes: dict, places: list[str]) -> None:
+    with pytest.raises(ConfigError) as wrong:
+        check_start(file(**changes), "test")
+    assert [place for place, _ in wrong.value.faults] == places
+
+
+def test_a_file_that_is_no_object_is_refused() -> None:
+    for text in ("", "[]", "{", "\x00"):
+        with pytest.raises(ConfigError):
+            check_start(text, "test")
+
+
+# Meanings.
+
+
+def test_a_set_up_becomes_an_ask_with_all_that_it_says() -> None:
+    submit, at = words.wanted(set_up(5, "once", "1500", "cores:0.5;memory:2;service:s7"), BOUNDS)
+    assert at == "" and submit == m.Submit(
+        guest=f"{5:016x}", product="once", service="s7", cores=0.5, memory=2.0, patience=1_500_000,
+        customer="acme", key=f"{5:016x}", description=b"ask 5\r\n\xc3\xbc")
+    figures = "cores:1;memory:1;service:s;at:m1"
+    assert words.wanted(set_up(5, left="4294967", figures=figures), BOUNDS).at == "m1"
+
+
+@pytest.mark.parametrize("bad", [
+    {"product": "plain_x"}, {"product": ""}, {"tenant": "nobody"}, {"left": "soon"}, {"left": "-5"},
+    {"left": "0"}, {"left": ""}, {"left": "1e23"}, {"left": "inf"}, {"figures": "cores:1"},
+    {"figures": "cores:nan;memory:1;service:s"}, {"figures": "cores:-1;memory:1;service:s"},
+    {"figures": "cores:1e9;memory:1;service:s"}, {"figures": "cores:1;memory:1"}, {"figures": ";;;"},
+    {"parameters": {DESCRIPTION: b"\xff"}}, {"parameters": {FIGURES: b"\xff"}}, {"parameters": {LEFT: b""}},
+    {"parameters": {7: b""}},
+])
+def test_asks_that_cannot_be_used_are_refused(bad: dict) -> None:
+    with pytest.raises((words.BadAskError, CodecError)):
+        words.wanted(set_up(1, **bad), BOUNDS)
+
+
+@pytest.mark.parametrize(("line", "placed", "ending", "remark"), [
+    ({"why": 34, "note": "mem_full"}, False, Ending.TURNED_BACK, Remark.NO_MEMORY),
+    ({"why": 34, "note": "cpu_full"}, False, Ending.TURNED_BACK, Remark.NO_CORES),
+    ({"why": 34, "note": "busy"}, False, Ending.TURNED_BACK, Remark.LINE_FULL),
+    ({"why": 34, "note": "wrong_host"}, False, Ending.TURNED_BACK, Remark.NOT_HERE),
+    ({"why": 34}, False, Ending.TURNED_BACK, Remark.NONE),
+    ({"why": 47}, False, Ending.ERROR, Remark.NONE), ({"why": 102}, False, Ending.NOT_SENT, Remark.NONE),
+    ({"why": 41}, False, Ending.CUT_OFF, Remark.NONE), ({"why": 16}, False, Ending.CUT_OFF, Remark.NONE),
+    ({"why": 31}, False, Ending.CUT_OFF, Remark.NONE), ({"why": 99}, False, Ending.CUT_OFF, Remark.NONE),
+    ({}, False, Ending.CUT_OFF, Remark.NONE),
+    ({"why": 16}, True, Ending.DONE, Remark.NONE), ({"why": 31}, True, Ending.CALLED_OFF, Remark.NONE),
+    ({"why": 41, "note": "oom"}, True, Ending.CUT_OFF, Remark.EVICTED),
+    ({"why": 41, "note": "preempted"}, True, Ending.CUT_OFF, Remark.PUSHED_OUT),
+    ({"why": 41, "note": "drained"}, True, Ending.CUT_OFF, Remark.SENT_AWAY),
+    ({"why": 41}, True, Ending.CUT_OFF, Remark.NONE), ({"why": 34}, True, Ending.CUT_OFF, Remark.NONE),
+])
+def test_every_ending_means_what_it_means_on_the_simulator(line: dict, placed: bool, ending: Ending,
+                                                           remark: Remark) -> None:
+    fields = {"note": line["note"]} if "note" in line else {}
+    message = words.from_machine(Line("end", "1", fields, line.get("why")), placed)
+    if isinstance(message, m.Refused):
+        from hazelhold.engine.engine import REMARKS
+        assert (ending, remark) == (Ending.TURNED_BACK, REMARKS.get(message.remark, Remark.NONE))
+    else:
+        assert ENDINGS.get(message.how, (Ending.CUT_OFF, Remark.NONE)) == (ending, remark)
+
+
+def test_notes_reports_and_tests_mean_what_they_mean_on_the_simulator() -> None:
+    def said(text: str) -> m.Message | None:
+        return words.from_machine(decode_line(text.encode()), True)
+
+    note = '{"op":"info","call":"1","with":{"note":"%s","value":%s}}'
+    assert said(note % ("up", "0")) == m.Started(guest="1")
+    assert said(note % ("cpu", "0.5")) == m.Use(guest="1", cores=0.5)
+    assert said(note % ("mem", '"1.5"')) == m.Use(guest="1", memory=1.5)
+    assert said(note % ("share", "0.25")) == m.Served(guest="1", share=0.25)
+    assert said(note % ("tight", "0.9")) == m.Pressed(share=0.9)
+    assert said(note % ("cpu", '"nan"')) is None and said(note % ("cpu", '"x"')) is None
+    assert said('{"op":"tested","call":"0a","why":1,"with":{"load":"x0:12;x1:40;queue:3"}}') == m.Report(
+        number=10, load=m.Load(12.0, 40.0), well=True)
+    assert said('{"op":"tested","call":"0a","why":0}') == m.Report(number=10, well=False)
+    with pytest.raises(CodecError):
+        said('{"op":"accept","call":"1","with":{}}')
+
+
+def test_answers_to_owners_say_whether_another_try_is_harmless() -> None:
+    guest = f"{1:016x}"
+    assert words.to_owner(m.TurnedBack(guest=guest, again_after=1_500_000)) == Parcel(
+        END, guest, {WAIT: b"1500", CAUSE: b"\x22"})
+    assert words.to_owner(m.TurnedBack(guest=guest)).parameters == {CAUSE: b"\x22"}
+    harmless = {34, 42, 102}
+    assert words.to_owner(m.BrokenOff(guest=guest)).cause not in harmless
+    assert words.to_owner(m.Rejected(guest=guest, code="unknown_product")).cause not in harmless
+    assert words.to_owner(m.Held(guest=guest)) is None
+    assert words.to_owner(m.Placed(guest=guest, machine="a", description=b"\x00\xff")).parameters == {
+        DESCRIPTION: b"\x00\xff"}
+
+
+def test_a_roster_is_read_with_its_starts_and_rooms() -> None:
+    wall = 1_700_000_010_000_000
+    listing = words.listing(event(4, host("a", "terminating", 1_700_000_000_000))["roster"], {"z1": 0}, wall)
+    (entry,) = listing.entries
+    assert (entry.machine, entry.mode, entry.up_for) == ("a", "cordoned", 10_000_000)
+    assert (entry.cores_room, entry.memory_room, entry.kind) == (26.0, 41.0, "small box")
+    with pytest.raises(ValueError, match="not known"):
+        words.listing(event(4, host("a", "asleep"))["roster"], {}, wall)
+
+
+def test_generated_messages_with_a_byte_changed_never_escape_their_reader() -> None:
+    random = Random(5)
+    for _ in range(2000):
+        raw = bytearray(encode_parcel(set_up(random.getrandbits(63) + 1)))
+        for _ in range(random.randrange(1, 4)):
+            raw[random.randrange(len(raw))] = random.getrandbits(8)
+        reader = ParcelReader()
+        try:
+            for parcel in reader.feed(bytes(raw)):
+                if parcel.type == SET_UP:
+                    words.wanted(parcel, BOUNDS)
+        except (CodecError, words.BadAskError):
+            pass
+
