--- a/hazelhold/brain.py
+++ b/hazelhold/brain.py
@@ -75,7 +75,7 @@
         self.cold_at = listed.started if listed.started else -10**15
         self.used: tuple[float, float] | None = None
         self.others = (0.0, 0.0)  # last reported use less our guests' share
-        self.reported_at = self.probed_at = -10**15
+        self.reported_at = self.probed_at = self.heard_at = -10**15
         self.guests: dict[str, Guest] = {}
         self.bears, self.starting = 1.0, 0  # of our guests: the least easy_until, and how many do not run yet
         self.services: dict[str, int] = {}  # our guests here by service; emptied as they go
@@ -329,7 +329,7 @@
         self.out.pop(name, None)
         guest.machine.answered(took)
         self.answers[guest.ask.product].append(took)
-        guest.machine.strikes, guest.machine.mute = 0, False
+        guest.machine.strikes, guest.machine.mute, guest.machine.heard_at = 0, False, now
         if guest.unwanted:  # the call-off crossed with this answer: now it stops what runs
             self.to_call_off.append((name, guest.machine.listed.machine))
         if self.deployment.confirms_running:
@@ -461,7 +461,7 @@
         machine.used = (old[0] + ours[0] if cores is None else cores,
                         old[1] + ours[1] if memory is None else memory)
         machine.others = max(0.0, machine.used[0] - ours[0]), max(0.0, machine.used[1] - ours[1])
-        machine.reported_at = now
+        machine.reported_at = machine.heard_at = now
 
     def _others(self, machine: Machine, now: int) -> tuple[float, float] | None:
         """What others use of a machine. Where the list shows room, a report older than two seconds gives way
@@ -501,7 +501,8 @@
                 self._restarted(machine, now)
                 self._strike(machine, now, mute=True)
         elif ending in (Ending.NO_CONNECTION, Ending.OVERDUE):
-            self._strike(machine, now, mute=True)
+            if ending is Ending.NO_CONNECTION or machine.heard_at <= guest.sent_at:
+                self._strike(machine, now, mute=True)
             if ending is Ending.NO_CONNECTION and now - machine.cold_at > self.deployment.cold_for:
                 self._restarted(machine, now)
         elif not guest.placed and ending in (Ending.ERROR, Ending.CUT_OFF):
--- a/hazelhold/state/snapshot.py
+++ b/hazelhold/state/snapshot.py
@@ -13,7 +13,7 @@
 from hazelhold.interface import Ask, Deployment, Earlier, Listed, Mode, Place
 
 LONG_AGO = -10**15  # of moments that never were; not shifted
-MACHINE_TIMES = ("listed_at", "cold_at", "reported_at", "probed_at", "drawn_at", "avoid_until")
+MACHINE_TIMES = ("listed_at", "cold_at", "reported_at", "heard_at", "probed_at", "drawn_at", "avoid_until")
 MACHINE_PLAIN = ("slow", "ready", "used", "others", "left", "asked", "sums", "means", "most", "strikes",
                  "mute")
 GUEST_TIMES = ("goal_at", "patience_at", "answer_by", "sent_at", "window_ends", "look_at", "looked_at",
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -300,3 +300,17 @@
         made.guest_arrived(n * MS, ask(f"g{n}")._replace(service="mine"))
         picked += [d.machine for d in decisions(made, n * MS) if d.step is Step.DISPATCH]
     assert picked == ["a", "a", "a"]
+
+
+def test_an_answer_that_is_lost_does_not_speak_of_a_machine_that_was_heard_since() -> None:
+    made = brain("ab")
+    sent = place(made, 0, "g")
+    made.machine_reported(100 * MS, sent.machine, Load(20.0, 30.0, None))
+    end(made, 500 * MS, sent, Ending.OVERDUE)
+    machine = made.machines[sent.machine]
+    assert not machine.mute and not machine.strikes and machine.avoid_until <= 500 * MS
+    made = brain("ab")
+    sent = place(made, 0, "g")
+    end(made, 500 * MS, sent, Ending.OVERDUE)
+    machine = made.machines[sent.machine]
+    assert machine.mute and machine.strikes == 1 and machine.avoid_until > 500 * MS
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -6,9 +6,9 @@
 
 import pytest
 import trio
-from platform_rig import Bulletin, Machine, Owner, Rig, end, event, file, host, play, set_up
 
 from hazelhold.platform.codec import ANSWER, DESCRIPTION, END, TEST, TESTED, Parcel
+from tests.platform_rig import Bulletin, Machine, Owner, Rig, end, event, file, host, play, set_up
 
 PLACED = [(ANSWER, None)]
 
--- a/tests/test_platform_codec.py
+++ b/tests/test_platform_codec.py
@@ -5,7 +5,6 @@
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
-from platform_rig import DEPLOYMENT, event, file, host, set_up
 
 from hazelhold.config.load import ConfigError
 from hazelhold.engine.engine import ENDINGS
@@ -33,6 +32,7 @@
 from hazelhold.platform.sheet import check_start, flat
 from hazelhold.protocol import messages as m
 from hazelhold.simhost import Pairs, read_deployment
+from tests.platform_rig import DEPLOYMENT, event, file, host, set_up
 
 IDS = st.integers(1, 2**64 - 1).map(lambda n: f"{n:016x}")
 VALUES = st.dictionaries(st.integers(1, 16), st.binary(max_size=60), max_size=5)
--- a/tests/test_platform_process.py
+++ b/tests/test_platform_process.py
@@ -13,9 +13,9 @@
 from pathlib import Path
 
 import pytest
-from platform_rig import DEPLOYMENT, event, host, set_up
 
 from hazelhold.platform.codec import ANSWER, END, TEST, TESTED, Parcel, ParcelReader, encode_parcel
+from tests.platform_rig import DEPLOYMENT, event, host, set_up
 
 
 def served(answer: callable) -> tuple[socket.socket, str]:
