--- a/hazelhold/platform/planner.py
+++ b/hazelhold/platform/planner.py
@@ -86,9 +86,11 @@
         self.log.info("configuration_read", bulletin=fresh.bulletin, settings_same=fresh.terms.facts
                       == self.start.terms.facts)
         try:
-            self._hear_bulletin(self.follower.fresh(fresh.known.items))
+            items = self.follower.fresh(fresh.known.items)
         except BulletinError:
-            pass  # what is missing comes from the bulletin itself
+            items = []  # what is missing comes from the bulletin itself
+        if items:  # the file alone does not show that the list is still heard
+            self._hear_bulletin(items)
         self.follower.move(fresh.bulletin)
 
     async def _stop(self) -> None:
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -428,7 +428,9 @@
         await trio.sleep(0.1)
         assert planner.follower.address == "news:1" and planner.counts["reloads_refused"] == 1
         planner.config.write_text(file(bulletin="news:2"))
+        heard_at = planner.engine.brain.list_heard_at
         planner.reload()
+        assert planner.engine.brain.list_heard_at == heard_at  # nothing was heard yet
         await trio.sleep(0.1)
         assert new.asked[0][0] == 1 and planner.follower.last == 2
         assert planner.counts["bulletin_failures"] == 0
