Platform: no event is lost to one that cannot be read; open set-ups end on their own connection alone

Found on reading the change once more. Follower.fresh marked events as heard before their rosters were read: a spoilt one was lost; now the call fails and is made again, and one that stays unreadable is passed over at the third. PlatformPlanner._owner_said let any connection give up another's open set-up. Also: two checks that could not fail are made ones that can, left is tested as the bytes leave, dead counters go.

--- a/hazelhold/platform/bulletin.py
+++ b/hazelhold/platform/bulletin.py
@@ -1,11 +1,11 @@
 """Follows the bulletin: long polls over HTTP/1.1, one after another, for as long as the module wishes.
 
-The module's wish to follow stands until it is told that the list failed; the next call is made at once all
-the same, since what the bulletin tells counts as told whether or not this planner hears it.
+The module's wish to follow stands. It is told of each call that failed, and the next is made at once all the
+same, since what the bulletin tells counts as told whether or not this planner hears it.
 """
 
 from collections.abc import Callable
-from typing import Any
+from typing import Any, TypeVar
 
 import h11
 import msgspec
@@ -18,8 +18,11 @@
 PATIENCE = 1.0  # seconds that a call asks the bulletin to wait for news; short, so that silence shows soon
 GRACE = 0.6  # seconds past that after which a call is given up
 MOST = 1 << 20  # bytes of an answer
+TRIES = 3  # calls that end at the same event before it is passed over: it was not spoilt on its way
 PAUSES = (0.05, 0.1, 0.2, 0.4)  # seconds between calls that fail one after another
 
+T = TypeVar("T")
+
 
 class BulletinError(Exception):
     """A call that brought nothing that can be used."""
@@ -31,16 +34,17 @@
 
 
 class Follower:
-    """Keeps to one address; `hear(items)` gets new events in order, `fail()` hears of each failed call."""
+    """Keeps to one address; `read(item)` makes an event of one item or raises BulletinError, `hear(events)`
+    gets new events in order, `fail()` hears of each failed call."""
 
-    def __init__(self, net: Net, address: str, known: Known, hear: Callable[[list[dict]], None],
-                 fail: Callable[[], None]) -> None:
-        self.net, self.address, self.hear, self.fail = net, address, hear, fail
+    def __init__(self, net: Net, address: str, known: Known, read: Callable[[dict], T],
+                 hear: Callable[[list[T]], None], fail: Callable[[], None]) -> None:
+        self.net, self.address, self.read, self.hear, self.fail = net, address, read, hear, fail
+        self.unread = (0, 0)  # the number of an event that could not be read, and how often
         self.last = known.no
         self.wished = trio.Event()
         self.scope = trio.CancelScope()
         self.failures = 0  # in a row
-        self.calls = 0
         self.stream: trio.abc.Stream | None = None
         self.wire: h11.Connection | None = None
         self.log = structlog.get_logger()
@@ -64,7 +68,6 @@
 
     async def _turn(self) -> None:
         """One call, and a pause if it failed."""
-        self.calls += 1
         try:
             with trio.fail_after(PATIENCE + GRACE):
                 body = await self._call()
@@ -82,7 +85,7 @@
         self.failures = 0
         self.hear(items)
 
-    def _news(self, body: bytes) -> list[dict]:
+    def _news(self, body: bytes) -> list[T]:
         """The events that are new, checked and in order."""
         try:
             answer = msgspec.json.decode(body, type=Answer)
@@ -90,9 +93,9 @@
             raise BulletinError(f"not an answer: {wrong}") from None
         return self.fresh(answer.items)
 
-    def fresh(self, items: list[dict]) -> list[dict]:
+    def fresh(self, items: list[dict]) -> list[T]:
         """Those of the events that come after the last one; marks them as heard. BulletinError if one is
-        missing or out of order."""
+        missing, out of order or cannot be read: then none is marked."""
         new, last = [], self.last
         for item in items:
             no = item.get("no")
@@ -102,8 +105,15 @@
                 continue
             if no != last + 1:
                 raise BulletinError(f"event {no} follows {last}")
-            new.append(item)
             last = no
+            try:
+                new.append(self.read(item))
+            except BulletinError:
+                times = self.unread[1] + 1 if self.unread[0] == no else 1
+                self.unread = no, times
+                if times < TRIES:
+                    raise
+                self.log.warning("event_passed_over", no=no)
         self.last = last
         return new
 
--- a/hazelhold/platform/planner.py
+++ b/hazelhold/platform/planner.py
@@ -45,14 +45,19 @@
         self.machines: dict[str, tuple[trio.CancelScope, MachinePeer | None]] = {}  # emptied as links end
         self.held: deque[tuple[float, Parcel]] = deque()  # releases without a connection; emptied by age
         self.counts: Counter[str] = Counter()
-        self.follower = Follower(net, start.bulletin, start.known, self._hear_bulletin, self._bulletin_failed)
+        self.follower = Follower(net, start.bulletin, start.known, self._event, self._hear_bulletin,
+                                 self._bulletin_failed)
         self.stop_asked, self.ended = trio.Event(), trio.Event()
         self.address = ""
 
     async def run(self, task_status: trio.TaskStatus = trio.TASK_STATUS_IGNORED) -> None:
         async with trio.open_nursery() as nursery:
             self.nursery = nursery
-            self._hear_bulletin(self.start.known.items)
+            for item in self.start.known.items:
+                try:
+                    self._hear_bulletin([self._event(item)])
+                except BulletinError as wrong:
+                    self.log.warning("event_unreadable", no=item.get("no"), reason=str(wrong))
             self.address = await self.net.listen(self.start.listen, self._door, nursery)
             nursery.start_soon(self.ticker.run)
             if not self.engine.facts.list_is_asked:
@@ -272,6 +277,8 @@
             self.log.debug("owner_said", owner=peer.name, parcel=repr(parcel))
         if parcel.type == SET_UP:
             self._set_up(now, peer, parcel)
+        elif parcel.type == END and self.engine.out(parcel.id) and parcel.id not in peer.open:
+            self.counts["ends_of_others"] += 1  # an open set-up belongs to its connection
         elif parcel.type == END:
             peer.open.pop(parcel.id, None)
             peer.good = self.engine.owner_left(now, parcel.id) or peer.good
@@ -376,22 +383,21 @@
 
     # The bulletin.
 
-    def _hear_bulletin(self, items: list[dict]) -> None:
-        now, wall = self.net.now(), self.net.wall()
-        for item in items:
-            roster = item.get("roster")
-            if not isinstance(roster, dict):
-                self.counts["bulletin_passed_over"] += 1
-                continue
-            try:
-                listing = words.listing(roster, self.start.zones, wall)
-            except (ValueError, TypeError, KeyError, AttributeError) as wrong:
-                self.counts["bulletin_unreadable"] += 1
-                self.log.warning("event_unreadable", no=item.get("no"), reason=repr(wrong)[:200])
-                continue
+    def _event(self, item: dict) -> m.Listing:
+        """What an event tells of the list; no entries if it is no roster. BulletinError if unreadable."""
+        if "roster" not in item:
+            return m.Listing(version=self.engine.list_version, whole=False, entries=[])
+        try:
+            return words.listing(item["roster"], self.start.zones, self.net.wall())
+        except (ValueError, TypeError, KeyError, AttributeError, OverflowError) as wrong:
+            self.counts["bulletin_unreadable"] += 1
+            raise BulletinError(f"an event that cannot be read: {wrong!r:.200}") from None
+
+    def _hear_bulletin(self, listings: list[m.Listing]) -> None:
+        now = self.net.now()
+        nothing = m.Listing(version=self.engine.list_version, whole=False, entries=[])
+        for listing in listings or [nothing]:  # an answer without news tells that the list is as it was
             self.engine.list_said(now, listing)
-        if not items:
-            self.engine.list_said(now, m.Listing(version=self.engine.list_version, whole=False, entries=[]))
         self._carry_out()
         self.ticker.stir()
 
--- a/hazelhold/platform/serve.py
+++ b/hazelhold/platform/serve.py
@@ -2,13 +2,15 @@
 
 import os
 import signal
+from collections.abc import Iterator
+from contextlib import contextmanager
 from pathlib import Path
 
 import trio
 
 from hazelhold.config.load import ConfigError
 from hazelhold.platform.planner import PlatformPlanner
-from hazelhold.platform.sheet import read_start
+from hazelhold.platform.sheet import Start, read_start
 from hazelhold.service.net import TcpNet
 
 
@@ -17,31 +19,30 @@
     path = config or Path(os.environ.get("BALANCER_CONFIG", ""))
     if not path.name:
         raise ConfigError("environment", [("BALANCER_CONFIG", "is not set, and no --config is given")])
-    with trio_signals() as early:
+    with early_signals() as early:
         start = read_start(path)
         trio.run(run, start, path, frames, early)
 
 
-class trio_signals:  # noqa: N801 - a context manager
-    """Signals that come before trio listens: noted, so that none of them ends the process early."""
-
-    KINDS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+KINDS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
 
-    def __enter__(self) -> list[int]:
-        self.seen: list[int] = []
-        self.old = {kind: signal.signal(kind, lambda number, _: self.seen.append(number))
-                    for kind in self.KINDS}
-        return self.seen
 
-    def __exit__(self, *_: object) -> None:
-        for kind, old in self.old.items():
-            signal.signal(kind, old)
+@contextmanager
+def early_signals() -> Iterator[list[int]]:
+    """Signals that come before trio listens: noted, so that none of them ends the process early."""
+    seen: list[int] = []
+    old = {kind: signal.signal(kind, lambda number, _: seen.append(number)) for kind in KINDS}
+    try:
+        yield seen
+    finally:
+        for kind, handler in old.items():
+            signal.signal(kind, handler)
 
 
-async def run(start: object, path: Path, frames: bool, early: list[int]) -> None:
+async def run(start: Start, path: Path, frames: bool, early: list[int]) -> None:
     planner = PlatformPlanner(start, TcpNet(), path)
     planner.log_frames = frames
-    with trio.open_signal_receiver(*trio_signals.KINDS) as signals:
+    with trio.open_signal_receiver(*KINDS) as signals:
         async with trio.open_nursery() as nursery:
             def take(number: int) -> None:
                 planner.reload() if number == signal.SIGHUP else planner.stop()
@@ -54,6 +55,5 @@
             for number in early:
                 take(number)
             nursery.start_soon(listen)
-            await planner.stop_asked.wait()
             await planner.ended.wait()
             nursery.cancel_scope.cancel()
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -7,7 +7,9 @@
 import pytest
 import trio
 
-from hazelhold.platform.codec import ANSWER, DESCRIPTION, END, TEST, TESTED, Parcel
+from hazelhold.platform.codec import ANSWER, DESCRIPTION, END, TEST, TESTED, LineReader, Parcel
+from hazelhold.platform.peer import MachinePeer
+from hazelhold.protocol import messages as m
 from tests.platform_rig import Bulletin, Machine, Owner, Rig, end, event, file, host, play, set_up
 
 PLACED = [(ANSWER, None)]
@@ -145,11 +147,14 @@
         await trio.sleep(0.2)
         # The exclusive one may have run: failed, no other dispatch. The rerunnable one is offered again.
         assert owner.of(1) == PLACED and owner.of(2) == [(END, 41)]
-        assert rig.offers(2) == ["a"] and rig.offers(3) == ["a", "a"] or owner.of(3) == []
+        assert rig.offers(2) == ["a"] and owner.of(3) == []
         assert len(machine.streams) == 2
         await machine.end(f"{1:016x}", 16)  # on the new connection
         await trio.sleep(0.1)
         assert owner.of(1) == [*PLACED, (END, 16)]
+        machine.accepts = True
+        await trio.sleep(1.5)
+        assert owner.of(3) == PLACED and rig.offers(3)[:2] == ["a", "a"] and rig.offers(2) == ["a"]
 
     play(test, machines="a")
 
@@ -394,15 +399,17 @@
         bulletin = rig.bulletin
         await trio.sleep(0.2)
         bodies = [b'{"no":2,"items":[{"no":2,"ros', b"noise", b'{"no":9,"items":[{"no":9}]}', b"[]",
-                  b'{"no":2,"items":[{"no":"2"}]}']
+                  b'{"no":2,"items":[{"no":"2"}]}',
+                  b'{"no":2,"items":[{"no":2,"roster":{"hosts":[{"host":"a","health":"asleep"}]}}]}']
         answers = [b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body) for body in bodies]
         answers += [b"HTTP/1.1 200 OK\r\nContent-Length: 500\r\n\r\n{", b"junk\r\n\r\n", b"",
                     b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n",
                     b"HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\n" + b" " * 2_000_000]
         for answer in answers:
             bulletin.broken = answer
+            rig.planner.follower.unread = (0, 0)
             failures = rig.planner.counts["bulletin_failures"]
-            await trio.sleep(2)
+            await trio.sleep(0.6 if b"asleep" in answer else 2)  # before it is passed over
             assert rig.planner.counts["bulletin_failures"] > failures, answer[:60]
             assert rig.planner.follower.last == 1
         bulletin.broken, bulletin.silent = None, True
@@ -570,3 +577,40 @@
         assert owner.of(1) == [*PLACED, (END, 41)]
 
     play(test, machines="a")
+
+
+def test_an_open_set_up_is_given_up_on_its_own_connection_alone() -> None:
+    async def test(rig: Rig) -> None:
+        rig.machines["a"].accepts = False
+        usual, bad = await rig.owner(), await rig.owner()
+        await usual.say(set_up(1))
+        await trio.sleep(0.1)
+        await bad.say(end(1))
+        await trio.sleep(0.1)
+        assert rig.planner.engine.out(f"{1:016x}")
+        assert [line["op"] for line in rig.machines["a"].heard if line["op"] != "test"] == ["offer"]
+
+    play(test, machines="a")
+
+
+def test_an_offer_tells_the_time_that_is_left_when_its_bytes_leave_or_stays() -> None:
+    left = {"1": 2_000_000, "2": 0}
+    peer = MachinePeer(trio.testing.memory_stream_pair()[0], 1 << 16, lambda offer: left[offer.guest])
+    for guest in left:
+        peer.send(m.Offer(guest=guest, product="plain", service="s", cores=1.0, memory=1.0))
+    left["1"] = 1_250_000  # the socket was full meanwhile
+    (line,) = LineReader().feed(peer.leaving())
+    assert (line.call, line.text("left")) == ("1", "1250")
+    peer.send(m.Offer(guest="1", product="plain", service="s", cores=1.0, memory=1.0))
+    peer.send(m.Withdraw(guest="1"))
+    assert peer.leaving() == b""
+
+
+def test_an_event_that_stays_unreadable_is_passed_over_and_holds_nothing_up() -> None:
+    async def test(rig: Rig) -> None:
+        rig.bulletin.events += [event(2, host("a", "asleep")), event(3, host("b", "terminated"))]
+        await trio.sleep(1)
+        assert rig.planner.follower.last == 3 and set(rig.planner.engine.roster.fellows) == {"a"}
+        assert rig.planner.counts["bulletin_unreadable"] == 3 and rig.planner.counts["bulletin_failures"] == 2
+
+    play(test)
