--- a/hazelhold/brain.py
+++ b/hazelhold/brain.py
@@ -49,7 +49,7 @@
         self.answer_by = self.patience_at - SECOND // 50  # a few ticks early: the last safe moment
         self.machine: Machine | None = None  # where a dispatch is out, or where it runs
         self.placed = self.runs = self.warm = self.may_run = False
-        self.over = self.probed_for = False  # over: answered, with its last dispatch still out
+        self.over = False  # answered, with its last dispatch still out
         self.unwanted = False  # its owner cancelled it
         self.dispatches = self.sent_at = self.ahead = 0  # ahead: own starts before it on the machine
         self.spread_key: tuple[str, Place, str] | None = None
@@ -174,6 +174,7 @@
         self.answer_at = 0  # no final answer is due before; 0: look, something may have changed that
         self.due: list[Guest] | None = None  # those to place at this moment; None: look anew
         self.services: dict[str, Service] = {}  # swept of idle ones
+        self.seated: dict[int, int] = defaultdict(int)  # guests with a machine, by priority
         self.spread: dict[tuple[str, Place, str], int] = {}  # emptied as guests end
         # Start times, warm or cold, and answer times, by product: large guests take many times as long.
         self.starts: dict[tuple[int, bool], deque[int]] = defaultdict(lambda: deque(maxlen=50))
@@ -184,8 +185,7 @@
         self.kept_well = True  # see state_kept
         self.no_cold_until = 0  # see remembered
         self.list_version = 0  # counts changes in who is ready
-        self.to_probe: list[Machine] = []  # emptied at once by the decisions that follow
-        self.to_call_off: deque[tuple[str, str]] = deque()  # guest and machine; emptied as to_probe
+        self.to_call_off: deque[tuple[str, str]] = deque()  # guest and machine; emptied at once
 
     # Inputs: they only update what is known.
 
@@ -209,8 +209,7 @@
                 self.machines[name].ready = False
                 self.machines[name].listed = self.machines[name].listed._replace(mode=Mode.GONE)
         # A machine that is gone while cold is kept until it would be warm: guards against a list that names
-        # it
-        # again without its start.
+        # it again without its start.
         self.machines = {n: m for n, m in self.machines.items() if m.guests or m.listed.mode is not Mode.GONE
                          or now - m.cold_at < self.deployment.cold_for}
         # News within two fifths of the time allowed shows that the list is still heard.
@@ -424,9 +423,11 @@
         machine.changed(guest, 1)
         guest.spread_key = key = self._spread_key(guest, machine)
         self.spread[key] = self.spread.get(key, 0) + 1
+        self.seated[guest.product.priority] += 1
 
     def _unseat(self, guest: Guest) -> None:
         machine, key = guest.machine, guest.spread_key
+        self.seated[guest.product.priority] -= 1
         self.spread[key] -= 1
         if not self.spread[key]:
             del self.spread[key]
@@ -645,8 +646,8 @@
         cores, memory = machine.room(self.deployment)
         if way == "pushed":
             # Of all that is asked there, the part that is lower among our own guests anywhere.
-            ours = [g.product.priority < guest.product.priority for g in self.guests.values() if g.machine]
-            part = sum(ours) / max(1, len(ours))
+            lower = sum(n for priority, n in self.seated.items() if priority < guest.product.priority)
+            part = lower / max(1, sum(self.seated.values()))
             cores += part * max(0.0, machine.size.cores - machine.listed.cores_room)
             memory += part * max(0.0, machine.size.memory - machine.listed.memory_room)
         return way == "unknown" or ask.cores <= cores and ask.memory <= memory
@@ -655,9 +656,10 @@
         ready = self._order(guest)
         usual = sorted(m.slowness() for m in ready if m.answers)
         typical = usual[(len(usual) - 1) // 2] if usual else SECOND
-        # Weighing 12, 6, 3 and 2 of 60 to 88 machines at 93 and more planners, 3 was best. Few know all
+        # Weighing 12, 6, 3 and 2 of 60 to 88 machines at 93 and more planners, and 103 and 3 of 392 at 16, 3
+        # was best: planners that weigh more start their guests where the program is not. Few know all
         # dispatches: up to 8 planners weigh all (3 more than the fleet's part cost 0.05 to 0.1 at 2 to 6).
-        look = 3 + 64 * len(ready) // self.deployment.planners ** 2
+        look = 3 if self.deployment.planners > 8 else len(ready)
         steps = [(ready, 9.9)]
         if self.deployment.fleet_price > 0:
             # Each machine in use costs: the emptiest of them is left to drain, and an empty one is opened,
@@ -678,15 +680,6 @@
                 fit = (m for m in field if self._allowed(guest, m, now) and self._has_room(guest, m, now, way)
                        and (way == "distrust" or not self._avoided(m, typical, now)))
                 first = list(islice(fit, look))
-                if self.deployment.probing and look < len(ready) and not guest.probed_for:
-                    # Weighing few machines of many, a planner hears too seldom of each: it asks those it is
-                    # about to weigh, once a guest, and gives them a twentieth of a second to answer.
-                    guest.probed_for = True
-                    unheard = [m for m in first if max(m.reported_at, m.probed_at) < now - SECOND // 2]
-                    if unheard:
-                        self.to_probe += unheard
-                        guest.rests_until = now + SECOND // 20
-                        return None
                 picked = self._best(guest, first, ready if len(ready) <= look else first, now)
                 if picked is not None and picked[0] < bears:
                     return picked[1]
@@ -769,8 +762,6 @@
         return late + wait / max(1.0, guest.product.start_bonus)
 
     def _probe(self, now: int) -> Decision | None:
-        if self.to_probe:
-            return self._asked(self.to_probe.pop(), now)
         if not self.deployment.probing or now < self.probe_at:
             return None
         for machine in self.machines.values():
