No second dispatch to a machine that may still speak of the first; duplicates on split, join, roll

Followed: n14's guest on split (log of the planner, a line a message): 764.942 ASK 765.031 TO s- Offer 765.674 TO s- Withdraw 765.674 TO s- Offer 765.678 FROM s- end 34 wrong_host 765.925 FROM s- accept 765.954 TO s- Offer The refusal 4 ms after the withdrawal speaks of the first dispatch, the accept of the second. On this protocol a machine names the guest and not the dispatch, so engine._heard took the refusal for the second one's: "never ran", the accept was passed over, and a third dispatch left while the second stood. Ruled out: withdrawals that were not written (none), links that were closed meanwhile (76, none of the guests named), other planners (keys that came to two planners: none overlapped). At fault: brain._allowed, which let a guest go again to a machine that had not ended its last dispatch. Change: it goes to such a machine no more.

--- a/hazelhold/brain.py
+++ b/hazelhold/brain.py
@@ -54,6 +54,7 @@
         self.dispatches = self.sent_at = self.ahead = 0  # ahead: own starts before it on the machine
         self.spread_key: tuple[str, Place, str] | None = None
         self.bound: tuple[Place, int] | None = None  # the group that a ticket holds it to
+        self.tried: list[str] = []  # machines that may still speak of a dispatch that is over: one each
         self.window_ends, self.cores_noted = 0, 0.0
         self.look_at, self.looked_at, self.rests_until = now, 0, now
         self.use: tuple[float, float] | None = None
@@ -118,7 +119,7 @@
 
     def place(self, reach: Place) -> tuple[Place, str]:
         """The group of machines that a ticket or a spread speaks of."""
-        name = {Place.CELL: str(self.listed.cell), Place.ZONE: str(self.listed.zone),
+        name = {Place.CELL: f"{self.listed.zone}/{self.listed.cell}", Place.ZONE: str(self.listed.zone),
                 Place.MACHINE: self.listed.machine}
         return reach, name.get(reach, "")
 
@@ -351,6 +352,7 @@
             if not guest.may_run:
                 guest.window_ends = guest.sent_at + guest.product.window
             guest.may_run, guest.bound = True, host.place(guest.product.group)
+            guest.tried.append(host.listed.machine)
         if ending is Ending.TURNED_BACK and guest.dispatches > 1:
             # Twice refused: everybody is after the same room. The rest of its dispatches are spread over its
             # patience, drawn so that crowds thin out, from a quarter second and twice as long each time.
@@ -620,6 +622,9 @@
         product = guest.product
         if not machine.ready or product.kind not in (-1, machine.listed.kind):
             return False
+        # Guards against two copies: what a machine says late of one dispatch would be heard as of the next.
+        if machine.listed.machine in guest.tried:
+            return False
         if guest.bound and product.effect is Effect.TICKETED and machine.place(product.group) != guest.bound:
             return False
         if (product.spread is not Place.NOWHERE
--- a/hazelhold/config/planner.py
+++ b/hazelhold/config/planner.py
@@ -85,7 +85,8 @@
     reconnect_ms: Millis = 2000.0
     probe_ms: Millis = 250.0
     idle_close_ms: Millis = 60000.0
-    silent_ms: Millis = 2500.0  # a machine that has guests and says nothing for so long is looked for
+    silent_ms: Millis = 3500.0  # a machine that has guests and says nothing for so long is looked for
+    lost_ms: Millis = 6000.0  # one that says nothing for so long, asked on a new connection, has lost them
     send_bytes: Annotated[int, Meta(ge=4096, le=1 << 30)] = 1 << 20
     connections: Annotated[int, Meta(ge=1, le=100_000)] = 4096
     open_guests: Annotated[int, Meta(ge=1, le=10_000_000)] = 100_000
--- a/hazelhold/engine/engine.py
+++ b/hazelhold/engine/engine.py
@@ -767,6 +767,8 @@
             times += [t for t in (link.dial_at, link.dial_due if link.state == "dialling" else 0,
                                   link.roll_due if link.state == "up" and not link.rolled else 0) if t]
         times += [l.roll_at for by in self.loose.values() for l in by.values()]
+        if not self.peers.rolls and self.links:
+            times.append(self.idle_at)  # silence is looked for though nothing happens
         return min(times, default=None)
 
     def _time_outs(self, now: int) -> None:
@@ -813,7 +815,7 @@
                 table.popitem(last=False)
         if now < self.idle_at:
             return
-        self.idle_at = now + 1_000_000
+        self.idle_at = now + 500_000
         if not self.peers.rolls:
             for link in list(self.links.values()):
                 self._watch_silence(now, link)
@@ -845,22 +847,28 @@
 
     def _watch_silence(self, now: int, link: Link) -> None:
         """What stands on a machine outlives its connections, so silence has to be looked into: a machine
-        that has said nothing for a while is asked on a new connection, since the module asks none that takes
-        nothing. One that stays silent, or has left the list a second ago, has lost what stood there."""
-        silent, lost = micros(self.limits.silent_ms), micros(self.limits.silent_ms + self.limits.reconnect_ms)
+        that has said nothing for a while is asked, since the module asks none that takes nothing, first on
+        its connection, then on a new one. One that stays silent, or has left the list a second ago, has lost
+        what stood there."""
+        silent = micros(self.limits.silent_ms)
         if not link.holds:
             return
         if link.machine not in self.roster.fellows:
             link.gone_at = link.gone_at or now
             if now - link.gone_at < 1_000_000:
                 return
-        elif not link.lost_at or now - link.heard_at < lost:
+        elif not link.lost_at or now - link.heard_at < micros(self.limits.lost_ms):
             if link.state == "down" and not link.lost_at:
                 link.lost_at = link.dial_at = now
                 self.restless[link.machine] = None
             elif link.state == "up" and now - max(link.heard_at, link.opened_at) > silent and all(
                     self.cases[name].placed for name in link.holds):
-                self._abandon(now, link)
+                if link.asked_at <= link.heard_at:
+                    link.asked_at = now
+                    self.probe_number += 1
+                    self._send_machine(link.machine, m.Probe(number=self.probe_number))
+                elif now - link.asked_at > micros(self.limits.probe_ms):
+                    self._abandon(now, link)
             return
         if link.state != "down":
             self.actions.append(HangUp(link.machine))
--- a/hazelhold/engine/machines.py
+++ b/hazelhold/engine/machines.py
@@ -18,6 +18,7 @@
     mode: Mode
     incarnation: int
     started: int
+    kind: int = 0
 
 
 @dataclass
@@ -39,6 +40,7 @@
     heard_at: int = 0  # its last word, on whatever connection
     opened_at: int = 0
     gone_at: int = 0  # when it was seen to have left the list with guests of ours; 0: it has not
+    asked_at: int = 0  # when it was last asked for its silence
     unanswered: int = 0  # probes in a row with nothing heard since they were sent
     words: list[Message] = field(default_factory=list)  # on what stands there, for the next connection
 
@@ -70,7 +72,7 @@
     def learn(self, now: int, listing: Listing) -> News:
         news = News()
         for entry in listing.entries:
-            if entry.kind not in self.kinds:
+            if entry.kind not in self.kinds and entry.machine not in self.fellows:
                 news.faults.append(f"{entry.machine}: no kind is called {entry.kind!r}")
                 continue
             self._entry(now, entry, news)
@@ -90,8 +92,9 @@
             started = old.started
         elif entry.up_for is not None:
             started = max(1, now - entry.up_for)
-        news.listed.append(Listed(entry.machine, mode, started, entry.zone, entry.cell,
-                                  self.kinds[entry.kind], entry.cores_room, entry.memory_room))
+        kind = self.kinds.get(entry.kind, old.kind if old else 0)  # a drain counts whatever kind it names
+        news.listed.append(Listed(entry.machine, mode, started, entry.zone, entry.cell, kind,
+                                  entry.cores_room, entry.memory_room))
         if mode is not Mode.READY and (not old or old.mode is Mode.READY):
             news.closed.append(entry.machine)
         if mode is Mode.GONE:
@@ -102,4 +105,5 @@
             news.fresh.append(entry.machine)
         elif old.address != entry.address:
             news.moved.append(entry.machine)
-        self.fellows[entry.machine] = Fellow(entry.machine, entry.address, mode, entry.incarnation, started)
+        self.fellows[entry.machine] = Fellow(entry.machine, entry.address, mode, entry.incarnation, started,
+                                             kind)
--- a/hazelhold/platform/bulletin.py
+++ b/hazelhold/platform/bulletin.py
@@ -25,7 +25,11 @@
 
 
 class BulletinError(Exception):
-    """A call that brought nothing that can be used."""
+    """A call that brought nothing that can be used, or an event of which only `part` can be read."""
+
+    def __init__(self, text: str, part: object = None) -> None:
+        super().__init__(text)
+        self.part = part
 
 
 class Answer(msgspec.Struct):
@@ -94,29 +98,42 @@
         return self.fresh(answer.items)
 
     def fresh(self, items: list[dict]) -> list[T]:
-        """Those of the events that come after the last one; marks them as heard. BulletinError if one is
-        missing, out of order or cannot be read: then none is marked."""
-        new, last = [], self.last
+        """Those of the events that come after the last one, up to the first that is out of order or cannot be
+        read; marks them as heard. BulletinError if there is such a one and none before it: what came whole
+        is not kept waiting by what did not."""
+        new: list[T] = []
         for item in items:
             no = item.get("no")
-            if not isinstance(no, int):
-                raise BulletinError("an event without a number")
-            if no <= last:
-                continue
-            if no != last + 1:
-                raise BulletinError(f"event {no} follows {last}")
-            last = no
             try:
-                new.append(self.read(item))
-            except BulletinError:
-                times = self.unread[1] + 1 if self.unread[0] == no else 1
-                self.unread = no, times
-                if times < TRIES:
-                    raise
-                self.log.warning("event_passed_over", no=no)
-        self.last = last
+                if not isinstance(no, int):
+                    raise BulletinError("an event without a number")
+                if no <= self.last:
+                    continue
+                if no != self.last + 1:
+                    raise BulletinError(f"event {no} follows {self.last}")
+                made = self._made(no, item)
+            except BulletinError as wrong:
+                if wrong.part is not None:  # it comes again with the next call, and once more as a whole
+                    new.append(wrong.part)
+                if new:
+                    break
+                raise
+            self.last = no
+            new += made
         return new
 
+    def _made(self, no: int, item: dict) -> list[T]:
+        """The event as it is read; nothing for one that came so a few times, which is passed over."""
+        try:
+            return [self.read(item)]
+        except BulletinError as wrong:
+            times = self.unread[1] + 1 if self.unread[0] == no else 1
+            self.unread = no, times
+            if times < TRIES:
+                raise
+            self.log.warning("event_passed_over", no=no, reason=str(wrong)[:200])
+            return [] if wrong.part is None else [wrong.part]
+
     async def _call(self) -> bytes:
         """The body of the answer to one call."""
         if self.stream is None:
--- a/hazelhold/platform/peer.py
+++ b/hazelhold/platform/peer.py
@@ -90,10 +90,13 @@
         return bool(self.messages)
 
     def leaving(self) -> bytes:
+        """What is written next: up to the first offer, so that each is asked for at the moment at which it
+        leaves. One run of many would keep those behind a full socket past a drain that was told meanwhile."""
         out = bytearray()
         while self.messages:
             message, left = self.messages.popleft(), 0
-            if isinstance(message, m.Offer) and not (left := self.time_left(message)):
+            offer = isinstance(message, m.Offer)
+            if offer and not (left := self.time_left(message)):
                 continue
             line = to_machine(message, left)
             if line is None:
@@ -102,7 +105,9 @@
                 out += encode_line(line)
             except ValueError:
                 continue
-        self.size = 0
+            if offer:
+                break
+        self.size = self.size if self.messages else 0
         return bytes(out)
 
     def unsent(self) -> list[m.Offer]:
--- a/hazelhold/platform/planner.py
+++ b/hazelhold/platform/planner.py
@@ -45,6 +45,7 @@
         self.machines: dict[str, tuple[trio.CancelScope, MachinePeer | None]] = {}  # emptied as links end
         self.held: deque[tuple[float, Parcel]] = deque()  # releases without a connection; emptied by age
         self.counts: Counter[str] = Counter()
+        self.zones = dict(start.zones)  # numbers by name; grows with zones that the list names
         self.follower = Follower(net, start.bulletin, start.known, self._event, self._hear_bulletin,
                                  self._bulletin_failed)
         self.stop_asked, self.ended = trio.Event(), trio.Event()
@@ -58,6 +59,8 @@
                     self._hear_bulletin([self._event(item)])
                 except BulletinError as wrong:
                     self.log.warning("event_unreadable", no=item.get("no"), reason=str(wrong))
+                    if wrong.part is not None:
+                        self._hear_bulletin([wrong.part])
             self.address = await self.net.listen(self.start.listen, self._door, nursery)
             nursery.start_soon(self.ticker.run)
             if not self.engine.facts.list_is_asked:
@@ -388,10 +391,15 @@
         if "roster" not in item:
             return m.Listing(version=self.engine.list_version, whole=False, entries=[])
         try:
-            return words.listing(item["roster"], self.start.zones, self.net.wall())
+            listing, faults = words.listing(item["roster"], self.zones, self.net.wall())
         except (ValueError, TypeError, KeyError, AttributeError, OverflowError) as wrong:
             self.counts["bulletin_unreadable"] += 1
             raise BulletinError(f"an event that cannot be read: {wrong!r:.200}") from None
+        if faults:
+            self.counts["bulletin_entries_unreadable"] += len(faults)
+            raise BulletinError(f"{len(faults)} entries that cannot be read: {faults[0]}",
+                                listing if listing.entries else None)
+        return listing
 
     def _hear_bulletin(self, listings: list[m.Listing]) -> None:
         now = self.net.now()
--- a/hazelhold/platform/words.py
+++ b/hazelhold/platform/words.py
@@ -218,20 +218,30 @@
 # The bulletin.
 
 
-def listing(roster: dict, zones: dict[str, int], wall: int) -> m.Listing:
-    """A roster as a Listing; `wall` is the Unix time in microseconds. ValueError if it cannot be read."""
-    entries = []
+def listing(roster: dict, zones: dict[str, int], wall: int) -> tuple[m.Listing, list[str]]:
+    """A roster as a Listing, and what is wrong with the entries that are left out; `wall` is the Unix time in
+    microseconds. A zone that is not in `zones` gets the next number there. ValueError if nothing of it can be
+    read."""
+    entries, faults = [], []
     for each in roster.get("hosts", []):
-        born = float(each.get("born_ms") or 0)
-        room = list(each.get("room") or []) + [0.0, 0.0]
-        state = each["health"]
-        if state not in STATES:
-            raise ValueError(f"the state {state!r} is not known")
-        if not isinstance(each["host"], str) or not isinstance(each["dial"], str):
-            raise ValueError("a machine without a name or an address")
-        entries.append(m.Entry(
-            machine=each["host"], address=each["dial"], mode=STATES[state], kind=str(each.get("class", "")),
-            incarnation=int(born), up_for=max(0, wall - round(born * 1000)) if born else None,
-            zone=zones.get(str(each.get("site", "")), 0), cell=int(each.get("block") or 0),
-            cores_room=float(room[0]), memory_room=float(room[1])))
-    return m.Listing(version=int(roster.get("seq", 0)), whole=bool(roster.get("whole")), entries=entries)
+        try:
+            entries.append(entry(each, zones, wall))
+        except (ValueError, TypeError, KeyError, AttributeError, IndexError, OverflowError) as wrong:
+            faults.append(f"{wrong!r:.120}")
+    whole = bool(roster.get("whole")) and not faults  # what is missing may be what was left out
+    return m.Listing(version=int(roster.get("seq", 0)), whole=whole, entries=entries), faults
+
+
+def entry(each: dict, zones: dict[str, int], wall: int) -> m.Entry:
+    born = float(each.get("born_ms") or 0)
+    room = list(each.get("room") or []) + [0.0, 0.0]
+    state = each["health"]
+    if state not in STATES:
+        raise ValueError(f"the state {state!r} is not known")
+    if not isinstance(each["host"], str) or not isinstance(each["dial"], str):
+        raise ValueError("a machine without a name or an address")
+    return m.Entry(
+        machine=each["host"], address=each["dial"], mode=STATES[state], kind=str(each.get("class", "")),
+        incarnation=int(born), up_for=max(0, wall - round(born * 1000)) if born else None,
+        zone=zones.setdefault(str(each.get("site", "")), len(zones)), cell=int(each.get("block") or 0),
+        cores_room=float(room[0]), memory_room=float(room[1]))
--- a/hazelhold/state/snapshot.py
+++ b/hazelhold/state/snapshot.py
@@ -18,7 +18,7 @@
                  "mute")
 GUEST_TIMES = ("goal_at", "patience_at", "answer_by", "sent_at", "window_ends", "look_at", "looked_at",
                "rests_until")
-GUEST_PLAIN = ("placed", "runs", "warm", "may_run", "over", "unwanted", "dispatches", "ahead",
+GUEST_PLAIN = ("placed", "runs", "warm", "may_run", "over", "unwanted", "tried", "dispatches", "ahead",
                "cores_noted", "use", "rounds")
 BRAIN_TIMES = ("no_cold_until", "answer_at", "looked_at", "ask_list_at", "sweep_at", "probe_at",
                "list_heard_at")
