--- a/hazelhold/brain.py
+++ b/hazelhold/brain.py
@@ -25,7 +25,8 @@
 class Service:
     """Recent use of one service's guests; dropped once it has had no guest for a while."""
 
-    def __init__(self) -> None:
+    def __init__(self, name: str) -> None:
+        self.mark = int.from_bytes(blake2b(name.encode(), digest_size=8).digest())
         # The design's 50 samples of (cores, memory) in use.
         self.samples: deque[tuple[float, float]] = deque(maxlen=50)
         self.guests = self.seen = 0
@@ -186,6 +187,7 @@
         self.kept_well = True  # see state_kept
         self.no_cold_until = 0  # see remembered
         self.list_version = 0  # counts changes in who is ready
+        self.typical, self.typical_until = SECOND, 0  # median slowness of machines, and until when it is kept
         self.to_call_off: deque[tuple[str, str]] = deque()  # guest and machine; emptied at once
 
     # Inputs: they only update what is known.
@@ -265,7 +267,7 @@
         self.no_cold_until = 0 if complete else now + 2 * self.deployment.cold_window
         for name, (seen, samples) in past.services.items():
             if seen >= now - 60 * SECOND:
-                service = self.services.setdefault(name, Service())
+                service = self.services.setdefault(name, Service(name))
                 service.samples.extendleft(reversed(samples))
                 service.seen = max(service.seen, seen)
         for product, warm, times in past.starts:
@@ -404,7 +406,7 @@
             self.sweep_at = now + 60 * SECOND
             past = now - 60 * SECOND
             self.services = {n: s for n, s in self.services.items() if s.guests or s.seen >= past}
-        service = self.services.setdefault(ask.service, Service())
+        service = self.services.setdefault(ask.service, Service(ask.service))
         service.guests, service.seen = service.guests + 1, now
         return Guest(ask, self.deployment.products[ask.product], service, now)
 
@@ -519,11 +521,11 @@
         span = min(8 * SECOND, SECOND // 6 * 2 ** machine.strikes)
         machine.avoid_until = max(machine.avoid_until, now + int(span * self.random.uniform(0.8, 1.2)))
 
-    def _avoided(self, machine: Machine, typical: float, now: int) -> bool:
+    def _avoided(self, machine: Machine, now: int) -> bool:
         if machine.mute or now < machine.avoid_until or machine.strikes and machine.starting:
             return True  # the last: on trial, one guest at a time
         # Four times its fellows' median and two seconds more: half a second also caught dear cold starts.
-        if len(machine.answers) >= 4 and machine.slowness() > 4 * typical + 2 * SECOND:
+        if len(machine.answers) >= 4 and machine.slowness() > 4 * self.typical + 2 * SECOND:
             machine.answers.clear()
             machine.slow = None
             self._strike(machine, now, mute=False)
@@ -622,8 +624,7 @@
         product = guest.product
         if not machine.ready or product.kind not in (-1, machine.listed.kind):
             return False
-        # Guards against two copies: what a machine says late of one dispatch would be heard as of the next.
-        if machine.listed.machine in guest.tried:
+        if machine.listed.machine in guest.tried:  # guards against two copies: it may speak late of the first
             return False
         if guest.bound and product.effect is Effect.TICKETED and machine.place(product.group) != guest.bound:
             return False
@@ -659,11 +660,12 @@
 
     def _pick(self, guest: Guest, now: int) -> Machine | None:
         ready = self._order(guest)
-        usual = sorted(m.slowness() for m in ready if m.answers)
-        typical = usual[(len(usual) - 1) // 2] if usual else SECOND
+        if now >= self.typical_until:  # a look through all machines costs: at most 20 a second
+            self.typical_until = now + SECOND // 20
+            usual = sorted(m.slowness() for m in ready if m.answers)
+            self.typical = usual[(len(usual) - 1) // 2] if usual else SECOND
         # Weighing 12, 6, 3 and 2 of 60 to 88 machines at 93 and more planners, and 103 and 3 of 392 at 16, 3
-        # was best: planners that weigh more start their guests where the program is not. Few know all
-        # dispatches: up to 8 planners weigh all (3 more than the fleet's part cost 0.05 to 0.1 at 2 to 6).
+        # was best. Few know all dispatches: up to 8 weigh all (3 more than their part cost 0.05 at 2 to 6).
         look = 3 if self.deployment.planners > 8 else len(ready)
         steps = [(ready, 9.9)]
         if self.deployment.fleet_price > 0:
@@ -677,13 +679,14 @@
         # A silent list's room is worth little: guests that find none by it are offered all the same. Guards
         # against a list that is down, slow or old at a start; costs refusals where the fleet is full.
         silent = now - self.list_heard_at >= 2 * SECOND
-        # With most machines looking bad at once, distrust the judgement and go on placing.
-        distrust = 2 * sum(m.mute or now < m.avoid_until for m in ready) > len(ready)
-        ways = (("shown", True), ("pushed", pushes), ("unknown", silent), ("distrust", distrust))
-        for way in [way for way, use in ways if use]:
+        for way in ("shown", "pushed", "unknown", "distrust"):
+            # With most machines looking bad at once, distrust the judgement and go on placing.
+            if (way == "pushed" and not pushes or way == "unknown" and not silent or way == "distrust"
+                    and 2 * sum(m.mute or now < m.avoid_until for m in ready) <= len(ready)):
+                continue
             for field, bears in steps:
                 fit = (m for m in field if self._allowed(guest, m, now) and self._has_room(guest, m, now, way)
-                       and (way == "distrust" or not self._avoided(m, typical, now)))
+                       and (way == "distrust" or not self._avoided(m, now)))
                 first = list(islice(fit, look))
                 picked = self._best(guest, first, ready if len(ready) <= look else first, now)
                 if picked is not None and picked[0] < bears:
@@ -697,8 +700,9 @@
         service = guest.service
         if service.order_of != self.list_version:
             service.order_of = self.list_version
-            service.order = sorted((m for m in self.machines.values() if m.ready), key=lambda m: blake2b(
-                f"{guest.ask.service} {m.listed.machine}".encode(), digest_size=8).digest())
+            # Both marks mixed by an odd number near 2**64 over the golden ratio.
+            service.order = sorted((m for m in self.machines.values() if m.ready), key=lambda m: (
+                (m.mark ^ service.mark) * 0x9E3779B97F4A7C15 & (1 << 64) - 1))
         return service.order
 
     def _best(self, guest: Guest, healthy: list[Machine], ready: list[Machine],
--- a/hazelhold/state/snapshot.py
+++ b/hazelhold/state/snapshot.py
@@ -20,9 +20,9 @@
                "rests_until")
 GUEST_PLAIN = ("placed", "runs", "warm", "may_run", "over", "unwanted", "tried", "dispatches", "ahead",
                "cores_noted", "use", "rounds")
-BRAIN_TIMES = ("no_cold_until", "answer_at", "looked_at", "ask_list_at", "sweep_at", "probe_at",
-               "list_heard_at")
-BRAIN_PLAIN = ("seen", "list_version", "kept_well")
+BRAIN_TIMES = ("no_cold_until", "typical_until", "answer_at", "looked_at", "ask_list_at", "sweep_at",
+               "probe_at", "list_heard_at")
+BRAIN_PLAIN = ("seen", "typical", "list_version", "kept_well")
 
 
 def dump(brain: Brain) -> dict[str, Any]:
@@ -68,9 +68,9 @@
     for name in BRAIN_TIMES:
         setattr(brain, name, moved(data[name]))
     brain.seen, brain.list_version = list(data["seen"]), data["list_version"]
-    brain.kept_well = data["kept_well"]
+    brain.kept_well, brain.typical = data["kept_well"], data["typical"]
     for name, samples, seen in data["services"]:
-        service = brain.services[name] = Service()
+        service = brain.services[name] = Service(name)
         service.samples.extend(tuple(s) for s in samples)
         service.seen = moved(seen)
     for plain in data["machines"]:
@@ -117,7 +117,7 @@
     if fields[7] is not None:
         fields[7] = Earlier(fields[7][0], moved(fields[7][1]))
     ask = Ask(*fields)
-    service = brain.services.setdefault(ask.service, Service())
+    service = brain.services.setdefault(ask.service, Service(ask.service))
     service.guests += 1
     guest = Guest(ask, brain.deployment.products[ask.product], service, 0)
     for name in GUEST_TIMES:
