--- a/hazelhold/brain.py
+++ b/hazelhold/brain.py
@@ -50,7 +50,7 @@
         self.answer_by = self.patience_at - SECOND // 50  # a few ticks early: the last safe moment
         self.machine: Machine | None = None  # where a dispatch is out, or where it runs
         self.placed = self.runs = self.warm = self.may_run = False
-        self.over = False  # answered, with its last dispatch still out
+        self.over = self.probed_for = False  # over: answered, with its last dispatch still out
         self.unwanted = False  # its owner cancelled it
         self.dispatches = self.sent_at = self.ahead = 0  # ahead: own starts before it on the machine
         self.spread_key: tuple[str, Place, str] | None = None
@@ -188,7 +188,8 @@
         self.no_cold_until = 0  # see remembered
         self.list_version = 0  # counts changes in who is ready
         self.typical, self.typical_until = SECOND, 0  # median slowness of machines, and until when it is kept
-        self.to_call_off: deque[tuple[str, str]] = deque()  # guest and machine; emptied at once
+        self.to_probe: list[Machine] = []  # emptied at once by the decisions that follow
+        self.to_call_off: deque[tuple[str, str]] = deque()  # guest and machine; emptied as to_probe
 
     # Inputs: they only update what is known.
 
@@ -260,9 +261,8 @@
 
     def remembered(self, now: int, past: interface.Learned, complete: bool) -> None:
         """Takes what an earlier life learned, for machines that are still in the same life. Samples of
-        services that were not seen for a minute are let go, as they would have been; strikes and rests go on
-        by their own times. Where offers to cold machines may be forgotten, these get nothing until they would
-        not count any more. Guards against a budget that is used twice by a restart."""
+        services that were not seen for a minute are let go; strikes and rests go on by their own times. Where
+        offers to cold machines may be forgotten, these get nothing until they would count no more."""
         self.no_cold_until = 0 if complete else now + 2 * self.deployment.cold_window
         for name, (seen, samples) in past.services.items():
             if seen >= now - 60 * SECOND:
@@ -293,8 +293,7 @@
         self._seat(guest, self._host(machine, now))
 
     def _host(self, name: str, now: int) -> Machine:
-        """The machine of this name; one that the list does not have is counted as gone, in no known place:
-        guards against a ticket that is bound to the wrong group."""
+        """The machine of this name; one not listed is gone, in no known place: no ticket is bound wrongly."""
         if name not in self.machines:
             gone = Listed(name, Mode.GONE, 0, -1, -1, 0, 0.0, 0.0)
             self.machines[name] = Machine(gone, self.deployment.kinds[0], now)
@@ -353,9 +352,10 @@
             if not guest.may_run:
                 guest.window_ends = guest.sent_at + guest.product.window
             guest.may_run, guest.bound = True, host.place(guest.product.group)
-        once = guest.product.effect is Effect.EXCLUSIVE  # its refusal may come twice
-        if ending not in NEVER_RAN or once and ending is Ending.TURNED_BACK:
-            guest.tried.append(host.listed.machine)
+        # A refusal may come twice: an exclusive guest stays away from those that refused it, too.
+        once = guest.product.effect is Effect.EXCLUSIVE and ending is Ending.TURNED_BACK
+        guest.tried += [host.listed.machine] * (
+            not self.deployment.dispatches_named and (once or ending not in NEVER_RAN))
         if ending is Ending.TURNED_BACK and guest.dispatches > 1:
             # Twice refused: everybody is after the same room. The rest of its dispatches are spread over its
             # patience, drawn so that crowds thin out, from a quarter second and twice as long each time.
@@ -405,8 +405,7 @@
     def _known(self, now: int, ask: interface.Ask) -> Guest:
         if now >= self.sweep_at:  # a minute's rest: longer than a service's guests stay away between tries
             self.sweep_at = now + 60 * SECOND
-            past = now - 60 * SECOND
-            self.services = {n: s for n, s in self.services.items() if s.guests or s.seen >= past}
+            self.services = {n: s for n, s in self.services.items() if s.guests or s.seen >= now - 60_000_000}
         service = self.services.setdefault(ask.service, Service(ask.service))
         service.guests, service.seen = service.guests + 1, now
         return Guest(ask, self.deployment.products[ask.product], service, now)
@@ -471,8 +470,8 @@
 
     def _others(self, machine: Machine, now: int) -> tuple[float, float] | None:
         """What others use of a machine. Where the list shows room, a report older than two seconds gives way
-        to what others ask there by the list, in the proportion of use to asks of our own guests. Acts
-        where a planner hears seldom of a machine; guards against any cause of late or missing reports."""
+        to what others ask there by the list, in our guests' proportion of use to asks. Guards against any
+        cause of late or missing reports."""
         if (now - machine.reported_at <= 2 * SECOND or machine.reported_at > self.list_heard_at
                 or not self.deployment.list_has_room):
             return machine.others if machine.used is not None else None
@@ -494,8 +493,7 @@
         """What an ended dispatch says of its machine."""
         if ending is Ending.TURNED_BACK:
             if remark is Remark.LINE_FULL:
-                # Guards against any crowd of offers, ours or others': a quarter second's rest, in which lines
-                # are about worked off. Could hold guests back needlessly after a short crowd.
+                # Against any crowd of offers: a rest in which lines are about worked off; may be needless.
                 machine.full[0] = now + SECOND // 4, 0.0
             elif remark in (Remark.NO_CORES, Remark.NO_MEMORY):
                 axis, much = (0, guest.ask.cores) if remark is Remark.NO_CORES else (1, guest.ask.memory)
@@ -617,12 +615,11 @@
         return min(left, max(3 * sorted(seen)[int(0.95 * len(seen))], SECOND // 2))
 
     def _warm(self, guest: Guest, machine: Machine) -> bool:
-        service = guest.ask.service
-        return service in machine.kept or service in machine.services
+        return guest.ask.service in machine.kept or guest.ask.service in machine.services
 
     def _allowed(self, guest: Guest, machine: Machine, now: int) -> bool:
         """The rules: what no ranking may go round."""
-        product = guest.product
+        product, facts = guest.product, self.deployment
         if not machine.ready or product.kind not in (-1, machine.listed.kind):
             return False
         if machine.listed.machine in guest.tried:  # guards against two copies: it may speak late
@@ -632,7 +629,6 @@
         if (product.spread is not Place.NOWHERE
                 and self.spread.get(self._spread_key(guest, machine), 0) >= product.spread_most):
             return False
-        facts = self.deployment
         while machine.offers and machine.offers[0] < now - 2 * facts.cold_window:
             machine.offers.popleft()
         if now - machine.cold_at >= facts.cold_for:
@@ -640,8 +636,7 @@
         if now < self.no_cold_until:
             return False
         # Twice the window and four fifths of the budget: offers travel, and chance is counted against us too.
-        # The planners take turns at single offers, from a start that the machine's id fixes alike for all:
-        # the parts sum to the budget; with more planners than offers some have one and the others none.
+        # Planners take turns at single offers, from a start that the machine's id fixes: these sum to it.
         turn = (facts.slot + machine.mark) % facts.planners
         return len(machine.offers) <= (int(facts.cold_offers * 0.8) - 1 - turn) // facts.planners
 
@@ -676,8 +671,7 @@
             drain = max(used, key=lambda m: m.listed.cores_room / m.size.cores, default=None)
             steps = [([m for m in used if m is not drain], 0.1), (used, 0.3), (empty[:1] + used, 9.9), *steps]
         pushes = self.deployment.makes_room and guest.product.priority
-        # A silent list's room is worth little: guests that find none by it are offered all the same. Guards
-        # against a list that is down, slow or old at a start; costs refusals where the fleet is full.
+        # Room by a list that is down, slow or old is worth little: refusals may be the cost.
         silent = now - self.list_heard_at >= 2 * SECOND
         for way in ("shown", "pushed", "unknown", "distrust"):
             # With most machines looking bad at once, distrust the judgement and go on placing.
@@ -688,6 +682,12 @@
                 fit = (m for m in field if self._allowed(guest, m, now) and self._has_room(guest, m, now, way)
                        and (way == "distrust" or not self._avoided(m, now)))
                 first = list(islice(fit, look))
+                if self.deployment.reports_on_probe and look < len(ready) and not guest.probed_for:
+                    # Where only probes bring reports, those few are asked, once a guest, and get a moment.
+                    self.to_probe = [m for m in first if max(m.reported_at, m.probed_at) < now - SECOND // 2]
+                    guest.probed_for, guest.rests_until = True, now + SECOND // 20 * bool(self.to_probe)
+                    if self.to_probe:
+                        return None
                 picked = self._best(guest, first, ready if len(ready) <= look else first, now)
                 if picked is not None and picked[0] < bears:
                     return picked[1]
@@ -697,12 +697,10 @@
         """The ready machines in an order of the service's own, the same at all planners. Many planners weigh
         only the first that may take the guest: a service comes together where its program runs, and guests of
         other services do not all meet on the one machine that the late list shows as best."""
-        service = guest.service
-        if service.order_of != self.list_version:
+        if (service := guest.service).order_of != self.list_version:
             service.order_of = self.list_version
-            # Both marks mixed by an odd number near 2**64 over the golden ratio.
             service.order = sorted((m for m in self.machines.values() if m.ready), key=lambda m: (
-                (m.mark ^ service.mark) * 0x9E3779B97F4A7C15 & (1 << 64) - 1))
+                (m.mark ^ service.mark) * 0x9E3779B97F4A7C15 & (1 << 64) - 1))  # mixed by the golden ratio
         return service.order
 
     def _best(self, guest: Guest, healthy: list[Machine], ready: list[Machine],
@@ -760,8 +758,8 @@
         """What waiting for the start costs, in parts of a start in time: the share of recent starts, warm or
         cold as this one, that would miss the goal time here, and the seconds not served until then."""
         seen, total = starts.get(self._warm(guest, machine), ((), 0))
-        if not seen:  # a cold start of which nothing is known yet is presumed late: see docs/design.md
-            return 0.0 if self._warm(guest, machine) else 1.0
+        if not seen:  # an unseen cold start is presumed late, but not so as to open machines that cost
+            return 0.0 if self._warm(guest, machine) or self.deployment.fleet_price > 0 else 1.0
         age = max(0.0, min(1.0, (now - machine.cold_at) / self.deployment.cold_for))
         pace = self.deployment.cold_from + (1 - self.deployment.cold_from) * age
         slower = (1 + machine.starting / 2) / pace
@@ -771,6 +769,8 @@
         return late + wait / max(1.0, guest.product.start_bonus)
 
     def _probe(self, now: int) -> Decision | None:
+        if self.to_probe:
+            return self._asked(self.to_probe.pop(), now)
         if not self.deployment.probing or now < self.probe_at:
             return None
         for machine in self.machines.values():
--- a/hazelhold/interface.py
+++ b/hazelhold/interface.py
@@ -105,6 +105,8 @@
     cold_window: int
     cold_offers: float
     fleet_price: float
+    reports_on_probe: bool = False  # machines report their load to probes alone
+    dispatches_named: bool = True  # machines say which dispatch of a guest they speak of
 
 
 class Listed(NamedTuple):
--- a/hazelhold/platform/sheet.py
+++ b/hazelhold/platform/sheet.py
@@ -143,7 +143,7 @@
     pairs.values = flat(settings)
     if settings:
         try:
-            facts = read_deployment(pairs)
+            facts = read_deployment(pairs)._replace(dispatches_named=PLATFORM.names_attempts)
         except (WireError, ValueError) as wrong:
             faults.append(("settings", str(wrong)))
     limits = _limits(pairs, bounds, faults)
--- a/hazelhold/simhost.py
+++ b/hazelhold/simhost.py
@@ -151,6 +151,8 @@
         cold_window=pairs.span("rules.tip-after"),
         cold_offers=pairs.number(family + "fresh-offers"),
         fleet_price=pairs.number("penalties.fleet") if "penalties.fleet" in pairs.values else 0.0,
+        reports_on_probe=pairs.values.get("load-report.how") == "on_probe" and truth(
+            pairs.text("limits.probing")),
     )
 
 
--- a/hazelhold/state/snapshot.py
+++ b/hazelhold/state/snapshot.py
@@ -18,8 +18,8 @@
                  "mute")
 GUEST_TIMES = ("goal_at", "patience_at", "answer_by", "sent_at", "window_ends", "look_at", "looked_at",
                "rests_until")
-GUEST_PLAIN = ("placed", "runs", "warm", "may_run", "over", "unwanted", "tried", "dispatches", "ahead",
-               "cores_noted", "use", "rounds")
+GUEST_PLAIN = ("placed", "runs", "warm", "may_run", "over", "probed_for", "unwanted", "tried", "dispatches",
+               "ahead", "cores_noted", "use", "rounds")
 BRAIN_TIMES = ("no_cold_until", "typical_until", "answer_at", "looked_at", "ask_list_at", "sweep_at",
                "probe_at", "list_heard_at")
 BRAIN_PLAIN = ("seen", "typical", "list_version", "kept_well")
@@ -37,6 +37,7 @@
         "waiting": list(brain.waiting),
         "starts": [[*key, list(times)] for key, times in brain.starts.items()],
         "answers": [[key, list(times)] for key, times in brain.answers.items()],
+        "to_probe": [m.listed.machine for m in brain.to_probe],
         "to_call_off": [list(pair) for pair in brain.to_call_off],
         **{name: getattr(brain, name) for name in (*BRAIN_TIMES, *BRAIN_PLAIN)}}
 
@@ -89,6 +90,7 @@
         brain.starts[product, warm].extend(times)
     for product, times in data["answers"]:
         brain.answers[product].extend(times)
+    brain.to_probe = [brain.machines[name] for name in data["to_probe"]]
     brain.to_call_off = deque((guest, machine) for guest, machine in data["to_call_off"])
     return brain
 
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -32,7 +32,7 @@
 
 def test_exclusive_guest_goes_no_second_time_to_a_machine_that_refused_it() -> None:
     """A second copy of the refusal would count as proof that the second dispatch never ran."""
-    made = brain("ab")
+    made = brain("ab", dispatches_named=False)
     first = place(made, 0, "g", 1)
     (second,) = end(made, 100 * MS, first, Ending.TURNED_BACK)
     end(made, 200 * MS, second, Ending.TURNED_BACK)
@@ -212,6 +212,25 @@
         assert [step for step in found if step is not Step.FOLLOW_LIST] == [Step.DISPATCH]
 
 
+def test_where_only_probes_bring_reports_the_few_to_be_weighed_are_asked_first() -> None:
+    made = brain("abcdefghijkl", planners=60, reports_on_probe=True)
+    made.guest_arrived(0, ask("g"))
+    asked = []
+    while (decision := made.decide(0)) is not None:
+        asked.append(decision)
+    probed = {d.machine for d in asked if d.step is Step.PROBE}
+    assert len(probed) >= 3 and not [d for d in asked if d.step is Step.DISPATCH]
+    assert decisions(made, 50 * MS)[0].machine in probed
+
+
+def test_an_unseen_start_alone_opens_no_machine_where_machines_in_use_cost() -> None:
+    """Presumed late in full, a first start on the machines in use looked worse than an empty one."""
+    made = brain("abcdef", fleet_price=0.1)
+    used = [entry("a", room=20.0), entry("b", room=21.0), entry("c", room=22.0)]
+    made.machines_listed(0, used, False)
+    assert {place(made, n * MS, f"g{n}", n % 2).machine for n in range(6)} <= {"a", "b", "c"}
+
+
 def test_room_by_pushing_out_counts_seated_guests_as_the_plain_count_does() -> None:
     made, random = brain("abcd"), Random(3)
     for number in range(200):
--- a/tests/test_platform_codec.py
+++ b/tests/test_platform_codec.py
@@ -124,7 +124,7 @@
         "limits.max-attempts=4 limits.probing=true rules.cold=15000.0 rules.cold-from=0.24 "
         "rules.tip-after=2000.0")
     start = check_start(file(), "test")
-    assert start.terms.facts == read_deployment(Pairs(wire.split(" ")))
+    assert start.terms.facts == read_deployment(Pairs(wire.split(" ")))._replace(dispatches_named=False)
     assert flat(DEPLOYMENT)["kinds"] == "small_box,large-box" and start.terms.kinds[0] == "small box"
 
 
--- a/tests/test_state.py
+++ b/tests/test_state.py
@@ -146,7 +146,7 @@
     made = brain("ab")
     made.guest_arrived(0, ask("g"))
     own = {"deployment", "spread", "seated", "no_room", "machines", "guests", "waiting", "services", "starts",
-           "answers", "random", "to_call_off", "out", "due"}
+           "answers", "random", "to_probe", "to_call_off", "out", "due"}
     assert vars(made).keys() - own == {*snapshot.BRAIN_TIMES, *snapshot.BRAIN_PLAIN}
     own = {"ask", "product", "service", "machine", "spread_key", "bound"}
     assert vars(made.guests["g"]).keys() - own == {*snapshot.GUEST_TIMES, *snapshot.GUEST_PLAIN}
