--- a/hazelhold/brain.py
+++ b/hazelhold/brain.py
@@ -25,8 +25,7 @@
 class Service:
     """Recent use of one service's guests; dropped once it has had no guest for a while."""
 
-    def __init__(self, name: str) -> None:
-        self.mark = int.from_bytes(blake2b(name.encode(), digest_size=8).digest())
+    def __init__(self) -> None:
         # The design's 50 samples of (cores, memory) in use.
         self.samples: deque[tuple[float, float]] = deque(maxlen=50)
         self.guests = self.seen = 0
@@ -266,7 +265,7 @@
         self.no_cold_until = 0 if complete else now + 2 * self.deployment.cold_window
         for name, (seen, samples) in past.services.items():
             if seen >= now - 60 * SECOND:
-                service = self.services.setdefault(name, Service(name))
+                service = self.services.setdefault(name, Service())
                 service.samples.extendleft(reversed(samples))
                 service.seen = max(service.seen, seen)
         for product, warm, times in past.starts:
@@ -354,8 +353,8 @@
             guest.may_run, guest.bound = True, host.place(guest.product.group)
         # A refusal may come twice: an exclusive guest stays away from those that refused it, too.
         once = guest.product.effect is Effect.EXCLUSIVE and ending is Ending.TURNED_BACK
-        guest.tried += [host.listed.machine] * (
-            not self.deployment.dispatches_named and (once or ending not in NEVER_RAN))
+        if not self.deployment.dispatches_named and (once or ending not in NEVER_RAN):
+            guest.tried.append(host.listed.machine)
         if ending is Ending.TURNED_BACK and guest.dispatches > 1:
             # Twice refused: everybody is after the same room. The rest of its dispatches are spread over its
             # patience, drawn so that crowds thin out, from a quarter second and twice as long each time.
@@ -406,7 +405,7 @@
         if now >= self.sweep_at:  # a minute's rest: longer than a service's guests stay away between tries
             self.sweep_at = now + 60 * SECOND
             self.services = {n: s for n, s in self.services.items() if s.guests or s.seen >= now - 60_000_000}
-        service = self.services.setdefault(ask.service, Service(ask.service))
+        service = self.services.setdefault(ask.service, Service())
         service.guests, service.seen = service.guests + 1, now
         return Guest(ask, self.deployment.products[ask.product], service, now)
 
@@ -699,8 +698,9 @@
         other services do not all meet on the one machine that the late list shows as best."""
         if (service := guest.service).order_of != self.list_version:
             service.order_of = self.list_version
+            own = int.from_bytes(blake2b(guest.ask.service.encode(), digest_size=8).digest())
             service.order = sorted((m for m in self.machines.values() if m.ready), key=lambda m: (
-                (m.mark ^ service.mark) * 0x9E3779B97F4A7C15 & (1 << 64) - 1))  # mixed by the golden ratio
+                (m.mark ^ own) * 0x9E3779B97F4A7C15 & (1 << 64) - 1))  # mixed by the golden ratio
         return service.order
 
     def _best(self, guest: Guest, healthy: list[Machine], ready: list[Machine],
--- a/hazelhold/engine/machines.py
+++ b/hazelhold/engine/machines.py
@@ -18,7 +18,7 @@
     mode: Mode
     incarnation: int
     started: int
-    kind: int = 0
+    kind: int
 
 
 @dataclass
--- a/hazelhold/platform/planner.py
+++ b/hazelhold/platform/planner.py
@@ -115,6 +115,7 @@
         self.engine.stop_now(self.net.now())
         self._carry_out()
         await trio.sleep_until(kill - GONE)
+        self.left = True
         for name in list(self.machines):  # first, so that no end is heard that could not be told any more
             self._hang_up(name)
         for peer in self.owners.values():
@@ -125,7 +126,7 @@
         await trio.sleep(0.02)
         self.log.info("stopped", unanswered=self.engine.unanswered(), **self.counts, **self.engine.counts)
 
-    leaving = False
+    leaving = left = False  # left: machines are not dialled any more
 
     def _work(self, now: int) -> None:
         self.engine.pump(now)
@@ -147,7 +148,7 @@
                     self.counts["unsent"] += 1
                 elif self.log_frames:
                     self.log.debug("to_machine", machine=action.peer, message=repr(action.message))
-        elif isinstance(action, Dial):
+        elif isinstance(action, Dial) and not self.left:
             self._hang_up(action.machine)
             scope = trio.CancelScope()
             self.machines[action.machine] = scope, None
--- a/hazelhold/platform/sheet.py
+++ b/hazelhold/platform/sheet.py
@@ -171,10 +171,10 @@
             faults.append((f"settings.{path}", f"{text!r} is no span"))
         else:
             spans[key] = value
-    # Ours closes first: four fifths of the time after which a machine closes.
     # Owners hold a third of the descriptors, bad ones may come on top; some are for the listener, the
     # bulletin and connections that are being closed; machines get the rest.
     owners = max(8, bounds.sockets * 2 // 5)
+    # Ours closes first: four fifths of the time after which a machine closes.
     return LimitSheet(connect_ms=spans["connect"], idle_close_ms=0.8 * spans["idle"],
                       reconnect_ms=LOST_AFTER_MS, open_guests=20_000, keep_answers_ms=8000.0,
                       send_bytes=1 << 18, connections=owners, decisions_at_once=AT_ONCE,
--- a/hazelhold/platform/words.py
+++ b/hazelhold/platform/words.py
@@ -233,6 +233,7 @@
 
 
 def entry(each: dict, zones: dict[str, int], wall: int) -> m.Entry:
+    """One machine of a roster, as in `listing`; any of the errors passed over there if it cannot be read."""
     born = float(each.get("born_ms") or 0)
     room = list(each.get("room") or []) + [0.0, 0.0]
     state = each["health"]
--- a/hazelhold/state/snapshot.py
+++ b/hazelhold/state/snapshot.py
@@ -71,7 +71,7 @@
     brain.seen, brain.list_version = list(data["seen"]), data["list_version"]
     brain.kept_well, brain.typical = data["kept_well"], data["typical"]
     for name, samples, seen in data["services"]:
-        service = brain.services[name] = Service(name)
+        service = brain.services[name] = Service()
         service.samples.extend(tuple(s) for s in samples)
         service.seen = moved(seen)
     for plain in data["machines"]:
@@ -119,7 +119,7 @@
     if fields[7] is not None:
         fields[7] = Earlier(fields[7][0], moved(fields[7][1]))
     ask = Ask(*fields)
-    service = brain.services.setdefault(ask.service, Service(ask.service))
+    service = brain.services.setdefault(ask.service, Service())
     service.guests += 1
     guest = Guest(ask, brain.deployment.products[ask.product], service, 0)
     for name in GUEST_TIMES:
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -8,6 +8,7 @@
 import pytest
 import trio
 
+from hazelhold.engine.engine import Dial
 from hazelhold.interface import Place
 from hazelhold.platform.codec import ANSWER, DESCRIPTION, END, TEST, TESTED, LineReader, Parcel
 from hazelhold.platform.peer import MachinePeer
@@ -774,7 +775,40 @@
             said.append(guest)
             await trio.sleep(0.003)
         assert 0 < len(said) < 199  # until the planner left
+        before = len(machine.streams)
+        rig.planner._do(Dial("a", "a:1", 250_000))  # whatever the engine may still want
+        await trio.sleep(0.01)
+        assert len(machine.streams) == before
         await rig.planner.ended.wait()
         assert [guest for guest in said if owner.of(guest) != [*PLACED, (END, 16)]] == []
 
     play(test, machines="a")
+
+
+@pytest.mark.parametrize("first", range(8))
+def test_a_reset_at_every_byte_of_a_batch_leaves_one_answer_each_and_no_second_run(first: int) -> None:
+    """Three answers in one run of bytes, cut off at each place: what came whole counts; an exclusive guest
+    whose answer did not is broken off and sent nowhere else, rerunnable ones go to another machine."""
+    said = [{"op": "accept", "call": f"{n:016x}", "with": {}, "desc": f"a has {n}"} for n in (1, 2, 3)]
+    lines = [json.dumps(line).encode() + b"\n" for line in said]
+    batch = b"".join(lines)
+    whole = [len(lines[0]), len(lines[0] + lines[1]), len(batch)]
+
+    for cut in range(first, len(batch) + 1, 8):
+        async def test(rig: Rig, cut: int = cut) -> None:
+            machine, owner = rig.machines["a"], await rig.owner()
+            machine.accepts = False
+            await owner.say(set_up(1), set_up(2, "once"), set_up(3))
+            await trio.sleep(0.2)
+            assert [rig.offers(guest) for guest in (1, 2, 3)] == [["a"]] * 3
+            if cut:
+                await machine.streams[-1].send_all(batch[:cut])
+            await machine.streams[-1].aclose()
+            rig.bulletin.events.append(event(2, host("b")))
+            await trio.sleep(4)
+            for at, guest in enumerate((1, 2, 3)):
+                came = cut >= whole[at]
+                assert owner.of(guest) == (PLACED if came or guest != 2 else [(END, 41)]), (cut, guest)
+                assert rig.offers(guest) == (["a"] if came or guest == 2 else ["a", "b"]), (cut, guest)
+
+        play(test, machines="ab", known={"no": 1, "items": [event(1, host("a"), whole=True)]})
--- a/tests/test_state.py
+++ b/tests/test_state.py
@@ -153,7 +153,7 @@
     own = {"listed", "size", "guests", "kept", "full", "answers", "offers", "mark",
            "bears", "starting", "services"}
     assert vars(made.machines["a"]).keys() - own == {*snapshot.MACHINE_TIMES, *snapshot.MACHINE_PLAIN}
-    assert vars(Service("s")).keys() == {"mark", "samples", "guests", "seen", "order", "order_of"}
+    assert vars(Service()).keys() == {"samples", "guests", "seen", "order", "order_of"}
     assert Guest and Machine
 
 
