Membership among planners: core without I/O, trio host, hazelhold members, off unless configured

Need: planners know nothing of each other; copies of state and pinned runs need to know who is there, as a hint. So a deaf, mute or lone member accuses nobody. A life that is told of but not there is asked for before it is yielded to. Comparing again after each answer never ended where one side had forgotten who is gone; now only after news.

--- a/hazelhold/cli/main.py
+++ b/hazelhold/cli/main.py
@@ -10,9 +10,11 @@
 import click
 from msgspec.structs import replace
 
+from hazelhold import __version__
 from hazelhold.cli import logs
 from hazelhold.cli.capture import capture
 from hazelhold.cli.honest import honest
+from hazelhold.cli.members import members
 from hazelhold.cli.state import state
 from hazelhold.config.day import read_day
 from hazelhold.config.load import ConfigError
@@ -28,12 +30,13 @@
 
 
 @click.group(context_settings={"help_option_names": ["-h", "--help"]})
-@click.version_option(package_name="hazelhold", message="%(version)s")
+@click.version_option(__version__, message="%(version)s")
 def main() -> None:
     """Places long-lived guests on a cluster's machines."""
 
 
 main.add_command(capture)
+main.add_command(members)
 main.add_command(state)
 
 
--- /dev/null
+++ b/hazelhold/cli/members.py
@@ -0,0 +1,148 @@
+"""hazelhold members: what one planner believes of the others."""
+
+import socket
+import sys
+import time
+from pathlib import Path
+
+import click
+
+from hazelhold.cli.honest import honest
+from hazelhold.config.load import ConfigError, split_address
+
+
+@click.command("members")
+@click.argument("address", required=False)
+@click.option(
+    "--config",
+    type=click.Path(dir_okay=False, path_type=Path),
+    default=None,
+    help="A planner's configuration, in place of an address.",
+)
+@click.option(
+    "--deployment", default="hazelhold", show_default=True, help="With an address: whose member it is."
+)
+@click.option("--json", "as_json", is_flag=True, help="One JSON object.")
+@click.option(
+    "--wait", type=click.FloatRange(0.1, 60), default=3.0, show_default=True, help="Seconds at most."
+)
+@honest
+def members(address: str | None, config: Path | None, deployment: str, as_json: bool, wait: float) -> None:
+    """A planner's view of the others: who is alive, suspected, gone or has left, who accuses whom, round
+    trips.
+
+    Asked by datagram at its membership address. Exits with 1 if nobody answers.
+    """
+    if (address is None) == (config is None):
+        raise click.UsageError("an ADDRESS or --config is needed, and not both")
+    if config is not None:
+        from hazelhold.config.planner import read_planner
+
+        sheet = read_planner(config).membership
+        if not sheet.listen:
+            raise ConfigError(str(config), [("membership.listen", "is not there: membership is off")])
+        address, deployment = sheet.advertise or sheet.listen, sheet.deployment
+    try:
+        at = split_address(address)
+    except ValueError as wrong:
+        raise ConfigError("command line", [("ADDRESS", str(wrong))]) from None
+    said = ask(at, deployment, wait)
+    if said is None:
+        click.echo(
+            f"{address}: no answer within {wait:g} s (not running, membership off, or another deployment)",
+            err=True,
+        )
+        sys.exit(1)
+    show(*said, as_json)
+
+
+def ask(at: tuple[str, int], deployment: str, wait: float) -> tuple[dict, list] | None:
+    """The whole view, page by page; None if it does not come in time."""
+    from random import SystemRandom
+
+    from hazelhold.membership import words as w
+    from hazelhold.membership.rows import ALIVE, Row
+
+    nobody = Row(name="-", life=0, nonce=0, seq=0, state=ALIVE, address="")
+    found: dict[str, w.Seen] = {}
+    mine: dict = {}
+    after, until = "", time.monotonic() + wait
+    family = socket.AF_INET6 if ":" in at[0] else socket.AF_INET
+    with socket.socket(family, socket.SOCK_DGRAM) as port:
+        port.settimeout(0.2)
+        while time.monotonic() < until:
+            no = SystemRandom().getrandbits(62)
+            try:
+                port.sendto(w.encode(deployment, nobody, w.Query(no, after), []), at)
+                letter = w.decode(port.recv(2048), deployment)
+            except TimeoutError:
+                continue
+            except ConnectionRefusedError:
+                time.sleep(0.05)
+                continue
+            except w.UnreadableError as wrong:
+                click.echo(f"an answer that cannot be read: {wrong}", err=True)
+                return None
+            page = letter.matter
+            if not isinstance(page, w.Page) or page.no != no:
+                continue
+            mine = page.mine
+            found |= {each.row.name: each for each in page.seen}
+            if not page.more:
+                return mine, list(found.values())
+            if page.seen:
+                after = page.seen[-1].row.name
+    return None
+
+
+def show(mine: dict, seen: list, as_json: bool) -> None:
+    import json
+
+    import msgspec
+
+    from hazelhold.membership.rows import STATES
+
+    if as_json:
+        rows = [
+            {
+                **msgspec.structs.asdict(each.row),
+                "state": STATES[each.row.state],
+                "since_us": each.since,
+                "heard_us": each.heard,
+                "rtt_us": each.rtt,
+                "unanswered": each.unanswered,
+                "via": each.via,
+                "accusers": each.accusers,
+            }
+            for each in seen
+        ]
+        click.echo(json.dumps({"planner": mine, "members": rows}))
+        return
+    said = f"{mine['name']}, life {mine['life']}, doubt of itself {mine['doubt']}"
+    said += ", YIELDED to a younger process of its name" if mine["yielded"] else ""
+    said += ", ALONE: nobody answers it" if mine["alone_us"] >= 0 else ""
+    said += "" if mine["settled"] else ", has not joined yet"
+    said += f", was away {mine['away_times']} times" if mine["away_times"] else ""
+    click.echo(said)
+    click.echo(f"{'member':24} {'state':10} {'for':>9} {'answered':>9} {'rtt':>8}  what is known")
+    for each in seen:
+        row, facts = each.row, []
+        if each.accusers:
+            facts.append(f"accused by {', '.join(each.accusers)}")
+        if row.state >= 2 and row.by:
+            facts.append(f"called gone by {row.by}")
+        if each.via:
+            facts.append(f"answers through {each.via}")
+        if each.unanswered:
+            facts.append(f"{each.unanswered} probes unanswered, no witness")
+        facts.append(f"{row.address} zone {row.zone or '-'} program {row.program} speaks {row.speaks}")
+        click.echo(
+            f"{row.name:24} {STATES[row.state]:10} {span(each.since):>9} {span(each.heard):>9} "
+            f"{span(each.rtt):>8}  {'; '.join(facts)}"
+        )
+
+
+def span(micros: int) -> str:
+    if micros < 0:
+        return "-"
+    return f"{micros / 1000:.1f}ms" if micros < 1_000_000 else f"{micros / 1e6:.1f}s"
--- a/hazelhold/config/planner.py
+++ b/hazelhold/config/planner.py
@@ -1,5 +1,6 @@
 """What one planner is told at its start, and what is shared by all planners of a deployment."""
 
+from ipaddress import ip_address
 from pathlib import Path
 from typing import Annotated, Literal
 
@@ -124,6 +125,27 @@
     retry_ms: Millis = 1000.0  # how often a failed disk is tried again
 
 
+class MembershipSheet(Struct, frozen=True):
+    """Whom of the other planners this one knows to be there. A hint: nothing that a rule rests on follows
+    from it. Addresses are IP address and port."""
+
+    listen: str = ""  # where its datagrams come, UDP; empty: off
+    seeds: list[str] = []  # members to join by, any of them
+    deployment: Name = "hazelhold"  # planners of other deployments are strangers
+    zone: Annotated[str, Meta(max_length=60)] = ""
+    advertise: str = ""  # where others reach it, if that is not `listen`
+    reach: dict[str, str] = {}  # by name or by told address: where it is reached from here
+    metrics: str = ""  # address for Prometheus; empty: none
+    probe_ms: Millis = 250.0  # how often another member is probed
+    answer_ms: Millis = 200.0  # a probe has failed after four of these
+    suspect_ms: Millis = 1500.0  # a suspicion that others confirm waits so long
+    suspect_most_ms: Millis = 6000.0  # one that nobody confirms
+    sync_ms: Millis = 10_000.0  # how often whole tables are compared
+    heal_ms: Millis = 2000.0  # how often somebody who is gone is tried
+    forget_s: Annotated[float, Meta(ge=1, le=1e7)] = 3600.0  # how long who is gone or left is kept
+    most_members: Annotated[int, Meta(ge=2, le=100_000)] = 4096
+
+
 class Estate(Struct, frozen=True):
     """What all planners and stand-ins of a deployment agree on."""
 
@@ -146,6 +168,7 @@
     limits: LimitSheet = LimitSheet()
     capture: CaptureSheet = CaptureSheet()
     state: StateSheet = StateSheet()
+    membership: MembershipSheet = MembershipSheet()
 
 
 def micros(millis: float) -> int:
@@ -169,6 +192,31 @@
     return faults
 
 
+def check_membership(sheet: MembershipSheet) -> list[tuple[str, str]]:
+    """Only if it is on: a sheet that names no `listen` is off, and then nothing else may be set."""
+    if not sheet.listen:
+        wrong = "is missing: without it membership is off, but other keys are set"
+        return [("membership.listen", wrong)] if sheet != MembershipSheet() else []
+    faults = []
+    given = [("listen", sheet.listen), *((f"seeds[{at}]", seed) for at, seed in enumerate(sheet.seeds)),
+             *((f"reach[{name!r}]", to) for name, to in sheet.reach.items()),
+             *((key, text) for key in ("advertise", "metrics") if (text := getattr(sheet, key)))]
+    for place, text in given:
+        try:
+            host, port = split_address(text)
+            ip_address(host)
+            if not port and place != "listen":
+                faults.append((f"membership.{place}", "needs a port"))
+        except ValueError as wrong:
+            faults.append((f"membership.{place}", f"{wrong}"))
+    told = sheet.advertise or sheet.listen
+    if not faults and split_address(told)[0] in ("0.0.0.0", "::"):
+        faults.append(("membership.advertise", "is needed: nobody is reached at 0.0.0.0"))
+    if sheet.suspect_most_ms < sheet.suspect_ms:
+        faults.append(("membership.suspect_most_ms", "is less than suspect_ms"))
+    return faults
+
+
 def check_planner(sheet: PlannerSheet) -> list[tuple[str, str]]:
     faults = check_estate(sheet.estate)
     for place, text in (("listen", sheet.listen), ("list.address", sheet.list.address)):
@@ -176,6 +224,7 @@
             split_address(text)
         except ValueError as wrong:
             faults.append((place, str(wrong)))
+    faults += check_membership(sheet.membership)
     if sheet.slot >= sheet.planners:
         faults.append(("slot", f"planner {sheet.slot} of {sheet.planners}: slots count from 0"))
     if sheet.capture.total_mb and not 0 < sheet.capture.rotate_mb <= sheet.capture.total_mb / 2:
--- /dev/null
+++ b/hazelhold/emulate/heartbeats.py
@@ -0,0 +1,95 @@
+"""The plain way, to be measured and played against: everyone tells everyone that it is there.
+
+The same face as `membership.core.Core` as far as `Parley` and the tests use it. Each member sends every
+other a heartbeat each `probe`; who has been silent for `suspect` plus four answers counts as gone, and
+comes back with its next heartbeat. Nobody's word on others is taken but that they exist.
+"""
+
+from random import Random
+
+import msgspec
+
+from hazelhold.membership import words as w
+from hazelhold.membership.core import News, Post, Terms
+from hazelhold.membership.rows import ALIVE, GONE, LEFT, Row
+
+
+class Heartbeats:
+    """One member that only listens for others."""
+
+    def __init__(self, me: Row, seeds: list[str], terms: Terms, seed: int, now: int) -> None:
+        self.me, self.seeds, self.terms, self.now = me, seeds, terms, now
+        self.random = Random(f"heartbeats/{seed}")
+        self.rows: dict[str, Row] = {me.name: me}
+        self.heard: dict[str, int] = {}
+        self.actions: list[Post | News] = []
+        self.due = now
+        self.left = self.yielded = self.leaving = False
+
+    @property
+    def table(self) -> "Heartbeats":
+        return self
+
+    @property
+    def members(self) -> dict[str, Row]:
+        return self.rows
+
+    def start(self, now: int) -> None:
+        self.due = now + self.random.randrange(self.terms.probe)
+
+    def next_at(self) -> int | None:
+        return None if self.left else self.due
+
+    def wake(self, now: int) -> None:
+        self.now = now
+        while self.due <= now and not self.left:
+            self.due += self.terms.probe
+            if self.due < now:
+                self.due = now + self.terms.probe
+            silence = self.terms.suspect + 4 * self.terms.answer
+            for name, row in self.rows.items():
+                if row.state == ALIVE and name != self.me.name and now - self.heard[name] > silence:
+                    self._set(msgspec.structs.replace(row, state=GONE))
+            self._beat()
+
+    def _beat(self) -> None:
+        to = {row.address for name, row in self.rows.items() if name != self.me.name and row.state != LEFT}
+        body = w.encode(self.terms.deployment, self.me, w.Rows(), [msgspec.Raw(w.ENCODER.encode(self.me))])
+        for address in sorted(to | set(self.seeds) - {self.me.address}):
+            self.actions.append(Post(address, "", body))
+
+    def hear(self, now: int, body: bytes) -> None:
+        self.now = now
+        try:
+            letter = w.decode(body, self.terms.deployment)
+        except w.UnreadableError:
+            return
+        for row in letter.rows:
+            known = self.rows.get(row.name)
+            if row.name == self.me.name or known and (row.life, row.nonce) < (known.life, known.nonce):
+                continue
+            if known and known.state == LEFT and row.life == known.life:
+                continue
+            if known is None:  # who is new is told of the others
+                rows = [msgspec.Raw(w.ENCODER.encode(r)) for r in list(self.rows.values())[:8]]
+                answer = w.encode(self.terms.deployment, self.me, w.Rows(), rows)
+                self.actions.append(Post(row.address, row.name, answer))
+            if row.name == letter.sender or known is None:
+                self.heard[row.name] = now
+                if known is None or known.state != row.state or known.life != row.life:
+                    self._set(row)
+
+    def _set(self, row: Row) -> None:
+        self.rows[row.name] = row
+        what = {ALIVE: "alive", GONE: "gone", LEFT: "left"}.get(row.state, "suspected")
+        self.actions.append(News(what, row.name, {"life": row.life}))
+
+    def leave(self, now: int) -> None:
+        self.me = msgspec.structs.replace(self.me, state=LEFT)
+        self.rows[self.me.name] = self.me
+        self._beat()
+        self.left = True
+
+    def state_of(self, name: str) -> int | None:
+        row = self.rows.get(name)
+        return row.state if row else None
--- /dev/null
+++ b/hazelhold/membership/host.py
@@ -0,0 +1,152 @@
+"""Runs one planner's membership on a datagram port, inside the planner's nursery."""
+
+import ipaddress
+from functools import lru_cache
+from random import SystemRandom
+
+import structlog
+import trio
+
+from hazelhold import __version__
+from hazelhold.config.load import split_address
+from hazelhold.config.planner import MembershipSheet, micros
+from hazelhold.membership.core import Core, News, Post, Reply, Terms
+from hazelhold.membership.rows import ALIVE, Row
+from hazelhold.membership.words import VERSION
+from hazelhold.service.net import Net, Port
+
+WARNINGS = ("suspected", "gone", "refuted", "alone", "life_raised")
+
+
+def terms(sheet: MembershipSheet) -> Terms:
+    return Terms(
+        deployment=sheet.deployment,
+        probe=micros(sheet.probe_ms),
+        answer=micros(sheet.answer_ms),
+        suspect=micros(sheet.suspect_ms),
+        suspect_most=micros(sheet.suspect_most_ms),
+        sync=micros(sheet.sync_ms),
+        heal=micros(sheet.heal_ms),
+        join=micros(sheet.probe_ms),
+        forget=round(sheet.forget_s * 1e6),
+        most_members=sheet.most_members,
+    )
+
+
+@lru_cache(maxsize=8192)
+def numeric(address: str) -> tuple[str, int] | None:
+    """host:port with an IP address as host; None for anything else, which a datagram is never sent to."""
+    try:
+        host, port = split_address(address)
+        ipaddress.ip_address(host)
+    except ValueError:
+        return None
+    return (host, port) if port else None
+
+
+class Members:
+    """One planner's membership: `core` holds the view. `run` ends by being cancelled, or after `leave`."""
+
+    def __init__(self, name: str, sheet: MembershipSheet, net: Net) -> None:
+        self.name, self.sheet, self.net = name, sheet, net
+        self.log = structlog.get_logger().bind(planner=name)
+        self.core: Core | None = None
+        self.port: Port | None = None
+        self.stirred = trio.Event()
+
+    async def run(self, task_status: trio.TaskStatus = trio.TASK_STATUS_IGNORED) -> None:
+        sheet, draw = self.sheet, SystemRandom()
+        self.port = await self.net.port(sheet.listen)
+        try:
+            me = Row(
+                name=self.name,
+                life=max(0, self.net.wall() // 1000),
+                nonce=draw.getrandbits(62),
+                seq=0,
+                state=ALIVE,
+                address=sheet.advertise or self.port.address,
+                zone=sheet.zone,
+                program=__version__,
+                speaks=[VERSION],
+            )
+            self.core = Core(me, list(sheet.seeds), terms(sheet), draw.getrandbits(62), self.net.now())
+            self.core.start(self.net.now())
+            self.log.info(
+                "membership",
+                address=self.port.address,
+                told_as=me.address,
+                life=me.life,
+                seeds=len(sheet.seeds),
+            )
+            task_status.started()
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._listen)
+                if sheet.metrics:
+                    from hazelhold.membership.figures import Figures
+
+                    nursery.start_soon(Figures(self.core, sheet.metrics).run)
+                await self._tend()
+                nursery.cancel_scope.cancel()
+        finally:
+            self.port.close()
+
+    async def _listen(self) -> None:
+        while True:
+            await self.port.readable()
+            self._drain()
+            self.stirred.set()
+
+    def _drain(self) -> None:
+        """Takes what has come, before any timer says that it has not."""
+        for body, source in self.port.pending():
+            self.core.hear(self.net.now(), body)
+            self._carry_out(source)
+
+    async def _tend(self) -> None:
+        core = self.core
+        while not core.left:
+            self._drain()
+            core.wake(self.net.now())
+            self._carry_out(None)
+            due = core.next_at()
+            span = float("inf") if due is None else max(0.0, (due - self.net.now()) / 1e6)
+            with trio.move_on_after(span):
+                await self.stirred.wait()
+            await trio.lowlevel.checkpoint()
+            self.stirred = trio.Event()
+
+    def _carry_out(self, source: object) -> None:
+        actions, self.core.actions = self.core.actions, []
+        for action in actions:
+            if isinstance(action, Post):
+                reach = self.sheet.reach
+                self._send(action.body, reach.get(action.name) or reach.get(action.address) or action.address)
+            elif isinstance(action, Reply):
+                self.port.send(action.body, source)
+            else:
+                self._say(action)
+
+    def _send(self, body: bytes, address: str) -> None:
+        to = numeric(address) if self.port.numeric else address
+        if to is None:
+            self.core.counts["bad_address"] += 1
+        elif not self.port.send(body, to):
+            self.core.counts["unsent"] += 1
+
+    def _say(self, news: News) -> None:
+        if news.what == "yielded":
+            self.log.error("member_yielded", member=news.name, **news.cause)
+        else:
+            say = self.log.warning if news.what in WARNINGS else self.log.info
+            say("member", state=news.what, member=news.name, **news.cause)
+
+    async def leave(self) -> None:
+        """Tells the others, for as long as that takes: under a second."""
+        if self.core is None:
+            return
+        self.core.leave(self.net.now())
+        self._carry_out(None)
+        self.stirred.set()
+        with trio.move_on_after(1.0):
+            while not self.core.left:
+                await trio.sleep(0.02)
--- a/hazelhold/service/net.py
+++ b/hazelhold/service/net.py
@@ -3,9 +3,11 @@
 Both give trio streams and one clock in whole microseconds. Everything above is the same on either.
 """
 
+import socket
 import time
-from collections.abc import Awaitable, Callable
-from typing import Protocol
+from collections import deque
+from collections.abc import Awaitable, Callable, Iterator
+from typing import Any, Protocol
 
 import trio
 
@@ -14,6 +16,98 @@
 Handler = Callable[[trio.abc.Stream], Awaitable[None]]
 
 
+class Port(Protocol):
+    """Where datagrams come and go. What cannot be sent at once is dropped: datagrams may be lost anyway."""
+
+    address: str
+    numeric: bool  # addresses are (IP address, port); else words
+
+    async def readable(self) -> None: ...
+
+    def pending(self) -> Iterator[tuple[bytes, Any]]: ...
+
+    def send(self, body: bytes, to: Any) -> bool: ...  # noqa: ANN401 - an address of this kind of network
+
+    def close(self) -> None: ...
+
+
+AT_ONCE = 256  # datagrams taken before others in the process have their turn
+DATAGRAM = 2048  # bytes read of one: more than any planner sends
+
+
+class UdpPort:
+    """A UDP socket that never blocks."""
+
+    numeric = True
+
+    def __init__(self, host: str, port: int) -> None:
+        family = socket.AF_INET6 if ":" in host else socket.AF_INET
+        self.socket = socket.socket(family, socket.SOCK_DGRAM)
+        try:
+            self.socket.setblocking(False)
+            self.socket.bind((host, port))
+        except OSError as wrong:
+            self.socket.close()
+            raise OSError(wrong.errno, wrong.strerror, f"{host}:{port}") from None
+        at = self.socket.getsockname()
+        self.address = f"{at[0]}:{at[1]}"
+
+    async def readable(self) -> None:
+        await trio.lowlevel.wait_readable(self.socket)
+
+    def pending(self) -> Iterator[tuple[bytes, Any]]:
+        for _ in range(AT_ONCE):
+            try:
+                yield self.socket.recvfrom(DATAGRAM)
+            except BlockingIOError:
+                return
+            except OSError:
+                continue  # an earlier datagram came to nobody: not this one's matter
+
+    def send(self, body: bytes, to: Any) -> bool:  # noqa: ANN401
+        try:
+            self.socket.sendto(body, to)
+        except OSError:
+            return False
+        return True
+
+    def close(self) -> None:
+        self.socket.close()
+
+
+class MemoryPort:
+    """Datagrams in memory, at once and in order; `carry` may be replaced by whoever loses or delays them."""
+
+    numeric = False
+
+    def __init__(self, net: "MemoryNet", address: str) -> None:
+        self.net, self.address = net, address
+        self.inbox: deque[tuple[bytes, str]] = deque(maxlen=4096)
+        self.came = trio.Event()
+
+    async def readable(self) -> None:
+        await trio.lowlevel.checkpoint()
+        while not self.inbox:
+            self.came = trio.Event()
+            await self.came.wait()
+
+    def pending(self) -> Iterator[tuple[bytes, str]]:
+        while self.inbox:
+            yield self.inbox.popleft()
+
+    def send(self, body: bytes, to: str) -> bool:
+        self.net.carry(body, self.address, to)
+        return True
+
+    def take(self, body: bytes, source: str) -> None:
+        self.inbox.append((body, source))
+        self.came.set()
+
+    def close(self) -> None:
+        if self.net.ports.get(self.address) is self:
+            del self.net.ports[self.address]
+
+
 class Net(Protocol):
     """What the service and the stand-ins need of a network."""
 
@@ -25,9 +119,12 @@
 
     async def listen(self, address: str, handler: Handler, nursery: trio.Nursery) -> str: ...
 
+    async def port(self, address: str) -> Port: ...
+
 
 class TcpNet:
-    """TCP. The clock is the host's monotonic one, so that all processes of a rehearsal share it."""
+    """TCP, and UDP between planners. The clock is the host's monotonic one, so that all processes of a
+    rehearsal share it."""
 
     def now(self) -> int:
         return time.monotonic_ns() // 1000
@@ -50,11 +147,16 @@
         nursery.start_soon(trio.serve_listeners, handler, listeners)
         return f"{bound[0]}:{bound[1]}"
 
+    async def port(self, address: str) -> Port:
+        await trio.lowlevel.checkpoint()
+        return UdpPort(*split_address(address))
+
 
 class MemoryNet:
     """Streams in memory under trio's clock, real or virtual. Addresses are any words."""
 
     def __init__(self) -> None:
+        self.ports: dict[str, MemoryPort] = {}
         self.doors: dict[str, tuple[Handler, trio.Nursery]] = {}
         self.numbers = 0
 
@@ -83,6 +185,15 @@
         nursery.start_soon(self._leave, address, handler)
         return address
 
+    async def port(self, address: str) -> Port:
+        await trio.lowlevel.checkpoint()
+        made = self.ports[address] = MemoryPort(self, address)
+        return made
+
+    def carry(self, body: bytes, source: str, to: str) -> None:
+        if port := self.ports.get(to):
+            port.take(body, source)
+
     async def _leave(self, address: str, handler: Handler) -> None:
         try:
             await trio.sleep_forever()
--- a/hazelhold/service/planner.py
+++ b/hazelhold/service/planner.py
@@ -55,6 +55,11 @@
         self.address = ""
         self.stop_asked = trio.Event()
         self.handing_over, self.take_over = False, take_over
+        self.members = None
+        if sheet.membership.listen:
+            from hazelhold.membership.host import Members  # not above: off costs nothing
+
+            self.members = Members(sheet.name, sheet.membership, net)
         self.keeper: Keeper | None = None
         if disk is None and sheet.state.folder:
             disk = RealDisk(Path(sheet.state.folder))
@@ -73,6 +78,8 @@
             self.address = await self.net.listen(self.sheet.listen, self._door, nursery)
             nursery.start_soon(self.ticker.run)
             nursery.start_soon(self._follow_list)
+            if self.members is not None:
+                await nursery.start(self.members.run)
             self.log.info("up", address=self.address, planners=self.sheet.planners, slot=self.sheet.slot)
             task_status.started(self.address)
             await self.stop_asked.wait()
@@ -152,6 +159,8 @@
         with trio.move_on_after(self.limits.stop_ms / 1000):
             while self.engine.unanswered():
                 await trio.sleep(0.01)
+        if self.members is not None:
+            await self.members.leave()
         self._feed("stop_now")
         spread = self._spread()
         if self.keeper is not None:
--- /dev/null
+++ b/tests/test_membership_host.py
@@ -0,0 +1,237 @@
+"""Whole planners with membership on, in memory and virtual time; the port on real sockets; the
+configuration."""
+
+import json
+import subprocess
+import sys
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+
+import msgspec
+import pytest
+import trio
+from trio.testing import MockClock
+
+from hazelhold.config.load import ConfigError
+from hazelhold.config.planner import MembershipSheet, check_membership, read_planner
+from hazelhold.membership import words as w
+from hazelhold.membership.rows import ALIVE, GONE, LEFT, SUSPECTED, Row
+from hazelhold.service.net import MemoryNet, TcpNet
+from hazelhold.service.planner import Planner
+from tests.helpers import sheet
+
+EXAMPLE = Path(__file__).parent.parent / "examples" / "planner.json5"
+
+
+class Fleet:
+    """Planners p0, p1, ... in this process, each in a scope of its own."""
+
+    def __init__(self, net: MemoryNet, nursery: trio.Nursery) -> None:
+        self.net, self.nursery = net, nursery
+        self.planners: dict[str, Planner] = {}
+        self.scopes: dict[str, trio.CancelScope] = {}
+
+    async def start(self, name: str, seeds: tuple[str, ...] = ("m-p0", "m-p1")) -> Planner:
+        made = Planner(
+            msgspec.structs.replace(
+                sheet(),
+                name=name,
+                listen=f"door-{name}",
+                membership=MembershipSheet(listen=f"m-{name}", seeds=list(seeds)),
+            ),
+            1,
+            self.net,
+        )
+        self.planners[name], self.scopes[name] = made, trio.CancelScope()
+
+        async def run(task_status: trio.TaskStatus = trio.TASK_STATUS_IGNORED) -> None:
+            with self.scopes[name]:
+                await made.run(task_status=task_status)
+
+        await self.nursery.start(run)
+        return made
+
+    def view(self, of: str, other: str) -> int | None:
+        return self.planners[of].members.core.state_of(other)
+
+    async def until(self, true: Callable[[], bool]) -> None:
+        with trio.fail_after(120):
+            while not true():
+                await trio.sleep(0.05)
+
+
+def with_fleet(count: int, test: Callable[[Fleet], Awaitable[None]]) -> None:
+    async def run() -> None:
+        async with trio.open_nursery() as nursery:
+            fleet = Fleet(MemoryNet(), nursery)
+            for number in range(count):
+                await fleet.start(f"p{number}")
+            names = list(fleet.planners)
+            await fleet.until(lambda: all(fleet.view(a, b) == ALIVE for a in names for b in names))
+            await test(fleet)
+            nursery.cancel_scope.cancel()
+
+    trio.run(run, clock=MockClock(autojump_threshold=0))
+
+
+def test_planners_find_each_other_notice_a_death_and_a_leave_and_take_back_who_returns() -> None:
+    async def test(fleet: Fleet) -> None:
+        fleet.scopes["p2"].cancel()
+        await fleet.until(lambda: fleet.view("p0", "p2") == fleet.view("p3", "p2") == GONE)
+        fleet.planners["p1"].stop()
+        await fleet.until(lambda: fleet.view("p0", "p1") == fleet.view("p3", "p1") == LEFT)
+        await fleet.start("p2")
+        await fleet.until(lambda: fleet.view("p0", "p2") == fleet.view("p2", "p3") == ALIVE)
+
+    with_fleet(4, test)
+
+
+def test_a_planner_goes_on_placing_whatever_its_view_says() -> None:
+    """A view is a hint: one that yielded, or that is alone, still runs as a planner."""
+
+    async def test(fleet: Fleet) -> None:
+        fleet.net.carry = lambda body, source, to: None
+        await fleet.until(lambda: fleet.view("p0", "p1") == SUSPECTED)
+        assert fleet.planners["p0"].members.core.alone_since >= 0
+        stream = await fleet.net.dial("door-p0")
+        await stream.aclose()
+        assert not fleet.planners["p0"].stop_asked.is_set()
+
+    with_fleet(3, test)
+
+
+def test_a_planner_without_membership_has_no_port_task_or_module() -> None:
+    code = (
+        "import sys, trio\nfrom trio.testing import MockClock\n"
+        "from hazelhold.service.net import MemoryNet\nfrom hazelhold.service.planner import Planner\n"
+        "from tests.helpers import sheet\n"
+        "async def run():\n"
+        "    net = MemoryNet()\n"
+        "    async with trio.open_nursery() as nursery:\n"
+        "        planner = Planner(sheet(), 1, net)\n"
+        "        await nursery.start(planner.run)\n"
+        "        assert planner.members is None and not net.ports\n"
+        "        planner.stop()\n"
+        "trio.run(run, clock=MockClock(autojump_threshold=0))\n"
+        "bad = ('hazelhold.membership', 'xxhash', 'prometheus')\n"
+        "print([n for n in sys.modules if n.startswith(bad)])\n"
+    )
+    said = subprocess.run(
+        [sys.executable, "-c", code], capture_output=True, text=True, cwd=EXAMPLE.parent.parent, timeout=60
+    )
+    assert said.stdout.splitlines()[-1:] == ["[]"], said.stderr
+
+
+def test_a_port_takes_many_at_once_and_drops_what_cannot_be_sent() -> None:
+    async def run() -> None:
+        net = TcpNet()
+        one, other = await net.port("127.0.0.1:0"), await net.port("127.0.0.1:0")
+        host, port = other.address.split(":")
+        for number in range(20):
+            assert one.send(b"%d" % number, (host, int(port)))
+        with trio.fail_after(10):
+            found: list[bytes] = []
+            while len(found) < 20:
+                await other.readable()
+                found += [body for body, _ in other.pending()]
+        assert found == [b"%d" % n for n in range(20)]
+        assert not one.send(b"x" * 70_000, (host, int(port)))
+        with pytest.raises(OSError, match=other.address):
+            await net.port(other.address)
+        one.close(), other.close()
+
+    trio.run(run)
+
+
+def test_an_address_told_that_is_no_ip_address_is_never_looked_up() -> None:
+    from hazelhold.membership.host import numeric
+
+    assert numeric("127.0.0.1:80") == ("127.0.0.1", 80) and numeric("[::1]:9") == ("::1", 9)
+    assert [numeric(a) for a in ("example.org:80", "127.0.0.1:0", "x", "127.0.0.1", "::1:x")] == [None] * 5
+
+
+def test_what_is_wrong_with_a_configuration_is_said_place_by_place(tmp_path: Path) -> None:
+    assert check_membership(MembershipSheet()) == []
+    assert check_membership(MembershipSheet(seeds=["a:1"]))[0][0] == "membership.listen"
+    wrong = MembershipSheet(
+        listen="0.0.0.0:70",
+        seeds=["10.0.0.1:70", "here:70", "10.0.0.1:0"],
+        reach={"p1": "nowhere"},
+        metrics="x",
+    )
+    places = [place for place, _ in check_membership(wrong)]
+    assert places == [
+        "membership.seeds[1]",
+        "membership.seeds[2]",
+        "membership.reach['p1']",
+        "membership.metrics",
+    ]
+    places = check_membership(MembershipSheet(listen="0.0.0.0:70", suspect_ms=9e3))
+    assert [p for p, _ in places] == ["membership.advertise", "membership.suspect_most_ms"]
+    file = tmp_path / "planner.json5"
+    example = EXAMPLE.read_text().rstrip().rstrip("}").rstrip().rstrip(",")
+    file.write_text(example + ", membership: { lissen: '1.2.3.4:5' } }")
+    with pytest.raises(ConfigError, match="did you mean 'listen'"):
+        read_planner(file)
+
+
+def members(*given: str) -> subprocess.CompletedProcess:
+    return subprocess.run(
+        [sys.executable, "-m", "hazelhold", "members", *given], capture_output=True, text=True, timeout=60
+    )
+
+
+def test_the_command_reads_a_view_of_many_pages_and_says_when_nobody_answers() -> None:
+    from hazelhold.membership.core import Core, Terms
+
+    async def run() -> None:
+        port = await TcpNet().port("127.0.0.1:0")
+        core = Core(Row("p0", 5, 9, 0, ALIVE, port.address), [], Terms("here", answers_a_second=1000), 1, 0)
+        core.start(0)
+        for number in range(100):
+            core._merge(Row(f"x{number:03d}", 1, 1, 0, SUSPECTED, "10.0.0.1:7", "p7"), "p7")
+        done: list[subprocess.CompletedProcess] = []
+
+        async def ask(*given: str) -> None:
+            done.append(await trio.to_thread.run_sync(members, port.address, *given))
+            if len(done) == 3:
+                nursery.cancel_scope.cancel()
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(ask, "--deployment", "here", "--json")
+            nursery.start_soon(ask, "--deployment", "here")
+            nursery.start_soon(ask, "--deployment", "elsewhere", "--wait", "0.5")
+            while True:
+                await port.readable()
+                for body, source in port.pending():
+                    core.hear(1000, body)
+                    for action in core.actions:
+                        port.send(action.body, source) if hasattr(action, "body") else None
+                    core.actions.clear()
+        port.close()
+        refused = next(d for d in done if d.returncode == 1)
+        assert "no answer" in refused.stderr
+        said = next(json.loads(d.stdout) for d in done if d.stdout.startswith("{"))
+        assert len(said["members"]) == 101 and said["planner"]["name"] == "p0"
+        assert said["members"][5]["accusers"] == ["p7"] and said["members"][5]["state"] == "suspected"
+        assert any("accused by p7" in d.stdout for d in done)
+
+    trio.run(run)
+    assert members().returncode == 2
+    assert members("nonsense").returncode == 2
+    assert "membership is off" in members("--config", str(EXAMPLE)).stderr
+
+
+def test_figures_are_there_if_an_address_is_given() -> None:
+    from prometheus_client import generate_latest
+
+    from hazelhold.membership.core import Core, Terms
+    from hazelhold.membership.figures import Figures
+
+    core = Core(Row("p0", 5, 9, 0, ALIVE, "a"), [], Terms("d"), 1, 0)
+    core.start(0)
+    core.hear(5, b"torn")
+    core.hear(6, w.encode("elsewhere", core.me, w.Ping(1, "p0"), []))
+    text = generate_latest(Figures(core, "127.0.0.1:1").registry).decode()
+    assert 'hazelhold_members{state="alive"} 1.0' in text
+    assert 'hazelhold_member_events_total{what="stranger"} 1.0' in text
--- a/tests/test_platform_process.py
+++ b/tests/test_platform_process.py
@@ -91,8 +91,8 @@
         news, where = served(bulletin(asked))
         stack.enter_context(news)
         write(where)
-        process = subprocess.Popen([sys.executable, "-m", "hazelhold", "planner", "--platform"],
-                                   env=os.environ | {"BALANCER_CONFIG": str(path)},
+        command = [sys.executable, "-X", "importtime", "-m", "hazelhold", "planner", "--platform"]
+        process = subprocess.Popen(command, env=os.environ | {"BALANCER_CONFIG": str(path)},
                                    stderr=subprocess.PIPE, text=True)
         stack.callback(process.wait)
         stack.callback(process.kill)
@@ -134,6 +134,10 @@
         assert process.wait(10) == 0
     log = process.stderr.read()
     assert "configuration_refused" in log and "stopped" in log and "Traceback" not in log
+    loaded = {line.rsplit("|", 1)[1].strip() for line in log.splitlines() if line.startswith("import time:")}
+    assert "hazelhold.platform.planner" in loaded
+    off = ("hazelhold.membership", "hazelhold.emulate", "hazelhold.rehearse", "xxhash", "prometheus_client")
+    assert not [name for name in loaded if name.startswith(off)], "planners of a deployment share nothing"
 
 
 def test_a_file_that_cannot_be_used_is_said_in_lines_and_ends_with_2(tmp_path: Path) -> None:
