--- a/hazelhold/audit/rules.py
+++ b/hazelhold/audit/rules.py
@@ -115,6 +115,8 @@
                 lives[c.peer, number[c.peer]].append(c)
             elif c.role == "planner":
                 lives[c.by, number[c.by]].append(c)
+            elif c.role == "rehearsal" and c.way in ("planner_pause", "planner_resume"):
+                lives[c.peer, number[c.peer]].append(c)
         return lives
 
     def _breach(self, rule: int, what: str, planner: str, frames: list[Crossing], guest: str = "",
@@ -219,14 +221,15 @@
             self.tally["answered_when_asked"] += 1
 
     def _downs(self, crossings: list[Crossing]) -> list[tuple[int, int]]:
-        """From when until when a planner with durable state was down, or dying again before it was well."""
+        """From when until when a planner was paused, or one with durable state down, or dying again before it
+        was well: what fell due meanwhile may come late."""
         found: list[tuple[int, int]] = []
         killed = 0
         self.kills = [c.at for c in crossings if c.way in ("planner_kill", "planner_stop")]
         for c in crossings:
-            if c.way in ("planner_kill", "planner_stop"):
+            if c.way in ("planner_kill", "planner_stop", "planner_pause"):
                 killed = killed or c.at
-            elif c.way == "planner_start" and killed:
+            elif c.way in ("planner_start", "planner_resume") and killed:
                 again = found and killed - found[-1][1] < BACK
                 found.append((found.pop()[0] if again else killed, c.at))
                 killed = 0
--- a/hazelhold/cli/main.py
+++ b/hazelhold/cli/main.py
@@ -159,6 +159,8 @@
     from hazelhold.rehearse import run
 
     sheet = read_day(day)
+    if virtual and any(t.kind == "planner_pause" for t in sheet.troubles):
+        raise ConfigError(str(day), [("troubles", "planner_pause stops processes: not with --virtual")])
     logs.set_up(log, "warning" if level == "info" else level)
     with tempfile.TemporaryDirectory(prefix="hazelhold-") as spare:
         folder = records or Path(spare)
@@ -176,7 +178,7 @@
     if to:
         to.write_text(json.dumps(said, indent=1) + "\n")
     show(said)
-    sys.exit(1 if said["rules_broken"] or said["unaccounted"] else 0)
+    sys.exit(0 if run.sound(said) else 1)
 
 
 @main.command("hunt")
@@ -278,13 +280,13 @@
 @honest
 def audit(record: Path, to: Path | None) -> None:
     """Judge a stored record of frames, a file or a folder of them."""
-    from hazelhold.rehearse.run import report
+    from hazelhold.rehearse.run import report, sound
 
     said = report(record, record.name, 0, 0.0, {})
     if to:
         to.write_text(json.dumps(said, indent=1) + "\n")
     show(said)
-    sys.exit(1 if said["rules_broken"] or said["unaccounted"] else 0)
+    sys.exit(0 if sound(said) else 1)
 
 
 def show(said: dict[str, Any]) -> None:
@@ -303,5 +305,17 @@
     for breach in said["rules_broken"][:20]:
         click.echo(f"    rule {breach['rule']}: {breach['what']} (guest {breach['guest'] or '-'}, planner "
                    f"{breach['planner'] or '-'}, machine {breach['machine'] or '-'}, at {breach['at']})")
+    if views := said.get("views"):
+        click.echo(f"  views: wrongly gone {views['wrongly_gone']}, missed {views['missed']}; time to notice "
+                   f"{_spans(views['noticed'])}, to take back {_spans(views['healed'])}"
+                   + (": BOUND PASSED" if views["bounds_passed"] else ""))
+        for line in views["details"][:10]:
+            click.echo(f"    {line}")
     if said["unaccounted"]:
         click.echo(f"  unaccounted: {', '.join(said['unaccounted'][:20])}")
+
+
+def _spans(found: dict[str, float]) -> str:
+    if not found["count"]:
+        return "none"
+    return f"{found['median']} s in the middle, {found['longest']} s at most ({found['count']})"
--- a/hazelhold/config/day.py
+++ b/hazelhold/config/day.py
@@ -16,7 +16,8 @@
 TROUBLES = ("burst", "deploy", "list_down", "flush", "heavy_tail", "hot_service", "mass_restart", "preempt",
             "vanish", "report_late", "fast_errors", "answer_lost", "ageing", "crash", "zone_cut",
             "planner_kill",
-            "planner_stop", "reconnect")
+            "planner_stop", "reconnect", "planner_pause", "planner_cut", "planner_loss")
+BETWEEN = ("planner_pause", "planner_cut", "planner_loss")  # troubles of planners among themselves
 
 
 class Wares(Struct, frozen=True):
@@ -74,6 +75,28 @@
     extra: Seconds = 3.0
     by: Literal["any", "kind", "cell", "zone"] = "any"
     which: Annotated[int, Meta(ge=0, le=10_000)] = 0
+    whom: list[Annotated[int, Meta(ge=0, le=2000)]] = []  # planners; empty: planner `which`, by zone its zone
+    others: list[Annotated[int, Meta(ge=0, le=2000)]] = []  # from whom they are cut; empty: from all others
+    way: Literal["both", "out", "in"] = "both"  # of a cut: neither, not what they send, not what they hear
+
+
+class DayMembers(Struct, frozen=True):
+    """Membership among the day's planners, behind wires that troubles strike."""
+
+    on: bool = False
+    probe_ms: Positive = 250.0
+    answer_ms: Positive = 200.0
+    suspect_ms: Positive = 1500.0
+    suspect_most_ms: Positive = 6000.0
+
+
+class ViewSheet(Struct, frozen=True):
+    """What the day allows its planners' views of each other."""
+
+    wrongly_gone: Annotated[int, Meta(ge=0, le=100_000)] = 0
+    missed: Annotated[int, Meta(ge=0, le=100_000)] = 0
+    notice_s: Positive = 15.0
+    heal_s: Positive = 20.0
 
 
 class Day(Struct, frozen=True):
@@ -94,6 +117,8 @@
     list_asked: bool = True
     list_has_room: bool = True
     weights: tuple[Part, Part, Part, Part] = (0.3, 0.4, 0.2, 0.1)
+    membership: DayMembers = DayMembers()
+    views: ViewSheet = ViewSheet()
 
 
 def check_day(day: Day) -> list[tuple[str, str]]:
@@ -114,6 +139,8 @@
             faults.append((f"troubles[{at}].at_s", "lies past the end of the day"))
         if trouble.kind in ("planner_kill", "planner_stop") and trouble.which >= day.planners:
             faults.append((f"troubles[{at}].which", f"planners are numbered 0 to {day.planners - 1}"))
+        if trouble.kind in BETWEEN:
+            faults += _check_between(day, trouble, f"troubles[{at}]")
         if trouble.kind == "zone_cut" and day.zones < 2:
             faults.append((f"troubles[{at}].kind", "a cut needs two zones or more"))
     for where, pair in [(f"{name}[{at}].{key}", getattr(item, key))
@@ -126,6 +153,18 @@
     return faults
 
 
+def _check_between(day: Day, trouble: Trouble, place: str) -> list[tuple[str, str]]:
+    faults = [(f"{place}.{key}", f"planners are numbered 0 to {day.planners - 1}")
+              for key in ("whom", "others") if any(n >= day.planners for n in getattr(trouble, key))]
+    if trouble.by not in ("any", "zone"):
+        faults.append((f"{place}.by", "planners have zones, and neither kind nor cell"))
+    if trouble.by == "any" and not trouble.whom and trouble.which >= day.planners:
+        faults.append((f"{place}.which", f"planners are numbered 0 to {day.planners - 1}"))
+    if trouble.kind != "planner_pause" and not day.membership.on:
+        faults.append((f"{place}.kind", "there are no wires between planners unless membership.on is true"))
+    return faults
+
+
 def read_day(path: Path) -> Day:
     """The checked day in a file; ConfigError names all that is wrong with it."""
     day = build(Day, parse(read_text(path), str(path)), str(path))
--- a/hazelhold/membership/core.py
+++ b/hazelhold/membership/core.py
@@ -159,7 +159,8 @@
         self.deadlines = {name: at + late for name, at in self.deadlines.items()}
         self.doubt.more(1 + late // self.terms.suspect)
         self.timers = [
-            (at + late if what == "gone" else at, no, what, about) for at, no, what, about in self.timers
+            (at + late if what == "gone" else max(at, self.now), no, what, about)
+            for at, no, what, about in self.timers
         ]
         self.timers.sort()
         for name in self.table.live.some(self.random, self.terms.helpers):
@@ -351,8 +352,28 @@
             if row.state == SUSPECTED:
                 self._confirm(member, row.by)
             return
+        elif row.state == GONE:
+            self._called_gone(member, row, teller)
+            return
         self._take(row, teller)
 
+    def _called_gone(self, member: Member, row: Row, teller: str) -> None:
+        """Others' word that one is gone holds here once it had the least time to say otherwise: after a
+        split has healed each half still holds the other gone, and tells it so."""
+        if key(member.row)[:4] != key(row)[:4] or member.row.state != SUSPECTED:
+            self._take(msgspec.structs.replace(row, state=SUSPECTED), teller)
+        elif self.now - member.suspected >= self.terms.suspect and not self.fruitless:
+            self._take(row, teller)
+            return
+        self._due_by(member, member.suspected + self.terms.suspect)
+
+    def _due_by(self, member: Member, deadline: int) -> None:
+        """The suspicion ends then, or before if that was set already."""
+        name = member.row.name
+        if name not in self.deadlines or deadline < self.deadlines[name]:
+            self.deadlines[name] = deadline
+            self._at(deadline, "gone", (name, key(member.row)))
+
     def _take(self, row: Row, teller: str, **more: object) -> None:
         self.taken += 1
         before = self.table.put(row, self.now)
@@ -391,8 +412,7 @@
         span = patience(
             self.terms.suspect, self.terms.suspect_most, len(member.accusers), wanted(len(self.table))
         )
-        self.deadlines[member.row.name] = member.suspected + self.doubt(span)
-        self._at(self.deadlines[member.row.name], "gone", (member.row.name, key(member.row)))
+        self._due_by(member, member.suspected + self.doubt(span))
 
     def _gone_due(self, about: tuple) -> None:
         name, stood = about
--- a/hazelhold/membership/host.py
+++ b/hazelhold/membership/host.py
@@ -4,6 +4,7 @@
 from functools import lru_cache
 from random import SystemRandom
 
+import msgspec
 import structlog
 import trio
 
@@ -13,11 +14,19 @@
 from hazelhold.membership.core import Core, News, Post, Reply, Terms
 from hazelhold.membership.rows import ALIVE, Row
 from hazelhold.membership.words import VERSION
+from hazelhold.protocol.record import Recorder
 from hazelhold.service.net import Net, Port
 
 WARNINGS = ("suspected", "gone", "refuted", "alone", "life_raised")
 
 
+class Note(msgspec.Struct):
+    """What a planner came to believe, in its record."""
+
+    what: str
+    life: int
+
+
 def terms(sheet: MembershipSheet) -> Terms:
     return Terms(
         deployment=sheet.deployment,
@@ -47,8 +56,8 @@
 class Members:
     """One planner's membership: `core` holds the view. `run` ends by being cancelled, or after `leave`."""
 
-    def __init__(self, name: str, sheet: MembershipSheet, net: Net) -> None:
-        self.name, self.sheet, self.net = name, sheet, net
+    def __init__(self, name: str, sheet: MembershipSheet, net: Net, recorder: Recorder | None = None) -> None:
+        self.name, self.sheet, self.net, self.recorder = name, sheet, net, recorder
         self.log = structlog.get_logger().bind(planner=name)
         self.core: Core | None = None
         self.port: Port | None = None
@@ -78,6 +87,7 @@
                 life=me.life,
                 seeds=len(sheet.seeds),
             )
+            self._note(self.name, "started", me.life)
             task_status.started()
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(self._listen)
@@ -133,7 +143,12 @@
         elif not self.port.send(body, to):
             self.core.counts["unsent"] += 1
 
+    def _note(self, name: str, what: str, life: int) -> None:
+        if self.recorder is not None:
+            self.recorder.note(self.net.now(), name, "member", Note(what, life))
+
     def _say(self, news: News) -> None:
+        self._note(news.name, news.what, news.cause.get("life", -1))
         if news.what == "yielded":
             self.log.error("member_yielded", member=news.name, **news.cause)
         else:
--- a/hazelhold/rehearse/crew.py
+++ b/hazelhold/rehearse/crew.py
@@ -10,6 +10,7 @@
 import trio
 from msgspec.structs import replace
 
+from hazelhold.config.load import ConfigError
 from hazelhold.config.planner import PlannerSheet
 from hazelhold.protocol.record import Recorder
 from hazelhold.service.net import Net
@@ -25,6 +26,10 @@
 
     async def stop(self, number: int) -> None: ...
 
+    async def pause(self, number: int) -> None: ...
+
+    async def resume(self, number: int) -> None: ...
+
 
 def captured(sheet: PlannerSheet, folder: Path | None, life: int) -> PlannerSheet:
     """The sheet of one life of a planner, with a capture of its own if there is a folder for it."""
@@ -78,6 +83,11 @@
             planner.stop()
             await done.wait()
 
+    async def pause(self, number: int) -> None:
+        raise ConfigError("the day", [("planner_pause", "stops a process: not with --virtual")])
+
+    resume = pause
+
 
 class Processes:
     """Planners as `hazelhold planner` processes. A kill is SIGKILL, a stop SIGTERM."""
@@ -114,6 +124,14 @@
                     raise RuntimeError(f"planner {sheet.name} did not start; see {life}.log")
                 line += more
 
+    async def pause(self, number: int) -> None:
+        if process := self.running.get(number):
+            process.send_signal(signal.SIGSTOP)
+
+    async def resume(self, number: int) -> None:
+        if process := self.running.get(number):
+            process.send_signal(signal.SIGCONT)
+
     async def kill(self, number: int) -> None:
         if process := self.running.pop(number, None):
             process.kill()
@@ -122,6 +140,7 @@
     async def stop(self, number: int) -> None:
         if process := self.running.pop(number, None):
             process.send_signal(signal.SIGTERM)
+            process.send_signal(signal.SIGCONT)  # a paused one would never see it
             with trio.move_on_after(30):
                 await process.wait()
                 return
--- a/hazelhold/rehearse/run.py
+++ b/hazelhold/rehearse/run.py
@@ -11,13 +11,15 @@
 
 from hazelhold.audit.rules import Audit, RuleSheet
 from hazelhold.audit.score import score
+from hazelhold.audit.views import ViewBounds, Views
 from hazelhold.config.day import Day
-from hazelhold.config.planner import LimitSheet, ListSheet, PlannerSheet, StateSheet, micros
+from hazelhold.config.planner import LimitSheet, ListSheet, MembershipSheet, PlannerSheet, StateSheet, micros
 from hazelhold.protocol.record import Recorder
 from hazelhold.rehearse.crashes import Crashing, DiskFault
 from hazelhold.rehearse.crew import Crew, Inside, Processes
 from hazelhold.rehearse.stage import Stage
-from hazelhold.rehearse.troubles import plan
+from hazelhold.rehearse.troubles import Step, plan
+from hazelhold.rehearse.wires import Wires
 from hazelhold.service.net import MemoryNet, Net, TcpNet
 from hazelhold.standin.disk import Points
 
@@ -31,15 +33,33 @@
         limits=LimitSheet(connect_ms=500.0, probe_ms=500.0)) for number, door in enumerate(doors)]
 
 
-def free_ports(count: int) -> list[int]:
+def free_ports(count: int, kind: int = socket.SOCK_STREAM) -> list[int]:
     """Ports that were free a moment ago; planners must find theirs again after a restart."""
-    held = [socket.create_server(("127.0.0.1", 0)) for _ in range(count)]
+    held = [socket.socket(socket.AF_INET, kind) for _ in range(count)]
+    for each in held:
+        each.bind(("127.0.0.1", 0))
     ports = [each.getsockname()[1] for each in held]
     for each in held:
         each.close()
     return ports
 
 
+async def wire_up(sheets: list[PlannerSheet], day: Day, wires: Wires, ports: list[str]) -> list[PlannerSheet]:
+    """The sheets with membership on, each planner reaching each other by a wire of its own."""
+    names = [s.name for s in sheets]
+    members = day.membership
+    found = []
+    for a, sheet in enumerate(sheets):
+        reach = {names[b]: await wires.datagrams(names[a], names[b], ports[b])
+                 for b in range(len(names)) if b != a}
+        found.append(replace(sheet, membership=MembershipSheet(
+            listen=ports[a], seeds=[reach[n] for n in names[:3] if n in reach], reach=reach,
+            deployment=day.name, zone=f"zone-{a % day.zones}", probe_ms=members.probe_ms,
+            answer_ms=members.answer_ms, suspect_ms=members.suspect_ms,
+            suspect_most_ms=members.suspect_most_ms)))
+    return found
+
+
 def rule_sheet(day: Day) -> RuleSheet:
     fleet = day.estate.fleet
     return RuleSheet(
@@ -72,6 +92,12 @@
         doors = ([f"{host}:{port}" for port in free_ports(day.planners)] if isinstance(net, TcpNet)
                  else [f"door-{number}" for number in range(day.planners)])
         sheets = planner_sheets(day, seed, list_address, doors)
+        wires = None
+        if day.membership.on:
+            wires = Wires(net, nursery, seed, host)
+            ports = ([f"{host}:{port}" for port in free_ports(day.planners, socket.SOCK_DGRAM)]
+                     if isinstance(net, TcpNet) else [f"members-{number}" for number in range(day.planners)])
+            sheets = await wire_up(sheets, day, wires, ports)
         if keep:
             sheets = [replace(s, state=StateSheet(folder=str(folder / "state" / s.name))) for s in sheets]
         if points is not None:
@@ -82,11 +108,12 @@
             crew = Processes(sheets, folder, nursery, capture)
         for number in range(day.planners):
             await crew.start(number)
+            chief.note(net.now(), sheets[number].name, "planner_up")
         kept = points is not None or any(s.state.folder for s in sheets)
         chief.note(net.now(), "", "rules", replace(rule_sheet(day), durable=kept))
         start = net.now()
         stage.bring_owners({s.name: s.listen for s in sheets}, nursery)
-        await _troubles(day, seed, stage, crew, chief, nursery, start)
+        await _troubles(day, seed, stage, crew, chief, wires, start)
         await _until(net, start + round(day.length_s * 1e6))
         chief.note(net.now(), "", "day_over")
         longest = max(p.patience_ms for p in day.estate.products) / 1000
@@ -97,40 +124,74 @@
         chief.close()
         nursery.cancel_scope.cancel()
     return report(records, day.name, seed, time.monotonic() - began,
-                  {s.model.name: dict(s.model.counts) for s in stage.senders})
+                  {s.model.name: dict(s.model.counts) for s in stage.senders},
+                  ViewBounds(**msgspec.structs.asdict(day.views)))
+
+
+class Cut(msgspec.Struct):
+    """Directions between planners that carry nothing from now on, or do again; stands in the record."""
+
+    pairs: list[tuple[str, str]]
 
 
-async def _troubles(day: Day, seed: int, stage: Stage, crew: Crew, chief: Recorder, nursery: trio.Nursery,
+async def _troubles(day: Day, seed: int, stage: Stage, crew: Crew, chief: Recorder, wires: Wires | None,
                     start: int) -> None:
     services = [w.service for w in stage.wants]
     for step in plan(day, seed, stage.spots, services):
         await _until(stage.net, start + step.at)
-        if step.what.startswith("planner_"):
-            name = f"planner-{step.value}"
-            act = {"planner_kill": crew.kill, "planner_stop": crew.stop, "planner_start":
-            crew.start}[step.what]
-            if step.what == "planner_start":
-                await act(step.value)
-                chief.note(stage.net.now(), name, "planner_start")
-            else:
-                if step.what == "planner_stop" or not isinstance(crew, Crashing):  # that notes it by itself
-                    chief.note(stage.net.now(), name, step.what)
-                await act(step.value)
+        if step.what in ("planner_cut", "planner_heal", "planner_loss"):
+            _between(step, wires, chief, stage.net.now())
+        elif step.what.startswith("planner_"):
+            await _planner(step, crew, chief, stage.net)
         else:
             stage.do(step)
 
 
+async def _planner(step: Step, crew: Crew, chief: Recorder, net: Net) -> None:
+    """Does something to a planner's process, and notes it: an end before it comes (a crash is noted by
+    the crew that makes it), a start once it is up."""
+    name, what = f"planner-{step.value}", step.what.removeprefix("planner_")
+    if what not in ("start", "resume") and not (isinstance(crew, Crashing) and what == "kill"):
+        chief.note(net.now(), name, step.what)
+    await getattr(crew, what)(step.value)
+    if what in ("start", "resume"):
+        chief.note(net.now(), name, step.what)
+
+
+def _between(step: Step, wires: Wires, chief: Recorder, now: int) -> None:
+    """Does something to the wires between planners."""
+    whom, others, way, part, size = step.value
+    ones, rest = [f"planner-{n}" for n in whom], [f"planner-{n}" for n in others]
+    pairs = wires.between(ones, rest, way)
+    if step.what == "planner_loss":
+        wires.ail(ones, rest, way, loss=part, double=part / 3, delay=(0.0, size * 1000))
+    elif step.what == "planner_cut":
+        wires.cut(ones, rest, way)
+    else:
+        wires.heal(ones, rest, way)
+    chief.note(now, "", step.what, Cut(pairs))
+
+
 async def _until(net: Net, at: int) -> None:
     await trio.sleep(max(0.0, (at - net.now()) / 1e6))
 
 
-def report(records: Path, name: str, seed: int, seconds: float, owners: dict) -> dict[str, Any]:
+def sound(said: dict[str, Any]) -> bool:
+    """Whether a report's day broke no rule, lost nobody and passed no bound on views."""
+    return not (said["rules_broken"] or said["unaccounted"] or said.get("views", {}).get("bounds_passed"))
+
+
+def report(records: Path, name: str, seed: int, seconds: float, owners: dict,
+           bounds: ViewBounds | None = None) -> dict[str, Any]:
     """Audit and score of a folder of records, as plain values."""
     audit = Audit.of_folder(records)
     breaches = audit.breaches()
+    views = Views(audit.crossings, bounds or ViewBounds())
+    more = {} if views.off else {"views": views.judge()}
     return {"day": name, "seed": seed, "seconds": round(seconds, 1), "counts": audit.counts(),
             "service": score(audit.crossings, audit.rules), "owners": owners,
-            "rules_broken": [msgspec.to_builtins(b) for b in breaches], "unaccounted": audit.unaccounted()}
+            "rules_broken": [msgspec.to_builtins(b) for b in breaches],
+            "unaccounted": audit.unaccounted(), **more}
 
 
 def play_virtual(day: Day, seed: int, folder: Path, capture: Path | None = None) -> dict[str, Any]:
--- a/hazelhold/rehearse/troubles.py
+++ b/hazelhold/rehearse/troubles.py
@@ -145,9 +145,33 @@
     return [(t.at_s, "rejoin", "", (t.part, round(t.for_s * 1e6)))]
 
 
+def struck_planners(t: Trouble, day: Day) -> tuple[list[int], list[int]]:
+    """The planners that a trouble strikes, and those between whom and them it stands."""
+    if t.by == "zone":
+        whom = [n for n in range(day.planners) if n % day.zones == t.which % day.zones]
+    else:
+        whom = list(t.whom) or [t.which]
+    return whom, list(t.others) or [n for n in range(day.planners) if n not in whom]
+
+
+def _pause(t: Trouble, random: Random, spots: list[Spot], services: list[str], day: Day) -> list[tuple]:
+    return [(at, what, "", number) for number in struck_planners(t, day)[0]
+            for at, what in ((t.at_s, "planner_pause"), (t.at_s + t.for_s, "planner_resume"))]
+
+
+def _between(first: str, last: str) -> object:
+    def shape(t: Trouble, random: Random, spots: list[Spot], services: list[str], day: Day) -> list[tuple]:
+        whom, others = struck_planners(t, day)
+        return [(t.at_s, first, "", (whom, others, t.way, t.part, t.size)),
+                (t.at_s + t.for_s, last, "", (whom, others, t.way, 0.0, 0.0))]
+    return shape
+
+
 SHAPES = {"burst": _span("burst", "size"), "list_down": _span("list_down", "part"), "deploy": _deploy,
           "flush": _flush, "heavy_tail": _heavy, "hot_service": _hot, "mass_restart": _mass_restart,
           "preempt": _preempt, "vanish": _vanish, "report_late": _ill("report_late"),
           "fast_errors": _ill("errors"), "answer_lost": _ill("lost"), "ageing": _ageing, "crash": _crash,
           "zone_cut": _cut, "planner_kill": _planner("planner_kill"),
-          "planner_stop": _planner("planner_stop"), "reconnect": _reconnect}
+          "planner_stop": _planner("planner_stop"), "reconnect": _reconnect,
+          "planner_pause": _pause, "planner_cut": _between("planner_cut", "planner_heal"),
+          "planner_loss": _between("planner_loss", "planner_loss")}
--- a/hazelhold/service/net.py
+++ b/hazelhold/service/net.py
@@ -187,6 +187,9 @@
 
     async def port(self, address: str) -> Port:
         await trio.lowlevel.checkpoint()
+        if address.endswith(":0"):
+            self.numbers += 1
+            address = f"{address[:-2]}:{self.numbers}"
         made = self.ports[address] = MemoryPort(self, address)
         return made
 
--- a/hazelhold/service/planner.py
+++ b/hazelhold/service/planner.py
@@ -59,7 +59,7 @@
         if sheet.membership.listen:
             from hazelhold.membership.host import Members  # not above: off costs nothing
 
-            self.members = Members(sheet.name, sheet.membership, net)
+            self.members = Members(sheet.name, sheet.membership, net, recorder)
         self.keeper: Keeper | None = None
         if disk is None and sheet.state.folder:
             disk = RealDisk(Path(sheet.state.folder))
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -227,7 +227,7 @@
     back = made.now / 1e6
     assert within(made, 4, made.agree) < 3
     made.run(back + 10)
-    assert heard(made, "away", by="m2") and heard(made, "refuted", by="m2")
+    assert len(heard(made, "away")) == 1 and heard(made, "refuted", by="m2")
     assert not [n for n in made.news if n[1] == "m2" and n[2].what in ("suspected", "gone")]
 
 
@@ -316,20 +316,32 @@
     lone(world(6, seed), "m2", deaf, mute)
 
 
-@pytest.mark.parametrize("seed", TWO)
-@pytest.mark.parametrize("both", [True, False])
-def test_a_split_and_a_zone_that_is_not_heard_live_on_in_two_halves_and_grow_together(
-    both: bool, seed: int
-) -> None:
+def parted(made: Parley, both: bool) -> None:
     """Alive means answers: where a zone is not heard, neither side gets answers from the other."""
-    made = world(6, seed)
     one, other = ["m0", "m2", "m4"], ["m1", "m3", "m5"]
     made.cut(one, other, both)
     within(made, 14, lambda: all(made.view(a, b) == made.view(b, a) == GONE for a in one for b in other))
     made.run(made.now / 1e6 + 10)
     assert all(made.view(a, b) == ALIVE for side in (one, other) for a in side for b in side)
     made.heal()
+    made.news.clear()
     assert within(made, 10, made.agree) < 6
+    made.run(made.now / 1e6 + 5)
+    assert not heard(made, "gone"), "one half took the other's word on its own members"
+
+
+@pytest.mark.parametrize("seed", TWO)
+@pytest.mark.parametrize("both", [True, False])
+def test_a_split_and_a_zone_that_is_not_heard_live_on_in_two_halves_and_grow_together(
+    both: bool, seed: int
+) -> None:
+    parted(world(6, seed), both)
+
+
+def test_without_time_to_answer_a_half_takes_the_others_word_on_its_own_members() -> None:
+    with pytest.raises(AssertionError, match="own members"):
+        for seed in range(5):
+            parted(world(6, seed, AnyGone), True)
 
 
 def test_of_two_members_the_one_left_over_is_alone_and_says_so() -> None:
@@ -382,6 +394,13 @@
             super()._merge(row, teller)
 
 
+class AnyGone(Core):
+    """Takes the word of others that one is gone, however fresh the suspicion."""
+
+    def _called_gone(self, member: object, row: Row, teller: str) -> None:
+        self._take(row, teller)
+
+
 class YieldsAtOnce(Core):
     """Takes every younger life of its name for a process that runs."""
 
