--- a/hazelhold/audit/rules.py
+++ b/hazelhold/audit/rules.py
@@ -431,6 +431,12 @@
                         self._breach(2, "an exclusive guest ran again after it was done", c.peer,
                                      [done[guest], c], guest, c.by)
                 running[guest][c.by] = c
+            elif kind == "running" and c.way != "in":  # ends that could not be told when they came
+                for stand in body["guests"]:
+                    if stand["state"] == "ended":
+                        running[stand["guest"]].pop(c.by, None)
+                        if stand.get("how") == "done":
+                            done.setdefault(stand["guest"], c)
             elif kind == "ended" and c.way != "in":
                 self.tally["ended_" + body["how"]] += 1
                 running[guest].pop(c.by, None)
--- a/hazelhold/emulate/heartbeats.py
+++ b/hazelhold/emulate/heartbeats.py
@@ -2,7 +2,8 @@
 
 The same face as `membership.core.Core` as far as `Parley` and the tests use it. Each member sends every
 other a heartbeat each `probe`; who has been silent for `suspect` plus four answers counts as gone, and
-comes back with its next heartbeat. Nobody's word on others is taken but that they exist.
+comes back with its next heartbeat. Nobody's word on others is taken but that they exist: each beat names
+some.
 """
 
 from random import Random
@@ -54,7 +55,10 @@
 
     def _beat(self) -> None:
         to = {row.address for name, row in self.rows.items() if name != self.me.name and row.state != LEFT}
-        body = w.encode(self.terms.deployment, self.me, w.Rows(), [msgspec.Raw(w.ENCODER.encode(self.me))])
+        some = self.random.sample(list(self.rows.values()), min(6, len(self.rows)))
+        rows = [self.me, *(r for r in some if r.state == ALIVE and r is not self.me)]
+        raws = [msgspec.Raw(w.ENCODER.encode(r)) for r in rows]
+        body = w.encode(self.terms.deployment, self.me, w.Rows(), raws)
         for address in sorted(to | set(self.seeds) - {self.me.address}):
             self.actions.append(Post(address, "", body))
 
--- a/hazelhold/emulate/parley.py
+++ b/hazelhold/emulate/parley.py
@@ -24,6 +24,7 @@
         self.name, self.core, self.address = name, core, address
         self.rate, self.began = rate, began
         self.paused = False
+        self.resumed = -(10**9)  # when, in the world's time
         self.up = True
         self.due = -1  # of its next wake in the heap, in the world's time
         self.inbox: deque[bytes] = deque(maxlen=INBOX)
@@ -110,7 +111,7 @@
             self._later(self.now + round(seconds * 1e6), self._resume, process)
 
     def _resume(self, process: Process) -> None:
-        process.paused = False
+        process.paused, process.resumed = False, self.now
         while process.up and process.inbox:
             process.core.hear(process.clock(self.now), process.inbox.popleft())
             self._carry_out(process)
--- a/hazelhold/membership/core.py
+++ b/hazelhold/membership/core.py
@@ -407,7 +407,7 @@
         """One more who accuses: the suspicion waits less, and is told again."""
         if by in member.accusers or len(member.accusers) > CONFIRMATIONS:
             return
-        member.accusers.append(by)
+        member.accuse(by)
         self.table.rumours.add(member.row.name)
         span = patience(
             self.terms.suspect, self.terms.suspect_most, len(member.accusers), wanted(len(self.table))
@@ -444,6 +444,8 @@
                     self._new_life(row.life + 1)  # an earlier process's, still remembered
             return
         if key(row) <= key(mine) or self.leaving:
+            if row.state != ALIVE:
+                self.corrections.append(self.table.members[mine.name].raw)  # refuted, and not heard there
             return
         if row.state == LEFT or row.seq + 1 >= SEQ_BOUND:
             self._new_life(mine.life + 1)
@@ -465,6 +467,7 @@
                 )
             )
         self._my_row(seq=row.seq + 1)
+        self.corrections.append(self.table.members[mine.name].raw)
 
     def _my_row(self, **changes: object) -> None:
         self.table.put(msgspec.structs.replace(self.me, by="", **changes), self.now)
@@ -693,7 +696,7 @@
     def tellings(self) -> int:
         """How often each row is told: enough that all know with any likelihood wanted, by the logarithm
         (SWIM)."""
-        return 4 * max(1, ceil(log2(len(self.table) + 1)))
+        return 2 * max(2, ceil(log2(len(self.table) + 1)))
 
     # What is seen.
 
--- a/hazelhold/membership/table.py
+++ b/hazelhold/membership/table.py
@@ -41,6 +41,12 @@
         self.answered_life = -1  # the last life that answered here
         self.set(row, now)
 
+    def accuse(self, by: str) -> None:
+        """One more accuser, who is told of from now on: each confirmation has to reach the others."""
+        self.accusers.append(by)
+        self.row = msgspec.structs.replace(self.row, by=by)
+        self.raw = told(self.row)
+
     def set(self, row: Row, now: int) -> None:
         self.row, self.raw, self.digest, self.since = row, told(row), digest(row), now
 
@@ -96,11 +102,15 @@
         times = self.told.pop(name, None)
         if times is not None:
             del self.rounds[times][name]
+            if not self.rounds[times]:
+                self.rounds[times] = {}  # a dict that was large stays slow to go through
 
     def take(self, raws: "Table", room: int, most: int) -> tuple[list[msgspec.Raw], int]:
         """Rows that fit in `room` bytes, and the room left; each name is told `most` times at most."""
         found: list[msgspec.Raw] = []
         taken: list[tuple[str, int]] = []
+        if not self.told:
+            return found, room
         for times, names in enumerate(self.rounds):
             for name in names:
                 raw = raws.members[name].raw
--- a/hazelhold/rehearse/crew.py
+++ b/hazelhold/rehearse/crew.py
@@ -89,16 +89,28 @@
     resume = pause
 
 
+Programs = dict[int, tuple[str, Path]]  # by planner: another Python, and the folder of another hazelhold
+
+
+def sheet_text(sheet: PlannerSheet) -> bytes:
+    """The sheet as a file. What is off is left out: a program that does not know it reads the file."""
+    plain = msgspec.to_builtins(sheet)
+    if not sheet.membership.listen:
+        del plain["membership"]
+    return msgspec.json.encode(plain)
+
+
 class Processes:
     """Planners as `hazelhold planner` processes. A kill is SIGKILL, a stop SIGTERM."""
 
     def __init__(self, sheets: list[PlannerSheet], folder: Path, nursery: trio.Nursery,
-                 capture: Path | None) -> None:
+                 capture: Path | None, programs: Programs | None = None) -> None:
         self.sheets, self.folder, self.nursery, self.capture = sheets, folder, nursery, capture
+        self.programs = programs or {}
         self.running: dict[int, trio.Process] = {}
         self.lives = [0] * len(sheets)
         for number, sheet in enumerate(sheets):
-            (folder / f"planner{number}.json5").write_bytes(msgspec.json.encode(sheet))
+            (folder / f"planner{number}.json5").write_bytes(sheet_text(sheet))
 
     async def start(self, number: int) -> None:
         if number in self.running:
@@ -107,13 +119,14 @@
         self.lives[number] += 1
         life = f"{sheet.name}-{self.lives[number]}"
         log = (self.folder / f"{life}.log").open("ab")
-        command = [sys.executable, "-m", "hazelhold", "planner",
+        python, where = self.programs.get(number, (sys.executable, None))
+        command = [python, "-m", "hazelhold", "planner",
                    "--config", str(self.folder / f"planner{number}.json5"),
                    "--record", str(self.folder / "records" / f"planner-{life}.jsonl"),
                    "--seed", str(sheet.seed + self.lives[number]), "--log", "json", "--ready"]
         if self.capture:
             command += ["--capture", captured(sheet, self.capture, self.lives[number]).capture.file]
-        process = await trio.lowlevel.open_process(command, stdout=subprocess.PIPE, stderr=log)
+        process = await trio.lowlevel.open_process(command, stdout=subprocess.PIPE, stderr=log, cwd=where)
         log.close()
         self.running[number] = process
         with trio.fail_after(20):
--- /dev/null
+++ b/tests/pairs/revisions.py
@@ -0,0 +1,11 @@
+"""Earlier revisions that the present program is played against, and what may differ."""
+
+from typing import NamedTuple
+
+
+class Earlier(NamedTuple):
+    revision: str
+    differs: str
+
+
+BEFORE_MEMBERSHIP = Earlier("d4ce5de", "nothing on the frames while membership is off: no decision changed")
--- /dev/null
+++ b/tests/pairs/test_versions.py
@@ -0,0 +1,80 @@
+"""The present program beside an earlier one: same decisions where nothing is on, and one fleet of both."""
+
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+import trio
+
+from hazelhold.config.day import Trouble
+from hazelhold.protocol.record import read_record
+from hazelhold.rehearse.run import play
+from tests.pairs.earlier import ROOT, NoHistoryError, program
+from tests.pairs.revisions import BEFORE_MEMBERSHIP, Earlier
+from tests.test_day import bad_day
+
+
+def played(python: str, folder: Path, day: Path, seed: int, records: Path) -> list[tuple]:
+    """All that crossed planners', machines' and owners' ends on a day in virtual time."""
+    done = subprocess.run(
+        [
+            python,
+            "-m",
+            "hazelhold",
+            "rehearse",
+            str(day),
+            "--virtual",
+            "--seed",
+            str(seed),
+            "--records",
+            str(records),
+        ],
+        cwd=folder,
+        capture_output=True,
+        text=True,
+        timeout=300,
+    )
+    assert done.returncode == 0, done.stderr[-2000:]
+    return [
+        (file.name, crossing)
+        for file in sorted((records / "records").glob("*.jsonl"))
+        if file.name != "rehearsal.jsonl"
+        for crossing in read_record(file)
+    ]
+
+
+@pytest.mark.parametrize("seed", [1, 2])
+def test_with_membership_off_the_frames_are_those_of_the_program_before_it(tmp_path: Path, seed: int) -> None:
+    day = ROOT / "examples" / "bad-day.json5"
+    python, folder = program(BEFORE_MEMBERSHIP)
+    before = played(python, folder, day, seed, tmp_path / "before")
+    now = played(sys.executable, ROOT, day, seed, tmp_path / "now")
+    assert len(before) > 5000
+    for one, other in zip(before, now, strict=True):
+        assert one == other
+
+
+def test_a_fleet_of_both_programs_under_faults_keeps_the_rules(tmp_path: Path) -> None:
+    """Planners 1 and 3 are of the program before; all share the machines, and two die and come back."""
+    old = program(BEFORE_MEMBERSHIP)
+    troubles = [
+        Trouble("planner_kill", 3, 2, which=1),
+        Trouble("planner_kill", 5, 2, which=0),
+        Trouble("crash", 4, 3, 0.2),
+        Trouble("answer_lost", 2, 6, 0.3, 0.3),
+        Trouble("planner_pause", 8, 1.5, which=2),
+        Trouble("planner_stop", 9, 1, which=3),
+        Trouble("list_down", 6, 4),
+    ]
+    day = bad_day(length_s=13.0, planners=4, troubles=troubles)
+    said = trio.run(lambda: play(day, 1, tmp_path, False, programs={1: old, 3: old}))
+    assert said["rules_broken"] == [] and said["unaccounted"] == []
+    assert said["counts"]["placed"] > 100
+    for number in range(4):
+        assert list((tmp_path / "records").glob(f"planner-planner-{number}-*.jsonl"))
+
+
+def test_a_revision_that_the_history_does_not_have_fails_with_that_word() -> None:
+    with pytest.raises(NoHistoryError, match="0123456789"):
+        program(Earlier("0123456789abcdef0123456789abcdef01234567", ""))
--- a/tests/test_audit.py
+++ b/tests/test_audit.py
@@ -154,6 +154,17 @@
     assert machine(down, "b", "started").end().broken() == []
 
 
+def test_an_end_that_is_first_told_in_a_roll_call_counts_from_then() -> None:
+    """A drain sent it away while its machine's connection was down: the list of guests tells of it."""
+    for state, broken in (("ended", []), ("runs", [2])):
+        tape = Tape().takes("g", "once").offers("g", "a", product="once")
+        machine(machine(tape, "a", "offer", product="once"), "a", "started")
+        stand = {"guest": "g", "ask": 0, "attempt": 0, "state": state, "how": "sent_away", "service": "s"}
+        tape.note("p", "out", "running", by="a", role="machine", guests=[stand])
+        machine(machine(tape, "b", "offer", product="once"), "b", "started")
+        assert [b.rule for b in Audit(tape.crossings).breaches() if b.rule == 2] == broken
+
+
 def test_a_machine_pushed_over_breaks_the_fourth_rule_and_a_crash_does_not() -> None:
     for what, rules in (("fell_over", [4]), ("down", [])):
         assert Tape().note("", "fact", "fact", by="a", role="machine", what=what).end().broken() == rules
