--- /dev/null
+++ b/hazelhold/replica/proposer.py
@@ -0,0 +1,209 @@
+"""Agrees on a key's value by majority of its replica set: a change function over the last value (CASPaxos;
+Rystsov 2018).
+
+Without I/O: `ask` and `hear` and `wake` in, `actions` out, times in microseconds of the host's own clock. A
+round prepares with a ballot of its own, takes the value that was accepted under the highest ballot among a
+majority's promises, applies the change and has a majority accept the result. A read accepts what it found:
+only then is it sure to be what a majority holds. No leader, no lease, no word on who is alive: time only
+decides when to try again and when to give up.
+
+Outcomes: `agreed` (the value now, which may be another's); `refused` with a reason, if no accept of this
+asking left: it is as if it had never been; `open` if one did: its value may be chosen yet by whoever comes
+next.
+"""
+
+from collections import deque
+from collections.abc import Iterable
+from heapq import heappop, heappush
+from random import Random
+from typing import NamedTuple
+
+from hazelhold.replica import words as w
+
+
+class Once(NamedTuple):
+    """Write-once: takes an empty key, and keeps what is there otherwise."""
+
+    value: bytes
+
+    def __call__(self, last: bytes) -> bytes:
+        return last or self.value
+
+
+class Swap(NamedTuple):
+    """Compare-and-set: `value` if what is there is `expect`, else what is there."""
+
+    expect: bytes
+    value: bytes
+
+    def __call__(self, last: bytes) -> bytes:
+        return self.value if last == self.expect else last
+
+
+class Read(NamedTuple):
+    def __call__(self, last: bytes) -> bytes:
+        return last
+
+
+class Send(NamedTuple):
+    to: str
+    word: w.Prepare | w.Accept
+
+
+class Done(NamedTuple):
+    """`asked` is the number that `ask` gave. `changed`: the value is there by this asking."""
+
+    asked: int
+    key: str
+    outcome: str
+    value: bytes
+    reason: str = ""
+
+
+class Times(NamedTuple):
+    round_most: int = 300_000  # how long a round waits for a majority
+    pause: int = 20_000  # the first pause after a lost ballot; drawn up to twice as long each time
+    pause_most: int = 500_000
+
+
+class Op:
+    """One asking under way."""
+
+    __slots__ = (
+        "no",
+        "key",
+        "change",
+        "deadline",
+        "replicas",
+        "ballot",
+        "phase",
+        "promises",
+        "accepts",
+        "refusals",
+        "value",
+        "exposed",
+        "tries",
+        "reason",
+    )
+
+    def __init__(
+        self, no: int, key: str, change: Once | Swap | Read, deadline: int, replicas: tuple[str, ...]
+    ) -> None:
+        self.no, self.key, self.change, self.deadline, self.replicas = no, key, change, deadline, replicas
+        self.ballot = w.NONE
+        self.phase = "wait"
+        self.promises: dict[str, w.Promise] = {}
+        self.accepts: set[str] = set()
+        self.refusals: dict[str, w.Refused] = {}
+        self.value = b""
+        self.exposed = False  # an accept left: what it carried may be chosen
+        self.tries = 0
+        self.reason = "no_majority"
+
+
+class Proposer:
+    """One process's askings. `process` is a name that no other process ever has."""
+
+    def __init__(self, process: str, epoch: int, seed: int, times: Times = Times()) -> None:  # noqa: B008
+        self.process, self.epoch, self.times = process, epoch, times
+        self.random = Random(f"proposer/{seed}")
+        self.actions: list[Send | Done] = []
+        self.ops: dict[str, Op] = {}  # by key: one at a time
+        self.waiting: dict[str, deque[Op]] = {}  # behind it; emptied as they end
+        self.timers: list[tuple[int, int, Op, int]] = []
+        self.highest = 0  # number of any ballot seen
+        self.number = 0
+
+    def ask(
+        self, now: int, key: str, change: Once | Swap | Read, replicas: Iterable[str], deadline: int
+    ) -> int:
+        """Begins an asking; its Done follows, by `deadline` at the latest if `wake` is called in time."""
+        self.number += 1
+        op = Op(self.number, key, change, deadline, tuple(replicas))
+        if key in self.ops:
+            self.waiting.setdefault(key, deque()).append(op)
+        else:
+            self._begin(now, op)
+        self._at(deadline, op, -1)
+        return op.no
+
+    def next_at(self) -> int | None:
+        return self.timers[0][0] if self.timers else None
+
+    def wake(self, now: int) -> None:
+        while self.timers and self.timers[0][0] <= now:
+            _, _, op, tries = heappop(self.timers)
+            if op.phase == "over":
+                continue
+            if tries < 0:
+                self._end(now, op, "open" if op.exposed else "refused", b"", op.reason)
+            elif tries == op.tries and self.ops.get(op.key) is op:
+                self._round(now, op)
+
+    def hear(self, now: int, sender: str, word: w.Word) -> None:
+        """An acceptor's answer. What belongs to no ballot under way does nothing."""
+        op = self.ops.get(word.key)
+        if isinstance(word, w.Refused):
+            self.highest = max(self.highest, word.higher.number)
+        if op is None or word.ballot != op.ballot or sender not in op.replicas or word.epoch != self.epoch:
+            return
+        if isinstance(word, w.Promise) and op.phase == "prepare":
+            op.promises[sender] = word
+            if self._majority(op, op.promises):
+                self._accept(op)
+        elif isinstance(word, w.Accepted) and op.phase == "accept":
+            op.accepts.add(sender)
+            if self._majority(op, op.accepts):
+                self._end(now, op, "agreed", op.value)
+        elif isinstance(word, w.Refused):
+            self._refused(now, op, sender, word)
+
+    def _majority(self, op: Op, found: Iterable[str]) -> bool:
+        return 2 * len(list(found)) > len(op.replicas)
+
+    def _at(self, when: int, op: Op, tries: int) -> None:
+        heappush(self.timers, (when, self.random.getrandbits(60), op, tries))
+
+    def _begin(self, now: int, op: Op) -> None:
+        self.ops[op.key] = op
+        self._round(now, op)
+
+    def _round(self, now: int, op: Op) -> None:
+        self.highest += 1
+        op.ballot, op.phase, op.tries = w.Ballot(self.highest, self.process), "prepare", op.tries + 1
+        op.promises, op.accepts, op.refusals = {}, set(), {}
+        for replica in op.replicas:
+            self.actions.append(Send(replica, w.Prepare(op.key, self.epoch, op.ballot)))
+        self._at(now + self.times.round_most, op, op.tries)
+
+    def _accept(self, op: Op) -> None:
+        last = max(op.promises.values(), key=lambda p: p.accepted)
+        op.value, op.phase, op.exposed = op.change(last.value), "accept", True
+        for replica in op.replicas:
+            self.actions.append(Send(replica, w.Accept(op.key, self.epoch, op.ballot, op.value)))
+
+    def _refused(self, now: int, op: Op, sender: str, word: w.Refused) -> None:
+        op.refusals[sender] = word
+        if 2 * len(op.refusals) < len(op.replicas):
+            return  # the others may still be a majority
+        whys = {r.why for r in op.refusals.values()}
+        op.reason = "old_epoch" if "epoch" in whys else "no_votes" if whys == {"no_vote"} else "contended"
+        if op.reason == "old_epoch" and max(r.now for r in op.refusals.values()) > self.epoch:
+            self._end(now, op, "open" if op.exposed else "refused", b"", op.reason)
+            return
+        op.phase, op.ballot = "wait", w.NONE
+        most = min(self.times.pause * 2 ** min(op.tries, 10), self.times.pause_most)
+        self._at(now + self.random.randint(self.times.pause // 2, most), op, op.tries)
+
+    def _end(self, now: int, op: Op, outcome: str, value: bytes, reason: str = "") -> None:
+        op.phase = "over"
+        self.actions.append(Done(op.no, op.key, outcome, value, "" if outcome == "agreed" else reason))
+        queue = self.waiting.get(op.key)
+        if self.ops.get(op.key) is op:
+            del self.ops[op.key]
+            while queue:
+                if (after := queue.popleft()).phase != "over":
+                    self._begin(now, after)
+                    break
+        if not queue:
+            self.waiting.pop(op.key, None)
--- /dev/null
+++ b/hazelhold/replica/sets.py
@@ -0,0 +1,36 @@
+"""Which planners keep a key: from the configured set and its epoch alone, never from who is thought alive.
+
+Rendezvous hashing (Thaler, Ravishankar 1998): each planner's draw for a key is the hash of both; the
+highest draws keep it, zones in turn so that no zone has two while another has none. A planner that is added
+or removed moves its own share of keys and no others.
+"""
+
+from collections.abc import Sequence
+from typing import NamedTuple
+
+import xxhash
+
+
+class Keeper(NamedTuple):
+    """A planner of the configured set."""
+
+    name: str
+    zone: str = ""
+
+
+def draw(key: str, name: str) -> int:
+    return xxhash.xxh3_64_intdigest(f"{len(key)}/{key}/{name}".encode())
+
+
+def replicas(key: str, planners: Sequence[Keeper], count: int) -> tuple[str, ...]:
+    """The planners that keep the key, the same for everyone with the same set; all of them if there are too
+    few."""
+    order = sorted(planners, key=lambda p: (-draw(key, p.name), p.name))
+    found: list[Keeper] = []
+    while order and len(found) < count:
+        used = {zone: sum(p.zone == zone for p in found) for zone in {p.zone for p in order}}
+        least = min(used.values())
+        chosen = next(p for p in order if used[p.zone] == least)
+        order.remove(chosen)
+        found.append(chosen)
+    return tuple(p.name for p in found)
