--- /dev/null
+++ b/tests/test_replica.py
@@ -0,0 +1,439 @@
+"""Agreed values: every order of messages among three acceptors and two proposers, and proof that the search
+finds faults."""
+
+import copy
+from collections.abc import Callable
+from random import Random
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from hazelhold.audit.history import NEVER, Call, linearizable
+from hazelhold.replica import words as w
+from hazelhold.replica.acceptor import Acceptor, Cell
+from hazelhold.replica.proposer import Done, Once, Proposer, Read, Send, Swap
+from hazelhold.replica.sets import Keeper, replicas
+
+NAMES = ("a", "b", "c")
+FAR = 10**12
+
+
+class Space:
+    """All states that three acceptors and two proposers reach, one after another; each message comes, comes
+    late (after any others) or never. `most` bounds each proposer's ballots; `restarts` how many acceptors
+    restart, and `disk` whether with what they kept."""
+
+    def __init__(
+        self,
+        acceptor: type = Acceptor,
+        proposer: type = Proposer,
+        most: tuple[int, int] = (2, 1),
+        restarts: int = 0,
+        disk: bool = True,
+        votes_after: bool = False,
+    ) -> None:
+        self.acceptor, self.most, self.restarts, self.disk, self.votes_after = (
+            acceptor,
+            most,
+            restarts,
+            disk,
+            votes_after,
+        )
+        self.acceptors = {name: acceptor(1, True) for name in NAMES}
+        self.proposers = [proposer(f"p{n}/1", 1, n) for n in range(2)]
+        self.flying: frozenset[tuple] = frozenset()
+        self.done: tuple[tuple[int, str, bytes], ...] = ()
+        self.votes: frozenset[tuple] = frozenset()  # every accept that any acceptor ever made
+        for number, proposer_ in enumerate(self.proposers):
+            proposer_.ask(0, "k", Once(b"v%d" % number), NAMES, FAR)
+            self.collect(number)
+
+    def collect(self, number: int) -> None:
+        proposer = self.proposers[number]
+        for action in proposer.actions:
+            if isinstance(action, Send):
+                self.flying |= {(number, action.to, action.word)}
+            else:
+                self.done += ((number, action.outcome, action.value),)
+        proposer.actions = []
+
+    def key(self) -> tuple:
+        """The same for states that differ in the names of the acceptors alone."""
+        ops = [p.ops.get("k") for p in self.proposers]
+        by_acceptor = sorted(repr((
+            a.voting, a.cells.get("k"), sorted((f[0], repr(f[2])) for f in self.flying if f[1] == name),
+            [(name in op.promises and op.promises[name], name in op.accepts, name in op.refusals)
+             for op in ops if op], sorted(repr(v[1:]) for v in self.votes if v[0] == name)))
+            for name, a in self.acceptors.items())
+        own = [(op.phase, op.ballot, op.tries, op.value) if op else p.highest
+               for op, p in zip(ops, self.proposers, strict=True)]
+        return tuple(by_acceptor), repr(own), self.done, self.restarts
+
+    def moves(self) -> list[Callable[["Space"], None]]:
+        found: list[Callable[[Space], None]] = []
+        for item in self.flying:
+            found += [lambda s, item=item: s.deliver(item, True), lambda s, item=item: s.deliver(item, False)]
+        for number, proposer in enumerate(self.proposers):
+            op = proposer.ops.get("k")
+            if op is not None and op.tries < self.most[number] and (op.phase == "wait" or op.tries):
+                found.append(lambda s, number=number: s.again(number))
+        if self.restarts:
+            found += [lambda s, name=name: s.restart(name) for name in NAMES]
+        return found
+
+    def deliver(self, item: tuple, answered: bool) -> None:
+        """A request comes, and its answer at once or never. An answer that comes later changes nothing that a
+        later coming of what follows from it does not: so all orders are here."""
+        number, name, word = item
+        self.flying -= {item}
+        answer, _ = self.acceptors[name].hear(word)
+        if isinstance(answer, w.Accepted):
+            self.votes |= {(name, word.ballot, word.value)}
+        if answered:
+            self.proposers[number].hear(1, name, answer)
+            self.collect(number)
+
+    def again(self, number: int) -> None:
+        """The round's time is over, or the pause after a refusal."""
+        op = self.proposers[number].ops["k"]
+        self.proposers[number]._round(1, op)
+        self.collect(number)
+
+    def restart(self, name: str) -> None:
+        self.restarts -= 1
+        if not self.disk:
+            self.acceptors[name] = self.acceptor(1, self.votes_after)
+
+    def chosen(self) -> set[bytes]:
+        by: dict[tuple, set[str]] = {}
+        for name, ballot, value in self.votes:
+            by.setdefault((ballot, value), set()).add(name)
+        return {value for (_, value), who in by.items() if 2 * len(who) > len(NAMES)}
+
+    def check(self) -> None:
+        agreed = {value for _, outcome, value in self.done if outcome == "agreed"}
+        assert len(self.chosen()) <= 1, f"two values chosen: {self.chosen()}"
+        assert len(agreed) <= 1 and agreed <= self.chosen(), "told what no majority accepted"
+
+    def clone(self) -> "Space":
+        made = copy.copy(self)
+        made.acceptors = {}
+        for name, acceptor in self.acceptors.items():
+            made.acceptors[name] = copy.copy(acceptor)
+            made.acceptors[name].cells = dict(acceptor.cells)
+        made.proposers = []
+        for proposer in self.proposers:
+            new = copy.copy(proposer)
+            new.ops, new.timers, new.actions = {}, [], []
+            for at, op in proposer.ops.items():
+                new.ops[at] = copy.copy(op)
+                new.ops[at].promises = dict(op.promises)
+                new.ops[at].accepts, new.ops[at].refusals = set(op.accepts), dict(op.refusals)
+            made.proposers.append(new)
+        return made
+
+
+def search(start: Space, bound: int) -> tuple[int, set[frozenset]]:
+    """Goes through all states; how many, and which sets of values were told at their ends."""
+    seen, stack, ends = {start.key()}, [start], set()
+    while stack:
+        state = stack.pop()
+        state.check()
+        moves = state.moves()
+        if not moves:
+            ends.add(frozenset(v for _, o, v in state.done if o == "agreed"))
+        for move in moves:
+            after = state.clone()
+            move(after)
+            key = after.key()
+            if key not in seen:
+                seen.add(key)
+                stack.append(after)
+                assert len(seen) <= bound, "more states than stated"
+    return len(seen), ends
+
+
+def walk(make: Callable[[], Space], walks: int, seed: int = 1) -> None:
+    """Drawn paths through a space that is too large to go through."""
+    random = Random(seed)
+    for _ in range(walks):
+        state = make()
+        while moves := state.moves():
+            random.choice(moves)(state)
+            state.check()
+
+
+def test_every_order_of_one_ballot_each_agrees_on_one_value() -> None:
+    states, ends = search(Space(most=(1, 1)), 60_000)
+    assert states > 1000
+    assert ends >= {frozenset({b"v0"}), frozenset({b"v1"})}
+
+
+@pytest.mark.parametrize(("restarts", "disk"), [(0, True), (2, True), (1, False)])
+def test_drawn_orders_with_more_ballots_and_restarts_agree(restarts: int, disk: bool) -> None:
+    walk(lambda: Space(most=(4, 4), restarts=restarts, disk=disk), 600)
+
+
+class Forgets(Acceptor):
+    """Does not keep what it promised."""
+
+    def hear(self, word: w.Prepare | w.Accept) -> tuple[w.Word, object]:
+        before = self.cells.get(word.key, Cell())
+        said = super().hear(word)
+        if isinstance(word, w.Prepare) and word.key in self.cells:
+            self.cells[word.key] = before
+        return said
+
+
+class TakesAny(Proposer):
+    """Proposes its own value whatever was accepted before."""
+
+    def _accept(self, op: object) -> None:
+        op.promises = {s: w.Promise(p.key, p.epoch, p.ballot, w.NONE, b"") for s, p in op.promises.items()}
+        super()._accept(op)
+
+
+class TakesLast(Proposer):
+    """Takes the value of whoever answered last, not of the highest ballot."""
+
+    def _accept(self, op: object) -> None:
+        last = list(op.promises.values())[-1]
+        op.promises = {"x": last}
+        super()._accept(op)
+
+
+class HalfIsEnough(Proposer):
+    def _majority(self, op: object, found: object) -> bool:
+        return 2 * len(list(found)) >= len(op.replicas) - 1
+
+
+@pytest.mark.parametrize(
+    "how",
+    [
+        pytest.param({"acceptor": Forgets}, id="forgets-a-promise"),
+        pytest.param({"proposer": TakesAny}, id="overwrites"),
+        pytest.param({"proposer": TakesLast}, id="takes-the-last-heard"),
+        pytest.param({"proposer": HalfIsEnough}, id="no-majority"),
+        pytest.param({"restarts": 1, "disk": False, "votes_after": True}, id="counts-a-diskless-one"),
+    ],
+)
+def test_each_safety_argument_taken_away_is_caught(how: dict) -> None:
+    with pytest.raises(AssertionError, match="two values|no majority"):
+        walk(lambda: Space(most=(3, 3), **how), 5000)
+
+
+def test_an_old_epoch_and_one_without_its_disk_are_refused_by_name() -> None:
+    acceptor = Acceptor(2, True)
+    word = w.Prepare("k", 1, w.Ballot(1, "p"))
+    answer, change = acceptor.hear(word)
+    assert (answer.why, answer.now, change) == ("epoch", 2, None)
+    blank = Acceptor(1, False)
+    assert blank.hear(word)[0].why == "no_vote" and not blank.cells
+
+
+# One proposer's face: outcomes, waiting, giving up.
+
+
+def table(
+    proposer: Proposer, acceptors: dict[str, Acceptor], now: int = 1, deaf: tuple[str, ...] = ()
+) -> list[Done]:
+    """Carries everything until nothing is left; what was told."""
+    found: list[Done] = []
+    while proposer.actions:
+        actions, proposer.actions = proposer.actions, []
+        for action in actions:
+            if isinstance(action, Done):
+                found.append(action)
+            elif action.to not in deaf:
+                answer, _ = acceptors[action.to].hear(action.word)
+                proposer.hear(now, action.to, answer)
+    return found
+
+
+def test_once_swap_and_read_in_turn() -> None:
+    acceptors = {n: Acceptor(1, True) for n in NAMES}
+    one, two = Proposer("p/1", 1, 1), Proposer("q/1", 1, 2)
+    one.ask(0, "k", Once(b"x"), NAMES, FAR)
+    one.ask(0, "k", Swap(b"x", b"y"), NAMES, FAR)
+    one.ask(0, "k", Read(), NAMES, FAR)
+    assert [(d.outcome, d.value) for d in table(one, acceptors)] == [
+        ("agreed", b"x"),
+        ("agreed", b"y"),
+        ("agreed", b"y"),
+    ]
+    assert not one.ops and not one.waiting
+    two.ask(0, "k", Once(b"z"), NAMES, FAR)
+    table(two, acceptors)
+    two.wake(two.next_at())  # its ballot was below the last: it tries above it
+    assert [d.value for d in table(two, acceptors)] == [b"y"]
+
+
+@pytest.mark.parametrize(("deaf", "outcome"), [(("a",), "agreed"), (("a", "b"), "refused")])
+def test_without_a_majority_nothing_is_promised_and_the_asker_is_told(deaf: tuple, outcome: str) -> None:
+    acceptors = {n: Acceptor(1, True) for n in NAMES}
+    proposer = Proposer("p/1", 1, 1)
+    proposer.ask(0, "k", Once(b"x"), NAMES, 2_000_000)
+    found = table(proposer, acceptors, deaf=deaf)
+    while not found and proposer.next_at() is not None:
+        now = proposer.next_at()
+        proposer.wake(now)
+        found = table(proposer, acceptors, now, deaf)
+    assert found[0].outcome == outcome and (outcome == "agreed" or found[0].reason == "no_majority")
+    assert not proposer.ops
+
+
+def test_an_accept_that_left_without_answers_is_open_not_refused() -> None:
+    acceptors = {n: Acceptor(1, True) for n in NAMES}
+    proposer = Proposer("p/1", 1, 1)
+    proposer.ask(0, "k", Once(b"x"), NAMES, 100_000)
+    for action in [a for a in proposer.actions if isinstance(a, Send)]:
+        proposer.hear(1, action.to, acceptors[action.to].hear(action.word)[0])
+    proposer.actions = []  # its accepts are lost, or their answers are
+    proposer.wake(100_000)
+    assert [(a.outcome, a.value) for a in proposer.actions] == [("open", b"")]
+
+
+def test_votes_of_blank_members_do_not_make_a_majority() -> None:
+    acceptors = {"a": Acceptor(1, True), "b": Acceptor(1, False), "c": Acceptor(1, False)}
+    proposer = Proposer("p/1", 1, 1)
+    proposer.ask(0, "k", Once(b"x"), NAMES, 1_000_000)
+    found, now = table(proposer, acceptors), 0
+    while not found:
+        now = max(now, proposer.next_at())
+        proposer.wake(now)
+        found = table(proposer, acceptors, now)
+    assert (found[0].outcome, found[0].reason) == ("refused", "no_votes")
+
+
+# Sets.
+
+
+def test_a_key_keeps_its_planners_when_others_come_and_go_and_spreads_over_zones() -> None:
+    fleet = [Keeper(f"p{n}", f"z{n % 3}") for n in range(16)]
+    before = {f"k{n}": replicas(f"k{n}", fleet, 3) for n in range(2000)}
+    assert all(
+        len({next(p.zone for p in fleet if p.name == name) for name in found}) == 3
+        for found in before.values()
+    )
+    counts = [sum(p.name in found for found in before.values()) for p in fleet]
+    assert min(counts) > 0.7 * 6000 / 16 and max(counts) < 1.4 * 6000 / 16
+    shrunk = [p for p in fleet if p.name != "p5"]
+    for key, found in before.items():
+        assert ("p5" in found) or replicas(key, shrunk, 3) == found
+    assert set(replicas("k", fleet[:2], 3)) == {"p0", "p1"}
+
+
+# The checker of histories, itself checked.
+
+
+def call(kind: str, *given_: object, gives: object = None, at: tuple[int, int] = (0, NEVER)) -> Call:
+    return Call(kind, given_, gives, *at)
+
+
+GOOD = [
+    [call("once", b"x", gives=b"x", at=(0, 5)), call("read", gives=b"x", at=(6, 7))],
+    [call("once", b"x", gives=b"x", at=(0, 9)), call("read", gives=b"", at=(1, 2))],
+    [call("once", b"x"), call("read", gives=b"", at=(3, 4)), call("read", gives=b"x", at=(5, 6))],
+    [call("once", b"x", gives=b"y", at=(0, 9)), call("once", b"y", gives=b"y", at=(0, 9))],
+    [
+        call("once", b"x"),
+        call("swap", b"x", b"z", gives=b"z", at=(4, 8)),
+        call("read", gives=b"z", at=(9, 10)),
+    ],
+]
+BAD = [
+    [call("once", b"x", gives=b"x", at=(0, 5)), call("read", gives=b"", at=(6, 7))],
+    [call("once", b"x", gives=b"x", at=(0, 9)), call("once", b"y", gives=b"y", at=(0, 9))],
+    [call("once", b"x"), call("read", gives=b"x", at=(3, 4)), call("read", gives=b"", at=(5, 6))],
+    [call("read", gives=b"x", at=(0, 1)), call("once", b"x", gives=b"x", at=(2, 3))],
+    [call("once", b"x", gives=b"x", at=(0, 1)), call("swap", b"y", b"z", gives=b"z", at=(2, 3))],
+]
+
+
+@pytest.mark.parametrize("calls", GOOD)
+def test_a_history_that_has_an_order_is_found_to_have_one(calls: list[Call]) -> None:
+    assert linearizable(calls)
+
+
+@pytest.mark.parametrize("calls", BAD)
+def test_a_history_without_an_order_is_found_out(calls: list[Call]) -> None:
+    assert not linearizable(calls)
+
+
+def played(seed: int, proposer: type = Proposer, acceptor: type = Acceptor) -> list[Call]:
+    """What clients of three proposers saw, with messages lost and late and acceptors that restart."""
+    random = Random(seed)
+    acceptors = {n: acceptor(1, True) for n in NAMES}
+    proposers = [proposer(f"p{n}/1", 1, seed * 10 + n) for n in range(3)]
+    calls: list[Call] = []
+    asked: dict[tuple[int, int], tuple[str, tuple, int]] = {}
+    events: list[tuple[int, int, Callable[..., None], tuple]] = []
+    now, number = 0, 0
+
+    def later(after: int, do: Callable[..., None], *given_: object) -> None:
+        nonlocal number
+        number += 1
+        events.append((now + after, number, do, given_))
+
+    def ask(at: int) -> None:
+        kind = random.choice(["once", "swap", "read"])
+        given_ = {
+            "once": (random.choice([b"x", b"y"]),),
+            "read": (),
+            "swap": (random.choice([b"x", b"y", b"z"]), random.choice([b"x", b"y", b"z"])),
+        }[kind]
+        change = {"once": Once, "swap": Swap, "read": Read}[kind](*given_)
+        no = proposers[at].ask(now, "k", change, NAMES, now + 400_000)
+        asked[at, no] = kind, given_, now
+        carry(at)
+
+    def carry(at: int) -> None:
+        actions, proposers[at].actions = proposers[at].actions, []
+        for action in actions:
+            if isinstance(action, Done):
+                kind, given_, begin = asked.pop((at, action.asked))
+                if action.outcome == "agreed":
+                    calls.append(Call(kind, given_, action.value, begin, now))
+                elif action.outcome == "open":
+                    calls.append(Call(kind, given_, None, begin))
+            else:
+                for _ in range(random.choice([0, 1, 1, 1, 1, 2])):
+                    later(random.randint(100, 60_000), arrive, at, action)
+
+    def arrive(at: int, action: Send) -> None:
+        answer, _ = acceptors[action.to].hear(action.word)
+        for _ in range(random.choice([0, 1, 1, 1, 1, 2])):
+            later(random.randint(100, 60_000), answered, at, action.to, answer)
+
+    def answered(at: int, name: str, answer: w.Word) -> None:
+        proposers[at].hear(now, name, answer)
+        carry(at)
+
+    def tick() -> None:
+        for at, each in enumerate(proposers):
+            each.wake(now)
+            carry(at)
+
+    for n in range(12):
+        later(random.randint(0, 800_000), ask, n % 3)
+    for n in range(300):
+        later(n * 5000, tick)
+    while events:
+        events.sort(key=lambda e: e[:2])
+        now, _, do, given_ = events.pop(0)
+        do(*given_)
+    assert not asked, "an asking was never answered"
+    return calls
+
+
+@settings(max_examples=60, deadline=None)
+@given(st.integers(0, 10**6))
+def test_what_clients_see_amid_losses_doubles_and_delays_is_linearizable(seed: int) -> None:
+    calls = played(seed)
+    assert linearizable(calls)
+
+
+def test_the_checker_catches_registers_that_are_broken() -> None:
+    for broken in ({"proposer": TakesAny}, {"acceptor": Forgets}, {"proposer": HalfIsEnough}):
+        assert not all(linearizable(played(seed, **broken)) for seed in range(300)), broken
