Engine split by concern; the circle between engine and keep is cut

Need: the hook for copies goes where the engine and keep.py imported each other. cases (plain data) <- tables (what an engine knows) <- dispatches <- owners, links <- engine; keep reads tables and is known to them by what it must do (`Marks`) alone. Methods moved as they were, none changed.

--- a/hazelhold/emulate/fleet.py
+++ b/hazelhold/emulate/fleet.py
@@ -19,7 +19,8 @@
 from hazelhold.config.load import ConfigError
 from hazelhold.config.planner import LimitSheet, ListSheet, PlannerSheet, micros
 from hazelhold.emulate.clock import Clock
-from hazelhold.engine.engine import AskList, Dial, Engine, HangUp, Lost, Send
+from hazelhold.engine.cases import AskList, Dial, HangUp, Lost, Send
+from hazelhold.engine.engine import Engine
 from hazelhold.model.owners import OwnerModel
 from hazelhold.protocol import messages as m
 from hazelhold.protocol.record import Crossing
--- a/hazelhold/emulate/town.py
+++ b/hazelhold/emulate/town.py
@@ -17,8 +17,9 @@
 from hazelhold.config.planner import PlannerSheet
 from hazelhold.emulate.clock import Clock
 from hazelhold.engine.advice import Doorman
-from hazelhold.engine.engine import AskList, Dial, Engine
-from hazelhold.engine.engine import Send as Say
+from hazelhold.engine.cases import AskList, Dial
+from hazelhold.engine.cases import Send as Say
+from hazelhold.engine.engine import Engine
 from hazelhold.protocol import messages as m
 
 SECOND = 1_000_000
--- a/hazelhold/engine/keep.py
+++ b/hazelhold/engine/keep.py
@@ -6,14 +6,12 @@
 zero of the engine's clock.
 """
 
-from __future__ import annotations
-
-from typing import TYPE_CHECKING
-
 import msgspec
 from msgspec.structs import replace
 
 from hazelhold.config.planner import micros
+from hazelhold.engine.cases import Case, Loose
+from hazelhold.engine.tables import Tables
 from hazelhold.interface import Earlier, Effect, Learned, Mode
 from hazelhold.protocol import messages as m
 from hazelhold.state.images import (
@@ -30,9 +28,6 @@
 )
 from hazelhold.state.ledger import Ledger
 
-if TYPE_CHECKING:
-    from hazelhold.engine.engine import Case, Engine
-
 ANSWERS = msgspec.msgpack.Decoder(m.Placed | m.TurnedBack | m.BrokenOff)
 
 
@@ -58,7 +53,7 @@
                 self.entries[entry.machine] = entry
         self.marks["list", ""] = None
 
-    def flush(self, engine: Engine, now: int) -> list[Change]:
+    def flush(self, engine: Tables, now: int) -> list[Change]:
         """The images of all that has changed since the last flush."""
         marks, self.marks = self.marks, {}
         changes = []
@@ -68,11 +63,11 @@
                 changes.append(change)
         return changes
 
-    def _guest(self, engine: Engine, now: int, name: str) -> Change:
+    def _guest(self, engine: Tables, now: int, name: str) -> Change:
         case = engine.cases.get(name)
         return put("guest", name, self.image(engine, case)) if case else drop("guest", name)
 
-    def image(self, engine: Engine, case: Case) -> GuestImage:
+    def image(self, engine: Tables, case: Case) -> GuestImage:
         s, known = case.submit, engine.brain.guests.get(case.name)
         unsure = known.window_ends - known.product.window if known and known.may_run else 0
         sent = case.machine if case.sent else ""  # an offer that waits for its link has not left
@@ -83,7 +78,7 @@
             self.wall(case.sent_at) if sent else 0, self.wall(case.due_at) if sent else 0, case.placed,
             case.cancelled, self.wall(unsure), case.unsure if unsure else "")
 
-    def _loose(self, engine: Engine, now: int, key: str) -> Change:
+    def _loose(self, engine: Tables, now: int, key: str) -> Change:
         guest, _, machine = key.partition("\0")
         loose = engine.loose.get(guest, {}).get(machine)
         if loose is None:
@@ -92,25 +87,25 @@
         return put("loose", key, LooseImage(image, machine, loose.attempt, self.wall(loose.sent_at),
                                             loose.stands))
 
-    def _answer(self, engine: Engine, now: int, key: str) -> Change | None:
+    def _answer(self, engine: Tables, now: int, key: str) -> Change | None:
         guest, _, ask = key.partition("\0")
         kept = engine.answers.get((guest, int(ask)))
         if kept is None:
             return drop("answer", key)
         return put("answer", key, AnswerImage(guest, int(ask), m.ENCODER.encode(kept[0])), self.wall(kept[1]))
 
-    def _end(self, engine: Engine, now: int, guest: str) -> Change:
+    def _end(self, engine: Tables, now: int, guest: str) -> Change:
         kept = engine.ends.get(guest)
         return put("end", guest, EndImage(guest, kept[0]), self.wall(kept[1])) if kept else drop("end", guest)
 
-    def _cold(self, engine: Engine, now: int, machine: str) -> Change | None:
+    def _cold(self, engine: Tables, now: int, machine: str) -> Change | None:
         host, window = engine.brain.machines.get(machine), 2 * engine.facts.cold_window
         if host is None:
             return None
         times = tuple(self.wall(at) for at in host.offers if at > now - window)
         return put("cold", machine, ColdImage(machine, times), self.wall(now + window))
 
-    def _list(self, engine: Engine, now: int, key: str) -> Change | None:
+    def _list(self, engine: Tables, now: int, key: str) -> Change | None:
         """Rooms change all the time: they alone are worth no image."""
         alike = tuple((e.machine, e.address, e.mode, e.incarnation) for e in self.entries.values())
         if alike == self.list_image:
@@ -123,18 +118,16 @@
             entries.append(replace(entry, up_for=up))
         return put("list", "", ListImage(engine.list_version, self.wall(now), entries))
 
-    def learned(self, engine: Engine) -> Change:
+    def learned(self, engine: Tables) -> Change:
         return put("learned", "", LearnedImage(self.epoch, engine.brain.learned()))
 
 
-def recover(engine: Engine, now: int, ledger: Ledger, complete: bool) -> dict[str, int]:
+def recover(engine: Tables, now: int, ledger: Ledger, complete: bool) -> dict[str, int]:
     """Brings a new engine to where the images left off; returns counts of what was found.
 
     Patience goes on while nobody is there. What had left for a machine is out until that machine speaks. If
     something may be missing, every held guest whose second run could do harm counts as one that may run.
     """
-    from hazelhold.engine.engine import Loose
-
     keeping, counts = engine.keeping, ledger.sizes()
     epoch = keeping.epoch
     engine.sure = complete
@@ -188,9 +181,7 @@
                                    avoid_until=at(h.avoid_until)) for name, h in past.machines.items()})
 
 
-def case_of(engine: Engine, image: GuestImage) -> Case:
-    from hazelhold.engine.engine import Case
-
+def case_of(engine: Tables, image: GuestImage) -> Case:
     submit = m.Submit(guest=image.guest, ask=image.ask, product=image.product, service=image.service,
                       cores=image.cores, memory=image.memory, patience=0, customer=image.customer,
                       life=image.life)
@@ -199,7 +190,7 @@
                 incarnation=image.incarnation, unsure=image.unsure_machine)
 
 
-def _recover_case(engine: Engine, now: int, image: GuestImage, epoch: int, complete: bool) -> None:
+def _recover_case(engine: Tables, now: int, image: GuestImage, epoch: int, complete: bool) -> None:
     case = case_of(engine, image)
     engine.cases[case.name] = engine.newest[case.guest] = case
     patience = max(0, image.deadline - epoch - now) if image.deadline else 0
--- /dev/null
+++ b/hazelhold/engine/links.py
@@ -0,0 +1,411 @@
+"""The list and the connections to machines: who is there, what they say, what their silence means."""
+
+from hazelhold.config.planner import micros
+from hazelhold.engine.cases import Case, HangUp, Loose, Lost
+from hazelhold.engine.dispatches import Dispatches
+from hazelhold.engine.machines import Link
+from hazelhold.interface import Ending, Load, Remark
+from hazelhold.protocol import messages as m
+
+ENDINGS = {"done": (Ending.DONE, Remark.NONE), "error": (Ending.ERROR, Remark.NONE),
+           "evicted": (Ending.CUT_OFF, Remark.EVICTED), "pushed_out": (Ending.CUT_OFF, Remark.PUSHED_OUT),
+           "sent_away": (Ending.CUT_OFF, Remark.SENT_AWAY), "stopped": (Ending.CALLED_OFF, Remark.NONE),
+           "withdrawn": (Ending.TURNED_BACK, Remark.NONE), "not_sent": (Ending.NOT_SENT, Remark.NONE)}
+REMARKS = {"no_cores": Remark.NO_CORES, "no_memory": Remark.NO_MEMORY, "line_full": Remark.LINE_FULL,
+           "not_here": Remark.NOT_HERE}
+
+
+class Links(Dispatches):
+    """The machines' side of an engine."""
+
+    def list_said(self, now: int, message: m.Message) -> None:
+        """A Listing or ListRefused of the list service."""
+        self.list_due = 0
+        if not isinstance(message, m.Listing):
+            self.list_failed(now)
+            return
+        first, self.list_heard = not self.list_heard, True
+        self.list_version = message.version
+        news = self.roster.learn(now, message)
+        if self.keeping is not None:
+            self.keeping.told(message)
+        self.counts["list_entries"] += len(message.entries)
+        self.counts["list_faults"] += len(news.faults)
+        self.brain.machines_listed(now, news.listed, message.whole)
+        for name in news.closed:  # what has not left may not go there any more
+            if link := self.links.get(name):
+                for case_name in list(link.queue):
+                    self._not_sent(now, self.cases[case_name], Ending.NOT_SENT)
+        for name in news.moved:
+            if name in self.links:
+                self.actions.append(HangUp(name))
+                self._link_lost(now, self.links[name])
+        for name in news.gone:
+            self.unheard.discard(name)
+            if (link := self.links.get(name)) and (not link.state == "up" or not self.peers.rolls
+                                                   and not link.holds):
+                if link.state == "up":
+                    self.actions.append(HangUp(name))
+                    link.state = "down"
+                self._forget_machine(now, link)
+        if not self.peers.rolls:
+            for name in news.fresh:
+                if link := self.links.get(name):
+                    self._new_life(now, link, self.roster.fellows[name].started)
+            return
+        if first:
+            self.unheard = {f.name for f in self.roster.fellows.values()}
+        for name in news.fresh:  # each is asked once what it holds of ours
+            self._dial(now, self.roster.fellows[name])
+
+    def _new_life(self, now: int, link: Link, started: int) -> None:
+        """The list tells of a machine's new life: what came to it in the old one is over."""
+        for name in list(link.holds):
+            case = self.cases[name]
+            if case.sent and case.sent_at < started:
+                self._gone(now, case, "lost")
+
+    def list_failed(self, now: int) -> None:
+        """The list service refused, was silent for too long, or its connection broke."""
+        self.list_due = 0
+        self.counts["list_failures"] += 1
+        self.brain.list_failed(now)
+
+    # Connections.
+
+    def link_up(self, now: int, machine: str, welcome: m.Welcome | None = None) -> None:
+        """A dialled machine has answered. What it holds is asked before anything is offered, where machines
+        tell that; else what waits for the connection leaves at once."""
+        link = self.links.get(machine)
+        if link is None or link.state != "dialling":
+            self.actions.append(HangUp(machine))
+            return
+        if not self.peers.rolls:
+            self._opened(now, link)
+            return
+        if welcome.name != machine:
+            self.counts["wrong_machine"] += 1
+            self.actions.append(Lost("machine", machine, "wrong_machine",
+                                     f"{welcome.name!r} answered in the place of {machine!r}"))
+            self.link_failed(now, machine)
+            return
+        link.state, link.rolled = "up", False
+        self.restless[machine] = None
+        link.roll_due = now + micros(self.limits.reconnect_ms)
+        link.before, link.incarnation = link.incarnation, welcome.incarnation
+        link.used_at = now
+        self._send_machine(machine, m.Roll())
+
+    def _opened(self, now: int, link: Link) -> None:
+        """A connection stands to a machine that tells nothing of what it holds."""
+        link.state, link.rolled, link.dial_at = "up", True, 0
+        link.used_at = link.opened_at = now
+        link.heard_at = link.heard_at or now
+        if link.lost_at:  # whether the machine that had those guests is still there, its answer shows
+            self.probe_number += 1
+            self._send_machine(link.machine, m.Probe(number=self.probe_number))
+        self.restless[link.machine] = None
+        words, link.words = link.words, []
+        for message in words:
+            self._send_machine(link.machine, message)
+        for name in list(link.queue):
+            self._offer(now, self.cases[name])
+        if link.machine in self.probes:
+            self._send_machine(link.machine, m.Probe(number=self.probes[link.machine][0]))
+
+    def link_failed(self, now: int, machine: str, refused: bool = False) -> None:
+        """A dial failed or took too long: offers that waited for it surely never ran. `refused`: nobody
+        listens there, so the machine's process is gone."""
+        link = self.links.get(machine)
+        if link is None:
+            return
+        if refused and not self.peers.rolls and link.lost_at:
+            link.lost_at = now - micros(self.limits.reconnect_ms)
+        self.counts["dials_failed"] += 1
+        self.restless[machine] = None
+        link.state = "down"
+        self._drop_queue(now, link)
+        if link.lost_at and now - link.lost_at >= micros(self.limits.reconnect_ms):
+            self._forget_machine(now, link)
+        elif link.lost_at:
+            link.dial_at = now + micros(self.limits.reconnect_ms) // 10
+        elif machine in self.unheard:
+            link.dial_at = now + 1_000_000
+
+    def link_down(self, now: int, machine: str) -> None:
+        """A connection that stood broke. What it carried is not lost yet: the machine is asked first."""
+        if link := self.links.get(machine):
+            self._link_lost(now, link)
+
+    def _link_lost(self, now: int, link: Link) -> None:
+        self.counts["links_lost"] += link.state == "up"
+        link.state, link.rolled = "down", False
+        self.restless[link.machine] = None
+        self._drop_queue(now, link)
+        self._probe_over(now, link.machine, False)
+        if not self.peers.rolls:  # a set-up ends with its connection, what stands does not
+            for name in list(link.holds):
+                case = self.cases[name]
+                if case.sent and not case.placed:
+                    self._ended(now, case, Ending.CUT_OFF, Remark.NONE)
+        if not self.peers.rolls and link.machine not in self.roster.fellows:
+            self._forget_machine(now, link)  # it has left the list, and its connection with it
+        elif link.holds or any(link.machine in by for by in self.loose.values()):
+            link.lost_at = link.lost_at or now
+            link.dial_at = now
+        else:
+            link.lost_at = 0
+
+    def _forget_machine(self, now: int, link: Link) -> None:
+        """The machine did not come back in time: what is unknown goes to the Brain as unknown."""
+        link.lost_at = link.dial_at = link.unanswered = link.heard_at = 0
+        link.words.clear()
+        link.incarnation = link.incarnation if link.state == "up" else 0
+        for name in list(link.holds):
+            case = self.cases[name]
+            if case.placed and self.peers.rolls:  # it may run on, cut off: its machine is asked later
+                self._loosen(now, case)
+            self._gone(now, case, "lost")
+        if link.machine not in self.roster.fellows:
+            for guest in [g for g, by in self.loose.items() if link.machine in by]:
+                self._settled(guest, link.machine)
+            del self.links[link.machine]
+
+    def _drop_queue(self, now: int, link: Link) -> None:
+        for name in list(link.queue):
+            self._not_sent(now, self.cases[name], Ending.NO_CONNECTION)
+
+    # What machines say.
+
+    def machine_said(self, now: int, machine: str, message: m.Message) -> None:
+        """Any message of a machine but its Welcome."""
+        link = self.links.get(machine)
+        if link is None or link.state != "up":
+            return
+        link.heard_at, link.unanswered = now, 0
+        if not self.peers.rolls:
+            link.lost_at = 0
+        if isinstance(message, m.Running):
+            self._rolled(now, link, message)
+            return
+        if isinstance(message, m.Report):
+            self.brain.machine_reported(now, machine, load(message.load))
+            if machine in self.probes and self.probes[machine][0] == message.number:
+                self._probe_over(now, machine, message.well)
+            return
+        if isinstance(message, m.Pressed):
+            self.brain.memory_pressed(now, machine, message.share)
+            return
+        if not isinstance(message, m.Offered):
+            return
+        if (report := getattr(message, "load", None)) is not None:
+            self.brain.machine_reported(now, machine, load(report))
+        for case in (self.newest.get(message.guest), self.cases.get(f"{message.guest}/{message.ask}")):
+            if case and case.machine == machine and case.sent and (
+                    not self.peers.names_attempts
+                    or (case.ask, case.attempt) == (message.ask, message.attempt)):
+                self._heard(now, case, message)
+                return
+        self._heard_loose(now, machine, message)
+
+    def _heard(self, now: int, case: Case, message: m.Offered) -> None:
+        """News of the dispatch that is out, or of the placed guest."""
+        if isinstance(message, m.Taken) and not case.placed:
+            case.placed = True
+            self._mark("guest", case.name)
+            self.brain.dispatch_taken(now, case.name, now - case.sent_at)
+            if self.peers.advised:
+                self.advice.placed(now, case.guest)
+            self._answer(now, case, m.Placed(guest=case.guest, ask=case.ask, machine=case.machine,
+                                             description=getattr(message, "description", b"")), case.asks)
+        elif isinstance(message, m.Refused) and not case.placed:
+            self.counts["refused_" + message.remark[:20]] += 1
+            self._ended(now, case, Ending.TURNED_BACK, REMARKS.get(message.remark, Remark.NONE))
+        elif isinstance(message, m.Started):
+            self.brain.guest_runs(now, case.name)
+        elif isinstance(message, m.Use):
+            if message.cores is not None:
+                self.brain.cores_used(now, case.name, message.cores)
+            if message.memory is not None:
+                self.brain.memory_used(now, case.name, message.memory)
+        elif isinstance(message, m.Served):
+            self.brain.guest_served(now, case.name, message.share)
+        elif isinstance(message, m.Ended):
+            ending, remark = ENDINGS.get(message.how, (Ending.CUT_OFF, Remark.NONE))
+            if case.placed:
+                self._gone(now, case, message.how, ending, remark)
+            else:
+                self._ended(now, case, ending, remark)
+
+    def _heard_loose(self, now: int, machine: str, message: m.Offered) -> None:
+        """News of a dispatch that was given up."""
+        loose = self.loose.get(message.guest, {}).get(machine)
+        if loose is None or loose.case.ask != message.ask:
+            self.counts["stray_messages"] += 1
+            if isinstance(message, m.Ended) and not self.peers.asks_again:
+                self._keep_end(now, message.guest, message.how)
+            return
+        if isinstance(message, m.Refused | m.Ended):
+            self._settled(message.guest, machine)
+        elif isinstance(message, m.Taken | m.Started | m.Use | m.Served) and not loose.stands:
+            self._stands(now, loose)
+
+    def _rolled(self, now: int, link: Link, running: m.Running) -> None:
+        """What a machine has of ours, against what is thought to be there."""
+        self.unheard.discard(link.machine)
+        if link.rolled:  # nobody asked: it cannot tell what is on its way there
+            return
+        link.rolled, link.lost_at, link.dial_at = True, 0, 0
+        there = {(s.guest, s.ask): s for s in running.guests}
+        same_life = not link.before or link.before == link.incarnation
+        link.before = link.incarnation
+        for name in list(link.holds):
+            case = self.cases[name]
+            stand = there.pop((case.guest, case.ask), None)
+            if not case.sent:
+                continue
+            if stand and stand.state == "line" and case.cancelled:
+                self._call_off(now, name, link.machine)
+            if stand and stand.state == "ended":
+                if not case.placed and stand.how != "withdrawn":  # accepted while nobody listened
+                    self._heard(now, case, m.Taken(guest=case.guest, ask=case.ask))
+                self._heard(now, case, m.Ended(guest=case.guest, ask=case.ask, how=stand.how))
+            elif stand and stand.state != "line" and not case.placed and not (
+                    stand.state == "accepted" and self.facts.confirms_running):
+                self._heard(now, case, m.Taken(guest=case.guest, ask=case.ask))
+            if stand and stand.state == "runs":
+                self.brain.guest_runs(now, name)
+            if stand is None and case.placed:
+                self._gone(now, case, "lost")
+            elif stand is None and same_life and running.complete:
+                self._ended(now, case, Ending.NOT_SENT, Remark.NONE)  # it never arrived, and cannot any more
+            elif stand is None:
+                self._ended(now, case, Ending.CUT_OFF, Remark.NONE)
+        for guest in [g for g, by in self.loose.items() if link.machine in by]:
+            loose = self.loose[guest][link.machine]
+            stand = there.pop((guest, loose.case.ask), None)
+            if stand is None or stand.state == "ended":
+                self._settled(guest, link.machine)
+            elif stand.state == "line":
+                loose.roll_at = now  # taken back once more
+            elif not loose.stands and (stand.state == "runs"
+                                       or stand.state == "accepted" and not self.facts.confirms_running):
+                self._stands(now, loose)
+        for stand in there.values():
+            if stand.state in ("runs", "accepted"):
+                self._found(now, link, stand)
+            elif stand.state == "ended" and stand.how != "withdrawn" and stand.guest not in self.newest:
+                # It ended while no planner listened: its owner will ask, and must not hear that it is
+                # unknown.
+                self._keep_end(now, stand.guest, stand.how)
+        # What was to go there was decided without the guests that were found: their services are decided
+        # anew.
+        found = {s.service for s in there.values() if s.state in ("runs", "accepted")}
+        for name in list(link.queue):
+            if self.cases[name].submit.service in found:
+                self._not_sent(now, self.cases[name], Ending.NOT_SENT)
+            else:
+                self._offer(now, self.cases[name])
+        if link.machine in self.probes:
+            self._send_machine(link.machine, m.Probe(number=self.probes[link.machine][0]))
+
+    def _found(self, now: int, link: Link, stand: m.Stand) -> None:
+        """A guest of ours that runs and that this planner does not know: from before its start."""
+        if stand.product not in self.products:
+            self.counts["found_unknown_product"] += 1
+            return
+        name = f"{stand.guest}/{stand.ask}"
+        self.counts["found"] += 1
+        case = Case(name, stand.guest, stand.ask, stand.owner, self.products[stand.product], stand)
+        case.attempt, case.sent_at = stand.attempt, now
+        held = self.newest.get(stand.guest)
+        if held and held.machine or name in self.cases:  # out or placed elsewhere: one copy too many
+            loose = Loose(case, stand.attempt, link.machine, now, roll_at=now + 1_000_000)
+            self._mark("loose", stand.guest, link.machine)
+            self.loose.setdefault(stand.guest, {})[link.machine] = loose
+            self._stands(now, loose)
+            return
+        case.machine, case.sent, case.placed = link.machine, True, True
+        if held:  # asked again while its planner was away: what runs is the answer
+            self.brain.guest_left(now, held.name)
+            self._answer(now, held, m.Placed(guest=held.guest, ask=held.ask, machine=link.machine), held.asks)
+            del self.cases[held.name]
+            self._mark("guest", held.name)
+        self.cases[name] = self.newest[stand.guest] = case
+        case.incarnation = link.incarnation
+        self._hold(case)
+        self._mark("guest", name)
+        self.brain.guest_found(now, link.machine, self._ask(case, 0))
+
+    # Silence.
+
+    def _unheard(self, now: int, machine: str, since: int) -> None:
+        """A probe was not answered. Where no roll call tells of a dead connection, two in a row with not a
+        word between them are taken for one: it is closed and opened anew."""
+        link = self.links.get(machine)
+        if self.peers.rolls or link is None or link.state != "up" or link.heard_at >= since:
+            return
+        link.unanswered += 1
+        if link.unanswered >= 2:
+            self._abandon(now, link)
+
+    def _abandon(self, now: int, link: Link) -> None:
+        self.counts["links_silent"] += 1
+        self.actions.append(HangUp(link.machine))
+        self._link_lost(now, link)
+
+    def _watch_silence(self, now: int, link: Link) -> None:
+        """What stands on a machine outlives its connections, so silence has to be looked into: a machine
+        that has said nothing for a while is asked, since the module asks none that takes nothing, first on
+        its connection, then on a new one. One that stays silent, or has left the list a second ago, has lost
+        what stood there."""
+        silent = micros(self.limits.silent_ms)
+        if not link.holds:
+            return
+        if link.machine not in self.roster.fellows:
+            link.gone_at = link.gone_at or now
+            if now - link.gone_at < 1_000_000:
+                return
+        elif not link.lost_at or now - link.heard_at < micros(self.limits.lost_ms):
+            if link.state == "down" and not link.lost_at and now - link.heard_at > silent:
+                link.lost_at = link.dial_at = now
+                self.restless[link.machine] = None
+            elif link.state == "up" and now - max(link.heard_at, link.opened_at) > silent and all(
+                    self.cases[name].placed for name in link.holds):
+                if link.asked_at <= link.heard_at:
+                    link.asked_at = now
+                    self.probe_number += 1
+                    self._send_machine(link.machine, m.Probe(number=self.probe_number))
+                elif now - link.asked_at > micros(self.limits.probe_ms):
+                    self._abandon(now, link)
+            return
+        if link.state != "down":
+            self.actions.append(HangUp(link.machine))
+            link.state = "down"
+        self._drop_queue(now, link)
+        self._forget_machine(now, link)
+
+    def _ask_loose(self, now: int, loose: Loose) -> None:
+        """Asks again what became of a dispatch that was given up, ten times in its keeping time, then forgets
+        it: its machine is out of reach for good, or has lost its memory."""
+        keep = micros(self.limits.keep_answers_ms)
+        if now - loose.sent_at > 10 * keep:
+            self.counts["loose_forgotten"] += 1
+            self._settled(loose.case.guest, loose.machine)
+            return
+        loose.roll_at = now + max(1_000_000, keep // 10)
+        link = self.links.get(loose.machine)
+        if link and link.state == "up" and link.rolled:
+            if loose.stands:
+                self._adopt(now, loose.case.guest)
+            else:
+                self._send_machine(loose.machine, m.Withdraw(guest=loose.case.guest, ask=loose.case.ask,
+                                                             attempt=loose.attempt))
+        elif fellow := self.roster.fellows.get(loose.machine):
+            self._dial(now, fellow)
+        else:
+            self._settled(loose.case.guest, loose.machine)
+
+
+def load(report: m.Load | None) -> Load | None:
+    return None if report is None else Load(report.cores_free, report.memory_free, report.busy)
--- /dev/null
+++ b/hazelhold/engine/tables.py
@@ -0,0 +1,162 @@
+"""The tables of one engine, with what each empties and the small steps that every part of it takes."""
+
+from collections import Counter, OrderedDict
+from heapq import heappush
+from random import Random
+from typing import Protocol
+
+from hazelhold.brain import Brain
+from hazelhold.config.planner import PlannerSheet, micros
+from hazelhold.engine.advice import Advice
+from hazelhold.engine.cases import Action, Case, Dial, HangUp, Loose, Send
+from hazelhold.engine.machines import Fellow, Link, Roster
+from hazelhold.engine.terms import Terms, terms_of
+from hazelhold.interface import Ask, Earlier
+from hazelhold.protocol import messages as m
+from hazelhold.state.images import Change
+
+
+class Marks(Protocol):
+    """Who is told of what changes here, if it is to outlive the process (`keep.Keeping`)."""
+
+    epoch: int
+    marks: dict[tuple[str, str], None]
+
+    def told(self, listing: m.Listing) -> None: ...
+
+    def flush(self, tables: "Tables", now: int) -> list[Change]: ...
+
+    def learned(self, tables: "Tables") -> Change: ...
+
+
+class Tables:
+    """What one planner knows, and the steps on it that decide nothing."""
+
+    def __init__(self, sheet: PlannerSheet | Terms, seed: int, now: int) -> None:
+        terms = sheet if isinstance(sheet, Terms) else terms_of(sheet)
+        self.limits, self.peers, self.facts = terms.limits, terms.peers, terms.facts
+        self.brain = Brain(seed, self.facts)
+        self.actions: list[Action] = []  # emptied by the host
+        self.counts: Counter[str] = Counter()
+        self.products = {name: at for at, name in enumerate(terms.products)}
+        self.customers = {name: at for at, name in enumerate(terms.customers)}
+        self.roster = Roster({name: at for at, name in enumerate(terms.kinds)})
+        self.cases: dict[str, Case] = {}  # by the Brain's name; emptied by the last word on a guest
+        self.newest: dict[str, Case] = {}  # by guest; emptied with cases
+        # Final answers that owners may still ask for; emptied by age.
+        self.answers: OrderedDict[tuple[str, int], tuple[m.Message, int]] = OrderedDict()
+        self.ends: OrderedDict[str, tuple[str, int]] = OrderedDict()  # how guests ended; emptied by age
+        # By guest, then machine; emptied by the machine's word, its new life or its leaving the list.
+        self.loose: dict[str, dict[str, Loose]] = {}
+        self.links: dict[str, Link] = {}  # emptied as machines go
+        # Links with something to wait for; settled ones are passed over, so that a pump does not look at all.
+        self.restless: dict[str, None] = {}  # emptied as they settle
+        self.idle_at = 0  # when links that nobody uses are looked for next
+        self.overdue: list[tuple[int, str, int]] = []  # a heap of time-outs: moment, case, attempt
+        self.list_version = 0
+        self.list_due = 0  # by when the list service must have answered; 0: nothing is asked
+        self.probes: dict[str, tuple[int, int]] = {}  # machine: number and time-out of the probe that is out
+        self.probe_number = 0
+        self.unheard: set[str] = set()  # machines listed at the start that have not told what they hold
+        self.list_heard = self.stopping = False
+        self.keeping: Marks | None = None  # set if what changes here is to outlive the process
+        self.sure = False  # all that this planner took in earlier lives is known
+        self.kept_well = True  # what is sent is sure to be known after a crash
+        self.more = False  # the last pump ended at its limit
+        self.advice = Advice(micros(self.limits.again_least_ms), micros(self.limits.again_most_ms),
+                             Random(f"advice/{seed}"))
+
+    def _mark(self, kind: str, *key: object) -> None:
+        if self.keeping is not None:
+            self.keeping.marks[kind, "\0".join(str(part) for part in key)] = None
+
+    def _overdue(self, due: int, case: Case) -> None:
+        case.due_at = due
+        heappush(self.overdue, (due, case.name, case.attempt))
+
+    def _ask(self, case: Case, patience: int, earlier: Earlier | None = None) -> Ask:
+        s = case.submit
+        return Ask(case.name, case.product, self.customers.get(s.customer, 0), s.service, s.cores, s.memory,
+                   patience, earlier)
+
+    def _hold(self, case: Case) -> None:
+        if case.machine not in self.links:
+            self.links[case.machine] = Link(case.machine)
+        self.links[case.machine].holds[case.name] = None
+
+    def _unhold(self, case: Case) -> None:
+        if link := self.links.get(case.machine):
+            link.holds.pop(case.name, None)
+            link.queue.pop(case.name, None)
+
+    def _forget(self, case: Case) -> None:
+        self.cases.pop(case.name, None)
+        self._mark("guest", case.name)
+        if self.newest.get(case.guest) is case:
+            del self.newest[case.guest]
+
+    def _later(self, now: int, guest: str, span: int = 0) -> int:
+        """The wait that goes with a turn-back: the door's advice, or the decision's own span."""
+        return self.advice.wait(now, guest, len(self.brain.waiting)) if self.peers.advised else span
+
+    def _blind(self) -> bool:
+        """Whether guests may run that this planner has not heard of: it has just started, and has no list
+        yet or waits for machines on it. What it does not know it must not call unknown."""
+        return not self.sure and (not self.list_heard or bool(self.unheard))
+
+    def _keep_end(self, now: int, guest: str, how: str) -> None:
+        if len(self.ends) >= self.limits.open_guests:
+            self.ends.popitem(last=False)
+        self.ends[guest] = how, now + micros(self.limits.keep_answers_ms)
+        self.ends.move_to_end(guest)
+        self._mark("end", guest)
+
+    def _settled(self, guest: str, machine: str) -> None:
+        if by := self.loose.get(guest):
+            by.pop(machine, None)
+            self._mark("loose", guest, machine)
+            if not by:
+                del self.loose[guest]
+
+    def _send_owner(self, owner: str, message: m.Message) -> None:
+        self.actions.append(Send("owner", owner, message))
+
+    def _send_machine(self, machine: str, message: m.Message) -> None:
+        self.actions.append(Send("machine", machine, message))
+
+    def _restless(self) -> list[Link]:
+        for name in [n for n in self.restless if n not in self.links]:
+            del self.restless[name]
+        return [self.links[name] for name in self.restless]
+
+    def _dial(self, now: int, fellow: Fellow) -> Link:
+        link = self.links.get(fellow.name)
+        if link is None:
+            link = self.links[fellow.name] = Link(fellow.name)
+        self.restless[fellow.name] = None
+        if link.state == "down" and not self._room_for_link():
+            link.dial_at = now + 100_000  # what waits for it stays here, and is tried again or ends unsent
+        elif link.state == "down":
+            link.state, link.dial_at = "dialling", 0
+            link.dial_due = now + micros(self.limits.connect_ms)
+            self.actions.append(Dial(fellow.name, fellow.address, micros(self.limits.connect_ms)))
+        return link
+
+    def _room_for_link(self) -> bool:
+        """Keeps connections within their bound: the one that was used longest ago is closed, those without
+        guests first. What stands outlives it and its machine is asked again before it counts as silent; one
+        with an open set-up stays. False if there is none to close."""
+        if len(self.links) <= self.limits.links:
+            return True
+        opened = [l for l in self.links.values() if l.state != "down"]
+        if len(opened) < self.limits.links:
+            return True
+        for link in sorted(opened, key=lambda l: (bool(l.holds), max(l.used_at, l.heard_at, l.opened_at))):
+            if link.state == "up" and not link.queue and link.machine not in self.probes and all(
+                    self.cases[name].placed for name in link.holds):
+                self.counts["links_closed_for_others"] += 1
+                self.actions.append(HangUp(link.machine))
+                link.state, link.rolled, link.lost_at = "down", False, 0
+                return True
+        self.counts["links_put_off"] += 1
+        return False
--- a/hazelhold/platform/planner.py
+++ b/hazelhold/platform/planner.py
@@ -12,7 +12,8 @@
 import trio
 
 from hazelhold.config.load import ConfigError
-from hazelhold.engine.engine import Action, AskList, Dial, Engine, HangUp, Lost, Send
+from hazelhold.engine.cases import Action, AskList, Dial, HangUp, Lost, Send
+from hazelhold.engine.engine import Engine
 from hazelhold.platform import words
 from hazelhold.platform.bulletin import BulletinError, Follower
 from hazelhold.platform.codec import END, HEARD, SET_UP, TEST, CodecError, Line, Parcel
--- a/hazelhold/rehearse/crashes.py
+++ b/hazelhold/rehearse/crashes.py
@@ -12,7 +12,7 @@
 
 from hazelhold.config.day import Day
 from hazelhold.config.planner import PlannerSheet
-from hazelhold.engine.engine import Action, Send
+from hazelhold.engine.cases import Action, Send
 from hazelhold.protocol.record import Recorder
 from hazelhold.rehearse.crew import Inside, captured
 from hazelhold.service.net import Net
--- a/hazelhold/service/keeper.py
+++ b/hazelhold/service/keeper.py
@@ -16,7 +16,8 @@
 import trio
 
 from hazelhold.config.planner import StateSheet, micros
-from hazelhold.engine.engine import Action, Engine, Send
+from hazelhold.engine.cases import Action, Send
+from hazelhold.engine.engine import Engine
 from hazelhold.protocol import messages as m
 from hazelhold.state import frames
 from hazelhold.state.images import Change
--- a/hazelhold/service/planner.py
+++ b/hazelhold/service/planner.py
@@ -18,7 +18,8 @@
 from hazelhold.capture.tap import Tap
 from hazelhold.config.planner import PlannerSheet
 from hazelhold.engine.advice import Doorman
-from hazelhold.engine.engine import Action, AskList, Dial, Engine, HangUp, Lost, Send
+from hazelhold.engine.cases import Action, AskList, Dial, HangUp, Lost, Send
+from hazelhold.engine.engine import Engine
 from hazelhold.protocol import messages as m
 from hazelhold.protocol.frames import FrameError, frame
 from hazelhold.protocol.record import Recorder
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -10,7 +10,8 @@
     PlannerSheet,
     ProductSheet,
 )
-from hazelhold.engine.engine import Dial, Engine, Send
+from hazelhold.engine.cases import Dial, Send
+from hazelhold.engine.engine import Engine
 from hazelhold.interface import Ask, Decision, Deployment, Effect, Kind, Listed, Mode, Place, Product, Step
 from hazelhold.protocol import messages as m
 
--- a/tests/test_engine.py
+++ b/tests/test_engine.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from hazelhold.engine.engine import HangUp
+from hazelhold.engine.cases import HangUp
 from hazelhold.protocol import messages as m
 from tests.helpers import MS, Desk, of, stand
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -8,7 +8,7 @@
 import pytest
 import trio
 
-from hazelhold.engine.engine import Dial
+from hazelhold.engine.cases import Dial
 from hazelhold.interface import Place
 from hazelhold.platform.codec import ANSWER, DESCRIPTION, END, TEST, TESTED, LineReader, Parcel
 from hazelhold.platform.peer import MachinePeer
--- a/tests/test_platform_codec.py
+++ b/tests/test_platform_codec.py
@@ -7,7 +7,7 @@
 from hypothesis import strategies as st
 
 from hazelhold.config.load import ConfigError
-from hazelhold.engine.engine import ENDINGS
+from hazelhold.engine.links import ENDINGS
 from hazelhold.interface import Ending, Remark
 from hazelhold.platform import words
 from hazelhold.platform.codec import (
@@ -192,7 +192,7 @@
     fields = {"note": line["note"]} if "note" in line else {}
     message = words.from_machine(Line("end", "1", fields, line.get("why")), placed)
     if isinstance(message, m.Refused):
-        from hazelhold.engine.engine import REMARKS
+        from hazelhold.engine.links import REMARKS
         assert (ending, remark) == (Ending.TURNED_BACK, REMARKS.get(message.remark, Remark.NONE))
     else:
         assert ENDINGS.get(message.how, (Ending.CUT_OFF, Remark.NONE)) == (ending, remark)
