--- /dev/null
+++ b/hazelhold/audit/claims.py
@@ -0,0 +1,156 @@
+"""Claims judged from the records of all planners and machines together, and from nothing else.
+
+Judged: what planners saw of each agreed value can have happened one after another; no offer of a guest that
+must not run twice left before a claim that names it was agreed; no planner offered such a guest beside a
+dispatch of another that may have run. Imports nothing of what it judges: the rules of claims stand here a
+second time.
+"""
+
+from base64 import b64decode
+from collections import defaultdict
+from collections.abc import Hashable, Iterable
+from typing import Any
+
+import msgspec
+
+from hazelhold.audit.history import Call, linearizable
+from hazelhold.audit.rules import Breach, RuleSheet
+from hazelhold.protocol.record import Crossing
+
+PLANNER, LIFE, ASK, ATTEMPT, STATE, MACHINE, HOW, NO = range(8)  # places in a claim
+ORDER = ("free", "held", "placed", "over")
+
+
+def step(value: Hashable, call: Call) -> Hashable:
+    """What a call makes of the value that it finds."""
+    if call.kind == "read":
+        return value
+    if call.kind == "nextlife":
+        return str(int(value or b"0") + 1).encode()
+    claim = msgspec.msgpack.decode(value) if value else None
+    if call.kind == "take":
+        planner, life, ask, attempt, machine, no, known = call.given
+        made = msgspec.msgpack.encode([planner, life, ask, attempt, "held", machine, "", no])
+        if claim is None or claim[STATE] == "free" or claim[STATE] == "held" and value == known:
+            return made
+        if claim[STATE] == "over":
+            return made if claim[HOW] != "done" and ask > claim[ASK] else value
+        own = claim[:2] == [planner, life]
+        return made if own and (claim[STATE] == "held" or ask > claim[ASK]) else value
+    if claim is None:
+        return value
+    if call.kind == "release":
+        if value != call.given[0] or claim[STATE] != "held":
+            return value
+        claim[STATE], claim[MACHINE] = "free", ""
+    elif call.kind == "fact":
+        planner, ask, state, machine, how = call.given
+        if (planner, ask) != (claim[PLANNER], claim[ASK]) or ORDER.index(state) <= ORDER.index(claim[STATE]):
+            return value
+        claim[STATE], claim[MACHINE], claim[HOW] = state, machine, how
+    else:
+        raise ValueError(f"a call of an unknown kind: {call.kind}")
+    return msgspec.msgpack.encode(claim)
+
+
+class ClaimAudit:
+    """Judges the crossings of one day; `off` if nothing was agreed on it."""
+
+    def __init__(self, crossings: Iterable[Crossing], rules: RuleSheet) -> None:
+        self.crossings = list(crossings)
+        self.effects = {name: product.get("effect") for name, product in rules.products.items()}
+        self.off = not any(c.way in ("ask", "agreed") for c in self.crossings)
+
+    def breaches(self) -> list[Breach]:
+        return [] if self.off else sorted([*self._histories(), *self._offers()], key=lambda b: b.at)
+
+    def counts(self) -> dict[str, int]:
+        found: dict[str, int] = defaultdict(int)
+        for c in self.crossings:
+            if c.way == "agreed":
+                found[f"asked_{c.message['outcome']}"] += 1
+        return dict(found)
+
+    def _histories(self) -> list[Breach]:
+        calls: dict[str, list[Call]] = defaultdict(list)
+        open_asks: dict[tuple[str, int], Crossing] = {}
+        last: dict[str, Crossing] = {}
+        for c in self.crossings:
+            if c.way not in ("ask", "agreed"):
+                continue
+            said = c.message
+            number = said["process"], said["no"]
+            last[c.peer] = c
+            if c.way == "ask":
+                open_asks[number] = c
+            elif number in open_asks:
+                begun = open_asks.pop(number)
+                kind, given = _given(begun.message)
+                agreed = said["outcome"] == "agreed"
+                unheard = said.get("rounds", 0) - agreed
+                calls[c.peer] += [Call(kind, given, None, begun.at)] * max(0, unheard)
+                if agreed:
+                    calls[c.peer].append(Call(kind, given, b64decode(said.get("value", "")), begun.at, c.at))
+        for c in open_asks.values():  # its process died: it may have been made, and made again
+            calls[c.peer] += [Call(*_given(c.message), None, c.at)] * 2
+        return [Breach(2, f"what planners saw of {key} has no order", "", "", "", last[key].at, [last[key]])
+                for key, seen in calls.items() if not linearizable(seen, b"", step)]
+
+    def _offers(self) -> list[Breach]:
+        found = []
+        claimed: set[tuple] = set()  # planner, guest, ask, attempt, machine
+        # Dispatches that may have run, by guest: planner, machine, ask, attempt.
+        out: dict[str, dict[tuple[str, str, int, int], Crossing]] = defaultdict(dict)
+        asks: dict[tuple[str, int], tuple[str, list]] = {}
+        for c in self.crossings:
+            body = c.message or {}
+            if c.way == "ask" and body["change"][0] == "take":
+                asks[body["process"], body["no"]] = c.peer.removeprefix("claim/"), body["change"][1:]
+            elif c.way == "agreed" and body["outcome"] == "agreed":
+                if taken := asks.pop((body["process"], body["no"]), None):
+                    guest, (planner, life, ask, attempt, machine, no, _) = taken
+                    value = msgspec.msgpack.decode(b64decode(body.get("value", "")))
+                    if value == [planner, life, ask, attempt, "held", machine, "", no]:
+                        claimed.add((c.by, guest, ask, attempt, machine))
+            elif c.role == "planner" and c.way == "out" and body.get("t") == "offer":
+                if self.effects.get(body.get("product")) in ("exclusive", "ticketed"):
+                    found += self._offer(c, body, claimed, out[body["guest"]])
+            elif c.role == "planner" and c.way == "in":
+                self._fate(c, body, out)
+        return found
+
+    def _offer(self, c: Crossing, body: dict[str, Any], claimed: set, out: dict) -> list[Breach]:
+        found = []
+        guest, ask, attempt = body["guest"], body.get("ask", 0), body.get("attempt", 0)
+        if (c.by, guest, ask, attempt, c.peer) not in claimed:
+            found.append(Breach(2, "an offer without an agreed claim", guest, c.by, c.peer, c.at, [c]))
+        others = [o for (by, *_), o in out.items() if by != c.by]
+        if others and self.effects[body["product"]] == "exclusive":
+            found.append(Breach(2, "offered beside another planner's dispatch that may have run", guest, c.by,
+                                c.peer, c.at, [others[0], c]))
+        out[c.by, c.peer, ask, attempt] = c
+        return found
+
+    def _fate(self, c: Crossing, body: dict[str, Any], out: dict) -> None:
+        """What machines say of a dispatch takes it from those that may have run, or may be on."""
+        kind, guest = body.get("t"), body.get("guest", "")
+        if kind == "refused" or kind == "ended" and body.get("how") != "done":
+            out.get(guest, {}).pop((c.by, c.peer, body.get("ask", 0), body.get("attempt", 0)), None)
+        elif kind == "running":
+            there = {(s["guest"], s.get("ask", 0)) for s in body["guests"]
+                     if s["state"] != "ended" or s.get("how") == "done"}
+            whole = body.get("complete", True)
+            for name, by in out.items():
+                for key in [k for k in by if k[0] == c.by and k[1] == c.peer]:
+                    stand = (name, key[2]) in there
+                    told = any(s["guest"] == name for s in body["guests"])
+                    if not stand and (whole or told):
+                        del by[key]
+
+
+def _given(message: dict[str, Any]) -> tuple[str, tuple]:
+    """Kind and fields of an asking's change; bytes stand as text in a record."""
+    kind, *fields = message["change"]
+    if kind in ("take", "release"):
+        fields[-1] = b64decode(fields[-1])
+    return kind, tuple(fields)
--- a/hazelhold/audit/history.py
+++ b/hazelhold/audit/history.py
@@ -5,7 +5,7 @@
 moment after its beginning or never. Times are of one clock. Imports nothing of what it judges.
 """
 
-from collections.abc import Hashable, Iterable
+from collections.abc import Callable, Hashable, Iterable
 from typing import NamedTuple
 
 NEVER = 1 << 62
@@ -31,8 +31,11 @@
     return state
 
 
-def linearizable(calls: Iterable[Call], empty: Hashable = b"") -> bool:
-    """Whether some order that respects what ended before what began explains every answer, for one key."""
+def linearizable(
+    calls: Iterable[Call], empty: Hashable = b"", step: Callable[[Hashable, Call], Hashable] = step
+) -> bool:
+    """Whether some order that respects what ended before what began explains every answer, for one key;
+    `step` says what a call makes of a value."""
     calls = sorted(calls, key=lambda c: (c.begin, c.end))
     seen: set[tuple[frozenset[int], Hashable]] = set()
     stack: list[tuple[frozenset[int], Hashable]] = [(frozenset(range(len(calls))), empty)]
--- /dev/null
+++ b/hazelhold/cli/copies.py
@@ -0,0 +1,73 @@
+"""hazelhold copies: the folder in which a planner keeps its votes."""
+
+import sys
+import time
+from pathlib import Path
+
+import click
+
+from hazelhold.cli.honest import honest
+from hazelhold.config.load import ConfigError
+from hazelhold.config.planner import CopiesSheet, read_planner
+
+FILE = click.Path(dir_okay=False, path_type=Path)
+
+
+@click.group()
+def copies() -> None:
+    """What planners agree on among themselves, and keep for each other."""
+
+
+def _sheet(config: Path) -> tuple[str, CopiesSheet]:
+    sheet = read_planner(config)
+    if not sheet.copies.listen:
+        raise ConfigError(str(config), [("copies.listen", "is not there: copies are off")])
+    return sheet.name, sheet.copies
+
+
+@copies.command("found")
+@click.argument("config", type=FILE)
+@honest
+def found(config: Path) -> None:
+    """Give a planner of a new set its seat: once, before its first start, for each planner of the set.
+
+    Never for one that lost its folder: it may have promised what it no longer knows, and a value could then
+    be chosen twice. Without its seat it goes on placing, and does not vote.
+    """
+    from hazelhold.replica import votes
+    from hazelhold.state.disk import RealDisk
+
+    name, sheet = _sheet(config)
+    votes.found(RealDisk(Path(sheet.folder)), name, sheet, time.time_ns() // 1000)
+    click.echo(f"{name} has its seat in {sheet.folder}: epoch {sheet.epoch}, {len(sheet.planners)} planners, "
+               f"{sheet.replicas} keep each value")
+
+
+@copies.command("show")
+@click.argument("config", type=FILE)
+@honest
+def show(config: Path) -> None:
+    """What the folder holds; harmless beside a running planner. Exits with 1 if its planner would not
+    vote."""
+    from hazelhold.replica import claims, votes
+    from hazelhold.state.disk import RealDisk
+    from hazelhold.state.store import read
+
+    name, sheet = _sheet(config)
+    seen = read(RealDisk(Path(sheet.folder)), name, votes.KINDS)
+    for note in seen.notes:
+        click.echo(note)
+    seat = seen.ledger.image("seat", "")
+    if seat is None:
+        click.echo(f"{sheet.folder}: no seat, so {name} does not vote")
+        sys.exit(1)
+    click.echo(f"{seat.planner} of {seat.deployment}, epoch {seat.epoch}"
+               + ("" if seen.complete else "; damaged, so it does not vote"))
+    for cell in seen.ledger.tables["cell"].values():
+        image = seen.ledger.decoders["cell"].decode(cell.image)
+        claim = None if image.value[:1].isdigit() else claims.decode(image.value)
+        said = image.value.decode(errors="replace") if claim is None else (
+            f"{claim.state} by {claim.planner} (life {claim.life}, ask {claim.ask}, attempt {claim.attempt}) "
+            f"{claim.machine} {claim.how}").rstrip()
+        click.echo(f"{cell.key}: {said or 'nothing accepted'}")
+    sys.exit(0 if seen.complete else 1)
--- a/hazelhold/cli/main.py
+++ b/hazelhold/cli/main.py
@@ -13,6 +13,7 @@
 from hazelhold import __version__
 from hazelhold.cli import logs
 from hazelhold.cli.capture import capture
+from hazelhold.cli.copies import copies
 from hazelhold.cli.honest import honest
 from hazelhold.cli.members import members
 from hazelhold.cli.state import state
@@ -36,6 +37,7 @@
 
 
 main.add_command(capture)
+main.add_command(copies)
 main.add_command(members)
 main.add_command(state)
 
@@ -311,6 +313,8 @@
                    + (": BOUND PASSED" if views["bounds_passed"] else ""))
         for line in views["details"][:10]:
             click.echo(f"    {line}")
+    if claims := said.get("claims"):
+        click.echo("  claims: " + ", ".join(f"{key} {value}" for key, value in claims.items()))
     if said["unaccounted"]:
         click.echo(f"  unaccounted: {', '.join(said['unaccounted'][:20])}")
 
--- a/hazelhold/cli/state.py
+++ b/hazelhold/cli/state.py
@@ -135,7 +135,7 @@
     for name in image.__struct_fields__:
         value = getattr(image, name)
         if isinstance(value, bytes):
-            value = msgspec.msgpack.decode(value)
+            value = msgspec.msgpack.decode(value) if value else None
         elif isinstance(value, msgspec.Struct):
             value = _plain(value)
         elif isinstance(value, list):
--- a/hazelhold/config/day.py
+++ b/hazelhold/config/day.py
@@ -90,6 +90,14 @@
     suspect_most_ms: Positive = 6000.0
 
 
+class DayCopies(Struct, frozen=True):
+    """Claims agreed among the day's planners, by the wires that membership has."""
+
+    on: bool = False
+    replicas: Annotated[int, Meta(ge=1, le=15)] = 3
+    claim_ms: Positive = 500.0
+
+
 class ViewSheet(Struct, frozen=True):
     """What the day allows its planners' views of each other."""
 
@@ -118,6 +126,7 @@
     list_has_room: bool = True
     weights: tuple[Part, Part, Part, Part] = (0.3, 0.4, 0.2, 0.1)
     membership: DayMembers = DayMembers()
+    copies: DayCopies = DayCopies()
     views: ViewSheet = ViewSheet()
 
 
@@ -134,6 +143,10 @@
     for at, stock in enumerate(day.stock):
         if stock.kind not in kinds:
             faults.append((f"stock[{at}].kind", f"no kind of machine is called {stock.kind!r}"))
+    if day.copies.on and not day.membership.on:
+        faults.append(("copies.on", "goes by the wires between planners: membership.on has to be true"))
+    if day.copies.on and (day.copies.replicas % 2 == 0 or day.copies.replicas > day.planners):
+        faults.append(("copies.replicas", f"has to be odd, and no more than the {day.planners} planners"))
     for at, trouble in enumerate(day.troubles):
         if trouble.at_s >= day.length_s:
             faults.append((f"troubles[{at}].at_s", "lies past the end of the day"))
--- a/hazelhold/config/planner.py
+++ b/hazelhold/config/planner.py
@@ -146,6 +146,31 @@
     most_members: Annotated[int, Meta(ge=2, le=100_000)] = 4096
 
 
+class CopiesPlanner(Struct, frozen=True):
+    """One planner of the agreed set."""
+
+    name: Name
+    address: str  # where its copies are reached, TCP: IP address and port
+    zone: Annotated[str, Meta(max_length=60)] = ""
+
+
+class CopiesSheet(Struct, frozen=True):
+    """What the planners agree on, and keep for each other. The set and its epoch are the same in the files of
+    all."""
+
+    listen: str = ""  # where the others reach this one, TCP; empty: off
+    folder: str = ""  # for its votes: a folder of its own, made by `hazelhold copies found`
+    epoch: Annotated[int, Meta(ge=1, le=1 << 31)] = 1
+    planners: list[CopiesPlanner] = []
+    replicas: Annotated[int, Meta(ge=1, le=15)] = 3  # how many keep each value; odd
+    deployment: Name = "hazelhold"
+    reach: dict[str, str] = {}  # by name: where it is reached from here, if not at its address
+    claim_ms: Millis = 500.0  # a claim that is not agreed within it is refused
+    keep_s: Annotated[float, Meta(ge=60, le=1e9)] = 86_400.0  # how long the claim of an ended guest is kept
+    slow_ms: Millis = 2000.0  # a commit of votes that takes longer counts as a failed disk
+    retry_ms: Millis = 1000.0  # how often a failed disk is tried again
+
+
 class Estate(Struct, frozen=True):
     """What all planners and stand-ins of a deployment agree on."""
 
@@ -169,6 +194,7 @@
     capture: CaptureSheet = CaptureSheet()
     state: StateSheet = StateSheet()
     membership: MembershipSheet = MembershipSheet()
+    copies: CopiesSheet = CopiesSheet()
 
 
 def micros(millis: float) -> int:
@@ -217,6 +243,42 @@
     return faults
 
 
+def check_copies(sheet: "PlannerSheet") -> list[tuple[str, str]]:
+    """Only if it is on, as with membership."""
+    copies = sheet.copies
+    if not copies.listen:
+        wrong = "is missing: without it copies are off, but other keys are set"
+        return [("copies.listen", wrong)] if copies != CopiesSheet() else []
+    faults, names = [], [p.name for p in copies.planners]
+    given = [("listen", copies.listen), *((f"reach[{name!r}]", to) for name, to in copies.reach.items()),
+             *((f"planners[{at}].address", p.address) for at, p in enumerate(copies.planners))]
+    for place, text in given:
+        try:
+            host, port = split_address(text)
+            ip_address(host)
+            if not port and place != "listen":
+                faults.append((f"copies.{place}", "needs a port"))
+        except ValueError as wrong:
+            faults.append((f"copies.{place}", f"{wrong}"))
+    faults += [(f"copies.planners[{at}].name", f"the name {name!r} is there twice")
+               for at, name in enumerate(names) if name in names[:at]]
+    faults += [(f"copies.reach[{name!r}]", "is no planner of the set") for name in copies.reach
+               if name not in names]
+    if sheet.name not in names:
+        faults.append(("copies.planners", f"this planner, {sheet.name!r}, is not among them"))
+    if not copies.folder:
+        faults.append(("copies.folder", "is missing: votes have to outlive the process"))
+    elif copies.folder == sheet.state.folder:
+        faults.append(("copies.folder", "is that of the state: votes need one of their own"))
+    if copies.replicas % 2 == 0:
+        faults.append(("copies.replicas", "is even: an odd number bears as many losses with one less"))
+    if copies.replicas > len(names):
+        faults.append(("copies.replicas", f"is more than the {len(names)} planners of the set"))
+    if sheet.capture.file:
+        faults.append(("copies", "a capture cannot be replayed with claims in it yet: not both"))
+    return faults
+
+
 def check_planner(sheet: PlannerSheet) -> list[tuple[str, str]]:
     faults = check_estate(sheet.estate)
     for place, text in (("listen", sheet.listen), ("list.address", sheet.list.address)):
@@ -225,6 +287,7 @@
         except ValueError as wrong:
             faults.append((place, str(wrong)))
     faults += check_membership(sheet.membership)
+    faults += check_copies(sheet)
     if sheet.slot >= sheet.planners:
         faults.append(("slot", f"planner {sheet.slot} of {sheet.planners}: slots count from 0"))
     if sheet.capture.total_mb and not 0 < sheet.capture.rotate_mb <= sheet.capture.total_mb / 2:
--- a/hazelhold/engine/cases.py
+++ b/hazelhold/engine/cases.py
@@ -1,7 +1,7 @@
 """What an engine says to its host, and what it keeps of a guest: plain data that its parts share."""
 
 from dataclasses import dataclass, field
-from typing import NamedTuple
+from typing import NamedTuple, Protocol
 
 from hazelhold.protocol import messages as m
 
@@ -43,7 +43,17 @@
     text: str
 
 
-Action = Send | Dial | HangUp | AskList | Lost
+class Agree(NamedTuple):
+    """Agree on a change of a value among the planners; report `agreed` with the number, by the deadline.
+    Rests on nothing that has to be safe first."""
+
+    no: int
+    key: str
+    change: object  # of the last value, to the next: bytes to bytes
+    deadline: int
+
+
+Action = Send | Dial | HangUp | AskList | Lost | Agree
 
 
 @dataclass
@@ -67,6 +77,8 @@
     incarnation: int = 0  # of the machine, when the offer left
     due_at: int = 0  # when the dispatch that is out is given up
     unsure: str = ""  # the machine of the last dispatch that may have run
+    claim: bytes = b""  # the last agreed claim on it
+    sent_claim: bytes = b""  # the last under which an offer left
 
 
 @dataclass
@@ -79,3 +91,44 @@
     sent_at: int
     stands: bool = False  # the machine has said that it accepted it
     roll_at: int = 0  # when its machine is asked again
+
+
+class Claimed(Protocol):
+    """A claim as the planners agreed on it (`hazelhold.replica.claims`)."""
+
+    planner: str
+    state: str
+    machine: str
+    how: str
+
+
+class Verdict(Protocol):
+    """What an agreed value, or none, means for a case (`hazelhold.replica.gate`)."""
+
+    what: str
+    name: str
+    value: bytes
+    claim: Claimed | None
+    reason: str
+
+
+class Claims(Protocol):
+    """Where claims on guests that must not run twice are agreed (`hazelhold.replica.gate`)."""
+
+    wanted: list  # what is to be agreed on; emptied by the engine
+
+    def begin(self, now: int) -> None: ...
+
+    def clear(
+        self, now: int, name: str, guest: str, ask: int, attempt: int, machine: str, known: bytes
+    ) -> bool: ...
+
+    def mine(self, value: bytes) -> bool: ...
+
+    def fact(self, now: int, guest: str, ask: int, state: str, machine: str, how: str = "") -> None: ...
+
+    def release(self, now: int, guest: str, known: bytes) -> None: ...
+
+    def look(self, now: int, guest: str, name: str) -> None: ...
+
+    def told(self, now: int, no: int, outcome: str, value: bytes, reason: str) -> list: ...
--- a/hazelhold/engine/dispatches.py
+++ b/hazelhold/engine/dispatches.py
@@ -28,11 +28,17 @@
 
     def _offer(self, now: int, case: Case) -> None:
         link, submit = self.links[case.machine], case.submit
+        if self._claimed(case) and not self.claims.clear(now, case.name, case.guest, case.ask, case.attempt,
+                                                         case.machine, case.claim):
+            link.queue[case.name] = None  # it leaves once its claim is agreed
+            self._wanted()
+            return
         if (loose := self.loose.get(case.guest, {}).get(case.machine)) and loose.case.ask == case.ask:
             self._settled(case.guest, case.machine)  # the machine takes a new dispatch of it for the old one
         link.queue.pop(case.name, None)
         link.used_at = now
         case.sent, case.sent_at, case.incarnation = True, now, link.incarnation
+        case.sent_claim = case.claim
         self._mark("guest", case.name)
         host = self.brain.machines.get(case.machine)
         if host and now - host.cold_at < self.facts.cold_for:
@@ -68,6 +74,8 @@
             self._ended(now, case, Ending.CUT_OFF if case.sent else Ending.NOT_SENT, remark)
             return
         self.counts["ended_" + how[:20]] += 1
+        if how != "lost":  # one that is out of reach may run on
+            self._fact(now, case, "over", how)
         self._unhold(case)
         self.brain.dispatch_ended(now, case.name, ending, True, remark)
         self._forget(case)
@@ -109,6 +117,9 @@
 
     def _final(self, now: int, case: Case, message: m.TurnedBack | m.BrokenOff) -> None:
         """A final answer; a dispatch that is still out becomes a loose one."""
+        if self.claims is not None and isinstance(message, m.TurnedBack) and not case.unsure and not (
+                case.machine and case.sent) and not self.loose.get(case.guest):
+            self._release(now, case.guest, case.claim)
         if case.machine:
             self._give_up(now, case)
             self._unhold(case)
@@ -152,6 +163,7 @@
             if held and held.machine or not (mine and mine.placed):
                 continue
             self._settled(guest, loose.machine)
+            self._fact(now, loose.case, "placed")
             case.ask, case.machine, case.attempt = loose.case.ask, loose.machine, loose.attempt
             case.sent, case.placed, case.sent_at = True, True, loose.sent_at
             self.cases[case.name] = self.newest[guest] = case
--- a/hazelhold/engine/engine.py
+++ b/hazelhold/engine/engine.py
@@ -14,6 +14,7 @@
 
 from hazelhold.config.planner import micros
 from hazelhold.engine.cases import AskList, HangUp
+from hazelhold.engine.claiming import Claiming
 from hazelhold.engine.keep import Keeping, recover
 from hazelhold.engine.links import Links
 from hazelhold.engine.owners import Owners
@@ -23,7 +24,7 @@
 from hazelhold.state.ledger import Ledger
 
 
-class Engine(Owners, Links):
+class Engine(Owners, Links, Claiming):
     """All that one planner does."""
 
     # What outlives the process.
@@ -89,8 +90,10 @@
                 if case.sent:
                     self._give_up(now, case)
                     self._ended(now, case, Ending.OVERDUE, Remark.NONE)
-                else:
-                    self._not_sent(now, case, Ending.NO_CONNECTION)
+                else:  # on a link that is up it waited for its claim
+                    link = self.links.get(case.machine)
+                    waited = link is not None and link.state == "up" and link.rolled
+                    self._not_sent(now, case, Ending.NOT_SENT if waited else Ending.NO_CONNECTION)
         for machine, (_, due) in list(self.probes.items()):
             if due <= now:
                 self._unheard(now, machine, due - micros(self.limits.probe_ms))
--- a/hazelhold/engine/keep.py
+++ b/hazelhold/engine/keep.py
@@ -76,7 +76,8 @@
             self.wall(known.patience_at) if known and not case.placed else 0, tuple(case.asks), s.customer,
             getattr(s, "life", 0), case.attempt, known.dispatches if known else 0, sent, case.incarnation,
             self.wall(case.sent_at) if sent else 0, self.wall(case.due_at) if sent else 0, case.placed,
-            case.cancelled, self.wall(unsure), case.unsure if unsure else "")
+            case.cancelled, self.wall(unsure), case.unsure if unsure else "",
+            case.sent_claim)
 
     def _loose(self, engine: Tables, now: int, key: str) -> Change:
         guest, _, machine = key.partition("\0")
@@ -187,7 +188,8 @@
                       life=image.life)
     return Case(image.name, image.guest, image.ask, image.owner, engine.products[image.product], submit,
                 dict.fromkeys(image.asks), image.attempt, cancelled=image.cancelled,
-                incarnation=image.incarnation, unsure=image.unsure_machine)
+                incarnation=image.incarnation, unsure=image.unsure_machine, claim=image.claim,
+                sent_claim=image.claim)
 
 
 def _recover_case(engine: Tables, now: int, image: GuestImage, epoch: int, complete: bool) -> None:
--- a/hazelhold/engine/links.py
+++ b/hazelhold/engine/links.py
@@ -213,6 +213,7 @@
         if isinstance(message, m.Taken) and not case.placed:
             case.placed = True
             self._mark("guest", case.name)
+            self._fact(now, case, "placed")
             self.brain.dispatch_taken(now, case.name, now - case.sent_at)
             if self.peers.advised:
                 self.advice.placed(now, case.guest)
@@ -278,7 +279,7 @@
             if stand is None and case.placed:
                 self._gone(now, case, "lost")
             elif stand is None and same_life and running.complete:
-                self._ended(now, case, Ending.NOT_SENT, Remark.NONE)  # it never arrived, and cannot any more
+                self._never_arrived(now, case)
             elif stand is None:
                 self._ended(now, case, Ending.CUT_OFF, Remark.NONE)
         for guest in [g for g, by in self.loose.items() if link.machine in by]:
@@ -309,6 +310,14 @@
         if link.machine in self.probes:
             self._send_machine(link.machine, m.Probe(number=self.probes[link.machine][0]))
 
+    def _never_arrived(self, now: int, case: Case) -> None:
+        """A complete roll without it, in the life that it was sent to: it never arrived, and cannot any more.
+        That rests on what this planner last knew. If an earlier life made its claim, the kept state may be
+        older than what that life saw, so the claim is not gone on with."""
+        if case.claim and self.claims is not None and not self.claims.mine(case.claim):
+            case.claim = case.sent_claim = b""
+        self._ended(now, case, Ending.NOT_SENT, Remark.NONE)
+
     def _found(self, now: int, link: Link, stand: m.Stand) -> None:
         """A guest of ours that runs and that this planner does not know: from before its start."""
         if stand.product not in self.products:
@@ -336,6 +345,7 @@
         self._hold(case)
         self._mark("guest", name)
         self.brain.guest_found(now, link.machine, self._ask(case, 0))
+        self._fact(now, case, "placed")
 
     # Silence.
 
--- a/hazelhold/engine/owners.py
+++ b/hazelhold/engine/owners.py
@@ -19,7 +19,7 @@
         elif isinstance(message, m.Cancel):
             self._cancelled(now, owner, message)
         elif isinstance(message, m.Query):
-            self._send_owner(owner, self._state(message))
+            self._queried(now, owner, message)
 
     def _submitted(self, now: int, owner: str, submit: m.Submit) -> None:
         guest, ask = submit.guest, submit.ask
@@ -93,6 +93,18 @@
             return "overloaded", "the line is longer than this patience"
         return None
 
+    def _queried(self, now: int, owner: str, message: m.Query) -> None:
+        """Of a guest that is not in hand and may be claimed, the agreed value says more than memory."""
+        guest = message.guest
+        known = self.products.get(message.product)
+        asked = self.claims is not None and not (
+            known is not None and self.facts.products[known].effect is Effect.RERUNNABLE)
+        if asked and not (guest in self.newest or self.loose.get(guest) or guest in self.ends):
+            self.claims.look(now, guest, f"{owner}\0{guest}\0{message.ask}")
+            self._wanted()
+        else:
+            self._send_owner(owner, self._state(message))
+
     def _cancelled(self, now: int, owner: str, message: m.Cancel) -> None:
         case = self.newest.get(message.guest)
         if case is None:
--- a/hazelhold/engine/tables.py
+++ b/hazelhold/engine/tables.py
@@ -8,10 +8,10 @@
 from hazelhold.brain import Brain
 from hazelhold.config.planner import PlannerSheet, micros
 from hazelhold.engine.advice import Advice
-from hazelhold.engine.cases import Action, Case, Dial, HangUp, Loose, Send
+from hazelhold.engine.cases import Action, Agree, Case, Claims, Dial, HangUp, Loose, Send
 from hazelhold.engine.machines import Fellow, Link, Roster
 from hazelhold.engine.terms import Terms, terms_of
-from hazelhold.interface import Ask, Earlier
+from hazelhold.interface import Ask, Earlier, Effect
 from hazelhold.protocol import messages as m
 from hazelhold.state.images import Change
 
@@ -60,6 +60,7 @@
         self.unheard: set[str] = set()  # machines listed at the start that have not told what they hold
         self.list_heard = self.stopping = False
         self.keeping: Marks | None = None  # set if what changes here is to outlive the process
+        self.claims: Claims | None = None  # set if offers that must not leave twice are agreed among planners
         self.sure = False  # all that this planner took in earlier lives is known
         self.kept_well = True  # what is sent is sure to be known after a crash
         self.more = False  # the last pump ended at its limit
@@ -70,6 +71,28 @@
         if self.keeping is not None:
             self.keeping.marks[kind, "\0".join(str(part) for part in key)] = None
 
+    # Claims.
+
+    def _claimed(self, case: Case) -> bool:
+        """Whether offers of this guest need a claim."""
+        return self.claims is not None and (
+            self.facts.products[case.product].effect is not Effect.RERUNNABLE)
+
+    def _wanted(self) -> None:
+        wanted, self.claims.wanted = self.claims.wanted, []
+        self.actions += [Agree(*each) for each in wanted]
+
+    def _fact(self, now: int, case: Case, state: str, how: str = "") -> None:
+        """Lets the other planners know what became of a claimed guest."""
+        if self._claimed(case):
+            self.claims.fact(now, case.guest, case.ask, state, case.machine, how)
+            self._wanted()
+
+    def _release(self, now: int, guest: str, claim: bytes) -> None:
+        if claim:
+            self.claims.release(now, guest, claim)
+            self._wanted()
+
     def _overdue(self, due: int, case: Case) -> None:
         case.due_at = due
         heappush(self.overdue, (due, case.name, case.attempt))
--- a/hazelhold/model/owners.py
+++ b/hazelhold/model/owners.py
@@ -47,17 +47,20 @@
     reason: str = ""
     cancel_at: int = 0
     cancelled: bool = False
+    silent: int = 0  # queries in a row that were not answered
 
 
 class OwnerModel:
     """One sender: moments and messages in, (planner, message) pairs in `out`."""
 
     def __init__(self, name: str, seed: int, planners: list[str], wants: list[Want], rate: float,
-                 again: tuple[int, int], settle: int, cancel_share: float, now: int, until: int) -> None:
+                 again: tuple[int, int], settle: int, cancel_share: float, now: int, until: int,
+                 moves: bool = False) -> None:
         self.name, self.planners, self.wants = name, planners, wants
         self.random = Random(f"{name}/{seed}")
         self.rate, self.again, self.settle = rate, again, settle
         self.cancel_share, self.until = cancel_share, until
+        self.moves = moves  # asks another planner after a guest whose own planner says nothing
         self.factor = 1.0  # of demand
         self.hot: dict[str, float] = {}  # service: times its usual weight
         self.up: dict[str, bool] = dict.fromkeys(planners, False)
@@ -123,6 +126,7 @@
 
     def _told(self, now: int, wanted: Wanted, message: m.State) -> None:
         """How things stand at the planner that has, or had, the guest."""
+        wanted.silent = 0
         if message.state == "running":
             wanted.state = "placed"
         elif message.state in ("held", "out"):
@@ -216,7 +220,15 @@
         self._unsure(now, wanted)
 
     def _settled(self, now: int, wanted: Wanted) -> None:
-        """Asks the planner that had it; without a word from it nothing is done that could do harm."""
+        """Asks the planner that had it; without a word from it nothing is done that could do harm. Where
+        planners agree on claims, another may be asked."""
+        if wanted.state == "settling" and self.moves:
+            wanted.silent += 1
+            if not self.up[wanted.planner] or wanted.silent > 2:
+                self.counts["moves"] += 1
+                wanted.silent, wanted.reason = 0, "unanswered"
+                self._ask(now, wanted)
+                return
         if wanted.state == "settling":
             if self.up[wanted.planner]:
                 self.out.append((wanted.planner, m.Query(guest=wanted.guest, ask=wanted.ask)))
--- a/hazelhold/protocol/messages.py
+++ b/hazelhold/protocol/messages.py
@@ -106,7 +106,10 @@
 
 
 class Query(Named, tag="query", kw_only=True):
-    """Asks how things stand with a guest."""
+    """Asks how things stand with a guest. Who names a product whose guests may run twice spares the planners
+    a look at what is agreed."""
+
+    product: str = ""
 
 
 class Held(Named, tag="held", kw_only=True):
@@ -126,6 +129,7 @@
 
     machine: Id
     description: bytes = b""  # the machine's, as it is
+    planner: str = ""  # who has it, if another
 
 
 class TurnedBack(Named, tag="turned_back", kw_only=True):
@@ -136,9 +140,10 @@
 
 
 class BrokenOff(Named, tag="broken_off", kw_only=True):
-    """Final answer: failed, with no promise."""
+    """Final answer: failed, with no promise. `planner`: who has claimed it, and may know more."""
 
     reason: str = ""
+    planner: str = ""
 
 
 class GuestEnded(Named, tag="guest_ended", kw_only=True):
@@ -153,6 +158,8 @@
 
     state: str
     machine: str = ""
+    planner: str = ""  # who has it, if another
+    reason: str = ""  # why no more is known
 
 
 # Planners and machines.
--- a/hazelhold/rehearse/crashes.py
+++ b/hazelhold/rehearse/crashes.py
@@ -75,7 +75,8 @@
         recorder = Recorder(self.records / f"planner-{sheet.name}-{self.lives[number]}.jsonl", sheet.name,
                             "planner")
         sheet = captured(sheet, self.capture, self.lives[number])
-        planner = Planner(sheet, sheet.seed + self.lives[number], self.net, recorder, disk)
+        planner = Planner(sheet, sheet.seed + self.lives[number], self.net, recorder, disk,
+                          votes=self.votes[number])
         do = planner._do
         planner.keeper.do = lambda action: self._do(do, disk, action)
         scope, done = trio.CancelScope(), trio.Event()
@@ -92,6 +93,7 @@
             if planner.tap is not None:
                 planner.tap.writer.close()
             disk.crash()
+            self.votes[number].crash()
             done.set()
             if dead:
                 self.crashes += 1
--- a/hazelhold/rehearse/crew.py
+++ b/hazelhold/rehearse/crew.py
@@ -3,6 +3,7 @@
 import signal
 import subprocess
 import sys
+import time
 from pathlib import Path
 from typing import Protocol
 
@@ -13,13 +14,19 @@
 from hazelhold.config.load import ConfigError
 from hazelhold.config.planner import PlannerSheet
 from hazelhold.protocol.record import Recorder
+from hazelhold.replica.votes import found
 from hazelhold.service.net import Net
 from hazelhold.service.planner import Planner
+from hazelhold.standin.disk import FaultyDisk, Points
+from hazelhold.state.disk import RealDisk
 
 
 class Crew(Protocol):
     """What a rehearsal asks of whoever runs its planners; planners are numbered from 0."""
 
+    def found(self, number: int) -> None:
+        """Gives a planner its seat in the agreed set, before its first start."""
+
     async def start(self, number: int) -> None: ...
 
     async def kill(self, number: int) -> None: ...
@@ -46,9 +53,14 @@
                  capture: Path | None) -> None:
         self.sheets, self.net, self.records, self.nursery = sheets, net, records, nursery
         self.capture = capture
+        self.votes = [FaultyDisk(Points(set(), number)) for number in range(len(sheets))]
         self.running: dict[int, tuple[Planner, trio.CancelScope, trio.Event]] = {}
         self.lives = [0] * len(sheets)
 
+    def found(self, number: int) -> None:
+        sheet = self.sheets[number]
+        found(self.votes[number], sheet.name, sheet.copies, self.net.wall())
+
     async def start(self, number: int) -> None:
         if number in self.running:
             return
@@ -57,7 +69,8 @@
         recorder = Recorder(self.records / f"planner-{sheet.name}-{self.lives[number]}.jsonl", sheet.name,
                             "planner")
         sheet = captured(sheet, self.capture, self.lives[number])
-        planner = Planner(sheet, sheet.seed + self.lives[number], self.net, recorder)
+        planner = Planner(sheet, sheet.seed + self.lives[number], self.net, recorder,
+                          votes=self.votes[number])
         scope, done = trio.CancelScope(), trio.Event()
         self.running[number] = planner, scope, done
 
@@ -67,6 +80,7 @@
             recorder.close()
             if planner.tap is not None:
                 planner.tap.writer.close()
+            self.votes[number].crash()
             done.set()
 
         await self.nursery.start(live)
@@ -95,8 +109,9 @@
 def sheet_text(sheet: PlannerSheet) -> bytes:
     """The sheet as a file. What is off is left out: a program that does not know it reads the file."""
     plain = msgspec.to_builtins(sheet)
-    if not sheet.membership.listen:
-        del plain["membership"]
+    for part in ("membership", "copies"):
+        if not getattr(sheet, part).listen:
+            del plain[part]
     return msgspec.json.encode(plain)
 
 
@@ -112,6 +127,10 @@
         for number, sheet in enumerate(sheets):
             (folder / f"planner{number}.json5").write_bytes(sheet_text(sheet))
 
+    def found(self, number: int) -> None:
+        sheet = self.sheets[number]
+        found(RealDisk(Path(sheet.copies.folder)), sheet.name, sheet.copies, time.time_ns() // 1000)
+
     async def start(self, number: int) -> None:
         if number in self.running:
             return
--- a/hazelhold/rehearse/run.py
+++ b/hazelhold/rehearse/run.py
@@ -9,11 +9,21 @@
 import trio
 from msgspec.structs import replace
 
+from hazelhold.audit.claims import ClaimAudit
 from hazelhold.audit.rules import Audit, RuleSheet
 from hazelhold.audit.score import score
 from hazelhold.audit.views import ViewBounds, Views
 from hazelhold.config.day import Day
-from hazelhold.config.planner import LimitSheet, ListSheet, MembershipSheet, PlannerSheet, StateSheet, micros
+from hazelhold.config.planner import (
+    CopiesPlanner,
+    CopiesSheet,
+    LimitSheet,
+    ListSheet,
+    MembershipSheet,
+    PlannerSheet,
+    StateSheet,
+    micros,
+)
 from hazelhold.protocol.record import Recorder
 from hazelhold.rehearse.crashes import Crashing, DiskFault
 from hazelhold.rehearse.crew import Crew, Inside, Processes, Programs
@@ -60,6 +70,21 @@
     return found
 
 
+async def copy_up(sheets: list[PlannerSheet], day: Day, wires: Wires, ports: list[str],
+                  folder: Path) -> list[PlannerSheet]:
+    """The sheets with claims agreed among all, each planner reaching each other by a wire of its own."""
+    names = [s.name for s in sheets]
+    planners = [CopiesPlanner(name, ports[at], f"zone-{at % day.zones}") for at, name in enumerate(names)]
+    found = []
+    for a, sheet in enumerate(sheets):
+        reach = {names[b]: await wires.streams(names[a], names[b], ports[b])
+                 for b in range(len(names)) if b != a}
+        found.append(replace(sheet, copies=CopiesSheet(
+            listen=ports[a], folder=str(folder / "votes" / sheet.name), planners=planners, reach=reach,
+            replicas=day.copies.replicas, deployment=day.name, claim_ms=day.copies.claim_ms)))
+    return found
+
+
 def rule_sheet(day: Day) -> RuleSheet:
     fleet = day.estate.fleet
     return RuleSheet(
@@ -99,6 +124,10 @@
             ports = ([f"{host}:{port}" for port in free_ports(day.planners, socket.SOCK_DGRAM)]
                      if isinstance(net, TcpNet) else [f"members-{number}" for number in range(day.planners)])
             sheets = await wire_up(sheets, day, wires, ports)
+            if day.copies.on:
+                ports = ([f"{host}:{port}" for port in free_ports(day.planners)] if isinstance(net, TcpNet)
+                         else [f"copies-{number}" for number in range(day.planners)])
+                sheets = await copy_up(sheets, day, wires, ports, folder)
         if keep:
             sheets = [replace(s, state=StateSheet(folder=str(folder / "state" / s.name))) for s in sheets]
         if points is not None:
@@ -107,6 +136,9 @@
             crew = Inside(sheets, net, records, nursery, capture)
         else:
             crew = Processes(sheets, folder, nursery, capture, programs)
+        if day.copies.on:
+            for number in range(day.planners):
+                crew.found(number)
         for number in range(day.planners):
             await crew.start(number)
             chief.note(net.now(), sheets[number].name, "planner_up")
@@ -187,8 +219,12 @@
     """Audit and score of a folder of records, as plain values."""
     audit = Audit.of_folder(records)
     breaches = audit.breaches()
+    claims = ClaimAudit(audit.crossings, audit.rules)
+    breaches += claims.breaches()
     views = Views(audit.crossings, bounds or ViewBounds())
     more = {} if views.off else {"views": views.judge()}
+    if not claims.off:
+        more["claims"] = claims.counts()
     return {"day": name, "seed": seed, "seconds": round(seconds, 1), "counts": audit.counts(),
             "service": score(audit.crossings, audit.rules), "owners": owners,
             "rules_broken": [msgspec.to_builtins(b) for b in breaches],
--- a/hazelhold/rehearse/stage.py
+++ b/hazelhold/rehearse/stage.py
@@ -127,7 +127,8 @@
             model = OwnerModel(f"owner{number}", self.seed, list(planners), self.wants,
                                demand.rate / demand.owners,
                                (micros(demand.again_ms[0]), micros(demand.again_ms[1])),
-                               micros(self.day.estate.fleet.settle_ms), demand.cancel_share, now, until)
+                               micros(self.day.estate.fleet.settle_ms), demand.cancel_share, now, until,
+                               self.day.copies.on)
             sender = SenderHost(self.net, model, planners, self.recorder(model.name, "owner"))
             self.senders.append(sender)
             nursery.start_soon(sender.run)
--- /dev/null
+++ b/hazelhold/replica/host.py
@@ -0,0 +1,388 @@
+"""Runs one planner's part in agreed values: a door for the others' askings, links for its own, the disk.
+
+A link to another planner is opened by the first asking that needs it, and closed when nobody has for a while.
+What cannot be sent is dropped: the proposer asks again or gives up in time. An answer leaves once what it
+promises is safe; answers that come while a commit is under way share the next.
+"""
+
+import os
+from collections import Counter, deque
+from collections.abc import Callable
+from random import SystemRandom
+
+import structlog
+import trio
+from msgspec import Struct
+
+from hazelhold.config.planner import CopiesSheet
+from hazelhold.protocol.frames import FrameError
+from hazelhold.protocol.messages import Codec
+from hazelhold.protocol.record import Recorder
+from hazelhold.replica import words as w
+from hazelhold.replica.proposer import Change as Asked
+from hazelhold.replica.proposer import Done, Proposer, Send
+from hazelhold.replica.sets import Keeper, Sets
+from hazelhold.replica.votes import Votes
+from hazelhold.service.net import Net
+from hazelhold.service.wire import Wire
+from hazelhold.state import frames
+from hazelhold.state.disk import Disk
+from hazelhold.state.images import Change
+
+VERSION = 1
+HELLO = 2.0  # seconds for a first message
+IDLE = 60.0  # seconds after which an unused link is closed
+RETRY = (0.05, 1.0)  # seconds between dials of a planner that is away, first and longest
+WAITING = 256  # words kept for a link that is being opened; older ones go
+RECENT = 1_000_000  # microseconds since an answer in which a planner counts as heard, in the log
+BUSY = 20_000  # words that wait for the disk; past that they are dropped, and asked again
+
+
+class Greet(Struct, frozen=True, tag_field="t", tag="greet"):
+    """First word of either side."""
+
+    name: str
+    deployment: str
+    epoch: int
+    version: int = VERSION
+
+
+ASKS = Codec(Greet | w.Prepare | w.Accept | w.Look)
+ANSWERS = Codec(Greet | w.Promise | w.Accepted | w.Seen | w.Refused)
+
+
+class Note(Struct, omit_defaults=True):
+    """An asking, or its end, in the planner's record. `change` is the kind with its fields."""
+
+    process: str
+    no: int
+    change: list = []
+    outcome: str = ""
+    value: bytes = b""
+    reason: str = ""
+    rounds: int = 0
+
+
+class Far:
+    """The way to another planner."""
+
+    def __init__(self, name: str, address: str) -> None:
+        self.name, self.address = name, address
+        self.wire: Wire | None = None
+        self.waiting: deque[w.Word] = deque(maxlen=WAITING)
+        self.opening = False
+        self.used = 0.0
+        self.heard = -RECENT  # its last answer, on this clock
+
+
+class Copies:
+    """One planner's part. `told` hears how each asking ended: number, outcome, value, reason."""
+
+    def __init__(
+        self,
+        name: str,
+        sheet: CopiesSheet,
+        net: Net,
+        disk: Disk,
+        told: Callable[[int, str, bytes, str], None],
+        recorder: Recorder | None = None,
+    ) -> None:
+        self.name, self.sheet, self.net, self.told, self.recorder = name, sheet, net, told, recorder
+        draw = SystemRandom()
+        self.process = f"{name}/{net.wall()}/{draw.getrandbits(62):x}"
+        self.proposer = Proposer(self.process, sheet.epoch, draw.getrandbits(62))
+        self.sets = Sets([Keeper(p.name, p.zone) for p in sheet.planners], sheet.replicas)
+        self.votes = Votes(disk, name, sheet)
+        self.vault = Vault(self.votes, sheet, self._stirred)
+        self.far = {
+            p.name: Far(p.name, sheet.reach.get(p.name, p.address)) for p in sheet.planners if p.name != name
+        }
+        self.asked: dict[int, int] = {}  # the proposer's number: the asker's; emptied by each end
+        self.counts: Counter[str] = Counter()
+        self.log = structlog.get_logger().bind(planner=name)
+        self.stir = trio.Event()
+        self.cut = ""  # why nothing could be agreed lately
+        self.address = ""
+
+    def open(self) -> None:
+        """Reads the votes. StateError if the folder must not be used."""
+        seen = self.votes.open(self.net.wall(), f"{self.name} {os.getpid()}")
+        for note in seen.notes:
+            self.log.warning("votes_damaged", note=note)
+        if self.votes.why:
+            self.log.error("does_not_vote", why=self.votes.why, folder=self.sheet.folder)
+        else:
+            self.vault.begin(self.net.wall())
+        self.log.info("votes", cells=len(self.votes.acceptor.cells), voting=not self.votes.why)
+
+    async def run(self, task_status: trio.TaskStatus = trio.TASK_STATUS_IGNORED) -> None:
+        """Until it is cancelled; `open` first."""
+        try:
+            async with trio.open_nursery() as nursery:
+                self.nursery = nursery
+                self.address = await self.net.listen(self.sheet.listen, self._door, nursery)
+                self.log.info("copies", address=self.address, epoch=self.sheet.epoch,
+                              planners=len(self.sheet.planners), replicas=self.sheet.replicas)
+                nursery.start_soon(self.vault.run, self.net)
+                nursery.start_soon(self._sweep)
+                nursery.start_soon(self._idle)
+                task_status.started()
+                await self._tend()
+        finally:
+            self.votes.store.close()
+
+    # Askings.
+
+    def ask(self, no: int, key: str, change: Asked, deadline: int) -> None:
+        """Agrees on a change; `told` hears of it by the deadline, on this clock."""
+        mine = self.proposer.number + 1
+        self.asked[mine] = no
+        kind = type(change).__name__.lower()
+        self._note(key, "ask", Note(self.process, mine, [kind, *change]))
+        self.proposer.ask(self.net.now(), key, change, self.sets(key), deadline)
+        self._stirred()
+
+    def _stirred(self) -> None:
+        self.stir.set()
+
+    async def _tend(self) -> None:
+        """Carries out what the proposer wants, and wakes it in time."""
+        while True:
+            self.proposer.wake(self.net.now())
+            while self.proposer.actions:
+                actions, self.proposer.actions = self.proposer.actions, []
+                for action in actions:
+                    if isinstance(action, Send):
+                        self._send(action)
+                    else:
+                        self._done(action)
+            due = self.proposer.next_at()
+            span = float("inf") if due is None else max(0.0, (due - self.net.now()) / 1e6)
+            with trio.move_on_after(span):
+                await self.stir.wait()
+            await trio.lowlevel.checkpoint()
+            self.stir = trio.Event()
+
+    def _done(self, done: Done) -> None:
+        self.counts["asked_" + done.outcome] += 1
+        self._note(done.key, "agreed", Note(self.process, done.asked, [], done.outcome, done.value,
+                                            done.reason, done.rounds))
+        if done.outcome == "agreed" and self.cut:
+            self.cut = ""
+            self.log.warning("agrees_again")
+        elif done.outcome != "agreed" and done.reason not in (self.cut, "contended", "busy"):
+            self.cut = done.reason
+            heard = sorted(f.name for f in self.far.values() if self.net.now() - f.heard < RECENT)
+            self.log.warning("cannot_agree", reason=done.reason, key=done.key, replicas=self.sets(done.key),
+                             heard=heard, votes=self.votes.why or "yes")
+        self.told(self.asked.pop(done.asked), done.outcome, done.value, done.reason)
+
+    def _note(self, key: str, way: str, note: Note) -> None:
+        if self.recorder is not None:
+            self.recorder.note(self.net.now(), key, way, note)
+
+    # To the others.
+
+    def _send(self, send: Send) -> None:
+        if send.to == self.name:
+            answer, changes = self.votes.hear(send.word, self.net.wall())
+            self.vault.take(changes, lambda: self._answered(self.name, answer))
+            return
+        far = self.far[send.to]
+        far.used = trio.current_time()
+        if far.wire is not None:
+            far.wire.send(send.word)
+            return
+        far.waiting.append(send.word)
+        if not far.opening:
+            far.opening = True
+            self.nursery.start_soon(self._link, far)
+
+    def _answered(self, sender: str, answer: w.Word) -> None:
+        if far := self.far.get(sender):
+            far.heard = self.net.now()
+        self.proposer.hear(self.net.now(), sender, answer)
+        self._stirred()
+
+    async def _link(self, far: Far) -> None:
+        """Opens the way and listens, again and again while anybody needs it."""
+        pause = RETRY[0]
+        while True:
+            try:
+                with trio.fail_after(HELLO):
+                    stream = await self.net.dial(far.address)
+                began = trio.current_time()
+                await self._listen(far, stream)
+                if trio.current_time() - began > HELLO:
+                    pause = RETRY[0]
+            except (OSError, trio.TooSlowError) as wrong:
+                self.log.debug("copies_dial_failed", to=far.name, address=far.address, reason=str(wrong))
+            far.wire = None
+            far.waiting.clear()  # it would be late: whoever still waits asks again
+            if trio.current_time() - far.used > IDLE:
+                far.opening = False
+                return
+            await trio.sleep(pause)
+            pause = min(2 * pause, RETRY[1])
+
+    async def _listen(self, far: Far, stream: trio.abc.Stream) -> None:
+        wire = Wire(stream, ANSWERS, self.net.now)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(wire.write)
+            with wire.scope:
+                try:
+                    wire.send(self._greet())
+                    greet = await wire.first(Greet, HELLO)
+                    if (greet.name, greet.deployment) != (far.name, self.sheet.deployment):
+                        raise FrameError("wrong_planner", f"{greet.name!r} of {greet.deployment!r} answered")
+                    far.wire = wire
+                    while far.waiting:
+                        wire.send(far.waiting.popleft())
+                    for answer in wire.rest():
+                        self._answered(far.name, answer)
+                    async for answer in wire.messages():
+                        if isinstance(answer, Greet):
+                            raise FrameError("second_greet", "a connection has one greeting")
+                        self._answered(far.name, answer)
+                except FrameError as wrong:
+                    self.counts["far_" + wrong.code] += 1
+                    self.log.info("copies_left", to=far.name, code=wrong.code, reason=wrong.text)
+            far.wire = None
+            wire.finish()
+
+    def _greet(self) -> Greet:
+        return Greet(self.name, self.sheet.deployment, self.sheet.epoch)
+
+    async def _idle(self) -> None:
+        while True:
+            await trio.sleep(IDLE / 4)
+            for far in self.far.values():
+                if far.wire is not None and trio.current_time() - far.used > IDLE:
+                    far.wire.finish()
+
+    # From the others.
+
+    async def _door(self, stream: trio.abc.Stream) -> None:
+        """One planner's askings. Whatever is wrong with a connection ends it alone."""
+        wire = Wire(stream, ASKS, self.net.now)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(wire.write)
+            with wire.scope:
+                try:
+                    greet = await wire.first(Greet, HELLO)
+                    if greet.version != VERSION:
+                        raise FrameError("version", f"version {greet.version}; spoken here: {VERSION}")
+                    if greet.deployment != self.sheet.deployment or greet.name not in self.far:
+                        raise FrameError("stranger", f"{greet.name!r} of {greet.deployment!r} has no seat")
+                    wire.send(self._greet())
+                    for word in wire.rest():
+                        self._heard(wire, word)
+                    async for word in wire.messages():
+                        self._heard(wire, word)
+                except FrameError as wrong:
+                    self.counts["refused_" + wrong.code] += 1
+                    self.log.warning("copies_refused", code=wrong.code, reason=wrong.text)
+            wire.finish()
+
+    def _heard(self, wire: Wire, word: w.Word) -> None:
+        if isinstance(word, Greet):
+            raise FrameError("second_greet", "a connection has one greeting")
+        if len(self.vault.queue) > BUSY:
+            self.counts["words_dropped"] += 1
+            return
+        answer, changes = self.votes.hear(word, self.net.wall())
+        self.vault.take(changes, lambda: wire.send(answer))
+
+    async def _sweep(self) -> None:
+        while True:
+            await trio.sleep(5.0)
+            if not self.votes.why and (changes := self.votes.sweep(self.net.wall())):
+                self.vault.take(changes, lambda: None)
+
+
+class Vault:
+    """Makes votes safe and lets answers go: one commit at a time, what comes meanwhile shares the next. While
+    the disk fails nothing is answered; every `retry_ms` all votes are written anew as a whole."""
+
+    def __init__(self, votes: Votes, sheet: CopiesSheet, stirred: Callable[[], None]) -> None:
+        self.votes, self.sheet, self.stirred = votes, sheet, stirred
+        self.store = votes.store
+        self.queue: deque[tuple[list[Change], Callable[[], object]]] = deque()  # emptied by each commit
+        self.busy = self.failed = False
+        self.more = trio.Event()
+        self.log = structlog.get_logger().bind(planner=votes.name)
+        self.commits = self.failures = 0
+
+    def begin(self, wall: int) -> None:
+        try:
+            self.store.begin(wall)
+        except OSError as wrong:
+            self._fails(wrong)
+
+    def take(self, changes: list[Change], then: Callable[[], object]) -> None:
+        """Calls `then` once the changes, and all before them, are safe; never, if the disk fails first."""
+        if not changes and not self.queue and not self.busy and not self.failed:
+            then()
+            return
+        self.queue.append((changes, then))
+        self.more.set()
+
+    async def run(self, net: Net) -> None:
+        while True:
+            with trio.move_on_after(self.sheet.retry_ms / 1000 if self.failed else float("inf")):
+                await self.more.wait()
+            self.more = trio.Event()
+            if self.failed:
+                await trio.sleep(self.sheet.retry_ms / 1000)
+                await self._renew(net.wall())
+            while self.queue and not self.failed:
+                self.busy = True
+                await self._commit(net.wall())
+                self.busy = False
+
+    async def _commit(self, wall: int) -> None:
+        taken, self.queue = self.queue, deque()
+        changes = list({(c.kind, c.key): c for each, _ in taken for c in each}.values())
+        if changes:
+            self.store.apply(changes)
+            wrong = await self._slowly(self.store.log, frames.batch(changes))
+            if wrong is None and self.store.due():
+                wrong = await self._slowly(self.store.finish, *self.store.prepare(wall))
+            if wrong is not None:
+                self._fails(wrong)
+                return
+            self.commits += 1
+        for _, then in taken:
+            then()
+        self.stirred()
+
+    async def _slowly(self, call: Callable[..., None], *given: object) -> OSError | None:
+        if not self.store.disk.threaded:
+            try:
+                call(*given)
+            except OSError as wrong:
+                return wrong
+            return None
+        with trio.move_on_after(self.sheet.slow_ms / 1000):
+            try:
+                await trio.to_thread.run_sync(call, *given, abandon_on_cancel=True)
+                return None
+            except OSError as wrong:
+                return wrong
+        self.store.healthy = False
+        return OSError(f"the disk took longer than {self.sheet.slow_ms:g} ms")
+
+    def _fails(self, wrong: OSError) -> None:
+        self.failures += 1
+        self.failed = True
+        self.log.error("votes_fail", reason=str(wrong))
+
+    async def _renew(self, wall: int) -> None:
+        """All votes as a new generation. What waited is not answered: it is asked again, or was given up."""
+        for changes, _ in self.queue:
+            self.store.apply(changes)
+        self.queue.clear()
+        wrong = await self._slowly(self.store.finish, *self.store.prepare(wall))
+        if wrong is None:
+            self.failed = False
+            self.log.warning("votes_work_again", waiting=len(self.queue))
--- a/hazelhold/replica/sets.py
+++ b/hazelhold/replica/sets.py
@@ -10,6 +10,8 @@
 
 import xxhash
 
+SLOTS = 4096  # keys share sets by slot, so that a set is drawn once; 230 planners keep some 53 slots each
+
 
 class Keeper(NamedTuple):
     """A planner of the configured set."""
@@ -34,3 +36,19 @@
         order.remove(chosen)
         found.append(chosen)
     return tuple(p.name for p in found)
+
+
+class Sets:
+    """The sets of one epoch. A key's slot is a hash of the key alone, so the work for a key does not grow
+    with planners; each slot's set is drawn once."""
+
+    def __init__(self, planners: Sequence[Keeper], count: int) -> None:
+        self.planners, self.count = tuple(planners), count
+        self.slots: dict[int, tuple[str, ...]] = {}  # SLOTS of them at most
+
+    def __call__(self, key: str) -> tuple[str, ...]:
+        slot = xxhash.xxh3_64_intdigest(key.encode()) % SLOTS
+        found = self.slots.get(slot)
+        if found is None:
+            found = self.slots[slot] = replicas(f"slot/{slot}", self.planners, self.count)
+        return found
--- a/hazelhold/service/planner.py
+++ b/hazelhold/service/planner.py
@@ -18,7 +18,7 @@
 from hazelhold.capture.tap import Tap
 from hazelhold.config.planner import PlannerSheet
 from hazelhold.engine.advice import Doorman
-from hazelhold.engine.cases import Action, AskList, Dial, HangUp, Lost, Send
+from hazelhold.engine.cases import Action, Agree, AskList, Dial, HangUp, Lost, Send
 from hazelhold.engine.engine import Engine
 from hazelhold.protocol import messages as m
 from hazelhold.protocol.frames import FrameError, frame
@@ -36,7 +36,7 @@
     """One planner from its start to its stop. `run` ends once a stop that was asked for is done."""
 
     def __init__(self, sheet: PlannerSheet, seed: int, net: Net, recorder: Recorder | None = None,
-                 disk: Disk | None = None, take_over: bool = False) -> None:
+                 disk: Disk | None = None, take_over: bool = False, votes: Disk | None = None) -> None:
         self.sheet, self.net, self.limits = sheet, net, sheet.limits
         self.engine = Engine(sheet, seed, net.now())
         self.tap = Tap(Path(sheet.capture.file), sheet.capture, sheet, seed, net.now()) if (
@@ -61,6 +61,12 @@
             from hazelhold.membership.host import Members  # not above: off costs nothing
 
             self.members = Members(sheet.name, sheet.membership, net, recorder)
+        self.copies = None
+        if sheet.copies.listen:
+            from hazelhold.replica.host import Copies
+
+            self.copies = Copies(sheet.name, sheet.copies, net, votes or RealDisk(Path(sheet.copies.folder)),
+                                 self._agreed, recorder)
         self.keeper: Keeper | None = None
         if disk is None and sheet.state.folder:
             disk = RealDisk(Path(sheet.state.folder))
@@ -76,6 +82,8 @@
                 nursery.start_soon(self.keeper.run)
                 nursery.start_soon(self.keeper.tend)
                 nursery.start_soon(self.keeper.let_go)
+            if self.copies is not None:
+                await self._claim(nursery)
             self.address = await self.net.listen(self.sheet.listen, self._door, nursery)
             nursery.start_soon(self.ticker.run)
             nursery.start_soon(self._follow_list)
@@ -111,6 +119,32 @@
                       generation=found.generation, **counts)
         self._carry_out()
 
+    async def _claim(self, nursery: trio.Nursery) -> None:
+        """From here on guests that must not run twice are claimed among the planners."""
+        from hazelhold.replica.gate import Gate
+
+        self.copies.open()
+        await nursery.start(self.copies.run)
+        self.engine.claim_by(self.net.now(), Gate(self.sheet.name, round(self.sheet.copies.claim_ms * 1000)))
+        self._carry_out()
+
+    def _agreed(self, no: int, outcome: str, value: bytes, reason: str) -> None:
+        """How an asking among the planners ended."""
+        if self.handed_over:
+            return
+        self.engine.agreed(self.net.now(), no, outcome, value, reason)
+        self._carry_out()
+        self.ticker.stir()
+
+    def _ask_others(self, actions: list[Action]) -> list[Action]:
+        """Begins the askings among these actions, which wait for nothing; returns the others."""
+        if self.copies is None:
+            return actions
+        for action in actions:
+            if isinstance(action, Agree):
+                self.copies.ask(*action)
+        return [a for a in actions if not isinstance(a, Agree)]
+
     async def _take_over(self, pid: int, text: str) -> Found:
         """Asks the process that has the state to hand over, and waits for it, ten seconds at most."""
         os.kill(pid, signal.SIGUSR2)
@@ -225,11 +259,11 @@
         """Does what the engine wants done; what a failed send causes goes in as an input and is done too."""
         if self.keeper is not None:
             while self.engine.actions or self.engine.keeping.marks:
-                actions, self.engine.actions = self.engine.actions, []
+                actions, self.engine.actions = self._ask_others(self.engine.actions), []
                 self.keeper.take(actions, self.engine.flush(self.net.now()))
             return
         while self.engine.actions:
-            actions, self.engine.actions = self.engine.actions, []
+            actions, self.engine.actions = self._ask_others(self.engine.actions), []
             for action in actions:
                 self._do(action)
 
--- a/hazelhold/state/images.py
+++ b/hazelhold/state/images.py
@@ -53,6 +53,7 @@
     cancelled: bool = False
     unsure_at: int = 0
     unsure_machine: str = ""
+    claim: bytes = b""  # the agreed claim under which the last offer left
 
 
 class LooseImage(Struct, array_like=True, frozen=True):
--- a/hazelhold/state/ledger.py
+++ b/hazelhold/state/ledger.py
@@ -1,6 +1,6 @@
 """The kept images by kind and key; what a log's changes lead to. No I/O."""
 
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterable, Iterator, Mapping
 
 import msgspec
 from msgspec import Struct
@@ -11,8 +11,10 @@
 class Ledger:
     """Every table is emptied by drops, and by age where images have one."""
 
-    def __init__(self) -> None:
-        self.tables: dict[str, dict[str, Change]] = {kind: {} for kind in KINDS}
+    def __init__(self, kinds: Mapping[str, type[Struct]] = KINDS) -> None:
+        self.tables: dict[str, dict[str, Change]] = {kind: {} for kind in kinds}
+        self.decoders = DECODERS if kinds is KINDS else {
+            kind: msgspec.msgpack.Decoder(image) for kind, image in kinds.items()}
         self.strange = 0  # changes of kinds that are not known here
 
     def apply(self, changes: Iterable[Change]) -> None:
@@ -40,13 +42,13 @@
         """The images of a kind, in the order of their keys; ValueError if one cannot be read."""
         for key in sorted(self.tables[kind]):
             try:
-                yield DECODERS[kind].decode(self.tables[kind][key].image)
+                yield self.decoders[kind].decode(self.tables[kind][key].image)
             except (msgspec.MsgspecError, UnicodeDecodeError) as wrong:
                 raise ValueError(f"{kind} {key!r}: {wrong}") from None
 
     def image(self, kind: str, key: str) -> Struct | None:
         change = self.tables[kind].get(key)
-        return DECODERS[kind].decode(change.image) if change else None
+        return self.decoders[kind].decode(change.image) if change else None
 
     def sizes(self) -> dict[str, int]:
         return {kind: len(table) for kind, table in self.tables.items()}
--- a/hazelhold/state/store.py
+++ b/hazelhold/state/store.py
@@ -8,13 +8,15 @@
 is safe, so the next try is a new generation, whole.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from typing import NamedTuple
 
+from msgspec import Struct
+
 from hazelhold.state import frames
 from hazelhold.state.disk import Disk
 from hazelhold.state.frames import Header, Scan
-from hazelhold.state.images import FORMAT, Change, GuestImage
+from hazelhold.state.images import FORMAT, KINDS, Change, GuestImage
 from hazelhold.state.ledger import Ledger
 
 LEAST = 4 << 20  # bytes of log before a new generation is worth its snapshot
@@ -67,10 +69,10 @@
     return found
 
 
-def read(disk: Disk, planner: str = "") -> Found:
+def read(disk: Disk, planner: str = "", kinds: Mapping[str, type[Struct]] = KINDS) -> Found:
     """What a folder holds; harmless beside a running planner. StateError if it is of another planner or of a
     newer program."""
-    names, notes, ledger = disk.names(), [], Ledger()
+    names, notes, ledger = disk.names(), [], Ledger(kinds)
     snapshots, logs = numbered(names, "snapshot"), numbered(names, "log")
     if not snapshots and not logs:
         return Found(ledger, not any(n.startswith(("snapshot", "log")) for n in names), True, 0, notes)
@@ -109,9 +111,9 @@
 class Store:
     """One planner's state on its disk."""
 
-    def __init__(self, disk: Disk, planner: str) -> None:
-        self.disk, self.planner = disk, planner
-        self.ledger = Ledger()
+    def __init__(self, disk: Disk, planner: str, kinds: Mapping[str, type[Struct]] = KINDS) -> None:
+        self.disk, self.planner, self.kinds = disk, planner, kinds
+        self.ledger = Ledger(kinds)
         self.generation = 0
         self.healthy = False
         # What the disk may still have of guests that have changed since; emptied by each batch that is safe.
@@ -128,7 +130,7 @@
             raise InUseError(f"the state is in use by {owner or 'another process'}",
                              int(pid) if pid.isdigit() else 0)
         try:
-            found = read(self.disk, self.planner)
+            found = read(self.disk, self.planner, self.kinds)
         except StateError:
             self.disk.unlock()
             raise
--- a/tests/test_membership_host.py
+++ b/tests/test_membership_host.py
@@ -113,7 +113,7 @@
         "        assert planner.members is None and not net.ports\n"
         "        planner.stop()\n"
         "trio.run(run, clock=MockClock(autojump_threshold=0))\n"
-        "bad = ('hazelhold.membership', 'xxhash', 'prometheus')\n"
+        "bad = ('hazelhold.membership', 'hazelhold.replica', 'xxhash', 'prometheus')\n"
         "print([n for n in sys.modules if n.startswith(bad)])\n"
     )
     said = subprocess.run(
