--- a/hazelhold/cli/copies.py
+++ b/hazelhold/cli/copies.py
@@ -31,8 +31,8 @@
 def found(config: Path) -> None:
     """Give a planner of a new set its seat: once, before its first start, for each planner of the set.
 
-    Never for one that lost its folder: it may have promised what it no longer knows, and a value could then
-    be chosen twice. Without its seat it goes on placing, and does not vote.
+    Never for one that lost its folder: it copies its votes from the others by itself, and votes again once it
+    has.
     """
     from hazelhold.replica import votes
     from hazelhold.state.disk import RealDisk
@@ -43,12 +43,29 @@
                f"{sheet.replicas} keep each value")
 
 
+@copies.command("vouch")
+@click.argument("config", type=FILE)
+@honest
+def vouch(config: Path) -> None:
+    """Have a planner vote from its own folder at its next start, without the others it would copy from.
+
+    Only if its folder is the newest that it ever had, and those others are gone: what an older folder has
+    forgotten may have been agreed, and a guest that must not run twice may then run twice.
+    """
+    from hazelhold.replica import votes
+    from hazelhold.state.disk import RealDisk
+
+    name, sheet = _sheet(config)
+    votes.vouch(RealDisk(Path(sheet.folder)), name, time.time_ns() // 1000)
+    click.echo(f"{name} will vote from {sheet.folder} at its next start, and at that one alone")
+
+
 @copies.command("show")
 @click.argument("config", type=FILE)
 @honest
 def show(config: Path) -> None:
-    """What the folder holds; harmless beside a running planner. Exits with 1 if its planner would not
-    vote."""
+    """What the folder holds; harmless beside a running planner. Exits with 1 if these votes are
+    none to rely on."""
     from hazelhold.replica import claims, votes
     from hazelhold.state.disk import RealDisk
     from hazelhold.state.store import read
@@ -59,10 +76,10 @@
         click.echo(note)
     seat = seen.ledger.image("seat", "")
     if seat is None:
-        click.echo(f"{sheet.folder}: no seat, so {name} does not vote")
+        click.echo(f"{sheet.folder}: no seat: {name} votes once it has copied from the others")
         sys.exit(1)
     click.echo(f"{seat.planner} of {seat.deployment}, epoch {seat.epoch}"
-               + ("" if seen.complete else "; damaged, so it does not vote"))
+               + ("" if seen.complete else "; damaged: it votes once it has copied from the others"))
     for cell in seen.ledger.tables["cell"].values():
         image = seen.ledger.decoders["cell"].decode(cell.image)
         claim = None if image.value[:1].isdigit() else claims.decode(image.value)
--- a/hazelhold/config/day.py
+++ b/hazelhold/config/day.py
@@ -16,8 +16,8 @@
 TROUBLES = ("burst", "deploy", "list_down", "flush", "heavy_tail", "hot_service", "mass_restart", "preempt",
             "vanish", "report_late", "fast_errors", "answer_lost", "ageing", "crash", "zone_cut",
             "planner_kill",
-            "planner_stop", "reconnect", "planner_pause", "planner_cut", "planner_loss")
-BETWEEN = ("planner_pause", "planner_cut", "planner_loss")  # troubles of planners among themselves
+            "planner_stop", "reconnect", "planner_pause", "planner_cut", "planner_loss", "planner_disk")
+BETWEEN = ("planner_pause", "planner_cut", "planner_loss", "planner_disk")  # of planners among themselves
 
 
 class Wares(Struct, frozen=True):
@@ -150,7 +150,9 @@
     for at, trouble in enumerate(day.troubles):
         if trouble.at_s >= day.length_s:
             faults.append((f"troubles[{at}].at_s", "lies past the end of the day"))
-        if trouble.kind in ("planner_kill", "planner_stop") and trouble.which >= day.planners:
+        if trouble.kind == "planner_disk" and trouble.extra > trouble.at_s:
+            faults.append((f"troubles[{at}].extra", "the disk that is put back is from before the day"))
+        if trouble.kind in ("planner_kill", "planner_stop", "planner_disk") and trouble.which >= day.planners:
             faults.append((f"troubles[{at}].which", f"planners are numbered 0 to {day.planners - 1}"))
         if trouble.kind in BETWEEN:
             faults += _check_between(day, trouble, f"troubles[{at}]")
@@ -173,7 +175,9 @@
         faults.append((f"{place}.by", "planners have zones, and neither kind nor cell"))
     if trouble.by == "any" and not trouble.whom and trouble.which >= day.planners:
         faults.append((f"{place}.which", f"planners are numbered 0 to {day.planners - 1}"))
-    if trouble.kind != "planner_pause" and not day.membership.on:
+    if trouble.kind == "planner_disk" and not day.copies.on:
+        faults.append((f"{place}.kind", "strikes the votes of a planner: copies.on has to be true"))
+    if trouble.kind in ("planner_cut", "planner_loss") and not day.membership.on:
         faults.append((f"{place}.kind", "there are no wires between planners unless membership.on is true"))
     return faults
 
--- a/hazelhold/rehearse/crew.py
+++ b/hazelhold/rehearse/crew.py
@@ -1,5 +1,7 @@
 """Starts, kills and stops the planners of a rehearsal: as processes of their own, or inside this one."""
 
+import contextlib
+import shutil
 import signal
 import subprocess
 import sys
@@ -33,6 +35,15 @@
 
     async def stop(self, number: int) -> None: ...
 
+    async def copy(self, number: int) -> None:
+        """Copies its disk, whatever it is doing."""
+
+    async def no_disk(self, number: int) -> None:
+        """Takes the disk of a planner that is down away."""
+
+    async def old_disk(self, number: int) -> None:
+        """Puts the copy back in its place."""
+
     async def pause(self, number: int) -> None: ...
 
     async def resume(self, number: int) -> None: ...
@@ -54,6 +65,7 @@
         self.sheets, self.net, self.records, self.nursery = sheets, net, records, nursery
         self.capture = capture
         self.votes = [FaultyDisk(Points(set(), number)) for number in range(len(sheets))]
+        self.copies: dict[int, dict[str, bytes]] = {}  # of those, by planner
         self.running: dict[int, tuple[Planner, trio.CancelScope, trio.Event]] = {}
         self.lives = [0] * len(sheets)
 
@@ -97,6 +109,15 @@
             planner.stop()
             await done.wait()
 
+    async def copy(self, number: int) -> None:
+        self.copies[number] = dict(self.votes[number].safe)
+
+    async def no_disk(self, number: int) -> None:
+        self.votes[number].safe = {}
+
+    async def old_disk(self, number: int) -> None:
+        self.votes[number].safe = dict(self.copies[number])
+
     async def pause(self, number: int) -> None:
         raise ConfigError("the day", [("planner_pause", "stops a process: not with --virtual")])
 
@@ -156,6 +177,25 @@
                     raise RuntimeError(f"planner {sheet.name} did not start; see {life}.log")
                 line += more
 
+    async def copy(self, number: int) -> None:
+        folder, copy = self._votes(number)
+        shutil.rmtree(copy, ignore_errors=True)
+        with contextlib.suppress(shutil.Error):  # a file went while it was copied, as on a live disk
+            shutil.copytree(folder, copy)
+
+    async def no_disk(self, number: int) -> None:
+        shutil.rmtree(self._votes(number)[0], ignore_errors=True)
+
+    async def old_disk(self, number: int) -> None:
+        folder, copy = self._votes(number)
+        shutil.rmtree(folder, ignore_errors=True)
+        copy.rename(folder)
+
+    def _votes(self, number: int) -> tuple[Path, Path]:
+        """Where a planner's votes are, and where a copy of them is kept."""
+        folder = Path(self.sheets[number].copies.folder)
+        return folder, folder.with_name(folder.name + ".copy")
+
     async def pause(self, number: int) -> None:
         if process := self.running.get(number):
             process.send_signal(signal.SIGSTOP)
--- a/hazelhold/rehearse/run.py
+++ b/hazelhold/rehearse/run.py
@@ -184,6 +184,10 @@
     """Does something to a planner's process, and notes it: an end before it comes (a crash is noted by
     the crew that makes it), a start once it is up."""
     name, what = f"planner-{step.value}", step.what.removeprefix("planner_")
+    if what in ("copy", "no_disk", "old_disk"):
+        chief.note(net.now(), name, step.what)
+        await getattr(crew, what)(step.value)
+        return
     if what not in ("start", "resume") and not (isinstance(crew, Crashing) and what == "kill"):
         chief.note(net.now(), name, step.what)
     await getattr(crew, what)(step.value)
--- a/hazelhold/rehearse/troubles.py
+++ b/hazelhold/rehearse/troubles.py
@@ -141,6 +141,14 @@
     return shape
 
 
+def _disk(t: Trouble, *_: object) -> list[tuple]:
+    """Its planner is killed and starts with no disk, or with the one of `extra` seconds before."""
+    before = [(t.at_s - t.extra, "planner_copy", "", t.which)] if t.extra else []
+    return [*before, (t.at_s, "planner_kill", "", t.which),
+            (t.at_s + t.for_s / 2, "planner_old_disk" if t.extra else "planner_no_disk", "", t.which),
+            (t.at_s + t.for_s, "planner_start", "", t.which)]
+
+
 def _reconnect(t: Trouble, *_: object) -> list[tuple]:
     return [(t.at_s, "rejoin", "", (t.part, round(t.for_s * 1e6)))]
 
@@ -172,6 +180,6 @@
           "preempt": _preempt, "vanish": _vanish, "report_late": _ill("report_late"),
           "fast_errors": _ill("errors"), "answer_lost": _ill("lost"), "ageing": _ageing, "crash": _crash,
           "zone_cut": _cut, "planner_kill": _planner("planner_kill"),
-          "planner_stop": _planner("planner_stop"), "reconnect": _reconnect,
+          "planner_stop": _planner("planner_stop"), "planner_disk": _disk, "reconnect": _reconnect,
           "planner_pause": _pause, "planner_cut": _between("planner_cut", "planner_heal"),
           "planner_loss": _between("planner_loss", "planner_loss")}
--- a/hazelhold/replica/acceptor.py
+++ b/hazelhold/replica/acceptor.py
@@ -1,21 +1,25 @@
 """One member of a key's replica set: what it promised and what it accepted, for ever.
 
 `hear` returns the answer and what has to be safe on the disk *before the answer may leave*: an answer that
-left on a promise that a crash forgets is how two values get chosen. A member that does not have the disk it
-promised on does not vote (`voting` False) until a change of the set takes it in again as a new one.
+left on a promise that a crash forgets is how two values get chosen. A disk can be lost, or come back older
+than it was, and neither shows from inside. So whoever starts is a new incarnation, and votes on a slot only
+once `rejoin` has copied what the others of the set know (`ready`).
 """
 
 from typing import NamedTuple
 
 from hazelhold.replica import words as w
+from hazelhold.replica.sets import Sets
 
 
 class Cell(NamedTuple):
-    """What one key's acceptor must never forget."""
+    """What one key's acceptor must never forget. `copied`: what was accepted is another's word, told to
+    whoever prepares, but no vote of this acceptor's."""
 
     promised: w.Ballot = w.NONE
     accepted: w.Ballot = w.NONE
     value: bytes = b""
+    copied: bool = False
 
 
 class Change(NamedTuple):
@@ -25,16 +29,28 @@
     cell: Cell
 
 
+COPY = w.Ballot(-1, "")  # what a look is told of a copied cell: no majority agrees with it
+
 
 class Acceptor:
-    """All cells of one planner in one epoch."""
+    """All cells of one planner in one epoch. `voting`: the slots that it votes on, or whether it does."""
 
     def __init__(
-        self, epoch: int, voting: bool, cells: dict[str, Cell] | None = None, floor: int = 0
+        self,
+        epoch: int,
+        voting: bool | set[int],
+        cells: dict[str, Cell] | None = None,
+        floor: int = 0,
+        name: str = "",
+        sets: Sets | None = None,
     ) -> None:
-        self.epoch, self.voting = epoch, voting
+        self.epoch, self.name = epoch, name
+        self.voting = voting
+        self.sets = sets
         self.cells = cells if cells is not None else {}
         self.empty = Cell(w.Ballot(floor, ""))
+        self.inc = w.NEVER
+        self.known: dict[str, w.Inc] = {}  # of the others
 
     @property
     def floor(self) -> int:
@@ -45,26 +61,57 @@
     def let_go(self, key: str) -> None:
         """Forgets a cell whose value may be forgotten. The new floor has to be safe with it."""
         if cell := self.cells.pop(key, None):
-            self.empty = Cell(w.Ballot(max(self.floor, cell.promised.number + 1), ""))
+            self.raise_floor(cell.promised.number + 1)
+
+    def raise_floor(self, number: int) -> None:
+        self.empty = Cell(w.Ballot(max(self.floor, number), ""))
+
+    def votes_on(self, slot: int) -> bool:
+        return self.voting if isinstance(self.voting, bool) else slot in self.voting
+
+    def entered(self, name: str, inc: w.Inc) -> bool:
+        """Another has started anew; False if a later start of it is known. To be made safe before it is
+        told so."""
+        if inc < self.known.get(name, w.NEVER):
+            return False
+        self.known[name] = inc
+        return True
+
+    def copy(self, found: w.Cells) -> Change | None:
+        """Takes over what another knows of a key on which this one does not vote yet."""
+        mine = self.cells.get(found.key, self.empty)
+        new = mine._replace(promised=max(mine.promised, found.promised))
+        if found.accepted > mine.accepted:
+            new = new._replace(accepted=found.accepted, value=found.value, copied=True)
+        if new == mine:
+            return None
+        self.cells[found.key] = new
+        return Change(found.key, new)
 
     def hear(self, word: w.Prepare | w.Accept | w.Look) -> tuple[w.Word, Change | None]:
         key, epoch, ballot = word.key, word.epoch, word.ballot
         if epoch != self.epoch:
             return w.Refused(key, epoch, ballot, "epoch", now=self.epoch), None
-        if not self.voting:
+        if not (self.voting if isinstance(self.voting, bool) else self.sets.slot(key) in self.voting):
             return w.Refused(key, epoch, ballot, "no_vote", now=self.epoch), None
         cell = self.cells.get(key, self.empty)
+        mine = {"inc": self.inc, "known": self._known(key)}
         if isinstance(word, w.Look):
-            return w.Seen(key, epoch, ballot, cell.accepted, cell.value), None
+            accepted = COPY._replace(process=self.name) if cell.copied else cell.accepted
+            return w.Seen(key, epoch, ballot, accepted=accepted, value=cell.value, **mine), None
         if ballot < cell.promised:
             return w.Refused(key, epoch, ballot, "ballot", cell.promised, self.epoch), None
         if isinstance(word, w.Prepare):
-            answer: w.Word = w.Promise(key, epoch, ballot, cell.accepted, cell.value)
+            answer: w.Word = w.Promise(key, epoch, ballot, accepted=cell.accepted, value=cell.value, **mine)
             new = cell._replace(promised=ballot)
         else:
-            answer = w.Accepted(key, epoch, ballot)
+            answer = w.Accepted(key, epoch, ballot, **mine)
             new = Cell(ballot, ballot, word.value)
         if new == cell:
             return answer, None
         self.cells[key] = new
         return answer, Change(key, new)
+
+    def _known(self, key: str) -> dict[str, w.Inc]:
+        mates = self.known if self.sets is None else self.sets(key)
+        return {n: self.known[n] for n in mates if n in self.known}
--- a/hazelhold/replica/host.py
+++ b/hazelhold/replica/host.py
@@ -21,7 +21,6 @@
 from hazelhold.replica import words as w
 from hazelhold.replica.proposer import Change as Asked
 from hazelhold.replica.proposer import Done, Proposer, Send
-from hazelhold.replica.sets import Keeper, Sets
 from hazelhold.replica.votes import Votes
 from hazelhold.service.net import Net
 from hazelhold.service.wire import Wire
@@ -34,7 +33,6 @@
 IDLE = 60.0  # seconds after which an unused link is closed
 RETRY = (0.05, 1.0)  # seconds between dials of a planner that is away, first and longest
 WAITING = 256  # words kept for a link that is being opened; older ones go
-RECENT = 1_000_000  # microseconds since an answer in which a planner counts as heard, in the log
 BUSY = 20_000  # words that wait for the disk; past that they are dropped, and asked again
 
 
@@ -47,8 +45,9 @@
     version: int = VERSION
 
 
-ASKS = Codec(Greet | w.Prepare | w.Accept | w.Look)
-ANSWERS = Codec(Greet | w.Promise | w.Accepted | w.Seen | w.Refused)
+ASKS = Codec(Greet | w.Prepare | w.Accept | w.Look | w.Hail | w.Enter | w.Next)
+ANSWERS = Codec(Greet | w.Promise | w.Accepted | w.Seen | w.Refused | w.Hailed | w.Page)
+REJOIN = 0.5  # seconds after which somebody who has not answered one that comes back is asked again
 
 
 class Note(Struct, omit_defaults=True):
@@ -72,7 +71,7 @@
         self.waiting: deque[w.Word] = deque(maxlen=WAITING)
         self.opening = False
         self.used = 0.0
-        self.heard = -RECENT  # its last answer, on this clock
+        self.heard = -1  # its last answer, on this clock
 
 
 class Copies:
@@ -91,13 +90,14 @@
         draw = SystemRandom()
         self.process = f"{name}/{net.wall()}/{draw.getrandbits(62):x}"
         self.proposer = Proposer(self.process, sheet.epoch, draw.getrandbits(62))
-        self.sets = Sets([Keeper(p.name, p.zone) for p in sheet.planners], sheet.replicas)
-        self.votes = Votes(disk, name, sheet)
+        self.votes = Votes(disk, name, sheet, draw.getrandbits(62))
+        self.sets = self.votes.sets
         self.vault = Vault(self.votes, sheet, self._stirred)
         self.far = {
             p.name: Far(p.name, sheet.reach.get(p.name, p.address)) for p in sheet.planners if p.name != name
         }
-        self.asked: dict[int, int] = {}  # the proposer's number: the asker's; emptied by each end
+        # The proposer's number: the asker's, and when it asked; emptied by each end.
+        self.asked: dict[int, tuple[int, int]] = {}
         self.counts: Counter[str] = Counter()
         self.log = structlog.get_logger().bind(planner=name)
         self.stir = trio.Event()
@@ -110,10 +110,9 @@
         for note in seen.notes:
             self.log.warning("votes_damaged", note=note)
         if self.votes.why:
-            self.log.error("does_not_vote", why=self.votes.why, folder=self.sheet.folder)
-        else:
-            self.vault.begin(self.net.wall())
-        self.log.info("votes", cells=len(self.votes.acceptor.cells), voting=not self.votes.why)
+            self.log.error("votes_lost", why=self.votes.why, folder=self.sheet.folder)
+        self.vault.begin(self.net.wall())
+        self.log.info("votes", cells=len(self.votes.acceptor.cells), vouched=self.votes.joiner.over())
 
     async def run(self, task_status: trio.TaskStatus = trio.TASK_STATUS_IGNORED) -> None:
         """Until it is cancelled; `open` first."""
@@ -126,6 +125,7 @@
                 nursery.start_soon(self.vault.run, self.net)
                 nursery.start_soon(self._sweep)
                 nursery.start_soon(self._idle)
+                nursery.start_soon(self._rejoin)
                 task_status.started()
                 await self._tend()
         finally:
@@ -136,7 +136,7 @@
     def ask(self, no: int, key: str, change: Asked, deadline: int) -> None:
         """Agrees on a change; `told` hears of it by the deadline, on this clock."""
         mine = self.proposer.number + 1
-        self.asked[mine] = no
+        self.asked[mine] = no, self.net.now()
         kind = type(change).__name__.lower()
         self._note(key, "ask", Note(self.process, mine, [kind, *change]))
         self.proposer.ask(self.net.now(), key, change, self.sets(key), deadline)
@@ -164,6 +164,7 @@
             self.stir = trio.Event()
 
     def _done(self, done: Done) -> None:
+        no, began = self.asked.pop(done.asked)
         self.counts["asked_" + done.outcome] += 1
         self._note(done.key, "agreed", Note(self.process, done.asked, [], done.outcome, done.value,
                                             done.reason, done.rounds))
@@ -172,10 +173,14 @@
             self.log.warning("agrees_again")
         elif done.outcome != "agreed" and done.reason not in (self.cut, "contended", "busy"):
             self.cut = done.reason
-            heard = sorted(f.name for f in self.far.values() if self.net.now() - f.heard < RECENT)
+            heard = sorted(f.name for f in self.far.values() if f.heard >= began)
             self.log.warning("cannot_agree", reason=done.reason, key=done.key, replicas=self.sets(done.key),
-                             heard=heard, votes=self.votes.why or "yes")
-        self.told(self.asked.pop(done.asked), done.outcome, done.value, done.reason)
+                             heard=heard, votes=self._standing())
+        self.told(no, done.outcome, done.value, done.reason)
+
+    def _standing(self) -> str:
+        some, all_ = len(self.votes.acceptor.voting), len(self.votes.joiner.others)
+        return "yes" if some == all_ else f"on {some} of {all_} slots"
 
     def _note(self, key: str, way: str, note: Note) -> None:
         if self.recorder is not None:
@@ -188,22 +193,60 @@
             answer, changes = self.votes.hear(send.word, self.net.wall())
             self.vault.take(changes, lambda: self._answered(self.name, answer))
             return
-        far = self.far[send.to]
+        self._post(send.to, send.word)
+
+    def _post(self, to: str, word: Struct) -> None:
+        far = self.far[to]
         far.used = trio.current_time()
         if far.wire is not None:
-            far.wire.send(send.word)
+            far.wire.send(word)
             return
-        far.waiting.append(send.word)
+        far.waiting.append(word)
         if not far.opening:
             far.opening = True
             self.nursery.start_soon(self._link, far)
 
-    def _answered(self, sender: str, answer: w.Word) -> None:
+    def _answered(self, sender: str, answer: w.Word | w.Hailed | w.Page) -> None:
         if far := self.far.get(sender):
             far.heard = self.net.now()
+        if isinstance(answer, w.Hailed | w.Page):
+            self._copied(sender, answer)
+            return
         self.proposer.hear(self.net.now(), sender, answer)
         self._stirred()
 
+    # Coming back.
+
+    async def _rejoin(self) -> None:
+        """Until this planner votes on all its slots again."""
+        joiner, began = self.votes.joiner, self.net.now()
+        while not joiner.over():
+            joiner.tick()
+            self._join_on()
+            await trio.sleep(REJOIN)
+        while len(self.votes.acceptor.voting) < len(joiner.others):
+            await trio.sleep(0.01)  # its copies are on their way to the disk
+        lost = self.votes.why
+        self.vault.take(self.votes.seated(), lambda: None)
+        self.log.warning("votes_again" if lost else "votes", slots=len(joiner.others), lost=lost,
+                         incarnation=self.votes.acceptor.inc.number, ms=(self.net.now() - began) // 1000,
+                         **joiner.counts)
+
+    def _join_on(self) -> None:
+        out, self.votes.joiner.out = self.votes.joiner.out, []
+        for each in out:
+            self._post(each.to, each.word)
+
+    def _copied(self, sender: str, word: w.Hailed | w.Page) -> None:
+        changes = self.votes.told(sender, word, self.net.wall())
+        voted = set(self.votes.joiner.voted)
+
+        def safe() -> None:
+            self.votes.acceptor.voting = voted
+
+        self.vault.take(changes, safe)
+        self._join_on()
+
     async def _link(self, far: Far) -> None:
         """Opens the way and listens, again and again while anybody needs it."""
         pause = RETRY[0]
@@ -276,27 +319,30 @@
                         raise FrameError("stranger", f"{greet.name!r} of {greet.deployment!r} has no seat")
                     wire.send(self._greet())
                     for word in wire.rest():
-                        self._heard(wire, word)
+                        self._heard(greet.name, wire, word)
                     async for word in wire.messages():
-                        self._heard(wire, word)
+                        self._heard(greet.name, wire, word)
                 except FrameError as wrong:
                     self.counts["refused_" + wrong.code] += 1
                     self.log.warning("copies_refused", code=wrong.code, reason=wrong.text)
             wire.finish()
 
-    def _heard(self, wire: Wire, word: w.Word) -> None:
+    def _heard(self, sender: str, wire: Wire, word: w.Word | w.Hail | w.Enter | w.Next) -> None:
         if isinstance(word, Greet):
             raise FrameError("second_greet", "a connection has one greeting")
         if len(self.vault.queue) > BUSY:
             self.counts["words_dropped"] += 1
             return
-        answer, changes = self.votes.hear(word, self.net.wall())
+        if isinstance(word, w.Hail | w.Enter | w.Next):
+            answer, changes = self.votes.asked(sender, word)
+        else:
+            answer, changes = self.votes.hear(word, self.net.wall())
         self.vault.take(changes, lambda: wire.send(answer))
 
     async def _sweep(self) -> None:
         while True:
             await trio.sleep(5.0)
-            if not self.votes.why and (changes := self.votes.sweep(self.net.wall())):
+            if self.votes.joiner.over() and (changes := self.votes.sweep(self.net.wall())):
                 self.vault.take(changes, lambda: None)
 
 
--- a/hazelhold/replica/proposer.py
+++ b/hazelhold/replica/proposer.py
@@ -103,7 +103,7 @@
         self.ballot = w.NONE
         self.phase = "wait"
         self.promises: dict[str, w.Promise | w.Seen] = {}
-        self.accepts: set[str] = set()
+        self.accepts: dict[str, w.Accepted] = {}
         self.refusals: dict[str, w.Refused] = {}
         self.value = b""
         self.exposed = 0  # rounds whose accept left: what they carried may be chosen
@@ -173,14 +173,19 @@
             if self._majority(op, op.promises):
                 self._accept(op)
         elif isinstance(word, w.Accepted) and op.phase == "accept":
-            op.accepts.add(sender)
+            op.accepts[sender] = word
             if self._majority(op, op.accepts):
                 self._end(now, op, "agreed", op.value)
         elif isinstance(word, w.Refused):
             self._refused(now, op, sender, word)
 
-    def _majority(self, op: Op, found: Iterable[str]) -> bool:
-        return 2 * len(list(found)) > len(op.replicas)
+    def _majority(self, op: Op, found: dict[str, w.Answer]) -> bool:
+        """Whether these are a majority whose answers go together. Whoever another of them knows in a later
+        incarnation may have forgotten what it answered: it is left out."""
+        old = [n for n, a in found.items() if any(b.known.get(n, w.NEVER) > a.inc for b in found.values())]
+        for name in old:
+            del found[name]
+        return 2 * len(found) > len(op.replicas)
 
     def _at(self, when: int, op: Op, tries: int) -> None:
         self.timer_no += 1
@@ -203,7 +208,7 @@
     def _round(self, now: int, op: Op) -> None:
         self.highest += 1
         op.ballot, op.phase, op.tries = w.Ballot(self.highest, self.process), "prepare", op.tries + 1
-        op.promises, op.accepts, op.refusals = {}, set(), {}
+        op.promises, op.accepts, op.refusals = {}, {}, {}
         for replica in op.replicas:
             self.actions.append(Send(replica, w.Prepare(op.key, self.epoch, op.ballot)))
         self._at(now + self.times.round_most, op, op.tries)
--- /dev/null
+++ b/hazelhold/replica/rejoin.py
@@ -0,0 +1,212 @@
+"""How an acceptor that starts comes back to its votes, whatever became of its disk.
+
+A disk may be gone, or have been put back older than it was, and its planner cannot tell. So each start is a
+new incarnation: it enters with the others of its sets, which from then on tell everybody of it, and copies
+what they know. It votes on a slot once that is so for
+
+- a majority's number of other members of the slot's set that vote on it themselves, or
+- all other members, if they have votes to give (after all were down at once).
+
+Why nothing is forgotten: what an earlier incarnation promised or accepted counts for something only in a
+majority. Such a majority has a member among those entered with. If it answered before the entering, the copy
+has what it knew; if after, its answer tells of the new incarnation, and the proposer leaves the old answer
+out (`Proposer._majority`). What was copied is told to whoever prepares but is no vote (`Cell.copied`).
+
+Without I/O. `Joiner` is the side that comes back, `Source` the side that is asked.
+"""
+
+from collections import Counter, defaultdict
+from collections.abc import Iterable
+from typing import NamedTuple
+
+import xxhash
+from msgspec import msgpack
+
+from hazelhold.replica import claims
+from hazelhold.replica import words as w
+from hazelhold.replica.acceptor import Acceptor, Change
+from hazelhold.replica.sets import Sets
+
+PAGE = 200  # cells at a time: some 40 KB
+ENCODER = msgpack.Encoder()
+
+
+class Out(NamedTuple):
+    """Send to that planner."""
+
+    to: str
+    word: w.Hail | w.Enter | w.Next | w.Hailed | w.Page
+
+
+def digests(acceptor: Acceptor, slots: Iterable[int]) -> dict[int, int]:
+    """What an acceptor knows in each of these slots, as one number a slot; slots without cells left out."""
+    wanted, found = set(slots), dict[int, int]()
+    for key, cell in acceptor.cells.items():
+        slot = acceptor.sets.slot(key)
+        if slot in wanted:  # a sum: in whatever order
+            said = ENCODER.encode((key, cell.promised, cell.accepted, cell.value))
+            found[slot] = (found.get(slot, 0) + xxhash.xxh3_64_intdigest(said)) % (1 << 63)
+    return found
+
+
+class Mate:
+    """How far the coming back is with one other planner."""
+
+    def __init__(self) -> None:
+        self.no = 0  # of what was asked last
+        self.state = "hail"  # hail, enter, copy, done
+        self.known = w.NEVER  # the latest incarnation of ours that it knows
+        self.cells = 0  # copied so far in this round
+        self.unready: frozenset[int] = frozenset()
+
+
+class Joiner:
+    """One planner's coming back. `trusted`: an operator vouches that its disk is the newest."""
+
+    def __init__(self, name: str, sets: Sets, acceptor: Acceptor, nonce: int, trusted: bool = False) -> None:
+        self.name, self.sets, self.acceptor, self.nonce = name, sets, acceptor, nonce
+        self.others: dict[int, tuple[str, ...]] = {}  # by slot of ours: the other members
+        self.shared: dict[str, set[int]] = defaultdict(set)  # by planner: slots that both keep
+        for slot in range(sets.size):
+            members = sets.of(slot)
+            if name in members:
+                self.others[slot] = tuple(n for n in members if n != name)
+                for other in self.others[slot]:
+                    self.shared[other].add(slot)
+        self.mates = {other: Mate() for other in self.shared}
+        self.voted: set[int] = set()  # slots with all copied: the host lets it vote once that is safe
+        self.out: list[Out] = []  # emptied by the host
+        self.counts: Counter[str] = Counter()
+        self.no = 0
+        if trusted or not self.mates:  # its own disk is enough
+            acceptor.inc = w.Inc(acceptor.inc.number + 1, nonce)
+            self.voted = set(self.others)
+
+    def over(self) -> bool:
+        return len(self.voted) == len(self.others)
+
+    def tick(self) -> None:
+        """Now and then: asks again whoever has not answered, or does not vote itself yet."""
+        if self.over():
+            return
+        for other, mate in self.mates.items():
+            if mate.state == "done" and not (mate.unready - self.voted):
+                continue
+            if mate.state == "copy":  # a page was lost, or its sender: anew, which digests make short
+                mate.state = "hail"
+            if mate.state in ("hail", "done"):
+                self._ask(other, mate, w.Hail)
+            else:
+                self._enter(other, mate)
+
+    def hear(self, other: str, word: w.Hailed | w.Page) -> list[Change]:
+        """Returns what was copied: to be made safe before any vote on it."""
+        mate = self.mates.get(other)
+        if mate is None or word.no != mate.no or self.over():
+            return []
+        if isinstance(word, w.Hailed):
+            mate.known = max(mate.known, word.known)
+            if word.source and mate.state in ("hail", "enter", "done"):
+                self._rise()
+                self._enter(other, mate)
+            return []
+        return self._page(other, mate, word)
+
+    def _rise(self) -> None:
+        """Above all that others know of us: whoever was entered with before has to be told anew."""
+        mine, highest = self.acceptor.inc, max(m.known for m in self.mates.values())
+        if highest > mine or mine.nonce != self.nonce:
+            self.acceptor.inc = w.Inc(max(highest.number, mine.number) + 1, self.nonce)
+            for mate in self.mates.values():
+                if mate.state != "hail":
+                    mate.state, mate.no = "hail", 0
+            self.voted.clear()
+
+    def _enter(self, other: str, mate: Mate) -> None:
+        mate.state, mate.cells = "enter", 0
+        open_slots = self.shared[other] - self.voted
+        self._ask(other, mate, w.Enter, inc=self.acceptor.inc, digests=digests(self.acceptor, open_slots))
+
+    def _page(self, other: str, mate: Mate, page: w.Page) -> list[Change]:
+        if page.total < 0:
+            mate.state = "hail"
+            return []
+        if mate.state not in ("enter", "copy") or page.after != mate.cells:
+            return []
+        changes = []
+        for found in page.cells:
+            if self.sets.slot(found.key) not in self.voted and (change := self.acceptor.copy(found)):
+                changes.append(change)
+        for name, inc in page.known.items():
+            if name != self.name:
+                self.acceptor.entered(name, inc)
+        mate.cells += len(page.cells)
+        self.counts["cells_heard"] += len(page.cells)
+        self.counts["cells_copied"] += len(changes)
+        mate.unready = frozenset(page.unready)
+        if mate.cells < page.total:
+            mate.state = "copy"
+            self._ask(other, mate, w.Next, inc=self.acceptor.inc, after=mate.cells)
+        else:
+            mate.state = "done"
+            self._complete()
+        return changes
+
+    def _complete(self) -> None:
+        for slot, others in self.others.items():
+            done = [n for n in others if self.mates[n].state == "done"]
+            voting = sum(slot not in self.mates[n].unready for n in done)
+            if 2 * voting > len(others) + 1 or len(done) == len(others):
+                self.voted.add(slot)
+
+    def _ask(self, other: str, mate: Mate, kind: type, **more: object) -> None:
+        self.no += 1
+        mate.no = self.no
+        self.out.append(Out(other, kind(no=self.no, **more)))
+
+
+class Source:
+    """What one planner tells those who come back. `gives`: its own votes are not lost."""
+
+    def __init__(self, name: str, sets: Sets, acceptor: Acceptor) -> None:
+        self.name, self.sets, self.acceptor = name, sets, acceptor
+        self.gives = False
+        self.lists: dict[str, tuple[w.Inc, list[str], list[int]]] = {}  # by joiner; the last copying of each
+
+    def hear(self, other: str, word: w.Hail | w.Enter | w.Next) -> tuple[w.Hailed | w.Page, bool]:
+        """The answer, and whether what is known of incarnations has to be safe before it leaves."""
+        known = self.acceptor.known.get(other, w.NEVER)
+        if isinstance(word, w.Hail):
+            return w.Hailed(word.no, known, self.gives), False
+        if isinstance(word, w.Enter):
+            if not self.gives or not self.acceptor.entered(other, word.inc):
+                return w.Hailed(word.no, known, self.gives), False
+            self.lists[other] = self._list(other, word)
+            return self._page(other, word.no, 0), True
+        inc, _, _ = self.lists.get(other, (w.NEVER, [], []))
+        if inc != word.inc:
+            return w.Page(word.no, 0, -1), False
+        return self._page(other, word.no, word.after), True
+
+    def _list(self, other: str, word: w.Enter) -> tuple[w.Inc, list[str], list[int]]:
+        """Keys of the slots that differ, those whose fate is open first."""
+        members = {s: self.sets.of(s) for s in range(self.sets.size)}
+        both = {s for s, names in members.items() if other in names and self.name in names}
+        mine = digests(self.acceptor, both)
+        differ = {s for s in both if mine.get(s, 0) != word.digests.get(s, 0)}
+        cells = self.acceptor.cells
+        keys = [k for k in cells if self.sets.slot(k) in differ]
+        keys.sort(key=lambda k: not claims.lasts(cells[k].value))
+        unready = [s for s in both if not self.acceptor.votes_on(s)]
+        return word.inc, keys, unready
+
+    def _page(self, other: str, no: int, after: int) -> w.Page:
+        _, keys, unready = self.lists[other]
+        if after + PAGE >= len(keys):
+            del self.lists[other]  # a page that is lost begins it anew, which digests make short
+        cells = self.acceptor.cells
+        found = []
+        for key in keys[after:after + PAGE]:
+            cell = cells.get(key, self.acceptor.empty)
+            found.append(w.Cells(key, cell.promised, cell.accepted, cell.value))
+        return w.Page(no, after, len(keys), found, unready, dict(self.acceptor.known))
--- a/hazelhold/replica/sets.py
+++ b/hazelhold/replica/sets.py
@@ -42,12 +42,17 @@
     """The sets of one epoch. A key's slot is a hash of the key alone, so the work for a key does not grow
     with planners; each slot's set is drawn once."""
 
-    def __init__(self, planners: Sequence[Keeper], count: int) -> None:
-        self.planners, self.count = tuple(planners), count
-        self.slots: dict[int, tuple[str, ...]] = {}  # SLOTS of them at most
+    def __init__(self, planners: Sequence[Keeper], count: int, size: int = SLOTS) -> None:
+        self.planners, self.count, self.size = tuple(planners), count, size
+        self.slots: dict[int, tuple[str, ...]] = {}  # `size` of them at most
+
+    def slot(self, key: str) -> int:
+        return xxhash.xxh3_64_intdigest(key.encode()) % self.size
 
     def __call__(self, key: str) -> tuple[str, ...]:
-        slot = xxhash.xxh3_64_intdigest(key.encode()) % SLOTS
+        return self.of(self.slot(key))
+
+    def of(self, slot: int) -> tuple[str, ...]:
         found = self.slots.get(slot)
         if found is None:
             found = self.slots[slot] = replicas(f"slot/{slot}", self.planners, self.count)
--- a/hazelhold/replica/votes.py
+++ b/hazelhold/replica/votes.py
@@ -1,8 +1,8 @@
 """One planner's votes and the disk under them: what it promised and accepted, its seat, what it let go.
 
-Who has a seat is an operator's word (`found`, once for each planner when the set is founded). A folder
-without one does not vote: whether it is new or lost, it cannot tell by itself, and a lost one may have
-promised anything. Nor does one that was found damaged. Called from one place; no trio here.
+A seat says that this folder has what its planner promised: an operator's word when the set is founded
+(`found`, once for each planner), later the planner's own once it has copied all anew. One without a seat, or
+found damaged, has nothing to give to others that come back. Called from one place; no trio here.
 """
 
 from collections import deque
@@ -16,6 +16,8 @@
 from hazelhold.replica import claims
 from hazelhold.replica import words as w
 from hazelhold.replica.acceptor import Acceptor, Cell
+from hazelhold.replica.rejoin import Joiner, Source
+from hazelhold.replica.sets import Keeper, Sets
 from hazelhold.state.disk import Disk
 from hazelhold.state.images import Change, drop, put
 from hazelhold.state.store import Found, StateError, Store
@@ -36,6 +38,7 @@
     promised: tuple[int, str]
     accepted: tuple[int, str]
     value: bytes
+    copied: bool = False
 
 
 class Floor(Struct, array_like=True, frozen=True):
@@ -44,7 +47,21 @@
     number: int
 
 
-KINDS: dict[str, type[Struct]] = {"seat": Seat, "floor": Floor, "cell": CellImage}
+class IncImage(Struct, array_like=True, frozen=True):
+    """The latest incarnation known of a planner."""
+
+    number: int
+    nonce: int
+
+
+class Vouch(Struct, array_like=True, frozen=True):
+    """An operator's word, for the next start alone, that this folder is the newest that its planner had."""
+
+    at: int
+
+
+KINDS: dict[str, type[Struct]] = {"seat": Seat, "floor": Floor, "cell": CellImage, "inc": IncImage,
+                                  "vouch": Vouch}
 SWEEP_MOST = 1000  # cells let go at a time
 
 
@@ -68,6 +85,19 @@
         store.close()
 
 
+def vouch(disk: Disk, name: str, wall: int) -> None:
+    """Leaves an operator's word that the folder is the newest. StateError if it has no sound votes."""
+    store = Store(disk, name, KINDS)
+    seen = store.open(wall, name)
+    try:
+        if not seen.complete or store.ledger.image("seat", "") is None:
+            raise StateError("the folder has no seat, or is damaged: there is nothing to vouch for")
+        store.apply([put("vouch", "", Vouch(wall))])
+        store.begin(wall)
+    finally:
+        store.close()
+
+
 class Aging(NamedTuple):
     due: int  # wall clock
     key: str
@@ -75,31 +105,48 @@
 
 
 class Votes:
-    """Opened once: `acceptor` votes if `why` is empty."""
+    """Opened once. `acceptor` votes where `joiner` has it; `source` is what others copy from."""
 
-    def __init__(self, disk: Disk, name: str, sheet: CopiesSheet) -> None:
-        self.name, self.sheet = name, sheet
+    def __init__(self, disk: Disk, name: str, sheet: CopiesSheet, nonce: int) -> None:
+        self.name, self.sheet, self.nonce = name, sheet, nonce
         self.store = Store(disk, name, KINDS)
+        self.sets = Sets([Keeper(p.name, p.zone) for p in sheet.planners], sheet.replicas)
         self.keep = round(sheet.keep_s * 1e6)
         self.aging: deque[Aging] = deque()  # cells that may be let go, by when; emptied by `sweep`
-        self.acceptor = Acceptor(sheet.epoch, False)
-        self.why = "not opened"
+        self.acceptor = Acceptor(sheet.epoch, set(), name=name, sets=self.sets)
+        self.kept: dict[str, w.Inc] = {}  # incarnations as they are on the disk, or on their way there
+        self.joiner: Joiner | None = None
+        self.source = Source(name, self.sets, self.acceptor)
+        self.why = "not_opened"  # why these votes are none to give: empty, no_seat or damaged
 
     def open(self, wall: int, text: str) -> Found:
         """Reads what was promised. StateError if the folder is another planner's, another set's or in use."""
         seen = self.store.open(wall, text)
-        ledger = self.store.ledger
+        ledger, acceptor = self.store.ledger, self.acceptor
         seat: Seat | None = ledger.image("seat", "")
-        cells: dict[str, Cell] = {}
-        for key, change in ledger.tables["cell"].items():
-            image = ledger.decoders["cell"].decode(change.image)
-            cells[key] = Cell(w.Ballot(*image.promised), w.Ballot(*image.accepted), image.value)
-            self._ages(key, cells[key], wall)
-        floor = ledger.image("floor", "")
         if seat is not None:
             self._check(seat)
+        decoder = ledger.decoders["cell"]
+        for key, change in ledger.tables["cell"].items():
+            image = decoder.decode(change.image)
+            cell = Cell(w.Ballot(*image.promised), w.Ballot(*image.accepted), image.value, image.copied)
+            acceptor.cells[key] = cell
+            self._ages(key, cell, wall)
+        if floor := ledger.image("floor", ""):
+            acceptor.raise_floor(floor.number)
+        for name in ledger.tables["inc"]:
+            image = ledger.image("inc", name)
+            self.kept[name] = w.Inc(image.number, image.nonce)
+        acceptor.inc = self.kept.get(self.name, w.NEVER)
+        acceptor.known = {n: inc for n, inc in self.kept.items() if n != self.name}
         self.why = "no_seat" if seat is None else "" if seen.complete else "damaged"
-        self.acceptor = Acceptor(self.sheet.epoch, not self.why, cells, floor.number if floor else 0)
+        self.source.gives = not self.why
+        trusted = not self.why and ledger.image("vouch", "") is not None
+        ledger.apply([drop("vouch", "")])
+        self.joiner = Joiner(self.name, self.sets, acceptor, self.nonce, trusted)
+        if self.joiner.over():
+            ledger.apply(self.incarnations())
+            acceptor.voting = set(self.joiner.voted)
         return seen
 
     def _check(self, seat: Seat) -> None:
@@ -121,6 +168,33 @@
         self._ages(change.key, change.cell, wall)
         return answer, [put("cell", change.key, CellImage(*change.cell))]
 
+    def asked(self, other: str, word: w.Hail | w.Enter | w.Next) -> tuple[w.Hailed | w.Page, list[Change]]:
+        """Somebody comes back: the answer, and what has to be safe before it leaves."""
+        answer, _ = self.source.hear(other, word)
+        return answer, self.incarnations()
+
+    def told(self, other: str, word: w.Hailed | w.Page, wall: int) -> list[Change]:
+        """What somebody told this one that comes back: what has to be safe before it votes on it."""
+        changes = []
+        for change in self.joiner.hear(other, word):
+            self._ages(change.key, change.cell, wall)
+            changes.append(put("cell", change.key, CellImage(*change.cell)))
+        return [*changes, *self.incarnations()]
+
+    def incarnations(self) -> list[Change]:
+        """What is known of incarnations and not on its way to the disk."""
+        changes = []
+        for name, inc in [(self.name, self.acceptor.inc), *self.acceptor.known.items()]:
+            if inc != self.kept.get(name, w.NEVER):
+                self.kept[name] = inc
+                changes.append(put("inc", name, IncImage(*inc)))
+        return changes
+
+    def seated(self) -> list[Change]:
+        """All is copied: these votes are good to give from here on."""
+        self.why, self.source.gives = "", True
+        return [put("seat", "", Seat(self.name, self.sheet.deployment, self.sheet.epoch, digest(self.sheet)))]
+
     def _ages(self, key: str, cell: Cell, wall: int) -> None:
         if cell.accepted != w.NONE and not claims.lasts(cell.value):
             self.aging.append(Aging(wall + self.keep, key, cell.accepted))
--- a/hazelhold/replica/words.py
+++ b/hazelhold/replica/words.py
@@ -14,7 +14,15 @@
     process: str
 
 
+class Inc(NamedTuple):
+    """An incarnation of an acceptor: a start of its process, the number above all that others know of it."""
+
+    number: int
+    nonce: int
+
+
 NONE = Ballot(0, "")
+NEVER = Inc(0, 0)
 Why = Literal["ballot", "epoch", "no_vote"]
 
 
@@ -26,20 +34,28 @@
     ballot: Ballot
 
 
+class Answer(Word, frozen=True, tag_field="t"):
+    """`inc` is the acceptor's own; `known` the latest that it knows of the others in the key's set, which is
+    how an answer of an earlier incarnation is found out (`proposer`)."""
+
+    inc: Inc = NEVER
+    known: dict[str, Inc] = {}
+
+
 class Prepare(Word, frozen=True, tag_field="t", tag="prepare"):
     """Promise me nothing below this ballot, and say what you accepted last."""
 
 
-class Promise(Word, frozen=True, tag_field="t", tag="promise"):
-    accepted: Ballot  # NONE: nothing was
-    value: bytes
+class Promise(Answer, frozen=True, tag_field="t", tag="promise"):
+    accepted: Ballot = NONE  # NONE: nothing was
+    value: bytes = b""
 
 
 class Accept(Word, frozen=True, tag_field="t", tag="accept"):
     value: bytes
 
 
-class Accepted(Word, frozen=True, tag_field="t", tag="accepted"):
+class Accepted(Answer, frozen=True, tag_field="t", tag="accepted"):
     pass
 
 
@@ -47,9 +63,9 @@
     """Say what you accepted last; promises nothing and writes nothing."""
 
 
-class Seen(Word, frozen=True, tag_field="t", tag="seen"):
-    accepted: Ballot
-    value: bytes
+class Seen(Answer, frozen=True, tag_field="t", tag="seen"):
+    accepted: Ballot = NONE
+    value: bytes = b""
 
 
 class Refused(Word, frozen=True, tag_field="t", tag="refused"):
@@ -58,3 +74,58 @@
     why: Why
     higher: Ballot = NONE
     now: int = 0
+
+
+# Coming back (`rejoin`). Between two planners; `no` ties an answer to what was asked last.
+
+
+class Cells(NamedTuple):
+    """A cell on its way: key, promised, accepted, value."""
+
+    key: str
+    promised: Ballot
+    accepted: Ballot
+    value: bytes
+
+
+class Hail(Struct, frozen=True, tag_field="t", tag="hail"):
+    """I have started: which incarnation of me do you know, and may I copy from you?"""
+
+    no: int
+
+
+class Hailed(Struct, frozen=True, tag_field="t", tag="hailed"):
+    """`source`: this planner's votes can be copied; one that lost its own has none to give."""
+
+    no: int
+    known: Inc
+    source: bool
+
+
+class Enter(Struct, frozen=True, tag_field="t", tag="enter"):
+    """I am this incarnation now. Tell everybody who asks; and send me the cells of the slots in which yours
+    are not these (digests by slot)."""
+
+    no: int
+    inc: Inc
+    digests: dict[int, int]
+
+
+class Next(Struct, frozen=True, tag_field="t", tag="next"):
+    """The page after this many cells."""
+
+    no: int
+    inc: Inc
+    after: int
+
+
+class Page(Struct, frozen=True, tag_field="t", tag="page"):
+    """Cells from `after` on; `total` in all. `unready`: slots of ours in which the sender does not vote.
+    `known`: all incarnations that it knows. Total -1: it knows nothing of this copying, which begins anew."""
+
+    no: int
+    after: int
+    total: int
+    cells: list[Cells] = []
+    unready: list[int] = []
+    known: dict[str, Inc] = {}
--- a/tests/test_replica.py
+++ b/tests/test_replica.py
@@ -129,7 +129,7 @@
             for at, op in proposer.ops.items():
                 new.ops[at] = copy.copy(op)
                 new.ops[at].promises = dict(op.promises)
-                new.ops[at].accepts, new.ops[at].refusals = set(op.accepts), dict(op.refusals)
+                new.ops[at].accepts, new.ops[at].refusals = dict(op.accepts), dict(op.refusals)
             made.proposers.append(new)
         return made
 
@@ -190,7 +190,7 @@
     """Proposes its own value whatever was accepted before."""
 
     def _accept(self, op: object) -> None:
-        op.promises = {s: w.Promise(p.key, p.epoch, p.ballot, w.NONE, b"") for s, p in op.promises.items()}
+        op.promises = {s: w.Promise(p.key, p.epoch, p.ballot) for s, p in op.promises.items()}
         super()._accept(op)
 
 
