--- a/bench/throughput.py
+++ b/bench/throughput.py
@@ -157,9 +157,10 @@
         self.wires[machine].send(m.Ended(guest=guest, how="done"))
 
 
-async def sockets(machines: int, running: int, guests: int, window: int) -> dict[str, float]:
+async def sockets(machines: int, running: int, guests: int, window: int, once: int = 0) -> dict[str, float]:
     """A planner on loopback; `window` asks are out at a time, and each placed guest past `running` ends the
-    oldest. Latency is from the ask's writing to the answer's reading, with one ask out at a time."""
+    oldest. Every `once`-th is of the product `once`, if the sheet has it. Latency is from the ask's writing
+    to the answer's reading, with one ask out at a time."""
     net = TcpNet()
     waits = HdrHistogram(1, 10**8, 3)
     async with trio.open_nursery() as nursery:
@@ -182,9 +183,9 @@
             nonlocal asked
             service, cores, memory = shape(asked)
             sent_at[f"g{asked}"] = time.perf_counter()
-            wire.send(m.Submit(guest=f"g{asked}", product="plain", service=service, cores=cores,
-            memory=memory,
-                               patience=60_000_000, life=600_000_000))
+            product = "once" if once and asked % once == 0 else "plain"
+            wire.send(m.Submit(guest=f"g{asked}", product=product, service=service, cores=cores,
+                               memory=memory, patience=60_000_000, life=600_000_000))
             asked += 1
 
         async def phase(until: int, wide: int, note: bool) -> None:
--- a/hazelhold/replica/acceptor.py
+++ b/hazelhold/replica/acceptor.py
@@ -6,8 +6,12 @@
 once `rejoin` has copied what the others of the set know (`ready`).
 """
 
+from collections.abc import Iterable
 from typing import NamedTuple
 
+import xxhash
+from msgspec import msgpack
+
 from hazelhold.replica import words as w
 from hazelhold.replica.sets import Sets
 
@@ -29,6 +33,11 @@
     cell: Cell
 
 
+def digest(key: str, cell: Cell) -> int:
+    return xxhash.xxh3_64_intdigest(ENCODER.encode((key, cell.promised, cell.accepted, cell.value)))
+
+
+ENCODER = msgpack.Encoder()
 COPY = w.Ballot(-1, "")  # what a look is told of a copied cell: no majority agrees with it
 
 
@@ -51,6 +60,10 @@
         self.empty = Cell(w.Ballot(floor, ""))
         self.inc = w.NEVER
         self.known: dict[str, w.Inc] = {}  # of the others
+        self.digests: dict[int, int] = {}  # by slot: a sum over its cells, whatever their order
+        if sets is not None:
+            for key, cell in self.cells.items():
+                self._sum(key, digest(key, cell))
 
     @property
     def floor(self) -> int:
@@ -61,6 +74,7 @@
     def let_go(self, key: str) -> None:
         """Forgets a cell whose value may be forgotten. The new floor has to be safe with it."""
         if cell := self.cells.pop(key, None):
+            self._sum(key, -digest(key, cell))
             self.raise_floor(cell.promised.number + 1)
 
     def raise_floor(self, number: int) -> None:
@@ -85,7 +99,7 @@
             new = new._replace(accepted=found.accepted, value=found.value, copied=True)
         if new == mine:
             return None
-        self.cells[found.key] = new
+        self.set(found.key, new)
         return Change(found.key, new)
 
     def hear(self, word: w.Prepare | w.Accept | w.Look) -> tuple[w.Word, Change | None]:
@@ -106,12 +120,27 @@
             new = cell._replace(promised=ballot)
         else:
             answer = w.Accepted(key, epoch, ballot, **mine)
-            new = Cell(ballot, ballot, word.value)
+            new = Cell(max(ballot, word.next), ballot, word.value)
         if new == cell:
             return answer, None
-        self.cells[key] = new
+        self.set(key, new)
         return answer, Change(key, new)
 
+    def set(self, key: str, cell: Cell) -> None:
+        if self.sets is not None:
+            old = self.cells.get(key)
+            self._sum(key, digest(key, cell) - (digest(key, old) if old is not None else 0))
+        self.cells[key] = cell
+
+    def _sum(self, key: str, more: int) -> None:
+        if self.sets is not None:
+            slot = self.sets.slot(key)
+            self.digests[slot] = (self.digests.get(slot, 0) + more) % (1 << 63)
+
+    def digests_of(self, slots: Iterable[int]) -> dict[int, int]:
+        """What is known in each of these slots, as one number a slot; slots without cells left out."""
+        return {s: d for s in slots if (d := self.digests.get(s, 0))}
+
     def _known(self, key: str) -> dict[str, w.Inc]:
         mates = self.known if self.sets is None else self.sets(key)
         return {n: self.known[n] for n in mates if n in self.known}
--- a/hazelhold/replica/host.py
+++ b/hazelhold/replica/host.py
@@ -16,7 +16,7 @@
 
 from hazelhold.config.planner import CopiesSheet
 from hazelhold.protocol.frames import FrameError
-from hazelhold.protocol.messages import Codec
+from hazelhold.protocol.messages import Codec, encode
 from hazelhold.protocol.record import Recorder
 from hazelhold.replica import words as w
 from hazelhold.replica.proposer import Change as Asked
@@ -98,6 +98,7 @@
         }
         # The proposer's number: the asker's, and when it asked; emptied by each end.
         self.asked: dict[int, tuple[int, int]] = {}
+        self.packed: tuple[Struct | None, bytes] = None, b""  # the word sent last, and its frame
         self.counts: Counter[str] = Counter()
         self.log = structlog.get_logger().bind(planner=name)
         self.stir = trio.Event()
@@ -199,7 +200,9 @@
         far = self.far[to]
         far.used = trio.current_time()
         if far.wire is not None:
-            far.wire.send(word)
+            if word is not self.packed[0]:  # the same goes to all of a set
+                self.packed = word, encode(word)
+            far.wire.put(self.packed[1])
             return
         far.waiting.append(word)
         if not far.opening:
--- a/hazelhold/replica/proposer.py
+++ b/hazelhold/replica/proposer.py
@@ -74,6 +74,7 @@
     pause: int = 20_000  # the first pause after a lost ballot; drawn up to twice as long each time
     pause_most: int = 500_000
     most: int = 8192  # askings under way; more are refused at once
+    known: int = 10_000  # keys whose next change may go without Prepare; the oldest is forgotten
 
 
 class Op:
@@ -122,6 +123,9 @@
         self.waiting: dict[str, deque[Op]] = {}  # behind it; emptied as they end
         self.timers: list[tuple[int, int, Op, int]] = []  # each goes at its time
         self.highest = 0  # number of any ballot seen
+        # A ballot that a majority promised with its last accept, and the value then, by key; used once, and
+        # emptied by use and by `times.known`.
+        self.ahead: dict[str, tuple[w.Ballot, bytes]] = {}
         self.number = self.timer_no = self.under_way = 0
 
     def ask(
@@ -171,10 +175,13 @@
         elif isinstance(word, w.Promise) and op.phase == "prepare":
             op.promises[sender] = word
             if self._majority(op, op.promises):
-                self._accept(op)
+                self._accept(op, max(op.promises.values(), key=lambda p: p.accepted).value)
         elif isinstance(word, w.Accepted) and op.phase == "accept":
             op.accepts[sender] = word
             if self._majority(op, op.accepts):
+                self.ahead[op.key] = self._next(op), op.value
+                if len(self.ahead) > self.times.known:
+                    del self.ahead[next(iter(self.ahead))]
                 self._end(now, op, "agreed", op.value)
         elif isinstance(word, w.Refused):
             self._refused(now, op, sender, word)
@@ -195,29 +202,37 @@
         self.ops[op.key] = op
         if isinstance(op.change, Read):
             self._look(now, op)
+        elif op.key in self.ahead:
+            op.ballot, last = self.ahead.pop(op.key)
+            op.tries += 1
+            self._accept(op, last)
+            self._at(now + self.times.round_most, op, op.tries)
         else:
             self._round(now, op)
 
     def _look(self, now: int, op: Op) -> None:
         self.highest += 1  # a number of its own: a late answer to an earlier look is not taken for this one's
         op.ballot, op.phase, op.tries = w.Ballot(self.highest, self.process), "look", op.tries + 1
-        for replica in op.replicas:
-            self.actions.append(Send(replica, w.Look(op.key, self.epoch, op.ballot)))
+        self._send(op, w.Look(op.key, self.epoch, op.ballot))
         self._at(now + self.times.round_most, op, op.tries)
 
     def _round(self, now: int, op: Op) -> None:
         self.highest += 1
         op.ballot, op.phase, op.tries = w.Ballot(self.highest, self.process), "prepare", op.tries + 1
         op.promises, op.accepts, op.refusals = {}, {}, {}
-        for replica in op.replicas:
-            self.actions.append(Send(replica, w.Prepare(op.key, self.epoch, op.ballot)))
+        self._send(op, w.Prepare(op.key, self.epoch, op.ballot))
         self._at(now + self.times.round_most, op, op.tries)
 
-    def _accept(self, op: Op) -> None:
-        last = max(op.promises.values(), key=lambda p: p.accepted)
-        op.value, op.phase, op.exposed = op.change(last.value), "accept", op.exposed + 1
-        for replica in op.replicas:
-            self.actions.append(Send(replica, w.Accept(op.key, self.epoch, op.ballot, op.value)))
+    def _accept(self, op: Op, last: bytes) -> None:
+        op.value, op.phase, op.exposed = op.change(last), "accept", op.exposed + 1
+        self.highest = max(self.highest, op.ballot.number + 1)  # the number of `next` is taken with it
+        self._send(op, w.Accept(op.key, self.epoch, op.ballot, op.value, self._next(op)))
+
+    def _next(self, op: Op) -> w.Ballot:
+        return w.Ballot(op.ballot.number + 1, self.process)
+
+    def _send(self, op: Op, word: w.Prepare | w.Accept | w.Look) -> None:
+        self.actions += [Send(replica, word) for replica in op.replicas]
 
     def _refused(self, now: int, op: Op, sender: str, word: w.Refused) -> None:
         op.refusals[sender] = word
--- a/hazelhold/replica/rejoin.py
+++ b/hazelhold/replica/rejoin.py
@@ -16,19 +16,14 @@
 """
 
 from collections import Counter, defaultdict
-from collections.abc import Iterable
 from typing import NamedTuple
 
-import xxhash
-from msgspec import msgpack
-
 from hazelhold.replica import claims
 from hazelhold.replica import words as w
 from hazelhold.replica.acceptor import Acceptor, Change
 from hazelhold.replica.sets import Sets
 
 PAGE = 200  # cells at a time: some 40 KB
-ENCODER = msgpack.Encoder()
 
 
 class Out(NamedTuple):
@@ -38,25 +33,16 @@
     word: w.Hail | w.Enter | w.Next | w.Hailed | w.Page
 
 
-def digests(acceptor: Acceptor, slots: Iterable[int]) -> dict[int, int]:
-    """What an acceptor knows in each of these slots, as one number a slot; slots without cells left out."""
-    wanted, found = set(slots), dict[int, int]()
-    for key, cell in acceptor.cells.items():
-        slot = acceptor.sets.slot(key)
-        if slot in wanted:  # a sum: in whatever order
-            said = ENCODER.encode((key, cell.promised, cell.accepted, cell.value))
-            found[slot] = (found.get(slot, 0) + xxhash.xxh3_64_intdigest(said)) % (1 << 63)
-    return found
-
-
 class Mate:
     """How far the coming back is with one other planner."""
 
     def __init__(self) -> None:
         self.no = 0  # of what was asked last
-        self.state = "hail"  # hail, enter, copy, done
+        self.state = "hail"  # hail; wait, until another's copying is over; enter, copy, done
+        self.done = False  # all was copied once, as this incarnation; stays so while it is asked once more
         self.known = w.NEVER  # the latest incarnation of ours that it knows
         self.cells = 0  # copied so far in this round
+        self.moved = False  # since the last tick
         self.unready: frozenset[int] = frozenset()
 
 
@@ -89,15 +75,19 @@
         """Now and then: asks again whoever has not answered, or does not vote itself yet."""
         if self.over():
             return
+        waits = any(m.state in ("wait", "enter", "copy") for m in self.mates.values())
         for other, mate in self.mates.items():
-            if mate.state == "done" and not (mate.unready - self.voted):
+            if mate.state == "done" and (waits or not (mate.unready - self.voted)):
                 continue
-            if mate.state == "copy":  # a page was lost, or its sender: anew, which digests make short
-                mate.state = "hail"
-            if mate.state in ("hail", "done"):
-                self._ask(other, mate, w.Hail)
-            else:
-                self._enter(other, mate)
+            if mate.state == "wait":
+                continue
+            if mate.state in ("enter", "copy") and mate.moved:  # its pages come
+                mate.moved = False
+                continue
+            mate.state = "done" if mate.state == "done" else "hail"  # else anew, which digests make short
+            self._ask(other, mate, w.Hail)
+        if not any(m.state in ("enter", "copy") for m in self.mates.values()):
+            self._next()
 
     def hear(self, other: str, word: w.Hailed | w.Page) -> list[Change]:
         """Returns what was copied: to be made safe before any vote on it."""
@@ -108,7 +98,10 @@
             mate.known = max(mate.known, word.known)
             if word.source and mate.state in ("hail", "enter", "done"):
                 self._rise()
-                self._enter(other, mate)
+                if all(m is mate or m.state not in ("enter", "copy") for m in self.mates.values()):
+                    self._enter(other, mate)
+                else:
+                    mate.state = "wait"
             return []
         return self._page(other, mate, word)
 
@@ -118,14 +111,15 @@
         if highest > mine or mine.nonce != self.nonce:
             self.acceptor.inc = w.Inc(max(highest.number, mine.number) + 1, self.nonce)
             for mate in self.mates.values():
+                mate.done = False
                 if mate.state != "hail":
                     mate.state, mate.no = "hail", 0
             self.voted.clear()
 
     def _enter(self, other: str, mate: Mate) -> None:
-        mate.state, mate.cells = "enter", 0
+        mate.state, mate.cells, mate.moved = "enter", 0, True
         open_slots = self.shared[other] - self.voted
-        self._ask(other, mate, w.Enter, inc=self.acceptor.inc, digests=digests(self.acceptor, open_slots))
+        self._ask(other, mate, w.Enter, inc=self.acceptor.inc, digests=self.acceptor.digests_of(open_slots))
 
     def _page(self, other: str, mate: Mate, page: w.Page) -> list[Change]:
         if page.total < 0:
@@ -140,7 +134,7 @@
         for name, inc in page.known.items():
             if name != self.name:
                 self.acceptor.entered(name, inc)
-        mate.cells += len(page.cells)
+        mate.cells, mate.moved = mate.cells + len(page.cells), True
         self.counts["cells_heard"] += len(page.cells)
         self.counts["cells_copied"] += len(changes)
         mate.unready = frozenset(page.unready)
@@ -148,13 +142,21 @@
             mate.state = "copy"
             self._ask(other, mate, w.Next, inc=self.acceptor.inc, after=mate.cells)
         else:
-            mate.state = "done"
+            mate.state, mate.done = "done", True
             self._complete()
+            self._next()
         return changes
 
+    def _next(self) -> None:
+        """One at a time: what the one has sent, the next need not."""
+        waiting = [o for o, m in self.mates.items() if m.state == "wait"]
+        if waiting and not self.over():
+            other = min(waiting, key=lambda o: self.mates[o].done)  # those not copied from yet come first
+            self._enter(other, self.mates[other])
+
     def _complete(self) -> None:
         for slot, others in self.others.items():
-            done = [n for n in others if self.mates[n].state == "done"]
+            done = [n for n in others if self.mates[n].done]
             voting = sum(slot not in self.mates[n].unready for n in done)
             if 2 * voting > len(others) + 1 or len(done) == len(others):
                 self.voted.add(slot)
@@ -171,6 +173,7 @@
     def __init__(self, name: str, sets: Sets, acceptor: Acceptor) -> None:
         self.name, self.sets, self.acceptor = name, sets, acceptor
         self.gives = False
+        self.both: dict[str, set[int]] = {}  # slots that both keep, by planner; never more than planners
         self.lists: dict[str, tuple[w.Inc, list[str], list[int]]] = {}  # by joiner; the last copying of each
 
     def hear(self, other: str, word: w.Hail | w.Enter | w.Next) -> tuple[w.Hailed | w.Page, bool]:
@@ -190,9 +193,12 @@
 
     def _list(self, other: str, word: w.Enter) -> tuple[w.Inc, list[str], list[int]]:
         """Keys of the slots that differ, those whose fate is open first."""
-        members = {s: self.sets.of(s) for s in range(self.sets.size)}
-        both = {s for s, names in members.items() if other in names and self.name in names}
-        mine = digests(self.acceptor, both)
+        both = self.both.get(other)
+        if both is None:
+            members = {s: self.sets.of(s) for s in range(self.sets.size)}
+            both = {s for s, names in members.items() if other in names and self.name in names}
+            self.both[other] = both
+        mine = self.acceptor.digests_of(both)
         differ = {s for s in both if mine.get(s, 0) != word.digests.get(s, 0)}
         cells = self.acceptor.cells
         keys = [k for k in cells if self.sets.slot(k) in differ]
--- a/hazelhold/replica/votes.py
+++ b/hazelhold/replica/votes.py
@@ -130,7 +130,7 @@
         for key, change in ledger.tables["cell"].items():
             image = decoder.decode(change.image)
             cell = Cell(w.Ballot(*image.promised), w.Ballot(*image.accepted), image.value, image.copied)
-            acceptor.cells[key] = cell
+            acceptor.set(key, cell)
             self._ages(key, cell, wall)
         if floor := ledger.image("floor", ""):
             acceptor.raise_floor(floor.number)
--- a/hazelhold/replica/words.py
+++ b/hazelhold/replica/words.py
@@ -52,7 +52,11 @@
 
 
 class Accept(Word, frozen=True, tag_field="t", tag="accept"):
+    """`next`: whoever accepts promises that ballot too, so that the proposer's next change of the key needs
+    no Prepare (the one-round step of the CASPaxos paper)."""
+
     value: bytes
+    next: Ballot = NONE
 
 
 class Accepted(Answer, frozen=True, tag_field="t", tag="accepted"):
--- a/tests/processes/test_copies_processes.py
+++ b/tests/processes/test_copies_processes.py
@@ -261,8 +261,8 @@
             assert (line["reason"], line["heard"], line["votes"]) == ("no_majority", [], "yes")
             await owners[1].placed("x", first=1)
             made.wires.calm()
-            await made.logged("agrees_again", 0)
             await owners[0].placed("y")
+            await made.logged("agrees_again", 0)
             assert made.starts("x") == 1
 
     trio.run(run)
