--- a/hazelhold/emulate/fleet.py
+++ b/hazelhold/emulate/fleet.py
@@ -476,7 +476,8 @@
     """One day in the emulator, whose planners are engines that share nothing: what strikes their processes or
     what is between them is for a rehearsal."""
     if wrong := [(f"troubles[{at}].kind", f"{t.kind} needs processes: rehearse it")
-                 for at, t in enumerate(day.troubles) if t.kind in BETWEEN]:
+                 for at, t in enumerate(day.troubles) if t.kind in BETWEEN] + (
+            [("copies.on", "claims among planners are not emulated: rehearse it")] if day.copies.on else []):
         raise ConfigError(day.name, wrong)
     return Fleet(day, seed, audited).play()
 
