--- /dev/null
+++ b/tests/test_copies_host.py
@@ -0,0 +1,239 @@
+"""The parts that planners have in agreed values, in memory: bad peers, failing disks, a death at every point;
+the configuration and the commands."""
+
+from collections.abc import Callable
+from pathlib import Path
+
+import msgspec
+import pytest
+import trio
+from click.testing import CliRunner
+from msgspec.structs import replace
+from trio.testing import MockClock
+
+from hazelhold.cli.main import main
+from hazelhold.config.planner import CopiesPlanner, CopiesSheet, check_planner
+from hazelhold.protocol.frames import frame
+from hazelhold.protocol.messages import encode
+from hazelhold.replica import claims as c
+from hazelhold.replica import words as w
+from hazelhold.replica.host import Copies, Greet
+from hazelhold.replica.proposer import Read
+from hazelhold.replica.votes import Seat, Votes, found
+from hazelhold.service.net import MemoryNet
+from hazelhold.standin.disk import FaultyDisk, Killed, Points
+from hazelhold.state.store import StateError
+from tests.helpers import sheet
+
+NAMES = ("p0", "p1", "p2")
+SHEETS = {n: CopiesSheet(listen=f"at-{n}", folder="-", planners=[CopiesPlanner(x, f"at-{x}") for x in NAMES])
+          for n in NAMES}
+
+
+class Trio:
+    """Three parts in memory, each with a disk that outlives it."""
+
+    def __init__(self, nursery: trio.Nursery, points: Points | None = None) -> None:
+        self.net, self.nursery = MemoryNet(), nursery
+        self.disks = {n: FaultyDisk(Points(set(), 1)) for n in NAMES}
+        self.parts: dict[str, Copies] = {}
+        self.scopes: dict[str, trio.CancelScope] = {}
+        self.ends: dict[str, dict[int, tuple[str, bytes, str]]] = {n: {} for n in NAMES}
+        self.number = self.deaths = 0
+        for name in NAMES:
+            found(self.disks[name], name, SHEETS[name], 0)
+        if points is not None:
+            self.disks["p1"].points = points
+
+    async def start(self, name: str) -> None:
+        ends = self.ends[name]
+
+        def told(no: int, outcome: str, value: bytes, reason: str) -> None:
+            ends[no] = outcome, value, reason
+
+        disk, scope = self.disks[name], trio.CancelScope()
+        part = Copies(name, SHEETS[name], self.net, disk, told)
+        self.parts[name], self.scopes[name] = part, scope
+
+        async def live(task_status: trio.TaskStatus = trio.TASK_STATUS_IGNORED) -> None:
+            try:
+                with scope:
+                    part.open()
+                    await part.run(task_status=task_status)
+            except* Killed:
+                self.deaths += 1
+                disk.crash()
+                self.nursery.start_soon(self.start, name)
+                if not part.address:
+                    task_status.started()
+            else:
+                disk.crash()
+
+        await self.nursery.start(live)
+
+    async def all_vote(self) -> None:
+        await self.until(lambda: all(len(p.votes.acceptor.voting) == len(p.votes.joiner.others)
+                                     for p in self.parts.values()))
+
+    async def until(self, true: Callable[[], bool]) -> None:
+        with trio.fail_after(60):
+            while not true():
+                await trio.sleep(0.02)
+
+    async def agree(self, name: str, key: str, change: object, span: float = 2.0) -> tuple[str, bytes, str]:
+        self.number += 1
+        number, part = self.number, self.parts[name]
+        part.ask(number, key, change, part.net.now() + round(span * 1e6))
+        await self.until(lambda: number in self.ends[name])
+        return self.ends[name].pop(number)
+
+
+def play(story: Callable, points: Points | None = None) -> Trio:
+    async def run() -> Trio:
+        async with trio.open_nursery() as nursery:
+            made = Trio(nursery, points)
+            for name in NAMES:
+                await made.start(name)
+            await story(made)
+            nursery.cancel_scope.cancel()
+        return made
+
+    return trio.run(run, clock=MockClock(autojump_threshold=0))
+
+
+def take(planner: str, no: int) -> c.Take:
+    return c.Take(planner, 1, 0, 0, "m", no)
+
+
+def test_bad_peers_end_their_own_connection_alone() -> None:
+    async def story(made: Trio) -> None:
+        await made.all_vote()
+        greet = Greet("p1", "hazelhold", 1)
+        bad = {
+            "not_msgpack": frame(b"\xc1"), "frame_too_long": b"\xff\xff\xff\xff", "no_type": frame(b"\x80"),
+            "unknown_type": frame(msgspec.msgpack.encode({"t": "offer"})),
+            "wrong_first": encode(w.Look("k", 1, w.Ballot(1, "x"))),
+            "version": encode(msgspec.structs.replace(greet, version=2)),
+            "stranger": encode(msgspec.structs.replace(greet, name="nobody")),
+            "second_greet": encode(greet) + encode(greet),
+            "bad_message": encode(greet) + frame(msgspec.msgpack.encode({"t": "prepare", "key": 5})),
+        }
+        for code, body in bad.items():
+            stream = await made.net.dial("at-p0")
+            await stream.send_all(body)
+            with trio.fail_after(10):
+                while await stream.receive_some(1000):
+                    pass
+            assert made.parts["p0"].counts["refused_" + code] == 1, code
+        assert (await made.agree("p1", "claim/g", take("p1", 1)))[0] == "agreed"
+
+    play(story)
+
+
+def test_failing_disks_answer_nobody_and_vote_again_when_they_work() -> None:
+    async def story(made: Trio) -> None:
+        await made.all_vote()
+        for name in ("p1", "p2"):
+            made.disks[name].fails = {"write": 5, "sync": 5, "rename": 5}
+        outcome, _, reason = await made.agree("p0", "claim/g", take("p0", 1))
+        assert (outcome, reason) == ("refused", "no_majority")
+        assert all(made.parts[n].vault.failures == 1 for n in ("p1", "p2"))
+        made.disks["p1"].fails = {}
+        await made.until(lambda: not made.parts["p1"].vault.failed)
+        assert (await made.agree("p0", "claim/g", take("p0", 2)))[0] == "agreed"
+
+    play(story)
+
+
+def test_a_death_at_every_point_of_a_members_disk_loses_no_agreed_value() -> None:
+    """One of three dies at its Nth read, write, sync or rename, comes back, and is then needed: the third is
+    taken away."""
+    reached = 0
+
+    async def story(made: Trio) -> None:
+        agreed: dict[str, bytes] = {}
+        for number in range(4):
+            key = f"claim/g{number}"
+            outcome, value, _ = await made.agree("p0", key, take("p0", number), 10.0)
+            if outcome == "agreed" and value:
+                agreed[key] = value
+        assert len(agreed) == 4
+        await made.until(lambda: made.parts["p1"].address != "")
+        await made.all_vote()
+        made.scopes["p0"].cancel()
+        del made.parts["p0"]
+        for key, value in agreed.items():
+            assert (await made.agree("p2", key, Read(), 10.0))[:2] == ("agreed", value)
+
+    quiet = Points(set(), 1)
+    play(story, quiet)
+    assert quiet.count > 15
+    for point in range(1, quiet.count + 1):
+        points = Points({point}, point)
+        reached += play(story, points).deaths
+    assert reached > quiet.count * 0.8
+
+
+def test_what_is_let_go_does_not_come_back_by_an_old_ballot() -> None:
+    disk = FaultyDisk(Points(set(), 1))
+    alone = replace(SHEETS["p0"], planners=SHEETS["p0"].planners[:1], replicas=1, keep_s=60.0)
+    found(disk, "p0", alone, 0)
+    votes = Votes(disk, "p0", alone, 1)
+    votes.open(0, "p0 1")
+    value = c.encode(c.Claim("p0", 1, 0, 0, "over", "m", "done"))
+    held = c.encode(c.Claim("p0", 1, 0, 0, "held", "m"))
+    for key, body in (("claim/over", value), ("claim/held", held)):
+        votes.store.apply(votes.hear(w.Accept(key, 1, w.Ballot(7, "x"), body), 0)[1])
+    assert votes.sweep(59_000_000) == []
+    votes.store.apply(votes.sweep(61_000_000))
+    assert list(votes.acceptor.cells) == ["claim/held"]
+    assert votes.hear(w.Accept("claim/over", 1, w.Ballot(7, "y"), b"?"), 0)[0].why == "ballot"
+    votes.store.begin(62_000_000)
+    votes.store.close()
+    again = Votes(disk, "p0", alone, 2)
+    again.open(62_000_000, "p0 2")
+    assert again.hear(w.Prepare("claim/over", 1, w.Ballot(7, "y")), 0)[0].why == "ballot"
+    assert again.acceptor.cells["claim/held"].value == held
+
+
+@pytest.mark.parametrize(("change", "why"), [
+    ({"epoch": 2}, "is not changed by its file"), ({"replicas": 1}, "is not changed by its file"),
+    ({"deployment": "other"}, "is the seat of 'p0' in 'hazelhold'")])
+def test_another_set_than_the_folders_is_refused_by_name(change: dict, why: str) -> None:
+    disk = FaultyDisk(Points(set(), 1))
+    found(disk, "p0", SHEETS["p0"], 0)
+    with pytest.raises(StateError, match=why):
+        Votes(disk, "p0", replace(SHEETS["p0"], **change), 1).open(0, "p0 1")
+    assert Seat("p0", "hazelhold", 1, "x").planner == "p0" and disk.holder == ""
+
+
+def test_the_configuration_names_all_that_is_wrong() -> None:
+    full = replace(sheet(), listen="127.0.0.1:1", list=replace(sheet().list, address="127.0.0.1:2"))
+    assert check_planner(full) == []
+    assert [p for p, _ in check_planner(replace(full, copies=CopiesSheet(folder="x")))] == ["copies.listen"]
+    wrong = CopiesSheet(listen="somewhere:1", replicas=4, reach={"p9": "127.0.0.1:5"},
+                        planners=[CopiesPlanner("p1", "127.0.0.1:0"), CopiesPlanner("p1", "127.0.0.1:4")])
+    places = [p for p, _ in check_planner(replace(full, copies=wrong))]
+    assert places == ["copies.listen", "copies.planners[0].address", "copies.planners[1].name",
+                      "copies.reach['p9']", "copies.planners", "copies.folder", "copies.replicas",
+                      "copies.replicas"]
+
+
+def test_the_commands_found_once_show_and_vouch(tmp_path: Path) -> None:
+    made = replace(sheet(), listen="127.0.0.1:1", list=replace(sheet().list, address="127.0.0.1:2"),
+                   copies=CopiesSheet(listen="127.0.0.1:3", folder=str(tmp_path / "votes"), replicas=1,
+                                      planners=[CopiesPlanner("p0", "127.0.0.1:3")]))
+    file = tmp_path / "p0.json5"
+    file.write_bytes(msgspec.json.encode(made))
+    run = CliRunner().invoke
+    assert run(main, ["copies", "vouch", str(file)]).exit_code == 2
+    assert "no seat" in run(main, ["copies", "show", str(file)]).output
+    assert run(main, ["copies", "found", str(file)]).exit_code == 0
+    twice = run(main, ["copies", "found", str(file)])
+    assert twice.exit_code == 2 and "founded already" in twice.output
+    shown = run(main, ["copies", "show", str(file)])
+    assert shown.exit_code == 0 and "p0 of hazelhold, epoch 1" in shown.output
+    assert run(main, ["copies", "vouch", str(file)]).exit_code == 0
+    off = tmp_path / "off.json5"
+    off.write_bytes(msgspec.json.encode(replace(made, copies=CopiesSheet())))
+    assert "copies are off" in run(main, ["copies", "show", str(off)]).output
