--- a/bench/copies.py
+++ b/bench/copies.py
@@ -5,6 +5,7 @@
 - claims: planners' parts (`Copies`) on loopback, all on one core of one process, so each figure carries the
   work of all of them; latency with one claim out, claims a second with 64 out; with syncs, without, and with
   one of the replicas away;
+- gap: claims one after another while planners of the set end;
 - planner: guests a second of one planner's processor time, two other planners' parts in a process of their
   own, by the share of exclusive guests, copies on against off, in turn in one run;
 - catch-up: one that lost its votes and copies N cells, and one whose disk is a hundredth behind;
@@ -76,7 +77,8 @@
 
 
 @asynccontextmanager
-async def group(count: int, replicas: int, sync: bool, away: int = 0) -> AsyncIterator[tuple[Copies, Asker]]:
+async def group(count: int, replicas: int, sync: bool, away: int = 0) -> AsyncIterator[
+        tuple[Copies, Asker, list[trio.CancelScope]]]:
     """So many parts, votes ready; the first is yielded. The last `away` are ended once all are ready."""
     with tempfile.TemporaryDirectory() as text:
         net, kind = TcpNet(), RealDisk if sync else Unsafe
@@ -104,13 +106,13 @@
             for scope in scopes[count - away:]:
                 scope.cancel()
             await trio.sleep(0.2)
-            yield made[0], asker
+            yield made[0], asker, scopes
             nursery.cancel_scope.cancel()
 
 
 async def claims(count: int, replicas: int, sync: bool, away: int, claims_: int) -> dict[str, Any]:
     waits = HdrHistogram(1, 10**8, 3)
-    async with group(count, replicas, sync, away) as (part, asker):
+    async with group(count, replicas, sync, away) as (part, asker, _):
         number = 0
 
         async def one(note: bool) -> None:
@@ -144,6 +146,24 @@
             "p99_ms": round(waits.get_value_at_percentile(99) / 1000, 2), "claims_a_second": round(rate)}
 
 
+async def gap(count: int, replicas: int, deaths: int) -> dict[str, Any]:
+    """Claims one after another, every 5 ms, while others of the set end: the longest wait of any."""
+    longest, done = 0.0, 0
+    async with group(count, replicas, True) as (part, asker, scopes):
+        for number in range(1, 401):
+            if number in (100, 200)[:deaths]:
+                scopes.pop().cancel()
+            event = asker.events[number] = trio.Event()
+            began = time.perf_counter()
+            part.ask(number, f"claim/g{number}", Take("p", 1, 0, 0, "m", number), part.net.now() + 5_000_000)
+            await event.wait()
+            longest = max(longest, time.perf_counter() - began)
+            done += asker.ends.pop(number) == "agreed"
+            await trio.sleep(0.005)
+    return {"planners": count, "replicas": replicas, "deaths": deaths, "agreed": done,
+            "longest_ms": round(longest * 1000, 1)}
+
+
 def others(folder: Path) -> None:
     """The parts of the other planners, in a process of their own, until standard input ends."""
     async def run() -> None:
@@ -267,7 +287,7 @@
     if given.others:
         others(given.others)
         return
-    said: dict[str, list] = {"claims": [], "planner": [], "catch_up": [], "size": []}
+    said: dict[str, list] = {"claims": [], "gap": [], "planner": [], "catch_up": [], "size": []}
 
     def note(part: str, row: dict[str, Any]) -> None:
         said[part].append(row)
@@ -278,6 +298,8 @@
              (5, 5, True, 1), (16, 3, True, 0), (16, 5, True, 0))
     for count, replicas, sync, away in cases:
         note("claims", trio.run(claims, count, replicas, sync, away, many))
+    for count, replicas, deaths in ((3, 3, 1), (5, 5, 2)):
+        note("gap", trio.run(gap, count, replicas, deaths))
     for once in (0, 5, 1):
         note("planner", compare(300 if given.quick else 1500, once, 1 if given.quick else 3))
     for count in (1_000, 25_000) if given.quick else (1_000, 25_000, 100_000):
--- a/hazelhold/membership/core.py
+++ b/hazelhold/membership/core.py
@@ -11,6 +11,7 @@
 """
 
 from collections import Counter, deque
+from collections.abc import Callable
 from heapq import heappop, heappush
 from math import ceil, log2
 from random import Random
@@ -103,6 +104,7 @@
         self.join_no = self.join_pause = 0
         self.rival: Row | None = None  # another process under this name, being asked whether it is there
         self.yielded = self.leaving = self.left = False
+        self.beside: Callable[[], dict[str, str]] = dict  # what else operators are told of this planner
         self.fruitless = 0  # own probes in a row without answer or witness
         self.alone_since = -1
         self.away_last = self.away_times = 0
@@ -729,6 +731,7 @@
             "away_times": self.away_times,
             "away_last_us": self.away_last,
             "members": len(self.table),
+            **self.beside(),
         }
 
     def seen(self, name: str) -> w.Seen:
--- a/hazelhold/membership/host.py
+++ b/hazelhold/membership/host.py
@@ -1,6 +1,7 @@
 """Runs one planner's membership on a datagram port, inside the planner's nursery."""
 
 import ipaddress
+from collections.abc import Callable
 from functools import lru_cache
 from random import SystemRandom
 
@@ -62,6 +63,7 @@
         self.core: Core | None = None
         self.port: Port | None = None
         self.stirred = trio.Event()
+        self.beside: Callable[[], dict[str, str]] = dict  # what else `hazelhold members` shows
 
     async def run(self, task_status: trio.TaskStatus = trio.TASK_STATUS_IGNORED) -> None:
         sheet, draw = self.sheet, SystemRandom()
@@ -79,6 +81,7 @@
                 speaks=[VERSION],
             )
             self.core = Core(me, list(sheet.seeds), terms(sheet), draw.getrandbits(62), self.net.now())
+            self.core.beside = self.beside
             self.core.start(self.net.now())
             self.log.info(
                 "membership",
--- a/hazelhold/replica/host.py
+++ b/hazelhold/replica/host.py
@@ -47,6 +47,7 @@
 
 ASKS = Codec(Greet | w.Prepare | w.Accept | w.Look | w.Hail | w.Enter | w.Next)
 ANSWERS = Codec(Greet | w.Promise | w.Accepted | w.Seen | w.Refused | w.Hailed | w.Page)
+LATELY = 5_000_000  # microseconds without an answer after which a planner is named to operators
 REJOIN = 0.5  # seconds after which somebody who has not answered one that comes back is asked again
 
 
@@ -179,6 +180,12 @@
                              heard=heard, votes=self._standing())
         self.told(no, done.outcome, done.value, done.reason)
 
+    def standing(self) -> dict[str, str]:
+        """For operators: whether claims are agreed from here, why not, and who is not heard."""
+        silent = sorted(f.name for f in self.far.values() if f.used and self.net.now() - f.heard > LATELY)
+        more = f" and {len(silent) - 8} more" if silent[8:] else ""
+        return {"agrees": self.cut or "yes", "votes": self._standing(), "silent": ", ".join(silent[:8]) + more}
+
     def _standing(self) -> str:
         some, all_ = len(self.votes.acceptor.voting), len(self.votes.joiner.others)
         return "yes" if some == all_ else f"on {some} of {all_} slots"
--- a/hazelhold/service/planner.py
+++ b/hazelhold/service/planner.py
@@ -67,6 +67,8 @@
 
             self.copies = Copies(sheet.name, sheet.copies, net, votes or RealDisk(Path(sheet.copies.folder)),
                                  self._agreed, recorder)
+            if self.members is not None:
+                self.members.beside = self.copies.standing
         self.keeper: Keeper | None = None
         if disk is None and sheet.state.folder:
             disk = RealDisk(Path(sheet.state.folder))
--- a/tests/processes/test_copies_processes.py
+++ b/tests/processes/test_copies_processes.py
@@ -6,6 +6,7 @@
 import signal
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
+from functools import partial
 from pathlib import Path
 
 import trio
@@ -13,6 +14,7 @@
 
 from hazelhold.audit.claims import ClaimAudit
 from hazelhold.audit.rules import Audit
+from hazelhold.cli.members import ask
 from hazelhold.config.day import Stock, read_day
 from hazelhold.protocol import messages as m
 from hazelhold.protocol.record import Recorder
@@ -71,9 +73,9 @@
 
     async def placed(self, guest: str, product: str = "payout-run", first: int = 0) -> m.Placed:
         """Asks until it is placed: planners that have just started agree on nothing yet."""
-        for ask in range(first, first + 100):
-            self.submit(guest, product, ask)
-            said = await self.final(guest, ask)
+        for number in range(first, first + 100):
+            self.submit(guest, product, number)
+            said = await self.final(guest, number)
             if isinstance(said, m.Placed):
                 return said
             assert isinstance(said, m.TurnedBack), said
@@ -150,6 +152,11 @@
         return sum(c.role == "machine" and c.way == "out" and (c.message or {}).get("t") == "taken"
                    and c.message["guest"] == guest for c in self.crossings().crossings)
 
+    async def standing(self, number: int) -> dict:
+        host, _, port = self.sheets[number].membership.listen.rpartition(":")
+        said = await trio.to_thread.run_sync(partial(ask, (host, int(port)), self.day.name, LONG))
+        return said[0]
+
     async def logged(self, event: str, number: int, **more: object) -> dict:
         """Waits for a line of this planner's logs."""
         with trio.fail_after(LONG):
@@ -260,6 +267,8 @@
             line = await made.logged("cannot_agree", 0, key="claim/x")
             assert (line["reason"], line["heard"], line["votes"]) == ("no_majority", [], "yes")
             await owners[1].placed("x", first=1)
+            standing = {n: (await made.standing(n))["agrees"] for n in range(2)}
+            assert standing == {0: "no_majority", 1: "yes"}  # as `hazelhold members` shows it
             made.wires.calm()
             await owners[0].placed("y")
             await made.logged("agrees_again", 0)
