--- a/hazelhold/replica/host.py
+++ b/hazelhold/replica/host.py
@@ -183,8 +183,8 @@
     def standing(self) -> dict[str, str]:
         """For operators: whether claims are agreed from here, why not, and who is not heard."""
         silent = sorted(f.name for f in self.far.values() if f.used and self.net.now() - f.heard > LATELY)
-        more = f" and {len(silent) - 8} more" if silent[8:] else ""
-        return {"agrees": self.cut or "yes", "votes": self._standing(), "silent": ", ".join(silent[:8]) + more}
+        named = ", ".join(silent[:8]) + (f" and {len(silent) - 8} more" if silent[8:] else "")
+        return {"agrees": self.cut or "yes", "votes": self._standing(), "silent": named}
 
     def _standing(self) -> str:
         some, all_ = len(self.votes.acceptor.voting), len(self.votes.joiner.others)
