--- a/hazelhold/replica/sets.py
+++ b/hazelhold/replica/sets.py
@@ -6,6 +6,8 @@
 """
 
 from collections.abc import Sequence
+from functools import lru_cache
+from heapq import nlargest
 from typing import NamedTuple
 
 import xxhash
@@ -20,22 +22,29 @@
     zone: str = ""
 
 
-def draw(key: str, name: str) -> int:
-    return xxhash.xxh3_64_intdigest(f"{len(key)}/{key}/{name}".encode())
-
-
 def replicas(key: str, planners: Sequence[Keeper], count: int) -> tuple[str, ...]:
     """The planners that keep the key, the same for everyone with the same set; all of them if there are too
     few."""
-    order = sorted(planners, key=lambda p: (-draw(key, p.name), p.name))
-    found: list[Keeper] = []
-    while order and len(found) < count:
-        used = {zone: sum(p.zone == zone for p in found) for zone in {p.zone for p in order}}
-        least = min(used.values())
-        chosen = next(p for p in order if used[p.zone] == least)
-        order.remove(chosen)
-        found.append(chosen)
-    return tuple(p.name for p in found)
+    before = f"{len(key)}/{key}/".encode()
+    zones: dict[str, list[tuple[int, str]]] = {}  # draws, the best of a zone last
+    for zone, name, encoded in _encoded(tuple(planners)):
+        zones.setdefault(zone, []).append((xxhash.xxh3_64_intdigest(before + encoded), name))
+    for zone, drawn in zones.items():
+        zones[zone] = nlargest(count, drawn)[::-1]
+    used = dict.fromkeys(zones, 0)
+    found: list[str] = []
+    while zones and len(found) < count:
+        zone = min(zones, key=lambda z: (used[z], -zones[z][-1][0], zones[z][-1][1]))
+        found.append(zones[zone].pop()[1])
+        used[zone] += 1
+        if not zones[zone]:
+            del zones[zone]
+    return tuple(found)
+
+
+@lru_cache(maxsize=8)
+def _encoded(planners: tuple[Keeper, ...]) -> list[tuple[str, str, bytes]]:
+    return [(p.zone, p.name, p.name.encode()) for p in planners]
 
 
 class Sets:
--- a/tests/test_replica.py
+++ b/tests/test_replica.py
@@ -6,6 +6,7 @@
 from random import Random
 
 import pytest
+import xxhash
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
@@ -400,6 +401,27 @@
     assert set(replicas("k", fleet[:2], 3)) == {"p0", "p1"}
 
 
+def plain(key: str, planners: list[Keeper], count: int) -> tuple[str, ...]:
+    """The sets as they are told of: all drawn in order, each time the best of the zones used least."""
+    draws = {p: xxhash.xxh3_64_intdigest(f"{len(key)}/{key}/{p.name}".encode()) for p in planners}
+    order = sorted(planners, key=lambda p: -draws[p])
+    found: list[Keeper] = []
+    while order and len(found) < count:
+        used = {zone: sum(p.zone == zone for p in found) for zone in {p.zone for p in order}}
+        found.append(next(p for p in order if used[p.zone] == min(used.values())))
+        order.remove(found[-1])
+    return tuple(p.name for p in found)
+
+
+@settings(max_examples=300, deadline=None)
+@given(
+    st.integers(0, 10**6), st.lists(st.integers(0, 4), min_size=1, max_size=30), st.sampled_from([1, 3, 5, 7])
+)
+def test_sets_are_those_of_the_plain_form(key: int, zones: list[int], count: int) -> None:
+    planners = [Keeper(f"p{n}", f"z{zone}") for n, zone in enumerate(zones)]
+    assert replicas(f"k{key}", planners, count) == plain(f"k{key}", planners, count)
+
+
 # The checker of histories, itself checked.
 
 
