Coming back: no votes while an incarnation is raised, a failing disk, floors; an adopted copy's fact names its machine

Read again, each with a test that fails without it. (1) rejoin._rise raised the incarnation when another process of the name was known, but the acceptor went on voting on slots whose others knew the lower number only, and a commit under way let it vote on them later: it stops at once, and a commit counts for its own incarnation. (2) a disk that failed under copies dropped what was to follow, so the member never voted: host asks again until it does. (3) floors of cells let go did not come with the copies. (4) dispatches._adopt told "placed" before the machine stood in the case: owners at other planners would have got an empty name.

--- a/hazelhold/cli/main.py
+++ b/hazelhold/cli/main.py
@@ -75,7 +75,7 @@
 
     import trio
 
-    from hazelhold.config.planner import read_planner
+    from hazelhold.config.planner import check_planner, read_planner
     from hazelhold.protocol.record import Recorder
     from hazelhold.service.net import TcpNet
     from hazelhold.service.planner import Planner
@@ -87,6 +87,8 @@
         sheet = replace(sheet, state=replace(sheet.state, folder=str(folder)))
     if take_over and not sheet.state.folder:
         raise ConfigError(str(config), [("state.folder", "is empty: there is nothing to take over")])
+    if faults := check_planner(sheet):  # once more, with what the command line changed
+        raise ConfigError(str(config), faults)
     logs.set_up(log, level)
     if record:
         record.parent.mkdir(parents=True, exist_ok=True)
@@ -163,6 +165,8 @@
     sheet = read_day(day)
     if virtual and any(t.kind == "planner_pause" for t in sheet.troubles):
         raise ConfigError(str(day), [("troubles", "planner_pause stops processes: not with --virtual")])
+    if capture and sheet.copies.on:
+        raise ConfigError(str(day), [("copies.on", "a capture cannot be replayed with claims in it yet")])
     logs.set_up(log, "warning" if level == "info" else level)
     with tempfile.TemporaryDirectory(prefix="hazelhold-") as spare:
         folder = records or Path(spare)
--- a/hazelhold/engine/dispatches.py
+++ b/hazelhold/engine/dispatches.py
@@ -163,9 +163,9 @@
             if held and held.machine or not (mine and mine.placed):
                 continue
             self._settled(guest, loose.machine)
-            self._fact(now, loose.case, "placed")
             case.ask, case.machine, case.attempt = loose.case.ask, loose.machine, loose.attempt
             case.sent, case.placed, case.sent_at = True, True, loose.sent_at
+            self._fact(now, case, "placed")
             self.cases[case.name] = self.newest[guest] = case
             self._hold(case)
             self._mark("guest", case.name)
--- a/hazelhold/replica/host.py
+++ b/hazelhold/replica/host.py
@@ -235,7 +235,8 @@
             self._join_on()
             await trio.sleep(REJOIN)
         while len(self.votes.acceptor.voting) < len(joiner.others):
-            await trio.sleep(0.01)  # its copies are on their way to the disk
+            self._vote([])  # again, if the disk failed under its copies: they are in all that is written anew
+            await trio.sleep(REJOIN / 10)
         lost = self.votes.why
         self.vault.take(self.votes.seated(), lambda: None)
         self.log.warning("votes_again" if lost else "votes", slots=len(joiner.others), lost=lost,
@@ -248,15 +249,14 @@
             self._post(each.to, each.word)
 
     def _copied(self, sender: str, word: w.Hailed | w.Page) -> None:
-        changes = self.votes.told(sender, word, self.net.wall())
-        voted = set(self.votes.joiner.voted)
-
-        def safe() -> None:
-            self.votes.acceptor.voting = voted
-
-        self.vault.take(changes, safe)
+        self._vote(self.votes.told(sender, word, self.net.wall()))
         self._join_on()
 
+    def _vote(self, changes: list[Change]) -> None:
+        """Votes on what is copied so far, once these and all before them are safe."""
+        slots, inc = set(self.votes.joiner.voted), self.votes.acceptor.inc
+        self.vault.take(changes, lambda: self.votes.vote(slots, inc))
+
     async def _link(self, far: Far) -> None:
         """Opens the way and listens, again and again while anybody needs it."""
         pause = RETRY[0]
@@ -385,12 +385,12 @@
 
     async def run(self, net: Net) -> None:
         while True:
-            with trio.move_on_after(self.sheet.retry_ms / 1000 if self.failed else float("inf")):
-                await self.more.wait()
-            self.more = trio.Event()
             if self.failed:
                 await trio.sleep(self.sheet.retry_ms / 1000)
                 await self._renew(net.wall())
+            else:
+                await self.more.wait()
+            self.more = trio.Event()
             while self.queue and not self.failed:
                 self.busy = True
                 await self._commit(net.wall())
--- a/hazelhold/replica/rejoin.py
+++ b/hazelhold/replica/rejoin.py
@@ -84,7 +84,8 @@
             if mate.state in ("enter", "copy") and mate.moved:  # its pages come
                 mate.moved = False
                 continue
-            mate.state = "done" if mate.state == "done" else "hail"  # else anew, which digests make short
+            if mate.state != "done":
+                mate.state = "hail"  # anew, which digests make short
             self._ask(other, mate, w.Hail)
         if not any(m.state in ("enter", "copy") for m in self.mates.values()):
             self._next()
@@ -115,6 +116,7 @@
                 if mate.state != "hail":
                     mate.state, mate.no = "hail", 0
             self.voted.clear()
+            self.acceptor.voting = set()  # not a moment longer: those entered with do not know this one
 
     def _enter(self, other: str, mate: Mate) -> None:
         mate.state, mate.cells, mate.moved = "enter", 0, True
@@ -134,6 +136,7 @@
         for name, inc in page.known.items():
             if name != self.name:
                 self.acceptor.entered(name, inc)
+        self.acceptor.raise_floor(page.floor)
         mate.cells, mate.moved = mate.cells + len(page.cells), True
         self.counts["cells_heard"] += len(page.cells)
         self.counts["cells_copied"] += len(changes)
@@ -215,4 +218,4 @@
         for key in keys[after:after + PAGE]:
             cell = cells.get(key, self.acceptor.empty)
             found.append(w.Cells(key, cell.promised, cell.accepted, cell.value))
-        return w.Page(no, after, len(keys), found, unready, dict(self.acceptor.known))
+        return w.Page(no, after, len(keys), found, unready, dict(self.acceptor.known), self.acceptor.floor)
--- a/hazelhold/replica/votes.py
+++ b/hazelhold/replica/votes.py
@@ -175,12 +175,19 @@
 
     def told(self, other: str, word: w.Hailed | w.Page, wall: int) -> list[Change]:
         """What somebody told this one that comes back: what has to be safe before it votes on it."""
-        changes = []
+        changes, floor = [], self.acceptor.floor
         for change in self.joiner.hear(other, word):
             self._ages(change.key, change.cell, wall)
             changes.append(put("cell", change.key, CellImage(*change.cell)))
+        if self.acceptor.floor > floor:
+            changes.append(put("floor", "", Floor(self.acceptor.floor)))
         return [*changes, *self.incarnations()]
 
+    def vote(self, slots: set[int], inc: w.Inc) -> None:
+        """What was copied for these slots as this incarnation is safe."""
+        if inc == self.acceptor.inc:
+            self.acceptor.voting = slots
+
     def incarnations(self) -> list[Change]:
         """What is known of incarnations and not on its way to the disk."""
         changes = []
--- a/hazelhold/replica/words.py
+++ b/hazelhold/replica/words.py
@@ -133,3 +133,4 @@
     cells: list[Cells] = []
     unready: list[int] = []
     known: dict[str, Inc] = {}
+    floor: int = 0  # of ballots for keys without a cell
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -339,6 +339,22 @@
     assert one.sent(m.BrokenOff, "x")[0].reason == "claimed"
 
 
+def test_a_late_copy_that_is_adopted_is_told_with_its_machine() -> None:
+    one, other, table = two()
+    one.submits(10, "x", "once")
+    table.agree(10)
+    offer, at = one.sent(m.Offer, "x")[0], table.claim("x").machine
+    for now in range(100, 5100, 100):  # overdue: given up, and broken off in the end
+        table.agree(now * MS)
+    assert one.sent(m.BrokenOff, "x")
+    one.says(5200 * MS, at, of(m.Taken, offer))
+    table.agree(5200 * MS)
+    assert (table.claim("x").state, table.claim("x").machine) == ("placed", at)
+    other.submits(5300 * MS, "x", "once", ask=1, reason="broken_off")
+    table.agree(5300 * MS)
+    assert other.sent(m.Placed, "x")[0].machine == at
+
+
 def test_facts_under_way_are_bounded() -> None:
     gate = Gate("p0", 500)
     for number in range(FACTS_MOST + 5):
--- a/tests/test_copies_host.py
+++ b/tests/test_copies_host.py
@@ -145,6 +145,27 @@
     play(story)
 
 
+def test_a_disk_that_fails_while_its_member_comes_back_does_not_keep_it_mute() -> None:
+    async def story(made: Trio) -> None:
+        await made.all_vote()
+        for number in range(3):
+            assert (await made.agree("p0", f"claim/g{number}", take("p0", number)))[0] == "agreed"
+        made.scopes["p1"].cancel()
+        await made.until(lambda: made.disks["p1"].holder == "")
+        made.disks["p1"].safe.clear()
+        await made.start("p1")
+        made.disks["p1"].fails = {"write": 5}
+        await made.until(lambda: made.parts["p1"].vault.failures > 0 and made.parts["p1"].votes.joiner.over())
+        await trio.sleep(3)
+        assert not made.parts["p1"].votes.acceptor.voting
+        made.disks["p1"].fails = {}
+        await made.all_vote()
+        made.scopes["p2"].cancel()
+        assert (await made.agree("p0", "claim/after", take("p0", 9)))[0] == "agreed"
+
+    play(story)
+
+
 def test_a_death_at_every_point_of_a_members_disk_loses_no_agreed_value() -> None:
     """One of three dies at its Nth read, write, sync or rename, comes back, and is then needed: the third is
     taken away."""
--- a/tests/test_rejoin.py
+++ b/tests/test_rejoin.py
@@ -430,3 +430,26 @@
     run(joiner, source)
     run(joiner, source)
     assert blank.inc == w.Inc(5, 7) and source.acceptor.known["a"] == w.Inc(5, 7)
+
+
+def test_one_that_has_to_rise_votes_on_nothing_until_it_has_entered_anew() -> None:
+    """Another process of its name was there: whoever knows only the lower number would count both."""
+    joiner, source, blank = pair(5)
+    run(joiner, source)
+    joiner.mates["c"].done = True
+    joiner._complete()
+    blank.voting = set(joiner.voted)
+    assert blank.voting
+    joiner.voted.pop()  # it is not over yet
+    joiner.tick()
+    hail = next(each for each in joiner.out if each.to == "c")
+    joiner.hear("c", w.Hailed(hail.word.no, w.Inc(9, 1), True))
+    assert blank.inc == w.Inc(10, 7) and not blank.voting and not joiner.voted
+    assert not any(m.done for m in joiner.mates.values())
+
+
+def test_a_floor_comes_with_the_copies() -> None:
+    joiner, source, blank = pair(5)
+    source.acceptor.let_go("k4")
+    run(joiner, source)
+    assert blank.floor == source.acceptor.floor == 6 and "k4" not in blank.cells
