Repeats taken out: slow disks, addresses, slots of a planner, the desk of the tests; nothing decided anew

service/slowly serves the keeper and the vault; config's two checks of addresses are one; Joiner and Source read the same `Sets.kept_by`; Source.hear's second answer was used by nobody; Desk carries askings, so the claims' tests have no loop of their own; what two claim tests and two process tests did alike stands once.

--- a/bench/copies.py
+++ b/bench/copies.py
@@ -249,7 +249,7 @@
             out, joiner.out = joiner.out, []
             for each in out:
                 start = time.perf_counter()
-                answer, _ = sources[each.to].hear("a", each.word)
+                answer = sources[each.to].hear("a", each.word)
                 spent += len(encode(each.word)) + len(encode(answer))
                 longest = max(longest, time.perf_counter() - start)
                 joiner.hear(each.to, answer)
--- a/hazelhold/config/planner.py
+++ b/hazelhold/config/planner.py
@@ -218,23 +218,29 @@
     return faults
 
 
+def check_addresses(part: str, given: list[tuple[str, str]]) -> list[tuple[str, str]]:
+    """What is wrong with a part's addresses, by place: each is IP address and port; `listen` may take any."""
+    faults = []
+    for place, text in given:
+        try:
+            host, port = split_address(text)
+            ip_address(host)
+            if not port and place != "listen":
+                faults.append((f"{part}.{place}", "needs a port"))
+        except ValueError as wrong:
+            faults.append((f"{part}.{place}", f"{wrong}"))
+    return faults
+
+
 def check_membership(sheet: MembershipSheet) -> list[tuple[str, str]]:
     """Only if it is on: a sheet that names no `listen` is off, and then nothing else may be set."""
     if not sheet.listen:
         wrong = "is missing: without it membership is off, but other keys are set"
         return [("membership.listen", wrong)] if sheet != MembershipSheet() else []
-    faults = []
     given = [("listen", sheet.listen), *((f"seeds[{at}]", seed) for at, seed in enumerate(sheet.seeds)),
              *((f"reach[{name!r}]", to) for name, to in sheet.reach.items()),
              *((key, text) for key in ("advertise", "metrics") if (text := getattr(sheet, key)))]
-    for place, text in given:
-        try:
-            host, port = split_address(text)
-            ip_address(host)
-            if not port and place != "listen":
-                faults.append((f"membership.{place}", "needs a port"))
-        except ValueError as wrong:
-            faults.append((f"membership.{place}", f"{wrong}"))
+    faults = check_addresses("membership", given)
     told = sheet.advertise or sheet.listen
     if not faults and split_address(told)[0] in ("0.0.0.0", "::"):
         faults.append(("membership.advertise", "is needed: nobody is reached at 0.0.0.0"))
@@ -249,17 +255,10 @@
     if not copies.listen:
         wrong = "is missing: without it copies are off, but other keys are set"
         return [("copies.listen", wrong)] if copies != CopiesSheet() else []
-    faults, names = [], [p.name for p in copies.planners]
+    names = [p.name for p in copies.planners]
     given = [("listen", copies.listen), *((f"reach[{name!r}]", to) for name, to in copies.reach.items()),
              *((f"planners[{at}].address", p.address) for at, p in enumerate(copies.planners))]
-    for place, text in given:
-        try:
-            host, port = split_address(text)
-            ip_address(host)
-            if not port and place != "listen":
-                faults.append((f"copies.{place}", "needs a port"))
-        except ValueError as wrong:
-            faults.append((f"copies.{place}", f"{wrong}"))
+    faults = check_addresses("copies", given)
     faults += [(f"copies.planners[{at}].name", f"the name {name!r} is there twice")
                for at, name in enumerate(names) if name in names[:at]]
     faults += [(f"copies.reach[{name!r}]", "is no planner of the set") for name in copies.reach
--- a/hazelhold/replica/host.py
+++ b/hazelhold/replica/host.py
@@ -23,6 +23,7 @@
 from hazelhold.replica.proposer import Done, Proposer, Send
 from hazelhold.replica.votes import Votes
 from hazelhold.service.net import Net
+from hazelhold.service.slowly import slowly
 from hazelhold.service.wire import Wire
 from hazelhold.state import frames
 from hazelhold.state.disk import Disk
@@ -413,20 +414,13 @@
         self.stirred()
 
     async def _slowly(self, call: Callable[..., None], *given: object) -> OSError | None:
-        if not self.store.disk.threaded:
-            try:
-                call(*given)
-            except OSError as wrong:
-                return wrong
-            return None
-        with trio.move_on_after(self.sheet.slow_ms / 1000):
-            try:
-                await trio.to_thread.run_sync(call, *given, abandon_on_cancel=True)
-                return None
-            except OSError as wrong:
-                return wrong
-        self.store.healthy = False
-        return OSError(f"the disk took longer than {self.sheet.slow_ms:g} ms")
+        if self.store.disk.threaded:
+            return await slowly(self.store, self.sheet.slow_ms, call, *given)
+        try:
+            call(*given)
+        except OSError as wrong:
+            return wrong
+        return None
 
     def _fails(self, wrong: OSError) -> None:
         self.failures += 1
--- a/hazelhold/replica/rejoin.py
+++ b/hazelhold/replica/rejoin.py
@@ -51,14 +51,11 @@
 
     def __init__(self, name: str, sets: Sets, acceptor: Acceptor, nonce: int, trusted: bool = False) -> None:
         self.name, self.sets, self.acceptor, self.nonce = name, sets, acceptor, nonce
-        self.others: dict[int, tuple[str, ...]] = {}  # by slot of ours: the other members
+        self.others = sets.kept_by(name)  # by slot of ours: the other members
         self.shared: dict[str, set[int]] = defaultdict(set)  # by planner: slots that both keep
-        for slot in range(sets.size):
-            members = sets.of(slot)
-            if name in members:
-                self.others[slot] = tuple(n for n in members if n != name)
-                for other in self.others[slot]:
-                    self.shared[other].add(slot)
+        for slot, others in self.others.items():
+            for other in others:
+                self.shared[other].add(slot)
         self.mates = {other: Mate() for other in self.shared}
         self.voted: set[int] = set()  # slots with all copied: the host lets it vote once that is safe
         self.out: list[Out] = []  # emptied by the host
@@ -176,31 +173,26 @@
     def __init__(self, name: str, sets: Sets, acceptor: Acceptor) -> None:
         self.name, self.sets, self.acceptor = name, sets, acceptor
         self.gives = False
-        self.both: dict[str, set[int]] = {}  # slots that both keep, by planner; never more than planners
         self.lists: dict[str, tuple[w.Inc, list[str], list[int]]] = {}  # by joiner; the last copying of each
 
-    def hear(self, other: str, word: w.Hail | w.Enter | w.Next) -> tuple[w.Hailed | w.Page, bool]:
-        """The answer, and whether what is known of incarnations has to be safe before it leaves."""
+    def hear(self, other: str, word: w.Hail | w.Enter | w.Next) -> w.Hailed | w.Page:
+        """The answer. What is known of incarnations has to be safe before it leaves."""
         known = self.acceptor.known.get(other, w.NEVER)
         if isinstance(word, w.Hail):
-            return w.Hailed(word.no, known, self.gives), False
+            return w.Hailed(word.no, known, self.gives)
         if isinstance(word, w.Enter):
             if not self.gives or not self.acceptor.entered(other, word.inc):
-                return w.Hailed(word.no, known, self.gives), False
+                return w.Hailed(word.no, known, self.gives)
             self.lists[other] = self._list(other, word)
-            return self._page(other, word.no, 0), True
+            return self._page(other, word.no, 0)
         inc, _, _ = self.lists.get(other, (w.NEVER, [], []))
         if inc != word.inc:
-            return w.Page(word.no, 0, -1), False
-        return self._page(other, word.no, word.after), True
+            return w.Page(word.no, 0, -1)
+        return self._page(other, word.no, word.after)
 
     def _list(self, other: str, word: w.Enter) -> tuple[w.Inc, list[str], list[int]]:
         """Keys of the slots that differ, those whose fate is open first."""
-        both = self.both.get(other)
-        if both is None:
-            members = {s: self.sets.of(s) for s in range(self.sets.size)}
-            both = {s for s, names in members.items() if other in names and self.name in names}
-            self.both[other] = both
+        both = {s for s, others in self.sets.kept_by(self.name).items() if other in others}
         mine = self.acceptor.digests_of(both)
         differ = {s for s in both if mine.get(s, 0) != word.digests.get(s, 0)}
         cells = self.acceptor.cells
--- a/hazelhold/replica/sets.py
+++ b/hazelhold/replica/sets.py
@@ -54,6 +54,7 @@
     def __init__(self, planners: Sequence[Keeper], count: int, size: int = SLOTS) -> None:
         self.planners, self.count, self.size = tuple(planners), count, size
         self.slots: dict[int, tuple[str, ...]] = {}  # `size` of them at most
+        self.kept: dict[str, dict[int, tuple[str, ...]]] = {}  # by planner that was asked for
 
     def slot(self, key: str) -> int:
         return xxhash.xxh3_64_intdigest(key.encode()) % self.size
@@ -66,3 +67,10 @@
         if found is None:
             found = self.slots[slot] = replicas(f"slot/{slot}", self.planners, self.count)
         return found
+
+    def kept_by(self, name: str) -> dict[int, tuple[str, ...]]:
+        """The slots that a planner keeps, each with its other members."""
+        if name not in self.kept:
+            members = {slot: self.of(slot) for slot in range(self.size)}
+            self.kept[name] = {s: tuple(n for n in m if n != name) for s, m in members.items() if name in m}
+        return self.kept[name]
--- a/hazelhold/replica/votes.py
+++ b/hazelhold/replica/votes.py
@@ -170,7 +170,7 @@
 
     def asked(self, other: str, word: w.Hail | w.Enter | w.Next) -> tuple[w.Hailed | w.Page, list[Change]]:
         """Somebody comes back: the answer, and what has to be safe before it leaves."""
-        answer, _ = self.source.hear(other, word)
+        answer = self.source.hear(other, word)
         return answer, self.incarnations()
 
     def told(self, other: str, word: w.Hailed | w.Page, wall: int) -> list[Change]:
--- a/hazelhold/service/keeper.py
+++ b/hazelhold/service/keeper.py
@@ -19,6 +19,7 @@
 from hazelhold.engine.cases import Action, Send
 from hazelhold.engine.engine import Engine
 from hazelhold.protocol import messages as m
+from hazelhold.service.slowly import slowly
 from hazelhold.state import frames
 from hazelhold.state.images import Change
 from hazelhold.state.store import Found, Store
@@ -130,15 +131,7 @@
         return wrong
 
     async def _slowly(self, call: Callable[..., None], *given: object) -> OSError | None:
-        """Calls in a thread. One that takes too long is left to itself: its disk counts as failed."""
-        with trio.move_on_after(self.sheet.slow_ms / 1000):
-            try:
-                await trio.to_thread.run_sync(call, *given, abandon_on_cancel=True)
-                return None
-            except OSError as wrong:
-                return wrong
-        self.store.healthy = False
-        return OSError(f"the disk took longer than {self.sheet.slow_ms:g} ms")
+        return await slowly(self.store, self.sheet.slow_ms, call, *given)
 
     def _after(self, actions: list[Action], changes: list[Change], wrong: OSError | None) -> None:
         self.commits += bool(changes)
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -10,7 +10,7 @@
     PlannerSheet,
     ProductSheet,
 )
-from hazelhold.engine.cases import Dial, Send
+from hazelhold.engine.cases import Agree, Dial, Send
 from hazelhold.engine.engine import Engine
 from hazelhold.interface import Ask, Decision, Deployment, Effect, Kind, Listed, Mode, Place, Product, Step
 from hazelhold.protocol import messages as m
@@ -77,6 +77,7 @@
         self.stands: dict[str, list[m.Stand]] = {}
         self.lives: dict[str, int] = {}
         self.said: list[tuple[str, m.Message]] = []  # all that was sent, to whom
+        self.asks: list[Agree] = []  # what is to be agreed among planners
         self.lists(0, [self.entry(name) for name in machines])
 
     def entry(self, name: str, mode: str = "ready", **more: object) -> m.Entry:
@@ -98,6 +99,8 @@
             for action in actions:
                 if isinstance(action, Send):
                     self.said.append((action.peer, action.message))
+                elif isinstance(action, Agree):
+                    self.asks.append(action)
                 elif isinstance(action, Dial):
                     self.dialled.append(action.address)
                     if action.machine not in self.dead:
--- a/tests/processes/test_copies_processes.py
+++ b/tests/processes/test_copies_processes.py
@@ -152,6 +152,13 @@
         return sum(c.role == "machine" and c.way == "out" and (c.message or {}).get("t") == "taken"
                    and c.message["guest"] == guest for c in self.crossings().crossings)
 
+    async def x_runs(self) -> str:
+        """Guest x runs by planner-0, and planner-1 can tell; returns its machine."""
+        one, other = await self.owner("o", 0), await self.owner("o", 1)
+        at = (await one.placed("x")).machine
+        await other.state("x", lambda s: s.state == "running")
+        return at
+
     async def standing(self, number: int) -> dict:
         host, _, port = self.sheets[number].membership.listen.rpartition(":")
         said = await trio.to_thread.run_sync(partial(ask, (host, int(port)), self.day.name, LONG))
@@ -280,10 +287,7 @@
 def test_one_that_lost_its_votes_copies_them_and_they_count(tmp_path: Path) -> None:
     async def run() -> None:
         async with town(tmp_path) as made:
-            one, other = await made.owner("o", 0), await made.owner("o", 1)
-            await other.placed("first")
-            at = (await one.placed("x")).machine
-            await other.state("x", lambda s: s.state == "running")
+            at = await made.x_runs()
             await made.kill(2)
             shutil.rmtree(made.sheets[2].copies.folder)
             await made.start(2)
@@ -303,11 +307,9 @@
 def test_all_are_killed_at_once_one_gets_old_votes_and_all_that_was_agreed_stands(tmp_path: Path) -> None:
     async def run() -> None:
         async with town(tmp_path) as made:
-            one, other = await made.owner("o", 0), await made.owner("o", 1)
-            await other.placed("first")
+            await (await made.owner("early", 1)).placed("first")
             await made.crew.copy(1)
-            at = (await one.placed("x")).machine
-            await other.state("x", lambda s: s.state == "running")
+            at = await made.x_runs()
             for number in range(3):
                 await made.kill(number)
             await made.crew.old_disk(1)
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -8,7 +8,6 @@
 
 from hazelhold.audit import claims as judge
 from hazelhold.audit.history import Call
-from hazelhold.engine.cases import Agree, Dial, Send
 from hazelhold.protocol import messages as m
 from hazelhold.replica import claims as c
 from hazelhold.replica.gate import FACTS_MOST, Gate
@@ -92,30 +91,12 @@
 
 
 class Member(Desk):
-    """A desk whose engine claims; what it wants agreed waits in `asks`."""
+    """A desk whose engine claims."""
 
     def __init__(self, name: str, gate: type = Gate, machines: str = "ab") -> None:
-        self.asks: list[Agree] = []
-        self.name, self.hung = name, False
         super().__init__(machines)
         self.engine.claim_by(0, gate(name, 500 * MS))
 
-    def run(self, now: int) -> list[m.Message]:
-        start = len(self.said)
-        for _ in range(50):
-            self.engine.pump(now)
-            actions, self.engine.actions = self.engine.actions, []
-            if not actions:
-                break
-            for action in actions:
-                if isinstance(action, Send):
-                    self.said.append((action.peer, action.message))
-                elif isinstance(action, Agree):
-                    self.asks.append(action)
-                elif isinstance(action, Dial):
-                    self.comes_up(now, action.machine)
-        return [message for _, message in self.said[start:]]
-
 
 class Table:
     """Members around agreed values that change one after another."""
@@ -308,12 +289,18 @@
     return one, table
 
 
-def test_a_life_that_kept_its_state_goes_on_from_a_machines_word() -> None:
+def gone_on() -> tuple[Member, Member, Table, m.Offer, str]:
+    """A life and the next, whose machine has refused the one offer that left."""
     one, table = kept()
     offer, at = one.sent(m.Offer, "x")[0], table.claim("x").machine
     after = recovered(one, table, {at: [stand(offer, "line")]})
     after.says(120, at, of(m.Refused, offer, remark="no_memory"))
     table.agree(120 + 800 * MS)
+    return one, after, table, offer, at
+
+
+def test_a_life_that_kept_its_state_goes_on_from_a_machines_word() -> None:
+    _, after, table, _, _ = gone_on()
     assert after.sent(m.Offer, "x") and table.claim("x").life > 1 and table.claim("x").attempt == 1
 
 
@@ -327,11 +314,7 @@
 
 
 def test_the_older_of_two_lives_sends_nothing_more() -> None:
-    one, table = kept()
-    offer, at = one.sent(m.Offer, "x")[0], table.claim("x").machine
-    after = recovered(one, table, {at: [stand(offer, "line")]})
-    after.says(120, at, of(m.Refused, offer, remark="no_memory"))
-    table.agree(120 + 800 * MS)
+    one, after, table, offer, at = gone_on()
     one.says(130, at, of(m.Refused, offer, remark="no_memory"))  # it was only paused
     table.members = (*table.members, one)
     table.agree(140 + 900 * MS)
--- a/tests/test_rejoin.py
+++ b/tests/test_rejoin.py
@@ -140,9 +140,8 @@
 
     def joins(self, name: str, life: int, to: str, word: w.Hail | w.Enter | w.Next) -> None:
         member = self.members[to]
-        answer, safe = member.source.hear(name, word)
-        if safe:
-            member.safe()
+        answer = member.source.hear(name, word)
+        member.safe()
         self.soon(self.joined, name, life, to, answer)
 
     def joined(self, name: str, life: int, sender: str, answer: w.Hailed | w.Page) -> None:
@@ -226,7 +225,7 @@
 class TellsNobody(Source):
     """Does not remember that somebody started anew."""
 
-    def hear(self, other: str, word: w.Hail | w.Enter | w.Next) -> tuple[object, bool]:
+    def hear(self, other: str, word: w.Hail | w.Enter | w.Next) -> object:
         before = dict(self.acceptor.known)
         said = super().hear(other, word)
         self.acceptor.known.clear()
@@ -270,7 +269,7 @@
         while member.joiner.out:
             out, member.joiner.out = member.joiner.out, []
             for each in out:
-                member.joiner.hear(each.to, town.members[each.to].source.hear(name, each.word)[0])
+                member.joiner.hear(each.to, town.members[each.to].source.hear(name, each.word))
     member.votes()
     assert member.joiner.over()
 
@@ -363,7 +362,7 @@
             for name, joiner in joiners.items():
                 out, joiner.out = joiner.out, []
                 for each in out:
-                    joiner.hear(each.to, sources[each.to].hear(name, each.word)[0])
+                    joiner.hear(each.to, sources[each.to].hear(name, each.word))
                 acceptors[name].voting = set(joiner.voted)
     assert all(j.over() for j in joiners.values())
 
@@ -393,7 +392,7 @@
         for each in out:
             words += 1
             if each.to == source.name and words != lose:
-                joiner.hear("b", source.hear("a", each.word)[0])
+                joiner.hear("b", source.hear("a", each.word))
     return words
 
 
