--- a/hazelhold/engine/dispatches.py
+++ b/hazelhold/engine/dispatches.py
@@ -48,7 +48,7 @@
             guest=case.guest, ask=case.ask, attempt=case.attempt, product=submit.product,
             service=submit.service, cores=submit.cores, memory=submit.memory, customer=submit.customer,
             owner=case.owner, life=getattr(submit, "life", 0), key=getattr(submit, "key", ""),
-            description=getattr(submit, "description", b"")))
+            description=getattr(submit, "description", b""), ticket=getattr(submit, "ticket", "")))
 
     def _not_sent(self, now: int, case: Case, ending: Ending) -> None:
         """An offer that never left: this proves that it did not run."""
--- a/hazelhold/platform/bulletin.py
+++ b/hazelhold/platform/bulletin.py
@@ -76,8 +76,8 @@
             with trio.fail_after(PATIENCE + GRACE):
                 body = await self._call()
             items = self._news(body)
-        except (BulletinError, OSError, trio.TooSlowError, trio.BrokenResourceError, trio.ClosedResourceError,
-                h11.ProtocolError) as wrong:
+        except (BulletinError, OSError, ValueError, trio.TooSlowError, trio.BrokenResourceError,
+                trio.ClosedResourceError, h11.ProtocolError) as wrong:
             await self._close()
             if not self.failures:
                 self.log.info("bulletin_failed", address=self.address, reason=repr(wrong)[:200])
--- a/hazelhold/platform/codec.py
+++ b/hazelhold/platform/codec.py
@@ -10,7 +10,7 @@
 from msgspec import Struct, field
 
 MOST = 16 * 1024  # bytes of one message, on either side
-CAUSE, DESCRIPTION = 17, 18
+TICKET, CAUSE, DESCRIPTION = 16, 17, 18
 CLASS, LEFT, TENANT, NAME, FIGURES, WAIT = 3, 4, 5, 7, 8, 9  # other parameters
 SET_UP, PROGRESS, ANSWER, END, HEARD, TEST, TESTED, NOTE, MOVE = 1, 6, 9, 12, 16, 52, 53, 44, 51
 TYPES = frozenset((SET_UP, PROGRESS, ANSWER, END, HEARD, TEST, TESTED, NOTE, MOVE))
--- a/hazelhold/platform/words.py
+++ b/hazelhold/platform/words.py
@@ -7,6 +7,7 @@
 import math
 from typing import NamedTuple
 
+from hazelhold.config.load import split_address
 from hazelhold.platform.codec import (
     ANSWER,
     CAUSE,
@@ -19,6 +20,7 @@
     NAME,
     TENANT,
     TESTED,
+    TICKET,
     WAIT,
     CodecError,
     Line,
@@ -31,6 +33,7 @@
 FULL, ERROR, MOOT, RESET, OK, CANCELLED = 34, 47, 102, 41, 16, 31  # causes of releases
 REMARKS = {"cpu_full": "no_cores", "mem_full": "no_memory", "busy": "line_full", "wrong_host": "not_here"}
 HOWS = {"oom": "evicted", "preempted": "pushed_out", "drained": "sent_away"}
+WIDEST = 1e9  # a machine's figure past this is none: sums and squares of what is believed stay finite
 STATES = {"in_service": "ready", "terminating": "cordoned", "terminated": "gone"}
 
 
@@ -80,11 +83,12 @@
     service, key = figures.get("service", ""), parcel.text(NAME)
     if not key or len(key) > 200 or not service or len(service) > 200:
         raise BadAskError("no_name", "task and service need a name of at most 200 letters")
+    ticket = parcel.text(TICKET)
     description = parcel.parameters.get(DESCRIPTION, b"")
     parcel.text(DESCRIPTION)  # it travels on as JSON text
     return Wanted(m.Submit(guest=parcel.id, product=product, service=service, cores=cores, memory=memory,
                            patience=max(0, round(patience * 1000)), customer=customer, key=key,
-                           description=description), at)
+                           description=description, ticket=ticket), at)
 
 
 def figure(text: str, what: str) -> float:
@@ -132,8 +136,10 @@
     """`left` is how long the answer to an offer is waited for from now, in microseconds."""
     if isinstance(message, m.Offer):
         left = max(1, left // 1000)
-        return Sent("offer", message.guest, {"class": message.product, "key": message.key, "left": str(left)},
-                    desc=message.description.decode())
+        fields = {"class": message.product, "key": message.key, "left": str(left)}
+        if message.ticket:
+            fields["idem"] = message.ticket
+        return Sent("offer", message.guest, fields, desc=message.description.decode())
     if isinstance(message, m.Withdraw | m.Stop):
         return Sent("end", message.guest, {}, OK if isinstance(message, m.Withdraw) else CANCELLED)
     if isinstance(message, m.Probe):
@@ -178,9 +184,9 @@
         return m.Started(guest=line.call)
     try:
         value = float(line.fields.get("value", ""))
-    except ValueError:
+    except (ValueError, OverflowError):
         return None
-    if not math.isfinite(value):
+    if not sound(value):
         return None
     if told == "cpu":
         return m.Use(guest=line.call, cores=value)
@@ -202,11 +208,15 @@
         report = read_load(text.replace(";", ","))
     except ValueError:
         return None
-    if report is None or not all(math.isfinite(v) for v in report if v is not None):
+    if report is None or not all(sound(v) for v in report if v is not None):
         return None
     return m.Load(report.cores_free, report.memory_free, report.busy)
 
 
+def sound(value: float) -> bool:
+    return abs(value) <= WIDEST  # false for what is no number, too
+
+
 def number(call: str) -> int:
     """The number of the probe that an id stands for; -1 if it stands for none."""
     try:
@@ -235,14 +245,21 @@
 def entry(each: dict, zones: dict[str, int], wall: int) -> m.Entry:
     """One machine of a roster, as in `listing`; any of the errors passed over there if it cannot be read."""
     born = float(each.get("born_ms") or 0)
-    room = list(each.get("room") or []) + [0.0, 0.0]
     state = each["health"]
+    try:
+        room = [value if sound(value) else 0.0 for value in map(float, [*(each.get("room") or []), 0.0, 0.0])]
+    except (ValueError, TypeError):
+        if state == "in_service":  # one that leaves is told of whatever else cannot be read
+            raise
+        room = [0.0, 0.0]
     if state not in STATES:
         raise ValueError(f"the state {state!r} is not known")
     if not isinstance(each["host"], str) or not isinstance(each["dial"], str):
         raise ValueError("a machine without a name or an address")
+    if state == "in_service":
+        split_address(each["dial"])
     return m.Entry(
         machine=each["host"], address=each["dial"], mode=STATES[state], kind=str(each.get("class", "")),
         incarnation=int(born), up_for=max(0, wall - round(born * 1000)) if born else None,
         zone=zones.setdefault(str(each.get("site", "")), len(zones)), cell=int(each.get("block") or 0),
-        cores_room=float(room[0]), memory_room=float(room[1]))
+        cores_room=room[0], memory_room=room[1])
--- a/hazelhold/protocol/messages.py
+++ b/hazelhold/protocol/messages.py
@@ -99,6 +99,7 @@
     reason: str = ""  # of a repeat: turned_back, broken_off, lost, unanswered
     key: str = ""  # the owner's name for the guest, the same each time it is asked for
     description: bytes = b""  # opaque; goes to the machine as it is
+    ticket: str = ""  # the mark by which machines know a repeat of a ticketed guest
 
 
 class Cancel(Named, tag="cancel", kw_only=True):
@@ -177,6 +178,7 @@
     life: Span = 0
     key: str = ""
     description: bytes = b""
+    ticket: str = ""
 
 
 class Withdraw(Offered, tag="withdraw", kw_only=True):
--- a/tests/test_platform_codec.py
+++ b/tests/test_platform_codec.py
@@ -18,6 +18,7 @@
     LEFT,
     MOST,
     SET_UP,
+    TICKET,
     WAIT,
     CodecError,
     Line,
@@ -149,6 +150,34 @@
 # Meanings.
 
 
+def test_the_mark_of_a_ticketed_guest_goes_on_unchanged() -> None:
+    """Seen on a site with such a product: offers were not as their owners had sent them, the day was void."""
+    marked = set_up(6, parameters={TICKET: b"24afb465d4b09c63"})
+    offer = m.Offer(guest=marked.id, product="plain", service="s", cores=1.0, memory=1.0,
+                    ticket=words.wanted(marked, BOUNDS).submit.ticket)
+    assert words.to_machine(offer, 1_000_000).fields["idem"] == "24afb465d4b09c63"
+    assert "idem" not in words.to_machine(m.Offer(guest=marked.id, product="plain", service="s", cores=1.0,
+                                                  memory=1.0), 1_000_000).fields
+
+
+@pytest.mark.parametrize("line", [
+    b'{"op":"info","call":"aa","with":{"note":"cpu","value":1' + b"0" * 400 + b"}}",
+    b'{"op":"info","call":"aa","with":{"note":"mem","value":1e300}}',
+    b'{"op":"info","call":"aa","with":{"note":"tight","value":"-1e200"}}',
+])
+def test_a_figure_past_all_bounds_is_none_and_ends_nothing(line: bytes) -> None:
+    """Seen with a probe: the first was an OverflowError that ended the process, the others in the Brain's
+    sums."""
+    assert words.from_machine(decode_line(line), True) is None
+    report = decode_line(b'{"op":"end","call":"aa","why":34,"with":{"load":"x0:1;x1:-1e300"}}')
+    assert words.from_machine(report, False).load is None
+    roster = {"hosts": [host("a") | {"room": [1e300, "nan"]}, host("b", dial="nowhere"),
+                        host("c", "terminating", dial="") | {"room": ["x"]}]}
+    listing, faults = words.listing(roster, {"z1": 0}, 0)
+    assert [(e.machine, e.cores_room, e.memory_room) for e in listing.entries] == [("a", 0, 0), ("c", 0, 0)]
+    assert len(faults) == 1 and "nowhere" in faults[0]
+
+
 def test_a_set_up_becomes_an_ask_with_all_that_it_says() -> None:
     submit, at = words.wanted(set_up(5, "once", "1500", "cores:0.5;memory:2;service:s7"), BOUNDS)
     assert at == "" and submit == m.Submit(
