Platform: gone owners, late dials, half offers, unread answers, ends at a stop: crossings mended

Wrong lines and what they did: - planner._door left an owner's set-ups only after its unread answers were written: a second of dispatches for nobody. - planner._owner_said passed over the end of an open set-up on another connection. Settled from the pages: what is open belongs to its connection, so that one still gets its answer; but who ends it may have lost that connection, so nothing more is begun. An end before its set-up was forgotten: kept 2 s, 4,096 at most. A write that broke closed the connection over an answer that lay unread. - planner._link: a dial that came up in the turn in which it was hung up took the place of the next one. - engine: an answer that crosses the taking back at a stop was told as standing, and its end never (cause 31). A word that ends a guest was lost with its connection. A connection about to be closed as idle was still used, and idle ones were looked for twice a second, whatever the settings say. A ticket's window was checked at the decision, not when bytes leave. - planner._stop: moments counted back from SIGKILL alone (with patience under a second it left before the last set-ups), and an answer half written was not waited for. SIGHUP with a file half written was refused once. - ends of what stands that did not leave their connection were lost with it; an idle owner that reads nothing kept its descriptor a second; decisions of a turn were counted, not timed (now 20 ms; one that takes longer goes alone).

--- a/hazelhold/engine/cases.py
+++ b/hazelhold/engine/cases.py
@@ -76,6 +76,8 @@
     cancelled: bool = False
     incarnation: int = 0  # of the machine, when the offer left
     due_at: int = 0  # when the dispatch that is out is given up
+    ran_from: int = 0  # when the first dispatch that may have run was sent; 0: none may have
+    called_off: bool = False  # the dispatch that is out was taken back, and its machine has not spoken yet
     unsure: str = ""  # the machine of the last dispatch that may have run
     claim: bytes = b""  # the last agreed claim on it
     sent_claim: bytes = b""  # the last under which an offer left
--- a/hazelhold/engine/dispatches.py
+++ b/hazelhold/engine/dispatches.py
@@ -7,12 +7,14 @@
 from hazelhold.interface import Ending, Remark
 from hazelhold.protocol import messages as m
 
+CROSSED = 1_000_000  # a word written so long before a connection ended may not have been read
+
 
 class Dispatches(Tables):
     """A guest's way to a machine and back."""
 
     def _dispatch(self, now: int, case: Case, machine: str, span: int) -> None:
-        case.attempt, case.machine, case.sent = case.attempt + 1, machine, False
+        case.attempt, case.machine, case.sent, case.called_off = case.attempt + 1, machine, False, False
         case.sent_at = now
         self._overdue(now + span, case)
         self._hold(case)
@@ -60,7 +62,7 @@
         """The dispatch that was out is over and the guest is held again, or answered by what follows."""
         self._unhold(case)
         if ending not in NEVER_RAN:
-            case.unsure = case.machine
+            case.unsure, case.ran_from = case.machine, case.ran_from or case.sent_at
         case.machine = ""
         self._mark("guest", case.name)
         self.brain.dispatch_ended(now, case.name, ending, False, remark)
@@ -110,6 +112,7 @@
             elif up:
                 kind = m.Stop if case.placed else m.Withdraw
                 self._send_machine(machine, kind(guest=case.guest, ask=case.ask, attempt=case.attempt))
+                case.called_off = True
             return
         guest = case.guest if case else name.rpartition("/")[0]
         if (loose := self.loose.get(guest, {}).get(machine)) and up:
@@ -175,17 +178,24 @@
                 self.brain.guest_cancelled(now, case.name)
 
     def _tell(self, now: int, machine: str, message: m.Message) -> None:
-        """Sends a word on what stands at a machine; without a connection, with the next."""
+        """Sends a word on what stands at a machine; without a connection, with the next; once more if its
+        connection ends so soon that the word may have crossed that."""
         link = self.links.get(machine)
+        if link is not None:
+            self._rested(now, link)
         if link is None or link.state == "up":
             self._send_machine(machine, message)
+            if link is not None and not self.peers.rolls:
+                link.told = [each for each in link.told if each[0] > now] + [(now + CROSSED, message)]
         elif fellow := self.roster.fellows.get(machine):
-            link.words.append(message)
+            link.words.append((now + micros(self.limits.keep_answers_ms), message))
             self._dial(now, fellow)
 
     # Probes.
 
     def _probe(self, now: int, machine: str) -> None:
+        if link := self.links.get(machine):
+            self._rested(now, link)
         self.probe_number += 1
         self.counts["probes"] += 1
         self.probes[machine] = self.probe_number, now + micros(self.limits.probe_ms)
--- a/hazelhold/engine/engine.py
+++ b/hazelhold/engine/engine.py
@@ -59,7 +59,7 @@
         """Time-outs that are due, then decisions until there is none or so many are made that peers have
         waited long enough to be read; `next_at` says then to pump again at once."""
         self._time_outs(now)
-        for _ in range(self.limits.decisions_at_once):
+        for _ in range(self.at_once):
             decision = self.brain.decide(now)
             self.more = decision is not None
             if decision is None:
@@ -128,11 +128,11 @@
                 table.popitem(last=False)
         if now < self.idle_at:
             return
-        self.idle_at = now + 500_000
+        idle = micros(self.limits.idle_close_ms)
+        self.idle_at = now + min(500_000, idle // 8)  # four fifths of the far side's time, and a tenth of it
         if not self.peers.rolls:
             for link in list(self.links.values()):
                 self._watch_silence(now, link)
-        idle = micros(self.limits.idle_close_ms)
         for link in [l for l in self.links.values() if l.state == "up" and now - l.used_at > idle]:
             if not link.holds and not link.queue and link.machine not in self.probes:
                 self.actions.append(HangUp(link.machine))
--- a/hazelhold/engine/links.py
+++ b/hazelhold/engine/links.py
@@ -2,7 +2,7 @@
 
 from hazelhold.config.planner import micros
 from hazelhold.engine.cases import Case, HangUp, Loose, Lost
-from hazelhold.engine.dispatches import Dispatches
+from hazelhold.engine.dispatches import CROSSED, Dispatches
 from hazelhold.engine.machines import Link
 from hazelhold.interface import Ending, Load, Remark
 from hazelhold.protocol import messages as m
@@ -106,8 +106,10 @@
             self._send_machine(link.machine, m.Probe(number=self.probe_number))
         self.restless[link.machine] = None
         words, link.words = link.words, []
-        for message in words:
-            self._send_machine(link.machine, message)
+        for until, message in words:
+            if until > now:
+                self._send_machine(link.machine, message)
+                link.told.append((now + CROSSED, message))
         for name in list(link.queue):
             self._offer(now, self.cases[name])
         if link.machine in self.probes:
@@ -129,6 +131,8 @@
             self._forget_machine(now, link)
         elif link.lost_at:
             link.dial_at = now + micros(self.limits.reconnect_ms) // 10
+        elif any(until > now for until, _ in link.words):
+            link.dial_at = now + micros(self.limits.reconnect_ms) // 10
         elif machine in self.unheard:
             link.dial_at = now + 1_000_000
 
@@ -150,11 +154,16 @@
                     self._ended(now, case, Ending.CUT_OFF, Remark.NONE)
         if not self.peers.rolls and link.machine not in self.roster.fellows:
             self._forget_machine(now, link)  # it has left the list, and its connection with it
-        elif link.holds or any(link.machine in by for by in self.loose.values()):
+            return
+        keep = now + micros(self.limits.keep_answers_ms)
+        link.words += [(keep, message) for until, message in link.told if until > now]
+        link.told.clear()
+        if link.holds or any(link.machine in by for by in self.loose.values()):
             link.lost_at = link.lost_at or now
             link.dial_at = now
         else:
             link.lost_at = 0
+            link.dial_at = now if link.words else link.dial_at
 
     def _forget_machine(self, now: int, link: Link) -> None:
         """The machine did not come back in time: what is unknown goes to the Brain as unknown."""
@@ -210,7 +219,10 @@
 
     def _heard(self, now: int, case: Case, message: m.Offered) -> None:
         """News of the dispatch that is out, or of the placed guest."""
-        if isinstance(message, m.Taken) and not case.placed:
+        if isinstance(message, m.Taken) and not case.placed and case.called_off and not self.peers.rolls:
+            # The taking back ends what was taken, and no word follows that an owner could be told.
+            self._ended(now, case, Ending.CALLED_OFF, Remark.NONE)
+        elif isinstance(message, m.Taken) and not case.placed:
             case.placed = True
             self._mark("guest", case.name)
             self._fact(now, case, "placed")
--- a/hazelhold/engine/machines.py
+++ b/hazelhold/engine/machines.py
@@ -42,7 +42,10 @@
     gone_at: int = 0  # when it was seen to have left the list with guests of ours; 0: it has not
     asked_at: int = 0  # when it was last asked for its silence
     unanswered: int = 0  # probes in a row with nothing heard since they were sent
-    words: list[Message] = field(default_factory=list)  # on what stands there, for the next connection
+    # Words on what stands there, with when they are let go: for the next connection, and written to this one
+    # so lately that it may have broken over them.
+    words: list[tuple[int, Message]] = field(default_factory=list)
+    told: list[tuple[int, Message]] = field(default_factory=list)
 
     def settled(self) -> bool:
         """Nothing about this connection is waited for."""
--- a/hazelhold/engine/owners.py
+++ b/hazelhold/engine/owners.py
@@ -134,6 +134,14 @@
         self._forget(case)
         return True
 
+    def give_up(self, now: int, guest: str) -> None:
+        """Nothing more is begun for a guest that awaits its answer; that is given as to a cancel."""
+        case = self.newest.get(guest)
+        if case and not case.placed and not case.cancelled:
+            self.counts["given_up"] += 1
+            case.cancelled = True
+            self.brain.guest_cancelled(now, case.name)
+
     def guest_stands(self, now: int, owner: str, machine: str, submit: m.Submit) -> str:
         """An owner hands over a guest that runs on a machine already; returns what is wrong, or nothing. One
         that is in hand stays as it is."""
@@ -179,6 +187,11 @@
         if case is None or case.placed or not case.sent or (case.ask, case.attempt) != (
                 offer.ask, offer.attempt):
             return 0
+        if case.cancelled:
+            return 0
+        product = self.facts.products[case.product]
+        if case.ran_from and product.effect is Effect.TICKETED and now - case.ran_from >= product.window:
+            return 0  # it was decided in time, but its bytes did not leave
         fellow = self.roster.fellows.get(case.machine)
         return max(0, case.due_at - now) if fellow is not None and fellow.mode is Mode.READY else 0
 
--- a/hazelhold/engine/tables.py
+++ b/hazelhold/engine/tables.py
@@ -36,6 +36,7 @@
         terms = sheet if isinstance(sheet, Terms) else terms_of(sheet)
         self.limits, self.peers, self.facts = terms.limits, terms.peers, terms.facts
         self.brain = Brain(seed, self.facts)
+        self.at_once = self.limits.decisions_at_once  # decisions of a pump; a host that is behind lowers it
         self.actions: list[Action] = []  # emptied by the host
         self.counts: Counter[str] = Counter()
         self.products = {name: at for at, name in enumerate(terms.products)}
@@ -156,6 +157,7 @@
         link = self.links.get(fellow.name)
         if link is None:
             link = self.links[fellow.name] = Link(fellow.name)
+        self._rested(now, link)
         self.restless[fellow.name] = None
         if link.state == "down" and not self._room_for_link():
             link.dial_at = now + 100_000  # what waits for it stays here, and is tried again or ends unsent
@@ -165,6 +167,17 @@
             self.actions.append(Dial(fellow.name, fellow.address, micros(self.limits.connect_ms)))
         return link
 
+    def _rested(self, now: int, link: Link) -> None:
+        """Leaves a connection that has been quiet for so long that its machine may be closing it: what would
+        be written now could cross that, and nobody could tell whether it ran."""
+        if self.peers.rolls or link.state != "up" or link.queue or link.machine in self.probes or (
+                now - max(link.used_at, link.heard_at, link.opened_at) <= micros(self.limits.idle_close_ms)):
+            return
+        if all(self.cases[name].placed or not self.cases[name].sent for name in link.holds):
+            self.counts["links_rested"] += 1
+            self.actions.append(HangUp(link.machine))
+            link.state, link.rolled, link.lost_at = "down", False, 0
+
     def _room_for_link(self) -> bool:
         """Keeps connections within their bound: the one that was used longest ago is closed, those without
         guests first. What stands outlives it and its machine is asked again before it counts as silent; one
--- a/hazelhold/platform/peer.py
+++ b/hazelhold/platform/peer.py
@@ -11,6 +11,7 @@
 from hazelhold.service.wire import SendQueue
 
 READ = 1 << 14
+REST = 0.2  # seconds for what a peer still said before its connection broke, and for half an offer to leave
 
 
 class Reading(SendQueue):
@@ -18,18 +19,30 @@
 
     reader: ParcelReader | LineReader
 
+    def __init__(self, stream: trio.abc.Stream, send_bytes: int) -> None:
+        super().__init__(stream, send_bytes)
+        self.heard_out = trio.Event()  # nothing more is read
+
     async def batches(self) -> AsyncIterator[list]:
         """What each read brought, until either side ends. CodecError if the peer's bytes cannot be read."""
-        while True:
-            try:
-                data = await self.stream.receive_some(READ)
-            except (trio.BrokenResourceError, trio.ClosedResourceError):
-                return
-            if not data:
-                return
-            yield self.reader.feed(data)
-            if self.reader.fault is not None:
-                raise self.reader.fault
+        try:
+            while True:
+                try:
+                    data = await self.stream.receive_some(READ)
+                except (trio.BrokenResourceError, trio.ClosedResourceError):
+                    return
+                if not data:
+                    return
+                yield self.reader.feed(data)
+                if self.reader.fault is not None:
+                    raise self.reader.fault
+        finally:
+            self.heard_out.set()
+
+    async def read_out(self) -> None:
+        """A write that breaks takes nothing from what the peer said before: an answer may lie unread."""
+        with trio.move_on_after(REST):
+            await self.heard_out.wait()
 
 
 class OwnerPeer(Reading):
@@ -44,14 +57,32 @@
         self.told = False  # it was sent something
         self.proven = False  # a guest of it was placed
         self.half_at: float | None = None  # when the part of a message that is held began
+        self.bytes_put = self.bytes_left = 0
+        # Ends of what stands that have not left, with the byte at which each ends; emptied as bytes leave.
+        self.releases: deque[tuple[int, Parcel]] = deque()
 
     def send(self, parcel: Parcel) -> bool:
         try:
-            sent = self.put(encode_parcel(parcel))
+            data = encode_parcel(parcel)
         except ValueError:
             return False
-        self.told = self.told or sent
-        return sent
+        if not self.put(data):
+            return False
+        self.told = True
+        self.bytes_put += len(data)
+        return True
+
+    def release(self, parcel: Parcel) -> bool:
+        """As `send`, for the end of what stands: it is owed though this connection may end under it."""
+        if not self.send(parcel):
+            return False
+        self.releases.append((self.bytes_put, parcel))
+        return True
+
+    def left(self, data: bytes) -> None:
+        self.bytes_left += len(data)
+        while self.releases and self.releases[0][0] <= self.bytes_left:
+            self.releases.popleft()
 
 
 class MachinePeer(Reading):
@@ -64,12 +95,14 @@
         self.time_left = time_left  # in microseconds; 0: it is not to leave
         self.messages: deque[m.Message] = deque()
         self.size = 0  # bytes of what waits, about
+        self.offered = ""  # the guest whose offer is among the bytes that are leaving
 
     def send(self, message: m.Message) -> bool:
         if self.closing:
             return False
-        if isinstance(message, m.Withdraw) and self._unsent(message):
-            return True
+        if isinstance(message, m.Withdraw) and self.sending and self.offered == message.guest:
+            # Half of the offer may have left and the socket be full. The rest must not follow late.
+            self.writing.deadline = min(self.writing.deadline, trio.current_time() + REST)
         self.size += 200 + len(getattr(message, "description", b""))
         if self.size > self.send_bytes:
             self.cut()
@@ -78,13 +111,18 @@
         self.more.set()
         return True
 
-    def _unsent(self, message: m.Withdraw) -> bool:
+    def left(self, data: bytes) -> None:
+        self.offered = ""
+        if not self.closing:
+            self.writing.deadline = float("inf")
+
+    def taken_out(self, message: m.Withdraw) -> m.Offer | None:
         """An offer of which no byte has left is taken out instead of taken back."""
         for each in self.messages:
             if isinstance(each, m.Offer) and each.guest == message.guest:
                 self.messages.remove(each)
-                return True
-        return False
+                return each
+        return None
 
     def waits(self) -> bool:
         return bool(self.messages)
@@ -106,11 +144,12 @@
             except ValueError:
                 continue
             if offer:
+                self.offered = message.guest
                 break
         self.size = self.size if self.messages else 0
         return bytes(out)
 
-    def unsent(self) -> list[m.Offer]:
+    def offers_kept(self) -> list[m.Offer]:
         """Offers of which no byte has left."""
         return [message for message in self.messages if isinstance(message, m.Offer)]
 
--- a/hazelhold/platform/planner.py
+++ b/hazelhold/platform/planner.py
@@ -5,7 +5,7 @@
 """
 
 import time
-from collections import Counter, deque
+from collections import Counter, OrderedDict, deque
 from pathlib import Path
 
 import structlog
@@ -25,9 +25,15 @@
 
 FIRST = 2.0  # seconds to a first message that can be used, and to the rest of one that has begun
 HOLD = 8.0  # seconds that a release waits for a connection of owners
+EARLY, EARLY_MOST = 2.0, 4096  # seconds for which an end waits for its set-up, and how many do
+AGAIN = (0.05, 0.1, 0.2, 0.4, 0.8, 1.6)  # seconds between looks at a file that was of no use at its signal
+STUCK = 0.5  # seconds in which an idle owner has read nothing
+TURN = 0.02  # seconds of decisions before peers are read again: gone owners must be heard within 0.1 s
 COMING = 0.7  # seconds after SIGTERM in which set-ups may still come
 LONGEST = 3.0  # a longest patience past this counts as this for the moment of SIGKILL
-HELD, OUT, GONE = 0.8, 0.6, 0.4  # seconds before it: what is held is answered, what is out, and the end
+# Seconds before it (of the longest patience, where that is under a second): what is held is answered, what is
+# out, the connections end, the process ends.
+HELD, OUT, GONE, LAST = 0.8, 0.6, 0.4, 0.1
 
 
 class PlatformPlanner:
@@ -45,6 +51,8 @@
         self.numbers = 0  # of owners' connections
         self.machines: dict[str, tuple[trio.CancelScope, MachinePeer | None]] = {}  # emptied as links end
         self.held: deque[tuple[float, Parcel]] = deque()  # releases without a connection; emptied by age
+        self.early: OrderedDict[str, float] = OrderedDict()  # ends without a guest; emptied by age
+        self.reloads = 0  # signals to read the file again
         self.counts: Counter[str] = Counter()
         self.zones = dict(start.zones)  # numbers by name; grows with zones that the list names
         self.follower = Follower(net, start.bulletin, start.known, self._event, self._hear_bulletin,
@@ -82,15 +90,28 @@
         self.stop_asked.set()
 
     def reload(self) -> None:
-        """Reads the configuration file again; a bad one leaves all as it is."""
+        """Reads the configuration file again; a bad one leaves all as it is. It may be half written: it is
+        looked at again for some seconds, or until the next signal."""
         if self.config is None:
             return
+        self.reloads += 1
+        if wrong := self._read_again():
+            self.counts["reloads_refused"] += 1
+            self.log.warning("configuration_refused", reason=wrong)
+            self.nursery.start_soon(self._look_again, self.reloads)
+
+    async def _look_again(self, signal: int) -> None:
+        for pause in AGAIN:
+            await trio.sleep(pause)
+            if self.reloads != signal or not self._read_again():
+                return
+
+    def _read_again(self) -> str:
+        """Takes the file if it can be used; returns what is wrong with it, or nothing."""
         try:
             fresh = read_start(self.config)
         except ConfigError as wrong:
-            self.counts["reloads_refused"] += 1
-            self.log.warning("configuration_refused", reason=str(wrong))
-            return
+            return str(wrong)
         self.counts["reloads"] += 1
         self.log.info("configuration_read", bulletin=fresh.bulletin, settings_same=fresh.terms.facts
                       == self.start.terms.facts)
@@ -101,28 +122,30 @@
         if items:  # the file alone does not show that the list is still heard
             self._hear_bulletin(items)
         self.follower.move(fresh.bulletin)
+        return ""
 
     async def _stop(self) -> None:
         """Serves on while set-ups come and answers all that was taken. Then it stays until just before
         SIGKILL may come: ends of what stands are told as long as somebody is there to tell them."""
-        kill = trio.current_time() + COMING + min(LONGEST, max(self.start.patience) / 1e6)
+        longest = min(LONGEST, max(self.start.patience) / 1e6)
+        kill, part = trio.current_time() + COMING + longest, min(1.0, longest)
         self.log.info("stopping", unanswered=self.engine.unanswered(), until=round(kill, 2))
         self.leaving = True
-        await trio.sleep_until(kill - HELD)
+        await trio.sleep_until(kill - HELD * part)
         self.engine.stop(self.net.now())
         self._carry_out()
         self.ticker.stir()
-        await trio.sleep_until(kill - OUT)
+        await trio.sleep_until(kill - OUT * part)
         self.engine.stop_now(self.net.now())
         self._carry_out()
-        await trio.sleep_until(kill - GONE)
+        await trio.sleep_until(kill - GONE * part)
         self.left = True
         for name in list(self.machines):  # first, so that no end is heard that could not be told any more
             self._hang_up(name)
         for peer in self.owners.values():
             peer.end()
-        with trio.move_on_after(0.2):
-            while any(peer.waits() for peer in self.owners.values()):
+        with trio.move_on_at(kill - LAST * part):  # an answer of which a part has left is still owed the rest
+            while any(peer.unsent() for peer in self.owners.values()):
                 await trio.sleep(0.01)
         await trio.sleep(0.02)
         self.log.info("stopped", unanswered=self.engine.unanswered(), **self.counts, **self.engine.counts)
@@ -130,8 +153,12 @@
     leaving = left = False  # left: machines are not dialled any more
 
     def _work(self, now: int) -> None:
+        """One pump, of as many decisions as fit into a turn by what the last ones took."""
         self.engine.pump(now)
         self._carry_out()
+        took, most = self.net.now() - now, self.limits.decisions_at_once
+        self.engine.at_once = max(1, self.engine.at_once // 2) if took > TURN * 1e6 else min(
+            most, self.engine.at_once + 1)
 
     def _carry_out(self) -> None:
         while self.engine.actions:
@@ -145,7 +172,10 @@
                 self._tell_owner(action.peer, action.message)
             else:
                 peer = self.machines.get(action.peer, (None, None))[1]
-                if peer is None or not peer.send(action.message):
+                if peer is not None and isinstance(action.message, m.Withdraw) and (
+                        offer := peer.taken_out(action.message)):
+                    self.engine.offer_held_back(self.net.now(), offer)
+                elif peer is None or not peer.send(action.message):
                     self.counts["unsent"] += 1
                 elif self.log_frames:
                     self.log.debug("to_machine", machine=action.peer, message=repr(action.message))
@@ -194,17 +224,17 @@
     def _release(self, peer: OwnerPeer | None, parcel: Parcel) -> None:
         """Tells the end of what stood: on its own connection, else on any that has shown itself an owner's,
         else on the next."""
-        if peer is not None and peer.send(parcel):
+        if peer is not None and peer.release(parcel):
             return
         for other in sorted(self.owners.values(), key=lambda p: (p.proven, p.used_at), reverse=True):
-            if other.good and other.send(parcel):
+            if other.good and other.release(parcel):
                 self.counts["releases_elsewhere"] += 1
                 return
         self.counts["releases_held"] += 1
         self.held.append((trio.current_time() + HOLD, parcel))
 
     def _release_held(self, peer: OwnerPeer) -> None:
-        while self.held and peer.send(self.held[0][1]):
+        while self.held and peer.release(self.held[0][1]):
             self.held.popleft()
 
     async def _door(self, stream: trio.abc.Stream) -> None:
@@ -221,36 +251,54 @@
         try:
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(peer.write)
-                with peer.scope:
-                    try:
-                        async for batch in peer.batches():
-                            for parcel in batch:
-                                if peer.closing:
-                                    break
-                                self._owner_said(peer, parcel)
-                            self._set_deadline(peer)
-                    except CodecError as wrong:
-                        self._fault(peer, wrong)
-                if peer.scope.cancelled_caught and not peer.closing:
-                    self.counts["connections_timed_out"] += 1
-                peer.end()
+                try:
+                    with peer.scope:
+                        await self._hear_owner(peer)
+                    if peer.scope.cancelled_caught and not peer.closing:
+                        self.counts["connections_timed_out"] += 1
+                finally:
+                    peer.end()
+                    self._owner_gone(peer)  # at once: what is still to be written may take a second
         finally:
             self.owners.pop(peer.name, None)
-            now = self.net.now()
-            for guest in list(peer.open):
-                self.engine.owner_left(now, guest)
-            self._carry_out()
-            self.ticker.stir()
+            while peer.releases:  # they did not leave: told elsewhere
+                self.counts["releases_again"] += 1
+                self._release(None, peer.releases.popleft()[1])
+
+    async def _hear_owner(self, peer: OwnerPeer) -> None:
+        try:
+            async for batch in peer.batches():
+                for parcel in batch:
+                    if peer.scope.cancel_called:
+                        break
+                    if not peer.closing or parcel.type == END:  # to one that cannot be told, nothing is begun
+                        self._owner_said(peer, parcel)
+                self._set_deadline(peer)
+        except CodecError as wrong:
+            self._fault(peer, wrong)
+
+    def _owner_gone(self, peer: OwnerPeer) -> None:
+        """Nothing more is heard on this connection: nobody waits for what is open on it."""
+        now = self.net.now()
+        for guest in list(peer.open):
+            self.engine.owner_left(now, guest)
+        peer.open.clear()
+        self._carry_out()
+        self.ticker.stir()
 
     def _make_room(self) -> bool:
-        """Closes a connection with nothing open on it: those that never said anything of use first, then the
-        longest idle. False if there is none."""
+        """Closes a connection with nothing open on it: those that never said anything of use or read nothing
+        first, then those that everything was written to, then the longest idle. False if there is none."""
         idle = [peer for peer in self.owners.values() if not peer.open and not peer.closing]
         if not idle:
             return False
-        victim = min(idle, key=lambda p: (p.good, p.used_at))
+        stuck = trio.current_time() - STUCK  # one that reads nothing is not waited for, any other is told all
+        rank = {p: p.sending and p.sending_from < stuck for p in idle}
+        victim = min(idle, key=lambda p: (p.good and not rank[p], p.unsent() and not rank[p], p.used_at))
         self.counts["connections_closed_for_others"] += 1
         del self.owners[victim.name]
+        if rank[victim]:
+            victim.cut()
         victim.end()
         victim.scope.cancel()
         return True
@@ -284,11 +332,8 @@
             self.log.debug("owner_said", owner=peer.name, parcel=repr(parcel))
         if parcel.type == SET_UP:
             self._set_up(now, peer, parcel)
-        elif parcel.type == END and self.engine.out(parcel.id) and parcel.id not in peer.open:
-            self.counts["ends_of_others"] += 1  # an open set-up belongs to its connection
         elif parcel.type == END:
-            peer.open.pop(parcel.id, None)
-            peer.good = self.engine.owner_left(now, parcel.id) or peer.good
+            self._taken_back(now, peer, parcel.id)
         elif parcel.type == TEST:
             peer.good = True
             peer.send(words.tested(parcel.id, self.engine.ready() and not self.leaving))
@@ -299,7 +344,25 @@
         self._carry_out()
         self.ticker.stir()
 
+    def _taken_back(self, now: int, peer: OwnerPeer, guest: str) -> None:
+        """An owner gives up what is open, or ends what stands. What is open belongs to the connection that it
+        came on, but its owner may have lost that one: named on another, nothing more is begun for it, and its
+        own connection is answered. An end that comes before its set-up is kept for a while."""
+        if self.engine.out(guest) and guest not in peer.open:
+            self.counts["ends_of_others"] += 1
+            self.engine.give_up(now, guest)
+            return
+        peer.open.pop(guest, None)
+        if self.engine.owner_left(now, guest):
+            peer.good = True
+            return
+        at = trio.current_time()
+        while self.early and (len(self.early) >= EARLY_MOST or next(iter(self.early.values())) <= at):
+            self.early.popitem(last=False)
+        self.early[guest] = at + EARLY
+
     def _set_up(self, now: int, peer: OwnerPeer, parcel: Parcel) -> None:
+        ended = self.early.pop(parcel.id, 0.0) > trio.current_time()
         try:
             submit, at = words.wanted(parcel, self.bounds)
         except (words.BadAskError, CodecError) as wrong:
@@ -310,6 +373,11 @@
             else:
                 self._fault(peer, CodecError("open_already", "a second set-up under an open name"))
             return
+        if ended:
+            self.counts["ended_before"] += 1
+        if ended and not at:
+            peer.send(words.released(parcel.id, words.FULL))
+            return
         if not at:
             if parcel.id not in self.engine.newest:
                 peer.open[parcel.id] = None
@@ -321,6 +389,8 @@
             peer.send(words.released(parcel.id, words.RESET))
         else:
             peer.good = peer.told = True
+            if ended:  # its machine must not keep it
+                self.engine.owner_left(now, parcel.id)
 
     # Machines.
 
@@ -331,6 +401,9 @@
             try:
                 with trio.fail_after(dial.span / 1e6):
                     stream = await self.net.dial(dial.address)
+                if self.machines.get(name, (None,))[0] is not scope:  # hung up just as it came up
+                    await trio.aclose_forcefully(stream)
+                    return
                 peer = MachinePeer(stream, self.limits.send_bytes, self._time_left)
                 async with trio.open_nursery() as nursery:
                     nursery.start_soon(peer.write)
@@ -343,7 +416,7 @@
                         await self._hear_machine(name, peer)
                     peer.end()
                     peer.writing.cancel()
-            except (OSError, trio.TooSlowError) as wrong:
+            except (OSError, ValueError, trio.TooSlowError) as wrong:  # ValueError: an address that is none
                 refused = is_refused(wrong)
                 self.counts["dials_refused" if refused else "dials_failed"] += 1
                 self.log.debug("dial_failed", machine=name, address=dial.address, reason=repr(wrong)[:200])
@@ -352,7 +425,7 @@
         del self.machines[name]
         now = self.net.now()
         if up:
-            for offer in peer.unsent():
+            for offer in peer.offers_kept():
                 self.engine.offer_held_back(now, offer)
             self.engine.link_down(now, name)
         else:
--- a/hazelhold/service/wire.py
+++ b/hazelhold/service/wire.py
@@ -21,6 +21,8 @@
         self.queue = bytearray()
         self.more = trio.Event()
         self.closing = False
+        self.sending = False  # bytes were taken out and have not all left
+        self.sending_from = 0.0  # since when
         self.scope = trio.CancelScope()  # the reading side; cancelled when the connection is to end
         self.writing = trio.CancelScope()  # the writing side; bounds a peer that reads nothing
 
@@ -44,6 +46,16 @@
     def waits(self) -> bool:
         return bool(self.queue)
 
+    def unsent(self) -> bool:
+        """Whether bytes wait or are on their way out."""
+        return self.sending or self.waits()
+
+    def left(self, data: bytes) -> None:
+        """All of these bytes were written."""
+
+    async def read_out(self) -> None:
+        """Waits for what the peer still said, once nothing can be written to it any more."""
+
     def cut(self) -> None:
         """Ends the connection without ceremony."""
         self.closing = True
@@ -64,11 +76,15 @@
                     await self.more.wait()
                     self.more = trio.Event()
                     while data := self.leaving():
+                        self.sending, self.sending_from = True, trio.current_time()
                         await self.stream.send_all(data)
+                        self.sending = False
+                        self.left(data)
                     if self.closing:
                         break
         except (trio.BrokenResourceError, trio.ClosedResourceError, trio.BusyResourceError):
-            pass
+            self.closing = True
+            await self.read_out()
         finally:
             self.closing = True
             self.scope.cancel()
--- a/tests/platform_rig.py
+++ b/tests/platform_rig.py
@@ -22,7 +22,7 @@
 )
 from hazelhold.platform.planner import PlatformPlanner
 from hazelhold.platform.sheet import check_start
-from hazelhold.service.net import MemoryNet
+from hazelhold.service.net import MemoryNet, TcpNet
 
 DEPLOYMENT = {
     "balancers": 1, "slot-no": 0, "discovery": "push",
@@ -236,3 +236,49 @@
 
     trio.run(run, clock=trio.testing.MockClock(autojump_threshold=0))
     return made[0]
+
+
+class SocketRig(Rig):
+    """The same on loopback sockets, in real time."""
+
+    def __init__(self, machines: str, **changes: object) -> None:
+        self.net, self.changes = TcpNet(), changes
+        self.bulletin = Bulletin()
+        self.machines = {name: Machine(name) for name in machines}
+
+    async def owner(self) -> Owner:
+        return Owner(await self.net.dial(self.planner.address), self.nursery)
+
+    async def begin(self, nursery: trio.Nursery) -> None:
+        self.nursery = nursery
+        news = await self.net.listen("127.0.0.1:0", self.bulletin.door, nursery)
+        hosts = []
+        for name, machine in self.machines.items():
+            machine.nursery = nursery
+            hosts.append(host(name, dial=await self.net.listen("127.0.0.1:0", machine.door, nursery)))
+        known = {"no": 1, "items": [event(1, *hosts, whole=True)]}
+        self.planner = PlatformPlanner(check_start(file(
+            listen="127.0.0.1:0", bulletin=news, known=known, **self.changes), "test"), self.net)
+        await nursery.start(self.planner.run)
+
+
+def on_sockets(test: Callable[[SocketRig], Awaitable[None]], machines: str = "ab",
+               **changes: object) -> SocketRig:
+    """As `play`, on loopback sockets; 20 s at most."""
+    rig = SocketRig(machines, **changes)
+
+    async def run() -> None:
+        with trio.fail_after(20):
+            async with trio.open_nursery() as nursery:
+                await rig.begin(nursery)
+                await test(rig)
+                nursery.cancel_scope.cancel()
+
+    trio.run(run)
+    return rig
+
+
+async def until(holds: Callable[[], object]) -> None:
+    """Waits for a state, never for a time."""
+    while not holds():
+        await trio.sleep(0.002)
--- /dev/null
+++ b/tests/test_crossings.py
@@ -0,0 +1,419 @@
+"""What crosses at the wrong instant, forced on loopback sockets by gates that hold a byte or a step back."""
+
+import socket
+import struct
+from copy import deepcopy
+from pathlib import Path
+
+import pytest
+import trio
+
+from hazelhold.platform import planner as planners
+from hazelhold.platform.codec import ANSWER, END, TEST, Parcel, encode_parcel
+from hazelhold.protocol import messages as m
+from hazelhold.service.net import TcpNet
+from tests.platform_rig import (
+    DEPLOYMENT,
+    Bulletin,
+    SocketRig,
+    end,
+    event,
+    file,
+    host,
+    on_sockets,
+    set_up,
+    until,
+)
+
+PLACED = [(ANSWER, None)]
+
+
+def name(guest: int) -> str:
+    return f"{guest:016x}"
+
+
+def settings(**changes: object) -> dict:
+    """The rig's settings, with some of their parts changed."""
+    made = deepcopy(DEPLOYMENT)
+    for key, value in changes.items():
+        if isinstance(value, dict):
+            made[key] = made[key] | value
+        else:
+            made[key] = value
+    return made
+
+
+def reset(stream: trio.SocketStream) -> None:
+    """Closes with a reset, whatever is unread."""
+    stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    stream.socket.close()
+
+
+class Tap:
+    """A stream whose writes can be stopped, as those into a full socket are."""
+
+    def __init__(self, stream: trio.SocketStream) -> None:
+        self.stream, self.open, self.stopped = stream, trio.Event(), False
+        self.half = 0  # bytes of the next write that still go
+
+    def __getattr__(self, attribute: str) -> object:
+        return getattr(self.stream, attribute)
+
+    async def send_all(self, data: bytes) -> None:
+        if self.stopped:
+            await self.stream.send_all(data[:self.half])
+            await self.open.wait()
+            data = data[self.half:]
+        await self.stream.send_all(data)
+
+
+# A client that has gone.
+
+
+@pytest.mark.parametrize("way", ["close", "reset", "half"])
+def test_an_owner_that_goes_with_answers_unread_is_gone_at_once(way: str) -> None:
+    """What was still to be written to it held its set-ups open for a second, and they were dispatched."""
+    async def test(rig: SocketRig) -> None:
+        rig.machines["a"].accepts = False
+        owner = await rig.owner()
+        await owner.say(Parcel(TEST, name(9), {17: b"\0"}))
+        await until(lambda: owner.heard)
+        (peer,) = rig.planner.owners.values()
+        peer.stream = tap = Tap(peer.stream)
+        tap.stopped = True
+        await owner.say(set_up(1), Parcel(TEST, name(8), {17: b"\0"}))
+        await until(lambda: rig.offers(1) and peer.sending)
+        if way == "reset":
+            reset(owner.stream)
+        elif way == "half":
+            await owner.stream.send_eof()
+        else:
+            await owner.stream.aclose()
+        await until(lambda: not rig.planner.engine.out(name(1)))
+        assert peer.sending and peer.name in rig.planner.owners  # the answer is still on its way out
+        await until(lambda: [line["op"] for line in rig.machines["a"].heard if line["op"] != "test"]
+                    == ["offer", "end"])
+
+    on_sockets(test, machines="a")
+
+
+@pytest.mark.parametrize("rest", [b"", encode_parcel(end(1)), encode_parcel(end(1)) * 2])
+def test_an_end_before_its_set_up_or_in_one_read_with_it_lets_nothing_begin(rest: bytes) -> None:
+    async def test(rig: SocketRig) -> None:
+        owner, other = await rig.owner(), await rig.owner()
+        if rest:
+            await owner.stream.send_all(encode_parcel(set_up(1)) + rest)
+        else:
+            await other.say(end(1))  # it overtook its set-up, which comes on another connection
+            await until(lambda: rig.planner.early)
+            await owner.say(set_up(1))
+            await until(lambda: owner.of(1))
+            assert owner.of(1) == [(END, 34)]
+        await owner.say(set_up(2))
+        await until(lambda: owner.of(2) == PLACED)
+        assert not rig.offers(1) and not rig.planner.engine.out(name(1))
+
+    on_sockets(test)
+
+
+def test_what_an_owner_ended_before_it_was_handed_over_is_stopped_at_its_machine() -> None:
+    async def test(rig: SocketRig) -> None:
+        owner, other = await rig.owner(), await rig.owner()
+        await other.say(end(1))
+        await until(lambda: rig.planner.early)
+        await owner.say(set_up(1, figures=f"cores:1;memory:2;service:{1:016x};at:a"))
+        await until(lambda: any(line["op"] == "end" for line in rig.machines["a"].heard))
+        assert not rig.planner.engine.stands(name(1)) and not owner.of(1)
+
+    on_sockets(test)
+
+
+def test_half_an_offer_in_a_full_socket_does_not_follow_once_its_owner_has_gone() -> None:
+    """Its rest left when the socket took bytes again, however late, and the machine had it whole."""
+    async def test(rig: SocketRig) -> None:
+        owner = await rig.owner()
+        await owner.say(set_up(1))
+        await until(lambda: owner.of(1) == PLACED)
+        peer = rig.planner.machines["a"][1]
+        peer.stream = tap = Tap(peer.stream)
+        tap.stopped, tap.half = True, 40
+        await owner.say(set_up(2))
+        await until(lambda: peer.offered == name(2))
+        await owner.say(end(2))
+        await until(lambda: rig.planner.machines.get("a", (None, None))[1] is not peer)
+        tap.open.set()
+        await owner.say(set_up(3))
+        await until(lambda: owner.of(3) == PLACED)
+        assert not rig.offers(2) and owner.of(1) == PLACED  # what stands outlives the connection
+        assert rig.planner.engine.counts["links_silent"] == 0  # it was not left for its silence, later
+
+    on_sockets(test, machines="a")
+
+
+# Connections at the wrong instant.
+
+
+def test_a_dial_that_comes_up_as_it_is_hung_up_takes_no_other_connection_s_place(
+        monkeypatch: pytest.MonkeyPatch) -> None:
+    """The old dial put its stream in place of the new one: the machine looked up, and nothing reached it."""
+    async def test(rig: SocketRig) -> None:
+        held = trio.Event()
+        real, dialled, watched = TcpNet.dial, [], rig.planner.engine.roster.fellows["a"].address
+
+        async def dial(self: TcpNet, address: str) -> trio.SocketStream:
+            dialled.extend([address] * (address == watched))
+            if address != watched or len(dialled) > 1:
+                return await real(self, address)
+            with trio.CancelScope(shield=True), trio.move_on_after(5):  # it comes up in the turn of its end
+                stream = await real(self, address)
+                await held.wait()
+            return stream
+
+        monkeypatch.setattr(TcpNet, "dial", dial)
+        owner = await rig.owner()
+        await owner.say(set_up(1, left="3000"))
+        await until(lambda: len(dialled) > 1)
+        held.set()
+        await until(lambda: owner.of(1))
+        assert owner.of(1) == PLACED and rig.planner.counts["unsent"] == 0
+        scope, peer = rig.planner.machines["a"]
+        assert peer is not None and not scope.cancel_called and not peer.closing
+
+    on_sockets(test, machines="a")
+
+
+class Broken(Tap):
+    """A stream whose next write fails; what was said before is read only after that."""
+
+    def __init__(self, stream: trio.SocketStream) -> None:
+        super().__init__(stream)
+        self.broke = trio.Event()
+
+    async def send_all(self, data: bytes) -> None:
+        self.broke.set()
+        raise trio.BrokenResourceError
+
+    async def receive_some(self, most: int) -> bytes:
+        await self.broke.wait()
+        return await self.stream.receive_some(most)
+
+
+@pytest.mark.parametrize("said", [{"op": "accept", "desc": "mine\r\n"}, {"op": "end", "why": 34}])
+def test_an_answer_that_lies_unread_as_a_write_breaks_is_still_heard(said: dict) -> None:
+    """A write that failed closed the connection over what its machine had said before."""
+    async def test(rig: SocketRig) -> None:
+        machine = rig.machines["a"]
+        machine.accepts = False
+        owner = await rig.owner()
+        await owner.say(set_up(1, "once"))
+        await until(lambda: rig.offers(1))
+        peer, stream = rig.planner.machines["a"][1], machine.streams[-1]
+        peer.stream = Broken(peer.stream)
+        heard = rig.planner.engine.links["a"].heard_at
+        await machine.say(stream, {"op": "tested", "call": name(77), "with": {}, "why": 1})
+        await until(lambda: rig.planner.engine.links["a"].heard_at > heard)  # the next read waits
+        await machine.say(stream, {"call": name(1), "with": {}} | said)
+        peer.send(m.Probe(number=5))
+        await until(lambda: owner.of(1))
+        assert owner.of(1)[:1] == (PLACED if said["op"] == "accept" else [(END, 34)])
+
+    on_sockets(test, machines="a")
+
+
+def test_a_connection_about_to_be_closed_as_idle_is_left_before_an_offer_and_an_end_go_out() -> None:
+    """Idle ones were looked for twice a second: with a short idle time the machine closed first, just as an
+    offer was written, and what may have run of it was broken off."""
+    async def test(rig: SocketRig) -> None:
+        owner = await rig.owner()
+        await owner.say(set_up(1))
+        await until(lambda: owner.of(1) == PLACED)
+        link, limit = rig.planner.engine.links["a"], rig.planner.limits.idle_close_ms * 1000
+        assert limit == 240_000
+        link.used_at = link.heard_at = link.opened_at = rig.net.now() - limit - 1
+        await owner.say(set_up(2, "once"))
+        await until(lambda: owner.of(2) == PLACED)
+        assert len(rig.machines["a"].streams) == 2
+        link.used_at = link.heard_at = link.opened_at = rig.net.now() - limit - 1
+        await owner.say(end(2))
+        await until(lambda: any(line["op"] == "end" for line in rig.machines["a"].heard))
+        assert len(rig.machines["a"].streams) == 3 and owner.of(1) == PLACED
+        await owner.say(end(1))
+        await until(lambda: link.state == "down")  # unused, it is closed well before the machine would
+        assert rig.net.now() - max(link.used_at, link.heard_at) < 300_000
+
+    on_sockets(test, machines="a", settings=settings(limits={"idle-close": 300.0}))
+
+
+def test_an_end_written_as_its_connection_breaks_is_told_to_the_machine_once_more() -> None:
+    """The machine never read it and kept the guest for good."""
+    async def test(rig: SocketRig) -> None:
+        owner = await rig.owner()
+        await owner.say(set_up(1))
+        await until(lambda: owner.of(1) == PLACED)
+        machine = rig.machines["a"]
+        peer = rig.planner.machines["a"][1]
+        peer.stream = tap = Tap(peer.stream)
+        tap.stopped = True
+        await owner.say(end(1))
+        await until(lambda: peer.sending)
+        reset(machine.streams[-1])
+        await until(lambda: any(line["op"] == "end" for line in machine.heard))
+        assert len(machine.streams) == 2
+
+    on_sockets(test, machines="a")
+
+
+def test_an_end_of_what_stood_that_did_not_leave_is_told_on_another_connection() -> None:
+    async def test(rig: SocketRig) -> None:
+        first, second = await rig.owner(), await rig.owner()
+        await second.say(Parcel(TEST, name(9), {17: b"\0"}))
+        await first.say(set_up(1))
+        await until(lambda: first.of(1) == PLACED and second.heard)
+        peer = rig.planner.owners["c1"]
+        peer.stream = tap = Tap(peer.stream)
+        tap.stopped = True
+        await rig.machines["a"].end(name(1), 16)
+        await until(lambda: peer.sending)
+        reset(first.stream)
+        await until(lambda: second.of(1))
+        assert second.of(1) == [(END, 16)] and not peer.releases
+
+    on_sockets(test, machines="a")
+
+
+# The end of a planner.
+
+
+def test_an_answer_that_crosses_the_taking_back_at_a_stop_is_not_told_as_standing() -> None:
+    """The machine ends what it took when it is taken back, and says so with a cause that owners are not told:
+    the owner was left with a guest that ran nowhere."""
+    async def test(rig: SocketRig) -> None:
+        machine = rig.machines["a"]
+        machine.accepts = False
+        owner = await rig.owner()
+        await owner.say(set_up(1), set_up(2, "once"))
+        await until(lambda: rig.offers(1) and rig.offers(2))
+        rig.planner.engine.stop(rig.net.now())  # as the stop does at its first moment
+        rig.planner._carry_out()
+        await until(lambda: sum(line["op"] == "end" for line in machine.heard) == 2)
+        for guest in (1, 2):  # both answers were on their way
+            await machine.accept(machine.streams[-1], name(guest))
+        rig.planner.ticker.stir()
+        await until(lambda: owner.of(1) and owner.of(2))
+        assert owner.of(1) == [(END, 34)] and owner.of(2) == [(END, 41)]
+
+    on_sockets(test, machines="a")
+
+
+@pytest.mark.parametrize("patience", [150.0, 600.0, 3000.0])
+def test_a_stop_with_short_patience_serves_all_that_may_still_come(patience: float) -> None:
+    """Its moments were counted back from SIGKILL alone: with patience under a second it had left before the
+    last set-ups came."""
+    moments: list[float] = []
+
+    async def test(rig: SocketRig) -> None:
+        begun = trio.current_time()
+
+        async def note(at: float) -> None:
+            moments.append(at - begun)
+
+        with pytest.MonkeyPatch.context() as patched:
+            patched.setattr(planners.trio, "sleep_until", note)
+            await rig.planner._stop()
+        kill = 0.7 + min(3.0, patience / 1000)
+        assert all(0.7 < at < kill for at in moments) and moments == sorted(moments) and len(moments) == 3
+
+    classes = [each | {"deadline": patience} for each in DEPLOYMENT["classes"]]
+    on_sockets(test, machines="a", settings=settings(classes=classes))
+
+
+def test_an_answer_half_written_at_the_end_is_owed_its_rest() -> None:
+    async def test(rig: SocketRig) -> None:
+        owner = await rig.owner()
+        await owner.say(Parcel(TEST, name(9), {17: b"\0"}))
+        await until(lambda: owner.heard)
+        (peer,) = rig.planner.owners.values()
+        peer.stream = tap = Tap(peer.stream)
+        tap.stopped, tap.half = True, 7
+        await owner.say(set_up(1, left="800"))
+        await until(lambda: peer.sending)
+        rig.planner.stop()
+        looks, real = [], peer.unsent
+        peer.unsent = lambda: looks.append(1) or real()
+        await until(lambda: len(looks) > 2 or rig.planner.ended.is_set())
+        assert not rig.planner.ended.is_set() and not owner.of(1)
+        tap.open.set()
+        await rig.planner.ended.wait()
+        await until(lambda: owner.closed_at)
+        assert owner.of(1) == PLACED
+
+    classes = [each | {"deadline": 900.0} for each in DEPLOYMENT["classes"]]
+    on_sockets(test, machines="a", settings=settings(classes=classes))
+
+
+# New configurations.
+
+
+def test_a_file_half_written_at_its_signal_is_taken_once_it_is_whole(tmp_path: Path) -> None:
+    """It was refused once, and the planner went on with a bulletin that had closed."""
+    async def test(rig: SocketRig) -> None:
+        rig.planner.config = path = tmp_path / "config.json"
+        moved = Bulletin()
+        at = await rig.net.listen("127.0.0.1:0", moved.door, rig.nursery)
+        text = file(listen="127.0.0.1:0", bulletin=at)
+        path.write_text(text[:len(text) // 2])
+        rig.planner.reload()
+        rig.planner.reload()  # twice at once
+        assert rig.planner.counts["reloads_refused"] == 2 and not moved.asked
+        path.write_text(text)
+        await until(lambda: moved.asked)
+        assert rig.planner.counts["reloads"] == 1 and rig.planner.counts["reloads_refused"] == 2
+
+    on_sockets(test, machines="a")
+
+
+def test_an_address_that_is_none_in_an_event_or_the_file_ends_nothing() -> None:
+    async def test(rig: SocketRig) -> None:
+        rig.bulletin.events += [event(2, host("c", dial="x" * 80 + ":1"), host("d", dial="nowhere")),
+                                event(3, host("e", dial="127.0.0.1:0"))]
+        await until(lambda: "e" in rig.planner.engine.roster.fellows)
+        owner = await rig.owner()
+        await owner.say(set_up(1, figures=f"cores:1;memory:2;service:{1:016x};at:c"))
+        await until(lambda: rig.planner.counts["dials_failed"])
+        rig.planner.follower.move("x" * 80 + ":1")
+        await until(lambda: rig.planner.counts["bulletin_failures"])
+        await owner.say(set_up(2))
+        await until(lambda: owner.of(2) == PLACED)
+
+    on_sockets(test, machines="a")
+
+
+# Descriptors.
+
+
+def test_idle_owners_that_read_nothing_hold_no_descriptor_past_their_turn() -> None:
+    """One that was turned out kept its descriptor while bytes waited, beside the one that took its place."""
+    async def test(rig: SocketRig) -> None:
+        limit = rig.planner.limits.connections
+        rude = [await rig.owner() for _ in range(limit)]
+        for owner in rude:
+            await owner.say(Parcel(TEST, name(9), {17: b"\0"}))
+        await until(lambda: all(owner.heard for owner in rude))
+        taps = []
+        for peer in rig.planner.owners.values():
+            peer.stream = tap = Tap(peer.stream)
+            tap.stopped = True
+            taps.append(tap)
+        old = list(rig.planner.owners.values())
+        for owner in rude:
+            await owner.say(Parcel(TEST, name(8), {17: b"\0"}))
+        await until(lambda: all(peer.sending for peer in old))
+        for peer in old:
+            peer.sending_from -= 1
+        for guest in range(1, 6):
+            real = await rig.owner()
+            await real.say(set_up(guest))
+            await until(lambda real=real, guest=guest: real.of(guest) == PLACED)
+        assert sum(peer.closing and peer.stream.socket.fileno() < 0 for peer in old) == 5
+
+    on_sockets(test, machines="a")
