Cold machines: a new life waits a window before its share; a refusal without a reason rests a machine

Need: past N only two roots of N and two more are chance, and what all planners send counts. The parts of the budget sum to four fifths of it for any number of planners (read again: integer shares by turns, no flaw). But a planner that starts forgets what its last life sent: with seven in ten restarted within a window the sum is 1.36 of N. Machines that start after a planner are not held back; kept state lifts the wait as before.

A refusal without a reason rested nothing: the same machine could get the guest again at once, and a second copy of the refusal, some milliseconds late, was then heard as of the new dispatch. It now rests as for a full line (0.25 s).

--- a/hazelhold/brain.py
+++ b/hazelhold/brain.py
@@ -1,9 +1,8 @@
 """All decisions of one planner.
 
-How it is called: a host makes one Brain a planner from its seed and Deployment, tells it what happens
-through the input methods (machines_listed to memory_pressed), which only update what is known, then pulls
-decide(now) until it answers None, carrying each Decision out; next_look(now) says when to call again if
-nothing happens. The types that go in and out stand in interface.py.
+How it is called: a host makes one Brain a planner from its seed and Deployment, tells it what happens by
+the input methods (machines_listed to memory_pressed), which only update what is known, then carries out
+decide(now) until it is None; next_look(now) says when to call again. Types stand in interface.py.
 """
 
 from bisect import bisect_right
@@ -184,7 +183,7 @@
         self.no_room: set[tuple] = set()  # shapes that found no machine; emptied as the clock moves
         self.looked_at = self.ask_list_at = self.sweep_at = self.probe_at = self.list_heard_at = 0
         self.kept_well = True  # see state_kept
-        self.no_cold_until = 0  # see remembered
+        self.began, self.no_cold_until = -10**15, 0  # see machines_listed and remembered
         self.list_version = 0  # counts changes in who is ready
         self.typical, self.typical_until = SECOND, 0  # median slowness of machines, and until when it is kept
         self.to_probe: list[Machine] = []  # emptied at once by the decisions that follow
@@ -194,6 +193,8 @@
 
     def machines_listed(self, now: int, entries: list[Listed], whole: bool) -> None:
         self.list_heard_at = now if self.machines else now - 2 * SECOND  # the first may be an old copy
+        if self.began == -10**15:  # what was cold before this life may have had an earlier one's share
+            self.began, self.no_cold_until = now, now + self.deployment.cold_window
         for entry in entries:
             machine = self.machines.get(entry.machine)
             if machine is None:
@@ -262,7 +263,7 @@
         """Takes what an earlier life learned, for machines that are still in the same life. Samples of
         services that were not seen for a minute are let go; strikes and rests go on by their own times. Where
         offers to cold machines may be forgotten, these get nothing until they would count no more."""
-        self.no_cold_until = 0 if complete else now + 2 * self.deployment.cold_window
+        self.began, self.no_cold_until = now, 0 if complete else now + 2 * self.deployment.cold_window
         for name, (seen, samples) in past.services.items():
             if seen >= now - 60 * SECOND:
                 service = self.services.setdefault(name, Service())
@@ -373,10 +374,9 @@
         self._reported(machine, cores, memory, now)
 
     def probe_answered(self, now: int, name: str, well: bool) -> None:
-        machine = self.machines.get(name)
-        if machine is not None and not well:
+        if (machine := self.machines.get(name)) and not well:
             self._strike(machine, now, mute=True)
-        elif machine is not None and machine.mute:
+        elif machine and machine.mute:
             machine.mute, machine.strikes = False, 0
             self._changed(now)
 
@@ -491,8 +491,8 @@
     def _judge(self, machine: Machine, guest: Guest, ending: Ending, remark: Remark, now: int) -> None:
         """What an ended dispatch says of its machine."""
         if ending is Ending.TURNED_BACK:
-            if remark is Remark.LINE_FULL:
-                # Against any crowd of offers: a rest in which lines are about worked off; may be needless.
+            if remark in (Remark.LINE_FULL, Remark.NONE):
+                # Against any crowd of offers, and a refusal that comes twice: about as long as lines last.
                 machine.full[0] = now + SECOND // 4, 0.0
             elif remark in (Remark.NO_CORES, Remark.NO_MEMORY):
                 axis, much = (0, guest.ask.cores) if remark is Remark.NO_CORES else (1, guest.ask.memory)
@@ -632,7 +632,7 @@
             machine.offers.popleft()
         if now - machine.cold_at >= facts.cold_for:
             return True
-        if now < self.no_cold_until:
+        if now < self.no_cold_until and machine.cold_at <= self.began:
             return False
         # Twice the window and four fifths of the budget: offers travel, and chance is counted against us too.
         # Planners take turns at single offers, from a start that the machine's id fixes: these sum to it.
--- a/hazelhold/state/snapshot.py
+++ b/hazelhold/state/snapshot.py
@@ -20,7 +20,7 @@
                "rests_until")
 GUEST_PLAIN = ("placed", "runs", "warm", "may_run", "over", "probed_for", "unwanted", "tried", "dispatches",
                "ahead", "cores_noted", "use", "rounds")
-BRAIN_TIMES = ("no_cold_until", "typical_until", "answer_at", "looked_at", "ask_list_at", "sweep_at",
+BRAIN_TIMES = ("began", "no_cold_until", "typical_until", "answer_at", "looked_at", "ask_list_at", "sweep_at",
                "probe_at", "list_heard_at")
 BRAIN_PLAIN = ("seen", "typical", "list_version", "kept_well")
 
@@ -67,7 +67,7 @@
     brain.random = Random()
     brain.random.setstate((version, tuple(state), gauss))
     for name in BRAIN_TIMES:
-        setattr(brain, name, moved(data[name]))
+        setattr(brain, name, moved(data.get(name, 0)))  # older snapshots have no `began`
     brain.seen, brain.list_version = list(data["seen"]), data["list_version"]
     brain.kept_well, brain.typical = data["kept_well"], data["typical"]
     for name, samples, seen in data["services"]:
