Known red: a list of at most three tests that fail for a named fault, strict and printed

Need: a test of a real fault that cannot be mended at once may land. KNOWN-RED.txt at the root is read by tests/conftest.py: listed tests must fail, a test that passes, a bad line, a name that no test has or a fourth entry fails the run, and the list is printed at its head and end. No entry today. Tested on a small project, with and without workers.

--- /dev/null
+++ b/tests/test_known_red.py
@@ -0,0 +1,59 @@
+"""The list of tests that are known to fail: what it may hold, and what it does to a run."""
+
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+
+from tests.conftest import read_known
+
+HERE = Path(__file__).parent
+
+
+@pytest.mark.parametrize("text,fault", [
+    ("tests/a.py::b | cause", "line 1"), ("\ntests/a.py::b |  | 33", "line 2"),
+    ("a.py::b | cause | 33", "line 1"),
+    ("tests/a.py | cause | 33", "line 1"), ("tests/a.py::b | c | 1\ntests/a.py::b | d | 2", "twice"),
+    ("".join(f"tests/a.py::b{n} | cause | 33\n" for n in range(4)), "4 tests, 3 at most"),
+])
+def test_a_list_that_cannot_be_meant_is_refused(text: str, fault: str) -> None:
+    with pytest.raises(ValueError, match=fault):
+        read_known(text)
+
+
+def test_an_empty_list_and_a_sound_one_are_read() -> None:
+    assert read_known("\n  \n") == {}
+    assert read_known("tests/a.py::b | it is slow | 33\n") == {"tests/a.py::b": "it is slow (33)"}
+
+
+def run(folder: Path, listed: str, *more: str) -> tuple[int, str]:
+    """A small project with this list: one test that passes, one that fails."""
+    (folder / "tests").mkdir(exist_ok=True)
+    (folder / "tests" / "conftest.py").write_text((HERE / "conftest.py").read_text())
+    (folder / "tests" / "test_two.py").write_text("def test_well():\n    pass\n\n\n"
+                                                  "def test_red():\n    assert 1 == 2\n")
+    (folder / "pytest.ini").write_text("[pytest]\ntestpaths = tests\naddopts = -p no:cacheprovider -q\n")
+    (folder / "KNOWN-RED.txt").write_text(listed)
+    made = subprocess.run([sys.executable, "-m", "pytest", *more], cwd=folder, capture_output=True, text=True)
+    return made.returncode, made.stdout + made.stderr
+
+
+@pytest.mark.parametrize("more", [(), ("-n", "2")])
+def test_a_listed_test_is_passed_over_and_printed_and_must_fail(tmp_path: Path, more: tuple) -> None:
+    assert run(tmp_path, "", *more)[0] == 1
+    code, said = run(tmp_path, "tests/test_two.py::test_red | one is not two | 33\n", *more)
+    assert code == 0 and "known red: tests/test_two.py::test_red: one is not two (33)" in said
+    assert "1 passed" in said and "1 xfailed" in said
+    both = "tests/test_two.py::test_red | a | 33\ntests/test_two.py::test_well | b | 33\n"
+    code, said = run(tmp_path, both, *more)
+    assert code == 1 and "strict" in said.lower()  # it passes, so it must be unlisted
+
+
+def test_a_name_that_no_test_has_a_bad_line_and_a_long_list_fail_the_run(tmp_path: Path) -> None:
+    code, said = run(tmp_path, "tests/test_two.py::test_rad | one is not two | 33\n")
+    assert code != 0 and "no test is called tests/test_two.py::test_rad" in said
+    code, said = run(tmp_path, "tests/test_two.py::test_red, one is not two\n")
+    assert code != 0 and "line 1" in said
+    code, said = run(tmp_path, "".join(f"tests/test_two.py::t{n} | x | 33\n" for n in range(4)))
+    assert code != 0 and "3 at most" in said
