--- a/tests/platform_rig.py
+++ b/tests/platform_rig.py
@@ -82,7 +82,7 @@
         self.streams: list[trio.abc.Stream] = []
         self.accepts, self.silent = True, False
         self.owed: list[str] = []  # guests whose end is told on the next connection
-        self.turn = trio.Lock()  # it looks at one line at a time
+        self.turn, self.pen = trio.Lock(), trio.Lock()  # it looks at one line at a time, and says one
 
     async def door(self, stream: trio.abc.Stream) -> None:
         self.streams.append(stream)
@@ -117,7 +117,8 @@
             await self.accept(stream, line["call"])
 
     async def say(self, stream: trio.abc.Stream, line: dict) -> None:
-        await stream.send_all(json.dumps(line).encode() + b"\n")
+        async with self.pen:
+            await stream.send_all(json.dumps(line).encode() + b"\n")
 
     async def accept(self, stream: trio.abc.Stream, call: str) -> None:
         await self.say(stream, {"op": "accept", "call": call, "with": {},
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -2,6 +2,7 @@
 
 import socket
 import struct
+import time
 from copy import deepcopy
 from pathlib import Path
 
@@ -150,6 +151,60 @@
     on_sockets(test, machines="a")
 
 
+def test_a_planner_that_is_behind_with_placing_hears_of_a_close_after_a_decision_or_two() -> None:
+    """Eight decisions went into each turn, whatever they took."""
+    async def test(rig: SocketRig) -> None:
+        rig.machines["a"].accepts = rig.machines["b"].accepts = False
+        engine, owner = rig.planner.engine, await rig.owner()
+        real, begun = engine.brain.decide, []
+
+        def slow(now: int) -> object:
+            time.sleep(0.03)
+            if engine.counts["dispatches"] == 17:  # the first decision of a turn, if eight go into one
+                begun.append(engine.counts["dispatches"])
+                reset(owner.stream)
+            return real(now)
+
+        engine.brain.decide = slow
+        await owner.say(*(set_up(guest) for guest in range(1, 41)))
+        await until(lambda: begun and not engine.cases)
+        assert engine.counts["dispatches"] <= begun[0] + 2
+
+    on_sockets(test)
+
+
+def test_a_ticket_s_window_is_kept_by_the_bytes_and_not_by_the_decision() -> None:
+    """A repeat was decided within it, waited in a full socket, and left after it."""
+    family = {key: [*value, value[-1]] for key, value in DEPLOYMENT["family-info"].items()
+              if isinstance(value, list) and key not in ("mem-of-kind", "size-cores")}
+    classes = [*DEPLOYMENT["classes"], DEPLOYMENT["classes"][0] | {
+        "name": "mark", "idempotency": "dedup", "group": "all", "dedup-window": 200.0}]
+
+    async def test(rig: SocketRig) -> None:
+        for machine in rig.machines.values():
+            machine.accepts = False
+        owner, engine = await rig.owner(), rig.planner.engine
+        await until(lambda: all(rig.planner.machines.get(each, (0, 0))[1] for each in "ab"))  # all are probed
+        await owner.say(set_up(1, "mark"))
+        await until(lambda: rig.offers(1))
+        (first,) = rig.offers(1)
+        peer = rig.planner.machines["ab".replace(first, "")][1]
+        peer.stream = tap = Tap(peer.stream)
+        tap.stopped = True
+        peer.send(m.Probe(number=5))
+        await until(lambda: peer.sending)
+        await rig.machines[first].end(name(1), 47)  # it may have run there
+        await until(lambda: any(isinstance(each, m.Offer) for each in peer.messages))
+        case = engine.newest[name(1)]
+        await until(lambda: rig.net.now() - case.ran_from >= 200_000)
+        tap.stopped = False
+        tap.open.set()
+        await until(lambda: owner.of(1))
+        assert owner.of(1) in ([(END, 34)], [(END, 41)]) and rig.offers(1) == [first]
+
+    on_sockets(test, settings=settings(classes=classes, **{"family-info": family}))
+
+
 # Connections at the wrong instant.
 
 
--- a/tests/test_platform_process.py
+++ b/tests/test_platform_process.py
@@ -3,6 +3,7 @@
 import contextlib
 import json
 import os
+import resource
 import signal
 import socket
 import subprocess
@@ -32,6 +33,10 @@
     return listener, f"127.0.0.1:{listener.getsockname()[1]}"
 
 
+def bounded() -> None:
+    resource.setrlimit(resource.RLIMIT_NOFILE, (64, 64))
+
+
 def machine(stream: socket.socket) -> None:
     with contextlib.suppress(OSError):
         for raw in stream.makefile("rb"):
@@ -67,13 +72,23 @@
     def ask(self, parcel: Parcel) -> Parcel:
         self.stream.sendall(encode_parcel(parcel))
         while True:
-            if found := self.reader.feed(self.stream.recv(1 << 16)):
+            data = self.stream.recv(1 << 16)
+            if not data:
+                raise ConnectionError("closed without an answer")
+            if found := self.reader.feed(data):
                 return found[0]
 
 
 @pytest.fixture
 def planner(tmp_path: Path) -> Iterator[tuple]:
-    """The process, its address, its file, and a function that writes the file for a bulletin."""
+    with started(tmp_path) as made:
+        yield made
+
+
+@contextlib.contextmanager
+def started(tmp_path: Path) -> Iterator[tuple]:
+    """The process, its address, its file, and a function that writes the file for a bulletin. The process may
+    hold as many descriptors as its file says."""
     with contextlib.ExitStack() as stack:
         with socket.create_server(("127.0.0.1", 0)) as free:
             address = f"127.0.0.1:{free.getsockname()[1]}"
@@ -93,7 +108,7 @@
         write(where)
         command = [sys.executable, "-X", "importtime", "-m", "hazelhold", "planner", "--platform"]
         process = subprocess.Popen(command, env=os.environ | {"BALANCER_CONFIG": str(path)},
-                                   stderr=subprocess.PIPE, text=True)
+                                   stderr=subprocess.PIPE, text=True, preexec_fn=bounded)
         stack.callback(process.wait)
         stack.callback(process.kill)
         where = "127.0.0.1", int(address.split(":")[1])
@@ -140,6 +155,42 @@
     assert not [name for name in loaded if name.startswith(off)], "planners of a deployment share nothing"
 
 
+def test_idle_connections_take_all_they_can_while_the_bulletin_is_down(planner: tuple) -> None:
+    """The bulletin, machines, tests and owners still get their descriptors, and accepting does not spin."""
+    process, address, _, write = planner
+    name, port = address.split(":")
+    with socket.create_server(("127.0.0.1", 0)) as free:
+        nowhere = f"127.0.0.1:{free.getsockname()[1]}"
+    write(nowhere)
+    process.send_signal(signal.SIGHUP)
+    talk, test = Talk(address), Parcel(TEST, "00000000000000aa", {17: b"\0"})
+    assert talk.ask(test).cause == 1
+    idle = [socket.create_connection((name, int(port)), timeout=10) for _ in range(150)]
+    assert talk.ask(test).cause == 1  # silent ones are turned out first
+    assert Talk(address).ask(set_up(1)).type == ANSWER
+    asked: list[str] = []
+    news, where = served(bulletin(asked))
+    with news:
+        write(where)
+        process.send_signal(signal.SIGHUP)
+        for _ in range(400):
+            if asked:
+                break
+            time.sleep(0.05)
+        assert asked
+        late = Talk(address)
+        assert late.ask(test).cause == 1 and late.ask(set_up(2)).type == ANSWER
+        for each in idle:
+            each.close()
+        process.send_signal(signal.SIGTERM)
+        process.send_signal(signal.SIGHUP)
+        process.send_signal(signal.SIGTERM)  # twice, and in the middle of a new configuration
+        assert late.ask(set_up(3)).type == ANSWER
+        assert process.wait(10) == 0
+    log = process.stderr.read()
+    assert "Traceback" not in log and "Too many open files" not in log and "stopped" in log
+
+
 def test_a_file_that_cannot_be_used_is_said_in_lines_and_ends_with_2(tmp_path: Path) -> None:
     path = tmp_path / "config.json"
     path.write_text('{"name": "n0", "listen": "nowhere", "seed": "8c"}')
