Platform: no offer leaves while the guest's last one may be out at another machine

Its logs do not hold the request, so the cause was found by reading and forced in tests: the taking back of an offer and the next offer go into two queues, written by two tasks in an order that trio draws; where the first machine's socket is full (a zone cut off) the taking back waits and the offer does not. A connection that is hung up is closed a turn later than the offers that follow from it leave. Wrong lines: planner._do and _hang_up, which took both as done when they were asked for.

Now a guest has a fence from the asking until the bytes of the taking back have left or that connection is closed; its next offer stands aside in its queue until then (`offers_behind`). Both tests fail without the fence, and without either half of it.

--- a/hazelhold/platform/peer.py
+++ b/hazelhold/platform/peer.py
@@ -87,21 +87,28 @@
 
 class MachinePeer(Reading):
     """A connection to a machine. Messages take their form when they leave: an offer tells the time that is
-    left then, and one that is not wanted any more stays here."""
+    left then, one that is not wanted any more stays here, and one whose guest's last offer elsewhere is not
+    surely over stands aside until it is."""
 
-    def __init__(self, stream: trio.abc.Stream, send_bytes: int, time_left: Callable[[m.Offer], int]) -> None:
+    def __init__(self, stream: trio.abc.Stream, send_bytes: int, time_left: Callable[[m.Offer], int],
+                 over: Callable[["MachinePeer", list[str]], None] = lambda peer, guests: None) -> None:
         super().__init__(stream, send_bytes)
         self.reader = LineReader()
-        self.time_left = time_left  # in microseconds; 0: it is not to leave
+        self.time_left = time_left  # in microseconds; 0: it is not to leave, below 0: not yet
+        self.over = over  # told of guests whose offers here were taken back by bytes that left
         self.messages: deque[m.Message] = deque()
         self.size = 0  # bytes of what waits, about
         self.offered = ""  # the guest whose offer is among the bytes that are leaving
+        self.aside: dict[str, m.Offer] = {}  # by guest; emptied by resume, taken_out and the connection's end
+        self.open: dict[str, None] = {}  # guests whose offers left and await a word; emptied as `aside`
+        self.taking_back: list[str] = []  # guests whose offers the bytes that are leaving take back
 
     def send(self, message: m.Message) -> bool:
         if self.closing:
             return False
-        if isinstance(message, m.Withdraw) and self.sending and self.offered == message.guest:
-            # Half of the offer may have left and the socket be full. The rest must not follow late.
+        if isinstance(message, m.Withdraw) and self.sending:
+            # The socket may be full. Half an offer must not be followed late by its rest, and no other may
+            # leave for that guest before this word or the end of the connection.
             self.writing.deadline = min(self.writing.deadline, trio.current_time() + REST)
         self.size += 200 + len(getattr(message, "description", b""))
         if self.size > self.send_bytes:
@@ -113,11 +120,28 @@
 
     def left(self, data: bytes) -> None:
         self.offered = ""
-        if not self.closing:
+        if self.taking_back:
+            gone, self.taking_back = self.taking_back, []
+            for guest in gone:
+                self.open.pop(guest, None)
+            self.over(self, gone)
+        if not self.closing and not any(isinstance(each, m.Withdraw) for each in self.messages):
             self.writing.deadline = float("inf")
 
+    def resume(self, guest: str) -> None:
+        """An offer that stood aside may leave."""
+        if offer := self.aside.pop(guest, None):
+            self.messages.append(offer)
+            self.more.set()
+
+    def heard_of(self, guest: str) -> None:
+        """The machine has spoken of a guest: its offer is not open any more."""
+        self.open.pop(guest, None)
+
     def taken_out(self, message: m.Withdraw) -> m.Offer | None:
         """An offer of which no byte has left is taken out instead of taken back."""
+        if offer := self.aside.pop(message.guest, None):
+            return offer
         for each in self.messages:
             if isinstance(each, m.Offer) and each.guest == message.guest:
                 self.messages.remove(each)
@@ -134,7 +158,9 @@
         while self.messages:
             message, left = self.messages.popleft(), 0
             offer = isinstance(message, m.Offer)
-            if offer and not (left := self.time_left(message)):
+            if offer and (left := self.time_left(message)) <= 0:
+                if left < 0:
+                    self.aside[message.guest] = message
                 continue
             line = to_machine(message, left)
             if line is None:
@@ -143,14 +169,17 @@
                 out += encode_line(line)
             except ValueError:
                 continue
+            if isinstance(message, m.Withdraw):
+                self.taking_back.append(message.guest)
             if offer:
                 self.offered = message.guest
+                self.open[message.guest] = None
                 break
         self.size = self.size if self.messages else 0
         return bytes(out)
 
     def offers_kept(self) -> list[m.Offer]:
         """Offers of which no byte has left."""
-        return [message for message in self.messages if isinstance(message, m.Offer)]
+        return [*self.aside.values(), *(each for each in self.messages if isinstance(each, m.Offer))]
 
 
--- a/hazelhold/platform/planner.py
+++ b/hazelhold/platform/planner.py
@@ -53,6 +53,8 @@
         self.held: deque[tuple[float, Parcel]] = deque()  # releases without a connection; emptied by age
         self.early: OrderedDict[str, float] = OrderedDict()  # ends without a guest; emptied by age
         self.reloads = 0  # signals to read the file again
+        # Where an offer of the guest may still be out; emptied as its taking back or its connection leaves.
+        self.fences: dict[str, MachinePeer] = {}
         self.counts: Counter[str] = Counter()
         self.zones = dict(start.zones)  # numbers by name; grows with zones that the list names
         self.follower = Follower(net, start.bulletin, start.known, self._event, self._hear_bulletin,
@@ -177,8 +179,11 @@
                     self.engine.offer_held_back(self.net.now(), offer)
                 elif peer is None or not peer.send(action.message):
                     self.counts["unsent"] += 1
-                elif self.log_frames:
-                    self.log.debug("to_machine", machine=action.peer, message=repr(action.message))
+                else:
+                    if isinstance(action.message, m.Withdraw):
+                        self.fences[action.message.guest] = peer
+                    if self.log_frames:
+                        self.log.debug("to_machine", machine=action.peer, message=repr(action.message))
         elif isinstance(action, Dial) and not self.left:
             self._hang_up(action.machine)
             scope = trio.CancelScope()
@@ -194,10 +199,20 @@
     def _hang_up(self, machine: str) -> None:
         scope, peer = self.machines.pop(machine, (None, None))
         if peer is not None:
+            self.fences.update(dict.fromkeys(peer.open, peer))  # open there until it is closed
             peer.cut()
         if scope is not None:
             scope.cancel()
 
+    def _over(self, peer: MachinePeer, guests: list[str]) -> None:
+        """What was open on a connection is surely over: what waited for that leaves."""
+        for guest in guests:
+            if self.fences.get(guest) is peer:
+                del self.fences[guest]
+                case = self.engine.newest.get(guest)
+                if case and (other := self.machines.get(case.machine, (None, None))[1]):
+                    other.resume(guest)
+
     # Owners.
 
     def _tell_owner(self, name: str, message: m.Message) -> None:
@@ -404,18 +419,21 @@
                 if self.machines.get(name, (None,))[0] is not scope:  # hung up just as it came up
                     await trio.aclose_forcefully(stream)
                     return
-                peer = MachinePeer(stream, self.limits.send_bytes, self._time_left)
-                async with trio.open_nursery() as nursery:
-                    nursery.start_soon(peer.write)
-                    with peer.scope:
-                        up = True
-                        self.machines[name] = scope, peer
-                        self.engine.link_up(self.net.now(), name)
-                        self._carry_out()
-                        self.ticker.stir()
-                        await self._hear_machine(name, peer)
-                    peer.end()
-                    peer.writing.cancel()
+                peer = MachinePeer(stream, self.limits.send_bytes, self._time_left, self._over)
+                try:
+                    async with trio.open_nursery() as nursery:
+                        nursery.start_soon(peer.write)
+                        with peer.scope:
+                            up = True
+                            self.machines[name] = scope, peer
+                            self.engine.link_up(self.net.now(), name)
+                            self._carry_out()
+                            self.ticker.stir()
+                            await self._hear_machine(name, peer)
+                        peer.end()
+                        peer.writing.cancel()
+                finally:
+                    self._over(peer, [guest for guest, at in self.fences.items() if at is peer])
             except (OSError, ValueError, trio.TooSlowError) as wrong:  # ValueError: an address that is none
                 refused = is_refused(wrong)
                 self.counts["dials_refused" if refused else "dials_failed"] += 1
@@ -436,6 +454,9 @@
     def _time_left(self, offer: m.Offer) -> int:
         now = self.net.now()
         left = self.engine.time_left(now, offer)
+        if left and offer.guest in self.fences:
+            self.counts["offers_behind"] += 1
+            return -1
         if not left:
             self.counts["offers_held_back"] += 1
             self.engine.offer_held_back(now, offer)
@@ -446,6 +467,8 @@
         try:
             async for batch in peer.batches():
                 for line in batch:
+                    if line.op in ("accept", "end"):
+                        peer.heard_of(line.call)
                     self._machine_said(name, line)
         except CodecError as wrong:
             self.counts["machine_" + wrong.code] += 1
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -11,11 +11,13 @@
 
 from hazelhold.platform import planner as planners
 from hazelhold.platform.codec import ANSWER, END, TEST, Parcel, encode_parcel
+from hazelhold.platform.peer import MachinePeer
 from hazelhold.protocol import messages as m
 from hazelhold.service.net import TcpNet
 from tests.platform_rig import (
     DEPLOYMENT,
     Bulletin,
+    Owner,
     SocketRig,
     end,
     event,
@@ -205,6 +207,64 @@
     on_sockets(test, settings=settings(classes=classes, **{"family-info": family}))
 
 
+# Never two out.
+
+
+async def one_out(rig: SocketRig) -> tuple[Owner, Tap, MachinePeer, MachinePeer]:
+    """A guest that one machine was offered and says nothing of: its tap, its connection, the other one."""
+    for machine in rig.machines.values():
+        machine.accepts = False
+    owner = await rig.owner()
+    await until(lambda: all(rig.planner.machines.get(each, (0, 0))[1] for each in "ab"))  # all are probed
+    rig.planner.engine.brain.answers[0].extend([10_000] * 10)  # answers come soon: none is waited for long
+    await owner.say(set_up(1))
+    await until(lambda: rig.offers(1))
+    (first,) = rig.offers(1)
+    one, other = (rig.planner.machines[each][1] for each in (first, "ab".replace(first, "")))
+    one.stream = Tap(one.stream)
+    return owner, one.stream, one, other
+
+
+def test_no_second_offer_leaves_before_the_first_is_taken_back() -> None:
+    """Seen on the bench as a second copy of a ticketed guest: the taking back waited in a full socket, the
+    next offer did not."""
+    async def test(rig: SocketRig) -> None:
+        _, tap, one, other = await one_out(rig)
+        tap.stopped = True
+        one.send(m.Probe(number=5))
+        await until(lambda: len([each for each in "ab" if each in rig.offers(1)]) == 2)
+        assert one.stream.socket.fileno() < 0 and rig.planner.counts["offers_behind"] == 1
+        assert not rig.planner.fences and not other.aside
+
+    on_sockets(test)
+
+
+def test_no_second_offer_leaves_before_a_connection_that_was_given_up_is_closed() -> None:
+    async def test(rig: SocketRig) -> None:
+        _, tap, one, other = await one_out(rig)
+        order: list[str] = []
+
+        async def aclose() -> None:
+            await until(lambda: other.aside or order)
+            order.append("closed")
+            await tap.stream.aclose()
+
+        async def send_all(data: bytes) -> None:
+            order.extend(["offered"] * (b"offer" in data))
+            await second.stream.send_all(data)
+
+        other.stream = second = Tap(other.stream)
+        tap.aclose, second.send_all = aclose, send_all
+        engine = rig.planner.engine
+        engine._abandon(rig.net.now(), engine.links[next(iter(rig.offers(1)))])
+        rig.planner._carry_out()
+        rig.planner.ticker.stir()
+        await until(lambda: "offered" in order and "closed" in order)
+        assert order[:2] == ["closed", "offered"] and not rig.planner.fences
+
+    on_sockets(test)
+
+
 # Connections at the wrong instant.
 
 
