--- a/hazelhold/platform/peer.py
+++ b/hazelhold/platform/peer.py
@@ -107,9 +107,7 @@
         if self.closing:
             return False
         if isinstance(message, m.Withdraw) and self.sending:
-            # The socket may be full. Half an offer must not be followed late by its rest, and no other may
-            # leave for that guest before this word or the end of the connection.
-            self.writing.deadline = min(self.writing.deadline, trio.current_time() + REST)
+            self._hurry()
         self.size += 200 + len(getattr(message, "description", b""))
         if self.size > self.send_bytes:
             self.cut()
@@ -118,6 +116,11 @@
         self.more.set()
         return True
 
+    def _hurry(self) -> None:
+        """The socket may be full. Half an offer must not be followed late by its rest, and no other may leave
+        for its guest before the word that takes it back or the end of the connection."""
+        self.writing.deadline = min(self.writing.deadline, trio.current_time() + REST)
+
     def left(self, data: bytes) -> None:
         self.offered = ""
         if self.taking_back:
@@ -175,6 +178,8 @@
                 self.offered = message.guest
                 self.open[message.guest] = None
                 break
+        if self.taking_back:
+            self._hurry()
         self.size = self.size if self.messages else 0
         return bytes(out)
 
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -225,13 +225,15 @@
     return owner, one.stream, one, other
 
 
-def test_no_second_offer_leaves_before_the_first_is_taken_back() -> None:
+@pytest.mark.parametrize("before", [True, False])
+def test_no_second_offer_leaves_before_the_first_is_taken_back(before: bool) -> None:
     """Seen on the bench as a second copy of a ticketed guest: the taking back waited in a full socket, the
-    next offer did not."""
+    next offer did not. `before`: other bytes filled it already."""
     async def test(rig: SocketRig) -> None:
         _, tap, one, other = await one_out(rig)
         tap.stopped = True
-        one.send(m.Probe(number=5))
+        if before:
+            one.send(m.Probe(number=5))
         await until(lambda: len([each for each in "ab" if each in rig.offers(1)]) == 2)
         assert one.stream.socket.fileno() < 0 and rig.planner.counts["offers_behind"] == 1
         assert not rig.planner.fences and not other.aside
