Names: binary messages, discovery and configuration in the platform package

Parcel hid a message, bulletin a service discovery, sheet a configuration. Nothing else changes: the platform's own words on the wire and in its file (bulletin, /bulletins) stay. Counters in logs: discovery_failures and so on.

--- a/hazelhold/platform/codec.py
+++ b/hazelhold/platform/codec.py
@@ -24,7 +24,7 @@
         self.code, self.text = code, text
 
 
-class Parcel(NamedTuple):
+class BinaryMessage(NamedTuple):
     """A binary message: `id` is the task's 16 hex digits, `parameters` values by code."""
 
     type: int
@@ -44,17 +44,17 @@
         return value[0] if value else None
 
 
-def encode_parcel(parcel: Parcel) -> bytes:
+def encode_binary(binary: BinaryMessage) -> bytes:
     """ValueError if it does not fit into a message."""
-    body = bytearray((parcel.type,)) + bytes.fromhex(parcel.id)
-    for code, value in parcel.parameters.items():
+    body = bytearray((binary.type,)) + bytes.fromhex(binary.id)
+    for code, value in binary.parameters.items():
         body += bytes((code,)) + len(value).to_bytes(2) + value
     if len(body) + 2 > MOST or len(body) < 9:
         raise ValueError(f"a message of {len(body)} bytes")
     return len(body).to_bytes(2) + bytes(body)
 
 
-def decode_parcel(body: bytes) -> Parcel:
+def decode_binary(body: bytes) -> BinaryMessage:
     """The message in `body`, which follows the length."""
     if len(body) < 9:
         raise CodecError("no_id", f"a message of {len(body)} bytes has no task")
@@ -75,20 +75,20 @@
         at = end
     if CAUSE in parameters and len(parameters[CAUSE]) != 1:
         raise CodecError("bad_length", "a cause is one byte")
-    return Parcel(body[0], bytes(body[1:9]).hex(), parameters)
+    return BinaryMessage(body[0], bytes(body[1:9]).hex(), parameters)
 
 
-class ParcelReader:
+class BinaryReader:
     """Binary messages from bytes in any split."""
 
     def __init__(self) -> None:
         self.held = bytearray()
 
-    def feed(self, data: bytes) -> list[Parcel]:
+    def feed(self, data: bytes) -> list[BinaryMessage]:
         """The messages that are whole now. What came whole before a fault is given first; the fault is
         raised by the next call, or at once if nothing came before it."""
         self.held += data
-        found: list[Parcel] = []
+        found: list[BinaryMessage] = []
         try:
             while len(self.held) >= 2:
                 size = int.from_bytes(self.held[:2])
@@ -100,7 +100,7 @@
                     break
                 body = bytes(self.held[2:size + 2])
                 del self.held[:size + 2]
-                found.append(decode_parcel(body))
+                found.append(decode_binary(body))
         except CodecError as wrong:
             if not found:
                 raise
@@ -164,7 +164,7 @@
         self.held = bytearray()
 
     def feed(self, data: bytes) -> list[Line]:
-        """As ParcelReader.feed."""
+        """As BinaryReader.feed."""
         self.held += data
         found: list[Line] = []
         try:
--- a/hazelhold/platform/bulletin.py
+++ b/hazelhold/platform/discovery.py
@@ -12,7 +12,7 @@
 import structlog
 import trio
 
-from hazelhold.platform.sheet import Known
+from hazelhold.platform.configuration import Known
 from hazelhold.service.net import Net
 
 PATIENCE = 1.0  # seconds that a call asks the bulletin to wait for news; short, so that silence shows soon
@@ -24,7 +24,7 @@
 T = TypeVar("T")
 
 
-class BulletinError(Exception):
+class DiscoveryError(Exception):
     """A call that brought nothing that can be used, or an event of which only `part` can be read."""
 
     def __init__(self, text: str, part: object = None) -> None:
@@ -38,7 +38,7 @@
 
 
 class Follower:
-    """Keeps to one address; `read(item)` makes an event of one item or raises BulletinError, `hear(events)`
+    """Keeps to one address; `read(item)` makes an event of one item or raises DiscoveryError, `hear(events)`
     gets new events in order, `fail()` hears of each failed call."""
 
     def __init__(self, net: Net, address: str, known: Known, read: Callable[[dict], T],
@@ -76,11 +76,11 @@
             with trio.fail_after(PATIENCE + GRACE):
                 body = await self._call()
             items = self._news(body)
-        except (BulletinError, OSError, ValueError, trio.TooSlowError, trio.BrokenResourceError,
+        except (DiscoveryError, OSError, ValueError, trio.TooSlowError, trio.BrokenResourceError,
                 trio.ClosedResourceError, h11.ProtocolError) as wrong:
             await self._close()
             if not self.failures:
-                self.log.info("bulletin_failed", address=self.address, reason=repr(wrong)[:200])
+                self.log.info("discovery_failed", address=self.address, reason=repr(wrong)[:200])
             self.fail()
             pause = PAUSES[min(self.failures, len(PAUSES) - 1)]
             self.failures += 1
@@ -94,25 +94,25 @@
         try:
             answer = msgspec.json.decode(body, type=Answer)
         except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as wrong:
-            raise BulletinError(f"not an answer: {wrong}") from None
+            raise DiscoveryError(f"not an answer: {wrong}") from None
         return self.fresh(answer.items)
 
     def fresh(self, items: list[dict]) -> list[T]:
         """Those of the events that come after the last one, up to the first that is out of order or cannot be
-        read; marks them as heard. BulletinError if there is such a one and none before it: what came whole
+        read; marks them as heard. DiscoveryError if there is such a one and none before it: what came whole
         is not kept waiting by what did not."""
         new: list[T] = []
         for item in items:
             no = item.get("no")
             try:
                 if not isinstance(no, int):
-                    raise BulletinError("an event without a number")
+                    raise DiscoveryError("an event without a number")
                 if no <= self.last:
                     continue
                 if no != self.last + 1:
-                    raise BulletinError(f"event {no} follows {self.last}")
+                    raise DiscoveryError(f"event {no} follows {self.last}")
                 made = self._made(no, item)
-            except BulletinError as wrong:
+            except DiscoveryError as wrong:
                 if wrong.part is not None:  # it comes again with the next call, and once more as a whole
                     new.append(wrong.part)
                 if new:
@@ -126,7 +126,7 @@
         """The event as it is read; nothing for one that came so a few times, which is passed over."""
         try:
             return [self.read(item)]
-        except BulletinError as wrong:
+        except DiscoveryError as wrong:
             times = self.unread[1] + 1 if self.unread[0] == no else 1
             self.unread = no, times
             if times < TRIES:
@@ -153,13 +153,13 @@
             elif isinstance(event, h11.Data):
                 body += event.data
                 if len(body) > MOST:
-                    raise BulletinError("a body without end")
+                    raise DiscoveryError("a body without end")
             elif isinstance(event, h11.EndOfMessage):
                 break
             elif isinstance(event, h11.ConnectionClosed):
-                raise BulletinError("the connection was closed")
+                raise DiscoveryError("the connection was closed")
         if status != 200:
-            raise BulletinError(f"status {status}")
+            raise DiscoveryError(f"status {status}")
         if self.wire.our_state is h11.DONE and self.wire.their_state is h11.DONE:
             self.wire.start_next_cycle()
         else:
--- a/hazelhold/platform/peer.py
+++ b/hazelhold/platform/peer.py
@@ -5,7 +5,7 @@
 
 import trio
 
-from hazelhold.platform.codec import LineReader, Parcel, ParcelReader, encode_line, encode_parcel
+from hazelhold.platform.codec import BinaryMessage, BinaryReader, LineReader, encode_binary, encode_line
 from hazelhold.platform.words import to_machine
 from hazelhold.protocol import messages as m
 from hazelhold.service.wire import SendQueue
@@ -17,7 +17,7 @@
 class Reading(SendQueue):
     """A connection whose peer's bytes go through a reader."""
 
-    reader: ParcelReader | LineReader
+    reader: BinaryReader | LineReader
 
     def __init__(self, stream: trio.abc.Stream, send_bytes: int) -> None:
         super().__init__(stream, send_bytes)
@@ -50,7 +50,7 @@
 
     def __init__(self, name: str, stream: trio.abc.Stream, send_bytes: int, at: float) -> None:
         super().__init__(stream, send_bytes)
-        self.reader = ParcelReader()
+        self.reader = BinaryReader()
         self.name, self.came_at, self.used_at = name, at, at
         self.open: dict[str, None] = {}  # emptied by answers, give-ups and the connection's end
         self.good = False  # it sent something that can be used
@@ -59,11 +59,11 @@
         self.half_at: float | None = None  # when the part of a message that is held began
         self.bytes_put = self.bytes_left = 0
         # Ends of what stands that have not left, with the byte at which each ends; emptied as bytes leave.
-        self.releases: deque[tuple[int, Parcel]] = deque()
+        self.releases: deque[tuple[int, BinaryMessage]] = deque()
 
-    def send(self, parcel: Parcel) -> bool:
+    def send(self, binary: BinaryMessage) -> bool:
         try:
-            data = encode_parcel(parcel)
+            data = encode_binary(binary)
         except ValueError:
             return False
         if not self.put(data):
@@ -72,11 +72,11 @@
         self.bytes_put += len(data)
         return True
 
-    def release(self, parcel: Parcel) -> bool:
+    def release(self, binary: BinaryMessage) -> bool:
         """As `send`, for the end of what stands: it is owed though this connection may end under it."""
-        if not self.send(parcel):
+        if not self.send(binary):
             return False
-        self.releases.append((self.bytes_put, parcel))
+        self.releases.append((self.bytes_put, binary))
         return True
 
     def left(self, data: bytes) -> None:
--- a/hazelhold/platform/planner.py
+++ b/hazelhold/platform/planner.py
@@ -15,10 +15,10 @@
 from hazelhold.engine.cases import Action, AskList, Dial, HangUp, Lost, Send
 from hazelhold.engine.engine import Engine
 from hazelhold.platform import words
-from hazelhold.platform.bulletin import BulletinError, Follower
-from hazelhold.platform.codec import END, HEARD, SET_UP, TEST, CodecError, Line, Parcel
+from hazelhold.platform.codec import END, HEARD, SET_UP, TEST, BinaryMessage, CodecError, Line
+from hazelhold.platform.configuration import Start, read_start
+from hazelhold.platform.discovery import DiscoveryError, Follower
 from hazelhold.platform.peer import MachinePeer, OwnerPeer
-from hazelhold.platform.sheet import Start, read_start
 from hazelhold.protocol import messages as m
 from hazelhold.service.net import Net
 from hazelhold.service.ticker import Ticker
@@ -50,15 +50,15 @@
         self.owners: dict[str, OwnerPeer] = {}  # emptied as connections end
         self.numbers = 0  # of owners' connections
         self.machines: dict[str, tuple[trio.CancelScope, MachinePeer | None]] = {}  # emptied as links end
-        self.held: deque[tuple[float, Parcel]] = deque()  # releases without a connection; emptied by age
+        self.held: deque[tuple[float, BinaryMessage]] = deque()  # ends without a connection; emptied by age
         self.early: OrderedDict[str, float] = OrderedDict()  # ends without a guest; emptied by age
         self.reloads = 0  # signals to read the file again
         # Where an offer of the guest may still be out; emptied as its taking back or its connection leaves.
         self.fences: dict[str, MachinePeer] = {}
         self.counts: Counter[str] = Counter()
         self.zones = dict(start.zones)  # numbers by name; grows with zones that the list names
-        self.follower = Follower(net, start.bulletin, start.known, self._event, self._hear_bulletin,
-                                 self._bulletin_failed)
+        self.follower = Follower(net, start.bulletin, start.known, self._event, self._hear_discovery,
+                                 self._discovery_failed)
         self.stop_asked, self.ended = trio.Event(), trio.Event()
         self.address = ""
 
@@ -67,11 +67,11 @@
             self.nursery = nursery
             for item in self.start.known.items:
                 try:
-                    self._hear_bulletin([self._event(item)])
-                except BulletinError as wrong:
+                    self._hear_discovery([self._event(item)])
+                except DiscoveryError as wrong:
                     self.log.warning("event_unreadable", no=item.get("no"), reason=str(wrong))
                     if wrong.part is not None:
-                        self._hear_bulletin([wrong.part])
+                        self._hear_discovery([wrong.part])
             self.address = await self.net.listen(self.start.listen, self._door, nursery)
             nursery.start_soon(self.ticker.run)
             if not self.engine.facts.list_is_asked:
@@ -121,10 +121,10 @@
                       == self.start.terms.facts)
         try:
             items = self.follower.fresh(fresh.known.items)
-        except BulletinError:
+        except DiscoveryError:
             items = []  # what is missing comes from the bulletin itself
         if items:  # the file alone does not show that the list is still heard
-            self._hear_bulletin(items)
+            self._hear_discovery(items)
         self.follower.move(fresh.bulletin)
         return ""
 
@@ -218,13 +218,13 @@
     # Owners.
 
     def _tell_owner(self, name: str, message: m.Message) -> None:
-        parcel = words.to_owner(message)
-        if parcel is None:
+        binary = words.to_owner(message)
+        if binary is None:
             return
         peer = self.owners.get(name)
         if isinstance(message, m.GuestEnded):
             if message.how != "stopped":
-                self._release(peer, parcel)
+                self._release(peer, binary)
             return
         if peer is None:
             self.counts["answers_without_owner"] += 1
@@ -232,23 +232,23 @@
         if isinstance(message, m.Rejected) and message.code == "open_already":
             self._fault(peer, CodecError(message.code, message.text))
             return
-        peer.open.pop(parcel.id, None)
+        peer.open.pop(binary.id, None)
         peer.proven = peer.proven or isinstance(message, m.Placed)
-        if not peer.send(parcel):
+        if not peer.send(binary):
             self.counts["answers_unsent"] += 1
         self._set_deadline(peer)
 
-    def _release(self, peer: OwnerPeer | None, parcel: Parcel) -> None:
+    def _release(self, peer: OwnerPeer | None, binary: BinaryMessage) -> None:
         """Tells the end of what stood: on its own connection, else on any that has shown itself an owner's,
         else on the next."""
-        if peer is not None and peer.release(parcel):
+        if peer is not None and peer.release(binary):
             return
         for other in sorted(self.owners.values(), key=lambda p: (p.proven, p.used_at), reverse=True):
-            if other.good and other.release(parcel):
+            if other.good and other.release(binary):
                 self.counts["releases_elsewhere"] += 1
                 return
         self.counts["releases_held"] += 1
-        self.held.append((trio.current_time() + HOLD, parcel))
+        self.held.append((trio.current_time() + HOLD, binary))
 
     def _release_held(self, peer: OwnerPeer) -> None:
         while self.held and peer.release(self.held[0][1]):
@@ -285,11 +285,11 @@
     async def _hear_owner(self, peer: OwnerPeer) -> None:
         try:
             async for batch in peer.batches():
-                for parcel in batch:
+                for binary in batch:
                     if peer.scope.cancel_called:
                         break
-                    if not peer.closing or parcel.type == END:  # to one that cannot be told, nothing is begun
-                        self._owner_said(peer, parcel)
+                    if not peer.closing or binary.type == END:  # to one that cannot be told, nothing is begun
+                        self._owner_said(peer, binary)
                 self._set_deadline(peer)
         except CodecError as wrong:
             self._fault(peer, wrong)
@@ -342,19 +342,19 @@
         peer.end()
         peer.scope.cancel()
 
-    def _owner_said(self, peer: OwnerPeer, parcel: Parcel) -> None:
+    def _owner_said(self, peer: OwnerPeer, binary: BinaryMessage) -> None:
         now = self.net.now()
         peer.used_at = trio.current_time()
         if self.log_frames:
-            self.log.debug("owner_said", owner=peer.name, parcel=repr(parcel))
-        if parcel.type == SET_UP:
-            self._set_up(now, peer, parcel)
-        elif parcel.type == END:
-            self._taken_back(now, peer, parcel.id)
-        elif parcel.type == TEST:
+            self.log.debug("owner_said", owner=peer.name, binary=repr(binary))
+        if binary.type == SET_UP:
+            self._set_up(now, peer, binary)
+        elif binary.type == END:
+            self._taken_back(now, peer, binary.id)
+        elif binary.type == TEST:
             peer.good = True
-            peer.send(words.tested(parcel.id, self.engine.ready() and not self.leaving))
-        elif parcel.type != HEARD:
+            peer.send(words.tested(binary.id, self.engine.ready() and not self.leaving))
+        elif binary.type != HEARD:
             self.counts["owner_passed_over"] += 1
         if peer.good and self.held:
             self._release_held(peer)
@@ -378,36 +378,36 @@
             self.early.popitem(last=False)
         self.early[guest] = at + EARLY
 
-    def _set_up(self, now: int, peer: OwnerPeer, parcel: Parcel) -> None:
-        ended = self.early.pop(parcel.id, 0.0) > trio.current_time()
+    def _set_up(self, now: int, peer: OwnerPeer, binary: BinaryMessage) -> None:
+        ended = self.early.pop(binary.id, 0.0) > trio.current_time()
         try:
-            submit, at = words.wanted(parcel, self.bounds)
+            submit, at = words.wanted(binary, self.bounds)
         except (words.BadAskError, CodecError) as wrong:
             self.counts["ask_" + wrong.code] += 1
             self.log.debug("ask_refused", owner=peer.name, reason=str(wrong)[:200])
-            if parcel.id not in peer.open:
-                peer.send(words.released(parcel.id, words.ERROR))
+            if binary.id not in peer.open:
+                peer.send(words.released(binary.id, words.ERROR))
             else:
                 self._fault(peer, CodecError("open_already", "a second set-up under an open name"))
             return
         if ended:
             self.counts["ended_before"] += 1
         if ended and not at:
-            peer.send(words.released(parcel.id, words.FULL))
+            peer.send(words.released(binary.id, words.FULL))
             return
         if not at:
-            if parcel.id not in self.engine.newest:
-                peer.open[parcel.id] = None
+            if binary.id not in self.engine.newest:
+                peer.open[binary.id] = None
             peer.good = True
             self.engine.owner_said(now, peer.name, submit)
             return
         if wrong := self.engine.guest_stands(now, peer.name, at, submit):
             self.counts["found_" + wrong] += 1
-            peer.send(words.released(parcel.id, words.RESET))
+            peer.send(words.released(binary.id, words.RESET))
         else:
             peer.good = peer.told = True
             if ended:  # its machine must not keep it
-                self.engine.owner_left(now, parcel.id)
+                self.engine.owner_left(now, binary.id)
 
     # Machines.
 
@@ -489,21 +489,21 @@
     # The bulletin.
 
     def _event(self, item: dict) -> m.Listing:
-        """What an event tells of the list; no entries if it is no roster. BulletinError if unreadable."""
+        """What an event tells of the list; no entries if it is no roster. DiscoveryError if unreadable."""
         if "roster" not in item:
             return m.Listing(version=self.engine.list_version, whole=False, entries=[])
         try:
             listing, faults = words.listing(item["roster"], self.zones, self.net.wall())
         except (ValueError, TypeError, KeyError, AttributeError, OverflowError) as wrong:
-            self.counts["bulletin_unreadable"] += 1
-            raise BulletinError(f"an event that cannot be read: {wrong!r:.200}") from None
+            self.counts["discovery_unreadable"] += 1
+            raise DiscoveryError(f"an event that cannot be read: {wrong!r:.200}") from None
         if faults:
-            self.counts["bulletin_entries_unreadable"] += len(faults)
-            raise BulletinError(f"{len(faults)} entries that cannot be read: {faults[0]}",
+            self.counts["discovery_entries_unreadable"] += len(faults)
+            raise DiscoveryError(f"{len(faults)} entries that cannot be read: {faults[0]}",
                                 listing if listing.entries else None)
         return listing
 
-    def _hear_bulletin(self, listings: list[m.Listing]) -> None:
+    def _hear_discovery(self, listings: list[m.Listing]) -> None:
         now = self.net.now()
         nothing = m.Listing(version=self.engine.list_version, whole=False, entries=[])
         for listing in listings or [nothing]:  # an answer without news tells that the list is as it was
@@ -511,8 +511,8 @@
         self._carry_out()
         self.ticker.stir()
 
-    def _bulletin_failed(self) -> None:
-        self.counts["bulletin_failures"] += 1
+    def _discovery_failed(self) -> None:
+        self.counts["discovery_failures"] += 1
         self.engine.list_failed(self.net.now())
         self.ticker.stir()
 
--- a/hazelhold/platform/serve.py
+++ b/hazelhold/platform/serve.py
@@ -9,8 +9,8 @@
 import trio
 
 from hazelhold.config.load import ConfigError
+from hazelhold.platform.configuration import Start, read_start
 from hazelhold.platform.planner import PlatformPlanner
-from hazelhold.platform.sheet import Start, read_start
 from hazelhold.service.net import TcpNet
 
 
--- a/hazelhold/platform/words.py
+++ b/hazelhold/platform/words.py
@@ -22,9 +22,9 @@
     TESTED,
     TICKET,
     WAIT,
+    BinaryMessage,
     CodecError,
     Line,
-    Parcel,
     Sent,
 )
 from hazelhold.protocol import messages as m
@@ -64,29 +64,29 @@
 # Owners.
 
 
-def wanted(parcel: Parcel, bounds: Bounds) -> Wanted:
+def wanted(binary: BinaryMessage, bounds: Bounds) -> Wanted:
     """BadAskError or CodecError if it cannot be used."""
-    product, customer = parcel.text(CLASS), parcel.text(TENANT)
+    product, customer = binary.text(CLASS), binary.text(TENANT)
     if product not in bounds.patience:
         raise BadAskError("unknown_product", f"no product is called {product[:60]!r}")
     if customer and customer not in bounds.customers:
         raise BadAskError("unknown_customer", f"no customer is called {customer[:60]!r}")
-    figures = dict(part.partition(":")[::2] for part in parcel.text(FIGURES).split(";") if part)
+    figures = dict(part.partition(":")[::2] for part in binary.text(FIGURES).split(";") if part)
     cores = figure(figures.get("cores", ""), "cores")
     memory = figure(figures.get("memory", ""), "memory")
     if not (0 < cores <= bounds.most[0] and 0 < memory <= bounds.most[1]):
         raise BadAskError("out_of_range", f"{cores:g} cores and {memory:g} of memory")
-    at, left = figures.get("at", ""), parcel.text(LEFT)
+    at, left = figures.get("at", ""), binary.text(LEFT)
     patience = figure(left, "the time") if left or not at else 0.0
     if not at and not 0 < patience * 1000 <= bounds.patience[product] + 1_000_000:
         raise BadAskError("out_of_range", f"a patience of {patience:g} ms")
-    service, key = figures.get("service", ""), parcel.text(NAME)
+    service, key = figures.get("service", ""), binary.text(NAME)
     if not key or len(key) > 200 or not service or len(service) > 200:
         raise BadAskError("no_name", "task and service need a name of at most 200 letters")
-    ticket = parcel.text(TICKET)
-    description = parcel.parameters.get(DESCRIPTION, b"")
-    parcel.text(DESCRIPTION)  # it travels on as JSON text
-    return Wanted(m.Submit(guest=parcel.id, product=product, service=service, cores=cores, memory=memory,
+    ticket = binary.text(TICKET)
+    description = binary.parameters.get(DESCRIPTION, b"")
+    binary.text(DESCRIPTION)  # it travels on as JSON text
+    return Wanted(m.Submit(guest=binary.id, product=product, service=service, cores=cores, memory=memory,
                            patience=max(0, round(patience * 1000)), customer=customer, key=key,
                            description=description, ticket=ticket), at)
 
@@ -101,10 +101,10 @@
     return value
 
 
-def to_owner(message: m.Message) -> Parcel | None:
+def to_owner(message: m.Message) -> BinaryMessage | None:
     """What an owner is told; None for what this protocol has no word for."""
     if isinstance(message, m.Placed):
-        return Parcel(ANSWER, message.guest, {DESCRIPTION: message.description})
+        return BinaryMessage(ANSWER, message.guest, {DESCRIPTION: message.description})
     if isinstance(message, m.TurnedBack):
         more = {WAIT: str(message.again_after // 1000).encode()} if message.again_after else {}
         return released(message.guest, FULL, more)
@@ -117,16 +117,16 @@
     return None
 
 
-def released(guest: str, cause: int, more: dict[int, bytes] | None = None) -> Parcel:
-    return Parcel(END, guest, {**(more or {}), CAUSE: bytes((cause,))})
+def released(guest: str, cause: int, more: dict[int, bytes] | None = None) -> BinaryMessage:
+    return BinaryMessage(END, guest, {**(more or {}), CAUSE: bytes((cause,))})
 
 
-def heard(guest: str) -> Parcel:
-    return Parcel(HEARD, guest, {})
+def heard(guest: str) -> BinaryMessage:
+    return BinaryMessage(HEARD, guest, {})
 
 
-def tested(guest: str, well: bool) -> Parcel:
-    return Parcel(TESTED, guest, {CAUSE: bytes((int(well),))})
+def tested(guest: str, well: bool) -> BinaryMessage:
+    return BinaryMessage(TESTED, guest, {CAUSE: bytes((int(well),))})
 
 
 # Machines.
--- a/tests/platform_rig.py
+++ b/tests/platform_rig.py
@@ -16,12 +16,12 @@
     NAME,
     SET_UP,
     TENANT,
-    Parcel,
-    ParcelReader,
-    encode_parcel,
+    BinaryMessage,
+    BinaryReader,
+    encode_binary,
 )
+from hazelhold.platform.configuration import check_start
 from hazelhold.platform.planner import PlatformPlanner
-from hazelhold.platform.sheet import check_start
 from hazelhold.service.net import MemoryNet, TcpNet
 
 DEPLOYMENT = {
@@ -61,16 +61,16 @@
 
 
 def set_up(guest: int, product: str = "plain", left: str = "2000", figures: str = "", tenant: str = "acme",
-           **more: object) -> Parcel:
+           **more: object) -> BinaryMessage:
     figures = figures or f"cores:1;memory:2;service:{guest:016x}"
     parameters = {CLASS: product.encode(), LEFT: left.encode(), TENANT: tenant.encode(),
                   NAME: f"{guest:016x}".encode(), FIGURES: figures.encode(),
                   DESCRIPTION: f"ask {guest}\r\n\u00fc".encode()}
-    return Parcel(SET_UP, f"{guest:016x}", parameters | more.get("parameters", {}))
+    return BinaryMessage(SET_UP, f"{guest:016x}", parameters | more.get("parameters", {}))
 
 
-def end(guest: int, cause: int = 16) -> Parcel:
-    return Parcel(END, f"{guest:016x}", {CAUSE: bytes((cause,))})
+def end(guest: int, cause: int = 16) -> BinaryMessage:
+    return BinaryMessage(END, f"{guest:016x}", {CAUSE: bytes((cause,))})
 
 
 class Machine:
@@ -178,12 +178,12 @@
 
     def __init__(self, stream: trio.abc.Stream, nursery: trio.Nursery) -> None:
         self.stream = stream
-        self.heard: list[Parcel] = []
+        self.heard: list[BinaryMessage] = []
         self.closed_at: float | None = None
         nursery.start_soon(self._listen)
 
     async def _listen(self) -> None:
-        reader = ParcelReader()
+        reader = BinaryReader()
         try:
             while data := await self.stream.receive_some(1 << 16):
                 self.heard += reader.feed(data)
@@ -191,8 +191,8 @@
             pass
         self.closed_at = trio.current_time()
 
-    async def say(self, *parcels: Parcel) -> None:
-        await self.stream.send_all(b"".join(encode_parcel(parcel) for parcel in parcels))
+    async def say(self, *binaries: BinaryMessage) -> None:
+        await self.stream.send_all(b"".join(encode_binary(binary) for binary in binaries))
 
     def of(self, guest: int) -> list[tuple[int, int | None]]:
         """Type and cause of all that came about a guest."""
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -10,7 +10,7 @@
 import trio
 
 from hazelhold.platform import planner as planners
-from hazelhold.platform.codec import ANSWER, END, TEST, Parcel, encode_parcel
+from hazelhold.platform.codec import ANSWER, END, TEST, BinaryMessage, encode_binary
 from hazelhold.platform.peer import MachinePeer
 from hazelhold.protocol import messages as m
 from hazelhold.service.net import TcpNet
@@ -79,12 +79,12 @@
     async def test(rig: SocketRig) -> None:
         rig.machines["a"].accepts = False
         owner = await rig.owner()
-        await owner.say(Parcel(TEST, name(9), {17: b"\0"}))
+        await owner.say(BinaryMessage(TEST, name(9), {17: b"\0"}))
         await until(lambda: owner.heard)
         (peer,) = rig.planner.owners.values()
         peer.stream = tap = Tap(peer.stream)
         tap.stopped = True
-        await owner.say(set_up(1), Parcel(TEST, name(8), {17: b"\0"}))
+        await owner.say(set_up(1), BinaryMessage(TEST, name(8), {17: b"\0"}))
         await until(lambda: rig.offers(1) and peer.sending)
         if way == "reset":
             reset(owner.stream)
@@ -100,12 +100,12 @@
     on_sockets(test, machines="a")
 
 
-@pytest.mark.parametrize("rest", [b"", encode_parcel(end(1)), encode_parcel(end(1)) * 2])
+@pytest.mark.parametrize("rest", [b"", encode_binary(end(1)), encode_binary(end(1)) * 2])
 def test_an_end_before_its_set_up_or_in_one_read_with_it_lets_nothing_begin(rest: bytes) -> None:
     async def test(rig: SocketRig) -> None:
         owner, other = await rig.owner(), await rig.owner()
         if rest:
-            await owner.stream.send_all(encode_parcel(set_up(1)) + rest)
+            await owner.stream.send_all(encode_binary(set_up(1)) + rest)
         else:
             await other.say(end(1))  # it overtook its set-up, which comes on another connection
             await until(lambda: rig.planner.early)
@@ -383,7 +383,7 @@
 def test_an_end_of_what_stood_that_did_not_leave_is_told_on_another_connection() -> None:
     async def test(rig: SocketRig) -> None:
         first, second = await rig.owner(), await rig.owner()
-        await second.say(Parcel(TEST, name(9), {17: b"\0"}))
+        await second.say(BinaryMessage(TEST, name(9), {17: b"\0"}))
         await first.say(set_up(1))
         await until(lambda: first.of(1) == PLACED and second.heard)
         peer = rig.planner.owners["c1"]
@@ -447,7 +447,7 @@
 def test_an_answer_half_written_at_the_end_is_owed_its_rest() -> None:
     async def test(rig: SocketRig) -> None:
         owner = await rig.owner()
-        await owner.say(Parcel(TEST, name(9), {17: b"\0"}))
+        await owner.say(BinaryMessage(TEST, name(9), {17: b"\0"}))
         await until(lambda: owner.heard)
         (peer,) = rig.planner.owners.values()
         peer.stream = tap = Tap(peer.stream)
@@ -500,7 +500,7 @@
         await owner.say(set_up(1, figures=f"cores:1;memory:2;service:{1:016x};at:c"))
         await until(lambda: rig.planner.counts["dials_failed"])
         rig.planner.follower.move("x" * 80 + ":1")
-        await until(lambda: rig.planner.counts["bulletin_failures"])
+        await until(lambda: rig.planner.counts["discovery_failures"])
         await owner.say(set_up(2))
         await until(lambda: owner.of(2) == PLACED)
 
@@ -516,7 +516,7 @@
         limit = rig.planner.limits.connections
         rude = [await rig.owner() for _ in range(limit)]
         for owner in rude:
-            await owner.say(Parcel(TEST, name(9), {17: b"\0"}))
+            await owner.say(BinaryMessage(TEST, name(9), {17: b"\0"}))
         await until(lambda: all(owner.heard for owner in rude))
         taps = []
         for peer in rig.planner.owners.values():
@@ -525,7 +525,7 @@
             taps.append(tap)
         old = list(rig.planner.owners.values())
         for owner in rude:
-            await owner.say(Parcel(TEST, name(8), {17: b"\0"}))
+            await owner.say(BinaryMessage(TEST, name(8), {17: b"\0"}))
         await until(lambda: all(peer.sending for peer in old))
         for peer in old:
             peer.sending_from -= 1
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -10,7 +10,7 @@
 
 from hazelhold.engine.cases import Dial
 from hazelhold.interface import Place
-from hazelhold.platform.codec import ANSWER, DESCRIPTION, END, TEST, TESTED, LineReader, Parcel
+from hazelhold.platform.codec import ANSWER, DESCRIPTION, END, TEST, TESTED, BinaryMessage, LineReader
 from hazelhold.platform.peer import MachinePeer
 from hazelhold.protocol import messages as m
 from tests.platform_rig import DEPLOYMENT, Bulletin, Machine, Owner, Rig, end, event, file, host, play, set_up
@@ -21,7 +21,7 @@
 def test_a_guest_is_placed_and_its_end_told_with_descriptions_as_they_are() -> None:
     async def test(rig: Rig) -> None:
         owner = await rig.owner()
-        await owner.say(Parcel(TEST, "00000000000000aa", {17: b"\0"}))
+        await owner.say(BinaryMessage(TEST, "00000000000000aa", {17: b"\0"}))
         await owner.say(set_up(1))
         await trio.sleep(0.5)
         assert owner.heard[0].type == TESTED and owner.heard[0].cause == 1
@@ -304,7 +304,7 @@
         assert first.heard == [] and rig.planner.engine.stands(f"{1:016x}")
         await first.stream.aclose()
         second = await rig.owner()
-        await second.say(Parcel(TEST, "00000000000000aa", {17: b"\0"}))
+        await second.say(BinaryMessage(TEST, "00000000000000aa", {17: b"\0"}))
         await trio.sleep(0.1)
         await rig.machines["a"].end(f"{1:016x}", 16)
         await trio.sleep(0.1)
@@ -438,9 +438,9 @@
         for answer in answers:
             bulletin.broken = answer
             rig.planner.follower.unread = (0, 0)
-            failures = rig.planner.counts["bulletin_failures"]
+            failures = rig.planner.counts["discovery_failures"]
             await trio.sleep(0.6 if b"asleep" in answer else 2)  # before it is passed over
-            assert rig.planner.counts["bulletin_failures"] > failures, answer[:60]
+            assert rig.planner.counts["discovery_failures"] > failures, answer[:60]
             assert rig.planner.follower.last == 1
         bulletin.broken, bulletin.silent = None, True
         await trio.sleep(4)
@@ -470,7 +470,7 @@
         assert planner.engine.brain.list_heard_at == heard_at  # nothing was heard yet
         await trio.sleep(0.1)
         assert new.asked[0][0] == 1 and planner.follower.last == 2
-        assert planner.counts["bulletin_failures"] == 0
+        assert planner.counts["discovery_failures"] == 0
 
     play(test)
 
@@ -668,7 +668,8 @@
         rig.bulletin.events += [{"no": 2, "roster": {"hosts": 7}}, event(3, host("b", "terminated"))]
         await trio.sleep(1)
         assert rig.planner.follower.last == 3 and set(rig.planner.engine.roster.fellows) == {"a"}
-        assert rig.planner.counts["bulletin_unreadable"] == 3 and rig.planner.counts["bulletin_failures"] == 2
+        counts = rig.planner.counts
+        assert counts["discovery_unreadable"] == 3 and counts["discovery_failures"] == 2
 
     play(test)
 
@@ -721,7 +722,7 @@
         for name in closed:
             rig.machines[name].owed = stands[name]
         await trio.sleep(7.5)
-        ended = {parcel.id for parcel in owner.heard if parcel.type == END}
+        ended = {binary.id for binary in owner.heard if binary.type == END}
         assert ended == told and all(p.cause == 16 for p in owner.heard if p.type == END)
 
     play(test, machines=names)
--- a/tests/test_platform_codec.py
+++ b/tests/test_platform_codec.py
@@ -22,17 +22,17 @@
     SET_UP,
     TICKET,
     WAIT,
+    BinaryMessage,
+    BinaryReader,
     CodecError,
     Line,
     LineReader,
-    Parcel,
-    ParcelReader,
     Sent,
     decode_line,
+    encode_binary,
     encode_line,
-    encode_parcel,
 )
-from hazelhold.platform.sheet import check_start, flat
+from hazelhold.platform.configuration import check_start, flat
 from hazelhold.protocol import messages as m
 from hazelhold.simhost import Pairs, read_deployment
 from tests.platform_rig import DEPLOYMENT, event, file, host, set_up
@@ -45,13 +45,13 @@
 @given(st.lists(st.tuples(st.sampled_from((1, 6, 9, 12, 16, 44, 51, 52, 53)), IDS, VALUES), max_size=5),
        st.data())
 def test_binary_messages_come_back_from_every_split(given_: list[tuple], data: st.DataObject) -> None:
-    parcels = [Parcel(*each) for each in given_]
-    raw = b"".join(encode_parcel(parcel) for parcel in parcels)
+    binaries = [BinaryMessage(*each) for each in given_]
+    raw = b"".join(encode_binary(binary) for binary in binaries)
     at = sorted(data.draw(st.lists(st.integers(0, len(raw)), max_size=6)))
-    reader, found = ParcelReader(), []
+    reader, found = BinaryReader(), []
     for start, stop in zip([0, *at], [*at, len(raw)], strict=True):
         found += reader.feed(raw[start:stop])
-    assert found == parcels and not reader.half
+    assert found == binaries and not reader.half
 
 
 def test_every_split_in_two_of_lines_gives_the_same_lines() -> None:
@@ -66,7 +66,7 @@
 
 @given(st.binary(max_size=400))
 def test_junk_is_read_or_refused_and_never_held_without_bound(junk: bytes) -> None:
-    for reader in (ParcelReader(), LineReader()):
+    for reader in (BinaryReader(), LineReader()):
         try:
             reader.feed(junk)
         except CodecError as wrong:
@@ -83,13 +83,13 @@
 ])
 def test_what_cannot_be_read_is_refused_by_name(raw: bytes, code: str) -> None:
     with pytest.raises(CodecError) as wrong:
-        ParcelReader().feed(raw)
+        BinaryReader().feed(raw)
     assert wrong.value.code == code
 
 
 def test_what_came_whole_before_a_fault_is_given_first() -> None:
-    reader = ParcelReader()
-    assert reader.feed(encode_parcel(set_up(1)) + b"\x00\x00") == [set_up(1)]
+    reader = BinaryReader()
+    assert reader.feed(encode_binary(set_up(1)) + b"\x00\x00") == [set_up(1)]
     assert reader.fault is not None and reader.fault.code == "no_id"
 
 
@@ -296,7 +296,7 @@
 
 def test_answers_to_owners_say_whether_another_try_is_harmless() -> None:
     guest = f"{1:016x}"
-    assert words.to_owner(m.TurnedBack(guest=guest, again_after=1_500_000)) == Parcel(
+    assert words.to_owner(m.TurnedBack(guest=guest, again_after=1_500_000)) == BinaryMessage(
         END, guest, {WAIT: b"1500", CAUSE: b"\x22"})
     assert words.to_owner(m.TurnedBack(guest=guest)).parameters == {CAUSE: b"\x22"}
     harmless = {34, 42, 102}
@@ -320,14 +320,14 @@
 def test_generated_messages_with_a_byte_changed_never_escape_their_reader() -> None:
     random = Random(5)
     for _ in range(2000):
-        raw = bytearray(encode_parcel(set_up(random.getrandbits(63) + 1)))
+        raw = bytearray(encode_binary(set_up(random.getrandbits(63) + 1)))
         for _ in range(random.randrange(1, 4)):
             raw[random.randrange(len(raw))] = random.getrandbits(8)
-        reader = ParcelReader()
+        reader = BinaryReader()
         try:
-            for parcel in reader.feed(bytes(raw)):
-                if parcel.type == SET_UP:
-                    words.wanted(parcel, BOUNDS)
+            for binary in reader.feed(bytes(raw)):
+                if binary.type == SET_UP:
+                    words.wanted(binary, BOUNDS)
         except (CodecError, words.BadAskError):
             pass
 
--- a/tests/test_platform_process.py
+++ b/tests/test_platform_process.py
@@ -15,7 +15,7 @@
 
 import pytest
 
-from hazelhold.platform.codec import ANSWER, END, TEST, TESTED, Parcel, ParcelReader, encode_parcel
+from hazelhold.platform.codec import ANSWER, END, TEST, TESTED, BinaryMessage, BinaryReader, encode_binary
 from tests.platform_rig import DEPLOYMENT, event, host, set_up
 
 
@@ -67,10 +67,10 @@
     def __init__(self, address: str) -> None:
         name, port = address.split(":")
         self.stream = socket.create_connection((name, int(port)), timeout=10)
-        self.reader = ParcelReader()
+        self.reader = BinaryReader()
 
-    def ask(self, parcel: Parcel) -> Parcel:
-        self.stream.sendall(encode_parcel(parcel))
+    def ask(self, binary: BinaryMessage) -> BinaryMessage:
+        self.stream.sendall(encode_binary(binary))
         while True:
             data = self.stream.recv(1 << 16)
             if not data:
@@ -122,9 +122,9 @@
 def test_start_test_place_reload_and_stop(planner: tuple) -> None:
     process, address, path, write = planner
     talk = Talk(address)
-    assert talk.ask(Parcel(TEST, "00000000000000aa", {17: b"\0"})) == Parcel(
+    assert talk.ask(BinaryMessage(TEST, "00000000000000aa", {17: b"\0"})) == BinaryMessage(
         TESTED, "00000000000000aa", {17: b"\1"})
-    assert talk.ask(set_up(1)) == Parcel(ANSWER, f"{1:016x}", {18: b"mine\r\n"})
+    assert talk.ask(set_up(1)) == BinaryMessage(ANSWER, f"{1:016x}", {18: b"mine\r\n"})
 
     asked: list[str] = []
     news, where = served(bulletin(asked))
@@ -163,7 +163,7 @@
         nowhere = f"127.0.0.1:{free.getsockname()[1]}"
     write(nowhere)
     process.send_signal(signal.SIGHUP)
-    talk, test = Talk(address), Parcel(TEST, "00000000000000aa", {17: b"\0"})
+    talk, test = Talk(address), BinaryMessage(TEST, "00000000000000aa", {17: b"\0"})
     assert talk.ask(test).cause == 1
     idle = [socket.create_connection((name, int(port)), timeout=10) for _ in range(150)]
     assert talk.ask(test).cause == 1  # silent ones are turned out first
