--- a/hazelhold/platform/planner.py
+++ b/hazelhold/platform/planner.py
@@ -175,17 +175,7 @@
             if action.role == "owner":
                 self._tell_owner(action.peer, action.message)
             else:
-                peer = self.machines.get(action.peer, (None, None))[1]
-                if peer is not None and isinstance(action.message, m.Withdraw) and (
-                        offer := peer.taken_out(action.message)):
-                    self.engine.offer_held_back(self.net.now(), offer)
-                elif peer is None or not peer.send(action.message):
-                    self.counts["unsent"] += 1
-                else:
-                    if isinstance(action.message, m.Withdraw):
-                        self.fences[action.message.guest] = peer
-                    if self.log_frames:
-                        self.log.debug("to_machine", machine=action.peer, message=repr(action.message))
+                self._tell_machine(action.peer, action.message)
         elif isinstance(action, Dial) and not self.left:
             self._hang_up(action.machine)
             scope = trio.CancelScope()
@@ -196,6 +186,20 @@
         elif isinstance(action, AskList):
             self.follower.wish()
 
+    def _tell_machine(self, machine: str, message: m.Message) -> None:
+        peer = self.machines.get(machine, (None, None))[1]
+        taking_back = peer is not None and isinstance(message, m.Withdraw)
+        if taking_back and (offer := peer.taken_out(message)):
+            self.engine.offer_held_back(self.net.now(), offer)
+            return
+        sent = peer is not None and peer.send(message)
+        if taking_back and (sent or message.guest in peer.open):  # not sent: its end takes back what is open
+            self.fences[message.guest] = peer
+        if not sent:
+            self.counts["unsent"] += 1
+        elif self.log_frames:
+            self.log.debug("to_machine", machine=machine, message=repr(message))
+
     log_frames = False
 
     def _hang_up(self, machine: str) -> None:
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -241,12 +241,17 @@
     on_sockets(test)
 
 
-def test_no_second_offer_leaves_before_a_connection_that_was_given_up_is_closed() -> None:
+@pytest.mark.parametrize("way", ["hung up", "ending"])
+def test_no_second_offer_leaves_before_a_connection_that_was_given_up_is_closed(way: str) -> None:
+    """`ending`: the machine closes it, and before that is done here the dispatch's time is up."""
     async def test(rig: SocketRig) -> None:
         _, tap, one, other = await one_out(rig)
         order: list[str] = []
 
         async def aclose() -> None:
+            if way == "ending":
+                engine.pump(engine.newest[name(1)].due_at + 1)
+                rig.planner._carry_out()
             await until(lambda: other.aside or order)
             order.append("closed")
             await tap.stream.aclose()
@@ -257,10 +262,13 @@
 
         other.stream = second = Tap(other.stream)
         tap.aclose, second.send_all = aclose, send_all
-        engine = rig.planner.engine
-        engine._abandon(rig.net.now(), engine.links[next(iter(rig.offers(1)))])
-        rig.planner._carry_out()
-        rig.planner.ticker.stir()
+        engine, (first,) = rig.planner.engine, rig.offers(1)
+        if way == "ending":
+            await rig.machines[first].streams[-1].aclose()
+        else:
+            engine._abandon(rig.net.now(), engine.links[first])
+            rig.planner._carry_out()
+            rig.planner.ticker.stir()
         await until(lambda: "offered" in order and "closed" in order)
         assert order[:2] == ["closed", "offered"] and not rig.planner.fences
 
