Platform: many connections accepted in a turn; a row of half messages is no half message

A loaded planner has turns of 20 ms and more, so an owner behind 300 silent connections waited 300 of them.

--- a/hazelhold/platform/planner.py
+++ b/hazelhold/platform/planner.py
@@ -72,7 +72,10 @@
                     self.log.warning("event_unreadable", no=item.get("no"), reason=str(wrong))
                     if wrong.part is not None:
                         self._hear_discovery([wrong.part])
-            self.address = await self.net.listen(self.start.listen, self._door, nursery)
+            # Half of what owners and machines leave over, less some eight that the process has anyway.
+            spare = self.start.bounds.sockets - self.limits.connections - self.limits.links
+            self.address = await self.net.listen(self.start.listen, self._door, nursery,
+                                                 max(4, (spare - 8) // 2))
             nursery.start_soon(self.ticker.run)
             if not self.engine.facts.list_is_asked:
                 self.follower.wish()  # the list comes by itself: the module does not ask for it
@@ -289,6 +292,8 @@
     async def _hear_owner(self, peer: OwnerPeer) -> None:
         try:
             async for batch in peer.batches():
+                if batch:
+                    peer.half_at = None  # what is held now is part of another message
                 for binary in batch:
                     if peer.scope.cancel_called:
                         break
@@ -320,6 +325,8 @@
         del self.owners[victim.name]
         if rank[victim]:
             victim.cut()
+        elif not victim.unsent():
+            victim.drop()  # its descriptor is free before the next is taken
         victim.end()
         victim.scope.cancel()
         return True
--- a/hazelhold/service/net.py
+++ b/hazelhold/service/net.py
@@ -9,6 +9,7 @@
 from collections.abc import Awaitable, Callable, Iterator
 from typing import Any, Protocol
 
+import structlog
 import trio
 
 from hazelhold.config.load import split_address
@@ -32,6 +33,7 @@
 
 
 AT_ONCE = 256  # datagrams taken before others in the process have their turn
+ACCEPTED = 64  # connections taken before others in the process have their turn
 DATAGRAM = 2048  # bytes read of one: more than any planner sends
 
 
@@ -117,11 +119,38 @@
 
     async def dial(self, address: str) -> trio.abc.Stream: ...
 
-    async def listen(self, address: str, handler: Handler, nursery: trio.Nursery) -> str: ...
+    async def listen(self, address: str, handler: Handler, nursery: trio.Nursery,
+                     at_once: int = 1) -> str: ...
 
     async def port(self, address: str) -> Port: ...
 
 
+async def serve(listener: socket.socket, handler: Handler, at_once: int) -> None:
+    """Accepts so many in each turn of the loop: one a turn, as `trio.serve_listeners` does, leaves a peer
+    behind hundreds of silent ones for as many turns. Without descriptors it waits a little."""
+    listener.setblocking(False)
+
+    async def run(stream: trio.SocketStream) -> None:
+        try:
+            await handler(stream)
+        finally:
+            await trio.aclose_forcefully(stream)
+
+    with listener:
+        async with trio.open_nursery() as nursery:
+            while True:
+                await trio.lowlevel.wait_readable(listener)
+                try:
+                    for _ in range(at_once):
+                        peer = listener.accept()[0]
+                        nursery.start_soon(run, trio.SocketStream(trio.socket.from_stdlib_socket(peer)))
+                except (BlockingIOError, ConnectionAbortedError):
+                    pass
+                except OSError as wrong:
+                    structlog.get_logger().warning("accept_put_off", reason=str(wrong))
+                    await trio.sleep(0.1)
+
+
 class TcpNet:
     """TCP, and UDP between planners. The clock is the host's monotonic one, so that all processes of a
     rehearsal share it."""
@@ -139,12 +168,15 @@
         stream.setsockopt(trio.socket.IPPROTO_TCP, trio.socket.TCP_NODELAY, 1)
         return stream
 
-    async def listen(self, address: str, handler: Handler, nursery: trio.Nursery) -> str:
+    async def listen(self, address: str, handler: Handler, nursery: trio.Nursery,
+                     at_once: int = ACCEPTED) -> str:
         """Serves connections in the nursery, which ends with it; returns the address with the port in use."""
+        await trio.lowlevel.checkpoint()
         host, port = split_address(address)
-        listeners = await trio.open_tcp_listeners(port, host=host, backlog=2048)
-        bound = listeners[0].socket.getsockname()
-        nursery.start_soon(trio.serve_listeners, handler, listeners)
+        family = socket.AF_INET6 if ":" in host else socket.AF_INET
+        listener = socket.create_server((host, port), family=family, backlog=2048)
+        bound = listener.getsockname()
+        nursery.start_soon(serve, listener, handler, at_once)
         return f"{bound[0]}:{bound[1]}"
 
     async def port(self, address: str) -> Port:
@@ -177,7 +209,8 @@
         nursery.start_soon(handler, theirs)
         return mine
 
-    async def listen(self, address: str, handler: Handler, nursery: trio.Nursery) -> str:
+    async def listen(self, address: str, handler: Handler, nursery: trio.Nursery,
+                     at_once: int = ACCEPTED) -> str:
         if address.endswith(":0"):
             self.numbers += 1
             address = f"{address[:-2]}:{self.numbers}"
--- a/hazelhold/service/wire.py
+++ b/hazelhold/service/wire.py
@@ -62,6 +62,11 @@
         self.scope.cancel()
         self.writing.cancel()
 
+    def drop(self) -> None:
+        """Closes at once what nothing waits for."""
+        if (held := getattr(self.stream, "socket", None)) is not None:
+            held.close()
+
     def end(self) -> None:
         """Ends the connection after what is queued has gone; a second at most."""
         self.closing = True
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -518,6 +518,36 @@
 # Descriptors.
 
 
+def test_an_owner_behind_hundreds_of_silent_connections_is_heard_within_some_turns() -> None:
+    """One connection was accepted in each turn of the loop: a loaded planner took as many turns as there were
+    silent ones before it."""
+    async def test(rig: SocketRig) -> None:
+        turns, real = [], rig.planner.engine.pump
+
+        def pump(now: int) -> None:
+            turns.append(now)
+            real(now)
+            rig.planner.ticker.stir()  # always something to do, once in a turn
+
+        busy = await rig.owner()
+        await busy.say(set_up(1))
+        await until(lambda: busy.of(1) == PLACED)
+        where = rig.planner.address.split(":")
+        silent = [socket.create_connection((where[0], int(where[1]))) for _ in range(600)]  # in one turn
+        late = Owner(trio.SocketStream(trio.socket.from_stdlib_socket(
+            socket.create_connection((where[0], int(where[1]))))), rig.nursery)
+        rig.planner.ticker.pause = 0.0
+        rig.planner.engine.pump = pump
+        rig.planner.ticker.stir()
+        await late.say(set_up(2))
+        await until(lambda: late.of(2))
+        assert late.of(2) == PLACED and len(turns) < 250 and rig.planner.limits.connections < 300
+        for each in silent:
+            each.close()
+
+    on_sockets(test)
+
+
 def test_idle_owners_that_read_nothing_hold_no_descriptor_past_their_turn() -> None:
     """One that was turned out kept its descriptor while bytes waited, beside the one that took its place."""
     async def test(rig: SocketRig) -> None:
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -10,7 +10,16 @@
 
 from hazelhold.engine.cases import Dial
 from hazelhold.interface import Place
-from hazelhold.platform.codec import ANSWER, DESCRIPTION, END, TEST, TESTED, BinaryMessage, LineReader
+from hazelhold.platform.codec import (
+    ANSWER,
+    DESCRIPTION,
+    END,
+    TEST,
+    TESTED,
+    BinaryMessage,
+    LineReader,
+    encode_binary,
+)
 from hazelhold.platform.peer import MachinePeer
 from hazelhold.protocol import messages as m
 from tests.platform_rig import DEPLOYMENT, Bulletin, Machine, Owner, Rig, end, event, file, host, play, set_up
@@ -401,6 +410,24 @@
         pass
 
 
+def test_a_busy_connection_whose_reads_always_end_in_half_a_message_stays_open() -> None:
+    """Half a message was counted from the first of a row of them: after 2 s of steady traffic in which every
+    read ended amid one, the connection was closed over all that was open on it."""
+    async def test(rig: Rig) -> None:
+        owner = await rig.owner()
+        sent = b"".join(encode_binary(set_up(guest)) for guest in range(1, 41))
+        cuts = [len(sent) * part // 40 - 20 for part in range(1, 41)]
+        for start, stop in zip([0, *cuts], [*cuts, len(sent)], strict=True):
+            await owner.stream.send_all(sent[start:stop])
+            await trio.sleep(0.1)
+        assert all(owner.of(guest) == PLACED for guest in range(1, 41)) and owner.closed_at is None
+        await owner.stream.send_all(sent[:50])
+        await trio.sleep(2.5)
+        assert owner.closed_at is not None  # half of one, and nothing more
+
+    play(test)
+
+
 def test_hundreds_of_silent_connections_leave_room_for_owners() -> None:
     async def test(rig: Rig) -> None:
         usual = await rig.owner()
