--- a/hazelhold/engine/tables.py
+++ b/hazelhold/engine/tables.py
@@ -175,6 +175,7 @@
         """Leaves a connection that has been quiet for so long that its machine may be closing it: what would
         be written now could cross that, and nobody could tell whether it ran."""
         if self.peers.rolls or link.state != "up" or link.queue or link.machine in self.probes or (
+                link.machine not in self.roster.fellows) or (  # it could not be dialled again
                 now - max(link.used_at, link.heard_at, link.opened_at) <= micros(self.limits.idle_close_ms)):
             return
         if all(self.cases[name].placed or not self.cases[name].sent for name in link.holds):
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -369,6 +369,22 @@
     on_sockets(test, machines="a", settings=settings(limits={"idle-close": 300.0}))
 
 
+def test_a_quiet_connection_to_a_machine_that_left_the_list_still_takes_the_end_of_what_stands() -> None:
+    async def test(rig: SocketRig) -> None:
+        owner = await rig.owner()
+        await owner.say(set_up(1))
+        await until(lambda: owner.of(1) == PLACED)
+        link = rig.planner.engine.links["a"]
+        rig.bulletin.events += [event(2, host("a", "terminated"))]
+        await until(lambda: not rig.planner.engine.roster.fellows)
+        link.used_at = link.heard_at = link.opened_at = rig.net.now() - 300_000
+        await owner.say(end(1))
+        await until(lambda: any(line["op"] == "end" for line in rig.machines["a"].heard))
+        assert len(rig.machines["a"].streams) == 1
+
+    on_sockets(test, machines="a", settings=settings(limits={"idle-close": 300.0}))
+
+
 def test_an_end_written_as_its_connection_breaks_is_told_to_the_machine_once_more() -> None:
     """The machine never read it and kept the guest for good."""
     async def test(rig: SocketRig) -> None:
