--- a/tests/test_capture.py
+++ b/tests/test_capture.py
@@ -348,6 +348,8 @@
     path = sorted(day.glob("planner-0-*.pcap"))[0]
     start = next(read([path], Skips())).data
     start["sheet"]["estate"]["fleet"]["cores_multiple"] = 1.0
+    for kind in start["sheet"]["estate"]["kinds"]:
+        kind["cores"] *= 0.3
     start["sheet"]["list"] |= {"has_room": False, "address": "127.0.0.1:1"}
     start["sheet"]["listen"] = "127.0.0.1:2"
     (tmp_path / "c.json5").write_text(json.dumps(start["sheet"]))
@@ -357,6 +359,7 @@
     assert ran.exit_code == 1 and life["changed"] and life["differing"]
     assert life["module"] == life["module_here"]
     assert any("offered elsewhere" in fate for fate in life["guests"])
+    assert any(" became " in fate for fate in life["guests"]) and life["differing"] > 100
 
 
 def test_later_files_and_others_traffic_are_named_not_guessed(day: Path, tmp_path: Path) -> None:
