Tests: the spacing of a replayed load is judged beside a bare task's lateness in the same run

On a machine with three times as many busy processes as cores the median error was 89 ms against a bound of 50 ms, once; idle it is a few. The bound stays, and what a bare task was late in the same run comes on top.

--- a/tests/test_capture.py
+++ b/tests/test_capture.py
@@ -398,12 +398,21 @@
 
     plan = [a for a in asks(sorted(day.glob("planner-0-*.pcap")), Skips()) if isinstance(a[2], m.Submit)][:40]
 
+    late: list[float] = []  # of a bare task beside it, in microseconds: how loaded this machine is
+
+    async def tick() -> None:
+        while True:
+            due = trio.current_time() + 0.005
+            await trio.sleep_until(due)
+            late.append((trio.current_time() - due) * 1e6)
+
     async def run() -> dict:
         quiet = msgspec.structs.replace(sheet(), listen="127.0.0.1:0",
                                         list=msgspec.structs.replace(sheet().list, address="127.0.0.1:1"))
         async with trio.open_nursery() as nursery:
             planner = Planner(quiet, 1, TcpNet())
             await nursery.start(planner.run)
+            nursery.start_soon(tick)
             said = await send(TcpNet(), planner.address, plan, 20.0, "again-")
             nursery.cancel_scope.cancel()
         return said
@@ -411,7 +420,7 @@
     said = trio.run(run)
     counts = said["counts"]
     assert counts["sent_submit"] == counts["rejected"] == 40 and not counts["unanswered"]
-    assert said["send_error_us"]["median"] < 50_000
+    assert said["send_error_us"]["median"] < 50_000 + 3 * max(late)
 
 
 def test_the_commands_say_what_is_wrong(tmp_path: Path, day: Path) -> None:
