--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -3,6 +3,8 @@
 from collections import Counter
 from random import Random
 
+import pytest
+
 from hazelhold.interface import Decision, Earlier, Ending, Load, Mode, Remark, Step
 from tests.helpers import MS, PRODUCTS, ask, brain, decisions, entry
 
@@ -358,3 +360,16 @@
     end(made, 500 * MS, sent, Ending.OVERDUE)
     machine = made.machines[sent.machine]
     assert machine.mute and machine.strikes == 1 and machine.avoid_until > 500 * MS
+
+
+@pytest.mark.parametrize("remark", [Remark.NONE, Remark.LINE_FULL])
+def test_a_machine_that_refused_rests_longer_than_a_second_copy_of_its_refusal_takes(remark: Remark) -> None:
+    """Where words do not name the dispatch, a copy some milliseconds late is heard as of the next one."""
+    made = brain("a", dispatches_named=False)
+    now = 20_000 * MS
+    made.guest_arrived(now, ask("g"))
+    (first,) = decisions(made, now)
+    made.dispatch_ended(now + 5 * MS, first.guest, Ending.TURNED_BACK, False, remark)
+    assert all(not decisions(made, now + 5 * MS + after * MS) for after in (0, 50, 100, 200))
+    (again,) = decisions(made, now + 700 * MS)
+    assert (again.step, again.machine) == (Step.DISPATCH, "a")
