--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -404,6 +404,30 @@
     on_sockets(test, machines="a")
 
 
+def test_an_end_whose_dial_fails_is_told_when_the_machine_can_be_reached_again(
+        monkeypatch: pytest.MonkeyPatch) -> None:
+    """It waited for whoever dialled that machine next, and nobody may."""
+    async def test(rig: SocketRig) -> None:
+        owner = await rig.owner()
+        await owner.say(set_up(1))
+        await until(lambda: owner.of(1) == PLACED)
+        link, real, failed = rig.planner.engine.links["a"], TcpNet.dial, []
+
+        async def dial(self: TcpNet, address: str) -> trio.SocketStream:
+            if not failed:
+                failed.append(address)
+                raise OSError("no way there")
+            return await real(self, address)
+
+        monkeypatch.setattr(TcpNet, "dial", dial)
+        link.used_at = link.heard_at = link.opened_at = rig.net.now() - 300_000  # left before it is used
+        await owner.say(end(1))
+        await until(lambda: any(line["op"] == "end" for line in rig.machines["a"].heard))
+        assert failed and rig.planner.counts["dials_failed"] == 1
+
+    on_sockets(test, machines="a", settings=settings(limits={"idle-close": 300.0}, balancers=20))
+
+
 def test_an_end_of_what_stood_that_did_not_leave_is_told_on_another_connection() -> None:
     async def test(rig: SocketRig) -> None:
         first, second = await rig.owner(), await rig.owner()
