--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -46,6 +46,10 @@
         raise pytest.UsageError(str(wrong)) from None
 
 
+def pytest_configure() -> None:
+    known_red()  # a list that cannot be meant is said before any worker starts
+
+
 def pytest_collection_modifyitems(config: pytest.Config, items: list[pytest.Item]) -> None:
     if known := known_red():
         whole = not config.option.keyword and not config.option.markexpr and config.args == config.getini(
@@ -53,13 +57,28 @@
         try:
             mark_known(known, items, whole)
         except ValueError as wrong:
-            raise pytest.UsageError(str(wrong)) from None
+            if not hasattr(config, "workeroutput"):
+                raise pytest.UsageError(str(wrong)) from None
+            config.workeroutput["known_red"] = str(wrong)  # a worker cannot say it: the run fails at its end
+
+
+@pytest.hookimpl(optionalhook=True)
+def pytest_testnodedown(node: object) -> None:
+    if wrong := getattr(node, "workeroutput", {}).get("known_red"):
+        node.config.known_red_wrong = wrong
+
+
+def pytest_sessionfinish(session: pytest.Session) -> None:
+    if getattr(session.config, "known_red_wrong", ""):
+        session.exitstatus = pytest.ExitCode.USAGE_ERROR
 
 
 def pytest_report_header() -> list[str]:
     return [f"known red: {name}: {why}" for name, why in known_red().items()]
 
 
-def pytest_terminal_summary(terminalreporter: pytest.TerminalReporter) -> None:
+def pytest_terminal_summary(terminalreporter: pytest.TerminalReporter, config: pytest.Config) -> None:
+    if wrong := getattr(config, "known_red_wrong", ""):
+        terminalreporter.write_line(f"ERROR: {wrong}")
     for name, why in known_red().items():
         terminalreporter.write_line(f"known red: {name}: {why}")
--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -50,10 +50,11 @@
     assert code == 1 and "strict" in said.lower()  # it passes, so it must be unlisted
 
 
-def test_a_name_that_no_test_has_a_bad_line_and_a_long_list_fail_the_run(tmp_path: Path) -> None:
-    code, said = run(tmp_path, "tests/test_two.py::test_rad | one is not two | 33\n")
+@pytest.mark.parametrize("more", [(), ("-n", "2")])
+def test_a_name_that_no_test_has_a_bad_line_and_a_long_list_fail_the_run(tmp_path: Path, more: tuple) -> None:
+    code, said = run(tmp_path, "tests/test_two.py::test_rad | one is not two | 33\n", *more)
     assert code != 0 and "no test is called tests/test_two.py::test_rad" in said
-    code, said = run(tmp_path, "tests/test_two.py::test_red, one is not two\n")
-    assert code != 0 and "line 1" in said
-    code, said = run(tmp_path, "".join(f"tests/test_two.py::t{n} | x | 33\n" for n in range(4)))
+    code, said = run(tmp_path, "tests/test_two.py::test_red, one is not two\n", *more)
+    assert code != 0 and "KNOWN-RED.txt, line 1: expected" in said
+    code, said = run(tmp_path, "".join(f"tests/test_two.py::t{n} | x | 33\n" for n in range(4)), *more)
     assert code != 0 and "3 at most" in said
--- a/tests/test_platform_process.py
+++ b/tests/test_platform_process.py
@@ -191,6 +191,32 @@
     assert "Traceback" not in log and "Too many open files" not in log and "stopped" in log
 
 
+@pytest.mark.parametrize("when", ["at once", "up"])
+def test_a_planner_that_is_told_to_stop_as_it_starts_ends_without_a_word_of_fault(tmp_path: Path,
+                                                                                 when: str) -> None:
+    with socket.create_server(("127.0.0.1", 0)) as free:
+        address = f"127.0.0.1:{free.getsockname()[1]}"
+    path = tmp_path / "config.json"
+    path.write_text(json.dumps({
+        "name": "n0", "listen": address, "seed": "8c1f", "bulletin": address, "settings": DEPLOYMENT,
+        "known": {"no": 1, "items": [event(1, host("a", dial=address), whole=True)]}}))
+    process = subprocess.Popen(
+        [sys.executable, "-m", "hazelhold", "planner", "--platform"],
+        env=os.environ | {"BALANCER_CONFIG": str(path)}, stderr=subprocess.PIPE, text=True)
+    log = ""
+    try:
+        while when == "up" and " up " not in log:
+            line = process.stderr.readline()
+            assert line, "it ended before it was up"
+            log += line
+        process.send_signal(signal.SIGTERM)
+        assert process.wait(10) in ((0,) if when == "up" else (0, -signal.SIGTERM))  # nothing was taken yet
+    finally:
+        process.kill()
+        log += process.communicate()[1]
+    assert "Traceback" not in log and ("stopped" in log or when != "up")
+
+
 def test_a_file_that_cannot_be_used_is_said_in_lines_and_ends_with_2(tmp_path: Path) -> None:
     path = tmp_path / "config.json"
     path.write_text('{"name": "n0", "listen": "nowhere", "seed": "8c"}')
