--- a/bench/capture.py
+++ b/bench/capture.py
@@ -29,10 +29,20 @@
 def make(path: Path, size: int, streams: int = 50) -> None:
     """A capture of so many bytes: offers and answers on some streams, two frames a segment."""
     pairs = [(end_of(f"10.0.{n // 200}.{n % 200 + 1}:5000"), end_of("10.9.0.1:7400")) for n in range(streams)]
-    bodies = [m.encode(m.Offer(guest=f"guest-{n}", product="till-import", service=f"service-{n % 30}",
-    cores=1.0,
-                               memory=2.0, life=10_000_000)) + m.encode(m.Taken(guest=f"guest-{n}"))
-              for n in range(1000)]
+    bodies = [
+        m.encode(
+            m.Offer(
+                guest=f"guest-{n}",
+                product="till-import",
+                service=f"service-{n % 30}",
+                cores=1.0,
+                memory=2.0,
+                life=10_000_000,
+            )
+        )
+        + m.encode(m.Taken(guest=f"guest-{n}"))
+        for n in range(1000)
+    ]
     at, number, seq = 1_790_000_000_000_000, 0, [1] * streams
     with path.open("wb", buffering=1 << 20) as file:
         written = file.write(file_head(False))
@@ -60,8 +70,9 @@
 
     def library() -> int:
         with path.open("rb") as file:
-            return sum(len(dpkt.ethernet.Ethernet(data).data.data.data) > -1 for _, data in
-            dpkt.pcap.Reader(file))
+            return sum(
+                len(dpkt.ethernet.Ethernet(data).data.data.data) > -1 for _, data in dpkt.pcap.Reader(file)
+            )
 
     packets = 0
 
@@ -74,17 +85,20 @@
     packets = sum(1 for _ in read_packets(path, Skips()))
     found["ours, records"] = timed(lambda: sum(1 for _ in read_packets(path, Skips())))
     found["dpkt, headers parsed"] = timed(library)
-    found["ours, headers parsed"] = timed(lambda: sum(
-        not isinstance(parse(p.link, p.data), str) for p in read_packets(path, Skips())))
+    found["ours, headers parsed"] = timed(
+        lambda: sum(not isinstance(parse(p.link, p.data), str) for p in read_packets(path, Skips()))
+    )
     found["ours, streams and frames"] = timed(whole)
     return found
 
 
 def peak(path: Path) -> float:
     """The most memory that a process took which did nothing but read the file, in MB."""
-    code = ("import sys; from pathlib import Path; from hazelhold.capture.read import read; "
-            "from hazelhold.capture.skips import Skips; "
-            "print(sum(1 for _ in read([Path(sys.argv[1])], Skips())))")
+    code = (
+        "import sys; from pathlib import Path; from hazelhold.capture.read import read; "
+        "from hazelhold.capture.skips import Skips; "
+        "print(sum(1 for _ in read([Path(sys.argv[1])], Skips())))"
+    )
     before = resource.getrusage(resource.RUSAGE_CHILDREN).ru_maxrss
     subprocess.run([sys.executable, "-c", code, str(path)], check=True, stdout=subprocess.DEVNULL)
     return max(before, resource.getrusage(resource.RUSAGE_CHILDREN).ru_maxrss) / 1024
@@ -97,9 +111,11 @@
     for number in range(2 * rounds):
         on = number % 2 == 1
 
-        def sheet(listen: str = "127.0.0.1:0", lister: str = "", on: bool = on,
-                  number: int = number) -> object:
+        def sheet(
+            listen: str = "127.0.0.1:0", lister: str = "", on: bool = on, number: int = number
+        ) -> object:
             import msgspec
+
             file = str(folder / f"cost-{number}.pcap") if on else ""
             return msgspec.structs.replace(plain(listen, lister), capture=CaptureSheet(file=file))
 
@@ -127,8 +143,10 @@
         if options.large:
             small = peak(folder / "rates.pcap")
             make(folder / "large.pcap", options.large * 10**6)
-            said["peak_MB"] = {f"{options.megabytes} MB file": round(small),
-                               f"{options.large} MB file": round(peak(folder / "large.pcap"))}
+            said["peak_MB"] = {
+                f"{options.megabytes} MB file": round(small),
+                f"{options.large} MB file": round(peak(folder / "large.pcap")),
+            }
             (folder / "large.pcap").unlink()
         if options.rounds:
             said["planner, guests a CPU second"] = cost(folder, options.guests, options.rounds)
--- a/bench/client.py
+++ b/bench/client.py
@@ -41,10 +41,14 @@
     start = time.process_time()
     for number in range(guests):
         name = f"g{number}"
-        m.encode(m.Submit(guest=name, product="plain", service="s", cores=1.0, memory=1.0,
-                          patience=5 * SECOND))
-        for said in (m.Held(guest=name), m.Placed(guest=name, machine="m"),
-                     m.GuestEnded(guest=name, how="done")):
+        m.encode(
+            m.Submit(guest=name, product="plain", service="s", cores=1.0, memory=1.0, patience=5 * SECOND)
+        )
+        for said in (
+            m.Held(guest=name),
+            m.Placed(guest=name, machine="m"),
+            m.GuestEnded(guest=name, how="done"),
+        ):
             CODEC.decode(m.ENCODER.encode(said))
     wire = time.process_time() - start
     gc.collect()
@@ -59,27 +63,42 @@
     gc.collect()
     size = (tracemalloc.get_traced_memory()[0] - before) / len(kept)
     tracemalloc.stop()
-    return {"core_us_a_guest": round(spent / guests * 1e6, 1),
-            "messages_us_a_guest": round(wire / guests * 1e6, 1),
-            "left_over": len(core.trips), "agenda": len(core.agenda), "bytes_a_connection": round(size)}
+    return {
+        "core_us_a_guest": round(spent / guests * 1e6, 1),
+        "messages_us_a_guest": round(wire / guests * 1e6, 1),
+        "left_over": len(core.trips),
+        "agenda": len(core.agenda),
+        "bytes_a_connection": round(size),
+    }
 
 
 def advice(times: float, patience: int, seconds: int) -> dict[str, Any]:
     costs = Costs(decision=9000)  # a slow planner: the same line with fewer decisions to compute
     carries = SECOND / (costs.decision + 4 * costs.frame)
-    town = Town(sheet(), 300, 1, Demand(times * carries, patience, SECOND // 2), Manners(), costs=costs,
-                machines=8)
+    town = Town(
+        sheet(), 300, 1, Demand(times * carries, patience, SECOND // 2), Manners(), costs=costs, machines=8
+    )
     town.open(2 * SECOND)
     town.clock.run(4 * SECOND)
     town.want(town.clock.now + seconds * SECOND)
     town.clock.run(town.clock.now + (seconds + 2) * SECOND + patience)
     said, counts = town.office.engine.advice.counts, town.counts
-    return {"times": times, "patience_s": patience / SECOND, "carries": round(carries), "made": town.made,
-            "placed": counts["placed"], "asks": counts["asks"], "retries": counts["retries"],
-            "retries_that_served": counts["retries_that_served"], "late_retries": counts["late_retries"],
-            **{k: said[k] for k in ("advised_came", "advised_served", "advised_turned_back",
-                                    "advised_came_early")},
-            "served_when_advised": round(said["advised_served"] / max(1, said["advised_came"]), 3)}
+    return {
+        "times": times,
+        "patience_s": patience / SECOND,
+        "carries": round(carries),
+        "made": town.made,
+        "placed": counts["placed"],
+        "asks": counts["asks"],
+        "retries": counts["retries"],
+        "retries_that_served": counts["retries_that_served"],
+        "late_retries": counts["late_retries"],
+        **{
+            k: said[k]
+            for k in ("advised_came", "advised_served", "advised_turned_back", "advised_came_early")
+        },
+        "served_when_advised": round(said["advised_served"] / max(1, said["advised_came"]), 3),
+    }
 
 
 def main() -> None:
--- a/bench/copies.py
+++ b/bench/copies.py
@@ -54,10 +54,20 @@
 
 
 def sheets(count: int, folder: Path, replicas: int) -> list[CopiesSheet]:
-    planners = [CopiesPlanner(f"p{n}" if n else "p", f"127.0.0.1:{port}", f"z{n % 3}")
-                for n, port in enumerate(free_ports(count))]
-    return [CopiesSheet(listen=p.address, folder=str(folder / p.name), planners=planners, replicas=replicas,
-                        claim_ms=5000.0) for p in planners]
+    planners = [
+        CopiesPlanner(f"p{n}" if n else "p", f"127.0.0.1:{port}", f"z{n % 3}")
+        for n, port in enumerate(free_ports(count))
+    ]
+    return [
+        CopiesSheet(
+            listen=p.address,
+            folder=str(folder / p.name),
+            planners=planners,
+            replicas=replicas,
+            claim_ms=5000.0,
+        )
+        for p in planners
+    ]
 
 
 def name_of(sheet: CopiesSheet) -> str:
@@ -77,8 +87,9 @@
 
 
 @asynccontextmanager
-async def group(count: int, replicas: int, sync: bool, away: int = 0) -> AsyncIterator[
-        tuple[Copies, Asker, list[trio.CancelScope]]]:
+async def group(
+    count: int, replicas: int, sync: bool, away: int = 0
+) -> AsyncIterator[tuple[Copies, Asker, list[trio.CancelScope]]]:
     """So many parts, votes ready; the first is yielded. The last `away` are ended once all are ready."""
     with tempfile.TemporaryDirectory() as text:
         net, kind = TcpNet(), RealDisk if sync else Unsafe
@@ -88,22 +99,30 @@
             for sheet in sheets(count, Path(text), replicas):
                 disk = kind(Path(sheet.folder))
                 found(disk, name_of(sheet), sheet, net.wall())
-                part = Copies(name_of(sheet), sheet, net, kind(Path(sheet.folder)),
-                              asker.told if not made else lambda *_: None)
+                part = Copies(
+                    name_of(sheet),
+                    sheet,
+                    net,
+                    kind(Path(sheet.folder)),
+                    asker.told if not made else lambda *_: None,
+                )
                 part.open()
                 made.append(part)
                 scope = trio.CancelScope()
                 scopes.append(scope)
 
-                async def run(part: Copies = part, scope: trio.CancelScope = scope,
-                              task_status: trio.TaskStatus = trio.TASK_STATUS_IGNORED) -> None:
+                async def run(
+                    part: Copies = part,
+                    scope: trio.CancelScope = scope,
+                    task_status: trio.TaskStatus = trio.TASK_STATUS_IGNORED,
+                ) -> None:
                     with scope:
                         await part.run(task_status=task_status)
 
                 await nursery.start(run)
             while not all(len(p.votes.acceptor.voting) == len(p.votes.joiner.others) for p in made):
                 await trio.sleep(0.05)
-            for scope in scopes[count - away:]:
+            for scope in scopes[count - away :]:
                 scope.cancel()
             await trio.sleep(0.2)
             yield made[0], asker, scopes
@@ -141,9 +160,15 @@
             for _ in range(64):
                 nursery.start_soon(worker)
         rate = (number - before) / (time.perf_counter() - began)
-    return {"planners": count, "replicas": replicas, "sync": sync, "away": away,
-            "median_ms": round(waits.get_value_at_percentile(50) / 1000, 2),
-            "p99_ms": round(waits.get_value_at_percentile(99) / 1000, 2), "claims_a_second": round(rate)}
+    return {
+        "planners": count,
+        "replicas": replicas,
+        "sync": sync,
+        "away": away,
+        "median_ms": round(waits.get_value_at_percentile(50) / 1000, 2),
+        "p99_ms": round(waits.get_value_at_percentile(99) / 1000, 2),
+        "claims_a_second": round(rate),
+    }
 
 
 async def gap(count: int, replicas: int, deaths: int) -> dict[str, Any]:
@@ -160,12 +185,18 @@
             longest = max(longest, time.perf_counter() - began)
             done += asker.ends.pop(number) == "agreed"
             await trio.sleep(0.005)
-    return {"planners": count, "replicas": replicas, "deaths": deaths, "agreed": done,
-            "longest_ms": round(longest * 1000, 1)}
+    return {
+        "planners": count,
+        "replicas": replicas,
+        "deaths": deaths,
+        "agreed": done,
+        "longest_ms": round(longest * 1000, 1),
+    }
 
 
 def others(folder: Path) -> None:
     """The parts of the other planners, in a process of their own, until standard input ends."""
+
     async def run() -> None:
         async with trio.open_nursery() as nursery:
             for file in sorted(folder.glob("other*.json")):
@@ -191,8 +222,11 @@
         for number, sheet in enumerate(made[1:]):
             (folder / f"other{number}.json").write_bytes(msgspec.json.encode(sheet))
         if on:
-            process = subprocess.Popen([sys.executable, "-m", "bench.copies", "--others", text],
-                                       stdin=subprocess.PIPE, stdout=subprocess.PIPE)
+            process = subprocess.Popen(
+                [sys.executable, "-m", "bench.copies", "--others", text],
+                stdin=subprocess.PIPE,
+                stdout=subprocess.PIPE,
+            )
             assert process.stdout.readline() == b"up\n"
         exclusive = ProductSheet("once", "exclusive", 800, 60_000, easy_until=1.0, lost_after=1.0)
 
@@ -218,8 +252,12 @@
     for _ in range(rounds):
         for on in best:
             best[on] = max(best[on], planner(guests, once, on))
-    return {"exclusive": f"one in {once}" if once else "none", "off": round(best[False]),
-            "on": round(best[True]), "ratio": round(best[True] / best[False], 3)}
+    return {
+        "exclusive": f"one in {once}" if once else "none",
+        "off": round(best[False]),
+        "on": round(best[True]),
+        "ratio": round(best[True] / best[False], 3),
+    }
 
 
 def catch_up(count: int, behind: float) -> dict[str, Any]:
@@ -254,9 +292,15 @@
                 longest = max(longest, time.perf_counter() - start)
                 joiner.hear(each.to, answer)
     assert joiner.over() and len(mine.cells) == count
-    return {"cells": count, "behind": behind, "seconds": round(time.perf_counter() - began, 2),
-            "bytes": spent, "bytes_that_differ": differ, "ratio": round(spent / max(1, differ), 2),
-            "source_away_ms": round(longest * 1000, 1)}
+    return {
+        "cells": count,
+        "behind": behind,
+        "seconds": round(time.perf_counter() - began, 2),
+        "bytes": spent,
+        "bytes_that_differ": differ,
+        "ratio": round(spent / max(1, differ), 2),
+        "source_away_ms": round(longest * 1000, 1),
+    }
 
 
 def size(count: int) -> dict[str, Any]:
@@ -273,8 +317,13 @@
         for action in (a for a in actions if isinstance(a, Send)):
             sent += 2
             proposer.hear(1, action.to, acceptors[action.to].hear(action.word)[0])
-    return {"planners": count, "words_a_claim": sent, "slots": len(joiner.others),
-            "mates": len(joiner.mates), "start_s": round(drawn, 2)}
+    return {
+        "planners": count,
+        "words_a_claim": sent,
+        "slots": len(joiner.others),
+        "mates": len(joiner.mates),
+        "start_s": round(drawn, 2),
+    }
 
 
 def main() -> None:
@@ -294,8 +343,16 @@
         print(part, json.dumps(row), flush=True)
 
     many = 400 if given.quick else 2000
-    cases = ((3, 3, True, 0), (3, 3, False, 0), (3, 3, True, 1), (5, 5, True, 0), (5, 5, False, 0),
-             (5, 5, True, 1), (16, 3, True, 0), (16, 5, True, 0))
+    cases = (
+        (3, 3, True, 0),
+        (3, 3, False, 0),
+        (3, 3, True, 1),
+        (5, 5, True, 0),
+        (5, 5, False, 0),
+        (5, 5, True, 1),
+        (16, 3, True, 0),
+        (16, 5, True, 0),
+    )
     for count, replicas, sync, away in cases:
         note("claims", trio.run(claims, count, replicas, sync, away, many))
     for count, replicas, deaths in ((3, 3, 1), (5, 5, 2)):
--- a/bench/fuzz_capture.py
+++ b/bench/fuzz_capture.py
@@ -24,8 +24,10 @@
     """A small capture of a few streams with everything that TCP may do to them."""
     packets = []
     for number in range(random.randint(1, 5)):
-        a, b = end_of(f"10.0.0.{number + 1}:5000"), end_of("[::1]:7400" if random.random() < 0.1 else
-        "10.9.9.9:7400")
+        a, b = (
+            end_of(f"10.0.0.{number + 1}:5000"),
+            end_of("[::1]:7400" if random.random() < 0.1 else "10.9.9.9:7400"),
+        )
         if len(a[0]) != len(b[0]):
             a = end_of(f"[::{number + 2}]:5000")
         data = b"".join(m.encode(m.Query(guest=f"g{n}" * random.randint(1, 20))) for n in range(8))
@@ -35,15 +37,16 @@
         while at < len(data):
             size = random.randint(1, 60)
             back = random.randint(0, min(at, 20)) if random.random() < 0.2 else 0
-            mine.append(build(a, b, data[at - back:at + size], isn + 1 + at - back, 0, PSH | ACK))
+            mine.append(build(a, b, data[at - back : at + size], isn + 1 + at - back, 0, PSH | ACK))
             at += size
         if random.random() < 0.3:
             random.shuffle(mine)
         if random.random() < 0.5:
             mine.append(build(a, b, b"", isn + 1 + len(data), 0, random.choice([FIN, RST]) | ACK))
         packets += mine
-    return file_head(ng) + b"".join(record(ng, 1_790_000_000_000_000 + n * 100, p) for n, p in
-    enumerate(packets))
+    return file_head(ng) + b"".join(
+        record(ng, 1_790_000_000_000_000 + n * 100, p) for n, p in enumerate(packets)
+    )
 
 
 def planners(folder: Path) -> bytes:
@@ -68,14 +71,15 @@
         if kind == 0:
             hurt[at] ^= 1 << random.randrange(8)
         elif kind == 1:
-            hurt[at:at + 4] = random.choice([b"\xff\xff\xff\xff", b"\0\0\0\0", b"\x7f\xff\xff\xff",
-            b"\xff\xff\0\0"])
+            hurt[at : at + 4] = random.choice(
+                [b"\xff\xff\xff\xff", b"\0\0\0\0", b"\x7f\xff\xff\xff", b"\xff\xff\0\0"]
+            )
         elif kind == 2:
-            del hurt[at:at + random.randint(1, 50)]
+            del hurt[at : at + random.randint(1, 50)]
         elif kind == 3:
             hurt[at:at] = random.randbytes(random.randint(1, 50))
         elif kind == 4:
-            hurt[at:at] = hurt[at:at + random.randint(1, 300)]
+            hurt[at:at] = hurt[at : at + random.randint(1, 300)]
         else:
             del hurt[at:]
         if not hurt:
--- a/bench/module.py
+++ b/bench/module.py
@@ -28,8 +28,13 @@
 
 def earlier(revision: str) -> ModuleType:
     """That revision's decision module, under a name of its own."""
-    text = subprocess.run(["git", "show", f"{revision}:hazelhold/brain.py"], cwd=ROOT, check=True,
-                          capture_output=True, text=True).stdout
+    text = subprocess.run(
+        ["git", "show", f"{revision}:hazelhold/brain.py"],
+        cwd=ROOT,
+        check=True,
+        capture_output=True,
+        text=True,
+    ).stdout
     with tempfile.TemporaryDirectory() as folder:
         path = Path(folder) / "earlier_brain.py"
         path.write_text(text)
@@ -43,22 +48,41 @@
 def day(module: ModuleType, seed: int, steps: int, machines: int) -> list[Decision]:
     """All decisions of one generated day; what happens depends on the seed and on earlier decisions."""
     sheet = throughput.deployment(throughput.sheet())
-    kinds = ((today.Effect.RERUNNABLE, today.Place.ALL, 1.0, today.Place.NOWHERE),
-             (today.Effect.EXCLUSIVE, today.Place.ALL, 2.0, today.Place.MACHINE),
-             (today.Effect.TICKETED, today.Place.CELL, 1.5, today.Place.ZONE))
-    products = tuple(sheet.products[0]._replace(
-        effect=effect, group=group, window=4 * SECOND, goal_time=SECOND, payoff=payoff, spread=spread,
-        spread_most=3) for effect, group, payoff, spread in kinds)
+    kinds = (
+        (today.Effect.RERUNNABLE, today.Place.ALL, 1.0, today.Place.NOWHERE),
+        (today.Effect.EXCLUSIVE, today.Place.ALL, 2.0, today.Place.MACHINE),
+        (today.Effect.TICKETED, today.Place.CELL, 1.5, today.Place.ZONE),
+    )
+    products = tuple(
+        sheet.products[0]._replace(
+            effect=effect,
+            group=group,
+            window=4 * SECOND,
+            goal_time=SECOND,
+            payoff=payoff,
+            spread=spread,
+            spread_most=3,
+        )
+        for effect, group, payoff, spread in kinds
+    )
     random = Random(seed)
     facts = sheet._replace(
-        products=products, probing=random.random() < 0.5, max_dispatches=random.choice([2, 4]),
-        kinds=(today.interface.Kind(24.0, 40.0),), cores_multiple=2.5, memory_multiple=1.5,
-        list_is_asked=random.random() < 0.5, planners=random.choice([1, 3, 40]),
-        confirms_running=random.random() < 0.5)
+        products=products,
+        probing=random.random() < 0.5,
+        max_dispatches=random.choice([2, 4]),
+        kinds=(today.interface.Kind(24.0, 40.0),),
+        cores_multiple=2.5,
+        memory_multiple=1.5,
+        list_is_asked=random.random() < 0.5,
+        planners=random.choice([1, 3, 40]),
+        confirms_running=random.random() < 0.5,
+    )
     made = module.Brain(seed, facts)
     names, found, now = 0, [], SECOND
-    entries = [Listed(f"m{n}", Mode.READY, random.choice([0, SECOND // 2]), n % 2, n // 4, 0, 24.0, 40.0)
-               for n in range(machines)]
+    entries = [
+        Listed(f"m{n}", Mode.READY, random.choice([0, SECOND // 2]), n % 2, n // 4, 0, 24.0, 40.0)
+        for n in range(machines)
+    ]
     made.machines_listed(now, entries, True)
     for _ in range(steps):
         now += int(random.expovariate(1 / (20 * MS)))
@@ -67,20 +91,38 @@
         if what < 0.45:
             for _ in range(random.choice([1, 1, 5])):
                 names += 1
-                made.guest_arrived(now, Ask(
-                    f"g{names}", names % 3, 0, f"s{random.randrange(9)}", random.choice([0.5, 2.0, 6.0]),
-                    random.choice([1.0, 3.0, 9.0]), random.choice([300, 2000, 5000]) * MS))
+                made.guest_arrived(
+                    now,
+                    Ask(
+                        f"g{names}",
+                        names % 3,
+                        0,
+                        f"s{random.randrange(9)}",
+                        random.choice([0.5, 2.0, 6.0]),
+                        random.choice([1.0, 3.0, 9.0]),
+                        random.choice([300, 2000, 5000]) * MS,
+                    ),
+                )
         elif what < 0.9 and out:
             _happens(made, now, random.choice(out), random)
         elif what < 0.93 and made.guests:
             made.guest_cancelled(now, random.choice(list(made.guests)))
         elif what < 0.97:
-            made.machine_reported(now, f"m{random.randrange(machines)}",
-                                  Load(random.uniform(0, 24), random.uniform(0, 40), None))
+            made.machine_reported(
+                now,
+                f"m{random.randrange(machines)}",
+                Load(random.uniform(0, 24), random.uniform(0, 40), None),
+            )
         elif what < 0.98:
-            made.machines_listed(now, [
-                e._replace(mode=random.choice(list(Mode)), cores_room=random.uniform(0, 24))
-                for e in entries if random.random() < 0.3], False)
+            made.machines_listed(
+                now,
+                [
+                    e._replace(mode=random.choice(list(Mode)), cores_room=random.uniform(0, 24))
+                    for e in entries
+                    if random.random() < 0.3
+                ],
+                False,
+            )
         elif what < 0.985:
             made.state_kept(now, random.random() < 0.5)
         else:
@@ -101,8 +143,17 @@
         made.cores_used(now, name, random.random() * guest.ask.cores)
         made.memory_used(now, name, random.random() * guest.ask.memory)
     else:
-        ending = random.choice([Ending.TURNED_BACK, Ending.TURNED_BACK, Ending.OVERDUE, Ending.CUT_OFF,
-                                Ending.NO_CONNECTION, Ending.DONE, Ending.ERROR])
+        ending = random.choice(
+            [
+                Ending.TURNED_BACK,
+                Ending.TURNED_BACK,
+                Ending.OVERDUE,
+                Ending.CUT_OFF,
+                Ending.NO_CONNECTION,
+                Ending.DONE,
+                Ending.ERROR,
+            ]
+        )
         made.dispatch_ended(now, name, ending, False, random.choice(list(Remark)))
 
 
@@ -120,8 +171,9 @@
     return {"days": seeds, "the_same": same, "decisions": total, "first_difference": first}
 
 
-def speed(old: ModuleType, machines: int, running: int, guests: int, rounds: int,
-          planners: int) -> dict[str, Any]:
+def speed(
+    old: ModuleType, machines: int, running: int, guests: int, rounds: int, planners: int
+) -> dict[str, Any]:
     best = {"earlier": 0.0, "today": 0.0}
     p99 = dict.fromkeys(best, 1e12)
     for _ in range(rounds):
@@ -131,9 +183,14 @@
             best[name] = max(best[name], said["guests_a_second"])
             p99[name] = min(p99[name], said["p99_us"])
     throughput.Brain = today.Brain
-    return {"machines": machines, "running": running, "planners": planners,
-            "guests_a_second": {k: round(v) for k, v in best.items()},
-            "p99_us": p99, "times_faster": round(best["today"] / best["earlier"], 2)}
+    return {
+        "machines": machines,
+        "running": running,
+        "planners": planners,
+        "guests_a_second": {k: round(v) for k, v in best.items()},
+        "p99_us": p99,
+        "times_faster": round(best["today"] / best["earlier"], 2),
+    }
 
 
 def main() -> None:
@@ -141,8 +198,11 @@
     parser.add_argument("--against", default="HEAD")
     parser.add_argument("--days", type=int, default=60)
     parser.add_argument("--steps", type=int, default=600)
-    parser.add_argument("--sizes", default="14:450:800,85:2600:300,400:800:300:16,1024:800:200:230",
-                        help="machines:running:guests, and the number of planners if it is not 1")
+    parser.add_argument(
+        "--sizes",
+        default="14:450:800,85:2600:300,400:800:300:16,1024:800:200:230",
+        help="machines:running:guests, and the number of planners if it is not 1",
+    )
     parser.add_argument("--rounds", type=int, default=2)
     options = parser.parse_args()
     old = earlier(options.against)
--- a/bench/overload.py
+++ b/bench/overload.py
@@ -46,8 +46,9 @@
     if not protected:
         planner = replace(planner, limits=replace(planner.limits, decisions_at_once=1_000_000))
         manners = Manners(retry_share=1e9, retry_burst=1e9, again_least=1, again_most=SECOND // 20)
-    town = Town(planner, 1000, 1, Demand(times * carries, 2 * SECOND, SECOND // 2), manners, costs=costs,
-                machines=32)
+    town = Town(
+        planner, 1000, 1, Demand(times * carries, 2 * SECOND, SECOND // 2), manners, costs=costs, machines=32
+    )
     town.open(4 * SECOND)
     town.clock.run(8 * SECOND)
     if not protected:
@@ -58,15 +59,25 @@
     useful = sum(n for at, n in town.useful.items() if at * SECOND // 10 >= start)
     town.clock.run(town.clock.now + 4 * SECOND)
     advice, counts = town.office.engine.advice.counts, town.counts
-    return {"limit": "processor", "times": times, "protected": protected, "carries": round(carries),
-            "useful_a_second": round(useful / (seconds - 2)), "asks": counts["asks"],
-            "held_back": sum(c.counts["held_back"] for c in town.cores.values()),
-            "retries": counts["retries"], "retries_that_served": counts["retries_that_served"],
-            "late_retries": counts["late_retries"],
-            "refused": town.office.engine.counts["rejected_overloaded"],
-            "advised_came": advice["advised_came"], "advised_served": advice["advised_served"],
-            "advised_came_early": advice["advised_came_early"], "runs": counts["runs"],
-            "placed": counts["placed"], "cpu_s": round(time.process_time() - began, 1)}
+    return {
+        "limit": "processor",
+        "times": times,
+        "protected": protected,
+        "carries": round(carries),
+        "useful_a_second": round(useful / (seconds - 2)),
+        "asks": counts["asks"],
+        "held_back": sum(c.counts["held_back"] for c in town.cores.values()),
+        "retries": counts["retries"],
+        "retries_that_served": counts["retries_that_served"],
+        "late_retries": counts["late_retries"],
+        "refused": town.office.engine.counts["rejected_overloaded"],
+        "advised_came": advice["advised_came"],
+        "advised_served": advice["advised_served"],
+        "advised_came_early": advice["advised_came_early"],
+        "runs": counts["runs"],
+        "placed": counts["placed"],
+        "cpu_s": round(time.process_time() - began, 1),
+    }
 
 
 async def refusals(count: int = 20_000) -> float:
@@ -83,8 +94,16 @@
 
         async def ask() -> None:
             for number in range(count):
-                wire.send(m.Submit(guest=f"g{number}", product="plain", service=f"s{number % 60}", cores=1.0,
-                                   memory=1.0, patience=2 * SECOND))
+                wire.send(
+                    m.Submit(
+                        guest=f"g{number}",
+                        product="plain",
+                        service=f"s{number % 60}",
+                        cores=1.0,
+                        memory=1.0,
+                        patience=2 * SECOND,
+                    )
+                )
                 if number % 50 == 0:
                     await trio.lowlevel.checkpoint()
 
@@ -102,15 +121,21 @@
 def machines(times: float) -> dict[str, Any]:
     structlog.configure(wrapper_class=structlog.make_filtering_bound_logger(40))
     day = read_day(EXAMPLE)
-    day = replace(day, length_s=15.0, planners=1,
-                  demand=replace(day.demand, rate=CARRIES * times, cancel_share=0.0))
+    day = replace(
+        day, length_s=15.0, planners=1, demand=replace(day.demand, rate=CARRIES * times, cancel_share=0.0)
+    )
     with tempfile.TemporaryDirectory() as folder:
         said = play_virtual(day, 1, Path(folder))
     counts = said["counts"]
-    return {"limit": "machines", "times": times, "guests": said["service"]["guests"],
-            "useful_a_second": round(counts.get("placed", 0) / 15),
-            "turned_back": counts.get("turned_back", 0),
-            "service": said["service"]["service"], "rules_broken": len(said["rules_broken"])}
+    return {
+        "limit": "machines",
+        "times": times,
+        "guests": said["service"]["guests"],
+        "useful_a_second": round(counts.get("placed", 0) / 15),
+        "turned_back": counts.get("turned_back", 0),
+        "service": said["service"]["service"],
+        "rules_broken": len(said["rules_broken"]),
+    }
 
 
 def draw(rows: list[dict[str, Any]], path: Path) -> None:
@@ -122,10 +147,18 @@
     figure, axes = plt.subplots(1, 2, figsize=(9, 3.2))
     for protected in (True, False):
         shown = [r for r in rows if r["limit"] == "processor" and r["protected"] is protected]
-        axes[0].plot([r["times"] for r in shown], [r["useful_a_second"] for r in shown], marker="o",
-                     label="with protections" if protected else "without")
-    axes[0].set(title="the planner's processor (emulated)", xlabel="demand, times what it carries",
-                ylabel="useful answers a second", ylim=(0, None))
+        axes[0].plot(
+            [r["times"] for r in shown],
+            [r["useful_a_second"] for r in shown],
+            marker="o",
+            label="with protections" if protected else "without",
+        )
+    axes[0].set(
+        title="the planner's processor (emulated)",
+        xlabel="demand, times what it carries",
+        ylabel="useful answers a second",
+        ylim=(0, None),
+    )
     axes[0].legend()
     shown = [r for r in rows if r["limit"] == "machines"]
     axes[1].plot([r["times"] for r in shown], [r["useful_a_second"] for r in shown], marker="o")
@@ -139,8 +172,12 @@
     parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
     parser.add_argument("--times", default="1,2,5,10")
     parser.add_argument("--limits", default="processor,machines")
-    parser.add_argument("--bare", type=float, default=2.0,
-                        help="run without protections up to this multiple; past it a run takes hours")
+    parser.add_argument(
+        "--bare",
+        type=float,
+        default=2.0,
+        help="run without protections up to this multiple; past it a run takes hours",
+    )
     parser.add_argument("--plot", type=Path)
     options = parser.parse_args()
     structlog.configure(wrapper_class=structlog.make_filtering_bound_logger(40))
@@ -150,8 +187,12 @@
     with ProcessPoolExecutor(8) as pool:
         futures = []
         if "processor" in options.limits:
-            futures += [pool.submit(processor, each, protected) for each in times
-                        for protected in (True, False) if protected or each <= options.bare]
+            futures += [
+                pool.submit(processor, each, protected)
+                for each in times
+                for protected in (True, False)
+                if protected or each <= options.bare
+            ]
         if "machines" in options.limits:
             futures += [pool.submit(machines, each) for each in times]
         for future in futures:
--- a/bench/paired.py
+++ b/bench/paired.py
@@ -44,9 +44,12 @@
     for name, brain in (("today", today), ("other", (load(file) if file else earlier(revision)).Brain)):
         engine.Brain = brain
         said = play_fleet(draw(read_day(EXAMPLE), seed, length), seed)
-        found[name] = {"service": said["service"]["service"], "broken": len(said["rules_broken"]),
-                       "dispatches": said["counts"].get("dispatches", 0),
-                       "starts": said["counts"].get("starts", 0)}
+        found[name] = {
+            "service": said["service"]["service"],
+            "broken": len(said["rules_broken"]),
+            "dispatches": said["counts"].get("dispatches", 0),
+            "starts": said["counts"].get("starts", 0),
+        }
     engine.Brain = today
     return {"seed": seed, **found}
 
@@ -62,18 +65,29 @@
     options = parser.parse_args()
     with ProcessPoolExecutor(options.jobs) as pool:
         seeds, days = range(options.seed, options.seed + options.days), options.days
-        rows = list(pool.map(one, seeds, [options.length] * days, [options.against] * days,
-                             [options.file] * days))
+        rows = list(
+            pool.map(one, seeds, [options.length] * days, [options.against] * days, [options.file] * days)
+        )
     gaps = [r["today"]["service"] - r["other"]["service"] for r in rows]
     half = 1.96 * stdev(gaps) / sqrt(len(gaps))
-    print(json.dumps({
-        "days": len(rows), "today": round(mean(r["today"]["service"] for r in rows), 4),
-        "other": round(mean(r["other"]["service"] for r in rows), 4), "difference": round(mean(gaps), 4),
-        "interval": [round(mean(gaps) - half, 4), round(mean(gaps) + half, 4)],
-        "better": sum(g > 0 for g in gaps), "worse": sum(g < 0 for g in gaps),
-        "dispatches_a_start": {n: round(sum(r[n]["dispatches"] for r in rows)
-                                        / sum(r[n]["starts"] for r in rows), 3) for n in ("today", "other")},
-        "broken": {n: sum(r[n]["broken"] for r in rows) for n in ("today", "other")}}))
+    print(
+        json.dumps(
+            {
+                "days": len(rows),
+                "today": round(mean(r["today"]["service"] for r in rows), 4),
+                "other": round(mean(r["other"]["service"] for r in rows), 4),
+                "difference": round(mean(gaps), 4),
+                "interval": [round(mean(gaps) - half, 4), round(mean(gaps) + half, 4)],
+                "better": sum(g > 0 for g in gaps),
+                "worse": sum(g < 0 for g in gaps),
+                "dispatches_a_start": {
+                    n: round(sum(r[n]["dispatches"] for r in rows) / sum(r[n]["starts"] for r in rows), 3)
+                    for n in ("today", "other")
+                },
+                "broken": {n: sum(r[n]["broken"] for r in rows) for n in ("today", "other")},
+            }
+        )
+    )
 
 
 if __name__ == "__main__":
--- a/bench/returns.py
+++ b/bench/returns.py
@@ -21,8 +21,12 @@
 from hazelhold.emulate.town import BIN, SECOND, Demand, Town
 
 # Seconds until the planner is back; a second number: it dies again after so long, for the third number.
-LOSSES = {"back at once": (0.05,), "after 2 s": (2.0,), "after 30 s": (30.0,),
-          "dies again amid the return": (2.0, 1.0, 2.0)}
+LOSSES = {
+    "back at once": (0.05,),
+    "after 2 s": (2.0,),
+    "after 30 s": (30.0,),
+    "dies again amid the return": (2.0, 1.0, 2.0),
+}
 
 
 def play(size: int, loss: str, spread: bool, last_words: bool, patience: int = 10 * SECOND) -> dict[str, Any]:
@@ -52,14 +56,25 @@
     town.clock.run(town.clock.now + patience + 2 * SECOND)
     dials = [town.dials[at] for at in range(gone // BIN, (up + took) // BIN + 1)]
     counts = {k: n - before.get(k, 0) for k, n in town.counts.items()}
-    return {"clients": size, "loss": loss, "spread": spread, "last_words": last_words,
-            "window_s": round(window / SECOND, 1), "back_after_s": round(took / SECOND, 1),
-            "peak_dials": max(dials), "peak_frames": town.peak(town.frames, gone), "dials": sum(dials),
-            "asks": counts.get("asks", 0), "retries": counts.get("retries", 0),
-            "retries_that_served": counts.get("retries_that_served", 0),
-            "late_retries": counts.get("late_retries", 0), "placed": counts.get("placed", 0),
-            "not_placed": sum(counts.get(k, 0) for k in ("turned_back", "broken_off", "unknown")),
-            "cpu_s": round(time.process_time() - began, 1), "by_tenth": dials[:400]}
+    return {
+        "clients": size,
+        "loss": loss,
+        "spread": spread,
+        "last_words": last_words,
+        "window_s": round(window / SECOND, 1),
+        "back_after_s": round(took / SECOND, 1),
+        "peak_dials": max(dials),
+        "peak_frames": town.peak(town.frames, gone),
+        "dials": sum(dials),
+        "asks": counts.get("asks", 0),
+        "retries": counts.get("retries", 0),
+        "retries_that_served": counts.get("retries_that_served", 0),
+        "late_retries": counts.get("late_retries", 0),
+        "placed": counts.get("placed", 0),
+        "not_placed": sum(counts.get(k, 0) for k in ("turned_back", "broken_off", "unknown")),
+        "cpu_s": round(time.process_time() - began, 1),
+        "by_tenth": dials[:400],
+    }
 
 
 def draw(rows: list[dict[str, Any]], path: Path) -> None:
@@ -72,10 +87,17 @@
     figure, axes = plt.subplots(1, len(shown) // 2, figsize=(5 * len(shown) // 2, 3.2), squeeze=False)
     for axis, size in zip(axes[0], sorted({r["clients"] for r in shown}), strict=True):
         for row in (r for r in shown if r["clients"] == size):
-            axis.plot([at / 10 for at in range(len(row["by_tenth"]))], row["by_tenth"],
-                      label="spread" if row["spread"] else "every 50 ms")
-        axis.set(title=f"{size} clients, planner away 2 s", xlabel="seconds since the loss",
-                 ylabel="dials in 100 ms", yscale="symlog")
+            axis.plot(
+                [at / 10 for at in range(len(row["by_tenth"]))],
+                row["by_tenth"],
+                label="spread" if row["spread"] else "every 50 ms",
+            )
+        axis.set(
+            title=f"{size} clients, planner away 2 s",
+            xlabel="seconds since the loss",
+            ylabel="dials in 100 ms",
+            yscale="symlog",
+        )
         axis.legend()
     figure.tight_layout()
     path.parent.mkdir(parents=True, exist_ok=True)
@@ -86,14 +108,21 @@
     parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
     parser.add_argument("--sizes", default="1000,10000")
     parser.add_argument("--losses", default=",".join(LOSSES))
-    parser.add_argument("--spread-only", action="store_true",
-                        help="without the clients that dial every 50 ms (100,000 make 400 million dials)")
+    parser.add_argument(
+        "--spread-only",
+        action="store_true",
+        help="without the clients that dial every 50 ms (100,000 make 400 million dials)",
+    )
     parser.add_argument("--plot", type=Path)
     options = parser.parse_args()
     structlog.configure(wrapper_class=structlog.make_filtering_bound_logger(40))
-    jobs = [(int(size), loss, spread, words) for size in options.sizes.split(",")
-            for loss in options.losses.split(",") for words in (True, False)
-            for spread in ((True,) if options.spread_only or not words else (True, False))]
+    jobs = [
+        (int(size), loss, spread, words)
+        for size in options.sizes.split(",")
+        for loss in options.losses.split(",")
+        for words in (True, False)
+        for spread in ((True,) if options.spread_only or not words else (True, False))
+    ]
     with ProcessPoolExecutor(6) as pool:
         rows = list(pool.map(play, *zip(*jobs, strict=True)))
     for row in rows:
--- a/bench/state.py
+++ b/bench/state.py
@@ -50,30 +50,61 @@
                 said["wall_s"] = time.monotonic() - began
                 rows[mode].append(said)
     throughput.sheet = plain
-    best = {mode: {"guests_a_second": max(r["guests_a_second"] for r in found),
-                   "wall_s": min(r["wall_s"] for r in found),
-                   "median_us": min(r["median_us"] for r in found), "p99_us": min(r["p99_us"] for r in found)}
-            for mode, found in rows.items()}
-    return {**{mode: {k: round(v, 1) for k, v in row.items()} for mode, row in best.items()},
-            "throughput_ratio": round(best["on"]["guests_a_second"] / best["off"]["guests_a_second"], 3),
-            "wall_ratio": round(best["off"]["wall_s"] / best["on"]["wall_s"], 3)}
+    best = {
+        mode: {
+            "guests_a_second": max(r["guests_a_second"] for r in found),
+            "wall_s": min(r["wall_s"] for r in found),
+            "median_us": min(r["median_us"] for r in found),
+            "p99_us": min(r["p99_us"] for r in found),
+        }
+        for mode, found in rows.items()
+    }
+    return {
+        **{mode: {k: round(v, 1) for k, v in row.items()} for mode, row in best.items()},
+        "throughput_ratio": round(best["on"]["guests_a_second"] / best["off"]["guests_a_second"], 3),
+        "wall_ratio": round(best["off"]["wall_s"] / best["on"]["wall_s"], 3),
+    }
 
 
 def images(count: int, wall: int) -> list:
     """A state of so many guests: a fifth held, the rest running, on one machine for 30 of them."""
     random, machines = Random(1), max(1, count // 30)
-    entries = [m.Entry(machine=f"m{n}", address="x:1", mode="ready", kind="box", incarnation=1,
-                       cores_room=1000.0, memory_room=1000.0, up_for=600 * SECOND) for n in range(machines)]
+    entries = [
+        m.Entry(
+            machine=f"m{n}",
+            address="x:1",
+            mode="ready",
+            kind="box",
+            incarnation=1,
+            cores_room=1000.0,
+            memory_room=1000.0,
+            up_for=600 * SECOND,
+        )
+        for n in range(machines)
+    ]
     changes = [put("list", "", ListImage(1, wall, entries))]
     for number in range(count):
         service, cores, memory = throughput.shape(number)
         held = number % 5 == 0
         image = GuestImage(
-            f"g{number}/0", f"g{number}", 0, "o", "plain", service, cores, memory,
-            wall + 30 * SECOND if held else 0, (0,) if held else (), life=600 * SECOND,
-            attempt=-1 if held else 0, spent=0 if held else 1,
-            machine="" if held else f"m{random.randrange(machines)}", incarnation=1,
-            sent_at=0 if held else wall - SECOND, placed=not held)
+            f"g{number}/0",
+            f"g{number}",
+            0,
+            "o",
+            "plain",
+            service,
+            cores,
+            memory,
+            wall + 30 * SECOND if held else 0,
+            (0,) if held else (),
+            life=600 * SECOND,
+            attempt=-1 if held else 0,
+            spent=0 if held else 1,
+            machine="" if held else f"m{random.randrange(machines)}",
+            incarnation=1,
+            sent_at=0 if held else wall - SECOND,
+            placed=not held,
+        )
         changes.append(put("guest", f"g{number}/0", image))
     return changes
 
@@ -87,7 +118,7 @@
         first.begin(wall)
         changes = images(count, wall)
         for at in range(0, len(changes), 100):
-            first.commit(changes[at:at + 100])
+            first.commit(changes[at : at + 100])
         first.close()
         size = sum(p.stat().st_size for p in Path(folder).iterdir())
         began = time.perf_counter()
@@ -101,9 +132,14 @@
         written = time.perf_counter()
         store.close()
         assert len(engine.cases) == count
-    return {"guests": count, "read_s": round(read - began, 3), "fed_s": round(fed - read, 3),
-            "written_s": round(written - fed, 3), "recovered_s": round(written - began, 3),
-            "bytes_a_guest": round(size / count)}
+    return {
+        "guests": count,
+        "read_s": round(read - began, 3),
+        "fed_s": round(fed - read, 3),
+        "written_s": round(written - fed, 3),
+        "recovered_s": round(written - began, 3),
+        "bytes_a_guest": round(size / count),
+    }
 
 
 def week(rate: float) -> dict[str, Any]:
@@ -121,27 +157,45 @@
                 name = f"g{minute}-{number}"
                 image = GuestImage(f"{name}/0", name, 0, "o", "plain", "s1", 1.0, 1.0, now, (0,))
                 answer = AnswerImage(name, 0, m.ENCODER.encode(m.Placed(guest=name, machine="m1")))
-                changes += [put("guest", f"{name}/0", image), put("answer", f"{name}\0000", answer,
-                                                                  now + 30 * SECOND)]
+                changes += [
+                    put("guest", f"{name}/0", image),
+                    put("answer", f"{name}\0000", answer, now + 30 * SECOND),
+                ]
             store.commit(changes)
-            store.commit([c for n in range(step) for c in (
-                drop("guest", f"g{minute}-{n}/0"),
-                put("end", f"g{minute}-{n}", EndImage(f"g{minute}-{n}", "done"), now + 30 * SECOND))])
+            store.commit(
+                [
+                    c
+                    for n in range(step)
+                    for c in (
+                        drop("guest", f"g{minute}-{n}/0"),
+                        put("end", f"g{minute}-{n}", EndImage(f"g{minute}-{n}", "done"), now + 30 * SECOND),
+                    )
+                ]
+            )
             if store.due():
                 store.begin(now)
             if minute % 20 == 0:
                 most = max(most, sum(p.stat().st_size for p in Path(folder).iterdir()))
         store.close()
-        return {"guests": step * (days * 24 * 60 // 10), "written_mb": round(store.bytes / 1e6, 1),
-                "most_mb": round(most / 1e6, 1), "generations": store.generations}
+        return {
+            "guests": step * (days * 24 * 60 // 10),
+            "written_mb": round(store.bytes / 1e6, 1),
+            "most_mb": round(most / 1e6, 1),
+            "generations": store.generations,
+        }
 
 
 def worth(seed: int, mode: str) -> dict[str, Any]:
     """Service of a day whose only planner is killed amid it and back after a second."""
     structlog.configure(wrapper_class=structlog.make_filtering_bound_logger(50))
     day = read_day(Path(__file__).parent.parent / "examples" / "quiet-day.json5")
-    day = replace(day, length_s=45.0, planners=1, demand=replace(day.demand, rate=14.0),
-                  troubles=[Trouble(kind="planner_kill", at_s=15.0, for_s=1.0)])
+    day = replace(
+        day,
+        length_s=45.0,
+        planners=1,
+        demand=replace(day.demand, rate=14.0),
+        troubles=[Trouble(kind="planner_kill", at_s=15.0, for_s=1.0)],
+    )
     if mode == "kept, not learned":
         Brain.remembered = lambda *given: None
     with tempfile.TemporaryDirectory() as folder:
@@ -150,9 +204,14 @@
         else:
             said = play_crashes(day, seed, Path(folder), set())
     counts = said["counts"]
-    return {"mode": mode, "service": said["service"]["service"], "placed": counts.get("placed", 0),
-            "turned_back": counts.get("turned_back", 0), "evicted": counts.get("ended_evicted", 0),
-            "died_with_planner": counts.get("died_with_planner", 0)}
+    return {
+        "mode": mode,
+        "service": said["service"]["service"],
+        "placed": counts.get("placed", 0),
+        "turned_back": counts.get("turned_back", 0),
+        "evicted": counts.get("ended_evicted", 0),
+        "died_with_planner": counts.get("died_with_planner", 0),
+    }
 
 
 def worths(seeds: int) -> list[dict[str, Any]]:
@@ -160,9 +219,17 @@
     jobs = [(seed, mode) for mode in modes for seed in range(1, seeds + 1)]
     with ProcessPoolExecutor(6, max_tasks_per_child=1) as pool:
         rows = list(pool.map(worth, *zip(*jobs, strict=True)))
-    return [{"mode": mode, "days": seeds, **{
-        key: round(sum(r[key] for r in rows if r["mode"] == mode) / seeds, 4)
-        for key in ("service", "placed", "turned_back", "evicted", "died_with_planner")}} for mode in modes]
+    return [
+        {
+            "mode": mode,
+            "days": seeds,
+            **{
+                key: round(sum(r[key] for r in rows if r["mode"] == mode) / seeds, 4)
+                for key in ("service", "placed", "turned_back", "evicted", "died_with_planner")
+            },
+        }
+        for mode in modes
+    ]
 
 
 def draw(rows: list[dict[str, Any]], path: Path) -> None:
@@ -172,11 +239,20 @@
     from matplotlib import pyplot as plt
 
     figure, axis = plt.subplots(figsize=(5.5, 3.2))
-    for key, label in (("recovered_s", "in all"), ("read_s", "read"), ("fed_s", "into the engine"),
-                       ("written_s", "written anew")):
+    for key, label in (
+        ("recovered_s", "in all"),
+        ("read_s", "read"),
+        ("fed_s", "into the engine"),
+        ("written_s", "written anew"),
+    ):
         axis.plot([r["guests"] for r in rows], [r[key] for r in rows], marker="o", label=label)
-    axis.set(xscale="log", yscale="log", xlabel="guests in the state, a fifth held", ylabel="seconds",
-             title="recovery")
+    axis.set(
+        xscale="log",
+        yscale="log",
+        xlabel="guests in the state, a fifth held",
+        ylabel="seconds",
+        title="recovery",
+    )
     axis.legend()
     figure.tight_layout()
     path.parent.mkdir(parents=True, exist_ok=True)
--- a/bench/throughput.py
+++ b/bench/throughput.py
@@ -42,11 +42,19 @@
 
 def sheet(listen: str = "127.0.0.1:0", lister: str = "") -> PlannerSheet:
     """One planner with room for whatever comes, so that room is never what limits it."""
-    estate = Estate([ProductSheet("plain", "rerunnable", 800, 60_000, easy_until=1.0, lost_after=1.0)],
-                    [KindSheet("box", 2000, 4000)], FleetSheet(cores_multiple=4, memory_multiple=2,
-                    probing=False))
-    return PlannerSheet("p", listen, ListSheet(lister, asked=False), estate, planners=1,
-                        limits=LimitSheet(connect_ms=5000.0, send_bytes=1 << 26))
+    estate = Estate(
+        [ProductSheet("plain", "rerunnable", 800, 60_000, easy_until=1.0, lost_after=1.0)],
+        [KindSheet("box", 2000, 4000)],
+        FleetSheet(cores_multiple=4, memory_multiple=2, probing=False),
+    )
+    return PlannerSheet(
+        "p",
+        listen,
+        ListSheet(lister, asked=False),
+        estate,
+        planners=1,
+        limits=LimitSheet(connect_ms=5000.0, send_bytes=1 << 26),
+    )
 
 
 def shape(number: int) -> tuple[str, float, float]:
@@ -59,8 +67,18 @@
 
     def __init__(self, brain: Brain) -> None:
         self.spent = 0.0
-        for name in ("decide", "next_look", "guest_arrived", "dispatch_taken", "dispatch_ended",
-                     "machine_reported", "guest_runs", "machines_listed", "cores_used", "memory_used"):
+        for name in (
+            "decide",
+            "next_look",
+            "guest_arrived",
+            "dispatch_taken",
+            "dispatch_ended",
+            "machine_reported",
+            "guest_runs",
+            "machines_listed",
+            "cores_used",
+            "memory_used",
+        ):
             setattr(brain, name, self.wrap(getattr(brain, name)))
 
     def wrap(self, call: Callable) -> Callable:
@@ -70,14 +88,16 @@
                 return call(*args)
             finally:
                 self.spent += time.process_time() - start
+
         return timed
 
 
 def alone(machines: int, running: int, guests: int, planners: int = 1) -> dict[str, float]:
     """The module with nothing round it: asks come one by one, are taken at once, and the oldest ends."""
     brain, random = Brain(1, deployment(sheet())._replace(planners=planners)), Random(1)
-    brain.machines_listed(0, [Listed(f"m{n}", Mode.READY, 0, 0, n // 4, 0, 2000.0, 4000.0)
-                              for n in range(machines)], True)
+    brain.machines_listed(
+        0, [Listed(f"m{n}", Mode.READY, 0, 0, n // 4, 0, 2000.0, 4000.0) for n in range(machines)], True
+    )
     held: list[str] = []
     waits = HdrHistogram(1, 10**8, 3)
     now, start = 10**6, 0.0
@@ -100,8 +120,11 @@
             waits.record_value(max(1, round((time.perf_counter() - began) * 1e6)))
         if len(held) > running:
             brain.dispatch_ended(now, held.pop(0), Ending.DONE, True, Remark.NONE)
-    return {"guests_a_second": guests / (time.process_time() - start),
-            "median_us": waits.get_value_at_percentile(50), "p99_us": waits.get_value_at_percentile(99)}
+    return {
+        "guests_a_second": guests / (time.process_time() - start),
+        "median_us": waits.get_value_at_percentile(50),
+        "p99_us": waits.get_value_at_percentile(99),
+    }
 
 
 class Peers:
@@ -127,9 +150,18 @@
                         self._said(wire, said)
 
             address = await self.net.listen(f"{host}:0", serve, nursery)
-            self.entries.append(m.Entry(machine=name, address=address, mode="ready", kind="box",
-            incarnation=1,
-                                        cell=number // 4, cores_room=2000.0, memory_room=4000.0))
+            self.entries.append(
+                m.Entry(
+                    machine=name,
+                    address=address,
+                    mode="ready",
+                    kind="box",
+                    incarnation=1,
+                    cell=number // 4,
+                    cores_room=2000.0,
+                    memory_room=4000.0,
+                )
+            )
 
         async def listing(stream: trio.abc.Stream) -> None:
             wire = Wire(stream, m.Codec(m.TO_LIST), self.net.now, send_bytes=1 << 26)
@@ -150,8 +182,13 @@
             about = {"guest": said.guest, "ask": said.ask, "attempt": said.attempt}
             wire.send(m.Taken(**about))
             wire.send(m.Started(**about))
-            wire.send(m.Use(**about, cores=said.cores * self.random.uniform(0.3, 1),
-                            memory=said.memory * self.random.uniform(0.3, 1)))
+            wire.send(
+                m.Use(
+                    **about,
+                    cores=said.cores * self.random.uniform(0.3, 1),
+                    memory=said.memory * self.random.uniform(0.3, 1),
+                )
+            )
 
     def end(self, guest: str, machine: str) -> None:
         self.wires[machine].send(m.Ended(guest=guest, how="done"))
@@ -184,8 +221,17 @@
             service, cores, memory = shape(asked)
             sent_at[f"g{asked}"] = time.perf_counter()
             product = "once" if once and asked % once == 0 else "plain"
-            wire.send(m.Submit(guest=f"g{asked}", product=product, service=service, cores=cores,
-                               memory=memory, patience=60_000_000, life=600_000_000))
+            wire.send(
+                m.Submit(
+                    guest=f"g{asked}",
+                    product=product,
+                    service=service,
+                    cores=cores,
+                    memory=memory,
+                    patience=60_000_000,
+                    life=600_000_000,
+                )
+            )
             asked += 1
 
         async def phase(until: int, wide: int, note: bool) -> None:
@@ -215,16 +261,30 @@
         module = timed.spent - spent
         await phase(running + guests + guests // 4, 1, True)
         nursery.cancel_scope.cancel()
-    return {"guests_a_second": guests / total, "module_share": module / total,
-            "median_us": waits.get_value_at_percentile(50), "p99_us": waits.get_value_at_percentile(99)}
+    return {
+        "guests_a_second": guests / total,
+        "module_share": module / total,
+        "median_us": waits.get_value_at_percentile(50),
+        "p99_us": waits.get_value_at_percentile(99),
+    }
 
 
 def memory(count: int, run: bool) -> float:
     """Bytes that an engine keeps for each guest: running ones, or held ones that no machine takes."""
     tracemalloc.start()
     engine = Engine(sheet(), 1, 0)
-    entries = [m.Entry(machine=f"m{n}", address="x", mode="ready" if run else "cordoned", kind="box",
-                       incarnation=1, cores_room=2000.0, memory_room=4000.0) for n in range(60)]
+    entries = [
+        m.Entry(
+            machine=f"m{n}",
+            address="x",
+            mode="ready" if run else "cordoned",
+            kind="box",
+            incarnation=1,
+            cores_room=2000.0,
+            memory_room=4000.0,
+        )
+        for n in range(60)
+    ]
     engine.list_said(0, m.Listing(version=1, whole=True, entries=entries))
     gc.collect()
     before = tracemalloc.get_traced_memory()[0]
@@ -232,12 +292,23 @@
     for number in range(count):
         service, cores, mem = shape(number)
         if run:
-            stands.setdefault(number % 60, []).append(m.Stand(
-                guest=f"g{number}", ask=0, attempt=0, state="runs", product="plain", service=service,
-                cores=cores, memory=mem, owner="o"))
+            stands.setdefault(number % 60, []).append(
+                m.Stand(
+                    guest=f"g{number}",
+                    ask=0,
+                    attempt=0,
+                    state="runs",
+                    product="plain",
+                    service=service,
+                    cores=cores,
+                    memory=mem,
+                    owner="o",
+                )
+            )
             continue
-        ask = m.Submit(guest=f"g{number}", product="plain", service=service, cores=cores, memory=mem,
-                       patience=60_000_000)
+        ask = m.Submit(
+            guest=f"g{number}", product="plain", service=service, cores=cores, memory=mem, patience=60_000_000
+        )
         engine.owner_said(number, "o", msgspec.convert(msgspec.to_builtins(ask), m.Submit))
         engine.actions.clear()
     for number, found in stands.items():
@@ -270,13 +341,15 @@
             "planner_on_loopback": {k: round(v, 3) for k, v in whole.items()},
             "throughput_ratio": round(whole["guests_a_second"] / plain["guests_a_second"], 3),
             "added_median_us": whole["median_us"] - plain["median_us"],
-            "added_p99_us": whole["p99_us"] - plain["p99_us"]}
+            "added_p99_us": whole["p99_us"] - plain["p99_us"],
+        }
     for count in (int(part) for part in options.memory.split(",") if part):
-        found[f"bytes a guest at {count}"] = {"held": round(memory(count, False)),
-                                              "running": round(memory(count, True))}
+        found[f"bytes a guest at {count}"] = {
+            "held": round(memory(count, False)),
+            "running": round(memory(count, True)),
+        }
     print(json.dumps(found, indent=1))
 
 
 if __name__ == "__main__":
     main()
-
--- a/examples/sender.py
+++ b/examples/sender.py
@@ -1,6 +1,6 @@
 """A whole sender: asks for five guests, waits for each, cancels one. Run it beside a planner:
 
-    python examples/sender.py 127.0.0.1:7400
+python examples/sender.py 127.0.0.1:7400
 """
 
 import sys
@@ -12,8 +12,19 @@
 
 async def main(address: str) -> None:
     async with open_client("example", {"planner-0": address}) as client:
-        wants = [Want(guest=f"import-{n}", product="till-import", service="nightly", cores=0.5, memory=1.0,
-                      patience=5_000_000, effect="rerunnable", life=3_000_000) for n in range(5)]
+        wants = [
+            Want(
+                guest=f"import-{n}",
+                product="till-import",
+                service="nightly",
+                cores=0.5,
+                memory=1.0,
+                patience=5_000_000,
+                effect="rerunnable",
+                life=3_000_000,
+            )
+            for n in range(5)
+        ]
         for outcome in await client.place_all(wants):
             print(outcome.guest, outcome.state, outcome.machine, outcome.reason)
         if "import-0" in client.slots:  # placed, and not ended yet
--- a/hazelhold/audit/claims.py
+++ b/hazelhold/audit/claims.py
@@ -93,8 +93,11 @@
                     calls[c.peer].append(Call(kind, given, b64decode(said.get("value", "")), begun.at, c.at))
         for c in open_asks.values():  # its process died: it may have been made, and made again
             calls[c.peer] += [Call(*_given(c.message), None, c.at)] * 2
-        return [Breach(2, f"what planners saw of {key} has no order", "", "", "", last[key].at, [last[key]])
-                for key, seen in calls.items() if not linearizable(seen, b"", step)]
+        return [
+            Breach(2, f"what planners saw of {key} has no order", "", "", "", last[key].at, [last[key]])
+            for key, seen in calls.items()
+            if not linearizable(seen, b"", step)
+        ]
 
     def _offers(self) -> list[Breach]:
         found = []
@@ -126,8 +129,17 @@
             found.append(Breach(2, "an offer without an agreed claim", guest, c.by, c.peer, c.at, [c]))
         others = [o for (by, *_), o in out.items() if by != c.by]
         if others and self.effects[body["product"]] == "exclusive":
-            found.append(Breach(2, "offered beside another planner's dispatch that may have run", guest, c.by,
-                                c.peer, c.at, [others[0], c]))
+            found.append(
+                Breach(
+                    2,
+                    "offered beside another planner's dispatch that may have run",
+                    guest,
+                    c.by,
+                    c.peer,
+                    c.at,
+                    [others[0], c],
+                )
+            )
         out[c.by, c.peer, ask, attempt] = c
         return found
 
@@ -137,8 +149,11 @@
         if kind == "refused" or kind == "ended" and body.get("how") != "done":
             out.get(guest, {}).pop((c.by, c.peer, body.get("ask", 0), body.get("attempt", 0)), None)
         elif kind == "running":
-            there = {(s["guest"], s.get("ask", 0)) for s in body["guests"]
-                     if s["state"] != "ended" or s.get("how") == "done"}
+            there = {
+                (s["guest"], s.get("ask", 0))
+                for s in body["guests"]
+                if s["state"] != "ended" or s.get("how") == "done"
+            }
             whole = body.get("complete", True)
             for name, by in out.items():
                 for key in [k for k in by if k[0] == c.by and k[1] == c.peer]:
--- a/hazelhold/audit/rules.py
+++ b/hazelhold/audit/rules.py
@@ -119,8 +119,9 @@
                 lives[c.peer, number[c.peer]].append(c)
         return lives
 
-    def _breach(self, rule: int, what: str, planner: str, frames: list[Crossing], guest: str = "",
-                machine: str = "") -> None:
+    def _breach(
+        self, rule: int, what: str, planner: str, frames: list[Crossing], guest: str = "", machine: str = ""
+    ) -> None:
         self.found.append(Breach(rule, what, guest, planner, machine, frames[-1].at, frames))
 
     # One life of one planner: rules 1, 2, 3 and 5.
@@ -189,23 +190,45 @@
             return  # a repeat of an answer that an earlier ask got, or all that is known of it is old
         if ask.finals:
             if ask.finals[0].message["t"] not in (kind, "state") and not ask.forgotten:
-                self._breach(1, f"two final answers: {ask.finals[0].message['t']}, then {kind}", planner,
-                             [ask.taken, ask.finals[0], c], guest)
+                self._breach(
+                    1,
+                    f"two final answers: {ask.finals[0].message['t']}, then {kind}",
+                    planner,
+                    [ask.taken, ask.finals[0], c],
+                    guest,
+                )
             return
         ask.finals.append(c)
         self.tally[kind] += 1
         patience = ask.submit.get("patience")
-        if patience is not None and c.at > ask.taken.at + patience + SLACK and not self._was_down(
-                ask.taken.at + patience + SLACK, c.at):
-            self._breach(1, f"answered {(c.at - ask.taken.at - patience) / 1000:.0f} ms after the patience",
-                         planner, [ask.taken, c], guest)
+        if (
+            patience is not None
+            and c.at > ask.taken.at + patience + SLACK
+            and not self._was_down(ask.taken.at + patience + SLACK, c.at)
+        ):
+            self._breach(
+                1,
+                f"answered {(c.at - ask.taken.at - patience) / 1000:.0f} ms after the patience",
+                planner,
+                [ask.taken, c],
+                guest,
+            )
         effect = self._effect(ask)
         group = self.rules.products.get(ask.product(), {}).get("group")
         ran = [s for s in ask.sends if not s.never_ran]
-        if kind == "turned_back" and ran and (effect == "exclusive" or effect == "ticketed" and group !=
-        "all"):
-            self._breach(2, "turned back though a dispatch may have run", planner,
-                         [ask.taken, ran[0].crossing, c], guest, ran[0].machine)
+        if (
+            kind == "turned_back"
+            and ran
+            and (effect == "exclusive" or effect == "ticketed" and group != "all")
+        ):
+            self._breach(
+                2,
+                "turned back though a dispatch may have run",
+                planner,
+                [ask.taken, ran[0].crossing, c],
+                guest,
+                ran[0].machine,
+            )
 
     def _effect(self, ask: Ask) -> str:
         return self.rules.products.get(ask.product(), {}).get("effect", "")
@@ -251,8 +274,16 @@
                 if told[name][0] != "gone":
                     told[name] = "gone", c
 
-    def _offer(self, planner: str, c: Crossing, key: tuple[str, int], asks: dict, told: dict, where: dict,
-               seated: dict) -> None:
+    def _offer(
+        self,
+        planner: str,
+        c: Crossing,
+        key: tuple[str, int],
+        asks: dict,
+        told: dict,
+        where: dict,
+        seated: dict,
+    ) -> None:
         guest, machine = key[0], c.peer
         self.tally["dispatches"] += 1
         ask = asks.get(key)
@@ -262,9 +293,9 @@
         if ask.excused:
             return
         if ask.finals:
-            self._breach(1, "a dispatch after the final answer", planner, [ask.taken, ask.finals[0], c],
-            guest,
-                         machine)
+            self._breach(
+                1, "a dispatch after the final answer", planner, [ask.taken, ask.finals[0], c], guest, machine
+            )
         out = [s for s in ask.sends if s.out]
         if out:
             self._breach(2, "two dispatches out", planner, [out[0].crossing, c], guest, machine)
@@ -283,18 +314,31 @@
         if not ran:
             return
         if product.get("effect") == "exclusive":
-            self._breach(2, "an exclusive guest sent again though a dispatch may have run", planner,
-                         [ran[0].crossing, c], guest, c.peer)
+            self._breach(
+                2,
+                "an exclusive guest sent again though a dispatch may have run",
+                planner,
+                [ran[0].crossing, c],
+                guest,
+                c.peer,
+            )
         elif product.get("effect") == "ticketed":
             first = ran[0]
             if c.at > first.at + product["window"]:
-                self._breach(2, "a ticketed guest sent again after its window", planner, [first.crossing, c],
-                             guest, c.peer)
-            if self._group(product["group"], c.peer, where) != self._group(product["group"], first.machine,
-                                                                           where):
-                self._breach(2, "a ticketed guest sent outside its group", planner, [first.crossing, c],
-                guest,
-                             c.peer)
+                self._breach(
+                    2,
+                    "a ticketed guest sent again after its window",
+                    planner,
+                    [first.crossing, c],
+                    guest,
+                    c.peer,
+                )
+            if self._group(product["group"], c.peer, where) != self._group(
+                product["group"], first.machine, where
+            ):
+                self._breach(
+                    2, "a ticketed guest sent outside its group", planner, [first.crossing, c], guest, c.peer
+                )
 
     def _group(self, reach: str, machine: str, where: dict) -> object:
         zone, cell = where.get(machine, (0, 0))
@@ -305,15 +349,20 @@
         reach, service = product.get("spread", "nowhere"), c.message["service"]
         if reach != "nowhere":
             place = self._group(reach, c.peer, where)
-            there = sum(s == service and self._group(reach, m, where) == place
-                        for k, (m, s) in seated.items() if k != key)
+            there = sum(
+                s == service and self._group(reach, m, where) == place
+                for k, (m, s) in seated.items()
+                if k != key
+            )
             if there + 1 > product["spread_most"]:
-                self._breach(5, f"{there + 1} guests of {service} in one {reach}", planner, [c], key[0],
-                c.peer)
+                self._breach(
+                    5, f"{there + 1} guests of {service} in one {reach}", planner, [c], key[0], c.peer
+                )
         seated[key] = c.peer, service
 
-    def _machine_said(self, c: Crossing, kind: str, key: tuple[str, int], asks: dict, seated: dict,
-                      incarnation: dict) -> None:
+    def _machine_said(
+        self, c: Crossing, kind: str, key: tuple[str, int], asks: dict, seated: dict, incarnation: dict
+    ) -> None:
         body, machine = c.message, c.peer
         if kind == "running":
             self._running(c, asks, seated)
@@ -344,8 +393,11 @@
                 stand = there.get(key)
                 if stand is None:
                     send.out = False
-                    send.never_ran = bool(c.message.get("complete", True)) and not send.taken and (
-                        self._life_at(c.peer, send.at) == self._life_at(c.peer, c.at))
+                    send.never_ran = (
+                        bool(c.message.get("complete", True))
+                        and not send.taken
+                        and (self._life_at(c.peer, send.at) == self._life_at(c.peer, c.at))
+                    )
                 elif stand["state"] == "ended":
                     send.out, send.ended, send.never_ran = False, True, stand.get("how") == "withdrawn"
         here = {k for k, s in there.items() if s["state"] != "ended"}
@@ -385,9 +437,14 @@
         """Whether the owner came back for a guest whose planner died with it: True if it did not die."""
         deaths = [at for at in self.kills if taken <= at <= due + BACK]
         return not deaths or any(
-            c.at > deaths[-1] and c.role == "planner" and c.by == planner and c.way == "in"
-            and (c.message or {}).get("guest") == guest and c.message["t"] in ("query", "submit", "cancel")
-            for c in self.crossings)
+            c.at > deaths[-1]
+            and c.role == "planner"
+            and c.by == planner
+            and c.way == "in"
+            and (c.message or {}).get("guest") == guest
+            and c.message["t"] in ("query", "submit", "cancel")
+            for c in self.crossings
+        )
 
     def _newest_ask(self, guest: str) -> int:
         if not hasattr(self, "newest"):
@@ -425,11 +482,23 @@
                 self.tally["starts"] += 1
                 if effects.get(product.get(guest, "")) == "exclusive":
                     if running[guest]:
-                        self._breach(2, "an exclusive guest runs twice at once", c.peer,
-                                     [*running[guest].values(), c], guest, c.by)
+                        self._breach(
+                            2,
+                            "an exclusive guest runs twice at once",
+                            c.peer,
+                            [*running[guest].values(), c],
+                            guest,
+                            c.by,
+                        )
                     if guest in done:
-                        self._breach(2, "an exclusive guest ran again after it was done", c.peer,
-                                     [done[guest], c], guest, c.by)
+                        self._breach(
+                            2,
+                            "an exclusive guest ran again after it was done",
+                            c.peer,
+                            [done[guest], c],
+                            guest,
+                            c.by,
+                        )
                 running[guest][c.by] = c
             elif kind == "running" and c.way != "in":  # ends that could not be told when they came
                 for stand in body["guests"]:
--- a/hazelhold/audit/score.py
+++ b/hazelhold/audit/score.py
@@ -33,8 +33,11 @@
         elif c.role == "machine" and c.way == "fact":
             for name, microseconds in body.get("guests", []):
                 served[name] += microseconds
-        elif c.role == "machine" and c.way in ("out", "unheard") and (
-                kind == "started" or kind == "taken" and rules.confirms_running):
+        elif (
+            c.role == "machine"
+            and c.way in ("out", "unheard")
+            and (kind == "started" or kind == "taken" and rules.confirms_running)
+        ):
             starts.setdefault(guest, c.at)
     if not wanted:
         return {"service": 0.0, "guests": 0}
@@ -52,8 +55,12 @@
         if not part and took <= product["patience"]:
             part = product["late_worth"]
         earned = size * (min(seconds, served[guest] / 1e6) + product["start_bonus"] * part)
-        for group in (("whole", 0), ("window", (c.at - first) // WINDOW), ("product", ask["product"]),
-                      ("customer", ask.get("customer", ""))):
+        for group in (
+            ("whole", 0),
+            ("window", (c.at - first) // WINDOW),
+            ("product", ask["product"]),
+            ("customer", ask.get("customer", "")),
+        ):
             groups[group][0] += earned
             groups[group][1] += asked
     shares = {group: earned / asked for group, (earned, asked) in groups.items() if asked}
@@ -65,5 +72,8 @@
     weights = rules.weights
     service = sum(p * w for p, w in zip(parts, weights, strict=True)) / sum(weights)
     names = ("whole", "worst_window", "worst_product", "worst_customer")
-    return {"service": round(service, 4), "guests": len(wanted),
-            **{name: round(part, 4) for name, part in zip(names, parts, strict=True)}}
+    return {
+        "service": round(service, 4),
+        "guests": len(wanted),
+        **{name: round(part, 4) for name, part in zip(names, parts, strict=True)},
+    }
--- a/hazelhold/capture/cut.py
+++ b/hazelhold/capture/cut.py
@@ -26,11 +26,14 @@
 
     def wants(self, frame: Frame, who: str) -> bool:
         message = frame.message
-        return ((not self.since or frame.at >= self.since) and (not self.until or frame.at <= self.until)
-                and (not self.owner or self.owner in (message.get("owner"), who))
-                and (not self.service or self.service == message.get("service"))
-                and (not self.guest or self.guest == message.get("guest"))
-                and (not self.machine or self.machine in (message.get("machine"), who)))
+        return (
+            (not self.since or frame.at >= self.since)
+            and (not self.until or frame.at <= self.until)
+            and (not self.owner or self.owner in (message.get("owner"), who))
+            and (not self.service or self.service == message.get("service"))
+            and (not self.guest or self.guest == message.get("guest"))
+            and (not self.machine or self.machine in (message.get("machine"), who))
+        )
 
 
 def extract(files: list[Path], to: Path, wish: Wish, skips: Skips) -> dict[str, int]:
@@ -51,17 +54,24 @@
         for packet in packets(files, Skips()):
             segment = parse(packet.link, packet.data)
             keep = isinstance(segment, Segment) and (
-                frozenset((segment.source, segment.target)) in wanted if segment.seq >= 0
-                else own_note(packet, segment) is not None)
+                frozenset((segment.source, segment.target)) in wanted
+                if segment.seq >= 0
+                else own_note(packet, segment) is not None
+            )
             if keep and (packet.link in links or not links):
                 if not links:
                     file.write(file_head(ng, packet.link))
                     links.add(packet.link)
                 file.write(record(ng, packet.at, packet.data, packet.length))
             elif keep:  # a file of ours has one link type
-                skips.note(packet.file, f"link type {packet.link} beside another", len(packet.data),
-                packet.offset,
-                           packet.number, packet.at)
+                skips.note(
+                    packet.file,
+                    f"link type {packet.link} beside another",
+                    len(packet.data),
+                    packet.offset,
+                    packet.number,
+                    packet.at,
+                )
             counts["kept" if keep else "left out"] += 1
         if not links:
             file.write(file_head(ng))
@@ -69,8 +79,9 @@
     return dict(counts)
 
 
-def survey(files: list[Path], skips: Skips,
-           progress: Callable[[Packet], None] | None = None) -> dict[str, Any]:
+def survey(
+    files: list[Path], skips: Skips, progress: Callable[[Packet], None] | None = None
+) -> dict[str, Any]:
     """What a capture holds: streams, planners, messages by type, first and last moment."""
     types: Counter[str] = Counter()
     streams: Counter[str] = Counter()
@@ -85,5 +96,10 @@
         elif item.data["n"] == "start":
             found = planners.setdefault(item.data["planner"], {"starts": 0, "module": item.data["module"]})
             found["starts"] += item.data["file"] == 1
-    return {"first": first, "last": last, "streams": dict(sorted(streams.items())), "planners": planners,
-            "messages": dict(sorted(types.items()))}
+    return {
+        "first": first,
+        "last": last,
+        "streams": dict(sorted(streams.items())),
+        "planners": planners,
+        "messages": dict(sorted(types.items())),
+    }
--- a/hazelhold/capture/files.py
+++ b/hazelhold/capture/files.py
@@ -46,7 +46,7 @@
             self.file.seek(at)
             self.base, self.chunk = at, self.file.read(max(size, CHUNK))
             inside = 0
-        return self.chunk[inside:inside + size]
+        return self.chunk[inside : inside + size]
 
 
 def read_packets(path: Path, skips: Skips) -> Iterator[Packet]:
@@ -171,11 +171,17 @@
                 to += 4
             data = window.get(at, 8)
             claimed = struct.unpack(section.order + "I", data[4:])[0] if len(data) == 8 else 0
-            cut = to >= window.size and (len(data) < 8 or at + claimed > window.size and claimed <= LONGEST
-            + 4096)
-            skips.note(name, "cut mid-packet" if cut else "bad record", min(to, window.size) - at, at,
-            number + 1,
-                       last)
+            cut = to >= window.size and (
+                len(data) < 8 or at + claimed > window.size and claimed <= LONGEST + 4096
+            )
+            skips.note(
+                name,
+                "cut mid-packet" if cut else "bad record",
+                min(to, window.size) - at,
+                at,
+                number + 1,
+                last,
+            )
             at = to
             continue
         kind, size = found
@@ -201,7 +207,7 @@
     link, _, snap = struct.unpack(order + "HHI", body[:8])
     units, at = 1_000_000, 8
     while at + 4 <= len(body):
-        code, size = struct.unpack(order + "HH", body[at:at + 4])
+        code, size = struct.unpack(order + "HH", body[at : at + 4])
         if not code:
             break
         if code == 9 and size == 1:
@@ -214,10 +220,10 @@
 def _ng_packet(kind: int, body: bytes, section: _Section, last: int) -> tuple[int, int, bytes, int]:
     order = section.order
     if kind == 3:  # a simple packet has no time
-        length, = struct.unpack(order + "I", body[:4])
+        (length,) = struct.unpack(order + "I", body[:4])
         link, _, snap = section.links[0]
         kept = min(length, snap or length, len(body) - 4)
-        return last, link, body[4:4 + kept], length
+        return last, link, body[4 : 4 + kept], length
     if kind == 6:
         which, high, low, kept, length = struct.unpack(order + "IIIII", body[:20])
     else:
@@ -225,7 +231,7 @@
     if kept > len(body) - 20:
         raise IndexError
     link, units, _ = section.links[which]
-    return ((high << 32) + low) * 1_000_000 // units, link, body[20:20 + kept], length
+    return ((high << 32) + low) * 1_000_000 // units, link, body[20 : 20 + kept], length
 
 
 # Writing.
@@ -245,5 +251,11 @@
     if not ng:
         return struct.pack("<IIII", at // 1_000_000, at % 1_000_000, len(data), length) + data
     size = 32 + len(data) + -len(data) % 4
-    return b"".join((struct.pack("<IIIIIII", 6, size, 0, at >> 32, at & 0xFFFFFFFF, len(data), length), data,
-                     bytes(-len(data) % 4), struct.pack("<I", size)))
+    return b"".join(
+        (
+            struct.pack("<IIIIIII", 6, size, 0, at >> 32, at & 0xFFFFFFFF, len(data), length),
+            data,
+            bytes(-len(data) % 4),
+            struct.pack("<I", size),
+        )
+    )
--- a/hazelhold/capture/load.py
+++ b/hazelhold/capture/load.py
@@ -32,13 +32,15 @@
             try:
                 found.append((item.at, names.get(pair, "unknown"), OWNERS.decode(item.body)))
             except FrameError as wrong:
-                skips.note(item.file, f"ask that is malformed: {wrong.code}", len(item.body), 0, item.packet,
-                           item.at)
+                skips.note(
+                    item.file, f"ask that is malformed: {wrong.code}", len(item.body), 0, item.packet, item.at
+                )
     return sorted(found, key=lambda ask: ask[0])
 
 
-async def send(net: Net, address: str, plan: list[tuple[int, str, m.Message]], speed: float,
-               mark: str) -> dict[str, Any]:
+async def send(
+    net: Net, address: str, plan: list[tuple[int, str, m.Message]], speed: float, mark: str
+) -> dict[str, Any]:
     """Sends the asks, with ids renewed by `mark` and patience kept, and tells what was answered.
 
     Sending never waits for answers, so bursts keep their shape; how late each was sent is measured.
@@ -61,8 +63,9 @@
 
     async with trio.open_nursery() as nursery:
         for owner in sorted({owner for _, owner, _ in plan}):
-            wire = wires[owner] = Wire(await net.dial(address), m.Codec(m.TO_OWNER), net.now, send_bytes=1
-            << 26)
+            wire = wires[owner] = Wire(
+                await net.dial(address), m.Codec(m.TO_OWNER), net.now, send_bytes=1 << 26
+            )
             nursery.start_soon(wire.write)
             wire.send(m.Hello(role="owner", name=f"{mark}{owner}"))
             await wire.first(m.Welcome, 5.0)
@@ -85,5 +88,13 @@
         nursery.cancel_scope.cancel()
     counts["unanswered"] = len(open_asks)
     late.sort()
-    return {"counts": dict(sorted(counts.items())), "send_error_us": {
-        "median": late[len(late) // 2], "p99": late[int(len(late) * 0.99)], "most": late[-1]} if late else {}}
+    return {
+        "counts": dict(sorted(counts.items())),
+        "send_error_us": {
+            "median": late[len(late) // 2],
+            "p99": late[int(len(late) * 0.99)],
+            "most": late[-1],
+        }
+        if late
+        else {},
+    }
--- a/hazelhold/capture/packets.py
+++ b/hazelhold/capture/packets.py
@@ -41,10 +41,10 @@
 def _network(link: int, data: bytes) -> tuple[int, int]:
     if link in (1, 113):
         at = LINKS[link]
-        kind, = struct.unpack_from(">H", data, at)
+        (kind,) = struct.unpack_from(">H", data, at)
         at += 2
         while kind in TAGS:
-            kind, = struct.unpack_from(">H", data, at + 2)
+            (kind,) = struct.unpack_from(">H", data, at + 2)
             at += 4
         return at, kind
     if link == 276:
@@ -59,20 +59,21 @@
 
 def _ipv4(data: bytes, at: int) -> Segment | str:
     head = (data[at] & 15) * 4
-    total, = struct.unpack_from(">H", data, at + 2)
-    bits, = struct.unpack_from(">H", data, at + 6)
+    (total,) = struct.unpack_from(">H", data, at + 2)
+    (bits,) = struct.unpack_from(">H", data, at + 6)
     if data[at] >> 4 != 4 or head < 20 or total and total < head:
         return "headers cut or damaged"
     if bits & 0x3FFF:
         return "fragment"
     total = total or len(data) - at  # 0 where the sending host left cutting to its card
-    return _transport(data, at + head, total - head, data[at + 9], data[at + 12:at + 16], data[at + 16:at +
-    20])
+    return _transport(
+        data, at + head, total - head, data[at + 9], data[at + 12 : at + 16], data[at + 16 : at + 20]
+    )
 
 
 def _ipv6(data: bytes, at: int) -> Segment | str:
     size, kind = struct.unpack_from(">HB", data, at + 4)
-    source, target = data[at + 8:at + 24], data[at + 24:at + 40]
+    source, target = data[at + 8 : at + 24], data[at + 24 : at + 40]
     start = at = at + 40
     while kind in (0, 43, 60):
         kind, length = data[at], (data[at + 1] + 1) * 8
@@ -97,7 +98,7 @@
     wanted = size - head
     if wanted < 0:
         return "headers cut or damaged"
-    payload = data[at + head:at + size]
+    payload = data[at + head : at + size]
     return Segment((source, sport), (target, dport), seq, flags, payload, wanted - len(payload))
 
 
@@ -136,11 +137,26 @@
     def tcp(self, payload: bytes, seq: int, ack: int, flags: int) -> bytes:
         """A frame with a TCP segment."""
         seq, ack, size = seq & 0xFFFFFFFF, ack & 0xFFFFFFFF, 20 + len(payload)
-        total = (self.ends_sum + 6 + size + (seq >> 16) + (seq & 0xFFFF) + (ack >> 16) + (ack & 0xFFFF)
-                 + (0x5000 | flags) + 65535 + (_sum(payload) if payload else 0))
-        return b"".join((self._ip(6, size), self.ports, TCP.pack(seq, ack, 0x50, flags, 65535,
-        _folded(total), 0),
-                         payload))
+        total = (
+            self.ends_sum
+            + 6
+            + size
+            + (seq >> 16)
+            + (seq & 0xFFFF)
+            + (ack >> 16)
+            + (ack & 0xFFFF)
+            + (0x5000 | flags)
+            + 65535
+            + (_sum(payload) if payload else 0)
+        )
+        return b"".join(
+            (
+                self._ip(6, size),
+                self.ports,
+                TCP.pack(seq, ack, 0x50, flags, 65535, _folded(total), 0),
+                payload,
+            )
+        )
 
     def udp(self, payload: bytes) -> bytes:
         """A frame with a UDP datagram."""
@@ -151,15 +167,24 @@
     def _ip(self, kind: int, size: int) -> bytes:
         if not self.four:
             return self.ether + struct.pack(">IHBB", 6 << 28, size, kind, 64) + self.hosts
-        return self.ether + IP.pack(0x45, 0, 20 + size, 0, 0x4000, 64, kind,
-                                    _folded(self.ip_sum + 20 + size + kind)) + self.hosts
+        return (
+            self.ether
+            + IP.pack(0x45, 0, 20 + size, 0, 0x4000, 64, kind, _folded(self.ip_sum + 20 + size + kind))
+            + self.hosts
+        )
 
 
 TCP, IP = struct.Struct(">IIBBHHH"), struct.Struct(">BBHHHBBH")
 
 
-def build(source: tuple[bytes, int], target: tuple[bytes, int], payload: bytes, seq: int = -1, ack: int = 0,
-          flags: int = 0) -> bytes:
+def build(
+    source: tuple[bytes, int],
+    target: tuple[bytes, int],
+    payload: bytes,
+    seq: int = -1,
+    ack: int = 0,
+    flags: int = 0,
+) -> bytes:
     """An Ethernet frame with a TCP segment, or a UDP datagram if there is no `seq`, with sound checksums."""
     way = Way(source, target)
     return way.udp(payload) if seq < 0 else way.tcp(payload, seq, ack, flags)
--- a/hazelhold/capture/read.py
+++ b/hazelhold/capture/read.py
@@ -16,9 +16,13 @@
 # What a note of each kind must have; one that has not is no note of ours.
 NEEDS: dict[str, dict[str, type]] = {
     "start": {"planner": str, "seed": int, "sheet": dict, "module": str, "offset": int, "file": int},
-    "stream": {"near": str, "far": str, "role": str, "who": str}, "lost": {"packets": int},
-    "unsent": {"role": str, "who": str, "message": dict}, "link_up": {"who": str, "welcome": dict},
-    "link_failed": {"who": str}, "link_down": {"who": str}}
+    "stream": {"near": str, "far": str, "role": str, "who": str},
+    "lost": {"packets": int},
+    "unsent": {"role": str, "who": str, "message": dict},
+    "link_up": {"who": str, "welcome": dict},
+    "link_failed": {"who": str},
+    "link_down": {"who": str},
+}
 
 
 class Note(NamedTuple):
@@ -30,17 +34,24 @@
     file: str
 
 
-def packets(files: list[Path], skips: Skips,
-            progress: Callable[[Packet], None] | None = None) -> Iterator[Packet]:
+def packets(
+    files: list[Path], skips: Skips, progress: Callable[[Packet], None] | None = None
+) -> Iterator[Packet]:
     """Packets of all files merged by time; within a file the order stays the file's, also where time goes
     back."""
+
     def keyed(number: int, path: Path) -> Iterator[tuple[int, int, int, Packet]]:
         latest = 0
         for packet in read_packets(path, skips):
             if packet.at < latest:
-                skips.note(packet.file, "time goes back (kept in file order)", 0, packet.offset,
-                packet.number,
-                           packet.at)
+                skips.note(
+                    packet.file,
+                    "time goes back (kept in file order)",
+                    0,
+                    packet.offset,
+                    packet.number,
+                    packet.at,
+                )
             latest = max(latest, packet.at)
             yield latest, number, packet.number, packet
 
@@ -51,8 +62,11 @@
         yield packet
 
 
-def read(files: list[Path], skips: Skips, progress: Callable[[Packet], None] | None = None,
-         ) -> Iterator[Frame | Note]:
+def read(
+    files: list[Path],
+    skips: Skips,
+    progress: Callable[[Packet], None] | None = None,
+) -> Iterator[Frame | Note]:
     """Everything that can be read; what cannot is in `skips` when this ends."""
     streams = Streams(skips)
     for packet in packets(files, skips, progress):
@@ -64,8 +78,14 @@
         else:
             note = own_note(packet, segment)
             if note is None:
-                skips.note(packet.file, "other protocol, UDP", len(packet.data), packet.offset, packet.number,
-                           packet.at)
+                skips.note(
+                    packet.file,
+                    "other protocol, UDP",
+                    len(packet.data),
+                    packet.offset,
+                    packet.number,
+                    packet.at,
+                )
             else:
                 yield note
     yield from streams.finish()
@@ -75,7 +95,7 @@
     if not segment.payload.startswith(MAGIC) or segment.missing:
         return None
     try:
-        data = msgspec.msgpack.decode(segment.payload[len(MAGIC):])
+        data = msgspec.msgpack.decode(segment.payload[len(MAGIC) :])
     except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError):
         return None
     if not isinstance(data, dict) or not isinstance(data.get("n"), str):
--- a/hazelhold/capture/replay.py
+++ b/hazelhold/capture/replay.py
@@ -78,8 +78,9 @@
         elif kind == "lost":
             self.lost += note.data["packets"]
         elif kind == "unsent":
-            self._captured(note.data["role"], note.data["who"], note.data["message"], note.at, note.packet,
-            note.file)
+            self._captured(
+                note.data["role"], note.data["who"], note.data["message"], note.at, note.packet, note.file
+            )
         elif kind in STATE:
             self._state_note(now, note, kind)
         elif kind in INPUTS:
@@ -127,8 +128,9 @@
             self.engine.keeping.marks.clear()  # nothing is kept here
         self._match()
 
-    def _captured(self, role: str, who: str, message: dict[str, Any], at: int, packet: int,
-                  file: str) -> None:
+    def _captured(
+        self, role: str, who: str, message: dict[str, Any], at: int, packet: int, file: str
+    ) -> None:
         self._fate(self.fates[0], message, who)
         self.seen.append((role, who, message, at, packet, file))
         self._match()
@@ -156,12 +158,24 @@
     def _state(self, message: dict[str, Any]) -> dict[str, Any]:
         """What the decision was made on, as far as it fits a page."""
         brain = self.engine.brain
-        machines = {n: {"mode": x.listed.mode.name, "room": x.room(brain.deployment), "used": x.used,
-                        "guests": len(x.guests), "rests": max(0, x.avoid_until - self.engine_now)}
-                    for n, x in list(brain.machines.items())[:50]}
+        machines = {
+            n: {
+                "mode": x.listed.mode.name,
+                "room": x.room(brain.deployment),
+                "used": x.used,
+                "guests": len(x.guests),
+                "rests": max(0, x.avoid_until - self.engine_now),
+            }
+            for n, x in list(brain.machines.items())[:50]
+        }
         case = self.engine.newest.get(message.get("guest", ""))
-        return {"at": self.engine_now, "held": len(brain.waiting), "guests": len(brain.guests),
-                "guest": repr(case) if case else "", "machines": machines}
+        return {
+            "at": self.engine_now,
+            "held": len(brain.waiting),
+            "guests": len(brain.guests),
+            "guest": repr(case) if case else "",
+            "machines": machines,
+        }
 
     def _state_note(self, now: int, note: Note, kind: str) -> None:
         """What the keeper told the engine: the recovered images, the disk's health, a held-back offer."""
@@ -192,18 +206,29 @@
             old, new = then.get(guest, Fate()), now.get(guest, Fate())
             product = old.product or new.product or "never offered"
             if (old.answer, old.reason) != (new.answer, new.reason):
-                fates[f"{product}: {old.answer or 'no answer'} {old.reason}".strip() + " became "
-                      + f"{new.answer or 'no answer'} {new.reason}".strip()] += 1
+                fates[
+                    f"{product}: {old.answer or 'no answer'} {old.reason}".strip()
+                    + " became "
+                    + f"{new.answer or 'no answer'} {new.reason}".strip()
+                ] += 1
             elif old.machine != new.machine:
                 fates[f"{product}: offered elsewhere first"] += 1
             else:
                 fates[f"{product}: the same"] += 1
-        return {"planner": self.planner, "module": self.module, "module_here": module_digest(),
-                "inputs": self.inputs, "compared": self.compared, "differing": self.differing,
-                "unmatched": unmatched, "packets_lost_while_captured": self.lost,
-                "damaged_messages": self.damaged, "changed": self.changed,
-                "first_difference": msgspec.to_builtins(self.first) if self.first else None,
-                "guests": dict(sorted(fates.items()))}
+        return {
+            "planner": self.planner,
+            "module": self.module,
+            "module_here": module_digest(),
+            "inputs": self.inputs,
+            "compared": self.compared,
+            "differing": self.differing,
+            "unmatched": unmatched,
+            "packets_lost_while_captured": self.lost,
+            "damaged_messages": self.damaged,
+            "changed": self.changed,
+            "first_difference": msgspec.to_builtins(self.first) if self.first else None,
+            "guests": dict(sorted(fates.items())),
+        }
 
 
 def replay(items: Iterable[Frame | Note], other: PlannerSheet | None = None) -> dict[str, Any]:
@@ -231,6 +256,9 @@
         elif item.data["n"] != "start":
             late[name.partition("@")[0]] += 1
     reports = [life.report() for life in lives.values()]
-    return {"same": bool(reports) and all(not r["differing"] and not r["unmatched"] for r in reports),
-            "planners": reports, "of_others": dict(sorted(others.items())),
-            "notes_without_a_start": dict(late)}
+    return {
+        "same": bool(reports) and all(not r["differing"] and not r["unmatched"] for r in reports),
+        "planners": reports,
+        "of_others": dict(sorted(others.items())),
+        "notes_without_a_start": dict(late),
+    }
--- a/hazelhold/capture/skips.py
+++ b/hazelhold/capture/skips.py
@@ -28,8 +28,16 @@
     def __init__(self) -> None:
         self.rows: dict[tuple[str, str, str], Skip] = {}
 
-    def note(self, file: str, reason: str, size: int, offset: int = 0, packet: int = 0, at: int = 0,
-             stream: str = "") -> None:
+    def note(
+        self,
+        file: str,
+        reason: str,
+        size: int,
+        offset: int = 0,
+        packet: int = 0,
+        at: int = 0,
+        stream: str = "",
+    ) -> None:
         key = (file, reason, stream)
         if key not in self.rows and len(self.rows) >= ROWS:
             key = (file, reason, "(others)")
--- a/hazelhold/capture/streams.py
+++ b/hazelhold/capture/streams.py
@@ -100,14 +100,18 @@
 
     def _anew(self, flow: Flow, segment: Segment) -> bool:
         """A SYN that does not repeat the one that opened this flow."""
-        return flow.next is not None and (not flow.begun or flow.ended or bool(flow.old or flow.buffer)) and (
-            (segment.seq + 1) & 0xFFFFFFFF) != flow.next
+        return (
+            flow.next is not None
+            and (not flow.begun or flow.ended or bool(flow.old or flow.buffer))
+            and ((segment.seq + 1) & 0xFFFFFFFF) != flow.next
+        )
 
     def _open(self, key: tuple[End, End], segment: Segment) -> Flow:
         back = self.flows.get((key[1], key[0]))
         pair = min(key, (key[1], key[0]))
-        fresh = segment.flags & SYN and not (back and back.begun and not back.ended and not back.old
-                                             and not back.buffer)
+        fresh = segment.flags & SYN and not (
+            back and back.begun and not back.ended and not back.old and not back.buffer
+        )
         self.lives[pair] = self.lives.get(pair, 0) + bool(fresh or pair not in self.lives)
         self.lives.move_to_end(pair)
         flow = self.flows[key] = Flow(self.lives[pair])
@@ -118,8 +122,14 @@
             self._drop_early(gone)
             left = len(gone.buffer)
             if left or gone.ours is None:
-                self.skips.note(self.last.file, "too many streams at once", left, self.last.offset,
-                                self.last.number, self.last.at)
+                self.skips.note(
+                    self.last.file,
+                    "too many streams at once",
+                    left,
+                    self.last.offset,
+                    self.last.number,
+                    self.last.at,
+                )
         return flow
 
     def _take(self, key: tuple[End, End], flow: Flow, segment: Segment) -> Iterator[Frame]:
@@ -140,11 +150,11 @@
     def _keep(self, key: tuple[End, End], flow: Flow, seq: int, data: bytes) -> None:
         known = flow.early.get(seq)
         if known is not None:
-            if known[:len(data)] != data[:len(known)]:
+            if known[: len(data)] != data[: len(known)]:
                 self._note(key, "contradicting overlap", len(data))
             if len(known) >= len(data):
                 return
-            data = known + data[len(known):]
+            data = known + data[len(known) :]
             self._shed(flow, seq)
         flow.early[seq] = data
         flow.early_bytes += len(data)
@@ -165,7 +175,7 @@
 
     def _from_early(self, key: tuple[End, End], flow: Flow) -> Iterator[Frame]:
         while flow.early:
-            seq = min(flow.early, key=lambda s: ((s - flow.next + (1 << 31)) & 0xFFFFFFFF))
+            seq = min(flow.early, key=lambda s: (s - flow.next + (1 << 31)) & 0xFFFFFFFF)
             ahead = ((seq - flow.next + (1 << 31)) & 0xFFFFFFFF) - (1 << 31)
             if ahead > 0:
                 return
@@ -175,7 +185,7 @@
         """Bytes of which the first `known` were delivered before."""
         again = data[:known]
         if again and known <= len(flow.old):
-            if flow.old[len(flow.old) - known:][:len(again)] != again:
+            if flow.old[len(flow.old) - known :][: len(again)] != again:
                 self._note(key, "contradicting overlap", len(again))
         data = data[known:]
         if not data:
@@ -194,14 +204,14 @@
         at = 0
         buffer = flow.buffer
         while len(buffer) - at >= 4:
-            size = int.from_bytes(buffer[at:at + 4])
+            size = int.from_bytes(buffer[at : at + 4])
             if not 0 < size <= FRAME:
                 flow.buffer = buffer[at:]
                 self._not_ours(key, flow)
                 return
             if len(buffer) - at - 4 < size:
                 break
-            body = buffer[at + 4:at + 4 + size]
+            body = buffer[at + 4 : at + 4 + size]
             message = decoded(body)
             if message is None:
                 if flow.ours is None:
@@ -211,8 +221,9 @@
                 self._note(key, "frame that is no message", size + 4)
             else:
                 flow.ours = True
-                yield Frame(self.last.at, key[0], key[1], flow.life, body, message, self.last.number,
-                            self.last.file)
+                yield Frame(
+                    self.last.at, key[0], key[1], flow.life, body, message, self.last.number, self.last.file
+                )
             at += 4 + size
         flow.buffer = buffer[at:]
 
@@ -225,16 +236,21 @@
             found += 1
             if at < 0 or not 0x80 <= buffer[at + 4] <= 0x8F:
                 continue
-            size = int.from_bytes(buffer[at:at + 4])
+            size = int.from_bytes(buffer[at : at + 4])
             if not 8 <= size <= FRAME:
                 continue
             if len(buffer) - at - 4 < size:
                 open_at = at if open_at < 0 else open_at
-            elif decoded(buffer[at + 4:at + 4 + size]):
+            elif decoded(buffer[at + 4 : at + 4 + size]):
                 flow.looked = 0
                 if at:
-                    self._note(key, "after a hole, up to the next frame" if flow.lost
-                               else "began before the file, up to the next frame", at)
+                    self._note(
+                        key,
+                        "after a hole, up to the next frame"
+                        if flow.lost
+                        else "began before the file, up to the next frame",
+                        at,
+                    )
                 flow.buffer, flow.synced = buffer[at:], True
                 return True
         flow.looked = max(0, len(buffer) - 1 if open_at < 0 else open_at)
@@ -256,7 +272,7 @@
 
     def _hole(self, key: tuple[End, End], flow: Flow) -> Iterator[Frame]:
         """Gives up on bytes that never came and goes on behind them."""
-        seq = min(flow.early, key=lambda s: ((s - flow.next + (1 << 31)) & 0xFFFFFFFF))
+        seq = min(flow.early, key=lambda s: (s - flow.next + (1 << 31)) & 0xFFFFFFFF)
         gap = (seq - flow.next) & 0xFFFFFFFF
         self._note(key, "hole in the stream", gap)
         if flow.buffer:
@@ -269,12 +285,19 @@
         while flow.early:
             yield from self._hole(key, flow)
         if flow.buffer:
-            self._note(key, "stream ends mid-frame" if flow.synced else
-                       "after a hole, up to the next frame" if flow.lost
-                       else "began before the file, up to the next frame", len(flow.buffer))
+            self._note(
+                key,
+                "stream ends mid-frame"
+                if flow.synced
+                else "after a hole, up to the next frame"
+                if flow.lost
+                else "began before the file, up to the next frame",
+                len(flow.buffer),
+            )
             flow.buffer = b""
 
     def _note(self, key: tuple[End, End], reason: str, size: int) -> None:
         last = self.last
-        self.skips.note(last.file, reason, size, last.offset, last.number, last.at,
-                        f"{name(key[0])} > {name(key[1])}")
+        self.skips.note(
+            last.file, reason, size, last.offset, last.number, last.at, f"{name(key[0])} > {name(key[1])}"
+        )
--- a/hazelhold/capture/tap.py
+++ b/hazelhold/capture/tap.py
@@ -33,12 +33,25 @@
     def __init__(self, path: Path, limits: CaptureSheet, sheet: PlannerSheet, seed: int, now: int) -> None:
         offset = time.time_ns() // 1000 - now
         self.life = f"{sheet.name}@{offset + now}"  # a planner's lives are told apart, also in one file
-        start = {"n": "start", "p": self.life, "planner": sheet.name, "seed": seed, "sheet":
-        msgspec.to_builtins(sheet),
-                 "module": module_digest(), "offset": offset}
-        self.writer = CaptureWriter(path, start, offset, now, round(limits.rotate_mb * 1e6),
-                                    limits.rotate_s, round(limits.total_mb * 1e6),
-                                    round(limits.queue_mb * 1e6))
+        start = {
+            "n": "start",
+            "p": self.life,
+            "planner": sheet.name,
+            "seed": seed,
+            "sheet": msgspec.to_builtins(sheet),
+            "module": module_digest(),
+            "offset": offset,
+        }
+        self.writer = CaptureWriter(
+            path,
+            start,
+            offset,
+            now,
+            round(limits.rotate_mb * 1e6),
+            limits.rotate_s,
+            round(limits.total_mb * 1e6),
+            round(limits.queue_mb * 1e6),
+        )
         self.made = 0
         self.pumped = NOTE_WAY.udp(MAGIC + msgspec.msgpack.encode({"n": "pump", "p": self.life}))
         self.house = hashlib.sha256(self.life.encode()).digest()[:3]
@@ -62,9 +75,10 @@
         if sock is not None:
             try:
                 ends = [address[:2] for address in (sock.getsockname(), sock.getpeername())]
-                return tuple((socket.inet_pton(socket.AF_INET6 if ":" in host else socket.AF_INET, host),
-                port)
-                             for host, port in ends)
+                return tuple(
+                    (socket.inet_pton(socket.AF_INET6 if ":" in host else socket.AF_INET, host), port)
+                    for host, port in ends
+                )
             except OSError:
                 pass
         self.made += 1
--- a/hazelhold/capture/write.py
+++ b/hazelhold/capture/write.py
@@ -38,7 +38,7 @@
     def data(self, leaves: bool, body: bytes, at: int) -> None:
         """Bytes that left or came."""
         for start in range(0, len(body), SEGMENT):
-            self._packet(leaves, body[start:start + SEGMENT], PSH | ACK, at)
+            self._packet(leaves, body[start : start + SEGMENT], PSH | ACK, at)
 
     def close(self, at: int) -> None:
         if self.open:
@@ -62,10 +62,17 @@
     wall clock by `offset`.
     """
 
-    def __init__(self, path: Path, start: dict[str, Any], offset: int, now: int = 0, rotate_bytes: int = 0,
-    rotate_s:
-    float = 0.0,
-                 total_bytes: int = 0, queue_bytes: int = 1 << 24) -> None:
+    def __init__(
+        self,
+        path: Path,
+        start: dict[str, Any],
+        offset: int,
+        now: int = 0,
+        rotate_bytes: int = 0,
+        rotate_s: float = 0.0,
+        total_bytes: int = 0,
+        queue_bytes: int = 1 << 24,
+    ) -> None:
         self.path, self.start, self.offset = path, start, offset
         self.ng = path.suffix == ".pcapng"
         self.rotate_bytes, self.rotate_s, self.total_bytes = rotate_bytes, rotate_s, total_bytes
@@ -120,8 +127,9 @@
         if first:
             path.parent.mkdir(parents=True, exist_ok=True)
         self.file = path.open("wb", buffering=0)
-        head = file_head(self.ng) + record(self.ng, at, NOTE_WAY.udp(
-            MAGIC + msgspec.msgpack.encode(self.start | {"file": self.number})))
+        head = file_head(self.ng) + record(
+            self.ng, at, NOTE_WAY.udp(MAGIC + msgspec.msgpack.encode(self.start | {"file": self.number}))
+        )
         self.file.write(head)
         self.size, self.began = len(head), time.monotonic()
         self.kept.append((path, len(head)))
@@ -144,8 +152,12 @@
         try:
             if self.file is None:
                 self._begin(at)
-            if (self.rotate_bytes and self.size + size > self.rotate_bytes
-                    or self.rotate_s and time.monotonic() - self.began > self.rotate_s):
+            if (
+                self.rotate_bytes
+                and self.size + size > self.rotate_bytes
+                or self.rotate_s
+                and time.monotonic() - self.began > self.rotate_s
+            ):
                 self._begin(at)
                 self._make_room()
             data = b"".join(batch)
@@ -169,7 +181,10 @@
             self.queued -= size
 
     def _make_room(self) -> None:
-        while self.total_bytes and len(self.kept) > 1 and (
-                sum(size for _, size in self.kept) + self.rotate_bytes > self.total_bytes):
+        while (
+            self.total_bytes
+            and len(self.kept) > 1
+            and (sum(size for _, size in self.kept) + self.rotate_bytes > self.total_bytes)
+        ):
             path, _ = self.kept.popleft()
             path.unlink(missing_ok=True)
--- a/hazelhold/cli/capture.py
+++ b/hazelhold/cli/capture.py
@@ -51,8 +51,10 @@
     rows = skips.table()
     click.echo(f"skipped: {sum(r.count for r in rows)} in {len(rows)} rows")
     for r in rows[:200]:
-        click.echo(f"  {r.file}: offset {r.offset}, packet {r.packet}, {moment(r.at)}, {r.stream or '-'}: "
-                   f"{r.reason}, {r.count} times, {r.bytes} bytes")
+        click.echo(
+            f"  {r.file}: offset {r.offset}, packet {r.packet}, {moment(r.at)}, {r.stream or '-'}: "
+            f"{r.reason}, {r.count} times, {r.bytes} bytes"
+        )
     if len(rows) > 200:
         click.echo(f"  and {len(rows) - 200} rows more; --json has all")
 
@@ -93,12 +95,15 @@
         if isinstance(item, Frame):
             row = {"at": item.at, "from": name(item.source), "to": name(item.target), "message": item.message}
             line = f"{moment(item.at)} {row['from']} > {row['to']} {item.message.get('t')} " + " ".join(
-                f"{k}={item.message[k]}" for k in ("guest", "ask", "attempt", "machine", "how", "reason")
-                if k in item.message)
+                f"{k}={item.message[k]}"
+                for k in ("guest", "ask", "attempt", "machine", "how", "reason")
+                if k in item.message
+            )
         else:
             row = {"at": item.at, "note": item.data}
-            line = " ".join((moment(item.at), "note", item.data["n"], item.data.get("p", ""),
-                             item.data.get("who", "")))
+            line = " ".join(
+                (moment(item.at), "note", item.data["n"], item.data.get("p", ""), item.data.get("who", ""))
+            )
         click.echo(json.dumps(row, default=repr) if as_json else line)
     if as_json:
         click.echo(json.dumps({"skipped": skipped(skips)}))
@@ -132,22 +137,29 @@
 
     skips = Skips()
     counts = extract(list(files), output, Wish(**wish), skips)
-    click.echo(f"{output}: {counts.get('kept', 0)} packets of {counts['streams']} streams, "
-               f"{counts.get('left out', 0)} left out")
+    click.echo(
+        f"{output}: {counts.get('kept', 0)} packets of {counts['streams']} streams, "
+        f"{counts.get('left out', 0)} left out"
+    )
     show_skips(skips)
 
 
 @capture.command("replay")
 @FILES
-@click.option("--config", type=click.Path(dir_okay=False, path_type=Path), default=None,
-              help="Another configuration in place of the captured one.")
+@click.option(
+    "--config",
+    type=click.Path(dir_okay=False, path_type=Path),
+    default=None,
+    help="Another configuration in place of the captured one.",
+)
 @click.option("--to", default="", help="Send the owners' asks to the planner at HOST:PORT instead.")
 @click.option("--speed", type=click.FloatRange(0.001, 1000), default=1.0, show_default=True)
 @click.option("--mark", default="", help="What renewed ids begin with; drawn from the time if not given.")
 @JSON
 @honest
-def replay_command(files: tuple[Path, ...], config: Path | None, to: str, speed: float, mark: str,
-                   as_json: bool) -> None:
+def replay_command(
+    files: tuple[Path, ...], config: Path | None, to: str, speed: float, mark: str, as_json: bool
+) -> None:
     """Feed the planners' exchanges into new engines and compare the decisions.
 
     Exits with 0 only if every decision was the same. With --to, sends the asks as load and tells the answers.
@@ -188,9 +200,11 @@
 
 def show_replay(said: dict[str, Any]) -> None:
     for life in said["planners"]:
-        click.echo(f"planner {life['planner']}: {life['inputs']} inputs, "
-                   f"{life['compared']} decisions compared, "
-                   f"{life['differing']} differ, {life['unmatched']} without a fellow")
+        click.echo(
+            f"planner {life['planner']}: {life['inputs']} inputs, "
+            f"{life['compared']} decisions compared, "
+            f"{life['differing']} differ, {life['unmatched']} without a fellow"
+        )
         if life["module"] != life["module_here"]:
             click.echo(f"  captured with module {life['module']}, replayed with {life['module_here']}")
         if life["packets_lost_while_captured"]:
--- a/hazelhold/cli/copies.py
+++ b/hazelhold/cli/copies.py
@@ -39,8 +39,10 @@
 
     name, sheet = _sheet(config)
     votes.found(RealDisk(Path(sheet.folder)), name, sheet, time.time_ns() // 1000)
-    click.echo(f"{name} has its seat in {sheet.folder}: epoch {sheet.epoch}, {len(sheet.planners)} planners, "
-               f"{sheet.replicas} keep each value")
+    click.echo(
+        f"{name} has its seat in {sheet.folder}: epoch {sheet.epoch}, {len(sheet.planners)} planners, "
+        f"{sheet.replicas} keep each value"
+    )
 
 
 @copies.command("vouch")
@@ -78,13 +80,20 @@
     if seat is None:
         click.echo(f"{sheet.folder}: no seat: {name} votes once it has copied from the others")
         sys.exit(1)
-    click.echo(f"{seat.planner} of {seat.deployment}, epoch {seat.epoch}"
-               + ("" if seen.complete else "; damaged: it votes once it has copied from the others"))
+    click.echo(
+        f"{seat.planner} of {seat.deployment}, epoch {seat.epoch}"
+        + ("" if seen.complete else "; damaged: it votes once it has copied from the others")
+    )
     for cell in seen.ledger.tables["cell"].values():
         image = seen.ledger.decoders["cell"].decode(cell.image)
         claim = None if image.value[:1].isdigit() else claims.decode(image.value)
-        said = image.value.decode(errors="replace") if claim is None else (
-            f"{claim.state} by {claim.planner} (life {claim.life}, ask {claim.ask}, attempt {claim.attempt}) "
-            f"{claim.machine} {claim.how}").rstrip()
+        said = (
+            image.value.decode(errors="replace")
+            if claim is None
+            else (
+                f"{claim.state} by {claim.planner} (life {claim.life}, ask {claim.ask}, attempt {claim.attempt}) "
+                f"{claim.machine} {claim.how}"
+            ).rstrip()
+        )
         click.echo(f"{cell.key}: {said or 'nothing accepted'}")
     sys.exit(0 if seen.complete else 1)
--- a/hazelhold/cli/honest.py
+++ b/hazelhold/cli/honest.py
@@ -15,6 +15,7 @@
 
 def honest(command: Callable[..., None]) -> Callable[..., None]:
     """What is wrong with a file or an address is said in a line and ends with 2, never with a traceback."""
+
     @wraps(command)
     def run(*args: Any, **kwargs: Any) -> None:  # noqa: ANN401 - as click calls it
         try:
@@ -34,6 +35,7 @@
             for fault in faults:
                 click.echo(f"{type(fault).__name__}: {fault}", err=True)
             sys.exit(2)
+
     return run
 
 
--- a/hazelhold/cli/main.py
+++ b/hazelhold/cli/main.py
@@ -26,8 +26,9 @@
 
 def log_options(command: Callable[..., None]) -> Callable[..., None]:
     command = click.option("--log", type=click.Choice(["human", "json"]), default="human")(command)
-    return click.option("--level", type=click.Choice(["debug", "info", "warning", "error"]),
-                        default="info")(command)
+    return click.option("--level", type=click.Choice(["debug", "info", "warning", "error"]), default="info")(
+        command
+    )
 
 
 @click.group(context_settings={"help_option_names": ["-h", "--help"]})
@@ -44,25 +45,46 @@
 
 @main.command("planner")
 @click.option("--config", type=FILE, default=None, help="The planner's configuration, JSON5.")
-@click.option("--platform", is_flag=True, help="Speak the operators' platform's protocol; the configuration "
-              "is $BALANCER_CONFIG unless --config names it.")
+@click.option(
+    "--platform",
+    is_flag=True,
+    help="Speak the operators' platform's protocol; the configuration "
+    "is $BALANCER_CONFIG unless --config names it.",
+)
 @click.option("--frames", is_flag=True, help="With --platform and --level debug: log every message.")
 @click.option("--seed", type=int, default=None, help="In place of the configuration's.")
 @click.option("--record", type=FILE, default=None, help="Append every frame to this file.")
 @click.option("--capture", "to", type=FILE, default=None, help="Write all exchanges there, as pcap(ng).")
 @click.option("--ready", is_flag=True, help="Print the address to standard output once up.")
-@click.option("--state", "folder", type=click.Path(file_okay=False, path_type=Path), default=None,
-              help="Keep what must outlive the process in this folder.")
+@click.option(
+    "--state",
+    "folder",
+    type=click.Path(file_okay=False, path_type=Path),
+    default=None,
+    help="Keep what must outlive the process in this folder.",
+)
 @click.option("--take-over", is_flag=True, help="Have the process that uses the state hand over to this one.")
 @log_options
 @honest
-def planner(config: Path | None, platform: bool, frames: bool, seed: int | None, record: Path | None,
-            to: Path | None, ready: bool, folder: Path | None, take_over: bool, log: str, level: str) -> None:
+def planner(
+    config: Path | None,
+    platform: bool,
+    frames: bool,
+    seed: int | None,
+    record: Path | None,
+    to: Path | None,
+    ready: bool,
+    folder: Path | None,
+    take_over: bool,
+    log: str,
+    level: str,
+) -> None:
     """Run one planner until SIGTERM or SIGINT; SIGUSR2 hands over to a process that waits for its state."""
     if platform:
         if to or folder or take_over or record or seed is not None:
-            raise click.UsageError("with --platform there is no --capture, --state, --take-over, --record, "
-                                   "--seed")
+            raise click.UsageError(
+                "with --platform there is no --capture, --state, --take-over, --record, --seed"
+            )
         from hazelhold.platform.serve import serve
 
         logs.set_up(log, level)
@@ -98,6 +120,7 @@
         made = Planner(sheet, sheet.seed if seed is None else seed, TcpNet(), recorder, take_over=take_over)
         with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGUSR2) as signals:
             async with trio.open_nursery() as nursery:
+
                 async def listen() -> None:
                     async for each in signals:
                         (made.hand_over if each == signal.SIGUSR2 else made.stop)()
@@ -144,16 +167,33 @@
 @click.argument("day", type=FILE)
 @click.option("--seed", type=int, default=1, show_default=True)
 @click.option("--report", "to", type=FILE, default=None, help="Write the report there, as JSON.")
-@click.option("--records", type=click.Path(file_okay=False, path_type=Path), default=None,
-              help="Keep all frames and logs in this new folder.")
-@click.option("--capture", type=click.Path(file_okay=False, path_type=Path), default=None,
-              help="Keep a capture of each planner's life in this folder.")
+@click.option(
+    "--records",
+    type=click.Path(file_okay=False, path_type=Path),
+    default=None,
+    help="Keep all frames and logs in this new folder.",
+)
+@click.option(
+    "--capture",
+    type=click.Path(file_okay=False, path_type=Path),
+    default=None,
+    help="Keep a capture of each planner's life in this folder.",
+)
 @click.option("--virtual", is_flag=True, help="In memory and virtual time: no sockets, no processes.")
 @click.option("--keep-state", is_flag=True, help="Planners keep their state, and owe what they had taken.")
 @log_options
 @honest
-def rehearse(day: Path, seed: int, to: Path | None, records: Path | None, capture: Path | None, virtual: bool,
-             keep_state: bool, log: str, level: str) -> None:
+def rehearse(
+    day: Path,
+    seed: int,
+    to: Path | None,
+    records: Path | None,
+    capture: Path | None,
+    virtual: bool,
+    keep_state: bool,
+    log: str,
+    level: str,
+) -> None:
     """Play a day with planners, stand-ins and troubles, then audit it.
 
     Exits with 0 only if no rule was broken and every guest is accounted for.
@@ -191,15 +231,21 @@
 @click.argument("day", type=FILE)
 @click.option("--seed", type=int, default=1, show_default=True, help="Of the first day; each is one more.")
 @click.option("--runs", type=click.IntRange(1, 100_000), default=20, show_default=True)
-@click.option("--length", type=click.FloatRange(5, 3600), default=25.0, show_default=True,
-              help="Of a day, in s.")
+@click.option(
+    "--length", type=click.FloatRange(5, 3600), default=25.0, show_default=True, help="Of a day, in s."
+)
 @click.option("--jobs", type=click.IntRange(1, 256), default=4, show_default=True)
-@click.option("--found", type=click.Path(file_okay=False, path_type=Path), default=None,
-              help="Write days that broke a rule there.")
+@click.option(
+    "--found",
+    type=click.Path(file_okay=False, path_type=Path),
+    default=None,
+    help="Write days that broke a rule there.",
+)
 @click.option("--crashes", is_flag=True, help="Planners keep state, die at drawn points, have bad disks.")
 @honest
-def hunt(day: Path, seed: int, runs: int, length: float, jobs: int, found: Path | None,
-         crashes: bool) -> None:
+def hunt(
+    day: Path, seed: int, runs: int, length: float, jobs: int, found: Path | None, crashes: bool
+) -> None:
     """Draw days with this one's products and kinds, and look for one on which a rule breaks.
 
     Exits with 0 only if none was found.
@@ -218,8 +264,10 @@
             hunting.write_day(hunting.draw(base, result["seed"], length), file)
     taken = sum(r.get("counts", {}).get("taken", 0) for r in results)
     struck = sum(r.get("struck", 0) for r in results)
-    click.echo(f"{runs} days, {taken} asks taken, {struck} crashes at drawn points: {len(bad)} days with a "
-               "broken rule")
+    click.echo(
+        f"{runs} days, {taken} asks taken, {struck} crashes at drawn points: {len(bad)} days with a "
+        "broken rule"
+    )
     sys.exit(1 if bad else 0)
 
 
@@ -228,10 +276,17 @@
     """Run a part of a day's stand-ins alone, beside planners of your own."""
 
 
-DAY_OPTIONS = (click.argument("day", type=FILE), click.option("--seed", type=int, default=1,
-show_default=True),
-               click.option("--for", "seconds", type=click.FloatRange(0, 86_400), default=None,
-                            help="In place of the day's length."))
+DAY_OPTIONS = (
+    click.argument("day", type=FILE),
+    click.option("--seed", type=int, default=1, show_default=True),
+    click.option(
+        "--for",
+        "seconds",
+        type=click.FloatRange(0, 86_400),
+        default=None,
+        help="In place of the day's length.",
+    ),
+)
 
 
 def day_command(name: str) -> Callable[[Callable[..., None]], Callable[..., None]]:
@@ -240,6 +295,7 @@
         for option in (*DAY_OPTIONS, log_options):
             command = option(command)
         return stand_in.command(name)(command)
+
     return add
 
 
@@ -259,8 +315,9 @@
 
 @day_command("senders")
 @click.option("--planner", "planners", multiple=True, required=True, help="NAME=HOST:PORT, once for each.")
-def stand_in_senders(day: Path, seed: int, seconds: float | None, planners: tuple[str, ...], log: str,
-                     level: str) -> None:
+def stand_in_senders(
+    day: Path, seed: int, seconds: float | None, planners: tuple[str, ...], log: str, level: str
+) -> None:
     """The day's owners."""
     wrong = [p for p in planners if "=" not in p]
     if wrong:
@@ -268,8 +325,15 @@
     _alone(day, seed, seconds, log, level, "senders", planners=dict(p.split("=", 1) for p in planners))
 
 
-def _alone(day: Path, seed: int, seconds: float | None, log: str, level: str, part: str, **more: Any,  # noqa: ANN401
-           ) -> None:
+def _alone(
+    day: Path,
+    seed: int,
+    seconds: float | None,
+    log: str,
+    level: str,
+    part: str,
+    **more: Any,  # noqa: ANN401
+) -> None:
     import trio
 
     from hazelhold.rehearse.alone import run_part
@@ -299,22 +363,31 @@
     """A report for people."""
     counts, service = said["counts"], said["service"]
     click.echo(f"{said['day']}, seed {said['seed']}, {said['seconds']} s")
-    click.echo(f"  guests {service['guests']}, asks taken {counts.get('taken', 0)}: placed "
-               f"{counts.get('placed', 0)}, turned back {counts.get('turned_back', 0)}, broken off "
-               f"{counts.get('broken_off', 0)}, unanswered {counts.get('unanswered', 0)}, died with their "
-               f"planner {counts.get('died_with_planner', 0)}")
-    click.echo(f"  dispatches {counts.get('dispatches', 0)}, starts {counts.get('starts', 0)}, "
-               f"served to their end {counts.get('ended_done', 0)}")
-    click.echo("  service " + ", ".join(f"{key} {value}" for key, value in service.items() if key !=
-    "guests"))
+    click.echo(
+        f"  guests {service['guests']}, asks taken {counts.get('taken', 0)}: placed "
+        f"{counts.get('placed', 0)}, turned back {counts.get('turned_back', 0)}, broken off "
+        f"{counts.get('broken_off', 0)}, unanswered {counts.get('unanswered', 0)}, died with their "
+        f"planner {counts.get('died_with_planner', 0)}"
+    )
+    click.echo(
+        f"  dispatches {counts.get('dispatches', 0)}, starts {counts.get('starts', 0)}, "
+        f"served to their end {counts.get('ended_done', 0)}"
+    )
+    click.echo(
+        "  service " + ", ".join(f"{key} {value}" for key, value in service.items() if key != "guests")
+    )
     click.echo(f"  rules broken: {len(said['rules_broken'])}")
     for breach in said["rules_broken"][:20]:
-        click.echo(f"    rule {breach['rule']}: {breach['what']} (guest {breach['guest'] or '-'}, planner "
-                   f"{breach['planner'] or '-'}, machine {breach['machine'] or '-'}, at {breach['at']})")
+        click.echo(
+            f"    rule {breach['rule']}: {breach['what']} (guest {breach['guest'] or '-'}, planner "
+            f"{breach['planner'] or '-'}, machine {breach['machine'] or '-'}, at {breach['at']})"
+        )
     if views := said.get("views"):
-        click.echo(f"  views: wrongly gone {views['wrongly_gone']}, missed {views['missed']}; time to notice "
-                   f"{_spans(views['noticed'])}, to take back {_spans(views['healed'])}"
-                   + (": BOUND PASSED" if views["bounds_passed"] else ""))
+        click.echo(
+            f"  views: wrongly gone {views['wrongly_gone']}, missed {views['missed']}; time to notice "
+            f"{_spans(views['noticed'])}, to take back {_spans(views['healed'])}"
+            + (": BOUND PASSED" if views["bounds_passed"] else "")
+        )
         for line in views["details"][:10]:
             click.echo(f"    {line}")
     if claims := said.get("claims"):
--- a/hazelhold/cli/members.py
+++ b/hazelhold/cli/members.py
@@ -125,8 +125,10 @@
     said += f", was away {mine['away_times']} times" if mine["away_times"] else ""
     click.echo(said)
     if "agrees" in mine:
-        click.echo(f"claims: agrees: {mine['agrees']}, votes: {mine['votes']}"
-                   + (f", nothing heard lately of {mine['silent']}" if mine["silent"] else ""))
+        click.echo(
+            f"claims: agrees: {mine['agrees']}, votes: {mine['votes']}"
+            + (f", nothing heard lately of {mine['silent']}" if mine["silent"] else "")
+        )
     click.echo(f"{'member':24} {'state':10} {'for':>9} {'answered':>9} {'rtt':>8}  what is known")
     for each in seen:
         row, facts = each.row, []
--- a/hazelhold/cli/state.py
+++ b/hazelhold/cli/state.py
@@ -39,8 +39,9 @@
 
 @state.command("show")
 @click.argument("folder", type=FOLDER)
-@click.option("--guests", "many", type=click.IntRange(0), default=20, show_default=True,
-              help="Guests to list.")
+@click.option(
+    "--guests", "many", type=click.IntRange(0), default=20, show_default=True, help="Guests to list."
+)
 @honest
 def show(folder: Path, many: int) -> None:
     """What is kept: counts, damage, and the guests."""
@@ -55,8 +56,13 @@
         click.echo("  something that a peer may have seen can be missing")
     now = time.time_ns() // 1000
     for image in list(found.ledger.images("guest"))[:many]:
-        where = f"runs on {image.machine}" if image.placed else f"out to {image.machine}" if (
-            image.machine) else "held"
+        where = (
+            f"runs on {image.machine}"
+            if image.placed
+            else f"out to {image.machine}"
+            if (image.machine)
+            else "held"
+        )
         left = f", {max(0, image.deadline - now) / 1e6:.1f} s of patience left" if image.deadline else ""
         unsure = ", may have run" if image.unsure_at else ""
         click.echo(f"  {image.name} of {image.owner}: {image.product}, {where}{left}{unsure}")
@@ -79,8 +85,10 @@
             wrong += 1
             click.echo(str(fault))
     sizes = ", ".join(f"{kind} {count}" for kind, count in found.ledger.sizes().items())
-    click.echo(f"generation {found.generation}, {found.batches} batches in logs; {sizes}; "
-               + ("complete" if found.complete else "incomplete"))
+    click.echo(
+        f"generation {found.generation}, {found.batches} batches in logs; {sizes}; "
+        + ("complete" if found.complete else "incomplete")
+    )
     sys.exit(0 if found.complete and not wrong else 1)
 
 
--- a/hazelhold/client/__init__.py
+++ b/hazelhold/client/__init__.py
@@ -13,5 +13,17 @@
     Want,
 )
 
-__all__ = ["BlockingClient", "CancelledError", "Client", "Manners", "MayHaveRunError", "NotPlacedError",
-           "Outcome", "RejectedError", "Standing", "TurnedBackError", "Want", "open_client"]
+__all__ = [
+    "BlockingClient",
+    "CancelledError",
+    "Client",
+    "Manners",
+    "MayHaveRunError",
+    "NotPlacedError",
+    "Outcome",
+    "RejectedError",
+    "Standing",
+    "TurnedBackError",
+    "Want",
+    "open_client",
+]
--- a/hazelhold/client/blocking.py
+++ b/hazelhold/client/blocking.py
@@ -19,8 +19,9 @@
         self.client: Client | None = None
         if isinstance(planners, Path):
             read_places(planners)  # what is wrong with it is told here, not in the thread
-        self.thread = threading.Thread(target=trio.run, args=(self._main, name, planners, manners),
-                                       daemon=True, name="hazelhold-client")
+        self.thread = threading.Thread(
+            target=trio.run, args=(self._main, name, planners, manners), daemon=True, name="hazelhold-client"
+        )
         self.thread.start()
         self.ready.wait()
 
--- a/hazelhold/client/client.py
+++ b/hazelhold/client/client.py
@@ -44,8 +44,15 @@
 class Client:
     """One client process. Use `open_client`; every method belongs to the task that runs trio."""
 
-    def __init__(self, name: str, planners: dict[str, str] | Path, manners: Manners | None = None,
-                 net: Net | None = None, seed: int | None = None, connect_s: float = 2.0) -> None:
+    def __init__(
+        self,
+        name: str,
+        planners: dict[str, str] | Path,
+        manners: Manners | None = None,
+        net: Net | None = None,
+        seed: int | None = None,
+        connect_s: float = 2.0,
+    ) -> None:
         self.watch = Watch(planners) if isinstance(planners, Path) else None
         planners = dict(self.watch.planners if self.watch else planners)
         self.net, self.planners, self.connect_s = net or TcpNet(), planners, connect_s
@@ -223,8 +230,13 @@
 
 
 @asynccontextmanager
-async def open_client(name: str, planners: dict[str, str] | Path, manners: Manners | None = None,
-                      net: Net | None = None, seed: int | None = None) -> AsyncIterator[Client]:
+async def open_client(
+    name: str,
+    planners: dict[str, str] | Path,
+    manners: Manners | None = None,
+    net: Net | None = None,
+    seed: int | None = None,
+) -> AsyncIterator[Client]:
     """A running client; leaving the block leaves its guests to their planners. `planners` are addresses by
     name, or a file of them that is followed as it changes (ConfigError if it cannot be used at the start)."""
     client = Client(name, planners, manners, net, seed)
--- a/hazelhold/client/core.py
+++ b/hazelhold/client/core.py
@@ -106,8 +106,13 @@
     """It was cancelled before it was placed."""
 
 
-WHY = {"turned_back": TurnedBackError, "broken_off": MayHaveRunError, "unknown": MayHaveRunError,
-       "rejected": RejectedError, "cancelled": CancelledError}
+WHY = {
+    "turned_back": TurnedBackError,
+    "broken_off": MayHaveRunError,
+    "unknown": MayHaveRunError,
+    "rejected": RejectedError,
+    "cancelled": CancelledError,
+}
 
 
 class Send(NamedTuple):
@@ -203,8 +208,15 @@
             if planner in busy:
                 self._at(now + SECOND, "unlisted", "", 0)
                 continue
-            for table in (self.up, self.dead, self.returns, self.return_at, self.mute_since,
-                          self.throttles, self.choice.known):
+            for table in (
+                self.up,
+                self.dead,
+                self.returns,
+                self.return_at,
+                self.mute_since,
+                self.throttles,
+                self.choice.known,
+            ):
                 table.pop(planner, None)
             self.actions.append(Leave(planner))
 
@@ -393,10 +405,22 @@
         want = trip.want
         self.counts["sent"] += 1
         self.counts["retries"] += trip.ask > 0
-        self._send(now, planner, m.Submit(
-            guest=want.guest, ask=trip.ask, product=want.product, service=want.service, cores=want.cores,
-            memory=want.memory, patience=patience, customer=want.customer, reason=trip.reason,
-            life=max(0, trip.life_ends - now)))
+        self._send(
+            now,
+            planner,
+            m.Submit(
+                guest=want.guest,
+                ask=trip.ask,
+                product=want.product,
+                service=want.service,
+                cores=want.cores,
+                memory=want.memory,
+                patience=patience,
+                customer=want.customer,
+                reason=trip.reason,
+                life=max(0, trip.life_ends - now),
+            ),
+        )
         self._when(trip, trip.until + SECOND // 20, "unanswered")
 
     def _again(self, now: int, trip: Trip, reason: str, advised: int) -> None:
@@ -481,8 +505,11 @@
         if trip.state == "placed":
             return
         unsure = trip.state != "idle" or trip.first_unsure
-        self._over(trip, "unknown" if unsure and trip.want.effect != "rerunnable" else "turned_back",
-                   reason="deadline")
+        self._over(
+            trip,
+            "unknown" if unsure and trip.want.effect != "rerunnable" else "turned_back",
+            reason="deadline",
+        )
 
     def _when(self, trip: Trip, when: int, what: str) -> None:
         trip.due = when
--- a/hazelhold/client/places.py
+++ b/hazelhold/client/places.py
@@ -1,6 +1,6 @@
 """The planners of a client, from a JSON5 file that may change while it is used.
 
-    {planners: {"planner-0": "127.0.0.1:7400", "planner-1": "127.0.0.1:7401"}}
+{planners: {"planner-0": "127.0.0.1:7400", "planner-1": "127.0.0.1:7401"}}
 """
 
 from pathlib import Path
--- a/hazelhold/config/day.py
+++ b/hazelhold/config/day.py
@@ -13,10 +13,30 @@
 Few = Annotated[int, Meta(ge=1, le=2000)]
 Bound = Annotated[float, Meta(ge=0, le=1e6)]
 Range = tuple[Bound, Bound]
-TROUBLES = ("burst", "deploy", "list_down", "flush", "heavy_tail", "hot_service", "mass_restart", "preempt",
-            "vanish", "report_late", "fast_errors", "answer_lost", "ageing", "crash", "zone_cut",
-            "planner_kill",
-            "planner_stop", "reconnect", "planner_pause", "planner_cut", "planner_loss", "planner_disk")
+TROUBLES = (
+    "burst",
+    "deploy",
+    "list_down",
+    "flush",
+    "heavy_tail",
+    "hot_service",
+    "mass_restart",
+    "preempt",
+    "vanish",
+    "report_late",
+    "fast_errors",
+    "answer_lost",
+    "ageing",
+    "crash",
+    "zone_cut",
+    "planner_kill",
+    "planner_stop",
+    "reconnect",
+    "planner_pause",
+    "planner_cut",
+    "planner_loss",
+    "planner_disk",
+)
 BETWEEN = ("planner_pause", "planner_cut", "planner_loss", "planner_disk")  # of planners among themselves
 
 
@@ -158,19 +178,24 @@
             faults += _check_between(day, trouble, f"troubles[{at}]")
         if trouble.kind == "zone_cut" and day.zones < 2:
             faults.append((f"troubles[{at}].kind", "a cut needs two zones or more"))
-    for where, pair in [(f"{name}[{at}].{key}", getattr(item, key))
-                        for name, items in (("wares", day.wares), ("stock", day.stock))
-                        for at, item in enumerate(items)
-                        for key in item.__struct_fields__ if key != "shapes"
-                        and isinstance(getattr(item, key), tuple)]:
+    for where, pair in [
+        (f"{name}[{at}].{key}", getattr(item, key))
+        for name, items in (("wares", day.wares), ("stock", day.stock))
+        for at, item in enumerate(items)
+        for key in item.__struct_fields__
+        if key != "shapes" and isinstance(getattr(item, key), tuple)
+    ]:
         if pair[0] > pair[1]:
             faults.append((where, f"the range runs backwards: {pair}"))
     return faults
 
 
 def _check_between(day: Day, trouble: Trouble, place: str) -> list[tuple[str, str]]:
-    faults = [(f"{place}.{key}", f"planners are numbered 0 to {day.planners - 1}")
-              for key in ("whom", "others") if any(n >= day.planners for n in getattr(trouble, key))]
+    faults = [
+        (f"{place}.{key}", f"planners are numbered 0 to {day.planners - 1}")
+        for key in ("whom", "others")
+        if any(n >= day.planners for n in getattr(trouble, key))
+    ]
     if trouble.by not in ("any", "zone"):
         faults.append((f"{place}.by", "planners have zones, and neither kind nor cell"))
     if trouble.by == "any" and not trouble.whom and trouble.which >= day.planners:
--- a/hazelhold/config/load.py
+++ b/hazelhold/config/load.py
@@ -29,7 +29,7 @@
         digits = "".join(c for c in said.rsplit("near", 1)[-1].split(",")[0] if c.isdigit())
         place = "syntax"
         if digits:
-            before = text[:max(0, int(digits) - 1)]
+            before = text[: max(0, int(digits) - 1)]
             place = f"line {before.count(chr(10)) + 1}, column {len(before) - before.rfind(chr(10))}"
         raise ConfigError(file, [(place, f"not JSON5: {said}" + (f" ({at!r})" if at else ""))]) from None
 
@@ -52,8 +52,12 @@
         fields = {f.encode_name: f for f in msgspec.structs.fields(kind)}
         for key in value.keys() - fields.keys():
             near = difflib.get_close_matches(str(key), fields, 1)
-            faults.append((f"{place}.{key}".lstrip("."), "no such key"
-                           + (f"; did you mean {near[0]!r}?" if near else "")))
+            faults.append(
+                (
+                    f"{place}.{key}".lstrip("."),
+                    "no such key" + (f"; did you mean {near[0]!r}?" if near else ""),
+                )
+            )
         given = {}
         for name, field in fields.items():
             if name in value:
--- a/hazelhold/config/planner.py
+++ b/hazelhold/config/planner.py
@@ -14,10 +14,18 @@
 NotNegative = Annotated[float, Meta(ge=0, le=1e9)]
 Millis = Annotated[float, Meta(gt=0, le=86_400_000)]
 Whole = Annotated[int, Meta(ge=0, le=1 << 31)]
-EFFECTS = {"rerunnable": interface.Effect.RERUNNABLE, "ticketed": interface.Effect.TICKETED,
-           "exclusive": interface.Effect.EXCLUSIVE}
-PLACES = {"nowhere": interface.Place.NOWHERE, "machine": interface.Place.MACHINE,
-          "cell": interface.Place.CELL, "zone": interface.Place.ZONE, "all": interface.Place.ALL}
+EFFECTS = {
+    "rerunnable": interface.Effect.RERUNNABLE,
+    "ticketed": interface.Effect.TICKETED,
+    "exclusive": interface.Effect.EXCLUSIVE,
+}
+PLACES = {
+    "nowhere": interface.Place.NOWHERE,
+    "machine": interface.Place.MACHINE,
+    "cell": interface.Place.CELL,
+    "zone": interface.Place.ZONE,
+    "all": interface.Place.ALL,
+}
 
 
 class ProductSheet(Struct, frozen=True):
@@ -204,10 +212,16 @@
 def check_estate(estate: Estate, place: str = "estate") -> list[tuple[str, str]]:
     """What is wrong with an estate as a whole: names twice, times that contradict one another."""
     faults = []
-    for field, names in (("products", [p.name for p in estate.products]),
-                         ("kinds", [k.name for k in estate.kinds]), ("customers", estate.customers)):
-        faults += [(f"{place}.{field}[{at}]", f"the name {name!r} is there twice")
-                   for at, name in enumerate(names) if name in names[:at]]
+    for field, names in (
+        ("products", [p.name for p in estate.products]),
+        ("kinds", [k.name for k in estate.kinds]),
+        ("customers", estate.customers),
+    ):
+        faults += [
+            (f"{place}.{field}[{at}]", f"the name {name!r} is there twice")
+            for at, name in enumerate(names)
+            if name in names[:at]
+        ]
     kinds = {k.name for k in estate.kinds}
     for at, product in enumerate(estate.products):
         here = f"{place}.products[{at}]"
@@ -237,9 +251,12 @@
     if not sheet.listen:
         wrong = "is missing: without it membership is off, but other keys are set"
         return [("membership.listen", wrong)] if sheet != MembershipSheet() else []
-    given = [("listen", sheet.listen), *((f"seeds[{at}]", seed) for at, seed in enumerate(sheet.seeds)),
-             *((f"reach[{name!r}]", to) for name, to in sheet.reach.items()),
-             *((key, text) for key in ("advertise", "metrics") if (text := getattr(sheet, key)))]
+    given = [
+        ("listen", sheet.listen),
+        *((f"seeds[{at}]", seed) for at, seed in enumerate(sheet.seeds)),
+        *((f"reach[{name!r}]", to) for name, to in sheet.reach.items()),
+        *((key, text) for key in ("advertise", "metrics") if (text := getattr(sheet, key))),
+    ]
     faults = check_addresses("membership", given)
     told = sheet.advertise or sheet.listen
     if not faults and split_address(told)[0] in ("0.0.0.0", "::"):
@@ -256,13 +273,20 @@
         wrong = "is missing: without it copies are off, but other keys are set"
         return [("copies.listen", wrong)] if copies != CopiesSheet() else []
     names = [p.name for p in copies.planners]
-    given = [("listen", copies.listen), *((f"reach[{name!r}]", to) for name, to in copies.reach.items()),
-             *((f"planners[{at}].address", p.address) for at, p in enumerate(copies.planners))]
+    given = [
+        ("listen", copies.listen),
+        *((f"reach[{name!r}]", to) for name, to in copies.reach.items()),
+        *((f"planners[{at}].address", p.address) for at, p in enumerate(copies.planners)),
+    ]
     faults = check_addresses("copies", given)
-    faults += [(f"copies.planners[{at}].name", f"the name {name!r} is there twice")
-               for at, name in enumerate(names) if name in names[:at]]
-    faults += [(f"copies.reach[{name!r}]", "is no planner of the set") for name in copies.reach
-               if name not in names]
+    faults += [
+        (f"copies.planners[{at}].name", f"the name {name!r} is there twice")
+        for at, name in enumerate(names)
+        if name in names[:at]
+    ]
+    faults += [
+        (f"copies.reach[{name!r}]", "is no planner of the set") for name in copies.reach if name not in names
+    ]
     if sheet.name not in names:
         faults.append(("copies.planners", f"this planner, {sheet.name!r}, is not among them"))
     if not copies.folder:
@@ -308,18 +332,41 @@
     """The start facts for the module."""
     estate, fleet = sheet.estate, sheet.estate.fleet
     kinds = [k.name for k in estate.kinds]
-    products = tuple(interface.Product(
-        effect=EFFECTS[p.effect], group=PLACES[p.group], window=micros(p.window_ms),
-        goal_time=micros(p.goal_ms), payoff=p.payoff, start_bonus=p.start_bonus_s, priority=p.priority,
-        easy_until=p.easy_until, lost_after=p.lost_after, kind=kinds.index(p.kind) if p.kind else -1,
-        spread=PLACES[p.spread], spread_most=p.spread_most) for p in estate.products)
+    products = tuple(
+        interface.Product(
+            effect=EFFECTS[p.effect],
+            group=PLACES[p.group],
+            window=micros(p.window_ms),
+            goal_time=micros(p.goal_ms),
+            payoff=p.payoff,
+            start_bonus=p.start_bonus_s,
+            priority=p.priority,
+            easy_until=p.easy_until,
+            lost_after=p.lost_after,
+            kind=kinds.index(p.kind) if p.kind else -1,
+            spread=PLACES[p.spread],
+            spread_most=p.spread_most,
+        )
+        for p in estate.products
+    )
     return interface.Deployment(
-        planners=sheet.planners, slot=sheet.slot, products=products,
+        planners=sheet.planners,
+        slot=sheet.slot,
+        products=products,
         kinds=tuple(interface.Kind(k.cores, k.memory) for k in estate.kinds),
-        list_is_asked=sheet.list.asked, ask_within=micros(sheet.list.ask_within_ms),
-        list_has_room=sheet.list.has_room, cores_multiple=fleet.cores_multiple,
-        memory_multiple=fleet.memory_multiple, makes_room=fleet.makes_room,
-        confirms_running=fleet.confirms == "running", probing=fleet.probing,
-        reports_count_asked=fleet.reports_count == "asked", max_dispatches=fleet.max_dispatches,
-        cold_for=micros(fleet.cold_for_ms), cold_from=fleet.cold_from,
-        cold_window=micros(fleet.cold_window_ms), cold_offers=fleet.cold_offers, fleet_price=fleet.price)
+        list_is_asked=sheet.list.asked,
+        ask_within=micros(sheet.list.ask_within_ms),
+        list_has_room=sheet.list.has_room,
+        cores_multiple=fleet.cores_multiple,
+        memory_multiple=fleet.memory_multiple,
+        makes_room=fleet.makes_room,
+        confirms_running=fleet.confirms == "running",
+        probing=fleet.probing,
+        reports_count_asked=fleet.reports_count == "asked",
+        max_dispatches=fleet.max_dispatches,
+        cold_for=micros(fleet.cold_for_ms),
+        cold_from=fleet.cold_from,
+        cold_window=micros(fleet.cold_window_ms),
+        cold_offers=fleet.cold_offers,
+        fleet_price=fleet.price,
+    )
--- a/hazelhold/emulate/fleet.py
+++ b/hazelhold/emulate/fleet.py
@@ -62,8 +62,14 @@
 class Wake:
     """Takes the place of a ticker: works when it is stirred and when something is due."""
 
-    def __init__(self, clock: Clock, now: Callable[[], int], due: Callable[[int], int | None],
-                 work: Callable[[int], None], pause: int = 0) -> None:
+    def __init__(
+        self,
+        clock: Clock,
+        now: Callable[[], int],
+        due: Callable[[int], int | None],
+        work: Callable[[int], None],
+        pause: int = 0,
+    ) -> None:
         self.clock, self.now, self.due, self.work, self.pause = clock, now, due, work, pause
         self.at: int | None = None
         self.worked_at = -pause
@@ -106,9 +112,15 @@
 class FarDoor:
     """The door of a machine or of the list service."""
 
-    def __init__(self, fleet: "Fleet", name: str, zone: int, recorder: Notes,
-                 said: Callable[[str, Any], None],
-                 left: Callable[[str], None] = lambda planner: None) -> None:
+    def __init__(
+        self,
+        fleet: "Fleet",
+        name: str,
+        zone: int,
+        recorder: Notes,
+        said: Callable[[str, Any], None],
+        left: Callable[[str], None] = lambda planner: None,
+    ) -> None:
         self.fleet, self.name, self.zone, self.recorder = fleet, name, zone, recorder
         self.said, self.left = said, left
         self.wires: dict[str, Line] = {}
@@ -154,8 +166,9 @@
         self.lines: dict[str, Line] = {}
         self.list_line: Line | None = None
         self.list_wanted: int | None = None if sheet.list.asked else 0
-        self.ticker = Wake(self.clock, fleet.net.now, self.engine.next_at, self._work,
-                           micros(sheet.limits.batch_ms))
+        self.ticker = Wake(
+            self.clock, fleet.net.now, self.engine.next_at, self._work, micros(sheet.limits.batch_ms)
+        )
         self.ticker.stir()
         self._follow()
 
@@ -373,11 +386,19 @@
         self._keep_rooms_on()
         self.list_host.ticker.stir()
         self.service.advance(clock.now)
-        self.sheets = {f"planner-{n}": PlannerSheet(
-            name=f"planner-{n}", listen="x:1", estate=day.estate, slot=n, planners=day.planners,
-            seed=self.seed * 1000 + 100 * n, limits=LimitSheet(connect_ms=500.0, probe_ms=500.0),
-            list=ListSheet(address="x:1", asked=day.list_asked, has_room=day.list_has_room))
-            for n in range(day.planners)}
+        self.sheets = {
+            f"planner-{n}": PlannerSheet(
+                name=f"planner-{n}",
+                listen="x:1",
+                estate=day.estate,
+                slot=n,
+                planners=day.planners,
+                seed=self.seed * 1000 + 100 * n,
+                limits=LimitSheet(connect_ms=500.0, probe_ms=500.0),
+                list=ListSheet(address="x:1", asked=day.list_asked, has_room=day.list_has_room),
+            )
+            for n in range(day.planners)
+        }
         self.zones = {name: at % day.zones for at, name in enumerate(self.sheets)}
         for name in self.sheets:
             self.start_planner(name)
@@ -398,14 +419,21 @@
         for sender in self.senders:
             for what, count in sender.model.counts.items():
                 counts[what] = counts.get(what, 0) + count
-        found: dict[str, Any] = {"day": self.day.name, "seed": self.seed, "events": self.clock.events,
-                                 "owners": counts}
+        found: dict[str, Any] = {
+            "day": self.day.name,
+            "seed": self.seed,
+            "events": self.clock.events,
+            "owners": counts,
+        }
         if self.crossings is not None:
             audit = Audit(self.crossings)
             broken = audit.breaches()
-            found |= {"counts": audit.counts(), "service": score(audit.crossings, audit.rules),
-                      "rules_broken": [msgspec.to_builtins(b) for b in broken],
-                      "unaccounted": audit.unaccounted()}
+            found |= {
+                "counts": audit.counts(),
+                "service": score(audit.crossings, audit.rules),
+                "rules_broken": [msgspec.to_builtins(b) for b in broken],
+                "unaccounted": audit.unaccounted(),
+            }
         return found
 
     def _keep_rooms_on(self) -> None:
@@ -416,10 +444,18 @@
         demand = self.day.demand
         until = now + round((demand.until_s or self.day.length_s) * 1e6)
         for number in range(demand.owners):
-            model = OwnerModel(f"owner{number}", self.seed, list(self.sheets), self.wants,
-                               demand.rate / demand.owners,
-                               (micros(demand.again_ms[0]), micros(demand.again_ms[1])),
-                               micros(self.day.estate.fleet.settle_ms), demand.cancel_share, now, until)
+            model = OwnerModel(
+                f"owner{number}",
+                self.seed,
+                list(self.sheets),
+                self.wants,
+                demand.rate / demand.owners,
+                (micros(demand.again_ms[0]), micros(demand.again_ms[1])),
+                micros(self.day.estate.fleet.settle_ms),
+                demand.cancel_share,
+                now,
+                until,
+            )
             self.senders.append(Sender(self, model, self.recorder(model.name, "owner")))
         self.by_owner = {s.model.name: s for s in self.senders}
         for sender in self.senders:
@@ -475,9 +511,11 @@
 def play_fleet(day: Day, seed: int, audited: bool = True) -> dict[str, Any]:
     """One day in the emulator, whose planners are engines that share nothing: what strikes their processes or
     what is between them is for a rehearsal."""
-    if wrong := [(f"troubles[{at}].kind", f"{t.kind} needs processes: rehearse it")
-                 for at, t in enumerate(day.troubles) if t.kind in BETWEEN] + (
-            [("copies.on", "claims among planners are not emulated: rehearse it")] if day.copies.on else []):
+    if wrong := [
+        (f"troubles[{at}].kind", f"{t.kind} needs processes: rehearse it")
+        for at, t in enumerate(day.troubles)
+        if t.kind in BETWEEN
+    ] + ([("copies.on", "claims among planners are not emulated: rehearse it")] if day.copies.on else []):
         raise ConfigError(day.name, wrong)
     return Fleet(day, seed, audited).play()
 
--- a/hazelhold/emulate/town.py
+++ b/hazelhold/emulate/town.py
@@ -79,8 +79,13 @@
     def start(self) -> None:
         limits, self.life, self.up = self.sheet.limits, self.life + 1, True
         self.engine = Engine(self.sheet, self.life, self.clock.now)
-        self.door = Doorman(limits.handshakes_a_second, limits.handshake_burst, limits.handshakes_at_once,
-                            round(limits.return_most_ms * 1000), Random(f"door/{self.life}"))
+        self.door = Doorman(
+            limits.handshakes_a_second,
+            limits.handshake_burst,
+            limits.handshakes_at_once,
+            round(limits.return_most_ms * 1000),
+            Random(f"door/{self.life}"),
+        )
         self.owners: dict[str, int] = {}  # who is connected, and by which connection
         self.inbox: deque[tuple] = deque()
         self.greeting = 0
@@ -155,8 +160,7 @@
         if what == "hello":
             self.greeting -= 1
             self.owners[item[1]] = item[2]
-            self.clock.at(now + self.town.delay, self.town.welcomed, item[1], item[2],
-                          self._window())
+            self.clock.at(now + self.town.delay, self.town.welcomed, item[1], item[2], self._window())
             return self.costs.handshake
         if what == "owner":
             engine.owner_said(now, item[1], item[2])
@@ -166,9 +170,25 @@
             engine.link_up(now, item[1], m.Welcome(name=item[1], incarnation=1))
         elif what == "list":
             size = 1e6
-            engine.list_said(now, m.Listing(version=1, whole=True, entries=[
-                m.Entry(machine=n, address=n, mode="ready", kind=self.sheet.estate.kinds[0].name,
-                        incarnation=1, cores_room=size, memory_room=size) for n in self.names]))
+            engine.list_said(
+                now,
+                m.Listing(
+                    version=1,
+                    whole=True,
+                    entries=[
+                        m.Entry(
+                            machine=n,
+                            address=n,
+                            mode="ready",
+                            kind=self.sheet.estate.kinds[0].name,
+                            incarnation=1,
+                            cores_room=size,
+                            memory_room=size,
+                        )
+                        for n in self.names
+                    ],
+                ),
+            )
         return self.costs.frame
 
     def _say(self, life: int, actions: list) -> None:
@@ -178,8 +198,13 @@
         for action in actions:
             if isinstance(action, Say) and action.role == "owner":
                 if action.peer in self.owners:
-                    self.clock.at(self.clock.now + delay, self.town.heard, action.peer,
-                                  self.owners[action.peer], action.message)
+                    self.clock.at(
+                        self.clock.now + delay,
+                        self.town.heard,
+                        action.peer,
+                        self.owners[action.peer],
+                        action.message,
+                    )
             elif isinstance(action, Say):
                 self.clock.at(self.clock.now + delay, self._machine, action.peer, action.message)
             elif isinstance(action, Dial):
@@ -203,9 +228,17 @@
             self._later(("machine", name, m.Running(guests=[*here.values(), *missed])))
         elif isinstance(said, m.Offer):
             key = said.guest, said.ask
-            here[key] = m.Stand(guest=said.guest, ask=said.ask, attempt=said.attempt, state="runs",
-                                product=said.product, service=said.service, cores=said.cores,
-                                memory=said.memory, owner=said.owner)
+            here[key] = m.Stand(
+                guest=said.guest,
+                ask=said.ask,
+                attempt=said.attempt,
+                state="runs",
+                product=said.product,
+                service=said.service,
+                cores=said.cores,
+                memory=said.memory,
+                owner=said.owner,
+            )
             self.town.counts["runs"] += 1
             self.clock.at(self.clock.now + said.life, self._over, name, key)
             for kind in (m.Taken, m.Started):
@@ -217,8 +250,13 @@
         if stand := self.stands[name].pop(key, None):
             if not self.up:
                 self.missed[name].append(replace(stand, state="ended", how="done"))
-            self._later(("machine", name, m.Ended(guest=stand.guest, ask=stand.ask, attempt=stand.attempt,
-                                                  how="done")))
+            self._later(
+                (
+                    "machine",
+                    name,
+                    m.Ended(guest=stand.guest, ask=stand.ask, attempt=stand.attempt, how="done"),
+                )
+            )
 
 
 class Town:
@@ -228,8 +266,17 @@
     the guests, as the clients saw it, and broken promises (late_retries: 0).
     """
 
-    def __init__(self, sheet: PlannerSheet, clients: int, seed: int, demand: Demand, manners: Manners,
-                 spread: bool = True, costs: Costs | None = None, machines: int = 8) -> None:
+    def __init__(
+        self,
+        sheet: PlannerSheet,
+        clients: int,
+        seed: int,
+        demand: Demand,
+        manners: Manners,
+        spread: bool = True,
+        costs: Costs | None = None,
+        machines: int = 8,
+    ) -> None:
         self.clock, self.random, self.delay = Clock(), Random(f"town/{seed}"), 500
         self.demand, self.manners = demand, manners
         self.office = Office(self, sheet, costs or Costs(), machines)
@@ -268,13 +315,25 @@
     def _fresh(self) -> None:
         if self.clock.now >= self.fresh_until:
             return
-        self.clock.at(self.clock.now + max(1, int(self.random.expovariate(self.demand.rate) * SECOND)),
-                      self._fresh)
+        self.clock.at(
+            self.clock.now + max(1, int(self.random.expovariate(self.demand.rate) * SECOND)), self._fresh
+        )
         core = self.cores[self.random.choice(self.names)]
         self.made += 1
         d = self.demand
-        core.submit(self.clock.now, Want(f"g{self.made}", d.product, f"s{self.made % 20}", 1.0, 1.0,
-                                         d.patience, d.effect, life=d.patience + d.life))
+        core.submit(
+            self.clock.now,
+            Want(
+                f"g{self.made}",
+                d.product,
+                f"s{self.made % 20}",
+                1.0,
+                1.0,
+                d.patience,
+                d.effect,
+                life=d.patience + d.life,
+            ),
+        )
         self._act(core)
 
     # What happens to clients.
--- a/hazelhold/engine/claiming.py
+++ b/hazelhold/engine/claiming.py
@@ -53,8 +53,12 @@
         self._release(now, case.guest, open_ or case.claim)
         self._drop(now, case)
         later = self._later(now, case.guest, 1_000_000)
-        self._answer(now, case, m.TurnedBack(guest=case.guest, ask=case.ask, reason=reason,
-                                             again_after=later), case.asks)
+        self._answer(
+            now,
+            case,
+            m.TurnedBack(guest=case.guest, ask=case.ask, reason=reason, again_after=later),
+            case.asks,
+        )
         self._forget(case)
 
     def _elsewhere(self, now: int, case: Case, claim: Claimed) -> None:
@@ -65,12 +69,14 @@
         guest, ask, owner = case.guest, case.ask, case.owner
         who = claim.planner
         if claim.state in ("placed", "over"):
-            self._answer(now, case, m.Placed(guest=guest, ask=ask, machine=claim.machine, planner=who),
-                         case.asks)
+            self._answer(
+                now, case, m.Placed(guest=guest, ask=ask, machine=claim.machine, planner=who), case.asks
+            )
             if claim.state == "over":
                 self._keep_end(now, guest, claim.how)
-                self._send_owner(owner, m.GuestEnded(guest=guest, ask=ask, how=claim.how,
-                                                     machine=claim.machine))
+                self._send_owner(
+                    owner, m.GuestEnded(guest=guest, ask=ask, how=claim.how, machine=claim.machine)
+                )
         else:
             said = m.BrokenOff(guest=guest, ask=ask, reason="claimed", planner=who)
             self._answer(now, case, said, case.asks)
@@ -89,12 +95,16 @@
         owner, guest, ask = verdict.name.split("\0")
         message, claim = m.Query(guest=guest, ask=int(ask)), verdict.claim
         if verdict.reason:
-            self._send_owner(owner, m.State(guest=guest, ask=int(ask), state="unsettled",
-                                            reason=verdict.reason))
-        elif (guest in self.newest or claim is None or claim.state == "free"
-              or self.claims.mine(verdict.value)):
+            self._send_owner(
+                owner, m.State(guest=guest, ask=int(ask), state="unsettled", reason=verdict.reason)
+            )
+        elif (
+            guest in self.newest or claim is None or claim.state == "free" or self.claims.mine(verdict.value)
+        ):
             self._send_owner(owner, self._state(message))
         else:
             state = {"placed": "running", "over": claim.how}.get(claim.state, "unsettled")
-            self._send_owner(owner, m.State(guest=guest, ask=int(ask), state=state, machine=claim.machine,
-                                            planner=claim.planner))
+            self._send_owner(
+                owner,
+                m.State(guest=guest, ask=int(ask), state=state, machine=claim.machine, planner=claim.planner),
+            )
--- a/hazelhold/engine/dispatches.py
+++ b/hazelhold/engine/dispatches.py
@@ -30,8 +30,9 @@
 
     def _offer(self, now: int, case: Case) -> None:
         link, submit = self.links[case.machine], case.submit
-        if self._claimed(case) and not self.claims.clear(now, case.name, case.guest, case.ask, case.attempt,
-                                                         case.machine, case.claim):
+        if self._claimed(case) and not self.claims.clear(
+            now, case.name, case.guest, case.ask, case.attempt, case.machine, case.claim
+        ):
             link.queue[case.name] = None  # it leaves once its claim is agreed
             self._wanted()
             return
@@ -46,11 +47,24 @@
         if host and now - host.cold_at < self.facts.cold_for:
             self._mark("cold", case.machine)
         self.counts["dispatches"] += 1
-        self._send_machine(case.machine, m.Offer(
-            guest=case.guest, ask=case.ask, attempt=case.attempt, product=submit.product,
-            service=submit.service, cores=submit.cores, memory=submit.memory, customer=submit.customer,
-            owner=case.owner, life=getattr(submit, "life", 0), key=getattr(submit, "key", ""),
-            description=getattr(submit, "description", b""), ticket=getattr(submit, "ticket", "")))
+        self._send_machine(
+            case.machine,
+            m.Offer(
+                guest=case.guest,
+                ask=case.ask,
+                attempt=case.attempt,
+                product=submit.product,
+                service=submit.service,
+                cores=submit.cores,
+                memory=submit.memory,
+                customer=submit.customer,
+                owner=case.owner,
+                life=getattr(submit, "life", 0),
+                key=getattr(submit, "key", ""),
+                description=getattr(submit, "description", b""),
+                ticket=getattr(submit, "ticket", ""),
+            ),
+        )
 
     def _not_sent(self, now: int, case: Case, ending: Ending) -> None:
         """An offer that never left: this proves that it did not run."""
@@ -68,8 +82,9 @@
         self.brain.dispatch_ended(now, case.name, ending, False, remark)
         self._adopt(now, case.guest)
 
-    def _gone(self, now: int, case: Case, how: str, ending: Ending = Ending.CUT_OFF,
-              remark: Remark = Remark.NONE) -> None:
+    def _gone(
+        self, now: int, case: Case, how: str, ending: Ending = Ending.CUT_OFF, remark: Remark = Remark.NONE
+    ) -> None:
         """A placed guest's end, or a dispatch whose machine is lost."""
         if not case.placed:
             self._give_up(now, case)
@@ -83,8 +98,9 @@
         self._forget(case)
         if self.peers.asks_again:
             self._keep_end(now, case.guest, how)
-        self._send_owner(case.owner, m.GuestEnded(guest=case.guest, ask=case.ask, how=how,
-                                                  machine=case.machine))
+        self._send_owner(
+            case.owner, m.GuestEnded(guest=case.guest, ask=case.ask, how=how, machine=case.machine)
+        )
 
     def _give_up(self, now: int, case: Case) -> None:
         """Takes back a dispatch that is waited for no longer; until its machine speaks, its fate is open."""
@@ -98,8 +114,8 @@
 
     def _loosen(self, now: int, case: Case) -> None:
         self.loose.setdefault(case.guest, {})[case.machine] = Loose(
-            case, case.attempt, case.machine, case.sent_at,
-            roll_at=now + 1_000_000)
+            case, case.attempt, case.machine, case.sent_at, roll_at=now + 1_000_000
+        )
         self._mark("loose", case.guest, case.machine)
 
     def _call_off(self, now: int, name: str, machine: str) -> None:
@@ -120,8 +136,13 @@
 
     def _final(self, now: int, case: Case, message: m.TurnedBack | m.BrokenOff) -> None:
         """A final answer; a dispatch that is still out becomes a loose one."""
-        if self.claims is not None and isinstance(message, m.TurnedBack) and not case.unsure and not (
-                case.machine and case.sent) and not self.loose.get(case.guest):
+        if (
+            self.claims is not None
+            and isinstance(message, m.TurnedBack)
+            and not case.unsure
+            and not (case.machine and case.sent)
+            and not self.loose.get(case.guest)
+        ):
             self._release(now, case.guest, case.claim)
         if case.machine:
             self._give_up(now, case)
--- a/hazelhold/engine/engine.py
+++ b/hazelhold/engine/engine.py
@@ -75,8 +75,15 @@
             times.append(self.overdue[0][0])
         times += [due for _, due in self.probes.values()]
         for link in self._restless():
-            times += [t for t in (link.dial_at, link.dial_due if link.state == "dialling" else 0,
-                                  link.roll_due if link.state == "up" and not link.rolled else 0) if t]
+            times += [
+                t
+                for t in (
+                    link.dial_at,
+                    link.dial_due if link.state == "dialling" else 0,
+                    link.roll_due if link.state == "up" and not link.rolled else 0,
+                )
+                if t
+            ]
         times += [l.roll_at for by in self.loose.values() for l in by.values()]
         if not self.peers.rolls and self.links:
             times.append(self.idle_at)  # silence is looked for though nothing happens
@@ -110,8 +117,11 @@
             elif link.state == "dialling" and link.dial_due <= now:
                 self.actions.append(HangUp(link.machine))
                 self.link_failed(now, link.machine)
-            if link.state == "down" and link.lost_at and (
-                    now - link.lost_at >= micros(self.limits.reconnect_ms)):
+            if (
+                link.state == "down"
+                and link.lost_at
+                and (now - link.lost_at >= micros(self.limits.reconnect_ms))
+            ):
                 self._forget_machine(now, link)
             if link.state == "down" and link.dial_at and link.dial_at <= now:
                 link.dial_at = 0
@@ -146,8 +156,9 @@
             case = self.cases[name]
             why = "cancelled" if case.cancelled else "stopping" if self.stopping else "no_machine"
             later = 0 if case.cancelled else self._later(now, case.guest, span)
-            self._final(now, case, m.TurnedBack(guest=case.guest, ask=case.ask, reason=why,
-            again_after=later))
+            self._final(
+                now, case, m.TurnedBack(guest=case.guest, ask=case.ask, reason=why, again_after=later)
+            )
         elif step is Step.BREAK_OFF:
             case = self.cases[name]
             why = "cancelled" if case.cancelled else "may_have_run" if case.attempt >= 0 else "no_machine"
--- a/hazelhold/engine/keep.py
+++ b/hazelhold/engine/keep.py
@@ -72,12 +72,30 @@
         unsure = known.window_ends - known.product.window if known and known.may_run else 0
         sent = case.machine if case.sent else ""  # an offer that waits for its link has not left
         return GuestImage(
-            case.name, case.guest, case.ask, case.owner, s.product, s.service, s.cores, s.memory,
-            self.wall(known.patience_at) if known and not case.placed else 0, tuple(case.asks), s.customer,
-            getattr(s, "life", 0), case.attempt, known.dispatches if known else 0, sent, case.incarnation,
-            self.wall(case.sent_at) if sent else 0, self.wall(case.due_at) if sent else 0, case.placed,
-            case.cancelled, self.wall(unsure), case.unsure if unsure else "",
-            case.sent_claim)
+            case.name,
+            case.guest,
+            case.ask,
+            case.owner,
+            s.product,
+            s.service,
+            s.cores,
+            s.memory,
+            self.wall(known.patience_at) if known and not case.placed else 0,
+            tuple(case.asks),
+            s.customer,
+            getattr(s, "life", 0),
+            case.attempt,
+            known.dispatches if known else 0,
+            sent,
+            case.incarnation,
+            self.wall(case.sent_at) if sent else 0,
+            self.wall(case.due_at) if sent else 0,
+            case.placed,
+            case.cancelled,
+            self.wall(unsure),
+            case.unsure if unsure else "",
+            case.sent_claim,
+        )
 
     def _loose(self, engine: Tables, now: int, key: str) -> Change:
         guest, _, machine = key.partition("\0")
@@ -85,8 +103,9 @@
         if loose is None:
             return drop("loose", key)
         image = replace(self.image(engine, loose.case), placed=False)
-        return put("loose", key, LooseImage(image, machine, loose.attempt, self.wall(loose.sent_at),
-                                            loose.stands))
+        return put(
+            "loose", key, LooseImage(image, machine, loose.attempt, self.wall(loose.sent_at), loose.stands)
+        )
 
     def _answer(self, engine: Tables, now: int, key: str) -> Change | None:
         guest, _, ask = key.partition("\0")
@@ -155,8 +174,9 @@
         if image.case.product in engine.products:
             # Whoever is no longer in hand has its answer; the image may be older than that.
             case = engine.cases.get(image.case.name) or case_of(engine, replace(image.case, asks=()))
-            loose = Loose(case, image.attempt, image.machine, image.sent_at - epoch, image.stands,
-                          roll_at=now)
+            loose = Loose(
+                case, image.attempt, image.machine, image.sent_at - epoch, image.stands, roll_at=now
+            )
             engine.loose.setdefault(case.guest, {})[image.machine] = loose
     for image in ledger.images("answer"):
         until = ledger.tables["answer"][f"{image.guest}\0{image.ask}"].until - epoch
@@ -173,23 +193,46 @@
 
 def moved(past: Learned, shift: int) -> Learned:
     """What was learned, with its moments on this life's clock."""
+
     def at(when: int) -> int:
         return when + shift if when > 0 else when
 
     return past._replace(
         services={name: (at(seen), samples) for name, (seen, samples) in past.services.items()},
-        machines={name: h._replace(started=at(h.started), cold_at=at(h.cold_at),
-                                   avoid_until=at(h.avoid_until)) for name, h in past.machines.items()})
+        machines={
+            name: h._replace(started=at(h.started), cold_at=at(h.cold_at), avoid_until=at(h.avoid_until))
+            for name, h in past.machines.items()
+        },
+    )
 
 
 def case_of(engine: Tables, image: GuestImage) -> Case:
-    submit = m.Submit(guest=image.guest, ask=image.ask, product=image.product, service=image.service,
-                      cores=image.cores, memory=image.memory, patience=0, customer=image.customer,
-                      life=image.life)
-    return Case(image.name, image.guest, image.ask, image.owner, engine.products[image.product], submit,
-                dict.fromkeys(image.asks), image.attempt, cancelled=image.cancelled,
-                incarnation=image.incarnation, unsure=image.unsure_machine, claim=image.claim,
-                sent_claim=image.claim)
+    submit = m.Submit(
+        guest=image.guest,
+        ask=image.ask,
+        product=image.product,
+        service=image.service,
+        cores=image.cores,
+        memory=image.memory,
+        patience=0,
+        customer=image.customer,
+        life=image.life,
+    )
+    return Case(
+        image.name,
+        image.guest,
+        image.ask,
+        image.owner,
+        engine.products[image.product],
+        submit,
+        dict.fromkeys(image.asks),
+        image.attempt,
+        cancelled=image.cancelled,
+        incarnation=image.incarnation,
+        unsure=image.unsure_machine,
+        claim=image.claim,
+        sent_claim=image.claim,
+    )
 
 
 def _recover_case(engine: Tables, now: int, image: GuestImage, epoch: int, complete: bool) -> None:
--- a/hazelhold/engine/links.py
+++ b/hazelhold/engine/links.py
@@ -7,12 +7,22 @@
 from hazelhold.interface import Ending, Load, Remark
 from hazelhold.protocol import messages as m
 
-ENDINGS = {"done": (Ending.DONE, Remark.NONE), "error": (Ending.ERROR, Remark.NONE),
-           "evicted": (Ending.CUT_OFF, Remark.EVICTED), "pushed_out": (Ending.CUT_OFF, Remark.PUSHED_OUT),
-           "sent_away": (Ending.CUT_OFF, Remark.SENT_AWAY), "stopped": (Ending.CALLED_OFF, Remark.NONE),
-           "withdrawn": (Ending.TURNED_BACK, Remark.NONE), "not_sent": (Ending.NOT_SENT, Remark.NONE)}
-REMARKS = {"no_cores": Remark.NO_CORES, "no_memory": Remark.NO_MEMORY, "line_full": Remark.LINE_FULL,
-           "not_here": Remark.NOT_HERE}
+ENDINGS = {
+    "done": (Ending.DONE, Remark.NONE),
+    "error": (Ending.ERROR, Remark.NONE),
+    "evicted": (Ending.CUT_OFF, Remark.EVICTED),
+    "pushed_out": (Ending.CUT_OFF, Remark.PUSHED_OUT),
+    "sent_away": (Ending.CUT_OFF, Remark.SENT_AWAY),
+    "stopped": (Ending.CALLED_OFF, Remark.NONE),
+    "withdrawn": (Ending.TURNED_BACK, Remark.NONE),
+    "not_sent": (Ending.NOT_SENT, Remark.NONE),
+}
+REMARKS = {
+    "no_cores": Remark.NO_CORES,
+    "no_memory": Remark.NO_MEMORY,
+    "line_full": Remark.LINE_FULL,
+    "not_here": Remark.NOT_HERE,
+}
 
 
 class Links(Dispatches):
@@ -42,8 +52,9 @@
                 self._link_lost(now, self.links[name])
         for name in news.gone:
             self.unheard.discard(name)
-            if (link := self.links.get(name)) and (not link.state == "up" or not self.peers.rolls
-                                                   and not link.holds):
+            if (link := self.links.get(name)) and (
+                not link.state == "up" or not self.peers.rolls and not link.holds
+            ):
                 if link.state == "up":
                     self.actions.append(HangUp(name))
                     link.state = "down"
@@ -85,8 +96,14 @@
             return
         if welcome.name != machine:
             self.counts["wrong_machine"] += 1
-            self.actions.append(Lost("machine", machine, "wrong_machine",
-                                     f"{welcome.name!r} answered in the place of {machine!r}"))
+            self.actions.append(
+                Lost(
+                    "machine",
+                    machine,
+                    "wrong_machine",
+                    f"{welcome.name!r} answered in the place of {machine!r}",
+                )
+            )
             self.link_failed(now, machine)
             return
         link.state, link.rolled = "up", False
@@ -210,9 +227,15 @@
         if (report := getattr(message, "load", None)) is not None:
             self.brain.machine_reported(now, machine, load(report))
         for case in (self.newest.get(message.guest), self.cases.get(f"{message.guest}/{message.ask}")):
-            if case and case.machine == machine and case.sent and (
+            if (
+                case
+                and case.machine == machine
+                and case.sent
+                and (
                     not self.peers.names_attempts
-                    or (case.ask, case.attempt) == (message.ask, message.attempt)):
+                    or (case.ask, case.attempt) == (message.ask, message.attempt)
+                )
+            ):
                 self._heard(now, case, message)
                 return
         self._heard_loose(now, machine, message)
@@ -229,8 +252,17 @@
             self.brain.dispatch_taken(now, case.name, now - case.sent_at)
             if self.peers.advised:
                 self.advice.placed(now, case.guest)
-            self._answer(now, case, m.Placed(guest=case.guest, ask=case.ask, machine=case.machine,
-                                             description=getattr(message, "description", b"")), case.asks)
+            self._answer(
+                now,
+                case,
+                m.Placed(
+                    guest=case.guest,
+                    ask=case.ask,
+                    machine=case.machine,
+                    description=getattr(message, "description", b""),
+                ),
+                case.asks,
+            )
         elif isinstance(message, m.Refused) and not case.placed:
             self.counts["refused_" + message.remark[:20]] += 1
             self._ended(now, case, Ending.TURNED_BACK, REMARKS.get(message.remark, Remark.NONE))
@@ -283,8 +315,12 @@
                 if not case.placed and stand.how != "withdrawn":  # accepted while nobody listened
                     self._heard(now, case, m.Taken(guest=case.guest, ask=case.ask))
                 self._heard(now, case, m.Ended(guest=case.guest, ask=case.ask, how=stand.how))
-            elif stand and stand.state != "line" and not case.placed and not (
-                    stand.state == "accepted" and self.facts.confirms_running):
+            elif (
+                stand
+                and stand.state != "line"
+                and not case.placed
+                and not (stand.state == "accepted" and self.facts.confirms_running)
+            ):
                 self._heard(now, case, m.Taken(guest=case.guest, ask=case.ask))
             if stand and stand.state == "runs":
                 self.brain.guest_runs(now, name)
@@ -301,8 +337,9 @@
                 self._settled(guest, link.machine)
             elif stand.state == "line":
                 loose.roll_at = now  # taken back once more
-            elif not loose.stands and (stand.state == "runs"
-                                       or stand.state == "accepted" and not self.facts.confirms_running):
+            elif not loose.stands and (
+                stand.state == "runs" or stand.state == "accepted" and not self.facts.confirms_running
+            ):
                 self._stands(now, loose)
         for stand in there.values():
             if stand.state in ("runs", "accepted"):
@@ -392,8 +429,11 @@
             if link.state == "down" and not link.lost_at and now - link.heard_at > silent:
                 link.lost_at = link.dial_at = now
                 self.restless[link.machine] = None
-            elif link.state == "up" and now - max(link.heard_at, link.opened_at) > silent and all(
-                    self.cases[name].placed for name in link.holds):
+            elif (
+                link.state == "up"
+                and now - max(link.heard_at, link.opened_at) > silent
+                and all(self.cases[name].placed for name in link.holds)
+            ):
                 if link.asked_at <= link.heard_at:
                     link.asked_at = now
                     self.probe_number += 1
@@ -421,8 +461,10 @@
             if loose.stands:
                 self._adopt(now, loose.case.guest)
             else:
-                self._send_machine(loose.machine, m.Withdraw(guest=loose.case.guest, ask=loose.case.ask,
-                                                             attempt=loose.attempt))
+                self._send_machine(
+                    loose.machine,
+                    m.Withdraw(guest=loose.case.guest, ask=loose.case.ask, attempt=loose.attempt),
+                )
         elif fellow := self.roster.fellows.get(loose.machine):
             self._dial(now, fellow)
         else:
--- a/hazelhold/engine/machines.py
+++ b/hazelhold/engine/machines.py
@@ -96,8 +96,18 @@
         elif entry.up_for is not None:
             started = max(1, now - entry.up_for)
         kind = self.kinds.get(entry.kind, old.kind if old else 0)  # a drain counts whatever kind it names
-        news.listed.append(Listed(entry.machine, mode, started, entry.zone, entry.cell, kind,
-                                  entry.cores_room, entry.memory_room))
+        news.listed.append(
+            Listed(
+                entry.machine,
+                mode,
+                started,
+                entry.zone,
+                entry.cell,
+                kind,
+                entry.cores_room,
+                entry.memory_room,
+            )
+        )
         if mode is not Mode.READY and (not old or old.mode is Mode.READY):
             news.closed.append(entry.machine)
         if mode is Mode.GONE:
@@ -108,5 +118,6 @@
             news.fresh.append(entry.machine)
         elif old.address != entry.address:
             news.moved.append(entry.machine)
-        self.fellows[entry.machine] = Fellow(entry.machine, entry.address, mode, entry.incarnation, started,
-                                             kind)
+        self.fellows[entry.machine] = Fellow(
+            entry.machine, entry.address, mode, entry.incarnation, started, kind
+        )
--- a/hazelhold/engine/owners.py
+++ b/hazelhold/engine/owners.py
@@ -26,8 +26,9 @@
         old = case = self.newest.get(guest)
         if case and not self.peers.asks_again:
             self.counts["rejected_open_already"] += 1
-            self._send_owner(owner, m.Rejected(guest=guest, ask=ask, code="open_already",
-                                               text="this name is in hand"))
+            self._send_owner(
+                owner, m.Rejected(guest=guest, ask=ask, code="open_already", text="this name is in hand")
+            )
             return
         if case and not case.cancelled:
             # it joins what is in hand: one guest, one dispatch, one answer for each
@@ -48,8 +49,9 @@
         if fault := self._fault(now, submit, kept):
             self.counts["rejected_" + fault[0]] += 1
             later = self._later(now, guest) if fault[0] in LATER else 0
-            self._send_owner(owner, m.Rejected(guest=guest, ask=ask, code=fault[0], text=fault[1],
-                                               again_after=later))
+            self._send_owner(
+                owner, m.Rejected(guest=guest, ask=ask, code=fault[0], text=fault[1], again_after=later)
+            )
             return
         case = Case(f"{guest}/{ask}", guest, ask, owner, self.products[submit.product], submit, {ask: None})
         if case.name in self.cases:  # cancelled, with its call-off under way
@@ -85,7 +87,8 @@
         if submit.patience > micros(self.limits.patience_ms):
             return "patience", f"patience is {self.limits.patience_ms:g} ms at most"
         if not self.kept_well and self.facts.products[self.products[submit.product]].effect is not (
-                Effect.RERUNNABLE):
+            Effect.RERUNNABLE
+        ):
             return "not_kept", "the planner's disk fails: nothing is taken that must not run twice"
         if len(self.cases) >= self.limits.open_guests:
             return "full", f"{self.limits.open_guests} guests are in hand"
@@ -98,7 +101,8 @@
         guest = message.guest
         known = self.products.get(message.product)
         asked = self.claims is not None and not (
-            known is not None and self.facts.products[known].effect is Effect.RERUNNABLE)
+            known is not None and self.facts.products[known].effect is Effect.RERUNNABLE
+        )
         if asked and not (guest in self.newest or self.loose.get(guest) or guest in self.ends):
             self.claims.look(now, guest, f"{owner}\0{guest}\0{message.ask}")
             self._wanted()
@@ -161,9 +165,19 @@
         if len(self.cases) >= self.limits.open_guests:
             return "full"
         self.counts["found"] += 1
-        case = Case(f"{submit.guest}/{submit.ask}", submit.guest, submit.ask, owner,
-                    self.products[submit.product], submit, attempt=0, machine=machine, sent=True, sent_at=now,
-                    placed=True)
+        case = Case(
+            f"{submit.guest}/{submit.ask}",
+            submit.guest,
+            submit.ask,
+            owner,
+            self.products[submit.product],
+            submit,
+            attempt=0,
+            machine=machine,
+            sent=True,
+            sent_at=now,
+            placed=True,
+        )
         self.cases[case.name] = self.newest[case.guest] = case
         self._hold(case)
         self.brain.guest_found(now, machine, self._ask(case, submit.patience))
@@ -184,8 +198,12 @@
         """How long the answer to an offer whose bytes have not left yet is waited for; 0 if it is not wanted
         any more, or its machine takes nothing any more."""
         case = self.newest.get(offer.guest)
-        if case is None or case.placed or not case.sent or (case.ask, case.attempt) != (
-                offer.ask, offer.attempt):
+        if (
+            case is None
+            or case.placed
+            or not case.sent
+            or (case.ask, case.attempt) != (offer.ask, offer.attempt)
+        ):
             return 0
         if case.cancelled:
             return 0
--- a/hazelhold/engine/tables.py
+++ b/hazelhold/engine/tables.py
@@ -65,8 +65,9 @@
         self.sure = False  # all that this planner took in earlier lives is known
         self.kept_well = True  # what is sent is sure to be known after a crash
         self.more = False  # the last pump ended at its limit
-        self.advice = Advice(micros(self.limits.again_least_ms), micros(self.limits.again_most_ms),
-                             Random(f"advice/{seed}"))
+        self.advice = Advice(
+            micros(self.limits.again_least_ms), micros(self.limits.again_most_ms), Random(f"advice/{seed}")
+        )
 
     def share(self, planners: int, slot: int) -> None:
         """From now on this planner is that one of so many."""
@@ -80,8 +81,7 @@
 
     def _claimed(self, case: Case) -> bool:
         """Whether offers of this guest need a claim."""
-        return self.claims is not None and (
-            self.facts.products[case.product].effect is not Effect.RERUNNABLE)
+        return self.claims is not None and (self.facts.products[case.product].effect is not Effect.RERUNNABLE)
 
     def _wanted(self) -> None:
         wanted, self.claims.wanted = self.claims.wanted, []
@@ -104,8 +104,16 @@
 
     def _ask(self, case: Case, patience: int, earlier: Earlier | None = None) -> Ask:
         s = case.submit
-        return Ask(case.name, case.product, self.customers.get(s.customer, 0), s.service, s.cores, s.memory,
-                   patience, earlier)
+        return Ask(
+            case.name,
+            case.product,
+            self.customers.get(s.customer, 0),
+            s.service,
+            s.cores,
+            s.memory,
+            patience,
+            earlier,
+        )
 
     def _hold(self, case: Case) -> None:
         if case.machine not in self.links:
@@ -174,9 +182,16 @@
     def _rested(self, now: int, link: Link) -> None:
         """Leaves a connection that has been quiet for so long that its machine may be closing it: what would
         be written now could cross that, and nobody could tell whether it ran."""
-        if self.peers.rolls or link.state != "up" or link.queue or link.machine in self.probes or (
-                link.machine not in self.roster.fellows) or (  # it could not be dialled again
-                now - max(link.used_at, link.heard_at, link.opened_at) <= micros(self.limits.idle_close_ms)):
+        if (
+            self.peers.rolls
+            or link.state != "up"
+            or link.queue
+            or link.machine in self.probes
+            or (link.machine not in self.roster.fellows)
+            or (  # it could not be dialled again
+                now - max(link.used_at, link.heard_at, link.opened_at) <= micros(self.limits.idle_close_ms)
+            )
+        ):
             return
         if all(self.cases[name].placed or not self.cases[name].sent for name in link.holds):
             self.counts["links_rested"] += 1
@@ -193,8 +208,12 @@
         if len(opened) < self.limits.links:
             return True
         for link in sorted(opened, key=lambda l: (bool(l.holds), max(l.used_at, l.heard_at, l.opened_at))):
-            if link.state == "up" and not link.queue and link.machine not in self.probes and all(
-                    self.cases[name].placed for name in link.holds):
+            if (
+                link.state == "up"
+                and not link.queue
+                and link.machine not in self.probes
+                and all(self.cases[name].placed for name in link.holds)
+            ):
                 self.counts["links_closed_for_others"] += 1
                 self.actions.append(HangUp(link.machine))
                 link.state, link.rolled, link.lost_at = "down", False, 0
--- a/hazelhold/engine/terms.py
+++ b/hazelhold/engine/terms.py
@@ -30,5 +30,10 @@
 
 def terms_of(sheet: PlannerSheet) -> Terms:
     estate = sheet.estate
-    return Terms(deployment(sheet), tuple(p.name for p in estate.products), tuple(estate.customers),
-                 tuple(k.name for k in estate.kinds), sheet.limits)
+    return Terms(
+        deployment(sheet),
+        tuple(p.name for p in estate.products),
+        tuple(estate.customers),
+        tuple(k.name for k in estate.kinds),
+        sheet.limits,
+    )
--- a/hazelhold/membership/table.py
+++ b/hazelhold/membership/table.py
@@ -168,8 +168,11 @@
                 member.unanswered, member.via = 0, ""
         self.digests[member.bucket] ^= member.digest
         member.accusers = []
-        if before is not None and before.address != row.address and self.at_address.get(
-                before.address) == row.name:
+        if (
+            before is not None
+            and before.address != row.address
+            and self.at_address.get(before.address) == row.name
+        ):
             del self.at_address[before.address]
         self.at_address[row.address] = row.name
         if row.name != self.me:
@@ -223,4 +226,3 @@
 
     def rows_of(self, which: int) -> list[msgspec.Raw]:
         return [self.members[name].raw for name in self.in_bucket[which]]
-
--- a/hazelhold/model/listing.py
+++ b/hazelhold/model/listing.py
@@ -18,8 +18,9 @@
 class ListService:
     """State of the list; times in whole microseconds, messages for planners in `out`."""
 
-    def __init__(self, seed: int, now: int, notice: tuple[int, int], period: int,
-                 answer: tuple[int, int]) -> None:
+    def __init__(
+        self, seed: int, now: int, notice: tuple[int, int], period: int, answer: tuple[int, int]
+    ) -> None:
         self.random = Random(seed)
         self.notice, self.period, self.answer = notice, period, answer
         self.out: list[tuple[str, Message]] = []
@@ -89,7 +90,7 @@
         self.log.append((self.version, entry.machine))
         if len(self.log) > LOG:
             self.cut_at = self.log[LOG // 2][0]
-            del self.log[:LOG // 2]
+            del self.log[: LOG // 2]
 
     def _tell(self, now: int, planner: str, since: int) -> None:
         self.watchers[planner] = self.version
