--- a/hazelhold/model/machine.py
+++ b/hazelhold/model/machine.py
@@ -217,11 +217,13 @@
             self._remove(known, now)
             self._end(key, known.offer, "withdrawn", known)
         elif past := self.ended.get(key):
-            self._say(planner, Ended(guest=message.guest, ask=message.ask, attempt=message.attempt,
-                                     how=past[1]))
+            self._say(
+                planner, Ended(guest=message.guest, ask=message.ask, attempt=message.attempt, how=past[1])
+            )
         else:
-            self._say(planner, Ended(guest=message.guest, ask=message.ask, attempt=message.attempt,
-                                     how="withdrawn"))
+            self._say(
+                planner, Ended(guest=message.guest, ask=message.ask, attempt=message.attempt, how="withdrawn")
+            )
 
     def stopped(self, now: int, planner: str, message: Offered) -> None:
         if self._hears() and (known := self.lodgers.get((planner, message.guest, message.ask))):
@@ -232,12 +234,21 @@
         """Tells a planner all that is here of its guests, and how others of them ended."""
         if not self._hears():
             return
-        stands = [self._stand(offer, "line") for who, offer, _ in self.line
-                  if who == planner and isinstance(offer, Offer)]
-        stands += [self._stand(g.offer, "runs" if g.runs else "accepted") for g in self.lodgers.values()
-                   if g.key[0] == planner]
-        stands += [self._stand(offer, "ended", how) for key, (offer, how, _) in self.ended.items()
-                   if key[0] == planner]
+        stands = [
+            self._stand(offer, "line")
+            for who, offer, _ in self.line
+            if who == planner and isinstance(offer, Offer)
+        ]
+        stands += [
+            self._stand(g.offer, "runs" if g.runs else "accepted")
+            for g in self.lodgers.values()
+            if g.key[0] == planner
+        ]
+        stands += [
+            self._stand(offer, "ended", how)
+            for key, (offer, how, _) in self.ended.items()
+            if key[0] == planner
+        ]
         self.out.append((planner, Running(guests=stands, complete=now - self.forgotten_at >= 60 * SECOND)))
 
     # What befalls it.
@@ -294,8 +305,9 @@
         offer = guest.offer
         if self.build.confirms_running:
             guest.taken = True
-            self._say(key[0], Taken(guest=offer.guest, ask=offer.ask, attempt=offer.attempt,
-                                    load=self._shown()))
+            self._say(
+                key[0], Taken(guest=offer.guest, ask=offer.ask, attempt=offer.attempt, load=self._shown())
+            )
         else:
             self._tell(guest, Started(guest=offer.guest, ask=offer.ask, attempt=offer.attempt))
         self._swing(guest, now)
@@ -328,8 +340,9 @@
         for planner, guest in worst.items():
             if guest.share < 0.95:
                 offer = guest.offer
-                self._tell(guest, Served(guest=offer.guest, ask=offer.ask, attempt=offer.attempt,
-                                         share=guest.share))
+                self._tell(
+                    guest, Served(guest=offer.guest, ask=offer.ask, attempt=offer.attempt, share=guest.share)
+                )
             if used > 0.85:
                 self._say(planner, Pressed(share=used))
         self._at(now + SECOND, "notes")
@@ -393,8 +406,12 @@
 
     def _refuse(self, planner: str, offer: Offer, remark: str) -> None:
         self.counts["refused_" + remark] += 1
-        self._say(planner, Refused(guest=offer.guest, ask=offer.ask, attempt=offer.attempt, remark=remark,
-                                   load=self._shown()))
+        self._say(
+            planner,
+            Refused(
+                guest=offer.guest, ask=offer.ask, attempt=offer.attempt, remark=remark, load=self._shown()
+            ),
+        )
 
     def _judge(self, now: int, planner: str, offer: Offer) -> None:
         build, trade = self.build, self.build.trades[offer.product]
@@ -418,8 +435,9 @@
             self.tickets[offer.product][offer.guest] = self.name
         if not build.confirms_running and not guest.fails:
             guest.taken = True
-            self._say(planner, Taken(guest=offer.guest, ask=offer.ask, attempt=offer.attempt,
-                                     load=self._shown()))
+            self._say(
+                planner, Taken(guest=offer.guest, ask=offer.ask, attempt=offer.attempt, load=self._shown())
+            )
         self.waiting.append(guest)
         self._start_next(now)
 
@@ -433,15 +451,21 @@
 
     def asked(self) -> tuple[float, float]:
         """Cores and memory that accepted guests ask for."""
-        return (sum(g.offer.cores for g in self.lodgers.values()),
-                sum(g.offer.memory for g in self.lodgers.values()))
+        return (
+            sum(g.offer.cores for g in self.lodgers.values()),
+            sum(g.offer.memory for g in self.lodgers.values()),
+        )
 
     def _make_room(self, now: int, offer: Offer, priority: int) -> None:
-        lower = sorted((g for g in self.lodgers.values() if g.trade.priority < priority),
-                       key=lambda g: (g.trade.priority, -g.started_at))
+        lower = sorted(
+            (g for g in self.lodgers.values() if g.trade.priority < priority),
+            key=lambda g: (g.trade.priority, -g.started_at),
+        )
         cores, memory = self.asked()
-        free = [self.build.cores * self.build.cores_multiple - cores,
-                self.build.memory * self.build.memory_multiple - memory]
+        free = [
+            self.build.cores * self.build.cores_multiple - cores,
+            self.build.memory * self.build.memory_multiple - memory,
+        ]
         chosen = []
         for guest in lower:
             if free[0] >= offer.cores and free[1] >= offer.memory:
@@ -459,7 +483,8 @@
                 continue
             service = guest.offer.service
             warm = service in self.kept or any(
-                g.runs and g.offer.service == service for g in self.lodgers.values())
+                g.runs and g.offer.service == service for g in self.lodgers.values()
+            )
             work = 20_000 if guest.fails else guest.trade.work * (1 if warm else self.build.setup)
             took = int(work / self.pace(now) * self.random.uniform(0.8, 1.25))
             self.starting[guest.key] = guest
@@ -477,9 +502,17 @@
             guest.swing *= 4
         level = guest.level * guest.swing * ills.use_factor
         guest.cores = offer.cores * min(trade.cap, trade.cores_use * level)
-        guest.memory = offer.memory * min(1.6, trade.memory_use * level ** 0.5)
-        self._tell(guest, Use(guest=offer.guest, ask=offer.ask, attempt=offer.attempt, cores=guest.cores,
-                              memory=guest.memory))
+        guest.memory = offer.memory * min(1.6, trade.memory_use * level**0.5)
+        self._tell(
+            guest,
+            Use(
+                guest=offer.guest,
+                ask=offer.ask,
+                attempt=offer.attempt,
+                cores=guest.cores,
+                memory=guest.memory,
+            ),
+        )
         while self._memory() > self.build.memory:
             running = [g for g in self.lodgers.values() if g.runs]
             worst = min(running, key=lambda g: (g.trade.priority, g.offer.memory - g.memory))
@@ -503,8 +536,9 @@
         slow = 1 - 0.7 * max(0.0, min(1.0, (used - 0.92) / 0.08))
         for guest in running:
             trade = guest.trade
-            busy = len(self.starting) + sum(c if rank >= trade.priority else c / 2
-                                            for rank, c in by_rank.items())
+            busy = len(self.starting) + sum(
+                c if rank >= trade.priority else c / 2 for rank, c in by_rank.items()
+            )
             over = busy / self.build.cores - trade.easy_until
             guest.share = max(0.0, min(1.0, 1 - over / trade.lost_after)) * slow
 
@@ -515,8 +549,11 @@
             running = [g for g in self.lodgers.values() if g.runs]
             cores = sum(g.cores for g in running) + len(self.starting)
             memory = sum(g.memory for g in running)
-        return Load(cores_free=self.build.cores - cores, memory_free=self.build.memory - memory,
-                    busy=min(1.0, max(0.0, cores / self.build.cores)))
+        return Load(
+            cores_free=self.build.cores - cores,
+            memory_free=self.build.memory - memory,
+            busy=min(1.0, max(0.0, cores / self.build.cores)),
+        )
 
     def _shown(self) -> Load:
         return self.report
@@ -555,8 +592,18 @@
     def _end(self, key: Key, offer: Offer, how: str, guest: Lodger | None) -> None:
         self._remember(key, offer, how)
         ran = self.accrued_at - guest.started_at if guest and guest.runs else 0
-        self._say(key[0], Ended(guest=offer.guest, ask=offer.ask, attempt=offer.attempt, how=how,
-                                load=self._shown(), ran=ran, served=int(guest.served) if guest else 0))
+        self._say(
+            key[0],
+            Ended(
+                guest=offer.guest,
+                ask=offer.ask,
+                attempt=offer.attempt,
+                how=how,
+                load=self._shown(),
+                ran=ran,
+                served=int(guest.served) if guest else 0,
+            ),
+        )
 
     def _remember(self, key: Key, offer: Offer, how: str) -> None:
         self.ended[key] = offer, how, self.accrued_at
@@ -565,6 +612,16 @@
             _, (_, _, self.forgotten_at) = self.ended.popitem(last=False)
 
     def _stand(self, offer: Offer, state: str, how: str = "") -> Stand:
-        return Stand(guest=offer.guest, ask=offer.ask, attempt=offer.attempt, state=state, how=how,
-                     product=offer.product, service=offer.service, cores=offer.cores, memory=offer.memory,
-                     customer=offer.customer, owner=offer.owner)
+        return Stand(
+            guest=offer.guest,
+            ask=offer.ask,
+            attempt=offer.attempt,
+            state=state,
+            how=how,
+            product=offer.product,
+            service=offer.service,
+            cores=offer.cores,
+            memory=offer.memory,
+            customer=offer.customer,
+            owner=offer.owner,
+        )
--- a/hazelhold/model/owners.py
+++ b/hazelhold/model/owners.py
@@ -53,9 +53,20 @@
 class OwnerModel:
     """One sender: moments and messages in, (planner, message) pairs in `out`."""
 
-    def __init__(self, name: str, seed: int, planners: list[str], wants: list[Want], rate: float,
-                 again: tuple[int, int], settle: int, cancel_share: float, now: int, until: int,
-                 moves: bool = False) -> None:
+    def __init__(
+        self,
+        name: str,
+        seed: int,
+        planners: list[str],
+        wants: list[Want],
+        rate: float,
+        again: tuple[int, int],
+        settle: int,
+        cancel_share: float,
+        now: int,
+        until: int,
+        moves: bool = False,
+    ) -> None:
         self.name, self.planners, self.wants = name, planners, wants
         self.random = Random(f"{name}/{seed}")
         self.rate, self.again, self.settle = rate, again, settle
@@ -121,8 +132,9 @@
             else:
                 wanted.reason = "lost"
                 soon = message.how in ("sent_away",)
-                self._later(now, wanted, int(self.random.uniform(0.05, 1) * SECOND) if soon else
-                self._wait(wanted))
+                self._later(
+                    now, wanted, int(self.random.uniform(0.05, 1) * SECOND) if soon else self._wait(wanted)
+                )
 
     def _told(self, now: int, wanted: Wanted, message: m.State) -> None:
         """How things stand at the planner that has, or had, the guest."""
@@ -205,10 +217,23 @@
         want = wanted.want
         wanted.planner, wanted.state = self.random.choice(planners), "asked"
         self.counts["asks"] += 1
-        self.out.append((wanted.planner, m.Submit(
-            guest=wanted.guest, ask=wanted.ask, product=want.product, service=want.service, cores=want.cores,
-            memory=want.memory, patience=want.patience, customer=want.customer,
-            life=max(1, wanted.until - now), reason=wanted.reason)))
+        self.out.append(
+            (
+                wanted.planner,
+                m.Submit(
+                    guest=wanted.guest,
+                    ask=wanted.ask,
+                    product=want.product,
+                    service=want.service,
+                    cores=want.cores,
+                    memory=want.memory,
+                    patience=want.patience,
+                    customer=want.customer,
+                    life=max(1, wanted.until - now),
+                    reason=wanted.reason,
+                ),
+            )
+        )
         self._when(wanted, now + want.patience + SECOND // 4, "patience")
 
     def _patience(self, now: int, wanted: Wanted) -> None:
--- a/hazelhold/platform/codec.py
+++ b/hazelhold/platform/codec.py
@@ -65,13 +65,13 @@
     parameters: dict[int, bytes] = {}
     at = 9
     while at < len(body):
-        size = int.from_bytes(body[at + 1:at + 3])
+        size = int.from_bytes(body[at + 1 : at + 3])
         end = at + 3 + size
         if at + 3 > len(body) or end > len(body):
             raise CodecError("bad_length", "a parameter runs past its message")
         if body[at] in parameters:
             raise CodecError("twice", f"parameter {body[at]} is there twice")
-        parameters[body[at]] = bytes(body[at + 3:end])
+        parameters[body[at]] = bytes(body[at + 3 : end])
         at = end
     if CAUSE in parameters and len(parameters[CAUSE]) != 1:
         raise CodecError("bad_length", "a cause is one byte")
@@ -98,8 +98,8 @@
                     raise CodecError("no_id", f"a message of {size} bytes has no task")
                 if len(self.held) < size + 2:
                     break
-                body = bytes(self.held[2:size + 2])
-                del self.held[:size + 2]
+                body = bytes(self.held[2 : size + 2])
+                del self.held[: size + 2]
                 found.append(decode_binary(body))
         except CodecError as wrong:
             if not found:
@@ -172,7 +172,7 @@
                 if at >= MOST:
                     raise CodecError("too_long", f"a line of {at} bytes")
                 line = bytes(self.held[:at])
-                del self.held[:at + 1]
+                del self.held[: at + 1]
                 if line.strip():
                     found.append(decode_line(line))
             if len(self.held) > MOST:
--- a/hazelhold/platform/configuration.py
+++ b/hazelhold/platform/configuration.py
@@ -153,28 +153,59 @@
     limits = _limits(pairs, bounds, faults)
     if faults or facts is None:
         raise ConfigError(file, faults or [("settings", "are empty")])
-    terms = Terms(facts, names(settings, "classes"), names(settings, "tenants"), names(settings, "kinds"),
-                  limits, PLATFORM)
-    most = (max(k.cores for k in facts.kinds) * facts.cores_multiple,
-            max(k.memory for k in facts.kinds) * facts.memory_multiple)
+    terms = Terms(
+        facts,
+        names(settings, "classes"),
+        names(settings, "tenants"),
+        names(settings, "kinds"),
+        limits,
+        PLATFORM,
+    )
+    most = (
+        max(k.cores for k in facts.kinds) * facts.cores_multiple,
+        max(k.memory for k in facts.kinds) * facts.memory_multiple,
+    )
     patience = tuple(pairs.span(f"classes.{at}.deadline") for at in range(len(facts.products)))
-    return Start(given["name"], given["listen"], seed, bounds, given["bulletin"], given["known"], terms,
-                 {name: at for at, name in enumerate(names(settings, "zones"))}, most, patience)
+    return Start(
+        given["name"],
+        given["listen"],
+        seed,
+        bounds,
+        given["bulletin"],
+        given["known"],
+        terms,
+        {name: at for at, name in enumerate(names(settings, "zones"))},
+        most,
+        patience,
+    )
 
 
 def unsound(facts: Deployment) -> list[tuple[str, str]]:
     """Figures that can be read and cannot be meant: the module reckons with all of them."""
-    found = [(f"settings: {name}", f"{value} is no figure") for name, value in facts._asdict().items()
-             if isinstance(value, float) and not abs(value) <= WIDEST]
+    found = [
+        (f"settings: {name}", f"{value} is no figure")
+        for name, value in facts._asdict().items()
+        if isinstance(value, float) and not abs(value) <= WIDEST
+    ]
     for place, figures in (("kinds", facts.kinds), ("classes", facts.products)):
-        found += [(f"settings: {place}.{at}", f"{value} is no figure") for at, each in enumerate(figures)
-                  for value in each if isinstance(value, float) and not abs(value) <= WIDEST]
+        found += [
+            (f"settings: {place}.{at}", f"{value} is no figure")
+            for at, each in enumerate(figures)
+            for value in each
+            if isinstance(value, float) and not abs(value) <= WIDEST
+        ]
     if not facts.kinds or not facts.products:
         found.append(("settings", "at least one class and one kind are needed"))
-    found += [("settings: kinds", f"a machine of {kind.cores:g} cores and {kind.memory:g} of memory")
-              for kind in facts.kinds if not (kind.cores > 0 and kind.memory > 0)]
-    found += [(f"settings: {name}", f"{value}: at least 1 is needed") for name, value in (
-        ("balancers", facts.planners), ("limits.max-attempts", facts.max_dispatches)) if value < 1]
+    found += [
+        ("settings: kinds", f"a machine of {kind.cores:g} cores and {kind.memory:g} of memory")
+        for kind in facts.kinds
+        if not (kind.cores > 0 and kind.memory > 0)
+    ]
+    found += [
+        (f"settings: {name}", f"{value}: at least 1 is needed")
+        for name, value in (("balancers", facts.planners), ("limits.max-attempts", facts.max_dispatches))
+        if value < 1
+    ]
     return found
 
 
@@ -195,7 +226,14 @@
     # bulletin and connections that are being closed; machines get the rest.
     owners = max(8, bounds.sockets * 2 // 5)
     # Ours closes first: four fifths of the time after which a machine closes.
-    return LimitSheet(connect_ms=spans["connect"], idle_close_ms=0.8 * spans["idle"],
-                      reconnect_ms=LOST_AFTER_MS, open_guests=20_000, keep_answers_ms=8000.0,
-                      send_bytes=1 << 18, connections=owners, decisions_at_once=AT_ONCE,
-                      links=max(4, bounds.sockets - owners - max(16, bounds.sockets // 12)))
+    return LimitSheet(
+        connect_ms=spans["connect"],
+        idle_close_ms=0.8 * spans["idle"],
+        reconnect_ms=LOST_AFTER_MS,
+        open_guests=20_000,
+        keep_answers_ms=8000.0,
+        send_bytes=1 << 18,
+        connections=owners,
+        decisions_at_once=AT_ONCE,
+        links=max(4, bounds.sockets - owners - max(16, bounds.sockets // 12)),
+    )
--- a/hazelhold/platform/discovery.py
+++ b/hazelhold/platform/discovery.py
@@ -41,8 +41,15 @@
     """Keeps to one address; `read(item)` makes an event of one item or raises DiscoveryError, `hear(events)`
     gets new events in order, `fail()` hears of each failed call."""
 
-    def __init__(self, net: Net, address: str, known: Known, read: Callable[[dict], T],
-                 hear: Callable[[list[T]], None], fail: Callable[[], None]) -> None:
+    def __init__(
+        self,
+        net: Net,
+        address: str,
+        known: Known,
+        read: Callable[[dict], T],
+        hear: Callable[[list[T]], None],
+        fail: Callable[[], None],
+    ) -> None:
         self.net, self.address, self.read, self.hear, self.fail = net, address, read, hear, fail
         self.unread = (0, 0)  # the number of an event that could not be read, and how often
         self.last = known.no
@@ -76,8 +83,15 @@
             with trio.fail_after(PATIENCE + GRACE):
                 body = await self._call()
             items = self._news(body)
-        except (DiscoveryError, OSError, ValueError, trio.TooSlowError, trio.BrokenResourceError,
-                trio.ClosedResourceError, h11.ProtocolError) as wrong:
+        except (
+            DiscoveryError,
+            OSError,
+            ValueError,
+            trio.TooSlowError,
+            trio.BrokenResourceError,
+            trio.ClosedResourceError,
+            h11.ProtocolError,
+        ) as wrong:
             await self._close()
             if not self.failures:
                 self.log.info("discovery_failed", address=self.address, reason=repr(wrong)[:200])
--- a/hazelhold/platform/peer.py
+++ b/hazelhold/platform/peer.py
@@ -90,8 +90,13 @@
     left then, one that is not wanted any more stays here, and one whose guest's last offer elsewhere is not
     surely over stands aside until it is."""
 
-    def __init__(self, stream: trio.abc.Stream, send_bytes: int, time_left: Callable[[m.Offer], int],
-                 over: Callable[["MachinePeer", list[str]], None] = lambda peer, guests: None) -> None:
+    def __init__(
+        self,
+        stream: trio.abc.Stream,
+        send_bytes: int,
+        time_left: Callable[[m.Offer], int],
+        over: Callable[["MachinePeer", list[str]], None] = lambda peer, guests: None,
+    ) -> None:
         super().__init__(stream, send_bytes)
         self.reader = LineReader()
         self.time_left = time_left  # in microseconds; 0: it is not to leave, below 0: not yet
@@ -186,5 +191,3 @@
     def offers_kept(self) -> list[m.Offer]:
         """Offers of which no byte has left."""
         return [*self.aside.values(), *(each for each in self.messages if isinstance(each, m.Offer))]
-
-
--- a/hazelhold/platform/planner.py
+++ b/hazelhold/platform/planner.py
@@ -44,8 +44,11 @@
         self.log = structlog.get_logger().bind(planner=start.name)
         self.engine = Engine(start.terms, start.seed, net.now())
         self.limits = start.terms.limits
-        self.bounds = words.Bounds(start.most, dict(zip(start.terms.products, start.patience, strict=True)),
-                                   frozenset(start.terms.customers))
+        self.bounds = words.Bounds(
+            start.most,
+            dict(zip(start.terms.products, start.patience, strict=True)),
+            frozenset(start.terms.customers),
+        )
         self.ticker = Ticker(net.now, self.engine.next_at, self._work, self.limits.batch_ms / 1000)
         self.owners: dict[str, OwnerPeer] = {}  # emptied as connections end
         self.numbers = 0  # of owners' connections
@@ -57,8 +60,9 @@
         self.fences: dict[str, MachinePeer] = {}
         self.counts: Counter[str] = Counter()
         self.zones = dict(start.zones)  # numbers by name; grows with zones that the list names
-        self.follower = Follower(net, start.bulletin, start.known, self._event, self._hear_discovery,
-                                 self._discovery_failed)
+        self.follower = Follower(
+            net, start.bulletin, start.known, self._event, self._hear_discovery, self._discovery_failed
+        )
         self.stop_asked, self.ended = trio.Event(), trio.Event()
         self.address = ""
 
@@ -74,16 +78,22 @@
                         self._hear_discovery([wrong.part])
             # Half of what owners and machines leave over, less some eight that the process has anyway.
             spare = self.start.bounds.sockets - self.limits.connections - self.limits.links
-            self.address = await self.net.listen(self.start.listen, self._door, nursery,
-                                                 max(4, (spare - 8) // 2))
+            self.address = await self.net.listen(
+                self.start.listen, self._door, nursery, max(4, (spare - 8) // 2)
+            )
             nursery.start_soon(self.ticker.run)
             if not self.engine.facts.list_is_asked:
                 self.follower.wish()  # the list comes by itself: the module does not ask for it
             nursery.start_soon(self.follower.run)
             nursery.start_soon(self._tend)
-            self.log.info("up", address=self.address, machines=len(self.engine.roster.fellows),
-                          sockets=self.start.bounds.sockets, memory_mb=self.start.bounds.memory_mb,
-                          cores=self.start.bounds.cores)
+            self.log.info(
+                "up",
+                address=self.address,
+                machines=len(self.engine.roster.fellows),
+                sockets=self.start.bounds.sockets,
+                memory_mb=self.start.bounds.memory_mb,
+                cores=self.start.bounds.cores,
+            )
             task_status.started(self.address)
             await self.stop_asked.wait()
             await self._stop()
@@ -120,8 +130,11 @@
         self.counts["reloads"] += 1
         told = fresh.terms.facts  # how many share the fleet's budgets; all else holds for a planner's life
         self.engine.share(told.planners, told.slot)
-        self.log.info("configuration_read", bulletin=fresh.bulletin, settings_same=fresh.terms.facts
-                      == self.start.terms.facts)
+        self.log.info(
+            "configuration_read",
+            bulletin=fresh.bulletin,
+            settings_same=fresh.terms.facts == self.start.terms.facts,
+        )
         try:
             items = self.follower.fresh(fresh.known.items)
         except DiscoveryError:
@@ -164,8 +177,9 @@
         self.engine.pump(now)
         self._carry_out()
         took, most = self.net.now() - now, self.limits.decisions_at_once
-        self.engine.at_once = max(1, self.engine.at_once // 2) if took > TURN * 1e6 else min(
-            most, self.engine.at_once + 1)
+        self.engine.at_once = (
+            max(1, self.engine.at_once // 2) if took > TURN * 1e6 else min(most, self.engine.at_once + 1)
+        )
 
     def _carry_out(self) -> None:
         while self.engine.actions:
@@ -510,8 +524,10 @@
             raise DiscoveryError(f"an event that cannot be read: {wrong!r:.200}") from None
         if faults:
             self.counts["discovery_entries_unreadable"] += len(faults)
-            raise DiscoveryError(f"{len(faults)} entries that cannot be read: {faults[0]}",
-                                listing if listing.entries else None)
+            raise DiscoveryError(
+                f"{len(faults)} entries that cannot be read: {faults[0]}",
+                listing if listing.entries else None,
+            )
         return listing
 
     def _hear_discovery(self, listings: list[m.Listing]) -> None:
@@ -547,15 +563,26 @@
             if known is None:
                 continue
             cores, memory = known.room(engine.facts)
-            fleet[name] = (f"{fellow.mode.name} room={cores:.1f}/{memory:.1f} used={known.used} "
-                           f"guests={len(known.guests)} strikes={known.strikes} mute={known.mute} "
-                           f"rests={max(0, known.avoid_until - now) // 1000} "
-                           f"link={link.state if link else '-'} "
-                           f"heard={(now - link.heard_at) // 1000 if link else '-'}")
-        self.log.debug("beliefs", waiting=len(brain.waiting), out=len(brain.out), cases=len(engine.cases),
-                       owners=len(self.owners), links=len(self.machines), held=len(self.held), fleet=fleet,
-                       cpu=round(time.process_time(), 2), counts=dict(self.counts),
-                       engine=dict(engine.counts))
+            fleet[name] = (
+                f"{fellow.mode.name} room={cores:.1f}/{memory:.1f} used={known.used} "
+                f"guests={len(known.guests)} strikes={known.strikes} mute={known.mute} "
+                f"rests={max(0, known.avoid_until - now) // 1000} "
+                f"link={link.state if link else '-'} "
+                f"heard={(now - link.heard_at) // 1000 if link else '-'}"
+            )
+        self.log.debug(
+            "beliefs",
+            waiting=len(brain.waiting),
+            out=len(brain.out),
+            cases=len(engine.cases),
+            owners=len(self.owners),
+            links=len(self.machines),
+            held=len(self.held),
+            fleet=fleet,
+            cpu=round(time.process_time(), 2),
+            counts=dict(self.counts),
+            engine=dict(engine.counts),
+        )
 
 
 def is_refused(wrong: BaseException | None) -> bool:
--- a/hazelhold/platform/serve.py
+++ b/hazelhold/platform/serve.py
@@ -44,6 +44,7 @@
     planner.log_frames = frames
     with trio.open_signal_receiver(*KINDS) as signals:
         async with trio.open_nursery() as nursery:
+
             def take(number: int) -> None:
                 planner.reload() if number == signal.SIGHUP else planner.stop()
 
--- a/hazelhold/platform/words.py
+++ b/hazelhold/platform/words.py
@@ -86,9 +86,21 @@
     ticket = binary.text(TICKET)
     description = binary.parameters.get(DESCRIPTION, b"")
     binary.text(DESCRIPTION)  # it travels on as JSON text
-    return Wanted(m.Submit(guest=binary.id, product=product, service=service, cores=cores, memory=memory,
-                           patience=max(0, round(patience * 1000)), customer=customer, key=key,
-                           description=description, ticket=ticket), at)
+    return Wanted(
+        m.Submit(
+            guest=binary.id,
+            product=product,
+            service=service,
+            cores=cores,
+            memory=memory,
+            patience=max(0, round(patience * 1000)),
+            customer=customer,
+            key=key,
+            description=description,
+            ticket=ticket,
+        ),
+        at,
+    )
 
 
 def figure(text: str, what: str) -> float:
@@ -259,7 +271,14 @@
     if state == "in_service":
         split_address(each["dial"])
     return m.Entry(
-        machine=each["host"], address=each["dial"], mode=STATES[state], kind=str(each.get("class", "")),
-        incarnation=int(born), up_for=max(0, wall - round(born * 1000)) if born else None,
-        zone=zones.setdefault(str(each.get("site", "")), len(zones)), cell=int(each.get("block") or 0),
-        cores_room=room[0], memory_room=room[1])
+        machine=each["host"],
+        address=each["dial"],
+        mode=STATES[state],
+        kind=str(each.get("class", "")),
+        incarnation=int(born),
+        up_for=max(0, wall - round(born * 1000)) if born else None,
+        zone=zones.setdefault(str(each.get("site", "")), len(zones)),
+        cell=int(each.get("block") or 0),
+        cores_room=room[0],
+        memory_room=room[1],
+    )
--- a/hazelhold/protocol/frames.py
+++ b/hazelhold/protocol/frames.py
@@ -27,14 +27,14 @@
         self.buffer += data
         frames, at = [], 0
         while len(self.buffer) - at >= 4:
-            size = int.from_bytes(self.buffer[at:at + 4])
+            size = int.from_bytes(self.buffer[at : at + 4])
             if size > self.limit:
                 raise FrameError("frame_too_long", f"a frame of {size} bytes; the limit is {self.limit}")
             if not size:
                 raise FrameError("frame_empty", "a frame of no bytes")
             if len(self.buffer) - at - 4 < size:
                 break
-            frames.append(bytes(self.buffer[at + 4:at + 4 + size]))
+            frames.append(bytes(self.buffer[at + 4 : at + 4 + size]))
             at += 4 + size
         del self.buffer[:at]
         return frames
--- a/hazelhold/protocol/messages.py
+++ b/hazelhold/protocol/messages.py
@@ -328,8 +328,9 @@
 FROM_OWNER = Hello | Submit | Cancel | Query | Bye
 TO_OWNER = Welcome | Held | Rejected | Placed | TurnedBack | BrokenOff | GuestEnded | State | Fault | Bye
 TO_MACHINE = Hello | Offer | Withdraw | Stop | Probe | Roll | Bye
-FROM_MACHINE = (Welcome | Taken | Refused | Started | Use | Served | Pressed | Ended | Report | Running
-                | Fault | Bye)
+FROM_MACHINE = (
+    Welcome | Taken | Refused | Started | Use | Served | Pressed | Ended | Report | Running | Fault | Bye
+)
 TO_LIST = Hello | Watch | Enlist | Bye
 FROM_LIST = Welcome | Listing | ListRefused | Fault | Bye
 
--- a/hazelhold/rehearse/alone.py
+++ b/hazelhold/rehearse/alone.py
@@ -39,8 +39,11 @@
                 log.info("up", owners=len(stage.senders))
             await _strike(day, seed, stage, part)
             await trio.sleep_forever()
-    for counted in ([h.machine.counts for h in stage.hosts.values()] if part == "machines"
-                    else [s.model.counts for s in stage.senders]):
+    for counted in (
+        [h.machine.counts for h in stage.hosts.values()]
+        if part == "machines"
+        else [s.model.counts for s in stage.senders]
+    ):
         counts += counted
     return dict(counts)
 
@@ -67,8 +70,9 @@
     mine = {"list": LIST_PART, "senders": OWNERS_PART}.get(part)
     start = trio.current_time()
     for step in plan(day, seed, stage.spots, [w.service for w in stage.wants]):
-        if step.what.startswith("planner_") or (step.what not in mine if mine else step.what in (
-                *LIST_PART, "rejoin")):
+        if step.what.startswith("planner_") or (
+            step.what not in mine if mine else step.what in (*LIST_PART, "rejoin")
+        ):
             continue
         await trio.sleep_until(start + step.at / 1e6)
         stage.do(step)
--- a/hazelhold/rehearse/crashes.py
+++ b/hazelhold/rehearse/crashes.py
@@ -19,8 +19,12 @@
 from hazelhold.service.planner import Planner
 from hazelhold.standin.disk import FaultyDisk, Killed, Points
 
-FAULTS = {"full": ("write",), "read_only": ("write", "rename", "remove"), "no_sync": ("sync",),
-          "no_rename": ("rename",)}
+FAULTS = {
+    "full": ("write",),
+    "read_only": ("write", "rename", "remove"),
+    "no_sync": ("sync",),
+    "no_rename": ("rename",),
+}
 
 
 class DiskFault(NamedTuple):
@@ -42,9 +46,18 @@
     """Planners in this process, each with a disk of its own that outlives it. One that dies at a point is
     started again after a drawn while."""
 
-    def __init__(self, sheets: list[PlannerSheet], net: Net, records: Path, nursery: trio.Nursery,
-                 capture: Path | None, points: Points, chief: Recorder,
-                 faults: tuple[DiskFault, ...] = (), down_s: tuple[float, float] = (0.05, 0.6)) -> None:
+    def __init__(
+        self,
+        sheets: list[PlannerSheet],
+        net: Net,
+        records: Path,
+        nursery: trio.Nursery,
+        capture: Path | None,
+        points: Points,
+        chief: Recorder,
+        faults: tuple[DiskFault, ...] = (),
+        down_s: tuple[float, float] = (0.05, 0.6),
+    ) -> None:
         super().__init__(sheets, net, records, nursery, capture)
         self.points, self.chief, self.down_s = points, chief, down_s
         self.disks = [FaultyDisk(points) for _ in sheets]
@@ -61,8 +74,9 @@
         if fault.what == "full":
             disk.room = 300
         else:
-            disk.fails |= dict.fromkeys(FAULTS[fault.what], errno.EROFS if fault.what == "read_only"
-                                        else errno.EIO)
+            disk.fails |= dict.fromkeys(
+                FAULTS[fault.what], errno.EROFS if fault.what == "read_only" else errno.EIO
+            )
         await trio.sleep(fault.for_s)
         disk.room = None
         disk.fails.clear()
@@ -72,11 +86,13 @@
             return
         sheet, disk = self.sheets[number], self.disks[number]
         self.lives[number] += 1
-        recorder = Recorder(self.records / f"planner-{sheet.name}-{self.lives[number]}.jsonl", sheet.name,
-                            "planner")
+        recorder = Recorder(
+            self.records / f"planner-{sheet.name}-{self.lives[number]}.jsonl", sheet.name, "planner"
+        )
         sheet = captured(sheet, self.capture, self.lives[number])
-        planner = Planner(sheet, sheet.seed + self.lives[number], self.net, recorder, disk,
-                          votes=self.votes[number])
+        planner = Planner(
+            sheet, sheet.seed + self.lives[number], self.net, recorder, disk, votes=self.votes[number]
+        )
         do = planner._do
         planner.keeper.do = lambda action: self._do(do, disk, action)
         scope, done = trio.CancelScope(), trio.Event()
@@ -97,8 +113,9 @@
             done.set()
             if dead:
                 self.crashes += 1
-                self.chief.note(self.net.now(), sheet.name, "planner_kill",
-                                Fate(unkept=planner.keeper.failed))
+                self.chief.note(
+                    self.net.now(), sheet.name, "planner_kill", Fate(unkept=planner.keeper.failed)
+                )
                 if self.running.pop(number, None) is not None:
                     self.nursery.start_soon(self._again, number)
                 with contextlib.suppress(RuntimeError):  # it died before it was up
@@ -110,8 +127,9 @@
         """A trouble of the day kills it: as at a point."""
         if number in self.running:
             planner, scope, done = self.running.pop(number)
-            self.chief.note(self.net.now(), self.sheets[number].name, "planner_kill",
-                            Fate(unkept=planner.keeper.failed))
+            self.chief.note(
+                self.net.now(), self.sheets[number].name, "planner_kill", Fate(unkept=planner.keeper.failed)
+            )
             self.disks[number].dead = True
             scope.cancel()
             await done.wait()
@@ -138,8 +156,9 @@
         do(action)
 
 
-def play_crashes(day: Day, seed: int, folder: Path, strike: set[int],
-                 faults: tuple[DiskFault, ...] = ()) -> dict[str, Any]:
+def play_crashes(
+    day: Day, seed: int, folder: Path, strike: set[int], faults: tuple[DiskFault, ...] = ()
+) -> dict[str, Any]:
     """The day in virtual time, its planners dying at the points of these numbers and their disks failing so;
     the report has how many points there were and which were struck."""
     from trio._core import _run  # as run.play_virtual does
@@ -151,6 +170,16 @@
     _run._ALLOW_DETERMINISTIC_SCHEDULING = True
     _run._r.seed(seed)
     points = Points(strike, seed)
-    said = trio.run(play, day, seed, folder, True, MemoryNet(), None, points, faults,
-                    clock=MockClock(autojump_threshold=0))
+    said = trio.run(
+        play,
+        day,
+        seed,
+        folder,
+        True,
+        MemoryNet(),
+        None,
+        points,
+        faults,
+        clock=MockClock(autojump_threshold=0),
+    )
     return {**said, "points": points.count, "struck": points.struck}
--- a/hazelhold/rehearse/crew.py
+++ b/hazelhold/rehearse/crew.py
@@ -60,8 +60,9 @@
     """Planners in this process: for memory networks and virtual time. A kill cancels everything of a planner
     at once, so that no farewell leaves it."""
 
-    def __init__(self, sheets: list[PlannerSheet], net: Net, records: Path, nursery: trio.Nursery,
-                 capture: Path | None) -> None:
+    def __init__(
+        self, sheets: list[PlannerSheet], net: Net, records: Path, nursery: trio.Nursery, capture: Path | None
+    ) -> None:
         self.sheets, self.net, self.records, self.nursery = sheets, net, records, nursery
         self.capture = capture
         self.votes = [FaultyDisk(Points(set(), number)) for number in range(len(sheets))]
@@ -78,11 +79,13 @@
             return
         sheet = self.sheets[number]
         self.lives[number] += 1
-        recorder = Recorder(self.records / f"planner-{sheet.name}-{self.lives[number]}.jsonl", sheet.name,
-                            "planner")
+        recorder = Recorder(
+            self.records / f"planner-{sheet.name}-{self.lives[number]}.jsonl", sheet.name, "planner"
+        )
         sheet = captured(sheet, self.capture, self.lives[number])
-        planner = Planner(sheet, sheet.seed + self.lives[number], self.net, recorder,
-                          votes=self.votes[number])
+        planner = Planner(
+            sheet, sheet.seed + self.lives[number], self.net, recorder, votes=self.votes[number]
+        )
         scope, done = trio.CancelScope(), trio.Event()
         self.running[number] = planner, scope, done
 
@@ -139,8 +142,14 @@
 class Processes:
     """Planners as `hazelhold planner` processes. A kill is SIGKILL, a stop SIGTERM."""
 
-    def __init__(self, sheets: list[PlannerSheet], folder: Path, nursery: trio.Nursery,
-                 capture: Path | None, programs: Programs | None = None) -> None:
+    def __init__(
+        self,
+        sheets: list[PlannerSheet],
+        folder: Path,
+        nursery: trio.Nursery,
+        capture: Path | None,
+        programs: Programs | None = None,
+    ) -> None:
         self.sheets, self.folder, self.nursery, self.capture = sheets, folder, nursery, capture
         self.programs = programs or {}
         self.running: dict[int, trio.Process] = {}
@@ -160,10 +169,21 @@
         life = f"{sheet.name}-{self.lives[number]}"
         log = (self.folder / f"{life}.log").open("ab")
         python, where = self.programs.get(number, (sys.executable, None))
-        command = [python, "-m", "hazelhold", "planner",
-                   "--config", str(self.folder / f"planner{number}.json5"),
-                   "--record", str(self.folder / "records" / f"planner-{life}.jsonl"),
-                   "--seed", str(sheet.seed + self.lives[number]), "--log", "json", "--ready"]
+        command = [
+            python,
+            "-m",
+            "hazelhold",
+            "planner",
+            "--config",
+            str(self.folder / f"planner{number}.json5"),
+            "--record",
+            str(self.folder / "records" / f"planner-{life}.jsonl"),
+            "--seed",
+            str(sheet.seed + self.lives[number]),
+            "--log",
+            "json",
+            "--ready",
+        ]
         if self.capture:
             command += ["--capture", captured(sheet, self.capture, self.lives[number]).capture.file]
         process = await trio.lowlevel.open_process(command, stdout=subprocess.PIPE, stderr=log, cwd=where)
--- a/hazelhold/rehearse/hunt.py
+++ b/hazelhold/rehearse/hunt.py
@@ -15,18 +15,24 @@
 
 # Of each kind of trouble: ranges of for_s, part, size and extra that real days have shown or come near to.
 RANGES = {
-    "burst": ((2, 10), (0, 0), (1.4, 2.5), (0, 0)), "deploy": ((8, 30), (0.4, 1), (0.05, 0.3), (0.3, 5)),
-    "list_down": ((3, 20), (0, 0), (0, 0), (0, 0)), "flush": ((0, 0), (0, 0), (0.3, 1), (0, 0)),
-    "heavy_tail": ((5, 20), (0.05, 0.3), (2, 6), (0, 0)), "hot_service": ((5, 20), (0.03, 0.25), (0, 0), (0,
-    0)),
-    "mass_restart": ((1, 4), (0.3, 0.6), (0.02, 0.5), (0, 0)), "preempt": ((4, 20), (0.15, 0.5), (0.3, 3),
-    (1, 10)),
-    "vanish": ((3, 20), (0.05, 0.4), (0, 0), (0, 0)), "report_late": ((5, 20), (0.3, 1), (0.5, 5), (0, 0)),
-    "fast_errors": ((5, 20), (0.05, 0.4), (0.3, 1), (0, 0)), "answer_lost": ((5, 25), (0.2, 1), (0.1, 0.5),
-    (0, 0)),
-    "ageing": ((5, 20), (0.2, 0.5), (4, 20), (1, 6)), "crash": ((1, 15), (0.05, 0.5), (0, 0), (0, 0)),
-    "zone_cut": ((1, 12), (0, 0), (0, 0), (0, 0)), "planner_kill": ((0.2, 8), (0, 0), (0, 0), (0, 0)),
-    "planner_stop": ((0.2, 5), (0, 0), (0, 0), (0, 0)), "reconnect": ((0.2, 3), (0.1, 0.6), (0, 0), (0, 0)),
+    "burst": ((2, 10), (0, 0), (1.4, 2.5), (0, 0)),
+    "deploy": ((8, 30), (0.4, 1), (0.05, 0.3), (0.3, 5)),
+    "list_down": ((3, 20), (0, 0), (0, 0), (0, 0)),
+    "flush": ((0, 0), (0, 0), (0.3, 1), (0, 0)),
+    "heavy_tail": ((5, 20), (0.05, 0.3), (2, 6), (0, 0)),
+    "hot_service": ((5, 20), (0.03, 0.25), (0, 0), (0, 0)),
+    "mass_restart": ((1, 4), (0.3, 0.6), (0.02, 0.5), (0, 0)),
+    "preempt": ((4, 20), (0.15, 0.5), (0.3, 3), (1, 10)),
+    "vanish": ((3, 20), (0.05, 0.4), (0, 0), (0, 0)),
+    "report_late": ((5, 20), (0.3, 1), (0.5, 5), (0, 0)),
+    "fast_errors": ((5, 20), (0.05, 0.4), (0.3, 1), (0, 0)),
+    "answer_lost": ((5, 25), (0.2, 1), (0.1, 0.5), (0, 0)),
+    "ageing": ((5, 20), (0.2, 0.5), (4, 20), (1, 6)),
+    "crash": ((1, 15), (0.05, 0.5), (0, 0), (0, 0)),
+    "zone_cut": ((1, 12), (0, 0), (0, 0), (0, 0)),
+    "planner_kill": ((0.2, 8), (0, 0), (0, 0), (0, 0)),
+    "planner_stop": ((0.2, 5), (0, 0), (0, 0), (0, 0)),
+    "reconnect": ((0.2, 3), (0.1, 0.6), (0, 0), (0, 0)),
 }
 
 
@@ -37,30 +43,54 @@
     """A day like the base in products and kinds, with other habits and up to ten troubles at once."""
     random = Random(f"hunt/{seed}")
     fleet = replace(
-        base.estate.fleet, confirms=random.choice(["accepted", "running"]), makes_room=random.random() < 0.5,
-        probing=random.random() < 0.8, cores_multiple=random.choice([1.5, 2.5, 4.0]),
-        memory_multiple=random.choice([1.2, 1.5]), max_dispatches=random.choice([1, 2, 4, 6]),
-        cold_from=random.uniform(0.15, 0.4))
+        base.estate.fleet,
+        confirms=random.choice(["accepted", "running"]),
+        makes_room=random.random() < 0.5,
+        probing=random.random() < 0.8,
+        cores_multiple=random.choice([1.5, 2.5, 4.0]),
+        memory_multiple=random.choice([1.2, 1.5]),
+        max_dispatches=random.choice([1, 2, 4, 6]),
+        cold_from=random.uniform(0.15, 0.4),
+    )
     planners = random.randint(1, 5)
     troubles = []
     for _ in range(random.randint(1, 10)):
         kind = random.choice(KINDS)
         span, part, size, extra = RANGES[kind]
-        troubles.append(Trouble(
-            kind=kind, at_s=round(random.uniform(0.5, length * 0.85), 3), for_s=round(random.uniform(*span),
-            3),
-            part=round(random.uniform(*part), 3), size=round(random.uniform(*size), 3),
-            extra=round(random.uniform(*extra), 3), by=random.choice(["any", "kind", "cell", "zone"]),
-            which=random.randrange(planners) if kind.startswith("planner") else random.randrange(3)))
+        troubles.append(
+            Trouble(
+                kind=kind,
+                at_s=round(random.uniform(0.5, length * 0.85), 3),
+                for_s=round(random.uniform(*span), 3),
+                part=round(random.uniform(*part), 3),
+                size=round(random.uniform(*size), 3),
+                extra=round(random.uniform(*extra), 3),
+                by=random.choice(["any", "kind", "cell", "zone"]),
+                which=random.randrange(planners) if kind.startswith("planner") else random.randrange(3),
+            )
+        )
     stock = [replace(s, count=max(1, round(s.count * random.uniform(0.5, 1.2)))) for s in base.stock]
-    demand = replace(base.demand, rate=base.demand.rate * random.uniform(0.5, 1.4),
-                     cancel_share=random.choice([0.0, 0.05, 0.3]), owners=random.randint(1, 6))
+    demand = replace(
+        base.demand,
+        rate=base.demand.rate * random.uniform(0.5, 1.4),
+        cancel_share=random.choice([0.0, 0.05, 0.3]),
+        owners=random.randint(1, 6),
+    )
     return replace(
-        base, name=f"hunt-{seed}", length_s=length, planners=planners, troubles=troubles, stock=stock,
+        base,
+        name=f"hunt-{seed}",
+        length_s=length,
+        planners=planners,
+        troubles=troubles,
+        stock=stock,
         demand=demand,
-        zones=random.randint(2, 3), cell_size=random.randint(1, 4), list_asked=random.random() < 0.6,
-        list_has_room=random.random() < 0.7, drains=random.choice(["none", "paced", "at_once"]),
-        estate=replace(base.estate, fleet=fleet))
+        zones=random.randint(2, 3),
+        cell_size=random.randint(1, 4),
+        list_asked=random.random() < 0.6,
+        list_has_room=random.random() < 0.7,
+        drains=random.choice(["none", "paced", "at_once"]),
+        estate=replace(base.estate, fleet=fleet),
+    )
 
 
 def draw_crashes(day: Day, seed: int) -> tuple[set[int], tuple[DiskFault, ...]]:
@@ -71,9 +101,15 @@
     while at < 20_000:
         at += random.expovariate(1 / apart)
         strike |= {int(at), int(at) + random.choice([0, 1, 5, 30])}  # often again amid the recovery
-    faults = tuple(DiskFault(random.choice(sorted(FAULTS)), random.randrange(day.planners),
-                             random.uniform(0, day.length_s), random.uniform(0.1, 8.0))
-                   for _ in range(random.choice([0, 0, 1, 3])))
+    faults = tuple(
+        DiskFault(
+            random.choice(sorted(FAULTS)),
+            random.randrange(day.planners),
+            random.uniform(0, day.length_s),
+            random.uniform(0.1, 8.0),
+        )
+        for _ in range(random.choice([0, 0, 1, 3]))
+    )
     return strike, faults
 
 
@@ -83,24 +119,39 @@
     day = draw(base, seed, length)
     with tempfile.TemporaryDirectory(prefix="hazelhold-") as folder:
         try:
-            said = (play_crashes(day, seed, Path(folder), *draw_crashes(day, seed)) if crashes
-                    else play_virtual(day, seed, Path(folder)))
+            said = (
+                play_crashes(day, seed, Path(folder), *draw_crashes(day, seed))
+                if crashes
+                else play_virtual(day, seed, Path(folder))
+            )
         except Exception as wrong:  # noqa: BLE001 - whatever it is, it is what the hunt is for
             import traceback
-            return {"seed": seed, "broken": ["crash"], "what":
-            "".join(traceback.format_exception(wrong))[-1500:]}
+
+            return {
+                "seed": seed,
+                "broken": ["crash"],
+                "what": "".join(traceback.format_exception(wrong))[-1500:],
+            }
     broken = [f"rule {b['rule']}: {b['what']}" for b in said["rules_broken"]]
     broken += [f"unaccounted {name}" for name in said["unaccounted"]]
-    return {"seed": seed, "broken": broken, "service": said["service"]["service"], "counts": said["counts"],
-            "what": ", ".join(t.kind for t in day.troubles), "struck": len(said.get("struck", ()))}
-
-
-def hunt(base: Day, seed: int, runs: int, length: float, jobs: int,
-         crashes: bool = False) -> list[dict[str, Any]]:
+    return {
+        "seed": seed,
+        "broken": broken,
+        "service": said["service"]["service"],
+        "counts": said["counts"],
+        "what": ", ".join(t.kind for t in day.troubles),
+        "struck": len(said.get("struck", ())),
+    }
+
+
+def hunt(
+    base: Day, seed: int, runs: int, length: float, jobs: int, crashes: bool = False
+) -> list[dict[str, Any]]:
     """Judges `runs` drawn days from this seed on, some at a time; the same arguments find the same."""
     with ProcessPoolExecutor(jobs) as pool:
-        return list(pool.map(judge, [base] * runs, range(seed, seed + runs), [length] * runs,
-                             [crashes] * runs))
+        return list(
+            pool.map(judge, [base] * runs, range(seed, seed + runs), [length] * runs, [crashes] * runs)
+        )
 
 
 def write_day(day: Day, path: Path) -> None:
--- a/hazelhold/rehearse/run.py
+++ b/hazelhold/rehearse/run.py
@@ -36,11 +36,19 @@
 
 def planner_sheets(day: Day, seed: int, list_address: str, doors: list[str]) -> list[PlannerSheet]:
     """One configuration for each planner of the day; they share nothing but the estate."""
-    return [PlannerSheet(
-        name=f"planner-{number}", listen=door, estate=day.estate, slot=number, planners=day.planners,
-        seed=seed * 1000 + 100 * number,
-        list=ListSheet(address=list_address, asked=day.list_asked, has_room=day.list_has_room),
-        limits=LimitSheet(connect_ms=500.0, probe_ms=500.0)) for number, door in enumerate(doors)]
+    return [
+        PlannerSheet(
+            name=f"planner-{number}",
+            listen=door,
+            estate=day.estate,
+            slot=number,
+            planners=day.planners,
+            seed=seed * 1000 + 100 * number,
+            list=ListSheet(address=list_address, asked=day.list_asked, has_room=day.list_has_room),
+            limits=LimitSheet(connect_ms=500.0, probe_ms=500.0),
+        )
+        for number, door in enumerate(doors)
+    ]
 
 
 def free_ports(count: int, kind: int = socket.SOCK_STREAM) -> list[int]:
@@ -60,46 +68,93 @@
     members = day.membership
     found = []
     for a, sheet in enumerate(sheets):
-        reach = {names[b]: await wires.datagrams(names[a], names[b], ports[b])
-                 for b in range(len(names)) if b != a}
-        found.append(replace(sheet, membership=MembershipSheet(
-            listen=ports[a], seeds=[reach[n] for n in names[:3] if n in reach], reach=reach,
-            deployment=day.name, zone=f"zone-{a % day.zones}", probe_ms=members.probe_ms,
-            answer_ms=members.answer_ms, suspect_ms=members.suspect_ms,
-            suspect_most_ms=members.suspect_most_ms)))
+        reach = {
+            names[b]: await wires.datagrams(names[a], names[b], ports[b]) for b in range(len(names)) if b != a
+        }
+        found.append(
+            replace(
+                sheet,
+                membership=MembershipSheet(
+                    listen=ports[a],
+                    seeds=[reach[n] for n in names[:3] if n in reach],
+                    reach=reach,
+                    deployment=day.name,
+                    zone=f"zone-{a % day.zones}",
+                    probe_ms=members.probe_ms,
+                    answer_ms=members.answer_ms,
+                    suspect_ms=members.suspect_ms,
+                    suspect_most_ms=members.suspect_most_ms,
+                ),
+            )
+        )
     return found
 
 
-async def copy_up(sheets: list[PlannerSheet], day: Day, wires: Wires, ports: list[str],
-                  folder: Path) -> list[PlannerSheet]:
+async def copy_up(
+    sheets: list[PlannerSheet], day: Day, wires: Wires, ports: list[str], folder: Path
+) -> list[PlannerSheet]:
     """The sheets with claims agreed among all, each planner reaching each other by a wire of its own."""
     names = [s.name for s in sheets]
     planners = [CopiesPlanner(name, ports[at], f"zone-{at % day.zones}") for at, name in enumerate(names)]
     found = []
     for a, sheet in enumerate(sheets):
-        reach = {names[b]: await wires.streams(names[a], names[b], ports[b])
-                 for b in range(len(names)) if b != a}
-        found.append(replace(sheet, copies=CopiesSheet(
-            listen=ports[a], folder=str(folder / "votes" / sheet.name), planners=planners, reach=reach,
-            replicas=day.copies.replicas, deployment=day.name, claim_ms=day.copies.claim_ms)))
+        reach = {
+            names[b]: await wires.streams(names[a], names[b], ports[b]) for b in range(len(names)) if b != a
+        }
+        found.append(
+            replace(
+                sheet,
+                copies=CopiesSheet(
+                    listen=ports[a],
+                    folder=str(folder / "votes" / sheet.name),
+                    planners=planners,
+                    reach=reach,
+                    replicas=day.copies.replicas,
+                    deployment=day.name,
+                    claim_ms=day.copies.claim_ms,
+                ),
+            )
+        )
     return found
 
 
 def rule_sheet(day: Day) -> RuleSheet:
     fleet = day.estate.fleet
     return RuleSheet(
-        products={p.name: {"effect": p.effect, "group": p.group, "window": micros(p.window_ms),
-                           "goal": micros(p.goal_ms), "patience": micros(p.patience_ms), "payoff": p.payoff,
-                           "start_bonus": p.start_bonus_s, "late_worth": p.late_worth,
-                           "spread": p.spread, "spread_most": p.spread_most} for p in day.estate.products},
-        max_dispatches=fleet.max_dispatches, drain_grace=micros(fleet.drain_grace_ms),
-        confirms_running=fleet.confirms == "running", weights=day.weights)
-
-
-async def play(day: Day, seed: int, folder: Path, inside: bool, net: Net | None = None,
-               capture: Path | None = None, points: Points | None = None,
-               faults: tuple[DiskFault, ...] = (), keep: bool = False,
-               programs: Programs | None = None) -> dict[str, Any]:
+        products={
+            p.name: {
+                "effect": p.effect,
+                "group": p.group,
+                "window": micros(p.window_ms),
+                "goal": micros(p.goal_ms),
+                "patience": micros(p.patience_ms),
+                "payoff": p.payoff,
+                "start_bonus": p.start_bonus_s,
+                "late_worth": p.late_worth,
+                "spread": p.spread,
+                "spread_most": p.spread_most,
+            }
+            for p in day.estate.products
+        },
+        max_dispatches=fleet.max_dispatches,
+        drain_grace=micros(fleet.drain_grace_ms),
+        confirms_running=fleet.confirms == "running",
+        weights=day.weights,
+    )
+
+
+async def play(
+    day: Day,
+    seed: int,
+    folder: Path,
+    inside: bool,
+    net: Net | None = None,
+    capture: Path | None = None,
+    points: Points | None = None,
+    faults: tuple[DiskFault, ...] = (),
+    keep: bool = False,
+    programs: Programs | None = None,
+) -> dict[str, Any]:
     """Plays the day and returns the report. `inside` keeps the planners in this process; a MemoryNet needs
     it; `programs` names other programs for some of them. With `points` their state is kept on stand-in disks,
     and they die at those points; with `keep` planners' processes keep it in `folder`/state.
@@ -115,18 +170,27 @@
     stage = Stage(day, seed, net, records, host)
     async with trio.open_nursery() as nursery:
         list_address = await stage.open(nursery)
-        doors = ([f"{host}:{port}" for port in free_ports(day.planners)] if isinstance(net, TcpNet)
-                 else [f"door-{number}" for number in range(day.planners)])
+        doors = (
+            [f"{host}:{port}" for port in free_ports(day.planners)]
+            if isinstance(net, TcpNet)
+            else [f"door-{number}" for number in range(day.planners)]
+        )
         sheets = planner_sheets(day, seed, list_address, doors)
         wires = None
         if day.membership.on:
             wires = Wires(net, nursery, seed, host)
-            ports = ([f"{host}:{port}" for port in free_ports(day.planners, socket.SOCK_DGRAM)]
-                     if isinstance(net, TcpNet) else [f"members-{number}" for number in range(day.planners)])
+            ports = (
+                [f"{host}:{port}" for port in free_ports(day.planners, socket.SOCK_DGRAM)]
+                if isinstance(net, TcpNet)
+                else [f"members-{number}" for number in range(day.planners)]
+            )
             sheets = await wire_up(sheets, day, wires, ports)
             if day.copies.on:
-                ports = ([f"{host}:{port}" for port in free_ports(day.planners)] if isinstance(net, TcpNet)
-                         else [f"copies-{number}" for number in range(day.planners)])
+                ports = (
+                    [f"{host}:{port}" for port in free_ports(day.planners)]
+                    if isinstance(net, TcpNet)
+                    else [f"copies-{number}" for number in range(day.planners)]
+                )
                 sheets = await copy_up(sheets, day, wires, ports, folder)
         if keep:
             sheets = [replace(s, state=StateSheet(folder=str(folder / "state" / s.name))) for s in sheets]
@@ -156,9 +220,14 @@
         stage.close()
         chief.close()
         nursery.cancel_scope.cancel()
-    return report(records, day.name, seed, time.monotonic() - began,
-                  {s.model.name: dict(s.model.counts) for s in stage.senders},
-                  ViewBounds(**msgspec.structs.asdict(day.views)))
+    return report(
+        records,
+        day.name,
+        seed,
+        time.monotonic() - began,
+        {s.model.name: dict(s.model.counts) for s in stage.senders},
+        ViewBounds(**msgspec.structs.asdict(day.views)),
+    )
 
 
 class Cut(msgspec.Struct):
@@ -167,8 +236,9 @@
     pairs: list[tuple[str, str]]
 
 
-async def _troubles(day: Day, seed: int, stage: Stage, crew: Crew, chief: Recorder, wires: Wires | None,
-                    start: int) -> None:
+async def _troubles(
+    day: Day, seed: int, stage: Stage, crew: Crew, chief: Recorder, wires: Wires | None, start: int
+) -> None:
     services = [w.service for w in stage.wants]
     for step in plan(day, seed, stage.spots, services):
         await _until(stage.net, start + step.at)
@@ -218,8 +288,9 @@
     return not (said["rules_broken"] or said["unaccounted"] or said.get("views", {}).get("bounds_passed"))
 
 
-def report(records: Path, name: str, seed: int, seconds: float, owners: dict,
-           bounds: ViewBounds | None = None) -> dict[str, Any]:
+def report(
+    records: Path, name: str, seed: int, seconds: float, owners: dict, bounds: ViewBounds | None = None
+) -> dict[str, Any]:
     """Audit and score of a folder of records, as plain values."""
     audit = Audit.of_folder(records)
     breaches = audit.breaches()
@@ -229,14 +300,27 @@
     more = {} if views.off else {"views": views.judge()}
     if not claims.off:
         more["claims"] = claims.counts()
-    return {"day": name, "seed": seed, "seconds": round(seconds, 1), "counts": audit.counts(),
-            "service": score(audit.crossings, audit.rules), "owners": owners,
-            "rules_broken": [msgspec.to_builtins(b) for b in breaches],
-            "unaccounted": audit.unaccounted(), **more}
-
-
-def play_virtual(day: Day, seed: int, folder: Path, capture: Path | None = None,
-                 net: MemoryNet | None = None, interleaving: int | None = None) -> dict[str, Any]:
+    return {
+        "day": name,
+        "seed": seed,
+        "seconds": round(seconds, 1),
+        "counts": audit.counts(),
+        "service": score(audit.crossings, audit.rules),
+        "owners": owners,
+        "rules_broken": [msgspec.to_builtins(b) for b in breaches],
+        "unaccounted": audit.unaccounted(),
+        **more,
+    }
+
+
+def play_virtual(
+    day: Day,
+    seed: int,
+    folder: Path,
+    capture: Path | None = None,
+    net: MemoryNet | None = None,
+    interleaving: int | None = None,
+) -> dict[str, Any]:
     """The whole day in memory and virtual time: minutes of trouble in seconds, without a socket. The order of
     what comes at one moment follows from the seed, or from `interleaving`."""
     from trio._core import _run  # the same knobs as trio's own plug-ins for tests use
@@ -244,5 +328,6 @@
 
     _run._ALLOW_DETERMINISTIC_SCHEDULING = True
     _run._r.seed(seed if interleaving is None else interleaving)
-    return trio.run(play, day, seed, folder, True, net or MemoryNet(), capture,
-    clock=MockClock(autojump_threshold=0))
+    return trio.run(
+        play, day, seed, folder, True, net or MemoryNet(), capture, clock=MockClock(autojump_threshold=0)
+    )
--- a/hazelhold/rehearse/stage.py
+++ b/hazelhold/rehearse/stage.py
@@ -36,8 +36,13 @@
         self._make_machines()
         r = day.roster
         self.remote: Wire | None = None  # a list service elsewhere, for machines that stand alone
-        self.service = ListService(seed, net.now(), (round(r.notice_s[0] * 1e6), round(r.notice_s[1] * 1e6)),
-                                   micros(r.period_ms), (micros(r.answer_ms[0]), micros(r.answer_ms[1])))
+        self.service = ListService(
+            seed,
+            net.now(),
+            (round(r.notice_s[0] * 1e6), round(r.notice_s[1] * 1e6)),
+            micros(r.period_ms),
+            (micros(r.answer_ms[0]), micros(r.answer_ms[1])),
+        )
         self.list_host = ListHost(net, self.service, self.recorder("list", "list"))
         self.senders: list[SenderHost] = []
         self.zones: dict[str, int] = {}  # of planners
@@ -57,40 +62,66 @@
             count = max(1, round(day.demand.services * wares.share / total))
             for number in range(count):
                 cores, memory = random.choice(wares.shapes)
-                found.append(Want(
-                    product=wares.product, service=f"{wares.product}-{number}",
-                    customer=random.choice(day.estate.customers) if day.estate.customers else "",
-                    cores=cores, memory=memory, patience=micros(sheet.patience_ms),
-                    life=round(random.uniform(*wares.life_s) * 1e6),
-                    harmless=sheet.effect == "rerunnable",
-                    weight=wares.share / count * random.uniform(0.5, 1.5)))
+                found.append(
+                    Want(
+                        product=wares.product,
+                        service=f"{wares.product}-{number}",
+                        customer=random.choice(day.estate.customers) if day.estate.customers else "",
+                        cores=cores,
+                        memory=memory,
+                        patience=micros(sheet.patience_ms),
+                        life=round(random.uniform(*wares.life_s) * 1e6),
+                        harmless=sheet.effect == "rerunnable",
+                        weight=wares.share / count * random.uniform(0.5, 1.5),
+                    )
+                )
         return found
 
     def _make_machines(self) -> None:
         day, random, fleet = self.day, self.random, self.day.estate.fleet
         sheets = {p.name: p for p in day.estate.products}
         kinds = {k.name: k for k in day.estate.kinds}
-        trades = {w.product: Trade(
-            priority=sheets[w.product].priority, ticketed=sheets[w.product].effect == "ticketed",
-            easy_until=sheets[w.product].easy_until, lost_after=sheets[w.product].lost_after,
-            work=micros(w.work_ms), life=round(sum(w.life_s) / 2 * 1e6),
-            cores_use=sum(w.cores_use) / 2, memory_use=sum(w.memory_use) / 2) for w in day.wares}
+        trades = {
+            w.product: Trade(
+                priority=sheets[w.product].priority,
+                ticketed=sheets[w.product].effect == "ticketed",
+                easy_until=sheets[w.product].easy_until,
+                lost_after=sheets[w.product].lost_after,
+                work=micros(w.work_ms),
+                life=round(sum(w.life_s) / 2 * 1e6),
+                cores_use=sum(w.cores_use) / 2,
+                memory_use=sum(w.memory_use) / 2,
+            )
+            for w in day.wares
+        }
         number = 0
         shared: dict[tuple[str, object], dict[str, str]] = {}  # tickets that stand, by product and group
         for stock in day.stock:
             kind = kinds[stock.kind]
             for _ in range(stock.count):
                 build = Build(
-                    kind=kind.name, cores=kind.cores, memory=kind.memory, trades=trades,
-                    cores_multiple=fleet.cores_multiple, memory_multiple=fleet.memory_multiple,
-                    makes_room=fleet.makes_room, confirms_running=fleet.confirms == "running",
+                    kind=kind.name,
+                    cores=kind.cores,
+                    memory=kind.memory,
+                    trades=trades,
+                    cores_multiple=fleet.cores_multiple,
+                    memory_multiple=fleet.memory_multiple,
+                    makes_room=fleet.makes_room,
+                    confirms_running=fleet.confirms == "running",
                     counts_asked=fleet.reports_count == "asked",
-                    look=micros(random.uniform(*stock.look_ms)), line=round(random.uniform(*stock.line)),
-                    starts=round(random.uniform(*stock.starts)), setup=random.uniform(*stock.setup),
-                    kept=round(random.uniform(*stock.kept)), cold_from=fleet.cold_from,
-                    cold_for=micros(fleet.cold_for_ms), tip_multiple=fleet.tip_multiple,
-                    tip_window=micros(fleet.cold_window_ms), cold_offers=fleet.cold_offers,
-                    report_period=micros(random.uniform(*stock.report_ms)), drains=day.drains)
+                    look=micros(random.uniform(*stock.look_ms)),
+                    line=round(random.uniform(*stock.line)),
+                    starts=round(random.uniform(*stock.starts)),
+                    setup=random.uniform(*stock.setup),
+                    kept=round(random.uniform(*stock.kept)),
+                    cold_from=fleet.cold_from,
+                    cold_for=micros(fleet.cold_for_ms),
+                    tip_multiple=fleet.tip_multiple,
+                    tip_window=micros(fleet.cold_window_ms),
+                    cold_offers=fleet.cold_offers,
+                    report_period=micros(random.uniform(*stock.report_ms)),
+                    drains=day.drains,
+                )
                 name = f"m{number:03d}"
                 off = (3600, -3600, 0)[min(number, 2)] * SECOND  # two machines whose clocks are an hour off
                 machine = Machine(name, build, self.seed * 1000 + number, self.net.now() + off)
@@ -100,8 +131,9 @@
                     group = {"all": 0, "zone": spot.zone, "cell": spot.cell}.get(reach, name)
                     machine.tickets[product] = shared.setdefault((product, group), {})
                 self.spots.append(spot)
-                self.hosts[name] = MachineHost(self.net, machine, self.recorder(name, "machine"), spot.zone,
-                                               spot.cell, off)
+                self.hosts[name] = MachineHost(
+                    self.net, machine, self.recorder(name, "machine"), spot.zone, spot.cell, off
+                )
                 number += 1
 
     async def open(self, nursery: trio.Nursery) -> str:
@@ -124,11 +156,19 @@
         self.zones = {name: at % self.day.zones for at, name in enumerate(planners)}
         until = now + round((demand.until_s or self.day.length_s) * 1e6)
         for number in range(demand.owners):
-            model = OwnerModel(f"owner{number}", self.seed, list(planners), self.wants,
-                               demand.rate / demand.owners,
-                               (micros(demand.again_ms[0]), micros(demand.again_ms[1])),
-                               micros(self.day.estate.fleet.settle_ms), demand.cancel_share, now, until,
-                               self.day.copies.on)
+            model = OwnerModel(
+                f"owner{number}",
+                self.seed,
+                list(planners),
+                self.wants,
+                demand.rate / demand.owners,
+                (micros(demand.again_ms[0]), micros(demand.again_ms[1])),
+                micros(self.day.estate.fleet.settle_ms),
+                demand.cancel_share,
+                now,
+                until,
+                self.day.copies.on,
+            )
             sender = SenderHost(self.net, model, planners, self.recorder(model.name, "owner"))
             self.senders.append(sender)
             nursery.start_soon(sender.run)
@@ -150,16 +190,36 @@
         if self.remote is None:
             self.service.rooms(rooms)
         else:
-            self.remote.send(Enlist(rooms=True, entries=[
-                Entry(machine=name, address="", mode="ready", kind="-", cores_room=cores, memory_room=memory)
-                for name, (cores, memory) in rooms.items()]))
+            self.remote.send(
+                Enlist(
+                    rooms=True,
+                    entries=[
+                        Entry(
+                            machine=name,
+                            address="",
+                            mode="ready",
+                            kind="-",
+                            cores_room=cores,
+                            memory_room=memory,
+                        )
+                        for name, (cores, memory) in rooms.items()
+                    ],
+                )
+            )
 
     def _list(self, name: str, mode: str, at_once: bool = False) -> None:
         host = self.hosts[name]
         machine = host.machine
-        entry = Entry(machine=name, address=host.door.address, mode=mode, kind=machine.build.kind,
-                      incarnation=machine.incarnation, zone=host.zone, cell=host.cell,
-                      up_for=max(0, host.now() - machine.up_at))
+        entry = Entry(
+            machine=name,
+            address=host.door.address,
+            mode=mode,
+            kind=machine.build.kind,
+            incarnation=machine.incarnation,
+            zone=host.zone,
+            cell=host.cell,
+            up_for=max(0, host.now() - machine.up_at),
+        )
         if self.remote is not None:
             self.remote.send(Enlist(entries=[entry]))
             return
--- a/hazelhold/rehearse/troubles.py
+++ b/hazelhold/rehearse/troubles.py
@@ -29,8 +29,10 @@
     random = Random(f"troubles/{seed}")
     steps: list[Step] = []
     for trouble in day.troubles:
-        steps += [Step(round(at * 1e6), what, machine, value)
-                  for at, what, machine, value in SHAPES[trouble.kind](trouble, random, spots, services, day)]
+        steps += [
+            Step(round(at * 1e6), what, machine, value)
+            for at, what, machine, value in SHAPES[trouble.kind](trouble, random, spots, services, day)
+        ]
     return sorted(steps, key=lambda s: s.at)
 
 
@@ -47,28 +49,39 @@
 
 def _span(what: str, field: str) -> object:
     """A trouble that changes one thing for a while, everywhere."""
+
     def shape(t: Trouble, *_: object) -> list[tuple]:
         return [(t.at_s, what, "", getattr(t, field)), (t.at_s + t.for_s, what, "", None)]
+
     return shape
 
 
 def _ill(what: str) -> object:
     """A trouble that makes some machines ill for a while."""
+
     def shape(t: Trouble, random: Random, spots: list[Spot], *_: object) -> list[tuple]:
         names = struck(t, random, spots)
-        return [(at, what, n, value) for n in names
-                for at, value in ((t.at_s, t.size), (t.at_s + t.for_s, None))]
+        return [
+            (at, what, n, value) for n in names for at, value in ((t.at_s, t.size), (t.at_s + t.for_s, None))
+        ]
+
     return shape
 
 
 def _crash(t: Trouble, random: Random, spots: list[Spot], *_: object) -> list[tuple]:
-    return [(at, what, n, None) for n in struck(t, random, spots)
-            for at, what in ((t.at_s, "crash"), (t.at_s + t.for_s, "up"))]
+    return [
+        (at, what, n, None)
+        for n in struck(t, random, spots)
+        for at, what in ((t.at_s, "crash"), (t.at_s + t.for_s, "up"))
+    ]
 
 
 def _vanish(t: Trouble, random: Random, spots: list[Spot], *_: object) -> list[tuple]:
-    return [(at, what, n, None) for n in struck(t, random, spots)
-            for at, what in ((t.at_s, "silent"), (t.at_s + t.for_s, "crash"), (t.at_s + t.for_s + 0.2, "up"))]
+    return [
+        (at, what, n, None)
+        for n in struck(t, random, spots)
+        for at, what in ((t.at_s, "silent"), (t.at_s + t.for_s, "crash"), (t.at_s + t.for_s + 0.2, "up"))
+    ]
 
 
 def _mass_restart(t: Trouble, random: Random, spots: list[Spot], *_: object) -> list[tuple]:
@@ -84,13 +97,16 @@
     another."""
     names = struck(t, random, spots)
     batch = max(1, round(min(1.0, t.size) * len(spots)))
-    batches = [names[i:i + batch] for i in range(0, len(names), batch)]
+    batches = [names[i : i + batch] for i in range(0, len(names), batch)]
     found = []
     for number, each in enumerate(batches):
         at = t.at_s + number * t.for_s / len(batches)
         for name in each:
-            found += [(at, "drain", name, None), (at + t.extra, "crash", name, None),
-                      (at + t.extra + 1.0, "up", name, None)]
+            found += [
+                (at, "drain", name, None),
+                (at + t.extra, "crash", name, None),
+                (at + t.extra + 1.0, "up", name, None),
+            ]
     return found
 
 
@@ -102,8 +118,11 @@
     found = []
     for at, name in enumerate(names):
         start = t.at_s + (at % waves) * t.for_s / waves
-        found += [(start, "notice", name, None), (start + t.size, "crash", name, None),
-                  (start + t.size + t.extra, "up", name, None)]
+        found += [
+            (start, "notice", name, None),
+            (start + t.size, "crash", name, None),
+            (start + t.size + t.extra, "up", name, None),
+        ]
     return found
 
 
@@ -112,8 +131,11 @@
     for name in struck(t, random, spots):
         for part in range(1, 9):
             found.append((t.at_s + t.for_s * part / 9, "slow", name, 1 + (t.size - 1) * part / 8))
-        found += [(t.at_s + t.for_s, "crash", name, None), (t.at_s + t.for_s, "slow", name, None),
-                  (t.at_s + t.for_s + t.extra, "up", name, None)]
+        found += [
+            (t.at_s + t.for_s, "crash", name, None),
+            (t.at_s + t.for_s, "slow", name, None),
+            (t.at_s + t.for_s + t.extra, "up", name, None),
+        ]
     return found
 
 
@@ -138,15 +160,19 @@
 def _planner(first: str) -> object:
     def shape(t: Trouble, *_: object) -> list[tuple]:
         return [(t.at_s, first, "", t.which), (t.at_s + t.for_s, "planner_start", "", t.which)]
+
     return shape
 
 
 def _disk(t: Trouble, *_: object) -> list[tuple]:
     """Its planner is killed and starts with no disk, or with the one of `extra` seconds before."""
     before = [(t.at_s - t.extra, "planner_copy", "", t.which)] if t.extra else []
-    return [*before, (t.at_s, "planner_kill", "", t.which),
-            (t.at_s + t.for_s / 2, "planner_old_disk" if t.extra else "planner_no_disk", "", t.which),
-            (t.at_s + t.for_s, "planner_start", "", t.which)]
+    return [
+        *before,
+        (t.at_s, "planner_kill", "", t.which),
+        (t.at_s + t.for_s / 2, "planner_old_disk" if t.extra else "planner_no_disk", "", t.which),
+        (t.at_s + t.for_s, "planner_start", "", t.which),
+    ]
 
 
 def _reconnect(t: Trouble, *_: object) -> list[tuple]:
@@ -163,23 +189,45 @@
 
 
 def _pause(t: Trouble, random: Random, spots: list[Spot], services: list[str], day: Day) -> list[tuple]:
-    return [(at, what, "", number) for number in struck_planners(t, day)[0]
-            for at, what in ((t.at_s, "planner_pause"), (t.at_s + t.for_s, "planner_resume"))]
+    return [
+        (at, what, "", number)
+        for number in struck_planners(t, day)[0]
+        for at, what in ((t.at_s, "planner_pause"), (t.at_s + t.for_s, "planner_resume"))
+    ]
 
 
 def _between(first: str, last: str) -> object:
     def shape(t: Trouble, random: Random, spots: list[Spot], services: list[str], day: Day) -> list[tuple]:
         whom, others = struck_planners(t, day)
-        return [(t.at_s, first, "", (whom, others, t.way, t.part, t.size)),
-                (t.at_s + t.for_s, last, "", (whom, others, t.way, 0.0, 0.0))]
+        return [
+            (t.at_s, first, "", (whom, others, t.way, t.part, t.size)),
+            (t.at_s + t.for_s, last, "", (whom, others, t.way, 0.0, 0.0)),
+        ]
+
     return shape
 
 
-SHAPES = {"burst": _span("burst", "size"), "list_down": _span("list_down", "part"), "deploy": _deploy,
-          "flush": _flush, "heavy_tail": _heavy, "hot_service": _hot, "mass_restart": _mass_restart,
-          "preempt": _preempt, "vanish": _vanish, "report_late": _ill("report_late"),
-          "fast_errors": _ill("errors"), "answer_lost": _ill("lost"), "ageing": _ageing, "crash": _crash,
-          "zone_cut": _cut, "planner_kill": _planner("planner_kill"),
-          "planner_stop": _planner("planner_stop"), "planner_disk": _disk, "reconnect": _reconnect,
-          "planner_pause": _pause, "planner_cut": _between("planner_cut", "planner_heal"),
-          "planner_loss": _between("planner_loss", "planner_loss")}
+SHAPES = {
+    "burst": _span("burst", "size"),
+    "list_down": _span("list_down", "part"),
+    "deploy": _deploy,
+    "flush": _flush,
+    "heavy_tail": _heavy,
+    "hot_service": _hot,
+    "mass_restart": _mass_restart,
+    "preempt": _preempt,
+    "vanish": _vanish,
+    "report_late": _ill("report_late"),
+    "fast_errors": _ill("errors"),
+    "answer_lost": _ill("lost"),
+    "ageing": _ageing,
+    "crash": _crash,
+    "zone_cut": _cut,
+    "planner_kill": _planner("planner_kill"),
+    "planner_stop": _planner("planner_stop"),
+    "planner_disk": _disk,
+    "reconnect": _reconnect,
+    "planner_pause": _pause,
+    "planner_cut": _between("planner_cut", "planner_heal"),
+    "planner_loss": _between("planner_loss", "planner_loss"),
+}
--- a/hazelhold/replica/host.py
+++ b/hazelhold/replica/host.py
@@ -123,8 +123,13 @@
             async with trio.open_nursery() as nursery:
                 self.nursery = nursery
                 self.address = await self.net.listen(self.sheet.listen, self._door, nursery)
-                self.log.info("copies", address=self.address, epoch=self.sheet.epoch,
-                              planners=len(self.sheet.planners), replicas=self.sheet.replicas)
+                self.log.info(
+                    "copies",
+                    address=self.address,
+                    epoch=self.sheet.epoch,
+                    planners=len(self.sheet.planners),
+                    replicas=self.sheet.replicas,
+                )
                 nursery.start_soon(self.vault.run, self.net)
                 nursery.start_soon(self._sweep)
                 nursery.start_soon(self._idle)
@@ -169,16 +174,25 @@
     def _done(self, done: Done) -> None:
         no, began = self.asked.pop(done.asked)
         self.counts["asked_" + done.outcome] += 1
-        self._note(done.key, "agreed", Note(self.process, done.asked, [], done.outcome, done.value,
-                                            done.reason, done.rounds))
+        self._note(
+            done.key,
+            "agreed",
+            Note(self.process, done.asked, [], done.outcome, done.value, done.reason, done.rounds),
+        )
         if done.outcome == "agreed" and self.cut:
             self.cut = ""
             self.log.warning("agrees_again")
         elif done.outcome != "agreed" and done.reason not in (self.cut, "contended", "busy"):
             self.cut = done.reason
             heard = sorted(f.name for f in self.far.values() if f.heard >= began)
-            self.log.warning("cannot_agree", reason=done.reason, key=done.key, replicas=self.sets(done.key),
-                             heard=heard, votes=self._standing())
+            self.log.warning(
+                "cannot_agree",
+                reason=done.reason,
+                key=done.key,
+                replicas=self.sets(done.key),
+                heard=heard,
+                votes=self._standing(),
+            )
         self.told(no, done.outcome, done.value, done.reason)
 
     def standing(self) -> dict[str, str]:
@@ -240,9 +254,14 @@
             await trio.sleep(REJOIN / 10)
         lost = self.votes.why
         self.vault.take(self.votes.seated(), lambda: None)
-        self.log.warning("votes_again" if lost else "votes", slots=len(joiner.others), lost=lost,
-                         incarnation=self.votes.acceptor.inc.number, ms=(self.net.now() - began) // 1000,
-                         **joiner.counts)
+        self.log.warning(
+            "votes_again" if lost else "votes",
+            slots=len(joiner.others),
+            lost=lost,
+            incarnation=self.votes.acceptor.inc.number,
+            ms=(self.net.now() - began) // 1000,
+            **joiner.counts,
+        )
 
     def _join_on(self) -> None:
         out, self.votes.joiner.out = self.votes.joiner.out, []
--- a/hazelhold/replica/proposer.py
+++ b/hazelhold/replica/proposer.py
@@ -97,9 +97,7 @@
         "reason",
     )
 
-    def __init__(
-        self, no: int, key: str, change: Change, deadline: int, replicas: tuple[str, ...]
-    ) -> None:
+    def __init__(self, no: int, key: str, change: Change, deadline: int, replicas: tuple[str, ...]) -> None:
         self.no, self.key, self.change, self.deadline, self.replicas = no, key, change, deadline, replicas
         self.ballot = w.NONE
         self.phase = "wait"
@@ -128,9 +126,7 @@
         self.ahead: dict[str, tuple[w.Ballot, bytes]] = {}
         self.number = self.timer_no = self.under_way = 0
 
-    def ask(
-        self, now: int, key: str, change: Change, replicas: Iterable[str], deadline: int
-    ) -> int:
+    def ask(self, now: int, key: str, change: Change, replicas: Iterable[str], deadline: int) -> int:
         """Begins an asking; its Done follows, by `deadline` at the latest if `wake` is called in time."""
         self.number += 1
         op = Op(self.number, key, change, deadline, tuple(replicas))
--- a/hazelhold/replica/rejoin.py
+++ b/hazelhold/replica/rejoin.py
@@ -207,7 +207,7 @@
             del self.lists[other]  # a page that is lost begins it anew, which digests make short
         cells = self.acceptor.cells
         found = []
-        for key in keys[after:after + PAGE]:
+        for key in keys[after : after + PAGE]:
             cell = cells.get(key, self.acceptor.empty)
             found.append(w.Cells(key, cell.promised, cell.accepted, cell.value))
         return w.Page(no, after, len(keys), found, unready, dict(self.acceptor.known), self.acceptor.floor)
--- a/hazelhold/replica/votes.py
+++ b/hazelhold/replica/votes.py
@@ -60,8 +60,13 @@
     at: int
 
 
-KINDS: dict[str, type[Struct]] = {"seat": Seat, "floor": Floor, "cell": CellImage, "inc": IncImage,
-                                  "vouch": Vouch}
+KINDS: dict[str, type[Struct]] = {
+    "seat": Seat,
+    "floor": Floor,
+    "cell": CellImage,
+    "inc": IncImage,
+    "vouch": Vouch,
+}
 SWEEP_MOST = 1000  # cells let go at a time
 
 
@@ -154,8 +159,10 @@
         if (seat.planner, seat.deployment) != (self.name, sheet.deployment):
             wrong = f"is the seat of {seat.planner!r} in {seat.deployment!r}"
         elif (seat.epoch, seat.digest) != (sheet.epoch, digest(sheet)):
-            wrong = (f"votes in epoch {seat.epoch}; the configuration says {sheet.epoch}, or another set: "
-                     "a set is not changed by its file alone")
+            wrong = (
+                f"votes in epoch {seat.epoch}; the configuration says {sheet.epoch}, or another set: "
+                "a set is not changed by its file alone"
+            )
         if wrong:
             self.store.close()
             raise StateError(f"the folder {wrong}")
--- a/hazelhold/service/keeper.py
+++ b/hazelhold/service/keeper.py
@@ -30,8 +30,15 @@
 class Keeper:
     """The state of one planner. `do` carries out an action, `feed` tells the engine of something."""
 
-    def __init__(self, store: Store, sheet: StateSheet, engine: Engine, now: Callable[[], int],
-                 do: Callable[[Action], None], feed: Callable[..., None]) -> None:
+    def __init__(
+        self,
+        store: Store,
+        sheet: StateSheet,
+        engine: Engine,
+        now: Callable[[], int],
+        do: Callable[[Action], None],
+        feed: Callable[..., None],
+    ) -> None:
         self.store, self.sheet, self.engine = store, sheet, engine
         self.now, self.do, self.feed = now, do, feed
         self.queue: deque[tuple[list[Action], list[Change]]] = deque()  # emptied by every commit
@@ -155,8 +162,10 @@
             message = action.message if isinstance(action, Send) else None
             if isinstance(message, m.Offer) and self._harmful(message.product):
                 self.feed("offer_held_back", message)
-            elif isinstance(message, m.TurnedBack | m.BrokenOff) and (
-                    until := self._until(message)) > self.wall():
+            elif (
+                isinstance(message, m.TurnedBack | m.BrokenOff)
+                and (until := self._until(message)) > self.wall()
+            ):
                 self.held_back.append((until, action))
             else:
                 found.append(action)
--- a/hazelhold/service/net.py
+++ b/hazelhold/service/net.py
@@ -119,8 +119,9 @@
 
     async def dial(self, address: str) -> trio.abc.Stream: ...
 
-    async def listen(self, address: str, handler: Handler, nursery: trio.Nursery,
-                     at_once: int = 1) -> str: ...
+    async def listen(
+        self, address: str, handler: Handler, nursery: trio.Nursery, at_once: int = 1
+    ) -> str: ...
 
     async def port(self, address: str) -> Port: ...
 
@@ -168,8 +169,9 @@
         stream.setsockopt(trio.socket.IPPROTO_TCP, trio.socket.TCP_NODELAY, 1)
         return stream
 
-    async def listen(self, address: str, handler: Handler, nursery: trio.Nursery,
-                     at_once: int = ACCEPTED) -> str:
+    async def listen(
+        self, address: str, handler: Handler, nursery: trio.Nursery, at_once: int = ACCEPTED
+    ) -> str:
         """Serves connections in the nursery, which ends with it; returns the address with the port in use."""
         await trio.lowlevel.checkpoint()
         host, port = split_address(address)
@@ -209,8 +211,9 @@
         nursery.start_soon(handler, theirs)
         return mine
 
-    async def listen(self, address: str, handler: Handler, nursery: trio.Nursery,
-                     at_once: int = ACCEPTED) -> str:
+    async def listen(
+        self, address: str, handler: Handler, nursery: trio.Nursery, at_once: int = ACCEPTED
+    ) -> str:
         if address.endswith(":0"):
             self.numbers += 1
             address = f"{address[:-2]}:{self.numbers}"
--- a/hazelhold/service/planner.py
+++ b/hazelhold/service/planner.py
@@ -35,12 +35,23 @@
 class Planner:
     """One planner from its start to its stop. `run` ends once a stop that was asked for is done."""
 
-    def __init__(self, sheet: PlannerSheet, seed: int, net: Net, recorder: Recorder | None = None,
-                 disk: Disk | None = None, take_over: bool = False, votes: Disk | None = None) -> None:
+    def __init__(
+        self,
+        sheet: PlannerSheet,
+        seed: int,
+        net: Net,
+        recorder: Recorder | None = None,
+        disk: Disk | None = None,
+        take_over: bool = False,
+        votes: Disk | None = None,
+    ) -> None:
         self.sheet, self.net, self.limits = sheet, net, sheet.limits
         self.engine = Engine(sheet, seed, net.now())
-        self.tap = Tap(Path(sheet.capture.file), sheet.capture, sheet, seed, net.now()) if (
-            sheet.capture.file) else None
+        self.tap = (
+            Tap(Path(sheet.capture.file), sheet.capture, sheet, seed, net.now())
+            if (sheet.capture.file)
+            else None
+        )
         self.recorder = recorder
         self.log = structlog.get_logger().bind(planner=sheet.name)
         self.ticker = Ticker(net.now, self.engine.next_at, self._work, sheet.limits.batch_ms / 1000)
@@ -50,9 +61,13 @@
         self.list_stir = trio.Event()
         self.counts: Counter[str] = Counter()
         self.connections = self.greeting = 0  # open ones, and those before their Hello
-        self.doorman = Doorman(sheet.limits.handshakes_a_second, sheet.limits.handshake_burst,
-                               sheet.limits.handshakes_at_once, round(sheet.limits.return_most_ms * 1000),
-                               Random(f"door/{seed}"))
+        self.doorman = Doorman(
+            sheet.limits.handshakes_a_second,
+            sheet.limits.handshake_burst,
+            sheet.limits.handshakes_at_once,
+            round(sheet.limits.return_most_ms * 1000),
+            Random(f"door/{seed}"),
+        )
         self.address = ""
         self.stop_asked = trio.Event()
         self.handing_over, self.take_over = False, take_over
@@ -65,16 +80,23 @@
         if sheet.copies.listen:
             from hazelhold.replica.host import Copies
 
-            self.copies = Copies(sheet.name, sheet.copies, net, votes or RealDisk(Path(sheet.copies.folder)),
-                                 self._agreed, recorder)
+            self.copies = Copies(
+                sheet.name,
+                sheet.copies,
+                net,
+                votes or RealDisk(Path(sheet.copies.folder)),
+                self._agreed,
+                recorder,
+            )
             if self.members is not None:
                 self.members.beside = self.copies.standing
         self.keeper: Keeper | None = None
         if disk is None and sheet.state.folder:
             disk = RealDisk(Path(sheet.state.folder))
         if disk is not None:
-            self.keeper = Keeper(Store(disk, sheet.name), sheet.state, self.engine, net.now, self._do,
-                                 self._state_news)
+            self.keeper = Keeper(
+                Store(disk, sheet.name), sheet.state, self.engine, net.now, self._do, self._state_news
+            )
 
     async def run(self, task_status: trio.TaskStatus = trio.TASK_STATUS_IGNORED) -> None:
         async with trio.open_nursery() as nursery:
@@ -114,11 +136,22 @@
         counts = self.engine.keep(now, wall - now, found.ledger, found.complete and not found.fresh)
         if self.tap is not None:
             kept = [[*change] for change in found.ledger.changes()]
-            self.tap.note(now, "keep", epoch=wall - now, complete=found.complete and not found.fresh,
-                          changes=ENCODER.encode(kept))
+            self.tap.note(
+                now,
+                "keep",
+                epoch=wall - now,
+                complete=found.complete and not found.fresh,
+                changes=ENCODER.encode(kept),
+            )
         self.keeper.begin()
-        self.log.info("recovered", complete=found.complete, fresh=found.fresh, batches=found.batches,
-                      generation=found.generation, **counts)
+        self.log.info(
+            "recovered",
+            complete=found.complete,
+            fresh=found.fresh,
+            batches=found.batches,
+            generation=found.generation,
+            **counts,
+        )
         self._carry_out()
 
     async def _claim(self, nursery: trio.Nursery) -> None:
@@ -223,8 +256,9 @@
         self.engine.pump(now)
         self._carry_out()
 
-    def _feed(self, what: str, now: int | None = None, *, who: str = "",
-              welcome: m.Welcome | None = None) -> None:
+    def _feed(
+        self, what: str, now: int | None = None, *, who: str = "", welcome: m.Welcome | None = None
+    ) -> None:
         """Tells the engine of something that is no message, by one of its input methods; notes it in the
         capture."""
         now = self.net.now() if now is None else now
@@ -278,8 +312,13 @@
             if wire is None or not wire.send(action.message):
                 self.counts["unsent"] += 1
                 if self.tap is not None:
-                    self.tap.note(self.net.now(), "unsent", role=action.role, who=action.peer,
-                                  message=msgspec.to_builtins(action.message))
+                    self.tap.note(
+                        self.net.now(),
+                        "unsent",
+                        role=action.role,
+                        who=action.peer,
+                        message=msgspec.to_builtins(action.message),
+                    )
                 if action.role == "owner" and self.recorder is not None:  # kept for an owner that asks again
                     self.recorder.note(self.net.now(), action.peer, "kept", action.message)
             self._log_send(action)
@@ -295,20 +334,30 @@
             self.list_stir.set()
         elif isinstance(action, Lost):
             self.counts["peers_lost"] += 1
-            self.log.warning("peer_lost", role=action.role, machine=action.peer, code=action.code,
-                             reason=action.text)
+            self.log.warning(
+                "peer_lost", role=action.role, machine=action.peer, code=action.code, reason=action.text
+            )
             self._hang_up(action.peer)
 
     def _log_send(self, action: Send) -> None:
         said = action.message
         if isinstance(said, m.Offer | m.Withdraw | m.Stop):
-            self.log.debug(said.__struct_config__.tag, guest=said.guest, ask=said.ask, attempt=said.attempt,
-                           machine=action.peer)
+            self.log.debug(
+                said.__struct_config__.tag,
+                guest=said.guest,
+                ask=said.ask,
+                attempt=said.attempt,
+                machine=action.peer,
+            )
         elif isinstance(said, m.Placed | m.TurnedBack | m.BrokenOff | m.GuestEnded | m.Rejected):
-            more = {key: value for key in ("machine", "reason", "how", "code")
-                    if (value := getattr(said, key, ""))}
-            self.log.debug(said.__struct_config__.tag, guest=said.guest, ask=said.ask, owner=action.peer,
-                           **more)
+            more = {
+                key: value
+                for key in ("machine", "reason", "how", "code")
+                if (value := getattr(said, key, ""))
+            }
+            self.log.debug(
+                said.__struct_config__.tag, guest=said.guest, ask=said.ask, owner=action.peer, **more
+            )
 
     def _hang_up(self, machine: str) -> None:
         scope, wire = self.machines.pop(machine, (None, None))
@@ -318,8 +367,9 @@
             scope.cancel()
 
     def _wire(self, stream: trio.abc.Stream, codec: m.Codec, peer: str = "") -> Wire:
-        return Wire(stream, codec, self.net.now, self.recorder, peer, self.limits.frame_bytes,
-                    self.limits.send_bytes)
+        return Wire(
+            stream, codec, self.net.now, self.recorder, peer, self.limits.frame_bytes, self.limits.send_bytes
+        )
 
     # Owners.
 
--- a/hazelhold/service/ticker.py
+++ b/hazelhold/service/ticker.py
@@ -9,8 +9,13 @@
     """Calls `work(now)` whenever `due(now)` has come or somebody stirred it, at most once in `pause`
     seconds, so that what arrives together is dealt with together."""
 
-    def __init__(self, now: Callable[[], int], due: Callable[[int], int | None], work: Callable[[int], None],
-                 pause: float = 0.0) -> None:
+    def __init__(
+        self,
+        now: Callable[[], int],
+        due: Callable[[int], int | None],
+        work: Callable[[int], None],
+        pause: float = 0.0,
+    ) -> None:
         self.now, self.due, self.work, self.pause = now, due, work, pause
         self.stirred = trio.Event()
 
--- a/hazelhold/service/wire.py
+++ b/hazelhold/service/wire.py
@@ -100,8 +100,16 @@
 class Wire(SendQueue):
     """One side of a connection that carries frames."""
 
-    def __init__(self, stream: trio.abc.Stream, codec: Codec, now: callable, recorder: Recorder | None = None,
-                 peer: str = "", frame_bytes: int = 1 << 20, send_bytes: int = 1 << 20) -> None:
+    def __init__(
+        self,
+        stream: trio.abc.Stream,
+        codec: Codec,
+        now: callable,
+        recorder: Recorder | None = None,
+        peer: str = "",
+        frame_bytes: int = 1 << 20,
+        send_bytes: int = 1 << 20,
+    ) -> None:
         super().__init__(stream, send_bytes)
         self.codec, self.now = codec, now
         self.recorder, self.peer = recorder, peer
--- a/hazelhold/simhost.py
+++ b/hazelhold/simhost.py
@@ -37,8 +37,13 @@
 }
 MODES = {"healthy": Mode.READY, "cordoned": Mode.CORDONED, "deregistered": Mode.GONE}
 EFFECTS = {"retryable": Effect.RERUNNABLE, "dedup": Effect.TICKETED, "fragile": Effect.EXCLUSIVE}
-PLACES = {"off": Place.NOWHERE, "machine": Place.MACHINE, "cell": Place.CELL, "zone": Place.ZONE,
-          "all": Place.ALL}
+PLACES = {
+    "off": Place.NOWHERE,
+    "machine": Place.MACHINE,
+    "cell": Place.CELL,
+    "zone": Place.ZONE,
+    "all": Place.ALL,
+}
 
 
 class WireError(Exception):
@@ -151,8 +156,8 @@
         cold_window=pairs.span("rules.tip-after"),
         cold_offers=pairs.number(family + "fresh-offers"),
         fleet_price=pairs.number("penalties.fleet") if "penalties.fleet" in pairs.values else 0.0,
-        reports_on_probe=pairs.values.get("load-report.how") == "on_probe" and truth(
-            pairs.text("limits.probing")),
+        reports_on_probe=pairs.values.get("load-report.how") == "on_probe"
+        and truth(pairs.text("limits.probing")),
     )
 
 
@@ -174,8 +179,16 @@
     mode, started, machine, zone, cell, memory, _weight, cores, kind = parts[1:10]
     if mode not in MODES:
         raise WireError(f"mode {mode!r} is not known")
-    return Listed(machine, MODES[mode], micros(started), whole(zone), whole(cell), whole(kind),
-                  number(cores), number(memory))
+    return Listed(
+        machine,
+        MODES[mode],
+        micros(started),
+        whole(zone),
+        whole(cell),
+        whole(kind),
+        number(cores),
+        number(memory),
+    )
 
 
 class Instance:
@@ -197,9 +210,16 @@
         self.touched: dict[str, None] = {}
         self.faults: dict[str, str] = {}
         self.events: dict[str, Callable[[int, Brain, list[str]], None]] = {
-            "DISCOVERY": self.discovery, "SUBMIT": self.submit, "OUTCOME": self.outcome,
-            "TAKEN": self.taken, "DROPPED": self.dropped, "PEER": self.nothing,
-            "PROBE_RESULT": self.probed, "WAKE": self.nothing, "NOTE": self.note, "FOUND": self.found,
+            "DISCOVERY": self.discovery,
+            "SUBMIT": self.submit,
+            "OUTCOME": self.outcome,
+            "TAKEN": self.taken,
+            "DROPPED": self.dropped,
+            "PEER": self.nothing,
+            "PROBE_RESULT": self.probed,
+            "WAKE": self.nothing,
+            "NOTE": self.note,
+            "FOUND": self.found,
         }
 
     def event(self, now: int, parts: list[str]) -> None:
@@ -239,13 +259,18 @@
 
     def submit(self, now: int, brain: Brain, parts: list[str]) -> None:
         call, product, customer, _unit, left, _life, service, cores, memory, _marks = parts[2:12]
-        brain.guest_arrived(now, Ask(call, int(product), whole(customer), service, number(cores),
-                                     number(memory), micros(left)))
+        brain.guest_arrived(
+            now,
+            Ask(call, int(product), whole(customer), service, number(cores), number(memory), micros(left)),
+        )
 
     def found(self, now: int, brain: Brain, parts: list[str]) -> None:
         call, machine, memory, _life, service, _unit, _marks, left, product, customer, cores = parts[2:13]
-        brain.guest_found(now, machine, Ask(call, int(product), whole(customer), service, number(cores),
-                                            number(memory), micros(left)))
+        brain.guest_found(
+            now,
+            machine,
+            Ask(call, int(product), whole(customer), service, number(cores), number(memory), micros(left)),
+        )
 
     def outcome(self, now: int, brain: Brain, parts: list[str]) -> None:
         call, _attempt, machine, reason, _took, final, remark, metrics = parts[2:10]
--- a/hazelhold/standin/disk.py
+++ b/hazelhold/standin/disk.py
@@ -47,7 +47,7 @@
     def crash(self) -> None:
         """The process is gone: of what was not synced a random part stays."""
         for name, data in self.loose.items():
-            self.safe[name] = self.safe.get(name, b"") + data[:self.points.random.randint(0, len(data))]
+            self.safe[name] = self.safe.get(name, b"") + data[: self.points.random.randint(0, len(data))]
         self.loose.clear()
         self.holder, self.dead = "", False
 
@@ -72,13 +72,13 @@
 
     def write(self, name: str, data: bytes) -> None:
         if self.room is not None and len(data) > self.room:  # a full disk takes a part
-            self.loose[name] = self.loose.get(name, b"") + data[:self.room]
+            self.loose[name] = self.loose.get(name, b"") + data[: self.room]
             self.room = 0
             raise OSError(errno.ENOSPC, os.strerror(errno.ENOSPC))
         try:
             self._op("write", name)
         except Killed:  # amid the write
-            part = data[:self.points.random.randint(0, len(data))]
+            part = data[: self.points.random.randint(0, len(data))]
             self.loose[name] = self.loose.get(name, b"") + part
             raise
         if self.room is not None:
--- a/hazelhold/standin/lister.py
+++ b/hazelhold/standin/lister.py
@@ -18,8 +18,9 @@
     def __init__(self, net: Net, service: ListService, recorder: Recorder) -> None:
         self.net, self.service = net, service
         self.known: set[str] = set()  # machines that have enlisted; as many as there are machines
-        self.door = Door(net, "list", "list", CODEC, recorder, lambda: m.Welcome(name="list"), self._said,
-                         service.left)
+        self.door = Door(
+            net, "list", "list", CODEC, recorder, lambda: m.Welcome(name="list"), self._said, service.left
+        )
         self.ticker = Ticker(net.now, lambda now: service.next_at(), self._work)
 
     async def run(self, address: str, nursery: trio.Nursery) -> str:
--- a/hazelhold/standin/machines.py
+++ b/hazelhold/standin/machines.py
@@ -24,8 +24,9 @@
 class MachineHost:
     """One machine: takes what its door hears to the model and back."""
 
-    def __init__(self, net: Net, machine: Machine, recorder: Recorder, zone: int = 0, cell: int = 0,
-                 clock_off: int = 0) -> None:
+    def __init__(
+        self, net: Net, machine: Machine, recorder: Recorder, zone: int = 0, cell: int = 0, clock_off: int = 0
+    ) -> None:
         self.net, self.machine, self.zone, self.cell = net, machine, zone, cell
         self.clock_off = clock_off  # this machine's clock against everybody else's, in microseconds
         self.recorder = recorder
@@ -43,9 +44,12 @@
         return await self.door.serve(address, nursery)
 
     def note(self, what: str, guests: list[tuple[str, int]] | None = None) -> None:
-        fact = Fact(what=what, incarnation=self.machine.incarnation, cold_until=self.machine.warm_at -
-        self.clock_off,
-                    guests=guests or [])
+        fact = Fact(
+            what=what,
+            incarnation=self.machine.incarnation,
+            cold_until=self.machine.warm_at - self.clock_off,
+            guests=guests or [],
+        )
         self.recorder.note(self.net.now(), "", "fact", fact)
 
     def crash(self, what: str = "down") -> None:
@@ -75,8 +79,9 @@
 
     def _welcome(self) -> m.Welcome:
         machine = self.machine
-        return m.Welcome(name=machine.name, incarnation=machine.incarnation,
-                         up_for=max(0, self.now() - machine.up_at))
+        return m.Welcome(
+            name=machine.name, incarnation=machine.incarnation, up_for=max(0, self.now() - machine.up_at)
+        )
 
     def _said(self, planner: str, message: m.Message) -> None:
         now, machine = self.now(), self.machine
--- a/hazelhold/standin/shell.py
+++ b/hazelhold/standin/shell.py
@@ -15,9 +15,17 @@
     """Accepts planners at an address. `shut` breaks all connections; `mute` lets nothing in or out while
     connections stay, as a machine does that hangs or that is cut off."""
 
-    def __init__(self, net: Net, name: str, role: str, codec: m.Codec, recorder: Recorder,
-                 welcome: Callable[[], m.Welcome], said: Callable[[str, m.Message], None],
-                 left: Callable[[str], None] = lambda planner: None) -> None:
+    def __init__(
+        self,
+        net: Net,
+        name: str,
+        role: str,
+        codec: m.Codec,
+        recorder: Recorder,
+        welcome: Callable[[], m.Welcome],
+        said: Callable[[str, m.Message], None],
+        left: Callable[[str], None] = lambda planner: None,
+    ) -> None:
         self.net, self.name, self.codec, self.recorder = net, name, codec, recorder
         self.welcome, self.said, self.left = welcome, said, left
         self.wires: dict[str, Wire] = {}
--- a/hazelhold/state/disk.py
+++ b/hazelhold/state/disk.py
@@ -57,7 +57,7 @@
             self.files[name] = os.open(self.folder / name, os.O_WRONLY | os.O_CREAT | os.O_APPEND, 0o640)
         view = memoryview(data)
         while view:
-            view = view[os.write(self.files[name], view):]
+            view = view[os.write(self.files[name], view) :]
 
     def sync(self, name: str) -> None:
         os.fdatasync(self.files[name])
--- a/hazelhold/state/frames.py
+++ b/hazelhold/state/frames.py
@@ -74,15 +74,15 @@
 
 
 def _frame(data: bytes, at: int) -> tuple[str, str, bytes, int]:
-    left = data[at:at + HEAD]
+    left = data[at : at + HEAD]
     if len(left) < HEAD:
         return ("torn" if MARK.startswith(left[:4]) or left[:4] == MARK else "damaged"), "cut short", b"", at
     if left[:4] != MARK:
         return "damaged", "no frame begins here", b"", at
     size = int.from_bytes(left[4:8])
-    body = data[at + HEAD:at + HEAD + size]
+    body = data[at + HEAD : at + HEAD + size]
     if size > MOST or len(body) < size:
-        if crc32(data[at + HEAD:]) == int.from_bytes(left[8:12]):
+        if crc32(data[at + HEAD :]) == int.from_bytes(left[8:12]):
             return "damaged", "a length that is wrong", b"", at
         return "torn", f"a frame of {size} bytes, {len(body)} are there", b"", at
     if crc32(body) != int.from_bytes(left[8:12]):
--- a/hazelhold/state/images.py
+++ b/hazelhold/state/images.py
@@ -104,9 +104,15 @@
     times: tuple[int, ...]
 
 
-KINDS: dict[str, type[Struct]] = {"guest": GuestImage, "loose": LooseImage, "answer": AnswerImage,
-                                  "end": EndImage, "list": ListImage, "learned": LearnedImage,
-                                  "cold": ColdImage}
+KINDS: dict[str, type[Struct]] = {
+    "guest": GuestImage,
+    "loose": LooseImage,
+    "answer": AnswerImage,
+    "end": EndImage,
+    "list": ListImage,
+    "learned": LearnedImage,
+    "cold": ColdImage,
+}
 ENCODER = msgspec.msgpack.Encoder()
 DECODERS = {kind: msgspec.msgpack.Decoder(image) for kind, image in KINDS.items()}
 BATCH = msgspec.msgpack.Decoder(list[Change])
--- a/hazelhold/state/ledger.py
+++ b/hazelhold/state/ledger.py
@@ -13,8 +13,11 @@
 
     def __init__(self, kinds: Mapping[str, type[Struct]] = KINDS) -> None:
         self.tables: dict[str, dict[str, Change]] = {kind: {} for kind in kinds}
-        self.decoders = DECODERS if kinds is KINDS else {
-            kind: msgspec.msgpack.Decoder(image) for kind, image in kinds.items()}
+        self.decoders = (
+            DECODERS
+            if kinds is KINDS
+            else {kind: msgspec.msgpack.Decoder(image) for kind, image in kinds.items()}
+        )
         self.strange = 0  # changes of kinds that are not known here
 
     def apply(self, changes: Iterable[Change]) -> None:
--- a/hazelhold/state/snapshot.py
+++ b/hazelhold/state/snapshot.py
@@ -12,16 +12,57 @@
 from hazelhold.brain import Brain, Guest, Machine, Service
 from hazelhold.interface import Ask, Deployment, Earlier, Listed, Mode, Place
 
-LONG_AGO = -10**15  # of moments that never were; not shifted
+LONG_AGO = -(10**15)  # of moments that never were; not shifted
 MACHINE_TIMES = ("listed_at", "cold_at", "reported_at", "heard_at", "probed_at", "drawn_at", "avoid_until")
-MACHINE_PLAIN = ("slow", "ready", "used", "others", "left", "asked", "sums", "means", "most", "strikes",
-                 "mute")
-GUEST_TIMES = ("goal_at", "patience_at", "answer_by", "sent_at", "window_ends", "look_at", "looked_at",
-               "rests_until")
-GUEST_PLAIN = ("placed", "runs", "warm", "may_run", "over", "probed_for", "unwanted", "tried", "dispatches",
-               "ahead", "cores_noted", "use", "rounds")
-BRAIN_TIMES = ("began", "no_cold_until", "typical_until", "answer_at", "looked_at", "ask_list_at", "sweep_at",
-               "probe_at", "list_heard_at")
+MACHINE_PLAIN = (
+    "slow",
+    "ready",
+    "used",
+    "others",
+    "left",
+    "asked",
+    "sums",
+    "means",
+    "most",
+    "strikes",
+    "mute",
+)
+GUEST_TIMES = (
+    "goal_at",
+    "patience_at",
+    "answer_by",
+    "sent_at",
+    "window_ends",
+    "look_at",
+    "looked_at",
+    "rests_until",
+)
+GUEST_PLAIN = (
+    "placed",
+    "runs",
+    "warm",
+    "may_run",
+    "over",
+    "probed_for",
+    "unwanted",
+    "tried",
+    "dispatches",
+    "ahead",
+    "cores_noted",
+    "use",
+    "rounds",
+)
+BRAIN_TIMES = (
+    "began",
+    "no_cold_until",
+    "typical_until",
+    "answer_at",
+    "looked_at",
+    "ask_list_at",
+    "sweep_at",
+    "probe_at",
+    "list_heard_at",
+)
 BRAIN_PLAIN = ("seen", "typical", "list_version", "kept_well")
 
 
@@ -30,8 +71,10 @@
     version, state, gauss = brain.random.getstate()
     return {
         "random": [version, list(state), gauss],
-        "services": [[name, [list(s) for s in service.samples], service.seen]
-                     for name, service in brain.services.items()],
+        "services": [
+            [name, [list(s) for s in service.samples], service.seen]
+            for name, service in brain.services.items()
+        ],
         "machines": [_machine(m) for m in brain.machines.values()],
         "guests": [_guest(g) for g in brain.guests.values()],
         "waiting": list(brain.waiting),
@@ -39,26 +82,38 @@
         "answers": [[key, list(times)] for key, times in brain.answers.items()],
         "to_probe": [m.listed.machine for m in brain.to_probe],
         "to_call_off": [list(pair) for pair in brain.to_call_off],
-        **{name: getattr(brain, name) for name in (*BRAIN_TIMES, *BRAIN_PLAIN)}}
+        **{name: getattr(brain, name) for name in (*BRAIN_TIMES, *BRAIN_PLAIN)},
+    }
 
 
 def _machine(machine: Machine) -> dict[str, Any]:
     listed = machine.listed._replace(mode=machine.listed.mode.name)
-    return {"listed": list(listed), "kept": list(machine.kept), "guests": list(machine.guests),
-            "full": [list(f) for f in machine.full], "answers": list(machine.answers),
-            "offers": list(machine.offers), "size": list(machine.size),
-            **{name: getattr(machine, name) for name in (*MACHINE_TIMES, *MACHINE_PLAIN)}}
+    return {
+        "listed": list(listed),
+        "kept": list(machine.kept),
+        "guests": list(machine.guests),
+        "full": [list(f) for f in machine.full],
+        "answers": list(machine.answers),
+        "offers": list(machine.offers),
+        "size": list(machine.size),
+        **{name: getattr(machine, name) for name in (*MACHINE_TIMES, *MACHINE_PLAIN)},
+    }
 
 
 def _guest(guest: Guest) -> dict[str, Any]:
     bound = [guest.bound[0].name, guest.bound[1]] if guest.bound else None
-    return {"ask": list(guest.ask), "service": guest.ask.service, "bound": bound,
-            "machine": guest.machine.listed.machine if guest.machine else "",
-            **{name: getattr(guest, name) for name in (*GUEST_TIMES, *GUEST_PLAIN)}}
+    return {
+        "ask": list(guest.ask),
+        "service": guest.ask.service,
+        "bound": bound,
+        "machine": guest.machine.listed.machine if guest.machine else "",
+        **{name: getattr(guest, name) for name in (*GUEST_TIMES, *GUEST_PLAIN)},
+    }
 
 
 def restore(data: dict[str, Any], deployment: Deployment, shift: int = 0) -> Brain:
     """A Brain from plain values."""
+
     def moved(at: int) -> int:
         return at + shift if at and at != LONG_AGO else at
 
--- a/hazelhold/state/store.py
+++ b/hazelhold/state/store.py
@@ -48,8 +48,9 @@
 
 
 def numbered(names: list[str], kind: str) -> list[int]:
-    return sorted(int(n[len(kind) + 1:]) for n in names
-                  if n.startswith(kind + "-") and n[len(kind) + 1:].isdigit())
+    return sorted(
+        int(n[len(kind) + 1 :]) for n in names if n.startswith(kind + "-") and n[len(kind) + 1 :].isdigit()
+    )
 
 
 def _scan(disk: Disk, name: str, planner: str) -> Scan:
@@ -60,8 +61,10 @@
     head = found.header
     if head is not None:
         if head.format > FORMAT or head.format < FORMAT and head.format not in UPGRADES:
-            raise StateError(f"{name}: format {head.format}; this program reads format {FORMAT}"
-                             + "".join(f" and {old}" for old in sorted(UPGRADES)))
+            raise StateError(
+                f"{name}: format {head.format}; this program reads format {FORMAT}"
+                + "".join(f" and {old}" for old in sorted(UPGRADES))
+            )
         if planner and head.planner != planner:
             raise StateError(f"{name}: is of planner {head.planner!r}, not of {planner!r}")
         if head.format != FORMAT:
@@ -127,8 +130,9 @@
         if not self.disk.lock(text):
             owner = self.disk.owner().strip()
             pid = owner.rpartition(" ")[2]
-            raise InUseError(f"the state is in use by {owner or 'another process'}",
-                             int(pid) if pid.isdigit() else 0)
+            raise InUseError(
+                f"the state is in use by {owner or 'another process'}", int(pid) if pid.isdigit() else 0
+            )
         try:
             found = read(self.disk, self.planner, self.kinds)
         except StateError:
@@ -146,8 +150,11 @@
     def apply(self, changes: list[Change]) -> None:
         """Into the ledger alone; remembers what the disk may still have of guests that it is behind on."""
         for change in changes:
-            if change.kind == "guest" and change.key not in self.before and (
-                    old := self.ledger.image("guest", change.key)):
+            if (
+                change.kind == "guest"
+                and change.key not in self.before
+                and (old := self.ledger.image("guest", change.key))
+            ):
                 self.before[change.key] = old
         self.ledger.apply(changes)
 
@@ -181,9 +188,12 @@
         self.before.clear()
         number = self.generation = self.generation + 1  # a number is never used twice, also if this fails
         kept = list(self.ledger.changes())
-        return number, frames.header(Header(FORMAT, self.planner, number, "log", now)), frames.header(
-            Header(FORMAT, self.planner, number, "snapshot", now)) + b"".join(
-            frames.batch(kept[at:at + 1000]) for at in range(0, len(kept), 1000))
+        return (
+            number,
+            frames.header(Header(FORMAT, self.planner, number, "log", now)),
+            frames.header(Header(FORMAT, self.planner, number, "snapshot", now))
+            + b"".join(frames.batch(kept[at : at + 1000]) for at in range(0, len(kept), 1000)),
+        )
 
     def finish(self, number: int, log: bytes, data: bytes) -> None:
         """Writes what `prepare` made; may run in a thread of its own."""
@@ -200,8 +210,11 @@
         self.bytes += len(data)
         for name in self.disk.names():
             kind, _, rest = name.partition("-")
-            if kind in ("snapshot", "log") and rest.removesuffix(".new").isdigit() and (
-                    int(rest.removesuffix(".new")) < number):
+            if (
+                kind in ("snapshot", "log")
+                and rest.removesuffix(".new").isdigit()
+                and (int(rest.removesuffix(".new")) < number)
+            ):
                 try:
                     self.disk.remove(name)
                 except OSError:
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -52,8 +52,11 @@
 
 def pytest_collection_modifyitems(config: pytest.Config, items: list[pytest.Item]) -> None:
     if known := known_red():
-        whole = not config.option.keyword and not config.option.markexpr and config.args == config.getini(
-            "testpaths")
+        whole = (
+            not config.option.keyword
+            and not config.option.markexpr
+            and config.args == config.getini("testpaths")
+        )
         try:
             mark_known(known, items, whole)
         except ValueError as wrong:
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -16,8 +16,9 @@
 from hazelhold.protocol import messages as m
 
 MS = 1000
-PRODUCT = Product(Effect.RERUNNABLE, Place.ALL, 5000 * MS, 800 * MS, 1.0, 10.0, 0, 0.8, 0.2, -1,
-                  Place.NOWHERE, 2)
+PRODUCT = Product(
+    Effect.RERUNNABLE, Place.ALL, 5000 * MS, 800 * MS, 1.0, 10.0, 0, 0.8, 0.2, -1, Place.NOWHERE, 2
+)
 PRODUCTS = (
     PRODUCT,
     PRODUCT._replace(effect=Effect.EXCLUSIVE),
@@ -26,12 +27,25 @@
     PRODUCT._replace(spread=Place.MACHINE),
 )
 DEPLOYMENT = Deployment(
-    planners=1, slot=0, products=PRODUCTS, kinds=(Kind(24.0, 40.0),),
-    list_is_asked=True, ask_within=10_000 * MS, list_has_room=True, cores_multiple=2.5,
-    memory_multiple=1.5, makes_room=False, confirms_running=False, probing=True, reports_count_asked=False,
+    planners=1,
+    slot=0,
+    products=PRODUCTS,
+    kinds=(Kind(24.0, 40.0),),
+    list_is_asked=True,
+    ask_within=10_000 * MS,
+    list_has_room=True,
+    cores_multiple=2.5,
+    memory_multiple=1.5,
+    makes_room=False,
+    confirms_running=False,
+    probing=True,
+    reports_count_asked=False,
     max_dispatches=4,
-    cold_for=15_000 * MS, cold_from=0.2, cold_window=2000 * MS,
-    cold_offers=20.0, fleet_price=0.0,
+    cold_for=15_000 * MS,
+    cold_from=0.2,
+    cold_window=2000 * MS,
+    cold_offers=20.0,
+    fleet_price=0.0,
 )
 
 
@@ -61,8 +75,11 @@
 
 def sheet(**limits: object) -> PlannerSheet:
     """A planner's configuration with one product of each effect."""
-    products = [ProductSheet("plain", "rerunnable", 800, 5000), ProductSheet("once", "exclusive", 800, 5000),
-                ProductSheet("ticket", "ticketed", 800, 5000, group="cell", window_ms=4000)]
+    products = [
+        ProductSheet("plain", "rerunnable", 800, 5000),
+        ProductSheet("once", "exclusive", 800, 5000),
+        ProductSheet("ticket", "ticketed", 800, 5000, group="cell", window_ms=4000),
+    ]
     estate = Estate(products, [KindSheet("box", 24, 40)], FleetSheet(cores_multiple=2.5, probing=False))
     return PlannerSheet("p0", "door", ListSheet("list"), estate, limits=LimitSheet(**limits))
 
@@ -81,8 +98,16 @@
         self.lists(0, [self.entry(name) for name in machines])
 
     def entry(self, name: str, mode: str = "ready", **more: object) -> m.Entry:
-        return m.Entry(machine=name, address="at-" + name, mode=mode, kind="box", cores_room=24.0,
-                       memory_room=40.0, incarnation=self.lives.get(name, 1), **more)
+        return m.Entry(
+            machine=name,
+            address="at-" + name,
+            mode=mode,
+            kind="box",
+            cores_room=24.0,
+            memory_room=40.0,
+            incarnation=self.lives.get(name, 1),
+            **more,
+        )
 
     def lists(self, now: int, entries: list[m.Entry], whole: bool = False) -> list[m.Message]:
         self.engine.list_said(now, m.Listing(version=1, whole=whole, entries=entries))
@@ -111,11 +136,29 @@
         self.engine.link_up(now, name, m.Welcome(name=name, incarnation=self.lives.get(name, 1)))
         self.engine.machine_said(now, name, m.Running(guests=self.stands.get(name, []), complete=complete))
 
-    def submits(self, now: int, guest: str, product: str = "plain", ask: int = 0, patience: int = 5000 * MS,
-                reason: str = "") -> list[m.Message]:
-        self.engine.owner_said(now, "o", m.Submit(guest=guest, ask=ask, product=product, service="s" +
-        product,
-                                                  cores=1.0, memory=2.0, patience=patience, reason=reason))
+    def submits(
+        self,
+        now: int,
+        guest: str,
+        product: str = "plain",
+        ask: int = 0,
+        patience: int = 5000 * MS,
+        reason: str = "",
+    ) -> list[m.Message]:
+        self.engine.owner_said(
+            now,
+            "o",
+            m.Submit(
+                guest=guest,
+                ask=ask,
+                product=product,
+                service="s" + product,
+                cores=1.0,
+                memory=2.0,
+                patience=patience,
+                reason=reason,
+            ),
+        )
         return self.run(now)
 
     def says(self, now: int, machine: str, message: m.Message) -> list[m.Message]:
@@ -129,20 +172,35 @@
     def offer(self, now: int, guest: str, product: str = "plain", **more: object) -> tuple[m.Offer, str]:
         """Submits a guest; returns its offer and the machine that got it."""
         self.submits(now, guest, product, **more)
-        offers = [(message, peer) for peer, message in self.said
-                  if isinstance(message, m.Offer) and message.guest == guest]
+        offers = [
+            (message, peer)
+            for peer, message in self.said
+            if isinstance(message, m.Offer) and message.guest == guest
+        ]
         return offers[-1]
 
     def sent(self, kind: type, guest: str = "") -> list[m.Message]:
-        return [message for _, message in self.said
-                if isinstance(message, kind) and (not guest or message.guest == guest)]
+        return [
+            message
+            for _, message in self.said
+            if isinstance(message, kind) and (not guest or message.guest == guest)
+        ]
 
 
 def stand(offer: m.Offer, state: str = "runs", how: str = "") -> m.Stand:
     """How a machine tells of a guest that it was offered."""
-    return m.Stand(guest=offer.guest, ask=offer.ask, attempt=offer.attempt, state=state,
-    product=offer.product,
-                   service=offer.service, cores=offer.cores, memory=offer.memory, owner=offer.owner, how=how)
+    return m.Stand(
+        guest=offer.guest,
+        ask=offer.ask,
+        attempt=offer.attempt,
+        state=state,
+        product=offer.product,
+        service=offer.service,
+        cores=offer.cores,
+        memory=offer.memory,
+        owner=offer.owner,
+        how=how,
+    )
 
 
 def of(kind: type, offer: m.Offer, **more: object) -> m.Message:
--- a/tests/platform_rig.py
+++ b/tests/platform_rig.py
@@ -25,28 +25,69 @@
 from hazelhold.service.net import MemoryNet, TcpNet
 
 DEPLOYMENT = {
-    "balancers": 1, "slot-no": 0, "discovery": "push",
+    "balancers": 1,
+    "slot-no": 0,
+    "discovery": "push",
     "classes": [
-        {"name": "plain", "deadline": 3000.0, "dedup-window": 5000.0, "group": "all", "late-worth": 0.1,
-         "idempotency": "retryable", "on-time": 400.0, "points": 1.0},
-        {"name": "once", "deadline": 2500.0, "dedup-window": 5000.0, "group": "all", "late-worth": 0.1,
-         "idempotency": "fragile", "on-time": 500.0, "points": 3.0}],
+        {
+            "name": "plain",
+            "deadline": 3000.0,
+            "dedup-window": 5000.0,
+            "group": "all",
+            "late-worth": 0.1,
+            "idempotency": "retryable",
+            "on-time": 400.0,
+            "points": 1.0,
+        },
+        {
+            "name": "once",
+            "deadline": 2500.0,
+            "dedup-window": 5000.0,
+            "group": "all",
+            "late-worth": 0.1,
+            "idempotency": "fragile",
+            "on-time": 500.0,
+            "points": 3.0,
+        },
+    ],
     "family-info": {
-        "accepts-memory": 1.5, "class-kind": [-1, -1], "class-most": [2, 2], "class-priority": [0, 1],
-        "confirms": "accepted", "cores-multiple": 4.0, "easy-until": [1.0, 0.8], "fresh-offers": 113.0,
-        "lists-free": True, "lost-after": [1.0, 0.2], "makes-room": True, "mem-of-kind": [41.0, 80.0],
-        "report-counts": "used", "size-cores": [26, 47], "spread-over": ["off", "off"],
-        "start-bonus-s": [10.0, 8.0]},
+        "accepts-memory": 1.5,
+        "class-kind": [-1, -1],
+        "class-most": [2, 2],
+        "class-priority": [0, 1],
+        "confirms": "accepted",
+        "cores-multiple": 4.0,
+        "easy-until": [1.0, 0.8],
+        "fresh-offers": 113.0,
+        "lists-free": True,
+        "lost-after": [1.0, 0.2],
+        "makes-room": True,
+        "mem-of-kind": [41.0, 80.0],
+        "report-counts": "used",
+        "size-cores": [26, 47],
+        "spread-over": ["off", "off"],
+        "start-bonus-s": [10.0, 8.0],
+    },
     "kinds": ["small box", "large-box"],
     "limits": {"connect-timeout": 250.0, "idle-close": 15000.0, "max-attempts": 4, "probing": True},
     "rules": {"cold": 15000.0, "cold-from": 0.24, "tip-after": 2000.0},
-    "tenants": [{"name": "acme"}, {"name": "beta"}], "zones": ["z1"],
+    "tenants": [{"name": "acme"}, {"name": "beta"}],
+    "zones": ["z1"],
 }
 
 
 def host(name: str, health: str = "in_service", born: float = 0, dial: str = "") -> dict:
-    return {"host": name, "dial": dial or f"{name}:1", "site": "z1", "class": "small box", "block": 0,
-            "health": health, "share": 1.0, "born_ms": born, "room": [26.0, 41.0]}
+    return {
+        "host": name,
+        "dial": dial or f"{name}:1",
+        "site": "z1",
+        "class": "small box",
+        "block": 0,
+        "health": health,
+        "share": 1.0,
+        "born_ms": born,
+        "room": [26.0, 41.0],
+    }
 
 
 def event(no: int, *hosts: dict, whole: bool = False) -> dict:
@@ -55,17 +96,37 @@
 
 def file(machines: str = "ab", **changes: object) -> str:
     known = {"no": 1, "items": [event(1, *(host(name) for name in machines), whole=True)]}
-    return json.dumps({"name": "n0", "listen": "door:1", "seed": "8c1f", "bulletin": "news:1", "known": known,
-                       "limits": {"cores": 1.0, "memory_mb": 64, "sockets": 64}, "settings": DEPLOYMENT}
-                      | changes)
-
-
-def set_up(guest: int, product: str = "plain", left: str = "2000", figures: str = "", tenant: str = "acme",
-           **more: object) -> BinaryMessage:
+    return json.dumps(
+        {
+            "name": "n0",
+            "listen": "door:1",
+            "seed": "8c1f",
+            "bulletin": "news:1",
+            "known": known,
+            "limits": {"cores": 1.0, "memory_mb": 64, "sockets": 64},
+            "settings": DEPLOYMENT,
+        }
+        | changes
+    )
+
+
+def set_up(
+    guest: int,
+    product: str = "plain",
+    left: str = "2000",
+    figures: str = "",
+    tenant: str = "acme",
+    **more: object,
+) -> BinaryMessage:
     figures = figures or f"cores:1;memory:2;service:{guest:016x}"
-    parameters = {CLASS: product.encode(), LEFT: left.encode(), TENANT: tenant.encode(),
-                  NAME: f"{guest:016x}".encode(), FIGURES: figures.encode(),
-                  DESCRIPTION: f"ask {guest}\r\n\u00fc".encode()}
+    parameters = {
+        CLASS: product.encode(),
+        LEFT: left.encode(),
+        TENANT: tenant.encode(),
+        NAME: f"{guest:016x}".encode(),
+        FIGURES: figures.encode(),
+        DESCRIPTION: f"ask {guest}\r\n\u00fc".encode(),
+    }
     return BinaryMessage(SET_UP, f"{guest:016x}", parameters | more.get("parameters", {}))
 
 
@@ -111,8 +172,9 @@
         if self.silent:
             return
         if line["op"] == "test":
-            await self.say(stream, {"op": "tested", "call": line["call"], "with": {"load": "x0:20;x1:30"},
-                                    "why": 1})
+            await self.say(
+                stream, {"op": "tested", "call": line["call"], "with": {"load": "x0:20;x1:30"}, "why": 1}
+            )
         elif line["op"] == "offer" and self.accepts:
             await self.accept(stream, line["call"])
 
@@ -121,8 +183,9 @@
             await stream.send_all(json.dumps(line).encode() + b"\n")
 
     async def accept(self, stream: trio.abc.Stream, call: str) -> None:
-        await self.say(stream, {"op": "accept", "call": call, "with": {},
-                                "desc": f"{self.name} has {call}\r\n"})
+        await self.say(
+            stream, {"op": "accept", "call": call, "with": {}, "desc": f"{self.name} has {call}\r\n"}
+        )
 
     async def end(self, call: str, why: int, note: str = "") -> None:
         fields = {"note": note} if note else {}
@@ -219,8 +282,12 @@
 
     def offers(self, guest: int) -> list[str]:
         """The machines that heard an offer of a guest."""
-        return [name for name, machine in self.machines.items()
-                for line in machine.offers() if line["call"] == f"{guest:016x}"]
+        return [
+            name
+            for name, machine in self.machines.items()
+            for line in machine.offers()
+            if line["call"] == f"{guest:016x}"
+        ]
 
 
 def play(test: Callable[[Rig], Awaitable[None]], machines: str = "ab", **changes: object) -> Rig:
@@ -258,13 +325,16 @@
             machine.nursery = nursery
             hosts.append(host(name, dial=await self.net.listen("127.0.0.1:0", machine.door, nursery)))
         known = {"no": 1, "items": [event(1, *hosts, whole=True)]}
-        self.planner = PlatformPlanner(check_start(file(
-            listen="127.0.0.1:0", bulletin=news, known=known, **self.changes), "test"), self.net)
+        self.planner = PlatformPlanner(
+            check_start(file(listen="127.0.0.1:0", bulletin=news, known=known, **self.changes), "test"),
+            self.net,
+        )
         await nursery.start(self.planner.run)
 
 
-def on_sockets(test: Callable[[SocketRig], Awaitable[None]], machines: str = "ab",
-               **changes: object) -> SocketRig:
+def on_sockets(
+    test: Callable[[SocketRig], Awaitable[None]], machines: str = "ab", **changes: object
+) -> SocketRig:
     """As `play`, on loopback sockets; 20 s at most."""
     rig = SocketRig(machines, **changes)
 
--- a/tests/processes/test_copies_processes.py
+++ b/tests/processes/test_copies_processes.py
@@ -63,13 +63,26 @@
                 self.more = trio.Event()
 
     def submit(self, guest: str, product: str = "payout-run", ask: int = 0, patience: float = 10.0) -> None:
-        self.wire.send(m.Submit(guest=guest, ask=ask, product=product, service=product + "-s", cores=0.5,
-                                memory=1.0, patience=round(patience * 1e6), life=600_000_000,
-                                reason="unanswered" if ask else ""))
+        self.wire.send(
+            m.Submit(
+                guest=guest,
+                ask=ask,
+                product=product,
+                service=product + "-s",
+                cores=0.5,
+                memory=1.0,
+                patience=round(patience * 1e6),
+                life=600_000_000,
+                reason="unanswered" if ask else "",
+            )
+        )
 
     async def final(self, guest: str, ask: int = 0) -> m.Message:
-        return await self.hears(lambda x: isinstance(x, m.Placed | m.TurnedBack | m.BrokenOff) and (
-            x.guest, x.ask) == (guest, ask))
+        return await self.hears(
+            lambda x: (
+                isinstance(x, m.Placed | m.TurnedBack | m.BrokenOff) and (x.guest, x.ask) == (guest, ask)
+            )
+        )
 
     async def placed(self, guest: str, product: str = "payout-run", first: int = 0) -> m.Placed:
         """Asks until it is placed: planners that have just started agree on nothing yet."""
@@ -149,8 +162,13 @@
 
     def starts(self, guest: str) -> int:
         """How often machines took it."""
-        return sum(c.role == "machine" and c.way == "out" and (c.message or {}).get("t") == "taken"
-                   and c.message["guest"] == guest for c in self.crossings().crossings)
+        return sum(
+            c.role == "machine"
+            and c.way == "out"
+            and (c.message or {}).get("t") == "taken"
+            and c.message["guest"] == guest
+            for c in self.crossings().crossings
+        )
 
     async def x_runs(self) -> str:
         """Guest x runs by planner-0, and planner-1 can tell; returns its machine."""
@@ -259,7 +277,8 @@
 
 
 def test_the_side_without_a_majority_refuses_claims_with_a_reason_and_goes_on_with_the_rest(
-        tmp_path: Path) -> None:
+    tmp_path: Path,
+) -> None:
     async def run() -> None:
         async with town(tmp_path) as made:
             owners = [await made.owner("o", n) for n in range(3)]
--- a/tests/test_audit.py
+++ b/tests/test_audit.py
@@ -9,11 +9,31 @@
 from hazelhold.protocol.record import Crossing, Recorder, RecordError, read_record
 
 S = 1_000_000
-RULES = {"t": "rules", "max_dispatches": 3, "drain_grace": 250_000, "products": {
-    name: {"effect": effect, "group": "cell", "window": 2 * S, "goal": S, "patience": 5 * S, "payoff": 1.0,
-           "start_bonus": 8.0, "late_worth": 0.1, "spread": spread, "spread_most": 1}
-    for name, effect, spread in (("plain", "rerunnable", "nowhere"), ("once", "exclusive", "nowhere"),
-                                 ("ticket", "ticketed", "nowhere"), ("wide", "rerunnable", "machine"))}}
+RULES = {
+    "t": "rules",
+    "max_dispatches": 3,
+    "drain_grace": 250_000,
+    "products": {
+        name: {
+            "effect": effect,
+            "group": "cell",
+            "window": 2 * S,
+            "goal": S,
+            "patience": 5 * S,
+            "payoff": 1.0,
+            "start_bonus": 8.0,
+            "late_worth": 0.1,
+            "spread": spread,
+            "spread_most": 1,
+        }
+        for name, effect, spread in (
+            ("plain", "rerunnable", "nowhere"),
+            ("once", "exclusive", "nowhere"),
+            ("ticket", "ticketed", "nowhere"),
+            ("wide", "rerunnable", "machine"),
+        )
+    },
+}
 
 
 class Tape:
@@ -24,8 +44,16 @@
         self.at = S
         self.lists("a", "ready").lists("b", "ready", cell=1).lists("c", "ready")
 
-    def note(self, peer: str, way: str, kind: str, wait: float = 0.1, by: str = "p", role: str = "planner",
-             **body: object) -> "Tape":
+    def note(
+        self,
+        peer: str,
+        way: str,
+        kind: str,
+        wait: float = 0.1,
+        by: str = "p",
+        role: str = "planner",
+        **body: object,
+    ) -> "Tape":
         self.at += round(wait * S)
         message = {"t": kind, **body} if kind else None
         self.crossings.append(Crossing(self.at, by, role, peer, way, message))
@@ -36,17 +64,21 @@
         return self.note("list", "in", "listing", wait, whole=False, entries=[entry])
 
     def takes(self, guest: str, product: str = "plain", patience: float = 5) -> "Tape":
-        self.note("o", "in", "submit", 0, guest=guest, product=product, service="s", patience=round(patience
-        * S))
+        self.note(
+            "o", "in", "submit", 0, guest=guest, product=product, service="s", patience=round(patience * S)
+        )
         return self.note("o", "out", "held", 0, guest=guest)
 
-    def offers(self, guest: str, machine: str = "a", attempt: int = 0, wait: float = 0.1,
-               product: str = "plain") -> "Tape":
-        return self.note(machine, "out", "offer", wait, guest=guest, attempt=attempt, product=product,
-                         service="s")
+    def offers(
+        self, guest: str, machine: str = "a", attempt: int = 0, wait: float = 0.1, product: str = "plain"
+    ) -> "Tape":
+        return self.note(
+            machine, "out", "offer", wait, guest=guest, attempt=attempt, product=product, service="s"
+        )
 
-    def hears(self, kind: str, guest: str, machine: str = "a", attempt: int = 0, wait: float = 0.1,
-              **body: object) -> "Tape":
+    def hears(
+        self, kind: str, guest: str, machine: str = "a", attempt: int = 0, wait: float = 0.1, **body: object
+    ) -> "Tape":
         return self.note(machine, "in", kind, wait, guest=guest, attempt=attempt, **body)
 
     def answers(self, kind: str, guest: str, wait: float = 0.1) -> "Tape":
@@ -73,48 +105,109 @@
     assert placed(Tape(), "g").end().broken() == []
 
 
-@pytest.mark.parametrize(("tape", "rules"), [
-    # 1: one answer, in time, and nothing after it.
-    (lambda: Tape().takes("g").end(), [1]),
-    (lambda: Tape().takes("g").note("p", "planner_kill", "", by="rehearsal", role="rehearsal").end(), []),
-    (lambda: Tape().takes("g").end(wait=1), []),  # its patience is not over yet
-    (lambda: Tape().takes("g").answers("turned_back", "g", 5.2).end(), [1]),
-    (lambda: Tape().takes("g").answers("turned_back", "g", 5.0).end(), []),
-    (lambda: Tape().takes("g").answers("turned_back", "g").answers("broken_off", "g").end(), [1]),
-    (lambda: Tape().takes("g").answers("turned_back", "g").answers("turned_back", "g").end(), []),
-    (lambda: Tape().takes("g").answers("turned_back", "g").offers("g").hears("taken", "g").end(), [1]),
-    (lambda: Tape().offers("g").hears("taken", "g").end(), [1]),
-    # 2: two dispatches out, too many, and what may have run.
-    (lambda: Tape().takes("g").offers("g").offers("g", "c", 1).hears("taken", "g", "c", 1).answers(
-        "placed", "g").end(), [2]),
-    (lambda: given_up(Tape(), "plain").offers("g", "c", 1).answers("placed", "g").end(), []),
-    (lambda: Tape().takes("g").offers("g").note("a", "shut", "").offers("g", "c", 1).answers(
-        "placed", "g").end(), []),
-    (lambda: given_up(Tape(), "once").offers("g", "c", 1, product="once").answers("placed", "g").end(), [2]),
-    (lambda: given_up(Tape(), "once").answers("turned_back", "g").end(), [2]),
-    (lambda: given_up(Tape(), "once").answers("broken_off", "g").end(), []),
-    (lambda: given_up(Tape(), "once").hears("ended", "g", how="withdrawn").offers(
-        "g", "c", 1, product="once").answers("placed", "g").end(), []),
-    (lambda: given_up(Tape(), "once").hears("ended", "g", how="error").offers(
-        "g", "c", 1, product="once").answers("placed", "g").end(), [2]),
-    (lambda: given_up(Tape(), "ticket").offers("g", "c", 1, product="ticket").answers("placed", "g").end(),
-    []),
-    (lambda: given_up(Tape(), "ticket").offers("g", "b", 1, product="ticket").answers("placed", "g").end(),
-    [2]),
-    (lambda: given_up(Tape(), "ticket").offers("g", "c", 1, 1.6, product="ticket").answers(
-        "placed", "g").end(), [2]),
-    (lambda: given_up(Tape(), "ticket").answers("turned_back", "g").end(), [2]),
-    # 3: drains.
-    (lambda: placed(Tape().lists("a", "cordoned").note("", "wait", "", 0.3), "g").end(), [3]),
-    (lambda: placed(Tape().lists("a", "cordoned"), "g").end(), []),  # within the grace
-    (lambda: placed(Tape().lists("a", "cordoned").lists("a", "ready", wait=1), "g").end(), []),
-    (lambda: placed(Tape(), "g", "nobody").end(), [3]),
-    # 5: spread.
-    (lambda: placed(placed(Tape(), "g", product="wide"), "h", product="wide").end(), [5]),
-    (lambda: placed(placed(Tape(), "g", product="wide"), "h", "c", "wide").end(), []),
-    (lambda: placed(placed(Tape(), "g", product="wide").hears("ended", "g", how="done"), "h",
-                    product="wide").end(), []),
-])
+@pytest.mark.parametrize(
+    ("tape", "rules"),
+    [
+        # 1: one answer, in time, and nothing after it.
+        (lambda: Tape().takes("g").end(), [1]),
+        (lambda: Tape().takes("g").note("p", "planner_kill", "", by="rehearsal", role="rehearsal").end(), []),
+        (lambda: Tape().takes("g").end(wait=1), []),  # its patience is not over yet
+        (lambda: Tape().takes("g").answers("turned_back", "g", 5.2).end(), [1]),
+        (lambda: Tape().takes("g").answers("turned_back", "g", 5.0).end(), []),
+        (lambda: Tape().takes("g").answers("turned_back", "g").answers("broken_off", "g").end(), [1]),
+        (lambda: Tape().takes("g").answers("turned_back", "g").answers("turned_back", "g").end(), []),
+        (lambda: Tape().takes("g").answers("turned_back", "g").offers("g").hears("taken", "g").end(), [1]),
+        (lambda: Tape().offers("g").hears("taken", "g").end(), [1]),
+        # 2: two dispatches out, too many, and what may have run.
+        (
+            lambda: (
+                Tape()
+                .takes("g")
+                .offers("g")
+                .offers("g", "c", 1)
+                .hears("taken", "g", "c", 1)
+                .answers("placed", "g")
+                .end()
+            ),
+            [2],
+        ),
+        (lambda: given_up(Tape(), "plain").offers("g", "c", 1).answers("placed", "g").end(), []),
+        (
+            lambda: (
+                Tape()
+                .takes("g")
+                .offers("g")
+                .note("a", "shut", "")
+                .offers("g", "c", 1)
+                .answers("placed", "g")
+                .end()
+            ),
+            [],
+        ),
+        (
+            lambda: given_up(Tape(), "once").offers("g", "c", 1, product="once").answers("placed", "g").end(),
+            [2],
+        ),
+        (lambda: given_up(Tape(), "once").answers("turned_back", "g").end(), [2]),
+        (lambda: given_up(Tape(), "once").answers("broken_off", "g").end(), []),
+        (
+            lambda: (
+                given_up(Tape(), "once")
+                .hears("ended", "g", how="withdrawn")
+                .offers("g", "c", 1, product="once")
+                .answers("placed", "g")
+                .end()
+            ),
+            [],
+        ),
+        (
+            lambda: (
+                given_up(Tape(), "once")
+                .hears("ended", "g", how="error")
+                .offers("g", "c", 1, product="once")
+                .answers("placed", "g")
+                .end()
+            ),
+            [2],
+        ),
+        (
+            lambda: (
+                given_up(Tape(), "ticket").offers("g", "c", 1, product="ticket").answers("placed", "g").end()
+            ),
+            [],
+        ),
+        (
+            lambda: (
+                given_up(Tape(), "ticket").offers("g", "b", 1, product="ticket").answers("placed", "g").end()
+            ),
+            [2],
+        ),
+        (
+            lambda: (
+                given_up(Tape(), "ticket")
+                .offers("g", "c", 1, 1.6, product="ticket")
+                .answers("placed", "g")
+                .end()
+            ),
+            [2],
+        ),
+        (lambda: given_up(Tape(), "ticket").answers("turned_back", "g").end(), [2]),
+        # 3: drains.
+        (lambda: placed(Tape().lists("a", "cordoned").note("", "wait", "", 0.3), "g").end(), [3]),
+        (lambda: placed(Tape().lists("a", "cordoned"), "g").end(), []),  # within the grace
+        (lambda: placed(Tape().lists("a", "cordoned").lists("a", "ready", wait=1), "g").end(), []),
+        (lambda: placed(Tape(), "g", "nobody").end(), [3]),
+        # 5: spread.
+        (lambda: placed(placed(Tape(), "g", product="wide"), "h", product="wide").end(), [5]),
+        (lambda: placed(placed(Tape(), "g", product="wide"), "h", "c", "wide").end(), []),
+        (
+            lambda: placed(
+                placed(Tape(), "g", product="wide").hears("ended", "g", how="done"), "h", product="wide"
+            ).end(),
+            [],
+        ),
+    ],
+)
 def test_a_breach_and_its_innocent_neighbour(tape: object, rules: list[int]) -> None:
     assert tape().broken() == rules
 
@@ -127,10 +220,12 @@
         assert tape.answers("turned_back", "g").end().broken() == rules
 
 
-@pytest.mark.parametrize(("complete", "restart", "rules"), [
-    (True, False, []), (False, False, [2]), (True, True, [2])])
+@pytest.mark.parametrize(
+    ("complete", "restart", "rules"), [(True, False, []), (False, False, [2]), (True, True, [2])]
+)
 def test_a_roll_without_the_guest_proves_something_only_if_whole_and_of_the_same_life(
-        complete: bool, restart: bool, rules: list[int]) -> None:
+    complete: bool, restart: bool, rules: list[int]
+) -> None:
     tape = Tape().takes("g", "once").offers("g", product="once").note("a", "shut", "")
     if restart:
         tape.note("", "fact", "fact", by="a", role="machine", what="up", incarnation=2, cold_until=0)
@@ -139,14 +234,16 @@
 
 
 def machine(tape: Tape, name: str, kind: str, **body: object) -> Tape:
-    return tape.note("p", "in" if kind == "offer" else "out", kind, by=name, role="machine", guest="g",
-    **body)
+    return tape.note(
+        "p", "in" if kind == "offer" else "out", kind, by=name, role="machine", guest="g", **body
+    )
 
 
 def test_runs_of_an_exclusive_guest_are_compared_across_machines() -> None:
     def first() -> Tape:
         tape = machine(Tape(), "a", "offer", product="once")
         return machine(tape, "a", "started")
+
     assert machine(first(), "b", "started").end().broken() == [2]
     assert machine(machine(first(), "a", "ended", how="evicted"), "b", "started").end().broken() == []
     assert machine(machine(first(), "a", "ended", how="done"), "b", "started").end().broken() == [2]
@@ -172,11 +269,22 @@
 
 def test_the_score_counts_service_and_starts_in_time() -> None:
     def day(start: float, served: float) -> float:
-        tape = Tape().note("p", "out", "submit", by="o", role="owner", guest="g", product="plain", cores=1.0,
-                           memory=1.0, life=2 * S)
+        tape = Tape().note(
+            "p",
+            "out",
+            "submit",
+            by="o",
+            role="owner",
+            guest="g",
+            product="plain",
+            cores=1.0,
+            memory=1.0,
+            life=2 * S,
+        )
         machine(tape, "a", "started", wait=start)
         machine(tape, "a", "ended", how="done", served=round(served * S))
         return score(tape.end().crossings, Audit(tape.crossings).rules)["whole"]
+
     assert day(0.5, 2) == 1.0
     assert day(0.5, 1) == pytest.approx(0.9)
     assert day(1.5, 2) == pytest.approx(0.28, abs=1e-3)  # 2 s and a tenth of the start's 8
@@ -190,7 +298,7 @@
     whole = (tmp_path / "r.jsonl").read_bytes()
     for cut in range(len(whole)):
         (tmp_path / "r.jsonl").write_bytes(whole[:cut])
-        lines = whole[:cut].count(b"\n") + (whole[cut:cut + 1] == b"\n")  # one may lack its end alone
+        lines = whole[:cut].count(b"\n") + (whole[cut : cut + 1] == b"\n")  # one may lack its end alone
         assert [c.at for c in read_record(tmp_path / "r.jsonl")] == list(range(lines))
     (tmp_path / "r.jsonl").write_bytes(whole.replace(b"1", b"{", 1))
     with pytest.raises(RecordError, match="line"):
--- a/tests/test_capture.py
+++ b/tests/test_capture.py
@@ -36,8 +36,12 @@
 
 
 def submits(count: int, size: int = 0) -> list[bytes]:
-    return [m.encode(m.Submit(guest=f"g{n}", product="p", service="s" * (1 + size), cores=1.0, memory=1.0,
-                              patience=5)) for n in range(count)]
+    return [
+        m.encode(
+            m.Submit(guest=f"g{n}", product="p", service="s" * (1 + size), cores=1.0, memory=1.0, patience=5)
+        )
+        for n in range(count)
+    ]
 
 
 def stream(data: bytes, cuts: list[int], isn: int = 100, a: tuple = A, b: tuple = B) -> list[bytes]:
@@ -51,8 +55,10 @@
 
 
 def save(path: Path, packets: list[bytes], ng: bool = False, times: list[int] | None = None) -> Path:
-    path.write_bytes(file_head(ng) + b"".join(
-        record(ng, times[n] if times else T + n * 1000, p) for n, p in enumerate(packets)))
+    path.write_bytes(
+        file_head(ng)
+        + b"".join(record(ng, times[n] if times else T + n * 1000, p) for n, p in enumerate(packets))
+    )
     return path
 
 
@@ -72,7 +78,7 @@
     for cut in range(len(whole)):
         path.write_bytes(whole[:cut])
         found, skips = frames(path)
-        assert found == sent[:len(found)]
+        assert found == sent[: len(found)]
         if cut not in ends and cut != 28 * ng:
             assert skips.table(), cut
         at += 1
@@ -117,8 +123,9 @@
 
 def test_a_second_connection_between_the_same_ends(tmp_path: Path) -> None:
     sent = submits(4)
-    packets = stream(b"".join(sent[:2]), []) + [build(A, B, b"", 9, 0, FIN)] + stream(b"".join(sent[2:]),
-    [], 77)
+    packets = (
+        stream(b"".join(sent[:2]), []) + [build(A, B, b"", 9, 0, FIN)] + stream(b"".join(sent[2:]), [], 77)
+    )
     found, skips = frames(save(tmp_path / "c", packets))
     assert found == sent and not skips.table()
 
@@ -129,22 +136,32 @@
     arp = b"\0" * 12 + b"\x08\x06" + b"\0" * 28
     found, skips = frames(save(tmp_path / "c", [*web, udp, arp, *stream(b"".join(submits(2)), [])]))
     assert len(found) == 2
-    assert set(skips.reasons()) == {"other protocol in the stream", "other protocol, UDP",
-                                    "other protocol 0x0806"}
+    assert set(skips.reasons()) == {
+        "other protocol in the stream",
+        "other protocol, UDP",
+        "other protocol 0x0806",
+    }
 
 
 def test_byte_orders_resolutions_links_and_tags(tmp_path: Path) -> None:
     sent = submits(1)
     v4, v6 = build(A, B, sent[0], 5, 0, ACK), build(end_of("[::1]:9"), end_of("[::2]:8"), sent[0], 5, 0, ACK)
-    links = {1: v4[:12] + b"\x81\0\0\7\x88\xa8\0\1" + v4[12:], 113: b"\0" * 14 + v4[12:], 0: b"\2\0\0\0" +
-    v4[14:],
-             108: b"\0\0\0\x18" + v6[14:], 101: v6[14:], 276: v4[12:14] + b"\0" * 18 + v4[14:]}
+    links = {
+        1: v4[:12] + b"\x81\0\0\7\x88\xa8\0\1" + v4[12:],
+        113: b"\0" * 14 + v4[12:],
+        0: b"\2\0\0\0" + v4[14:],
+        108: b"\0\0\0\x18" + v6[14:],
+        101: v6[14:],
+        276: v4[12:14] + b"\0" * 18 + v4[14:],
+    }
     for order in "<>":
         for magic, unit in ((0xA1B2C3D4, 1), (0xA1B23C4D, 1000)):
             for link, data in links.items():
                 (tmp_path / "c").write_bytes(
                     struct.pack(order + "IHHiIII", magic, 2, 4, 0, 0, 65535, link)
-                    + struct.pack(order + "IIII", 7, 5 * unit, len(data), len(data)) + data)
+                    + struct.pack(order + "IIII", 7, 5 * unit, len(data), len(data))
+                    + data
+                )
                 packets = list(read_packets(tmp_path / "c", Skips()))
                 assert [p.at for p in packets] == [7_000_005]
                 assert parse(link, packets[0].data).payload == sent[0]
@@ -182,7 +199,7 @@
     packets = stream(b"".join(sent), cuts)
     data = bytearray(save(tmp_path / "c", packets).read_bytes())
     at = [p.offset for p in read_packets(tmp_path / "c", Skips())][10]
-    data[at + 8:at + 12] = struct.pack("<I", size)
+    data[at + 8 : at + 12] = struct.pack("<I", size)
     (tmp_path / "c").write_bytes(data)
     found, skips = frames(tmp_path / "c")
     assert found == sent[:9] + sent[10:] and skips.reasons()["bad record"] == 1
@@ -205,8 +222,9 @@
 
 @settings(derandomize=True, max_examples=40, deadline=None)
 @given(st.integers(0, 10**6), st.booleans())
-def test_damage_never_hides_an_undamaged_stream(tmp_path_factory: pytest.TempPathFactory, seed: int,
-                                                ng: bool) -> None:
+def test_damage_never_hides_an_undamaged_stream(
+    tmp_path_factory: pytest.TempPathFactory, seed: int, ng: bool
+) -> None:
     random, path = Random(seed), tmp_path_factory.mktemp("d") / "c"
     sent, packets = {}, []
     for number in range(6):
@@ -231,8 +249,9 @@
     for item in read([path], Skips()):
         if isinstance(item, Frame):
             found.setdefault(item.source, []).append(frame(item.body))
-    seen = {parse(1, p.data).source for p in read_packets(path, Skips()) if isinstance(parse(1, p.data),
-    Segment)}
+    seen = {
+        parse(1, p.data).source for p in read_packets(path, Skips()) if isinstance(parse(1, p.data), Segment)
+    }
     for source, bodies in sent.items():
         if source not in hurt and len(seen) <= 6:
             assert found.get(source) == bodies
@@ -240,8 +259,9 @@
 
 @settings(derandomize=True, max_examples=200, deadline=None)
 @given(st.binary(max_size=400), st.integers(0, 5), st.integers(0, 300))
-def test_no_file_crashes_the_reader(tmp_path_factory: pytest.TempPathFactory, noise: bytes, head: int,
-                                    cut: int) -> None:
+def test_no_file_crashes_the_reader(
+    tmp_path_factory: pytest.TempPathFactory, noise: bytes, head: int, cut: int
+) -> None:
     sound = file_head(head % 2 == 1) + record(head % 2 == 1, T, build(A, B, submits(1)[0], 1, 0, SYN))
     path = tmp_path_factory.getbasetemp() / "noise"
     path.write_bytes(b"" if head == 5 else sound[:cut] + noise + (sound[cut:] if head > 2 else b""))
@@ -278,8 +298,9 @@
 
 
 def test_rotation_keeps_to_its_bound_and_a_full_disk_is_counted_and_noted(tmp_path: Path) -> None:
-    writer = CaptureWriter(tmp_path / "c.pcap", START, T, 0, rotate_bytes=20_000,
-                           total_bytes=60_000, queue_bytes=10_000)
+    writer = CaptureWriter(
+        tmp_path / "c.pcap", START, T, 0, rotate_bytes=20_000, total_bytes=60_000, queue_bytes=10_000
+    )
     for n in range(2000):
         while writer.queued > 9000:
             time.sleep(0.001)
@@ -337,7 +358,7 @@
     data = bytearray(path.read_bytes())
     place = data.find(b"till-import", len(data) // 2)
     assert place > 0
-    data[place:place + 11] = b"payout-run."
+    data[place : place + 11] = b"payout-run."
     (tmp_path / "c.pcap").write_bytes(data)
     said = replay(read([tmp_path / "c.pcap"], Skips()))
     first = said["planners"][0]["first_difference"]
@@ -353,8 +374,9 @@
     start["sheet"]["list"] |= {"has_room": False, "address": "127.0.0.1:1"}
     start["sheet"]["listen"] = "127.0.0.1:2"
     (tmp_path / "c.json5").write_text(json.dumps(start["sheet"]))
-    ran = CliRunner().invoke(main, ["capture", "replay", str(path), "--config", str(tmp_path / "c.json5"),
-    "--json"])
+    ran = CliRunner().invoke(
+        main, ["capture", "replay", str(path), "--config", str(tmp_path / "c.json5"), "--json"]
+    )
     life = json.loads(ran.stdout)["planners"][0]
     assert ran.exit_code == 1 and life["changed"] and life["differing"]
     assert life["module"] == life["module_here"]
@@ -365,8 +387,9 @@
 def test_later_files_and_others_traffic_are_named_not_guessed(day: Path, tmp_path: Path) -> None:
     path = sorted(day.glob("planner-0-*.pcap"))[0]
     packets = list(read_packets(path, Skips()))
-    (tmp_path / "later.pcap").write_bytes(file_head(False) + b"".join(
-        record(False, p.at, p.data) for p in packets[200:]))
+    (tmp_path / "later.pcap").write_bytes(
+        file_head(False) + b"".join(record(False, p.at, p.data) for p in packets[200:])
+    )
     said = replay(read([tmp_path / "later.pcap"], Skips()))
     assert not said["same"] and not said["planners"] and said["notes_without_a_start"]["planner-0"] > 100
     assert said["of_others"]
@@ -374,17 +397,22 @@
 
 def test_a_cut_keeps_streams_whole(day: Path, tmp_path: Path) -> None:
     path = sorted(day.glob("planner-0-*.pcap"))[0]
-    wanted = [item for item in read([path], Skips()) if isinstance(item, Frame) and item.message["t"] ==
-    "offer"][0]
+    wanted = [
+        item for item in read([path], Skips()) if isinstance(item, Frame) and item.message["t"] == "offer"
+    ][0]
     pair = {wanted.source, wanted.target}
     for suffix in ("pcap", "pcapng"):
-        extract([path], tmp_path / f"c.{suffix}", Wish(guest=wanted.message["guest"], machine="m000"),
-        Skips())
+        extract(
+            [path], tmp_path / f"c.{suffix}", Wish(guest=wanted.message["guest"], machine="m000"), Skips()
+        )
         extract([path], tmp_path / f"c.{suffix}", Wish(guest=wanted.message["guest"]), Skips())
         skips = Skips()
         kept = [item for item in read([tmp_path / f"c.{suffix}"], skips) if isinstance(item, Frame)]
-        whole = [item for item in read([path], Skips()) if isinstance(item, Frame)
-                 and {item.source, item.target} == pair]
+        whole = [
+            item
+            for item in read([path], Skips())
+            if isinstance(item, Frame) and {item.source, item.target} == pair
+        ]
         assert not skips.table() and {wanted.source, wanted.target} in [{k.source, k.target} for k in kept]
         assert [k.body for k in kept if {k.source, k.target} == pair] == [w.body for w in whole]
         assert all({k.source, k.target} != pair or k.life == wanted.life for k in kept)
@@ -407,8 +435,9 @@
             late.append((trio.current_time() - due) * 1e6)
 
     async def run() -> dict:
-        quiet = msgspec.structs.replace(sheet(), listen="127.0.0.1:0",
-                                        list=msgspec.structs.replace(sheet().list, address="127.0.0.1:1"))
+        quiet = msgspec.structs.replace(
+            sheet(), listen="127.0.0.1:0", list=msgspec.structs.replace(sheet().list, address="127.0.0.1:1")
+        )
         async with trio.open_nursery() as nursery:
             planner = Planner(quiet, 1, TcpNet())
             await nursery.start(planner.run)
@@ -432,8 +461,9 @@
     assert ran.exit_code == 2 and "nowhere" in ran.output and "Traceback" not in ran.output
     ran = CliRunner().invoke(main, ["capture", "info", "--json", str(sorted(day.glob("*.pcap"))[0])])
     assert json.loads(ran.stdout)["planners"]["planner-0"]["starts"] == 1
-    ran = CliRunner().invoke(main, ["capture", "extract", str(tmp_path / "odd"), "-o", str(tmp_path / "o"),
-                                    "--from", "yesterday"])
+    ran = CliRunner().invoke(
+        main, ["capture", "extract", str(tmp_path / "odd"), "-o", str(tmp_path / "o"), "--from", "yesterday"]
+    )
     assert ran.exit_code == 2 and "yesterday" in ran.output
 
 
--- a/tests/test_claim_audit.py
+++ b/tests/test_claim_audit.py
@@ -18,12 +18,28 @@
     return b64encode(value).decode()
 
 
-def asked(at: int, by: str, no: int, change: list, value: bytes, outcome: str = "agreed",
-          rounds: int = 1) -> list[Crossing]:
+def asked(
+    at: int, by: str, no: int, change: list, value: bytes, outcome: str = "agreed", rounds: int = 1
+) -> list[Crossing]:
     key = "claim/g"
-    return [Crossing(at, by, "planner", key, "ask", {"process": by + "/1", "no": no, "change": change}),
-            Crossing(at + 5, by, "planner", key, "agreed", {"process": by + "/1", "no": no, "change": [],
-                     "outcome": outcome, "value": text(value), "rounds": rounds})]
+    return [
+        Crossing(at, by, "planner", key, "ask", {"process": by + "/1", "no": no, "change": change}),
+        Crossing(
+            at + 5,
+            by,
+            "planner",
+            key,
+            "agreed",
+            {
+                "process": by + "/1",
+                "no": no,
+                "change": [],
+                "outcome": outcome,
+                "value": text(value),
+                "rounds": rounds,
+            },
+        ),
+    ]
 
 
 def take(at: int, by: str = "p0", value: bytes = CLAIM, known: bytes = b"", **more: object) -> list[Crossing]:
@@ -44,9 +60,14 @@
 SOUND = {
     "one": [*take(0), *offer(10)],
     "rerunnable": [*take(0), *offer(10), *offer(20, "p1", "plain")],
-    "refused, freed, taken": [*take(0), *offer(10), *said(20, t="refused"),
-                              *asked(30, "p0", 3, ["release", text(CLAIM)], FREE),
-                              *take(40, "p1", OTHER), *offer(50, "p1")],
+    "refused, freed, taken": [
+        *take(0),
+        *offer(10),
+        *said(20, t="refused"),
+        *asked(30, "p0", 3, ["release", text(CLAIM)], FREE),
+        *take(40, "p1", OTHER),
+        *offer(50, "p1"),
+    ],
     "an unheard round": [*take(0, outcome="open"), *asked(10, "p1", 9, ["read"], CLAIM)],
 }
 BROKEN = {
@@ -54,12 +75,22 @@
     "claimed too late": ([*offer(1), *take(0)], "without an agreed claim"),
     "another machine": ([*take(0), *offer(10, machine="n")], "without an agreed claim"),
     "another's claim": ([*take(0), *take(10, "p1", CLAIM), *offer(20, "p1")], "without an agreed claim"),
-    "beside another": ([*take(0), *offer(10), *asked(20, "p0", 3, ["release", text(CLAIM)], FREE),
-                        *take(30, "p1", OTHER), *offer(40, "p1")], "beside another planner's"),
+    "beside another": (
+        [
+            *take(0),
+            *offer(10),
+            *asked(20, "p0", 3, ["release", text(CLAIM)], FREE),
+            *take(30, "p1", OTHER),
+            *offer(40, "p1"),
+        ],
+        "beside another planner's",
+    ),
     "two claims": ([*take(0), *take(10, "p1", OTHER)], "has no order"),
     "a claim unlearned": ([*take(0), *asked(10, "p1", 9, ["read"], b"")], "has no order"),
-    "a fact without its claim": ([*asked(0, "p0", 2, ["fact", "p0", 0, "over", "m", "done"], CLAIM)],
-                                 "has no order"),
+    "a fact without its claim": (
+        [*asked(0, "p0", 2, ["fact", "p0", 0, "over", "m", "done"], CLAIM)],
+        "has no order",
+    ),
 }
 
 
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -15,11 +15,27 @@
 
 PLANNERS = st.sampled_from(["p0", "p1"])
 CHANGES = st.one_of(
-    st.builds(c.Take, PLANNERS, st.integers(1, 3), st.integers(0, 2), st.integers(0, 2), st.just("a"),
-              st.integers(1, 9), st.just(b"")),
-    st.builds(c.Fact, PLANNERS, st.integers(0, 2), st.sampled_from(["placed", "over"]), st.just("a"),
-              st.sampled_from(["done", "evicted"])),
-    st.just("release"), st.just("known"))
+    st.builds(
+        c.Take,
+        PLANNERS,
+        st.integers(1, 3),
+        st.integers(0, 2),
+        st.integers(0, 2),
+        st.just("a"),
+        st.integers(1, 9),
+        st.just(b""),
+    ),
+    st.builds(
+        c.Fact,
+        PLANNERS,
+        st.integers(0, 2),
+        st.sampled_from(["placed", "over"]),
+        st.just("a"),
+        st.sampled_from(["done", "evicted"]),
+    ),
+    st.just("release"),
+    st.just("known"),
+)
 
 
 def apply(value: bytes, change: object) -> bytes:
@@ -40,13 +56,20 @@
         if before is None or after == before:
             continue
         same = (after.planner, after.life, after.ask, after.no) == (
-            before.planner, before.life, before.ask, before.no)
+            before.planner,
+            before.life,
+            before.ask,
+            before.no,
+        )
         if same and change != "release":
             assert c.RANK[after.state] >= c.RANK[before.state]
         elif not same and before.state in ("held", "placed"):
             own = (after.planner, after.life) == (before.planner, before.life)
-            assert own and (before.state == "held" or after.ask > before.ask) or (
-                change == "known" and before.state == "held")
+            assert (
+                own
+                and (before.state == "held" or after.ask > before.ask)
+                or (change == "known" and before.state == "held")
+            )
         elif not same and before.state == "over":
             assert before.how != "done" and after.ask > before.ask
 
@@ -205,10 +228,13 @@
     assert other.sent(m.Offer, "x") and table.claim("x").planner == "p1"
 
 
-@pytest.mark.parametrize(("outcome", "reason"), [("refused", "no_majority"), ("open", "no_majority"),
-                                                 ("refused", "no_votes"), ("refused", "busy")])
+@pytest.mark.parametrize(
+    ("outcome", "reason"),
+    [("refused", "no_majority"), ("open", "no_majority"), ("refused", "no_votes"), ("refused", "busy")],
+)
 def test_a_claim_that_is_not_agreed_turns_the_guest_back_with_reason_and_wait(
-        outcome: str, reason: str) -> None:
+    outcome: str, reason: str
+) -> None:
     one, other, table = two()
     one.submits(10, "x", "once")
     one.submits(10, "r", "plain")
@@ -218,8 +244,9 @@
     assert said.reason == reason and said.again_after > 0
     assert not one.sent(m.Offer, "x") and not one.engine.brain.guests.get("x/0")
     if outcome == "open":  # it may stand yet: released, so that another may have it
-        table.values["claim/x"] = c.encode(c.Take("p0", 1, 0, 0, c.decode(one.asks[0].change.known).machine,
-                                                  2).claim())
+        table.values["claim/x"] = c.encode(
+            c.Take("p0", 1, 0, 0, c.decode(one.asks[0].change.known).machine, 2).claim()
+        )
         table.agree(600 * MS, one)
         assert table.claim("x").state == "free"
     other.submits(700 * MS, "x", "once", ask=1, reason="turned_back")
@@ -359,14 +386,17 @@
     """Takes a silent planner for dead, and its claim."""
 
     def told(self, now: int, no: int, outcome: str, value: bytes, reason: str) -> list:
-        return [v._replace(what="mine") if v.what == "theirs" else v
-                for v in super().told(now, no, outcome, value, reason)]
+        return [
+            v._replace(what="mine") if v.what == "theirs" else v
+            for v in super().told(now, no, outcome, value, reason)
+        ]
 
     def mine(self, value: bytes) -> bool:
         return bool(value)
 
-    def clear(self, now: int, name: str, guest: str, ask: int, attempt: int, machine: str,
-              known: bytes) -> bool:
+    def clear(
+        self, now: int, name: str, guest: str, ask: int, attempt: int, machine: str, known: bytes
+    ) -> bool:
         return bool(known) or super().clear(now, name, guest, ask, attempt, machine, known)
 
 
--- a/tests/test_client.py
+++ b/tests/test_client.py
@@ -84,9 +84,15 @@
     assert len(caller.submits()) == 1
 
 
-@pytest.mark.parametrize(("effect", "group", "goes"), [
-    ("rerunnable", "all", True), ("ticketed", "all", True), ("ticketed", "cell", False), ("exclusive",
-    "all", False)])
+@pytest.mark.parametrize(
+    ("effect", "group", "goes"),
+    [
+        ("rerunnable", "all", True),
+        ("ticketed", "all", True),
+        ("ticketed", "cell", False),
+        ("exclusive", "all", False),
+    ],
+)
 def test_after_a_break_off_it_goes_again_by_its_effect(effect: str, group: str, goes: bool) -> None:
     caller = Caller()
     planner = caller.asks(0, effect, group=group)
@@ -183,9 +189,13 @@
     assert choice.known["p"].in_a_row == 0
 
 
-events = st.lists(st.tuples(st.sampled_from(["turn", "break", "place", "lose", "die", "back", "quiet",
-"state",
-                                             "freeze"]), st.integers(1, 3000)), max_size=40)
+events = st.lists(
+    st.tuples(
+        st.sampled_from(["turn", "break", "place", "lose", "die", "back", "quiet", "state", "freeze"]),
+        st.integers(1, 3000),
+    ),
+    max_size=40,
+)
 
 
 @settings(derandomize=True, max_examples=300, deadline=None)
@@ -226,8 +236,11 @@
         planner, submit = caller.submits()[-1]
         about = {"guest": "g", "ask": submit.ask}
         if what in ("turn", "break", "place") and up[planner] and may_act.get(planner, 0) > now:
-            said = {"turn": m.TurnedBack(**about, again_after=wait * MS), "break": m.BrokenOff(**about),
-                    "place": m.Placed(**about, machine="a")}[what]
+            said = {
+                "turn": m.TurnedBack(**about, again_after=wait * MS),
+                "break": m.BrokenOff(**about),
+                "place": m.Placed(**about, machine="a"),
+            }[what]
             may_act[planner] = 0 if what == "turn" else may_act[planner]
             advised = wait * MS if what == "turn" else 0
             caller.says(now, planner, said)
@@ -289,6 +302,7 @@
     manners = Manners()
     clients = [Returns(manners.return_base, manners.return_most, Random(n)) for n in range(count)]
     import heapq
+
     for client in clients:
         client.lost(2 * S)
     queue = [((c.wait() if spread else 50 * MS), n) for n, c in enumerate(clients)]
@@ -334,12 +348,14 @@
 def test_the_client_beside_a_planner_turned_back_with_advice_and_cancelled() -> None:
     async def test(planner: object, net: object) -> None:
         async with open_client("c", {"p": "door"}, net=net, seed=1) as client:
-            outcomes = await client.place_all([
-                Want(f"g{n}", "plain", "s", 1.0, 1.0, 3 * S, "rerunnable") for n in range(5)])
+            outcomes = await client.place_all(
+                [Want(f"g{n}", "plain", "s", 1.0, 1.0, 3 * S, "rerunnable") for n in range(5)]
+            )
             assert {o.state for o in outcomes} == {"turned_back"} and trio.current_time() < 4
             odd = await client.place(Want("o", "odd", "s", 1.0, 1.0, S))
             assert (odd.state, odd.reason) == ("rejected", "unknown_product")
             async with trio.open_nursery() as nursery:
+
                 async def cancelled() -> None:
                     assert (await client.place(Want("x", "once", "s", 1.0, 1.0, 60 * S))).state == "cancelled"
 
@@ -398,8 +414,11 @@
     async def serve() -> None:
         import msgspec
 
-        made = msgspec.structs.replace(sheet(), listen=f"127.0.0.1:{port}",
-                                       list=msgspec.structs.replace(sheet().list, address="127.0.0.1:1"))
+        made = msgspec.structs.replace(
+            sheet(),
+            listen=f"127.0.0.1:{port}",
+            list=msgspec.structs.replace(sheet().list, address="127.0.0.1:1"),
+        )
         async with trio.open_nursery() as nursery:
             await nursery.start(Planner(made, 1, TcpNet()).run)
             await trio.to_thread.run_sync(done.wait, abandon_on_cancel=True)
--- a/tests/test_cold_fleet.py
+++ b/tests/test_cold_fleet.py
@@ -22,13 +22,15 @@
         self.no_cold_until = 0
 
 
-def offers(planners: int, budget: float, kind: type[Brain], seed: int, steady: bool = False,
-           told_of: int = 0) -> list[int]:
+def offers(
+    planners: int, budget: float, kind: type[Brain], seed: int, steady: bool = False, told_of: int = 0
+) -> list[int]:
     """When offers reach a cold machine, told of at different times, from planners with drawn traffic. They
     are restarted at drawn moments, and seven in ten together once. No other machine has room."""
     random = Random(seed)
-    facts = DEPLOYMENT._replace(planners=told_of or planners, cold_offers=budget, list_is_asked=False,
-                                probing=False)
+    facts = DEPLOYMENT._replace(
+        planners=told_of or planners, cold_offers=budget, list_is_asked=False, probing=False
+    )
     told = [BEGUN + random.randrange(400) * MS for _ in range(planners)]
     brains = [kind(random.getrandbits(32), facts._replace(slot=slot)) for slot in range(planners)]
     for made in brains:
@@ -70,10 +72,12 @@
     return found
 
 
-@pytest.mark.parametrize("planners,budget", [(1, 20.0), (16, 20.0), (16, 113.0), (30, 12.0), (30, 60.0),
-                                             (230, 20.0), (230, 400.0)])
+@pytest.mark.parametrize(
+    "planners,budget", [(1, 20.0), (16, 20.0), (16, 113.0), (30, 12.0), (30, 60.0), (230, 20.0), (230, 400.0)]
+)
 def test_the_sum_over_all_planners_keeps_a_cold_machine_s_budget_through_restarts(
-        planners: int, budget: float) -> None:
+    planners: int, budget: float
+) -> None:
     """N is what it bears by the settings; past it two roots of N and two more are chance. Nothing is left to
     chance here: the parts sum to four fifths, and a life that cannot know what the last one sent waits out a
     window for machines that were cold before it."""
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -31,29 +31,58 @@
 
 
 def test_all_faults_of_a_planner_file_at_once(tmp_path: Path) -> None:
-    found = faults(changed(tmp_path, "planner.json5", ('listen: "127.0.0.1:7400"', "lisen: 1"),
-                           ('effect: "exclusive"', 'effect: "never"'), ("cores: 24", "cores: -1"),
-                           ("max_dispatches: 4", 'max_dispatches: "four"')))
-    assert found.keys() == {"lisen", "listen", "estate.products[2].effect", "estate.kinds[0].cores",
-                            "estate.fleet.max_dispatches"}
+    found = faults(
+        changed(
+            tmp_path,
+            "planner.json5",
+            ('listen: "127.0.0.1:7400"', "lisen: 1"),
+            ('effect: "exclusive"', 'effect: "never"'),
+            ("cores: 24", "cores: -1"),
+            ("max_dispatches: 4", 'max_dispatches: "four"'),
+        )
+    )
+    assert found.keys() == {
+        "lisen",
+        "listen",
+        "estate.products[2].effect",
+        "estate.kinds[0].cores",
+        "estate.fleet.max_dispatches",
+    }
     assert "listen" in found["lisen"]
 
 
 def test_what_contradicts_is_found_once_all_fits(tmp_path: Path) -> None:
-    found = faults(changed(tmp_path, "planner.json5", ("slot: 0", "slot: 2"), ("127.0.0.1:7500", "nowhere"),
-                           ("goal_ms: 800", "goal_ms: 8000"), ('name: "large-box"', 'name: "small-box"')))
+    found = faults(
+        changed(
+            tmp_path,
+            "planner.json5",
+            ("slot: 0", "slot: 2"),
+            ("127.0.0.1:7500", "nowhere"),
+            ("goal_ms: 800", "goal_ms: 8000"),
+            ('name: "large-box"', 'name: "small-box"'),
+        )
+    )
     assert found.keys() == {"slot", "list.address", "estate.products[0].goal_ms", "estate.kinds[1]"}
 
 
 def test_all_faults_of_a_day_at_once(tmp_path: Path) -> None:
-    found = faults(changed(tmp_path, "bad-day.json5", ('kind: "flush", at_s: 3', 'kind: "flush", at_s: 300'),
-                           ("which: 1 }", "which: 9 }"), ("zones: 2", "zones: 1"),
-                           ("life_s: [6, 20]", "life_s: [20, 6]")))
+    found = faults(
+        changed(
+            tmp_path,
+            "bad-day.json5",
+            ('kind: "flush", at_s: 3', 'kind: "flush", at_s: 300'),
+            ("which: 1 }", "which: 9 }"),
+            ("zones: 2", "zones: 1"),
+            ("life_s: [6, 20]", "life_s: [20, 6]"),
+        )
+    )
     assert found.keys() == {"troubles[0].at_s", "troubles[4].which", "troubles[8].kind", "wares[0].life_s"}
 
 
-@pytest.mark.parametrize(("text", "word"), [("{a: 1,\n b:}", "line 2"), ("", "not JSON5"), ("[1]", "object"),
-                                            ("{a: 1} x", "line 1")])
+@pytest.mark.parametrize(
+    ("text", "word"),
+    [("{a: 1,\n b:}", "line 2"), ("", "not JSON5"), ("[1]", "object"), ("{a: 1} x", "line 1")],
+)
 def test_what_is_not_json5_is_placed(tmp_path: Path, text: str, word: str) -> None:
     (tmp_path / "planner.json5").write_text(text)
     ran = CliRunner().invoke(main, ["check-config", str(tmp_path / "planner.json5")])
@@ -75,7 +104,22 @@
     assert first == plan(day, 5, spots, ["s1", "s2"]) != plan(day, 6, spots, ["s1", "s2"])
     assert [s.at for s in first] == sorted(s.at for s in first)
     assert {t.kind for t in day.troubles} == {
-        "burst", "deploy", "list_down", "flush", "heavy_tail", "hot_service", "mass_restart", "preempt",
+        "burst",
+        "deploy",
+        "list_down",
+        "flush",
+        "heavy_tail",
+        "hot_service",
+        "mass_restart",
+        "preempt",
         "vanish",
-        "report_late", "fast_errors", "answer_lost", "ageing", "crash", "zone_cut", "planner_kill",
-        "planner_stop", "reconnect"}
+        "report_late",
+        "fast_errors",
+        "answer_lost",
+        "ageing",
+        "crash",
+        "zone_cut",
+        "planner_kill",
+        "planner_stop",
+        "reconnect",
+    }
--- a/tests/test_copies_host.py
+++ b/tests/test_copies_host.py
@@ -26,8 +26,10 @@
 from tests.helpers import sheet
 
 NAMES = ("p0", "p1", "p2")
-SHEETS = {n: CopiesSheet(listen=f"at-{n}", folder="-", planners=[CopiesPlanner(x, f"at-{x}") for x in NAMES])
-          for n in NAMES}
+SHEETS = {
+    n: CopiesSheet(listen=f"at-{n}", folder="-", planners=[CopiesPlanner(x, f"at-{x}") for x in NAMES])
+    for n in NAMES
+}
 
 
 class Trio:
@@ -72,8 +74,11 @@
         await self.nursery.start(live)
 
     async def all_vote(self) -> None:
-        await self.until(lambda: all(len(p.votes.acceptor.voting) == len(p.votes.joiner.others)
-                                     for p in self.parts.values()))
+        await self.until(
+            lambda: all(
+                len(p.votes.acceptor.voting) == len(p.votes.joiner.others) for p in self.parts.values()
+            )
+        )
 
     async def until(self, true: Callable[[], bool]) -> None:
         with trio.fail_after(60):
@@ -110,7 +115,9 @@
         await made.all_vote()
         greet = Greet("p1", "hazelhold", 1)
         bad = {
-            "not_msgpack": frame(b"\xc1"), "frame_too_long": b"\xff\xff\xff\xff", "no_type": frame(b"\x80"),
+            "not_msgpack": frame(b"\xc1"),
+            "frame_too_long": b"\xff\xff\xff\xff",
+            "no_type": frame(b"\x80"),
             "unknown_type": frame(msgspec.msgpack.encode({"t": "offer"})),
             "wrong_first": encode(w.Look("k", 1, w.Ballot(1, "x"))),
             "version": encode(msgspec.structs.replace(greet, version=2)),
@@ -217,9 +224,14 @@
     assert again.acceptor.cells["claim/held"].value == held
 
 
-@pytest.mark.parametrize(("change", "why"), [
-    ({"epoch": 2}, "is not changed by its file"), ({"replicas": 1}, "is not changed by its file"),
-    ({"deployment": "other"}, "is the seat of 'p0' in 'hazelhold'")])
+@pytest.mark.parametrize(
+    ("change", "why"),
+    [
+        ({"epoch": 2}, "is not changed by its file"),
+        ({"replicas": 1}, "is not changed by its file"),
+        ({"deployment": "other"}, "is the seat of 'p0' in 'hazelhold'"),
+    ],
+)
 def test_another_set_than_the_folders_is_refused_by_name(change: dict, why: str) -> None:
     disk = FaultyDisk(Points(set(), 1))
     found(disk, "p0", SHEETS["p0"], 0)
@@ -232,18 +244,37 @@
     full = replace(sheet(), listen="127.0.0.1:1", list=replace(sheet().list, address="127.0.0.1:2"))
     assert check_planner(full) == []
     assert [p for p, _ in check_planner(replace(full, copies=CopiesSheet(folder="x")))] == ["copies.listen"]
-    wrong = CopiesSheet(listen="somewhere:1", replicas=4, reach={"p9": "127.0.0.1:5"},
-                        planners=[CopiesPlanner("p1", "127.0.0.1:0"), CopiesPlanner("p1", "127.0.0.1:4")])
+    wrong = CopiesSheet(
+        listen="somewhere:1",
+        replicas=4,
+        reach={"p9": "127.0.0.1:5"},
+        planners=[CopiesPlanner("p1", "127.0.0.1:0"), CopiesPlanner("p1", "127.0.0.1:4")],
+    )
     places = [p for p, _ in check_planner(replace(full, copies=wrong))]
-    assert places == ["copies.listen", "copies.planners[0].address", "copies.planners[1].name",
-                      "copies.reach['p9']", "copies.planners", "copies.folder", "copies.replicas",
-                      "copies.replicas"]
+    assert places == [
+        "copies.listen",
+        "copies.planners[0].address",
+        "copies.planners[1].name",
+        "copies.reach['p9']",
+        "copies.planners",
+        "copies.folder",
+        "copies.replicas",
+        "copies.replicas",
+    ]
 
 
 def test_the_commands_found_once_show_and_vouch(tmp_path: Path) -> None:
-    made = replace(sheet(), listen="127.0.0.1:1", list=replace(sheet().list, address="127.0.0.1:2"),
-                   copies=CopiesSheet(listen="127.0.0.1:3", folder=str(tmp_path / "votes"), replicas=1,
-                                      planners=[CopiesPlanner("p0", "127.0.0.1:3")]))
+    made = replace(
+        sheet(),
+        listen="127.0.0.1:1",
+        list=replace(sheet().list, address="127.0.0.1:2"),
+        copies=CopiesSheet(
+            listen="127.0.0.1:3",
+            folder=str(tmp_path / "votes"),
+            replicas=1,
+            planners=[CopiesPlanner("p0", "127.0.0.1:3")],
+        ),
+    )
     file = tmp_path / "p0.json5"
     file.write_bytes(msgspec.json.encode(made))
     run = CliRunner().invoke
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -64,9 +64,9 @@
 
     async def send_all(self, data: bytes) -> None:
         if self.stopped:
-            await self.stream.send_all(data[:self.half])
+            await self.stream.send_all(data[: self.half])
             await self.open.wait()
-            data = data[self.half:]
+            data = data[self.half :]
         await self.stream.send_all(data)
 
 
@@ -76,6 +76,7 @@
 @pytest.mark.parametrize("way", ["close", "reset", "half"])
 def test_an_owner_that_goes_with_answers_unread_is_gone_at_once(way: str) -> None:
     """What was still to be written to it held its set-ups open for a second, and they were dispatched."""
+
     async def test(rig: SocketRig) -> None:
         rig.machines["a"].accepts = False
         owner = await rig.owner()
@@ -94,8 +95,11 @@
             await owner.stream.aclose()
         await until(lambda: not rig.planner.engine.out(name(1)))
         assert peer.sending and peer.name in rig.planner.owners  # the answer is still on its way out
-        await until(lambda: [line["op"] for line in rig.machines["a"].heard if line["op"] != "test"]
-                    == ["offer", "end"])
+        await until(
+            lambda: (
+                [line["op"] for line in rig.machines["a"].heard if line["op"] != "test"] == ["offer", "end"]
+            )
+        )
 
     on_sockets(test, machines="a")
 
@@ -133,6 +137,7 @@
 
 def test_half_an_offer_in_a_full_socket_does_not_follow_once_its_owner_has_gone() -> None:
     """Its rest left when the socket took bytes again, however late, and the machine had it whole."""
+
     async def test(rig: SocketRig) -> None:
         owner = await rig.owner()
         await owner.say(set_up(1))
@@ -155,6 +160,7 @@
 
 def test_a_planner_that_is_behind_with_placing_hears_of_a_close_after_a_decision_or_two() -> None:
     """Eight decisions went into each turn, whatever they took."""
+
     async def test(rig: SocketRig) -> None:
         rig.machines["a"].accepts = rig.machines["b"].accepts = False
         engine, owner = rig.planner.engine, await rig.owner()
@@ -177,10 +183,16 @@
 
 def test_a_ticket_s_window_is_kept_by_the_bytes_and_not_by_the_decision() -> None:
     """A repeat was decided within it, waited in a full socket, and left after it."""
-    family = {key: [*value, value[-1]] for key, value in DEPLOYMENT["family-info"].items()
-              if isinstance(value, list) and key not in ("mem-of-kind", "size-cores")}
-    classes = [*DEPLOYMENT["classes"], DEPLOYMENT["classes"][0] | {
-        "name": "mark", "idempotency": "dedup", "group": "all", "dedup-window": 200.0}]
+    family = {
+        key: [*value, value[-1]]
+        for key, value in DEPLOYMENT["family-info"].items()
+        if isinstance(value, list) and key not in ("mem-of-kind", "size-cores")
+    }
+    classes = [
+        *DEPLOYMENT["classes"],
+        DEPLOYMENT["classes"][0]
+        | {"name": "mark", "idempotency": "dedup", "group": "all", "dedup-window": 200.0},
+    ]
 
     async def test(rig: SocketRig) -> None:
         for machine in rig.machines.values():
@@ -229,6 +241,7 @@
 def test_no_second_offer_leaves_before_the_first_is_taken_back(before: bool) -> None:
     """Seen on the bench as a second copy of a ticketed guest: the taking back waited in a full socket, the
     next offer did not. `before`: other bytes filled it already."""
+
     async def test(rig: SocketRig) -> None:
         _, tap, one, other = await one_out(rig)
         tap.stopped = True
@@ -244,6 +257,7 @@
 @pytest.mark.parametrize("way", ["hung up", "ending"])
 def test_no_second_offer_leaves_before_a_connection_that_was_given_up_is_closed(way: str) -> None:
     """`ending`: the machine closes it, and before that is done here the dispatch's time is up."""
+
     async def test(rig: SocketRig) -> None:
         _, tap, one, other = await one_out(rig)
         order: list[str] = []
@@ -279,8 +293,10 @@
 
 
 def test_a_dial_that_comes_up_as_it_is_hung_up_takes_no_other_connection_s_place(
-        monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
     """The old dial put its stream in place of the new one: the machine looked up, and nothing reached it."""
+
     async def test(rig: SocketRig) -> None:
         held = trio.Event()
         real, dialled, watched = TcpNet.dial, [], rig.planner.engine.roster.fellows["a"].address
@@ -326,6 +342,7 @@
 @pytest.mark.parametrize("said", [{"op": "accept", "desc": "mine\r\n"}, {"op": "end", "why": 34}])
 def test_an_answer_that_lies_unread_as_a_write_breaks_is_still_heard(said: dict) -> None:
     """A write that failed closed the connection over what its machine had said before."""
+
     async def test(rig: SocketRig) -> None:
         machine = rig.machines["a"]
         machine.accepts = False
@@ -348,6 +365,7 @@
 def test_a_connection_about_to_be_closed_as_idle_is_left_before_an_offer_and_an_end_go_out() -> None:
     """Idle ones were looked for twice a second: with a short idle time the machine closed first, just as an
     offer was written, and what may have run of it was broken off."""
+
     async def test(rig: SocketRig) -> None:
         owner = await rig.owner()
         await owner.say(set_up(1))
@@ -387,6 +405,7 @@
 
 def test_an_end_written_as_its_connection_breaks_is_told_to_the_machine_once_more() -> None:
     """The machine never read it and kept the guest for good."""
+
     async def test(rig: SocketRig) -> None:
         owner = await rig.owner()
         await owner.say(set_up(1))
@@ -405,8 +424,10 @@
 
 
 def test_an_end_whose_dial_fails_is_told_when_the_machine_can_be_reached_again(
-        monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
     """It waited for whoever dialled that machine next, and nobody may."""
+
     async def test(rig: SocketRig) -> None:
         owner = await rig.owner()
         await owner.say(set_up(1))
@@ -452,6 +473,7 @@
 def test_an_answer_that_crosses_the_taking_back_at_a_stop_is_not_told_as_standing() -> None:
     """The machine ends what it took when it is taken back, and says so with a cause that owners are not told:
     the owner was left with a guest that ran nowhere."""
+
     async def test(rig: SocketRig) -> None:
         machine = rig.machines["a"]
         machine.accepts = False
@@ -521,12 +543,13 @@
 
 def test_a_file_half_written_at_its_signal_is_taken_once_it_is_whole(tmp_path: Path) -> None:
     """It was refused once, and the planner went on with a bulletin that had closed."""
+
     async def test(rig: SocketRig) -> None:
         rig.planner.config = path = tmp_path / "config.json"
         moved = Bulletin()
         at = await rig.net.listen("127.0.0.1:0", moved.door, rig.nursery)
         text = file(listen="127.0.0.1:0", bulletin=at, settings=settings(balancers=20, **{"slot-no": 17}))
-        path.write_text(text[:len(text) // 2])
+        path.write_text(text[: len(text) // 2])
         rig.planner.reload()
         rig.planner.reload()  # twice at once
         assert rig.planner.counts["reloads_refused"] == 2 and not moved.asked
@@ -541,8 +564,10 @@
 
 def test_an_address_that_is_none_in_an_event_or_the_file_ends_nothing() -> None:
     async def test(rig: SocketRig) -> None:
-        rig.bulletin.events += [event(2, host("c", dial="x" * 80 + ":1"), host("d", dial="nowhere")),
-                                event(3, host("e", dial="127.0.0.1:0"))]
+        rig.bulletin.events += [
+            event(2, host("c", dial="x" * 80 + ":1"), host("d", dial="nowhere")),
+            event(3, host("e", dial="127.0.0.1:0")),
+        ]
         await until(lambda: "e" in rig.planner.engine.roster.fellows)
         owner = await rig.owner()
         await owner.say(set_up(1, figures=f"cores:1;memory:2;service:{1:016x};at:c"))
@@ -561,6 +586,7 @@
 def test_an_owner_behind_hundreds_of_silent_connections_is_heard_within_some_turns() -> None:
     """One connection was accepted in each turn of the loop: a loaded planner took as many turns as there were
     silent ones before it."""
+
     async def test(rig: SocketRig) -> None:
         turns, real = [], rig.planner.engine.pump
 
@@ -574,8 +600,12 @@
         await until(lambda: busy.of(1) == PLACED)
         where = rig.planner.address.split(":")
         silent = [socket.create_connection((where[0], int(where[1]))) for _ in range(600)]  # in one turn
-        late = Owner(trio.SocketStream(trio.socket.from_stdlib_socket(
-            socket.create_connection((where[0], int(where[1]))))), rig.nursery)
+        late = Owner(
+            trio.SocketStream(
+                trio.socket.from_stdlib_socket(socket.create_connection((where[0], int(where[1]))))
+            ),
+            rig.nursery,
+        )
         rig.planner.ticker.pause = 0.0
         rig.planner.engine.pump = pump
         rig.planner.ticker.stir()
@@ -590,6 +620,7 @@
 
 def test_idle_owners_that_read_nothing_hold_no_descriptor_past_their_turn() -> None:
     """One that was turned out kept its descriptor while bytes waited, beside the one that took its place."""
+
     async def test(rig: SocketRig) -> None:
         limit = rig.planner.limits.connections
         rude = [await rig.owner() for _ in range(limit)]
--- a/tests/test_day.py
+++ b/tests/test_day.py
@@ -47,15 +47,20 @@
     monkeypatch.setattr(machines, "MODES", deaf)
     monkeypatch.setattr(Guest, "may_turn_back", lambda self: True)
     monkeypatch.setattr(Brain, "_allowed", lambda self, guest, machine, now: True)
-    day = bad_day(length_s=25.0, troubles=[Trouble("answer_lost", 2, 20, 1.0, 0.4), Trouble("deploy", 5, 12,
-    1.0, 0.2)])
+    day = bad_day(
+        length_s=25.0, troubles=[Trouble("answer_lost", 2, 20, 1.0, 0.4), Trouble("deploy", 5, 12, 1.0, 0.2)]
+    )
     rules = {b["rule"] for b in play_virtual(day, 1, tmp_path)["rules_broken"]}
     assert rules >= {2, 3}
 
 
 def test_planner_processes_killed_and_stopped_on_sockets(tmp_path: Path) -> None:
-    troubles = [Trouble("planner_kill", 2, 1.5, which=0), Trouble("planner_stop", 4, 1, which=1),
-                Trouble("crash", 3, 3, 0.2), Trouble("answer_lost", 1, 4, 0.3, 0.3)]
+    troubles = [
+        Trouble("planner_kill", 2, 1.5, which=0),
+        Trouble("planner_stop", 4, 1, which=1),
+        Trouble("crash", 3, 3, 0.2),
+        Trouble("answer_lost", 1, 4, 0.3, 0.3),
+    ]
     day = bad_day(length_s=8.0, planners=2, troubles=troubles)
     said = trio.run(play, day, 1, tmp_path, False)
     assert said["rules_broken"] == [] and said["unaccounted"] == [] and said["counts"]["placed"] > 20
@@ -65,8 +70,9 @@
 
 def test_a_faulty_day_starts_nothing(tmp_path: Path) -> None:
     (tmp_path / "day.json5").write_text("{ name: 'x', length_s: -1 }")
-    ran = CliRunner().invoke(main, ["rehearse", str(tmp_path / "day.json5"), "--records", str(tmp_path /
-    "r")])
+    ran = CliRunner().invoke(
+        main, ["rehearse", str(tmp_path / "day.json5"), "--records", str(tmp_path / "r")]
+    )
     assert ran.exit_code == 2 and "length_s" in ran.output and not (tmp_path / "r").exists()
 
 
@@ -86,14 +92,16 @@
             nursery.start_soon(run_part, day, 1, 2.0, "machines", {"lister": address})
             with trio.fail_after(10):
                 while not stage.service.entries or not all(
-                        e.cores_room for e in stage.service.entries.values()):
+                    e.cores_room for e in stage.service.entries.values()
+                ):
                     await trio.sleep(0.05)
             assert len(stage.service.entries) == 11
             nursery.cancel_scope.cancel()
 
     trio.run(run)
-    ran = CliRunner().invoke(main, ["stand-in", "senders", str(EXAMPLES / "quiet-day.json5"), "--planner",
-    "x"])
+    ran = CliRunner().invoke(
+        main, ["stand-in", "senders", str(EXAMPLES / "quiet-day.json5"), "--planner", "x"]
+    )
     assert ran.exit_code == 2 and "NAME=HOST:PORT" in ran.output
 
 
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -242,6 +242,7 @@
         plain = Counter(g.product.priority for g in made.guests.values() if g.machine)
         assert plain == {p: n for p, n in made.seated.items() if n}
 
+
 def test_large_guests_are_not_timed_out_by_the_answers_of_small_ones() -> None:
     made = brain("ab")
     for n in range(20):
--- a/tests/test_engine.py
+++ b/tests/test_engine.py
@@ -81,6 +81,7 @@
     case = desk.engine.cases["g/0"]
     desk.engine._give_up(1000 * MS, case)
     from hazelhold.interface import Ending, Remark
+
     desk.engine._ended(1000 * MS, case, Ending.OVERDUE, Remark.NONE)
     desk.engine.machine_said(1001 * MS, machine, of(m.Taken, offer))
     desk.run(1001 * MS)
@@ -268,9 +269,14 @@
     assert not desk.sent(m.Stop)  # what runs, runs on
 
 
-@pytest.mark.parametrize(("change", "code"), [
-    ({"product": "odd"}, "unknown_product"), ({"customer": "odd"}, "unknown_customer"),
-    ({"patience": 10**12}, "patience")])
+@pytest.mark.parametrize(
+    ("change", "code"),
+    [
+        ({"product": "odd"}, "unknown_product"),
+        ({"customer": "odd"}, "unknown_customer"),
+        ({"patience": 10**12}, "patience"),
+    ],
+)
 def test_asks_that_make_no_sense_are_rejected_and_counted(change: dict, code: str) -> None:
     desk = Desk()
     plain = {"guest": "g", "product": "plain", "service": "s", "cores": 1.0, "memory": 1.0, "patience": 1000}
@@ -291,10 +297,14 @@
 def test_strays_and_nonsense_from_machines_change_nothing() -> None:
     desk = Desk("a")
     offer, _ = desk.offer(0, "g")
-    for message in (m.Taken(guest="x"), m.Ended(guest="g", attempt=7, how="done"), m.Use(guest="g", ask=3,
-    cores=1,
-                    memory=1), m.Pressed(share=0.9), m.Running(guests=[]), of(m.Refused, offer,
-                    remark="odd")):
+    for message in (
+        m.Taken(guest="x"),
+        m.Ended(guest="g", attempt=7, how="done"),
+        m.Use(guest="g", ask=3, cores=1, memory=1),
+        m.Pressed(share=0.9),
+        m.Running(guests=[]),
+        of(m.Refused, offer, remark="odd"),
+    ):
         desk.says(MS, "a", message)
     assert not desk.sent(m.Placed) and desk.engine.cases
 
@@ -316,8 +326,9 @@
     desk = Desk("")
     desk.dead.add("a")
     desk.lists(0, [desk.entry("a")])
-    desk.stands["a"] = [stand(m.Offer(guest="g", product="once", service="s", cores=1.0, memory=1.0), "ended",
-                              "done")]
+    desk.stands["a"] = [
+        stand(m.Offer(guest="g", product="once", service="s", cores=1.0, memory=1.0), "ended", "done")
+    ]
     back(desk, 10 * MS, "a")
     assert desk.owner(20 * MS, m.Query(guest="g"))[-1].state == "done"
 
