--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -33,8 +33,10 @@
 
 
 def test_a_quiet_day_goes_as_it_does_in_the_rehearsal(tmp_path: Path) -> None:
-    here, there = play_fleet(replace(QUIET, length_s=15.0), 1), play_virtual(
-        replace(QUIET, length_s=15.0), 1, tmp_path)
+    here, there = (
+        play_fleet(replace(QUIET, length_s=15.0), 1),
+        play_virtual(replace(QUIET, length_s=15.0), 1, tmp_path),
+    )
     for what in ("taken", "placed", "starts", "dispatches"):
         assert abs(here["counts"][what] - there["counts"][what]) <= 0.05 * there["counts"][what]
     assert abs(here["service"]["service"] - there["service"]["service"]) < 0.05
@@ -42,8 +44,7 @@
 
 @pytest.mark.parametrize("kind", [k for k in TROUBLES if k not in BETWEEN])
 def test_every_trouble_of_the_day_files_plays_and_breaks_no_rule(kind: str) -> None:
-    trouble = Trouble(kind=kind, at_s=2.0, for_s=2.0, size=1.5 if kind == "burst" else 0.5,
-                      extra=0.5)
+    trouble = Trouble(kind=kind, at_s=2.0, for_s=2.0, size=1.5 if kind == "burst" else 0.5, extra=0.5)
     said = play_fleet(replace(SHORT, zones=2, planners=2, troubles=[trouble]), 1)
     assert not said["rules_broken"] and not said["unaccounted"] and said["counts"]["placed"] > 20
 
@@ -64,7 +65,8 @@
         brain = fleet.planners[name].engine.brain
         ended = brain.dispatch_ended
         brain.dispatch_ended = lambda now, guest, ending, closed, remark: ended(
-            now, guest, Ending.NOT_SENT, closed, remark)
+            now, guest, Ending.NOT_SENT, closed, remark
+        )
 
     fleet.start_planner = lawless
     said = fleet.play()
--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -11,12 +11,17 @@
 HERE = Path(__file__).parent
 
 
-@pytest.mark.parametrize("text,fault", [
-    ("tests/a.py::b | cause", "line 1"), ("\ntests/a.py::b |  | 33", "line 2"),
-    ("a.py::b | cause | 33", "line 1"),
-    ("tests/a.py | cause | 33", "line 1"), ("tests/a.py::b | c | 1\ntests/a.py::b | d | 2", "twice"),
-    ("".join(f"tests/a.py::b{n} | cause | 33\n" for n in range(4)), "4 tests, 3 at most"),
-])
+@pytest.mark.parametrize(
+    "text,fault",
+    [
+        ("tests/a.py::b | cause", "line 1"),
+        ("\ntests/a.py::b |  | 33", "line 2"),
+        ("a.py::b | cause | 33", "line 1"),
+        ("tests/a.py | cause | 33", "line 1"),
+        ("tests/a.py::b | c | 1\ntests/a.py::b | d | 2", "twice"),
+        ("".join(f"tests/a.py::b{n} | cause | 33\n" for n in range(4)), "4 tests, 3 at most"),
+    ],
+)
 def test_a_list_that_cannot_be_meant_is_refused(text: str, fault: str) -> None:
     with pytest.raises(ValueError, match=fault):
         read_known(text)
@@ -31,8 +36,9 @@
     """A small project with this list: one test that passes, one that fails."""
     (folder / "tests").mkdir(exist_ok=True)
     (folder / "tests" / "conftest.py").write_text((HERE / "conftest.py").read_text())
-    (folder / "tests" / "test_two.py").write_text("def test_well():\n    pass\n\n\n"
-                                                  "def test_red():\n    assert 1 == 2\n")
+    (folder / "tests" / "test_two.py").write_text(
+        "def test_well():\n    pass\n\n\ndef test_red():\n    assert 1 == 2\n"
+    )
     (folder / "pytest.ini").write_text("[pytest]\ntestpaths = tests\naddopts = -p no:cacheprovider -q\n")
     (folder / "KNOWN-RED.txt").write_text(listed)
     made = subprocess.run([sys.executable, "-m", "pytest", *more], cwd=folder, capture_output=True, text=True)
--- a/tests/test_machine.py
+++ b/tests/test_machine.py
@@ -8,14 +8,23 @@
 
 
 def build(**changes: object) -> Build:
-    return Build(**({"kind": "box", "cores": 10.0, "memory": 10.0, "trades": TRADES, "look": 10 * MS} |
-    changes))
+    return Build(
+        **({"kind": "box", "cores": 10.0, "memory": 10.0, "trades": TRADES, "look": 10 * MS} | changes)
+    )
 
 
-def offer(guest: str, product: str = "low", cores: float = 1.0, memory: float = 1.0, attempt: int = 0,
-          life: int = 60 * S, service: str = "s") -> m.Offer:
-    return m.Offer(guest=guest, product=product, service=service, cores=cores, memory=memory, attempt=attempt,
-                   life=life)
+def offer(
+    guest: str,
+    product: str = "low",
+    cores: float = 1.0,
+    memory: float = 1.0,
+    attempt: int = 0,
+    life: int = 60 * S,
+    service: str = "s",
+) -> m.Offer:
+    return m.Offer(
+        guest=guest, product=product, service=service, cores=cores, memory=memory, attempt=attempt, life=life
+    )
 
 
 def told(machine: Machine, now: int) -> list[m.Message]:
@@ -42,8 +51,9 @@
     for number, (cores, memory) in enumerate([(15, 1), (6, 1), (1, 9.5), (5, 1)]):
         machine.offered(number * S, "p", offer(f"g{number}", cores=cores, memory=memory))
         machine.advance(number * S + S // 2)
-    said = [(s.guest, getattr(s, "remark", "taken")) for _, s in machine.out if isinstance(s, m.Taken |
-    m.Refused)]
+    said = [
+        (s.guest, getattr(s, "remark", "taken")) for _, s in machine.out if isinstance(s, m.Taken | m.Refused)
+    ]
     assert said == [("g0", "taken"), ("g1", "no_cores"), ("g2", "no_memory"), ("g3", "taken")]
 
 
@@ -54,6 +64,7 @@
             now = machine.next_at()
             if "started" in kinds(machine, now):
                 return now
+
     warm, cold = Machine("a", build(), 1, 0), Machine("a", build(), 1, 0, warm=False)
     first = start(warm, "g", "s", 0)
     again = start(warm, "h", "s", 20 * S) - 20 * S
@@ -125,7 +136,12 @@
     machine.rolled(5 * S, "p")
     running = machine.out[-1][1]
     assert {(s.guest, s.state) for s in running.guests} == {
-        ("g0", "ended"), ("g1", "ended"), ("g2", "runs"), ("g3", "runs"), ("g4", "runs")} and running.complete
+        ("g0", "ended"),
+        ("g1", "ended"),
+        ("g2", "runs"),
+        ("g3", "runs"),
+        ("g4", "runs"),
+    } and running.complete
     machine.advance(20 * S)
     machine.rolled(20 * S, "p")
     assert not machine.out[-1][1].complete
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -49,6 +49,7 @@
 
 def test_the_bulletin_is_followed_where_the_list_comes_by_itself() -> None:
     """Seen on sockets: the settings say push, the module then asks for nothing, and no event was heard."""
+
     async def test(rig: Rig) -> None:
         await trio.sleep(0.3)
         assert rig.bulletin.asked[0][0] == 1
@@ -74,8 +75,11 @@
         await trio.sleep(4)
         (name,) = rig.offers(1)
         assert owner.of(1) == []
-        assert [(line["op"], line.get("why")) for line in rig.machines[name].heard
-                if line["call"] == f"{1:016x}" and line["op"] != "test"] == [("offer", None), ("end", 16)]
+        assert [
+            (line["op"], line.get("why"))
+            for line in rig.machines[name].heard
+            if line["call"] == f"{1:016x}" and line["op"] != "test"
+        ] == [("offer", None), ("end", 16)]
         assert not rig.planner.engine.cases
 
     play(test)
@@ -83,6 +87,7 @@
 
 def test_a_set_up_without_a_number_ends_its_connection_and_reaches_no_machine() -> None:
     """Seen on sockets: machines close on it, and whatever else was open there went with it."""
+
     async def test(rig: Rig) -> None:
         usual, bad = await rig.owner(), await rig.owner()
         await bad.say(set_up(0), set_up(7))
@@ -177,6 +182,7 @@
 def test_late_words_on_a_withdrawn_dispatch_are_not_heard_as_of_the_next() -> None:
     """What a machine says names the guest, not the dispatch: its refusal of the first, sent late, was taken
     for one of a second dispatch to it, which then stood beside a third."""
+
     async def test(rig: Rig) -> None:
         rig.planner.engine.brain.answers[0].append(100_000)  # answers were seen: a time-out comes in time
         slow, owner = rig.machines["a"], await rig.owner()
@@ -199,8 +205,13 @@
 
 
 def test_spoilt_answers_are_never_passed_on_as_placed() -> None:
-    spoilt = [b"\x00\x01noise\n", b'{"op":"accept","call":"%s"}\n', b'{"op":"accept","call":"%s","desc":7}\n',
-              b"{" + b"x" * 20_000, b'{"op":"accept","call":"%s","desc":"ha']
+    spoilt = [
+        b"\x00\x01noise\n",
+        b'{"op":"accept","call":"%s"}\n',
+        b'{"op":"accept","call":"%s","desc":7}\n',
+        b"{" + b"x" * 20_000,
+        b'{"op":"accept","call":"%s","desc":"ha',
+    ]
 
     async def test(rig: Rig) -> None:
         machine = rig.machines["a"]
@@ -216,8 +227,12 @@
                 await machine.streams[-1].aclose()
             await trio.sleep(9)  # the machine rests after a failure
             assert owner.of(guest) == [(END, 41)], guest
-        assert rig.planner.counts["machine_unreadable"] + rig.planner.counts["machine_too_long"] + (
-            rig.planner.counts["machine_no_description"]) == 4
+        assert (
+            rig.planner.counts["machine_unreadable"]
+            + rig.planner.counts["machine_too_long"]
+            + (rig.planner.counts["machine_no_description"])
+            == 4
+        )
 
     play(test, machines="a")
 
@@ -337,8 +352,11 @@
         await trio.sleep(0.2)
         await second.say(end(1))
         await trio.sleep(0.2)
-        words = [line["op"] for line in rig.machines["a"].heard if line["call"] == f"{1:016x}"
-                 and line["op"] != "test"]
+        words = [
+            line["op"]
+            for line in rig.machines["a"].heard
+            if line["call"] == f"{1:016x}" and line["op"] != "test"
+        ]
         assert words == ["offer", "end"] and not rig.planner.engine.cases
         await rig.machines["a"].end(f"{1:016x}", 31)
         await trio.sleep(0.2)
@@ -357,15 +375,23 @@
         await trio.sleep(0.2)
         assert not rig.planner.engine.cases
         assert {line["call"] for line in rig.machines["a"].heard if line["op"] == "end"} == {
-            f"{1:016x}", f"{2:016x}"}
+            f"{1:016x}",
+            f"{2:016x}",
+        }
 
     play(test, machines="a")
 
 
 def test_bad_owners_are_answered_or_closed_within_three_seconds_and_disturb_nobody() -> None:
     half = bytes.fromhex("00ff0101")
-    given = [b"", half, b"\xff\xff" + b"x" * 100_000, b"\x00\x00", b"GET / HTTP/1.1\r\n\r\n",
-             b"\x80\x00" * 40]
+    given = [
+        b"",
+        half,
+        b"\xff\xff" + b"x" * 100_000,
+        b"\x00\x00",
+        b"GET / HTTP/1.1\r\n\r\n",
+        b"\x80\x00" * 40,
+    ]
 
     async def test(rig: Rig) -> None:
         usual = await rig.owner()
@@ -376,9 +402,13 @@
             owner = await rig.owner()
             rig.nursery.start_soon(pour, owner, data)
             bad.append(owner)
-        refused = [set_up(50, "nobody's"), set_up(51, tenant="nobody"), set_up(52, left="-1"),
-                   set_up(53, figures="cores:x;memory:1;service:s"),
-                   set_up(54, figures="cores:1;memory:1;service:s;at:unheard-of")]
+        refused = [
+            set_up(50, "nobody's"),
+            set_up(51, tenant="nobody"),
+            set_up(52, left="-1"),
+            set_up(53, figures="cores:x;memory:1;service:s"),
+            set_up(54, figures="cores:1;memory:1;service:s;at:unheard-of"),
+        ]
         wrong = await rig.owner()
         await wrong.say(*refused)
         twice = await rig.owner()
@@ -413,6 +443,7 @@
 def test_a_busy_connection_whose_reads_always_end_in_half_a_message_stays_open() -> None:
     """Half a message was counted from the first of a row of them: after 2 s of steady traffic in which every
     read ended amid one, the connection was closed over all that was open on it."""
+
     async def test(rig: Rig) -> None:
         owner = await rig.owner()
         sent = b"".join(encode_binary(set_up(guest)) for guest in range(1, 41))
@@ -455,13 +486,22 @@
     async def test(rig: Rig) -> None:
         bulletin = rig.bulletin
         await trio.sleep(0.2)
-        bodies = [b'{"no":2,"items":[{"no":2,"ros', b"noise", b'{"no":9,"items":[{"no":9}]}', b"[]",
-                  b'{"no":2,"items":[{"no":"2"}]}',
-                  b'{"no":2,"items":[{"no":2,"roster":{"hosts":[{"host":"a","health":"asleep"}]}}]}']
+        bodies = [
+            b'{"no":2,"items":[{"no":2,"ros',
+            b"noise",
+            b'{"no":9,"items":[{"no":9}]}',
+            b"[]",
+            b'{"no":2,"items":[{"no":"2"}]}',
+            b'{"no":2,"items":[{"no":2,"roster":{"hosts":[{"host":"a","health":"asleep"}]}}]}',
+        ]
         answers = [b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body) for body in bodies]
-        answers += [b"HTTP/1.1 200 OK\r\nContent-Length: 500\r\n\r\n{", b"junk\r\n\r\n", b"",
-                    b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n",
-                    b"HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\n" + b" " * 2_000_000]
+        answers += [
+            b"HTTP/1.1 200 OK\r\nContent-Length: 500\r\n\r\n{",
+            b"junk\r\n\r\n",
+            b"",
+            b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n",
+            b"HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\n" + b" " * 2_000_000,
+        ]
         for answer in answers:
             bulletin.broken = answer
             rig.planner.follower.unread = (0, 0)
@@ -540,8 +580,9 @@
 
         async def answer(machine: Machine, stream: trio.abc.Stream, line: dict) -> None:
             if line["op"] == "test":
-                await machine.say(stream, {"op": "tested", "call": line["call"], "why": 1,
-                                           "with": {"load": "x0:20;x1:30"}})
+                await machine.say(
+                    stream, {"op": "tested", "call": line["call"], "why": 1, "with": {"load": "x0:20;x1:30"}}
+                )
                 return
             if line["op"] != "offer":
                 return
@@ -552,8 +593,15 @@
                 await machine.accept(stream, line["call"])
             elif what < 0.75:
                 proven.add((line["call"], machine.name))
-                await machine.say(stream, {"op": "end", "call": line["call"], "why": random.choice((34, 102)),
-                                           "with": {"note": random.choice(("busy", "mem_full", "cpu_full"))}})
+                await machine.say(
+                    stream,
+                    {
+                        "op": "end",
+                        "call": line["call"],
+                        "why": random.choice((34, 102)),
+                        "with": {"note": random.choice(("busy", "mem_full", "cpu_full"))},
+                    },
+                )
             elif what < 0.85:
                 await machine.say(stream, {"op": "end", "call": line["call"], "why": random.choice((47, 41))})
             elif what < 0.92:
@@ -609,6 +657,7 @@
 
 def test_an_end_that_comes_before_its_guest_is_handed_over_is_told_and_leaves_no_ghost() -> None:
     """Seen at restarts on sockets: machines send the ends of the time between 10 ms after the start."""
+
     async def test(rig: Rig) -> None:
         await trio.sleep(0.1)
         await rig.machines["a"].end(f"{1:016x}", 16)
@@ -623,6 +672,7 @@
 
 def test_a_stop_tells_the_ends_of_what_stands_until_it_is_over() -> None:
     """Seen on sockets: a planner that left as soon as all was answered left ends untold for 3 s."""
+
     async def test(rig: Rig) -> None:
         owner = await rig.owner()
         await owner.say(set_up(1))
@@ -639,6 +689,7 @@
 @pytest.mark.parametrize("product", ["plain", "once"])
 def test_an_open_set_up_ended_on_another_connection_is_begun_no_more_and_answered(product: str) -> None:
     """Before, such an end was passed over: who lost a connection could not give up what was open on it."""
+
     async def test(rig: Rig) -> None:
         rig.machines["a"].accepts = False
         usual, other = await rig.owner(), await rig.owner()
@@ -703,10 +754,13 @@
 
 def test_an_entry_that_cannot_be_read_costs_no_drain_told_beside_or_before_it() -> None:
     """One spoilt entry made its whole event, and all events before it, wait for three calls."""
+
     async def test(rig: Rig) -> None:
-        rig.bulletin.events += [event(2, host("a", "terminating")),
-                                event(3, host("b", "terminating"), host("c", "asleep"), whole=True),
-                                event(4, host("c", "terminating") | {"class": "no such box"})]
+        rig.bulletin.events += [
+            event(2, host("a", "terminating")),
+            event(3, host("b", "terminating"), host("c", "asleep"), whole=True),
+            event(4, host("c", "terminating") | {"class": "no such box"}),
+        ]
         await trio.sleep(0.03)  # one call, and the time that it takes to be heard
         modes = {name: f.mode.name for name, f in rig.planner.engine.roster.fellows.items()}
         assert modes["a"] == modes["b"] == "CORDONED"
@@ -719,8 +773,12 @@
 
 def test_zones_that_the_settings_do_not_name_are_told_apart() -> None:
     async def test(rig: Rig) -> None:
-        rig.bulletin.events += [event(2, *(host(name) | {"site": site} for name, site in
-                                           (("a", "z1"), ("b", "new"), ("c", "newer"))))]
+        rig.bulletin.events += [
+            event(
+                2,
+                *(host(name) | {"site": site} for name, site in (("a", "z1"), ("b", "new"), ("c", "newer"))),
+            )
+        ]
         await trio.sleep(0.1)
         machines = rig.planner.engine.brain.machines
         assert len({machines[name].listed.zone for name in "abc"}) == 3
@@ -772,12 +830,17 @@
         assert all(owner.of(guest) == PLACED for guest in range(1, 41))
 
     settings = json.loads(json.dumps(DEPLOYMENT)) | {"balancers": 1024, "slot-no": 1023}
-    play(test, machines="a", known={"no": 1, "items": [event(1, host("a"), *hosts, whole=True)]},
-         settings=settings)
+    play(
+        test,
+        machines="a",
+        known={"no": 1, "items": [event(1, host("a"), *hosts, whole=True)]},
+        settings=settings,
+    )
 
 
 def test_a_drain_is_heard_in_time_by_a_planner_that_is_behind_with_placing() -> None:
     """Each decision takes 10 ms here; 32 of them before the bulletin was read were past the grace."""
+
     async def test(rig: Rig) -> None:
         clock, brain = trio.lowlevel.current_clock(), rig.planner.engine.brain
         place = brain._place_next
@@ -846,6 +909,7 @@
     whole = [len(lines[0]), len(lines[0] + lines[1]), len(batch)]
 
     for cut in range(first, len(batch) + 1, 8):
+
         async def test(rig: Rig, cut: int = cut) -> None:
             machine, owner = rig.machines["a"], await rig.owner()
             machine.accepts = False
--- a/tests/test_platform_process.py
+++ b/tests/test_platform_process.py
@@ -98,17 +98,32 @@
 
         def write(where: str) -> None:
             known = {"no": 1, "items": [event(1, host("a", dial=at), whole=True)]}
-            path.write_text(json.dumps({
-                "name": "n0", "listen": address, "seed": "8c1f", "bulletin": where, "known": known,
-                "limits": {"cores": 1.0, "memory_mb": 64, "sockets": 64}, "settings": DEPLOYMENT}))
+            path.write_text(
+                json.dumps(
+                    {
+                        "name": "n0",
+                        "listen": address,
+                        "seed": "8c1f",
+                        "bulletin": where,
+                        "known": known,
+                        "limits": {"cores": 1.0, "memory_mb": 64, "sockets": 64},
+                        "settings": DEPLOYMENT,
+                    }
+                )
+            )
 
         asked: list[str] = []
         news, where = served(bulletin(asked))
         stack.enter_context(news)
         write(where)
         command = [sys.executable, "-X", "importtime", "-m", "hazelhold", "planner", "--platform"]
-        process = subprocess.Popen(command, env=os.environ | {"BALANCER_CONFIG": str(path)},
-                                   stderr=subprocess.PIPE, text=True, preexec_fn=bounded)
+        process = subprocess.Popen(
+            command,
+            env=os.environ | {"BALANCER_CONFIG": str(path)},
+            stderr=subprocess.PIPE,
+            text=True,
+            preexec_fn=bounded,
+        )
         stack.callback(process.wait)
         stack.callback(process.kill)
         where = "127.0.0.1", int(address.split(":")[1])
@@ -123,7 +138,8 @@
     process, address, path, write = planner
     talk = Talk(address)
     assert talk.ask(BinaryMessage(TEST, "00000000000000aa", {17: b"\0"})) == BinaryMessage(
-        TESTED, "00000000000000aa", {17: b"\1"})
+        TESTED, "00000000000000aa", {17: b"\1"}
+    )
     assert talk.ask(set_up(1)) == BinaryMessage(ANSWER, f"{1:016x}", {18: b"mine\r\n"})
 
     asked: list[str] = []
@@ -192,17 +208,30 @@
 
 
 @pytest.mark.parametrize("when", ["at once", "up"])
-def test_a_planner_that_is_told_to_stop_as_it_starts_ends_without_a_word_of_fault(tmp_path: Path,
-                                                                                 when: str) -> None:
+def test_a_planner_that_is_told_to_stop_as_it_starts_ends_without_a_word_of_fault(
+    tmp_path: Path, when: str
+) -> None:
     with socket.create_server(("127.0.0.1", 0)) as free:
         address = f"127.0.0.1:{free.getsockname()[1]}"
     path = tmp_path / "config.json"
-    path.write_text(json.dumps({
-        "name": "n0", "listen": address, "seed": "8c1f", "bulletin": address, "settings": DEPLOYMENT,
-        "known": {"no": 1, "items": [event(1, host("a", dial=address), whole=True)]}}))
+    path.write_text(
+        json.dumps(
+            {
+                "name": "n0",
+                "listen": address,
+                "seed": "8c1f",
+                "bulletin": address,
+                "settings": DEPLOYMENT,
+                "known": {"no": 1, "items": [event(1, host("a", dial=address), whole=True)]},
+            }
+        )
+    )
     process = subprocess.Popen(
         [sys.executable, "-m", "hazelhold", "planner", "--platform"],
-        env=os.environ | {"BALANCER_CONFIG": str(path)}, stderr=subprocess.PIPE, text=True)
+        env=os.environ | {"BALANCER_CONFIG": str(path)},
+        stderr=subprocess.PIPE,
+        text=True,
+    )
     log = ""
     try:
         while when == "up" and " up " not in log:
@@ -220,8 +249,13 @@
 def test_a_file_that_cannot_be_used_is_said_in_lines_and_ends_with_2(tmp_path: Path) -> None:
     path = tmp_path / "config.json"
     path.write_text('{"name": "n0", "listen": "nowhere", "seed": "8c"}')
-    done = subprocess.run([sys.executable, "-m", "hazelhold", "planner", "--platform"], capture_output=True,
-                          env=os.environ | {"BALANCER_CONFIG": str(path)}, text=True, timeout=60)
+    done = subprocess.run(
+        [sys.executable, "-m", "hazelhold", "planner", "--platform"],
+        capture_output=True,
+        env=os.environ | {"BALANCER_CONFIG": str(path)},
+        text=True,
+        timeout=60,
+    )
     assert done.returncode == 2 and "Traceback" not in done.stderr
     for place in ("bulletin: is missing", "known: is missing", "settings: is missing", "listen: 'nowhere'"):
         assert place in done.stderr
@@ -229,7 +263,15 @@
 
 def test_a_planner_on_sockets_loads_nothing_that_only_tests_need() -> None:
     """Memory past half of the limit is dear: streams in memory alone brought 8 MB."""
-    said = subprocess.run([sys.executable, "-c", "import hazelhold.platform.serve, sys; print([n for n in ("
-                           "'trio.testing', 'pytest', 'matplotlib', 'dpkt') if n in sys.modules])"],
-                          capture_output=True, text=True, check=True)
+    said = subprocess.run(
+        [
+            sys.executable,
+            "-c",
+            "import hazelhold.platform.serve, sys; print([n for n in ("
+            "'trio.testing', 'pytest', 'matplotlib', 'dpkt') if n in sys.modules])",
+        ],
+        capture_output=True,
+        text=True,
+        check=True,
+    )
     assert said.stdout.strip() == "[]"
--- a/tests/test_protocol.py
+++ b/tests/test_protocol.py
@@ -38,13 +38,20 @@
         reader.close()
 
 
-@pytest.mark.parametrize(("raw", "code"), [
-    ({"t": "offer", "guest": "g"}, "unknown_type"), ({"t": "what"}, "unknown_type"), ([1], "no_type"),
-    ({"guest": "g"}, "no_type"), ({"t": "submit", "guest": "g"}, "bad_message"),
-    ({**msgspec.to_builtins(SUBMIT), "cores": float("nan")}, "bad_message"),
-    ({**msgspec.to_builtins(SUBMIT), "cores": -1.0}, "bad_message"),
-    ({**msgspec.to_builtins(SUBMIT), "patience": -5}, "bad_message"),
-    ({**msgspec.to_builtins(SUBMIT), "guest": "g" * 500}, "bad_message")])
+@pytest.mark.parametrize(
+    ("raw", "code"),
+    [
+        ({"t": "offer", "guest": "g"}, "unknown_type"),
+        ({"t": "what"}, "unknown_type"),
+        ([1], "no_type"),
+        ({"guest": "g"}, "no_type"),
+        ({"t": "submit", "guest": "g"}, "bad_message"),
+        ({**msgspec.to_builtins(SUBMIT), "cores": float("nan")}, "bad_message"),
+        ({**msgspec.to_builtins(SUBMIT), "cores": -1.0}, "bad_message"),
+        ({**msgspec.to_builtins(SUBMIT), "patience": -5}, "bad_message"),
+        ({**msgspec.to_builtins(SUBMIT), "guest": "g" * 500}, "bad_message"),
+    ],
+)
 def test_what_is_wrong_with_a_message_is_named(raw: object, code: str) -> None:
     with pytest.raises(FrameError) as wrong:
         CODEC.decode(msgspec.msgpack.encode(raw))
--- a/tests/test_rejoin.py
+++ b/tests/test_rejoin.py
@@ -30,8 +30,9 @@
         """A new process, with the disk as it was so many states ago."""
         cells, known, inc = self.disk[max(0, len(self.disk) - 1 - back)]
         self.lives += 1
-        self.acceptor = self.kinds.get("acceptor", Acceptor)(1, set(), dict(cells), name=self.name,
-                                                             sets=self.sets)
+        self.acceptor = self.kinds.get("acceptor", Acceptor)(
+            1, set(), dict(cells), name=self.name, sets=self.sets
+        )
         self.acceptor.known, self.acceptor.inc = dict(known), inc
         self.joiner = self.kinds.get("joiner", Joiner)(self.name, self.sets, self.acceptor, self.lives)
         self.source = self.kinds.get("source", Source)(self.name, self.sets, self.acceptor)
@@ -81,8 +82,11 @@
     def ask(self, at: int) -> None:
         kind = self.random.choice(["once", "swap", "read"])
         values = [b"x", b"y", b"z"]
-        given_ = {"once": (self.random.choice(values),), "read": (),
-                  "swap": (self.random.choice(values), self.random.choice(values))}[kind]
+        given_ = {
+            "once": (self.random.choice(values),),
+            "read": (),
+            "swap": (self.random.choice(values), self.random.choice(values)),
+        }[kind]
         change = {"once": Once, "swap": Swap, "read": Read}[kind](*given_)
         no = self.proposers[at].ask(self.now, "k", change, self.names, self.now + 400 * MS)
         self.asked[at, no] = kind, given_, self.now
@@ -240,10 +244,13 @@
         return super().copy(found._replace(promised=w.NONE))
 
 
-@pytest.mark.parametrize("broken", [
-    pytest.param({"joiner": VotesAtOnce}, id="votes-at-once"),
-    pytest.param({"joiner": OneIsEnough}, id="one-is-enough"),
-])
+@pytest.mark.parametrize(
+    "broken",
+    [
+        pytest.param({"joiner": VotesAtOnce}, id="votes-at-once"),
+        pytest.param({"joiner": OneIsEnough}, id="one-is-enough"),
+    ],
+)
 def test_each_part_of_the_argument_taken_away_is_found_out(broken: dict) -> None:
     assert not all(linearizable(Town(seed, **broken).play(1, 14)) for seed in range(600)), broken
 
@@ -303,8 +310,14 @@
 BROKEN = pytest.mark.xfail(strict=True, raises=AssertionError)
 
 
-@pytest.mark.parametrize("broken", [{}, pytest.param({"proposer": MixesLives}, marks=BROKEN),
-                                    pytest.param({"source": TellsNobody}, marks=BROKEN)])
+@pytest.mark.parametrize(
+    "broken",
+    [
+        {},
+        pytest.param({"proposer": MixesLives}, marks=BROKEN),
+        pytest.param({"source": TellsNobody}, marks=BROKEN),
+    ],
+)
 def test_an_answer_from_before_a_disk_was_lost_is_not_counted_with_one_from_after(broken: dict) -> None:
     town, p, q = ready(**broken)
     p.ask(0, "k", Once(b"v"), town.names, 10**9)
--- a/tests/test_replica.py
+++ b/tests/test_replica.py
@@ -62,13 +62,26 @@
     def key(self) -> tuple:
         """The same for states that differ in the names of the acceptors alone."""
         ops = [p.ops.get("k") for p in self.proposers]
-        by_acceptor = sorted(repr((
-            a.voting, a.cells.get("k"), sorted((f[0], repr(f[2])) for f in self.flying if f[1] == name),
-            [(name in op.promises and op.promises[name], name in op.accepts, name in op.refusals)
-             for op in ops if op], sorted(repr(v[1:]) for v in self.votes if v[0] == name)))
-            for name, a in self.acceptors.items())
-        own = [(op.phase, op.ballot, op.tries, op.value) if op else p.highest
-               for op, p in zip(ops, self.proposers, strict=True)]
+        by_acceptor = sorted(
+            repr(
+                (
+                    a.voting,
+                    a.cells.get("k"),
+                    sorted((f[0], repr(f[2])) for f in self.flying if f[1] == name),
+                    [
+                        (name in op.promises and op.promises[name], name in op.accepts, name in op.refusals)
+                        for op in ops
+                        if op
+                    ],
+                    sorted(repr(v[1:]) for v in self.votes if v[0] == name),
+                )
+            )
+            for name, a in self.acceptors.items()
+        )
+        own = [
+            (op.phase, op.ballot, op.tries, op.value) if op else p.highest
+            for op, p in zip(ops, self.proposers, strict=True)
+        ]
         return tuple(by_acceptor), repr(own), self.done, self.restarts
 
     def moves(self) -> list[Callable[["Space"], None]]:
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -41,11 +41,15 @@
             assert now <= min(d[1] for d in ran) + PRODUCTS[product].window
             assert PRODUCTS[product].group is Place.ALL or CELLS[machine] == CELLS[ran[0][0]]
         if PRODUCTS[product].spread is Place.MACHINE:
-            there = sum(d[0] == machine and d[2] is None for h in self.history.values()
-                        for d in h[4] if h[0] == product)
+            there = sum(
+                d[0] == machine and d[2] is None
+                for h in self.history.values()
+                for d in h[4]
+                if h[0] == product
+            )
             assert there < PRODUCTS[product].spread_most
         self.offers.append((now, machine))
-        if now - self.started.get(machine, -10**12) < DEPLOYMENT.cold_for:
+        if now - self.started.get(machine, -(10**12)) < DEPLOYMENT.cold_for:
             recent = sum(m == machine and at > now - DEPLOYMENT.cold_window for at, m in self.offers)
             assert recent <= -(-DEPLOYMENT.cold_offers // self.planners)  # their sum: see test_decisions
         sent.append([machine, now, None])
@@ -55,8 +59,14 @@
         assert not answered and not placed and now <= ends + 8 * MS
         if step is Step.TURN_BACK:
             effect, ran = PRODUCTS[product].effect, self.may_have_run(guest) or self.out(guest)
-            assert not (ran and (effect is Effect.EXCLUSIVE
-                                 or effect is Effect.TICKETED and PRODUCTS[product].group is not Place.ALL))
+            assert not (
+                ran
+                and (
+                    effect is Effect.EXCLUSIVE
+                    or effect is Effect.TICKETED
+                    and PRODUCTS[product].group is not Place.ALL
+                )
+            )
         self.history[guest][2] = True
 
     def nobody_lost(self, now: int) -> None:
@@ -64,10 +74,18 @@
             assert answered or placed or now < ends + 8 * MS
 
 
-events = st.lists(st.tuples(
-    st.sampled_from(["arrive"] * 3 + ["found", "end", "end", "taken", "list", "report", "leave", "cancel",
-    "late"]),
-    st.integers(0, 40), st.integers(0, 9), st.integers(1, 400)), min_size=5, max_size=120)
+events = st.lists(
+    st.tuples(
+        st.sampled_from(
+            ["arrive"] * 3 + ["found", "end", "end", "taken", "list", "report", "leave", "cancel", "late"]
+        ),
+        st.integers(0, 40),
+        st.integers(0, 9),
+        st.integers(1, 400),
+    ),
+    min_size=5,
+    max_size=120,
+)
 
 
 @settings(derandomize=True, max_examples=150, deadline=None)
@@ -105,7 +123,7 @@
             named = machine if kind < 6 else "abcdef"[: kind - 3]  # one machine, or most or all of them
             for machine in named:
                 model.modes[machine] = mode
-                model.started[machine] = max(started, model.started.get(machine, -10**12))
+                model.started[machine] = max(started, model.started.get(machine, -(10**12)))
             brain.machines_listed(now, [entry(m, mode, started, CELLS[m], 24.0) for m in named], False)
         elif what == "report":
             brain.machine_reported(now, machine, Load(pick / 2, float(pick), None))
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -36,8 +36,9 @@
         return found
 
 
-def with_planner(test: Callable[[Planner, Net], Awaitable[None]], net: Net | None = None,
-                 **limits: object) -> Planner:
+def with_planner(
+    test: Callable[[Planner, Net], Awaitable[None]], net: Net | None = None, **limits: object
+) -> Planner:
     """Runs the test beside a planner, in virtual time unless the net is real."""
     kept = []
 
@@ -46,8 +47,9 @@
         door = "127.0.0.1:0" if isinstance(used, TcpNet) else "door"
         made = msgspec.structs.replace(sheet(**limits), listen=door)
         if isinstance(used, TcpNet):  # nobody lists machines there
-            made = msgspec.structs.replace(made, list=msgspec.structs.replace(made.list,
-            address="127.0.0.1:1"))
+            made = msgspec.structs.replace(
+                made, list=msgspec.structs.replace(made.list, address="127.0.0.1:1")
+            )
         planner = Planner(made, 1, used)
         kept.append(planner)
         with trio.fail_after(60):
@@ -67,13 +69,20 @@
     return peer
 
 
-@pytest.mark.parametrize(("data", "code"), [
-    ((2 << 30).to_bytes(4), "frame_too_long"), (HELLO + b"\0\0\0\0", "frame_empty"),
-    (frame(b"\xc1"), "not_msgpack"), (m.encode(m.Query(guest="g")), "wrong_first"),
-    (HELLO + HELLO, "second_hello"), (HELLO + frame(msgspec.msgpack.encode({"t": "offer"})), "unknown_type"),
-    (m.encode(m.Hello(role="planner", name="x")), "wrong_role"),
-    (m.encode(m.Hello(role="owner", name="x", version=99)), "version"),
-    (HELLO + frame(msgspec.msgpack.encode({"t": "cancel"})), "bad_message")])
+@pytest.mark.parametrize(
+    ("data", "code"),
+    [
+        ((2 << 30).to_bytes(4), "frame_too_long"),
+        (HELLO + b"\0\0\0\0", "frame_empty"),
+        (frame(b"\xc1"), "not_msgpack"),
+        (m.encode(m.Query(guest="g")), "wrong_first"),
+        (HELLO + HELLO, "second_hello"),
+        (HELLO + frame(msgspec.msgpack.encode({"t": "offer"})), "unknown_type"),
+        (m.encode(m.Hello(role="planner", name="x")), "wrong_role"),
+        (m.encode(m.Hello(role="owner", name="x", version=99)), "version"),
+        (HELLO + frame(msgspec.msgpack.encode({"t": "cancel"})), "bad_message"),
+    ],
+)
 def test_a_peer_that_breaks_the_protocol_is_told_why_and_ends_alone(data: bytes, code: str) -> None:
     async def test(planner: Planner, net: Net) -> None:
         innocent = await owner(planner, net, "innocent")
@@ -96,8 +105,9 @@
     async def run() -> None:
         net = MemoryNet()
         made = sheet()
-        made = msgspec.structs.replace(made, capture=msgspec.structs.replace(
-            made.capture, file=str(tmp_path / "c.pcap")))
+        made = msgspec.structs.replace(
+            made, capture=msgspec.structs.replace(made.capture, file=str(tmp_path / "c.pcap"))
+        )
         planner = Planner(made, 1, net)
         async with trio.open_nursery() as nursery:
             await nursery.start(planner.run)
@@ -147,9 +157,11 @@
 def test_an_owner_that_comes_back_hears_what_became_of_its_guest() -> None:
     async def test(planner: Planner, net: Net) -> None:
         peer = await owner(planner, net)
-        await peer.stream.send_all(m.encode(m.Submit(guest="g", product="once", service="s", cores=1.0,
-        memory=1.0,
-                                                     patience=1_000_000)))
+        await peer.stream.send_all(
+            m.encode(
+                m.Submit(guest="g", product="once", service="s", cores=1.0, memory=1.0, patience=1_000_000)
+            )
+        )
         assert isinstance((await peer.hear())[0], m.Held)
         await peer.stream.aclose()
         await trio.sleep(2)
@@ -199,9 +211,11 @@
 def test_a_stop_tells_owners_and_ends_in_time() -> None:
     async def test(planner: Planner, net: Net) -> None:
         peer = await owner(planner, net)
-        await peer.stream.send_all(m.encode(m.Submit(guest="g", product="once", service="s", cores=1.0,
-        memory=1.0,
-                                                     patience=500_000_000)))
+        await peer.stream.send_all(
+            m.encode(
+                m.Submit(guest="g", product="once", service="s", cores=1.0, memory=1.0, patience=500_000_000)
+            )
+        )
         assert isinstance((await peer.hear())[0], m.Held)
         start = trio.current_time()
         planner.stop()
@@ -222,6 +236,7 @@
     async def open(self, nursery: trio.Nursery) -> None:
         await self.net.listen("list", self._list, nursery)
         for name in self.names:
+
             async def serve(stream: trio.abc.Stream, name: str = name) -> None:
                 peer = Peer(stream)
                 peer.codec = m.Codec(m.TO_MACHINE)
@@ -236,8 +251,18 @@
         peer = Peer(stream)
         peer.codec = m.Codec(m.TO_LIST)
         await peer.hear()
-        entries = [m.Entry(machine=n, address="at-" + n, mode="ready", kind="box", cores_room=24.0,
-                           memory_room=40.0, incarnation=1) for n in self.names]
+        entries = [
+            m.Entry(
+                machine=n,
+                address="at-" + n,
+                mode="ready",
+                kind="box",
+                cores_room=24.0,
+                memory_room=40.0,
+                incarnation=1,
+            )
+            for n in self.names
+        ]
         await stream.send_all(m.encode(m.Welcome(name="list")))
         await stream.send_all(m.encode(m.Listing(version=1, whole=True, entries=entries)))
         await trio.sleep_forever()
@@ -253,8 +278,13 @@
             first = machines.peers["a"][0]
             assert isinstance((await first.hear())[0], m.Roll)
             await first.stream.send_all(m.encode(m.Running(guests=[])))
-            await peer.stream.send_all(m.encode(m.Submit(
-                guest="g", product="once", service="s", cores=1.0, memory=1.0, patience=5_000_000)))
+            await peer.stream.send_all(
+                m.encode(
+                    m.Submit(
+                        guest="g", product="once", service="s", cores=1.0, memory=1.0, patience=5_000_000
+                    )
+                )
+            )
             offer = (await first.hear())[0]
             assert isinstance(offer, m.Offer)
             broke = trio.current_time()
@@ -281,9 +311,9 @@
             await machines.peers["b"][0].stream.send_all((1 << 31).to_bytes(4))
             await trio.sleep(0.1)
             assert planner.counts["machine_unknown_type"] == planner.counts["machine_frame_too_long"] == 1
-            assert isinstance((await (await owner(planner,
-            net)).stream.send_all(m.encode(m.Query(guest="g")))),
-                              type(None))
+            assert isinstance(
+                (await (await owner(planner, net)).stream.send_all(m.encode(m.Query(guest="g")))), type(None)
+            )
             nursery.cancel_scope.cancel()
 
     with_planner(test)
@@ -294,13 +324,27 @@
     import subprocess
     import sys
 
-    config = msgspec.structs.replace(sheet(), listen="127.0.0.1:0",
-                                     list=msgspec.structs.replace(sheet().list, address="127.0.0.1:1"))
+    config = msgspec.structs.replace(
+        sheet(), listen="127.0.0.1:0", list=msgspec.structs.replace(sheet().list, address="127.0.0.1:1")
+    )
     (tmp_path / "p.json5").write_bytes(msgspec.json.encode(config))
     process = subprocess.Popen(
-        [sys.executable, "-m", "hazelhold", "planner", "--config", str(tmp_path / "p.json5"), "--ready",
-        "--log",
-         "json", "--record", str(tmp_path / "r.jsonl")], stdout=subprocess.PIPE, stderr=subprocess.PIPE)
+        [
+            sys.executable,
+            "-m",
+            "hazelhold",
+            "planner",
+            "--config",
+            str(tmp_path / "p.json5"),
+            "--ready",
+            "--log",
+            "json",
+            "--record",
+            str(tmp_path / "r.jsonl"),
+        ],
+        stdout=subprocess.PIPE,
+        stderr=subprocess.PIPE,
+    )
     host, port = process.stdout.readline().decode().strip().split(":")
 
     async def talk() -> m.Message:
--- a/tests/test_simhost.py
+++ b/tests/test_simhost.py
@@ -28,22 +28,38 @@
 
 
 def start(name: str) -> list[str]:
-    return [f"ENLIST {name} 5 {FACTS}", "REGISTER 0 1", "ROW healthy 0 machine-a 0 0 41 1 26 0",
-            f"DISCOVERY {name} stale_copy 0 1"]
+    return [
+        f"ENLIST {name} 5 {FACTS}",
+        "REGISTER 0 1",
+        "ROW healthy 0 machine-a 0 0 41 1 26 0",
+        f"DISCOVERY {name} stale_copy 0 1",
+    ]
 
 
 def test_a_guest_is_offered_and_instances_act_only_on_their_events() -> None:
-    code, said = talk("TICK 1000", *start("planner_0"), *start("planner_1"), "COMMIT", "TICK 1002.5",
-                      "SUBMIT planner_1 00ab 0 - task-x 240.0 - c:s 2 1.5 0", "COMMIT")
+    code, said = talk(
+        "TICK 1000",
+        *start("planner_0"),
+        *start("planner_1"),
+        "COMMIT",
+        "TICK 1002.5",
+        "SUBMIT planner_1 00ab 0 - task-x 240.0 - c:s 2 1.5 0",
+        "COMMIT",
+    )
     replies = said.split("EOR\n")
     assert code == 0 and "BIND planner_1 00ab machine-a" in replies[1] and "planner_0" not in replies[1]
 
 
-@pytest.mark.parametrize(("line", "word"), [
-    ("WHAT planner_0", "WHAT"), ("OUTCOME planner_0 00ab 0 machine-a odd 1 1 - -", "odd"),
-    ("DISCOVERY planner_0 patch 7 2", "7"), ("SUBMIT planner_0 00ab", "line 7"),
-    ("ROW healthy 0 machine-a 0 0 41 1 26 0", "row"),
-])
+@pytest.mark.parametrize(
+    ("line", "word"),
+    [
+        ("WHAT planner_0", "WHAT"),
+        ("OUTCOME planner_0 00ab 0 machine-a odd 1 1 - -", "odd"),
+        ("DISCOVERY planner_0 patch 7 2", "7"),
+        ("SUBMIT planner_0 00ab", "line 7"),
+        ("ROW healthy 0 machine-a 0 0 41 1 26 0", "row"),
+    ],
+)
 def test_a_malformed_line_is_named(line: str, word: str, capsys: pytest.CaptureFixture) -> None:
     code, _ = talk("TICK 1", *start("planner_0"), "COMMIT", line)
     errors = capsys.readouterr().err
@@ -58,5 +74,8 @@
 
 def test_times_come_back_as_they_went() -> None:
     assert [millis(micros(text)) for text in ("0.001", "137276476.768", "80.0")] == [
-        "0.001", "137276476.768", "80.000"]
+        "0.001",
+        "137276476.768",
+        "80.000",
+    ]
     assert micros("-") == 0 and simhost.read_load("x0:0.4,odd:1").cores_free == 0.4
--- a/tests/test_state.py
+++ b/tests/test_state.py
@@ -74,7 +74,7 @@
         elif way == "cut":
             del data[at:]
         else:
-            data[at:at + 16] = bytes(len(data[at:at + 16]))
+            data[at : at + 16] = bytes(len(data[at : at + 16]))
         if bytes(data) == whole:
             continue
         on.safe["log-1"] = bytes(data)
@@ -115,8 +115,10 @@
 def test_an_older_format_is_brought_up_to_this_one(monkeypatch: pytest.MonkeyPatch) -> None:
     on = disk()
     old = frames.batch([Change("finish", "g1", None), end(1)])
-    on.safe = {"snapshot-3": frames.header(frames.Header(0, "p0", 3, "snapshot")) + old,
-               "log-3": frames.header(frames.Header(0, "p0", 3, "log"))}
+    on.safe = {
+        "snapshot-3": frames.header(frames.Header(0, "p0", 3, "snapshot")) + old,
+        "log-3": frames.header(frames.Header(0, "p0", 3, "log")),
+    }
     with pytest.raises(store.StateError, match="format 0"):
         store.read(on, "p0")
     monkeypatch.setitem(store.UPGRADES, 0, lambda batch: [c for c in batch if c.kind != "finish"])
@@ -131,8 +133,12 @@
     on = disk()
     made = kept(on, 0)
     for second in range(200):
-        made.commit([put("end", f"g{second}-{n}", EndImage("x" * 100, "done"), until=(second + 30) * S)
-                     for n in range(300)])
+        made.commit(
+            [
+                put("end", f"g{second}-{n}", EndImage("x" * 100, "done"), until=(second + 30) * S)
+                for n in range(300)
+            ]
+        )
         if made.due():
             made.begin(second * S)
     assert made.generations == 2 and sum(map(len, on.safe.values())) < 3 * store.LEAST
@@ -145,13 +151,39 @@
 def test_every_field_of_the_module_has_its_place_in_a_snapshot() -> None:
     made = brain("ab")
     made.guest_arrived(0, ask("g"))
-    own = {"deployment", "spread", "seated", "no_room", "machines", "guests", "waiting", "services", "starts",
-           "answers", "random", "to_probe", "to_call_off", "out", "due"}
+    own = {
+        "deployment",
+        "spread",
+        "seated",
+        "no_room",
+        "machines",
+        "guests",
+        "waiting",
+        "services",
+        "starts",
+        "answers",
+        "random",
+        "to_probe",
+        "to_call_off",
+        "out",
+        "due",
+    }
     assert vars(made).keys() - own == {*snapshot.BRAIN_TIMES, *snapshot.BRAIN_PLAIN}
     own = {"ask", "product", "service", "machine", "spread_key", "bound"}
     assert vars(made.guests["g"]).keys() - own == {*snapshot.GUEST_TIMES, *snapshot.GUEST_PLAIN}
-    own = {"listed", "size", "guests", "kept", "full", "answers", "offers", "mark",
-           "bears", "starting", "services"}
+    own = {
+        "listed",
+        "size",
+        "guests",
+        "kept",
+        "full",
+        "answers",
+        "offers",
+        "mark",
+        "bears",
+        "starting",
+        "services",
+    }
     assert vars(made.machines["a"]).keys() - own == {*snapshot.MACHINE_TIMES, *snapshot.MACHINE_PLAIN}
     assert vars(Service()).keys() == {"samples", "guests", "seen", "order", "order_of"}
     assert Guest and Machine
@@ -176,8 +208,9 @@
             ending = random.choice([Ending.TURNED_BACK, Ending.OVERDUE, Ending.CUT_OFF, Ending.DONE])
             made.dispatch_ended(now, name, ending, guest.placed, random.choice(list(Remark)))
     elif what == 7:
-        made.machine_reported(now, random.choice("abcd"), Load(random.uniform(0, 24), random.uniform(0, 40),
-                                                               None))
+        made.machine_reported(
+            now, random.choice("abcd"), Load(random.uniform(0, 24), random.uniform(0, 40), None)
+        )
     elif what == 8 and names:
         made.guest_cancelled(now, random.choice(names))
     while (decision := made.decide(now)) is not None:
@@ -290,8 +323,9 @@
 
 
 @pytest.mark.parametrize(("product", "sent"), [("once", 0), ("plain", 1)])
-def test_if_something_may_be_missing_no_held_guest_is_sent_that_must_not_run_twice(product: str,
-                                                                                   sent: int) -> None:
+def test_if_something_may_be_missing_no_held_guest_is_sent_that_must_not_run_twice(
+    product: str, sent: int
+) -> None:
     life, desk = started()
     desk.lists(0, [desk.entry(n, "cordoned") for n in "ab"])
     desk.submits(S, "g", product)
@@ -319,8 +353,9 @@
     life.dies(desk, S)
     image = life.ledger.image("guest", "g/0")
     assert image.asks == (0,)  # as it was when the dispatch was given up, before its answer
-    life.ledger.apply([drop("guest", "g/0"),
-                       put("loose", f"g\0{machine}", LooseImage(image, machine, 0, S, False))])
+    life.ledger.apply(
+        [drop("guest", "g/0"), put("loose", f"g\0{machine}", LooseImage(image, machine, 0, S, False))]
+    )
     again = Desk("")
     again.stands = {machine: [stand(offer, "runs")]}
     again.engine.keep(2 * S, 0, life.ledger, True)
@@ -371,8 +406,11 @@
                 nursery.start_soon(listen)
 
                 async def ask(guest: str, product: str) -> str:
-                    wire.send(m.Submit(guest=guest, product=product, service="s", cores=1.0, memory=1.0,
-                                       patience=2 * S))
+                    wire.send(
+                        m.Submit(
+                            guest=guest, product=product, service="s", cores=1.0, memory=1.0, patience=2 * S
+                        )
+                    )
                     await trio.sleep(0.1)
                     return said[-1].__struct_config__.tag + ":" + getattr(said[-1], "code", "")
 
@@ -443,8 +481,9 @@
 
 
 @pytest.mark.parametrize("strike", STRIKES, ids=str)
-def test_a_planner_that_dies_anywhere_owes_nothing_and_starts_nothing_twice(strike: set[int],
-                                                                            tmp_path: Path) -> None:
+def test_a_planner_that_dies_anywhere_owes_nothing_and_starts_nothing_twice(
+    strike: set[int], tmp_path: Path
+) -> None:
     said = play_crashes(DAY, 1, tmp_path, strike)
     assert said["struck"] and not said["rules_broken"] and not said["unaccounted"]
     assert not said["counts"].get("died_with_planner") and said["counts"]["placed"] > 20
@@ -454,8 +493,18 @@
     from hazelhold.rehearse.run import play
 
     (tmp_path / "kept").mkdir()
-    trio.run(play, DAY, 1, tmp_path / "day", True, MemoryNet(), tmp_path / "kept", Points({150}, 1), (),
-             clock=MockClock(autojump_threshold=0))
+    trio.run(
+        play,
+        DAY,
+        1,
+        tmp_path / "day",
+        True,
+        MemoryNet(),
+        tmp_path / "kept",
+        Points({150}, 1),
+        (),
+        clock=MockClock(autojump_threshold=0),
+    )
     second = CliRunner().invoke(main, ["capture", "replay", str(tmp_path / "kept" / "planner-0-2.pcap")])
     assert second.exit_code == 0 and "0 differ, 0 without a fellow" in second.output
 
@@ -513,8 +562,13 @@
                 engine = planner.engine
 
                 async def take(guest: str) -> None:
-                    engine.owner_said(net.now(), "o", m.Submit(guest=guest, product="plain", service="s",
-                                                               cores=1.0, memory=1.0, patience=60 * S))
+                    engine.owner_said(
+                        net.now(),
+                        "o",
+                        m.Submit(
+                            guest=guest, product="plain", service="s", cores=1.0, memory=1.0, patience=60 * S
+                        ),
+                    )
                     planner._carry_out()
                     await planner.keeper.drained()
 
--- a/tests/test_town.py
+++ b/tests/test_town.py
@@ -72,16 +72,23 @@
             sent += 1
             throttle.told(now, now % (200 * MS) == 0)  # a twentieth is taken
     assert sent < 500  # of 2,000
-    opened = [throttle.allows(now) and (throttle.told(now, True) or True)
-              for now in range(20 * SECOND, 40 * SECOND, 10 * MS)]
+    opened = [
+        throttle.allows(now) and (throttle.told(now, True) or True)
+        for now in range(20 * SECOND, 40 * SECOND, 10 * MS)
+    ]
     assert sum(opened[-500:]) == 500
 
 
 def test_a_pump_stops_after_so_many_decisions_and_asks_to_be_called_again() -> None:
     desk = Desk("", decisions_at_once=3)
     for number in range(10):
-        desk.engine.owner_said(0, "o", m.Submit(guest=f"g{number}", product="plain", service="s", cores=1.0,
-                                                memory=1.0, patience=100 * MS))
+        desk.engine.owner_said(
+            0,
+            "o",
+            m.Submit(
+                guest=f"g{number}", product="plain", service="s", cores=1.0, memory=1.0, patience=100 * MS
+            ),
+        )
     late = 99 * MS
     answered = []
     while True:
@@ -97,9 +104,13 @@
 # Whole clients beside scripted planners.
 
 
-def beside(scripts: dict[str, Callable[[Wire, m.Message], None]],
-           test: Callable[[object, MemoryNet], Awaitable[None]], manners: Manners | None = None) -> None:
+def beside(
+    scripts: dict[str, Callable[[Wire, m.Message], None]],
+    test: Callable[[object, MemoryNet], Awaitable[None]],
+    manners: Manners | None = None,
+) -> None:
     """A client whose planners are scripts: each is called with what the client says."""
+
     async def run() -> None:
         net = MemoryNet()
 
@@ -117,6 +128,7 @@
         with trio.fail_after(600):
             async with trio.open_nursery() as nursery:
                 for name in scripts:
+
                     async def door(stream: trio.abc.Stream, name: str = name) -> None:
                         await serve(stream, name)
 
@@ -184,6 +196,7 @@
                 wire.cut()  # and the answer with it
             else:
                 placing(wire, said)
+
         return say
 
     async def test(client: object, net: MemoryNet) -> None:
@@ -273,5 +286,3 @@
     with pytest.raises(ConfigError, match="is not host:port(.|\n)*has the address of"):
         path.write_text('{planners: {b: "b", c: "b"}}')
         Watch(path)
-
-
