--- a/hazelhold/cli/copies.py
+++ b/hazelhold/cli/copies.py
@@ -91,7 +91,8 @@
             image.value.decode(errors="replace")
             if claim is None
             else (
-                f"{claim.state} by {claim.planner} (life {claim.life}, ask {claim.ask}, attempt {claim.attempt}) "
+                f"{claim.state} by {claim.planner} "
+                f"(life {claim.life}, ask {claim.ask}, attempt {claim.attempt}) "
                 f"{claim.machine} {claim.how}"
             ).rstrip()
         )
