--- /dev/null
+++ b/hazelhold/fleetconfig/document.py
@@ -0,0 +1,125 @@
+"""The configuration document: named items with JSON values, and a checksum that is kept up to date by item.
+
+A name is a path of words ("teams/payroll"). A value is canonical JSON (keys sorted, no spaces), kept as
+bytes, so that what a newer program wrote is passed on to the byte. No I/O.
+"""
+
+import re
+from collections.abc import Iterable, Iterator
+from hashlib import blake2b
+from typing import NamedTuple
+
+import msgspec
+from msgspec import Struct
+
+CHECKSUM_BYTES = 16
+MAX_NAME = 200  # characters
+MAX_VALUE = 64 << 10  # bytes of one item's JSON
+NAME = re.compile(r"[A-Za-z0-9_.-]+(/[A-Za-z0-9_.-]+)*")
+_MODULUS = 1 << (8 * CHECKSUM_BYTES)
+
+
+class Fault(Struct, frozen=True):
+    """One thing that is wrong: the item (empty: the change as a whole) and the reason, for people."""
+
+    item: str
+    text: str
+
+
+class Put(Struct, frozen=True, array_like=True):
+    """Sets an item to a value (canonical JSON)."""
+
+    name: str
+    value: bytes
+
+
+class Edit(NamedTuple):
+    """What one step does to a document: items that are set, and names that are removed."""
+
+    puts: tuple[Put, ...]
+    removals: tuple[str, ...] = ()
+
+
+def canonical(value: object) -> bytes:
+    """The one encoding of a JSON value. msgspec.EncodeError or TypeError if it is none."""
+    return msgspec.json.encode(value, order="deterministic")
+
+
+def item_faults(put: Put) -> list[Fault]:
+    """What is wrong with an item by itself: its name, its size, its JSON."""
+    faults = []
+    if len(put.name) > MAX_NAME or not NAME.fullmatch(put.name):
+        faults.append(
+            Fault(put.name[:MAX_NAME], "is no name: words of letters, digits, _ . - between slashes")
+        )
+    if len(put.value) > MAX_VALUE:
+        faults.append(Fault(put.name[:MAX_NAME], f"has {len(put.value)} bytes; {MAX_VALUE} are allowed"))
+    else:
+        try:
+            if canonical(msgspec.json.decode(put.value)) != put.value:
+                faults.append(Fault(put.name[:MAX_NAME], "is not canonical JSON"))
+        except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as wrong:
+            faults.append(Fault(put.name[:MAX_NAME], f"is not JSON: {wrong}"))
+    return faults
+
+
+def _item_digest(name: str, value: bytes) -> int:
+    encoded = name.encode()
+    hashed = blake2b(len(encoded).to_bytes(4) + encoded + value, digest_size=CHECKSUM_BYTES)
+    return int.from_bytes(hashed.digest())
+
+
+class Document:
+    """The items after one revision. Changed in place by `apply` alone, whole or not at all."""
+
+    def __init__(self, items: Iterable[Put] = ()) -> None:
+        self.items: dict[str, bytes] = {}
+        self._sum = 0
+        for put in items:
+            self._sum = (self._sum + self._difference(put.name, put.value)) % _MODULUS
+            self.items[put.name] = put.value
+
+    @property
+    def checksum(self) -> bytes:
+        """The same for the same items, in whatever order they came; detects damage, proves no origin."""
+        return self._sum.to_bytes(CHECKSUM_BYTES)
+
+    def checksum_after(self, edits: Iterable[Edit]) -> bytes:
+        """The checksum that `apply` would leave. Changes nothing; work grows with the edits alone."""
+        changed: dict[str, bytes | None] = {}
+        for edit in edits:
+            changed.update((put.name, put.value) for put in edit.puts)
+            changed.update((name, None) for name in edit.removals)
+        total = self._sum
+        for name, value in changed.items():
+            total += self._difference(name, value)
+        return (total % _MODULUS).to_bytes(CHECKSUM_BYTES)
+
+    def apply(self, edits: Iterable[Edit]) -> None:
+        """Carries the edits out in order. Removing an item that is not there changes nothing."""
+        for edit in edits:
+            for put in edit.puts:
+                self._sum = (self._sum + self._difference(put.name, put.value)) % _MODULUS
+                self.items[put.name] = put.value
+            for name in edit.removals:
+                self._sum = (self._sum + self._difference(name, None)) % _MODULUS
+                self.items.pop(name, None)
+
+    def copy(self) -> "Document":
+        """A document of its own with the same items."""
+        made = Document()
+        made.items, made._sum = dict(self.items), self._sum
+        return made
+
+    def puts(self) -> list[Put]:
+        """All items, by name."""
+        return [Put(name, self.items[name]) for name in sorted(self.items)]
+
+    def under(self, prefix: str) -> Iterator[tuple[str, bytes]]:
+        """The items whose names begin with the prefix, such as "teams/"."""
+        return ((name, value) for name, value in self.items.items() if name.startswith(prefix))
+
+    def _difference(self, name: str, value: bytes | None) -> int:
+        before = self.items.get(name)
+        added = 0 if value is None else _item_digest(name, value)
+        return added - (0 if before is None else _item_digest(name, before))
