Membership: the core in modules by concern; self-doubt is local health

Change: the same methods in layers, each resting on the one before (base, merging, exchange, probing, views, core), no logic touched; doubt.py is local_health.py (LocalHealth, suspicion_timeout, expected_confirmations). What operators read (the key doubt, the metric's name) and the datagrams stay.

--- a/bench/membership.py
+++ b/bench/membership.py
@@ -47,7 +47,7 @@
 
     def __init__(self, *given: Any) -> None:  # noqa: ANN401
         super().__init__(*given)
-        self.doubt = NoDoubt()
+        self.local_health = NoDoubt()
 
     def _notice(self, now: int) -> None:
         self.now = max(now, self.now)
--- /dev/null
+++ b/hazelhold/membership/exchange.py
@@ -0,0 +1,96 @@
+"""Joining through seeds, comparing whole tables (anti-entropy), healing after a split. No I/O."""
+
+from collections import deque
+
+import msgspec
+
+from hazelhold.membership import words as w
+from hazelhold.membership.merging import Merging
+from hazelhold.membership.terms import News
+
+
+class Exchange(Merging):
+    """Whole tables compared by the digests of their buckets."""
+
+    def _join_due(self) -> None:
+        if self.settled:
+            return
+        self.join_no = self.join_no or self._number()
+        others = [s for s in self.seeds if s != self.me.address]
+        for seed in self.random.sample(others, min(len(others), 8)):
+            self._send_sync(seed, "", self.join_no)
+        self._at(self.now + self.random.randint(self.join_pause // 2, self.join_pause), "join")
+        self.join_pause = min(2 * self.join_pause, self.terms.join_most)
+
+    def _settle(self, through: str) -> None:
+        if not self.settled:
+            self.settled = True
+            self._resync()
+            self.actions.append(News("joined", self.me.name, {"through": through, "life": self.me.life}))
+
+    def _sync_due(self) -> None:
+        for name in self.table.live.some(self.random, 1):
+            self._sync_with(name)
+        self._at(self.now + self.random.randint(self.terms.sync // 2, self.terms.sync), "sync")
+
+    def _resync(self) -> None:
+        if not self.resync:
+            self.resync = True
+            self._at(self.now + self.terms.answer, "resync")
+
+    def _resync_due(self) -> None:
+        self.resync = False
+        for name in self.table.live.some(self.random, 1):
+            self._sync_with(name)
+
+    def _sync_with(self, name: str) -> None:
+        self._send_sync(self.table.row(name).address, name)
+
+    def _send_sync(self, at: str, name: str, no: int = 0) -> None:
+        matter = w.Sync(no or self._number(), list(self.table.digests))
+        self._send(at, name, matter, [self.table.members[self.me.name].raw])
+
+    def _heal_due(self) -> None:
+        """Tries one who is gone or a seed where nobody is known: so the halves of a split find each other."""
+        unknown = [s for s in self.seeds if s != self.me.address and not self.table.live_at(s)]
+        lost = self.table.lost.some(self.random, 1)
+        if lost and (not unknown or self.random.random() < 0.5):
+            self._sync_with(lost[0])
+        elif unknown:
+            self._send_sync(self.random.choice(unknown), "")
+        self._at(self.now + self.random.randint(self.terms.heal // 2, self.terms.heal), "heal")
+
+    def _on_sync(self, letter: w.Letter, sync: w.Sync) -> None:
+        if len(sync.digests) != w.BUCKETS:
+            self.counts["spoilt"] += 1
+            return
+        if not self._may():
+            return
+        differ = [at for at, bits in enumerate(self.table.digests) if bits != sync.digests[at]]
+        self._send_buckets(letter.at, letter.sender, sync.no, differ, differ)
+
+    def _on_rows(self, letter: w.Letter, rows: w.Rows) -> None:
+        if rows.to and rows.to == self.join_no:
+            self._settle(letter.sender)
+        if rows.want and self._may():
+            self._send_buckets(letter.at, letter.sender, 0, [b for b in rows.want if b < w.BUCKETS], [])
+
+    def _send_buckets(self, at: str, name: str, to: int, buckets: list[int], want: list[int]) -> None:
+        """The rows of these buckets in at most eight datagrams, begun anywhere, so that the next time
+        brings others."""
+        first = self._word_on(name)
+        buckets = buckets[:]
+        self.random.shuffle(buckets)
+        rows = [raw for each in buckets for raw in self.table.rows_of(each)]
+        mine = self.table.members[self.me.name].raw
+        queue = deque([mine, *first, *rows])
+        for number in range(8):
+            matter = w.Rows(to, want if not number else [])
+            room = w.BYTES - 8 - len(w.encode(self.terms.deployment, self.me, matter, []))
+            taken: list[msgspec.Raw] = []
+            while queue and len(queue[0]) <= room:
+                taken.append(queue.popleft())
+                room -= len(taken[-1])
+            self._send(at, name, matter, taken, fill=False)
+            if not queue:
+                return
--- a/hazelhold/membership/figures.py
+++ b/hazelhold/membership/figures.py
@@ -32,7 +32,7 @@
         for state, count in zip(STATES, counted, strict=True):
             states.add_metric([state], count)
         doubt = GaugeMetricFamily("hazelhold_member_doubt", "This planner's doubt of its own health, 0 to 6")
-        doubt.add_metric([], core.doubt.level)
+        doubt.add_metric([], core.local_health.level)
         alone = GaugeMetricFamily("hazelhold_member_alone", "1 while nobody answers this planner")
         alone.add_metric([], int(core.alone_since >= 0))
         events = CounterMetricFamily("hazelhold_member_events", "What membership counted", labels=["what"])
--- a/hazelhold/membership/doubt.py
+++ b/hazelhold/membership/local_health.py
@@ -13,7 +13,7 @@
 MOST_DOUBT = 6
 
 
-def patience(least: int, most: int, accusers: int, wanted: int) -> int:
+def suspicion_timeout(least: int, most: int, accusers: int, wanted: int) -> int:
     """How long a suspicion waits that `accusers` members (one or more) hold, of `wanted` + 1 that could
     settle it."""
     if wanted < 1:
@@ -22,12 +22,12 @@
     return round(most - (most - least) * share)
 
 
-def wanted(members: int) -> int:
+def expected_confirmations(members: int) -> int:
     """Confirmations that a suspicion can hope for: not from the accuser, not from the accused."""
     return max(0, min(CONFIRMATIONS, members - 2))
 
 
-class Doubt:
+class LocalHealth:
     """A member's doubt of its own health: 0 none."""
 
     def __init__(self) -> None:
--- /dev/null
+++ b/hazelhold/membership/views.py
@@ -0,0 +1,79 @@
+"""What operators are shown of one planner's view, in pages of one datagram each. No I/O."""
+
+import msgspec
+
+from hazelhold.membership import words as w
+from hazelhold.membership.probing import ALONE_AFTER, Probing
+from hazelhold.membership.rows import ALIVE, SUSPECTED
+from hazelhold.membership.terms import Reply
+
+
+class Views(Probing):
+    """The view of this planner: its own standing and each member as it sees it."""
+
+    def state_of(self, name: str) -> int | None:
+        """How this planner sees a member; one that only it cannot reach counts as suspected here and
+        nowhere else."""
+        member = self.table.members.get(name)
+        if member is None:
+            return None
+        if (
+            member.row.state == ALIVE
+            and name != self.me.name
+            and (self.alone_since >= 0 or member.unanswered >= ALONE_AFTER)
+        ):
+            return SUSPECTED
+        return member.row.state
+
+    def standing(self) -> dict[str, int | str | bool]:
+        """This planner's own state, for operators."""
+        me = self.me
+        return {
+            "name": me.name,
+            "life": me.life,
+            "seq": me.seq,
+            "doubt": self.local_health.level,
+            "settled": self.settled,
+            "yielded": self.yielded,
+            "leaving": self.leaving,
+            "accused": self.accused_me,
+            "alone_us": self.now - self.alone_since if self.alone_since >= 0 else -1,
+            "away_times": self.away_times,
+            "away_last_us": self.away_last,
+            "members": len(self.table),
+            **self.beside(),
+        }
+
+    def seen(self, name: str) -> w.Seen:
+        member = self.table.members[name]
+        row = msgspec.structs.replace(member.row, state=self.state_of(name))
+        return w.Seen(
+            row,
+            self.now - member.since,
+            self.now - member.heard if member.heard >= 0 else -1,
+            member.rtt,
+            member.unanswered,
+            member.via,
+            list(member.accusers),
+        )
+
+    def _page(self, query: w.Query) -> None:
+        """Answers an operator's question with as much of the view as one datagram holds."""
+        if not self._may():
+            return
+        names = sorted(n for n in self.table.members if n > query.after)
+        mine = self.standing()
+        seen: list[w.Seen] = []
+        room = (
+            w.BYTES
+            - 60
+            - len(w.encode(self.terms.deployment, self.me, w.Page(query.no, [], False, mine), []))
+        )
+        for name in names:
+            each = self.seen(name)
+            room -= len(w.ENCODER.encode(each))
+            if room < 0:
+                break
+            seen.append(each)
+        matter = w.Page(query.no, seen, len(seen) < len(names), mine)
+        self.actions.append(Reply(w.encode(self.terms.deployment, self.me, matter, [])))
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -15,7 +15,7 @@
 from hazelhold.emulate.parley import Parley
 from hazelhold.membership import words as w
 from hazelhold.membership.core import Core, News, Post, Terms
-from hazelhold.membership.doubt import patience, wanted
+from hazelhold.membership.local_health import expected_confirmations, suspicion_timeout
 from hazelhold.membership.rows import ALIVE, GONE, LEFT, SUSPECTED, Row, key, told
 from hazelhold.membership.table import Table
 
@@ -94,10 +94,12 @@
 
 
 def test_a_suspicion_waits_less_the_more_confirm_it() -> None:
-    spans = [patience(10, 40, accusers, 3) for accusers in (1, 2, 3, 4, 5)]
+    spans = [suspicion_timeout(10, 40, accusers, 3) for accusers in (1, 2, 3, 4, 5)]
     assert spans[0] == 40 and spans[3] == spans[4] == 10 and spans == sorted(spans, reverse=True)
-    assert wanted(2) == 0 and wanted(3) == 1 and wanted(230) == 3
-    assert patience(10, 40, 1, 0) == 10
+    assert (
+        expected_confirmations(2) == 0 and expected_confirmations(3) == 1 and expected_confirmations(230) == 3
+    )
+    assert suspicion_timeout(10, 40, 1, 0) == 10
 
 
 @settings(max_examples=60, deadline=None)
