Client library: standard names, its plain types in a module of their own

Change: Want is TaskRequest, Manners ClientPolicy, Trip PendingTask, TurnedBackError RefusedError; patience.py is backoff.py (RetryBudget, ReconnectBackoff, AdaptiveThrottle); types.py holds what callers see. Messages and stored states keep their words. Nothing but names and places changed.

--- a/bench/client.py
+++ b/bench/client.py
@@ -17,7 +17,8 @@
 import structlog
 
 from bench.throughput import sheet
-from hazelhold.client.core import ClientCore, Manners, Want
+from hazelhold.client.core import ClientCore
+from hazelhold.client.types import ClientPolicy, TaskRequest
 from hazelhold.emulate.town import SECOND, Costs, Demand, Town
 from hazelhold.protocol import messages as m
 
@@ -25,13 +26,13 @@
 
 
 def cost(guests: int = 20_000) -> dict[str, Any]:
-    core = ClientCore("c", ["p"], Manners(), Random(1))
+    core = ClientCore("c", ["p"], ClientPolicy(), Random(1))
     core.start(0)
     core.connected(0, "p")
     start = time.process_time()
     for number in range(guests):
         now, name = number * 1000, f"g{number}"
-        core.submit(now, Want(name, "plain", "s", 1.0, 1.0, 5 * SECOND, "rerunnable"))
+        core.submit(now, TaskRequest(name, "plain", "s", 1.0, 1.0, 5 * SECOND, "rerunnable"))
         core.said(now, "p", m.Held(guest=name))
         core.said(now, "p", m.Placed(guest=name, machine="m"))
         core.said(now, "p", m.GuestEnded(guest=name, how="done"))
@@ -55,7 +56,7 @@
     tracemalloc.start()
     before = tracemalloc.get_traced_memory()[0]
     random = Random(1)
-    kept = [ClientCore(f"c{n}", ["p"], Manners(), random) for n in range(2000)]
+    kept = [ClientCore(f"c{n}", ["p"], ClientPolicy(), random) for n in range(2000)]
     for each in kept:
         each.start(0)
         each.connected(0, "p")
@@ -66,7 +67,7 @@
     return {
         "core_us_a_guest": round(spent / guests * 1e6, 1),
         "messages_us_a_guest": round(wire / guests * 1e6, 1),
-        "left_over": len(core.trips),
+        "left_over": len(core.pending),
         "agenda": len(core.agenda),
         "bytes_a_connection": round(size),
     }
@@ -76,7 +77,13 @@
     costs = Costs(decision=9000)  # a slow planner: the same line with fewer decisions to compute
     carries = SECOND / (costs.decision + 4 * costs.frame)
     town = Town(
-        sheet(), 300, 1, Demand(times * carries, patience, SECOND // 2), Manners(), costs=costs, machines=8
+        sheet(),
+        300,
+        1,
+        Demand(times * carries, patience, SECOND // 2),
+        ClientPolicy(),
+        costs=costs,
+        machines=8,
     )
     town.open(2 * SECOND)
     town.clock.run(4 * SECOND)
--- a/bench/overload.py
+++ b/bench/overload.py
@@ -24,7 +24,7 @@
 from msgspec.structs import replace
 
 from bench.throughput import sheet
-from hazelhold.client.core import Manners
+from hazelhold.client.types import ClientPolicy
 from hazelhold.config.day import read_day
 from hazelhold.emulate.town import SECOND, Costs, Demand, Town
 from hazelhold.protocol import messages as m
@@ -42,12 +42,12 @@
     began, costs = time.process_time(), Costs()
     carries = SECOND / (costs.decision + 4 * costs.frame)  # a submit, a taken, a started, an ended
     planner = sheet()
-    manners = Manners()
+    policy = ClientPolicy()
     if not protected:
         planner = replace(planner, limits=replace(planner.limits, decisions_at_once=1_000_000))
-        manners = Manners(retry_share=1e9, retry_burst=1e9, again_least=1, again_most=SECOND // 20)
+        policy = ClientPolicy(retry_share=1e9, retry_burst=1e9, again_least=1, again_most=SECOND // 20)
     town = Town(
-        planner, 1000, 1, Demand(times * carries, 2 * SECOND, SECOND // 2), manners, costs=costs, machines=32
+        planner, 1000, 1, Demand(times * carries, 2 * SECOND, SECOND // 2), policy, costs=costs, machines=32
     )
     town.open(4 * SECOND)
     town.clock.run(8 * SECOND)
--- a/examples/sender.py
+++ b/examples/sender.py
@@ -7,13 +7,13 @@
 
 import trio
 
-from hazelhold.client import Want, open_client
+from hazelhold.client import TaskRequest, open_client
 
 
 async def main(address: str) -> None:
     async with open_client("example", {"planner-0": address}) as client:
         wants = [
-            Want(
+            TaskRequest(
                 guest=f"import-{n}",
                 product="till-import",
                 service="nightly",
--- a/hazelhold/client/__init__.py
+++ b/hazelhold/client/__init__.py
@@ -2,28 +2,28 @@
 
 from hazelhold.client.blocking import BlockingClient
 from hazelhold.client.client import Client, Standing, open_client
-from hazelhold.client.core import (
+from hazelhold.client.types import (
     CancelledError,
-    Manners,
+    ClientPolicy,
     MayHaveRunError,
     NotPlacedError,
     Outcome,
+    RefusedError,
     RejectedError,
-    TurnedBackError,
-    Want,
+    TaskRequest,
 )
 
 __all__ = [
     "BlockingClient",
     "CancelledError",
     "Client",
-    "Manners",
+    "ClientPolicy",
     "MayHaveRunError",
     "NotPlacedError",
     "Outcome",
     "RejectedError",
     "Standing",
-    "TurnedBackError",
-    "Want",
+    "RefusedError",
+    "TaskRequest",
     "open_client",
 ]
--- a/hazelhold/client/patience.py
+++ b/hazelhold/client/backoff.py
@@ -3,7 +3,7 @@
 from random import Random
 
 
-class Budget:
+class RetryBudget:
     """Retries as a share of fresh asks, so that a planner in trouble is not asked many times for each guest.
     Served guests refill it a little: trouble that passes is over sooner."""
 
@@ -23,7 +23,7 @@
         return True
 
 
-class Returns:
+class ReconnectBackoff:
     """Full jitter: each return is drawn from nothing to a span that doubles, up to a cap; never before what
     the planner advised, and over at least the window that its last words asked for."""
 
@@ -54,7 +54,7 @@
         return int(self.random.uniform(0, span))
 
 
-class Throttle:
+class AdaptiveThrottle:
     """Holds a client's own asks back while a planner refuses most of them, so that refusing does not become
     what the planner does all day. Of the asks of the last seconds, kept and fading, it lets through about
     `TIMES` as many as were taken, and `FREE` more, by chance: enough to see at once when the trouble is over.
--- a/hazelhold/client/blocking.py
+++ b/hazelhold/client/blocking.py
@@ -7,37 +7,39 @@
 import trio
 
 from hazelhold.client.client import Client, Standing, open_client
-from hazelhold.client.core import Manners, Outcome, Want
 from hazelhold.client.places import read_places
+from hazelhold.client.types import ClientPolicy, Outcome, TaskRequest
 
 
 class BlockingClient:
     """Runs a client in a thread of its own. Use it in a `with` block, or call `close`."""
 
-    def __init__(self, name: str, planners: dict[str, str] | Path, manners: Manners | None = None) -> None:
+    def __init__(
+        self, name: str, planners: dict[str, str] | Path, policy: ClientPolicy | None = None
+    ) -> None:
         self.ready = threading.Event()
         self.client: Client | None = None
         if isinstance(planners, Path):
             read_places(planners)  # what is wrong with it is told here, not in the thread
         self.thread = threading.Thread(
-            target=trio.run, args=(self._main, name, planners, manners), daemon=True, name="hazelhold-client"
+            target=trio.run, args=(self._main, name, planners, policy), daemon=True, name="hazelhold-client"
         )
         self.thread.start()
         self.ready.wait()
 
-    async def _main(self, name: str, planners: dict[str, str] | Path, manners: Manners | None) -> None:
+    async def _main(self, name: str, planners: dict[str, str] | Path, policy: ClientPolicy | None) -> None:
         self.stop = trio.Event()
-        async with open_client(name, planners, manners) as client:
+        async with open_client(name, planners, policy) as client:
             self.client, self.token = client, trio.lowlevel.current_trio_token()
             self.ready.set()
             await self.stop.wait()
 
-    def place(self, want: Want) -> Outcome:
+    def place(self, request: TaskRequest) -> Outcome:
         """Blocks until the guest is placed or finally answered; never longer than its patience."""
-        return trio.from_thread.run(self.client.place, want, trio_token=self.token)
+        return trio.from_thread.run(self.client.place, request, trio_token=self.token)
 
-    def place_all(self, wants: Iterable[Want]) -> list[Outcome]:
-        return trio.from_thread.run(self.client.place_all, list(wants), trio_token=self.token)
+    def place_all(self, requests: Iterable[TaskRequest]) -> list[Outcome]:
+        return trio.from_thread.run(self.client.place_all, list(requests), trio_token=self.token)
 
     def query(self, guest: str, seconds: float = 1.0) -> Standing:
         """How a guest stands by its planner's word; KeyError if this client has none of this name."""
--- a/hazelhold/client/client.py
+++ b/hazelhold/client/client.py
@@ -9,8 +9,9 @@
 import structlog
 import trio
 
-from hazelhold.client.core import ClientCore, Connect, Leave, Manners, Outcome, Send, Tell, Want
+from hazelhold.client.core import ClientCore
 from hazelhold.client.places import Watch
+from hazelhold.client.types import ClientPolicy, Connect, Leave, Outcome, Send, TaskRequest, Tell
 from hazelhold.protocol import messages as m
 from hazelhold.protocol.frames import FrameError
 from hazelhold.service.net import Net, TcpNet
@@ -48,7 +49,7 @@
         self,
         name: str,
         planners: dict[str, str] | Path,
-        manners: Manners | None = None,
+        policy: ClientPolicy | None = None,
         net: Net | None = None,
         seed: int | None = None,
         connect_s: float = 2.0,
@@ -58,7 +59,7 @@
         self.net, self.planners, self.connect_s = net or TcpNet(), planners, connect_s
         self.log = structlog.get_logger().bind(client=name)
         self.queries: dict[str, list[tuple[trio.Event, list]]] = {}  # emptied by the answers, or in time
-        self.core = ClientCore(name, list(planners), manners or Manners(), Random(seed))
+        self.core = ClientCore(name, list(planners), policy or ClientPolicy(), Random(seed))
         self.slots: dict[str, Slot] = {}  # emptied as guests end
         self.wires: dict[str, Wire] = {}
         self.ticker = Ticker(self.net.now, lambda now: self.core.next_at(), self._work)
@@ -73,26 +74,26 @@
             task_status.started()
             await trio.sleep_forever()
 
-    async def place(self, want: Want) -> Outcome:
+    async def place(self, request: TaskRequest) -> Outcome:
         """Asks for a guest and waits until it is placed, or for the final answer that says why not; never
         longer than its patience. ValueError if this guest is on its way already."""
-        self.core.submit(self.net.now(), want)
-        slot = self.slots[want.guest] = Slot()
+        self.core.submit(self.net.now(), request)
+        slot = self.slots[request.guest] = Slot()
         self._act()
         await slot.answered.wait()
         return slot.answer
 
-    async def place_all(self, wants: Iterable[Want]) -> list[Outcome]:
-        """A batch, all at once; outcomes in the order of the wants."""
-        wants = list(wants)
-        found: list[Outcome | None] = [None] * len(wants)
+    async def place_all(self, requests: Iterable[TaskRequest]) -> list[Outcome]:
+        """A batch, all at once; outcomes in the order of the requests."""
+        requests = list(requests)
+        found: list[Outcome | None] = [None] * len(requests)
 
-        async def one(number: int, want: Want) -> None:
-            found[number] = await self.place(want)
+        async def one(number: int, request: TaskRequest) -> None:
+            found[number] = await self.place(request)
 
         async with trio.open_nursery() as nursery:
-            for number, want in enumerate(wants):
-                nursery.start_soon(one, number, want)
+            for number, request in enumerate(requests):
+                nursery.start_soon(one, number, request)
         return found
 
     async def ended(self, guest: str) -> Outcome:
@@ -109,8 +110,8 @@
     async def query(self, guest: str, seconds: float = 1.0) -> Standing:
         """Asks the guest's planner how it stands, and waits so long at most. KeyError if no guest of this
         client has this name."""
-        trip = self.core.trips[guest]
-        known = Standing(guest, "idle" if trip.state == "idle" else "silent", "", trip.planner, trip.ask + 1)
+        task = self.core.pending[guest]
+        known = Standing(guest, "idle" if task.state == "idle" else "silent", "", task.planner, task.ask + 1)
         waiter: tuple[trio.Event, list] = trio.Event(), []
         if not self.core.query(self.net.now(), guest):
             return known
@@ -233,13 +234,13 @@
 async def open_client(
     name: str,
     planners: dict[str, str] | Path,
-    manners: Manners | None = None,
+    policy: ClientPolicy | None = None,
     net: Net | None = None,
     seed: int | None = None,
 ) -> AsyncIterator[Client]:
     """A running client; leaving the block leaves its guests to their planners. `planners` are addresses by
     name, or a file of them that is followed as it changes (ConfigError if it cannot be used at the start)."""
-    client = Client(name, planners, manners, net, seed)
+    client = Client(name, planners, policy, net, seed)
     async with trio.open_nursery() as nursery:
         await nursery.start(client.run)
         yield client
--- a/hazelhold/emulate/town.py
+++ b/hazelhold/emulate/town.py
@@ -13,7 +13,8 @@
 
 from msgspec.structs import replace
 
-from hazelhold.client.core import ClientCore, Connect, Leave, Manners, Send, Tell, Want
+from hazelhold.client.core import ClientCore
+from hazelhold.client.types import ClientPolicy, Connect, Leave, Send, TaskRequest, Tell
 from hazelhold.config.planner import PlannerSheet
 from hazelhold.emulate.clock import Clock
 from hazelhold.engine.advice import Doorman
@@ -272,13 +273,13 @@
         clients: int,
         seed: int,
         demand: Demand,
-        manners: Manners,
+        policy: ClientPolicy,
         spread: bool = True,
         costs: Costs | None = None,
         machines: int = 8,
     ) -> None:
         self.clock, self.random, self.delay = Clock(), Random(f"town/{seed}"), 500
-        self.demand, self.manners = demand, manners
+        self.demand, self.policy = demand, policy
         self.office = Office(self, sheet, costs or Costs(), machines)
         self.dials: Counter[int] = Counter()
         self.frames: Counter[int] = Counter()
@@ -291,9 +292,9 @@
         self.links: dict[str, int] = {}  # the connection that each client has, 0 while dialling
         self.fresh_until = 0
         for number in range(clients):
-            core = ClientCore(f"c{number}", ["p"], manners, self.random)
+            core = ClientCore(f"c{number}", ["p"], policy, self.random)
             if not spread:
-                core.returns["p"] = Eager()
+                core.backoffs["p"] = Eager()
             self.cores[core.name] = core
 
     def open(self, over: int) -> None:
@@ -323,7 +324,7 @@
         d = self.demand
         core.submit(
             self.clock.now,
-            Want(
+            TaskRequest(
                 f"g{self.made}",
                 d.product,
                 f"s{self.made % 20}",
@@ -403,11 +404,11 @@
     def _send(self, core: ClientCore, message: m.Message) -> None:
         now, office = self.clock.now, self.office
         if isinstance(message, m.Submit):
-            trip = core.trips[message.guest]
+            task = core.pending[message.guest]
             self.counts["asks"] += 1
             if message.ask:
                 self.counts["retries"] += 1
-                self.counts["late_retries"] += now + message.patience > trip.deadline
+                self.counts["late_retries"] += now + message.patience > task.deadline
         if office.up and core.name in office.owners:
             self.frames[now // BIN] += 1
             self.clock.at(now + self.delay, self._reach, office.life, core.name, message)
--- a/tests/test_client.py
+++ b/tests/test_client.py
@@ -10,9 +10,10 @@
 from hypothesis import strategies as st
 from trio.testing import MockClock
 
-from hazelhold.client import BlockingClient, Manners, Want, open_client
-from hazelhold.client.core import ClientCore, Connect, Send, Tell
-from hazelhold.client.patience import Budget, Returns
+from hazelhold.client import BlockingClient, ClientPolicy, TaskRequest, open_client
+from hazelhold.client.backoff import ReconnectBackoff, RetryBudget
+from hazelhold.client.core import ClientCore
+from hazelhold.client.types import Connect, Send, Tell
 from hazelhold.engine.advice import Advice, Doorman
 from hazelhold.protocol import messages as m
 from tests.helpers import MS, sheet
@@ -23,8 +24,8 @@
 class Caller:
     """A core driven by hand, with planners p and q."""
 
-    def __init__(self, planners: tuple[str, ...] = ("p", "q"), **manners: object) -> None:
-        self.core = ClientCore("c", list(planners), Manners(**manners), Random(1))
+    def __init__(self, planners: tuple[str, ...] = ("p", "q"), **policy: object) -> None:
+        self.core = ClientCore("c", list(planners), ClientPolicy(**policy), Random(1))
         self.core.start(0)
         self.core.actions.clear()
         for planner in planners:
@@ -45,7 +46,7 @@
                 self.dials.append(action.planner)
 
     def asks(self, now: int, effect: str = "rerunnable", patience: int = 10 * S, **more: object) -> str:
-        self.core.submit(now, Want("g", "plain", "s", 1.0, 1.0, patience, effect, **more))
+        self.core.submit(now, TaskRequest("g", "plain", "s", 1.0, 1.0, patience, effect, **more))
         self.run(now)
         return self.submits()[-1][0]
 
@@ -150,7 +151,7 @@
     caller.says(2 * S, "p", m.State(guest="g", state="running", machine="a"))
     assert caller.told == [("g", "placed", False)]
     caller.says(3 * S, "p", m.GuestEnded(guest="g", how="done"))
-    assert caller.told[-1] == ("g", "done", True) and not caller.core.trips
+    assert caller.told[-1] == ("g", "done", True) and not caller.core.pending
 
 
 def test_a_cancel_that_crosses_a_turn_back_ends_the_guest() -> None:
@@ -163,7 +164,7 @@
 
 
 def test_the_budget_ends_a_storm_of_retries() -> None:
-    budget = Budget(0.2, 10)
+    budget = RetryBudget(0.2, 10)
     assert sum(budget.retry() for _ in range(100)) == 10
     for _ in range(50):
         budget.fresh()
@@ -299,8 +300,8 @@
     """Clients that lose their planner at once and find it back after 2 s, with the core's own returns and a
     planner's own door in virtual time: peak dials in 100 ms, seconds until all are back, dials in all."""
     door, random = Doorman(500, 200, 1000, 10 * S, Random(2)), Random(3)
-    manners = Manners()
-    clients = [Returns(manners.return_base, manners.return_most, Random(n)) for n in range(count)]
+    policy = ClientPolicy()
+    clients = [ReconnectBackoff(policy.return_base, policy.return_most, Random(n)) for n in range(count)]
     import heapq
 
     for client in clients:
@@ -349,20 +350,22 @@
     async def test(planner: object, net: object) -> None:
         async with open_client("c", {"p": "door"}, net=net, seed=1) as client:
             outcomes = await client.place_all(
-                [Want(f"g{n}", "plain", "s", 1.0, 1.0, 3 * S, "rerunnable") for n in range(5)]
+                [TaskRequest(f"g{n}", "plain", "s", 1.0, 1.0, 3 * S, "rerunnable") for n in range(5)]
             )
             assert {o.state for o in outcomes} == {"turned_back"} and trio.current_time() < 4
-            odd = await client.place(Want("o", "odd", "s", 1.0, 1.0, S))
+            odd = await client.place(TaskRequest("o", "odd", "s", 1.0, 1.0, S))
             assert (odd.state, odd.reason) == ("rejected", "unknown_product")
             async with trio.open_nursery() as nursery:
 
                 async def cancelled() -> None:
-                    assert (await client.place(Want("x", "once", "s", 1.0, 1.0, 60 * S))).state == "cancelled"
+                    assert (
+                        await client.place(TaskRequest("x", "once", "s", 1.0, 1.0, 60 * S))
+                    ).state == "cancelled"
 
                 nursery.start_soon(cancelled)
                 await trio.sleep(0.5)
                 client.cancel("x")
-            assert not client.slots and not client.core.trips
+            assert not client.slots and not client.core.pending
 
     run_with_planner(test)
 
@@ -428,7 +431,7 @@
     thread.start()
     try:
         with BlockingClient("b", {"p": f"127.0.0.1:{port}"}) as client:
-            assert client.place(Want("g", "once", "s", 1.0, 1.0, S // 2)).state == "turned_back"
+            assert client.place(TaskRequest("g", "once", "s", 1.0, 1.0, S // 2)).state == "turned_back"
     finally:
         done.set()
         thread.join(10)
--- a/tests/test_state.py
+++ b/tests/test_state.py
@@ -592,7 +592,7 @@
     import subprocess
     import sys
 
-    from hazelhold.client import Want, open_client
+    from hazelhold.client import TaskRequest, open_client
     from hazelhold.rehearse.run import free_ports
 
     door = f"127.0.0.1:{free_ports(1)[0]}"
@@ -611,7 +611,7 @@
     async def run(first: subprocess.Popen) -> subprocess.Popen:
         async with open_client("c", {"p0": door}, seed=1) as client:
             async with trio.open_nursery() as nursery:
-                wanted = Want("g", "once", "s", 1.0, 1.0, 4_900_000, "exclusive")
+                wanted = TaskRequest("g", "once", "s", 1.0, 1.0, 4_900_000, "exclusive")
                 nursery.start_soon(client.place, wanted)
                 await trio.sleep(0.5)
                 second = await trio.to_thread.run_sync(start, "--take-over")
--- a/tests/test_town.py
+++ b/tests/test_town.py
@@ -9,10 +9,10 @@
 import trio
 from trio.testing import MockClock
 
-from hazelhold.client import Manners, MayHaveRunError, TurnedBackError, Want, open_client
-from hazelhold.client.core import Outcome
-from hazelhold.client.patience import Throttle
+from hazelhold.client import ClientPolicy, MayHaveRunError, RefusedError, TaskRequest, open_client
+from hazelhold.client.backoff import AdaptiveThrottle
 from hazelhold.client.places import Watch, read_places
+from hazelhold.client.types import Outcome
 from hazelhold.config.load import ConfigError
 from hazelhold.emulate.town import BIN, SECOND, Demand, Town
 from hazelhold.protocol import messages as m
@@ -23,7 +23,7 @@
 
 def town(size: int, spread: bool, **demand: object) -> Town:
     wanted = Demand(20.0, **{"patience": 5 * SECOND, "life": SECOND, **demand})
-    made = Town(sheet(), size, 1, wanted, Manners(), spread, machines=2)
+    made = Town(sheet(), size, 1, wanted, ClientPolicy(), spread, machines=2)
     made.open(2 * SECOND)
     while len(made.back) < size:
         made.clock.run(made.clock.now + SECOND)
@@ -66,7 +66,7 @@
 
 
 def test_a_throttle_keeps_to_a_multiple_of_what_is_taken_and_opens_when_it_is() -> None:
-    throttle, sent = Throttle(Random(1)), 0
+    throttle, sent = AdaptiveThrottle(Random(1)), 0
     for now in range(0, 20 * SECOND, 10 * MS):
         if throttle.allows(now):
             sent += 1
@@ -107,7 +107,7 @@
 def beside(
     scripts: dict[str, Callable[[Wire, m.Message], None]],
     test: Callable[[object, MemoryNet], Awaitable[None]],
-    manners: Manners | None = None,
+    policy: ClientPolicy | None = None,
 ) -> None:
     """A client whose planners are scripts: each is called with what the client says."""
 
@@ -133,7 +133,7 @@
                         await serve(stream, name)
 
                     await net.listen(name, door, nursery)
-                async with open_client("c", {n: n for n in scripts}, manners, net, seed=1) as client:
+                async with open_client("c", {n: n for n in scripts}, policy, net, seed=1) as client:
                     await trio.sleep(1)
                     await test(client, net)
                 nursery.cancel_scope.cancel()
@@ -159,8 +159,8 @@
         placing(wire, said)
 
 
-def want(name: str, effect: str = "rerunnable", patience: int = 4 * SECOND) -> Want:
-    return Want(name, "plain", "s", 1.0, 1.0, patience, effect, life=60 * SECOND)
+def want(name: str, effect: str = "rerunnable", patience: int = 4 * SECOND) -> TaskRequest:
+    return TaskRequest(name, "plain", "s", 1.0, 1.0, patience, effect, life=60 * SECOND)
 
 
 @pytest.mark.parametrize("bad", [silent, halving])
@@ -232,7 +232,7 @@
 
 def test_outcomes_raise_by_what_they_are() -> None:
     assert Outcome("g", "placed").or_raise().state == "placed"
-    with pytest.raises(TurnedBackError, match="g: turned_back, no_time"):
+    with pytest.raises(RefusedError, match="g: turned_back, no_time"):
         Outcome("g", "turned_back", reason="no_time").or_raise()
 
 
@@ -273,7 +273,7 @@
                 # a:1 has a guest of ours: its connection stays, and it gets nothing new
                 assert client.core.up == {"a:1": True, "b:2": True}
                 assert (await client.place(want("g2"))).state == "placed"
-                assert client.core.trips["g2"].planner == "b:2"
+                assert client.core.pending["g2"].planner == "b:2"
                 client.core.said(net.now(), "a:1", m.GuestEnded(guest="g1", how="done"))
                 await trio.sleep(2)
                 assert client.core.up == {"b:2": True} and list(client.wires) == ["b:2"]
