--- /dev/null
+++ b/bench/capacity/__init__.py
@@ -0,0 +1,1 @@
+"""Capacity: what each role costs by size, fitted, against the demand of the target."""
