bench.capacity: rows of planner, list, probes, owners and claims; demands and verdicts

Need: which mechanism is missing first is decided by measured slopes. Change: a registry of rows, each size in a process of its own, fits of four forms, a result file that is resumed row by row, demands and verdicts by written arithmetic with references to rows.

--- /dev/null
+++ b/bench/capacity/run.py
@@ -0,0 +1,111 @@
+"""Measures rows into a result file: row by row, so that a run that was cut short goes on where it ended."""
+
+from collections.abc import Callable, Sequence
+from pathlib import Path
+
+from bench.capacity import schema
+from bench.capacity.demands import demands
+from bench.capacity.fit import fit_all
+from bench.capacity.isolate import FAILED, Outcome, measure_apart
+from bench.capacity.machine import describe
+from bench.capacity.progress import Progress
+from bench.capacity.registry import Measurement
+from bench.capacity.revision import UNKNOWN, revision
+from bench.capacity.schema import Point, Refusal, ResultFile, Row
+from bench.capacity.verdicts import verdicts
+
+Apart = Callable[[Measurement, int], Outcome]
+
+
+def kept(row: Row | None, planned: Row) -> bool:
+    """Whether a row measured earlier stands for the planned one: same code and inputs, and nothing failed."""
+    if row is None or planned.revision == UNKNOWN:
+        return False
+    same = (row.revision, row.seed, row.sizes) == (planned.revision, planned.seed, planned.sizes)
+    return same and not any(refusal.reason.startswith(FAILED) for refusal in row.refused)
+
+
+def plan(measurement: Measurement, small: bool) -> Row:
+    """The row as it will stand, without a value."""
+    return Row(
+        id=measurement.id,
+        role=measurement.role,
+        quantity=measurement.quantity,
+        unit=measurement.unit,
+        by=measurement.by,
+        how=measurement.how,
+        revision=revision(measurement),
+        seed=measurement.seed,
+        sizes=list(measurement.small if small else measurement.sizes),
+        note=measurement.note,
+    )
+
+
+def measure_row(
+    measurement: Measurement, planned: Row, apart: Apart = measure_apart, progress: Progress | None = None
+) -> Row:
+    """Measures every size of a row and fits it."""
+    for size in planned.sizes:
+        if progress is not None:
+            progress.show(f"{planned.id} at {size}")
+        outcome = apart(measurement, size)
+        planned.points += [Point(size, value) for value in outcome.values]
+        if outcome.refused:
+            planned.refused.append(Refusal(size, outcome.refused))
+        if progress is not None:
+            progress.step(f"{planned.id} at {size}")
+    planned.fits, planned.best = fit_all(planned.points)
+    return planned
+
+
+def finish(found: ResultFile) -> ResultFile:
+    """Computes demands and verdicts anew from the rows."""
+    found.demands = demands(found.rows)
+    found.verdicts = verdicts(found.rows, found.demands)
+    return found
+
+
+def run(
+    measurements: Sequence[Measurement],
+    path: Path,
+    only: Sequence[str] = (),
+    small: bool = False,
+    fresh: bool = False,
+    note: str = "",
+    progress: Progress | None = None,
+    apart: Apart = measure_apart,
+) -> ResultFile:
+    """Brings the file's rows up to date; writes it after each row. `only`: rows whose id begins so.
+
+    Rows that are no longer registered leave the file. Raises `schema.ResultError` for a file of another kind.
+    """
+    found = schema.load(path) if path.exists() else ResultFile()
+    earlier = {row.id: row for row in found.rows}
+    chosen = [m for m in measurements if not only or any(m.id.startswith(each) for each in only)]
+    found.machine = describe(note or found.machine.note)
+    for measurement in chosen:
+        planned = plan(measurement, small)
+        if not fresh and kept(earlier.get(planned.id), planned):
+            if progress is not None:
+                progress.done += len(planned.sizes)
+                progress.note(f"{planned.id}: kept")
+            continue
+        earlier[planned.id] = row = measure_row(measurement, planned, apart, progress)
+        found.rows = [earlier[m.id] for m in measurements if m.id in earlier]
+        schema.save(finish(found), path)
+        if progress is not None:
+            progress.note(told(row))
+    found.rows = [earlier[m.id] for m in measurements if m.id in earlier]
+    schema.save(finish(found), path)
+    return found
+
+
+def told(row: Row) -> str:
+    """A row in a line."""
+    fit = row.best_fit()
+    text = f"{row.id}: "
+    if fit is not None:
+        text += f"{fit.intercept:.4g} + {fit.slope:.4g} * {fit.form}, residual {fit.residual:.1%}"
+    else:
+        text += f"{len(row.points)} points, no fit"
+    return text + "".join(f"; {refusal.size}: {refusal.reason}" for refusal in row.refused)
--- /dev/null
+++ b/bench/capacity/verdicts.py
@@ -0,0 +1,253 @@
+"""Holds what each role spends at the target size, slope times demand, against its budget."""
+
+from collections.abc import Iterable
+from typing import NamedTuple
+
+from bench.capacity import target as t
+from bench.capacity.arithmetic import Known, MissingError
+from bench.capacity.schema import Demand, Row, Verdict
+
+
+class Held(NamedTuple):
+    """A verdict before it is computed; without arithmetic there is nothing that could be measured."""
+
+    role: str
+    resource: str
+    budget: float
+    unit: str
+    arithmetic: str = ""
+    note: str = ""
+
+
+W = t.WORKERS
+CORE, MEMORY, TRAFFIC = "of a core", "bytes", "bytes a second"
+
+PLANNER = [
+    Held(
+        "planner",
+        "processor time: decisions",
+        t.BUDGET_PROCESSOR,
+        CORE,
+        f"planner.decisions.cpu.64@{W} * demand.planner.starts",
+        "at the peak of starts; the module alone",
+    ),
+    Held(
+        "planner",
+        "processor time: decisions, half as many planners",
+        t.BUDGET_PROCESSOR,
+        CORE,
+        f"planner.decisions.cpu.64@{W} * demand.planner.starts.half",
+    ),
+    Held(
+        "planner",
+        "processor time: decisions, twice as many planners",
+        t.BUDGET_PROCESSOR,
+        CORE,
+        f"planner.decisions.cpu.64@{W} * demand.planner.starts.twice",
+    ),
+    Held(
+        "planner",
+        "processor time: kept state",
+        t.BUDGET_PROCESSOR,
+        CORE,
+        "planner.state.commit.cpu.slope * demand.planner.starts",
+        "three commits a task, not shared",
+    ),
+    Held(
+        "planner",
+        "processor time: order of workers after changes of the list",
+        t.BUDGET_PROCESSOR,
+        CORE,
+        f"planner.list_change.cpu@{W} * min(demand.planner.services * demand.list.changes.mean, "
+        "demand.planner.starts)",
+        "each service orders all workers anew once after each worker that comes or goes",
+    ),
+    Held(
+        "planner",
+        "processor time: order of workers, a region's return",
+        t.BUDGET_PROCESSOR,
+        CORE,
+        f"planner.list_change.cpu@{W} * demand.planner.starts",
+        "while workers come and go all the time, each start orders all workers anew",
+    ),
+    Held(
+        "planner",
+        "processor time: list with rooms",
+        t.BUDGET_PROCESSOR,
+        CORE,
+        f"planner.list_told.cpu@{round(2 * t.STARTS_A_SECOND * t.LIST_PERIOD_S)} / {t.LIST_PERIOD_S}",
+        "hearing each period's changed rooms",
+    ),
+    Held(
+        "planner",
+        "processor time: probes, as up to eight planners send them",
+        t.BUDGET_PROCESSOR,
+        CORE,
+        f"planner.probes.cpu@{W} * 1",
+        "choosing alone; more than eight planners send none and hear of their own workers only",
+    ),
+    Held(
+        "planner",
+        "memory",
+        t.BUDGET_MEMORY,
+        MEMORY,
+        f"planner.idle.memory@1 + planner.engine.memory@{W} "
+        "+ planner.task.memory.slope * demand.planner.tasks "
+        "+ planner.owner.memory.slope * demand.planner.owners",
+        "interpreter and libraries, all workers listed and connected, running tasks, owners",
+    ),
+    Held(
+        "planner",
+        "traffic: list, workers that fail or restart",
+        t.BUDGET_TRAFFIC,
+        TRAFFIC,
+        f"list.change.bytes@{W} * demand.list.changes.mean",
+        "each told alone",
+    ),
+    Held(
+        "planner",
+        "traffic: list with rooms",
+        t.BUDGET_TRAFFIC,
+        TRAFFIC,
+        "list.return.bytes.slope * demand.list.changes.rooms",
+    ),
+    Held(
+        "planner",
+        "traffic: worst second, a rack returns",
+        t.BUDGET_TRAFFIC,
+        TRAFFIC,
+        "list.return.bytes.slope * demand.list.changes.rack",
+        "the operators did not tell whether the budget holds for each second or for a mean",
+    ),
+    Held(
+        "planner",
+        "traffic: worst second, a zone returns",
+        t.BUDGET_TRAFFIC,
+        TRAFFIC,
+        "list.return.bytes.slope * demand.list.changes.zone",
+    ),
+    Held(
+        "planner",
+        "traffic: worst second, a region returns",
+        t.BUDGET_TRAFFIC,
+        TRAFFIC,
+        "list.return.bytes.slope * demand.list.changes.region",
+    ),
+    Held(
+        "planner",
+        "traffic: probes, as up to eight planners send them",
+        t.BUDGET_TRAFFIC,
+        TRAFFIC,
+        f"planner.probe.bytes@{W} * demand.planner.probes",
+        "both ways; without TCP and IP headers",
+    ),
+    Held(
+        "planner",
+        "descriptors",
+        t.BUDGET_DESCRIPTORS,
+        "descriptors",
+        f"planner.first_list.dials@{W} + demand.planner.owners",
+        "after the first list a connection to each worker; the budget is the usual soft limit of a process",
+    ),
+]
+
+LIST = [
+    Held(
+        "list service",
+        "frame of the whole list",
+        t.FRAME_BYTES,
+        MEMORY,
+        f"list.whole.bytes@{W} * 1",
+        "limits.frame_bytes by default, also of the list's connection",
+    ),
+    Held(
+        "list service",
+        "processor time: list with rooms to all planners",
+        t.CONTROL_MACHINES,
+        "cores",
+        "list.whole.cpu.slope * demand.list.changes.rooms * demand.planners",
+        "making and encoding; assumption: one core of each control machine",
+    ),
+    Held(
+        "list service",
+        "traffic: list with rooms to all planners",
+        t.BUDGET_TRAFFIC * t.PLANNERS,
+        TRAFFIC,
+        "list.return.bytes.slope * demand.list.changes.rooms * demand.planners",
+        "held against the budgets of all planners together",
+    ),
+]
+
+VOTER = [
+    Held(
+        "voter",
+        "processor time",
+        t.BUDGET_PROCESSOR,
+        CORE,
+        "voter.claim.cpu.slope * demand.voter.claims",
+        "its own claims' words and its votes on others'; without sockets and disk",
+    ),
+    Held(
+        "voter",
+        "traffic",
+        t.BUDGET_TRAFFIC,
+        TRAFFIC,
+        "2 * voter.claim.bytes.slope * demand.voter.claims",
+        "each word is sent by one planner and received by another",
+    ),
+    Held(
+        "voter",
+        "memory",
+        t.BUDGET_MEMORY,
+        MEMORY,
+        "voter.cell.memory.slope * demand.voter.cells",
+        "beside the planner's own",
+    ),
+]
+
+NONE = "none: the program has no mechanism for it"
+ABSENT = [
+    Held("holder of configuration", "traffic to a planner, mean", t.BUDGET_TRAFFIC, TRAFFIC, note=NONE),
+    Held(
+        "holder of configuration",
+        "time until in force everywhere",
+        t.CONFIGURATION_IN_FORCE_S,
+        "s",
+        note=NONE,
+    ),
+    Held("door and quotas", "processor time", t.BUDGET_PROCESSOR, CORE, note=NONE),
+    Held("control machines", "machines", t.CONTROL_MACHINES, "machines", note=NONE),
+    Held("regional news of workers", "traffic to a planner", t.BUDGET_TRAFFIC, TRAFFIC, note=NONE),
+]
+
+HELD = [*PLANNER, *LIST, *VOTER, *ABSENT]
+
+
+def verdicts(rows: Iterable[Row], demands: Iterable[Demand]) -> list[Verdict]:
+    """All verdicts; one that refers to what has no value yet is "not measured"."""
+    known = Known(rows, demands)
+    return [_verdict(held, known) for held in HELD]
+
+
+def _verdict(held: Held, known: Known) -> Verdict:
+    value, note = None, held.note
+    if held.arithmetic:
+        try:
+            value = known.evaluate(held.arithmetic)
+        except MissingError as missing:
+            note = f"{note}; no value of {missing}".removeprefix("; ")
+    factor = None if value is None else value / held.budget
+    holds = "not measured" if factor is None else "holds" if factor <= 1 else "falls short"
+    return Verdict(
+        role=held.role,
+        resource=held.resource,
+        budget=held.budget,
+        value=value,
+        unit=held.unit,
+        rows=known.rows_in(held.arithmetic),
+        demands=known.demands_in(held.arithmetic),
+        arithmetic=held.arithmetic,
+        holds=holds,
+        factor=factor,
+        note=note,
+    )
