--- a/bench/capacity/verdicts.py
+++ b/bench/capacity/verdicts.py
@@ -53,6 +53,14 @@
         "planner.state.commit.cpu.slope * demand.planner.starts",
         "three commits a task, not shared",
     ),
+    Held(
+        "planner",
+        "processor time: kept state, list with rooms",
+        t.BUDGET_PROCESSOR,
+        CORE,
+        f"planner.state.list.cpu@{W} / {t.LIST_PERIOD_S}",
+        "the list is kept whole once for each message of the list",
+    ),
     Held(
         "planner",
         "processor time: order of workers after changes of the list",
