Capacity: rows of real planners among hollow workers; tests that both sides count the same

Tests: 20 workers and 2 real planners; tasks are placed and their ends told, a restart is seen as a new incarnation, and the planners' own records give the same messages and bytes, by type, as the far sides counted.

--- a/bench/capacity/hollow/children.py
+++ b/bench/capacity/hollow/children.py
@@ -86,13 +86,15 @@
 class PlannerProcess:
     """A real planner: `hazelhold planner` with a file of its own."""
 
-    def __init__(self, name: str, file: Path, log: Path) -> None:
+    def __init__(self, name: str, file: Path, log: Path, record: Path | None = None) -> None:
         self.name, self.log = name, log
+        recorded = ["--record", str(record)] if record is not None else []
         with log.open("wb") as errors:
             self.process = subprocess.Popen(
                 [
                     *(sys.executable, "-m", "hazelhold", "planner", "--config", str(file)),
                     *("--ready", "--log", "json", "--level", "info"),
+                    *recorded,
                 ],
                 stdout=subprocess.PIPE,
                 stderr=errors,
--- a/bench/capacity/hollow/rig.py
+++ b/bench/capacity/hollow/rig.py
@@ -1,8 +1,8 @@
 """One trial: so many hollow workers, so many real planners; phases from the first list to a zone's restart.
 
-The phases of a trial, each bounded in time: start (until every worker has answered every planner's roll call),
-rest, load (tasks at a stated rate, with starts and ends), restart (a zone of workers comes back with a new
-incarnation). Counts are taken by the far side of each planner: workers, list service, owners.
+The phases of a trial, each bounded in time: start (until every worker has answered every planner's roll
+call), rest, load (tasks at a stated rate, with starts and ends), restart (a zone of workers comes back with a
+new incarnation). Counts are taken by the far side of each planner: workers, list service, owners.
 """
 
 import os
@@ -52,6 +52,7 @@
     down: float = 1.0
     most_restart: float = 12.0
     workers_a_process: int = 365
+    record: bool = False  # planners write every frame to a file: for tests, since it costs processor time
     seed: int = 1
 
 
@@ -229,10 +230,11 @@
             self.hollow.append(self._keep(Child("workers", made, self.folder, f"workers-{first}")))
         for child in self.hollow:
             child.started()
-        if not self._until(lambda: self.lister.ask(Status()).entries == trial.workers, 10.0):
+        if not self.until(lambda: self.lister.ask(Status()).entries == trial.workers, 10.0):
             raise RigError("the list service did not hear of all workers")
 
-    def _until(self, reached: Callable[[], bool], most: float) -> bool:
+    def until(self, reached: Callable[[], bool], most: float) -> bool:
+        """Waits for it; false if it was not reached in so many seconds."""
         ends = time.monotonic() + most
         while not reached():
             if time.monotonic() > ends:
@@ -246,10 +248,24 @@
         for number in range(trial.planners):
             file = self.folder / f"planner-{number}.json5"
             file.write_bytes(sheet_text(planner_sheet(trial, number, self.list_address)))
-            made = PlannerProcess(f"planner-{number}", file, self.folder / f"planner-{number}.log")
+            made = PlannerProcess(
+                f"planner-{number}",
+                file,
+                self.folder / f"planner-{number}.log",
+                self.record_of(f"planner-{number}") if trial.record else None,
+            )
             self.planners.append(self._keep(made))
         self.addresses = [planner.started() for planner in self.planners]
 
+    def record_of(self, planner: str) -> Path:
+        """Where a planner's frames are recorded, if they are."""
+        return self.folder / f"{planner}.jsonl"
+
+    def stop_planners(self) -> None:
+        """Ends them in good order, so that nothing is under way any more."""
+        for planner in self.planners:
+            planner.end()
+
     def start_owners(self) -> None:
         settings = owners.Settings(self.addresses, round(self.trial.task_life * SECOND), self.most_seconds)
         self.owners = self._keep(Child("owners", settings, self.folder, "owners"))
@@ -324,7 +340,7 @@
     nothing = replace(rig.snapshot(owned=False), cpu={"list": cpu_seconds(rig.lister.pid)})
     rig.start_planners()
     nothing.cpu |= dict.fromkeys(rig.names(), 0.0)
-    linked = rig._until(rig.all_ready, trial.most_start)
+    linked = rig.until(rig.all_ready, trial.most_start)
     started = rig.snapshot(owned=False)
     ready = rig.hollow_counts().ready
     rig.start_owners()
@@ -350,7 +366,7 @@
     before_restart = rig.snapshot()
     rig.restart_zone(0)
     time.sleep(trial.down + 0.2)
-    returned = rig._until(rig.all_ready, trial.most_restart)
+    returned = rig.until(rig.all_ready, trial.most_restart)
     restarted = rig.snapshot()
     far_side = rig.hollow_counts()
     found = [
--- /dev/null
+++ b/tests/test_capacity_hollow.py
@@ -0,0 +1,194 @@
+"""The scale rig: hollow workers speak the protocol, and what they count is what planners count."""
+
+import resource
+from collections import Counter
+from pathlib import Path
+
+import msgspec
+import pytest
+
+from bench.capacity.hollow.loop import now_us
+from bench.capacity.hollow.rig import Rig, Trial, refusal
+from bench.capacity.hollow.tally import HEAD, Flow, PeerFlows, kind_of
+from bench.capacity.hollow.words import Drive, Status
+from bench.capacity.hollow.worker import Worker
+from hazelhold.protocol import messages as m
+from hazelhold.protocol.record import Crossing, read_record
+
+SECOND = 1_000_000
+WORKERS = 20
+RATE = 10.0  # tasks a second, each planner
+
+
+def worker() -> Worker:
+    return Worker("w", 0, 0, task_life=SECOND, use_period=SECOND // 4)
+
+
+def said(each: Worker) -> list[m.Message]:
+    answers, each.answers = each.answers, []
+    return [answer.message for answer in answers]
+
+
+def offer(attempt: int = 0) -> m.Offer:
+    return m.Offer(guest="g", attempt=attempt, product="p", service="s", cores=1.0, memory=1.0)
+
+
+def kinds(messages: list[m.Message]) -> list[str]:
+    return [message.__struct_config__.tag for message in messages]
+
+
+def test_a_second_offer_starts_nothing_twice() -> None:
+    made = worker()
+    made.hear(0, "planner", offer())
+    assert kinds(said(made)) == ["taken", "started", "use"]
+    made.hear(1, "planner", offer(attempt=1))
+    again = said(made)
+    assert kinds(again) == ["taken"] and again[0].attempt == 1
+    assert sum(due.what == "end" for due in made.dues) == 1
+
+
+def test_an_accepted_task_stands_against_a_withdrawal_and_ends_once() -> None:
+    made = worker()
+    made.hear(0, "planner", offer())
+    said(made)
+    made.hear(1, "planner", m.Withdraw(guest="g"))
+    assert kinds(said(made)) == ["taken"]
+    ends = [due for due in made.dues if due.what == "end"]
+    for _ in range(2):
+        made.act(SECOND, ends[0])
+    assert [(e.how, e.guest) for e in said(made)] == [("done", "g")]
+    made.hear(2 * SECOND, "planner", m.Withdraw(guest="g"))
+    assert [e.how for e in said(made)] == ["done"]
+
+
+def test_a_roll_call_tells_what_runs_and_what_ended_of_that_planner_alone() -> None:
+    made = worker()
+    made.hear(0, "planner", offer())
+    made.hear(0, "other", offer())
+    made.act(SECOND, made.dues[0])
+    said(made)
+    for planner, state in (("planner", "ended"), ("other", "runs"), ("third", None)):
+        made.hear(SECOND, planner, m.Roll())
+        (running,) = said(made)
+        assert [stand.state for stand in running.guests] == ([state] if state else [])
+
+
+def test_a_restart_is_a_new_incarnation_that_holds_nothing() -> None:
+    made = worker()
+    made.hear(0, "planner", offer())
+    due = made.dues[0]
+    made.restart(SECOND)
+    assert made.welcome(2 * SECOND) == m.Welcome(name="w", incarnation=2, up_for=SECOND)
+    made.act(2 * SECOND, due)
+    made.hear(2 * SECOND, "planner", m.Roll())
+    assert said(made) == [m.Running(guests=[])]
+
+
+@pytest.mark.parametrize(
+    "message", [m.Roll(), m.Probe(number=3), offer(), m.Hello(role="planner", name="p"), m.Watch()]
+)
+def test_the_kind_of_a_message_is_read_from_its_head(message: m.Message) -> None:
+    assert kind_of(m.ENCODER.encode(message)) == message.__struct_config__.tag
+
+
+def test_a_size_past_the_descriptors_is_refused_with_its_reason() -> None:
+    limit = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
+    assert "descriptors" in refusal(Trial(workers=limit + 1, planners=1, told_planners=1))
+    assert not refusal(Trial(workers=WORKERS, planners=2, told_planners=2))
+
+
+def planner_counts(record: Path, kind: str) -> dict[str, dict[str, Flow]]:
+    """Messages and bytes by way and type, as a planner recorded them, over all its peers of a kind."""
+    found: dict[str, dict[str, Flow]] = {"in": {}, "out": {}}
+    for crossing in read_record(record):
+        if crossing.message is None or not crossing.peer.startswith(kind):
+            continue
+        size = HEAD + len(msgspec.msgpack.encode(crossing.message))
+        found[crossing.way].setdefault(crossing.message["t"], Flow()).add(Flow(1, size))
+    return found
+
+
+def openings(record: Path, worker_name: str) -> list[Crossing]:
+    return [c for c in read_record(record) if c.peer == worker_name and c.way == "open"]
+
+
+def incarnations(record: Path, worker_name: str) -> list[int]:
+    """Of one worker, in the order in which the list told the planner of them."""
+    told = [c.message for c in read_record(record) if c.peer == "list" and c.way == "in"]
+    entries = [e for said in told if said["t"] == "listing" for e in said["entries"]]
+    return [e["incarnation"] for e in entries if e["machine"] == worker_name]
+
+
+def without(flows: dict[str, Flow], *kinds: str) -> dict[str, Flow]:
+    return {kind: flow for kind, flow in flows.items() if kind not in kinds}
+
+
+def test_real_planners_place_tasks_on_hollow_workers_and_both_sides_count_the_same() -> None:
+    trial = Trial(
+        workers=WORKERS,
+        planners=2,
+        told_planners=2,
+        task_life=0.5,
+        use_period=0.2,
+        down=0.3,
+        workers_a_process=12,
+        record=True,
+    )
+    began = now_us()
+    with Rig(trial) as rig:
+        rig.start_planners()
+        assert rig.until(rig.all_ready, 20), rig.hollow_counts().ready
+        rig.start_owners()
+        place_and_end(rig)
+        restart(rig)
+        rig.stop_planners()
+        assert_counts_agree(rig)
+        assert not rig.hollow_counts().faults
+    assert now_us() - began < 60 * SECOND
+
+
+def place_and_end(rig: Rig) -> None:
+    """Tasks are submitted for a second; all are placed, and all their ends are told to their owners."""
+    rig.owners.ask(Drive(RATE))
+    assert rig.until(lambda: rig.owners.ask(Status()).submitted >= 2 * RATE, 10)
+    rig.owners.ask(Drive(0.0))
+    assert rig.until(lambda: rig.owners.ask(Status()).ended == rig.owners.ask(Status()).submitted, 10)
+    counts = rig.owners.ask(Status())
+    assert counts.placed == counts.submitted and not counts.refused
+    flows = rig.hollow_counts().flows
+    offers = sum(flows[name].received["offer"].messages for name in rig.names())
+    assert offers >= counts.placed
+
+
+def restart(rig: Rig) -> None:
+    """One worker comes back in a new life: every planner hears of it and calls its roll again."""
+    before = rolls(rig)
+    rig.restart_zone(0)
+    assert rig.until(lambda: rig.hollow_counts().restarts == 1, 5)
+    assert rig.until(rig.all_ready, 10)
+    assert all(rolls(rig)[name] > before[name] for name in rig.names())
+    for name in rig.names():
+        assert rig.until(lambda name=name: incarnations(rig.record_of(name), "worker-00000")[-1] == 2, 10)
+        assert len(openings(rig.record_of(name), "worker-00000")) >= 2
+        assert len(openings(rig.record_of(name), "worker-00001")) == 1
+
+
+def rolls(rig: Rig) -> Counter[str]:
+    """Roll calls that the workers heard, by planner."""
+    flows = rig.hollow_counts().flows
+    return Counter({name: flows[name].received["roll"].messages for name in rig.names()})
+
+
+def assert_counts_agree(rig: Rig) -> None:
+    """Types that a planner does not record are left out: the first message of a worker, a last one."""
+    far = {
+        "worker": rig.hollow_counts().flows,
+        "list": rig.lister.ask(Status()).flows,
+    }
+    for name in rig.names():
+        for kind, flows in far.items():
+            theirs: PeerFlows = flows[name]
+            mine = planner_counts(rig.record_of(name), kind)
+            assert without(theirs.sent, "welcome") == without(mine["in"], "welcome")
+            assert without(theirs.received, "bye") == without(mine["out"], "bye")
+            assert theirs.sent["welcome"].messages == theirs.received["hello"].messages
