--- a/bench/capacity/hollow/shared.py
+++ b/bench/capacity/hollow/shared.py
@@ -14,7 +14,8 @@
 import msgspec
 
 from bench.capacity.hollow.children import RigError
-from bench.capacity.hollow.rig import Result, Trial, run
+from bench.capacity.hollow.course import run
+from bench.capacity.hollow.results import Result, Trial
 
 OWNER = os.getpid()
 FOLDER = Path(tempfile.gettempdir()) / f"hazelhold-trials-{OWNER}-{time.time_ns()}"
--- a/bench/capacity/rows_hollow.py
+++ b/bench/capacity/rows_hollow.py
@@ -7,8 +7,10 @@
 from collections.abc import Callable, Iterator
 from typing import NamedTuple
 
+from msgspec.structs import replace
+
 from bench.capacity.hollow.children import RigError
-from bench.capacity.hollow.rig import KINDS, Phase, PlannerResult, Result, Trial
+from bench.capacity.hollow.results import KINDS, Phase, PlannerResult, Result, Trial
 from bench.capacity.hollow.shared import result_of
 from bench.capacity.registry import RefusedError, measurement
 
@@ -24,7 +26,8 @@
 
 
 class Quantity(NamedTuple):
-    """One row of a family: what is read off a planner's result, and the phase that must have been whole."""
+    """One row of a family: what is read off a planner's result, and the phase that must have been whole, or
+    "" if the row says of itself how far it got."""
 
     key: str
     text: str
@@ -54,11 +57,10 @@
 
 def shortened(trial: Trial) -> Trial:
     """A trial of few workers with short phases, for a check of the command."""
-    return Trial(
+    return replace(
+        trial,
         workers=min(trial.workers, FEW_WORKERS[-1]),
-        planners=min(trial.planners, 2),
-        told_planners=trial.told_planners,
-        rate=trial.rate,
+        planners=min(trial.planners, 3),
         task_life=0.5,
         settle=0.3,
         rest=1.0,
@@ -70,19 +72,19 @@
 
 def spent(phase: str) -> Value:
     """Processor time of a phase, in seconds."""
-    return lambda planner: getattr(planner, phase).cpu
+    return lambda planner: planner.phases[phase].cpu
 
 
 def share(phase: str) -> Value:
     """Processor time a second."""
-    return lambda planner: getattr(planner, phase).cpu / getattr(planner, phase).seconds
+    return lambda planner: planner.phases[phase].cpu / planner.phases[phase].seconds
 
 
 def crossed(phase: str, what: str) -> Value:
     """Messages or bytes of all connections, both ways, in the whole phase."""
 
     def value(planner: PlannerResult) -> float:
-        ways = getattr(planner, phase).ways.values()
+        ways = planner.phases[phase].ways.values()
         return float(sum(getattr(way.incoming, what) + getattr(way.outgoing, what) for way in ways))
 
     return value
@@ -90,14 +92,14 @@
 
 def a_second(phase: str, what: str) -> Value:
     """The same by time."""
-    return lambda planner: crossed(phase, what)(planner) / getattr(planner, phase).seconds
+    return lambda planner: crossed(phase, what)(planner) / planner.phases[phase].seconds
 
 
 def one_way(phase: str, kind: str, direction: str) -> Value:
     """Bytes a second of one kind of connection, one way."""
 
     def value(planner: PlannerResult) -> float:
-        found: Phase = getattr(planner, phase)
+        found: Phase = planner.phases[phase]
         return getattr(found.ways[kind], direction).bytes / found.seconds
 
     return value
@@ -108,22 +110,24 @@
     ("load", "at the stated rate of starts"),
 )
 QUANTITIES = [
-    Quantity("memory", "resident memory at rest", "bytes", lambda p: float(p.at_rest.resident), "rest"),
+    Quantity("memory", "resident memory at rest", "bytes", lambda p: float(p.uses["rest"].resident), "rest"),
     Quantity(
         "memory.proportional",
         "proportional memory (PSS) at rest",
         "bytes",
-        lambda p: float(p.at_rest.proportional),
+        lambda p: float(p.uses["rest"].proportional),
         "rest",
     ),
     Quantity(
         "memory.load",
         "resident memory under starts",
         "bytes",
-        lambda p: float(p.after_load.resident),
+        lambda p: float(p.uses["load"].resident),
         "load",
     ),
-    Quantity("descriptors", "open descriptors at rest", "", lambda p: float(p.at_rest.descriptors), "rest"),
+    Quantity(
+        "descriptors", "open descriptors at rest", "", lambda p: float(p.uses["rest"].descriptors), "rest"
+    ),
     Quantity("start.cpu", "processor time from start to all links ready", "s", spent("start"), "start"),
     Quantity(
         "start.bytes",
@@ -232,11 +236,10 @@
     """RefusedError unless the state that the quantity speaks of was reached in every planner."""
     trial = result.trial
     for planner in result.planners:
-        if not planner.start.complete:
+        if quantity.phase and not planner.phases["start"].complete:
             reason = f"{planner.ready} of {trial.workers} links ready after {trial.most_start:g} s"
-            if quantity.phase != "load" and not quantity.key.startswith("memory"):
-                raise RefusedError(reason)
-        if quantity.phase == "restart" and not planner.restart.complete:
+            raise RefusedError(reason)
+        if quantity.phase == "restart" and not planner.phases["restart"].complete:
             raise RefusedError(f"not all links ready {trial.most_restart:g} s after the restart")
 
 
@@ -259,7 +262,51 @@
             yield quantity.value(planner)
 
 
+DEFAULTS = Family(
+    "planner.process.default",
+    "workers",
+    WORKERS,
+    FEW_WORKERS,
+    lambda size: Trial(
+        workers=size,
+        planners=3,
+        told_planners=MANY_PLANNERS,
+        frame_bytes=0,
+        connect_ms=0.0,
+        reconnect_ms=0.0,
+        start_only=True,
+    ),
+    PROCESSES + "3 processes of 60 planners, the example's limits: connect_ms 250, frame_bytes 1 MiB",
+)
+DEFAULT_QUANTITIES = [
+    Quantity(
+        "missing",
+        "workers without a link 25 s after a planner's start",
+        "workers",
+        lambda p: float(p.workers - p.ready),
+        "",
+    ),
+    Quantity("start.cpu", "processor time in the first 25 s, or until all links", "s", spent("start"), ""),
+    Quantity(
+        "start.bytes",
+        "bytes in the first 25 s, or until all links are ready",
+        "bytes",
+        crossed("start", "bytes"),
+        "",
+    ),
+]
+for each_quantity in DEFAULT_QUANTITIES:
+    register(DEFAULTS, each_quantity)
+
+
+def wanted(family: Family, quantity: Quantity) -> bool:
+    """Whether a family has a row of this quantity: by kind of connection only where nothing is probed."""
+    if family.prefix == "planner.process.starts":
+        return quantity.phase == "load"
+    return family.prefix == "planner.process" or quantity.key.count(".") < 3
+
+
 for each_family in FAMILIES:
     for each_quantity in QUANTITIES:
-        if each_family.prefix != "planner.process.starts" or each_quantity.phase == "load":
+        if wanted(each_family, each_quantity):
             register(each_family, each_quantity)
--- a/tests/test_capacity_hollow.py
+++ b/tests/test_capacity_hollow.py
@@ -8,7 +8,8 @@
 import pytest
 
 from bench.capacity.hollow.loop import now_us
-from bench.capacity.hollow.rig import Rig, Trial, refusal
+from bench.capacity.hollow.results import Trial
+from bench.capacity.hollow.rig import Rig, refusal
 from bench.capacity.hollow.tally import HEAD, Flow, PeerFlows, kind_of
 from bench.capacity.hollow.words import Drive, Status
 from bench.capacity.hollow.worker import Worker
