--- a/bench/capacity/hollow/shared.py
+++ b/bench/capacity/hollow/shared.py
@@ -8,8 +8,10 @@
 import shutil
 import tempfile
 import time
+from collections.abc import Callable
 from hashlib import blake2b
 from pathlib import Path
+from typing import TypeVar
 
 import msgspec
 
@@ -21,35 +23,35 @@
 FOLDER = Path(tempfile.gettempdir()) / f"hazelhold-trials-{OWNER}-{time.time_ns()}"
 
 
-class Failure(msgspec.Struct, tag="failure"):
-    """A trial that gave no result, and why."""
+class Kept(msgspec.Struct):
+    """A trial's result as JSON, or why there is none."""
 
-    reason: str
+    result: msgspec.Raw = msgspec.Raw(b"null")
+    failure: str = ""
 
 
-class Success(msgspec.Struct, tag="success"):
-    """A trial's result."""
+Kind = TypeVar("Kind", bound=msgspec.Struct)
 
-    result: Result
 
-
-def result_of(trial: Trial) -> Result:
-    """The trial's result: run now, or by an earlier row of this benchmark run. RigError if it failed."""
-    file = FOLDER / f"{blake2b(msgspec.json.encode(trial), digest_size=12).hexdigest()}.json"
+def once(key: bytes, kind: type[Kind], make: Callable[[], Kind]) -> Kind:
+    """What `make` gives: made now, or by an earlier row of this benchmark run. RigError if it failed."""
+    file = FOLDER / f"{kind.__name__}-{blake2b(key, digest_size=12).hexdigest()}.json"
     if not file.exists():
         FOLDER.mkdir(parents=True, exist_ok=True)
-        file.write_bytes(msgspec.json.encode(_run(trial)))
-    found = msgspec.json.decode(file.read_bytes(), type=Success | Failure)
-    if isinstance(found, Failure):
-        raise RigError(found.reason)
-    return found.result
-
-
-def _run(trial: Trial) -> Success | Failure:
-    try:
-        return Success(run(trial))
-    except RigError as wrong:
-        return Failure(str(wrong))
+        try:
+            kept = Kept(result=msgspec.Raw(msgspec.json.encode(make())))
+        except RigError as wrong:
+            kept = Kept(failure=str(wrong))
+        file.write_bytes(msgspec.json.encode(kept))
+    found = msgspec.json.decode(file.read_bytes(), type=Kept)
+    if found.failure:
+        raise RigError(found.failure)
+    return msgspec.json.decode(found.result, type=kind)
+
+
+def result_of(trial: Trial) -> Result:
+    """A trial's result, run once in a benchmark run."""
+    return once(msgspec.json.encode(trial), Result, lambda: run(trial))
 
 
 def _clear() -> None:
