Capacity page: tables written from the result file, every figure in prose checked against it

Need: docs/CAPACITY.md must not say a figure that docs/capacity/slopes.json does not give. Change: bench.capacity.page writes the tables into marked regions and checks the prose: a figure is a reference to a row, demand or verdict, rounded to the digits that the text gives, or it is named with its line. Target and rule are declared regions, held by a digest of the text as it was committed before any figure. Changed figures, unknown ids, bare figures, left-out roles and unpaired marks are tested on a made-up result file. Not yet: the page has no figures, as there is no result file.

--- /dev/null
+++ b/bench/capacity/tables.py
@@ -0,0 +1,235 @@
+"""The tables of the capacity page, written from the result file alone.
+
+A region's name names its table: `machine`, `summary`, `demands`, `breaks`, `failures`, `role ROLE`,
+`rows ROLE`.
+"""
+
+from collections.abc import Callable
+from typing import NamedTuple
+
+from bench.capacity.breaks import Break, find_breaks
+from bench.capacity.figures import fit_at, show, show_number, value_at, verdict_id
+from bench.capacity.schema import ResultFile, Row, Verdict
+
+FAILURES = "failures"
+"""The role of rows that tell what failures cost."""
+
+NONE = "-"
+
+
+class TableError(ValueError):
+    """A region whose name names no table, or a table that the file has nothing for."""
+
+
+class Table(NamedTuple):
+    """A Markdown table."""
+
+    heads: list[str]
+    lines: list[list[str]]
+
+    def text(self) -> str:
+        """The table's lines; bars within cells are escaped."""
+        rows = [self.heads, ["---"] * len(self.heads), *self.lines]
+        return "\n".join("| " + " | ".join(cell.replace("|", "\\|") for cell in row) + " |" for row in rows)
+
+
+def render(name: str, result: ResultFile) -> str:
+    """The text of the region called `name`; TableError if there is no such table."""
+    kind, _, rest = name.partition(" ")
+    if kind in ROLE_TABLES and rest:
+        return ROLE_TABLES[kind](result, rest).text()
+    if kind not in TABLES or rest:
+        raise TableError(f'no table is called "{name}"')
+    return TABLES[kind](result).text()
+
+
+def roles(result: ResultFile) -> list[str]:
+    """All roles of the file but the failures, in the file's order."""
+    found = [item.role for items in (result.verdicts, result.demands, result.rows) for item in items]
+    return [role for role in dict.fromkeys(found) if role != FAILURES]
+
+
+def needed(result: ResultFile) -> list[str]:
+    """The regions that a page must have, so that no figure of the file is left out."""
+    names = ["machine", "summary", "demands", "breaks"]
+    for role in roles(result):
+        if any(verdict.role == role for verdict in result.verdicts):
+            names.append(f"role {role}")
+    for role in dict.fromkeys(row.role for row in result.rows):
+        names.append("failures" if role == FAILURES else f"rows {role}")
+    return names
+
+
+def link(name: str) -> str:
+    """A reference to a row's or a demand's line on the page."""
+    return f"[{name}](#{name})"
+
+
+def anchor(name: str) -> str:
+    """A name that references lead to."""
+    return f'<a id="{name}"></a>{name}'
+
+
+def verdict_text(verdict: Verdict) -> str:
+    """The verdict in words, with its factor."""
+    if verdict.holds == "not measured" or verdict.factor is None:
+        return "not measured"
+    if verdict.holds == "holds":
+        by = f", by a factor of {show_number(1 / verdict.factor)}" if verdict.factor else ""
+        return f"holds{by}"
+    return f"**falls short**, by a factor of {show_number(verdict.factor)}"
+
+
+def _spent(verdict: Verdict) -> str:
+    return NONE if verdict.value is None else show(verdict.value, verdict.unit)
+
+
+def _role(result: ResultFile, role: str) -> Table:
+    how = {row.id: row.how for row in result.rows}
+    lines = []
+    for verdict in result.verdicts:
+        if verdict.role != role:
+            continue
+        rows = [f"{link(name)} ({how.get(name, 'no such row')})" for name in verdict.rows]
+        lines.append(
+            [
+                anchor(verdict_id(verdict)),
+                _spent(verdict),
+                show(verdict.budget, verdict.unit),
+                verdict_text(verdict),
+                f"`{verdict.arithmetic}`" if verdict.arithmetic else NONE,
+                ", ".join(rows + [link(name) for name in verdict.demands]) or NONE,
+                verdict.note or NONE,
+            ]
+        )
+    if not lines:
+        raise TableError(f"the file has no verdict for {role}")
+    return Table(["resource", "spent", "budget", "verdict", "slope x demand", "figures", "note"], lines)
+
+
+def growth(row: Row) -> str:
+    """The fit that is told, with its residual, and the others' residuals beside it."""
+    fit = row.best_fit()
+    if fit is None:
+        return NONE
+    others = ", ".join(f"{o.form} {100 * o.residual:.2g}%" for o in row.fits if o is not fit)
+    slope = "" if fit.form == "constant" else f" + {show(fit.slope, row.unit)} x {fit.form}"
+    told = f"{show(fit.intercept, row.unit)}{slope}, residual {100 * fit.residual:.2g}%"
+    return f"{told} ({others})" if others else told
+
+
+def _measured(row: Row) -> str:
+    sizes = list(dict.fromkeys(point.size for point in row.points))
+    return "; ".join(f"{size:,}: {show(value_at(row, size), row.unit)}" for size in sizes) or NONE
+
+
+def _rows(result: ResultFile, role: str) -> Table:
+    lines = []
+    for row in result.rows:
+        if row.role != role:
+            continue
+        refused = "; ".join(f"{refusal.size:,}: {refusal.reason}" for refusal in row.refused)
+        lines.append(
+            [
+                anchor(row.id),
+                f"{row.quantity}, by {row.by}" if row.by else row.quantity,
+                row.how,
+                _measured(row),
+                growth(row),
+                refused or NONE,
+                row.note or NONE,
+            ]
+        )
+    if not lines:
+        raise TableError(f"the file has no row for {role}")
+    return Table(["row", "quantity", "how", "measured", "fit", "refused", "note"], lines)
+
+
+def _demands(result: ResultFile) -> Table:
+    lines = [
+        [
+            anchor(demand.id),
+            demand.role,
+            show(demand.value, demand.unit),
+            f"`{demand.arithmetic}`" if demand.arithmetic else NONE,
+            demand.note or NONE,
+        ]
+        for demand in result.demands
+    ]
+    return Table(["demand", "role", "value", "arithmetic", "note"], lines)
+
+
+def worst(result: ResultFile, role: str) -> Verdict | None:
+    """The role's verdict that is nearest to its budget or furthest past it, if any was measured."""
+    found = [verdict for verdict in result.verdicts if verdict.role == role and verdict.factor is not None]
+    return max(found, key=lambda verdict: verdict.factor or 0.0, default=None)
+
+
+def _summary(result: ResultFile) -> Table:
+    lines = []
+    for role in roles(result):
+        verdicts = [verdict for verdict in result.verdicts if verdict.role == role]
+        count = [sum(v.holds == kind for v in verdicts) for kind in ("holds", "falls short", "not measured")]
+        found = worst(result, role)
+        near = NONE if found is None else f"[{found.resource}](#{verdict_id(found)}): {verdict_text(found)}"
+        lines.append([role, *map(str, count), near])
+    return Table(
+        ["role", "holds", "falls short", "not measured", "nearest to, or furthest past, a budget"], lines
+    )
+
+
+def _break_line(number: int, found: Break) -> list[str]:
+    part = "whole" if found.part == 1 else str(found.part)
+    return [str(number), found.role, part, found.why]
+
+
+def _breaks(result: ResultFile) -> Table:
+    found = find_breaks(result)
+    lines = [_break_line(number, item) for number, item in enumerate(found, 1)]
+    broken = {item.role for item in found}
+    lines += [
+        [NONE, role, "none", "no measured budget is exceeded"] for role in roles(result) if role not in broken
+    ]
+    return Table(["", "role", "smallest part of the target that breaks it", "by"], lines)
+
+
+def _failures(result: ResultFile) -> Table:
+    lines = []
+    for row in result.rows:
+        if row.role == FAILURES:
+            lines.append([anchor(row.id), row.quantity, _measured(row), row.how, row.note or NONE])
+    return Table(["row", "what", "value", "how", "arithmetic"], lines)
+
+
+def _machine(result: ResultFile) -> Table:
+    machine = result.machine
+    revisions = ", ".join(
+        f"`{name[:10]}`" for name in dict.fromkeys(row.revision for row in result.rows) if name
+    )
+    counts = [f"{how}: {sum(row.how == how for row in result.rows)}" for how in ROW_KINDS]
+    lines = [
+        ["cores", str(machine.cores)],
+        ["memory", show(machine.memory_bytes, "bytes")],
+        ["processor", machine.processor or NONE],
+        ["system, Python", f"{machine.system}, {machine.python}"],
+        ["load when the run began", show_number(machine.load)],
+        ["revisions measured", revisions or NONE],
+        ["rows by how they were measured", ", ".join(counts)],
+        ["note", machine.note or NONE],
+    ]
+    return Table(["machine", ""], lines)
+
+
+ROW_KINDS = ("real process", "hollow", "module alone", "computed")
+
+TABLES: dict[str, Callable[[ResultFile], Table]] = {
+    "machine": _machine,
+    "summary": _summary,
+    "demands": _demands,
+    "breaks": _breaks,
+    "failures": _failures,
+}
+
+ROLE_TABLES: dict[str, Callable[[ResultFile, str], Table]] = {"role": _role, "rows": _rows}
+
+__all__ = ["TableError", "fit_at", "needed", "render", "roles"]
--- /dev/null
+++ b/tests/test_capacity_page.py
@@ -0,0 +1,268 @@
+"""docs/CAPACITY.md and docs/capacity/slopes.json hold together: every figure of the page is the file's."""
+
+import hashlib
+import re
+from fractions import Fraction
+
+import msgspec
+import pytest
+
+from bench.capacity.breaks import Evaluation, FormulaError, find_breaks
+from bench.capacity.figures import FigureError, Figures, same, show
+from bench.capacity.page import PAGE_PATH, faults, figures_of, regenerate
+from bench.capacity.prose import PageError, declared, split
+from bench.capacity.schema import (
+    Demand,
+    Fit,
+    Machine,
+    Point,
+    Refusal,
+    ResultFile,
+    Row,
+    Verdict,
+)
+from bench.capacity.tables import FAILURES, TableError, needed, render
+
+DECLARED = {
+    "target": "9d1b590835f3881180c7291091a7c264",
+    "rule": "42009073c40616832532b85ad5aa5518",
+}
+"""The target as told and the rule as it was written before any figure, by blake2b of the text."""
+
+
+def made_up() -> ResultFile:
+    """A small result file: a role that holds, one that falls short, one not measured, a failure."""
+    entry = Row(
+        id="list.whole.bytes",
+        role="list service",
+        quantity="bytes of the whole list",
+        unit="bytes",
+        by="workers",
+        how="real process",
+        revision="a" * 40,
+        seed=7,
+        sizes=[1825, 3650, 7300],
+        points=[Point(1825, 293_825), Point(3650, 587_650), Point(7300, 1_175_300)],
+        fits=[Fit("n", 161.0, 0.0, 0.001), Fit("n squared", 0.02, 0.0, 0.7)],
+        best="n",
+        refused=[Refusal(14_600, "the frame's bound")],
+    )
+    probes = Row(
+        id="planner.probes.bytes",
+        role="planner",
+        quantity="bytes a second of probes and reports",
+        unit="bytes/s",
+        by="workers",
+        how="computed",
+        revision="a" * 40,
+        seed=7,
+        sizes=[1825, 3650, 7300],
+        points=[Point(1825, 107_675), Point(3650, 215_350), Point(7300, 430_700)],
+        fits=[Fit("n", 59.0, 0.0, 0.0)],
+        best="n",
+    )
+    lost = Row(
+        id="failure.zone.bytes",
+        role=FAILURES,
+        quantity="a zone returns",
+        unit="bytes",
+        by="planners",
+        how="computed",
+        revision="a" * 40,
+        seed=7,
+        sizes=[24],
+        points=[Point(24, 1_500_000)],
+        note="304 x 211",
+    )
+    return ResultFile(
+        rows=[entry, probes, lost],
+        demands=[Demand("list.changes.day", "list service", 1464.0, "changes/day", "1400 + 64")],
+        verdicts=[
+            Verdict("list service", "bytes a second", 4000.0, 1986.6, "bytes/s",
+                    ["list.whole.bytes"], ["list.changes.day"],
+                    "list.whole.bytes@7300 * list.changes.day / 86400 / 10.0251", "holds", 0.49665),
+            Verdict("planner", "probes", 4000.0, 430_700.0, "bytes/s", ["planner.probes.bytes"], [],
+                    "planner.probes.bytes@7300", "falls short", 107.675),
+            Verdict("worker", "memory", 64e6, None, "bytes", [], [], "", "not measured", None),
+        ],
+        machine=Machine(8, 24_000_000_000, "made up", "Linux", "3.11", 1.5),
+    )  # fmt: skip
+
+
+PAGE = """# Capacity
+
+<!-- capacity:declared target -->
+7,300 workers.
+<!-- capacity:end -->
+
+The list is [1.18 MB](#list.whole.bytes "at 7300"), [161 bytes](#list.whole.bytes "slope") each; it changes
+[1,464 changes/day](#list.changes.day), so [1.99 kB/s](#list-service/bytes-a-second "value") of
+[4 kB/s](#list-service/bytes-a-second "budget") are spent. Probes cost [431 kB/s](#planner/probes "value"),
+[108](#planner/probes "factor") times too much, and break at [1/64](#planner "breaks") of it.
+"""
+
+
+def whole_page(result: ResultFile) -> str:
+    """PAGE with all the tables that the file asks for."""
+    regions = [f"\n<!-- capacity:begin {name} -->\n<!-- capacity:end -->\n" for name in needed(result)]
+    return regenerate(PAGE + "".join(regions), result)
+
+
+def test_a_page_written_from_the_file_has_no_fault_and_is_written_the_same_again() -> None:
+    result = made_up()
+    page = whole_page(result)
+    assert faults(page, result) == []
+    assert regenerate(page, result) == page
+    for how in ("real process", "computed"):
+        assert how in page
+
+
+@pytest.mark.parametrize(
+    "right,wrong,fault",
+    [
+        ("[1.18 MB]", "[1.19 MB]", '"1.19 MB" stands where the file gives 1.18 MB'),
+        ("[1.18 MB]", "[1.18 kB]", "stands where"),
+        ("[1.18 MB]", "[1.18 ms]", "is not in bytes"),
+        ("[1.18 MB]", "[1 MB]", "stands where"),
+        ("[1.18 MB]", "[some]", "is no number"),
+        ('"at 7300"', '"at 7301"', "was not measured at 7301"),
+        ('"at 7300"', '"about 7300"', "no way to name"),
+        ("#list.whole.bytes", "#list.hole.bytes", "no row is called list.hole.bytes"),
+        ("#list.changes.day", "#list.changes.year", "no demand is called"),
+        ('"factor"', '"value"', "is not in bytes/s"),
+        ("#planner/probes", "#planner/prose", "no verdict is called"),
+        ("[1/64]", "[1/32]", "stands where"),
+        ("The list is", "The list, 7,300 entries, is", '"7,300" is a figure without a source'),
+        ("The list is", "The list is some hundred bytes an entry,", '"hundred" is a figure without a source'),
+        ("The list is", "The list is `1.2 MB`,", '"1.2" is a figure without a source'),
+        ("The list is", "[9 s](state.md); the list is", '"9" is a figure without a source'),
+        ("The list is", "`hazelhold/no/such.py`: the list is", "no module hazelhold/no/such.py"),
+    ],
+)
+def test_a_figure_that_the_file_does_not_give_is_named(right: str, wrong: str, fault: str) -> None:
+    result = made_up()
+    page = whole_page(result)
+    assert right in PAGE
+    spoilt = page.replace(PAGE, PAGE.replace(right, wrong, 1))
+    assert spoilt != page
+    assert any(fault in found for found in faults(spoilt, result)), faults(spoilt, result)
+
+
+def test_each_changed_digit_of_a_table_is_noticed() -> None:
+    result = made_up()
+    page = whole_page(result)
+    for region in split(page):
+        if region.kind != "begin":
+            continue
+        for line in region.lines:
+            changed = re.sub(r"\d", lambda digit: str((int(digit[0]) + 1) % 10), line, count=1)
+            if changed != line:
+                assert faults(page.replace(line, changed, 1), result), line
+
+
+def test_each_figure_of_the_file_that_changes_is_noticed_on_the_page() -> None:
+    result = made_up()
+    page = whole_page(result)
+    changed = made_up()
+    changed.rows[0].points[2] = Point(7300, 1_275_300)
+    changed.rows[0].fits[0] = Fit("n", 175.0, 0.0, 0.001)
+    assert (
+        len(faults(page, changed)) >= 3
+    )  # the row's table, the verdict's arithmetic aside, and two references
+    changed = made_up()
+    changed.verdicts[1] = msgspec.structs.replace(changed.verdicts[1], holds="holds", factor=0.5)
+    assert any("role planner" in found for found in faults(page, changed))
+    changed = made_up()
+    changed.rows[0].how = "hollow"
+    assert any("rows list service" in found for found in faults(page, changed))
+
+
+def test_a_row_role_or_table_that_the_page_leaves_out_is_named() -> None:
+    result = made_up()
+    page = whole_page(result)
+    for name in needed(result):
+        start = page.index(f"<!-- capacity:begin {name} -->")
+        end = page.index("<!-- capacity:end -->", start) + len("<!-- capacity:end -->")
+        assert any("is missing" in found for found in faults(page[:start] + page[end:], result))
+    extra = page + "<!-- capacity:begin weather -->\n<!-- capacity:end -->\n"
+    assert any('no table is called "weather"' in found for found in faults(extra, result))
+    with pytest.raises(TableError):
+        render("role weather", result)
+
+
+@pytest.mark.parametrize(
+    "page",
+    [
+        "<!-- capacity:begin demands -->\n",
+        "<!-- capacity:end -->\n",
+        "<!-- capacity:begin a -->\n<!-- capacity:begin b -->\n<!-- capacity:end -->\n",
+        "<!-- capacity:begin -->\n<!-- capacity:end -->\n",
+        "<!--capacity:declared a-->\n",
+        "<!-- capacity:anything a -->\n",
+    ],
+)
+def test_marks_that_do_not_pair_are_refused(page: str) -> None:
+    with pytest.raises(PageError, match="line"):
+        split(page)
+    assert faults(page, made_up())
+
+
+def test_a_value_is_rounded_to_the_digits_of_the_text() -> None:
+    assert same("1.18", 1.1753) and same("1.2", 1.1753) and not same("1.17", 1.1753)
+    assert same("1,420", 1418.3) and same("1,418", 1418.3) and not same("1,419", 1418.3)
+    assert same("7,000", 6998) and not same("7,000", 6_990)
+    assert not same("1,000,000", 1_006_000)
+    assert same("4", 4.0) and not same("4", 4.1)  # one digit alone has to be exact
+    assert same("0.050", 0.0501) and not same("0.050", 0.0506)
+    assert same("0", 0.0) and not same("0", 0.4)
+
+
+def test_values_are_shown_with_three_digits_in_a_fitting_unit() -> None:
+    assert show(1_175_300, "bytes") == "1.18 MB"
+    assert show(430_700, "bytes/s") == "431 kB/s"
+    assert show(0.000_02, "s") == "20 us"
+    assert show(0.019, "share") == "1.90%"
+    assert show(1464, "changes/day") == "1,460 changes/day"
+    assert show(999.9, "bytes") == "1,000 B"
+    assert show(0, "bytes") == "0 B"
+
+
+def test_what_is_shown_is_what_a_reference_may_say() -> None:
+    for value, unit in [(1_175_300, "bytes"), (430_700, "bytes/s"), (0.019, "share"), (7.25e-5, "s")]:
+        row = Row("a.b", "r", "q", unit, "n", "computed", "", 0, [5], [Point(5, value)])
+        Figures(ResultFile(rows=[row])).check(show(value, unit), "a.b", "at 5")
+
+
+def test_a_verdict_that_was_not_measured_has_no_figure() -> None:
+    with pytest.raises(FigureError, match="not measured"):
+        figures_of(made_up()).value("worker/memory", "value")
+
+
+def test_parts_scale_rows_and_demands_but_not_plain_numbers() -> None:
+    result = made_up()
+    assert Evaluation(result).value("list.whole.bytes@7300 + 10") == 1_175_310
+    assert Evaluation(result, Fraction(1, 2)).value("list.whole.bytes@7300 * 2") == pytest.approx(1_175_300)
+    assert Evaluation(result, Fraction(1, 4)).value("max(list.changes.day, 1)") == 366
+    for bad in ("list.hole.bytes@7300", "__import__('os')", "list.whole.bytes@7300 ** 2", "1 +", "1 / 0"):
+        with pytest.raises(FormulaError):
+            Evaluation(result).value(bad)
+
+
+def test_roles_break_in_the_order_of_the_smallest_part() -> None:
+    result = made_up()
+    [found] = find_breaks(result)
+    assert (found.role, found.part) == ("planner", Fraction(1, 64))
+    result.verdicts[0] = msgspec.structs.replace(result.verdicts[0], budget=1_000.0, factor=1.9866)
+    # half of the workers with half of the changes is a quarter of 1.99 kB/s
+    assert [(b.role, b.part) for b in find_breaks(result)] == [
+        ("planner", Fraction(1, 64)),
+        ("list service", Fraction(1)),
+    ]
+    result.verdicts[0] = msgspec.structs.replace(result.verdicts[0], budget=400.0, factor=4.9665)
+    assert find_breaks(result)[1].part == Fraction(1, 2)
+
+
+def test_target_and_rule_stand_as_they_were_written_before_any_figure() -> None:
+    found = declared(PAGE_PATH.read_text())
+    for name, digest in DECLARED.items():
+        assert hashlib.blake2b(found[name].strip().encode(), digest_size=16).hexdigest() == digest, name
