--- a/bench/capacity/breaks.py
+++ b/bench/capacity/breaks.py
@@ -1,39 +1,52 @@
 """At which part of the target each role breaks: the first step of the page's rule.
 
-For each verdict, its arithmetic is evaluated for 1/64, 1/32, ... 1 of the target. A part scales the sizes at
-which rows are read and the demands; plain numbers in the arithmetic (periods, shares, the constants of a
-protocol) stay. A verdict whose budget is zero stands for a role without any mechanism: it breaks at the
-smallest part. Nothing is said of a verdict that was not measured.
+Each verdict's arithmetic is evaluated for 1/64, 1/32, ... 1 of the target: rows are read at so much of their
+size, and demands grow as EXPONENTS says. Everything that the operators told grows with the part, and with it
+the number of planners; what does not (a rack, bytes of a change, periods) stays.
+
+A role that the program has no mechanism for breaks at the smallest part. Verdicts in CONSTANTS are limits
+that a file sets, and those in VARIANTS are told for comparison: by the rule, neither breaks a role.
 """
 
-import ast
-import operator
-import re
-from collections.abc import Callable
 from dataclasses import dataclass
 from fractions import Fraction
 
-from bench.capacity.figures import FigureError, fit_at, show, value_at, verdict_id
+from bench.capacity.arithmetic import Known, MissingError
+from bench.capacity.figures import show, verdict_id
 from bench.capacity.schema import ResultFile, Verdict
 
 PARTS = tuple(Fraction(1, 2**power) for power in range(6, -1, -1))
 """1/64, 1/32, ... 1, the smallest first."""
 
-NO_MECHANISM = "none"
-"""How a verdict's resource or note begins if the program has no mechanism for it."""
-
-NAME = re.compile(r"[A-Za-z_][\w-]*(?:\.[\w-]+)+(?:@[\d,]+)?")
-OPERATORS: dict[type, Callable[[float, float], float]] = {
-    ast.Add: operator.add,
-    ast.Sub: operator.sub,
-    ast.Mult: operator.mul,
-    ast.Div: operator.truediv,
+NO_MECHANISM = "none:"
+"""How the note of a verdict begins if the program has no mechanism for it."""
+
+EXPONENTS = {
+    "planner.starts": 0,  # of one planner; there are as many fewer planners
+    "planner.starts.half": 0,
+    "planner.starts.twice": 0,
+    "planner.tasks": 0,
+    "planner.reports": 0,
+    "list.changes.rack": 0,
+    "voter.claims": 0,
+    "voter.cells": 0,
+    "news.bytes": -1,
 }
-CALLS: dict[str, Callable[..., float]] = {"max": max, "min": min}
+"""With which power of the part a demand grows; those not named here, with the first."""
 
+BUDGET_EXPONENTS = {"list-service/traffic-list-with-rooms-to-all-planners": 1}
+"""The same for budgets; those not named here stay. This one is the sum of all planners' budgets."""
 
-class FormulaError(ValueError):
-    """An arithmetic that cannot be evaluated, with its text and the reason."""
+CONSTANTS = {"list-service/frame-of-the-whole-list", "planner/descriptors"}
+"""Verdicts on a constant of a file."""
+
+VARIANTS = {
+    "planner/processor-time-decisions-half-as-many-planners",
+    "planner/processor-time-decisions-twice-as-many-planners",
+    "planner/processor-time-probes-as-up-to-eight-planners-send-them",
+    "planner/traffic-probes-as-up-to-eight-planners-send-them",
+}
+"""Verdicts on other numbers of planners than the page reckons with."""
 
 
 @dataclass(frozen=True)
@@ -45,81 +58,64 @@
     why: str
 
 
-class Evaluation:
-    """Evaluates arithmetic over a result file's rows and demands, for one part of the target."""
+class PartOfTarget(Known):
+    """What references mean at a part of the target."""
 
-    def __init__(self, result: ResultFile, part: Fraction = PARTS[-1]) -> None:
-        self.rows = {row.id: row for row in result.rows}
-        self.demands = {demand.id: demand for demand in result.demands}
+    def __init__(self, result: ResultFile, part: Fraction) -> None:
+        super().__init__(result.rows, result.demands)
         self.part = float(part)
 
-    def value(self, text: str) -> float:
-        """Raises FormulaError."""
-        names: list[str] = []
+    def value(self, reference: str) -> float:
+        """A row at its part of the size, or a demand at the part."""
+        name, at, size = reference.partition("@")
+        if name.startswith("demand."):
+            whole = super().value(name)
+            return whole * self.part ** EXPONENTS.get(name.removeprefix("demand."), 1)
+        if at:
+            return super().value(f"{name}@{max(1.0, float(size) * self.part)!r}")
+        return super().value(reference)
 
-        def placed(match: re.Match[str]) -> str:
-            names.append(match[0])
-            return f"name_{len(names) - 1}"
 
-        try:
-            tree = ast.parse(NAME.sub(placed, text), mode="eval")
-            return self._node(tree.body, names)
-        except (SyntaxError, FigureError, ZeroDivisionError, FormulaError) as fault:
-            raise FormulaError(f'"{text}": {fault}') from None
-
-    def _node(self, node: ast.expr, names: list[str]) -> float:
-        if isinstance(node, ast.BinOp) and type(node.op) in OPERATORS:
-            return OPERATORS[type(node.op)](self._node(node.left, names), self._node(node.right, names))
-        if isinstance(node, ast.Constant) and isinstance(node.value, int | float):
-            return float(node.value)
-        if isinstance(node, ast.Name) and node.id.startswith("name_"):
-            return self._named(names[int(node.id.removeprefix("name_"))])
-        if isinstance(node, ast.Call) and isinstance(node.func, ast.Name) and node.func.id in CALLS:
-            return CALLS[node.func.id](*(self._node(argument, names) for argument in node.args))
-        raise FormulaError("only + - * / min max, numbers, rows and demands")
-
-    def _named(self, text: str) -> float:
-        name, _, size = text.partition("@")
-        if name in self.demands and not size:
-            return self.demands[name].value * self.part
-        if name in self.rows and size:
-            return self._row(name, int(size.replace(",", "")))
-        if name.endswith(".slope") and name.removesuffix(".slope") in self.rows:
-            fit = self.rows[name.removesuffix(".slope")].best_fit()
-            if fit is not None:
-                return fit.slope
-        raise FormulaError(f"no row or demand is called {text}")
-
-    def _row(self, name: str, size: int) -> float:
-        row = self.rows[name]
-        if self.part == 1 and any(point.size == size for point in row.points):
-            return value_at(row, size)
-        fit = row.best_fit()
-        if fit is None:
-            raise FormulaError(f"{name} has no fit")
-        return fit_at(fit, max(1.0, size * self.part))
+def without_mechanism(verdict: Verdict) -> bool:
+    """Whether the program has nothing that could be measured here."""
+    return verdict.note.startswith(NO_MECHANISM)
 
 
 def breaks_at(verdict: Verdict, result: ResultFile) -> Fraction | None:
     """The smallest part at which the verdict's value exceeds its budget."""
+    if without_mechanism(verdict):
+        return PARTS[0]
     if verdict.value is None:
         return None
     for part in PARTS:
-        if Evaluation(result, part).value(verdict.arithmetic) > verdict.budget:
-            return part
+        budget = verdict.budget * float(part) ** BUDGET_EXPONENTS.get(verdict_id(verdict), 0)
+        try:
+            if PartOfTarget(result, part).evaluate(verdict.arithmetic) > budget:
+                return part
+        except MissingError:
+            return None
     return None
 
 
+def _why(verdict: Verdict) -> str:
+    name = f"[{verdict.resource}](#{verdict_id(verdict)})"
+    if without_mechanism(verdict):
+        return f"{name}: no mechanism"
+    spent, budget = show(verdict.value or 0.0, verdict.unit), show(verdict.budget, verdict.unit)
+    return f"{name}: {spent} at full size, {budget} budgeted"
+
+
 def find_breaks(result: ResultFile) -> list[Break]:
-    """Each role that breaks, the smallest part first; of equals those without a mechanism, then the worst."""
+    """Each role that breaks, the smallest part first; of equals, those without mechanism, then by factor."""
     found: dict[str, tuple[Fraction, float, str]] = {}
     for verdict in result.verdicts:
+        if verdict_id(verdict) in CONSTANTS | VARIANTS:
+            continue
         part = breaks_at(verdict, result)
         if part is None:
             continue
-        spent = f"{show(verdict.value or 0.0, verdict.unit)} beside {show(verdict.budget, verdict.unit)}"
-        why = f"[{verdict.resource}](#{verdict_id(verdict)}), at full size {spent}"
-        entry = (part, -(verdict.factor or 0.0), why)
+        worst = float("-inf") if without_mechanism(verdict) else -(verdict.factor or 0.0)
+        entry = (part, worst, _why(verdict))
         if verdict.role not in found or entry < found[verdict.role]:
             found[verdict.role] = entry
     ordered = sorted(found.items(), key=lambda item: item[1][:2])
--- a/bench/capacity/figures.py
+++ b/bench/capacity/figures.py
@@ -18,23 +18,16 @@
 import re
 from dataclasses import dataclass
 from fractions import Fraction
-from math import floor, log2, log10
+from math import floor, log10
 from statistics import median
 from typing import NamedTuple
 
-from bench.capacity.schema import Fit, ResultFile, Row, Verdict
+from bench.capacity.fit import value_at
+from bench.capacity.schema import ResultFile, Row, Verdict
 
 SIGNIFICANT_DIGITS = 3
 """Digits that generated tables show; a whole number in prose may be rounded to so many."""
 
-FORMS = {
-    "constant": lambda size: 1.0,
-    "n": lambda size: float(size),
-    "n log n": lambda size: size * log2(max(size, 1)),
-    "n squared": lambda size: float(size) ** 2,
-}
-"""Each form's curve without slope and intercept, as `schema.Fit` defines it."""
-
 SCALES: dict[str, tuple[str, float]] = {
     "B": ("bytes", 1),
     "bytes": ("bytes", 1),
@@ -78,10 +71,12 @@
 
 @dataclass(frozen=True)
 class Value:
-    """A figure's value as the result file has it; `unit` is "" where it is a plain ratio."""
+    """A figure's value as the result file has it; `unit` is "" where it is a plain ratio, `fraction` is set
+    where it is a part of the target."""
 
     value: float
     unit: str
+    fraction: Fraction | None = None
 
 
 def read_unit(text: str) -> Unit:
@@ -90,16 +85,13 @@
     for end in PARTS:
         if text.endswith(end):
             return read_unit(text[: -len(end)])._replace(rate=RATES[end])
+    if text.startswith("% "):
+        return read_unit(text[2:])._replace(scale=SCALES["%"][1])
     measures, scale = SCALES.get(text, (text, 1.0))
     return Unit(measures, scale, "")
 
 
-def fit_at(fit: Fit, size: float) -> float:
-    """The fitted curve's value at a size."""
-    return fit.intercept + fit.slope * FORMS[fit.form](size)
-
-
-def value_at(row: Row, size: int) -> float:
+def measured(row: Row, size: int) -> float:
     """The measurement at just that size, the median if there are several."""
     found = [point.value for point in row.points if point.size == size]
     if not found:
@@ -151,7 +143,7 @@
         if which == "breaks":
             if name not in self.breaks:
                 raise FigureError(f"role {name} does not break at any part")
-            return Value(float(self.breaks[name]), "")
+            return Value(float(self.breaks[name]), "", self.breaks[name])
         return self._row(name, which)
 
     def _demand(self, name: str) -> Value:
@@ -173,7 +165,7 @@
             raise FigureError(f"no row is called {name}")
         row = self.rows[name]
         if which.startswith("at "):
-            return Value(value_at(row, read_size(which[3:])), row.unit)
+            return Value(measured(row, read_size(which[3:])), row.unit)
         fit = row.best_fit()
         if fit is None:
             raise FigureError(f"{name} has no fit")
@@ -182,7 +174,7 @@
         if which == "residual":
             return Value(fit.residual, "share")
         if which.startswith("fit at "):
-            return Value(fit_at(fit, read_size(which[7:])), row.unit)
+            return Value(value_at(fit, read_size(which[7:])), row.unit)
         raise FigureError(f'{name}: "{which}" is no way to name a figure')
 
     def check(self, text: str, name: str, which: str) -> None:
@@ -215,8 +207,9 @@
 
 
 def verdict_id(verdict: Verdict) -> str:
-    """How figures name a verdict."""
-    return f"{verdict.role}/{verdict.resource}".replace(" ", "-")
+    """How figures name a verdict: ROLE/RESOURCE, with hyphens for all but letters and digits."""
+    parts = (re.sub("[^a-z0-9]+", "-", text.lower()).strip("-") for text in (verdict.role, verdict.resource))
+    return "/".join(parts)
 
 
 def show_number(value: float) -> str:
@@ -239,6 +232,8 @@
     steps = {"bytes": ("GB", "MB", "kB", "B"), "seconds": ("s", "ms", "us", "ns")}.get(found.measures)
     if found.measures == "share" and not found.rate:
         return f"{show_number(100 * base)}%"
+    if unit.startswith("of a "):
+        return f"{show_number(100 * base)}% {unit}"
     if steps is None:
         return f"{show_number(value)} {unit}".strip()
     name = next((step for step in steps if abs(base) >= SCALES[step][1]), steps[-1])
--- a/bench/capacity/page.py
+++ b/bench/capacity/page.py
@@ -1,21 +1,25 @@
 """Holds docs/CAPACITY.md and the result file together.
 
-    python -m bench.capacity.page            # writes the generated regions anew, then checks
+    python -m bench.capacity.page            # writes tables and stale references anew, then checks
     python -m bench.capacity.page --check    # changes nothing; ends with 1 and names every fault
 
-`regenerate` writes the tables, `faults` finds what the result file does not give: a table that differs, a
-figure in prose without a source or with another value, a role or row that the page leaves out, a module that
-the page names and the program lacks.
+`regenerate` writes the tables, `renew_references` the figures in prose that changed (a new figure may be
+written as `[?](#ID "WHICH")`), `faults` finds what the result file does not give: a table that differs, a
+figure in prose without a source or with another value, arithmetic that does not give its value, a role or row
+that the page leaves out, a module that the page names and the program lacks.
 """
 
 import argparse
 import re
 import sys
+from collections import Counter
+from math import isclose
 from pathlib import Path
 
+from bench.capacity.arithmetic import Known, MissingError, NotArithmeticError
 from bench.capacity.breaks import find_breaks
-from bench.capacity.figures import Figures
-from bench.capacity.prose import MARK, PageError, generated, prose_faults
+from bench.capacity.figures import Figures, verdict_id
+from bench.capacity.prose import MARK, PageError, generated, prose_faults, renew_references
 from bench.capacity.schema import RESULT_PATH, ResultFile, load
 from bench.capacity.tables import TableError, needed, render
 
@@ -61,9 +65,29 @@
         except TableError as fault:
             found.append(str(fault))
     found += prose_faults(text, figures_of(result))
+    found += arithmetic_faults(result)
+    names = [row.id for row in result.rows] + [demand.id for demand in result.demands]
+    found += [f"{name} is the id of two figures" for name, count in Counter(names).items() if count > 1]
     return found + [f"no module {name}" for name in MODULE.findall(text) if not (root / name).exists()]
 
 
+def arithmetic_faults(result: ResultFile) -> list[str]:
+    """Demands and verdicts whose written arithmetic does not give their value."""
+    known = Known(result.rows, result.demands)
+    written = [(f"demand {demand.id}", demand.arithmetic, demand.value) for demand in result.demands]
+    written += [(verdict_id(v), v.arithmetic, v.value) for v in result.verdicts if v.value is not None]
+    found = []
+    for name, arithmetic, value in written:
+        try:
+            given = known.evaluate(arithmetic)
+        except (MissingError, NotArithmeticError) as fault:
+            found.append(f"{name}: {fault}")
+        else:
+            if not isclose(given, value, rel_tol=1e-9):
+                found.append(f"{name}: its arithmetic gives {given:g}, the file {value:g}")
+    return found
+
+
 def main(arguments: list[str] | None = None) -> int:
     """The command; returns its exit code."""
     parser = argparse.ArgumentParser(prog="python -m bench.capacity.page", description=__doc__)
@@ -72,8 +96,10 @@
     result = load(RESULT_PATH)
     text = PAGE_PATH.read_text()
     if not given.check:
-        text = regenerate(text, result)
+        text, changed = renew_references(regenerate(text, result), figures_of(result))
         PAGE_PATH.write_text(text)
+        for change in changed:
+            print(f"read its sentence again: {change}")
     found = faults(text, result)
     for fault in found:
         print(f"{PAGE_PATH.name}: {fault}", file=sys.stderr)
--- a/bench/capacity/prose.py
+++ b/bench/capacity/prose.py
@@ -13,7 +13,7 @@
 import re
 from typing import NamedTuple
 
-from bench.capacity.figures import FigureError, Figures
+from bench.capacity.figures import FigureError, Figures, show
 
 MARK = re.compile(r"^<!-- capacity:(?P<what>begin|declared|end)(?: (?P<name>.*?))? -->$")
 REFERENCE = re.compile(r'\[(?P<text>[^\]]+)\]\(#(?P<name>[^)\s"]+)(?: "(?P<which>[^"]*)")?\)')
@@ -86,6 +86,35 @@
     return found
 
 
+def renew_references(text: str, figures: Figures) -> tuple[str, list[str]]:
+    """The page with every reference in prose that does not hold, or whose text is "?", written anew, and what
+    was changed. References that name nothing stay, for the check to tell."""
+    changed: list[str] = []
+
+    def renewed(match: re.Match[str]) -> str:
+        name, which = match["name"], match["which"] or ""
+        try:
+            figures.check(match["text"], name, which)
+        except FigureError:
+            try:
+                found = figures.value(name, which)
+            except FigureError:
+                return match[0]
+            shown = str(found.fraction) if found.fraction else show(found.value, found.unit)
+            changed.append(f"{name}: {match['text']} -> {shown}")
+            return match[0].replace(f"[{match['text']}]", f"[{shown}]", 1)
+        return match[0]
+
+    generated_here = False
+    lines = []
+    for line in text.splitlines():
+        mark = MARK.match(line.strip())
+        if mark is not None:
+            generated_here = mark["what"] != "end"
+        lines.append(line if generated_here else REFERENCE.sub(renewed, line))
+    return "\n".join(lines) + "\n", changed
+
+
 def generated(text: str) -> dict[str, str]:
     """What stands in each generated region, by the region's name."""
     return {region.name: "\n".join(region.lines) for region in split(text) if region.kind == "begin"}
--- a/bench/capacity/tables.py
+++ b/bench/capacity/tables.py
@@ -1,15 +1,15 @@
 """The tables of the capacity page, written from the result file alone.
 
-A region's name names its table: `machine`, `summary`, `demands`, `breaks`, `failures`, `role ROLE`,
-`rows ROLE`.
+A region's name names its table: `machine`, `summary`, `demands`, `breaks`, `constants`, `failures`,
+`role ROLE`, `rows ROLE`.
 """
 
 from collections.abc import Callable
 from typing import NamedTuple
 
-from bench.capacity.breaks import Break, find_breaks
-from bench.capacity.figures import fit_at, show, show_number, value_at, verdict_id
-from bench.capacity.schema import ResultFile, Row, Verdict
+from bench.capacity.breaks import CONSTANTS, VARIANTS, Break, find_breaks, without_mechanism
+from bench.capacity.figures import measured, show, show_number, verdict_id
+from bench.capacity.schema import Fit, ResultFile, Row, Verdict
 
 FAILURES = "failures"
 """The role of rows that tell what failures cost."""
@@ -51,7 +51,7 @@
 
 def needed(result: ResultFile) -> list[str]:
     """The regions that a page must have, so that no figure of the file is left out."""
-    names = ["machine", "summary", "demands", "breaks"]
+    names = ["machine", "summary", "demands", "breaks", "constants"]
     for role in roles(result):
         if any(verdict.role == role for verdict in result.verdicts):
             names.append(f"role {role}")
@@ -65,13 +65,15 @@
     return f"[{name}](#{name})"
 
 
-def anchor(name: str) -> str:
-    """A name that references lead to."""
-    return f'<a id="{name}"></a>{name}'
+def anchor(name: str, text: str = "") -> str:
+    """What references to `name` lead to; `text` is shown, by default the name."""
+    return f'<a id="{name}"></a>{text or name}'
 
 
 def verdict_text(verdict: Verdict) -> str:
     """The verdict in words, with its factor."""
+    if without_mechanism(verdict):
+        return "**no mechanism**"
     if verdict.holds == "not measured" or verdict.factor is None:
         return "not measured"
     if verdict.holds == "holds":
@@ -93,7 +95,7 @@
         rows = [f"{link(name)} ({how.get(name, 'no such row')})" for name in verdict.rows]
         lines.append(
             [
-                anchor(verdict_id(verdict)),
+                anchor(verdict_id(verdict), verdict.resource),
                 _spent(verdict),
                 show(verdict.budget, verdict.unit),
                 verdict_text(verdict),
@@ -107,20 +109,25 @@
     return Table(["resource", "spent", "budget", "verdict", "slope x demand", "figures", "note"], lines)
 
 
+def residual(fit: Fit) -> str:
+    """The fit's relative error in percent."""
+    return "under 0.1%" if fit.residual < 0.001 else f"{100 * fit.residual:.2g}%"
+
+
 def growth(row: Row) -> str:
     """The fit that is told, with its residual, and the others' residuals beside it."""
     fit = row.best_fit()
     if fit is None:
         return NONE
-    others = ", ".join(f"{o.form} {100 * o.residual:.2g}%" for o in row.fits if o is not fit)
+    others = ", ".join(f"{o.form} {residual(o)}" for o in row.fits if o is not fit)
     slope = "" if fit.form == "constant" else f" + {show(fit.slope, row.unit)} x {fit.form}"
-    told = f"{show(fit.intercept, row.unit)}{slope}, residual {100 * fit.residual:.2g}%"
+    told = f"{show(fit.intercept, row.unit)}{slope}, residual {residual(fit)}"
     return f"{told} ({others})" if others else told
 
 
 def _measured(row: Row) -> str:
     sizes = list(dict.fromkeys(point.size for point in row.points))
-    return "; ".join(f"{size:,}: {show(value_at(row, size), row.unit)}" for size in sizes) or NONE
+    return "; ".join(f"{size:,}: {show(measured(row, size), row.unit)}" for size in sizes) or NONE
 
 
 def _rows(result: ResultFile, role: str) -> Table:
@@ -132,7 +139,7 @@
         lines.append(
             [
                 anchor(row.id),
-                f"{row.quantity}, by {row.by}" if row.by else row.quantity,
+                f"{row.quantity}, by {row.by}" if row.by.strip("-") else row.quantity,
                 row.how,
                 _measured(row),
                 growth(row),
@@ -160,22 +167,33 @@
 
 
 def worst(result: ResultFile, role: str) -> Verdict | None:
-    """The role's verdict that is nearest to its budget or furthest past it, if any was measured."""
-    found = [verdict for verdict in result.verdicts if verdict.role == role and verdict.factor is not None]
+    """The role's verdict that is nearest to its budget or furthest past it, if any was measured. Those on
+    other numbers of planners do not count."""
+    found = [
+        verdict
+        for verdict in result.verdicts
+        if verdict.role == role and verdict.factor is not None and verdict_id(verdict) not in VARIANTS
+    ]
     return max(found, key=lambda verdict: verdict.factor or 0.0, default=None)
 
 
+def standing(verdict: Verdict) -> str:
+    """The verdict in a word or two."""
+    return "no mechanism" if without_mechanism(verdict) else verdict.holds
+
+
+STANDINGS = ("holds", "falls short", "not measured", "no mechanism")
+
+
 def _summary(result: ResultFile) -> Table:
     lines = []
     for role in roles(result):
         verdicts = [verdict for verdict in result.verdicts if verdict.role == role]
-        count = [sum(v.holds == kind for v in verdicts) for kind in ("holds", "falls short", "not measured")]
+        count = [str(sum(standing(verdict) == kind for verdict in verdicts)) for kind in STANDINGS]
         found = worst(result, role)
         near = NONE if found is None else f"[{found.resource}](#{verdict_id(found)}): {verdict_text(found)}"
-        lines.append([role, *map(str, count), near])
-    return Table(
-        ["role", "holds", "falls short", "not measured", "nearest to, or furthest past, a budget"], lines
-    )
+        lines.append([role, *count, near])
+    return Table(["role", *STANDINGS, "nearest to, or furthest past, a budget"], lines)
 
 
 def _break_line(number: int, found: Break) -> list[str]:
@@ -193,6 +211,15 @@
     return Table(["", "role", "smallest part of the target that breaks it", "by"], lines)
 
 
+def _constants(result: ResultFile) -> Table:
+    lines = [
+        [verdict.role, f"[{verdict.resource}](#{verdict_id(verdict)})", verdict_text(verdict)]
+        for verdict in result.verdicts
+        if verdict_id(verdict) in CONSTANTS
+    ]
+    return Table(["role", "constant", "at the target size"], lines)
+
+
 def _failures(result: ResultFile) -> Table:
     lines = []
     for row in result.rows:
@@ -227,9 +254,8 @@
     "summary": _summary,
     "demands": _demands,
     "breaks": _breaks,
+    "constants": _constants,
     "failures": _failures,
 }
 
 ROLE_TABLES: dict[str, Callable[[ResultFile, str], Table]] = {"role": _role, "rows": _rows}
-
-__all__ = ["TableError", "fit_at", "needed", "render", "roles"]
--- a/tests/test_capacity_page.py
+++ b/tests/test_capacity_page.py
@@ -7,10 +7,10 @@
 import msgspec
 import pytest
 
-from bench.capacity.breaks import Evaluation, FormulaError, find_breaks
+from bench.capacity.breaks import PartOfTarget, find_breaks
 from bench.capacity.figures import FigureError, Figures, same, show
-from bench.capacity.page import PAGE_PATH, faults, figures_of, regenerate
-from bench.capacity.prose import PageError, declared, split
+from bench.capacity.page import PAGE_PATH, arithmetic_faults, faults, figures_of, regenerate
+from bench.capacity.prose import PageError, declared, renew_references, split
 from bench.capacity.schema import (
     Demand,
     Fit,
@@ -78,12 +78,15 @@
         rows=[entry, probes, lost],
         demands=[Demand("list.changes.day", "list service", 1464.0, "changes/day", "1400 + 64")],
         verdicts=[
-            Verdict("list service", "bytes a second", 4000.0, 1986.6, "bytes/s",
+            Verdict("list service", "bytes a second", 4000.0, 1_175_300 * 1464 / 86400 / 10, "bytes/s",
                     ["list.whole.bytes"], ["list.changes.day"],
-                    "list.whole.bytes@7300 * list.changes.day / 86400 / 10.0251", "holds", 0.49665),
+                    "list.whole.bytes@7300 * demand.list.changes.day / 86400 / 10",
+                    "holds", 1_175_300 * 1464 / 864_000 / 4000),
             Verdict("planner", "probes", 4000.0, 430_700.0, "bytes/s", ["planner.probes.bytes"], [],
                     "planner.probes.bytes@7300", "falls short", 107.675),
             Verdict("worker", "memory", 64e6, None, "bytes", [], [], "", "not measured", None),
+            Verdict("door and quotas", "traffic", 4000.0, None, "bytes/s", [], [], "", "not measured", None,
+                    "none: nothing to measure"),
         ],
         machine=Machine(8, 24_000_000_000, "made up", "Linux", "3.11", 1.5),
     )  # fmt: skip
@@ -240,26 +243,63 @@
 
 def test_parts_scale_rows_and_demands_but_not_plain_numbers() -> None:
     result = made_up()
-    assert Evaluation(result).value("list.whole.bytes@7300 + 10") == 1_175_310
-    assert Evaluation(result, Fraction(1, 2)).value("list.whole.bytes@7300 * 2") == pytest.approx(1_175_300)
-    assert Evaluation(result, Fraction(1, 4)).value("max(list.changes.day, 1)") == 366
-    for bad in ("list.hole.bytes@7300", "__import__('os')", "list.whole.bytes@7300 ** 2", "1 +", "1 / 0"):
-        with pytest.raises(FormulaError):
-            Evaluation(result).value(bad)
+    assert PartOfTarget(result, Fraction(1)).evaluate("list.whole.bytes@7300 + 10") == 1_175_310
+    assert PartOfTarget(result, Fraction(1, 2)).evaluate("list.whole.bytes@7300 * 2") == pytest.approx(
+        1_175_300
+    )
+    assert PartOfTarget(result, Fraction(1, 4)).evaluate("max(demand.list.changes.day, 1)") == 366
+    assert PartOfTarget(result, Fraction(1, 64)).evaluate("list.whole.bytes@1") == pytest.approx(161)
+    result.demands[0] = msgspec.structs.replace(result.demands[0], id="list.changes.rack")
+    assert PartOfTarget(result, Fraction(1, 4)).evaluate("demand.list.changes.rack") == 1464
 
 
 def test_roles_break_in_the_order_of_the_smallest_part() -> None:
     result = made_up()
-    [found] = find_breaks(result)
-    assert (found.role, found.part) == ("planner", Fraction(1, 64))
-    result.verdicts[0] = msgspec.structs.replace(result.verdicts[0], budget=1_000.0, factor=1.9866)
+    smallest = Fraction(1, 64)
+    found = [(b.role, b.part) for b in find_breaks(result)]
+    assert found == [("door and quotas", smallest), ("planner", smallest)]
+    result.verdicts[0] = msgspec.structs.replace(result.verdicts[0], budget=1_000.0)
     # half of the workers with half of the changes is a quarter of 1.99 kB/s
-    assert [(b.role, b.part) for b in find_breaks(result)] == [
-        ("planner", Fraction(1, 64)),
-        ("list service", Fraction(1)),
-    ]
-    result.verdicts[0] = msgspec.structs.replace(result.verdicts[0], budget=400.0, factor=4.9665)
-    assert find_breaks(result)[1].part == Fraction(1, 2)
+    assert (find_breaks(result)[2].role, find_breaks(result)[2].part) == ("list service", Fraction(1))
+    result.verdicts[0] = msgspec.structs.replace(result.verdicts[0], budget=400.0)
+    assert find_breaks(result)[2].part == Fraction(1, 2)
+
+
+def test_constants_and_other_numbers_of_planners_break_no_role() -> None:
+    result = made_up()
+    for resource in ("descriptors", "traffic: probes, as up to eight planners send them"):
+        result.verdicts[1] = msgspec.structs.replace(result.verdicts[1], resource=resource)
+        assert "planner" not in [found.role for found in find_breaks(result)]
+
+
+def test_arithmetic_that_does_not_give_its_value_is_named() -> None:
+    result = made_up()
+    result.verdicts[1] = msgspec.structs.replace(result.verdicts[1], value=430_000.0)
+    assert any("planner/probes: its arithmetic gives 430700" in found for found in arithmetic_faults(result))
+    result = made_up()
+    result.demands[0] = msgspec.structs.replace(result.demands[0], arithmetic="1400 + 65")
+    assert any("demand list.changes.day" in found for found in arithmetic_faults(result))
+    result.demands[0] = msgspec.structs.replace(result.demands[0], arithmetic="list.hole.bytes@1")
+    assert any("list.hole.bytes" in found for found in arithmetic_faults(result))
+    assert arithmetic_faults(made_up()) == []
+
+
+def test_stale_and_open_references_are_written_anew_and_told() -> None:
+    result = made_up()
+    page = whole_page(result)
+    assert renew_references(page, figures_of(result)) == (page, [])
+    stale = page.replace("[1.18 MB]", "[?]", 1).replace("[1/64]", "[1/2]", 1).replace("[108]", "[107]", 1)
+    renewed, changed = renew_references(stale, figures_of(result))
+    assert renewed == page and len(changed) == 3
+    unknown = page.replace("#list.whole.bytes", "#list.hole.bytes", 1)
+    assert renew_references(unknown, figures_of(result)) == (unknown, [])
+
+
+def test_two_figures_under_one_id_are_named() -> None:
+    result = made_up()
+    page = whole_page(result)
+    result.demands.append(msgspec.structs.replace(result.demands[0], id="list.whole.bytes"))
+    assert "list.whole.bytes is the id of two figures" in faults(page, result)
 
 
 def test_target_and_rule_stand_as_they_were_written_before_any_figure() -> None:
