--- a/bench/capacity/page.py
+++ b/bench/capacity/page.py
@@ -71,6 +71,14 @@
     return found + [f"no module {name}" for name in MODULE.findall(text) if not (root / name).exists()]
 
 
+def bent_slopes(arithmetic: str, result: ResultFile) -> list[str]:
+    """Slopes in an arithmetic whose row does not grow by its size alone: they multiply another form."""
+    bent = {row.id for row in result.rows if row.best not in ("", "n")}
+    return [
+        name for name in re.findall(r"[\w.]+\.slope\b", arithmetic) if name.removesuffix(".slope") in bent
+    ]
+
+
 def arithmetic_faults(result: ResultFile) -> list[str]:
     """Demands and verdicts whose written arithmetic does not give their value."""
     known = Known(result.rows, result.demands)
@@ -78,6 +86,7 @@
     written += [(verdict_id(v), v.arithmetic, v.value) for v in result.verdicts if v.value is not None]
     found = []
     for name, arithmetic, value in written:
+        found += [f"{name}: {slope} is no cost of one more" for slope in bent_slopes(arithmetic, result)]
         try:
             given = known.evaluate(arithmetic)
         except (MissingError, NotArithmeticError) as fault:
--- a/bench/capacity/rows_failures.py
+++ b/bench/capacity/rows_failures.py
@@ -11,6 +11,7 @@
 from bench.capacity.registry import RefusedError, measurement
 from bench.capacity.target import RACK_WORKERS, REGIONS, WORKERS, ZONES
 from hazelhold.platform.configuration import PLATFORM
+from hazelhold.replica.sets import Keeper, Sets
 
 INPUTS = ("bench/capacity/outage.py", "bench/capacity/parted.py", "bench/capacity/workers.py")
 ROLE = "failures"
@@ -55,18 +56,21 @@
 
 
 @measurement(
-    id="failure.silence.known",
+    id="failure.silence.told",
     role=ROLE,
-    quantity="time until owners know that their tasks are lost: workers fall silent, own protocol",
-    unit="s",
+    quantity="owners told within a minute that their tasks are lost: workers fall silent, own protocol",
+    unit="owners",
     by=BY,
     how="module alone",
     sizes=AT_ONCE,
     small=FEW_AT_ONCE,
-    note="virtual time; connections do not end, dials are answered by nobody, as behind a lost switch",
+    note="virtual time; a task each; connections do not end, nobody answers, as behind a lost switch",
 )
-def silence_known(size: int) -> Iterator[float]:
-    yield known(Outage(listed(size), size, refuses=False), broken=False)
+def silence_told(size: int) -> Iterator[float]:
+    made = Outage(listed(size), size, refuses=False)
+    made.lose(broken=False)
+    made.run(WATCHED)
+    yield len(made.lost_at)
 
 
 @measurement(
@@ -259,3 +263,50 @@
 def planner_known(size: int) -> Iterator[float]:
     for seed in (1, 2, 3):
         yield Parted(size, seed).lose_a_planner()
+
+
+REPLICAS = 3
+ZONES_A_REGION = ZONES // REGIONS
+KEYS = 10_000
+
+
+def without_majority(planners: int, lost: int) -> float:
+    """Share of claims whose replicas have no majority outside region `lost`."""
+    keepers = [Keeper(f"planner-{number}", f"zone-{number % ZONES}") for number in range(planners)]
+    region = {f"planner-{number}": number % ZONES // ZONES_A_REGION for number in range(planners)}
+    sets = Sets(keepers, REPLICAS)
+    found = 0
+    for number in range(KEYS):
+        there = sum(region[name] != lost for name in sets(f"claim/task-{number:08d}"))
+        found += there <= REPLICAS // 2
+    return found / KEYS
+
+
+@measurement(
+    id="failure.region.claims",
+    role=ROLE,
+    quantity="claims that have no majority without one region: it is lost, or out of reach of another",
+    unit="share",
+    by="planners",
+    how="module alone",
+    sizes=PLANNERS,
+    small=FEW_PLANNERS,
+    note="three replicas, zones in turn, rendezvous hashing; of 10,000 keys; such claims are refused or wait",
+)
+def region_claims(size: int) -> Iterator[float]:
+    yield without_majority(size, 1)
+
+
+@measurement(
+    id="failure.control.spare",
+    role=ROLE,
+    quantity="control machines that may be lost at a time with a majority left",
+    unit="machines",
+    by="control machines",
+    how="computed",
+    sizes=(3, 6, 12, 24),
+    small=(5, 10, 20),
+    note="size - (size // 2 + 1): a majority has to be left for the order of configuration to go on",
+)
+def control_spare(size: int) -> Iterator[float]:
+    yield size - (size // 2 + 1)
