--- a/bench/capacity/figures.py
+++ b/bench/capacity/figures.py
@@ -132,7 +132,7 @@
         self.rows = {row.id: row for row in result.rows}
         self.demands = {demand.id: demand for demand in result.demands}
         self.verdicts = {verdict_id(verdict): verdict for verdict in result.verdicts}
-        self.breaks = breaks or {}
+        self.breaks = {hyphened(role): part for role, part in (breaks or {}).items()}
 
     def value(self, name: str, which: str) -> Value:
         """Raises FigureError if the file has no such figure."""
@@ -208,8 +208,12 @@
 
 def verdict_id(verdict: Verdict) -> str:
     """How figures name a verdict: ROLE/RESOURCE, with hyphens for all but letters and digits."""
-    parts = (re.sub("[^a-z0-9]+", "-", text.lower()).strip("-") for text in (verdict.role, verdict.resource))
-    return "/".join(parts)
+    return f"{hyphened(verdict.role)}/{hyphened(verdict.resource)}"
+
+
+def hyphened(text: str) -> str:
+    """Small letters and digits, with hyphens for all else, as in the anchors of headings."""
+    return re.sub("[^a-z0-9]+", "-", text.lower()).strip("-")
 
 
 def show_number(value: float) -> str:
