Late answers: an end that overtakes its answer is told at once, nothing begun after it

In each a machine accepts, its answer is held up (it comes 8 s later), and meanwhile it ends the task: `end` 41 with note `preempted`, before the answer. The planner took that for a set-up that broke on its way and sent the request on at once; another machine accepted it 20 to 70 ms later, the owner was told that it is placed.

Ruled out by the same frames: late decisions and a busy loop (the next offer leaves in the millisecond of the end), unread or closed owners' connections, fences, time-outs, a wrong deadline.

Wrong: words.ended, which dropped what an end says for want of an answer, and Links._heard, which let the module go on. Now such an end keeps its meaning before the answer; the engine hands it to the module and takes the request out of trying, so that the module answers it in the same pump (refused where harmless, else failed). The module is unchanged.

--- a/hazelhold/engine/links.py
+++ b/hazelhold/engine/links.py
@@ -17,6 +17,7 @@
     "withdrawn": (Ending.TURNED_BACK, Remark.NONE),
     "not_sent": (Ending.NOT_SENT, Remark.NONE),
 }
+STOOD = ("evicted", "pushed_out", "sent_away")  # ends of what was accepted
 REMARKS = {
     "no_cores": Remark.NO_CORES,
     "no_memory": Remark.NO_MEMORY,
@@ -281,6 +282,23 @@
                 self._gone(now, case, message.how, ending, remark)
             else:
                 self._ended(now, case, ending, remark)
+                if self._had_accepted(message.how):
+                    self._over_before_its_answer(now, case)
+
+    def _had_accepted(self, how: str) -> bool:
+        """Whether only a machine that had accepted a task can end it so. One that accepts a task when it runs
+        may push it out before. Where machines roll, their answer always comes first."""
+        if self.peers.rolls:
+            return False
+        return how == "done" or how in STOOD and not self.facts.confirms_running
+
+    def _over_before_its_answer(self, now: int, case: Case) -> None:
+        """The machine's answer is late, and the task that it accepted is over. Its owner is told now; another
+        attempt under the same name would be answered "placed" after the end of what was placed."""
+        self.counts["over_before_answer"] += 1
+        case.cancelled = True
+        self._mark("guest", case.name)
+        self.brain.guest_cancelled(now, case.name)
 
     def _heard_loose(self, now: int, machine: str, message: m.Offered) -> None:
         """News of a dispatch that was given up."""
--- a/hazelhold/platform/planner.py
+++ b/hazelhold/platform/planner.py
@@ -242,6 +242,8 @@
         binary = words.to_owner(message)
         if binary is None:
             return
+        if self.log_frames:
+            self.log.debug("to_owner", owner=name, message=repr(message))
         peer = self.owners.get(name)
         if isinstance(message, m.GuestEnded):
             if message.how != "stopped":
--- a/hazelhold/platform/words.py
+++ b/hazelhold/platform/words.py
@@ -180,7 +180,9 @@
     if not placed:
         if line.why == FULL:
             return m.Refused(guest=line.call, remark=REMARKS.get(told, ""), load=load(line))
-        how = {ERROR: "error", MOOT: "not_sent"}.get(line.why, "cut")
+        # A machine can end in these words only what it had accepted: its answer is still on its way.
+        accepted = "done" if line.why == OK else HOWS.get(told, "cut") if line.why == RESET else "cut"
+        how = {ERROR: "error", MOOT: "not_sent"}.get(line.why, accepted)
     elif line.why == OK:
         how = "done"
     elif line.why == CANCELLED:
