--- a/bench/capacity/progress.py
+++ b/bench/capacity/progress.py
@@ -23,9 +23,9 @@
             self._line(text, "\r")
 
     def step(self, text: str) -> None:
-        """One unit of work is done."""
-        self.done += 1
+        """One unit of work begins: what the text says."""
         self.show(text)
+        self.done += 1
 
     def note(self, text: str) -> None:
         """A line that stays."""
--- a/bench/capacity/registry.py
+++ b/bench/capacity/registry.py
@@ -38,10 +38,11 @@
     small: tuple[int, ...]
     seed: int
     note: str
-    seconds: float  # the longest that one size may take
     module: str
     inputs: tuple[str, ...]
     measure: Measure
+    seconds: float = 300.0  # the longest that one size may take
+    rounds: int = 1  # how often all sizes are measured, one after another
 
 
 REGISTERED: dict[str, Measurement] = {}
@@ -59,8 +60,13 @@
     seed: int = 1,
     note: str = "",
     seconds: float = 300.0,
+    rounds: int = 1,
 ) -> Callable[[Measure], Measure]:
-    """Registers a row. `small` are the sizes of `--small`; without them the first sizes are halved twice."""
+    """Registers a row. `small` are the sizes of `--small`; without them the first sizes are halved twice.
+
+    Rows of processor time have several `rounds`: other work on the machine comes and goes, and should meet
+    all sizes alike. At small sizes one round is made.
+    """
 
     def register(measure: Measure) -> Measure:
         if id in REGISTERED and REGISTERED[id].module != measure.__module__:
@@ -77,10 +83,11 @@
             tuple(small) or tuple(max(1, size // 4) for size in sizes[:3]),
             seed,
             note,
-            seconds,
             measure.__module__,
             tuple(getattr(module, "INPUTS", ())),
             measure,
+            seconds,
+            rounds,
         )
         return measure
 
--- a/bench/capacity/rows_claims.py
+++ b/bench/capacity/rows_claims.py
@@ -88,6 +88,7 @@
     sizes=CLAIMS,
     small=FEW_CLAIMS,
     note="with the coding of all words; without sockets and disk",
+    rounds=3,
 )
 def claim_time(size: int) -> Iterator[float]:
     for _ in range(3):
--- a/bench/capacity/rows_list.py
+++ b/bench/capacity/rows_list.py
@@ -93,6 +93,7 @@
     sizes=(16, 32, 64, 128, 256),
     small=(4, 8, 16, 32),
     note="the model's messages, made and encoded for each planner; sending is not in it",
+    rounds=3,
 )
 def tell(size: int) -> Iterator[float]:
     made = service(workers.WORKERS)
@@ -116,6 +117,7 @@
     sizes=WORKERS,
     small=FEW_WORKERS,
     note="the model's message, made and encoded; sending is not in it",
+    rounds=3,
 )
 def whole_time(size: int) -> Iterator[float]:
     made = service(size)
--- a/bench/capacity/rows_owners.py
+++ b/bench/capacity/rows_owners.py
@@ -118,6 +118,7 @@
     sizes=OWNERS,
     small=(64, 128, 256),
     note="the kernel counts hundredths of a second",
+    rounds=3,
 )
 def owner_time(size: int) -> Iterator[float]:
     before, after = open_owners(size)
--- a/bench/capacity/run.py
+++ b/bench/capacity/run.py
@@ -42,22 +42,35 @@
 
 
 def measure_row(
-    measurement: Measurement, planned: Row, apart: Apart = measure_apart, progress: Progress | None = None
+    measurement: Measurement,
+    planned: Row,
+    apart: Apart = measure_apart,
+    progress: Progress | None = None,
+    rounds: int = 1,
 ) -> Row:
-    """Measures every size of a row and fits it."""
-    for size in planned.sizes:
-        if progress is not None:
-            progress.show(f"{planned.id} at {size}")
-        outcome = apart(measurement, size)
-        planned.points += [Point(size, value) for value in outcome.values]
-        if outcome.refused:
-            planned.refused.append(Refusal(size, outcome.refused))
-        if progress is not None:
-            progress.step(f"{planned.id} at {size}")
+    """Measures every size of a row in each round and fits it; a size that was refused is not tried again."""
+    refused: dict[int, str] = {}
+    for _ in range(rounds):
+        for size in planned.sizes:
+            if progress is not None:
+                progress.step(f"{planned.id} at {size}")
+            if size in refused:
+                continue
+            outcome = apart(measurement, size)
+            planned.points += [Point(size, value) for value in outcome.values]
+            if outcome.refused:
+                refused[size] = outcome.refused
+    planned.points.sort(key=lambda point: point.size)
+    planned.refused = [Refusal(size, reason) for size, reason in refused.items()]
     planned.fits, planned.best = fit_all(planned.points)
     return planned
 
 
+def steps(measurement: Measurement, small: bool) -> int:
+    """How many sizes are measured for a row, over all its rounds."""
+    return len(measurement.small) if small else len(measurement.sizes) * measurement.rounds
+
+
 def finish(found: ResultFile) -> ResultFile:
     """Computes demands and verdicts anew from the rows."""
     found.demands = demands(found.rows)
@@ -87,10 +100,12 @@
         planned = plan(measurement, small)
         if not fresh and kept(earlier.get(planned.id), planned):
             if progress is not None:
-                progress.done += len(planned.sizes)
+                progress.done += steps(measurement, small)
                 progress.note(f"{planned.id}: kept")
             continue
-        earlier[planned.id] = row = measure_row(measurement, planned, apart, progress)
+        earlier[planned.id] = row = measure_row(
+            measurement, planned, apart, progress, 1 if small else measurement.rounds
+        )
         found.rows = [earlier[m.id] for m in measurements if m.id in earlier]
         schema.save(finish(found), path)
         if progress is not None:
--- a/bench/capacity/target.py
+++ b/bench/capacity/target.py
@@ -34,6 +34,7 @@
 CLIENTS_A_TEAM = 2  # assumption; each connected to every planner
 SERVICES_A_TEAM = 4  # assumption
 
+START_SHARE = 0.5  # of a core, for all starts of a planner at the peak; assumption
 PLANNERS = 64
 """Chosen by the slopes, since the operators told no number: see `demands.py`."""
 
--- a/bench/capacity/verdicts.py
+++ b/bench/capacity/verdicts.py
@@ -23,6 +23,36 @@
 CORE, MEMORY, TRAFFIC = "of a core", "bytes", "bytes a second"
 
 PLANNER = [
+    Held(
+        "planner",
+        "processor time: starts, the whole process",
+        t.BUDGET_PROCESSOR,
+        CORE,
+        "demand.planner.start.cpu * demand.planner.starts",
+        "at the peak; falls under the budget only if starts are control, which the operators did not tell",
+    ),
+    Held(
+        "planner",
+        "processor time: starts, half as many planners",
+        t.BUDGET_PROCESSOR,
+        CORE,
+        "demand.planner.start.cpu * demand.planner.starts.half",
+    ),
+    Held(
+        "planner",
+        "processor time: starts, twice as many planners",
+        t.BUDGET_PROCESSOR,
+        CORE,
+        "demand.planner.start.cpu * demand.planner.starts.twice",
+    ),
+    Held(
+        "planner",
+        "processor time: at rest, the whole process",
+        t.BUDGET_PROCESSOR,
+        CORE,
+        f"planner.process.rest.cpu@{W} * 1",
+        "every worker connected, no probes, a list without rooms",
+    ),
     Held(
         "planner",
         "processor time: decisions",
@@ -96,7 +126,15 @@
     ),
     Held(
         "planner",
-        "memory",
+        "memory: the whole process",
+        t.BUDGET_MEMORY,
+        MEMORY,
+        f"planner.process.memory.load@{W} * 1",
+        "resident, every worker connected, under starts",
+    ),
+    Held(
+        "planner",
+        "memory: without sockets and their tasks",
         t.BUDGET_MEMORY,
         MEMORY,
         f"planner.idle.memory@1 + planner.engine.memory@{W} "
@@ -104,6 +142,14 @@
         "+ planner.owner.memory.slope * demand.planner.owners",
         "interpreter and libraries, all workers listed and connected, running tasks, owners",
     ),
+    Held(
+        "planner",
+        "traffic: starts, the whole process",
+        t.BUDGET_TRAFFIC,
+        TRAFFIC,
+        f"planner.process.load.bytes@{W} * demand.planner.starts / 20",
+        "workers, owners and a list without rooms; measured at 20 starts a second",
+    ),
     Held(
         "planner",
         "traffic: list, workers that fail or restart",
