--- a/bench/capacity/arithmetic.py
+++ b/bench/capacity/arithmetic.py
@@ -3,7 +3,7 @@
 An expression has numbers, + - * / **, brackets, ceil, log2, max and min, and these references:
 
     planner.module.memory@7300    the row's value at a size: the median of its points there, else its best fit
-    planner.task.memory.slope     the slope of the row's best fit
+    planner.task.memory.slope     the slope of the row's best fit, which has to be of form n
     demand.planner.starts         a demand's value
 """
 
@@ -38,7 +38,7 @@
 
 
 class MissingError(LookupError):
-    """A reference to a row or demand that is not there, or to a row without a value; the text is its name."""
+    """A reference to a row or demand that is not there or has no such value; the text is its name."""
 
 
 class Known:
@@ -69,7 +69,7 @@
             return self._at(name, float(size))
         row = self.rows.get(name.removesuffix(".slope"))
         fit = row.best_fit() if row is not None and name.endswith(".slope") else None
-        if fit is None:
+        if fit is None or fit.form != "n":
             raise MissingError(reference)
         return fit.slope
 
--- a/bench/capacity/verdicts.py
+++ b/bench/capacity/verdicts.py
@@ -80,7 +80,7 @@
         "processor time: kept state",
         t.BUDGET_PROCESSOR,
         CORE,
-        "planner.state.commit.cpu.slope * demand.planner.starts",
+        "planner.state.commit.cpu@6400 / 6400 * demand.planner.starts",
         "three commits a task, not shared",
     ),
     Held(
@@ -219,7 +219,7 @@
         "processor time: list with rooms to all planners",
         t.CONTROL_MACHINES,
         "cores",
-        "list.whole.cpu.slope * demand.list.changes.rooms * demand.planners",
+        f"list.whole.cpu@{W} / {W} * demand.list.changes.rooms * demand.planners",
         "making and encoding; assumption: one core of each control machine",
     ),
     Held(
@@ -238,7 +238,7 @@
         "processor time",
         t.BUDGET_PROCESSOR,
         CORE,
-        "voter.claim.cpu.slope * demand.voter.claims",
+        "voter.claim.cpu@16000 / 16000 * demand.voter.claims",
         "its own claims' words and its votes on others'; without sockets and disk",
     ),
     Held(
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -348,6 +348,13 @@
         Known().evaluate(text)
 
 
+def test_a_slope_is_one_only_of_a_straight_line() -> None:
+    found = example()
+    found.rows[0].fits, found.rows[0].best = [Fit("n squared", 2.0, 0.0, 0.01)], "n squared"
+    with pytest.raises(MissingError):
+        Known(found.rows).evaluate("planner.list.slope")
+
+
 @pytest.mark.parametrize("text", ["planner.list@1", "planner.list.slope", "demand.planners", "planner.list"])
 def test_what_has_no_value_is_missing(text: str) -> None:
     with pytest.raises(MissingError):
