--- a/bench/capacity/hollow/owners.py
+++ b/bench/capacity/hollow/owners.py
@@ -25,6 +25,7 @@
     task_life: int
     most_seconds: float
     product: str = "till-import"
+    prefix: str = "owner"  # of the owners' names, and of their tasks' names
     cores: float = 0.25
     memory: float = 0.25
 
@@ -39,7 +40,7 @@
         host, port = address.rsplit(":", 1)
         stream = socket.create_connection((host, int(port)), timeout=10)
         self.connection = Connection(process.loop, stream, CODEC, self._hear)
-        self.connection.send(m.Hello(role="owner", name=f"owner-{number}"))
+        self.connection.send(m.Hello(role="owner", name=f"{process.settings.prefix}-{number}"))
 
     def drive(self, rate: float) -> None:
         self.round += 1
@@ -52,7 +53,7 @@
         settings = self.process.settings
         self.connection.send(
             m.Submit(
-                guest=f"task-{self.number}-{self.submitted}",
+                guest=f"{settings.prefix}-task-{self.number}-{self.submitted}",
                 product=settings.product,
                 service=f"service-{self.submitted % SERVICES}",
                 cores=settings.cores,
--- a/bench/capacity/hollow/rig.py
+++ b/bench/capacity/hollow/rig.py
@@ -76,14 +76,15 @@
     def __exit__(self, *raised: object) -> None:
         self.stack.close()
 
-    def _keep(self, child: Child | PlannerProcess) -> Child | PlannerProcess:
+    def keep(self, child: Child | PlannerProcess) -> Child | PlannerProcess:
+        """Has a process ended with the rig."""
         self.stack.callback(child.end)
         return child
 
     def _start_far_side(self) -> None:
         trial = self.trial
         settings = lister.Settings(self.most_seconds)
-        self.lister = self._keep(Child("lister", settings, self.folder, "lister", lister.Answered))
+        self.lister = self.keep(Child("lister", settings, self.folder, "lister", lister.Answered))
         self.list_address = self.lister.started().address
         port = 20_000 + os.getpid() % 10_000  # below the ports that dialling takes
         self.hollow: list[Child] = []
@@ -98,7 +99,7 @@
                 use_period=round(trial.use_period * SECOND),
                 most_seconds=self.most_seconds,
             )
-            self.hollow.append(self._keep(Child("workers", made, self.folder, f"workers-{first}")))
+            self.hollow.append(self.keep(Child("workers", made, self.folder, f"workers-{first}")))
         for child in self.hollow:
             child.started()
         if not self.until(lambda: self.lister.ask(Status()).entries == trial.workers, 10.0):
@@ -117,16 +118,20 @@
         trial = self.trial
         for number in range(trial.planners):
             file = self.folder / f"planner-{number}.json5"
-            file.write_bytes(sheet_text(planner_sheet(trial, number, self.list_address)))
+            file.write_bytes(sheet_text(self.sheet_of(number)))
             made = PlannerProcess(
                 f"planner-{number}",
                 file,
                 self.folder / f"planner-{number}.log",
                 self.record_of(f"planner-{number}") if trial.record else None,
             )
-            self.planners.append(self._keep(made))
+            self.planners.append(self.keep(made))
         self.addresses = [planner.started() for planner in self.planners]
 
+    def sheet_of(self, number: int) -> PlannerSheet:
+        """What a planner is told."""
+        return planner_sheet(self.trial, number, self.list_address)
+
     def record_of(self, planner: str) -> Path:
         """Where a planner's frames are recorded, if they are."""
         return self.folder / f"{planner}.jsonl"
@@ -138,7 +143,7 @@
 
     def start_owners(self) -> None:
         settings = owners.Settings(self.addresses, round(self.trial.task_life * SECOND), self.most_seconds)
-        self.owners = self._keep(Child("owners", settings, self.folder, "owners"))
+        self.owners = self.keep(Child("owners", settings, self.folder, "owners"))
         self.owners.started()
 
     def names(self) -> list[str]:
--- /dev/null
+++ b/bench/capacity/rows_voters.py
@@ -0,0 +1,127 @@
+"""Rows of claims among real planner processes: messages, bytes and processor time of one task's claim.
+
+Each planner starts tasks that must not run twice, each agreed among three replicas of the set, on disks with
+real commits. Bytes are those of frames between planners, both ways: TCP and IP headers come on top.
+"""
+
+from collections.abc import Callable, Iterator
+from typing import NamedTuple
+
+from msgspec.structs import replace
+
+from bench.capacity.hollow.children import RigError
+from bench.capacity.hollow.claims import ClaimResult, Load, run
+from bench.capacity.hollow.results import Trial
+from bench.capacity.hollow.shared import once
+from bench.capacity.registry import RefusedError, measurement
+
+INPUTS = ("bench/capacity/hollow", "examples/planner.json5")
+PLANNERS = (3, 6, 12, 24)
+FEW_PLANNERS = (4, 5)
+RATES = (2, 4, 8, 16)
+FEW_RATES = (1, 3)
+STARTS = 5.0  # a second, each planner
+
+
+class Quantity(NamedTuple):
+    """What is read off a trial, for one task."""
+
+    key: str
+    text: str
+    unit: str
+    value: Callable[[ClaimResult], float]
+
+
+def a_task(load: Load, amount: float) -> float:
+    return amount / load.placed
+
+
+QUANTITIES = [
+    Quantity(
+        "messages",
+        "messages between planners for one task, from its claim to its end",
+        "messages",
+        lambda found: a_task(found.once, found.once.said.messages),
+    ),
+    Quantity(
+        "bytes",
+        "bytes between planners for one task, from its claim to its end",
+        "bytes",
+        lambda found: a_task(found.once, found.once.said.bytes),
+    ),
+    Quantity(
+        "cpu",
+        "processor time of all planners for one task with its claim",
+        "s",
+        lambda found: a_task(found.once, found.once.cpu),
+    ),
+    Quantity(
+        "cpu.without",
+        "processor time of all planners for one task that nothing is agreed of",
+        "s",
+        lambda found: a_task(found.repeatable, found.repeatable.cpu),
+    ),
+]
+
+
+class Family(NamedTuple):
+    """Rows that are read off the same trials."""
+
+    prefix: str
+    by: str
+    sizes: tuple[int, ...]
+    small: tuple[int, ...]
+    trial: Callable[[int], Trial]
+
+
+def trial(planners: int, rate: float) -> Trial:
+    return Trial(workers=48, planners=planners, told_planners=60, rate=rate, task_life=2.0)
+
+
+FAMILIES = [
+    Family("voter.process", "planners", PLANNERS, FEW_PLANNERS, lambda size: trial(size, STARTS)),
+    Family(
+        "voter.process.starts",
+        "starts a second of each planner, 6 planners",
+        RATES,
+        FEW_RATES,
+        lambda size: trial(6, float(size)),
+    ),
+]
+
+
+def result(family: Family, size: int) -> ClaimResult:
+    """The trial of a size; RefusedError if it gave none, or if not all tasks were placed."""
+    wanted = family.trial(size)
+    if size in family.small:
+        wanted = replace(wanted, workers=12, task_life=0.5, settle=0.3, load=1.0)
+    try:
+        found = once(repr(wanted).encode(), ClaimResult, lambda: run(wanted))
+    except RigError as reason:
+        raise RefusedError(str(reason)) from None
+    for load in (found.repeatable, found.once):
+        if load.placed < load.submitted:
+            raise RefusedError(f"{load.placed} of {load.submitted} tasks were placed")
+    return found
+
+
+def register(family: Family, quantity: Quantity) -> None:
+    @measurement(
+        id=f"{family.prefix}.{quantity.key}",
+        role="voter",
+        quantity=quantity.text,
+        unit=quantity.unit,
+        by=family.by,
+        how="real process",
+        sizes=family.sizes,
+        small=family.small,
+        note="planners are real processes, 48 workers hollow; three replicas; processor time of the agreement "
+        "is spread over proposer and replicas",
+    )
+    def measured(size: int) -> Iterator[float]:
+        yield quantity.value(result(family, size))
+
+
+for each_family in FAMILIES:
+    for each_quantity in QUANTITIES:
+        register(each_family, each_quantity)
