--- a/bench/capacity/rows_voters.py
+++ b/bench/capacity/rows_voters.py
@@ -115,8 +115,8 @@
         how="real process",
         sizes=family.sizes,
         small=family.small,
-        note="planners are real processes, 48 workers hollow; three replicas; processor time of the agreement "
-        "is spread over proposer and replicas",
+        note="planners are real processes, 48 workers hollow; three replicas; "
+        "processor time is that of proposer and replicas together",
     )
     def measured(size: int) -> Iterator[float]:
         yield quantity.value(result(family, size))
