--- a/bench/capacity/breaks.py
+++ b/bench/capacity/breaks.py
@@ -40,13 +40,8 @@
 CONSTANTS = {"list-service/frame-of-the-whole-list", "planner/descriptors"}
 """Verdicts on a constant of a file."""
 
-VARIANTS = {
-    "planner/processor-time-decisions-half-as-many-planners",
-    "planner/processor-time-decisions-twice-as-many-planners",
-    "planner/processor-time-probes-as-up-to-eight-planners-send-them",
-    "planner/traffic-probes-as-up-to-eight-planners-send-them",
-}
-"""Verdicts on other numbers of planners than the page reckons with."""
+VARIANTS = ("half as many planners", "twice as many planners", "as up to eight planners send them")
+"""How the resource of a verdict ends that is on another number of planners than the page reckons with."""
 
 
 @dataclass(frozen=True)
@@ -69,12 +64,22 @@
         """A row at its part of the size, or a demand at the part."""
         name, at, size = reference.partition("@")
         if name.startswith("demand."):
-            whole = super().value(name)
-            return whole * self.part ** EXPONENTS.get(name.removeprefix("demand."), 1)
+            return self._demand(name.removeprefix("demand."), super().value(name))
         if at:
             return super().value(f"{name}@{max(1.0, float(size) * self.part)!r}")
         return super().value(reference)
 
+    def _demand(self, name: str, whole: float) -> float:
+        """What rests on rows is computed anew from them; the rest grows by its exponent."""
+        if name not in EXPONENTS and self.rows_in(self.demands[name].arithmetic):
+            return self.evaluate(self.demands[name].arithmetic)
+        return whole * self.part ** EXPONENTS.get(name, 1)
+
+
+def is_variant(verdict: Verdict) -> bool:
+    """Whether the verdict is told for comparison only."""
+    return verdict.resource.endswith(VARIANTS)
+
 
 def without_mechanism(verdict: Verdict) -> bool:
     """Whether the program has nothing that could be measured here."""
@@ -109,7 +114,7 @@
     """Each role that breaks, the smallest part first; of equals, those without mechanism, then by factor."""
     found: dict[str, tuple[Fraction, float, str]] = {}
     for verdict in result.verdicts:
-        if verdict_id(verdict) in CONSTANTS | VARIANTS:
+        if verdict_id(verdict) in CONSTANTS or is_variant(verdict):
             continue
         part = breaks_at(verdict, result)
         if part is None:
--- a/bench/capacity/tables.py
+++ b/bench/capacity/tables.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
-from bench.capacity.breaks import CONSTANTS, VARIANTS, Break, find_breaks, without_mechanism
+from bench.capacity.breaks import CONSTANTS, Break, find_breaks, is_variant, without_mechanism
 from bench.capacity.figures import measured, show, show_number, verdict_id
 from bench.capacity.schema import Fit, ResultFile, Row, Verdict
 
@@ -174,7 +174,7 @@
     found = [
         verdict
         for verdict in result.verdicts
-        if verdict.role == role and verdict.factor is not None and verdict_id(verdict) not in VARIANTS
+        if verdict.role == role and verdict.factor is not None and not is_variant(verdict)
     ]
     return max(found, key=lambda verdict: verdict.factor or 0.0, default=None)
 
--- a/tests/test_capacity_page.py
+++ b/tests/test_capacity_page.py
@@ -249,6 +249,9 @@
     )
     assert PartOfTarget(result, Fraction(1, 4)).evaluate("max(demand.list.changes.day, 1)") == 366
     assert PartOfTarget(result, Fraction(1, 64)).evaluate("list.whole.bytes@1") == pytest.approx(161)
+    result.demands[0] = msgspec.structs.replace(result.demands[0], arithmetic="list.whole.bytes@7300 * 2")
+    half = PartOfTarget(result, Fraction(1, 2))
+    assert half.evaluate("demand.list.changes.day") == pytest.approx(1_175_300)
     result.demands[0] = msgspec.structs.replace(result.demands[0], id="list.changes.rack")
     assert PartOfTarget(result, Fraction(1, 4)).evaluate("demand.list.changes.rack") == 1464
 
