Agreed values: what is let go is said by a retention given to the votes

The votes let go values that claims call ended. A register that holds another kind of value, such as the head of a configuration, must never be let go. Votes and Copies now take a retention (key and accepted value: kept for ever or not); claims' own is the default, keep_all is the other.

--- a/hazelhold/replica/host.py
+++ b/hazelhold/replica/host.py
@@ -21,7 +21,7 @@
 from hazelhold.replica import words as w
 from hazelhold.replica.proposer import Change as Asked
 from hazelhold.replica.proposer import Done, Proposer, Send
-from hazelhold.replica.votes import Votes
+from hazelhold.replica.votes import Retention, Votes, keep_open_claims
 from hazelhold.service.net import Net
 from hazelhold.service.slowly import slowly
 from hazelhold.service.wire import Wire
@@ -87,12 +87,13 @@
         disk: Disk,
         told: Callable[[int, str, bytes, str], None],
         recorder: Recorder | None = None,
+        retention: Retention = keep_open_claims,
     ) -> None:
         self.name, self.sheet, self.net, self.told, self.recorder = name, sheet, net, told, recorder
         draw = SystemRandom()
         self.process = f"{name}/{net.wall()}/{draw.getrandbits(62):x}"
         self.proposer = Proposer(self.process, sheet.epoch, draw.getrandbits(62))
-        self.votes = Votes(disk, name, sheet, draw.getrandbits(62))
+        self.votes = Votes(disk, name, sheet, draw.getrandbits(62), retention)
         self.sets = self.votes.sets
         self.vault = Vault(self.votes, sheet, self._stirred)
         self.far = {
--- a/hazelhold/replica/votes.py
+++ b/hazelhold/replica/votes.py
@@ -6,6 +6,7 @@
 """
 
 from collections import deque
+from collections.abc import Callable
 from typing import NamedTuple
 
 import msgspec
@@ -68,6 +69,17 @@
     "vouch": Vouch,
 }
 SWEEP_MOST = 1000  # cells let go at a time
+Retention = Callable[[str, bytes], bool]  # key and accepted value: whether they are kept for ever
+
+
+def keep_open_claims(key: str, value: bytes) -> bool:
+    """Retention where the values are claims and lives (`claims`): those whose end is not known are kept."""
+    return claims.lasts(value)
+
+
+def keep_all(key: str, value: bytes) -> bool:
+    """Retention where no value may ever be let go, such as the one head of a configuration."""
+    return True
 
 
 def digest(sheet: CopiesSheet) -> str:
@@ -112,8 +124,15 @@
 class Votes:
     """Opened once. `acceptor` votes where `joiner` has it; `source` is what others copy from."""
 
-    def __init__(self, disk: Disk, name: str, sheet: CopiesSheet, nonce: int) -> None:
-        self.name, self.sheet, self.nonce = name, sheet, nonce
+    def __init__(
+        self,
+        disk: Disk,
+        name: str,
+        sheet: CopiesSheet,
+        nonce: int,
+        retention: Retention = keep_open_claims,
+    ) -> None:
+        self.name, self.sheet, self.nonce, self.retention = name, sheet, nonce, retention
         self.store = Store(disk, name, KINDS)
         self.sets = Sets([Keeper(p.name, p.zone) for p in sheet.planners], sheet.replicas)
         self.keep = round(sheet.keep_s * 1e6)
@@ -210,7 +229,7 @@
         return [put("seat", "", Seat(self.name, self.sheet.deployment, self.sheet.epoch, digest(self.sheet)))]
 
     def _ages(self, key: str, cell: Cell, wall: int) -> None:
-        if cell.accepted != w.NONE and not claims.lasts(cell.value):
+        if cell.accepted != w.NONE and not self.retention(key, cell.value):
             self.aging.append(Aging(wall + self.keep, key, cell.accepted))
 
     def sweep(self, wall: int) -> list[Change]:
--- a/tests/test_copies_host.py
+++ b/tests/test_copies_host.py
@@ -19,7 +19,7 @@
 from hazelhold.replica import words as w
 from hazelhold.replica.host import Copies, Greet
 from hazelhold.replica.proposer import Read
-from hazelhold.replica.votes import Seat, Votes, found
+from hazelhold.replica.votes import Retention, Seat, Votes, found, keep_all, keep_open_claims
 from hazelhold.service.net import MemoryNet
 from hazelhold.standin.disk import FaultyDisk, Killed, Points
 from hazelhold.state.store import StateError
@@ -224,6 +224,28 @@
     assert again.acceptor.cells["claim/held"].value == held
 
 
+@pytest.mark.parametrize("retention", [keep_open_claims, keep_all])
+def test_what_is_let_go_is_said_by_the_retention_alone_also_after_a_start(retention: Retention) -> None:
+    """A value that is no claim (the head of a configuration) and one that looks like an ended claim."""
+    alone = replace(SHEETS["p0"], planners=SHEETS["p0"].planners[:1], replicas=1, keep_s=60)
+    disk = FaultyDisk(Points(set(), 1))
+    found(disk, "p0", alone, 0)
+    votes = Votes(disk, "p0", alone, 1, retention)
+    votes.open(0, "p0 1")
+    ended = c.encode(c.Claim("p0", 1, 0, 0, "over", "m", "done"))
+    bodies = {"head": ended, "empty": b"", "other": msgspec.msgpack.encode({"number": 7})}
+    for key, body in bodies.items():
+        votes.store.apply(votes.hear(w.Accept(key, 1, w.Ballot(7, "x"), body), 0)[1])
+    lasting = set(bodies) if retention is keep_all else {"other"}
+    votes.store.begin(1)
+    votes.store.close()
+    again = Votes(disk, "p0", alone, 2, retention)
+    again.open(2, "p0 2")  # the ages begin anew
+    for each in (votes, again):
+        each.sweep(10**15)
+        assert set(each.acceptor.cells) == lasting
+
+
 @pytest.mark.parametrize(
     ("change", "why"),
     [
