--- a/hazelhold/config/planner.py
+++ b/hazelhold/config/planner.py
@@ -7,6 +7,7 @@
 from msgspec import Meta, Struct
 
 from hazelhold import interface
+from hazelhold.config.fleetconfig import FleetConfigSection, check_section
 from hazelhold.config.load import ConfigError, build, parse, read_text, split_address
 
 Name = Annotated[str, Meta(min_length=1, max_length=100)]
@@ -203,6 +204,7 @@
     state: StateSheet = StateSheet()
     membership: MembershipSheet = MembershipSheet()
     copies: CopiesSheet = CopiesSheet()
+    fleetconfig: FleetConfigSection = FleetConfigSection()
 
 
 def micros(millis: float) -> int:
@@ -311,6 +313,7 @@
             faults.append((place, str(wrong)))
     faults += check_membership(sheet.membership)
     faults += check_copies(sheet)
+    faults += check_section(sheet.fleetconfig, sheet.name, sheet.state.folder, bool(sheet.capture.file))
     if sheet.slot >= sheet.planners:
         faults.append(("slot", f"planner {sheet.slot} of {sheet.planners}: slots count from 0"))
     if sheet.capture.total_mb and not 0 < sheet.capture.rotate_mb <= sheet.capture.total_mb / 2:
--- /dev/null
+++ b/hazelhold/fleetconfig/store.py
@@ -0,0 +1,178 @@
+"""The durable copy of the configuration on one machine: the document at a position, and the revisions before
+it that others may still ask for.
+
+It rests on `hazelhold.state`: snapshots with logs, each batch a frame with a checksum. What one step changes
+is one batch, so that a revision is there whole or not at all, and a crash at any byte leaves a prefix of the
+batches. What was read is checked against the checksums of its own position: files that fit their frames but
+not each other count as damage. Called from one place; no trio here.
+"""
+
+from collections.abc import Iterable, Sequence
+from typing import NamedTuple
+
+from msgspec import Struct
+
+from hazelhold.fleetconfig.document import Document, Put
+from hazelhold.fleetconfig.revision import (
+    START,
+    Position,
+    RevisionError,
+    SealedRevision,
+    unseal,
+)
+from hazelhold.state.disk import Disk
+from hazelhold.state.images import Change, drop, put
+from hazelhold.state.ledger import Ledger
+from hazelhold.state.store import Store
+
+KEEP = 1000  # revisions kept behind the position, for followers that were away
+
+
+class PositionImage(Struct, array_like=True, frozen=True):
+    """Which revision the items are the document of, and that document's checksum."""
+
+    number: int
+    chain: bytes
+    content: bytes
+
+
+class ItemImage(Struct, array_like=True, frozen=True):
+    """One item's value. Its key is the item's name."""
+
+    value: bytes
+
+
+class RevisionImage(Struct, array_like=True, frozen=True):
+    """One encoded revision. Its key is its number."""
+
+    body: bytes
+
+
+KINDS: dict[str, type[Struct]] = {
+    "position": PositionImage,
+    "item": ItemImage,
+    "revision": RevisionImage,
+}
+
+
+class Stored(NamedTuple):
+    """What a folder holds. `revisions` ends at the position and has no gaps; `notes` names what could not be
+    used, one line for each; `complete` is False if something that was safe here may be missing."""
+
+    position: Position
+    document: Document
+    revisions: tuple[SealedRevision, ...]
+    complete: bool
+    notes: tuple[str, ...]
+
+
+class RevisionStore:
+    """One machine's copy. `open` first; then each step's changes come from `append` or `replace`, and count
+    once whoever writes them (`writer.StoreWriter`) has made them safe."""
+
+    def __init__(self, disk: Disk, name: str, keep: int = KEEP) -> None:
+        self.files = Store(disk, name, KINDS)
+        self.keep = keep
+        self.position = Position()  # with all changes that were handed out
+        self.oldest = 1  # number of the first revision that is kept
+        self.names: set[str] = set()  # of the items at the position
+
+    def open(self, wall: int, text: str) -> Stored:
+        """Takes the folder and reads it. StateError if it is in use, another machine's or of a newer program.
+        Nothing is written; `begin` of `files` does that."""
+        found = self.files.open(wall, text)
+        stored = read_ledger(found.ledger, found.complete, found.notes)
+        if not stored.complete and stored.position == Position():
+            found.ledger.apply(_all_dropped(found.ledger))  # none of it fits: nothing of it is kept
+        self.position, self.names = stored.position, set(stored.document.items)
+        self.oldest = stored.position.number - len(stored.revisions) + 1
+        wanted = {_key(r.revision.number) for r in stored.revisions}
+        found.ledger.apply([drop("revision", k) for k in found.ledger.tables["revision"] if k not in wanted])
+        return stored
+
+    def append(self, revisions: Sequence[SealedRevision]) -> list[Change]:
+        """The changes that lead on by these revisions, which follow the position. ValueError if they do
+        not."""
+        changes: dict[tuple[str, str], Change] = {}
+        for sealed in revisions:
+            revision = sealed.revision
+            if (revision.number, revision.parent) != (self.position.number + 1, self.position.chain):
+                raise ValueError(f"revision {revision.number} does not follow {self.position.number}")
+            self._step(sealed, changes)
+        return list(changes.values())
+
+    def _step(self, sealed: SealedRevision, changes: dict[tuple[str, str], Change]) -> None:
+        revision, made = sealed.revision, []
+        for edit in revision.edits:
+            made += [put("item", each.name, ItemImage(each.value)) for each in edit.puts]
+            made += [drop("item", name) for name in edit.removals]
+            self.names.update(each.name for each in edit.puts)
+            self.names.difference_update(edit.removals)
+        made.append(put("revision", _key(revision.number), RevisionImage(sealed.body)))
+        made.append(put("position", "", PositionImage(revision.number, sealed.chain, revision.content)))
+        while self.oldest <= revision.number - self.keep:
+            made.append(drop("revision", _key(self.oldest)))
+            self.oldest += 1
+        changes.update(((change.kind, change.key), change) for change in made)
+        self.position = sealed.position
+
+    def replace(self, position: Position, document: Document) -> list[Change]:
+        """The changes that put this document at this position in the place of all that is here."""
+        made = [drop("item", name) for name in self.names]
+        made += [drop("revision", _key(n)) for n in range(self.oldest, self.position.number + 1)]
+        changes = {(change.kind, change.key): change for change in made}
+        for name, value in document.items.items():
+            changes["item", name] = put("item", name, ItemImage(value))
+        changes["position", ""] = put("position", "", PositionImage(*position, document.checksum))
+        self.position, self.oldest, self.names = position, position.number + 1, set(document.items)
+        return list(changes.values())
+
+
+def read_ledger(ledger: Ledger, complete: bool, notes: Iterable[str]) -> Stored:
+    """What a recovered ledger means, checked against its own checksums."""
+    said = list(notes)
+    nothing = Stored(Position(), Document(), (), complete, tuple(said))
+    try:
+        image = ledger.image("position", "")
+        items = [Put(name, ledger.image("item", name).value) for name in ledger.tables["item"]]
+        bodies = [ledger.image("revision", key).body for key in sorted(ledger.tables["revision"])]
+    except ValueError as wrong:  # msgspec's errors are among them
+        return nothing._replace(complete=False, notes=(*said, f"an entry cannot be read: {wrong}"))
+    if image is None:
+        if not items and not bodies:
+            return nothing
+        return nothing._replace(complete=False, notes=(*said, "there are items without a position"))
+    document, position = Document(items), Position(image.number, image.chain)
+    if document.checksum != image.content:
+        wrong = f"the items are not those of revision {image.number}: their checksum differs"
+        return nothing._replace(complete=False, notes=(*said, wrong))
+    revisions, gaps = _chained(position, bodies)
+    return Stored(position, document, revisions, complete and not gaps, (*said, *gaps))
+
+
+def _chained(position: Position, bodies: list[bytes]) -> tuple[tuple[SealedRevision, ...], list[str]]:
+    """The revisions that lead to this position without a gap, and what is wrong with the others."""
+    found: list[SealedRevision] = []
+    number, chain = position
+    for body in reversed(bodies):
+        try:
+            sealed = unseal(body)
+        except RevisionError as wrong:
+            return tuple(reversed(found)), [f"revision {number} cannot be read: {wrong.text}"]
+        if sealed.position != (number, chain):
+            return tuple(reversed(found)), [
+                f"revision {number} is not the one that leads to {position.number}"
+            ]
+        found.append(sealed)
+        number, chain = number - 1, sealed.revision.parent
+    if number == 0 and chain != START:
+        return (), [f"revision 1 does not begin the chain of {position.number}"]
+    return tuple(reversed(found)), []
+
+
+def _all_dropped(ledger: Ledger) -> list[Change]:
+    return [drop(kind, key) for kind, table in ledger.tables.items() for key in table]
+
+
+def _key(number: int) -> str:
+    return f"{number:020}"
--- /dev/null
+++ b/tests/test_fleetconfig_store.py
@@ -0,0 +1,320 @@
+"""The durable copy of the configuration: crashes and damage at any byte, failing disks."""
+
+import errno
+from random import Random
+
+import msgspec
+import pytest
+import trio
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from trio.testing import MockClock
+
+from hazelhold.fleetconfig.document import Document, Put, canonical
+from hazelhold.fleetconfig.revision import Change, Position, Revision, SealedRevision, seal
+from hazelhold.fleetconfig.store import KINDS, RevisionStore, Stored
+from hazelhold.fleetconfig.writer import StoreWriter
+from hazelhold.service.net import MemoryNet
+from hazelhold.standin.disk import FaultyDisk, Points
+from hazelhold.state import frames
+from hazelhold.state.disk import RealDisk
+from hazelhold.state.images import drop
+from hazelhold.state.store import StateError
+
+
+def chain(count: int, seed: int = 1) -> tuple[list[SealedRevision], list[Document]]:
+    """Revisions 1 to `count` and the document after each, the empty one first."""
+    random, document = Random(seed), Document()
+    revisions: list[SealedRevision] = []
+    documents = [document.copy()]
+    position = Position()
+    for number in range(1, count + 1):
+        names = random.sample([f"teams/t{n}" for n in range(8)], 3)
+        puts = tuple(Put(name, canonical({"number": number})) for name in names[:2])
+        change = Change(id=f"c{number}", base=number - 1, puts=puts, removals=(names[2],))
+        document.apply([change.edit])
+        made = Revision(number=number, parent=position.chain, content=document.checksum, changes=(change,))
+        revisions.append(seal(made))
+        position = revisions[-1].position
+        documents.append(document.copy())
+    return revisions, documents
+
+
+REVISIONS, DOCUMENTS = chain(12)
+
+
+def disk(strike: set[int] = frozenset(), seed: int = 1) -> FaultyDisk:
+    return FaultyDisk(Points(set(strike), seed))
+
+
+def opened(on: FaultyDisk, keep: int = 1000) -> tuple[RevisionStore, Stored]:
+    store = RevisionStore(on, "c1", keep)
+    return store, store.open(0, "c1 1")
+
+
+def commit(store: RevisionStore, revisions: list[SealedRevision]) -> None:
+    store.files.commit(store.append(revisions))
+
+
+def filled(on: FaultyDisk, count: int, keep: int = 1000) -> RevisionStore:
+    store, _ = opened(on, keep)
+    store.files.begin(0)
+    for sealed in REVISIONS[:count]:
+        commit(store, [sealed])
+    return store
+
+
+def is_prefix(stored: Stored, least: int, most: int) -> bool:
+    """Whether it is exactly what one of these numbers left."""
+    number = stored.position.number
+    return (
+        least <= number <= most
+        and stored.position == (REVISIONS[number - 1].position if number else Position())
+        and stored.document.items == DOCUMENTS[number].items
+        and stored.document.checksum == DOCUMENTS[number].checksum
+    )
+
+
+def test_what_was_stored_is_read_back_with_the_revisions_that_are_kept() -> None:
+    on = disk()
+    filled(on, 12, keep=5).files.close()
+    store, stored = opened(on, keep=5)
+    assert is_prefix(stored, 12, 12) and stored.complete and stored.notes == ()
+    assert [r.revision.number for r in stored.revisions] == [8, 9, 10, 11, 12]
+    assert [r.body for r in stored.revisions] == [r.body for r in REVISIONS[7:]]
+    with pytest.raises(ValueError, match="revision 12 does not follow 12"):
+        store.append(REVISIONS[11:])
+
+
+def test_a_crash_at_any_step_leaves_a_prefix_with_all_that_was_safe() -> None:
+    quiet = disk()
+    filled(quiet, 6)
+    assert quiet.points.count > 12
+    for point in range(1, quiet.points.count + 1):
+        on, safe = disk({point}, point), 0
+        try:
+            store, _ = opened(on)
+            store.files.begin(0)
+            for sealed in REVISIONS[:6]:
+                commit(store, [sealed])
+                safe = sealed.revision.number
+                if safe == 3:
+                    store.files.begin(0)  # a new generation amid them
+        except Exception as killed:  # noqa: BLE001 - only the kill is expected
+            assert type(killed).__name__ == "Killed", killed
+        on.crash()
+        _, stored = opened(on)
+        assert is_prefix(stored, safe, safe + 1), (point, stored.position, safe)
+        assert stored.complete
+
+
+@pytest.mark.parametrize("way", ["flip", "cut", "zero"])
+def test_damage_at_any_byte_is_named_and_leaves_a_prefix(way: str) -> None:
+    on = disk()
+    store = filled(on, 2)
+    store.files.begin(0)
+    for sealed in REVISIONS[2:5]:
+        commit(store, [sealed])
+    store.files.close()
+    for name in ("log-2", "snapshot-2"):
+        whole = on.safe[name]
+        for at in range(0, len(whole), 3):
+            data = bytearray(whole)
+            if way == "flip":
+                data[at] ^= 1 << at % 8
+            elif way == "cut":
+                del data[at:]
+            else:
+                data[at : at + 16] = bytes(len(data[at : at + 16]))
+            if bytes(data) == whole:
+                continue
+            on.safe[name] = bytes(data)
+            again, stored = opened(on)
+            assert is_prefix(stored, 0, 5), (name, at, stored.position)
+            if way != "cut" or name == "snapshot-2":
+                assert not stored.complete and stored.notes, (name, at)
+            again.files.close()
+        on.safe[name] = whole
+
+
+def test_files_that_fit_their_frames_but_not_each_other_are_damage() -> None:
+    for kind, key in (("item", None), ("revision", None), ("position", "")):
+        on = disk()
+        store = filled(on, 4)
+        table = store.files.ledger.tables[kind]
+        lost = list(table)[1] if key is None else key
+        store.files.commit([drop(kind, lost)])
+        store.files.close()
+        _, stored = opened(on)
+        assert not stored.complete and stored.notes
+        if kind == "revision":  # the document is sound: only those before the gap are gone
+            assert is_prefix(stored, 4, 4) and [r.revision.number for r in stored.revisions] == [3, 4]
+        else:
+            assert stored.position == Position() and not stored.document.items
+
+
+def test_nothing_of_a_damaged_copy_comes_back_after_the_next_start() -> None:
+    on = disk()
+    store = filled(on, 4)
+    store.files.commit([drop("position", "")])
+    store.files.close()
+    again, _ = opened(on)
+    again.files.begin(0)
+    commit(again, [REVISIONS[0]])
+    again.files.close()
+    _, stored = opened(on)
+    assert is_prefix(stored, 1, 1) and stored.complete
+
+
+def test_another_machines_folder_or_one_in_use_is_refused() -> None:
+    on = disk()
+    store = filled(on, 1)
+    with pytest.raises(StateError, match="in use"):
+        RevisionStore(on, "c1").open(0, "x")
+    store.files.close()
+    with pytest.raises(StateError, match="is of planner 'c1', not of 'c2'"):
+        RevisionStore(on, "c2").open(0, "x")
+
+
+@settings(max_examples=60, deadline=None)
+@given(st.lists(st.sampled_from(["append", "replace", "begin", "reopen"]), max_size=25), st.integers(1, 4))
+def test_steps_in_any_order_leave_the_document_of_the_position(steps: list[str], keep: int) -> None:
+    on = disk()
+    store, _ = opened(on, keep)
+    store.files.begin(0)
+    number = 0
+    for step in steps:
+        if step == "append" and number < len(REVISIONS):
+            commit(store, [REVISIONS[number]])
+            number += 1
+        elif step == "replace" and number + 2 <= len(REVISIONS):
+            number += 2
+            changes = store.replace(REVISIONS[number - 1].position, DOCUMENTS[number])
+            store.files.commit(changes)
+        elif step == "begin":
+            store.files.begin(0)
+        elif step == "reopen":
+            store.files.close()
+            store, stored = opened(on, keep)
+            assert is_prefix(stored, number, number) and stored.notes == ()
+            store.files.begin(0)
+    store.files.close()
+    _, stored = opened(on, keep)
+    assert is_prefix(stored, number, number) and stored.complete
+    assert len(stored.revisions) <= keep
+
+
+def test_a_replacement_leaves_nothing_of_steps_that_were_not_safe_yet() -> None:
+    on = disk()
+    store = filled(on, 0)
+    waiting = store.append(REVISIONS[:3])
+    waiting += store.replace(REVISIONS[4].position, DOCUMENTS[5])
+    store.files.commit(waiting)
+    store.files.close()
+    _, stored = opened(on)
+    assert is_prefix(stored, 5, 5) and stored.revisions == () and stored.complete
+
+
+def run(story: object) -> None:
+    trio.run(story, clock=MockClock(autojump_threshold=0))
+
+
+def test_a_writer_shares_commits_and_calls_back_once_all_is_safe() -> None:
+    async def story() -> None:
+        on = disk()
+        store, _ = opened(on)
+        writer = StoreWriter(store, MemoryNet(), 2000, 1000)
+        writer.begin()
+        safe: list[int] = []
+        for sealed in REVISIONS[:5]:
+            writer.take(store.append([sealed]), lambda at=sealed.revision.number: safe.append(at))
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(writer.run)
+            with trio.fail_after(10):
+                while len(safe) < 5:
+                    await trio.sleep(0.01)
+            nursery.cancel_scope.cancel()
+        assert safe == [1, 2, 3, 4, 5] and writer.commits == 1
+        on.crash()
+        assert is_prefix(opened(on)[1], 5, 5)
+
+    run(story)
+
+
+@pytest.mark.parametrize("what", ["write", "sync"])
+def test_a_failing_disk_calls_nobody_back_until_it_works_and_then_all_in_order(what: str) -> None:
+    async def story() -> None:
+        on = disk()
+        store, _ = opened(on)
+        writer = StoreWriter(store, MemoryNet(), 2000, 1000)
+        writer.begin()
+        safe: list[int] = []
+
+        def step(number: int) -> None:
+            writer.take(store.append([REVISIONS[number - 1]]), lambda: safe.append(number))
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(writer.run)
+            step(1)
+            await trio.sleep(0.1)
+            on.fails = {what: errno.EIO, "rename": errno.EIO}
+            step(2)
+            await trio.sleep(3.5)
+            step(3)
+            await trio.sleep(3.5)
+            assert safe == [1] and writer.failed and writer.failures == 1
+            on.fails = {}
+            await trio.sleep(2)
+            step(4)
+            await trio.sleep(0.1)
+            assert safe == [1, 2, 3, 4] and not writer.failed
+            nursery.cancel_scope.cancel()
+        on.crash()
+        assert is_prefix(opened(on)[1], 4, 4)
+
+    run(story)
+
+
+def test_a_writer_whose_disk_never_worked_begins_once_it_does() -> None:
+    async def story() -> None:
+        on = disk()
+        on.fails = {"write": errno.EROFS}
+        store, _ = opened(on)
+        writer = StoreWriter(store, MemoryNet(), 2000, 500)
+        writer.begin()
+        safe: list[int] = []
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(writer.run)
+            writer.take(store.append(REVISIONS[:2]), lambda: safe.append(2))
+            await trio.sleep(2)
+            assert safe == []
+            on.fails = {}
+            await trio.sleep(1)
+            assert safe == [2]
+            nursery.cancel_scope.cancel()
+
+    run(story)
+
+
+def test_a_real_folder_is_read_back(tmp_path: object) -> None:
+    store = RevisionStore(RealDisk(tmp_path / "revisions"), "c1")
+    store.open(0, "c1 1")
+    store.files.begin(0)
+    commit(store, REVISIONS[:7])
+    store.files.close()
+    again = RevisionStore(RealDisk(tmp_path / "revisions"), "c1")
+    assert is_prefix(again.open(0, "c1 2"), 7, 7)
+    again.files.close()
+
+
+def test_an_entry_of_a_newer_program_is_read_by_the_fields_that_are_known() -> None:
+    on = disk()
+    store = filled(on, 2)
+    position = store.files.ledger.image("position", "")
+    newer = msgspec.msgpack.encode([*msgspec.structs.astuple(position), "more"])
+    assert KINDS["position"] is type(position)
+    change = drop("position", "")._replace(image=newer)
+    on.write("log-1", frames.batch([change]))
+    on.sync("log-1")
+    store.files.close()
+    assert is_prefix(opened(on)[1], 2, 2)
