Fleet configuration's store: what is in force outlives what was only received

A planner may refuse a revision that it has received: after a start the document that was in force has to be there too. It is kept as its differences from the received one.

--- a/hazelhold/fleetconfig/store.py
+++ b/hazelhold/fleetconfig/store.py
@@ -5,6 +5,9 @@
 is one batch, so that a revision is there whole or not at all, and a crash at any byte leaves a prefix of the
 batches. What was read is checked against the checksums of its own position: files that fit their frames but
 not each other count as damage. Called from one place; no trio here.
+
+A planner may have received a revision that it has not put in force. Then the document in force is kept as its
+differences from the one received: by item, the value before (`BeforeImage`).
 """
 
 from collections.abc import Iterable, Sequence
@@ -12,7 +15,7 @@
 
 from msgspec import Struct
 
-from hazelhold.fleetconfig.document import Document, Put
+from hazelhold.fleetconfig.document import Document, Edit, Put
 from hazelhold.fleetconfig.revision import (
     START,
     Position,
@@ -48,8 +51,17 @@
     body: bytes
 
 
+class BeforeImage(Struct, array_like=True, frozen=True):
+    """An item of the document in force where the one received differs. Its key is the item's name."""
+
+    value: bytes
+    is_there: bool
+
+
 KINDS: dict[str, type[Struct]] = {
     "position": PositionImage,
+    "in_force": PositionImage,
+    "before": BeforeImage,
     "item": ItemImage,
     "revision": RevisionImage,
 }
@@ -57,13 +69,16 @@
 
 class Stored(NamedTuple):
     """What a folder holds. `revisions` ends at the position and has no gaps; `notes` names what could not be
-    used, one line for each; `complete` is False if something that was safe here may be missing."""
+    used, one line for each; `complete` is False if something that was safe here may be missing. `in_force` is
+    the document that was in force last, with its position; None if it is that at `position`, or not known.
+    """
 
     position: Position
     document: Document
     revisions: tuple[SealedRevision, ...]
     complete: bool
     notes: tuple[str, ...]
+    in_force: tuple[Position, Document] | None = None
 
 
 class RevisionStore:
@@ -75,7 +90,9 @@
         self.keep = keep
         self.position = Position()  # with all changes that were handed out
         self.oldest = 1  # number of the first revision that is kept
-        self.names: set[str] = set()  # of the items at the position
+        self.values: dict[str, bytes] = {}  # the items at the position
+        self.in_force: Position | None = None  # None: not told in any life
+        self.before: dict[str, bytes | None] = {}  # differences of the document in force
 
     def open(self, wall: int, text: str) -> Stored:
         """Takes the folder and reads it. StateError if it is in use, another machine's or of a newer program.
@@ -84,12 +101,24 @@
         stored = read_ledger(found.ledger, found.complete, found.notes)
         if not stored.complete and stored.position == Position():
             found.ledger.apply(_all_dropped(found.ledger))  # none of it fits: nothing of it is kept
-        self.position, self.names = stored.position, set(stored.document.items)
+        self.position, self.values = stored.position, dict(stored.document.items)
         self.oldest = stored.position.number - len(stored.revisions) + 1
+        self._open_in_force(stored)
         wanted = {_key(r.revision.number) for r in stored.revisions}
-        found.ledger.apply([drop("revision", k) for k in found.ledger.tables["revision"] if k not in wanted])
+        tables = found.ledger.tables
+        found.ledger.apply([drop("revision", key) for key in tables["revision"] if key not in wanted])
         return stored
 
+    def _open_in_force(self, stored: Stored) -> None:
+        ledger = self.files.ledger
+        if stored.in_force is not None:
+            self.in_force, document = stored.in_force
+            self.before = _differences(document.items, self.values)
+        elif ledger.tables["in_force"] and not ledger.tables["before"]:
+            self.in_force = stored.position
+        else:
+            ledger.apply([drop(kind, key) for kind in ("in_force", "before") for key in ledger.tables[kind]])
+
     def append(self, revisions: Sequence[SealedRevision]) -> list[Change]:
         """The changes that lead on by these revisions, which follow the position. ValueError if they do
         not."""
@@ -101,13 +130,23 @@
             self._step(sealed, changes)
         return list(changes.values())
 
+    def put_in_force(self, position: Position, document: Document) -> list[Change]:
+        """The changes that note that this document is in force now. Work grows with what differs from the
+        position's document, and with all items if it is not that one."""
+        before = {} if position == self.position else _differences(document.items, self.values)
+        changes = [drop("before", name) for name in self.before if name not in before]
+        changes += [_before(name, value) for name, value in before.items()]
+        changes.append(put("in_force", "", PositionImage(*position, document.checksum)))
+        self.in_force, self.before = position, before
+        return changes
+
     def _step(self, sealed: SealedRevision, changes: dict[tuple[str, str], Change]) -> None:
         revision, made = sealed.revision, []
         for edit in revision.edits:
-            made += [put("item", each.name, ItemImage(each.value)) for each in edit.puts]
-            made += [drop("item", name) for name in edit.removals]
-            self.names.update(each.name for each in edit.puts)
-            self.names.difference_update(edit.removals)
+            for each in edit.puts:
+                made += self._set(each.name, each.value)
+            for name in edit.removals:
+                made += self._set(name, None)
         made.append(put("revision", _key(revision.number), RevisionImage(sealed.body)))
         made.append(put("position", "", PositionImage(revision.number, sealed.chain, revision.content)))
         while self.oldest <= revision.number - self.keep:
@@ -116,16 +155,30 @@
         changes.update(((change.kind, change.key), change) for change in made)
         self.position = sealed.position
 
+    def _set(self, name: str, value: bytes | None) -> list[Change]:
+        """The changes of one item, and of what is kept of the document in force."""
+        old, made = self.values.get(name), []
+        if self.in_force is not None and name not in self.before:
+            self.before[name] = old
+            made.append(_before(name, old))
+        if value is None:
+            self.values.pop(name, None)
+        else:
+            self.values[name] = value
+        made.append(drop("item", name) if value is None else put("item", name, ItemImage(value)))
+        return made
+
     def replace(self, position: Position, document: Document) -> list[Change]:
         """The changes that put this document at this position in the place of all that is here."""
-        made = [drop("item", name) for name in self.names]
-        made += [drop("revision", _key(n)) for n in range(self.oldest, self.position.number + 1)]
-        changes = {(change.kind, change.key): change for change in made}
+        made = [drop("revision", _key(n)) for n in range(self.oldest, self.position.number + 1)]
+        for name in [name for name in self.values if name not in document.items]:
+            made += self._set(name, None)
         for name, value in document.items.items():
-            changes["item", name] = put("item", name, ItemImage(value))
-        changes["position", ""] = put("position", "", PositionImage(*position, document.checksum))
-        self.position, self.oldest, self.names = position, position.number + 1, set(document.items)
-        return list(changes.values())
+            if self.values.get(name) != value:
+                made += self._set(name, value)
+        made.append(put("position", "", PositionImage(*position, document.checksum)))
+        self.position, self.oldest = position, position.number + 1
+        return list({(change.kind, change.key): change for change in made}.values())
 
 
 def read_ledger(ledger: Ledger, complete: bool, notes: Iterable[str]) -> Stored:
@@ -147,7 +200,25 @@
         wrong = f"the items are not those of revision {image.number}: their checksum differs"
         return nothing._replace(complete=False, notes=(*said, wrong))
     revisions, gaps = _chained(position, bodies)
-    return Stored(position, document, revisions, complete and not gaps, (*said, *gaps))
+    in_force, wrong = _in_force(ledger, position, document)
+    said += [*gaps, *wrong]
+    return Stored(position, document, revisions, complete and not (gaps or wrong), tuple(said), in_force)
+
+
+def _in_force(
+    ledger: Ledger, position: Position, document: Document
+) -> tuple[tuple[Position, Document] | None, list[str]]:
+    """The document in force, if it is another one, and what is wrong with what is kept of it."""
+    image = ledger.image("in_force", "")
+    if image is None or (image.number, image.chain) == position:
+        return None, []
+    made = document.copy()
+    for name in ledger.tables["before"]:
+        old = ledger.image("before", name)
+        made.apply([Edit((Put(name, old.value),)) if old.is_there else Edit((), (name,))])
+    if made.checksum != image.content:
+        return None, [f"what was in force, revision {image.number}, cannot be told: its checksum differs"]
+    return (Position(image.number, image.chain), made), []
 
 
 def _chained(position: Position, bodies: list[bytes]) -> tuple[tuple[SealedRevision, ...], list[str]]:
@@ -174,5 +245,15 @@
     return [drop(kind, key) for kind, table in ledger.tables.items() for key in table]
 
 
+def _differences(items: dict[str, bytes], others: dict[str, bytes]) -> dict[str, bytes | None]:
+    """By name, the value in `items` (None: it is not there) where `others` differ."""
+    found = {name: value for name, value in items.items() if others.get(name) != value}
+    return found | {name: None for name in others if name not in items}
+
+
+def _before(name: str, value: bytes | None) -> Change:
+    return put("before", name, BeforeImage(value or b"", value is not None))
+
+
 def _key(number: int) -> str:
     return f"{number:020}"
--- a/tests/test_fleetconfig_store.py
+++ b/tests/test_fleetconfig_store.py
@@ -215,6 +215,53 @@
     assert is_prefix(stored, 5, 5) and stored.revisions == () and stored.complete
 
 
+@settings(max_examples=60, deadline=None)
+@given(
+    st.lists(st.sampled_from(["append", "replace", "in force", "earlier in force", "reopen"]), max_size=25)
+)
+def test_the_document_in_force_outlives_newer_ones_that_are_not(steps: list[str]) -> None:
+    on = disk()
+    store, _ = opened(on)
+    store.files.begin(0)
+    number, in_force = 0, 0
+    for step in [*steps, "reopen"]:
+        if step == "append" and number < len(REVISIONS):
+            commit(store, [REVISIONS[number]])
+            number += 1
+        elif step == "replace" and number + 2 <= len(REVISIONS):
+            number += 2
+            store.files.commit(store.replace(REVISIONS[number - 1].position, DOCUMENTS[number]))
+        elif step.endswith("in force") and number > in_force:
+            in_force = number if step == "in force" else in_force + 1
+            at = REVISIONS[in_force - 1].position
+            store.files.commit(store.put_in_force(at, DOCUMENTS[in_force]))
+        elif step == "reopen":
+            store.files.close()
+            store, stored = opened(on)
+            assert is_prefix(stored, number, number) and stored.notes == () and stored.complete
+            if in_force in (0, number):
+                assert stored.in_force is None
+            else:
+                position, document = stored.in_force
+                assert position == REVISIONS[in_force - 1].position
+                assert document.items == DOCUMENTS[in_force].items
+                assert document.checksum == DOCUMENTS[in_force].checksum
+            store.files.begin(0)
+
+
+def test_what_was_in_force_and_does_not_fit_its_checksum_is_named_and_not_used() -> None:
+    on = disk()
+    store = filled(on, 3)
+    store.files.commit(store.put_in_force(REVISIONS[2].position, DOCUMENTS[3]))
+    commit(store, REVISIONS[3:5])
+    store.files.commit([drop("before", next(iter(store.before)))])
+    store.files.close()
+    again, stored = opened(on)
+    assert is_prefix(stored, 5, 5) and stored.in_force is None and not stored.complete
+    assert stored.notes == ("what was in force, revision 3, cannot be told: its checksum differs",)
+    assert again.in_force is None and again.before == {}
+
+
 def run(story: object) -> None:
     trio.run(story, clock=MockClock(autojump_threshold=0))
 
