--- a/hazelhold/fleetconfig/messages.py
+++ b/hazelhold/fleetconfig/messages.py
@@ -50,9 +50,11 @@
 
 
 class Revisions(ConfigMessage, tag="revisions", kw_only=True):
-    """Encoded revisions in order, without gaps."""
+    """Encoded revisions in order, without gaps. `chain` is the chain checksum of the last one: parents cover
+    all but the last, this covers the last, so that no damaged byte is taken."""
 
     bodies: tuple[bytes, ...]
+    chain: bytes
 
 
 class SnapshotPage(ConfigMessage, tag="snapshot_page", kw_only=True):
@@ -64,6 +66,7 @@
     page: int
     pages: int
     items: tuple[Put, ...]
+    check: bytes  # `snapshot.page_check`: covers all other fields, also the position
 
 
 class Heartbeat(ConfigMessage, tag="heartbeat", kw_only=True):
@@ -87,9 +90,14 @@
 
 
 class Coverage(ConfigMessage, tag="coverage", kw_only=True):
-    """From a follower to its source: what changed among itself and those that follow it."""
+    """From a follower to its source: what changed among itself and those that follow it.
+
+    `whole`: this is all; what this connection told before and is not in here is no longer below it. The rest
+    of a whole state that is too long for one message follows without the mark.
+    """
 
     members: tuple[MemberState, ...]
+    whole: bool = False
 
 
 # A writer or an operator, and a control machine.
