--- a/hazelhold/fleetconfig/actions.py
+++ b/hazelhold/fleetconfig/actions.py
@@ -1,87 +1,116 @@
-"""What a control machine's core tells its host to do, and what it is started from. Plain data, without I/O."""
+"""What the cores of the spread ask their hosts to do, and the times that they keep. Plain data.
+
+Each core collects actions in its list `actions`; after each event the host takes them out and carries them
+out in order. Connection numbers of followers' dials are chosen by the core that dials, numbers of accepted
+connections by the host; the two do not share a space.
+"""
 
-from collections.abc import Callable
 from typing import NamedTuple
 
-from hazelhold.fleetconfig.document import Document
-from hazelhold.fleetconfig.messages import ProposeAnswer
+from hazelhold.fleetconfig.document import Document, Put
+from hazelhold.fleetconfig.messages import ConfigMessage
 from hazelhold.fleetconfig.revision import Position, SealedRevision
 
 
-class AskRegister(NamedTuple):
-    """Ask the agreed register for this change; call `ControlCore.register_answered` with how it ended. The
-    change is `head.Advance`, `head.Settle` or `replica.proposer.Read`."""
+class Times(NamedTuple):
+    """Spans in microseconds. None of them matters for safety."""
+
+    heartbeat: int = 1_000_000  # a source's, to each follower
+    silent: int = 2_500_000  # a source that said nothing for so long is left
+    dial: int = 1_500_000  # how long a dial may take, with the greeting
+    stale: int = 4_000_000  # a source whose confirmed age is above this may be left for another
+    cut_off: int = 5_000_000  # a confirmed age above this is told as being cut off
+    ask_again: int = 1_500_000  # how long nothing that was asked for comes before it is asked for again
+    stuck: int = 8_000_000  # a source that is ahead and sends nothing useful for so long is left
+    go_back: int = 15_000_000  # how often a better source than the present one is tried
+    backoff: int = 250_000  # the first pause for a source that failed; it doubles up to `backoff_most`
+    backoff_most: int = 30_000_000
+    coverage: int = 500_000  # between two tellings of coverage, at least
+    coverage_hold: int = 150_000  # how long a relay waits for its followers' coverage to tell it with its own
+    coverage_whole: int = (
+        10_000_000  # how often the whole coverage is told again, which is also a sign of life
+    )
+    follower_silent: int = 35_000_000  # a follower that told nothing for so long is left
+    write: int = 20_000_000  # a message to a follower that is not written for so long ends its connection
+    pause: int = 1_000_000  # a wake that comes so much later than asked for means: this process was paused
+
+
+def take(actions: list) -> list:
+    """The actions collected so far; the list itself stays in use and is emptied."""
+    found = list(actions)
+    actions.clear()
+    return found
+
+
+class Dial(NamedTuple):
+    """Connect to a source and exchange greetings; then `connected`, or `disconnected` if that fails."""
+
+    connection: int
+    name: str
+    address: str
 
-    asking: int
-    change: Callable[[bytes], bytes]
-    deadline: int  # on the core's clock, microseconds
 
+class Send(NamedTuple):
+    """A message to the other side. A source hears of its end by `written`."""
 
-class Answer(NamedTuple):
-    """Send this to whoever proposed: `asker` is what `ControlCore.propose` was given."""
+    connection: int
+    message: ConfigMessage
 
-    asker: object
-    answer: ProposeAnswer
 
+class Close(NamedTuple):
+    """End the connection, also one that is being dialed. No event follows it."""
 
-class Store(NamedTuple):
-    """These revisions are committed and known here, in order, each once in a life of the core. Spread them at
-    once; make them durable, then call `ControlCore.stored` with this machine's name and tell the other control
-    machines. Never claim a revision as stored before it is durable."""
+    connection: int
+    reason: str
+
+
+class Received(NamedTuple):
+    """Verified revisions, in order, to be added to the store."""
 
     revisions: tuple[SealedRevision, ...]
 
 
-class StoreSnapshot(NamedTuple):
-    """The document jumped to what `snapshot_heard` brought: make that durable in place of all before it.
-    Followers here continue from its position (`document` of the core is that of the position)."""
+class Replaced(NamedTuple):
+    """A verified snapshot, to replace what the store holds."""
 
     position: Position
+    items: tuple[Put, ...]
+
 
+class PutInForce(NamedTuple):
+    """Put this document in force, whole or not at all, and answer `in_force` or `refused`.
 
-class Fetch(NamedTuple):
-    """There are committed revisions after this position that are not here: ask other control machines, and
-    call `revisions_heard` or `snapshot_heard`. Repeated until the gap is closed."""
+    The document is not changed until the answer. `changed` are the items that differ from the last document
+    that was handed over; None: it may be all of them.
+    """
 
-    after: Position
+    position: Position
+    document: Document
+    changed: frozenset[str] | None
 
 
-class Publish(NamedTuple):
-    """Tell the other control machines of revisions that were committed here: their `revisions_heard`. May be
-    lost: they find them in the register at their next `confirm`."""
+class Log(NamedTuple):
+    """Something that an operator should see."""
 
-    revisions: tuple[SealedRevision, ...]
+    event: str
+    details: dict[str, str | int]
 
 
-Action = AskRegister | Answer | Store | StoreSnapshot | Fetch | Publish
+class CutOff(NamedTuple):
+    """Why nothing newer can be known, and for how long (microseconds; NEVER: since the start)."""
 
+    age: int
+    reason: str
 
-class StoredState(NamedTuple):
-    """A snapshot (document at a position) and sealed revisions in order without gaps.
 
-    The revisions may begin before the position: those up to it only fill the history window (ids and items that
-    were changed lately), those after it are applied. The more of the last `ControlLimits.history` revisions are
-    here, the older a base a change may name."""
+class Standing(NamedTuple):
+    """What a planner knows of its own configuration. `confirmed_age`: how long ago a majority of the control
+    machines confirmed that nothing newer than `received` was committed, without the time on the way."""
 
-    position: Position
-    document: Document  # taken over, not copied: hand in one of its own
-    revisions: tuple[SealedRevision, ...] = ()
-
-    @classmethod
-    def empty(cls) -> "StoredState":
-        """That of a new deployment, or of a control machine whose disk was lost."""
-        return cls(Position(), Document())
-
-
-class ControlLimits(NamedTuple):
-    """Bounds and spans of one control machine. Spans in microseconds."""
-
-    history: int = 4096  # revisions whose ids and items are remembered; a base before them is refused
-    history_entries: int = 400_000  # ids and items remembered in all; fewer revisions if they are many
-    waiting_bytes: int = 8 << 20  # of changes that wait; more are refused as busy
-    waiting_changes: int = 16_384
-    tail_bytes: int = 384 << 10  # of revisions in the register that too few control machines have stored
-    ask_within: int = 1_000_000  # deadline of one asking
-    pause: int = 50_000  # after an asking that did not agree; drawn up to twice as long
-    confirm_every: int = 1_000_000
-    fetch_every: int = 300_000  # how often a gap is asked for again
+    in_force: Position
+    received: Position
+    confirmed_age: int
+    route: tuple[str, ...]
+    source: str
+    cut_off: CutOff | None
+    reason: str
--- a/hazelhold/fleetconfig/control.py
+++ b/hazelhold/fleetconfig/control.py
@@ -6,7 +6,7 @@
 
 from collections import Counter
 
-from hazelhold.fleetconfig.actions import Action, ControlLimits, StoredState
+from hazelhold.fleetconfig.control_actions import Action, ControlLimits, StoredState
 from hazelhold.fleetconfig.document import Document
 from hazelhold.fleetconfig.revision import Change, Position
 
