--- a/hazelhold/engine/tables.py
+++ b/hazelhold/engine/tables.py
@@ -73,6 +73,15 @@
         """From now on this planner is that one of so many."""
         self.facts = self.brain.deployment = self.facts._replace(planners=planners, slot=slot)
 
+    def reconfigure(self, terms: Terms) -> None:
+        """Works on by these terms. Products that are here keep their places and whatever tasks in hand were
+        judged by; others may follow them. Kinds are the same, and so is this planner's share of the fleet. New
+        tasks are taken by the new terms; limits on dispatches hold for all at once."""
+        facts = terms.facts._replace(planners=self.facts.planners, slot=self.facts.slot)
+        self.facts = self.brain.deployment = facts
+        self.products = {name: at for at, name in enumerate(terms.products)}
+        self.customers = {name: at for at, name in enumerate(terms.customers)}
+
     def _mark(self, kind: str, *key: object) -> None:
         if self.keeping is not None:
             self.keeping.marks[kind, "\0".join(str(part) for part in key)] = None
