Fleet configuration: hosts of control machines and planners, client and commands (not run yet)

A planner with a fleetconfig section starts from its stored revision. The control core's bodies are still to come, so nothing of this has run.

--- /dev/null
+++ b/hazelhold/cli/fleetconfig.py
@@ -0,0 +1,253 @@
+"""hazelhold fleetconfig: control machines, and what operators ask them."""
+
+import json
+import sys
+import time
+from pathlib import Path
+from typing import TYPE_CHECKING, Any
+from uuid import uuid4
+
+import click
+
+from hazelhold.cli import logs
+from hazelhold.cli.fleetconfig_client import FILE, asking, client_of, run_asking
+from hazelhold.cli.honest import honest
+from hazelhold.config.fleetconfig import read_control
+from hazelhold.config.load import ConfigError, parse, read_text
+
+if TYPE_CHECKING:
+    from hazelhold.fleetconfig.client import ConfigClient
+    from hazelhold.fleetconfig.messages import Status
+
+# Exit codes beside 0, 2 (a wrong file, address or option) and 4 (nobody answered).
+NOT_CARRIED_OUT = 1
+LACKING = 1  # some planner lacks the latest revision
+UNKNOWN = 3  # it may be carried out yet: ask again with the same id
+CUT_OFF = 3  # whoever answered cannot know of newer revisions
+
+
+@click.group()
+def fleetconfig() -> None:
+    """The configuration that is in force everywhere: control machines, changes, who has what."""
+
+
+# Control machines.
+
+
+@fleetconfig.command("control")
+@click.argument("file", type=FILE)
+@click.option("--ready", is_flag=True, help="Print the address to standard output once up.")
+@click.option("--log", type=click.Choice(["human", "json"]), default="human")
+@click.option("--level", type=click.Choice(["debug", "info", "warning", "error"]), default="info")
+@honest
+def control(file: Path, ready: bool, log: str, level: str) -> None:
+    """Run one control machine until SIGTERM or SIGINT."""
+    import signal
+
+    import trio
+
+    from hazelhold.fleetconfig.control_host import ControlHost
+    from hazelhold.service.net import TcpNet
+    from hazelhold.state.disk import RealDisk
+
+    read = read_control(file)
+    logs.set_up(log, level)
+    made = ControlHost(read, TcpNet(), RealDisk(Path(read.folder)), RealDisk(Path(read.votes.folder)))
+
+    async def run() -> None:
+        with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+            async with trio.open_nursery() as nursery:
+                made.open()
+                await nursery.start(made.run)
+                if ready:
+                    print(made.address, flush=True)
+                async for _ in signals:
+                    break
+                nursery.cancel_scope.cancel()
+
+    trio.run(run)
+
+
+@fleetconfig.command("found")
+@click.argument("file", type=FILE)
+@honest
+def found(file: Path) -> None:
+    """Give a control machine of a new set its seat: once, before its first start, for each of the set.
+
+    Never for one that lost its folder: it copies its votes from the others by itself, and votes again once it
+    has.
+    """
+    from hazelhold.fleetconfig.control_host import copies_sheet
+    from hazelhold.replica import votes
+    from hazelhold.state.disk import RealDisk
+
+    read = read_control(file)
+    sheet = copies_sheet(read)
+    votes.found(RealDisk(Path(sheet.folder)), read.name, sheet, time.time_ns() // 1000)
+    click.echo(
+        f"{read.name} has its seat in {sheet.folder}: epoch {sheet.epoch}, {len(sheet.planners)} control "
+        f"machines, {sheet.replicas} keep the head"
+    )
+
+
+# Writers and operators.
+
+
+@fleetconfig.command("put")
+@click.argument("items", nargs=-1)
+@click.option("--remove", multiple=True, help="The name of an item to remove; may be repeated.")
+@click.option(
+    "--base", type=click.IntRange(0), default=None, help="The revision that this change was made on."
+)
+@click.option("--id", "change_id", default=None, help="Of this change: the same is never carried out twice.")
+@click.option("--author", default="", help="For people.")
+@asking
+@honest
+def put(
+    items: tuple[str, ...],
+    remove: tuple[str, ...],
+    base: int | None,
+    change_id: str | None,
+    author: str,
+    config: Path | None,
+    at: tuple[str, ...],
+    deployment: str,
+    wait: float,
+    as_json: bool,
+) -> None:
+    """Set items, NAME=JSON each, in one change: whole or not at all.
+
+    Without --base the change is made on the latest revision. Exits with 1 if it was not carried out, 3 if
+    that is not known (ask again with the same --id), 4 if nobody answers.
+    """
+    values = {}
+    for item in items:
+        name, equals, text = item.partition("=")
+        try:
+            values[name] = json.loads(text)
+        except ValueError as wrong:
+            said = f"{wrong}" if equals else "is not NAME=JSON"
+            raise ConfigError("command line", [(name or "ITEMS", said)]) from None
+    client = client_of(config, at, deployment)
+    _change(client, values, remove, base, change_id, author, wait, as_json)
+
+
+@fleetconfig.command("apply")
+@click.argument("file", type=FILE)
+@click.option(
+    "--base", type=click.IntRange(0), default=None, help="The revision that this change was made on."
+)
+@click.option("--id", "change_id", default=None, help="Of this change: the same is never carried out twice.")
+@click.option("--author", default="", help="For people.")
+@asking
+@honest
+def apply(
+    file: Path,
+    base: int | None,
+    change_id: str | None,
+    author: str,
+    config: Path | None,
+    at: tuple[str, ...],
+    deployment: str,
+    wait: float,
+    as_json: bool,
+) -> None:
+    """Set the items of a JSON5 file, an object by name; null removes. Items that it does not name stay.
+
+    Ends as `put` does.
+    """
+    value = parse(read_text(file), str(file))
+    if not isinstance(value, dict):
+        raise ConfigError(str(file), [("top", "expected an object of items by name")])
+    values = {name: each for name, each in value.items() if each is not None}
+    removals = tuple(name for name, each in value.items() if each is None)
+    client = client_of(config, at, deployment)
+    _change(client, values, removals, base, change_id, author, wait, as_json)
+
+
+def _change(
+    client: "ConfigClient",
+    values: dict[str, Any],
+    removals: tuple[str, ...],
+    base: int | None,
+    change_id: str | None,
+    author: str,
+    wait: float,
+    as_json: bool,
+) -> None:
+    from hazelhold.fleetconfig import messages as m
+    from hazelhold.fleetconfig.document import Put, canonical
+    from hazelhold.fleetconfig.revision import Change
+
+    puts = tuple(Put(name, canonical(value)) for name, value in values.items())
+    made = Change(id=change_id or uuid4().hex, base=base or 0, author=author, puts=puts, removals=removals)
+
+    async def work() -> tuple[m.ProposeAnswer, str]:
+        change = made
+        if base is None:
+            status = await client.ask(m.StatusQuery(), m.Status, wait)
+            change = Change(id=made.id, base=status.number, author=author, puts=puts, removals=removals)
+        return await client.propose(change, wait)
+
+    answer, by = run_asking(work)
+    if as_json:
+        faults = [{"item": fault.item, "text": fault.text} for fault in answer.faults]
+        said = {"id": answer.id, "outcome": answer.outcome, "number": answer.number, "by": by}
+        click.echo(json.dumps({**said, "faults": faults, "text": answer.text}))
+    else:
+        number = f" as revision {answer.number}" if answer.outcome == "committed" else ""
+        click.echo(f"{answer.outcome}{number} (id {answer.id}){': ' + answer.text if answer.text else ''}")
+        for fault in answer.faults:
+            click.echo(f"  {fault.item or 'the change'}: {fault.text}")
+    sys.exit({"committed": 0, "unknown": UNKNOWN}.get(answer.outcome, NOT_CARRIED_OUT))
+
+
+@fleetconfig.command("show")
+@click.argument("prefix", default="")
+@asking
+@honest
+def show(
+    prefix: str, config: Path | None, at: tuple[str, ...], deployment: str, wait: float, as_json: bool
+) -> None:
+    """The items whose names begin with PREFIX, as whoever answers first has them."""
+    client = client_of(config, at, deployment)
+
+    async def work() -> tuple[int, dict[str, bytes]]:
+        return await client.items(prefix, wait)
+
+    number, items = run_asking(work)
+    if as_json:
+        values = {name: json.loads(value) for name, value in items.items()}
+        click.echo(json.dumps({"number": number, "items": values}))
+        return
+    click.echo(f"revision {number}, {len(items)} items")
+    for name, value in items.items():
+        click.echo(f"{name} = {value.decode()}")
+
+
+@fleetconfig.command("status")
+@asking
+@honest
+def status(config: Path | None, at: tuple[str, ...], deployment: str, wait: float, as_json: bool) -> None:
+    """The latest revision, whether newer ones can be known, how long each took until it was in force
+    everywhere, and who lacks it.
+
+    Of a planner (--at its address) what it has itself. Exits with 1 if some planner lacks the latest
+    revision, 3 if whoever answered cannot know of newer ones, 4 if nobody answers.
+    """
+    from hazelhold.cli.fleetconfig_status import as_dict, lines
+    from hazelhold.fleetconfig import messages as m
+
+    client = client_of(config, at, deployment)
+
+    async def work() -> "Status":
+        return await client.ask(m.StatusQuery(), m.Status, wait)
+
+    said = run_asking(work)
+    if as_json:
+        click.echo(json.dumps(as_dict(said)))
+    else:
+        for line in lines(said):
+            click.echo(line)
+    behind = said.lacking_count or said.in_force < said.number
+    sys.exit(CUT_OFF if said.cut_off else LACKING if behind else 0)
--- /dev/null
+++ b/hazelhold/cli/fleetconfig_status.py
@@ -0,0 +1,49 @@
+"""How a status of the fleet's configuration is shown."""
+
+from collections.abc import Iterator
+from typing import Any
+
+import msgspec
+
+from hazelhold.cli.members import span
+from hazelhold.fleetconfig.messages import MemberState, RevisionCoverage, Status
+
+
+def as_dict(status: Status) -> dict[str, Any]:
+    """For JSON: all fields, checksums as hexadecimal digits, spans in microseconds (-1: not known)."""
+    said = {name: getattr(status, name) for name in status.__struct_fields__}
+    said["chain"] = status.chain.hex()
+    said["route"] = list(status.route)
+    said["revisions"] = [msgspec.structs.asdict(each) for each in status.revisions]
+    said["lacking"] = [msgspec.structs.asdict(each) for each in status.lacking]
+    return said
+
+
+def lines(status: Status) -> Iterator[str]:
+    """For people."""
+    yield f"{status.name}: revision {status.number}, chain {status.chain.hex()}"
+    if status.in_force != status.number:
+        yield f"in force here: revision {status.in_force}"
+    route = f", by way of {' > '.join(status.route)}" if status.route else ""
+    yield f"nothing newer was committed {span(status.confirmed_age)} ago{route}"
+    if status.cut_off:
+        yield f"CUT OFF: {status.cut_off}"
+    for revision in status.revisions:
+        yield _revision(revision)
+    for member in status.lacking:
+        yield _lacking(member)
+    if status.lacking_count > len(status.lacking):
+        yield f"  and {status.lacking_count - len(status.lacking)} more"
+    yield "counts: " + ", ".join(f"{key} {value}" for key, value in sorted(status.counts.items()) if value)
+
+
+def _revision(revision: RevisionCoverage) -> str:
+    have = f"{revision.have} of {revision.expected} planners have it"
+    if revision.everywhere_after < 0:
+        return f"revision {revision.number}, known for {span(revision.age)}: {have}"
+    return f"revision {revision.number}: in force everywhere after {span(revision.everywhere_after)}, {have}"
+
+
+def _lacking(member: MemberState) -> str:
+    has = f"has {member.in_force} in force, {member.received} received"
+    return f"  lacks it: {member.name}, {has}: {member.reason}"
--- a/hazelhold/cli/main.py
+++ b/hazelhold/cli/main.py
@@ -14,6 +14,7 @@
 from hazelhold.cli import logs
 from hazelhold.cli.capture import capture
 from hazelhold.cli.copies import copies
+from hazelhold.cli.fleetconfig import fleetconfig
 from hazelhold.cli.honest import honest
 from hazelhold.cli.members import members
 from hazelhold.cli.state import state
@@ -39,6 +40,7 @@
 
 main.add_command(capture)
 main.add_command(copies)
+main.add_command(fleetconfig)
 main.add_command(members)
 main.add_command(state)
 
--- a/hazelhold/config/fleetconfig.py
+++ b/hazelhold/config/fleetconfig.py
@@ -31,8 +31,8 @@
 class FleetConfigSection(Struct, frozen=True):
     """A planner's part: whom it may follow, and where others follow it. Off without `listen`."""
 
-    listen: str = ""  # where those that follow this planner reach it, TCP; empty: off
-    advertise: str = ""  # where they reach it, if that is not `listen`
+    listen: str = ""  # where those that follow this planner reach it, TCP; empty: off. Others learn of it
+    # by the document's item `planners/NAME`
     deployment: Name = "hazelhold"
     zone: Label = ""
     region: Label = ""
@@ -114,13 +114,8 @@
         wrong = "is missing: without it the fleet's configuration is off, but other keys are set"
         return [("fleetconfig.listen", wrong)] if section != FleetConfigSection() else []
     given = [("fleetconfig.listen", section.listen)]
-    if section.advertise:
-        given.append(("fleetconfig.advertise", section.advertise))
     given += [(f"fleetconfig.reach[{name!r}]", to) for name, to in section.reach.items()]
     faults = _addresses(given) + _control("fleetconfig.control", section.control)
-    told = section.advertise or section.listen
-    if not faults and split_address(told)[0] in ("0.0.0.0", "::"):
-        faults.append(("fleetconfig.advertise", "is needed: nobody is reached at 0.0.0.0"))
     if not section.control:
         faults.append(("fleetconfig.control", "is empty: there is nobody to follow"))
     if planner in [m.name for m in section.control]:
--- a/hazelhold/fleetconfig/codec.py
+++ b/hazelhold/fleetconfig/codec.py
@@ -18,6 +18,7 @@
     | m.SnapshotPage
     | m.Heartbeat
     | m.Coverage
+    | m.Stored
     | m.Propose
     | m.ProposeAnswer
     | m.ReadItems
--- a/hazelhold/fleetconfig/messages.py
+++ b/hazelhold/fleetconfig/messages.py
@@ -100,6 +100,15 @@
     whole: bool = False
 
 
+# Two control machines.
+
+
+class Stored(ConfigMessage, tag="stored", kw_only=True):
+    """The sender has made all revisions up to this number durable."""
+
+    number: int
+
+
 # A writer or an operator, and a control machine.
 
 
--- a/hazelhold/service/planner.py
+++ b/hazelhold/service/planner.py
@@ -8,8 +8,10 @@
 import os
 import signal
 from collections import Counter
+from collections.abc import Iterable
 from pathlib import Path
 from random import Random
+from typing import TYPE_CHECKING
 
 import msgspec
 import structlog
@@ -31,6 +33,9 @@
 from hazelhold.state.images import ENCODER
 from hazelhold.state.store import Found, InUseError, StateError, Store
 
+if TYPE_CHECKING:
+    from hazelhold.fleetconfig.document import Document
+
 
 class Planner:
     """One planner from its start to its stop. `run` ends once a stop that was asked for is done."""
@@ -44,7 +49,14 @@
         disk: Disk | None = None,
         take_over: bool = False,
         votes: Disk | None = None,
+        revisions: Disk | None = None,
     ) -> None:
+        file = sheet
+        if file.fleetconfig.listen:
+            from hazelhold.fleetconfig.follower_host import starting_point  # not above: off costs nothing
+
+            revisions = revisions or RealDisk(Path(file.fleetconfig.folder))
+            sheet = starting_point(file, revisions)
         self.sheet, self.net, self.limits = sheet, net, sheet.limits
         self.engine = Engine(sheet, seed, net.now())
         self.tap = (
@@ -90,6 +102,13 @@
             )
             if self.members is not None:
                 self.members.beside = self.copies.standing
+        self.follower = None
+        if file.fleetconfig.listen:
+            from hazelhold.fleetconfig.follower_host import FollowerHost
+            from hazelhold.fleetconfig.settings import RunningSettings
+
+            self.settings = RunningSettings(file, sheet, self.engine)
+            self.follower = FollowerHost(file.name, file.fleetconfig, net, revisions, self._put_in_force)
         self.keeper: Keeper | None = None
         if disk is None and sheet.state.folder:
             disk = RealDisk(Path(sheet.state.folder))
@@ -108,6 +127,9 @@
                 nursery.start_soon(self.keeper.let_go)
             if self.copies is not None:
                 await self._claim(nursery)
+            if self.follower is not None:
+                await self.follower.open(self.take_over)
+                await nursery.start(self.follower.run)
             self.address = await self.net.listen(self.sheet.listen, self._door, nursery)
             nursery.start_soon(self.ticker.run)
             nursery.start_soon(self._follow_list)
@@ -154,6 +176,11 @@
         )
         self._carry_out()
 
+    def _put_in_force(self, document: "Document", changed: Iterable[str] | None) -> None:
+        """Takes a revision of the fleet's configuration, whole; SettingsError if the engine cannot."""
+        self.settings.put_in_force(document, changed)
+        self.ticker.stir()
+
     async def _claim(self, nursery: trio.Nursery) -> None:
         """From here on guests that must not run twice are claimed among the planners."""
         from hazelhold.replica.gate import Gate
