--- a/hazelhold/fleetconfig/settings.py
+++ b/hazelhold/fleetconfig/settings.py
@@ -99,6 +99,18 @@
     return made
 
 
+def _terms(file: PlannerSheet, overrides: Overrides) -> tuple[Estate, Terms]:
+    """The estate, and what an engine is told of it. SettingsError whatever is wrong: a revision reaches all
+    planners, and must not end one of them by an error that nobody thought of."""
+    try:
+        estate = effective_estate(file.estate, overrides)
+        return estate, terms_of(replace(file, estate=estate))
+    except SettingsError:
+        raise
+    except Exception as wrong:  # noqa: BLE001
+        raise SettingsError(f"cannot be used by this program: {wrong!r:.200}") from wrong
+
+
 def _beside(filed: list, given: dict[str, object]) -> list:
     """The file's entries, each with what was given under its name in place, then the others."""
     names = {entry.name for entry in filed}
@@ -140,7 +152,7 @@
     overrides = Overrides()
     overrides.read(document, None)
     try:
-        estate = effective_estate(file.estate, overrides)
+        estate, _ = _terms(file, overrides)
     except SettingsError as wrong:
         return Starting(file, str(wrong))
     return Starting(replace(file, estate=estate))
@@ -162,19 +174,15 @@
         if not self.overrides.read(document, changed) and not self.refused:
             return
         self.refused = True
-        estate = effective_estate(self.file.estate, self.overrides)
+        estate, _ = _terms(self.file, self.overrides)
         if reasons := restart_reasons(self.estate, estate):
             raise SettingsError("needs a restart: " + ", ".join(reasons))
-        self._take(self._in_engine_order(estate))
-        self.refused = False
+        estate = self._in_engine_order(estate)
+        self.engine.reconfigure(terms_of(replace(self.file, estate=estate)))
+        self.estate, self.refused = estate, False
 
     def _in_engine_order(self, estate: Estate) -> Estate:
         """Products that the engine has keep their places."""
         products: dict[str, ProductSheet] = {product.name: product for product in estate.products}
         kept = [products.pop(product.name) for product in self.estate.products]
         return replace(estate, products=[*kept, *products.values()])
-
-    def _take(self, estate: Estate) -> None:
-        terms: Terms = terms_of(replace(self.file, estate=estate))
-        self.engine.reconfigure(terms)
-        self.estate = estate
--- a/tests/processes/fleetconfig_rig.py
+++ b/tests/processes/fleetconfig_rig.py
@@ -8,7 +8,6 @@
 import socket
 import subprocess
 import sys
-from collections import Counter
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 from pathlib import Path
@@ -291,18 +290,17 @@
         return read_ledger(found.ledger, found.complete, found.notes)
 
     def judge(self, lost: set[str] = frozenset()) -> None:
-        """Of stopped processes. `lost`: whose disk was lost or put back, so that it may have begun earlier."""
+        """Of stopped processes. `lost`: whose disk was lost or put back: it may have begun earlier."""
         chains: dict[int, set[bytes]] = {}
         carried: dict[str, set[int]] = {}
-        latest: Counter[str] = Counter()
         for name in self.logs:
             stored = self.stored(name)
             assert stored.complete, (name, stored.notes)
-            latest[name] = stored.position.number
             for sealed in stored.revisions:
                 chains.setdefault(sealed.revision.number, set()).add(sealed.chain)
                 for change in sealed.revision.changes:
                     carried.setdefault(change.id, set()).add(sealed.revision.number)
+            assert stored.position.chain in chains.get(stored.position.number, {stored.position.chain})
         assert all(len(found) == 1 for found in chains.values()), "two chains"
         assert all(len(numbers) == 1 for numbers in carried.values()), "a change was carried out twice"
         for id_, number in self.committed.items():
--- a/tests/test_fleetconfig_settings.py
+++ b/tests/test_fleetconfig_settings.py
@@ -151,6 +151,24 @@
     assert planner.rejected("g", product="other") == ""
 
 
+def test_an_error_that_nobody_thought_of_refuses_the_revision_and_ends_no_planner(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    planner = Planner()
+
+    def fails(estate: object) -> None:
+        raise ZeroDivisionError("thought of by nobody")
+
+    monkeypatch.setattr("hazelhold.fleetconfig.settings.check_estate", fails)
+    with pytest.raises(SettingsError, match="cannot be used by this program: ZeroDivisionError"):
+        planner.put(customers__acme={})
+    assert starting_sheet(sheet(), planner.document).sheet == sheet()
+    monkeypatch.undo()
+    assert planner.rejected("g1", customer="acme") == "unknown_customer"
+    planner.put(teams__a={"quota_cores": 1})
+    assert planner.rejected("g2", customer="acme") == ""
+
+
 def test_items_and_fields_of_a_newer_program_do_not_keep_a_revision_out_of_force() -> None:
     planner = Planner()
     planner.put(moods__today={"x": 1}, products__plain={**PLAIN, "goal_ms": 100, "colour": "red"})
