--- a/hazelhold/fleetconfig/choice.py
+++ b/hazelhold/fleetconfig/choice.py
@@ -5,8 +5,8 @@
 from random import Random
 from typing import NamedTuple
 
-from hazelhold.fleetconfig.actions import Times
 from hazelhold.fleetconfig.roster import Source
+from hazelhold.fleetconfig.spread_actions import Times
 
 
 class Failure(NamedTuple):
--- a/hazelhold/fleetconfig/coverage.py
+++ b/hazelhold/fleetconfig/coverage.py
@@ -10,8 +10,8 @@
 
 import msgspec
 
-from hazelhold.fleetconfig.actions import Times
 from hazelhold.fleetconfig.messages import Coverage, MemberState
+from hazelhold.fleetconfig.spread_actions import Times
 
 MOST_MEMBERS = 16_384  # names that are kept; more are refused and counted
 MEMBERS_A_MESSAGE = 1000
--- a/hazelhold/fleetconfig/enforcement.py
+++ b/hazelhold/fleetconfig/enforcement.py
@@ -6,10 +6,10 @@
 
 from collections.abc import Iterable
 
-from hazelhold.fleetconfig.actions import PutInForce
 from hazelhold.fleetconfig.document import Document, Edit, Put
 from hazelhold.fleetconfig.history import History
 from hazelhold.fleetconfig.revision import Position
+from hazelhold.fleetconfig.spread_actions import PutInForce
 
 
 class Enforcement:
--- a/hazelhold/fleetconfig/exchange.py
+++ b/hazelhold/fleetconfig/exchange.py
@@ -6,9 +6,9 @@
 
 from random import Random
 
-from hazelhold.fleetconfig.actions import Close, Dial, Send, Times, take
 from hazelhold.fleetconfig.coverage import Feed, Subtree
 from hazelhold.fleetconfig.roster import ControlMachine
+from hazelhold.fleetconfig.spread_actions import Close, Dial, Send, Times, take
 
 
 class Peer:
--- a/hazelhold/fleetconfig/follower.py
+++ b/hazelhold/fleetconfig/follower.py
@@ -11,26 +11,13 @@
 from collections import Counter
 from random import Random
 
-from hazelhold.fleetconfig.actions import (
-    Close,
-    CutOff,
-    Dial,
-    Log,
-    PutInForce,
-    Received,
-    Replaced,
-    Send,
-    Standing,
-    Times,
-    take,
-)
+from hazelhold.fleetconfig.confirmation import Confirmation
 from hazelhold.fleetconfig.coverage import Feed, Subtree
 from hazelhold.fleetconfig.document import Document
 from hazelhold.fleetconfig.enforcement import Enforcement
 from hazelhold.fleetconfig.history import History, unseal_all
 from hazelhold.fleetconfig.links import Link, Links
 from hazelhold.fleetconfig.messages import (
-    NEVER,
     ConfigMessage,
     Follow,
     Heartbeat,
@@ -40,6 +27,18 @@
 )
 from hazelhold.fleetconfig.revision import Position, RevisionError, SealedRevision
 from hazelhold.fleetconfig.roster import Place, Roster
+from hazelhold.fleetconfig.spread_actions import (
+    Close,
+    Dial,
+    Log,
+    PutInForce,
+    Received,
+    Replaced,
+    Send,
+    Standing,
+    Times,
+    take,
+)
 
 Action = Dial | Send | Close | Received | Replaced | PutInForce | Log
 
@@ -67,7 +66,7 @@
         self.counts: Counter[str] = Counter()
         self.enforcement = Enforcement(history, last_in_force)
         self.links = Links(name, times, Random(f"follower/{name}/{seed}"), self.actions, self.counts)
-        self.confirmed_at: int | None = None
+        self.confirmation = Confirmation(history, self.links, times)
         self._times, self._place = times, place
         self._feed = Feed(subtree, times)
         self._followed: int | None = None  # the connection that the feed tells
@@ -129,10 +128,10 @@
         return Standing(
             in_force=self.enforcement.in_force,
             received=self.history.position,
-            confirmed_age=self._confirmed_age(now),
+            confirmed_age=self.confirmation.age(now),
             route=heartbeat.route if heartbeat else (),
             source=current.source.name if current else "",
-            cut_off=self._cut_off(now),
+            cut_off=self.confirmation.cut_off(now),
             reason=self.enforcement.reason,
         )
 
@@ -236,29 +235,6 @@
     def _set_sources(self) -> None:
         self.links.choice.set_sources(self.roster.sources(self.name, self._place))
 
-    def _confirm(self) -> None:
-        """A source's word that nothing newer was committed counts once all that it knew is here."""
-        for link in (self.links.current, self.links.trial):
-            heartbeat = link.heartbeat if link else None
-            if link is None or heartbeat is None or link.confirmed_at is None:
-                continue
-            if self.history.chain_at(heartbeat.number) == heartbeat.chain:
-                self.confirmed_at = max(self.confirmed_at or link.confirmed_at, link.confirmed_at)
-
-    def _confirmed_age(self, now: int) -> int:
-        return NEVER if self.confirmed_at is None else max(now - self.confirmed_at, 0)
-
-    def _cut_off(self, now: int) -> CutOff | None:
-        age = self._confirmed_age(now)
-        if 0 <= age <= self._times.cut_off:
-            return None
-        current = self.links.current
-        if current is None:
-            return CutOff(age, f"no source is followed; the last one: {self.links.last_reason or 'none yet'}")
-        if current.is_stale(now, self._times):
-            return CutOff(age, f"{current.source.name} is not in touch with a majority")
-        return CutOff(age, f"{current.source.name} knows of revisions that did not come yet")
-
     def _woken(self, now: int) -> None:
         """Takes a pause of this process out of what is held against sources."""
         late = now - self._due
@@ -268,7 +244,7 @@
 
     def _settle(self, now: int) -> None:
         """What follows from any event."""
-        self._confirm()
+        self.confirmation.update()
         self.links.tick(now)
         offer = self.enforcement.offer()
         if offer is not None:
@@ -300,7 +276,7 @@
             self.actions += [Send(connection, coverage) for coverage in self._feed.take(now)]
 
     def _log_cut_off(self, now: int) -> None:
-        cut_off = self._cut_off(now)
+        cut_off = self.confirmation.cut_off(now)
         if (cut_off is not None) == self._is_cut_off:
             return
         self._is_cut_off = cut_off is not None
--- a/hazelhold/fleetconfig/links.py
+++ b/hazelhold/fleetconfig/links.py
@@ -7,11 +7,11 @@
 from collections import Counter
 from random import Random
 
-from hazelhold.fleetconfig.actions import Close, Dial, Log, Times
 from hazelhold.fleetconfig.choice import Choice
 from hazelhold.fleetconfig.messages import Heartbeat
 from hazelhold.fleetconfig.roster import Source
 from hazelhold.fleetconfig.snapshot import Assembly
+from hazelhold.fleetconfig.spread_actions import Close, Dial, Log, Times
 
 MOST_ROUTE = 16  # names; a longer way is taken for a cycle
 
@@ -82,7 +82,9 @@
         self._drop(now, link, reason, badly)
 
     def heartbeat(self, now: int, link: Link, heartbeat: Heartbeat) -> None:
-        """Takes a heartbeat: refuses cycles, decides on a trial."""
+        """Takes a heartbeat: refuses cycles, decides on a trial. A lower number than before is old news."""
+        if link.heartbeat is not None and heartbeat.number < link.heartbeat.number:
+            return
         link.heartbeat = heartbeat
         if heartbeat.confirmed_age >= 0:
             link.confirmed_at = max(link.confirmed_at or 0, now - heartbeat.confirmed_age)
--- a/hazelhold/fleetconfig/messages.py
+++ b/hazelhold/fleetconfig/messages.py
@@ -79,7 +79,7 @@
     route: tuple[str, ...] = ()
 
 
-class MemberState(Struct, frozen=True, omit_defaults=True, kw_only=True):
+class MemberState(Struct, frozen=True, omit_defaults=True, kw_only=True, array_like=True):
     """What one planner has: the revision in force, the one received, and why they differ or stay behind."""
 
     name: str
--- a/hazelhold/fleetconfig/relay.py
+++ b/hazelhold/fleetconfig/relay.py
@@ -7,7 +7,7 @@
 def pass_on(now: int, follower: FollowerCore, source: SourceCore) -> None:
     """To be called after each event of either core, before their actions are taken: new revisions and the
     age go down, coverage goes up. Both cores share one `History` and one `Subtree`."""
-    source.confirmed(follower.confirmed_at, follower.standing(now).route)
+    source.confirmed(follower.confirmation.confirmed_at, follower.standing(now).route)
     if source.served != source.history.position:
         source.advanced(now)
     follower.tick(now)
--- a/hazelhold/fleetconfig/source.py
+++ b/hazelhold/fleetconfig/source.py
@@ -8,13 +8,13 @@
 from collections import Counter
 from collections.abc import Iterable
 
-from hazelhold.fleetconfig.actions import Close, Send, Times, take
 from hazelhold.fleetconfig.coverage import Subtree
 from hazelhold.fleetconfig.everywhere import FleetCoverage
 from hazelhold.fleetconfig.history import History
 from hazelhold.fleetconfig.messages import NEVER, ConfigMessage, Coverage, Follow, Heartbeat
 from hazelhold.fleetconfig.revision import Position
 from hazelhold.fleetconfig.snapshot import Snapshot
+from hazelhold.fleetconfig.spread_actions import Close, Send, Times, take
 
 
 class Follower:
