--- a/hazelhold/emulate/spread_nodes.py
+++ b/hazelhold/emulate/spread_nodes.py
@@ -150,7 +150,8 @@
         super().__init__(world, machine.name)
         others = [one for one in world.control if one != machine]
         now = world.now
-        self.history, self.subtree, self.is_in_touch = History(), Subtree(), True
+        self.history, self.subtree = History(window_revisions=world.window), Subtree()
+        self.is_in_touch = True
         self.roster = Roster(world.control)
         self.fleet = FleetCoverage(self.history, self.roster, self.subtree, now)
         peers = [one.name for one in others]
@@ -200,7 +201,8 @@
         self.place, self.stored = planned.place, stored
         now = world.now
         position, document = (stored.position, stored.document.copy()) if stored else (Position(), Document())
-        self.history, self.subtree = History(position, document), Subtree()
+        self.history = History(position, document, window_revisions=world.window)
+        self.subtree = Subtree()
         self.follower = FollowerCore(
             planned.name,
             self.history,
--- a/hazelhold/emulate/spread_wires.py
+++ b/hazelhold/emulate/spread_wires.py
@@ -91,14 +91,16 @@
         return self.random.randint(self._latency, 3 * self._latency)
 
     def connect(self, dialer: End, listener: End) -> None:
-        """A dial that reaches a listener; both hear of it after a delay. A cut either way loses it."""
+        """A dial that reaches a listener, who answers. A cut either way loses it."""
         if {(dialer.machine, listener.machine), (listener.machine, dialer.machine)} & self.cuts:
             return
         wire = Wire(dialer, listener)
-        for end in (dialer, listener):
-            self.wires[id(end.port), end.connection] = wire
+        moment = self.now
+        for end in (listener, dialer):
             port = end.port
-            self.at(self.now + self.delay(), lambda end=end, port=port: self._open(end, port))
+            self.wires[id(port), end.connection] = wire
+            moment += self.delay()
+            self.at(moment, lambda end=end, port=port: self._open(end, port))
 
     def send(self, port: Port, connection: int, message: ConfigMessage) -> None:
         """A message from that end of its wire."""
@@ -131,6 +133,14 @@
             moment = max(self.now + self.delay(), other.arrives_at)
             self.at(moment, lambda: self._end(other, reason))
 
+    def break_all(self, port: Port) -> None:
+        """All connections of a port break; both ends hear of it."""
+        for owner, connection in list(self.wires):
+            wire = self.wires.get((owner, connection))
+            if wire is not None and owner == id(port):
+                for end in (wire.dialer, wire.listener):
+                    self.at(self.now + self.delay(), lambda end=end: self._end(end, "the connection broke"))
+
     def close_all(self, port: Port, reason: str) -> None:
         """A port's process ended."""
         for owner, connection in list(self.wires):
@@ -158,11 +168,12 @@
             moment += self.random.randint(0, 100 * self._latency)
         else:
             moment = end.arrives_at = max(moment, end.arrives_at)
-        self.at(moment, lambda: self._arrive(end, body))
+        self.at(moment, lambda: self._arrive(wire, end, body))
 
-    def _arrive(self, end: End, body: bytes) -> None:
+    def _arrive(self, wire: Wire, end: End, body: bytes) -> None:
         port = end.port
         if port is None:
+            self._reset(wire, end)
             return
         try:
             message = decode(body)
@@ -172,6 +183,12 @@
             return
         port.message(end.connection, message)
 
+    def _reset(self, wire: Wire, end: End) -> None:
+        """A message came where the connection is closed already: the sender hears of it."""
+        other = wire.other(end)
+        if (end.machine, other.machine) not in self.cuts:
+            self.at(self.now + self.delay(), lambda: self._end(other, "reset"))
+
     def _open(self, end: End, port: Port | None) -> None:
         if port is not None and end.port is port:
             port.opened(end.connection)
--- a/hazelhold/emulate/spread_world.py
+++ b/hazelhold/emulate/spread_world.py
@@ -17,6 +17,7 @@
 )
 from hazelhold.emulate.spread_wires import End, Wires
 from hazelhold.fleetconfig.document import Document, Put, canonical
+from hazelhold.fleetconfig.history import WINDOW_REVISIONS
 from hazelhold.fleetconfig.revision import Change, Position, Revision, SealedRevision, seal
 from hazelhold.fleetconfig.roster import ControlMachine
 from hazelhold.fleetconfig.spread_actions import Close, Dial, PutInForce, Received, Replaced, Send, Times
@@ -44,9 +45,11 @@
         seed: int,
         times: Times = Times(),  # noqa: B008 - immutable
         node_type: type[PlannerNode] = PlannerNode,
+        window: int = WINDOW_REVISIONS,
     ) -> None:
+        """`window`: how many revisions each machine keeps to pass on as deltas."""
         self.control, self.times = tuple(control), times
-        self.wires = Wires(seed)
+        self.wires, self.window = Wires(seed), window
         self.order: list[SealedRevision] = []  # the agreed order; revision n stands at n - 1
         self.committed_at: list[int] = []
         self.truth = [dict[str, bytes]()]  # the items after each revision
--- a/hazelhold/fleetconfig/source.py
+++ b/hazelhold/fleetconfig/source.py
@@ -165,10 +165,10 @@
             return self._heartbeat(now)
         if follower.snapshot is not None:
             return self._next_page(follower, follower.snapshot)
-        if follower.sent >= self.history.position.number:
-            return None
         if follower.asked is not None and self.history.contradicts(follower.asked):
             return self._show_contradiction(connection, follower, follower.asked)
+        if follower.sent >= self.history.position.number:
+            return None
         revisions = self.history.after(follower.sent)
         if revisions is not None:
             follower.sent += len(revisions.bodies)
@@ -189,13 +189,14 @@
     def _show_contradiction(
         self, connection: int, follower: Follower, asked: Position
     ) -> ConfigMessage | None:
-        """The revision here under the number that the follower has another one under: it finds that out by
-        itself. Nothing else is sent until it asks again."""
+        """Once, the revision here under the number that the follower has another one under: it finds that out
+        by itself, or it asked with a damaged checksum and goes on."""
         self.counts["followers_contradict"] += 1
-        follower.asked = None
         evidence = self.history.after(asked.number - 1, most_bytes=0)
         if evidence is None:
             self._end(connection, "another chain")
+            return None
+        follower.asked = Position(asked.number, evidence.chain)
         return evidence
 
     def _heartbeat(self, now: int) -> Heartbeat:
