Spread tests: the relay's scenario waits until relays are followed

The relay's found no planner behind a relay yet: at its start a fleet follows control machines, and goes over to relays within 15 s.

--- a/tests/test_fleetconfig_spread_broken.py
+++ b/tests/test_fleetconfig_spread_broken.py
@@ -110,6 +110,7 @@
 
 def damaged_revision_at_a_relay() -> None:
     world = fleet(8)
+    world.run(20)  # by then relays are followed
     relayed = [node for node in world.planners if len(node.follower.standing(world.now).route) > 1]
     assert relayed
     impostor = Impostor(world, {"c0", "c1", "c2"}, (Revisions,))
