--- a/hazelhold/emulate/spread_nodes.py
+++ b/hazelhold/emulate/spread_nodes.py
@@ -152,7 +152,7 @@
         now = world.now
         self.history, self.subtree = History(window_revisions=world.window), Subtree()
         self.is_in_touch = True
-        self.roster = Roster(world.control)
+        self.roster = Roster(world.control, world.relays)
         self.fleet = FleetCoverage(self.history, self.roster, self.subtree, now)
         peers = [one.name for one in others]
         self.source = SourceCore(
@@ -206,7 +206,7 @@
         self.follower = FollowerCore(
             planned.name,
             self.history,
-            Roster(world.control),
+            Roster(world.control, world.relays),
             self.subtree,
             world.times,
             world.new_seed(),
--- a/hazelhold/emulate/spread_world.py
+++ b/hazelhold/emulate/spread_world.py
@@ -19,7 +19,7 @@
 from hazelhold.fleetconfig.document import Document, Put, canonical
 from hazelhold.fleetconfig.history import WINDOW_REVISIONS
 from hazelhold.fleetconfig.revision import Change, Position, Revision, SealedRevision, seal
-from hazelhold.fleetconfig.roster import ControlMachine
+from hazelhold.fleetconfig.roster import RELAYS, ControlMachine
 from hazelhold.fleetconfig.spread_actions import Close, Dial, PutInForce, Received, Replaced, Send, Times
 
 
@@ -46,16 +46,22 @@
         times: Times = Times(),  # noqa: B008 - immutable
         node_type: type[PlannerNode] = PlannerNode,
         window: int = WINDOW_REVISIONS,
+        latency: int = 2_000,
+        relays: int = RELAYS,
     ) -> None:
-        """`window`: how many revisions each machine keeps to pass on as deltas."""
+        """`window`: how many revisions each machine keeps to pass on as deltas. `latency`: the least time of
+        a message on its way, microseconds. `relays`: of each zone and region; 0: all follow control
+        machines."""
         self.control, self.times = tuple(control), times
-        self.wires, self.window = Wires(seed), window
+        self.wires, self.window = Wires(seed, latency), window
+        self.relays = relays
         self.order: list[SealedRevision] = []  # the agreed order; revision n stands at n - 1
         self.committed_at: list[int] = []
         self.truth = [dict[str, bytes]()]  # the items after each revision
         self.disks: dict[str, list[Stored]] = {}
         self.refused: set[tuple[str, int]] = set()
         self.judged = 0
+        self.last_in_force_at: dict[int, int] = {}  # by number: the latest planner so far
         self._document, self._node_type = Document(), node_type
         self.planned = {one.name: one for one in planned}
         puts = [put_planner(one) for one in self.planned.values()]
@@ -128,6 +134,8 @@
         assert action.document.items == self.truth[position.number], f"{node.name}: not the whole document"
         assert position.number >= node.in_force.number, f"{node.name}: went back"
         self.judged += 1
+        for number in range(node.in_force.number + 1, position.number + 1):
+            self.last_in_force_at[number] = self.now
 
     def carry_out(self, node: "ControlNode | PlannerNode", port: Dialing | Listening, actions: list) -> None:
         """Does what a core asks for."""
