--- a/hazelhold/cli/fleetconfig.py
+++ b/hazelhold/cli/fleetconfig.py
@@ -90,6 +90,24 @@
     )
 
 
+@fleetconfig.command("vouch")
+@click.argument("file", type=FILE)
+@honest
+def vouch(file: Path) -> None:
+    """Have a control machine vote from its own folder at its next start, without the others it would copy
+    from.
+
+    Only if its folder is the newest that it ever had, and those others are gone: what an older folder has
+    forgotten may have been agreed, and revisions that planners have may then be decided anew.
+    """
+    from hazelhold.replica import votes
+    from hazelhold.state.disk import RealDisk
+
+    read = read_control(file)
+    votes.vouch(RealDisk(Path(read.votes.folder)), read.name, time.time_ns() // 1000)
+    click.echo(f"{read.name} will vote from {read.votes.folder} at its next start, and at that one alone")
+
+
 # Writers and operators.
 
 
--- a/hazelhold/fleetconfig/control_host.py
+++ b/hazelhold/fleetconfig/control_host.py
@@ -13,7 +13,6 @@
 from hazelhold.config.planner import CopiesPlanner, CopiesSheet
 from hazelhold.fleetconfig import control_actions as c
 from hazelhold.fleetconfig import messages as m
-from hazelhold.fleetconfig.actions import Send, Times
 from hazelhold.fleetconfig.control import ControlCore
 from hazelhold.fleetconfig.control_peers import ControlPeers
 from hazelhold.fleetconfig.control_status import control_status
@@ -25,6 +24,7 @@
 from hazelhold.fleetconfig.revision import Position, SealedRevision
 from hazelhold.fleetconfig.roster import ControlMachine, Roster
 from hazelhold.fleetconfig.source import SourceCore
+from hazelhold.fleetconfig.spread_actions import Send, Times
 from hazelhold.fleetconfig.store import RevisionStore, Stored
 from hazelhold.fleetconfig.writer import StoreWriter
 from hazelhold.protocol.frames import FrameError
--- a/hazelhold/fleetconfig/control_peers.py
+++ b/hazelhold/fleetconfig/control_peers.py
@@ -9,7 +9,6 @@
 
 from hazelhold.config.fleetconfig import ControlFile
 from hazelhold.fleetconfig import messages as m
-from hazelhold.fleetconfig.actions import Close, Dial, Send, Times
 from hazelhold.fleetconfig.control import ControlCore
 from hazelhold.fleetconfig.control_actions import StoredState
 from hazelhold.fleetconfig.coverage import Subtree
@@ -19,6 +18,7 @@
 from hazelhold.fleetconfig.revision import Position, RevisionError, SealedRevision
 from hazelhold.fleetconfig.roster import ControlMachine
 from hazelhold.fleetconfig.snapshot import Assembly
+from hazelhold.fleetconfig.spread_actions import Close, Dial, Send, Times
 from hazelhold.protocol.frames import FrameError
 from hazelhold.service.net import Net
 
--- a/hazelhold/fleetconfig/dialer.py
+++ b/hazelhold/fleetconfig/dialer.py
@@ -8,9 +8,9 @@
 import structlog
 import trio
 
-from hazelhold.fleetconfig.actions import Close, Dial, Send
 from hazelhold.fleetconfig.connection import GREETING, Connection
 from hazelhold.fleetconfig.messages import ConfigMessage, Greeting, GreetingAnswer
+from hazelhold.fleetconfig.spread_actions import Close, Dial, Send
 from hazelhold.protocol.frames import FrameError
 from hazelhold.service.net import Net
 
--- a/hazelhold/fleetconfig/follower_host.py
+++ b/hazelhold/fleetconfig/follower_host.py
@@ -11,8 +11,8 @@
 
 from hazelhold.config.fleetconfig import FleetConfigSection
 from hazelhold.config.planner import PlannerSheet
-from hazelhold.fleetconfig import actions as a
 from hazelhold.fleetconfig import messages as m
+from hazelhold.fleetconfig import spread_actions as a
 from hazelhold.fleetconfig.coverage import Subtree
 from hazelhold.fleetconfig.dialer import Dialer
 from hazelhold.fleetconfig.document import Document
--- a/tests/test_fleetconfig_host.py
+++ b/tests/test_fleetconfig_host.py
@@ -18,6 +18,7 @@
 from hazelhold.fleetconfig.revision import Change
 from hazelhold.protocol import messages as p
 from hazelhold.protocol.frames import frame
+from hazelhold.replica.votes import vouch
 from hazelhold.service.wire import Wire
 from hazelhold.state.store import StateError
 from tests.fleetconfig_rig import DEPLOYMENT, Fleet, items, with_fleet
@@ -359,3 +360,23 @@
 def test_off_it_is_not_loaded() -> None:
     done = subprocess.run([sys.executable, "-c", OFF], capture_output=True, text=True, cwd=ROOT, timeout=60)
     assert done.stdout.strip() == "[]", done
+
+
+def test_all_at_once_down_and_one_for_ever_one_vouched_for_lets_the_others_go_on() -> None:
+    async def test(fleet: Fleet) -> None:
+        number = await fleet.committed(customers__acme={})
+        for name in fleet.names:
+            await fleet.kill(name)
+        for name in ("c1", "c2"):
+            await fleet.start(name)
+        answer = await fleet.put("c1", base=number, customers__other={})
+        assert answer.outcome in ("refused", "unknown")
+        await fleet.kill("c1")
+        vouch(fleet.votes["c1"], "c1", 0)
+        await fleet.start("c1")
+        await fleet.kill("c2")
+        vouch(fleet.votes["c2"], "c2", 0)
+        await fleet.start("c2")
+        assert await fleet.committed(customers__more={}) > number
+
+    with_fleet(test)
