--- a/tests/test_fleetconfig_host.py
+++ b/tests/test_fleetconfig_host.py
@@ -1,6 +1,7 @@
 """Control machines and planners with their hosts, in memory: changes, what they do to tasks, bad input, lost
 disks, restarts."""
 
+import errno
 import subprocess
 import sys
 from pathlib import Path
@@ -380,3 +381,58 @@
         assert await fleet.committed(customers__more={}) > number
 
     with_fleet(test)
+
+
+def test_a_control_machine_whose_disk_fails_claims_nothing_as_stored_until_it_works() -> None:
+    async def test(fleet: Fleet) -> None:
+        before = await fleet.committed(customers__first={})
+        await fleet.until(lambda: fleet.controls["c1"].peers.stored == before)
+        fleet.disks["c1"].fails = {"write": errno.ENOSPC, "sync": errno.ENOSPC}
+        number = await fleet.committed(customers__acme={})
+        await fleet.in_force(number)
+        status = await fleet.status_when(lambda said: said.counts["disk_failures"] > 0)
+        assert status.number == number and status.counts["stored"] == before
+        for other in ("c2", "c3"):
+            assert fleet.controls[other].core.facts.by_machine["c1"] <= before
+        fleet.disks["c1"].fails = {}
+        status = await fleet.status_when(lambda said: said.counts["stored"] == number)
+        await fleet.kill("c1")
+        await fleet.start("c1")
+        assert (await fleet.status_when(lambda said: not said.cut_off)).number == number
+
+    with_fleet(test, planners=1)
+
+
+def test_a_planner_whose_folder_is_damaged_says_so_and_fetches_what_it_lacks() -> None:
+    async def test(fleet: Fleet) -> None:
+        number = await fleet.committed(customers__acme={})
+        await fleet.in_force(number)
+        await trio.sleep(0.1)
+        await fleet.kill("p1")
+        on = fleet.disks["p1"]
+        for name in on.safe:
+            on.safe[name] = on.safe[name][:60] + b"\0\0\0\0" + on.safe[name][64:]
+        await fleet.start("p1")
+        await fleet.in_force(number)
+        assert await rejection(fleet, "p1", "acme") == ""
+
+    with_fleet(test, planners=1)
+
+
+def test_a_planner_takes_over_from_the_process_before() -> None:
+    async def test(fleet: Fleet) -> None:
+        number = await fleet.committed(customers__acme={})
+        await fleet.in_force(number)
+        old, again = fleet.planners["p1"].follower, fleet._planner("p1", None).follower
+        async with trio.open_nursery() as nursery:
+
+            async def leave() -> None:
+                await trio.sleep(2)
+                fleet.scopes["p1"].cancel()
+
+            nursery.start_soon(leave)
+            await again.open(take_over=True)
+        assert old is not again and again.history.position.number == number
+        again.store.files.close()
+
+    with_fleet(test, planners=1)
