--- a/hazelhold/fleetconfig/follower_host.py
+++ b/hazelhold/fleetconfig/follower_host.py
@@ -32,6 +32,7 @@
 from hazelhold.state.store import InUseError, read
 
 TAKE_OVER = 10.0  # seconds for which a folder is waited for that the process before still has
+WARNINGS = ("cut_off", "source_lost")  # events of the core that operators should see
 # Puts a document in force, whole or not at all; SettingsError if it cannot be. `changed`: items that differ
 # from the last document that was given; None: it may be all.
 PutInForce = Callable[[Document, Iterable[str] | None], None]
@@ -155,7 +156,8 @@
         elif isinstance(action, a.PutInForce):
             self._put_in_force(action)
         elif isinstance(action, a.Log):
-            self.log.info("fleetconfig_" + action.event, **action.details)
+            tell = self.log.warning if action.event in WARNINGS else self.log.info
+            tell("fleetconfig_" + action.event, **action.details)
 
     def _put_in_force(self, action: a.PutInForce) -> None:
         number = action.position.number
