--- a/hazelhold/fleetconfig/actions.py
+++ b/hazelhold/fleetconfig/control_actions.py
@@ -1,4 +1,4 @@
-"""What a control machine's core tells its host to do, and what it is started from. Plain data, without I/O."""
+"""What a control machine's core tells its host to do, and what it is started from. Plain data."""
 
 from collections.abc import Callable
 from typing import NamedTuple
@@ -25,9 +25,9 @@
 
 
 class Store(NamedTuple):
-    """These revisions are committed and known here, in order, each once in a life of the core. Spread them at
-    once; make them durable, then call `ControlCore.stored` with this machine's name and tell the other control
-    machines. Never claim a revision as stored before it is durable."""
+    """These revisions are committed and known here, in order, each once in a life of the core. Spread them
+    at once; make them durable, then call `ControlCore.stored` with this machine's name and tell the other
+    control machines. Never claim a revision as stored before it is durable."""
 
     revisions: tuple[SealedRevision, ...]
 
@@ -59,9 +59,9 @@
 class StoredState(NamedTuple):
     """A snapshot (document at a position) and sealed revisions in order without gaps.
 
-    The revisions may begin before the position: those up to it only fill the history window (ids and items that
-    were changed lately), those after it are applied. The more of the last `ControlLimits.history` revisions are
-    here, the older a base a change may name."""
+    The revisions may begin before the position: those up to it only fill the history window (ids and items
+    that were changed lately), those after it are applied. The more of the last `ControlLimits.history`
+    revisions are here, the older a base a change may name."""
 
     position: Position
     document: Document  # taken over, not copied: hand in one of its own
@@ -81,6 +81,7 @@
     waiting_bytes: int = 8 << 20  # of changes that wait; more are refused as busy
     waiting_changes: int = 16_384
     tail_bytes: int = 384 << 10  # of revisions in the register that too few control machines have stored
+    longest_deadline: int = 60_000_000  # of a writer's asking
     ask_within: int = 1_000_000  # deadline of one asking
     pause: int = 50_000  # after an asking that did not agree; drawn up to twice as long
     confirm_every: int = 1_000_000
--- /dev/null
+++ b/hazelhold/fleetconfig/pending.py
@@ -0,0 +1,94 @@
+"""Changes that wait for an answer on one control machine, each answered once. Bounded; no I/O."""
+
+from collections.abc import Callable, Iterable
+from heapq import heappop, heappush
+
+from hazelhold.fleetconfig.document import Fault
+from hazelhold.fleetconfig.messages import ProposeAnswer
+from hazelhold.fleetconfig.revision import Change
+
+
+class Pending:
+    """One asking of a writer. The same change may be asked for several times at once."""
+
+    __slots__ = ("number", "asker", "change", "size", "digest", "deadline", "unknown")
+
+    def __init__(
+        self,
+        number: int,
+        asker: object,
+        change: Change,
+        size: int,
+        digest: bytes,
+        deadline: int,
+    ) -> None:
+        self.number, self.asker, self.change = number, asker, change
+        self.size, self.digest = size, digest  # size: bytes of the encoded change
+        self.deadline = deadline
+        self.unknown: tuple[Fault, ...] = ()  # what of it this program does not know
+
+
+class PendingChanges:
+    """All that have no answer yet. Those in `waiting` are in no revision that is under way."""
+
+    def __init__(self, most_bytes: int, most: int, tell: Callable[[object, ProposeAnswer], None]) -> None:
+        self.most_bytes, self.most, self.tell = most_bytes, most, tell
+        self.all: dict[int, Pending] = {}
+        self.waiting: dict[int, Pending] = {}  # in the order in which they are tried
+        self.by_id: dict[str, dict[int, Pending]] = {}
+        self.deadlines: list[tuple[int, int]] = []  # heap; each leaves at its time
+        self.bytes = self.last_number = 0
+
+    def has_room(self, size: int) -> bool:
+        return self.bytes + size <= self.most_bytes and len(self.all) < self.most
+
+    def add(self, asker: object, change: Change, size: int, digest: bytes, deadline: int) -> None:
+        self.last_number += 1
+        pending = Pending(self.last_number, asker, change, size, digest, deadline)
+        self.all[pending.number] = self.waiting[pending.number] = pending
+        self.by_id.setdefault(change.id, {})[pending.number] = pending
+        heappush(self.deadlines, (deadline, pending.number))
+        self.bytes += size
+
+    def end(self, pending: Pending, answer: ProposeAnswer) -> None:
+        """Answers it, unless it was answered before."""
+        if self.all.pop(pending.number, None) is None:
+            return
+        self.waiting.pop(pending.number, None)
+        same = self.by_id[pending.change.id]
+        del same[pending.number]
+        if not same:
+            del self.by_id[pending.change.id]
+        self.bytes -= pending.size
+        self.tell(pending.asker, answer)
+
+    def end_refused(self, pending: Pending, text: str) -> None:
+        self.end(pending, ProposeAnswer(id=pending.change.id, outcome="refused", text=text))
+
+    def end_unknown(self, pending: Pending) -> None:
+        text = "it may be committed yet; ask again with the same id"
+        self.end(pending, ProposeAnswer(id=pending.change.id, outcome="unknown", text=text))
+
+    def end_overdue(self, now: int, text: str) -> None:
+        """Those whose deadline has come: unknown if they are in a revision, refused if they only waited."""
+        while self.deadlines and self.deadlines[0][0] <= now:
+            _, number = heappop(self.deadlines)
+            if number in self.waiting:
+                self.end_refused(self.waiting[number], text)
+            elif number in self.all:
+                self.end_unknown(self.all[number])
+
+    def with_id(self, id_: str) -> list[Pending]:
+        return list(self.by_id.get(id_, {}).values())
+
+    def take(self, taken: Iterable[Pending]) -> None:
+        """These are in a revision now."""
+        for pending in taken:
+            del self.waiting[pending.number]
+
+    def give_back(self, taken: Iterable[Pending]) -> None:
+        """The revision that these were in will never be: those without an answer wait again, first."""
+        self.waiting = {each.number: each for each in taken if each.number in self.all} | self.waiting
+
+    def next_deadline(self) -> int | None:
+        return self.deadlines[0][0] if self.deadlines else None
