--- /dev/null
+++ b/bench/capacity/breaks.py
@@ -0,0 +1,122 @@
+"""At which part of the target each role breaks: the first step of the page's rule.
+
+Each verdict's arithmetic is evaluated for 1/64, 1/32, ... 1 of the target: rows are read at so much of their
+size, and demands grow as EXPONENTS says. Everything that the operators told grows with the part, and with it
+the number of planners; what does not (a rack, bytes of a change, periods) stays.
+
+A role that the program has no mechanism for breaks at the smallest part. Verdicts in CONSTANTS are limits
+that a file sets, and those in VARIANTS are told for comparison: by the rule, neither breaks a role.
+"""
+
+from dataclasses import dataclass
+from fractions import Fraction
+
+from bench.capacity.arithmetic import Known, MissingError
+from bench.capacity.figures import show, verdict_id
+from bench.capacity.schema import ResultFile, Verdict
+
+PARTS = tuple(Fraction(1, 2**power) for power in range(6, -1, -1))
+"""1/64, 1/32, ... 1, the smallest first."""
+
+NO_MECHANISM = "none:"
+"""How the note of a verdict begins if the program has no mechanism for it."""
+
+EXPONENTS = {
+    "planner.starts": 0,  # of one planner; there are as many fewer planners
+    "planner.starts.half": 0,
+    "planner.starts.twice": 0,
+    "planner.tasks": 0,
+    "planner.reports": 0,
+    "list.changes.rack": 0,
+    "voter.claims": 0,
+    "voter.cells": 0,
+    "news.bytes": -1,
+}
+"""With which power of the part a demand grows; those not named here, with the first."""
+
+BUDGET_EXPONENTS = {"list-service/traffic-list-with-rooms-to-all-planners": 1}
+"""The same for budgets; those not named here stay. This one is the sum of all planners' budgets."""
+
+CONSTANTS = {"list-service/frame-of-the-whole-list", "planner/descriptors"}
+"""Verdicts on a constant of a file."""
+
+VARIANTS = {
+    "planner/processor-time-decisions-half-as-many-planners",
+    "planner/processor-time-decisions-twice-as-many-planners",
+    "planner/processor-time-probes-as-up-to-eight-planners-send-them",
+    "planner/traffic-probes-as-up-to-eight-planners-send-them",
+}
+"""Verdicts on other numbers of planners than the page reckons with."""
+
+
+@dataclass(frozen=True)
+class Break:
+    """A role, the smallest part at which it breaks, and by what."""
+
+    role: str
+    part: Fraction
+    why: str
+
+
+class PartOfTarget(Known):
+    """What references mean at a part of the target."""
+
+    def __init__(self, result: ResultFile, part: Fraction) -> None:
+        super().__init__(result.rows, result.demands)
+        self.part = float(part)
+
+    def value(self, reference: str) -> float:
+        """A row at its part of the size, or a demand at the part."""
+        name, at, size = reference.partition("@")
+        if name.startswith("demand."):
+            whole = super().value(name)
+            return whole * self.part ** EXPONENTS.get(name.removeprefix("demand."), 1)
+        if at:
+            return super().value(f"{name}@{max(1.0, float(size) * self.part)!r}")
+        return super().value(reference)
+
+
+def without_mechanism(verdict: Verdict) -> bool:
+    """Whether the program has nothing that could be measured here."""
+    return verdict.note.startswith(NO_MECHANISM)
+
+
+def breaks_at(verdict: Verdict, result: ResultFile) -> Fraction | None:
+    """The smallest part at which the verdict's value exceeds its budget."""
+    if without_mechanism(verdict):
+        return PARTS[0]
+    if verdict.value is None:
+        return None
+    for part in PARTS:
+        budget = verdict.budget * float(part) ** BUDGET_EXPONENTS.get(verdict_id(verdict), 0)
+        try:
+            if PartOfTarget(result, part).evaluate(verdict.arithmetic) > budget:
+                return part
+        except MissingError:
+            return None
+    return None
+
+
+def _why(verdict: Verdict) -> str:
+    name = f"[{verdict.resource}](#{verdict_id(verdict)})"
+    if without_mechanism(verdict):
+        return f"{name}: no mechanism"
+    spent, budget = show(verdict.value or 0.0, verdict.unit), show(verdict.budget, verdict.unit)
+    return f"{name}: {spent} at full size, {budget} budgeted"
+
+
+def find_breaks(result: ResultFile) -> list[Break]:
+    """Each role that breaks, the smallest part first; of equals, those without mechanism, then by factor."""
+    found: dict[str, tuple[Fraction, float, str]] = {}
+    for verdict in result.verdicts:
+        if verdict_id(verdict) in CONSTANTS | VARIANTS:
+            continue
+        part = breaks_at(verdict, result)
+        if part is None:
+            continue
+        worst = float("-inf") if without_mechanism(verdict) else -(verdict.factor or 0.0)
+        entry = (part, worst, _why(verdict))
+        if verdict.role not in found or entry < found[verdict.role]:
+            found[verdict.role] = entry
+    ordered = sorted(found.items(), key=lambda item: item[1][:2])
+    return [Break(role, part, why) for role, (part, _, why) in ordered]
