--- a/hazelhold/fleetconfig/chain.py
+++ b/hazelhold/fleetconfig/chain.py
@@ -1,6 +1,6 @@
 """The committed part of the chain on one control machine: position, document and history window. No I/O."""
 
-from hazelhold.fleetconfig.change_history import History
+from hazelhold.fleetconfig.change_history import ChangeHistory
 from hazelhold.fleetconfig.control_actions import StoredState
 from hazelhold.fleetconfig.document import Document
 from hazelhold.fleetconfig.revision import Position, RevisionError, SealedRevision, check_next
@@ -10,7 +10,7 @@
 class Chain:
     """Grows by `append` alone."""
 
-    def __init__(self, document: Document, history: History) -> None:
+    def __init__(self, document: Document, history: ChangeHistory) -> None:
         self.checked, self.history = CheckedDocument(document), history
 
     @classmethod
@@ -20,7 +20,7 @@
         if stored.revisions and stored.revisions[0].revision.number <= start.number:
             first = stored.revisions[0].revision
             start = Position(first.number - 1, first.parent)
-        chain = cls(stored.document, History(start, most_revisions, most_entries))
+        chain = cls(stored.document, ChangeHistory(start, most_revisions, most_entries))
         for sealed in stored.revisions:
             if sealed.revision.number <= stored.position.number:
                 chain._append_old(sealed, stored.position)
--- a/hazelhold/fleetconfig/change_history.py
+++ b/hazelhold/fleetconfig/change_history.py
@@ -36,7 +36,7 @@
     names: tuple[str, ...]
 
 
-class History:
+class ChangeHistory:
     """The window of the last revisions. Bounded by revisions and by what they hold in all."""
 
     def __init__(self, start: Position, most_revisions: int, most_entries: int) -> None:
--- a/hazelhold/fleetconfig/group.py
+++ b/hazelhold/fleetconfig/group.py
@@ -9,7 +9,7 @@
 from collections.abc import Iterable
 from typing import NamedTuple
 
-from hazelhold.fleetconfig.change_history import Done, History
+from hazelhold.fleetconfig.change_history import ChangeHistory, Done
 from hazelhold.fleetconfig.document import Fault
 from hazelhold.fleetconfig.messages import ProposeAnswer
 from hazelhold.fleetconfig.pending import Pending
@@ -34,7 +34,7 @@
 class GroupBuilder:
     """Judges waiting changes, in order, against one position."""
 
-    def __init__(self, document: CheckedDocument, history: History, confirmed: int) -> None:
+    def __init__(self, document: CheckedDocument, history: ChangeHistory, confirmed: int) -> None:
         """`confirmed`: after the askings up to this number had come, the register was asked and told of no
         revision that is not here."""
         self.history, self.confirmed = history, confirmed
--- a/tests/fleetconfig_model.py
+++ b/tests/fleetconfig_model.py
@@ -42,7 +42,10 @@
     peers_lost: float = 0.0  # part of what control machines tell each other beside the register
 
 
-NO_FAULTS = Faults(0, 0, 0, 2000, 0, 0, 0)
+# Machines that start anew again and again while a third of all answers is lost.
+RESTARTING = Faults(lost=0.3, doubled=0.0, late=3000, crashes=60, disks=0, cuts=0)
+# Machines that lose their revisions while most of what they tell each other beside the register is lost.
+LOSING_DISKS = Faults(lost=0.0, doubled=0.0, late=3000, crashes=0, disks=6, cuts=0, peers_lost=0.9)
 
 
 class Store:
--- a/tests/fleetconfig_space.py
+++ b/tests/fleetconfig_space.py
@@ -194,11 +194,11 @@
         coming = {word.ballot for _, _, word in self.flying if isinstance(word, w.Accept)}
         self.votes = frozenset(vote for vote in self.votes if vote[1] in coming)
 
-    def _matters(self, number: int, name: str, word: w.Prepare | w.Accept) -> bool:
+    def _matters(self, number: int, name: str, word: w.Prepare | w.Accept | w.Look) -> bool:
         op = self.proposers[number].ops.get(KEY)
         if op is not None and op.ballot == word.ballot:
-            return isinstance(word, w.Accept) or op.phase == "prepare"
-        if isinstance(word, w.Prepare) or word.value in self.chosen:
+            return isinstance(word, w.Accept) or op.phase in ("prepare", "look")
+        if not isinstance(word, w.Accept) or word.value in self.chosen:
             return False
         cell = self.acceptors[name].cells.get(KEY)
         return cell is None or word.ballot >= cell.promised
