A list of 7,300 workers is heard whole: 8 MiB for frames of the list service

Need: the whole list of 7,300 workers is one frame of 1.09 MB (148 bytes a worker), and planners ended the list's connection at 1 MiB (list_frame_too_long) over and over, without a list. An answer of the platform's bulletin and a captured stream broke at the same constant. Change: list.frame_bytes, 8 MiB, for the list's connection alone; owners' and machines' frames keep limits.frame_bytes, 1 MiB; the reader of captures takes the longest of both; a bulletin's answer may have 8 MiB.

--- a/hazelhold/capture/streams.py
+++ b/hazelhold/capture/streams.py
@@ -14,11 +14,12 @@
 from hazelhold.capture.files import Packet
 from hazelhold.capture.packets import FIN, RST, SYN, Segment, name
 from hazelhold.capture.skips import Skips
+from hazelhold.protocol.frames import MAX_LIST_FRAME
 
 STREAMS = 20_000  # directions at a time; the longest silent gives way
 EARLY = 1 << 19  # bytes of early segments that a direction keeps until a hole is given up
 ALL_EARLY = 1 << 26  # and all directions together
-FRAME = 1 << 20  # the longest frame
+FRAME = MAX_LIST_FRAME  # the longest frame
 START = b"\xa1t"  # the key `t` in MessagePack
 OLD = 4096  # delivered bytes kept to hold later copies against
 End = tuple[bytes, int]
--- a/hazelhold/config/planner.py
+++ b/hazelhold/config/planner.py
@@ -83,6 +83,7 @@
     asked: bool = True
     ask_within_ms: Millis = 10000.0
     has_room: bool = True
+    frame_bytes: Annotated[int, Meta(ge=1024, le=1 << 28)] = 1 << 23  # its longest frame: a whole list
 
 
 class LimitSheet(Struct, frozen=True):
--- a/hazelhold/platform/discovery.py
+++ b/hazelhold/platform/discovery.py
@@ -17,7 +17,7 @@
 
 PATIENCE = 1.0  # seconds that a call asks the bulletin to wait for news; short, so that silence shows soon
 GRACE = 0.6  # seconds past that after which a call is given up
-MOST = 1 << 20  # bytes of an answer
+MOST = 1 << 23  # bytes of an answer: news of some 40,000 machines at once
 TRIES = 3  # calls that end at the same event before it is passed over: it was not spoilt on its way
 PAUSES = (0.05, 0.1, 0.2, 0.4)  # seconds between calls that fail one after another
 
--- a/hazelhold/protocol/frames.py
+++ b/hazelhold/protocol/frames.py
@@ -1,6 +1,9 @@
 """Length-prefixed frames: four bytes, big-endian, then so many bytes of MessagePack. No I/O here."""
 
-MAX_FRAME = 1 << 20  # bytes; a whole list of some thousand machines fits
+MAX_FRAME = 1 << 20  # bytes of a frame from anybody but the list service
+
+MAX_LIST_FRAME = 1 << 23  # bytes of one from the list service
+"""A whole list is one frame: 150 to 210 bytes a machine, so that some 40,000 machines fit."""
 
 
 class FrameError(Exception):
--- a/hazelhold/service/planner.py
+++ b/hazelhold/service/planner.py
@@ -366,10 +366,10 @@
         if scope is not None:
             scope.cancel()
 
-    def _wire(self, stream: trio.abc.Stream, codec: m.Codec, peer: str = "") -> Wire:
-        return Wire(
-            stream, codec, self.net.now, self.recorder, peer, self.limits.frame_bytes, self.limits.send_bytes
-        )
+    def _wire(self, stream: trio.abc.Stream, codec: m.Codec, peer: str = "", frame_bytes: int = 0) -> Wire:
+        """`frame_bytes`: where the peer may send longer frames than others."""
+        longest = max(self.limits.frame_bytes, frame_bytes)
+        return Wire(stream, codec, self.net.now, self.recorder, peer, longest, self.limits.send_bytes)
 
     # Owners.
 
@@ -521,7 +521,7 @@
             try:
                 with trio.fail_after(self.limits.hello_ms / 1000):
                     stream = await self.net.dial(self.sheet.list.address)
-                wire = self._wire(stream, LIST, "list")
+                wire = self._wire(stream, LIST, "list", self.sheet.list.frame_bytes)
                 self._tapped("list", "list", wire, True)
                 async with trio.open_nursery() as nursery:
                     nursery.start_soon(wire.write)
--- /dev/null
+++ b/tests/test_large_list.py
@@ -0,0 +1,187 @@
+"""The list of workers at the size that is coming, 7,300, through every part that reads a whole one."""
+
+from pathlib import Path
+
+import msgspec
+import pytest
+import trio
+import trio.testing
+from msgspec.structs import replace
+
+from bench.capacity import workers
+from bench.capacity.target import WORKERS
+from hazelhold.capture.read import read
+from hazelhold.capture.skips import Skips
+from hazelhold.capture.streams import Frame
+from hazelhold.config.planner import CaptureSheet, ListSheet, PlannerSheet, StateSheet
+from hazelhold.model.listing import ListService
+from hazelhold.platform import discovery
+from hazelhold.protocol import messages as m
+from hazelhold.protocol.frames import MAX_FRAME, MAX_LIST_FRAME, FrameReader
+from hazelhold.protocol.record import Recorder
+from hazelhold.service.net import MemoryNet
+from hazelhold.service.planner import Planner
+from hazelhold.standin.lister import ListHost
+from tests.helpers import sheet
+from tests.platform_rig import DEPLOYMENT, Rig, event, host, play
+
+UP_FOR = 10 * 86_400 * 1_000_000  # microseconds that workers have been up
+HELD_S = 20.0  # of virtual time: far more than a planner needs to hear a list
+
+
+def large_sheet(**changes: object) -> PlannerSheet:
+    """A planner of the defaults that matter here, without probes."""
+    made = replace(sheet(), listen="door", planners=64)
+    return replace(made, list=ListSheet("list", asked=False), **changes)
+
+
+async def listed(nursery: trio.Nursery, net: MemoryNet) -> ListService:
+    """A list service that has all workers, cordoned so that no decision is made about them."""
+    service = ListService(1, net.now(), (0, 0), 500_000, (0, 0))
+    kind = sheet().estate.kinds[0].name
+    for entry in workers.entries(WORKERS):
+        cordoned = replace(entry, mode="cordoned", kind=kind)
+        service.set(net.now(), cordoned, net.now() - UP_FOR, at_once=True)
+    service.advance(net.now())
+    await ListHost(net, service, Recorder(None, "list", "list")).run("list", nursery)
+    return service
+
+
+def hear(made: PlannerSheet, complete: bool = True) -> Planner:
+    """A planner that had so long to hear the whole list, or did."""
+    kept: list[Planner] = []
+
+    async def run() -> None:
+        net = MemoryNet()
+        async with trio.open_nursery() as nursery:
+            await listed(nursery, net)
+            planner = Planner(made, 1, net)
+            kept.append(planner)
+            await nursery.start(planner.run)
+            with trio.move_on_after(HELD_S):
+                while len(planner.engine.roster.fellows) < WORKERS:
+                    await trio.sleep(0.1)
+            planner.stop()
+            await trio.sleep(5)
+            nursery.cancel_scope.cancel()
+
+    trio.run(run, clock=trio.testing.MockClock(autojump_threshold=0))
+    assert (len(kept[0].engine.roster.fellows) == WORKERS) is complete
+    return kept[0]
+
+
+def whole_list() -> bytes:
+    return m.encode(m.Listing(version=1, whole=True, entries=workers.entries(WORKERS)))
+
+
+def test_the_whole_list_is_longer_than_other_frames_may_be() -> None:
+    """Else the tests below would show nothing."""
+    assert MAX_FRAME < len(whole_list()) < MAX_LIST_FRAME / 4
+
+
+def test_the_bounds_of_the_configuration_are_those_of_the_protocol() -> None:
+    assert ListSheet("list").frame_bytes == MAX_LIST_FRAME
+    assert sheet().limits.frame_bytes == MAX_FRAME
+
+
+def test_a_planner_hears_the_whole_list() -> None:
+    planner = hear(large_sheet())
+    assert not planner.counts["list_frame_too_long"]
+    assert len(planner.engine.brain.machines) == WORKERS
+
+
+def test_with_the_bound_of_other_frames_it_would_not() -> None:
+    planner = hear(replace(large_sheet(), list=ListSheet("list", False, frame_bytes=MAX_FRAME)), False)
+    assert planner.counts["list_frame_too_long"] > 1
+    assert not planner.engine.roster.fellows
+
+
+def test_a_larger_bound_of_all_frames_still_counts_for_the_list() -> None:
+    made = large_sheet()
+    limits = replace(made.limits, frame_bytes=1 << 22)
+    hear(replace(made, list=ListSheet("list", False, frame_bytes=1024), limits=limits))
+
+
+@pytest.mark.parametrize("role", ["owner", "machine"])
+def test_owners_and_machines_are_held_to_the_shorter_bound(role: str) -> None:
+    said: list[bytes] = []
+
+    async def run() -> None:
+        net = MemoryNet()
+        too_long = (MAX_FRAME + 1).to_bytes(4)
+
+        async def machine(stream: trio.abc.Stream) -> None:
+            await stream.send_all(m.encode(m.Welcome(name="a", incarnation=1)) + too_long)
+            said.append(await stream.receive_some())
+            await trio.sleep(1)
+
+        async with trio.open_nursery() as nursery:
+            address = await net.listen("a:0", machine, nursery)
+            planner = Planner(large_sheet(), 1, net)
+            await nursery.start(planner.run)
+            if role == "owner":
+                stream = await net.dial("door")
+                await stream.send_all(m.encode(m.Hello(role="owner", name="o")) + too_long)
+                await trio.sleep(1)
+                assert planner.counts["refused_frame_too_long"] == 1
+            else:
+                entry = replace(workers.entry(0), machine="a", address=address, kind="box")
+                entry = replace(entry, kind=sheet().estate.kinds[0].name)
+                told = m.Listing(version=1, whole=True, entries=[entry])
+                planner.engine.list_said(net.now(), told)
+                planner._carry_out()
+                await trio.sleep(1)
+                assert planner.counts["machine_frame_too_long"] >= 1
+            nursery.cancel_scope.cancel()
+
+    trio.run(run, clock=trio.testing.MockClock(autojump_threshold=0))
+
+
+def test_a_frame_beyond_the_longest_list_is_refused_by_its_head() -> None:
+    reader = FrameReader(MAX_LIST_FRAME)
+    with pytest.raises(Exception, match="frame_too_long"):
+        reader.feed((MAX_LIST_FRAME + 1).to_bytes(4))
+    assert len(reader.buffer) == 4
+
+
+def test_a_list_of_this_size_is_captured_and_read_again(tmp_path: Path) -> None:
+    file = tmp_path / "planner.pcap"
+    hear(large_sheet(capture=CaptureSheet(file=str(file))))
+    skips = Skips()
+    told = [item.message for item in read([file], skips) if isinstance(item, Frame)]
+    lists = [each for each in told if each["t"] == "listing" and each["whole"]]
+    assert [len(each["entries"]) for each in lists] == [WORKERS]
+    assert not skips.table()
+
+
+def test_a_list_of_this_size_is_kept_and_recovered(tmp_path: Path) -> None:
+    made = large_sheet(state=StateSheet(folder=str(tmp_path / "state")))
+    hear(made)
+    found: list[int] = []
+
+    async def run() -> None:
+        async with trio.open_nursery() as nursery:
+            planner = Planner(made, 2, MemoryNet())  # nobody lists workers there
+            await nursery.start(planner.run)
+            found.append(len(planner.engine.roster.fellows))
+            planner.stop()
+
+    trio.run(run)
+    assert found == [WORKERS]
+
+
+def test_the_platforms_planner_hears_of_all_in_one_answer() -> None:
+    """A bulletin tells a planner that was away all that it missed at once."""
+    names = [workers.name(number) for number in range(WORKERS)]
+    hosts = [host(name, "terminating", dial=f"{name}.region-1:7070") for name in names]
+    told = event(2, *hosts)
+    assert MAX_FRAME < len(msgspec.json.encode(told)) < discovery.MOST / 4
+
+    async def test(rig: Rig) -> None:
+        rig.bulletin.events = [told]
+        await trio.sleep(5)
+        assert rig.planner.follower.last == 2
+        assert set(names) <= rig.planner.engine.roster.fellows.keys()
+        assert not rig.planner.counts["discovery_failures"]
+
+    play(test, settings=DEPLOYMENT | {"balancers": 16})
