--- a/bench/capacity/registry.py
+++ b/bench/capacity/registry.py
@@ -5,7 +5,8 @@
 program or this machine does not bear; any other exception is kept as a failure of that size.
 
 A module may name paths, from the root of the repository, that its rows depend on besides the program and the
-module itself, in `INPUTS`; they are part of the rows' revision.
+module itself, in `INPUTS`; they are part of the rows' revision. One whose small sizes take more than a few
+seconds sets `SLOW = True`: `--small` leaves its rows out unless `--only` names them.
 """
 
 import importlib
@@ -43,6 +44,7 @@
     measure: Measure
     seconds: float = 300.0  # the longest that one size may take
     rounds: int = 1  # how often all sizes are measured, one after another
+    slow: bool = False  # left out of `--small`
 
 
 REGISTERED: dict[str, Measurement] = {}
@@ -88,6 +90,7 @@
             measure,
             seconds,
             rounds,
+            getattr(module, "SLOW", False),
         )
         return measure
 
--- a/bench/capacity/rows_hollow.py
+++ b/bench/capacity/rows_hollow.py
@@ -15,6 +15,7 @@
 from bench.capacity.registry import RefusedError, measurement
 
 INPUTS = ("bench/capacity/hollow", "examples/planner.json5")
+SLOW = True  # its small sizes are trials of several seconds each
 
 WORKERS = (456, 912, 1825, 3650, 7300)
 FEW_WORKERS = (12, 24, 48)
--- a/bench/capacity/rows_lists.py
+++ b/bench/capacity/rows_lists.py
@@ -12,6 +12,7 @@
 from bench.capacity.rows_hollow import FEW_WORKERS, MANY_PLANNERS, WORKERS, Family
 
 INPUTS = ("bench/capacity/hollow", "bench/capacity/rows_hollow.py", "examples/planner.json5")
+SLOW = True  # its small sizes are trials of several seconds each
 
 Value = Callable[[ListResult], float]
 
--- a/bench/capacity/rows_members.py
+++ b/bench/capacity/rows_members.py
@@ -17,6 +17,7 @@
 from hazelhold.membership.rows import ALIVE
 
 INPUTS = ("bench/capacity/hollow",)
+SLOW = True  # its small sizes are trials of several seconds each
 MEMBERS = (8, 16, 32, 64, 128, 256, 512)
 FEW_MEMBERS = (4, 6, 10)
 ZONES = 24
--- a/bench/capacity/rows_voters.py
+++ b/bench/capacity/rows_voters.py
@@ -16,6 +16,7 @@
 from bench.capacity.registry import RefusedError, measurement
 
 INPUTS = ("bench/capacity/hollow", "examples/planner.json5")
+SLOW = True  # its small sizes are trials of several seconds each
 PLANNERS = (3, 6, 12, 24)
 FEW_PLANNERS = (4, 5)
 RATES = (2, 4, 8, 16)
