--- a/bench/capacity/run.py
+++ b/bench/capacity/run.py
@@ -72,7 +72,9 @@
 
 
 def finish(found: ResultFile) -> ResultFile:
-    """Computes demands and verdicts anew from the rows."""
+    """Computes fits, demands and verdicts anew from the points."""
+    for row in found.rows:
+        row.fits, row.best = fit_all(row.points)
     found.demands = demands(found.rows)
     found.verdicts = verdicts(found.rows, found.demands)
     return found
