--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -11,7 +11,7 @@
 import msgspec
 import pytest
 
-from bench.capacity import demands, fit, registry, run, schema, target, verdicts
+from bench.capacity import budgets, demands, fit, registry, run, schema, target, verdicts
 from bench.capacity.arithmetic import Known, MissingError, NotArithmeticError
 from bench.capacity.isolate import FAILED, measure_apart, measure_here
 from bench.capacity.registry import Measurement, RefusedError
@@ -458,7 +458,7 @@
     failed = [(each.id, r) for each in found.rows for r in each.refused if r.reason.startswith(FAILED)]
     assert not failed
     assert all(each.best for each in found.rows if each.sizes)
-    assert found.machine.cores > 0 and len(found.verdicts) == len(verdicts.HELD)
+    assert found.machine.cores > 0 and len(found.verdicts) == len(budgets.HELD)
 
 
 def test_the_command_says_what_is_wrong(tmp_path: Path) -> None:
