--- a/bench/capacity/hollow/__main__.py
+++ b/bench/capacity/hollow/__main__.py
@@ -33,7 +33,7 @@
         start_only=given.start_only,
     )
     if given.default_limits:
-        trial = msgspec.structs.replace(trial, frame_bytes=0, connect_ms=0.0, reconnect_ms=0.0)
+        trial = msgspec.structs.replace(trial, connect_ms=0.0, reconnect_ms=0.0)
     signal.signal(signal.SIGTERM, lambda number, frame: sys.exit(1))  # what was started is ended then, too
     result = run(trial)
     if given.json:
--- a/bench/capacity/hollow/results.py
+++ b/bench/capacity/hollow/results.py
@@ -6,7 +6,6 @@
 from bench.capacity.hollow.tally import Flow, PeerFlows, total
 from bench.capacity.hollow.words import Counts
 
-LARGE_FRAME = 1 << 23  # bytes: bears the whole list of the target size, which the default does not
 LONG_DIAL = 20_000.0  # milliseconds: bears the dials to all workers at once, which the default does not
 KINDS = ("worker", "list", "owner")  # of a planner's connections
 PHASES = ("start", "rest", "load", "restart")
@@ -14,8 +13,8 @@
 
 class Trial(Struct, frozen=True, kw_only=True):
     """What is run. Times in seconds. `told_planners` is how many planners the planners' file names: at eight
-    or fewer the decision module probes every worker. `frame_bytes`, `connect_ms` and `reconnect_ms` are
-    limits of the planners' files; 0 keeps the default."""
+    or fewer the decision module probes every worker. `connect_ms` and `reconnect_ms` are limits
+    of the planners' files; 0 keeps the default."""
 
     workers: int
     planners: int
@@ -23,7 +22,6 @@
     rate: float = 20.0  # tasks a second submitted to each planner under load
     task_life: float = 5.0
     use_period: float = 8.0
-    frame_bytes: int = LARGE_FRAME
     connect_ms: float = LONG_DIAL
     reconnect_ms: float = LONG_DIAL
     most_start: float = 25.0
--- a/bench/capacity/hollow/rig.py
+++ b/bench/capacity/hollow/rig.py
@@ -23,7 +23,7 @@
 EXAMPLE = Path(__file__).parent.parent.parent.parent / "examples" / "planner.json5"
 ZONES = 24
 SPARE_DESCRIPTORS = 200
-RAISED = ("frame_bytes", "connect_ms", "reconnect_ms")  # limits that a trial may raise
+RAISED = ("connect_ms", "reconnect_ms")  # limits that a trial may raise
 SECOND = 1_000_000  # microseconds
 
 
--- a/bench/capacity/registry.py
+++ b/bench/capacity/registry.py
@@ -62,8 +62,8 @@
     seconds: float = 300.0,
     rounds: int = 1,
 ) -> Callable[[Measure], Measure]:
-    """Registers a row. `small` are the sizes of `--small`; without them the first sizes are halved twice; None
-    if the row is left out of such a run.
+    """Registers a row. `small` are the sizes of `--small`; without them the first sizes are halved twice;
+    None if the row is left out of such a run.
 
     Rows of processor time have several `rounds`: other work on the machine comes and goes, and should meet
     all sizes alike. At small sizes one round is made.
--- a/bench/capacity/rows_hollow.py
+++ b/bench/capacity/rows_hollow.py
@@ -171,6 +171,7 @@
     ]
 
 PROCESSES = "planners are real processes, workers and owners hollow ones, all on one machine; "
+RAISED = "connect_ms and reconnect_ms raised to 20 s; "
 RESTARTED = "a zone is a 24th of the workers, down for 1 s; "
 FAMILIES = [
     Family(
@@ -178,32 +179,31 @@
         "workers",
         WORKERS,
         lambda size: Trial(workers=size, planners=3, told_planners=MANY_PLANNERS, rate=STARTS),
-        PROCESSES
-        + RESTARTED
-        + "3 processes of 60 planners, so no probes; frame_bytes raised to 8 MiB; 20 starts a second each",
+        PROCESSES + RESTARTED + RAISED + "3 processes of 60 planners, so no probes; 20 starts a second each",
     ),
     Family(
         "planner.process.probing",
         "workers",
         WORKERS,
         lambda size: Trial(workers=size, planners=3, told_planners=3, rate=STARTS),
-        PROCESSES
-        + RESTARTED
-        + "3 planners of 3, which probe every worker; frame_bytes raised to 8 MiB; 20 starts a second each",
+        PROCESSES + RESTARTED + RAISED + "3 planners of 3, which probe every worker; 20 starts a second each",
     ),
     Family(
         "planner.process.region",
         "workers of a region",
         (114, 228, 456, 912),
         lambda size: Trial(workers=size, planners=8, told_planners=8, rate=STARTS),
-        PROCESSES + RESTARTED + "8 planners of 8 with the workers of one region; 20 starts a second each",
+        PROCESSES
+        + RESTARTED
+        + RAISED
+        + "8 planners of 8 with the workers of one region; 20 starts a second each",
     ),
     Family(
         "planner.process.starts",
         "starts a second of each planner, 912 workers",
         (5, 10, 20, 40, 80),
         lambda size: Trial(workers=912, planners=2, told_planners=MANY_PLANNERS, rate=float(size)),
-        PROCESSES + "2 processes of 60 planners, so no probes; tasks live 5 s",
+        PROCESSES + RAISED + "2 processes of 60 planners, so no probes; tasks live 5 s",
     ),
 ]
 
@@ -246,12 +246,11 @@
         workers=size,
         planners=3,
         told_planners=MANY_PLANNERS,
-        frame_bytes=0,
         connect_ms=0.0,
         reconnect_ms=0.0,
         start_only=True,
     ),
-    PROCESSES + "3 processes of 60 planners, the example's limits: connect_ms 250, frame_bytes 1 MiB",
+    PROCESSES + "3 processes of 60 planners, the example's limits: connect_ms 250",
 )
 DEFAULT_QUANTITIES = [
     Quantity(
--- a/tests/test_capacity_hollow.py
+++ b/tests/test_capacity_hollow.py
@@ -232,19 +232,19 @@
 
 
 def test_links_that_never_stand_are_told() -> None:
-    """A planner that may not take the list's frame has no link, and the trial says so."""
+    """A planner whose dials have no time has no link, and the trial says so."""
     trial = Trial(
         workers=12,
         planners=1,
         told_planners=60,
-        frame_bytes=1024,
+        connect_ms=0.001,
         most_start=1.5,
         settle=0.0,
         start_only=True,
     )
     result = run(trial)
     assert [planner.ready for planner in result.planners] == [0]
-    assert any("frame_too_long" in fault for fault in result.faults)
+    assert [planner.phases["start"].complete for planner in result.planners] == [False]
     with pytest.raises(RefusedError, match="0 of 12 links"):
         rows_hollow.whole(result, rows_hollow.QUANTITIES[0])
 
