--- a/bench/capacity/target.py
+++ b/bench/capacity/target.py
@@ -34,8 +34,8 @@
 CLIENTS_A_TEAM = 2  # assumption; each connected to every planner
 SERVICES_A_TEAM = 4  # assumption
 
+START_SHARE = 0.5  # of a core, for all starts of a planner at the peak; assumption
 PLANNERS = 64
 """Chosen by the slopes, since the operators told no number: see `demands.py`."""
 
 BUDGET_DESCRIPTORS = 1024  # of a process; the usual soft limit
-FRAME_BYTES = 1 << 20  # what a frame may have by default
--- a/bench/capacity/verdicts.py
+++ b/bench/capacity/verdicts.py
@@ -6,6 +6,7 @@
 from bench.capacity import target as t
 from bench.capacity.arithmetic import Known, MissingError
 from bench.capacity.schema import Demand, Row, Verdict
+from hazelhold.protocol.frames import MAX_LIST_FRAME
 
 
 class Held(NamedTuple):
@@ -23,6 +24,36 @@
 CORE, MEMORY, TRAFFIC = "of a core", "bytes", "bytes a second"
 
 PLANNER = [
+    Held(
+        "planner",
+        "processor time: starts, the whole process",
+        t.BUDGET_PROCESSOR,
+        CORE,
+        "demand.planner.start.cpu * demand.planner.starts",
+        "at the peak; falls under the budget only if starts are control, which the operators did not tell",
+    ),
+    Held(
+        "planner",
+        "processor time: starts, half as many planners",
+        t.BUDGET_PROCESSOR,
+        CORE,
+        "demand.planner.start.cpu * demand.planner.starts.half",
+    ),
+    Held(
+        "planner",
+        "processor time: starts, twice as many planners",
+        t.BUDGET_PROCESSOR,
+        CORE,
+        "demand.planner.start.cpu * demand.planner.starts.twice",
+    ),
+    Held(
+        "planner",
+        "processor time: at rest, the whole process",
+        t.BUDGET_PROCESSOR,
+        CORE,
+        f"planner.process.rest.cpu@{W} * 1",
+        "every worker connected, no probes, a list without rooms",
+    ),
     Held(
         "planner",
         "processor time: decisions",
@@ -50,9 +81,17 @@
         "processor time: kept state",
         t.BUDGET_PROCESSOR,
         CORE,
-        "planner.state.commit.cpu.slope * demand.planner.starts",
+        "planner.state.commit.cpu@6400 / 6400 * demand.planner.starts",
         "three commits a task, not shared",
     ),
+    Held(
+        "planner",
+        "processor time: kept state, list with rooms",
+        t.BUDGET_PROCESSOR,
+        CORE,
+        f"planner.state.list.cpu@{W} / {t.LIST_PERIOD_S}",
+        "the list is kept whole once for each message of the list",
+    ),
     Held(
         "planner",
         "processor time: order of workers after changes of the list",
@@ -88,7 +127,15 @@
     ),
     Held(
         "planner",
-        "memory",
+        "memory: the whole process",
+        t.BUDGET_MEMORY,
+        MEMORY,
+        f"planner.process.memory.load@{W} * 1",
+        "resident, every worker connected, under starts",
+    ),
+    Held(
+        "planner",
+        "memory: without sockets and their tasks",
         t.BUDGET_MEMORY,
         MEMORY,
         f"planner.idle.memory@1 + planner.engine.memory@{W} "
@@ -96,6 +143,14 @@
         "+ planner.owner.memory.slope * demand.planner.owners",
         "interpreter and libraries, all workers listed and connected, running tasks, owners",
     ),
+    Held(
+        "planner",
+        "traffic: starts, the whole process",
+        t.BUDGET_TRAFFIC,
+        TRAFFIC,
+        f"planner.process.load.bytes@{W} * demand.planner.starts / 20",
+        "workers, owners and a list without rooms; measured at 20 starts a second",
+    ),
     Held(
         "planner",
         "traffic: list, workers that fail or restart",
@@ -155,17 +210,17 @@
     Held(
         "list service",
         "frame of the whole list",
-        t.FRAME_BYTES,
+        MAX_LIST_FRAME,
         MEMORY,
         f"list.whole.bytes@{W} * 1",
-        "limits.frame_bytes by default, also of the list's connection",
+        "list.frame_bytes by default; of the 1 MiB of other frames it is more",
     ),
     Held(
         "list service",
         "processor time: list with rooms to all planners",
         t.CONTROL_MACHINES,
         "cores",
-        "list.whole.cpu.slope * demand.list.changes.rooms * demand.planners",
+        f"list.whole.cpu@{W} / {W} * demand.list.changes.rooms * demand.planners",
         "making and encoding; assumption: one core of each control machine",
     ),
     Held(
@@ -184,7 +239,7 @@
         "processor time",
         t.BUDGET_PROCESSOR,
         CORE,
-        "voter.claim.cpu.slope * demand.voter.claims",
+        "voter.claim.cpu@16000 / 16000 * demand.voter.claims",
         "its own claims' words and its votes on others'; without sockets and disk",
     ),
     Held(
