Audit: the five rules in modules by what is judged, typed in place of tuples

Cause: audit/rules.py was 513 lines, one method of 70 lines handed six dictionaries round. Change: timeline (lives, outages, look-ups), attempts (Ask, Attempt), planner_life (rules 1, 2, 3, 5), machine_ends (rules 4 and 2), findings (RuleSheet, Breach); rules.py is the entrance. What a breach says is unchanged, and its tests are.

--- /dev/null
+++ b/hazelhold/audit/machine_ends.py
@@ -0,0 +1,71 @@
+"""The machines' ends of the connections: rule 4, and rule 2 across all planners and asks."""
+
+from collections import Counter, defaultdict
+
+from hazelhold.audit.findings import Breach, RuleSheet, breach
+from hazelhold.protocol.record import Crossing
+
+
+class MachineEnds:
+    """Judges what machines were sent and did. What it finds is in `found`; `tally` counts."""
+
+    def __init__(self, rules: RuleSheet) -> None:
+        self.rules = rules
+        self.found: list[Breach] = []
+        self.tally: Counter[str] = Counter()
+        self.products: dict[str, str] = {}  # by task
+        self.running: dict[str, dict[str, Crossing]] = defaultdict(dict)  # task: machine: its start
+        self.done: dict[str, Crossing] = {}  # by task
+
+    def judge(self, crossings: list[Crossing]) -> None:
+        """Takes the crossings of the whole day, in order."""
+        for c in crossings:
+            if c.role == "machine":
+                self._crossed(c)
+
+    def _crossed(self, c: Crossing) -> None:
+        body = c.message or {}
+        kind, task = body.get("t", ""), body.get("guest", "")
+        if c.way == "fact":
+            self._fact(c, body["what"])
+        elif kind == "offer" and c.way == "in":
+            self.products[task] = body["product"]
+        elif kind == "started" or kind == "taken" and self.rules.confirms_running:
+            if c.way != "in" and c.by not in self.running[task]:
+                self._started(c, task)
+        elif kind == "running" and c.way != "in":
+            self._ends_told_late(c)
+        elif kind == "ended" and c.way != "in":
+            self.tally["ended_" + body["how"]] += 1
+            self.running[task].pop(c.by, None)
+            if body["how"] == "done":
+                self.done[task] = c
+
+    def _fact(self, c: Crossing, what: str) -> None:
+        self.tally["machine_" + what] += 1
+        if what == "fell_over":
+            self.found.append(breach(4, "a cold machine was pushed over", "", [c], machine=c.by))
+        if what in ("down", "fell_over"):
+            for starts in self.running.values():
+                starts.pop(c.by, None)
+
+    def _started(self, c: Crossing, task: str) -> None:
+        self.tally["starts"] += 1
+        product = self.rules.products.get(self.products.get(task, ""), {})
+        if product.get("effect") == "exclusive":
+            starts = list(self.running[task].values())
+            if starts:
+                what = "an exclusive guest runs twice at once"
+                self.found.append(breach(2, what, c.peer, [*starts, c], task, c.by))
+            if task in self.done:
+                what = "an exclusive guest ran again after it was done"
+                self.found.append(breach(2, what, c.peer, [self.done[task], c], task, c.by))
+        self.running[task][c.by] = c
+
+    def _ends_told_late(self, c: Crossing) -> None:
+        """Ends that could not be told when they came stand in a machine's whole word."""
+        for stand in c.message["guests"]:
+            if stand["state"] == "ended":
+                self.running[stand["guest"]].pop(c.by, None)
+                if stand.get("how") == "done":
+                    self.done.setdefault(stand["guest"], c)
--- /dev/null
+++ b/hazelhold/audit/timeline.py
@@ -0,0 +1,99 @@
+"""What the whole record says of times: lives of planners and machines, and when owners asked."""
+
+from collections import Counter, defaultdict
+from collections.abc import Iterable
+
+from hazelhold.audit.findings import RETURN_ALLOWANCE
+from hazelhold.protocol.record import Crossing
+
+LifeKey = tuple[str, int]  # a planner's name and the number of its life
+PLANNER_DOWN = ("planner_kill", "planner_stop", "planner_pause")
+PLANNER_BACK = ("planner_start", "planner_resume")
+
+
+class Timeline:
+    """The crossings of one day in order, with the look-ups that judging needs, each made once."""
+
+    def __init__(self, crossings: Iterable[Crossing]) -> None:
+        self.crossings = sorted(crossings, key=lambda c: c.at)
+        self._machine_starts: dict[str, list[int]] | None = None
+        self._newest_asks: dict[str, int] | None = None
+
+    @property
+    def ends_at(self) -> int:
+        return self.crossings[-1].at
+
+    def planner_lives(self, durable: bool) -> dict[LifeKey, list[Crossing]]:
+        """The planners' own crossings, apart for each life. With durable state a planner has one life."""
+        number: Counter[str] = Counter()
+        lives: dict[LifeKey, list[Crossing]] = defaultdict(list)
+        for c in self.crossings:
+            if c.role == "planner":
+                lives[c.by, number[c.by]].append(c)
+            elif c.role != "rehearsal":
+                continue
+            elif c.way in ("planner_kill", "planner_stop"):
+                lives[c.peer, number[c.peer]].append(c)
+                if c.way == "planner_kill" and not durable:
+                    number[c.peer] += 1
+            elif c.way == "planner_start":
+                stopped = any(e.way == "planner_stop" for e in lives.get((c.peer, number[c.peer]), ()))
+                number[c.peer] += stopped and not durable
+                lives[c.peer, number[c.peer]].append(c)
+            elif c.way in ("planner_pause", "planner_resume"):
+                lives[c.peer, number[c.peer]].append(c)
+        return lives
+
+    def machine_life(self, machine: str, at: int) -> int:
+        """How often the machine had started by then."""
+        if self._machine_starts is None:
+            self._machine_starts = defaultdict(list)
+            for c in self.crossings:
+                if c.role == "machine" and c.way == "fact" and c.message["what"] == "up":
+                    self._machine_starts[c.by].append(c.at)
+        return sum(start <= at for start in self._machine_starts.get(machine, ()))
+
+    def newest_ask(self, task: str) -> int:
+        """The highest number under which an owner asked for the task."""
+        if self._newest_asks is None:
+            self._newest_asks = {}
+            for c in self.crossings:
+                if c.role == "owner" and c.way == "out" and (c.message or {}).get("t") == "submit":
+                    name, ask = c.message["guest"], c.message.get("ask", 0)
+                    self._newest_asks[name] = max(ask, self._newest_asks.get(name, 0))
+        return self._newest_asks.get(task, 0)
+
+    def owner_came_back(self, task: str, planner: str, after: int) -> bool:
+        """Whether the planner heard of the task from its owner after this moment."""
+        return any(
+            c.at > after
+            and c.role == "planner"
+            and c.by == planner
+            and c.way == "in"
+            and (c.message or {}).get("guest") == task
+            and c.message["t"] in ("query", "submit", "cancel")
+            for c in self.crossings
+        )
+
+
+class Outages:
+    """When one planner was paused, or (with durable state) down, or dying again before it was well."""
+
+    def __init__(self, crossings: list[Crossing]) -> None:
+        self.deaths = [c.at for c in crossings if c.way in ("planner_kill", "planner_stop")]
+        self.spans: list[tuple[int, int]] = []
+        down_since = 0
+        for c in crossings:
+            if c.way in PLANNER_DOWN:
+                down_since = down_since or c.at
+            elif c.way in PLANNER_BACK and down_since:
+                again = self.spans and down_since - self.spans[-1][1] < RETURN_ALLOWANCE
+                self.spans.append((self.spans.pop()[0] if again else down_since, c.at))
+                down_since = 0
+
+    def excuse(self, due: int, at: int) -> bool:
+        """Whether what was due came late only because the planner was down, or just back."""
+        return any(
+            start <= due <= back + RETURN_ALLOWANCE and at <= max(due, back) + RETURN_ALLOWANCE
+            for start, back in self.spans
+        )
