Owners' door: unread requests, crossing ids and parts of messages end no request that is owed

Third, by reading: part of a message closed its connection after 2 s, also over open requests.

Ruled out: idle limits (none here), first message late (never on one that had been placed for), full send queue and writing deadline (no such end), descriptors (347 of 640), parts held on those that were closed.

Now a connection with unread bytes is not idle (16 are looked at, else the new one is refused), one that holds part of a message goes after the others, a second set-up of an id that is in hand elsewhere is refused with 47 on its own connection, which ends unless answers are owed on it, and a part of a message waits for those. On the connection of the first it still ends the connection without a word, now also if the second cannot be used (its refusal was read as the end of what stands).

--- a/hazelhold/platform/peer.py
+++ b/hazelhold/platform/peer.py
@@ -1,5 +1,7 @@
 """One connection on the platform: reads whole messages, writes from a bounded queue."""
 
+import fcntl
+import termios
 from collections import deque
 from collections.abc import AsyncIterator, Callable
 
@@ -39,6 +41,17 @@
         finally:
             self.heard_out.set()
 
+    def unread(self) -> bool:
+        """Whether bytes of the peer wait to be read; False where the stream is no socket."""
+        held = getattr(self.stream, "socket", None)
+        if held is None or held.fileno() < 0:
+            return False
+        try:
+            waiting = fcntl.ioctl(held.fileno(), termios.FIONREAD, bytes(4))
+        except OSError:
+            return held.is_readable()
+        return any(waiting)
+
     async def read_out(self) -> None:
         """A write that breaks takes nothing from what the peer said before: an answer may lie unread."""
         with trio.move_on_after(REST):
--- a/hazelhold/platform/planner.py
+++ b/hazelhold/platform/planner.py
@@ -27,6 +27,7 @@
 HOLD = 8.0  # seconds that a release waits for a connection of owners
 EARLY, EARLY_MOST = 2.0, 4096  # seconds for which an end waits for its set-up, and how many do
 AGAIN = (0.05, 0.1, 0.2, 0.4, 0.8, 1.6)  # seconds between looks at a file that was of no use at its signal
+LOOKS = 16  # idle connections that are asked for unread bytes before a new one is refused
 STUCK = 0.5  # seconds in which an idle owner has read nothing
 TURN = 0.02  # seconds of decisions before peers are read again: gone owners must be heard within 0.1 s
 COMING = 0.7  # seconds after SIGTERM in which set-ups may still come
@@ -251,7 +252,7 @@
             self.counts["answers_without_owner"] += 1
             return
         if isinstance(message, m.Rejected) and message.code == "open_already":
-            self._fault(peer, CodecError(message.code, message.text))
+            self._second_under_id(peer, binary)
             return
         peer.open.pop(binary.id, None)
         peer.proven = peer.proven or isinstance(message, m.Placed)
@@ -328,13 +329,20 @@
 
     def _make_room(self) -> bool:
         """Closes a connection with nothing open on it: those that never said anything of use or read nothing
-        first, then those that everything was written to, then the longest idle. False if there is none."""
+        first, then those that everything was written to, then those that hold no part of a message, then the
+        longest idle. One whose bytes wait to be read is not idle: they may be a request. False if there is
+        none."""
         idle = [peer for peer in self.owners.values() if not peer.open and not peer.closing]
         if not idle:
             return False
         stuck = trio.current_time() - STUCK  # one that reads nothing is not waited for, any other is told all
         rank = {p: p.sending and p.sending_from < stuck for p in idle}
-        victim = min(idle, key=lambda p: (p.good and not rank[p], p.unsent() and not rank[p], p.used_at))
+        idle.sort(
+            key=lambda p: (p.good and not rank[p], p.unsent() and not rank[p], p.reader.half, p.used_at)
+        )
+        victim = next((p for p in idle[:LOOKS] if rank[p] or not p.unread()), None)
+        if victim is None:
+            return False
         self.counts["connections_closed_for_others"] += 1
         del self.owners[victim.name]
         if rank[victim]:
@@ -347,14 +355,14 @@
 
     def _set_deadline(self, peer: OwnerPeer) -> None:
         """When a connection ends if nothing comes: one that has sent nothing of use and was told nothing,
-        and one that has sent only part of a message."""
+        and one that has sent only part of a message and awaits no answer."""
         now = trio.current_time()
         if not peer.reader.half:
             peer.half_at = None
         elif peer.half_at is None:
             peer.half_at = now
         due = float("inf")
-        if peer.half_at is not None:
+        if peer.half_at is not None and not peer.open:  # the answers to what is open are owed first
             due = peer.half_at + FIRST
         if not peer.open and not peer.told and not peer.proven:
             due = min(due, max(peer.came_at + FIRST, now + 0.2))
@@ -403,6 +411,21 @@
             self.early.popitem(last=False)
         self.early[guest] = at + EARLY
 
+    def _second_under_id(self, peer: OwnerPeer, refusal: BinaryMessage) -> None:
+        """A set-up came under the id of a request in hand. It ends its connection, but for answers owed
+        there: two connections may cross, and the one that is read second may be the request's owner's."""
+        if not self._came_on(peer, refusal.id):
+            peer.send(refusal)
+            if peer.open:
+                return
+        self._fault(peer, CodecError("open_already", "a second set-up under an open id"))
+
+    def _came_on(self, peer: OwnerPeer, guest: str) -> bool:
+        """Whether a request in hand came on this connection: a refusal of a second one under its id would be
+        read there as its own answer or end. On any other connection the refusal is the second's alone."""
+        case = self.engine.newest.get(guest)
+        return guest in peer.open or (case is not None and case.owner == peer.name)
+
     def _set_up(self, now: int, peer: OwnerPeer, binary: BinaryMessage) -> None:
         ended = self.early.pop(binary.id, 0.0) > trio.current_time()
         try:
@@ -410,10 +433,10 @@
         except (words.BadAskError, CodecError) as wrong:
             self.counts["ask_" + wrong.code] += 1
             self.log.debug("ask_refused", owner=peer.name, reason=str(wrong)[:200])
-            if binary.id not in peer.open:
+            if not self._came_on(peer, binary.id):
                 peer.send(words.released(binary.id, words.ERROR))
             else:
-                self._fault(peer, CodecError("open_already", "a second set-up under an open name"))
+                self._fault(peer, CodecError("open_already", "a second set-up under an open id"))
             return
         if ended:
             self.counts["ended_before"] += 1
--- /dev/null
+++ b/tests/test_platform_doors.py
@@ -0,0 +1,156 @@
+"""Connections of owners: which of them a planner may end, and when, without losing a request."""
+
+import socket
+
+import pytest
+import trio
+
+from hazelhold.platform.codec import ANSWER, END, TEST, BinaryMessage, encode_binary
+from tests.platform_rig import Owner, Rig, SocketRig, on_sockets, play, set_up, until
+
+PLACED = [(ANSWER, None)]
+ERROR = (END, 47)
+TASK_OF_TEST = "00000000000000ff"
+
+
+class RawOwner(Owner):
+    """An owner that can also send from outside the event loop: the bytes lie at the planner at once."""
+
+    def __init__(self, address: str, nursery: trio.Nursery) -> None:
+        host, port = address.split(":")
+        self.raw = socket.create_connection((host, int(port)))
+        super().__init__(trio.SocketStream(trio.socket.from_stdlib_socket(self.raw)), nursery)
+
+    def send_now(self, data: bytes) -> None:
+        self.raw.send(data)
+
+
+async def idle_owners(rig: SocketRig) -> list[RawOwner]:
+    """As many connections as the planner holds, each idle after a test; the one that was used longest ago
+    comes first."""
+    owners = []
+    for _ in range(rig.planner.limits.connections):
+        owner = RawOwner(rig.planner.address, rig.nursery)
+        await owner.say(BinaryMessage(TEST, TASK_OF_TEST, {17: b"\0"}))
+        await until(lambda owner=owner: owner.heard)
+        owners.append(owner)
+    return owners
+
+
+def test_a_request_that_lies_unread_keeps_its_connection_from_being_closed_for_another() -> None:
+    """The loop had not read it yet when the connection was chosen as the longest idle one: request lost."""
+
+    async def test(rig: SocketRig) -> None:
+        longest_idle, next_idle, *_ = await idle_owners(rig)
+        real = rig.planner._make_room
+
+        def request_comes_first() -> bool:
+            longest_idle.send_now(encode_binary(set_up(1)))
+            rig.planner._make_room = real
+            return real()
+
+        rig.planner._make_room = request_comes_first
+        newcomer = await rig.owner()
+        await newcomer.say(set_up(2))
+        await until(lambda: newcomer.of(2) == PLACED)
+        await until(lambda: longest_idle.of(1) or longest_idle.closed_at)
+        assert longest_idle.of(1) == PLACED and longest_idle.closed_at is None
+        await until(lambda: next_idle.closed_at is not None)
+
+    on_sockets(test)
+
+
+def test_a_request_that_has_come_in_part_keeps_its_connection_while_others_are_idle() -> None:
+    async def test(rig: SocketRig) -> None:
+        longest_idle, next_idle, *_ = await idle_owners(rig)
+        request = encode_binary(set_up(1))
+        await longest_idle.stream.send_all(request[:40])
+        await until(lambda: any(peer.reader.half for peer in rig.planner.owners.values()))
+        for peer in rig.planner.owners.values():
+            peer.used_at += not peer.reader.half  # also one that was used later goes first
+        newcomer = await rig.owner()
+        await newcomer.say(set_up(2))
+        await until(lambda: newcomer.of(2) == PLACED)
+        await until(lambda: next_idle.closed_at is not None)
+        await longest_idle.stream.send_all(request[40:])
+        await until(lambda: longest_idle.of(1) == PLACED)
+
+    on_sockets(test)
+
+
+def test_a_new_connection_is_refused_where_every_idle_one_has_something_to_say() -> None:
+    async def test(rig: SocketRig) -> None:
+        owners = await idle_owners(rig)
+        real = rig.planner._make_room
+
+        def all_speak() -> bool:
+            for guest, owner in enumerate(owners, 1):
+                owner.send_now(encode_binary(set_up(guest)))
+            return real()
+
+        rig.planner._make_room = all_speak
+        newcomer = await rig.owner()
+        await until(lambda: newcomer.closed_at is not None)
+        for guest, owner in enumerate(owners, 1):
+            await until(lambda guest=guest, owner=owner: len(owner.of(guest)) == 1)
+        assert rig.planner.counts["connections_refused"] == 1
+
+    on_sockets(test)
+
+
+def test_a_second_set_up_of_an_open_id_ends_no_connection_but_that_of_the_first() -> None:
+    """Two connections may cross: the one that is read second is not to lose what else is open on it."""
+
+    async def test(rig: Rig) -> None:
+        rig.machines["a"].accepts = False
+        first, second = await rig.owner(), await rig.owner()
+        await first.say(set_up(1))
+        await second.say(set_up(2))
+        await until(lambda: rig.offers(1) and rig.offers(2))
+        await second.say(set_up(1, parameters={18: b"another description"}))
+        await until(lambda: second.of(1) or second.closed_at)
+        assert second.of(1) == [ERROR] and second.closed_at is None
+        for guest in (1, 2):
+            await rig.machines["a"].accept(rig.machines["a"].streams[-1], f"{guest:016x}")
+        await until(lambda: first.of(1) and second.of(2))
+        assert first.of(1) == PLACED and second.of(2) == PLACED and second.of(1) == [ERROR]
+        assert len(rig.offers(1)) == 1
+
+    play(test, machines="a")
+
+
+@pytest.mark.parametrize("stands", [False, True])
+@pytest.mark.parametrize("usable", [False, True])
+def test_a_second_set_up_on_the_connection_of_the_first_ends_it_without_a_word(
+    stands: bool, usable: bool
+) -> None:
+    """A refusal there would be read as the first one's answer, or as the end of what stands."""
+
+    async def test(rig: Rig) -> None:
+        rig.machines["a"].accepts = stands
+        owner = await rig.owner()
+        await owner.say(set_up(1))
+        await until(lambda: rig.planner.engine.stands(f"{1:016x}") if stands else rig.offers(1))
+        await owner.say(set_up(1, product="plain" if usable else "nothing so called"))
+        await until(lambda: owner.closed_at or len(owner.of(1)) > stands)
+        assert owner.closed_at and owner.of(1) == (PLACED if stands else [])
+        assert rig.planner.engine.stands(f"{1:016x}") == stands
+
+    play(test, machines="a")
+
+
+def test_part_of_a_message_ends_no_connection_on_which_an_answer_is_owed() -> None:
+    """Its two seconds ended the connection, and the request that was open on it."""
+
+    async def test(rig: Rig) -> None:
+        rig.machines["a"].accepts = False
+        owner = await rig.owner()
+        request = encode_binary(set_up(2))
+        await owner.stream.send_all(encode_binary(set_up(1, left="3000")) + request[:50])
+        began = trio.current_time()
+        await until(lambda: owner.of(1) or owner.closed_at)
+        assert len(owner.of(1)) == 1 and trio.current_time() - began > 2.0
+        await until(lambda: owner.closed_at is not None)  # the part has had its time
+        assert trio.current_time() - began < 4.0
+
+    play(test, machines="a")
