--- a/hazelhold/fleetconfig/control.py
+++ b/hazelhold/fleetconfig/control.py
@@ -12,7 +12,6 @@
 
 from collections import Counter
 from random import Random
-from typing import NamedTuple
 
 from hazelhold.fleetconfig.chain import Chain
 from hazelhold.fleetconfig.change_history import measured
@@ -28,36 +27,24 @@
     StoreSnapshot,
 )
 from hazelhold.fleetconfig.document import Document, Fault
-from hazelhold.fleetconfig.group import MAX_CHANGE, REVISION_OVERHEAD, GroupBuilder, done_answer
-from hazelhold.fleetconfig.head import Advance, Head, HeadError, Settle, decode_head, open_tail
-from hazelhold.fleetconfig.messages import NEVER, ProposeAnswer
+from hazelhold.fleetconfig.group import MAX_CHANGE, REVISION_OVERHEAD, GroupBuilder, done_answer, seal_group
+from hazelhold.fleetconfig.head import Advance, HeadError, Settle
+from hazelhold.fleetconfig.messages import ProposeAnswer
 from hazelhold.fleetconfig.pending import Pending, PendingChanges
+from hazelhold.fleetconfig.register_view import Asking, RegisterChange, RegisterView
 from hazelhold.fleetconfig.revision import (
     MAX_ID,
     Change,
     Position,
-    Revision,
     RevisionError,
     SealedRevision,
     change_faults,
-    seal,
     unseal,
 )
 from hazelhold.fleetconfig.tail import StoredFacts, Tail
 from hazelhold.replica.proposer import Read
 
 
-class Asking(NamedTuple):
-    """What the register is being asked."""
-
-    number: int
-    change: Advance | Settle | Read
-    began: int
-    position: Position  # of this machine then: what is agreed cannot lie before it
-    last_pending: int  # number of the last writer's asking that had come then
-    sealed: SealedRevision | None = None  # of an Advance
-
-
 class ControlCore:
     """One control machine's part in the agreed order.
 
@@ -86,17 +73,10 @@
         self.counts: Counter[str] = Counter()
         self.broken = ""
         self.reason = "has not agreed with a majority of the control machines yet"
+        self.register = RegisterView()
         self.asking: Asking | None = None
         self.exposed: list[Pending] = []  # changes of the revision that was proposed last
-        self.settled = False
-        self.settled_number = 0  # of the head that the last full round found
-        self.known_number = 0  # the highest number of any head seen
         self.tail = Tail(limits.tail_bytes)
-        self.confirmed_at: int | None = None  # then, nothing past `position` was committed
-        self.confirmed_pending = 0  # the last of the writers' askings that had come then
-        self.unconfirmed: tuple[Asking, int] | None = (
-            None  # the last that was agreed, and the number it found
-        )
         self.blocked = False  # too few have stored the tail: nothing more fits beside it
         self.last_asking = 0
         self.idle_until = self.confirm_at = self.fetch_at = 0
@@ -209,7 +189,7 @@
         """When `tick` is to be called next."""
         times = [] if (deadline := self.pending.next_deadline()) is None else [deadline]
         if self.asking is None:
-            urgent = not self.settled or self._may_propose()
+            urgent = not self.register.settled or self._may_propose()
             times.append(self.idle_until if urgent else max(self.idle_until, self.confirm_at))
         if self._has_gap:
             times.append(self.fetch_at)
@@ -223,15 +203,13 @@
     def confirmed_age(self, now: int) -> int:
         """How long ago a majority said that nothing newer than `position` was committed; `NEVER` if that was
         never so in this life."""
-        return NEVER if self.confirmed_at is None else now - self.confirmed_at
+        return self.register.confirmed_age(now)
 
     # What the register said.
 
     def _agreed(self, now: int, asked: Asking, value: bytes) -> None:
         try:
-            head = decode_head(value)
-            tail = open_tail(head)
-            self._check_order(head, asked)
+            head, tail = self.register.read(asked, value, self.chain)
             self.tail.found(tail, head.number)
             self._extend(self.tail.revisions)
         except (HeadError, RevisionError) as wrong:
@@ -239,36 +217,23 @@
             return
         self.broken = self.reason = ""
         self.blocked = False
-        self.known_number = max(self.known_number, head.number)
-        if not isinstance(asked.change, Read):
-            self.settled, self.settled_number = True, head.number
-        self.unconfirmed = asked, head.number
+        self.register.found(asked, head)
         self.confirm_at = now + self.limits.confirm_every
-        if (
-            asked.sealed
-            and self.chain.history.position_at(asked.sealed.revision.number) == asked.sealed.position
-        ):
+        if asked.sealed and self.chain.has(asked.sealed.position):
             self.actions.append(Publish((asked.sealed,)))
         self._resolve()
 
-    def _check_order(self, head: Head, asked: Asking) -> None:
-        """The register never goes back, and has no other chain than what was committed here."""
-        if head.number < asked.position.number:
-            text = f"the register is at revision {head.number}, but {asked.position.number} was committed"
-            raise HeadError("register_lost", text)
-        self.chain.check_known(head.position)
-
     def _not_agreed(self, now: int, asked: Asking, outcome: str, reason: str) -> None:
         self.reason = reason
         self.idle_until = now + self.random.randint(self.limits.pause, 2 * self.limits.pause)
         if outcome == "refused" and asked.sealed is not None:
-            self.settled = True  # as it was before: no accept left
+            self.register.settled = True  # as it was before: no accept left
             self._give_back()
 
     def _break(self, now: int, text: str) -> None:
         """The register's value is not to be reconciled with what is here: nothing is proposed on it."""
         self.broken = text
-        self.settled = False
+        self.register.settled = False
         self.counts["broken"] += 1
         self.idle_until = now + self.limits.confirm_every
         for pending in list(self.pending.waiting.values()):
@@ -306,10 +271,8 @@
 
     def _resolve(self) -> None:
         """What follows from having come so far."""
-        if self.unconfirmed and self.unconfirmed[1] <= self.position.number:
-            asked, self.unconfirmed = self.unconfirmed[0], None
-            self.confirmed_at, self.confirmed_pending = asked.began, asked.last_pending
-        if self.exposed and self.settled and self.position.number >= self.settled_number:
+        self.register.reached(self.position)
+        if self.exposed and self.register.is_decided(self.position):
             self._give_back()
 
     def _give_back(self) -> None:
@@ -321,10 +284,10 @@
 
     @property
     def _has_gap(self) -> bool:
-        return self.position.number < self.known_number
+        return self.position.number < self.register.known_number
 
     def _may_propose(self) -> bool:
-        return bool(self.settled and self.pending.waiting) and not (
+        return bool(self.register.settled and self.pending.waiting) and not (
             self.exposed or self.blocked or self._has_gap
         )
 
@@ -334,13 +297,21 @@
             self.actions.append(Fetch(self.position))
         if self.asking is not None or now < self.idle_until:
             return
-        if not self.settled:
+        if not self.register.settled:
             self._ask(now, Settle())
             return
         if self._may_propose():
             self._propose_group(now)
         if self.asking is None and now >= self.confirm_at:
-            self._ask(now, Read())
+            self._confirm(now)
+
+    def _confirm(self, now: int) -> None:
+        """Asks whether there is anything newer. That also drops a long tail which a majority has stored, at
+        one of the machines on average: all would disturb each other."""
+        droppable = self.register.droppable_bytes(self._stored())
+        mine = self.random.randrange(len(self.machines)) == 0
+        drops = mine and droppable > self.limits.drop_above
+        self._ask(now, Settle(self._stored()) if drops else Read())
 
     def _stored(self) -> int:
         """Up to which revision the tail may be dropped."""
@@ -349,7 +320,7 @@
     def _propose_group(self, now: int) -> None:
         stored = self._stored()
         tail_room = self.limits.tail_bytes - self.tail.trim(stored)
-        builder = GroupBuilder(self.chain.checked, self.chain.history, self.confirmed_pending)
+        builder = GroupBuilder(self.chain.checked, self.chain.history, self.register.confirmed_pending)
         group = builder.build(self.pending.waiting.values(), min(MAX_CHANGE, tail_room - REVISION_OVERHEAD))
         for pending, answer in group.answers:
             self.pending.end(pending, answer)
@@ -362,22 +333,13 @@
             self._ask(now, Read())
 
     def _advance(self, now: int, taken: list[Pending], stored: int) -> None:
-        changes = tuple(pending.change for pending in taken)
-        sealed = seal(
-            Revision(
-                number=self.position.number + 1,
-                parent=self.position.chain,
-                content=self.document.checksum_after([change.edit for change in changes]),
-                changes=changes,
-                committed_at=now + self.wall_offset,
-            )
-        )
+        sealed = seal_group(taken, self.position, self.document, now + self.wall_offset)
         self.pending.take(taken)
         self.exposed = taken
-        self.settled = False
+        self.register.settled = False
         self._ask(now, Advance(sealed.body, stored), sealed)
 
-    def _ask(self, now: int, change: Advance | Settle | Read, sealed: SealedRevision | None = None) -> None:
+    def _ask(self, now: int, change: RegisterChange, sealed: SealedRevision | None = None) -> None:
         self.last_asking += 1
         self.asking = Asking(self.last_asking, change, now, self.position, self.pending.last_number, sealed)
         self.actions.append(AskRegister(self.last_asking, change, now + self.limits.ask_within))
--- a/hazelhold/fleetconfig/control_actions.py
+++ b/hazelhold/fleetconfig/control_actions.py
@@ -77,11 +77,12 @@
     """Bounds and spans of one control machine. Spans in microseconds."""
 
     history: int = 4096  # revisions whose ids and items are remembered; a base before them is refused
-    history_entries: int = 400_000  # ids and items remembered in all; fewer revisions if they are many
+    history_entries: int = 100_000  # ids and items remembered in all; fewer revisions if they are many
     waiting_bytes: int = 8 << 20  # of changes that wait; more are refused as busy
     waiting_changes: int = 16_384
     tail_bytes: int = 384 << 10  # of revisions in the register that too few control machines have stored
     longest_deadline: int = 60_000_000  # of a writer's asking
+    drop_above: int = 4096  # bytes of the register's tail that are dropped without waiting for a commit
     ask_within: int = 1_000_000  # deadline of one asking
     pause: int = 50_000  # after an asking that did not agree; drawn up to twice as long
     confirm_every: int = 1_000_000
--- a/hazelhold/fleetconfig/group.py
+++ b/hazelhold/fleetconfig/group.py
@@ -10,10 +10,10 @@
 from typing import NamedTuple
 
 from hazelhold.fleetconfig.change_history import ChangeHistory, Done
-from hazelhold.fleetconfig.document import Fault
+from hazelhold.fleetconfig.document import Document, Fault
 from hazelhold.fleetconfig.messages import ProposeAnswer
 from hazelhold.fleetconfig.pending import Pending
-from hazelhold.fleetconfig.revision import MAX_REVISION
+from hazelhold.fleetconfig.revision import MAX_REVISION, Position, Revision, SealedRevision, seal
 from hazelhold.fleetconfig.validation import CheckedDocument, Draft
 
 REVISION_OVERHEAD = 1024  # bytes of an encoded revision beside its changes, at most
@@ -111,6 +111,23 @@
         )
 
 
+def seal_group(
+    taken: list[Pending], position: Position, document: Document, committed_at: int
+) -> SealedRevision:
+    """The revision that carries these changes out after this position and document."""
+    changes = tuple(pending.change for pending in taken)
+    content = document.checksum_after([change.edit for change in changes])
+    return seal(
+        Revision(
+            number=position.number + 1,
+            parent=position.chain,
+            content=content,
+            changes=changes,
+            committed_at=committed_at,
+        )
+    )
+
+
 def done_answer(id_: str, digest: bytes, done: Done, unknown: tuple[Fault, ...] = ()) -> ProposeAnswer:
     """The answer to a change whose id was carried out. `unknown`: what of it this program does not know."""
     if digest != done.digest:
--- a/hazelhold/fleetconfig/head.py
+++ b/hazelhold/fleetconfig/head.py
@@ -25,16 +25,12 @@
     number: int = 0
     chain: bytes = START
     content: bytes = bytes(CHECKSUM_BYTES)  # checksum of the document
-    tail: tuple[bytes, ...] = ()  # encoded revisions, in order, the last of them is the head's own
+    tail: tuple[bytes, ...] = ()  # encoded revisions, in order; the last, if there is any, is the head's own
 
     @property
     def position(self) -> Position:
         return Position(self.number, self.chain)
 
-    @property
-    def tail_bytes(self) -> int:
-        return sum(map(len, self.tail))
-
 
 class HeadError(Exception):
     """A register value that cannot be used. `code` is one word for counters, `text` is for people."""
@@ -106,17 +102,31 @@
 
 
 class Settle(NamedTuple):
-    """Changes nothing, but unlike `replica.proposer.Read` always writes what it finds under a new ballot. So
-    whatever an earlier asking left on its way and this does not contain is never chosen."""
+    """Keeps the head, but unlike `replica.proposer.Read` always writes it, under a new ballot. So whatever an
+    earlier asking left on its way and this does not contain is never chosen. Revisions up to `stored` leave
+    the tail, as with Advance."""
+
+    stored: int = 0
 
     def __call__(self, last: bytes) -> bytes:
-        return last
+        try:
+            head = decode_head(last)
+        except HeadError:
+            return last
+        if not droppable(head, self.stored):
+            return last
+        return encode_head(msgspec.structs.replace(head, tail=trimmed(head, self.stored)))
 
 
 def trimmed(head: Head, stored: int) -> tuple[bytes, ...]:
     """The tail without the revisions up to this number."""
+    return head.tail[len(droppable(head, stored)) :]
+
+
+def droppable(head: Head, stored: int) -> tuple[bytes, ...]:
+    """The tail's revisions up to this number."""
     first = head.number - len(head.tail) + 1
-    return head.tail[max(0, stored - first + 1) :]
+    return head.tail[: max(0, stored - first + 1)]
 
 
 def open_tail(head: Head) -> list[SealedRevision]:
@@ -128,7 +138,7 @@
     for before, after in zip(sealed, sealed[1:], strict=False):
         if after.revision.parent != before.chain:
             raise HeadError("wrong_tail", "the tail is no chain")
-    if head.number and (not sealed or sealed[-1].position != head.position):
+    if sealed and sealed[-1].position != head.position:
         raise HeadError("wrong_tail", "the tail does not end at the head")
     if sealed and sealed[-1].revision.content != head.content:
         raise HeadError("wrong_tail", "the head promises another document than its last revision")
--- /dev/null
+++ b/tests/test_fleetconfig_validation.py
@@ -0,0 +1,228 @@
+"""What a change would leave: all faults at once, cross-checks through the index, a newer program's items."""
+
+import pytest
+from fleetconfig_model import carry_out, wrong
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from hazelhold.fleetconfig import validation
+from hazelhold.fleetconfig.document import Document, Put, canonical
+from hazelhold.fleetconfig.revision import Change
+from hazelhold.fleetconfig.schema import read_item
+from hazelhold.fleetconfig.validation import CheckedDocument, Draft, Verdict
+
+PRODUCT = {"effect": "rerunnable", "goal_ms": 100, "patience_ms": 1000, "kind": "big"}
+ITEMS = {
+    "fleet": {"cold_for_ms": 1000},
+    "kinds/big": {"cores": 64, "memory": 256},
+    "kinds/small": {"cores": 8, "memory": 32},
+    "products/search": PRODUCT,
+    "customers/c1": {},
+    "planners/p1": {"address": "10.0.0.1:700", "zone": "z1", "region": "r1"},
+    "teams/top": {"quota_cores": 100, "quota_accelerators": 8},
+    "teams/a": {"quota_cores": 60, "quota_accelerators": 8, "parent": "top"},
+    "teams/b": {"quota_cores": 40, "parent": "top"},
+    "teams/a1": {"quota_cores": 60, "parent": "a"},
+}
+
+
+def document(items: dict[str, object] = ITEMS) -> CheckedDocument:
+    return CheckedDocument(Document(Put(name, canonical(value)) for name, value in items.items()))
+
+
+def change(puts: dict[str, object], *removals: str) -> Change:
+    encoded = tuple(Put(name, canonical(value)) for name, value in puts.items())
+    return Change(id="c", base=0, puts=encoded, removals=removals)
+
+
+def verdict(puts: dict[str, object], *removals: str) -> Verdict:
+    return Draft(document()).try_change(change(puts, *removals))
+
+
+def told(found: Verdict) -> set[tuple[str, str]]:
+    """Faults by item, with the first words of the text."""
+    return {(fault.item, " ".join(fault.text.split()[:2])) for fault in found.faults}
+
+
+def test_a_whole_document_is_valid_in_one_change() -> None:
+    found = Draft(CheckedDocument(Document())).try_change(change(ITEMS))
+    assert found == Verdict((), ())
+
+
+def test_all_that_is_wrong_is_told_at_once() -> None:
+    found = verdict(
+        {
+            "fleet": {"cold_for_ms": -1, "probing": "yes"},
+            "kinds/big": [],
+            "products/search": PRODUCT | {"goal_ms": 2000, "kind": "huge"},
+            "products/other": {"effect": "sometimes", "goal_ms": 1, "priority": 9},
+            "planners/p2": {"address": "10.0.0.1:700", "zone": "z" * 61, "region": "r1"},
+            "planners/p3": {"address": "10.0.0.1:700", "zone": "z1", "region": "r1"},
+            "planners/p4": {"address": "somewhere:0", "zone": "z1", "region": "r1"},
+            "teams/b": {"quota_cores": 41, "parent": "top"},
+            "teams/c": {"quota_cores": "all", "parent": "a"},
+            "teams/d": {"quota_cores": 1, "parent": "nobody"},
+            "teams/e": {"quota_cores": 1, "parent": "f"},
+            "teams/f": {"quota_cores": 1, "parent": "e"},
+        },
+        "kinds/small",
+    )
+    assert told(found) == {
+        ("fleet", "cold_for_ms: Expected"),
+        ("fleet", "probing: Expected"),
+        ("kinds/big", "is no"),
+        ("products/search", "goal_ms: the"),
+        ("products/search", "kind: no"),
+        ("products/other", "effect: Invalid"),
+        ("products/other", "patience_ms: is"),
+        ("products/other", "priority: Expected"),
+        ("planners/p2", "zone: Expected"),
+        ("planners/p3", "address: planners/p1"),
+        ("planners/p4", "address: 'somewhere'"),
+        ("teams/top", "quota_cores: is"),
+        ("teams/c", "quota_cores: Expected"),
+        ("teams/d", "parent: there"),
+        ("teams/e", "parent: is"),
+        ("teams/f", "parent: is"),
+    }
+
+
+@pytest.mark.parametrize(
+    ("puts", "removals", "expected"),
+    [
+        ({}, ("teams/top",), {("teams/a", "parent: there"), ("teams/b", "parent: there")}),
+        ({}, ("teams/top", "teams/a", "teams/b", "teams/a1"), set()),
+        ({}, ("kinds/big",), {("products/search", "kind: no")}),
+        ({}, ("kinds/small", "customers/c1", "nothing/here"), set()),
+        ({"teams/top": {"quota_cores": 99, "quota_accelerators": 8}}, (), {("teams/top", "quota_cores: is")}),
+        ({"teams/top": {"quota_cores": 100}}, (), {("teams/top", "quota_accelerators: is")}),
+        ({"teams/top": {"quota_cores": 60, "quota_accelerators": 8}}, ("teams/b",), set()),
+        ({"teams/a1": {"quota_cores": 1, "parent": "a1"}}, (), {("teams/a1", "parent: is")}),
+        (
+            {"teams/top": {"quota_cores": 200, "quota_accelerators": 9, "parent": "a1"}},
+            (),
+            {
+                ("teams/top", "parent: is"),
+                ("teams/a1", "quota_cores: is"),
+                ("teams/a1", "quota_accelerators: is"),
+            },
+        ),
+        ({"planners/p2": ITEMS["planners/p1"]}, ("planners/p1",), set()),
+        ({"planners/p1": ITEMS["planners/p1"]}, (), set()),
+        ({"products/search": PRODUCT | {"name": "find"}}, (), {("products/search", "names itself")}),
+        ({"products/search": PRODUCT | {"name": "search"}}, (), set()),
+        (
+            {"teams/x": {"quota_cores": 0, "parent": "a/b"}, "teams/a/b": {}},
+            (),
+            {("teams/x", "parent: there")},
+        ),
+    ],
+)
+def test_what_a_change_breaks_beyond_its_own_items(
+    puts: dict[str, object], removals: tuple[str, ...], expected: set[tuple[str, str]]
+) -> None:
+    assert told(verdict(puts, *removals)) == expected
+
+
+def test_what_a_newer_program_wrote_is_kept_to_the_byte_and_told() -> None:
+    below = document()
+    draft = Draft(below)
+    later = change(
+        {
+            "teams/a": ITEMS["teams/a"] | {"burst": {"z": 1, "a": [None, 1.5]}},
+            "teams/a/limits": {"n": 1},
+            "teams": 7,
+            "gangs/g": [1, 2],
+            "fleet": {"later_ms": "soon"},
+        }
+    )
+    found = draft.try_change(later)
+    assert found.faults == ()
+    assert {fault.item for fault in found.unknown} == {
+        "teams/a",
+        "teams/a/limits",
+        "teams",
+        "gangs/g",
+        "fleet",
+    }
+    below.apply([later.edit])
+    assert below.document.items["teams/a"] == canonical(
+        {"burst": {"a": [None, 1.5], "z": 1}, "parent": "top", "quota_accelerators": 8, "quota_cores": 60}
+    )
+    assert all(below.document.items[put.name] == put.value for put in later.puts)
+
+
+def test_a_refused_change_leaves_the_draft_as_it_was() -> None:
+    draft = Draft(document())
+    assert not draft.try_change(change({"teams/b": {"quota_cores": 30, "parent": "top"}})).faults
+    before = dict(draft.items), {to: set(names) for to, names in draft.index.by_target.items()}
+    assert draft.try_change(
+        change({"teams/b": {"quota_cores": 90}, "teams/n": {"quota_cores": "x"}}, "teams/a")
+    ).faults
+    assert (draft.items, draft.index.by_target) == before
+    assert not draft.try_change(change({"teams/n": {"quota_cores": 10, "parent": "top"}})).faults
+    assert draft.try_change(change({"teams/m": {"quota_cores": 1, "parent": "top"}})).faults
+
+
+TEAMS = st.sampled_from(["a", "b", "c", "d"])
+TEAM = st.fixed_dictionaries(
+    {"quota_cores": st.integers(0, 4), "parent": st.sampled_from(["", "a", "b", "c", "d"])}
+)
+EDITS = st.dictionaries(TEAMS, st.none() | TEAM, min_size=1, max_size=3)
+
+
+@settings(max_examples=400, deadline=None)
+@given(st.lists(EDITS, max_size=8), st.booleans())
+def test_verdicts_are_those_of_the_whole_document(steps: list[dict], in_one_group: bool) -> None:
+    """From valid document to valid document, changes are refused exactly if the plain model finds a fault."""
+    below = CheckedDocument(Document())
+    draft = Draft(below)
+    plain: dict[str, bytes] = {}
+    for edits in steps:
+        puts = {f"teams/{name}": team for name, team in edits.items() if team is not None}
+        step = change(puts, *(f"teams/{name}" for name, team in edits.items() if team is None))
+        after = dict(plain)
+        carry_out(after, step)
+        found = draft.try_change(step)
+        assert bool(found.faults) == bool(wrong(after)), (found.faults, wrong(after))
+        if not found.faults:
+            plain = after
+            if not in_one_group:
+                below.apply([step.edit])
+                draft = Draft(below)
+    kept = {name: value for name, value in (below.document.items | draft.items).items() if value is not None}
+    assert kept == plain
+
+
+def test_the_work_for_a_change_does_not_grow_with_the_document(monkeypatch: pytest.MonkeyPatch) -> None:
+    read = 0
+
+    def counted(name: str, encoded: bytes) -> object:
+        nonlocal read
+        read += 1
+        return read_item(name, encoded)
+
+    def reads(teams: int) -> int:
+        items = {f"teams/t{n}": {"quota_cores": 10} for n in range(teams)}
+        items |= {f"teams/u{n}": {"quota_cores": 1, "parent": f"t{n}"} for n in range(teams)}
+        items |= {
+            f"planners/p{n}": {"address": f"10.1.{n // 250}.{n % 250}:1", "zone": "z", "region": "r"}
+            for n in range(teams)
+        }
+        below = document(ITEMS | items)
+        nonlocal read
+        read = 0
+        step = change(
+            {
+                "teams/u1": {"quota_cores": 2, "parent": "t2"},
+                "planners/p1": {"address": "10.9.0.1:1", "zone": "z", "region": "r"},
+                "products/search": PRODUCT,
+            },
+            "teams/u2",
+        )
+        assert not Draft(below).try_change(step).faults
+        below.apply([step.edit])
+        return read
+
+    monkeypatch.setattr(validation, "read_item", counted)
+    assert reads(20) == reads(2000) < 40
