--- a/tests/fleetconfig_space.py
+++ b/tests/fleetconfig_space.py
@@ -67,6 +67,7 @@
         self.open_ids: frozenset[str] = frozenset()  # of askings that a crash left without an answer
         self.cores = [self._new_core(0), self._new_core(1)]
         self.clocks = [1, 1]
+        self.keys: list[tuple | None] = [None, None]  # of what belongs to one core, until a move touches it
         self.asking = [0, 0]
         self.changes = [
             Change(id=id_, base=0, puts=(Put(item, b"1"),)) for id_, item in zip("XY", items, strict=True)
@@ -218,48 +219,42 @@
 
     def key(self) -> tuple:
         """The same for states that differ in the names of the acceptors alone."""
-        ops = [p.ops.get(KEY) for p in self.proposers]
-        by_acceptor = []
-        for name, acceptor in self.acceptors.items():
-            heard = [
-                (op.promises.get(name), name in op.accepts, name in op.refusals)
-                for op in ops
-                if op is not None
-            ]
-            flying = sorted(
+        by_acceptor = sorted(hash(self._acceptor_key(name)) for name in NAMES)
+        for number in range(2):
+            if self.keys[number] is None:
+                self.keys[number] = self._core_key(number)
+        return tuple(by_acceptor), *self.keys, self.answers, self.chosen, self.restarts, self.open_ids
+
+    def _acceptor_key(self, name: str) -> tuple:
+        ops = [op for proposer in self.proposers if (op := proposer.ops.get(KEY))]
+        promises = [op.promises.get(name) for op in ops]
+        return (
+            self.acceptors[name].cells.get(KEY),
+            tuple(promise and (promise.accepted, promise.value) for promise in promises),
+            tuple((name in op.accepts, name in op.refusals) for op in ops),
+            frozenset(
                 (number, word.ballot, getattr(word, "value", None))
                 for number, to, word in self.flying
                 if to == name
-            )
-            votes = sorted(v[1:] for v in self.votes if v[0] == name)
-            by_acceptor.append(repr((acceptor.cells.get(KEY), flying, heard, votes)))
-        own = [
-            (p.highest, p.ahead, op and (op.phase, op.ballot, op.tries, op.exposed, type(op.change).__name__))
-            for op, p in zip(ops, self.proposers, strict=True)
-        ]
-        cores = [
-            (
-                core.position,
-                core.register.settled,
-                core.register.settled_number,
-                core.register.known_number,
-                [pending.change.id for pending in core.exposed],
-                list(core.pending.all),
-                list(core.pending.waiting),
-                core.asking is not None,
-                self._idles(number),
-            )
-            for number, core in enumerate(self.cores)
-        ]
+            ),
+            frozenset(vote[1:] for vote in self.votes if vote[0] == name),
+        )
+
+    def _core_key(self, number: int) -> tuple:
+        core, proposer, op = self.cores[number], self.proposers[number], self.proposers[number].ops.get(KEY)
+        register = core.register
         return (
-            tuple(sorted(by_acceptor)),
-            repr(own),
-            repr(cores),
-            self.answers,
-            self.chosen,
-            tuple(self.asks),
-            self.restarts,
-            self.open_ids,
+            self.asks[number],
+            proposer.highest,
+            tuple(proposer.ahead.items()),
+            op and (op.phase, op.ballot, op.tries, op.exposed, type(op.change)),
+            core.position,
+            (register.settled, register.settled_number, register.known_number),
+            tuple(pending.change.id for pending in core.exposed),
+            tuple(core.pending.all),
+            tuple(core.pending.waiting),
+            core.asking is not None,
+            self._idles(number),
         )
 
     def clone(self, move: "Move") -> "ControlSpace":
@@ -270,7 +265,8 @@
         if move.acceptor:
             acceptor = made.acceptors[move.acceptor] = shallow(self.acceptors[move.acceptor])
             acceptor.cells = dict(acceptor.cells)
-        made.proposers, made.cores = list(self.proposers), list(self.cores)
+        made.proposers, made.cores, made.keys = list(self.proposers), list(self.cores), list(self.keys)
+        made.keys[move.number] = None
         made.proposers[move.number] = clone_proposer(self.proposers[move.number])
         made.cores[move.number] = clone_core(self.cores[move.number])
         return made
