--- a/hazelhold/fleetconfig/control.py
+++ b/hazelhold/fleetconfig/control.py
@@ -13,35 +13,17 @@
 from collections import Counter
 from random import Random
 
-from hazelhold.fleetconfig.chain import Chain
-from hazelhold.fleetconfig.change_history import measured
-from hazelhold.fleetconfig.control_actions import (
-    Action,
-    Answer,
-    AskRegister,
-    ControlLimits,
-    Fetch,
-    Publish,
-    Store,
-    StoredState,
-    StoreSnapshot,
-)
-from hazelhold.fleetconfig.document import Document, Fault
-from hazelhold.fleetconfig.group import MAX_CHANGE, REVISION_OVERHEAD, GroupBuilder, done_answer, seal_group
+from hazelhold.fleetconfig import control_actions as a
+from hazelhold.fleetconfig.change_history import ChangeHistory, measured
+from hazelhold.fleetconfig.committed import Committed
+from hazelhold.fleetconfig.document import Document
+from hazelhold.fleetconfig.group import MAX_CHANGE, REVISION_OVERHEAD, GroupBuilder, first_answer, seal_group
 from hazelhold.fleetconfig.head import Advance, HeadError, Settle
 from hazelhold.fleetconfig.messages import ProposeAnswer
 from hazelhold.fleetconfig.pending import Pending, PendingChanges
 from hazelhold.fleetconfig.register_view import Asking, RegisterChange, RegisterView
-from hazelhold.fleetconfig.revision import (
-    MAX_ID,
-    Change,
-    Position,
-    RevisionError,
-    SealedRevision,
-    change_faults,
-    unseal,
-)
-from hazelhold.fleetconfig.tail import StoredFacts, Tail
+from hazelhold.fleetconfig.revision import Change, Position, RevisionError, SealedRevision, unseal
+from hazelhold.fleetconfig.tail import StoredFacts
 from hazelhold.replica.proposer import Read
 
 
@@ -56,9 +38,9 @@
         self,
         name: str,
         machines: tuple[str, ...],
-        stored: StoredState,
+        stored: a.StoredState,
         seed: int,
-        limits: ControlLimits = ControlLimits(),  # noqa: B008
+        limits: a.ControlLimits = a.ControlLimits(),  # noqa: B008
         wall_offset: int = 0,
     ) -> None:
         """`machines`: the names of all control machines, this one among them. `wall_offset`: wall clock less
@@ -66,28 +48,32 @@
         was stored is no chain."""
         self.name, self.machines, self.limits, self.wall_offset = name, machines, limits, wall_offset
         self.random = Random(f"control/{name}/{seed}")
-        self.chain = Chain.restored(stored, limits.history, limits.history_entries)
+        self.committed = Committed(stored, machines, limits)
         self.pending = PendingChanges(limits.waiting_bytes, limits.waiting_changes, self._answer)
-        self.facts = StoredFacts(machines)
-        self.actions: list[Action] = []
+        self.actions: list[a.Action] = []
         self.counts: Counter[str] = Counter()
         self.broken = ""
         self.reason = "has not agreed with a majority of the control machines yet"
         self.register = RegisterView()
-        self.asking: Asking | None = None
         self.exposed: list[Pending] = []  # changes of the revision that was proposed last
-        self.tail = Tail(limits.tail_bytes)
         self.blocked = False  # too few have stored the tail: nothing more fits beside it
-        self.last_asking = 0
         self.idle_until = self.confirm_at = self.fetch_at = 0
 
     @property
     def position(self) -> Position:
-        return self.chain.position
+        return self.committed.position
 
     @property
     def document(self) -> Document:
-        return self.chain.document
+        return self.committed.document
+
+    @property
+    def facts(self) -> StoredFacts:
+        return self.committed.facts
+
+    @property
+    def history(self) -> ChangeHistory:
+        return self.committed.chain.history
 
     # Inputs.
 
@@ -100,17 +86,10 @@
         at most `longest_deadline` from now) if `tick` is called in time. The same change may be asked for
         again and again, also by other askers."""
         size, digest = measured(change)
-        faults = change_faults(change)
-        if size > MAX_CHANGE:
-            faults.append(Fault("", f"has {size} bytes; {MAX_CHANGE} are allowed"))
-        if faults:
-            self._answer(asker, ProposeAnswer(id=change.id[:MAX_ID], outcome="invalid", faults=tuple(faults)))
-        elif done := self.chain.history.done.get(change.id):
-            self._answer(asker, done_answer(change.id, digest, done))
-        elif self.broken:
-            self._answer(asker, ProposeAnswer(id=change.id, outcome="refused", text=self.broken))
-        elif not self.pending.has_room(size):
-            self._answer(asker, ProposeAnswer(id=change.id, outcome="refused", text="busy"))
+        if answer := first_answer(change, size, digest, self.history):
+            self._answer(asker, answer)
+        elif text := self.broken or ("" if self.pending.has_room(size) else "busy"):
+            self._answer(asker, ProposeAnswer(id=change.id, outcome="refused", text=text))
         else:
             deadline = min(deadline, now + self.limits.longest_deadline)
             self.pending.add(asker, change, size, digest, deadline)
@@ -118,10 +97,9 @@
 
     def register_answered(self, now: int, asking: int, outcome: str, value: bytes, reason: str = "") -> None:
         """How an AskRegister ended: `agreed`, `refused` or `open`, as the replica's proposer tells it."""
-        if self.asking is None or asking != self.asking.number:
+        if (asked := self.register.answered(asking)) is None:
             self.counts["late_answers"] += 1
             return
-        asked, self.asking = self.asking, None
         self.counts[f"register_{outcome}"] += 1
         if outcome == "agreed":
             self._agreed(now, asked, value)
@@ -143,16 +121,16 @@
             self.counts["heard_gap"] += 1
             self.confirm_at = min(self.confirm_at, now)
         if self.position != before:
-            self._extend(self.tail.revisions)
+            self._extend(self.committed.tail.revisions)
             self.fetch_at = now  # for the next page, if there is still a gap
         self._resolve()
         self._step(now)
 
-    def snapshot_heard(self, now: int, stored: StoredState) -> None:
+    def snapshot_heard(self, now: int, stored: a.StoredState) -> None:
         """A committed snapshot from another control machine, for one that is too far behind; its document is
         taken over. One that is not ahead of this machine is passed over."""
         try:
-            chain = Chain.restored(stored, self.limits.history, self.limits.history_entries)
+            chain = self.committed.restored(stored)
             chain.check_known(self.position)
         except RevisionError as wrong:
             self.counts[f"heard_{wrong.code}"] += 1
@@ -163,11 +141,10 @@
         if chain.history.floor > self.position.number:  # what was carried out in between is not known here
             for pending in self.exposed:
                 self.pending.end_unknown(pending)
-        self.chain = chain
-        self.actions.append(StoreSnapshot(chain.position))
-        for pending in list(self.pending.all.values()):
-            self._answer_if_done(pending)
-        self._extend(self.tail.revisions)
+        self.committed.replace(chain)
+        self.actions.append(a.StoreSnapshot(chain.position))
+        self.pending.end_done(list(self.pending.by_id), self.history.done)
+        self._extend(self.committed.tail.revisions)
         self._resolve()
         self._step(now)
 
@@ -188,14 +165,14 @@
     def next_at(self) -> int | None:
         """When `tick` is to be called next."""
         times = [] if (deadline := self.pending.next_deadline()) is None else [deadline]
-        if self.asking is None:
+        if self.register.asking is None:
             urgent = not self.register.settled or self._may_propose()
             times.append(self.idle_until if urgent else max(self.idle_until, self.confirm_at))
         if self._has_gap:
             times.append(self.fetch_at)
         return min(times, default=None)
 
-    def take_actions(self) -> list[Action]:
+    def take_actions(self) -> list[a.Action]:
         """What to do since the last call, in order."""
         actions, self.actions = self.actions, []
         return actions
@@ -209,9 +186,9 @@
 
     def _agreed(self, now: int, asked: Asking, value: bytes) -> None:
         try:
-            head, tail = self.register.read(asked, value, self.chain)
-            self.tail.found(tail, head.number)
-            self._extend(self.tail.revisions)
+            head, tail = self.register.read(asked, value, self.committed.chain)
+            self.committed.tail.found(tail, head.number)
+            self._extend(self.committed.tail.revisions)
         except (HeadError, RevisionError) as wrong:
             self._break(now, f"{wrong.code}: {wrong.text}")
             return
@@ -219,8 +196,8 @@
         self.blocked = False
         self.register.found(asked, head)
         self.confirm_at = now + self.limits.confirm_every
-        if asked.sealed and self.chain.has(asked.sealed.position):
-            self.actions.append(Publish((asked.sealed,)))
+        if asked.sealed and self.committed.chain.has(asked.sealed.position):
+            self.actions.append(a.Publish((asked.sealed,)))
         self._resolve()
 
     def _not_agreed(self, now: int, asked: Asking, outcome: str, reason: str) -> None:
@@ -244,30 +221,15 @@
     def _extend(self, found: list[SealedRevision]) -> None:
         """Takes what follows, up to a gap. RevisionError if there is another chain; what came before it
         stays."""
-        taken: list[SealedRevision] = []
-        try:
-            for sealed in found:
-                if sealed.revision.number > self.position.number + 1:
-                    break
-                if sealed.revision.number <= self.position.number:
-                    self.chain.check_known(sealed.position)
-                else:
-                    self.chain.append(sealed)
-                    taken.append(sealed)
-        finally:
-            if taken:
-                self._taken(taken)
-
-    def _taken(self, revisions: list[SealedRevision]) -> None:
-        self.actions.append(Store(tuple(revisions)))
-        self.blocked = False
-        self.counts["revisions"] += len(revisions)
-        self.tail.add(revisions)
-        self.tail.trim(self._stored())
-        for sealed in revisions:
-            for change in sealed.revision.changes:
-                for pending in self.pending.with_id(change.id):
-                    self._answer_if_done(pending)
+        taken, wrong = self.committed.extend(found)
+        if taken:
+            self.actions.append(a.Store(tuple(taken)))
+            self.blocked = False
+            self.counts["revisions"] += len(taken)
+        ids = [change.id for sealed in taken for change in sealed.revision.changes]
+        self.pending.end_done(ids, self.history.done)
+        if wrong is not None:
+            raise wrong
 
     def _resolve(self) -> None:
         """What follows from having come so far."""
@@ -294,34 +256,30 @@
     def _step(self, now: int) -> None:
         if self._has_gap and now >= self.fetch_at:
             self.fetch_at = now + self.limits.fetch_every
-            self.actions.append(Fetch(self.position))
-        if self.asking is not None or now < self.idle_until:
+            self.actions.append(a.Fetch(self.position))
+        if self.register.asking is not None or now < self.idle_until:
             return
         if not self.register.settled:
             self._ask(now, Settle())
             return
         if self._may_propose():
             self._propose_group(now)
-        if self.asking is None and now >= self.confirm_at:
+        if self.register.asking is None and now >= self.confirm_at:
             self._confirm(now)
 
     def _confirm(self, now: int) -> None:
         """Asks whether there is anything newer. That also drops a long tail which a majority has stored, at
         one of the machines on average: all would disturb each other."""
-        droppable = self.register.droppable_bytes(self._stored())
+        droppable = self.register.droppable_bytes(self.committed.stored)
         mine = self.random.randrange(len(self.machines)) == 0
         drops = mine and droppable > self.limits.drop_above
-        self._ask(now, Settle(self._stored()) if drops else Read())
-
-    def _stored(self) -> int:
-        """Up to which revision the tail may be dropped."""
-        return min(self.facts.by_majority, self.position.number)
+        self._ask(now, Settle(self.committed.stored) if drops else Read())
 
     def _propose_group(self, now: int) -> None:
-        stored = self._stored()
-        tail_room = self.limits.tail_bytes - self.tail.trim(stored)
-        builder = GroupBuilder(self.chain.checked, self.chain.history, self.register.confirmed_pending)
-        group = builder.build(self.pending.waiting.values(), min(MAX_CHANGE, tail_room - REVISION_OVERHEAD))
+        chain, stored = self.committed.chain, self.committed.stored
+        builder = GroupBuilder(chain.checked, chain.history, self.register.confirmed_pending)
+        room = min(MAX_CHANGE, self.committed.room() - REVISION_OVERHEAD)
+        group = builder.build(self.pending.waiting.values(), room)
         for pending, answer in group.answers:
             self.pending.end(pending, answer)
         self.blocked = group.blocked
@@ -340,15 +298,9 @@
         self._ask(now, Advance(sealed.body, stored), sealed)
 
     def _ask(self, now: int, change: RegisterChange, sealed: SealedRevision | None = None) -> None:
-        self.last_asking += 1
-        self.asking = Asking(self.last_asking, change, now, self.position, self.pending.last_number, sealed)
-        self.actions.append(AskRegister(self.last_asking, change, now + self.limits.ask_within))
+        number = self.register.ask(now, change, self.position, self.pending.last_number, sealed)
+        self.actions.append(a.AskRegister(number, change, now + self.limits.ask_within))
 
     def _answer(self, asker: object, answer: ProposeAnswer) -> None:
         self.counts[f"answered_{answer.outcome}"] += 1
-        self.actions.append(Answer(asker, answer))
-
-    def _answer_if_done(self, pending: Pending) -> None:
-        if done := self.chain.history.done.get(pending.change.id):
-            answer = done_answer(pending.change.id, pending.digest, done, pending.unknown)
-            self.pending.end(pending, answer)
+        self.actions.append(a.Answer(asker, answer))
--- a/hazelhold/fleetconfig/group.py
+++ b/hazelhold/fleetconfig/group.py
@@ -9,17 +9,25 @@
 from collections.abc import Iterable
 from typing import NamedTuple
 
-from hazelhold.fleetconfig.change_history import ChangeHistory, Done
+from hazelhold.fleetconfig.change_history import ChangeHistory
 from hazelhold.fleetconfig.document import Document, Fault
 from hazelhold.fleetconfig.messages import ProposeAnswer
-from hazelhold.fleetconfig.pending import Pending
-from hazelhold.fleetconfig.revision import MAX_REVISION, Position, Revision, SealedRevision, seal
+from hazelhold.fleetconfig.pending import Pending, done_answer
+from hazelhold.fleetconfig.revision import (
+    MAX_ID,
+    MAX_REVISION,
+    Change,
+    Position,
+    Revision,
+    SealedRevision,
+    change_faults,
+    seal,
+)
 from hazelhold.fleetconfig.validation import CheckedDocument, Draft
 
 REVISION_OVERHEAD = 1024  # bytes of an encoded revision beside its changes, at most
 MAX_CHANGE = MAX_REVISION - REVISION_OVERHEAD  # bytes of one encoded change
 BASE_TOO_OLD = "base_too_old"
-MOST_TOLD = 8  # unknown items and fields that an answer names
 
 
 class Group(NamedTuple):
@@ -128,10 +136,12 @@
     )
 
 
-def done_answer(id_: str, digest: bytes, done: Done, unknown: tuple[Fault, ...] = ()) -> ProposeAnswer:
-    """The answer to a change whose id was carried out. `unknown`: what of it this program does not know."""
-    if digest != done.digest:
-        fault = Fault("", f"its id was carried out with another change, by revision {done.number}")
-        return ProposeAnswer(id=id_, outcome="invalid", number=done.number, faults=(fault,))
-    text = "; ".join(f"{fault.item}: {fault.text}" for fault in unknown[:MOST_TOLD])
-    return ProposeAnswer(id=id_, outcome="committed", number=done.number, text=text)
+def first_answer(change: Change, size: int, digest: bytes, history: ChangeHistory) -> ProposeAnswer | None:
+    """The answer that needs no revision: the change itself is wrong, or its id was carried out."""
+    faults = change_faults(change)
+    if size > MAX_CHANGE:
+        faults.append(Fault("", f"has {size} bytes; {MAX_CHANGE} are allowed"))
+    if faults:
+        return ProposeAnswer(id=change.id[:MAX_ID], outcome="invalid", faults=tuple(faults))
+    done = history.done.get(change.id)
+    return done and done_answer(change.id, digest, done)
--- a/hazelhold/fleetconfig/pending.py
+++ b/hazelhold/fleetconfig/pending.py
@@ -1,12 +1,15 @@
 """Changes that wait for an answer on one control machine, each answered once. Bounded; no I/O."""
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 from heapq import heappop, heappush
 
+from hazelhold.fleetconfig.change_history import Done
 from hazelhold.fleetconfig.document import Fault
 from hazelhold.fleetconfig.messages import ProposeAnswer
 from hazelhold.fleetconfig.revision import Change
 
+MOST_TOLD = 8  # unknown items and fields that an answer names
+
 
 class Pending:
     """One asking of a writer. The same change may be asked for several times at once."""
@@ -78,8 +81,11 @@
             elif number in self.all:
                 self.end_unknown(self.all[number])
 
-    def with_id(self, id_: str) -> list[Pending]:
-        return list(self.by_id.get(id_, {}).values())
+    def end_done(self, ids: Iterable[str], done: Mapping[str, Done]) -> None:
+        """Answers those with these ids that were carried out."""
+        for id_ in ids:
+            for pending in list(self.by_id.get(id_, {}).values()) if id_ in done else ():
+                self.end(pending, done_answer(id_, pending.digest, done[id_], pending.unknown))
 
     def take(self, taken: Iterable[Pending]) -> None:
         """These are in a revision now."""
@@ -92,3 +98,12 @@
 
     def next_deadline(self) -> int | None:
         return self.deadlines[0][0] if self.deadlines else None
+
+
+def done_answer(id_: str, digest: bytes, done: Done, unknown: tuple[Fault, ...] = ()) -> ProposeAnswer:
+    """The answer to a change whose id was carried out. `unknown`: what of it this program does not know."""
+    if digest != done.digest:
+        fault = Fault("", f"its id was carried out with another change, by revision {done.number}")
+        return ProposeAnswer(id=id_, outcome="invalid", number=done.number, faults=(fault,))
+    text = "; ".join(f"{fault.item}: {fault.text}" for fault in unknown[:MOST_TOLD])
+    return ProposeAnswer(id=id_, outcome="committed", number=done.number, text=text)
--- a/hazelhold/fleetconfig/register_view.py
+++ b/hazelhold/fleetconfig/register_view.py
@@ -27,6 +27,8 @@
     """`settled`: nothing that was proposed here is open, once all up to `settled_number` is here."""
 
     def __init__(self) -> None:
+        self.asking: Asking | None = None  # under way
+        self.last_asking = 0
         self.head = Head()  # the one seen last
         self.known_number = 0  # the highest number of any head seen
         self.settled = False
@@ -35,6 +37,26 @@
         self.confirmed_pending = 0  # the last of the writers' askings that had come then
         self.unconfirmed: tuple[Asking, int] | None = None  # what was agreed last, and the number it found
 
+    def ask(
+        self,
+        now: int,
+        change: RegisterChange,
+        position: Position,
+        last_pending: int,
+        sealed: SealedRevision | None = None,
+    ) -> int:
+        """Notes what is asked; the number of this asking."""
+        self.last_asking += 1
+        self.asking = Asking(self.last_asking, change, now, position, last_pending, sealed)
+        return self.last_asking
+
+    def answered(self, asking: int) -> Asking | None:
+        """What was asked under this number, if it is the one under way; it is that no more."""
+        if self.asking is None or asking != self.asking.number:
+            return None
+        asked, self.asking = self.asking, None
+        return asked
+
     def read(self, asked: Asking, value: bytes, chain: Chain) -> tuple[Head, list[SealedRevision]]:
         """What was agreed, and its tail. HeadError or RevisionError if that is no head, or not one of this
         machine's chain: the register never goes back."""
--- a/tests/fleetconfig_space.py
+++ b/tests/fleetconfig_space.py
@@ -115,11 +115,15 @@
                 if isinstance(each, Send):
                     self.flying |= {(number, each.to, each.word)}
                 else:
-                    core.chain = clone_chain(core.chain)  # this state's own: the answer may extend it
+                    self._own_chain(core)
                     core.register_answered(
                         self.clocks[number], self.asking[number], each.outcome, each.value, each.reason
                     )
 
+    def _own_chain(self, core: ControlCore) -> None:
+        """Instead of one that other states share: it may be extended now."""
+        core.committed.chain = clone_chain(core.committed.chain)
+
     # Moves.
 
     def moves(self) -> list["Move"]:
@@ -171,7 +175,9 @@
 
     def _idles(self, number: int) -> bool:
         core = self.cores[number]
-        return core.asking is None and core.idle_until > self.clocks[number] and self.asks[number] > 0
+        return (
+            core.register.asking is None and core.idle_until > self.clocks[number] and self.asks[number] > 0
+        )
 
     def wake(self, number: int) -> None:
         """The pause after an asking that was not agreed is over."""
@@ -253,7 +259,7 @@
             tuple(pending.change.id for pending in core.exposed),
             tuple(core.pending.all),
             tuple(core.pending.waiting),
-            core.asking is not None,
+            core.register.asking is not None,
             self._idles(number),
         )
 
@@ -322,8 +328,9 @@
     """A copy that shares what no input changes in place, and the chain, until the register has answered."""
     made = shallow(core)
     made.counts, made.actions, made.exposed = core.counts.copy(), [], list(core.exposed)
-    made.tail, made.register = shallow(core.tail), shallow(core.register)
-    made.tail.revisions = list(core.tail.revisions)
+    made.register, made.committed = shallow(core.register), shallow(core.committed)
+    tail = made.committed.tail = shallow(core.committed.tail)
+    tail.revisions = list(tail.revisions)
     pending = made.pending = shallow(core.pending)
     pending.all, pending.waiting = dict(core.pending.all), dict(core.pending.waiting)
     pending.by_id = {id_: dict(same) for id_, same in core.pending.by_id.items()}
--- a/tests/test_fleetconfig_control.py
+++ b/tests/test_fleetconfig_control.py
@@ -204,14 +204,14 @@
     answer = bench.propose("again", item("0", "x/0", 0))
     assert answer.outcome == "conflict" and answer.faults[0].text.startswith(BASE_TOO_OLD)
     assert bench.propose("edge", item("e", "x/e", 2)).outcome == "committed"
-    assert bench.core.chain.history.floor == 3 and len(bench.core.chain.history.done) == 3
+    assert bench.core.history.floor == 3 and len(bench.core.history.done) == 3
 
 
 def test_the_window_is_bounded_by_what_it_holds_too() -> None:
     bench = Bench(limits=LIMITS._replace(history_entries=20))
     for number in range(30):
         assert bench.propose(number, item(str(number), f"x/{number}", number)).outcome == "committed"
-    history = bench.core.chain.history
+    history = bench.core.history
     assert len(history.done) + len(history.changed) <= 20 and history.floor == 20
     assert history.position_at(20) is not None and history.position_at(19) is None
 
@@ -466,7 +466,7 @@
     assert a.StoreSnapshot(chain[7].position) in bench.others
     assert bench.stored[-1].body == chain[8].body and bench.core.position == chain[8].position
     assert bench.answers["w"].number == 8, "it was carried out by another machine"
-    assert bench.core.chain.history.floor == 5
+    assert bench.core.history.floor == 5
     bench.core.snapshot_heard(bench.now, snapshot(chain[:8], kept=0))
     assert bench.core.counts["heard_old"] == 1
 
--- a/tests/test_fleetconfig_control_broken.py
+++ b/tests/test_fleetconfig_control_broken.py
@@ -7,7 +7,7 @@
 from fleetconfig_model import LOSING_DISKS, RESTARTING, World, drawn_world
 from fleetconfig_space import ControlSpace, search, walk
 
-from hazelhold.fleetconfig import chain, control, group
+from hazelhold.fleetconfig import chain, committed, control, group
 from hazelhold.fleetconfig.change_history import ChangeHistory
 from hazelhold.fleetconfig.control import Asking, ControlCore
 from hazelhold.fleetconfig.head import Advance, Head, Settle, decode_head, encode_head, trimmed
@@ -130,7 +130,7 @@
 
     def __init__(self, *given: object, **named: object) -> None:
         super().__init__(*given, **named)
-        self.chain.history = Forgetful(self.chain.history, items=False)
+        self.committed.chain.history = Forgetful(self.committed.chain.history, items=False)
 
 
 class ForgetsAll(ControlCore):
@@ -138,7 +138,7 @@
 
     def __init__(self, *given: object, **named: object) -> None:
         super().__init__(*given, **named)
-        self.chain.history = Forgetful(self.chain.history, items=True)
+        self.committed.chain.history = Forgetful(self.committed.chain.history, items=True)
 
 
 class Forgetful(ChangeHistory):
@@ -176,7 +176,7 @@
 
 def test_a_tail_that_is_dropped_when_a_minority_has_stored_it(monkeypatch: pytest.MonkeyPatch) -> None:
     losing_disks()
-    monkeypatch.setattr(control, "StoredFacts", OneIsEnough)
+    monkeypatch.setattr(committed, "StoredFacts", OneIsEnough)
     with pytest.raises(AssertionError, match="committed revisions are lost"):
         losing_disks()
 
