--- a/hazelhold/engine/tables.py
+++ b/hazelhold/engine/tables.py
@@ -75,8 +75,8 @@
 
     def reconfigure(self, terms: Terms) -> None:
         """Works on by these terms. Products that are here keep their places and whatever tasks in hand were
-        judged by; others may follow them. Kinds are the same, and so is this planner's share of the fleet. New
-        tasks are taken by the new terms; limits on dispatches hold for all at once."""
+        judged by; others may follow them. Kinds are the same, and so is this planner's share of the fleet.
+        New tasks are taken by the new terms; limits on dispatches hold for all at once."""
         facts = terms.facts._replace(planners=self.facts.planners, slot=self.facts.slot)
         self.facts = self.brain.deployment = facts
         self.products = {name: at for at, name in enumerate(terms.products)}
