--- a/hazelhold/fleetconfig/history.py
+++ b/hazelhold/fleetconfig/history.py
@@ -30,7 +30,7 @@
         window_revisions: int = WINDOW_REVISIONS,
         window_bytes: int = WINDOW_BYTES,
     ) -> None:
-        """`recent` are revisions that lead to the position, from a store; they may be none."""
+        """`recent` are revisions that lead to the position, from a store; of others none is taken."""
         self.position = position
         self.document = document or Document()
         self.window: deque[SealedRevision] = deque()
@@ -38,7 +38,7 @@
         self._bytes = 0
         self._chains: dict[int, bytes] = {position.number: position.chain}
         self._snapshot: ref[Snapshot] | None = None
-        for sealed in recent:
+        for sealed in recent if _leads_to(recent, position) else ():
             self._remember(sealed)
 
     def append(self, sealed: SealedRevision) -> None:
@@ -119,3 +119,9 @@
     if not found or chains != named:
         raise RevisionError("damaged", "revisions that do not fit one another or the message's checksum")
     return found
+
+
+def _leads_to(recent: Sequence[SealedRevision], position: Position) -> bool:
+    positions = [sealed.position for sealed in recent]
+    parents = [Position(sealed.revision.number - 1, sealed.revision.parent) for sealed in recent]
+    return [*positions[-1:], *parents[1:]] == [position, *positions[:-1]]
--- a/tests/test_configuration_model.py
+++ b/tests/test_configuration_model.py
@@ -1,4 +1,4 @@
-"""The capacity figures of the configuration's spread: the same each time, in the order that they must have."""
+"""The capacity figures of the configuration's spread: the same each time, in the order they must have."""
 
 from bench.capacity.configuration_model import Load, compare
 
