--- a/hazelhold/config/fleetconfig.py
+++ b/hazelhold/config/fleetconfig.py
@@ -39,6 +39,8 @@
     control: list[ControlMachine] = []
     folder: str = ""  # for the last revision, so that a planner that is cut off starts with it
     reach: dict[str, str] = {}  # by name or told address: where it is reached from here
+    relays: Annotated[int, Meta(ge=0, le=16)] = 2  # planners of each zone and region that others follow, the
+    # same in the files of all; 0: all follow control machines
     slow_ms: Millis = 2000.0  # a commit to the folder that takes longer counts as a failed disk
     retry_ms: Millis = 1000.0  # how often a failed disk is tried again
 
--- a/hazelhold/fleetconfig/follower_host.py
+++ b/hazelhold/fleetconfig/follower_host.py
@@ -78,7 +78,7 @@
         self.follower = FollowerCore(
             self.name,
             self.history,
-            Roster(control),
+            Roster(control, section.relays),
             self.subtree,
             a.Times(),
             SystemRandom().getrandbits(62),
