--- a/bench/capacity/breaks.py
+++ b/bench/capacity/breaks.py
@@ -40,8 +40,14 @@
 CONSTANTS = {"list-service/frame-of-the-whole-list", "planner/descriptors"}
 """Verdicts on a constant of a file."""
 
-VARIANTS = ("half as many planners", "twice as many planners", "as up to eight planners send them")
-"""How the resource of a verdict ends that is on another number of planners than the page reckons with."""
+VARIANTS = (
+    "half as many planners",
+    "twice as many planners",
+    "as up to eight planners send them",
+    "without relays",
+)
+"""How the resource of a verdict ends that is on another number of planners, or another setting, than the page
+reckons with."""
 
 
 @dataclass(frozen=True)
--- a/hazelhold/fleetconfig/control_status.py
+++ b/hazelhold/fleetconfig/control_status.py
@@ -7,7 +7,7 @@
 from hazelhold.fleetconfig.everywhere import FleetCoverage
 
 CUT_OFF = 5_000_000  # microseconds without a majority's word after which that is told
-TOLD_REVISIONS = 16  # in a status
+TOLD_REVISIONS = 64  # in a status: in a burst a revision is told everywhere when a dozen or more followed it
 TOLD_LACKING = 50
 
 
