--- a/bench/capacity/configuration/fleet.py
+++ b/bench/capacity/configuration/fleet.py
@@ -6,6 +6,7 @@
 import subprocess
 import sys
 import time
+from collections.abc import Callable
 from datetime import datetime
 from pathlib import Path
 
@@ -73,7 +74,7 @@
         self.trial, self.folder = trial, folder
         self.net, self.counts = TcpNet(), Counts()
         self.wires = CountingWires(self.net, nursery, self.counts)
-        self.layout = layout(trial.planners, trial.controls, trial.real)
+        self.layout = layout(trial)
         self.off = [f"off{number}" for number in range(trial.off)]
         machines = [*self.layout.controls, *self.layout.places]
         ports = iter(free_ports(len(machines) + trial.controls))
@@ -84,6 +85,7 @@
         self.writers: dict[str, str] = {}  # by control machine: where writers reach it, through a wire
         self.wall_offset = time.time_ns() // 1000 - self.net.now()
         self.crossed: list[w.Crossed] = []
+        self.listeners: list[Callable[[list[w.Crossed]], None]] = []  # hear all that hollow followers counted
         self.enforced: list[w.Enforced] = []
         self.in_force: dict[str, int] = {}  # of hollow followers, as last heard
         self.best = 0
@@ -223,6 +225,8 @@
     def _take(self, line: bytes) -> None:
         answer = msgspec.json.decode(line, type=w.Answer)
         self.crossed += answer.crossed
+        for listener in self.listeners:
+            listener(answer.crossed)
         self.enforced += answer.enforced
         self.in_force |= answer.in_force
         self.best += answer.best
--- a/bench/capacity/configuration/followers.py
+++ b/bench/capacity/configuration/followers.py
@@ -55,7 +55,7 @@
 
     def follows_best(self) -> bool:
         links = self.host.follower.links
-        return links.current is not None and links.choice.rank(links.current.source.name) == 0
+        return links.current is not None and links.current.source.role == links.choice.sources[0].role
 
     def _put_in_force(self, document: Document, changed: Iterable[str] | None) -> None:
         """There is no engine here: the moment is noted."""
--- a/bench/capacity/configuration/results.py
+++ b/bench/capacity/configuration/results.py
@@ -16,12 +16,15 @@
     planners: int
     relays: int = 2
     faults: bool = False
+    regions: int = t.REGIONS
+    zones_a_region: int = t.ZONES // t.REGIONS
     controls: int = t.CONTROL_MACHINES
     replicas: int = 5
     real: int = 4
+    restarted: bool = False  # hollow followers are killed once and return, to follow relays at once
     off: int = 1  # planners without the fleet's configuration, for comparison
     most_settle: float = 35.0
-    rest: float = 11.0
+    rest: float = 11.0  # 0, here and below: this phase is left out
     mean: float = 16.0
     mean_rate: float = MEAN
     burst: float = 20.0
@@ -85,14 +88,15 @@
 
 class Result(Struct, kw_only=True):
     """One trial's figures. `roles`: of real planners, whose relay they are. `settled`: planners that followed
-    the source that they prefer when the phases began, of the hollow ones."""
+    a source of the kind that they prefer when the phases began, of the hollow ones."""
 
     trial: Trial
     kinds: dict[str, Kind]
     roles: dict[str, str]
     settled: int
     phases: dict[str, Phase]
-    unequal: int  # pairs of hollow followers of which one saw other bytes than the other
+    unequal: int  # pairs of hollow followers of which one saw other bytes than the other, once all settled
+    relayed: int  # bytes that hollow followers sent to hollow followers since then
     load_average: float
     faults: list[str]
 
--- a/bench/capacity/configuration/words.py
+++ b/bench/capacity/configuration/words.py
@@ -61,8 +61,8 @@
 
 
 class Answer(Struct, kw_only=True):
-    """Of every command. `in_force`: by follower that runs; `best`: how many follow the source that they
-    prefer to all others."""
+    """Of every command. `in_force`: by follower that runs; `best`: how many follow a source of the kind
+    that they prefer to others: a relay of their zone, of their region, or a control machine."""
 
     crossed: list[Crossed] = []
     enforced: list[Enforced] = []
--- a/bench/capacity/rows_configuration.py
+++ b/bench/capacity/rows_configuration.py
@@ -205,7 +205,7 @@
     )
     def measured(size: int) -> Iterator[float]:
         result = result_of(family.trial(size))
-        if result.unequal or result.faults:
+        if result.faults or (result.unequal and not result.trial.faults):  # who is killed reads no more
             raise ValueError(f"{result.unequal} pairs counted differently; {result.faults[:1]}")
         yield quantity.value(result, phase)
 
--- a/hazelhold/cli/fleetconfig_status.py
+++ b/hazelhold/cli/fleetconfig_status.py
@@ -8,6 +8,8 @@
 from hazelhold.cli.members import span
 from hazelhold.fleetconfig.messages import MemberState, RevisionCoverage, Status
 
+SHOWN_REVISIONS = 16  # to people, the latest first; --json has all that are told
+
 
 def as_dict(status: Status) -> dict[str, Any]:
     """For JSON: all fields, checksums as hexadecimal digits, spans in microseconds (-1: not known)."""
@@ -28,7 +30,7 @@
     yield f"nothing newer was committed {span(status.confirmed_age)} ago{route}"
     if status.cut_off:
         yield f"CUT OFF: {status.cut_off}"
-    for revision in status.revisions:
+    for revision in status.revisions[:SHOWN_REVISIONS]:
         yield _revision(revision)
     for member in status.lacking:
         yield _lacking(member)
