--- a/bench/capacity/breaks.py
+++ b/bench/capacity/breaks.py
@@ -1,16 +1,19 @@
 """At which part of the target each role breaks: the first step of the page's rule.
 
-Each verdict's arithmetic is evaluated for 1/64, 1/32, ... 1 of the target: rows are read at so much of their
-size, and demands grow as EXPONENTS says. Everything that the operators told grows with the part, and with it
-the number of planners; what does not (a rack, bytes of a change, periods) stays.
+Each verdict's arithmetic is evaluated for 1/64, 1/32, ... 1 of the target: rows that are read at one of
+TARGET_SIZES are read at so much of it, but for costs of one (`row@7300 / 7300`), and demands grow as
+EXPONENTS says. Everything that the operators told grows with the part, and with it the number of planners;
+what does not (a rack, bytes of a change, periods) stays.
 
 A role that the program has no mechanism for breaks at the smallest part. Verdicts in CONSTANTS are limits
 that a file sets, and those in VARIANTS are told for comparison: by the rule, neither breaks a role.
 """
 
+import re
 from dataclasses import dataclass
 from fractions import Fraction
 
+from bench.capacity import target
 from bench.capacity.arithmetic import Known, MissingError
 from bench.capacity.figures import show, verdict_id
 from bench.capacity.schema import ResultFile, Verdict
@@ -40,8 +43,28 @@
 CONSTANTS = {"list-service/frame-of-the-whole-list", "planner/descriptors"}
 """Verdicts on a constant of a file."""
 
-VARIANTS = ("half as many planners", "twice as many planners", "as up to eight planners send them")
-"""How the resource of a verdict ends that is on another number of planners than the page reckons with."""
+VARIANTS = (
+    "half as many planners",
+    "twice as many planners",
+    "as up to eight planners send them",
+    "workers of one region alone",
+    "eight planners that probe",
+)
+"""How the resource of a verdict ends that is on other planners or workers than the page reckons with."""
+
+TARGET_SIZES = {
+    float(size)
+    for size in (
+        target.WORKERS,
+        target.WORKERS // target.REGIONS,
+        target.PLANNERS,
+        2 * target.PLANNERS,
+        round(2 * target.STARTS_A_SECOND * target.LIST_PERIOD_S),
+    )
+}
+"""Sizes that a part of the target has less of; a row that is read at another size stays there."""
+
+COST_OF_ONE = re.compile(r"(?P<row>[\w.]+@(?P<size>\d+))(?= / (?P=size)\b)")
 
 
 @dataclass(frozen=True)
@@ -65,10 +88,14 @@
         name, at, size = reference.partition("@")
         if name.startswith("demand."):
             return self._demand(name.removeprefix("demand."), super().value(name))
-        if at:
+        if at and float(size) in TARGET_SIZES:
             return super().value(f"{name}@{max(1.0, float(size) * self.part)!r}")
         return super().value(reference)
 
+    def evaluate(self, text: str) -> float:
+        """As `Known` does, but for costs of one, which are read at their whole size."""
+        return super().evaluate(COST_OF_ONE.sub(lambda found: repr(Known.value(self, found["row"])), text))
+
     def _demand(self, name: str, whole: float) -> float:
         """What rests on rows is computed anew from them; the rest grows by its exponent."""
         if name not in EXPONENTS and self.rows_in(self.demands[name].arithmetic):
--- a/tests/test_capacity_page.py
+++ b/tests/test_capacity_page.py
@@ -12,6 +12,7 @@
 from bench.capacity.page import PAGE_PATH, arithmetic_faults, faults, figures_of, regenerate
 from bench.capacity.prose import PageError, declared, renew_references, split
 from bench.capacity.schema import (
+    RESULT_PATH,
     Demand,
     Fit,
     Machine,
@@ -20,6 +21,7 @@
     ResultFile,
     Row,
     Verdict,
+    load,
 )
 from bench.capacity.tables import FAILURES, TableError, needed, render
 
@@ -249,6 +251,10 @@
     )
     assert PartOfTarget(result, Fraction(1, 4)).evaluate("max(demand.list.changes.day, 1)") == 366
     assert PartOfTarget(result, Fraction(1, 64)).evaluate("list.whole.bytes@1") == pytest.approx(161)
+    quarter = PartOfTarget(result, Fraction(1, 4))
+    assert quarter.evaluate("list.whole.bytes@3650") == 587_650  # no size of the target
+    assert quarter.evaluate("2 * list.whole.bytes@7300 / 7300") == pytest.approx(322)  # the cost of one
+    assert quarter.evaluate("list.whole.bytes@7300 / 73") == pytest.approx(1825 * 161 / 73)
     result.demands[0] = msgspec.structs.replace(result.demands[0], arithmetic="list.whole.bytes@7300 * 2")
     half = PartOfTarget(result, Fraction(1, 2))
     assert half.evaluate("demand.list.changes.day") == pytest.approx(1_175_300)
@@ -311,6 +317,10 @@
     assert "list.whole.bytes is the id of two figures" in faults(page, result)
 
 
+def test_the_page_and_the_result_file_hold_together() -> None:
+    assert faults(PAGE_PATH.read_text(), load(RESULT_PATH)) == []
+
+
 def test_target_and_rule_stand_as_they_were_written_before_any_figure() -> None:
     found = declared(PAGE_PATH.read_text())
     for name, digest in DECLARED.items():
