--- a/bench/capacity/rows_probes.py
+++ b/bench/capacity/rows_probes.py
@@ -92,8 +92,27 @@
     how="module alone",
     sizes=WORKERS,
     small=(10, 20, 40, 80),
-    note="frames without TCP and IP headers; the number of the probe grows with the workers",
+    note="with all three figures of load; frames without TCP and IP headers; the probe's number grows",
 )
 def probe_bytes(size: int) -> Iterator[float]:
-    report = m.Report(number=size, load=m.Load(cores_free=12.34, memory_free=23.45, busy=0.67))
-    yield len(m.encode(m.Probe(number=size))) + len(m.encode(report))
+    yield exchanged(size, m.Load(cores_free=12.34, memory_free=23.45, busy=0.67))
+
+
+@measurement(
+    id="planner.probe.bytes.bare",
+    role="planner",
+    quantity="bytes of one probe and its report, both ways, of a worker that tells no load",
+    unit="bytes",
+    by="workers",
+    how="module alone",
+    sizes=WORKERS,
+    small=(10, 20, 40, 80),
+    note="frames without TCP and IP headers; the probe's number grows",
+)
+def bare_bytes(size: int) -> Iterator[float]:
+    yield exchanged(size, None)
+
+
+def exchanged(number: int, load: m.Load | None) -> int:
+    """Bytes of a probe and its report."""
+    return len(m.encode(m.Probe(number=number))) + len(m.encode(m.Report(number=number, load=load)))
