bench.capacity: verdicts of a planner's catch-up

Need: a planner that returns after minutes hears the whole list and dials all workers. Change: both as seconds of its budgets, against the time it was away (assumption).

--- a/bench/capacity/budgets.py
+++ b/bench/capacity/budgets.py
@@ -193,6 +193,22 @@
         f"planner.probe.bytes@{W} * demand.planner.probes",
         "both ways; without TCP and IP headers",
     ),
+    Held(
+        "planner",
+        "catch-up: seconds of the traffic budget that the whole list takes",
+        t.PLANNER_AWAY_S,
+        "s",
+        f"list.whole.bytes@{W} / {t.BUDGET_TRAFFIC}",
+        "of a planner that returns; assumption: it may take as long as the planner was away",
+    ),
+    Held(
+        "planner",
+        "catch-up: seconds of the processor budget that the list and all connections take",
+        t.PLANNER_AWAY_S,
+        "s",
+        f"planner.process.start.cpu@{W} / {t.BUDGET_PROCESSOR}",
+        "of a planner that returns; assumption: it may take as long as the planner was away",
+    ),
     Held(
         "planner",
         "descriptors",
