--- a/bench/capacity/hollow/claims.py
+++ b/bench/capacity/hollow/claims.py
@@ -32,6 +32,7 @@
     submitted: int
     placed: int
     refused: int
+    reasons: dict[str, int]
     seconds: float
     cpu: float
     said: Flow  # between the planners, both ways
@@ -119,6 +120,7 @@
         submitted=counts.submitted,
         placed=counts.placed,
         refused=counts.refused,
+        reasons=counts.reasons,
         seconds=time.monotonic() - began,
         cpu=rig.cpu() - cpu,
         said=rig.said().minus(said),
--- a/bench/capacity/hollow/owners.py
+++ b/bench/capacity/hollow/owners.py
@@ -5,6 +5,7 @@
 
 import socket
 import sys
+from collections import Counter
 
 import msgspec
 from msgspec import Struct
@@ -69,7 +70,10 @@
     def _hear(self, connection: Connection, message: m.Message) -> None:
         self.placed += isinstance(message, m.Placed)
         self.ended += isinstance(message, m.GuestEnded)
-        self.refused += isinstance(message, m.Rejected | m.TurnedBack | m.BrokenOff)
+        if isinstance(message, m.Rejected | m.TurnedBack | m.BrokenOff):
+            self.refused += 1
+            why = message.code if isinstance(message, m.Rejected) else message.reason
+            self.process.reasons[f"{message.__struct_config__.tag} {why}"] += 1
 
 
 class Process:
@@ -77,6 +81,7 @@
 
     def __init__(self, settings: Settings) -> None:
         self.settings = settings
+        self.reasons: Counter[str] = Counter()
         self.loop = Loop(settings.most_seconds)
         self.owners = [Owner(self, number, address) for number, address in enumerate(settings.planners)]
 
@@ -96,6 +101,7 @@
             placed=sum(owner.placed for owner in self.owners),
             ended=sum(owner.ended for owner in self.owners),
             refused=sum(owner.refused for owner in self.owners),
+            reasons=dict(self.reasons),
         )
 
 
--- a/bench/capacity/hollow/words.py
+++ b/bench/capacity/hollow/words.py
@@ -43,5 +43,6 @@
     placed: int = 0
     ended: int = 0
     refused: int = 0
+    reasons: dict[str, int] = {}  # of the refusals: type and reason
     # Of a list service.
     entries: int = 0
