--- a/bench/capacity/hollow/loop.py
+++ b/bench/capacity/hollow/loop.py
@@ -22,6 +22,7 @@
 
 READ = 1 << 16  # bytes
 FRAME_LIMIT = 1 << 26  # bytes; this side refuses no list for its size
+FAULTS = 100
 BACKLOG = 64  # connections that wait to be accepted at one listener
 
 
@@ -79,7 +80,7 @@
                 if not self.open:
                     return
         except FrameError as wrong:
-            self.loop.faults.append(f"{self.peer}: {wrong}")
+            self.loop.fault(f"{self.peer}: {wrong}")
             self.close()
 
     def receive(self, body: bytes) -> None:
@@ -128,7 +129,7 @@
             except (BlockingIOError, ConnectionAbortedError):
                 return
             except OSError as wrong:  # no descriptors: told, and the connection waits
-                self.loop.faults.append(f"accept: {wrong}")
+                self.loop.fault(f"accept: {wrong}")
                 return
             self.accepted(stream)
 
@@ -143,12 +144,17 @@
     def __init__(self, most_seconds: float) -> None:
         self.selector = selectors.DefaultSelector()
         self.tally = Tally()
-        self.faults: list[str] = []  # what went wrong, in words; the first hundred count
+        self.faults: list[str] = []  # what went wrong, in words
         self.ends_at = now_us() + round(most_seconds * 1e6)
         self.timers: list[tuple[int, int, Callable[..., None], tuple]] = []
         self.turn = 0
         self.running = True
 
+    def fault(self, text: str) -> None:
+        """Notes what went wrong; the first FAULTS are kept."""
+        if len(self.faults) < FAULTS:
+            self.faults.append(text)
+
     def later(self, at: int, call: Callable[..., None], *given: Any) -> None:  # noqa: ANN401
         """Calls at a moment on the monotonic clock, in microseconds."""
         self.turn += 1
--- a/bench/capacity/hollow/owners.py
+++ b/bench/capacity/hollow/owners.py
@@ -96,7 +96,7 @@
     def counts(self) -> Counts:
         return Counts(
             flows=self.loop.tally.peers,
-            faults=self.loop.faults[:100],
+            faults=self.loop.faults,
             submitted=sum(owner.submitted for owner in self.owners),
             placed=sum(owner.placed for owner in self.owners),
             ended=sum(owner.ended for owner in self.owners),
--- a/bench/capacity/hollow/workers.py
+++ b/bench/capacity/hollow/workers.py
@@ -160,7 +160,7 @@
                 held[planner] = held.get(planner, 0) + 1
         return Counts(
             flows=self.loop.tally.peers,
-            faults=self.loop.faults[:100],
+            faults=self.loop.faults,
             ready=ready,
             held=held,
             restarts=self.restarts,
