Command line: one module a command, loaded when it is asked for

Cause: cli/main.py held eight commands in 400 lines and imported all others, so that the planner on the platform loaded commands that are off there (copies, members, fleet configuration).

--- a/hazelhold/cli/capture.py
+++ b/hazelhold/cli/capture.py
@@ -13,7 +13,7 @@
 
 from hazelhold.capture.files import Packet
 from hazelhold.capture.skips import Skips
-from hazelhold.cli.honest import honest
+from hazelhold.cli.errors import report_errors
 
 FILES = click.argument("files", type=click.Path(dir_okay=False, path_type=Path), nargs=-1, required=True)
 JSON = click.option("--json", "as_json", is_flag=True, help="One JSON object instead of a table.")
@@ -62,7 +62,7 @@
 @capture.command("info")
 @FILES
 @JSON
-@honest
+@report_errors
 def info(files: tuple[Path, ...], as_json: bool) -> None:
     """What the files hold, and what in them was skipped."""
     from hazelhold.capture.cut import survey
@@ -83,7 +83,7 @@
 @capture.command("list")
 @FILES
 @JSON
-@honest
+@report_errors
 def listing(files: tuple[Path, ...], as_json: bool) -> None:
     """Every message and note, a line each."""
     from hazelhold.capture.packets import name
@@ -130,7 +130,7 @@
 @click.option("--service", default="")
 @click.option("--guest", default="")
 @click.option("--machine", default="")
-@honest
+@report_errors
 def extract_command(files: tuple[Path, ...], output: Path, **wish: Any) -> None:  # noqa: ANN401 - as click calls
     """Keep the connections in which something wanted crossed, each whole, as a new capture."""
     from hazelhold.capture.cut import Wish, extract
@@ -156,7 +156,7 @@
 @click.option("--speed", type=click.FloatRange(0.001, 1000), default=1.0, show_default=True)
 @click.option("--mark", default="", help="What renewed ids begin with; drawn from the time if not given.")
 @JSON
-@honest
+@report_errors
 def replay_command(
     files: tuple[Path, ...], config: Path | None, to: str, speed: float, mark: str, as_json: bool
 ) -> None:
--- /dev/null
+++ b/hazelhold/cli/check_config.py
@@ -0,0 +1,34 @@
+"""hazelhold check-config: what is wrong with files, without running anything."""
+
+import sys
+from pathlib import Path
+
+import click
+
+from hazelhold.cli.errors import report_errors
+from hazelhold.cli.options import FILE
+from hazelhold.config.day import read_day
+from hazelhold.config.load import ConfigError, parse, read_text
+from hazelhold.config.planner import read_planner
+
+
+@click.command("check-config")
+@click.argument("files", type=FILE, nargs=-1, required=True)
+@report_errors
+def check_config(files: tuple[Path, ...]) -> None:
+    """Check planner configurations and day files; says all that is wrong with them."""
+    wrong = []
+    for file in files:
+        try:
+            value = parse(read_text(file), str(file))
+            if isinstance(value, dict) and "length_s" in value:
+                read_day(file)
+                click.echo(f"{file}: a sound day")
+            else:
+                read_planner(file)
+                click.echo(f"{file}: a sound planner configuration")
+        except ConfigError as fault:
+            wrong.append(str(fault))
+    if wrong:
+        click.echo("\n".join(wrong), err=True)
+        sys.exit(2)
--- a/hazelhold/cli/copies.py
+++ b/hazelhold/cli/copies.py
@@ -6,7 +6,7 @@
 
 import click
 
-from hazelhold.cli.honest import honest
+from hazelhold.cli.errors import report_errors
 from hazelhold.config.load import ConfigError
 from hazelhold.config.planner import CopiesSheet, read_planner
 
@@ -27,7 +27,7 @@
 
 @copies.command("found")
 @click.argument("config", type=FILE)
-@honest
+@report_errors
 def found(config: Path) -> None:
     """Give a planner of a new set its seat: once, before its first start, for each planner of the set.
 
@@ -47,7 +47,7 @@
 
 @copies.command("vouch")
 @click.argument("config", type=FILE)
-@honest
+@report_errors
 def vouch(config: Path) -> None:
     """Have a planner vote from its own folder at its next start, without the others it would copy from.
 
@@ -64,7 +64,7 @@
 
 @copies.command("show")
 @click.argument("config", type=FILE)
-@honest
+@report_errors
 def show(config: Path) -> None:
     """What the folder holds; harmless beside a running planner. Exits with 1 if these votes are
     none to rely on."""
--- a/hazelhold/cli/honest.py
+++ b/hazelhold/cli/errors.py
@@ -13,7 +13,7 @@
 from hazelhold.state.store import StateError
 
 
-def honest(command: Callable[..., None]) -> Callable[..., None]:
+def report_errors(command: Callable[..., None]) -> Callable[..., None]:
     """What is wrong with a file or an address is said in a line and ends with 2, never with a traceback."""
 
     @wraps(command)
--- a/hazelhold/cli/fleetconfig.py
+++ b/hazelhold/cli/fleetconfig.py
@@ -10,8 +10,8 @@
 import click
 
 from hazelhold.cli import logs
+from hazelhold.cli.errors import report_errors
 from hazelhold.cli.fleetconfig_client import FILE, asking, client_of, run_asking
-from hazelhold.cli.honest import honest
 from hazelhold.config.fleetconfig import read_control
 from hazelhold.config.load import ConfigError, parse, read_text
 
@@ -39,7 +39,7 @@
 @click.option("--ready", is_flag=True, help="Print the address to standard output once up.")
 @click.option("--log", type=click.Choice(["human", "json"]), default="human")
 @click.option("--level", type=click.Choice(["debug", "info", "warning", "error"]), default="info")
-@honest
+@report_errors
 def control(file: Path, ready: bool, log: str, level: str) -> None:
     """Run one control machine until SIGTERM or SIGINT."""
     import signal
@@ -70,7 +70,7 @@
 
 @fleetconfig.command("found")
 @click.argument("file", type=FILE)
-@honest
+@report_errors
 def found(file: Path) -> None:
     """Give a control machine of a new set its seat: once, before its first start, for each of the set.
 
@@ -92,7 +92,7 @@
 
 @fleetconfig.command("vouch")
 @click.argument("file", type=FILE)
-@honest
+@report_errors
 def vouch(file: Path) -> None:
     """Have a control machine vote from its own folder at its next start, without the others it would copy
     from.
@@ -120,7 +120,7 @@
 @click.option("--id", "change_id", default=None, help="Of this change: the same is never carried out twice.")
 @click.option("--author", default="", help="For people.")
 @asking
-@honest
+@report_errors
 def put(
     items: tuple[str, ...],
     remove: tuple[str, ...],
@@ -158,7 +158,7 @@
 @click.option("--id", "change_id", default=None, help="Of this change: the same is never carried out twice.")
 @click.option("--author", default="", help="For people.")
 @asking
-@honest
+@report_errors
 def apply(
     file: Path,
     base: int | None,
@@ -223,7 +223,7 @@
 @fleetconfig.command("show")
 @click.argument("prefix", default="")
 @asking
-@honest
+@report_errors
 def show(
     prefix: str, config: Path | None, at: tuple[str, ...], deployment: str, wait: float, as_json: bool
 ) -> None:
@@ -245,7 +245,7 @@
 
 @fleetconfig.command("status")
 @asking
-@honest
+@report_errors
 def status(config: Path | None, at: tuple[str, ...], deployment: str, wait: float, as_json: bool) -> None:
     """The latest revision, whether newer ones can be known, how long each took until it was in force
     everywhere, and who lacks it.
--- a/hazelhold/cli/members.py
+++ b/hazelhold/cli/members.py
@@ -7,7 +7,7 @@
 
 import click
 
-from hazelhold.cli.honest import honest
+from hazelhold.cli.errors import report_errors
 from hazelhold.config.load import ConfigError, split_address
 
 
@@ -26,7 +26,7 @@
 @click.option(
     "--wait", type=click.FloatRange(0.1, 60), default=3.0, show_default=True, help="Seconds at most."
 )
-@honest
+@report_errors
 def members(address: str | None, config: Path | None, deployment: str, as_json: bool, wait: float) -> None:
     """A planner's view of the others: who is alive, suspected, gone or has left, who accuses whom, round
     trips.
--- /dev/null
+++ b/hazelhold/cli/planner.py
@@ -0,0 +1,107 @@
+"""hazelhold planner: one planner, by its own file or on the operators' platform."""
+
+from pathlib import Path
+
+import click
+
+from hazelhold.cli import logs
+from hazelhold.cli.errors import report_errors
+from hazelhold.cli.options import FILE, log_options
+
+
+@click.command("planner")
+@click.option("--config", type=FILE, default=None, help="The planner's configuration, JSON5.")
+@click.option(
+    "--platform",
+    is_flag=True,
+    help="Speak the operators' platform's protocol; the configuration "
+    "is $BALANCER_CONFIG unless --config names it.",
+)
+@click.option("--frames", is_flag=True, help="With --platform and --level debug: log every message.")
+@click.option("--seed", type=int, default=None, help="In place of the configuration's.")
+@click.option("--record", type=FILE, default=None, help="Append every frame to this file.")
+@click.option("--capture", "to", type=FILE, default=None, help="Write all exchanges there, as pcap(ng).")
+@click.option("--ready", is_flag=True, help="Print the address to standard output once up.")
+@click.option(
+    "--state",
+    "folder",
+    type=click.Path(file_okay=False, path_type=Path),
+    default=None,
+    help="Keep what must outlive the process in this folder.",
+)
+@click.option("--take-over", is_flag=True, help="Have the process that uses the state hand over to this one.")
+@log_options
+@report_errors
+def planner(
+    config: Path | None,
+    platform: bool,
+    frames: bool,
+    seed: int | None,
+    record: Path | None,
+    to: Path | None,
+    ready: bool,
+    folder: Path | None,
+    take_over: bool,
+    log: str,
+    level: str,
+) -> None:
+    """Run one planner until SIGTERM or SIGINT; SIGUSR2 hands over to a process that waits for its state."""
+    if platform:
+        if to or folder or take_over or record or seed is not None:
+            raise click.UsageError(
+                "with --platform there is no --capture, --state, --take-over, --record, --seed"
+            )
+        from hazelhold.platform.serve import serve
+
+        logs.set_up(log, level)
+        serve(config, frames)
+        return
+    if config is None:
+        raise click.UsageError("--config is needed")
+
+    import signal
+
+    import trio
+    from msgspec.structs import replace
+
+    from hazelhold.config.load import ConfigError
+    from hazelhold.config.planner import check_planner, read_planner
+    from hazelhold.protocol.record import Recorder
+    from hazelhold.service.net import TcpNet
+    from hazelhold.service.planner import Planner
+
+    sheet = read_planner(config)
+    if to:
+        sheet = replace(sheet, capture=replace(sheet.capture, file=str(to)))
+    if folder:
+        sheet = replace(sheet, state=replace(sheet.state, folder=str(folder)))
+    if take_over and not sheet.state.folder:
+        raise ConfigError(str(config), [("state.folder", "is empty: there is nothing to take over")])
+    if faults := check_planner(sheet):  # once more, with what the command line changed
+        raise ConfigError(str(config), faults)
+    logs.set_up(log, level)
+    if record:
+        record.parent.mkdir(parents=True, exist_ok=True)
+    recorder = Recorder(record, sheet.name, "planner")
+
+    async def run() -> None:
+        made = Planner(sheet, sheet.seed if seed is None else seed, TcpNet(), recorder, take_over=take_over)
+        with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGUSR2) as signals:
+            async with trio.open_nursery() as nursery:
+
+                async def listen() -> None:
+                    async for each in signals:
+                        (made.hand_over if each == signal.SIGUSR2 else made.stop)()
+
+                nursery.start_soon(listen)
+
+                async def serve(task_status: trio.TaskStatus = trio.TASK_STATUS_IGNORED) -> None:
+                    await made.run(task_status=task_status)
+                    nursery.cancel_scope.cancel()
+
+                address = await nursery.start(serve)
+                if ready:
+                    print(address, flush=True)
+
+    trio.run(run)
+    recorder.close()
--- a/hazelhold/cli/state.py
+++ b/hazelhold/cli/state.py
@@ -9,7 +9,7 @@
 import click
 import msgspec
 
-from hazelhold.cli.honest import honest
+from hazelhold.cli.errors import report_errors
 from hazelhold.state import store
 from hazelhold.state.disk import RealDisk
 from hazelhold.state.images import KINDS
@@ -42,7 +42,7 @@
 @click.option(
     "--guests", "many", type=click.IntRange(0), default=20, show_default=True, help="Guests to list."
 )
-@honest
+@report_errors
 def show(folder: Path, many: int) -> None:
     """What is kept: counts, damage, and the guests."""
     found = _read(folder)
@@ -70,7 +70,7 @@
 
 @state.command("check")
 @click.argument("folder", type=FOLDER)
-@honest
+@report_errors
 def check(folder: Path) -> None:
     """Reads all and says what is wrong; exits with 0 only if nothing a peer may have seen can be missing."""
     found = _read(folder)
@@ -94,7 +94,7 @@
 
 @state.command("compact")
 @click.argument("folder", type=FOLDER)
-@honest
+@report_errors
 def compact(folder: Path) -> None:
     """Writes all that is kept as one new generation. Refused while a planner uses it."""
     disk = RealDisk(folder)
@@ -129,7 +129,7 @@
 
 @state.command("export")
 @click.argument("folder", type=FOLDER)
-@honest
+@report_errors
 def export(folder: Path) -> None:
     """Every image as a line of JSON: kind, key and its fields by name."""
     found = _read(folder)
