--- a/tests/processes/fleetconfig_rig.py
+++ b/tests/processes/fleetconfig_rig.py
@@ -109,7 +109,10 @@
 class ProcessFleet:
     """c1, c2, ... and p1, p2, ...; each pair that speaks does so through a wire."""
 
-    def __init__(self, folder: Path, nursery: trio.Nursery, controls: int, planners: int) -> None:
+    def __init__(
+        self, folder: Path, nursery: trio.Nursery, controls: int, planners: int, one_zone: bool = False
+    ) -> None:
+        """`one_zone`: all planners are in one zone, where some follow others."""
         self.folder, self.net, self.nursery = folder, TcpNet(), nursery
         self.wires = FrameWires(self.net, nursery)
         self.controls = [f"c{n}" for n in range(1, controls + 1)]
@@ -123,6 +126,10 @@
         self.committed: dict[str, int] = {}  # by a change's id: the number that its writer was told
         self.writers: dict[str, str] = {}  # by control machine: where a writer reaches it, through a wire
         self.regions = {name: "north" if name.endswith("1") else "south" for name in names}
+        self.zones = {name: name for name in names}
+        if one_zone:
+            self.regions |= dict.fromkeys(self.planners, "south")
+            self.zones |= dict.fromkeys(self.planners, "south-1")
 
     def at(self, name: str) -> str:
         return f"127.0.0.1:{self.ports[name]}"
@@ -160,7 +167,7 @@
             section = FleetConfigSection(
                 self.at(name),
                 deployment=DEPLOYMENT,
-                zone=name,
+                zone=self.zones[name],
                 region=self.regions[name],
                 control=control,
                 folder=str(self.home(name) / "revisions"),
@@ -348,16 +355,20 @@
 
 @asynccontextmanager
 async def process_fleet(
-    folder: Path, controls: int = 3, planners: int = 2, lost: set[str] = frozenset()
+    folder: Path,
+    controls: int = 3,
+    planners: int = 2,
+    lost: set[str] = frozenset(),
+    one_zone: bool = False,
 ) -> AsyncIterator[ProcessFleet]:
     """All up and all planners listed; ends everything, then judges the whole."""
     async with trio.open_nursery() as nursery:
-        made = ProcessFleet(folder, nursery, controls, planners)
+        made = ProcessFleet(folder, nursery, controls, planners, one_zone)
         try:
             await made.wire_up()
             await made.start_all()
             listed = {
-                f"planners__{p}": {"address": made.at(p), "zone": p, "region": made.regions[p]}
+                f"planners__{p}": {"address": made.at(p), "zone": made.zones[p], "region": made.regions[p]}
                 for p in made.planners
             }
             answer = await made.put("listed", 0, seconds=LONG, **listed)
--- a/tests/processes/test_fleetconfig_processes.py
+++ b/tests/processes/test_fleetconfig_processes.py
@@ -221,3 +221,43 @@
             await made.all_have(max(max(found) for found in numbers.values()))
 
     trio.run(run)
+
+
+@pytest.mark.parametrize("fault", ["killed", "paused"])
+def test_a_relay_fails_and_those_that_followed_it_hear_of_the_next_revision(
+    tmp_path: Path, fault: str
+) -> None:
+    async def run() -> None:
+        async with process_fleet(tmp_path, planners=4, one_zone=True) as made:
+            async with trio.open_nursery() as nursery:  # from its folder each knows whom to follow at once
+                for planner in made.planners:
+                    await made.kill(planner)
+                    nursery.start_soon(made.start, planner)
+            follower, relay = await who_follows_a_planner(made)
+            if fault == "killed":
+                await made.kill(relay)
+            else:
+                made.signal(relay, signal.SIGSTOP)
+            answer = await made.put("next", await made.base(), customers__next={})
+            await made.all_have(answer.number, *(p for p in made.planners if p != relay))
+            assert relay not in (await made.until(follower, lambda said: bool(said.route))).route
+            lacking = await made.until("c1", lambda said: said.lacking_count == 1)
+            assert [state.name for state in lacking.lacking] == [relay]
+            if fault == "killed":
+                await made.start(relay)
+            else:
+                made.signal(relay, signal.SIGCONT)
+            await made.everywhere(answer.number)
+
+    trio.run(run)
+
+
+async def who_follows_a_planner(made: ProcessFleet) -> tuple[str, str]:
+    """A planner, and the one that it follows, once there are such."""
+    with trio.fail_after(LONG):
+        while True:
+            for planner in made.planners:
+                said = await made.until(planner, lambda status: bool(status.route))
+                if said.route[-1] in made.planners:
+                    return planner, said.route[-1]
+            await trio.sleep(0.1)
--- a/tests/test_fleetconfig_host.py
+++ b/tests/test_fleetconfig_host.py
@@ -347,6 +347,7 @@
 ROOT = Path(__file__).parent.parent
 OFF = """
 import sys, trio
+import hazelhold.platform.serve
 from hazelhold.cli.main import main
 from hazelhold.service.net import MemoryNet
 from hazelhold.service.planner import Planner
