--- a/tests/test_fleetconfig_host.py
+++ b/tests/test_fleetconfig_host.py
@@ -11,6 +11,7 @@
 import pytest
 import trio
 from msgspec.structs import replace
+from trio.testing import lockstep_stream_pair
 
 from hazelhold.fleetconfig import codec
 from hazelhold.fleetconfig import messages as m
@@ -459,3 +460,23 @@
         again.store.files.close()
 
     with_fleet(test, planners=1)
+
+
+def test_a_follower_that_reads_nothing_is_held_one_message_and_left_and_others_go_on() -> None:
+    async def test(fleet: Fleet) -> None:
+        door, (host, nursery) = fleet.controls["c1"].door, fleet.net.doors[fleet.seats[0].address]
+        mine, theirs = lockstep_stream_pair()  # what is sent waits until it is read
+        nursery.start_soon(host, theirs)
+        await mine.send_all(packed(FOLLOWER))
+        await mine.receive_some(4096)
+        await mine.send_all(packed(m.Follow(number=0, chain=bytes(16))))
+        await fleet.until(lambda: any(wire.name == "somebody" for wire in door.opened.values()))
+        wire = next(wire for wire in door.opened.values() if wire.name == "somebody")
+        for n in range(20):
+            await fleet.in_force(await fleet.committed(**{f"customers__n{n}": {"x": "y" * 20_000}}))
+        assert wire.unsent() and not wire.queue  # the one message that is being written
+        await fleet.until(lambda: fleet.controls["c1"].source.counts["followers_too_slow"] == 1)
+        assert wire not in door.opened.values() and wire.closing
+        await fleet.in_force(await fleet.committed(customers__after={}))
+
+    with_fleet(test, planners=1)
