--- a/bench/capacity/hollow/children.py
+++ b/bench/capacity/hollow/children.py
@@ -24,6 +24,10 @@
     """The rig's own processes did not do what was asked: no figure comes of such a run."""
 
 
+class SizeRefusedError(RigError):
+    """A size that this machine does not bear, or at which planners do not get so far as to be measured."""
+
+
 def line_of(process: subprocess.Popen, held: bytearray, seconds: float) -> bytes:
     """The next line of a process's output; RigError if there is none in time."""
     ends = time.monotonic() + seconds
@@ -45,7 +49,8 @@
     """A process of the rig that obeys commands."""
 
     def __init__(self, module: str, settings: Struct, folder: Path, label: str, first: Any = Counts) -> None:  # noqa: ANN401
-        with (folder / f"{label}.err").open("wb") as errors:
+        self.label, self.errors = label, folder / f"{label}.err"
+        with self.errors.open("wb") as errors:
             self.process = subprocess.Popen(
                 [sys.executable, "-m", f"bench.capacity.hollow.{module}", msgspec.json.encode(settings)],
                 stdin=subprocess.PIPE,
@@ -62,8 +67,14 @@
 
     def started(self) -> Any:  # noqa: ANN401 - of the kind that was named
         """The process's first line."""
-        line = line_of(self.process, self.held, START_SECONDS)
-        return msgspec.json.decode(line, type=self.first_kind)
+        return msgspec.json.decode(self._line(START_SECONDS), type=self.first_kind)
+
+    def _line(self, seconds: float) -> bytes:
+        try:
+            return line_of(self.process, self.held, seconds)
+        except RigError as wrong:
+            last = self.errors.read_text(errors="replace").strip().rpartition("\n")[2]
+            raise RigError(f"{self.label}: {wrong} {last}".strip()) from None
 
     def tell(self, command: Command) -> None:
         """Sends a command; its answer must be taken before the next."""
@@ -71,7 +82,7 @@
         self.process.stdin.flush()
 
     def answer(self) -> Counts:
-        return msgspec.json.decode(line_of(self.process, self.held, ANSWER_SECONDS), type=Counts)
+        return msgspec.json.decode(self._line(ANSWER_SECONDS), type=Counts)
 
     def ask(self, command: Command) -> Counts:
         self.tell(command)
@@ -108,7 +119,11 @@
 
     def started(self) -> str:
         """The address where owners reach it."""
-        return line_of(self.process, self.held, START_SECONDS).decode()
+        try:
+            return line_of(self.process, self.held, START_SECONDS).decode()
+        except RigError as wrong:
+            last = self.log.read_text(errors="replace").strip().rpartition("\n")[2]
+            raise RigError(f"{self.name}: {wrong} {last}".strip()) from None
 
     def end(self) -> None:
         finish(self.process)
--- a/bench/capacity/hollow/claims.py
+++ b/bench/capacity/hollow/claims.py
@@ -11,7 +11,7 @@
 from msgspec.structs import replace
 
 from bench.capacity.hollow import owners, relay
-from bench.capacity.hollow.children import Child, RigError
+from bench.capacity.hollow.children import Child, SizeRefusedError
 from bench.capacity.hollow.proc import cpu_seconds
 from bench.capacity.hollow.results import Trial
 from bench.capacity.hollow.rig import SECOND, Rig
@@ -97,12 +97,12 @@
 
 
 def run(trial: Trial) -> ClaimResult:
-    """Runs one trial; RigError if not all links are ready in time."""
+    """Runs one trial; SizeRefusedError if not all links are ready in time."""
     with ClaimRig(trial) as rig:
         rig.start_relay()
         rig.start_planners()
         if not rig.until(rig.all_ready, trial.most_start):
-            raise RigError(f"not all links ready after {trial.most_start:g} s")
+            raise SizeRefusedError(f"not all links ready after {trial.most_start:g} s")
         time.sleep(trial.settle)
         return ClaimResult(planners=trial.planners, repeatable=drive(rig, REPEATABLE), once=drive(rig, ONCE))
 
--- a/bench/capacity/hollow/course.py
+++ b/bench/capacity/hollow/course.py
@@ -9,7 +9,7 @@
 import time
 from typing import NamedTuple
 
-from bench.capacity.hollow.children import RigError
+from bench.capacity.hollow.children import SizeRefusedError
 from bench.capacity.hollow.proc import Use, cpu_seconds, use
 from bench.capacity.hollow.results import ListResult, PlannerResult, Result, Snapshot, Trial
 from bench.capacity.hollow.rig import Rig, refusal
@@ -17,9 +17,9 @@
 
 
 def run(trial: Trial) -> Result:
-    """Runs one trial; RigError if the rig itself fails, or if the machine cannot hold it."""
+    """Runs one trial; SizeRefusedError if the machine cannot hold it, RigError if the rig fails."""
     if reason := refusal(trial):
-        raise RigError(reason)
+        raise SizeRefusedError(reason)
     with Rig(trial) as rig:
         course = Course(rig)
         course.start()
--- a/bench/capacity/hollow/shared.py
+++ b/bench/capacity/hollow/shared.py
@@ -15,7 +15,7 @@
 
 import msgspec
 
-from bench.capacity.hollow.children import RigError
+from bench.capacity.hollow.children import RigError, SizeRefusedError
 from bench.capacity.hollow.course import run
 from bench.capacity.hollow.results import Result, Trial
 
@@ -28,6 +28,7 @@
 
     result: msgspec.Raw = msgspec.Raw(b"null")
     failure: str = ""
+    refused: bool = False
 
 
 Kind = TypeVar("Kind", bound=msgspec.Struct)
@@ -41,11 +42,11 @@
         try:
             kept = Kept(result=msgspec.Raw(msgspec.json.encode(make())))
         except RigError as wrong:
-            kept = Kept(failure=str(wrong))
+            kept = Kept(failure=str(wrong), refused=isinstance(wrong, SizeRefusedError))
         file.write_bytes(msgspec.json.encode(kept))
     found = msgspec.json.decode(file.read_bytes(), type=Kept)
     if found.failure:
-        raise RigError(found.failure)
+        raise (SizeRefusedError if found.refused else RigError)(found.failure)
     return msgspec.json.decode(found.result, type=kind)
 
 
--- a/bench/capacity/rows_hollow.py
+++ b/bench/capacity/rows_hollow.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable, Iterator
 from typing import NamedTuple
 
-from bench.capacity.hollow.children import RigError
+from bench.capacity.hollow.children import SizeRefusedError
 from bench.capacity.hollow.results import KINDS, Phase, PlannerResult, Result, Trial
 from bench.capacity.hollow.shared import result_of
 from bench.capacity.registry import RefusedError, measurement
@@ -46,7 +46,7 @@
         """The trial of a size; RefusedError if this machine does not bear it."""
         try:
             return result_of(self.trial(size))
-        except RigError as reason:
+        except SizeRefusedError as reason:
             raise RefusedError(str(reason)) from None
 
 
@@ -280,7 +280,25 @@
     return family.prefix == "planner.process" or quantity.key.count(".") < 3
 
 
+def register_unplaced(family: Family) -> None:
+    @measurement(
+        id=f"{family.prefix}.load.unplaced",
+        role="planner",
+        quantity="part of the tasks that are not placed within their patience",
+        unit="",
+        by=family.by,
+        how="real process",
+        sizes=family.sizes,
+        small=None,
+        note=family.note + "; all planners together, over the whole time of starts",
+    )
+    def measured(size: int) -> Iterator[float]:
+        result = family.result(size)
+        yield (result.submitted - result.placed) / result.submitted
+
+
 for each_family in FAMILIES:
+    register_unplaced(each_family)
     for each_quantity in QUANTITIES:
         if wanted(each_family, each_quantity):
             register(each_family, each_quantity)
--- a/bench/capacity/rows_members.py
+++ b/bench/capacity/rows_members.py
@@ -7,7 +7,6 @@
 from collections.abc import Callable, Iterator
 from typing import NamedTuple
 
-from bench.capacity.hollow.children import RigError
 from bench.capacity.hollow.membership import MemberResult, run
 from bench.capacity.hollow.shared import once
 from bench.capacity.meters import no_collection, processor_time, traced_bytes
@@ -219,10 +218,7 @@
 
 def trial(size: int) -> MemberResult:
     """A planner among hollow members."""
-    try:
-        found = once(b"%d" % size, MemberResult, lambda: run(size))
-    except RigError as reason:
-        raise RefusedError(str(reason)) from None
+    found = once(b"%d" % size, MemberResult, lambda: run(size))
     if found.knowing < size - 1:
         raise RefusedError(f"{found.knowing} of {size - 1} members hold the planner alive")
     return found
--- a/bench/capacity/rows_voters.py
+++ b/bench/capacity/rows_voters.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable, Iterator
 from typing import NamedTuple
 
-from bench.capacity.hollow.children import RigError
+from bench.capacity.hollow.children import SizeRefusedError
 from bench.capacity.hollow.claims import ClaimResult, Load, run
 from bench.capacity.hollow.results import Trial
 from bench.capacity.hollow.shared import once
@@ -97,7 +97,7 @@
     wanted = family.trial(size)
     try:
         found = once(repr(wanted).encode(), ClaimResult, lambda: run(wanted))
-    except RigError as reason:
+    except SizeRefusedError as reason:
         raise RefusedError(str(reason)) from None
     return found
 
