--- a/bench/capacity/tables.py
+++ b/bench/capacity/tables.py
@@ -207,9 +207,11 @@
     found = find_breaks(result)
     lines = [_break_line(1 + sum(other.part < item.part for other in found), item) for item in found]
     broken = {item.role for item in found}
-    lines += [
-        [NONE, role, "none", "no measured budget is exceeded"] for role in roles(result) if role not in broken
-    ]
+    for role in roles(result):
+        if role not in broken:
+            measured_at_all = worst(result, role) is not None
+            part = ["none", "no measured budget is exceeded"] if measured_at_all else ["not measured", NONE]
+            lines.append([NONE, role, *part])
     return Table(["", "role", "smallest part of the target that breaks it", "by"], lines)
 
 
--- a/tests/test_capacity_page.py
+++ b/tests/test_capacity_page.py
@@ -274,6 +274,12 @@
     assert find_breaks(result)[2].part == Fraction(1, 2)
 
 
+def test_a_role_without_a_measurement_is_not_told_as_one_that_holds() -> None:
+    table = render("breaks", made_up())
+    assert "| worker | not measured |" in table
+    assert "| list service | none | no measured budget is exceeded |" in table
+
+
 def test_constants_and_other_numbers_of_planners_break_no_role() -> None:
     result = made_up()
     for resource in ("descriptors", "traffic: probes, as up to eight planners send them"):
