--- a/hazelhold/rehearse/crew.py
+++ b/hazelhold/rehearse/crew.py
@@ -14,7 +14,7 @@
 from msgspec.structs import replace
 
 from hazelhold.config.load import ConfigError
-from hazelhold.config.planner import PlannerSheet
+from hazelhold.config.planner import ListSheet, PlannerSheet
 from hazelhold.protocol.record import Recorder
 from hazelhold.replica.votes import found
 from hazelhold.service.net import Net
@@ -131,9 +131,12 @@
 
 
 def sheet_text(sheet: PlannerSheet) -> bytes:
-    """The sheet as a file. What is off is left out: a program that does not know it reads the file."""
+    """The sheet as a file. What is off, or new and at its default, is left out: a program that does not know
+    it reads the file."""
     plain = msgspec.to_builtins(sheet)
-    for part in ("membership", "copies"):
+    if sheet.list.frame_bytes == ListSheet("").frame_bytes:
+        del plain["list"]["frame_bytes"]
+    for part in ("membership", "copies", "fleetconfig"):
         if not getattr(sheet, part).listen:
             del plain[part]
     return msgspec.json.encode(plain)
