--- a/tests/test_fleetconfig_host.py
+++ b/tests/test_fleetconfig_host.py
@@ -480,3 +480,19 @@
         await fleet.in_force(await fleet.committed(customers__after={}))
 
     with_fleet(test, planners=1)
+
+
+def test_items_and_fields_that_nobody_here_knows_are_kept_to_the_byte_and_passed_on() -> None:
+    async def test(fleet: Fleet) -> None:
+        values = {"moods__today": {"x": [1, 2.5, None]}, "customers__acme": {"since": 2031}}
+        await fleet.in_force(await fleet.committed(**values))
+        await trio.sleep(0.1)
+        for name in ("p1", "c2"):  # from their folders
+            await fleet.kill(name)
+            await fleet.start(name)
+        for put in items(**values):
+            assert fleet.planners["p1"].follower.history.document.items[put.name] == put.value
+            assert (await fleet.client("c2").items(put.name, 10))[1] == {put.name: put.value}
+        assert "acme" in fleet.planners["p1"].engine.customers
+
+    with_fleet(test, planners=1)
