--- a/bench/capacity/__main__.py
+++ b/bench/capacity/__main__.py
@@ -4,7 +4,7 @@
     python -m bench.capacity --list                # the rows
     python -m bench.capacity --only planner.state  # rows whose id begins so; may be repeated
     python -m bench.capacity --small --output FILE # small sizes, for a check of the command itself
-    python -m bench.capacity --take FILE           # rows of another result file, of a run in parts
+    python -m bench.capacity --take FILE           # rows of another result file (with --only: those)
 
 A row that stands in the file for the same code, seed and sizes is kept, unless `--fresh` is given.
 """
@@ -59,7 +59,7 @@
     path = given.output or RESULT_PATH
     try:
         if given.take is not None:
-            found = take(measurements, path, given.take)
+            found = take(measurements, path, given.take, given.only)
         else:
             chosen = choose(measurements, given.only, given.small)
             progress = Progress(sum(steps(each, given.small) for each in chosen))
--- a/bench/capacity/run.py
+++ b/bench/capacity/run.py
@@ -87,13 +87,18 @@
     return [each for each in measurements if not (small and each.slow)]
 
 
-def take(measurements: Sequence[Measurement], path: Path, other: Path) -> ResultFile:
+def take(
+    measurements: Sequence[Measurement], path: Path, other: Path, only: Sequence[str] = ()
+) -> ResultFile:
     """Puts the rows of another result file in the place of this one's, as they were measured there.
 
-    A run in parts, on several machines or by several people, comes together so. Raises `schema.ResultError`.
+    A run in parts, on several machines or by several people, comes together so. `only`: rows whose id begins
+    so. Raises `schema.ResultError`.
     """
     found = schema.load(path) if path.exists() else ResultFile()
-    rows = {row.id: row for row in [*found.rows, *schema.load(other).rows]}
+    chosen = {each.id for each in choose(measurements, only, small=False)}
+    rows = {row.id: row for row in found.rows}
+    rows |= {row.id: row for row in schema.load(other).rows if row.id in chosen}
     found.rows = [rows[each.id] for each in measurements if each.id in rows]
     schema.save(finish(found), path)
     return found
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -187,6 +187,8 @@
     run.run(rows, mine, apart=measure_here)
     known_revision[0] = "elsewhere"
     run.run(rows[1:], theirs, apart=measure_here)
+    run.take(rows, mine, theirs, only=["role"])
+    assert {each.revision for each in schema.load(mine).rows} == {"a"}
     run.take(rows, mine, theirs)
     assert [(each.id, each.revision) for each in schema.load(mine).rows] == [
         ("role.quantity", "a"),
