Owners' door: new connections no longer close each other before their requests are there

Lines at each close: 15,004 connections closed for others; of the 9,357 that had said nothing, 6,651 were closed under 5 ms after they came (median 0.0 s), while some 200 a planner that had asked once and stayed were kept for 0.5 s and more. Many connections are accepted in one turn; with the door full, each took the one before it for one that says nothing, before its request, some milliseconds behind, could be there.

Wrong: the order in _make_room, "never said anything of use" first, however new. Now: said nothing within 0.1 s or reads nothing; then asked once and was placed nothing; then came just now; last those of owners that are served.

The new test in tests/test_crossings.py fails without it (connections closed at 0.6 s). No test was changed.

--- a/hazelhold/platform/planner.py
+++ b/hazelhold/platform/planner.py
@@ -28,6 +28,7 @@
 EARLY, EARLY_MOST = 2.0, 4096  # seconds for which an end waits for its set-up, and how many do
 AGAIN = (0.05, 0.1, 0.2, 0.4, 0.8, 1.6)  # seconds between looks at a file that was of no use at its signal
 LOOKS = 16  # idle connections that are asked for unread bytes before a new one is refused
+FRESH = 0.1  # seconds in which the first message of a new connection may still be on its way
 STUCK = 0.5  # seconds in which an idle owner has read nothing
 TURN = 0.02  # seconds of decisions before peers are read again: gone owners must be heard within 0.1 s
 COMING = 0.7  # seconds after SIGTERM in which set-ups may still come
@@ -330,17 +331,21 @@
         self.ticker.stir()
 
     def _make_room(self) -> bool:
-        """Closes a connection with nothing open on it: those that never said anything of use or read nothing
-        first, then those that everything was written to, then those that hold no part of a message, then the
-        longest idle. One whose bytes wait to be read is not idle: they may be a request. False if there is
-        none."""
+        """Closes a connection with nothing open on it, by its standing; of the same one, first one that
+        everything was written to, one that holds no part of a message, the longest idle. One whose bytes wait
+        to be read is not idle: they may be a request. False if there is none."""
         idle = [peer for peer in self.owners.values() if not peer.open and not peer.closing]
         if not idle:
             return False
-        stuck = trio.current_time() - STUCK  # one that reads nothing is not waited for, any other is told all
-        rank = {p: p.sending and p.sending_from < stuck for p in idle}
+        now = trio.current_time()  # one that reads nothing is not waited for, any other is told all
+        rank = {p: p.sending and p.sending_from < now - STUCK for p in idle}
         idle.sort(
-            key=lambda p: (p.good and not rank[p], p.unsent() and not rank[p], p.reader.half, p.used_at)
+            key=lambda p: (
+                0 if rank[p] else standing(p, now),
+                p.unsent() and not rank[p],
+                p.reader.half,
+                p.used_at,
+            )
         )
         victim = next((p for p in idle[:LOOKS] if rank[p] or not p.unread()), None)
         if victim is None:
@@ -610,6 +615,15 @@
         )
 
 
+def standing(peer: OwnerPeer, now: float) -> int:
+    """How much is lost if an idle connection is closed for another: 0 for one that has said nothing of use in
+    time, 1 for one that has asked and was placed nothing, 2 for one that came just now: its request may still
+    be on its way, 3 for one of an owner that is served."""
+    if peer.good:
+        return 3 if peer.proven else 1
+    return 2 if peer.came_at > now - FRESH else 0
+
+
 def is_refused(wrong: BaseException | None) -> bool:
     """Whether a dial failed because nobody listens there."""
     while wrong is not None:
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -18,12 +18,14 @@
     DEPLOYMENT,
     Bulletin,
     Owner,
+    Rig,
     SocketRig,
     end,
     event,
     file,
     host,
     on_sockets,
+    play,
     set_up,
     until,
 )
@@ -645,3 +647,25 @@
         assert sum(peer.closing and peer.stream.socket.fileno() < 0 for peer in old) == 5
 
     on_sockets(test, machines="a")
+
+
+def test_new_connections_do_not_close_each_other_before_their_requests_are_there() -> None:
+    """Seen on a crowd's day: the door was full of connections that had asked once and stayed, and of those
+    that came together each closed the one before, within the millisecond, as one that had said nothing."""
+
+    async def test(rig: Rig) -> None:
+        most = rig.planner.limits.connections
+        idle = [await rig.owner() for _ in range(most)]
+        for owner in idle:
+            await owner.say(BinaryMessage(TEST, "00000000000000aa", {17: b"\0"}))
+        await trio.sleep(0.6)
+        assert len(rig.planner.owners) == most
+        clients = [await rig.owner() for _ in range(6)]
+        await trio.sleep(0.005)  # a request is some milliseconds behind the connection that it comes on
+        for at, client in enumerate(clients):
+            await client.say(set_up(at + 1))
+        await trio.sleep(0.5)
+        assert [client.of(at + 1) for at, client in enumerate(clients)] == [PLACED] * len(clients)
+        assert len(rig.planner.owners) <= most
+
+    play(test)
