Owners' door: closes for room spare new connections and one that ends are told on

Now what came in the last 0.2 s goes last, unless such are more than half of all (a flood of silent ones must not turn out all owners: an existing process test says so). So the one used last on which a task was placed now stays.

Tests: 3 new, 2 fail without the change.

--- a/hazelhold/platform/planner.py
+++ b/hazelhold/platform/planner.py
@@ -28,6 +28,7 @@
 EARLY, EARLY_MOST = 2.0, 4096  # seconds for which an end waits for its set-up, and how many do
 AGAIN = (0.05, 0.1, 0.2, 0.4, 0.8, 1.6)  # seconds between looks at a file that was of no use at its signal
 LOOKS = 16  # idle connections that are asked for unread bytes before a new one is refused
+NEW = 0.2  # seconds in which the first message of a new connection is still on its way
 STUCK = 0.5  # seconds in which an idle owner has read nothing
 TURN = 0.02  # seconds of decisions before peers are read again: gone owners must be heard within 0.1 s
 COMING = 0.7  # seconds after SIGTERM in which set-ups may still come
@@ -328,24 +329,34 @@
         self.ticker.stir()
 
     def _make_room(self) -> bool:
-        """Closes a connection with nothing open on it: those that never said anything of use or read nothing
-        first, then those that everything was written to, then those that hold no part of a message, then the
-        longest idle. One whose bytes wait to be read is not idle: they may be a request. False if there is
-        none."""
-        idle = [peer for peer in self.owners.values() if not peer.open and not peer.closing]
-        if not idle:
-            return False
-        stuck = trio.current_time() - STUCK  # one that reads nothing is not waited for, any other is told all
-        rank = {p: p.sending and p.sending_from < stuck for p in idle}
+        """Closes a connection with nothing open on it: one that never said anything of use, or reads nothing,
+        before one that did; of those first one that everything was written to, then one that holds no part
+        of a message, then the longest idle. The first message of a new connection is still on its way: such
+        a one goes last, unless these are more than half of all. One of use whose bytes wait to be read is
+        not idle: they may be a request. The one used last on which a task was placed stays: ends of tasks
+        whose own connection has gone are told there. False if there is none."""
+        proven = (peer for peer in self.owners.values() if peer.proven and not peer.closing)
+        kept = max(proven, key=lambda peer: peer.used_at, default=None)
+        idle = [p for p in self.owners.values() if not p.open and not p.closing and p is not kept]
+        now = trio.current_time()
+        stuck = {p: p.sending and p.sending_from < now - STUCK for p in idle}  # not waited for
+        new = {p: not (p.good or stuck[p]) and p.came_at > now - NEW for p in idle}
+        crowd = 2 * sum(new.values()) > len(self.owners)  # most of them will say nothing
         idle.sort(
-            key=lambda p: (p.good and not rank[p], p.unsent() and not rank[p], p.reader.half, p.used_at)
+            key=lambda p: (
+                new[p] and not crowd,
+                p.good and not stuck[p],
+                p.unsent() and not stuck[p],
+                p.reader.half,
+                p.used_at,
+            )
         )
-        victim = next((p for p in idle[:LOOKS] if rank[p] or not p.unread()), None)
+        victim = next((p for p in idle[:LOOKS] if not p.good or stuck[p] or not p.unread()), None)
         if victim is None:
             return False
         self.counts["connections_closed_for_others"] += 1
         del self.owners[victim.name]
-        if rank[victim]:
+        if stuck[victim]:
             victim.cut()
         elif not victim.unsent():
             victim.drop()  # its descriptor is free before the next is taken
--- a/tests/test_platform_doors.py
+++ b/tests/test_platform_doors.py
@@ -78,6 +78,56 @@
     on_sockets(test)
 
 
+def test_a_connection_whose_first_message_is_on_its_way_stays_while_others_are_idle() -> None:
+    """It had said nothing of use yet, and so was closed for the next one before any that was idle."""
+
+    async def test(rig: SocketRig) -> None:
+        longest_idle, next_idle, *_ = await idle_owners(rig)
+        newcomer, next_newcomer = await rig.owner(), await rig.owner()
+        await until(lambda: rig.planner.counts["connections_closed_for_others"] == 2)
+        await newcomer.say(set_up(1))
+        await next_newcomer.say(set_up(2))
+        await until(lambda: newcomer.closed_at or (newcomer.of(1) and next_newcomer.of(2)))
+        assert newcomer.of(1) == PLACED and next_newcomer.of(2) == PLACED
+        await until(lambda: longest_idle.closed_at and next_idle.closed_at)
+
+    on_sockets(test)
+
+
+def test_a_connection_that_has_said_nothing_for_long_goes_before_an_idle_one() -> None:
+    async def test(rig: SocketRig) -> None:
+        owners = await idle_owners(rig)
+        silent, newcomer = await rig.owner(), None
+        await until(lambda: owners[0].closed_at)
+        await trio.sleep(0.3)
+        newcomer = await rig.owner()
+        await newcomer.say(set_up(1))
+        await until(lambda: newcomer.of(1) == PLACED)
+        await until(lambda: silent.closed_at)
+        assert not any(owner.closed_at for owner in owners[1:])
+
+    on_sockets(test)
+
+
+def test_one_connection_on_which_a_task_was_placed_stays_to_tell_the_ends_of_others() -> None:
+    """All of them were closed for new ones; ends were then told to whoever had sent something of use."""
+
+    async def test(rig: SocketRig) -> None:
+        first = await rig.owner()
+        await first.say(set_up(1))
+        await until(lambda: first.of(1) == PLACED)
+        last = await rig.owner()
+        await last.say(set_up(2))
+        await until(lambda: last.of(2) == PLACED)
+        *_, stranger = await idle_owners(rig)  # so many that both are the longest idle
+        await until(lambda: first.closed_at)
+        await rig.machines["a"].end(f"{1:016x}", 16)
+        await until(lambda: last.of(1) or stranger.of(1))
+        assert last.of(1) == [(END, 16)] and last.closed_at is None and not stranger.of(1)
+
+    on_sockets(test, machines="a")
+
+
 def test_a_new_connection_is_refused_where_every_idle_one_has_something_to_say() -> None:
     async def test(rig: SocketRig) -> None:
         owners = await idle_owners(rig)
