--- a/hazelhold/platform/planner.py
+++ b/hazelhold/platform/planner.py
@@ -18,6 +18,7 @@
 from hazelhold.platform.codec import END, HEARD, SET_UP, TEST, BinaryMessage, CodecError, Line
 from hazelhold.platform.configuration import Start, read_start
 from hazelhold.platform.discovery import DiscoveryError, Follower
+from hazelhold.platform.eviction import eviction_order, is_stuck
 from hazelhold.platform.peer import MachinePeer, OwnerPeer
 from hazelhold.protocol import messages as m
 from hazelhold.service.net import Net
@@ -28,8 +29,6 @@
 EARLY, EARLY_MOST = 2.0, 4096  # seconds for which an end waits for its set-up, and how many do
 AGAIN = (0.05, 0.1, 0.2, 0.4, 0.8, 1.6)  # seconds between looks at a file that was of no use at its signal
 LOOKS = 16  # idle connections that are asked for unread bytes before a new one is refused
-FRESH = 0.1  # seconds in which the first message of a new connection may still be on its way
-STUCK = 0.5  # seconds in which an idle owner has read nothing
 TURN = 0.02  # seconds of decisions before peers are read again: gone owners must be heard within 0.1 s
 COMING = 0.7  # seconds after SIGTERM in which set-ups may still come
 LONGEST = 3.0  # a longest patience past this counts as this for the moment of SIGKILL
@@ -331,28 +330,19 @@
         self.ticker.stir()
 
     def _make_room(self) -> bool:
-        """Closes a connection with nothing open on it, by its standing; of the same one, first one that
-        everything was written to, one that holds no part of a message, the longest idle. One whose bytes wait
-        to be read is not idle: they may be a request. False if there is none."""
-        idle = [peer for peer in self.owners.values() if not peer.open and not peer.closing]
-        if not idle:
-            return False
-        now = trio.current_time()  # one that reads nothing is not waited for, any other is told all
-        rank = {p: p.sending and p.sending_from < now - STUCK for p in idle}
-        idle.sort(
-            key=lambda p: (
-                0 if rank[p] else standing(p, now),
-                p.unsent() and not rank[p],
-                p.reader.half,
-                p.used_at,
-            )
-        )
-        victim = next((p for p in idle[:LOOKS] if rank[p] or not p.unread()), None)
+        """Closes an idle connection for a new one; False if there is none. One whose bytes wait to be read
+        is not idle, they may be a request: it goes only if it has said nothing of use and others are no
+        better."""
+        now = trio.current_time()
+        order = eviction_order(self.owners.values(), now)
+        victim = next((p for p in order[:LOOKS] if is_stuck(p, now) or not p.unread()), None)
+        if victim is None and order and not order[0].good:
+            victim = order[0]
         if victim is None:
             return False
         self.counts["connections_closed_for_others"] += 1
         del self.owners[victim.name]
-        if rank[victim]:
+        if is_stuck(victim, now):  # not waited for; any other is told all
             victim.cut()
         elif not victim.unsent():
             victim.drop()  # its descriptor is free before the next is taken
@@ -615,15 +605,6 @@
         )
 
 
-def standing(peer: OwnerPeer, now: float) -> int:
-    """How much is lost if an idle connection is closed for another: 0 for one that has said nothing of use in
-    time, 1 for one that has asked and was placed nothing, 2 for one that came just now: its request may still
-    be on its way, 3 for one of an owner that is served."""
-    if peer.good:
-        return 3 if peer.proven else 1
-    return 2 if peer.came_at > now - FRESH else 0
-
-
 def is_refused(wrong: BaseException | None) -> bool:
     """Whether a dial failed because nobody listens there."""
     while wrong is not None:
