--- a/hazelhold/fleetconfig/messages.py
+++ b/hazelhold/fleetconfig/messages.py
@@ -50,9 +50,11 @@
 
 
 class Revisions(ConfigMessage, tag="revisions", kw_only=True):
-    """Encoded revisions in order, without gaps."""
+    """Encoded revisions in order, without gaps. `chain` is the chain checksum of the last one: parents cover
+    all but the last, this covers the last, so that no damaged byte is taken."""
 
     bodies: tuple[bytes, ...]
+    chain: bytes
 
 
 class SnapshotPage(ConfigMessage, tag="snapshot_page", kw_only=True):
@@ -64,6 +66,7 @@
     page: int
     pages: int
     items: tuple[Put, ...]
+    check: bytes  # `snapshot.page_check`: covers all other fields, also the position
 
 
 class Heartbeat(ConfigMessage, tag="heartbeat", kw_only=True):
@@ -76,7 +79,7 @@
     route: tuple[str, ...] = ()
 
 
-class MemberState(Struct, frozen=True, omit_defaults=True, kw_only=True):
+class MemberState(Struct, frozen=True, omit_defaults=True, kw_only=True, array_like=True):
     """What one planner has: the revision in force, the one received, and why they differ or stay behind."""
 
     name: str
@@ -87,9 +90,23 @@
 
 
 class Coverage(ConfigMessage, tag="coverage", kw_only=True):
-    """From a follower to its source: what changed among itself and those that follow it."""
+    """From a follower to its source: what changed among itself and those that follow it.
+
+    `whole`: this is all; what this connection told before and is not in here is no longer below it. The rest
+    of a whole state that is too long for one message follows without the mark.
+    """
 
     members: tuple[MemberState, ...]
+    whole: bool = False
+
+
+# Two control machines.
+
+
+class Stored(ConfigMessage, tag="stored", kw_only=True):
+    """The sender has made all revisions up to this number durable."""
+
+    number: int
 
 
 # A writer or an operator, and a control machine.
