--- a/bench/capacity/hollow/claims.py
+++ b/bench/capacity/hollow/claims.py
@@ -4,6 +4,7 @@
 claims cost is the difference.
 """
 
+import os
 import time
 from pathlib import Path
 
@@ -18,7 +19,6 @@
 from bench.capacity.hollow.tally import Flow, total
 from bench.capacity.hollow.words import Counts, Drive, Status
 from hazelhold.config.planner import CopiesPlanner, CopiesSheet, PlannerSheet
-from hazelhold.rehearse.run import free_ports
 from hazelhold.replica.votes import found
 from hazelhold.state.disk import RealDisk
 
@@ -50,8 +50,8 @@
     """A rig whose planners have claims on, and reach each other through a relay that counts."""
 
     def start_relay(self) -> None:
-        ports = free_ports(self.trial.planners)
-        self.listens = {f"planner-{n}": f"127.0.0.1:{port}" for n, port in enumerate(ports)}
+        port = 20_000 + os.getpid() % 10_000  # below the ports that dialling takes
+        self.listens = {f"planner-{n}": f"127.2.0.{n + 1}:{port}" for n in range(self.trial.planners)}
         settings = relay.Settings(self.listens, self.most_seconds)
         self.relay = self.keep(Child("relay", settings, self.folder, "relay", relay.Relays))
         self.reach = self.relay.started().addresses
