Capacity page: figures of the configuration among 64 planners; parts of the rate that rows were measured at

Rows of configuration.process.mean and .burst hold the target's own rate; at a part of the target they have so much of what is beyond rest, so that the part at which a role breaks is not told too small.

--- a/bench/capacity/breaks.py
+++ b/bench/capacity/breaks.py
@@ -37,8 +37,14 @@
 }
 """With which power of the part a demand grows; those not named here, with the first."""
 
-BUDGET_EXPONENTS = {"list-service/traffic-list-with-rooms-to-all-planners": 1}
-"""The same for budgets; those not named here stay. This one is the sum of all planners' budgets."""
+PLANNERS_TOGETHER = {"list-service/traffic-list-with-rooms-to-all-planners"}
+"""Verdicts whose budget is that of all planners together, so that it grows with their number."""
+
+RATES = re.compile(r"^(configuration\.process\.)(mean|burst)\.")
+"""Rows that were measured at the target's own rate of changes. At a part of it they have so much of what is
+beyond rest, unless the arithmetic itself multiplies by a rate."""
+
+OWN_RATE = "demand.configuration."
 
 CONSTANTS = {"list-service/frame-of-the-whole-list", "planner/descriptors"}
 """Verdicts on a constant of a file."""
@@ -84,6 +90,7 @@
     def __init__(self, result: ResultFile, part: Fraction) -> None:
         super().__init__(result.rows, result.demands)
         self.part = float(part)
+        self.whole_rate = False  # the arithmetic that is evaluated multiplies by a rate of its own
 
     def value(self, reference: str) -> float:
         """A row at its part of the size, or a demand at the part."""
@@ -91,11 +98,21 @@
         if name.startswith("demand."):
             return self._demand(name.removeprefix("demand."), super().value(name))
         if at and float(size) in TARGET_SIZES:
-            return super().value(f"{name}@{max(1.0, float(size) * self.part)!r}")
+            return self._at_rate(name, max(1.0, float(size) * self.part))
         return super().value(reference)
 
+    def _at_rate(self, name: str, size: float) -> float:
+        """A row at a size, at a part of the rate that it was measured at if it has one."""
+        whole = super().value(f"{name}@{size!r}")
+        rest = RATES.sub(r"\1rest.", name)
+        if self.whole_rate or rest == name or rest not in self.rows:
+            return whole
+        at_rest = super().value(f"{rest}@{size!r}")
+        return at_rest + (whole - at_rest) * self.part
+
     def evaluate(self, text: str) -> float:
         """As `Known` does, but for costs of one, which are read at their whole size."""
+        self.whole_rate = OWN_RATE in text
         return super().evaluate(COST_OF_ONE.sub(lambda found: repr(Known.value(self, found["row"])), text))
 
     def _demand(self, name: str, whole: float) -> float:
@@ -122,7 +139,7 @@
     if verdict.value is None:
         return None
     for part in PARTS:
-        budget = verdict.budget * float(part) ** BUDGET_EXPONENTS.get(verdict_id(verdict), 0)
+        budget = verdict.budget * (float(part) if verdict_id(verdict) in PLANNERS_TOGETHER else 1.0)
         try:
             if PartOfTarget(result, part).evaluate(verdict.arithmetic) > budget:
                 return part
--- a/bench/capacity/figures.py
+++ b/bench/capacity/figures.py
@@ -18,7 +18,7 @@
 import re
 from dataclasses import dataclass
 from fractions import Fraction
-from math import floor, log10
+from math import floor, isclose, log10
 from statistics import median
 from typing import NamedTuple
 
@@ -223,7 +223,7 @@
     if abs(value) < 1e-4:
         return f"{value:.2e}"
     rounded = round_to(value, SIGNIFICANT_DIGITS)
-    if abs(rounded) >= 100 or rounded == int(rounded):
+    if abs(rounded) >= 100 or isclose(value, round(value), rel_tol=1e-9):
         return f"{rounded:,.0f}"
     return f"{rounded:.{SIGNIFICANT_DIGITS - 1 - floor(log10(abs(rounded)))}f}"
 
--- a/tests/test_capacity_page.py
+++ b/tests/test_capacity_page.py
@@ -233,7 +233,13 @@
 
 
 def test_what_is_shown_is_what_a_reference_may_say() -> None:
-    for value, unit in [(1_175_300, "bytes"), (430_700, "bytes/s"), (0.019, "share"), (7.25e-5, "s")]:
+    for value, unit in [
+        (1_175_300, "bytes"),
+        (430_700, "bytes/s"),
+        (0.019, "share"),
+        (7.25e-5, "s"),
+        (0.00799, "s/s"),
+    ]:
         row = Row("a.b", "r", "q", unit, "n", "computed", "", 0, [5], [Point(5, value)])
         Figures(ResultFile(rows=[row])).check(show(value, unit), "a.b", "at 5")
 
@@ -262,6 +268,24 @@
     assert PartOfTarget(result, Fraction(1, 4)).evaluate("demand.list.changes.rack") == 1464
 
 
+def test_rows_of_a_rate_have_a_part_of_what_is_beyond_rest() -> None:
+    result = made_up()
+    for kind, value in (("rest", 100.0), ("burst", 900.0)):
+        points = [Point(size, value) for size in (16, 32, 64)]
+        fits = [Fit("constant", 0.0, value, 0.0)]
+        name = f"configuration.process.{kind}.bytes"
+        row = Row(
+            name, "holder", "q", "bytes", "planners", "hollow", "", 1, [16, 32, 64], points, fits, "constant"
+        )
+        result.rows.append(row)
+    result.demands.append(Demand("configuration.burst", "holder", 10.0, "changes a second", "10"))
+    half = PartOfTarget(result, Fraction(1, 2))
+    assert half.evaluate("configuration.process.burst.bytes@64 * 1") == 500
+    # the rate is in the arithmetic: a change's cost stays, the rate is halved
+    assert half.evaluate("configuration.process.burst.bytes@64 / 10 * demand.configuration.burst") == 450
+    assert PartOfTarget(result, Fraction(1)).evaluate("configuration.process.burst.bytes@64 * 1") == 900
+
+
 def test_roles_break_in_the_order_of_the_smallest_part() -> None:
     result = made_up()
     smallest = Fraction(1, 64)
