--- a/hazelhold/platform/planner.py
+++ b/hazelhold/platform/planner.py
@@ -18,6 +18,7 @@
 from hazelhold.platform.codec import END, HEARD, SET_UP, TEST, BinaryMessage, CodecError, Line
 from hazelhold.platform.configuration import Start, read_start
 from hazelhold.platform.discovery import DiscoveryError, Follower
+from hazelhold.platform.eviction import eviction_order, is_stuck
 from hazelhold.platform.peer import MachinePeer, OwnerPeer
 from hazelhold.protocol import messages as m
 from hazelhold.service.net import Net
@@ -28,7 +29,6 @@
 EARLY, EARLY_MOST = 2.0, 4096  # seconds for which an end waits for its set-up, and how many do
 AGAIN = (0.05, 0.1, 0.2, 0.4, 0.8, 1.6)  # seconds between looks at a file that was of no use at its signal
 LOOKS = 16  # idle connections that are asked for unread bytes before a new one is refused
-STUCK = 0.5  # seconds in which an idle owner has read nothing
 TURN = 0.02  # seconds of decisions before peers are read again: gone owners must be heard within 0.1 s
 COMING = 0.7  # seconds after SIGTERM in which set-ups may still come
 LONGEST = 3.0  # a longest patience past this counts as this for the moment of SIGKILL
@@ -330,24 +330,19 @@
         self.ticker.stir()
 
     def _make_room(self) -> bool:
-        """Closes a connection with nothing open on it: those that never said anything of use or read nothing
-        first, then those that everything was written to, then those that hold no part of a message, then the
-        longest idle. One whose bytes wait to be read is not idle: they may be a request. False if there is
-        none."""
-        idle = [peer for peer in self.owners.values() if not peer.open and not peer.closing]
-        if not idle:
-            return False
-        stuck = trio.current_time() - STUCK  # one that reads nothing is not waited for, any other is told all
-        rank = {p: p.sending and p.sending_from < stuck for p in idle}
-        idle.sort(
-            key=lambda p: (p.good and not rank[p], p.unsent() and not rank[p], p.reader.half, p.used_at)
-        )
-        victim = next((p for p in idle[:LOOKS] if rank[p] or not p.unread()), None)
+        """Closes an idle connection for a new one; False if there is none. One whose bytes wait to be read
+        is not idle, they may be a request: it goes only if it has said nothing of use and others are no
+        better."""
+        now = trio.current_time()
+        order = eviction_order(self.owners.values(), now)
+        victim = next((p for p in order[:LOOKS] if is_stuck(p, now) or not p.unread()), None)
+        if victim is None and order and not order[0].good:
+            victim = order[0]
         if victim is None:
             return False
         self.counts["connections_closed_for_others"] += 1
         del self.owners[victim.name]
-        if rank[victim]:
+        if is_stuck(victim, now):  # not waited for; any other is told all
             victim.cut()
         elif not victim.unsent():
             victim.drop()  # its descriptor is free before the next is taken
