--- a/hazelhold/platform/eviction.py
+++ b/hazelhold/platform/eviction.py
@@ -19,7 +19,8 @@
     SILENT = 0  # has said nothing of use in time, or reads nothing
     ASKED = 1  # has said something of use, and no task of its was placed
     SERVED = 2  # a task was placed on it
-    FRESH = 3  # came just now: its first request may be on its way
+    HANDED_OVER = 3  # tasks that stand were handed over on it: their ends are owed to it
+    FRESH = 4  # came just now: its first request may be on its way
 
 
 def is_stuck(peer: OwnerPeer, now: float) -> bool:
@@ -35,7 +36,7 @@
     nothing, and being fresh protects none. Of one standing go first those to which nothing is left to be
     written, then those that hold no part of a message, then the longest idle.
     """
-    served = (peer for peer in peers if peer.proven and not peer.closing)
+    served = (peer for peer in peers if (peer.proven or peer.handed_over) and not peer.closing)
     kept = max(served, key=lambda peer: peer.used_at, default=None)
     idle = [peer for peer in peers if not peer.open and not peer.closing and peer is not kept]
     stuck = {peer: is_stuck(peer, now) for peer in idle}
@@ -45,6 +46,8 @@
     def standing(peer: OwnerPeer) -> Standing:
         if stuck[peer]:
             return Standing.SILENT
+        if peer.handed_over:
+            return Standing.HANDED_OVER
         if peer.good:
             return Standing.SERVED if peer.proven else Standing.ASKED
         return Standing.FRESH if fresh[peer] and not mostly_fresh else Standing.SILENT
--- a/hazelhold/platform/peer.py
+++ b/hazelhold/platform/peer.py
@@ -68,7 +68,8 @@
         self.open: dict[str, None] = {}  # emptied by answers, give-ups and the connection's end
         self.good = False  # it sent something that can be used
         self.told = False  # it was sent something
-        self.proven = False  # a guest of it was placed
+        self.proven = False  # a task of it was placed
+        self.handed_over = False  # it handed over tasks that stand: their ends are owed to it
         self.half_at: float | None = None  # when the part of a message that is held began
         self.bytes_put = self.bytes_left = 0
         # Ends of what stands that have not left, with the byte at which each ends; emptied as bytes leave.
--- a/hazelhold/platform/planner.py
+++ b/hazelhold/platform/planner.py
@@ -267,7 +267,10 @@
         else on the next."""
         if peer is not None and peer.release(binary):
             return
-        for other in sorted(self.owners.values(), key=lambda p: (p.proven, p.used_at), reverse=True):
+        by_claim = sorted(
+            self.owners.values(), key=lambda p: (p.handed_over, p.proven, p.used_at), reverse=True
+        )
+        for other in by_claim:
             if other.good and other.release(binary):
                 self.counts["releases_elsewhere"] += 1
                 return
@@ -450,7 +453,7 @@
             self.counts["found_" + wrong] += 1
             peer.send(words.released(binary.id, words.RESET))
         else:
-            peer.good = peer.told = True
+            peer.good = peer.told = peer.handed_over = True
             if ended:  # its machine must not keep it
                 self.engine.owner_left(now, binary.id)
 
--- a/tests/test_platform_doors.py
+++ b/tests/test_platform_doors.py
@@ -211,3 +211,25 @@
         assert trio.current_time() - began < 4.0
 
     play(test, machines="a")
+
+
+def test_a_connection_on_which_tasks_were_handed_over_outlasts_idle_ones_that_placed_tasks() -> None:
+    """Seen on a crowd's day: as one that had placed nothing it was the first to go, and the ends of the tasks
+    that it had handed over were told to strangers."""
+
+    async def test(rig: Rig) -> None:
+        owner = await rig.owner()
+        await owner.say(set_up(1, figures=f"cores:1;memory:2;service:{1:016x};at:a"))
+        await until(lambda: rig.planner.engine.stands(f"{1:016x}"))
+        crowd = [await rig.owner() for _ in range(rig.planner.limits.connections - 1)]
+        for number, other in enumerate(crowd, 2):
+            await other.say(set_up(number))
+            await until(lambda other=other, number=number: other.of(number) == PLACED)
+        newcomers = [await rig.owner() for _ in range(len(crowd) // 2)]
+        await until(lambda: sum(other.closed_at is not None for other in crowd) >= len(newcomers))
+        assert owner.closed_at is None
+        await rig.machines["a"].end(f"{1:016x}", 16)
+        await until(lambda: owner.of(1))
+        assert owner.of(1) == [(END, 16)] and not any(other.of(1) for other in crowd)
+
+    play(test, machines="a")
