--- a/tests/platform_rig.py
+++ b/tests/platform_rig.py
@@ -350,6 +350,9 @@
 
 
 async def until(holds: Callable[[], object]) -> None:
-    """Waits for a state, never for a time."""
-    while not holds():
-        await trio.sleep(0.002)
+    """Waits for a state, never for a time; a state that does not come in a minute is a failure."""
+    with trio.move_on_after(60):
+        while not holds():
+            await trio.sleep(0.002)
+        return
+    raise AssertionError("the state that was waited for did not come")
