Tests of the control core: bounds as strict as they were first written

Seen in a read of the whole change: drawn worlds had gone from 50 to 30 on a busy machine, and the broken variant that forgets ids was let pass for any fault of being carried out.

--- a/tests/test_fleetconfig_control.py
+++ b/tests/test_fleetconfig_control.py
@@ -28,7 +28,7 @@
 # Worlds.
 
 
-@settings(max_examples=30, deadline=None, derandomize=True)
+@settings(max_examples=50, deadline=None, derandomize=True)
 @given(st.integers(0, 10**9))
 def test_drawn_worlds_keep_one_chain_whose_answers_hold(seed: int) -> None:
     drawn_world(seed).play()
--- a/tests/test_fleetconfig_control_broken.py
+++ b/tests/test_fleetconfig_control_broken.py
@@ -169,10 +169,12 @@
         return 0
 
 
-@pytest.mark.parametrize("core", [ForgetsIds, ForgetsAll])
-def test_ids_forgotten_at_a_restart(core: type[ControlCore]) -> None:
+@pytest.mark.parametrize(
+    ("core", "found"), [(ForgetsIds, "in conflict, and carried out"), (ForgetsAll, "carried out")]
+)
+def test_ids_forgotten_at_a_restart(core: type[ControlCore], found: str) -> None:
     restarting()
-    with pytest.raises(AssertionError, match="carried out"):
+    with pytest.raises(AssertionError, match=found):
         restarting(core, seeds=WORLDS)
 
 
