Ports for processes: none that a dial or another test can take meanwhile

The log that was printed was that of the process started last, not of the one that ended, so its own word is lost; p2 is the one that nobody had heard of.

Checked: `free_ports` took ports from the ephemeral range and let go of them, and then the rig itself bound 24 datagram wires to port 0: in 12 of 3,000 draws one of them had a planner's port (probe, quiet machine); TCP doors can go to any connection that another test dials meanwhile. With p2's port occupied by hand the rig fails in the same way, p2's own line being "Address already in use". Ruled out: a crash of the program (each log of a rig is searched for tracebacks; the one printed was healthy).

Wrong lines: hazelhold/rehearse/run.py `free_ports` (used by rehearsals as well), and two local mends of the same fault in tests/processes/fleetconfig_rig.py and bench/capacity/configuration/fleet.py, which two processes could still collide in.

The rig prints the log of the process that ended.

--- a/bench/capacity/configuration/fleet.py
+++ b/bench/capacity/configuration/fleet.py
@@ -1,8 +1,6 @@
 """The processes of one trial: control machines, planners, and processes of hollow followers between them."""
 
 import json
-import os
-import socket
 import subprocess
 import sys
 import time
@@ -32,13 +30,13 @@
 from hazelhold.config.planner import PlannerSheet
 from hazelhold.fleetconfig import messages as m
 from hazelhold.fleetconfig.client import ConfigClient, UnreachableError
+from hazelhold.rehearse.ports import free_ports
 from hazelhold.service.net import TcpNet
 
 DEPLOYMENT = "scale"
 WRITER = "writer"
 UP = 40.0  # seconds within which a process is up
 ANSWER = 20.0  # seconds for a command
-FIRST_PORT, PORTS = 12_000, 8_000  # below the ports that dialling takes
 ROOT = Path(__file__).parent.parent.parent.parent
 
 
@@ -283,22 +281,3 @@
             if status is None or status.in_force < number:
                 return False
         return True
-
-
-def free_ports(count: int) -> list[int]:
-    """Ports that were free a moment ago and that no dialling takes."""
-    found: list[int] = []
-    start = FIRST_PORT + os.getpid() * 397 % PORTS
-    for port in (FIRST_PORT + (start + n) % PORTS for n in range(PORTS)):
-        if len(found) == count:
-            break
-        with socket.socket() as tried:
-            tried.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-            try:
-                tried.bind(("127.0.0.1", port))
-            except OSError:
-                continue
-            found.append(port)
-    if len(found) < count:
-        raise RigError(f"{count} free ports are needed")
-    return found
--- a/bench/capacity/hollow/membership.py
+++ b/bench/capacity/hollow/membership.py
@@ -18,7 +18,7 @@
 from bench.capacity.hollow.words import Counts, Status
 from hazelhold.config.planner import ListSheet, MembershipSheet, PlannerSheet
 from hazelhold.rehearse.crew import sheet_text
-from hazelhold.rehearse.run import free_ports
+from hazelhold.rehearse.ports import free_ports
 
 NAME = "planner-0"
 ZONES = 24
--- a/bench/copies.py
+++ b/bench/copies.py
@@ -32,7 +32,7 @@
 from bench import throughput
 from hazelhold.config.planner import CopiesPlanner, CopiesSheet, ProductSheet
 from hazelhold.protocol.messages import encode
-from hazelhold.rehearse.run import free_ports
+from hazelhold.rehearse.ports import free_ports
 from hazelhold.replica import words as w
 from hazelhold.replica.acceptor import Acceptor
 from hazelhold.replica.claims import Claim, Take
--- a/bench/membership_sockets.py
+++ b/bench/membership_sockets.py
@@ -23,7 +23,7 @@
 from hazelhold.config.planner import ListSheet, MembershipSheet, PlannerSheet
 from hazelhold.membership.host import Members
 from hazelhold.rehearse.crew import sheet_text
-from hazelhold.rehearse.run import free_ports
+from hazelhold.rehearse.ports import free_ports
 from hazelhold.service.net import TcpNet
 
 COUNT = 16
--- a/hazelhold/rehearse/run.py
+++ b/hazelhold/rehearse/run.py
@@ -27,6 +27,7 @@
 from hazelhold.protocol.record import Recorder
 from hazelhold.rehearse.crashes import Crashing, DiskFault
 from hazelhold.rehearse.crew import Crew, Inside, Processes, Programs
+from hazelhold.rehearse.ports import free_ports
 from hazelhold.rehearse.stage import Stage
 from hazelhold.rehearse.troubles import Step, plan
 from hazelhold.rehearse.wires import Wires
@@ -51,17 +52,6 @@
     ]
 
 
-def free_ports(count: int, kind: int = socket.SOCK_STREAM) -> list[int]:
-    """Ports that were free a moment ago; planners must find theirs again after a restart."""
-    held = [socket.socket(socket.AF_INET, kind) for _ in range(count)]
-    for each in held:
-        each.bind(("127.0.0.1", 0))
-    ports = [each.getsockname()[1] for each in held]
-    for each in held:
-        each.close()
-    return ports
-
-
 async def wire_up(sheets: list[PlannerSheet], day: Day, wires: Wires, ports: list[str]) -> list[PlannerSheet]:
     """The sheets with membership on, each planner reaching each other by a wire of its own."""
     names = [s.name for s in sheets]
--- a/tests/processes/fleetconfig_rig.py
+++ b/tests/processes/fleetconfig_rig.py
@@ -2,12 +2,9 @@
 judgement: one chain, committed answers kept, nobody goes back. Judged from what processes told and from their
 stores."""
 
-import contextlib
 import json
-import os
 import shutil
 import signal
-import socket
 import subprocess
 import sys
 from collections.abc import AsyncIterator, Callable
@@ -32,6 +29,7 @@
 from hazelhold.fleetconfig.revision import Change
 from hazelhold.fleetconfig.store import KINDS, Stored, read_ledger
 from hazelhold.protocol.frames import FrameReader, frame
+from hazelhold.rehearse.ports import free_ports
 from hazelhold.rehearse.wires import CHUNK, Direction, Wires
 from hazelhold.replica.votes import found
 from hazelhold.service.net import TcpNet
@@ -45,19 +43,6 @@
 COMMIT = {"prepare", "promise", "accept", "accepted", "propose", "propose_answer", "revisions", "stored"}
 
 
-def steady_ports(count: int) -> list[int]:
-    """Ports for processes that start again and again: below those that the system gives to connections, so
-    that none of these takes one meanwhile. Each test process looks from a place of its own."""
-    found: list[int] = []
-    port = 10_000 + os.getpid() * 101 % 20_000
-    while len(found) < count:
-        port = port + 1 if port < 32_000 else 10_000
-        with socket.socket() as tried, contextlib.suppress(OSError):
-            tried.bind(("127.0.0.1", port))
-            found.append(port)
-    return found
-
-
 class FrameWires(Wires):
     """Wires that see frames. `kill` is called before the `left`-th message of a commit that `victim` sends or
     hears is carried on."""
@@ -118,7 +103,7 @@
         self.controls = [f"c{n}" for n in range(1, controls + 1)]
         self.planners = [f"p{n}" for n in range(1, planners + 1)]
         names = [*self.controls, *self.planners]
-        ports = steady_ports(len(names) + controls)
+        ports = free_ports(len(names) + controls)
         self.ports = dict(zip(names, ports[controls:], strict=True))
         self.votes = dict(zip(self.controls, ports[:controls], strict=True))
         self.running: dict[str, trio.Process] = {}
--- a/tests/processes/rig.py
+++ b/tests/processes/rig.py
@@ -3,6 +3,7 @@
 
 import json
 import signal
+import socket
 import subprocess
 import sys
 from collections.abc import AsyncIterator, Callable, Iterable
@@ -16,7 +17,7 @@
 from hazelhold.cli.members import ask
 from hazelhold.config.planner import MembershipSheet, PlannerSheet
 from hazelhold.membership.rows import STATES
-from hazelhold.rehearse.run import free_ports
+from hazelhold.rehearse.ports import free_ports
 from hazelhold.rehearse.wires import Wires
 from hazelhold.service.net import TcpNet
 from tests.helpers import sheet
@@ -35,8 +36,6 @@
         self.net = TcpNet()
         self.wires = Wires(self.net, nursery, seed)
         self.names = [f"p{n}" for n in range(count)]
-        import socket
-
         self.ports = dict(zip(self.names, free_ports(count, socket.SOCK_DGRAM), strict=True))
         self.doors = dict(zip(self.names, free_ports(count), strict=True))
         self.sheets: dict[str, PlannerSheet] = {}
@@ -87,8 +86,9 @@
         key = name + life
         file = self.folder / f"{key}.json5"
         file.write_bytes(msgspec.json.encode(made))
-        self.logs.append(self.folder / f"{key}-{len(self.logs)}.log")
-        with self.logs[-1].open("wb") as log:
+        log_file = self.folder / f"{key}-{len(self.logs)}.log"
+        self.logs.append(log_file)
+        with log_file.open("wb") as log:
             process = await trio.lowlevel.open_process(
                 [
                     sys.executable,
@@ -106,7 +106,7 @@
             )
         self.running[key] = process
         with trio.fail_after(LONG):
-            assert await process.stdout.receive_some(100), self.logs[-1].read_text()
+            assert await process.stdout.receive_some(100), f"{key} ended: {log_file.read_text()}"
 
     async def start_all(self) -> None:
         async with trio.open_nursery() as nursery:
--- a/tests/processes/test_copies_processes.py
+++ b/tests/processes/test_copies_processes.py
@@ -19,7 +19,8 @@
 from hazelhold.protocol import messages as m
 from hazelhold.protocol.record import Recorder
 from hazelhold.rehearse.crew import Processes
-from hazelhold.rehearse.run import copy_up, free_ports, planner_sheets, rule_sheet, wire_up
+from hazelhold.rehearse.ports import free_ports
+from hazelhold.rehearse.run import copy_up, planner_sheets, rule_sheet, wire_up
 from hazelhold.rehearse.stage import Stage
 from hazelhold.rehearse.wires import Wires
 from hazelhold.service.net import TcpNet
--- a/tests/test_client.py
+++ b/tests/test_client.py
@@ -408,7 +408,7 @@
 def test_the_blocking_client_on_sockets() -> None:
     import threading
 
-    from hazelhold.rehearse.run import free_ports
+    from hazelhold.rehearse.ports import free_ports
     from hazelhold.service.net import TcpNet
     from hazelhold.service.planner import Planner
 
--- a/tests/test_day.py
+++ b/tests/test_day.py
@@ -78,7 +78,7 @@
 
 def test_machines_enlist_with_a_list_service_elsewhere() -> None:
     from hazelhold.rehearse.alone import run_part
-    from hazelhold.rehearse.run import free_ports
+    from hazelhold.rehearse.ports import free_ports
     from hazelhold.rehearse.stage import Stage
     from hazelhold.service.net import TcpNet
 
--- a/tests/test_state.py
+++ b/tests/test_state.py
@@ -593,7 +593,7 @@
     import sys
 
     from hazelhold.client import TaskRequest, open_client
-    from hazelhold.rehearse.run import free_ports
+    from hazelhold.rehearse.ports import free_ports
 
     door = f"127.0.0.1:{free_ports(1)[0]}"
     made = sheet()
