Fleet configuration: ages tell the truth after a pause and soon after the machine's start

Seen in review, both reproduced by a test on the old code: - A planner stopped for minutes (SIGSTOP, a frozen machine) finds heartbeats in its connections that came in the first seconds of the pause. They say how old the word was when it was sent, so the planner told an age of 0.2 s after 300 s without a word (Links.heartbeat counted it from now). A relay passed that on. Now a pause of more than 3 s ends the connections, without holding it against the sources. - 'confirmed_at or 0' and max(0, ...) cut a word that is older than the clock to the clock's start: on a machine started 3 s ago a word of 600 s ago was told as 3 s old, and the planner as in touch.

--- a/hazelhold/fleetconfig/confirmation.py
+++ b/hazelhold/fleetconfig/confirmation.py
@@ -24,7 +24,8 @@
             if link is None or heartbeat is None or link.confirmed_at is None:
                 continue
             if self._history.chain_at(heartbeat.number) == heartbeat.chain:
-                self.confirmed_at = max(self.confirmed_at or link.confirmed_at, link.confirmed_at)
+                before = self.confirmed_at
+                self.confirmed_at = link.confirmed_at if before is None else max(before, link.confirmed_at)
 
     def age(self, now: int) -> int:
         """Microseconds since then; NEVER if it is not known."""
--- a/hazelhold/fleetconfig/follower.py
+++ b/hazelhold/fleetconfig/follower.py
@@ -236,11 +236,16 @@
         self.links.choice.set_sources(self.roster.sources(self.name, self._place))
 
     def _woken(self, now: int) -> None:
-        """Takes a pause of this process out of what is held against sources."""
+        """Takes a pause of this process out of what is held against sources. After a long one, heartbeats that
+        came meanwhile wait in the connections: they tell how old the word was when it was sent, not now. So
+        the connections are made anew."""
         late = now - self._due
-        if late > self._times.pause:
-            self.counts["pauses"] += 1
-            self.links.shift(late)
+        if late <= self._times.pause:
+            return
+        self.counts["pauses"] += 1
+        if late > self._times.long_pause:
+            self.links.drop_all("this process was paused")
+        self.links.shift(late)
 
     def _settle(self, now: int) -> None:
         """What follows from any event."""
--- a/hazelhold/fleetconfig/links.py
+++ b/hazelhold/fleetconfig/links.py
@@ -87,7 +87,8 @@
             return
         link.heartbeat = heartbeat
         if heartbeat.confirmed_age >= 0:
-            link.confirmed_at = max(link.confirmed_at or 0, now - heartbeat.confirmed_age)
+            at = now - heartbeat.confirmed_age
+            link.confirmed_at = at if link.confirmed_at is None else max(link.confirmed_at, at)
         if self._goes_in_circles(heartbeat.route):
             self._counts["cycles"] += 1
             self.leave(now, link, "its way goes through this planner")
@@ -111,6 +112,13 @@
             if link is not None:
                 link.shift(span)
 
+    def drop_all(self, reason: str) -> None:
+        """Ends both connections; nothing is held against the sources."""
+        for link in (self.current, self.trial):
+            if link is not None:
+                self._actions.append(Close(link.connection, reason))
+        self.current = self.trial = None
+
     def next_at(self, now: int) -> int | None:
         """When `tick` has something to do."""
         moments = [self._fault_at(link) for link in (self.current, self.trial) if link is not None]
@@ -126,7 +134,7 @@
         if current is None:
             self._promote(now, link)
         elif current.is_stale(now, self._times):
-            newer = (link.confirmed_at or 0) > (current.confirmed_at or 0) + self._times.heartbeat
+            newer = self._knows_newer(link, current)
             self._promote(now, link) if newer else self.leave(now, link, "knows nothing newer")
         elif self.choice.rank(link.source.name) > self.choice.rank(current.source.name):
             self._actions.append(Close(link.connection, "not needed"))
@@ -136,6 +144,11 @@
         else:
             self._promote(now, link)
 
+    def _knows_newer(self, link: Link, current: Link) -> bool:
+        if link.confirmed_at is None or current.confirmed_at is None:
+            return link.confirmed_at is not None
+        return link.confirmed_at > current.confirmed_at + self._times.heartbeat
+
     def _promote(self, now: int, link: Link) -> None:
         if self.current is not None:
             self._actions.append(Close(self.current.connection, "another source is followed"))
@@ -191,7 +204,8 @@
             return self.choice.next_at()
         if current.is_stale(now, self._times):
             return self.choice.next_at(but=current.source.name)
-        stale_at = (current.confirmed_at or 0) + self._times.stale + 1
+        assert current.confirmed_at is not None  # else it is stale
+        stale_at = current.confirmed_at + self._times.stale + 1
         return min(stale_at, self._go_back_at)
 
     def _dial(self, now: int, source: Source | None) -> None:
--- a/hazelhold/fleetconfig/spread_actions.py
+++ b/hazelhold/fleetconfig/spread_actions.py
@@ -33,6 +33,7 @@
     follower_silent: int = 35_000_000  # a follower that told nothing for so long is left
     write: int = 20_000_000  # a message to a follower that is not written for so long ends its connection
     pause: int = 1_000_000  # a wake that comes so much later than asked for means: this process was paused
+    long_pause: int = 3_000_000  # after one so long, what waits in connections is too old to tell an age
 
 
 def take(actions: list) -> list:
--- a/tests/test_fleetconfig_spread_broken.py
+++ b/tests/test_fleetconfig_spread_broken.py
@@ -14,7 +14,7 @@
 from hazelhold.fleetconfig.follower import FollowerCore
 from hazelhold.fleetconfig.history import History
 from hazelhold.fleetconfig.links import Link, Links
-from hazelhold.fleetconfig.messages import ConfigMessage, MemberState, Revisions, SnapshotPage
+from hazelhold.fleetconfig.messages import ConfigMessage, Heartbeat, MemberState, Revisions, SnapshotPage
 from hazelhold.fleetconfig.revision import Position, RevisionError, SealedRevision, seal, unseal
 from hazelhold.fleetconfig.roster import Source
 from hazelhold.fleetconfig.snapshot import Assembly, page_check
@@ -193,6 +193,41 @@
         raise RevisionError("gap", "")
 
 
+def heartbeats_that_waited_while_it_was_paused() -> None:
+    """Those of the first seconds of a pause wait in the connection; the source has ended it meanwhile."""
+    direct, pause = Direct(), 300_000_000
+    word = Heartbeat(number=0, chain=Position().chain, confirmed_age=200_000, route=("c0",))
+    direct.hear(word)
+    assert direct.core.standing(direct.now).cut_off is None
+    before, direct.now = direct.connection, direct.now + pause
+    for _ in range(3):
+        direct.core.heard(direct.now, before, word)
+        told = direct.core.standing(direct.now)
+        assert told.confirmed_age >= pause and told.cut_off is not None
+    direct.settle()
+    assert direct.connection != before
+    direct.hear(word)
+    assert direct.core.standing(direct.now).confirmed_age == 200_000
+
+
+def an_old_word_soon_after_the_machine_was_started() -> None:
+    """The clock counts from there: a word may be older than it."""
+    direct = Direct()
+    direct.now = 3_000_000
+    direct.hear(Heartbeat(number=0, chain=Position().chain, confirmed_age=600_000_000, route=("c0",)))
+    told = direct.core.standing(direct.now)
+    assert told.confirmed_age == 600_000_000 and told.cut_off is not None
+
+
+def age_from_the_start_of_the_clock(links: Links, now: int, link: Link, heartbeat: Heartbeat) -> None:
+    HEARTBEAT(links, now, link, heartbeat)
+    if link.confirmed_at is not None:
+        link.confirmed_at = max(0, link.confirmed_at)
+
+
+HEARTBEAT = Links.heartbeat
+
+
 def assembled_unchecked(assembly: Assembly) -> Document:
     document = Document(assembly._items)
     assembly.clear()
@@ -279,6 +314,14 @@
         damaged_bytes_of_a_revision,
         patched((follower, "unseal_all", unseal_without_checksum)),
     ),
+    "heartbeats that waited count as new": (
+        heartbeats_that_waited_while_it_was_paused,
+        patched((Links, "drop_all", lambda links, reason: None)),
+    ),
+    "no word is older than the clock": (
+        an_old_word_soon_after_the_machine_was_started,
+        patched((Links, "heartbeat", age_from_the_start_of_the_clock)),
+    ),
     "page's checksum not compared": (
         damaged_bytes_of_a_page,
         patched((snapshot, "page_check", lambda page: page.check)),
