Fleet configuration: in force everywhere goes by the revision, not by its number alone

Seen in review, reproduced by a test on the old code: FleetCoverage counted a planner by the number that it tells. A planner whose folder is of another deployment (or of this one before it was founded anew) has higher numbers of another order; while no source knows one of them to contradict, it stays connected, and every revision was told as in force everywhere though it had none of them.

Broken variant: the number alone. 'In force when received' needs that variant beside it to be the same argument as before.

--- a/hazelhold/cli/fleetconfig_status.py
+++ b/hazelhold/cli/fleetconfig_status.py
@@ -17,7 +17,7 @@
     said["chain"] = status.chain.hex()
     said["route"] = list(status.route)
     said["revisions"] = [msgspec.structs.asdict(each) for each in status.revisions]
-    said["lacking"] = [msgspec.structs.asdict(each) for each in status.lacking]
+    said["lacking"] = [{**msgspec.structs.asdict(each), "chain": each.chain.hex()} for each in status.lacking]
     return said
 
 
--- a/hazelhold/fleetconfig/everywhere.py
+++ b/hazelhold/fleetconfig/everywhere.py
@@ -3,6 +3,10 @@
 Expected are the planners that the document lists (`planners/NAME`). `everywhere_after` runs from when the
 commit was known here until the last expected planner's word was heard here: an upper bound, by the time that
 its word took. What was told once counts also after its connection ended.
+
+A number alone proves nothing: a planner whose folder is of another deployment, or of this one before it was
+founded anew, has revisions of another order under the same and higher numbers. So a word counts only if its
+chain mark is that of the revision here; one about a revision that is not known here yet waits for it.
 """
 
 from collections import Counter
@@ -13,7 +17,7 @@
 
 from hazelhold.fleetconfig.coverage import Listener, Subtree
 from hazelhold.fleetconfig.history import History
-from hazelhold.fleetconfig.messages import NEVER, MemberState, RevisionCoverage
+from hazelhold.fleetconfig.messages import CHAIN_MARK, NEVER, MemberState, RevisionCoverage
 from hazelhold.fleetconfig.revision import SealedRevision
 from hazelhold.fleetconfig.roster import Roster
 
@@ -28,10 +32,8 @@
     state: MemberState | None
     connected: bool
     since: int
-
-    @property
-    def in_force(self) -> int:
-        return NOTHING if self.state is None else self.state.in_force
+    in_force: int = NOTHING  # the last revision of the order here that it is known to have in force
+    fault: str = ""  # why what it tells does not count
 
 
 class Watched:
@@ -52,6 +54,7 @@
         self._numbers: Counter[int] = Counter()  # expected planners by the revision in force there
         self._watched: dict[int, Watched] = {}
         self._changed: set[str] = set()
+        self._ahead: set[str] = set()  # who told of a revision that is not known here
         self._unexpected: set[str] = set()
         subtree.listeners.append(self)
         self.replaced(now)
@@ -64,6 +67,7 @@
             names.update(name for change in one.revision.changes for name in change.names())
         if self._roster.note(self._history.document, names):
             self._expect(now)
+        self._look_again()
         self.settle(now)
 
     def replaced(self, now: int) -> None:
@@ -72,6 +76,7 @@
         if self._history.position.number:
             self._watch(now, self._history.position.number)
         self._expect(now)
+        self._look_again()
         self.settle(now)
 
     def changed(self, name: str) -> None:
@@ -144,7 +149,8 @@
             return
         connected = state is not None
         since = known.since if connected == known.connected else now
-        after = Known(state or known.state, connected, since)
+        in_force, fault = (known.in_force, known.fault) if state is None else self._judged(known, state)
+        after = Known(state or known.state, connected, since, in_force, fault)
         self._known[name] = after
         if after.in_force != known.in_force:
             self._numbers[after.in_force] += 1
@@ -152,6 +158,22 @@
             if not self._numbers[known.in_force]:
                 del self._numbers[known.in_force]
 
+    def _look_again(self) -> None:
+        """Words about revisions that were not known here may be judged now."""
+        self._changed |= self._ahead
+        self._ahead.clear()
+
+    def _judged(self, known: Known, state: MemberState) -> tuple[int, str]:
+        """Which revision of the order here a planner has in force by its word, and why not more."""
+        number = state.in_force
+        if number > self._history.position.number:
+            self._ahead.add(state.name)
+            return known.in_force, f"tells of revision {number}, which is not known here"
+        chain = self._history.chain_at(number)
+        if number > 0 and chain is not None and chain[:CHAIN_MARK] != state.chain:
+            return NOTHING, f"has a revision {number} of another order in force"
+        return max(number, 0), ""
+
     def _complete(self, now: int) -> None:
         """Marks the revisions that all expected planners have."""
         if not self._known:
@@ -167,5 +189,5 @@
         if not known.connected:
             reason = f"not connected for {(now - known.since) / 1e6:.1f} s"
             return replace(known.state, reason=reason, connected=False)
-        reason = known.state.reason or f"behind by {number - known.in_force}"
+        reason = known.fault or known.state.reason or f"behind by {number - known.in_force}"
         return replace(known.state, reason=reason)
--- a/hazelhold/fleetconfig/follower.py
+++ b/hazelhold/fleetconfig/follower.py
@@ -18,6 +18,7 @@
 from hazelhold.fleetconfig.history import History, unseal_all
 from hazelhold.fleetconfig.links import Link, Links
 from hazelhold.fleetconfig.messages import (
+    CHAIN_MARK,
     ConfigMessage,
     Follow,
     Heartbeat,
@@ -236,9 +237,9 @@
         self.links.choice.set_sources(self.roster.sources(self.name, self._place))
 
     def _woken(self, now: int) -> None:
-        """Takes a pause of this process out of what is held against sources. After a long one, heartbeats that
-        came meanwhile wait in the connections: they tell how old the word was when it was sent, not now. So
-        the connections are made anew."""
+        """Takes a pause of this process out of what is held against sources. After a long one, heartbeats
+        that came meanwhile wait in the connections: they tell how old the word was when it was sent, not now.
+        So the connections are made anew."""
         late = now - self._due
         if late <= self._times.pause:
             return
@@ -270,6 +271,7 @@
                 in_force=enforcement.in_force.number,
                 received=position.number,
                 reason=enforcement.reason,
+                chain=enforcement.in_force.chain[:CHAIN_MARK],
             )
         )
         current = self.links.current
--- a/hazelhold/fleetconfig/messages.py
+++ b/hazelhold/fleetconfig/messages.py
@@ -15,6 +15,7 @@
 VERSION = 1
 PAGE_BYTES = 64 << 10  # of items or revisions in one message, about
 NEVER = -1  # an age that is not known
+CHAIN_MARK = 4  # bytes of a chain checksum that tell a revision from one of another order by accident
 
 
 class ConfigMessage(Struct, frozen=True, tag_field="t", omit_defaults=True, kw_only=True):
@@ -87,6 +88,7 @@
     received: int
     reason: str = ""
     connected: bool = True  # False: its connection to whoever tells this has ended
+    chain: bytes = b""  # the first `CHAIN_MARK` bytes of the chain checksum of the revision in force
 
 
 class Coverage(ConfigMessage, tag="coverage", kw_only=True):
--- a/tests/fleetconfig_long.py
+++ b/tests/fleetconfig_long.py
@@ -1,8 +1,8 @@
 """Many more drawn worlds than CI plays, from any seed on, for as long as asked for.
 
-`python -m tests.fleetconfig_long control|spread FIRST_SEED SECONDS`: prints how many were played and the first
-that failed, with its seed; exits with 1 then. `control`: writers, cuts, lost disks and restarts around control
-machines. `spread`: faults of sources, planners and connections below them.
+`python -m tests.fleetconfig_long control|spread FIRST_SEED SECONDS`: prints how many held and the first
+that failed, with its seed; exits with 1 then. `control`: writers, cuts, lost disks and restarts around
+control machines. `spread`: faults of sources, planners and connections below them.
 """
 
 import sys
--- a/tests/test_fleetconfig_coverage.py
+++ b/tests/test_fleetconfig_coverage.py
@@ -1,14 +1,20 @@
 """Who has which revision in force: told upwards, and judged at the control machines."""
 
-from hazelhold.emulate.spread_nodes import Planned
+import pytest
+
+from hazelhold.emulate.spread_nodes import Planned, Stored
 from hazelhold.emulate.spread_world import put_planner
 from hazelhold.fleetconfig.coverage import Feed, Subtree
-from hazelhold.fleetconfig.messages import Coverage, MemberState
-from hazelhold.fleetconfig.roster import Place
+from hazelhold.fleetconfig.everywhere import FleetCoverage
+from hazelhold.fleetconfig.history import History
+from hazelhold.fleetconfig.messages import CHAIN_MARK, Coverage, MemberState
+from hazelhold.fleetconfig.roster import Place, Roster
 from hazelhold.fleetconfig.spread_actions import Times
 from tests.spread_rig import (
     assert_settled,
     assert_told,
+    chain_of,
+    document_at,
     fleet,
     item,
 )
@@ -85,6 +91,61 @@
     assert [control.fleet.expected for control in world.controls] == [5, 5, 5]
 
 
+def test_a_planner_whose_folder_is_of_another_order_is_not_counted_whatever_its_numbers() -> None:
+    """Of another deployment, or of this one before it was founded anew: its numbers are higher."""
+    another_order_in_a_folder()
+
+
+def another_order_in_a_folder() -> None:
+    world = fleet(4)
+    for number in range(3):
+        world.commit_at("c0", "work", [item("teams/a", number)])
+    world.run(3)
+    stranger = chain_of(*([item("teams/z", number)] for number in range(40)))
+    judge = world.judge  # what p2 begins with is no revision of the order, as this scenario wants it
+    world.judge = lambda node, action: None if node.name == "p2" else judge(node, action)
+    world.nodes["p2"].stop()
+    world.start(world.planned["p2"], Stored(stranger[-1].position, document_at(stranger, 40)))
+    world.commit_at("c0", "work", [item("teams/a", 9)])
+    world.run(5)
+    head = world.head.number
+    assert head < 40
+    for control in world.controls:
+        newest, *older = control.fleet.revisions(world.now)
+        assert (newest.number, newest.everywhere_after, newest.have, newest.expected) == (head, -1, 3, 4)
+        (told,) = control.fleet.lacking(world.now)
+        assert told.name == "p2" and "tells of revision 40, which is not known here" in told.reason
+    while world.head.number < 45:  # now they have revisions under its numbers too
+        world.commit_at("c0", "work", [item("teams/a", world.head.number)])
+    world.run(5)
+    for control in world.controls:
+        assert control.fleet.revisions(world.now)[0].everywhere_after == -1
+        (told,) = control.fleet.lacking(world.now)
+        assert told.name == "p2" and told.reason.startswith(("has a revision 40 of another", "not connected"))
+
+
+def test_the_number_alone_would_tell_it_everywhere(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(FleetCoverage, "_judged", lambda coverage, known, state: (state.in_force, ""))
+    with pytest.raises(AssertionError):
+        another_order_in_a_folder()
+
+
+def test_a_word_about_a_revision_that_is_not_known_here_yet_counts_once_it_is() -> None:
+    chain = chain_of([item("planners/p", {"address": "p", "zone": "", "region": ""})], [item("teams/a", 1)])
+    history, subtree = History(), Subtree()
+    coverage = FleetCoverage(history, Roster([]), subtree, 0)
+    subtree.add(1)
+    history.append(chain[0])
+    coverage.committed(1, chain[:1])
+    word = MemberState(name="p", in_force=2, received=2, chain=chain[1].chain[:CHAIN_MARK])
+    subtree.tell(1, Coverage(members=(word,)))
+    coverage.settle(2)
+    assert coverage.revisions(2)[0].everywhere_after == -1
+    history.append(chain[1])
+    coverage.committed(3, chain[1:])
+    assert [told.everywhere_after for told in coverage.revisions(3)] == [0, 2] and not coverage.lacking(3)
+
+
 def test_why_each_one_lacks_the_last_revision() -> None:
     world = fleet(5)
     world.commit_at("c0", "add", [put_planner(Planned("never", Place("r0", "z0")))])
--- a/tests/test_fleetconfig_spread_broken.py
+++ b/tests/test_fleetconfig_spread_broken.py
@@ -299,7 +299,10 @@
     "going back by snapshot": (older_snapshot, patched((FollowerCore, "_take_page", take_any_snapshot))),
     "in force when received": (
         refused_by_one_program,
-        patched((follower, "MemberState", in_force_when_received)),
+        patched(
+            (follower, "MemberState", in_force_when_received),
+            (FleetCoverage, "_judged", lambda coverage, known, state: (state.in_force, "")),
+        ),
     ),
     "relay passes on unverified": (
         damaged_revision_at_a_relay,
