Fleet configuration: bounds on nesting and on the whole document, so that nothing is committed that ends others

Seen in review, both reproduced on the old code: - A value of some 900 nested arrays was committed where the call stack was shallow, and raised RecursionError in read_item where it was deeper (at 40 frames all up to 955 levels passed item_faults, at 150 all from 900 on ended the reader): one change could end control machines and planners at each start. Now 32 MiB; a document that is longer may still become shorter.

--- a/hazelhold/fleetconfig/document.py
+++ b/hazelhold/fleetconfig/document.py
@@ -15,6 +15,9 @@
 CHECKSUM_BYTES = 16
 MAX_NAME = 200  # characters
 MAX_VALUE = 64 << 10  # bytes of one item's JSON
+MAX_DEPTH = 64  # objects and arrays within each other: readers fail at depths that differ between programs
+MAX_DOCUMENT = 32 << 20  # bytes of all items, as `item_size` counts: less than a snapshot may have
+ITEM_OVERHEAD = 8  # bytes of an item's encoding beside its name and value, at most
 NAME = re.compile(r"[A-Za-z0-9_.-]+(/[A-Za-z0-9_.-]+)*")
 _MODULUS = 1 << (8 * CHECKSUM_BYTES)
 
@@ -56,13 +59,35 @@
         faults.append(Fault(put.name[:MAX_NAME], f"has {len(put.value)} bytes; {MAX_VALUE} are allowed"))
     else:
         try:
-            if canonical(msgspec.json.decode(put.value)) != put.value:
+            value = msgspec.json.decode(put.value)
+            if _is_too_deep(value):
+                text = f"has more than {MAX_DEPTH} objects and arrays within each other"
+                faults.append(Fault(put.name[:MAX_NAME], text))
+            elif canonical(value) != put.value:
                 faults.append(Fault(put.name[:MAX_NAME], "is not canonical JSON"))
         except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as wrong:
             faults.append(Fault(put.name[:MAX_NAME], f"is not JSON: {wrong}"))
     return faults
 
 
+def _is_too_deep(value: object) -> bool:
+    level = [value]
+    for _ in range(MAX_DEPTH):
+        level = [inner for outer in level for inner in _within(outer)]
+    return any(isinstance(each, dict | list) for each in level)
+
+
+def _within(value: object) -> Iterable[object]:
+    if isinstance(value, dict):
+        return value.values()
+    return value if isinstance(value, list) else ()
+
+
+def item_size(name: str, value: bytes | None) -> int:
+    """Bytes that an item takes in a document, about; None: it is not there."""
+    return 0 if value is None else len(name) + len(value) + ITEM_OVERHEAD
+
+
 def _item_digest(name: str, value: bytes) -> int:
     encoded = name.encode()
     hashed = blake2b(len(encoded).to_bytes(4) + encoded + value, digest_size=CHECKSUM_BYTES)
@@ -74,10 +99,10 @@
 
     def __init__(self, items: Iterable[Put] = ()) -> None:
         self.items: dict[str, bytes] = {}
+        self.size = 0  # of all items, as `item_size` counts
         self._sum = 0
         for put in items:
-            self._sum = (self._sum + self._difference(put.name, put.value)) % _MODULUS
-            self.items[put.name] = put.value
+            self._set(put.name, put.value)
 
     @property
     def checksum(self) -> bytes:
@@ -99,16 +124,14 @@
         """Carries the edits out in order. Removing an item that is not there changes nothing."""
         for edit in edits:
             for put in edit.puts:
-                self._sum = (self._sum + self._difference(put.name, put.value)) % _MODULUS
-                self.items[put.name] = put.value
+                self._set(put.name, put.value)
             for name in edit.removals:
-                self._sum = (self._sum + self._difference(name, None)) % _MODULUS
-                self.items.pop(name, None)
+                self._set(name, None)
 
     def copy(self) -> "Document":
         """A document of its own with the same items."""
         made = Document()
-        made.items, made._sum = dict(self.items), self._sum
+        made.items, made.size, made._sum = dict(self.items), self.size, self._sum
         return made
 
     def puts(self) -> list[Put]:
@@ -119,6 +142,14 @@
         """The items whose names begin with the prefix, such as "teams/"."""
         return ((name, value) for name, value in self.items.items() if name.startswith(prefix))
 
+    def _set(self, name: str, value: bytes | None) -> None:
+        self._sum = (self._sum + self._difference(name, value)) % _MODULUS
+        self.size += item_size(name, value) - item_size(name, self.items.get(name))
+        if value is None:
+            self.items.pop(name, None)
+        else:
+            self.items[name] = value
+
     def _difference(self, name: str, value: bytes | None) -> int:
         before = self.items.get(name)
         added = 0 if value is None else _item_digest(name, value)
--- a/hazelhold/fleetconfig/schema.py
+++ b/hazelhold/fleetconfig/schema.py
@@ -71,7 +71,14 @@
     kind = item_type(name)
     if kind is None:
         return Reading(None, unknown=(Fault(name, "is an item that this program does not know"),))
-    value = msgspec.json.decode(encoded)
+    try:
+        value = msgspec.json.decode(encoded)
+    except (
+        msgspec.MsgspecError,
+        UnicodeDecodeError,
+        RecursionError,
+    ) as wrong:  # let through by another program
+        return Reading(None, (Fault(name, f"cannot be read: {wrong}"),))
     if not isinstance(value, dict):
         return Reading(None, (Fault(name, "is no object"),))
     fields = {field.encode_name for field in msgspec.structs.fields(kind)}
--- a/hazelhold/fleetconfig/snapshot.py
+++ b/hazelhold/fleetconfig/snapshot.py
@@ -9,13 +9,12 @@
 
 import msgspec
 
-from hazelhold.fleetconfig.document import CHECKSUM_BYTES, Document, Put
+from hazelhold.fleetconfig.document import CHECKSUM_BYTES, Document, Put, item_size
 from hazelhold.fleetconfig.messages import PAGE_BYTES, SnapshotPage
 from hazelhold.fleetconfig.revision import Position, RevisionError
 
 MAX_PAGES = 2048
 MAX_SNAPSHOT = 64 << 20  # bytes of all names and values together
-ITEM_OVERHEAD = 8  # bytes of an item's encoding beside its name and value, at most
 
 _ENCODER = msgspec.msgpack.Encoder()
 
@@ -44,7 +43,7 @@
     groups: list[list[Put]] = [[]]
     size = 0
     for put in puts:
-        added = len(put.name) + len(put.value) + ITEM_OVERHEAD
+        added = item_size(put.name, put.value)
         if groups[-1] and size + added > PAGE_BYTES:
             groups.append([])
             size = 0
--- a/hazelhold/fleetconfig/validation.py
+++ b/hazelhold/fleetconfig/validation.py
@@ -26,7 +26,7 @@
     check_addresses,
     check_estate,
 )
-from hazelhold.fleetconfig.document import Document, Edit, Fault
+from hazelhold.fleetconfig.document import MAX_DOCUMENT, Document, Edit, Fault, item_size
 from hazelhold.fleetconfig.revision import Change
 from hazelhold.fleetconfig.schema import (
     QUOTAS,
@@ -95,17 +95,26 @@
         self.below = below
         self.items: dict[str, bytes | None] = {}  # touched on top; None: removed
         self.index = ReferenceIndex()  # of `items`
+        self.size = below.document.size  # with what lies on top
 
     def try_change(self, change: Change) -> Verdict:
         """Puts the change on top unless that would leave faults."""
+        grown = self._grown(change)
         before = {name: self.items[name] for name in change.names() if name in self.items}
         self._set({put.name: put.value for put in change.puts} | dict.fromkeys(change.removals))
-        verdict = _Check(self, change).verdict()
+        verdict = _Check(self, change, grown).verdict()
         if verdict.faults:
             self._forget(change.names())
             self._set(before)
+        else:
+            self.size += grown
         return verdict
 
+    def _grown(self, change: Change) -> int:
+        """By how many bytes the change makes the document longer."""
+        after = sum(item_size(put.name, put.value) for put in change.puts)
+        return after - sum(item_size(name, self.get(name)) for name in change.names())
+
     def get(self, name: str) -> bytes | None:
         return self.items[name] if name in self.items else self.below.document.items.get(name)
 
@@ -135,8 +144,8 @@
 class _Check:
     """Finds what is wrong with one change that lies on top of a draft."""
 
-    def __init__(self, draft: Draft, change: Change) -> None:
-        self.draft = draft
+    def __init__(self, draft: Draft, change: Change, grown: int) -> None:
+        self.draft, self.grown = draft, grown
         self.touched = dict.fromkeys(change.names())  # in order
         self.readings: dict[str, Reading] = {put.name: read_item(put.name, put.value) for put in change.puts}
         self.faults: list[Fault] = []
@@ -150,6 +159,7 @@
         self._teams()
         self._products()
         self._planners()
+        self._size()
         return Verdict(tuple(dict.fromkeys(self.faults)), tuple(unknown))
 
     def _fault(self, item: str, text: str) -> None:
@@ -231,6 +241,12 @@
             at, _, field = place.removeprefix("e.products[").partition("].")
             self._fault(names[int(at)], f"{field}: {reason}")
 
+    def _size(self) -> None:
+        """A document that is too long already may still become shorter."""
+        size = self.draft.size + self.grown
+        if self.grown > 0 and size > MAX_DOCUMENT:
+            self._fault("", f"the document would have {size} bytes; {MAX_DOCUMENT} are allowed")
+
     def _planners(self) -> None:
         for name in self.readings:
             planner = self.readings[name].value
--- a/tests/test_fleetconfig_validation.py
+++ b/tests/test_fleetconfig_validation.py
@@ -6,9 +6,21 @@
 from hypothesis import strategies as st
 
 from hazelhold.fleetconfig import validation
-from hazelhold.fleetconfig.document import Document, Put, canonical
-from hazelhold.fleetconfig.revision import Change
+from hazelhold.fleetconfig.document import (
+    MAX_DEPTH,
+    MAX_DOCUMENT,
+    MAX_VALUE,
+    Document,
+    Edit,
+    Put,
+    canonical,
+    item_faults,
+    item_size,
+)
+from hazelhold.fleetconfig.messages import PAGE_BYTES
+from hazelhold.fleetconfig.revision import Change, Position
 from hazelhold.fleetconfig.schema import read_item
+from hazelhold.fleetconfig.snapshot import MAX_PAGES, MAX_SNAPSHOT, Snapshot
 from hazelhold.fleetconfig.validation import CheckedDocument, Draft, Verdict
 
 PRODUCT = {"effect": "rerunnable", "goal_ms": 100, "patience_ms": 1000, "kind": "big"}
@@ -152,6 +164,61 @@
     assert all(below.document.items[put.name] == put.value for put in later.puts)
 
 
+@pytest.mark.parametrize("name", ["customers/deep", "later/deep"])
+def test_a_value_that_is_too_deep_for_some_reader_is_refused_everywhere(name: str) -> None:
+    """How deep a reader gets depends on how deep its own calls are: what one takes ends another."""
+
+    def nested(depth: int) -> Put:
+        return Put(name, b'{"a":' + b"[" * (depth - 1) + b"]" * (depth - 1) + b"}")
+
+    assert item_faults(nested(MAX_DEPTH)) == []
+    for depth in (MAX_DEPTH + 1, 900):
+        (fault,) = item_faults(nested(depth))
+        assert fault.item == name and "within each other" in fault.text
+    assert item_faults(Put(name, canonical([{"a": [1, "[[["]}] * 1000))) == []
+
+
+def test_an_item_that_cannot_be_read_is_a_fault_and_ends_nobody() -> None:
+    """One that an older program let through."""
+    for value in (b"no JSON", b'{"a":' + b"[" * 5000 + b"]" * 5000 + b"}"):
+        reading = read_item("customers/x", value)
+        assert reading.value is None and reading.faults[0].text.startswith("cannot be read")
+        CheckedDocument(Document([Put("customers/x", value)]))
+
+
+def test_a_document_is_bounded_and_one_that_is_too_long_may_become_shorter() -> None:
+    value = canonical("x" * (MAX_VALUE - 2))
+    count = MAX_DOCUMENT // item_size("later/0000", value)
+    document = Document(Put(f"later/{n:04}", value) for n in range(count))
+
+    def verdict(*puts: Put, removals: tuple[str, ...] = ()) -> list[str]:
+        change = Change(id="x", base=0, puts=puts, removals=removals)
+        return [fault.text for fault in Draft(CheckedDocument(document)).try_change(change).faults]
+
+    assert document.size <= MAX_DOCUMENT
+    (said,) = verdict(Put("later/new", value))
+    assert "the document would have" in said
+    assert verdict(Put("later/new", value), removals=("later/0000",)) == []
+    document.apply([Edit((Put("later/new", value), Put("later/more", value)))])
+    assert document.size > MAX_DOCUMENT
+    assert verdict(removals=("later/new",)) == []
+    draft = Draft(CheckedDocument(Document()))
+    for number in range(3):  # what lies on top counts too
+        draft.try_change(Change(id="x", base=0, puts=(Put(f"later/{number}", value),)))
+    draft.try_change(Change(id="x", base=0, puts=(Put("later/0", b"1"),), removals=("later/1",)))
+    assert draft.size == item_size("later/0", b"1") + item_size("later/2", value)
+
+
+@pytest.mark.parametrize("size", [1, PAGE_BYTES // 2 + 1, MAX_VALUE])
+def test_the_longest_document_fits_into_a_snapshot(size: int) -> None:
+    """Else who lost its folder could never have it again. Judged by a sixteenth of it."""
+    value = canonical(1) if size == 1 else canonical("x" * (size - 2))
+    count = MAX_DOCUMENT // 16 // item_size("later/0000000", value)
+    document = Document(Put(f"later/{n:07}", value) for n in range(count))
+    assert 16 * len(Snapshot(Position(1), document).pages) < MAX_PAGES
+    assert 16 * sum(len(n) + len(v) for n, v in document.items.items()) < MAX_SNAPSHOT
+
+
 def test_a_refused_change_leaves_the_draft_as_it_was() -> None:
     draft = Draft(document())
     assert not draft.try_change(change({"teams/b": {"quota_cores": 30, "parent": "top"}})).faults
