Fleet configuration: what a writer is told after a lost answer is true

Seen in review, each reproduced on the old code: - A writer whose first asking was lost and whose second was answered 'invalid' was told invalid, as if final; the machine that was asked first may try it yet, and what is invalid now may be valid then (test: carried out after that). The client begins no asking in the last 0.2 s of its time: its answer only hid the reason.

--- a/hazelhold/cli/fleetconfig.py
+++ b/hazelhold/cli/fleetconfig.py
@@ -200,21 +200,22 @@
     puts = tuple(Put(name, canonical(value)) for name, value in values.items())
     made = Change(id=change_id or uuid4().hex, base=base or 0, author=author, puts=puts, removals=removals)
 
-    async def work() -> tuple[m.ProposeAnswer, str]:
+    async def work() -> tuple[int, m.ProposeAnswer, str]:
         change = made
         if base is None:
             status = await client.ask(m.StatusQuery(), m.Status, wait)
             change = Change(id=made.id, base=status.number, author=author, puts=puts, removals=removals)
-        return await client.propose(change, wait)
+        return change.base, *await client.propose(change, wait)
 
-    answer, by = run_asking(work)
+    on, answer, by = run_asking(work)
     if as_json:
         faults = [{"item": fault.item, "text": fault.text} for fault in answer.faults]
-        said = {"id": answer.id, "outcome": answer.outcome, "number": answer.number, "by": by}
+        said = {"id": answer.id, "base": on, "outcome": answer.outcome, "number": answer.number, "by": by}
         click.echo(json.dumps({**said, "faults": faults, "text": answer.text}))
     else:
         number = f" as revision {answer.number}" if answer.outcome == "committed" else ""
-        click.echo(f"{answer.outcome}{number} (id {answer.id}){': ' + answer.text if answer.text else ''}")
+        text = f": {answer.text}" if answer.text else ""
+        click.echo(f"{answer.outcome}{number} (id {answer.id}, base {on}){text}")
         for fault in answer.faults:
             click.echo(f"  {fault.item or 'the change'}: {fault.text}")
     sys.exit({"committed": 0, "unknown": UNKNOWN}.get(answer.outcome, NOT_CARRIED_OUT))
--- a/hazelhold/fleetconfig/client.py
+++ b/hazelhold/fleetconfig/client.py
@@ -14,6 +14,11 @@
 DIAL = 1.5  # seconds for a connection and its greetings
 PAUSE = 0.2  # seconds before all are tried again
 FINAL = ("committed", "invalid", "conflict")
+RESOLVING = (
+    "committed",
+    "conflict",
+)  # final also for earlier askings under the same id, whose answers were lost
+MOST_REASONS = 8  # faults in a line
 T = TypeVar("T", bound=m.ConfigMessage)
 
 
@@ -80,24 +85,26 @@
 
     async def propose(self, change: Change, seconds: float) -> Answered:
         """Has a change committed: asks one after the other, always under its id, until one gives a final
-        answer or the time is over. `refused` is only answered if it is sure that nobody carried it out;
-        `unknown` if it may be carried out yet."""
+        answer or the time is over. `refused` and `invalid` are only answered if it is sure that nobody
+        carried it out for this call; `unknown` if it may be carried out yet: whoever was asked first and not
+        heard may still try it, and what is invalid now may be valid then."""
         until = trio.current_time() + seconds
-        outcome, text, by = "refused", "not asked", ""
+        outcome, text, by = "refused", "", ""
         while True:
             for address in self.addresses:
                 left = until - trio.current_time()
-                if left <= 0:
+                if left <= (PAUSE if text else 0):  # its answer would only say that the time is over
+                    text = text or "not asked"
                     return Answered(m.ProposeAnswer(id=change.id, outcome=outcome, text=text), by)
                 message = m.Propose(change=change, deadline=round(left * 1e6))
                 tried = await self._ask(address, message, m.ProposeAnswer, left + DIAL)
                 answer = tried.answer
-                if answer is not None and answer.outcome in FINAL:
+                if answer is not None and answer.outcome in (RESOLVING if outcome == "unknown" else FINAL):
                     return Answered(answer, tried.by)
                 if tried.sent and (answer is None or answer.outcome == "unknown"):
                     outcome = "unknown"  # and stays so: a later refusal says nothing of this asking
                 by = tried.by
-                text = f"{address}: {tried.fault if answer is None else answer.text}"
+                text = f"{address}: {tried.fault if answer is None else _reason(answer)}"
             await trio.sleep(PAUSE)
 
     async def items(self, prefix: str, seconds: float) -> tuple[int, dict[str, bytes]]:
@@ -117,6 +124,12 @@
         raise UnreachableError("the configuration changed between all pages")
 
 
+def _reason(answer: m.ProposeAnswer) -> str:
+    """Why a change was not carried out, in a line."""
+    faults = [f"{fault.item or 'the change'}: {fault.text}" for fault in answer.faults[:MOST_REASONS]]
+    return "; ".join(text for text in (answer.text, *faults) if text)
+
+
 async def _first(wire: Connection, kind: type[T]) -> T:
     """The next message of this kind."""
     for message in wire.rest():
--- a/hazelhold/fleetconfig/control.py
+++ b/hazelhold/fleetconfig/control.py
@@ -89,7 +89,7 @@
         if answer := first_answer(change, size, digest, self.history):
             self._answer(asker, answer)
         elif text := self.broken or ("" if self.pending.has_room(size) else "busy"):
-            self._answer(asker, ProposeAnswer(id=change.id, outcome="refused", text=text))
+            self._answer(asker, self.pending.refusal(change.id, text))
         else:
             deadline = min(deadline, now + self.limits.longest_deadline)
             self.pending.add(asker, change, size, digest, deadline)
--- a/hazelhold/fleetconfig/group.py
+++ b/hazelhold/fleetconfig/group.py
@@ -80,6 +80,9 @@
         if change.base > self.number:
             self._newer_base(pending)
             return False
+        if change.base < self.history.floor:
+            self._base_too_old(pending)
+            return False
         if faults := self._conflicts(pending):
             self._answer(pending, "conflict", faults)
             return False
@@ -100,14 +103,18 @@
         else:
             self.newer_base = True
 
+    def _base_too_old(self, pending: Pending) -> None:
+        """No conflict: this asking is not carried out, but an earlier one under its id may have been, and
+        another machine may know more."""
+        change = pending.change
+        text = (
+            f"{BASE_TOO_OLD}: base {change.base} lies before revision {self.history.floor}, up to which it "
+            "is not known here any more what was carried out; this asking is not, earlier ones may have been"
+        )
+        self.answers.append((pending, ProposeAnswer(id=change.id, outcome="refused", text=text)))
+
     def _conflicts(self, pending: Pending) -> tuple[Fault, ...]:
         change = pending.change
-        if change.base < self.history.floor:
-            text = (
-                f"{BASE_TOO_OLD}: base {change.base} lies before revision {self.history.floor}, up to which "
-                "it is not known here any more what was carried out; this asking is not"
-            )
-            return (Fault("", text),)
         return tuple(
             Fault(name, f"was changed by revision {number}, after base {change.base}")
             for name, number in self.history.conflicts(change)
--- a/hazelhold/fleetconfig/messages.py
+++ b/hazelhold/fleetconfig/messages.py
@@ -125,8 +125,9 @@
     """How a change ended.
 
     committed: it is revision `number`. invalid: `faults` names all that is wrong. conflict: `faults` names
-    items that were changed after its base. refused: it was not carried out, ask again (`text`). unknown: it
-    may be carried out yet; ask again with the same id.
+    items that were changed after its base: it never will be carried out. refused: this asking was not
+    carried out, ask again (`text`). unknown: it may be carried out yet; ask again with the same id. What
+    `invalid` and `refused` say holds for this asking, not for earlier ones under the same id.
     """
 
     id: str
--- a/hazelhold/fleetconfig/pending.py
+++ b/hazelhold/fleetconfig/pending.py
@@ -9,6 +9,7 @@
 from hazelhold.fleetconfig.revision import Change
 
 MOST_TOLD = 8  # unknown items and fields that an answer names
+MAY_BE_COMMITTED = "it may be committed yet; ask again with the same id"
 
 
 class Pending:
@@ -39,6 +40,7 @@
         self.all: dict[int, Pending] = {}
         self.waiting: dict[int, Pending] = {}  # in the order in which they are tried
         self.by_id: dict[str, dict[int, Pending]] = {}
+        self.under_way: frozenset[str] = frozenset()  # ids in a revision that may be committed yet
         self.deadlines: list[tuple[int, int]] = []  # heap; each leaves at its time
         self.bytes = self.last_number = 0
 
@@ -65,12 +67,17 @@
         self.bytes -= pending.size
         self.tell(pending.asker, answer)
 
+    def refusal(self, id_: str, text: str) -> ProposeAnswer:
+        """The answer to an asking that is not carried out; unknown if an earlier one of its id may be yet."""
+        if id_ in self.under_way:
+            return ProposeAnswer(id=id_, outcome="unknown", text=MAY_BE_COMMITTED)
+        return ProposeAnswer(id=id_, outcome="refused", text=text)
+
     def end_refused(self, pending: Pending, text: str) -> None:
-        self.end(pending, ProposeAnswer(id=pending.change.id, outcome="refused", text=text))
+        self.end(pending, self.refusal(pending.change.id, text))
 
     def end_unknown(self, pending: Pending) -> None:
-        text = "it may be committed yet; ask again with the same id"
-        self.end(pending, ProposeAnswer(id=pending.change.id, outcome="unknown", text=text))
+        self.end(pending, ProposeAnswer(id=pending.change.id, outcome="unknown", text=MAY_BE_COMMITTED))
 
     def end_overdue(self, now: int, text: str) -> None:
         """Those whose deadline has come: unknown if they are in a revision, refused if they only waited."""
@@ -91,9 +98,11 @@
         """These are in a revision now."""
         for pending in taken:
             del self.waiting[pending.number]
+        self.under_way = frozenset(pending.change.id for pending in taken)
 
     def give_back(self, taken: Iterable[Pending]) -> None:
         """The revision that these were in will never be: those without an answer wait again, first."""
+        self.under_way = frozenset()
         self.waiting = {each.number: each for each in taken if each.number in self.all} | self.waiting
 
     def next_deadline(self) -> int | None:
--- a/tests/fleetconfig_model.py
+++ b/tests/fleetconfig_model.py
@@ -14,7 +14,6 @@
 from hazelhold.fleetconfig import control_actions as a
 from hazelhold.fleetconfig.control import ControlCore
 from hazelhold.fleetconfig.document import Document, Put, canonical
-from hazelhold.fleetconfig.group import BASE_TOO_OLD
 from hazelhold.fleetconfig.messages import ProposeAnswer
 from hazelhold.fleetconfig.revision import START, Change, Position, SealedRevision, unseal
 from hazelhold.replica.acceptor import Acceptor
@@ -510,8 +509,6 @@
         if answer.outcome == "committed":
             assert self.carried.get(change.id) == answer.number, f"{change.id} was not committed as told"
         elif answer.outcome == "conflict":
-            if answer.faults[0].text.startswith(BASE_TOO_OLD):
-                return
             changed = self.changed[answer.number]
             stale = {name for name in change.names() if changed.get(name, 0) > change.base}
             assert stale == {fault.item for fault in answer.faults}, "a conflict that is none"
--- a/tests/test_fleetconfig_control.py
+++ b/tests/test_fleetconfig_control.py
@@ -202,7 +202,7 @@
     for number in range(5):
         bench.propose(number, item(str(number), f"x/{number}", number))
     answer = bench.propose("again", item("0", "x/0", 0))
-    assert answer.outcome == "conflict" and answer.faults[0].text.startswith(BASE_TOO_OLD)
+    assert answer.outcome == "refused" and answer.text.startswith(BASE_TOO_OLD)
     assert bench.propose("edge", item("e", "x/e", 2)).outcome == "committed"
     assert bench.core.history.floor == 3 and len(bench.core.history.done) == 3
 
@@ -242,6 +242,22 @@
     assert bench.answers["next"].number == 1 and len(bench.stored[0].revision.changes) == 1
 
 
+def test_a_change_that_is_under_way_is_unknown_however_its_repetition_ends() -> None:
+    """Refused would say that nobody carries it out."""
+    bench = Bench(limits=LIMITS._replace(waiting_changes=2))
+    change = item("1", "x/1", 0)
+    bench.holding = True
+    bench.propose("first", change, span=100_000)
+    bench.end("open")  # the register's settling round is still held
+    bench.propose("again", change, span=200_000)
+    assert bench.propose("no room", change).outcome == "unknown"
+    bench.pass_time(300_000)
+    assert bench.answers["first"].outcome == bench.answers["again"].outcome == "unknown"
+    bench.holding = False
+    bench.agree()
+    assert bench.propose("later", change).number == 1
+
+
 def test_what_a_settling_round_does_not_contain_is_proposed_again() -> None:
     bench = Bench()
     bench.holding = True
--- a/tests/test_fleetconfig_host.py
+++ b/tests/test_fleetconfig_host.py
@@ -13,10 +13,11 @@
 from msgspec.structs import replace
 from trio.testing import lockstep_stream_pair
 
-from hazelhold.fleetconfig import codec
+from hazelhold.fleetconfig import client, codec
 from hazelhold.fleetconfig import messages as m
 from hazelhold.fleetconfig.client import ConfigClient
 from hazelhold.fleetconfig.codec import MAX_MESSAGE
+from hazelhold.fleetconfig.connection import Connection
 from hazelhold.fleetconfig.control_host import KEY
 from hazelhold.fleetconfig.revision import Change
 from hazelhold.fleetconfig.writer import StoreWriter
@@ -25,7 +26,7 @@
 from hazelhold.replica.votes import vouch
 from hazelhold.service.wire import Wire
 from hazelhold.state.store import StateError
-from tests.fleetconfig_rig import DEPLOYMENT, Fleet, items, with_fleet
+from tests.fleetconfig_rig import DEPLOYMENT, Fleet, disk, items, with_fleet
 
 OWNER = p.Codec(p.TO_OWNER)
 PLAIN = {"effect": "rerunnable", "goal_ms": 800, "patience_ms": 5000}
@@ -99,6 +100,88 @@
     with_fleet(test)
 
 
+class Forgetful:
+    """A control machine that takes a change, loses its connection, and tries the change later."""
+
+    def __init__(self, fleet: Fleet) -> None:
+        self.fleet, self.taken = fleet, []
+
+    async def accept(self, stream: trio.abc.Stream) -> None:
+        wire = Connection(stream, self.fleet.net.now)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(wire.write)
+            await wire.greeted("c9", DEPLOYMENT)
+            async for message in wire.messages():
+                self.taken.append(message.change)
+                break
+            wire.finish()
+
+    async def asked(self, change: Change) -> m.ProposeAnswer:
+        """What the writer is told whose first asking goes here, the next ones to c1."""
+        address = await self.fleet.net.listen("10.0.9.9:1", self.accept, self.fleet.nursery)
+        client = ConfigClient(self.fleet.net, [address, self.fleet.seats[0].address], DEPLOYMENT)
+        return (await client.propose(change, 3)).answer
+
+
+def change_after_a_lost_answer() -> None:
+    """What c1 takes for invalid may be carried out yet by who was asked first."""
+
+    async def test(fleet: Fleet) -> None:
+        change = Change(id="x", base=0, puts=items(teams__a={"quota_cores": 1, "parent": "top"}))
+        forgetful = Forgetful(fleet)
+        said = await forgetful.asked(change)
+        assert said.outcome == "unknown" and "there is no team 'top'" in said.text
+        await fleet.committed(teams__top={"quota_cores": 9})
+        late = (await fleet.client().propose(forgetful.taken[0], 5)).answer
+        assert late.outcome == "committed"
+        again = (await fleet.client().propose(change, 5)).answer
+        assert (again.outcome, again.number) == ("committed", late.number)
+
+    with_fleet(test)
+
+
+def test_what_is_invalid_after_a_lost_answer_stays_unknown() -> None:
+    change_after_a_lost_answer()
+
+
+def test_invalid_taken_for_final_after_a_lost_answer_is_caught(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(client, "RESOLVING", client.FINAL)
+    with pytest.raises(BaseExceptionGroup) as found:
+        change_after_a_lost_answer()
+    assert found.group_contains(AssertionError)
+
+
+def test_a_conflict_after_a_lost_answer_settles_it() -> None:
+    async def test(fleet: Fleet) -> None:
+        await fleet.committed(customers__a={"other": 1})
+        change = Change(id="x", base=0, puts=items(customers__a={}))
+        assert (await Forgetful(fleet).asked(change)).outcome == "conflict"
+
+    with_fleet(test)
+
+
+def test_who_knows_too_little_of_the_past_claims_nothing_of_it() -> None:
+    """c1 lost its disk and has a snapshot alone: whether x was carried out before that it cannot say."""
+
+    async def test(fleet: Fleet) -> None:
+        change = Change(id="x", base=0, puts=items(customers__x={}))
+        first = (await fleet.client("c2").propose(change, 5)).answer
+        for number in range(4):  # the register carries only the last ones
+            await fleet.committed(customers__y={"number": number})
+            await trio.sleep(2)
+        await fleet.kill("c1")
+        fleet.disks["c1"] = disk()
+        for name in ("c2", "c3"):  # so that c1 is given a snapshot
+            fleet.controls[name].history.window.clear()
+        await fleet.start("c1")
+        await fleet.status_when(lambda said: said.number > first.number and not said.cut_off, "c1")
+        alone = (await fleet.client("c1").propose(change, 2)).answer
+        assert alone.outcome == "refused" and "earlier ones may have been" in alone.text
+        assert (await fleet.client("c1", "c2").propose(change, 5)).answer == first
+
+    with_fleet(test)
+
+
 def test_items_are_read_in_pages_of_one_revision() -> None:
     async def test(fleet: Fleet) -> None:
         values = {f"customers__c{n:04}": {"note": "x" * 200} for n in range(900)}
