Fleet configuration: one of six control machines replaced at another address, with real processes

The course was written nowhere and tested nowhere. Tested now: the new one starts with empty folders under the old name and zone, not founded; it copies its votes and fetches the revisions while the others still have the old address; then the other five and the planners are restarted one by one with files that name the new addresses, while changes are committed; then two others that keep the head are killed and the new one's vote is needed.

--- a/tests/processes/fleetconfig_rig.py
+++ b/tests/processes/fleetconfig_rig.py
@@ -21,6 +21,7 @@
     ControlSeat,
     FleetConfigSection,
     VotesSection,
+    read_control,
 )
 from hazelhold.fleetconfig import messages as m
 from hazelhold.fleetconfig.client import ConfigClient, UnreachableError
@@ -123,11 +124,32 @@
         return self.folder / name
 
     async def wire_up(self) -> None:
-        """Files and wires for all."""
-        seats = [
+        """Files, wires and seats for all."""
+        await self.write_files()
+        for name in self.controls:
+            sheet_ = copies_sheet(read_control(self.file(name)))
+            found(RealDisk(self.home(name) / "votes"), name, sheet_, self.net.wall())
+
+    def move(self, name: str) -> None:
+        """From now on it is at other addresses; `write_files` tells the others' files so."""
+        ports = free_ports(2)
+        self.ports[name] = ports[0]
+        if name in self.votes:
+            self.votes[name] = ports[1]
+
+    async def write_files(self) -> None:
+        """Files for all, with wires of their own to each other one."""
+        await self._write_controls()
+        await self._write_planners()
+
+    def _seats(self) -> list[ControlSeat]:
+        return [
             ControlSeat(c, self.at(c), f"127.0.0.1:{self.votes[c]}", region=self.regions[c], zone=c)
             for c in self.controls
         ]
+
+    async def _write_controls(self) -> None:
+        seats = self._seats()
         for name in self.controls:
             reach = {o: await self.wires.streams(name, o, self.at(o)) for o in self.controls if o != name}
             vote_reach = {
@@ -145,8 +167,9 @@
             file = ControlFile(name, self.at(name), DEPLOYMENT, str(home / "revisions"), seats, votes, reach)
             self._write(name, file)
             self.writers[name] = await self.wires.streams("writer", name, self.at(name))
-            found(RealDisk(home / "votes"), name, copies_sheet(file), self.net.wall())
-        control = [ControlMachine(seat.name, seat.address, seat.region) for seat in seats]
+
+    async def _write_planners(self) -> None:
+        control = [ControlMachine(seat.name, seat.address, seat.region) for seat in self._seats()]
         for name in self.planners:
             others = [*self.controls, *(other for other in self.planners if other != name)]
             section = FleetConfigSection(
@@ -172,7 +195,7 @@
         return self.home(name) / "file.json5"
 
     def _write(self, name: str, made: msgspec.Struct) -> None:
-        self.home(name).mkdir()
+        self.home(name).mkdir(exist_ok=True)
         self.file(name).write_bytes(msgspec.json.encode(made))
 
     # Processes.
@@ -195,7 +218,7 @@
 
     async def votes_again(self, *names: str) -> None:
         """Waits until these control machines (all, else) vote in their present lives. One that starts needs
-        the votes of both others: nobody is killed before that."""
+        the votes of others (of three, of both): nobody is killed before that."""
         for name in names or tuple(self.controls):
             with trio.fail_after(LONG):
                 while not any("slots" in line for line in self._lines(self.logs[name][-1])):
