Fleet configuration: a writer's connection that says nothing for 90 s is ended

Cause: only followers were judged by their silence (SourceCore). A writer or operator whose machine vanished after its greeting (no FIN, nothing on its way that the kernel could miss an acknowledgement of) kept its place among the 8192 connections of a control machine or planner for ever. No asking takes more than 60 s. Counted as idle_ended.

--- a/hazelhold/fleetconfig/connection.py
+++ b/hazelhold/fleetconfig/connection.py
@@ -1,5 +1,6 @@
 """A connection that carries the configuration's messages, and the greetings that begin it."""
 
+import math
 from collections.abc import Callable
 
 import trio
@@ -33,6 +34,7 @@
     def __init__(self, stream: trio.abc.Stream, now: Callable[[], int]) -> None:
         super().__init__(stream, _Codec(), now, frame_bytes=MAX_MESSAGE, send_bytes=SEND_BYTES)
         self.name = ""
+        self.idle = math.inf  # seconds without a word after which it is ended
         self.on_written: Callable[[], None] | None = None  # all that was told has left this process
         if isinstance(stream, trio.SocketStream):
             stream.setsockopt(trio.socket.IPPROTO_TCP, TCP_USER_TIMEOUT, UNACKNOWLEDGED)
--- a/hazelhold/fleetconfig/door.py
+++ b/hazelhold/fleetconfig/door.py
@@ -2,6 +2,7 @@
 a connection ends it alone, and is counted.
 """
 
+import math
 from collections import Counter
 from typing import Protocol
 
@@ -15,6 +16,7 @@
 from hazelhold.service.net import Net
 
 MOST = 8192  # connections at a time
+IDLE = 90.0  # seconds without a word after which a writer's connection is ended; no asking takes so long
 
 
 class DoorEvents(Protocol):
@@ -48,6 +50,8 @@
                 nursery.start_soon(wire.write)
                 with wire.scope:
                     await self._serve(wire)
+                if wire.scope.cancelled_caught and not wire.closing:
+                    self.counts["idle_ended"] += 1
                 wire.finish()
         finally:
             self.connections -= 1
@@ -63,6 +67,10 @@
             self.log.info("follower_closed", follower=wire.name, reason=action.reason)
             wire.cut()
 
+    def _renew(self, wire: Connection) -> None:
+        """A writer that said something may be silent for a while from now on."""
+        wire.scope.deadline = trio.current_time() + wire.idle
+
     async def _serve(self, wire: Connection) -> None:
         number = 0
         try:
@@ -73,7 +81,9 @@
             number = self.number
             self.opened[number] = wire
             wire.on_written = lambda: self._written(number, wire)
+            wire.idle = IDLE if greeting.purpose == "write" else math.inf  # who follows is judged by the core
             self.events.accepted(number, greeting)
+            self._renew(wire)
             for message in wire.rest():
                 self._heard(number, wire, message)
             async for message in wire.messages():
@@ -89,6 +99,7 @@
     def _heard(self, number: int, wire: Connection, message: ConfigMessage) -> None:
         if isinstance(message, Greeting | GreetingAnswer):
             raise FrameError("second_greeting", "a connection has one greeting")
+        self._renew(wire)
         if self.opened.get(number) is wire:
             self.events.heard_from(number, message)
 
--- a/tests/test_fleetconfig_host.py
+++ b/tests/test_fleetconfig_host.py
@@ -19,6 +19,7 @@
 from hazelhold.fleetconfig.codec import MAX_MESSAGE
 from hazelhold.fleetconfig.connection import Connection
 from hazelhold.fleetconfig.control_host import KEY
+from hazelhold.fleetconfig.door import IDLE
 from hazelhold.fleetconfig.revision import Change
 from hazelhold.fleetconfig.writer import StoreWriter
 from hazelhold.protocol import messages as p
@@ -358,6 +359,31 @@
     with_fleet(test, planners=1)
 
 
+@pytest.mark.parametrize("at", ["c1", "p1"])
+def test_a_writer_who_vanished_is_let_go_and_one_who_speaks_is_not(at: str) -> None:
+    """Whose machine is gone ends no connection: without this they would fill the places for planners."""
+
+    async def test(fleet: Fleet) -> None:
+        host = fleet.controls["c1"] if at == "c1" else fleet.planners["p1"].follower
+        address = fleet.seats[0].address if at == "c1" else fleet.address("p1")
+        before = len(host.door.opened)
+        silent, speaking = [await fleet.net.dial(address) for _ in range(2)]
+        for stream in (silent, speaking):
+            await stream.send_all(packed(GREETING))
+        with trio.fail_after(1000):
+            for _ in range(3):
+                await trio.sleep(IDLE * 0.9)
+                await speaking.send_all(packed(m.StatusQuery()))
+                assert await speaking.receive_some(1 << 20)
+            while await silent.receive_some(4096):
+                pass
+        assert host.door.counts["idle_ended"] == 1
+        assert len(host.door.opened) == before + 1
+        assert host.status().counts["idle_ended"] == 1
+
+    with_fleet(test, planners=1)
+
+
 def test_nobody_but_a_control_machine_tells_what_it_has_stored() -> None:
     async def test(fleet: Fleet) -> None:
         await fleet.committed(customers__acme={})
