Fleet configuration: a folder counts as stored only once it is known to be of the agreed order

Seen in review, reproduced by a test on the old start: a control machine counted all that its folder held as stored and told the others so before it had asked the register. A folder of another deployment, or of this one before it was founded anew, has higher numbers of another order: the others then take revisions out of the register that too few machines have. Broken variant: claims at once. The model tells what is stored when the core claims it, no more at each start.

--- a/hazelhold/fleetconfig/control.py
+++ b/hazelhold/fleetconfig/control.py
@@ -58,6 +58,9 @@
         self.exposed: list[Pending] = []  # changes of the revision that was proposed last
         self.blocked = False  # too few have stored the tail: nothing more fits beside it
         self.idle_until = self.confirm_at = self.fetch_at = 0
+        self.unclaimed = (
+            self.position.number
+        )  # what was stored before this life, not known to be of the order
 
     @property
     def position(self) -> Position:
@@ -78,8 +81,9 @@
     # Inputs.
 
     def start(self, now: int) -> None:
-        """Begins: settles the register before anything else. What was handed in as stored counts so."""
-        self.stored(now, self.name, self.position.number)
+        """Begins: settles the register before anything else. What was handed in as stored counts so once the
+        register's head was found to follow from it: `ClaimStored`."""
+        self._step(now)
 
     def propose(self, now: int, asker: object, change: Change, deadline: int) -> None:
         """Commit this change. Exactly one Answer for the asker follows, by `deadline` (on the host's clock,
@@ -142,6 +146,7 @@
             for pending in self.exposed:
                 self.pending.end_unknown(pending)
         self.committed.replace(chain)
+        self.unclaimed = 0  # it is not on the disk any more once this is
         self.actions.append(a.StoreSnapshot(chain.position))
         self.pending.end_done(list(self.pending.by_id), self.history.done)
         self._extend(self.committed.tail.revisions)
@@ -234,9 +239,16 @@
     def _resolve(self) -> None:
         """What follows from having come so far."""
         self.register.reached(self.position)
+        if self.unclaimed and self.register.confirmed_at is not None:
+            self._claim()
         if self.exposed and self.register.is_decided(self.position):
             self._give_back()
 
+    def _claim(self) -> None:
+        number, self.unclaimed = self.unclaimed, 0
+        self.facts.learn(self.name, number)
+        self.actions.append(a.ClaimStored(number))
+
     def _give_back(self) -> None:
         """The revision that was proposed never will be committed, or is and has answered its changes."""
         exposed, self.exposed = self.exposed, []
--- a/hazelhold/fleetconfig/control_actions.py
+++ b/hazelhold/fleetconfig/control_actions.py
@@ -39,6 +39,13 @@
     position: Position
 
 
+class ClaimStored(NamedTuple):
+    """What this machine was started from is of the agreed order: tell the other control machines that all
+    revisions up to this number are stored here. Before that its folder may be of another order."""
+
+    number: int
+
+
 class Fetch(NamedTuple):
     """There are committed revisions after this position that are not here: ask other control machines, and
     call `revisions_heard` or `snapshot_heard`. Repeated until the gap is closed."""
@@ -53,7 +60,7 @@
     revisions: tuple[SealedRevision, ...]
 
 
-Action = AskRegister | Answer | Store | StoreSnapshot | Fetch | Publish
+Action = AskRegister | Answer | Store | StoreSnapshot | ClaimStored | Fetch | Publish
 
 
 class StoredState(NamedTuple):
--- a/hazelhold/fleetconfig/control_host.py
+++ b/hazelhold/fleetconfig/control_host.py
@@ -91,7 +91,6 @@
         others = [name for name in self.machines if name != self.name]
         self.source = SourceCore(self.name, self.history, self.subtree, Times(), now, others, self.fleet)
         self.peers = ControlPeers(self.file, self.net, self.core, self.subtree, self.random, self.settle)
-        self.peers.stored = stored.position.number
 
     async def run(self, task_status: trio.TaskStatus = trio.TASK_STATUS_IGNORED) -> None:
         """Until it is cancelled."""
@@ -163,6 +162,8 @@
             self._store(now, action.revisions)
         elif isinstance(action, c.StoreSnapshot):
             self._store_snapshot(now, action.position)
+        elif isinstance(action, c.ClaimStored):
+            self.peers.tell_stored(action.number)
         elif isinstance(action, c.Publish):
             self.peers.publish(action.revisions)
         elif isinstance(action, c.Fetch):
--- a/hazelhold/fleetconfig/control_peers.py
+++ b/hazelhold/fleetconfig/control_peers.py
@@ -64,8 +64,8 @@
 
     def tell_stored(self, number: int) -> None:
         """All revisions up to this one are durable here."""
-        self.stored = number
-        self._tell(m.Stored(number=number))
+        self.stored = max(self.stored, number)
+        self._tell(m.Stored(number=self.stored))
 
     def publish(self, revisions: Sequence[SealedRevision]) -> None:
         """Tells the others what was committed here."""
--- a/tests/fleetconfig_model.py
+++ b/tests/fleetconfig_model.py
@@ -249,7 +249,6 @@
         )
         machine.core.start(self.now)
         self.carry(machine)
-        self.tell_stored(machine)
 
     def stop(self, machine: Machine) -> None:
         machine.core = machine.proposer = None
@@ -333,6 +332,8 @@
             self.snapshots += 1
             position, items = machine.core.position, machine.core.document.puts()
             self.later(4999, self.to_life(machine, lambda: self.is_snapshot(machine, position, items)))
+        elif isinstance(action, a.ClaimStored):
+            self.tell_stored(machine)
         elif isinstance(action, a.Fetch):
             other = self.random.choice([m for m in self.machines.values() if m is not machine])
             fetch = self.to_machine(other, lambda: self.fetched(other, machine, action.after))
--- a/tests/test_fleetconfig_control.py
+++ b/tests/test_fleetconfig_control.py
@@ -519,6 +519,61 @@
     assert bench.core.counts[f"heard_{code}"] == 1 and bench.core.position == Position()
 
 
+def claimed(core: type[ControlCore], stored: list[SealedRevision], register: list[SealedRevision]) -> int:
+    """What a machine with these revisions in its folder counts and tells as stored."""
+    state = a.StoredState(Position(), Document(), tuple(stored))
+    made = core("a", ("a", "b", "c"), state, 1, LIMITS)
+    made.start(1)
+    value = head_of(register)
+    for now in range(2, 6):
+        for action in made.take_actions():
+            if isinstance(action, a.ClaimStored):
+                assert made.facts.by_machine["a"] == action.number
+            elif isinstance(action, a.AskRegister):
+                made.register_answered(now, action.asking, "agreed", action.change(value))
+        made.tick(now * 10**7)
+    return made.facts.by_machine["a"]
+
+
+def chain_of_another_order(count: int) -> list[SealedRevision]:
+    """As `chain_of`, of another order."""
+    document, position, found = Document(), Position(), []
+    for number in range(1, count + 1):
+        change = item(f"o{number}", f"y/{number}", number - 1)
+        content = document.checksum_after([change.edit])
+        sealed = seal(Revision(number=number, parent=position.chain, content=content, changes=(change,)))
+        document.apply(sealed.revision.edits)
+        position = sealed.position
+        found.append(sealed)
+    return found
+
+
+def folders(core: type[ControlCore]) -> None:
+    chain, other = chain_of(8), chain_of_another_order(8)
+    assert claimed(core, chain[:5], chain[:5]) == 5
+    assert claimed(core, chain[:5], chain[:6]) == 5  # the tail leads on
+    for register in (other[:3], other[:5], other[:8]):
+        assert claimed(core, chain[:5], register) == 0
+
+
+def test_a_folder_of_another_order_counts_for_nothing() -> None:
+    """Of another deployment, or of this one before it was founded anew: others would drop revisions from the
+    register because they are stored there."""
+    folders(ControlCore)
+
+
+class ClaimsAtOnce(ControlCore):
+    """Counts what it was started from as stored, whatever it is."""
+
+    def start(self, now: int) -> None:
+        self.stored(now, self.name, self.position.number)
+
+
+def test_a_folder_that_counts_at_once_is_caught() -> None:
+    with pytest.raises(AssertionError):
+        folders(ClaimsAtOnce)
+
+
 def test_at_rest_it_asks_once_a_period_and_says_how_old_that_is() -> None:
     bench = Bench()
     bench.propose("w", item("w", "x/1", 0))
