Fleet configuration: answers fit into a message; a planner ahead of the order says so

- 'invalid' names all faults, and could be longer than a message may be (run on the old code: 1,731,759 bytes for 1,000 ill-named items): the writer's side ended the connection, told 'unknown' and asked again and again.
Now the faults that fit into 512 KiB are told, and how many more there are.
- A planner whose folder is ahead of the order said 'c0 knows of revisions that did not come yet', which is not so.
Now it names both numbers and what may be the cause.

--- a/hazelhold/fleetconfig/confirmation.py
+++ b/hazelhold/fleetconfig/confirmation.py
@@ -4,7 +4,7 @@
 """
 
 from hazelhold.fleetconfig.history import History
-from hazelhold.fleetconfig.links import Links
+from hazelhold.fleetconfig.links import Link, Links
 from hazelhold.fleetconfig.messages import NEVER
 from hazelhold.fleetconfig.spread_actions import CutOff, Times
 
@@ -43,4 +43,14 @@
             )
         if current.is_stale(now, self._times):
             return CutOff(age, f"{current.source.name} is not in touch with a majority")
-        return CutOff(age, f"{current.source.name} knows of revisions that did not come yet")
+        return CutOff(age, self._why_its_word_does_not_count(current))
+
+    def _why_its_word_does_not_count(self, link: Link) -> str:
+        """It is in touch, but what it knows is not all here."""
+        name, here = link.source.name, self._history.position.number
+        if link.heartbeat is not None and link.heartbeat.number < here:
+            return (
+                f"{name} is in touch with a majority, at revision {link.heartbeat.number}, before the {here} "
+                "that is here: this planner's folder may be of another deployment"
+            )
+        return f"{name} knows of revisions that did not come yet"
--- a/hazelhold/fleetconfig/control.py
+++ b/hazelhold/fleetconfig/control.py
@@ -13,10 +13,12 @@
 from collections import Counter
 from random import Random
 
+import msgspec
+
 from hazelhold.fleetconfig import control_actions as a
 from hazelhold.fleetconfig.change_history import ChangeHistory, measured
 from hazelhold.fleetconfig.committed import Committed
-from hazelhold.fleetconfig.document import Document
+from hazelhold.fleetconfig.document import Document, told_faults
 from hazelhold.fleetconfig.group import MAX_CHANGE, REVISION_OVERHEAD, GroupBuilder, first_answer, seal_group
 from hazelhold.fleetconfig.head import Advance, HeadError, Settle
 from hazelhold.fleetconfig.messages import ProposeAnswer
@@ -315,4 +317,6 @@
 
     def _answer(self, asker: object, answer: ProposeAnswer) -> None:
         self.counts[f"answered_{answer.outcome}"] += 1
+        if answer.faults:
+            answer = msgspec.structs.replace(answer, faults=told_faults(answer.faults))
         self.actions.append(a.Answer(asker, answer))
--- a/hazelhold/fleetconfig/document.py
+++ b/hazelhold/fleetconfig/document.py
@@ -5,7 +5,7 @@
 """
 
 import re
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterable, Iterator, Sequence
 from hashlib import blake2b
 from typing import NamedTuple
 
@@ -19,6 +19,8 @@
 MAX_DOCUMENT = 32 << 20  # bytes of all items, as `item_size` counts: less than a snapshot may have
 ITEM_OVERHEAD = 8  # bytes of an item's encoding beside its name and value, at most
 NAME = re.compile(r"[A-Za-z0-9_.-]+(/[A-Za-z0-9_.-]+)*")
+MAX_FAULTS = 512 << 10  # bytes of the faults of one answer: more would not fit into a message
+FAULT_OVERHEAD = 32  # bytes of a fault's encoding beside its texts, at most
 _MODULUS = 1 << (8 * CHECKSUM_BYTES)
 
 
@@ -29,6 +31,16 @@
     text: str
 
 
+def told_faults(faults: Sequence[Fault], most_bytes: int = MAX_FAULTS) -> tuple[Fault, ...]:
+    """As many as fit into so many bytes, and how many more there are."""
+    size = 0
+    for at, fault in enumerate(faults):
+        size += len(fault.item.encode()) + len(fault.text.encode()) + FAULT_OVERHEAD
+        if size > most_bytes:
+            return (*faults[:at], Fault("", f"and {len(faults) - at} faults more"))
+    return tuple(faults)
+
+
 class Put(Struct, frozen=True, array_like=True):
     """Sets an item to a value (canonical JSON)."""
 
--- a/tests/test_fleetconfig_control.py
+++ b/tests/test_fleetconfig_control.py
@@ -8,6 +8,7 @@
 from hypothesis import strategies as st
 
 from hazelhold.fleetconfig import control_actions as a
+from hazelhold.fleetconfig.codec import MAX_MESSAGE, encode
 from hazelhold.fleetconfig.control import ControlCore
 from hazelhold.fleetconfig.document import Document, Put, canonical
 from hazelhold.fleetconfig.group import BASE_TOO_OLD, MAX_CHANGE
@@ -339,6 +340,15 @@
     assert [len(sealed.revision.changes) for sealed in bench.stored] == [1, 4, 2, 2], "the tail is bounded"
 
 
+def test_an_answer_fits_into_a_message_however_much_is_wrong() -> None:
+    """Else its writer would hear nothing and ask again and again."""
+    name = "\U00010140" * 200  # 4 bytes each
+    puts = tuple(Put(f"{number}{name}", b"no JSON") for number in range(1000))
+    answer = Bench().propose("w", Change(id="w", base=0, puts=puts))
+    assert answer.outcome == "invalid" and answer.faults[-1].text.endswith("faults more")
+    assert len(answer.faults) > 500 and len(encode(answer)) < MAX_MESSAGE
+
+
 def test_all_that_is_wrong_with_a_change_is_told_at_once() -> None:
     change = Change(
         id="",
--- a/tests/test_fleetconfig_follower.py
+++ b/tests/test_fleetconfig_follower.py
@@ -8,11 +8,12 @@
 from hazelhold.fleetconfig.document import Document
 from hazelhold.fleetconfig.follower import FollowerCore
 from hazelhold.fleetconfig.history import History
-from hazelhold.fleetconfig.messages import NEVER
+from hazelhold.fleetconfig.messages import NEVER, Heartbeat
 from hazelhold.fleetconfig.revision import Position
 from hazelhold.fleetconfig.roster import Roster
 from hazelhold.fleetconfig.spread_actions import PutInForce, Times
 from tests.spread_rig import (
+    Direct,
     assert_settled,
     chain_of,
     document_at,
@@ -63,6 +64,14 @@
     assert told.cut_off is not None and "none yet" in told.cut_off.reason
 
 
+def test_a_planner_whose_folder_is_ahead_of_the_order_says_so() -> None:
+    direct = Direct(History(CHAIN[2].position, document_at(CHAIN, 3)))
+    direct.hear(Heartbeat(number=2, chain=fork(CHAIN)[1].chain, confirmed_age=0, route=("c0",)))
+    told = direct.core.standing(direct.now)
+    assert told.confirmed_age == NEVER and told.cut_off is not None
+    assert "at revision 2, before the 3 that is here" in told.cut_off.reason
+
+
 def test_no_majority_anywhere_is_told_as_such() -> None:
     world = fleet(6)
     world.run(20)
