--- a/tests/test_fleetconfig_host.py
+++ b/tests/test_fleetconfig_host.py
@@ -24,6 +24,7 @@
 from hazelhold.fleetconfig.writer import StoreWriter
 from hazelhold.protocol import messages as p
 from hazelhold.protocol.frames import frame
+from hazelhold.replica.sets import Keeper, Sets
 from hazelhold.replica.votes import vouch
 from hazelhold.service.wire import Wire
 from hazelhold.state.store import StateError
@@ -302,6 +303,58 @@
     with_fleet(test, controls=6, planners=1, replicas=5)
 
 
+def head_keepers(fleet: Fleet) -> list[str]:
+    """The control machines that vote on the head."""
+    keepers = [Keeper(seat.name, seat.zone) for seat in fleet.seats]
+    return list(Sets(keepers, fleet.replicas)(KEY))
+
+
+def test_three_of_six_gone_with_the_one_that_keeps_no_head_changes_go_on_to_a_bound() -> None:
+    async def test(fleet: Fleet) -> None:
+        keepers = head_keepers(fleet)
+        (other,) = set(fleet.names) - set(keepers)
+        by = keepers[2]
+        gone = [other, *keepers[:2]]
+        await fleet.until(lambda: all(fleet.controls[name].copies.votes.acceptor.voting for name in keepers))
+        for name in gone:
+            await fleet.kill(name)
+        answers, number = [], 0
+        while not answers or answers[-1].outcome == "committed":  # bounded: 384 KiB, and a change is 60 KB
+            number += 1
+            base = (await fleet.status(by)).number
+            puts = items(**{f"later__{number}": "x" * 60_000})
+            answers.append(
+                (await fleet.client(by).propose(Change(id=str(number), base=base, puts=puts), 3)).answer
+            )
+        assert 5 <= number < 10 and answers[-1].outcome == "refused", answers
+        assert "stored by too few control machines" in answers[-1].text
+        await fleet.start(other)  # a fourth stores them
+        await fleet.status_when(lambda said: said.number >= number - 1, other)
+        await fleet.put(by=by, base=number - 1, later__more=1)
+        assert (await fleet.put(by=by, base=number - 1, id_="more", later__again=1)).outcome == "committed"
+
+    with_fleet(test, controls=6, replicas=5)
+
+
+def test_three_of_the_five_that_keep_the_head_gone_nothing_is_decided_until_one_is_back() -> None:
+    async def test(fleet: Fleet) -> None:
+        gone = head_keepers(fleet)[:3]
+        left = [name for name in fleet.names if name not in gone]
+        number = await fleet.committed(customers__a={})
+        for name in gone:
+            await fleet.kill(name)
+        said = await fleet.put(by=left[0], base=number, id_="x", customers__b={})
+        assert said.outcome in ("refused", "unknown")
+        await fleet.status_when(lambda said: "no majority" in said.cut_off, left[0])
+        for name in gone:  # one that starts copies its votes: from all others, as more than two were down
+            await fleet.start(name)
+        await fleet.status_when(lambda said: not said.cut_off, left[0])
+        again = await fleet.put(by=left[0], base=number, id_="x", customers__b={})
+        assert (again.outcome, again.number) == ("committed", number + 1)
+
+    with_fleet(test, controls=6, replicas=5)
+
+
 def test_the_head_is_kept_by_the_votes_though_no_claim() -> None:
     async def test(fleet: Fleet) -> None:
         await fleet.committed(customers__acme={})
