Fleet configuration: a planner that is killed as a revision takes effect does not go back

Causes: (1) FollowerHost put a revision in force before it was on the disk; (2) at a start Enforcement offered the document noted as in force first, and that note is written after the fact, so that a planner that had the newer one in force, and whose engine had been started from it, went back for a moment.

Now a revision is put in force once it is safe, or at once while the disk fails (a disk that hangs counts as failed after slow_ms); and a start offers the latest first, what was noted as in force only if that is refused. A test kills at the moment of taking effect; broken variant: in force before it is safe; a planner whose disk fails still takes revisions. A commit without changes writes nothing.

--- a/hazelhold/fleetconfig/enforcement.py
+++ b/hazelhold/fleetconfig/enforcement.py
@@ -16,18 +16,19 @@
     """`in_force` is the last position that the host put in force in this life; number 0: none yet."""
 
     def __init__(self, history: History, last_in_force: tuple[Position, Document] | None = None) -> None:
-        """`last_in_force` is offered first, if it is older than the history's position."""
+        """`last_in_force`, if it is older than the history's position, is what is offered if the host refuses
+        that: what was in force before a restart may be newer than its note on the disk, and never goes
+        back."""
         self.in_force = Position()
         self.offered: Position | None = None
         self.reason = ""  # why the latest offer was refused; empty if it was not
         self._history = history
-        self._first = last_in_force
+        self._before = last_in_force
         self._tried = Position()
         self._document = Document()
         self._waiting: dict[str, bytes | None] = {}  # changes that the document does not have yet
-        self._replacement: Document | None = None  # in place of the document, before those changes
-        if last_in_force is None:
-            self._replacement = history.document.copy()
+        # In place of the document, before those changes.
+        self._replacement: Document | None = history.document.copy()
 
     def received(self, edits: Iterable[Edit]) -> None:
         """The history took these edits."""
@@ -44,11 +45,9 @@
         """What the host is to be asked now; None while it is asked already or has nothing newer to try."""
         if self.offered is not None:
             return None
-        if self._first is not None:
-            return self._offer_first(*self._first)
         position = self._history.position
         if position.number <= self._tried.number:
-            return None
+            return self._offer_before()
         changed = self._bring_up_to_date()
         self.offered = self._tried = position
         return PutInForce(position, self._document, changed)
@@ -59,16 +58,20 @@
             return False
         self.offered = None
         if reason is None:
-            self.in_force, self.reason = position, ""
+            self.in_force, self._before = position, None
+            if position == self._tried:
+                self.reason = ""
         else:
             self.reason = f"refused {position.number}: {reason}"
         return True
 
-    def _offer_first(self, position: Position, document: Document) -> PutInForce:
-        self._first = None
-        self._document = document
-        self._replacement = self._history.document.copy()
-        self.offered = self._tried = position
+    def _offer_before(self) -> PutInForce | None:
+        """What was in force before the restart, if what is newer was refused."""
+        if self._before is None:
+            return None
+        (position, document), self._before = self._before, None
+        self._replacement = self._document  # the next one is another document than this one
+        self.offered = position
         return PutInForce(position, document, None)
 
     def _bring_up_to_date(self) -> frozenset[str] | None:
--- a/hazelhold/fleetconfig/follower.py
+++ b/hazelhold/fleetconfig/follower.py
@@ -59,8 +59,8 @@
         place: Place = Place("", ""),  # noqa: B008 - immutable
         last_in_force: tuple[Position, Document] | None = None,
     ) -> None:
-        """`place` is where this planner stands until the document lists it. `last_in_force` is what was in
-        force before a restart, if it was not the history's position."""
+        """`place` is where this planner stands until the document lists it. `last_in_force` is what was noted
+        as in force before a restart, if it was not the history's position."""
         self.name = name
         self.history, self.roster, self.subtree = history, roster, subtree
         self.actions: list[Action] = []
--- a/hazelhold/fleetconfig/follower_host.py
+++ b/hazelhold/fleetconfig/follower_host.py
@@ -64,6 +64,8 @@
         self.log = structlog.get_logger().bind(planner=name)
         self.stirred = trio.Event()
         self.address = ""
+        self.offered: a.PutInForce | None = None  # waits until what leads to it is safe
+        self.writer.on_failed = self._put_offered
 
     async def open(self, take_over: bool = False) -> None:
         """Reads the folder. StateError if it must not be used; `take_over`: it is waited for."""
@@ -154,11 +156,27 @@
         elif isinstance(action, a.Replaced):
             self.writer.take(self.store.replace(action.position, Document(action.items)), _nothing)
         elif isinstance(action, a.PutInForce):
-            self._put_in_force(action)
+            self._offer(action)
         elif isinstance(action, a.Log):
             tell = self.log.warning if action.event in WARNINGS else self.log.info
             tell("fleetconfig_" + action.event, **action.details)
 
+    def _offer(self, action: a.PutInForce) -> None:
+        """Puts it in force once all that leads to it is safe, so that no restart goes back behind it; at once
+        while the disk fails."""
+        if self.writer.failed:
+            self._put_in_force(action)
+            return
+        self.offered = action
+        self.writer.take([], lambda: self._put_offered(action))
+
+    def _put_offered(self, stored: a.PutInForce | None = None) -> None:
+        """What was offered is safe (`stored`), or cannot be."""
+        if (action := self.offered) is not None and (stored is None or stored is action):
+            self.offered = None
+            self._put_in_force(action)
+            self.settle()
+
     def _put_in_force(self, action: a.PutInForce) -> None:
         number = action.position.number
         try:
--- a/hazelhold/fleetconfig/writer.py
+++ b/hazelhold/fleetconfig/writer.py
@@ -24,6 +24,7 @@
         self.store, self.net, self.slow_ms, self.retry_ms = store, net, slow_ms, retry_ms
         self.waiting: deque[tuple[list[Change], Callable[[], None]]] = deque()  # emptied by each commit
         self.failed = False
+        self.on_failed: Callable[[], None] = _nothing  # called whenever the disk begins to fail
         self.more = trio.Event()
         self.commits = self.failures = 0
         self.log = structlog.get_logger().bind(store=store.files.planner)
@@ -66,7 +67,7 @@
         changes, calls = self._taken()
         files = self.store.files
         files.apply(changes)
-        wrong = await self._slowly(files.log, frames.batch(changes))
+        wrong = await self._slowly(files.log, frames.batch(changes)) if changes else None
         if wrong is None and files.due():
             wrong = await self._slowly(files.finish, *files.prepare(self.net.wall()))
         if wrong is not None:
@@ -108,3 +109,8 @@
         self.failures += 1
         self.failed = True
         self.log.error("revisions_not_stored", reason=str(wrong))
+        self.on_failed()
+
+
+def _nothing() -> None:
+    """Nobody waits for that."""
--- a/tests/test_fleetconfig_host.py
+++ b/tests/test_fleetconfig_host.py
@@ -4,7 +4,7 @@
 import errno
 import subprocess
 import sys
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from pathlib import Path
 
 import msgspec
@@ -19,7 +19,9 @@
 from hazelhold.fleetconfig.codec import MAX_MESSAGE
 from hazelhold.fleetconfig.connection import Connection
 from hazelhold.fleetconfig.control_host import KEY
+from hazelhold.fleetconfig.document import Document
 from hazelhold.fleetconfig.door import IDLE
+from hazelhold.fleetconfig.follower_host import FollowerHost
 from hazelhold.fleetconfig.revision import Change
 from hazelhold.fleetconfig.writer import StoreWriter
 from hazelhold.protocol import messages as p
@@ -249,6 +251,53 @@
     with_fleet(test, planners=1)
 
 
+def dies_as_it_is_put_in_force() -> None:
+    """Killed at the moment when a revision is in force: its start goes back behind none that was."""
+
+    async def test(fleet: Fleet) -> None:
+        follower = fleet.planners["p1"].follower
+        put, safe = follower.put_in_force, {}
+
+        def note(document: Document, changed: Iterable[str] | None) -> None:
+            put(document, changed)
+            safe[follower.follower.enforcement.offered.number] = dict(fleet.disks["p1"].safe)
+
+        follower.put_in_force = note
+        number = await fleet.committed(customers__acme={})
+        await fleet.until(lambda: number in safe)
+        for name in ("p1", *fleet.names):
+            await fleet.kill(name)
+        fleet.disks["p1"].safe = safe[number]  # what was written after that moment is gone
+        await fleet.start("p1")
+        await fleet.until(lambda: fleet.enforced("p1") > 0)
+        assert fleet.enforced("p1") == number
+        assert await rejection(fleet, "p1", "acme") == ""
+
+    with_fleet(test, planners=1)
+
+
+def test_a_planner_that_dies_as_a_revision_is_in_force_does_not_go_back() -> None:
+    dies_as_it_is_put_in_force()
+
+
+def test_in_force_before_it_is_safe_is_caught(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(FollowerHost, "_offer", FollowerHost._put_in_force)
+    with pytest.raises(BaseExceptionGroup) as found:
+        dies_as_it_is_put_in_force()
+    assert found.group_contains(AssertionError)
+
+
+def test_a_planner_whose_disk_fails_puts_revisions_in_force_all_the_same() -> None:
+    async def test(fleet: Fleet) -> None:
+        await fleet.in_force(await fleet.committed(customers__a={}))
+        fleet.disks["p1"].fails = {"write": errno.ENOSPC, "sync": errno.ENOSPC}
+        await fleet.in_force(await fleet.committed(customers__b={}))
+        await fleet.in_force(await fleet.committed(customers__c={}))
+        assert await rejection(fleet, "p1", "c") == ""
+
+    with_fleet(test, planners=1)
+
+
 @pytest.mark.parametrize("lost", [("revisions",), ("votes",), ("revisions", "votes")])
 def test_a_control_machine_that_lost_its_disks_comes_back_and_commits(lost: tuple[str, ...]) -> None:
     async def test(fleet: Fleet) -> None:
