--- a/tests/test_fleetconfig_host.py
+++ b/tests/test_fleetconfig_host.py
@@ -287,6 +287,27 @@
     assert found.group_contains(AssertionError)
 
 
+def test_a_wall_clock_that_jumps_changes_nothing() -> None:
+    async def test(fleet: Fleet) -> None:
+        wall, year = fleet.net.wall, 365 * 86_400_000_000
+        for jump in (10 * year, -20 * year):
+            fleet.net.wall = lambda jump=jump: wall() + jump
+            number = await fleet.committed(customers__a={"jump": jump})
+            await fleet.in_force(number)
+            for name in ("c1", "p1"):
+                await fleet.kill(name)
+                await fleet.start(name)
+            number = await fleet.committed(customers__b={"jump": jump})
+            await fleet.in_force(number)
+            for name in (*fleet.names, "p1"):
+                said = await fleet.status_when(lambda said: said.number == number and not said.cut_off, name)
+                assert 0 <= said.confirmed_age < 5_000_000
+            said = await fleet.status_when(everywhere)
+            assert said.revisions[0].number == number and said.revisions[0].everywhere_after < 5_000_000
+
+    with_fleet(test, planners=1)
+
+
 def test_a_planner_whose_disk_fails_puts_revisions_in_force_all_the_same() -> None:
     async def test(fleet: Fleet) -> None:
         await fleet.in_force(await fleet.committed(customers__a={}))
