--- a/hazelhold/platform/serve.py
+++ b/hazelhold/platform/serve.py
@@ -41,7 +41,8 @@
 
 async def run(start: Start, path: Path, frames: bool, early: list[int]) -> None:
     planner = PlatformPlanner(start, TcpNet(), path)
-    planner.log_frames = frames
+    if frames:
+        planner.log_frames()
     with trio.open_signal_receiver(*KINDS) as signals:
         async with trio.open_nursery() as nursery:
 
