Planner: raises its soft limit of descriptors to the hard one

The soft limit is a default for programs that use select; a process may raise its own up to the operator's hard limit.

Change: service/descriptors.py, called by `hazelhold planner` under its own protocol (the platform's planner has its bounds from its configuration and is left alone), logged as `descriptors`.

Measured: under a soft limit of 1,024 a process opens 7,520 descriptors with it and is refused at some 1,020 without.

--- a/bench/capacity/target.py
+++ b/bench/capacity/target.py
@@ -39,3 +39,4 @@
 """Chosen by the slopes, since the operators told no number: see `demands.py`."""
 
 BUDGET_DESCRIPTORS = 1024  # of a process; the usual soft limit
+BUDGET_PLANNER_DESCRIPTORS = 524_288  # it raises its soft limit to the hard one: systemd's default
--- a/hazelhold/cli/planner.py
+++ b/hazelhold/cli/planner.py
@@ -61,12 +61,14 @@
 
     import signal
 
+    import structlog
     import trio
     from msgspec.structs import replace
 
     from hazelhold.config.load import ConfigError
     from hazelhold.config.planner import check_planner, read_planner
     from hazelhold.protocol.record import Recorder
+    from hazelhold.service.descriptors import raise_descriptor_limit
     from hazelhold.service.net import TcpNet
     from hazelhold.service.planner import Planner
 
@@ -83,6 +85,7 @@
     if record:
         record.parent.mkdir(parents=True, exist_ok=True)
     recorder = Recorder(record, sheet.name, "planner")
+    structlog.get_logger().info("descriptors", descriptors=raise_descriptor_limit().soft, planner=sheet.name)
 
     async def run() -> None:
         made = Planner(sheet, sheet.seed if seed is None else seed, TcpNet(), recorder, take_over=take_over)
--- /dev/null
+++ b/tests/test_descriptors.py
@@ -0,0 +1,96 @@
+"""A planner may hold a connection to each worker of the largest list that is planned for."""
+
+import resource
+import subprocess
+import sys
+from pathlib import Path
+
+import msgspec
+
+from hazelhold.service.descriptors import raise_descriptor_limit
+from tests.helpers import sheet
+
+WORKERS, CLIENTS = 7_300, 220
+USUAL_SOFT_LIMIT = 1_024
+
+
+def limited(soft: int) -> None:
+    resource.setrlimit(resource.RLIMIT_NOFILE, (soft, resource.getrlimit(resource.RLIMIT_NOFILE)[1]))
+
+
+def run_limited(program: str) -> str:
+    ran = subprocess.run(
+        [sys.executable, "-c", program],
+        preexec_fn=lambda: limited(USUAL_SOFT_LIMIT),
+        capture_output=True,
+        text=True,
+        timeout=60,
+    )
+    assert ran.returncode == 0, ran.stderr
+    return ran.stdout
+
+
+OPEN_MANY = """
+import os, resource
+from hazelhold.service.descriptors import raise_descriptor_limit
+limits = {limits}
+hard = resource.getrlimit(resource.RLIMIT_NOFILE)[1]
+wanted = min({count}, hard - 50) if hard != resource.RLIM_INFINITY else {count}
+opened = 0
+try:
+    for opened in range(1, wanted + 1):
+        os.dup(0)
+except OSError as wrong:
+    print("refused at", opened)
+else:
+    print("all open")
+"""
+
+
+def test_a_process_opens_a_descriptor_for_each_worker_and_client() -> None:
+    program = OPEN_MANY.format(limits="raise_descriptor_limit()", count=WORKERS + CLIENTS)
+    assert run_limited(program) == "all open\n"
+
+
+def test_without_it_the_usual_soft_limit_is_in_the_way() -> None:
+    program = OPEN_MANY.format(limits="None", count=WORKERS + CLIENTS)
+    assert run_limited(program).startswith("refused at 10")
+
+
+def test_the_hard_limit_stays_and_a_second_call_changes_nothing() -> None:
+    hard = resource.getrlimit(resource.RLIMIT_NOFILE)[1]
+    limits = raise_descriptor_limit()
+    assert limits.hard == hard == limits.soft
+    assert raise_descriptor_limit() == limits
+
+
+def test_a_planner_raises_its_own_limit_and_tells_it(tmp_path: Path) -> None:
+    hard = resource.getrlimit(resource.RLIMIT_NOFILE)[1]
+    made = msgspec.structs.replace(
+        sheet(), listen="127.0.0.1:0", list=msgspec.structs.replace(sheet().list, address="127.0.0.1:1")
+    )
+    file = tmp_path / "planner.json5"
+    file.write_bytes(msgspec.json.encode(made))
+    command = [
+        sys.executable,
+        "-m",
+        "hazelhold",
+        "planner",
+        "--config",
+        str(file),
+        "--log",
+        "json",
+        "--ready",
+    ]
+    with subprocess.Popen(
+        command,
+        preexec_fn=lambda: limited(256),
+        stdout=subprocess.PIPE,
+        stderr=subprocess.PIPE,
+        text=True,
+    ) as process:
+        assert process.stdout.readline()
+        process.terminate()
+        told = process.communicate(timeout=60)[1]
+    lines = [msgspec.json.decode(line) for line in told.splitlines()]
+    assert [line["descriptors"] for line in lines if line["event"] == "descriptors"] == [hard]
