--- a/bench/capacity/rows_claims.py
+++ b/bench/capacity/rows_claims.py
@@ -8,7 +8,7 @@
 from bench.capacity.registry import measurement
 from bench.copies import Unsafe, name_of, sheets
 from hazelhold.protocol.messages import encode
-from hazelhold.replica import words as w
+from hazelhold.replica import messages
 from hazelhold.replica.acceptor import Acceptor, Cell
 from hazelhold.replica.claims import Claim, Take
 from hazelhold.replica.claims import encode as packed
@@ -126,7 +126,7 @@
     def make() -> Acceptor:
         made = Acceptor(1, True, name="planner-0", sets=sets)
         for number in range(size):
-            ballot = w.Ballot(number + 1, "planner-1/1234567890/abcdef")
+            ballot = messages.Ballot(number + 1, "planner-1/1234567890/abcdef")
             value = packed(Claim("planner-1", 3, 0, 0, "placed", f"worker-{number % 7300:05d}", "", number))
             made.set(f"claim/task-{number:08d}", Cell(ballot, ballot, value))
         return made
--- a/bench/copies.py
+++ b/bench/copies.py
@@ -33,7 +33,7 @@
 from hazelhold.config.planner import CopiesPlanner, CopiesSheet, ProductSheet
 from hazelhold.protocol.messages import encode
 from hazelhold.rehearse.ports import free_ports
-from hazelhold.replica import words as w
+from hazelhold.replica import messages
 from hazelhold.replica.acceptor import Acceptor
 from hazelhold.replica.claims import Claim, Take
 from hazelhold.replica.claims import encode as packed
@@ -269,13 +269,13 @@
     mine = Acceptor(1, set(), name="a", sets=sets)
     differ = 0
     for number in range(count):
-        ballot = w.Ballot(number + 1, "planner-1/1234567890/abcdef")
+        ballot = messages.Ballot(number + 1, "planner-1/1234567890/abcdef")
         value = packed(Claim("planner-1", 3, 0, 0, "placed", f"m{number % 900:03d}", "", number))
         key = f"claim/owner3-{number}"
         for acceptor in (*full.values(), *([] if number < behind * count else [mine])):
             acceptor.set(key, acceptor.empty._replace(promised=ballot, accepted=ballot, value=value))
         if number < behind * count:
-            differ += len(msgspec.msgpack.encode(w.Cells(key, ballot, ballot, value)))
+            differ += len(msgspec.msgpack.encode(messages.Cells(key, ballot, ballot, value)))
     sources = {n: Source(n, sets, a) for n, a in full.items()}
     for source in sources.values():
         source.gives = True
--- a/bench/fuzz_membership.py
+++ b/bench/fuzz_membership.py
@@ -14,7 +14,7 @@
 import msgspec
 
 from hazelhold.emulate.parley import Parley
-from hazelhold.membership import words as w
+from hazelhold.membership import messages
 from hazelhold.membership.core import Post, Terms
 from hazelhold.membership.rows import ALIVE, Row, told
 
@@ -46,17 +46,17 @@
     )
     matter = random.choice(
         [
-            w.Ping(1, random.choice(names)),
-            w.Ack(random.getrandbits(60), "m1"),
-            w.Rows(),
-            w.Ask(3, "m1", "nowhere"),
-            w.Nack(4, "m1"),
-            w.Query(5, "m"),
-            w.Sync(6, [random.getrandbits(60) for _ in range(random.choice([0, 32, 64]))]),
+            messages.Ping(1, random.choice(names)),
+            messages.Ack(random.getrandbits(60), "m1"),
+            messages.Rows(),
+            messages.Ask(3, "m1", "nowhere"),
+            messages.Nack(4, "m1"),
+            messages.Query(5, "m"),
+            messages.Sync(6, [random.getrandbits(60) for _ in range(random.choice([0, 32, 64]))]),
         ]
     )
     deployment = "fuzz" if kind == 4 else "elsewhere"
-    return w.encode(
+    return messages.encode(
         deployment,
         Row(random.choice(["ghost-1", "m9", ""]) or "x", 1, 1, 0, ALIVE, "nowhere"),
         matter,
--- a/hazelhold/cli/members.py
+++ b/hazelhold/cli/members.py
@@ -60,11 +60,11 @@
     """The whole view, page by page; None if it does not come in time."""
     from random import SystemRandom
 
-    from hazelhold.membership import words as w
+    from hazelhold.membership import messages
     from hazelhold.membership.rows import ALIVE, Row
 
     nobody = Row(name="-", life=0, nonce=0, seq=0, state=ALIVE, address="")
-    found: dict[str, w.Seen] = {}
+    found: dict[str, messages.Seen] = {}
     mine: dict = {}
     after, until = "", time.monotonic() + wait
     family = socket.AF_INET6 if ":" in at[0] else socket.AF_INET
@@ -73,18 +73,18 @@
         while time.monotonic() < until:
             no = SystemRandom().getrandbits(62)
             try:
-                port.sendto(w.encode(deployment, nobody, w.Query(no, after), []), at)
-                letter = w.decode(port.recv(2048), deployment)
+                port.sendto(messages.encode(deployment, nobody, messages.Query(no, after), []), at)
+                letter = messages.decode(port.recv(2048), deployment)
             except TimeoutError:
                 continue
             except ConnectionRefusedError:
                 time.sleep(0.05)
                 continue
-            except w.UnreadableError as wrong:
+            except messages.UnreadableError as wrong:
                 click.echo(f"an answer that cannot be read: {wrong}", err=True)
                 return None
             page = letter.matter
-            if not isinstance(page, w.Page) or page.no != no:
+            if not isinstance(page, messages.Page) or page.no != no:
                 continue
             mine = page.mine
             found |= {each.row.name: each for each in page.seen}
--- a/hazelhold/emulate/heartbeats.py
+++ b/hazelhold/emulate/heartbeats.py
@@ -10,7 +10,7 @@
 
 import msgspec
 
-from hazelhold.membership import words as w
+from hazelhold.membership import messages
 from hazelhold.membership.core import News, Post, Terms
 from hazelhold.membership.rows import ALIVE, GONE, LEFT, Row
 
@@ -57,16 +57,16 @@
         to = {row.address for name, row in self.rows.items() if name != self.me.name and row.state != LEFT}
         some = self.random.sample(list(self.rows.values()), min(6, len(self.rows)))
         rows = [self.me, *(r for r in some if r.state == ALIVE and r is not self.me)]
-        raws = [msgspec.Raw(w.ENCODER.encode(r)) for r in rows]
-        body = w.encode(self.terms.deployment, self.me, w.Rows(), raws)
+        raws = [msgspec.Raw(messages.ENCODER.encode(r)) for r in rows]
+        body = messages.encode(self.terms.deployment, self.me, messages.Rows(), raws)
         for address in sorted(to | set(self.seeds) - {self.me.address}):
             self.actions.append(Post(address, "", body))
 
     def hear(self, now: int, body: bytes) -> None:
         self.now = now
         try:
-            letter = w.decode(body, self.terms.deployment)
-        except w.UnreadableError:
+            letter = messages.decode(body, self.terms.deployment)
+        except messages.UnreadableError:
             return
         for row in letter.rows:
             known = self.rows.get(row.name)
@@ -75,8 +75,8 @@
             if known and known.state == LEFT and row.life == known.life:
                 continue
             if known is None:  # who is new is told of the others
-                rows = [msgspec.Raw(w.ENCODER.encode(r)) for r in list(self.rows.values())[:8]]
-                answer = w.encode(self.terms.deployment, self.me, w.Rows(), rows)
+                rows = [msgspec.Raw(messages.ENCODER.encode(r)) for r in list(self.rows.values())[:8]]
+                answer = messages.encode(self.terms.deployment, self.me, messages.Rows(), rows)
                 self.actions.append(Post(row.address, row.name, answer))
             if row.name == letter.sender or known is None:
                 self.heard[row.name] = now
--- a/hazelhold/membership/base.py
+++ b/hazelhold/membership/base.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from hazelhold.membership import words as w
+from hazelhold.membership import messages
 from hazelhold.membership.local_health import LocalHealth
 from hazelhold.membership.probe import Probe
 from hazelhold.membership.rows import ALIVE, Row
@@ -80,15 +80,17 @@
         return [member.raw] if member and member.row.state != ALIVE else []
 
     def _send(
-        self, address: str, name: str, matter: w.Matter, first: list[msgspec.Raw], fill: bool = True
+        self, address: str, name: str, matter: messages.Matter, first: list[msgspec.Raw], fill: bool = True
     ) -> None:
         """One datagram: the rows given, then as many rumours as fit."""
         rows = first
         if fill:
-            room = w.BYTES - 8 - len(w.encode(self.terms.deployment, self.me, matter, first))
+            room = messages.BYTES - 8 - len(messages.encode(self.terms.deployment, self.me, matter, first))
             rumours, _ = self.table.rumours.take(self.table, room, self.tellings())
             rows = [*first, *rumours]
-        self.actions.append(Post(address, name, w.encode(self.terms.deployment, self.me, matter, rows)))
+        self.actions.append(
+            Post(address, name, messages.encode(self.terms.deployment, self.me, matter, rows))
+        )
 
     def tellings(self) -> int:
         """How often each row is told: enough that all know with any likelihood wanted, by the logarithm
--- a/hazelhold/membership/core.py
+++ b/hazelhold/membership/core.py
@@ -18,7 +18,7 @@
 
 import msgspec
 
-from hazelhold.membership import words as w
+from hazelhold.membership import messages
 from hazelhold.membership.rows import LEFT
 from hazelhold.membership.terms import News, Post, Reply, Terms
 from hazelhold.membership.views import Views
@@ -75,12 +75,12 @@
         """Takes a datagram. What is wrong with one is counted under its word, and it does nothing."""
         self._notice(now)
         try:
-            letter = w.decode(body, self.terms.deployment)
-        except w.UnreadableError as wrong:
+            letter = messages.decode(body, self.terms.deployment)
+        except messages.UnreadableError as wrong:
             self.counts[str(wrong)] += 1
             return
         matter = letter.matter
-        if isinstance(matter, w.Query):
+        if isinstance(matter, messages.Query):
             self._page(matter)
             return
         if self.left or self.yielded or not letter.sender:
@@ -93,7 +93,7 @@
         if known is not None and (letter.life, letter.nonce) < (known.life, known.nonce):
             self.counts["earlier_life"] += 1  # a replay, or a process that should yield: told what stands
             if self._may():
-                self._send(letter.at, letter.sender, w.Rows(), [self.table.members[letter.sender].raw])
+                self._send(letter.at, letter.sender, messages.Rows(), [self.table.members[letter.sender].raw])
             return
         self.recent.pop(letter.sender, None)
         self.recent[letter.sender] = None
@@ -102,17 +102,17 @@
         self.corrections, taken = [], self.taken
         for row in letter.rows:
             self._merge(row, letter.sender)
-        if isinstance(matter, w.Page):
+        if isinstance(matter, messages.Page):
             self.counts["not_taken"] += 1
             return
-        if self.taken > taken and isinstance(matter, w.Rows):
+        if self.taken > taken and isinstance(matter, messages.Rows):
             self._resync()  # a comparison that brought something is followed by another
         getattr(self, f"_on_{type(matter).__name__.lower()}")(letter, matter)
         known = self.table.row(letter.sender)
         if (known is None or (letter.life, letter.nonce) > (known.life, known.nonce)) and self._may():
             self._send_sync(letter.at, letter.sender)  # its row is not here
 
-    def _namesake(self, letter: w.Letter) -> None:
+    def _namesake(self, letter: messages.Letter) -> None:
         """A letter from a process of this planner's own name: the answer to a challenge, or a rival's
         traffic."""
         if letter.nonce == self.me.nonce:
@@ -122,7 +122,7 @@
         rival = self.rival
         if (
             rival
-            and isinstance(letter.matter, w.Ack)
+            and isinstance(letter.matter, messages.Ack)
             and (letter.life, letter.nonce) >= (rival.life, rival.nonce) > (self.me.life, self.me.nonce)
         ):
             self.yielded = True
@@ -132,8 +132,8 @@
             self.actions.append(
                 News("yielded", self.me.name, {"to_life": letter.life, "life": self.me.life, "at": letter.at})
             )
-        elif isinstance(letter.matter, w.Ping) and letter.matter.who == self.me.name:
-            self._send(letter.at, letter.sender, w.Ack(letter.matter.no, self.me.name), [])
+        elif isinstance(letter.matter, messages.Ping) and letter.matter.who == self.me.name:
+            self._send(letter.at, letter.sender, messages.Ack(letter.matter.no, self.me.name), [])
         for row in letter.rows:
             if row.name == self.me.name and not self.yielded:
                 self._about_me(row, letter.sender)
@@ -150,7 +150,9 @@
 
     def _leave_due(self, times: int) -> None:
         for name in self.table.live.some(self.random, 4):
-            self._send(self.table.row(name).address, name, w.Rows(), [self.table.members[self.me.name].raw])
+            self._send(
+                self.table.row(name).address, name, messages.Rows(), [self.table.members[self.me.name].raw]
+            )
         if times == 2 or not len(self.table.live):
             self.left = True
             self.timers.clear()
--- a/hazelhold/membership/exchange.py
+++ b/hazelhold/membership/exchange.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from hazelhold.membership import words as w
+from hazelhold.membership import messages
 from hazelhold.membership.merging import Merging
 from hazelhold.membership.terms import News
 
@@ -47,7 +47,7 @@
         self._send_sync(self.table.row(name).address, name)
 
     def _send_sync(self, at: str, name: str, no: int = 0) -> None:
-        matter = w.Sync(no or self._number(), list(self.table.digests))
+        matter = messages.Sync(no or self._number(), list(self.table.digests))
         self._send(at, name, matter, [self.table.members[self.me.name].raw])
 
     def _heal_due(self) -> None:
@@ -60,8 +60,8 @@
             self._send_sync(self.random.choice(unknown), "")
         self._at(self.now + self.random.randint(self.terms.heal // 2, self.terms.heal), "heal")
 
-    def _on_sync(self, letter: w.Letter, sync: w.Sync) -> None:
-        if len(sync.digests) != w.BUCKETS:
+    def _on_sync(self, letter: messages.Letter, sync: messages.Sync) -> None:
+        if len(sync.digests) != messages.BUCKETS:
             self.counts["spoilt"] += 1
             return
         if not self._may():
@@ -69,11 +69,13 @@
         differ = [at for at, bits in enumerate(self.table.digests) if bits != sync.digests[at]]
         self._send_buckets(letter.at, letter.sender, sync.no, differ, differ)
 
-    def _on_rows(self, letter: w.Letter, rows: w.Rows) -> None:
+    def _on_rows(self, letter: messages.Letter, rows: messages.Rows) -> None:
         if rows.to and rows.to == self.join_no:
             self._settle(letter.sender)
         if rows.want and self._may():
-            self._send_buckets(letter.at, letter.sender, 0, [b for b in rows.want if b < w.BUCKETS], [])
+            self._send_buckets(
+                letter.at, letter.sender, 0, [b for b in rows.want if b < messages.BUCKETS], []
+            )
 
     def _send_buckets(self, at: str, name: str, to: int, buckets: list[int], want: list[int]) -> None:
         """The rows of these buckets in at most eight datagrams, begun anywhere, so that the next time
@@ -85,8 +87,8 @@
         mine = self.table.members[self.me.name].raw
         queue = deque([mine, *first, *rows])
         for number in range(8):
-            matter = w.Rows(to, want if not number else [])
-            room = w.BYTES - 8 - len(w.encode(self.terms.deployment, self.me, matter, []))
+            matter = messages.Rows(to, want if not number else [])
+            room = messages.BYTES - 8 - len(messages.encode(self.terms.deployment, self.me, matter, []))
             taken: list[msgspec.Raw] = []
             while queue and len(queue[0]) <= room:
                 taken.append(queue.popleft())
--- a/hazelhold/membership/host.py
+++ b/hazelhold/membership/host.py
@@ -13,8 +13,8 @@
 from hazelhold.config.load import split_address
 from hazelhold.config.planner import MembershipSheet, micros
 from hazelhold.membership.core import Core, News, Post, Reply, Terms
+from hazelhold.membership.messages import VERSION
 from hazelhold.membership.rows import ALIVE, Row
-from hazelhold.membership.words import VERSION
 from hazelhold.protocol.record import Recorder
 from hazelhold.service.net import Net, Port
 
--- a/hazelhold/membership/merging.py
+++ b/hazelhold/membership/merging.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from hazelhold.membership import words as w
+from hazelhold.membership import messages
 from hazelhold.membership.base import MembershipBase
 from hazelhold.membership.local_health import CONFIRMATIONS, expected_confirmations, suspicion_timeout
 from hazelhold.membership.rows import ALIVE, GONE, LEFT, SEQ_BOUND, STATES, SUSPECTED, Row, key, same_life
@@ -156,7 +156,7 @@
     def _my_row(self, **changes: object) -> None:
         self.table.put(msgspec.structs.replace(self.me, by="", **changes), self.now)
         for name in self.table.live.some(self.random, self.terms.helpers):
-            self._send(self.table.row(name).address, name, w.Rows(), [])
+            self._send(self.table.row(name).address, name, messages.Rows(), [])
 
     def _new_life(self, life: int) -> None:
         self.actions.append(News("life_raised", self.me.name, {"from": self.me.life, "life": life}))
@@ -177,5 +177,5 @@
             self.rival = None
             self._new_life(rival.life + 1)
             return
-        self._send(rival.address, "", w.Ping(self._number(), self.me.name), [], fill=False)
+        self._send(rival.address, "", messages.Ping(self._number(), self.me.name), [], fill=False)
         self._at(self.now + self.terms.answer, "rival", tries + 1)
--- a/hazelhold/membership/probing.py
+++ b/hazelhold/membership/probing.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from hazelhold.membership import words as w
+from hazelhold.membership import messages
 from hazelhold.membership.exchange import Exchange
 from hazelhold.membership.probe import Probe
 from hazelhold.membership.rows import ALIVE, SUSPECTED, Row
@@ -30,7 +30,7 @@
         return probe
 
     def _ping(self, probe: Probe) -> None:
-        self._send(probe.where, probe.name, w.Ping(probe.no, probe.name), self._word_on(probe.name))
+        self._send(probe.where, probe.name, messages.Ping(probe.no, probe.name), self._word_on(probe.name))
 
     def _answer_due(self, no: int) -> None:
         """No answer yet: asked again, through helpers as well; the fourth time it has failed."""
@@ -44,7 +44,9 @@
                 probe.helpers = self._helpers(probe.name)
             for helper in probe.helpers:
                 if row := self.table.row(helper):  # it may have been forgotten meanwhile
-                    self._send(row.address, helper, w.Ask(no, probe.name, probe.where), self._word_on(helper))
+                    self._send(
+                        row.address, helper, messages.Ask(no, probe.name, probe.where), self._word_on(helper)
+                    )
         if probe.step < 4:
             self._at(self.now + self.local_health(self.terms.answer), "answer", no)
             return
@@ -96,16 +98,18 @@
         else:
             self.probing.discard(probe.name)
 
-    def _on_ping(self, letter: w.Letter, ping: w.Ping) -> None:
+    def _on_ping(self, letter: messages.Letter, ping: messages.Ping) -> None:
         if ping.who != self.me.name:
             self.counts["misled"] += 1
             return
         first = [*self._word_on(letter.sender), *self.corrections[:4]]
-        self._send(letter.at, letter.sender, w.Ack(ping.no, self.me.name), first)
+        self._send(letter.at, letter.sender, messages.Ack(ping.no, self.me.name), first)
 
-    def _on_ask(self, letter: w.Letter, ask: w.Ask) -> None:
+    def _on_ask(self, letter: messages.Letter, ask: messages.Ask) -> None:
         if ask.who == self.me.name:
-            self._send(letter.at, letter.sender, w.Ack(ask.no, self.me.name), self._word_on(letter.sender))
+            self._send(
+                letter.at, letter.sender, messages.Ack(ask.no, self.me.name), self._word_on(letter.sender)
+            )
             return
         if (letter.sender, ask.no) in self.asked_for or not self._may():
             return
@@ -128,19 +132,23 @@
             return
         if probe.step == 2:
             if row := self.table.row(probe.asker):
-                self._send(row.address, row.name, w.Nack(probe.asked, probe.name), self._word_on(row.name))
+                self._send(
+                    row.address, row.name, messages.Nack(probe.asked, probe.name), self._word_on(row.name)
+                )
             self._at(self.now + self.terms.answer, "help", no)  # a late answer still goes on
             return
         self._end_probe(probe)
 
-    def _on_ack(self, letter: w.Letter, ack: w.Ack) -> None:
+    def _on_ack(self, letter: messages.Letter, ack: messages.Ack) -> None:
         probe = self.probes.get(ack.no)
         if probe is None or probe.name != ack.who:
             self.counts["late_ack"] += 1
             return
         if probe.asker:
             if letter.sender == ack.who and (row := self.table.row(probe.asker)):
-                self._send(row.address, row.name, w.Ack(probe.asked, probe.name), self._word_on(row.name))
+                self._send(
+                    row.address, row.name, messages.Ack(probe.asked, probe.name), self._word_on(row.name)
+                )
                 self._end_probe(probe)
             return
         if letter.sender != ack.who and letter.sender not in probe.helpers:
@@ -159,7 +167,7 @@
             span = self.now - probe.began
             member.rtt = span if member.rtt < 0 else (7 * member.rtt + span) // 8
 
-    def _on_nack(self, letter: w.Letter, nack: w.Nack) -> None:
+    def _on_nack(self, letter: messages.Letter, nack: messages.Nack) -> None:
         probe = self.probes.get(nack.no)
         if probe and not probe.asker and probe.name == nack.who and letter.sender in probe.helpers:
             probe.witnesses.add(letter.sender)
--- a/hazelhold/membership/table.py
+++ b/hazelhold/membership/table.py
@@ -9,8 +9,8 @@
 
 import msgspec
 
+from hazelhold.membership.messages import BUCKETS
 from hazelhold.membership.rows import ALIVE, GONE, SUSPECTED, Row, bucket, digest, key, same_life, told
-from hazelhold.membership.words import BUCKETS
 
 
 class Member:
--- a/hazelhold/membership/views.py
+++ b/hazelhold/membership/views.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from hazelhold.membership import words as w
+from hazelhold.membership import messages
 from hazelhold.membership.probing import ALONE_AFTER, Probing
 from hazelhold.membership.rows import ALIVE, SUSPECTED
 from hazelhold.membership.terms import Reply
@@ -44,10 +44,10 @@
             **self.beside(),
         }
 
-    def seen(self, name: str) -> w.Seen:
+    def seen(self, name: str) -> messages.Seen:
         member = self.table.members[name]
         row = msgspec.structs.replace(member.row, state=self.state_of(name))
-        return w.Seen(
+        return messages.Seen(
             row,
             self.now - member.since,
             self.now - member.heard if member.heard >= 0 else -1,
@@ -57,23 +57,25 @@
             list(member.accusers),
         )
 
-    def _page(self, query: w.Query) -> None:
+    def _page(self, query: messages.Query) -> None:
         """Answers an operator's question with as much of the view as one datagram holds."""
         if not self._may():
             return
         names = sorted(n for n in self.table.members if n > query.after)
         mine = self.standing()
-        seen: list[w.Seen] = []
+        seen: list[messages.Seen] = []
         room = (
-            w.BYTES
+            messages.BYTES
             - 60
-            - len(w.encode(self.terms.deployment, self.me, w.Page(query.no, [], False, mine), []))
+            - len(
+                messages.encode(self.terms.deployment, self.me, messages.Page(query.no, [], False, mine), [])
+            )
         )
         for name in names:
             each = self.seen(name)
-            room -= len(w.ENCODER.encode(each))
+            room -= len(messages.ENCODER.encode(each))
             if room < 0:
                 break
             seen.append(each)
-        matter = w.Page(query.no, seen, len(seen) < len(names), mine)
-        self.actions.append(Reply(w.encode(self.terms.deployment, self.me, matter, [])))
+        matter = messages.Page(query.no, seen, len(seen) < len(names), mine)
+        self.actions.append(Reply(messages.encode(self.terms.deployment, self.me, matter, [])))
--- a/hazelhold/replica/acceptor.py
+++ b/hazelhold/replica/acceptor.py
@@ -12,7 +12,7 @@
 import xxhash
 from msgspec import msgpack
 
-from hazelhold.replica import words as w
+from hazelhold.replica import messages
 from hazelhold.replica.sets import Sets
 
 
@@ -20,8 +20,8 @@
     """What one key's acceptor must never forget. `copied`: what was accepted is another's word, told to
     whoever prepares, but no vote of this acceptor's."""
 
-    promised: w.Ballot = w.NONE
-    accepted: w.Ballot = w.NONE
+    promised: messages.Ballot = messages.NONE
+    accepted: messages.Ballot = messages.NONE
     value: bytes = b""
     copied: bool = False
 
@@ -38,7 +38,7 @@
 
 
 ENCODER = msgpack.Encoder()
-COPY = w.Ballot(-1, "")  # what a look is told of a copied cell: no majority agrees with it
+COPY = messages.Ballot(-1, "")  # what a look is told of a copied cell: no majority agrees with it
 
 
 class Acceptor:
@@ -57,9 +57,9 @@
         self.voting = voting
         self.sets = sets
         self.cells = cells if cells is not None else {}
-        self.empty = Cell(w.Ballot(floor, ""))
-        self.inc = w.NEVER
-        self.known: dict[str, w.Inc] = {}  # of the others
+        self.empty = Cell(messages.Ballot(floor, ""))
+        self.inc = messages.NEVER
+        self.known: dict[str, messages.Inc] = {}  # of the others
         self.digests: dict[int, int] = {}  # by slot: a sum over its cells, whatever their order
         if sets is not None:
             for key, cell in self.cells.items():
@@ -78,20 +78,20 @@
             self.raise_floor(cell.promised.number + 1)
 
     def raise_floor(self, number: int) -> None:
-        self.empty = Cell(w.Ballot(max(self.floor, number), ""))
+        self.empty = Cell(messages.Ballot(max(self.floor, number), ""))
 
     def votes_on(self, slot: int) -> bool:
         return self.voting if isinstance(self.voting, bool) else slot in self.voting
 
-    def entered(self, name: str, inc: w.Inc) -> bool:
+    def entered(self, name: str, inc: messages.Inc) -> bool:
         """Another has started anew; False if a later start of it is known. To be made safe before it is
         told so."""
-        if inc < self.known.get(name, w.NEVER):
+        if inc < self.known.get(name, messages.NEVER):
             return False
         self.known[name] = inc
         return True
 
-    def copy(self, found: w.Cells) -> Change | None:
+    def copy(self, found: messages.Cells) -> Change | None:
         """Takes over what another knows of a key on which this one does not vote yet."""
         mine = self.cells.get(found.key, self.empty)
         new = mine._replace(promised=max(mine.promised, found.promised))
@@ -102,24 +102,28 @@
         self.set(found.key, new)
         return Change(found.key, new)
 
-    def hear(self, word: w.Prepare | w.Accept | w.Look) -> tuple[w.Word, Change | None]:
+    def hear(
+        self, word: messages.Prepare | messages.Accept | messages.Look
+    ) -> tuple[messages.Word, Change | None]:
         key, epoch, ballot = word.key, word.epoch, word.ballot
         if epoch != self.epoch:
-            return w.Refused(key, epoch, ballot, "epoch", now=self.epoch), None
+            return messages.Refused(key, epoch, ballot, "epoch", now=self.epoch), None
         if not (self.voting if isinstance(self.voting, bool) else self.sets.slot(key) in self.voting):
-            return w.Refused(key, epoch, ballot, "no_vote", now=self.epoch), None
+            return messages.Refused(key, epoch, ballot, "no_vote", now=self.epoch), None
         cell = self.cells.get(key, self.empty)
         mine = {"inc": self.inc, "known": self._known(key)}
-        if isinstance(word, w.Look):
+        if isinstance(word, messages.Look):
             accepted = COPY._replace(process=self.name) if cell.copied else cell.accepted
-            return w.Seen(key, epoch, ballot, accepted=accepted, value=cell.value, **mine), None
+            return messages.Seen(key, epoch, ballot, accepted=accepted, value=cell.value, **mine), None
         if ballot < cell.promised:
-            return w.Refused(key, epoch, ballot, "ballot", cell.promised, self.epoch), None
-        if isinstance(word, w.Prepare):
-            answer: w.Word = w.Promise(key, epoch, ballot, accepted=cell.accepted, value=cell.value, **mine)
+            return messages.Refused(key, epoch, ballot, "ballot", cell.promised, self.epoch), None
+        if isinstance(word, messages.Prepare):
+            answer: messages.Word = messages.Promise(
+                key, epoch, ballot, accepted=cell.accepted, value=cell.value, **mine
+            )
             new = cell._replace(promised=ballot)
         else:
-            answer = w.Accepted(key, epoch, ballot, **mine)
+            answer = messages.Accepted(key, epoch, ballot, **mine)
             new = Cell(max(ballot, word.next), ballot, word.value)
         if new == cell:
             return answer, None
@@ -141,6 +145,6 @@
         """What is known in each of these slots, as one number a slot; slots without cells left out."""
         return {s: d for s in slots if (d := self.digests.get(s, 0))}
 
-    def _known(self, key: str) -> dict[str, w.Inc]:
+    def _known(self, key: str) -> dict[str, messages.Inc]:
         mates = self.known if self.sets is None else self.sets(key)
         return {n: self.known[n] for n in mates if n in self.known}
--- a/hazelhold/replica/host.py
+++ b/hazelhold/replica/host.py
@@ -18,7 +18,7 @@
 from hazelhold.protocol.frames import FrameError
 from hazelhold.protocol.messages import Codec, encode
 from hazelhold.protocol.record import Recorder
-from hazelhold.replica import words as w
+from hazelhold.replica import messages
 from hazelhold.replica.proposer import Change as Asked
 from hazelhold.replica.proposer import Done, Proposer, Send
 from hazelhold.replica.votes import Retention, Votes, keep_open_claims
@@ -46,8 +46,24 @@
     version: int = VERSION
 
 
-ASKS = Codec(Greet | w.Prepare | w.Accept | w.Look | w.Hail | w.Enter | w.Next)
-ANSWERS = Codec(Greet | w.Promise | w.Accepted | w.Seen | w.Refused | w.Hailed | w.Page)
+ASKS = Codec(
+    Greet
+    | messages.Prepare
+    | messages.Accept
+    | messages.Look
+    | messages.Hail
+    | messages.Enter
+    | messages.Next
+)
+ANSWERS = Codec(
+    Greet
+    | messages.Promise
+    | messages.Accepted
+    | messages.Seen
+    | messages.Refused
+    | messages.Hailed
+    | messages.Page
+)
 LATELY = 5_000_000  # microseconds without an answer after which a planner is named to operators
 REJOIN = 0.5  # seconds after which somebody who has not answered one that comes back is asked again
 
@@ -70,7 +86,7 @@
     def __init__(self, name: str, address: str) -> None:
         self.name, self.address = name, address
         self.wire: Wire | None = None
-        self.waiting: deque[w.Word] = deque(maxlen=WAITING)
+        self.waiting: deque[messages.Word] = deque(maxlen=WAITING)
         self.opening = False
         self.used = 0.0
         self.heard = -1  # its last answer, on this clock
@@ -232,10 +248,10 @@
             far.opening = True
             self.nursery.start_soon(self._link, far)
 
-    def _answered(self, sender: str, answer: w.Word | w.Hailed | w.Page) -> None:
+    def _answered(self, sender: str, answer: messages.Word | messages.Hailed | messages.Page) -> None:
         if far := self.far.get(sender):
             far.heard = self.net.now()
-        if isinstance(answer, w.Hailed | w.Page):
+        if isinstance(answer, messages.Hailed | messages.Page):
             self._copied(sender, answer)
             return
         self.proposer.hear(self.net.now(), sender, answer)
@@ -269,7 +285,7 @@
         for each in out:
             self._post(each.to, each.word)
 
-    def _copied(self, sender: str, word: w.Hailed | w.Page) -> None:
+    def _copied(self, sender: str, word: messages.Hailed | messages.Page) -> None:
         self._vote(self.votes.told(sender, word, self.net.wall()))
         self._join_on()
 
@@ -358,13 +374,15 @@
                     self.log.warning("copies_refused", code=wrong.code, reason=wrong.text)
             wire.finish()
 
-    def _heard(self, sender: str, wire: Wire, word: w.Word | w.Hail | w.Enter | w.Next) -> None:
+    def _heard(
+        self, sender: str, wire: Wire, word: messages.Word | messages.Hail | messages.Enter | messages.Next
+    ) -> None:
         if isinstance(word, Greet):
             raise FrameError("second_greet", "a connection has one greeting")
         if len(self.vault.queue) > BUSY:
             self.counts["words_dropped"] += 1
             return
-        if isinstance(word, w.Hail | w.Enter | w.Next):
+        if isinstance(word, messages.Hail | messages.Enter | messages.Next):
             answer, changes = self.votes.asked(sender, word)
         else:
             answer, changes = self.votes.hear(word, self.net.wall())
--- a/hazelhold/replica/proposer.py
+++ b/hazelhold/replica/proposer.py
@@ -18,7 +18,7 @@
 from random import Random
 from typing import NamedTuple
 
-from hazelhold.replica import words as w
+from hazelhold.replica import messages
 
 
 class Once(NamedTuple):
@@ -53,7 +53,7 @@
 
 class Send(NamedTuple):
     to: str
-    word: w.Prepare | w.Accept | w.Look
+    word: messages.Prepare | messages.Accept | messages.Look
 
 
 class Done(NamedTuple):
@@ -99,11 +99,11 @@
 
     def __init__(self, no: int, key: str, change: Change, deadline: int, replicas: tuple[str, ...]) -> None:
         self.no, self.key, self.change, self.deadline, self.replicas = no, key, change, deadline, replicas
-        self.ballot = w.NONE
+        self.ballot = messages.NONE
         self.phase = "wait"
-        self.promises: dict[str, w.Promise | w.Seen] = {}
-        self.accepts: dict[str, w.Accepted] = {}
-        self.refusals: dict[str, w.Refused] = {}
+        self.promises: dict[str, messages.Promise | messages.Seen] = {}
+        self.accepts: dict[str, messages.Accepted] = {}
+        self.refusals: dict[str, messages.Refused] = {}
         self.value = b""
         self.exposed = 0  # rounds whose accept left: what they carried may be chosen
         self.tries = 0
@@ -123,7 +123,7 @@
         self.highest = 0  # number of any ballot seen
         # A ballot that a majority promised with its last accept, and the value then, by key; used once, and
         # emptied by use and by `times.known`.
-        self.ahead: dict[str, tuple[w.Ballot, bytes]] = {}
+        self.ahead: dict[str, tuple[messages.Ballot, bytes]] = {}
         self.number = self.timer_no = self.under_way = 0
 
     def ask(self, now: int, key: str, change: Change, replicas: Iterable[str], deadline: int) -> int:
@@ -154,38 +154,40 @@
             elif tries == op.tries and self.ops.get(op.key) is op:
                 self._round(now, op)
 
-    def hear(self, now: int, sender: str, word: w.Word) -> None:
+    def hear(self, now: int, sender: str, word: messages.Word) -> None:
         """An acceptor's answer. What belongs to no ballot under way does nothing."""
         op = self.ops.get(word.key)
-        if isinstance(word, w.Refused):
+        if isinstance(word, messages.Refused):
             self.highest = max(self.highest, word.higher.number)
         if op is None or word.ballot != op.ballot or sender not in op.replicas or word.epoch != self.epoch:
             return
-        if isinstance(word, w.Seen) and op.phase == "look":
+        if isinstance(word, messages.Seen) and op.phase == "look":
             op.promises[sender] = word
             if self._majority(op, op.promises):
                 if len({p.accepted for p in op.promises.values()}) == 1:
                     self._end(now, op, "agreed", word.value)
                 else:
                     self._round(now, op)
-        elif isinstance(word, w.Promise) and op.phase == "prepare":
+        elif isinstance(word, messages.Promise) and op.phase == "prepare":
             op.promises[sender] = word
             if self._majority(op, op.promises):
                 self._accept(op, max(op.promises.values(), key=lambda p: p.accepted).value)
-        elif isinstance(word, w.Accepted) and op.phase == "accept":
+        elif isinstance(word, messages.Accepted) and op.phase == "accept":
             op.accepts[sender] = word
             if self._majority(op, op.accepts):
                 self.ahead[op.key] = self._next(op), op.value
                 if len(self.ahead) > self.times.known:
                     del self.ahead[next(iter(self.ahead))]
                 self._end(now, op, "agreed", op.value)
-        elif isinstance(word, w.Refused):
+        elif isinstance(word, messages.Refused):
             self._refused(now, op, sender, word)
 
-    def _majority(self, op: Op, found: dict[str, w.Answer]) -> bool:
+    def _majority(self, op: Op, found: dict[str, messages.Answer]) -> bool:
         """Whether these are a majority whose answers go together. Whoever another of them knows in a later
         incarnation may have forgotten what it answered: it is left out."""
-        old = [n for n, a in found.items() if any(b.known.get(n, w.NEVER) > a.inc for b in found.values())]
+        old = [
+            n for n, a in found.items() if any(b.known.get(n, messages.NEVER) > a.inc for b in found.values())
+        ]
         for name in old:
             del found[name]
         return 2 * len(found) > len(op.replicas)
@@ -208,29 +210,29 @@
 
     def _look(self, now: int, op: Op) -> None:
         self.highest += 1  # a number of its own: a late answer to an earlier look is not taken for this one's
-        op.ballot, op.phase, op.tries = w.Ballot(self.highest, self.process), "look", op.tries + 1
-        self._send(op, w.Look(op.key, self.epoch, op.ballot))
+        op.ballot, op.phase, op.tries = messages.Ballot(self.highest, self.process), "look", op.tries + 1
+        self._send(op, messages.Look(op.key, self.epoch, op.ballot))
         self._at(now + self.times.round_most, op, op.tries)
 
     def _round(self, now: int, op: Op) -> None:
         self.highest += 1
-        op.ballot, op.phase, op.tries = w.Ballot(self.highest, self.process), "prepare", op.tries + 1
+        op.ballot, op.phase, op.tries = messages.Ballot(self.highest, self.process), "prepare", op.tries + 1
         op.promises, op.accepts, op.refusals = {}, {}, {}
-        self._send(op, w.Prepare(op.key, self.epoch, op.ballot))
+        self._send(op, messages.Prepare(op.key, self.epoch, op.ballot))
         self._at(now + self.times.round_most, op, op.tries)
 
     def _accept(self, op: Op, last: bytes) -> None:
         op.value, op.phase, op.exposed = op.change(last), "accept", op.exposed + 1
         self.highest = max(self.highest, op.ballot.number + 1)  # the number of `next` is taken with it
-        self._send(op, w.Accept(op.key, self.epoch, op.ballot, op.value, self._next(op)))
+        self._send(op, messages.Accept(op.key, self.epoch, op.ballot, op.value, self._next(op)))
 
-    def _next(self, op: Op) -> w.Ballot:
-        return w.Ballot(op.ballot.number + 1, self.process)
+    def _next(self, op: Op) -> messages.Ballot:
+        return messages.Ballot(op.ballot.number + 1, self.process)
 
-    def _send(self, op: Op, word: w.Prepare | w.Accept | w.Look) -> None:
+    def _send(self, op: Op, word: messages.Prepare | messages.Accept | messages.Look) -> None:
         self.actions += [Send(replica, word) for replica in op.replicas]
 
-    def _refused(self, now: int, op: Op, sender: str, word: w.Refused) -> None:
+    def _refused(self, now: int, op: Op, sender: str, word: messages.Refused) -> None:
         op.refusals[sender] = word
         if 2 * len(op.refusals) < len(op.replicas):
             return  # the others may still be a majority
@@ -239,7 +241,7 @@
         if op.reason == "old_epoch" and max(r.now for r in op.refusals.values()) > self.epoch:
             self._end(now, op, "open" if op.exposed else "refused", b"", op.reason)
             return
-        op.phase, op.ballot = "wait", w.NONE
+        op.phase, op.ballot = "wait", messages.NONE
         most = min(self.times.pause * 2 ** min(op.tries, 10), self.times.pause_most)
         self._at(now + self.random.randint(self.times.pause // 2, most), op, op.tries)
 
--- a/hazelhold/replica/rejoin.py
+++ b/hazelhold/replica/rejoin.py
@@ -18,8 +18,7 @@
 from collections import Counter, defaultdict
 from typing import NamedTuple
 
-from hazelhold.replica import claims
-from hazelhold.replica import words as w
+from hazelhold.replica import claims, messages
 from hazelhold.replica.acceptor import Acceptor, Change
 from hazelhold.replica.sets import Sets
 
@@ -30,7 +29,7 @@
     """Send to that planner."""
 
     to: str
-    word: w.Hail | w.Enter | w.Next | w.Hailed | w.Page
+    word: messages.Hail | messages.Enter | messages.Next | messages.Hailed | messages.Page
 
 
 class Mate:
@@ -40,7 +39,7 @@
         self.no = 0  # of what was asked last
         self.state = "hail"  # hail; wait, until another's copying is over; enter, copy, done
         self.done = False  # all was copied once, as this incarnation; stays so while it is asked once more
-        self.known = w.NEVER  # the latest incarnation of ours that it knows
+        self.known = messages.NEVER  # the latest incarnation of ours that it knows
         self.cells = 0  # copied so far in this round
         self.moved = False  # since the last tick
         self.unready: frozenset[int] = frozenset()
@@ -62,7 +61,7 @@
         self.counts: Counter[str] = Counter()
         self.no = 0
         if trusted or not self.mates:  # its own disk is enough
-            acceptor.inc = w.Inc(acceptor.inc.number + 1, nonce)
+            acceptor.inc = messages.Inc(acceptor.inc.number + 1, nonce)
             self.voted = set(self.others)
 
     def over(self) -> bool:
@@ -83,16 +82,16 @@
                 continue
             if mate.state != "done":
                 mate.state = "hail"  # anew, which digests make short
-            self._ask(other, mate, w.Hail)
+            self._ask(other, mate, messages.Hail)
         if not any(m.state in ("enter", "copy") for m in self.mates.values()):
             self._next()
 
-    def hear(self, other: str, word: w.Hailed | w.Page) -> list[Change]:
+    def hear(self, other: str, word: messages.Hailed | messages.Page) -> list[Change]:
         """Returns what was copied: to be made safe before any vote on it."""
         mate = self.mates.get(other)
         if mate is None or word.no != mate.no or self.over():
             return []
-        if isinstance(word, w.Hailed):
+        if isinstance(word, messages.Hailed):
             mate.known = max(mate.known, word.known)
             if word.source and mate.state in ("hail", "enter", "done"):
                 self._rise()
@@ -107,7 +106,7 @@
         """Above all that others know of us: whoever was entered with before has to be told anew."""
         mine, highest = self.acceptor.inc, max(m.known for m in self.mates.values())
         if highest > mine or mine.nonce != self.nonce:
-            self.acceptor.inc = w.Inc(max(highest.number, mine.number) + 1, self.nonce)
+            self.acceptor.inc = messages.Inc(max(highest.number, mine.number) + 1, self.nonce)
             for mate in self.mates.values():
                 mate.done = False
                 if mate.state != "hail":
@@ -118,9 +117,11 @@
     def _enter(self, other: str, mate: Mate) -> None:
         mate.state, mate.cells, mate.moved = "enter", 0, True
         open_slots = self.shared[other] - self.voted
-        self._ask(other, mate, w.Enter, inc=self.acceptor.inc, digests=self.acceptor.digests_of(open_slots))
+        self._ask(
+            other, mate, messages.Enter, inc=self.acceptor.inc, digests=self.acceptor.digests_of(open_slots)
+        )
 
-    def _page(self, other: str, mate: Mate, page: w.Page) -> list[Change]:
+    def _page(self, other: str, mate: Mate, page: messages.Page) -> list[Change]:
         if page.total < 0:
             mate.state = "hail"
             return []
@@ -140,7 +141,7 @@
         mate.unready = frozenset(page.unready)
         if mate.cells < page.total:
             mate.state = "copy"
-            self._ask(other, mate, w.Next, inc=self.acceptor.inc, after=mate.cells)
+            self._ask(other, mate, messages.Next, inc=self.acceptor.inc, after=mate.cells)
         else:
             mate.state, mate.done = "done", True
             self._complete()
@@ -173,24 +174,28 @@
     def __init__(self, name: str, sets: Sets, acceptor: Acceptor) -> None:
         self.name, self.sets, self.acceptor = name, sets, acceptor
         self.gives = False
-        self.lists: dict[str, tuple[w.Inc, list[str], list[int]]] = {}  # by joiner; the last copying of each
+        self.lists: dict[
+            str, tuple[messages.Inc, list[str], list[int]]
+        ] = {}  # by joiner; the last copying of each
 
-    def hear(self, other: str, word: w.Hail | w.Enter | w.Next) -> w.Hailed | w.Page:
+    def hear(
+        self, other: str, word: messages.Hail | messages.Enter | messages.Next
+    ) -> messages.Hailed | messages.Page:
         """The answer. What is known of incarnations has to be safe before it leaves."""
-        known = self.acceptor.known.get(other, w.NEVER)
-        if isinstance(word, w.Hail):
-            return w.Hailed(word.no, known, self.gives)
-        if isinstance(word, w.Enter):
+        known = self.acceptor.known.get(other, messages.NEVER)
+        if isinstance(word, messages.Hail):
+            return messages.Hailed(word.no, known, self.gives)
+        if isinstance(word, messages.Enter):
             if not self.gives or not self.acceptor.entered(other, word.inc):
-                return w.Hailed(word.no, known, self.gives)
+                return messages.Hailed(word.no, known, self.gives)
             self.lists[other] = self._list(other, word)
             return self._page(other, word.no, 0)
-        inc, _, _ = self.lists.get(other, (w.NEVER, [], []))
+        inc, _, _ = self.lists.get(other, (messages.NEVER, [], []))
         if inc != word.inc:
-            return w.Page(word.no, 0, -1)
+            return messages.Page(word.no, 0, -1)
         return self._page(other, word.no, word.after)
 
-    def _list(self, other: str, word: w.Enter) -> tuple[w.Inc, list[str], list[int]]:
+    def _list(self, other: str, word: messages.Enter) -> tuple[messages.Inc, list[str], list[int]]:
         """Keys of the slots that differ, those whose fate is open first."""
         both = {s for s, others in self.sets.kept_by(self.name).items() if other in others}
         mine = self.acceptor.digests_of(both)
@@ -201,7 +206,7 @@
         unready = [s for s in both if not self.acceptor.votes_on(s)]
         return word.inc, keys, unready
 
-    def _page(self, other: str, no: int, after: int) -> w.Page:
+    def _page(self, other: str, no: int, after: int) -> messages.Page:
         _, keys, unready = self.lists[other]
         if after + PAGE >= len(keys):
             del self.lists[other]  # a page that is lost begins it anew, which digests make short
@@ -209,5 +214,7 @@
         found = []
         for key in keys[after : after + PAGE]:
             cell = cells.get(key, self.acceptor.empty)
-            found.append(w.Cells(key, cell.promised, cell.accepted, cell.value))
-        return w.Page(no, after, len(keys), found, unready, dict(self.acceptor.known), self.acceptor.floor)
+            found.append(messages.Cells(key, cell.promised, cell.accepted, cell.value))
+        return messages.Page(
+            no, after, len(keys), found, unready, dict(self.acceptor.known), self.acceptor.floor
+        )
--- a/hazelhold/replica/votes.py
+++ b/hazelhold/replica/votes.py
@@ -14,8 +14,7 @@
 from msgspec import Struct
 
 from hazelhold.config.planner import CopiesSheet
-from hazelhold.replica import claims
-from hazelhold.replica import words as w
+from hazelhold.replica import claims, messages
 from hazelhold.replica.acceptor import Acceptor, Cell
 from hazelhold.replica.rejoin import Joiner, Source
 from hazelhold.replica.sets import Keeper, Sets
@@ -118,7 +117,7 @@
 class Aging(NamedTuple):
     due: int  # wall clock
     key: str
-    ballot: w.Ballot
+    ballot: messages.Ballot
 
 
 class Votes:
@@ -138,7 +137,7 @@
         self.keep = round(sheet.keep_s * 1e6)
         self.aging: deque[Aging] = deque()  # cells that may be let go, by when; emptied by `sweep`
         self.acceptor = Acceptor(sheet.epoch, set(), name=name, sets=self.sets)
-        self.kept: dict[str, w.Inc] = {}  # incarnations as they are on the disk, or on their way there
+        self.kept: dict[str, messages.Inc] = {}  # incarnations as they are on the disk, or on their way there
         self.joiner: Joiner | None = None
         self.source = Source(name, self.sets, self.acceptor)
         self.why = "not_opened"  # why these votes are none to give: empty, no_seat or damaged
@@ -153,15 +152,17 @@
         decoder = ledger.decoders["cell"]
         for key, change in ledger.tables["cell"].items():
             image = decoder.decode(change.image)
-            cell = Cell(w.Ballot(*image.promised), w.Ballot(*image.accepted), image.value, image.copied)
+            cell = Cell(
+                messages.Ballot(*image.promised), messages.Ballot(*image.accepted), image.value, image.copied
+            )
             acceptor.set(key, cell)
             self._ages(key, cell, wall)
         if floor := ledger.image("floor", ""):
             acceptor.raise_floor(floor.number)
         for name in ledger.tables["inc"]:
             image = ledger.image("inc", name)
-            self.kept[name] = w.Inc(image.number, image.nonce)
-        acceptor.inc = self.kept.get(self.name, w.NEVER)
+            self.kept[name] = messages.Inc(image.number, image.nonce)
+        acceptor.inc = self.kept.get(self.name, messages.NEVER)
         acceptor.known = {n: inc for n, inc in self.kept.items() if n != self.name}
         self.why = "no_seat" if seat is None else "" if seen.complete else "damaged"
         self.source.gives = not self.why
@@ -186,7 +187,9 @@
             self.store.close()
             raise StateError(f"the folder {wrong}")
 
-    def hear(self, word: w.Prepare | w.Accept | w.Look, wall: int) -> tuple[w.Word, list[Change]]:
+    def hear(
+        self, word: messages.Prepare | messages.Accept | messages.Look, wall: int
+    ) -> tuple[messages.Word, list[Change]]:
         """The answer, and what has to be safe before it leaves."""
         answer, change = self.acceptor.hear(word)
         if change is None:
@@ -194,12 +197,14 @@
         self._ages(change.key, change.cell, wall)
         return answer, [put("cell", change.key, CellImage(*change.cell))]
 
-    def asked(self, other: str, word: w.Hail | w.Enter | w.Next) -> tuple[w.Hailed | w.Page, list[Change]]:
+    def asked(
+        self, other: str, word: messages.Hail | messages.Enter | messages.Next
+    ) -> tuple[messages.Hailed | messages.Page, list[Change]]:
         """Somebody comes back: the answer, and what has to be safe before it leaves."""
         answer = self.source.hear(other, word)
         return answer, self.incarnations()
 
-    def told(self, other: str, word: w.Hailed | w.Page, wall: int) -> list[Change]:
+    def told(self, other: str, word: messages.Hailed | messages.Page, wall: int) -> list[Change]:
         """What somebody told this one that comes back: what has to be safe before it votes on it."""
         changes, floor = [], self.acceptor.floor
         for change in self.joiner.hear(other, word):
@@ -209,7 +214,7 @@
             changes.append(put("floor", "", Floor(self.acceptor.floor)))
         return [*changes, *self.incarnations()]
 
-    def vote(self, slots: set[int], inc: w.Inc) -> None:
+    def vote(self, slots: set[int], inc: messages.Inc) -> None:
         """What was copied for these slots as this incarnation is safe."""
         if inc == self.acceptor.inc:
             self.acceptor.voting = slots
@@ -218,7 +223,7 @@
         """What is known of incarnations and not on its way to the disk."""
         changes = []
         for name, inc in [(self.name, self.acceptor.inc), *self.acceptor.known.items()]:
-            if inc != self.kept.get(name, w.NEVER):
+            if inc != self.kept.get(name, messages.NEVER):
                 self.kept[name] = inc
                 changes.append(put("inc", name, IncImage(*inc)))
         return changes
@@ -229,7 +234,7 @@
         return [put("seat", "", Seat(self.name, self.sheet.deployment, self.sheet.epoch, digest(self.sheet)))]
 
     def _ages(self, key: str, cell: Cell, wall: int) -> None:
-        if cell.accepted != w.NONE and not self.retention(key, cell.value):
+        if cell.accepted != messages.NONE and not self.retention(key, cell.value):
             self.aging.append(Aging(wall + self.keep, key, cell.accepted))
 
     def sweep(self, wall: int) -> list[Change]:
--- a/tests/fleetconfig_model.py
+++ b/tests/fleetconfig_model.py
@@ -18,8 +18,8 @@
 from hazelhold.fleetconfig.messages import ProposeAnswer
 from hazelhold.fleetconfig.revision import START, Change, Position, SealedRevision, unseal
 from hazelhold.replica.acceptor import Acceptor
+from hazelhold.replica.messages import Word
 from hazelhold.replica.proposer import Proposer, Send, Times
-from hazelhold.replica.words import Word
 
 KEY = "fleetconfig/head"
 TIMES = Times(round_most=90_000, pause=10_000, pause_most=60_000)
--- a/tests/fleetconfig_space.py
+++ b/tests/fleetconfig_space.py
@@ -16,7 +16,7 @@
 from hazelhold.fleetconfig.document import Put
 from hazelhold.fleetconfig.head import decode_head
 from hazelhold.fleetconfig.revision import Change, unseal
-from hazelhold.replica import words as w
+from hazelhold.replica import messages as w
 from hazelhold.replica.acceptor import Acceptor
 from hazelhold.replica.proposer import Proposer, Send
 
--- a/tests/test_copies_host.py
+++ b/tests/test_copies_host.py
@@ -16,7 +16,7 @@
 from hazelhold.protocol.frames import frame
 from hazelhold.protocol.messages import encode
 from hazelhold.replica import claims as c
-from hazelhold.replica import words as w
+from hazelhold.replica import messages
 from hazelhold.replica.host import Copies, Greet
 from hazelhold.replica.proposer import Read
 from hazelhold.replica.votes import Retention, Seat, Votes, found, keep_all, keep_open_claims
@@ -119,7 +119,7 @@
             "frame_too_long": b"\xff\xff\xff\xff",
             "no_type": frame(b"\x80"),
             "unknown_type": frame(msgspec.msgpack.encode({"t": "offer"})),
-            "wrong_first": encode(w.Look("k", 1, w.Ballot(1, "x"))),
+            "wrong_first": encode(messages.Look("k", 1, messages.Ballot(1, "x"))),
             "version": encode(msgspec.structs.replace(greet, version=2)),
             "stranger": encode(msgspec.structs.replace(greet, name="nobody")),
             "second_greet": encode(greet) + encode(greet),
@@ -211,16 +211,16 @@
     value = c.encode(c.Claim("p0", 1, 0, 0, "over", "m", "done"))
     held = c.encode(c.Claim("p0", 1, 0, 0, "held", "m"))
     for key, body in (("claim/over", value), ("claim/held", held)):
-        votes.store.apply(votes.hear(w.Accept(key, 1, w.Ballot(7, "x"), body), 0)[1])
+        votes.store.apply(votes.hear(messages.Accept(key, 1, messages.Ballot(7, "x"), body), 0)[1])
     assert votes.sweep(59_000_000) == []
     votes.store.apply(votes.sweep(61_000_000))
     assert list(votes.acceptor.cells) == ["claim/held"]
-    assert votes.hear(w.Accept("claim/over", 1, w.Ballot(7, "y"), b"?"), 0)[0].why == "ballot"
+    assert votes.hear(messages.Accept("claim/over", 1, messages.Ballot(7, "y"), b"?"), 0)[0].why == "ballot"
     votes.store.begin(62_000_000)
     votes.store.close()
     again = Votes(disk, "p0", alone, 2)
     again.open(62_000_000, "p0 2")
-    assert again.hear(w.Prepare("claim/over", 1, w.Ballot(7, "y")), 0)[0].why == "ballot"
+    assert again.hear(messages.Prepare("claim/over", 1, messages.Ballot(7, "y")), 0)[0].why == "ballot"
     assert again.acceptor.cells["claim/held"].value == held
 
 
@@ -235,7 +235,7 @@
     ended = c.encode(c.Claim("p0", 1, 0, 0, "over", "m", "done"))
     bodies = {"head": ended, "empty": b"", "other": msgspec.msgpack.encode({"number": 7})}
     for key, body in bodies.items():
-        votes.store.apply(votes.hear(w.Accept(key, 1, w.Ballot(7, "x"), body), 0)[1])
+        votes.store.apply(votes.hear(messages.Accept(key, 1, messages.Ballot(7, "x"), body), 0)[1])
     lasting = set(bodies) if retention is keep_all else {"other"}
     votes.store.begin(1)
     votes.store.close()
--- a/tests/test_membership_host.py
+++ b/tests/test_membership_host.py
@@ -14,7 +14,7 @@
 
 from hazelhold.config.load import ConfigError
 from hazelhold.config.planner import MembershipSheet, check_membership, read_planner
-from hazelhold.membership import words as w
+from hazelhold.membership import messages
 from hazelhold.membership.rows import ALIVE, GONE, LEFT, SUSPECTED, Row
 from hazelhold.service.net import MemoryNet, TcpNet
 from hazelhold.service.planner import Planner
@@ -231,7 +231,7 @@
     core = Core(Row("p0", 5, 9, 0, ALIVE, "a"), [], Terms("d"), 1, 0)
     core.start(0)
     core.hear(5, b"torn")
-    core.hear(6, w.encode("elsewhere", core.me, w.Ping(1, "p0"), []))
+    core.hear(6, messages.encode("elsewhere", core.me, messages.Ping(1, "p0"), []))
     text = generate_latest(Figures(core, "127.0.0.1:1").registry).decode()
     assert 'hazelhold_members{state="alive"} 1.0' in text
     assert 'hazelhold_member_events_total{what="stranger"} 1.0' in text
--- a/tests/test_rejoin.py
+++ b/tests/test_rejoin.py
@@ -9,7 +9,7 @@
 from hypothesis import strategies as st
 
 from hazelhold.audit.history import Call, linearizable
-from hazelhold.replica import words as w
+from hazelhold.replica import messages
 from hazelhold.replica.acceptor import Acceptor
 from hazelhold.replica.proposer import Done, Once, Op, Proposer, Read, Send, Swap
 from hazelhold.replica.rejoin import PAGE, Joiner, Source
@@ -23,7 +23,7 @@
 
     def __init__(self, name: str, sets: Sets, kinds: dict[str, type]) -> None:
         self.name, self.sets, self.kinds, self.lives = name, sets, kinds, 0
-        self.disk: list[tuple[dict, dict, w.Inc]] = [({}, {}, w.NEVER)]
+        self.disk: list[tuple[dict, dict, messages.Inc]] = [({}, {}, messages.NEVER)]
         self.start(0, True)
 
     def start(self, back: int, gives: bool) -> None:
@@ -112,7 +112,7 @@
             member.safe()
         self.carry(self.answered, at, send.to, answer)
 
-    def answered(self, at: int, name: str, answer: w.Word) -> None:
+    def answered(self, at: int, name: str, answer: messages.Word) -> None:
         self.proposers[at].hear(self.now, name, answer)
         self.act(at)
 
@@ -142,13 +142,15 @@
         for each in out:
             self.soon(self.joins, member.name, member.lives, each.to, each.word)
 
-    def joins(self, name: str, life: int, to: str, word: w.Hail | w.Enter | w.Next) -> None:
+    def joins(
+        self, name: str, life: int, to: str, word: messages.Hail | messages.Enter | messages.Next
+    ) -> None:
         member = self.members[to]
         answer = member.source.hear(name, word)
         member.safe()
         self.soon(self.joined, name, life, to, answer)
 
-    def joined(self, name: str, life: int, sender: str, answer: w.Hailed | w.Page) -> None:
+    def joined(self, name: str, life: int, sender: str, answer: messages.Hailed | messages.Page) -> None:
         member = self.members[name]
         if member.lives != life:
             return
@@ -197,7 +199,7 @@
 class MixesLives(Proposer):
     """Counts answers of earlier incarnations with later ones."""
 
-    def _majority(self, op: Op, found: dict[str, w.Answer]) -> bool:
+    def _majority(self, op: Op, found: dict[str, messages.Answer]) -> bool:
         return 2 * len(found) > len(op.replicas)
 
 
@@ -211,7 +213,7 @@
 class CopiesVote(Acceptor):
     """Takes what it copied for votes of its own."""
 
-    def copy(self, found: w.Cells) -> object:
+    def copy(self, found: messages.Cells) -> object:
         change = super().copy(found)
         if found.key in self.cells:
             self.cells[found.key] = self.cells[found.key]._replace(copied=False)
@@ -229,7 +231,7 @@
 class TellsNobody(Source):
     """Does not remember that somebody started anew."""
 
-    def hear(self, other: str, word: w.Hail | w.Enter | w.Next) -> object:
+    def hear(self, other: str, word: messages.Hail | messages.Enter | messages.Next) -> object:
         before = dict(self.acceptor.known)
         said = super().hear(other, word)
         self.acceptor.known.clear()
@@ -240,8 +242,8 @@
 class ForgetsPromises(Acceptor):
     """Copies what was accepted, not what was promised."""
 
-    def copy(self, found: w.Cells) -> object:
-        return super().copy(found._replace(promised=w.NONE))
+    def copy(self, found: messages.Cells) -> object:
+        return super().copy(found._replace(promised=messages.NONE))
 
 
 @pytest.mark.parametrize(
@@ -255,13 +257,13 @@
     assert not all(linearizable(Town(seed, **broken).play(1, 14)) for seed in range(600)), broken
 
 
-def words(proposer: Proposer) -> dict[str, w.Word]:
+def words(proposer: Proposer) -> dict[str, messages.Word]:
     """What it wants sent, by whom it is for."""
     actions, proposer.actions = proposer.actions, []
     return {a.to: a.word for a in actions if isinstance(a, Send)}
 
 
-def says(town: Town, proposer: Proposer, *given_: tuple[str, w.Word]) -> None:
+def says(town: Town, proposer: Proposer, *given_: tuple[str, messages.Word]) -> None:
     """These words come to these members, and their answers at once to the proposer."""
     for name, word in given_:
         proposer.hear(1, name, town.members[name].acceptor.hear(word)[0])
@@ -387,9 +389,9 @@
     sets = Sets([Keeper("a"), Keeper("b"), Keeper("c")], 3, size=16)
     full = Acceptor(1, set(range(16)), name="b", sets=sets)
     for n in range(cells):
-        ballot = w.Ballot(n + 1, "p")
-        full.hear(w.Prepare(f"k{n}", 1, ballot))
-        full.hear(w.Accept(f"k{n}", 1, ballot, b"\x90"))
+        ballot = messages.Ballot(n + 1, "p")
+        full.hear(messages.Prepare(f"k{n}", 1, ballot))
+        full.hear(messages.Accept(f"k{n}", 1, ballot, b"\x90"))
     blank = Acceptor(1, set(), name="a", sets=sets)
     source = Source("b", sets, full)
     source.gives = True
@@ -438,10 +440,10 @@
 
 def test_a_later_start_known_to_anybody_is_gone_above() -> None:
     joiner, source, blank = pair(5)
-    source.acceptor.known["a"] = w.Inc(4, 1)
+    source.acceptor.known["a"] = messages.Inc(4, 1)
     run(joiner, source)
     run(joiner, source)
-    assert blank.inc == w.Inc(5, 7) and source.acceptor.known["a"] == w.Inc(5, 7)
+    assert blank.inc == messages.Inc(5, 7) and source.acceptor.known["a"] == messages.Inc(5, 7)
 
 
 def test_one_that_has_to_rise_votes_on_nothing_until_it_has_entered_anew() -> None:
@@ -455,8 +457,8 @@
     joiner.voted.pop()  # it is not over yet
     joiner.tick()
     hail = next(each for each in joiner.out if each.to == "c")
-    joiner.hear("c", w.Hailed(hail.word.no, w.Inc(9, 1), True))
-    assert blank.inc == w.Inc(10, 7) and not blank.voting and not joiner.voted
+    joiner.hear("c", messages.Hailed(hail.word.no, messages.Inc(9, 1), True))
+    assert blank.inc == messages.Inc(10, 7) and not blank.voting and not joiner.voted
     assert not any(m.done for m in joiner.mates.values())
 
 
--- a/tests/test_replica.py
+++ b/tests/test_replica.py
@@ -11,7 +11,7 @@
 from hypothesis import strategies as st
 
 from hazelhold.audit.history import NEVER, Call, linearizable
-from hazelhold.replica import words as w
+from hazelhold.replica import messages
 from hazelhold.replica.acceptor import Acceptor, Cell
 from hazelhold.replica.proposer import Done, Once, Proposer, Read, Send, Swap
 from hazelhold.replica.sets import Keeper, replicas
@@ -102,7 +102,7 @@
         number, name, word = item
         self.flying -= {item}
         answer, _ = self.acceptors[name].hear(word)
-        if isinstance(answer, w.Accepted):
+        if isinstance(answer, messages.Accepted):
             self.votes |= {(name, word.ballot, word.value)}
         if answered:
             self.proposers[number].hear(1, name, answer)
@@ -194,10 +194,10 @@
 class Forgets(Acceptor):
     """Does not keep what it promised."""
 
-    def hear(self, word: w.Prepare | w.Accept) -> tuple[w.Word, object]:
+    def hear(self, word: messages.Prepare | messages.Accept) -> tuple[messages.Word, object]:
         before = self.cells.get(word.key, Cell())
         said = super().hear(word)
-        if isinstance(word, w.Prepare) and word.key in self.cells:
+        if isinstance(word, messages.Prepare) and word.key in self.cells:
             self.cells[word.key] = before
         return said
 
@@ -237,9 +237,9 @@
 class SeenByOne(Proposer):
     """Reads without comparing what a majority says."""
 
-    def hear(self, now: int, sender: str, word: w.Word) -> None:
+    def hear(self, now: int, sender: str, word: messages.Word) -> None:
         op = self.ops.get(word.key)
-        if isinstance(word, w.Seen) and op and op.phase == "look" and word.ballot == op.ballot:
+        if isinstance(word, messages.Seen) and op and op.phase == "look" and word.ballot == op.ballot:
             self._end(now, op, "agreed", word.value)
         else:
             super().hear(now, sender, word)
@@ -267,7 +267,7 @@
 
 def test_an_old_epoch_and_one_without_its_disk_are_refused_by_name() -> None:
     acceptor = Acceptor(2, True)
-    word = w.Prepare("k", 1, w.Ballot(1, "p"))
+    word = messages.Prepare("k", 1, messages.Ballot(1, "p"))
     answer, change = acceptor.hear(word)
     assert (answer.why, answer.now, change) == ("epoch", 2, None)
     blank = Acceptor(1, False)
@@ -339,12 +339,12 @@
     one.ask(0, "k", Once(b"x"), NAMES, FAR)
     table(one, acceptors)
     one.ask(1, "k", Swap(b"x", b"y"), NAMES, 1000)
-    assert [type(a.word) for a in one.actions] == [w.Accept] * 3
-    carried: dict[w.Ballot, set[bytes]] = {}
+    assert [type(a.word) for a in one.actions] == [messages.Accept] * 3
+    carried: dict[messages.Ballot, set[bytes]] = {}
 
     def hear(actions: list) -> None:
         for action in actions:
-            if isinstance(action.word, w.Accept):
+            if isinstance(action.word, messages.Accept):
                 carried.setdefault(action.word.ballot, set()).add(action.word.value)
             one.hear(2, action.to, acceptors[action.to].hear(action.word)[0])
 
@@ -518,7 +518,7 @@
         for _ in range(random.choice([0, 1, 1, 1, 1, 2])):
             later(random.randint(100, 60_000), answered, at, action.to, answer)
 
-    def answered(at: int, name: str, answer: w.Word) -> None:
+    def answered(at: int, name: str, answer: messages.Word) -> None:
         proposers[at].hear(now, name, answer)
         carry(at)
 
