--- a/bench/copies.py
+++ b/bench/copies.py
@@ -275,7 +275,7 @@
         for acceptor in (*full.values(), *([] if number < behind * count else [mine])):
             acceptor.set(key, acceptor.empty._replace(promised=ballot, accepted=ballot, value=value))
         if number < behind * count:
-            differ += len(msgspec.msgpack.encode(messages.Cells(key, ballot, ballot, value)))
+            differ += len(msgspec.msgpack.encode(messages.CellCopy(key, ballot, ballot, value)))
     sources = {n: Source(n, sets, a) for n, a in full.items()}
     for source in sources.values():
         source.gives = True
--- a/bench/fuzz_membership.py
+++ b/bench/fuzz_membership.py
@@ -44,14 +44,14 @@
         random.randrange(4),
         "nowhere",
     )
-    matter = random.choice(
+    payload = random.choice(
         [
             messages.Ping(1, random.choice(names)),
             messages.Ack(random.getrandbits(60), "m1"),
             messages.Rows(),
-            messages.Ask(3, "m1", "nowhere"),
+            messages.PingRequest(3, "m1", "nowhere"),
             messages.Nack(4, "m1"),
-            messages.Query(5, "m"),
+            messages.ViewQuery(5, "m"),
             messages.Sync(6, [random.getrandbits(60) for _ in range(random.choice([0, 32, 64]))]),
         ]
     )
@@ -59,7 +59,7 @@
     return messages.encode(
         deployment,
         Row(random.choice(["ghost-1", "m9", ""]) or "x", 1, 1, 0, ALIVE, "nowhere"),
-        matter,
+        payload,
         [told(ghost)],
     )
 
--- a/hazelhold/cli/members.py
+++ b/hazelhold/cli/members.py
@@ -64,7 +64,7 @@
     from hazelhold.membership.rows import ALIVE, Row
 
     nobody = Row(name="-", life=0, nonce=0, seq=0, state=ALIVE, address="")
-    found: dict[str, messages.Seen] = {}
+    found: dict[str, messages.MemberView] = {}
     mine: dict = {}
     after, until = "", time.monotonic() + wait
     family = socket.AF_INET6 if ":" in at[0] else socket.AF_INET
@@ -73,8 +73,8 @@
         while time.monotonic() < until:
             no = SystemRandom().getrandbits(62)
             try:
-                port.sendto(messages.encode(deployment, nobody, messages.Query(no, after), []), at)
-                letter = messages.decode(port.recv(2048), deployment)
+                port.sendto(messages.encode(deployment, nobody, messages.ViewQuery(no, after), []), at)
+                datagram = messages.decode(port.recv(2048), deployment)
             except TimeoutError:
                 continue
             except ConnectionRefusedError:
@@ -83,8 +83,8 @@
             except messages.UnreadableError as wrong:
                 click.echo(f"an answer that cannot be read: {wrong}", err=True)
                 return None
-            page = letter.matter
-            if not isinstance(page, messages.Page) or page.no != no:
+            page = datagram.payload
+            if not isinstance(page, messages.ViewPage) or page.no != no:
                 continue
             mine = page.mine
             found |= {each.row.name: each for each in page.seen}
--- a/hazelhold/emulate/heartbeats.py
+++ b/hazelhold/emulate/heartbeats.py
@@ -65,10 +65,10 @@
     def hear(self, now: int, body: bytes) -> None:
         self.now = now
         try:
-            letter = messages.decode(body, self.terms.deployment)
+            datagram = messages.decode(body, self.terms.deployment)
         except messages.UnreadableError:
             return
-        for row in letter.rows:
+        for row in datagram.rows:
             known = self.rows.get(row.name)
             if row.name == self.me.name or known and (row.life, row.nonce) < (known.life, known.nonce):
                 continue
@@ -78,7 +78,7 @@
                 rows = [msgspec.Raw(messages.ENCODER.encode(r)) for r in list(self.rows.values())[:8]]
                 answer = messages.encode(self.terms.deployment, self.me, messages.Rows(), rows)
                 self.actions.append(Post(row.address, row.name, answer))
-            if row.name == letter.sender or known is None:
+            if row.name == datagram.sender or known is None:
                 self.heard[row.name] = now
                 if known is None or known.state != row.state or known.life != row.life:
                     self._set(row)
--- a/hazelhold/membership/base.py
+++ b/hazelhold/membership/base.py
@@ -45,7 +45,7 @@
         self.resync = False
         self.taken = 0  # rows that were news
         self.recent: dict[str, None] = {}  # who sent something last, at most RECENT, the latest at the end
-        # newer rows than the letter being heard told; emptied by the next
+        # newer rows than the datagram being heard told; emptied by the next
         self.corrections: list[msgspec.Raw] = []
 
     @property
@@ -80,16 +80,18 @@
         return [member.raw] if member and member.row.state != ALIVE else []
 
     def _send(
-        self, address: str, name: str, matter: messages.Matter, first: list[msgspec.Raw], fill: bool = True
+        self, address: str, name: str, payload: messages.Payload, first: list[msgspec.Raw], fill: bool = True
     ) -> None:
         """One datagram: the rows given, then as many rumours as fit."""
         rows = first
         if fill:
-            room = messages.BYTES - 8 - len(messages.encode(self.terms.deployment, self.me, matter, first))
+            room = (
+                messages.MAX_BYTES - 8 - len(messages.encode(self.terms.deployment, self.me, payload, first))
+            )
             rumours, _ = self.table.rumours.take(self.table, room, self.tellings())
             rows = [*first, *rumours]
         self.actions.append(
-            Post(address, name, messages.encode(self.terms.deployment, self.me, matter, rows))
+            Post(address, name, messages.encode(self.terms.deployment, self.me, payload, rows))
         )
 
     def tellings(self) -> int:
--- a/hazelhold/membership/core.py
+++ b/hazelhold/membership/core.py
@@ -26,6 +26,14 @@
 __all__ = ["RECENT", "Core", "News", "Post", "Reply", "Terms"]
 
 RECENT = 24  # whose helpers are drawn from: some three seconds of senders at the usual pace
+HANDLERS = {  # a payload's type: the method that takes it
+    messages.Ping: "_on_ping",
+    messages.PingRequest: "_on_ping_request",
+    messages.Ack: "_on_ack",
+    messages.Nack: "_on_nack",
+    messages.Sync: "_on_sync",
+    messages.Rows: "_on_rows",
+}
 
 
 class Core(Views):
@@ -72,71 +80,77 @@
         self.actions.append(News("away", self.me.name, {"late_us": late, "doubt": self.local_health.level}))
 
     def hear(self, now: int, body: bytes) -> None:
-        """Takes a datagram. What is wrong with one is counted under its word, and it does nothing."""
+        """Takes a datagram. One that cannot be taken is counted by its cause, and does nothing."""
         self._notice(now)
         try:
-            letter = messages.decode(body, self.terms.deployment)
+            datagram = messages.decode(body, self.terms.deployment)
         except messages.UnreadableError as wrong:
             self.counts[str(wrong)] += 1
             return
-        matter = letter.matter
-        if isinstance(matter, messages.Query):
-            self._page(matter)
+        payload = datagram.payload
+        if isinstance(payload, messages.ViewQuery):
+            self._page(payload)
             return
-        if self.left or self.yielded or not letter.sender:
+        if self.left or self.yielded or not datagram.sender:
             self.counts["not_taken"] += 1
             return
-        if letter.sender == self.me.name:
-            self._namesake(letter)
+        if datagram.sender == self.me.name:
+            self._namesake(datagram)
             return
-        known = self.table.row(letter.sender)
-        if known is not None and (letter.life, letter.nonce) < (known.life, known.nonce):
+        known = self.table.row(datagram.sender)
+        if known is not None and (datagram.life, datagram.nonce) < (known.life, known.nonce):
             self.counts["earlier_life"] += 1  # a replay, or a process that should yield: told what stands
             if self._may():
-                self._send(letter.at, letter.sender, messages.Rows(), [self.table.members[letter.sender].raw])
+                self._send(
+                    datagram.at, datagram.sender, messages.Rows(), [self.table.members[datagram.sender].raw]
+                )
             return
-        self.recent.pop(letter.sender, None)
-        self.recent[letter.sender] = None
+        self.recent.pop(datagram.sender, None)
+        self.recent[datagram.sender] = None
         if len(self.recent) > RECENT:
             del self.recent[next(iter(self.recent))]
         self.corrections, taken = [], self.taken
-        for row in letter.rows:
-            self._merge(row, letter.sender)
-        if isinstance(matter, messages.Page):
+        for row in datagram.rows:
+            self._merge(row, datagram.sender)
+        if isinstance(payload, messages.ViewPage):
             self.counts["not_taken"] += 1
             return
-        if self.taken > taken and isinstance(matter, messages.Rows):
+        if self.taken > taken and isinstance(payload, messages.Rows):
             self._resync()  # a comparison that brought something is followed by another
-        getattr(self, f"_on_{type(matter).__name__.lower()}")(letter, matter)
-        known = self.table.row(letter.sender)
-        if (known is None or (letter.life, letter.nonce) > (known.life, known.nonce)) and self._may():
-            self._send_sync(letter.at, letter.sender)  # its row is not here
+        getattr(self, HANDLERS[type(payload)])(datagram, payload)
+        known = self.table.row(datagram.sender)
+        if (known is None or (datagram.life, datagram.nonce) > (known.life, known.nonce)) and self._may():
+            self._send_sync(datagram.at, datagram.sender)  # its row is not here
 
-    def _namesake(self, letter: messages.Letter) -> None:
-        """A letter from a process of this planner's own name: the answer to a challenge, or a rival's
+    def _namesake(self, datagram: messages.Datagram) -> None:
+        """A datagram from a process of this planner's own name: the answer to a challenge, or a rival's
         traffic."""
-        if letter.nonce == self.me.nonce:
+        if datagram.nonce == self.me.nonce:
             self.counts["own_word"] += 1
             return
         self.counts["namesake"] += 1
         rival = self.rival
         if (
             rival
-            and isinstance(letter.matter, messages.Ack)
-            and (letter.life, letter.nonce) >= (rival.life, rival.nonce) > (self.me.life, self.me.nonce)
+            and isinstance(datagram.payload, messages.Ack)
+            and (datagram.life, datagram.nonce) >= (rival.life, rival.nonce) > (self.me.life, self.me.nonce)
         ):
             self.yielded = True
             self.timers.clear()
             self.probes.clear()
             self.probing.clear()
             self.actions.append(
-                News("yielded", self.me.name, {"to_life": letter.life, "life": self.me.life, "at": letter.at})
+                News(
+                    "yielded",
+                    self.me.name,
+                    {"to_life": datagram.life, "life": self.me.life, "at": datagram.at},
+                )
             )
-        elif isinstance(letter.matter, messages.Ping) and letter.matter.who == self.me.name:
-            self._send(letter.at, letter.sender, messages.Ack(letter.matter.no, self.me.name), [])
-        for row in letter.rows:
+        elif isinstance(datagram.payload, messages.Ping) and datagram.payload.who == self.me.name:
+            self._send(datagram.at, datagram.sender, messages.Ack(datagram.payload.no, self.me.name), [])
+        for row in datagram.rows:
             if row.name == self.me.name and not self.yielded:
-                self._about_me(row, letter.sender)
+                self._about_me(row, datagram.sender)
 
     def leave(self, now: int) -> None:
         """Leaves on purpose: tells some members three times; `left` once that is done."""
--- a/hazelhold/membership/exchange.py
+++ b/hazelhold/membership/exchange.py
@@ -47,8 +47,8 @@
         self._send_sync(self.table.row(name).address, name)
 
     def _send_sync(self, at: str, name: str, no: int = 0) -> None:
-        matter = messages.Sync(no or self._number(), list(self.table.digests))
-        self._send(at, name, matter, [self.table.members[self.me.name].raw])
+        payload = messages.Sync(no or self._number(), list(self.table.digests))
+        self._send(at, name, payload, [self.table.members[self.me.name].raw])
 
     def _heal_due(self) -> None:
         """Tries one who is gone or a seed where nobody is known: so the halves of a split find each other."""
@@ -60,21 +60,21 @@
             self._send_sync(self.random.choice(unknown), "")
         self._at(self.now + self.random.randint(self.terms.heal // 2, self.terms.heal), "heal")
 
-    def _on_sync(self, letter: messages.Letter, sync: messages.Sync) -> None:
+    def _on_sync(self, datagram: messages.Datagram, sync: messages.Sync) -> None:
         if len(sync.digests) != messages.BUCKETS:
             self.counts["spoilt"] += 1
             return
         if not self._may():
             return
         differ = [at for at, bits in enumerate(self.table.digests) if bits != sync.digests[at]]
-        self._send_buckets(letter.at, letter.sender, sync.no, differ, differ)
+        self._send_buckets(datagram.at, datagram.sender, sync.no, differ, differ)
 
-    def _on_rows(self, letter: messages.Letter, rows: messages.Rows) -> None:
+    def _on_rows(self, datagram: messages.Datagram, rows: messages.Rows) -> None:
         if rows.to and rows.to == self.join_no:
-            self._settle(letter.sender)
+            self._settle(datagram.sender)
         if rows.want and self._may():
             self._send_buckets(
-                letter.at, letter.sender, 0, [b for b in rows.want if b < messages.BUCKETS], []
+                datagram.at, datagram.sender, 0, [b for b in rows.want if b < messages.BUCKETS], []
             )
 
     def _send_buckets(self, at: str, name: str, to: int, buckets: list[int], want: list[int]) -> None:
@@ -87,12 +87,12 @@
         mine = self.table.members[self.me.name].raw
         queue = deque([mine, *first, *rows])
         for number in range(8):
-            matter = messages.Rows(to, want if not number else [])
-            room = messages.BYTES - 8 - len(messages.encode(self.terms.deployment, self.me, matter, []))
+            payload = messages.Rows(to, want if not number else [])
+            room = messages.MAX_BYTES - 8 - len(messages.encode(self.terms.deployment, self.me, payload, []))
             taken: list[msgspec.Raw] = []
             while queue and len(queue[0]) <= room:
                 taken.append(queue.popleft())
                 room -= len(taken[-1])
-            self._send(at, name, matter, taken, fill=False)
+            self._send(at, name, payload, taken, fill=False)
             if not queue:
                 return
--- a/hazelhold/membership/probing.py
+++ b/hazelhold/membership/probing.py
@@ -45,7 +45,10 @@
             for helper in probe.helpers:
                 if row := self.table.row(helper):  # it may have been forgotten meanwhile
                     self._send(
-                        row.address, helper, messages.Ask(no, probe.name, probe.where), self._word_on(helper)
+                        row.address,
+                        helper,
+                        messages.PingRequest(no, probe.name, probe.where),
+                        self._word_on(helper),
                     )
         if probe.step < 4:
             self._at(self.now + self.local_health(self.terms.answer), "answer", no)
@@ -98,25 +101,28 @@
         else:
             self.probing.discard(probe.name)
 
-    def _on_ping(self, letter: messages.Letter, ping: messages.Ping) -> None:
+    def _on_ping(self, datagram: messages.Datagram, ping: messages.Ping) -> None:
         if ping.who != self.me.name:
             self.counts["misled"] += 1
             return
-        first = [*self._word_on(letter.sender), *self.corrections[:4]]
-        self._send(letter.at, letter.sender, messages.Ack(ping.no, self.me.name), first)
+        first = [*self._word_on(datagram.sender), *self.corrections[:4]]
+        self._send(datagram.at, datagram.sender, messages.Ack(ping.no, self.me.name), first)
 
-    def _on_ask(self, letter: messages.Letter, ask: messages.Ask) -> None:
+    def _on_ping_request(self, datagram: messages.Datagram, ask: messages.PingRequest) -> None:
         if ask.who == self.me.name:
             self._send(
-                letter.at, letter.sender, messages.Ack(ask.no, self.me.name), self._word_on(letter.sender)
+                datagram.at,
+                datagram.sender,
+                messages.Ack(ask.no, self.me.name),
+                self._word_on(datagram.sender),
             )
             return
-        if (letter.sender, ask.no) in self.asked_for or not self._may():
+        if (datagram.sender, ask.no) in self.asked_for or not self._may():
             return
         row = self.table.row(ask.who)
         probe = self._new_probe(ask.who, row)
-        probe.asker, probe.asked, probe.where = letter.sender, ask.no, row.address if row else ask.where
-        self.asked_for[letter.sender, ask.no] = probe.no
+        probe.asker, probe.asked, probe.where = datagram.sender, ask.no, row.address if row else ask.where
+        self.asked_for[datagram.sender, ask.no] = probe.no
         self._ping(probe)
         self._at(self.now + self.terms.answer // 2, "help", probe.no)
 
@@ -139,35 +145,35 @@
             return
         self._end_probe(probe)
 
-    def _on_ack(self, letter: messages.Letter, ack: messages.Ack) -> None:
+    def _on_ack(self, datagram: messages.Datagram, ack: messages.Ack) -> None:
         probe = self.probes.get(ack.no)
         if probe is None or probe.name != ack.who:
             self.counts["late_ack"] += 1
             return
         if probe.asker:
-            if letter.sender == ack.who and (row := self.table.row(probe.asker)):
+            if datagram.sender == ack.who and (row := self.table.row(probe.asker)):
                 self._send(
                     row.address, row.name, messages.Ack(probe.asked, probe.name), self._word_on(row.name)
                 )
                 self._end_probe(probe)
             return
-        if letter.sender != ack.who and letter.sender not in probe.helpers:
+        if datagram.sender != ack.who and datagram.sender not in probe.helpers:
             self.counts["late_ack"] += 1
             return
         self._end_probe(probe)
         self.local_health.less()
         self._heard_again()
-        self._settle(letter.sender)  # whoever joined through this one shows it as well as a seed would
+        self._settle(datagram.sender)  # whoever joined through this one shows it as well as a seed would
         member = self.table.members.get(probe.name)
         if member is None or (member.row.life, member.row.nonce) != probe.life:
             return
         member.unanswered, member.heard = 0, self.now
-        member.via = "" if letter.sender == probe.name else letter.sender
+        member.via = "" if datagram.sender == probe.name else datagram.sender
         if not member.via and not probe.step:  # of a ping sent once: a later answer may be to either
             span = self.now - probe.began
             member.rtt = span if member.rtt < 0 else (7 * member.rtt + span) // 8
 
-    def _on_nack(self, letter: messages.Letter, nack: messages.Nack) -> None:
+    def _on_nack(self, datagram: messages.Datagram, nack: messages.Nack) -> None:
         probe = self.probes.get(nack.no)
-        if probe and not probe.asker and probe.name == nack.who and letter.sender in probe.helpers:
-            probe.witnesses.add(letter.sender)
+        if probe and not probe.asker and probe.name == nack.who and datagram.sender in probe.helpers:
+            probe.witnesses.add(datagram.sender)
--- a/hazelhold/membership/views.py
+++ b/hazelhold/membership/views.py
@@ -44,10 +44,10 @@
             **self.beside(),
         }
 
-    def seen(self, name: str) -> messages.Seen:
+    def seen(self, name: str) -> messages.MemberView:
         member = self.table.members[name]
         row = msgspec.structs.replace(member.row, state=self.state_of(name))
-        return messages.Seen(
+        return messages.MemberView(
             row,
             self.now - member.since,
             self.now - member.heard if member.heard >= 0 else -1,
@@ -57,18 +57,20 @@
             list(member.accusers),
         )
 
-    def _page(self, query: messages.Query) -> None:
+    def _page(self, query: messages.ViewQuery) -> None:
         """Answers an operator's question with as much of the view as one datagram holds."""
         if not self._may():
             return
         names = sorted(n for n in self.table.members if n > query.after)
         mine = self.standing()
-        seen: list[messages.Seen] = []
+        seen: list[messages.MemberView] = []
         room = (
-            messages.BYTES
+            messages.MAX_BYTES
             - 60
             - len(
-                messages.encode(self.terms.deployment, self.me, messages.Page(query.no, [], False, mine), [])
+                messages.encode(
+                    self.terms.deployment, self.me, messages.ViewPage(query.no, [], False, mine), []
+                )
             )
         )
         for name in names:
@@ -77,5 +79,5 @@
             if room < 0:
                 break
             seen.append(each)
-        matter = messages.Page(query.no, seen, len(seen) < len(names), mine)
-        self.actions.append(Reply(messages.encode(self.terms.deployment, self.me, matter, [])))
+        payload = messages.ViewPage(query.no, seen, len(seen) < len(names), mine)
+        self.actions.append(Reply(messages.encode(self.terms.deployment, self.me, payload, [])))
--- a/hazelhold/replica/acceptor.py
+++ b/hazelhold/replica/acceptor.py
@@ -20,8 +20,8 @@
     """What one key's acceptor must never forget. `copied`: what was accepted is another's word, told to
     whoever prepares, but no vote of this acceptor's."""
 
-    promised: messages.Ballot = messages.NONE
-    accepted: messages.Ballot = messages.NONE
+    promised: messages.Ballot = messages.NO_BALLOT
+    accepted: messages.Ballot = messages.NO_BALLOT
     value: bytes = b""
     copied: bool = False
 
@@ -58,8 +58,8 @@
         self.sets = sets
         self.cells = cells if cells is not None else {}
         self.empty = Cell(messages.Ballot(floor, ""))
-        self.inc = messages.NEVER
-        self.known: dict[str, messages.Inc] = {}  # of the others
+        self.inc = messages.NO_INCARNATION
+        self.known: dict[str, messages.Incarnation] = {}  # of the others
         self.digests: dict[int, int] = {}  # by slot: a sum over its cells, whatever their order
         if sets is not None:
             for key, cell in self.cells.items():
@@ -83,15 +83,15 @@
     def votes_on(self, slot: int) -> bool:
         return self.voting if isinstance(self.voting, bool) else slot in self.voting
 
-    def entered(self, name: str, inc: messages.Inc) -> bool:
+    def entered(self, name: str, inc: messages.Incarnation) -> bool:
         """Another has started anew; False if a later start of it is known. To be made safe before it is
         told so."""
-        if inc < self.known.get(name, messages.NEVER):
+        if inc < self.known.get(name, messages.NO_INCARNATION):
             return False
         self.known[name] = inc
         return True
 
-    def copy(self, found: messages.Cells) -> Change | None:
+    def copy(self, found: messages.CellCopy) -> Change | None:
         """Takes over what another knows of a key on which this one does not vote yet."""
         mine = self.cells.get(found.key, self.empty)
         new = mine._replace(promised=max(mine.promised, found.promised))
@@ -103,28 +103,28 @@
         return Change(found.key, new)
 
     def hear(
-        self, word: messages.Prepare | messages.Accept | messages.Look
-    ) -> tuple[messages.Word, Change | None]:
-        key, epoch, ballot = word.key, word.epoch, word.ballot
+        self, message: messages.Prepare | messages.Accept | messages.Query
+    ) -> tuple[messages.Message, Change | None]:
+        key, epoch, ballot = message.key, message.epoch, message.ballot
         if epoch != self.epoch:
             return messages.Refused(key, epoch, ballot, "epoch", now=self.epoch), None
         if not (self.voting if isinstance(self.voting, bool) else self.sets.slot(key) in self.voting):
             return messages.Refused(key, epoch, ballot, "no_vote", now=self.epoch), None
         cell = self.cells.get(key, self.empty)
         mine = {"inc": self.inc, "known": self._known(key)}
-        if isinstance(word, messages.Look):
+        if isinstance(message, messages.Query):
             accepted = COPY._replace(process=self.name) if cell.copied else cell.accepted
-            return messages.Seen(key, epoch, ballot, accepted=accepted, value=cell.value, **mine), None
+            return messages.QueryReply(key, epoch, ballot, accepted=accepted, value=cell.value, **mine), None
         if ballot < cell.promised:
             return messages.Refused(key, epoch, ballot, "ballot", cell.promised, self.epoch), None
-        if isinstance(word, messages.Prepare):
-            answer: messages.Word = messages.Promise(
+        if isinstance(message, messages.Prepare):
+            answer: messages.Message = messages.Promise(
                 key, epoch, ballot, accepted=cell.accepted, value=cell.value, **mine
             )
             new = cell._replace(promised=ballot)
         else:
             answer = messages.Accepted(key, epoch, ballot, **mine)
-            new = Cell(max(ballot, word.next), ballot, word.value)
+            new = Cell(max(ballot, message.next), ballot, message.value)
         if new == cell:
             return answer, None
         self.set(key, new)
@@ -145,6 +145,6 @@
         """What is known in each of these slots, as one number a slot; slots without cells left out."""
         return {s: d for s in slots if (d := self.digests.get(s, 0))}
 
-    def _known(self, key: str) -> dict[str, messages.Inc]:
+    def _known(self, key: str) -> dict[str, messages.Incarnation]:
         mates = self.known if self.sets is None else self.sets(key)
         return {n: self.known[n] for n in mates if n in self.known}
--- a/hazelhold/replica/host.py
+++ b/hazelhold/replica/host.py
@@ -33,12 +33,12 @@
 HELLO = 2.0  # seconds for a first message
 IDLE = 60.0  # seconds after which an unused link is closed
 RETRY = (0.05, 1.0)  # seconds between dials of a planner that is away, first and longest
-WAITING = 256  # words kept for a link that is being opened; older ones go
-BUSY = 20_000  # words that wait for the disk; past that they are dropped, and asked again
+WAITING = 256  # messages kept for a link that is being opened; older ones go
+BUSY = 20_000  # messages that wait for the disk; past that they are dropped, and asked again
 
 
 class Greet(Struct, frozen=True, tag_field="t", tag="greet"):
-    """First word of either side."""
+    """First message of either side."""
 
     name: str
     deployment: str
@@ -50,19 +50,19 @@
     Greet
     | messages.Prepare
     | messages.Accept
-    | messages.Look
-    | messages.Hail
-    | messages.Enter
-    | messages.Next
+    | messages.Query
+    | messages.RejoinQuery
+    | messages.RejoinEntry
+    | messages.PageRequest
 )
 ANSWERS = Codec(
     Greet
     | messages.Promise
     | messages.Accepted
-    | messages.Seen
+    | messages.QueryReply
     | messages.Refused
-    | messages.Hailed
-    | messages.Page
+    | messages.RejoinReply
+    | messages.CellPage
 )
 LATELY = 5_000_000  # microseconds without an answer after which a planner is named to operators
 REJOIN = 0.5  # seconds after which somebody who has not answered one that comes back is asked again
@@ -86,7 +86,7 @@
     def __init__(self, name: str, address: str) -> None:
         self.name, self.address = name, address
         self.wire: Wire | None = None
-        self.waiting: deque[messages.Word] = deque(maxlen=WAITING)
+        self.waiting: deque[messages.Message] = deque(maxlen=WAITING)
         self.opening = False
         self.used = 0.0
         self.heard = -1  # its last answer, on this clock
@@ -117,7 +117,7 @@
         }
         # The proposer's number: the asker's, and when it asked; emptied by each end.
         self.asked: dict[int, tuple[int, int]] = {}
-        self.packed: tuple[Struct | None, bytes] = None, b""  # the word sent last, and its frame
+        self.packed: tuple[Struct | None, bytes] = None, b""  # the message sent last, and its frame
         self.counts: Counter[str] = Counter()
         self.log = structlog.get_logger().bind(planner=name)
         self.stir = trio.Event()
@@ -235,23 +235,25 @@
             return
         self._post(send.to, send.word)
 
-    def _post(self, to: str, word: Struct) -> None:
+    def _post(self, to: str, message: Struct) -> None:
         far = self.far[to]
         far.used = trio.current_time()
         if far.wire is not None:
-            if word is not self.packed[0]:  # the same goes to all of a set
-                self.packed = word, encode(word)
+            if message is not self.packed[0]:  # the same goes to all of a set
+                self.packed = message, encode(message)
             far.wire.put(self.packed[1])
             return
-        far.waiting.append(word)
+        far.waiting.append(message)
         if not far.opening:
             far.opening = True
             self.nursery.start_soon(self._link, far)
 
-    def _answered(self, sender: str, answer: messages.Word | messages.Hailed | messages.Page) -> None:
+    def _answered(
+        self, sender: str, answer: messages.Message | messages.RejoinReply | messages.CellPage
+    ) -> None:
         if far := self.far.get(sender):
             far.heard = self.net.now()
-        if isinstance(answer, messages.Hailed | messages.Page):
+        if isinstance(answer, messages.RejoinReply | messages.CellPage):
             self._copied(sender, answer)
             return
         self.proposer.hear(self.net.now(), sender, answer)
@@ -285,8 +287,8 @@
         for each in out:
             self._post(each.to, each.word)
 
-    def _copied(self, sender: str, word: messages.Hailed | messages.Page) -> None:
-        self._vote(self.votes.told(sender, word, self.net.wall()))
+    def _copied(self, sender: str, message: messages.RejoinReply | messages.CellPage) -> None:
+        self._vote(self.votes.told(sender, message, self.net.wall()))
         self._join_on()
 
     def _vote(self, changes: list[Change]) -> None:
@@ -365,27 +367,30 @@
                     if greet.deployment != self.sheet.deployment or greet.name not in self.far:
                         raise FrameError("stranger", f"{greet.name!r} of {greet.deployment!r} has no seat")
                     wire.send(self._greet())
-                    for word in wire.rest():
-                        self._heard(greet.name, wire, word)
-                    async for word in wire.messages():
-                        self._heard(greet.name, wire, word)
+                    for message in wire.rest():
+                        self._heard(greet.name, wire, message)
+                    async for message in wire.messages():
+                        self._heard(greet.name, wire, message)
                 except FrameError as wrong:
                     self.counts["refused_" + wrong.code] += 1
                     self.log.warning("copies_refused", code=wrong.code, reason=wrong.text)
             wire.finish()
 
     def _heard(
-        self, sender: str, wire: Wire, word: messages.Word | messages.Hail | messages.Enter | messages.Next
+        self,
+        sender: str,
+        wire: Wire,
+        message: messages.Message | messages.RejoinQuery | messages.RejoinEntry | messages.PageRequest,
     ) -> None:
-        if isinstance(word, Greet):
+        if isinstance(message, Greet):
             raise FrameError("second_greet", "a connection has one greeting")
         if len(self.vault.queue) > BUSY:
             self.counts["words_dropped"] += 1
             return
-        if isinstance(word, messages.Hail | messages.Enter | messages.Next):
-            answer, changes = self.votes.asked(sender, word)
+        if isinstance(message, messages.RejoinQuery | messages.RejoinEntry | messages.PageRequest):
+            answer, changes = self.votes.asked(sender, message)
         else:
-            answer, changes = self.votes.hear(word, self.net.wall())
+            answer, changes = self.votes.hear(message, self.net.wall())
         self.vault.take(changes, lambda: wire.send(answer))
 
     async def _sweep(self) -> None:
--- a/hazelhold/replica/proposer.py
+++ b/hazelhold/replica/proposer.py
@@ -53,7 +53,7 @@
 
 class Send(NamedTuple):
     to: str
-    word: messages.Prepare | messages.Accept | messages.Look
+    word: messages.Prepare | messages.Accept | messages.Query
 
 
 class Done(NamedTuple):
@@ -99,9 +99,9 @@
 
     def __init__(self, no: int, key: str, change: Change, deadline: int, replicas: tuple[str, ...]) -> None:
         self.no, self.key, self.change, self.deadline, self.replicas = no, key, change, deadline, replicas
-        self.ballot = messages.NONE
+        self.ballot = messages.NO_BALLOT
         self.phase = "wait"
-        self.promises: dict[str, messages.Promise | messages.Seen] = {}
+        self.promises: dict[str, messages.Promise | messages.QueryReply] = {}
         self.accepts: dict[str, messages.Accepted] = {}
         self.refusals: dict[str, messages.Refused] = {}
         self.value = b""
@@ -154,39 +154,46 @@
             elif tries == op.tries and self.ops.get(op.key) is op:
                 self._round(now, op)
 
-    def hear(self, now: int, sender: str, word: messages.Word) -> None:
+    def hear(self, now: int, sender: str, message: messages.Message) -> None:
         """An acceptor's answer. What belongs to no ballot under way does nothing."""
-        op = self.ops.get(word.key)
-        if isinstance(word, messages.Refused):
-            self.highest = max(self.highest, word.higher.number)
-        if op is None or word.ballot != op.ballot or sender not in op.replicas or word.epoch != self.epoch:
+        op = self.ops.get(message.key)
+        if isinstance(message, messages.Refused):
+            self.highest = max(self.highest, message.higher.number)
+        if (
+            op is None
+            or message.ballot != op.ballot
+            or sender not in op.replicas
+            or message.epoch != self.epoch
+        ):
             return
-        if isinstance(word, messages.Seen) and op.phase == "look":
-            op.promises[sender] = word
+        if isinstance(message, messages.QueryReply) and op.phase == "look":
+            op.promises[sender] = message
             if self._majority(op, op.promises):
                 if len({p.accepted for p in op.promises.values()}) == 1:
-                    self._end(now, op, "agreed", word.value)
+                    self._end(now, op, "agreed", message.value)
                 else:
                     self._round(now, op)
-        elif isinstance(word, messages.Promise) and op.phase == "prepare":
-            op.promises[sender] = word
+        elif isinstance(message, messages.Promise) and op.phase == "prepare":
+            op.promises[sender] = message
             if self._majority(op, op.promises):
                 self._accept(op, max(op.promises.values(), key=lambda p: p.accepted).value)
-        elif isinstance(word, messages.Accepted) and op.phase == "accept":
-            op.accepts[sender] = word
+        elif isinstance(message, messages.Accepted) and op.phase == "accept":
+            op.accepts[sender] = message
             if self._majority(op, op.accepts):
                 self.ahead[op.key] = self._next(op), op.value
                 if len(self.ahead) > self.times.known:
                     del self.ahead[next(iter(self.ahead))]
                 self._end(now, op, "agreed", op.value)
-        elif isinstance(word, messages.Refused):
-            self._refused(now, op, sender, word)
+        elif isinstance(message, messages.Refused):
+            self._refused(now, op, sender, message)
 
-    def _majority(self, op: Op, found: dict[str, messages.Answer]) -> bool:
+    def _majority(self, op: Op, found: dict[str, messages.Reply]) -> bool:
         """Whether these are a majority whose answers go together. Whoever another of them knows in a later
         incarnation may have forgotten what it answered: it is left out."""
         old = [
-            n for n, a in found.items() if any(b.known.get(n, messages.NEVER) > a.inc for b in found.values())
+            n
+            for n, a in found.items()
+            if any(b.known.get(n, messages.NO_INCARNATION) > a.inc for b in found.values())
         ]
         for name in old:
             del found[name]
@@ -211,7 +218,7 @@
     def _look(self, now: int, op: Op) -> None:
         self.highest += 1  # a number of its own: a late answer to an earlier look is not taken for this one's
         op.ballot, op.phase, op.tries = messages.Ballot(self.highest, self.process), "look", op.tries + 1
-        self._send(op, messages.Look(op.key, self.epoch, op.ballot))
+        self._send(op, messages.Query(op.key, self.epoch, op.ballot))
         self._at(now + self.times.round_most, op, op.tries)
 
     def _round(self, now: int, op: Op) -> None:
@@ -229,11 +236,11 @@
     def _next(self, op: Op) -> messages.Ballot:
         return messages.Ballot(op.ballot.number + 1, self.process)
 
-    def _send(self, op: Op, word: messages.Prepare | messages.Accept | messages.Look) -> None:
-        self.actions += [Send(replica, word) for replica in op.replicas]
+    def _send(self, op: Op, message: messages.Prepare | messages.Accept | messages.Query) -> None:
+        self.actions += [Send(replica, message) for replica in op.replicas]
 
-    def _refused(self, now: int, op: Op, sender: str, word: messages.Refused) -> None:
-        op.refusals[sender] = word
+    def _refused(self, now: int, op: Op, sender: str, message: messages.Refused) -> None:
+        op.refusals[sender] = message
         if 2 * len(op.refusals) < len(op.replicas):
             return  # the others may still be a majority
         whys = {r.why for r in op.refusals.values()}
@@ -241,7 +248,7 @@
         if op.reason == "old_epoch" and max(r.now for r in op.refusals.values()) > self.epoch:
             self._end(now, op, "open" if op.exposed else "refused", b"", op.reason)
             return
-        op.phase, op.ballot = "wait", messages.NONE
+        op.phase, op.ballot = "wait", messages.NO_BALLOT
         most = min(self.times.pause * 2 ** min(op.tries, 10), self.times.pause_most)
         self._at(now + self.random.randint(self.times.pause // 2, most), op, op.tries)
 
--- a/hazelhold/replica/rejoin.py
+++ b/hazelhold/replica/rejoin.py
@@ -29,7 +29,13 @@
     """Send to that planner."""
 
     to: str
-    word: messages.Hail | messages.Enter | messages.Next | messages.Hailed | messages.Page
+    word: (
+        messages.RejoinQuery
+        | messages.RejoinEntry
+        | messages.PageRequest
+        | messages.RejoinReply
+        | messages.CellPage
+    )
 
 
 class Mate:
@@ -39,7 +45,7 @@
         self.no = 0  # of what was asked last
         self.state = "hail"  # hail; wait, until another's copying is over; enter, copy, done
         self.done = False  # all was copied once, as this incarnation; stays so while it is asked once more
-        self.known = messages.NEVER  # the latest incarnation of ours that it knows
+        self.known = messages.NO_INCARNATION  # the latest incarnation of ours that it knows
         self.cells = 0  # copied so far in this round
         self.moved = False  # since the last tick
         self.unready: frozenset[int] = frozenset()
@@ -61,7 +67,7 @@
         self.counts: Counter[str] = Counter()
         self.no = 0
         if trusted or not self.mates:  # its own disk is enough
-            acceptor.inc = messages.Inc(acceptor.inc.number + 1, nonce)
+            acceptor.inc = messages.Incarnation(acceptor.inc.number + 1, nonce)
             self.voted = set(self.others)
 
     def over(self) -> bool:
@@ -82,31 +88,31 @@
                 continue
             if mate.state != "done":
                 mate.state = "hail"  # anew, which digests make short
-            self._ask(other, mate, messages.Hail)
+            self._ask(other, mate, messages.RejoinQuery)
         if not any(m.state in ("enter", "copy") for m in self.mates.values()):
             self._next()
 
-    def hear(self, other: str, word: messages.Hailed | messages.Page) -> list[Change]:
+    def hear(self, other: str, message: messages.RejoinReply | messages.CellPage) -> list[Change]:
         """Returns what was copied: to be made safe before any vote on it."""
         mate = self.mates.get(other)
-        if mate is None or word.no != mate.no or self.over():
+        if mate is None or message.no != mate.no or self.over():
             return []
-        if isinstance(word, messages.Hailed):
-            mate.known = max(mate.known, word.known)
-            if word.source and mate.state in ("hail", "enter", "done"):
+        if isinstance(message, messages.RejoinReply):
+            mate.known = max(mate.known, message.known)
+            if message.source and mate.state in ("hail", "enter", "done"):
                 self._rise()
                 if all(m is mate or m.state not in ("enter", "copy") for m in self.mates.values()):
                     self._enter(other, mate)
                 else:
                     mate.state = "wait"
             return []
-        return self._page(other, mate, word)
+        return self._page(other, mate, message)
 
     def _rise(self) -> None:
         """Above all that others know of us: whoever was entered with before has to be told anew."""
         mine, highest = self.acceptor.inc, max(m.known for m in self.mates.values())
         if highest > mine or mine.nonce != self.nonce:
-            self.acceptor.inc = messages.Inc(max(highest.number, mine.number) + 1, self.nonce)
+            self.acceptor.inc = messages.Incarnation(max(highest.number, mine.number) + 1, self.nonce)
             for mate in self.mates.values():
                 mate.done = False
                 if mate.state != "hail":
@@ -118,10 +124,14 @@
         mate.state, mate.cells, mate.moved = "enter", 0, True
         open_slots = self.shared[other] - self.voted
         self._ask(
-            other, mate, messages.Enter, inc=self.acceptor.inc, digests=self.acceptor.digests_of(open_slots)
+            other,
+            mate,
+            messages.RejoinEntry,
+            inc=self.acceptor.inc,
+            digests=self.acceptor.digests_of(open_slots),
         )
 
-    def _page(self, other: str, mate: Mate, page: messages.Page) -> list[Change]:
+    def _page(self, other: str, mate: Mate, page: messages.CellPage) -> list[Change]:
         if page.total < 0:
             mate.state = "hail"
             return []
@@ -141,7 +151,7 @@
         mate.unready = frozenset(page.unready)
         if mate.cells < page.total:
             mate.state = "copy"
-            self._ask(other, mate, messages.Next, inc=self.acceptor.inc, after=mate.cells)
+            self._ask(other, mate, messages.PageRequest, inc=self.acceptor.inc, after=mate.cells)
         else:
             mate.state, mate.done = "done", True
             self._complete()
@@ -175,38 +185,40 @@
         self.name, self.sets, self.acceptor = name, sets, acceptor
         self.gives = False
         self.lists: dict[
-            str, tuple[messages.Inc, list[str], list[int]]
+            str, tuple[messages.Incarnation, list[str], list[int]]
         ] = {}  # by joiner; the last copying of each
 
     def hear(
-        self, other: str, word: messages.Hail | messages.Enter | messages.Next
-    ) -> messages.Hailed | messages.Page:
+        self, other: str, message: messages.RejoinQuery | messages.RejoinEntry | messages.PageRequest
+    ) -> messages.RejoinReply | messages.CellPage:
         """The answer. What is known of incarnations has to be safe before it leaves."""
-        known = self.acceptor.known.get(other, messages.NEVER)
-        if isinstance(word, messages.Hail):
-            return messages.Hailed(word.no, known, self.gives)
-        if isinstance(word, messages.Enter):
-            if not self.gives or not self.acceptor.entered(other, word.inc):
-                return messages.Hailed(word.no, known, self.gives)
-            self.lists[other] = self._list(other, word)
-            return self._page(other, word.no, 0)
-        inc, _, _ = self.lists.get(other, (messages.NEVER, [], []))
-        if inc != word.inc:
-            return messages.Page(word.no, 0, -1)
-        return self._page(other, word.no, word.after)
-
-    def _list(self, other: str, word: messages.Enter) -> tuple[messages.Inc, list[str], list[int]]:
+        known = self.acceptor.known.get(other, messages.NO_INCARNATION)
+        if isinstance(message, messages.RejoinQuery):
+            return messages.RejoinReply(message.no, known, self.gives)
+        if isinstance(message, messages.RejoinEntry):
+            if not self.gives or not self.acceptor.entered(other, message.inc):
+                return messages.RejoinReply(message.no, known, self.gives)
+            self.lists[other] = self._list(other, message)
+            return self._page(other, message.no, 0)
+        inc, _, _ = self.lists.get(other, (messages.NO_INCARNATION, [], []))
+        if inc != message.inc:
+            return messages.CellPage(message.no, 0, -1)
+        return self._page(other, message.no, message.after)
+
+    def _list(
+        self, other: str, message: messages.RejoinEntry
+    ) -> tuple[messages.Incarnation, list[str], list[int]]:
         """Keys of the slots that differ, those whose fate is open first."""
         both = {s for s, others in self.sets.kept_by(self.name).items() if other in others}
         mine = self.acceptor.digests_of(both)
-        differ = {s for s in both if mine.get(s, 0) != word.digests.get(s, 0)}
+        differ = {s for s in both if mine.get(s, 0) != message.digests.get(s, 0)}
         cells = self.acceptor.cells
         keys = [k for k in cells if self.sets.slot(k) in differ]
         keys.sort(key=lambda k: not claims.lasts(cells[k].value))
         unready = [s for s in both if not self.acceptor.votes_on(s)]
-        return word.inc, keys, unready
+        return message.inc, keys, unready
 
-    def _page(self, other: str, no: int, after: int) -> messages.Page:
+    def _page(self, other: str, no: int, after: int) -> messages.CellPage:
         _, keys, unready = self.lists[other]
         if after + PAGE >= len(keys):
             del self.lists[other]  # a page that is lost begins it anew, which digests make short
@@ -214,7 +226,7 @@
         found = []
         for key in keys[after : after + PAGE]:
             cell = cells.get(key, self.acceptor.empty)
-            found.append(messages.Cells(key, cell.promised, cell.accepted, cell.value))
-        return messages.Page(
+            found.append(messages.CellCopy(key, cell.promised, cell.accepted, cell.value))
+        return messages.CellPage(
             no, after, len(keys), found, unready, dict(self.acceptor.known), self.acceptor.floor
         )
--- a/hazelhold/replica/votes.py
+++ b/hazelhold/replica/votes.py
@@ -137,7 +137,9 @@
         self.keep = round(sheet.keep_s * 1e6)
         self.aging: deque[Aging] = deque()  # cells that may be let go, by when; emptied by `sweep`
         self.acceptor = Acceptor(sheet.epoch, set(), name=name, sets=self.sets)
-        self.kept: dict[str, messages.Inc] = {}  # incarnations as they are on the disk, or on their way there
+        self.kept: dict[
+            str, messages.Incarnation
+        ] = {}  # incarnations as they are on the disk, or on their way there
         self.joiner: Joiner | None = None
         self.source = Source(name, self.sets, self.acceptor)
         self.why = "not_opened"  # why these votes are none to give: empty, no_seat or damaged
@@ -161,8 +163,8 @@
             acceptor.raise_floor(floor.number)
         for name in ledger.tables["inc"]:
             image = ledger.image("inc", name)
-            self.kept[name] = messages.Inc(image.number, image.nonce)
-        acceptor.inc = self.kept.get(self.name, messages.NEVER)
+            self.kept[name] = messages.Incarnation(image.number, image.nonce)
+        acceptor.inc = self.kept.get(self.name, messages.NO_INCARNATION)
         acceptor.known = {n: inc for n, inc in self.kept.items() if n != self.name}
         self.why = "no_seat" if seat is None else "" if seen.complete else "damaged"
         self.source.gives = not self.why
@@ -188,33 +190,33 @@
             raise StateError(f"the folder {wrong}")
 
     def hear(
-        self, word: messages.Prepare | messages.Accept | messages.Look, wall: int
-    ) -> tuple[messages.Word, list[Change]]:
+        self, message: messages.Prepare | messages.Accept | messages.Query, wall: int
+    ) -> tuple[messages.Message, list[Change]]:
         """The answer, and what has to be safe before it leaves."""
-        answer, change = self.acceptor.hear(word)
+        answer, change = self.acceptor.hear(message)
         if change is None:
             return answer, []
         self._ages(change.key, change.cell, wall)
         return answer, [put("cell", change.key, CellImage(*change.cell))]
 
     def asked(
-        self, other: str, word: messages.Hail | messages.Enter | messages.Next
-    ) -> tuple[messages.Hailed | messages.Page, list[Change]]:
+        self, other: str, message: messages.RejoinQuery | messages.RejoinEntry | messages.PageRequest
+    ) -> tuple[messages.RejoinReply | messages.CellPage, list[Change]]:
         """Somebody comes back: the answer, and what has to be safe before it leaves."""
-        answer = self.source.hear(other, word)
+        answer = self.source.hear(other, message)
         return answer, self.incarnations()
 
-    def told(self, other: str, word: messages.Hailed | messages.Page, wall: int) -> list[Change]:
+    def told(self, other: str, message: messages.RejoinReply | messages.CellPage, wall: int) -> list[Change]:
         """What somebody told this one that comes back: what has to be safe before it votes on it."""
         changes, floor = [], self.acceptor.floor
-        for change in self.joiner.hear(other, word):
+        for change in self.joiner.hear(other, message):
             self._ages(change.key, change.cell, wall)
             changes.append(put("cell", change.key, CellImage(*change.cell)))
         if self.acceptor.floor > floor:
             changes.append(put("floor", "", Floor(self.acceptor.floor)))
         return [*changes, *self.incarnations()]
 
-    def vote(self, slots: set[int], inc: messages.Inc) -> None:
+    def vote(self, slots: set[int], inc: messages.Incarnation) -> None:
         """What was copied for these slots as this incarnation is safe."""
         if inc == self.acceptor.inc:
             self.acceptor.voting = slots
@@ -223,7 +225,7 @@
         """What is known of incarnations and not on its way to the disk."""
         changes = []
         for name, inc in [(self.name, self.acceptor.inc), *self.acceptor.known.items()]:
-            if inc != self.kept.get(name, messages.NEVER):
+            if inc != self.kept.get(name, messages.NO_INCARNATION):
                 self.kept[name] = inc
                 changes.append(put("inc", name, IncImage(*inc)))
         return changes
@@ -234,7 +236,7 @@
         return [put("seat", "", Seat(self.name, self.sheet.deployment, self.sheet.epoch, digest(self.sheet)))]
 
     def _ages(self, key: str, cell: Cell, wall: int) -> None:
-        if cell.accepted != messages.NONE and not self.retention(key, cell.value):
+        if cell.accepted != messages.NO_BALLOT and not self.retention(key, cell.value):
             self.aging.append(Aging(wall + self.keep, key, cell.accepted))
 
     def sweep(self, wall: int) -> list[Change]:
--- a/tests/fleetconfig_model.py
+++ b/tests/fleetconfig_model.py
@@ -18,7 +18,7 @@
 from hazelhold.fleetconfig.messages import ProposeAnswer
 from hazelhold.fleetconfig.revision import START, Change, Position, SealedRevision, unseal
 from hazelhold.replica.acceptor import Acceptor
-from hazelhold.replica.messages import Word
+from hazelhold.replica.messages import Message
 from hazelhold.replica.proposer import Proposer, Send, Times
 
 KEY = "fleetconfig/head"
@@ -314,7 +314,7 @@
 
         self.send(machine.name, send.to, self.to_machine(acceptor, hear))
 
-    def from_acceptor(self, machine: Machine, name: str, answer: Word) -> None:
+    def from_acceptor(self, machine: Machine, name: str, answer: Message) -> None:
         machine.proposer.hear(self.now, name, answer)
 
     def act(self, machine: Machine, action: a.Action) -> None:
--- a/tests/fleetconfig_space.py
+++ b/tests/fleetconfig_space.py
@@ -212,7 +212,7 @@
         coming = {word.ballot for _, _, word in self.flying if isinstance(word, w.Accept)}
         self.votes = frozenset(vote for vote in self.votes if vote[1] in coming)
 
-    def _matters(self, number: int, name: str, word: w.Prepare | w.Accept | w.Look) -> bool:
+    def _matters(self, number: int, name: str, word: w.Prepare | w.Accept | w.Query) -> bool:
         op = self.proposers[number].ops.get(KEY)
         if op is not None and op.ballot == word.ballot:
             return isinstance(word, w.Accept) or op.phase in ("prepare", "look")
--- a/tests/test_copies_host.py
+++ b/tests/test_copies_host.py
@@ -119,7 +119,7 @@
             "frame_too_long": b"\xff\xff\xff\xff",
             "no_type": frame(b"\x80"),
             "unknown_type": frame(msgspec.msgpack.encode({"t": "offer"})),
-            "wrong_first": encode(messages.Look("k", 1, messages.Ballot(1, "x"))),
+            "wrong_first": encode(messages.Query("k", 1, messages.Ballot(1, "x"))),
             "version": encode(msgspec.structs.replace(greet, version=2)),
             "stranger": encode(msgspec.structs.replace(greet, name="nobody")),
             "second_greet": encode(greet) + encode(greet),
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -667,8 +667,8 @@
     return core
 
 
-def letter(
-    matter: messages.Matter,
+def datagram(
+    payload: messages.Payload,
     rows: tuple[Row, ...] = (),
     deployment: str = "tests",
     name: str = "x",
@@ -676,22 +676,22 @@
     nonce: int = 3,
 ) -> bytes:
     me = Row(name, life, nonce, 0, ALIVE, f"at-{name}")
-    return messages.encode(deployment, me, matter, [told(r) for r in rows])
+    return messages.encode(deployment, me, payload, [told(r) for r in rows])
 
 
 def test_torn_spoilt_strange_and_newer_datagrams_are_counted_and_do_nothing() -> None:
     core = alone_core()
-    good = letter(messages.Ping(1, "me"), (Row("x", 5, 3, 0, ALIVE, "at-x"),))
+    good = datagram(messages.Ping(1, "me"), (Row("x", 5, 3, 0, ALIVE, "at-x"),))
     newer = messages.ENCODER.encode([messages.VERSION + 1, "tests", {"what": "no idea"}])
     for body in [
         b"",
         b"\x00",
         b"\xc1" * 30,
         good[:-3],
-        letter(messages.Ping(1, "me"), deployment="other"),
+        datagram(messages.Ping(1, "me"), deployment="other"),
         newer,
         b"\x9a" * 1300,
-        letter(messages.Ack(1, "me"), (Row("y", 1 << 60, 1, 0, ALIVE, "a"),)),
+        datagram(messages.Ack(1, "me"), (Row("y", 1 << 60, 1, 0, ALIVE, "a"),)),
     ]:
         core.hear(1000, body)
     assert core.counts == {"spoilt": 5, "stranger": 1, "newer_version": 1, "too_long": 1}
@@ -702,7 +702,7 @@
 def test_no_bytes_raise(noise: bytes, place: int, value: int) -> None:
     core = alone_core()
     core.hear(10, noise)
-    body = bytearray(letter(messages.Sync(1, [5] * messages.BUCKETS), (Row("x", 5, 3, 0, ALIVE, "at-x"),)))
+    body = bytearray(datagram(messages.Sync(1, [5] * messages.BUCKETS), (Row("x", 5, 3, 0, ALIVE, "at-x"),)))
     body[place % len(body)] = value
     core.hear(20, bytes(body))
     core.wake(30)
@@ -718,7 +718,7 @@
     for number in range(1000):
         core.hear(
             made.processes["m0"].clock(made.now),
-            letter(
+            datagram(
                 messages.Rows(),
                 (Row(f"x{number}", 1, 1, 0, ALIVE, "no"),),
                 name="m3",
@@ -759,7 +759,7 @@
 def test_answers_to_questions_are_bounded_in_number_and_size() -> None:
     core = alone_core()
     for number in range(200):
-        core.hear(2000, letter(messages.Query(number + 1), name="-"))
+        core.hear(2000, datagram(messages.ViewQuery(number + 1), name="-"))
     assert sum(not isinstance(a, News) for a in core.actions) <= TERMS.answers_a_second + 1
     assert core.counts["put_off"] >= 150
 
@@ -784,15 +784,15 @@
         )
     core.hear(
         1000,
-        letter(
+        datagram(
             messages.Sync(1, [5] * messages.BUCKETS),
             name="planner-0001",
             life=1_796_000_000_001,
             nonce=(1 << 62) + 1,
         ),
     )
-    core.hear(1000, letter(messages.Query(3), name="-"))
+    core.hear(1000, datagram(messages.ViewQuery(3), name="-"))
     for at in range(2000, 3_000_000, 50_000):
         core.wake(at)
     sizes = [len(a.body) for a in core.actions if not isinstance(a, News)]
-    assert len(sizes) > 20 and max(sizes) <= messages.BYTES and max(sizes) > 1000
+    assert len(sizes) > 20 and max(sizes) <= messages.MAX_BYTES and max(sizes) > 1000
--- a/tests/test_rejoin.py
+++ b/tests/test_rejoin.py
@@ -23,7 +23,7 @@
 
     def __init__(self, name: str, sets: Sets, kinds: dict[str, type]) -> None:
         self.name, self.sets, self.kinds, self.lives = name, sets, kinds, 0
-        self.disk: list[tuple[dict, dict, messages.Inc]] = [({}, {}, messages.NEVER)]
+        self.disk: list[tuple[dict, dict, messages.Incarnation]] = [({}, {}, messages.NO_INCARNATION)]
         self.start(0, True)
 
     def start(self, back: int, gives: bool) -> None:
@@ -112,7 +112,7 @@
             member.safe()
         self.carry(self.answered, at, send.to, answer)
 
-    def answered(self, at: int, name: str, answer: messages.Word) -> None:
+    def answered(self, at: int, name: str, answer: messages.Message) -> None:
         self.proposers[at].hear(self.now, name, answer)
         self.act(at)
 
@@ -143,14 +143,20 @@
             self.soon(self.joins, member.name, member.lives, each.to, each.word)
 
     def joins(
-        self, name: str, life: int, to: str, word: messages.Hail | messages.Enter | messages.Next
+        self,
+        name: str,
+        life: int,
+        to: str,
+        word: messages.RejoinQuery | messages.RejoinEntry | messages.PageRequest,
     ) -> None:
         member = self.members[to]
         answer = member.source.hear(name, word)
         member.safe()
         self.soon(self.joined, name, life, to, answer)
 
-    def joined(self, name: str, life: int, sender: str, answer: messages.Hailed | messages.Page) -> None:
+    def joined(
+        self, name: str, life: int, sender: str, answer: messages.RejoinReply | messages.CellPage
+    ) -> None:
         member = self.members[name]
         if member.lives != life:
             return
@@ -199,7 +205,7 @@
 class MixesLives(Proposer):
     """Counts answers of earlier incarnations with later ones."""
 
-    def _majority(self, op: Op, found: dict[str, messages.Answer]) -> bool:
+    def _majority(self, op: Op, found: dict[str, messages.Reply]) -> bool:
         return 2 * len(found) > len(op.replicas)
 
 
@@ -213,7 +219,7 @@
 class CopiesVote(Acceptor):
     """Takes what it copied for votes of its own."""
 
-    def copy(self, found: messages.Cells) -> object:
+    def copy(self, found: messages.CellCopy) -> object:
         change = super().copy(found)
         if found.key in self.cells:
             self.cells[found.key] = self.cells[found.key]._replace(copied=False)
@@ -231,7 +237,9 @@
 class TellsNobody(Source):
     """Does not remember that somebody started anew."""
 
-    def hear(self, other: str, word: messages.Hail | messages.Enter | messages.Next) -> object:
+    def hear(
+        self, other: str, word: messages.RejoinQuery | messages.RejoinEntry | messages.PageRequest
+    ) -> object:
         before = dict(self.acceptor.known)
         said = super().hear(other, word)
         self.acceptor.known.clear()
@@ -242,8 +250,8 @@
 class ForgetsPromises(Acceptor):
     """Copies what was accepted, not what was promised."""
 
-    def copy(self, found: messages.Cells) -> object:
-        return super().copy(found._replace(promised=messages.NONE))
+    def copy(self, found: messages.CellCopy) -> object:
+        return super().copy(found._replace(promised=messages.NO_BALLOT))
 
 
 @pytest.mark.parametrize(
@@ -257,13 +265,13 @@
     assert not all(linearizable(Town(seed, **broken).play(1, 14)) for seed in range(600)), broken
 
 
-def words(proposer: Proposer) -> dict[str, messages.Word]:
+def words(proposer: Proposer) -> dict[str, messages.Message]:
     """What it wants sent, by whom it is for."""
     actions, proposer.actions = proposer.actions, []
     return {a.to: a.word for a in actions if isinstance(a, Send)}
 
 
-def says(town: Town, proposer: Proposer, *given_: tuple[str, messages.Word]) -> None:
+def says(town: Town, proposer: Proposer, *given_: tuple[str, messages.Message]) -> None:
     """These words come to these members, and their answers at once to the proposer."""
     for name, word in given_:
         proposer.hear(1, name, town.members[name].acceptor.hear(word)[0])
@@ -440,10 +448,12 @@
 
 def test_a_later_start_known_to_anybody_is_gone_above() -> None:
     joiner, source, blank = pair(5)
-    source.acceptor.known["a"] = messages.Inc(4, 1)
+    source.acceptor.known["a"] = messages.Incarnation(4, 1)
     run(joiner, source)
     run(joiner, source)
-    assert blank.inc == messages.Inc(5, 7) and source.acceptor.known["a"] == messages.Inc(5, 7)
+    assert blank.inc == messages.Incarnation(5, 7) and source.acceptor.known["a"] == messages.Incarnation(
+        5, 7
+    )
 
 
 def test_one_that_has_to_rise_votes_on_nothing_until_it_has_entered_anew() -> None:
@@ -457,8 +467,8 @@
     joiner.voted.pop()  # it is not over yet
     joiner.tick()
     hail = next(each for each in joiner.out if each.to == "c")
-    joiner.hear("c", messages.Hailed(hail.word.no, messages.Inc(9, 1), True))
-    assert blank.inc == messages.Inc(10, 7) and not blank.voting and not joiner.voted
+    joiner.hear("c", messages.RejoinReply(hail.word.no, messages.Incarnation(9, 1), True))
+    assert blank.inc == messages.Incarnation(10, 7) and not blank.voting and not joiner.voted
     assert not any(m.done for m in joiner.mates.values())
 
 
--- a/tests/test_replica.py
+++ b/tests/test_replica.py
@@ -194,7 +194,7 @@
 class Forgets(Acceptor):
     """Does not keep what it promised."""
 
-    def hear(self, word: messages.Prepare | messages.Accept) -> tuple[messages.Word, object]:
+    def hear(self, word: messages.Prepare | messages.Accept) -> tuple[messages.Message, object]:
         before = self.cells.get(word.key, Cell())
         said = super().hear(word)
         if isinstance(word, messages.Prepare) and word.key in self.cells:
@@ -237,9 +237,9 @@
 class SeenByOne(Proposer):
     """Reads without comparing what a majority says."""
 
-    def hear(self, now: int, sender: str, word: messages.Word) -> None:
+    def hear(self, now: int, sender: str, word: messages.Message) -> None:
         op = self.ops.get(word.key)
-        if isinstance(word, messages.Seen) and op and op.phase == "look" and word.ballot == op.ballot:
+        if isinstance(word, messages.QueryReply) and op and op.phase == "look" and word.ballot == op.ballot:
             self._end(now, op, "agreed", word.value)
         else:
             super().hear(now, sender, word)
@@ -518,7 +518,7 @@
         for _ in range(random.choice([0, 1, 1, 1, 1, 2])):
             later(random.randint(100, 60_000), answered, at, action.to, answer)
 
-    def answered(at: int, name: str, answer: messages.Word) -> None:
+    def answered(at: int, name: str, answer: messages.Message) -> None:
         proposers[at].hear(now, name, answer)
         carry(at)
 
