Service: the planner's parts in modules of their own

Spans that were bare numbers have names. No behaviour changes: the same order of start, of tasks and of sends.

For the one line each that called `_carry_out` and `_do`, two tests and the rehearsal's crashes call `driver.carry_out` and `perform`.

--- a/hazelhold/rehearse/crashes.py
+++ b/hazelhold/rehearse/crashes.py
@@ -93,7 +93,7 @@
         planner = Planner(
             sheet, sheet.seed + self.lives[number], self.net, recorder, disk, votes=self.votes[number]
         )
-        do = planner._do
+        do = planner.perform
         planner.keeper.do = lambda action: self._do(do, disk, action)
         scope, done = trio.CancelScope(), trio.Event()
         self.running[number] = planner, scope, done
--- /dev/null
+++ b/hazelhold/service/list_link.py
@@ -0,0 +1,89 @@
+"""The link to the list service: dialled again whenever it is gone, asked what the engine wants asked."""
+
+from collections import Counter
+
+import structlog
+import trio
+
+from hazelhold.config.planner import PlannerSheet
+from hazelhold.protocol import messages as m
+from hazelhold.protocol.frames import FrameError
+from hazelhold.service.driver import EngineDriver
+from hazelhold.service.wire import Wire
+from hazelhold.service.wires import WireFactory
+
+LIST = m.Codec(m.FROM_LIST)
+RETRY_S = 0.5  # seconds from the end of one connection to the next dial
+
+
+class ListLink:
+    """Follows the list of machines. `wanted`: the version after which changes are asked for, or None."""
+
+    def __init__(
+        self,
+        sheet: PlannerSheet,
+        driver: EngineDriver,
+        wires: WireFactory,
+        counts: Counter[str],
+        log: structlog.stdlib.BoundLogger,
+    ) -> None:
+        self.sheet, self.limits, self.driver, self.wires = sheet, sheet.limits, driver, wires
+        self.counts, self.log = counts, log
+        self.wanted: int | None = None
+        self.asked = trio.Event()
+
+    def ask(self, since: int) -> None:
+        """Asks for what changed after this version, on this connection or the next."""
+        self.wanted = since
+        self.asked.set()
+
+    async def run(self) -> None:
+        """Keeps a connection to the list service while it can, and asks what the engine wants asked."""
+        if not self.sheet.list.asked:
+            self.wanted = 0
+        while True:
+            try:
+                with trio.fail_after(self.limits.hello_ms / 1000):
+                    stream = await self.driver.net.dial(self.sheet.list.address)
+                wire = self.wires.wire(stream, LIST, "list", self.sheet.list.frame_bytes)
+                self.wires.begin_capture("list", "list", wire, True)
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(wire.write)
+                    with wire.scope:
+                        await self._hear_list(wire, nursery)
+                    wire.finish()
+                    self.wires.end_capture(wire)
+                    nursery.cancel_scope.cancel()
+            except (OSError, trio.TooSlowError) as wrong:
+                self.log.debug("list_unreachable", reason=str(wrong))
+            self.driver.feed("list_failed")
+            self.wanted = self.driver.engine.list_version if not self.sheet.list.asked else None
+            self.driver.ticker.stir()
+            await trio.sleep(RETRY_S)
+
+    async def _hear_list(self, wire: Wire, nursery: trio.Nursery) -> None:
+        try:
+            wire.send(m.Hello(role="planner", name=self.sheet.name))
+            await wire.first(m.Welcome, self.limits.hello_ms / 1000)
+            wire.captured()
+            nursery.start_soon(self._send_asks, wire)
+            for message in wire.rest():
+                self._list_said(wire, message)
+            async for message in wire.messages():
+                self._list_said(wire, message)
+        except FrameError as wrong:
+            self.counts["list_" + wrong.code] += 1
+            self.log.info("list_left", code=wrong.code, reason=wrong.text)
+
+    async def _send_asks(self, wire: Wire) -> None:
+        while True:
+            if self.wanted is not None:
+                wire.send(m.Watch(since=self.wanted))
+                self.wanted = None
+            await self.asked.wait()
+            self.asked = trio.Event()
+
+    def _list_said(self, wire: Wire, message: m.Message) -> None:
+        if isinstance(message, m.Fault | m.Bye):
+            raise FrameError("list_left", "the list service ended the connection")
+        self.driver.hear("list_said", wire, message)
--- a/tests/test_large_list.py
+++ b/tests/test_large_list.py
@@ -129,7 +129,7 @@
                 entry = replace(entry, kind=sheet().estate.kinds[0].name)
                 told = m.Listing(version=1, whole=True, entries=[entry])
                 planner.engine.list_said(net.now(), told)
-                planner._carry_out()
+                planner.driver.carry_out()
                 await trio.sleep(1)
                 assert planner.counts["machine_frame_too_long"] >= 1
             nursery.cancel_scope.cancel()
--- a/tests/test_state.py
+++ b/tests/test_state.py
@@ -569,7 +569,7 @@
                             guest=guest, product="plain", service="s", cores=1.0, memory=1.0, patience=60 * S
                         ),
                     )
-                    planner._carry_out()
+                    planner.driver.carry_out()
                     await planner.keeper.drained()
 
                 await take("g1")
