--- /dev/null
+++ b/hazelhold/emulate/fleet_owner.py
@@ -0,0 +1,48 @@
+"""An owner of the emulated fleet: its model, connected to planners by calls."""
+
+from typing import TYPE_CHECKING
+
+from hazelhold.emulate.fleet_time import Notes, Wake
+from hazelhold.model.owners import OwnerModel
+from hazelhold.protocol import messages as m
+
+if TYPE_CHECKING:
+    from hazelhold.emulate.fleet import Fleet
+
+
+class Sender:
+    """An owner's model; connected to every planner that is up, again a drawn while after it is back."""
+
+    def __init__(self, fleet: "Fleet", model: OwnerModel, recorder: Notes) -> None:
+        self.fleet, self.model, self.recorder = fleet, model, recorder
+        self.ticker = Wake(fleet.clock, fleet.net.now, lambda now: model.next_at(), self._work)
+
+    def connect(self, planner: str) -> None:
+        host = self.fleet.planners.get(planner)
+        if host is not None and host.up:
+            self.fleet.reach.setdefault(self.model.name, set()).add(planner)
+            self.recorder.note(self.fleet.clock.now, planner, "open")
+            self.model.connected(self.fleet.clock.now, planner)
+            self.ticker.stir()
+
+    def lose(self, planner: str) -> None:
+        self.fleet.reach.get(self.model.name, set()).discard(planner)
+        self.recorder.note(self.fleet.clock.now, planner, "shut")
+        self.model.disconnected(self.fleet.clock.now, planner)
+        self.ticker.stir()
+
+    def hears(self, planner: str, message: m.Message) -> None:
+        now = self.fleet.clock.now
+        self.recorder.note(now, planner, "in", message)
+        self.model.advance(now)
+        self.model.said(now, planner, message)
+        self.ticker.stir()
+
+    def _work(self, now: int) -> None:
+        self.model.advance(now)
+        out, self.model.out = self.model.out, []
+        for planner, message in out:
+            if planner in self.fleet.reach.get(self.model.name, ()):
+                self.recorder.note(now, planner, "out", message)
+                host = self.fleet.planners[planner]
+                self.fleet.clock.at(now + self.fleet.delay, host.owner_said, self.model.name, message)
