--- /dev/null
+++ b/tests/test_state_snapshot.py
@@ -0,0 +1,104 @@
+"""A Brain's copy: every field has its place, and the copy decides as the one that never stopped."""
+
+from random import Random
+
+import msgspec
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from hazelhold.brain import Brain, Guest, Machine, Service
+from hazelhold.interface import Ending, Load, Remark, Step
+from hazelhold.state import snapshot
+from tests.helpers import DEPLOYMENT, MS, ask, brain
+from tests.state_rig import S
+
+
+def test_every_field_of_the_module_has_its_place_in_a_snapshot() -> None:
+    made = brain("ab")
+    made.guest_arrived(0, ask("g"))
+    own = {
+        "deployment",
+        "spread",
+        "seated",
+        "no_room",
+        "machines",
+        "guests",
+        "waiting",
+        "services",
+        "starts",
+        "answers",
+        "random",
+        "to_probe",
+        "to_call_off",
+        "out",
+        "due",
+    }
+    assert vars(made).keys() - own == {*snapshot.BRAIN_TIMES, *snapshot.BRAIN_PLAIN}
+    own = {"ask", "product", "service", "machine", "spread_key", "bound"}
+    assert vars(made.guests["g"]).keys() - own == {*snapshot.GUEST_TIMES, *snapshot.GUEST_PLAIN}
+    own = {
+        "listed",
+        "size",
+        "guests",
+        "kept",
+        "full",
+        "answers",
+        "offers",
+        "mark",
+        "bears",
+        "starting",
+        "services",
+    }
+    assert vars(made.machines["a"]).keys() - own == {*snapshot.MACHINE_TIMES, *snapshot.MACHINE_PLAIN}
+    assert vars(Service()).keys() == {"samples", "guests", "seen", "order", "order_of"}
+    assert Guest and Machine
+
+
+def drive(made: Brain, random: Random, now: int, names: list[str]) -> list[object]:
+    """A moment of a day: inputs drawn at random, then decisions; what they were."""
+    what, found = random.randrange(9), []
+    if what < 4:
+        names.append(f"g{len(names)}")
+        made.guest_arrived(now, ask(names[-1], random.randrange(5), random.choice([0.5, 2.0, 6.0])))
+    out = [n for n, g in made.guests.items() if g.machine]
+    if out and what in (4, 5, 6):
+        name = random.choice(out)
+        guest = made.guests[name]
+        if not guest.placed and random.random() < 0.7:
+            made.dispatch_taken(now, name, 20 * MS)
+            made.guest_runs(now + MS, name)
+            made.cores_used(now, name, random.random())
+            made.memory_used(now, name, random.random())
+        else:
+            ending = random.choice([Ending.TURNED_BACK, Ending.OVERDUE, Ending.CUT_OFF, Ending.DONE])
+            made.dispatch_ended(now, name, ending, guest.placed, random.choice(list(Remark)))
+    elif what == 7:
+        made.machine_reported(
+            now, random.choice("abcd"), Load(random.uniform(0, 24), random.uniform(0, 40), None)
+        )
+    elif what == 8 and names:
+        made.guest_cancelled(now, random.choice(names))
+    while (decision := made.decide(now)) is not None:
+        found.append(decision)
+        if decision.step in (Step.TURN_BACK, Step.BREAK_OFF):
+            made.guest_left(now, decision.guest)
+    return found
+
+
+@settings(derandomize=True, max_examples=40, deadline=None)
+@given(st.integers(0, 10_000), st.integers(5, 60))
+def test_a_copy_decides_as_the_brain_that_never_stopped(seed: int, stop: int) -> None:
+    made, random, names = brain("abcd", probing=seed % 2 == 0), Random(seed), []
+    for step in range(stop):
+        drive(made, random, S + step * 37 * MS, names)
+    plain = msgspec.msgpack.decode(msgspec.msgpack.encode(snapshot.dump(made)))
+    copy = snapshot.restore(plain, made.deployment)
+    state, others = random.getstate(), list(names)
+    for step in range(stop, stop + 60):
+        now = S + step * 37 * MS
+        here = drive(made, random, now, names)
+        after = random.getstate()
+        random.setstate(state)
+        assert drive(copy, random, now, others) == here
+        state = after
+    assert DEPLOYMENT and copy.next_look(now) == made.next_look(now)
