--- a/bench/capacity/configuration/fleet.py
+++ b/bench/capacity/configuration/fleet.py
@@ -27,7 +27,7 @@
     VotesSection,
 )
 from hazelhold.config.load import build, parse, read_text
-from hazelhold.config.planner import PlannerSheet
+from hazelhold.config.planner import PlannerConfig as PlannerSheet
 from hazelhold.fleetconfig import messages as m
 from hazelhold.fleetconfig.client import ConfigClient, UnreachableError
 from hazelhold.rehearse.ports import free_ports
--- a/bench/capacity/hollow/claims.py
+++ b/bench/capacity/hollow/claims.py
@@ -18,7 +18,9 @@
 from bench.capacity.hollow.rig import SECOND, Rig
 from bench.capacity.hollow.tally import Flow, total
 from bench.capacity.hollow.words import Counts, Drive, Status
-from hazelhold.config.planner import CopiesPlanner, CopiesSheet, PlannerSheet
+from hazelhold.config.planner import CopiesConfig as CopiesSheet
+from hazelhold.config.planner import CopiesPlanner
+from hazelhold.config.planner import PlannerConfig as PlannerSheet
 from hazelhold.replica.votes import found
 from hazelhold.state.disk import RealDisk
 
--- a/bench/capacity/hollow/members.py
+++ b/bench/capacity/hollow/members.py
@@ -16,7 +16,7 @@
 
 from bench.capacity.hollow.tally import Flow, PeerFlows
 from bench.capacity.hollow.words import Command, Counts, Stop
-from hazelhold.config.planner import MembershipSheet
+from hazelhold.config.planner import MembershipConfig as MembershipSheet
 from hazelhold.membership.host import Members
 from hazelhold.membership.rows import ALIVE
 from hazelhold.service.net import Port, TcpNet, UdpPort
--- a/bench/capacity/hollow/membership.py
+++ b/bench/capacity/hollow/membership.py
@@ -16,8 +16,10 @@
 from bench.capacity.hollow.rig import planner_sheet
 from bench.capacity.hollow.tally import Flow, PeerFlows, total
 from bench.capacity.hollow.words import Counts, Status
-from hazelhold.config.planner import ListSheet, MembershipSheet, PlannerSheet
-from hazelhold.rehearse.crew import sheet_text
+from hazelhold.config.planner import ListConfig as ListSheet
+from hazelhold.config.planner import MembershipConfig as MembershipSheet
+from hazelhold.config.planner import PlannerConfig as PlannerSheet
+from hazelhold.rehearse.crew import config_text as sheet_text
 from hazelhold.rehearse.ports import free_ports
 
 NAME = "planner-0"
--- a/bench/capacity/outage.py
+++ b/bench/capacity/outage.py
@@ -10,7 +10,7 @@
 
 from bench import throughput
 from bench.capacity import workers
-from hazelhold.config.planner import LimitSheet
+from hazelhold.config.planner import LimitsConfig as LimitSheet
 from hazelhold.engine.cases import Dial, Send
 from hazelhold.engine.engine import Engine
 from hazelhold.engine.terms import Peers, terms_of
--- a/bench/capacity/rows_claims.py
+++ b/bench/capacity/rows_claims.py
@@ -6,7 +6,8 @@
 
 from bench.capacity.meters import processor_time, traced_bytes
 from bench.capacity.registry import measurement
-from bench.copies import Unsafe, name_of, sheets
+from bench.copies import Unsafe, name_of
+from bench.copies import configs as sheets
 from hazelhold.protocol.messages import encode
 from hazelhold.replica import messages
 from hazelhold.replica.acceptor import Acceptor, Cell
--- a/bench/capture.py
+++ b/bench/capture.py
@@ -22,7 +22,7 @@
 from hazelhold.capture.packets import ACK, PSH, SYN, build, end_of, parse
 from hazelhold.capture.read import read
 from hazelhold.capture.skips import Skips
-from hazelhold.config.planner import CaptureSheet
+from hazelhold.config.planner import CaptureConfig
 from hazelhold.protocol import messages as m
 
 
@@ -111,15 +111,15 @@
     for number in range(2 * rounds):
         on = number % 2 == 1
 
-        def sheet(
+        def config(
             listen: str = "127.0.0.1:0", lister: str = "", on: bool = on, number: int = number
         ) -> object:
             import msgspec
 
             file = str(folder / f"cost-{number}.pcap") if on else ""
-            return msgspec.structs.replace(plain(listen, lister), capture=CaptureSheet(file=file))
+            return msgspec.structs.replace(plain(listen, lister), capture=CaptureConfig(file=file))
 
-        throughput.sheet = sheet
+        throughput.sheet = config
         pace[on].append(trio.run(throughput.sockets, 14, 450, guests, 32)["guests_a_second"])
     throughput.sheet = plain
     without, with_it = (sorted(pace[on])[rounds // 2] for on in (False, True))
--- a/bench/copies.py
+++ b/bench/copies.py
@@ -30,7 +30,7 @@
 from msgspec.structs import replace
 
 from bench import throughput
-from hazelhold.config.planner import CopiesPlanner, CopiesSheet, ProductSheet
+from hazelhold.config.planner import CopiesConfig, CopiesPlanner, ProductConfig
 from hazelhold.protocol.messages import encode
 from hazelhold.rehearse.ports import free_ports
 from hazelhold.replica import messages
@@ -53,13 +53,13 @@
         pass
 
 
-def sheets(count: int, folder: Path, replicas: int) -> list[CopiesSheet]:
+def configs(count: int, folder: Path, replicas: int) -> list[CopiesConfig]:
     planners = [
         CopiesPlanner(f"p{n}" if n else "p", f"127.0.0.1:{port}", f"z{n % 3}")
         for n, port in enumerate(free_ports(count))
     ]
     return [
-        CopiesSheet(
+        CopiesConfig(
             listen=p.address,
             folder=str(folder / p.name),
             planners=planners,
@@ -70,8 +70,8 @@
     ]
 
 
-def name_of(sheet: CopiesSheet) -> str:
-    return next(p.name for p in sheet.planners if p.address == sheet.listen)
+def name_of(config: CopiesConfig) -> str:
+    return next(p.name for p in config.planners if p.address == config.listen)
 
 
 class Asker:
@@ -96,14 +96,14 @@
         made, asker = [], Asker()
         async with trio.open_nursery() as nursery:
             scopes = []
-            for sheet in sheets(count, Path(text), replicas):
-                disk = kind(Path(sheet.folder))
-                found(disk, name_of(sheet), sheet, net.wall())
+            for config in configs(count, Path(text), replicas):
+                disk = kind(Path(config.folder))
+                found(disk, name_of(config), config, net.wall())
                 part = Copies(
-                    name_of(sheet),
-                    sheet,
+                    name_of(config),
+                    config,
                     net,
-                    kind(Path(sheet.folder)),
+                    kind(Path(config.folder)),
                     asker.told if not made else lambda *_: None,
                 )
                 part.open()
@@ -200,8 +200,10 @@
     async def run() -> None:
         async with trio.open_nursery() as nursery:
             for file in sorted(folder.glob("other*.json")):
-                sheet = msgspec.json.decode(file.read_bytes(), type=CopiesSheet)
-                part = Copies(name_of(sheet), sheet, TcpNet(), RealDisk(Path(sheet.folder)), lambda *_: None)
+                config = msgspec.json.decode(file.read_bytes(), type=CopiesConfig)
+                part = Copies(
+                    name_of(config), config, TcpNet(), RealDisk(Path(config.folder)), lambda *_: None
+                )
                 part.open()
                 await nursery.start(part.run)
             print("up", flush=True)
@@ -216,11 +218,11 @@
     plain = throughput.sheet
     with tempfile.TemporaryDirectory() as text:
         folder, process = Path(text), None
-        made = sheets(3, folder, 3)
-        for sheet in made:
-            found(RealDisk(Path(sheet.folder)), name_of(sheet), sheet, time.time_ns() // 1000)
-        for number, sheet in enumerate(made[1:]):
-            (folder / f"other{number}.json").write_bytes(msgspec.json.encode(sheet))
+        made = configs(3, folder, 3)
+        for config in made:
+            found(RealDisk(Path(config.folder)), name_of(config), config, time.time_ns() // 1000)
+        for number, config in enumerate(made[1:]):
+            (folder / f"other{number}.json").write_bytes(msgspec.json.encode(config))
         if on:
             process = subprocess.Popen(
                 [sys.executable, "-m", "bench.copies", "--others", text],
@@ -228,14 +230,14 @@
                 stdout=subprocess.PIPE,
             )
             assert process.stdout.readline() == b"up\n"
-        exclusive = ProductSheet("once", "exclusive", 800, 60_000, easy_until=1.0, lost_after=1.0)
+        exclusive = ProductConfig("once", "exclusive", 800, 60_000, easy_until=1.0, lost_after=1.0)
 
-        def sheet(*args: object, **more: object) -> object:
+        def config(*args: object, **more: object) -> object:
             found_ = plain(*args, **more)
             estate = replace(found_.estate, products=[*found_.estate.products, exclusive])
-            return replace(found_, estate=estate, copies=made[0] if on else CopiesSheet())
+            return replace(found_, estate=estate, copies=made[0] if on else CopiesConfig())
 
-        throughput.sheet = sheet
+        throughput.sheet = config
         try:
             said = trio.run(throughput.sockets, 14, 300, guests, 32, once)
         finally:
--- a/bench/membership_sockets.py
+++ b/bench/membership_sockets.py
@@ -20,9 +20,9 @@
 from msgspec.structs import replace
 
 from bench import throughput
-from hazelhold.config.planner import ListSheet, MembershipSheet, PlannerSheet
+from hazelhold.config.planner import ListConfig, MembershipConfig, PlannerConfig
 from hazelhold.membership.host import Members
-from hazelhold.rehearse.crew import sheet_text
+from hazelhold.rehearse.crew import config_text
 from hazelhold.rehearse.ports import free_ports
 from hazelhold.service.net import TcpNet
 
@@ -35,8 +35,8 @@
     return [f"127.0.0.1:{port}" for port in free_ports(count, socket.SOCK_DGRAM)]
 
 
-def member(at: str, ports: list[str]) -> MembershipSheet:
-    return MembershipSheet(listen=at, seeds=[p for p in ports[:3] if p != at])
+def member(at: str, ports: list[str]) -> MembershipConfig:
+    return MembershipConfig(listen=at, seeds=[p for p in ports[:3] if p != at])
 
 
 def spent(pid: int) -> float:
@@ -51,14 +51,14 @@
     with tempfile.TemporaryDirectory() as folder:
         processes = []
         for number in range(COUNT):
-            made: PlannerSheet = replace(
+            made: PlannerConfig = replace(
                 throughput.sheet("127.0.0.1:0"),
                 name=f"p{number}",
-                list=ListSheet(address="127.0.0.1:1"),
-                membership=member(ports[number], ports) if on else MembershipSheet(),
+                list=ListConfig(address="127.0.0.1:1"),
+                membership=member(ports[number], ports) if on else MembershipConfig(),
             )
             file = Path(folder) / f"{number}.json"
-            file.write_bytes(sheet_text(made))
+            file.write_bytes(config_text(made))
             processes.append(
                 subprocess.Popen(
                     [sys.executable, "-m", "hazelhold", "planner", "--config", str(file), "--level", "error"]
@@ -104,8 +104,8 @@
                 ]
             )
             time.sleep(2)
-            sheet = member(ports[0], ports) if mode == "on" else MembershipSheet()
-            throughput.sheet = lambda *a, sheet=sheet, **k: replace(plain(*a, **k), membership=sheet)
+            config = member(ports[0], ports) if mode == "on" else MembershipConfig()
+            throughput.sheet = lambda *a, config=config, **k: replace(plain(*a, **k), membership=config)
             rates[mode].append(trio.run(throughput.sockets, 20, 200, 6000, 32)["guests_a_second"])
             beside.kill()
             beside.wait()
--- a/bench/module.py
+++ b/bench/module.py
@@ -47,14 +47,14 @@
 
 def day(module: ModuleType, seed: int, steps: int, machines: int) -> list[Decision]:
     """All decisions of one generated day; what happens depends on the seed and on earlier decisions."""
-    sheet = throughput.deployment(throughput.sheet())
+    plain = throughput.deployment(throughput.sheet())
     kinds = (
         (today.Effect.RERUNNABLE, today.Place.ALL, 1.0, today.Place.NOWHERE),
         (today.Effect.EXCLUSIVE, today.Place.ALL, 2.0, today.Place.MACHINE),
         (today.Effect.TICKETED, today.Place.CELL, 1.5, today.Place.ZONE),
     )
     products = tuple(
-        sheet.products[0]._replace(
+        plain.products[0]._replace(
             effect=effect,
             group=group,
             window=4 * SECOND,
@@ -66,7 +66,7 @@
         for effect, group, payoff, spread in kinds
     )
     random = Random(seed)
-    facts = sheet._replace(
+    facts = plain._replace(
         products=products,
         probing=random.random() < 0.5,
         max_dispatches=random.choice([2, 4]),
--- a/bench/state.py
+++ b/bench/state.py
@@ -24,7 +24,7 @@
 from bench import throughput
 from hazelhold.brain import Brain
 from hazelhold.config.day import Trouble, read_day
-from hazelhold.config.planner import StateSheet
+from hazelhold.config.planner import StateConfig
 from hazelhold.engine.engine import Engine
 from hazelhold.protocol import messages as m
 from hazelhold.rehearse.crashes import play_crashes
@@ -43,7 +43,7 @@
     for _ in range(rounds):
         for mode in rows:
             with tempfile.TemporaryDirectory() as folder:
-                state = StateSheet(folder=folder if mode == "on" else "")
+                state = StateConfig(folder=folder if mode == "on" else "")
                 throughput.sheet = lambda *a, state=state, **k: replace(plain(*a, **k), state=state)
                 began = time.monotonic()
                 said = trio.run(throughput.sockets, machines, running, guests, 32)
--- a/bench/throughput.py
+++ b/bench/throughput.py
@@ -21,12 +21,12 @@
 from hazelhold.brain import Brain
 from hazelhold.config.planner import (
     Estate,
-    FleetSheet,
-    KindSheet,
-    LimitSheet,
-    ListSheet,
-    PlannerSheet,
-    ProductSheet,
+    KindConfig,
+    LimitsConfig,
+    ListConfig,
+    MachinesConfig,
+    PlannerConfig,
+    ProductConfig,
     deployment,
 )
 from hazelhold.engine.engine import Engine
@@ -40,20 +40,20 @@
 SERVICES = 60
 
 
-def sheet(listen: str = "127.0.0.1:0", lister: str = "") -> PlannerSheet:
+def sheet(listen: str = "127.0.0.1:0", lister: str = "") -> PlannerConfig:
     """One planner with room for whatever comes, so that room is never what limits it."""
     estate = Estate(
-        [ProductSheet("plain", "rerunnable", 800, 60_000, easy_until=1.0, lost_after=1.0)],
-        [KindSheet("box", 2000, 4000)],
-        FleetSheet(cores_multiple=4, memory_multiple=2, probing=False),
+        [ProductConfig("plain", "rerunnable", 800, 60_000, easy_until=1.0, lost_after=1.0)],
+        [KindConfig("box", 2000, 4000)],
+        MachinesConfig(cores_multiple=4, memory_multiple=2, probing=False),
     )
-    return PlannerSheet(
+    return PlannerConfig(
         "p",
         listen,
-        ListSheet(lister, asked=False),
+        ListConfig(lister, asked=False),
         estate,
         planners=1,
-        limits=LimitSheet(connect_ms=5000.0, send_bytes=1 << 26),
+        limits=LimitsConfig(connect_ms=5000.0, send_bytes=1 << 26),
     )
 
 
--- a/hazelhold/audit/claims.py
+++ b/hazelhold/audit/claims.py
@@ -14,7 +14,7 @@
 import msgspec
 
 from hazelhold.audit.history import Call, linearizable
-from hazelhold.audit.rules import Breach, RuleSheet
+from hazelhold.audit.rules import AuditRules, Breach
 from hazelhold.protocol.record import Crossing
 
 PLANNER, LIFE, ASK, ATTEMPT, STATE, MACHINE, HOW, NO = range(8)  # places in a claim
@@ -56,7 +56,7 @@
 class ClaimAudit:
     """Judges the crossings of one day; `off` if nothing was agreed on it."""
 
-    def __init__(self, crossings: Iterable[Crossing], rules: RuleSheet) -> None:
+    def __init__(self, crossings: Iterable[Crossing], rules: AuditRules) -> None:
         self.crossings = list(crossings)
         self.effects = {name: product.get("effect") for name, product in rules.products.items()}
         self.off = not any(c.way in ("ask", "agreed") for c in self.crossings)
--- a/hazelhold/audit/findings.py
+++ b/hazelhold/audit/findings.py
@@ -13,7 +13,7 @@
 )
 
 
-class RuleSheet(Struct, tag_field="t", tag="rules"):
+class AuditRules(Struct, tag_field="t", tag="rules"):
     """The figures that the rules and the score need; stands in the record, so that it can be judged alone."""
 
     products: dict[str, dict[str, Any]]
--- a/hazelhold/audit/machine_ends.py
+++ b/hazelhold/audit/machine_ends.py
@@ -2,14 +2,14 @@
 
 from collections import Counter, defaultdict
 
-from hazelhold.audit.findings import Breach, RuleSheet, breach
+from hazelhold.audit.findings import AuditRules, Breach, breach
 from hazelhold.protocol.record import Crossing
 
 
 class MachineEnds:
     """Judges what machines were sent and did. What it finds is in `found`; `tally` counts."""
 
-    def __init__(self, rules: RuleSheet) -> None:
+    def __init__(self, rules: AuditRules) -> None:
         self.rules = rules
         self.found: list[Breach] = []
         self.tally: Counter[str] = Counter()
--- a/hazelhold/audit/planner_life.py
+++ b/hazelhold/audit/planner_life.py
@@ -4,7 +4,7 @@
 from typing import Any, NamedTuple
 
 from hazelhold.audit.attempts import Ask, Attempt
-from hazelhold.audit.findings import ANSWER_SLACK, FINAL_ANSWERS, RETURN_ALLOWANCE, Breach, RuleSheet, breach
+from hazelhold.audit.findings import ANSWER_SLACK, FINAL_ANSWERS, RETURN_ALLOWANCE, AuditRules, Breach, breach
 from hazelhold.audit.timeline import Outages, Timeline
 from hazelhold.protocol.record import Crossing
 
@@ -36,7 +36,7 @@
     """Judges the crossings of one life. What it finds is in `found`; `tally` counts, `open_asks` names what
     was never answered."""
 
-    def __init__(self, planner: str, rules: RuleSheet, timeline: Timeline) -> None:
+    def __init__(self, planner: str, rules: AuditRules, timeline: Timeline) -> None:
         self.planner, self.rules, self.timeline = planner, rules, timeline
         self.found: list[Breach] = []
         self.tally: Counter[str] = Counter()
--- a/hazelhold/audit/rules.py
+++ b/hazelhold/audit/rules.py
@@ -10,13 +10,13 @@
 
 from msgspec import convert
 
-from hazelhold.audit.findings import Breach, RuleSheet
+from hazelhold.audit.findings import AuditRules, Breach
 from hazelhold.audit.machine_ends import MachineEnds
 from hazelhold.audit.planner_life import PlannerLife
 from hazelhold.audit.timeline import Timeline
 from hazelhold.protocol.record import Crossing, RecordError, read_record
 
-__all__ = ["Audit", "Breach", "RuleSheet"]
+__all__ = ["Audit", "Breach", "AuditRules"]
 
 
 class Audit:
@@ -24,10 +24,10 @@
 
     def __init__(self, crossings: Iterable[Crossing]) -> None:
         self.timeline = Timeline(crossings)
-        sheets = [c.message for c in self.crossings if c.way == "rules"]
-        if not sheets:
+        rules = [c.message for c in self.crossings if c.way == "rules"]
+        if not rules:
             raise RecordError("no rules stand in this record")
-        self.rules = convert(sheets[0], RuleSheet)
+        self.rules = convert(rules[0], AuditRules)
         self.tally: Counter[str] = Counter()
         self.open_asks: list[str] = []
 
--- a/hazelhold/audit/score.py
+++ b/hazelhold/audit/score.py
@@ -7,13 +7,13 @@
 
 from collections import defaultdict
 
-from hazelhold.audit.rules import RuleSheet
+from hazelhold.audit.rules import AuditRules
 from hazelhold.protocol.record import Crossing
 
 WINDOW = 10_000_000
 
 
-def score(crossings: list[Crossing], rules: RuleSheet) -> dict[str, float]:
+def score(crossings: list[Crossing], rules: AuditRules) -> dict[str, float]:
     """Shares from 0 to 1: whole, worst_window, worst_product, worst_customer, and service, their weighted
     sum."""
     wanted: dict[str, Crossing] = {}
--- a/hazelhold/capture/replay.py
+++ b/hazelhold/capture/replay.py
@@ -16,7 +16,7 @@
 from hazelhold.capture.streams import Frame
 from hazelhold.capture.tap import module_digest
 from hazelhold.config.load import ConfigError, build
-from hazelhold.config.planner import PlannerSheet
+from hazelhold.config.planner import PlannerConfig
 from hazelhold.engine.cases import Send
 from hazelhold.engine.engine import Engine
 from hazelhold.protocol import messages as m
@@ -57,12 +57,12 @@
 class Life:
     """One life of one planner: its engine, and what it said so far in the capture and here."""
 
-    def __init__(self, start: dict[str, Any], other: PlannerSheet | None) -> None:
+    def __init__(self, start: dict[str, Any], other: PlannerConfig | None) -> None:
         self.planner, self.offset = start["planner"], start["offset"]
-        sheet = other or build(PlannerSheet, start["sheet"], "capture")
+        config = other or build(PlannerConfig, start["sheet"], "capture")
         self.changed = other is not None or start["module"] != module_digest()
         self.module = start["module"]
-        self.engine = Engine(sheet, start["seed"], 0)
+        self.engine = Engine(config, start["seed"], 0)
         self.streams: dict[tuple[str, str], tuple[str, str]] = {}  # near and far: role and who
         self.said: deque[tuple[str, str, m.Message]] = deque()  # by the engine, not yet seen in the capture
         self.seen: deque[tuple[str, str, Any, int, int, str]] = deque()  # in the capture, not yet said here
@@ -231,7 +231,7 @@
         }
 
 
-def replay(items: Iterable[Frame | Note], other: PlannerSheet | None = None) -> dict[str, Any]:
+def replay(items: Iterable[Frame | Note], other: PlannerConfig | None = None) -> dict[str, Any]:
     """Replays every planner's life in the capture; `other` replaces their configurations.
 
     `same` is true only if at least one life was found and all that it said was said here, in the same order.
--- a/hazelhold/capture/tap.py
+++ b/hazelhold/capture/tap.py
@@ -18,7 +18,7 @@
 from hazelhold.capture.packets import name
 from hazelhold.capture.read import MAGIC
 from hazelhold.capture.write import NOTE_WAY, CaptureWriter, Trunk
-from hazelhold.config.planner import CaptureSheet, PlannerSheet
+from hazelhold.config.planner import CaptureConfig, PlannerConfig
 
 
 def module_digest() -> str:
@@ -30,15 +30,15 @@
 class Tap:
     """One planner's capture. `now` is the planner's clock in microseconds at the start."""
 
-    def __init__(self, path: Path, limits: CaptureSheet, sheet: PlannerSheet, seed: int, now: int) -> None:
+    def __init__(self, path: Path, limits: CaptureConfig, config: PlannerConfig, seed: int, now: int) -> None:
         offset = time.time_ns() // 1000 - now
-        self.life = f"{sheet.name}@{offset + now}"  # a planner's lives are told apart, also in one file
+        self.life = f"{config.name}@{offset + now}"  # a planner's lives are told apart, also in one file
         start = {
             "n": "start",
             "p": self.life,
-            "planner": sheet.name,
+            "planner": config.name,
             "seed": seed,
-            "sheet": msgspec.to_builtins(sheet),
+            "sheet": msgspec.to_builtins(config),
             "module": module_digest(),
             "offset": offset,
         }
--- a/hazelhold/cli/copies.py
+++ b/hazelhold/cli/copies.py
@@ -8,7 +8,7 @@
 
 from hazelhold.cli.errors import report_errors
 from hazelhold.config.load import ConfigError
-from hazelhold.config.planner import CopiesSheet, read_planner
+from hazelhold.config.planner import CopiesConfig, read_planner
 
 FILE = click.Path(dir_okay=False, path_type=Path)
 
@@ -18,11 +18,11 @@
     """What planners agree on among themselves, and keep for each other."""
 
 
-def _sheet(config: Path) -> tuple[str, CopiesSheet]:
-    sheet = read_planner(config)
-    if not sheet.copies.listen:
+def _copies_config(config: Path) -> tuple[str, CopiesConfig]:
+    planner_config = read_planner(config)
+    if not planner_config.copies.listen:
         raise ConfigError(str(config), [("copies.listen", "is not there: copies are off")])
-    return sheet.name, sheet.copies
+    return planner_config.name, planner_config.copies
 
 
 @copies.command("found")
@@ -37,11 +37,11 @@
     from hazelhold.replica import votes
     from hazelhold.state.disk import RealDisk
 
-    name, sheet = _sheet(config)
-    votes.found(RealDisk(Path(sheet.folder)), name, sheet, time.time_ns() // 1000)
+    name, copies_config = _copies_config(config)
+    votes.found(RealDisk(Path(copies_config.folder)), name, copies_config, time.time_ns() // 1000)
     click.echo(
-        f"{name} has its seat in {sheet.folder}: epoch {sheet.epoch}, {len(sheet.planners)} planners, "
-        f"{sheet.replicas} keep each value"
+        f"{name} has its seat in {copies_config.folder}: epoch {copies_config.epoch}, "
+        f"{len(copies_config.planners)} planners, {copies_config.replicas} keep each value"
     )
 
 
@@ -57,9 +57,9 @@
     from hazelhold.replica import votes
     from hazelhold.state.disk import RealDisk
 
-    name, sheet = _sheet(config)
-    votes.vouch(RealDisk(Path(sheet.folder)), name, time.time_ns() // 1000)
-    click.echo(f"{name} will vote from {sheet.folder} at its next start, and at that one alone")
+    name, copies_config = _copies_config(config)
+    votes.vouch(RealDisk(Path(copies_config.folder)), name, time.time_ns() // 1000)
+    click.echo(f"{name} will vote from {copies_config.folder} at its next start, and at that one alone")
 
 
 @copies.command("show")
@@ -72,13 +72,13 @@
     from hazelhold.state.disk import RealDisk
     from hazelhold.state.store import read
 
-    name, sheet = _sheet(config)
-    seen = read(RealDisk(Path(sheet.folder)), name, votes.KINDS)
+    name, copies_config = _copies_config(config)
+    seen = read(RealDisk(Path(copies_config.folder)), name, votes.KINDS)
     for note in seen.notes:
         click.echo(note)
     seat = seen.ledger.image("seat", "")
     if seat is None:
-        click.echo(f"{sheet.folder}: no seat: {name} votes once it has copied from the others")
+        click.echo(f"{copies_config.folder}: no seat: {name} votes once it has copied from the others")
         sys.exit(1)
     click.echo(
         f"{seat.planner} of {seat.deployment}, epoch {seat.epoch}"
--- a/hazelhold/cli/members.py
+++ b/hazelhold/cli/members.py
@@ -38,10 +38,10 @@
     if config is not None:
         from hazelhold.config.planner import read_planner
 
-        sheet = read_planner(config).membership
-        if not sheet.listen:
+        membership = read_planner(config).membership
+        if not membership.listen:
             raise ConfigError(str(config), [("membership.listen", "is not there: membership is off")])
-        address, deployment = sheet.advertise or sheet.listen, sheet.deployment
+        address, deployment = membership.advertise or membership.listen, membership.deployment
     try:
         at = split_address(address)
     except ValueError as wrong:
--- a/hazelhold/cli/planner.py
+++ b/hazelhold/cli/planner.py
@@ -70,22 +70,28 @@
     from hazelhold.service.net import TcpNet
     from hazelhold.service.planner import Planner
 
-    sheet = read_planner(config)
+    planner_config = read_planner(config)
     if to:
-        sheet = replace(sheet, capture=replace(sheet.capture, file=str(to)))
+        planner_config = replace(planner_config, capture=replace(planner_config.capture, file=str(to)))
     if folder:
-        sheet = replace(sheet, state=replace(sheet.state, folder=str(folder)))
-    if take_over and not sheet.state.folder:
+        planner_config = replace(planner_config, state=replace(planner_config.state, folder=str(folder)))
+    if take_over and not planner_config.state.folder:
         raise ConfigError(str(config), [("state.folder", "is empty: there is nothing to take over")])
-    if faults := check_planner(sheet):  # once more, with what the command line changed
+    if faults := check_planner(planner_config):  # once more, with what the command line changed
         raise ConfigError(str(config), faults)
     logs.set_up(log, level)
     if record:
         record.parent.mkdir(parents=True, exist_ok=True)
-    recorder = Recorder(record, sheet.name, "planner")
+    recorder = Recorder(record, planner_config.name, "planner")
 
     async def run() -> None:
-        made = Planner(sheet, sheet.seed if seed is None else seed, TcpNet(), recorder, take_over=take_over)
+        made = Planner(
+            planner_config,
+            planner_config.seed if seed is None else seed,
+            TcpNet(),
+            recorder,
+            take_over=take_over,
+        )
         with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGUSR2) as signals:
             async with trio.open_nursery() as nursery:
 
--- a/hazelhold/cli/rehearsal.py
+++ b/hazelhold/cli/rehearsal.py
@@ -54,10 +54,10 @@
 
     from hazelhold.rehearse import run
 
-    sheet = read_day(day)
-    if virtual and any(t.kind == "planner_pause" for t in sheet.troubles):
+    config = read_day(day)
+    if virtual and any(t.kind == "planner_pause" for t in config.troubles):
         raise ConfigError(str(day), [("troubles", "planner_pause stops processes: not with --virtual")])
-    if capture and sheet.copies.on:
+    if capture and config.copies.on:
         raise ConfigError(str(day), [("copies.on", "a capture cannot be replayed with claims in it yet")])
     logs.set_up(log, "warning" if level == "info" else level)
     with tempfile.TemporaryDirectory(prefix="hazelhold-") as spare:
@@ -68,11 +68,11 @@
         if virtual and keep_state:
             from hazelhold.rehearse.crashes import play_crashes
 
-            said = play_crashes(sheet, seed, folder, set())
+            said = play_crashes(config, seed, folder, set())
         elif virtual:
-            said = run.play_virtual(sheet, seed, folder, capture)
+            said = run.play_virtual(config, seed, folder, capture)
         else:
-            said = trio.run(run.play, sheet, seed, folder, False, None, capture, None, (), keep_state)
+            said = trio.run(run.play, config, seed, folder, False, None, capture, None, (), keep_state)
     if to:
         to.write_text(json.dumps(said, indent=1) + "\n")
     show(said)
--- a/hazelhold/cli/stand_in.py
+++ b/hazelhold/cli/stand_in.py
@@ -81,7 +81,7 @@
 
     from hazelhold.rehearse.alone import run_part
 
-    sheet = read_day(day)
+    config = read_day(day)
     logs.set_up(log, level)
-    counts = trio.run(run_part, sheet, seed, sheet.length_s if seconds is None else seconds, part, more)
+    counts = trio.run(run_part, config, seed, config.length_s if seconds is None else seconds, part, more)
     click.echo(json.dumps(counts))
--- a/hazelhold/client/places.py
+++ b/hazelhold/client/places.py
@@ -10,7 +10,7 @@
 from hazelhold.config.load import ConfigError, build, parse, read_text, split_address
 
 
-class PlacesSheet(Struct, frozen=True):
+class PlacesConfig(Struct, frozen=True):
     """Addresses (host:port) by the planners' names; a name belongs to one planner over all its restarts."""
 
     planners: dict[str, str]
@@ -18,11 +18,11 @@
 
 def read_places(path: Path) -> dict[str, str]:
     """The planners that a file names; ConfigError tells all that is wrong with it."""
-    sheet = build(PlacesSheet, parse(read_text(path), str(path)), str(path))
+    config = build(PlacesConfig, parse(read_text(path), str(path)), str(path))
     faults, seen = [], {}
-    if not sheet.planners:
+    if not config.planners:
         faults.append(("planners", "names no planner"))
-    for name, address in sheet.planners.items():
+    for name, address in config.planners.items():
         try:
             split_address(address)
         except ValueError as wrong:
@@ -32,7 +32,7 @@
         seen[address] = name
     if faults:
         raise ConfigError(str(path), faults)
-    return sheet.planners
+    return config.planners
 
 
 class Watch:
--- a/hazelhold/config/day.py
+++ b/hazelhold/config/day.py
@@ -118,7 +118,7 @@
     claim_ms: Positive = 500.0
 
 
-class ViewSheet(Struct, frozen=True):
+class ViewConfig(Struct, frozen=True):
     """What the day allows its planners' views of each other."""
 
     wrongly_gone: Annotated[int, Meta(ge=0, le=100_000)] = 0
@@ -147,7 +147,7 @@
     weights: tuple[Part, Part, Part, Part] = (0.3, 0.4, 0.2, 0.1)
     membership: DayMembers = DayMembers()
     copies: DayCopies = DayCopies()
-    views: ViewSheet = ViewSheet()
+    views: ViewConfig = ViewConfig()
 
 
 def check_day(day: Day) -> list[tuple[str, str]]:
--- a/hazelhold/config/planner.py
+++ b/hazelhold/config/planner.py
@@ -29,7 +29,7 @@
 }
 
 
-class ProductSheet(Struct, frozen=True):
+class ProductConfig(Struct, frozen=True):
     """One product: what a second run does, what is promised, how it bears crowded cores."""
 
     name: Name
@@ -49,7 +49,7 @@
     spread_most: Annotated[int, Meta(ge=1, le=1000)] = 2
 
 
-class KindSheet(Struct, frozen=True):
+class KindConfig(Struct, frozen=True):
     """One kind of machine."""
 
     name: Name
@@ -57,7 +57,7 @@
     memory: Positive
 
 
-class FleetSheet(Struct, frozen=True):
+class MachinesConfig(Struct, frozen=True):
     """How the machines of this deployment take guests and what they tell."""
 
     cores_multiple: Annotated[float, Meta(ge=1, le=100)] = 1.0
@@ -77,7 +77,7 @@
     price: NotNegative = 0.0
 
 
-class ListSheet(Struct, frozen=True):
+class ListConfig(Struct, frozen=True):
     """Where the list of machines comes from."""
 
     address: str
@@ -87,7 +87,7 @@
     frame_bytes: Annotated[int, Meta(ge=1024, le=1 << 28)] = 1 << 23  # its longest frame: a whole list
 
 
-class LimitSheet(Struct, frozen=True):
+class LimitsConfig(Struct, frozen=True):
     """Bounds on peers and on time."""
 
     frame_bytes: Annotated[int, Meta(ge=1024, le=1 << 28)] = 1 << 20
@@ -116,7 +116,7 @@
     decisions_at_once: Annotated[int, Meta(ge=1, le=1_000_000)] = 32  # before peers are read again
 
 
-class CaptureSheet(Struct, frozen=True):
+class CaptureConfig(Struct, frozen=True):
     """Where the planner's exchanges are captured, and how much disk that may take."""
 
     file: str = ""  # empty: no capture; .pcapng for that format, else classic pcap
@@ -126,7 +126,7 @@
     queue_mb: Annotated[float, Meta(gt=0, le=1024)] = 16.0
 
 
-class StateSheet(Struct, frozen=True):
+class StateConfig(Struct, frozen=True):
     """Where the planner keeps what must outlive its process."""
 
     folder: str = ""  # empty: nothing is kept
@@ -135,7 +135,7 @@
     retry_ms: Millis = 1000.0  # how often a failed disk is tried again
 
 
-class MembershipSheet(Struct, frozen=True):
+class MembershipConfig(Struct, frozen=True):
     """Whom of the other planners this one knows to be there. A hint: nothing that a rule rests on follows
     from it. Addresses are IP address and port."""
 
@@ -164,7 +164,7 @@
     zone: Annotated[str, Meta(max_length=60)] = ""
 
 
-class CopiesSheet(Struct, frozen=True):
+class CopiesConfig(Struct, frozen=True):
     """What the planners agree on, and keep for each other. The set and its epoch are the same in the files of
     all."""
 
@@ -184,27 +184,27 @@
 class Estate(Struct, frozen=True):
     """What all planners and stand-ins of a deployment agree on."""
 
-    products: Annotated[list[ProductSheet], Meta(min_length=1)]
-    kinds: Annotated[list[KindSheet], Meta(min_length=1)]
-    fleet: FleetSheet
+    products: Annotated[list[ProductConfig], Meta(min_length=1)]
+    kinds: Annotated[list[KindConfig], Meta(min_length=1)]
+    fleet: MachinesConfig
     customers: list[Name] = []
 
 
-class PlannerSheet(Struct, frozen=True):
+class PlannerConfig(Struct, frozen=True):
     """The configuration file of one planner."""
 
     name: Name
     listen: str
-    list: ListSheet
+    list: ListConfig
     estate: Estate
     slot: Whole = 0
     planners: Annotated[int, Meta(ge=1, le=100_000)] = 1
     seed: Whole = 0
-    limits: LimitSheet = LimitSheet()
-    capture: CaptureSheet = CaptureSheet()
-    state: StateSheet = StateSheet()
-    membership: MembershipSheet = MembershipSheet()
-    copies: CopiesSheet = CopiesSheet()
+    limits: LimitsConfig = LimitsConfig()
+    capture: CaptureConfig = CaptureConfig()
+    state: StateConfig = StateConfig()
+    membership: MembershipConfig = MembershipConfig()
+    copies: CopiesConfig = CopiesConfig()
     fleetconfig: FleetConfigSection = FleetConfigSection()
 
 
@@ -249,32 +249,32 @@
     return faults
 
 
-def check_membership(sheet: MembershipSheet) -> list[tuple[str, str]]:
-    """Only if it is on: a sheet that names no `listen` is off, and then nothing else may be set."""
-    if not sheet.listen:
+def check_membership(config: MembershipConfig) -> list[tuple[str, str]]:
+    """Only if it is on: a section that names no `listen` is off, and then nothing else may be set."""
+    if not config.listen:
         wrong = "is missing: without it membership is off, but other keys are set"
-        return [("membership.listen", wrong)] if sheet != MembershipSheet() else []
+        return [("membership.listen", wrong)] if config != MembershipConfig() else []
     given = [
-        ("listen", sheet.listen),
-        *((f"seeds[{at}]", seed) for at, seed in enumerate(sheet.seeds)),
-        *((f"reach[{name!r}]", to) for name, to in sheet.reach.items()),
-        *((key, text) for key in ("advertise", "metrics") if (text := getattr(sheet, key))),
+        ("listen", config.listen),
+        *((f"seeds[{at}]", seed) for at, seed in enumerate(config.seeds)),
+        *((f"reach[{name!r}]", to) for name, to in config.reach.items()),
+        *((key, text) for key in ("advertise", "metrics") if (text := getattr(config, key))),
     ]
     faults = check_addresses("membership", given)
-    told = sheet.advertise or sheet.listen
+    told = config.advertise or config.listen
     if not faults and split_address(told)[0] in ("0.0.0.0", "::"):
         faults.append(("membership.advertise", "is needed: nobody is reached at 0.0.0.0"))
-    if sheet.suspect_most_ms < sheet.suspect_ms:
+    if config.suspect_most_ms < config.suspect_ms:
         faults.append(("membership.suspect_most_ms", "is less than suspect_ms"))
     return faults
 
 
-def check_copies(sheet: "PlannerSheet") -> list[tuple[str, str]]:
+def check_copies(config: "PlannerConfig") -> list[tuple[str, str]]:
     """Only if it is on, as with membership."""
-    copies = sheet.copies
+    copies = config.copies
     if not copies.listen:
         wrong = "is missing: without it copies are off, but other keys are set"
-        return [("copies.listen", wrong)] if copies != CopiesSheet() else []
+        return [("copies.listen", wrong)] if copies != CopiesConfig() else []
     names = [p.name for p in copies.planners]
     given = [
         ("listen", copies.listen),
@@ -290,51 +290,51 @@
     faults += [
         (f"copies.reach[{name!r}]", "is no planner of the set") for name in copies.reach if name not in names
     ]
-    if sheet.name not in names:
-        faults.append(("copies.planners", f"this planner, {sheet.name!r}, is not among them"))
+    if config.name not in names:
+        faults.append(("copies.planners", f"this planner, {config.name!r}, is not among them"))
     if not copies.folder:
         faults.append(("copies.folder", "is missing: votes have to outlive the process"))
-    elif copies.folder == sheet.state.folder:
+    elif copies.folder == config.state.folder:
         faults.append(("copies.folder", "is that of the state: votes need one of their own"))
     if copies.replicas % 2 == 0:
         faults.append(("copies.replicas", "is even: an odd number bears as many losses with one less"))
     if copies.replicas > len(names):
         faults.append(("copies.replicas", f"is more than the {len(names)} planners of the set"))
-    if sheet.capture.file:
+    if config.capture.file:
         faults.append(("copies", "a capture cannot be replayed with claims in it yet: not both"))
     return faults
 
 
-def check_planner(sheet: PlannerSheet) -> list[tuple[str, str]]:
-    faults = check_estate(sheet.estate)
-    for place, text in (("listen", sheet.listen), ("list.address", sheet.list.address)):
+def check_planner(config: PlannerConfig) -> list[tuple[str, str]]:
+    faults = check_estate(config.estate)
+    for place, text in (("listen", config.listen), ("list.address", config.list.address)):
         try:
             split_address(text)
         except ValueError as wrong:
             faults.append((place, str(wrong)))
-    faults += check_membership(sheet.membership)
-    faults += check_copies(sheet)
-    faults += check_section(sheet.fleetconfig, sheet.name, sheet.state.folder, bool(sheet.capture.file))
-    if sheet.slot >= sheet.planners:
-        faults.append(("slot", f"planner {sheet.slot} of {sheet.planners}: slots count from 0"))
-    if sheet.capture.total_mb and not 0 < sheet.capture.rotate_mb <= sheet.capture.total_mb / 2:
+    faults += check_membership(config.membership)
+    faults += check_copies(config)
+    faults += check_section(config.fleetconfig, config.name, config.state.folder, bool(config.capture.file))
+    if config.slot >= config.planners:
+        faults.append(("slot", f"planner {config.slot} of {config.planners}: slots count from 0"))
+    if config.capture.total_mb and not 0 < config.capture.rotate_mb <= config.capture.total_mb / 2:
         faults.append(("capture.rotate_mb", "a bound on the total needs files of at most half of it"))
-    if sheet.limits.stop_ms > 60_000:
+    if config.limits.stop_ms > 60_000:
         faults.append(("limits.stop_ms", "a stop takes a minute at most"))
     return faults
 
 
-def read_planner(path: Path) -> PlannerSheet:
+def read_planner(path: Path) -> PlannerConfig:
     """The checked configuration in a file; ConfigError names all that is wrong with it."""
-    sheet = build(PlannerSheet, parse(read_text(path), str(path)), str(path))
-    if faults := check_planner(sheet):
+    config = build(PlannerConfig, parse(read_text(path), str(path)), str(path))
+    if faults := check_planner(config):
         raise ConfigError(str(path), faults)
-    return sheet
+    return config
 
 
-def deployment(sheet: PlannerSheet) -> interface.Deployment:
+def deployment(config: PlannerConfig) -> interface.Deployment:
     """The start facts for the module."""
-    estate, fleet = sheet.estate, sheet.estate.fleet
+    estate, fleet = config.estate, config.estate.fleet
     kinds = [k.name for k in estate.kinds]
     products = tuple(
         interface.Product(
@@ -354,13 +354,13 @@
         for p in estate.products
     )
     return interface.Deployment(
-        planners=sheet.planners,
-        slot=sheet.slot,
+        planners=config.planners,
+        slot=config.slot,
         products=products,
         kinds=tuple(interface.Kind(k.cores, k.memory) for k in estate.kinds),
-        list_is_asked=sheet.list.asked,
-        ask_within=micros(sheet.list.ask_within_ms),
-        list_has_room=sheet.list.has_room,
+        list_is_asked=config.list.asked,
+        ask_within=micros(config.list.ask_within_ms),
+        list_has_room=config.list.has_room,
         cores_multiple=fleet.cores_multiple,
         memory_multiple=fleet.memory_multiple,
         makes_room=fleet.makes_room,
--- a/hazelhold/emulate/fleet.py
+++ b/hazelhold/emulate/fleet.py
@@ -20,7 +20,7 @@
 from hazelhold.audit.score import score
 from hazelhold.config.day import BETWEEN, Day
 from hazelhold.config.load import ConfigError
-from hazelhold.config.planner import LimitSheet, ListSheet, PlannerSheet, micros
+from hazelhold.config.planner import LimitsConfig, ListConfig, PlannerConfig, micros
 from hazelhold.emulate.clock import Clock
 from hazelhold.emulate.fleet_lines import FarDoor
 from hazelhold.emulate.fleet_owner import Sender
@@ -29,7 +29,7 @@
 from hazelhold.model.owners import OwnerModel
 from hazelhold.protocol import messages as m
 from hazelhold.protocol.record import Crossing
-from hazelhold.rehearse.run import rule_sheet
+from hazelhold.rehearse.run import audit_rules
 from hazelhold.rehearse.stage import Stage
 from hazelhold.rehearse.troubles import plan
 
@@ -80,23 +80,23 @@
         self._keep_rooms_on()
         self.list_host.ticker.stir()
         self.service.advance(clock.now)
-        self.sheets = {
-            f"planner-{n}": PlannerSheet(
+        self.configs = {
+            f"planner-{n}": PlannerConfig(
                 name=f"planner-{n}",
                 listen="x:1",
                 estate=day.estate,
                 slot=n,
                 planners=day.planners,
                 seed=self.seed * 1000 + 100 * n,
-                limits=LimitSheet(connect_ms=500.0, probe_ms=500.0),
-                list=ListSheet(address="x:1", asked=day.list_asked, has_room=day.list_has_room),
+                limits=LimitsConfig(connect_ms=500.0, probe_ms=500.0),
+                list=ListConfig(address="x:1", asked=day.list_asked, has_room=day.list_has_room),
             )
             for n in range(day.planners)
         }
-        self.zones = {name: at % day.zones for at, name in enumerate(self.sheets)}
-        for name in self.sheets:
+        self.zones = {name: at % day.zones for at, name in enumerate(self.configs)}
+        for name in self.configs:
             self.start_planner(name)
-        self.chief.note(clock.now, "", "rules", rule_sheet(day))
+        self.chief.note(clock.now, "", "rules", audit_rules(day))
         start = clock.now
         self._bring(start)
         for step in plan(day, self.seed, self.spots, [w.service for w in self.wants]):
@@ -141,7 +141,7 @@
             model = OwnerModel(
                 f"owner{number}",
                 self.seed,
-                list(self.sheets),
+                list(self.configs),
                 self.wants,
                 demand.rate / demand.owners,
                 (micros(demand.again_ms[0]), micros(demand.again_ms[1])),
@@ -153,14 +153,14 @@
             self.senders.append(Sender(self, model, self.recorder(model.name, "owner")))
         self.by_owner = {s.model.name: s for s in self.senders}
         for sender in self.senders:
-            for planner in self.sheets:
+            for planner in self.configs:
                 sender.connect(planner)
 
     def start_planner(self, name: str) -> None:
         if name in self.planners and self.planners[name].up:
             return
         self.lives[name] = self.lives.get(name, 0) + 1
-        self.planners[name] = PlannerHost(self, self.sheets[name], self.lives[name], self.zones[name])
+        self.planners[name] = PlannerHost(self, self.configs[name], self.lives[name], self.zones[name])
         for sender in self.senders:
             wait = int(Random(f"{sender.model.name}/{name}/{self.lives[name]}").uniform(0.05, 1.0) * SECOND)
             self.clock.at(self.clock.now + wait, sender.connect, name)
@@ -184,7 +184,7 @@
         if step.what == "planner_stop":
             host.stopping = True
             host.feed("stop")
-            self._stopped(host, self.clock.now + micros(host.sheet.limits.stop_ms))
+            self._stopped(host, self.clock.now + micros(host.config.limits.stop_ms))
         else:
             self._ended(host)
 
--- a/hazelhold/emulate/fleet_planner.py
+++ b/hazelhold/emulate/fleet_planner.py
@@ -2,7 +2,7 @@
 
 from typing import TYPE_CHECKING
 
-from hazelhold.config.planner import PlannerSheet, micros
+from hazelhold.config.planner import PlannerConfig, micros
 from hazelhold.emulate.fleet_lines import Line
 from hazelhold.emulate.fleet_time import SECOND, Notes, Wake
 from hazelhold.engine.cases import AskList, Dial, HangUp, Lost, Send
@@ -16,16 +16,16 @@
 class PlannerHost:
     """One planner in one of its lives: an engine with its lines, and the owners that are connected."""
 
-    def __init__(self, fleet: "Fleet", sheet: PlannerSheet, life: int, zone: int) -> None:
-        self.fleet, self.sheet, self.name, self.zone = fleet, sheet, sheet.name, zone
+    def __init__(self, fleet: "Fleet", config: PlannerConfig, life: int, zone: int) -> None:
+        self.fleet, self.config, self.name, self.zone = fleet, config, config.name, zone
         self.clock, self.up, self.stopping = fleet.clock, True, False
-        self.engine = Engine(sheet, sheet.seed + life, self.clock.now)
-        self.recorder = Notes(sheet.name, "planner", fleet.crossings)
+        self.engine = Engine(config, config.seed + life, self.clock.now)
+        self.recorder = Notes(config.name, "planner", fleet.crossings)
         self.lines: dict[str, Line] = {}
         self.list_line: Line | None = None
-        self.list_wanted: int | None = None if sheet.list.asked else 0
+        self.list_wanted: int | None = None if config.list.asked else 0
         self.ticker = Wake(
-            self.clock, fleet.net.now, self.engine.next_at, self._work, micros(sheet.limits.batch_ms)
+            self.clock, fleet.net.now, self.engine.next_at, self._work, micros(config.limits.batch_ms)
         )
         self.ticker.stir()
         self._follow()
@@ -100,7 +100,7 @@
         if line is self.list_line:
             self.list_line = None
             self.feed("list_failed")
-            self.list_wanted = None if self.sheet.list.asked else self.engine.list_version
+            self.list_wanted = None if self.config.list.asked else self.engine.list_version
             self.clock.at(self.clock.now + SECOND // 2, self._follow)
         elif self.lines.get(line.far.name) is line:
             del self.lines[line.far.name]
--- a/hazelhold/emulate/town.py
+++ b/hazelhold/emulate/town.py
@@ -15,7 +15,7 @@
 
 from hazelhold.client.core import ClientCore
 from hazelhold.client.types import ClientPolicy, Connect, Leave, Send, TaskRequest, Tell
-from hazelhold.config.planner import PlannerSheet
+from hazelhold.config.planner import PlannerConfig
 from hazelhold.emulate.clock import Clock
 from hazelhold.engine.advice import Doorman
 from hazelhold.engine.cases import AskList, Dial
@@ -68,8 +68,8 @@
 class Office:
     """The planner: a door, an engine, one processor; and the machines behind it, which outlive it."""
 
-    def __init__(self, town: "Town", sheet: PlannerSheet, costs: Costs, machines: int) -> None:
-        self.town, self.sheet, self.costs = town, sheet, costs
+    def __init__(self, town: "Town", config: PlannerConfig, costs: Costs, machines: int) -> None:
+        self.town, self.config, self.costs = town, config, costs
         self.clock = town.clock
         self.names = [f"m{n:03d}" for n in range(machines)]
         self.stands: dict[str, dict[tuple[str, int], m.Stand]] = {n: {} for n in self.names}
@@ -78,8 +78,8 @@
         self.up = False
 
     def start(self) -> None:
-        limits, self.life, self.up = self.sheet.limits, self.life + 1, True
-        self.engine = Engine(self.sheet, self.life, self.clock.now)
+        limits, self.life, self.up = self.config.limits, self.life + 1, True
+        self.engine = Engine(self.config, self.life, self.clock.now)
         self.door = Doorman(
             limits.handshakes_a_second,
             limits.handshake_burst,
@@ -104,7 +104,7 @@
         self.owners.clear()
 
     def _window(self) -> int:
-        return self.door.window(round(self.sheet.limits.return_spread_ms * 1000), len(self.owners))
+        return self.door.window(round(self.config.limits.return_spread_ms * 1000), len(self.owners))
 
     def reached(self, owner: str, number: int) -> int:
         """A dial: 0 if it may go on, else in how many microseconds to come back."""
@@ -181,7 +181,7 @@
                             machine=n,
                             address=n,
                             mode="ready",
-                            kind=self.sheet.estate.kinds[0].name,
+                            kind=self.config.estate.kinds[0].name,
                             incarnation=1,
                             cores_room=size,
                             memory_room=size,
@@ -269,7 +269,7 @@
 
     def __init__(
         self,
-        sheet: PlannerSheet,
+        config: PlannerConfig,
         clients: int,
         seed: int,
         demand: Demand,
@@ -280,7 +280,7 @@
     ) -> None:
         self.clock, self.random, self.delay = Clock(), Random(f"town/{seed}"), 500
         self.demand, self.policy = demand, policy
-        self.office = Office(self, sheet, costs or Costs(), machines)
+        self.office = Office(self, config, costs or Costs(), machines)
         self.dials: Counter[int] = Counter()
         self.frames: Counter[int] = Counter()
         self.useful: Counter[int] = Counter()  # guests placed within their patience, by tenth of a second
--- a/hazelhold/engine/tables.py
+++ b/hazelhold/engine/tables.py
@@ -6,7 +6,8 @@
 from typing import Protocol
 
 from hazelhold.brain import Brain
-from hazelhold.config.planner import PlannerSheet, micros
+from hazelhold.config.planner import PlannerConfig as PlannerSheet
+from hazelhold.config.planner import micros
 from hazelhold.engine.advice import Advice
 from hazelhold.engine.cases import Action, Agree, Case, Claims, Dial, HangUp, Loose, Send
 from hazelhold.engine.machines import Fellow, Link, Roster
--- a/hazelhold/engine/terms.py
+++ b/hazelhold/engine/terms.py
@@ -2,7 +2,9 @@
 
 from typing import NamedTuple
 
-from hazelhold.config.planner import LimitSheet, PlannerSheet, deployment
+from hazelhold.config.planner import LimitsConfig as LimitSheet
+from hazelhold.config.planner import PlannerConfig as PlannerSheet
+from hazelhold.config.planner import deployment
 from hazelhold.interface import Deployment
 
 
--- a/hazelhold/fleetconfig/control_host.py
+++ b/hazelhold/fleetconfig/control_host.py
@@ -10,7 +10,8 @@
 import trio
 
 from hazelhold.config.fleetconfig import ControlFile
-from hazelhold.config.planner import CopiesPlanner, CopiesSheet
+from hazelhold.config.planner import CopiesConfig as CopiesSheet
+from hazelhold.config.planner import CopiesPlanner
 from hazelhold.fleetconfig import control_actions as c
 from hazelhold.fleetconfig import messages as m
 from hazelhold.fleetconfig.control import ControlCore
--- a/hazelhold/fleetconfig/follower_host.py
+++ b/hazelhold/fleetconfig/follower_host.py
@@ -10,7 +10,7 @@
 import trio
 
 from hazelhold.config.fleetconfig import FleetConfigSection
-from hazelhold.config.planner import PlannerSheet
+from hazelhold.config.planner import PlannerConfig as PlannerSheet
 from hazelhold.fleetconfig import messages as m
 from hazelhold.fleetconfig import spread_actions as a
 from hazelhold.fleetconfig.coverage import Subtree
--- a/hazelhold/fleetconfig/schema.py
+++ b/hazelhold/fleetconfig/schema.py
@@ -12,7 +12,10 @@
 from msgspec import Meta, Struct
 
 from hazelhold.config.load import ConfigError, build
-from hazelhold.config.planner import FleetSheet, KindSheet, NotNegative, ProductSheet
+from hazelhold.config.planner import KindConfig as KindSheet
+from hazelhold.config.planner import MachinesConfig as FleetSheet
+from hazelhold.config.planner import NotNegative
+from hazelhold.config.planner import ProductConfig as ProductSheet
 from hazelhold.fleetconfig.document import Fault
 
 PlaceName = Annotated[str, Meta(max_length=60)]
--- a/hazelhold/fleetconfig/settings.py
+++ b/hazelhold/fleetconfig/settings.py
@@ -18,7 +18,9 @@
 import msgspec
 from msgspec.structs import replace
 
-from hazelhold.config.planner import Estate, PlannerSheet, ProductSheet, check_estate
+from hazelhold.config.planner import Estate, check_estate
+from hazelhold.config.planner import PlannerConfig as PlannerSheet
+from hazelhold.config.planner import ProductConfig as ProductSheet
 from hazelhold.engine.engine import Engine
 from hazelhold.engine.terms import Terms, terms_of
 from hazelhold.fleetconfig.document import Document, Fault
--- a/hazelhold/fleetconfig/validation.py
+++ b/hazelhold/fleetconfig/validation.py
@@ -18,14 +18,10 @@
 from math import fsum
 from typing import NamedTuple
 
-from hazelhold.config.planner import (
-    Estate,
-    FleetSheet,
-    KindSheet,
-    ProductSheet,
-    check_addresses,
-    check_estate,
-)
+from hazelhold.config.planner import Estate, check_addresses, check_estate
+from hazelhold.config.planner import KindConfig as KindSheet
+from hazelhold.config.planner import MachinesConfig as FleetSheet
+from hazelhold.config.planner import ProductConfig as ProductSheet
 from hazelhold.fleetconfig.document import Document, Edit, Fault
 from hazelhold.fleetconfig.revision import Change
 from hazelhold.fleetconfig.schema import (
--- a/hazelhold/membership/host.py
+++ b/hazelhold/membership/host.py
@@ -11,7 +11,7 @@
 
 from hazelhold import __version__
 from hazelhold.config.load import split_address
-from hazelhold.config.planner import MembershipSheet, micros
+from hazelhold.config.planner import MembershipConfig, micros
 from hazelhold.membership.core import Core, News, Post, Reply, Terms
 from hazelhold.membership.messages import VERSION
 from hazelhold.membership.rows import ALIVE, Row
@@ -28,18 +28,18 @@
     life: int
 
 
-def terms(sheet: MembershipSheet) -> Terms:
+def terms(config: MembershipConfig) -> Terms:
     return Terms(
-        deployment=sheet.deployment,
-        probe=micros(sheet.probe_ms),
-        answer=micros(sheet.answer_ms),
-        suspect=micros(sheet.suspect_ms),
-        suspect_most=micros(sheet.suspect_most_ms),
-        sync=micros(sheet.sync_ms),
-        heal=micros(sheet.heal_ms),
-        join=micros(sheet.probe_ms),
-        forget=round(sheet.forget_s * 1e6),
-        most_members=sheet.most_members,
+        deployment=config.deployment,
+        probe=micros(config.probe_ms),
+        answer=micros(config.answer_ms),
+        suspect=micros(config.suspect_ms),
+        suspect_most=micros(config.suspect_most_ms),
+        sync=micros(config.sync_ms),
+        heal=micros(config.heal_ms),
+        join=micros(config.probe_ms),
+        forget=round(config.forget_s * 1e6),
+        most_members=config.most_members,
     )
 
 
@@ -57,8 +57,10 @@
 class Members:
     """One planner's membership: `core` holds the view. `run` ends by being cancelled, or after `leave`."""
 
-    def __init__(self, name: str, sheet: MembershipSheet, net: Net, recorder: Recorder | None = None) -> None:
-        self.name, self.sheet, self.net, self.recorder = name, sheet, net, recorder
+    def __init__(
+        self, name: str, config: MembershipConfig, net: Net, recorder: Recorder | None = None
+    ) -> None:
+        self.name, self.config, self.net, self.recorder = name, config, net, recorder
         self.log = structlog.get_logger().bind(planner=name)
         self.core: Core | None = None
         self.port: Port | None = None
@@ -66,8 +68,8 @@
         self.beside: Callable[[], dict[str, str]] = dict  # what else `hazelhold members` shows
 
     async def run(self, task_status: trio.TaskStatus = trio.TASK_STATUS_IGNORED) -> None:
-        sheet, draw = self.sheet, SystemRandom()
-        self.port = await self.net.port(sheet.listen)
+        config, draw = self.config, SystemRandom()
+        self.port = await self.net.port(config.listen)
         try:
             me = Row(
                 name=self.name,
@@ -75,12 +77,12 @@
                 nonce=draw.getrandbits(62),
                 seq=0,
                 state=ALIVE,
-                address=sheet.advertise or self.port.address,
-                zone=sheet.zone,
+                address=config.advertise or self.port.address,
+                zone=config.zone,
                 program=__version__,
                 speaks=[VERSION],
             )
-            self.core = Core(me, list(sheet.seeds), terms(sheet), draw.getrandbits(62), self.net.now())
+            self.core = Core(me, list(config.seeds), terms(config), draw.getrandbits(62), self.net.now())
             self.core.beside = self.beside
             self.core.start(self.net.now())
             self.log.info(
@@ -88,16 +90,16 @@
                 address=self.port.address,
                 told_as=me.address,
                 life=me.life,
-                seeds=len(sheet.seeds),
+                seeds=len(config.seeds),
             )
             self._note(self.name, "started", me.life)
             task_status.started()
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(self._listen)
-                if sheet.metrics:
+                if config.metrics:
                     from hazelhold.membership.figures import Figures
 
-                    nursery.start_soon(Figures(self.core, sheet.metrics).run)
+                    nursery.start_soon(Figures(self.core, config.metrics).run)
                 await self._tend()
                 nursery.cancel_scope.cancel()
         finally:
@@ -132,7 +134,7 @@
         actions, self.core.actions = self.core.actions, []
         for action in actions:
             if isinstance(action, Post):
-                reach = self.sheet.reach
+                reach = self.config.reach
                 self._send(action.body, reach.get(action.name) or reach.get(action.address) or action.address)
             elif isinstance(action, Reply):
                 self.port.send(action.body, source)
--- a/hazelhold/platform/configuration.py
+++ b/hazelhold/platform/configuration.py
@@ -12,7 +12,7 @@
 from msgspec import Struct
 
 from hazelhold.config.load import ConfigError, read_text, split_address
-from hazelhold.config.planner import LimitSheet
+from hazelhold.config.planner import LimitsConfig as LimitSheet
 from hazelhold.engine.terms import Peers, Terms
 from hazelhold.interface import Deployment
 from hazelhold.simhost import Pairs, WireError, read_deployment
--- a/hazelhold/rehearse/crashes.py
+++ b/hazelhold/rehearse/crashes.py
@@ -11,7 +11,7 @@
 import trio
 
 from hazelhold.config.day import Day
-from hazelhold.config.planner import PlannerSheet
+from hazelhold.config.planner import PlannerConfig
 from hazelhold.engine.cases import Action, Send
 from hazelhold.protocol.record import Recorder
 from hazelhold.rehearse.crew import Inside, captured
@@ -48,7 +48,7 @@
 
     def __init__(
         self,
-        sheets: list[PlannerSheet],
+        configs: list[PlannerConfig],
         net: Net,
         records: Path,
         nursery: trio.Nursery,
@@ -58,9 +58,9 @@
         faults: tuple[DiskFault, ...] = (),
         down_s: tuple[float, float] = (0.05, 0.6),
     ) -> None:
-        super().__init__(sheets, net, records, nursery, capture)
+        super().__init__(configs, net, records, nursery, capture)
         self.points, self.chief, self.down_s = points, chief, down_s
-        self.disks = [FaultyDisk(points) for _ in sheets]
+        self.disks = [FaultyDisk(points) for _ in configs]
         self.random = Random(points.random.random())
         self.crashes = 0
         for fault in faults:
@@ -84,14 +84,14 @@
     async def start(self, number: int) -> None:
         if number in self.running:
             return
-        sheet, disk = self.sheets[number], self.disks[number]
+        config, disk = self.configs[number], self.disks[number]
         self.lives[number] += 1
         recorder = Recorder(
-            self.records / f"planner-{sheet.name}-{self.lives[number]}.jsonl", sheet.name, "planner"
+            self.records / f"planner-{config.name}-{self.lives[number]}.jsonl", config.name, "planner"
         )
-        sheet = captured(sheet, self.capture, self.lives[number])
+        config = captured(config, self.capture, self.lives[number])
         planner = Planner(
-            sheet, sheet.seed + self.lives[number], self.net, recorder, disk, votes=self.votes[number]
+            config, config.seed + self.lives[number], self.net, recorder, disk, votes=self.votes[number]
         )
         do = planner.perform
         planner.keeper.do = lambda action: self._do(do, disk, action)
@@ -114,7 +114,7 @@
             if dead:
                 self.crashes += 1
                 self.chief.note(
-                    self.net.now(), sheet.name, "planner_kill", Fate(unkept=planner.keeper.failed)
+                    self.net.now(), config.name, "planner_kill", Fate(unkept=planner.keeper.failed)
                 )
                 if self.running.pop(number, None) is not None:
                     self.nursery.start_soon(self._again, number)
@@ -128,7 +128,7 @@
         if number in self.running:
             planner, scope, done = self.running.pop(number)
             self.chief.note(
-                self.net.now(), self.sheets[number].name, "planner_kill", Fate(unkept=planner.keeper.failed)
+                self.net.now(), self.configs[number].name, "planner_kill", Fate(unkept=planner.keeper.failed)
             )
             self.disks[number].dead = True
             scope.cancel()
@@ -139,11 +139,11 @@
         planner = self.running[number][0] if number in self.running else None
         await super().stop(number)
         if planner is not None and planner.keeper.failed:
-            self.chief.note(self.net.now(), self.sheets[number].name, "planner_kill", Fate(unkept=True))
+            self.chief.note(self.net.now(), self.configs[number].name, "planner_kill", Fate(unkept=True))
 
     async def _again(self, number: int) -> None:
         await trio.sleep(self.random.uniform(*self.down_s))
-        self.chief.note(self.net.now(), self.sheets[number].name, "planner_start")
+        self.chief.note(self.net.now(), self.configs[number].name, "planner_start")
         await self.start(number)
 
     def _do(self, do: object, disk: FaultyDisk, action: Action) -> None:
--- a/hazelhold/rehearse/crew.py
+++ b/hazelhold/rehearse/crew.py
@@ -14,7 +14,7 @@
 from msgspec.structs import replace
 
 from hazelhold.config.load import ConfigError
-from hazelhold.config.planner import ListSheet, PlannerSheet
+from hazelhold.config.planner import ListConfig, PlannerConfig
 from hazelhold.protocol.record import Recorder
 from hazelhold.replica.votes import found
 from hazelhold.service.net import Net
@@ -49,11 +49,11 @@
     async def resume(self, number: int) -> None: ...
 
 
-def captured(sheet: PlannerSheet, folder: Path | None, life: int) -> PlannerSheet:
-    """The sheet of one life of a planner, with a capture of its own if there is a folder for it."""
+def captured(config: PlannerConfig, folder: Path | None, life: int) -> PlannerConfig:
+    """The configuration of one life of a planner, with a capture of its own if there is a folder for it."""
     if folder is None:
-        return sheet
-    return replace(sheet, capture=replace(sheet.capture, file=str(folder / f"{sheet.name}-{life}.pcap")))
+        return config
+    return replace(config, capture=replace(config.capture, file=str(folder / f"{config.name}-{life}.pcap")))
 
 
 class Inside:
@@ -61,30 +61,35 @@
     at once, so that no farewell leaves it."""
 
     def __init__(
-        self, sheets: list[PlannerSheet], net: Net, records: Path, nursery: trio.Nursery, capture: Path | None
+        self,
+        configs: list[PlannerConfig],
+        net: Net,
+        records: Path,
+        nursery: trio.Nursery,
+        capture: Path | None,
     ) -> None:
-        self.sheets, self.net, self.records, self.nursery = sheets, net, records, nursery
+        self.configs, self.net, self.records, self.nursery = configs, net, records, nursery
         self.capture = capture
-        self.votes = [FaultyDisk(Points(set(), number)) for number in range(len(sheets))]
+        self.votes = [FaultyDisk(Points(set(), number)) for number in range(len(configs))]
         self.copies: dict[int, dict[str, bytes]] = {}  # of those, by planner
         self.running: dict[int, tuple[Planner, trio.CancelScope, trio.Event]] = {}
-        self.lives = [0] * len(sheets)
+        self.lives = [0] * len(configs)
 
     def found(self, number: int) -> None:
-        sheet = self.sheets[number]
-        found(self.votes[number], sheet.name, sheet.copies, self.net.wall())
+        config = self.configs[number]
+        found(self.votes[number], config.name, config.copies, self.net.wall())
 
     async def start(self, number: int) -> None:
         if number in self.running:
             return
-        sheet = self.sheets[number]
+        config = self.configs[number]
         self.lives[number] += 1
         recorder = Recorder(
-            self.records / f"planner-{sheet.name}-{self.lives[number]}.jsonl", sheet.name, "planner"
+            self.records / f"planner-{config.name}-{self.lives[number]}.jsonl", config.name, "planner"
         )
-        sheet = captured(sheet, self.capture, self.lives[number])
+        config = captured(config, self.capture, self.lives[number])
         planner = Planner(
-            sheet, sheet.seed + self.lives[number], self.net, recorder, votes=self.votes[number]
+            config, config.seed + self.lives[number], self.net, recorder, votes=self.votes[number]
         )
         scope, done = trio.CancelScope(), trio.Event()
         self.running[number] = planner, scope, done
@@ -130,14 +135,14 @@
 Programs = dict[int, tuple[str, Path]]  # by planner: another Python, and the folder of another hazelhold
 
 
-def sheet_text(sheet: PlannerSheet) -> bytes:
-    """The sheet as a file. What is off, or new and at its default, is left out: a program that does not know
-    it reads the file."""
-    plain = msgspec.to_builtins(sheet)
-    if sheet.list.frame_bytes == ListSheet("").frame_bytes:
+def config_text(config: PlannerConfig) -> bytes:
+    """The configuration as a file. What is off, or new and at its default, is left out: a program that does
+    not know it reads the file."""
+    plain = msgspec.to_builtins(config)
+    if config.list.frame_bytes == ListConfig("").frame_bytes:
         del plain["list"]["frame_bytes"]
     for part in ("membership", "copies", "fleetconfig"):
-        if not getattr(sheet, part).listen:
+        if not getattr(config, part).listen:
             del plain[part]
     return msgspec.json.encode(plain)
 
@@ -147,29 +152,29 @@
 
     def __init__(
         self,
-        sheets: list[PlannerSheet],
+        configs: list[PlannerConfig],
         folder: Path,
         nursery: trio.Nursery,
         capture: Path | None,
         programs: Programs | None = None,
     ) -> None:
-        self.sheets, self.folder, self.nursery, self.capture = sheets, folder, nursery, capture
+        self.configs, self.folder, self.nursery, self.capture = configs, folder, nursery, capture
         self.programs = programs or {}
         self.running: dict[int, trio.Process] = {}
-        self.lives = [0] * len(sheets)
-        for number, sheet in enumerate(sheets):
-            (folder / f"planner{number}.json5").write_bytes(sheet_text(sheet))
+        self.lives = [0] * len(configs)
+        for number, config in enumerate(configs):
+            (folder / f"planner{number}.json5").write_bytes(config_text(config))
 
     def found(self, number: int) -> None:
-        sheet = self.sheets[number]
-        found(RealDisk(Path(sheet.copies.folder)), sheet.name, sheet.copies, time.time_ns() // 1000)
+        config = self.configs[number]
+        found(RealDisk(Path(config.copies.folder)), config.name, config.copies, time.time_ns() // 1000)
 
     async def start(self, number: int) -> None:
         if number in self.running:
             return
-        sheet = self.sheets[number]
+        config = self.configs[number]
         self.lives[number] += 1
-        life = f"{sheet.name}-{self.lives[number]}"
+        life = f"{config.name}-{self.lives[number]}"
         log = (self.folder / f"{life}.log").open("ab")
         python, where = self.programs.get(number, (sys.executable, None))
         command = [
@@ -182,13 +187,13 @@
             "--record",
             str(self.folder / "records" / f"planner-{life}.jsonl"),
             "--seed",
-            str(sheet.seed + self.lives[number]),
+            str(config.seed + self.lives[number]),
             "--log",
             "json",
             "--ready",
         ]
         if self.capture:
-            command += ["--capture", captured(sheet, self.capture, self.lives[number]).capture.file]
+            command += ["--capture", captured(config, self.capture, self.lives[number]).capture.file]
         process = await trio.lowlevel.open_process(command, stdout=subprocess.PIPE, stderr=log, cwd=where)
         log.close()
         self.running[number] = process
@@ -197,7 +202,7 @@
             while b"\n" not in line:
                 more = await process.stdout.receive_some(100)
                 if not more:
-                    raise RuntimeError(f"planner {sheet.name} did not start; see {life}.log")
+                    raise RuntimeError(f"planner {config.name} did not start; see {life}.log")
                 line += more
 
     async def copy(self, number: int) -> None:
@@ -216,7 +221,7 @@
 
     def _votes(self, number: int) -> tuple[Path, Path]:
         """Where a planner's votes are, and where a copy of them is kept."""
-        folder = Path(self.sheets[number].copies.folder)
+        folder = Path(self.configs[number].copies.folder)
         return folder, folder.with_name(folder.name + ".copy")
 
     async def pause(self, number: int) -> None:
--- a/hazelhold/rehearse/run.py
+++ b/hazelhold/rehearse/run.py
@@ -10,18 +10,18 @@
 from msgspec.structs import replace
 
 from hazelhold.audit.claims import ClaimAudit
-from hazelhold.audit.rules import Audit, RuleSheet
+from hazelhold.audit.rules import Audit, AuditRules
 from hazelhold.audit.score import score
 from hazelhold.audit.views import ViewBounds, Views
 from hazelhold.config.day import Day
 from hazelhold.config.planner import (
+    CopiesConfig,
     CopiesPlanner,
-    CopiesSheet,
-    LimitSheet,
-    ListSheet,
-    MembershipSheet,
-    PlannerSheet,
-    StateSheet,
+    LimitsConfig,
+    ListConfig,
+    MembershipConfig,
+    PlannerConfig,
+    StateConfig,
     micros,
 )
 from hazelhold.protocol.record import Recorder
@@ -35,36 +35,38 @@
 from hazelhold.standin.disk import Points
 
 
-def planner_sheets(day: Day, seed: int, list_address: str, doors: list[str]) -> list[PlannerSheet]:
+def planner_configs(day: Day, seed: int, list_address: str, doors: list[str]) -> list[PlannerConfig]:
     """One configuration for each planner of the day; they share nothing but the estate."""
     return [
-        PlannerSheet(
+        PlannerConfig(
             name=f"planner-{number}",
             listen=door,
             estate=day.estate,
             slot=number,
             planners=day.planners,
             seed=seed * 1000 + 100 * number,
-            list=ListSheet(address=list_address, asked=day.list_asked, has_room=day.list_has_room),
-            limits=LimitSheet(connect_ms=500.0, probe_ms=500.0),
+            list=ListConfig(address=list_address, asked=day.list_asked, has_room=day.list_has_room),
+            limits=LimitsConfig(connect_ms=500.0, probe_ms=500.0),
         )
         for number, door in enumerate(doors)
     ]
 
 
-async def wire_up(sheets: list[PlannerSheet], day: Day, wires: Wires, ports: list[str]) -> list[PlannerSheet]:
-    """The sheets with membership on, each planner reaching each other by a wire of its own."""
-    names = [s.name for s in sheets]
+async def wire_up(
+    configs: list[PlannerConfig], day: Day, wires: Wires, ports: list[str]
+) -> list[PlannerConfig]:
+    """The configurations with membership on, each planner reaching each other by a wire of its own."""
+    names = [s.name for s in configs]
     members = day.membership
     found = []
-    for a, sheet in enumerate(sheets):
+    for a, config in enumerate(configs):
         reach = {
             names[b]: await wires.datagrams(names[a], names[b], ports[b]) for b in range(len(names)) if b != a
         }
         found.append(
             replace(
-                sheet,
-                membership=MembershipSheet(
+                config,
+                membership=MembershipConfig(
                     listen=ports[a],
                     seeds=[reach[n] for n in names[:3] if n in reach],
                     reach=reach,
@@ -81,22 +83,22 @@
 
 
 async def copy_up(
-    sheets: list[PlannerSheet], day: Day, wires: Wires, ports: list[str], folder: Path
-) -> list[PlannerSheet]:
-    """The sheets with claims agreed among all, each planner reaching each other by a wire of its own."""
-    names = [s.name for s in sheets]
+    configs: list[PlannerConfig], day: Day, wires: Wires, ports: list[str], folder: Path
+) -> list[PlannerConfig]:
+    """The configurations with claims agreed among all, each planner reaching the others by its own wires."""
+    names = [s.name for s in configs]
     planners = [CopiesPlanner(name, ports[at], f"zone-{at % day.zones}") for at, name in enumerate(names)]
     found = []
-    for a, sheet in enumerate(sheets):
+    for a, config in enumerate(configs):
         reach = {
             names[b]: await wires.streams(names[a], names[b], ports[b]) for b in range(len(names)) if b != a
         }
         found.append(
             replace(
-                sheet,
-                copies=CopiesSheet(
+                config,
+                copies=CopiesConfig(
                     listen=ports[a],
-                    folder=str(folder / "votes" / sheet.name),
+                    folder=str(folder / "votes" / config.name),
                     planners=planners,
                     reach=reach,
                     replicas=day.copies.replicas,
@@ -108,9 +110,9 @@
     return found
 
 
-def rule_sheet(day: Day) -> RuleSheet:
+def audit_rules(day: Day) -> AuditRules:
     fleet = day.estate.fleet
-    return RuleSheet(
+    return AuditRules(
         products={
             p.name: {
                 "effect": p.effect,
@@ -165,7 +167,7 @@
             if isinstance(net, TcpNet)
             else [f"door-{number}" for number in range(day.planners)]
         )
-        sheets = planner_sheets(day, seed, list_address, doors)
+        configs = planner_configs(day, seed, list_address, doors)
         wires = None
         if day.membership.on:
             wires = Wires(net, nursery, seed, host)
@@ -174,32 +176,32 @@
                 if isinstance(net, TcpNet)
                 else [f"members-{number}" for number in range(day.planners)]
             )
-            sheets = await wire_up(sheets, day, wires, ports)
+            configs = await wire_up(configs, day, wires, ports)
             if day.copies.on:
                 ports = (
                     [f"{host}:{port}" for port in free_ports(day.planners)]
                     if isinstance(net, TcpNet)
                     else [f"copies-{number}" for number in range(day.planners)]
                 )
-                sheets = await copy_up(sheets, day, wires, ports, folder)
+                configs = await copy_up(configs, day, wires, ports, folder)
         if keep:
-            sheets = [replace(s, state=StateSheet(folder=str(folder / "state" / s.name))) for s in sheets]
+            configs = [replace(s, state=StateConfig(folder=str(folder / "state" / s.name))) for s in configs]
         if points is not None:
-            crew: Crew = Crashing(sheets, net, records, nursery, capture, points, chief, faults)
+            crew: Crew = Crashing(configs, net, records, nursery, capture, points, chief, faults)
         elif inside:
-            crew = Inside(sheets, net, records, nursery, capture)
+            crew = Inside(configs, net, records, nursery, capture)
         else:
-            crew = Processes(sheets, folder, nursery, capture, programs)
+            crew = Processes(configs, folder, nursery, capture, programs)
         if day.copies.on:
             for number in range(day.planners):
                 crew.found(number)
         for number in range(day.planners):
             await crew.start(number)
-            chief.note(net.now(), sheets[number].name, "planner_up")
-        kept = points is not None or any(s.state.folder for s in sheets)
-        chief.note(net.now(), "", "rules", replace(rule_sheet(day), durable=kept))
+            chief.note(net.now(), configs[number].name, "planner_up")
+        kept = points is not None or any(s.state.folder for s in configs)
+        chief.note(net.now(), "", "rules", replace(audit_rules(day), durable=kept))
         start = net.now()
-        stage.bring_owners({s.name: s.listen for s in sheets}, nursery)
+        stage.bring_owners({s.name: s.listen for s in configs}, nursery)
         await _troubles(day, seed, stage, crew, chief, wires, start)
         await _until(net, start + round(day.length_s * 1e6))
         chief.note(net.now(), "", "day_over")
--- a/hazelhold/rehearse/stage.py
+++ b/hazelhold/rehearse/stage.py
@@ -55,10 +55,10 @@
     def _wants(self) -> list[Want]:
         """The services of the day: each has one product, one shape, one customer and one usual life."""
         day, random, found = self.day, self.random, []
-        sheets = {p.name: p for p in day.estate.products}
+        products = {p.name: p for p in day.estate.products}
         total = sum(w.share for w in day.wares)
         for wares in day.wares:
-            sheet = sheets[wares.product]
+            product = products[wares.product]
             count = max(1, round(day.demand.services * wares.share / total))
             for number in range(count):
                 cores, memory = random.choice(wares.shapes)
@@ -69,9 +69,9 @@
                         customer=random.choice(day.estate.customers) if day.estate.customers else "",
                         cores=cores,
                         memory=memory,
-                        patience=micros(sheet.patience_ms),
+                        patience=micros(product.patience_ms),
                         life=round(random.uniform(*wares.life_s) * 1e6),
-                        harmless=sheet.effect == "rerunnable",
+                        harmless=product.effect == "rerunnable",
                         weight=wares.share / count * random.uniform(0.5, 1.5),
                     )
                 )
@@ -79,14 +79,14 @@
 
     def _make_machines(self) -> None:
         day, random, fleet = self.day, self.random, self.day.estate.fleet
-        sheets = {p.name: p for p in day.estate.products}
+        products = {p.name: p for p in day.estate.products}
         kinds = {k.name: k for k in day.estate.kinds}
         trades = {
             w.product: Trade(
-                priority=sheets[w.product].priority,
-                ticketed=sheets[w.product].effect == "ticketed",
-                easy_until=sheets[w.product].easy_until,
-                lost_after=sheets[w.product].lost_after,
+                priority=products[w.product].priority,
+                ticketed=products[w.product].effect == "ticketed",
+                easy_until=products[w.product].easy_until,
+                lost_after=products[w.product].lost_after,
                 work=micros(w.work_ms),
                 life=round(sum(w.life_s) / 2 * 1e6),
                 cores_use=sum(w.cores_use) / 2,
@@ -127,7 +127,7 @@
                 machine = Machine(name, build, self.seed * 1000 + number, self.net.now() + off)
                 spot = Spot(name, kind.name, number % day.zones, number // day.cell_size)
                 for product in machine.tickets:
-                    reach = sheets[product].group
+                    reach = products[product].group
                     group = {"all": 0, "zone": spot.zone, "cell": spot.cell}.get(reach, name)
                     machine.tickets[product] = shared.setdefault((product, group), {})
                 self.spots.append(spot)
--- a/hazelhold/replica/host.py
+++ b/hazelhold/replica/host.py
@@ -14,7 +14,7 @@
 import trio
 from msgspec import Struct
 
-from hazelhold.config.planner import CopiesSheet
+from hazelhold.config.planner import CopiesConfig
 from hazelhold.protocol.frames import FrameError
 from hazelhold.protocol.messages import Codec, encode
 from hazelhold.protocol.record import Recorder
@@ -98,22 +98,24 @@
     def __init__(
         self,
         name: str,
-        sheet: CopiesSheet,
+        config: CopiesConfig,
         net: Net,
         disk: Disk,
         told: Callable[[int, str, bytes, str], None],
         recorder: Recorder | None = None,
         retention: Retention = keep_open_claims,
     ) -> None:
-        self.name, self.sheet, self.net, self.told, self.recorder = name, sheet, net, told, recorder
+        self.name, self.config, self.net, self.told, self.recorder = name, config, net, told, recorder
         draw = SystemRandom()
         self.process = f"{name}/{net.wall()}/{draw.getrandbits(62):x}"
-        self.proposer = Proposer(self.process, sheet.epoch, draw.getrandbits(62))
-        self.votes = Votes(disk, name, sheet, draw.getrandbits(62), retention)
+        self.proposer = Proposer(self.process, config.epoch, draw.getrandbits(62))
+        self.votes = Votes(disk, name, config, draw.getrandbits(62), retention)
         self.sets = self.votes.sets
-        self.vault = Vault(self.votes, sheet, self._stirred)
+        self.vault = Vault(self.votes, config, self._stirred)
         self.far = {
-            p.name: Far(p.name, sheet.reach.get(p.name, p.address)) for p in sheet.planners if p.name != name
+            p.name: Far(p.name, config.reach.get(p.name, p.address))
+            for p in config.planners
+            if p.name != name
         }
         # The proposer's number: the asker's, and when it asked; emptied by each end.
         self.asked: dict[int, tuple[int, int]] = {}
@@ -130,7 +132,7 @@
         for note in seen.notes:
             self.log.warning("votes_damaged", note=note)
         if self.votes.why:
-            self.log.error("votes_lost", why=self.votes.why, folder=self.sheet.folder)
+            self.log.error("votes_lost", why=self.votes.why, folder=self.config.folder)
         self.vault.begin(self.net.wall())
         self.log.info("votes", cells=len(self.votes.acceptor.cells), vouched=self.votes.joiner.over())
 
@@ -139,13 +141,13 @@
         try:
             async with trio.open_nursery() as nursery:
                 self.nursery = nursery
-                self.address = await self.net.listen(self.sheet.listen, self._door, nursery)
+                self.address = await self.net.listen(self.config.listen, self._door, nursery)
                 self.log.info(
                     "copies",
                     address=self.address,
-                    epoch=self.sheet.epoch,
-                    planners=len(self.sheet.planners),
-                    replicas=self.sheet.replicas,
+                    epoch=self.config.epoch,
+                    planners=len(self.config.planners),
+                    replicas=self.config.replicas,
                 )
                 nursery.start_soon(self.vault.run, self.net)
                 nursery.start_soon(self._sweep)
@@ -325,7 +327,7 @@
                 try:
                     wire.send(self._greet())
                     greet = await wire.first(Greet, HELLO)
-                    if (greet.name, greet.deployment) != (far.name, self.sheet.deployment):
+                    if (greet.name, greet.deployment) != (far.name, self.config.deployment):
                         raise FrameError("wrong_planner", f"{greet.name!r} of {greet.deployment!r} answered")
                     far.wire = wire
                     while far.waiting:
@@ -343,7 +345,7 @@
             wire.finish()
 
     def _greet(self) -> Greet:
-        return Greet(self.name, self.sheet.deployment, self.sheet.epoch)
+        return Greet(self.name, self.config.deployment, self.config.epoch)
 
     async def _idle(self) -> None:
         while True:
@@ -364,7 +366,7 @@
                     greet = await wire.first(Greet, HELLO)
                     if greet.version != VERSION:
                         raise FrameError("version", f"version {greet.version}; spoken here: {VERSION}")
-                    if greet.deployment != self.sheet.deployment or greet.name not in self.far:
+                    if greet.deployment != self.config.deployment or greet.name not in self.far:
                         raise FrameError("stranger", f"{greet.name!r} of {greet.deployment!r} has no seat")
                     wire.send(self._greet())
                     for message in wire.rest():
@@ -404,8 +406,8 @@
     """Makes votes safe and lets answers go: one commit at a time, what comes meanwhile shares the next. While
     the disk fails nothing is answered; every `retry_ms` all votes are written anew as a whole."""
 
-    def __init__(self, votes: Votes, sheet: CopiesSheet, stirred: Callable[[], None]) -> None:
-        self.votes, self.sheet, self.stirred = votes, sheet, stirred
+    def __init__(self, votes: Votes, config: CopiesConfig, stirred: Callable[[], None]) -> None:
+        self.votes, self.config, self.stirred = votes, config, stirred
         self.store = votes.store
         self.queue: deque[tuple[list[Change], Callable[[], object]]] = deque()  # emptied by each commit
         self.busy = self.failed = False
@@ -430,7 +432,7 @@
     async def run(self, net: Net) -> None:
         while True:
             if self.failed:
-                await trio.sleep(self.sheet.retry_ms / 1000)
+                await trio.sleep(self.config.retry_ms / 1000)
                 await self._renew(net.wall())
             else:
                 await self.more.wait()
@@ -458,7 +460,7 @@
 
     async def _slowly(self, call: Callable[..., None], *given: object) -> OSError | None:
         if self.store.disk.threaded:
-            return await slowly(self.store, self.sheet.slow_ms, call, *given)
+            return await slowly(self.store, self.config.slow_ms, call, *given)
         try:
             call(*given)
         except OSError as wrong:
--- a/hazelhold/replica/votes.py
+++ b/hazelhold/replica/votes.py
@@ -13,7 +13,7 @@
 import xxhash
 from msgspec import Struct
 
-from hazelhold.config.planner import CopiesSheet
+from hazelhold.config.planner import CopiesConfig
 from hazelhold.replica import claims, messages
 from hazelhold.replica.acceptor import Acceptor, Cell
 from hazelhold.replica.rejoin import Joiner, Source
@@ -81,13 +81,13 @@
     return True
 
 
-def digest(sheet: CopiesSheet) -> str:
+def digest(config: CopiesConfig) -> str:
     """The same for the same set, in whatever order."""
-    said = [sheet.replicas, *sorted((p.name, p.zone) for p in sheet.planners)]
+    said = [config.replicas, *sorted((p.name, p.zone) for p in config.planners)]
     return xxhash.xxh3_64_hexdigest(msgspec.json.encode(said))
 
 
-def found(disk: Disk, name: str, sheet: CopiesSheet, wall: int) -> None:
+def found(disk: Disk, name: str, config: CopiesConfig, wall: int) -> None:
     """Gives an empty folder its seat. StateError if anything is there: a planner that lost its disk must not
     get it back this way."""
     store = Store(disk, name, KINDS)
@@ -95,7 +95,7 @@
     try:
         if not seen.fresh:
             raise StateError("the folder has votes or parts of them: it is founded already")
-        store.apply([put("seat", "", Seat(name, sheet.deployment, sheet.epoch, digest(sheet)))])
+        store.apply([put("seat", "", Seat(name, config.deployment, config.epoch, digest(config)))])
         store.begin(wall)
     finally:
         store.close()
@@ -127,16 +127,16 @@
         self,
         disk: Disk,
         name: str,
-        sheet: CopiesSheet,
+        config: CopiesConfig,
         nonce: int,
         retention: Retention = keep_open_claims,
     ) -> None:
-        self.name, self.sheet, self.nonce, self.retention = name, sheet, nonce, retention
+        self.name, self.config, self.nonce, self.retention = name, config, nonce, retention
         self.store = Store(disk, name, KINDS)
-        self.sets = Sets([Keeper(p.name, p.zone) for p in sheet.planners], sheet.replicas)
-        self.keep = round(sheet.keep_s * 1e6)
+        self.sets = Sets([Keeper(p.name, p.zone) for p in config.planners], config.replicas)
+        self.keep = round(config.keep_s * 1e6)
         self.aging: deque[Aging] = deque()  # cells that may be let go, by when; emptied by `sweep`
-        self.acceptor = Acceptor(sheet.epoch, set(), name=name, sets=self.sets)
+        self.acceptor = Acceptor(config.epoch, set(), name=name, sets=self.sets)
         self.kept: dict[
             str, messages.Incarnation
         ] = {}  # incarnations as they are on the disk, or on their way there
@@ -177,12 +177,12 @@
         return seen
 
     def _check(self, seat: Seat) -> None:
-        sheet, wrong = self.sheet, ""
-        if (seat.planner, seat.deployment) != (self.name, sheet.deployment):
+        config, wrong = self.config, ""
+        if (seat.planner, seat.deployment) != (self.name, config.deployment):
             wrong = f"is the seat of {seat.planner!r} in {seat.deployment!r}"
-        elif (seat.epoch, seat.digest) != (sheet.epoch, digest(sheet)):
+        elif (seat.epoch, seat.digest) != (config.epoch, digest(config)):
             wrong = (
-                f"votes in epoch {seat.epoch}; the configuration says {sheet.epoch}, or another set: "
+                f"votes in epoch {seat.epoch}; the configuration says {config.epoch}, or another set: "
                 "a set is not changed by its file alone"
             )
         if wrong:
@@ -233,7 +233,9 @@
     def seated(self) -> list[Change]:
         """All is copied: these votes are good to give from here on."""
         self.why, self.source.gives = "", True
-        return [put("seat", "", Seat(self.name, self.sheet.deployment, self.sheet.epoch, digest(self.sheet)))]
+        return [
+            put("seat", "", Seat(self.name, self.config.deployment, self.config.epoch, digest(self.config)))
+        ]
 
     def _ages(self, key: str, cell: Cell, wall: int) -> None:
         if cell.accepted != messages.NO_BALLOT and not self.retention(key, cell.value):
--- a/hazelhold/service/ending.py
+++ b/hazelhold/service/ending.py
@@ -22,7 +22,7 @@
     driver.feed("stop")
     planner.log.info("stopping", unanswered=engine.unanswered())
     driver.ticker.stir()
-    with trio.move_on_after(planner.sheet.limits.stop_ms / 1000):
+    with trio.move_on_after(planner.config.limits.stop_ms / 1000):
         while engine.unanswered():
             await trio.sleep(POLL_S)
     if planner.members is not None:
@@ -50,7 +50,7 @@
     driver, engine = planner.driver, planner.engine
     driver.handed_over = True
     planner.keeper.take([], [engine.keeping.learned(engine)])
-    with trio.move_on_after(planner.sheet.limits.stop_ms / 1000):
+    with trio.move_on_after(planner.config.limits.stop_ms / 1000):
         await planner.keeper.drained()
     spread = planner.door.doorman.window(0, len(planner.owners))
     for wire in _wires(planner):
--- a/hazelhold/service/keeper.py
+++ b/hazelhold/service/keeper.py
@@ -15,7 +15,7 @@
 import structlog
 import trio
 
-from hazelhold.config.planner import StateSheet, micros
+from hazelhold.config.planner import StateConfig, micros
 from hazelhold.engine.cases import Action, Send
 from hazelhold.engine.engine import Engine
 from hazelhold.protocol import messages as m
@@ -33,13 +33,13 @@
     def __init__(
         self,
         store: Store,
-        sheet: StateSheet,
+        config: StateConfig,
         engine: Engine,
         now: Callable[[], int],
         do: Callable[[Action], None],
         feed: Callable[..., None],
     ) -> None:
-        self.store, self.sheet, self.engine = store, sheet, engine
+        self.store, self.config, self.engine = store, config, engine
         self.now, self.do, self.feed = now, do, feed
         self.queue: deque[tuple[list[Action], list[Change]]] = deque()  # emptied by every commit
         self.held_back: list[tuple[int, Action]] = []  # answers, with when to send them all the same
@@ -138,7 +138,7 @@
         return wrong
 
     async def _slowly(self, call: Callable[..., None], *given: object) -> OSError | None:
-        return await slowly(self.store, self.sheet.slow_ms, call, *given)
+        return await slowly(self.store, self.config.slow_ms, call, *given)
 
     def _after(self, actions: list[Action], changes: list[Change], wrong: OSError | None) -> None:
         self.commits += bool(changes)
@@ -191,10 +191,10 @@
         """Keeps what was learned, and tries a failed disk again."""
         learn_at = 0
         while True:
-            await trio.sleep(micros(self.sheet.retry_ms) / 1e6)
+            await trio.sleep(micros(self.config.retry_ms) / 1e6)
             now = self.now()
             if not self.failed and now >= learn_at:
-                learn_at = now + round(self.sheet.learned_s * 1e6)
+                learn_at = now + round(self.config.learned_s * 1e6)
                 self.take([], [self.engine.keeping.learned(self.engine)])
             if self.failed:
                 await self._renew()
--- a/hazelhold/service/list_link.py
+++ b/hazelhold/service/list_link.py
@@ -5,7 +5,7 @@
 import structlog
 import trio
 
-from hazelhold.config.planner import PlannerSheet
+from hazelhold.config.planner import PlannerConfig
 from hazelhold.protocol import messages as m
 from hazelhold.protocol.frames import FrameError
 from hazelhold.service.driver import EngineDriver
@@ -21,13 +21,13 @@
 
     def __init__(
         self,
-        sheet: PlannerSheet,
+        config: PlannerConfig,
         driver: EngineDriver,
         wires: WireFactory,
         counts: Counter[str],
         log: structlog.stdlib.BoundLogger,
     ) -> None:
-        self.sheet, self.limits, self.driver, self.wires = sheet, sheet.limits, driver, wires
+        self.config, self.limits, self.driver, self.wires = config, config.limits, driver, wires
         self.counts, self.log = counts, log
         self.wanted: int | None = None
         self.asked = trio.Event()
@@ -39,13 +39,13 @@
 
     async def run(self) -> None:
         """Keeps a connection to the list service while it can, and asks what the engine wants asked."""
-        if not self.sheet.list.asked:
+        if not self.config.list.asked:
             self.wanted = 0
         while True:
             try:
                 with trio.fail_after(self.limits.hello_ms / 1000):
-                    stream = await self.driver.net.dial(self.sheet.list.address)
-                wire = self.wires.wire(stream, LIST, "list", self.sheet.list.frame_bytes)
+                    stream = await self.driver.net.dial(self.config.list.address)
+                wire = self.wires.wire(stream, LIST, "list", self.config.list.frame_bytes)
                 self.wires.begin_capture("list", "list", wire, True)
                 async with trio.open_nursery() as nursery:
                     nursery.start_soon(wire.write)
@@ -57,13 +57,13 @@
             except (OSError, trio.TooSlowError) as wrong:
                 self.log.debug("list_unreachable", reason=str(wrong))
             self.driver.feed("list_failed")
-            self.wanted = self.driver.engine.list_version if not self.sheet.list.asked else None
+            self.wanted = self.driver.engine.list_version if not self.config.list.asked else None
             self.driver.ticker.stir()
             await trio.sleep(RETRY_S)
 
     async def _hear_list(self, wire: Wire, nursery: trio.Nursery) -> None:
         try:
-            wire.send(m.Hello(role="planner", name=self.sheet.name))
+            wire.send(m.Hello(role="planner", name=self.config.name))
             await wire.first(m.Welcome, self.limits.hello_ms / 1000)
             wire.captured()
             nursery.start_soon(self._send_asks, wire)
--- a/hazelhold/service/owner_door.py
+++ b/hazelhold/service/owner_door.py
@@ -6,7 +6,7 @@
 import structlog
 import trio
 
-from hazelhold.config.planner import PlannerSheet
+from hazelhold.config.planner import PlannerConfig
 from hazelhold.engine.advice import Doorman
 from hazelhold.protocol import messages as m
 from hazelhold.protocol.frames import FrameError, frame
@@ -22,22 +22,22 @@
 
     def __init__(
         self,
-        sheet: PlannerSheet,
+        config: PlannerConfig,
         seed: int,
         driver: EngineDriver,
         wires: WireFactory,
         counts: Counter[str],
         log: structlog.stdlib.BoundLogger,
     ) -> None:
-        self.sheet, self.limits, self.driver, self.wires = sheet, sheet.limits, driver, wires
+        self.config, self.limits, self.driver, self.wires = config, config.limits, driver, wires
         self.counts, self.log = counts, log
         self.owners: dict[str, Wire] = {}
         self.connections = self.greeting = 0  # open ones, and those before their Hello
         self.doorman = Doorman(
-            sheet.limits.handshakes_a_second,
-            sheet.limits.handshake_burst,
-            sheet.limits.handshakes_at_once,
-            round(sheet.limits.return_most_ms * 1000),
+            config.limits.handshakes_a_second,
+            config.limits.handshake_burst,
+            config.limits.handshakes_at_once,
+            round(config.limits.return_most_ms * 1000),
             Random(f"door/{seed}"),
         )
 
@@ -89,7 +89,7 @@
             wire.note("open", None)
             self.wires.begin_capture("owner", name, wire, False)
             wire.captured()
-            wire.send(m.Welcome(name=self.sheet.name, spread=self.return_window()))
+            wire.send(m.Welcome(name=self.config.name, spread=self.return_window()))
             self.log.debug("owner_here", owner=name)
             for message in wire.rest():
                 self._owner_said(name, wire, message)
--- a/hazelhold/service/planner.py
+++ b/hazelhold/service/planner.py
@@ -16,7 +16,7 @@
 import trio
 
 from hazelhold.capture.tap import Tap
-from hazelhold.config.planner import PlannerSheet
+from hazelhold.config.planner import PlannerConfig
 from hazelhold.engine.cases import Action, AskList, Dial, HangUp, Lost, Send
 from hazelhold.engine.engine import Engine
 from hazelhold.protocol import messages as m
@@ -43,7 +43,7 @@
 
     def __init__(
         self,
-        sheet: PlannerSheet,
+        config: PlannerConfig,
         seed: int,
         net: Net,
         recorder: Recorder | None = None,
@@ -52,20 +52,20 @@
         votes: Disk | None = None,
         revisions: Disk | None = None,
     ) -> None:
-        file = sheet
+        file = config
         if file.fleetconfig.listen:
             from hazelhold.fleetconfig.follower_host import starting_point  # not above: off costs nothing
 
             revisions = revisions or RealDisk(Path(file.fleetconfig.folder))
-            sheet = starting_point(file, revisions)
-        self.sheet, self.net, self.recorder = sheet, net, recorder
-        self.engine = Engine(sheet, seed, net.now())
+            config = starting_point(file, revisions)
+        self.config, self.net, self.recorder = config, net, recorder
+        self.engine = Engine(config, seed, net.now())
         self.tap = (
-            Tap(Path(sheet.capture.file), sheet.capture, sheet, seed, net.now())
-            if sheet.capture.file
+            Tap(Path(config.capture.file), config.capture, config, seed, net.now())
+            if config.capture.file
             else None
         )
-        self.log = structlog.get_logger().bind(planner=sheet.name)
+        self.log = structlog.get_logger().bind(planner=config.name)
         self.counts: Counter[str] = Counter()
         self.address = ""
         self.stop_asked = trio.Event()
@@ -78,60 +78,60 @@
 
     def _make_connections(self, seed: int) -> None:
         """The driver of the engine, and what it and the network meet by."""
-        sheet = self.sheet
-        batch_s = sheet.limits.batch_ms / 1000
+        config = self.config
+        batch_s = config.limits.batch_ms / 1000
         self.driver = EngineDriver(self.engine, self.net, self.tap, batch_s, self.perform)
-        wires = WireFactory(sheet.limits, self.net, self.recorder, self.tap)
-        self.door = OwnerDoor(sheet, seed, self.driver, wires, self.counts, self.log)
-        self.links = MachineLinks(sheet.name, self.driver, wires, self.counts, self.log)
-        self.list_link = ListLink(sheet, self.driver, wires, self.counts, self.log)
+        wires = WireFactory(config.limits, self.net, self.recorder, self.tap)
+        self.door = OwnerDoor(config, seed, self.driver, wires, self.counts, self.log)
+        self.links = MachineLinks(config.name, self.driver, wires, self.counts, self.log)
+        self.list_link = ListLink(config, self.driver, wires, self.counts, self.log)
 
     def _make_members(self) -> None:
         """Membership, if the planner's file has it on."""
         self.members = None
-        if self.sheet.membership.listen:
+        if self.config.membership.listen:
             from hazelhold.membership.host import Members  # not above: off costs nothing
 
-            self.members = Members(self.sheet.name, self.sheet.membership, self.net, self.recorder)
+            self.members = Members(self.config.name, self.config.membership, self.net, self.recorder)
 
     def _make_copies(self, votes: Disk | None) -> None:
         """Agreement on claims, if the planner's file has it on."""
         self.copies = None
-        sheet = self.sheet
-        if sheet.copies.listen:
+        config = self.config
+        if config.copies.listen:
             from hazelhold.replica.host import Copies
 
             self.copies = self.driver.copies = Copies(
-                sheet.name,
-                sheet.copies,
+                config.name,
+                config.copies,
                 self.net,
-                votes or RealDisk(Path(sheet.copies.folder)),
+                votes or RealDisk(Path(config.copies.folder)),
                 self.driver.agreed,
                 self.recorder,
             )
             if self.members is not None:
                 self.members.beside = self.copies.standing
 
-    def _make_follower(self, file: PlannerSheet, revisions: Disk | None) -> None:
+    def _make_follower(self, file: PlannerConfig, revisions: Disk | None) -> None:
         """The follower of the fleet's configuration, if the planner's file has it on."""
         self.follower = None
         if file.fleetconfig.listen:
             from hazelhold.fleetconfig.follower_host import FollowerHost
             from hazelhold.fleetconfig.settings import RunningSettings
 
-            self.settings = RunningSettings(file, self.sheet, self.engine)
+            self.settings = RunningSettings(file, self.config, self.engine)
             self.follower = FollowerHost(file.name, file.fleetconfig, self.net, revisions, self._put_in_force)
 
     def _make_keeper(self, disk: Disk | None) -> None:
         """The keeping of state, if there is a folder or a disk for it."""
         self.keeper: Keeper | None = None
-        sheet = self.sheet
-        if disk is None and sheet.state.folder:
-            disk = RealDisk(Path(sheet.state.folder))
+        config = self.config
+        if disk is None and config.state.folder:
+            disk = RealDisk(Path(config.state.folder))
         if disk is not None:
             self.keeper = self.driver.keeper = Keeper(
-                Store(disk, sheet.name),
-                sheet.state,
+                Store(disk, config.name),
+                config.state,
                 self.engine,
                 self.net.now,
                 self.perform,
@@ -148,7 +148,7 @@
         async with trio.open_nursery() as nursery:
             self.nursery = nursery
             if self.keeper is not None:
-                await recover(self.keeper, self.driver, self.sheet.name, self.take_over, self.log)
+                await recover(self.keeper, self.driver, self.config.name, self.take_over, self.log)
                 nursery.start_soon(self.keeper.run)
                 nursery.start_soon(self.keeper.tend)
                 nursery.start_soon(self.keeper.let_go)
@@ -157,12 +157,12 @@
             if self.follower is not None:
                 await self.follower.open(self.take_over)
                 await nursery.start(self.follower.run)
-            self.address = await self.net.listen(self.sheet.listen, self.door.serve, nursery)
+            self.address = await self.net.listen(self.config.listen, self.door.serve, nursery)
             nursery.start_soon(self.driver.ticker.run)
             nursery.start_soon(self.list_link.run)
             if self.members is not None:
                 await nursery.start(self.members.run)
-            self.log.info("up", address=self.address, planners=self.sheet.planners, slot=self.sheet.slot)
+            self.log.info("up", address=self.address, planners=self.config.planners, slot=self.config.slot)
             task_status.started(self.address)
             await self.stop_asked.wait()
             try:
@@ -183,7 +183,9 @@
 
         self.copies.open()
         await nursery.start(self.copies.run)
-        self.engine.claim_by(self.net.now(), Gate(self.sheet.name, round(self.sheet.copies.claim_ms * 1000)))
+        self.engine.claim_by(
+            self.net.now(), Gate(self.config.name, round(self.config.copies.claim_ms * 1000))
+        )
         self.driver.carry_out()
 
     def hand_over(self) -> None:
--- a/hazelhold/service/wires.py
+++ b/hazelhold/service/wires.py
@@ -3,7 +3,7 @@
 import trio
 
 from hazelhold.capture.tap import Tap
-from hazelhold.config.planner import LimitSheet
+from hazelhold.config.planner import LimitsConfig
 from hazelhold.protocol import messages as m
 from hazelhold.protocol.record import Recorder
 from hazelhold.service.net import Net
@@ -13,7 +13,7 @@
 class WireFactory:
     """What all of a planner's connections have in common."""
 
-    def __init__(self, limits: LimitSheet, net: Net, recorder: Recorder | None, tap: Tap | None) -> None:
+    def __init__(self, limits: LimitsConfig, net: Net, recorder: Recorder | None, tap: Tap | None) -> None:
         self.limits, self.net, self.recorder, self.tap = limits, net, recorder, tap
 
     def wire(self, stream: trio.abc.Stream, codec: m.Codec, peer: str = "", frame_bytes: int = 0) -> Wire:
--- a/tests/fleetconfig_rig.py
+++ b/tests/fleetconfig_rig.py
@@ -13,7 +13,7 @@
     FleetConfigSection,
     VotesSection,
 )
-from hazelhold.config.planner import PlannerSheet
+from hazelhold.config.planner import PlannerConfig as PlannerSheet
 from hazelhold.fleetconfig import messages as m
 from hazelhold.fleetconfig.client import ConfigClient
 from hazelhold.fleetconfig.control_host import ControlHost, copies_sheet
@@ -23,7 +23,7 @@
 from hazelhold.service.net import MemoryNet
 from hazelhold.service.planner import Planner
 from hazelhold.standin.disk import FaultyDisk, Killed, Points
-from tests.helpers import sheet
+from tests.helpers import planner_config as sheet
 
 LONG = 120.0  # seconds of virtual time: no test waits so long unless something is wrong
 DEPLOYMENT = "hazelhold"
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -3,12 +3,12 @@
 from hazelhold.brain import Brain
 from hazelhold.config.planner import (
     Estate,
-    FleetSheet,
-    KindSheet,
-    LimitSheet,
-    ListSheet,
-    PlannerSheet,
-    ProductSheet,
+    KindConfig,
+    LimitsConfig,
+    ListConfig,
+    MachinesConfig,
+    PlannerConfig,
+    ProductConfig,
 )
 from hazelhold.engine.cases import Agree, Dial, Send
 from hazelhold.engine.engine import Engine
@@ -73,22 +73,22 @@
     return found
 
 
-def sheet(**limits: object) -> PlannerSheet:
+def planner_config(**limits: object) -> PlannerConfig:
     """A planner's configuration with one product of each effect."""
     products = [
-        ProductSheet("plain", "rerunnable", 800, 5000),
-        ProductSheet("once", "exclusive", 800, 5000),
-        ProductSheet("ticket", "ticketed", 800, 5000, group="cell", window_ms=4000),
+        ProductConfig("plain", "rerunnable", 800, 5000),
+        ProductConfig("once", "exclusive", 800, 5000),
+        ProductConfig("ticket", "ticketed", 800, 5000, group="cell", window_ms=4000),
     ]
-    estate = Estate(products, [KindSheet("box", 24, 40)], FleetSheet(cores_multiple=2.5, probing=False))
-    return PlannerSheet("p0", "door", ListSheet("list"), estate, limits=LimitSheet(**limits))
+    estate = Estate(products, [KindConfig("box", 24, 40)], MachinesConfig(cores_multiple=2.5, probing=False))
+    return PlannerConfig("p0", "door", ListConfig("list"), estate, limits=LimitsConfig(**limits))
 
 
 class Desk:
     """An engine driven by hand. Machines that are dialled come up at once unless they are in `dead`."""
 
     def __init__(self, machines: str = "ab", **limits: object) -> None:
-        self.engine = Engine(sheet(**limits), 1, 0)
+        self.engine = Engine(planner_config(**limits), 1, 0)
         self.dead: set[str] = set()
         self.dialled: list[str] = []
         self.stands: dict[str, list[m.Stand]] = {}
--- a/tests/processes/fleetconfig_rig.py
+++ b/tests/processes/fleetconfig_rig.py
@@ -35,7 +35,7 @@
 from hazelhold.service.net import TcpNet
 from hazelhold.state.disk import RealDisk
 from hazelhold.state.store import read
-from tests.helpers import sheet
+from tests.helpers import planner_config as sheet
 
 LONG = 60.0  # seconds: no test waits so long unless something is wrong
 DEPLOYMENT = "rig"
--- a/tests/processes/rig.py
+++ b/tests/processes/rig.py
@@ -15,12 +15,12 @@
 import trio
 
 from hazelhold.cli.members import ask
-from hazelhold.config.planner import MembershipSheet, PlannerSheet
+from hazelhold.config.planner import MembershipConfig, PlannerConfig
 from hazelhold.membership.rows import STATES
 from hazelhold.rehearse.ports import free_ports
 from hazelhold.rehearse.wires import Wires
 from hazelhold.service.net import TcpNet
-from tests.helpers import sheet
+from tests.helpers import planner_config
 
 LONG = 90.0  # seconds: no test waits so long unless something is wrong
 Views = dict[str, dict[str, str]]
@@ -38,7 +38,7 @@
         self.names = [f"p{n}" for n in range(count)]
         self.ports = dict(zip(self.names, free_ports(count, socket.SOCK_DGRAM), strict=True))
         self.doors = dict(zip(self.names, free_ports(count), strict=True))
-        self.sheets: dict[str, PlannerSheet] = {}
+        self.configs: dict[str, PlannerConfig] = {}
         self.running: dict[str, trio.Process] = {}
         self.logs: list[Path] = []
 
@@ -52,7 +52,7 @@
                 for other in self.names
                 if other != name
             }
-            members = MembershipSheet(
+            members = MembershipConfig(
                 listen=self.at(name),
                 seeds=[reach[s] for s in seeds if s in reach],
                 reach=reach,
@@ -66,19 +66,19 @@
                     **self.timing,
                 },
             )
-            self.sheets[name] = msgspec.structs.replace(
-                sheet(),
+            self.configs[name] = msgspec.structs.replace(
+                planner_config(),
                 name=name,
                 listen=f"127.0.0.1:{self.doors[name]}",
                 slot=number,
                 planners=len(self.names),
                 membership=members,
-                list=msgspec.structs.replace(sheet().list, address="127.0.0.1:1"),
+                list=msgspec.structs.replace(planner_config().list, address="127.0.0.1:1"),
             )
 
     async def start(self, name: str, life: str = "", **changes: object) -> None:
         """Starts `hazelhold planner`; it is up when this returns."""
-        made = self.sheets[name]
+        made = self.configs[name]
         if changes:
             made = msgspec.structs.replace(
                 made, listen="127.0.0.1:0", membership=msgspec.structs.replace(made.membership, **changes)
--- a/tests/processes/test_copies_processes.py
+++ b/tests/processes/test_copies_processes.py
@@ -20,7 +20,7 @@
 from hazelhold.protocol.record import Recorder
 from hazelhold.rehearse.crew import Processes
 from hazelhold.rehearse.ports import free_ports
-from hazelhold.rehearse.run import copy_up, planner_sheets, rule_sheet, wire_up
+from hazelhold.rehearse.run import audit_rules, copy_up, planner_configs, wire_up
 from hazelhold.rehearse.stage import Stage
 from hazelhold.rehearse.wires import Wires
 from hazelhold.service.net import TcpNet
@@ -127,15 +127,15 @@
     async def open(self) -> None:
         day, count = self.day, self.day.planners
         lister = await self.stage.open(self.nursery)
-        sheets = planner_sheets(day, 1, lister, [f"127.0.0.1:{p}" for p in free_ports(count)])
+        configs = planner_configs(day, 1, lister, [f"127.0.0.1:{p}" for p in free_ports(count)])
         import socket
 
         ports = [f"127.0.0.1:{p}" for p in free_ports(count, socket.SOCK_DGRAM)]
-        sheets = await wire_up(sheets, day, self.wires, ports)
+        configs = await wire_up(configs, day, self.wires, ports)
         ports = [f"127.0.0.1:{p}" for p in free_ports(count)]
-        self.sheets = await copy_up(sheets, day, self.wires, ports, self.folder)
-        self.crew = Processes(self.sheets, self.folder, self.nursery, None)
-        self.chief.note(self.net.now(), "", "rules", rule_sheet(day))
+        self.configs = await copy_up(configs, day, self.wires, ports, self.folder)
+        self.crew = Processes(self.configs, self.folder, self.nursery, None)
+        self.chief.note(self.net.now(), "", "rules", audit_rules(day))
         for number in range(count):
             self.crew.found(number)
         async with trio.open_nursery() as nursery:
@@ -143,7 +143,7 @@
                 nursery.start_soon(self.crew.start, number)
 
     async def owner(self, name: str, number: int) -> Owner:
-        made = Owner(name, self.net, self.sheets[number].listen)
+        made = Owner(name, self.net, self.configs[number].listen)
         await self.nursery.start(made.run)
         return made
 
@@ -179,7 +179,7 @@
         return at
 
     async def standing(self, number: int) -> dict:
-        host, _, port = self.sheets[number].membership.listen.rpartition(":")
+        host, _, port = self.configs[number].membership.listen.rpartition(":")
         said = await trio.to_thread.run_sync(partial(ask, (host, int(port)), self.day.name, LONG))
         return said[0]
 
@@ -309,7 +309,7 @@
         async with town(tmp_path) as made:
             at = await made.x_runs()
             await made.kill(2)
-            shutil.rmtree(made.sheets[2].copies.folder)
+            shutil.rmtree(made.configs[2].copies.folder)
             await made.start(2)
             assert (await made.logged("votes_again", 2))["lost"] == "no_seat"
             await made.kill(0)  # what was agreed without planner-2's old votes has to be told by its new ones
--- a/tests/test_capture.py
+++ b/tests/test_capture.py
@@ -422,7 +422,7 @@
     from hazelhold.capture.load import asks, send
     from hazelhold.service.net import TcpNet
     from hazelhold.service.planner import Planner
-    from tests.helpers import sheet
+    from tests.helpers import planner_config
 
     plan = [a for a in asks(sorted(day.glob("planner-0-*.pcap")), Skips()) if isinstance(a[2], m.Submit)][:40]
 
@@ -436,7 +436,9 @@
 
     async def run() -> dict:
         quiet = msgspec.structs.replace(
-            sheet(), listen="127.0.0.1:0", list=msgspec.structs.replace(sheet().list, address="127.0.0.1:1")
+            planner_config(),
+            listen="127.0.0.1:0",
+            list=msgspec.structs.replace(planner_config().list, address="127.0.0.1:1"),
         )
         async with trio.open_nursery() as nursery:
             planner = Planner(quiet, 1, TcpNet())
--- a/tests/test_claim_audit.py
+++ b/tests/test_claim_audit.py
@@ -5,11 +5,11 @@
 import pytest
 
 from hazelhold.audit.claims import ClaimAudit
-from hazelhold.audit.rules import RuleSheet
+from hazelhold.audit.rules import AuditRules
 from hazelhold.protocol.record import Crossing
 from hazelhold.replica import claims as c
 
-RULES = RuleSheet({"once": {"effect": "exclusive"}, "plain": {"effect": "rerunnable"}}, 4, 250_000)
+RULES = AuditRules({"once": {"effect": "exclusive"}, "plain": {"effect": "rerunnable"}}, 4, 250_000)
 TAKE = c.Take("p0", 1, 0, 0, "m", 2)
 CLAIM = c.encode(TAKE.claim())
 
--- a/tests/test_client.py
+++ b/tests/test_client.py
@@ -16,7 +16,7 @@
 from hazelhold.client.types import Connect, Send, Tell
 from hazelhold.engine.advice import Advice, Doorman
 from hazelhold.protocol import messages as m
-from tests.helpers import MS, sheet
+from tests.helpers import MS, planner_config
 
 S = 1_000_000
 
@@ -336,7 +336,7 @@
 
     async def run() -> None:
         used = MemoryNet()
-        planner = Planner(sheet(**limits), 1, used)
+        planner = Planner(planner_config(**limits), 1, used)
         with trio.fail_after(300):
             async with trio.open_nursery() as nursery:
                 await nursery.start(planner.run)
@@ -392,7 +392,7 @@
             net.dial = counted
             planner.stop()
             await trio.sleep(1.0)
-            second = Planner(sheet(), 2, net)
+            second = Planner(planner_config(), 2, net)
             await nursery.start(second.run)
             start = trio.current_time()
             while sum(c.core.up["p"] for c in clients) < 1000:
@@ -418,9 +418,9 @@
         import msgspec
 
         made = msgspec.structs.replace(
-            sheet(),
+            planner_config(),
             listen=f"127.0.0.1:{port}",
-            list=msgspec.structs.replace(sheet().list, address="127.0.0.1:1"),
+            list=msgspec.structs.replace(planner_config().list, address="127.0.0.1:1"),
         )
         async with trio.open_nursery() as nursery:
             await nursery.start(Planner(made, 1, TcpNet()).run)
--- a/tests/test_copies_host.py
+++ b/tests/test_copies_host.py
@@ -12,7 +12,7 @@
 from trio.testing import MockClock
 
 from hazelhold.cli.main import main
-from hazelhold.config.planner import CopiesPlanner, CopiesSheet, check_planner
+from hazelhold.config.planner import CopiesConfig, CopiesPlanner, check_planner
 from hazelhold.protocol.frames import frame
 from hazelhold.protocol.messages import encode
 from hazelhold.replica import claims as c
@@ -23,11 +23,11 @@
 from hazelhold.service.net import MemoryNet
 from hazelhold.standin.disk import FaultyDisk, Killed, Points
 from hazelhold.state.store import StateError
-from tests.helpers import sheet
+from tests.helpers import planner_config
 
 NAMES = ("p0", "p1", "p2")
-SHEETS = {
-    n: CopiesSheet(listen=f"at-{n}", folder="-", planners=[CopiesPlanner(x, f"at-{x}") for x in NAMES])
+CONFIGS = {
+    n: CopiesConfig(listen=f"at-{n}", folder="-", planners=[CopiesPlanner(x, f"at-{x}") for x in NAMES])
     for n in NAMES
 }
 
@@ -43,7 +43,7 @@
         self.ends: dict[str, dict[int, tuple[str, bytes, str]]] = {n: {} for n in NAMES}
         self.number = self.deaths = 0
         for name in NAMES:
-            found(self.disks[name], name, SHEETS[name], 0)
+            found(self.disks[name], name, CONFIGS[name], 0)
         if points is not None:
             self.disks["p1"].points = points
 
@@ -54,7 +54,7 @@
             ends[no] = outcome, value, reason
 
         disk, scope = self.disks[name], trio.CancelScope()
-        part = Copies(name, SHEETS[name], self.net, disk, told)
+        part = Copies(name, CONFIGS[name], self.net, disk, told)
         self.parts[name], self.scopes[name] = part, scope
 
         async def live(task_status: trio.TaskStatus = trio.TASK_STATUS_IGNORED) -> None:
@@ -204,7 +204,7 @@
 
 def test_what_is_let_go_does_not_come_back_by_an_old_ballot() -> None:
     disk = FaultyDisk(Points(set(), 1))
-    alone = replace(SHEETS["p0"], planners=SHEETS["p0"].planners[:1], replicas=1, keep_s=60.0)
+    alone = replace(CONFIGS["p0"], planners=CONFIGS["p0"].planners[:1], replicas=1, keep_s=60.0)
     found(disk, "p0", alone, 0)
     votes = Votes(disk, "p0", alone, 1)
     votes.open(0, "p0 1")
@@ -227,7 +227,7 @@
 @pytest.mark.parametrize("retention", [keep_open_claims, keep_all])
 def test_what_is_let_go_is_said_by_the_retention_alone_also_after_a_start(retention: Retention) -> None:
     """A value that is no claim (the head of a configuration) and one that looks like an ended claim."""
-    alone = replace(SHEETS["p0"], planners=SHEETS["p0"].planners[:1], replicas=1, keep_s=60)
+    alone = replace(CONFIGS["p0"], planners=CONFIGS["p0"].planners[:1], replicas=1, keep_s=60)
     disk = FaultyDisk(Points(set(), 1))
     found(disk, "p0", alone, 0)
     votes = Votes(disk, "p0", alone, 1, retention)
@@ -256,17 +256,19 @@
 )
 def test_another_set_than_the_folders_is_refused_by_name(change: dict, why: str) -> None:
     disk = FaultyDisk(Points(set(), 1))
-    found(disk, "p0", SHEETS["p0"], 0)
+    found(disk, "p0", CONFIGS["p0"], 0)
     with pytest.raises(StateError, match=why):
-        Votes(disk, "p0", replace(SHEETS["p0"], **change), 1).open(0, "p0 1")
+        Votes(disk, "p0", replace(CONFIGS["p0"], **change), 1).open(0, "p0 1")
     assert Seat("p0", "hazelhold", 1, "x").planner == "p0" and disk.holder == ""
 
 
 def test_the_configuration_names_all_that_is_wrong() -> None:
-    full = replace(sheet(), listen="127.0.0.1:1", list=replace(sheet().list, address="127.0.0.1:2"))
+    full = replace(
+        planner_config(), listen="127.0.0.1:1", list=replace(planner_config().list, address="127.0.0.1:2")
+    )
     assert check_planner(full) == []
-    assert [p for p, _ in check_planner(replace(full, copies=CopiesSheet(folder="x")))] == ["copies.listen"]
-    wrong = CopiesSheet(
+    assert [p for p, _ in check_planner(replace(full, copies=CopiesConfig(folder="x")))] == ["copies.listen"]
+    wrong = CopiesConfig(
         listen="somewhere:1",
         replicas=4,
         reach={"p9": "127.0.0.1:5"},
@@ -287,10 +289,10 @@
 
 def test_the_commands_found_once_show_and_vouch(tmp_path: Path) -> None:
     made = replace(
-        sheet(),
+        planner_config(),
         listen="127.0.0.1:1",
-        list=replace(sheet().list, address="127.0.0.1:2"),
-        copies=CopiesSheet(
+        list=replace(planner_config().list, address="127.0.0.1:2"),
+        copies=CopiesConfig(
             listen="127.0.0.1:3",
             folder=str(tmp_path / "votes"),
             replicas=1,
@@ -309,5 +311,5 @@
     assert shown.exit_code == 0 and "p0 of hazelhold, epoch 1" in shown.output
     assert run(main, ["copies", "vouch", str(file)]).exit_code == 0
     off = tmp_path / "off.json5"
-    off.write_bytes(msgspec.json.encode(replace(made, copies=CopiesSheet())))
+    off.write_bytes(msgspec.json.encode(replace(made, copies=CopiesConfig())))
     assert "copies are off" in run(main, ["copies", "show", str(off)]).output
--- a/tests/test_fleetconfig_config.py
+++ b/tests/test_fleetconfig_config.py
@@ -17,9 +17,10 @@
     read_control,
 )
 from hazelhold.config.load import ConfigError
-from hazelhold.config.planner import CaptureSheet, check_planner
+from hazelhold.config.planner import CaptureConfig as CaptureSheet
+from hazelhold.config.planner import check_planner
 from hazelhold.fleetconfig.control_host import copies_sheet
-from tests.helpers import sheet
+from tests.helpers import planner_config as sheet
 
 EXAMPLE = Path(__file__).parent.parent / "examples" / "fleetconfig-control.json5"
 FULL = replace(sheet(), listen="127.0.0.1:1", list=replace(sheet().list, address="127.0.0.1:2"))
--- a/tests/test_fleetconfig_host.py
+++ b/tests/test_fleetconfig_host.py
@@ -352,7 +352,7 @@
 from hazelhold.cli.main import main
 from hazelhold.service.net import MemoryNet
 from hazelhold.service.planner import Planner
-from tests.helpers import sheet
+from tests.helpers import planner_config as sheet
 
 async def make() -> None:
     Planner(sheet(), 1, MemoryNet())
--- a/tests/test_large_list.py
+++ b/tests/test_large_list.py
@@ -13,7 +13,7 @@
 from hazelhold.capture.read import read
 from hazelhold.capture.skips import Skips
 from hazelhold.capture.streams import Frame
-from hazelhold.config.planner import CaptureSheet, ListSheet, PlannerSheet, StateSheet
+from hazelhold.config.planner import CaptureConfig, ListConfig, PlannerConfig, StateConfig
 from hazelhold.model.listing import ListService
 from hazelhold.platform import discovery
 from hazelhold.protocol import messages as m
@@ -22,23 +22,23 @@
 from hazelhold.service.net import MemoryNet
 from hazelhold.service.planner import Planner
 from hazelhold.standin.lister import ListHost
-from tests.helpers import sheet
+from tests.helpers import planner_config
 from tests.platform_rig import DEPLOYMENT, Rig, event, host, play
 
 UP_FOR = 10 * 86_400 * 1_000_000  # microseconds that workers have been up
 HELD_S = 20.0  # of virtual time: far more than a planner needs to hear a list
 
 
-def large_sheet(**changes: object) -> PlannerSheet:
+def large_list_config(**changes: object) -> PlannerConfig:
     """A planner of the defaults that matter here, without probes."""
-    made = replace(sheet(), listen="door", planners=64)
-    return replace(made, list=ListSheet("list", asked=False), **changes)
+    made = replace(planner_config(), listen="door", planners=64)
+    return replace(made, list=ListConfig("list", asked=False), **changes)
 
 
 async def listed(nursery: trio.Nursery, net: MemoryNet) -> ListService:
     """A list service that has all workers, cordoned so that no decision is made about them."""
     service = ListService(1, net.now(), (0, 0), 500_000, (0, 0))
-    kind = sheet().estate.kinds[0].name
+    kind = planner_config().estate.kinds[0].name
     for entry in workers.entries(WORKERS):
         cordoned = replace(entry, mode="cordoned", kind=kind)
         service.set(net.now(), cordoned, net.now() - UP_FOR, at_once=True)
@@ -47,7 +47,7 @@
     return service
 
 
-def hear(made: PlannerSheet, complete: bool = True) -> Planner:
+def hear(made: PlannerConfig, complete: bool = True) -> Planner:
     """A planner that had so long to hear the whole list, or did."""
     kept: list[Planner] = []
 
@@ -80,26 +80,26 @@
 
 
 def test_the_bounds_of_the_configuration_are_those_of_the_protocol() -> None:
-    assert ListSheet("list").frame_bytes == MAX_LIST_FRAME
-    assert sheet().limits.frame_bytes == MAX_FRAME
+    assert ListConfig("list").frame_bytes == MAX_LIST_FRAME
+    assert planner_config().limits.frame_bytes == MAX_FRAME
 
 
 def test_a_planner_hears_the_whole_list() -> None:
-    planner = hear(large_sheet())
+    planner = hear(large_list_config())
     assert not planner.counts["list_frame_too_long"]
     assert len(planner.engine.brain.machines) == WORKERS
 
 
 def test_with_the_bound_of_other_frames_it_would_not() -> None:
-    planner = hear(replace(large_sheet(), list=ListSheet("list", False, frame_bytes=MAX_FRAME)), False)
+    planner = hear(replace(large_list_config(), list=ListConfig("list", False, frame_bytes=MAX_FRAME)), False)
     assert planner.counts["list_frame_too_long"] > 1
     assert not planner.engine.roster.fellows
 
 
 def test_a_larger_bound_of_all_frames_still_counts_for_the_list() -> None:
-    made = large_sheet()
+    made = large_list_config()
     limits = replace(made.limits, frame_bytes=1 << 22)
-    hear(replace(made, list=ListSheet("list", False, frame_bytes=1024), limits=limits))
+    hear(replace(made, list=ListConfig("list", False, frame_bytes=1024), limits=limits))
 
 
 @pytest.mark.parametrize("role", ["owner", "machine"])
@@ -117,7 +117,7 @@
 
         async with trio.open_nursery() as nursery:
             address = await net.listen("a:0", machine, nursery)
-            planner = Planner(large_sheet(), 1, net)
+            planner = Planner(large_list_config(), 1, net)
             await nursery.start(planner.run)
             if role == "owner":
                 stream = await net.dial("door")
@@ -126,7 +126,7 @@
                 assert planner.counts["refused_frame_too_long"] == 1
             else:
                 entry = replace(workers.entry(0), machine="a", address=address, kind="box")
-                entry = replace(entry, kind=sheet().estate.kinds[0].name)
+                entry = replace(entry, kind=planner_config().estate.kinds[0].name)
                 told = m.Listing(version=1, whole=True, entries=[entry])
                 planner.engine.list_said(net.now(), told)
                 planner.driver.carry_out()
@@ -146,7 +146,7 @@
 
 def test_a_list_of_this_size_is_captured_and_read_again(tmp_path: Path) -> None:
     file = tmp_path / "planner.pcap"
-    hear(large_sheet(capture=CaptureSheet(file=str(file))))
+    hear(large_list_config(capture=CaptureConfig(file=str(file))))
     skips = Skips()
     told = [item.message for item in read([file], skips) if isinstance(item, Frame)]
     lists = [each for each in told if each["t"] == "listing" and each["whole"]]
@@ -155,7 +155,7 @@
 
 
 def test_a_list_of_this_size_is_kept_and_recovered(tmp_path: Path) -> None:
-    made = large_sheet(state=StateSheet(folder=str(tmp_path / "state")))
+    made = large_list_config(state=StateConfig(folder=str(tmp_path / "state")))
     hear(made)
     found: list[int] = []
 
--- a/tests/test_membership_host.py
+++ b/tests/test_membership_host.py
@@ -13,12 +13,12 @@
 from trio.testing import MockClock
 
 from hazelhold.config.load import ConfigError
-from hazelhold.config.planner import MembershipSheet, check_membership, read_planner
+from hazelhold.config.planner import MembershipConfig, check_membership, read_planner
 from hazelhold.membership import messages
 from hazelhold.membership.rows import ALIVE, GONE, LEFT, SUSPECTED, Row
 from hazelhold.service.net import MemoryNet, TcpNet
 from hazelhold.service.planner import Planner
-from tests.helpers import sheet
+from tests.helpers import planner_config
 
 EXAMPLE = Path(__file__).parent.parent / "examples" / "planner.json5"
 
@@ -34,10 +34,10 @@
     async def start(self, name: str, seeds: tuple[str, ...] = ("m-p0", "m-p1")) -> Planner:
         made = Planner(
             msgspec.structs.replace(
-                sheet(),
+                planner_config(),
                 name=name,
                 listen=f"door-{name}",
-                membership=MembershipSheet(listen=f"m-{name}", seeds=list(seeds)),
+                membership=MembershipConfig(listen=f"m-{name}", seeds=list(seeds)),
             ),
             1,
             self.net,
@@ -104,11 +104,11 @@
     code = (
         "import sys, trio\nfrom trio.testing import MockClock\n"
         "from hazelhold.service.net import MemoryNet\nfrom hazelhold.service.planner import Planner\n"
-        "from tests.helpers import sheet\n"
+        "from tests.helpers import planner_config\n"
         "async def run():\n"
         "    net = MemoryNet()\n"
         "    async with trio.open_nursery() as nursery:\n"
-        "        planner = Planner(sheet(), 1, net)\n"
+        "        planner = Planner(planner_config(), 1, net)\n"
         "        await nursery.start(planner.run)\n"
         "        assert planner.members is None and not net.ports\n"
         "        planner.stop()\n"
@@ -151,9 +151,9 @@
 
 
 def test_what_is_wrong_with_a_configuration_is_said_place_by_place(tmp_path: Path) -> None:
-    assert check_membership(MembershipSheet()) == []
-    assert check_membership(MembershipSheet(seeds=["a:1"]))[0][0] == "membership.listen"
-    wrong = MembershipSheet(
+    assert check_membership(MembershipConfig()) == []
+    assert check_membership(MembershipConfig(seeds=["a:1"]))[0][0] == "membership.listen"
+    wrong = MembershipConfig(
         listen="0.0.0.0:70",
         seeds=["10.0.0.1:70", "here:70", "10.0.0.1:0"],
         reach={"p1": "nowhere"},
@@ -166,7 +166,7 @@
         "membership.reach['p1']",
         "membership.metrics",
     ]
-    places = check_membership(MembershipSheet(listen="0.0.0.0:70", suspect_ms=9e3))
+    places = check_membership(MembershipConfig(listen="0.0.0.0:70", suspect_ms=9e3))
     assert [p for p, _ in places] == ["membership.advertise", "membership.suspect_most_ms"]
     file = tmp_path / "planner.json5"
     example = EXAMPLE.read_text().rstrip().rstrip("}").rstrip().rstrip(",")
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -13,7 +13,7 @@
 from hazelhold.protocol.frames import FrameReader, frame
 from hazelhold.service.net import MemoryNet, Net, TcpNet
 from hazelhold.service.planner import Planner
-from tests.helpers import sheet
+from tests.helpers import planner_config
 
 TO_OWNER = m.Codec(m.TO_OWNER)
 HELLO = m.encode(m.Hello(role="owner", name="o"))
@@ -45,7 +45,7 @@
     async def run() -> None:
         used = net or MemoryNet()
         door = "127.0.0.1:0" if isinstance(used, TcpNet) else "door"
-        made = msgspec.structs.replace(sheet(**limits), listen=door)
+        made = msgspec.structs.replace(planner_config(**limits), listen=door)
         if isinstance(used, TcpNet):  # nobody lists machines there
             made = msgspec.structs.replace(
                 made, list=msgspec.structs.replace(made.list, address="127.0.0.1:1")
@@ -104,7 +104,7 @@
 
     async def run() -> None:
         net = MemoryNet()
-        made = sheet()
+        made = planner_config()
         made = msgspec.structs.replace(
             made, capture=msgspec.structs.replace(made.capture, file=str(tmp_path / "c.pcap"))
         )
@@ -325,7 +325,9 @@
     import sys
 
     config = msgspec.structs.replace(
-        sheet(), listen="127.0.0.1:0", list=msgspec.structs.replace(sheet().list, address="127.0.0.1:1")
+        planner_config(),
+        listen="127.0.0.1:0",
+        list=msgspec.structs.replace(planner_config().list, address="127.0.0.1:1"),
     )
     (tmp_path / "p.json5").write_bytes(msgspec.json.encode(config))
     process = subprocess.Popen(
--- a/tests/test_state_failures.py
+++ b/tests/test_state_failures.py
@@ -21,7 +21,7 @@
 from hazelhold.standin.disk import FaultyDisk, Points
 from hazelhold.state import store
 from hazelhold.state.disk import RealDisk
-from tests.helpers import sheet
+from tests.helpers import planner_config
 from tests.state_rig import S, disk
 
 # A disk that fails under a running planner.
@@ -30,7 +30,7 @@
 def beside(test: Callable, on: FaultyDisk) -> None:
     async def run() -> None:
         net = MemoryNet()
-        made = replace(sheet(), state=replace(sheet().state, retry_ms=500.0))
+        made = replace(planner_config(), state=replace(planner_config().state, retry_ms=500.0))
         planner = Planner(made, 1, net, disk=on)
         said: list[m.Message] = []
         with trio.fail_after(300):
@@ -105,7 +105,7 @@
         await trio.sleep(0.1)
         assert isinstance(said[-1], m.Bye) and said[-1].reason == "hand_over"
         assert not any(isinstance(a, m.TurnedBack | m.BrokenOff) for a in said)
-        second = Planner(sheet(), 2, planner.net, disk=on)
+        second = Planner(planner_config(), 2, planner.net, disk=on)
         async with trio.open_nursery() as nursery:
             await nursery.start(second.run)
             assert list(second.engine.cases) == ["g1/0"] and second.engine.sure
@@ -173,7 +173,7 @@
 
     async def run() -> None:
         net = MemoryNet()
-        made = replace(sheet(), state=replace(sheet().state, retry_ms=50.0, slow_ms=60.0))
+        made = replace(planner_config(), state=replace(planner_config().state, retry_ms=50.0, slow_ms=60.0))
         planner = Planner(made, 1, net, disk=on)
         with trio.fail_after(20):
             async with trio.open_nursery() as nursery:
@@ -215,7 +215,7 @@
     from hazelhold.rehearse.ports import free_ports
 
     door = f"127.0.0.1:{free_ports(1)[0]}"
-    made = sheet()
+    made = planner_config()
     made = replace(made, listen=door, list=replace(made.list, address="127.0.0.1:1"))
     file = tmp_path / "planner.json5"
     made = replace(made, state=replace(made.state, folder=str(tmp_path / "s")))
--- a/tests/test_town.py
+++ b/tests/test_town.py
@@ -18,12 +18,12 @@
 from hazelhold.protocol import messages as m
 from hazelhold.service.net import MemoryNet
 from hazelhold.service.wire import Wire
-from tests.helpers import MS, Desk, sheet
+from tests.helpers import MS, Desk, planner_config
 
 
 def town(size: int, spread: bool, **demand: object) -> Town:
     wanted = Demand(20.0, **{"patience": 5 * SECOND, "life": SECOND, **demand})
-    made = Town(sheet(), size, 1, wanted, ClientPolicy(), spread, machines=2)
+    made = Town(planner_config(), size, 1, wanted, ClientPolicy(), spread, machines=2)
     made.open(2 * SECOND)
     while len(made.back) < size:
         made.clock.run(made.clock.now + SECOND)
@@ -219,7 +219,7 @@
         net, off = MemoryNet(), Off()
         off.doors = net.doors
         async with trio.open_nursery() as nursery:
-            await nursery.start(Planner(sheet(), 1, net).run)
+            await nursery.start(Planner(planner_config(), 1, net).run)
             async with open_client("c", {"p": "door"}, net=off, seed=1) as client:
                 await trio.sleep(1)
                 began = trio.current_time()
