--- a/tests/test_descriptors.py
+++ b/tests/test_descriptors.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from hazelhold.service.descriptors import raise_descriptor_limit
-from tests.helpers import sheet
+from tests.helpers import planner_config
 
 WORKERS, CLIENTS = 7_300, 220
 USUAL_SOFT_LIMIT = 1_024
@@ -67,7 +67,9 @@
 def test_a_planner_raises_its_own_limit_and_tells_it(tmp_path: Path) -> None:
     hard = resource.getrlimit(resource.RLIMIT_NOFILE)[1]
     made = msgspec.structs.replace(
-        sheet(), listen="127.0.0.1:0", list=msgspec.structs.replace(sheet().list, address="127.0.0.1:1")
+        planner_config(),
+        listen="127.0.0.1:0",
+        list=msgspec.structs.replace(planner_config().list, address="127.0.0.1:1"),
     )
     file = tmp_path / "planner.json5"
     file.write_bytes(msgspec.json.encode(made))
