--- a/tests/test_fleetconfig_host.py
+++ b/tests/test_fleetconfig_host.py
@@ -245,6 +245,7 @@
         for name in ("p1", *fleet.names):
             await fleet.kill(name)
         await fleet.start("p1")
+        await fleet.until(lambda: fleet.enforced("p1") > 0)
         assert fleet.enforced("p1") >= number
         assert await rejection(fleet, "p1", "acme") == ""
 
@@ -300,10 +301,12 @@
             number = await fleet.committed(customers__b={"jump": jump})
             await fleet.in_force(number)
             for name in (*fleet.names, "p1"):
-                said = await fleet.status_when(lambda said: said.number == number and not said.cut_off, name)
+                said = await fleet.status_when(
+                    lambda said, number=number: said.number == number and not said.cut_off, name
+                )
                 assert 0 <= said.confirmed_age < 5_000_000
-            said = await fleet.status_when(everywhere)
-            assert said.revisions[0].number == number and said.revisions[0].everywhere_after < 5_000_000
+            told = await fleet.status_when(everywhere)
+            assert told.revisions[0].number == number and told.revisions[0].everywhere_after < 5_000_000
 
     with_fleet(test, planners=1)
 
@@ -584,7 +587,7 @@
 from hazelhold.cli.main import main
 from hazelhold.service.net import MemoryNet
 from hazelhold.service.planner import Planner
-from tests.helpers import sheet
+from tests.helpers import planner_config as sheet
 
 async def make() -> None:
     Planner(sheet(), 1, MemoryNet())
