Fleet configuration: a planner's start puts its last revision in force at once

Followup of the wait for the disk: at a start nothing waits to be written, so nothing is waited for (StoreWriter.waits). Seen as a status without anything in force in the moment after the start.

--- a/hazelhold/fleetconfig/follower_host.py
+++ b/hazelhold/fleetconfig/follower_host.py
@@ -164,7 +164,7 @@
     def _offer(self, action: a.PutInForce) -> None:
         """Puts it in force once all that leads to it is safe, so that no restart goes back behind it; at once
         while the disk fails."""
-        if self.writer.failed:
+        if not self.writer.waits:
             self._put_in_force(action)
             return
         self.offered = action
--- a/hazelhold/fleetconfig/writer.py
+++ b/hazelhold/fleetconfig/writer.py
@@ -23,7 +23,7 @@
     def __init__(self, store: RevisionStore, net: Net, slow_ms: float, retry_ms: float) -> None:
         self.store, self.net, self.slow_ms, self.retry_ms = store, net, slow_ms, retry_ms
         self.waiting: deque[tuple[list[Change], Callable[[], None]]] = deque()  # emptied by each commit
-        self.failed = False
+        self.failed = self.writing = False
         self.on_failed: Callable[[], None] = _nothing  # called whenever the disk begins to fail
         self.more = trio.Event()
         self.commits = self.failures = 0
@@ -41,6 +41,11 @@
         self.waiting.append((changes, then))
         self.more.set()
 
+    @property
+    def waits(self) -> bool:
+        """Whether anything that was taken is not safe yet but may become so; not while the disk fails."""
+        return not self.failed and (self.writing or bool(self.waiting))
+
     async def run(self) -> None:
         """Until it is cancelled."""
         while True:
@@ -67,9 +72,11 @@
         changes, calls = self._taken()
         files = self.store.files
         files.apply(changes)
+        self.writing = True
         wrong = await self._slowly(files.log, frames.batch(changes)) if changes else None
         if wrong is None and files.due():
             wrong = await self._slowly(files.finish, *files.prepare(self.net.wall()))
+        self.writing = False
         if wrong is not None:
             self.waiting.extendleft(([], then) for then in reversed(calls))  # in the ledger, not yet safe
             self._fails(wrong)
