--- a/bench/capacity/rows_configuration.py
+++ b/bench/capacity/rows_configuration.py
@@ -22,7 +22,6 @@
 
 ROLE = "holder of configuration"
 PLANNERS = (16, 32, 64, 128, 230)
-FEWER = PLANNERS[:4]  # where a trial of all would take the most time
 STEADY = {"rest": "at rest", "mean": "at 0.19 changes a second", "burst": "at 11.1 changes a second for 20 s"}
 FAULTS = {
     "zone": "while a zone's followers are killed and return with old state",
@@ -55,14 +54,14 @@
     Family(
         "configuration.process.direct",
         STEADY,
-        FEWER,
+        PLANNERS,
         lambda size: Trial(planners=size, relays=0),
         "no relays: all follow control machines",
     ),
     Family(
         "configuration.process.faults",
         FAULTS,
-        FEWER,
+        PLANNERS,
         lambda size: Trial(planners=size, faults=True),
         "tree with two relays; each fault for 5 s, with a change a second",
     ),
