--- a/tests/fleetconfig_model.py
+++ b/tests/fleetconfig_model.py
@@ -5,158 +5,19 @@
 
 from collections.abc import Callable
 from heapq import heappop, heappush
-from math import fsum
 from random import Random
-from typing import NamedTuple
 
-import msgspec
+from fleetconfig_machines import KEY, LIMITS, TIMES, Faults, Machine, Store, Writer
+from fleetconfig_replay import Asking, Replay
 
 from hazelhold.fleetconfig import control_actions as a
 from hazelhold.fleetconfig.control import ControlCore
 from hazelhold.fleetconfig.document import Document, Put, canonical
-from hazelhold.fleetconfig.group import BASE_TOO_OLD
 from hazelhold.fleetconfig.messages import ProposeAnswer
-from hazelhold.fleetconfig.revision import START, Change, Position, SealedRevision, unseal
-from hazelhold.replica.acceptor import Acceptor
-from hazelhold.replica.proposer import Proposer, Send, Times
+from hazelhold.fleetconfig.revision import Change, Position, SealedRevision
+from hazelhold.replica.proposer import Proposer, Send
 from hazelhold.replica.words import Word
 
-KEY = "fleetconfig/head"
-TIMES = Times(round_most=90_000, pause=10_000, pause_most=60_000)
-LIMITS = a.ControlLimits(
-    ask_within=250_000, pause=8000, confirm_every=100_000, fetch_every=40_000, longest_deadline=2_000_000
-)
-
-
-class Faults(NamedTuple):
-    """Until `until` (microseconds), how often."""
-
-    until: int = 1_500_000
-    lost: float = 0.1  # part of the messages
-    doubled: float = 0.1
-    late: int = 40_000  # the longest time that a message takes, microseconds
-    crashes: int = 4
-    disks: int = 1  # stores that are lost, one after another
-    cuts: int = 2  # times that one machine's messages to another are lost
-    peers_lost: float = 0.0  # part of what control machines tell each other beside the register
-
-
-# Machines that start anew again and again while some answers are lost.
-RESTARTING = Faults(until=3_000_000, lost=0.05, doubled=0.0, late=3000, crashes=30, disks=0, cuts=0)
-# Machines that lose their revisions while most of what they tell each other beside the register is lost.
-LOSING_DISKS = Faults(lost=0.0, doubled=0.0, late=3000, crashes=0, disks=6, cuts=0, peers_lost=0.9)
-
-
-class Store:
-    """What one control machine has on disk: a snapshot and the revisions around it. `kept`: how many behind
-    the snapshot."""
-
-    def __init__(self, kept: int) -> None:
-        self.kept = kept
-        self.position, self.items = Position(), []
-        self.revisions: list[SealedRevision] = []
-
-    @property
-    def number(self) -> int:
-        return max(self.position.number, self.revisions[-1].revision.number if self.revisions else 0)
-
-    def state(self) -> a.StoredState:
-        return a.StoredState(self.position, Document(self.items), tuple(self.revisions))
-
-    def append(self, revisions: tuple[SealedRevision, ...]) -> None:
-        for sealed in revisions:
-            assert sealed.revision.number == self.number + 1, "stored with a gap"
-            self.revisions.append(sealed)
-        if len(self.revisions) > 3 * self.kept:
-            self._compact()
-
-    def _compact(self) -> None:
-        document = Document(self.items)
-        for sealed in self.revisions:
-            if sealed.revision.number > self.position.number:
-                document.apply(sealed.revision.edits)
-        self.position, self.items = self.revisions[-1].position, document.puts()
-        self.revisions = self.revisions[-self.kept :]
-
-
-class Machine:
-    """One control machine: its acceptor outlives crashes, its store may be lost, the rest is of one life."""
-
-    def __init__(self, name: str, kept: int) -> None:
-        self.name = name
-        self.acceptor = Acceptor(1, True)
-        self.store = Store(kept)
-        self.life = 0
-        self.core: ControlCore | None = None
-        self.proposer: Proposer | None = None
-        self.asked: dict[int, int] = {}
-        self.wakes_at = 0  # the next time that it is woken, if that lies ahead
-        self.refilled_at = 0  # revision up to which a lost store has to come again
-
-
-class Asking(NamedTuple):
-    """One asking of a writer as it was answered by a core."""
-
-    change: Change
-    answer: ProposeAnswer
-    emitted_after: int  # the highest committed revision then
-
-
-class Writer:
-    """Changes one thing after another; asks again with the same id while it does not know."""
-
-    def __init__(self, world: "World", name: str, changes: int) -> None:
-        self.world, self.name, self.left = world, name, changes
-        self.seen = self.made = self.tries = 0
-        self.change: Change | None = None
-
-    def next(self) -> None:
-        if self.left <= 0:
-            return
-        self.left -= 1
-        self.made += 1
-        self.tries = 0
-        random = self.world.random
-        base = max(0, self.seen - random.choice([0, 0, 0, 1, 3]))
-        id_ = f"{self.name}-{self.made}"
-        self.change = self.world.draw_change(id_, base)
-        self.ask()
-
-    def ask(self) -> None:
-        world, change = self.world, self.change
-        self.tries += 1
-        asked = self.tries, change.id
-        machine = world.random.choice(list(world.machines.values()))
-        world.send(self.name, machine.name, lambda: world.propose(machine, self, change))
-        world.later(world.random.randint(150_000, 400_000), lambda: self.timeout(asked))
-
-    def timeout(self, asked: tuple[int, str]) -> None:
-        if self.change and asked == (self.tries, self.change.id):
-            if self.tries < 6:
-                self.ask()
-            else:
-                self.finish()
-
-    def answered(self, answer: ProposeAnswer) -> None:
-        if self.change is None or answer.id != self.change.id:
-            return
-        self.seen = max(self.seen, answer.number)
-        if answer.outcome in ("refused", "unknown") and self.tries < 6:
-            if self.world.random.random() < 0.7:
-                self.ask()
-                return
-        self.finish()
-
-    def finish(self) -> None:
-        """Now and then the asking comes once more later on, when nobody waits for its answer."""
-        world, change = self.world, self.change
-        if world.random.random() < 0.25:
-            machine = world.random.choice(list(world.machines.values()))
-            again = world.random.randint(0, 500_000)
-            world.later(again, lambda: world.propose(machine, self, change))
-        self.change = None
-        self.world.later(self.world.random.randint(0, 60_000), self.next)
-
 
 class World:
     def __init__(
@@ -470,91 +331,6 @@
             assert machine.store.number == last, "committed, and not stored"
 
 
-class Replay:
-    """The committed chain, carried out by a plain model: whole copies, no index, no window."""
-
-    def __init__(self, committed: dict[int, SealedRevision]) -> None:
-        self.items: list[dict[str, bytes]] = [{}]
-        self.changed: list[dict[str, int]] = [{}]
-        self.carried: dict[str, int] = {}
-        chain = START
-        for number in range(1, max(committed) + 1):
-            assert number in committed, f"revision {number} is lost"
-            sealed = unseal(committed[number].body)
-            assert sealed.revision.parent == chain, "not one chain"
-            chain = sealed.chain
-            items, changed = dict(self.items[-1]), dict(self.changed[-1])
-            for change in sealed.revision.changes:
-                assert change.id not in self.carried, f"{change.id} was carried out twice"
-                stale = [name for name in change.names() if changed.get(name, 0) > change.base]
-                assert not stale, f"{change.id} was carried out over later changes of {stale}"
-                carry_out(items, change)
-                assert not wrong(items), f"{change.id} left {wrong(items)}"
-                changed.update(dict.fromkeys(change.names(), number))
-                self.carried[change.id] = number
-            document = Document(Put(name, value) for name, value in items.items())
-            assert document.checksum == sealed.revision.content
-            self.items.append(items)
-            self.changed.append(changed)
-
-    def check(self, askings: list[Asking], opened: dict[str, int], closed: dict[str, int]) -> None:
-        final: dict[str, set[str]] = {}
-        for change, answer, _ in askings:
-            final.setdefault(change.id, set()).add(answer.outcome)
-            self._check_answer(change, answer)
-        for id_, outcomes in final.items():
-            if "unknown" not in outcomes and "committed" not in outcomes and opened[id_] == closed[id_]:
-                assert id_ not in self.carried, f"{id_} was {outcomes}, and carried out"
-
-    def _check_answer(self, change: Change, answer: ProposeAnswer) -> None:
-        if answer.outcome == "committed":
-            assert self.carried.get(change.id) == answer.number, f"{change.id} was not committed as told"
-        elif answer.outcome == "conflict":
-            if answer.faults[0].text.startswith(BASE_TOO_OLD):
-                return
-            changed = self.changed[answer.number]
-            stale = {name for name in change.names() if changed.get(name, 0) > change.base}
-            assert stale == {fault.item for fault in answer.faults}, "a conflict that is none"
-            assert change.id not in self.carried, f"{change.id} was in conflict, and carried out"
-        elif answer.outcome == "invalid":
-            if "base" in answer.faults[0].text:
-                return
-            items = dict(self.items[answer.number])
-            carry_out(items, change)
-            assert wrong(items), (
-                f"{change.id} was refused as invalid after {answer.number}, and is valid there"
-            )
-
-
-def carry_out(items: dict[str, bytes], change: Change) -> None:
-    items.update((put.name, put.value) for put in change.puts)
-    for name in change.removals:
-        items.pop(name, None)
-
-
-def wrong(items: dict[str, bytes]) -> list[str]:
-    """What is wrong with the teams of a whole document, the plain way."""
-    teams = {
-        name.removeprefix("teams/"): msgspec.json.decode(value)
-        for name, value in items.items()
-        if name.startswith("teams/")
-    }
-    found = []
-    for name, team in teams.items():
-        if (parent := team.get("parent", "")) and parent not in teams:
-            found.append(f"{name} has no parent")
-        shares = [child["quota_cores"] for child in teams.values() if child.get("parent") == name]
-        if fsum(shares) > team["quota_cores"]:
-            found.append(f"{name} is too small")
-        seen, above = {name}, team.get("parent", "")
-        while above in teams and above not in seen:
-            seen.add(above)
-            above = teams[above].get("parent", "")
-        if above == name:
-            found.append(f"{name} is its own ancestor")
-    return found
-
-
 def drawn_world(seed: int, core: type[ControlCore] = ControlCore) -> World:
     """A world with all that differs between deployments and days drawn from the seed."""
     random = Random(f"world/{seed}")
--- a/tests/fleetconfig_space.py
+++ b/tests/fleetconfig_space.py
@@ -8,7 +8,7 @@
 from random import Random
 from typing import NamedTuple
 
-from fleetconfig_model import LIMITS
+from fleetconfig_machines import LIMITS
 
 from hazelhold.fleetconfig import control_actions as a
 from hazelhold.fleetconfig.chain import Chain
--- a/tests/test_fleetconfig_control_broken.py
+++ b/tests/test_fleetconfig_control_broken.py
@@ -4,7 +4,8 @@
 from collections.abc import Callable
 
 import pytest
-from fleetconfig_model import LOSING_DISKS, RESTARTING, World, drawn_world
+from fleetconfig_machines import LOSING_DISKS, RESTARTING
+from fleetconfig_model import World, drawn_world
 from fleetconfig_space import ControlSpace, search, walk
 
 from hazelhold.fleetconfig import chain, committed, control, group
--- a/tests/test_fleetconfig_validation.py
+++ b/tests/test_fleetconfig_validation.py
@@ -1,7 +1,7 @@
 """What a change would leave: all faults at once, cross-checks through the index, a newer program's items."""
 
 import pytest
-from fleetconfig_model import carry_out, wrong
+from fleetconfig_replay import carry_out, wrong
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
