--- a/tests/test_fleetconfig_spread_broken.py
+++ b/tests/test_fleetconfig_spread_broken.py
@@ -1,7 +1,5 @@
 """Each argument for the spread's safety: a scenario that holds, and a broken variant that it catches."""
 
-import tracemalloc
-import zlib
 from collections.abc import Callable
 
 import pytest
@@ -10,7 +8,6 @@
 from hazelhold.emulate.spread_nodes import Dialing, PlannerNode
 from hazelhold.emulate.spread_world import World
 from hazelhold.fleetconfig import follower, history, snapshot
-from hazelhold.fleetconfig import packed as packed_form
 from hazelhold.fleetconfig.codec import encode
 from hazelhold.fleetconfig.document import Document, Put
 from hazelhold.fleetconfig.everywhere import FleetCoverage
@@ -20,11 +17,9 @@
 from hazelhold.fleetconfig.messages import (
     ConfigMessage,
     MemberState,
-    PackedRevisions,
     Revisions,
     SnapshotPage,
 )
-from hazelhold.fleetconfig.packed import MAX_PLAIN, RAW_DEFLATE
 from hazelhold.fleetconfig.revision import Position, RevisionError, SealedRevision, seal, unseal
 from hazelhold.fleetconfig.roster import Source
 from hazelhold.fleetconfig.snapshot import Assembly, page_check
@@ -41,10 +36,8 @@
     control_machines,
     document_at,
     fleet,
-    fork,
     heal,
     item,
-    packed,
     planned,
     revisions,
     snapshot_at,
@@ -178,58 +171,6 @@
         assert_of_the_chain(direct)
 
 
-def damaged_bytes_of_packed_revisions() -> None:
-    whole = encode(packed(*CHAIN[1:]))
-    for at in range(len(whole)):
-        direct = Direct()
-        direct.hear(revisions(CHAIN[0]))
-        direct.hear_bytes(flipped(whole, at))
-        assert_of_the_chain(direct)
-
-
-def packed_revisions_of_another_chain() -> None:
-    direct = Direct()
-    direct.hear(revisions(*CHAIN[:2]))
-    direct.hear(packed(*fork(CHAIN)[1:]))
-    assert_of_the_chain(direct)
-    direct.hear(revisions(CHAIN[2]))
-    assert direct.history.position == CHAIN[2].position
-
-
-def packed_revisions_over_some_that_are_here() -> None:
-    direct = Direct()
-    direct.hear(revisions(*CHAIN[:2]))
-    direct.hear(packed(*CHAIN))
-    assert_of_the_chain(direct)
-    assert direct.history.position == CHAIN[2].position
-    numbers = [one.position.number for one in direct.all_of(PutInForce)]
-    assert numbers == [2, 3]
-
-
-def packed_revisions_after_a_gap() -> None:
-    direct = Direct()
-    direct.hear(revisions(CHAIN[0]))
-    direct.hear(packed(CHAIN[2]))
-    assert direct.history.position == CHAIN[0].position
-    assert not direct.core.counts["refused_damaged_pack"], "a gap is taken for damage"
-
-
-def bomb() -> None:
-    """Some hundred bytes that would be 64 MB."""
-    plain = bytes(MAX_PLAIN)
-    stream = zlib.compressobj(9, wbits=RAW_DEFLATE)
-    rows = b"".join(stream.compress(plain) for _ in range(200)) + stream.flush()
-    direct = Direct()
-    direct.hear(revisions(CHAIN[0]))
-    tracemalloc.start()
-    direct.hear(replace(packed(CHAIN[1]), rows=rows))
-    _, most = tracemalloc.get_traced_memory()
-    tracemalloc.stop()
-    assert most < 4 * MAX_PLAIN
-    assert direct.core.counts["refused_bomb"] == 1
-    assert direct.history.position == CHAIN[0].position
-
-
 def damaged_bytes_of_a_page() -> None:
     whole = encode(PAGE)
     for at in range(len(whole)):
@@ -258,10 +199,6 @@
         raise RevisionError("gap", "")
 
 
-def no_check(position: Position, document: Document, sealed: SealedRevision) -> None:
-    """Takes anything."""
-
-
 def assembled_unchecked(assembly: Assembly) -> Document:
     document = Document(assembly._items)
     assembly.clear()
@@ -308,26 +245,6 @@
     return [unseal(body) for body in message.bodies]
 
 
-def inflate_all(deflated: bytes, most: int) -> bytes:
-    return zlib.decompress(deflated, RAW_DEFLATE)
-
-
-def pack_from_where_it_begins(message: PackedRevisions, position: Position, document: Document) -> list:
-    """Builds all rows on what is here, also those that are here already."""
-    rows = packed_form._read(message.rows)
-    before = position._replace(number=message.first - 1)
-    return packed_form._build(message.first, rows, before, document)
-
-
-def pack_over_a_gap(message: PackedRevisions, position: Position, document: Document) -> list:
-    rows = packed_form._read(message.rows)
-    return packed_form._build(message.first, rows, position, document)
-
-
-def last_not_compared(last: SealedRevision, message: PackedRevisions) -> None:
-    """Whatever comes out is taken."""
-
-
 Patch = Callable[[pytest.MonkeyPatch], None]
 
 
@@ -368,23 +285,6 @@
         damaged_bytes_of_a_revision,
         patched((follower, "unseal_all", unseal_without_checksum)),
     ),
-    "packed: last chain checksum not compared": (
-        damaged_bytes_of_packed_revisions,
-        patched((packed_form, "check_last", last_not_compared)),
-    ),
-    "packed: another chain": (
-        packed_revisions_of_another_chain,
-        patched((packed_form, "check_last", last_not_compared)),
-    ),
-    "packed: rows that are here built again": (
-        packed_revisions_over_some_that_are_here,
-        patched((follower, "unpack", pack_from_where_it_begins)),
-    ),
-    "packed: built over a gap": (
-        packed_revisions_after_a_gap,
-        patched((follower, "unpack", pack_over_a_gap), (history, "check_next", no_check)),
-    ),
-    "packed: inflated without a bound": (bomb, patched((packed_form, "inflated", inflate_all))),
     "page's checksum not compared": (
         damaged_bytes_of_a_page,
         patched((snapshot, "page_check", lambda page: page.check)),
