--- a/tests/test_fleetconfig_spread_broken.py
+++ b/tests/test_fleetconfig_spread_broken.py
@@ -20,6 +20,7 @@
 from hazelhold.fleetconfig.snapshot import Assembly, page_check
 from hazelhold.fleetconfig.spread_actions import PutInForce, Times
 from tests.spread_rig import (
+    DELTAS,
     SETTLED,
     TOLD,
     Direct,
@@ -51,7 +52,7 @@
 
 def contradicting_revisions() -> None:
     world = fleet(4)
-    impostor = Impostor(world, {"c0", "c1"}, (Revisions,))
+    impostor = Impostor(world, {"c0", "c1"}, DELTAS)
     world.wires.tamper = impostor
     for number in range(3):
         world.commit_at("c2", "work", [item("teams/a", number)])
@@ -113,7 +114,7 @@
     world.run(20)  # by then relays are followed
     relayed = [node for node in world.planners if len(node.follower.standing(world.now).route) > 1]
     assert relayed
-    impostor = Impostor(world, {"c0", "c1", "c2"}, (Revisions,))
+    impostor = Impostor(world, {"c0", "c1", "c2"}, DELTAS)
     world.wires.tamper = impostor
     world.commit_at("c0", "work", [item("teams/a", 1)])
     world.run(2)
@@ -254,7 +255,7 @@
 
 def forward_unverified(port: Dialing, connection: int, message: ConfigMessage) -> None:
     node = port.node
-    if isinstance(message, Revisions) and isinstance(node, PlannerNode):
+    if isinstance(message, DELTAS) and isinstance(node, PlannerNode):
         for one in list(node.source._followers):
             node.world.wires.send(node.listening, one, message)
     node.event(lambda now: port.core.heard(now, connection, message))
