Capacity bench: the rigs' message modules are called messages

The modules of both rigs' process messages were called words, an old house name; the program's own modules of this kind are called messages. No message, field or tag changes.

--- a/bench/capacity/configuration/both_sides.py
+++ b/bench/capacity/configuration/both_sides.py
@@ -5,7 +5,7 @@
 import trio
 
 from bench.capacity.configuration.fleet import Fleet
-from bench.capacity.configuration.words import Answer, Drain
+from bench.capacity.configuration.messages import Answer, Drain
 
 TRIES, PAUSE = 30, 0.1  # seconds
 
--- a/bench/capacity/configuration/counting.py
+++ b/bench/capacity/configuration/counting.py
@@ -6,7 +6,7 @@
 import msgspec
 import trio
 
-from bench.capacity.configuration.words import Crossed
+from bench.capacity.configuration.messages import Crossed
 from hazelhold.protocol.frames import FrameReader
 from hazelhold.rehearse.wires import CHUNK, Direction, Wires
 from hazelhold.service.net import Handler, Net, TcpNet
--- a/bench/capacity/configuration/course.py
+++ b/bench/capacity/configuration/course.py
@@ -12,7 +12,7 @@
 from msgspec.structs import replace
 
 from bench.capacity import target as t
-from bench.capacity.configuration import words as w
+from bench.capacity.configuration import messages
 from bench.capacity.configuration.both_sides import BothSides
 from bench.capacity.configuration.figures import machine_figures, revision_figures
 from bench.capacity.configuration.fleet import Fleet
@@ -101,7 +101,7 @@
         """Measures whole seconds around the body. What is used is divided by `span` seconds, those in which
         changes were asked for (0: by all): what comes late belongs to them."""
         await trio.sleep(-time.monotonic() % 1)
-        await self.fleet.tell(w.Drain())
+        await self.fleet.tell(messages.Drain())
         self.fleet.crossed.clear()
         first, began = int(time.monotonic()), self.watch.snapshot()
         known, asked, refused = self.latest, self.proposed, self.not_committed
@@ -109,7 +109,7 @@
         yield made
         await trio.sleep(-time.monotonic() % 1)
         last, ended = int(time.monotonic()), self.watch.snapshot()
-        await self.fleet.tell(w.Drain())
+        await self.fleet.tell(messages.Drain())
         self.fleet.take_logs()
         made.seconds = float(last - first)
         made.used = machine_figures(self.fleet, first, last, span or made.seconds)
@@ -132,8 +132,8 @@
         hollow = self.fleet.layout.hollow
         if self.trial.restarted:
             await self.until_all_have()
-            await self.fleet.tell(w.Lose(hollow))
-            await self.fleet.tell(w.Return(hollow))
+            await self.fleet.tell(messages.Lose(hollow))
+            await self.fleet.tell(messages.Return(hollow))
         with trio.move_on_after(self.trial.most_settle):
             while not (await self.fleet.all_have(number) and self.fleet.best == len(hollow)):
                 await trio.sleep(0.2)
@@ -182,7 +182,9 @@
     async def faults(self) -> None:
         fleet = self.fleet
         zone = fleet.layout.hollow_zone()
-        await self.fault("zone", lambda: fleet.tell(w.Lose(zone)), lambda: fleet.tell(w.Return(zone)))
+        await self.fault(
+            "zone", lambda: fleet.tell(messages.Lose(zone)), lambda: fleet.tell(messages.Return(zone))
+        )
         region = fleet.layout.region("r2")
         for way in ("in", "out", "both"):
             await self.fault(f"cut_{way}", lambda way=way: fleet.cut(region, way), fleet.calm)
--- a/bench/capacity/configuration/figures.py
+++ b/bench/capacity/configuration/figures.py
@@ -4,8 +4,8 @@
 from typing import TYPE_CHECKING
 
 from bench.capacity.configuration.fleet import Fleet
+from bench.capacity.configuration.messages import Crossed
 from bench.capacity.configuration.results import Taken, Used
-from bench.capacity.configuration.words import Crossed
 
 if TYPE_CHECKING:
     from bench.capacity.configuration.course import Course
--- a/bench/capacity/configuration/fleet.py
+++ b/bench/capacity/configuration/fleet.py
@@ -12,7 +12,7 @@
 import trio
 from msgspec.structs import replace
 
-from bench.capacity.configuration import words as w
+from bench.capacity.configuration import messages
 from bench.capacity.configuration.counting import CountingWires, Counts
 from bench.capacity.configuration.followers import Settings
 from bench.capacity.configuration.layout import layout
@@ -82,9 +82,9 @@
         self.hollow: list[Running] = []
         self.writers: dict[str, str] = {}  # by control machine: where writers reach it, through a wire
         self.wall_offset = time.time_ns() // 1000 - self.net.now()
-        self.crossed: list[w.Crossed] = []
-        self.listeners: list[Callable[[w.Answer], None]] = []  # hear all answers of hollow processes
-        self.enforced: list[w.Enforced] = []
+        self.crossed: list[messages.Crossed] = []
+        self.listeners: list[Callable[[messages.Answer], None]] = []  # hear all answers of hollow processes
+        self.enforced: list[messages.Enforced] = []
         self.in_force: dict[str, int] = {}  # of hollow followers, as last heard
         self.best = 0
         self.read: dict[str, int] = {}  # of real planners' logs, in bytes
@@ -210,7 +210,7 @@
 
     # Hollow followers.
 
-    async def tell(self, command: w.Command) -> None:
+    async def tell(self, command: messages.Command) -> None:
         """All hollow processes obey; what they counted is taken."""
         self.best, self.in_force = 0, {}
         line = msgspec.json.encode(command) + b"\n"
@@ -221,7 +221,7 @@
         self.crossed += self.counts.take()
 
     def _take(self, line: bytes) -> None:
-        answer = msgspec.json.decode(line, type=w.Answer)
+        answer = msgspec.json.decode(line, type=messages.Answer)
         self.crossed += answer.crossed
         for listener in self.listeners:
             listener(answer)
@@ -241,7 +241,7 @@
                 if b'"in_force"' in line:
                     said = json.loads(line)
                     at = round(datetime.fromisoformat(said["timestamp"]).timestamp() * 1e6)
-                    self.enforced.append(w.Enforced(name, said["number"], at - self.wall_offset))
+                    self.enforced.append(messages.Enforced(name, said["number"], at - self.wall_offset))
 
     # Cuts.
 
@@ -249,11 +249,11 @@
         """Between these machines and all others."""
         others = [name for name in self.addresses if name not in ones]
         self.wires.cut(ones, others, way)
-        await self.tell(w.Cut(ones, others, way))
+        await self.tell(messages.Cut(ones, others, way))
 
     async def calm(self) -> None:
         self.wires.calm()
-        await self.tell(w.Calm())
+        await self.tell(messages.Calm())
 
     # Asking.
 
@@ -273,7 +273,7 @@
 
     async def all_have(self, number: int) -> bool:
         """Whether all planners that run have this revision in force."""
-        await self.tell(w.Drain())
+        await self.tell(messages.Drain())
         if any(each < number for each in self.in_force.values()):
             return False
         for name in self.layout.real:
--- a/bench/capacity/configuration/followers.py
+++ b/bench/capacity/configuration/followers.py
@@ -13,7 +13,7 @@
 from msgspec import Struct
 
 from bench.capacity.configuration.counting import CountingNet, Counts, Cuts
-from bench.capacity.configuration.words import Answer, Calm, Command, Cut, Enforced, Lose, Return, Stop
+from bench.capacity.configuration.messages import Answer, Calm, Command, Cut, Enforced, Lose, Return, Stop
 from hazelhold.config.fleetconfig import FleetConfigSection
 from hazelhold.fleetconfig.document import Document
 from hazelhold.fleetconfig.follower_host import FollowerHost
--- a/bench/capacity/hollow/children.py
+++ b/bench/capacity/hollow/children.py
@@ -12,7 +12,7 @@
 import msgspec
 from msgspec import Struct
 
-from bench.capacity.hollow.words import Command, Counts, Stop
+from bench.capacity.hollow.messages import Command, Counts, Stop
 
 ROOT = Path(__file__).parent.parent.parent.parent
 ANSWER_SECONDS = 20.0  # within which a process answers a command
--- a/bench/capacity/hollow/claims.py
+++ b/bench/capacity/hollow/claims.py
@@ -13,11 +13,11 @@
 
 from bench.capacity.hollow import owners, relay
 from bench.capacity.hollow.children import Child, SizeRefusedError
+from bench.capacity.hollow.messages import Counts, Drive, Status
 from bench.capacity.hollow.proc import cpu_seconds
 from bench.capacity.hollow.results import Trial
 from bench.capacity.hollow.rig import SECOND, Rig
 from bench.capacity.hollow.tally import Flow, total
-from bench.capacity.hollow.words import Counts, Drive, Status
 from hazelhold.config.planner import CopiesPlanner, CopiesSheet, PlannerSheet
 from hazelhold.replica.votes import found
 from hazelhold.state.disk import RealDisk
--- a/bench/capacity/hollow/course.py
+++ b/bench/capacity/hollow/course.py
@@ -10,10 +10,10 @@
 from typing import NamedTuple
 
 from bench.capacity.hollow.children import SizeRefusedError
+from bench.capacity.hollow.messages import Drive, Status
 from bench.capacity.hollow.proc import Use, cpu_seconds, use
 from bench.capacity.hollow.results import ListResult, PlannerResult, Result, Snapshot, Trial
 from bench.capacity.hollow.rig import Rig, refusal
-from bench.capacity.hollow.words import Drive, Status
 
 
 def run(trial: Trial) -> Result:
--- a/bench/capacity/hollow/lister.py
+++ b/bench/capacity/hollow/lister.py
@@ -11,8 +11,8 @@
 import trio
 from msgspec import Struct
 
+from bench.capacity.hollow.messages import Command, Counts, Stop
 from bench.capacity.hollow.tally import Tally, kind_of
-from bench.capacity.hollow.words import Command, Counts, Stop
 from hazelhold.model.listing import ListService
 from hazelhold.protocol.frames import FrameReader
 from hazelhold.protocol.record import Recorder
--- a/bench/capacity/hollow/members.py
+++ b/bench/capacity/hollow/members.py
@@ -14,8 +14,8 @@
 import trio
 from msgspec import Struct
 
+from bench.capacity.hollow.messages import Command, Counts, Stop
 from bench.capacity.hollow.tally import Flow, PeerFlows
-from bench.capacity.hollow.words import Command, Counts, Stop
 from hazelhold.config.planner import MembershipSheet
 from hazelhold.membership.host import Members
 from hazelhold.membership.rows import ALIVE
--- a/bench/capacity/hollow/membership.py
+++ b/bench/capacity/hollow/membership.py
@@ -11,11 +11,11 @@
 
 from bench.capacity.hollow import members
 from bench.capacity.hollow.children import Child, PlannerProcess
+from bench.capacity.hollow.messages import Counts, Status
 from bench.capacity.hollow.proc import Use, cpu_seconds, use
 from bench.capacity.hollow.results import Trial
 from bench.capacity.hollow.rig import planner_sheet
 from bench.capacity.hollow.tally import Flow, PeerFlows, total
-from bench.capacity.hollow.words import Counts, Status
 from hazelhold.config.planner import ListSheet, MembershipSheet, PlannerSheet
 from hazelhold.rehearse.crew import sheet_text
 from hazelhold.rehearse.ports import free_ports
--- a/bench/capacity/hollow/owners.py
+++ b/bench/capacity/hollow/owners.py
@@ -11,7 +11,7 @@
 from msgspec import Struct
 
 from bench.capacity.hollow.loop import Commands, Connection, Loop, now_us
-from bench.capacity.hollow.words import Command, Counts, Drive, Stop
+from bench.capacity.hollow.messages import Command, Counts, Drive, Stop
 from hazelhold.protocol import messages as m
 
 CODEC = m.Codec(m.TO_OWNER)
--- a/bench/capacity/hollow/relay.py
+++ b/bench/capacity/hollow/relay.py
@@ -15,8 +15,8 @@
 from msgspec import Struct
 
 from bench.capacity.hollow.lister import CountingStream
+from bench.capacity.hollow.messages import Command, Counts, Stop
 from bench.capacity.hollow.tally import Tally
-from bench.capacity.hollow.words import Command, Counts, Stop
 from hazelhold.service.net import TcpNet
 
 CHUNK = 1 << 16  # bytes
--- a/bench/capacity/hollow/results.py
+++ b/bench/capacity/hollow/results.py
@@ -2,9 +2,9 @@
 
 from msgspec import Struct
 
+from bench.capacity.hollow.messages import Counts
 from bench.capacity.hollow.proc import Use
 from bench.capacity.hollow.tally import Flow, PeerFlows, total
-from bench.capacity.hollow.words import Counts
 
 LONG_DIAL = 20_000.0  # milliseconds: bears the dials to all workers at once, which the default does not
 KINDS = ("worker", "list", "owner")  # of a planner's connections
--- a/bench/capacity/hollow/rig.py
+++ b/bench/capacity/hollow/rig.py
@@ -12,10 +12,10 @@
 
 from bench.capacity.hollow import lister, owners, workers
 from bench.capacity.hollow.children import Child, PlannerProcess, RigError
+from bench.capacity.hollow.messages import Counts, Restart, Status
 from bench.capacity.hollow.proc import cpu_seconds
 from bench.capacity.hollow.results import Snapshot, Trial
 from bench.capacity.hollow.tally import PeerFlows
-from bench.capacity.hollow.words import Counts, Restart, Status
 from hazelhold.config.load import build, parse, read_text
 from hazelhold.config.planner import PlannerSheet
 from hazelhold.rehearse.crew import sheet_text
--- a/bench/capacity/hollow/workers.py
+++ b/bench/capacity/hollow/workers.py
@@ -11,7 +11,7 @@
 from msgspec import Struct
 
 from bench.capacity.hollow.loop import Commands, Connection, Listener, Loop, now_us
-from bench.capacity.hollow.words import Command, Counts, Restart, Stop
+from bench.capacity.hollow.messages import Command, Counts, Restart, Stop
 from bench.capacity.hollow.worker import Due, Worker
 from hazelhold.protocol import messages as m
 
--- a/tests/test_capacity_hollow.py
+++ b/tests/test_capacity_hollow.py
@@ -11,10 +11,10 @@
 from bench.capacity.hollow import claims, membership
 from bench.capacity.hollow.course import run
 from bench.capacity.hollow.loop import now_us
+from bench.capacity.hollow.messages import Drive, Status
 from bench.capacity.hollow.results import Trial
 from bench.capacity.hollow.rig import Rig, refusal
 from bench.capacity.hollow.tally import HEAD, Flow, PeerFlows, kind_of
-from bench.capacity.hollow.words import Drive, Status
 from bench.capacity.hollow.worker import Worker
 from bench.capacity.registry import RefusedError
 from hazelhold.protocol import messages as m
