bench.throughput: held requests are measured at a pace that admits them; phases end by themselves

Seen: `--memory 1000` ended in its assertion: of 100 requests 51 were held.

Requests 1 to 51 were held, all others refused (counted by message). The program does what it should. Cause of the second: the second phase asked for a window more than it waited for, and ended in the middle of a batch of answers, which went with it; the third waited for them when it was smaller than the window.

Change: the engine is told of a pace at which the line is no overload; a phase asks for no more than it waits for. `memory` in parts.

--- a/bench/throughput.py
+++ b/bench/throughput.py
@@ -12,6 +12,7 @@
 import time
 import tracemalloc
 from collections.abc import Callable
+from math import ceil
 from random import Random
 
 import msgspec
@@ -29,6 +30,7 @@
     ProductSheet,
     deployment,
 )
+from hazelhold.engine import advice
 from hazelhold.engine.engine import Engine
 from hazelhold.interface import Ask, Ending, Listed, Mode, Remark, Step
 from hazelhold.protocol import messages as m
@@ -236,7 +238,7 @@
 
         async def phase(until: int, wide: int, note: bool) -> None:
             nonlocal placed
-            for _ in range(wide):
+            for _ in range(min(wide, until - asked)):  # no answer is left to a later phase
                 ask()
             async for said in wire.messages():
                 if not isinstance(said, m.Placed):
@@ -269,57 +271,99 @@
     }
 
 
+MEMORY_MACHINES = 60
+PATIENCE = 60_000_000  # microseconds
+PACE_SECONDS = 5  # over which the engine's admission control takes its pace
+
+
 def memory(count: int, run: bool) -> float:
-    """Bytes that an engine keeps for each guest: running ones, or held ones that no machine takes."""
+    """Bytes that an engine keeps for each request: running ones, or held ones that no machine takes."""
     tracemalloc.start()
     engine = Engine(sheet(), 1, 0)
-    entries = [
+    engine.list_said(
+        0, m.Listing(version=1, whole=True, entries=memory_machines("ready" if run else "cordoned"))
+    )
+    if not run:
+        give_pace(engine, count)
+    gc.collect()
+    before = tracemalloc.get_traced_memory()[0]
+    if run:
+        tell_running(engine, count)
+    else:
+        submit_held(engine, count)
+    engine.actions.clear()
+    gc.collect()
+    kept = tracemalloc.get_traced_memory()[0] - before
+    tracemalloc.stop()
+    assert len(engine.cases) == count and engine.unanswered() == (0 if run else count)
+    return kept / count
+
+
+def memory_machines(mode: str) -> list[m.Entry]:
+    """Machines in a list, all in this mode."""
+    return [
         m.Entry(
-            machine=f"m{n}",
+            machine=f"m{number}",
             address="x",
-            mode="ready" if run else "cordoned",
+            mode=mode,
             kind="box",
             incarnation=1,
             cores_room=2000.0,
             memory_room=4000.0,
         )
-        for n in range(60)
+        for number in range(MEMORY_MACHINES)
     ]
-    engine.list_said(0, m.Listing(version=1, whole=True, entries=entries))
-    gc.collect()
-    before = tracemalloc.get_traced_memory()[0]
+
+
+def give_pace(engine: Engine, count: int) -> None:
+    """Tells the engine's admission control of a pace at which a line of so many requests is no overload.
+
+    Without a pace it refuses what goes past the first few in line.
+    """
+    line_seconds = PATIENCE / 1_000_000 * advice.SAFE
+    for number in range(ceil((count + 1) / line_seconds * PACE_SECONDS)):
+        engine.advice.placed(0, f"earlier{number}")
+
+
+def tell_running(engine: Engine, count: int) -> None:
+    """Each machine answers the roll call with its part of the running requests."""
     stands: dict[int, list[m.Stand]] = {}
     for number in range(count):
-        service, cores, mem = shape(number)
-        if run:
-            stands.setdefault(number % 60, []).append(
-                m.Stand(
-                    guest=f"g{number}",
-                    ask=0,
-                    attempt=0,
-                    state="runs",
-                    product="plain",
-                    service=service,
-                    cores=cores,
-                    memory=mem,
-                    owner="o",
-                )
-            )
-            continue
-        ask = m.Submit(
-            guest=f"g{number}", product="plain", service=service, cores=cores, memory=mem, patience=60_000_000
-        )
-        engine.owner_said(number, "o", msgspec.convert(msgspec.to_builtins(ask), m.Submit))
-        engine.actions.clear()
+        stands.setdefault(number % MEMORY_MACHINES, []).append(running_stand(number))
     for number, found in stands.items():
         engine.link_up(0, f"m{number}", m.Welcome(name=f"m{number}", incarnation=1))
         engine.machine_said(0, f"m{number}", m.Running(guests=found))
-    engine.actions.clear()
-    gc.collect()
-    kept = tracemalloc.get_traced_memory()[0] - before
-    tracemalloc.stop()
-    assert len(engine.cases) == count and engine.unanswered() == (0 if run else count)
-    return kept / count
+
+
+def running_stand(number: int) -> m.Stand:
+    service, cores, memory_used = shape(number)
+    return m.Stand(
+        guest=f"g{number}",
+        ask=0,
+        attempt=0,
+        state="runs",
+        product="plain",
+        service=service,
+        cores=cores,
+        memory=memory_used,
+        owner="o",
+    )
+
+
+def submit_held(engine: Engine, count: int) -> None:
+    """Owners submit requests that no machine takes."""
+    for number in range(count):
+        service, cores, memory_wanted = shape(number)
+        request = m.Submit(
+            guest=f"g{number}",
+            product="plain",
+            service=service,
+            cores=cores,
+            memory=memory_wanted,
+            patience=PATIENCE,
+        )
+        engine.owner_said(number, "o", msgspec.convert(msgspec.to_builtins(request), m.Submit))
+        engine.actions.clear()
 
 
 def main() -> None:
