Capacity bench: a row's process ends with a run that is killed; one source of ports

Seen: with the command killed (SIGKILL) in the middle of planner.process.default.missing, the row's process went on with its 25 processes, real planners among them, and measured beside the run that was resumed; it ended by itself some 40 s later. Its folder of trials stayed. The file had all rows so far, and the resumed run kept them.

Cause: isolate.py ends what a row started only from the parent. Change: the row's process waits in a thread for its parent's end and ends its process group; the next run removes the folders of runs that are no more. Trials take their port from rehearse/ports.py in place of two formulas of the process number. Measured: the new test fails without the thread; test_capacity.py (but for the small command) and test_capacity_hollow.py passed.

--- a/bench/capacity/hollow/claims.py
+++ b/bench/capacity/hollow/claims.py
@@ -4,7 +4,6 @@
 claims cost is the difference.
 """
 
-import os
 import time
 from pathlib import Path
 
@@ -19,6 +18,7 @@
 from bench.capacity.hollow.rig import SECOND, Rig
 from bench.capacity.hollow.tally import Flow, total
 from hazelhold.config.planner import CopiesPlanner, CopiesSheet, PlannerSheet
+from hazelhold.rehearse.ports import free_ports
 from hazelhold.replica.votes import found
 from hazelhold.state.disk import RealDisk
 
@@ -50,7 +50,7 @@
     """A rig whose planners have claims on, and reach each other through a relay that counts."""
 
     def start_relay(self) -> None:
-        port = 20_000 + os.getpid() % 10_000  # below the ports that dialling takes
+        port = free_ports(1)[0]
         self.listens = {f"planner-{n}": f"127.2.0.{n + 1}:{port}" for n in range(self.trial.planners)}
         settings = relay.Settings(self.listens, self.most_seconds)
         self.relay = self.keep(Child("relay", settings, self.folder, "relay", relay.Relays))
--- a/bench/capacity/hollow/rig.py
+++ b/bench/capacity/hollow/rig.py
@@ -1,6 +1,5 @@
 """The processes of one trial: hollow workers, a list service, owners, and real planners among them."""
 
-import os
 import resource
 import tempfile
 import time
@@ -19,6 +18,7 @@
 from hazelhold.config.load import build, parse, read_text
 from hazelhold.config.planner import PlannerSheet
 from hazelhold.rehearse.crew import sheet_text
+from hazelhold.rehearse.ports import free_ports
 
 EXAMPLE = Path(__file__).parent.parent.parent.parent / "examples" / "planner.json5"
 ZONES = 24
@@ -86,7 +86,7 @@
         settings = lister.Settings(self.most_seconds)
         self.lister = self.keep(Child("lister", settings, self.folder, "lister", lister.Answered))
         self.list_address = self.lister.started().address
-        port = 20_000 + os.getpid() % 10_000  # below the ports that dialling takes
+        port = free_ports(1)[0]
         self.hollow: list[Child] = []
         for first in range(0, trial.workers, trial.workers_a_process):
             made = workers.Settings(
--- a/bench/capacity/hollow/shared.py
+++ b/bench/capacity/hollow/shared.py
@@ -19,8 +19,9 @@
 from bench.capacity.hollow.course import run
 from bench.capacity.hollow.results import Result, Trial
 
+PREFIX = "hazelhold-trials"
 OWNER = os.getpid()
-FOLDER = Path(tempfile.gettempdir()) / f"hazelhold-trials-{OWNER}-{time.time_ns()}"
+FOLDER = Path(tempfile.gettempdir()) / f"{PREFIX}-{OWNER}-{time.time_ns()}"
 
 
 class Kept(msgspec.Struct):
@@ -38,6 +39,7 @@
     """What `make` gives: made now, or by an earlier row of this benchmark run. RigError if it failed."""
     file = FOLDER / f"{kind.__name__}-{blake2b(key, digest_size=12).hexdigest()}.json"
     if not file.exists():
+        clear_left(FOLDER.parent)
         FOLDER.mkdir(parents=True, exist_ok=True)
         try:
             kept = Kept(result=msgspec.Raw(msgspec.json.encode(make())))
@@ -55,6 +57,14 @@
     return once(msgspec.json.encode(trial), Result, lambda: run(trial))
 
 
+def clear_left(place: Path) -> None:
+    """Removes the folders of benchmark runs that were killed."""
+    for left in place.glob(f"{PREFIX}-*-*"):
+        owner = left.name.split("-")[2]
+        if owner.isdecimal() and not Path("/proc", owner).exists():
+            shutil.rmtree(left, ignore_errors=True)
+
+
 def _clear() -> None:
     if os.getpid() == OWNER:
         shutil.rmtree(FOLDER, ignore_errors=True)
--- a/bench/capacity/isolate.py
+++ b/bench/capacity/isolate.py
@@ -4,6 +4,7 @@
 import multiprocessing
 import os
 import signal
+import threading
 import time
 import traceback
 from collections.abc import Callable
@@ -64,12 +65,22 @@
 
 def _child(row: Measurement, size: int, answer: Connection) -> None:
     os.setsid()  # what it starts ends with it
+    threading.Thread(target=_end_with_parent, daemon=True).start()
     gc.freeze()  # the collector passes over what the parent has imported
     answer.send(tuple(measure_here(row, size)))
     answer.close()
     os._exit(0)  # without the parent's clean-up, which takes longer than many measurements
 
 
+def _end_with_parent() -> None:
+    """Waits for the end of the benchmark's process, however it ends, and ends this one with what it started.
+
+    Nothing then goes on beside a run that is resumed.
+    """
+    multiprocessing.parent_process().join()
+    os.killpg(0, signal.SIGKILL)
+
+
 def _end(process: multiprocessing.Process) -> None:
     """Ends the child and whatever it started."""
     process.join(2)
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -4,7 +4,7 @@
 import subprocess
 import sys
 import time
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from pathlib import Path
 from random import Random
 
@@ -286,6 +286,46 @@
     assert not running(int(told.read_text()))
 
 
+KILLED_RUN = """
+import os, subprocess, sys
+from pathlib import Path
+from bench.capacity.isolate import measure_apart
+from bench.capacity.registry import Measurement
+
+def hangs(size):
+    process = subprocess.Popen(["sleep", "60"])
+    draft = Path(sys.argv[1] + ".tmp")
+    draft.write_text(f"{os.getpid()} {process.pid}")
+    draft.rename(sys.argv[1])
+    process.wait()
+    yield 1.0
+
+fields = dict.fromkeys(Measurement._fields, "") | {"measure": hangs, "seconds": 60.0}
+measure_apart(Measurement(**fields), 1)
+"""
+
+
+def test_a_size_ends_with_a_run_that_is_killed(tmp_path: Path) -> None:
+    told = tmp_path / "numbers"
+    killed = subprocess.Popen([sys.executable, "-c", KILLED_RUN, str(told)], cwd=ROOT)
+    try:
+        assert reached(told.exists, 30)
+    finally:
+        killed.kill()
+        killed.wait()
+    started = [int(number) for number in told.read_text().split()]
+    assert len(started) == 2
+    assert reached(lambda: not any(running(each) for each in started), 10)
+
+
+def reached(state: Callable[[], bool], seconds: float) -> bool:
+    """Whether a state came about within so many seconds."""
+    deadline = time.monotonic() + seconds
+    while not state() and time.monotonic() < deadline:
+        time.sleep(0.05)
+    return state()
+
+
 def running(process: int) -> bool:
     """Whether a process is there and has not ended unreaped."""
     try:
--- a/tests/test_capacity_hollow.py
+++ b/tests/test_capacity_hollow.py
@@ -1,6 +1,9 @@
 """The scale rig: hollow workers speak the protocol, and what they count is what planners count."""
 
+import os
 import resource
+import subprocess
+import sys
 from collections import Counter
 from pathlib import Path
 
@@ -8,7 +11,7 @@
 import pytest
 
 from bench.capacity import rows_hollow, rows_lists, rows_members, rows_voters
-from bench.capacity.hollow import claims, membership
+from bench.capacity.hollow import claims, membership, shared
 from bench.capacity.hollow.course import run
 from bench.capacity.hollow.loop import now_us
 from bench.capacity.hollow.messages import Drive, Status
@@ -263,3 +266,17 @@
     assert not found.repeatable.said.messages
     assert found.once.placed > 0 and found.once.said.messages > 2 * found.once.placed
     assert all(quantity.value(found) >= 0 for quantity in rows_voters.QUANTITIES)
+
+
+def test_the_folders_of_killed_runs_are_removed_and_no_others(tmp_path: Path) -> None:
+    ended = subprocess.Popen([sys.executable, "-c", ""])
+    ended.wait()
+    left, current, foreign = (
+        tmp_path / name
+        for name in (f"{shared.PREFIX}-{ended.pid}-1", f"{shared.PREFIX}-{os.getpid()}-1", "other-1-1")
+    )
+    for folder in (left, current, foreign):
+        folder.mkdir()
+        (folder / "file").write_text("x")
+    shared.clear_left(tmp_path)
+    assert sorted(each.name for each in tmp_path.iterdir()) == sorted([current.name, foreign.name])
