--- a/bench/capacity/__main__.py
+++ b/bench/capacity/__main__.py
@@ -44,9 +44,9 @@
         print(f"{each.id:38} {each.how:12} {each.quantity} ({each.unit}) by {each.by} at {each.sizes}")
 
 
-def main(words: list[str] | None = None) -> int:
+def main(given_arguments: list[str] | None = None) -> int:
     arguments = parser()
-    given = arguments.parse_args(words)
+    given = arguments.parse_args(given_arguments)
     structlog.configure(wrapper_class=structlog.make_filtering_bound_logger(50))
     measurements = discover()
     if given.list:
@@ -54,7 +54,7 @@
         return 0
     if given.small and given.output is None:
         arguments.error("--small needs --output: small sizes are no result")
-    if unknown := [w for w in given.only if not any(m.id.startswith(w) for m in measurements)]:
+    if unknown := [each for each in given.only if not any(m.id.startswith(each) for m in measurements)]:
         arguments.error(f"no row's id begins with {unknown[0]!r}; --list names them")
     path = given.output or RESULT_PATH
     try:
--- a/bench/capacity/budgets.py
+++ b/bench/capacity/budgets.py
@@ -117,7 +117,7 @@
         t.BUDGET_PROCESSOR,
         CORE,
         "voter.claim.cpu@16000 / 16000 * demand.voter.claims",
-        "its own claims' words and its votes on others'; without sockets and disk",
+        "its own claims' messages and its votes on others'; without sockets and disk",
     ),
     Held(
         "voter",
@@ -125,7 +125,7 @@
         t.BUDGET_TRAFFIC,
         TRAFFIC,
         "2 * voter.claim.bytes.slope * demand.voter.claims",
-        "each word is sent by one planner and received by another",
+        "each message is sent by one planner and received by another",
     ),
     Held(
         "voter",
--- a/bench/capacity/hollow/loop.py
+++ b/bench/capacity/hollow/loop.py
@@ -144,7 +144,7 @@
     def __init__(self, most_seconds: float) -> None:
         self.selector = selectors.DefaultSelector()
         self.tally = Tally()
-        self.faults: list[str] = []  # what went wrong, in words
+        self.faults: list[str] = []  # what went wrong
         self.ends_at = now_us() + round(most_seconds * 1e6)
         self.timers: list[tuple[int, int, Callable[..., None], tuple]] = []
         self.turn = 0
--- a/bench/capacity/revision.py
+++ b/bench/capacity/revision.py
@@ -38,5 +38,5 @@
     return b"".join(name + (ROOT / name.decode()).read_bytes() for name in names if name)
 
 
-def _git(*words: str) -> bytes:
-    return subprocess.run(["git", *words], cwd=ROOT, check=True, capture_output=True).stdout
+def _git(*arguments: str) -> bytes:
+    return subprocess.run(["git", *arguments], cwd=ROOT, check=True, capture_output=True).stdout
--- a/bench/capacity/rows_claims.py
+++ b/bench/capacity/rows_claims.py
@@ -8,7 +8,7 @@
 from bench.capacity.registry import measurement
 from bench.copies import Unsafe, name_of, sheets
 from hazelhold.protocol.messages import encode
-from hazelhold.replica import words as w
+from hazelhold.replica import words as messages
 from hazelhold.replica.acceptor import Acceptor, Cell
 from hazelhold.replica.claims import Claim, Take
 from hazelhold.replica.claims import encode as packed
@@ -30,7 +30,7 @@
         self.sets = Sets([Keeper(name, f"z{n % 24}") for n, name in enumerate(names)], REPLICAS)
         self.voters = {name: Acceptor(1, True, name=name, sets=self.sets) for name in names}
         self.proposer = Proposer("planner-0/1", 1, 1)
-        self.words = self.bytes = 0
+        self.messages = self.bytes = 0
         self.votes_time = 0.0
 
     def claim(self, number: int) -> None:
@@ -51,7 +51,7 @@
             answer = self.voters[action.to].hear(action.word)[0]
 
         self.votes_time += processor_time(vote)
-        self.words += 2
+        self.messages += 2
         self.bytes += len(encode(action.word)) + len(encode(answer))
         self.proposer.hear(now, action.to, answer)
 
@@ -66,7 +66,7 @@
 @measurement(
     id="voter.claim.bytes",
     role="voter",
-    quantity="bytes of all words for claims, both ways, between three replicas",
+    quantity="bytes of all messages for claims, both ways, between three replicas",
     unit="bytes",
     by="claims",
     how="module alone",
@@ -87,7 +87,7 @@
     how="module alone",
     sizes=CLAIMS,
     small=FEW_CLAIMS,
-    note="with the coding of all words; without sockets and disk",
+    note="with the coding of all messages; without sockets and disk",
     rounds=3,
 )
 def claim_time(size: int) -> Iterator[float]:
@@ -96,17 +96,17 @@
 
 
 @measurement(
-    id="voter.claim.words",
+    id="voter.claim.messages",
     role="voter",
-    quantity="words of 100 claims",
+    quantity="messages of 100 claims",
     unit="messages",
     by="planners",
     how="module alone",
     sizes=(16, 32, 64, 128, 256),
     small=(4, 8, 16, 32),
 )
-def claim_words(size: int) -> Iterator[float]:
-    yield agreed(100, size).words
+def claim_messages(size: int) -> Iterator[float]:
+    yield agreed(100, size).messages
 
 
 @measurement(
@@ -126,7 +126,7 @@
     def make() -> Acceptor:
         made = Acceptor(1, True, name="planner-0", sets=sets)
         for number in range(size):
-            ballot = w.Ballot(number + 1, "planner-1/1234567890/abcdef")
+            ballot = messages.Ballot(number + 1, "planner-1/1234567890/abcdef")
             value = packed(Claim("planner-1", 3, 0, 0, "placed", f"worker-{number % 7300:05d}", "", number))
             made.set(f"claim/task-{number:08d}", Cell(ballot, ballot, value))
         return made
--- a/bench/capacity/rows_hollow.py
+++ b/bench/capacity/rows_hollow.py
@@ -146,13 +146,13 @@
         "restart",
     ),
 ]
-for phase, words in STEADY:
+for phase, text in STEADY:
     QUANTITIES += [
-        Quantity(f"{phase}.cpu", f"processor time a second {words}", "s/s", share(phase), phase),
-        Quantity(f"{phase}.bytes", f"bytes a second {words}", "bytes/s", a_second(phase, "bytes"), phase),
+        Quantity(f"{phase}.cpu", f"processor time a second {text}", "s/s", share(phase), phase),
+        Quantity(f"{phase}.bytes", f"bytes a second {text}", "bytes/s", a_second(phase, "bytes"), phase),
         Quantity(
             f"{phase}.messages",
-            f"messages a second {words}",
+            f"messages a second {text}",
             "messages/s",
             a_second(phase, "messages"),
             phase,
@@ -161,7 +161,7 @@
     QUANTITIES += [
         Quantity(
             f"{phase}.{kind}.{short}.bytes",
-            f"bytes a second {words}, {kind} connections, {short}",
+            f"bytes a second {text}, {kind} connections, {short}",
             "bytes/s",
             one_way(phase, kind, direction),
             phase,
@@ -285,7 +285,7 @@
     @measurement(
         id=f"{family.prefix}.load.unplaced",
         role="planner",
-        quantity="part of the tasks that are not placed within their patience",
+        quantity="part of the tasks that are not placed by their deadline",
         unit="",
         by=family.by,
         how="real process",
