--- a/bench/capacity/budgets.py
+++ b/bench/capacity/budgets.py
@@ -143,4 +143,32 @@
     Held("regional news of workers", "traffic to a planner", t.BUDGET_TRAFFIC, TRAFFIC, note=NONE),
 ]
 
-HELD = [*PLANNER, *PEERS, *REGION, *LIST, *MEMBER, *VOTER, *CONFIGURATION, *ABSENT]
+REFUSALS = "every start of the peak refused: a planner's share of them; admission control alone"
+DOOR = [
+    Held(
+        "door and quotas",
+        "processor time: refusals",
+        t.BUDGET_PROCESSOR,
+        CORE,
+        "door.refused.cpu@10000 / 10000 * demand.planner.starts",
+        REFUSALS,
+    ),
+    Held(
+        "door and quotas",
+        "traffic: refusals",
+        t.BUDGET_TRAFFIC,
+        TRAFFIC,
+        "door.refused.bytes@10000 / 10000 * demand.planner.starts",
+        REFUSALS,
+    ),
+    Held(
+        "door and quotas",
+        "memory: refusals",
+        t.BUDGET_MEMORY,
+        MEMORY,
+        "door.refused.memory@10000 * 1",
+        "of as many as are remembered at most, beside the planner's own",
+    ),
+]
+
+HELD = [*PLANNER, *PEERS, *REGION, *LIST, *MEMBER, *VOTER, *CONFIGURATION, *DOOR, *ABSENT]
