--- a/bench/capacity/run.py
+++ b/bench/capacity/run.py
@@ -99,8 +99,7 @@
     chosen = {each.id for each in choose(measurements, only, small=False)}
     rows = {row.id: row for row in found.rows}
     rows |= {row.id: row for row in schema.load(other).rows if row.id in chosen}
-    found.rows = [rows[each.id] for each in measurements if each.id in rows]
-    schema.save(finish(found), path)
+    _store(found, rows, measurements, path)
     return found
 
 
@@ -119,28 +118,35 @@
     Rows that are no longer registered leave the file. Raises `schema.ResultError` for a file of another kind.
     """
     found = schema.load(path) if path.exists() else ResultFile()
-    earlier = {row.id: row for row in found.rows}
-    chosen = choose(measurements, only, small)
+    rows = {row.id: row for row in found.rows}
     found.machine = describe(note or found.machine.note)
-    for measurement in chosen:
+    for measurement in choose(measurements, only, small):
         planned = plan(measurement, small)
-        if not fresh and kept(earlier.get(planned.id), planned):
-            if progress is not None:
-                progress.done += steps(measurement, small)
-                progress.note(f"{planned.id}: kept")
+        if not fresh and kept(rows.get(planned.id), planned):
+            _tell_kept(progress, measurement, small)
             continue
-        earlier[planned.id] = row = measure_row(
-            measurement, planned, apart, progress, 1 if small else measurement.rounds
-        )
-        found.rows = [earlier[m.id] for m in measurements if m.id in earlier]
-        schema.save(finish(found), path)
+        row = measure_row(measurement, planned, apart, progress, 1 if small else measurement.rounds)
+        rows[row.id] = row
+        _store(found, rows, measurements, path)
         if progress is not None:
             progress.note(told(row))
-    found.rows = [earlier[m.id] for m in measurements if m.id in earlier]
-    schema.save(finish(found), path)
+    _store(found, rows, measurements, path)
     return found
 
 
+def _tell_kept(progress: Progress | None, measurement: Measurement, small: bool) -> None:
+    """All sizes of a row that stands are done."""
+    if progress is not None:
+        progress.done += steps(measurement, small)
+        progress.note(f"{measurement.id}: kept")
+
+
+def _store(found: ResultFile, rows: dict[str, Row], measurements: Sequence[Measurement], path: Path) -> None:
+    """Writes the registered ones of these rows, in the order of registration, and what follows from them."""
+    found.rows = [rows[each.id] for each in measurements if each.id in rows]
+    schema.save(finish(found), path)
+
+
 def told(row: Row) -> str:
     """A row in a line."""
     fit = row.best_fit()
