--- a/tests/test_capacity_failures.py
+++ b/tests/test_capacity_failures.py
@@ -6,6 +6,8 @@
 from bench.capacity.parted import Parted
 from bench.capacity.registry import RefusedError
 from bench.capacity.rows_failures import known, returned, silence_told
+from bench.capacity.rows_failures_control import LostControlMachine
+from hazelhold.fleetconfig.spread_actions import Times
 from hazelhold.platform.configuration import PLATFORM
 
 
@@ -41,3 +43,13 @@
 def test_a_cut_between_two_regions_wrongs_nobody_and_a_lost_region_is_known() -> None:
     assert Parted(16).part_two_regions().wrong == 0
     assert 2 <= Parted(16).lose_a_region() <= 9
+
+
+def test_an_ended_control_machine_is_left_at_once_and_a_silent_one_after_the_time_for_silence() -> None:
+    ended, silent = LostControlMachine(8, 1), LostControlMachine(8, 1)
+    assert ended.followers
+    ended.end()
+    silent.fall_silent()
+    assert ended.known_after() < 1
+    assert Times().silent <= silent.known_after() * SECOND <= Times().silent + Times().dial
+    assert silent.messages() > 0
