--- a/bench/capacity/hollow/membership.py
+++ b/bench/capacity/hollow/membership.py
@@ -15,6 +15,7 @@
 from bench.capacity.hollow.proc import Use, cpu_seconds, use
 from bench.capacity.hollow.results import Trial
 from bench.capacity.hollow.rig import planner_sheet
+from bench.capacity.hollow.run_folder import run_folder
 from bench.capacity.hollow.tally import Flow, PeerFlows, total
 from hazelhold.config.planner import ListSheet, MembershipSheet, PlannerSheet
 from hazelhold.rehearse.crew import sheet_text
@@ -54,7 +55,7 @@
     """A planner and `count - 1` hollow members."""
     addresses = [f"127.0.0.1:{port}" for port in free_ports(count, socket.SOCK_DGRAM)]
     with ExitStack() as stack:
-        folder = Path(stack.enter_context(tempfile.TemporaryDirectory()))
+        folder = Path(stack.enter_context(tempfile.TemporaryDirectory(dir=run_folder())))
         hollow = start_members(addresses, folder, stack, settle + span + MOST_JOIN + 60)
         file = folder / "planner.json5"
         on = MembershipSheet(listen=addresses[0], seeds=addresses[1:4])
--- a/bench/capacity/hollow/rig.py
+++ b/bench/capacity/hollow/rig.py
@@ -14,6 +14,7 @@
 from bench.capacity.hollow.messages import Counts, Restart, Status
 from bench.capacity.hollow.proc import cpu_seconds
 from bench.capacity.hollow.results import Snapshot, Trial
+from bench.capacity.hollow.run_folder import run_folder
 from bench.capacity.hollow.tally import PeerFlows
 from hazelhold.config.load import build, parse, read_text
 from hazelhold.config.planner import PlannerSheet
@@ -68,7 +69,7 @@
 
     def __enter__(self) -> "Rig":
         with self.stack:
-            self.folder = Path(self.stack.enter_context(tempfile.TemporaryDirectory()))
+            self.folder = Path(self.stack.enter_context(tempfile.TemporaryDirectory(dir=run_folder())))
             self._start_far_side()
             self.stack = self.stack.pop_all()
         return self
--- a/tests/test_capacity_hollow.py
+++ b/tests/test_capacity_hollow.py
@@ -11,7 +11,7 @@
 import pytest
 
 from bench.capacity import rows_hollow, rows_lists, rows_members, rows_voters
-from bench.capacity.hollow import claims, membership, shared
+from bench.capacity.hollow import claims, membership, run_folder
 from bench.capacity.hollow.course import run
 from bench.capacity.hollow.loop import now_us
 from bench.capacity.hollow.messages import Drive, Status
@@ -271,12 +271,10 @@
 def test_the_folders_of_killed_runs_are_removed_and_no_others(tmp_path: Path) -> None:
     ended = subprocess.Popen([sys.executable, "-c", ""])
     ended.wait()
-    left, current, foreign = (
-        tmp_path / name
-        for name in (f"{shared.PREFIX}-{ended.pid}-1", f"{shared.PREFIX}-{os.getpid()}-1", "other-1-1")
-    )
+    names = f"{run_folder.PREFIX}-{ended.pid}-1", f"{run_folder.PREFIX}-{os.getpid()}-1", "other-1-1"
+    left, current, foreign = (tmp_path / name for name in names)
     for folder in (left, current, foreign):
         folder.mkdir()
         (folder / "file").write_text("x")
-    shared.clear_left(tmp_path)
+    run_folder.clear_left(tmp_path)
     assert sorted(each.name for each in tmp_path.iterdir()) == sorted([current.name, foreign.name])
