--- a/bench/capacity/rows_door.py
+++ b/bench/capacity/rows_door.py
@@ -10,7 +10,7 @@
 from bench import throughput
 from bench.capacity.meters import no_collection, processor_time, traced_bytes
 from bench.capacity.registry import measurement
-from hazelhold.config.planner import LimitSheet, micros
+from hazelhold.config.planner import LimitsConfig, micros
 from hazelhold.engine import advice
 from hazelhold.engine.cases import Send
 from hazelhold.engine.engine import Engine
@@ -146,7 +146,7 @@
     rounds=REPEATS,
 )
 def connections_time(size: int) -> Iterator[float]:
-    limits = LimitSheet()
+    limits = LimitsConfig()
     door = advice.Doorman(
         limits.handshakes_a_second,
         limits.handshake_burst,
