Capacity bench: configurations by their names, sheets no more; three small sizes for rows of a lost control machine

With one small size the rows of a lost control machine had no fit: test_the_whole_command_at_small_sizes failed since they came in, and passes now. Aliases of the program's renamed configuration classes are gone from the hollow rig.

--- a/bench/capacity/hollow/claims.py
+++ b/bench/capacity/hollow/claims.py
@@ -17,9 +17,7 @@
 from bench.capacity.hollow.results import Trial
 from bench.capacity.hollow.rig import SECOND, Rig
 from bench.capacity.hollow.tally import Flow, total
-from hazelhold.config.planner import CopiesConfig as CopiesSheet
-from hazelhold.config.planner import CopiesPlanner
-from hazelhold.config.planner import PlannerConfig as PlannerSheet
+from hazelhold.config.planner import CopiesConfig, CopiesPlanner, PlannerConfig
 from hazelhold.rehearse.ports import free_ports
 from hazelhold.replica.votes import found
 from hazelhold.state.disk import RealDisk
@@ -58,21 +56,21 @@
         self.relay = self.keep(Child("relay", settings, self.folder, "relay", relay.Relays))
         self.reach = self.relay.started().addresses
 
-    def sheet_of(self, number: int) -> PlannerSheet:
-        sheet = super().sheet_of(number)
+    def config_of(self, number: int) -> PlannerConfig:
+        config = super().config_of(number)
         folder = self.folder / f"votes-{number}"
-        copies = CopiesSheet(
-            listen=self.listens[sheet.name],
+        copies = CopiesConfig(
+            listen=self.listens[config.name],
             folder=str(folder),
             planners=[
                 CopiesPlanner(name, address, f"z{n}")
                 for n, (name, address) in enumerate(self.listens.items())
             ],
             replicas=REPLICAS,
-            reach={name: address for name, address in self.reach.items() if name != sheet.name},
+            reach={name: address for name, address in self.reach.items() if name != config.name},
         )
-        found(RealDisk(Path(folder)), sheet.name, copies, time.time_ns() // 1000)
-        return replace(sheet, copies=copies)
+        found(RealDisk(Path(folder)), config.name, copies, time.time_ns() // 1000)
+        return replace(config, copies=copies)
 
     def owners_of(self, product: str) -> Child:
         settings = owners.Settings(
--- a/bench/capacity/hollow/members.py
+++ b/bench/capacity/hollow/members.py
@@ -16,7 +16,7 @@
 
 from bench.capacity.hollow.messages import Command, Counts, Stop
 from bench.capacity.hollow.tally import Flow, PeerFlows
-from hazelhold.config.planner import MembershipConfig as MembershipSheet
+from hazelhold.config.planner import MembershipConfig
 from hazelhold.membership.host import Members
 from hazelhold.membership.rows import ALIVE
 from hazelhold.service.net import Port, TcpNet, UdpPort
@@ -77,7 +77,7 @@
     made = [
         Members(
             name,
-            MembershipSheet(
+            MembershipConfig(
                 listen=address,
                 seeds=[seed for seed in settings.seeds if seed != address],
                 zone=f"z{number % settings.zones}",
--- a/bench/capacity/hollow/membership.py
+++ b/bench/capacity/hollow/membership.py
@@ -14,13 +14,11 @@
 from bench.capacity.hollow.messages import Counts, Status
 from bench.capacity.hollow.proc import Use, cpu_seconds, use
 from bench.capacity.hollow.results import Trial
-from bench.capacity.hollow.rig import planner_sheet
+from bench.capacity.hollow.rig import planner_config
 from bench.capacity.hollow.run_folder import run_folder
 from bench.capacity.hollow.tally import Flow, PeerFlows, total
-from hazelhold.config.planner import ListConfig as ListSheet
-from hazelhold.config.planner import MembershipConfig as MembershipSheet
-from hazelhold.config.planner import PlannerConfig as PlannerSheet
-from hazelhold.rehearse.crew import config_text as sheet_text
+from hazelhold.config.planner import ListConfig, MembershipConfig, PlannerConfig
+from hazelhold.rehearse.crew import config_text
 from hazelhold.rehearse.ports import free_ports
 
 NAME = "planner-0"
@@ -43,12 +41,12 @@
     at_rest: Use
 
 
-def sheet(on: MembershipSheet) -> PlannerSheet:
+def config(on: MembershipConfig) -> PlannerConfig:
     """A planner with nothing to do: its list service does not exist."""
     trial = Trial(workers=0, planners=1, told_planners=1)
     return replace(
-        planner_sheet(trial, 0, "127.0.0.1:1"),
-        list=ListSheet(address="127.0.0.1:1", asked=False),
+        planner_config(trial, 0, "127.0.0.1:1"),
+        list=ListConfig(address="127.0.0.1:1", asked=False),
         membership=on,
     )
 
@@ -60,8 +58,8 @@
         folder = Path(stack.enter_context(tempfile.TemporaryDirectory(dir=run_folder())))
         hollow = start_members(addresses, folder, stack, settle + span + MOST_JOIN + 60)
         file = folder / "planner.json5"
-        on = MembershipSheet(listen=addresses[0], seeds=addresses[1:4])
-        file.write_bytes(sheet_text(sheet(on)))
+        on = MembershipConfig(listen=addresses[0], seeds=addresses[1:4])
+        file.write_bytes(config_text(config(on)))
         planner = PlannerProcess(NAME, file, folder / "planner.log")
         stack.callback(planner.end)
         planner.started()
--- a/bench/capacity/hollow/rig.py
+++ b/bench/capacity/hollow/rig.py
@@ -17,8 +17,8 @@
 from bench.capacity.hollow.run_folder import run_folder
 from bench.capacity.hollow.tally import PeerFlows
 from hazelhold.config.load import build, parse, read_text
-from hazelhold.config.planner import PlannerConfig as PlannerSheet
-from hazelhold.rehearse.crew import config_text as sheet_text
+from hazelhold.config.planner import PlannerConfig
+from hazelhold.rehearse.crew import config_text
 from hazelhold.rehearse.ports import free_ports
 
 EXAMPLE = Path(__file__).parent.parent.parent.parent / "examples" / "planner.json5"
@@ -40,19 +40,19 @@
     return ""
 
 
-def planner_sheet(trial: Trial, number: int, list_address: str) -> PlannerSheet:
+def planner_config(trial: Trial, number: int, list_address: str) -> PlannerConfig:
     """The example's planner, on ports of the rig."""
-    sheet = build(PlannerSheet, parse(read_text(EXAMPLE), str(EXAMPLE)), str(EXAMPLE))
+    config = build(PlannerConfig, parse(read_text(EXAMPLE), str(EXAMPLE)), str(EXAMPLE))
     told = {key: value for key in RAISED if (value := getattr(trial, key))}
     return replace(
-        sheet,
+        config,
         name=f"planner-{number}",
         listen="127.0.0.1:0",
         slot=number,
         planners=trial.told_planners,
         seed=trial.seed + number,
-        list=replace(sheet.list, address=list_address),
-        limits=replace(sheet.limits, **told),
+        list=replace(config.list, address=list_address),
+        limits=replace(config.limits, **told),
     )
 
 
@@ -119,7 +119,7 @@
         trial = self.trial
         for number in range(trial.planners):
             file = self.folder / f"planner-{number}.json5"
-            file.write_bytes(sheet_text(self.sheet_of(number)))
+            file.write_bytes(config_text(self.config_of(number)))
             made = PlannerProcess(
                 f"planner-{number}",
                 file,
@@ -129,9 +129,9 @@
             self.planners.append(self.keep(made))
         self.addresses = [planner.started() for planner in self.planners]
 
-    def sheet_of(self, number: int) -> PlannerSheet:
+    def config_of(self, number: int) -> PlannerConfig:
         """What a planner is told."""
-        return planner_sheet(self.trial, number, self.list_address)
+        return planner_config(self.trial, number, self.list_address)
 
     def record_of(self, planner: str) -> Path:
         """Where a planner's frames are recorded, if they are."""
--- a/bench/capacity/outage.py
+++ b/bench/capacity/outage.py
@@ -10,7 +10,7 @@
 
 from bench import throughput
 from bench.capacity import workers
-from hazelhold.config.planner import LimitsConfig as LimitSheet
+from hazelhold.config.planner import LimitsConfig
 from hazelhold.engine.cases import Dial, Send
 from hazelhold.engine.engine import Engine
 from hazelhold.engine.terms import Peers, terms_of
@@ -44,7 +44,7 @@
     connections, as after the end of a process; else dials are answered by nobody."""
 
     def __init__(self, listed: int, away: int, peers: Peers = OWN_PROTOCOL, refuses: bool = True) -> None:
-        terms = terms_of(throughput.sheet())._replace(limits=LimitSheet(), peers=peers)
+        terms = terms_of(throughput.sheet())._replace(limits=LimitsConfig(), peers=peers)
         self.engine = Engine(terms, 1, START)
         self.names = [workers.name(number) for number in range(away)]
         self.refuses, self.now, self.version = refuses, START, 1
--- a/bench/capacity/rows_claims.py
+++ b/bench/capacity/rows_claims.py
@@ -6,8 +6,7 @@
 
 from bench.capacity.meters import processor_time, traced_bytes
 from bench.capacity.registry import measurement
-from bench.copies import Unsafe, name_of
-from bench.copies import configs as sheets
+from bench.copies import Unsafe, configs, name_of
 from hazelhold.protocol.messages import encode
 from hazelhold.replica import messages
 from hazelhold.replica.acceptor import Acceptor, Cell
@@ -148,10 +147,10 @@
 )
 def claim_disk(size: int) -> Iterator[float]:
     with tempfile.TemporaryDirectory() as text:
-        sheet = sheets(1, Path(text), 1)[0]
-        disk, name = Unsafe(Path(sheet.folder)), name_of(sheet)
-        found(disk, name, sheet, 0)
-        votes = Votes(disk, name, sheet, 1)
+        config = configs(1, Path(text), 1)[0]
+        disk, name = Unsafe(Path(config.folder)), name_of(config)
+        found(disk, name, config, 0)
+        votes = Votes(disk, name, config, 1)
         votes.open(0, name)
         votes.store.begin(0)
         before = votes.store.bytes
--- a/bench/capacity/rows_failures_control.py
+++ b/bench/capacity/rows_failures_control.py
@@ -16,7 +16,7 @@
 INPUTS = ("bench/capacity/configuration_model.py",)
 ROLE = "failures"
 PLANNERS = (16, 32, 64, 128)
-FEW_PLANNERS = (8,)
+FEW_PLANNERS = (8, 10, 12)
 SEEDS = (1, 2, 3)
 WATCHED_S = 60.0
 STEP_S = 0.05  # how finely a time is told
