--- a/bench/capacity/hollow/claims.py
+++ b/bench/capacity/hollow/claims.py
@@ -4,7 +4,6 @@
 claims cost is the difference.
 """
 
-import os
 import time
 from pathlib import Path
 
@@ -13,14 +12,13 @@
 
 from bench.capacity.hollow import owners, relay
 from bench.capacity.hollow.children import Child, SizeRefusedError
+from bench.capacity.hollow.messages import Counts, Drive, Status
 from bench.capacity.hollow.proc import cpu_seconds
 from bench.capacity.hollow.results import Trial
 from bench.capacity.hollow.rig import SECOND, Rig
 from bench.capacity.hollow.tally import Flow, total
-from bench.capacity.hollow.words import Counts, Drive, Status
-from hazelhold.config.planner import CopiesConfig as CopiesSheet
-from hazelhold.config.planner import CopiesPlanner
-from hazelhold.config.planner import PlannerConfig as PlannerSheet
+from hazelhold.config.planner import CopiesConfig, CopiesPlanner, PlannerConfig
+from hazelhold.rehearse.ports import free_ports
 from hazelhold.replica.votes import found
 from hazelhold.state.disk import RealDisk
 
@@ -52,27 +50,27 @@
     """A rig whose planners have claims on, and reach each other through a relay that counts."""
 
     def start_relay(self) -> None:
-        port = 20_000 + os.getpid() % 10_000  # below the ports that dialling takes
+        port = free_ports(1)[0]
         self.listens = {f"planner-{n}": f"127.2.0.{n + 1}:{port}" for n in range(self.trial.planners)}
         settings = relay.Settings(self.listens, self.most_seconds)
         self.relay = self.keep(Child("relay", settings, self.folder, "relay", relay.Relays))
         self.reach = self.relay.started().addresses
 
-    def sheet_of(self, number: int) -> PlannerSheet:
-        sheet = super().sheet_of(number)
+    def config_of(self, number: int) -> PlannerConfig:
+        config = super().config_of(number)
         folder = self.folder / f"votes-{number}"
-        copies = CopiesSheet(
-            listen=self.listens[sheet.name],
+        copies = CopiesConfig(
+            listen=self.listens[config.name],
             folder=str(folder),
             planners=[
                 CopiesPlanner(name, address, f"z{n}")
                 for n, (name, address) in enumerate(self.listens.items())
             ],
             replicas=REPLICAS,
-            reach={name: address for name, address in self.reach.items() if name != sheet.name},
+            reach={name: address for name, address in self.reach.items() if name != config.name},
         )
-        found(RealDisk(Path(folder)), sheet.name, copies, time.time_ns() // 1000)
-        return replace(sheet, copies=copies)
+        found(RealDisk(Path(folder)), config.name, copies, time.time_ns() // 1000)
+        return replace(config, copies=copies)
 
     def owners_of(self, product: str) -> Child:
         settings = owners.Settings(
--- a/bench/capacity/rows_claims.py
+++ b/bench/capacity/rows_claims.py
@@ -6,8 +6,7 @@
 
 from bench.capacity.meters import processor_time, traced_bytes
 from bench.capacity.registry import measurement
-from bench.copies import Unsafe, name_of
-from bench.copies import configs as sheets
+from bench.copies import Unsafe, configs, name_of
 from hazelhold.protocol.messages import encode
 from hazelhold.replica import messages
 from hazelhold.replica.acceptor import Acceptor, Cell
@@ -31,7 +30,7 @@
         self.sets = Sets([Keeper(name, f"z{n % 24}") for n, name in enumerate(names)], REPLICAS)
         self.voters = {name: Acceptor(1, True, name=name, sets=self.sets) for name in names}
         self.proposer = Proposer("planner-0/1", 1, 1)
-        self.words = self.bytes = 0
+        self.messages = self.bytes = 0
         self.votes_time = 0.0
 
     def claim(self, number: int) -> None:
@@ -52,7 +51,7 @@
             answer = self.voters[action.to].hear(action.word)[0]
 
         self.votes_time += processor_time(vote)
-        self.words += 2
+        self.messages += 2
         self.bytes += len(encode(action.word)) + len(encode(answer))
         self.proposer.hear(now, action.to, answer)
 
@@ -67,7 +66,7 @@
 @measurement(
     id="voter.claim.bytes",
     role="voter",
-    quantity="bytes of all words for claims, both ways, between three replicas",
+    quantity="bytes of all messages for claims, both ways, between three replicas",
     unit="bytes",
     by="claims",
     how="module alone",
@@ -88,7 +87,7 @@
     how="module alone",
     sizes=CLAIMS,
     small=FEW_CLAIMS,
-    note="with the coding of all words; without sockets and disk",
+    note="with the coding of all messages; without sockets and disk",
     rounds=3,
 )
 def claim_time(size: int) -> Iterator[float]:
@@ -97,17 +96,17 @@
 
 
 @measurement(
-    id="voter.claim.words",
+    id="voter.claim.messages",
     role="voter",
-    quantity="words of 100 claims",
+    quantity="messages of 100 claims",
     unit="messages",
     by="planners",
     how="module alone",
     sizes=(16, 32, 64, 128, 256),
     small=(4, 8, 16, 32),
 )
-def claim_words(size: int) -> Iterator[float]:
-    yield agreed(100, size).words
+def claim_messages(size: int) -> Iterator[float]:
+    yield agreed(100, size).messages
 
 
 @measurement(
@@ -148,10 +147,10 @@
 )
 def claim_disk(size: int) -> Iterator[float]:
     with tempfile.TemporaryDirectory() as text:
-        sheet = sheets(1, Path(text), 1)[0]
-        disk, name = Unsafe(Path(sheet.folder)), name_of(sheet)
-        found(disk, name, sheet, 0)
-        votes = Votes(disk, name, sheet, 1)
+        config = configs(1, Path(text), 1)[0]
+        disk, name = Unsafe(Path(config.folder)), name_of(config)
+        found(disk, name, config, 0)
+        votes = Votes(disk, name, config, 1)
         votes.open(0, name)
         votes.store.begin(0)
         before = votes.store.bytes
--- a/tests/test_capacity_hollow.py
+++ b/tests/test_capacity_hollow.py
@@ -1,6 +1,9 @@
 """The scale rig: hollow workers speak the protocol, and what they count is what planners count."""
 
+import os
 import resource
+import subprocess
+import sys
 from collections import Counter
 from pathlib import Path
 
@@ -8,13 +11,13 @@
 import pytest
 
 from bench.capacity import rows_hollow, rows_lists, rows_members, rows_voters
-from bench.capacity.hollow import claims, membership
+from bench.capacity.hollow import claims, membership, run_folder
 from bench.capacity.hollow.course import run
 from bench.capacity.hollow.loop import now_us
+from bench.capacity.hollow.messages import Drive, Status
 from bench.capacity.hollow.results import Trial
 from bench.capacity.hollow.rig import Rig, refusal
 from bench.capacity.hollow.tally import HEAD, Flow, PeerFlows, kind_of
-from bench.capacity.hollow.words import Drive, Status
 from bench.capacity.hollow.worker import Worker
 from bench.capacity.registry import RefusedError
 from hazelhold.protocol import messages as m
@@ -263,3 +266,15 @@
     assert not found.repeatable.said.messages
     assert found.once.placed > 0 and found.once.said.messages > 2 * found.once.placed
     assert all(quantity.value(found) >= 0 for quantity in rows_voters.QUANTITIES)
+
+
+def test_the_folders_of_killed_runs_are_removed_and_no_others(tmp_path: Path) -> None:
+    ended = subprocess.Popen([sys.executable, "-c", ""])
+    ended.wait()
+    names = f"{run_folder.PREFIX}-{ended.pid}-1", f"{run_folder.PREFIX}-{os.getpid()}-1", "other-1-1"
+    left, current, foreign = (tmp_path / name for name in names)
+    for folder in (left, current, foreign):
+        folder.mkdir()
+        (folder / "file").write_text("x")
+    run_folder.clear_left(tmp_path)
+    assert sorted(each.name for each in tmp_path.iterdir()) == sorted([current.name, foreign.name])
