Rehearsal: standard names for its parts

Stage is Environment (module `environment`), Crew is PlannerRunner with InProcessRunner, ProcessRunner and CrashingRunner (module `runners`; they were Inside, Processes, Crashing), Spot is Target (a machine as troubles see it), Step is TroubleStep, which no longer shares its name with the module's Step.

--- a/bench/capacity/hollow/membership.py
+++ b/bench/capacity/hollow/membership.py
@@ -19,8 +19,8 @@
 from hazelhold.config.planner import ListConfig as ListSheet
 from hazelhold.config.planner import MembershipConfig as MembershipSheet
 from hazelhold.config.planner import PlannerConfig as PlannerSheet
-from hazelhold.rehearse.crew import config_text as sheet_text
 from hazelhold.rehearse.ports import free_ports
+from hazelhold.rehearse.runners import config_text as sheet_text
 
 NAME = "planner-0"
 ZONES = 24
--- a/bench/capacity/hollow/rig.py
+++ b/bench/capacity/hollow/rig.py
@@ -18,7 +18,7 @@
 from bench.capacity.hollow.words import Counts, Restart, Status
 from hazelhold.config.load import build, parse, read_text
 from hazelhold.config.planner import PlannerConfig as PlannerSheet
-from hazelhold.rehearse.crew import config_text as sheet_text
+from hazelhold.rehearse.runners import config_text as sheet_text
 
 EXAMPLE = Path(__file__).parent.parent.parent.parent / "examples" / "planner.json5"
 ZONES = 24
--- a/bench/membership_sockets.py
+++ b/bench/membership_sockets.py
@@ -22,8 +22,8 @@
 from bench import throughput
 from hazelhold.config.planner import ListConfig, MembershipConfig, PlannerConfig
 from hazelhold.membership.host import Members
-from hazelhold.rehearse.crew import config_text
 from hazelhold.rehearse.ports import free_ports
+from hazelhold.rehearse.runners import config_text
 from hazelhold.service.net import TcpNet
 
 COUNT = 16
--- a/hazelhold/emulate/fleet.py
+++ b/hazelhold/emulate/fleet.py
@@ -1,9 +1,9 @@
 """A whole fleet in discrete events: the day files' machines, list, owners and troubles round real engines.
 
-What a rehearsal plays on sockets or memory streams is played here by calls: the same stage, models, engines
-and module, and records that the same audit judges. Left out are frames and their bytes. A message travels
-`delay`, or `far` between zones; a connection breaks for both ends after the same; a planner works at most
-once in its `batch_ms`, as its ticker does. Processors cost no time here (town.py has those).
+What a rehearsal plays on sockets or memory streams is played here by calls: the same environment, models,
+engines and module, and records that the same audit judges. Left out are frames and their bytes. A message
+travels `delay`, or `far` between zones; a connection breaks for both ends after the same; a planner works at
+most once in its `batch_ms`, as its ticker does. Processors cost no time here (town.py has those).
 
 The parts stand in modules of their own: `fleet_time` (clock and records), `fleet_lines` (connections),
 `fleet_planner` and `fleet_owner`; the day itself is here.
@@ -29,12 +29,12 @@
 from hazelhold.model.owners import OwnerModel
 from hazelhold.protocol import messages as m
 from hazelhold.protocol.record import Crossing
+from hazelhold.rehearse.environment import Environment
 from hazelhold.rehearse.run import audit_rules
-from hazelhold.rehearse.stage import Stage
 from hazelhold.rehearse.troubles import plan
 
 
-class Fleet(Stage):
+class Fleet(Environment):
     """A day. `audited` keeps what crossed; without it only counts are kept."""
 
     def __init__(self, day: Day, seed: int, audited: bool = True, delay: int = 300, far: int = 1500) -> None:
@@ -99,7 +99,7 @@
         self.chief.note(clock.now, "", "rules", audit_rules(day))
         start = clock.now
         self._bring(start)
-        for step in plan(day, self.seed, self.spots, [w.service for w in self.wants]):
+        for step in plan(day, self.seed, self.targets, [w.service for w in self.wants]):
             clock.at(start + step.at, self._strike, step)
         clock.run(start + round(day.length_s * 1e6))
         self.chief.note(clock.now, "", "day_over")
@@ -165,13 +165,13 @@
             wait = int(Random(f"{sender.model.name}/{name}/{self.lives[name]}").uniform(0.05, 1.0) * SECOND)
             self.clock.at(self.clock.now + wait, sender.connect, name)
 
-    def _strike(self, step: Any) -> None:  # noqa: ANN401 - a troubles.Step
+    def _strike(self, step: Any) -> None:  # noqa: ANN401 - a TroubleStep
         if not step.what.startswith("planner_"):
             self.do(step)
             return
         name = f"planner-{step.value}"
         host = self.planners[name]
-        if host.up and host.stopping:  # as a crew does, wait for the end of a stop
+        if host.up and host.stopping:  # as a runner does, wait for the end of a stop
             self.clock.at(self.clock.now + SECOND // 100, self._strike, step)
             return
         if step.what == "planner_start":
--- a/hazelhold/emulate/fleet_time.py
+++ b/hazelhold/emulate/fleet_time.py
@@ -26,7 +26,7 @@
 
 
 class Net:
-    """The clock, as the stage asks for it."""
+    """The clock, as the environment asks for it."""
 
     def __init__(self, clock: Clock) -> None:
         self.clock = clock
--- a/hazelhold/rehearse/crashes.py
+++ b/hazelhold/rehearse/crashes.py
@@ -14,7 +14,7 @@
 from hazelhold.config.planner import PlannerConfig
 from hazelhold.engine.cases import Action, Send
 from hazelhold.protocol.record import Recorder
-from hazelhold.rehearse.crew import Inside, captured
+from hazelhold.rehearse.runners import InProcessRunner, captured
 from hazelhold.service.net import Net
 from hazelhold.service.planner import Planner
 from hazelhold.standin.disk import FaultyDisk, Killed, Points
@@ -42,7 +42,7 @@
     unkept: bool = False
 
 
-class Crashing(Inside):
+class CrashingRunner(InProcessRunner):
     """Planners in this process, each with a disk of its own that outlives it. One that dies at a point is
     started again after a drawn while."""
 
--- a/hazelhold/rehearse/stage.py
+++ b/hazelhold/rehearse/environment.py
@@ -13,7 +13,7 @@
 from hazelhold.model.owners import OwnerModel, Want
 from hazelhold.protocol.messages import Enlist, Entry
 from hazelhold.protocol.record import Recorder
-from hazelhold.rehearse.troubles import Spot, Step
+from hazelhold.rehearse.troubles import Target, TroubleStep
 from hazelhold.service.net import Net
 from hazelhold.service.wire import Wire
 from hazelhold.standin.lister import ListHost
@@ -23,14 +23,15 @@
 SECOND = 1_000_000
 
 
-class Stage:
-    """The stand-ins of one day. `planner_names` and their addresses come from whoever starts the planners."""
+class Environment:
+    """The surroundings of a day's planners: the stand-ins, and what troubles do to them. The planners' names
+    and addresses come from whoever starts them."""
 
     def __init__(self, day: Day, seed: int, net: Net, records: Path | None, host: str) -> None:
         self.day, self.seed, self.net, self.records, self.host = day, seed, net, records, host
         self.random = Random(f"stage/{seed}")
         self.hosts: dict[str, MachineHost] = {}
-        self.spots: list[Spot] = []
+        self.targets: list[Target] = []
         self.wants = self._wants()
         self.recorders: list[Recorder] = []
         self._make_machines()
@@ -125,14 +126,14 @@
                 name = f"m{number:03d}"
                 off = (3600, -3600, 0)[min(number, 2)] * SECOND  # two machines whose clocks are an hour off
                 machine = Machine(name, build, self.seed * 1000 + number, self.net.now() + off)
-                spot = Spot(name, kind.name, number % day.zones, number // day.cell_size)
+                target = Target(name, kind.name, number % day.zones, number // day.cell_size)
                 for product in machine.tickets:
                     reach = products[product].group
-                    group = {"all": 0, "zone": spot.zone, "cell": spot.cell}.get(reach, name)
+                    group = {"all": 0, "zone": target.zone, "cell": target.cell}.get(reach, name)
                     machine.tickets[product] = shared.setdefault((product, group), {})
-                self.spots.append(spot)
+                self.targets.append(target)
                 self.hosts[name] = MachineHost(
-                    self.net, machine, self.recorder(name, "machine"), spot.zone, spot.cell, off
+                    self.net, machine, self.recorder(name, "machine"), target.zone, target.cell, off
                 )
                 number += 1
 
@@ -228,7 +229,7 @@
 
     # What troubles do.
 
-    def do(self, step: Step) -> None:
+    def do(self, step: TroubleStep) -> None:
         """Carries out one step; those on planners are for whoever runs them."""
         getattr(self, "_do_" + step.what)(step.machine, step.value)
 
--- a/hazelhold/rehearse/run.py
+++ b/hazelhold/rehearse/run.py
@@ -25,11 +25,11 @@
     micros,
 )
 from hazelhold.protocol.record import Recorder
-from hazelhold.rehearse.crashes import Crashing, DiskFault
-from hazelhold.rehearse.crew import Crew, Inside, Processes, Programs
+from hazelhold.rehearse.crashes import CrashingRunner, DiskFault
+from hazelhold.rehearse.environment import Environment
 from hazelhold.rehearse.ports import free_ports
-from hazelhold.rehearse.stage import Stage
-from hazelhold.rehearse.troubles import Step, plan
+from hazelhold.rehearse.runners import InProcessRunner, PlannerRunner, ProcessRunner, Programs
+from hazelhold.rehearse.troubles import TroubleStep, plan
 from hazelhold.rehearse.wires import Wires
 from hazelhold.service.net import MemoryNet, Net, TcpNet
 from hazelhold.standin.disk import Points
@@ -159,9 +159,9 @@
     chief = Recorder(records / "rehearsal.jsonl", "rehearsal", "rehearsal")
     host = "127.0.0.1" if isinstance(net, TcpNet) else "memory"
     began = time.monotonic()
-    stage = Stage(day, seed, net, records, host)
+    environment = Environment(day, seed, net, records, host)
     async with trio.open_nursery() as nursery:
-        list_address = await stage.open(nursery)
+        list_address = await environment.open(nursery)
         doors = (
             [f"{host}:{port}" for port in free_ports(day.planners)]
             if isinstance(net, TcpNet)
@@ -187,29 +187,31 @@
         if keep:
             configs = [replace(s, state=StateConfig(folder=str(folder / "state" / s.name))) for s in configs]
         if points is not None:
-            crew: Crew = Crashing(configs, net, records, nursery, capture, points, chief, faults)
+            runner: PlannerRunner = CrashingRunner(
+                configs, net, records, nursery, capture, points, chief, faults
+            )
         elif inside:
-            crew = Inside(configs, net, records, nursery, capture)
+            runner = InProcessRunner(configs, net, records, nursery, capture)
         else:
-            crew = Processes(configs, folder, nursery, capture, programs)
+            runner = ProcessRunner(configs, folder, nursery, capture, programs)
         if day.copies.on:
             for number in range(day.planners):
-                crew.found(number)
+                runner.found(number)
         for number in range(day.planners):
-            await crew.start(number)
+            await runner.start(number)
             chief.note(net.now(), configs[number].name, "planner_up")
         kept = points is not None or any(s.state.folder for s in configs)
         chief.note(net.now(), "", "rules", replace(audit_rules(day), durable=kept))
         start = net.now()
-        stage.bring_owners({s.name: s.listen for s in configs}, nursery)
-        await _troubles(day, seed, stage, crew, chief, wires, start)
+        environment.bring_owners({s.name: s.listen for s in configs}, nursery)
+        await _troubles(day, seed, environment, runner, chief, wires, start)
         await _until(net, start + round(day.length_s * 1e6))
         chief.note(net.now(), "", "day_over")
         longest = max(p.patience_ms for p in day.estate.products) / 1000
         await trio.sleep(longest + 1.0)  # whoever was taken is answered by then
         for number in range(day.planners):
-            await crew.stop(number)
-        stage.close()
+            await runner.stop(number)
+        environment.close()
         chief.close()
         nursery.cancel_scope.cancel()
     return report(
@@ -217,7 +219,7 @@
         day.name,
         seed,
         time.monotonic() - began,
-        {s.model.name: dict(s.model.counts) for s in stage.senders},
+        {s.model.name: dict(s.model.counts) for s in environment.senders},
         ViewBounds(**msgspec.structs.asdict(day.views)),
     )
 
@@ -229,35 +231,41 @@
 
 
 async def _troubles(
-    day: Day, seed: int, stage: Stage, crew: Crew, chief: Recorder, wires: Wires | None, start: int
+    day: Day,
+    seed: int,
+    environment: Environment,
+    runner: PlannerRunner,
+    chief: Recorder,
+    wires: Wires | None,
+    start: int,
 ) -> None:
-    services = [w.service for w in stage.wants]
-    for step in plan(day, seed, stage.spots, services):
-        await _until(stage.net, start + step.at)
+    services = [w.service for w in environment.wants]
+    for step in plan(day, seed, environment.targets, services):
+        await _until(environment.net, start + step.at)
         if step.what in ("planner_cut", "planner_heal", "planner_loss"):
-            _between(step, wires, chief, stage.net.now())
+            _between(step, wires, chief, environment.net.now())
         elif step.what.startswith("planner_"):
-            await _planner(step, crew, chief, stage.net)
+            await _planner(step, runner, chief, environment.net)
         else:
-            stage.do(step)
+            environment.do(step)
 
 
-async def _planner(step: Step, crew: Crew, chief: Recorder, net: Net) -> None:
+async def _planner(step: TroubleStep, runner: PlannerRunner, chief: Recorder, net: Net) -> None:
     """Does something to a planner's process, and notes it: an end before it comes (a crash is noted by
-    the crew that makes it), a start once it is up."""
+    the runner that makes it), a start once it is up."""
     name, what = f"planner-{step.value}", step.what.removeprefix("planner_")
     if what in ("copy", "no_disk", "old_disk"):
         chief.note(net.now(), name, step.what)
-        await getattr(crew, what)(step.value)
+        await getattr(runner, what)(step.value)
         return
-    if what not in ("start", "resume") and not (isinstance(crew, Crashing) and what == "kill"):
+    if what not in ("start", "resume") and not (isinstance(runner, CrashingRunner) and what == "kill"):
         chief.note(net.now(), name, step.what)
-    await getattr(crew, what)(step.value)
+    await getattr(runner, what)(step.value)
     if what in ("start", "resume"):
         chief.note(net.now(), name, step.what)
 
 
-def _between(step: Step, wires: Wires, chief: Recorder, now: int) -> None:
+def _between(step: TroubleStep, wires: Wires, chief: Recorder, now: int) -> None:
     """Does something to the wires between planners."""
     whom, others, way, part, size = step.value
     ones, rest = [f"planner-{n}" for n in whom], [f"planner-{n}" for n in others]
--- a/hazelhold/rehearse/crew.py
+++ b/hazelhold/rehearse/runners.py
@@ -23,7 +23,7 @@
 from hazelhold.state.disk import RealDisk
 
 
-class Crew(Protocol):
+class PlannerRunner(Protocol):
     """What a rehearsal asks of whoever runs its planners; planners are numbered from 0."""
 
     def found(self, number: int) -> None:
@@ -56,7 +56,7 @@
     return replace(config, capture=replace(config.capture, file=str(folder / f"{config.name}-{life}.pcap")))
 
 
-class Inside:
+class InProcessRunner:
     """Planners in this process: for memory networks and virtual time. A kill cancels everything of a planner
     at once, so that no farewell leaves it."""
 
@@ -147,7 +147,7 @@
     return msgspec.json.encode(plain)
 
 
-class Processes:
+class ProcessRunner:
     """Planners as `hazelhold planner` processes. A kill is SIGKILL, a stop SIGTERM."""
 
     def __init__(
--- a/hazelhold/rehearse/troubles.py
+++ b/hazelhold/rehearse/troubles.py
@@ -1,4 +1,4 @@
-"""Turns a day's troubles into timed steps. The same day and seed give the same steps on any stage."""
+"""Turns a day's troubles into timed steps. The same day and seed give the same steps on any environment."""
 
 from random import Random
 from typing import NamedTuple
@@ -6,7 +6,7 @@
 from hazelhold.config.day import Day, Trouble
 
 
-class Spot(NamedTuple):
+class Target(NamedTuple):
     """A machine as troubles see it."""
 
     name: str
@@ -15,8 +15,8 @@
     cell: int
 
 
-class Step(NamedTuple):
-    """Something done to the stage `at` microseconds after the day's start."""
+class TroubleStep(NamedTuple):
+    """Something done to the environment `at` microseconds after the day's start."""
 
     at: int
     what: str
@@ -24,25 +24,25 @@
     value: object = None
 
 
-def plan(day: Day, seed: int, spots: list[Spot], services: list[str]) -> list[Step]:
+def plan(day: Day, seed: int, targets: list[Target], services: list[str]) -> list[TroubleStep]:
     """All steps of a day, in the order of their times."""
     random = Random(f"troubles/{seed}")
-    steps: list[Step] = []
+    steps: list[TroubleStep] = []
     for trouble in day.troubles:
         steps += [
-            Step(round(at * 1e6), what, machine, value)
-            for at, what, machine, value in SHAPES[trouble.kind](trouble, random, spots, services, day)
+            TroubleStep(round(at * 1e6), what, machine, value)
+            for at, what, machine, value in SHAPES[trouble.kind](trouble, random, targets, services, day)
         ]
     return sorted(steps, key=lambda s: s.at)
 
 
-def struck(trouble: Trouble, random: Random, spots: list[Spot]) -> list[str]:
+def struck(trouble: Trouble, random: Random, targets: list[Target]) -> list[str]:
     """The machines that a trouble strikes: a drawn part of the fleet, or of one kind, cell or zone first."""
-    most = max(1, round(trouble.part * len(spots)))
-    chosen = list(spots)
+    most = max(1, round(trouble.part * len(targets)))
+    chosen = list(targets)
     random.shuffle(chosen)
     if trouble.by != "any":
-        group = getattr(random.choice(spots), trouble.by)
+        group = getattr(random.choice(targets), trouble.by)
         chosen = [s for s in chosen if getattr(s, trouble.by) == group]
     return [s.name for s in chosen[:most]]
 
@@ -59,8 +59,8 @@
 def _ill(what: str) -> object:
     """A trouble that makes some machines ill for a while."""
 
-    def shape(t: Trouble, random: Random, spots: list[Spot], *_: object) -> list[tuple]:
-        names = struck(t, random, spots)
+    def shape(t: Trouble, random: Random, targets: list[Target], *_: object) -> list[tuple]:
+        names = struck(t, random, targets)
         return [
             (at, what, n, value) for n in names for at, value in ((t.at_s, t.size), (t.at_s + t.for_s, None))
         ]
@@ -68,35 +68,35 @@
     return shape
 
 
-def _crash(t: Trouble, random: Random, spots: list[Spot], *_: object) -> list[tuple]:
+def _crash(t: Trouble, random: Random, targets: list[Target], *_: object) -> list[tuple]:
     return [
         (at, what, n, None)
-        for n in struck(t, random, spots)
+        for n in struck(t, random, targets)
         for at, what in ((t.at_s, "crash"), (t.at_s + t.for_s, "up"))
     ]
 
 
-def _vanish(t: Trouble, random: Random, spots: list[Spot], *_: object) -> list[tuple]:
+def _vanish(t: Trouble, random: Random, targets: list[Target], *_: object) -> list[tuple]:
     return [
         (at, what, n, None)
-        for n in struck(t, random, spots)
+        for n in struck(t, random, targets)
         for at, what in ((t.at_s, "silent"), (t.at_s + t.for_s, "crash"), (t.at_s + t.for_s + 0.2, "up"))
     ]
 
 
-def _mass_restart(t: Trouble, random: Random, spots: list[Spot], *_: object) -> list[tuple]:
+def _mass_restart(t: Trouble, random: Random, targets: list[Target], *_: object) -> list[tuple]:
     found = []
-    for name in struck(t, random, spots):
+    for name in struck(t, random, targets):
         at = t.at_s + random.uniform(0, min(t.size, 0.5))
         found += [(at, "crash", name, None), (at + t.for_s, "up", name, None)]
     return found
 
 
-def _deploy(t: Trouble, random: Random, spots: list[Spot], *_: object) -> list[tuple]:
+def _deploy(t: Trouble, random: Random, targets: list[Target], *_: object) -> list[tuple]:
     """Batches of `size` of the fleet drain for `extra` seconds, stop, and come back cold, one after
     another."""
-    names = struck(t, random, spots)
-    batch = max(1, round(min(1.0, t.size) * len(spots)))
+    names = struck(t, random, targets)
+    batch = max(1, round(min(1.0, t.size) * len(targets)))
     batches = [names[i : i + batch] for i in range(0, len(names), batch)]
     found = []
     for number, each in enumerate(batches):
@@ -110,10 +110,10 @@
     return found
 
 
-def _preempt(t: Trouble, random: Random, spots: list[Spot], *_: object) -> list[tuple]:
+def _preempt(t: Trouble, random: Random, targets: list[Target], *_: object) -> list[tuple]:
     """In up to four waves: listed as draining, dead `size` seconds later, replaced `extra` seconds after
     that."""
-    names = struck(t, random, spots)
+    names = struck(t, random, targets)
     waves = min(4, len(names))
     found = []
     for at, name in enumerate(names):
@@ -126,9 +126,9 @@
     return found
 
 
-def _ageing(t: Trouble, random: Random, spots: list[Spot], *_: object) -> list[tuple]:
+def _ageing(t: Trouble, random: Random, targets: list[Target], *_: object) -> list[tuple]:
     found = []
-    for name in struck(t, random, spots):
+    for name in struck(t, random, targets):
         for part in range(1, 9):
             found.append((t.at_s + t.for_s * part / 9, "slow", name, 1 + (t.size - 1) * part / 8))
         found += [
@@ -139,18 +139,18 @@
     return found
 
 
-def _heavy(t: Trouble, random: Random, spots: list[Spot], services: list[str], day: Day) -> list[tuple]:
+def _heavy(t: Trouble, random: Random, targets: list[Target], services: list[str], day: Day) -> list[tuple]:
     product = day.wares[t.which % len(day.wares)].product
     return [(t.at_s, "heavy", "", (product, t.part, t.size)), (t.at_s + t.for_s, "heavy", "", None)]
 
 
-def _hot(t: Trouble, random: Random, spots: list[Spot], services: list[str], day: Day) -> list[tuple]:
+def _hot(t: Trouble, random: Random, targets: list[Target], services: list[str], day: Day) -> list[tuple]:
     hot = random.sample(services, max(1, round(t.part * len(services))))
     return [(t.at_s, "hot", "", hot), (t.at_s + t.for_s, "hot", "", None)]
 
 
-def _flush(t: Trouble, random: Random, spots: list[Spot], *_: object) -> list[tuple]:
-    return [(t.at_s, "flush", s.name, t.size) for s in spots]
+def _flush(t: Trouble, random: Random, targets: list[Target], *_: object) -> list[tuple]:
+    return [(t.at_s, "flush", s.name, t.size) for s in targets]
 
 
 def _cut(t: Trouble, *_: object) -> list[tuple]:
@@ -188,7 +188,7 @@
     return whom, list(t.others) or [n for n in range(day.planners) if n not in whom]
 
 
-def _pause(t: Trouble, random: Random, spots: list[Spot], services: list[str], day: Day) -> list[tuple]:
+def _pause(t: Trouble, random: Random, targets: list[Target], services: list[str], day: Day) -> list[tuple]:
     return [
         (at, what, "", number)
         for number in struck_planners(t, day)[0]
@@ -197,7 +197,9 @@
 
 
 def _between(first: str, last: str) -> object:
-    def shape(t: Trouble, random: Random, spots: list[Spot], services: list[str], day: Day) -> list[tuple]:
+    def shape(
+        t: Trouble, random: Random, targets: list[Target], services: list[str], day: Day
+    ) -> list[tuple]:
         whom, others = struck_planners(t, day)
         return [
             (t.at_s, first, "", (whom, others, t.way, t.part, t.size)),
--- a/tests/processes/test_copies_processes.py
+++ b/tests/processes/test_copies_processes.py
@@ -18,10 +18,10 @@
 from hazelhold.config.day import Stock, read_day
 from hazelhold.protocol import messages as m
 from hazelhold.protocol.record import Recorder
-from hazelhold.rehearse.crew import Processes
+from hazelhold.rehearse.environment import Environment
 from hazelhold.rehearse.ports import free_ports
 from hazelhold.rehearse.run import audit_rules, copy_up, planner_configs, wire_up
-from hazelhold.rehearse.stage import Stage
+from hazelhold.rehearse.runners import ProcessRunner
 from hazelhold.rehearse.wires import Wires
 from hazelhold.service.net import TcpNet
 from hazelhold.service.wire import Wire
@@ -120,13 +120,13 @@
         self.day = replace(full, planners=count, troubles=[], stock=[Stock(kind="large-box", count=3)])
         (folder / "records").mkdir()
         self.chief = Recorder(folder / "records" / "rehearsal.jsonl", "rehearsal", "rehearsal")
-        self.stage = Stage(self.day, 1, self.net, folder / "records", "127.0.0.1")
+        self.environment = Environment(self.day, 1, self.net, folder / "records", "127.0.0.1")
         self.wires = Wires(self.net, nursery, 1)
         self.names = [f"planner-{n}" for n in range(count)]
 
     async def open(self) -> None:
         day, count = self.day, self.day.planners
-        lister = await self.stage.open(self.nursery)
+        lister = await self.environment.open(self.nursery)
         configs = planner_configs(day, 1, lister, [f"127.0.0.1:{p}" for p in free_ports(count)])
         import socket
 
@@ -134,13 +134,13 @@
         configs = await wire_up(configs, day, self.wires, ports)
         ports = [f"127.0.0.1:{p}" for p in free_ports(count)]
         self.configs = await copy_up(configs, day, self.wires, ports, self.folder)
-        self.crew = Processes(self.configs, self.folder, self.nursery, None)
+        self.runner = ProcessRunner(self.configs, self.folder, self.nursery, None)
         self.chief.note(self.net.now(), "", "rules", audit_rules(day))
         for number in range(count):
-            self.crew.found(number)
+            self.runner.found(number)
         async with trio.open_nursery() as nursery:
             for number in range(count):
-                nursery.start_soon(self.crew.start, number)
+                nursery.start_soon(self.runner.start, number)
 
     async def owner(self, name: str, number: int) -> Owner:
         made = Owner(name, self.net, self.configs[number].listen)
@@ -149,14 +149,14 @@
 
     async def kill(self, number: int) -> None:
         self.chief.note(self.net.now(), self.names[number], "planner_kill")
-        await self.crew.kill(number)
+        await self.runner.kill(number)
 
     async def start(self, number: int) -> None:
-        await self.crew.start(number)
+        await self.runner.start(number)
         self.chief.note(self.net.now(), self.names[number], "planner_start")
 
     def signal(self, number: int, what: signal.Signals) -> None:
-        self.crew.running[number].send_signal(what)
+        self.runner.running[number].send_signal(what)
 
     def crossings(self) -> Audit:
         return Audit.of_folder(self.folder / "records")
@@ -205,10 +205,10 @@
             yield made
         finally:
             with trio.CancelScope(shield=True):
-                for process in made.crew.running.values():
+                for process in made.runner.running.values():
                     process.kill()
                     await process.wait()
-            made.stage.close()
+            made.environment.close()
         for log in folder.glob("*.log"):
             assert "Traceback" not in log.read_text(), log.read_text()[-2000:]
         audit = made.crossings()
@@ -328,11 +328,11 @@
     async def run() -> None:
         async with town(tmp_path) as made:
             await (await made.owner("early", 1)).placed("first")
-            await made.crew.copy(1)
+            await made.runner.copy(1)
             at = await made.x_runs()
             for number in range(3):
                 await made.kill(number)
-            await made.crew.old_disk(1)
+            await made.runner.old_disk(1)
             for number in (2, 1, 0):
                 await made.start(number)
             back = [await made.owner("o", n) for n in range(3)]
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -9,7 +9,7 @@
 from hazelhold.config.day import read_day
 from hazelhold.config.load import ConfigError
 from hazelhold.config.planner import read_planner
-from hazelhold.rehearse.troubles import Spot, plan
+from hazelhold.rehearse.troubles import Target, plan
 
 EXAMPLES = Path(__file__).parent.parent / "examples"
 
@@ -99,9 +99,9 @@
 
 def test_the_same_seed_gives_the_same_troubles() -> None:
     day = read_day(EXAMPLES / "bad-day.json5")
-    spots = [Spot(f"m{n}", "small-box" if n % 2 else "large-box", n % 2, n // 3) for n in range(11)]
-    first = plan(day, 5, spots, ["s1", "s2"])
-    assert first == plan(day, 5, spots, ["s1", "s2"]) != plan(day, 6, spots, ["s1", "s2"])
+    targets = [Target(f"m{n}", "small-box" if n % 2 else "large-box", n % 2, n // 3) for n in range(11)]
+    first = plan(day, 5, targets, ["s1", "s2"])
+    assert first == plan(day, 5, targets, ["s1", "s2"]) != plan(day, 6, targets, ["s1", "s2"])
     assert [s.at for s in first] == sorted(s.at for s in first)
     assert {t.kind for t in day.troubles} == {
         "burst",
--- a/tests/test_day.py
+++ b/tests/test_day.py
@@ -78,24 +78,24 @@
 
 def test_machines_enlist_with_a_list_service_elsewhere() -> None:
     from hazelhold.rehearse.alone import run_part
+    from hazelhold.rehearse.environment import Environment
     from hazelhold.rehearse.ports import free_ports
-    from hazelhold.rehearse.stage import Stage
     from hazelhold.service.net import TcpNet
 
     day = msgspec.structs.replace(read_day(EXAMPLES / "quiet-day.json5"), length_s=2.0)
 
     async def run() -> None:
         async with trio.open_nursery() as nursery:
-            stage = Stage(day, 1, TcpNet(), None, "127.0.0.1")
+            environment = Environment(day, 1, TcpNet(), None, "127.0.0.1")
             address = f"127.0.0.1:{free_ports(1)[0]}"
-            await stage.list_host.run(address, nursery)
+            await environment.list_host.run(address, nursery)
             nursery.start_soon(run_part, day, 1, 2.0, "machines", {"lister": address})
             with trio.fail_after(10):
-                while not stage.service.entries or not all(
-                    e.cores_room for e in stage.service.entries.values()
+                while not environment.service.entries or not all(
+                    e.cores_room for e in environment.service.entries.values()
                 ):
                     await trio.sleep(0.05)
-            assert len(stage.service.entries) == 11
+            assert len(environment.service.entries) == 11
             nursery.cancel_scope.cancel()
 
     trio.run(run)
