--- a/hazelhold/model/machine.py
+++ b/hazelhold/model/machine.py
@@ -12,7 +12,14 @@
 from heapq import heappop
 
 from hazelhold.model.machine_admission import MachineAdmission
-from hazelhold.model.machine_types import SECOND, Build, Ills, Key, Lodger, Trade
+from hazelhold.model.machine_types import (
+    SECOND,
+    HostedTask,
+    Key,
+    MachineFaults,
+    MachineProfile,
+    ProductBehaviour,
+)
 from hazelhold.protocol.messages import (
     Ended,
     Offer,
@@ -25,7 +32,7 @@
     Taken,
 )
 
-__all__ = ["Build", "Ills", "Lodger", "Machine", "Trade"]
+__all__ = ["MachineProfile", "MachineFaults", "HostedTask", "Machine", "ProductBehaviour"]
 
 
 class Machine(MachineAdmission):
@@ -40,7 +47,7 @@
         if self.is_cold(now) and self._pushed(now):
             return
         key = (planner, offer.guest, offer.ask)
-        if known := self.lodgers.get(key):  # another dispatch of what it has: no second start
+        if known := self.tasks.get(key):  # another dispatch of what it has: no second start
             known.offer = offer
             if known.taken:
                 self._say(planner, Taken(guest=offer.guest, ask=offer.ask, attempt=offer.attempt))
@@ -49,9 +56,9 @@
             if isinstance(waits, Offer) and (who, waits.guest, waits.ask) == key:
                 self.line[at] = planner, offer, now
                 return
-        if offer.product not in self.build.trades or self.draining:
+        if offer.product not in self.profile.behaviours or self.draining:
             self._refuse(planner, offer, "not_here")
-        elif sum(isinstance(item[1], Offer) for item in self.line) >= self.build.line:
+        elif sum(isinstance(item[1], Offer) for item in self.line) >= self.profile.line:
             self._refuse(planner, offer, "line_full")
         else:
             self._queue(now, planner, offer)
@@ -72,7 +79,7 @@
                     self._look_next(now)
                 self._end(key, waits, "withdrawn", None)
                 return
-        if (known := self.lodgers.get(key)) and known.taken:
+        if (known := self.tasks.get(key)) and known.taken:
             offer = known.offer
             self._say(planner, Taken(guest=offer.guest, ask=offer.ask, attempt=message.attempt))
         elif known:  # accepted, not yet running where only running is confirmed: it can still be handed back
@@ -88,7 +95,7 @@
             )
 
     def stopped(self, now: int, planner: str, message: Offered) -> None:
-        if self._hears() and (known := self.lodgers.get((planner, message.guest, message.ask))):
+        if self._hears() and (known := self.tasks.get((planner, message.guest, message.ask))):
             self._remove(known, now)
             self._end(known.key, known.offer, "stopped", known)
 
@@ -103,7 +110,7 @@
         ]
         stands += [
             self._stand(g.offer, "runs" if g.runs else "accepted")
-            for g in self.lodgers.values()
+            for g in self.tasks.values()
             if g.key[0] == planner
         ]
         stands += [
@@ -133,10 +140,10 @@
     def drain(self, now: int) -> None:
         """Takes nothing more, and sends its guests away as its kind does."""
         self.draining = True
-        if self.build.drains == "at_once":
-            for guest in list(self.lodgers.values()):
+        if self.profile.drains == "at_once":
+            for guest in list(self.tasks.values()):
                 self._send_away(guest, now)
-        elif self.build.drains == "paced":
+        elif self.profile.drains == "paced":
             self._at(now + SECOND // 5, "send_away")
 
     def flush(self, share: float) -> None:
@@ -144,9 +151,9 @@
         self.kept = {name: None for name in self.kept if self.random.random() >= share}
 
     def unsettle(self, now: int) -> None:
-        """After a change in `ills`: every guest's use is drawn anew."""
-        for guest in list(self.lodgers.values()):
-            if guest.runs and guest.key in self.lodgers:
+        """After a change in `faults`: every guest's use is drawn anew."""
+        for guest in list(self.tasks.values()):
+            if guest.runs and guest.key in self.tasks:
                 self._swing(guest, now)
 
     # The passing of time.
@@ -162,15 +169,15 @@
 
     def _do_report(self, now: int, key: Key | None) -> None:
         self.report = self._load()
-        self._at(now + self.build.report_period + self.ills.report_delay, "report")
+        self._at(now + self.profile.report_period + self.faults.report_delay, "report")
 
     def _do_notes(self, now: int, key: Key | None) -> None:
         self._accrue(now)
-        worst: dict[str, Lodger] = {}
-        for guest in self.lodgers.values():
+        worst: dict[str, HostedTask] = {}
+        for guest in self.tasks.values():
             if guest.runs and (guest.key[0] not in worst or guest.share < worst[guest.key[0]].share):
                 worst[guest.key[0]] = guest
-        used = self._memory() / self.build.memory
+        used = self._memory() / self.profile.memory
         for planner, guest in worst.items():
             if guest.share < 0.95:
                 offer = guest.offer
@@ -182,6 +189,6 @@
         self._at(now + SECOND, "notes")
 
     def _do_send_away(self, now: int, key: Key | None) -> None:
-        if self.draining and self.lodgers:
-            self._send_away(next(iter(self.lodgers.values())), now)
+        if self.draining and self.tasks:
+            self._send_away(next(iter(self.tasks.values())), now)
             self._at(now + SECOND // 5, "send_away")
--- a/hazelhold/model/machine_admission.py
+++ b/hazelhold/model/machine_admission.py
@@ -3,7 +3,7 @@
 from random import Random
 
 from hazelhold.model.machine_guests import MachineGuests
-from hazelhold.model.machine_types import Key, Lodger
+from hazelhold.model.machine_types import HostedTask, Key
 from hazelhold.protocol.messages import Offer, Probe, Report, Taken
 
 
@@ -20,8 +20,8 @@
         self.agenda = [entry for entry in self.agenda if entry[2] != "look"]
         self.agenda.sort()
         if self.line:
-            work = self.build.look if isinstance(self.line[0][1], Offer) else self.build.look // 8
-            self._at(now + int(work * self.ills.slow * self.random.uniform(0.7, 1.3)), "look")
+            work = self.profile.look if isinstance(self.line[0][1], Offer) else self.profile.look // 8
+            self._at(now + int(work * self.faults.slow * self.random.uniform(0.7, 1.3)), "look")
 
     def _do_look(self, now: int, key: Key | None) -> None:
         planner, item, _ = self.line.popleft()
@@ -33,38 +33,40 @@
 
     def _pushed(self, now: int) -> bool:
         """Counts an offer against a cold machine's budget; true if it has just fallen over."""
-        build = self.build
+        profile = self.profile
         self.pushes.append(now)
-        while self.pushes[0] <= now - build.tip_window:
+        while self.pushes[0] <= now - profile.tip_window:
             self.pushes.popleft()
-        work = sum(t.work for t in build.trades.values()) / len(build.trades) * build.setup
-        able = build.starts * self.pace(now) * build.tip_window / work
-        if len(self.pushes) <= max(build.cold_offers, build.tip_multiple * able):
+        work = sum(t.work for t in profile.behaviours.values()) / len(profile.behaviours) * profile.setup
+        able = profile.starts * self.pace(now) * profile.tip_window / work
+        if len(self.pushes) <= max(profile.cold_offers, profile.tip_multiple * able):
             return False
         self.fell_over = True
         return True
 
     def _judge(self, now: int, planner: str, offer: Offer) -> None:
-        build, trade = self.build, self.build.trades[offer.product]
-        if self.draining or trade.ticketed and offer.guest in self.tickets[offer.product]:
+        profile, behaviour = self.profile, self.profile.behaviours[offer.product]
+        if self.draining or behaviour.ticketed and offer.guest in self.tickets[offer.product]:
             self._refuse(planner, offer, "not_here")  # a copy stands
             return
         remark = self._short(offer)
-        if remark and build.makes_room and trade.priority:
-            self._make_room(now, offer, trade.priority)
+        if remark and profile.makes_room and behaviour.priority:
+            self._make_room(now, offer, behaviour.priority)
             remark = self._short(offer)
         if remark:
             self._refuse(planner, offer, remark)
             return
         key = (planner, offer.guest, offer.ask)
-        own = Random(f"{offer.service}/{offer.guest}").gauss(0, trade.spread)
-        service = Random(offer.service).gauss(0, trade.spread / 2)
-        guest = Lodger(key, offer, trade, now + (offer.life or trade.life), 2.718281828 ** (own + service))
-        guest.fails = self.random.random() < self.ills.error_share
-        self.lodgers[key] = guest
-        if trade.ticketed:
+        own = Random(f"{offer.service}/{offer.guest}").gauss(0, behaviour.spread)
+        service = Random(offer.service).gauss(0, behaviour.spread / 2)
+        guest = HostedTask(
+            key, offer, behaviour, now + (offer.life or behaviour.life), 2.718281828 ** (own + service)
+        )
+        guest.fails = self.random.random() < self.faults.error_share
+        self.tasks[key] = guest
+        if behaviour.ticketed:
             self.tickets[offer.product][offer.guest] = self.name
-        if not build.confirms_running and not guest.fails:
+        if not profile.confirms_running and not guest.fails:
             guest.taken = True
             self._say(
                 planner, Taken(guest=offer.guest, ask=offer.ask, attempt=offer.attempt, load=self._shown())
@@ -74,13 +76,13 @@
 
     def _make_room(self, now: int, offer: Offer, priority: int) -> None:
         lower = sorted(
-            (g for g in self.lodgers.values() if g.trade.priority < priority),
-            key=lambda g: (g.trade.priority, -g.started_at),
+            (g for g in self.tasks.values() if g.behaviour.priority < priority),
+            key=lambda g: (g.behaviour.priority, -g.started_at),
         )
         cores, memory = self.asked()
         free = [
-            self.build.cores * self.build.cores_multiple - cores,
-            self.build.memory * self.build.memory_multiple - memory,
+            self.profile.cores * self.profile.cores_multiple - cores,
+            self.profile.memory * self.profile.memory_multiple - memory,
         ]
         chosen = []
         for guest in lower:
--- a/hazelhold/model/machine_types.py
+++ b/hazelhold/model/machine_types.py
@@ -12,7 +12,7 @@
 
 
 @dataclass(frozen=True)
-class Trade:
+class ProductBehaviour:
     """How guests of one product behave here. Times in microseconds; use as a share of what is asked."""
 
     priority: int = 0
@@ -28,13 +28,13 @@
 
 
 @dataclass(frozen=True)
-class Build:
+class MachineProfile:
     """What a machine is, by its kind and its deployment."""
 
     kind: str
     cores: float
     memory: float
-    trades: dict[str, Trade]
+    behaviours: dict[str, ProductBehaviour]
     cores_multiple: float = 2.5
     memory_multiple: float = 1.5
     makes_room: bool = False
@@ -56,12 +56,12 @@
 
 
 @dataclass
-class Lodger:
+class HostedTask:
     """A guest that this machine has accepted."""
 
     key: Key
     offer: Offer
-    trade: Trade
+    behaviour: ProductBehaviour
     ends_at: int
     level: float
     taken: bool = False  # Taken was said
@@ -76,7 +76,7 @@
 
 
 @dataclass
-class Ills:
+class MachineFaults:
     """What is wrong with a machine just now."""
 
     slow: float = 1.0
--- a/hazelhold/rehearse/environment.py
+++ b/hazelhold/rehearse/environment.py
@@ -9,7 +9,7 @@
 from hazelhold.config.day import Day
 from hazelhold.config.planner import micros
 from hazelhold.model.listing import ListService
-from hazelhold.model.machine import Build, Machine, Trade
+from hazelhold.model.machine import Machine, MachineProfile, ProductBehaviour
 from hazelhold.model.owners import OwnerModel, Want
 from hazelhold.protocol.messages import Enlist, Entry
 from hazelhold.protocol.record import Recorder
@@ -82,8 +82,8 @@
         day, random, fleet = self.day, self.random, self.day.estate.fleet
         products = {p.name: p for p in day.estate.products}
         kinds = {k.name: k for k in day.estate.kinds}
-        trades = {
-            w.product: Trade(
+        behaviours = {
+            w.product: ProductBehaviour(
                 priority=products[w.product].priority,
                 ticketed=products[w.product].effect == "ticketed",
                 easy_until=products[w.product].easy_until,
@@ -100,11 +100,11 @@
         for stock in day.stock:
             kind = kinds[stock.kind]
             for _ in range(stock.count):
-                build = Build(
+                profile = MachineProfile(
                     kind=kind.name,
                     cores=kind.cores,
                     memory=kind.memory,
-                    trades=trades,
+                    behaviours=behaviours,
                     cores_multiple=fleet.cores_multiple,
                     memory_multiple=fleet.memory_multiple,
                     makes_room=fleet.makes_room,
@@ -125,7 +125,7 @@
                 )
                 name = f"m{number:03d}"
                 off = (3600, -3600, 0)[min(number, 2)] * SECOND  # two machines whose clocks are an hour off
-                machine = Machine(name, build, self.seed * 1000 + number, self.net.now() + off)
+                machine = Machine(name, profile, self.seed * 1000 + number, self.net.now() + off)
                 target = Target(name, kind.name, number % day.zones, number // day.cell_size)
                 for product in machine.tickets:
                     reach = products[product].group
@@ -185,9 +185,12 @@
         rooms = {}
         for name, host in self.hosts.items():
             machine = host.machine
-            if machine.up and not machine.ills.silent:
+            if machine.up and not machine.faults.silent:
                 cores, memory = machine.asked()
-                rooms[name] = round(machine.build.cores - cores, 3), round(machine.build.memory - memory, 3)
+                rooms[name] = (
+                    round(machine.profile.cores - cores, 3),
+                    round(machine.profile.memory - memory, 3),
+                )
         if self.remote is None:
             self.service.rooms(rooms)
         else:
@@ -215,7 +218,7 @@
             machine=name,
             address=host.door.address,
             mode=mode,
-            kind=machine.build.kind,
+            kind=machine.profile.kind,
             incarnation=machine.incarnation,
             zone=host.zone,
             cell=host.cell,
@@ -238,7 +241,7 @@
             sender.model.factor = value or 1.0
         for host in self.hosts.values():
             machine = host.machine
-            machine.ills.use_factor = 1.0 if value is None else 1 + (value - 1) / 4
+            machine.faults.use_factor = 1.0 if value is None else 1 + (value - 1) / 4
             machine.unsettle(host.now())
         self._stir()
 
@@ -267,34 +270,34 @@
             self._list(name, "ready")
 
     def _do_silent(self, name: str, value: object) -> None:
-        self.hosts[name].machine.ills.silent = True
+        self.hosts[name].machine.faults.silent = True
 
     def _do_flush(self, name: str, value: float) -> None:
         self.hosts[name].machine.flush(value)
 
     def _do_errors(self, name: str, value: float | None) -> None:
-        self.hosts[name].machine.ills.error_share = value or 0.0
+        self.hosts[name].machine.faults.error_share = value or 0.0
 
     def _do_lost(self, name: str, value: float | None) -> None:
-        self.hosts[name].machine.ills.lost_answers = value or 0.0
+        self.hosts[name].machine.faults.lost_answers = value or 0.0
 
     def _do_slow(self, name: str, value: float | None) -> None:
-        self.hosts[name].machine.ills.slow = value or 1.0
+        self.hosts[name].machine.faults.slow = value or 1.0
 
     def _do_report_late(self, name: str, value: float | None) -> None:
-        self.hosts[name].machine.ills.report_delay = round((value or 0.0) * 1e6)
+        self.hosts[name].machine.faults.report_delay = round((value or 0.0) * 1e6)
 
     def _do_heavy(self, name: str, value: tuple[str, float, float] | None) -> None:
         for host in self.hosts.values():
             machine = host.machine
-            machine.ills.heavy = {value[0]: value[1:]} if value else {}
+            machine.faults.heavy = {value[0]: value[1:]} if value else {}
             machine.unsettle(host.now())
         self._stir()
 
     def _do_hot(self, name: str, value: list[str] | None) -> None:
         for host in self.hosts.values():
             machine = host.machine
-            machine.ills.hot = set(value or ())
+            machine.faults.hot = set(value or ())
             machine.unsettle(host.now())
         self._stir()
 
--- a/hazelhold/rehearse/wires.py
+++ b/hazelhold/rehearse/wires.py
@@ -21,7 +21,7 @@
 CHUNK = 65_536
 
 
-class Ills(NamedTuple):
+class LinkFaults(NamedTuple):
     """What a direction does to what it carries. Delays in milliseconds, `rate` in bytes a second (0: any)."""
 
     loss: float = 0.0
@@ -36,12 +36,12 @@
 
     def __init__(self, seed: object) -> None:
         self.random = Random(f"wire/{seed}")
-        self.ills = Ills()
+        self.ills = LinkFaults()
         self.carried = self.lost = 0
         self.free = 0.0  # when the rate lets the next bytes through, in seconds
         self.changed = trio.Event()
 
-    def set(self, ills: Ills) -> None:
+    def set(self, ills: LinkFaults) -> None:
         self.ills = ills
         self.changed.set()
         self.changed = trio.Event()
@@ -93,7 +93,7 @@
     def calm(self) -> None:
         """Takes away all ills."""
         for direction in self.directions.values():
-            direction.set(Ills())
+            direction.set(LinkFaults())
 
     @staticmethod
     def between(ones: Iterable[str], others: Iterable[str], way: str) -> list[tuple[str, str]]:
--- a/hazelhold/standin/machines.py
+++ b/hazelhold/standin/machines.py
@@ -31,7 +31,7 @@
         self.clock_off = clock_off  # this machine's clock against everybody else's, in microseconds
         self.recorder = recorder
         self.door = Door(net, machine.name, "machine", CODEC, recorder, self._welcome, self._said)
-        self.door.muted = lambda planner: self.machine.ills.silent or planner in self.cut_from
+        self.door.muted = lambda planner: self.machine.faults.silent or planner in self.cut_from
         self.cut_from: set[str] = set()
         self.ticker = Ticker(self.now, lambda now: machine.next_at(), self._work)
         self.note("up")
@@ -65,7 +65,7 @@
         """It is back, cold and empty."""
         if self.machine.fell_over:
             return  # pushed over, it stays down
-        self.machine.ills.silent = False
+        self.machine.faults.silent = False
         self.machine.came_up(self.now())
         self.door.open = True
         self.door.shut()
@@ -75,7 +75,7 @@
     def tally(self) -> None:
         """At the end of a day: what runs here and how well it was served."""
         self.machine.settle(self.now())
-        self.note("tally", [(g.offer.guest, int(g.served)) for g in self.machine.lodgers.values() if g.runs])
+        self.note("tally", [(g.offer.guest, int(g.served)) for g in self.machine.tasks.values() if g.runs])
 
     def _welcome(self) -> m.Welcome:
         machine = self.machine
--- a/tests/test_machine.py
+++ b/tests/test_machine.py
@@ -1,15 +1,22 @@
 """The machine model: what it takes, refuses, starts, serves and sends away."""
 
-from hazelhold.model.machine import Build, Machine, Trade
+from hazelhold.model.machine import Machine, MachineProfile, ProductBehaviour
 from hazelhold.protocol import messages as m
 
 MS, S = 1000, 1_000_000
-TRADES = {"low": Trade(), "high": Trade(priority=1), "ticket": Trade(ticketed=True)}
-
-
-def build(**changes: object) -> Build:
-    return Build(
-        **({"kind": "box", "cores": 10.0, "memory": 10.0, "trades": TRADES, "look": 10 * MS} | changes)
+BEHAVIOURS = {
+    "low": ProductBehaviour(),
+    "high": ProductBehaviour(priority=1),
+    "ticket": ProductBehaviour(ticketed=True),
+}
+
+
+def profile(**changes: object) -> MachineProfile:
+    return MachineProfile(
+        **(
+            {"kind": "box", "cores": 10.0, "memory": 10.0, "behaviours": BEHAVIOURS, "look": 10 * MS}
+            | changes
+        )
     )
 
 
@@ -38,7 +45,7 @@
 
 
 def test_one_look_at_a_time_and_a_line_of_its_length() -> None:
-    machine = Machine("a", build(line=2), 1, 0)
+    machine = Machine("a", profile(line=2), 1, 0)
     for number in range(3):
         machine.offered(0, "p", offer(f"g{number}"))
     first = told(machine, 0)
@@ -47,7 +54,7 @@
 
 
 def test_accepts_up_to_its_multiples_and_says_what_is_short() -> None:
-    machine = Machine("a", build(cores_multiple=2.0, memory_multiple=1.0), 1, 0)
+    machine = Machine("a", profile(cores_multiple=2.0, memory_multiple=1.0), 1, 0)
     for number, (cores, memory) in enumerate([(15, 1), (6, 1), (1, 9.5), (5, 1)]):
         machine.offered(number * S, "p", offer(f"g{number}", cores=cores, memory=memory))
         machine.advance(number * S + S // 2)
@@ -65,14 +72,14 @@
             if "started" in kinds(machine, now):
                 return now
 
-    warm, cold = Machine("a", build(), 1, 0), Machine("a", build(), 1, 0, warm=False)
+    warm, cold = Machine("a", profile(), 1, 0), Machine("a", profile(), 1, 0, warm=False)
     first = start(warm, "g", "s", 0)
     again = start(warm, "h", "s", 20 * S) - 20 * S
     assert first > 3 * again and start(cold, "g", "s", 0) > 2 * first
 
 
 def test_pushes_out_lower_priority_and_no_other() -> None:
-    machine = Machine("a", build(makes_room=True, memory_multiple=1.0), 1, 0)
+    machine = Machine("a", profile(makes_room=True, memory_multiple=1.0), 1, 0)
     machine.offered(0, "p", offer("low", memory=9))
     assert "taken" in kinds(machine, S)
     machine.offered(S, "p", offer("high", "high", memory=8))
@@ -83,18 +90,18 @@
 
 
 def test_memory_that_overflows_evicts_the_lowest_first() -> None:
-    machine = Machine("a", build(memory_multiple=1.5), 1, 0)
+    machine = Machine("a", profile(memory_multiple=1.5), 1, 0)
     for number, product in enumerate(["low", "high", "high"]):
         machine.offered(0, "p", offer(f"g{number}", product, memory=4.5))
     told(machine, 5 * S)
-    machine.ills.use_factor = 9.0
+    machine.faults.use_factor = 9.0
     machine.unsettle(5 * S)
     ended = [s for s in told(machine, 5 * S) if isinstance(s, m.Ended)]
     assert [(e.guest, e.how) for e in ended][:1] == [("g0", "evicted")]
 
 
 def test_one_copy_of_a_ticketed_guest_stands() -> None:
-    machine = Machine("a", build(), 1, 0)
+    machine = Machine("a", profile(), 1, 0)
     machine.offered(0, "p", offer("g", "ticket"))
     machine.offered(0, "other", offer("g", "ticket"))
     said = told(machine, S)
@@ -102,32 +109,32 @@
 
 
 def test_withdrawn_in_line_it_never_ran_and_once_accepted_it_stands() -> None:
-    machine = Machine("a", build(), 1, 0)
+    machine = Machine("a", profile(), 1, 0)
     machine.offered(0, "p", offer("g"))
     machine.withdrawn(0, "p", m.Withdraw(guest="g"))
     assert [(type(s), s.how) for s in told(machine, S)][:1] == [(m.Ended, "withdrawn")]
     machine.offered(S, "p", offer("h"))
     told(machine, S + 20 * MS)
     machine.withdrawn(S + 20 * MS, "p", m.Withdraw(guest="h"))
-    assert "taken" in kinds(machine, S + 20 * MS) and machine.lodgers
+    assert "taken" in kinds(machine, S + 20 * MS) and machine.tasks
     machine.stopped(3 * S, "p", m.Stop(guest="h"))
     assert [s.how for s in told(machine, 3 * S) if isinstance(s, m.Ended)] == ["stopped"]
-    assert not machine.lodgers
+    assert not machine.tasks
 
 
 def test_a_repeated_offer_starts_nothing_twice() -> None:
-    machine = Machine("a", build(), 1, 0)
+    machine = Machine("a", profile(), 1, 0)
     machine.offered(0, "p", offer("g"))
     machine.advance(S)
     machine.offered(2 * S, "p", offer("g", attempt=1))
     machine.advance(3 * S)
-    assert len(machine.lodgers) == 1
+    assert len(machine.tasks) == 1
     assert [s.attempt for _, s in machine.out if isinstance(s, m.Taken)] == [0, 1]
     assert sum(isinstance(s, m.Started) for _, s in machine.out) == 1
 
 
 def test_its_word_on_what_it_holds_is_whole_until_it_has_forgotten() -> None:
-    machine = Machine("a", build(remembers=2, starts=9), 1, 0)
+    machine = Machine("a", profile(remembers=2, starts=9), 1, 0)
     for number in range(5):
         machine.advance(number * S)
         machine.offered(number * S, "p", offer(f"g{number}", life=3 * S))
@@ -151,29 +158,29 @@
 
 def test_a_cold_machine_bears_its_budget_and_falls_over_past_it() -> None:
     for count, falls in ((40, False), (41, True)):
-        machine = Machine("a", build(cold_offers=40, line=100), 1, 0, warm=False)
+        machine = Machine("a", profile(cold_offers=40, line=100), 1, 0, warm=False)
         for number in range(count):
             machine.offered(number * MS, "p", offer(f"g{number}"))
         assert machine.fell_over == falls
-    spread = Machine("a", build(cold_offers=40, line=200), 1, 0, warm=False)
+    spread = Machine("a", profile(cold_offers=40, line=200), 1, 0, warm=False)
     for number in range(100):
         spread.offered(number * S // 10, "p", offer(f"g{number}"))
     assert not spread.fell_over
 
 
 def test_crowded_cores_serve_worse_and_it_says_so() -> None:
-    machine = Machine("a", build(cores_multiple=4, memory_multiple=9), 1, 0)
+    machine = Machine("a", profile(cores_multiple=4, memory_multiple=9), 1, 0)
     for number in range(30):
         machine.offered(0, "p", offer(f"g{number}", memory=0.1))
         machine.advance(number * 50 * MS)
-    machine.ills.use_factor = 2
+    machine.faults.use_factor = 2
     machine.unsettle(10 * S)
     served = [s.share for s in told(machine, 15 * S) if isinstance(s, m.Served)]
     assert served and max(served) < 0.95
 
 
 def test_one_copy_stands_in_a_group_of_machines() -> None:
-    one, two = Machine("a", build(), 1, 0), Machine("b", build(), 2, 0)
+    one, two = Machine("a", profile(), 1, 0), Machine("b", profile(), 2, 0)
     two.tickets = one.tickets
     one.offered(0, "p", offer("g", "ticket"))
     assert "taken" in kinds(one, S)
--- a/tests/test_wires.py
+++ b/tests/test_wires.py
@@ -6,7 +6,7 @@
 import trio
 from trio.testing import MockClock
 
-from hazelhold.rehearse.wires import Direction, Ills, Wires
+from hazelhold.rehearse.wires import Direction, LinkFaults, Wires
 from hazelhold.service.net import MemoryNet, Net, TcpNet
 
 NETS = [pytest.param(True, id="memory"), pytest.param(False, id="sockets")]
@@ -26,7 +26,7 @@
 def test_a_direction_draws_the_same_fates_from_the_same_seed_and_in_the_stated_shares() -> None:
     def fates(seed: int) -> list[list[float]]:
         way = Direction(seed)
-        way.set(Ills(loss=0.3, double=0.2, delay=(10.0, 30.0)))
+        way.set(LinkFaults(loss=0.3, double=0.2, delay=(10.0, 30.0)))
         return [way.fate(100, 0.0) for _ in range(4000)]
 
     first = fates(1)
@@ -38,7 +38,7 @@
 
 def test_a_rate_lets_bytes_through_one_after_another() -> None:
     way = Direction(1)
-    way.set(Ills(rate=1000.0))
+    way.set(LinkFaults(rate=1000.0))
     assert [round(way.fate(500, 0.0)[0], 3) for _ in range(3)] == [0.5, 1.0, 1.5]
     assert round(way.fate(500, 10.0)[0], 3) == 0.5
 
