Tests: the engine driven by hand is EngineHarness, no longer Desk

The name did not say that it is a test harness. Variables follow; test_fleetconfig_settings takes it by an alias in its import. Tests of claims, engine, state, recovery, town and of the configuration's settings: pass.

--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -84,7 +84,7 @@
     return PlannerConfig("p0", "door", ListConfig("list"), estate, limits=LimitsConfig(**limits))
 
 
-class Desk:
+class EngineHarness:
     """An engine driven by hand. Machines that are dialled come up at once unless they are in `dead`."""
 
     def __init__(self, machines: str = "ab", **limits: object) -> None:
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -11,7 +11,7 @@
 from hazelhold.protocol import messages as m
 from hazelhold.replica import claims as c
 from hazelhold.replica.gate import FACTS_MOST, Gate
-from tests.helpers import MS, Desk, of, stand
+from tests.helpers import MS, EngineHarness, of, stand
 
 PLANNERS = st.sampled_from(["p0", "p1"])
 FACTS = st.builds(
@@ -114,8 +114,8 @@
 # Engines that share agreed values.
 
 
-class Member(Desk):
-    """A desk whose engine claims."""
+class Member(EngineHarness):
+    """A harness whose engine claims."""
 
     def __init__(self, name: str, gate: type = Gate, machines: str = "ab") -> None:
         super().__init__(machines)
--- a/tests/test_fleetconfig_settings.py
+++ b/tests/test_fleetconfig_settings.py
@@ -7,7 +7,8 @@
 from hazelhold.fleetconfig.document import Document, Edit, Put, canonical
 from hazelhold.fleetconfig.settings import RunningSettings, SettingsError, starting_sheet
 from hazelhold.protocol import messages as m
-from tests.helpers import MS, Desk
+from tests.helpers import MS
+from tests.helpers import EngineHarness as Desk
 from tests.helpers import planner_config as sheet
 
 PLAIN = {"name": "plain", "effect": "rerunnable", "goal_ms": 800, "patience_ms": 5000}
--- a/tests/test_state.py
+++ b/tests/test_state.py
@@ -10,7 +10,7 @@
 from hazelhold.state import frames, store
 from hazelhold.state.disk import RealDisk
 from hazelhold.state.images import Change, EndImage, put
-from tests.helpers import Desk
+from tests.helpers import EngineHarness
 from tests.state_rig import S, disk, end, kept
 
 # Files.
@@ -115,10 +115,10 @@
     made = store.Store(RealDisk(tmp_path), "p0")
     made.open(0, "p0 1")
     made.begin(0)
-    desk = Desk("")
-    desk.engine.keep(0, 0, made.ledger, True)
-    desk.submits(0, "g", "once")
-    made.commit([*desk.engine.flush(0), end(1)])
+    harness = EngineHarness("")
+    harness.engine.keep(0, 0, made.ledger, True)
+    harness.submits(0, "g", "once")
+    made.commit([*harness.engine.flush(0), end(1)])
     run = CliRunner().invoke
     shown = run(main, ["state", "show", str(tmp_path)])
     assert "guest 1" in shown.output and "g/0 of o: once, held" in shown.output
--- a/tests/test_state_recovery.py
+++ b/tests/test_state_recovery.py
@@ -6,7 +6,7 @@
 from hazelhold.protocol import messages as m
 from hazelhold.state.images import LooseImage, drop, put
 from hazelhold.state.ledger import Ledger
-from tests.helpers import MS, Desk, ask, brain, of, stand
+from tests.helpers import MS, EngineHarness, ask, brain, of, stand
 from tests.state_rig import S
 
 
@@ -16,45 +16,45 @@
     def __init__(self) -> None:
         self.ledger = Ledger()
 
-    def desk(self, now: int, dead: str = "", complete: bool = True, **limits: object) -> Desk:
-        desk = Desk("", **limits)
-        desk.dead = set(dead)
-        desk.engine.keep(now, 0, self.ledger, complete)
-        desk.run(now)
-        return desk
+    def harness(self, now: int, dead: str = "", complete: bool = True, **limits: object) -> EngineHarness:
+        harness = EngineHarness("", **limits)
+        harness.dead = set(dead)
+        harness.engine.keep(now, 0, self.ledger, complete)
+        harness.run(now)
+        return harness
 
-    def dies(self, desk: Desk, now: int) -> None:
-        self.ledger.apply(desk.engine.flush(now))
+    def dies(self, harness: EngineHarness, now: int) -> None:
+        self.ledger.apply(harness.engine.flush(now))
 
 
-def started(**limits: object) -> tuple[Life, Desk]:
+def started(**limits: object) -> tuple[Life, EngineHarness]:
     life = Life()
-    desk = life.desk(0, **limits)
-    desk.lists(0, [desk.entry(name) for name in "ab"], whole=True)
-    return life, desk
+    harness = life.harness(0, **limits)
+    harness.lists(0, [harness.entry(name) for name in "ab"], whole=True)
+    return life, harness
 
 
 def test_a_held_guest_keeps_the_rest_of_its_patience() -> None:
-    life, desk = started()
-    desk.lists(0, [desk.entry(n, "cordoned") for n in "ab"])
-    desk.submits(S, "g", "once", patience=4 * S)
-    life.dies(desk, 2 * S)
-    again = life.desk(3 * S)
+    life, harness = started()
+    harness.lists(0, [harness.entry(n, "cordoned") for n in "ab"])
+    harness.submits(S, "g", "once", patience=4 * S)
+    life.dies(harness, 2 * S)
+    again = life.harness(3 * S)
     assert again.owner(3 * S, m.Query(guest="g"))[0].state == "held"
     again.run(4900 * MS)
     assert not again.sent(m.TurnedBack)
     again.run(5 * S)
     assert [a.reason for a in again.sent(m.TurnedBack)] == ["no_machine"]
     life.dies(again, 5 * S)
-    assert life.desk(6 * S).owner(6 * S, m.Query(guest="g"))[0].state == "turned_back"
+    assert life.harness(6 * S).owner(6 * S, m.Query(guest="g"))[0].state == "turned_back"
 
 
 @pytest.mark.parametrize("there", ["", "line", "runs", "ended"])
 def test_an_offer_that_had_left_is_settled_by_its_machines_word(there: str) -> None:
-    life, desk = started()
-    offer, machine = desk.offer(S, "g", "once")
-    life.dies(desk, S)
-    again = Desk("")
+    life, harness = started()
+    offer, machine = harness.offer(S, "g", "once")
+    life.dies(harness, S)
+    again = EngineHarness("")
     again.dead = {"a", "b"}
     again.engine.keep(1500 * MS, 0, life.ledger, True)
     again.run(1500 * MS)
@@ -75,13 +75,13 @@
 
 
 def test_a_guest_that_ran_is_found_and_one_that_ended_meanwhile_is_told() -> None:
-    life, desk = started()
-    first, one = desk.offer(S, "g1", "once")
-    desk.says(S, one, of(m.Taken, first))
-    second, two = desk.offer(S, "g2", "once")
-    desk.says(S, two, of(m.Taken, second))
-    life.dies(desk, S)
-    again = Desk("")
+    life, harness = started()
+    first, one = harness.offer(S, "g1", "once")
+    harness.says(S, one, of(m.Taken, first))
+    second, two = harness.offer(S, "g2", "once")
+    harness.says(S, two, of(m.Taken, second))
+    life.dies(harness, S)
+    again = EngineHarness("")
     again.stands = {one: [stand(first, "runs")]}
     again.stands.setdefault(two, []).append(stand(second, "ended", "done"))
     again.engine.keep(2 * S, 0, life.ledger, True)
@@ -94,37 +94,37 @@
 def test_if_something_may_be_missing_no_held_guest_is_sent_that_must_not_run_twice(
     product: str, sent: int
 ) -> None:
-    life, desk = started()
-    desk.lists(0, [desk.entry(n, "cordoned") for n in "ab"])
-    desk.submits(S, "g", product)
-    life.dies(desk, S)
-    again = life.desk(2 * S, complete=False)
+    life, harness = started()
+    harness.lists(0, [harness.entry(n, "cordoned") for n in "ab"])
+    harness.submits(S, "g", product)
+    life.dies(harness, S)
+    again = life.harness(2 * S, complete=False)
     again.lists(2 * S, [again.entry(n) for n in "ab"], whole=True)
     again.run(2100 * MS)
     assert len(again.sent(m.Offer)) == sent and len(again.sent(m.BrokenOff)) == 1 - sent
 
 
 def test_attempts_are_counted_over_lives_and_the_list_must_speak_before_anything_is_sent() -> None:
-    life, desk = started()
-    offer, machine = desk.offer(S, "g")
-    desk.says(S, machine, of(m.Refused, offer, remark="no_cores"))
-    life.dies(desk, S)
-    again = life.desk(2 * S)
+    life, harness = started()
+    offer, machine = harness.offer(S, "g")
+    harness.says(S, machine, of(m.Refused, offer, remark="no_cores"))
+    life.dies(harness, S)
+    again = life.harness(2 * S)
     assert again.engine.brain.guests["g/0"].dispatches >= 1 and len(again.sent(m.Offer)) == 0
     again.lists(2 * S, [again.entry(n) for n in "ab"], whole=True)
     assert all(o.attempt >= 1 for o in again.sent(m.Offer))
 
 
 def test_a_given_up_dispatch_that_runs_after_all_brings_no_second_answer_in_the_next_life() -> None:
-    life, desk = started()
-    offer, machine = desk.offer(S, "g", "ticket")
-    life.dies(desk, S)
+    life, harness = started()
+    offer, machine = harness.offer(S, "g", "ticket")
+    life.dies(harness, S)
     image = life.ledger.image("guest", "g/0")
     assert image.asks == (0,)  # as it was when the dispatch was given up, before its answer
     life.ledger.apply(
         [drop("guest", "g/0"), put("loose", f"g\0{machine}", LooseImage(image, machine, 0, S, False))]
     )
-    again = Desk("")
+    again = EngineHarness("")
     again.stands = {machine: [stand(offer, "runs")]}
     again.engine.keep(2 * S, 0, life.ledger, True)
     again.run(2 * S)
--- a/tests/test_town.py
+++ b/tests/test_town.py
@@ -18,7 +18,7 @@
 from hazelhold.protocol import messages as m
 from hazelhold.service.net import MemoryNet
 from hazelhold.service.wire import Wire
-from tests.helpers import MS, Desk, planner_config
+from tests.helpers import MS, EngineHarness, planner_config
 
 
 def town(size: int, spread: bool, **demand: object) -> Town:
@@ -80,9 +80,9 @@
 
 
 def test_a_pump_stops_after_so_many_decisions_and_asks_to_be_called_again() -> None:
-    desk = Desk("", decisions_at_once=3)
+    harness = EngineHarness("", decisions_at_once=3)
     for number in range(10):
-        desk.engine.owner_said(
+        harness.engine.owner_said(
             0,
             "o",
             m.Submit(
@@ -92,12 +92,12 @@
     late = 99 * MS
     answered = []
     while True:
-        desk.engine.pump(late)
-        said = [getattr(action, "message", None) for action in desk.engine.actions]
+        harness.engine.pump(late)
+        said = [getattr(action, "message", None) for action in harness.engine.actions]
         answered.append(sum(isinstance(each, m.TurnedBack) for each in said))
-        if not desk.engine.more:
+        if not harness.engine.more:
             break
-        assert desk.engine.next_at(late) == late
+        assert harness.engine.next_at(late) == late
     assert max(answered) == 10 and len(answered) >= 4
 
 
