--- a/bench/capacity/hollow/membership.py
+++ b/bench/capacity/hollow/membership.py
@@ -18,8 +18,8 @@
 from bench.capacity.hollow.run_folder import run_folder
 from bench.capacity.hollow.tally import Flow, PeerFlows, total
 from hazelhold.config.planner import ListConfig, MembershipConfig, PlannerConfig
-from hazelhold.rehearse.crew import config_text
 from hazelhold.rehearse.ports import free_ports
+from hazelhold.rehearse.runners import config_text
 
 NAME = "planner-0"
 ZONES = 24
--- a/bench/capacity/hollow/rig.py
+++ b/bench/capacity/hollow/rig.py
@@ -18,8 +18,8 @@
 from bench.capacity.hollow.tally import PeerFlows
 from hazelhold.config.load import build, parse, read_text
 from hazelhold.config.planner import PlannerConfig
-from hazelhold.rehearse.crew import config_text
 from hazelhold.rehearse.ports import free_ports
+from hazelhold.rehearse.runners import config_text
 
 EXAMPLE = Path(__file__).parent.parent.parent.parent / "examples" / "planner.json5"
 ZONES = 24
