Fleet configuration: an address that is none ends no planner; what is open of its faults

Dialer._run took only OSError: a 'planners/NAME' whose address cannot be read (let through by another program) ended the planner by ValueError. Seen in review, reproduced on the old code for three addresses.

--- a/hazelhold/fleetconfig/dialer.py
+++ b/hazelhold/fleetconfig/dialer.py
@@ -82,7 +82,7 @@
                 with trio.fail_after(GREETING):
                     stream = await self.net.dial(address)
                 reason = await self._carry(number, made, stream)
-            except (OSError, trio.TooSlowError) as wrong:
+            except (OSError, ValueError, trio.TooSlowError) as wrong:  # ValueError: the address is none
                 self.counts["dials_failed"] += 1
                 reason = f"cannot be reached at {address}: {wrong or 'no answer'}"
         if self.dialed.get(number) is made:
--- a/tests/test_fleetconfig_host.py
+++ b/tests/test_fleetconfig_host.py
@@ -19,15 +19,18 @@
 from hazelhold.fleetconfig.codec import MAX_MESSAGE
 from hazelhold.fleetconfig.connection import Connection
 from hazelhold.fleetconfig.control_host import KEY
+from hazelhold.fleetconfig.dialer import Dialer
 from hazelhold.fleetconfig.document import Document
 from hazelhold.fleetconfig.door import IDLE
 from hazelhold.fleetconfig.follower_host import FollowerHost
 from hazelhold.fleetconfig.revision import Change
+from hazelhold.fleetconfig.spread_actions import Dial
 from hazelhold.fleetconfig.writer import StoreWriter
 from hazelhold.protocol import messages as p
 from hazelhold.protocol.frames import frame
 from hazelhold.replica.sets import Keeper, Sets
 from hazelhold.replica.votes import vouch
+from hazelhold.service.net import TcpNet
 from hazelhold.service.wire import Wire
 from hazelhold.state.store import StateError
 from tests.fleetconfig_rig import DEPLOYMENT, Fleet, disk, items, with_fleet
@@ -288,6 +291,23 @@
     assert found.group_contains(AssertionError)
 
 
+@pytest.mark.parametrize("address", ["nowhere", "10.0.0.1:\u00b2", "10.0.0.1:99999"])
+def test_an_address_that_is_none_ends_no_planner(address: str) -> None:
+    """As another program may let through in an item `planners/NAME`."""
+    told: list[str] = []
+
+    class Events:
+        def disconnected(self, connection: int, reason: str) -> None:
+            told.append(reason)
+
+    async def run() -> None:
+        async with trio.open_nursery() as nursery:
+            Dialer(TcpNet(), GREETING, {}, nursery, Events()).dial(Dial(1, "p9", address))
+
+    trio.run(run)
+    assert len(told) == 1 and "cannot be reached" in told[0]
+
+
 def test_a_wall_clock_that_jumps_changes_nothing() -> None:
     async def test(fleet: Fleet) -> None:
         wall, year = fleet.net.wall, 365 * 86_400_000_000
