--- a/hazelhold/membership/base.py
+++ b/hazelhold/membership/base.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from hazelhold.membership import words as w
+from hazelhold.membership import messages
 from hazelhold.membership.local_health import LocalHealth
 from hazelhold.membership.probe import Probe
 from hazelhold.membership.rows import ALIVE, Row
@@ -45,7 +45,7 @@
         self.resync = False
         self.taken = 0  # rows that were news
         self.recent: dict[str, None] = {}  # who sent something last, at most RECENT, the latest at the end
-        # newer rows than the letter being heard told; emptied by the next
+        # newer rows than the datagram being heard told; emptied by the next
         self.corrections: list[msgspec.Raw] = []
 
     @property
@@ -80,15 +80,19 @@
         return [member.raw] if member and member.row.state != ALIVE else []
 
     def _send(
-        self, address: str, name: str, matter: w.Matter, first: list[msgspec.Raw], fill: bool = True
+        self, address: str, name: str, payload: messages.Payload, first: list[msgspec.Raw], fill: bool = True
     ) -> None:
         """One datagram: the rows given, then as many rumours as fit."""
         rows = first
         if fill:
-            room = w.BYTES - 8 - len(w.encode(self.terms.deployment, self.me, matter, first))
+            room = (
+                messages.MAX_BYTES - 8 - len(messages.encode(self.terms.deployment, self.me, payload, first))
+            )
             rumours, _ = self.table.rumours.take(self.table, room, self.tellings())
             rows = [*first, *rumours]
-        self.actions.append(Post(address, name, w.encode(self.terms.deployment, self.me, matter, rows)))
+        self.actions.append(
+            Post(address, name, messages.encode(self.terms.deployment, self.me, payload, rows))
+        )
 
     def tellings(self) -> int:
         """How often each row is told: enough that all know with any likelihood wanted, by the logarithm
--- a/tests/fleetconfig_model.py
+++ b/tests/fleetconfig_model.py
@@ -15,8 +15,8 @@
 from hazelhold.fleetconfig.document import Document, Put, canonical
 from hazelhold.fleetconfig.messages import ProposeAnswer
 from hazelhold.fleetconfig.revision import Change, Position, SealedRevision
+from hazelhold.replica.messages import Message
 from hazelhold.replica.proposer import Proposer, Send
-from hazelhold.replica.words import Word
 
 
 class World:
@@ -175,7 +175,7 @@
 
         self.send(machine.name, send.to, self.to_machine(acceptor, hear))
 
-    def from_acceptor(self, machine: Machine, name: str, answer: Word) -> None:
+    def from_acceptor(self, machine: Machine, name: str, answer: Message) -> None:
         machine.proposer.hear(self.now, name, answer)
 
     def act(self, machine: Machine, action: a.Action) -> None:
--- a/tests/fleetconfig_space.py
+++ b/tests/fleetconfig_space.py
@@ -16,7 +16,7 @@
 from hazelhold.fleetconfig.document import Put
 from hazelhold.fleetconfig.head import decode_head
 from hazelhold.fleetconfig.revision import Change, unseal
-from hazelhold.replica import words as w
+from hazelhold.replica import messages as w
 from hazelhold.replica.acceptor import Acceptor
 from hazelhold.replica.proposer import Proposer, Send
 
@@ -212,7 +212,7 @@
         coming = {word.ballot for _, _, word in self.flying if isinstance(word, w.Accept)}
         self.votes = frozenset(vote for vote in self.votes if vote[1] in coming)
 
-    def _matters(self, number: int, name: str, word: w.Prepare | w.Accept | w.Look) -> bool:
+    def _matters(self, number: int, name: str, word: w.Prepare | w.Accept | w.Query) -> bool:
         op = self.proposers[number].ops.get(KEY)
         if op is not None and op.ballot == word.ballot:
             return isinstance(word, w.Accept) or op.phase in ("prepare", "look")
