--- a/tests/test_replica.py
+++ b/tests/test_replica.py
@@ -533,7 +533,7 @@
         change = {"once": Once, "swap": Swap, "read": Read}[kind](*given_)
         if hints:
             cells = acceptors[random.choice(NAMES)].cells
-            proposers[at].promised("k", cells["k"].promised if "k" in cells else messages.NONE)
+            proposers[at].promised("k", cells["k"].promised if "k" in cells else messages.NO_BALLOT)
         no = proposers[at].ask(now, "k", change, NAMES, now + 400_000)
         asked[at, no] = kind, given_, now
         carry(at)
