Fleet configuration: a word without a chain mark counts by its number

Wrong line: everywhere.py, _judged, which took no mark for a wrong one. A relay of the version before drops the marks of others, too. Now such a word counts by its number, as there.

--- a/hazelhold/fleetconfig/everywhere.py
+++ b/hazelhold/fleetconfig/everywhere.py
@@ -6,7 +6,8 @@
 
 A number alone proves nothing: a planner whose folder is of another deployment, or of this one before it was
 founded anew, has revisions of another order under the same and higher numbers. So a word counts only if its
-chain mark is that of the revision here; one about a revision that is not known here yet waits for it.
+chain mark is that of the revision here; one about a revision that is not known here yet waits for it. A program
+of the version before sends no mark, and drops that of others as a relay: there the number has to do.
 """
 
 from collections import Counter
@@ -164,13 +165,16 @@
         self._ahead.clear()
 
     def _judged(self, known: Known, state: MemberState) -> tuple[int, str]:
-        """Which revision of the order here a planner has in force by its word, and why not more."""
+        """Which revision of the order here a planner has in force by its word, and why not more.
+
+        A word without a chain comes from, or through, a program of the version before: its number counts.
+        """
         number = state.in_force
         if number > self._history.position.number:
             self._ahead.add(state.name)
             return known.in_force, f"tells of revision {number}, which is not known here"
         chain = self._history.chain_at(number)
-        if number > 0 and chain is not None and chain[:CHAIN_MARK] != state.chain:
+        if number > 0 and state.chain and chain is not None and chain[:CHAIN_MARK] != state.chain:
             return NOTHING, f"has a revision {number} of another order in force"
         return max(number, 0), ""
 
--- a/tests/test_fleetconfig_coverage.py
+++ b/tests/test_fleetconfig_coverage.py
@@ -204,3 +204,20 @@
     assert told["p2"].reason.startswith("not connected for") and told["p2"].in_force == 2
     assert told["p3"].reason == "behind by 1"
     assert told.keys() == {"never", "p1", "p2", "p3"}
+
+
+def test_a_word_without_a_chain_comes_from_the_version_before_and_counts_by_its_number() -> None:
+    chain = chain_of([item("planners/p", {"address": "p", "zone": "", "region": ""})], [item("teams/a", 1)])
+    history, subtree = History(), Subtree()
+    coverage = FleetCoverage(history, Roster([]), subtree, 0)
+    subtree.add(1)
+    for sealed in chain:
+        history.append(sealed)
+    coverage.committed(1, chain)
+    subtree.tell(1, Coverage(members=(MemberState(name="p", in_force=1, received=2),)))
+    coverage.settle(2)
+    (told,) = coverage.lacking(2)
+    assert (told.name, told.in_force) == ("p", 1) and coverage.revisions(2)[0].everywhere_after == -1
+    subtree.tell(1, Coverage(members=(MemberState(name="p", in_force=2, received=2),)))
+    coverage.settle(3)
+    assert not coverage.lacking(3) and coverage.revisions(3)[0].everywhere_after == 2
