A machine heard lately is not probed again whenever it closes a quiet connection

Cause: Links._opened sent a probe on every connection that followed one that had ended with tasks on it, twice a second for each such pair of planner and machine. A machine that has said something within the 3.5 s for which it may be quiet on a standing connection, and that takes a new one, need not be asked; it is asked when these are over, so one that says nothing any more is found out in the same time as before.

Beside it: one that dies, takes no connection, or says nothing any more after such a close is found out in 8 s.

--- a/hazelhold/engine/links.py
+++ b/hazelhold/engine/links.py
@@ -118,6 +118,8 @@
         """A connection stands to a machine that tells nothing of what it holds."""
         link.state, link.rolled, link.dial_at = "up", True, 0
         link.used_at = link.opened_at = now
+        if link.lost_at and self._heard_lately(now, link):
+            link.lost_at = 0
         link.heard_at = link.heard_at or now
         if link.lost_at:  # whether the machine that had those guests is still there, its answer shows
             self.probe_number += 1
@@ -133,6 +135,13 @@
         if link.machine in self.probes:
             self._send_machine(link.machine, m.Probe(number=self.probes[link.machine][0]))
 
+    def _heard_lately(self, now: int, link: Link) -> bool:
+        """Whether a machine that takes a new connection need not be asked if it is still there: it has said
+        something in the time for which it may say nothing on a standing one, and owes no answer since. Each
+        probe is paid for, and some machines close a connection after half a second of quiet."""
+        asked = link.unanswered or link.asked_at > link.heard_at
+        return not asked and now - link.heard_at <= micros(self.limits.silent_ms)
+
     def link_failed(self, now: int, machine: str, refused: bool = False) -> None:
         """A dial failed or took too long: offers that waited for it surely never ran. `refused`: nobody
         listens there, so the machine's process is gone."""
--- a/tests/platform_rig.py
+++ b/tests/platform_rig.py
@@ -142,6 +142,7 @@
         self.heard: list[dict] = []  # all lines
         self.streams: list[trio.abc.Stream] = []
         self.accepts, self.silent = True, False
+        self.closes = True  # see close_idle of the tests
         self.owed: list[str] = []  # guests whose end is told on the next connection
         self.turn, self.pen = trio.Lock(), trio.Lock()  # it looks at one line at a time, and says one
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -2,6 +2,7 @@
 
 import json
 from functools import partial
+from itertools import pairwise
 from pathlib import Path
 from random import Random
 
@@ -152,6 +153,86 @@
     play(test)
 
 
+async def close_idle(machine: Machine, idle: float) -> None:
+    """Closes the connections to a machine on which nothing was said for `idle` seconds, as machines do, for
+    as long as it `closes`."""
+    opened: dict[trio.abc.Stream, float] = {}
+    while machine.closes:
+        now = trio.current_time()
+        for stream in machine.streams:
+            opened.setdefault(stream, now)
+        last = max((line["at"] for line in machine.heard), default=0.0)
+        for stream, at in list(opened.items()):
+            if now - max(at, last) >= idle:
+                await stream.aclose()
+        await trio.sleep(0.05)
+
+
+MANY = DEPLOYMENT | {"balancers": 16}  # planners, of which none asks all machines each second
+
+
+def test_a_machine_that_closes_idle_connections_is_not_probed_for_each() -> None:
+    """A probe has its price. Each planner asked each machine that had guests of its after each such close."""
+
+    async def test(rig: Rig) -> None:
+        owner, machine = await rig.owner(), rig.machines["a"]
+        rig.nursery.start_soon(close_idle, machine, 0.5)
+        await owner.say(set_up(1))
+        await trio.sleep(20.0)
+        assert owner.of(1) == PLACED and len(machine.streams) >= 30  # it was dialled again each time
+        probes = [line["at"] for line in machine.heard if line["op"] == "test"]
+        spans = [later - earlier for earlier, later in pairwise(probes)]
+        assert 4 <= len(probes) <= 6 and all(3.5 <= span <= 4.5 for span in spans)
+        machine.owed.append(f"{1:016x}")  # told on the next connection
+        await trio.sleep(1.0)
+        assert owner.of(1) == [*PLACED, (END, 16)]
+
+    play(test, machines="a", settings=MANY)
+
+
+def test_a_machine_that_dies_after_an_idle_close_has_lost_what_stood_there() -> None:
+    async def test(rig: Rig) -> None:
+        owner, machine = await rig.owner(), rig.machines["a"]
+        rig.nursery.start_soon(close_idle, machine, 0.5)
+        await owner.say(set_up(1))
+        await trio.sleep(2.5)
+        assert owner.of(1) == PLACED
+
+        async def refuse(address: str) -> trio.abc.Stream:
+            if address == "a:1":
+                raise ConnectionRefusedError
+            return await dial(address)
+
+        dial, rig.planner.net.dial = rig.planner.net.dial, refuse
+        await trio.sleep(1.5)
+        assert owner.of(1) == [*PLACED, (END, 41)]
+
+    play(test, machines="a", settings=MANY)
+
+
+@pytest.mark.parametrize("then", ["takes none", "stays open", "closes on"])
+def test_a_machine_that_falls_silent_after_an_idle_close_is_found_out(then: str) -> None:
+    """It takes no connection after the next close, or says nothing on those that it takes."""
+
+    async def test(rig: Rig) -> None:
+        owner, machine = await rig.owner(), rig.machines["a"]
+        rig.nursery.start_soon(close_idle, machine, 0.5)
+        await owner.say(set_up(1))
+        await trio.sleep(2.5)
+        assert owner.of(1) == PLACED
+        opened = len(machine.streams)
+        while len(machine.streams) == opened:  # an idle close, and the connection after it
+            await trio.sleep(0.01)
+        machine.silent, machine.closes = True, then == "closes on"
+        if then == "takes none":
+            rig.net.doors["a:1"] = (never, rig.nursery)
+            await machine.streams[-1].aclose()
+        await trio.sleep(7.9)
+        assert owner.of(1) == [*PLACED, (END, 41)]
+
+    play(test, machines="a", settings=MANY)
+
+
 def test_a_connection_that_breaks_ends_its_open_set_ups_and_not_what_stands() -> None:
     async def test(rig: Rig) -> None:
         machine = rig.machines["a"]
