--- a/hazelhold/replica/votes.py
+++ b/hazelhold/replica/votes.py
@@ -13,9 +13,8 @@
 import xxhash
 from msgspec import Struct
 
-from hazelhold.config.planner import CopiesSheet
-from hazelhold.replica import claims
-from hazelhold.replica import words as w
+from hazelhold.config.planner import CopiesConfig
+from hazelhold.replica import claims, messages
 from hazelhold.replica.acceptor import Acceptor, Cell
 from hazelhold.replica.rejoin import Joiner, Source
 from hazelhold.replica.sets import Keeper, Sets
@@ -82,13 +81,13 @@
     return True
 
 
-def digest(sheet: CopiesSheet) -> str:
+def digest(config: CopiesConfig) -> str:
     """The same for the same set, in whatever order."""
-    said = [sheet.replicas, *sorted((p.name, p.zone) for p in sheet.planners)]
+    said = [config.replicas, *sorted((p.name, p.zone) for p in config.planners)]
     return xxhash.xxh3_64_hexdigest(msgspec.json.encode(said))
 
 
-def found(disk: Disk, name: str, sheet: CopiesSheet, wall: int) -> None:
+def found(disk: Disk, name: str, config: CopiesConfig, wall: int) -> None:
     """Gives an empty folder its seat. StateError if anything is there: a planner that lost its disk must not
     get it back this way."""
     store = Store(disk, name, KINDS)
@@ -96,7 +95,7 @@
     try:
         if not seen.fresh:
             raise StateError("the folder has votes or parts of them: it is founded already")
-        store.apply([put("seat", "", Seat(name, sheet.deployment, sheet.epoch, digest(sheet)))])
+        store.apply([put("seat", "", Seat(name, config.deployment, config.epoch, digest(config)))])
         store.begin(wall)
     finally:
         store.close()
@@ -118,7 +117,7 @@
 class Aging(NamedTuple):
     due: int  # wall clock
     key: str
-    ballot: w.Ballot
+    ballot: messages.Ballot
 
 
 class Votes:
@@ -128,17 +127,19 @@
         self,
         disk: Disk,
         name: str,
-        sheet: CopiesSheet,
+        config: CopiesConfig,
         nonce: int,
         retention: Retention = keep_open_claims,
     ) -> None:
-        self.name, self.sheet, self.nonce, self.retention = name, sheet, nonce, retention
+        self.name, self.config, self.nonce, self.retention = name, config, nonce, retention
         self.store = Store(disk, name, KINDS)
-        self.sets = Sets([Keeper(p.name, p.zone) for p in sheet.planners], sheet.replicas)
-        self.keep = round(sheet.keep_s * 1e6)
+        self.sets = Sets([Keeper(p.name, p.zone) for p in config.planners], config.replicas)
+        self.keep = round(config.keep_s * 1e6)
         self.aging: deque[Aging] = deque()  # cells that may be let go, by when; emptied by `sweep`
-        self.acceptor = Acceptor(sheet.epoch, set(), name=name, sets=self.sets)
-        self.kept: dict[str, w.Inc] = {}  # incarnations as they are on the disk, or on their way there
+        self.acceptor = Acceptor(config.epoch, set(), name=name, sets=self.sets)
+        self.kept: dict[
+            str, messages.Incarnation
+        ] = {}  # incarnations as they are on the disk, or on their way there
         self.joiner: Joiner | None = None
         self.source = Source(name, self.sets, self.acceptor)
         self.why = "not_opened"  # why these votes are none to give: empty, no_seat or damaged
@@ -153,15 +154,17 @@
         decoder = ledger.decoders["cell"]
         for key, change in ledger.tables["cell"].items():
             image = decoder.decode(change.image)
-            cell = Cell(w.Ballot(*image.promised), w.Ballot(*image.accepted), image.value, image.copied)
+            cell = Cell(
+                messages.Ballot(*image.promised), messages.Ballot(*image.accepted), image.value, image.copied
+            )
             acceptor.set(key, cell)
             self._ages(key, cell, wall)
         if floor := ledger.image("floor", ""):
             acceptor.raise_floor(floor.number)
         for name in ledger.tables["inc"]:
             image = ledger.image("inc", name)
-            self.kept[name] = w.Inc(image.number, image.nonce)
-        acceptor.inc = self.kept.get(self.name, w.NEVER)
+            self.kept[name] = messages.Incarnation(image.number, image.nonce)
+        acceptor.inc = self.kept.get(self.name, messages.NO_INCARNATION)
         acceptor.known = {n: inc for n, inc in self.kept.items() if n != self.name}
         self.why = "no_seat" if seat is None else "" if seen.complete else "damaged"
         self.source.gives = not self.why
@@ -174,42 +177,46 @@
         return seen
 
     def _check(self, seat: Seat) -> None:
-        sheet, wrong = self.sheet, ""
-        if (seat.planner, seat.deployment) != (self.name, sheet.deployment):
+        config, wrong = self.config, ""
+        if (seat.planner, seat.deployment) != (self.name, config.deployment):
             wrong = f"is the seat of {seat.planner!r} in {seat.deployment!r}"
-        elif (seat.epoch, seat.digest) != (sheet.epoch, digest(sheet)):
+        elif (seat.epoch, seat.digest) != (config.epoch, digest(config)):
             wrong = (
-                f"votes in epoch {seat.epoch}; the configuration says {sheet.epoch}, or another set: "
+                f"votes in epoch {seat.epoch}; the configuration says {config.epoch}, or another set: "
                 "a set is not changed by its file alone"
             )
         if wrong:
             self.store.close()
             raise StateError(f"the folder {wrong}")
 
-    def hear(self, word: w.Prepare | w.Accept | w.Look, wall: int) -> tuple[w.Word, list[Change]]:
+    def hear(
+        self, message: messages.Prepare | messages.Accept | messages.Query, wall: int
+    ) -> tuple[messages.Message, list[Change]]:
         """The answer, and what has to be safe before it leaves."""
-        answer, change = self.acceptor.hear(word)
+        answer, change = self.acceptor.hear(message)
         if change is None:
             return answer, []
         self._ages(change.key, change.cell, wall)
         return answer, [put("cell", change.key, CellImage(*change.cell))]
 
-    def asked(self, other: str, word: w.Hail | w.Enter | w.Next) -> tuple[w.Hailed | w.Page, list[Change]]:
+    def asked(
+        self, other: str, message: messages.RejoinQuery | messages.RejoinEntry | messages.PageRequest
+    ) -> tuple[messages.RejoinReply | messages.CellPage, list[Change]]:
         """Somebody comes back: the answer, and what has to be safe before it leaves."""
-        answer = self.source.hear(other, word)
+        answer = self.source.hear(other, message)
         return answer, self.incarnations()
 
-    def told(self, other: str, word: w.Hailed | w.Page, wall: int) -> list[Change]:
+    def told(self, other: str, message: messages.RejoinReply | messages.CellPage, wall: int) -> list[Change]:
         """What somebody told this one that comes back: what has to be safe before it votes on it."""
         changes, floor = [], self.acceptor.floor
-        for change in self.joiner.hear(other, word):
+        for change in self.joiner.hear(other, message):
             self._ages(change.key, change.cell, wall)
             changes.append(put("cell", change.key, CellImage(*change.cell)))
         if self.acceptor.floor > floor:
             changes.append(put("floor", "", Floor(self.acceptor.floor)))
         return [*changes, *self.incarnations()]
 
-    def vote(self, slots: set[int], inc: w.Inc) -> None:
+    def vote(self, slots: set[int], inc: messages.Incarnation) -> None:
         """What was copied for these slots as this incarnation is safe."""
         if inc == self.acceptor.inc:
             self.acceptor.voting = slots
@@ -218,7 +225,7 @@
         """What is known of incarnations and not on its way to the disk."""
         changes = []
         for name, inc in [(self.name, self.acceptor.inc), *self.acceptor.known.items()]:
-            if inc != self.kept.get(name, w.NEVER):
+            if inc != self.kept.get(name, messages.NO_INCARNATION):
                 self.kept[name] = inc
                 changes.append(put("inc", name, IncImage(*inc)))
         return changes
@@ -226,10 +233,12 @@
     def seated(self) -> list[Change]:
         """All is copied: these votes are good to give from here on."""
         self.why, self.source.gives = "", True
-        return [put("seat", "", Seat(self.name, self.sheet.deployment, self.sheet.epoch, digest(self.sheet)))]
+        return [
+            put("seat", "", Seat(self.name, self.config.deployment, self.config.epoch, digest(self.config)))
+        ]
 
     def _ages(self, key: str, cell: Cell, wall: int) -> None:
-        if cell.accepted != w.NONE and not self.retention(key, cell.value):
+        if cell.accepted != messages.NO_BALLOT and not self.retention(key, cell.value):
             self.aging.append(Aging(wall + self.keep, key, cell.accepted))
 
     def sweep(self, wall: int) -> list[Change]:
