Ends told elsewhere wait half a second for a connection that shows an owner

Wrong: _release in platform/planner.py told an end whose own connection had gone to any connection with `good` set, which a test or a usable request of anybody sets; among those the last used came first, so a prober before an owner whose request was still out. Told there, the end is lost for its owner though one may come a moment later.

Now platform/releases.py decides: at once only to connections on which a task was placed or handed over; else the end is held until one of these shows itself (also by the placement itself). After half a second, half of what the protocol allows, and at a stop, any that sent something of use is told, one with a request before one with a test. Counter releases_to_unproven.

The whole suite was not run here.

--- a/hazelhold/platform/planner.py
+++ b/hazelhold/platform/planner.py
@@ -20,6 +20,7 @@
 from hazelhold.platform.discovery import DiscoveryError, Follower
 from hazelhold.platform.eviction import eviction_order, is_stuck
 from hazelhold.platform.peer import MachinePeer, OwnerPeer
+from hazelhold.platform.releases import PATIENCE, Claim, HeldRelease, claim_needed, claim_of
 from hazelhold.protocol import messages as m
 from hazelhold.service.net import Net
 from hazelhold.service.ticker import Ticker
@@ -54,7 +55,7 @@
         self.owners: dict[str, OwnerPeer] = {}  # emptied as connections end
         self.numbers = 0  # of owners' connections
         self.machines: dict[str, tuple[trio.CancelScope, MachinePeer | None]] = {}  # emptied as links end
-        self.held: deque[tuple[float, BinaryMessage]] = deque()  # ends without a connection; emptied by age
+        self.held: deque[HeldRelease] = deque()  # ends without a connection; emptied by age
         self.early: OrderedDict[str, float] = OrderedDict()  # ends without a guest; emptied by age
         self.reloads = 0  # signals to read the file again
         # Where an offer of the guest may still be out; emptied as its taking back or its connection leaves.
@@ -163,6 +164,7 @@
         self.left = True
         for name in list(self.machines):  # first, so that no end is heard that could not be told any more
             self._hang_up(name)
+        self._release_to_any(at_once=True)
         for peer in self.owners.values():
             peer.end()
         with trio.move_on_at(kill - LAST * part):  # an answer of which a part has left is still owed the rest
@@ -261,24 +263,44 @@
         if not peer.send(binary):
             self.counts["answers_unsent"] += 1
         self._set_deadline(peer)
+        self._release_held(peer)
 
     def _release(self, peer: OwnerPeer | None, binary: BinaryMessage) -> None:
-        """Tells the end of what stood: on its own connection, else on any that has shown itself an owner's,
-        else on the next."""
+        """Tells the end of what stood: on its own connection, else on another that has shown itself an
+        owner's. Without one it waits for the next; past PATIENCE any that sent something of use is told."""
         if peer is not None and peer.release(binary):
             return
-        by_claim = sorted(
-            self.owners.values(), key=lambda p: (p.handed_over, p.proven, p.used_at), reverse=True
-        )
-        for other in by_claim:
-            if other.good and other.release(binary):
+        for other in self._by_claim():
+            if claim_of(other) >= Claim.SERVED and other.release(binary):
                 self.counts["releases_elsewhere"] += 1
                 return
         self.counts["releases_held"] += 1
-        self.held.append((trio.current_time() + HOLD, binary))
+        self.held.append(HeldRelease(trio.current_time(), binary))
+        self.nursery.start_soon(self._release_late)
+
+    def _by_claim(self) -> list[OwnerPeer]:
+        """Connections of owners, those with the best claim on ends first; of one claim the last used."""
+        return sorted(self.owners.values(), key=lambda peer: (claim_of(peer), peer.used_at), reverse=True)
 
-    def _release_held(self, peer: OwnerPeer) -> None:
-        while self.held and peer.release(self.held[0][1]):
+    async def _release_late(self) -> None:
+        """Tells what has waited long enough; where nobody is there, the next that says something is told."""
+        await trio.sleep(PATIENCE)
+        self._release_to_any()
+
+    def _release_to_any(self, at_once: bool = False) -> None:
+        for peer in self._by_claim():
+            if not self.held:
+                return
+            self._release_held(peer, at_once)
+
+    def _release_held(self, peer: OwnerPeer, at_once: bool = False) -> None:
+        """Tells `peer` of the ends that are held what its claim allows; `at_once`: as if all were late."""
+        now, claim = trio.current_time(), claim_of(peer)
+        while self.held:
+            needed = Claim.TESTED if at_once else claim_needed(self.held[0], now)
+            if claim < needed or not peer.release(self.held[0].message):
+                return
+            self.counts["releases_to_unproven"] += claim < Claim.SERVED
             self.held.popleft()
 
     async def _door(self, stream: trio.abc.Stream) -> None:
@@ -389,8 +411,7 @@
             peer.send(words.tested(binary.id, self.engine.ready() and not self.leaving))
         elif binary.type != HEARD:
             self.counts["owner_passed_over"] += 1
-        if peer.good and self.held:
-            self._release_held(peer)
+        self._release_held(peer)
         self._carry_out()
         self.ticker.stir()
 
@@ -404,7 +425,7 @@
             return
         peer.open.pop(guest, None)
         if self.engine.owner_left(now, guest):
-            peer.good = True
+            peer.good = peer.asked = True
             return
         at = trio.current_time()
         while self.early and (len(self.early) >= EARLY_MOST or next(iter(self.early.values())) <= at):
@@ -446,7 +467,7 @@
         if not at:
             if binary.id not in self.engine.newest:
                 peer.open[binary.id] = None
-            peer.good = True
+            peer.good = peer.asked = True
             self.engine.owner_said(now, peer.name, submit)
             return
         if wrong := self.engine.guest_stands(now, peer.name, at, submit):
@@ -571,7 +592,7 @@
     async def _tend(self) -> None:
         while True:
             await trio.sleep(1.0)
-            while self.held and self.held[0][0] <= trio.current_time():
+            while self.held and self.held[0].since + HOLD <= trio.current_time():
                 self.held.popleft()
                 self.counts["releases_lost"] += 1
             if self.log.is_enabled_for(10):
