--- a/hazelhold/replica/host.py
+++ b/hazelhold/replica/host.py
@@ -14,11 +14,11 @@
 import trio
 from msgspec import Struct
 
-from hazelhold.config.planner import CopiesSheet
+from hazelhold.config.planner import CopiesConfig
 from hazelhold.protocol.frames import FrameError
 from hazelhold.protocol.messages import Codec, encode
 from hazelhold.protocol.record import Recorder
-from hazelhold.replica import words as w
+from hazelhold.replica import messages
 from hazelhold.replica.proposer import Change as Asked
 from hazelhold.replica.proposer import Done, Proposer, Send
 from hazelhold.replica.votes import Retention, Votes, keep_open_claims
@@ -33,12 +33,12 @@
 HELLO = 2.0  # seconds for a first message
 IDLE = 60.0  # seconds after which an unused link is closed
 RETRY = (0.05, 1.0)  # seconds between dials of a planner that is away, first and longest
-WAITING = 256  # words kept for a link that is being opened; older ones go
-BUSY = 20_000  # words that wait for the disk; past that they are dropped, and asked again
+WAITING = 256  # messages kept for a link that is being opened; older ones go
+BUSY = 20_000  # messages that wait for the disk; past that they are dropped, and asked again
 
 
 class Greet(Struct, frozen=True, tag_field="t", tag="greet"):
-    """First word of either side."""
+    """First message of either side."""
 
     name: str
     deployment: str
@@ -46,8 +46,24 @@
     version: int = VERSION
 
 
-ASKS = Codec(Greet | w.Prepare | w.Accept | w.Look | w.Hail | w.Enter | w.Next)
-ANSWERS = Codec(Greet | w.Promise | w.Accepted | w.Seen | w.Refused | w.Hailed | w.Page)
+ASKS = Codec(
+    Greet
+    | messages.Prepare
+    | messages.Accept
+    | messages.Query
+    | messages.RejoinQuery
+    | messages.RejoinEntry
+    | messages.PageRequest
+)
+ANSWERS = Codec(
+    Greet
+    | messages.Promise
+    | messages.Accepted
+    | messages.QueryReply
+    | messages.Refused
+    | messages.RejoinReply
+    | messages.CellPage
+)
 LATELY = 5_000_000  # microseconds without an answer after which a planner is named to operators
 REJOIN = 0.5  # seconds after which somebody who has not answered one that comes back is asked again
 
@@ -70,7 +86,7 @@
     def __init__(self, name: str, address: str) -> None:
         self.name, self.address = name, address
         self.wire: Wire | None = None
-        self.waiting: deque[w.Word] = deque(maxlen=WAITING)
+        self.waiting: deque[messages.Message] = deque(maxlen=WAITING)
         self.opening = False
         self.used = 0.0
         self.heard = -1  # its last answer, on this clock
@@ -82,26 +98,28 @@
     def __init__(
         self,
         name: str,
-        sheet: CopiesSheet,
+        config: CopiesConfig,
         net: Net,
         disk: Disk,
         told: Callable[[int, str, bytes, str], None],
         recorder: Recorder | None = None,
         retention: Retention = keep_open_claims,
     ) -> None:
-        self.name, self.sheet, self.net, self.told, self.recorder = name, sheet, net, told, recorder
+        self.name, self.config, self.net, self.told, self.recorder = name, config, net, told, recorder
         draw = SystemRandom()
         self.process = f"{name}/{net.wall()}/{draw.getrandbits(62):x}"
-        self.proposer = Proposer(self.process, sheet.epoch, draw.getrandbits(62))
-        self.votes = Votes(disk, name, sheet, draw.getrandbits(62), retention)
+        self.proposer = Proposer(self.process, config.epoch, draw.getrandbits(62))
+        self.votes = Votes(disk, name, config, draw.getrandbits(62), retention)
         self.sets = self.votes.sets
-        self.vault = Vault(self.votes, sheet, self._stirred)
+        self.vault = Vault(self.votes, config, self._stirred)
         self.far = {
-            p.name: Far(p.name, sheet.reach.get(p.name, p.address)) for p in sheet.planners if p.name != name
+            p.name: Far(p.name, config.reach.get(p.name, p.address))
+            for p in config.planners
+            if p.name != name
         }
         # The proposer's number: the asker's, and when it asked; emptied by each end.
         self.asked: dict[int, tuple[int, int]] = {}
-        self.packed: tuple[Struct | None, bytes] = None, b""  # the word sent last, and its frame
+        self.packed: tuple[Struct | None, bytes] = None, b""  # the message sent last, and its frame
         self.counts: Counter[str] = Counter()
         self.log = structlog.get_logger().bind(planner=name)
         self.stir = trio.Event()
@@ -114,7 +132,7 @@
         for note in seen.notes:
             self.log.warning("votes_damaged", note=note)
         if self.votes.why:
-            self.log.error("votes_lost", why=self.votes.why, folder=self.sheet.folder)
+            self.log.error("votes_lost", why=self.votes.why, folder=self.config.folder)
         self.vault.begin(self.net.wall())
         self.log.info("votes", cells=len(self.votes.acceptor.cells), vouched=self.votes.joiner.over())
 
@@ -123,13 +141,13 @@
         try:
             async with trio.open_nursery() as nursery:
                 self.nursery = nursery
-                self.address = await self.net.listen(self.sheet.listen, self._door, nursery)
+                self.address = await self.net.listen(self.config.listen, self._door, nursery)
                 self.log.info(
                     "copies",
                     address=self.address,
-                    epoch=self.sheet.epoch,
-                    planners=len(self.sheet.planners),
-                    replicas=self.sheet.replicas,
+                    epoch=self.config.epoch,
+                    planners=len(self.config.planners),
+                    replicas=self.config.replicas,
                 )
                 nursery.start_soon(self.vault.run, self.net)
                 nursery.start_soon(self._sweep)
@@ -219,23 +237,25 @@
             return
         self._post(send.to, send.word)
 
-    def _post(self, to: str, word: Struct) -> None:
+    def _post(self, to: str, message: Struct) -> None:
         far = self.far[to]
         far.used = trio.current_time()
         if far.wire is not None:
-            if word is not self.packed[0]:  # the same goes to all of a set
-                self.packed = word, encode(word)
+            if message is not self.packed[0]:  # the same goes to all of a set
+                self.packed = message, encode(message)
             far.wire.put(self.packed[1])
             return
-        far.waiting.append(word)
+        far.waiting.append(message)
         if not far.opening:
             far.opening = True
             self.nursery.start_soon(self._link, far)
 
-    def _answered(self, sender: str, answer: w.Word | w.Hailed | w.Page) -> None:
+    def _answered(
+        self, sender: str, answer: messages.Message | messages.RejoinReply | messages.CellPage
+    ) -> None:
         if far := self.far.get(sender):
             far.heard = self.net.now()
-        if isinstance(answer, w.Hailed | w.Page):
+        if isinstance(answer, messages.RejoinReply | messages.CellPage):
             self._copied(sender, answer)
             return
         self.proposer.hear(self.net.now(), sender, answer)
@@ -269,8 +289,8 @@
         for each in out:
             self._post(each.to, each.word)
 
-    def _copied(self, sender: str, word: w.Hailed | w.Page) -> None:
-        self._vote(self.votes.told(sender, word, self.net.wall()))
+    def _copied(self, sender: str, message: messages.RejoinReply | messages.CellPage) -> None:
+        self._vote(self.votes.told(sender, message, self.net.wall()))
         self._join_on()
 
     def _vote(self, changes: list[Change]) -> None:
@@ -307,7 +327,7 @@
                 try:
                     wire.send(self._greet())
                     greet = await wire.first(Greet, HELLO)
-                    if (greet.name, greet.deployment) != (far.name, self.sheet.deployment):
+                    if (greet.name, greet.deployment) != (far.name, self.config.deployment):
                         raise FrameError("wrong_planner", f"{greet.name!r} of {greet.deployment!r} answered")
                     far.wire = wire
                     while far.waiting:
@@ -325,7 +345,7 @@
             wire.finish()
 
     def _greet(self) -> Greet:
-        return Greet(self.name, self.sheet.deployment, self.sheet.epoch)
+        return Greet(self.name, self.config.deployment, self.config.epoch)
 
     async def _idle(self) -> None:
         while True:
@@ -346,28 +366,33 @@
                     greet = await wire.first(Greet, HELLO)
                     if greet.version != VERSION:
                         raise FrameError("version", f"version {greet.version}; spoken here: {VERSION}")
-                    if greet.deployment != self.sheet.deployment or greet.name not in self.far:
+                    if greet.deployment != self.config.deployment or greet.name not in self.far:
                         raise FrameError("stranger", f"{greet.name!r} of {greet.deployment!r} has no seat")
                     wire.send(self._greet())
-                    for word in wire.rest():
-                        self._heard(greet.name, wire, word)
-                    async for word in wire.messages():
-                        self._heard(greet.name, wire, word)
+                    for message in wire.rest():
+                        self._heard(greet.name, wire, message)
+                    async for message in wire.messages():
+                        self._heard(greet.name, wire, message)
                 except FrameError as wrong:
                     self.counts["refused_" + wrong.code] += 1
                     self.log.warning("copies_refused", code=wrong.code, reason=wrong.text)
             wire.finish()
 
-    def _heard(self, sender: str, wire: Wire, word: w.Word | w.Hail | w.Enter | w.Next) -> None:
-        if isinstance(word, Greet):
+    def _heard(
+        self,
+        sender: str,
+        wire: Wire,
+        message: messages.Message | messages.RejoinQuery | messages.RejoinEntry | messages.PageRequest,
+    ) -> None:
+        if isinstance(message, Greet):
             raise FrameError("second_greet", "a connection has one greeting")
         if len(self.vault.queue) > BUSY:
             self.counts["words_dropped"] += 1
             return
-        if isinstance(word, w.Hail | w.Enter | w.Next):
-            answer, changes = self.votes.asked(sender, word)
+        if isinstance(message, messages.RejoinQuery | messages.RejoinEntry | messages.PageRequest):
+            answer, changes = self.votes.asked(sender, message)
         else:
-            answer, changes = self.votes.hear(word, self.net.wall())
+            answer, changes = self.votes.hear(message, self.net.wall())
         self.vault.take(changes, lambda: wire.send(answer))
 
     async def _sweep(self) -> None:
@@ -381,8 +406,8 @@
     """Makes votes safe and lets answers go: one commit at a time, what comes meanwhile shares the next. While
     the disk fails nothing is answered; every `retry_ms` all votes are written anew as a whole."""
 
-    def __init__(self, votes: Votes, sheet: CopiesSheet, stirred: Callable[[], None]) -> None:
-        self.votes, self.sheet, self.stirred = votes, sheet, stirred
+    def __init__(self, votes: Votes, config: CopiesConfig, stirred: Callable[[], None]) -> None:
+        self.votes, self.config, self.stirred = votes, config, stirred
         self.store = votes.store
         self.queue: deque[tuple[list[Change], Callable[[], object]]] = deque()  # emptied by each commit
         self.busy = self.failed = False
@@ -407,7 +432,7 @@
     async def run(self, net: Net) -> None:
         while True:
             if self.failed:
-                await trio.sleep(self.sheet.retry_ms / 1000)
+                await trio.sleep(self.config.retry_ms / 1000)
                 await self._renew(net.wall())
             else:
                 await self.more.wait()
@@ -435,7 +460,7 @@
 
     async def _slowly(self, call: Callable[..., None], *given: object) -> OSError | None:
         if self.store.disk.threaded:
-            return await slowly(self.store, self.sheet.slow_ms, call, *given)
+            return await slowly(self.store, self.config.slow_ms, call, *given)
         try:
             call(*given)
         except OSError as wrong:
--- a/tests/test_releases.py
+++ b/tests/test_releases.py
@@ -36,7 +36,7 @@
     await owner.say(set_up(guest))
     await until(lambda: owner.of(guest) == PLACED)
     await owner.stream.aclose()
-    await until(lambda: not any(peer.proven for peer in rig.planner.owners.values()))
+    await until(lambda: not any(peer.proven for peer in rig.planner.door.peers.values()))
 
 
 async def ended(rig: Rig, guest: int) -> float:
