--- a/hazelhold/fleetconfig/everywhere.py
+++ b/hazelhold/fleetconfig/everywhere.py
@@ -6,8 +6,8 @@
 
 A number alone proves nothing: a planner whose folder is of another deployment, or of this one before it was
 founded anew, has revisions of another order under the same and higher numbers. So a word counts only if its
-chain mark is that of the revision here; one about a revision that is not known here yet waits for it. A program
-of the version before sends no mark, and drops that of others as a relay: there the number has to do.
+chain mark is that of the revision here; one about a revision that is not known here yet waits for it. A
+program of the version before sends no mark, and drops that of others as a relay: there the number has to do.
 """
 
 from collections import Counter
