Tests: the enlisting of machines waits for all of them

Seen once under load: 9 == 11. It waited until all that had come told their rooms, and judged the count at once. Wrong line: the wait, not the count, which stays.

--- a/tests/test_day.py
+++ b/tests/test_day.py
@@ -91,8 +91,8 @@
             await environment.list_host.run(address, nursery)
             nursery.start_soon(run_part, day, 1, 2.0, "machines", {"lister": address})
             with trio.fail_after(10):
-                while not environment.service.entries or not all(
-                    e.cores_room for e in environment.service.entries.values()
+                while len(environment.service.entries) < 11 or not all(
+                    entry.cores_room for entry in environment.service.entries.values()
                 ):
                     await trio.sleep(0.05)
             assert len(environment.service.entries) == 11
