Configurations by their names: no aliases of the old ones left

The old names lived on as aliases in the engine, the configuration's spread, its benches and tests, so that these could be changed side by side. No change of behaviour; formats unchanged (captures keep their key "sheet").

--- a/bench/capacity/configuration/fleet.py
+++ b/bench/capacity/configuration/fleet.py
@@ -27,7 +27,7 @@
     VotesSection,
 )
 from hazelhold.config.load import build, parse, read_text
-from hazelhold.config.planner import PlannerConfig as PlannerSheet
+from hazelhold.config.planner import PlannerConfig
 from hazelhold.fleetconfig import messages as m
 from hazelhold.fleetconfig.client import ConfigClient, UnreachableError
 from hazelhold.rehearse.ports import free_ports
@@ -131,9 +131,9 @@
             others = [each for each in (*self.layout.controls, *self.layout.real) if each != name]
             reach = {each: await self.wires.streams(name, each, self.addresses[each]) for each in others}
             section = replace(self.section(name), reach=reach)
-        sheet = build(PlannerSheet, parse(read_text(EXAMPLE), str(EXAMPLE)), str(EXAMPLE))
-        listed = replace(sheet.list, address="127.0.0.1:1")  # nobody is there: this planner has no workers
-        self._write(name, replace(sheet, name=name, listen="127.0.0.1:0", list=listed, fleetconfig=section))
+        config = build(PlannerConfig, parse(read_text(EXAMPLE), str(EXAMPLE)), str(EXAMPLE))
+        listed = replace(config.list, address="127.0.0.1:1")  # nobody is there: this planner has no workers
+        self._write(name, replace(config, name=name, listen="127.0.0.1:0", list=listed, fleetconfig=section))
 
     def _write(self, name: str, made: msgspec.Struct) -> None:
         (self.folder / name).mkdir(exist_ok=True)
--- a/bench/capacity/outage.py
+++ b/bench/capacity/outage.py
@@ -44,7 +44,7 @@
     connections, as after the end of a process; else dials are answered by nobody."""
 
     def __init__(self, listed: int, away: int, peers: Peers = OWN_PROTOCOL, refuses: bool = True) -> None:
-        terms = terms_of(throughput.sheet())._replace(limits=LimitsConfig(), peers=peers)
+        terms = terms_of(throughput.planner_config())._replace(limits=LimitsConfig(), peers=peers)
         self.engine = Engine(terms, 1, START)
         self.names = [workers.name(number) for number in range(away)]
         self.refuses, self.now, self.version = refuses, START, 1
--- a/bench/capacity/rows_door.py
+++ b/bench/capacity/rows_door.py
@@ -31,7 +31,7 @@
     """An engine whose line is full, and the bytes of what it is asked and answers."""
 
     def __init__(self) -> None:
-        self.engine = Engine(throughput.sheet(), 1, 0)
+        self.engine = Engine(throughput.planner_config(), 1, 0)
         entries = throughput.memory_machines("cordoned")
         self.engine.list_said(0, m.Listing(version=1, whole=True, entries=entries))
         throughput.submit_held(self.engine, advice.SHORT + 1)
--- a/bench/capacity/rows_owners.py
+++ b/bench/capacity/rows_owners.py
@@ -27,7 +27,7 @@
 @contextmanager
 def planner_process() -> Iterator[tuple[int, str]]:
     """A planner as an operator starts it; its process number and address."""
-    made = throughput.sheet(lister=NOBODY)
+    made = throughput.planner_config(lister=NOBODY)
     made = replace(made, limits=replace(made.limits, handshakes_a_second=1e6, handshake_burst=100_000))
     with tempfile.TemporaryDirectory() as folder:
         path = Path(folder) / "planner.json5"
--- a/bench/capacity/rows_planner.py
+++ b/bench/capacity/rows_planner.py
@@ -23,13 +23,13 @@
 
 
 def brain(machines: int, planners: int) -> Brain:
-    made = Brain(1, deployment(throughput.sheet())._replace(planners=planners))
+    made = Brain(1, deployment(throughput.planner_config())._replace(planners=planners))
     made.machines_listed(0, [workers.listed(n) for n in range(machines)], True)
     return made
 
 
 def engine(machines: int) -> Engine:
-    made = Engine(throughput.sheet(), 1, 0)
+    made = Engine(throughput.planner_config(), 1, 0)
     made.list_said(0, m.Listing(version=1, whole=True, entries=workers.entries(machines)))
     return made
 
@@ -164,7 +164,7 @@
     codec = m.Codec(m.FROM_LIST)
     body = m.ENCODER.encode(m.Listing(version=1, whole=True, entries=workers.entries(size)))
     for _ in range(5):
-        made = Engine(throughput.sheet(), 1, 0)
+        made = Engine(throughput.planner_config(), 1, 0)
         with no_collection():
             yield processor_time(lambda made=made: made.list_said(0, codec.decode(body)))
 
--- a/bench/capacity/rows_probes.py
+++ b/bench/capacity/rows_probes.py
@@ -19,7 +19,7 @@
 
 def probed(machines: int, planners: int, seconds: int = 2) -> tuple[float, float]:
     """Probes a second and processor time a second, after the first second; every probe is answered."""
-    facts = deployment(throughput.sheet())._replace(planners=planners, probing=True)
+    facts = deployment(throughput.planner_config())._replace(planners=planners, probing=True)
     made = Brain(1, facts)
     made.machines_listed(0, [workers.listed(n) for n in range(machines)], True)
     probes, spent, began = 0, 0.0, time.process_time()
--- a/bench/capacity/rows_state.py
+++ b/bench/capacity/rows_state.py
@@ -69,7 +69,7 @@
             wall = time.time_ns() // 1000
             store = Store(RealDisk(Path(folder)), "p")
             found = store.open(wall, "p 2")
-            made = Engine(throughput.sheet(), 1, 10 * SECOND)
+            made = Engine(throughput.planner_config(), 1, 10 * SECOND)
             made.keep(10 * SECOND, wall - 10 * SECOND, found.ledger, True)
             store.begin(wall)
             store.close()
@@ -81,7 +81,7 @@
 
 def kept_change(size: int) -> Iterator[tuple[int, float]]:
     """Bytes and processor time of keeping one lone change of the list; several times."""
-    made = Engine(throughput.sheet(), 1, 0)
+    made = Engine(throughput.planner_config(), 1, 0)
     made.keep(0, 0, Ledger(), True)
     made.list_said(0, m.Listing(version=1, whole=True, entries=workers.entries(size)))
     made.flush(0)
--- a/bench/capture.py
+++ b/bench/capture.py
@@ -106,7 +106,7 @@
 
 def cost(folder: Path, guests: int, rounds: int) -> dict[str, float]:
     """Guests a CPU second of a planner with and without a capture, by turns."""
-    plain = throughput.sheet
+    plain = throughput.planner_config
     pace: dict[bool, list[float]] = {False: [], True: []}
     for number in range(2 * rounds):
         on = number % 2 == 1
@@ -119,9 +119,9 @@
             file = str(folder / f"cost-{number}.pcap") if on else ""
             return msgspec.structs.replace(plain(listen, lister), capture=CaptureConfig(file=file))
 
-        throughput.sheet = config
+        throughput.planner_config = config
         pace[on].append(trio.run(throughput.sockets, 14, 450, guests, 32)["guests_a_second"])
-    throughput.sheet = plain
+    throughput.planner_config = plain
     without, with_it = (sorted(pace[on])[rounds // 2] for on in (False, True))
     return {"without": round(without, 1), "with": round(with_it, 1), "ratio": round(with_it / without, 3)}
 
--- a/bench/client.py
+++ b/bench/client.py
@@ -16,7 +16,7 @@
 
 import structlog
 
-from bench.throughput import sheet
+from bench.throughput import planner_config
 from hazelhold.client.core import ClientCore
 from hazelhold.client.types import ClientPolicy, TaskRequest
 from hazelhold.emulate.town import SECOND, Costs, Demand, Town
@@ -77,7 +77,7 @@
     costs = Costs(decision=9000)  # a slow planner: the same line with fewer decisions to compute
     carries = SECOND / (costs.decision + 4 * costs.frame)
     town = Town(
-        sheet(),
+        planner_config(),
         300,
         1,
         Demand(times * carries, patience, SECOND // 2),
--- a/bench/copies.py
+++ b/bench/copies.py
@@ -215,7 +215,7 @@
 
 def planner(guests: int, once: int, on: bool) -> float:
     """Guests a second of one planner's processor time; every `once`-th is exclusive."""
-    plain = throughput.sheet
+    plain = throughput.planner_config
     with tempfile.TemporaryDirectory() as text:
         folder, process = Path(text), None
         made = configs(3, folder, 3)
@@ -237,11 +237,11 @@
             estate = replace(found_.estate, products=[*found_.estate.products, exclusive])
             return replace(found_, estate=estate, copies=made[0] if on else CopiesConfig())
 
-        throughput.sheet = config
+        throughput.planner_config = config
         try:
             said = trio.run(throughput.sockets, 14, 300, guests, 32, once)
         finally:
-            throughput.sheet = plain
+            throughput.planner_config = plain
             if process is not None:
                 process.stdin.close()
                 process.wait(10)
--- a/bench/membership_sockets.py
+++ b/bench/membership_sockets.py
@@ -52,7 +52,7 @@
         processes = []
         for number in range(COUNT):
             made: PlannerConfig = replace(
-                throughput.sheet("127.0.0.1:0"),
+                throughput.planner_config("127.0.0.1:0"),
                 name=f"p{number}",
                 list=ListConfig(address="127.0.0.1:1"),
                 membership=member(ports[number], ports) if on else MembershipConfig(),
@@ -88,7 +88,7 @@
 
 
 def busy(rounds: int) -> dict[str, float]:
-    plain = throughput.sheet
+    plain = throughput.planner_config
     rates: dict[str, list[float]] = {"off": [], "on": []}
     for _ in range(rounds):
         for mode in rates:
@@ -105,11 +105,13 @@
             )
             time.sleep(2)
             config = member(ports[0], ports) if mode == "on" else MembershipConfig()
-            throughput.sheet = lambda *a, config=config, **k: replace(plain(*a, **k), membership=config)
+            throughput.planner_config = lambda *a, config=config, **k: replace(
+                plain(*a, **k), membership=config
+            )
             rates[mode].append(trio.run(throughput.sockets, 20, 200, 6000, 32)["guests_a_second"])
             beside.kill()
             beside.wait()
-    throughput.sheet = plain
+    throughput.planner_config = plain
     return {
         "off": round(max(rates["off"]), 1),
         "on": round(max(rates["on"]), 1),
--- a/bench/overload.py
+++ b/bench/overload.py
@@ -23,7 +23,7 @@
 import trio
 from msgspec.structs import replace
 
-from bench.throughput import sheet
+from bench.throughput import planner_config
 from hazelhold.client.types import ClientPolicy
 from hazelhold.config.day import read_day
 from hazelhold.emulate.town import SECOND, Costs, Demand, Town
@@ -41,7 +41,7 @@
     """A thousand clients against one processor."""
     began, costs = time.process_time(), Costs()
     carries = SECOND / (costs.decision + 4 * costs.frame)  # a submit, a taken, a started, an ended
-    planner = sheet()
+    planner = planner_config()
     policy = ClientPolicy()
     if not protected:
         planner = replace(planner, limits=replace(planner.limits, decisions_at_once=1_000_000))
@@ -83,7 +83,7 @@
 async def refusals(count: int = 20_000) -> float:
     """Microseconds of processor time for an ask that is refused for the line, on loopback, both ends."""
     net = TcpNet()
-    planner = Planner(sheet(lister="127.0.0.1:1"), 1, net)
+    planner = Planner(planner_config(lister="127.0.0.1:1"), 1, net)
     planner.engine.advice.hopeless = lambda *asked: True
     async with trio.open_nursery() as nursery:
         await nursery.start(planner.run)
--- a/bench/returns.py
+++ b/bench/returns.py
@@ -16,7 +16,7 @@
 
 import structlog
 
-from bench.throughput import sheet
+from bench.throughput import planner_config
 from hazelhold.client.types import ClientPolicy
 from hazelhold.emulate.town import BIN, SECOND, Demand, Town
 
@@ -32,7 +32,7 @@
 def play(size: int, loss: str, spread: bool, last_words: bool, patience: int = 10 * SECOND) -> dict[str, Any]:
     """One loss. The demand is 100 guests a second, each living a second, whatever the number of clients."""
     began = time.process_time()
-    town = Town(sheet(), size, 1, Demand(100.0, patience, SECOND), ClientPolicy(), spread)
+    town = Town(planner_config(), size, 1, Demand(100.0, patience, SECOND), ClientPolicy(), spread)
     town.open(max(4 * SECOND, size * SECOND // 250))
     while len(town.back) < size:
         town.clock.run(town.clock.now + SECOND)
--- a/bench/state.py
+++ b/bench/state.py
@@ -38,18 +38,18 @@
 
 def cost(machines: int, running: int, guests: int, rounds: int) -> dict[str, Any]:
     """Guests a second of processor time and of the clock, with state on and off, in turn."""
-    plain = throughput.sheet
+    plain = throughput.planner_config
     rows: dict[str, list[dict[str, float]]] = {"off": [], "on": []}
     for _ in range(rounds):
         for mode in rows:
             with tempfile.TemporaryDirectory() as folder:
                 state = StateConfig(folder=folder if mode == "on" else "")
-                throughput.sheet = lambda *a, state=state, **k: replace(plain(*a, **k), state=state)
+                throughput.planner_config = lambda *a, state=state, **k: replace(plain(*a, **k), state=state)
                 began = time.monotonic()
                 said = trio.run(throughput.sockets, machines, running, guests, 32)
                 said["wall_s"] = time.monotonic() - began
                 rows[mode].append(said)
-    throughput.sheet = plain
+    throughput.planner_config = plain
     best = {
         mode: {
             "guests_a_second": max(r["guests_a_second"] for r in found),
@@ -125,7 +125,7 @@
         store = Store(RealDisk(Path(folder)), "p")
         found = store.open(wall, "p 2")
         read = time.perf_counter()
-        engine = Engine(throughput.sheet(), 1, 10 * SECOND)
+        engine = Engine(throughput.planner_config(), 1, 10 * SECOND)
         engine.keep(10 * SECOND, wall - 10 * SECOND, found.ledger, True)
         fed = time.perf_counter()
         store.begin(wall)
--- a/bench/throughput.py
+++ b/bench/throughput.py
@@ -42,7 +42,7 @@
 SERVICES = 60
 
 
-def sheet(listen: str = "127.0.0.1:0", lister: str = "") -> PlannerConfig:
+def planner_config(listen: str = "127.0.0.1:0", lister: str = "") -> PlannerConfig:
     """One planner with room for whatever comes, so that room is never what limits it."""
     estate = Estate(
         [ProductConfig("plain", "rerunnable", 800, 60_000, easy_until=1.0, lost_after=1.0)],
@@ -96,7 +96,7 @@
 
 def alone(machines: int, running: int, guests: int, planners: int = 1) -> dict[str, float]:
     """The module with nothing round it: asks come one by one, are taken at once, and the oldest ends."""
-    brain, random = Brain(1, deployment(sheet())._replace(planners=planners)), Random(1)
+    brain, random = Brain(1, deployment(planner_config())._replace(planners=planners)), Random(1)
     brain.machines_listed(
         0, [Listed(f"m{n}", Mode.READY, 0, 0, n // 4, 0, 2000.0, 4000.0) for n in range(machines)], True
     )
@@ -198,14 +198,14 @@
 
 async def sockets(machines: int, running: int, guests: int, window: int, once: int = 0) -> dict[str, float]:
     """A planner on loopback; `window` asks are out at a time, and each placed guest past `running` ends the
-    oldest. Every `once`-th is of the product `once`, if the sheet has it. Latency is from the ask's writing
-    to the answer's reading, with one ask out at a time."""
+    oldest. Every `once`-th is of the product `once`, if the configuration has it. Latency is from the ask's
+    writing to the answer's reading, with one ask out at a time."""
     net = TcpNet()
     waits = HdrHistogram(1, 10**8, 3)
     async with trio.open_nursery() as nursery:
         peers = Peers(net, machines)
         lister = await peers.open(nursery, "127.0.0.1")
-        planner = Planner(sheet(lister=lister), 1, net)
+        planner = Planner(planner_config(lister=lister), 1, net)
         timed = Timed(planner.engine.brain)
         await nursery.start(planner.run)
         while len(peers.wires) < machines:
@@ -279,7 +279,7 @@
 def memory(count: int, run: bool) -> float:
     """Bytes that an engine keeps for each request: running ones, or held ones that no machine takes."""
     tracemalloc.start()
-    engine = Engine(sheet(), 1, 0)
+    engine = Engine(planner_config(), 1, 0)
     engine.list_said(
         0, m.Listing(version=1, whole=True, entries=memory_machines("ready" if run else "cordoned"))
     )
--- a/hazelhold/cli/fleetconfig.py
+++ b/hazelhold/cli/fleetconfig.py
@@ -77,16 +77,16 @@
     Never for one that lost its folder: it copies its votes from the others by itself, and votes again once it
     has.
     """
-    from hazelhold.fleetconfig.control_host import copies_sheet
+    from hazelhold.fleetconfig.control_host import copies_config
     from hazelhold.replica import votes
     from hazelhold.state.disk import RealDisk
 
     read = read_control(file)
-    sheet = copies_sheet(read)
-    votes.found(RealDisk(Path(sheet.folder)), read.name, sheet, time.time_ns() // 1000)
+    config = copies_config(read)
+    votes.found(RealDisk(Path(config.folder)), read.name, config, time.time_ns() // 1000)
     click.echo(
-        f"{read.name} has its seat in {sheet.folder}: epoch {sheet.epoch}, {len(sheet.planners)} control "
-        f"machines, {sheet.replicas} keep the head"
+        f"{read.name} has its seat in {config.folder}: epoch {config.epoch}, {len(config.planners)} control "
+        f"machines, {config.replicas} keep the head"
     )
 
 
--- a/hazelhold/engine/tables.py
+++ b/hazelhold/engine/tables.py
@@ -6,8 +6,7 @@
 from typing import Protocol
 
 from hazelhold.brain import Brain
-from hazelhold.config.planner import PlannerConfig as PlannerSheet
-from hazelhold.config.planner import micros
+from hazelhold.config.planner import PlannerConfig, micros
 from hazelhold.engine.advice import Advice
 from hazelhold.engine.cases import Action, Agree, Case, Claims, Dial, HangUp, Loose, Send
 from hazelhold.engine.machines import Fellow, Link, Roster
@@ -33,8 +32,8 @@
 class Tables:
     """What one planner knows, and the steps on it that decide nothing."""
 
-    def __init__(self, sheet: PlannerSheet | Terms, seed: int, now: int) -> None:
-        terms = sheet if isinstance(sheet, Terms) else terms_of(sheet)
+    def __init__(self, config: PlannerConfig | Terms, seed: int, now: int) -> None:
+        terms = config if isinstance(config, Terms) else terms_of(config)
         self.limits, self.peers, self.facts = terms.limits, terms.peers, terms.facts
         self.brain = Brain(seed, self.facts)
         self.at_once = self.limits.decisions_at_once  # decisions of a pump; a host that is behind lowers it
--- a/hazelhold/engine/terms.py
+++ b/hazelhold/engine/terms.py
@@ -2,9 +2,7 @@
 
 from typing import NamedTuple
 
-from hazelhold.config.planner import LimitsConfig as LimitSheet
-from hazelhold.config.planner import PlannerConfig as PlannerSheet
-from hazelhold.config.planner import deployment
+from hazelhold.config.planner import LimitsConfig, PlannerConfig, deployment
 from hazelhold.interface import Deployment
 
 
@@ -26,16 +24,16 @@
     products: tuple[str, ...]
     customers: tuple[str, ...]
     kinds: tuple[str, ...]
-    limits: LimitSheet
+    limits: LimitsConfig
     peers: Peers = Peers()
 
 
-def terms_of(sheet: PlannerSheet) -> Terms:
-    estate = sheet.estate
+def terms_of(config: PlannerConfig) -> Terms:
+    estate = config.estate
     return Terms(
-        deployment(sheet),
+        deployment(config),
         tuple(p.name for p in estate.products),
         tuple(estate.customers),
         tuple(k.name for k in estate.kinds),
-        sheet.limits,
+        config.limits,
     )
--- a/hazelhold/fleetconfig/control_host.py
+++ b/hazelhold/fleetconfig/control_host.py
@@ -10,8 +10,7 @@
 import trio
 
 from hazelhold.config.fleetconfig import ControlFile
-from hazelhold.config.planner import CopiesConfig as CopiesSheet
-from hazelhold.config.planner import CopiesPlanner
+from hazelhold.config.planner import CopiesConfig, CopiesPlanner
 from hazelhold.fleetconfig import control_actions as c
 from hazelhold.fleetconfig import messages as m
 from hazelhold.fleetconfig.control import ControlCore
@@ -37,10 +36,10 @@
 KEY = "fleetconfig/head"  # of the agreed register
 
 
-def copies_sheet(file: ControlFile) -> CopiesSheet:
+def copies_config(file: ControlFile) -> CopiesConfig:
     """The register's set as the agreed values want it."""
     votes = file.votes
-    return CopiesSheet(
+    return CopiesConfig(
         listen=votes.listen,
         folder=votes.folder,
         epoch=votes.epoch,
@@ -62,7 +61,7 @@
         self.limits = c.ControlLimits()
         self.store = RevisionStore(disk, file.name, self.limits.history)
         self.writer = StoreWriter(self.store, net, file.slow_ms, file.retry_ms)
-        self.copies = Copies(file.name, copies_sheet(file), net, votes, self._agreed, retention=keep_all)
+        self.copies = Copies(file.name, copies_config(file), net, votes, self._agreed, retention=keep_all)
         self.door = Door(file.name, file.deployment, net, self)
         self.followers: dict[int, str] = {}  # accepted connections that follow; the others write or ask
         self.machines = tuple(seat.name for seat in file.control)
--- a/hazelhold/fleetconfig/follower_host.py
+++ b/hazelhold/fleetconfig/follower_host.py
@@ -10,7 +10,7 @@
 import trio
 
 from hazelhold.config.fleetconfig import FleetConfigSection
-from hazelhold.config.planner import PlannerConfig as PlannerSheet
+from hazelhold.config.planner import PlannerConfig
 from hazelhold.fleetconfig import messages as m
 from hazelhold.fleetconfig import spread_actions as a
 from hazelhold.fleetconfig.coverage import Subtree
@@ -22,7 +22,7 @@
 from hazelhold.fleetconfig.items import read_items
 from hazelhold.fleetconfig.relay import pass_on, relay_times
 from hazelhold.fleetconfig.roster import ControlMachine, Place, Roster
-from hazelhold.fleetconfig.settings import SettingsError, starting_sheet
+from hazelhold.fleetconfig.settings import SettingsError, starting_config
 from hazelhold.fleetconfig.source import SourceCore
 from hazelhold.fleetconfig.store import KINDS, RevisionStore, Stored, read_ledger
 from hazelhold.fleetconfig.writer import StoreWriter
@@ -38,16 +38,16 @@
 PutInForce = Callable[[Document, Iterable[str] | None], None]
 
 
-def starting_point(sheet: PlannerSheet, disk: Disk) -> PlannerSheet:
-    """The sheet to start with, by what the folder holds. Harmless beside a process that uses the folder."""
-    found = read(disk, sheet.name, KINDS)
+def starting_point(config: PlannerConfig, disk: Disk) -> PlannerConfig:
+    """The config to start with, by what the folder holds. Harmless beside a process that uses the folder."""
+    found = read(disk, config.name, KINDS)
     stored = read_ledger(found.ledger, found.complete, found.notes)
-    starting = starting_sheet(sheet, stored.document)
+    starting = starting_config(config, stored.document)
     if starting.refused and stored.in_force is not None:
-        starting = starting_sheet(sheet, stored.in_force[1])
+        starting = starting_config(config, stored.in_force[1])
     if starting.refused:
-        structlog.get_logger().error("revision_refused", planner=sheet.name, reason=starting.refused)
-    return starting.sheet
+        structlog.get_logger().error("revision_refused", planner=config.name, reason=starting.refused)
+    return starting.config
 
 
 class FollowerHost:
--- a/hazelhold/fleetconfig/schema.py
+++ b/hazelhold/fleetconfig/schema.py
@@ -12,10 +12,7 @@
 from msgspec import Meta, Struct
 
 from hazelhold.config.load import ConfigError, build
-from hazelhold.config.planner import KindConfig as KindSheet
-from hazelhold.config.planner import MachinesConfig as FleetSheet
-from hazelhold.config.planner import NotNegative
-from hazelhold.config.planner import ProductConfig as ProductSheet
+from hazelhold.config.planner import KindConfig, MachinesConfig, NotNegative, ProductConfig
 from hazelhold.fleetconfig.document import Fault
 
 PlaceName = Annotated[str, Meta(max_length=60)]
@@ -45,11 +42,11 @@
 SECTIONS: dict[str, type[Struct]] = {
     "planners": PlannerItem,
     "teams": TeamItem,
-    "products": ProductSheet,
-    "kinds": KindSheet,
+    "products": ProductConfig,
+    "kinds": KindConfig,
     "customers": CustomerItem,
 }
-SINGLE_ITEMS: dict[str, type[Struct]] = {"fleet": FleetSheet}
+SINGLE_ITEMS: dict[str, type[Struct]] = {"fleet": MachinesConfig}
 QUOTAS = ("quota_cores", "quota_accelerators")
 
 
@@ -91,7 +88,7 @@
     )
     known = {key: value[key] for key in value if key in fields}
     faults = []
-    if "name" in fields:  # the sheets of a planner's file name themselves; here the item's name does
+    if "name" in fields:  # the structures of a planner's file name themselves; here the item's name does
         own = name.partition("/")[2]
         if known.setdefault("name", own) != own:
             faults.append(Fault(name, "names itself differently in its field `name`"))
@@ -107,7 +104,7 @@
     """What an item points to: items' names, or `address IP:PORT`, which only one planner may have."""
     if isinstance(value, TeamItem) and value.parent:
         yield f"teams/{value.parent}"
-    elif isinstance(value, ProductSheet) and value.kind:
+    elif isinstance(value, ProductConfig) and value.kind:
         yield f"kinds/{value.kind}"
     elif isinstance(value, PlannerItem):
         yield f"address {value.address}"
--- a/hazelhold/fleetconfig/settings.py
+++ b/hazelhold/fleetconfig/settings.py
@@ -18,9 +18,7 @@
 import msgspec
 from msgspec.structs import replace
 
-from hazelhold.config.planner import Estate, check_estate
-from hazelhold.config.planner import PlannerConfig as PlannerSheet
-from hazelhold.config.planner import ProductConfig as ProductSheet
+from hazelhold.config.planner import Estate, PlannerConfig, ProductConfig, check_estate
 from hazelhold.engine.engine import Engine
 from hazelhold.engine.terms import Terms, terms_of
 from hazelhold.fleetconfig.document import Document, Fault
@@ -101,7 +99,7 @@
     return made
 
 
-def _terms(file: PlannerSheet, overrides: Overrides) -> tuple[Estate, Terms]:
+def _terms(file: PlannerConfig, overrides: Overrides) -> tuple[Estate, Terms]:
     """The estate, and what an engine is told of it. SettingsError whatever is wrong: a revision reaches all
     planners, and must not end one of them by an error that nobody thought of."""
     try:
@@ -142,15 +140,15 @@
 
 
 class Starting(NamedTuple):
-    """A planner's sheet at its start, with the document that it starts from, and why that is not in it."""
+    """A planner's config at its start, with the document that it starts from, and why that is not in it."""
 
-    sheet: PlannerSheet
+    config: PlannerConfig
     refused: str = ""
 
 
-def starting_sheet(file: PlannerSheet, document: Document) -> Starting:
-    """The sheet that an engine is made from: at a start everything can be taken. If it cannot be, the file's
-    own sheet with the reason."""
+def starting_config(file: PlannerConfig, document: Document) -> Starting:
+    """The config that an engine is made from: at a start everything can be taken. If it cannot be, the file's
+    own config with the reason."""
     overrides = Overrides()
     overrides.read(document, None)
     try:
@@ -163,8 +161,8 @@
 class RunningSettings:
     """Puts documents in force in a running engine, each whole or not at all."""
 
-    def __init__(self, file: PlannerSheet, started: PlannerSheet, engine: Engine) -> None:
-        """`file` is the planner's own sheet, `started` the one that the engine was made from."""
+    def __init__(self, file: PlannerConfig, started: PlannerConfig, engine: Engine) -> None:
+        """`file` is the planner's own config, `started` the one that the engine was made from."""
         self.file, self.engine = file, engine
         self.estate = started.estate  # what the engine works with
         self.overrides = Overrides()
@@ -185,6 +183,6 @@
 
     def _in_engine_order(self, estate: Estate) -> Estate:
         """Products that the engine has keep their places."""
-        products: dict[str, ProductSheet] = {product.name: product for product in estate.products}
+        products: dict[str, ProductConfig] = {product.name: product for product in estate.products}
         kept = [products.pop(product.name) for product in self.estate.products]
         return replace(estate, products=[*kept, *products.values()])
--- a/hazelhold/fleetconfig/validation.py
+++ b/hazelhold/fleetconfig/validation.py
@@ -18,10 +18,14 @@
 from math import fsum
 from typing import NamedTuple
 
-from hazelhold.config.planner import Estate, check_addresses, check_estate
-from hazelhold.config.planner import KindConfig as KindSheet
-from hazelhold.config.planner import MachinesConfig as FleetSheet
-from hazelhold.config.planner import ProductConfig as ProductSheet
+from hazelhold.config.planner import (
+    Estate,
+    KindConfig,
+    MachinesConfig,
+    ProductConfig,
+    check_addresses,
+    check_estate,
+)
 from hazelhold.fleetconfig.document import MAX_DOCUMENT, Document, Edit, Fault, item_size
 from hazelhold.fleetconfig.revision import Change
 from hazelhold.fleetconfig.schema import (
@@ -227,12 +231,12 @@
         for name in self.touched:
             if name.startswith("kinds/") and not self._is_there(name):
                 affected.update(self.draft.pointing_to(name))
-        names = [name for name in sorted(affected) if isinstance(self._read(name), ProductSheet)]
+        names = [name for name in sorted(affected) if isinstance(self._read(name), ProductConfig)]
         products = [self._read(name) for name in names]
         kinds = {product.kind for product in products if product.kind}
         there = [kind for kind in sorted(kinds) if self._is_there(f"kinds/{kind}")]
         # A kind that has faults of its own is there: only its name matters to `check_estate`.
-        estate = Estate(products, [KindSheet(kind, 1.0, 1.0) for kind in there], FleetSheet())
+        estate = Estate(products, [KindConfig(kind, 1.0, 1.0) for kind in there], MachinesConfig())
         for place, reason in check_estate(estate, "e"):
             at, _, field = place.removeprefix("e.products[").partition("].")
             self._fault(names[int(at)], f"{field}: {reason}")
--- a/hazelhold/platform/configuration.py
+++ b/hazelhold/platform/configuration.py
@@ -12,7 +12,7 @@
 from msgspec import Struct
 
 from hazelhold.config.load import ConfigError, read_text, split_address
-from hazelhold.config.planner import LimitsConfig as LimitSheet
+from hazelhold.config.planner import LimitsConfig
 from hazelhold.engine.terms import Peers, Terms
 from hazelhold.interface import Deployment
 from hazelhold.simhost import Pairs, WireError, read_deployment
@@ -209,7 +209,7 @@
     return found
 
 
-def _limits(pairs: Pairs, bounds: Bounds, faults: list[tuple[str, str]]) -> LimitSheet:
+def _limits(pairs: Pairs, bounds: Bounds, faults: list[tuple[str, str]]) -> LimitsConfig:
     """Bounds on peers from the settings: how long a connection may take to come up, and to stay idle."""
     spans = {"connect": 250.0, "idle": 15_000.0}
     for key, path in (("connect", "limits.connect-timeout"), ("idle", "limits.idle-close")):
@@ -226,7 +226,7 @@
     # bulletin and connections that are being closed; machines get the rest.
     owners = max(8, bounds.sockets * 2 // 5)
     # Ours closes first: four fifths of the time after which a machine closes.
-    return LimitSheet(
+    return LimitsConfig(
         connect_ms=spans["connect"],
         idle_close_ms=0.8 * spans["idle"],
         reconnect_ms=LOST_AFTER_MS,
--- a/tests/fleetconfig_rig.py
+++ b/tests/fleetconfig_rig.py
@@ -13,17 +13,17 @@
     FleetConfigSection,
     VotesSection,
 )
-from hazelhold.config.planner import PlannerConfig as PlannerSheet
+from hazelhold.config.planner import PlannerConfig
 from hazelhold.fleetconfig import messages as m
 from hazelhold.fleetconfig.client import ConfigClient
-from hazelhold.fleetconfig.control_host import ControlHost, copies_sheet
+from hazelhold.fleetconfig.control_host import ControlHost, copies_config
 from hazelhold.fleetconfig.document import Put, canonical
 from hazelhold.fleetconfig.revision import Change
 from hazelhold.replica.votes import found
 from hazelhold.service.net import MemoryNet
 from hazelhold.service.planner import Planner
 from hazelhold.standin.disk import FaultyDisk, Killed, Points
-from tests.helpers import planner_config as sheet
+from tests.helpers import planner_config
 
 LONG = 120.0  # seconds of virtual time: no test waits so long unless something is wrong
 DEPLOYMENT = "hazelhold"
@@ -57,7 +57,7 @@
         self.told: dict[str, int] = {}  # by a change's id: the revision that its writer was told
         for name in self.names:
             self.disks[name], self.votes[name] = disk(), disk()
-            found(self.votes[name], name, copies_sheet(self.file(name)), 0)
+            found(self.votes[name], name, copies_config(self.file(name)), 0)
 
     def file(self, name: str) -> ControlFile:
         seat = next(seat for seat in self.seats if seat.name == name)
@@ -74,7 +74,7 @@
             self.address(name), zone="z1", region="r1", control=control, folder="revisions"
         )
 
-    async def start(self, name: str, file: PlannerSheet | None = None) -> None:
+    async def start(self, name: str, file: PlannerConfig | None = None) -> None:
         """Starts a control machine or a planner; it is up when this returns."""
         made = self._control(name) if name in self.names else self._planner(name, file)
         scope = self.scopes[name] = trio.CancelScope()
@@ -104,8 +104,10 @@
         self.controls[name] = made
         return made
 
-    def _planner(self, name: str, file: PlannerSheet | None) -> Planner:
-        file = replace(file or sheet(), name=name, listen=f"door-{name}", fleetconfig=self.section(name))
+    def _planner(self, name: str, file: PlannerConfig | None) -> Planner:
+        file = replace(
+            file or planner_config(), name=name, listen=f"door-{name}", fleetconfig=self.section(name)
+        )
         made = Planner(file, 1, self.net, revisions=self.disks.setdefault(name, disk()))
         self.planners[name] = made
         return made
--- a/tests/processes/fleetconfig_rig.py
+++ b/tests/processes/fleetconfig_rig.py
@@ -26,7 +26,7 @@
 )
 from hazelhold.fleetconfig import messages as m
 from hazelhold.fleetconfig.client import ConfigClient, UnreachableError
-from hazelhold.fleetconfig.control_host import copies_sheet
+from hazelhold.fleetconfig.control_host import copies_config
 from hazelhold.fleetconfig.document import Put, canonical
 from hazelhold.fleetconfig.revision import Change
 from hazelhold.fleetconfig.store import KINDS, Stored, read_ledger
@@ -37,7 +37,7 @@
 from hazelhold.service.net import TcpNet
 from hazelhold.state.disk import RealDisk
 from hazelhold.state.store import read
-from tests.helpers import planner_config as sheet
+from tests.helpers import planner_config
 
 LONG = 60.0  # seconds: no test waits so long unless something is wrong
 DEPLOYMENT = "rig"
@@ -139,8 +139,8 @@
         """Files, wires and seats for all."""
         await self.write_files()
         for name in self.controls:
-            sheet_ = copies_sheet(read_control(self.file(name)))
-            found(RealDisk(self.home(name) / "votes"), name, sheet_, self.net.wall())
+            copies = copies_config(read_control(self.file(name)))
+            found(RealDisk(self.home(name) / "votes"), name, copies, self.net.wall())
 
     def move(self, name: str) -> None:
         """From now on it is at other addresses; `write_files` tells the others' files so."""
@@ -193,7 +193,7 @@
                 folder=str(self.home(name) / "revisions"),
                 reach={other: await self.wires.streams(name, other, self.at(other)) for other in others},
             )
-            base = sheet()
+            base = planner_config()
             made = replace(
                 base,
                 name=name,
--- a/tests/test_fleetconfig_config.py
+++ b/tests/test_fleetconfig_config.py
@@ -17,13 +17,14 @@
     read_control,
 )
 from hazelhold.config.load import ConfigError
-from hazelhold.config.planner import CaptureConfig as CaptureSheet
-from hazelhold.config.planner import check_planner
-from hazelhold.fleetconfig.control_host import copies_sheet
-from tests.helpers import planner_config as sheet
+from hazelhold.config.planner import CaptureConfig, check_planner
+from hazelhold.fleetconfig.control_host import copies_config
+from tests.helpers import planner_config
 
 EXAMPLE = Path(__file__).parent.parent / "examples" / "fleetconfig-control.json5"
-FULL = replace(sheet(), listen="127.0.0.1:1", list=replace(sheet().list, address="127.0.0.1:2"))
+FULL = replace(
+    planner_config(), listen="127.0.0.1:1", list=replace(planner_config().list, address="127.0.0.1:2")
+)
 SECTION = FleetConfigSection("127.0.0.1:3", control=[ControlMachine("c1", "127.0.0.1:4")], folder="revisions")
 SEATS = [ControlSeat(f"c{n}", f"127.0.0.1:{n}", f"127.0.0.1:1{n}") for n in range(1, 4)]
 CONTROL = ControlFile("c1", "127.0.0.1:1", "d", "revisions", SEATS, VotesSection("127.0.0.1:11", "votes", 3))
@@ -49,7 +50,7 @@
         "fleetconfig.control[1].name",
         "fleetconfig.control",
     }
-    both = replace(FULL, fleetconfig=SECTION, capture=CaptureSheet(file="x.pcap"))
+    both = replace(FULL, fleetconfig=SECTION, capture=CaptureConfig(file="x.pcap"))
     assert [place for place, _ in check_planner(both)] == ["fleetconfig"]
     kept = replace(FULL, fleetconfig=SECTION, state=replace(FULL.state, folder="revisions"))
     assert [place for place, _ in check_planner(kept)] == ["fleetconfig.folder"]
@@ -78,7 +79,7 @@
 
 def test_the_example_is_sound_and_names_the_register_s_set(tmp_path: Path) -> None:
     file = read_control(EXAMPLE)
-    made = copies_sheet(file)
+    made = copies_config(file)
     assert len(made.planners) == 6 and made.replicas == 5 and made.listen == file.votes.listen
     wrong = tmp_path / "wrong.json5"
     wrong.write_text(EXAMPLE.read_text().replace("replicas: 5", "replicas: 4, replica: 1"))
--- a/tests/test_fleetconfig_host.py
+++ b/tests/test_fleetconfig_host.py
@@ -607,10 +607,10 @@
 from hazelhold.cli.main import main
 from hazelhold.service.net import MemoryNet
 from hazelhold.service.planner import Planner
-from tests.helpers import planner_config as sheet
+from tests.helpers import planner_config
 
 async def make() -> None:
-    Planner(sheet(), 1, MemoryNet())
+    Planner(planner_config(), 1, MemoryNet())
 
 trio.run(make)
 print([n for n in sys.modules if n.startswith(("hazelhold.fleetconfig", "hazelhold.replica"))])
--- a/tests/test_fleetconfig_settings.py
+++ b/tests/test_fleetconfig_settings.py
@@ -3,13 +3,12 @@
 
 import pytest
 
-from hazelhold.config.planner import PlannerConfig as PlannerSheet
+from hazelhold.config.planner import PlannerConfig
 from hazelhold.fleetconfig.document import Document, Edit, Put, canonical
-from hazelhold.fleetconfig.settings import RunningSettings, SettingsError, starting_sheet
+from hazelhold.fleetconfig.settings import RunningSettings, SettingsError, starting_config
 from hazelhold.protocol import messages as m
-from tests.helpers import MS
+from tests.helpers import MS, planner_config
 from tests.helpers import EngineHarness as Desk
-from tests.helpers import planner_config as sheet
 
 PLAIN = {"name": "plain", "effect": "rerunnable", "goal_ms": 800, "patience_ms": 5000}
 FLEET = {"cores_multiple": 2.5, "probing": False}
@@ -23,9 +22,9 @@
 class Planner:
     """An engine driven by hand, and the document that it is given."""
 
-    def __init__(self, file: PlannerSheet | None = None) -> None:
+    def __init__(self, file: PlannerConfig | None = None) -> None:
         self.desk, self.document = Desk("a"), Document()
-        file = file or sheet()
+        file = file or planner_config()
         self.settings = RunningSettings(file, file, self.desk.engine)
         self.settings.put_in_force(self.document, None)
 
@@ -164,7 +163,7 @@
     monkeypatch.setattr("hazelhold.fleetconfig.settings.check_estate", fails)
     with pytest.raises(SettingsError, match="cannot be used by this program: ZeroDivisionError"):
         planner.put(customers__acme={})
-    assert starting_sheet(sheet(), planner.document).sheet == sheet()
+    assert starting_config(planner_config(), planner.document).config == planner_config()
     monkeypatch.undo()
     assert planner.rejected("g1", customer="acme") == "unknown_customer"
     planner.put(teams__a={"quota_cores": 1})
@@ -180,17 +179,17 @@
 
 def test_at_its_start_a_planner_takes_all_and_tells_what_it_cannot() -> None:
     document = Document(items(kinds__new={"cores": 1, "memory": 1}, products__plain={**PLAIN, "kind": "new"}))
-    started = starting_sheet(sheet(), document)
-    assert started.refused == "" and [k.name for k in started.sheet.estate.kinds] == ["box", "new"]
+    started = starting_config(planner_config(), document)
+    assert started.refused == "" and [k.name for k in started.config.estate.kinds] == ["box", "new"]
     document.apply([Edit((), ("kinds/new",))])
-    again = starting_sheet(sheet(), document)
-    assert again.sheet == sheet() and "no kind of machine is called 'new'" in again.refused
+    again = starting_config(planner_config(), document)
+    assert again.config == planner_config() and "no kind of machine is called 'new'" in again.refused
 
 
 def test_a_started_planners_engine_takes_the_document_that_it_started_from() -> None:
     document = Document(items(kinds__new={"cores": 1, "memory": 1}, customers__acme={}))
-    file = sheet()
-    started = starting_sheet(file, document).sheet
+    file = planner_config()
+    started = starting_config(file, document).config
     desk = Desk("a")
     settings = RunningSettings(file, started, desk.engine)
     settings.put_in_force(document, None)
