Read once more: one chain, one way to judge broken variants, names

Tests of the control core built a second chain with a loop of their own: chain_of takes the items' name. Both files of broken variants had the runner twice: tests/broken_variants.py, each scenario and each variant unchanged. model/machine_tasks was machine_guests. Docstrings say configuration.

--- a/hazelhold/fleetconfig/client.py
+++ b/hazelhold/fleetconfig/client.py
@@ -14,10 +14,7 @@
 DIAL = 1.5  # seconds for a connection and its greetings
 PAUSE = 0.2  # seconds before all are tried again
 FINAL = ("committed", "invalid", "conflict")
-RESOLVING = (
-    "committed",
-    "conflict",
-)  # final also for earlier askings under the same id, whose answers were lost
+RESOLVING = ("committed", "conflict")  # final also for earlier askings under the id whose answers were lost
 MOST_REASONS = 8  # faults in a line
 T = TypeVar("T", bound=m.ConfigMessage)
 
--- a/hazelhold/fleetconfig/follower_host.py
+++ b/hazelhold/fleetconfig/follower_host.py
@@ -39,7 +39,7 @@
 
 
 def starting_point(config: PlannerConfig, disk: Disk) -> PlannerConfig:
-    """The config to start with, by what the folder holds. Harmless beside a process that uses the folder."""
+    """The configuration to start with, by what the folder holds. Harmless while a process uses the folder."""
     found = read(disk, config.name, KINDS)
     stored = read_ledger(found.ledger, found.complete, found.notes)
     starting = starting_config(config, stored.document)
--- a/hazelhold/fleetconfig/settings.py
+++ b/hazelhold/fleetconfig/settings.py
@@ -140,15 +140,16 @@
 
 
 class Starting(NamedTuple):
-    """A planner's config at its start, with the document that it starts from, and why that is not in it."""
+    """A planner's configuration at its start, with the document that it starts from, and why that is not in
+    it."""
 
     config: PlannerConfig
     refused: str = ""
 
 
 def starting_config(file: PlannerConfig, document: Document) -> Starting:
-    """The config that an engine is made from: at a start everything can be taken. If it cannot be, the file's
-    own config with the reason."""
+    """The configuration that an engine is made from: at a start everything can be taken. If it cannot be, the
+    file's own configuration with the reason."""
     overrides = Overrides()
     overrides.read(document, None)
     try:
@@ -162,7 +163,7 @@
     """Puts documents in force in a running engine, each whole or not at all."""
 
     def __init__(self, file: PlannerConfig, started: PlannerConfig, engine: Engine) -> None:
-        """`file` is the planner's own config, `started` the one that the engine was made from."""
+        """`file` is the planner's own configuration, `started` the one that the engine was made from."""
         self.file, self.engine = file, engine
         self.estate = started.estate  # what the engine works with
         self.overrides = Overrides()
--- a/hazelhold/model/machine.py
+++ b/hazelhold/model/machine.py
@@ -5,7 +5,7 @@
 answers.
 
 The parts stand in modules of their own, each resting on the one before: `machine_types` (plain data),
-`machine_state` (lives, agenda, use), `machine_guests` (starts and ends), `machine_admission` (offers);
+`machine_state` (lives, agenda, use), `machine_tasks` (starts and ends), `machine_admission` (offers);
 `Machine` here hears planners, suffers troubles and keeps the time.
 """
 
--- a/hazelhold/model/machine_admission.py
+++ b/hazelhold/model/machine_admission.py
@@ -2,12 +2,12 @@
 
 from random import Random
 
-from hazelhold.model.machine_guests import MachineGuests
+from hazelhold.model.machine_tasks import MachineTasks
 from hazelhold.model.machine_types import HostedTask, Key
 from hazelhold.protocol.messages import Offer, Probe, Report, Taken
 
 
-class MachineAdmission(MachineGuests):
+class MachineAdmission(MachineTasks):
     """The line of offers and probes, and the judgement on its head."""
 
     def _queue(self, now: int, planner: str, item: Offer | Probe) -> None:
--- a/tests/fleetconfig_bench.py
+++ b/tests/fleetconfig_bench.py
@@ -82,11 +82,11 @@
     return Change(id=id_, base=base, puts=(Put(name, canonical(value)),))
 
 
-def chain_of(count: int, start: int = 1) -> list[SealedRevision]:
-    """Revisions that each set another item."""
+def chain_of(count: int, start: int = 1, items: str = "x") -> list[SealedRevision]:
+    """Revisions that each set another of these items; other items give another order."""
     document, position, found = Document(), Position(), []
     for number in range(1, count + 1):
-        change = item(f"c{number}", f"x/{number}", number - 1)
+        change = item(f"c{number}", f"{items}/{number}", number - 1)
         content = document.checksum_after([change.edit])
         sealed = seal(Revision(number=number, parent=position.chain, content=content, changes=(change,)))
         document.apply(sealed.revision.edits)
--- a/tests/test_fleetconfig_control_heard.py
+++ b/tests/test_fleetconfig_control_heard.py
@@ -137,21 +137,8 @@
     return made.facts.by_machine["a"]
 
 
-def chain_of_another_order(count: int) -> list[SealedRevision]:
-    """As `chain_of`, of another order."""
-    document, position, found = Document(), Position(), []
-    for number in range(1, count + 1):
-        change = item(f"o{number}", f"y/{number}", number - 1)
-        content = document.checksum_after([change.edit])
-        sealed = seal(Revision(number=number, parent=position.chain, content=content, changes=(change,)))
-        document.apply(sealed.revision.edits)
-        position = sealed.position
-        found.append(sealed)
-    return found
-
-
 def folders(core: type[ControlCore]) -> None:
-    chain, other = chain_of(8), chain_of_another_order(8)
+    chain, other = chain_of(8), chain_of(8, items="y")
     assert claimed(core, chain[:5], chain[:5]) == 5
     assert claimed(core, chain[:5], chain[:6]) == 5  # the tail leads on
     for register in (other[:3], other[:5], other[:8]):
--- a/tests/test_fleetconfig_packed_broken.py
+++ b/tests/test_fleetconfig_packed_broken.py
@@ -2,7 +2,6 @@
 
 import tracemalloc
 import zlib
-from collections.abc import Callable
 
 import pytest
 from msgspec.structs import replace
@@ -15,8 +14,9 @@
 from hazelhold.fleetconfig.packed import MAX_PLAIN, RAW_DEFLATE
 from hazelhold.fleetconfig.revision import Position, SealedRevision
 from hazelhold.fleetconfig.spread_actions import PutInForce
+from tests.broken_variants import Variant, assert_caught, patched
 from tests.spread_rig import Direct, fork, packed, revisions
-from tests.test_fleetconfig_spread_broken import CHAIN, Patch, assert_of_the_chain, flipped, patched
+from tests.test_fleetconfig_spread_broken import CHAIN, assert_of_the_chain, flipped
 
 # Scenarios.
 
@@ -100,35 +100,32 @@
     """Whatever comes out is taken."""
 
 
-VARIANTS: dict[str, tuple[Callable[[], None], Patch]] = {
-    "packed: last chain checksum not compared": (
+VARIANTS: dict[str, Variant] = {
+    "packed: last chain checksum not compared": Variant(
         damaged_bytes_of_packed_revisions,
         patched((packed_form, "check_last", last_not_compared)),
     ),
-    "packed: another chain": (
+    "packed: another chain": Variant(
         packed_revisions_of_another_chain,
         patched((packed_form, "check_last", last_not_compared)),
     ),
-    "packed: rows that are here built again": (
+    "packed: rows that are here built again": Variant(
         packed_revisions_over_some_that_are_here,
         patched((follower, "unpack", pack_from_where_it_begins)),
     ),
-    "packed: built over a gap": (
+    "packed: built over a gap": Variant(
         packed_revisions_after_a_gap,
         patched((follower, "unpack", pack_over_a_gap), (history, "check_next", no_check)),
     ),
-    "packed: inflated without a bound": (bomb, patched((packed_form, "inflated", inflate_all))),
+    "packed: inflated without a bound": Variant(bomb, patched((packed_form, "inflated", inflate_all))),
 }
 
 
 @pytest.mark.parametrize("name", VARIANTS)
 def test_the_scenario_holds(name: str) -> None:
-    VARIANTS[name][0]()
+    VARIANTS[name].scenario()
 
 
 @pytest.mark.parametrize("name", VARIANTS)
 def test_the_broken_variant_is_caught(name: str, monkeypatch: pytest.MonkeyPatch) -> None:
-    scenario, patch = VARIANTS[name]
-    patch(monkeypatch)
-    with pytest.raises(AssertionError):
-        scenario()
+    assert_caught(VARIANTS[name], monkeypatch)
--- a/tests/test_fleetconfig_spread_broken.py
+++ b/tests/test_fleetconfig_spread_broken.py
@@ -1,7 +1,5 @@
 """Each argument for the spread's safety: a scenario that holds, and a broken variant that it catches."""
 
-from collections.abc import Callable
-
 import pytest
 from msgspec.structs import replace
 
@@ -19,6 +17,7 @@
 from hazelhold.fleetconfig.roster import Source
 from hazelhold.fleetconfig.snapshot import Assembly, page_check
 from hazelhold.fleetconfig.spread_actions import PutInForce, Times
+from tests.broken_variants import Variant, assert_caught, patched
 from tests.spread_rig import (
     DELTAS,
     SETTLED,
@@ -275,58 +274,53 @@
     return [unseal(body) for body in message.bodies]
 
 
-Patch = Callable[[pytest.MonkeyPatch], None]
-
-
-def patched(*changes: tuple[object, str, object]) -> Patch:
-    def apply(patch: pytest.MonkeyPatch) -> None:
-        for where, name, value in changes:
-            patch.setattr(where, name, value)
-
-    return apply
-
-
-VARIANTS: dict[str, tuple[Callable[[], None], Patch]] = {
-    "no chain check": (contradicting_revisions, patched((history, "check_next", no_chain_check))),
-    "content of a revision not compared": (lying_revision, patched((history, "check_next", no_chain_check))),
-    "content of a snapshot not compared": (
+VARIANTS: dict[str, Variant] = {
+    "no chain check": Variant(contradicting_revisions, patched((history, "check_next", no_chain_check))),
+    "content of a revision not compared": Variant(
+        lying_revision, patched((history, "check_next", no_chain_check))
+    ),
+    "content of a snapshot not compared": Variant(
         lying_snapshot,
         patched((Assembly, "document", assembled_unchecked)),
     ),
-    "snapshot pages applied as they come": (
+    "snapshot pages applied as they come": Variant(
         snapshot_that_breaks_off,
         patched((FollowerCore, "_take_page", take_pages_as_they_come)),
     ),
-    "going back by snapshot": (older_snapshot, patched((FollowerCore, "_take_page", take_any_snapshot))),
-    "in force when received": (
+    "going back by snapshot": Variant(
+        older_snapshot, patched((FollowerCore, "_take_page", take_any_snapshot))
+    ),
+    "in force when received": Variant(
         refused_by_one_program,
         patched(
             (follower, "MemberState", in_force_when_received),
             (FleetCoverage, "_judged", lambda coverage, known, state: (state.in_force, "")),
         ),
     ),
-    "relay passes on unverified": (
+    "relay passes on unverified": Variant(
         damaged_revision_at_a_relay,
         patched((Dialing, "message", forward_unverified)),
     ),
-    "coverage forgets who ended": (planner_that_stops, patched((FleetCoverage, "_take", forget_who_ended))),
-    "route not looked at": (
+    "coverage forgets who ended": Variant(
+        planner_that_stops, patched((FleetCoverage, "_take", forget_who_ended))
+    ),
+    "route not looked at": Variant(
         two_that_follow_each_other,
         patched((Links, "_goes_in_circles", lambda links, route: False)),
     ),
-    "last revision's checksum not compared": (
+    "last revision's checksum not compared": Variant(
         damaged_bytes_of_a_revision,
         patched((follower, "unseal_all", unseal_without_checksum)),
     ),
-    "heartbeats that waited count as new": (
+    "heartbeats that waited count as new": Variant(
         heartbeats_that_waited_while_it_was_paused,
         patched((Links, "drop_all", lambda links, reason: None)),
     ),
-    "no word is older than the clock": (
+    "no word is older than the clock": Variant(
         an_old_word_soon_after_the_machine_was_started,
         patched((Links, "heartbeat", age_from_the_start_of_the_clock)),
     ),
-    "page's checksum not compared": (
+    "page's checksum not compared": Variant(
         damaged_bytes_of_a_page,
         patched((snapshot, "page_check", lambda page: page.check)),
     ),
@@ -335,12 +329,9 @@
 
 @pytest.mark.parametrize("name", VARIANTS)
 def test_the_scenario_holds(name: str) -> None:
-    VARIANTS[name][0]()
+    VARIANTS[name].scenario()
 
 
 @pytest.mark.parametrize("name", VARIANTS)
 def test_the_broken_variant_is_caught(name: str, monkeypatch: pytest.MonkeyPatch) -> None:
-    scenario, patch = VARIANTS[name]
-    patch(monkeypatch)
-    with pytest.raises(AssertionError):
-        scenario()
+    assert_caught(VARIANTS[name], monkeypatch)
--- a/tests/test_platform_machines.py
+++ b/tests/test_platform_machines.py
@@ -81,7 +81,7 @@
 
 
 def test_a_machine_that_closes_idle_connections_is_not_probed_for_each() -> None:
-    """A probe has its price. Each planner asked each machine that had guests of its after each such close."""
+    """A probe has its price. Each planner asked each machine that had tasks of its after each such close."""
 
     async def test(rig: Rig) -> None:
         owner, machine = await rig.owner(), rig.machines["a"]
