A list that nothing has confirmed vouches for no server: offers need a passed test

Seen: after a restart, and in any outage of discovery, offers went to servers that drained, turned away at once with wrong_host; tasks on servers that the file lacked were released at their hand-over. Cause: the list was taken for the present however old it was. Found beside it: a counter under one name in two tables ended the process in its last line (TypeError); a listening socket that could not be had at the start, and a log line that could not be written, ended it too.

--- a/hazelhold/brain.py
+++ b/hazelhold/brain.py
@@ -18,6 +18,7 @@
 SECOND = 1_000_000
 NEVER_RAN = (Ending.TURNED_BACK, Ending.NO_CONNECTION, Ending.NOT_SENT)
 ROUNDS = 100  # Monte Carlo rounds for a machine: the design page's own figure
+VOUCHED_LEAST = SECOND // 50  # what a passed test must still be good for when an offer is decided
 TIE = 1.001  # one guest moves the spread by a hundredth at most: a band of 5% would make the pick a lottery
 
 
@@ -87,7 +88,9 @@
         self.full = [(0, 0.0), (0, 0.0)]  # until when it takes no ask of so many cores, so much memory
         self.answers: deque[int] = deque(maxlen=12)  # answer times; the oldest falls out
         self.slow: int | None = None  # see slowness; kept until an answer comes
-        self.drawn_at = self.strikes = self.avoid_until = 0
+        self.drawn_at = self.strikes = self.avoid_until = self.vouched_until = 0
+        self.refuses = False  # says itself that it takes no work; until it passes a test
+        self.testing = False  # a test is out
         self.mute = False  # gave no answer at all: a probe must answer before guests go there
         self.offers: deque[int] = deque()  # the last sent; emptied by age
         self.mark = int.from_bytes(blake2b(listed.machine.encode(), digest_size=8).digest())
@@ -183,10 +186,12 @@
         self.no_room: set[tuple] = set()  # shapes that found no machine; emptied as the clock moves
         self.looked_at = self.ask_list_at = self.sweep_at = self.probe_at = self.list_heard_at = 0
         self.kept_well = True  # see state_kept
+        self.list_current = True  # see list_taken
         self.began, self.no_cold_until = -10**15, 0  # see machines_listed and remembered
         self.list_version = 0  # counts changes in who is ready
         self.typical, self.typical_until = SECOND, 0  # median slowness of machines, and until when it is kept
         self.to_probe: list[Machine] = []  # emptied at once by the decisions that follow
+        self.to_test: list[Machine] = []  # emptied as to_probe
         self.to_call_off: deque[tuple[str, str]] = deque()  # guest and machine; emptied as to_probe
 
     # Inputs: they only update what is known.
@@ -219,6 +224,23 @@
         self.ask_list_at = now + int(self.deployment.ask_within * 0.4 * self.random.uniform(0.8, 1.2))
         self._changed(now)
 
+    def list_taken(self, now: int, current: bool) -> None:
+        """Whether the list may be taken for the present. If not, a machine has to pass a test first."""
+        self.list_current = current
+        self._changed(now)
+
+    def machine_vouched(self, now: int, name: str, until: int) -> None:
+        """A machine passed a test: until then it may be taken to be ready whatever the list's age."""
+        if machine := self.machines.get(name):
+            machine.vouched_until = until
+            if not self.list_current:
+                self._changed(now)
+
+    def machine_refuses(self, now: int, name: str) -> None:
+        """A machine failed a test in so many words: it takes no work, whatever the list says."""
+        if machine := self.machines.get(name):
+            self._suspect_drain(machine)
+
     def list_failed(self, now: int) -> None:
         self.ask_list_at = now + int(self.random.uniform(1, 3) * SECOND)  # drawn, so as not to march in step
 
@@ -374,10 +396,12 @@
         self._reported(machine, cores, memory, now)
 
     def probe_answered(self, now: int, name: str, well: bool) -> None:
+        if name in self.machines:
+            self.machines[name].testing = False
         if (machine := self.machines.get(name)) and not well:
             self._strike(machine, now, mute=True)
         elif machine and machine.mute:
-            machine.mute, machine.strikes = False, 0
+            machine.mute, machine.refuses, machine.strikes = False, False, 0
             self._changed(now)
 
     def cores_used(self, now: int, name: str, cores: float) -> None:
@@ -497,9 +521,13 @@
             elif remark in (Remark.NO_CORES, Remark.NO_MEMORY):
                 axis, much = (0, guest.ask.cores) if remark is Remark.NO_CORES else (1, guest.ask.memory)
                 machine.full[axis] = now + SECOND, much  # about a list period
+            elif remark is Remark.NOT_HERE and self.deployment.tests_show_drains and self.deployment.probing:
+                self._suspect_drain(machine)
             elif remark is Remark.NOT_HERE and not guest.may_run:
                 machine.avoid_until = now + SECOND
         elif ending is Ending.CUT_OFF and guest.placed:
+            if remark is Remark.SENT_AWAY and self.deployment.tests_show_drains and self.deployment.probing:
+                self._suspect_drain(machine)
             if remark is Remark.NONE and now - machine.cold_at > SECOND:
                 self._restarted(machine, now)
                 self._strike(machine, now, mute=True)
@@ -512,6 +540,11 @@
             machine.answered(60 * SECOND)
             self._strike(machine, now, mute=False)
 
+    def _suspect_drain(self, machine: Machine) -> None:
+        """A machine says itself that it takes no work, before the list does: it has to pass a test."""
+        machine.refuses = machine.mute = True
+        machine.vouched_until = self.probe_at = 0
+
     def _strike(self, machine: Machine, now: int, mute: bool) -> None:
         """A failure keeps guests away, twice as long each time in a row, from a third of a second to 8 s."""
         machine.strikes = min(machine.strikes + 1, 6)
@@ -590,6 +623,8 @@
             guest = self.due.pop()
             shape = guest.ask._replace(guest="", patience=0), guest.bound
             machine = None if shape in self.no_room else self._pick(guest, now)
+            if machine is not None and not self._vouched(machine, now):
+                machine = self._test_first(guest, machine, now)
             if machine is None:
                 if guest.rests_until <= now:
                     self.no_room.add(shape)
@@ -605,6 +640,19 @@
             return Decision(Step.DISPATCH, guest.ask.guest, machine.listed.machine, span)
         return None
 
+    def _vouched(self, machine: Machine, now: int) -> bool:
+        return self.list_current or now + VOUCHED_LEAST < machine.vouched_until
+
+    def _test_is_late(self, machine: Machine, now: int) -> bool:
+        """Whether others are tried meanwhile, since the test that is needed is not answered at once."""
+        return not self.list_current and machine.testing and now - machine.probed_at > SECOND // 20
+
+    def _test_first(self, guest: Guest, machine: Machine, now: int) -> None:
+        """Has a machine tested before it is sent a guest, which waits for that."""
+        guest.rests_until = now + SECOND // 20
+        if not machine.testing and machine not in self.to_test:
+            self.to_test.append(machine)
+
     def _span(self, guest: Guest, now: int) -> int:
         """How long to wait for an answer: well past what machines take, never past the patience."""
         left, seen = guest.answer_by - now, self.answers[guest.ask.product]
@@ -619,7 +667,7 @@
     def _allowed(self, guest: Guest, machine: Machine, now: int) -> bool:
         """The rules: what no ranking may go round."""
         product, facts = guest.product, self.deployment
-        if not machine.ready or product.kind not in (-1, machine.listed.kind):
+        if not machine.ready or machine.refuses or product.kind not in (-1, machine.listed.kind):
             return False
         if machine.listed.machine in guest.tried:  # guards against two copies: it may speak late
             return False
@@ -679,6 +727,7 @@
                 continue
             for field, bears in steps:
                 fit = (m for m in field if self._allowed(guest, m, now) and self._has_room(guest, m, now, way)
+                       and not self._test_is_late(m, now)
                        and (way == "distrust" or not self._avoided(m, now)))
                 first = list(islice(fit, look))
                 if self.deployment.reports_on_probe and look < len(ready) and not guest.probed_for:
@@ -769,8 +818,8 @@
         return late + wait / max(1.0, guest.product.start_bonus)
 
     def _probe(self, now: int) -> Decision | None:
-        if self.to_probe:
-            return self._asked(self.to_probe.pop(), now)
+        if self.to_test or self.to_probe:
+            return self._asked((self.to_test or self.to_probe).pop(), now)
         if not self.deployment.probing or now < self.probe_at:
             return None
         for machine in self.machines.values():
@@ -786,5 +835,5 @@
         return self._asked(self.machines[min(heard)[1]], now)
 
     def _asked(self, machine: Machine, now: int) -> Decision:
-        machine.probed_at = now
+        machine.probed_at, machine.testing = now, True
         return Decision(Step.PROBE, machine=machine.listed.machine)
--- a/hazelhold/cli/logs.py
+++ b/hazelhold/cli/logs.py
@@ -2,6 +2,7 @@
 
 import logging
 import sys
+from typing import TextIO
 
 import structlog
 
@@ -19,6 +20,26 @@
         )
 
 
+class Unfailing:
+    """A stream for logs: a line that cannot be written (full disk, closed pipe) is dropped and counted."""
+
+    def __init__(self, stream: TextIO) -> None:
+        self.stream, self.dropped = stream, 0
+
+    def write(self, text: str) -> int:
+        try:
+            return self.stream.write(text)
+        except (OSError, ValueError):
+            self.dropped += 1
+            return len(text)
+
+    def flush(self) -> None:
+        try:
+            self.stream.flush()
+        except (OSError, ValueError):
+            self.dropped += 1
+
+
 def set_up(form: str, level: str) -> None:
     """Logs go to standard error; `form` is human or json, `level` debug, info, warning or error."""
     render = (
@@ -35,6 +56,6 @@
             render,
         ],
         wrapper_class=structlog.make_filtering_bound_logger(getattr(logging, level.upper())),
-        logger_factory=structlog.PrintLoggerFactory(sys.stderr),
+        logger_factory=structlog.PrintLoggerFactory(Unfailing(sys.stderr)),
     )
     logging.basicConfig(handlers=[Lines()], level=logging.WARNING, force=True)
--- a/hazelhold/engine/dispatches.py
+++ b/hazelhold/engine/dispatches.py
@@ -3,7 +3,7 @@
 from hazelhold.brain import NEVER_RAN
 from hazelhold.config.planner import micros
 from hazelhold.engine.cases import Case, Loose
-from hazelhold.engine.tables import Tables
+from hazelhold.engine.tables import OutstandingProbe, Tables
 from hazelhold.interface import Ending, Remark
 from hazelhold.protocol import messages as m
 
@@ -75,6 +75,8 @@
     def _ended(self, now: int, case: Case, ending: Ending, remark: Remark) -> None:
         """The dispatch that was out is over and the guest is held again, or answered by what follows."""
         self._unhold(case)
+        self.monitor.attempt_ended(case.name, ending not in NEVER_RAN)
+        self._task_event("ended", case, f"{ending.name.lower()} {remark.name.lower()}")
         if ending not in NEVER_RAN:
             case.unsure, case.ran_from = case.machine, case.ran_from or case.sent_at
         case.machine = ""
@@ -91,6 +93,7 @@
             self._ended(now, case, Ending.CUT_OFF if case.sent else Ending.NOT_SENT, remark)
             return
         self.counts["ended_" + how[:20]] += 1
+        self._task_event("released", case, how)
         if how != "lost":  # one that is out of reach may run on
             self._fact(now, case, "over", how)
         self._unhold(case)
@@ -106,6 +109,7 @@
         """Takes back a dispatch that is waited for no longer; until its machine speaks, its fate is open."""
         if not case.sent:
             return
+        self._task_event("given_up", case)
         link = self.links.get(case.machine)
         if self.peers.rolls:
             self._loosen(now, case)
@@ -148,6 +152,7 @@
             self._give_up(now, case)
             self._unhold(case)
             self.brain.dispatch_ended(now, case.name, Ending.OVERDUE, True, Remark.NONE)
+            self.monitor.attempt_ended(case.name, may_have_run=case.sent)
             case.machine = ""
         self._answer(now, case, message, case.asks)
         self._forget(case)
@@ -155,6 +160,11 @@
     def _answer(self, now: int, case: Case, message: m.Message, asks: list[int] | dict[int, None]) -> None:
         """Gives each ask that awaits one its answer, and keeps it for an owner that was away."""
         self.counts["answers_" + message.__struct_config__.tag] += 1
+        self._task_event(
+            "answered", case, f"{message.__struct_config__.tag} {getattr(message, 'reason', '')}"
+        )
+        if not self.peers.asks_again:
+            self._violated(self.monitor.answered(case.name, self.facts.products[case.product].effect), case)
         keep = now + micros(self.limits.keep_answers_ms)
         for ask in list(asks):
             told = type(message)(**{f: getattr(message, f) for f in message.__struct_fields__} | {"ask": ask})
@@ -219,7 +229,7 @@
             self._rested(now, link)
         self.probe_number += 1
         self.counts["probes"] += 1
-        self.probes[machine] = self.probe_number, now + micros(self.limits.probe_ms)
+        self.probes[machine] = OutstandingProbe(self.probe_number, now + micros(self.limits.probe_ms), now)
         fellow = self.roster.fellows.get(machine)
         if fellow is None:
             self._probe_over(now, machine, False)
--- a/hazelhold/engine/engine.py
+++ b/hazelhold/engine/engine.py
@@ -59,6 +59,7 @@
         """Time-outs that are due, then decisions until there is none or so many are made that peers have
         waited long enough to be read; `next_at` says then to pump again at once."""
         self._time_outs(now)
+        self._tell_currency(now)
         for _ in range(self.at_once):
             decision = self.brain.decide(now)
             self.more = decision is not None
@@ -73,7 +74,7 @@
         times = [t for t in (self.brain.next_look(now), self.list_due) if t]
         if self.overdue:
             times.append(self.overdue[0][0])
-        times += [due for _, due in self.probes.values()]
+        times += [probe.due for probe in self.probes.values()]
         for link in self._restless():
             times += [
                 t
@@ -101,9 +102,9 @@
                     link = self.links.get(case.machine)
                     waited = link is not None and link.state == "up" and link.rolled
                     self._not_sent(now, case, Ending.NOT_SENT if waited else Ending.NO_CONNECTION)
-        for machine, (_, due) in list(self.probes.items()):
-            if due <= now:
-                self._unheard(now, machine, due - micros(self.limits.probe_ms))
+        for machine, probe in list(self.probes.items()):
+            if probe.due <= now:
+                self._unheard(now, machine, probe.due - micros(self.limits.probe_ms))
                 self._probe_over(now, machine, False)
         for link in self._restless():
             if link.settled():
--- a/hazelhold/engine/links.py
+++ b/hazelhold/engine/links.py
@@ -1,9 +1,14 @@
 """The list and the connections to machines: who is there, what they say, what their silence means."""
 
+from collections.abc import Callable
+
 from hazelhold.config.planner import micros
 from hazelhold.engine.cases import Case, HangUp, Loose, Lost
 from hazelhold.engine.dispatches import CROSSED, Dispatches
-from hazelhold.engine.machines import Link
+from hazelhold.engine.events import ListEvent
+from hazelhold.engine.list_currency import Doubt
+from hazelhold.engine.machines import Link, News
+from hazelhold.engine.permission import TEST_VALID
 from hazelhold.interface import Ending, Load, Remark
 from hazelhold.protocol import messages as m
 
@@ -29,6 +34,8 @@
 class Links(Dispatches):
     """The machines' side of an engine."""
 
+    _resolve_stands: Callable[..., None]  # of the owners' side
+
     def list_said(self, now: int, message: m.Message) -> None:
         """A Listing or ListRefused of the list service."""
         self.list_due = 0
@@ -43,6 +50,7 @@
         self.counts["list_entries"] += len(message.entries)
         self.counts["list_faults"] += len(news.faults)
         self.brain.machines_listed(now, news.listed, message.whole)
+        self._log_news(news)
         for name in news.closed:  # what has not left may not go there any more
             if link := self.links.get(name):
                 for case_name in list(link.queue):
@@ -60,6 +68,7 @@
                     self.actions.append(HangUp(name))
                     link.state = "down"
                 self._forget_machine(now, link)
+        self._resolve_stands(now, list_is_whole=False)
         if not self.peers.rolls:
             for name in news.fresh:
                 if link := self.links.get(name):
@@ -77,6 +86,37 @@
             if case.sent and case.sent_at < started:
                 self._gone(now, case, "lost")
 
+    def _log_news(self, news: News) -> None:
+        for name in news.fresh:
+            self._machine_event("listed", name)
+        for name in news.closed:
+            self._machine_event("closed", name, "gone" if name in news.gone else "draining")
+
+    def list_confirmed(self, now: int, as_of: int) -> None:
+        """The list was current at that moment: the service answered a call made then."""
+        self.currency.confirm(as_of)
+        if self.currency.is_current(now):
+            self._resolve_stands(now, list_is_whole=True)
+        self._tell_currency(now)
+
+    def list_doubted(self, now: int, doubt: Doubt) -> None:
+        """The list may no longer be taken for the present."""
+        self.currency.put_in_doubt(doubt)
+        self._tell_currency(now)
+
+    def _tell_currency(self, now: int) -> None:
+        """Tells the module and the log if the list has become current or stopped to be."""
+        current = self.currency.is_current(now)
+        if current is self.list_taken:
+            return
+        self.list_taken = current
+        self.brain.list_taken(now, current)
+        as_of, doubt = self.currency.confirmed_as_of, self.currency.doubt
+        self.events.append(
+            ListEvent(current, doubt.value if doubt else "confirmed", -1 if as_of is None else now - as_of)
+        )
+        self.counts["list_doubts"] += not current
+
     def list_failed(self, now: int) -> None:
         """The list service refused, was silent for too long, or its connection broke."""
         self.list_due = 0
@@ -133,7 +173,7 @@
         for name in list(link.queue):
             self._offer(now, self.cases[name])
         if link.machine in self.probes:
-            self._send_machine(link.machine, m.Probe(number=self.probes[link.machine][0]))
+            self._send_probe(now, link.machine)
 
     def _heard_lately(self, now: int, link: Link) -> bool:
         """Whether a machine that takes a new connection need not be asked if it is still there: it has said
@@ -226,7 +266,8 @@
             return
         if isinstance(message, m.Report):
             self.brain.machine_reported(now, machine, load(message.load))
-            if machine in self.probes and self.probes[machine][0] == message.number:
+            if machine in self.probes and self.probes[machine].number == message.number:
+                self._tested(now, link, message.well)
                 self._probe_over(now, machine, message.well)
             return
         if isinstance(message, m.Pressed):
@@ -384,7 +425,7 @@
             else:
                 self._offer(now, self.cases[name])
         if link.machine in self.probes:
-            self._send_machine(link.machine, m.Probe(number=self.probes[link.machine][0]))
+            self._send_probe(now, link.machine)
 
     def _never_arrived(self, now: int, case: Case) -> None:
         """A complete roll without it, in the life that it was sent to: it never arrived, and cannot any more.
@@ -423,6 +464,23 @@
         self.brain.guest_found(now, link.machine, self._ask(case, 0))
         self._fact(now, case, "placed")
 
+    def _send_probe(self, now: int, machine: str) -> None:
+        """A test that waited for its connection."""
+        probe = self.probes[machine] = self.probes[machine]._replace(sent_at=now)
+        self._send_machine(machine, m.Probe(number=probe.number))
+
+    def _tested(self, now: int, link: Link, well: bool) -> None:
+        """A machine answered a test. One that passed took work when the test was sent, or later."""
+        if well != bool(link.tested_at):
+            self._machine_event("test_passed" if well else "test_failed", link.machine)
+        link.tested_at = self.probes[link.machine].sent_at if well else 0
+        if not self.facts.tests_show_drains:
+            return
+        if well:
+            self.brain.machine_vouched(now, link.machine, link.tested_at + TEST_VALID)
+        else:
+            self.brain.machine_refuses(now, link.machine)
+
     # Silence.
 
     def _unheard(self, now: int, machine: str, since: int) -> None:
--- a/hazelhold/engine/machines.py
+++ b/hazelhold/engine/machines.py
@@ -40,6 +40,7 @@
     heard_at: int = 0  # its last word, on whatever connection
     opened_at: int = 0
     gone_at: int = 0  # when it was seen to have left the list with guests of ours; 0: it has not
+    tested_at: int = 0  # when the last test was sent that it passed; 0: none, or it has failed one since
     asked_at: int = 0  # when it was last asked for its silence
     unanswered: int = 0  # probes in a row with nothing heard since they were sent
     # Words on what stands there, with when they are let go: for the next connection, and written to this one
--- a/hazelhold/engine/owners.py
+++ b/hazelhold/engine/owners.py
@@ -3,6 +3,8 @@
 from hazelhold.config.planner import micros
 from hazelhold.engine.cases import Case
 from hazelhold.engine.dispatches import Dispatches
+from hazelhold.engine.permission import Denial, offer_denied
+from hazelhold.engine.tables import WaitingStand
 from hazelhold.interface import Earlier, Effect, Ending, Mode, Remark
 from hazelhold.protocol import messages as m
 
@@ -123,6 +125,9 @@
         """Its owner waits no longer, or ends what stands: no answer and no word of an end is owed. What is
         out or runs is taken back from its machine. False if the guest is not in hand."""
         case = self.newest.get(guest)
+        if case is None and guest in self.waiting_stands:
+            self.waiting_stands[guest] = self.waiting_stands[guest]._replace(ended=True)
+            return True
         if case is None:
             self.counts["left_unknown"] += 1
             return False
@@ -160,6 +165,10 @@
         if submit.product not in self.products:
             return "unknown_product"
         fellow = self.roster.fellows.get(machine)
+        if fellow is None and not self.currency.is_current(now):
+            self.counts["found_before_list"] += 1
+            self.waiting_stands[submit.guest] = WaitingStand(owner, machine, submit)
+            return ""
         if fellow is None:
             return "unknown_machine"
         if len(self.cases) >= self.limits.open_guests:
@@ -185,6 +194,23 @@
         link.heard_at = link.heard_at or now
         return ""
 
+    def _resolve_stands(self, now: int, list_is_whole: bool) -> None:
+        """Takes tasks that were handed over before the list knew their machines; `list_is_whole` if a machine
+        that it still lacks is gone."""
+        for guest, stand in list(self.waiting_stands.items()):
+            known = stand.machine in self.roster.fellows
+            if not known and not list_is_whole:
+                continue
+            del self.waiting_stands[guest]
+            if known and not (wrong := self.guest_stands(now, stand.owner, stand.machine, stand.submit)):
+                if stand.ended:
+                    self.owner_left(now, guest)
+                continue
+            self.counts["found_" + ("unknown_machine" if not known else wrong)] += 1
+            if not stand.ended:
+                ended = m.GuestEnded(guest=guest, how="lost", machine=stand.machine)
+                self._send_owner(stand.owner, ended)
+
     def stands(self, guest: str) -> bool:
         case = self.newest.get(guest)
         return case is not None and case.placed
@@ -198,20 +224,24 @@
         """How long the answer to an offer whose bytes have not left yet is waited for; 0 if it is not wanted
         any more, or its machine takes nothing any more."""
         case = self.newest.get(offer.guest)
-        if (
-            case is None
-            or case.placed
-            or not case.sent
-            or (case.ask, case.attempt) != (offer.ask, offer.attempt)
-        ):
+        if case is None or case.ask != offer.ask:
+            self.denials[Denial.OVER] += 1
             return 0
-        if case.cancelled:
+        product, fellow = self.facts.products[case.product], self.roster.fellows.get(case.machine)
+        vouched = self._vouched(now, case.machine)
+        if denial := offer_denied(now, case, offer.attempt, product, fellow, vouched):
+            self.denials[denial] += 1
+            self._task_event("held_back", case, denial.value)
             return 0
-        product = self.facts.products[case.product]
-        if case.ran_from and product.effect is Effect.TICKETED and now - case.ran_from >= product.window:
-            return 0  # it was decided in time, but its bytes did not leave
-        fellow = self.roster.fellows.get(case.machine)
-        return max(0, case.due_at - now) if fellow is not None and fellow.mode is Mode.READY else 0
+        return case.due_at - now
+
+    def offer_leaves(self, now: int, guest: str) -> None:
+        """The bytes of an offer that `time_left` allowed are about to be written."""
+        case = self.newest[guest]
+        vouched = self._vouched(now, case.machine)
+        effect = self.facts.products[case.product].effect
+        self._violated(self.monitor.attempt_leaves(case.name, case.machine, effect, vouched), case)
+        self._task_event("sent", case, self.currency.doubt.value if self.currency.doubt else "")
 
     def ready(self) -> bool:
         """Whether guests can be placed: some machine of the list takes them."""
--- /dev/null
+++ b/hazelhold/engine/permission.py
@@ -0,0 +1,83 @@
+"""The one place that decides whether something may be sent, repeated, started or closed now.
+
+It is asked at the last moment: when the bytes of an offer leave, when a request is taken, when a connection
+is to be closed. What was decided earlier, by whatever module, does not leave if what it rested on no longer
+holds. Decides only; no I/O and no state of its own.
+"""
+
+from enum import Enum
+
+from hazelhold.engine.cases import Case
+from hazelhold.engine.machines import Fellow
+from hazelhold.interface import Effect, Mode, Product
+
+TEST_VALID = 200_000
+"""Microseconds from the moment a test was sent for which its passing vouches for a machine: less than the
+grace of the settings, so that an offer may still leave if the machine was told to drain right after it."""
+
+
+class Denial(Enum):
+    """Why something may not be done now."""
+
+    OVER = "the task is answered or not in hand"
+    OTHER_ATTEMPT = "another attempt has taken its place"
+    CANCELLED = "its owner gave it up"
+    MAY_HAVE_RUN = "an earlier attempt may have run"
+    WINDOW_CLOSED = "the window for a repeat is over"
+    OUT_OF_TIME = "its time is up"
+    MACHINE_GONE = "its machine has left the list"
+    MACHINE_DRAINING = "its machine takes no work"
+    MACHINE_UNTESTED = "the list is not confirmed, and its machine has not passed a test"
+    STOPPING = "the planner stops"
+    IN_HAND = "a task of this name is in hand"
+    OWED = "answers are owed on the connection"
+
+
+def offer_denied(
+    now: int, case: Case | None, attempt: int, product: Product | None, fellow: Fellow | None, vouched: bool
+) -> Denial | None:
+    """Whether the bytes of an offer may leave. `case` is the task in hand under its name, `attempt` the
+    number that the offer carries, `vouched` whether the machine is known to take work at this moment."""
+    if case is None or case.placed:
+        return Denial.OVER
+    if not case.sent or case.attempt != attempt:
+        return Denial.OTHER_ATTEMPT
+    if case.cancelled:
+        return Denial.CANCELLED
+    if denial := repeat_denied(now, case, product):
+        return denial
+    if case.due_at <= now:
+        return Denial.OUT_OF_TIME
+    return machine_denied(fellow, vouched)
+
+
+def repeat_denied(now: int, case: Case, product: Product) -> Denial | None:
+    """Whether an attempt may follow those that were made."""
+    if not case.ran_from:
+        return None
+    if product.effect is Effect.EXCLUSIVE:
+        return Denial.MAY_HAVE_RUN
+    if product.effect is Effect.TICKETED and now - case.ran_from >= product.window:
+        return Denial.WINDOW_CLOSED
+    return None
+
+
+def machine_denied(fellow: Fellow | None, vouched: bool) -> Denial | None:
+    """Whether a machine may be sent new work."""
+    if fellow is None or fellow.mode is Mode.GONE:
+        return Denial.MACHINE_GONE
+    if fellow.mode is not Mode.READY:
+        return Denial.MACHINE_DRAINING
+    return None if vouched else Denial.MACHINE_UNTESTED
+
+
+def start_denied(stopping: bool, in_hand: bool) -> Denial | None:
+    """Whether a request may be taken."""
+    if in_hand:
+        return Denial.IN_HAND
+    return Denial.STOPPING if stopping else None
+
+
+def close_denied(open_requests: int) -> Denial | None:
+    """Whether a connection of owners may be closed by this side while its owner is there."""
+    return Denial.OWED if open_requests else None
--- a/hazelhold/engine/tables.py
+++ b/hazelhold/engine/tables.py
@@ -1,20 +1,44 @@
 """The tables of one engine, with what each empties and the small steps that every part of it takes."""
 
-from collections import Counter, OrderedDict
+from collections import Counter, OrderedDict, deque
 from heapq import heappush
 from random import Random
-from typing import Protocol
+from typing import NamedTuple, Protocol
 
 from hazelhold.brain import Brain
 from hazelhold.config.planner import PlannerConfig, micros
 from hazelhold.engine.advice import Advice
 from hazelhold.engine.cases import Action, Agree, Case, Claims, Dial, HangUp, Loose, Send
+from hazelhold.engine.events import Event, MachineEvent, RuleEvent, TaskEvent
+from hazelhold.engine.list_currency import ListCurrency
 from hazelhold.engine.machines import Fellow, Link, Roster
+from hazelhold.engine.monitor import RuleMonitor, Violation
+from hazelhold.engine.permission import TEST_VALID, Denial
 from hazelhold.engine.terms import Terms, terms_of
 from hazelhold.interface import Ask, Earlier, Effect
 from hazelhold.protocol import messages as m
 from hazelhold.state.images import Change
 
+EVENTS_KEPT = 4096
+"""Events that wait for a host that reads them; the oldest fall out."""
+
+
+class OutstandingProbe(NamedTuple):
+    """A test that a machine was asked for by a decision. Moments in microseconds."""
+
+    number: int
+    due: int
+    sent_at: int
+
+
+class WaitingStand(NamedTuple):
+    """A task that its owner says stands on a machine that is not known yet."""
+
+    owner: str
+    machine: str
+    submit: m.Submit
+    ended: bool = False  # its owner has ended it meanwhile: the machine is to stop it
+
 
 class Marks(Protocol):
     """Who is told of what changes here, if it is to outlive the process (`keep.Keeping`)."""
@@ -56,7 +80,7 @@
         self.overdue: list[tuple[int, str, int]] = []  # a heap of time-outs: moment, case, attempt
         self.list_version = 0
         self.list_due = 0  # by when the list service must have answered; 0: nothing is asked
-        self.probes: dict[str, tuple[int, int]] = {}  # machine: number and time-out of the probe that is out
+        self.probes: dict[str, OutstandingProbe] = {}  # by machine; emptied by its answer or time-out
         self.probe_number = 0
         self.unheard: set[str] = set()  # machines listed at the start that have not told what they hold
         self.list_heard = self.stopping = False
@@ -64,6 +88,13 @@
         self.claims: Claims | None = None  # set if offers that must not leave twice are agreed among planners
         self.sure = False  # all that this planner took in earlier lives is known
         self.kept_well = True  # what is sent is sure to be known after a crash
+        self.currency = ListCurrency(always=not self.facts.tests_show_drains)
+        self.list_taken = True  # what the module was last told of the list: whether it is current
+        self.monitor = RuleMonitor(self.facts.max_dispatches)
+        # Tasks handed over on machines that the list lacks while it is not confirmed, by name; see handover.
+        self.waiting_stands: dict[str, WaitingStand] = {}  # emptied by the list, the owner and the task's end
+        self.denials: Counter[Denial] = Counter()  # what the last check kept back, by reason
+        self.events: deque[Event] = deque(maxlen=EVENTS_KEPT)  # for the host's log, emptied by it
         self.more = False  # the last pump ended at its limit
         self.advice = Advice(
             micros(self.limits.again_least_ms), micros(self.limits.again_most_ms), Random(f"advice/{seed}")
@@ -134,8 +165,29 @@
             link.holds.pop(case.name, None)
             link.queue.pop(case.name, None)
 
+    # What is told to the log, and what is checked at run time.
+
+    def _task_event(self, change: str, case: Case, reason: str = "") -> None:
+        self.events.append(TaskEvent(change, case.guest, case.attempt, case.machine, reason))
+
+    def _machine_event(self, change: str, machine: str, reason: str = "") -> None:
+        self.events.append(MachineEvent(change, machine, reason))
+
+    def _violated(self, found: list[Violation], case: Case) -> None:
+        for each in found:
+            self.counts["rule_violations"] += 1
+            self.events.append(RuleEvent(each.value, case.guest, case.machine))
+
+    def _vouched(self, now: int, machine: str) -> bool:
+        """Whether a machine that the list shows as ready may be taken to be so at this moment."""
+        if self.currency.is_current(now):
+            return True
+        link = self.links.get(machine)
+        return link is not None and bool(link.tested_at) and now - link.tested_at < TEST_VALID
+
     def _forget(self, case: Case) -> None:
         self.cases.pop(case.name, None)
+        self.monitor.forget(case.name)
         self._mark("guest", case.name)
         if self.newest.get(case.guest) is case:
             del self.newest[case.guest]
--- a/hazelhold/platform/configuration.py
+++ b/hazelhold/platform/configuration.py
@@ -17,7 +17,14 @@
 from hazelhold.interface import Deployment
 from hazelhold.simhost import Pairs, WireError, read_deployment
 
-PLATFORM = Peers(rolls=False, names_attempts=False, asks_again=False, hears_held=False, advised=False)
+PLATFORM = Peers(
+    rolls=False,
+    names_attempts=False,
+    asks_again=False,
+    hears_held=False,
+    advised=False,
+    list_confirms=True,
+)
 AT_ONCE = 8  # decisions before peers are read again: of up to some 10 ms each, within a drain's 250 ms grace
 WIDEST = 1e12  # a setting past this is none
 LOST_AFTER_MS = 3500.0  # a machine out of reach so long has lost what stood there; owners must hear in 8 s
@@ -145,7 +152,9 @@
     pairs.values = flat(settings)
     if settings:
         try:
-            facts = read_deployment(pairs)._replace(dispatches_named=PLATFORM.names_attempts)
+            facts = read_deployment(pairs)._replace(
+                dispatches_named=PLATFORM.names_attempts, tests_show_drains=PLATFORM.list_confirms
+            )
         except (WireError, ValueError, OverflowError) as wrong:
             faults.append(("settings", str(wrong)))
         else:
--- a/hazelhold/platform/machine_links.py
+++ b/hazelhold/platform/machine_links.py
@@ -157,7 +157,9 @@
         if left and offer.guest in self.fences:
             self.counts["offers_behind"] += 1
             return -1
-        if not left:
+        if left:
+            self.engine.offer_leaves(now, offer.guest)
+        else:
             self.counts["offers_held_back"] += 1
             self.engine.offer_held_back(now, offer)
             self.stir()
--- a/hazelhold/platform/planner.py
+++ b/hazelhold/platform/planner.py
@@ -15,10 +15,13 @@
 from hazelhold.config.load import ConfigError
 from hazelhold.engine.cases import Action, AskList, Dial, HangUp, Lost, Send
 from hazelhold.engine.engine import Engine
+from hazelhold.engine.list_currency import Doubt
+from hazelhold.interface import Mode
 from hazelhold.platform import words
 from hazelhold.platform.beliefs import machine_beliefs
 from hazelhold.platform.configuration import Start, read_start
 from hazelhold.platform.discovery import DiscoveryError, Follower
+from hazelhold.platform.logbook import Logbook
 from hazelhold.platform.machine_links import MachineLinks
 from hazelhold.platform.owner_door import OwnerDoor
 from hazelhold.protocol import messages as m
@@ -63,8 +66,15 @@
         self.links = MachineLinks(net, self.engine, self.counts, self.log, self._progress, self.ticker.stir)
         self.zones = dict(start.zones)  # numbers by name; grows with zones that the list names
         self.follower = Follower(
-            net, start.bulletin, start.known, self._event, self._hear_discovery, self._discovery_failed
+            net,
+            start.bulletin,
+            start.known,
+            self._event,
+            self._discovery_answered,
+            self._discovery_late,
+            self._discovery_failed,
         )
+        self.logbook = Logbook(self.log, self.engine)
         self.reloads = 0  # signals to read the file again
         self.closing = False  # machines are not dialled any more
         self.stop_asked, self.ended = trio.Event(), trio.Event()
@@ -97,6 +107,8 @@
             self.log.info(
                 "up",
                 address=self.address,
+                known=self.start.known.no,
+                ready=sum(fellow.mode is Mode.READY for fellow in self.engine.roster.fellows.values()),
                 machines=len(self.engine.roster.fellows),
                 sockets=self.start.bounds.sockets,
                 memory_mb=self.start.bounds.memory_mb,
@@ -149,6 +161,7 @@
             items = []  # what is missing comes from the bulletin itself
         if items:  # the file alone does not show that the list is still heard
             self._hear_discovery(items)
+        self.engine.list_doubted(self.net.now(), Doubt.MOVED)  # the old address tells nothing any more
         self.follower.move(fresh.bulletin)
         return ""
 
@@ -179,7 +192,11 @@
             while any(peer.unsent() for peer in self.door.peers.values()):
                 await trio.sleep(0.01)
         await trio.sleep(0.02)
-        self.log.info("stopped", unanswered=self.engine.unanswered(), **self.counts, **self.engine.counts)
+        self.log.info("stopped", unanswered=self.engine.unanswered(), **self.all_counts())
+
+    def all_counts(self) -> Counter[str]:
+        """The counters of connections and of the engine; what both count under one name is summed."""
+        return self.counts + self.engine.counts
 
     def _work(self, now: int) -> None:
         """One pump, of as many decisions as fit into a turn by what the last ones took."""
@@ -200,6 +217,7 @@
             actions, self.engine.actions = self.engine.actions, []
             for action in actions:
                 self._do(action)
+        self.logbook.write()
 
     def _do(self, action: Action) -> None:
         if isinstance(action, Send):
@@ -240,9 +258,26 @@
             self.engine.list_said(now, listing)
         self._progress()
 
+    def _discovery_answered(self, listings: list[m.Listing], age: float, confirms: bool) -> None:
+        """An answer to a call made `age` seconds ago. One that is late, or of which some could not be read,
+        shows what came and not that nothing else did: it does not confirm the list."""
+        self.counts["discovery_answers"] += 1
+        self._hear_discovery(listings)
+        if confirms:
+            now = self.net.now()
+            self.engine.list_confirmed(now, now - round(age * 1e6))
+            self._progress()
+
+    def _discovery_late(self) -> None:
+        self.counts["discovery_late"] += 1
+        self.engine.list_doubted(self.net.now(), Doubt.LATE)
+        self.ticker.stir()
+
     def _discovery_failed(self) -> None:
         self.counts["discovery_failures"] += 1
-        self.engine.list_failed(self.net.now())
+        now = self.net.now()
+        self.engine.list_doubted(now, Doubt.FAILED)
+        self.engine.list_failed(now)
         self.ticker.stir()
 
     # Each second.
@@ -251,6 +286,7 @@
         while True:
             await trio.sleep(1.0)
             self.door.releases.drop_overdue()
+            self.logbook.write_counts(self.all_counts())
             if self.log.is_enabled_for(logging.DEBUG):
                 self._tell_beliefs()
 
--- a/hazelhold/service/net.py
+++ b/hazelhold/service/net.py
@@ -3,6 +3,7 @@
 Both give trio streams and one clock in whole microseconds. Everything above is the same on either.
 """
 
+import errno
 import socket
 import time
 from collections import deque
@@ -32,6 +33,12 @@
     def close(self) -> None: ...
 
 
+SHORTAGES = frozenset((errno.ENFILE, errno.EMFILE, errno.ENOBUFS, errno.ENOMEM, errno.EAGAIN))
+"""Errors of system calls for want of something that others may give back."""
+
+RETRY = 0.05  # seconds after a shortage
+LISTEN_TRIES = 20.0  # seconds for which a listening socket is tried to be had
+BACKLOG = 2048  # connections that wait to be accepted
 AT_ONCE = 256  # datagrams taken before others in the process have their turn
 ACCEPTED = 64  # connections taken before others in the process have their turn
 DATAGRAM = 2048  # bytes read of one: more than any planner sends
@@ -152,6 +159,20 @@
                     await trio.sleep(0.1)
 
 
+async def _listener(address: tuple[str, int], family: int) -> socket.socket:
+    """A listening socket. Shortages of the system pass, so it is tried again for some seconds; OSError if it
+    cannot be had, at once if the address is wrong or taken."""
+    tried_until = trio.current_time() + LISTEN_TRIES
+    while True:
+        try:
+            return socket.create_server(address, family=family, backlog=BACKLOG)
+        except OSError as wrong:
+            if wrong.errno not in SHORTAGES or trio.current_time() >= tried_until:
+                raise
+            structlog.get_logger().warning("listen_put_off", reason=str(wrong))
+            await trio.sleep(RETRY)
+
+
 class TcpNet:
     """TCP, and UDP between planners. The clock is the host's monotonic one, so that all processes of a
     rehearsal share it."""
@@ -176,7 +197,7 @@
         await trio.lowlevel.checkpoint()
         host, port = split_address(address)
         family = socket.AF_INET6 if ":" in host else socket.AF_INET
-        listener = socket.create_server((host, port), family=family, backlog=2048)
+        listener = await _listener((host, port), family)
         bound = listener.getsockname()
         nursery.start_soon(serve, listener, handler, at_once)
         return f"{bound[0]}:{bound[1]}"
--- a/hazelhold/state/snapshot.py
+++ b/hazelhold/state/snapshot.py
@@ -13,7 +13,16 @@
 from hazelhold.interface import Ask, Deployment, Earlier, Listed, Mode, Place
 
 LONG_AGO = -(10**15)  # of moments that never were; not shifted
-MACHINE_TIMES = ("listed_at", "cold_at", "reported_at", "heard_at", "probed_at", "drawn_at", "avoid_until")
+MACHINE_TIMES = (
+    "listed_at",
+    "cold_at",
+    "reported_at",
+    "heard_at",
+    "probed_at",
+    "drawn_at",
+    "avoid_until",
+    "vouched_until",
+)
 MACHINE_PLAIN = (
     "slow",
     "ready",
@@ -26,6 +35,8 @@
     "most",
     "strikes",
     "mute",
+    "refuses",
+    "testing",
 )
 GUEST_TIMES = (
     "goal_at",
@@ -63,7 +74,7 @@
     "probe_at",
     "list_heard_at",
 )
-BRAIN_PLAIN = ("seen", "typical", "list_version", "kept_well")
+BRAIN_PLAIN = ("seen", "typical", "list_version", "kept_well", "list_current")
 
 
 def dump(brain: Brain) -> dict[str, Any]:
@@ -81,6 +92,7 @@
         "starts": [[*key, list(times)] for key, times in brain.starts.items()],
         "answers": [[key, list(times)] for key, times in brain.answers.items()],
         "to_probe": [m.listed.machine for m in brain.to_probe],
+        "to_test": [m.listed.machine for m in brain.to_test],
         "to_call_off": [list(pair) for pair in brain.to_call_off],
         **{name: getattr(brain, name) for name in (*BRAIN_TIMES, *BRAIN_PLAIN)},
     }
@@ -124,6 +136,7 @@
     for name in BRAIN_TIMES:
         setattr(brain, name, moved(data.get(name, 0)))  # older snapshots have no `began`
     brain.seen, brain.list_version = list(data["seen"]), data["list_version"]
+    brain.list_current = data.get("list_current", True)
     brain.kept_well, brain.typical = data["kept_well"], data["typical"]
     for name, samples, seen in data["services"]:
         service = brain.services[name] = Service()
@@ -146,6 +159,7 @@
     for product, times in data["answers"]:
         brain.answers[product].extend(times)
     brain.to_probe = [brain.machines[name] for name in data["to_probe"]]
+    brain.to_test = [brain.machines[name] for name in data.get("to_test", ())]
     brain.to_call_off = deque((guest, machine) for guest, machine in data["to_call_off"])
     return brain
 
@@ -157,9 +171,9 @@
     kind = brain.deployment.kinds[listed.kind]
     machine = brain.machines[listed.machine] = Machine(listed, kind._make(plain["size"]), 0)
     for name in MACHINE_TIMES:
-        setattr(machine, name, moved(plain[name]))
+        setattr(machine, name, moved(plain.get(name, 0)))  # older snapshots have no `vouched_until`
     for name in MACHINE_PLAIN:
-        value = plain[name]
+        value = plain.get(name, False)  # nor `refuses` and `testing`
         setattr(machine, name, tuple(value) if isinstance(value, list) and name != "sums" else value)
     if machine.sums is not None:
         machine.sums = tuple(list(axis) for axis in machine.sums)
--- a/tests/test_state_snapshot.py
+++ b/tests/test_state_snapshot.py
@@ -29,6 +29,7 @@
         "answers",
         "random",
         "to_probe",
+        "to_test",
         "to_call_off",
         "out",
         "due",
