Soak finds: a new server at an old address, requests read late, the wall clock, shortages

Change: such tasks move to the server that the list names with that address (engine/links.py, _inherit, _identify); the time that a request waited to be read, by the loop's own clock and by failed accepts, is taken off its deadline (platform/arrival.py); the wall clock is read once and carried on by the monotonic one; failed accepts are tried again after 50 ms, not 100.

--- a/hazelhold/engine/links.py
+++ b/hazelhold/engine/links.py
@@ -7,7 +7,7 @@
 from hazelhold.engine.dispatches import CROSSED, Dispatches
 from hazelhold.engine.events import ListEvent
 from hazelhold.engine.list_currency import Doubt
-from hazelhold.engine.machines import Link, News
+from hazelhold.engine.machines import Fellow, Link, News
 from hazelhold.engine.permission import TEST_VALID
 from hazelhold.interface import Ending, Load, Remark
 from hazelhold.protocol import messages as m
@@ -31,6 +31,13 @@
 }
 
 
+GONE_WITHIN = 1_000_000
+"""Microseconds after a machine left the list at which what stood there is lost."""
+
+HEIR_WITHIN = 4_000_000
+"""The same where the connection may be to another machine that has its address, which the list still owes."""
+
+
 class Links(Dispatches):
     """The machines' side of an engine."""
 
@@ -59,10 +66,14 @@
             if name in self.links:
                 self.actions.append(HangUp(name))
                 self._link_lost(now, self.links[name])
+        inherited = self._inherit(now, news)
         for name in news.gone:
             self.unheard.discard(name)
             if (link := self.links.get(name)) and (
-                not link.state == "up" or not self.peers.rolls and not link.holds
+                not link.state == "up"
+                and not self._awaits_heir(link)
+                or not self.peers.rolls
+                and not link.holds
             ):
                 if link.state == "up":
                     self.actions.append(HangUp(name))
@@ -71,7 +82,7 @@
         self._resolve_stands(now, list_is_whole=False)
         if not self.peers.rolls:
             for name in news.fresh:
-                if link := self.links.get(name):
+                if (link := self.links.get(name)) and link.machine not in inherited:
                     self._new_life(now, link, self.roster.fellows[name].started)
             return
         if first:
@@ -86,6 +97,47 @@
             if case.sent and case.sent_at < started:
                 self._gone(now, case, "lost")
 
+    def _inherit(self, now: int, news: News) -> set[str]:
+        """Machines have left the list or come to it. What was sent on a connection that was opened while the
+        list was in doubt came to whoever had that address by then, and stands there. Returns the machines
+        that have got such tasks."""
+        inherited = set()
+        for name in news.gone:
+            link = self.links.get(name)
+            if link is None or not self._awaits_heir(link):
+                continue
+            self.orphans[link.address] = name
+            for fellow in self.roster.fellows.values():
+                if fellow.address == link.address:
+                    self._move_tasks(now, link, fellow)
+                    inherited.add(fellow.name)
+        for name in news.fresh:
+            fellow = self.roster.fellows.get(name)
+            if fellow is not None and (orphan := self.links.get(self.orphans.get(fellow.address, ""))):
+                self._move_tasks(now, orphan, fellow)
+                inherited.add(fellow.name)
+        return inherited
+
+    def _awaits_heir(self, link: Link) -> bool:
+        """Whether a task there may stand at another machine, which the list will name with this address."""
+        return any(self.cases[name].placed and self.cases[name].sent_in_doubt for name in link.holds)
+
+    def _move_tasks(self, now: int, link: Link, heir: Fellow) -> None:
+        """What was sent in doubt to this address stands at the machine that has it now."""
+        self.orphans.pop(link.address, None)
+        link.heir = heir.name
+        for case in [self.cases[name] for name in link.holds]:
+            if not case.placed or not case.sent_in_doubt:
+                continue
+            self._unhold(case)
+            case.machine = heir.name
+            self._hold(case)
+            self.brain.guest_found(now, heir.name, self._ask(case, 0))
+            self._task_event("moved", case, f"from {link.machine}, whose address it has")
+            self.counts["tasks_inherited"] += 1
+        new = self._dial(now, heir)
+        new.heard_at = new.heard_at or now
+
     def _log_news(self, news: News) -> None:
         for name in news.fresh:
             self._machine_event("listed", name)
@@ -97,8 +149,21 @@
         self.currency.confirm(as_of)
         if self.currency.is_current(now):
             self._resolve_stands(now, list_is_whole=True)
+            self._identify(as_of)
         self._tell_currency(now)
 
+    def _identify(self, as_of: int) -> None:
+        """Connections that were opened in doubt are to the machines that the list still shows there since."""
+        for name in list(self.links_in_doubt):
+            link = self.links.get(name)
+            if link is not None and link.opened_at > as_of:
+                continue
+            del self.links_in_doubt[name]
+            if link is not None and name in self.roster.fellows:
+                link.opened_in_doubt = False
+                for each in link.holds:
+                    self.cases[each].sent_in_doubt = False
+
     def list_doubted(self, now: int, doubt: Doubt) -> None:
         """The list may no longer be taken for the present."""
         self.currency.put_in_doubt(doubt)
@@ -158,6 +223,9 @@
         """A connection stands to a machine that tells nothing of what it holds."""
         link.state, link.rolled, link.dial_at = "up", True, 0
         link.used_at = link.opened_at = now
+        link.opened_in_doubt = not self.currency.is_current(now)
+        if link.opened_in_doubt:
+            self.links_in_doubt[link.machine] = None
         if link.lost_at and self._heard_lately(now, link):
             link.lost_at = 0
         link.heard_at = link.heard_at or now
@@ -219,7 +287,7 @@
                 case = self.cases[name]
                 if case.sent and not case.placed:
                     self._ended(now, case, Ending.CUT_OFF, Remark.NONE)
-        if not self.peers.rolls and link.machine not in self.roster.fellows:
+        if not self.peers.rolls and link.machine not in self.roster.fellows and not self._awaits_heir(link):
             self._forget_machine(now, link)  # it has left the list, and its connection with it
             return
         keep = now + micros(self.limits.keep_answers_ms)
@@ -246,6 +314,8 @@
             for guest in [g for g, by in self.loose.items() if link.machine in by]:
                 self._settled(guest, link.machine)
             del self.links[link.machine]
+            if self.orphans.get(link.address) == link.machine:
+                del self.orphans[link.address]
 
     def _drop_queue(self, now: int, link: Link) -> None:
         for name in list(link.queue):
@@ -261,6 +331,7 @@
         link.heard_at, link.unanswered = now, 0
         if not self.peers.rolls:
             link.lost_at = 0
+            machine = link.heir or machine
         if isinstance(message, m.Running):
             self._rolled(now, link, message)
             return
@@ -508,7 +579,7 @@
             return
         if link.machine not in self.roster.fellows:
             link.gone_at = link.gone_at or now
-            if now - link.gone_at < 1_000_000:
+            if now - link.gone_at < (HEIR_WITHIN if self._awaits_heir(link) else GONE_WITHIN):
                 return
         elif not link.lost_at or now - link.heard_at < micros(self.limits.lost_ms):
             if link.state == "down" and not link.lost_at and now - link.heard_at > silent:
--- a/hazelhold/engine/machines.py
+++ b/hazelhold/engine/machines.py
@@ -39,6 +39,9 @@
     used_at: int = 0
     heard_at: int = 0  # its last word, on whatever connection
     opened_at: int = 0
+    address: str = ""  # that was dialled last
+    heir: str = ""  # the machine that has its address now, and that speaks on this connection
+    opened_in_doubt: bool = False  # the list was not confirmed then: another machine may have its address
     gone_at: int = 0  # when it was seen to have left the list with guests of ours; 0: it has not
     tested_at: int = 0  # when the last test was sent that it passed; 0: none, or it has failed one since
     asked_at: int = 0  # when it was last asked for its silence
--- a/hazelhold/engine/owners.py
+++ b/hazelhold/engine/owners.py
@@ -3,6 +3,7 @@
 from hazelhold.config.planner import micros
 from hazelhold.engine.cases import Case
 from hazelhold.engine.dispatches import Dispatches
+from hazelhold.engine.events import TaskEvent
 from hazelhold.engine.permission import Denial, offer_denied
 from hazelhold.engine.tables import WaitingStand
 from hazelhold.interface import Earlier, Effect, Ending, Mode, Remark
@@ -167,6 +168,9 @@
         fellow = self.roster.fellows.get(machine)
         if fellow is None and not self.currency.is_current(now):
             self.counts["found_before_list"] += 1
+            self.events.append(
+                TaskEvent("handed_over", submit.guest, 0, machine, "its machine is not listed yet")
+            )
             self.waiting_stands[submit.guest] = WaitingStand(owner, machine, submit)
             return ""
         if fellow is None:
@@ -189,6 +193,7 @@
         )
         self.cases[case.name] = self.newest[case.guest] = case
         self._hold(case)
+        self._task_event("handed_over", case)
         self.brain.guest_found(now, machine, self._ask(case, submit.patience))
         link = self._dial(now, fellow)
         link.heard_at = link.heard_at or now
--- a/hazelhold/engine/tables.py
+++ b/hazelhold/engine/tables.py
@@ -93,6 +93,10 @@
         self.monitor = RuleMonitor(self.facts.max_dispatches)
         # Tasks handed over on machines that the list lacks while it is not confirmed, by name; see handover.
         self.waiting_stands: dict[str, WaitingStand] = {}  # emptied by the list, the owner and the task's end
+        # Links with tasks to machines that have left the list, by address, where another may have taken their
+        # place before the connection was opened; emptied as links are forgotten.
+        self.orphans: dict[str, str] = {}
+        self.links_in_doubt: dict[str, None] = {}  # opened so; emptied by the next confirmation
         self.denials: Counter[Denial] = Counter()  # what the last check kept back, by reason
         self.events: deque[Event] = deque(maxlen=EVENTS_KEPT)  # for the host's log, emptied by it
         self.more = False  # the last pump ended at its limit
@@ -235,7 +239,7 @@
         if link.state == "down" and not self._room_for_link():
             link.dial_at = now + 100_000  # what waits for it stays here, and is tried again or ends unsent
         elif link.state == "down":
-            link.state, link.dial_at = "dialling", 0
+            link.state, link.dial_at, link.address = "dialling", 0, fellow.address
             link.dial_due = now + micros(self.limits.connect_ms)
             self.actions.append(Dial(fellow.name, fellow.address, micros(self.limits.connect_ms)))
         return link
--- a/hazelhold/platform/discovery.py
+++ b/hazelhold/platform/discovery.py
@@ -2,8 +2,8 @@
 
 What the bulletin tells counts as told whether or not this planner hears it, so two things are kept apart:
 which events came, in their order, and as of when the list is known to be current. A call that is late puts
-the list in doubt at once. It is not given up for that: the next call is made beside it on a new connection, so
-that a bulletin whose answers take seconds is heard all the same.
+the list in doubt at once. It is not given up for that: the next call is made beside it on a new connection,
+so that a bulletin whose answers take seconds is heard all the same.
 """
 
 from collections.abc import Callable, Iterator
--- a/hazelhold/platform/owner_door.py
+++ b/hazelhold/platform/owner_door.py
@@ -9,9 +9,11 @@
 
 import structlog
 import trio
+from msgspec.structs import replace
 
 from hazelhold.engine.engine import Engine
 from hazelhold.platform import words
+from hazelhold.platform.arrival import LoopClock
 from hazelhold.platform.codec import END, HEARD, SET_UP, TEST, BinaryMessage, CodecError
 from hazelhold.platform.eviction import eviction_order, is_stuck
 from hazelhold.platform.peer import OwnerPeer
@@ -21,6 +23,7 @@
 
 FIRST_MESSAGE = 2.0  # seconds to a first message that can be used, and to the rest of one that has begun
 EARLY_END, EARLY_ENDS = 2.0, 4096  # seconds for which an end waits for its set-up, and how many do
+READ_LATE = 0.1  # seconds that a request may have waited to be read before it is counted
 LOOKS = 16  # idle connections that are asked for unread bytes before a new one is refused
 
 
@@ -47,6 +50,7 @@
         self.peers: dict[str, OwnerPeer] = {}  # by name; emptied as connections end
         self.accepted = 0  # connections so far
         self.releases = Releases(self.peers, counts)
+        self.loop_clock = LoopClock()
         self.early: OrderedDict[str, float] = OrderedDict()  # ends without a set-up; emptied by age
 
     # Connections.
@@ -92,6 +96,7 @@
                         break
                     if not peer.closing or binary.type == END:  # to one that cannot be told, nothing is begun
                         self._said(peer, binary)
+                peer.accept_delay = 0.0
                 self._set_deadline(peer)
         except CodecError as wrong:
             self._fault(peer, wrong)
@@ -245,7 +250,14 @@
             if binary.id not in self.engine.newest:
                 peer.open[binary.id] = None
             peer.good = True
-            self.engine.owner_said(now, peer.name, submit)
+            self.engine.owner_said(now, peer.name, self._since_sent(peer, submit))
+
+    def _since_sent(self, peer: OwnerPeer, submit: m.Submit) -> m.Submit:
+        """The request with what its client has left: its time has run since it was sent, not since it was
+        read."""
+        waited = peer.accept_delay + self.loop_clock.waited()
+        self.counts["requests_read_late"] += waited > READ_LATE
+        return replace(submit, patience=max(0, submit.patience - round(waited * 1e6)))
 
     def _unusable(self, peer: OwnerPeer, task: str, wrong: words.BadAskError | CodecError) -> None:
         """Answers a set-up that cannot be read."""
--- a/hazelhold/platform/peer.py
+++ b/hazelhold/platform/peer.py
@@ -7,6 +7,7 @@
 
 import trio
 
+from hazelhold.platform.arrival import accept_delay
 from hazelhold.platform.codec import BinaryMessage, BinaryReader, LineReader, encode_binary, encode_line
 from hazelhold.platform.words import to_machine
 from hazelhold.protocol import messages as m
@@ -66,6 +67,7 @@
         self.reader = BinaryReader()
         self.name, self.came_at, self.used_at = name, at, at
         self.open: dict[str, None] = {}  # emptied by answers, give-ups and the connection's end
+        self.accept_delay = accept_delay(stream)  # seconds; 0 from the second read on
         self.good = False  # it sent something that can be used
         self.told = False  # it was sent something
         self.proven = False  # a task of it was placed
--- a/hazelhold/platform/planner.py
+++ b/hazelhold/platform/planner.py
@@ -87,6 +87,7 @@
     async def run(self, task_status: trio.TaskStatus = trio.TASK_STATUS_IGNORED) -> None:
         async with trio.open_nursery() as nursery:
             self.nursery = self.links.nursery = nursery
+            trio.lowlevel.add_instrument(self.door.loop_clock)
             for item in self.start.known.items:
                 try:
                     self._hear_discovery([self._event(item)])
--- a/hazelhold/service/net.py
+++ b/hazelhold/service/net.py
@@ -37,6 +37,7 @@
 """Errors of system calls for want of something that others may give back."""
 
 RETRY = 0.05  # seconds after a shortage
+ACCEPT_AGAIN = 0.05  # seconds after a connection could not be accepted
 LISTEN_TRIES = 20.0  # seconds for which a listening socket is tried to be had
 BACKLOG = 2048  # connections that wait to be accepted
 AT_ONCE = 256  # datagrams taken before others in the process have their turn
@@ -138,7 +139,10 @@
     behind hundreds of silent ones for as many turns. Without descriptors it waits a little."""
     listener.setblocking(False)
 
-    async def run(stream: trio.SocketStream) -> None:
+    blocked_since: float | None = None  # since when nothing could be accepted
+
+    async def run(stream: trio.SocketStream, delay: float) -> None:
+        stream.hazelhold_accept_delay = delay
         try:
             await handler(stream)
         finally:
@@ -151,12 +155,17 @@
                 try:
                     for _ in range(at_once):
                         peer = listener.accept()[0]
-                        nursery.start_soon(run, trio.SocketStream(trio.socket.from_stdlib_socket(peer)))
-                except (BlockingIOError, ConnectionAbortedError):
+                        delay = 0.0 if blocked_since is None else trio.current_time() - blocked_since
+                        stream = trio.SocketStream(trio.socket.from_stdlib_socket(peer))
+                        nursery.start_soon(run, stream, delay)
+                except BlockingIOError:
+                    blocked_since = None
+                except ConnectionAbortedError:
                     pass
                 except OSError as wrong:
+                    blocked_since = trio.current_time() if blocked_since is None else blocked_since
                     structlog.get_logger().warning("accept_put_off", reason=str(wrong))
-                    await trio.sleep(0.1)
+                    await trio.sleep(ACCEPT_AGAIN)
 
 
 async def _listener(address: tuple[str, int], family: int) -> socket.socket:
@@ -180,9 +189,17 @@
     def now(self) -> int:
         return time.monotonic_ns() // 1000
 
+    def __init__(self) -> None:
+        self.wall_offset = time.time_ns() - time.monotonic_ns()
+
     def wall(self) -> int:
-        """Microseconds of the wall clock, for what outlives the process."""
-        return time.time_ns() // 1000
+        """Unix time in microseconds, for what outlives the process. It is the wall clock as it stood when the
+        process began, carried on by the monotonic clock: a step of it since then changes nothing."""
+        return (time.monotonic_ns() + self.wall_offset) // 1000
+
+    def wall_stepped(self) -> float:
+        """Seconds by which the wall clock was stepped since the process began; positive if forward."""
+        return (time.time_ns() - time.monotonic_ns() - self.wall_offset) / 1e9
 
     async def dial(self, address: str) -> trio.abc.Stream:
         host, port = split_address(address)
--- a/tests/faults/record.py
+++ b/tests/faults/record.py
@@ -33,6 +33,7 @@
     sent_at: float
     patience: float  # seconds
     handed_over: bool = False
+    connection: int = 0  # the client's port
     closed_at: float | None = None  # when the client stopped to wait, or its planner died
     closed: Closed | None = None
     connection_ended_at: float | None = None  # by the planner's side
@@ -110,6 +111,7 @@
     lags: list[tuple[float, float]] = field(
         default_factory=list
     )  # when the stand-ins were late, and how much
+    broken_connections: set[int] = field(default_factory=set)  # client ports of those that a shim broke
     notes: list[str] = field(default_factory=list)  # faults as they were begun
 
     def note(self, text: str) -> None:
--- a/tests/faults/shim/sitecustomize.py
+++ b/tests/faults/shim/sitecustomize.py
@@ -54,6 +54,7 @@
     def fail_broken(opened: socket.socket, number: int) -> None:
         """A connection that failed once stays broken."""
         with contextlib.suppress(OSError):
+            os.write(2, b"SHIM_BROKE %d %d\n" % (opened.getsockname()[1], opened.getpeername()[1]))
             opened.shutdown(socket.SHUT_RDWR)
         fail(number)
 
@@ -73,11 +74,15 @@
         return real_connect(self, address)
 
     def recv(self, size: int, *flags: int) -> bytes:  # noqa: ANN001
+        if self.family != socket.AF_INET:
+            return real_recv(self, size, *flags)
         if number := plan.error("recv"):
             fail_broken(self, number)
         return real_recv(self, 1 + plan.random.randrange(40) if plan.is_short("recv") else size, *flags)
 
     def send(self, data: bytes, *flags: int) -> int:  # noqa: ANN001
+        if self.family != socket.AF_INET:
+            return real_send(self, data, *flags)
         if number := plan.error("send"):
             fail_broken(self, number)
         if plan.is_short("send"):
