--- a/hazelhold/engine/links.py
+++ b/hazelhold/engine/links.py
@@ -57,7 +57,8 @@
         self.counts["list_entries"] += len(message.entries)
         self.counts["list_faults"] += len(news.faults)
         self.brain.machines_listed(now, news.listed, message.whole)
-        self._log_news(news)
+        if not first:  # the whole list of a start is one line, at the start
+            self._log_news(news)
         for name in news.closed:  # what has not left may not go there any more
             if link := self.links.get(name):
                 for case_name in list(link.queue):
