An end that comes before the list knows its server is told at once

The wrong lines: Links._heard_loose kept it for a hand-over that was already there. Checked: platform, crossings, engine, service tests.

--- a/hazelhold/engine/links.py
+++ b/hazelhold/engine/links.py
@@ -426,6 +426,12 @@
         """News of a dispatch that was given up."""
         loose = self.loose.get(message.guest, {}).get(machine)
         if loose is None or loose.case.ask != message.ask:
+            if isinstance(message, m.Ended) and (stand := self.waiting_stands.pop(message.guest, None)):
+                self.counts["found_ended"] += 1
+                if not stand.ended:
+                    told = m.GuestEnded(guest=message.guest, how=message.how, machine=stand.machine)
+                    self._send_owner(stand.owner, told)
+                return
             self.counts["stray_messages"] += 1
             if isinstance(message, m.Ended) and not self.peers.asks_again:
                 self._keep_end(now, message.guest, message.how)
