--- a/hazelhold/cli/state.py
+++ b/hazelhold/cli/state.py
@@ -2,7 +2,6 @@
 
 import json
 import sys
-import time
 from pathlib import Path
 from typing import Any
 
@@ -11,6 +10,7 @@
 
 from hazelhold.cli.errors import report_errors
 from hazelhold.state import store
+from hazelhold.state.clock import lasting_now
 from hazelhold.state.disk import RealDisk
 from hazelhold.state.images import KINDS
 
@@ -46,7 +46,7 @@
 def show(folder: Path, many: int) -> None:
     """What is kept: counts, damage, and the guests."""
     found = _read(folder)
-    found.ledger.expire(time.time_ns() // 1000)
+    found.ledger.expire(lasting_now(folder))
     owner = RealDisk(folder).owner().strip()
     click.echo(f"{folder}: generation {found.generation}, last used by {owner or 'nobody'}")
     click.echo("  " + ", ".join(f"{kind} {count}" for kind, count in found.ledger.sizes().items()))
@@ -54,7 +54,7 @@
         click.echo(f"  {note}")
     if not found.complete:
         click.echo("  something that a peer may have seen can be missing")
-    now = time.time_ns() // 1000
+    now = lasting_now(folder)
     for image in list(found.ledger.images("guest"))[:many]:
         where = (
             f"runs on {image.machine}"
@@ -106,10 +106,10 @@
         raise store.StateError("the state is damaged: a planner must read it as it is, and doubt it")
     head = _planner(folder, found)
     kept = store.Store(disk, head)
-    kept.open(time.time_ns() // 1000, f"compact {head}")
+    kept.open(lasting_now(folder), f"compact {head}")
     try:
         before = sum((folder / n).stat().st_size for n in disk.names())
-        kept.begin(time.time_ns() // 1000)
+        kept.begin(lasting_now(folder))
         after = sum((folder / n).stat().st_size for n in disk.names())
     finally:
         kept.close()
--- a/hazelhold/config/load.py
+++ b/hazelhold/config/load.py
@@ -1,6 +1,8 @@
 """Reads JSON5 into typed structures and finds all that is wrong at once, each with file, place and reason."""
 
 import difflib
+import errno
+import time
 from pathlib import Path
 from typing import Annotated, Any, TypeVar, get_args, get_origin
 
@@ -76,11 +78,24 @@
         return None
 
 
-def read_text(path: Path) -> str:
-    try:
-        return path.read_text(encoding="utf-8")
-    except (OSError, UnicodeDecodeError) as wrong:
-        raise ConfigError(str(path), [("file", str(getattr(wrong, "strerror", None) or wrong))]) from None
+PASSING = frozenset((errno.EIO, errno.ENFILE, errno.EMFILE, errno.ENOMEM, errno.EAGAIN, errno.EINTR))
+"""Errors of reading a file that may be gone a moment later."""
+
+READ_AGAIN = 0.1  # seconds between tries
+
+
+def read_text(path: Path, tries: int = 1) -> str:
+    """The file's text. `tries`: how often a read that fails for want of something or in the device is made;
+    more than once only where nothing else waits meanwhile. ConfigError if it cannot be read."""
+    for left in reversed(range(tries)):
+        try:
+            return path.read_text(encoding="utf-8")
+        except (OSError, UnicodeDecodeError) as wrong:
+            if left and getattr(wrong, "errno", None) in PASSING:
+                time.sleep(READ_AGAIN)
+                continue
+            raise ConfigError(str(path), [("file", str(getattr(wrong, "strerror", None) or wrong))]) from None
+    raise AssertionError("no try left")
 
 
 def split_address(text: str) -> tuple[str, int]:
--- a/hazelhold/engine/links.py
+++ b/hazelhold/engine/links.py
@@ -549,9 +549,9 @@
 
     def _tested(self, now: int, link: Link, well: bool) -> None:
         """A machine answered a test. One that passed took work when the test was sent, or later."""
-        if well != bool(link.tested_at):
+        if well != (link.tested_at is not None):
             self._machine_event("test_passed" if well else "test_failed", link.machine)
-        link.tested_at = self.probes[link.machine].sent_at if well else 0
+        link.tested_at = self.probes[link.machine].sent_at if well else None
         if not self.facts.tests_show_drains:
             return
         if well:
--- a/hazelhold/engine/machines.py
+++ b/hazelhold/engine/machines.py
@@ -43,7 +43,7 @@
     heir: str = ""  # the machine that has its address now, and that speaks on this connection
     opened_in_doubt: bool = False  # the list was not confirmed then: another machine may have its address
     gone_at: int = 0  # when it was seen to have left the list with guests of ours; 0: it has not
-    tested_at: int = 0  # when the last test was sent that it passed; 0: none, or it has failed one since
+    tested_at: int | None = None  # when the last test was sent that it passed; None if it failed one since
     asked_at: int = 0  # when it was last asked for its silence
     unanswered: int = 0  # probes in a row with nothing heard since they were sent
     # Words on what stands there, with when they are let go: for the next connection, and written to this one
--- a/hazelhold/engine/tables.py
+++ b/hazelhold/engine/tables.py
@@ -187,7 +187,7 @@
         if self.currency.is_current(now):
             return True
         link = self.links.get(machine)
-        return link is not None and bool(link.tested_at) and now - link.tested_at < TEST_VALID
+        return link is not None and link.tested_at is not None and now - link.tested_at < TEST_VALID
 
     def _forget(self, case: Case) -> None:
         self.cases.pop(case.name, None)
--- a/hazelhold/platform/configuration.py
+++ b/hazelhold/platform/configuration.py
@@ -108,9 +108,9 @@
     return tuple(str(each.get("name", "")) if isinstance(each, dict) else str(each) for each in listed)
 
 
-def read_start(path: Path) -> Start:
-    """ConfigError names all that is wrong with the file."""
-    return check_start(read_text(path), str(path))
+def read_start(path: Path, tries: int = 1) -> Start:
+    """ConfigError names all that is wrong with the file. `tries` as of `read_text`."""
+    return check_start(read_text(path, tries), str(path))
 
 
 def check_start(text: str, file: str) -> Start:
--- a/hazelhold/platform/discovery.py
+++ b/hazelhold/platform/discovery.py
@@ -25,6 +25,7 @@
 TRIES = 3  # calls that end at the same event before it is passed over: it was not spoilt on its way
 PAUSES = (0.05, 0.1, 0.2, 0.4)  # seconds between calls that fail one after another
 SLOW_CALLS = 2  # late calls that go on beside the current one
+QUIET = 8.0  # seconds without a byte after which a late call is given up
 LONGEST_CALL = 30.0  # seconds after which a call is given up whatever it brings
 
 T = TypeVar("T")
@@ -202,7 +203,7 @@
                 if not call.over.is_set():
                     self.confirmed = False
                     self.late()
-                    with trio.move_on_after(GRACE - LATE):
+                    with trio.move_on_after(PATIENCE + GRACE - patience - LATE):
                         await call.over.wait()
                 if not call.over.is_set():
                     self._set_aside(call, nursery)
@@ -220,18 +221,21 @@
                 await call.close()
 
     def _set_aside(self, call: Call[T], nursery: trio.Nursery) -> None:
-        """Lets a late call go on. Where there are too many, the one that has been quiet the longest ends."""
+        """Lets a late call go on beside the next ones, as long as it brings something now and then. Where
+        there are enough of them it ends: those that wait longer are nearer to their answers."""
+        if len(self.slow) >= SLOW_CALLS:
+            call.scope.cancel()
+            return
         self.slow.append(call)
         nursery.start_soon(self._take_late, call)
-        if len(self.slow) > SLOW_CALLS:
-            quietest = min(self.slow, key=lambda each: each.heard_at)
-            self.slow.remove(quietest)
-            quietest.scope.cancel()
 
     async def _take_late(self, call: Call[T]) -> None:
-        await call.over.wait()
-        if call in self.slow:
-            self.slow.remove(call)
+        while not call.over.is_set():
+            with trio.move_on_at(call.heard_at + QUIET):
+                await call.over.wait()
+            if trio.current_time() >= call.heard_at + QUIET:
+                call.scope.cancel()
+        self.slow.remove(call)
         if call.body is not None:
             self._take(call)
         await call.close()
--- a/hazelhold/platform/serve.py
+++ b/hazelhold/platform/serve.py
@@ -20,10 +20,13 @@
     if not path.name:
         raise ConfigError("environment", [("BALANCER_CONFIG", "is not set, and no --config is given")])
     with early_signals() as early:
-        start = read_start(path)
+        start = read_start(path, START_TRIES)
         trio.run(run, start, path, frames, early)
 
 
+START_TRIES = 30
+"""Reads of the configuration at a start: for three seconds nothing else waits."""
+
 KINDS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
 
 
--- a/hazelhold/service/planner.py
+++ b/hazelhold/service/planner.py
@@ -26,11 +26,12 @@
 from hazelhold.service.keeper import Keeper
 from hazelhold.service.list_link import ListLink
 from hazelhold.service.machine_links import MachineLinks
-from hazelhold.service.net import Net
+from hazelhold.service.net import Net, TcpNet
 from hazelhold.service.owner_door import OwnerDoor
 from hazelhold.service.recovery import recover
 from hazelhold.service.wire import Wire
 from hazelhold.service.wires import WireFactory
+from hazelhold.state.clock import lasting_offset
 from hazelhold.state.disk import Disk, RealDisk
 from hazelhold.state.store import Store
 
@@ -128,6 +129,8 @@
         config = self.config
         if disk is None and config.state.folder:
             disk = RealDisk(Path(config.state.folder))
+            if isinstance(self.net, TcpNet):
+                self.net.wall_offset = lasting_offset(Path(config.state.folder), self.net.wall_offset)
         if disk is not None:
             self.keeper = self.driver.keeper = Keeper(
                 Store(disk, config.name),
--- /dev/null
+++ b/tests/test_faulty_system.py
@@ -0,0 +1,212 @@
+"""System calls that fail for a while, clocks that are stepped, requests that were read late."""
+
+import errno
+import os
+import socket
+import time
+from pathlib import Path
+
+import pytest
+import trio
+import trio.testing
+
+from hazelhold.cli.logs import Unfailing
+from hazelhold.config.load import ConfigError, read_text
+from hazelhold.platform.arrival import LoopClock
+from hazelhold.service import net
+from hazelhold.service.net import TcpNet
+from hazelhold.state import clock
+from tests.platform_rig import PLACED, Rig, play, set_up
+
+
+def test_a_listening_socket_that_cannot_be_had_is_tried_again(monkeypatch: pytest.MonkeyPatch) -> None:
+    left = [errno.ENOBUFS, errno.ENFILE, errno.ENOMEM]
+    real = socket.create_server
+
+    def create(*args: object, **more: object) -> socket.socket:
+        if left:
+            raise OSError(left.pop(), "short")
+        return real(*args, **more)
+
+    monkeypatch.setattr(net.socket, "create_server", create)
+
+    async def run() -> str:
+        async with trio.open_nursery() as nursery:
+            address = await TcpNet().listen("127.0.0.1:0", trio.aclose_forcefully, nursery)
+            nursery.cancel_scope.cancel()
+        return address
+
+    assert trio.run(run).startswith("127.0.0.1:") and left == []
+
+
+def test_an_address_that_is_taken_is_told_at_once() -> None:
+    async def run() -> None:
+        with socket.create_server(("127.0.0.1", 0)) as taken:
+            address = f"127.0.0.1:{taken.getsockname()[1]}"
+            async with trio.open_nursery() as nursery:
+                with pytest.raises(OSError, match="in use"):
+                    await TcpNet().listen(address, trio.aclose_forcefully, nursery)
+
+    trio.run(run)
+
+
+def test_every_error_of_accept_leaves_the_listener_in_service() -> None:
+    """A listener whose accept fails in each documented way between two connections."""
+    codes = [
+        errno.ECONNABORTED, errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EPERM,
+        errno.EPROTO, errno.ENETDOWN, errno.EHOSTUNREACH, errno.ETIMEDOUT, errno.EOPNOTSUPP, errno.ENONET,
+    ]  # fmt: skip
+    delays = []
+
+    class Listener(socket.socket):
+        def accept(self) -> tuple:
+            if codes:
+                raise OSError(codes.pop(0), "accept")
+            return super().accept()
+
+    async def handler(stream: trio.SocketStream) -> None:
+        delays.append(stream.hazelhold_accept_delay)
+        await stream.send_all(b"x")
+
+    async def run() -> None:
+        listener = Listener()
+        listener.bind(("127.0.0.1", 0))
+        listener.listen()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(net.serve, listener, handler, 4)
+            stream = await trio.open_tcp_stream(*listener.getsockname())
+            with trio.fail_after(10):
+                assert await stream.receive_some(1) == b"x"
+            nursery.cancel_scope.cancel()
+
+    trio.run(run)
+    assert codes == [] and delays[0] >= net.ACCEPT_AGAIN  # it waited, and whoever reads from it is told so
+
+
+def test_a_log_that_cannot_be_written_ends_nothing() -> None:
+    class Full:
+        def write(self, text: str) -> int:
+            raise OSError(errno.ENOSPC, "full")
+
+        def flush(self) -> None:
+            raise OSError(errno.EIO, "broken")
+
+    log = Unfailing(Full())
+    assert log.write("line\n") == 5
+    log.flush()
+    assert log.dropped == 2
+
+
+def test_a_file_that_cannot_be_read_for_a_moment_is_read_again(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    path = tmp_path / "file"
+    path.write_text("whole")
+    left = [errno.EIO, errno.ENFILE]
+    real = Path.read_text
+
+    def read(self: Path, **more: object) -> str:
+        if left:
+            raise OSError(left.pop(), "for a moment")
+        return real(self, **more)
+
+    monkeypatch.setattr(Path, "read_text", read)
+    assert read_text(path, tries=3) == "whole"
+    left.append(errno.EIO)
+    with pytest.raises(ConfigError, match="for a moment"):
+        read_text(path)
+    with pytest.raises(ConfigError, match="No such file"):
+        read_text(tmp_path / "none", tries=3)
+
+
+def test_a_counter_of_two_tables_is_summed_in_the_last_line() -> None:
+    """The name in both ended the process with a TypeError in its last line."""
+
+    async def test(rig: Rig) -> None:
+        rig.planner.counts["dials_failed"] = 2
+        rig.planner.engine.counts["dials_failed"] = 3
+        assert rig.planner.all_counts()["dials_failed"] == 5
+        rig.planner.stop()
+        await rig.planner.ended.wait()
+
+    play(test)
+
+
+# Clocks.
+
+
+def test_a_step_of_the_wall_clock_moves_no_moment(monkeypatch: pytest.MonkeyPatch) -> None:
+    made = TcpNet()
+    before, real = made.wall(), time.time_ns
+    for step in (3600, -3600, 2):
+        monkeypatch.setattr(time, "time_ns", lambda step=step: real() + step * 10**9)
+        assert abs(made.wall() - before) < 5_000_000
+        assert abs(made.wall_stepped() - step) < 1
+
+
+def test_within_a_boot_a_folder_keeps_its_clock(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    folder = tmp_path / "state"
+    assert clock.lasting_offset(folder, 1000) == 1000
+    assert clock.lasting_offset(folder, 9000) == 1000  # the wall clock was stepped between two processes
+    (folder / clock.FILE).write_text("another-boot 7\n")
+    assert clock.lasting_offset(folder, 9000) == 9000 and clock.lasting_offset(folder, 1) == 9000
+    (folder / clock.FILE).write_bytes(b"\xff torn")
+    assert clock.lasting_offset(folder, 5) == 5
+    monkeypatch.setattr(clock, "boot_id", lambda: "")
+    assert clock.lasting_offset(folder, 6) == 6
+
+
+def test_a_folder_that_cannot_be_written_leaves_the_process_its_own_clock(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    def fail(*args: object) -> None:
+        raise OSError(errno.ENOSPC, "full")
+
+    monkeypatch.setattr(os, "replace", fail)
+    assert clock.lasting_offset(tmp_path, 1000) == 1000 and clock.lasting_offset(tmp_path, 2000) == 2000
+
+
+# Requests that were read late.
+
+
+def test_the_time_for_which_a_request_waited_to_be_read_is_taken_off_its_deadline() -> None:
+    async def test(rig: Rig) -> None:
+        owner = await rig.owner()
+        await trio.sleep(0.2)
+        await owner.say(set_up(1, left="2000"))
+        trio.lowlevel.current_clock().jump(0.7)  # the process was stopped
+        await trio.sleep(0.1)
+        assert owner.of(1) == PLACED
+        (offer,) = [line for each in rig.machines.values() for line in each.offers()]
+        assert 1200 <= int(offer["with"]["left"]) <= 1300
+        assert rig.planner.counts["requests_read_late"] == 1
+
+    play(test)
+
+
+def test_the_time_for_which_a_connection_waited_to_be_accepted_counts_for_its_first_requests() -> None:
+    async def test(rig: Rig) -> None:
+        owner = await rig.owner()
+        await trio.sleep(0.2)
+        (peer,) = rig.planner.door.peers.values()
+        peer.accept_delay = 1.5
+        await owner.say(set_up(1, left="2000"))
+        await trio.sleep(0.1)
+        await owner.say(set_up(2, left="2000"))
+        await trio.sleep(0.1)
+        left = {o["call"]: int(o["with"]["left"]) for e in rig.machines.values() for o in e.offers()}
+        assert left[f"{1:016x}"] <= 500 and rig.planner.counts["requests_read_late"] == 1
+
+    play(test)
+
+
+def test_the_loop_s_clock_tells_how_long_ago_it_looked() -> None:
+    async def run() -> None:
+        loop = LoopClock()
+        trio.lowlevel.add_instrument(loop)
+        await trio.sleep(0.01)
+        assert loop.waited() < 0.1
+        trio.lowlevel.current_clock().jump(2.0)
+        assert loop.waited() >= 2.0
+
+    trio.run(run, clock=trio.testing.MockClock(autojump_threshold=0))
