--- a/hazelhold/engine/owners.py
+++ b/hazelhold/engine/owners.py
@@ -4,7 +4,7 @@
 from hazelhold.engine.cases import Case
 from hazelhold.engine.dispatches import Dispatches
 from hazelhold.engine.events import TaskEvent
-from hazelhold.engine.permission import Denial, offer_denied
+from hazelhold.engine.permission import Denial, offer_denied, start_denied
 from hazelhold.engine.tables import WaitingStand
 from hazelhold.interface import Earlier, Effect, Ending, Mode, Remark
 from hazelhold.protocol import messages as m
@@ -27,7 +27,8 @@
     def _submitted(self, now: int, owner: str, submit: m.Submit) -> None:
         guest, ask = submit.guest, submit.ask
         old = case = self.newest.get(guest)
-        if case and not self.peers.asks_again:
+        in_hand = case is not None and not self.peers.asks_again
+        if start_denied(self.stopping, in_hand) is Denial.IN_HAND:
             self.counts["rejected_open_already"] += 1
             self._send_owner(
                 owner, m.Rejected(guest=guest, ask=ask, code="open_already", text="this name is in hand")
@@ -81,7 +82,7 @@
         return min(unsettled, key=lambda e: e.sent_at, default=None)
 
     def _fault(self, now: int, submit: m.Submit, kept: bool) -> tuple[str, str] | None:
-        if self.stopping:
+        if start_denied(self.stopping, in_hand=False) is Denial.STOPPING:
             return "stopping", "this planner takes nothing more"
         if submit.product not in self.products:
             return "unknown_product", f"no product is called {submit.product!r}"
--- a/hazelhold/platform/eviction.py
+++ b/hazelhold/platform/eviction.py
@@ -7,6 +7,7 @@
 from collections.abc import Collection
 from enum import IntEnum
 
+from hazelhold.engine.permission import close_denied
 from hazelhold.platform.peer import OwnerPeer
 
 FRESH = 0.2  # seconds in which the first message of a new connection may still be on its way
@@ -38,7 +39,9 @@
     """
     served = (peer for peer in peers if (peer.proven or peer.handed_over) and not peer.closing)
     kept = max(served, key=lambda peer: peer.used_at, default=None)
-    idle = [peer for peer in peers if not peer.open and not peer.closing and peer is not kept]
+    idle = [
+        peer for peer in peers if not close_denied(len(peer.open)) and not peer.closing and peer is not kept
+    ]
     stuck = {peer: is_stuck(peer, now) for peer in idle}
     fresh = {peer: not peer.good and peer.came_at > now - FRESH for peer in idle}
     mostly_fresh = 2 * sum(fresh.values()) > len(peers)
--- a/hazelhold/platform/owner_door.py
+++ b/hazelhold/platform/owner_door.py
@@ -12,6 +12,7 @@
 from msgspec.structs import replace
 
 from hazelhold.engine.engine import Engine
+from hazelhold.engine.permission import close_denied
 from hazelhold.platform import words
 from hazelhold.platform.arrival import LoopClock
 from hazelhold.platform.codec import END, HEARD, SET_UP, TEST, BinaryMessage, CodecError
@@ -82,6 +83,7 @@
                     await self._hear(peer)
                 if peer.scope.cancelled_caught and not peer.closing:
                     self.counts["connections_timed_out"] += 1
+                    self._check_close(peer)
             finally:
                 peer.end()
                 self._gone(peer)  # at once: what is still to be written may take a second
@@ -101,6 +103,15 @@
         except CodecError as wrong:
             self._fault(peer, wrong)
 
+    def _check_close(self, peer: OwnerPeer) -> None:
+        """Counts and logs a connection that this side closes though answers are owed on it."""
+        if close_denied(len(peer.open)) is None:
+            return
+        self.counts["rule_violations"] += 1
+        self.log.error(
+            "rule_violated", rule="closed with answers owed", owner=peer.name, tasks=list(peer.open)
+        )
+
     def _gone(self, peer: OwnerPeer) -> None:
         """Nothing more is heard on this connection: nobody waits for what is open on it."""
         now = self.net.now()
@@ -121,6 +132,7 @@
         if victim is None:
             return False
         self.counts["connections_closed_for_others"] += 1
+        self._check_close(victim)
         del self.peers[victim.name]
         if is_stuck(victim, now):  # not waited for; any other is told all
             victim.cut()
@@ -139,9 +151,10 @@
         elif peer.half_at is None:
             peer.half_at = now
         due = float("inf")
-        if peer.half_at is not None and not peer.open:  # the answers to what is open are owed first
+        owed = close_denied(len(peer.open)) is not None  # the answers to what is open come first
+        if peer.half_at is not None and not owed:
             due = peer.half_at + FIRST_MESSAGE
-        if not peer.open and not peer.told and not peer.proven:
+        if not owed and not peer.told and not peer.proven:
             due = min(due, max(peer.came_at + FIRST_MESSAGE, now + 0.2))
         peer.scope.deadline = due
 
--- /dev/null
+++ b/tests/test_faults_judge.py
@@ -0,0 +1,176 @@
+"""The soak's judge: a sound run has no violation, and each rule that is broken is found."""
+
+from collections.abc import Callable
+
+import pytest
+
+from tests.faults.judge import Judge
+from tests.faults.record import Attempt, Closed, Life, Outage, Record, Reply, Request, ServerLife
+from tests.faults.schedule import draw
+
+HOUR = 10_000.0
+
+
+def sound() -> Record:
+    """One request that was placed and released in time, by a planner that is still up."""
+    record = Record(began=0.0, ended=100.0)
+    record.servers = {"a": ServerLife("a"), "b": ServerLife("b")}
+    record.lives = [Life("n0", 0.0, ready_at=0.5)]
+    request = record.requests["t"] = Request("t", "n0", "once", 10.0, 2.0)
+    record.attempts = [
+        Attempt("t", "a", "n0", 10.1, 1.5, 10.2, "accepted", "a runs t", 11.0, 11.0, may_have_run=True)
+    ]
+    request.replies = [Reply(10.2, "answer", None, b"a runs t"), Reply(11.1, "end", 16)]
+    return record
+
+
+def broken(record: Record) -> list[str]:
+    return [each.rule.value for each in Judge(record, 4.0, 2.0, 10.0).judge()]
+
+
+def test_a_sound_run_has_no_violation() -> None:
+    assert broken(sound()) == []
+
+
+def second(record: Record, **changes: object) -> Attempt:
+    """One more attempt of the request, at the other server."""
+    made = Attempt("t", "b", "n0", 10.3, 1.5, 10.4, "refused")
+    for name, value in changes.items():
+        setattr(made, name, value)
+    record.attempts.append(made)
+    return made
+
+
+def never_answered(record: Record) -> None:
+    record.requests["t"].replies = []
+
+
+def closed_unanswered(record: Record) -> None:
+    never_answered(record)
+    record.requests["t"].connection_ended_at = 10.5
+
+
+def answered_late(record: Record) -> None:
+    record.requests["t"].replies = [Reply(12.7, "end", 34)]
+    record.attempts = []
+
+
+def answered_twice(record: Record) -> None:
+    record.requests["t"].replies.insert(1, Reply(10.3, "answer", None, b"a runs t"))
+
+
+def made_up(record: Record) -> None:
+    record.requests["t"].replies[0].description = b"nobody runs t"
+
+
+def released_while_it_stood(record: Record) -> None:
+    record.attempts[0].over_at = record.attempts[0].over_told_at = 14.0
+
+
+def never_released(record: Record) -> None:
+    record.requests["t"].replies.pop()
+
+
+def after_its_client_left(record: Record) -> None:
+    record.requests["t"].closed, record.requests["t"].closed_at = Closed.LEFT, 9.9
+
+
+def after_its_answer(record: Record) -> None:
+    record.requests["t"].product = "plain"
+    second(record, at=10.5, ended_at=10.6)
+
+
+def run_twice(record: Record) -> None:
+    second(record, at=10.25)
+
+
+def two_out(record: Record) -> None:
+    record.requests["t"].product = "plain"
+    second(record, at=10.1, ended_at=10.19).may_have_run = False
+    record.attempts[0].ended_at = 10.2
+
+
+def refused_though_it_may_have_run(record: Record) -> None:
+    record.requests["t"].replies = [Reply(10.3, "end", 34)]
+
+
+def too_many_attempts(record: Record) -> None:
+    record.requests["t"].product = "plain"
+    record.attempts = [
+        Attempt("t", "a", "n0", 10.0 + n / 50, 1.5, 10.01 + n / 50, "refused") for n in range(5)
+    ] + record.attempts
+
+
+def to_a_draining_server(record: Record) -> None:
+    record.servers["a"].drain_told["n0"] = 9.79
+
+
+def deadline_too_long(record: Record) -> None:
+    record.attempts[0].left = 2.06
+
+
+def crash(record: Record) -> None:
+    record.lives[0].ended_at, record.lives[0].exit_code = 20.0, 1
+
+
+def slow_start(record: Record) -> None:
+    record.servers["b"].started_at = record.servers["b"].told_start = 20.0
+    for number in range(14):  # 4 + 3 x 2 + 3 are allowed
+        record.attempts.append(Attempt(f"x{number}", "b", f"n{number}", 20.1 + number / 50, 1.0))
+
+
+def slow_to_be_ready(record: Record) -> None:
+    record.lives[0].ready_at = 10.1
+
+
+@pytest.mark.parametrize(
+    "spoil,rule",
+    [
+        (never_answered, "lost"),
+        (closed_unanswered, "lost"),
+        (answered_late, "lost"),
+        (answered_twice, "lost"),
+        (made_up, "lost"),
+        (released_while_it_stood, "lost"),
+        (never_released, "lost"),
+        (after_its_client_left, "lost"),
+        (after_its_answer, "lost"),
+        (run_twice, "duplicate"),
+        (two_out, "duplicate"),
+        (refused_though_it_may_have_run, "duplicate"),
+        (too_many_attempts, "duplicate"),
+        (to_a_draining_server, "drain"),
+        (deadline_too_long, "deadline passed on"),
+        (crash, "crash"),
+        (slow_start, "slow start"),
+        (slow_to_be_ready, "ready"),
+    ],
+)
+def test_each_broken_rule_is_found(spoil: Callable[[Record], None], rule: str) -> None:
+    record = sound()
+    spoil(record)
+    assert rule in broken(record)
+
+
+def test_what_is_allowed_is_no_violation() -> None:
+    record = sound()
+    record.servers["a"].drain_told["n0"] = 9.81  # within the grace
+    record.attempts[0].left = 2.04
+    assert broken(record) == []
+    record.outages.append(Outage("n0", 8.0, HOUR))  # told within it: counts 2 s after its begin
+    record.servers["a"].drain_told["n0"] = 8.5
+    assert broken(record) == []
+    record = sound()
+    answered = record.requests["t"].replies
+    record.requests["t"].replies = []
+    record.requests["t"].closed, record.requests["t"].closed_at = Closed.CANCELLED, 10.05
+    assert broken(record) == []
+    record.requests["t"].closed = Closed.KILLED
+    record.requests["t"].replies = answered
+    assert broken(record) == []
+
+
+def test_a_seed_draws_the_same_faults_and_others_draw_others() -> None:
+    assert draw(5, 8, 8, 20.0) == draw(5, 8, 8, 20.0) != draw(6, 8, 8, 20.0)
+    kinds = [len(draw(seed, 24, 16, 25.0).outages) for seed in range(20)]
+    assert min(kinds) >= 2
