--- a/hazelhold/platform/configuration.py
+++ b/hazelhold/platform/configuration.py
@@ -152,8 +152,10 @@
     pairs.values = flat(settings)
     if settings:
         try:
-            facts = read_deployment(pairs)._replace(
-                dispatches_named=PLATFORM.names_attempts, tests_show_drains=PLATFORM.list_confirms
+            facts = read_deployment(pairs)
+            facts = facts._replace(
+                dispatches_named=PLATFORM.names_attempts,
+                tests_show_drains=PLATFORM.list_confirms and facts.probing,
             )
         except (WireError, ValueError, OverflowError) as wrong:
             faults.append(("settings", str(wrong)))
--- a/tests/test_faulty_system.py
+++ b/tests/test_faulty_system.py
@@ -97,6 +97,18 @@
     assert log.dropped == 2
 
 
+def test_a_pipe_that_nobody_reads_stops_nothing() -> None:
+    reading, writing = os.pipe()
+    line = "a line of the log\n"
+    with os.fdopen(reading, "rb") as reader, os.fdopen(writing, "w", buffering=1) as writer:
+        log = Unfailing(writer)
+        for _ in range(20_000):
+            log.write(line)
+        assert log.dropped
+        writer.close()
+        assert set(reader.read().decode().splitlines(keepends=True)) == {line}  # what was written is whole
+
+
 def test_a_file_that_cannot_be_read_for_a_moment_is_read_again(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
--- a/tests/test_list_in_doubt.py
+++ b/tests/test_list_in_doubt.py
@@ -10,7 +10,7 @@
 from hazelhold.engine.list_currency import LEASE, Doubt, ListCurrency
 from hazelhold.engine.tables import Tables
 from hazelhold.platform import discovery
-from tests.platform_rig import PLACED, Machine, Rig, event, host, play, set_up
+from tests.platform_rig import DEPLOYMENT, PLACED, Machine, Rig, end, event, file, host, play, set_up
 
 # What counts as confirmed.
 
@@ -83,8 +83,6 @@
 
 def offers_to_a(fleet: int) -> int:
     settings = {"balancers": fleet}
-    from tests.platform_rig import DEPLOYMENT
-
     return len(play(silent_from_the_start, settings=DEPLOYMENT | settings).machines["a"].offers())
 
 
@@ -145,6 +143,22 @@
     play(test)
 
 
+def test_where_no_tests_are_allowed_the_list_is_taken_as_it_is() -> None:
+    limits = DEPLOYMENT["limits"] | {"probing": False}
+
+    async def test(rig: Rig) -> None:
+        rig.bulletin.silent = True
+        rig.planner.follower.scope.cancel()
+        rig.planner.engine.list_doubted(rig.net.now(), Doubt.FAILED)
+        owner = await rig.owner()
+        await owner.say(*(set_up(guest) for guest in range(1, 11)))
+        await trio.sleep(1)
+        assert all(owner.of(guest) == PLACED for guest in range(1, 11))
+        assert not any(line["op"] == "test" for each in rig.machines.values() for line in each.heard)
+
+    play(test, settings=DEPLOYMENT | {"limits": limits})
+
+
 # Late answers.
 
 
@@ -183,8 +197,6 @@
 
 
 def test_after_a_reload_the_list_is_in_doubt_until_the_new_address_answers(tmp_path) -> None:  # noqa: ANN001
-    from tests.platform_rig import file
-
     async def test(rig: Rig) -> None:
         await trio.sleep(0.5)
         engine = rig.planner.engine
@@ -245,8 +257,6 @@
 
 
 def test_a_task_that_its_owner_ends_before_the_list_comes_is_stopped_at_its_machine() -> None:
-    from tests.platform_rig import end
-
     async def test(rig: Rig, owner: object, machine: Machine) -> None:
         await owner.say(end(1))
         rig.bulletin.events += [event(2, host("c"))]
