--- a/hazelhold/engine/links.py
+++ b/hazelhold/engine/links.py
@@ -1,14 +1,11 @@
-"""The list and the connections to machines: who is there, what they say, what their silence means."""
-
-from collections.abc import Callable
+"""The connections to machines, and what machines say on them."""
 
 from hazelhold.config.planner import micros
 from hazelhold.engine.cases import Case, HangUp, Loose, Lost
-from hazelhold.engine.dispatches import CROSSED, Dispatches
-from hazelhold.engine.events import ListEvent
-from hazelhold.engine.list_currency import Doubt
-from hazelhold.engine.machines import Fellow, Link, News
-from hazelhold.engine.permission import TEST_VALID
+from hazelhold.engine.dispatches import CROSSED
+from hazelhold.engine.list_news import ListNews
+from hazelhold.engine.machines import Link
+from hazelhold.engine.silence import Silence
 from hazelhold.interface import Ending, Load, Remark
 from hazelhold.protocol import messages as m
 
@@ -31,164 +28,9 @@
 }
 
 
-GONE_WITHIN = 1_000_000
-"""Microseconds after a machine left the list at which what stood there is lost."""
-
-HEIR_WITHIN = 4_000_000
-"""The same where the connection may be to another machine that has its address, which the list still owes."""
-
-
-class Links(Dispatches):
+class Links(ListNews, Silence):
     """The machines' side of an engine."""
 
-    _resolve_stands: Callable[..., None]  # of the owners' side
-
-    def list_said(self, now: int, message: m.Message) -> None:
-        """A Listing or ListRefused of the list service."""
-        self.list_due = 0
-        if not isinstance(message, m.Listing):
-            self.list_failed(now)
-            return
-        first, self.list_heard = not self.list_heard, True
-        self.list_version = message.version
-        news = self.roster.learn(now, message)
-        if self.keeping is not None:
-            self.keeping.told(message)
-        self.counts["list_entries"] += len(message.entries)
-        self.counts["list_faults"] += len(news.faults)
-        self.brain.machines_listed(now, news.listed, message.whole)
-        if not first:  # the whole list of a start is one line, at the start
-            self._log_news(news)
-        for name in news.closed:  # what has not left may not go there any more
-            if link := self.links.get(name):
-                for case_name in list(link.queue):
-                    self._not_sent(now, self.cases[case_name], Ending.NOT_SENT)
-        for name in news.moved:
-            if name in self.links:
-                self.actions.append(HangUp(name))
-                self._link_lost(now, self.links[name])
-        inherited = self._inherit(now, news)
-        for name in news.gone:
-            self.unheard.discard(name)
-            if (link := self.links.get(name)) and (
-                not link.state == "up"
-                and not self._awaits_heir(link)
-                or not self.peers.rolls
-                and not link.holds
-            ):
-                if link.state == "up":
-                    self.actions.append(HangUp(name))
-                    link.state = "down"
-                self._forget_machine(now, link)
-        self._resolve_stands(now, list_is_whole=False)
-        if not self.peers.rolls:
-            for name in news.fresh:
-                if (link := self.links.get(name)) and link.machine not in inherited:
-                    self._new_life(now, link, self.roster.fellows[name].started)
-            return
-        if first:
-            self.unheard = {f.name for f in self.roster.fellows.values()}
-        for name in news.fresh:  # each is asked once what it holds of ours
-            self._dial(now, self.roster.fellows[name])
-
-    def _new_life(self, now: int, link: Link, started: int) -> None:
-        """The list tells of a machine's new life: what came to it in the old one is over."""
-        for name in list(link.holds):
-            case = self.cases[name]
-            if case.sent and case.sent_at < started:
-                self._gone(now, case, "lost")
-
-    def _inherit(self, now: int, news: News) -> set[str]:
-        """Machines have left the list or come to it. What was sent on a connection that was opened while the
-        list was in doubt came to whoever had that address by then, and stands there. Returns the machines
-        that have got such tasks."""
-        inherited = set()
-        for name in news.gone:
-            link = self.links.get(name)
-            if link is None or not self._awaits_heir(link):
-                continue
-            self.orphans[link.address] = name
-            for fellow in self.roster.fellows.values():
-                if fellow.address == link.address:
-                    self._move_tasks(now, link, fellow)
-                    inherited.add(fellow.name)
-        for name in news.fresh:
-            fellow = self.roster.fellows.get(name)
-            if fellow is not None and (orphan := self.links.get(self.orphans.get(fellow.address, ""))):
-                self._move_tasks(now, orphan, fellow)
-                inherited.add(fellow.name)
-        return inherited
-
-    def _awaits_heir(self, link: Link) -> bool:
-        """Whether a task there may stand at another machine, which the list will name with this address."""
-        return any(self.cases[name].placed and self.cases[name].sent_in_doubt for name in link.holds)
-
-    def _move_tasks(self, now: int, link: Link, heir: Fellow) -> None:
-        """What was sent in doubt to this address stands at the machine that has it now."""
-        self.orphans.pop(link.address, None)
-        link.heir = heir.name
-        for case in [self.cases[name] for name in link.holds]:
-            if not case.placed or not case.sent_in_doubt:
-                continue
-            self._unhold(case)
-            case.machine = heir.name
-            self._hold(case)
-            self.brain.guest_found(now, heir.name, self._ask(case, 0))
-            self._task_event("moved", case, f"from {link.machine}, whose address it has")
-            self.counts["tasks_inherited"] += 1
-        new = self._dial(now, heir)
-        new.heard_at = new.heard_at or now
-
-    def _log_news(self, news: News) -> None:
-        for name in news.fresh:
-            self._machine_event("listed", name)
-        for name in news.closed:
-            self._machine_event("closed", name, "gone" if name in news.gone else "draining")
-
-    def list_confirmed(self, now: int, as_of: int) -> None:
-        """The list was current at that moment: the service answered a call made then."""
-        self.currency.confirm(as_of)
-        if self.currency.is_current(now):
-            self._resolve_stands(now, list_is_whole=True)
-            self._identify(as_of)
-        self._tell_currency(now)
-
-    def _identify(self, as_of: int) -> None:
-        """Connections that were opened in doubt are to the machines that the list still shows there since."""
-        for name in list(self.links_in_doubt):
-            link = self.links.get(name)
-            if link is not None and link.opened_at > as_of:
-                continue
-            del self.links_in_doubt[name]
-            if link is not None and name in self.roster.fellows:
-                link.opened_in_doubt = False
-                for each in link.holds:
-                    self.cases[each].sent_in_doubt = False
-
-    def list_doubted(self, now: int, doubt: Doubt) -> None:
-        """The list may no longer be taken for the present."""
-        self.currency.put_in_doubt(doubt)
-        self._tell_currency(now)
-
-    def _tell_currency(self, now: int) -> None:
-        """Tells the module and the log if the list has become current or stopped to be."""
-        current = self.currency.is_current(now)
-        if current is self.list_taken:
-            return
-        self.list_taken = current
-        self.brain.list_taken(now, current)
-        as_of, doubt = self.currency.confirmed_as_of, self.currency.doubt
-        self.events.append(
-            ListEvent(current, doubt.value if doubt else "confirmed", -1 if as_of is None else now - as_of)
-        )
-        self.counts["list_doubts"] += not current
-
-    def list_failed(self, now: int) -> None:
-        """The list service refused, was silent for too long, or its connection broke."""
-        self.list_due = 0
-        self.counts["list_failures"] += 1
-        self.brain.list_failed(now)
-
     # Connections.
 
     def link_up(self, now: int, machine: str, welcome: m.Welcome | None = None) -> None:
@@ -277,51 +119,6 @@
         if link := self.links.get(machine):
             self._link_lost(now, link)
 
-    def _link_lost(self, now: int, link: Link) -> None:
-        self.counts["links_lost"] += link.state == "up"
-        link.state, link.rolled = "down", False
-        self.restless[link.machine] = None
-        self._drop_queue(now, link)
-        self._probe_over(now, link.machine, False)
-        if not self.peers.rolls:  # a set-up ends with its connection, what stands does not
-            for name in list(link.holds):
-                case = self.cases[name]
-                if case.sent and not case.placed:
-                    self._ended(now, case, Ending.CUT_OFF, Remark.NONE)
-        if not self.peers.rolls and link.machine not in self.roster.fellows and not self._awaits_heir(link):
-            self._forget_machine(now, link)  # it has left the list, and its connection with it
-            return
-        keep = now + micros(self.limits.keep_answers_ms)
-        link.words += [(keep, message) for until, message in link.told if until > now]
-        link.told.clear()
-        if link.holds or any(link.machine in by for by in self.loose.values()):
-            link.lost_at = link.lost_at or now
-            link.dial_at = now
-        else:
-            link.lost_at = 0
-            link.dial_at = now if link.words else link.dial_at
-
-    def _forget_machine(self, now: int, link: Link) -> None:
-        """The machine did not come back in time: what is unknown goes to the Brain as unknown."""
-        link.lost_at = link.dial_at = link.unanswered = link.heard_at = 0
-        link.words.clear()
-        link.incarnation = link.incarnation if link.state == "up" else 0
-        for name in list(link.holds):
-            case = self.cases[name]
-            if case.placed and self.peers.rolls:  # it may run on, cut off: its machine is asked later
-                self._loosen(now, case)
-            self._gone(now, case, "lost")
-        if link.machine not in self.roster.fellows:
-            for guest in [g for g, by in self.loose.items() if link.machine in by]:
-                self._settled(guest, link.machine)
-            del self.links[link.machine]
-            if self.orphans.get(link.address) == link.machine:
-                del self.orphans[link.address]
-
-    def _drop_queue(self, now: int, link: Link) -> None:
-        for name in list(link.queue):
-            self._not_sent(now, self.cases[name], Ending.NO_CONNECTION)
-
     # What machines say.
 
     def machine_said(self, now: int, machine: str, message: m.Message) -> None:
@@ -542,97 +339,6 @@
         self.brain.guest_found(now, link.machine, self._ask(case, 0))
         self._fact(now, case, "placed")
 
-    def _send_probe(self, now: int, machine: str) -> None:
-        """A test that waited for its connection."""
-        probe = self.probes[machine] = self.probes[machine]._replace(sent_at=now)
-        self._send_machine(machine, m.Probe(number=probe.number))
-
-    def _tested(self, now: int, link: Link, well: bool) -> None:
-        """A machine answered a test. One that passed took work when the test was sent, or later."""
-        if well != (link.tested_at is not None):
-            self._machine_event("test_passed" if well else "test_failed", link.machine)
-        link.tested_at = self.probes[link.machine].sent_at if well else None
-        if not self.facts.tests_show_drains:
-            return
-        if well:
-            self.brain.machine_vouched(now, link.machine, link.tested_at + TEST_VALID)
-        else:
-            self.brain.machine_refuses(now, link.machine)
-
-    # Silence.
-
-    def _unheard(self, now: int, machine: str, since: int) -> None:
-        """A probe was not answered. Where no roll call tells of a dead connection, two in a row with not a
-        word between them are taken for one: it is closed and opened anew."""
-        link = self.links.get(machine)
-        if self.peers.rolls or link is None or link.state != "up" or link.heard_at >= since:
-            return
-        link.unanswered += 1
-        if link.unanswered >= 2:
-            self._abandon(now, link)
-
-    def _abandon(self, now: int, link: Link) -> None:
-        self.counts["links_silent"] += 1
-        self.actions.append(HangUp(link.machine))
-        self._link_lost(now, link)
-
-    def _watch_silence(self, now: int, link: Link) -> None:
-        """What stands on a machine outlives its connections, so silence has to be looked into: a machine
-        that has said nothing for a while is asked, since the module asks none that takes nothing, first on
-        its connection, then on a new one. One that stays silent, or has left the list a second ago, has lost
-        what stood there."""
-        silent = micros(self.limits.silent_ms)
-        if not link.holds:
-            return
-        if link.machine not in self.roster.fellows:
-            link.gone_at = link.gone_at or now
-            if now - link.gone_at < (HEIR_WITHIN if self._awaits_heir(link) else GONE_WITHIN):
-                return
-        elif not link.lost_at or now - link.heard_at < micros(self.limits.lost_ms):
-            if link.state == "down" and not link.lost_at and now - link.heard_at > silent:
-                link.lost_at = link.dial_at = now
-                self.restless[link.machine] = None
-            elif (
-                link.state == "up"
-                and now - max(link.heard_at, link.opened_at) > silent
-                and all(self.cases[name].placed for name in link.holds)
-            ):
-                if link.asked_at <= link.heard_at:
-                    link.asked_at = now
-                    self.probe_number += 1
-                    self._send_machine(link.machine, m.Probe(number=self.probe_number))
-                elif now - link.asked_at > micros(self.limits.probe_ms):
-                    self._abandon(now, link)
-            return
-        if link.state != "down":
-            self.actions.append(HangUp(link.machine))
-            link.state = "down"
-        self._drop_queue(now, link)
-        self._forget_machine(now, link)
-
-    def _ask_loose(self, now: int, loose: Loose) -> None:
-        """Asks again what became of a dispatch that was given up, ten times in its keeping time, then forgets
-        it: its machine is out of reach for good, or has lost its memory."""
-        keep = micros(self.limits.keep_answers_ms)
-        if now - loose.sent_at > 10 * keep:
-            self.counts["loose_forgotten"] += 1
-            self._settled(loose.case.guest, loose.machine)
-            return
-        loose.roll_at = now + max(1_000_000, keep // 10)
-        link = self.links.get(loose.machine)
-        if link and link.state == "up" and link.rolled:
-            if loose.stands:
-                self._adopt(now, loose.case.guest)
-            else:
-                self._send_machine(
-                    loose.machine,
-                    m.Withdraw(guest=loose.case.guest, ask=loose.case.ask, attempt=loose.attempt),
-                )
-        elif fellow := self.roster.fellows.get(loose.machine):
-            self._dial(now, fellow)
-        else:
-            self._settled(loose.case.guest, loose.machine)
-
 
 def load(report: m.Load | None) -> Load | None:
     return None if report is None else Load(report.cores_free, report.memory_free, report.busy)
--- /dev/null
+++ b/hazelhold/engine/list_news.py
@@ -0,0 +1,163 @@
+"""What the list of machines tells: who is there, who takes work, whether it may be taken for the present."""
+
+from collections.abc import Callable
+
+from hazelhold.engine.cases import HangUp
+from hazelhold.engine.events import ListEvent
+from hazelhold.engine.link_loss import LinkLoss
+from hazelhold.engine.list_currency import Doubt
+from hazelhold.engine.machines import Fellow, Link, News
+from hazelhold.interface import Ending
+from hazelhold.protocol import messages as m
+
+
+class ListNews(LinkLoss):
+    """The list's side of an engine."""
+
+    _resolve_stands: Callable[..., None]  # of the owners' side
+
+    def list_said(self, now: int, message: m.Message) -> None:
+        """A Listing or ListRefused of the list service."""
+        self.list_due = 0
+        if not isinstance(message, m.Listing):
+            self.list_failed(now)
+            return
+        first, self.list_heard = not self.list_heard, True
+        self.list_version = message.version
+        news = self.roster.learn(now, message)
+        if self.keeping is not None:
+            self.keeping.told(message)
+        self.counts["list_entries"] += len(message.entries)
+        self.counts["list_faults"] += len(news.faults)
+        self.brain.machines_listed(now, news.listed, message.whole)
+        if not first:  # the whole list of a start is one line, at the start
+            self._log_news(news)
+        for name in news.closed:  # what has not left may not go there any more
+            if link := self.links.get(name):
+                for case_name in list(link.queue):
+                    self._not_sent(now, self.cases[case_name], Ending.NOT_SENT)
+        for name in news.moved:
+            if name in self.links:
+                self.actions.append(HangUp(name))
+                self._link_lost(now, self.links[name])
+        inherited = self._inherit(now, news)
+        for name in news.gone:
+            self.unheard.discard(name)
+            if (link := self.links.get(name)) and (
+                not link.state == "up"
+                and not self._awaits_heir(link)
+                or not self.peers.rolls
+                and not link.holds
+            ):
+                if link.state == "up":
+                    self.actions.append(HangUp(name))
+                    link.state = "down"
+                self._forget_machine(now, link)
+        self._resolve_stands(now, list_is_whole=False)
+        if not self.peers.rolls:
+            for name in news.fresh:
+                if (link := self.links.get(name)) and link.machine not in inherited:
+                    self._new_life(now, link, self.roster.fellows[name].started)
+            return
+        if first:
+            self.unheard = {f.name for f in self.roster.fellows.values()}
+        for name in news.fresh:  # each is asked once what it holds of ours
+            self._dial(now, self.roster.fellows[name])
+
+    def _new_life(self, now: int, link: Link, started: int) -> None:
+        """The list tells of a machine's new life: what came to it in the old one is over."""
+        for name in list(link.holds):
+            case = self.cases[name]
+            if case.sent and case.sent_at < started:
+                self._gone(now, case, "lost")
+
+    def _log_news(self, news: News) -> None:
+        for name in news.fresh:
+            self._machine_event("listed", name)
+        for name in news.closed:
+            self._machine_event("closed", name, "gone" if name in news.gone else "draining")
+
+    # Whether it may be taken for the present.
+
+    def list_confirmed(self, now: int, as_of: int) -> None:
+        """The list was current at that moment: the service answered a call made then."""
+        self.currency.confirm(as_of)
+        if self.currency.is_current(now):
+            self._resolve_stands(now, list_is_whole=True)
+            self._identify(as_of)
+        self._tell_currency(now)
+
+    def list_doubted(self, now: int, doubt: Doubt) -> None:
+        """The list may no longer be taken for the present."""
+        self.currency.put_in_doubt(doubt)
+        self._tell_currency(now)
+
+    def _tell_currency(self, now: int) -> None:
+        """Tells the module and the log if the list has become current or stopped to be."""
+        current = self.currency.is_current(now)
+        if current is self.list_taken:
+            return
+        self.list_taken = current
+        self.brain.list_taken(now, current)
+        as_of, doubt = self.currency.confirmed_as_of, self.currency.doubt
+        self.events.append(
+            ListEvent(current, doubt.value if doubt else "confirmed", -1 if as_of is None else now - as_of)
+        )
+        self.counts["list_doubts"] += not current
+
+    def list_failed(self, now: int) -> None:
+        """The list service refused, was silent for too long, or its connection broke."""
+        self.list_due = 0
+        self.counts["list_failures"] += 1
+        self.brain.list_failed(now)
+
+    # Tasks that were sent in doubt, to an address that another machine had by then.
+
+    def _inherit(self, now: int, news: News) -> set[str]:
+        """Machines have left the list or come to it. What was sent on a connection that was opened while the
+        list was in doubt came to whoever had that address by then, and stands there. Returns the machines
+        that have got such tasks."""
+        inherited = set()
+        for name in news.gone:
+            link = self.links.get(name)
+            if link is None or not self._awaits_heir(link):
+                continue
+            self.orphans[link.address] = name
+            for fellow in self.roster.fellows.values():
+                if fellow.address == link.address:
+                    self._move_tasks(now, link, fellow)
+                    inherited.add(fellow.name)
+        for name in news.fresh:
+            fellow = self.roster.fellows.get(name)
+            if fellow is not None and (orphan := self.links.get(self.orphans.get(fellow.address, ""))):
+                self._move_tasks(now, orphan, fellow)
+                inherited.add(fellow.name)
+        return inherited
+
+    def _move_tasks(self, now: int, link: Link, heir: Fellow) -> None:
+        """What was sent in doubt to this address stands at the machine that has it now."""
+        self.orphans.pop(link.address, None)
+        link.heir = heir.name
+        for case in [self.cases[name] for name in link.holds]:
+            if not case.placed or not case.sent_in_doubt:
+                continue
+            self._unhold(case)
+            case.machine = heir.name
+            self._hold(case)
+            self.brain.guest_found(now, heir.name, self._ask(case, 0))
+            self._task_event("moved", case, f"from {link.machine}, whose address it has")
+            self.counts["tasks_inherited"] += 1
+        new = self._dial(now, heir)
+        new.heard_at = new.heard_at or now
+
+    def _identify(self, as_of: int) -> None:
+        """Connections that were opened in doubt are to the machines that the list still shows there since."""
+        for name in list(self.links_in_doubt):
+            link = self.links.get(name)
+            if link is not None and link.opened_at > as_of:
+                continue
+            del self.links_in_doubt[name]
+            if link is not None and name in self.roster.fellows:
+                link.opened_in_doubt = False
+                for each in link.holds:
+                    self.cases[each].sent_in_doubt = False
