--- a/hazelhold/brain.py
+++ b/hazelhold/brain.py
@@ -361,6 +361,13 @@
         if (guest := self.guests.get(name)) and guest.machine and not guest.runs:
             self._started(guest, now)
 
+    def dispatch_held_back(self, now: int, name: str) -> None:
+        """The dispatch that is about to end did not leave this planner, so it was none of those that the guest
+        may have. What kept it here may hold for a moment."""
+        if (guest := self.guests.get(name)) and guest.machine:
+            guest.dispatches -= 1
+            guest.rests_until, guest.machine.vouched_until = now + SECOND // 20, 0
+
     def dispatch_ended(self, now: int, name: str, ending: Ending, closed: bool, remark: Remark) -> None:
         if not (guest := self.guests.get(name)) or not (host := guest.machine):
             return
@@ -378,10 +385,6 @@
         once = guest.product.effect is Effect.EXCLUSIVE and ending is Ending.TURNED_BACK
         if not self.deployment.dispatches_named and (once or ending not in NEVER_RAN):
             guest.tried.append(host.listed.machine)
-        if ending is Ending.NOT_SENT and self.deployment.tests_show_drains:
-            # It did not leave, so it was none of its dispatches; what kept it here may hold for a moment.
-            guest.dispatches -= 1
-            guest.rests_until, host.vouched_until = now + SECOND // 20, 0
         if ending is Ending.TURNED_BACK and guest.dispatches > 1:
             # Twice refused: everybody is after the same room. The rest of its dispatches are spread over its
             # patience, drawn so that crowds thin out, from a quarter second and twice as long each time.
--- a/hazelhold/engine/cases.py
+++ b/hazelhold/engine/cases.py
@@ -73,6 +73,7 @@
     sent: bool = False  # the offer has left
     sent_at: int = 0
     placed: bool = False
+    offers: int = 0  # whose bytes have left
     sent_in_doubt: bool = False  # on a connection that was opened while the list was not confirmed
     cancelled: bool = False
     incarnation: int = 0  # of the machine, when the offer left
--- a/hazelhold/engine/engine.py
+++ b/hazelhold/engine/engine.py
@@ -51,6 +51,8 @@
         """An offer did not leave, since what it rests on could not be made safe."""
         case = self.cases.get(f"{offer.guest}/{offer.ask}") or self.newest.get(offer.guest)
         if case and case.sent and not case.placed and (case.ask, case.attempt) == (offer.ask, offer.attempt):
+            if self.facts.tests_show_drains:
+                self.brain.dispatch_held_back(now, case.name)
             self._not_sent(now, case, Ending.NOT_SENT)
 
     # The passing of time.
--- a/hazelhold/engine/owners.py
+++ b/hazelhold/engine/owners.py
@@ -235,7 +235,8 @@
             return 0
         product, fellow = self.facts.products[case.product], self.roster.fellows.get(case.machine)
         vouched = self._vouched(now, case.machine)
-        if denial := offer_denied(now, case, offer.attempt, product, fellow, vouched):
+        most = self.facts.max_dispatches
+        if denial := offer_denied(now, case, offer.attempt, product, most, fellow, vouched):
             self.denials[denial] += 1
             self._task_event("held_back", case, denial.value)
             return 0
@@ -244,6 +245,7 @@
     def offer_leaves(self, now: int, guest: str) -> None:
         """The bytes of an offer that `time_left` allowed are about to be written."""
         case = self.newest[guest]
+        case.offers += 1
         vouched = self._vouched(now, case.machine)
         effect = self.facts.products[case.product].effect
         self._violated(self.monitor.attempt_leaves(case.name, case.machine, effect, vouched), case)
--- a/hazelhold/engine/permission.py
+++ b/hazelhold/engine/permission.py
@@ -23,6 +23,7 @@
     OTHER_ATTEMPT = "another attempt has taken its place"
     CANCELLED = "its owner gave it up"
     MAY_HAVE_RUN = "an earlier attempt may have run"
+    TOO_MANY = "it has had as many attempts as are allowed"
     WINDOW_CLOSED = "the window for a repeat is over"
     OUT_OF_TIME = "its time is up"
     MACHINE_GONE = "its machine has left the list"
@@ -34,25 +35,34 @@
 
 
 def offer_denied(
-    now: int, case: Case | None, attempt: int, product: Product | None, fellow: Fellow | None, vouched: bool
+    now: int,
+    case: Case | None,
+    attempt: int,
+    product: Product,
+    most: int,
+    fellow: Fellow | None,
+    vouched: bool,
 ) -> Denial | None:
     """Whether the bytes of an offer may leave. `case` is the task in hand under its name, `attempt` the
-    number that the offer carries, `vouched` whether the machine is known to take work at this moment."""
+    number that the offer carries, `most` how many attempts are allowed, `vouched` whether the machine is known
+    to take work at this moment."""
     if case is None or case.placed:
         return Denial.OVER
     if not case.sent or case.attempt != attempt:
         return Denial.OTHER_ATTEMPT
     if case.cancelled:
         return Denial.CANCELLED
-    if denial := repeat_denied(now, case, product):
+    if denial := repeat_denied(now, case, product, most):
         return denial
     if case.due_at <= now:
         return Denial.OUT_OF_TIME
     return machine_denied(fellow, vouched)
 
 
-def repeat_denied(now: int, case: Case, product: Product) -> Denial | None:
-    """Whether an attempt may follow those that were made."""
+def repeat_denied(now: int, case: Case, product: Product, most: int) -> Denial | None:
+    """Whether an attempt may follow those that were made, of which there may be `most`."""
+    if case.offers >= most:
+        return Denial.TOO_MANY
     if not case.ran_from:
         return None
     if product.effect is Effect.EXCLUSIVE:
--- a/tests/test_permission.py
+++ b/tests/test_permission.py
@@ -54,6 +54,8 @@
         (case(ran_from=1), 0, EXCLUSIVE, fellow(), True, Denial.MAY_HAVE_RUN),
         (case(ran_from=1, due_at=9000), 0, TICKETED, fellow(), True, None),
         (case(ran_from=1), 0, RERUNNABLE, fellow(), True, None),
+        (case(offers=3), 0, RERUNNABLE, fellow(), True, None),
+        (case(offers=4), 0, RERUNNABLE, fellow(), True, Denial.TOO_MANY),
         (case(due_at=50), 0, RERUNNABLE, fellow(), True, Denial.OUT_OF_TIME),
         (case(), 0, RERUNNABLE, None, True, Denial.MACHINE_GONE),
         (case(), 0, RERUNNABLE, fellow(Mode.CORDONED), True, Denial.MACHINE_DRAINING),
@@ -68,13 +70,13 @@
     vouched: bool,
     denial: Denial | None,
 ) -> None:
-    assert offer_denied(50, in_hand, attempt, of, where, vouched) is denial
+    assert offer_denied(50, in_hand, attempt, of, 4, where, vouched) is denial
 
 
 def test_a_repeat_within_its_group_ends_with_its_window() -> None:
     late = case(ran_from=1, due_at=9000)
-    assert offer_denied(1000, late, 0, TICKETED, fellow(), True) is None
-    assert offer_denied(1001, late, 0, TICKETED, fellow(), True) is Denial.WINDOW_CLOSED
+    assert offer_denied(1000, late, 0, TICKETED, 4, fellow(), True) is None
+    assert offer_denied(1001, late, 0, TICKETED, 4, fellow(), True) is Denial.WINDOW_CLOSED
 
 
 def test_requests_and_connections() -> None:
