--- a/hazelhold/engine/permission.py
+++ b/hazelhold/engine/permission.py
@@ -44,8 +44,8 @@
     vouched: bool,
 ) -> Denial | None:
     """Whether the bytes of an offer may leave. `case` is the task in hand under its name, `attempt` the
-    number that the offer carries, `most` how many attempts are allowed, `vouched` whether the machine is known
-    to take work at this moment."""
+    number that the offer carries, `most` how many attempts are allowed, `vouched` whether the machine is
+    known to take work at this moment."""
     if case is None or case.placed:
         return Denial.OVER
     if not case.sent or case.attempt != attempt:
