--- a/hazelhold/brain.py
+++ b/hazelhold/brain.py
@@ -362,8 +362,8 @@
             self._started(guest, now)
 
     def dispatch_held_back(self, now: int, name: str) -> None:
-        """The dispatch that is about to end did not leave this planner: it is none of those that the guest may
-        have. What kept it here may hold for a moment."""
+        """The dispatch that is about to end did not leave this planner: it is none of those that the guest
+        may have. What kept it here may hold for a moment."""
         if (guest := self.guests.get(name)) and guest.machine:
             guest.dispatches -= 1
             guest.rests_until, guest.machine.vouched_until = now + SECOND // 20, 0
