--- a/hazelhold/engine/machines.py
+++ b/hazelhold/engine/machines.py
@@ -41,7 +41,7 @@
     opened_at: int = 0
     address: str = ""  # that was dialled last
     heir: str = ""  # the machine that has its address now, and that speaks on this connection
-    opened_in_doubt: bool = False  # the list was not confirmed then: another machine may have its address
+    opened_in_doubt: bool = False  # not confirmed by the list since: another machine may have its address
     gone_at: int = 0  # when it was seen to have left the list with guests of ours; 0: it has not
     tested_at: int | None = None  # when the last test was sent that it passed; None if it failed one since
     asked_at: int = 0  # when it was last asked for its silence
--- a/tests/faults/servers.py
+++ b/tests/faults/servers.py
@@ -60,8 +60,9 @@
 class Server:
     """One server until it is removed. `nursery` outlives it."""
 
-    def __init__(self, name: str, record: Record, random: Random, nursery: trio.Nursery) -> None:
-        self.name, self.record, self.random, self.nursery = name, record, random, nursery
+    def __init__(self, name: str, host: str, record: Record, random: Random, nursery: trio.Nursery) -> None:
+        self.name, self.host = name, host
+        self.record, self.random, self.nursery = record, random, nursery
         self.life = record.servers[name] = ServerLife(name)
         self.faults = Faults()
         self.ready, self.removed = True, False
@@ -82,7 +83,7 @@
         self.nursery.start_soon(self._end_tasks)
 
     async def _listen(self, planner: str, port: int) -> None:
-        (listener,) = await trio.open_tcp_listeners(port, host="127.0.0.1", backlog=BACKLOG)
+        (listener,) = await trio.open_tcp_listeners(port, host=self.host, backlog=BACKLOG)
         self.listeners[planner] = listener
         self.ports[planner] = listener.socket.getsockname()[1]
         self.connections.setdefault(planner, [])
@@ -144,7 +145,7 @@
                 data = b""
                 with trio.move_on_after(self.faults.idle_close):
                     data = await stream.receive_some(1 << 16)
-                if not data:
+                if not data or connection.closed:
                     return
                 held += data
                 *lines, rest = held.split(b"\n")
--- a/tests/faults/soak.py
+++ b/tests/faults/soak.py
@@ -78,6 +78,8 @@
     def __init__(self, schedule: Schedule, folder: Path) -> None:
         self.schedule, self.folder = schedule, folder
         self.random = Random(f"run/{schedule.seed}")
+        # Its own, so that no run beside it takes the port of a server that has gone.
+        self.host = f"127.77.{schedule.seed % 250}.1"
         self.record = Record()
         self.servers: list[Server] = []
         self.planners: list[PlannerProcess] = []
@@ -153,7 +155,7 @@
 
     async def _server(self, planners: list[str], ports: dict[str, int] | None = None) -> Server:
         self.made += 1
-        server = Server(f"s{self.made}", self.record, self.random, self.nursery)
+        server = Server(f"s{self.made}", self.host, self.record, self.random, self.nursery)
         server.faults.idle_close = self.schedule.idle_close
         await server.open(planners, ports)
         return server
