--- a/hazelhold/service/net.py
+++ b/hazelhold/service/net.py
@@ -37,7 +37,9 @@
 """Errors of system calls for want of something that others may give back."""
 
 RETRY = 0.05  # seconds after a shortage
-ACCEPT_AGAIN = 0.05  # seconds after a connection could not be accepted
+ACCEPT_AGAIN = (0.001, 0.002, 0.005, 0.01, 0.02, 0.05)
+"""Seconds after a connection could not be accepted, by how often that failed in a row; then the last."""
+
 LISTEN_TRIES = 20.0  # seconds for which a listening socket is tried to be had
 BACKLOG = 2048  # connections that wait to be accepted
 AT_ONCE = 256  # datagrams taken before others in the process have their turn
@@ -140,6 +142,7 @@
     listener.setblocking(False)
 
     blocked_since: float | None = None  # since when nothing could be accepted
+    failures = 0  # in a row
 
     async def run(stream: trio.SocketStream, delay: float) -> None:
         stream.hazelhold_accept_delay = delay
@@ -157,6 +160,7 @@
                         peer = listener.accept()[0]
                         delay = 0.0 if blocked_since is None else trio.current_time() - blocked_since
                         stream = trio.SocketStream(trio.socket.from_stdlib_socket(peer))
+                        failures = 0
                         nursery.start_soon(run, stream, delay)
                 except BlockingIOError:
                     blocked_since = None
@@ -164,8 +168,10 @@
                     pass
                 except OSError as wrong:
                     blocked_since = trio.current_time() if blocked_since is None else blocked_since
-                    structlog.get_logger().warning("accept_put_off", reason=str(wrong))
-                    await trio.sleep(ACCEPT_AGAIN)
+                    if not failures:
+                        structlog.get_logger().warning("accept_put_off", reason=str(wrong))
+                    await trio.sleep(ACCEPT_AGAIN[min(failures, len(ACCEPT_AGAIN) - 1)])
+                    failures += 1
 
 
 async def _listener(address: tuple[str, int], family: int) -> socket.socket:
--- a/tests/faults/record.py
+++ b/tests/faults/record.py
@@ -112,6 +112,7 @@
         default_factory=list
     )  # when the stand-ins were late, and how much
     broken_connections: set[int] = field(default_factory=set)  # client ports of those that a shim broke
+    accepted_at: dict[int, float] = field(default_factory=dict)  # by the client's port, in a faulty process
     notes: list[str] = field(default_factory=list)  # faults as they were begun
 
     def note(self, text: str) -> None:
