--- a/hazelhold/engine/tables.py
+++ b/hazelhold/engine/tables.py
@@ -19,9 +19,6 @@
 from hazelhold.protocol import messages as m
 from hazelhold.state.images import Change
 
-EVENTS_KEPT = 4096
-"""Events that wait for a host that reads them; the oldest fall out."""
-
 
 class OutstandingProbe(NamedTuple):
     """A test that a machine was asked for by a decision. Moments in microseconds."""
@@ -98,7 +95,7 @@
         self.orphans: dict[str, str] = {}
         self.links_in_doubt: dict[str, None] = {}  # opened since the list was confirmed last; emptied by that
         self.denials: Counter[Denial] = Counter()  # what the last check kept back, by reason
-        self.events: deque[Event] = deque(maxlen=EVENTS_KEPT)  # for the host's log, emptied by it
+        self.events: deque[Event] = deque(maxlen=0)  # for the log of a host that gives it room, emptied by it
         self.more = False  # the last pump ended at its limit
         self.advice = Advice(
             micros(self.limits.again_least_ms), micros(self.limits.again_most_ms), Random(f"advice/{seed}")
--- a/hazelhold/platform/logbook.py
+++ b/hazelhold/platform/logbook.py
@@ -5,7 +5,7 @@
 """
 
 import logging
-from collections import Counter
+from collections import Counter, deque
 
 import structlog
 import trio
@@ -14,6 +14,7 @@
 from hazelhold.engine.events import Event, ListEvent, MachineEvent, RuleEvent, TaskEvent
 
 COUNTS_EVERY = 10.0  # seconds
+EVENTS_KEPT = 4096  # that wait to be written; the oldest fall out
 INFO_A_SECOND = 20  # lines on tasks; what is past that is counted and left to level debug
 
 # What became of a task, beside its answer, that an operator looks for.
@@ -25,6 +26,7 @@
 
     def __init__(self, log: structlog.stdlib.BoundLogger, engine: Engine) -> None:
         self.log, self.engine = log, engine
+        engine.events = deque(maxlen=EVENTS_KEPT)
         self.counted_at = trio.current_time()
         self.second, self.written, self.left_out = 0, 0, 0
 
