--- a/tests/faults/judge.py
+++ b/tests/faults/judge.py
@@ -235,6 +235,12 @@
         for life in self.record.lives:
             if life.ended_at is not None and not life.expected_end:
                 self._break(Rule.CRASH, life.ended_at, f"{life.planner} ended with {life.exit_code}")
+            if (
+                life.told_to_stop_at is not None
+                and life.killed_at is None
+                and life.exit_code not in (0, None)
+            ):
+                self._break(Rule.CRASH, life.ended_at, f"{life.planner} stopped with {life.exit_code}")
             cut = life.ended_at is not None and life.ready_at is None and life.expected_end
             if not cut:
                 restarts += 1
--- a/tests/test_faults_judge.py
+++ b/tests/test_faults_judge.py
@@ -113,6 +113,11 @@
     record.lives[0].ended_at, record.lives[0].exit_code = 20.0, 1
 
 
+def crash_at_a_stop(record: Record) -> None:
+    life = record.lives[0]
+    life.told_to_stop_at, life.ended_at, life.exit_code, life.expected_end = 20.0, 21.0, 1, True
+
+
 def slow_start(record: Record) -> None:
     record.servers["b"].started_at = record.servers["b"].told_start = 20.0
     for number in range(14):  # 4 + 3 x 2 + 3 are allowed
@@ -142,6 +147,7 @@
         (to_a_draining_server, "drain"),
         (deadline_too_long, "deadline passed on"),
         (crash, "crash"),
+        (crash_at_a_stop, "crash"),
         (slow_start, "slow start"),
         (slow_to_be_ready, "ready"),
     ],
