A draining server may have gone from its address; an answer after the list's news moves its task too

Wrong lines: ListNews._identify took any listed server for present; LinkLoss._awaits_heir looked at placed tasks alone. Tests of both added.

--- a/hazelhold/engine/links.py
+++ b/hazelhold/engine/links.py
@@ -129,7 +129,6 @@
         link.heard_at, link.unanswered = now, 0
         if not self.peers.rolls:
             link.lost_at = 0
-            machine = link.heir or machine
         if isinstance(message, m.Running):
             self._rolled(now, link, message)
             return
@@ -149,7 +148,8 @@
         for case in (self.newest.get(message.guest), self.cases.get(f"{message.guest}/{message.ask}")):
             if (
                 case
-                and case.machine == machine
+                and case.machine
+                and case.machine in (machine, link.heir)
                 and case.sent
                 and (
                     not self.peers.names_attempts
@@ -183,6 +183,8 @@
                 ),
                 case.asks,
             )
+            if case.sent_in_doubt and (link := self.links.get(case.machine)) and link.heir:
+                self._move_task(now, case, link.heir)
         elif isinstance(message, m.Refused) and not case.placed:
             self.counts["refused_" + message.remark[:20]] += 1
             self._ended(now, case, Ending.TURNED_BACK, REMARKS.get(message.remark, Remark.NONE))
--- a/hazelhold/engine/list_news.py
+++ b/hazelhold/engine/list_news.py
@@ -2,12 +2,12 @@
 
 from collections.abc import Callable
 
-from hazelhold.engine.cases import HangUp
+from hazelhold.engine.cases import Case, HangUp
 from hazelhold.engine.events import ListEvent
 from hazelhold.engine.link_loss import LinkLoss
 from hazelhold.engine.list_currency import Doubt
 from hazelhold.engine.machines import Fellow, Link, News
-from hazelhold.interface import Ending
+from hazelhold.interface import Ending, Mode
 from hazelhold.protocol import messages as m
 
 
@@ -135,29 +135,36 @@
         return inherited
 
     def _move_tasks(self, now: int, link: Link, heir: Fellow) -> None:
-        """What was sent in doubt to this address stands at the machine that has it now."""
+        """What was sent in doubt to this address stands at the machine that has it now; what awaits its
+        answer does once it is accepted."""
         self.orphans.pop(link.address, None)
         link.heir = heir.name
         for case in [self.cases[name] for name in link.holds]:
-            if not case.placed or not case.sent_in_doubt:
-                continue
-            self._unhold(case)
-            case.machine = heir.name
-            self._hold(case)
-            self.brain.guest_found(now, heir.name, self._ask(case, 0))
-            self._task_event("moved", case, f"from {link.machine}, whose address it has")
-            self.counts["tasks_inherited"] += 1
+            if case.placed and case.sent_in_doubt:
+                self._move_task(now, case, heir.name)
         new = self._dial(now, heir)
         new.heard_at = new.heard_at or now
 
+    def _move_task(self, now: int, case: Case, machine: str) -> None:
+        """A placed task stands at another machine than it was sent to."""
+        before = case.machine
+        self._unhold(case)
+        case.machine = machine
+        self._hold(case)
+        self.brain.guest_found(now, machine, self._ask(case, 0))
+        self._task_event("moved", case, f"from {before}, whose address it has")
+        self.counts["tasks_inherited"] += 1
+
     def _identify(self, as_of: int) -> None:
-        """Connections that were opened in doubt are to the machines that the list still shows there since."""
+        """Connections that were opened in doubt are to the machines that the list still shows as ready since.
+        One that drains may have gone before the list tells it."""
         for name in list(self.links_in_doubt):
             link = self.links.get(name)
             if link is not None and link.opened_at > as_of:
                 continue
             del self.links_in_doubt[name]
-            if link is not None and name in self.roster.fellows:
+            fellow = self.roster.fellows.get(name)
+            if link is not None and fellow is not None and fellow.mode is Mode.READY:
                 link.opened_in_doubt = False
                 for each in link.holds:
                     self.cases[each].sent_in_doubt = False
--- a/tests/test_list_in_doubt.py
+++ b/tests/test_list_in_doubt.py
@@ -288,3 +288,52 @@
         assert owner.of(1) == [*PLACED, (12, 16)]
 
     play(test)
+
+
+def test_a_task_accepted_after_the_list_named_the_new_machine_stands_there_too() -> None:
+    """Soak seed 23: the answer came some milliseconds after the list's news."""
+
+    async def test(rig: Rig) -> None:
+        rig.bulletin.silent = True
+        rig.planner.follower.scope.cancel()
+        rig.planner.engine.list_doubted(rig.net.now(), Doubt.FAILED)
+        machine = rig.machines["a"]
+        machine.accepts = False
+        owner = await rig.owner()
+        await owner.say(set_up(1, left="3000"))
+        await trio.sleep(0.3)
+        assert len(machine.offers()) == 1
+        rig.bulletin.events += [event(2, host("a", "terminated")), event(3, host("new", dial="a:1"))]
+        rig.bulletin.silent = False
+        rig.planner.follower.scope.cancel()
+        await trio.sleep(0.1)
+        assert rig.planner.follower.last == 3
+        await machine.accept(machine.streams[0], f"{1:016x}")
+        await trio.sleep(3)
+        assert owner.of(1) == PLACED and rig.planner.engine.newest[f"{1:016x}"].machine == "new"
+        await machine.end(f"{1:016x}", 16)
+        await trio.sleep(0.1)
+        assert owner.of(1) == [*PLACED, (12, 16)]
+
+    play(test, machines="a")
+
+
+def test_a_machine_that_is_listed_as_draining_may_have_gone_from_its_address() -> None:
+    """Soak seed 42: the list was confirmed while it still named the old one, as draining."""
+
+    async def test(rig: Rig) -> None:
+        rig.bulletin.silent = True
+        rig.planner.follower.scope.cancel()
+        rig.planner.engine.list_doubted(rig.net.now(), Doubt.FAILED)
+        owner = await rig.owner()
+        await owner.say(set_up(1))
+        await trio.sleep(0.5)
+        assert owner.of(1) == PLACED
+        rig.bulletin.events += [event(2, host("a", "terminating"))]
+        rig.bulletin.silent = False
+        await trio.sleep(3)  # confirmed more than once
+        rig.bulletin.events += [event(3, host("a", "terminated")), event(4, host("new", dial="a:1"))]
+        await trio.sleep(3)
+        assert owner.of(1) == PLACED and rig.planner.engine.newest[f"{1:016x}"].machine == "new"
+
+    play(test, machines="a")
