--- a/hazelhold/platform/owner_door.py
+++ b/hazelhold/platform/owner_door.py
@@ -283,6 +283,9 @@
 
     def _handed_over(self, now: int, peer: OwnerPeer, at: str, submit: m.Submit, ended: bool) -> None:
         """A set-up that names the machine where its task runs already."""
+        if self.releases.tell_waiting_of(peer, submit.guest):
+            peer.good = peer.told = True
+            return
         if wrong := self.engine.guest_stands(now, peer.name, at, submit):
             self.counts["found_" + wrong] += 1
             peer.send(words.released(submit.guest, words.RESET))
--- a/hazelhold/platform/releases.py
+++ b/hazelhold/platform/releases.py
@@ -46,6 +46,14 @@
         while self.waiting and peer.release(self.waiting[0].binary):
             self.waiting.popleft()
 
+    def tell_waiting_of(self, peer: OwnerPeer, task: str) -> bool:
+        """Tells the end of a task that waits, if one does: a task that is handed over once more is over."""
+        for each in self.waiting:
+            if each.binary.id == task and peer.release(each.binary):
+                self.waiting.remove(each)
+                return True
+        return False
+
     def drop_overdue(self) -> None:
         """Gives up what has waited too long."""
         while self.waiting and self.waiting[0].due <= trio.current_time():
--- a/tests/test_list_in_doubt.py
+++ b/tests/test_list_in_doubt.py
@@ -337,3 +337,24 @@
         assert owner.of(1) == PLACED and rig.planner.engine.newest[f"{1:016x}"].machine == "new"
 
     play(test, machines="a")
+
+
+def test_a_task_that_is_handed_over_again_while_its_end_waits_is_told_that_end_once() -> None:
+    """Soak seed 3: its owner's connection broke under the end; it was taken anew and told over twice."""
+
+    async def test(rig: Rig) -> None:
+        first = await rig.owner()
+        stands = set_up(1, figures=f"cores:1;memory:2;service:{1:016x};at:a")
+        await first.say(stands)
+        await trio.sleep(0.1)
+        await first.stream.aclose()
+        await trio.sleep(0.1)
+        await rig.machines["a"].end(f"{1:016x}", 16)
+        await trio.sleep(0.1)
+        assert len(rig.planner.door.releases.waiting) == 1
+        second = await rig.owner()
+        await second.say(stands)
+        await trio.sleep(0.5)
+        assert second.of(1) == [(12, 16)] and f"{1:016x}" not in rig.planner.engine.newest
+
+    play(test)
