--- a/bench/capacity/configuration/counting.py
+++ b/bench/capacity/configuration/counting.py
@@ -91,6 +91,7 @@
     """One machine's network. `names`: who is reached at which address."""
 
     def __init__(self, own: str, names: Mapping[str, str], counts: Counts, cuts: Cuts) -> None:
+        super().__init__()
         self.own, self.names, self.counts, self.cuts = own, names, counts, cuts
 
     async def dial(self, address: str) -> trio.abc.Stream:
--- a/bench/capacity/hollow/lister.py
+++ b/bench/capacity/hollow/lister.py
@@ -67,6 +67,7 @@
     """TCP whose listeners hand out streams that count."""
 
     def __init__(self) -> None:
+        super().__init__()
         self.tally = Tally()
 
     async def listen(self, address: str, handler: Handler, nursery: trio.Nursery, at_once: int = 64) -> str:
--- a/bench/capacity/hollow/members.py
+++ b/bench/capacity/hollow/members.py
@@ -66,6 +66,7 @@
     """A network whose datagram ports count."""
 
     def __init__(self, watched: str) -> None:
+        super().__init__()
         self.watched, self.flows = watched, PeerFlows()
 
     async def port(self, address: str) -> Port:
