--- a/hazelhold/brain.py
+++ b/hazelhold/brain.py
@@ -403,11 +403,12 @@
         self._reported(machine, cores, memory, now)
 
     def probe_answered(self, now: int, name: str, well: bool) -> None:
-        if name in self.machines:
-            self.machines[name].testing = False
-        if (machine := self.machines.get(name)) and not well:
+        if (machine := self.machines.get(name)) is None:
+            return
+        machine.testing = False
+        if not well:
             self._strike(machine, now, mute=True)
-        elif machine and machine.mute:
+        elif machine.mute:
             machine.mute, machine.refuses, machine.strikes = False, False, 0
             self._changed(now)
 
@@ -528,12 +529,12 @@
             elif remark in (Remark.NO_CORES, Remark.NO_MEMORY):
                 axis, much = (0, guest.ask.cores) if remark is Remark.NO_CORES else (1, guest.ask.memory)
                 machine.full[axis] = now + SECOND, much  # about a list period
-            elif remark is Remark.NOT_HERE and self.deployment.tests_show_drains and self.deployment.probing:
+            elif remark is Remark.NOT_HERE and self.deployment.tests_show_drains:
                 self._suspect_drain(machine)
             elif remark is Remark.NOT_HERE and not guest.may_run:
                 machine.avoid_until = now + SECOND
         elif ending is Ending.CUT_OFF and guest.placed:
-            if remark is Remark.SENT_AWAY and self.deployment.tests_show_drains and self.deployment.probing:
+            if remark is Remark.SENT_AWAY and self.deployment.tests_show_drains:
                 self._suspect_drain(machine)
             if remark is Remark.NONE and now - machine.cold_at > SECOND:
                 self._restarted(machine, now)
--- a/hazelhold/engine/terms.py
+++ b/hazelhold/engine/terms.py
@@ -15,10 +15,9 @@
     asks_again: bool = True  # owners repeat an ask under its name: repeats join it, answers are kept for them
     hears_held: bool = True  # owners hear that an ask was taken
     advised: bool = True  # the door advises waits and turns away what cannot be reached in time
-    list_confirms: bool = (
-        False  # the list service says again and again that nothing changed. If so, a list that
-    )
-    # it has not confirmed lately vouches for no machine: each is tested before work goes there
+    # The list service says again and again that nothing changed. If so, a list that it has not confirmed
+    # lately vouches for no machine: each is tested before work goes there.
+    list_confirms: bool = False
 
 
 class Terms(NamedTuple):
--- a/hazelhold/interface.py
+++ b/hazelhold/interface.py
@@ -107,7 +107,7 @@
     fleet_price: float
     reports_on_probe: bool = False  # machines report their load to probes alone
     dispatches_named: bool = True  # machines say which dispatch of a guest they speak of
-    tests_show_drains: bool = False  # a machine that takes no work fails its test
+    tests_show_drains: bool = False  # a machine that takes no work fails its test; only with `probing`
 
 
 class Listed(NamedTuple):
--- a/hazelhold/platform/arrival.py
+++ b/hazelhold/platform/arrival.py
@@ -1,14 +1,11 @@
 """How long bytes may have waited before they were read: a client's time runs from when it sent them.
 
 What is read in a turn of the loop came after the loop last looked for it, which may be long ago if the
-process was stopped or starved. What is read first on a connection may have waited for that to be accepted.
+process was stopped or starved.
 """
 
 import trio
 
-ACCEPT_DELAY = "hazelhold_accept_delay"
-"""Attribute of a stream: seconds for which its listener could not accept before it did."""
-
 
 class LoopClock(trio.abc.Instrument):
     """Notes when the loop looks for what is readable. Seconds of trio's clock."""
@@ -22,8 +19,3 @@
     def waited(self) -> float:
         """Seconds for which what is read now may have waited at the most."""
         return trio.current_time() - self.looked_before
-
-
-def accept_delay(stream: trio.abc.Stream) -> float:
-    """Seconds for which a connection may have waited to be accepted because that failed."""
-    return getattr(stream, ACCEPT_DELAY, 0.0)
--- a/hazelhold/platform/peer.py
+++ b/hazelhold/platform/peer.py
@@ -7,10 +7,10 @@
 
 import trio
 
-from hazelhold.platform.arrival import accept_delay
 from hazelhold.platform.codec import BinaryMessage, BinaryReader, LineReader, encode_binary, encode_line
 from hazelhold.platform.words import to_machine
 from hazelhold.protocol import messages as m
+from hazelhold.service.net import accept_delay
 from hazelhold.service.wire import SendQueue
 
 READ = 1 << 14
--- a/hazelhold/service/net.py
+++ b/hazelhold/service/net.py
@@ -136,6 +136,15 @@
     async def port(self, address: str) -> Port: ...
 
 
+ACCEPT_DELAY = "hazelhold_accept_delay"
+"""Attribute of a stream: seconds for which its listener could not accept before it did."""
+
+
+def accept_delay(stream: trio.abc.Stream) -> float:
+    """Seconds for which a connection may have waited to be accepted because that failed."""
+    return getattr(stream, ACCEPT_DELAY, 0.0)
+
+
 async def serve(listener: socket.socket, handler: Handler, at_once: int) -> None:
     """Accepts so many in each turn of the loop: one a turn, as `trio.serve_listeners` does, leaves a peer
     behind hundreds of silent ones for as many turns. Without descriptors it waits a little."""
@@ -145,7 +154,7 @@
     failures = 0  # in a row
 
     async def run(stream: trio.SocketStream, delay: float) -> None:
-        stream.hazelhold_accept_delay = delay
+        setattr(stream, ACCEPT_DELAY, delay)
         try:
             await handler(stream)
         finally:
--- a/tests/test_faulty_system.py
+++ b/tests/test_faulty_system.py
@@ -65,7 +65,7 @@
             return super().accept()
 
     async def handler(stream: trio.SocketStream) -> None:
-        delays.append(stream.hazelhold_accept_delay)
+        delays.append(net.accept_delay(stream))
         await stream.send_all(b"x")
 
     async def run() -> None:
--- a/tests/test_list_in_doubt.py
+++ b/tests/test_list_in_doubt.py
@@ -67,12 +67,17 @@
     return machine
 
 
-async def silent_from_the_start(rig: Rig) -> None:
-    """`a` drains, and the bulletin that would tell it says nothing."""
+def fall_silent(rig: Rig) -> None:
+    """The bulletin answers nothing, and the list is in doubt."""
     rig.bulletin.silent = True
-    drained(rig, "a")
     rig.planner.follower.scope.cancel()  # whatever it has answered before is not what this is about
     rig.planner.engine.list_doubted(rig.net.now(), Doubt.FAILED)
+
+
+async def silent_from_the_start(rig: Rig) -> None:
+    """`a` drains, and the bulletin that would tell it says nothing."""
+    fall_silent(rig)
+    drained(rig, "a")
     owner = await rig.owner()
     for guest in range(1, 21):
         await owner.say(set_up(guest, figures=f"cores:0.1;memory:0.1;service:{guest:016x}"))
@@ -101,9 +106,7 @@
     )
 
     async def test(rig: Rig) -> None:
-        rig.bulletin.silent = True
-        rig.planner.follower.scope.cancel()
-        rig.planner.engine.list_doubted(rig.net.now(), Doubt.FAILED)
+        fall_silent(rig)
         drained(rig, "a")
         owner = await rig.owner()
         for guest in range(1, 21):
@@ -147,9 +150,7 @@
     limits = DEPLOYMENT["limits"] | {"probing": False}
 
     async def test(rig: Rig) -> None:
-        rig.bulletin.silent = True
-        rig.planner.follower.scope.cancel()
-        rig.planner.engine.list_doubted(rig.net.now(), Doubt.FAILED)
+        fall_silent(rig)
         owner = await rig.owner()
         await owner.say(*(set_up(guest) for guest in range(1, 11)))
         await trio.sleep(1)
@@ -219,9 +220,7 @@
     """A hand-over on a machine `c` that only the bulletin knows, which is silent at first."""
 
     async def run(rig: Rig) -> None:
-        rig.bulletin.silent = True
-        rig.planner.follower.scope.cancel()
-        rig.planner.engine.list_doubted(rig.net.now(), Doubt.FAILED)
+        fall_silent(rig)
         machine = rig.machines["c"] = Machine("c")
         machine.nursery = rig.nursery
         await rig.net.listen("c:1", machine.door, rig.nursery)
@@ -270,9 +269,7 @@
 
 def test_a_task_sent_in_doubt_stands_at_the_machine_that_has_the_address_by_then() -> None:
     async def test(rig: Rig) -> None:
-        rig.bulletin.silent = True
-        rig.planner.follower.scope.cancel()
-        rig.planner.engine.list_doubted(rig.net.now(), Doubt.FAILED)
+        fall_silent(rig)
         owner = await rig.owner()
         await owner.say(set_up(1))
         await trio.sleep(1)
@@ -294,9 +291,7 @@
     """Soak seed 23: the answer came some milliseconds after the list's news."""
 
     async def test(rig: Rig) -> None:
-        rig.bulletin.silent = True
-        rig.planner.follower.scope.cancel()
-        rig.planner.engine.list_doubted(rig.net.now(), Doubt.FAILED)
+        fall_silent(rig)
         machine = rig.machines["a"]
         machine.accepts = False
         owner = await rig.owner()
@@ -322,9 +317,7 @@
     """Soak seed 42: the list was confirmed while it still named the old one, as draining."""
 
     async def test(rig: Rig) -> None:
-        rig.bulletin.silent = True
-        rig.planner.follower.scope.cancel()
-        rig.planner.engine.list_doubted(rig.net.now(), Doubt.FAILED)
+        fall_silent(rig)
         owner = await rig.owner()
         await owner.say(set_up(1))
         await trio.sleep(0.5)
