Log: steps of the wall clock; one heir for an address

TcpNet.wall_stepped was asked by its test alone; the planner writes a line now when the wall clock was set, since the times of all later lines move with it.

--- a/hazelhold/engine/list_news.py
+++ b/hazelhold/engine/list_news.py
@@ -123,10 +123,10 @@
             if link is None or not self._awaits_heir(link):
                 continue
             self.orphans[link.address] = name
-            for fellow in self.roster.fellows.values():
-                if fellow.address == link.address:
-                    self._move_tasks(now, link, fellow)
-                    inherited.add(fellow.name)
+            heir = next((f for f in self.roster.fellows.values() if f.address == link.address), None)
+            if heir is not None:
+                self._move_tasks(now, link, heir)
+                inherited.add(heir.name)
         for name in news.fresh:
             fellow = self.roster.fellows.get(name)
             if fellow is not None and (orphan := self.links.get(self.orphans.get(fellow.address, ""))):
--- a/hazelhold/platform/logbook.py
+++ b/hazelhold/platform/logbook.py
@@ -15,6 +15,7 @@
 
 COUNTS_EVERY = 10.0  # seconds
 EVENTS_KEPT = 4096  # that wait to be written; the oldest fall out
+CLOCK_STEP = 0.5  # seconds by which the wall clock must differ for a line
 INFO_A_SECOND = 20  # lines on tasks; what is past that is counted and left to level debug
 
 # What became of a task, beside its answer, that an operator looks for.
@@ -28,6 +29,7 @@
         self.log, self.engine = log, engine
         engine.events = deque(maxlen=EVENTS_KEPT)
         self.counted_at = trio.current_time()
+        self.clock_step = 0.0  # as it was written last
         self.second, self.written, self.left_out = 0, 0, 0
 
     def write(self) -> None:
@@ -68,6 +70,12 @@
         self.left_out += self.written > INFO_A_SECOND
         return self.written <= INFO_A_SECOND
 
+    def write_clock_step(self, seconds: float) -> None:
+        """Writes a step of the wall clock: no moment here moves with it, but the lines' own times do."""
+        if abs(seconds - self.clock_step) > CLOCK_STEP:
+            self.clock_step = seconds
+            self.log.warning("wall_clock_stepped", since_start_s=round(seconds, 1))
+
     def write_counts(self, counts: Counter[str]) -> None:
         """Writes all counters every ten seconds, so that a process that is killed leaves them."""
         now = trio.current_time()
--- a/hazelhold/platform/planner.py
+++ b/hazelhold/platform/planner.py
@@ -288,6 +288,7 @@
             await trio.sleep(1.0)
             self.door.releases.drop_overdue()
             self.logbook.write_counts(self.all_counts())
+            self.logbook.write_clock_step(self.net.wall_stepped())
             if self.log.is_enabled_for(logging.DEBUG):
                 self._tell_beliefs()
 
--- a/hazelhold/service/net.py
+++ b/hazelhold/service/net.py
@@ -127,6 +127,8 @@
 
     def wall(self) -> int: ...
 
+    def wall_stepped(self) -> float: ...
+
     async def dial(self, address: str) -> trio.abc.Stream: ...
 
     async def listen(
@@ -253,6 +255,9 @@
     def wall(self) -> int:
         return self.now()
 
+    def wall_stepped(self) -> float:
+        return 0.0
+
     async def dial(self, address: str) -> trio.abc.Stream:
         await trio.lowlevel.checkpoint()
         if address not in self.doors:
--- a/tests/test_faulty_system.py
+++ b/tests/test_faulty_system.py
@@ -5,6 +5,7 @@
 import socket
 import time
 from pathlib import Path
+from types import SimpleNamespace
 
 import pytest
 import trio
@@ -13,6 +14,7 @@
 from hazelhold.cli.logs import Unfailing
 from hazelhold.config.load import ConfigError, read_text
 from hazelhold.platform.arrival import LoopClock
+from hazelhold.platform.logbook import Logbook
 from hazelhold.service import net
 from hazelhold.service.net import TcpNet
 from hazelhold.state import clock
@@ -224,3 +226,19 @@
         assert loop.waited() >= 2.0
 
     trio.run(run, clock=trio.testing.MockClock(autojump_threshold=0))
+
+
+def test_a_step_of_the_wall_clock_is_written_once_each() -> None:
+    async def test(rig: Rig) -> None:
+        written = []
+        log = SimpleNamespace(warning=lambda event, **more: written.append((event, more)))
+        logbook = Logbook(log, rig.planner.engine)
+        logbook.write_clock_step(0.2)  # kept in step, not stepped
+        for seconds in (3600.0, 3600.1, 0.0):
+            logbook.write_clock_step(seconds)
+        assert written == [
+            ("wall_clock_stepped", {"since_start_s": 3600.0}),
+            ("wall_clock_stepped", {"since_start_s": 0.0}),
+        ]
+
+    play(test)
