Log: slow answers of discovery, and the last offer to a machine that is closed

A machine that the list closes was logged without the time of its last offer, so a log alone did not show that the rule was broken. Change: discovery_slow and discovery_in_time at each change, with how late; machine_closed with the last offer's age.

--- a/hazelhold/engine/list_news.py
+++ b/hazelhold/engine/list_news.py
@@ -31,7 +31,7 @@
         self.counts["list_faults"] += len(news.faults)
         self.brain.machines_listed(now, news.listed, message.whole)
         if not first:  # the whole list of a start is one line, at the start
-            self._log_news(news)
+            self._log_news(now, news)
         for name in news.closed:  # what has not left may not go there any more
             if link := self.links.get(name):
                 for case_name in list(link.queue):
@@ -71,11 +71,15 @@
             if case.sent and case.sent_at < started:
                 self._gone(now, case, "lost")
 
-    def _log_news(self, news: News) -> None:
+    def _log_news(self, now: int, news: News) -> None:
         for name in news.fresh:
             self._machine_event("listed", name)
         for name in news.closed:
-            self._machine_event("closed", name, "gone" if name in news.gone else "draining")
+            reason = "gone" if name in news.gone else "draining"
+            link = self.links.get(name)
+            if link is not None and link.offered_at:  # beside when it was told: whether that broke the rule
+                reason += f", last offer {(now - link.offered_at) // 1000} ms ago"
+            self._machine_event("closed", name, reason)
 
     # Whether it may be taken for the present.
 
--- a/hazelhold/engine/machines.py
+++ b/hazelhold/engine/machines.py
@@ -39,6 +39,7 @@
     used_at: int = 0
     heard_at: int = 0  # its last word, on whatever connection
     opened_at: int = 0
+    offered_at: int = 0  # when the bytes of an offer left last; 0: none has
     address: str = ""  # that was dialled last
     heir: str = ""  # the machine that has its address now, and that speaks on this connection
     opened_in_doubt: bool = False  # not confirmed by the list since: another machine may have its address
--- a/hazelhold/engine/owners.py
+++ b/hazelhold/engine/owners.py
@@ -246,6 +246,7 @@
         """The bytes of an offer that `time_left` allowed are about to be written."""
         case = self.newest[guest]
         case.offers += 1
+        self.links[case.machine].offered_at = now
         vouched = self._vouched(now, case.machine)
         effect = self.facts.products[case.product].effect
         self._violated(self.monitor.attempt_leaves(case.name, case.machine, effect, vouched), case)
--- a/hazelhold/platform/discovery.py
+++ b/hazelhold/platform/discovery.py
@@ -168,6 +168,7 @@
         self.failures = 0  # in a row
         self.confirmed = False  # the last call showed in time that no event is missing
         self.calls = 0
+        self.answers_late = False  # as it was written to the log last
         self.slow: list[Call[T]] = []  # emptied as they end
         self.log = structlog.get_logger()
 
@@ -252,11 +253,20 @@
         if self.failures:
             self.log.info("discovery_answers", address=self.address, failures=self.failures, no=self.last)
         self.failures = 0
-        late = trio.current_time() - call.asked_at > call.patience + LATE
+        took = trio.current_time() - call.asked_at
+        late = took > call.patience + LATE
+        self._log_lateness(late, took - call.patience)
         self.confirmed = whole and not late
-        self.hear(events, trio.current_time() - call.asked_at, self.confirmed)
+        self.hear(events, took, self.confirmed)
         return True
 
+    def _log_lateness(self, late: bool, seconds: float) -> None:
+        """Writes a line when answers begin to come late, and when they come in time again."""
+        if late is not self.answers_late:
+            self.answers_late = late
+            change = "discovery_slow" if late else "discovery_in_time"
+            self.log.info(change, address=self.address, late_ms=round(seconds * 1000), no=self.last)
+
     def _failed(self, reason: str) -> None:
         if not self.failures:
             self.log.info("discovery_failed", address=self.address, reason=reason, no=self.last)
