Captures end between two inputs, never between one and its answer

Traced: the capture's last packet is a query, its answer is missing. At a stop CaptureWriter.close set 'ending' in another thread while the planner still heard others (its virtual clock runs on during that wait); the writing thread could take the query, find its queue empty, and end before the answer was put. Not the replay, not lost packets (0), no other thread. Wrong lines: service/ending.py (close by to_thread alone), CaptureWriter.close and put. Change: CaptureWriter.end takes nothing more; the planner's own thread calls it, so between two inputs.

--- a/hazelhold/capture/write.py
+++ b/hazelhold/capture/write.py
@@ -90,7 +90,9 @@
         self.thread.start()
 
     def put(self, at: int, packet: bytes) -> None:
-        """Queues a packet, or counts it as lost."""
+        """Queues a packet, or counts it as lost. Passed over once the capture has ended."""
+        if self.ending:
+            return
         data = record(self.ng, at + self.offset, packet)
         if self.queued + len(data) > self.queue_bytes:
             self.lost += 1
@@ -108,10 +110,15 @@
         """A note of our own, in a datagram."""
         self.put(at, NOTE_WAY.udp(MAGIC + msgspec.msgpack.encode(data)))
 
-    def close(self) -> None:
-        """Waits until what is queued is written, two seconds at most."""
+    def end(self) -> None:
+        """Takes nothing more. To be called by the thread that puts packets, so that the capture does not end
+        between something that came and what was answered to it."""
         self.ending = True
         self.ended.set()
+
+    def close(self) -> None:
+        """Ends it, and waits two seconds at most until what is queued is written. In any thread after `end`."""
+        self.end()
         self.thread.join(2.0)
 
     # In the thread.
--- a/hazelhold/service/ending.py
+++ b/hazelhold/service/ending.py
@@ -40,6 +40,7 @@
             await trio.sleep(POLL_S)
     await trio.sleep(SETTLE_S)
     if planner.tap is not None:
+        planner.tap.writer.end()  # others may still speak while the rest is written
         await trio.to_thread.run_sync(planner.tap.writer.close)
         planner.counts["capture_lost"] = planner.tap.writer.lost_in_all
     planner.log.info("stopped", unanswered=engine.unanswered(), **engine.counts)
@@ -57,6 +58,7 @@
         wire.finish(m.Bye(reason="hand_over", spread=spread))
     await trio.sleep(SETTLE_S)
     if planner.tap is not None:
+        planner.tap.writer.end()  # others may still speak while the rest is written
         await trio.to_thread.run_sync(planner.tap.writer.close)
     planner.log.info("handed_over", unanswered=engine.unanswered(), **engine.counts)
 
--- a/tests/test_capture.py
+++ b/tests/test_capture.py
@@ -353,6 +353,27 @@
     assert sum(life["compared"] for life in said["planners"]) > 1000
 
 
+def test_nothing_is_taken_into_a_capture_that_has_ended(tmp_path: Path) -> None:
+    writer = CaptureWriter(tmp_path / "c.pcap", {"n": "start", "p": "p@1"}, 0)
+    writer.note(1, {"n": "pump", "p": "p@1"})
+    writer.end()
+    writer.note(2, {"n": "pump", "p": "p@1"})
+    writer.close()
+    assert [note.at for note in read([tmp_path / "c.pcap"], Skips())] == [1]
+
+
+def test_a_planner_ends_its_capture_before_it_waits_for_its_file(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """What came while the file was written was captured without its answer: a replay said "not the same"."""
+    ended = []
+    real = CaptureWriter.close
+    monkeypatch.setattr(CaptureWriter, "close", lambda self: (ended.append(self.ending), real(self)))
+    day = read_day(EXAMPLES / "quiet-day.json5")
+    play_virtual(msgspec.structs.replace(day, length_s=2.0), 1, tmp_path / "records", tmp_path / "capture")
+    assert ended and all(ended)
+
+
 def test_a_replay_that_cannot_be_the_same_says_where(day: Path, tmp_path: Path) -> None:
     path = sorted(day.glob("planner-0-*.pcap"))[0]
     data = bytearray(path.read_bytes())
