--- a/hazelhold/capture/write.py
+++ b/hazelhold/capture/write.py
@@ -117,7 +117,7 @@
         self.ended.set()
 
     def close(self) -> None:
-        """Ends it, and waits two seconds at most until what is queued is written. In any thread after `end`."""
+        """Ends it, and waits until what is queued is written: two seconds at most. In any thread."""
         self.end()
         self.thread.join(2.0)
 
