--- a/tests/test_fault_incident_drains.py
+++ b/tests/test_fault_incident_drains.py
@@ -5,6 +5,7 @@
 """
 
 import time
+from dataclasses import replace
 from pathlib import Path
 
 import pytest
@@ -13,6 +14,7 @@
 from tests.faults.discovery import Fault
 from tests.faults.judge import DRAIN_GRACE, SLACK
 from tests.faults.servers import Draining
+from tests.faults.shim_plan import ClockStep, ShimPlan
 from tests.test_fault_incident import Incident, play, until
 
 FLEET = 4  # planners that the planner is told of: few of them test all servers each second
@@ -103,3 +105,30 @@
         await works_again(incident)
 
     assert play(test, tmp_path, servers=5, fleet=FLEET, kind=AskedList).broken() == []
+
+
+class SteppedClock(Incident):
+    """The wall clock was stepped forward by an hour before the planner started."""
+
+    def __init__(self, folder: Path, servers: int, fleet: int) -> None:
+        super().__init__(folder, servers, fleet)
+        self.schedule.shims[0] = ShimPlan(1, [ClockStep(-1000.0, 3600.0)], [])
+
+
+def test_a_clock_stepped_before_the_start_makes_no_server_in_slow_start_look_warm(tmp_path: Path) -> None:
+    """A related path: how old a server is was told by the difference of two machines' wall clocks."""
+
+    async def test(incident: Incident) -> None:
+        await until(lambda: incident.placed_since(0.0) >= 5)
+        discovery = incident.planner.discovery
+        new = await incident._server(["n0"])
+        new.life.started_at, new.started_wall = time.monotonic(), time.time()
+        new.life.told_start = new.life.started_at
+        discovery.tell(new, "in_service")
+        for server in incident.servers:
+            await server.drain()
+            discovery.tell(server, "terminating")
+        incident.its_clients.habits = replace(incident.its_clients.habits, rate=80.0)
+        await trio.sleep(4.0)
+
+    assert play(test, tmp_path, servers=2, kind=SteppedClock).broken() == []
