A server that was started late is warm only once it was listed here for long enough

Cause: how old a server is was the difference of two machines' wall clocks (words.entry: up_for), so a clock that was stepped forward by an hour before a start made each new server look warm. Wrong lines: Brain._allowed, which took cold_at for known. Change: where ages are told by a clock (the platform), a server started late keeps the budget of slow start until it has been listed here for as long as one stays cold. The pause of a window after a restart stays for those that are cold by the clock. Costs: after a restart, and for some seconds with each new server, fewer offers to those that were started late.

--- a/hazelhold/brain.py
+++ b/hazelhold/brain.py
@@ -73,6 +73,7 @@
         self.listed, self.size, self.listed_at = listed, size, now
         self.ready = listed.mode is Mode.READY
         self.cold_at = listed.started if listed.started else -10**15
+        self.listed_since = now  # when this life of it was listed here first
         self.used: tuple[float, float] | None = None
         self.others = (0.0, 0.0)  # last reported use less our guests' share
         self.reported_at = self.probed_at = self.heard_at = -10**15
@@ -206,6 +207,7 @@
             self.list_version += entry.mode is not machine.listed.mode
             if entry.started > machine.listed.started:
                 self._restarted(machine, entry.started)
+                machine.listed_since = now
             machine.listed, machine.listed_at, machine.left, machine.asked = entry, now, None, None
             machine.size = self.deployment.kinds[entry.kind]
             machine.ready = entry.mode is Mode.READY
@@ -682,15 +684,23 @@
             return False
         while machine.offers and machine.offers[0] < now - 2 * facts.cold_window:
             machine.offers.popleft()
-        if now - machine.cold_at >= facts.cold_for:
+        cold = now - machine.cold_at < facts.cold_for
+        if not cold and not self._may_be_cold(machine, now):
             return True
-        if now < self.no_cold_until and machine.cold_at <= self.began:
+        if cold and now < self.no_cold_until and machine.cold_at <= self.began:
             return False
         # Twice the window and four fifths of the budget: offers travel, and chance is counted against us too.
         # Planners take turns at single offers, from a start that the machine's id fixes: these sum to it.
         turn = (facts.slot + machine.mark) % facts.planners
         return len(machine.offers) <= (int(facts.cold_offers * 0.8) - 1 - turn) // facts.planners
 
+    def _may_be_cold(self, machine: Machine, now: int) -> bool:
+        """Guards against a wall clock that was stepped, here or where ages come from: a machine that was
+        started late is known to be warm only once it has been listed here for as long as one stays cold."""
+        facts = self.deployment
+        late_start = facts.ages_by_clock and machine.listed.started > 0
+        return late_start and now - machine.listed_since < facts.cold_for
+
     def _has_room(self, guest: Guest, machine: Machine, now: int, way: str) -> bool:
         ask = guest.ask
         if any(now < until and want >= much
--- a/hazelhold/interface.py
+++ b/hazelhold/interface.py
@@ -107,6 +107,7 @@
     fleet_price: float
     reports_on_probe: bool = False  # machines report their load to probes alone
     dispatches_named: bool = True  # machines say which dispatch of a guest they speak of
+    ages_by_clock: bool = False  # how old machines are is told by a clock that may differ from this one
     list_lease: int = 0  # for how long a confirmed list may be sent work by; 0: the list is taken as it is
 
 
--- a/hazelhold/state/snapshot.py
+++ b/hazelhold/state/snapshot.py
@@ -15,6 +15,7 @@
 LONG_AGO = -(10**15)  # of moments that never were; not shifted
 MACHINE_TIMES = (
     "listed_at",
+    "listed_since",
     "cold_at",
     "reported_at",
     "heard_at",
@@ -167,7 +168,7 @@
     kind = brain.deployment.kinds[listed.kind]
     machine = brain.machines[listed.machine] = Machine(listed, kind._make(plain["size"]), 0)
     for name in MACHINE_TIMES:
-        setattr(machine, name, moved(plain[name]))
+        setattr(machine, name, moved(plain.get(name, LONG_AGO)))  # older ones have no `listed_since`
     for name in MACHINE_PLAIN:
         value = plain.get(name, False)  # older snapshots have no `refuses`
         setattr(machine, name, tuple(value) if isinstance(value, list) and name != "sums" else value)
