--- a/tests/faults/soak.py
+++ b/tests/faults/soak.py
@@ -43,7 +43,7 @@
 from tests.faults.shim_plan import CallFault, ClockStep, ShimPlan
 from tests.platform_rig import DEPLOYMENT
 
-COLD_CALLS, COLD_WINDOW, COLD_FOR = 24.0, 2.0, 6.0
+COLD_CALLS, COLD_WINDOW, COLD_FOR = 5.0, 2.0, 6.0  # so few that servers in slow start are sent more when warm
 LAG_STEP, LAG_COUNTS = 0.01, 0.02  # seconds
 SETTLE = 4.0  # seconds after the last request in which what stands may end
 
--- a/tests/test_list_in_doubt.py
+++ b/tests/test_list_in_doubt.py
@@ -255,6 +255,54 @@
     play(test)
 
 
+@pytest.mark.parametrize("way", [0.0, 0.04])
+def test_a_bulletin_that_answers_soon_keeps_the_lease_without_a_gap(way: float) -> None:
+    """`way`: seconds that each answer is late. News come all the time."""
+
+    async def test(rig: Rig) -> None:
+        bulletin, real = rig.bulletin, rig.bulletin.answer
+
+        async def on_its_way(stream: trio.abc.Stream, head: str) -> None:
+            await trio.sleep(way)
+            await real(stream, head)
+
+        bulletin.answer = on_its_way
+        await trio.sleep(0.5)
+        engine = rig.planner.engine
+        for step in range(1000):
+            if step % 10 == 0:
+                bulletin.events.append(event(len(bulletin.events) + 2, host("a")))
+            await trio.sleep(0.007)
+            assert engine.lease.holds(rig.net.now())
+        assert engine.counts["list_lapses"] == 1  # at the start
+
+    play(test)
+
+
+def test_calls_follow_one_another_no_faster_than_is_needed() -> None:
+    """Also where each brings news at once, and where the lease is not held."""
+
+    async def test(rig: Rig) -> None:
+        follower = rig.planner.follower
+        await trio.sleep(1)
+        calls = follower.calls
+        await trio.sleep(5)
+        assert 15 * 5 <= follower.calls - calls <= 21 * 5  # without news
+        calls = follower.calls
+        for _ in range(1000):
+            rig.bulletin.events.append(event(len(rig.bulletin.events) + 2, host("a")))
+            await trio.sleep(0.005)
+        assert follower.calls - calls <= 41 * 5
+        follower.confirmed = False
+        calls = follower.calls
+        for _ in range(1000):
+            follower.confirmed = False
+            await trio.sleep(0.005)
+        assert follower.calls - calls <= 41 * 5
+
+    play(test)
+
+
 def test_late_calls_beside_the_current_one_are_few() -> None:
     async def test(rig: Rig) -> None:
         rig.bulletin.silent = True
