--- a/hazelhold/engine/cases.py
+++ b/hazelhold/engine/cases.py
@@ -74,7 +74,7 @@
     sent_at: int = 0
     placed: bool = False
     offers: int = 0  # whose bytes have left
-    sent_in_doubt: bool = False  # on a connection that the list had not confirmed since it was opened
+    sent_unconfirmed: bool = False  # on a connection that the list had not confirmed since it was opened
     cancelled: bool = False
     incarnation: int = 0  # of the machine, when the offer left
     due_at: int = 0  # when the dispatch that is out is given up
--- a/hazelhold/engine/dispatches.py
+++ b/hazelhold/engine/dispatches.py
@@ -41,7 +41,7 @@
         link.queue.pop(case.name, None)
         link.used_at = now
         case.sent, case.sent_at, case.incarnation = True, now, link.incarnation
-        case.sent_claim, case.sent_in_doubt = case.claim, link.opened_in_doubt
+        case.sent_claim, case.sent_unconfirmed = case.claim, link.unconfirmed
         self._mark("guest", case.name)
         host = self.brain.machines.get(case.machine)
         if host and now - host.cold_at < self.facts.cold_for:
--- a/hazelhold/engine/link_loss.py
+++ b/hazelhold/engine/link_loss.py
@@ -57,7 +57,7 @@
 
     def _awaits_heir(self, link: Link) -> bool:
         """Whether a task there may stand at another machine, which the list will name with this address."""
-        return any(self.cases[name].sent_in_doubt for name in link.holds)
+        return any(self.cases[name].sent_unconfirmed for name in link.holds)
 
     def _abandon(self, now: int, link: Link) -> None:
         self.counts["links_silent"] += 1
--- a/hazelhold/engine/links.py
+++ b/hazelhold/engine/links.py
@@ -67,8 +67,8 @@
         link.state, link.rolled, link.dial_at = "up", True, 0
         link.used_at = link.opened_at = now
         if self.facts.list_lease:  # until the list shows the machine there at a later moment
-            link.opened_in_doubt = True
-            self.links_in_doubt[link.machine] = None
+            link.unconfirmed = True
+            self.unconfirmed_links[link.machine] = None
         if link.lost_at and self._heard_lately(now, link):
             link.lost_at = 0
         link.heard_at = link.heard_at or now
@@ -183,7 +183,7 @@
                 ),
                 case.asks,
             )
-            if case.sent_in_doubt and (link := self.links.get(case.machine)) and link.heir:
+            if case.sent_unconfirmed and (link := self.links.get(case.machine)) and link.heir:
                 self._move_task(now, case, link.heir)
         elif isinstance(message, m.Refused) and not case.placed:
             self.counts["refused_" + message.remark[:20]] += 1
--- a/hazelhold/engine/list_news.py
+++ b/hazelhold/engine/list_news.py
@@ -2,16 +2,16 @@
 
 from collections.abc import Callable
 
-from hazelhold.engine.cases import Case, HangUp
+from hazelhold.engine.address_reuse import AddressReuse
+from hazelhold.engine.cases import HangUp
 from hazelhold.engine.events import ListEvent
-from hazelhold.engine.link_loss import LinkLoss
 from hazelhold.engine.list_lease import Lapse
-from hazelhold.engine.machines import Fellow, Link, News
+from hazelhold.engine.machines import Link, News
 from hazelhold.interface import Ending, Mode
 from hazelhold.protocol import messages as m
 
 
-class ListNews(LinkLoss):
+class ListNews(AddressReuse):
     """The list's side of an engine."""
 
     _resolve_stands: Callable[..., None]  # of the owners' side
@@ -86,7 +86,7 @@
     def list_confirmed(self, now: int, as_of: int) -> bool:
         """The list was current at that moment: the service answered a call made then. True if that changes
         anything but the lease's end."""
-        changes = not self.list_taken or bool(self.waiting_stands or self.links_in_doubt)
+        changes = not self.list_taken or bool(self.waiting_stands or self.unconfirmed_links)
         self.lease.confirm(as_of)
         if self.lease.holds(now):
             self._resolve_stands(now, list_is_whole=True)
@@ -127,61 +127,3 @@
         self.list_due = 0
         self.counts["list_failures"] += 1
         self.brain.list_failed(now)
-
-    # Tasks that were sent in doubt, to an address that another machine had by then.
-
-    def _inherit(self, now: int, news: News) -> set[str]:
-        """Machines have left the list or come to it. What was sent on a connection that was opened while the
-        list was in doubt came to whoever had that address by then, and stands there. Returns the machines
-        that have got such tasks."""
-        inherited = set()
-        for name in news.gone:
-            link = self.links.get(name)
-            if link is None or not self._awaits_heir(link):
-                continue
-            self.orphans[link.address] = name
-            heir = next((f for f in self.roster.fellows.values() if f.address == link.address), None)
-            if heir is not None:
-                self._move_tasks(now, link, heir)
-                inherited.add(heir.name)
-        for name in news.fresh:
-            fellow = self.roster.fellows.get(name)
-            if fellow is not None and (orphan := self.links.get(self.orphans.get(fellow.address, ""))):
-                self._move_tasks(now, orphan, fellow)
-                inherited.add(fellow.name)
-        return inherited
-
-    def _move_tasks(self, now: int, link: Link, heir: Fellow) -> None:
-        """What was sent in doubt to this address stands at the machine that has it now; what awaits its
-        answer does once it is accepted."""
-        self.orphans.pop(link.address, None)
-        link.heir = heir.name
-        for case in [self.cases[name] for name in link.holds]:
-            if case.placed and case.sent_in_doubt:
-                self._move_task(now, case, heir.name)
-        new = self._dial(now, heir)
-        new.heard_at = new.heard_at or now
-
-    def _move_task(self, now: int, case: Case, machine: str) -> None:
-        """A placed task stands at another machine than it was sent to."""
-        before = case.machine
-        self._unhold(case)
-        case.machine = machine
-        self._hold(case)
-        self.brain.guest_found(now, machine, self._ask(case, 0))
-        self._task_event("moved", case, f"from {before}, whose address it has")
-        self.counts["tasks_inherited"] += 1
-
-    def _identify(self, as_of: int) -> None:
-        """Connections that were opened in doubt are to the machines that the list still shows as ready since.
-        One that drains may have gone before the list tells it."""
-        for name in list(self.links_in_doubt):
-            link = self.links.get(name)
-            if link is not None and link.opened_at > as_of:
-                continue
-            del self.links_in_doubt[name]
-            fellow = self.roster.fellows.get(name)
-            if link is not None and fellow is not None and fellow.mode is Mode.READY:
-                link.opened_in_doubt = False
-                for each in link.holds:
-                    self.cases[each].sent_in_doubt = False
--- a/hazelhold/engine/machines.py
+++ b/hazelhold/engine/machines.py
@@ -42,7 +42,7 @@
     offered_at: int = 0  # when the bytes of an offer left last; 0: none has
     address: str = ""  # that was dialled last
     heir: str = ""  # the machine that has its address now, and that speaks on this connection
-    opened_in_doubt: bool = False  # not confirmed by the list since: another machine may have its address
+    unconfirmed: bool = False  # not confirmed by the list since: another machine may have its address
     gone_at: int = 0  # when it was seen to have left the list with guests of ours; 0: it has not
     passes_tests: bool | None = None  # its last answer to one; None: it has given none
     asked_at: int = 0  # when it was last asked for its silence
--- a/hazelhold/engine/tables.py
+++ b/hazelhold/engine/tables.py
@@ -93,7 +93,9 @@
         # Links with tasks to machines that have left the list, by address, where another may have taken their
         # place before the connection was opened; emptied as links are forgotten.
         self.orphans: dict[str, str] = {}
-        self.links_in_doubt: dict[str, None] = {}  # opened since the list was confirmed last; emptied by that
+        self.unconfirmed_links: dict[
+            str, None
+        ] = {}  # opened since the list was confirmed last; emptied by that
         self.denials: Counter[Denial] = Counter()  # what the last check kept back, by reason
         self.events: deque[Event] = deque(maxlen=0)  # for the log of a host that gives it room, emptied by it
         self.more = False  # the last pump ended at its limit
