--- a/hazelhold/engine/list_news.py
+++ b/hazelhold/engine/list_news.py
@@ -7,7 +7,7 @@
 from hazelhold.engine.events import ListEvent
 from hazelhold.engine.list_lease import Lapse
 from hazelhold.engine.machines import Link, News
-from hazelhold.interface import Ending, Mode
+from hazelhold.interface import Ending
 from hazelhold.protocol import messages as m
 
 
