--- a/tests/test_fault_incident.py
+++ b/tests/test_fault_incident.py
@@ -152,3 +152,32 @@
         await until(lambda: all(len(request.replies) == 2 for request in standing))
 
     assert play(test, tmp_path).broken() == []
+
+
+def test_a_task_that_was_over_before_its_hand_over_at_a_server_that_has_gone_is_released_in_time(
+    tmp_path: Path,
+) -> None:
+    """Soak seed 38: it ended while no planner was there to be told, a new server took the address, and no
+    discovery tells of it. The protocol has no question for a task."""
+
+    async def test(incident: Incident) -> None:
+        discovery, old = incident.planner.discovery, incident.servers[0]
+        old.task_life = (30.0, 30.0)
+        for server in incident.servers[1:]:
+            await server.drain()
+            discovery.tell(server, "terminating")
+        await until(lambda: len(old.tasks) >= 3)
+        incident.its_clients.sending = False
+        await incident.planner.kill()
+        incident.its_clients.planner_died()
+        await old.drain()
+        await old.remove()
+        incident.servers[0] = await incident._server(["n0"], old.ports)
+        await discovery.set_fault(Fault.SILENT)
+        incident.planner.start(incident.servers, file_is_current=False)
+        assert await incident.planner.until_ready()
+        await incident.its_clients.hand_over()
+        assert any(each.handed_over for each in incident.record.requests.values())
+        await trio.sleep(9.0)
+
+    assert play(test, tmp_path).broken() == []
