Time that a stopped process slept through is taken off its clients' deadlines

What callers saw: requests that came while their planner did not run (SIGSTOP, a share of a core that is used up) were passed on to servers with up to 0.4 s more than their clients had left, some after their clients' time had ended.

Cause: the time for which a request had waited was counted from the loop's last look for I/O but one. Two things are wrong with that. A wait that a stop interrupts (EINTR) past its end returns nothing without another look, so that a moment after the stop counted as one at which nothing had come (epoll.poll(0.2), stopped for 0.4 s: nothing, and readable at once after). And a connection that was made meanwhile has its first request read three turns of the loop after its accept, of which the last two counted.

A wait that ended 20 ms and more past its end is no look. Each connection, and the listener's queue, has the moment at which it was last known to be empty, and what is read came after that; what a short read leaves came no later than the rest. The loop looks each 50 ms at the least, so that a late wait hides little.

Why it holds: a request counts as sent at the last moment at which its socket surely held nothing, whatever happened to the process since; nothing rests on how long turns take. Left: a stop within the microseconds between the figure and the system call that writes it.

What it costs: up to 50 ms less for requests to a planner that was idle, as before.

--- a/hazelhold/platform/owner_door.py
+++ b/hazelhold/platform/owner_door.py
@@ -14,7 +14,6 @@
 from hazelhold.engine.engine import Engine
 from hazelhold.engine.permission import close_denied
 from hazelhold.platform import words
-from hazelhold.platform.arrival import LoopClock
 from hazelhold.platform.codec import END, HEARD, SET_UP, TEST, BinaryMessage, CodecError
 from hazelhold.platform.eviction import eviction_order, is_stuck
 from hazelhold.platform.peer import OwnerPeer
@@ -51,7 +50,6 @@
         self.peers: dict[str, OwnerPeer] = {}  # by name; emptied as connections end
         self.accepted = 0  # connections so far
         self.releases = Releases(self.peers, counts)
-        self.loop_clock = LoopClock()
         self.early: OrderedDict[str, float] = OrderedDict()  # ends without a set-up; emptied by age
 
     # Connections.
@@ -268,7 +266,7 @@
     def _since_sent(self, peer: OwnerPeer, submit: m.Submit) -> m.Submit:
         """The request with what its client has left: its time has run since it was sent, not since it was
         read."""
-        waited = peer.accept_delay + self.loop_clock.waited()
+        waited = peer.accept_delay + peer.arrival.waited()
         self.counts["requests_read_late"] += waited > READ_LATE
         return replace(submit, patience=max(0, submit.patience - round(waited * 1e6)))
 
--- a/hazelhold/platform/peer.py
+++ b/hazelhold/platform/peer.py
@@ -10,10 +10,12 @@
 from hazelhold.platform.codec import BinaryMessage, BinaryReader, LineReader, encode_binary, encode_line
 from hazelhold.platform.words import to_machine
 from hazelhold.protocol import messages as m
+from hazelhold.service.arrival import EmptySince
 from hazelhold.service.net import accept_delay
 from hazelhold.service.wire import SendQueue
 
 READ = 1 << 14
+READ_SOON = 0.02  # seconds; what may have waited so long is looked at more closely
 REST = 0.2  # seconds for what a peer still said before its connection broke, and for half an offer to leave
 
 
@@ -30,18 +32,26 @@
         """What each read brought, until either side ends. CodecError if the peer's bytes cannot be read."""
         try:
             while True:
+                self.read_begins()
                 try:
                     data = await self.stream.receive_some(READ)
                 except (trio.BrokenResourceError, trio.ClosedResourceError):
                     return
                 if not data:
                     return
+                self.was_read(len(data))
                 yield self.reader.feed(data)
                 if self.reader.fault is not None:
                     raise self.reader.fault
         finally:
             self.heard_out.set()
 
+    def read_begins(self) -> None:
+        """Bytes of the peer are waited for from now on."""
+
+    def was_read(self, size: int) -> None:
+        """So many bytes came."""
+
     def unread(self) -> bool:
         """Whether bytes of the peer wait to be read; False where the stream is no socket."""
         held = getattr(self.stream, "socket", None)
@@ -67,7 +77,8 @@
         self.reader = BinaryReader()
         self.name, self.came_at, self.used_at = name, at, at
         self.open: dict[str, None] = {}  # emptied by answers, give-ups and the connection's end
-        self.accept_delay = accept_delay(stream)  # seconds; 0 from the second read on
+        self.arrival = EmptySince()
+        self.accept_delay = accept_delay(stream)  # seconds, beside `arrival`; 0 from the second read on
         self.good = False  # it sent something that can be used
         self.told = False  # it was sent something
         self.proven = False  # a task of it was placed
@@ -77,6 +88,15 @@
         # Ends of what stands that have not left, with the byte at which each ends; emptied as bytes leave.
         self.releases: deque[tuple[int, BinaryMessage]] = deque()
 
+    def read_begins(self) -> None:
+        self.arrival.begin()
+
+    def was_read(self, size: int) -> None:
+        """Notes since when what was read may have waited. What a short read has left came no later."""
+        self.arrival.came()
+        if size < READ and (self.arrival.waited() < READ_SOON or not self.unread()):
+            self.arrival.emptied()
+
     def send(self, binary: BinaryMessage) -> bool:
         try:
             data = encode_binary(binary)
--- a/hazelhold/platform/planner.py
+++ b/hazelhold/platform/planner.py
@@ -24,6 +24,7 @@
 from hazelhold.platform.machine_links import MachineLinks
 from hazelhold.platform.owner_door import OwnerDoor
 from hazelhold.protocol import messages as m
+from hazelhold.service.arrival import beat
 from hazelhold.service.net import Net
 from hazelhold.service.ticker import Ticker
 
@@ -86,7 +87,7 @@
     async def run(self, task_status: trio.TaskStatus = trio.TASK_STATUS_IGNORED) -> None:
         async with trio.open_nursery() as nursery:
             self.nursery = self.links.nursery = nursery
-            trio.lowlevel.add_instrument(self.door.loop_clock)
+            nursery.start_soon(beat)
             for item in self.start.known.items:
                 try:
                     self._hear_discovery([self._event(item)])
--- a/hazelhold/service/net.py
+++ b/hazelhold/service/net.py
@@ -14,6 +14,7 @@
 import trio
 
 from hazelhold.config.load import split_address
+from hazelhold.service.arrival import EmptySince
 
 Handler = Callable[[trio.abc.Stream], Awaitable[None]]
 
@@ -139,11 +140,11 @@
 
 
 ACCEPT_DELAY = "hazelhold_accept_delay"
-"""Attribute of a stream: seconds for which its listener could not accept before it did."""
+"""Attribute of a stream: seconds for which it may have waited to be accepted."""
 
 
 def accept_delay(stream: trio.abc.Stream) -> float:
-    """Seconds for which a connection may have waited to be accepted because that failed."""
+    """Seconds for which a connection may have waited: accepting failed, or the process did not run."""
     return getattr(stream, ACCEPT_DELAY, 0.0)
 
 
@@ -151,8 +152,7 @@
     """Accepts so many in each turn of the loop: one a turn, as `trio.serve_listeners` does, leaves a peer
     behind hundreds of silent ones for as many turns. Without descriptors it waits a little."""
     listener.setblocking(False)
-
-    blocked_since: float | None = None  # since when nothing could be accepted
+    queue, queue_empty = EmptySince(), True
     failures = 0  # in a row
 
     async def run(stream: trio.SocketStream, delay: float) -> None:
@@ -165,20 +165,23 @@
     with listener:
         async with trio.open_nursery() as nursery:
             while True:
+                queue.begin()
                 await trio.lowlevel.wait_readable(listener)
+                if queue_empty:  # else some have waited since the last time already
+                    queue.came()
+                queue_empty = False
                 try:
                     for _ in range(at_once):
                         peer = listener.accept()[0]
-                        delay = 0.0 if blocked_since is None else trio.current_time() - blocked_since
                         stream = trio.SocketStream(trio.socket.from_stdlib_socket(peer))
                         failures = 0
-                        nursery.start_soon(run, stream, delay)
+                        nursery.start_soon(run, stream, queue.waited())
                 except BlockingIOError:
-                    blocked_since = None
+                    queue_empty = True
+                    queue.emptied()
                 except ConnectionAbortedError:
                     pass
                 except OSError as wrong:
-                    blocked_since = trio.current_time() if blocked_since is None else blocked_since
                     if not failures:
                         structlog.get_logger().warning("accept_put_off", reason=str(wrong))
                     await trio.sleep(ACCEPT_AGAIN[min(failures, len(ACCEPT_AGAIN) - 1)])
--- a/tests/test_fault_stopped_process.py
+++ b/tests/test_fault_stopped_process.py
@@ -1,6 +1,11 @@
 """A planner process that does not run for a moment: stopped, out of its share of a core, or swapped out.
 
-What its clients do meanwhile has happened when it runs on: their time has passed, and some have given up.
+What its clients do meanwhile has happened when it runs on: their time has passed, and some have given up. The
+program took requests that came while it was stopped for new ones, and passed on up to 0.4 s more than their
+clients had left. A wait for I/O that a stop interrupts returns past its end without another look (seen with
+`epoll.poll(0.2)`: nothing after 0.45 s, the socket readable at once after it). So the loop's clock held a
+moment after the stop for one at which nothing had come. A connection that was made meanwhile takes three
+turns of the loop to its first request, of which the clock saw the last two.
 """
 
 import signal
--- a/tests/test_faulty_system.py
+++ b/tests/test_faulty_system.py
@@ -13,9 +13,10 @@
 
 from hazelhold.cli.logs import Unfailing
 from hazelhold.config.load import ConfigError, read_text
-from hazelhold.platform.arrival import LoopClock
 from hazelhold.platform.logbook import Logbook
+from hazelhold.platform.peer import OwnerPeer
 from hazelhold.service import net
+from hazelhold.service.arrival import LoopClock
 from hazelhold.service.net import TcpNet
 from hazelhold.state import clock
 from tests.platform_rig import PLACED, Rig, play, set_up
@@ -228,6 +229,50 @@
     trio.run(run, clock=trio.testing.MockClock(autojump_threshold=0))
 
 
+def test_a_wait_that_ended_late_is_no_look() -> None:
+    """What came while the process was stopped in a wait is reported by the next wait only."""
+
+    async def run() -> None:
+        clock = trio.lowlevel.current_clock()
+        loop = LoopClock()
+        for late, age in ((0.0, 0.05), (0.4, 0.45)):
+            loop.before_io_wait(0.0)
+            loop.after_io_wait(0.0)
+            loop.before_io_wait(0.05)
+            clock.jump(0.05 + late)  # a stop, past the end of the wait
+            loop.after_io_wait(0.05)
+            loop.before_io_wait(0.0)
+            loop.after_io_wait(0.0)
+            assert loop.waited() == pytest.approx(age if late else 0.0)
+
+    trio.run(run, clock=trio.testing.MockClock())
+
+
+def test_what_a_short_read_left_came_no_later_than_the_rest() -> None:
+    """A connection of which only a part is read at a time, by a process that was stopped while it came."""
+
+    async def run() -> None:
+        near, far = socket.socketpair()
+        with near, far:
+            near.setblocking(False)
+            peer = OwnerPeer("c1", trio.SocketStream(trio.socket.from_stdlib_socket(near)), 1 << 16, 0.0)
+            peer.arrival.empty_at = peer.arrival.clock.looked_at = trio.current_time() - 0.4
+            far.send(bytes(100))
+            peer.read_begins()
+            near.recv(40)
+            peer.was_read(40)
+            assert peer.arrival.waited() >= 0.4
+            peer.read_begins()
+            near.recv(100)
+            peer.was_read(60)
+            assert peer.arrival.waited() >= 0.4
+            peer.read_begins()
+            peer.was_read(1)
+            assert peer.arrival.waited() < 0.1
+
+    trio.run(run)
+
+
 def test_a_step_of_the_wall_clock_is_written_once_each() -> None:
     async def test(rig: Rig) -> None:
         written = []
