No bytes of an offer leave while its client's last word may be unread

Cause: when a process runs on, one turn of the loop has both the offer that was decided before and the client's cancel, or the end of its connection, and runs them in an order that it draws. The check as bytes leave asked for all but what lay unread.

Change: an offer whose client's connection was not found empty in the last 50 ms is held while something can be read there, bytes or an end, and leaves once that was read. Asked at the moment its bytes leave (one poll(2), only for clients that were not read lately).

Why it holds: what was unread at that moment is younger than 50 ms or is read first, whatever order the loop draws.

Broken variant: without the look, offers leave.

--- a/hazelhold/platform/machine_links.py
+++ b/hazelhold/platform/machine_links.py
@@ -34,10 +34,12 @@
     """All connections of one planner to machines.
 
     `progress` carries out what the engine wants after it has heard something and wakes the ticker; `stir`
-    only wakes the ticker. `nursery` has to be set before anything is dialled.
+    only wakes the ticker. `nursery` and `is_unheard`, which tells of an owner whose connection waits to be
+    read, have to be set before anything is dialled.
     """
 
     nursery: trio.Nursery
+    is_unheard: Callable[[str], bool]
     log_frames = False
 
     def __init__(
@@ -55,6 +57,8 @@
         # Where an attempt of a task may still be out, by the task's id; emptied as the word that takes it
         # back or its connection leaves.
         self.fences: dict[str, MachinePeer] = {}
+        # Tasks whose offers wait until their owner's connection is read, by owner; emptied by that.
+        self.behind_owners: dict[str, list[str]] = {}
 
     def peer(self, machine: str) -> MachinePeer | None:
         """The connection to a machine that is up."""
@@ -146,9 +150,18 @@
             if self.fences.get(task) is not peer:
                 continue
             del self.fences[task]
-            case = self.engine.newest.get(task)
-            if case and (other := self.peer(case.machine)):
-                other.resume(task)
+            self._resume(task)
+
+    def _resume(self, task: str) -> None:
+        """Lets the offer of a task leave that stood aside."""
+        case = self.engine.newest.get(task)
+        if case and (peer := self.peer(case.machine)):
+            peer.resume(task)
+
+    def owner_heard(self, owner: str) -> None:
+        """An owner's connection was read: what waited for that may leave."""
+        for task in self.behind_owners.pop(owner, ()):
+            self._resume(task)
 
     def _time_left(self, offer: m.Offer) -> int:
         """Microseconds that are left to an offer; 0 if it is not to leave, below 0 if not yet."""
@@ -157,6 +170,12 @@
         if left and offer.guest in self.fences:
             self.counts["offers_behind"] += 1
             return -1
+        if left and self.is_unheard(offer.owner):
+            # The process did not run for a moment: the owner may have given up meanwhile, and what it said
+            # is read in this turn of the loop or the next.
+            self.counts["offers_behind_owner"] += 1
+            self.behind_owners.setdefault(offer.owner, []).append(offer.guest)
+            return -1
         if left:
             self.engine.offer_leaves(now, offer.guest)
         else:
--- a/hazelhold/platform/owner_door.py
+++ b/hazelhold/platform/owner_door.py
@@ -30,7 +30,8 @@
 class OwnerDoor:
     """All connections of owners to one planner.
 
-    `progress` carries out what the engine wants after it has heard something and wakes the ticker.
+    `progress` carries out what the engine wants after it has heard something and wakes the ticker; `heard`
+    is told of each connection that was read.
     """
 
     log_frames = False
@@ -44,9 +45,10 @@
         counts: Counter[str],
         log: structlog.stdlib.BoundLogger,
         progress: Callable[[], None],
+        heard: Callable[[str], None],
     ) -> None:
         self.net, self.engine, self.bounds = net, engine, bounds
-        self.counts, self.log, self.progress = counts, log, progress
+        self.counts, self.log, self.progress, self.heard = counts, log, progress, heard
         self.peers: dict[str, OwnerPeer] = {}  # by name; emptied as connections end
         self.accepted = 0  # connections so far
         self.releases = Releases(self.peers, counts)
@@ -69,6 +71,7 @@
             await self._read_and_write(peer)
         finally:
             self.peers.pop(peer.name, None)
+            self.heard(peer.name)
             while peer.releases:  # they did not leave: told elsewhere
                 self.counts["releases_again"] += 1
                 self.releases.tell(None, peer.releases.popleft()[1])
@@ -98,9 +101,15 @@
                         self._said(peer, binary)
                 peer.accept_delay = 0.0
                 self._set_deadline(peer)
+                self.heard(peer.name)
         except CodecError as wrong:
             self._fault(peer, wrong)
 
+    def is_unheard(self, owner: str) -> bool:
+        """Whether an owner may have given up without being heard yet: nothing leaves for it before that."""
+        peer = self.peers.get(owner)
+        return peer is not None and peer.waits_to_be_heard()
+
     def _check_close(self, peer: OwnerPeer) -> None:
         """Counts and logs a connection that this side closes though answers are owed on it."""
         if close_denied(len(peer.open)) is None:
--- a/hazelhold/platform/peer.py
+++ b/hazelhold/platform/peer.py
@@ -15,6 +15,7 @@
 from hazelhold.service.wire import SendQueue
 
 READ = 1 << 14
+HEARD_IN_TIME = 0.05  # seconds; half of what an attempt may begin after its owner has left
 READ_SOON = 0.02  # seconds; what may have waited so long is looked at more closely
 REST = 0.2  # seconds for what a peer still said before its connection broke, and for half an offer to leave
 
@@ -63,6 +64,11 @@
             return held.is_readable()
         return any(waiting)
 
+    def readable(self) -> bool:
+        """Whether bytes of the peer, or its end, wait to be read; False where the stream is no socket."""
+        held = getattr(self.stream, "socket", None)
+        return held is not None and held.fileno() >= 0 and held.is_readable()
+
     async def read_out(self) -> None:
         """A write that breaks takes nothing from what the peer said before: an answer may lie unread."""
         with trio.move_on_after(REST):
@@ -97,6 +103,10 @@
         if size < READ and (self.arrival.waited() < READ_SOON or not self.unread()):
             self.arrival.emptied()
 
+    def waits_to_be_heard(self) -> bool:
+        """Whether its owner may have said something, or have gone, that was not read in time."""
+        return trio.current_time() - self.arrival.empty_at > HEARD_IN_TIME and self.readable()
+
     def send(self, binary: BinaryMessage) -> bool:
         try:
             data = encode_binary(binary)
--- a/hazelhold/platform/planner.py
+++ b/hazelhold/platform/planner.py
@@ -62,8 +62,11 @@
         )
         self.ticker = Ticker(net.now, self.engine.next_at, self._work, self.limits.batch_ms / 1000)
         self.counts: Counter[str] = Counter()
-        self.door = OwnerDoor(net, self.engine, bounds, self.counts, self.log, self._progress)
         self.links = MachineLinks(net, self.engine, self.counts, self.log, self._progress, self.ticker.stir)
+        self.door = OwnerDoor(
+            net, self.engine, bounds, self.counts, self.log, self._progress, self.links.owner_heard
+        )
+        self.links.is_unheard = self.door.is_unheard
         self.zones = dict(start.zones)  # numbers by name; grows with zones that the list names
         self.follower = Follower(
             net,
--- a/tests/test_fault_stopped_process.py
+++ b/tests/test_fault_stopped_process.py
@@ -18,6 +18,7 @@
 import trio
 
 from hazelhold.platform.codec import encode_binary
+from hazelhold.platform.peer import OwnerPeer
 from tests.faults.clients import Habits
 from tests.platform_rig import Owner, SocketRig, end, on_sockets, set_up
 from tests.test_fault_incident import CALM, Incident, play, until
@@ -99,7 +100,9 @@
         for task in range(1, TRIES + 1):
             owner = await rig.owner()
             await owner.say(set_up(task))
-            while not any(link.peer and link.peer.waits() for link in rig.planner.links.by_machine.values()):
+            while not any(
+                link.peer and link.peer.offers_kept() for link in rig.planner.links.by_machine.values()
+            ):
                 if rig.offers(task):
                     break  # it has left within this turn: no try
                 await trio.lowlevel.checkpoint()
@@ -131,3 +134,9 @@
     after their client had cancelled. When the process ran on, the decision was carried out in the same turn
     of the loop in which the cancel was read, whichever the loop ran first."""
     assert block_amid_an_offer(gives_up) == []
+
+
+def test_without_the_look_at_the_client_s_connection_offers_leave(monkeypatch: pytest.MonkeyPatch) -> None:
+    """The broken variant."""
+    monkeypatch.setattr(OwnerPeer, "waits_to_be_heard", lambda peer: False)
+    assert block_amid_an_offer(cancel) != []
