--- a/tests/faults/judge.py
+++ b/tests/faults/judge.py
@@ -206,19 +206,23 @@
         for attempt in self.record.attempts:
             by_server[attempt.server].append(attempt.at)
         for server in self.record.servers.values():
-            if server.started_at is None:
-                continue
-            times = sorted(t for t in by_server[server.name] if t < server.started_at + self.cold_for)
-            first = 0
-            for at, time in enumerate(times):
-                while times[first] < time - self.cold_window:
-                    first += 1
-                if at - first + 1 > self.budget():
-                    calls = at - first + 1
-                    self._break(
-                        Rule.SLOW_START, time, f"{server.name}: {calls} calls, {self.budget():.1f} allowed"
-                    )
-                    break
+            times = sorted(by_server[server.name])
+            if server.started_at is not None:
+                self._slow_start(server.name, [t for t in times if t < server.started_at + self.cold_for])
+            if server.told_restart is not None:  # one that nobody was told of is nobody's to spare
+                until = server.restarted_at + self.cold_for
+                self._slow_start(server.name, [t for t in times if server.told_restart <= t < until])
+
+    def _slow_start(self, server: str, times: list[float]) -> None:
+        """The calls that a server in slow start was sent."""
+        first = 0
+        for at, time in enumerate(times):
+            while times[first] < time - self.cold_window:
+                first += 1
+            calls = at - first + 1
+            if calls > self.budget():
+                self._break(Rule.SLOW_START, time, f"{server}: {calls} calls, {self.budget():.1f} allowed")
+                return
 
     def _lives(self) -> None:
         slow, restarts = 0, 0
--- a/tests/faults/record.py
+++ b/tests/faults/record.py
@@ -69,6 +69,8 @@
     name: str
     started_at: float | None = None  # None: warm from the beginning
     told_start: float | None = None
+    restarted_at: float | None = None  # under its name, the last time
+    told_restart: float | None = None  # by the list
     drain_told: dict[str, float] = field(default_factory=dict)  # by planner; set once
 
 
--- a/tests/faults/schedule.py
+++ b/tests/faults/schedule.py
@@ -1,6 +1,6 @@
 """Draws what goes wrong in a run, and when; the same seed draws the same."""
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from random import Random
 
 from tests.faults.discovery import Fault
@@ -42,6 +42,25 @@
     announced: bool
     away: float
     stale_file: bool
+    more_signals: tuple[tuple[float, str], ...] = ()  # seconds after SIGTERM, and the signal's name
+
+
+@dataclass(frozen=True)
+class ServerRestart:
+    """A server's process dies and is up again at once, under its name and at its address."""
+
+    start: float
+    server: int
+    notice: float  # seconds until the list tells its new life
+
+
+@dataclass(frozen=True)
+class Pause:
+    """A planner does not run for a moment."""
+
+    start: float
+    planner: int
+    seconds: float
 
 
 @dataclass(frozen=True)
@@ -112,6 +131,9 @@
     resets: list[Reset] = field(default_factory=list)
     crowds: list[Crowd] = field(default_factory=list)
     surges: list[Surge] = field(default_factory=list)
+    server_restarts: list[ServerRestart] = field(default_factory=list)
+    pauses: list[Pause] = field(default_factory=list)
+    servers_tell_use: bool = True
     shims: list[ShimPlan] = field(default_factory=list)  # by planner; times from the begin
 
 
@@ -200,9 +222,33 @@
             )
         )
     made.shims = [shim(random, planner, seed, last) for planner in range(planners)]
+    _draw_later_kinds(made, Random(f"faults/{seed}/later"), last)
     return made
 
 
+def _draw_later_kinds(made: Schedule, random: Random, last: float) -> None:
+    """Kinds of faults that came later; drawn apart, so that a seed's other faults are as they were."""
+
+    def moment() -> float:
+        return random.uniform(QUIET_START, last)
+
+    for _ in range(random.randint(0, max(2, made.servers // 4))):
+        made.server_restarts.append(
+            ServerRestart(moment(), random.randrange(made.servers), random.uniform(0.05, 1.0))
+        )
+    for _ in range(random.randint(0, made.planners)):
+        made.pauses.append(Pause(moment(), random.randrange(made.planners), random.choice([0.12, 0.3, 0.45])))
+    made.restarts = [replace(each, more_signals=_signals(random)) for each in made.restarts]
+
+
+def _signals(random: Random) -> tuple[tuple[float, str], ...]:
+    """Signals in a series with the one that stops a planner."""
+    if random.random() < 0.5:
+        return ()
+    kinds = ("SIGTERM", "SIGHUP", "SIGINT")
+    return tuple((random.uniform(0.0, 1.5), random.choice(kinds)) for _ in range(random.randint(1, 4)))
+
+
 def shim(random: Random, planner: int, seed: int, last: float) -> ShimPlan:
     """Clock steps and failing calls of one planner; most have some."""
     steps, calls = [], []
--- a/tests/faults/servers.py
+++ b/tests/faults/servers.py
@@ -75,7 +75,10 @@
         self.life = record.servers[name] = ServerLife(name)
         self.faults = Faults()
         self.ready, self.removed = True, False
+        self.leaving = False  # it has begun to drain, or has gone
         self.passes_tests = True
+        self.tells_use = True  # notes on each task that stands, when a connection of its planner opens
+        self.process = 0  # counts its restarts
         self.tested = 0  # tests that it was asked
         self.started_wall = 0.0  # Unix seconds; 0: warm from the beginning
         self.task_life = (0.4, 2.5)  # seconds
@@ -122,6 +125,7 @@
 
     async def drain(self, manner: Draining = Draining.FAILS_TESTS) -> None:
         """Begins to drain; what the list tells of it is `Discovery.tell`'s."""
+        self.leaving = True
         self.ready = manner is Draining.WORKS
         self.passes_tests = manner is not Draining.FAILS_TESTS
         if manner is not Draining.FAILS_TESTS:
@@ -130,7 +134,7 @@
             await self._end(task, RESET, "drained")
 
     async def remove(self) -> None:
-        self.ready, self.passes_tests, self.removed = False, False, True
+        self.ready, self.passes_tests, self.removed, self.leaving = False, False, True, True
         now = time.monotonic()
         for planner, listener in self.listeners.items():
             self.scopes[planner].cancel()
@@ -141,6 +145,23 @@
             task.attempt.over_at = task.attempt.over_at or now
         self.tasks.clear()
 
+    async def restart(self) -> None:
+        """Its process dies and is up again at once, at its addresses and under its name: connections are
+        reset, tasks are cut, and no word of the old process is left."""
+        self.process += 1
+        now = time.monotonic()
+        self.told.clear()
+        for task in self.tasks.values():
+            task.attempt.over_at = task.attempt.over_at or now
+        self.tasks.clear()
+        for planner, listener in list(self.listeners.items()):
+            self.scopes[planner].cancel()
+            await listener.aclose()
+        await self.close_connections(reset=True)
+        for planner, port in self.ports.items():
+            await self._listen(planner, port)
+        self.life.restarted_at = now
+
     async def close_connections(self, reset: bool) -> None:
         """Ends all connections, as a server may that forgets or resets them."""
         for connections in self.connections.values():
@@ -156,6 +177,7 @@
     async def _serve(self, planner: str, stream: trio.SocketStream) -> None:
         connection = Connection(stream, planner, used_at=time.monotonic())
         self.connections[planner].append(connection)
+        await self._tell_use(connection)
         held = bytearray()
         try:
             while True:
@@ -285,7 +307,17 @@
             await trio.sleep(0.005)
             await self._say(connection, line)
 
-    # Ends of what stands.
+    # What stands.
+
+    async def _tell_use(self, connection: Connection) -> None:
+        """Notes on what stands and belongs to no connection come on the next one that opens."""
+        if not self.tells_use or self.faults.hung:
+            return
+        for call in [call for call, task in self.tasks.items() if task.planner == connection.planner]:
+            for note, value in (("cpu", "0.4"), ("mem", "1.2")):
+                await self._say(
+                    connection, {"op": "info", "call": call, "with": {"note": note, "value": value}}
+                )
 
     def _tell_again(self, ended: Connection, now: float) -> None:
         """What was written lately to a connection that has ended is told once more on another."""
@@ -316,7 +348,8 @@
             task.attempt.over_told_at = time.monotonic()
 
     async def _say_end(self, planner: str, line: dict) -> bool:
-        while not self.removed:
+        process = self.process
+        while not self.removed and self.process == process:
             for connection in self.connections[planner]:
                 if await self._say(connection, line) and not connection.closed:
                     self.told.append(ToldEnd(time.monotonic(), connection, line))
--- a/tests/faults/soak.py
+++ b/tests/faults/soak.py
@@ -30,12 +30,14 @@
 from tests.faults.schedule import (
     Crowd,
     Outage,
+    Pause,
     Reload,
     Replacement,
     Reset,
     Restart,
     Schedule,
     ServerFault,
+    ServerRestart,
     Surge,
     draw,
 )
@@ -86,6 +88,7 @@
         self.clients: list[Clients] = []
         self.made = 0
         self.busy: set[int] = set()  # planners amid a restart
+        self.paused: set[int] = set()
         self.idle: list = []
 
     def settings(self, slot: int) -> dict:
@@ -96,6 +99,7 @@
         made["family-info"]["fresh-offers"] = COLD_CALLS
         made["rules"] = {"cold": COLD_FOR * 1000, "cold-from": 0.24, "tip-after": COLD_WINDOW * 1000}
         made["limits"]["idle-close"] = self.schedule.idle_close * 1000
+        made["family-info"]["use-notes"] = self.schedule.servers_tell_use
         return made
 
     async def play(self) -> None:
@@ -157,6 +161,7 @@
         self.made += 1
         server = Server(f"s{self.made}", self.prefix, self.record, self.random, self.nursery)
         server.faults.idle_close = self.schedule.idle_close
+        server.tells_use = self.schedule.servers_tell_use
         await server.open(planners, ports)
         return server
 
@@ -181,6 +186,8 @@
             (drawn.resets, self._reset),
             (drawn.crowds, self._crowd),
             (drawn.surges, self._surge),
+            (drawn.server_restarts, self._restart_server),
+            (drawn.pauses, self._pause),
         )
         return [
             (each.at if isinstance(each, Reset) else each.start, play, each)
@@ -226,8 +233,11 @@
             return
         self.busy.add(restart.planner)
         planner, clients = self.planners[restart.planner], self.clients[restart.planner]
+        while restart.planner in self.paused:  # nobody can tell a planner when its signal was sent
+            await trio.sleep(0.01)
         if restart.announced:
             self.nursery.start_soon(self._no_new_connections, clients)
+            self.nursery.start_soon(self._signal_again, planner, restart.more_signals)
             await planner.stop()
         else:
             await planner.kill()
@@ -241,6 +251,38 @@
             await clients.hand_over()
         self.busy.discard(restart.planner)
 
+    async def _signal_again(self, planner: PlannerProcess, signals: tuple[tuple[float, str], ...]) -> None:
+        """Further signals to the process that was told to stop."""
+        process, began = planner.process, trio.current_time()
+        for after, name in sorted(signals):
+            await trio.sleep_until(began + after)
+            if planner.process is process:
+                planner.signal(signal.Signals[name])
+
+    async def _pause(self, pause: Pause) -> None:
+        planner = self.planners[pause.planner]
+        if pause.planner in self.busy | self.paused or planner.life.ready_at is None:
+            return
+        self.paused.add(pause.planner)
+        planner.signal(signal.SIGSTOP)
+        await trio.sleep(pause.seconds)
+        planner.signal(signal.SIGCONT)
+        self.paused.discard(pause.planner)
+
+    async def _restart_server(self, restart: ServerRestart) -> None:
+        server = self.servers[restart.server]
+        if server.leaving:
+            return
+        await server.restart()
+        born = time.time()
+        await trio.sleep(restart.notice)
+        if server.leaving:
+            return
+        server.started_wall = born
+        server.life.told_restart = time.monotonic()
+        for each in self.planners:
+            each.discovery.tell(server, "in_service")
+
     async def _no_new_connections(self, clients: Clients) -> None:
         await trio.sleep(0.3)
         clients.open_only = True
--- a/tests/test_fault_incident.py
+++ b/tests/test_fault_incident.py
@@ -1,5 +1,6 @@
 """The incident of 2026-12-02 on real processes: a restarted planner, and a list that is not confirmed."""
 
+import signal
 import time
 from collections.abc import Awaitable, Callable
 from pathlib import Path
@@ -181,3 +182,23 @@
         await trio.sleep(9.0)
 
     assert play(test, tmp_path).broken() == []
+
+
+def test_signals_in_a_series_up_to_the_last_moment_of_a_stop_leave_its_exit_code(tmp_path: Path) -> None:
+    """Soak seed 502: SIGHUP came when the process had ended its work and not yet itself. Its handlers had
+    been taken down to the system's default, so the signal ended it: exit code -1 in place of 0."""
+
+    async def test(incident: Incident) -> None:
+        process = incident.planner.process
+
+        async def signal_on() -> None:
+            while process.poll() is None:
+                process.send_signal(signal.SIGHUP)
+                await trio.sleep(0.0005)
+
+        await until(lambda: len(incident.record.requests) >= 10)
+        incident.nursery.start_soon(signal_on)
+        await incident.planner.stop()
+        assert incident.planner.life.exit_code == 0
+
+    assert play(test, tmp_path).broken() == []
