Signals after the end of a stop's work are ignored until the process has gone

What callers saw: nothing. Operators saw a stop that had answered all end by SIGHUP, with -1 in place of 0, where signals came in series.

Cause: early_signals set the handlers back to what they were, the system's default, some 50 ms before the interpreter had ended.

Why it holds: a signal that is ignored stays so while the interpreter ends; one that has a handler of Python's is set back to the default by the interpreter itself.

--- a/hazelhold/platform/serve.py
+++ b/hazelhold/platform/serve.py
@@ -32,14 +32,19 @@
 
 @contextmanager
 def early_signals() -> Iterator[list[int]]:
-    """Signals that come before trio listens: noted, so that none of them ends the process early."""
+    """Signals that come before trio listens: noted, so that none of them ends the process early.
+
+    Afterwards they are ignored, until the process has gone: an interpreter that ends sets its own handlers
+    back to the system's default, by which SIGHUP would end a stop that has done its work with an error.
+    """
     seen: list[int] = []
-    old = {kind: signal.signal(kind, lambda number, _: seen.append(number)) for kind in KINDS}
+    for kind in KINDS:
+        signal.signal(kind, lambda number, _: seen.append(number))
     try:
         yield seen
     finally:
-        for kind, handler in old.items():
-            signal.signal(kind, handler)
+        for kind in KINDS:
+            signal.signal(kind, signal.SIG_IGN)
 
 
 async def run(start: Start, path: Path, frames: bool, early: list[int]) -> None:
