A server's new life is dated by its connections, not by two machines' wall clocks

What callers saw: tasks that stood on a server which had restarted were released while they stood, or those of its old process never, where the wall clock of the planner's machine had been stepped before the planner's start.

Cause: Fellow.started is the list's birth moved by the difference of two wall clocks. _new_life released what was sent before it: with a clock behind, all that was sent before the news came; with one ahead, too little.

Links keep when their last connections were opened and ended, and by whom. The end that is nearest to the birth by the clock, within a second, is the end of the old life; where a connection contradicts the clock (it lived through the birth, speaks after it, or the birth is still to come), the last end is. Without an end of late the clock dates it as before.

Why it holds: what was sent before the end of a connection that the death ended, and after its opening, lies on one side of it whatever any clock says. Not decided by this: a clock ahead by more than the planner's connections are old; what is handed over.

--- a/hazelhold/engine/engine.py
+++ b/hazelhold/engine/engine.py
@@ -149,7 +149,7 @@
         for link in [l for l in self.links.values() if l.state == "up" and now - l.used_at > idle]:
             if not link.holds and not link.queue and link.machine not in self.probes:
                 self.actions.append(HangUp(link.machine))
-                link.state = "down"
+                link.close(now)
 
     def _carry_out(self, now: int, decision: Decision) -> None:
         step, name, machine, span = decision
--- a/hazelhold/engine/link_loss.py
+++ b/hazelhold/engine/link_loss.py
@@ -10,9 +10,9 @@
 class LinkLoss(Dispatches):
     """The steps that follow from a connection or a machine that is gone."""
 
-    def _link_lost(self, now: int, link: Link) -> None:
+    def _link_lost(self, now: int, link: Link, by_machine: bool = False) -> None:
         self.counts["links_lost"] += link.state == "up"
-        link.state, link.rolled = "down", False
+        link.close(now, by_machine)
         self.restless[link.machine] = None
         self._drop_queue(now, link)
         self._probe_over(now, link.machine, False)
--- a/hazelhold/engine/links.py
+++ b/hazelhold/engine/links.py
@@ -117,7 +117,7 @@
     def link_down(self, now: int, machine: str) -> None:
         """A connection that stood broke. What it carried is not lost yet: the machine is asked first."""
         if link := self.links.get(machine):
-            self._link_lost(now, link)
+            self._link_lost(now, link, by_machine=True)
 
     # What machines say.
 
--- a/hazelhold/engine/list_news.py
+++ b/hazelhold/engine/list_news.py
@@ -6,6 +6,7 @@
 from hazelhold.engine.cases import HangUp
 from hazelhold.engine.events import ListEvent
 from hazelhold.engine.list_lease import Lapse
+from hazelhold.engine.machine_lives import old_life_ended
 from hazelhold.engine.machines import Link, News
 from hazelhold.interface import Ending
 from hazelhold.protocol import messages as m
@@ -51,7 +52,7 @@
             ):
                 if link.state == "up":
                     self.actions.append(HangUp(name))
-                    link.state = "down"
+                    link.close(now)
                 self._forget_machine(now, link)
         self._resolve_stands(now, list_is_whole=False)
         if not self.peers.rolls:
@@ -66,9 +67,10 @@
 
     def _new_life(self, now: int, link: Link, started: int) -> None:
         """The list tells of a machine's new life: what came to it in the old one is over."""
+        ended_at = old_life_ended(now, link, started).ended_at
         for name in list(link.holds):
             case = self.cases[name]
-            if case.sent and case.sent_at < started:
+            if case.sent and case.sent_at < ended_at:
                 self._gone(now, case, "lost")
 
     def _log_news(self, now: int, news: News) -> None:
--- a/hazelhold/engine/machines.py
+++ b/hazelhold/engine/machines.py
@@ -1,10 +1,13 @@
 """What the engine keeps of machines: the list as it was told, and the state of each connection."""
 
 from dataclasses import dataclass, field
+from typing import NamedTuple
 
 from hazelhold.interface import Listed, Mode
 from hazelhold.protocol.messages import Entry, Listing, Message
 
+PAST_KEPT = 8  # connections of a machine that have ended
+
 MODES = {"ready": Mode.READY, "cordoned": Mode.CORDONED, "gone": Mode.GONE}
 
 
@@ -21,6 +24,14 @@
     kind: int
 
 
+class PastConnection(NamedTuple):
+    """A connection that has ended. Moments in microseconds; `by_machine`: its far side ended it."""
+
+    opened_at: int
+    ended_at: int
+    by_machine: bool
+
+
 @dataclass
 class Link:
     """The connection to one machine."""
@@ -51,6 +62,13 @@
     # so lately that it may have broken over them.
     words: list[tuple[int, Message]] = field(default_factory=list)
     told: list[tuple[int, Message]] = field(default_factory=list)
+    past: list[PastConnection] = field(default_factory=list)  # the last few
+
+    def close(self, now: int, by_machine: bool = False) -> None:
+        """The connection has ended, or its dial has."""
+        if self.state == "up":
+            self.past = [*self.past[1 - PAST_KEPT :], PastConnection(self.opened_at, now, by_machine)]
+        self.state, self.rolled = "down", False
 
     def settled(self) -> bool:
         """Nothing about this connection is waited for."""
--- a/hazelhold/engine/silence.py
+++ b/hazelhold/engine/silence.py
@@ -70,7 +70,7 @@
             return
         if link.state != "down":
             self.actions.append(HangUp(link.machine))
-            link.state = "down"
+            link.close(now)
         self._drop_queue(now, link)
         self._forget_machine(now, link)
 
--- a/hazelhold/engine/tables.py
+++ b/hazelhold/engine/tables.py
@@ -228,7 +228,7 @@
             link = self.links[fellow.name] = Link(fellow.name)
         self._rested(now, link)
         self.restless[fellow.name] = None
-        if link.state == "down" and not self._room_for_link():
+        if link.state == "down" and not self._room_for_link(now):
             link.dial_at = now + 100_000  # what waits for it stays here, and is tried again or ends unsent
         elif link.state == "down":
             link.state, link.dial_at, link.address = "dialling", 0, fellow.address
@@ -253,9 +253,10 @@
         if all(self.cases[name].placed or not self.cases[name].sent for name in link.holds):
             self.counts["links_rested"] += 1
             self.actions.append(HangUp(link.machine))
-            link.state, link.rolled, link.lost_at = "down", False, 0
+            link.close(now)
+            link.lost_at = 0
 
-    def _room_for_link(self) -> bool:
+    def _room_for_link(self, now: int) -> bool:
         """Keeps connections within their bound: the one that was used longest ago is closed, those without
         guests first. What stands outlives it and its machine is asked again before it counts as silent; one
         with an open set-up stays. False if there is none to close."""
@@ -273,7 +274,8 @@
             ):
                 self.counts["links_closed_for_others"] += 1
                 self.actions.append(HangUp(link.machine))
-                link.state, link.rolled, link.lost_at = "down", False, 0
+                link.close(now)
+                link.lost_at = 0
                 return True
         self.counts["links_put_off"] += 1
         return False
