A task that was over before its hand-over is released where its machine says nothing of it

What callers saw: tasks that were over before their hand-over (their server had gone and another had its address, with the list silent, or it had restarted under its name) were never released.

Cause: what is handed over was taken to stand until its machine told its end, which a process that never had the task cannot tell.

Change: engine/handed_over.py. Where another process may answer for the machine (the list not confirmed since the hand-over, or a machine that has a birth), a handed-over task of which its machine says nothing for 4 s, while it says other things, is ended at the machine and released. The same decides for tasks sent before a reset where the clocks can't date a new life.

Why it holds: a task that stands is spoken of by the machine that has it; one that is ended by mistake all the same is ended there too, so nothing runs without an owner and its owner comes again.

--- a/hazelhold/engine/cases.py
+++ b/hazelhold/engine/cases.py
@@ -80,6 +80,9 @@
     due_at: int = 0  # when the dispatch that is out is given up
     ran_from: int = 0  # when the first dispatch that may have run was sent; 0: none may have
     called_off: bool = False  # the dispatch that is out was taken back, and its machine has not spoken yet
+    handed_over_at: int = 0  # by its owner, who says that it stands; 0: it was placed here
+    spoken_at: int = 0  # when its machine spoke of it last
+    doubted_at: int = 0  # since when a word of its machine has to show that it stands; 0: it need not
     unsure: str = ""  # the machine of the last dispatch that may have run
     claim: bytes = b""  # the last agreed claim on it
     sent_claim: bytes = b""  # the last under which an offer left
--- a/hazelhold/engine/links.py
+++ b/hazelhold/engine/links.py
@@ -162,6 +162,7 @@
 
     def _heard(self, now: int, case: Case, message: m.Offered) -> None:
         """News of the dispatch that is out, or of the placed guest."""
+        case.spoken_at = now
         if isinstance(message, m.Taken) and not case.placed and case.called_off and not self.peers.rolls:
             # The taking back ends what was taken, and no word follows that an owner could be told.
             self._ended(now, case, Ending.CALLED_OFF, Remark.NONE)
@@ -232,6 +233,8 @@
                     self._send_owner(stand.owner, told)
                 return
             self.counts["stray_messages"] += 1
+            if self.peers.tells_use and isinstance(message, m.Started | m.Use | m.Served):
+                self._spoke_of_unknown(machine, message.guest)
             if isinstance(message, m.Ended) and not self.peers.asks_again:
                 self._keep_end(now, message.guest, message.how)
             return
--- a/hazelhold/engine/list_news.py
+++ b/hazelhold/engine/list_news.py
@@ -66,12 +66,17 @@
             self._dial(now, self.roster.fellows[name])
 
     def _new_life(self, now: int, link: Link, started: int) -> None:
-        """The list tells of a machine's new life: what came to it in the old one is over."""
-        ended_at = old_life_ended(now, link, started).ended_at
+        """The list tells of a machine's new life: what came to it in the old one is over. Where the clocks
+        may differ, a task sent before a connection ended has to be spoken of on a later one."""
+        ended_at, reset_at = old_life_ended(now, link, started)
         for name in list(link.holds):
             case = self.cases[name]
-            if case.sent and case.sent_at < ended_at:
+            if not case.sent or case.sent_at >= max(ended_at, reset_at) or case.spoken_at > reset_at > 0:
+                continue
+            if case.sent_at < ended_at:
                 self._gone(now, case, "lost")
+            elif self.peers.tells_use:
+                case.doubted_at = reset_at
 
     def _log_news(self, now: int, news: News) -> None:
         for name in news.fresh:
--- a/hazelhold/engine/owners.py
+++ b/hazelhold/engine/owners.py
@@ -191,6 +191,9 @@
             sent=True,
             sent_at=now,
             placed=True,
+            handed_over_at=now,
+            doubted_at=now,
+            spoken_at=now if self.spoken_of.pop(submit.guest, "") == machine else 0,
         )
         self.cases[case.name] = self.newest[case.guest] = case
         self._hold(case)
--- a/hazelhold/engine/silence.py
+++ b/hazelhold/engine/silence.py
@@ -2,7 +2,7 @@
 
 from hazelhold.config.planner import micros
 from hazelhold.engine.cases import HangUp, Loose
-from hazelhold.engine.link_loss import LinkLoss
+from hazelhold.engine.handed_over import HandedOver
 from hazelhold.engine.machines import Link
 from hazelhold.protocol import messages as m
 
@@ -13,7 +13,7 @@
 """The same where the connection may be to another machine that has its address, which the list still owes."""
 
 
-class Silence(LinkLoss):
+class Silence(HandedOver):
     """Tests, and machines that say nothing."""
 
     def _send_probe(self, now: int, machine: str) -> None:
@@ -46,6 +46,7 @@
         its connection, then on a new one. One that stays silent, or has left the list a second ago, has lost
         what stood there."""
         silent = micros(self.limits.silent_ms)
+        self._end_unvouched(now, link)
         if not link.holds:
             return
         if link.machine not in self.roster.fellows:
--- a/hazelhold/platform/configuration.py
+++ b/hazelhold/platform/configuration.py
@@ -15,7 +15,7 @@
 from hazelhold.config.planner import LimitsConfig
 from hazelhold.engine.terms import Peers, Terms
 from hazelhold.interface import Deployment
-from hazelhold.simhost import Pairs, WireError, read_deployment
+from hazelhold.simhost import Pairs, WireError, read_deployment, truth
 
 PLATFORM = Peers(
     rolls=False,
@@ -175,7 +175,7 @@
         names(settings, "tenants"),
         names(settings, "kinds"),
         limits,
-        PLATFORM,
+        PLATFORM._replace(tells_use=truth(pairs.values.get("family-info.use-notes", ""))),
     )
     most = (
         max(k.cores for k in facts.kinds) * facts.cores_multiple,
--- a/tests/test_fault_incident.py
+++ b/tests/test_fault_incident.py
@@ -5,6 +5,7 @@
 from collections.abc import Awaitable, Callable
 from pathlib import Path
 
+import pytest
 import trio
 
 from tests.faults.clients import Habits
@@ -184,6 +185,21 @@
     assert play(test, tmp_path).broken() == []
 
 
+def test_the_same_where_servers_do_not_tell_what_tasks_use(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Then no word of a server tells one task that stands from one that is over. See the page of 2026-12-03:
+    to end all that is handed over in an outage would cost more than the few that may be over."""
+    begin = Incident.__init__
+
+    def without_notes(incident: Incident, *given: object) -> None:
+        begin(incident, *given)
+        incident.schedule.servers_tell_use = False
+
+    monkeypatch.setattr(Incident, "__init__", without_notes)
+    test_a_task_that_was_over_before_its_hand_over_at_a_server_that_has_gone_is_released_in_time(tmp_path)
+
+
 def test_signals_in_a_series_up_to_the_last_moment_of_a_stop_leave_its_exit_code(tmp_path: Path) -> None:
     """Soak seed 502: SIGHUP came when the process had ended its work and not yet itself. Its handlers had
     been taken down to the system's default, so the signal ended it: exit code -1 in place of 0."""
--- a/tests/test_fault_server_restart.py
+++ b/tests/test_fault_server_restart.py
@@ -14,12 +14,14 @@
 import trio
 
 from hazelhold.engine import list_news
+from hazelhold.engine.handed_over import HandedOver
 from hazelhold.engine.machine_lives import OldLife, old_life_ended
 from hazelhold.engine.machines import Link, PastConnection
+from tests.faults.discovery import Fault
 from tests.faults.judge import RELEASE_AT_LATEST
 from tests.faults.servers import Server
 from tests.faults.shim_plan import ClockStep, ShimPlan
-from tests.platform_rig import Rig, end, event, host, set_up
+from tests.platform_rig import DEPLOYMENT, PLACED, Rig, end, event, host, set_up
 from tests.platform_rig import play as play_in_memory
 from tests.test_fault_incident import Incident, play, until
 
@@ -115,7 +117,56 @@
     assert play(test, tmp_path, kind=ahead(seconds)).broken() == []
 
 
-# When an old life ended. Seconds here, microseconds there.
+def test_what_is_handed_over_from_a_process_that_ended_amid_a_stop_is_released(tmp_path: Path) -> None:
+    """Its connections have ended and the list has not told of it when the planner ends."""
+
+    async def test(incident: Restarts) -> None:
+        await incident.place(5)
+        incident.its_clients.sending = False
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(incident.planner.stop)
+            await trio.sleep(3.0)
+            born = await incident.restart_server()
+        incident.its_clients.planner_died()
+        incident.planner.start(incident.servers)
+        assert await incident.planner.until_ready()
+        await incident.its_clients.hand_over()
+        incident.tell_restart(born)
+        await incident.until_all_is_due()
+        assert released(incident) >= 5
+
+    assert play(test, tmp_path, kind=Restarts).broken() == []
+
+
+@pytest.mark.parametrize("tells_use", [True, False])
+def test_what_stands_goes_on_while_discovery_is_silent(tells_use: bool, tmp_path: Path) -> None:
+    """A planner is killed amid an outage: its tasks are handed over, and none is ended for want of a list."""
+
+    async def test(incident: Restarts) -> None:
+        await incident.place(5)
+        incident.its_clients.sending = False
+        await incident.planner.kill()
+        incident.its_clients.planner_died()
+        await trio.sleep(0.2)  # an answer may be on its way to its client
+        before = sum(standing(server, incident) for server in incident.servers)
+        await incident.planner.discovery.set_fault(Fault.SILENT)
+        incident.planner.start(incident.servers)
+        assert await incident.planner.until_ready()
+        await incident.its_clients.hand_over()
+        await incident.until_all_is_due()
+        assert sum(standing(server, incident) for server in incident.servers) == before
+
+    kind = Restarts if tells_use else WithoutNotes
+    assert play(test, tmp_path, kind=kind).broken() == []
+
+
+class WithoutNotes(Restarts):
+    def __init__(self, folder: Path, servers: int, fleet: int) -> None:
+        super().__init__(folder, servers, fleet)
+        self.schedule.servers_tell_use = False
+
+
+# The two decisions, without processes. Seconds here, microseconds there.
 
 SECOND = 1_000_000
 
@@ -151,6 +202,55 @@
     assert ended(18.0, (1, 14.0, True), opened=14.1, heard=17.0) == (18.0, 14.0)  # cut off, not reset
 
 
+def heard_of_a_hand_over(
+    born: float, spoken_first: bool, tells_use: bool = True
+) -> list[tuple[int, int | None]]:
+    """What an owner hears of a task that it handed over, of which its machine speaks first or never."""
+    heard: list = []
+
+    async def test(rig: Rig) -> None:
+        await trio.sleep(OLD_FOR)
+        if born:
+            rig.bulletin.events += [event(2, host("a", born=born * 1000))]
+        owner, other = await rig.owner(), await rig.owner()
+        await other.say(set_up(2))
+        await trio.sleep(0.3)
+        machine = rig.machines["a"]
+        if spoken_first:
+            use = {"note": "cpu", "value": "0.4"}
+            await machine.say(machine.streams[-1], {"op": "info", "call": f"{1:016x}", "with": use})
+        await owner.say(set_up(1, figures="cores:1;memory:2;service:1;at:a"))
+        for _ in range(16):
+            await trio.sleep(0.5)
+            await machine.say(
+                machine.streams[-1], {"op": "info", "call": f"{2:016x}", "with": {"note": "up"}}
+            )
+        heard.extend(owner.of(1))
+        assert other.of(2) == PLACED
+
+    settings = DEPLOYMENT | {"family-info": DEPLOYMENT["family-info"] | {"use-notes": tells_use}}
+    play_in_memory(test, machines="a", settings=settings)
+    return heard
+
+
+LONG_AGO, OLD_FOR = 1.0, 20.0  # Unix seconds of a birth, and seconds for which it is past
+
+
+def test_only_where_another_process_may_answer_has_a_machine_to_speak_of_what_is_handed_over() -> None:
+    assert heard_of_a_hand_over(0, spoken_first=False) == []
+    assert heard_of_a_hand_over(LONG_AGO, spoken_first=True) == []
+    assert heard_of_a_hand_over(LONG_AGO, spoken_first=False) == [(end(1).type, 41)]
+    assert heard_of_a_hand_over(LONG_AGO, spoken_first=False, tells_use=False) == []
+
+
+def test_without_a_word_of_the_machine_asked_for_the_tasks_of_an_old_process_stay(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """The broken variant."""
+    monkeypatch.setattr(HandedOver, "_end_unvouched", lambda engine, now, link: None)
+    assert heard_of_a_hand_over(LONG_AGO, spoken_first=False) == []
+
+
 def test_the_clock_alone_releases_what_stands(monkeypatch: pytest.MonkeyPatch) -> None:
     """The broken variant: a machine's clock is ahead of this one's, it died at 1 s and is listed later."""
     told: list = []
