--- a/hazelhold/engine/dispatches.py
+++ b/hazelhold/engine/dispatches.py
@@ -229,7 +229,7 @@
             self._rested(now, link)
         self.probe_number += 1
         self.counts["probes"] += 1
-        self.probes[machine] = OutstandingProbe(self.probe_number, now + micros(self.limits.probe_ms), now)
+        self.probes[machine] = OutstandingProbe(self.probe_number, now + micros(self.limits.probe_ms))
         fellow = self.roster.fellows.get(machine)
         if fellow is None:
             self._probe_over(now, machine, False)
--- a/hazelhold/engine/links.py
+++ b/hazelhold/engine/links.py
@@ -84,7 +84,7 @@
         for name in list(link.queue):
             self._offer(now, self.cases[name])
         if link.machine in self.probes:
-            self._send_probe(now, link.machine)
+            self._send_probe(link.machine)
 
     def _heard_lately(self, now: int, link: Link) -> bool:
         """Whether a machine that takes a new connection need not be asked if it is still there: it has said
@@ -305,7 +305,7 @@
             else:
                 self._offer(now, self.cases[name])
         if link.machine in self.probes:
-            self._send_probe(now, link.machine)
+            self._send_probe(link.machine)
 
     def _never_arrived(self, now: int, case: Case) -> None:
         """A complete roll without it, in the life that it was sent to: it never arrived, and cannot any more.
--- a/hazelhold/engine/silence.py
+++ b/hazelhold/engine/silence.py
@@ -16,10 +16,9 @@
 class Silence(HandedOver):
     """Tests, and machines that say nothing."""
 
-    def _send_probe(self, now: int, machine: str) -> None:
+    def _send_probe(self, machine: str) -> None:
         """A test that waited for its connection."""
-        probe = self.probes[machine] = self.probes[machine]._replace(sent_at=now)
-        self._send_machine(machine, m.Probe(number=probe.number))
+        self._send_machine(machine, m.Probe(number=self.probes[machine].number))
 
     def _tested(self, now: int, link: Link, well: bool) -> None:
         """A machine answered a test. One that fails takes no work, whatever the list says; one that passes
--- a/hazelhold/engine/tables.py
+++ b/hazelhold/engine/tables.py
@@ -25,7 +25,6 @@
 
     number: int
     due: int
-    sent_at: int
 
 
 class WaitingStand(NamedTuple):
--- a/hazelhold/service/arrival.py
+++ b/hazelhold/service/arrival.py
@@ -33,11 +33,6 @@
         if timeout <= 0 or now - self.waits_since <= timeout + LATE_WAKE:
             self.looked_at = now
 
-    def waited(self) -> float:
-        """Seconds for which what the last look reported may have waited at the most, if it was waited for at
-        the look before."""
-        return trio.current_time() - self.looked_before
-
 
 _current: trio.lowlevel.RunVar[LoopClock] = trio.lowlevel.RunVar("loop_clock")
 
--- a/tests/test_faulty_system.py
+++ b/tests/test_faulty_system.py
@@ -222,9 +222,9 @@
         loop = LoopClock()
         trio.lowlevel.add_instrument(loop)
         await trio.sleep(0.01)
-        assert loop.waited() < 0.1
+        assert trio.current_time() - loop.looked_before < 0.1
         trio.lowlevel.current_clock().jump(2.0)
-        assert loop.waited() >= 2.0
+        assert trio.current_time() - loop.looked_before >= 2.0
 
     trio.run(run, clock=trio.testing.MockClock(autojump_threshold=0))
 
@@ -243,7 +243,7 @@
             loop.after_io_wait(0.05)
             loop.before_io_wait(0.0)
             loop.after_io_wait(0.0)
-            assert loop.waited() == pytest.approx(age if late else 0.0)
+            assert trio.current_time() - loop.looked_before == pytest.approx(age if late else 0.0)
 
     trio.run(run, clock=trio.testing.MockClock())
 
