--- a/tests/test_engine.py
+++ b/tests/test_engine.py
@@ -365,3 +365,14 @@
     lose(harness, 20 * MS, machine)
     back(harness, 40 * MS, machine)  # in the life that the list told of: whether it ran cannot be known
     assert len(harness.sent(m.BrokenOff)) == 1 and len(harness.sent(m.Offer)) == 1
+
+
+def test_by_a_list_that_has_been_silent_for_longer_than_the_grace_nothing_is_offered() -> None:
+    """The own protocol's list service tells changes as they come and confirms nothing. What it told while its
+    connection was silent counts as told: a machine may have begun to drain seconds ago."""
+    harness = EngineHarness("ab")
+    for now in range(0, 10_000, 50):
+        harness.run(now * MS)
+    harness.submits(10_000 * MS, "g")
+    assert harness.sent(m.Held, "g")
+    assert not harness.sent(m.Offer)
