New connections are not closed for each other while timed-out ones are closing

Cause: two things. Connections that are closing counted for the bound, so that each new one had to have another closed. And one whose request had been read was taken for idle: trio hands on what it reads at once only a turn of the loop later, when nothing is unread any more.

Change: closing ones do not count (they go within a second); a connection whose read began within two turns is not idle.

Why it holds: what can have been read and not heard has a read that began within two turns; what is unread is seen in the socket.

--- a/hazelhold/platform/owner_door.py
+++ b/hazelhold/platform/owner_door.py
@@ -131,9 +131,11 @@
         """Closes an idle connection for a new one; False if there is none. One whose bytes wait to be read
         is not idle, they may be a request: it goes only if it has said nothing of use and others are no
         better."""
+        if self._open_connections() < self.engine.limits.connections:
+            return True  # those that are closing go within a second: nothing is lost for them
         now = trio.current_time()
         order = eviction_order(self.peers.values(), now)
-        victim = next((peer for peer in order[:LOOKS] if is_stuck(peer, now) or not peer.unread()), None)
+        victim = next((peer for peer in order[:LOOKS] if is_stuck(peer, now) or not peer.unheard()), None)
         if victim is None and order and not order[0].good:
             victim = order[0]
         if victim is None:
@@ -149,6 +151,10 @@
         victim.scope.cancel()
         return True
 
+    def _open_connections(self) -> int:
+        """Connections that are not closing already."""
+        return sum(not peer.closing for peer in self.peers.values())
+
     def _set_deadline(self, peer: OwnerPeer) -> None:
         """When a connection ends if nothing comes: one that has sent nothing of use and was told nothing,
         and one that has sent only part of a message and awaits no answer."""
--- a/hazelhold/platform/peer.py
+++ b/hazelhold/platform/peer.py
@@ -103,6 +103,10 @@
         if size < READ and (self.arrival.waited() < READ_SOON or not self.unread()):
             self.arrival.emptied()
 
+    def unheard(self) -> bool:
+        """Whether bytes of its owner wait to be read, or were read and may not have been heard yet."""
+        return self.unread() or self.arrival.has_just_begun()
+
     def waits_to_be_heard(self) -> bool:
         """Whether its owner may have said something, or have gone, that was not read in time."""
         return trio.current_time() - self.arrival.empty_at > HEARD_IN_TIME and self.readable()
--- a/hazelhold/service/arrival.py
+++ b/hazelhold/service/arrival.py
@@ -68,6 +68,11 @@
     def begin(self) -> None:
         self.began_at = trio.current_time()
 
+    def has_just_begun(self) -> bool:
+        """Whether the wait began within two turns of the loop: trio hands on what it reads at once a turn
+        later."""
+        return self.began_at >= self.clock.looked_before
+
     def came(self) -> None:
         """Sets `came_after`: what can be taken now came after this moment."""
         looked_since = self.clock.looked_before >= self.began_at
--- a/tests/test_fault_stopped_process.py
+++ b/tests/test_fault_stopped_process.py
@@ -18,9 +18,10 @@
 import trio
 
 from hazelhold.platform.codec import encode_binary
+from hazelhold.platform.owner_door import FIRST_MESSAGE
 from hazelhold.platform.peer import OwnerPeer
 from tests.faults.clients import Habits
-from tests.platform_rig import Owner, SocketRig, end, on_sockets, set_up
+from tests.platform_rig import PLACED, Owner, SocketRig, end, on_sockets, set_up
 from tests.test_fault_incident import CALM, Incident, play, until
 
 STOPPED = 0.45  # seconds; three times the slack on deadlines
@@ -140,3 +141,31 @@
     """The broken variant."""
     monkeypatch.setattr(OwnerPeer, "waits_to_be_heard", lambda peer: False)
     assert block_amid_an_offer(cancel) != []
+
+
+def test_requests_that_came_while_idle_connections_timed_out_are_not_closed_for_each_other() -> None:
+    """Soak seed 514: the process was stopped while the time of 73 idle connections ran out. When it ran on
+    they were closing and counted all the same, so that new connections found no room. Two whose requests had
+    been read, and not been heard yet, were closed for others 7 ms after they had been accepted."""
+    new = 20
+
+    async def test(rig: SocketRig) -> None:
+        full = rig.planner.limits.connections
+        assert full >= new
+        for _ in range(full):
+            await rig.owner()
+        await trio.sleep(FIRST_MESSAGE - 0.1)
+        assert len(rig.planner.door.peers) == full
+        host, port = rig.planner.address.split(":")
+        made = []
+        for task in range(1, new + 1):
+            made.append(socket.create_connection((host, int(port))))
+            made[-1].sendall(encode_binary(set_up(task)))
+        time.sleep(0.3)
+        owners = [
+            Owner(trio.SocketStream(trio.socket.from_stdlib_socket(each)), rig.nursery) for each in made
+        ]
+        await trio.sleep(1.0)
+        assert [owner.of(task) for task, owner in enumerate(owners, 1)] == [PLACED] * new
+
+    on_sockets(test, "a")
