Fault test: a task on a server that has gone, held to be its address's next server's; failing

The server worked on and went; the next one at its address told nothing of the task, which was moved to it (task_moved) and never released.

--- a/tests/test_fault_server_restart.py
+++ b/tests/test_fault_server_restart.py
@@ -19,7 +19,7 @@
 from hazelhold.engine.machines import Link, PastConnection
 from tests.faults.discovery import Fault
 from tests.faults.judge import RELEASE_AT_LATEST
-from tests.faults.servers import Server
+from tests.faults.servers import Draining, Server
 from tests.faults.shim_plan import ClockStep, ShimPlan
 from tests.platform_rig import DEPLOYMENT, PLACED, Rig, end, event, host, set_up
 from tests.platform_rig import play as play_in_memory
@@ -174,6 +174,40 @@
     assert play(test, tmp_path, kind=Restarts).broken() == []
 
 
+def test_a_task_on_a_server_that_has_gone_is_not_taken_for_one_of_its_address_s_next_server(
+    tmp_path: Path,
+) -> None:
+    """Soak seed 510: sent on a connection that the list had not confirmed when the server began to drain. The
+    server went with it, and the next at its address is held to have it."""
+
+    async def test(incident: Restarts) -> None:
+        discovery, old = incident.planner.discovery, incident.servers[0]
+        old.task_life = LONG_LIFE
+        for server in incident.servers[1:]:
+            await server.drain()
+            discovery.tell(server, "terminating")
+        await until(lambda: standing(old, incident) >= 3)
+        discovery.lag = 0.12  # within the lease
+        await discovery.set_fault(Fault.LAGGING)
+        await trio.sleep(1.0)
+        before = set(old.tasks)
+        await old.close_connections(reset=False)
+        await until(lambda: set(old.tasks) - before)
+        await old.drain(Draining.WORKS)
+        discovery.tell(old, "terminating")
+        incident.its_clients.sending = False
+        await trio.sleep(0.5)
+        await old.remove()
+        new = await incident._server(["n0"], old.ports)
+        new.started_wall = time.time()
+        discovery.tell(old, "terminated")
+        discovery.tell(new, "in_service")
+        await incident.until_all_is_due()
+        assert released(incident) >= 4
+
+    assert play(test, tmp_path, servers=2, kind=Restarts).broken() == []
+
+
 class WithoutNotes(Restarts):
     def __init__(self, folder: Path, servers: int, fleet: int) -> None:
         super().__init__(folder, servers, fleet)
