A connection whose time has run out is read before it is closed

Cause: a connection that has carried nothing of use has 2 s. That time ran out during the stop; trio cancels a read whose time is over without a look at the socket, where the request lay. Mend: the time bounds one read (OwnerPeer.read); if it runs out while bytes lie unread, those are read first. A batch that was read is not broken off any more either when the time is over. Why it holds: a connection is closed for its time only if nothing lay unread then; what comes later crosses the close, which the protocol allows for 50 ms.

--- a/hazelhold/platform/owner_door.py
+++ b/hazelhold/platform/owner_door.py
@@ -82,7 +82,7 @@
             try:
                 with peer.scope:
                     await self._hear(peer)
-                if peer.scope.cancelled_caught and not peer.closing:
+                if peer.timed_out and not peer.closing:
                     self.counts["connections_timed_out"] += 1
                     self._check_close(peer)
             finally:
@@ -169,7 +169,7 @@
             due = peer.half_at + FIRST_MESSAGE
         if not owed and not peer.told and not peer.proven:
             due = min(due, max(peer.came_at + FIRST_MESSAGE, now + 0.2))
-        peer.scope.deadline = due
+        peer.set_due(due)
 
     def _fault(self, peer: OwnerPeer, wrong: CodecError) -> None:
         """A peer whose bytes cannot be used: its connection ends, and what is open on it with it."""
--- a/hazelhold/platform/peer.py
+++ b/hazelhold/platform/peer.py
@@ -36,7 +36,7 @@
             while True:
                 self.read_begins()
                 try:
-                    data = await self.stream.receive_some(READ)
+                    data = await self.read()
                 except (trio.BrokenResourceError, trio.ClosedResourceError):
                     return
                 if not data:
@@ -48,6 +48,10 @@
         finally:
             self.heard_out.set()
 
+    async def read(self) -> bytes:
+        """The bytes that come next; none if the connection ends."""
+        return await self.stream.receive_some(READ)
+
     def read_begins(self) -> None:
         """Bytes of the peer are waited for from now on."""
 
@@ -100,11 +104,28 @@
         self.proven = False  # a task of it was placed
         self.handed_over = False  # it handed over tasks that stand: their ends are owed to it
         self.half_at: float | None = None  # when the part of a message that is held began
+        self.due = float("inf")  # when the connection ends if nothing comes, in seconds of trio's clock
+        self.timed_out = False  # it ended so
+        self.awaiting = trio.CancelScope()  # the read that is on
         self.bytes_put = self.bytes_left = 0
         # Ends of what stands that have not left, with the byte at which each ends; emptied as bytes leave.
         self.releases: deque[tuple[int, BinaryMessage]] = deque()
         self.read_by_nobody = False  # the bytes that are leaving
 
+    def set_due(self, due: float) -> None:
+        """Sets when the connection ends if nothing comes."""
+        self.due = self.awaiting.deadline = due
+
+    async def read(self) -> bytes:
+        while True:
+            self.awaiting = trio.CancelScope(deadline=self.due)
+            with self.awaiting:
+                return await self.stream.receive_some(READ)
+            if not self.unread():
+                self.timed_out = True
+                return b""
+            self.due = float("inf")  # the process may have been stopped when it came in time
+
     def read_begins(self) -> None:
         self.arrival.begin()
 
--- a/tests/test_fault_stopped_process.py
+++ b/tests/test_fault_stopped_process.py
@@ -215,3 +215,23 @@
     it 6.4 s later, at the hand-over to the next process. That run's logs are lost. Here the client closes the
     connection meanwhile on which the end is told, and that close is read after the end."""
     assert releases_amid_closes(own) == []
+
+
+def test_a_connection_whose_time_has_run_out_is_read_before_it_is_closed() -> None:
+    """Soak seed 4 with more stops: a request that came to a stopped process was closed with no answer 5 ms
+    after it ran on. Its connection had carried a cancelled request only, and its time for one of use ran out
+    during the stop."""
+
+    async def test(rig: SocketRig) -> None:
+        owners = [await rig.owner() for _ in range(TRIES)]
+        for task, owner in enumerate(owners, 1):
+            await owner.say(set_up(task), end(task))
+        await trio.sleep(FIRST_MESSAGE - 0.1)
+        assert len(rig.planner.door.peers) == TRIES
+        for task, owner in enumerate(owners, 101):
+            owner.stream.socket._sock.send(encode_binary(set_up(task)))
+        time.sleep(0.3)
+        await trio.sleep(0.5)
+        assert [owner.of(task) for task, owner in enumerate(owners, 101)] == [PLACED] * TRIES
+
+    on_sockets(test, "a")
