--- a/hazelhold/engine/handed_over.py
+++ b/hazelhold/engine/doubts.py
@@ -22,7 +22,7 @@
 SPOKEN_OF = 4096  # tasks that machines spoke of and that are not in hand
 
 
-class HandedOver(LinkLoss):
+class DoubtedTasks(LinkLoss):
     """Ends what was handed over and does not stand."""
 
     def _spoke_of_unknown(self, machine: str, task: str) -> None:
--- a/hazelhold/engine/silence.py
+++ b/hazelhold/engine/silence.py
@@ -2,7 +2,7 @@
 
 from hazelhold.config.planner import micros
 from hazelhold.engine.cases import HangUp, Loose
-from hazelhold.engine.handed_over import HandedOver
+from hazelhold.engine.doubts import DoubtedTasks
 from hazelhold.engine.machines import Link
 from hazelhold.protocol import messages as m
 
@@ -13,7 +13,7 @@
 """The same where the connection may be to another machine that has its address, which the list still owes."""
 
 
-class Silence(HandedOver):
+class Silence(DoubtedTasks):
     """Tests, and machines that say nothing."""
 
     def _send_probe(self, machine: str) -> None:
--- a/tests/test_fault_server_restart.py
+++ b/tests/test_fault_server_restart.py
@@ -14,7 +14,7 @@
 import trio
 
 from hazelhold.engine import list_news
-from hazelhold.engine.handed_over import HandedOver
+from hazelhold.engine.doubts import DoubtedTasks
 from hazelhold.engine.machine_lives import OldLife, old_life_ended
 from hazelhold.engine.machines import Link, PastConnection
 from tests.faults.discovery import Fault
@@ -295,7 +295,7 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """The broken variant."""
-    monkeypatch.setattr(HandedOver, "_end_unvouched", lambda engine, now: None)
+    monkeypatch.setattr(DoubtedTasks, "_end_unvouched", lambda engine, now: None)
     assert heard_of_a_hand_over(LONG_AGO, spoken_first=False) == []
 
 
