--- a/tests/faults/servers.py
+++ b/tests/faults/servers.py
@@ -79,9 +79,7 @@
         self.ready, self.removed = True, False
         self.leaving = False  # it has begun to drain, or has gone
         self.passes_tests = True
-        self.tells_use = (
-            True  # notes on each task that stands: now and then, and when its planner has started
-        )
+        self.tells_use = True  # notes on each task that stands: now and then, and at its planner's start
         self.spoke_to: dict[str, Life] = {}  # the process of each planner that was told so
         self.note_gaps = Random(f"note gaps/{name}")
         self.process = 0  # counts its restarts
@@ -321,7 +319,7 @@
     # What stands.
 
     async def _tell_use(self, connection: Connection) -> None:
-        """Notes on what stands come on the first connection of a planner's process, and not on those after."""
+        """Notes on what stands come on the first connection of a planner's process, not on those after."""
         planner = connection.planner
         life = next((each for each in reversed(self.record.lives) if each.planner == planner), None)
         if not self.tells_use or self.faults.hung or self.spoke_to.get(planner) is life:
--- a/tests/test_fault_server_restart.py
+++ b/tests/test_fault_server_restart.py
@@ -304,6 +304,48 @@
     return heard
 
 
+def heard_after_a_reset(*, reset: bool, silent: bool, speaks: bool) -> list[tuple[int, int | None]]:
+    """What an owner hears in 10 s of a task whose machine ends its connection and takes the next one."""
+    heard: list = []
+
+    async def test(rig: Rig) -> None:
+        owner, machine = await rig.owner(), rig.machines["a"]
+        await owner.say(set_up(1))
+        await trio.sleep(0.5)
+        rig.bulletin.silent = silent
+        await trio.sleep(0.5)
+        rig.planner.links.peer("a").reset = reset
+        await machine.streams[-1].aclose()
+        await trio.sleep(4.0)
+        if speaks:
+            use = {"note": "cpu", "value": "0.4"}
+            await machine.say(machine.streams[-1], {"op": "info", "call": f"{1:016x}", "with": use})
+        await trio.sleep(6.0)
+        heard.extend(owner.of(1)[1:])
+
+    settings = DEPLOYMENT | {"family-info": DEPLOYMENT["family-info"] | {"use-notes": True}}
+    play_in_memory(test, machines="a", settings=settings)
+    return heard
+
+
+LOST = [(end(1).type, 41)]
+
+
+def test_only_a_reset_that_a_silent_list_does_not_explain_has_a_machine_to_speak_of_what_stood() -> None:
+    assert heard_after_a_reset(reset=True, silent=True, speaks=False) == LOST
+    assert heard_after_a_reset(reset=True, silent=True, speaks=True) == []
+    assert heard_after_a_reset(reset=True, silent=False, speaks=False) == []
+    assert heard_after_a_reset(reset=False, silent=True, speaks=False) == []
+
+
+def test_without_a_doubt_from_a_reset_what_a_dead_process_had_is_never_released(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """The broken variant."""
+    monkeypatch.setattr(DoubtedTasks, "_doubt_all_on", lambda engine, now, link: None)
+    assert heard_after_a_reset(reset=True, silent=True, speaks=False) == []
+
+
 LONG_AGO, OLD_FOR = 1.0, 20.0  # Unix seconds of a birth, and seconds for which it is past
 
 
