A task whose connection has ended is not taken for its address's next server's

Cause: what was sent on a connection that the list had not confirmed since it opened is held to be on the machine that has the address when the list tells, which is right only if that connection led to it. The task here came to the old server; its end is told by nobody, since the next server never had it. Mend: a machine that goes ends its connections. So if the one on which a task was sent has ended since, the next machine has to speak of the task within 2.5 s; where it stands still, the task is held to be there as before. Why it holds: no clock is asked. Not covered: machines that do not tell what tasks use; and a task that began on the next machine just before that one's connection was reset is ended there if it is not spoken of.

--- a/hazelhold/engine/address_reuse.py
+++ b/hazelhold/engine/address_reuse.py
@@ -46,14 +46,19 @@
         new.heard_at = new.heard_at or now
 
     def _move_task(self, now: int, case: Case, machine: str) -> None:
-        """A placed task stands at another machine than it was sent to."""
+        """A placed task stands at another machine than it was sent to. Where the connection on which it was
+        sent has ended since, it may have been to the machine before, which has gone: a machine that goes ends
+        its connections. Then the one that has the address now has to speak of the task."""
         before = case.machine
+        ended = any(each.by_machine and each.ended_at >= case.sent_at for each in self.links[before].past)
         self._unhold(case)
         case.machine = machine
         self._hold(case)
         self.brain.guest_found(now, machine, self._ask(case, 0))
         self._task_event("moved", case, f"from {before}, whose address it has")
         self.counts["tasks_inherited"] += 1
+        if ended:
+            self._doubt_reused(now, case)
 
     def _identify(self, as_of: int) -> None:
         """Connections that were not confirmed are to the machines that the list still shows as ready since.
--- a/hazelhold/engine/doubts.py
+++ b/hazelhold/engine/doubts.py
@@ -37,6 +37,11 @@
         at = case.handed_over_at
         self.doubted[case.name] = Doubt(DoubtCause.HANDED_OVER, at, at + VOUCHED_WITHIN, at)
 
+    def _doubt_reused(self, now: int, case: Case) -> None:
+        """It is held to be on the machine that has the address now, and its connection has ended."""
+        if self.peers.tells_use:
+            self.doubted[case.name] = Doubt(DoubtCause.ADDRESS_REUSED, now, now + VOUCHED_WITHIN, now)
+
     def _doubt_since_reset(self, reset_at: int, case: Case, cause: DoubtCause) -> None:
         """Its machine ended a connection after it was sent, as a process does that dies. Machines speak of a
         task every few seconds, so they are given as long as one that is silent."""
--- a/tests/test_fault_server_restart.py
+++ b/tests/test_fault_server_restart.py
@@ -346,6 +346,47 @@
     assert heard_after_a_reset(reset=True, silent=True, speaks=False) == []
 
 
+def heard_after_an_address_is_reused(*, ended: bool) -> list[tuple[int, int | None]]:
+    """What an owner hears of a task that was sent on a connection which the list had not confirmed; `ended`:
+    that connection ends before another machine is listed with its address."""
+    heard: list = []
+
+    async def test(rig: Rig) -> None:
+        owner, machine = await rig.owner(), rig.machines["a"]
+        await owner.say(set_up(1))
+        await trio.sleep(0.5)
+        rig.bulletin.silent = True
+        await machine.streams[-1].aclose()
+        await trio.sleep(0.02)
+        await owner.say(set_up(2))
+        await trio.sleep(0.1)
+        assert rig.planner.engine.newest[f"{2:016x}"].sent_unconfirmed
+        if ended:
+            await machine.streams[-1].aclose()
+        rig.bulletin.silent = False
+        born = rig.net.wall() / 1000 + 1000.0
+        rig.bulletin.events += [event(2, host("a", "terminated"), host("b", born=born, dial="a:1"))]
+        await trio.sleep(8.0)
+        heard.extend(owner.of(2)[1:])
+
+    settings = DEPLOYMENT | {"family-info": DEPLOYMENT["family-info"] | {"use-notes": True}}
+    play_in_memory(test, machines="a", settings=settings)
+    return heard
+
+
+def test_only_where_its_connection_has_ended_has_the_next_machine_at_an_address_to_speak_of_a_task() -> None:
+    assert heard_after_an_address_is_reused(ended=True) == LOST
+    assert heard_after_an_address_is_reused(ended=False) == []
+
+
+def test_without_that_doubt_a_task_is_held_to_be_its_address_s_next_machine_s(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """The broken variant."""
+    monkeypatch.setattr(DoubtedTasks, "_doubt_reused", lambda engine, now, case: None)
+    assert heard_after_an_address_is_reused(ended=True) == []
+
+
 LONG_AGO, OLD_FOR = 1.0, 20.0  # Unix seconds of a birth, and seconds for which it is past
 
 
