--- a/hazelhold/engine/terms.py
+++ b/hazelhold/engine/terms.py
@@ -18,7 +18,7 @@
     # The list service says again and again that nothing changed. If so, a list that it has not confirmed
     # lately vouches for no machine: each is tested before work goes there.
     list_confirms: bool = False
-    tells_use: bool = False  # machines tell what a task uses, also when a connection to them opens
+    tells_use: bool = False  # machines tell what each task uses: at a planner's start, and as it changes
 
 
 class Terms(NamedTuple):
