Signals at the end of a stop: own protocol's planners and control machines too

Mend: one place for all three, service/signals.py. Why it holds: an interpreter that ends leaves ignored signals ignored.

--- a/hazelhold/cli/fleetconfig.py
+++ b/hazelhold/cli/fleetconfig.py
@@ -48,24 +48,28 @@
 
     from hazelhold.fleetconfig.control_host import ControlHost
     from hazelhold.service.net import TcpNet
+    from hazelhold.service.signals import early_signals
     from hazelhold.state.disk import RealDisk
 
     read = read_control(file)
     logs.set_up(log, level)
     made = ControlHost(read, TcpNet(), RealDisk(Path(read.folder)), RealDisk(Path(read.votes.folder)))
 
-    async def run() -> None:
-        with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+    kinds = (signal.SIGTERM, signal.SIGINT)
+
+    async def run(early: list[int]) -> None:
+        with trio.open_signal_receiver(*kinds) as signals:
             async with trio.open_nursery() as nursery:
                 made.open()
                 await nursery.start(made.run)
                 if ready:
                     print(made.address, flush=True)
-                async for _ in signals:
-                    break
+                if not early:
+                    await anext(signals)
                 nursery.cancel_scope.cancel()
 
-    trio.run(run)
+    with early_signals(kinds) as early:
+        trio.run(run, early)
 
 
 @fleetconfig.command("found")
--- a/hazelhold/cli/planner.py
+++ b/hazelhold/cli/planner.py
@@ -71,6 +71,7 @@
     from hazelhold.service.descriptors import raise_descriptor_limit
     from hazelhold.service.net import TcpNet
     from hazelhold.service.planner import Planner
+    from hazelhold.service.signals import early_signals
 
     planner_config = read_planner(config)
     if to:
@@ -88,7 +89,9 @@
     descriptors = raise_descriptor_limit().soft
     structlog.get_logger().info("descriptors", descriptors=descriptors, planner=planner_config.name)
 
-    async def run() -> None:
+    kinds = (signal.SIGTERM, signal.SIGINT, signal.SIGUSR2)
+
+    async def run(early: list[int]) -> None:
         made = Planner(
             planner_config,
             planner_config.seed if seed is None else seed,
@@ -96,13 +99,18 @@
             recorder,
             take_over=take_over,
         )
-        with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGUSR2) as signals:
+        with trio.open_signal_receiver(*kinds) as signals:
             async with trio.open_nursery() as nursery:
 
+                def take(number: int) -> None:
+                    (made.hand_over if number == signal.SIGUSR2 else made.stop)()
+
                 async def listen() -> None:
-                    async for each in signals:
-                        (made.hand_over if each == signal.SIGUSR2 else made.stop)()
+                    async for number in signals:
+                        take(number)
 
+                for number in early:
+                    take(number)
                 nursery.start_soon(listen)
 
                 async def serve(task_status: trio.TaskStatus = trio.TASK_STATUS_IGNORED) -> None:
@@ -113,5 +121,6 @@
                 if ready:
                     print(address, flush=True)
 
-    trio.run(run)
-    recorder.close()
+    with early_signals(kinds) as early:
+        trio.run(run, early)
+        recorder.close()
--- a/hazelhold/platform/serve.py
+++ b/hazelhold/platform/serve.py
@@ -2,8 +2,6 @@
 
 import os
 import signal
-from collections.abc import Iterator
-from contextlib import contextmanager
 from pathlib import Path
 
 import trio
@@ -12,6 +10,7 @@
 from hazelhold.platform.configuration import Start, read_start
 from hazelhold.platform.planner import PlatformPlanner
 from hazelhold.service.net import TcpNet
+from hazelhold.service.signals import early_signals
 
 
 def serve(config: Path | None = None, frames: bool = False) -> None:
@@ -19,7 +18,7 @@
     path = config or Path(os.environ.get("BALANCER_CONFIG", ""))
     if not path.name:
         raise ConfigError("environment", [("BALANCER_CONFIG", "is not set, and no --config is given")])
-    with early_signals() as early:
+    with early_signals(KINDS) as early:
         start = read_start(path, START_TRIES)
         trio.run(run, start, path, frames, early)
 
@@ -30,23 +29,6 @@
 KINDS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
 
 
-@contextmanager
-def early_signals() -> Iterator[list[int]]:
-    """Signals that come before trio listens: noted, so that none of them ends the process early.
-
-    Afterwards they are ignored, until the process has gone: an interpreter that ends sets its own handlers
-    back to the system's default, by which SIGHUP would end a stop that has done its work with an error.
-    """
-    seen: list[int] = []
-    for kind in KINDS:
-        signal.signal(kind, lambda number, _: seen.append(number))
-    try:
-        yield seen
-    finally:
-        for kind in KINDS:
-            signal.signal(kind, signal.SIG_IGN)
-
-
 async def run(start: Start, path: Path, frames: bool, early: list[int]) -> None:
     planner = PlatformPlanner(start, TcpNet(), path)
     if frames:
