A stop of some seconds is not held against machines

Cause: the spans in which a lost connection must be back, a silent machine heard and a doubt settled ran on while the process did not: they were over before what had come meanwhile was read. Mend: where more than a second lies between two pumps (they are half a second apart at most), the rest is left out of those spans, and for a second nothing is taken for lost. Why it holds: only the process's own clock is asked; what machines and the list said meanwhile is read before any of it is decided.

--- a/hazelhold/engine/doubts.py
+++ b/hazelhold/engine/doubts.py
@@ -84,6 +84,12 @@
                 if may_be_over:
                     self._end_task(now, case)
 
+    def _put_off_doubts(self, now: int, span: int) -> None:
+        """Has the doubts that there are decided on so much later."""
+        for name, doubt in self.doubted.items():
+            put_off = min(span, now - doubt.since)
+            self.doubted[name] = doubt._replace(decided_at=doubt.decided_at + put_off)
+
     def _ask_whether_there(self, now: int, link: Link, since: int) -> None:
         """Has a machine say something: without that, its silence about a task shows nothing."""
         if link.state == "up" and link.asked_at <= since:
--- a/hazelhold/engine/engine.py
+++ b/hazelhold/engine/engine.py
@@ -93,6 +93,7 @@
         return min(times, default=None)
 
     def _time_outs(self, now: int) -> None:
+        self._leave_out_stop(now)
         while self.overdue and self.overdue[0][0] <= now:
             _, name, attempt = heappop(self.overdue)
             case = self.cases.get(name)
--- a/hazelhold/engine/silence.py
+++ b/hazelhold/engine/silence.py
@@ -12,10 +12,28 @@
 HEIR_WITHIN = 4_000_000
 """The same where the connection may be to another machine that has its address, which the list still owes."""
 
+PUMPS_APART = 1_000_000
+"""Microseconds that lie between two pumps at the most, unless the process did not run."""
+
+HEARD_WITHIN = 1_000_000
+"""Microseconds in which a process that runs on reads what came meanwhile, and dials again."""
+
 
 class Silence(DoubtedTasks):
     """Tests, and machines that say nothing."""
 
+    def _leave_out_stop(self, now: int) -> None:
+        """A process that did not run for a while has heard neither the list nor machines: that time is not
+        held against them, and nothing is taken for lost before what came meanwhile is read."""
+        stopped = now - self.pumped_at - PUMPS_APART
+        self.pumped_at = now
+        if stopped <= 0 or self.peers.rolls:
+            return
+        self.ran_on_at = now
+        self._put_off_doubts(now, stopped)
+        for link in self.links.values():
+            link.leave_out(stopped)
+
     def _send_probe(self, machine: str) -> None:
         """A test that waited for its connection."""
         self._send_machine(machine, m.Probe(number=self.probes[machine].number))
@@ -45,7 +63,7 @@
         its connection, then on a new one. One that stays silent, or has left the list a second ago, has lost
         what stood there."""
         silent = micros(self.limits.silent_ms)
-        if not link.holds:
+        if not link.holds or now - self.ran_on_at < HEARD_WITHIN:
             return
         if link.machine not in self.roster.fellows:
             link.gone_at = link.gone_at or now
--- a/hazelhold/engine/tables.py
+++ b/hazelhold/engine/tables.py
@@ -72,6 +72,8 @@
         self.links: dict[str, Link] = {}  # emptied as machines go
         # Links with something to wait for; settled ones are passed over, so that a pump does not look at all.
         self.restless: dict[str, None] = {}  # emptied as they settle
+        self.pumped_at = now  # when time-outs were looked at last
+        self.ran_on_at = 0  # when the process ran on after it had not for a while; 0: it always did
         self.idle_at = 0  # when links that nobody uses are looked for next
         self.overdue: list[tuple[int, str, int]] = []  # a heap of time-outs: moment, case, attempt
         self.list_version = 0
--- a/tests/test_fault_stopped_process.py
+++ b/tests/test_fault_stopped_process.py
@@ -18,11 +18,13 @@
 import pytest
 import trio
 
+from hazelhold.engine.silence import Silence
 from hazelhold.platform.codec import encode_binary
 from hazelhold.platform.owner_door import FIRST_MESSAGE
 from hazelhold.platform.peer import OwnerPeer
 from tests.faults.clients import Habits
-from tests.platform_rig import PLACED, Owner, SocketRig, end, on_sockets, set_up
+from tests.platform_rig import DEPLOYMENT, PLACED, Owner, Rig, SocketRig, end, on_sockets, set_up
+from tests.platform_rig import play as play_in_memory
 from tests.test_fault_incident import CALM, Incident, play, until
 
 STOPPED = 0.45  # seconds; three times the slack on deadlines
@@ -235,3 +237,52 @@
         assert [owner.of(task) for task, owner in enumerate(owners, 101)] == [PLACED] * TRIES
 
     on_sockets(test, "a")
+
+
+def heard_after_a_stop(seconds: float, *, reset: bool) -> list[tuple[int, int | None]]:
+    """What an owner hears of a task that stands on a machine whose connection ended just before the planner's
+    process did not run for some seconds. `reset`: the next connection stood already, else none could be made
+    before."""
+    heard: list = []
+
+    async def test(rig: Rig) -> None:
+        owner, machine = await rig.owner(), rig.machines["a"]
+        await owner.say(set_up(1))
+        await trio.sleep(0.5)
+        door = rig.net.doors["a:1"]
+        rig.planner.links.peer("a").reset = reset
+        if not reset:
+            del rig.net.doors["a:1"]
+        await machine.streams[-1].aclose()
+        await trio.sleep(0.5)
+        if reset:
+            of_another = {"op": "info", "call": f"{2:016x}", "with": {"note": "up"}}
+            await machine.say(machine.streams[-1], of_another)
+        await trio.sleep(0.3)
+        rig.net.doors["a:1"] = door
+        trio.lowlevel.current_clock().jump(seconds)
+        await trio.sleep(8.0)
+        heard.extend(owner.of(1)[1:])
+
+    settings = DEPLOYMENT | {"family-info": DEPLOYMENT["family-info"] | {"use-notes": True}}
+    play_in_memory(test, machines="a", settings=settings)
+    return heard
+
+
+@pytest.mark.parametrize("reset", [True, False], ids=["connected again", "not connected"])
+@pytest.mark.parametrize("seconds", [4.0, 7.0, 60.0])
+def test_the_time_for_which_its_process_was_stopped_is_not_held_against_a_machine(
+    seconds: float, reset: bool
+) -> None:
+    """A planner that did not run has heard neither the list nor the machine: it released what stood, as soon
+    as it ran on."""
+    assert heard_after_a_stop(seconds, reset=reset) == []
+
+
+@pytest.mark.parametrize("reset", [True, False], ids=["connected again", "not connected"])
+def test_counted_against_machines_a_stop_releases_what_stands(
+    reset: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """The broken variant."""
+    monkeypatch.setattr(Silence, "_leave_out_stop", lambda engine, now: None)
+    assert heard_after_a_stop(7.0, reset=reset) == [(end(1).type, 41)]
