--- a/tests/test_fault_incident.py
+++ b/tests/test_fault_incident.py
@@ -11,9 +11,9 @@
 from tests.faults.clients import Habits
 from tests.faults.discovery import Fault
 from tests.faults.judge import DRAIN_GRACE, SLACK, Judge, Rule
+from tests.faults.run import COLD_CALLS, COLD_FOR, COLD_WINDOW, Run
 from tests.faults.schedule import Schedule
 from tests.faults.shim_plan import ShimPlan
-from tests.faults.soak import COLD_CALLS, COLD_FOR, COLD_WINDOW, Run
 
 CALM = Habits(rate=40.0, share_cancelled=0.0, share_left=0.0, share_ended=0.0, share_impatient=0.0)
 
