--- a/hazelhold/engine/silence.py
+++ b/hazelhold/engine/silence.py
@@ -30,6 +30,7 @@
         if stopped <= 0 or self.peers.rolls:
             return
         self.ran_on_at = now
+        self.counts["stops_left_out"] += 1
         self._put_off_doubts(now, stopped)
         for link in self.links.values():
             link.leave_out(stopped)
