--- a/tests/test_fault_server_restart.py
+++ b/tests/test_fault_server_restart.py
@@ -174,6 +174,26 @@
     assert play(test, tmp_path, kind=Restarts).broken() == []
 
 
+def test_the_same_where_its_planner_is_killed_shortly_before_it_would_tell(tmp_path: Path) -> None:
+    """Soak seed 502: the planner's next life has to wait for a word of the machine anew, and is late."""
+
+    async def test(incident: Restarts) -> None:
+        await incident.place(5)
+        await incident.planner.discovery.set_fault(Fault.SILENT)
+        await incident.restart_server()
+        incident.its_clients.sending = False
+        await trio.sleep(5.6)
+        await incident.planner.kill()
+        incident.its_clients.planner_died()
+        incident.planner.start(incident.servers)
+        assert await incident.planner.until_ready()
+        await incident.its_clients.hand_over()
+        await incident.until_all_is_due()
+        assert released(incident) >= 5
+
+    assert play(test, tmp_path, kind=Restarts).broken() == []
+
+
 @pytest.mark.parametrize("silent", [True, False], ids=["silent list", "list that answers"])
 def test_what_stands_behind_a_reset_goes_on_where_its_server_or_the_list_shows_it(
     silent: bool, tmp_path: Path
@@ -273,6 +293,12 @@
     assert ended(18.0, (1, 14.0, True), opened=14.1, heard=17.0) == (18.0, 14.0)  # cut off, not reset
 
 
+def test_what_was_sent_on_a_connection_that_stands_and_speaks_is_of_the_new_life() -> None:
+    """Soak seed 522: the planner had no connection when the process died. By its clock, which is behind, the
+    new life began after it had sent a task there, on a connection that stands and speaks."""
+    assert ended(19.9, opened=19.5, heard=19.95).ended_at <= 19.5
+
+
 def heard_of_a_hand_over(
     born: float, spoken_first: bool, tells_use: bool = True
 ) -> list[tuple[int, int | None]]:
