A stop is left out of the time before it, not of that after it

Cause: Link.leave_out moved the moments without a bound. Mend: to the present at most. Why it holds: what is noted after the stop lies at the present already.

--- a/hazelhold/engine/machines.py
+++ b/hazelhold/engine/machines.py
@@ -70,10 +70,10 @@
             self.past = [*self.past[1 - PAST_KEPT :], PastConnection(self.opened_at, now, by_machine)]
         self.state, self.rolled = "down", False
 
-    def leave_out(self, span: int) -> None:
+    def leave_out(self, now: int, span: int) -> None:
         """So much of the time since it was lost, or left the list, does not count."""
-        self.lost_at += span if self.lost_at else 0
-        self.gone_at += span if self.gone_at else 0
+        self.lost_at = min(now, self.lost_at + span) if self.lost_at else 0
+        self.gone_at = min(now, self.gone_at + span) if self.gone_at else 0
 
     def settled(self) -> bool:
         """Nothing about this connection is waited for."""
--- a/hazelhold/engine/silence.py
+++ b/hazelhold/engine/silence.py
@@ -33,7 +33,7 @@
         self.counts["stops_left_out"] += 1
         self._put_off_doubts(now, stopped)
         for link in self.links.values():
-            link.leave_out(stopped)
+            link.leave_out(now, stopped)
 
     def _send_probe(self, machine: str) -> None:
         """A test that waited for its connection."""
--- a/tests/test_fault_stopped_process.py
+++ b/tests/test_fault_stopped_process.py
@@ -279,6 +279,23 @@
     assert heard_after_a_stop(seconds, reset=reset) == []
 
 
+def test_a_stop_is_not_left_out_of_the_time_after_it() -> None:
+    """Found by reading: where the end of a connection is heard before time-outs are looked at, the whole stop
+    was left out of the time since then, and what the machine had was released so much later."""
+
+    async def test(rig: Rig) -> None:
+        owner = await rig.owner()
+        await owner.say(set_up(1))
+        await trio.sleep(0.5)
+        trio.lowlevel.current_clock().jump(60.0)
+        engine, now = rig.planner.engine, rig.net.now()
+        engine.link_down(now, "a")
+        engine.pump(now)
+        assert 0 < engine.links["a"].lost_at <= now
+
+    play_in_memory(test, machines="a")
+
+
 @pytest.mark.parametrize("reset", [True, False], ids=["connected again", "not connected"])
 def test_counted_against_machines_a_stop_releases_what_stands(
     reset: bool, monkeypatch: pytest.MonkeyPatch
