--- a/tests/platform_rig.py
+++ b/tests/platform_rig.py
@@ -76,6 +76,7 @@
     "tenants": [{"name": "acme"}, {"name": "beta"}],
     "zones": ["z1"],
 }
+TELLING_USE = DEPLOYMENT | {"family-info": DEPLOYMENT["family-info"] | {"use-notes": True}}
 
 
 def host(name: str, health: str = "in_service", born: float = 0, dial: str = "") -> dict:
--- a/tests/test_fault_server_restart.py
+++ b/tests/test_fault_server_restart.py
@@ -21,7 +21,7 @@
 from tests.faults.judge import RELEASE_AT_LATEST
 from tests.faults.servers import Draining, Server
 from tests.faults.shim_plan import ClockStep, ShimPlan
-from tests.platform_rig import DEPLOYMENT, PLACED, Rig, end, event, host, set_up
+from tests.platform_rig import DEPLOYMENT, PLACED, TELLING_USE, Rig, end, event, host, set_up
 from tests.platform_rig import play as play_in_memory
 from tests.test_fault_incident import Incident, play, until
 
@@ -349,8 +349,7 @@
         await trio.sleep(6.0)
         heard.extend(owner.of(1)[1:])
 
-    settings = DEPLOYMENT | {"family-info": DEPLOYMENT["family-info"] | {"use-notes": True}}
-    play_in_memory(test, machines="a", settings=settings)
+    play_in_memory(test, machines="a", settings=TELLING_USE)
     return heard
 
 
@@ -395,8 +394,7 @@
         await trio.sleep(8.0)
         heard.extend(owner.of(2)[1:])
 
-    settings = DEPLOYMENT | {"family-info": DEPLOYMENT["family-info"] | {"use-notes": True}}
-    play_in_memory(test, machines="a", settings=settings)
+    play_in_memory(test, machines="a", settings=TELLING_USE)
     return heard
 
 
@@ -442,8 +440,7 @@
         await until(lambda: owner.of(1))
         told.append(trio.current_time() - at)
 
-    settings = DEPLOYMENT | {"balancers": 16, "family-info": DEPLOYMENT["family-info"] | {"use-notes": True}}
-    play_in_memory(test, machines="a", settings=settings)
+    play_in_memory(test, machines="a", settings=TELLING_USE | {"balancers": 16})
     assert told[0] <= RELEASE_AT_LATEST - STOP_AND_START
 
 
--- a/tests/test_fault_stopped_process.py
+++ b/tests/test_fault_stopped_process.py
@@ -23,7 +23,7 @@
 from hazelhold.platform.owner_door import FIRST_MESSAGE
 from hazelhold.platform.peer import OwnerPeer
 from tests.faults.clients import Habits
-from tests.platform_rig import DEPLOYMENT, PLACED, Owner, Rig, SocketRig, end, on_sockets, set_up
+from tests.platform_rig import PLACED, TELLING_USE, Owner, Rig, SocketRig, end, on_sockets, set_up
 from tests.platform_rig import play as play_in_memory
 from tests.test_fault_incident import CALM, Incident, play, until
 
@@ -264,8 +264,7 @@
         await trio.sleep(8.0)
         heard.extend(owner.of(1)[1:])
 
-    settings = DEPLOYMENT | {"family-info": DEPLOYMENT["family-info"] | {"use-notes": True}}
-    play_in_memory(test, machines="a", settings=settings)
+    play_in_memory(test, machines="a", settings=TELLING_USE)
     return heard
 
 
