A report of a process that has died no longer confirms a guest handed over later

What callers saw: a task that was over when its owner handed it over was never released. Cause: a planner that has just started connects to its machines before owners hand over. A machine reports on all placed guests then, and the planner keeps that, by guest. If the machine's process died between the report and the handover, the report was taken for one made at the handover: the guest counted as confirmed as of then, so neither a silent list nor the listing of the restart had it verified. Evidence: forced order in virtual time (report at 1.0 s, reset at 1.5 s, handover at 2.0 s, restart listed at 2.5 s): not released in 25 s before, the limit is 8 s after the end. The test failed before. Mend: the report is kept with its time. One that came before the last reset of its machine's connection does not count: the process that sent it may be gone, and the guest is verified like one without a report. A report counts as of when it came. Why it holds: a process that dies has its connections reset, and what the planner reads on the next connection comes from the next process. A variant that ignores resets never releases the guest (test). A guest reported after the reset stays placed (test). Not covered: a connection that had been closed in order before the process died; nothing is seen then until the list shows the restart.

--- a/hazelhold/engine/links.py
+++ b/hazelhold/engine/links.py
@@ -129,6 +129,7 @@
         if link := self.links.get(machine):
             self._link_lost(now, link, by_machine=True)
             if reset:
+                link.reset_at = now
                 self._verify_all_on(now, link)
 
     # Messages of machines.
@@ -262,7 +263,7 @@
                 return
             self.counts["stray_messages"] += 1
             if self.peers.reports_use and isinstance(message, m.Started | m.ResourceUse | m.ServiceLevel):
-                self._unknown_guest_reported(machine, message.guest)
+                self._unknown_guest_reported(now, machine, message.guest)
             if isinstance(message, m.Ended) and not self.peers.owners_resubmit:
                 self._record_end(now, message.guest, message.how)
             return
--- a/hazelhold/engine/machines.py
+++ b/hazelhold/engine/machines.py
@@ -53,6 +53,7 @@
     used_at: int = 0
     heard_at: int = 0  # its last message, on any connection
     opened_at: int = 0
+    reset_at: int = 0  # when its machine last ended a connection other than in order, as a process that dies
     offered_at: int = 0  # when the bytes of an offer were last written; 0: never
     address: str = ""  # the last one dialled
     successor: str = ""  # the machine that has its address now and that answers on this connection
--- a/hazelhold/engine/owners.py
+++ b/hazelhold/engine/owners.py
@@ -221,10 +221,11 @@
             sent_at=now,
             placed=True,
             handed_over_at=now,
-            confirmed_at=now if self.recently_reported.pop(submit.guest, "") == machine else 0,
+            confirmed_at=self._reported_before_handover(machine, submit.guest),
         )
         self.records[record.name] = self.newest_records[record.guest] = record
-        self._verify_handed_over(record)
+        if not record.confirmed_at:
+            self._verify_handed_over(record)
         self._attach(record)
         self._guest_event("handed_over", record)
         self.scheduler.guest_discovered(now, machine, self._submission(record, submit.patience))
--- a/hazelhold/engine/tables.py
+++ b/hazelhold/engine/tables.py
@@ -104,9 +104,9 @@
         self.lease = ListLease(self.deployment.list_lease)
         # Guests that count as placed and that their machine has to confirm; by the scheduler's name.
         self.verifications: dict[str, Verification] = {}  # emptied by that and by timeout
-        # By guest: the machine that reported on it while it was not held; emptied by its handover and by
-        # number.
-        self.recently_reported: OrderedDict[str, str] = OrderedDict()
+        # By guest: the machine that reported on it while it was not held, and when; emptied by its handover
+        # and by number.
+        self.recently_reported: OrderedDict[str, tuple[str, int]] = OrderedDict()
         self.list_taken = True  # whether the scheduler was last informed that the list is current
         self.monitor = RuleMonitor(self.deployment.max_dispatches)
         # By name: guests handed over on machines that the list lacks while it is not confirmed.
--- a/hazelhold/engine/verification.py
+++ b/hazelhold/engine/verification.py
@@ -68,13 +68,23 @@
             if self.records[name].placed and name not in self.verifications:
                 self._verify_after_reset(now + 1, self.records[name], VerificationCause.RESET)
 
-    def _unknown_guest_reported(self, machine: str, guest: str) -> None:
+    def _unknown_guest_reported(self, now: int, machine: str, guest: str) -> None:
         """A machine has reported on a guest that is not held, and that may be handed over next."""
-        self.recently_reported[guest] = machine
+        self.recently_reported[guest] = machine, now
         self.recently_reported.move_to_end(guest)
         if len(self.recently_reported) > MAX_RECENTLY_REPORTED:
             self.recently_reported.popitem(last=False)
 
+    def _reported_before_handover(self, machine: str, guest: str) -> int:
+        """When the process that runs on a machine reported on a guest before its handover; 0: it did not.
+
+        A process that has died since then has reset its connections.
+        """
+        reporter, reported_at = self.recently_reported.pop(guest, ("", 0))
+        link = self.links.get(machine)
+        is_of_this_process = link is not None and reported_at > link.reset_at
+        return reported_at if reporter == machine and is_of_this_process else 0
+
     def _decide_verifications(self, now: int) -> None:
         """Ends guests on which their machine reports nothing.
 
--- /dev/null
+++ b/tests/test_release_times.py
@@ -0,0 +1,131 @@
+"""When guests that are over are released, where a planner that has just started cannot have seen their end.
+
+A planner that starts knows only what its machines and the list have told it since. Each part of the time
+between a guest's end and its release counts: the time before the previous planner's death, the start of the
+next one, the handover, and the wait for the machine's report. What happens during a wait must not lengthen
+it. Times are virtual, in seconds after the planner's start.
+"""
+
+from collections.abc import Awaitable, Callable
+
+import pytest
+import trio
+
+from hazelhold.engine.verification import GuestVerification
+from tests.platform_rig import TELLING_USE, Owner, Rig, end, event, host, play, set_up
+
+RELEASE_AT_LATEST = 8.0
+LISTED = "cores:1;memory:2;service:1;at:a"  # a guest that its owner hands over from machine a
+LOST = (end(1).type, 41)
+
+
+class Story:
+    """A planner with machines and an owner that hands over guest 1, or places it."""
+
+    def __init__(self, rig: Rig) -> None:
+        self.rig, self.machine = rig, rig.machines["a"]
+        self.owner: Owner | None = None
+        self.began = trio.current_time()
+        self.released_at: float | None = None
+
+    @property
+    def now(self) -> float:
+        return trio.current_time() - self.began
+
+    async def at(self, second: float) -> None:
+        await trio.sleep_until(self.began + second)
+
+    async def hand_over(self, guest: int = 1) -> None:
+        self.owner = self.owner or await self.rig.owner()
+        await self.owner.say(set_up(guest, figures=LISTED))
+
+    async def place(self, guest: int = 1) -> None:
+        self.owner = self.owner or await self.rig.owner()
+        await self.owner.say(set_up(guest))
+
+    async def report(self, guest: int = 1) -> None:
+        """The machine reports on a guest on its newest connection."""
+        line = {"op": "info", "call": f"{guest:016x}", "with": {"note": "cpu", "value": "0.4"}}
+        await self.machine.say(self.machine.streams[-1], line)
+
+    async def reset(self) -> None:
+        """The machine's connection is reset; it accepts the next one."""
+        self.rig.planner.links.peer("a").reset = True
+        await self.machine.streams[-1].aclose()
+
+    def list_is_silent(self, silent: bool) -> None:
+        self.rig.bulletin.silent = silent
+
+    def list_restart(self, second: float) -> None:
+        """The list shows that the machine's process has restarted at this second."""
+        born = (self.rig.net.wall() / 1e6 - self.now + second) * 1000
+        number = len(self.rig.bulletin.events) + 2
+        self.rig.bulletin.events += [event(number, host("a", born=born))]
+
+    async def watch(self) -> None:
+        while self.owner is None or LOST not in self.owner.of(1):
+            await trio.sleep(0.01)
+        self.released_at = self.now
+
+
+def released_at(
+    test: Callable[[Story], Awaitable[None]], until: float = 25.0, **changes: object
+) -> float | None:
+    """When guest 1 is released in a story that lasts for so many seconds; None: it is not."""
+    stories: list[Story] = []
+
+    async def run(rig: Rig) -> None:
+        story = Story(rig)
+        stories.append(story)
+        rig.nursery.start_soon(story.watch)
+        await test(story)
+        await story.at(until)
+
+    play(run, machines="a", settings=TELLING_USE | changes)
+    return stories[0].released_at
+
+
+async def death_after_the_report(story: Story) -> None:
+    await story.at(1.0)
+    await story.report()
+    await story.at(1.5)
+    await story.reset()
+    await story.at(2.0)
+    await story.hand_over()
+    await story.at(2.5)
+    story.list_restart(1.5)
+
+
+def test_a_report_of_a_process_that_has_died_does_not_confirm_a_guest_handed_over_later() -> None:
+    at = released_at(death_after_the_report)
+    assert at is not None and at <= 1.5 + RELEASE_AT_LATEST
+
+
+def test_without_that_the_guest_is_never_released(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Broken variant: a report counts whatever happened to the process that sent it."""
+
+    def reported(engine: GuestVerification, machine: str, guest: str) -> int:
+        return engine.recently_reported.pop(guest, ("", 0))[1]
+
+    monkeypatch.setattr(GuestVerification, "_reported_before_handover", reported)
+    assert released_at(death_after_the_report) is None
+
+
+def handover_after_a_reset(reported: bool) -> Callable[[Story], Awaitable[None]]:
+    async def story(story: Story) -> None:
+        await story.at(0.5)
+        await story.reset()
+        await story.at(2.3)
+        if reported:
+            await story.report()
+        await story.at(2.5)
+        await story.hand_over()
+        await story.at(3.0)
+        story.list_restart(0.4)
+
+    return story
+
+
+def test_a_report_after_the_last_reset_confirms_a_guest_handed_over_later() -> None:
+    assert released_at(handover_after_a_reset(reported=True)) is None
+    assert released_at(handover_after_a_reset(reported=False)) is not None
