A reset is verified although an earlier verification is settled and not decided yet

What callers saw: tasks of a server's process that died while the list was silent were never released. Cause: a reset starts no verification for a guest that has one. But one that the machine's report or a current list has settled stays in the table until it is decided: 2.5 s after a handover, and up to half a second after a report. A process that died in that time left nothing behind: the settled verification was removed, and the reset had been passed over. Evidence: forced orders in virtual time: handover at 2.0 s, list current until 3.5 s, process dies at 4.0 s; and a reset that is no death, a report 1.5 s later, death 10 ms after that. Mend: a reset leaves alone only a verification that neither the machine nor the list has settled. Such a one keeps its time, and the list has to be current as of the later reset; else the verification starts anew. Why it holds: what settles a verification is of a time before this reset, so it says nothing about it. One that is unsettled may be about a death before, whose 8 s run already. Broken variant: if any verification counts as under way, the guest of one order is never released, that of the other half a second after the reset, without time for its machine to report (test). Three resets in 5 s do not lengthen the wait (test).

--- a/hazelhold/engine/verification.py
+++ b/hazelhold/engine/verification.py
@@ -64,9 +64,28 @@
         """
         if not self.deployment.list_lease:
             return
-        for name in link.guests:
-            if self.records[name].placed and name not in self.verifications:
-                self._verify_after_reset(now + 1, self.records[name], VerificationCause.RESET)
+        reset_at = now + 1
+        for record in [self.records[name] for name in link.guests]:
+            if not record.placed:
+                continue
+            if self._is_unsettled(link, record):
+                current = self.verifications[record.name]
+                listed_at = max(current.listed_at, reset_at + LIST_DELAY)
+                self.verifications[record.name] = current._replace(listed_at=listed_at)
+            else:
+                self._verify_after_reset(reset_at, record, VerificationCause.RESET)
+
+    def _is_unsettled(self, link: Link, record: GuestRecord) -> bool:
+        """Whether a verification is under way that neither the machine nor the list has settled.
+
+        Settled ones are removed only when they are decided, and say nothing of what happens until then.
+        """
+        current = self.verifications.get(record.name)
+        return (
+            current is not None
+            and record.confirmed_at < current.since
+            and self._may_be_over(link, record, current)
+        )
 
     def _unknown_guest_reported(self, now: int, machine: str, guest: str) -> None:
         """A machine has reported on a guest that is not held, and that may be handed over next."""
--- a/tests/test_release_times.py
+++ b/tests/test_release_times.py
@@ -12,6 +12,8 @@
 import trio
 
 from hazelhold.engine import verification
+from hazelhold.engine.machines import Link
+from hazelhold.engine.records import GuestRecord
 from hazelhold.engine.verification import GuestVerification
 from tests.platform_rig import TELLING_USE, Owner, Rig, end, event, host, play, set_up
 
@@ -162,3 +164,64 @@
     monkeypatch.setattr(verification, "LIST_DELAY", 0)
     at = released_at(handover_before_an_outage(2.4))
     assert at is not None and at > 14.0
+
+
+async def reset_during_a_wait(story: Story) -> None:
+    """The list has shown that nothing happened before the handover, and is silent when the process dies."""
+    await story.at(2.0)
+    await story.hand_over()
+    await story.at(3.5)
+    story.list_is_silent(True)
+    await story.at(4.0)
+    await story.reset()
+
+
+async def reset_after_a_report(story: Story) -> None:
+    """The second reset comes within the time between two decisions after the report."""
+    await story.place()
+    await story.at(1.0)
+    story.list_is_silent(True)
+    await story.at(2.0)
+    await story.reset()
+    await story.at(3.5)
+    await story.report()
+    await story.at(3.51)
+    await story.reset()
+
+
+RESETS = [(reset_during_a_wait, 4.0), (reset_after_a_report, 3.51)]
+
+
+@pytest.mark.parametrize(("story", "died_at"), RESETS)
+def test_a_reset_is_verified_although_an_earlier_verification_is_settled_and_not_decided(
+    story: Callable[[Story], Awaitable[None]], died_at: float
+) -> None:
+    at = released_at(story)
+    assert at is not None and died_at + 3.0 <= at <= died_at + RELEASE_AT_LATEST
+
+
+def test_if_any_verification_counts_as_one_of_the_next_reset_guests_are_released_never_or_at_once(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Broken variant: one that is settled counts as under way."""
+
+    def unsettled(engine: GuestVerification, link: Link, record: GuestRecord) -> bool:
+        return record.name in engine.verifications
+
+    monkeypatch.setattr(GuestVerification, "_is_unsettled", unsettled)
+    assert released_at(reset_after_a_report) is None
+    at = released_at(reset_during_a_wait)
+    assert at is not None and at < 4.0 + 1.0  # its machine had no time to report
+
+
+def test_a_second_reset_does_not_start_a_wait_anew_that_is_under_way() -> None:
+    async def story(story: Story) -> None:
+        await story.place()
+        await story.at(1.0)
+        story.list_is_silent(True)
+        for second in (2.0, 5.0, 7.0):
+            await story.at(second)
+            await story.reset()
+
+    at = released_at(story)
+    assert at is not None and at <= 2.0 + RELEASE_AT_LATEST
