A decision on a guest that may be over is not put off by later events

Cause: each verification replaced the one before. When the list came back and showed the restart, the end of that connection was later than the guest's handover: a verification from that end on, with 6 s, took the place of the one that was overdue. Mend: a new verification takes over the time of an unsettled one if that is earlier; the same for reused addresses. Why it holds: the evidence for an earlier end does not go away by a later event, only by a report of the machine or a list that is current. The report is asked for as before: one that says nothing is probed, and its silence about a guest counts only from its first message on. Broken variant: where the last event alone counts, the release is late (test).

--- a/hazelhold/engine/verification.py
+++ b/hazelhold/engine/verification.py
@@ -43,9 +43,8 @@
     def _verify_address_reuse(self, now: int, record: GuestRecord) -> None:
         """It counts as placed on the machine that has the address now, and its connection has ended."""
         if self.peers.reports_use:
-            self.verifications[record.name] = Verification(
-                VerificationCause.ADDRESS_REUSED, now, now + CONFIRMATION_TIMEOUT, now
-            )
+            decided_at = now + CONFIRMATION_TIMEOUT
+            self._verify(record, Verification(VerificationCause.ADDRESS_REUSED, now, decided_at, now))
 
     def _verify_after_reset(self, reset_at: int, record: GuestRecord, cause: VerificationCause) -> None:
         """Its machine ended a connection after it was sent, as a process that dies does.
@@ -54,7 +53,17 @@
         """
         if self.peers.reports_use:
             decided_at = reset_at + to_microseconds(self.limits.lost_ms)
-            self.verifications[record.name] = Verification(cause, reset_at, decided_at, reset_at + LIST_DELAY)
+            self._verify(record, Verification(cause, reset_at, decided_at, reset_at + LIST_DELAY))
+
+    def _verify(self, record: GuestRecord, verification: Verification) -> None:
+        """Starts a verification. One that is under way and unsettled may be about an earlier end of the
+        guest, so its decision is not put off."""
+        link = self.links.get(record.machine)
+        if link is not None and self._is_unsettled(link, record):
+            current = self.verifications[record.name]
+            decided_at = min(current.decided_at, verification.decided_at)
+            verification = verification._replace(decided_at=decided_at)
+        self.verifications[record.name] = verification
 
     def _verify_all_on(self, now: int, link: Link) -> None:
         """A connection was reset: a process that dies resets its connections and ends its guests.
--- a/tests/test_release_times.py
+++ b/tests/test_release_times.py
@@ -13,7 +13,7 @@
 
 from hazelhold.engine import verification
 from hazelhold.engine.machines import Link
-from hazelhold.engine.records import GuestRecord
+from hazelhold.engine.records import GuestRecord, Verification
 from hazelhold.engine.verification import GuestVerification
 from tests.platform_rig import TELLING_USE, Owner, Rig, end, event, host, play, set_up
 
@@ -225,3 +225,38 @@
 
     at = released_at(story)
     assert at is not None and at <= 2.0 + RELEASE_AT_LATEST
+
+
+async def restart_listed_after_a_close(story: Story) -> None:
+    """A process restarts before the handover, sends nothing for 3 s after it and closes a connection."""
+    await story.at(0.5)
+    await story.reset()
+    await story.at(1.0)
+    story.list_is_silent(True)
+    await story.at(1.6)
+    story.machine.silent = True
+    await story.hand_over()
+    await story.at(2.7)
+    await story.machine.streams[-1].aclose()
+    await story.at(4.9)
+    story.machine.silent = False
+    await story.at(5.7)
+    story.list_restart(0.5)
+    story.list_is_silent(False)
+
+
+def test_the_listing_of_a_restart_does_not_put_off_a_decision_after_a_handover() -> None:
+    """Soak seed 606 with silent servers: handed over at 0.0 s, listed at 4.1 s, released at 7.5 s."""
+    at = released_at(restart_listed_after_a_close)
+    assert at is not None and at <= 0.5 + RELEASE_AT_LATEST
+
+
+def test_a_decision_that_each_event_puts_off_is_late(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Broken variant: the last event alone counts."""
+
+    def verify(engine: GuestVerification, record: GuestRecord, latest: Verification) -> None:
+        engine.verifications[record.name] = latest
+
+    monkeypatch.setattr(GuestVerification, "_verify", verify)
+    at = released_at(restart_listed_after_a_close)
+    assert at is not None and at > 0.5 + RELEASE_AT_LATEST
