A planner's pause does not lengthen a wait for a report past 8 s

What callers saw: a task of a process that died in a silent list was released later than 8 s after its end where the planner had been stopped for some seconds meanwhile. Cause: the whole pause was added to the wait of 6 s after a reset, for which the machine is asked to report. Mend: a pause puts a decision off up to 7 s after a reset and 4 s after a handover, and in any case by the second in which a process that resumes reads what arrived meanwhile. Broken variants: the whole pause is added (late); nothing is read first (a reported guest is released). Cost: a guest whose machine reports nothing may be ended up to 2 s earlier than before where the planner was stopped; the machine had 7 s. Not covered: a process that is stopped until 7 s after the end or longer is late by up to its stop and 1.5 s.

--- a/hazelhold/engine/liveness.py
+++ b/hazelhold/engine/liveness.py
@@ -34,7 +34,7 @@
             return
         self.resumed_at = now
         self.counts["stops_left_out"] += 1
-        self._postpone_verifications(now, stopped)
+        self._postpone_verifications(now, stopped, now + CATCH_UP_TIME)
         for link in self.links.values():
             link.exclude_pause(now, stopped)
 
--- a/hazelhold/engine/verification.py
+++ b/hazelhold/engine/verification.py
@@ -27,6 +27,12 @@
 LIST_DELAY = 1_000_000
 """Microseconds within which a current list shows that a machine's process has died."""
 
+LATEST_AFTER_EVENT = 7_000_000
+"""Microseconds after the event behind a verification up to which a pause postpones the decision."""
+
+LATEST_AFTER_HANDOVER = 4_000_000
+"""The same after a handover, before which the guest may have ended."""
+
 MAX_RECENTLY_REPORTED = 4096  # guests that machines reported on while they were not held
 
 
@@ -134,11 +140,19 @@
                 if may_be_over:
                     self._end_guest(now, record)
 
-    def _postpone_verifications(self, now: int, duration: int) -> None:
-        """Postpones the decision on all present verifications by so many microseconds."""
+    def _postpone_verifications(self, now: int, duration: int, earliest: int) -> None:
+        """Postpones the decision on all present verifications by so many microseconds, for a pause.
+
+        None is decided before `earliest`, so that what arrived meanwhile is read first. Otherwise the 8 s
+        within which an end has to be reported go on during a pause.
+        """
         for name, verification in self.verifications.items():
             delay = min(duration, now - verification.since)
-            self.verifications[name] = verification._replace(decided_at=verification.decided_at + delay)
+            handed_over = verification.cause is VerificationCause.HANDED_OVER
+            latest = verification.since + (LATEST_AFTER_HANDOVER if handed_over else LATEST_AFTER_EVENT)
+            postponed = min(verification.decided_at + delay, latest)
+            decided_at = max(verification.decided_at, postponed, earliest)
+            self.verifications[name] = verification._replace(decided_at=decided_at)
 
     def _probe_for_report(self, now: int, link: Link, since: int) -> None:
         """Makes a machine send a message: without one, its silence about a guest shows nothing."""
--- a/tests/test_release_times.py
+++ b/tests/test_release_times.py
@@ -260,3 +260,44 @@
     monkeypatch.setattr(GuestVerification, "_verify", verify)
     at = released_at(restart_listed_after_a_close)
     assert at is not None and at > 0.5 + RELEASE_AT_LATEST
+
+
+def pause_after_a_reset(second: float, reported: bool = False) -> Callable[[Story], Awaitable[None]]:
+    """The list is silent, the machine resets its connection at 2.0 s, and the planner is paused for 3 s."""
+
+    async def story(story: Story) -> None:
+        await story.place()
+        await story.at(1.0)
+        story.list_is_silent(True)
+        await story.at(2.0)
+        await story.reset()
+        await story.at(second)
+        trio.lowlevel.current_clock().jump(3.0)
+        if reported:
+            await trio.sleep(0.1)  # it resumes
+            await trio.sleep(0.4)  # until what arrived meanwhile has been read
+            await story.report()
+
+    return story
+
+
+@pytest.mark.parametrize("second", [2.1, 4.0])
+def test_a_pause_does_not_lengthen_a_wait_past_the_time_for_a_release(second: float) -> None:
+    at = released_at(pause_after_a_reset(second))
+    assert at is not None and at <= 2.0 + RELEASE_AT_LATEST
+    assert released_at(pause_after_a_reset(second, reported=True)) is None
+
+
+def test_a_pause_that_does_not_count_at_all_makes_a_release_late(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Broken variant: the whole pause is added to the wait."""
+    monkeypatch.setattr(verification, "LATEST_AFTER_EVENT", 60_000_000)
+    at = released_at(pause_after_a_reset(4.0))
+    assert at is not None and at > 2.0 + RELEASE_AT_LATEST
+
+
+def test_a_decision_at_once_after_a_pause_releases_a_guest_that_was_reported(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Broken variant: nothing is read between the end of a pause and the decision."""
+    monkeypatch.setattr(GuestVerification, "_postpone_verifications", lambda engine, *times: None)
+    assert released_at(pause_after_a_reset(6.5, reported=True)) is not None
