One report on a guest from before a reset confirms all that were placed then

What callers saw: tasks that stood were released behind a reset that was no death, in a silent list: each whose use did not change within 6 s, although the machine reported on others meanwhile. Cause: after a reset each guest needed a report of its own. Yet a process reports only on guests that it has: one that reports on a guest sent before the reset is the process from before the reset, and has all that were placed there. Mend: a connection to a machine holds when the oldest guest was sent on which the machine has reported since its last reset; a verification after a reset is settled if that was before its reset. Why it holds: only notes on placed guests count, not ends or answers, which may follow from this planner's own messages. They come on a connection opened after the reset, so from the process that answers now. A guest sent after the reset shows nothing of the time before, and a report before a later reset nothing of that one. Broken variants of both never release a guest of a dead process (tests). Handovers and addresses that passed to another machine stay as they were: what was there before the handover may have been another process.

--- a/hazelhold/engine/links.py
+++ b/hazelhold/engine/links.py
@@ -20,6 +20,7 @@
     "not_sent": (DispatchOutcome.NOT_SENT, OutcomeReason.NONE),
 }
 ENDS_AFTER_ACCEPTANCE = ("evicted", "pushed_out", "sent_away")  # ends of guests that were accepted
+GUEST_REPORTS = (m.Started, m.ResourceUse, m.ServiceLevel)  # what only the process that has a guest sends
 REMARKS = {
     "no_cores": OutcomeReason.NO_CORES,
     "no_memory": OutcomeReason.NO_MEMORY,
@@ -129,7 +130,7 @@
         if link := self.links.get(machine):
             self._link_lost(now, link, by_machine=True)
             if reset:
-                link.reset_at = now
+                link.was_reset(now)
                 self._verify_all_on(now, link)
 
     # Messages of machines.
@@ -172,6 +173,8 @@
                     or (record.submission_number, record.dispatch_number) == (message.ask, message.attempt)
                 )
             ):
+                if record.placed and isinstance(message, GUEST_REPORTS):
+                    link.guest_reported(record.sent_at)
                 self._dispatch_message(now, record, message)
                 return
         self._abandoned_message(now, machine, message)
@@ -262,7 +265,7 @@
                     self._send_owner(item.owner, ended)
                 return
             self.counts["stray_messages"] += 1
-            if self.peers.reports_use and isinstance(message, m.Started | m.ResourceUse | m.ServiceLevel):
+            if self.peers.reports_use and isinstance(message, GUEST_REPORTS):
                 self._unknown_guest_reported(now, machine, message.guest)
             if isinstance(message, m.Ended) and not self.peers.owners_resubmit:
                 self._record_end(now, message.guest, message.how)
--- a/hazelhold/engine/machines.py
+++ b/hazelhold/engine/machines.py
@@ -54,6 +54,8 @@
     heard_at: int = 0  # its last message, on any connection
     opened_at: int = 0
     reset_at: int = 0  # when its machine last ended a connection other than in order, as a process that dies
+    # Of the guests that it has reported on since `reset_at`, when the first was sent there; 0: none.
+    oldest_reported_at: int = 0
     offered_at: int = 0  # when the bytes of an offer were last written; 0: never
     address: str = ""  # the last one dialled
     successor: str = ""  # the machine that has its address now and that answers on this connection
@@ -83,6 +85,18 @@
         self.lost_at = min(now, self.lost_at + duration) if self.lost_at else 0
         self.gone_at = min(now, self.gone_at + duration) if self.gone_at else 0
 
+    def was_reset(self, now: int) -> None:
+        """Its machine ended the connection other than in order: what it reported before counts no more."""
+        self.reset_at, self.oldest_reported_at = now, 0
+
+    def guest_reported(self, sent_at: int) -> None:
+        """Its machine has reported on a placed guest that was sent there at `sent_at`."""
+        self.oldest_reported_at = min(sent_at, self.oldest_reported_at or sent_at)
+
+    def outlived(self, reset_at: int) -> bool:
+        """Whether the process that answers ran already before this reset and has outlived all since."""
+        return 0 < self.oldest_reported_at < reset_at
+
     def is_idle(self) -> bool:
         """Whether nothing is awaited on this connection."""
         is_settled = self.state == "down" or self.state == "up" and self.inventory_known
--- a/tests/test_release_times.py
+++ b/tests/test_release_times.py
@@ -15,7 +15,7 @@
 from hazelhold.engine.machines import Link
 from hazelhold.engine.records import GuestRecord, Verification
 from hazelhold.engine.verification import GuestVerification
-from tests.platform_rig import TELLING_USE, Owner, Rig, end, event, host, play, set_up
+from tests.platform_rig import PLACED, TELLING_USE, Owner, Rig, end, event, host, play, set_up
 
 RELEASE_AT_LATEST = 8.0
 LISTED = "cores:1;memory:2;service:1;at:a"  # a guest that its owner hands over from machine a
@@ -301,3 +301,65 @@
     """Broken variant: nothing is read between the end of a pause and the decision."""
     monkeypatch.setattr(GuestVerification, "_postpone_verifications", lambda engine, *times: None)
     assert released_at(pause_after_a_reset(6.5, reported=True)) is not None
+
+
+def reset_and_report(sent_at: float, *resets: float) -> Callable[[Story], Awaitable[None]]:
+    """The machine resets its connection at 2.0 s and at `resets`; the list is silent from 2.2 s.
+
+    At 2.5 s it reports on another guest, which was sent at `sent_at`.
+    """
+
+    async def story(story: Story) -> None:
+        await story.place(1)
+        if sent_at < 2.0:
+            await story.at(sent_at)
+            await story.place(2)
+        await story.at(2.0)
+        await story.reset()
+        if sent_at > 2.0:
+            await story.at(sent_at)
+            await story.place(2)
+        await story.at(2.2)
+        story.list_is_silent(True)
+        await story.at(2.5)
+        assert story.owner.of(2) == PLACED
+        await story.report(2)
+        for second in resets:
+            await story.at(second)
+            await story.reset()
+
+    return story
+
+
+def test_a_report_on_any_guest_sent_before_a_reset_confirms_all_that_were() -> None:
+    """Each guest needed a report of its own: those whose use did not change in time were released."""
+    assert released_at(reset_and_report(1.0)) is None
+
+
+def test_a_report_on_a_guest_sent_after_a_reset_confirms_no_other() -> None:
+    assert released_at(reset_and_report(2.05)) is not None
+
+
+def test_a_report_before_the_last_reset_confirms_no_guest() -> None:
+    at = released_at(reset_and_report(1.0, 2.6))
+    assert at is not None and at <= 2.6 + RELEASE_AT_LATEST
+
+
+@pytest.mark.parametrize(
+    ("method", "broken", "story"),
+    [
+        (
+            "outlived",
+            lambda link, reset_at: link.oldest_reported_at > 0,
+            reset_and_report(2.05),
+        ),
+        ("was_reset", lambda link, now: setattr(link, "reset_at", now), reset_and_report(1.0, 2.6)),
+    ],
+    ids=["sent after it", "reported before it"],
+)
+def test_a_report_that_does_not_span_the_reset_hides_the_death_of_a_process(
+    method: str, broken: object, story: Callable, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Broken variants: reports on guests sent after the reset count, or those that came before it."""
+    monkeypatch.setattr(Link, method, broken)
+    assert released_at(story) is None
