A guest handed over on a machine that is out of reach is released

What callers saw: a task handed over on a machine that accepts no connection, with a silent list or a machine that has a birth, was never released. Cause: when the silence of a machine about a guest is to count and it has said nothing at all, it is dialled for a probe, at each look. The check for silent machines follows that look and passes over a machine that is being dialled, so this one was never counted as out of reach. Found by a test that counts dials. Mend: such a machine counts as out of reach from then on, as any whose connection is lost with guests on it: it is dialled each 0.35 s, and its guests are lost once it refuses or has not answered for 3.5 s. Why it holds: the rule is that of every lost connection; one that answers again in time keeps its guests (test). Broken variant: dialled at each look, never released (test). The test also bounds dials to five a second.

--- a/hazelhold/engine/verification.py
+++ b/hazelhold/engine/verification.py
@@ -199,8 +199,9 @@
             link.probed_at = now
             self.probe_number += 1
             self._send_machine(link.machine, m.Probe(number=self.probe_number))
-        elif link.state == "down" and (listed := self.roster.machines.get(link.machine)):
-            self._dial(now, listed)
+        elif link.state == "down" and not link.lost_at:  # dialled until it answers or counts as lost
+            link.lost_at = link.dial_at = now
+            self.active_links[link.machine] = None
 
     def _end_guest(self, now: int, record: GuestRecord) -> None:
         self.counts["found_unvouched"] += 1
--- a/tests/test_release_times.py
+++ b/tests/test_release_times.py
@@ -15,7 +15,7 @@
 from hazelhold.engine.machines import Link
 from hazelhold.engine.records import GuestRecord, Verification
 from hazelhold.engine.verification import GuestVerification
-from tests.platform_rig import PLACED, TELLING_USE, Owner, Rig, end, event, host, play, set_up
+from tests.platform_rig import PLACED, TELLING_USE, Owner, Rig, end, event, host, play, set_up, until
 
 RELEASE_AT_LATEST = 8.0
 LISTED = "cores:1;memory:2;service:1;at:a"  # a guest that its owner hands over from machine a
@@ -441,3 +441,46 @@
     """Broken variant: the handover alone counts."""
     monkeypatch.setattr(GuestVerification, "_decision_due", lambda engine, link, current: current.decided_at)
     assert released_at(silence_after_a_handover(reported_after=0.4)) is not None
+
+
+def handover_out_of_reach(back_at: float | None, dials: list[float]) -> Callable[[Story], Awaitable[None]]:
+    """Guest 1 is handed over at 2.0 s in a silent list; its machine accepts no connection until `back_at`."""
+
+    async def story(story: Story) -> None:
+        net, dial = story.rig.net, story.rig.net.dial
+
+        async def counted(address: str) -> trio.abc.Stream:
+            dials.extend([story.now] if address == "a:1" else [])
+            return await dial(address)
+
+        net.dial = counted
+        await story.at(1.0)
+        story.list_is_silent(True)
+        door = net.listeners.pop("a:1")
+        await story.at(2.0)
+        await story.hand_over()
+        if back_at is not None:
+            await story.at(back_at)
+            net.listeners["a:1"] = door
+            await until(lambda: story.machine.streams)
+            await story.report()
+
+    return story
+
+
+def test_a_guest_handed_over_on_a_machine_that_is_out_of_reach_is_released() -> None:
+    dials: list[float] = []
+    at = released_at(handover_out_of_reach(None, dials), balancers=16)
+    assert at is not None and at <= 2.0 + RELEASE_AT_LATEST - START
+    assert sum(2.0 <= each <= at for each in dials) <= 5 * (at - 2.0)
+    assert released_at(handover_out_of_reach(4.0, dials), balancers=16) is None
+
+
+def test_a_machine_that_is_dialled_at_each_pass_is_never_lost(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Broken variant: it is being dialled whenever its silence is looked at."""
+
+    def dial(engine: GuestVerification, now: int, link: Link, since: int) -> None:
+        engine._dial(now, engine.roster.machines[link.machine])
+
+    monkeypatch.setattr(GuestVerification, "_probe_for_report", dial)
+    assert released_at(handover_out_of_reach(None, []), balancers=16) is None
