--- a/hazelhold/engine/links.py
+++ b/hazelhold/engine/links.py
@@ -20,6 +20,7 @@
     "not_sent": (DispatchOutcome.NOT_SENT, OutcomeReason.NONE),
 }
 ENDS_AFTER_ACCEPTANCE = ("evicted", "pushed_out", "sent_away")  # ends of guests that were accepted
+GUEST_REPORTS = (m.Started, m.ResourceUse, m.ServiceLevel)  # what only the process that has a guest sends
 REMARKS = {
     "no_cores": OutcomeReason.NO_CORES,
     "no_memory": OutcomeReason.NO_MEMORY,
@@ -129,6 +130,7 @@
         if link := self.links.get(machine):
             self._link_lost(now, link, by_machine=True)
             if reset:
+                link.was_reset(now)
                 self._verify_all_on(now, link)
 
     # Messages of machines.
@@ -139,6 +141,7 @@
         if link is None or link.state != "up":
             return
         link.heard_at, link.unanswered = now, 0
+        link.first_heard_at = link.first_heard_at or now
         if not self.peers.reports_inventory:
             link.lost_at = 0
         if isinstance(message, m.Inventory):
@@ -171,6 +174,8 @@
                     or (record.submission_number, record.dispatch_number) == (message.ask, message.attempt)
                 )
             ):
+                if record.placed and isinstance(message, GUEST_REPORTS):
+                    link.guest_reported(record.sent_at)
                 self._dispatch_message(now, record, message)
                 return
         self._abandoned_message(now, machine, message)
@@ -261,8 +266,8 @@
                     self._send_owner(item.owner, ended)
                 return
             self.counts["stray_messages"] += 1
-            if self.peers.reports_use and isinstance(message, m.Started | m.ResourceUse | m.ServiceLevel):
-                self._unknown_guest_reported(machine, message.guest)
+            if self.peers.reports_use and isinstance(message, GUEST_REPORTS):
+                self._unknown_guest_reported(now, machine, message.guest)
             if isinstance(message, m.Ended) and not self.peers.owners_resubmit:
                 self._record_end(now, message.guest, message.how)
             return
--- a/hazelhold/engine/verification.py
+++ b/hazelhold/engine/verification.py
@@ -8,15 +8,25 @@
 will be reported.
 """
 
-from hazelhold.config.planner import to_microseconds
 from hazelhold.engine.link_loss import LinkLoss
 from hazelhold.engine.machines import Link
 from hazelhold.engine.records import GuestRecord, Verification, VerificationCause
 from hazelhold.protocol import messages as m
 
 CONFIRMATION_TIMEOUT = 2_500_000
-"""Microseconds for which a machine's report on a guest that was handed over is awaited. A planner that dies
-meanwhile leaves the next one as much, of the 8 s within which an end has to be reported."""
+"""Microseconds for which a message about a guest is awaited that was handed over, where machines do not
+report what guests use, or that was sent to an address which another machine has now."""
+
+HANDOVER_TIMEOUT = 1_500_000
+"""Microseconds for which a machine's report on a guest is awaited after its handover, and after the machine's
+first message to this process. A process of the planner that died before may have used RESET_TIMEOUT of the
+8 s within which an end has to be reported; what is left is for the start of this one."""
+
+RESET_TIMEOUT = 4_500_000
+"""Microseconds for which a machine's report on a guest is awaited after a reset."""
+
+DECISION_INTERVAL = 100_000
+"""Microseconds between two passes over all verifications at least."""
 
 PROBE_LEAD = 1_000_000
 """Microseconds before a decision at which a machine that has sent nothing at all is probed."""
@@ -27,6 +37,12 @@
 LIST_DELAY = 1_000_000
 """Microseconds within which a current list shows that a machine's process has died."""
 
+LATEST_AFTER_EVENT = 7_000_000
+"""Microseconds after the event behind a verification up to which a pause postpones the decision."""
+
+LATEST_AFTER_HANDOVER = 4_000_000
+"""The same after a handover, before which the guest may have ended."""
+
 MAX_RECENTLY_REPORTED = 4096  # guests that machines reported on while they were not held
 
 
@@ -36,25 +52,37 @@
     def _verify_handed_over(self, record: GuestRecord) -> None:
         """Its owner reports it as placed, and may not know of its end."""
         at = record.handed_over_at
-        self.verifications[record.name] = Verification(
-            VerificationCause.HANDED_OVER, at, at + CONFIRMATION_TIMEOUT, at
+        timeout = HANDOVER_TIMEOUT if self.peers.reports_use else CONFIRMATION_TIMEOUT
+        self._set_verification(
+            record, Verification(VerificationCause.HANDED_OVER, at, at + timeout, at + LIST_DELAY)
         )
 
     def _verify_address_reuse(self, now: int, record: GuestRecord) -> None:
         """It counts as placed on the machine that has the address now, and its connection has ended."""
         if self.peers.reports_use:
-            self.verifications[record.name] = Verification(
-                VerificationCause.ADDRESS_REUSED, now, now + CONFIRMATION_TIMEOUT, now
-            )
+            decided_at = now + CONFIRMATION_TIMEOUT
+            self._verify(record, Verification(VerificationCause.ADDRESS_REUSED, now, decided_at, now))
 
     def _verify_after_reset(self, reset_at: int, record: GuestRecord, cause: VerificationCause) -> None:
-        """Its machine ended a connection after it was sent, as a process that dies does.
-
-        Machines report on a guest every few seconds, so they get the same time as a silent machine.
-        """
+        """Its machine ended a connection after it was sent, as a process that dies does."""
         if self.peers.reports_use:
-            decided_at = reset_at + to_microseconds(self.limits.lost_ms)
-            self.verifications[record.name] = Verification(cause, reset_at, decided_at, reset_at + LIST_DELAY)
+            decided_at = reset_at + RESET_TIMEOUT
+            self._verify(record, Verification(cause, reset_at, decided_at, reset_at + LIST_DELAY))
+
+    def _verify(self, record: GuestRecord, verification: Verification) -> None:
+        """Starts a verification. One that is under way and unsettled may be about an earlier end of the
+        guest, so its decision is not put off."""
+        link = self.links.get(record.machine)
+        if link is not None and self._is_unsettled(link, record):
+            current = self.verifications[record.name]
+            decided_at = min(current.decided_at, verification.decided_at)
+            verification = verification._replace(decided_at=decided_at)
+        self._set_verification(record, verification)
+
+    def _set_verification(self, record: GuestRecord, verification: Verification) -> None:
+        self.verifications[record.name] = verification
+        first_at = verification.decided_at - PROBE_LEAD
+        self.verify_at = min(self.verify_at or first_at, first_at)
 
     def _verify_all_on(self, now: int, link: Link) -> None:
         """A connection was reset: a process that dies resets its connections and ends its guests.
@@ -64,43 +92,106 @@
         """
         if not self.deployment.list_lease:
             return
-        for name in link.guests:
-            if self.records[name].placed and name not in self.verifications:
-                self._verify_after_reset(now + 1, self.records[name], VerificationCause.RESET)
+        reset_at = now + 1
+        for record in [self.records[name] for name in link.guests]:
+            if not record.placed:
+                continue
+            if self._is_unsettled(link, record):
+                current = self.verifications[record.name]
+                listed_at = max(current.listed_at, reset_at + LIST_DELAY)
+                self.verifications[record.name] = current._replace(listed_at=listed_at)
+            else:
+                self._verify_after_reset(reset_at, record, VerificationCause.RESET)
+
+    def _is_confirmed(self, link: Link, record: GuestRecord, verification: Verification) -> bool:
+        """Whether the machine has reported on the guest, or, after a reset, on any that was sent before it.
+
+        A process reports only on guests that it has, so one that reports on a guest sent before the reset
+        did not die then, and has all that were placed there.
+        """
+        if record.confirmed_at >= verification.since:
+            return True
+        return verification.cause is VerificationCause.RESET and link.outlived(verification.since - 1)
+
+    def _is_unsettled(self, link: Link, record: GuestRecord) -> bool:
+        """Whether a verification is under way that neither the machine nor the list has settled.
 
-    def _unknown_guest_reported(self, machine: str, guest: str) -> None:
+        Settled ones are removed only when they are decided, and say nothing of what happens until then.
+        """
+        current = self.verifications.get(record.name)
+        return (
+            current is not None
+            and not self._is_confirmed(link, record, current)
+            and self._may_be_over(link, record, current)
+        )
+
+    def _unknown_guest_reported(self, now: int, machine: str, guest: str) -> None:
         """A machine has reported on a guest that is not held, and that may be handed over next."""
-        self.recently_reported[guest] = machine
+        self.recently_reported[guest] = machine, now
         self.recently_reported.move_to_end(guest)
         if len(self.recently_reported) > MAX_RECENTLY_REPORTED:
             self.recently_reported.popitem(last=False)
 
+    def _reported_before_handover(self, machine: str, guest: str) -> int:
+        """When the process that runs on a machine reported on a guest before its handover; 0: it did not.
+
+        A process that has died since then has reset its connections.
+        """
+        reporter, reported_at = self.recently_reported.pop(guest, ("", 0))
+        link = self.links.get(machine)
+        is_of_this_process = link is not None and reported_at > link.reset_at
+        return reported_at if reporter == machine and is_of_this_process else 0
+
     def _decide_verifications(self, now: int) -> None:
         """Ends guests on which their machine reports nothing.
 
         They are stopped at the machine too: one that is still there must not run on without an owner.
         """
+        next_at = []
         for name, verification in list(self.verifications.items()):
             record = self.records.get(name)
             link = self.links.get(record.machine) if record else None
-            if link is None or record.confirmed_at >= verification.since:
+            if link is None or self._is_confirmed(link, record, verification):
                 del self.verifications[name]
                 continue
-            if now < verification.decided_at - PROBE_LEAD:
+            decided_at = self._decision_due(link, verification)
+            if now < decided_at - PROBE_LEAD:
+                next_at.append(decided_at - PROBE_LEAD)
                 continue
+            next_at.append(decided_at)
             may_be_over = self._may_be_over(link, record, verification)
             if may_be_over and link.heard_at <= verification.since:
                 self._probe_for_report(now, link, verification.since)
-            elif now >= verification.decided_at:
+            elif now >= decided_at:
                 del self.verifications[name]
                 if may_be_over:
                     self._end_guest(now, record)
+        self.verify_at = max(min(next_at), now + DECISION_INTERVAL) if self.verifications else 0
 
-    def _postpone_verifications(self, now: int, duration: int) -> None:
-        """Postpones the decision on all present verifications by so many microseconds."""
+    def _decision_due(self, link: Link, verification: Verification) -> int:
+        """When a verification is decided.
+
+        A machine reports on all guests once it speaks to a planner that has started, so one that was silent
+        at first gets its time from then on, within limits.
+        """
+        if verification.cause is not VerificationCause.HANDED_OVER or not self.peers.reports_use:
+            return verification.decided_at
+        reported_by = min(link.first_heard_at + HANDOVER_TIMEOUT, verification.since + LATEST_AFTER_HANDOVER)
+        return max(verification.decided_at, reported_by)
+
+    def _postpone_verifications(self, now: int, duration: int, earliest: int) -> None:
+        """Postpones the decision on all present verifications by so many microseconds, for a pause.
+
+        None is decided before `earliest`, so that what arrived meanwhile is read first. Otherwise the 8 s
+        within which an end has to be reported go on during a pause.
+        """
         for name, verification in self.verifications.items():
             delay = min(duration, now - verification.since)
-            self.verifications[name] = verification._replace(decided_at=verification.decided_at + delay)
+            handed_over = verification.cause is VerificationCause.HANDED_OVER
+            latest = verification.since + (LATEST_AFTER_HANDOVER if handed_over else LATEST_AFTER_EVENT)
+            postponed = min(verification.decided_at + delay, latest)
+            decided_at = max(verification.decided_at, postponed, earliest)
+            self.verifications[name] = verification._replace(decided_at=decided_at)
 
     def _probe_for_report(self, now: int, link: Link, since: int) -> None:
         """Makes a machine send a message: without one, its silence about a guest shows nothing."""
@@ -108,8 +199,9 @@
             link.probed_at = now
             self.probe_number += 1
             self._send_machine(link.machine, m.Probe(number=self.probe_number))
-        elif link.state == "down" and (listed := self.roster.machines.get(link.machine)):
-            self._dial(now, listed)
+        elif link.state == "down" and not link.lost_at:  # dialled until it answers or counts as lost
+            link.lost_at = link.dial_at = now
+            self.active_links[link.machine] = None
 
     def _end_guest(self, now: int, record: GuestRecord) -> None:
         self.counts["found_unvouched"] += 1
