Audit: rule 3 by what the list service has told any planner

A drain counted for a planner from when it heard of it. A planner that heard it late, or not at all, passed the audit whatever it sent.

A planner that asks the list service to confirm its list (`confirm`) is judged by the first listing to any planner that named the machine as draining or gone.

--- a/hazelhold/audit/planner_run.py
+++ b/hazelhold/audit/planner_run.py
@@ -54,6 +54,8 @@
         self.submissions: dict[SubmissionKey, Submission] = {}
         self.submits: dict[SubmissionKey, RecordedMessage] = {}
         self.listed_states: dict[str, ListedState] = {}  # by machine
+        # It asks the list service to confirm, so it is bound by what that has told any planner.
+        self.asks_list = False
         self.locations: dict[str, MachineLocation] = {}  # by machine
         self.placed_guests: dict[SubmissionKey, PlacedGuest] = {}
         self.killed_at = 0
@@ -99,6 +101,8 @@
             self._record_queried_state(self.submissions.get(key), c)
         elif kind == "listing" and c.way == "in":
             self._update_list(c)
+        elif kind == "confirm" and c.way == "out":
+            self.asks_list = True
         elif kind == "offer" and c.way == "out":
             self._offer(c, key)
         elif kind == "withdraw" and c.way == "out":
@@ -237,6 +241,10 @@
         mode, since = self.listed_states.get(c.peer, ListedState("unlisted", c))
         if mode != "ready" and (mode == "unlisted" or c.at > since.at + self.rules.drain_grace):
             self._add_violation(3, f"a dispatch to a machine told {mode}", [since, c], guest, c.peer)
+        elif self.asks_list and (told := self.timeline.told_mode(c.peer, c.at)):
+            if told.mode != "ready" and c.at > told.since.at + self.rules.drain_grace:
+                what = f"a dispatch to a machine that others were told {told.mode}"
+                self._add_violation(3, what, [told.since, c], guest, c.peer)
 
     def _check_spread(self, key: SubmissionKey, c: RecordedMessage) -> None:
         guest_class = self._guest_class(c.message.get("product", ""))
--- a/hazelhold/audit/timeline.py
+++ b/hazelhold/audit/timeline.py
@@ -1,7 +1,9 @@
 """Lookups in the whole record: runs of planners, incarnations of machines, submissions of owners."""
 
+from bisect import bisect_right
 from collections import Counter, defaultdict
 from collections.abc import Iterable
+from typing import NamedTuple
 
 from hazelhold.audit.findings import RETURN_ALLOWANCE
 from hazelhold.protocol.record import RecordedMessage
@@ -11,12 +13,20 @@
 PLANNER_BACK = ("planner_start", "planner_resume")
 
 
+class ToldMode(NamedTuple):
+    """A mode of a machine, and the message by which the list service first told any planner of it."""
+
+    mode: str
+    since: RecordedMessage
+
+
 class Timeline:
     """The recorded messages of one day by time, with lookup tables that are built on first use."""
 
     def __init__(self, crossings: Iterable[RecordedMessage]) -> None:
         self.crossings = sorted(crossings, key=lambda c: c.at)
         self._incarnation_starts: dict[str, list[int]] | None = None
+        self._told_modes: dict[str, list[ToldMode]] | None = None
         self._newest_submissions: dict[str, int] | None = None
 
     @property
@@ -54,6 +64,26 @@
                     self._incarnation_starts[c.by].append(c.at)
         return sum(start <= at for start in self._incarnation_starts.get(machine, ()))
 
+    def told_mode(self, machine: str, at: int) -> ToldMode | None:
+        """The mode that the list service had told planners of, last at `at`; None if it had told none."""
+        if self._told_modes is None:
+            self._told_modes = defaultdict(list)
+            for c in self.crossings:
+                if c.role == "list" and c.way == "out" and (c.message or {}).get("t") == "listing":
+                    self._add_told_modes(c)
+        modes = self._told_modes.get(machine, ())
+        number = bisect_right(modes, at, key=lambda told: told.since.at)
+        return modes[number - 1] if number else None
+
+    def _add_told_modes(self, c: RecordedMessage) -> None:
+        told = {entry["machine"]: entry["mode"] for entry in c.message.get("entries", [])}
+        if c.message.get("whole"):
+            told = dict.fromkeys(self._told_modes, "gone") | told
+        for machine, mode in told.items():
+            modes = self._told_modes[machine]
+            if not modes or modes[-1].mode != mode:
+                modes.append(ToldMode(mode, c))
+
     def newest_submission(self, guest: str) -> int:
         """The highest submission number that an owner used for the guest."""
         if self._newest_submissions is None:
