--- a/bench/capacity/outage.py
+++ b/bench/capacity/outage.py
@@ -56,6 +56,7 @@
         self.lost_at: list[int] = []  # when an owner was told that its task is lost
         self.failing: list[tuple[int, str]] = []  # dials that will be refused, and when
         self.processor = 0.0  # seconds inside the engine
+        self.engine.list_greeted(START, m.Welcome(name="list"))  # confirmations are not counted here
         self._list(True, workers.entries(listed))
         if peers.reports_inventory:
             for number in range(listed):
--- a/bench/capacity/rows_door.py
+++ b/bench/capacity/rows_door.py
@@ -33,6 +33,7 @@
     def __init__(self) -> None:
         self.engine = Engine(throughput.planner_config(), 1, 0)
         entries = throughput.memory_machines("cordoned")
+        self.engine.list_greeted(0, m.Welcome(name="list"))
         self.engine.list_said(0, m.Listing(version=1, whole=True, entries=entries))
         throughput.submit_held(self.engine, admission.SHORT_QUEUE + 1)
         self.bytes = self.refused = 0
--- a/bench/capacity/rows_planner.py
+++ b/bench/capacity/rows_planner.py
@@ -30,6 +30,7 @@
 
 def engine(machines: int) -> Engine:
     made = Engine(throughput.planner_config(), 1, 0)
+    made.list_greeted(0, m.Welcome(name="list"))  # one that confirms nothing: what is measured is without it
     made.list_said(0, m.Listing(version=1, whole=True, entries=workers.entries(machines)))
     return made
 
--- a/bench/capacity/rows_state.py
+++ b/bench/capacity/rows_state.py
@@ -83,6 +83,7 @@
     """Bytes and processor time of keeping one lone change of the list; several times."""
     made = Engine(throughput.planner_config(), 1, 0)
     made.keep(0, 0, StateTable(), True)
+    made.list_greeted(0, m.Welcome(name="list"))
     made.list_said(0, m.Listing(version=1, whole=True, entries=workers.entries(size)))
     made.flush(0)
     for version in range(2, 7):
--- a/bench/throughput.py
+++ b/bench/throughput.py
@@ -294,6 +294,7 @@
     """Bytes that an engine keeps for each request: running ones, or held ones that no machine takes."""
     tracemalloc.start()
     engine = Engine(planner_config(), 1, 0)
+    engine.list_greeted(0, m.Welcome(name="list"))
     engine.list_said(
         0, m.Listing(version=1, whole=True, entries=memory_machines("ready" if run else "cordoned"))
     )
--- a/hazelhold/capture/replay.py
+++ b/hazelhold/capture/replay.py
@@ -28,9 +28,18 @@
 CODECS = {"owner": m.Codec(m.FROM_OWNER), "machine": m.Codec(m.FROM_MACHINE), "list": m.Codec(m.FROM_LIST)}
 TO_MACHINE = m.Codec(m.TO_MACHINE | m.TO_OWNER)
 # Message types that the service handles without the engine.
-SERVICE_MESSAGES = ("hello", "welcome", "fault", "bye", "watch")
+SERVICE_MESSAGES = ("hello", "welcome", "fault", "bye", "watch", "confirm")
 STATE_NOTES = ("keep", "state_kept", "offer_held_back")
-INPUT_NOTES = ("pump", "link_up", "link_failed", "link_down", "list_failed", "stop", "stop_now")
+INPUT_NOTES = (
+    "pump",
+    "link_up",
+    "link_failed",
+    "link_down",
+    "list_greeted",
+    "list_failed",
+    "stop",
+    "stop_now",
+)
 
 
 @dataclass
@@ -64,6 +73,8 @@
         self.changed = other_config is not None or start["module"] != module_digest()
         self.module = start["module"]
         self.engine = Engine(config, start["seed"], 0)
+        if not start.get("list_lease"):  # captured by a version that asked for no confirmation
+            self.engine.list_greeted(0, m.Welcome(name="list"))
         # Role and name of the peer by (near, far) addresses.
         self.streams: dict[tuple[str, str], tuple[str, str]] = {}
         # Messages not compared yet, because the other side has no counterpart so far.
--- a/hazelhold/capture/tap.py
+++ b/hazelhold/capture/tap.py
@@ -43,6 +43,7 @@
             "sheet": msgspec.to_builtins(config),
             "module": module_digest(),
             "offset": offset,
+            "list_lease": True,
         }
         self.writer = CaptureWriter(
             path,
--- a/hazelhold/emulate/client_population.py
+++ b/hazelhold/emulate/client_population.py
@@ -19,7 +19,7 @@
 from hazelhold.emulate.clock import Clock
 from hazelhold.engine.admission import ConnectionAdmission
 from hazelhold.engine.engine import Engine
-from hazelhold.engine.records import Dial, FetchList
+from hazelhold.engine.records import AskList, Dial, FetchList
 from hazelhold.engine.records import Send as EngineSend
 from hazelhold.protocol import messages as m
 
@@ -83,6 +83,7 @@
     def start(self) -> None:
         limits, self.life, self.up = self.config.limits, self.life + 1, True
         self.engine = Engine(self.config, self.life, self.clock.now)
+        self.engine.list_greeted(self.clock.now, m.Welcome(name="list", confirms=True))
         self.admission = ConnectionAdmission(
             limits.handshakes_a_second,
             limits.handshake_burst,
@@ -173,6 +174,8 @@
             engine.machine_said(now, item[1], item[2])
         elif what == "up":
             engine.link_up(now, item[1], m.Welcome(name=item[1], incarnation=1))
+        elif what == "confirmed":
+            engine.list_said(now, m.ListConfirmed(number=item[1]))
         elif what == "list":
             size = 1e6
             engine.list_said(
@@ -216,6 +219,8 @@
                 self._deliver_later(("up", action.machine))
             elif isinstance(action, FetchList):
                 self._deliver_later(("list",))
+            elif isinstance(action, AskList):
+                self._deliver_later(("confirmed", action.number))
 
     def _deliver_later(self, item: tuple) -> None:
         self.clock.at(self.clock.now + 2 * self.population.delay, self._deliver, self.life, item)
--- a/hazelhold/emulate/fleet_planner.py
+++ b/hazelhold/emulate/fleet_planner.py
@@ -6,7 +6,7 @@
 from hazelhold.emulate.fleet_connections import EmulatedConnection
 from hazelhold.emulate.fleet_time import SECOND, Notes, Wake
 from hazelhold.engine.engine import Engine
-from hazelhold.engine.records import Dial, Disconnect, FetchList, HangUp, Send
+from hazelhold.engine.records import AskList, Dial, Disconnect, FetchList, HangUp, Send
 from hazelhold.protocol import messages as m
 
 if TYPE_CHECKING:
@@ -64,6 +64,10 @@
             self._dial(action.machine)
         elif isinstance(action, HangUp):
             self._hang_up(action.machine)
+        elif isinstance(action, AskList):
+            self._ask_list(action.number)
+        elif isinstance(action, Disconnect) and action.role == "list":
+            self._drop_list()
         elif isinstance(action, Disconnect):
             self._hang_up(action.peer)
         elif isinstance(action, FetchList):
@@ -95,6 +99,7 @@
     def welcomed(self, connection: EmulatedConnection) -> None:
         if self.up and connection is self.list_connection:
             connection.up = True
+            self.deliver("list_greeted", self.fleet.list_host.welcome())
             self._fetch_list()
         elif self.up and self.connections.get(connection.server.name) is connection:
             connection.up = True
@@ -156,6 +161,18 @@
             self.fleet.later(server, self, server.receive, connection, m.Watch(since=self.list_since))
             self.list_since = None
 
+    def _ask_list(self, number: int) -> None:
+        if (connection := self.list_connection) is not None and connection.up:
+            server, question = connection.server, m.ConfirmList(number=number)
+            self.recorder.note(self.clock.now, "list", "out", question)
+            self.fleet.later(server, self, server.receive, connection, question)
+
+    def _drop_list(self) -> None:
+        """Closes the connection to the list service from this side, and dials again like after a loss."""
+        if (connection := self.list_connection) is not None:
+            self.fleet.later(connection.server, self, self._hung_up, connection)
+            self.shut(connection)
+
     def owner_said(self, owner: str, message: m.Message) -> None:
         if self.up:
             self.recorder.note(self.clock.now, owner, "in", message)
--- a/hazelhold/engine/engine.py
+++ b/hazelhold/engine/engine.py
@@ -86,6 +86,8 @@
         if self.more:
             return now
         times = [t for t in (self.scheduler.next_decision_at(now), self.list_due) if t]
+        if (question_due := self.list_questions.due()) is not None:
+            times.append(question_due)
         if self.overdue:
             times.append(self.overdue[0][0])
         times += [probe.due for probe in self.probes.values()]
@@ -151,6 +153,7 @@
                     self._recheck_abandoned(now, abandoned)
         if self.list_due and now >= self.list_due:
             self.list_failed(now)
+        self._ask_list(now)
         for table in (self.answers, self.ends):
             while table and next(iter(table.values()))[1] <= now:
                 table.popitem(last=False)
--- a/hazelhold/engine/list_lease.py
+++ b/hazelhold/engine/list_lease.py
@@ -9,6 +9,16 @@
 
 from enum import Enum
 
+GRACE_PART = 0.8  # of the drain grace; the rest is for an offer's transit to its machine
+
+
+def lease_duration(grace: int) -> int:
+    """How long a confirmation of the list is valid, given the drain grace, both in microseconds.
+
+    At least 1, since 0 means that no confirmation is required.
+    """
+    return max(1, round(GRACE_PART * grace))
+
 
 class Lapse(Enum):
     """Why the lease does not hold, or what may have prevented its renewal."""
@@ -16,6 +26,7 @@
     NEVER_CONFIRMED = "not confirmed since the start"
     NOT_RENEWED = "no answer has confirmed it in time"
     FAILED = "a call has failed"
+    REQUIRED = "the service confirms its list from now on, and has not yet"
     MOVED = "the service has a new address"
 
 
@@ -37,6 +48,16 @@
             self.confirmed_as_of = as_of
             self.lapse = None
 
+    def require(self, duration: int) -> None:
+        """Requires confirmations from now on, each valid for `duration`; one received before counts."""
+        if not self.duration:
+            self.lapse = Lapse.REQUIRED
+        self.duration = duration
+
+    def waive(self) -> None:
+        """Requires no confirmation: the service is of a version that gives none."""
+        self.duration, self.confirmed_as_of, self.lapse = 0, None, None
+
     def note(self, lapse: Lapse) -> None:
         """Records what may prevent a renewal; the first reason is kept."""
         if self.duration and self.lapse is None:
--- a/hazelhold/engine/list_updates.py
+++ b/hazelhold/engine/list_updates.py
@@ -7,7 +7,7 @@
 from hazelhold.engine.list_lease import Lapse
 from hazelhold.engine.machine_incarnations import previous_incarnation_ended
 from hazelhold.engine.machines import Link, RosterChanges
-from hazelhold.engine.records import HangUp, VerificationCause
+from hazelhold.engine.records import AskList, Disconnect, FetchList, HangUp, VerificationCause
 from hazelhold.interface import DispatchOutcome
 from hazelhold.protocol import messages as m
 
@@ -17,12 +17,43 @@
 
     _resolve_handovers: Callable[..., None]  # defined by Owners
 
-    def list_said(self, now: int, message: m.Message) -> None:
-        """Handles a Listing or ListRefused of the list service."""
+    def list_greeted(self, now: int, welcome: m.Welcome) -> None:
+        """A new connection to the list service is up.
+
+        A service of a version that confirms nothing is believed as it reports: nothing else is known of its
+        list. What changed is requested at once, since the list cannot be confirmed before that is received.
+        """
+        self.list_questions.connected(welcome.confirms)
+        if welcome.confirms:
+            self.lease.require(self.list_lease)
+            self.actions.append(FetchList(self.list_version))
+        else:
+            self.lease.waive()
+            self.counts["list_without_lease"] += 1
+        self._report_lease(now)
+
+    def list_said(self, now: int, message: m.Message) -> bool:
+        """Handles a Listing, ListConfirmed or ListRefused of the list service.
+
+        False if nothing but the end of the lease changes, so that the engine need not be pumped.
+        """
+        if isinstance(message, m.ListConfirmed):
+            return self._list_answered(now, message.number)
+        self._list_updated(now, message)
+        return True
+
+    def _list_answered(self, now: int, number: int) -> bool:
+        """A question was answered; true if there is more to do than before."""
+        had_room = self.list_questions.has_room()
+        asked_at = self.list_questions.answered(now, number)
+        return asked_at is not None and (self.list_confirmed(now, asked_at) or not had_room)
+
+    def _list_updated(self, now: int, message: m.Message) -> None:
         self.list_due = 0
         if not isinstance(message, m.Listing):
             self.list_failed(now)
             return
+        self.list_questions.begin(now)
         first, self.list_heard = not self.list_heard, True
         self.list_version = message.version
         changes = self.roster.update(now, message)
@@ -112,6 +143,15 @@
         self._report_lease(now)
         return changes
 
+    def _ask_list(self, now: int) -> None:
+        """Asks for the next confirmation if one is due. A connection without answers is closed."""
+        if self.list_questions.is_silent(now):
+            self.list_questions.end()
+            self.counts["list_silences"] += 1
+            self.actions.append(Disconnect("list", "list", "list_silent", "it answers nothing"))
+        elif number := self.list_questions.ask(now, self.lease.duration):
+            self.actions.append(AskList(number))
+
     def list_unchanged(self, now: int) -> None:
         """The list service answered that nothing changed."""
         self.list_due = 0
@@ -128,7 +168,13 @@
         self._report_lease(now)
 
     def _report_lease(self, now: int) -> None:
-        """Reports to the scheduler and the log if the list has become current or stopped being so."""
+        """Reports to the scheduler and the log if the list has become current or stopped being so.
+
+        Where the service confirms only if asked, there is nothing to report before its first listing: until
+        then the scheduler has no machine that accepts guests.
+        """
+        if not (self.list_heard or self.peers.list_confirms):
+            return
         holds = self.lease.holds(now)
         if holds is self.list_taken:
             return
--- a/hazelhold/engine/liveness.py
+++ b/hazelhold/engine/liveness.py
@@ -30,6 +30,8 @@
         """
         stopped = now - self.pumped_at - MAX_PUMP_INTERVAL
         self.pumped_at = now
+        if stopped > 0:
+            self.list_questions.exclude_pause(now)
         if stopped <= 0 or self.peers.reports_inventory:
             return
         self.resumed_at = now
--- a/hazelhold/engine/owners.py
+++ b/hazelhold/engine/owners.py
@@ -2,7 +2,7 @@
 
 from hazelhold.config.planner import to_microseconds
 from hazelhold.engine.events import GuestEvent
-from hazelhold.engine.permission import Denial, offer_denied, start_denied
+from hazelhold.engine.permission import Denial, machine_denied, offer_denied, start_denied
 from hazelhold.engine.records import GuestRecord
 from hazelhold.engine.tables import WaitingHandover
 from hazelhold.engine.verification import GuestVerification
@@ -281,6 +281,16 @@
             return 0
         return record.due_at - now
 
+    def machine_denied(self, now: int, machine: str) -> Denial | None:
+        """Why an offer whose bytes are about to be written must not go to this machine any more, or None.
+
+        For a host that has no time of its own between a decision and its bytes but that of its disk.
+        """
+        denial = machine_denied(self.roster.machines.get(machine), self.lease.holds(now))
+        if denial is not None:
+            self.denials[denial] += 1
+        return denial
+
     def offer_sent(self, now: int, guest: str) -> None:
         """Records that the bytes of an offer that `time_left` allowed are about to be written."""
         record = self.newest_records[guest]
--- a/hazelhold/engine/records.py
+++ b/hazelhold/engine/records.py
@@ -35,10 +35,16 @@
     since: int
 
 
+class AskList(NamedTuple):
+    """Send the list service a ConfirmList, if its connection is up."""
+
+    number: int
+
+
 class Disconnect(NamedTuple):
-    """A peer broke the protocol: send it the error and close the connection.
+    """A peer broke the protocol, or the list service is silent: close the connection.
 
-    The host reports that as link_down or owner_gone.
+    The host reports that as link_down, owner_gone or list_failed.
     """
 
     role: str
@@ -59,7 +65,7 @@
     deadline: int
 
 
-Action = Send | Dial | HangUp | FetchList | Disconnect | ProposeChange
+Action = Send | Dial | HangUp | FetchList | AskList | Disconnect | ProposeChange
 
 
 @dataclass
--- a/hazelhold/engine/settings.py
+++ b/hazelhold/engine/settings.py
@@ -2,7 +2,8 @@
 
 from typing import NamedTuple
 
-from hazelhold.config.planner import LimitsConfig, PlannerConfig, deployment_settings
+from hazelhold.config.planner import LimitsConfig, PlannerConfig, deployment_settings, to_microseconds
+from hazelhold.engine.list_lease import lease_duration
 from hazelhold.interface import Deployment
 
 
@@ -35,6 +36,9 @@
     kinds: tuple[str, ...]
     limits: LimitsConfig
     peers: PeerCapabilities = PeerCapabilities()
+    # How long a list service's answer to a ConfirmList is valid, in microseconds; 0: none is sent. Apart from
+    # the deployment's `list_lease`, by which the scheduler also takes refusals for signs of a drain.
+    list_lease: int = 0
 
 
 def engine_settings(config: PlannerConfig) -> EngineSettings:
@@ -46,4 +50,5 @@
         tuple(estate.customers),
         tuple(k.name for k in estate.kinds),
         config.limits,
+        list_lease=lease_duration(to_microseconds(estate.fleet.drain_grace_ms)),
     )
--- a/hazelhold/engine/tables.py
+++ b/hazelhold/engine/tables.py
@@ -9,6 +9,7 @@
 from hazelhold.engine.admission import RetryAdvisor
 from hazelhold.engine.events import Event, GuestEvent, MachineEvent, RuleEvent
 from hazelhold.engine.list_lease import ListLease
+from hazelhold.engine.list_questions import ListQuestions
 from hazelhold.engine.machines import Link, Roster, RosterMachine
 from hazelhold.engine.monitor import RuleMonitor, Violation
 from hazelhold.engine.permission import Denial
@@ -101,7 +102,9 @@
         self.claims: Claims | None = None
         self.recovery_complete = False  # all that this planner accepted in earlier runs is known
         self.persistence_healthy = True  # what is sent is certain to be known after a crash
-        self.lease = ListLease(self.deployment.list_lease)
+        self.list_lease = settings.list_lease or self.deployment.list_lease
+        self.lease = ListLease(self.list_lease)
+        self.list_questions = ListQuestions()
         # Guests that count as placed and that their machine has to confirm; by the scheduler's name.
         self.verifications: dict[str, Verification] = {}  # emptied by that and by timeout
         # By guest: the machine that reported on it while it was not held; emptied by its handover and by
@@ -141,6 +144,10 @@
             planners=self.deployment.planners, slot=self.deployment.slot
         )
         self.deployment = self.scheduler.deployment = deployment
+        if settings.list_lease:
+            self.list_lease = settings.list_lease
+            if self.lease.duration:
+                self.lease.duration = self.list_lease
         self.products = {name: at for at, name in enumerate(settings.products)}
         self.customers = {name: at for at, name in enumerate(settings.customers)}
 
--- a/hazelhold/model/listing.py
+++ b/hazelhold/model/listing.py
@@ -10,7 +10,7 @@
 
 from msgspec.structs import replace
 
-from hazelhold.protocol.messages import Entry, Listing, ListRefused, Message
+from hazelhold.protocol.messages import Entry, ListConfirmed, Listing, ListRefused, Message
 
 SECOND = 1_000_000
 LOG = 5000  # changes kept for planners that reconnect; those further behind get a whole list
@@ -54,6 +54,18 @@
         if not self.down:
             self._at(now + int(self.random.uniform(*self.answer)), "answer", (planner, since))
 
+    def confirm(self, now: int, planner: str, number: int) -> None:
+        """A planner asks whether it was sent all that is known: what it was not sent yet precedes the answer.
+
+        A planner whose watch was not answered yet gets no answer: it has no list that could be confirmed.
+        """
+        self.advance(now)
+        if self.down or planner not in self.watchers:
+            return
+        if self.watchers[planner] < self.version:
+            self._send_list(now, planner, self.watchers[planner])
+        self.out.append((planner, ListConfirmed(number=number)))
+
     def left(self, planner: str) -> None:
         self.watchers.pop(planner, None)
 
--- a/hazelhold/platform/configuration.py
+++ b/hazelhold/platform/configuration.py
@@ -13,6 +13,7 @@
 
 from hazelhold.config.load import ConfigError, read_text, split_address
 from hazelhold.config.planner import LimitsConfig
+from hazelhold.engine.list_lease import lease_duration
 from hazelhold.engine.settings import EngineSettings, PeerCapabilities
 from hazelhold.interface import Deployment
 from hazelhold.simhost import Pairs, WireError, read_deployment, truth
@@ -29,7 +30,6 @@
 # 250 ms.
 DECISIONS_AT_ONCE = 8
 MAX_SETTING = 1e12  # larger numbers in the settings are rejected
-LEASE_PART = 0.8  # of the drain grace; the rest is for an offer's transit to its machine
 MIN_LEASE = 20_000  # microseconds; the protocol extends each limit by 50 ms
 DRAIN_GRACE = 250_000  # microseconds; the default
 MAX_GRACE = 86_400_000_000  # microseconds; larger values are rejected
@@ -210,7 +210,7 @@
     grace = pairs.duration("rules.drain-grace") if "rules.drain-grace" in pairs.values else DRAIN_GRACE
     if not 0 <= grace <= MAX_GRACE:
         raise WireError(f"setting rules.drain-grace: {grace} microseconds are out of range")
-    return max(MIN_LEASE, round(LEASE_PART * grace))
+    return max(MIN_LEASE, lease_duration(grace))
 
 
 def check_deployment(deployment: Deployment) -> list[tuple[str, str]]:
--- a/hazelhold/protocol/messages.py
+++ b/hazelhold/protocol/messages.py
@@ -61,7 +61,8 @@
     """Answers a Hello.
 
     A machine adds its incarnation and how long it has been up. A planner adds `spread`: the duration over
-    which its owners should spread their reconnects if it goes away without a Bye.
+    which its owners should spread their reconnects if it goes away without a Bye. A list service adds
+    `confirms` if it answers ConfirmList.
     """
 
     name: Id
@@ -69,6 +70,7 @@
     incarnation: Count = 0
     up_for: Duration = 0
     spread: Duration = 0
+    confirms: bool = False
 
 
 class Fault(Message, tag="fault", kw_only=True):
@@ -339,6 +341,18 @@
     rooms: bool = False
 
 
+class ConfirmList(Message, tag="confirm", kw_only=True):
+    """Requests a ListConfirmed with the same number, once all changes that the list service has were sent."""
+
+    number: Count
+
+
+class ListConfirmed(Message, tag="confirmed", kw_only=True):
+    """The planner was sent all that the list service had when it read the ConfirmList with this number."""
+
+    number: Count
+
+
 class ListRefused(Message, tag="list_refused", kw_only=True):
     """The list service cannot serve the list at the moment."""
 
@@ -364,8 +378,8 @@
     | Fault
     | Bye
 )
-TO_LIST = Hello | Watch | RegisterMachines | Bye
-FROM_LIST = Welcome | Listing | ListRefused | Fault | Bye
+TO_LIST = Hello | Watch | ConfirmList | RegisterMachines | Bye
+FROM_LIST = Welcome | Listing | ListConfirmed | ListRefused | Fault | Bye
 
 ENCODER = msgspec.msgpack.Encoder()
 
--- a/hazelhold/service/driver.py
+++ b/hazelhold/service/driver.py
@@ -35,11 +35,17 @@
         self.ticker = Ticker(net.now, engine.next_at, self._work, batch_s)
         self.state_writer: StateWriter | None = None
         self.replica_host: ReplicaHost | None = None
+        self.held_back: list[m.Offer] = []  # offers that were not sent; emptied by the next pump
         self.handed_over = False  # another process owns the state: no input is accepted any more
 
     def _work(self, now: int) -> None:
         if self.handed_over:
             return
+        if self.held_back:
+            held_back, self.held_back = self.held_back, []
+            for offer in held_back:
+                self.deliver_state_event("offer_held_back", offer)
+            now = self.net.now()
         if self.tap is not None:
             self.tap.pump(now)
         self.engine.pump(now)
@@ -60,6 +66,11 @@
         getattr(self.engine, what)(now, *arguments)
         self.carry_out()
 
+    def hold_back(self, offer: m.Offer) -> None:
+        """The offer was not sent; the engine learns that before it decides next, not within its actions."""
+        self.held_back.append(offer)
+        self.ticker.notify()
+
     def deliver_state_event(self, what: str, event: object) -> None:
         """Passes an event of the state writer to the engine: the disk's health, or an offer that was not
         sent."""
@@ -71,15 +82,19 @@
         self.ticker.notify()
 
     def deliver_message(self, what: str, connection: MessageConnection, *arguments: object) -> None:
-        """Passes a peer's message to the engine; actions that need no decision are carried out at once."""
+        """Passes a peer's message to the engine; actions that need no decision are carried out at once.
+
+        The engine is pumped afterwards, unless it answers that the message changes nothing.
+        """
         if self.handed_over:
             return  # peers send what was not acknowledged again, to the next process
         now = self.net.now()
         if connection.captured_connection is not None:
             connection.captured_connection.data(False, frame(connection.body), now)
-        getattr(self.engine, what)(now, *arguments)
+        changes = getattr(self.engine, what)(now, *arguments)
         self.carry_out()
-        self.ticker.notify()
+        if changes is not False:
+            self.ticker.notify()
 
     def agreed(self, no: int, outcome: str, value: bytes, reason: str) -> None:
         """Passes the outcome of proposal `no` among the planners to the engine."""
--- a/hazelhold/service/list_link.py
+++ b/hazelhold/service/list_link.py
@@ -36,12 +36,23 @@
         self.counts, self.log = counts, log
         self.wanted: int | None = None
         self.requested = trio.Event()
+        self.connection: MessageConnection | None = None  # set once the service has sent its Welcome
 
     def request(self, since: int) -> None:
         """Requests the changes after this version, on this connection or the next."""
         self.wanted = since
         self.requested.set()
 
+    def ask(self, number: int) -> None:
+        """Asks the service to confirm the list, if its connection is up."""
+        if self.connection is not None:
+            self.connection.send(m.ConfirmList(number=number))
+
+    def drop(self) -> None:
+        """Closes the connection, so that the service is dialled again."""
+        if self.connection is not None:
+            self.connection.cut()
+
     async def run(self) -> None:
         """Keeps a connection to the list service open, and sends the engine's requests on it."""
         if not self.config.list.asked:
@@ -63,6 +74,7 @@
                     nursery.cancel_scope.cancel()
             except (OSError, trio.TooSlowError) as error:
                 self.log.debug("list_unreachable", reason=str(error))
+            self.connection = None
             self.driver.deliver("list_failed")
             self.wanted = self.driver.engine.list_version if not self.config.list.asked else None
             self.driver.ticker.notify()
@@ -71,8 +83,14 @@
     async def _receive(self, connection: MessageConnection, nursery: trio.Nursery) -> None:
         try:
             connection.send(m.Hello(role="planner", name=self.config.name))
-            await connection.first(m.Welcome, self.limits.hello_ms / 1000)
+            welcome = await connection.first(m.Welcome, self.limits.hello_ms / 1000)
             connection.captured()
+            self.connection = connection
+            self.driver.deliver("list_greeted", welcome=welcome)
+            if welcome.confirms:
+                self.driver.ticker.notify()
+            else:
+                self.log.warning("list_confirms_nothing")
             nursery.start_soon(self._send_requests, connection)
             for message in connection.rest():
                 self._deliver(connection, message)
--- a/hazelhold/service/planner.py
+++ b/hazelhold/service/planner.py
@@ -19,7 +19,7 @@
 from hazelhold.capture.tap import Tap
 from hazelhold.config.planner import PlannerConfig
 from hazelhold.engine.engine import Engine
-from hazelhold.engine.records import Action, Dial, Disconnect, FetchList, HangUp, Send
+from hazelhold.engine.records import Action, AskList, Dial, Disconnect, FetchList, HangUp, Send
 from hazelhold.protocol import messages as m
 from hazelhold.protocol.record import Recorder
 from hazelhold.service.connection import MessageConnection
@@ -217,6 +217,11 @@
             self.links.hang_up(action.machine)
         elif isinstance(action, FetchList):
             self.list_link.request(action.since)
+        elif isinstance(action, AskList):
+            self.list_link.ask(action.number)
+        elif isinstance(action, Disconnect) and action.role == "list":
+            self.log.warning(action.code, reason=action.text)
+            self.list_link.drop()
         elif isinstance(action, Disconnect):
             self.counts["peers_lost"] += 1
             self.log.warning(
@@ -225,25 +230,32 @@
             self.links.hang_up(action.peer)
 
     def _send(self, action: Send) -> None:
-        """Queues a message; one that cannot be sent is counted and captured."""
+        """Queues a message; one that cannot be sent is counted and captured.
+
+        An offer may have waited for the disk: one whose machine must not be sent guests by now is held back.
+        """
+        if isinstance(action.message, m.Offer) and self.engine.machine_denied(self.net.now(), action.peer):
+            self.counts["offers_held_back"] += 1
+            self._note_unsent(action)
+            self.driver.hold_back(action.message)
+            return
         if action.role == "owner":
             connection = self.owners.get(action.peer)
         else:
             connection = self.links.connection(action.peer)
         if connection is None or not connection.send(action.message):
             self.counts["unsent"] += 1
-            if self.tap is not None:
-                self.tap.note(
-                    self.net.now(),
-                    "unsent",
-                    role=action.role,
-                    who=action.peer,
-                    message=msgspec.to_builtins(action.message),
-                )
+            self._note_unsent(action)
             if action.role == "owner" and self.recorder is not None:  # persisted for an owner that asks again
                 self.recorder.note(self.net.now(), action.peer, "kept", action.message)
         self._log_send(action)
 
+    def _note_unsent(self, action: Send) -> None:
+        """Notes in the capture that the engine's message was not sent."""
+        if self.tap is not None:
+            message = msgspec.to_builtins(action.message)
+            self.tap.note(self.net.now(), "unsent", role=action.role, who=action.peer, message=message)
+
     def _log_send(self, action: Send) -> None:
         message = action.message
         if isinstance(message, m.Offer | m.Withdraw | m.Stop):
--- a/hazelhold/standin/list_service.py
+++ b/hazelhold/standin/list_service.py
@@ -19,7 +19,7 @@
         self.net, self.service = net, service
         self.known: set[str] = set()  # machines that have registered; bounded by the number of machines
         self.server = StandInServer(
-            net, "list", "list", CODEC, recorder, lambda: m.Welcome(name="list"), self._received, service.left
+            net, "list", "list", CODEC, recorder, self.welcome, self._received, service.left
         )
         self.ticker = Ticker(net.now, lambda now: service.next_at(), self._work)
 
@@ -28,6 +28,10 @@
         nursery.start_soon(self.ticker.run)
         return await self.server.serve(address, nursery)
 
+    def welcome(self) -> m.Welcome:
+        """The greeting to planners."""
+        return m.Welcome(name="list", confirms=True)
+
     def set_down(self, down: bool) -> None:
         self.service.down = down
         self.server.open = not down
@@ -39,6 +43,8 @@
         now = self.net.now()
         if isinstance(message, m.Watch):
             self.service.watched(now, planner, message.since)
+        elif isinstance(message, m.ConfirmList):
+            self.service.confirm(now, planner, message.number)
         elif isinstance(message, m.RegisterMachines) and message.rooms:
             self.service.rooms({e.machine: (e.cores_room, e.memory_room) for e in message.entries})
         elif isinstance(message, m.RegisterMachines):
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -10,7 +10,7 @@
     PlannerConfig,
 )
 from hazelhold.engine.engine import Engine
-from hazelhold.engine.records import Dial, ProposeChange, Send
+from hazelhold.engine.records import AskList, Dial, ProposeChange, Send
 from hazelhold.interface import (
     Decision,
     DecisionKind,
@@ -100,7 +100,10 @@
 
 
 class EngineHarness:
-    """An engine driven by hand. Dialled machines connect at once unless they are in `dead`."""
+    """An engine driven by hand. Dialled machines connect at once unless they are in `dead`.
+
+    The list service sends the machines at 0 and then nothing; ConfirmedHarness has one that answers.
+    """
 
     def __init__(self, machines: str = "ab", **limits: object) -> None:
         self.engine = Engine(planner_config(**limits), 1, 0)
@@ -141,12 +144,17 @@
                     self.said.append((action.peer, action.message))
                 elif isinstance(action, ProposeChange):
                     self.asks.append(action)
+                elif isinstance(action, AskList):
+                    self.asked_list(now, action.number)
                 elif isinstance(action, Dial):
                     self.dialled.append(action.address)
                     if action.machine not in self.dead:
                         self.comes_up(now, action.machine)
         return [message for _, message in self.said[start:]]
 
+    def asked_list(self, now: int, number: int) -> None:
+        """The engine asks the list service for a confirmation, which it does not give."""
+
     def comes_up(self, now: int, name: str, complete: bool = True) -> None:
         self.engine.link_up(now, name, m.Welcome(name=name, incarnation=self.lives.get(name, 1)))
         self.engine.machine_said(now, name, m.Inventory(guests=self.stands.get(name, []), complete=complete))
@@ -202,6 +210,23 @@
         ]
 
 
+class ConfirmedHarness(EngineHarness):
+    """A harness whose list service answers each question of the engine at once."""
+
+    def __init__(self, machines: str = "ab", **limits: object) -> None:
+        self.greeted = False
+        super().__init__(machines, **limits)
+
+    def lists(self, now: int, entries: list[m.Entry], whole: bool = False) -> list[m.Message]:
+        if not self.greeted:
+            self.greeted = True
+            self.engine.list_greeted(now, m.Welcome(name="list", confirms=True))
+        return super().lists(now, entries, whole)
+
+    def asked_list(self, now: int, number: int) -> None:
+        self.engine.list_said(now, m.ListConfirmed(number=number))
+
+
 def stand(offer: m.Offer, state: str = "runs", how: str = "") -> m.InventoryItem:
     """A machine's inventory item for an offered guest."""
     return m.InventoryItem(
--- a/tests/pairs/test_versions.py
+++ b/tests/pairs/test_versions.py
@@ -9,6 +9,9 @@
 import trio
 
 from bench.earlier_module import scheduler_text
+from hazelhold.capture.read import read
+from hazelhold.capture.replay import replay
+from hazelhold.capture.skips import Skips
 from hazelhold.config.day import Trouble
 from hazelhold.protocol.record import read_record
 from hazelhold.rehearse.run import play
@@ -17,7 +20,7 @@
 from tests.test_day import bad_day
 
 
-def played(python: str, folder: Path, day: Path, seed: int, records: Path) -> list[tuple]:
+def played(python: str, folder: Path, day: Path, seed: int, records: Path, *more: str) -> list[tuple]:
     """All messages that planners, machines and owners sent and received on a day in virtual time."""
     done = subprocess.run(
         [
@@ -31,6 +34,7 @@
             str(seed),
             "--records",
             str(records),
+            *more,
         ],
         cwd=folder,
         capture_output=True,
@@ -46,12 +50,21 @@
     ]
 
 
+def with_earlier_list_service(folder: Path) -> None:
+    """Copies the present program, with a list service that confirms nothing, as before there was a lease."""
+    shutil.copytree(ROOT / "hazelhold", folder / "hazelhold")
+    stand_in = folder / "hazelhold" / "standin" / "list_service.py"
+    before, confirms, after = stand_in.read_text().partition(", confirms=True")
+    assert confirms and confirms not in after
+    stand_in.write_text(before + after)
+
+
 @pytest.mark.parametrize("seed", [1, 2])
 def test_with_membership_off_the_frames_are_those_of_the_program_before_it(tmp_path: Path, seed: int) -> None:
     """Decisions may have changed since: the present program plays with the earlier decision module."""
     day = ROOT / "examples" / "bad-day.json5"
     python, folder = program(BEFORE_MEMBERSHIP)
-    shutil.copytree(ROOT / "hazelhold", tmp_path / "hazelhold")
+    with_earlier_list_service(tmp_path)
     (tmp_path / "hazelhold" / "scheduler.py").write_text(scheduler_text(folder / "hazelhold"))
     before = played(python, folder, day, seed, tmp_path / "before")
     now = played(sys.executable, tmp_path, day, seed, tmp_path / "now")
@@ -66,12 +79,30 @@
     day = ROOT / "examples" / "bad-day.json5"
     python, folder = program(BEFORE_WORDING)
     before = played(python, folder, day, seed, tmp_path / "before")
-    now = played(sys.executable, ROOT, day, seed, tmp_path / "now")
+    with_earlier_list_service(tmp_path)
+    now = played(sys.executable, tmp_path, day, seed, tmp_path / "now")
     assert len(before) > 5000
     for one, other in zip(before, now, strict=True):
         assert one == other
 
 
+def test_a_capture_of_the_program_before_the_lease_replays_to_the_same_decisions(tmp_path: Path) -> None:
+    """Its planners asked the list service for no confirmation, on a day on which that is down for seconds."""
+    python, folder = program(BEFORE_WORDING)
+    captures = tmp_path / "captures"
+    played(
+        python,
+        folder,
+        ROOT / "examples" / "bad-day.json5",
+        1,
+        tmp_path / "before",
+        "--capture",
+        str(captures),
+    )
+    found = replay(read(sorted(captures.iterdir()), Skips()))
+    assert found["same"] and sum(planner["compared"] for planner in found["planners"]) > 1000
+
+
 @pytest.mark.parametrize("earlier", [BEFORE_MEMBERSHIP, BEFORE_WORDING])
 def test_a_fleet_of_both_programs_under_faults_keeps_the_rules(tmp_path: Path, earlier: Earlier) -> None:
     """Planners 1 and 3 run the earlier program; all share the machines, and two die and come back."""
--- a/tests/test_capacity_hollow.py
+++ b/tests/test_capacity_hollow.py
@@ -194,15 +194,43 @@
             theirs: PeerFlows = flows[name]
             mine = planner_counts(rig.record_of(name), kind)
             sent = {key: flow for key, flow in theirs.sent.items() if key != "welcome"}
-            if sent != mine["in"]:
-                found.append(f"{name} heard {mine['in']} of {kind}, which sent {sent}")
-            if theirs.received != mine["out"]:
-                found.append(f"{name} sent {mine['out']}, {kind} heard {theirs.received}")
+            heard, told, received = mine["in"], mine["out"], theirs.received
+            if kind == "list":
+                found += question_differences(name, rig, theirs, mine)
+                sent, heard, told, received = map(without_questions, (sent, heard, told, received))
+            if sent != heard:
+                found.append(f"{name} heard {heard} of {kind}, which sent {sent}")
+            if received != told:
+                found.append(f"{name} sent {told}, {kind} heard {received}")
             if theirs.sent["welcome"].messages != theirs.received["hello"].messages:
                 found.append(f"{kind} has not answered each hello of {name}")
     return found
 
 
+def without_questions(flows: dict[str, Flow]) -> dict[str, Flow]:
+    return {key: flow for key, flow in flows.items() if key not in ("confirm", "confirmed")}
+
+
+def question_differences(
+    name: str, rig: Rig, before: PeerFlows, mine: dict[str, dict[str, Flow]]
+) -> list[str]:
+    """The same for questions to the list service, of which one is under way at nearly any time: what the
+    planner counted lies between what the service had counted before and what it counts after."""
+    after = rig.lister.ask(Status()).flows[name]
+    found = []
+    for key, early, counted, late in (
+        ("confirm", before.received, mine["out"], after.received),
+        ("confirmed", before.sent, mine["in"], after.sent),
+    ):
+        counts = [flows.get(key, Flow()) for flows in (early, counted, late)]
+        messages = [flow.messages for flow in counts]
+        if messages != sorted(messages) or [f.bytes for f in counts] != sorted(f.bytes for f in counts):
+            found.append(f"{name} counted {counts[1]} of {key}, the list service {counts[0]} to {counts[2]}")
+        if not messages[0]:
+            found.append(f"{name} has no {key} yet")
+    return found
+
+
 def test_every_row_is_read_off_a_trial() -> None:
     """All phases of a small trial; each row of planners and of the list service has a value of it."""
     result = run(
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -11,7 +11,7 @@
 from hazelhold.protocol import messages as m
 from hazelhold.replica import claims as c
 from hazelhold.replica.gate import MAX_FACTS, ClaimGate
-from tests.helpers import MS, EngineHarness, of, stand
+from tests.helpers import MS, ConfirmedHarness, of, stand
 
 PLANNERS = st.sampled_from(["p0", "p1"])
 FACTS = st.builds(
@@ -114,7 +114,7 @@
 # Engines that share agreed values.
 
 
-class Member(EngineHarness):
+class Member(ConfirmedHarness):
     """An engine harness whose engine uses claims."""
 
     def __init__(self, name: str, gate: type = ClaimGate, machines: str = "ab") -> None:
--- a/tests/test_client_population.py
+++ b/tests/test_client_population.py
@@ -17,7 +17,7 @@
 from hazelhold.protocol import messages as m
 from hazelhold.service.connection import MessageConnection
 from hazelhold.service.net import MemoryNet
-from tests.helpers import MS, EngineHarness, planner_config
+from tests.helpers import MS, ConfirmedHarness, planner_config
 
 
 def settled_population(size: int, spread: bool, **demand: object) -> ClientPopulation:
@@ -81,7 +81,7 @@
 
 
 def test_a_pump_stops_after_its_decision_limit_and_is_due_again() -> None:
-    harness = EngineHarness("", decisions_at_once=3)
+    harness = ConfirmedHarness("", decisions_at_once=3)
     for number in range(10):
         harness.engine.owner_said(
             0,
--- a/tests/test_engine.py
+++ b/tests/test_engine.py
@@ -4,7 +4,7 @@
 
 from hazelhold.engine.records import HangUp
 from hazelhold.protocol import messages as m
-from tests.helpers import MS, EngineHarness, of, stand
+from tests.helpers import MS, ConfirmedHarness, EngineHarness, of, stand
 
 
 def break_link(harness: EngineHarness, now: int, machine: str, dead: bool = True) -> None:
@@ -25,7 +25,7 @@
 
 
 def test_a_guest_is_held_offered_and_placed_once() -> None:
-    harness = EngineHarness()
+    harness = ConfirmedHarness()
     offer, machine = harness.offer(0, "g")
     harness.says(9 * MS, machine, of(m.OfferAccepted, offer))
     assert len(harness.sent(m.Acknowledged)) == len(harness.sent(m.Offer)) == len(harness.sent(m.Placed)) == 1
@@ -34,7 +34,7 @@
 
 
 def test_an_answer_at_the_time_of_its_timeout_counts() -> None:
-    harness = EngineHarness()
+    harness = ConfirmedHarness()
     offer, machine = harness.offer(0, "g", "once")
     due = harness.engine.overdue[0][0]
     harness.says(due, machine, of(m.OfferAccepted, offer))
@@ -43,7 +43,7 @@
 
 @pytest.mark.parametrize(("product", "ends"), [("once", m.GuestFailed), ("plain", m.GuestRefused)])
 def test_a_guest_without_an_answer_is_answered_at_its_deadline(product: str, ends: type) -> None:
-    harness = EngineHarness("a")
+    harness = ConfirmedHarness("a")
     harness.offer(0, "g", product)
     for now in range(0, 5100 * MS, 100 * MS):
         harness.run(now)
@@ -51,7 +51,7 @@
 
 
 def test_an_at_most_once_guest_accepted_after_its_dispatch_was_abandoned_is_kept_and_known() -> None:
-    harness = EngineHarness("a")
+    harness = ConfirmedHarness("a")
     offer, machine = harness.offer(0, "g", "once")
     harness.run(harness.engine.overdue[0][0])
     assert harness.sent(m.GuestFailed)
@@ -62,7 +62,7 @@
 
 
 def test_an_idempotent_copy_accepted_after_its_dispatch_was_abandoned_is_stopped() -> None:
-    harness = EngineHarness("ab")
+    harness = ConfirmedHarness("ab")
     first, machine = harness.offer(0, "g")
     harness.engine.scheduler.answers[0].extend([10 * MS] * 20)  # makes the next timeout short
     harness.run(harness.engine.overdue[0][0])
@@ -76,7 +76,7 @@
 
 
 def test_a_late_copy_of_a_guest_that_is_held_again_becomes_its_placement() -> None:
-    harness = EngineHarness("a")
+    harness = ConfirmedHarness("a")
     offer, machine = harness.offer(0, "g", "ticket")
     record = harness.engine.records["g/0"]
     harness.engine._withdraw_dispatch(1000 * MS, record)
@@ -89,7 +89,7 @@
 
 
 def test_after_a_broken_link_the_machine_is_queried_and_a_lost_offer_sent_again() -> None:
-    harness = EngineHarness("a")
+    harness = ConfirmedHarness("a")
     harness.offer(0, "g", "once")
     break_link(harness, 10 * MS, "a")
     assert not harness.sent(m.GuestFailed)
@@ -99,7 +99,7 @@
 
 @pytest.mark.parametrize("why", ["new life", "incomplete"])
 def test_without_proof_that_it_never_ran_an_at_most_once_guest_fails(why: str) -> None:
-    harness = EngineHarness("a")
+    harness = ConfirmedHarness("a")
     harness.offer(0, "g", "once")
     break_link(harness, 10 * MS, "a")
     harness.lives["a"] = 2 if why == "new life" else 1
@@ -108,7 +108,7 @@
 
 
 def test_a_placed_guest_outlives_its_link() -> None:
-    harness = EngineHarness("a")
+    harness = ConfirmedHarness("a")
     offer, _ = harness.offer(0, "g")
     harness.says(5 * MS, "a", of(m.OfferAccepted, offer))
     break_link(harness, 10 * MS, "a")
@@ -120,7 +120,7 @@
 
 
 def test_a_machine_that_stays_away_loses_its_guests_and_returns_them() -> None:
-    harness = EngineHarness("a", reconnect_ms=1000.0)
+    harness = ConfirmedHarness("a", reconnect_ms=1000.0)
     offer, _ = harness.offer(0, "g", "once")
     harness.says(5 * MS, "a", of(m.OfferAccepted, offer))
     break_link(harness, 10 * MS, "a")
@@ -139,7 +139,7 @@
 
 
 def test_no_offer_is_sent_to_a_machine_that_began_to_drain_while_it_was_dialled() -> None:
-    harness = EngineHarness("")
+    harness = ConfirmedHarness("")
     harness.dead.update("a")
     harness.lists(0, [harness.entry("a")])
     harness.submits(0, "g")
@@ -150,7 +150,7 @@
 
 
 def test_a_new_address_is_dialled_and_queried_before_anything_is_lost() -> None:
-    harness = EngineHarness("a")
+    harness = ConfirmedHarness("a")
     offer, _ = harness.offer(0, "g")
     harness.says(5 * MS, "a", of(m.OfferAccepted, offer))
     harness.stands["a"] = [stand(offer)]
@@ -160,7 +160,7 @@
 
 
 def test_another_machine_that_answers_at_the_address_is_rejected() -> None:
-    harness = EngineHarness("")
+    harness = ConfirmedHarness("")
     harness.dead.add("a")
     harness.lists(0, [harness.entry("a")])
     harness.submits(0, "g")
@@ -172,7 +172,7 @@
 
 
 def test_a_repeat_joins_the_held_guest_and_each_submission_is_answered() -> None:
-    harness = EngineHarness("a")
+    harness = ConfirmedHarness("a")
     offer, _ = harness.offer(0, "g")
     harness.submits(10 * MS, "g", ask=1, reason="unanswered")
     harness.says(20 * MS, "a", of(m.OfferAccepted, offer))
@@ -182,7 +182,7 @@
 
 
 def test_an_answer_is_kept_for_a_disconnected_owner_and_then_forgotten() -> None:
-    harness = EngineHarness("a", keep_answers_ms=1000.0)
+    harness = ConfirmedHarness("a", keep_answers_ms=1000.0)
     harness.lists(0, [harness.entry("a", "cordoned")])
     harness.submits(0, "g", patience=100 * MS)
     harness.run(100 * MS)
@@ -197,21 +197,21 @@
     """Before, during and after the offer of an at-most-once guest: one start at most, one final state."""
 
     def test_held(self) -> None:
-        harness = EngineHarness("a")
+        harness = ConfirmedHarness("a")
         harness.lists(0, [harness.entry("a", "cordoned")])
         harness.submits(0, "g", "once")
         said = harness.owner(10 * MS, m.Cancel(guest="g"))
         assert [(type(s), s.reason) for s in said] == [(m.GuestRefused, "cancelled")]
 
     def test_outstanding_and_withdrawn(self) -> None:
-        harness = EngineHarness("a")
+        harness = ConfirmedHarness("a")
         offer, _ = harness.offer(0, "g", "once")
         assert [type(s) for s in harness.owner(10 * MS, m.Cancel(guest="g"))] == [m.Withdraw]
         said = harness.says(20 * MS, "a", of(m.Ended, offer, how="withdrawn"))
         assert [(type(s), s.reason) for s in said] == [(m.GuestRefused, "cancelled")]
 
     def test_outstanding_and_accepted_meanwhile(self) -> None:
-        harness = EngineHarness("a")
+        harness = ConfirmedHarness("a")
         offer, _ = harness.offer(0, "g", "once")
         harness.owner(10 * MS, m.Cancel(guest="g"))
         said = harness.says(20 * MS, "a", of(m.OfferAccepted, offer))
@@ -221,7 +221,7 @@
         assert len(harness.sent(m.Offer)) == 1
 
     def test_outstanding_and_never_answered(self) -> None:
-        harness = EngineHarness("a")
+        harness = ConfirmedHarness("a")
         harness.offer(0, "g", "once")
         harness.owner(10 * MS, m.Cancel(guest="g"))
         for now in range(10 * MS, 5100 * MS, 100 * MS):
@@ -231,7 +231,7 @@
         ) == 1
 
     def test_submitted_again_while_its_cancel_is_under_way(self) -> None:
-        harness = EngineHarness("ab")
+        harness = ConfirmedHarness("ab")
         harness.offer(0, "g", "once")
         harness.owner(10 * MS, m.Cancel(guest="g"))
         said = harness.submits(20 * MS, "g", "once", ask=1)
@@ -240,11 +240,11 @@
         )
 
     def test_of_an_unknown_guest(self) -> None:
-        assert [s.state for s in EngineHarness().owner(0, m.Cancel(guest="who"))] == ["unknown"]
+        assert [s.state for s in ConfirmedHarness().owner(0, m.Cancel(guest="who"))] == ["unknown"]
 
 
 def test_a_new_planner_finds_running_guests_and_reports_none_as_unknown_before() -> None:
-    harness = EngineHarness("")
+    harness = ConfirmedHarness("")
     harness.dead.update("ab")
     harness.engine.list_heard = False
     assert harness.owner(0, m.Query(guest="g"))[-1].state == "unsettled"
@@ -263,7 +263,7 @@
 
 
 def test_stopping_answers_held_and_outstanding_guests() -> None:
-    harness = EngineHarness("a")
+    harness = ConfirmedHarness("a")
     offer, _ = harness.offer(0, "g", "once")
     other, _ = harness.offer(0, "h")
     harness.says(1 * MS, "a", of(m.OfferAccepted, other))
@@ -286,7 +286,7 @@
     ],
 )
 def test_invalid_submissions_are_rejected_and_counted(change: dict, code: str) -> None:
-    harness = EngineHarness()
+    harness = ConfirmedHarness()
     plain = {"guest": "g", "product": "plain", "service": "s", "cores": 1.0, "memory": 1.0, "patience": 1000}
     said = harness.owner(0, m.Submit(**(plain | change)))
     assert (
@@ -297,7 +297,7 @@
 
 
 def test_an_incarnation_keeps_one_start_time_whatever_age_the_list_shows() -> None:
-    harness = EngineHarness("")
+    harness = ConfirmedHarness("")
     for now, age in ((10**9, 5 * 10**6), (2 * 10**9, 0), (3 * 10**9, 3600 * 10**6)):
         harness.lists(now, [harness.entry("a", up_for=age)])
         assert harness.engine.scheduler.machines["a"].listed.started == 10**9 - 5 * 10**6
@@ -307,7 +307,7 @@
 
 
 def test_stray_and_invalid_messages_of_machines_change_nothing() -> None:
-    harness = EngineHarness("a")
+    harness = ConfirmedHarness("a")
     offer, _ = harness.offer(0, "g")
     for message in (
         m.OfferAccepted(guest="x"),
@@ -322,7 +322,7 @@
 
 
 def test_found_guests_count_before_offers_that_waited_for_the_same_link() -> None:
-    harness = EngineHarness("")
+    harness = ConfirmedHarness("")
     harness.dead.add("a")
     harness.lists(0, [harness.entry("a")])
     harness.submits(0, "g")
@@ -339,7 +339,7 @@
 
 
 def test_a_guest_that_ended_while_no_planner_was_connected_is_not_unknown() -> None:
-    harness = EngineHarness("")
+    harness = ConfirmedHarness("")
     harness.dead.add("a")
     harness.lists(0, [harness.entry("a")])
     harness.stands["a"] = [
@@ -350,7 +350,7 @@
 
 
 def test_a_second_copy_of_a_deduplicated_guest_is_withdrawn() -> None:
-    harness = EngineHarness("ab")
+    harness = ConfirmedHarness("ab")
     offer, machine = harness.offer(0, "g", "ticket")
     harness.says(MS, machine, of(m.OfferAccepted, offer))
     other = {"a": "b", "b": "a"}[machine]
@@ -362,7 +362,7 @@
 
 
 def test_a_listed_new_incarnation_leaves_an_offer_to_its_answer_or_the_end_of_its_link() -> None:
-    harness = EngineHarness("ab")
+    harness = ConfirmedHarness("ab")
     offer, machine = harness.offer(0, "g", "once")
     harness.lives[machine] = 2
     harness.lists(10 * MS, [harness.entry(machine, up_for=5 * MS)])
--- a/tests/test_fleetconfig_settings.py
+++ b/tests/test_fleetconfig_settings.py
@@ -8,7 +8,7 @@
 from hazelhold.fleetconfig.settings import RunningSettings, SettingsError, starting_config
 from hazelhold.protocol import messages as m
 from tests.helpers import MS, planner_config
-from tests.helpers import EngineHarness as Desk
+from tests.helpers import ConfirmedHarness as Desk
 
 PLAIN = {"name": "plain", "effect": "rerunnable", "goal_ms": 800, "patience_ms": 5000}
 FLEET = {"cores_multiple": 2.5, "probing": False}
--- a/tests/test_state.py
+++ b/tests/test_state.py
@@ -10,7 +10,7 @@
 from hazelhold.state import frames, store
 from hazelhold.state.disk import RealDisk
 from hazelhold.state.images import Change, EndImage, put
-from tests.helpers import EngineHarness
+from tests.helpers import ConfirmedHarness
 from tests.state_rig import S, disk, end, open_store
 
 # Files.
@@ -115,7 +115,7 @@
     opened = store.Store(RealDisk(tmp_path), "p0")
     opened.open(0, "p0 1")
     opened.begin(0)
-    harness = EngineHarness("")
+    harness = ConfirmedHarness("")
     harness.engine.keep(0, 0, opened.state_table, True)
     harness.submits(0, "g", "once")
     opened.commit([*harness.engine.flush(0), end(1)])
--- a/tests/test_state_recovery.py
+++ b/tests/test_state_recovery.py
@@ -6,7 +6,7 @@
 from hazelhold.protocol import messages as m
 from hazelhold.state.images import LooseImage, drop, put
 from hazelhold.state.state_table import StateTable
-from tests.helpers import MS, EngineHarness, of, scheduler, stand, submission
+from tests.helpers import MS, ConfirmedHarness, of, scheduler, stand, submission
 from tests.state_rig import S
 
 
@@ -16,18 +16,18 @@
     def __init__(self) -> None:
         self.state_table = StateTable()
 
-    def harness(self, now: int, dead: str = "", complete: bool = True, **limits: object) -> EngineHarness:
-        harness = EngineHarness("", **limits)
+    def harness(self, now: int, dead: str = "", complete: bool = True, **limits: object) -> ConfirmedHarness:
+        harness = ConfirmedHarness("", **limits)
         harness.dead = set(dead)
         harness.engine.keep(now, 0, self.state_table, complete)
         harness.run(now)
         return harness
 
-    def crash(self, harness: EngineHarness, now: int) -> None:
+    def crash(self, harness: ConfirmedHarness, now: int) -> None:
         self.state_table.apply(harness.engine.flush(now))
 
 
-def started(**limits: object) -> tuple[PlannerRuns, EngineHarness]:
+def started(**limits: object) -> tuple[PlannerRuns, ConfirmedHarness]:
     runs = PlannerRuns()
     harness = runs.harness(0, **limits)
     harness.lists(0, [harness.entry(name) for name in "ab"], whole=True)
@@ -54,7 +54,7 @@
     runs, harness = started()
     offer, machine = harness.offer(S, "g", "once")
     runs.crash(harness, S)
-    again = EngineHarness("")
+    again = ConfirmedHarness("")
     again.dead = {"a", "b"}
     again.engine.keep(1500 * MS, 0, runs.state_table, True)
     again.run(1500 * MS)
@@ -81,7 +81,7 @@
     second, two = harness.offer(S, "g2", "once")
     harness.says(S, two, of(m.OfferAccepted, second))
     runs.crash(harness, S)
-    again = EngineHarness("")
+    again = ConfirmedHarness("")
     again.stands = {one: [stand(first, "runs")]}
     again.stands.setdefault(two, []).append(stand(second, "ended", "done"))
     again.engine.keep(2 * S, 0, runs.state_table, True)
@@ -122,7 +122,7 @@
     runs.state_table.apply(
         [drop("guest", "g/0"), put("loose", f"g\0{machine}", LooseImage(image, machine, 0, S, False))]
     )
-    again = EngineHarness("")
+    again = ConfirmedHarness("")
     again.stands = {machine: [stand(offer, "runs")]}
     again.engine.keep(2 * S, 0, runs.state_table, True)
     again.run(2 * S)
