Soak and process rigs: planners end with the process that started them

The soak and the rigs ended their children in a `finally`, which only an exception or SIGINT reaches.

The kernel is now told in the child, between fork and exec, to kill it once its parent is gone (PR_SET_PDEATHSIG); a parent that is gone already by then is found by its number. The kernel takes the thread that forked for the parent, so the main thread starts such children: trio's open_process forks in a worker thread, which ends when it has been idle, and BoundProcess takes its place in the rigs. The soak also kills all planners before it waits for any. `--folder` says where a soak keeps the folders of its runs.

--- a/tests/faults/planners.py
+++ b/tests/faults/planners.py
@@ -9,7 +9,6 @@
 import subprocess
 import sys
 import time
-from functools import partial
 from pathlib import Path
 from zlib import crc32
 
@@ -17,6 +16,7 @@
 
 from hazelhold.platform.codec import TEST, TESTED, BinaryMessage, BinaryReader, encode_binary
 from hazelhold.rehearse.ports import free_ports
+from tests.bound_process import end_with_parent
 from tests.faults.discovery import Discovery
 from tests.faults.record import Life, Record
 from tests.faults.servers import Server
@@ -30,6 +30,10 @@
 LONGEST_COUNTED = 3.0
 
 
+def limit_descriptors() -> None:
+    resource.setrlimit(resource.RLIMIT_NOFILE, (DESCRIPTORS, DESCRIPTORS))
+
+
 class PlannerProcess:
     """One planner through all of its lives."""
 
@@ -90,7 +94,7 @@
                 stdin=subprocess.DEVNULL,
                 stdout=log,
                 stderr=log,
-                preexec_fn=partial(resource.setrlimit, resource.RLIMIT_NOFILE, (DESCRIPTORS, DESCRIPTORS)),
+                preexec_fn=end_with_parent(limit_descriptors),
             )
         self.life = Life(self.name, time.monotonic())
         self.record.lives.append(self.life)
@@ -119,7 +123,7 @@
         return False
 
     def signal(self, number: signal.Signals) -> None:
-        if self.process.poll() is None:
+        if self.process is not None and self.process.poll() is None:
             self.process.send_signal(number)
 
     async def stop(self) -> None:
--- a/tests/faults/run.py
+++ b/tests/faults/run.py
@@ -78,11 +78,17 @@
                 self.record.ended = time.monotonic()
                 nursery.cancel_scope.cancel()
         finally:
-            for each in self.planners:
-                each.close()
+            self.end_planners()
             for each in self.idle:
                 each.close()
 
+    def end_planners(self) -> None:
+        """Kills all before it waits for any, so that an interrupted wait leaves none running."""
+        for each in self.planners:
+            each.signal(signal.SIGKILL)
+        for each in self.planners:
+            each.close()
+
     def _now(self) -> float:
         return time.monotonic() - self.record.began
 
--- a/tests/faults/soak.py
+++ b/tests/faults/soak.py
@@ -105,10 +105,11 @@
     parser.add_argument("--servers", type=int, default=16)
     parser.add_argument("--seconds", type=float, default=25.0)
     parser.add_argument("--keep", action="store_true", help="keep every folder")
+    parser.add_argument("--folder", type=Path, help="the folders of the runs are made here")
     options = parser.parse_args()
     broken = 0
     for seed in options.seeds:
-        folder = Path(tempfile.mkdtemp(prefix=f"hazelhold-soak-{seed}-"))
+        folder = Path(tempfile.mkdtemp(prefix=f"hazelhold-soak-{seed}-", dir=options.folder))
         result = play(seed, options.planners, options.servers, options.seconds, folder)
         print(result.line, flush=True)
         for each in result.violations[:20]:
--- a/tests/processes/fleetconfig_rig.py
+++ b/tests/processes/fleetconfig_rig.py
@@ -5,7 +5,6 @@
 import json
 import shutil
 import signal
-import subprocess
 import sys
 from collections.abc import AsyncIterator, Callable, Mapping
 from contextlib import asynccontextmanager
@@ -37,6 +36,7 @@
 from hazelhold.service.net import TcpNet
 from hazelhold.state.disk import RealDisk
 from hazelhold.state.store import read
+from tests.bound_process import BoundProcess
 from tests.helpers import planner_config
 
 LONG = 60.0  # seconds: no test waits so long unless something is wrong
@@ -119,7 +119,7 @@
         ports = free_ports(len(names) + controls)
         self.ports = dict(zip(names, ports[controls:], strict=True))
         self.votes = dict(zip(self.controls, ports[:controls], strict=True))
-        self.running: dict[str, trio.Process] = {}
+        self.running: dict[str, BoundProcess] = {}
         self.logs: dict[str, list[Path]] = {name: [] for name in names}
         self.committed: dict[str, int] = {}  # by a change's id: the number that its writer was told
         self.writers: dict[str, str] = {}  # by control machine: where a writer reaches it, through a wire
@@ -220,9 +220,8 @@
         self.logs[name].append(log)
         python, home = self.programs.get(name, (sys.executable, None))
         with log.open("wb") as out:
-            process = await trio.lowlevel.open_process(
+            process = BoundProcess(
                 [python, "-m", "hazelhold", *what, "--log", "json", "--ready"],
-                stdout=subprocess.PIPE,
                 stderr=out,
                 cwd=home,
             )
--- a/tests/processes/rig.py
+++ b/tests/processes/rig.py
@@ -4,7 +4,6 @@
 import json
 import signal
 import socket
-import subprocess
 import sys
 from collections.abc import AsyncIterator, Callable, Iterable
 from contextlib import asynccontextmanager
@@ -20,6 +19,7 @@
 from hazelhold.rehearse.fault_proxy import FaultProxies
 from hazelhold.rehearse.ports import free_ports
 from hazelhold.service.net import TcpNet
+from tests.bound_process import BoundProcess
 from tests.helpers import planner_config
 
 LONG = 90.0  # seconds: no test waits so long unless something is wrong
@@ -39,7 +39,7 @@
         self.ports = dict(zip(self.names, free_ports(count, socket.SOCK_DGRAM), strict=True))
         self.doors = dict(zip(self.names, free_ports(count), strict=True))
         self.configs: dict[str, PlannerConfig] = {}
-        self.running: dict[str, trio.Process] = {}
+        self.running: dict[str, BoundProcess] = {}
         self.logs: list[Path] = []
 
     def at(self, name: str) -> str:
@@ -89,7 +89,7 @@
         log_file = self.folder / f"{key}-{len(self.logs)}.log"
         self.logs.append(log_file)
         with log_file.open("wb") as log:
-            process = await trio.lowlevel.open_process(
+            process = BoundProcess(
                 [
                     sys.executable,
                     "-m",
@@ -101,7 +101,6 @@
                     "json",
                     "--ready",
                 ],
-                stdout=subprocess.PIPE,
                 stderr=log,
             )
         self.running[key] = process
