Planners that single tests start end with the test process, too

Where the main thread starts them, end_with_parent is set as preexec_fn. tests/test_state_failures.py starts a planner from a worker thread and is as before.

--- a/tests/test_descriptors.py
+++ b/tests/test_descriptors.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from hazelhold.service.descriptors import raise_descriptor_limit
+from tests.bound_process import end_with_parent
 from tests.helpers import planner_config
 
 MACHINES, OWNERS = 7_300, 220
@@ -88,7 +89,7 @@
     ]
     with subprocess.Popen(
         command,
-        preexec_fn=lambda: limited(256),
+        preexec_fn=end_with_parent(lambda: limited(256)),
         stdout=subprocess.PIPE,
         stderr=subprocess.PIPE,
         text=True,
--- a/tests/test_platform_process.py
+++ b/tests/test_platform_process.py
@@ -16,6 +16,7 @@
 import pytest
 
 from hazelhold.platform.codec import ANSWER, END, TEST, TESTED, BinaryMessage, BinaryReader, encode_binary
+from tests.bound_process import end_with_parent
 from tests.platform_rig import DEPLOYMENT, event, host, set_up
 
 
@@ -132,7 +133,7 @@
             env=os.environ | {"BALANCER_CONFIG": str(path)},
             stderr=subprocess.PIPE,
             text=True,
-            preexec_fn=bounded,
+            preexec_fn=end_with_parent(bounded),
         )
         stack.callback(process.wait)
         stack.callback(process.kill)
@@ -244,6 +245,7 @@
         env=os.environ | {"BALANCER_CONFIG": str(path)},
         stderr=subprocess.PIPE,
         text=True,
+        preexec_fn=end_with_parent(),
     )
     log = ""
     try:
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -13,6 +13,7 @@
 from hazelhold.protocol.frames import FrameReader, frame
 from hazelhold.service.net import MemoryNet, Net, TcpNet
 from hazelhold.service.planner import Planner
+from tests.bound_process import end_with_parent
 from tests.helpers import planner_config
 
 TO_OWNER = m.Codec(m.TO_OWNER)
@@ -349,6 +350,7 @@
         ],
         stdout=subprocess.PIPE,
         stderr=subprocess.PIPE,
+        preexec_fn=end_with_parent(),
     )
     host, port = process.stdout.readline().decode().strip().split(":")
 
--- a/tests/test_signals.py
+++ b/tests/test_signals.py
@@ -15,6 +15,7 @@
 import pytest
 import trio
 
+from tests.bound_process import end_with_parent
 from tests.helpers import planner_config
 from tests.processes.fleetconfig_rig import process_fleet
 
@@ -44,7 +45,9 @@
     file = tmp_path / "planner.json5"
     file.write_bytes(msgspec.json.encode(config))
     command = [sys.executable, "-m", "hazelhold", "planner", "--config", str(file), "--ready"]
-    with subprocess.Popen(command, stdout=subprocess.PIPE, stderr=subprocess.DEVNULL) as process:
+    with subprocess.Popen(
+        command, stdout=subprocess.PIPE, stderr=subprocess.DEVNULL, preexec_fn=end_with_parent()
+    ) as process:
         assert process.stdout.readline()
         time.sleep(time_to_start)
         assert signal_until_it_ends(process) == 0
