Soak: clock steps around restarts, silent servers and stopped planners as drawn kinds

Three kinds that the faults found since taught, each in half of the seeds: - every planner's clock stepped by 0.3 to 5 s to either side, and servers that restart under their name from then on and are listed up to 2 s later; - servers that say nothing for 1 to 3.5 s around a planner's restart and then go on: they read on, and say then what they had to say. The present `hung` answers nothing of that time, ever; - planners stopped by SIGSTOP for 0.5 to 3 s.

The judge: a process that is stopped can do nothing, so what it has to do (answer, release) and what falls due within such a stop is due, with the slack as ever, when it runs on. What a planner may not do (drains, deadlines passed on, attempts after a close or an answer, second attempts) is measured as before, and stops of up to 0.45 s, the kind that was there, count as before. A test holds that a stop excuses no other rule.

--- a/tests/faults/record.py
+++ b/tests/faults/record.py
@@ -74,6 +74,14 @@
     drain_told: dict[str, float] = field(default_factory=dict)  # by planner; set once
 
 
+@dataclass
+class StoppedSpan:
+    """A span in which a planner's process did not run."""
+
+    began_at: float
+    ended_at: float = float("inf")
+
+
 @dataclass
 class Life:
     """One process of a planner."""
@@ -88,6 +96,7 @@
     ended_at: float | None = None
     exit_code: int | None = None
     expected_end: bool = False
+    stops: list[StoppedSpan] = field(default_factory=list)  # long ones
 
 
 @dataclass
--- a/tests/faults/schedule.py
+++ b/tests/faults/schedule.py
@@ -8,6 +8,12 @@
 from tests.faults.shim_plan import CallFault, ClockStep, ShimPlan
 
 QUIET_START, QUIET_END = 2.0, 5.0  # seconds without new faults
+STEP_SECONDS = (0.3, 5.0)  # of a planner's clock, to either side
+LISTED_SECONDS = (0.05, 2.0)  # after the restart of a server
+SILENCE_SECONDS = (1.0, 3.5)
+SILENT_FROM = (-0.5, 2.5)  # seconds after the begin of a planner's restart, which takes up to some seconds
+SHARE_SILENT = 0.3  # of the servers, at each planner's restart
+STOP_SECONDS = (0.5, 3.0)
 
 
 @dataclass(frozen=True)
@@ -63,6 +69,24 @@
     seconds: float
 
 
+@dataclass(frozen=True)
+class Stop:
+    """A planner's process is stopped for so long that requests fall due meanwhile."""
+
+    start: float
+    planner: int
+    seconds: float
+
+
+@dataclass(frozen=True)
+class Silence:
+    """A server says nothing around the restart of a planner, and then goes on."""
+
+    start: float
+    server: int
+    seconds: float
+
+
 @dataclass(frozen=True)
 class Reload:
     """SIGHUPs in a row, each with a new address of discovery."""
@@ -135,6 +159,10 @@
     pauses: list[Pause] = field(default_factory=list)
     servers_tell_use: bool = True
     shims: list[ShimPlan] = field(default_factory=list)  # by planner; times from the begin
+    more_clock_steps: list[ClockStep] = field(default_factory=list)  # by planner, or none
+    late_server_restarts: list[ServerRestart] = field(default_factory=list)  # among those steps
+    silences: list[Silence] = field(default_factory=list)
+    stops: list[Stop] = field(default_factory=list)
 
 
 SERVER_FAULTS = (
@@ -223,6 +251,7 @@
         )
     made.shims = [shim(random, planner, seed, last) for planner in range(planners)]
     _draw_later_kinds(made, Random(f"faults/{seed}/later"), last)
+    _draw_steps_silences_and_stops(made, Random(f"faults/{seed}/steps, silences, stops"), last)
     return made
 
 
@@ -241,6 +270,41 @@
     made.restarts = [replace(each, more_signals=_signals(random)) for each in made.restarts]
 
 
+def _draw_steps_silences_and_stops(made: Schedule, random: Random, last: float) -> None:
+    """Each kind in half of the seeds; drawn apart, as the kinds above."""
+    steps, silences, stops = (random.random() < 0.5 for _ in range(3))
+    if steps:
+        _draw_clock_steps(made, random, last)
+    if silences:
+        _draw_silences(made, random)
+    if stops:
+        for _ in range(random.randint(1, max(1, made.planners // 2))):
+            start = random.uniform(QUIET_START, last)
+            made.stops.append(Stop(start, random.randrange(made.planners), random.uniform(*STOP_SECONDS)))
+
+
+def _draw_clock_steps(made: Schedule, random: Random, last: float) -> None:
+    """The clock of each planner is stepped, and servers restart from then on."""
+    first = random.uniform(QUIET_START, max(QUIET_START, last / 2))
+    for _ in range(made.planners):
+        seconds = random.uniform(*STEP_SECONDS) * random.choice([-1.0, 1.0])
+        made.more_clock_steps.append(ClockStep(first, seconds))
+    restarted = {each.server for each in made.server_restarts}
+    others = [server for server in range(made.servers) if server not in restarted]
+    for server in random.sample(others, k=len(others) // 2):
+        start = random.uniform(first, max(first, last))
+        made.late_server_restarts.append(ServerRestart(start, server, random.uniform(*LISTED_SECONDS)))
+
+
+def _draw_silences(made: Schedule, random: Random) -> None:
+    """Around each planner's restart some servers say nothing."""
+    for restart in made.restarts:
+        for server in range(made.servers):
+            if random.random() < SHARE_SILENT:
+                start = restart.start + random.uniform(*SILENT_FROM)
+                made.silences.append(Silence(start, server, random.uniform(*SILENCE_SECONDS)))
+
+
 def _signals(random: Random) -> tuple[tuple[float, str], ...]:
     """Signals in a series with the one that stops a planner."""
     if random.random() < 0.5:
--- a/tests/test_faults_judge.py
+++ b/tests/test_faults_judge.py
@@ -5,7 +5,16 @@
 import pytest
 
 from tests.faults.judge import Judge
-from tests.faults.record import Attempt, Closed, Life, Record, Reply, Request, ServerLife
+from tests.faults.record import (
+    Attempt,
+    Closed,
+    Life,
+    Record,
+    Reply,
+    Request,
+    ServerLife,
+    StoppedSpan,
+)
 from tests.faults.schedule import draw
 
 HOUR = 10_000.0
@@ -173,6 +182,46 @@
     assert broken(record) == []
 
 
+def stopped(began_at: float, ended_at: float) -> Record:
+    """The sound run, with a stop of its planner's process."""
+    record = sound()
+    record.lives[0].stops = [StoppedSpan(began_at, ended_at)]
+    return record
+
+
+def test_what_falls_due_while_the_planner_is_stopped_is_due_when_it_runs_on() -> None:
+    for late, rules in ((14.45, []), (14.55, ["lost"])):  # the request's time is up at 12.0
+        record = stopped(11.5, 14.0)
+        record.attempts, record.requests["t"].replies = [], [Reply(late, "end", 34)]
+        assert broken(record) == rules
+    for late, rules in ((15.0, []), (15.1, ["lost"])):  # its end was told at 11.0
+        record = stopped(10.9, 14.0)
+        record.requests["t"].replies[1] = Reply(late, "end", 16)
+        assert broken(record) == rules
+
+
+@pytest.mark.parametrize(
+    "spoil",
+    [
+        never_answered,
+        closed_unanswered,
+        answered_late,
+        never_released,
+        released_while_it_stood,
+        after_its_client_left,
+        after_its_answer,
+        run_twice,
+        to_a_draining_server,
+        deadline_too_long,
+    ],
+)
+@pytest.mark.parametrize("stop", [(9.0, 9.9), (10.45, 10.95), (10.3, 11.9), (13.0, 16.0)])
+def test_a_stop_excuses_nothing_else(spoil: Callable[[Record], None], stop: tuple[float, float]) -> None:
+    record = stopped(*stop)
+    spoil(record)
+    assert broken(record) != []
+
+
 def test_a_seed_draws_the_same_faults_and_others_draw_others() -> None:
     assert draw(5, 8, 8, 20.0) == draw(5, 8, 8, 20.0) != draw(6, 8, 8, 20.0)
     kinds = [len(draw(seed, 24, 16, 25.0).outages) for seed in range(20)]
