A listed restart is dated by evidence on the open connection, not by clocks alone

The mirror of it, found by forcing the order: tasks of the dead process were never released where the news of the restart came before its reset was read, with any step of the clock, and with an exact one where the server had closed an idle connection seconds before. Cause: at the news the planner compares the start by the list's wall clock with when its tasks were sent. Without a reset of a connection that was all; what the open connection could tell was not used. What was sent or spoken of on the open connection waits; the machine is probed at the news. An answer to that probe comes from the new process, so all that was sent on the connection stands. A reset instead, or silence for 4 s, shows the dead process, and all is released. Tasks of an earlier connection that only the clock dates are decided by the machine's report, where it reports use. Nothing older than the list can be late (8 s before its last confirmation) needs a clock. Why it holds: a process that is dead at the news answers nothing that is sent after it, whatever clocks say. 4 s after news that is up to 3 s late is within 8 s.

--- a/hazelhold/engine/engine.py
+++ b/hazelhold/engine/engine.py
@@ -166,6 +166,7 @@
         idle = to_microseconds(self.limits.idle_close_ms)
         # `idle` is four fifths of the far side's limit, so this is a tenth of that.
         self.idle_check_at = now + min(500_000, idle // 8)
+        self._decide_undated_restarts(now)
         if not self.peers.reports_inventory:
             for link in list(self.links.values()):
                 self._check_silence(now, link)
--- a/hazelhold/engine/links.py
+++ b/hazelhold/engine/links.py
@@ -129,6 +129,7 @@
         """
         if link := self.links.get(machine):
             self._link_lost(now, link, by_machine=True)
+            self._connection_ended_undated(now, link, reset)
             if reset:
                 link.was_reset(now)
                 self._verify_all_on(now, link)
@@ -149,6 +150,7 @@
             return
         if isinstance(message, m.Report):
             self.scheduler.machine_reported(now, machine, load(message.load))
+            self._restart_probe_answered(now, link, message.number)
             if machine in self.probes and self.probes[machine].number == message.number:
                 self._probe_answered(now, link, message.well)
                 self._probe_over(now, machine, message.well)
--- a/hazelhold/engine/list_updates.py
+++ b/hazelhold/engine/list_updates.py
@@ -2,17 +2,16 @@
 
 from collections.abc import Callable
 
-from hazelhold.engine.address_reuse import AddressReuse
 from hazelhold.engine.events import ListEvent
 from hazelhold.engine.list_lease import Lapse
-from hazelhold.engine.machine_incarnations import previous_incarnation_ended
-from hazelhold.engine.machines import Link, RosterChanges
-from hazelhold.engine.records import AskList, Disconnect, FetchList, HangUp, VerificationCause
+from hazelhold.engine.machines import RosterChanges
+from hazelhold.engine.records import AskList, Disconnect, FetchList, HangUp
+from hazelhold.engine.restarts import MachineRestarts
 from hazelhold.interface import DispatchOutcome
 from hazelhold.protocol import messages as m
 
 
-class ListUpdates(AddressReuse):
+class ListUpdates(MachineRestarts):
     """The part of an engine that deals with the list service."""
 
     _resolve_handovers: Callable[..., None]  # defined by Owners
@@ -96,27 +95,6 @@
         for name in changes.added:  # each is queried once for its guests of this planner
             self._dial(now, self.roster.machines[name])
 
-    def _machine_restarted(self, now: int, link: Link, started: int) -> None:
-        """The list shows a new incarnation of a machine: guests sent to the previous one are over.
-
-        Where the clocks may differ, a guest sent before a connection ended has to be reported on a later one.
-        """
-        ended_at, reset_at = previous_incarnation_ended(now, link, started)
-        for name in list(link.guests):
-            record = self.records[name]
-            if record.handed_over_at and not record.confirmed_at:
-                self._verify_handed_over(record)
-            if (
-                not record.sent
-                or record.sent_at >= max(ended_at, reset_at)
-                or record.confirmed_at > reset_at > 0
-            ):
-                continue
-            if record.sent_at < ended_at:
-                self._guest_gone(now, record, "lost")
-            else:
-                self._verify_after_reset(reset_at, record, VerificationCause.RESTARTED)
-
     def _log_changes(self, now: int, changes: RosterChanges) -> None:
         for name in changes.added:
             self._machine_event("listed", name)
--- a/hazelhold/engine/machine_incarnations.py
+++ b/hazelhold/engine/machine_incarnations.py
@@ -3,12 +3,13 @@
 Guests sent to the previous incarnation are over, those sent to the new one are placed. The list dates the
 start of the new incarnation by its own wall clock, and this machine's clock may have been stepped against it.
 A process that dies has its connections reset, so each connection ends at the death or was opened after it:
-that needs no clock but this planner's own.
+that needs no clock but this planner's own. A connection that is open when the list shows the restart may be
+to either incarnation until it carries evidence: see `engine.restarts`.
 """
 
 from typing import NamedTuple
 
-from hazelhold.engine.machines import Link
+from hazelhold.engine.machines import ConnectionEvidence, Link, PastConnection
 
 MAX_LIST_DELAY = 8_000_000
 """Microseconds: how late the list may show a new incarnation."""
@@ -31,14 +32,28 @@
 def previous_incarnation_ended(now: int, link: Link, started: int) -> PreviousIncarnation:
     """When the incarnation before the one that started at `started` ended.
 
-    `started` comes from the list's clock, converted to this planner's; a time that is not in the past shows
-    that the clocks differ.
+    `started` comes from the list's clock, converted to this planner's when the list showed the restart, at
+    `now`; a time that was not in the past shows that the clocks differ.
     """
+    evidence = link.restart.evidence if link.restart else ConnectionEvidence.NONE
+    if evidence is ConnectionEvidence.PREVIOUS_INCARNATION:
+        return PreviousIncarnation(link.restart.connection_ended_at, link.restart.connection_ended_at)
+    contradicted = _contradicts_clock(link, started, evidence)
     ends = [
         each for each in link.past_connections if each.by_machine and now - each.ended_at <= MAX_LIST_DELAY
     ]
-    if not ends:
-        return PreviousIncarnation(started if started < now else 0, 0)
+    if ends:
+        return _dated_by_ends(now, ends, started, contradicted)
+    is_new = evidence is ConnectionEvidence.NEW_INCARNATION or now - link.opened_at <= MAX_LIST_DELAY
+    if contradicted and is_new:
+        return PreviousIncarnation(link.opened_at, 0)
+    return PreviousIncarnation(started if started < now else 0, 0)
+
+
+def _dated_by_ends(
+    now: int, ends: list[PastConnection], started: int, contradicted: bool
+) -> PreviousIncarnation:
+    """What the ends of connections show, and the list's clock where no connection contradicts it."""
     last = ends[-1].ended_at
     if started >= now:
         return PreviousIncarnation(last, last)
@@ -46,5 +61,14 @@
     if abs(nearest - started) <= CLOCK_TOLERANCE:
         return PreviousIncarnation(nearest, last)
     outlived = any(each.opened_at <= started < each.ended_at for each in ends)
-    active_since = link.state == "up" and link.opened_at <= started < link.heard_at
-    return PreviousIncarnation(last if outlived or active_since else started, last)
+    return PreviousIncarnation(last if outlived or contradicted else started, last)
+
+
+def _contradicts_clock(link: Link, started: int, evidence: ConnectionEvidence) -> bool:
+    """Whether the open connection is older than `started` by the clock and of the new incarnation.
+
+    So is one on which the machine has sent something since `started`, as far as nothing else is known of it.
+    """
+    if link.state != "up" or link.opened_at > started:
+        return False
+    return evidence is ConnectionEvidence.NEW_INCARNATION or started < link.heard_at
--- a/hazelhold/engine/machines.py
+++ b/hazelhold/engine/machines.py
@@ -1,6 +1,7 @@
 """What the engine records of machines: the list as received, and the state of each connection."""
 
 from dataclasses import dataclass, field
+from enum import Enum
 from typing import NamedTuple
 
 from hazelhold.interface import ListedMachine, MachineMode
@@ -35,6 +36,33 @@
     by_machine: bool
 
 
+class ConnectionEvidence(Enum):
+    """Which incarnation of a restarted machine a connection reaches, by what the connection carried."""
+
+    NONE = "no evidence"
+    NEW_INCARNATION = "it answered a probe that was sent after the list showed the restart"
+    PREVIOUS_INCARNATION = "it was reset, or did not answer that probe in time"
+
+
+@dataclass
+class ListedRestart:
+    """A restart that the list has shown, while the connection that was open then awaits evidence.
+
+    Times in microseconds. `started`: the new incarnation's start by the list's clock; `listed_at`: when the
+    list showed it; `earliest_end`: the previous incarnation had not ended before, or the list would have
+    shown it earlier, 0 if that is not known; `opened_at`: when the connection was opened.
+    """
+
+    started: int
+    listed_at: int
+    earliest_end: int
+    opened_at: int
+    probe_number: int
+    decided_at: int
+    evidence: ConnectionEvidence = ConnectionEvidence.NONE
+    connection_ended_at: int = 0  # 0: it is open
+
+
 @dataclass
 class Link:
     """The connection to one machine. Times in microseconds; 0 means never."""
@@ -71,6 +99,7 @@
     pending_messages: list[tuple[int, Message]] = field(default_factory=list)
     recent_messages: list[tuple[int, Message]] = field(default_factory=list)
     past_connections: list[PastConnection] = field(default_factory=list)  # the last few
+    restart: ListedRestart | None = None  # while it is open which incarnation the connection reaches
 
     def close(self, now: int, by_machine: bool = False) -> None:
         """Records that the connection, or its dial, has ended."""
@@ -79,6 +108,8 @@
                 *self.past_connections[1 - MAX_PAST_CONNECTIONS :],
                 PastConnection(self.opened_at, now, by_machine),
             ]
+            if self.restart is not None and not self.restart.connection_ended_at:
+                self.restart.connection_ended_at = now
         self.state, self.inventory_known = "down", False
 
     def exclude_pause(self, now: int, duration: int) -> None:
--- /dev/null
+++ b/hazelhold/engine/restarts.py
@@ -0,0 +1,136 @@
+"""Restarts of machines that the list shows: which guests are over, and which are of the new incarnation.
+
+When the list shows a restart, the connection that is open may be to the new incarnation, or to the previous
+one with its reset still to be read. Nothing that the planner has received by then distinguishes the two, and
+clocks of different machines may differ. So guests sent on that connection wait for evidence from it: an
+answer to a probe that was sent after the list showed the restart comes from the new incarnation, and a
+connection that is reset instead, or stays silent, was to the previous one.
+"""
+
+from hazelhold.engine.address_reuse import AddressReuse
+from hazelhold.engine.liveness import CATCH_UP_TIME
+from hazelhold.engine.machine_incarnations import (
+    MAX_LIST_DELAY,
+    PreviousIncarnation,
+    previous_incarnation_ended,
+)
+from hazelhold.engine.machines import ConnectionEvidence, Link, ListedRestart
+from hazelhold.engine.records import GuestRecord, Verification, VerificationCause
+from hazelhold.protocol import messages as m
+
+EVIDENCE_TIMEOUT = 4_000_000
+"""Microseconds after the list showed a restart for which evidence is awaited, of the 8 s from the death
+within which guests have to be released."""
+
+
+class MachineRestarts(AddressReuse):
+    """Releases guests of previous incarnations."""
+
+    def _machine_restarted(self, now: int, link: Link, started: int) -> None:
+        """The list shows a new incarnation of a machine: guests sent to the previous one are over."""
+        for record in [self.records[name] for name in link.guests]:
+            if record.handed_over_at and not record.confirmed_at:
+                self._verify_handed_over(record)
+        link.restart = self._listed_restart(now, link, started)
+        self._release_previous(now, link)
+        if link.state != "up" or not link.guests:
+            self._restart_decided(link)
+            return
+        self.undated_restarts[link.machine] = None
+        self._send_machine(link.machine, m.Probe(number=link.restart.probe_number))
+
+    def _listed_restart(self, now: int, link: Link, started: int) -> ListedRestart:
+        """What is known when the list shows a restart; a restart that was shown before and is not decided
+        leaves no more time to this one."""
+        self.probe_number += 1
+        decided_at = now + EVIDENCE_TIMEOUT
+        if link.restart is not None and link.restart.opened_at == link.opened_at:
+            decided_at = min(decided_at, link.restart.decided_at)
+        confirmed_as_of = self.lease.confirmed_as_of
+        earliest_end = 0 if confirmed_as_of is None else min(now, confirmed_as_of) - MAX_LIST_DELAY
+        return ListedRestart(started, now, earliest_end, link.opened_at, self.probe_number, decided_at)
+
+    def _restart_probe_answered(self, now: int, link: Link, number: int) -> None:
+        """The machine answered a probe on the open connection."""
+        restart = link.restart
+        if restart is not None and not restart.connection_ended_at and number == restart.probe_number:
+            self._decide_restart(now, link, ConnectionEvidence.NEW_INCARNATION)
+
+    def _connection_ended_undated(self, now: int, link: Link, reset: bool) -> None:
+        """The machine ended a connection; if evidence is awaited from it, a reset is the death."""
+        if link.restart is None or link.restart.connection_ended_at != now:
+            return
+        evidence = ConnectionEvidence.PREVIOUS_INCARNATION if reset else ConnectionEvidence.NONE
+        self._decide_restart(now, link, evidence)
+
+    def _decide_undated_restarts(self, now: int) -> None:
+        """A connection without evidence in time is to an incarnation that does not answer any more."""
+        if now - self.resumed_at < CATCH_UP_TIME:
+            return
+        for machine in list(self.undated_restarts):
+            link = self.links.get(machine)
+            if link is None or link.restart is None:
+                del self.undated_restarts[machine]
+            elif now >= link.restart.decided_at:
+                link.restart.connection_ended_at = link.restart.connection_ended_at or now
+                self._decide_restart(now, link, ConnectionEvidence.PREVIOUS_INCARNATION)
+
+    def _decide_restart(self, now: int, link: Link, evidence: ConnectionEvidence) -> None:
+        """Decides on the guests that awaited evidence."""
+        link.restart.evidence = evidence
+        self._machine_event("restarted", link.machine, evidence.value)
+        self._release_previous(now, link)
+        self._restart_decided(link)
+
+    def _restart_decided(self, link: Link) -> None:
+        link.restart = None
+        self.undated_restarts.pop(link.machine, None)
+
+    def _release_previous(self, now: int, link: Link) -> None:
+        """Releases guests of the previous incarnation, as far as its end is known."""
+        restart = link.restart
+        dated = previous_incarnation_ended(restart.listed_at, link, restart.started)
+        over_before = max(dated.ended_at, self._latest_sure_end(link))
+        for record in [self.records[name] for name in link.guests]:
+            if not record.sent or record.sent_at >= max(over_before, dated.reset_at):
+                continue
+            if self._awaits_evidence(link, record) or self._is_confirmed_since(link, record, dated):
+                continue
+            if record.sent_at >= over_before:
+                self._verify_after_reset(dated.reset_at, record, VerificationCause.RESTARTED)
+            elif self._is_dated_by_clock_alone(link, record, dated):
+                self._verify_restarted(link, record)
+            else:
+                self._guest_gone(now, record, "lost")
+
+    def _latest_sure_end(self, link: Link) -> int:
+        """A time before which nothing was sent to the new incarnation, however late the list is.
+
+        Of the open connection only its evidence shows that.
+        """
+        earliest_end = link.restart.earliest_end
+        return min(earliest_end, link.opened_at) if link.state == "up" else earliest_end
+
+    def _awaits_evidence(self, link: Link, record: GuestRecord) -> bool:
+        """Whether the guest was sent or reported on by the open connection, which has no evidence yet."""
+        if link.state != "up" or link.restart.evidence is not ConnectionEvidence.NONE:
+            return False
+        return max(record.sent_at, record.confirmed_at) >= link.opened_at
+
+    def _is_confirmed_since(self, link: Link, record: GuestRecord, dated: PreviousIncarnation) -> bool:
+        """Whether the machine has reported on the guest after the previous incarnation ended."""
+        is_new = link.restart.evidence is ConnectionEvidence.NEW_INCARNATION
+        if is_new and record.sent_at < link.opened_at <= record.confirmed_at:
+            return True
+        return dated.ended_at <= dated.reset_at < record.confirmed_at
+
+    def _is_dated_by_clock_alone(self, link: Link, record: GuestRecord, dated: PreviousIncarnation) -> bool:
+        """Whether no connection's end shows that the guest is over, and its machine can report on it."""
+        by_clock = dated.reset_at < dated.ended_at and record.sent_at >= link.restart.earliest_end
+        return by_clock and self.peers.reports_use
+
+    def _verify_restarted(self, link: Link, record: GuestRecord) -> None:
+        """The guest is over by the list's clock alone: a report of its machine shows that it is not."""
+        listed_at = link.restart.listed_at
+        decided_at = listed_at + EVIDENCE_TIMEOUT
+        self._verify(record, Verification(VerificationCause.RESTARTED, listed_at, decided_at, listed_at))
--- a/hazelhold/engine/tables.py
+++ b/hazelhold/engine/tables.py
@@ -108,6 +108,9 @@
         # Guests that count as placed and that their machine has to confirm; by the scheduler's name.
         self.verifications: dict[str, Verification] = {}  # emptied by that and by timeout
         self.verify_at = 0  # when they are checked next; 0: there are none
+        # Machines whose restart the list has shown, while their connection awaits evidence; emptied by that
+        # and by timeout.
+        self.undated_restarts: dict[str, None] = {}
         # By guest: the machine that reported on it while it was not held, and when; emptied by its handover
         # and by number.
         self.recently_reported: OrderedDict[str, tuple[str, int]] = OrderedDict()
--- a/tests/test_fault_server_restart.py
+++ b/tests/test_fault_server_restart.py
@@ -13,7 +13,7 @@
 import pytest
 import trio
 
-from hazelhold.engine import list_updates
+from hazelhold.engine import restarts
 from hazelhold.engine.machine_incarnations import PreviousIncarnation, previous_incarnation_ended
 from hazelhold.engine.machines import Link, PastConnection
 from hazelhold.engine.verification import RESET_TIMEOUT, GuestVerification
@@ -501,7 +501,7 @@
 
     play_in_memory(test, machines="a")
     monkeypatch.setattr(
-        list_updates, "previous_incarnation_ended", lambda now, link, started: PreviousIncarnation(started, 0)
+        restarts, "previous_incarnation_ended", lambda now, link, started: PreviousIncarnation(started, 0)
     )
     play_in_memory(test, machines="a")
     lost = [(end(1).type, 41)]
--- a/tests/test_platform_machines.py
+++ b/tests/test_platform_machines.py
@@ -294,6 +294,8 @@
         await owner.say(set_up(1))
         await trio.sleep(1)
         born = (rig.net.wall() - 300_000) / 1000
+        rig.planner.links.peer("a").reset = True  # as by each process that dies
+        await rig.machines["a"].streams[-1].aclose()
         rig.bulletin.events += [event(2, host("a", born=born))]
         await trio.sleep(0.2)
         assert owner.of(1) == [*PLACED, (END, 41)]
