A connection that a machine closes in order is no death of its process

What callers saw: tasks of a restarted server's new process were released while they stood, also with an exact clock. Cause: the end of any connection by the machine counted as a possible death (`by_machine`). A new process that closed an idle connection within a second of its start by the clock was dated by that close. Mend: PastConnection tells a reset from a close in order, and only resets date a death. For reused addresses both count as before. Why it holds: a close in order comes from a process that lives, so it lies on neither side of a death by itself. Broken variant: each end counts as a reset; the guest is released (test). The test's story failed before: the variant is the code before. test_release_times.py: the story of a decision that is put off ended a connection in order, which starts no verification now; it is played with a reset as well, which the broken variant needs.

--- a/hazelhold/engine/address_reuse.py
+++ b/hazelhold/engine/address_reuse.py
@@ -58,7 +58,7 @@
         """
         previous = record.machine
         ended = any(
-            each.by_machine and each.ended_at >= record.sent_at
+            (each.reset or each.closed_by_machine) and each.ended_at >= record.sent_at
             for each in self.links[previous].past_connections
         )
         self._detach(record)
--- a/hazelhold/engine/link_loss.py
+++ b/hazelhold/engine/link_loss.py
@@ -2,7 +2,7 @@
 
 from hazelhold.config.planner import to_microseconds
 from hazelhold.engine.dispatches import Dispatches
-from hazelhold.engine.machines import Link
+from hazelhold.engine.machines import ConnectionEnd, Link
 from hazelhold.engine.records import HangUp
 from hazelhold.interface import DispatchOutcome, OutcomeReason
 
@@ -10,9 +10,9 @@
 class LinkLoss(Dispatches):
     """Handles lost connections and lost machines."""
 
-    def _link_lost(self, now: int, link: Link, by_machine: bool = False) -> None:
+    def _link_lost(self, now: int, link: Link, end: ConnectionEnd = ConnectionEnd.CLOSED) -> None:
         self.counts["links_lost"] += link.state == "up"
-        link.close(now, by_machine)
+        link.close(now, end)
         self.active_links[link.machine] = None
         self._drop_queue(now, link)
         self._probe_over(now, link.machine, False)
--- a/hazelhold/engine/links.py
+++ b/hazelhold/engine/links.py
@@ -4,7 +4,7 @@
 from hazelhold.engine.dispatches import CROSSING_WINDOW
 from hazelhold.engine.list_updates import ListUpdates
 from hazelhold.engine.liveness import LivenessChecks
-from hazelhold.engine.machines import Link
+from hazelhold.engine.machines import ConnectionEnd, Link
 from hazelhold.engine.records import AbandonedDispatch, Disconnect, GuestRecord, HangUp
 from hazelhold.interface import DispatchOutcome, Load, OutcomeReason
 from hazelhold.protocol import messages as m
@@ -128,7 +128,8 @@
         `reset`: it was not closed in order, so the machine's process may have died.
         """
         if link := self.links.get(machine):
-            self._link_lost(now, link, by_machine=True)
+            end = ConnectionEnd.RESET if reset else ConnectionEnd.CLOSED_BY_MACHINE
+            self._link_lost(now, link, end)
             self._connection_ended_undated(now, link, reset)
             if reset:
                 link.was_reset(now)
--- a/hazelhold/engine/machine_incarnations.py
+++ b/hazelhold/engine/machine_incarnations.py
@@ -3,8 +3,9 @@
 Guests sent to the previous incarnation are over, those sent to the new one are placed. The list dates the
 start of the new incarnation by its own wall clock, and this machine's clock may have been stepped against it.
 A process that dies has its connections reset, so each connection ends at the death or was opened after it:
-that needs no clock but this planner's own. A connection that is open when the list shows the restart may be
-to either incarnation until it carries evidence: see `engine.restarts`.
+that needs no clock but this planner's own. One that was closed in order shows nothing of a death, and one
+that is open when the list shows the restart may be to either incarnation until it carries evidence: see
+`engine.restarts`.
 """
 
 from typing import NamedTuple
@@ -22,7 +23,7 @@
     """When the previous incarnation ended, in microseconds of this planner's clock.
 
     `ended_at`: guests sent before this are over; 0 if nothing shows that any is. `reset_at`: when the machine
-    last ended a connection; 0 if it did not lately.
+    last reset a connection; 0 if it did not lately.
     """
 
     ended_at: int
@@ -39,28 +40,26 @@
     if evidence is ConnectionEvidence.PREVIOUS_INCARNATION:
         return PreviousIncarnation(link.restart.connection_ended_at, link.restart.connection_ended_at)
     contradicted = _contradicts_clock(link, started, evidence)
-    ends = [
-        each for each in link.past_connections if each.by_machine and now - each.ended_at <= MAX_LIST_DELAY
-    ]
-    if ends:
-        return _dated_by_ends(now, ends, started, contradicted)
+    resets = [each for each in link.past_connections if each.reset and now - each.ended_at <= MAX_LIST_DELAY]
+    if resets:
+        return _dated_by_resets(now, resets, started, contradicted)
     is_new = evidence is ConnectionEvidence.NEW_INCARNATION or now - link.opened_at <= MAX_LIST_DELAY
     if contradicted and is_new:
         return PreviousIncarnation(link.opened_at, 0)
     return PreviousIncarnation(started if started < now else 0, 0)
 
 
-def _dated_by_ends(
-    now: int, ends: list[PastConnection], started: int, contradicted: bool
+def _dated_by_resets(
+    now: int, resets: list[PastConnection], started: int, contradicted: bool
 ) -> PreviousIncarnation:
-    """What the ends of connections show, and the list's clock where no connection contradicts it."""
-    last = ends[-1].ended_at
+    """What the resets of connections show, and the list's clock where no connection contradicts it."""
+    last = resets[-1].ended_at
     if started >= now:
         return PreviousIncarnation(last, last)
-    nearest = min(ends, key=lambda each: abs(each.ended_at - started)).ended_at
+    nearest = min(resets, key=lambda each: abs(each.ended_at - started)).ended_at
     if abs(nearest - started) <= CLOCK_TOLERANCE:
         return PreviousIncarnation(nearest, last)
-    outlived = any(each.opened_at <= started < each.ended_at for each in ends)
+    outlived = any(each.opened_at <= started < each.ended_at for each in resets)
     return PreviousIncarnation(last if outlived or contradicted else started, last)
 
 
--- a/hazelhold/engine/machines.py
+++ b/hazelhold/engine/machines.py
@@ -29,11 +29,24 @@
 
 
 class PastConnection(NamedTuple):
-    """A connection that has ended. Times in microseconds; `by_machine`: the machine ended it."""
+    """A connection that has ended. Times in microseconds.
+
+    `reset`: the machine ended it other than in order, as a process that dies does. `closed_by_machine`: the
+    machine closed it in order, as a process does that runs on.
+    """
 
     opened_at: int
     ended_at: int
-    by_machine: bool
+    reset: bool
+    closed_by_machine: bool = False
+
+
+class ConnectionEnd(Enum):
+    """How a connection to a machine ended."""
+
+    CLOSED = "closed in order by this planner, or given up"
+    CLOSED_BY_MACHINE = "closed in order by the machine"
+    RESET = "ended by the machine other than in order"
 
 
 class ConnectionEvidence(Enum):
@@ -101,12 +114,13 @@
     past_connections: list[PastConnection] = field(default_factory=list)  # the last few
     restart: ListedRestart | None = None  # while it is open which incarnation the connection reaches
 
-    def close(self, now: int, by_machine: bool = False) -> None:
+    def close(self, now: int, end: ConnectionEnd = ConnectionEnd.CLOSED) -> None:
         """Records that the connection, or its dial, has ended."""
         if self.state == "up":
+            reset, by_machine = end is ConnectionEnd.RESET, end is ConnectionEnd.CLOSED_BY_MACHINE
             self.past_connections = [
                 *self.past_connections[1 - MAX_PAST_CONNECTIONS :],
-                PastConnection(self.opened_at, now, by_machine),
+                PastConnection(self.opened_at, now, reset, by_machine),
             ]
             if self.restart is not None and not self.restart.connection_ended_at:
                 self.restart.connection_ended_at = now
--- a/tests/test_fault_restart_first_connection.py
+++ b/tests/test_fault_restart_first_connection.py
@@ -16,8 +16,9 @@
 
 from hazelhold.engine import restarts
 from hazelhold.engine.machine_incarnations import PreviousIncarnation, previous_incarnation_ended
-from hazelhold.engine.machines import Link, PastConnection
+from hazelhold.engine.machines import ConnectionEnd, ConnectionEvidence, Link, PastConnection
 from hazelhold.engine.records import HangUp
+from hazelhold.engine.restarts import MachineRestarts
 from tests.faults.judge import RELEASE_AT_LATEST
 from tests.platform_rig import DEPLOYMENT, PLACED, Machine, Owner, Rig, event, host, set_up
 from tests.test_fault_incident import play as play_on_processes
@@ -378,6 +379,132 @@
     tell(story, behind, reports_use, MANY_PLANNERS)
 
 
+# Broken variants: each disables one part of the argument, and a story detects it.
+
+
+async def first_connection(story: Story) -> None:
+    """A guest on the first connection to the new process; it stands."""
+    story.die()
+    await story.at(0.9)
+    await story.place(1)
+    await story.at(1.5)
+    story.show_restart()
+    await story.check(standing=(1,))
+
+
+async def reset_after_the_news(story: Story) -> None:
+    """The reset of the dead process's connection is read after the news and after its last answer."""
+    await story.place(1)
+    await trio.sleep(0.5)
+    story.die()
+    await story.at(0.1)
+    story.show_restart()
+    await story.at(0.15)
+    earlier_probe = {"op": "tested", "call": f"{0:016x}", "with": {"load": "x0:20;x1:30"}, "why": 1}
+    await story.machine.say(story.machine.dead_streams[-1], earlier_probe)
+    await story.at(0.2)
+    await story.reset_old_connections()
+    await story.check(over=(1,))
+
+
+async def open_and_silent(story: Story) -> None:
+    """The dead process's connection stays open; its guest is over."""
+    await story.place(1)
+    await trio.sleep(0.5)
+    story.die()
+    await story.at(0.5)
+    story.show_restart()
+    await story.check(over=(1,))
+
+
+async def two_connections(story: Story) -> None:
+    """The planner closed its first connection to the new process; guests of both stand."""
+    story.die()
+    await story.at(0.2)
+    await story.place(1)
+    await story.at(0.6)
+    story.close_in_order()
+    await story.at(1.3)
+    await story.place(2)
+    await story.at(1.5)
+    story.show_restart()
+    await story.check(standing=(1, 2))
+
+
+async def closed_by_the_machine(story: Story) -> None:
+    """The new process closed the first connection in order; guests of both connections stand."""
+    story.die()
+    await story.at(0.35)
+    await story.place(1)
+    await story.at(0.95)
+    await story.machine.streams[-1].aclose()
+    await story.at(1.3)
+    await story.place(2)
+    await story.at(1.95)
+    story.show_restart()
+    await story.check(standing=(1, 2))
+
+
+def believe_open_connection(restarts: MachineRestarts, now: int, link: Link, started: int) -> None:
+    """An open connection is taken for one to the new incarnation, without evidence."""
+    restart_listed(restarts, now, link, started)
+    if link.restart is not None:
+        restarts._decide_restart(now, link, ConnectionEvidence.NEW_INCARNATION)
+
+
+def believe_any_answer(restarts: MachineRestarts, now: int, link: Link, number: int) -> None:
+    """An answer to an earlier probe is taken for one to the probe that asked for evidence."""
+    probe_answered(restarts, now, link, link.restart.probe_number if link.restart else number)
+
+
+restart_listed, probe_answered = MachineRestarts._machine_restarted, MachineRestarts._restart_probe_answered
+
+
+@pytest.mark.parametrize(
+    "story, method, broken",
+    [
+        (first_connection, "_restart_probe_answered", lambda *given: None),
+        (reset_after_the_news, "_machine_restarted", believe_open_connection),
+        (reset_after_the_news, "_restart_probe_answered", believe_any_answer),
+        (open_and_silent, "_decide_undated_restarts", lambda *given: None),
+        (two_connections, "_is_dated_by_clock_alone", lambda *given: False),
+    ],
+    ids=["answers do not count", "no evidence", "any answer", "silence does not count", "clock alone"],
+)
+def test_without_a_part_of_the_argument_a_guest_is_decided_wrongly(
+    story: Callable[[Story], Awaitable[None]],
+    method: str,
+    broken: Callable,
+    tell: Callable[..., None],
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    tell(story, 1.4, True, MANY_PLANNERS)
+    monkeypatch.setattr(MachineRestarts, method, broken)
+    with pytest.RaisesGroup(AssertionError):
+        tell(story, 1.4, True, MANY_PLANNERS)
+
+
+@clock_behind
+def test_a_close_in_order_by_the_machine_is_no_death(behind: float, tell: Callable[..., None]) -> None:
+    """A process that closes an idle connection lives."""
+    tell(closed_by_the_machine, behind, True, MANY_PLANNERS)
+
+
+def test_a_close_in_order_that_counts_as_a_reset_releases_standing_guests(
+    tell: Callable[..., None], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Broken variant: any end by the machine counts as a reset. The clocks agree."""
+    tell(closed_by_the_machine, 0.0, False, MANY_PLANNERS)
+    close = Link.close
+
+    def close_as_reset(link: Link, now: int, end: ConnectionEnd = ConnectionEnd.CLOSED) -> None:
+        close(link, now, ConnectionEnd.CLOSED if end is ConnectionEnd.CLOSED else ConnectionEnd.RESET)
+
+    monkeypatch.setattr(Link, "close", close_as_reset)
+    with pytest.RaisesGroup(AssertionError):
+        tell(closed_by_the_machine, 0.0, False, MANY_PLANNERS)
+
+
 # On real processes.
 
 
--- a/tests/test_release_times.py
+++ b/tests/test_release_times.py
@@ -7,6 +7,7 @@
 """
 
 from collections.abc import Awaitable, Callable
+from functools import partial
 
 import pytest
 import trio
@@ -227,8 +228,8 @@
     assert at is not None and at <= 2.0 + RELEASE_AT_LATEST
 
 
-async def restart_listed_after_a_close(story: Story) -> None:
-    """A process restarts before the handover, sends nothing for 3 s after it and closes a connection.
+async def restart_listed_after_an_end(story: Story, reset: bool) -> None:
+    """A process restarts before the handover, sends nothing for 3 s after it and ends a connection.
 
     The planner is one of many, so it has no connection and sends no probe but for guests on the machine.
     """
@@ -241,7 +242,7 @@
     story.machine.silent = True
     await story.hand_over()
     await story.at(4.6)
-    await story.machine.streams[-1].aclose()
+    await (story.reset() if reset else story.machine.streams[-1].aclose())
     await story.at(4.8)
     story.list_restart(0.5)
     story.list_is_silent(False)
@@ -249,9 +250,13 @@
     story.machine.silent = False
 
 
-def test_the_listing_of_a_restart_does_not_put_off_a_decision_after_a_handover() -> None:
+restart_listed_after_a_reset = partial(restart_listed_after_an_end, reset=True)
+
+
+@pytest.mark.parametrize("reset", [True, False])
+def test_the_listing_of_a_restart_does_not_put_off_a_decision_after_a_handover(reset: bool) -> None:
     """Soak seed 606 with silent servers: handed over at 0.0 s, listed at 4.1 s, released at 7.5 s."""
-    at = released_at(restart_listed_after_a_close, balancers=16)
+    at = released_at(partial(restart_listed_after_an_end, reset=reset), balancers=16)
     assert at is not None and at <= 0.5 + RELEASE_AT_LATEST
 
 
@@ -262,7 +267,7 @@
         engine.verifications[record.name] = latest
 
     monkeypatch.setattr(GuestVerification, "_verify", verify)
-    at = released_at(restart_listed_after_a_close, balancers=16)
+    at = released_at(restart_listed_after_a_reset, balancers=16)
     assert at is not None and at > 0.5 + RELEASE_AT_LATEST
 
 
