--- /dev/null
+++ b/tests/test_review_restarts.py
@@ -0,0 +1,251 @@
+"""Orders of events around a restart that the list shows, in which guests are decided wrongly.
+
+Each test states what the rules require: a guest that stands is not released, one that is over is released
+within 8 s of its end.
+"""
+
+from collections.abc import Callable
+
+import pytest
+import trio
+import trio.testing
+
+from tests.platform_rig import event, host
+from tests.test_fault_restart_first_connection import (
+    AHEAD,
+    MANY_PLANNERS,
+    Story,
+    reporting_use,
+    tell,
+)
+
+__all__ = ["tell"]
+STEPPED_BY_AN_HOUR = -3600.0  # seconds
+
+
+class Stopped:
+    """A process that is stopped: what it receives meanwhile it answers when it goes on."""
+
+    def __init__(self, story: Story) -> None:
+        self.machine, self.goes_on = story.machine, trio.Event()
+        self.answer = self.machine.answer
+        self.machine.answer = self._held
+
+    async def _held(self, stream: trio.abc.Stream, line: dict) -> None:
+        await self.goes_on.wait()
+        await self.answer(stream, line)
+
+    def go_on(self) -> None:
+        self.machine.answer = self.answer
+        self.goes_on.set()
+
+
+@reporting_use
+@pytest.mark.parametrize("planners", [1, MANY_PLANNERS])
+@pytest.mark.parametrize("silent", [1.0, 2.0, 3.3])
+def test_guests_on_a_machine_that_is_silent_after_the_news_stand(
+    silent: float, planners: int, reports_use: bool, tell: Callable[..., None]
+) -> None:
+    """The planner gives the silent connection up, and the answer on its next one counts for nothing."""
+
+    async def story(story: Story) -> None:
+        story.die()
+        await story.at(0.9)
+        await story.place(1)
+        await story.at(1.5)
+        stopped = Stopped(story)
+        story.show_restart()
+        await story.at(1.5 + silent)
+        stopped.go_on()
+        await story.check(standing=(1,))
+
+    tell(story, 0.0, reports_use, planners)
+
+
+@reporting_use
+def test_guests_stand_whose_connection_the_planner_closes_while_evidence_is_awaited(
+    reports_use: bool, tell: Callable[..., None]
+) -> None:
+    """A close for others' sake within the time of one answer: it is taken for the process's death."""
+
+    async def story(story: Story) -> None:
+        story.die()
+        await story.at(0.9)
+        await story.place(1)
+        await story.at(1.5)
+        stopped = Stopped(story)
+        story.show_restart()
+        await story.at(1.6)
+        assert story.link.restart is not None
+        story.close_in_order()
+        stopped.go_on()
+        await story.check(standing=(1,))
+
+    tell(story, 0.0, reports_use, MANY_PLANNERS)
+
+
+@reporting_use
+def test_guests_stand_whose_connection_alone_is_reset_shortly_after_a_start(
+    reports_use: bool, tell: Callable[..., None]
+) -> None:
+    """The clocks agree. The reset of one connection within 1 s of the start is taken for the restart."""
+
+    async def story(story: Story) -> None:
+        story.die()
+        await story.at(0.2)
+        await story.place(1)
+        await story.at(0.9)
+        story.rig.planner.links.peer("a").reset = True
+        await story.machine.streams[-1].aclose()
+        story.note("a connection of the new process is reset")
+        await story.at(1.5)
+        story.show_restart()
+        await story.check(standing=(1,))
+
+    tell(story, 0.0, reports_use, MANY_PLANNERS)
+
+
+@reporting_use
+@pytest.mark.parametrize("behind", [AHEAD, STEPPED_BY_AN_HOUR])
+@pytest.mark.parametrize("planners", [1, MANY_PLANNERS])
+def test_guests_whose_reset_is_read_before_the_news_are_released(
+    planners: int, behind: float, reports_use: bool, tell: Callable[..., None]
+) -> None:
+    """The planner's clock is ahead, so by the list the process started before the guest was sent."""
+
+    async def story(story: Story) -> None:
+        await story.place(1)
+        await trio.sleep(0.5)
+        story.die()
+        await story.reset_old_connections()
+        await story.at(0.5)
+        story.show_restart()
+        await story.check(over=(1,))
+
+    tell(story, behind, reports_use, planners)
+
+
+@reporting_use
+@pytest.mark.parametrize("behind", [AHEAD, STEPPED_BY_AN_HOUR])
+def test_guests_of_a_process_that_died_without_a_connection_are_released_by_a_clock_ahead(
+    behind: float, reports_use: bool, tell: Callable[..., None]
+) -> None:
+    """The connection was closed in order before the death, and the planner's clock is ahead of the list's."""
+
+    async def story(story: Story) -> None:
+        await story.place(1)
+        await trio.sleep(0.5)
+        story.close_in_order()
+        await trio.sleep(0.5)
+        story.die()
+        await story.at(1.3)
+        await story.place(2)
+        await story.at(1.5)
+        story.show_restart()
+        await story.check(standing=(2,), over=(1,))
+
+    tell(story, behind, reports_use, MANY_PLANNERS)
+
+
+@reporting_use
+@pytest.mark.parametrize("open_at_the_news", [True, False])
+def test_guests_sent_after_the_reset_of_the_dead_process_stand(
+    open_at_the_news: bool, reports_use: bool, tell: Callable[..., None]
+) -> None:
+    """The clocks differ by more than 1 s, so the clock counts and the reset that was read does not."""
+
+    async def story(story: Story) -> None:
+        await story.place(1)
+        await trio.sleep(0.5)
+        story.die()
+        await story.reset_old_connections()
+        await story.at(0.2)
+        await story.place(2)
+        await story.at(0.7)
+        await story.machine.streams[-1].aclose()  # in order, by the new process
+        if open_at_the_news:
+            await story.at(1.3)
+            await story.place(3)
+        await story.at(1.5)
+        story.show_restart()
+        await story.check(standing=(2, 3) if open_at_the_news else (2,), over=(1,))
+
+    tell(story, 1.4, reports_use, MANY_PLANNERS)
+
+
+@reporting_use
+def test_guests_on_a_connection_that_closes_in_order_at_the_news_stand(
+    reports_use: bool, tell: Callable[..., None]
+) -> None:
+    """The new process closes the idle connection as the probe is on its way: only the clock is left."""
+
+    async def story(story: Story) -> None:
+        story.die()
+        await story.at(0.9)
+        await story.place(1)
+        await story.at(1.5)
+        stopped = Stopped(story)
+        story.show_restart()
+        await story.at(1.6)
+        await story.machine.streams[-1].aclose()
+        stopped.go_on()
+        await story.check(standing=(1,))
+
+    tell(story, 1.4, reports_use, MANY_PLANNERS)
+
+
+@reporting_use
+def test_a_pause_before_the_decision_does_not_make_a_release_late(
+    reports_use: bool, tell: Callable[..., None]
+) -> None:
+    """The news is 3 s late, and the planner is paused for 1.2 s shortly before the evidence is due."""
+
+    async def story(story: Story) -> None:
+        await story.place(1)
+        await trio.sleep(0.5)
+        story.die()
+        await story.at(3.0)
+        story.show_restart()
+        await story.at(5.75)
+        trio.lowlevel.current_clock().jump(1.2)
+        await story.check(over=(1,))
+
+    tell(story, 0.0, reports_use, MANY_PLANNERS)
+
+
+@reporting_use
+def test_a_second_restart_while_evidence_is_awaited_releases_the_first_guests_in_time(
+    reports_use: bool, tell: Callable[..., None]
+) -> None:
+    """The silent connection of the dead process was closed in order between the two news; clock ahead."""
+
+    async def story(story: Story) -> None:
+        await story.place(1)
+        await trio.sleep(0.5)
+        story.die()
+        await story.at(0.1)
+        story.show_restart()
+        await story.at(0.6)
+        story.close_in_order()
+        await story.at(1.0)
+        born = (trio.current_time() + AHEAD) * 1000
+        story.rig.bulletin.events.append(event(3, host("a", born=born)))
+        await story.check(over=(1,))
+
+    tell(story, AHEAD, reports_use, MANY_PLANNERS)
+
+
+def test_no_state_of_a_decided_restart_stays(tell: Callable[..., None]) -> None:
+    """After the decision no restart, verification or probe is left."""
+
+    async def story(story: Story) -> None:
+        await story.place(1)
+        story.die()
+        await story.at(0.3)
+        story.show_restart()
+        await story.check(over=(1,))
+        engine = story.rig.planner.engine
+        assert not engine.undated_restarts and not engine.verifications and not engine.verify_at
+        assert story.link.restart is None
+
+    tell(story, 0.0, True, MANY_PLANNERS)
