--- a/tests/test_review_restarts.py
+++ b/tests/test_review_restarts.py
@@ -50,6 +50,8 @@
 
     async def story(story: Story) -> None:
         story.die()
+        if story.machine.dead_streams:  # one planner alone has a connection from its start
+            await story.reset_old_connections()
         await story.at(0.9)
         await story.place(1)
         await story.at(1.5)
@@ -195,8 +197,9 @@
 
 
 @reporting_use
+@pytest.mark.parametrize("paused", [5.75, 6.3, 6.7])
 def test_a_pause_before_the_decision_does_not_make_a_release_late(
-    reports_use: bool, tell: Callable[..., None]
+    paused: float, reports_use: bool, tell: Callable[..., None]
 ) -> None:
     """The news is 3 s late, and the planner is paused for 1.2 s shortly before the evidence is due."""
 
@@ -206,7 +209,7 @@
         story.die()
         await story.at(3.0)
         story.show_restart()
-        await story.at(5.75)
+        await story.at(paused)
         trio.lowlevel.current_clock().jump(1.2)
         await story.check(over=(1,))
 
@@ -228,11 +231,11 @@
         await story.at(0.6)
         story.close_in_order()
         await story.at(1.0)
-        born = (trio.current_time() + AHEAD) * 1000
+        born = (trio.current_time() + STEPPED_BY_AN_HOUR) * 1000
         story.rig.bulletin.events.append(event(3, host("a", born=born)))
         await story.check(over=(1,))
 
-    tell(story, AHEAD, reports_use, MANY_PLANNERS)
+    tell(story, STEPPED_BY_AN_HOUR, reports_use, MANY_PLANNERS)
 
 
 def test_no_state_of_a_decided_restart_stays(tell: Callable[..., None]) -> None:
@@ -249,3 +252,79 @@
         assert story.link.restart is None
 
     tell(story, 0.0, True, MANY_PLANNERS)
+
+
+@reporting_use
+@pytest.mark.parametrize("news", [0.3, 3.0])
+def test_guests_accepted_after_the_news_on_a_connection_that_answers_no_test_stand(
+    news: float, reports_use: bool, tell: Callable[..., None]
+) -> None:
+    """The process accepts a guest that was offered after the news, so it is the new one; it answers tests
+    late."""
+
+    async def story(story: Story) -> None:
+        story.die()
+        await story.at(0.2)
+        await story.place(1)
+        await story.at(news)
+        answer = story.machine.answer
+
+        async def without_tests(stream: trio.abc.Stream, line: dict) -> None:
+            if line["op"] != "test":
+                await answer(stream, line)
+
+        story.machine.answer = without_tests
+        story.show_restart()
+        await story.at(news + 0.3)
+        await story.place(2)
+        await story.at(news + 4.6)
+        story.machine.answer = answer
+        await story.check(standing=(1, 2))
+
+    tell(story, 0.0, reports_use, MANY_PLANNERS)
+
+
+@reporting_use
+def test_no_state_stays_of_a_machine_that_leaves_the_list_while_evidence_is_awaited(
+    reports_use: bool, tell: Callable[..., None]
+) -> None:
+    """It leaves, and comes back as a third process while the first restart is not decided."""
+
+    async def story(story: Story) -> None:
+        await story.place(1)
+        story.die()
+        await story.at(0.3)
+        story.show_restart()
+        await story.at(0.8)
+        story.rig.bulletin.events.append(event(3, host("a", health="terminated")))
+        await story.at(2.5)
+        born = trio.current_time() * 1000
+        story.rig.bulletin.events.append(event(4, host("a", born=born)))
+        await story.check(over=(1,))
+        engine = story.rig.planner.engine
+        assert not engine.undated_restarts and not engine.verifications and not engine.verify_at
+        assert "a" not in engine.links or story.link.restart is None
+
+    tell(story, 0.0, reports_use, MANY_PLANNERS)
+
+
+@reporting_use
+@pytest.mark.parametrize("planners", [1, MANY_PLANNERS])
+def test_news_of_many_restarts_sends_one_probe_each(
+    planners: int, reports_use: bool, tell: Callable[..., None]
+) -> None:
+    """Five restarts are listed at once, with a silent connection to the first process."""
+
+    async def story(story: Story) -> None:
+        await story.place(1)
+        story.die()
+        await story.at(0.3)
+        before = story.rig.planner.engine.probe_number
+        for number in range(2, 7):
+            born = (trio.current_time() + number / 100) * 1000
+            story.rig.bulletin.events.append(event(number, host("a", born=born)))
+        await story.at(0.4)
+        assert story.rig.planner.engine.probe_number - before <= 8
+        await story.check(over=(1,))
+
+    tell(story, 0.0, reports_use, planners)
