--- a/tests/test_review_restarts.py
+++ b/tests/test_review_restarts.py
@@ -93,6 +93,9 @@
     """The clocks agree. The reset of one connection within 1 s of the start is taken for the restart."""
 
     async def story(story: Story) -> None:
+        await trio.sleep(
+            0.5
+        )  # the machine reports at even seconds: 0.4 s before the reset, 1 s after the news
         story.die()
         await story.at(0.2)
         await story.place(1)
@@ -328,3 +331,87 @@
         await story.check(over=(1,))
 
     tell(story, 0.0, reports_use, planners)
+
+
+@reporting_use
+def test_guests_stand_whose_connection_alone_is_reset_while_evidence_is_awaited(
+    reports_use: bool, tell: Callable[..., None]
+) -> None:
+    """The new process closes an idle connection with the probe unread in it, which the kernel makes a reset."""
+
+    async def story(story: Story) -> None:
+        story.die()
+        await story.at(0.9)
+        await story.place(1)
+        await story.at(1.5)
+        stopped = Stopped(story)
+        story.show_restart()
+        await story.at(1.51)
+        story.rig.planner.links.peer("a").reset = True
+        await story.machine.streams[-1].aclose()
+        stopped.go_on()
+        await story.check(standing=(1,))
+
+    tell(story, 0.0, reports_use, MANY_PLANNERS)
+
+
+@reporting_use
+def test_pauses_do_not_put_off_a_decision_without_end(reports_use: bool, tell: Callable[..., None]) -> None:
+    """The planner is paused for 1.1 s in each 1.9 s: each pause starts the time to catch up anew."""
+
+    async def story(story: Story) -> None:
+        await story.place(1)
+        await trio.sleep(0.5)
+        story.die()
+        await story.at(0.3)
+        story.show_restart()
+        for number in range(6):
+            await story.at(2.0 + 1.9 * number)
+            if len(story.owner.of(1)) == 2:
+                break
+            trio.lowlevel.current_clock().jump(1.1)
+            await trio.sleep(0)
+        released = trio.current_time() - story.died_at if len(story.owner.of(1)) == 2 else None
+        assert released is not None and released <= 8.0, f"seen released at {released} s"
+
+    tell(story, 0.0, reports_use, MANY_PLANNERS)
+
+
+@reporting_use
+@pytest.mark.parametrize("after_news", [0.5, 4.6])
+def test_guests_submitted_after_the_news_reach_the_new_process(
+    after_news: float, reports_use: bool, tell: Callable[..., None]
+) -> None:
+    """The connection to the dead process stays open and silent, and carries new offers."""
+
+    async def story(story: Story) -> None:
+        await story.place(1)
+        await trio.sleep(0.5)
+        story.die()
+        await story.at(0.3)
+        story.show_restart()
+        await story.at(0.3 + after_news)
+        story.owner = await story.rig.owner()
+        await story.place(2)
+
+    tell(story, 0.0, reports_use, MANY_PLANNERS)
+
+
+def test_the_time_since_a_machine_left_the_list_begins_anew_after_its_return(
+    tell: Callable[..., None],
+) -> None:
+    """It left and came back: when it leaves again, its guests have their second to end in order."""
+
+    async def story(story: Story) -> None:
+        await story.place(1)
+        story.died_at = trio.current_time()
+        story.rig.bulletin.events.append(event(2, host("a", health="terminated")))
+        await story.at(0.8)
+        story.rig.bulletin.events.append(event(3, host("a")))
+        await story.at(3.0)
+        assert len(story.owner.of(1)) == 1
+        story.rig.bulletin.events.append(event(4, host("a", health="terminated")))
+        await story.at(3.9)
+        assert len(story.owner.of(1)) == 1, "released within 0.9 s of its second leave"
+
+    tell(story, 0.0, False, MANY_PLANNERS)
