--- a/tests/test_review_restarts.py
+++ b/tests/test_review_restarts.py
@@ -10,7 +10,7 @@
 import trio
 import trio.testing
 
-from tests.platform_rig import event, host
+from tests.platform_rig import event, host, set_up
 from tests.test_fault_restart_first_connection import (
     AHEAD,
     MANY_PLANNERS,
@@ -214,6 +214,9 @@
         story.show_restart()
         await story.at(paused)
         trio.lowlevel.current_clock().jump(1.2)
+        while len(story.owner.of(1)) < 2 and trio.current_time() < story.died_at + 12.0:
+            await trio.sleep(0.01)
+        story.note("released or given up")
         await story.check(over=(1,))
 
     tell(story, 0.0, reports_use, MANY_PLANNERS)
@@ -337,7 +340,7 @@
 def test_guests_stand_whose_connection_alone_is_reset_while_evidence_is_awaited(
     reports_use: bool, tell: Callable[..., None]
 ) -> None:
-    """The new process closes an idle connection with the probe unread in it, which the kernel makes a reset."""
+    """The new process closes an idle connection with the probe unread in it, so the kernel resets it."""
 
     async def story(story: Story) -> None:
         story.die()
@@ -415,3 +418,30 @@
         assert len(story.owner.of(1)) == 1, "released within 0.9 s of its second leave"
 
     tell(story, 0.0, False, MANY_PLANNERS)
+
+
+@reporting_use
+@pytest.mark.parametrize("news_after_handover", [-0.3, 0.3, 2.0])
+@pytest.mark.parametrize("behind", [0.0, 1.4, AHEAD])
+def test_a_guest_of_the_new_process_that_is_handed_over_around_the_news_stands(
+    behind: float, news_after_handover: float, reports_use: bool, tell: Callable[..., None]
+) -> None:
+    """The planner's earlier process placed it on the new process of the machine, 0.2 s after its start."""
+
+    async def story(story: Story) -> None:
+        story.die()
+        await story.at(0.2)
+        story.machine.guests[f"{1:016x}"] = None
+        await story.at(0.5)
+        if news_after_handover < 0:
+            story.show_restart()
+            await trio.sleep(-news_after_handover)
+        await story.owner.say(set_up(1, figures="cores:1;memory:2;service:1;at:a"))
+        if news_after_handover > 0:
+            await trio.sleep(news_after_handover)
+            story.show_restart()
+        await story.at(16.0)
+        heard = story.owner.of(1)
+        assert heard == [], "\n".join([str(heard), *story.trace, *map(str, story.rig.decisions)])
+
+    tell(story, behind, reports_use, MANY_PLANNERS)
