--- a/tests/test_review_restarts.py
+++ b/tests/test_review_restarts.py
@@ -407,6 +407,7 @@
 
     async def story(story: Story) -> None:
         await story.place(1)
+        await trio.sleep(2.0)  # the list confirms the connection
         story.died_at = trio.current_time()
         story.rig.bulletin.events.append(event(2, host("a", health="terminated")))
         await story.at(0.8)
