--- a/hazelhold/engine/restarts.py
+++ b/hazelhold/engine/restarts.py
@@ -4,7 +4,8 @@
 one with its reset still to be read. Nothing that the planner has received by then distinguishes the two, and
 clocks of different machines may differ. So guests sent on that connection wait for evidence from it: an
 answer to a probe that was sent after the list showed the restart comes from the new incarnation, and a
-connection that is reset instead, or stays silent, was to the previous one.
+connection that is reset instead, or stays silent, was to the previous one. A process that lives may lose a
+connection, so where machines report use a guest behind a reset is released only if none comes in time.
 """
 
 from hazelhold.engine.address_reuse import AddressReuse
@@ -21,7 +22,6 @@
 """Microseconds after the list showed a restart for which evidence is awaited, of the 8 s from the death
 within which guests have to be released."""
 
-
 READ_TIME = 200_000
 """Microseconds in which a process that resumes after a pause reads what arrived meanwhile."""
 
