--- a/tests/test_bound_process.py
+++ b/tests/test_bound_process.py
@@ -100,9 +100,10 @@
     return remaining
 
 
-def hear_hangups() -> None:
-    """A test run that ignores SIGHUP, as under nohup, would hand that down."""
-    signal.signal(signal.SIGHUP, signal.SIG_DFL)
+def restore_signals() -> None:
+    """A test run that ignores signals, as one in the background does, would hand that down."""
+    for number in (signal.SIGINT, signal.SIGTERM, signal.SIGHUP):
+        signal.signal(number, signal.SIG_DFL)
 
 
 @contextlib.contextmanager
@@ -110,7 +111,7 @@
     """A rig as a process of its own, which keeps its files in this folder."""
     with (folder / "rig.log").open("wb") as log:
         process = subprocess.Popen(
-            [sys.executable, *command], cwd=ROOT, stdout=log, stderr=log, preexec_fn=hear_hangups
+            [sys.executable, *command], cwd=ROOT, stdout=log, stderr=log, preexec_fn=restore_signals
         )
     try:
         yield process
