--- a/tests/faults/servers.py
+++ b/tests/faults/servers.py
@@ -8,6 +8,7 @@
 
 import trio
 
+from tests.faults.load_reports import LoadReporter, Resources
 from tests.faults.record import Attempt, Life, Record, ServerLife
 
 REFUSED, MOOT, ERROR, DONE, STOPPED, RESET = 34, 102, 47, 16, 31, 41  # causes
@@ -47,6 +48,7 @@
     attempt: Attempt
     planner: str
     ends_at: float
+    use: Resources
     speaks_at: float = float("inf")  # tells its use next
 
 
@@ -83,6 +85,7 @@
         self.tells_use = True  # notes on each task that stands: now and then, and at its planner's start
         self.spoke_to: dict[str, Life] = {}  # the process of each planner that was told so
         self.note_gaps = Random(f"note gaps/{name}")
+        self.load = LoadReporter(name, time.monotonic())
         self.process = 0  # counts its restarts
         self.silent_until = 0.0  # reads on, and says nothing before this
         self.tested = 0  # tests that it was asked
@@ -177,6 +180,7 @@
         for task in self.tasks.values():
             task.attempt.over_at = task.attempt.over_at or now
         self.tasks.clear()
+        self.load.restarted(now)
         for listener in self.listeners.values():
             await listener.aclose()
         for planner, port in self.ports.items():
@@ -265,7 +269,8 @@
             return
         if self.faults.delay:
             await trio.sleep(self.faults.delay)
-        load = {"load": "x0:20;x1:60"}
+        cores, memory = self.load.free(time.monotonic())
+        load = {"load": f"x0:{cores:.3f};x1:{memory:.3f}"}
         await self._say(
             connection,
             {
@@ -330,6 +335,7 @@
             attempt,
             connection.planner,
             now + self.random.uniform(*self.task_life),
+            self.load.use_of_a_guest(),
             now + self.note_gaps.expovariate(1 / NOTE_GAP),
         )
         line = {"op": "accept", "call": call, "with": {}, "desc": attempt.description}
@@ -352,8 +358,12 @@
             await self._tell_use_of(connection, call)
 
     async def _tell_use_of(self, connection: Connection, call: str) -> None:
-        for note, value in (("cpu", "0.4"), ("mem", "1.2")):
-            await self._say(connection, {"op": "info", "call": call, "with": {"note": note, "value": value}})
+        task = self.tasks.get(call)
+        if task is None:
+            return  # it has ended since
+        for note, value in (("cpu", task.use.cores), ("mem", task.use.memory)):
+            fields = {"note": note, "value": f"{value:.3f}"}
+            await self._say(connection, {"op": "info", "call": call, "with": fields})
 
     def _tell_uses(self, now: float) -> None:
         """Notes on what stands that come now and then, on any connection that there is."""
@@ -378,6 +388,7 @@
                 if not self.faults.hung:
                     await self._end(task, DONE, "")
             self._tell_uses(now)
+            self.load.refresh(now, [task.use for task in self.tasks.values()])
             await trio.sleep(0.02)
 
     async def _end(self, task: Task, why: int, note: str) -> None:
