The tests of a platform process choose ports that no other process is given

Cause: the planner's address and the one where nothing should listen were ephemeral ports, bound, closed and used later. Meanwhile another test's listener or connection may be given the port. Forced: with a silent listener at the planner's address the first test times out at the same line; with another test's discovery stand-in at the address where nothing should listen, the task is placed, at the same line. Mend, of the test: hazelhold.rehearse.ports, as everywhere else. Checks unchanged.

--- a/tests/test_platform_process.py
+++ b/tests/test_platform_process.py
@@ -16,6 +16,7 @@
 import pytest
 
 from hazelhold.platform.codec import ANSWER, END, TEST, TESTED, BinaryMessage, BinaryReader, encode_binary
+from hazelhold.rehearse.ports import free_ports
 from tests.bound_process import end_with_parent
 from tests.platform_rig import DEPLOYMENT, event, host, set_up
 
@@ -34,6 +35,11 @@
     return listener, f"127.0.0.1:{listener.getsockname()[1]}"
 
 
+def unused_address() -> str:
+    """An address at which nothing listens, and that no process of another test takes meanwhile."""
+    return f"127.0.0.1:{free_ports(1)[0]}"
+
+
 def bounded() -> None:
     resource.setrlimit(resource.RLIMIT_NOFILE, (64, 64))
 
@@ -101,8 +107,7 @@
     """Yields the process, its address, its file, and a function that writes the file for a discovery address.
     The process is limited to the descriptors that its file allows."""
     with contextlib.ExitStack() as stack:
-        with socket.create_server(("127.0.0.1", 0)) as free:
-            address = f"127.0.0.1:{free.getsockname()[1]}"
+        address = unused_address()
         door, at = served(machine)
         stack.enter_context(door)
         path = tmp_path / "config.json"
@@ -187,8 +192,7 @@
     spin."""
     process, address, _, write = planner
     name, port = address.split(":")
-    with socket.create_server(("127.0.0.1", 0)) as free:
-        nowhere = f"127.0.0.1:{free.getsockname()[1]}"
+    nowhere = unused_address()
     write(nowhere)
     process.send_signal(signal.SIGHUP)
     talk, test = Talk(address), BinaryMessage(TEST, "00000000000000aa", {17: b"\0"})
@@ -225,8 +229,7 @@
 
 @pytest.mark.parametrize("when", ["at once", "up"])
 def test_a_planner_stopped_during_its_start_exits_without_errors(tmp_path: Path, when: str) -> None:
-    with socket.create_server(("127.0.0.1", 0)) as free:
-        address = f"127.0.0.1:{free.getsockname()[1]}"
+    address = unused_address()
     path = tmp_path / "config.json"
     path.write_text(
         json.dumps(
