The test of ends during a stop waits for what has arrived, not only for a time

Cause: after its block the test waited 0.05 s and looked. Planner, machine and owners are one process, so that time may pass while the system runs others, with what arrived not yet handled. Mend, of the test: 30 iterations of the loop after the 0.05 s.

--- a/tests/test_fault_stopped_process.py
+++ b/tests/test_fault_stopped_process.py
@@ -92,6 +92,7 @@
 
 
 BLOCKED = 0.13  # seconds; more than the 0.1 s in which a dispatch may follow its client's cancel
+ITERATIONS = 30  # of the loop; a message from a machine reaches its owner within ten
 TRIES = 24  # the loop runs ready tasks in random order
 
 
@@ -178,6 +179,14 @@
     on_sockets(test, "a")
 
 
+async def handled(seconds: float) -> None:
+    """Waits so long, and until all that arrived meanwhile is handled. The time alone may pass while the
+    system runs other processes; everything here happens in this one, within a few iterations of the loop."""
+    await trio.sleep(seconds)
+    for _ in range(ITERATIONS):
+        await trio.lowlevel.checkpoint()
+
+
 async def placed(owner: Owner, guest: int) -> None:
     await until(lambda: owner.of(guest) == PLACED)
 
@@ -208,7 +217,7 @@
             line = {"op": "end", "call": f"{guest:016x}", "with": {}, "why": 16}
             machine.streams[-1].socket._sock.send(json.dumps(line).encode() + b"\n")
             time.sleep(BLOCKED)
-            await trio.sleep(0.05)
+            await handled(0.05)
             received = [*other.of(guest), *([] if not own else last.of(guest))]
             missed.extend([guest] * (received == []))
             await last.stream.aclose()
