The judge gives 8 s for an end told to a planner that is killed right after its stop

Cause: whether the planner was away was judged at the moment at which the end was told, in the stop, and not at the first moment at which it could be read.

--- a/tests/faults/judge.py
+++ b/tests/faults/judge.py
@@ -184,9 +184,10 @@
         if stood.over_at is None or end is not None and end.at <= stood.over_at + RELEASE_WITHIN:
             return
         due = self._runs_from(request.planner, stood.over_at + RELEASE_AT_LATEST)
-        if stood.over_told_at is not None and not self._was_away(request.planner, stood.over_told_at):
+        if stood.over_told_at is not None:
             read = self._runs_from(request.planner, stood.over_told_at)
-            due = self._runs_from(request.planner, read + RELEASE_WITHIN) + SLACK
+            if not self._was_away(request.planner, read):
+                due = self._runs_from(request.planner, read + RELEASE_WITHIN) + SLACK
         if end is None and due > self.record.ended:
             return
         if end is None or end.at > due + self._lag(due, end.at):
--- a/tests/test_faults_judge.py
+++ b/tests/test_faults_judge.py
@@ -222,6 +222,27 @@
     assert broken(record) != []
 
 
+@pytest.mark.parametrize(
+    ("killed_at", "released_at", "found"),
+    [
+        (14.01, 18.9, []),  # killed before it could send the release: 8 s from the end
+        (14.01, 19.2, ["lost"]),
+        (15.2, 18.9, ["lost"]),  # it ran long enough to send it
+    ],
+)
+def test_an_end_reported_during_a_stop_is_due_in_8_s_where_the_process_is_killed_right_after_it(
+    killed_at: float, released_at: float, found: list[str]
+) -> None:
+    """Soak seeds 805, 817, 825 and 828: killed 4 to 11 ms after a stop of 2 s and more. Where no release
+    could be sent, the protocol page gives 8 s from the end."""
+    record = stopped(10.9, 14.0)
+    record.lives[0].killed_at = record.lives[0].ended_at = killed_at
+    record.lives[0].expected_end = True
+    record.lives.append(Life("n0", killed_at + 0.1, ready_at=killed_at + 0.5))
+    record.requests["t"].replies[1].at = released_at
+    assert broken(record) == found
+
+
 def test_a_seed_draws_the_same_faults_and_others_draw_others() -> None:
     assert draw(5, 8, 8, 20.0) == draw(5, 8, 8, 20.0) != draw(6, 8, 8, 20.0)
     kinds = [len(draw(seed, 24, 16, 25.0).outages) for seed in range(20)]
