An answer of the discovery address that was left does not confirm the list

What callers could see: for up to 0.2 s after a reload that moves discovery, tasks were placed by a list that only the old service had confirmed. Cause: the move cancels the poll, but a task that was woken by its end runs on to its next checkpoint and processed the answer, after the lease had been ended for the move. Evidence: found by reading, while tracing a test; forced in virtual time, with the reload between the end of a poll and its processing: `list_in_doubt` (the service has a new address), then `list_current` of 50 ms ago. Why the fix works: a poll keeps the address that it asked, and its answer counts only while that one is polled, whatever the order of tasks.

--- a/hazelhold/platform/discovery.py
+++ b/hazelhold/platform/discovery.py
@@ -116,6 +116,7 @@
 
     def __init__(self, follower: "DiscoveryFollower[T]", connection: Connection | None, wait: float) -> None:
         self.follower, self.connection, self.wait = follower, connection, wait
+        self.address = follower.address
         self.asked_at = self.began_at = trio.current_time()
         self.scope = trio.CancelScope()
         self.finished = trio.Event()
@@ -128,11 +129,9 @@
             with self.scope:
                 with trio.fail_after(MAX_POLL_DURATION):
                     if self.connection is None:
-                        self.connection = Connection(await self.follower.net.dial(self.follower.address))
+                        self.connection = Connection(await self.follower.net.dial(self.address))
                     self.asked_at = trio.current_time()
-                    self.body = await self.connection.poll(
-                        self.follower.address, self.follower.last, self.wait
-                    )
+                    self.body = await self.connection.poll(self.address, self.follower.last, self.wait)
         except FAILURES as error:
             self.error = error
         finally:
@@ -189,7 +188,8 @@
         self.update_requested.set()
 
     def move(self, address: str) -> None:
-        """Polls a new address from now on, starting at once. Answers of the old one are not awaited."""
+        """Polls a new address from now on, starting at once. Answers of the old one count no more, also one
+        that has been received and not processed yet."""
         self.address = address
         self.failures, self.confirmed = 0, False
         self.scope.cancel()
@@ -255,7 +255,9 @@
         await poll.close()
 
     def _process_answer(self, poll: Poll[T]) -> bool:
-        """Processes the answer to a poll; False if it failed."""
+        """Processes the answer to a poll; False if it failed, or came from an address that was left since."""
+        if poll.address != self.address:
+            return False
         try:
             if poll.body is None:
                 raise poll.error or DiscoveryError("cancelled")
--- a/tests/test_platform_list.py
+++ b/tests/test_platform_list.py
@@ -3,8 +3,10 @@
 import json
 from pathlib import Path
 
+import pytest
 import trio
 
+from hazelhold.engine.list_lease import Lapse
 from hazelhold.interface import Scope
 from hazelhold.platform import discovery
 from tests.platform_rig import DEPLOYMENT, PLACED, Bulletin, Rig, event, file, host, play, set_up
@@ -73,6 +75,38 @@
     play(test)
 
 
+def test_an_answer_of_the_old_address_that_arrives_with_a_reload_does_not_confirm_the_list(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """The answer has been received when the reload is handled, and its poll's reader runs after that."""
+
+    async def test(rig: Rig) -> None:
+        planner = rig.planner
+        planner.config = tmp_path / "config.json"
+        planner.config.write_text(file(bulletin="news:2"))
+        await trio.sleep(0.2)
+        new = Bulletin()
+        new.silent = True
+        await rig.net.listen("news:2", new.door, rig.nursery)
+        run = discovery.Poll.run
+
+        async def run_until_a_reload(poll: discovery.Poll) -> None:
+            await run(poll)
+            if poll.body is not None and planner.reloads == 0:
+                planner.reload()
+
+        monkeypatch.setattr(discovery.Poll, "run", run_until_a_reload)
+        await trio.sleep(0.3)
+        assert planner.reloads == 1 and new.asked
+        answers = planner.counts["discovery_answers"]
+        assert not planner.engine.lease.holds(rig.net.now())
+        assert planner.engine.lease.lapse is Lapse.MOVED
+        await trio.sleep(0.3)
+        assert planner.counts["discovery_answers"] == answers
+
+    play(test)
+
+
 # Invalid entries, list size, and an overloaded planner.
 
 
