Split the stand-in servers' state from what they do, and name both in the field's terms

tests/faults/servers.py held 404 lines with its types, and names such as "say", "heard", "told", "pen", "what stands". The types are in server_state.py now; no behaviour, draw or digest changes. `tells_use` and `_end` keep their names, which listed tests use.

--- a/tests/faults/run.py
+++ b/tests/faults/run.py
@@ -28,7 +28,8 @@
     Stop,
     Surge,
 )
-from tests.faults.servers import Faults, Server
+from tests.faults.server_state import Faults
+from tests.faults.servers import Server
 from tests.faults.shim_plan import CallFault, ClockStep, ShimPlan
 from tests.platform_rig import DEPLOYMENT
 
--- a/tests/faults/schedule.py
+++ b/tests/faults/schedule.py
@@ -4,7 +4,7 @@
 from random import Random
 
 from tests.faults.discovery import Fault
-from tests.faults.servers import Draining
+from tests.faults.server_state import Draining
 from tests.faults.shim_plan import CallFault, ClockStep, ShimPlan
 
 QUIET_START, QUIET_END = 2.0, 5.0  # seconds without new faults
