One guest is moved to learn whether a machine that looks empty still has those handed over

Cause: what is handed over was taken to stand, since no message was known that tells a task that stands from one that is over.

A machine that came back with another process sent `end`, cause 41, for 179 tasks of its last one, so only cause 31 and notes are taken to show the process.

While the list is not confirmed, on machines that report load and not use: load reports of 2.4 s; where their mean is that of an empty machine, the least costly handed-over guest is moved; without cause 31 within 0.8 s from a machine that answers tests, the others are moved too.

Why it holds: the release is a move, which is allowed whether the task stands or not. Reports and waits choose only how many tasks that stand are moved.

The stand-in clients and servers know a move; the judge takes it for the end of its task: late, twice or without an answer it is `lost`.

--- a/hazelhold/engine/engine.py
+++ b/hazelhold/engine/engine.py
@@ -86,7 +86,8 @@
         """When to pump again if nothing happens; None if nothing is due."""
         if self.more:
             return now
-        times = [t for t in (self.scheduler.next_decision_at(now), self.list_due, self.verify_at) if t]
+        checks = (self.verify_at, self.process_checks_at)
+        times = [t for t in (self.scheduler.next_decision_at(now), self.list_due, *checks) if t]
         times += [self.links[name].restart.decided_at for name in self._undated_restarts()]
         if (question_due := self.list_questions.due()) is not None:
             times.append(question_due)
@@ -163,6 +164,8 @@
         if self.verify_at and now >= self.verify_at:
             self.verify_at = now + DECISION_INTERVAL
             self._decide_verifications(now)
+        if self.process_checks_at and now >= self.process_checks_at:
+            self._decide_process_checks(now)
         if now < self.idle_check_at:
             return
         idle = to_microseconds(self.limits.idle_close_ms)
--- a/hazelhold/engine/link_loss.py
+++ b/hazelhold/engine/link_loss.py
@@ -5,6 +5,7 @@
 from hazelhold.engine.machines import ConnectionEnd, Link
 from hazelhold.engine.records import HangUp
 from hazelhold.interface import DispatchOutcome, OutcomeReason
+from hazelhold.protocol import messages as m
 
 
 class LinkLoss(Dispatches):
@@ -41,6 +42,7 @@
 
     def _forget_machine(self, now: int, link: Link) -> None:
         """The machine did not return in time: its dispatches go to the scheduler as possibly run."""
+        self.process_checks.pop(link.machine, None)
         link.lost_at = link.dial_at = link.unanswered = link.heard_at = 0
         link.pending_messages.clear()
         link.incarnation = link.incarnation if link.state == "up" else 0
@@ -65,6 +67,18 @@
         """Whether a guest there may be on another machine, which the list will show with this address."""
         return any(self.records[name].sent_unconfirmed for name in link.guests)
 
+    def _probe_or_dial(self, now: int, link: Link) -> int:
+        """Makes a machine send a message, on a new connection if none is open; returns the probe's number, 0
+        if none was sent."""
+        if link.state == "up":
+            self.probe_number += 1
+            self._send_machine(link.machine, m.Probe(number=self.probe_number))
+            return self.probe_number
+        if link.state == "down" and not link.lost_at:  # dialled until it answers or counts as lost
+            link.lost_at = link.dial_at = now
+            self.active_links[link.machine] = None
+        return 0
+
     def _drop_silent_link(self, now: int, link: Link) -> None:
         if link.awaits_evidence:  # only an answer on this connection is evidence
             return
--- a/hazelhold/engine/links.py
+++ b/hazelhold/engine/links.py
@@ -5,6 +5,7 @@
 from hazelhold.engine.list_updates import ListUpdates
 from hazelhold.engine.liveness import LivenessChecks
 from hazelhold.engine.machines import ConnectionEnd, Link
+from hazelhold.engine.process_checks import GUEST_REPORTS
 from hazelhold.engine.records import AbandonedDispatch, Disconnect, GuestRecord, HangUp
 from hazelhold.interface import DispatchOutcome, Load, OutcomeReason
 from hazelhold.protocol import messages as m
@@ -20,7 +21,6 @@
     "not_sent": (DispatchOutcome.NOT_SENT, OutcomeReason.NONE),
 }
 ENDS_AFTER_ACCEPTANCE = ("evicted", "pushed_out", "sent_away")  # ends of guests that were accepted
-GUEST_REPORTS = (m.Started, m.ResourceUse, m.ServiceLevel)  # what only the process that has a guest sends
 REMARKS = {
     "no_cores": OutcomeReason.NO_CORES,
     "no_memory": OutcomeReason.NO_MEMORY,
@@ -152,6 +152,7 @@
         if isinstance(message, m.Report):
             self.scheduler.machine_reported(now, machine, load(message.load))
             self._restart_probe_answered(now, link, message.number)
+            self._probe_reported(now, link, message.number, load(message.load))
             if machine in self.probes and self.probes[machine].number == message.number:
                 self._probe_answered(now, link, message.well)
                 self._probe_over(now, machine, message.well)
@@ -161,6 +162,7 @@
             return
         if not isinstance(message, m.DispatchMessage):
             return
+        self._process_reported(machine, message)
         if (report := getattr(message, "load", None)) is not None:
             self.scheduler.machine_reported(now, machine, load(report))
         for record in (
--- a/hazelhold/engine/liveness.py
+++ b/hazelhold/engine/liveness.py
@@ -37,6 +37,7 @@
         self.resumed_at = now
         self.counts["stops_left_out"] += 1
         self._postpone_verifications(now, stopped, now + CATCH_UP_TIME)
+        self._postpone_process_checks(now + CATCH_UP_TIME)
         for link in self.links.values():
             link.exclude_pause(now, stopped)
 
--- a/hazelhold/engine/owners.py
+++ b/hazelhold/engine/owners.py
@@ -231,6 +231,7 @@
         self.scheduler.guest_discovered(now, machine, self._submission(record, submit.patience))
         link = self._dial(now, listed)
         link.heard_at = link.heard_at or now
+        self._check_process(now, machine)
         return ""
 
     def _resolve_handovers(self, now: int, list_is_whole: bool) -> None:
--- a/hazelhold/engine/records.py
+++ b/hazelhold/engine/records.py
@@ -4,6 +4,7 @@
 from enum import Enum
 from typing import NamedTuple, Protocol
 
+from hazelhold.interface import Load
 from hazelhold.protocol import messages as m
 
 
@@ -136,6 +137,36 @@
     listed_at: int
 
 
+class ProcessFinding(Enum):
+    """What a process check has found. Logs print the value."""
+
+    SAME = "it has reported on a guest that was handed over"
+    OTHER = "it reported nothing on a guest that was moved"
+    IN_USE = "its load reports show guests"
+    NO_REPORTS = "it reports no load"
+    NO_GUESTS = "no guest that was handed over is left"
+    NO_OWNER = "no owner could be told of a move"
+
+
+@dataclass
+class ProcessCheck:
+    """Whether a machine still runs the process on which guests were handed over (`engine.process_checks`).
+
+    Times in microseconds; 0 means never.
+    """
+
+    since: int  # the first handover on the machine
+    due_at: int  # when its next step is due
+    connected_at: int = 0  # when the connection was opened on which the rest was received
+    reports: list[Load] = field(default_factory=list)  # load reports that differ from the one before
+    probe_number: int = 0  # of the last probe sent for this check; 0: none on this connection
+    answered: bool = False  # a probe was answered, after a move the last one
+    moved_guest: str = ""  # the guest whose end the machine has to report
+    moved_at: int = 0
+    awaited_since: int = 0  # since when the machine has been able to report that end
+    finding: ProcessFinding | None = None  # None: it is open
+
+
 class Claimed(Protocol):
     """A claim as the planners agreed on it (`hazelhold.replica.claims`)."""
 
--- a/hazelhold/engine/settings.py
+++ b/hazelhold/engine/settings.py
@@ -23,6 +23,9 @@
     # The list service regularly confirms that nothing changed. If so, a list that was not confirmed lately
     # proves nothing about a machine: each is probed before guests are sent there.
     list_confirms: bool = False
+    reports_load: bool = True  # machines report their load in answers to probes
+    # A machine reports the end of a guest that its owner was told to move.
+    reports_moves: bool = False
     # Machines report what each guest uses: when a planner starts, and as it changes.
     reports_use: bool = False
 
--- a/hazelhold/engine/tables.py
+++ b/hazelhold/engine/tables.py
@@ -20,6 +20,7 @@
     Dial,
     GuestRecord,
     HangUp,
+    ProcessCheck,
     ProposeChange,
     Send,
     Verification,
@@ -108,6 +109,9 @@
         # Guests that count as placed and that their machine has to confirm; by the scheduler's name.
         self.verifications: dict[str, Verification] = {}  # emptied by that and by timeout
         self.verify_at = 0  # when they are checked next; 0: there are none
+        # By machine; emptied by the list's confirmation and as links are forgotten.
+        self.process_checks: dict[str, ProcessCheck] = {}
+        self.process_checks_at = 0  # when their next step is due; 0: none is
         # Machines whose restart the list has shown, while their connection awaits evidence; emptied by that
         # and by timeout.
         self.undated_restarts: dict[str, None] = {}
--- a/hazelhold/platform/configuration.py
+++ b/hazelhold/platform/configuration.py
@@ -25,6 +25,7 @@
     acknowledges_submission=False,
     advises_retry=False,
     list_confirms=True,
+    reports_moves=True,
 )
 # Decisions between reads of peers. One takes up to some 10 ms, and a drain has to be read within its grace of
 # 250 ms.
@@ -182,7 +183,10 @@
         item_names(settings, "tenants"),
         item_names(settings, "kinds"),
         limits,
-        PLATFORM._replace(reports_use=truth(pairs.values.get("family-info.use-notes", ""))),
+        PLATFORM._replace(
+            reports_load=pairs.values.get("load-report.how", "") != "off",
+            reports_use=truth(pairs.values.get("family-info.use-notes", "")),
+        ),
     )
     max_resources = (
         max(k.cores for k in deployment.machine_kinds) * deployment.cores_multiple,
--- a/hazelhold/platform/owner_server.py
+++ b/hazelhold/platform/owner_server.py
@@ -200,8 +200,8 @@
             self.log.debug("to_owner", owner=owner, message=repr(message))
         peer = self.peers.get(owner)
         if isinstance(message, m.GuestEnded):
-            if message.how != "stopped":
-                self.releases.send(peer, binary)
+            if message.how != "stopped" and not self.releases.send(peer, binary) and message.how == "moved":
+                self.engine.move_undelivered(message.guest)
             return
         if peer is None:
             self.counts["answers_without_owner"] += 1
--- a/hazelhold/platform/releases.py
+++ b/hazelhold/platform/releases.py
@@ -27,20 +27,21 @@
         self.peers, self.counts = peers, counts
         self.waiting: deque[WaitingRelease] = deque()  # emptied by age and by the next usable connection
 
-    def send(self, peer: OwnerPeer | None, binary: BinaryMessage) -> None:
+    def send(self, peer: OwnerPeer | None, binary: BinaryMessage) -> bool:
         """Sends an end on its own connection, else on any on which an owner has sent a valid message, else
-        holds it for the next."""
+        holds it for the next. False if it is held."""
         if peer is not None and peer.release(binary):
-            return
+            return True
         by_preference = sorted(
             self.peers.values(), key=lambda p: (p.handed_over, p.had_placement, p.used_at), reverse=True
         )
         for other in by_preference:
             if other.sent_valid and other.release(binary):
                 self.counts["releases_elsewhere"] += 1
-                return
+                return True
         self.counts["releases_held"] += 1
         self.waiting.append(WaitingRelease(trio.current_time() + LONGEST_WAIT, binary))
+        return False
 
     def send_waiting(self, peer: OwnerPeer) -> None:
         """Sends the waiting ends on a connection on which an owner has sent a valid message."""
--- a/hazelhold/platform/translation.py
+++ b/hazelhold/platform/translation.py
@@ -16,6 +16,7 @@
     FIGURES,
     HEARD,
     LEFT,
+    MOVE,
     NAME,
     TENANT,
     TESTED,
@@ -131,6 +132,8 @@
     if isinstance(message, m.Rejected):
         return released(message.guest, FULL if message.code in ("full", "stopping") else ERROR)
     if isinstance(message, m.GuestEnded):
+        if message.how == "moved":
+            return BinaryMessage(MOVE, message.guest, {})
         return released(message.guest, OK if message.how == "done" else RESET)
     return None
 
--- a/hazelhold/protocol/messages.py
+++ b/hazelhold/protocol/messages.py
@@ -159,7 +159,8 @@
 
 
 class GuestEnded(GuestMessage, tag="guest_ended", kw_only=True):
-    """The end of a placed guest; `how` is done, error, evicted, pushed_out, sent_away, stopped or lost."""
+    """The end of a placed guest; `how` is done, error, evicted, pushed_out, sent_away, stopped, lost or
+    moved."""
 
     how: str
     machine: str = ""
--- a/tests/faults/servers.py
+++ b/tests/faults/servers.py
@@ -15,6 +15,7 @@
 RESEND_PERIOD = 10.0  # seconds in which an end is sent again if its connection has ended
 MEAN_NOTE_INTERVAL = 4.0  # seconds between two notes on what a task uses
 SILENCE_POLL = 0.01  # seconds between checks whether a silence is over
+MOVE_DELAY = (0.001, 0.05)  # seconds from a client that is told to move its task to that task's end
 RESEND_POLL = 0.05  # seconds between checks for a connection on which an end can be sent
 
 
@@ -34,6 +35,7 @@
             str, Life
         ] = {}  # the last process of each planner that got notes on all its tasks
         self.note_intervals = Random(f"note gaps/{name}")
+        self.move_delays = Random(f"move delays/{name}")
         self.load = LoadReporter(name, time.monotonic())
         self.process = 0  # counts its restarts
         self.silent_until = 0.0  # it reads, and sends nothing before this
@@ -245,6 +247,22 @@
                 self._send, connection, {"op": "end", "call": call, "with": {}, "why": STOPPED}
             )
 
+    def move(self, call: str) -> None:
+        """The client of a task was told to move it: it ends here too, if it stands here."""
+        if call in self.tasks:
+            self.nursery.start_soon(self._end_moved, call)
+
+    async def _end_moved(self, call: str) -> None:
+        await trio.sleep(self.move_delays.uniform(*MOVE_DELAY))
+        while self.faults.hung:
+            await trio.sleep(SILENCE_POLL)
+        task = self.tasks.pop(call, None)
+        if task is None:
+            return
+        task.attempt.over_at = time.monotonic()
+        line = {"op": "end", "call": call, "with": {}, "why": STOPPED}
+        await self._send_on_any_connection(task.planner, line)
+
     async def _answer(self, connection: Connection, attempt: Attempt) -> None:
         faults, random = self.faults, self.random
         if faults.hung or random.random() < faults.share_unanswered:
--- a/tests/test_faults_judge.py
+++ b/tests/test_faults_judge.py
@@ -182,6 +182,25 @@
     assert broken(record) == []
 
 
+def test_a_move_releases_what_is_over_and_may_end_what_stands() -> None:
+    """Its page says: the task ends, also at its machine, and the owner comes again."""
+
+    def moved(at: float, over_at: float | None, *more: Reply) -> list[str]:
+        record = sound()
+        record.attempts[0].over_at, record.attempts[0].over_told_at = over_at, None
+        record.requests["t"].replies[1:] = [Reply(at, "move", None), *more]
+        return broken(record)
+
+    assert moved(14.0, 14.01) == []  # it stood
+    assert moved(18.9, 11.0) == []  # it was over; 8 s are allowed
+    assert moved(19.1, 11.0) == ["lost"]
+    assert moved(14.0, 14.01, Reply(14.5, "end", 41)) == ["lost"]
+    assert moved(14.0, 14.01, Reply(14.5, "move", None)) == ["lost"]
+    record = sound()
+    record.requests["t"].replies = [Reply(10.2, "move", None)]
+    assert "lost" in broken(record)  # it had no answer
+
+
 def stopped(began_at: float, ended_at: float) -> Record:
     """The sound run, with a stop of its planner's process."""
     record = sound()
