--- a/hazelhold/engine/link_loss.py
+++ b/hazelhold/engine/link_loss.py
@@ -5,7 +5,6 @@
 from hazelhold.engine.machines import ConnectionEnd, Link
 from hazelhold.engine.records import HangUp
 from hazelhold.interface import DispatchOutcome, OutcomeReason
-from hazelhold.protocol import messages as m
 
 
 class LinkLoss(Dispatches):
@@ -71,9 +70,7 @@
         """Makes a machine send a message, on a new connection if none is open; returns the probe's number, 0
         if none was sent."""
         if link.state == "up":
-            self.probe_number += 1
-            self._send_machine(link.machine, m.Probe(number=self.probe_number))
-            return self.probe_number
+            return self._send_new_probe(link.machine)
         if link.state == "down" and not link.lost_at:  # dialled until it answers or counts as lost
             link.lost_at = link.dial_at = now
             self.active_links[link.machine] = None
--- a/hazelhold/engine/links.py
+++ b/hazelhold/engine/links.py
@@ -77,8 +77,7 @@
             link.lost_at = 0
         link.heard_at = link.heard_at or now
         if link.lost_at:  # the answer shows whether the machine that had those guests is still there
-            self.probe_number += 1
-            self._send_machine(link.machine, m.Probe(number=self.probe_number))
+            self._send_new_probe(link.machine)
         self.active_links[link.machine] = None
         messages, link.pending_messages = link.pending_messages, []
         for until, message in messages:
--- a/hazelhold/engine/liveness.py
+++ b/hazelhold/engine/liveness.py
@@ -95,8 +95,7 @@
             ):
                 if link.probed_at <= link.heard_at:
                     link.probed_at = now
-                    self.probe_number += 1
-                    self._send_machine(link.machine, m.Probe(number=self.probe_number))
+                    self._send_new_probe(link.machine)
                 elif now - link.probed_at > to_microseconds(self.limits.probe_ms):
                     self._drop_silent_link(now, link)
             return
--- a/hazelhold/engine/tables.py
+++ b/hazelhold/engine/tables.py
@@ -270,6 +270,12 @@
     def _send_machine(self, machine: str, message: m.Message) -> None:
         self.actions.append(Send("machine", machine, message))
 
+    def _send_new_probe(self, machine: str) -> int:
+        """Probes a machine without a decision of the scheduler; returns the probe's number."""
+        self.probe_number += 1
+        self._send_machine(machine, m.Probe(number=self.probe_number))
+        return self.probe_number
+
     def _active_links(self) -> list[Link]:
         for name in [n for n in self.active_links if n not in self.links]:
             del self.active_links[name]
