A signal that comes as trio ends leaves no traceback in the log

Cause: signals had handlers until trio's run was over. The interpreter writes to trio's wake-up socket at each signal that has a handler, and trio closes the reading end some steps before it takes the writing end from the interpreter. Evidence: the log line, trio's code, and a signal forced between the two steps, which shows it each time.

Mend: run_until_end ignores them from the end of the main task on, for planners of both protocols and control machines. That holds for any moment, since an ignored signal has no handler.

--- a/hazelhold/cli/fleetconfig.py
+++ b/hazelhold/cli/fleetconfig.py
@@ -49,7 +49,7 @@
 
     from hazelhold.fleetconfig.control_host import ControlHost
     from hazelhold.service.net import TcpNet
-    from hazelhold.service.signals import early_signals
+    from hazelhold.service.signals import early_signals, run_until_end
     from hazelhold.state.disk import RealDisk
 
     read = read_control(file)
@@ -70,7 +70,7 @@
                 nursery.cancel_scope.cancel()
 
     with early_signals(kinds) as early:
-        trio.run(run, early)
+        run_until_end(kinds, run, early)
 
 
 @fleetconfig.command("found")
--- a/hazelhold/cli/planner.py
+++ b/hazelhold/cli/planner.py
@@ -73,7 +73,7 @@
     from hazelhold.service.descriptors import raise_descriptor_limit
     from hazelhold.service.net import TcpNet
     from hazelhold.service.planner import Planner
-    from hazelhold.service.signals import early_signals
+    from hazelhold.service.signals import early_signals, run_until_end
 
     planner_config = read_planner(config)
     if to:
@@ -124,5 +124,5 @@
                     print(address, flush=True)
 
     with early_signals(kinds) as early:
-        trio.run(run, early)
+        run_until_end(kinds, run, early)
         recorder.close()
--- a/hazelhold/platform/serve.py
+++ b/hazelhold/platform/serve.py
@@ -10,7 +10,7 @@
 from hazelhold.platform.configuration import StartSettings, read_start
 from hazelhold.platform.planner import PlatformPlanner
 from hazelhold.service.net import TcpNet
-from hazelhold.service.signals import early_signals
+from hazelhold.service.signals import early_signals, run_until_end
 
 
 def serve(config: Path | None = None, frames: bool = False) -> None:
@@ -24,7 +24,7 @@
         raise ConfigError("environment", [("BALANCER_CONFIG", "is not set, and --config is missing")])
     with early_signals(SIGNALS) as early:
         start = read_start(path, START_TRIES)
-        trio.run(run, start, path, frames, early)
+        run_until_end(SIGNALS, run, start, path, frames, early)
 
 
 START_TRIES = 30
--- a/hazelhold/service/signals.py
+++ b/hazelhold/service/signals.py
@@ -1,9 +1,11 @@
 """Signal handling from the start of a process to its exit."""
 
 import signal
-from collections.abc import Iterator, Sequence
+from collections.abc import Awaitable, Callable, Iterator, Sequence
 from contextlib import contextmanager
 
+import trio
+
 
 @contextmanager
 def early_signals(kinds: Sequence[signal.Signals]) -> Iterator[list[int]]:
@@ -18,5 +20,28 @@
     try:
         yield received
     finally:
-        for kind in kinds:
-            signal.signal(kind, signal.SIG_IGN)
+        ignore_signals(kinds)
+
+
+def ignore_signals(kinds: Sequence[signal.Signals]) -> None:
+    """Ignores signals of these kinds from now on."""
+    for kind in kinds:
+        signal.signal(kind, signal.SIG_IGN)
+
+
+def run_until_end(
+    kinds: Sequence[signal.Signals], main: Callable[..., Awaitable[None]], *arguments: object
+) -> None:
+    """Runs `main` with trio, and ignores signals of these kinds from its end on.
+
+    At each signal that has a handler the interpreter writes to a socket of trio's, which trio closes when it
+    ends. A signal between that close and the end would leave a traceback in the log.
+    """
+
+    async def run() -> None:
+        try:
+            await main(*arguments)
+        finally:
+            ignore_signals(kinds)
+
+    trio.run(run)
