--- /dev/null
+++ b/review/standins/settings.py
@@ -0,0 +1,115 @@
+"""Settings of a small deployment: the example on the wire page (brisbane-main), as nested JSON."""
+
+import copy
+
+SETTINGS = {
+    "balancers": 1,
+    "classes": [
+        {
+            "deadline": deadline,
+            "dedup-window": 5000.0,
+            "group": "all",
+            "idempotency": idempotency,
+            "late-worth": late_worth,
+            "long-lived": True,
+            "name": name,
+            "on-time": on_time,
+            "points": points,
+        }
+        for name, deadline, idempotency, late_worth, on_time, points in (
+            ("till-import", 6000.0, "retryable", 0.1, 800.0, 1.0),
+            ("pool-calc", 6000.0, "retryable", 0.1, 600.0, 3.0),
+            ("payout-run", 5000.0, "fragile", 0.2, 1000.0, 3.0),
+        )
+    ],
+    "client-habits": {"marks-retry": False},
+    "discovery": "ask",
+    "family-info": {
+        "accepts-memory": 1.5,
+        "class-kind": [-1, -1, -1],
+        "class-most": [2, 2, 2],
+        "class-priority": [0, 1, 1],
+        "confirms": "accepted",
+        "cores-multiple": 4.0,
+        "easy-until": [1.0, 0.8, 0.8],
+        "eviction-as-moves": 2.0,
+        "fresh-offers": 113.0,
+        "lists-free": True,
+        "lost-after": [1.0, 0.2, 0.15],
+        "makes-room": True,
+        "mean-cores": 1.0,
+        "mem-of-kind": [41.0, 80.0],
+        "pressure-notes": True,
+        "refusal-fee": 0.03,
+        "report-counts": "used",
+        "report-x0": "cores of the machine that are not in use",
+        "report-x1": "memory units of the machine that are not in use",
+        "settle": 3000.0,
+        "share-cores": [258.0, 73.0],
+        "size-cores": [26, 47],
+        "spread-over": ["off", "off", "off"],
+        "start-bonus-s": [10.0, 8.0, 8.0],
+        "sticks": False,
+        "unit-memory": 1.82,
+        "use-notes": True,
+    },
+    "goal": {"whole": 0.3, "worst-class": 0.2, "worst-tenant": 0.1, "worst-window": 0.4},
+    "kind-of-service": "place",
+    "kinds": ["small-box", "large-box"],
+    "limits": {
+        "cancel": True,
+        "connect-timeout": 250.0,
+        "cpu-us-per-request": 0.0,
+        "cpu-us-per-s": 631029,
+        "idle-close": 15000.0,
+        "max-attempts": 4,
+        "max-retry-after": 3000.0,
+        "open-cap": 1577574,
+        "peer-messages": False,
+        "per-conn": 1048576,
+        "probing": True,
+        "retry-after": True,
+        "second-copies": False,
+    },
+    "load-report": {"fields": ["x0", "x1"], "how": "inline"},
+    "locality": 0,
+    "over-share-worth": 0.05,
+    "penalties": {
+        "connection": 0.0,
+        "cross-zone": 0.0,
+        "discovery": 0.004,
+        "handshake": 0.0,
+        "late-fail": 0.0,
+        "moves": 0.051,
+        "origin": 0.0,
+        "peer": 0.0,
+        "probe": 0.003,
+        "waste": 0.05,
+    },
+    "resolution": 2.0,
+    "rules": {
+        "answer-slack": 8.0,
+        "ask-within": 10000.0,
+        "cold": 15000.0,
+        "cold-from": 0.24,
+        "drain-grace": 250.0,
+        "tip-after": 2000.0,
+        "tip-multiple": 2.5,
+    },
+    "slot-no": 0,
+    "tenants": [
+        {"name": "reef-coast-dining", "quota-rps": 25.0, "share": 0.78},
+        {"name": "fig-tree-kitchens", "quota-rps": 7.0, "share": 0.22},
+    ],
+    "tier": 0,
+    "tiers": ["pool-fleet"],
+    "weights": "off",
+    "worth-by": "work",
+    "zones": ["bne-dc1"],
+}
+
+
+def settings(balancers: int = 1, slot: int = 0) -> dict:
+    made = copy.deepcopy(SETTINGS)
+    made["balancers"], made["slot-no"] = balancers, slot
+    return made
