--- a/review/standins/bulletin.py
+++ b/review/standins/bulletin.py
@@ -15,6 +15,7 @@
         self.events: list[dict] = []
         self.changed = asyncio.Event()
         self.silent = False
+        self.quiet = False  # events are not noted
         self.address = ""
         self.server: asyncio.Server | None = None
 
@@ -27,7 +28,7 @@
         """An event; from now on it counts as told."""
         no = len(self.events) + 1
         self.events.append({"no": no, "roster": {"seq": no, "whole": whole, "hosts": hosts}})
-        for each in hosts:
+        for each in () if self.quiet else hosts:
             self.record.note(
                 "bulletin", f"event {no}: {each['host']} {each['health']} born_ms={each['born_ms']}"
             )
--- a/review/standins/client.py
+++ b/review/standins/client.py
@@ -74,7 +74,7 @@
         parameters = {
             CLASS: product.encode(),
             LEFT: (more.get("left") or f"{patience_s * 1000:.0f}").encode(),
-            TENANT: b"reef-coast-dining",
+            TENANT: more.get("tenant", "").encode(),
             NAME: request.task.encode(),
             FIGURES: (figures + (f";at:{at}" if at else "")).encode(),
             DESCRIPTION: f"ask {request.task}\r\n".encode(),
--- a/review/standins/machine.py
+++ b/review/standins/machine.py
@@ -11,9 +11,17 @@
 class Machine:
     """One machine at an address of its own; `kind` is the place of its kind in the settings."""
 
-    def __init__(self, name: str, record: Record, cores: float = 26.0, memory: float = 41.0) -> None:
-        self.name, self.record = name, record
-        self.cores, self.memory = cores, memory
+    def __init__(
+        self,
+        name: str,
+        record: Record,
+        size: tuple[float, float] = (26.0, 41.0),
+        kind: str = "small-box",
+        zone: str = "bne-dc1",
+    ) -> None:
+        self.name, self.record, self.kind, self.zone = name, record, kind, zone
+        self.size = size  # cores and memory
+        self.others = (0.0, 0.0)  # what the tasks of other planners use of them
         self.admit_s, self.life_s = 0.02, 20.0
         self.address = ""
         self.server: asyncio.Server | None = None
@@ -42,17 +50,33 @@
             writer.transport.abort()
         self.writers.clear()
 
-    def entry(self, health: str = "in_service", born_ms: int = 0, kind: str = "small-box") -> dict:
+    def free(self) -> tuple[float, float]:
+        """What is not in use; a task uses half a core and 0.8 units of memory."""
+        running = len(self.standing)
+        return (
+            round(self.size[0] - self.others[0] - 0.5 * running, 2),
+            round(self.size[1] - self.others[1] - 0.8 * running, 2),
+        )
+
+    def room(self) -> list[float]:
+        """What nobody has asked for: each task asks for one core and one unit of memory."""
+        running = len(self.standing)
+        return [
+            self.size[0] - 2 * self.others[0] - running,
+            self.size[1] - self.others[1] - running,
+        ]
+
+    def entry(self, health: str = "in_service", born_ms: int = 0) -> dict:
         return {
             "host": self.name,
             "dial": self.address,
-            "site": "bne-dc1",
-            "class": kind,
+            "site": self.zone,
+            "class": self.kind,
             "block": 0,
             "health": health,
             "share": 1,
             "born_ms": born_ms,
-            "room": [self.cores, self.memory],
+            "room": self.room(),
         }
 
     def _say(self, writer: asyncio.StreamWriter | None, data: bytes) -> None:
@@ -76,7 +100,8 @@
     def _heard(self, writer: asyncio.StreamWriter, here: set[str], said: dict) -> None:
         op, task = said["op"], said["call"]
         if op == "test":
-            report = f"x0:{self.cores:g};x1:{self.memory:g}"
+            cores, memory = self.free()
+            report = f"x0:{cores:g};x1:{memory:g}"
             writer.write(line(op="tested", call=task, **{"with": {"load": report}}, why=1))
         elif op == "offer":
             self.offers.append((self.record.now(), task))
