--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,4 +1,4 @@
-"""A machine that drained is started anew, and its wall clock was stepped back meanwhile: it is cold all the same."""
+"""A machine that drained is started anew, and its wall clock was stepped back: it is cold all the same."""
 
 import asyncio
 import time
@@ -20,7 +20,6 @@
 
 async def case(made: Play) -> None:
     record, told = made.record, settings(SITE)
-    rules = told["rules"]
     bulletin = Bulletin(record)
     bulletin.quiet = True
     await bulletin.open()
