--- a/review/standins/client.py
+++ b/review/standins/client.py
@@ -70,7 +70,8 @@
         number = next(numbers)
         request = Request(task or f"{0xA5 << 56 | number:016x}", product, patience_s)
         self.requests[request.task] = request
-        figures = f"cores:1;memory:1;service:{service or f'{number % 7 + 1:016x}'}"
+        figures = more.get("figures") or "cores:1;memory:1"
+        figures += f";service:{service or f'{number % 7 + 1:016x}'}"
         parameters = {
             CLASS: product.encode(),
             LEFT: (more.get("left") or f"{patience_s * 1000:.0f}").encode(),
