--- a/review/2/case.py
+++ b/review/2/case.py
@@ -78,7 +78,7 @@
     if made.trouble and not cut:
         raise NotRunError("no task stood on the machines that were lost")
 
-    stood = [requests[task] for task in cut if any(text == "answer" for _, text in requests[task].replies)]
+    stood = [requests[task] for task, name in cut.items() if requests[task].machine == name]
     record.note("JUDGE", f"{len(stood)} tasks that stood were cut at {ended_at:.3f}")
     for request in stood:
         releases = [at for at, text in request.replies if text != "answer"]
--- a/review/standins/client.py
+++ b/review/standins/client.py
@@ -78,7 +78,7 @@
             TENANT: more.get("tenant", "").encode(),
             NAME: request.task.encode(),
             FIGURES: (figures + (f";at:{at}" if at else "")).encode(),
-            DESCRIPTION: f"ask {request.task}\r\n".encode(),
+            DESCRIPTION: (more.get("desc") or f"ask {request.task}\r\n").encode(),
         }
         self.write(encode(Binary(SET_UP, request.task, parameters)))
         request.sent_at = self.record.now()
--- a/review/standins/gate.py
+++ b/review/standins/gate.py
@@ -13,12 +13,14 @@
         self.target = ""
         self.shut = False
         self.listener = socket.socket()
+        self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         self.listener.bind(("127.0.0.1", 0))
         self.listener.listen(64)
         self.listener.setblocking(False)
         host, port = self.listener.getsockname()
         self.address = f"{host}:{port}"
         self.fillers: list[socket.socket] = []
+        self.filler_ports: set[int] = set()
         self.silent: list[asyncio.StreamWriter] = []  # connections of the time before it vanished
         self.passing: dict[asyncio.StreamWriter, asyncio.StreamWriter] = {}
         self.tasks: set[asyncio.Task] = set()
@@ -35,6 +37,7 @@
             filler.setblocking(False)
             filler.connect_ex(self.listener.getsockname())
             self.fillers.append(filler)
+            self.filler_ports.add(filler.getsockname()[1])
         self.silent += self.passing
         for away in self.passing.values():
             away.transport.abort()
@@ -51,7 +54,11 @@
 
     def _accept(self) -> None:
         with contextlib.suppress(OSError):
-            made, _ = self.listener.accept()
+            made, peer = self.listener.accept()
+            if peer[1] in self.filler_ports:
+                self.filler_ports.discard(peer[1])
+                made.close()
+                return
             task = asyncio.ensure_future(self._pass(made))
             self.tasks.add(task)
             task.add_done_callback(self.tasks.discard)
--- a/review/standins/machine.py
+++ b/review/standins/machine.py
@@ -95,8 +95,13 @@
         self.writers.discard(writer)
         for task in here & self.looking.keys():  # its connection is closed: the set-up is given up
             self.looking.pop(task).cancel()
+            self.gaveup(task)
         writer.close()
 
+    def gaveup(self, task: str) -> None:
+        """A set-up was given up, since its connection has ended."""
+        self.record.note(self.name, f"set-up {task} is given up: its connection has ended")
+
     def _heard(self, writer: asyncio.StreamWriter, here: set[str], said: dict) -> None:
         op, task = said["op"], said["call"]
         if op == "test":
