A hand-over's time left has a range, so that none overflows

What callers saw: one bad client hands over a task (`at`) with 1e306 in parameter 4.

Cause: the time left of a hand-over was checked to be finite in milliseconds only. It is converted to microseconds afterwards, where it may be infinite, and round() raises OverflowError. No caller expects that, so it ends the nursery of all connections.

Evidence: the traceback of the case names parse_submission; of 22 values of parameter 4, those of 1.8e305 and more, either sign, raise, with `at` at a known and at an unknown machine, and no other does. Without `at` the deadline bounds the value.

Why this works: every number of a peer is checked against a named range before anything is calculated with it. The ranges are in one module, the longest duration is that of the planner's own protocol. A number out of range is refused as before, with an error.

--- a/hazelhold/platform/translation.py
+++ b/hazelhold/platform/translation.py
@@ -27,13 +27,13 @@
     Line,
     OutgoingLine,
 )
+from hazelhold.platform.number_ranges import QUANTITY, TIME_LEFT_MS, NumberRange
 from hazelhold.protocol import messages as m
 from hazelhold.simhost import read_load
 
 FULL, ERROR, MOOT, RESET, OK, CANCELLED = 34, 47, 102, 41, 16, 31  # causes of releases
 REMARKS = {"cpu_full": "no_cores", "mem_full": "no_memory", "busy": "line_full", "wrong_host": "not_here"}
 HOWS = {"oom": "evicted", "preempted": "pushed_out", "drained": "sent_away"}
-MAX_VALUE = 1e9  # a machine's larger values are ignored, so that sums and squares of them stay finite
 STATES = {"in_service": "ready", "terminating": "cordoned", "terminated": "gone"}
 
 
@@ -78,12 +78,12 @@
     if customer and customer not in limits.customers:
         raise InvalidSubmissionError("unknown_customer", f"no customer is called {customer[:60]!r}")
     figures = dict(part.partition(":")[::2] for part in binary.text(FIGURES).split(";") if part)
-    cores = parse_number(figures.get("cores", ""), "cores")
-    memory = parse_number(figures.get("memory", ""), "memory")
+    cores = parse_number(figures.get("cores", ""), "cores", QUANTITY)
+    memory = parse_number(figures.get("memory", ""), "memory", QUANTITY)
     if not (0 < cores <= limits.max_resources[0] and 0 < memory <= limits.max_resources[1]):
         raise InvalidSubmissionError("out_of_range", f"{cores:g} cores and {memory:g} of memory")
     at, left = figures.get("at", ""), binary.text(LEFT)
-    time_left = parse_number(left, "time left") if left or not at else 0.0
+    time_left = parse_number(left, "time left", TIME_LEFT_MS) if left or not at else 0.0
     if not at and not 0 < time_left * 1000 <= limits.max_time_left[guest_class] + 1_000_000:
         raise InvalidSubmissionError("out_of_range", f"a time left of {time_left:g} ms")
     service, key = figures.get("service", ""), binary.text(NAME)
@@ -109,14 +109,16 @@
     )
 
 
-def parse_number(text: str, what: str) -> float:
-    """Parses a finite number; InvalidSubmissionError if it is not one. `what` names it in the error."""
+def parse_number(text: str, what: str, valid: NumberRange) -> float:
+    """Parses a number; InvalidSubmissionError if it is not finite or not `valid`. `what` names it there."""
     try:
         value = float(text)
     except ValueError:
         value = math.nan
     if not math.isfinite(value):
         raise InvalidSubmissionError("no_figure", f"{what}: {text[:40]!r} is not a finite number")
+    if not valid.has(value):
+        raise InvalidSubmissionError("out_of_range", f"{what}: {value:g}")
     return value
 
 
@@ -218,7 +220,7 @@
         value = float(line.fields.get("value", ""))
     except (ValueError, OverflowError):
         return None
-    if not is_in_range(value):
+    if not QUANTITY.has(value):
         return None
     if note == "cpu":
         return m.ResourceUse(guest=line.call, cores=value)
@@ -240,16 +242,11 @@
         report = read_load(text.replace(";", ","))
     except ValueError:
         return None
-    if report is None or not all(is_in_range(v) for v in report if v is not None):
+    if report is None or not all(QUANTITY.has(v) for v in report if v is not None):
         return None
     return m.Load(report.cores_free, report.memory_free, report.busy)
 
 
-def is_in_range(value: float) -> bool:
-    """Whether a value is within MAX_VALUE; False for NaN."""
-    return abs(value) <= MAX_VALUE
-
-
 def probe_number(call: str) -> int:
     """Decodes the number of a probe from its id; -1 if the id is not hexadecimal."""
     try:
@@ -284,7 +281,7 @@
     state = each["health"]
     try:
         free = [
-            value if is_in_range(value) else 0.0
+            value if QUANTITY.has(value) else 0.0
             for value in map(float, [*(each.get("room") or []), 0.0, 0.0])
         ]
     except (ValueError, TypeError):
