A fault in the reading of one peer's message closes that peer alone

Cause of its reach: an error that a reader of messages doesn't declare (here OverflowError) went up through the nursery of all connections. Any other such fault in a reader, known or not, does the same: of owners, of machines, of discovery's events, and of the configuration at a SIGHUP.

Change: a boundary round the readers (`platform/reading.py`), which change nothing but their result. It logs the traceback, counts, and closes the sender's connection; an event is skipped and a configuration refused as invalid ones are. It isn't put round the engine's step, whose state may be half changed by then: its errors still end the process.

Why it works: the tests break each reader on purpose; other peers are served on.

--- a/hazelhold/platform/machine_links.py
+++ b/hazelhold/platform/machine_links.py
@@ -16,6 +16,7 @@
 from hazelhold.platform import translation
 from hazelhold.platform.codec import CodecError, Line
 from hazelhold.platform.peer import MachinePeer
+from hazelhold.platform.reading import ReadingFaultError, guarded
 from hazelhold.protocol import messages as m
 from hazelhold.service.net import Net
 
@@ -196,14 +197,15 @@
                     if line.op in ("accept", "end"):
                         peer.close_offer(line.call)
                     self._message_received(machine, line)
-        except CodecError as error:
+        except (CodecError, ReadingFaultError) as error:
             self.counts["machine_" + error.code] += 1
             self.log.info("machine_unreadable", machine=machine, code=error.code, reason=error.text[:200])
 
     def _message_received(self, machine: str, line: Line) -> None:
         if self.log_frames:
             self.log.debug("machine_said", machine=machine, line=repr(line))
-        message = translation.from_machine(line, not self.engine.is_outstanding(line.call))
+        placed = not self.engine.is_outstanding(line.call)
+        message = guarded(translation.from_machine)(line, placed)
         if message is None:
             return
         self.engine.machine_said(self.net.now(), machine, message)
--- a/hazelhold/platform/owner_server.py
+++ b/hazelhold/platform/owner_server.py
@@ -17,6 +17,7 @@
 from hazelhold.platform.codec import END, HEARD, SET_UP, TEST, BinaryMessage, CodecError
 from hazelhold.platform.eviction import eviction_order, is_stuck
 from hazelhold.platform.peer import OwnerPeer
+from hazelhold.platform.reading import ReadingFaultError, guarded
 from hazelhold.platform.releases import Releases
 from hazelhold.protocol import messages as m
 from hazelhold.service.net import Net
@@ -104,7 +105,7 @@
                 peer.accept_delay = 0.0
                 self._set_deadline(peer)
                 self.on_read(peer.name)
-        except CodecError as error:
+        except (CodecError, ReadingFaultError) as error:
             self._close_faulty(peer, error)
 
     def has_unread_input(self, owner: str) -> bool:
@@ -182,8 +183,9 @@
             due = min(due, max(peer.opened_at + FIRST_MESSAGE_TIMEOUT, now + 0.2))
         peer.set_due(due)
 
-    def _close_faulty(self, peer: OwnerPeer, error: CodecError) -> None:
-        """Closes the connection of a peer that sent invalid bytes, which abandons its open guests."""
+    def _close_faulty(self, peer: OwnerPeer, error: CodecError | ReadingFaultError) -> None:
+        """Closes the connection of a peer whose bytes are invalid or could not be read, which abandons its
+        open guests."""
         self.counts["owner_" + error.code] += 1
         self.log.debug("owner_closed", owner=peer.name, code=error.code, reason=error.text[:200])
         peer.end()
@@ -283,7 +285,7 @@
     def _set_up(self, now: int, peer: OwnerPeer, binary: BinaryMessage) -> None:
         ended = self.early_ends.pop(binary.id, 0.0) > trio.current_time()
         try:
-            submit, at = translation.parse_submission(binary, self.submission_limits)
+            submit, at = guarded(translation.parse_submission)(binary, self.submission_limits)
         except (translation.InvalidSubmissionError, CodecError) as error:
             self._refuse_submission(peer, binary.id, error)
             return
--- a/hazelhold/platform/peer.py
+++ b/hazelhold/platform/peer.py
@@ -9,6 +9,7 @@
 import trio
 
 from hazelhold.platform.codec import BinaryMessage, BinaryReader, LineReader, encode_binary, encode_line
+from hazelhold.platform.reading import guarded
 from hazelhold.platform.translation import to_machine
 from hazelhold.protocol import messages as m
 from hazelhold.service.arrival_time import EmptySince
@@ -34,7 +35,7 @@
 
     async def batches(self) -> AsyncIterator[list]:
         """Yields the messages of each read until either side closes. CodecError if received bytes are
-        invalid."""
+        invalid, ReadingFaultError if the reader failed."""
         try:
             while True:
                 self.read_begins()
@@ -46,7 +47,7 @@
                 if not data:
                     return
                 self.was_read(len(data))
-                yield self.reader.feed(data)
+                yield guarded(self.reader.feed)(data)
                 if self.reader.fault is not None:
                     raise self.reader.fault
         finally:
--- a/hazelhold/platform/planner.py
+++ b/hazelhold/platform/planner.py
@@ -23,6 +23,7 @@
 from hazelhold.platform.machine_links import MachineLinks
 from hazelhold.platform.machine_summary import machine_summaries
 from hazelhold.platform.owner_server import OwnerServer
+from hazelhold.platform.reading import ReadingFaultError, guarded
 from hazelhold.protocol import messages as m
 from hazelhold.service.arrival_time import poll_heartbeat
 from hazelhold.service.net import Net
@@ -37,6 +38,9 @@
 ACCEPTING_AFTER_STOP = 0.7
 """Seconds after SIGTERM in which set-ups may still arrive."""
 
+INVALID_EVENT = (ValueError, TypeError, KeyError, AttributeError, OverflowError)
+"""What the translation of an event raises if the event is invalid."""
+
 MAX_DEADLINE = 3.0
 """Seconds; the upper limit of the longest deadline from which the time of SIGKILL is calculated."""
 
@@ -152,8 +156,8 @@
     def _reload_once(self) -> str:
         """Applies the file if it is valid; else returns its errors."""
         try:
-            reloaded = read_start(self.config)
-        except ConfigError as error:
+            reloaded = guarded(read_start, (ConfigError,))(self.config)
+        except (ConfigError, ReadingFaultError) as error:
             return str(error)
         self.counts["reloads"] += 1
         # Only the number of planners that share the fleet's budgets, and this planner's slot, may change in a
@@ -250,8 +254,9 @@
         if "roster" not in item:
             return m.Listing(version=self.engine.list_version, whole=False, entries=[])
         try:
-            listing, faults = translation.listing(item["roster"], self.zones, self.net.wall())
-        except (ValueError, TypeError, KeyError, AttributeError, OverflowError) as error:
+            read = guarded(translation.listing, INVALID_EVENT)
+            listing, faults = read(item["roster"], self.zones, self.net.wall())
+        except (*INVALID_EVENT, ReadingFaultError) as error:
             self.counts["discovery_unreadable"] += 1
             raise DiscoveryError(f"invalid event: {error!r:.200}") from None
         if faults:
