A deadline that is missing or out of range is refused with the other settings

What callers saw: nothing yet. In the simulator's adapter a duration of 1e306 ms ends all planners.

Cause: the deadlines were converted after the checks and outside of them, and `Pairs.read` declared only ValueError, not the OverflowError of a finite number that is infinite in microseconds. Durations had no range at all; only fractions had one.

Why this works: deadlines are read with the other settings, so that their errors are among the file's; each whole number of the settings has the range of durations.

--- a/hazelhold/platform/configuration.py
+++ b/hazelhold/platform/configuration.py
@@ -16,6 +16,7 @@
 from hazelhold.engine.list_lease import lease_duration
 from hazelhold.engine.settings import EngineSettings, PeerCapabilities
 from hazelhold.interface import Deployment
+from hazelhold.platform.number_ranges import DEADLINE, DURATION_SETTING, SETTING
 from hazelhold.simhost import Pairs, WireError, read_deployment, truth
 
 PLATFORM = PeerCapabilities(
@@ -30,7 +31,6 @@
 # Decisions between reads of peers. One takes up to some 10 ms, and a drain has to be read within its grace of
 # 250 ms.
 DECISIONS_AT_ONCE = 8
-MAX_SETTING = 1e12  # larger numbers in the settings are rejected
 MIN_LEASE = 20_000  # microseconds; the protocol extends each limit by 50 ms
 DRAIN_GRACE = 250_000  # microseconds; the default
 MAX_GRACE = 86_400_000_000  # microseconds; larger values are rejected
@@ -158,7 +158,7 @@
     bounds = values.get("limits", ResourceLimits())
     if bounds.sockets < 32:
         faults.append(("limits.sockets", f"{bounds.sockets}: at least 32 are needed"))
-    deployment = None
+    deployment, max_time_left = None, ()
     settings = values.get("settings", {})
     pairs = Pairs([])
     pairs.values = flatten(settings)
@@ -174,6 +174,7 @@
             faults.append(("settings", str(error)))
         else:
             faults += check_deployment(deployment)
+            max_time_left = _deadlines(pairs, len(deployment.guest_classes), faults)
     limits = _limits(pairs, bounds, faults)
     if faults or deployment is None:
         raise ConfigError(file, faults or [("settings", "are empty")])
@@ -192,9 +193,6 @@
         max(k.cores for k in deployment.machine_kinds) * deployment.cores_multiple,
         max(k.memory for k in deployment.machine_kinds) * deployment.memory_multiple,
     )
-    max_time_left = tuple(
-        pairs.duration(f"classes.{at}.deadline") for at in range(len(deployment.guest_classes))
-    )
     return StartSettings(
         values["name"],
         values["listen"],
@@ -222,14 +220,14 @@
     faults = [
         (f"settings: {name}", f"{value} is out of range")
         for name, value in deployment._asdict().items()
-        if isinstance(value, float) and not abs(value) <= MAX_SETTING
+        if isinstance(value, int | float) and not _is_valid(value)
     ]
     for place, figures in (("kinds", deployment.machine_kinds), ("classes", deployment.guest_classes)):
         faults += [
             (f"settings: {place}.{at}", f"{value} is out of range")
             for at, each in enumerate(figures)
             for value in each
-            if isinstance(value, float) and not abs(value) <= MAX_SETTING
+            if isinstance(value, int | float) and not _is_valid(value)
         ]
     if not deployment.machine_kinds or not deployment.guest_classes:
         faults.append(("settings", "at least one class and one kind are needed"))
@@ -249,6 +247,26 @@
     return faults
 
 
+def _is_valid(value: float) -> bool:
+    """Whether a setting is in the range of its type: durations and counts are whole numbers."""
+    return (DURATION_SETTING if isinstance(value, int) else SETTING).has(value)
+
+
+def _deadlines(pairs: Pairs, classes: int, faults: list[tuple[str, str]]) -> tuple[int, ...]:
+    """The longest time left by guest class, in microseconds. Adds errors to `faults`."""
+    deadlines = []
+    for at in range(classes):
+        path = f"classes.{at}.deadline"
+        try:
+            deadlines.append(pairs.duration(path))
+        except WireError as error:
+            faults.append(("settings", str(error)))
+            continue
+        if not DEADLINE.has(deadlines[-1]):
+            faults.append((f"settings: {path}", f"{deadlines[-1]} microseconds are out of range"))
+    return tuple(deadlines)
+
+
 def _limits(pairs: Pairs, bounds: ResourceLimits, faults: list[tuple[str, str]]) -> LimitsConfig:
     """The limits on connections, from the settings and the process's descriptors (`bounds`). Adds errors
     to `faults`."""
--- a/hazelhold/platform/number_ranges.py
+++ b/hazelhold/platform/number_ranges.py
@@ -1,4 +1,4 @@
-"""The ranges of the numbers that owners and machines send.
+"""The ranges of the numbers that owners, machines and configurations send.
 
 A finite number that is read from a peer may still overflow once it is converted or multiplied. Each number
 is therefore checked against its range before anything is calculated with it.
@@ -25,3 +25,12 @@
 
 TIME_LEFT_MS = NumberRange(-MAX_DURATION / 1000, MAX_DURATION / 1000)
 """An owner's time left in milliseconds. It may have passed."""
+
+SETTING = NumberRange(-1e12, 1e12)
+"""A setting that is a fraction or a quantity."""
+
+DURATION_SETTING = NumberRange(-MAX_DURATION, MAX_DURATION)
+"""A setting that is a whole number: a count, or a duration in microseconds."""
+
+DEADLINE = NumberRange(1, MAX_DURATION)
+"""The longest time left of a guest class, in microseconds."""
--- a/hazelhold/simhost.py
+++ b/hazelhold/simhost.py
@@ -92,7 +92,7 @@
         text = self.text(path)
         try:
             return read(text)
-        except ValueError:
+        except (ValueError, OverflowError):
             raise WireError(f"setting {path} has the value {text!r}") from None
 
     def number(self, path: str) -> float:
@@ -115,7 +115,7 @@
         items = self.items(path)
         try:
             return read(items[index])
-        except (ValueError, IndexError, KeyError):
+        except (ValueError, OverflowError, IndexError, KeyError):
             raise WireError(f"setting {path} has no usable value number {index}") from None
 
 
--- a/tests/test_platform_number_ranges.py
+++ b/tests/test_platform_number_ranges.py
@@ -1,10 +1,16 @@
 """Numbers of any size that peers send end no planner: a fault in one message is its sender's alone."""
 
+import json
+from collections.abc import Iterator
+from pathlib import Path
+
 import pytest
 import trio
 
+from hazelhold.config.load import ConfigError
 from hazelhold.platform.codec import CLASS, DESCRIPTION, END, FIGURES, LEFT, NAME, TENANT
-from tests.platform_rig import PLACED, TELLING_USE, Machine, Rig, play, set_up
+from hazelhold.platform.configuration import check_start
+from tests.platform_rig import DEPLOYMENT, PLACED, TELLING_USE, Machine, Rig, file, play, set_up
 
 LARGEST = "1.7976931348623157e308"
 EXTREME = (
@@ -107,3 +113,62 @@
         assert owner.of(1) == owner.of(2) == PLACED
 
     play(test, machines="a", settings=TELLING_USE)
+
+
+def numbers_in(value: object, path: tuple = ()) -> Iterator[tuple]:
+    """The paths of all numbers in a nested configuration."""
+    items = value.items() if isinstance(value, dict) else enumerate(value) if isinstance(value, list) else ()
+    for key, each in items:
+        yield from numbers_in(each, (*path, key))
+    if isinstance(value, int | float) and not isinstance(value, bool):
+        yield path
+
+
+def changed(path: tuple, value: object) -> dict:
+    """A configuration with another value at a path."""
+    whole = json.loads(file())
+    place = whole
+    for key in path[:-1]:
+        place = place[key]
+    place[path[-1]] = value
+    return whole
+
+
+SETTINGS = (float(LARGEST), -float(LARGEST), 1e306, 1e300, 1e18, 5e-324, 0, -1, 10**308, 10**400, -(10**400))
+
+
+@pytest.mark.parametrize(
+    "path", list(numbers_in(json.loads(file()))), ids=lambda path: ".".join(map(str, path))
+)
+def test_no_number_in_a_configuration_ends_the_planner(path: tuple) -> None:
+    """Guards against a setting that overflows: it is refused, or the planner runs with it."""
+
+    async def test(rig: Rig) -> None:
+        owner = await rig.owner()
+        await owner.say(*(set_up(guest) for guest in range(1, 6)))
+        await trio.sleep(0.5)
+
+    for value in SETTINGS:
+        whole = changed(path, value)
+        try:
+            check_start(json.dumps(whole), "test")
+        except ConfigError:
+            continue
+        play(test, **whole)
+
+
+@pytest.mark.parametrize("deadline", [1e306, -1e306, 10**400, 1e13, 0, -5, "x", None])
+def test_a_reload_with_a_deadline_out_of_range_is_refused(deadline: object, tmp_path: Path) -> None:
+    """Guards against a deadline that ends a running planner at a SIGHUP, since it overflows or is missing."""
+
+    async def test(rig: Rig) -> None:
+        rig.planner.config = tmp_path / "config.json"
+        classes = [DEPLOYMENT["classes"][0] | {"deadline": deadline}, DEPLOYMENT["classes"][1]]
+        rig.planner.config.write_text(file(settings=DEPLOYMENT | {"classes": classes}))
+        assert "deadline" in rig.planner._reload_once()
+        owner = await rig.owner()
+        await owner.say(set_up(1))
+        await trio.sleep(0.3)
+        assert owner.of(1) == PLACED
+
+    play(test)
--- a/tests/test_simhost.py
+++ b/tests/test_simhost.py
@@ -83,3 +83,11 @@
         "80.000",
     ]
     assert micros("-") == 0 and simhost.read_load("x0:0.4,odd:1").cores_free == 0.4
+
+
+@pytest.mark.parametrize("path", ["rules.cold", "classes.0.on-time"])
+def test_a_setting_that_overflows_ends_its_planner_with_the_name_of_the_key(path: str) -> None:
+    """Guards against a finite setting whose conversion overflows: it ended the adapter without a message."""
+    changed = " ".join(f"{path}=1e306" if part.startswith(path + "=") else part for part in SETTINGS.split())
+    code, output = talk("TICK 0", f"ENLIST planner_0 5 {changed}", *start("planner_1"), "COMMIT")
+    assert code == 0 and f"DIE planner_0 setting {path}" in output and "DIE planner_1" not in output
