A restart proves each task by its connection, not by a start time before it

What callers saw: three of ten machines are lost for 3 s without a word and return cold, with clocks 5 s behind.

Cause: `_release_previous` passed over each task that was sent after the end of the process before, with no check at all. Without a reset only the list's clock dates that end; stepped back, it lies before the true end.

Change: a task counts as the new process's only if it was sent on a connection that is known to reach that process, or if the machine has reported there on it or on one that was sent no later (a process reports only on tasks that it has, so it was there by then). All others wait for the machine's report, with a connection that is dialled for that if none is open. Where machines tell no use nothing changes.

Why it works: no clock but the planner's own is in the argument.

--- a/hazelhold/engine/machines.py
+++ b/hazelhold/engine/machines.py
@@ -99,6 +99,7 @@
     reset_at: int = 0  # when its machine last ended a connection other than in order, as a process that dies
     # Of the guests that it has reported on since `reset_at`, when the first was sent there; 0: none.
     oldest_reported_at: int = 0
+    oldest_reported_here: int = 0  # the same on the open connection
     offered_at: int = 0  # when the bytes of an offer were last written; 0: never
     address: str = ""  # the last one dialled
     successor: str = ""  # the machine that has its address now and that answers on this connection
@@ -125,7 +126,7 @@
             ]
             if self.restart is not None and not self.restart.connection_ended_at:
                 self.restart.connection_ended_at = now
-        self.state, self.inventory_known = "down", False
+        self.state, self.inventory_known, self.oldest_reported_here = "down", False, 0
 
     @property
     def awaits_evidence(self) -> bool:
@@ -144,11 +145,17 @@
     def guest_reported(self, sent_at: int) -> None:
         """Its machine has reported on a placed guest that was sent there at `sent_at`."""
         self.oldest_reported_at = min(sent_at, self.oldest_reported_at or sent_at)
+        self.oldest_reported_here = min(sent_at, self.oldest_reported_here or sent_at)
 
     def outlived(self, reset_at: int) -> bool:
         """Whether the process that answers ran already before this reset and has outlived all since."""
         return 0 < self.oldest_reported_at < reset_at
 
+    def has_what_was_sent_at(self, sent_at: int) -> bool:
+        """Whether what was sent at this time reached the process that answers on the open connection, or a
+        later one: it has reported there on a guest that was sent no later, and a process has only its own."""
+        return 0 < self.oldest_reported_here <= sent_at
+
     def is_idle(self) -> bool:
         """Whether nothing is awaited on this connection."""
         is_settled = self.state == "down" or self.state == "up" and self.inventory_known
--- a/hazelhold/engine/restarts.py
+++ b/hazelhold/engine/restarts.py
@@ -112,16 +112,17 @@
         dated = previous_incarnation_ended(restart.listed_at, link, restart.started)
         over_before = max(dated.ended_at, self._latest_sure_end(link))
         for record in [self.records[name] for name in link.guests]:
-            if not record.sent or record.sent_at >= max(over_before, dated.reset_at):
+            if not record.sent or self._is_confirmed_since(link, record, dated):
                 continue
-            if self._is_confirmed_since(link, record, dated):
-                continue
-            if record.sent_at >= over_before:
+            if record.sent_at < over_before:
+                if self._is_in_doubt(link, record, dated):
+                    self._verify_restarted(now, link, record)
+                else:
+                    self._guest_gone(now, record, "lost")
+            elif record.sent_at < dated.reset_at:
                 self._verify_after_reset(dated.reset_at, record, VerificationCause.RESTARTED)
-            elif self._is_in_doubt(link, record, dated):
-                self._verify_restarted(link, record)
-            else:
-                self._guest_gone(now, record, "lost")
+            elif not self._is_sent_to_new_incarnation(link, record):
+                self._verify_restarted(now, link, record)
 
     def _latest_sure_end(self, link: Link) -> int:
         """A time before which nothing was sent to the new incarnation, however late the list is.
@@ -131,12 +132,25 @@
         earliest_end = link.restart.earliest_end
         return min(earliest_end, link.opened_at) if link.state == "up" else earliest_end
 
-    def _is_confirmed_since(self, link: Link, record: GuestRecord, dated: PreviousIncarnation) -> bool:
-        """Whether the machine has reported on the guest after the previous incarnation ended."""
+    def _reaches_new_incarnation(self, link: Link) -> bool:
+        """Whether the open connection is known to be to the new incarnation."""
         restart = link.restart
         is_new = restart.evidence is ConnectionEvidence.NEW_INCARNATION or link.opened_at > restart.listed_at
-        if is_new and link.state == "up" and record.sent_at < link.opened_at <= record.confirmed_at:
-            return True
+        return is_new and link.state == "up"
+
+    def _is_sent_to_new_incarnation(self, link: Link, record: GuestRecord) -> bool:
+        """Whether the guest was sent on a connection that is known to be to the new incarnation.
+
+        That it was sent after the start by the list's clock proves nothing.
+        """
+        return self._reaches_new_incarnation(link) and record.sent_at >= link.opened_at
+
+    def _is_confirmed_since(self, link: Link, record: GuestRecord, dated: PreviousIncarnation) -> bool:
+        """Whether the machine has reported on the guest, or on one sent no later, after the previous
+        incarnation ended."""
+        if self._reaches_new_incarnation(link) and record.sent_at < link.opened_at:
+            if record.confirmed_at >= link.opened_at or link.has_what_was_sent_at(record.sent_at):
+                return True
         return dated.ended_at <= dated.reset_at < record.confirmed_at
 
     def _is_in_doubt(self, link: Link, record: GuestRecord, dated: PreviousIncarnation) -> bool:
@@ -152,8 +166,12 @@
             return evidence is ConnectionEvidence.RESET
         return dated.reset_at < dated.ended_at or link.restart.started <= record.sent_at
 
-    def _verify_restarted(self, link: Link, record: GuestRecord) -> None:
-        """The guest is over unless its machine reports on it in time."""
+    def _verify_restarted(self, now: int, link: Link, record: GuestRecord) -> None:
+        """The guest is over unless its machine reports on it in time. It needs a connection for that."""
+        if not self.peers.reports_use:
+            return
+        if link.state == "down":
+            self._probe_or_dial(now, link)
         listed_at = link.restart.listed_at
         decided_at = listed_at + EVIDENCE_TIMEOUT
         self._verify(record, Verification(VerificationCause.RESTARTED, listed_at, decided_at, listed_at))
--- a/hazelhold/engine/verification.py
+++ b/hazelhold/engine/verification.py
@@ -101,13 +101,16 @@
                 self._verify_after_reset(reset_at, record, VerificationCause.RESET)
 
     def _is_confirmed(self, link: Link, record: GuestRecord, verification: Verification) -> bool:
-        """Whether the machine has reported on the guest, or, after a reset, on any that was sent before it.
+        """Whether the machine has reported on the guest, or on another one that shows the same.
 
-        A process reports only on guests that it has, so one that reports on a guest sent before the reset
-        did not die then, and has all that were placed there.
+        A process reports only on guests that it has. So one that reports on a guest sent before a reset did
+        not die then, and has all that were placed there. And after a restart, one that reports on a guest
+        that was sent no later than this one was there when this one was sent.
         """
         if record.confirmed_at >= verification.since:
             return True
+        if verification.cause is VerificationCause.RESTARTED and link.has_what_was_sent_at(record.sent_at):
+            return True
         return verification.cause is VerificationCause.RESET and link.outlived(verification.since - 1)
 
     def _is_unsettled(self, link: Link, record: GuestRecord) -> bool:
