The wait for a report after a restart is bounded from the earliest end, not from the news

Cause: `_verify_restarted` and the wait for evidence from a silent connection count 4 s from the news, whatever time has gone by since the end.

Change: the time on a connection that is known to reach the new process counts, so that the news only confirms (4 s from its opening). Each wait is bounded from the earliest time at which the task may have ended: the last message on the connection on which it was sent (not any message of the machine, which may be of the next process). 6.5 s after that it is decided, but the machine gets 2.5 s in which it could report, and a silent connection 0.5 s for its test. A task that stands by the clock waits for 6.5 s. A pause postpones from there too.

Why it works: the bound holds however late the news is: the end is at most 0.6 s (a dial) before the connection's opening, and news up to 4.7 s late leave 2.5 s and a look. Broken variants (a bound from the news, or from any message) fail the tests. A machine that is cut off and lives is not listed as started: nothing is released.

--- a/hazelhold/engine/machines.py
+++ b/hazelhold/engine/machines.py
@@ -32,13 +32,15 @@
     """A connection that has ended. Times in microseconds.
 
     `reset`: the machine ended it other than in order, as a process that dies does. `closed_by_machine`: the
-    machine closed it in order, as a process does that runs on.
+    machine closed it in order, as a process does that runs on. `heard_at`: the last message on it, or its
+    opening.
     """
 
     opened_at: int
     ended_at: int
     reset: bool
     closed_by_machine: bool = False
+    heard_at: int = 0
 
 
 class ConnectionEnd(Enum):
@@ -122,12 +124,21 @@
             reset, by_machine = end is ConnectionEnd.RESET, end is ConnectionEnd.CLOSED_BY_MACHINE
             self.past_connections = [
                 *self.past_connections[1 - MAX_PAST_CONNECTIONS :],
-                PastConnection(self.opened_at, now, reset, by_machine),
+                PastConnection(self.opened_at, now, reset, by_machine, max(self.opened_at, self.heard_at)),
             ]
             if self.restart is not None and not self.restart.connection_ended_at:
                 self.restart.connection_ended_at = now
         self.state, self.inventory_known, self.oldest_reported_here = "down", False, 0
 
+    def last_heard_on_connection(self, sent_at: int) -> int:
+        """When the last message came on the connection on which something was sent at this time; 0 if that
+        connection is not remembered."""
+        if self.state == "up" and self.opened_at <= sent_at:
+            return max(self.opened_at, self.heard_at)
+        return max(
+            (c.heard_at for c in self.past_connections if c.opened_at <= sent_at <= c.ended_at), default=0
+        )
+
     @property
     def awaits_evidence(self) -> bool:
         """Whether it is open which incarnation of its machine the open connection reaches."""
--- a/hazelhold/engine/records.py
+++ b/hazelhold/engine/records.py
@@ -128,13 +128,15 @@
     """A guest that counts as placed may have ended, and its machine has to confirm it. Times in microseconds.
 
     A report on the guest after `since` confirms it; at `decided_at` the engine decides without one. A list
-    that is current as of `listed_at` would have shown the event that made the guest unverified.
+    that is current as of `listed_at` would have shown the event that made the guest unverified. The guest
+    had not ended before `not_over_at`.
     """
 
     cause: VerificationCause
     since: int
     decided_at: int
     listed_at: int
+    not_over_at: int
 
 
 class ProcessFinding(Enum):
--- a/hazelhold/engine/restarts.py
+++ b/hazelhold/engine/restarts.py
@@ -19,8 +19,15 @@
 from hazelhold.protocol import messages as m
 
 EVIDENCE_TIMEOUT = 4_000_000
-"""Microseconds after the list showed a restart for which evidence is awaited, of the 8 s from the death
-within which guests have to be released."""
+"""Microseconds for which evidence is awaited after the list showed a restart, and for which a report on a
+guest is awaited once the new incarnation can send one."""
+
+MIN_EVIDENCE_TIME, MIN_REPORT_TIME = 500_000, 2_500_000
+"""The same at least, however long ago the guests may have ended."""
+
+LATEST_AFTER_END = 6_500_000
+"""Microseconds after the earliest time at which a guest may have ended up to which it waits for longer than
+that, of the 8 s within which it has to be released: the rest is for a pause."""
 
 READ_TIME = 200_000
 """Microseconds in which a process that resumes after a pause reads what arrived meanwhile."""
@@ -46,7 +53,8 @@
         """What is known when the list shows a restart; a restart that was shown before and is not decided
         leaves no more time to this one."""
         self.probe_number += 1
-        decided_at = now + EVIDENCE_TIMEOUT
+        latest = max(link.opened_at, link.heard_at) + LATEST_AFTER_END
+        decided_at = max(now + MIN_EVIDENCE_TIME, min(now + EVIDENCE_TIMEOUT, latest))
         if link.restart is not None and link.restart.opened_at == link.opened_at:
             decided_at = min(decided_at, link.restart.decided_at)
         confirmed_as_of = self.lease.confirmed_as_of
@@ -172,6 +180,16 @@
             return
         if link.state == "down":
             self._probe_or_dial(now, link)
-        listed_at = link.restart.listed_at
-        decided_at = listed_at + EVIDENCE_TIMEOUT
-        self._verify(record, Verification(VerificationCause.RESTARTED, listed_at, decided_at, listed_at))
+        since = link.opened_at if self._reaches_new_incarnation(link) else link.restart.listed_at
+        not_over_at = self._not_over_at(link, record)
+        latest = not_over_at + LATEST_AFTER_END
+        stands_by_clock = link.restart.started <= record.sent_at
+        preferred = latest if stands_by_clock else min(since + EVIDENCE_TIMEOUT, latest)
+        decided_at = max(since + MIN_REPORT_TIME, preferred)
+        cause = VerificationCause.RESTARTED
+        self._verify(record, Verification(cause, since, decided_at, link.restart.listed_at, not_over_at))
+
+    def _not_over_at(self, link: Link, record: GuestRecord) -> int:
+        """The earliest time at which a guest may have ended, if it is over: the process that it was sent to
+        has sent something until then."""
+        return max(record.sent_at, record.confirmed_at, link.last_heard_on_connection(record.sent_at))
--- a/hazelhold/engine/verification.py
+++ b/hazelhold/engine/verification.py
@@ -51,20 +51,21 @@
         at = record.handed_over_at
         timeout = HANDOVER_TIMEOUT if self.peers.reports_use else CONFIRMATION_TIMEOUT
         self._set_verification(
-            record, Verification(VerificationCause.HANDED_OVER, at, at + timeout, at + LIST_DELAY)
+            record, Verification(VerificationCause.HANDED_OVER, at, at + timeout, at + LIST_DELAY, at)
         )
 
     def _verify_address_reuse(self, now: int, record: GuestRecord) -> None:
         """It counts as placed on the machine that has the address now, and its connection has ended."""
         if self.peers.reports_use:
             decided_at = now + CONFIRMATION_TIMEOUT
-            self._verify(record, Verification(VerificationCause.ADDRESS_REUSED, now, decided_at, now))
+            self._verify(record, Verification(VerificationCause.ADDRESS_REUSED, now, decided_at, now, now))
 
     def _verify_after_reset(self, reset_at: int, record: GuestRecord, cause: VerificationCause) -> None:
         """Its machine ended a connection after it was sent, as a process that dies does."""
         if self.peers.reports_use:
             decided_at = reset_at + RESET_TIMEOUT
-            self._verify(record, Verification(cause, reset_at, decided_at, reset_at + LIST_DELAY))
+            listed_at = reset_at + LIST_DELAY
+            self._verify(record, Verification(cause, reset_at, decided_at, listed_at, reset_at))
 
     def _verify(self, record: GuestRecord, verification: Verification) -> None:
         """Starts a verification. One that is under way and unsettled may be about an earlier end of the
@@ -73,7 +74,8 @@
         if link is not None and self._is_unsettled(link, record):
             current = self.verifications[record.name]
             decided_at = min(current.decided_at, verification.decided_at)
-            verification = verification._replace(decided_at=decided_at)
+            not_over_at = min(current.not_over_at, verification.not_over_at)
+            verification = verification._replace(decided_at=decided_at, not_over_at=not_over_at)
         self._set_verification(record, verification)
 
     def _set_verification(self, record: GuestRecord, verification: Verification) -> None:
@@ -188,7 +190,7 @@
         for name, verification in self.verifications.items():
             delay = min(duration, now - verification.since)
             handed_over = verification.cause is VerificationCause.HANDED_OVER
-            latest = verification.since + (LATEST_AFTER_HANDOVER if handed_over else LATEST_AFTER_EVENT)
+            latest = verification.not_over_at + (LATEST_AFTER_HANDOVER if handed_over else LATEST_AFTER_EVENT)
             postponed = min(verification.decided_at + delay, latest)
             decided_at = max(verification.decided_at, postponed, earliest)
             self.verifications[name] = verification._replace(decided_at=decided_at)
--- a/tests/test_fault_lost_machine.py
+++ b/tests/test_fault_lost_machine.py
@@ -10,7 +10,10 @@
 import trio
 
 from hazelhold.engine.machines import Link
+from hazelhold.engine.records import GuestRecord
 from hazelhold.engine.restarts import MachineRestarts
+from tests.faults.judge import RELEASE_AT_LATEST
+from tests.platform_rig import event, host
 from tests.test_fault_restart_first_connection import MANY_PLANNERS, Story, tell
 
 __all__ = ["tell"]
@@ -79,10 +82,128 @@
     tell(unreported_on_an_earlier_connection, behind, True, MANY_PLANNERS)
 
 
+RETURNED = 3.0  # seconds after the loss, as in the review's second case
+NOTICE = 4.7  # seconds after which the list shows the restart at the latest
+
+
+async def restart_listed_late(story: Story) -> None:
+    """The next process answers at `RETURNED`; the list shows it as late as it may. Counted from the loss,
+    the strictest count, guest 1 is released in time, and guest 3, which stands, is not."""
+    await lost(story)
+    await story.at(RETURNED)
+    await story.place(3)
+    await story.at(NOTICE)
+    story.show_restart()
+    await story.check(standing=(3,), over=(1,))
+
+
+async def restart_listed_late_twice_connected(story: Story) -> None:
+    """The next process answers at `RETURNED`, and the planner changes its connection once more."""
+    await lost(story)
+    await story.at(1.0)
+    await story.place(2)
+    await story.at(1.6)
+    story.close_in_order()
+    await story.at(RETURNED)
+    await story.place(3)
+    await story.at(NOTICE)
+    story.show_restart()
+    await story.check(standing=(2, 3), over=(1,))
+
+
+@pytest.mark.parametrize("behind", [0.0, -0.6, -2.0, -3600.0, 1.4])
+@pytest.mark.parametrize("tale", [restart_listed_late, restart_listed_late_twice_connected])
+def test_the_time_before_a_late_listing_counts_as_time_without_a_report(
+    tale: Callable, behind: float, tell: Callable[..., None]
+) -> None:
+    """Guards against a wait that begins with the news of a restart, whatever time has gone by since the
+    end: tasks were released up to 8.7 s after it."""
+    tell(tale, behind, True, MANY_PLANNERS)
+
+
+@pytest.mark.parametrize("news", [3.0, 4.7])
+@pytest.mark.parametrize("reports_use", [True, False])
+def test_a_silent_connection_at_a_late_listing_is_decided_in_time(
+    reports_use: bool, news: float, tell: Callable[..., None]
+) -> None:
+    """Guards against 4 s of silence that are awaited from the news on: an open connection may have been
+    silent since the death."""
+
+    async def tale(story: Story) -> None:
+        await story.place(1)
+        await trio.sleep(0.5)
+        story.die()
+        await story.at(news)
+        story.show_restart()
+        await story.check(over=(1,))
+
+    tell(tale, 0.0, reports_use, MANY_PLANNERS)
+
+
+@pytest.mark.parametrize("stopped_at", [2.9, 4.65, 5.5, 6.2])
+def test_a_planner_that_is_stopped_for_a_second_releases_in_time(
+    stopped_at: float, tell: Callable[..., None]
+) -> None:
+    """Guards against a pause that puts a decision off by more than is left of the 8 s."""
+
+    async def tale(story: Story) -> None:
+        await lost(story)
+        await story.at(2.0)
+        await story.place(2)
+        if stopped_at < 4.0:
+            await story.at(stopped_at)
+            trio.lowlevel.current_clock().jump(1.0)
+        await story.at(4.7)
+        story.show_restart()
+        if stopped_at > 4.0:
+            await story.at(stopped_at)
+            trio.lowlevel.current_clock().jump(1.0)
+        await story.check(standing=(2,), over=(1,))
+
+    tell(tale, -2.0, True, MANY_PLANNERS)
+
+
+def test_tasks_of_two_losses_within_8_s_are_released(tell: Callable[..., None]) -> None:
+    """Guards against a second restart that forgets what waits for a report since the first one."""
+
+    async def tale(story: Story) -> None:
+        await lost_once_and_again(story)
+
+    tell(tale, -0.6, True, MANY_PLANNERS)
+
+
+async def lost_once_and_again(story: Story) -> None:
+    await lost(story)
+    await story.at(1.5)
+    await story.place(2)
+    await story.at(2.0)
+    story.show_restart()
+    first_died_at = story.died_at
+    await story.at(2.5)
+    story.die()
+    story.close_in_order()
+    await story.at(1.0)
+    await story.place(3)
+    await story.at(1.5)
+    born = (story.died_at + story.behind) * 1000
+    story.rig.bulletin.events.append(event(3, host("a", born=born)))
+    await trio.sleep_until(first_died_at + RELEASE_AT_LATEST)
+    assert len(story.owner.of(1)) == 2, story.trace
+    await story.check(standing=(3,), over=(2,))
+
+
 def ignore_order(link: Link, sent_at: int) -> bool:
     return link.oldest_reported_here > 0
 
 
+def count_from_the_news(restarts: MachineRestarts, link: Link, record: GuestRecord) -> int:
+    return link.restart.listed_at
+
+
+def count_any_message(link: Link, sent_at: int) -> int:
+    return link.heard_at
+
+
 @pytest.mark.parametrize(
     ("tale", "where", "method", "broken"),
     [
@@ -90,8 +211,17 @@
         (lost_and_not_connected_again, MachineRestarts, "_is_sent_to_new_incarnation", lambda *given: True),
         (lost_and_connected_again, Link, "has_what_was_sent_at", ignore_order),
         (unreported_on_an_earlier_connection, Link, "has_what_was_sent_at", lambda *given: False),
+        (restart_listed_late, MachineRestarts, "_not_over_at", count_from_the_news),
+        (restart_listed_late_twice_connected, Link, "last_heard_on_connection", count_any_message),
+    ],
+    ids=[
+        "the clock",
+        "the clock, no connection",
+        "any report",
+        "only its own report",
+        "a bound from the news",
+        "a bound from any message",
     ],
-    ids=["the clock", "the clock, no connection", "any report", "only its own report"],
 )
 def test_without_a_part_of_the_argument_a_task_is_decided_wrongly(
     tale: Callable,
@@ -101,7 +231,8 @@
     tell: Callable[..., None],
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    """Broken variants: the clock proves the process, or reports prove more or less than they do."""
+    """Broken variants: the clock proves the process, reports prove more or less than they do, or the wait
+    is bounded from a later time than the earliest end."""
     tell(tale, -0.6, True, MANY_PLANNERS)
     monkeypatch.setattr(where, method, broken)
     with pytest.RaisesGroup(AssertionError):
