Where no end is known, no report counts as one after it

Cause: with neither a clock nor a reset that dates the end, `ended_at` and `reset_at` are both 0, which means "not known". `ended_at <= reset_at < confirmed_at` holds then for each task that was ever accepted, so it counted as reported on since the end.

Why this works: a report counts against a reset only where there was one; the task waits for its machine's report like all others that are not classified.

--- a/hazelhold/engine/restarts.py
+++ b/hazelhold/engine/restarts.py
@@ -159,7 +159,7 @@
         if self._reaches_new_incarnation(link) and record.sent_at < link.opened_at:
             if record.confirmed_at >= link.opened_at or link.has_what_was_sent_at(record.sent_at):
                 return True
-        return dated.ended_at <= dated.reset_at < record.confirmed_at
+        return 0 < dated.reset_at < record.confirmed_at and dated.ended_at <= dated.reset_at
 
     def _is_in_doubt(self, link: Link, record: GuestRecord, dated: PreviousIncarnation) -> bool:
         """Whether the guest may stand although it was sent before the end, and its machine can report on it.
