A machine's restart is known by its identity, so that a stepped clock hides no cold start

Cause: `machines_listed` took a process for new only if its start was later than the last one's: an order of two clocks for identity. The engine knows it by `born_ms` that has changed. So with a clock stepped back by more than the last process ran, neither `cold_at` nor `listed_since` was set, and the guard against stepped clocks, which counts from `listed_since`, did not act.

`restore_learned` compares two start times to within a second: it only decides what is kept of answer times and failures; a machine's start itself comes from the list, so no budget rests on it.

A start that is listed as not later than the last one counts from when it was seen. An entry that takes a machine off the list changes no identity.

Why it works: whatever the clocks say, another identity sets `listed_since`, and for the warm-up time from then on the machine gets its budget only.

--- a/hazelhold/engine/machines.py
+++ b/hazelhold/engine/machines.py
@@ -227,6 +227,7 @@
                 kind,
                 entry.cores_room,
                 entry.memory_room,
+                entry.incarnation,
             )
         )
         if mode is not MachineMode.READY and (not old or old.mode is MachineMode.READY):
--- a/hazelhold/interface.py
+++ b/hazelhold/interface.py
@@ -122,7 +122,12 @@
 
 
 class ListedMachine(NamedTuple):
-    """A machine's entry in the list; free cores and memory are those that no guest has requested."""
+    """A machine's entry in the list; free cores and memory are those that no guest has requested.
+
+    `started` is when its process started, as far as clocks can tell; 0 if that is not known. `incarnation`
+    identifies that process: it differs after each restart, and its order means nothing. 0 if the list
+    identifies none.
+    """
 
     machine: str
     mode: MachineMode
@@ -132,6 +137,7 @@
     machine_kind: int
     free_cores: float
     free_memory: float
+    incarnation: int = 0
 
 
 class Load(NamedTuple):
--- a/hazelhold/scheduler.py
+++ b/hazelhold/scheduler.py
@@ -183,6 +183,12 @@
             else [(guest.submission.cores, guest.submission.memory)] * DRAWS)
 
 
+def _is_restarted(entry: ListedMachine, known: ListedMachine) -> bool:
+    """Whether a machine runs another process than before. Where the list identifies processes their start
+    times do not count: a clock that was stepped back makes a new one look older than the last."""
+    return entry.incarnation != known.incarnation or entry.started > known.started
+
+
 class Scheduler:
     """State and decisions of one planner."""
 
@@ -228,8 +234,11 @@
                 self.list_version += 1
                 continue
             self.list_version += entry.mode is not machine.listed.mode
-            if entry.started > machine.listed.started:
-                self._note_restart(machine, entry.started)
+            if entry.mode is MachineMode.GONE:  # it may be listed without its process
+                entry = entry._replace(incarnation=machine.listed.incarnation)
+            if _is_restarted(entry, machine.listed):
+                started_later = entry.started > machine.listed.started
+                self._note_restart(machine, entry.started if started_later else now)
                 machine.listed_since = now
             machine.listed, machine.listed_at, machine.free, machine.requested_by_others = (
                 entry, now, None, None)
