A report after a reset that was no death proves nothing of the next process

What callers saw: nothing yet.

Cause: a task on which the machine had reported after its last reset counted as reported on since the end, where that reset dated the end (the list's clock ahead, or the reset near the listed start). A living process may lose a connection, and a machine that is lost later resets nothing: the last reset is then seconds before the death.

Why this works: such a report shows that the reset was not this task's end, no more. The task waits for a report on the connection to the new process, with the same bounds as the others. Where machines tell no use it stands, as before.

--- a/hazelhold/engine/restarts.py
+++ b/hazelhold/engine/restarts.py
@@ -120,9 +120,11 @@
         dated = previous_incarnation_ended(restart.listed_at, link, restart.started)
         over_before = max(dated.ended_at, self._latest_sure_end(link))
         for record in [self.records[name] for name in link.guests]:
-            if not record.sent or self._is_confirmed_since(link, record, dated):
+            if not record.sent or self._is_of_new_incarnation(link, record):
                 continue
-            if record.sent_at < over_before:
+            if self._outlived_reset(record, dated):
+                self._verify_restarted(now, link, record)
+            elif record.sent_at < over_before:
                 if self._is_in_doubt(link, record, dated):
                     self._verify_restarted(now, link, record)
                 else:
@@ -153,12 +155,16 @@
         """
         return self._reaches_new_incarnation(link) and record.sent_at >= link.opened_at
 
-    def _is_confirmed_since(self, link: Link, record: GuestRecord, dated: PreviousIncarnation) -> bool:
-        """Whether the machine has reported on the guest, or on one sent no later, after the previous
-        incarnation ended."""
-        if self._reaches_new_incarnation(link) and record.sent_at < link.opened_at:
-            if record.confirmed_at >= link.opened_at or link.has_what_was_sent_at(record.sent_at):
-                return True
+    def _is_of_new_incarnation(self, link: Link, record: GuestRecord) -> bool:
+        """Whether the new incarnation has reported on a guest that was sent on an earlier connection, or on
+        one sent no later."""
+        if not self._reaches_new_incarnation(link) or record.sent_at >= link.opened_at:
+            return False
+        return record.confirmed_at >= link.opened_at or link.has_what_was_sent_at(record.sent_at)
+
+    def _outlived_reset(self, record: GuestRecord, dated: PreviousIncarnation) -> bool:
+        """Whether the machine has reported on the guest after the reset that dates the end: that reset was
+        not the guest's end, and may not have been the previous incarnation's."""
         return 0 < dated.reset_at < record.confirmed_at and dated.ended_at <= dated.reset_at
 
     def _is_in_doubt(self, link: Link, record: GuestRecord, dated: PreviousIncarnation) -> bool:
--- a/tests/test_fault_lost_machine.py
+++ b/tests/test_fault_lost_machine.py
@@ -48,6 +48,35 @@
     await story.check(over=(1,))
 
 
+async def lost_after_a_reset(story: Story) -> None:
+    """Guests 1 and 2 are over. Before the loss the living process lost a connection, and then reported on
+    guest 2: its reset, which is the last one, is no death."""
+    await story.place(1)
+    await trio.sleep(0.3)
+    story.rig.planner.links.peer("a").reset = True
+    await story.machine.streams[-1].aclose()
+    await trio.sleep(0.3)
+    await story.place(2)
+    await trio.sleep(2.5)  # the machine reports on both
+    story.die()
+    await story.at(CLOSED_AS_SILENT)
+    story.close_in_order()
+    await story.at(2.0)
+    await story.place(3)
+    await story.at(3.0)
+    story.show_restart()
+    await story.check(standing=(3,), over=(1, 2))
+
+
+@pytest.mark.parametrize("behind", [-2.0, 0.0, 5.0, 3600.0])
+def test_a_report_after_a_reset_that_was_no_death_proves_nothing_of_the_next_process(
+    behind: float, tell: Callable[..., None]
+) -> None:
+    """Guards against tasks that count as reported on since the end, where the last reset was not the end:
+    they were never released."""
+    tell(lost_after_a_reset, behind, True, MANY_PLANNERS)
+
+
 @pytest.mark.parametrize("behind", STEPPED_BACK)
 @pytest.mark.parametrize("tale", [lost_and_connected_again, lost_and_not_connected_again])
 def test_tasks_of_a_lost_machine_are_released_although_its_clock_was_stepped_back(
