--- a/tests/faults/server_state.py
+++ b/tests/faults/server_state.py
@@ -56,6 +56,7 @@
     closed: bool = False
     used_at: float = 0.0
     process: int = 0  # of the server, to which it was opened
+    use_reported: trio.Event = field(default_factory=trio.Event)  # answers come after the notes at its start
 
 
 @dataclass
--- a/tests/faults/servers.py
+++ b/tests/faults/servers.py
@@ -238,11 +238,8 @@
         )
         self.connections[planner].append(connection)
         if self.is_silent:
-            self.nursery.start_soon(
-                self._report_use_at_start, connection
-            )  # once the silence is over; it reads meanwhile
-        else:
-            await self._report_use_at_start(connection)
+            connection.use_reported.set()  # in any order once the silence is over
+        self.nursery.start_soon(self._report_use_at_start, connection)  # it reads meanwhile
         held = bytearray()
         try:
             while True:
@@ -316,6 +313,7 @@
     async def _answer_test(self, connection: Connection, call: str) -> None:
         if self.faults.hung:
             return
+        await connection.use_reported.wait()
         if self.faults.delay:
             await trio.sleep(self.faults.delay)
         cores, memory = self.load.free(time.monotonic())
@@ -364,6 +362,7 @@
         if faults.hung or random.random() < faults.share_unanswered:
             return
         await trio.sleep(random.uniform(0.001, 0.02) + faults.delay * random.random())
+        await connection.use_reported.wait()
         await self._until_silence_ends()  # it accepts nothing that was given up meanwhile
         call = attempt.request
         if call not in connection.open or connection.closed or self._is_of_dead_process(connection):
@@ -416,11 +415,11 @@
         """Sends notes on all tasks of a planner, on the first connection of each of its processes."""
         planner = connection.planner
         life = next((each for each in reversed(self.record.lives) if each.planner == planner), None)
-        if not self.tells_use or self.faults.hung or self.reported_to.get(planner) is life:
-            return
-        self.reported_to[planner] = life
-        for call in [call for call, task in self.tasks.items() if task.planner == planner]:
-            await self._report_use_of(connection, call)
+        if self.tells_use and not self.faults.hung and self.reported_to.get(planner) is not life:
+            self.reported_to[planner] = life
+            for call in [call for call, task in self.tasks.items() if task.planner == planner]:
+                await self._report_use_of(connection, call)
+        connection.use_reported.set()
 
     async def _report_use_of(self, connection: Connection, call: str) -> None:
         task = self.tasks.get(call)
--- a/tests/test_faults_servers.py
+++ b/tests/test_faults_servers.py
@@ -8,12 +8,14 @@
 import pytest
 import trio
 
-from tests.faults.record import Record
+from tests.faults.record import Attempt, Life, Record
+from tests.faults.server_state import Task
 from tests.faults.servers import Server
 
 RESTARTS = 200
 PREFIX = "127.77.253"
 TEST = b'{"op":"test","call":"0000000000000001","with":{},"why":1}\n'
+OFFER = b'{"op":"offer","call":"0000000000001000","with":{"left":"1000"},"why":1}\n'
 
 
 def refused_dials(host: str, port: int, until: threading.Event) -> int:
@@ -115,3 +117,54 @@
             nursery.cancel_scope.cancel()
 
     trio.run(run)
+
+
+async def server_with_tasks(nursery: trio.Nursery, tasks: int) -> Server:
+    """A server that has notes to tell a planner's next process."""
+    server = Server("s1", PREFIX, Record(lives=[Life("n0", 0.0)]), Random(1), nursery)
+    await server.open(["n0"])
+    for number in range(tasks):
+        attempt = Attempt(f"{number:016x}", "s1", "n0", 0.0, 1.0)
+        server.tasks[attempt.request] = Task(attempt, "n0", float("inf"), server.load.use_of_a_guest())
+    return server
+
+
+async def offered(server: Server) -> trio.SocketStream:
+    """A connection of the planner, on which it has written an offer."""
+    stream = await trio.open_tcp_stream(server.host("n0"), server.port("n0"))
+    await stream.send_all(OFFER)
+    return stream
+
+
+def test_a_server_that_falls_silent_amid_its_notes_goes_on_reading() -> None:
+    """Guards against an offer that lay unread for 2 s, which was judged as one with too long a deadline."""
+
+    async def run() -> list[Attempt]:
+        async with trio.open_nursery() as nursery:
+            server = await server_with_tasks(nursery, tasks=400)
+            stream = await offered(server)
+            await stream.receive_some(1)  # its notes have begun
+            server.fall_silent(0.5)
+            await trio.sleep(0.2)
+            nursery.cancel_scope.cancel()
+        return server.record.attempts
+
+    assert [each.left for each in trio.run(run)] == [1.0]
+
+
+def test_a_server_answers_after_its_notes() -> None:
+    """Guards against answers that overtake the notes on what stands."""
+
+    async def run() -> bytes:
+        async with trio.open_nursery() as nursery:
+            server = await server_with_tasks(nursery, tasks=400)
+            stream = await trio.open_tcp_stream(server.host("n0"), server.port("n0"))
+            await stream.send_all(TEST)
+            told = b""
+            with trio.fail_after(5.0):
+                while b'"tested"' not in told:
+                    told += await stream.receive_some()
+            nursery.cancel_scope.cancel()
+        return told
+
+    assert trio.run(run).split(b'"tested"')[0].count(b'"note": "mem"') == 400
