Soak: an attempt is judged by when its offer may have arrived at a slow stand-in

Cause: the judge took for the stand-ins' lateness the largest interval by which one task of theirs woke late, 0.2 s before the attempt. That task sees one slow iteration of the event loop at a time. An offer waits for several: what arrives just after a poll is reported by the next one and read in the iteration after it; on a new connection it waits to be accepted, for the connection's task to start, and to be read. So the check blamed the planner for time that the stand-ins had lost.

Change: stand-ins keep, for each offer, the most time for which it may have waited with them to be accepted and read, as the planner does for requests (`EmptySince`). The judge allows the larger of this and the lateness that it allowed before, in the three checks that hold an attempt's time against a limit and in that of drains. The limits are the same: a test holds that an offer which carries more than the measured wait and the slack is found, and one that an offer that was read at once did not wait.

--- a/tests/faults/judge.py
+++ b/tests/faults/judge.py
@@ -11,6 +11,7 @@
 SLACK = 0.05  # every limit in time is so much longer
 AFTER_CLOSE = 0.1  # an attempt may begin so long after its client closed or cancelled
 DEADLINE_SLACK = 0.15
+LAG_COUNTS = 0.02  # seconds by which the stand-ins have to be late
 ANSWER_SLACK = 0.5  # up to here past its time an answer earns nothing; later it is lost
 RELEASE_WITHIN = 1.0
 RELEASE_AT_LATEST = 8.0
@@ -74,6 +75,11 @@
             (lag for at, lag in self.record.lags if start - 0.05 <= at <= end + lag + 0.05), default=0.0
         )
 
+    def _read_late(self, attempt: Attempt) -> float:
+        """How late the stand-ins were to see an attempt, at worst."""
+        late = attempt.unread_for if attempt.unread_for > LAG_COUNTS else 0.0
+        return max(late, self._lag(attempt.at - 0.3, attempt.at))
+
     def _life_at(self, planner: str, at: float) -> Life | None:
         lives = [each for each in self.record.lives if each.planner == planner and each.started_at <= at]
         return lives[-1] if lives else None
@@ -138,7 +144,7 @@
             ):
                 self._break(Rule.DUPLICATE, after.at, f"{text}: again at {after.server} after {before}")
         for attempt in attempts:
-            lag = self._lag(attempt.at - 0.3, attempt.at)
+            lag = self._read_late(attempt)
             if request.closed_at is not None and request.closed is not Closed.KILLED:
                 late = attempt.at - request.closed_at - AFTER_CLOSE
                 if late > lag:
@@ -164,7 +170,7 @@
         if told is None:
             return
         late = attempt.at - told - DRAIN_GRACE - SLACK
-        if late > self._lag(attempt.at - 0.3, attempt.at):
+        if late > self._read_late(attempt):
             self._break(
                 Rule.DRAIN,
                 attempt.at,
--- a/tests/faults/record.py
+++ b/tests/faults/record.py
@@ -61,6 +61,7 @@
     over_told_at: float | None = None  # when that end was written to the planner
     may_have_run: bool = False
     lost_at: float | None = None  # when its server vanished with it: it may be over from then on
+    unread_for: float = 0.0  # the most seconds for which its offer may have waited at the server
 
 
 @dataclass
--- a/tests/faults/run.py
+++ b/tests/faults/run.py
@@ -11,6 +11,7 @@
 
 from tests.faults.clients import Clients, Habits
 from tests.faults.discovery import Discovery, Fault
+from tests.faults.judge import LAG_COUNTS
 from tests.faults.planners import PlannerProcess, idle_connections
 from tests.faults.record import Record, StoppedSpan
 from tests.faults.schedule import (
@@ -35,7 +36,7 @@
 from tests.platform_rig import DEPLOYMENT
 
 COLD_CALLS, COLD_WINDOW, COLD_FOR = 5.0, 2.0, 6.0  # so few that servers in slow start are sent more when warm
-LAG_STEP, LAG_COUNTS = 0.01, 0.02  # seconds
+LAG_STEP = 0.01  # seconds
 SETTLE = 4.0  # seconds after the last request in which what stands may end
 
 
--- a/tests/faults/server_state.py
+++ b/tests/faults/server_state.py
@@ -5,9 +5,12 @@
 
 import trio
 
+from hazelhold.service.arrival_time import EmptySince
 from tests.faults.load_reports import Resources
 from tests.faults.record import Attempt
 
+READ = 1 << 16  # bytes
+
 
 class Draining(Enum):
     """What a server does between the start of its drain and its end. No page says that it fails probes.
@@ -56,8 +59,20 @@
     closed: bool = False
     used_at: float = 0.0
     process: int = 0  # of the server, to which it was opened
+    accept_delay: float = 0.0  # seconds for which it may have waited to be accepted
+    arrival: EmptySince = field(default_factory=EmptySince)  # of what is read on it
     use_reported: trio.Event = field(default_factory=trio.Event)  # answers come after the notes at its start
 
+    def was_read(self, size: int) -> None:
+        """Called after each read, with its number of bytes."""
+        self.arrival.data_arrived()
+        if size < READ:
+            self.arrival.emptied()
+
+    def unread_for(self) -> float:
+        """The most seconds for which what was read last may have waited, on a stand-in that was slow."""
+        return self.accept_delay + self.arrival.waited()
+
 
 @dataclass
 class SentEnd:
--- a/tests/faults/servers.py
+++ b/tests/faults/servers.py
@@ -7,9 +7,10 @@
 
 import trio
 
+from hazelhold.service.arrival_time import EmptySince
 from tests.faults.load_reports import LoadReporter
 from tests.faults.record import Attempt, Life, Record, ServerLife
-from tests.faults.server_state import Connection, Draining, Faults, SentEnd, Task
+from tests.faults.server_state import READ, Connection, Draining, Faults, SentEnd, Task
 
 REFUSED, MOOT, ERROR, DONE, STOPPED, RESET = 34, 102, 47, 16, 31, 41  # causes
 BACKLOG = 64
@@ -75,6 +76,7 @@
         self.ports[planner] = listener.socket.getsockname()[1]
         self.connections.setdefault(planner, [])
         scope = self.scopes[planner] = trio.CancelScope()
+        queue = EmptySince()
 
         async def serve() -> None:
             with scope:
@@ -82,6 +84,7 @@
                     while True:
                         await self.present.wait()
                         stream = None
+                        queue.begin()
                         with trio.CancelScope() as accepting:
                             self.accepting[planner] = accepting
                             try:
@@ -90,10 +93,14 @@
                                 break  # the server goes
                         if stream is None:
                             continue  # it has vanished
+                        queue.data_arrived()
+                        arrived_after = queue.arrived_after
+                        if listener.socket.fileno() >= 0 and not listener.socket.is_readable():
+                            queue.emptied()
                         if self._is_filler(stream):
                             await trio.aclose_forcefully(stream)
                         else:
-                            own.start_soon(self._serve, planner, stream)
+                            own.start_soon(self._serve, planner, stream, arrived_after)
 
         self.nursery.start_soon(serve)
 
@@ -232,9 +239,13 @@
 
     # Connections.
 
-    async def _serve(self, planner: str, stream: trio.SocketStream) -> None:
+    async def _serve(self, planner: str, stream: trio.SocketStream, arrived_after: float) -> None:
         connection = Connection(
-            stream, planner, used_at=time.monotonic(), process=self.process - self.vanished
+            stream,
+            planner,
+            used_at=time.monotonic(),
+            process=self.process - self.vanished,
+            accept_delay=trio.current_time() - arrived_after,
         )
         self.connections[planner].append(connection)
         if self.is_silent:
@@ -244,8 +255,9 @@
         try:
             while True:
                 data = b""
+                connection.arrival.begin()
                 with trio.move_on_after(self.faults.idle_close) as idle:
-                    data = await stream.receive_some(1 << 16)
+                    data = await stream.receive_some(READ)
                 is_over = self._is_of_dead_process(connection)
                 if idle.cancelled_caught and (self.is_silent or is_over) and not connection.closed:
                     continue
@@ -254,6 +266,7 @@
                 if is_over and not self.vanished:
                     self._close(connection, reset=True)
                     return
+                connection.was_read(len(data))
                 held += data
                 *lines, rest = held.split(b"\n")
                 held = bytearray(rest)
@@ -262,6 +275,7 @@
                         self._written_after_death(connection, json.loads(line))
                     else:
                         self._received(connection, json.loads(line))
+                connection.accept_delay = 0.0
         except (trio.BrokenResourceError, trio.ClosedResourceError):
             pass
         finally:
@@ -304,6 +318,7 @@
             self.nursery.start_soon(self._answer_test, connection, call)
         elif line["op"] == "offer":
             attempt = Attempt(call, self.name, connection.planner, now, int(line["with"]["left"]) / 1000)
+            attempt.unread_for = connection.unread_for()
             self.record.attempts.append(attempt)
             connection.open[call] = attempt
             self.nursery.start_soon(self._answer, connection, attempt)
--- a/tests/test_faults_judge.py
+++ b/tests/test_faults_judge.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from tests.faults.judge import Judge
+from tests.faults.judge import DEADLINE_SLACK, Judge
 from tests.faults.record import (
     Attempt,
     Closed,
@@ -201,6 +201,27 @@
     assert "lost" in broken(record)  # it had no answer
 
 
+def read_late(record: Record, left: float) -> None:
+    """The offer was read at 10.6 s, and may have arrived 0.4 s before."""
+    record.attempts[0].at, record.attempts[0].unread_for = 10.6, 0.4
+    record.attempts[0].left = left
+    record.attempts[0].ended_at = record.requests["t"].replies[0].at = 10.7
+
+
+def test_an_offer_that_a_slow_stand_in_read_late_is_judged_by_when_it_may_have_arrived() -> None:
+    """Guards against a planner that is blamed for several slow iterations of the stand-ins' loop."""
+    record = sound()
+    read_late(record, left=1.8 + DEADLINE_SLACK - 0.01)
+    assert broken(record) == []
+
+
+def test_a_slow_stand_in_excuses_no_more_than_its_own_lateness() -> None:
+    """Guards against a lateness of the stand-ins that hides a deadline that is too long."""
+    record = sound()
+    read_late(record, left=1.8 + DEADLINE_SLACK + 0.01)
+    assert broken(record) == ["deadline passed on"]
+
+
 def stopped(began_at: float, ended_at: float) -> Record:
     """The sound run, with a stop of its planner's process."""
     record = sound()
--- a/tests/test_faults_servers.py
+++ b/tests/test_faults_servers.py
@@ -8,6 +8,7 @@
 import pytest
 import trio
 
+from hazelhold.service.arrival_time import poll_heartbeat
 from tests.faults.record import Attempt, Life, Record
 from tests.faults.server_state import Task
 from tests.faults.servers import Server
@@ -168,3 +169,45 @@
         return told
 
     assert trio.run(run).split(b'"tested"')[0].count(b'"note": "mem"') == 400
+
+
+def test_a_server_tells_how_long_an_offer_may_have_waited_in_slow_iterations() -> None:
+    """Guards against a lateness that counts one iteration of the stand-ins' loop where an offer waits for
+    several: to be accepted, and to be read."""
+    slow = 0.05  # seconds
+
+    async def run() -> tuple[float, Attempt]:
+        async with trio.open_nursery() as nursery:
+            server = await server_with_tasks(nursery, tasks=0)
+            await trio.sleep(0.05)
+            with socket.create_connection((server.host("n0"), server.port("n0"))) as planner:
+                planner.sendall(OFFER)
+                written_at = time.monotonic()
+                while not server.record.attempts:
+                    time.sleep(slow)
+                    await trio.lowlevel.checkpoint()
+            nursery.cancel_scope.cancel()
+        return written_at, server.record.attempts[0]
+
+    written_at, attempt = trio.run(run)
+    assert attempt.at - written_at > 2 * slow
+    assert attempt.at - attempt.unread_for <= written_at
+
+
+def test_an_offer_that_is_read_at_once_did_not_wait() -> None:
+    """Guards against a lateness of the stand-ins that grows where they are not late."""
+
+    async def run() -> Attempt:
+        async with trio.open_nursery() as nursery:
+            server = await server_with_tasks(nursery, tasks=0)
+            nursery.start_soon(poll_heartbeat)
+            stream = await trio.open_tcp_stream(server.host("n0"), server.port("n0"))
+            await trio.sleep(0.5)
+            await stream.send_all(OFFER)
+            with trio.fail_after(5.0):
+                while not server.record.attempts:
+                    await trio.sleep(0.01)
+            nursery.cancel_scope.cancel()
+        return server.record.attempts[0]
+
+    assert trio.run(run).unread_for < 0.2
