A connection's wait counts until it is served, not until it is accepted

If the process is stopped between accepting a connection and the first step of its task, one iteration of the event loop later, the deadlines of the first requests on it were passed on longer than what their clients had left, by the length of the stop.

Cause: the wait in the accept queue was taken as a number of seconds when the connection was accepted, and the time that goes on from there counted only from the start of its task (`EmptySince` of its peer).

Fix: the listener passes on the time after which the connection arrived, and its task counts from that when it starts, in the same step in which the peer's own count begins. Nothing lies between the two.

--- a/hazelhold/service/net.py
+++ b/hazelhold/service/net.py
@@ -141,7 +141,7 @@
 
 
 ACCEPT_DELAY = "hazelhold_accept_delay"
-"""Attribute of a stream: maximum seconds for which it waited to be accepted."""
+"""Attribute of a stream: maximum seconds for which it waited to be accepted and served."""
 
 
 def accept_delay(stream: trio.abc.Stream) -> float:
@@ -158,8 +158,8 @@
     queue, queue_empty = EmptySince(), True
     failures = 0  # in a row
 
-    async def run(stream: trio.SocketStream, delay: float) -> None:
-        setattr(stream, ACCEPT_DELAY, delay)
+    async def run(stream: trio.SocketStream, arrived_after: float) -> None:
+        setattr(stream, ACCEPT_DELAY, trio.current_time() - arrived_after)
         try:
             await handler(stream)
         finally:
@@ -178,7 +178,7 @@
                         peer = listener.accept()[0]
                         stream = trio.SocketStream(trio.socket.from_stdlib_socket(peer))
                         failures = 0
-                        nursery.start_soon(run, stream, queue.waited())
+                        nursery.start_soon(run, stream, queue.arrived_after)
                 except BlockingIOError:
                     queue_empty = True
                     queue.emptied()
--- a/tests/test_faulty_system.py
+++ b/tests/test_faulty_system.py
@@ -217,6 +217,39 @@
     play(test)
 
 
+def test_a_connection_that_is_accepted_before_the_process_is_stopped_has_waited_until_it_is_served() -> None:
+    """Guards against a deadline that is too long by a stop between accepting a connection and serving it."""
+    stopped_for = 0.2  # seconds
+
+    class Listener(socket.socket):
+        def accept(self) -> tuple:
+            try:
+                return super().accept()
+            except BlockingIOError:  # all are accepted, and none is served yet
+                time.sleep(stopped_for)
+                raise
+
+    async def run() -> float:
+        delays = []
+
+        async def handler(stream: trio.SocketStream) -> None:
+            delays.append(net.accept_delay(stream))
+
+        listener = Listener()
+        listener.bind(("127.0.0.1", 0))
+        listener.listen()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(net.serve, listener, handler, 4)
+            await trio.open_tcp_stream(*listener.getsockname())
+            with trio.fail_after(10):
+                while not delays:
+                    await trio.sleep(0.01)
+            nursery.cancel_scope.cancel()
+        return delays[0]
+
+    assert trio.run(run) >= stopped_for
+
+
 def test_the_loop_clock_reports_the_age_of_the_last_poll() -> None:
     async def run() -> None:
         loop = LoopClock()
