Tests: broken variants for reports that prove nothing of the next process

Change: two more variants in tests/test_fault_lost_machine.py. In the first a report after any reset counts as one after the end; in the second any report does.

--- a/tests/test_fault_lost_machine.py
+++ b/tests/test_fault_lost_machine.py
@@ -267,6 +267,14 @@
     return link.heard_at
 
 
+def count_reports_after_a_reset(restarts: MachineRestarts, link: Link, record: GuestRecord) -> bool:
+    return any(each.reset and each.ended_at < record.confirmed_at for each in link.past_connections)
+
+
+def count_reports_without_an_end(restarts: MachineRestarts, link: Link, record: GuestRecord) -> bool:
+    return record.confirmed_at > 0
+
+
 @pytest.mark.parametrize(
     ("tale", "where", "method", "broken"),
     [
@@ -276,6 +284,8 @@
         (unreported_on_an_earlier_connection, Link, "has_what_was_sent_at", lambda *given: False),
         (restart_listed_late, MachineRestarts, "_not_over_at", count_from_the_news),
         (restart_listed_late_twice_connected, Link, "last_heard_on_connection", count_any_message),
+        (lost_after_a_reset, MachineRestarts, "_is_of_new_incarnation", count_reports_after_a_reset),
+        (lost_and_connected_again, MachineRestarts, "_is_of_new_incarnation", count_reports_without_an_end),
     ],
     ids=[
         "the clock",
@@ -284,6 +294,8 @@
         "only its own report",
         "a bound from the news",
         "a bound from any message",
+        "a report after a reset that was no death",
+        "a report where no end is known",
     ],
 )
 def test_without_a_part_of_the_argument_a_task_is_decided_wrongly(
