Soak: an end that a fault of the system took away is due once it is told again

Cause, in the judge: an end counted as told when it was first written, also where the planner's fault shim broke that connection before it was read. The stand-in tells it again on the next connection, as the platform does; the judge did not look at that.

Change: the shim's log names the time; stand-ins keep each time that an end was written, and on which connection. An end counts as told at the first writing whose connection was not broken by the shim within 1 s, the bound for reading it.

--- a/tests/faults/judge.py
+++ b/tests/faults/judge.py
@@ -196,8 +196,9 @@
         if stood.over_at is None or end is not None and end.at <= stood.over_at + RELEASE_WITHIN:
             return
         due = self._runs_from(request.planner, stood.over_at + RELEASE_AT_LATEST)
-        if stood.over_told_at is not None:
-            read = self._runs_from(request.planner, stood.over_told_at)
+        told_at = self._told_at(stood)
+        if told_at is not None:
+            read = self._runs_from(request.planner, told_at)
             if not self._was_away(request.planner, read):
                 due = self._runs_from(request.planner, read + RELEASE_WITHIN) + SLACK
         if end is None and due > self.record.ended:
@@ -206,6 +207,17 @@
             when = "never" if end is None else f"{end.at - stood.over_at:.3f} s later"
             self._break(Rule.LOST, due, f"{text}: over at {stood.server}, released {when}")
 
+    def _told_at(self, stood: Attempt) -> float | None:
+        """When the planner could read the end: what was written to a connection that a fault of its system
+        broke before it was due is lost, and told again on the next one."""
+        if not stood.end_writes:
+            return stood.over_told_at
+        for write in stood.end_writes:
+            broke_at = self.record.broken_links.get(write.link)
+            if broke_at is None or abs(broke_at - write.at) > RELEASE_WITHIN:
+                return write.at
+        return None
+
     def _was_away(self, planner: str, at: float) -> bool:
         """Whether no life of the planner was up around this time, or its hand-over was still on."""
         for life in self.record.lives:
--- a/tests/faults/record.py
+++ b/tests/faults/record.py
@@ -45,6 +45,14 @@
         return self.replies[0].at if self.replies else None
 
 
+@dataclass(frozen=True)
+class EndWrite:
+    """The end of a task, written to a connection of its planner."""
+
+    at: float
+    link: tuple[int, int]  # the ports of the planner and of the server
+
+
 @dataclass
 class Attempt:
     """One offer that a server read whole."""
@@ -59,6 +67,7 @@
     description: str = ""
     over_at: float | None = None  # the end of what was accepted, at the latest
     over_told_at: float | None = None  # when that end was written to the planner
+    end_writes: list[EndWrite] = field(default_factory=list)  # the first, and again where a connection ended
     may_have_run: bool = False
     lost_at: float | None = None  # when its server vanished with it: it may be over from then on
     unread_for: float = 0.0  # the most seconds for which its offer may have waited at the server
@@ -115,6 +124,7 @@
         default_factory=list
     )  # when the stand-ins were late, and how much
     broken_connections: set[int] = field(default_factory=set)  # client ports of those that a shim broke
+    broken_links: dict[tuple[int, int], float] = field(default_factory=dict)  # by ports: when a shim broke it
     accepted_at: dict[int, float] = field(default_factory=dict)  # by the client's port, in a faulty process
     notes: list[str] = field(default_factory=list)  # faults as they were begun
 
--- a/tests/faults/server_state.py
+++ b/tests/faults/server_state.py
@@ -63,6 +63,14 @@
     arrival: EmptySince = field(default_factory=EmptySince)  # of what is read on it
     use_reported: trio.Event = field(default_factory=trio.Event)  # answers come after the notes at its start
 
+    def link(self) -> tuple[int, int]:
+        """The ports of the planner and of the server; zeros if it has ended."""
+        try:
+            opened = self.stream.socket
+            return opened.getpeername()[1], opened.getsockname()[1]
+        except OSError:
+            return 0, 0
+
     def was_read(self, size: int) -> None:
         """Called after each read, with its number of bytes."""
         self.arrival.data_arrived()
@@ -81,3 +89,4 @@
     at: float
     connection: Connection
     line: dict
+    attempt: Attempt | None = None  # whose end it is, unless its client asked for that
--- a/tests/faults/servers.py
+++ b/tests/faults/servers.py
@@ -9,7 +9,7 @@
 
 from hazelhold.service.arrival_time import EmptySince
 from tests.faults.load_reports import LoadReporter
-from tests.faults.record import Attempt, Life, Record, ServerLife
+from tests.faults.record import Attempt, EndWrite, Life, Record, ServerLife
 from tests.faults.server_state import READ, Connection, Draining, Faults, SentEnd, Task
 
 REFUSED, MOOT, ERROR, DONE, STOPPED, RESET = 34, 102, 47, 16, 31, 41  # causes
@@ -458,7 +458,7 @@
         self.sent_ends = [each for each in self.sent_ends if now - each.at < RESEND_PERIOD]
         for each in [each for each in self.sent_ends if each.connection is ended]:
             self.sent_ends.remove(each)
-            self.nursery.start_soon(self._send_on_any_connection, ended.planner, each.line)
+            self.nursery.start_soon(self._send_on_any_connection, ended.planner, each.line, each.attempt)
 
     async def _end_tasks(self) -> None:
         while not self.removed:
@@ -480,15 +480,19 @@
     async def _send_end(self, task: Task, call: str, why: int, note: str) -> None:
         """On any connection of its planner, else on the next one."""
         line = {"op": "end", "call": call, "with": {"note": note} if note else {}, "why": why}
-        if await self._send_on_any_connection(task.planner, line):
+        if await self._send_on_any_connection(task.planner, line, task.attempt):
             task.attempt.over_told_at = time.monotonic()
 
-    async def _send_on_any_connection(self, planner: str, line: dict) -> bool:
+    async def _send_on_any_connection(self, planner: str, line: dict, attempt: Attempt | None = None) -> bool:
         process = self.process
         while not self.removed and self.process == process:
             for connection in self.connections[planner]:
+                link = connection.link()
                 if await self._send(connection, line) and not connection.closed:
-                    self.sent_ends.append(SentEnd(time.monotonic(), connection, line))
+                    now = time.monotonic()
+                    self.sent_ends.append(SentEnd(now, connection, line, attempt))
+                    if attempt is not None:
+                        attempt.end_writes.append(EndWrite(now, link))
                     return True
             await trio.sleep(RESEND_POLL)
         return False
--- a/tests/faults/shim/sitecustomize.py
+++ b/tests/faults/shim/sitecustomize.py
@@ -54,7 +54,8 @@
     def fail_broken(opened: socket.socket, number: int) -> None:
         """A connection that failed once stays broken."""
         with contextlib.suppress(OSError):
-            os.write(2, b"SHIM_BROKE %d %d\n" % (opened.getsockname()[1], opened.getpeername()[1]))
+            ports = opened.getsockname()[1], opened.getpeername()[1]
+            os.write(2, b"SHIM_BROKE %d %d %.6f\n" % (*ports, time.monotonic()))
             opened.shutdown(socket.SHUT_RDWR)
         fail(number)
 
--- a/tests/faults/soak.py
+++ b/tests/faults/soak.py
@@ -65,8 +65,10 @@
     """Takes what a planner's shim wrote into its log: which connections it broke, when each was accepted."""
     for line in log.read_text(errors="replace").splitlines():
         words = line.split()
-        if "SHIM_BROKE" in words and words[-1].isdigit():
-            record.broken_connections.add(int(words[-1]))
+        if "SHIM_BROKE" in words and words.index("SHIM_BROKE") == len(words) - 4:
+            own, peer, at = words[-3:]
+            record.broken_connections.add(int(peer))
+            record.broken_links[int(own), int(peer)] = float(at)
         elif len(words) == 3 and words[0] == "SHIM_ACCEPTED":
             record.accepted_at[int(words[1])] = float(words[2])
 
--- a/tests/test_faults_judge.py
+++ b/tests/test_faults_judge.py
@@ -8,6 +8,7 @@
 from tests.faults.record import (
     Attempt,
     Closed,
+    EndWrite,
     Life,
     Record,
     Reply,
@@ -222,6 +223,41 @@
     assert broken(record) == ["deadline passed on"]
 
 
+def over_told_twice(record: Record, broke_at: float, released_at: float) -> None:
+    """The end was written at 11.0 s to a connection that a fault of the system broke, and again at 13.0 s."""
+    record.attempts[0].over_told_at = 11.0
+    record.attempts[0].end_writes = [EndWrite(11.0, (1, 2)), EndWrite(13.0, (3, 2))]
+    record.broken_links = {(1, 2): broke_at}
+    record.requests["t"].replies[1].at = released_at
+
+
+@pytest.mark.parametrize("broke_at", [10.9, 11.2])
+def test_an_end_on_a_connection_that_the_system_broke_is_due_once_it_is_told_again(broke_at: float) -> None:
+    """Guards against a planner that is blamed for an end which a fault of its system took from it."""
+    record = sound()
+    over_told_twice(record, broke_at, released_at=13.9)
+    assert broken(record) == []
+    record.requests["t"].replies[1].at = 14.2
+    assert broken(record) == ["lost"]
+
+
+def test_a_connection_that_breaks_after_the_end_was_due_excuses_nothing() -> None:
+    """Guards against a fault of the system that hides an end which the planner had read and kept."""
+    record = sound()
+    over_told_twice(record, broke_at=12.2, released_at=13.9)
+    assert broken(record) == ["lost"]
+
+
+def test_an_end_that_only_broken_connections_were_told_is_due_in_8_s() -> None:
+    """Guards against an end that is owed no more because each of its connections was broken."""
+    record = sound()
+    over_told_twice(record, broke_at=11.1, released_at=18.9)
+    record.broken_links[3, 2] = 13.1
+    assert broken(record) == []
+    record.requests["t"].replies[1].at = 19.2
+    assert broken(record) == ["lost"]
+
+
 def stopped(began_at: float, ended_at: float) -> Record:
     """The sound run, with a stop of its planner's process."""
     record = sound()
