--- a/tests/test_faults_soak_listed.py
+++ b/tests/test_faults_soak_listed.py
@@ -12,6 +12,7 @@
     (819, 18.0, Kinds.USUAL),
     (836, 18.0, Kinds.USUAL),
     (844, 18.0, Kinds.USUAL),
+    (850, 18.0, Kinds.USUAL),
     (901, 16.0, Kinds.ALL),
     (916, 16.0, Kinds.ALL),
 ]
