Tests: a loop that waits for a stand-in is bounded; a constant comes from the module that defines it

Need, found by reading the whole change once more: the new test of slow iterations waited for a stand-in's record without a bound, so a stand-in that fails would hang the suite instead of failing it (a fault of that kind, a listener that was asked while it was closed, hung a run while the test was written). And tests/test_fault_reused_address.py took TELLING_USE by way of another test file.

Change: at most 100 iterations; the record is read as before, so a missing attempt fails the test. No assertion is changed.

--- a/tests/test_fault_reused_address.py
+++ b/tests/test_fault_reused_address.py
@@ -9,8 +9,7 @@
 
 import trio
 
-from tests.platform_rig import PLACED, Rig, event, host, play, set_up
-from tests.test_fault_server_restart import TELLING_USE
+from tests.platform_rig import PLACED, TELLING_USE, Rig, event, host, play, set_up
 
 DONE = 16  # cause
 
--- a/tests/test_faults_servers.py
+++ b/tests/test_faults_servers.py
@@ -175,6 +175,7 @@
     """Guards against a lateness that counts one iteration of the stand-ins' loop where an offer waits for
     several: to be accepted, and to be read."""
     slow = 0.05  # seconds
+    most_iterations = 100
 
     async def run() -> tuple[float, Attempt]:
         async with trio.open_nursery() as nursery:
@@ -183,7 +184,9 @@
             with socket.create_connection((server.host("n0"), server.port("n0"))) as planner:
                 planner.sendall(OFFER)
                 written_at = time.monotonic()
-                while not server.record.attempts:
+                for _ in range(most_iterations):
+                    if server.record.attempts:
+                        break
                     time.sleep(slow)
                     await trio.lowlevel.checkpoint()
             nursery.cancel_scope.cancel()
