--- /dev/null
+++ b/review/standins_2/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins of the second review: machines, the bulletin, owners and the start of planner processes."""
