--- a/review/9/case.py
+++ b/review/9/case.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from review.standins_2.world import LATE_SLACK, TROUBLE, Machine, World, main, settings
+from review.standins_2.world import LATE_SLACK, TROUBLE, CannotRunError, Machine, World, main, settings
 
 BOUND = 8.0  # PROTOCOL.md: "where no release could be sent, within 8 s of its end"
 
@@ -15,7 +15,7 @@
     standing = [owner.set_up("till-import", 5000) for _ in range(12)]
     await asyncio.sleep(1.0)
     if not all(each.placed for each in standing) or not first.tasks:
-        return ["a set-up was not placed before the disruption"]
+        raise CannotRunError("a set-up was not placed before the disruption")
     over = []
     ended = world.record.now()
     if TROUBLE:
