Services leave the table with their last guest, and idle ones are bounded in number

Change: `ServiceTable`, in a decision module of its own. A service without samples leaves with its last guest: what is made anew for the next one is the same. One with samples is kept for a minute as before, but no more than 1,024 of them. Cached orders of machines are bounded by their entries, all services together. Why it works: what is left is bounded by the guests held, which are bounded by `open_guests`, and by a number.

--- a/hazelhold/scheduler.py
+++ b/hazelhold/scheduler.py
@@ -25,6 +25,7 @@
     RepeatSemantics,
     Scope,
 )
+from hazelhold.service_usage import ServiceTable, ServiceUsage
 
 SECOND = 1_000_000
 NEVER_RAN = (DispatchOutcome.REFUSED, DispatchOutcome.UNREACHABLE, DispatchOutcome.NOT_SENT)
@@ -32,24 +33,6 @@
 TIE_TOLERANCE = 1.001  # one guest changes the spread by 1% at most: 5% would make the choice random
 
 
-class ServiceUsage:
-    """Recent resource use of one service's guests; dropped once it has had no guest for a minute."""
-
-    def __init__(self) -> None:
-        # The 50 latest samples of used (cores, memory), as the design specifies.
-        self.samples: deque[tuple[float, float]] = deque(maxlen=50)
-        self.guests = self.last_seen_at = 0
-        self.order: list[Machine] = []  # see _service_order; rebuilt when the list changes
-        self.order_version = -1
-
-    def estimated_use(self, submission: interface.Submission) -> tuple[float, float]:
-        """Expected use of a new guest: the 90th percentile of recent use, or its request without samples."""
-        if not self.samples:
-            return submission.cores, submission.memory
-        at = int(0.9 * (len(self.samples) - 1) + 0.5)
-        return sorted(s[0] for s in self.samples)[at], sorted(s[1] for s in self.samples)[at]
-
-
 class Guest:
     """A guest that this planner holds, has dispatched or has placed, from its submission to its end."""
 
@@ -196,7 +179,7 @@
         self.outstanding: dict[str, Guest] = {}  # with a dispatch not yet accepted; removed by its outcome
         self.answer_at = 0  # no final answer is due earlier; 0: recompute
         self.placeable: list[Guest] | None = None  # to be placed at this timestamp; None: recompute
-        self.services: dict[str, ServiceUsage] = {}  # idle ones are dropped by _new_guest
+        self.services = ServiceTable()
         self.placed_by_priority: dict[int, int] = defaultdict(int)  # number of guests with a machine
         self.spread: dict[tuple[str, Scope, str], int] = {}  # guests by spread key; removed at zero
         # Start times (warm and cold) and answer times by guest class: large guests take many times as long.
@@ -303,7 +286,7 @@
     def learned_state(self) -> interface.LearnedState:
         """What a later run of this planner may use."""
         return interface.LearnedState(
-            {n: (s.last_seen_at, tuple(s.samples)) for n, s in self.services.items() if s.samples},
+            self.services.with_samples(),
             tuple((*k, tuple(v)) for k, v in self.starts.items()),
             tuple((k, tuple(v)) for k, v in self.answers.items()), tuple(self.usage_totals),
             {n: interface.MachineHealth(m.listed.started, m.cold_at, tuple(m.answers),
@@ -324,9 +307,7 @@
             now, 0 if complete else now + 2 * self.deployment.cold_budget_window)
         for name, (seen_at, samples) in past.services.items():
             if seen_at >= now - 60 * SECOND:
-                service = self.services.setdefault(name, ServiceUsage())
-                service.samples.extendleft(reversed(samples))
-                service.last_seen_at = max(service.last_seen_at, seen_at)
+                self.services.restore(name, seen_at, samples)
         for guest_class, warm, times in past.starts:
             self.starts[guest_class, warm].extendleft(reversed(times))
         for guest_class, times in past.answers:
@@ -488,12 +469,10 @@
             self._update_usage(self.machines[name], None, share * self.machines[name].size.memory, now)
 
     def _new_guest(self, now: int, submission: interface.Submission) -> Guest:
-        if now >= self.sweep_at:  # a service's guests return within a minute when their owners retry
+        if now >= self.sweep_at:
             self.sweep_at = now + 60 * SECOND
-            self.services = {n: s for n, s in self.services.items()
-                             if s.guests or s.last_seen_at >= now - 60_000_000}
-        service = self.services.setdefault(submission.service, ServiceUsage())
-        service.guests, service.last_seen_at = service.guests + 1, now
+            self.services.sweep(now)
+        service = self.services.add_guest(submission.service, now)
         return Guest(submission, self.deployment.guest_classes[submission.product], service, now)
 
     def _drop(self, guest: Guest) -> None:
@@ -503,7 +482,7 @@
         if self.held.pop(name, None):
             self.placeable = None
         if self.guests.pop(name, None) is not None:
-            guest.service.guests -= 1
+            self.services.remove_guest(guest.submission.service)
 
     def _assign(self, guest: Guest, machine: Machine) -> None:
         guest.machine = machine
@@ -850,6 +829,7 @@
                 blake2b(guest.submission.service.encode(), digest_size=8).digest())
             service.order = sorted((m for m in self.machines.values() if m.ready), key=lambda m: (
                 (m.id_hash ^ service_hash) * 0x9E3779B97F4A7C15 & (1 << 64) - 1))  # mixed by the golden ratio
+        self.services.order_used(guest.submission.service)
         return service.order
 
     def _best(self, guest: Guest, candidates: list[Machine], ready: list[Machine],
--- a/hazelhold/state/snapshot.py
+++ b/hazelhold/state/snapshot.py
@@ -11,7 +11,7 @@
 from typing import Any
 
 from hazelhold.interface import Deployment, EarlierDispatch, ListedMachine, MachineMode, Scope, Submission
-from hazelhold.scheduler import Guest, Machine, Scheduler, ServiceUsage
+from hazelhold.scheduler import Guest, Machine, Scheduler
 
 LONG_AGO = -(10**15)  # stands for a time that never was; not shifted
 # Key in the capture -> attribute. Times are shifted, plain values are not.
@@ -145,9 +145,7 @@
     scheduler.list_current = data.get("list_current", True)
     scheduler.persistence_healthy, scheduler.typical_slowness = data["kept_well"], data["typical"]
     for name, samples, seen_at in data["services"]:
-        service = scheduler.services[name] = ServiceUsage()
-        service.samples.extend(tuple(s) for s in samples)
-        service.last_seen_at = moved(seen_at)
+        scheduler.services.restore(name, moved(seen_at), [tuple(s) for s in samples])
     for plain in data["machines"]:
         _restore_machine(scheduler, plain, moved)
     for plain in data["guests"]:
@@ -193,8 +191,7 @@
     if fields[7] is not None:
         fields[7] = EarlierDispatch(fields[7][0], moved(fields[7][1]))
     submission = Submission(*fields)
-    service = scheduler.services.setdefault(submission.service, ServiceUsage())
-    service.guests += 1
+    service = scheduler.services.restore_guest(submission.service)
     guest = Guest(submission, scheduler.deployment.guest_classes[submission.product], service, 0)
     for key, name in GUEST_TIMES.items():
         setattr(guest, name, moved(plain[key]))
