A step of the planner is bounded in machines considered, and owners take turns when it falls behind

Cause: one call of `decide` tried every held guest that was due on every machine until one could be placed. The bounds of a step counted decisions, and a guest without a machine is none. While it ran (seconds), nothing was read, no timer ran, and the lease on the list lapsed. Guests were tried by value and memory alone, so one owner's went before all others', and answers that fell due as fast as they were given kept every guest from being placed.

Change: the work of a step is counted in machines considered (`PlacementPace`, a decision module), and the step ends at its limit; the rest goes on after the peers were read. Steps that end with work left for 50 ms mean that the planner is behind: then owners take turns (start-time fair queueing), and a guest that requests more than any machine has is told so by one comparison. Due answers are found by one scan for all, and have a limit of their own in a step. The longest step is in the log with the counters (`longest_step_ms`).

Why it works: no step grows with guests x machines, and a guest waits for as many others as there are owners, not guests.

--- a/hazelhold/engine/engine.py
+++ b/hazelhold/engine/engine.py
@@ -24,6 +24,8 @@
 from hazelhold.state.images import Change
 from hazelhold.state.state_table import StateTable
 
+ANSWERS = (DecisionKind.REFUSE, DecisionKind.FAIL)
+
 
 class Engine(Owners, Links, Claiming):
     """The complete engine of one planner."""
@@ -70,17 +72,20 @@
     def pump(self, now: int) -> None:
         """Handles timeouts that are due, then makes decisions until none is left.
 
-        After `decision_batch` decisions it returns, so that peers do not wait too long to be read; `next_at`
-        then requests another pump at once.
+        After `decision_batch` decisions, or the scheduler's limit of work, it returns, so that peers do not
+        wait too long to be read; `next_at` then requests another pump at once.
         """
         self._handle_timeouts(now)
         self._report_lease(now)
-        for _ in range(self.decision_batch):
+        self.scheduler.pace.begin_step(now, self.more)
+        left = self.decision_batch
+        while left > 0:
             decision = self.scheduler.decide(now)
-            self.more = decision is not None
+            self.more = decision is not None or self.scheduler.pace.has_reached_limit()
             if decision is None:
                 return
             self._carry_out(now, decision)
+            left -= decision.kind not in ANSWERS  # bounded by the scheduler's own limit
 
     def next_at(self, now: int) -> int | None:
         """When to pump again if nothing happens; None if nothing is due."""
--- a/hazelhold/engine/tables.py
+++ b/hazelhold/engine/tables.py
@@ -68,6 +68,8 @@
         settings = config if isinstance(config, EngineSettings) else engine_settings(config)
         self.limits, self.peers, self.deployment = settings.limits, settings.peers, settings.deployment
         self.scheduler = Scheduler(seed, self.deployment)
+        self.scheduler.pace.work_limit = self.limits.machines_at_once
+        self.scheduler.pace.answers_limit = self.limits.answers_at_once or self.limits.decisions_at_once
         # Decisions in one pump; a host that is behind lowers it.
         self.decision_batch = self.limits.decisions_at_once
         self.actions: list[Action] = []  # emptied by the host
@@ -203,6 +205,7 @@
             s.memory,
             patience,
             earlier,
+            owner=record.owner,
         )
 
     def _attach(self, record: GuestRecord) -> None:
--- a/hazelhold/interface.py
+++ b/hazelhold/interface.py
@@ -167,6 +167,7 @@
     time_left: int  # until the deadline of the final answer
     earlier_dispatch: EarlierDispatch | None = None
     dispatches_used: int = 0  # in earlier runs of the planner
+    owner: str = ""  # who shares the planner's time with others if that is short
 
 
 class MachineHealth(NamedTuple):
--- a/hazelhold/platform/configuration.py
+++ b/hazelhold/platform/configuration.py
@@ -31,6 +31,8 @@
 # Decisions between reads of peers. One takes up to some 10 ms, and a drain has to be read within its grace of
 # 250 ms.
 DECISIONS_AT_ONCE = 8
+ANSWERS_AT_ONCE = 64
+MACHINES_AT_ONCE = 4_000  # considered for guests between reads of peers, some 5 us each
 MIN_LEASE = 20_000  # microseconds; the protocol extends each limit by 50 ms
 DRAIN_GRACE = 250_000  # microseconds; the default
 MAX_GRACE = 86_400_000_000  # microseconds; larger values are rejected
@@ -295,5 +297,7 @@
         send_bytes=1 << 18,
         connections=owners,
         decisions_at_once=DECISIONS_AT_ONCE,
+        answers_at_once=ANSWERS_AT_ONCE,
+        machines_at_once=MACHINES_AT_ONCE,
         links=max(4, bounds.sockets - owners - max(16, bounds.sockets // 12)),
     )
--- a/hazelhold/platform/event_log.py
+++ b/hazelhold/platform/event_log.py
@@ -79,11 +79,19 @@
             self.clock_step = seconds
             self.log.warning("wall_clock_stepped", since_start_s=round(seconds, 1))
 
-    def write_counts(self, counts: Counter[str]) -> None:
-        """Logs all counters every COUNTS_EVERY seconds, so that they survive a process that is killed."""
+    def write_counts(self, counts: Counter[str], longest_step: int) -> bool:
+        """Logs all counters every COUNTS_EVERY seconds, so that they survive a process that is killed; true
+        if it did. `longest_step`: of the engine since then, in microseconds."""
         now = trio.current_time()
         if now - self.counted_at < COUNTS_EVERY:
-            return
+            return False
         self.counted_at = now
         denials = {denial.name.lower(): number for denial, number in self.engine.denials.items()}
-        self.log.info("counts", counts=dict(counts), denials=denials, task_lines_left_out=self.left_out)
+        self.log.info(
+            "counts",
+            counts=dict(counts),
+            denials=denials,
+            task_lines_left_out=self.left_out,
+            longest_step_ms=longest_step // 1000,
+        )
+        return True
--- a/hazelhold/platform/planner.py
+++ b/hazelhold/platform/planner.py
@@ -82,6 +82,7 @@
             self._discovery_failed,
         )
         self.event_log = EventLog(self.log, self.engine)
+        self.longest_step = 0  # microseconds; of the engine since the counters were logged last
         self.reloads = 0  # reload signals so far
         self.closing = False  # machines are no longer dialled
         self.stop_requested, self.ended = trio.Event(), trio.Event()
@@ -215,6 +216,7 @@
         self.engine.pump(now)
         self._carry_out()
         took, limit = self.net.now() - now, self.limits.decisions_at_once
+        self.longest_step = max(self.longest_step, took)
         self.engine.decision_batch = (
             max(1, self.engine.decision_batch // 2)
             if took > MAX_BATCH_DURATION * 1e6
@@ -296,7 +298,8 @@
         while True:
             await trio.sleep(1.0)
             self.owner_server.releases.drop_overdue()
-            self.event_log.write_counts(self.all_counts())
+            if self.event_log.write_counts(self.all_counts(), self.longest_step):
+                self.longest_step = 0
             self.event_log.write_clock_step(self.net.wall_stepped())
             if self.log.is_enabled_for(logging.DEBUG):
                 self._log_beliefs()
--- a/hazelhold/scheduler.py
+++ b/hazelhold/scheduler.py
@@ -25,11 +25,13 @@
     RepeatSemantics,
     Scope,
 )
+from hazelhold.placement_pace import PlacementPace
 from hazelhold.service_usage import ServiceTable, ServiceUsage
 
 SECOND = 1_000_000
 NEVER_RAN = (DispatchOutcome.REFUSED, DispatchOutcome.UNREACHABLE, DispatchOutcome.NOT_SENT)
 DRAWS = 100  # Monte Carlo draws of a guest's use, as the design specifies
+WEIGHING_WORK = 8  # of one candidate, in machines considered
 TIE_TOLERANCE = 1.001  # one guest changes the spread by 1% at most: 5% would make the choice random
 
 
@@ -179,6 +181,8 @@
         self.outstanding: dict[str, Guest] = {}  # with a dispatch not yet accepted; removed by its outcome
         self.answer_at = 0  # no final answer is due earlier; 0: recompute
         self.placeable: list[Guest] | None = None  # to be placed at this timestamp; None: recompute
+        self.due_answers: deque[Guest] = deque()  # found by the last scan; emptied by the next decisions
+        self.pace = PlacementPace()
         self.services = ServiceTable()
         self.placed_by_priority: dict[int, int] = defaultdict(int)  # number of guests with a machine
         self.spread: dict[tuple[str, Scope, str], int] = {}  # guests by spread key; removed at zero
@@ -646,22 +650,18 @@
         return Decision(DecisionKind.WATCH_LIST)
 
     def _due_answer(self, now: int) -> Decision | None:
-        """The next final answer. All guests are scanned only when one may be due."""
-        if now < self.answer_at:
+        """The next final answer. All guests are scanned only when one may be due, once for all that are."""
+        if now < self.answer_at or not self.pace.may_answer():
             return None
-        for guest in self.held.values():
-            guest_class = guest.guest_class
-            exhausted = guest.dispatches >= self.deployment.max_dispatches
-            must_not_repeat = guest.may_have_run and (
-                guest_class.repeat is RepeatSemantics.AT_MOST_ONCE
-                or guest_class.repeat is RepeatSemantics.DEDUPLICATED
-                and now >= guest.window_ends - SECOND // 20)
-            if exhausted or must_not_repeat or guest.cancelled or now >= guest.answer_due:
+        while self.due_answers or self._find_due_answers(now):
+            guest = self.due_answers.popleft()
+            if self.held.get(guest.submission.guest) is guest and self._answer_is_due(guest, now):
                 kind = DecisionKind.REFUSE if guest.may_refuse() else DecisionKind.FAIL
+                self.pace.answers += 1
                 self._drop(guest)
                 return Decision(kind, guest.submission.guest)
-        for guest in self.guests.values():
-            if guest.machine and not guest.placed and not guest.answered and now >= guest.deadline:
+            if self._is_overdue(guest, now):
+                self.pace.answers += 1
                 guest.answered = True
                 return Decision(DecisionKind.FAIL, guest.submission.guest)
         # Only the end of a dispatch resets this; until then an answer becomes due by time alone.
@@ -671,6 +671,27 @@
             for g in self.held.values()], default=now + 60 * SECOND)
         return None
 
+    def _find_due_answers(self, now: int) -> bool:
+        """Collects the guests whose final answer is due: held ones, else outstanding ones. False if there are
+        none."""
+        self.due_answers.extend(g for g in self.held.values() if self._answer_is_due(g, now))
+        if not self.due_answers and any(self._is_overdue(g, now) for g in self.outstanding.values()):
+            self.due_answers.extend(g for g in self.guests.values() if self._is_overdue(g, now))
+        return bool(self.due_answers)
+
+    def _is_overdue(self, guest: Guest, now: int) -> bool:
+        return (guest.submission.guest in self.outstanding and not guest.answered
+                and now >= guest.deadline)
+
+    def _answer_is_due(self, guest: Guest, now: int) -> bool:
+        guest_class = guest.guest_class
+        exhausted = guest.dispatches >= self.deployment.max_dispatches
+        must_not_repeat = guest.may_have_run and (
+            guest_class.repeat is RepeatSemantics.AT_MOST_ONCE
+            or guest_class.repeat is RepeatSemantics.DEDUPLICATED
+            and now >= guest.window_ends - SECOND // 20)
+        return exhausted or must_not_repeat or guest.cancelled or now >= guest.answer_due
+
     def _defer_until_list_current(self, now: int) -> None:
         """Postpones held guests while the list is not known to be current; see list_currency_changed."""
         for guest in self.held.values():
@@ -683,6 +704,7 @@
             return None
         if now != self.considered_at:
             self.considered_at, self.unplaceable, self.placeable = now, set(), None
+            self.pace.largest_room = {}
         if self.placeable is None:  # sorted once per timestamp; considered guests are popped from its end
             placeable = [g for g in self.held.values() if g.reconsider_at <= now]
             if not self.persistence_healthy:
@@ -690,12 +712,15 @@
                               if g.guest_class.repeat is not RepeatSemantics.IDEMPOTENT]:
                     placeable.remove(guest)
                     guest.reconsider_at = now + SECOND // 5
-            self.placeable = sorted(
-                placeable, key=lambda g: (-g.guest_class.value * g.submission.memory, g.deadline))
+            self.placeable = self._in_order(placeable)
             self.placeable.reverse()
-        while self.placeable:
+        while self.placeable and self.pace.may_place():
             guest = self.placeable.pop()
-            shape = guest.submission._replace(guest="", time_left=0), guest.dedup_group
+            if self._answer_is_due(guest, now):  # in one of the next steps
+                continue
+            if self.pace.behind:
+                self.pace.turns.served(guest.submission.owner)
+            shape = guest.submission._replace(guest="", time_left=0, owner=""), guest.dedup_group
             machine = None if shape in self.unplaceable else self._pick(guest, now)
             if machine is None:
                 if guest.retry_at <= now:
@@ -712,6 +737,15 @@
             return Decision(DecisionKind.DISPATCH, guest.submission.guest, machine.listed.machine, timeout)
         return None
 
+    def _in_order(self, guests: list[Guest]) -> list[Guest]:
+        """The guests in the order in which they are tried: by value, and in turns among owners if the planner
+        is behind."""
+        ordered = sorted(guests, key=lambda g: (-g.guest_class.value * g.submission.memory, g.deadline))
+        if not self.pace.behind:
+            return ordered
+        turns = self.pace.turns.assign([g.submission.owner for g in ordered])
+        return [ordered[at] for at in sorted(range(len(ordered)), key=turns.__getitem__)]
+
     def _answer_timeout(self, guest: Guest, now: int) -> int:
         """How long to wait for an answer: well above what machines usually take, never past the deadline."""
         time_left, times = guest.answer_due - now, self.answers[guest.submission.product]
@@ -762,18 +796,14 @@
                for (until, amount), requested in zip(
                    machine.refused_until, (submission.cores, submission.memory), strict=True)):
             return False
-        cores, memory = machine.free_capacity(self.deployment)
-        if basis == "preempting":
-            # Of all that is requested there, the part that has a lower priority among our guests anywhere.
-            lower = sum(n for priority, n in self.placed_by_priority.items()
-                        if priority < guest.guest_class.priority)
-            part = lower / max(1, sum(self.placed_by_priority.values()))
-            cores += part * max(0.0, machine.size.cores - machine.listed.free_cores)
-            memory += part * max(0.0, machine.size.memory - machine.listed.free_memory)
+        cores, memory = self._room(machine, guest.guest_class.priority if basis == "preempting" else 0)
         return basis == "unknown" or submission.cores <= cores and submission.memory <= memory
 
     def _pick(self, guest: Guest, now: int) -> Machine | None:
         """Chooses a machine for the guest; None if there is none, or if load probes are to be sent first."""
+        self.pace.work += 1
+        if self.pace.behind and self._exceeds_all(guest, now):
+            return None
         ready = self._service_order(guest)
         if now >= self.typical_until:  # the scan of all machines is costly: at most 20 a second
             self.typical_until = now + SECOND // 20
@@ -792,7 +822,7 @@
             steps = [([m for m in used if m is not drain], 0.1), (used, 0.3), (empty[:1] + used, 9.9), *steps]
         preempts = self.deployment.preempts and guest.guest_class.priority
         # Free capacity from a list that is down, slow or old is unreliable: refusals are the accepted cost.
-        silent = now - self.list_heard_at >= 2 * SECOND
+        silent = self._list_is_silent(now)
         for basis in ("listed", "preempting", "unknown", "distrust"):
             # If most machines look unhealthy at once, the health data is distrusted and placing goes on.
             if (basis == "preempting" and not preempts or basis == "unknown" and not silent
@@ -804,6 +834,9 @@
                            if self._allowed(guest, m, now) and self._fits(guest, m, now, basis)
                            and (basis == "distrust" or not self._avoided(m, now)))
                 candidates = list(islice(fitting, candidates_limit))
+                self.pace.work += len(machines) + WEIGHING_WORK * len(candidates)
+                if self.pace.behind and not candidates:
+                    continue
                 if (self.deployment.reports_on_probe and candidates_limit < len(ready)
                         and not guest.load_probed):
                     # Only probes bring load reports: the candidates are probed once per guest and get 50 ms.
@@ -818,6 +851,34 @@
                     return picked[1]
         return None
 
+    def _list_is_silent(self, now: int) -> bool:
+        return now - self.list_heard_at >= 2 * SECOND
+
+    def _exceeds_all(self, guest: Guest, now: int) -> bool:
+        """Whether the guest requests more than any machine has, even if it preempts all guests that it may.
+        Cheaper than a look at each machine for each guest: what they have is computed once per timestamp."""
+        if self._list_is_silent(now):
+            return False
+        priority = guest.guest_class.priority if self.deployment.preempts else 0
+        if (room := self.pace.largest_room.get(priority)) is None:
+            ready = [m for m in self.machines.values() if m.ready]
+            self.pace.work += len(ready)
+            rooms = [self._room(m, priority) for m in ready]
+            room = tuple(max(axis) for axis in zip(*rooms, strict=True)) if rooms else (0.0, 0.0)
+            self.pace.largest_room[priority] = room
+        return guest.submission.cores > room[0] or guest.submission.memory > room[1]
+
+    def _room(self, machine: Machine, priority: int) -> tuple[float, float]:
+        """Cores and memory that a guest of this priority may request, with others preempted for it."""
+        cores, memory = machine.free_capacity(self.deployment)
+        if not priority:
+            return cores, memory
+        # Of all that is requested there, the part that has a lower priority among our guests anywhere.
+        lower = sum(n for each, n in self.placed_by_priority.items() if each < priority)
+        part = lower / max(1, sum(self.placed_by_priority.values()))
+        return (cores + part * max(0.0, machine.size.cores - machine.listed.free_cores),
+                memory + part * max(0.0, machine.size.memory - machine.listed.free_memory))
+
     def _service_order(self, guest: Guest) -> list[Machine]:
         """The ready machines in an order specific to the service and the same on all planners. With many
         planners only the first that may take the guest are weighed: guests of a service gather where its
--- a/tests/test_state_snapshot.py
+++ b/tests/test_state_snapshot.py
@@ -33,6 +33,8 @@
         "to_withdraw",
         "outstanding",
         "placeable",
+        "due_answers",
+        "pace",
     }
     attributes = {*snapshot.SCHEDULER_TIMES.values(), *snapshot.SCHEDULER_PLAIN.values()}
     assert vars(made).keys() - own == attributes
