What connections of owners hold is bounded for the process, and each has its share

Cause: every limit was one of a connection or of all guests (20,000), none was shared out. A client that sends faster than its set-ups are answered filled the table of guests, whose length each step, each answer and each place in the queue then grew with; and set-ups whose time was over when they were read were held and refused one by one, 8 a step, before anything was placed. Content of requests, partly read messages and unread answers were bounded for a connection only, and placed guests kept the content of their request for as long as they ran.

Change: `ConnectionMemory` counts open requests, their bytes and the buffers of all connections. Half of each limit is free for all; beyond it a connection gets no more than its share of the other half, and its set-ups are refused as "full" at once. Buffers over their limit close the connection with the largest ones. Limits in bytes are parts of `memory_mb`. A set-up with no more time left than refusals are given ahead is refused when it is read. Placed guests drop their content.

Why it works: what one connection holds no longer takes what others need, and a refusal that is certain costs no place in any table.

--- a/hazelhold/engine/links.py
+++ b/hazelhold/engine/links.py
@@ -198,6 +198,7 @@
             self._dispatch_ended(now, record, DispatchOutcome.WITHDRAWN, OutcomeReason.NONE)
         elif isinstance(message, m.OfferAccepted) and not record.placed:
             record.placed = True
+            self._drop_content(record)
             self._mark_changed("guest", record.name)
             self._report_fact(now, record, "placed")
             self.scheduler.dispatch_accepted(now, record.name, now - record.sent_at)
--- a/hazelhold/engine/owners.py
+++ b/hazelhold/engine/owners.py
@@ -223,6 +223,7 @@
             handed_over_at=now,
             confirmed_at=self._reported_before_handover(machine, submit.guest),
         )
+        self._drop_content(record)
         self.records[record.name] = self.newest_records[record.guest] = record
         if not record.confirmed_at:
             self._verify_handed_over(record)
--- a/hazelhold/engine/tables.py
+++ b/hazelhold/engine/tables.py
@@ -5,6 +5,8 @@
 from random import Random
 from typing import NamedTuple, Protocol
 
+from msgspec.structs import replace
+
 from hazelhold.config.planner import PlannerConfig, to_microseconds
 from hazelhold.engine.admission import RetryAdvisor
 from hazelhold.engine.events import Event, GuestEvent, MachineEvent, RuleEvent
@@ -218,6 +220,12 @@
             link.guests.pop(record.name, None)
             link.queue.pop(record.name, None)
 
+    def _drop_content(self, record: GuestRecord) -> None:
+        """Drops what only an offer of a guest needs, once it is placed: such guests live long. Where machines
+        report their guests it is kept, as they do."""
+        if isinstance(record.submit, m.Submit) and not self.peers.reports_inventory:
+            record.submit = replace(record.submit, description=b"", ticket="")
+
     # Log events and run-time checks.
 
     def _guest_event(self, change: str, record: GuestRecord, reason: str = "") -> None:
--- a/hazelhold/platform/codec.py
+++ b/hazelhold/platform/codec.py
@@ -42,6 +42,10 @@
         except UnicodeDecodeError:
             raise CodecError("no_text", f"parameter {code} is not valid UTF-8") from None
 
+    def size(self) -> int:
+        """Bytes of its values."""
+        return sum(len(value) for value in self.parameters.values())
+
     @property
     def cause(self) -> int | None:
         """The cause code of the message, or None."""
--- a/hazelhold/platform/owner_server.py
+++ b/hazelhold/platform/owner_server.py
@@ -15,16 +15,19 @@
 from hazelhold.engine.permission import close_denied
 from hazelhold.platform import translation
 from hazelhold.platform.codec import END, HEARD, SET_UP, TEST, BinaryMessage, CodecError
+from hazelhold.platform.connection_memory import ConnectionMemory
 from hazelhold.platform.eviction import eviction_order, is_stuck
 from hazelhold.platform.peer import OwnerPeer
 from hazelhold.platform.reading import ReadingFaultError, guarded
 from hazelhold.platform.releases import Releases
 from hazelhold.protocol import messages as m
+from hazelhold.scheduler import ANSWER_LEAD
 from hazelhold.service.net import Net
 
 FIRST_MESSAGE_TIMEOUT = 2.0  # seconds to the first valid message, and to the rest of a partial one
 EARLY_END, EARLY_ENDS = 2.0, 4096  # seconds that an end waits for its set-up, and the maximum of such ends
 READ_LATE = 0.1  # seconds in the input queue after which a set-up is counted as read late
+MIN_TIME_LEFT = ANSWER_LEAD  # microseconds; with less, a submission is due for its refusal when it is read
 MAX_UNREAD_CHECKS = 16  # idle connections that are checked for unread input before a new one is refused
 
 
@@ -32,7 +35,7 @@
     """All connections of owners to one planner.
 
     `progress` carries out the engine's actions after it has received input, and wakes the ticker; `on_read`
-    is called with the name of each connection that was read.
+    is called with the name of each connection that was read. `memory` is that of the process, in bytes.
     """
 
     log_frames = False
@@ -47,11 +50,13 @@
         log: structlog.stdlib.BoundLogger,
         progress: Callable[[], None],
         on_read: Callable[[str], None],
+        memory: float,
     ) -> None:
         self.net, self.engine, self.submission_limits = net, engine, limits
         self.counts, self.log, self.progress, self.on_read = counts, log, progress, on_read
         self.peers: dict[str, OwnerPeer] = {}  # by name; emptied as connections close
         self.accepted = 0  # connections accepted so far
+        self.memory = ConnectionMemory(memory)
         self.releases = Releases(self.peers, counts)
         self.early_ends: OrderedDict[str, float] = OrderedDict()  # ends without a set-up; emptied by age
 
@@ -65,13 +70,20 @@
             return
         self.accepted += 1
         self.counts["connections"] += 1
-        peer = OwnerPeer(f"c{self.accepted}", stream, self.engine.limits.send_bytes, trio.current_time())
+        peer = OwnerPeer(
+            f"c{self.accepted}",
+            stream,
+            self.engine.limits.send_bytes,
+            trio.current_time(),
+            self.memory,
+        )
         self.peers[peer.name] = peer
         self._set_deadline(peer)
         try:
             await self._read_and_write(peer)
         finally:
             self.peers.pop(peer.name, None)
+            self.memory.forget_buffers(peer)
             self.on_read(peer.name)
             while peer.releases:  # not written: sent elsewhere
                 self.counts["releases_again"] += 1
@@ -102,6 +114,7 @@
                         not peer.closing or binary.type == END
                     ):  # nothing new if it cannot be answered any more
                         self._message_received(peer, binary)
+                self._count_buffers(peer)
                 peer.accept_delay = 0.0
                 self._set_deadline(peer)
                 self.on_read(peer.name)
@@ -127,7 +140,7 @@
         now = self.net.now()
         for guest in list(peer.open):
             self.engine.owner_left(now, guest)
-        peer.open.clear()
+        peer.open.remove_all()
         self.progress()
 
     def _free_connection(self) -> bool:
@@ -211,10 +224,11 @@
         if isinstance(message, m.Rejected) and message.code == "open_already":
             self._duplicate_id(peer, binary)
             return
-        peer.open.pop(binary.id, None)
+        peer.open.remove(binary.id)
         peer.had_placement = peer.had_placement or isinstance(message, m.Placed)
         if not peer.send(binary):
             self.counts["answers_unsent"] += 1
+        self._limit_buffers()
         self._set_deadline(peer)
 
     def _duplicate_id(self, peer: OwnerPeer, refusal: BinaryMessage) -> None:
@@ -267,7 +281,7 @@
             self.counts["ends_of_others"] += 1
             self.engine.withdraw_guest(now, guest)
             return
-        peer.open.pop(guest, None)
+        peer.open.remove(guest)
         if self.engine.owner_left(now, guest):
             peer.sent_valid = True
             return
@@ -296,10 +310,24 @@
         elif ended:
             peer.send(translation.released(binary.id, translation.FULL))
         else:
-            if binary.id not in self.engine.newest_records:
-                peer.open[binary.id] = None
             peer.sent_valid = True
-            self.engine.owner_said(now, peer.name, self._since_sent(peer, submit))
+            self._submit(now, peer, self._since_sent(peer, submit), binary.size())
+
+    def _submit(self, now: int, peer: OwnerPeer, submit: m.Submit, size: int) -> None:
+        """Passes a valid submission to the engine, unless its refusal is certain: then it is given at once,
+        which costs the least."""
+        if submit.guest not in self.engine.newest_records:
+            refusal = ""
+            if submit.patience <= MIN_TIME_LEFT:
+                refusal = "no_time"
+            elif not self.memory.admits(peer.open, size):
+                refusal = "over_share"
+            if refusal:
+                self.counts["refused_" + refusal] += 1
+                peer.send(translation.released(submit.guest, translation.FULL))
+                return
+            peer.open.add(submit.guest, size)
+        self.engine.owner_said(now, peer.name, submit)
 
     def _since_sent(self, peer: OwnerPeer, submit: m.Submit) -> m.Submit:
         """The submission with the time that is left: it runs from when the owner sent it, not from when it
@@ -333,3 +361,19 @@
         peer.sent_valid = peer.was_sent_message = peer.handed_over = True
         if ended:  # already ended by its owner: the machine has to stop it
             self.engine.owner_left(now, submit.guest)
+
+    # Buffers of all connections.
+
+    def _count_buffers(self, peer: OwnerPeer) -> None:
+        self.memory.count_buffers(peer)
+        self._limit_buffers()
+
+    def _limit_buffers(self) -> None:
+        """Closes the connections with the largest buffers until all together are within their limit: one that
+        does not read its answers, or does not complete its request."""
+        while (largest := self.memory.largest_user(self.peers.values())) is not None and largest.buffered:
+            self.counts["connections_closed_for_memory"] += 1
+            self.log.info("owner_closed", owner=largest.name, code="buffers", reason=str(largest.buffered))
+            self.memory.forget_buffers(largest)
+            del self.peers[largest.name]
+            largest.cut()
--- a/hazelhold/platform/peer.py
+++ b/hazelhold/platform/peer.py
@@ -9,6 +9,7 @@
 import trio
 
 from hazelhold.platform.codec import BinaryMessage, BinaryReader, LineReader, encode_binary, encode_line
+from hazelhold.platform.connection_memory import ConnectionMemory, OpenRequests
 from hazelhold.platform.reading import guarded
 from hazelhold.platform.translation import to_machine
 from hazelhold.protocol import messages as m
@@ -96,13 +97,25 @@
 
 
 class OwnerPeer(ReadingPeer):
-    """An owner's connection. `open` holds the guests submitted on it that await their answer."""
+    """An owner's connection. `open` holds the guests submitted on it that await their answer.
 
-    def __init__(self, name: str, stream: trio.abc.Stream, send_bytes: int, at: float) -> None:
+    `memory` counts what all connections hold together.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        stream: trio.abc.Stream,
+        send_bytes: int,
+        at: float,
+        memory: ConnectionMemory | None = None,
+    ) -> None:
         super().__init__(stream, send_bytes)
         self.reader = BinaryReader()
+        self.memory = memory or ConnectionMemory(0)
+        self.buffered = 0  # bytes in buffers, as last counted by `memory`
         self.name, self.opened_at, self.used_at = name, at, at
-        self.open: dict[str, None] = {}  # emptied by answers, cancellations and the connection's end
+        self.open = OpenRequests(self.memory)
         self.arrival = EmptySince()
         self.accept_delay = accept_delay(stream)  # seconds, beside `arrival`; 0 from the second read on
         self.sent_valid = False  # the owner has sent a valid message
@@ -160,8 +173,13 @@
             return False
         self.was_sent_message = True
         self.bytes_put += len(data)
+        self.memory.count_buffers(self)
         return True
 
+    def buffered_bytes(self) -> int:
+        """Bytes that were read and are no message yet, and those that are not written yet."""
+        return len(self.reader.held) + self.bytes_put - self.bytes_left
+
     def release(self, binary: BinaryMessage) -> bool:
         """Like `send`, for the end of a placed guest, which is sent elsewhere if this connection closes
         first."""
@@ -178,6 +196,7 @@
 
     def left(self, data: bytes) -> None:
         self.bytes_left += len(data)
+        self.memory.count_buffers(self)
         if self.peer_closed:
             return
         while self.releases and self.releases[0][0] <= self.bytes_left:
--- a/hazelhold/platform/planner.py
+++ b/hazelhold/platform/planner.py
@@ -68,7 +68,14 @@
         self.counts: Counter[str] = Counter()
         self.links = MachineLinks(net, self.engine, self.counts, self.log, self._progress, self.ticker.notify)
         self.owner_server = OwnerServer(
-            net, self.engine, submission_limits, self.counts, self.log, self._progress, self.links.owner_read
+            net,
+            self.engine,
+            submission_limits,
+            self.counts,
+            self.log,
+            self._progress,
+            self.links.owner_read,
+            start.bounds.memory_mb * 1e6,
         )
         self.links.has_unread_input = self.owner_server.has_unread_input
         self.zones = dict(start.zones)  # numbers by name; zones that only the list names are added
--- a/hazelhold/scheduler.py
+++ b/hazelhold/scheduler.py
@@ -31,6 +31,7 @@
 SECOND = 1_000_000
 NEVER_RAN = (DispatchOutcome.REFUSED, DispatchOutcome.UNREACHABLE, DispatchOutcome.NOT_SENT)
 DRAWS = 100  # Monte Carlo draws of a guest's use, as the design specifies
+ANSWER_LEAD = SECOND // 50  # a few ticks of the host: final answers are given so long before they are due
 WEIGHING_WORK = 8  # of one candidate, in machines considered
 TIE_TOLERANCE = 1.001  # one guest changes the spread by 1% at most: 5% would make the choice random
 
@@ -42,7 +43,7 @@
                  service: ServiceUsage, now: int) -> None:
         self.submission, self.guest_class, self.service = submission, guest_class, service
         self.start_target_at, self.deadline = now + guest_class.start_target, now + submission.time_left
-        self.answer_due = self.deadline - SECOND // 50  # a few ticks of the host early, to be safe
+        self.answer_due = self.deadline - ANSWER_LEAD
         self.machine: Machine | None = None  # where a dispatch is outstanding, or where it runs
         self.placed = self.runs = self.warm = self.may_have_run = False
         self.answered = self.load_probed = False  # answered: though its last dispatch is still outstanding
