Handovers of one connection are bounded by what their machine accepts, and cost no more with each

Cause: a guest that an owner says to run on a machine was believed without limit, and held until the machine reports its end, which it never does for one that it does not have. Each one cleared the machine's account: the lowest load over all its guests was searched anew, and at the next look 100 draws were made for each of them. 20,000 of them used up the limit of guests, after which everything was refused.

Change: one connection may hand over on a machine what that accepts, twice over, and 1,024 guests at most, and a quarter of all guests in all; more are released at once, as they are when the table is full. Guests on unlisted machines that wait for the list are bounded in number. The lowest load is updated in place, and guests without samples, whose draws are all the same, are summed up.

Why it works: the bound is a connection's, so it takes nothing from the owners of real tasks there (tested); and what a handover costs no longer grows with those before it.

--- a/hazelhold/engine/owners.py
+++ b/hazelhold/engine/owners.py
@@ -6,7 +6,14 @@
 from hazelhold.engine.records import GuestRecord
 from hazelhold.engine.tables import WaitingHandover
 from hazelhold.engine.verification import GuestVerification
-from hazelhold.interface import DispatchOutcome, EarlierDispatch, MachineMode, OutcomeReason, RepeatSemantics
+from hazelhold.interface import (
+    DispatchOutcome,
+    EarlierDispatch,
+    MachineKind,
+    MachineMode,
+    OutcomeReason,
+    RepeatSemantics,
+)
 from hazelhold.protocol import messages as m
 
 # Rejections after which a retry makes sense.
@@ -197,6 +204,8 @@
             return "unknown_product"
         listed = self.roster.machines.get(machine)
         if listed is None and not self.lease.holds(now):
+            if len(self.waiting_handovers) >= self.limits.open_guests:
+                return "full"
             self.counts["found_before_list"] += 1
             self.events.append(
                 GuestEvent("handed_over", submit.guest, 0, machine, "its machine is not listed yet")
@@ -235,6 +244,14 @@
         self._check_process(now, machine)
         return ""
 
+    def machine_capacity(self, machine: str) -> MachineKind | None:
+        """The cores and memory that a machine accepts; None if it is not listed."""
+        listed = self.roster.machines.get(machine)
+        if listed is None:
+            return None
+        size, deployment = self.deployment.machine_kinds[listed.kind], self.deployment
+        return MachineKind(size.cores * deployment.cores_multiple, size.memory * deployment.memory_multiple)
+
     def _resolve_handovers(self, now: int, list_is_whole: bool) -> None:
         """Adopts guests that were handed over before the list had their machines.
 
--- a/hazelhold/platform/owner_server.py
+++ b/hazelhold/platform/owner_server.py
@@ -76,6 +76,7 @@
             self.engine.limits.send_bytes,
             trio.current_time(),
             self.memory,
+            self.engine.limits.open_guests,
         )
         self.peers[peer.name] = peer
         self._set_deadline(peer)
@@ -354,14 +355,22 @@
         if self.releases.send_waiting_for(peer, submit.guest):
             peer.sent_valid = peer.was_sent_message = True
             return
-        if error := self.engine.adopt_guest(now, peer.name, at, submit):
+        is_new = submit.guest not in self.engine.newest_records
+        error = "over_share" if is_new and not self._may_hand_over(peer, at, submit) else ""
+        if error := error or self.engine.adopt_guest(now, peer.name, at, submit):
             self.counts["found_" + error] += 1
             peer.send(translation.released(submit.guest, translation.RESET))
             return
+        if is_new:
+            peer.handovers.add(at, submit.cores, submit.memory)
         peer.sent_valid = peer.was_sent_message = peer.handed_over = True
         if ended:  # already ended by its owner: the machine has to stop it
             self.engine.owner_left(now, submit.guest)
 
+    def _may_hand_over(self, peer: OwnerPeer, machine: str, submit: m.Submit) -> bool:
+        capacity = self.engine.machine_capacity(machine)
+        return peer.handovers.admits(machine, capacity, submit.cores, submit.memory)
+
     # Buffers of all connections.
 
     def _count_buffers(self, peer: OwnerPeer) -> None:
--- a/hazelhold/platform/peer.py
+++ b/hazelhold/platform/peer.py
@@ -10,6 +10,7 @@
 
 from hazelhold.platform.codec import BinaryMessage, BinaryReader, LineReader, encode_binary, encode_line
 from hazelhold.platform.connection_memory import ConnectionMemory, OpenRequests
+from hazelhold.platform.handover_limits import HandoverLimits
 from hazelhold.platform.reading import guarded
 from hazelhold.platform.translation import to_machine
 from hazelhold.protocol import messages as m
@@ -99,7 +100,7 @@
 class OwnerPeer(ReadingPeer):
     """An owner's connection. `open` holds the guests submitted on it that await their answer.
 
-    `memory` counts what all connections hold together.
+    `memory` counts what all connections hold together, and `max_guests` is what this planner holds at most.
     """
 
     def __init__(
@@ -109,10 +110,12 @@
         send_bytes: int,
         at: float,
         memory: ConnectionMemory | None = None,
+        max_guests: int = 0,
     ) -> None:
         super().__init__(stream, send_bytes)
         self.reader = BinaryReader()
         self.memory = memory or ConnectionMemory(0)
+        self.handovers = HandoverLimits(max_guests)
         self.buffered = 0  # bytes in buffers, as last counted by `memory`
         self.name, self.opened_at, self.used_at = name, at, at
         self.open = OpenRequests(self.memory)
--- a/hazelhold/scheduler.py
+++ b/hazelhold/scheduler.py
@@ -130,8 +130,15 @@
         have changed; a guest that arrives or leaves meanwhile adds or subtracts its own draws."""
         if self.draw_totals is not None and now - self.drawn_at < SECOND:
             return
-        cores, memory = [0.0] * DRAWS, [0.0] * DRAWS
+        # Without samples all draws of a guest are the same: a machine may have very many such guests.
+        without = [g for g in self.guests.values() if not g.service.samples]
+        cores = [sum(g.submission.cores for g in without)] * DRAWS
+        memory = [sum(g.submission.memory for g in without)] * DRAWS
+        for guest in without:
+            guest.draws = draw_use(random, guest)
         for guest in self.guests.values():
+            if not guest.service.samples:
+                continue
             guest.draws = draw_use(random, guest)
             for at, (c, m) in enumerate(guest.draws):
                 cores[at] += c
@@ -148,8 +155,12 @@
         """A guest was added (sign 1) or removed (-1). The draw totals are adjusted if the guest has draws,
         otherwise they are drawn again."""
         self.free = self.requested_by_others = None
-        self.full_service_load = min(
-            [g.guest_class.full_service_load for g in self.guests.values()], default=1.0)
+        load = guest.guest_class.full_service_load
+        if sign > 0:
+            self.full_service_load = load if len(self.guests) == 1 else min(load, self.full_service_load)
+        elif load <= self.full_service_load:
+            self.full_service_load = min(
+                [g.guest_class.full_service_load for g in self.guests.values()], default=1.0)
         self.starting += sign * (not guest.runs)
         count = self.services[guest.submission.service] = (
             self.services.get(guest.submission.service, 0) + sign)
--- a/tests/test_connection_memory.py
+++ b/tests/test_connection_memory.py
@@ -5,7 +5,8 @@
 
 from hazelhold.platform.codec import DESCRIPTION, FIGURES, TEST, BinaryMessage, encode_binary
 from hazelhold.platform.connection_memory import ConnectionMemory, OpenRequests
-from hazelhold.platform.translation import FULL
+from hazelhold.platform.handover_limits import MAX_ON_MACHINE
+from hazelhold.platform.translation import FULL, RESET
 from tests.platform_rig import PLACED, Rig, play, set_up
 
 NOWHERE = "cores:100;memory:2;service:one"  # within what the largest machine accepts, more than any has
@@ -127,6 +128,39 @@
     play(story)
 
 
+def test_handovers_of_one_connection_are_limited_by_what_the_machine_accepts() -> None:
+    """Guards against guests that a client says to run on a machine, more than that could take: each was held
+    for good, and the answers of others came up to 15 s late."""
+
+    async def story(rig: Rig) -> None:
+        bad, usual = await rig.owner(), await rig.owner()
+        figures = "cores:0.01;memory:2;service:s;at:a"
+        await bad.say(*(set_up(1000 + n, figures=figures) for n in range(MANY)))
+        await trio.sleep(0.5)
+        accepted = 41.0 * 1.5 / 2  # the machine's memory, by what each guest requests
+        assert accepted <= len(rig.planner.engine.records) <= 2 * accepted + 1
+        assert sum(binary.cause == RESET for binary in bad.heard) >= MANY - 2 * accepted - 1
+        await usual.say(set_up(1), set_up(2, figures=figures))
+        await trio.sleep(0.2)
+        assert usual.of(1) == PLACED
+        assert rig.planner.engine.newest_records[f"{2:016x}"].placed
+
+    play(story)
+
+
+def test_handovers_of_small_guests_are_limited_in_number() -> None:
+    """Guards against a bound that guests with tiny requests pass."""
+
+    async def story(rig: Rig) -> None:
+        bad = await rig.owner()
+        figures = "cores:0.0001;memory:0.0001;service:s;at:a"
+        await bad.say(*(set_up(1000 + n, figures=figures) for n in range(MANY)))
+        await trio.sleep(0.5)
+        assert len(rig.planner.engine.records) == MAX_ON_MACHINE
+
+    play(story)
+
+
 def test_shares_add_up_to_the_limit() -> None:
     """Guards against shares that together pass the limit, and one that leaves a connection nothing."""
     memory = ConnectionMemory(0, max_requests=100)
