An open dispatch no longer puts off the loss of a machine that vanished

Cause: a silent machine was probed only if all of its guests were placed, so one open dispatch put the probe off until its own time-out, all that the client had left. Silence also counted from the opening of the connection, so a new one began it anew; and, where a machine had had no guest for long, from a message of before that: a guest handed over there was lost 4.5 s later if the machine took 1 s to answer.

Evidence: in virtual time four guests were unreleased at the bound with set-ups 1.5, 2.8 and 3.4 s after the loss, none with 0.1 and 4.2 s; the time-outs explain all five.

Change: the probe goes out whatever is open. An unanswered one ends the connection at once if nothing is open there, and else once the machine has sent nothing for 6.5 s. Silence counts from the last message or from the first guest.

Why it works: what may put the loss off is bounded from the last message, the earliest time at which the machine may have gone: 7.5 s with all waits. A machine that answers 3 s late, or is stopped for 3 s, keeps its tasks and dispatches (tested).

--- a/hazelhold/engine/liveness.py
+++ b/hazelhold/engine/liveness.py
@@ -15,6 +15,10 @@
 MAX_PUMP_INTERVAL = 1_000_000
 """Microseconds between two pumps at most, unless the process was paused."""
 
+OPEN_DISPATCH_TIMEOUT = 6_500_000
+"""Microseconds without a message after which an open dispatch no longer keeps a silent connection open. With
+the time for a new connection this is less than the 8 s within which the ends of placed guests are owed."""
+
 CATCH_UP_TIME = 1_000_000
 """Microseconds in which a process that resumes reads what arrived meanwhile, and dials again."""
 
@@ -76,7 +80,8 @@
         that accepts no guests. A machine that stays silent, or left the list a second ago, has lost its
         guests.
         """
-        silent = to_microseconds(self.limits.silent_ms)
+        if not link.guests:
+            link.without_guests_at = now
         if not link.guests or now - self.resumed_at < CATCH_UP_TIME:
             return
         listed = link.machine in self.roster.machines
@@ -84,20 +89,8 @@
         if not listed:
             if now - link.gone_at < (SUCCESSOR_TIMEOUT if self._awaits_successor(link) else GONE_TIMEOUT):
                 return
-        elif not link.lost_at or now - link.heard_at < to_microseconds(self.limits.lost_ms):
-            if link.state == "down" and not link.lost_at and now - link.heard_at > silent:
-                link.lost_at = link.dial_at = now
-                self.active_links[link.machine] = None
-            elif (
-                link.state == "up"
-                and now - max(link.heard_at, link.opened_at) > silent
-                and all(self.records[name].placed for name in link.guests)
-            ):
-                if link.probed_at <= link.heard_at:
-                    link.probed_at = now
-                    self._send_new_probe(link.machine)
-                elif now - link.probed_at > to_microseconds(self.limits.probe_ms):
-                    self._drop_silent_link(now, link)
+        elif not link.lost_at or now - link.silent_since() < to_microseconds(self.limits.lost_ms):
+            self._question_silence(now, link)
             return
         if link.state != "down":
             self.actions.append(HangUp(link.machine))
@@ -105,6 +98,40 @@
         self._drop_queue(now, link)
         self._forget_machine(now, link)
 
+    def _question_silence(self, now: int, link: Link) -> None:
+        """Makes a machine that has been silent for too long send something, if it is there."""
+        silent = to_microseconds(self.limits.silent_ms)
+        if link.state == "down" and not link.lost_at and now - link.heard_at > silent:
+            link.lost_at = link.dial_at = now
+            self.active_links[link.machine] = None
+        if link.state != "up" or now - self._silent_on_connection_since(link) <= silent:
+            return
+        if link.probed_at <= max(link.heard_at, link.opened_at):
+            link.probed_at = now
+            self._send_new_probe(link.machine)
+        elif now - link.probed_at > to_microseconds(self.limits.probe_ms):
+            if not self._awaits_answer(now, link):
+                self._drop_silent_link(now, link)
+
+    def _silent_on_connection_since(self, link: Link) -> int:
+        """Since when a machine that is connected has owed a sign of life.
+
+        Where it has placed guests, that is its last message: those may be over since then, whatever was sent
+        or opened later. A new connection that shows whether it is lost gets its own time, and so does one
+        with open dispatches alone, which have a timeout of their own.
+        """
+        has_placed = any(self.records[name].placed for name in link.guests)
+        if link.lost_at or not has_placed:
+            return max(link.heard_at, link.opened_at)
+        return link.silent_since()
+
+    def _awaits_answer(self, now: int, link: Link) -> bool:
+        """Whether the connection is kept for an open dispatch: a slow machine may still answer it."""
+        if all(self.records[name].placed for name in link.guests):
+            return False
+        has_placed = any(self.records[name].placed for name in link.guests)
+        return not has_placed or now - link.silent_since() < OPEN_DISPATCH_TIMEOUT
+
     def _recheck_abandoned(self, now: int, abandoned: AbandonedDispatch) -> None:
         """Queries again what became of an abandoned dispatch, ten times in each keeping time.
 
--- a/hazelhold/engine/machines.py
+++ b/hazelhold/engine/machines.py
@@ -98,6 +98,7 @@
     heard_at: int = 0  # its last message, on any connection
     first_heard_at: int = 0  # its first message to this process of the planner
     opened_at: int = 0
+    without_guests_at: int = 0  # when it was last seen to have no guests of this planner
     reset_at: int = 0  # when its machine last ended a connection other than in order, as a process that dies
     # Of the guests that it has reported on since `reset_at`, when the first was sent there; 0: none.
     oldest_reported_at: int = 0
@@ -139,6 +140,10 @@
             (c.heard_at for c in self.past_connections if c.opened_at <= sent_at <= c.ended_at), default=0
         )
 
+    def silent_since(self) -> int:
+        """Since when the machine has sent nothing although it has guests of this planner."""
+        return max(self.heard_at, self.without_guests_at)
+
     @property
     def awaits_evidence(self) -> bool:
         """Whether it is open which incarnation of its machine the open connection reaches."""
