Nothing is started for a client whose close lies unread behind what it sent

Cause: offers wait while input has lain unread for 50 ms, but the end of input is no byte. With all bytes read the connection counted as read out, and offers went out until the end itself was read, a round of the loop later. The close had waited behind all that came before it.

Change: the kernel is asked whether the peer has closed (POLLRDHUP), before an offer's bytes are written and once a batch of messages. Offers wait for the close to be read, set-ups of a client that has left are not taken, and the end of one of these is not kept for the next set-up with its id.

Why it works: it asks for the state of the socket, no time is involved, and reading what a client left costs no decisions.

--- a/hazelhold/platform/owner_server.py
+++ b/hazelhold/platform/owner_server.py
@@ -108,6 +108,7 @@
             async for batch in peer.batches():
                 if batch:
                     peer.partial_at = None  # what is buffered now belongs to another message
+                    peer.has_left = peer.ended_by_peer()
                 for binary in batch:
                     if peer.scope.cancel_called:
                         break
@@ -123,9 +124,10 @@
             self._close_faulty(peer, error)
 
     def has_unread_input(self, owner: str) -> bool:
-        """Whether an owner may have sent a cancellation that is not read yet. Its offers wait for that."""
+        """Whether an owner may have sent a cancellation that is not read yet, or has closed its connection.
+        Its offers wait until that is read."""
         peer = self.peers.get(owner)
-        return peer is not None and peer.has_overdue_input()
+        return peer is not None and (peer.ended_by_peer() or peer.has_overdue_input())
 
     def _check_close(self, peer: OwnerPeer) -> None:
         """Counts and logs a rule violation if this side closes a connection on which answers are owed."""
@@ -278,6 +280,9 @@
         An open guest belongs to the connection on which it was submitted, but its owner may have lost that
         one. If the end comes on another, nothing more is started for the guest, and the answer goes to its
         own connection. An end that precedes its set-up is remembered for EARLY_END seconds."""
+        if guest in peer.not_taken:
+            peer.not_taken.remove(guest)
+            return
         if self.engine.is_outstanding(guest) and guest not in peer.open:
             self.counts["ends_of_others"] += 1
             self.engine.withdraw_guest(now, guest)
@@ -317,6 +322,10 @@
     def _submit(self, now: int, peer: OwnerPeer, submit: m.Submit, size: int) -> None:
         """Passes a valid submission to the engine, unless its refusal is certain: then it is given at once,
         which costs the least."""
+        if peer.has_left:  # nothing is started for it, and there is no one to answer
+            self.counts["submitted_before_close"] += 1
+            peer.not_taken.add(submit.guest)
+            return
         if submit.guest not in self.engine.newest_records:
             refusal = ""
             if submit.patience <= MIN_TIME_LEFT:
--- a/hazelhold/platform/peer.py
+++ b/hazelhold/platform/peer.py
@@ -134,6 +134,8 @@
         # emptied as bytes are written.
         self.releases: deque[tuple[int, BinaryMessage]] = deque()
         self.peer_closed = False  # before the bytes that are being written
+        self.has_left = False  # the owner had closed the connection before the last batch was handled
+        self.not_taken: set[str] = set()  # guests submitted in such batches; emptied by their ends
 
     def set_due(self, due: float) -> None:
         """Sets when the connection is closed if no input comes, in seconds of trio's clock."""
