A new machine at the address of one that vanished no longer speaks for it

What callers saw: a machine vanished, a new one was up at its address 0.3 to 3 s later and listed 1 s after its start, the end of the old one 12.5 s after it.

Cause: evidence of life was an address's, not a machine's. The planner gave the silent connection up and dialled again, and any message there counted as the old machine's. That another machine was listed at the address was looked at only when the end of the old one was listed. A connection counted as confirmed while the list still showed the old one as ready.

Change: `Addresses` knows which listed machine has an address. One whose address another one has accepts nothing more, and its guests are released 6 s after the last evidence of their own process: a report on them, or a message on the connection on which they were sent. The connection is probed at the news, and what was sent on it goes with the machine that answers.

Why it works: only what the guest's own process can have sent counts; no clock is involved. A machine that keeps its address and answers after 3 s keeps its guests (tested).

--- a/hazelhold/engine/address_reuse.py
+++ b/hazelhold/engine/address_reuse.py
@@ -4,6 +4,8 @@
 after the list's last confirmation may reach the new machine; the list shows that later.
 """
 
+from hazelhold.config.planner import to_microseconds
+from hazelhold.engine.machine_incarnations import MAX_LIST_DELAY
 from hazelhold.engine.machines import Link, RosterChanges, RosterMachine
 from hazelhold.engine.records import GuestRecord
 from hazelhold.engine.verification import GuestVerification
@@ -36,6 +38,52 @@
                 inherited.add(listed.name)
         return inherited
 
+    def _machines_displaced(self, names: list[str]) -> None:
+        """The list shows other machines at the addresses of these: a connection that was opened lately may be
+        to either, which an answer shows."""
+        for name in names:
+            link = self.links.get(name)
+            if link is not None and link.state == "up" and link.guests:
+                self._send_new_probe(name)
+
+    def _release_displaced(self, now: int, link: Link) -> None:
+        """Releases guests of a machine whose address another one has, once it has been silent for too long.
+
+        What answers at the address is no evidence of it, but on a connection that was opened before the other
+        one can have come up. A report on a guest is evidence whatever the connection: only the process that
+        has a guest reports on it. What was sent on a later connection is with the machine that answers there.
+        """
+        is_up = link.state == "up"
+        is_displaced = link.machine in self.roster.addresses.displaced_at
+        if not is_displaced or is_up and not self._may_reach_successor(link):
+            return
+        for record in [self.records[name] for name in link.guests]:
+            if not record.placed or is_up and record.sent_at >= link.opened_at:
+                continue
+            if now - self._not_over_at(link, record) >= to_microseconds(self.limits.lost_ms):
+                self.counts["displaced_released"] += 1
+                self._guest_gone(now, record, "lost")
+
+    def _may_reach_successor(self, link: Link) -> bool:
+        """Whether the open connection may be to the machine that was listed at its address since, and was not
+        opened before that one can have come up."""
+        displaced_at = self.roster.addresses.displaced_at.get(link.machine, 0)
+        return 0 < displaced_at <= link.opened_at + MAX_LIST_DELAY
+
+    def _successor_answered(self, now: int, link: Link) -> None:
+        """A message came on such a connection after the news.
+
+        The machine that had the address is gone by then, so the other one answers, and what was sent on this
+        connection is there.
+        """
+        claim = self.roster.addresses.claims.get(link.address)
+        successor = self.roster.machines.get(claim.machine) if claim else None
+        if successor is None or link.successor == successor.name:
+            return
+        for record in [self.records[name] for name in link.guests]:
+            record.sent_unconfirmed = record.sent_unconfirmed or record.sent_at >= link.opened_at
+        self._move_guests(now, link, successor)
+
     def _move_guests(self, now: int, link: Link, successor: RosterMachine) -> None:
         """Guests sent to this address before the list confirmed it are placed on the machine that has it now.
 
--- a/hazelhold/engine/links.py
+++ b/hazelhold/engine/links.py
@@ -80,6 +80,8 @@
             self._send_new_probe(link.machine)
         self.active_links[link.machine] = None
         messages, link.pending_messages = link.pending_messages, []
+        if link.machine in self.roster.addresses.displaced_at:
+            messages = []  # they would reach the machine that has the address now
         for until, message in messages:
             if until > now:
                 self._send_machine(link.machine, message)
@@ -145,6 +147,8 @@
         link.first_heard_at = link.first_heard_at or now
         if not self.peers.reports_inventory:
             link.lost_at = 0
+            if self._may_reach_successor(link):
+                self._successor_answered(now, link)
         if isinstance(message, m.Inventory):
             self._inventory_received(now, link, message)
             return
--- a/hazelhold/engine/list_updates.py
+++ b/hazelhold/engine/list_updates.py
@@ -7,7 +7,7 @@
 from hazelhold.engine.machines import RosterChanges
 from hazelhold.engine.records import AskList, Disconnect, FetchList, HangUp
 from hazelhold.engine.restarts import MachineRestarts
-from hazelhold.interface import DispatchOutcome
+from hazelhold.interface import DispatchOutcome, ListedMachine
 from hazelhold.protocol import messages as m
 
 
@@ -60,7 +60,9 @@
             self.persistence.listing_received(message)
         self.counts["list_entries"] += len(message.entries)
         self.counts["list_faults"] += len(changes.faults)
-        self.scheduler.machines_listed(now, changes.listed, message.whole)
+        self.scheduler.machines_listed(
+            now, changes.listed + self._with_changed_address(changes), message.whole
+        )
         if not first:  # the whole list at a start is one log line, written there
             self._log_changes(now, changes)
         for name in changes.draining:  # what was not sent yet must not go there any more
@@ -71,6 +73,7 @@
             if name in self.links:
                 self.actions.append(HangUp(name))
                 self._link_lost(now, self.links[name])
+        self._machines_displaced(changes.displaced)
         inherited = self._move_to_successors(now, changes)
         for name in changes.gone:
             self.unreported_machines.discard(name)
@@ -95,6 +98,16 @@
         for name in changes.added:  # each is queried once for its guests of this planner
             self._dial(now, self.roster.machines[name])
 
+    def _with_changed_address(self, changes: RosterChanges) -> list[ListedMachine]:
+        """The entries of machines that lost their address to another one or have it again, and that this
+        listing does not show itself."""
+        shown = {entry.machine for entry in changes.listed}
+        return [
+            self.scheduler.machines[name].listed._replace(mode=self.roster.machines[name].mode)
+            for name in (*changes.displaced, *changes.restored)
+            if name not in shown and name in self.scheduler.machines
+        ]
+
     def _log_changes(self, now: int, changes: RosterChanges) -> None:
         for name in changes.added:
             self._machine_event("listed", name)
@@ -105,6 +118,8 @@
             if link is not None and link.offered_at:
                 reason += f", last offer {(now - link.offered_at) // 1000} ms ago"
             self._machine_event("closed", name, reason)
+        for name in changes.displaced:
+            self._machine_event("displaced", name, "another machine has its address")
 
     # Whether the list is current.
 
--- a/hazelhold/engine/liveness.py
+++ b/hazelhold/engine/liveness.py
@@ -1,9 +1,9 @@
 """Liveness checks: machines that are silent are probed, and then taken for lost."""
 
 from hazelhold.config.planner import to_microseconds
+from hazelhold.engine.address_reuse import AddressReuse
 from hazelhold.engine.machines import Link
 from hazelhold.engine.records import AbandonedDispatch, HangUp
-from hazelhold.engine.verification import GuestVerification
 from hazelhold.protocol import messages as m
 
 GONE_TIMEOUT = 1_000_000
@@ -23,7 +23,7 @@
 """Microseconds in which a process that resumes reads what arrived meanwhile, and dials again."""
 
 
-class LivenessChecks(GuestVerification):
+class LivenessChecks(AddressReuse):
     """Probes, and machines that are silent."""
 
     def _exclude_pause(self, now: int) -> None:
@@ -84,6 +84,7 @@
             link.without_guests_at = now
         if not link.guests or now - self.resumed_at < CATCH_UP_TIME:
             return
+        self._release_displaced(now, link)
         listed = link.machine in self.roster.machines
         link.gone_at = 0 if listed else link.gone_at or now
         if not listed:
--- a/hazelhold/engine/machines.py
+++ b/hazelhold/engine/machines.py
@@ -4,6 +4,7 @@
 from enum import Enum
 from typing import NamedTuple
 
+from hazelhold.engine.addresses import Addresses
 from hazelhold.interface import ListedMachine, MachineMode
 from hazelhold.protocol.messages import Entry, Listing, Message
 
@@ -22,10 +23,11 @@
 
     name: str
     address: str
-    mode: MachineMode
+    mode: MachineMode  # CORDONED while another machine has its address, whatever the list shows
     incarnation: int
     started: int
     kind: int
+    listed_mode: MachineMode = MachineMode.READY
 
 
 class PastConnection(NamedTuple):
@@ -187,6 +189,8 @@
     moved: list[str] = field(default_factory=list)  # machines with another address
     draining: list[str] = field(default_factory=list)  # machines that accept no new guests any more
     gone: list[str] = field(default_factory=list)
+    displaced: list[str] = field(default_factory=list)  # machines whose address another one has now
+    restored: list[str] = field(default_factory=list)  # machines that have their address again
     faults: list[str] = field(default_factory=list)  # entries that cannot be used, and why
 
 
@@ -196,10 +200,12 @@
     def __init__(self, kinds: dict[str, int]) -> None:
         self.kinds = kinds
         self.machines: dict[str, RosterMachine] = {}
+        self.addresses = Addresses()
 
     def update(self, now: int, listing: Listing) -> RosterChanges:
         """Applies a listing that was received at `now`; returns what it changed."""
-        changes = RosterChanges()
+        changes, displaced_before = RosterChanges(), set(self.addresses.displaced_at)
+        self.addresses.begin_listing()
         for entry in listing.entries:
             if entry.kind not in self.kinds and entry.machine not in self.machines:
                 changes.faults.append(f"{entry.machine}: no kind is called {entry.kind!r}")
@@ -210,9 +216,29 @@
             for name in [n for n in self.machines if n not in named]:
                 changes.draining.append(name)
                 changes.gone.append(name)
+                self.addresses.release(name)
                 del self.machines[name]
+        self._update_modes(displaced_before, changes)
         return changes
 
+    def _update_modes(self, displaced_before: set[str], changes: RosterChanges) -> None:
+        """A machine whose address another one has accepts nothing: what is sent there reaches the other."""
+        displaced = self.addresses.displaced_at
+        changes.displaced = [name for name in displaced if name not in displaced_before]
+        changes.restored = [name for name in displaced_before - displaced.keys() if name in self.machines]
+        for name in changes.restored:
+            self.machines[name].mode = self.machines[name].listed_mode
+        for name in displaced:
+            if self.machines[name].mode is MachineMode.READY:
+                self.machines[name].mode = MachineMode.CORDONED
+                changes.draining += [name] if name in changes.displaced else []
+        changes.listed = [
+            each._replace(mode=MachineMode.CORDONED)
+            if each.mode is MachineMode.READY and each.machine in displaced
+            else each
+            for each in changes.listed
+        ]
+
     def _entry(self, now: int, entry: Entry, changes: RosterChanges) -> None:
         old = self.machines.get(entry.machine)
         mode = MODES[entry.mode]
@@ -239,12 +265,15 @@
             changes.draining.append(entry.machine)
         if mode is MachineMode.GONE:
             changes.gone.append(entry.machine)
+            self.addresses.release(entry.machine)
             self.machines.pop(entry.machine, None)
             return
+        if not old or (old.incarnation, old.address) != (entry.incarnation, entry.address):
+            self.addresses.claim(now, entry.machine, entry.address, started)
         if not old or old.incarnation != entry.incarnation:
             changes.added.append(entry.machine)
         elif old.address != entry.address:
             changes.moved.append(entry.machine)
         self.machines[entry.machine] = RosterMachine(
-            entry.machine, entry.address, mode, entry.incarnation, started, kind
+            entry.machine, entry.address, mode, entry.incarnation, started, kind, mode
         )
--- a/hazelhold/engine/restarts.py
+++ b/hazelhold/engine/restarts.py
@@ -194,8 +194,3 @@
         decided_at = max(since + MIN_REPORT_TIME, preferred)
         cause = VerificationCause.RESTARTED
         self._verify(record, Verification(cause, since, decided_at, link.restart.listed_at, not_over_at))
-
-    def _not_over_at(self, link: Link, record: GuestRecord) -> int:
-        """The earliest time at which a guest may have ended, if it is over: the process that it was sent to
-        has sent something until then."""
-        return max(record.sent_at, record.confirmed_at, link.last_heard_on_connection(record.sent_at))
--- a/hazelhold/engine/verification.py
+++ b/hazelhold/engine/verification.py
@@ -213,6 +213,11 @@
         )
         self._guest_gone(now, record, "lost")
 
+    def _not_over_at(self, link: Link, record: GuestRecord) -> int:
+        """The earliest time at which a guest may have ended, if it is over: the process that it was sent to
+        has sent something until then."""
+        return max(record.sent_at, record.confirmed_at, link.last_heard_on_connection(record.sent_at))
+
     def _may_be_over(self, link: Link, record: GuestRecord, verification: Verification) -> bool:
         """Whether the process that answers for a machine may be another than the one that the guest reached.
 
