An end that a machine tells on the connection of the one before it at its address is taken

Cause: messages were matched to guests by the name of the connection's machine. The connection of a machine that has gone may lead to the next one at its address, which tells ends on any connection of its planner; there they were stray.

Change: the end of a placed guest is taken from the connection of a machine that has gone, or whose address another one has, if the guest's machine has that address, and if the guest was not sent to the machine before.

Why it works: what answers at that address is the guest's machine. An end of an earlier dispatch there cannot be meant, since such guests are left out, which a second test holds.

--- a/hazelhold/engine/links.py
+++ b/hazelhold/engine/links.py
@@ -175,7 +175,10 @@
             if (
                 record
                 and record.machine
-                and record.machine in (machine, link.successor)
+                and (
+                    record.machine in (machine, link.successor)
+                    or self._ends_at_successor(link, record, message)
+                )
                 and record.sent
                 and (
                     not self.peers.identifies_dispatches
@@ -189,6 +192,22 @@
                 return
         self._abandoned_message(now, machine, message)
 
+    def _ends_at_successor(self, link: Link, record: GuestRecord, message: m.Message) -> bool:
+        """Whether the machine that has this one's address now ends a placed guest of its own.
+
+        It may do so on each connection of this planner. An end is not taken from a machine that the guest was
+        sent to before: that may be about the earlier dispatch.
+        """
+        other = self.links.get(record.machine)
+        if not record.placed or not isinstance(message, m.Ended) or other is None:
+            return False
+        is_gone = (
+            link.machine not in self.roster.machines or link.machine in self.roster.addresses.displaced_at
+        )
+        guest = self.scheduler.guests.get(record.name)
+        was_sent_here = guest is None or link.machine in guest.excluded_machines
+        return is_gone and link.address == other.address and not was_sent_here
+
     def _dispatch_message(self, now: int, record: GuestRecord, message: m.DispatchMessage) -> None:
         """A message about the outstanding dispatch or the placed guest."""
         record.confirmed_at = now
--- a/tests/test_fault_reused_address.py
+++ b/tests/test_fault_reused_address.py
@@ -49,6 +49,33 @@
     play(story, machines="a", settings=TELLING_USE)
 
 
+def test_an_end_on_that_connection_is_not_taken_if_the_guest_was_sent_there_before() -> None:
+    """Guards against a late end of an earlier dispatch that is taken for the end of the guest elsewhere."""
+
+    async def story(rig: Rig) -> None:
+        owner, machine = await rig.owner(), rig.machines["a"]
+        engine = rig.planner.engine
+        await owner.say(set_up(1))
+        await trio.sleep(0.5)
+        rig.bulletin.events.append(event(2, host("a", "terminating")))
+        await trio.sleep(0.3)
+        await machine.streams[-1].aclose()
+        await trio.sleep(1.0)
+        of_the_machine_before = machine.streams[-1]
+        rig.bulletin.events.append(event(3, host("a", "terminated"), host("b", dial="a:1")))
+        await trio.sleep(0.3)
+        await owner.say(set_up(2))
+        await trio.sleep(0.2)
+        assert owner.of(2) == PLACED
+        engine.scheduler.guests[engine.newest_records[f"{2:016x}"].name].excluded_machines.append("a")
+        end = {"op": "end", "call": f"{2:016x}", "with": {}, "why": DONE}
+        await machine.say(of_the_machine_before, end)
+        await trio.sleep(0.2)
+        assert owner.of(2) == PLACED
+
+    play(story, machines="a", settings=TELLING_USE)
+
+
 MANY_PLANNERS = DEPLOYMENT | {"balancers": 16}
 STANDING, NEXT = range(1, 9), range(20, 26)
 
