Handovers that have ended leave room, and a connection that is closed for its buffers counts no more

Need: the limit on what one connection hands over counted guests that had ended since, so a connection with a long life could have been told that its real tasks are gone; and a connection that is being closed for its buffers could be counted again before it was gone, which would have closed others for it. Both were found on reading the change, not seen.

Change: a guest leaves its connection's account with its end, as told by its machine or its owner; a discarded connection counts as empty. The new test hands over and ends 300 guests on one connection and machine.

--- a/hazelhold/platform/handover_limits.py
+++ b/hazelhold/platform/handover_limits.py
@@ -5,6 +5,8 @@
 machine does not report its end.
 """
 
+from typing import NamedTuple
+
 from hazelhold.interface import MachineKind
 
 CAPACITY_FACTOR = 2.0
@@ -17,27 +19,45 @@
 """Part of the guests that this planner holds at most which one connection may hand over."""
 
 
+class HandedOver(NamedTuple):
+    """A guest that was handed over, with the cores and memory that it requests."""
+
+    machine: str
+    cores: float
+    memory: float
+
+
 class HandoverLimits:
-    """The guests that one connection has handed over, by machine; dropped with the connection."""
+    """The guests that one connection has handed over; emptied by their ends, dropped with the connection."""
 
     def __init__(self, max_guests: int) -> None:
         self.max_guests = int(max_guests * CONNECTION_SHARE)
-        self.guests = 0
-        self.by_machine: dict[str, tuple[int, float, float]] = {}  # guests, cores, memory
-
-    def admits(self, machine: str, capacity: MachineKind | None, cores: float, memory: float) -> bool:
-        """Whether another guest may be handed over there. `capacity` is what the machine accepts, None if it
-        is not listed."""
-        guests, used_cores, used_memory = self.by_machine.get(machine, (0, 0.0, 0.0))
-        if self.guests >= self.max_guests or guests >= MAX_ON_MACHINE:
+        self.guests: dict[str, HandedOver] = {}
+        self.by_machine: dict[str, tuple[int, float, float]] = {}  # guests, cores, memory; emptied with them
+
+    def admits(self, guest: HandedOver, capacity: MachineKind | None) -> bool:
+        """Whether another guest may be handed over. `capacity` is what its machine accepts, None if it is not
+        listed."""
+        guests, cores, memory = self.by_machine.get(guest.machine, (0, 0.0, 0.0))
+        if len(self.guests) >= self.max_guests or guests >= MAX_ON_MACHINE:
             return False
         return capacity is None or (
-            used_cores + cores <= CAPACITY_FACTOR * capacity.cores
-            and used_memory + memory <= CAPACITY_FACTOR * capacity.memory
+            cores + guest.cores <= CAPACITY_FACTOR * capacity.cores
+            and memory + guest.memory <= CAPACITY_FACTOR * capacity.memory
         )
 
-    def add(self, machine: str, cores: float, memory: float) -> None:
-        """A guest was handed over there."""
-        guests, used_cores, used_memory = self.by_machine.get(machine, (0, 0.0, 0.0))
-        self.guests += 1
-        self.by_machine[machine] = guests + 1, used_cores + cores, used_memory + memory
+    def add(self, name: str, guest: HandedOver) -> None:
+        """A guest was handed over."""
+        self.remove(name)
+        guests, cores, memory = self.by_machine.get(guest.machine, (0, 0.0, 0.0))
+        self.guests[name] = guest
+        self.by_machine[guest.machine] = guests + 1, cores + guest.cores, memory + guest.memory
+
+    def remove(self, name: str) -> None:
+        """A guest has ended; one that was not handed over here is ignored."""
+        guest = self.guests.pop(name, None)
+        if guest is None:
+            return
+        guests, cores, memory = self.by_machine.pop(guest.machine)
+        if guests > 1:
+            self.by_machine[guest.machine] = guests - 1, cores - guest.cores, memory - guest.memory
--- a/hazelhold/platform/owner_server.py
+++ b/hazelhold/platform/owner_server.py
@@ -17,6 +17,7 @@
 from hazelhold.platform.codec import END, HEARD, SET_UP, TEST, BinaryMessage, CodecError
 from hazelhold.platform.connection_memory import ConnectionMemory
 from hazelhold.platform.eviction import eviction_order, is_stuck
+from hazelhold.platform.handover_limits import HandedOver
 from hazelhold.platform.peer import OwnerPeer
 from hazelhold.platform.reading import ReadingFaultError, guarded
 from hazelhold.platform.releases import Releases
@@ -218,6 +219,8 @@
             self.log.debug("to_owner", owner=owner, message=repr(message))
         peer = self.peers.get(owner)
         if isinstance(message, m.GuestEnded):
+            if peer is not None:
+                peer.handovers.remove(message.guest)
             if message.how != "stopped" and not self.releases.send(peer, binary) and message.how == "moved":
                 self.engine.move_undelivered(message.guest)
             return
@@ -288,6 +291,7 @@
             self.engine.withdraw_guest(now, guest)
             return
         peer.open.remove(guest)
+        peer.handovers.remove(guest)
         if self.engine.owner_left(now, guest):
             peer.sent_valid = True
             return
@@ -371,14 +375,14 @@
             peer.send(translation.released(submit.guest, translation.RESET))
             return
         if is_new:
-            peer.handovers.add(at, submit.cores, submit.memory)
+            peer.handovers.add(submit.guest, HandedOver(at, submit.cores, submit.memory))
         peer.sent_valid = peer.was_sent_message = peer.handed_over = True
         if ended:  # already ended by its owner: the machine has to stop it
             self.engine.owner_left(now, submit.guest)
 
     def _may_hand_over(self, peer: OwnerPeer, machine: str, submit: m.Submit) -> bool:
         capacity = self.engine.machine_capacity(machine)
-        return peer.handovers.admits(machine, capacity, submit.cores, submit.memory)
+        return peer.handovers.admits(HandedOver(machine, submit.cores, submit.memory), capacity)
 
     # Buffers of all connections.
 
@@ -392,6 +396,7 @@
         while (largest := self.memory.largest_user(self.peers.values())) is not None and largest.buffered:
             self.counts["connections_closed_for_memory"] += 1
             self.log.info("owner_closed", owner=largest.name, code="buffers", reason=str(largest.buffered))
-            self.memory.forget_buffers(largest)
+            largest.discarded = True
+            self.memory.count_buffers(largest)
             del self.peers[largest.name]
             largest.cut()
--- a/hazelhold/platform/peer.py
+++ b/hazelhold/platform/peer.py
@@ -117,6 +117,7 @@
         self.memory = memory or ConnectionMemory(0)
         self.handovers = HandoverLimits(max_guests)
         self.buffered = 0  # bytes in buffers, as last counted by `memory`
+        self.discarded = False  # it is being closed for its buffers, which count no more
         self.name, self.opened_at, self.used_at = name, at, at
         self.open = OpenRequests(self.memory)
         self.arrival = EmptySince()
@@ -183,7 +184,7 @@
 
     def buffered_bytes(self) -> int:
         """Bytes that were read and are no message yet, and those that are not written yet."""
-        return len(self.reader.held) + self.bytes_put - self.bytes_left
+        return 0 if self.discarded else len(self.reader.held) + self.bytes_put - self.bytes_left
 
     def release(self, binary: BinaryMessage) -> bool:
         """Like `send`, for the end of a placed guest, which is sent elsewhere if this connection closes
--- a/tests/test_connection_memory.py
+++ b/tests/test_connection_memory.py
@@ -7,7 +7,7 @@
 from hazelhold.platform.connection_memory import ConnectionMemory, OpenRequests
 from hazelhold.platform.handover_limits import MAX_ON_MACHINE
 from hazelhold.platform.translation import FULL, RESET
-from tests.platform_rig import PLACED, Rig, play, set_up
+from tests.platform_rig import PLACED, Rig, end, play, set_up
 
 NOWHERE = "cores:100;memory:2;service:one"  # within what the largest machine accepts, more than any has
 MANY = 5000
@@ -148,6 +148,24 @@
     play(story)
 
 
+def test_handovers_that_have_ended_leave_room_for_others() -> None:
+    """Guards against a connection that may hand over nothing any more after a long life."""
+
+    async def story(rig: Rig) -> None:
+        owner = await rig.owner()
+        for turn in range(300):
+            figures = "cores:20;memory:2;service:s;at:a"
+            await owner.say(set_up(1000 + turn, figures=figures))
+            await trio.sleep(0.05)
+            await owner.say(end(1000 + turn))
+            await trio.sleep(0.05)
+        assert not any(binary.cause == RESET for binary in owner.heard)
+        (peer,) = rig.planner.owner_server.peers.values()
+        assert not peer.handovers.guests and not peer.handovers.by_machine
+
+    play(story)
+
+
 def test_handovers_of_small_guests_are_limited_in_number() -> None:
     """Guards against a bound that guests with tiny requests pass."""
 
