--- a/hazelhold/config/planner.py
+++ b/hazelhold/config/planner.py
@@ -117,8 +117,6 @@
     again_most_ms: Millis = 5000.0
     batch_ms: Annotated[float, Meta(ge=0, le=1000)] = 2.0
     decisions_at_once: Annotated[int, Meta(ge=1, le=1_000_000)] = 32  # before peers are read again
-    answers_at_once: Annotated[int, Meta(ge=0, le=1_000_000)] = 0  # 0: as many as decisions
-    machines_at_once: Annotated[int, Meta(ge=1, le=1 << 40)] = 20_000  # considered for guests, likewise
 
 
 class CaptureConfig(Struct, frozen=True):
--- a/hazelhold/engine/engine.py
+++ b/hazelhold/engine/engine.py
@@ -77,15 +77,16 @@
         """
         self._handle_timeouts(now)
         self._report_lease(now)
-        self.scheduler.pace.begin_step(now, self.more)
+        self.pace.begin_step(now, self.more)
         left = self.decision_batch
         while left > 0:
             decision = self.scheduler.decide(now)
-            self.more = decision is not None or self.scheduler.pace.has_reached_limit()
+            self.more = decision is not None or self.pace.has_reached_limit()
             if decision is None:
                 return
             self._carry_out(now, decision)
-            left -= decision.kind not in ANSWERS  # bounded by the scheduler's own limit
+            if decision.kind not in ANSWERS or not self.step_limits.answers:
+                left -= 1
 
     def next_at(self, now: int) -> int | None:
         """When to pump again if nothing happens; None if nothing is due."""
--- a/hazelhold/engine/links.py
+++ b/hazelhold/engine/links.py
@@ -199,14 +199,14 @@
         sent to before: that may be about the earlier dispatch.
         """
         other = self.links.get(record.machine)
-        if not record.placed or not isinstance(message, m.Ended) or other is None:
+        if self.peers.identifies_dispatches or not record.placed or not isinstance(message, m.Ended):
             return False
         is_gone = (
             link.machine not in self.roster.machines or link.machine in self.roster.addresses.displaced_at
         )
         guest = self.scheduler.guests.get(record.name)
         was_sent_here = guest is None or link.machine in guest.excluded_machines
-        return is_gone and link.address == other.address and not was_sent_here
+        return is_gone and other is not None and link.address == other.address and not was_sent_here
 
     def _dispatch_message(self, now: int, record: GuestRecord, message: m.DispatchMessage) -> None:
         """A message about the outstanding dispatch or the placed guest."""
--- a/hazelhold/engine/settings.py
+++ b/hazelhold/engine/settings.py
@@ -30,6 +30,13 @@
     reports_use: bool = False
 
 
+class StepLimits(NamedTuple):
+    """What an engine does in one step, beside its limit of decisions, before peers are read again."""
+
+    machines: int = 20_000  # considered for guests
+    answers: int = 0  # final answers without a placement; 0: they count as decisions
+
+
 class EngineSettings(NamedTuple):
     """What an engine needs of a configuration. Names are in the order of the deployment settings."""
 
@@ -42,6 +49,7 @@
     # How long a list service's answer to a ConfirmList is valid, in microseconds; 0: none is sent. Apart from
     # the deployment's `list_lease`, by which the scheduler also takes refusals for signs of a drain.
     list_lease: int = 0
+    step_limits: StepLimits = StepLimits()
 
 
 def engine_settings(config: PlannerConfig) -> EngineSettings:
--- a/hazelhold/engine/tables.py
+++ b/hazelhold/engine/tables.py
@@ -2,6 +2,7 @@
 
 from collections import Counter, OrderedDict, deque
 from heapq import heappush
+from math import inf
 from random import Random
 from typing import NamedTuple, Protocol
 
@@ -29,6 +30,7 @@
 )
 from hazelhold.engine.settings import EngineSettings, engine_settings
 from hazelhold.interface import EarlierDispatch, RepeatSemantics, Submission
+from hazelhold.placement_pace import PlacementPace
 from hazelhold.protocol import messages as m
 from hazelhold.scheduler import Scheduler
 from hazelhold.state.images import Change
@@ -70,8 +72,10 @@
         settings = config if isinstance(config, EngineSettings) else engine_settings(config)
         self.limits, self.peers, self.deployment = settings.limits, settings.peers, settings.deployment
         self.scheduler = Scheduler(seed, self.deployment)
-        self.scheduler.pace.work_limit = self.limits.machines_at_once
-        self.scheduler.pace.answers_limit = self.limits.answers_at_once or self.limits.decisions_at_once
+        self.step_limits = settings.step_limits
+        self.pace = self.scheduler.pace = PlacementPace(
+            self.step_limits.machines, self.step_limits.answers or inf
+        )
         # Decisions in one pump; a host that is behind lowers it.
         self.decision_batch = self.limits.decisions_at_once
         self.actions: list[Action] = []  # emptied by the host
@@ -207,9 +211,13 @@
             s.memory,
             patience,
             earlier,
-            owner=record.owner,
+            owner=self._turn_owner(record),
         )
 
+    def _turn_owner(self, record: GuestRecord) -> str:
+        """Who takes turns with others for this guest; nobody where refused owners are told when to return."""
+        return "" if self.peers.advises_retry else record.owner
+
     def _attach(self, record: GuestRecord) -> None:
         if record.machine not in self.links:
             self.links[record.machine] = Link(record.machine)
--- a/hazelhold/placement_pace.py
+++ b/hazelhold/placement_pace.py
@@ -5,6 +5,7 @@
 takes turns among owners instead (start-time fair queueing), so that an owner with many guests delays its own.
 """
 
+import math
 from collections.abc import Sequence
 
 BEHIND_AFTER = 50_000
@@ -44,11 +45,12 @@
     """The work of the present step, and whether the planner is behind.
 
     A host that sets limits begins each step; without one there is a single step without limits.
+    `work_limit`: machines considered in one step, from which on it ends. `answers_limit`: final answers in
+    one step, before guests are placed.
     """
 
-    def __init__(self) -> None:
-        self.work_limit: float = float("inf")  # machines considered in one step, from which on it ends
-        self.answers_limit: float = float("inf")  # final answers in one step, before guests are placed
+    def __init__(self, work_limit: float = math.inf, answers_limit: float = math.inf) -> None:
+        self.work_limit, self.answers_limit = work_limit, answers_limit
         self.work = self.answers = 0  # in this step
         self.unfinished_since = 0  # microseconds; the first of the steps in a row that left work; 0: none
         self.behind = False
--- a/hazelhold/platform/configuration.py
+++ b/hazelhold/platform/configuration.py
@@ -14,7 +14,7 @@
 from hazelhold.config.load import ConfigError, read_text, split_address
 from hazelhold.config.planner import LimitsConfig
 from hazelhold.engine.list_lease import lease_duration
-from hazelhold.engine.settings import EngineSettings, PeerCapabilities
+from hazelhold.engine.settings import EngineSettings, PeerCapabilities, StepLimits
 from hazelhold.interface import Deployment
 from hazelhold.platform.number_ranges import DEADLINE, DURATION_SETTING, SETTING
 from hazelhold.simhost import Pairs, WireError, read_deployment, truth
@@ -31,8 +31,7 @@
 # Decisions between reads of peers. One takes up to some 10 ms, and a drain has to be read within its grace of
 # 250 ms.
 DECISIONS_AT_ONCE = 8
-ANSWERS_AT_ONCE = 64
-MACHINES_AT_ONCE = 4_000  # considered for guests between reads of peers, some 5 us each
+STEP_LIMITS = StepLimits(machines=4_000, answers=64)  # a machine considered takes some 5 us
 MIN_LEASE = 20_000  # microseconds; the protocol extends each limit by 50 ms
 DRAIN_GRACE = 250_000  # microseconds; the default
 MAX_GRACE = 86_400_000_000  # microseconds; larger values are rejected
@@ -190,6 +189,7 @@
             reports_load=pairs.values.get("load-report.how", "") != "off",
             reports_use=truth(pairs.values.get("family-info.use-notes", "")),
         ),
+        step_limits=STEP_LIMITS,
     )
     max_resources = (
         max(k.cores for k in deployment.machine_kinds) * deployment.cores_multiple,
@@ -297,7 +297,5 @@
         send_bytes=1 << 18,
         connections=owners,
         decisions_at_once=DECISIONS_AT_ONCE,
-        answers_at_once=ANSWERS_AT_ONCE,
-        machines_at_once=MACHINES_AT_ONCE,
         links=max(4, bounds.sockets - owners - max(16, bounds.sockets // 12)),
     )
--- a/tests/test_placement_pace.py
+++ b/tests/test_placement_pace.py
@@ -52,7 +52,7 @@
         return self.checks
 
     def most_checks(self) -> int:
-        return self.settings.limits.machines_at_once + 4 * MACHINES  # those of the last guest in full
+        return self.settings.step_limits.machines + 4 * MACHINES  # those of the last guest in full
 
 
 def test_a_step_considers_a_bounded_number_of_machines() -> None:
