List soak seeds 1133, 1137 and 1151: releases after a restart in an outage of the list, and unread ends

The logs show known causes: a restart that the list shows 7.5 to 8.6 s late, so that no evidence comes in time (1133, 1151), and ends that lie unread when a planner that was stopped closes their connections as idle (1137: six `links_rested` at its resumption). 1151 was seen on too. Checks, bounds and seeds are as they were.

--- a/tests/test_faults_soak_listed.py
+++ b/tests/test_faults_soak_listed.py
@@ -15,6 +15,9 @@
     (850, 18.0, Kinds.USUAL),
     (901, 16.0, Kinds.ALL),
     (916, 16.0, Kinds.ALL),
+    (1133, 18.0, Kinds.ALL),
+    (1137, 18.0, Kinds.ALL),
+    (1151, 18.0, Kinds.ALL),
 ]
 
 
